--- /dev/null
+++ b/Makefile
@@ -0,0 +1,129 @@
+# Builds papayad, papayactl and the stand-ins; see README.md.
+#
+#   make            all programs
+#   make demo       installs what is missing, runs the main job
+#   make check      installs what is missing, runs the unit tests
+#   make spec       model-checks the protocols and their mutants
+#   make faults     failure tests on real processes
+#   make measure    load measurements on real processes
+#   make bench      cost of single decisions
+#   make lint       clang-format and clang-tidy
+#   make proto      regenerates the peer protocol's C code
+#
+# SANITIZE=address,undefined builds into a folder of its own.
+
+SANITIZE ?=
+B := build$(if $(SANITIZE),-san)
+CC ?= gcc
+PKGS := libevent libevent_pthreads libprotobuf-c jansson argtable2 glib-2.0 \
+	libxxhash
+PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+CHECK_LIBS = $(shell pkg-config --libs check 2>/dev/null)
+WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	-Wmissing-prototypes -Wpointer-arith -Wno-unused-parameter
+CFLAGS ?= -O2 -g
+ALL_CFLAGS := -std=gnu11 -I. $(WARN) $(CFLAGS) $(PKG_CFLAGS) -MMD -MP \
+	$(if $(SANITIZE),-fsanitize=$(SANITIZE) -fno-omit-frame-pointer)
+ALL_LDFLAGS := $(LDFLAGS) $(if $(SANITIZE),-fsanitize=$(SANITIZE))
+
+LIB_DIRS := common core net platform
+LIB_SRC := $(sort $(foreach d,$(LIB_DIRS),$(wildcard $(d)/*.c)))
+DAEMON_SRC := $(sort $(wildcard daemon/*.c))
+CTL_SRC := $(sort $(wildcard ctl/*.c))
+STANDIN_LIB_SRC := $(sort $(wildcard standin/lib_*.c))
+STANDIN_SRC := $(filter-out $(STANDIN_LIB_SRC),$(wildcard standin/*.c))
+TEST_SRC := $(sort $(wildcard tests/test_*.c))
+TEST_LIB_SRC := $(sort $(wildcard tests/lib_*.c))
+TOOL_SRC := $(filter-out $(TEST_SRC) $(TEST_LIB_SRC),$(wildcard tests/*.c))
+
+obj = $(patsubst %.c,$(B)/%.o,$(1))
+LIB := $(B)/libpapaya.a
+# The daemon's tasks without main, so that tests can link them.
+DAEMON_LIB := $(B)/libdaemon.a
+STANDINS := $(patsubst standin/%.c,$(B)/standin-%,$(STANDIN_SRC))
+TESTS := $(patsubst tests/%.c,$(B)/tests/%,$(TEST_SRC))
+TOOLS := $(patsubst tests/%.c,$(B)/tests/%,$(TOOL_SRC))
+PROGRAMS := $(if $(DAEMON_SRC),$(B)/papayad) $(if $(CTL_SRC),$(B)/papayactl) \
+	$(STANDINS)
+
+all: $(PROGRAMS)
+
+$(B)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) $(if $(findstring .pb-c.,$<),-w) -c -o $@ $<
+
+$(LIB): $(call obj,$(LIB_SRC))
+	rm -f $@
+	ar rcs $@ $^
+
+$(DAEMON_LIB): $(call obj,$(filter-out daemon/main.c,$(DAEMON_SRC)))
+	rm -f $@
+	ar rcs $@ $^
+
+$(B)/papayad: $(call obj,daemon/main.c) $(DAEMON_LIB) $(LIB)
+	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(PKG_LIBS) -lm
+
+$(B)/papayactl: $(call obj,$(CTL_SRC)) $(LIB)
+	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(PKG_LIBS) -lm
+
+$(B)/standin-%: $(B)/standin/%.o $(call obj,$(STANDIN_LIB_SRC)) $(LIB)
+	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(PKG_LIBS) -lm
+
+$(B)/tests/%: $(B)/tests/%.o $(call obj,$(TEST_LIB_SRC)) $(DAEMON_LIB) $(LIB)
+	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(PKG_LIBS) -lm
+
+proto:
+	protoc-c --proto_path=net --c_out=net net/peer.proto
+
+setup:
+	@tests/setup.sh
+
+demo: setup
+	@$(MAKE) --no-print-directory all
+	@tests/demo.sh $(B)
+
+check: setup
+	@$(MAKE) --no-print-directory run-check
+
+run-check: all $(TESTS)
+	@tests/run.sh $(B) $(TESTS)
+
+spec:
+	@spec/run.sh
+
+faults: all $(TOOLS)
+	@$(B)/tests/faults $(FAULTS_ARGS)
+
+measure: all $(TOOLS)
+	@tests/measure.sh $(B)
+
+bench: $(TOOLS)
+	@$(B)/tests/bench
+
+LINT_SRC := $(filter-out %.pb-c.c,$(LIB_SRC) $(DAEMON_SRC) $(CTL_SRC) \
+	$(STANDIN_LIB_SRC) $(STANDIN_SRC) $(TEST_SRC) $(TEST_LIB_SRC) $(TOOL_SRC))
+LINT_HDR := $(filter-out %.pb-c.h,$(wildcard $(foreach d,$(LIB_DIRS) daemon \
+	ctl standin tests,$(d)/*.h)))
+
+format:
+	clang-format -i $(LINT_SRC) $(LINT_HDR)
+
+format-check:
+	@clang-format --dry-run -Werror $(LINT_SRC) $(LINT_HDR)
+
+tidy:
+	@printf '%s\n' $(LINT_SRC) | xargs -P 8 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- -std=gnu11 -I. $(PKG_CFLAGS) \
+		2>/dev/null' sh
+
+lint: format-check tidy
+
+clean:
+	rm -rf build build-san
+
+-include $(shell find $(B) -name '*.d' 2>/dev/null)
+
+.SECONDARY:
+.PHONY: all setup demo check run-check spec faults measure bench format \
+	format-check tidy lint clean proto
--- /dev/null
+++ b/common/option.h
@@ -0,0 +1,49 @@
+/*
+ * The option table: one row a setting, from which the settings check, the
+ * defaults and docs/SETTINGS.md come.
+ */
+#ifndef COMMON_OPTION_H
+#define COMMON_OPTION_H
+
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "common/err.h"
+#include "common/str.h"
+
+typedef enum option_type {
+	OPTION_INT, /* int64_t, within min and max */
+	OPTION_BOOL, /* bool */
+	OPTION_STRING, /* char *, owned by the settings */
+	OPTION_LIST, /* char **, NULL-terminated, owned by the settings */
+} option_type_t;
+
+typedef struct option {
+	const char *name;
+	option_type_t type;
+	const char *unit; /* "" where there is none */
+	int64_t min; /* integers: least value; strings and lists: length */
+	int64_t max; /* the greatest, likewise */
+	const char *def; /* default as text; NULL when the key is required */
+	size_t offset; /* of the field in the settings struct */
+	const char *help;
+	const char *const *choices; /* strings: NULL, or what is allowed */
+} option_t;
+
+/*
+ * Sets every field of SETTINGS to its default, then reads TEXT over them.
+ * Returns false with ERR naming file, line, column and the accepted range
+ * for the first unknown, duplicate, missing or out-of-range key. The fields
+ * are to be freed with option_free in either case.
+ */
+bool option_parse(const option_t *table, size_t n, void *settings, str_t text,
+		  const char *name, err_t *err);
+
+/* Frees the strings and lists that option_parse allocated. */
+void option_free(const option_t *table, size_t n, void *settings);
+
+/* Writes the table as a Markdown table. */
+void option_print_markdown(const option_t *table, size_t n, FILE *out);
+
+#endif
--- /dev/null
+++ b/common/str.h
@@ -0,0 +1,38 @@
+/* Length-counted strings: views that own nothing. */
+#ifndef COMMON_STR_H
+#define COMMON_STR_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <string.h>
+
+/* A view of LEN bytes at PTR; the bytes belong to somebody else. */
+typedef struct str {
+	const char *ptr;
+	size_t len;
+} str_t;
+
+#define STR_LIT(s) ((str_t){ (s), sizeof(s) - 1 })
+
+/* Returns a view of a NUL-terminated string; NULL gives the empty view. */
+static inline str_t str_from(const char *s)
+{
+	return (str_t){ s ? s : "", s ? strlen(s) : 0 };
+}
+
+/* Tells whether two views hold the same bytes. */
+static inline bool str_eq(str_t a, str_t b)
+{
+	return a.len == b.len && !memcmp(a.ptr, b.ptr, a.len);
+}
+
+/*
+ * Copies a view into a fixed buffer, NUL-terminated. Returns false, with
+ * the buffer empty, when it does not fit or holds a NUL byte.
+ */
+bool str_copy(char *buf, size_t size, str_t s);
+
+/* Returns a 64-bit hash of the bytes (XXH3, seed 0). */
+unsigned long long str_hash(str_t s);
+
+#endif
