core, net: state the interfaces that the parts are built against

Cause: dispatcher, membership, configuration, accounts, peer links and HTTP exchanges are written side by side and need one contract each. Ruled out: agreeing as the code grows, which couples the parts' insides. Before and after: no behaviour yet; every header compiles by itself. Conclusion: the parts can be implemented and tested apart.

--- /dev/null
+++ b/core/dispatcher.h
@@ -0,0 +1,172 @@
+/*
+ * Decides which waiting request may use which runner of one service in one
+ * zone, and when. Pure: events come with the time, actions go out through
+ * callbacks. A dispatcher's decisions cost only time when they are wrong; who
+ * may run a request is decided elsewhere (core/rights.h).
+ *
+ * All times are microseconds of the host's monotonic clock.
+ */
+#ifndef CORE_DISPATCHER_H
+#define CORE_DISPATCHER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/str.h"
+
+enum {
+	DISPATCHER_MAX_TIERS = 8,
+	DISPATCHER_NAME_SIZE = 64, /* bytes, with the NUL */
+};
+
+/* Names one attempt of one owner. */
+typedef struct want_id {
+	uint64_t owner; /* the owner's incarnation */
+	uint64_t attempt; /* unique within the incarnation */
+} want_id_t;
+
+/* What an owner asks for. */
+typedef struct want {
+	want_id_t id;
+	uint32_t tier; /* index into the tiers, 0 is the most urgent */
+	char team[DISPATCHER_NAME_SIZE];
+	uint32_t prompt_tokens; /* estimate; 1 for a plain call */
+	uint32_t output_tokens; /* estimate; 1 for a plain call */
+	uint64_t prefix_hash; /* 0 when there is no known prefix */
+	int64_t deadline; /* when the answer must be whole */
+	char avoid[DISPATCHER_NAME_SIZE]; /* runner that just failed, or "" */
+} want_t;
+
+/* One tier as the profile states it. */
+typedef struct dispatcher_tier {
+	bool is_protected; /* served before and never shed for others */
+	uint32_t weight; /* share among unprotected tiers, at least 1 */
+} dispatcher_tier_t;
+
+typedef struct dispatcher_runner {
+	char name[DISPATCHER_NAME_SIZE];
+	char address[DISPATCHER_NAME_SIZE]; /* IP:port */
+	uint32_t generation; /* of hardware, for the first speed estimate */
+	bool is_leaving;
+} dispatcher_runner_t;
+
+/* A runner's own load report. */
+typedef struct dispatcher_report {
+	int64_t as_of; /* when it was true; reports lag */
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t waiting_prompt_tokens;
+	uint32_t running_tokens;
+	bool is_leaving;
+} dispatcher_report_t;
+
+typedef enum refuse_reason {
+	REFUSE_DEADLINE, /* the predicted finish passes the deadline */
+	REFUSE_QUEUE_FULL, /* the table is full and nothing lower to shed */
+	REFUSE_SHED, /* gave way to a more urgent tier */
+	REFUSE_NO_RUNNER, /* the service has no runner here */
+	REFUSE_EXPIRED, /* the deadline passed while waiting */
+} refuse_reason_t;
+
+typedef enum done_result {
+	DONE_COMPLETED,
+	DONE_FAILED, /* the runner answered with an error */
+	DONE_CANCELLED, /* the caller left or a dispatcher cancelled it */
+	DONE_UNREACHABLE, /* connect failed: nothing was sent */
+	DONE_BROKEN, /* the connection broke after sending */
+} done_result_t;
+
+/* How an attempt ended. */
+typedef struct done {
+	done_result_t result;
+	uint32_t prompt_tokens; /* as the runner counted; 0 when unknown */
+	uint32_t output_tokens;
+	uint32_t cached_tokens;
+} done_t;
+
+typedef enum dispatcher_policy {
+	DISPATCHER_POLICY_LEDGER, /* tier order, windows, early refusal */
+	DISPATCHER_POLICY_ROUND_ROBIN, /* baseline */
+	DISPATCHER_POLICY_TWO_CHOICES, /* baseline, on reported load */
+} dispatcher_policy_t;
+
+typedef struct dispatcher_config {
+	bool is_engine; /* tokens count; else every call counts one */
+	uint32_t max_wants; /* queued, at most */
+	uint32_t max_running; /* granted and not done, at most */
+	uint32_t plain_slots; /* calls in flight a runner, plain services */
+	uint32_t window_tokens; /* tokens in flight a runner at first */
+	int64_t grant_timeout; /* a silent grant is given up after it */
+	uint64_t seed;
+	dispatcher_policy_t policy;
+} dispatcher_config_t;
+
+typedef struct dispatcher_ops {
+	/* The owner may send the request to the runner now. */
+	void (*grant)(void *ctx, const want_t *want,
+		      const dispatcher_runner_t *runner);
+	/* The request is refused before it ran. */
+	void (*refuse)(void *ctx, const want_t *want, refuse_reason_t reason,
+		       uint32_t retry_after_ms);
+	/* The owner is to cancel a running request to make room. */
+	void (*cancel)(void *ctx, const want_t *want);
+} dispatcher_ops_t;
+
+/* Counters, for metrics and tests. */
+typedef struct dispatcher_stats {
+	uint64_t wants, grants, cancels;
+	uint64_t refusals[REFUSE_EXPIRED + 1];
+	uint64_t foreign; /* events that named an unknown want or runner */
+	uint32_t queued, running, runners;
+} dispatcher_stats_t;
+
+/* Private; allocated by dispatcher_init and freed by dispatcher_finish. */
+struct dispatcher_state;
+
+typedef struct dispatcher {
+	struct dispatcher_state *state;
+} dispatcher_t;
+
+void dispatcher_init(dispatcher_t *d, const dispatcher_config_t *config,
+		     const dispatcher_ops_t *ops, void *ctx, int64_t now);
+void dispatcher_finish(dispatcher_t *d);
+
+/* Replaces the tiers; queued wants of a tier that is gone join the last. */
+void dispatcher_set_tiers(dispatcher_t *d, const dispatcher_tier_t *tiers,
+			  uint32_t n);
+/* Sets a team's weight within its tier; 1 is the default. */
+void dispatcher_set_team(dispatcher_t *d, str_t team, uint32_t weight);
+
+/* Adds a runner or updates it; leaving stops its grants at once. */
+void dispatcher_set_runner(dispatcher_t *d, const dispatcher_runner_t *runner,
+			   int64_t now);
+/* Forgets a runner that is in no list any more. */
+void dispatcher_remove_runner(dispatcher_t *d, str_t name, int64_t now);
+/* A runner that could not be asked for its load: no grants for a while. */
+void dispatcher_runner_silent(dispatcher_t *d, str_t name, int64_t now);
+void dispatcher_report(dispatcher_t *d, str_t name,
+		       const dispatcher_report_t *report, int64_t now);
+
+/* A new want: answered by exactly one grant or refuse, now or later. */
+void dispatcher_want(dispatcher_t *d, const want_t *want, int64_t now);
+/* The caller left before a grant was used. */
+void dispatcher_withdraw(dispatcher_t *d, want_id_t id, int64_t now);
+/* The first token of a granted request arrived. */
+void dispatcher_first_token(dispatcher_t *d, want_id_t id, int64_t now);
+void dispatcher_done(dispatcher_t *d, want_id_t id, const done_t *done,
+		     int64_t now);
+/*
+ * Takes up a grant that another dispatcher gave before this one took over:
+ * the owner reports it as running so that the ledger is whole.
+ */
+void dispatcher_adopt(dispatcher_t *d, const want_t *want, str_t runner,
+		      int64_t now);
+/* An owner is dead: its wants are dropped, its grants given up. */
+void dispatcher_owner_lost(dispatcher_t *d, uint64_t owner, int64_t now);
+/* Expires and refuses; call it every few milliseconds. */
+void dispatcher_tick(dispatcher_t *d, int64_t now);
+
+void dispatcher_stats(const dispatcher_t *d, dispatcher_stats_t *out);
+
+#endif
--- /dev/null
+++ b/core/member.h
@@ -0,0 +1,137 @@
+/*
+ * Membership of a zone's daemons, who owns a caller's key, and who hosts a
+ * dispatcher. Pure: events come with the time (microseconds, monotonic),
+ * probes go out through a callback.
+ */
+#ifndef CORE_MEMBER_H
+#define CORE_MEMBER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/str.h"
+
+enum {
+	MEMBER_NAME_SIZE = 64, /* bytes, with the NUL */
+	MEMBER_MAX_ZONES = 32,
+};
+
+typedef struct member_config {
+	int64_t heartbeat_timeout; /* silence after which a peer is tested */
+	int64_t quiet_period; /* Q: newly owned keys answer unknown */
+	int64_t mint_margin; /* T and clock skew, for keys with a mint time */
+	uint32_t max_members;
+} member_config_t;
+
+/* One entry VM, as the platform's list or the settings' seeds name it. */
+typedef struct member_vm {
+	char name[MEMBER_NAME_SIZE];
+	char zone[MEMBER_NAME_SIZE];
+	char address[MEMBER_NAME_SIZE]; /* callers' IP:port */
+	char peer_address[MEMBER_NAME_SIZE];
+	char admin_address[MEMBER_NAME_SIZE];
+	bool is_leaving;
+} member_vm_t;
+
+typedef enum member_state {
+	MEMBER_LISTED, /* in the list, never heard by anyone */
+	MEMBER_LIVE,
+	MEMBER_SUSPECT, /* silent; a new connection is being tried */
+	MEMBER_DRAINING, /* finishes what it has, owns nothing new */
+	MEMBER_DEAD,
+} member_state_t;
+
+typedef enum member_owner_kind {
+	MEMBER_OWNER_SELF, /* run it here */
+	MEMBER_OWNER_PEER, /* forward it to the peer */
+	MEMBER_OWNER_QUIET, /* ours, but it may have run elsewhere: unknown */
+	MEMBER_OWNER_ZONE, /* forward it to any daemon of the home zone */
+	MEMBER_OWNER_NONE, /* the home zone has no daemon that we know */
+} member_owner_kind_t;
+
+typedef struct member_owner {
+	member_owner_kind_t kind;
+	member_vm_t vm; /* PEER and ZONE: where to forward */
+	int64_t quiet_until; /* QUIET: when to come back */
+} member_owner_t;
+
+typedef struct member_ops {
+	/* Try a new connection to a silent peer; tell member_probed. */
+	void (*probe)(void *ctx, const member_vm_t *vm);
+	/* The set of live members changed. */
+	void (*changed)(void *ctx);
+} member_ops_t;
+
+struct member_table;
+
+typedef struct member {
+	struct member_table *table;
+} member_t;
+
+/*
+ * ZONES are all configured zones in the settings' order, the same on every
+ * daemon; SELF is this daemon and its own zone. Every key is newly owned
+ * at the start.
+ */
+void member_init(member_t *m, const member_config_t *config,
+		 const member_vm_t *self, uint64_t incarnation,
+		 const str_t *zones, uint32_t n_zones, const member_ops_t *ops,
+		 void *ctx, int64_t now);
+void member_finish(member_t *m);
+
+/* Replaces what the platform's list says; it lags, so it kills nobody. */
+void member_set_list(member_t *m, const member_vm_t *vms, uint32_t n,
+		     int64_t now);
+/* A heartbeat came straight from the peer. */
+void member_heard(member_t *m, const member_vm_t *vm, uint64_t incarnation,
+		  bool is_draining, int64_t now);
+/* REPORTER says that it heard NAME AGE microseconds ago. */
+void member_heard_by(member_t *m, str_t reporter, str_t name,
+		     uint64_t incarnation, int64_t age, int64_t now);
+/* How the new connection to a silent peer went. */
+void member_probed(member_t *m, str_t name, bool is_ok, int64_t now);
+/*
+ * A daemon that is leaving handed its keys over to this one: its departure
+ * makes nothing quiet here.
+ */
+void member_handed_over(member_t *m, str_t name, uint64_t incarnation,
+			int64_t now);
+/* Advances suspicion and quiet periods; call it every heartbeat. */
+void member_tick(member_t *m, int64_t now);
+
+/*
+ * True when the caller's loop stood still for longer than the heartbeat
+ * timeout since the last tick: the caller must then take a new incarnation
+ * with member_reincarnate before it sends anything.
+ */
+bool member_is_stalled(const member_t *m, int64_t now);
+void member_reincarnate(member_t *m, uint64_t incarnation, int64_t now);
+
+/* Sets whether this daemon itself is draining. */
+void member_set_draining(member_t *m, bool is_draining, int64_t now);
+
+/* The zone that a key belongs to: its zone prefix "ZONE/" or its hash. */
+str_t member_home_zone(const member_t *m, str_t key);
+/*
+ * Who owns a caller's key (with the team's scope in SCOPED). MINT_AGE is how
+ * long ago the key was minted by its own mint time, or -1.
+ */
+void member_key_owner(const member_t *m, str_t scoped, str_t home_zone,
+		      int64_t mint_age, int64_t now, member_owner_t *out);
+/* The daemon that hosts a service's dispatcher in a zone, as seen here. */
+bool member_dispatcher(const member_t *m, str_t zone, str_t service,
+		       uint32_t group, member_vm_t *out);
+/* Finds a daemon by name. */
+bool member_find(const member_t *m, str_t name, member_vm_t *out,
+		 member_state_t *state, uint64_t *incarnation);
+/* True when no member of the own zone is suspect or newly gone or come. */
+bool member_is_settled(const member_t *m, int64_t now);
+/* Calls FN for every known daemon but this one. */
+void member_each(const member_t *m,
+		 void (*fn)(void *ctx, const member_vm_t *vm,
+			    member_state_t state, uint64_t incarnation,
+			    int64_t heard_age),
+		 void *ctx, int64_t now);
+uint64_t member_incarnation(const member_t *m);
+
+#endif
