net: one HTTP exchange on a connection of its own

Cause: a dispatch must be known to have left or not, and must never be sent twice by the HTTP library. Ruled out: kept-alive connections, where a request written to a connection that the server is closing may or may not have run, and where a connection that something between the ends forgot swallows requests in silence. Change: http_call_t opens one connection an exchange, notes the moment before the first byte leaves, tells a whole answer from a cut one, and ends outside evhttp's own callbacks. Conclusion: evhttp never repeats a request used this way.

--- a/net/http.h
+++ b/net/http.h
@@ -35,7 +35,10 @@
 } http_request_t;
 
 typedef struct http_call_ops {
-	/* Connected: the first byte is about to leave. May be NULL. */
+	/*
+	 * Connected: the first byte is about to leave. May be NULL. Runs
+	 * inside evhttp: it may only take note.
+	 */
 	void (*sending)(void *ctx);
 	/* Status and headers came. May be NULL. */
 	void (*head)(void *ctx, int status, struct evkeyvalq *headers);
@@ -48,22 +51,11 @@
 	void (*end)(void *ctx, int status, const err_t *err);
 } http_call_ops_t;
 
-/* Private fields; on memory that the caller owns. */
+/* Private; the exchange itself lives as long as evhttp may still use it. */
+struct http_exchange;
+
 typedef struct http_call {
-	struct evhttp_connection *conn;
-	struct evhttp_request *req; /* NULL once evhttp freed it */
-	struct event *timer; /* connect timeout, then deferred end */
-	http_call_ops_t ops;
-	void *ctx;
-	err_t err;
-	int status;
-	int64_t idle_timeout_ms;
-	size_t max_body;
-	size_t body_size;
-	bool is_sending; /* the request's first byte was queued */
-	bool is_ended;
-	bool is_whole;
-	char peer[ERR_PEER_SIZE];
+	struct http_exchange *exchange; /* NULL when there is none */
 } http_call_t;
 
 /*
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,269 @@
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include "net/http.h"
+#include "tests/lib_suite.h"
+
+/* A raw server that answers every request with fixed bytes, then closes. */
+typedef struct fake {
+	struct event_base *base;
+	struct evconnlistener *listener;
+	const char *answer; /* NULL: close without one */
+	bool is_silent; /* accepts and never answers */
+	int connections;
+	int requests;
+	char address[32];
+} fake_t;
+
+typedef struct result {
+	struct event_base *base;
+	http_call_t call;
+	GString *body;
+	int status;
+	bool is_sending;
+	int ends;
+	err_t err;
+	bool finish_in_data;
+} result_t;
+
+static void written(struct bufferevent *bev, void *arg)
+{
+	bufferevent_free(bev);
+}
+
+static void readable(struct bufferevent *bev, void *arg)
+{
+	fake_t *f = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	if (evbuffer_search(in, "\r\n\r\n", 4, NULL).pos < 0)
+		return;
+	f->requests++;
+	evbuffer_drain(in, evbuffer_get_length(in));
+	if (f->is_silent)
+		return;
+	if (!f->answer) {
+		bufferevent_free(bev);
+		return;
+	}
+	bufferevent_setcb(bev, NULL, written, NULL, f);
+	evbuffer_add(bufferevent_get_output(bev), f->answer, strlen(f->answer));
+}
+
+static void gone(struct bufferevent *bev, short what, void *arg)
+{
+	bufferevent_free(bev);
+}
+
+static void accepted(struct evconnlistener *l, evutil_socket_t fd,
+		     struct sockaddr *sa, int len, void *arg)
+{
+	fake_t *f = arg;
+	struct bufferevent *bev =
+		bufferevent_socket_new(f->base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+	f->connections++;
+	bufferevent_setcb(bev, readable, NULL, gone, f);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+}
+
+static void fake_init(fake_t *f, struct event_base *base)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(sin);
+
+	f->base = base;
+	f->listener = evconnlistener_new_bind(
+		base, accepted, f, LEV_OPT_CLOSE_ON_FREE, 16,
+		(struct sockaddr *)&sin, sizeof(sin));
+	ck_assert_ptr_nonnull(f->listener);
+	getsockname(evconnlistener_get_fd(f->listener), (struct sockaddr *)&sin,
+		    &len);
+	g_snprintf(f->address, sizeof(f->address), "127.0.0.1:%d",
+		   ntohs(sin.sin_port));
+}
+
+static void sending(void *ctx)
+{
+	((result_t *)ctx)->is_sending = true;
+}
+
+static void data(void *ctx, struct evbuffer *body)
+{
+	result_t *r = ctx;
+	size_t n = evbuffer_get_length(body);
+
+	g_string_append_len(r->body, (char *)evbuffer_pullup(body, -1), n);
+	if (r->finish_in_data) {
+		http_call_finish(&r->call);
+		event_base_loopexit(r->base, NULL);
+	}
+}
+
+static void ended(void *ctx, int status, const err_t *err)
+{
+	result_t *r = ctx;
+
+	r->ends++;
+	r->status = status;
+	if (err)
+		r->err = *err;
+	http_call_finish(&r->call);
+	event_base_loopexit(r->base, NULL);
+}
+
+static void run(result_t *r, const char *address, enum evhttp_cmd_type method,
+		int64_t idle_ms)
+{
+	static const http_call_ops_t ops = { sending, NULL, data, ended };
+	http_request_t request = {
+		.address = address,
+		.method = method,
+		.path = "/x",
+		.body = STR_LIT("hello"),
+		.connect_timeout_ms = 1000,
+		.idle_timeout_ms = idle_ms,
+		.max_body = 64,
+	};
+	err_t err = { 0 };
+
+	r->body = g_string_new("");
+	ck_assert(http_call_start(&r->call, r->base, &request, &ops, r, &err));
+	event_base_dispatch(r->base);
+	/* Whatever was put off gets its turn. */
+	event_base_loop(r->base, EVLOOP_NONBLOCK);
+}
+
+START_TEST(tells_a_whole_answer_from_every_other_end)
+{
+	static const struct {
+		const char *answer;
+		bool is_silent;
+		err_code_t code;
+		const char *body;
+	} cases[] = {
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false,
+		  ERR_NONE, "ok" },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "2\r\nok\r\n0\r\n\r\n",
+		  false, ERR_NONE, "ok" },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false,
+		  ERR_CLOSED, "ok" },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "2\r\nok\r\n",
+		  false, ERR_CLOSED, "ok" },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nok", false,
+		  ERR_LIMIT, "" },
+		{ "garbage\r\n\r\n", false, ERR_INVALID, "" },
+		{ NULL, false, ERR_CLOSED, "" },
+		{ NULL, true, ERR_TIMEOUT, "" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct event_base *base = event_base_new();
+		fake_t f = { .answer = cases[i].answer,
+			     .is_silent = cases[i].is_silent };
+		result_t r = { .base = base };
+
+		fake_init(&f, base);
+		run(&r, f.address, EVHTTP_REQ_POST, 200);
+		ck_assert_msg(r.err.code == cases[i].code, "case %zu: %s %s", i,
+			      err_code_name(r.err.code), r.err.detail);
+		ck_assert_str_eq(r.body->str, cases[i].body);
+		ck_assert_int_eq(r.ends, 1);
+		ck_assert(r.is_sending);
+		ck_assert_int_eq(f.requests, 1);
+		evconnlistener_free(f.listener);
+		g_string_free(r.body, TRUE);
+		event_base_free(base);
+	}
+}
+END_TEST
+
+START_TEST(never_sends_a_request_twice_by_itself)
+{
+	static const enum evhttp_cmd_type methods[] = { EVHTTP_REQ_GET,
+							EVHTTP_REQ_POST,
+							EVHTTP_REQ_PUT };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
+		struct event_base *base = event_base_new();
+		fake_t f = { .answer = NULL };
+		result_t r = { .base = base };
+
+		fake_init(&f, base);
+		run(&r, f.address, methods[i], 500);
+		ck_assert_int_eq(r.err.code, ERR_CLOSED);
+		ck_assert_int_eq(f.connections, 1);
+		ck_assert_int_eq(f.requests, 1);
+		evconnlistener_free(f.listener);
+		g_string_free(r.body, TRUE);
+		event_base_free(base);
+	}
+}
+END_TEST
+
+START_TEST(a_refused_connection_sent_nothing)
+{
+	struct event_base *base = event_base_new();
+	fake_t f = { 0 };
+	result_t r = { .base = base };
+
+	fake_init(&f, base);
+	evconnlistener_free(f.listener);
+	run(&r, f.address, EVHTTP_REQ_POST, 500);
+	ck_assert_int_eq(r.err.code, ERR_REFUSED);
+	ck_assert(!r.is_sending);
+	ck_assert_int_eq(r.ends, 1);
+	g_string_free(r.body, TRUE);
+	event_base_free(base);
+}
+END_TEST
+
+START_TEST(finishing_inside_a_callback_ends_without_another)
+{
+	struct event_base *base = event_base_new();
+	fake_t f = { .answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+			       "ok" };
+	result_t r = { .base = base, .finish_in_data = true };
+
+	fake_init(&f, base);
+	run(&r, f.address, EVHTTP_REQ_GET, 500);
+	ck_assert_int_eq(r.ends, 0);
+	ck_assert_str_eq(r.body->str, "ok");
+	evconnlistener_free(f.listener);
+	g_string_free(r.body, TRUE);
+	event_base_free(base);
+}
+END_TEST
+
+START_TEST(refuses_addresses_that_are_not_ip_and_port)
+{
+	static const char *const bad[] = { "",
+					   "127.0.0.1",
+					   "127.0.0.1:",
+					   "127.0.0.1:0",
+					   "127.0.0.1:70000",
+					   "1:2x" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+		char ip[32];
+		uint16_t port;
+		err_t err = { 0 };
+
+		ck_assert(!http_split_address(bad[i], ip, sizeof(ip), &port,
+					      &err));
+		ck_assert_int_eq(err.code, ERR_INVALID);
+	}
+}
+END_TEST
+
+SUITE_MAIN("http", tells_a_whole_answer_from_every_other_end,
+	   never_sends_a_request_twice_by_itself,
+	   a_refused_connection_sent_nothing,
+	   finishing_inside_a_callback_ends_without_another,
+	   refuses_addresses_that_are_not_ip_and_port)
