common: let static analysis see that err_set is false

Cause: clang-tidy followed a path on which a failing http_split_address went on, because the value of a variadic function is not known to it. Ruled out: initialising every out parameter at the call, which hides real mistakes of the same kind. Change: err_set is a macro over err_fill whose value is the constant false. Conclusion: functions can end with return err_set(...).

--- a/common/err.c
+++ b/common/err.c
@@ -3,20 +3,19 @@
 #include <stdarg.h>
 #include <stdio.h>
 
-bool err_set(err_t *err, err_code_t code, const char *step, const char *peer,
-	     const char *fmt, ...)
+void err_fill(err_t *err, err_code_t code, const char *step, const char *peer,
+	      const char *fmt, ...)
 {
 	va_list ap;
 
 	if (!err)
-		return false;
+		return;
 	err->code = code;
 	err->step = step;
 	snprintf(err->peer, sizeof(err->peer), "%s", peer ? peer : "");
 	va_start(ap, fmt);
 	vsnprintf(err->detail, sizeof(err->detail), fmt, ap);
 	va_end(ap);
-	return false;
 }
 
 const char *err_text(const err_t *err, char *buf, unsigned int size)
--- a/common/err.h
+++ b/common/err.h
@@ -28,12 +28,19 @@
 	char detail[ERR_DETAIL_SIZE];
 } err_t;
 
+/* Fills an error; ERR may be NULL. */
+void err_fill(err_t *err, err_code_t code, const char *step, const char *peer,
+	      const char *fmt, ...) __attribute__((format(printf, 5, 6)));
+
 /*
- * Fills an error and returns false, so that a failing function can end with
- * `return err_set(...)`. ERR may be NULL.
+ * Fills an error and is false, so that a failing function can end with
+ * `return err_set(...)`. A macro, so that static analysis sees the value.
  */
-bool err_set(err_t *err, err_code_t code, const char *step, const char *peer,
-	     const char *fmt, ...) __attribute__((format(printf, 5, 6)));
+#define err_set(...)                   \
+	__extension__({                \
+		err_fill(__VA_ARGS__); \
+		false;                 \
+	})
 
 /* Writes "step: detail (peer PEER)" into BUF and returns BUF. */
 const char *err_text(const err_t *err, char *buf, unsigned int size);
