core: membership and ownership of callers' keys

Cause: the daemons need one answer to who may run a keyed request, that stays safe through crashes, pauses and broken links.

A key is quiet for Q from the latest departure of any member that would have it before this daemon, and from our own start; not only from the departure of the first, since a later owner may have run fresh keys meanwhile. An incarnation of the zone that was called dead stays dead: the peers tell it (Heard.is_dead) and it takes a new one. A hand-over from a daemon that was itself new leaves its keys quiet from that daemon's own entry. A peer that drains without hand-over keeps its keys quiet for as long as it drains.

Ruled out: taking a dead incarnation back when it is heard again (it does not know what ran elsewhere); quiet from the first departure alone.

--- a/core/member.h
+++ b/core/member.h
@@ -82,12 +82,22 @@
 /* Replaces what the platform's list says; it lags, so it kills nobody. */
 void member_set_list(member_t *m, const member_vm_t *vms, uint32_t n,
 		     int64_t now);
-/* A heartbeat came straight from the peer. */
+/*
+ * A heartbeat came straight from the peer. An incarnation of the own zone
+ * that was called dead stays dead (member_each shows it with a small
+ * heard_age): tell it so by Heard.is_dead, and it takes a new one.
+ */
 void member_heard(member_t *m, const member_vm_t *vm, uint64_t incarnation,
 		  bool is_draining, int64_t now);
-/* REPORTER says that it heard NAME AGE microseconds ago. */
+/* REPORTER says that it heard NAME itself AGE microseconds ago. */
 void member_heard_by(member_t *m, str_t reporter, str_t name,
 		     uint64_t incarnation, int64_t age, int64_t now);
+/*
+ * A peer of the own zone called NAME's INCARNATION dead. When that is this
+ * daemon, member_is_stalled is true until it takes a new incarnation: the
+ * peers have taken its keys over.
+ */
+void member_called_dead(member_t *m, str_t name, uint64_t incarnation);
 /* How the new connection to a silent peer went. */
 void member_probed(member_t *m, str_t name, bool is_ok, int64_t now);
 /*
@@ -101,8 +111,9 @@
 
 /*
  * True when the caller's loop stood still for longer than the heartbeat
- * timeout since the last tick: the caller must then take a new incarnation
- * with member_reincarnate before it sends anything.
+ * timeout since the last tick, or when peers called this incarnation dead:
+ * the caller must then take a new incarnation with member_reincarnate before
+ * it sends anything.
  */
 bool member_is_stalled(const member_t *m, int64_t now);
 void member_reincarnate(member_t *m, uint64_t incarnation, int64_t now);
@@ -114,7 +125,8 @@
 str_t member_home_zone(const member_t *m, str_t key);
 /*
  * Who owns a caller's key (with the team's scope in SCOPED). MINT_AGE is how
- * long ago the key was minted by its own mint time, or -1.
+ * long ago the key was minted by its own mint time, or -1. A draining daemon
+ * owns nothing.
  */
 void member_key_owner(const member_t *m, str_t scoped, str_t home_zone,
 		      int64_t mint_age, int64_t now, member_owner_t *out);
@@ -133,5 +145,7 @@
 			    int64_t heard_age),
 		 void *ctx, int64_t now);
 uint64_t member_incarnation(const member_t *m);
+/* Members that did not fit into the table, counted. */
+uint64_t member_refused(const member_t *m);
 
 #endif
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -727,7 +727,7 @@
   assert(message->base.descriptor == &papaya__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor papaya__hello__field_descriptors[8] =
+static const ProtobufCFieldDescriptor papaya__hello__field_descriptors[9] =
 {
   {
     "version",
@@ -825,12 +825,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_probe",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Hello, is_probe),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__hello__field_indices_by_name[] = {
   4,   /* field[4] = address */
   6,   /* field[6] = admin_address */
   7,   /* field[7] = challenge */
   3,   /* field[3] = incarnation */
+  8,   /* field[8] = is_probe */
   1,   /* field[1] = name */
   5,   /* field[5] = peer_address */
   0,   /* field[0] = version */
@@ -839,7 +852,7 @@
 static const ProtobufCIntRange papaya__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor papaya__hello__descriptor =
 {
@@ -849,7 +862,7 @@
   "Papaya__Hello",
   "papaya",
   sizeof(Papaya__Hello),
-  8,
+  9,
   papaya__hello__field_descriptors,
   papaya__hello__field_indices_by_name,
   1,  papaya__hello__number_ranges,
@@ -894,7 +907,7 @@
   (ProtobufCMessageInit) papaya__proof__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__heard__field_descriptors[3] =
+static const ProtobufCFieldDescriptor papaya__heard__field_descriptors[4] =
 {
   {
     "name",
@@ -932,16 +945,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_dead",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Heard, is_dead),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__heard__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   1,   /* field[1] = incarnation */
+  3,   /* field[3] = is_dead */
   0,   /* field[0] = name */
 };
 static const ProtobufCIntRange papaya__heard__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor papaya__heard__descriptor =
 {
@@ -951,7 +977,7 @@
   "Papaya__Heard",
   "papaya",
   sizeof(Papaya__Heard),
-  3,
+  4,
   papaya__heard__field_descriptors,
   papaya__heard__field_indices_by_name,
   1,  papaya__heard__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -58,10 +58,14 @@
    * random, fresh for each connection
    */
   ProtobufCBinaryData challenge;
+  /*
+   * only asks whether the peer lives; no link
+   */
+  protobuf_c_boolean is_probe;
 };
 #define PAPAYA__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__hello__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
 
 
 /*
@@ -71,7 +75,7 @@
 {
   ProtobufCMessage base;
   /*
-   * HMAC-SHA256(secret, peer's challenge, own name)
+   * HMAC-SHA256(secret, side, own hello, peer's hello)
    */
   ProtobufCBinaryData mac;
 };
@@ -86,10 +90,14 @@
   char *name;
   uint64_t incarnation;
   uint32_t age_ms;
+  /*
+   * the sender has called this incarnation dead
+   */
+  protobuf_c_boolean is_dead;
 };
 #define PAPAYA__HEARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__heard__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Papaya__Heartbeat
