--- a/common/json_text.c
+++ b/common/json_text.c
@@ -1,5 +1,6 @@
 #include "common/json_text.h"
 
+#include <stdio.h>
 #include <string.h>
 
 enum { MAX_DEPTH = 32, PATH_SIZE = 256 };
@@ -11,7 +12,8 @@
 	text_pos_t pos;
 	const char *want;
 	size_t ends[MAX_DEPTH]; /* length of the path at each depth */
-	int depth;
+	int index[MAX_DEPTH]; /* of the current element; -1 in an object */
+	int depth; /* may pass MAX_DEPTH; what is deeper is not found */
 	char path[PATH_SIZE];
 } walker_t;
 
@@ -106,10 +108,15 @@
 /* Sets the last component of the path; too long a path is cut. */
 static void set_key(walker_t *w, str_t key)
 {
-	size_t base = w->depth > 0 ? w->ends[w->depth - 1] : 0;
-	size_t room = sizeof(w->path) - base - 2;
-	size_t n = key.len < room ? key.len : room;
-
+	size_t base;
+	size_t room;
+	size_t n;
+
+	if (w->depth >= MAX_DEPTH)
+		return;
+	base = w->depth > 0 ? w->ends[w->depth - 1] : 0;
+	room = sizeof(w->path) - base - 2;
+	n = key.len < room ? key.len : room;
 	if (base)
 		w->path[base++] = '.';
 	memcpy(w->path + base, key.ptr, n);
@@ -126,6 +133,50 @@
 	return p < w->end && *p == ':';
 }
 
+static bool set_index(walker_t *w, int index)
+{
+	char text[16];
+
+	if (w->depth >= MAX_DEPTH)
+		return false;
+	w->index[w->depth] = index;
+	snprintf(text, sizeof(text), "%d", index);
+	set_key(w, str_from(text));
+	return !strcmp(w->path, w->want);
+}
+
+static void enter(walker_t *w, int index)
+{
+	if (++w->depth < MAX_DEPTH) {
+		w->ends[w->depth] = 0;
+		w->index[w->depth] = index;
+	}
+}
+
+/* Follows brackets and commas; true when an element is the one wanted. */
+static bool follow(walker_t *w)
+{
+	bool in_array =
+		w->depth > 0 && w->depth < MAX_DEPTH && w->index[w->depth] >= 0;
+	bool found = false;
+	char c = *w->at;
+
+	if (c == '{')
+		enter(w, -1);
+	else if (c == '[')
+		enter(w, 0);
+	else if ((c == '}' || c == ']') && w->depth > 0)
+		w->depth--;
+	if (c == '[')
+		found = set_index(w, 0);
+	else if (c == ',' && in_array)
+		found = set_index(w, w->index[w->depth] + 1);
+	advance(w);
+	while (found && w->at < w->end && strchr(" \t\r\n", *w->at))
+		advance(w);
+	return found;
+}
+
 static bool step(walker_t *w)
 {
 	if (*w->at == '"') {
@@ -140,12 +191,7 @@
 		w->pos = pos;
 		return true;
 	}
-	if (*w->at == '{' && w->depth + 1 < MAX_DEPTH)
-		w->ends[++w->depth] = 0;
-	else if (*w->at == '}' && w->depth > 0)
-		w->depth--;
-	advance(w);
-	return false;
+	return follow(w);
 }
 
 text_pos_t json_text_find(str_t text, const char *path)
--- a/common/json_text.h
+++ b/common/json_text.h
@@ -28,8 +28,9 @@
 json_t *json_text_parse(str_t text, const char *name, err_t *err);
 
 /*
- * Finds the place of a key, given as a dotted path, in a valid JSON text
- * with comments. Returns line 1, column 1 when the path is not there.
+ * Finds the place of a key or a list's element, given as a dotted path
+ * ("tiers.0.name"), in a valid JSON text with comments. Returns line 1,
+ * column 1 when the path is not there.
  */
 text_pos_t json_text_find(str_t text, const char *path);
 
--- a/core/profile.h
+++ b/core/profile.h
@@ -15,6 +15,7 @@
 
 enum {
 	PROFILE_MAX_TIERS = 8,
+	PROFILE_MAX_TEAMS = 24000,
 	PROFILE_NAME_SIZE = 64, /* bytes, with the NUL */
 	PROFILE_KEY_HASH_SIZE = 65, /* SHA-256 in hex, with the NUL */
 };
