core/config_fold: fold the configuration log to one verdict everywhere

Change: publications win by base version in the log's order. Versions only grow. Damage is skipped and counted.

--- /dev/null
+++ b/core/config_fold.c
@@ -0,0 +1,430 @@
+#include "core/config_fold.h"
+
+#include "core/config_record.h"
+
+/* A publication that was read past a gap. */
+typedef struct held {
+	uint64_t offset;
+	GBytes *data;
+} held_t;
+
+struct config_fold_state {
+	config_fold_ops_t ops;
+	void *ctx;
+	GHashTable *docs; /* name to config_doc_t */
+	GQueue held; /* of held_t, by offset */
+	uint64_t held_bytes;
+	uint64_t doc_bytes;
+	uint32_t max_docs;
+	uint64_t max_bytes;
+	uint64_t next;
+	uint64_t run_start; /* all from here to NEXT was read */
+	uint64_t covered;
+	bool is_whole;
+	config_fold_stats_t stats;
+};
+
+static void free_doc(void *p)
+{
+	config_doc_t *doc = p;
+
+	g_bytes_unref(doc->body);
+	g_free(doc);
+}
+
+static void free_held(void *p)
+{
+	held_t *held = p;
+
+	g_bytes_unref(held->data);
+	g_free(held);
+}
+
+static uint64_t held_cost(const held_t *held)
+{
+	return sizeof(*held) + sizeof(GList) + g_bytes_get_size(held->data);
+}
+
+void config_fold_init(config_fold_t *f, uint32_t max_docs, uint64_t max_bytes,
+		      const config_fold_ops_t *ops, void *ctx)
+{
+	struct config_fold_state *s = g_new0(struct config_fold_state, 1);
+
+	f->state = s;
+	if (ops)
+		s->ops = *ops;
+	s->ctx = ctx;
+	s->docs =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_doc);
+	g_queue_init(&s->held);
+	s->max_docs = max_docs;
+	s->max_bytes = max_bytes;
+	s->is_whole = true;
+}
+
+void config_fold_finish(config_fold_t *f)
+{
+	if (!f->state)
+		return;
+	g_hash_table_unref(f->state->docs);
+	g_queue_clear_full(&f->state->held, free_held);
+	g_clear_pointer(&f->state, g_free);
+}
+
+uint64_t config_fold_next(const config_fold_t *f)
+{
+	return f->state->next;
+}
+
+bool config_fold_is_whole(const config_fold_t *f)
+{
+	return f->state->is_whole;
+}
+
+uint64_t config_fold_covered(const config_fold_t *f)
+{
+	return f->state->covered;
+}
+
+static config_doc_t *find_doc(const struct config_fold_state *s,
+			      const char *name)
+{
+	return g_hash_table_lookup(s->docs, name);
+}
+
+static uint64_t version_of(const struct config_fold_state *s, const char *name)
+{
+	const config_doc_t *doc = find_doc(s, name);
+
+	return doc ? doc->version : 0;
+}
+
+/* Tells whether a document may take BODY without passing the bounds. */
+static bool has_room(const struct config_fold_state *s, const char *name,
+		     GBytes *body)
+{
+	const config_doc_t *old = find_doc(s, name);
+	uint64_t bytes = s->doc_bytes + g_bytes_get_size(body);
+
+	if (old)
+		bytes -= g_bytes_get_size(old->body);
+	else if (g_hash_table_size(s->docs) >= s->max_docs)
+		return false;
+	return bytes <= s->max_bytes;
+}
+
+static bool passes_check(const struct config_fold_state *s, const char *name,
+			 GBytes *body, err_t *err)
+{
+	gsize len;
+	const char *text = g_bytes_get_data(body, &len);
+
+	return !s->ops.check ||
+	       s->ops.check(s->ctx, name, (str_t){ text, len }, err);
+}
+
+static bool is_sound(const struct config_fold_state *s, const char *name,
+		     GBytes *body)
+{
+	return has_room(s, name, body) && passes_check(s, name, body, NULL);
+}
+
+/* Puts DOC in force and takes over its body. */
+static const config_doc_t *put_doc(struct config_fold_state *s,
+				   const config_doc_t *doc)
+{
+	config_doc_t *old = find_doc(s, doc->name);
+	config_doc_t *copy = g_new(config_doc_t, 1);
+
+	if (old)
+		s->doc_bytes -= g_bytes_get_size(old->body);
+	s->doc_bytes += g_bytes_get_size(doc->body);
+	*copy = *doc;
+	g_hash_table_replace(s->docs, copy->name, copy);
+	if (s->ops.changed)
+		s->ops.changed(s->ctx, copy);
+	return copy;
+}
+
+static config_verdict_t judged(struct config_fold_state *s,
+			       const config_record_t *r,
+			       config_verdict_t verdict)
+{
+	if (verdict == CONFIG_ACCEPTED)
+		s->stats.accepted++;
+	else if (verdict == CONFIG_SUPERSEDED)
+		s->stats.superseded++;
+	else
+		s->stats.damaged++;
+	if (s->ops.judged)
+		s->ops.judged(s->ctx, r->nonce, verdict, find_doc(s, r->doc));
+	return verdict;
+}
+
+static config_verdict_t fold_publish(struct config_fold_state *s,
+				     uint64_t offset, const config_record_t *r)
+{
+	const config_doc_t *old = find_doc(s, r->doc);
+	config_doc_t doc = { .version = r->base + 1, .offset = offset };
+	g_autoptr(GBytes) body = config_record_body(r);
+
+	/* A relayed document may already stand for this record. */
+	if (old && offset <= old->offset)
+		return judged(s, r,
+			      offset == old->offset ? CONFIG_ACCEPTED :
+						      CONFIG_SUPERSEDED);
+	if (r->base != version_of(s, r->doc))
+		return judged(s, r, CONFIG_SUPERSEDED);
+	if (!is_sound(s, r->doc, body))
+		return judged(s, r, CONFIG_DAMAGED);
+	str_copy(doc.name, sizeof(doc.name), str_from(r->doc));
+	str_copy(doc.nonce, sizeof(doc.nonce), str_from(r->nonce));
+	doc.body = g_steal_pointer(&body);
+	put_doc(s, &doc);
+	return judged(s, r, CONFIG_ACCEPTED);
+}
+
+static void drop_held_before(struct config_fold_state *s, uint64_t offset)
+{
+	const held_t *held;
+
+	while ((held = g_queue_peek_head(&s->held)) && held->offset < offset) {
+		s->held_bytes -= held_cost(held);
+		free_held(g_queue_pop_head(&s->held));
+	}
+}
+
+static config_verdict_t hold(struct config_fold_state *s, uint64_t offset,
+			     str_t data)
+{
+	held_t *held = g_new(held_t, 1);
+
+	held->offset = offset;
+	held->data = g_bytes_new(data.ptr, data.len);
+	g_queue_push_tail(&s->held, held);
+	s->held_bytes += held_cost(held);
+	while (s->held_bytes > s->max_bytes) {
+		held = g_queue_peek_head(&s->held);
+		s->run_start = held->offset + 1;
+		s->stats.held_dropped++;
+		drop_held_before(s, s->run_start);
+	}
+	return CONFIG_HELD;
+}
+
+/* All before AS_OF is known now: judges what was held from there on. */
+static void close_gap(struct config_fold_state *s, uint64_t as_of)
+{
+	held_t *held;
+
+	s->is_whole = true;
+	drop_held_before(s, as_of);
+	while ((held = g_queue_pop_head(&s->held))) {
+		gsize len;
+		const char *text = g_bytes_get_data(held->data, &len);
+		config_record_t r;
+
+		s->held_bytes -= held_cost(held);
+		if (config_record_parse(&r, (str_t){ text, len }, NULL)) {
+			fold_publish(s, held->offset, &r);
+			config_record_finish(&r);
+		}
+		free_held(held);
+	}
+}
+
+/*
+ * Every entry has to be sound, else none is taken. A writer may know of
+ * documents past as_of by relay, but of none past its own record.
+ */
+static bool check_snapshot(const struct config_fold_state *s, uint64_t offset,
+			   const config_record_t *r)
+{
+	g_autoptr(GHashTable) seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	size_t i;
+	json_t *entry;
+	uint64_t bytes = 0;
+
+	if (json_array_size(r->docs) > s->max_docs)
+		return false;
+	json_array_foreach (r->docs, i, entry) {
+		config_doc_t doc;
+		bool ok;
+
+		if (!config_record_doc(entry, &doc, NULL))
+			return false;
+		ok = doc.offset < offset &&
+		     g_hash_table_add(seen, g_strdup(doc.name)) &&
+		     passes_check(s, doc.name, doc.body, NULL);
+		bytes += g_bytes_get_size(doc.body);
+		g_bytes_unref(doc.body);
+		if (!ok || bytes > s->max_bytes)
+			return false;
+	}
+	return true;
+}
+
+static void take_snapshot(struct config_fold_state *s, const config_record_t *r)
+{
+	size_t i;
+	json_t *entry;
+
+	json_array_foreach (r->docs, i, entry) {
+		config_doc_t doc;
+
+		if (!config_record_doc(entry, &doc, NULL))
+			continue;
+		if (doc.version > version_of(s, doc.name))
+			put_doc(s, &doc);
+		else
+			g_bytes_unref(doc.body);
+	}
+	close_gap(s, r->as_of);
+}
+
+static config_verdict_t fold_snapshot(struct config_fold_state *s,
+				      uint64_t offset, uint64_t oldest,
+				      const config_record_t *r)
+{
+	if (r->as_of > offset || !check_snapshot(s, offset, r)) {
+		s->stats.damaged++;
+		return CONFIG_DAMAGED;
+	}
+	s->covered = MAX(s->covered, r->as_of);
+	if (s->is_whole || r->as_of < MAX(s->run_start, oldest)) {
+		s->stats.snapshots_passed++;
+		return CONFIG_SNAPSHOT_PASSED;
+	}
+	s->stats.snapshots_taken++;
+	take_snapshot(s, r);
+	return CONFIG_SNAPSHOT_TAKEN;
+}
+
+/* Records up to OFFSET were never read, and can't be any more. */
+static void open_gap(struct config_fold_state *s, uint64_t offset)
+{
+	if (offset <= s->next)
+		return;
+	s->stats.gaps++;
+	s->is_whole = false;
+	s->next = offset;
+	s->run_start = offset;
+	drop_held_before(s, offset);
+}
+
+void config_fold_oldest(config_fold_t *f, uint64_t oldest)
+{
+	open_gap(f->state, oldest);
+}
+
+config_verdict_t config_fold_record(config_fold_t *f, uint64_t offset,
+				    uint64_t oldest, str_t data)
+{
+	struct config_fold_state *s = f->state;
+	config_verdict_t verdict;
+	config_record_t r;
+
+	if (offset < s->next)
+		return CONFIG_REPEATED;
+	open_gap(s, offset);
+	s->next = offset + 1;
+	s->stats.records++;
+	if (!config_record_parse(&r, data, NULL)) {
+		s->stats.damaged++;
+		return CONFIG_DAMAGED;
+	}
+	if (r.type == CONFIG_RECORD_SNAPSHOT)
+		verdict = fold_snapshot(s, offset, oldest, &r);
+	else if (s->is_whole)
+		verdict = fold_publish(s, offset, &r);
+	else
+		verdict = hold(s, offset, data);
+	config_record_finish(&r);
+	return verdict;
+}
+
+bool config_fold_relay(config_fold_t *f, const config_doc_t *doc)
+{
+	struct config_fold_state *s = f->state;
+	config_doc_t copy = *doc;
+
+	if (doc->version <= version_of(s, doc->name) ||
+	    !is_sound(s, doc->name, doc->body))
+		return false;
+	g_bytes_ref(copy.body);
+	put_doc(s, &copy);
+	s->stats.relayed++;
+	return true;
+}
+
+void config_fold_relayed(config_fold_t *f, uint64_t next)
+{
+	struct config_fold_state *s = f->state;
+
+	if (!s->is_whole && next >= s->run_start)
+		close_gap(s, next);
+	if (s->is_whole && next > s->next) {
+		s->next = next;
+		s->run_start = next;
+	}
+}
+
+const config_doc_t *config_fold_find(const config_fold_t *f, str_t name)
+{
+	char buf[CONFIG_NAME_SIZE];
+
+	return str_copy(buf, sizeof(buf), name) ? find_doc(f->state, buf) :
+						  NULL;
+}
+
+static int compare_docs(const void *a, const void *b)
+{
+	const config_doc_t *const *x = a;
+	const config_doc_t *const *y = b;
+
+	return strcmp((*x)->name, (*y)->name);
+}
+
+/* The documents by name; to be freed with g_free. */
+static const config_doc_t **sorted_docs(const struct config_fold_state *s,
+					size_t *n)
+{
+	const config_doc_t **docs;
+	GHashTableIter iter;
+	void *value;
+	size_t i = 0;
+
+	*n = g_hash_table_size(s->docs);
+	docs = g_new0(const config_doc_t *, *n + 1);
+	g_hash_table_iter_init(&iter, s->docs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		docs[i++] = value;
+	qsort(docs, *n, sizeof(*docs), compare_docs);
+	return docs;
+}
+
+void config_fold_each(const config_fold_t *f,
+		      void (*fn)(void *ctx, const config_doc_t *doc), void *ctx)
+{
+	size_t n;
+	g_autofree const config_doc_t **docs = sorted_docs(f->state, &n);
+
+	for (size_t i = 0; i < n; i++)
+		fn(ctx, docs[i]);
+}
+
+char *config_fold_snapshot(const config_fold_t *f)
+{
+	size_t n;
+	g_autofree const config_doc_t **docs = sorted_docs(f->state, &n);
+
+	if (!f->state->is_whole)
+		return NULL;
+	return config_record_snapshot(f->state->next, docs, n);
+}
+
+void config_fold_stats(const config_fold_t *f, config_fold_stats_t *out)
+{
+	*out = f->state->stats;
+}
--- a/core/config_fold.h
+++ b/core/config_fold.h
@@ -38,6 +38,8 @@
 	CONFIG_SNAPSHOT_TAKEN,
 	CONFIG_SNAPSHOT_PASSED, /* not newer, or does not cover the gap */
 	CONFIG_DAMAGED, /* skipped and counted */
+	CONFIG_HELD, /* judged once a snapshot or a relay closes the gap */
+	CONFIG_REPEATED, /* before config_fold_next: changed nothing */
 } config_verdict_t;
 
 typedef struct config_fold_ops {
@@ -53,6 +55,7 @@
 typedef struct config_fold_stats {
 	uint64_t records, accepted, superseded, damaged;
 	uint64_t snapshots_taken, snapshots_passed, relayed, gaps;
+	uint64_t held_dropped; /* held records given up past the bound */
 } config_fold_stats_t;
 
 struct config_fold_state;
@@ -61,16 +64,26 @@
 	struct config_fold_state *state;
 } config_fold_t;
 
-/* MAX_DOCS and MAX_BYTES bound the state; a record past them is damaged. */
+/*
+ * MAX_DOCS and MAX_BYTES bound the documents; a record past them is damaged,
+ * so all readers must be given the same bounds. MAX_BYTES bounds the held
+ * records too; a snapshot has to fit one record of the log. The log starts at
+ * offset 0.
+ */
 void config_fold_init(config_fold_t *f, uint32_t max_docs, uint64_t max_bytes,
 		      const config_fold_ops_t *ops, void *ctx);
 void config_fold_finish(config_fold_t *f);
 
 /* The next offset to read from the log. */
 uint64_t config_fold_next(const config_fold_t *f);
+/*
+ * The log kept nothing older than OLDEST when it was read. To be told of
+ * every read, also of one without records: all may have expired.
+ */
+void config_fold_oldest(config_fold_t *f, uint64_t oldest);
 /*
  * Folds one record. OLDEST is the oldest offset that the log still kept when
- * the record was read; OFFSET must be at or past config_fold_next.
+ * the record was read. A record before config_fold_next changes nothing.
  */
 config_verdict_t config_fold_record(config_fold_t *f, uint64_t offset,
 				    uint64_t oldest, str_t data);
@@ -79,6 +92,11 @@
  * before this reader saw them: a snapshot or a relay has to close the gap.
  */
 bool config_fold_is_whole(const config_fold_t *f);
+/*
+ * The greatest `as_of` of the sound snapshots read so far: a reader that
+ * starts now is served as long as the log's oldest offset is not past it.
+ */
+uint64_t config_fold_covered(const config_fold_t *f);
 /*
  * Takes a document from a peer's relay; a version that is not newer changes
  * nothing. Returns whether it was taken.
@@ -90,9 +108,15 @@
 void config_fold_each(const config_fold_t *f,
 		      void (*fn)(void *ctx, const config_doc_t *doc),
 		      void *ctx);
-/* Writes a snapshot record; the caller frees it with g_free. */
+/*
+ * Writes a snapshot record; the caller frees it with g_free. NULL while the
+ * fold is not whole.
+ */
 char *config_fold_snapshot(const config_fold_t *f);
-/* Writes a publish record; the caller frees it with g_free. */
+/*
+ * Writes a publish record; the caller frees it with g_free. BODY may hold
+ * comments, which are left out. NULL when BODY is not a JSON object.
+ */
 char *config_fold_publication(const char *doc, uint64_t base, const char *nonce,
 			      const char *by, str_t body);
 void config_fold_stats(const config_fold_t *f, config_fold_stats_t *out);
