--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,8 @@
 LIB := $(B)/libpapaya.a
 # The daemon's tasks without main, so that tests can link them.
 DAEMON_LIB := $(B)/libdaemon.a
+# What the stand-ins share; tests use its blocking HTTP exchange.
+STANDIN_LIB := $(B)/libstandin.a
 STANDINS := $(patsubst standin/%.c,$(B)/standin-%,$(STANDIN_SRC))
 TESTS := $(patsubst tests/%.c,$(B)/tests/%,$(TEST_SRC))
 TOOLS := $(patsubst tests/%.c,$(B)/tests/%,$(TOOL_SRC))
@@ -67,10 +69,15 @@
 $(B)/papayactl: $(call obj,$(CTL_SRC)) $(LIB)
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(PKG_LIBS) -lm
 
-$(B)/standin-%: $(B)/standin/%.o $(call obj,$(STANDIN_LIB_SRC)) $(LIB)
+$(STANDIN_LIB): $(call obj,$(STANDIN_LIB_SRC))
+	rm -f $@
+	ar rcs $@ $^
+
+$(B)/standin-%: $(B)/standin/%.o $(STANDIN_LIB) $(LIB)
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(PKG_LIBS) -lm
 
-$(B)/tests/%: $(B)/tests/%.o $(call obj,$(TEST_LIB_SRC)) $(DAEMON_LIB) $(LIB)
+$(B)/tests/%: $(B)/tests/%.o $(call obj,$(TEST_LIB_SRC)) $(DAEMON_LIB) \
+		$(STANDIN_LIB) $(LIB)
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(PKG_LIBS) -lm
 
 proto:
--- /dev/null
+++ b/standin/relay.c
@@ -0,0 +1,279 @@
+/*
+ * Relays TCP between processes, so that links can be broken. Switches by
+ * POST /standin/faults on --control:
+ *   "cut": true         closes every connection and refuses new ones
+ *   "blackhole": true   every connection, old and new, goes quiet
+ *   "silence": true     open connections go quiet for good, new ones work;
+ *                       acts once
+ *   "delay_ms": N       each piece travels this much later
+ * Turning "blackhole" off closes what was quiet.
+ */
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "net/http.h"
+#include "standin/lib_args.h"
+#include "standin/lib_server.h"
+
+enum { MAX_LINKS = 2000, MAX_BUFFERED = 1 << 20 /* bytes a direction */ };
+
+struct tcp_link;
+
+/* One direction: reads from IN, writes to OUT. */
+typedef struct pipe_end {
+	struct tcp_link *owner;
+	struct bufferevent *in;
+	struct bufferevent *out;
+	struct event *timer;
+	bool is_eof; /* IN is at its end */
+} pipe_end_t;
+
+typedef struct tcp_link {
+	GList list;
+	struct relay *relay;
+	pipe_end_t ends[2]; /* caller to target, and back */
+	bool is_silent;
+} tcp_link_t;
+
+typedef struct relay {
+	server_t control;
+	struct evconnlistener *listener;
+	struct sockaddr_in from;
+	struct sockaddr_in to;
+	GQueue links;
+	uint64_t n_accepted, n_bytes;
+} relay_t;
+
+static void link_free(tcp_link_t *link)
+{
+	g_queue_unlink(&link->relay->links, &link->list);
+	for (int i = 0; i < 2; i++) {
+		bufferevent_free(link->ends[i].in);
+		event_free(link->ends[i].timer);
+	}
+	g_free(link);
+}
+
+/* Passes on what has come; closes after an end when all is written. */
+static void pass(pipe_end_t *end)
+{
+	struct evbuffer *out = bufferevent_get_output(end->out);
+
+	end->owner->relay->n_bytes +=
+		evbuffer_get_length(bufferevent_get_input(end->in));
+	bufferevent_write_buffer(end->out, bufferevent_get_input(end->in));
+	if (end->is_eof && !evbuffer_get_length(out))
+		link_free(end->owner);
+}
+
+static void pass_later(pipe_end_t *end)
+{
+	double ms =
+		server_fault_number(&end->owner->relay->control, "delay_ms", 0);
+	struct timeval tv = { (time_t)(ms / 1000),
+			      (suseconds_t)((int64_t)(ms * 1000) % 1000000) };
+
+	if (end->owner->is_silent)
+		return;
+	if (ms <= 0)
+		pass(end);
+	else if (!evtimer_pending(end->timer, NULL))
+		evtimer_add(end->timer, &tv);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	pass(ctx);
+}
+
+static void on_read(struct bufferevent *bev, void *ctx)
+{
+	pass_later(ctx);
+}
+
+/* The other direction's output was written: its end may be due. */
+static void on_write(struct bufferevent *bev, void *ctx)
+{
+	const pipe_end_t *end = ctx;
+	tcp_link_t *link = end->owner;
+	const pipe_end_t *other = &link->ends[end == &link->ends[0] ? 1 : 0];
+
+	if (other->is_eof && !link->is_silent &&
+	    !evtimer_pending(other->timer, NULL))
+		link_free(link);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *ctx)
+{
+	pipe_end_t *end = ctx;
+
+	if (end->owner->is_silent ||
+	    !(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+		return;
+	end->is_eof = true;
+	if (what & BEV_EVENT_ERROR)
+		link_free(end->owner);
+	else
+		pass_later(end);
+}
+
+static void set_up_end(tcp_link_t *link, int i, struct bufferevent *in,
+		       struct bufferevent *out)
+{
+	pipe_end_t *end = &link->ends[i];
+
+	end->owner = link;
+	end->in = in;
+	end->out = out;
+	end->timer = evtimer_new(link->relay->control.base, on_timer, end);
+	bufferevent_setcb(in, on_read, on_write, on_event, end);
+	bufferevent_setwatermark(in, EV_READ, 0, MAX_BUFFERED);
+	bufferevent_enable(in, EV_READ | EV_WRITE);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *addr, int len, void *ctx)
+{
+	relay_t *r = ctx;
+	struct event_base *base = r->control.base;
+	struct bufferevent *in, *out;
+	tcp_link_t *link;
+
+	if (r->links.length >= MAX_LINKS) {
+		evutil_closesocket(fd);
+		return;
+	}
+	r->n_accepted++;
+	in = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
+	out = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+	link = g_new0(tcp_link_t, 1);
+	link->relay = r;
+	link->list.data = link;
+	link->is_silent = server_fault_on(&r->control, "blackhole");
+	g_queue_push_tail_link(&r->links, &link->list);
+	set_up_end(link, 0, in, out);
+	set_up_end(link, 1, out, in);
+	if (link->is_silent) {
+		bufferevent_disable(in, EV_READ | EV_WRITE);
+		return;
+	}
+	if (bufferevent_socket_connect(out, (struct sockaddr *)&r->to,
+				       sizeof(r->to)))
+		link_free(link);
+}
+
+static bool start_listening(relay_t *r)
+{
+	r->listener = evconnlistener_new_bind(
+		r->control.base, on_accept, r,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+		(struct sockaddr *)&r->from, sizeof(r->from));
+	return r->listener != NULL;
+}
+
+static void silence_links(relay_t *r)
+{
+	for (GList *l = r->links.head; l; l = l->next) {
+		tcp_link_t *link = l->data;
+
+		link->is_silent = true;
+		for (int i = 0; i < 2; i++) {
+			bufferevent_disable(link->ends[i].in,
+					    EV_READ | EV_WRITE);
+			evtimer_del(link->ends[i].timer);
+		}
+	}
+}
+
+static void close_links(relay_t *r, bool is_all)
+{
+	for (GList *l = r->links.head, *next; l; l = next) {
+		tcp_link_t *link = l->data;
+
+		next = l->next;
+		if (is_all || link->is_silent)
+			link_free(link);
+	}
+}
+
+static void on_faults(void *ctx)
+{
+	relay_t *r = ctx;
+	server_t *s = &r->control;
+	bool is_cut = server_fault_on(s, "cut");
+
+	if (is_cut) {
+		close_links(r, true);
+		g_clear_pointer(&r->listener, evconnlistener_free);
+	} else if (!r->listener) {
+		start_listening(r);
+	}
+	if (server_fault_on(s, "blackhole") || server_fault_on(s, "silence"))
+		silence_links(r);
+	else if (json_object_get(s->faults, "blackhole"))
+		close_links(r, false);
+	if (!server_fault_on(s, "blackhole"))
+		json_object_del(s->faults, "blackhole");
+}
+
+static void on_http(void *ctx, exchange_t *x)
+{
+	exchange_reply_text(x, HTTP_NOTFOUND, "{}");
+}
+
+static void on_closed(void *ctx, exchange_t *x)
+{
+}
+
+static json_t *on_oracle(void *ctx)
+{
+	const relay_t *r = ctx;
+
+	return json_pack("{s:I,s:I,s:I}", "accepted", (json_int_t)r->n_accepted,
+			 "bytes", (json_int_t)r->n_bytes, "open",
+			 (json_int_t)r->links.length);
+}
+
+static bool read_address(const char *text, struct sockaddr_in *addr)
+{
+	int len = sizeof(*addr);
+
+	return text &&
+	       !evutil_parse_sockaddr_port(text, (struct sockaddr *)addr, &len);
+}
+
+int main(int argc, char **argv)
+{
+	relay_t r = { 0 };
+	const char *listen = NULL, *to = NULL, *control = "127.0.0.1:0";
+	err_t err;
+	const arg_row_t rows[] = {
+		{ "listen", ARG_TEXT, &listen, "IP:port to relay from" },
+		{ "to", ARG_TEXT, &to, "IP:port to relay to" },
+		{ "control", ARG_TEXT, &control, "IP:port of the switches" },
+	};
+	const server_ops_t ops = { on_http, on_closed, on_oracle, on_faults,
+				   NULL };
+
+	args_read(argc, argv, rows, G_N_ELEMENTS(rows));
+	if (!read_address(listen, &r.from) || !read_address(to, &r.to)) {
+		fprintf(stderr, "relay: --listen and --to: IP:port expected\n");
+		return EXIT_FAILURE;
+	}
+	g_queue_init(&r.links);
+	if (!server_init(&r.control, control, &ops, &r, &err) ||
+	    !start_listening(&r)) {
+		fprintf(stderr, "relay: cannot listen\n");
+		return EXIT_FAILURE;
+	}
+	server_run(&r.control);
+	close_links(&r, true);
+	if (r.listener)
+		evconnlistener_free(r.listener);
+	server_finish(&r.control);
+	return EXIT_SUCCESS;
+}
