--- /dev/null
+++ b/standin/lib_caller.h
@@ -0,0 +1,78 @@
+/*
+ * One caller with one call: takes a ticket where the kind asks for one,
+ * sends, checks the answer, repeats a guarded call whose end it did not
+ * see, and reports how it ended.
+ */
+#ifndef STANDIN_LIB_CALLER_H
+#define STANDIN_LIB_CALLER_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <stdbool.h>
+
+#include "net/http.h"
+#include "standin/lib_answer.h"
+#include "standin/lib_mix.h"
+#include "standin/lib_tally.h"
+
+enum { CALLER_ID_SIZE = 48, CALLER_MAX_HEADERS = 10 };
+
+struct caller;
+
+/* What callers of one run share. */
+typedef struct caller_env {
+	struct event_base *base;
+	char **targets; /* NULL-terminated */
+	uint32_t n_targets;
+	uint32_t repeats; /* of a guarded call, at most */
+	int64_t grace_ms; /* after the deadline, until an answer is missing */
+	int64_t default_limit_ms; /* for calls without a deadline */
+	/* The call ended; the callee frees the caller. */
+	void (*ended)(void *ctx, struct caller *caller);
+	void *ctx;
+} caller_env_t;
+
+/* Private fields but for those marked; on memory that the owner frees. */
+typedef struct caller {
+	const caller_env_t *env;
+	const mix_kind_t *kind; /* to read */
+	const mix_team_t *team;
+	char id[CALLER_ID_SIZE]; /* to read */
+	char key[CALLER_ID_SIZE]; /* to read */
+	char ticket[256]; /* to read */
+	char *text;
+	char *body;
+	uint32_t tokens;
+	uint32_t target; /* index; the next repeat takes the next one */
+	uint32_t attempts; /* to read */
+	http_call_t call;
+	answer_t answer;
+	GString *ticket_body;
+	struct event *limit_timer;
+	struct event *leave_timer;
+	struct event *step_timer; /* repeat, or resume of slow reading */
+	int64_t started_us;
+	int64_t first_us;
+	int64_t ended_us; /* to read */
+	int64_t leave_ms; /* 0: stays */
+	bool is_slow; /* reads slowly */
+	bool is_ticketing; /* waits for a ticket */
+	bool is_paused;
+	bool is_ended;
+	int status;
+	char outcome[16]; /* header */
+	call_result_t result; /* to read */
+	char reason[ANSWER_REASON_SIZE]; /* to read, for wrong ones */
+} caller_t;
+
+/* Allocates a caller and starts it; TEXT is taken over. */
+caller_t *caller_new(const caller_env_t *env, const mix_kind_t *kind,
+		     const mix_team_t *team, const char *id, char *text,
+		     uint32_t tokens, const char *key);
+void caller_start(caller_t *c);
+void caller_free(caller_t *c);
+/* Milliseconds from start to first data, or -1, and to the end. */
+double caller_first_ms(const caller_t *c);
+double caller_whole_ms(const caller_t *c);
+
+#endif
--- /dev/null
+++ b/standin/lib_tally.h
@@ -0,0 +1,39 @@
+/* Counts the outcomes of calls by tier, and their latencies. */
+#ifndef STANDIN_LIB_TALLY_H
+#define STANDIN_LIB_TALLY_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdint.h>
+
+/* How a call ended, as its caller saw it. */
+typedef enum call_result {
+	CALL_COMPLETED, /* within its need */
+	CALL_LATE, /* completed after it */
+	CALL_NOT_RUN,
+	CALL_FAILED,
+	CALL_UNKNOWN,
+	CALL_BROKEN, /* the connection broke without a final answer */
+	CALL_LEFT, /* the caller left early */
+	CALL_WRONG, /* the answer was foreign, cut or had no outcome */
+	CALL_MISSING, /* no final answer by the time limit */
+	CALL_RESULTS,
+} call_result_t;
+
+const char *call_result_name(call_result_t result);
+
+typedef struct tally {
+	GHashTable *tiers; /* name -> private row */
+} tally_t;
+
+void tally_init(tally_t *t);
+void tally_finish(tally_t *t);
+/* Times are milliseconds; FIRST_MS below 0 when nothing came. */
+void tally_add(tally_t *t, const char *tier, call_result_t result,
+	       double first_ms, double whole_ms);
+uint64_t tally_count(const tally_t *t, call_result_t result);
+/* By tier: counts, and p50, p95 and p99 of first token and whole. */
+json_t *tally_json(const tally_t *t);
+void tally_print(const tally_t *t);
+
+#endif
--- /dev/null
+++ b/standin/load.c
@@ -0,0 +1,312 @@
+/*
+ * Open-loop callers: Poisson arrivals of a mix of calls, each answer
+ * checked, outcomes compared with the oracles of the stand-ins. Exit status
+ * 1 when any answer was wrong or missing, any call ran twice or ran though
+ * its caller was told that it did not.
+ */
+#include <inttypes.h>
+#include <math.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "standin/lib_args.h"
+#include "standin/lib_caller.h"
+#include "standin/lib_fetch.h"
+#include "standin/lib_server.h"
+
+enum {
+	MAX_OPEN = 20000, /* calls */
+	MAX_VIOLATIONS = 50, /* printed */
+	LEAVE_MIN_MS = 5,
+	LEAVE_MAX_MS = 800,
+};
+
+typedef struct load {
+	struct event_base *base;
+	struct event *arrival_timer;
+	mix_t mix;
+	caller_env_t env;
+	GRand *rand;
+	tally_t tally;
+	json_t *calls; /* id -> what became of it */
+	json_t *violations;
+	int64_t end_us;
+	double next_us; /* of the next arrival */
+	double rate;
+	double seconds;
+	double seed;
+	double leave_share;
+	double slow_share;
+	double settle_ms;
+	uint64_t n_started;
+	uint64_t n_open;
+	uint64_t n_skipped;
+	uint64_t n_violations;
+	bool is_arriving;
+} load_t;
+
+static void add_violation(load_t *l, const char *id, const char *what)
+{
+	l->n_violations++;
+	if (l->n_violations <= MAX_VIOLATIONS)
+		printf("violation: %s: %s\n", id, what);
+	json_array_append_new(l->violations,
+			      json_pack("{s:s,s:s}", "id", id, "what", what));
+}
+
+static void stop_when_idle(load_t *l)
+{
+	if (!l->is_arriving && !l->n_open)
+		event_base_loopbreak(l->base);
+}
+
+static void on_ended(void *ctx, caller_t *c)
+{
+	load_t *l = ctx;
+	json_t *entry =
+		json_pack("{s:s,s:s,s:s,s:i,s:s,s:s,s:f,s:f,s:s}", "tier",
+			  c->kind->tier, "service", c->kind->service, "outcome",
+			  call_result_name(c->result), "attempts",
+			  (int)c->attempts, "key", c->key, "ticket", c->ticket,
+			  "first_ms", caller_first_ms(c), "whole_ms",
+			  caller_whole_ms(c), "reason", c->reason);
+
+	json_object_set_new(l->calls, c->id, entry);
+	tally_add(&l->tally, c->kind->tier, c->result, caller_first_ms(c),
+		  caller_whole_ms(c));
+	if (c->result == CALL_WRONG || c->result == CALL_MISSING)
+		add_violation(l, c->id, c->reason);
+	l->n_open--;
+	caller_free(c);
+	stop_when_idle(l);
+}
+
+static void make_key(load_t *l, const mix_kind_t *kind, const char *id,
+		     char key[CALLER_ID_SIZE])
+{
+	key[0] = '\0';
+	if (kind->guard == MIX_GUARD_KEY)
+		snprintf(key, CALLER_ID_SIZE, "k%08x-%.30s",
+			 g_rand_int(l->rand), id);
+	else if (kind->guard == MIX_GUARD_UUID)
+		mix_make_uuid(key, clock_wall_ms(), l->rand);
+}
+
+static void start_call(load_t *l)
+{
+	const mix_kind_t *kind = mix_pick_kind(&l->mix, l->rand);
+	const mix_team_t *team = mix_pick_team(&l->mix, l->rand);
+	uint32_t tokens = mix_output_tokens(kind, l->rand);
+	uint32_t target = g_rand_int(l->rand) % l->env.n_targets;
+	char id[CALLER_ID_SIZE], key[CALLER_ID_SIZE];
+	caller_t *c;
+
+	snprintf(id, sizeof(id), "s%u-%" PRIu64, (unsigned int)l->seed,
+		 ++l->n_started);
+	make_key(l, kind, id, key);
+	c = caller_new(&l->env, kind, team, id,
+		       mix_make_text(&l->mix, kind, id, l->rand), tokens, key);
+	c->target = target;
+	if (g_rand_double(l->rand) < l->leave_share)
+		c->leave_ms =
+			g_rand_int_range(l->rand, LEAVE_MIN_MS, LEAVE_MAX_MS);
+	c->is_slow = g_rand_double(l->rand) < l->slow_share;
+	l->n_open++;
+	caller_start(c);
+}
+
+static void schedule_arrival(load_t *l)
+{
+	int64_t wait;
+	struct timeval tv;
+
+	l->next_us += -log(1 - g_rand_double(l->rand)) / l->rate * 1e6;
+	wait = MAX((int64_t)l->next_us - clock_now_us(), 0);
+	tv = (struct timeval){ wait / 1000000, wait % 1000000 };
+	evtimer_add(l->arrival_timer, &tv);
+}
+
+static void on_arrival(evutil_socket_t fd, short what, void *ctx)
+{
+	load_t *l = ctx;
+
+	if (clock_now_us() >= l->end_us) {
+		l->is_arriving = false;
+		stop_when_idle(l);
+		return;
+	}
+	if (l->n_open < MAX_OPEN)
+		start_call(l);
+	else
+		l->n_skipped++;
+	schedule_arrival(l);
+}
+
+/* Sums the runs of each call; false when an oracle is gone. */
+static bool sum_oracles(load_t *l, const char *addresses, json_t *runs)
+{
+	g_auto(GStrv) list = g_strsplit(addresses, ",", -1);
+	bool is_whole = true;
+
+	for (char **address = list; *address; address++) {
+		json_t *oracle = fetch_json(*address, "/standin/oracle");
+		const char *id;
+		json_t *count;
+
+		if (!oracle) {
+			printf("oracle %s is gone\n", *address);
+			is_whole = false;
+		}
+		json_object_foreach (json_object_get(oracle, "calls"), id,
+				     count) {
+			json_int_t n =
+				json_integer_value(json_object_get(runs, id));
+
+			json_object_set_new(
+				runs, id,
+				json_integer(n + json_integer_value(count)));
+		}
+		json_decref(oracle);
+	}
+	return is_whole;
+}
+
+static void verify_call(load_t *l, const char *id, json_t *entry,
+			json_int_t runs, bool is_whole)
+{
+	const char *outcome =
+		json_string_value(json_object_get(entry, "outcome"));
+	bool is_done =
+		!strcmp(outcome, "completed") || !strcmp(outcome, "late");
+
+	json_object_set_new(entry, "runs", json_integer(runs));
+	if (runs > 1)
+		add_violation(l, id, "ran more than once");
+	if (runs && !strcmp(outcome, "not-run"))
+		add_violation(l, id, "ran though told not-run");
+	if (!runs && is_done && is_whole)
+		add_violation(l, id, "completed though it never ran");
+}
+
+static void verify(load_t *l, const char *addresses)
+{
+	json_t *runs = json_object();
+	bool is_whole;
+	const char *id;
+	json_t *entry;
+
+	g_usleep((gulong)(l->settle_ms * 1000));
+	is_whole = sum_oracles(l, addresses, runs);
+	json_object_foreach (l->calls, id, entry)
+		verify_call(l, id, entry,
+			    json_integer_value(json_object_get(runs, id)),
+			    is_whole);
+	json_decref(runs);
+}
+
+static bool write_result(load_t *l, const char *path)
+{
+	json_t *result = json_pack(
+		"{s:I,s:f,s:f,s:I,s:I,s:o,s:O,s:O}", "seed",
+		(json_int_t)l->seed, "seconds", l->seconds, "rate", l->rate,
+		"started", (json_int_t)l->n_started, "skipped",
+		(json_int_t)l->n_skipped, "tiers", tally_json(&l->tally),
+		"calls", l->calls, "violations", l->violations);
+	bool ok = !json_dump_file(result, path, JSON_INDENT(1));
+
+	if (!ok)
+		fprintf(stderr, "load: cannot write %s\n", path);
+	json_decref(result);
+	return ok;
+}
+
+static void load_run(load_t *l)
+{
+	int64_t now = clock_now_us();
+
+	l->next_us = (double)now;
+	l->end_us = now + (int64_t)(l->seconds * 1e6);
+	l->is_arriving = true;
+	l->arrival_timer = evtimer_new(l->base, on_arrival, l);
+	schedule_arrival(l);
+	event_base_dispatch(l->base);
+	event_free(l->arrival_timer);
+	/* Calls let go free themselves from the loop. */
+	event_base_loop(l->base, EVLOOP_NONBLOCK);
+}
+
+static void load_init(load_t *l, const char *targets)
+{
+	signal(SIGPIPE, SIG_IGN);
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	l->base = event_base_new();
+	l->rand = g_rand_new_with_seed((guint32)l->seed);
+	l->calls = json_object();
+	l->violations = json_array();
+	tally_init(&l->tally);
+	l->env.base = l->base;
+	l->env.targets = g_strsplit(targets, ",", -1);
+	l->env.n_targets = g_strv_length(l->env.targets);
+	l->env.ended = on_ended;
+	l->env.ctx = l;
+}
+
+static void load_finish(load_t *l)
+{
+	g_strfreev(l->env.targets);
+	tally_finish(&l->tally);
+	json_decref(l->calls);
+	json_decref(l->violations);
+	g_rand_free(l->rand);
+	event_base_free(l->base);
+}
+
+int main(int argc, char **argv)
+{
+	load_t l = { .rate = 20, .seconds = 5, .seed = 1, .settle_ms = 300 };
+	const char *targets = NULL, *mix = NULL, *out = NULL, *oracles = NULL;
+	double repeats = 2, grace_ms = 5000, limit_ms = 30000;
+	bool ok = true;
+	const arg_row_t rows[] = {
+		{ "targets", ARG_TEXT, &targets, "IP:port,... of daemons" },
+		{ "mix", ARG_TEXT, &mix, "JSON file; else the mix built in" },
+		{ "rate", ARG_NUMBER, &l.rate, "calls a second" },
+		{ "seconds", ARG_NUMBER, &l.seconds, "of arrivals" },
+		{ "seed", ARG_NUMBER, &l.seed, "of everything random" },
+		{ "leave-share", ARG_NUMBER, &l.leave_share,
+		  "of callers who leave early" },
+		{ "slow-share", ARG_NUMBER, &l.slow_share,
+		  "of callers who read slowly" },
+		{ "repeats", ARG_NUMBER, &repeats, "of a guarded call" },
+		{ "grace-ms", ARG_NUMBER, &grace_ms,
+		  "after the deadline, until an answer is missing" },
+		{ "limit-ms", ARG_NUMBER, &limit_ms,
+		  "for calls without a deadline" },
+		{ "settle-ms", ARG_NUMBER, &l.settle_ms, "before --verify" },
+		{ "verify", ARG_TEXT, &oracles,
+		  "IP:port,... of engines and desks" },
+		{ "out", ARG_TEXT, &out, "JSON file for the result" },
+	};
+
+	args_read(argc, argv, rows, G_N_ELEMENTS(rows));
+	if (!targets || l.rate <= 0 || !mix_load(&l.mix, mix)) {
+		fprintf(stderr, "load: --targets and a rate are needed\n");
+		return EXIT_FAILURE;
+	}
+	l.env.repeats = (uint32_t)repeats;
+	l.env.grace_ms = (int64_t)grace_ms;
+	l.env.default_limit_ms = (int64_t)limit_ms;
+	load_init(&l, targets);
+	load_run(&l);
+	if (oracles)
+		verify(&l, oracles);
+	tally_print(&l.tally);
+	printf("%" PRIu64 " calls, %" PRIu64 " violations\n", l.n_started,
+	       l.n_violations);
+	if (out)
+		ok = write_result(&l, out);
+	ok = ok && !l.n_violations;
+	load_finish(&l);
+	return ok ? EXIT_SUCCESS : EXIT_FAILURE;
+}
