core/accounts: exact sums from numbered batches

Cause: the parent body wants useful work and waste by tier, team and service, exact over repeats and outages. Change: a daemon numbers its closed batches; a batch that was given out once keeps its text, so a repeat after a lost answer is the same record and readers drop it by incarnation and sequence. Past the bound the newest waiting batch takes up what comes: an outage costs detail in time and team, no sum. The last batch of a daemon that leaves says so; an incarnation that fell silent without it counts as unended. Sequence gaps are counted. Ruled out: dropping the oldest batch in an outage, as the contract had it; merging loses nothing in the same memory. The contract's accounts_book_missing now gives causes instead of one number.

--- a/core/accounts.h
+++ b/core/accounts.h
@@ -2,18 +2,25 @@
  * Accounts of useful work and waste by tier, team and service. A daemon
  * counts, closes a numbered batch every so often and appends it to the log;
  * readers add batches up and drop repeats by incarnation and sequence. Pure.
+ * See docs/design/accounts.md.
  */
 #ifndef CORE_ACCOUNTS_H
 #define CORE_ACCOUNTS_H
 
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
-#include <stdio.h>
 
 #include "common/err.h"
 #include "common/str.h"
 
-enum { ACCOUNTS_NAME_SIZE = 64 /* bytes, with the NUL */ };
+enum {
+	ACCOUNTS_NAME_SIZE = 64, /* bytes, with the NUL */
+	ACCOUNTS_MAX_KEYS = 750, /* of a batch, to fit a record of 1 MiB */
+};
+
+/* Takes the place of names that a full table has no room for. */
+#define ACCOUNTS_OTHER "other"
 
 /* Why prompt work was thrown away. */
 typedef enum waste_cause {
@@ -52,10 +59,28 @@
 	struct accounts_state *state;
 } accounts_t;
 
+/* Returns the cause's name, as in records and reports. */
+const char *waste_cause_name(waste_cause_t cause);
+
 /*
- * MAX_KEYS bounds the open batch (the rest goes to team "other");
- * MAX_BATCHES bounds the closed ones that wait for the log: past it the
- * oldest is dropped and counted as lost in the next batch.
+ * The sums as a list of named numbers, for all who read or write every one
+ * of them. I counts from 0 to below accounts_fields().
+ */
+size_t accounts_fields(void);
+const char *accounts_field_name(size_t i);
+uint64_t accounts_field_get(const accounts_sum_t *sum, size_t i);
+void accounts_field_set(accounts_sum_t *sum, size_t i, uint64_t value);
+/* Adds each number; one that would pass 64 bits stays at the greatest. */
+void accounts_sum_add(accounts_sum_t *sum, const accounts_sum_t *delta);
+uint64_t accounts_prompt_wasted(const accounts_sum_t *sum);
+uint64_t accounts_output_wasted(const accounts_sum_t *sum);
+
+/*
+ * MAX_KEYS (up to ACCOUNTS_MAX_KEYS) bounds the keys of a batch: past it a new key's sums go to team
+ * "other" of its service and tier if that is there, else to "other" in all
+ * three. MAX_BATCHES (at least 2) bounds the closed batches that wait for
+ * the log: past it the newest takes up what comes, so that an outage costs
+ * detail in time and team, but no sum.
  */
 void accounts_init(accounts_t *a, str_t daemon, uint64_t incarnation,
 		   uint32_t max_keys, uint32_t max_batches);
@@ -65,11 +90,24 @@
 		  const accounts_sum_t *delta);
 /* Closes the open batch when it holds anything. TIME_MS is wall clock. */
 void accounts_close(accounts_t *a, int64_t time_ms);
-/* The oldest batch to append, as a record's text; empty when none waits. */
-str_t accounts_peek(const accounts_t *a, uint64_t *seq);
+/*
+ * Closes the last batch of a daemon that leaves: readers then know that
+ * nothing of it is missing. Nothing may be added after.
+ */
+void accounts_end(accounts_t *a, int64_t time_ms);
+/*
+ * The oldest batch to append, as a record's text; empty when none waits. The
+ * text of a batch stays the same until it is dropped, so it may be appended
+ * again when the first answer was lost.
+ */
+str_t accounts_peek(accounts_t *a, uint64_t *seq);
 /* Batch SEQ is in the log: drop it. */
 void accounts_appended(accounts_t *a, uint64_t seq);
-/* Totals since the start, for metrics. */
+/* Batches closed and not known to be in the log. */
+uint32_t accounts_waiting(const accounts_t *a);
+/* Closed batches that another one took up, since the start. */
+uint64_t accounts_merged(const accounts_t *a);
+/* Totals since the start, for metrics; in the order service, tier, team. */
 void accounts_each(const accounts_t *a,
 		   void (*fn)(void *ctx, const accounts_key_t *key,
 			      const accounts_sum_t *sum),
@@ -82,17 +120,39 @@
 	struct accounts_book_state *state;
 } accounts_book_t;
 
+/* What is known to be missing from a book. */
+typedef struct accounts_missing {
+	uint64_t gaps; /* batches: holes in an incarnation's sequence */
+	uint64_t expired; /* batches before the oldest one read */
+	uint64_t unended; /* incarnations silent for long, without an end */
+	uint64_t damaged; /* records */
+	uint64_t repeats; /* records; they changed nothing */
+	uint64_t batches; /* taken */
+	uint64_t merged; /* closings that a later batch took up: no loss */
+} accounts_missing_t;
+
 void accounts_book_init(accounts_book_t *b);
 void accounts_book_finish(accounts_book_t *b);
 /* Takes one record; a repeat changes nothing, damage is counted. */
 bool accounts_book_record(accounts_book_t *b, str_t data, err_t *err);
-/* Sums between two wall-clock times, in the order service, tier, team. */
+/*
+ * Sums of the batches closed from FROM_MS to before UNTIL_MS, wall clock, in
+ * the order service, tier, team.
+ */
 void accounts_book_each(const accounts_book_t *b, int64_t from_ms,
 			int64_t until_ms,
 			void (*fn)(void *ctx, const accounts_key_t *key,
 				   const accounts_sum_t *sum),
 			void *ctx);
-/* Batches known to be missing: gaps in a daemon's sequence, and lost. */
-uint64_t accounts_book_missing(const accounts_book_t *b);
+/* When the first and the last batch were closed; false when there is none. */
+bool accounts_book_span(const accounts_book_t *b, int64_t *first_ms,
+			int64_t *last_ms);
+/*
+ * What is missing. An incarnation without an end counts as unended when its
+ * last batch was closed more than SILENCE_MS before NOW_MS: what it had not
+ * appended is lost, at most what it did since.
+ */
+void accounts_book_missing(const accounts_book_t *b, int64_t now_ms,
+			   int64_t silence_ms, accounts_missing_t *out);
 
 #endif
