dispatcher: add the queue, the runner model and the policy

Cause: requests need one place a service and zone that decides which of them may use which runner, and when.

Change: core/queue (protected tiers first, the others by weight; teams by tokens used, earliest deadline among those within their share), core/runner_model (ledger of granted work, foreign work from reports, learned speeds, window and its health), core/affinity (prefix to runner) and the dispatcher over them. All orders are GLib sequences, so that an event costs a logarithm and no tick scans all wants; at most 16 runners are weighed a decision.

Ruled out: deficit round robin over all teams (touches teams that can't be served), earliest deadline over a whole tier (one team can then take the tier by short deadlines), strict order among unprotected tiers (the last would starve). Protected wants may pass max_wants up to twofold while lower work runs, since refusing them then is forbidden; past that bound they are refused, and that is the stated answer of a full table. A repeated want id is ignored and counted: an owner that doubts the answer withdraws it and asks under a new attempt.

--- /dev/null
+++ b/core/dispatcher.c
@@ -0,0 +1,477 @@
+#include "core/dispatcher_state.h"
+
+#include "common/sequence.h"
+#include "common/str_table.h"
+#include "core/retry.h"
+
+enum {
+	US_PER_MS = 1000,
+	MAX_PREFIXES = 8192,
+	TOKEN_QUANTUM = 4096, /* a team may be ahead by, engines */
+	CALL_QUANTUM = 4, /* the same, plain services */
+	CANCEL_LEAD = 100 * US_PER_MS, /* cancel so long before it is late */
+	RECHECK = 20 * US_PER_MS, /* of a protected want that is late */
+	PROTECTED_OVERFLOW = 2, /* times max_wants, while lower work runs */
+};
+
+static guint hash_id(gconstpointer key)
+{
+	const want_id_t *id = key;
+
+	return (guint)str_hash((str_t){ (const char *)id, sizeof(*id) });
+}
+
+static gboolean equal_id(gconstpointer a, gconstpointer b)
+{
+	const want_id_t *x = a, *y = b;
+
+	return x->owner == y->owner && x->attempt == y->attempt;
+}
+
+void dispatcher_init(dispatcher_t *d, const dispatcher_config_t *config,
+		     const dispatcher_ops_t *ops, void *ctx, int64_t now)
+{
+	struct dispatcher_state *s = g_new0(struct dispatcher_state, 1);
+
+	d->state = s;
+	s->config = *config;
+	s->ops = *ops;
+	s->ctx = ctx;
+	s->rand = g_rand_new_with_seed((guint32)config->seed);
+	queue_init(&s->queue, config->is_engine ? TOKEN_QUANTUM : CALL_QUANTUM);
+	affinity_init(&s->affinity, MAX_PREFIXES);
+	s->items = g_hash_table_new_full(hash_id, equal_id, NULL, g_free);
+	s->owners = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					  g_free);
+	s->runners = str_table_new(g_free);
+	s->generations = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+	s->live = g_ptr_array_new();
+	s->ranked = g_sequence_new(NULL);
+	s->by_due = g_sequence_new(NULL);
+	s->cancellable = g_sequence_new(NULL);
+	s->typical_prompt = 1;
+	s->typical_output = 1;
+	s->rate_at = now;
+}
+
+void dispatcher_finish(dispatcher_t *d)
+{
+	struct dispatcher_state *s = d->state;
+
+	g_sequence_free(s->cancellable);
+	g_sequence_free(s->by_due);
+	g_sequence_free(s->ranked);
+	g_ptr_array_free(s->live, true);
+	g_queue_clear(&s->silent);
+	g_hash_table_destroy(s->generations);
+	g_hash_table_destroy(s->runners);
+	queue_finish(&s->queue);
+	g_hash_table_destroy(s->owners);
+	g_hash_table_destroy(s->items);
+	affinity_finish(&s->affinity);
+	g_rand_free(s->rand);
+	g_free(s);
+	d->state = NULL;
+}
+
+static bool is_ledger(const struct dispatcher_state *s)
+{
+	return s->config.policy == DISPATCHER_POLICY_LEDGER;
+}
+
+static item_t *find_item(struct dispatcher_state *s, want_id_t id)
+{
+	item_t *item = g_hash_table_lookup(s->items, &id);
+
+	if (!item)
+		s->stats.foreign++;
+	return item;
+}
+
+static item_t *add_item(struct dispatcher_state *s, const want_t *want)
+{
+	item_t *item = g_new0(item_t, 1);
+	GQueue *owned = g_hash_table_lookup(s->owners, &want->id.owner);
+
+	item->want = *want;
+	item->want.tier = MIN(want->tier, DISPATCHER_MAX_TIERS - 1);
+	item->entry.tier = want->tier;
+	item->entry.team = str_from(item->want.team);
+	item->entry.deadline = want->deadline;
+	item->entry.cost = 1;
+	if (s->config.is_engine)
+		item->entry.cost = MAX(
+			(uint64_t)want->prompt_tokens + want->output_tokens, 1);
+	if (!owned) {
+		owned = g_new0(GQueue, 1);
+		g_hash_table_insert(
+			s->owners,
+			g_memdup2(&want->id.owner, sizeof(want->id.owner)),
+			owned);
+	}
+	item->of_owner.data = item;
+	g_queue_push_tail_link(owned, &item->of_owner);
+	g_hash_table_insert(s->items, &item->want.id, item);
+	return item;
+}
+
+/* Frees an item that is in no queue and no ledger any more. */
+static void drop_item(struct dispatcher_state *s, item_t *item)
+{
+	uint64_t owner = item->want.id.owner;
+	GQueue *owned = g_hash_table_lookup(s->owners, &owner);
+
+	g_queue_unlink(owned, &item->of_owner);
+	if (g_queue_is_empty(owned))
+		g_hash_table_remove(s->owners, &owner);
+	g_hash_table_remove(s->items, &item->want.id);
+}
+
+/* Takes an item out of the ledger and frees it. */
+static void end_item(struct dispatcher_state *s, item_t *item,
+		     const done_t *done, int64_t now)
+{
+	runner_t *runner = item->runner;
+
+	dispatcher_leave(s, item, done, now);
+	if (done && done->result == DONE_COMPLETED)
+		dispatcher_keep_speed(s, runner);
+	drop_item(s, item);
+	dispatcher_free_runner(s, runner);
+}
+
+static uint32_t retry_after(struct dispatcher_state *s, uint32_t tier)
+{
+	int64_t wait = dispatcher_wait_time(s, tier);
+
+	return retry_after_jittered(s->rand,
+				    (uint32_t)MIN(wait / US_PER_MS, G_MAXINT));
+}
+
+/* Answers a want that is in no queue; the item is freed. */
+static void refuse(struct dispatcher_state *s, item_t *item,
+		   refuse_reason_t reason)
+{
+	want_t want = item->want;
+
+	if (item->entry.share)
+		queue_remove(&s->queue, &item->entry);
+	drop_item(s, item);
+	s->stats.refusals[reason]++;
+	s->ops.refuse(s->ctx, &want, reason, retry_after(s, want.tier));
+}
+
+static void grant(struct dispatcher_state *s, item_t *item, runner_t *runner,
+		  int64_t now)
+{
+	want_t want = item->want;
+	dispatcher_runner_t info = runner->info;
+
+	if (item->entry.share) {
+		queue_serve(&s->queue, &item->entry);
+		if (item->arrived < now)
+			dispatcher_count_rate(s, item->entry.cost, now);
+	}
+	dispatcher_enter(s, item, runner, now);
+	s->stats.grants++;
+	s->ops.grant(s->ctx, &want, &info);
+}
+
+static bool has_lower(const struct dispatcher_state *s, uint32_t tier)
+{
+	return queue_has_lower(&s->queue, tier) ||
+	       dispatcher_runs_lower(s, tier);
+}
+
+/* Protected work is refused only when nothing lower is served. */
+static bool may_refuse(const struct dispatcher_state *s, uint32_t tier)
+{
+	return !queue_is_protected(&s->queue, tier) || !has_lower(s, tier);
+}
+
+static void refuse_all_queued(struct dispatcher_state *s)
+{
+	queue_entry_t *entry;
+
+	while ((entry = queue_due(&s->queue)))
+		refuse(s, (item_t *)entry, REFUSE_NO_RUNNER);
+}
+
+/* Grants or refuses the next want; false when it has to wait. */
+static bool decide_next(struct dispatcher_state *s, int64_t now)
+{
+	item_t *item = (item_t *)queue_head(&s->queue);
+	runner_room_t room = ROOM_LOWER;
+	runner_t *runner;
+	int64_t finish = 0;
+
+	if (!item || s->n_running >= s->config.max_running)
+		return false;
+	if (queue_is_protected(&s->queue, item->entry.tier))
+		room = ROOM_PROTECTED;
+	runner = dispatcher_choose(s, item, room, now, &finish);
+	if (!runner)
+		return false;
+	if (finish > item->want.deadline && may_refuse(s, item->entry.tier))
+		refuse(s, item, REFUSE_DEADLINE);
+	else
+		grant(s, item, runner, now);
+	return true;
+}
+
+void dispatcher_decide(struct dispatcher_state *s, int64_t now)
+{
+	s->decide_again = true;
+	if (s->is_deciding)
+		return;
+	s->is_deciding = true;
+	while (s->decide_again) {
+		s->decide_again = false;
+		if (!s->n_usable)
+			refuse_all_queued(s);
+		while (decide_next(s, now))
+			;
+	}
+	s->is_deciding = false;
+}
+
+void dispatcher_set_tiers(dispatcher_t *d, const dispatcher_tier_t *tiers,
+			  uint32_t n)
+{
+	queue_set_tiers(&d->state->queue, tiers, n);
+	dispatcher_sort_cancellable(d->state);
+}
+
+void dispatcher_set_team(dispatcher_t *d, str_t team, uint32_t weight)
+{
+	queue_set_team(&d->state->queue, team, weight);
+}
+
+static void want_baseline(struct dispatcher_state *s, const want_t *want,
+			  int64_t now)
+{
+	runner_t *runner = dispatcher_choose_baseline(s);
+	item_t *item = add_item(s, want);
+
+	if (!runner)
+		refuse(s, item, REFUSE_NO_RUNNER);
+	else if (s->n_running >= s->config.max_running)
+		refuse(s, item, REFUSE_QUEUE_FULL);
+	else
+		grant(s, item, runner, now);
+}
+
+/* Makes room in the queue; false when the want itself is to be refused. */
+static bool has_place(struct dispatcher_state *s, const item_t *item)
+{
+	queue_entry_t *victim;
+
+	if (s->queue.entries < s->config.max_wants)
+		return true;
+	victim = queue_victim(&s->queue, item->entry.tier, item->entry.team,
+			      item->entry.cost);
+	if (victim) {
+		refuse(s, (item_t *)victim, REFUSE_SHED);
+		return true;
+	}
+	if (may_refuse(s, item->entry.tier))
+		return false;
+	return s->queue.entries < PROTECTED_OVERFLOW * s->config.max_wants;
+}
+
+static int64_t first_due(const struct dispatcher_state *s, const item_t *item)
+{
+	if (queue_is_protected(&s->queue, item->entry.tier))
+		return item->latest_start - CANCEL_LEAD;
+	return item->latest_start;
+}
+
+static void enqueue(struct dispatcher_state *s, item_t *item, int64_t now)
+{
+	if (!s->queue.entries)
+		s->rate_at = now;
+	queue_push(&s->queue, &item->entry);
+}
+
+void dispatcher_want(dispatcher_t *d, const want_t *want, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	item_t *item;
+
+	if (g_hash_table_contains(s->items, &want->id)) {
+		s->stats.foreign++;
+		return;
+	}
+	s->stats.wants++;
+	if (!is_ledger(s)) {
+		want_baseline(s, want, now);
+		return;
+	}
+	item = add_item(s, want);
+	item->arrived = now;
+	item->latest_start = want->deadline - dispatcher_service_time(s, want);
+	item->entry.due = first_due(s, item);
+	if (!s->n_usable)
+		refuse(s, item, REFUSE_NO_RUNNER);
+	else if (now + dispatcher_wait_time(s, item->entry.tier) >
+			 item->latest_start &&
+		 may_refuse(s, item->entry.tier))
+		refuse(s, item, REFUSE_DEADLINE);
+	else if (!has_place(s, item))
+		refuse(s, item, REFUSE_QUEUE_FULL);
+	else
+		enqueue(s, item, now);
+	dispatcher_decide(s, now);
+}
+
+void dispatcher_withdraw(dispatcher_t *d, want_id_t id, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	item_t *item = find_item(s, id);
+
+	if (!item)
+		return;
+	if (item->runner) {
+		end_item(s, item, NULL, now);
+	} else {
+		queue_remove(&s->queue, &item->entry);
+		drop_item(s, item);
+	}
+	dispatcher_decide(s, now);
+}
+
+void dispatcher_first_token(dispatcher_t *d, want_id_t id, int64_t now)
+{
+	item_t *item = find_item(d->state, id);
+
+	if (!item || !item->runner)
+		return;
+	dispatcher_note_first_token(d->state, item, now);
+	dispatcher_decide(d->state, now);
+}
+
+void dispatcher_done(dispatcher_t *d, want_id_t id, const done_t *done,
+		     int64_t now)
+{
+	item_t *item = find_item(d->state, id);
+
+	if (!item || !item->runner)
+		return;
+	end_item(d->state, item, done, now);
+	dispatcher_decide(d->state, now);
+}
+
+void dispatcher_adopt(dispatcher_t *d, const want_t *want, str_t runner,
+		      int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	runner_t *known = dispatcher_find_runner(s, runner);
+	item_t *item = g_hash_table_lookup(s->items, &want->id);
+
+	if (!known || (item && item->runner))
+		return;
+	if (item)
+		queue_remove(&s->queue, &item->entry);
+	else
+		item = add_item(s, want);
+	dispatcher_enter(s, item, known, now);
+}
+
+void dispatcher_owner_lost(dispatcher_t *d, uint64_t owner, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	GQueue *owned;
+
+	while ((owned = g_hash_table_lookup(s->owners, &owner))) {
+		item_t *item = g_queue_peek_head(owned);
+
+		if (item->runner) {
+			end_item(s, item, NULL, now);
+			continue;
+		}
+		queue_remove(&s->queue, &item->entry);
+		drop_item(s, item);
+	}
+	dispatcher_decide(s, now);
+}
+
+/* A protected want is late: cancels lower work, then goes past the window. */
+static void hurry(struct dispatcher_state *s, item_t *item, int64_t now)
+{
+	runner_t *runner = NULL;
+	int64_t finish = 0;
+
+	if (now >= item->latest_start && s->n_running < s->config.max_running)
+		runner = dispatcher_choose(s, item, ROOM_FORCED, now, &finish);
+	dispatcher_cancel_for(s, item);
+	if (runner)
+		grant(s, item, runner, now);
+	else
+		queue_set_due(&s->queue, &item->entry,
+			      MIN(now + RECHECK, item->want.deadline));
+}
+
+static void check_due(struct dispatcher_state *s, item_t *item, int64_t now)
+{
+	if (now >= item->want.deadline)
+		refuse(s, item, REFUSE_EXPIRED);
+	else if (queue_is_protected(&s->queue, item->entry.tier) &&
+		 has_lower(s, item->entry.tier))
+		hurry(s, item, now);
+	else if (now < item->latest_start)
+		queue_set_due(&s->queue, &item->entry, item->latest_start);
+	else
+		refuse(s, item, REFUSE_DEADLINE);
+}
+
+static void check_queue(struct dispatcher_state *s, int64_t now)
+{
+	queue_entry_t *entry;
+
+	while ((entry = queue_due(&s->queue)) && entry->due <= now)
+		check_due(s, (item_t *)entry, now);
+}
+
+static void check_overdue(struct dispatcher_state *s, int64_t now)
+{
+	item_t *item;
+
+	while ((item = sequence_first(s->by_due)) && item->work.due <= now)
+		dispatcher_note_overdue(s, item, now);
+}
+
+/* Gives up grants of which nothing was heard for too long. */
+static void check_signs(struct dispatcher_state *s, int64_t now)
+{
+	item_t *item;
+
+	while ((item = g_queue_peek_head(&s->by_sign)) &&
+	       item->last_sign + s->config.grant_timeout <= now)
+		end_item(s, item, NULL, now);
+}
+
+void dispatcher_tick(dispatcher_t *d, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+
+	/* What callbacks bring meanwhile waits for the decisions below. */
+	s->is_deciding = true;
+	check_signs(s, now);
+	dispatcher_check_silent(s, now);
+	if (is_ledger(s)) {
+		check_overdue(s, now);
+		check_queue(s, now);
+	}
+	s->is_deciding = false;
+	dispatcher_decide(s, now);
+}
+
+void dispatcher_stats(const dispatcher_t *d, dispatcher_stats_t *out)
+{
+	const struct dispatcher_state *s = d->state;
+
+	*out = s->stats;
+	out->queued = s->queue.entries;
+	out->running = s->n_running;
+	out->runners = g_hash_table_size(s->runners);
+}
--- /dev/null
+++ b/core/dispatcher_ledger.c
@@ -0,0 +1,198 @@
+#include "common/sequence.h"
+#include "core/dispatcher_state.h"
+
+enum {
+	US_PER_S = 1000000,
+	MAX_RATE_GAP = 10 * US_PER_S, /* longer gaps are not counted */
+};
+
+static const double mean_step = 0.02; /* of the typical want's mean */
+static const double rate_memory_s = 2; /* of the rate of grants */
+
+static void note_typical(struct dispatcher_state *s, const want_t *want)
+{
+	s->typical_prompt +=
+		mean_step * (want->prompt_tokens - s->typical_prompt);
+	s->typical_output +=
+		mean_step * (want->output_tokens - s->typical_output);
+}
+
+/* Lowest tier first, in it the least prompt work done. */
+static gint by_loss(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct dispatcher_state *s = data;
+	const item_t *x = a, *y = b;
+	uint32_t lost_x = x->work.first_token ? x->want.prompt_tokens : 0;
+	uint32_t lost_y = y->work.first_token ? y->want.prompt_tokens : 0;
+
+	if (queue_is_lower(&s->queue, y->want.tier, x->want.tier))
+		return -1;
+	if (queue_is_lower(&s->queue, x->want.tier, y->want.tier))
+		return 1;
+	if (lost_x != lost_y)
+		return lost_x < lost_y ? -1 : 1;
+	if (x->work.granted != y->work.granted)
+		return x->work.granted > y->work.granted ? -1 : 1;
+	return x < y ? -1 : x > y;
+}
+
+static void insert_cancellable(struct dispatcher_state *s, item_t *item)
+{
+	sequence_clear(&item->cancellable);
+	if (!s->config.is_engine || item->is_cancelled ||
+	    queue_is_protected(&s->queue, item->want.tier))
+		return;
+	item->cancellable =
+		g_sequence_insert_sorted(s->cancellable, item, by_loss, s);
+}
+
+static gint by_work_due(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const item_t *x = a, *y = b;
+
+	if (x->work.due != y->work.due)
+		return x->work.due < y->work.due ? -1 : 1;
+	return x < y ? -1 : x > y;
+}
+
+static void set_sign(struct dispatcher_state *s, item_t *item, int64_t now)
+{
+	item->last_sign = now;
+	if (item->by_sign.data)
+		g_queue_unlink(&s->by_sign, &item->by_sign);
+	item->by_sign.data = item;
+	g_queue_push_tail_link(&s->by_sign, &item->by_sign);
+}
+
+void dispatcher_enter(struct dispatcher_state *s, item_t *item,
+		      runner_t *runner, int64_t now)
+{
+	const want_t *want = &item->want;
+
+	note_typical(s, want);
+	item->runner = runner;
+	item->work = (runner_work_t){
+		.prompt_tokens = want->prompt_tokens,
+		.output_tokens = want->output_tokens,
+		.is_protected = queue_is_protected(&s->queue, want->tier),
+	};
+	runner_model_grant(&runner->model, &item->work, now);
+	runner->running[want->tier]++;
+	if (runner->is_counted)
+		s->running[want->tier]++;
+	s->n_running++;
+	item->by_due =
+		g_sequence_insert_sorted(s->by_due, item, by_work_due, NULL);
+	insert_cancellable(s, item);
+	set_sign(s, item, now);
+	if (want->prefix_hash)
+		affinity_note(&s->affinity, want->prefix_hash, runner);
+	dispatcher_rank_runner(s, runner, now);
+}
+
+void dispatcher_leave(struct dispatcher_state *s, item_t *item,
+		      const done_t *done, int64_t now)
+{
+	runner_t *runner = item->runner;
+
+	runner_model_end(&runner->model, &item->work, done, now);
+	runner->running[item->want.tier]--;
+	if (runner->is_counted)
+		s->running[item->want.tier]--;
+	s->n_running--;
+	sequence_clear(&item->by_due);
+	sequence_clear(&item->cancellable);
+	g_queue_unlink(&s->by_sign, &item->by_sign);
+	if (done && done->prompt_tokens && item->want.prefix_hash)
+		affinity_learn(&s->affinity, item->want.prefix_hash, runner,
+			       (double)done->cached_tokens /
+				       done->prompt_tokens);
+	dispatcher_rank_runner(s, runner, now);
+}
+
+void dispatcher_note_first_token(struct dispatcher_state *s, item_t *item,
+				 int64_t now)
+{
+	runner_model_first_token(&item->runner->model, &item->work, now);
+	g_sequence_sort_changed(item->by_due, by_work_due, NULL);
+	insert_cancellable(s, item);
+	set_sign(s, item, now);
+	dispatcher_rank_runner(s, item->runner, now);
+}
+
+void dispatcher_note_overdue(struct dispatcher_state *s, item_t *item,
+			     int64_t now)
+{
+	runner_model_overdue(&item->runner->model, &item->work, now);
+	g_sequence_sort_changed(item->by_due, by_work_due, NULL);
+	dispatcher_rank_runner(s, item->runner, now);
+}
+
+void dispatcher_sort_cancellable(struct dispatcher_state *s)
+{
+	for (GList *link = s->by_sign.head; link; link = link->next) {
+		item_t *item = link->data;
+
+		sequence_clear(&item->cancellable);
+	}
+	for (GList *link = s->by_sign.head; link; link = link->next)
+		insert_cancellable(s, link->data);
+}
+
+bool dispatcher_runs_lower(const struct dispatcher_state *s, uint32_t tier)
+{
+	for (uint32_t i = 0; i < DISPATCHER_MAX_TIERS; i++)
+		if (s->running[i] && queue_is_lower(&s->queue, tier, i))
+			return true;
+	return false;
+}
+
+void dispatcher_cancel_for(struct dispatcher_state *s, const item_t *item)
+{
+	uint64_t freed = 0, needed = item->entry.cost;
+	uint32_t tier = item->want.tier;
+
+	item_t *lower;
+
+	while (freed < needed && (lower = sequence_first(s->cancellable))) {
+		want_t want = lower->want;
+
+		if (!queue_is_lower(&s->queue, tier, want.tier))
+			break;
+		sequence_clear(&lower->cancellable);
+		/* What runs on a leaving runner makes no room. */
+		if (!lower->runner->is_counted)
+			continue;
+		freed += lower->entry.cost;
+		lower->is_cancelled = true;
+		s->stats.cancels++;
+		s->ops.cancel(s->ctx, &want);
+	}
+}
+
+int64_t dispatcher_wait_time(const struct dispatcher_state *s, uint32_t tier)
+{
+	double ahead = (double)queue_tokens_ahead(&s->queue, tier);
+
+	if (s->granted_tokens <= 0)
+		return 0;
+	return (int64_t)(ahead * s->granted_seconds / s->granted_tokens *
+			 US_PER_S);
+}
+
+void dispatcher_count_rate(struct dispatcher_state *s, uint64_t tokens,
+			   int64_t now)
+{
+	int64_t gap = now - s->rate_at;
+	double seconds = (double)gap / US_PER_S;
+
+	s->rate_at = now;
+	if (gap < 0 || gap > MAX_RATE_GAP)
+		return;
+	s->granted_tokens += (double)tokens;
+	s->granted_seconds += seconds;
+	if (s->granted_seconds > rate_memory_s) {
+		s->granted_tokens *= rate_memory_s / s->granted_seconds;
+		s->granted_seconds = rate_memory_s;
+	}
+}
--- /dev/null
+++ b/core/dispatcher_pick.c
@@ -0,0 +1,161 @@
+#include "common/sequence.h"
+#include "core/dispatcher_state.h"
+
+enum {
+	MAX_CANDIDATES = 16, /* runners weighed for one want */
+};
+
+bool dispatcher_in_use(const runner_t *runner, int64_t now)
+{
+	return runner->is_listed && !runner->info.is_leaving &&
+	       !runner->is_leaving_by_report && runner->silent_until <= now;
+}
+
+static gint by_rank(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const runner_t *x = a, *y = b;
+
+	if (x->rank_key != y->rank_key)
+		return x->rank_key < y->rank_key ? -1 : 1;
+	return x->rank_turn < y->rank_turn ? -1 : x->rank_turn > y->rank_turn;
+}
+
+static void unrank(struct dispatcher_state *s, runner_t *runner)
+{
+	if (!runner->ranked)
+		return;
+	sequence_clear(&runner->ranked);
+	g_ptr_array_remove_fast(s->live, runner);
+}
+
+/* Keeps the sums over the runners that a want could use, now or soon. */
+static void count_runner(struct dispatcher_state *s, runner_t *runner)
+{
+	bool is_counted = runner->is_listed && !runner->info.is_leaving &&
+			  !runner->is_leaving_by_report;
+
+	if (runner->is_counted == is_counted)
+		return;
+	runner->is_counted = is_counted;
+	s->n_usable += is_counted ? 1 : -1;
+	for (uint32_t i = 0; i < DISPATCHER_MAX_TIERS; i++)
+		s->running[i] +=
+			is_counted ? runner->running[i] : -runner->running[i];
+}
+
+void dispatcher_rank_runner(struct dispatcher_state *s, runner_t *runner,
+			    int64_t now)
+{
+	count_runner(s, runner);
+	if (!dispatcher_in_use(runner, now)) {
+		unrank(s, runner);
+		return;
+	}
+	runner->rank_key = runner_model_predict(&runner->model,
+						(uint32_t)s->typical_prompt,
+						(uint32_t)s->typical_output, 0);
+	if (!s->config.is_engine)
+		runner->rank_key += runner->model.running;
+	runner->rank_turn = s->rank_turn++;
+	if (runner->ranked) {
+		g_sequence_sort_changed(runner->ranked, by_rank, NULL);
+		return;
+	}
+	runner->ranked =
+		g_sequence_insert_sorted(s->ranked, runner, by_rank, NULL);
+	g_ptr_array_add(s->live, runner);
+}
+
+static bool avoids(const struct dispatcher_state *s, const item_t *item,
+		   const runner_t *runner)
+{
+	return s->live->len > 1 && !strcmp(item->want.avoid, runner->info.name);
+}
+
+static int64_t predict(const runner_t *runner, const want_t *want,
+		       double cached)
+{
+	return runner_model_predict(&runner->model, want->prompt_tokens,
+				    want->output_tokens, cached);
+}
+
+/* Takes the runner that holds the prefix if the want ends sooner there. */
+static runner_t *prefer_affinity(struct dispatcher_state *s, const item_t *item,
+				 runner_t *best, runner_room_t room,
+				 int64_t now, int64_t *finish)
+{
+	double cached = 0;
+	const void *known;
+	runner_t *runner;
+
+	if (!item->want.prefix_hash)
+		return best;
+	known = affinity_find(&s->affinity, item->want.prefix_hash, &cached);
+	/* Runners are freed only after their prefixes were forgotten. */
+	runner = (runner_t *)known;
+	if (!runner || !runner->ranked || avoids(s, item, runner) ||
+	    !runner_model_has_room(&runner->model, room, now))
+		return best;
+	if (predict(runner, &item->want, cached) > *finish - now)
+		return best;
+	*finish = now + predict(runner, &item->want, cached);
+	return runner;
+}
+
+runner_t *dispatcher_choose(struct dispatcher_state *s, const item_t *item,
+			    runner_room_t room, int64_t now, int64_t *finish)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(s->ranked);
+	runner_t *best = NULL;
+
+	for (int i = 0; i < MAX_CANDIDATES && !g_sequence_iter_is_end(iter);
+	     i++, iter = g_sequence_iter_next(iter)) {
+		runner_t *runner = g_sequence_get(iter);
+		int64_t end = now + predict(runner, &item->want, 0);
+
+		if (avoids(s, item, runner) ||
+		    !runner_model_has_room(&runner->model, room, now) ||
+		    (best && end >= *finish))
+			continue;
+		best = runner;
+		*finish = end;
+	}
+	return best ? prefer_affinity(s, item, best, room, now, finish) : NULL;
+}
+
+static double reported_load(const runner_t *runner)
+{
+	return runner->model.reported;
+}
+
+runner_t *dispatcher_choose_baseline(struct dispatcher_state *s)
+{
+	gint32 n = (gint32)s->live->len;
+	runner_t *a, *b;
+
+	if (!n)
+		return NULL;
+	if (s->config.policy == DISPATCHER_POLICY_ROUND_ROBIN)
+		return g_ptr_array_index(s->live, s->turn++ % (uint32_t)n);
+	a = g_ptr_array_index(s->live, g_rand_int_range(s->rand, 0, n));
+	b = g_ptr_array_index(s->live, g_rand_int_range(s->rand, 0, n));
+	return reported_load(b) < reported_load(a) ? b : a;
+}
+
+int64_t dispatcher_service_time(const struct dispatcher_state *s,
+				const want_t *want)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(s->ranked);
+	int64_t least = INT64_MAX;
+
+	for (int i = 0; i < MAX_CANDIDATES && !g_sequence_iter_is_end(iter);
+	     i++, iter = g_sequence_iter_next(iter)) {
+		const runner_t *runner = g_sequence_get(iter);
+		int64_t time = runner_model_service(&runner->model,
+						    want->prompt_tokens,
+						    want->output_tokens, 0);
+
+		least = MIN(least, time);
+	}
+	return least == INT64_MAX ? 0 : least;
+}
--- /dev/null
+++ b/core/dispatcher_runners.c
@@ -0,0 +1,138 @@
+#include "core/dispatcher_state.h"
+
+enum {
+	US_PER_S = 1000000,
+	SILENT_HOLD = US_PER_S, /* microseconds without grants */
+	MAX_GENERATIONS = 256,
+	MAX_RUNNERS = 4096,
+};
+
+void dispatcher_free_runner(struct dispatcher_state *s, runner_t *runner)
+{
+	if (runner->is_listed || runner->model.running)
+		return;
+	affinity_forget(&s->affinity, runner);
+	if (runner->silent)
+		g_queue_delete_link(&s->silent, runner->silent);
+	g_hash_table_remove(s->runners, &runner->key);
+}
+
+void dispatcher_keep_speed(struct dispatcher_state *s, const runner_t *runner)
+{
+	gpointer key = GUINT_TO_POINTER(runner->info.generation);
+	runner_speed_t *speed = g_hash_table_lookup(s->generations, key);
+
+	if (!speed) {
+		if (g_hash_table_size(s->generations) >= MAX_GENERATIONS)
+			return;
+		speed = g_new0(runner_speed_t, 1);
+		g_hash_table_insert(s->generations, key, speed);
+	}
+	*speed = runner->model.speed;
+}
+
+static runner_t *add_runner(struct dispatcher_state *s,
+			    const dispatcher_runner_t *info)
+{
+	gpointer generation = GUINT_TO_POINTER(info->generation);
+	const dispatcher_config_t *config = &s->config;
+	runner_t *runner;
+
+	if (g_hash_table_size(s->runners) >= MAX_RUNNERS)
+		return NULL;
+	runner = g_new0(runner_t, 1);
+	runner->info = *info;
+	runner->key = str_from(runner->info.name);
+	runner_model_init(&runner->model, config->is_engine,
+			  config->is_engine ? config->window_tokens :
+					      config->plain_slots,
+			  g_hash_table_lookup(s->generations, generation));
+	g_hash_table_insert(s->runners, &runner->key, runner);
+	return runner;
+}
+
+void dispatcher_set_runner(dispatcher_t *d, const dispatcher_runner_t *runner,
+			   int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	str_t name = str_from(runner->name);
+	runner_t *known = g_hash_table_lookup(s->runners, &name);
+
+	if (!known)
+		known = add_runner(s, runner);
+	if (!known)
+		return;
+	known->info = *runner;
+	known->is_listed = true;
+	dispatcher_rank_runner(s, known, now);
+	dispatcher_decide(s, now);
+}
+
+runner_t *dispatcher_find_runner(struct dispatcher_state *s, str_t name)
+{
+	runner_t *runner = g_hash_table_lookup(s->runners, &name);
+
+	if (!runner)
+		s->stats.foreign++;
+	return runner;
+}
+
+void dispatcher_remove_runner(dispatcher_t *d, str_t name, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	runner_t *runner = dispatcher_find_runner(s, name);
+
+	if (!runner)
+		return;
+	runner->is_listed = false;
+	dispatcher_rank_runner(s, runner, now);
+	dispatcher_free_runner(s, runner);
+	dispatcher_decide(s, now);
+}
+
+static void end_silence(struct dispatcher_state *s, runner_t *runner)
+{
+	runner->silent_until = 0;
+	if (runner->silent)
+		g_queue_delete_link(&s->silent, runner->silent);
+	runner->silent = NULL;
+}
+
+void dispatcher_runner_silent(dispatcher_t *d, str_t name, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	runner_t *runner = dispatcher_find_runner(s, name);
+
+	if (!runner)
+		return;
+	end_silence(s, runner);
+	runner->silent_until = now + SILENT_HOLD;
+	g_queue_push_tail(&s->silent, runner);
+	runner->silent = s->silent.tail;
+	dispatcher_rank_runner(s, runner, now);
+}
+
+void dispatcher_report(dispatcher_t *d, str_t name,
+		       const dispatcher_report_t *report, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	runner_t *runner = dispatcher_find_runner(s, name);
+
+	if (!runner || !runner_model_report(&runner->model, report, now))
+		return;
+	end_silence(s, runner);
+	runner->is_leaving_by_report = report->is_leaving;
+	dispatcher_rank_runner(s, runner, now);
+	dispatcher_decide(s, now);
+}
+
+void dispatcher_check_silent(struct dispatcher_state *s, int64_t now)
+{
+	runner_t *runner;
+
+	while ((runner = g_queue_peek_head(&s->silent)) &&
+	       runner->silent_until <= now) {
+		end_silence(s, runner);
+		dispatcher_rank_runner(s, runner, now);
+	}
+}
--- a/core/limit.h
+++ b/core/limit.h
@@ -40,7 +40,7 @@
  * Sets a team's terms; what it has in progress and in its bucket stays.
  * Returns false when the name is too long or the table is full.
  */
-bool limit_set(limit_t *l, str_t team, double rate, double burst,
+bool limit_set(limit_t *l, str_t name, double rate, double burst,
 	       uint32_t concurrency);
 /* Sets the terms of every team that limit_set has not named. */
 void limit_set_other(limit_t *l, double rate, double burst,
@@ -51,9 +51,9 @@
  * either is used up, or the team is new and the table is full of teams that
  * have work in progress; RETRY_AFTER_MS is then when to come back.
  */
-bool limit_take(limit_t *l, str_t team, int64_t now, uint32_t *retry_after_ms);
+bool limit_take(limit_t *l, str_t name, int64_t now, uint32_t *retry_after_ms);
 /* Ends a request that limit_take let through. */
-void limit_release(limit_t *l, str_t team);
+void limit_release(limit_t *l, str_t name);
 
 /*
  * Returns a zone's share of a deployment's terms, by its weight among all
--- /dev/null
+++ b/core/runner_model.c
@@ -0,0 +1,270 @@
+#include "core/runner_model.h"
+
+enum {
+	US_PER_S = 1000000,
+	SAMPLE_GAP = 50000, /* microseconds between samples of the ledger */
+	FOREIGN_LIFE = 5 * US_PER_S, /* a report's word lasts so long */
+	PREFILL_QUEUE = 50000, /* microseconds of prompt work waiting there */
+	OVERDUE_GRACE = 50000, /* microseconds */
+	OVERDUE_FACTOR = 2, /* times the predicted time */
+};
+
+static const double rate_memory = 0.9; /* kept at each sample */
+static const double seed_weight = 0.1; /* of speeds of the generation */
+static const double min_health = 1.0 / 16;
+static const double health_step = 1.0 / 16;
+static const double protected_reserve = 0.25; /* of the window, on top */
+static const double plain_reserve = 0.25; /* of the slots, out of them */
+
+static runner_rate_t scaled(const runner_rate_t *rate, double factor)
+{
+	return (runner_rate_t){ rate->tokens * factor, rate->seconds * factor };
+}
+
+void runner_model_init(runner_model_t *m, bool is_engine, uint32_t window,
+		       const runner_speed_t *speed)
+{
+	*m = (runner_model_t){
+		.is_engine = is_engine,
+		.window = MAX(window, 1),
+		.health = 1,
+		.report_as_of = INT64_MIN,
+	};
+	if (!speed)
+		return;
+	m->speed.prefill = scaled(&speed->prefill, seed_weight);
+	m->speed.decode = scaled(&speed->decode, seed_weight);
+}
+
+static void learn(runner_rate_t *rate, double tokens, int64_t us)
+{
+	if (tokens <= 0 || us <= 0)
+		return;
+	rate->tokens = rate->tokens * rate_memory + tokens;
+	rate->seconds = rate->seconds * rate_memory + (double)us / US_PER_S;
+}
+
+/* Lowers a speed to what an unfinished piece of work shows at best. */
+static void bound(runner_rate_t *rate, double tokens, int64_t us)
+{
+	double seconds = (double)us / US_PER_S;
+
+	if (rate->tokens > 0 && seconds > 0 &&
+	    rate->tokens * seconds > tokens * rate->seconds)
+		rate->seconds = rate->tokens * seconds / MAX(tokens, 1);
+}
+
+static int64_t time_for(const runner_rate_t *rate, double tokens)
+{
+	if (rate->tokens <= 0)
+		return 0;
+	return (int64_t)(tokens * rate->seconds / rate->tokens * US_PER_S);
+}
+
+static void sample(runner_model_t *m, int64_t now)
+{
+	runner_sample_t *last = NULL;
+
+	if (m->n_history)
+		last = &m->history[(m->n_history - 1) % RUNNER_HISTORY];
+	if (!last || now - last->at >= SAMPLE_GAP)
+		last = &m->history[m->n_history++ % RUNNER_HISTORY];
+	else
+		now = last->at;
+	*last = (runner_sample_t){ .at = now, .running = m->running };
+}
+
+/* Returns what the ledger held at a time past. */
+static uint32_t running_at(const runner_model_t *m, int64_t at)
+{
+	uint32_t n = MIN(m->n_history, RUNNER_HISTORY);
+	uint32_t running = n ? 0 : m->running;
+
+	for (uint32_t i = 1; i <= n; i++) {
+		const runner_sample_t *s =
+			&m->history[(m->n_history - i) % RUNNER_HISTORY];
+
+		running = s->running;
+		if (s->at <= at)
+			return running;
+	}
+	return m->n_history > RUNNER_HISTORY ? running : 0;
+}
+
+static uint64_t work_tokens(const runner_model_t *m, const runner_work_t *work)
+{
+	if (!m->is_engine)
+		return 1;
+	return (uint64_t)work->prompt_tokens + work->output_tokens;
+}
+
+static void set_due(const runner_model_t *m, runner_work_t *work, int64_t from,
+		    int64_t expected)
+{
+	work->due = expected > 0 ?
+			    from + OVERDUE_FACTOR * expected + OVERDUE_GRACE :
+			    INT64_MAX;
+}
+
+void runner_model_grant(runner_model_t *m, runner_work_t *work, int64_t now)
+{
+	uint64_t tokens = work_tokens(m, work);
+
+	m->running++;
+	m->prefilling++;
+	m->tokens += tokens;
+	if (work->is_protected)
+		m->protected_tokens += tokens;
+	m->prompt_pending += work->prompt_tokens;
+	work->prompt_ahead = m->prompt_pending;
+	work->granted = now;
+	work->first_token = 0;
+	if (m->is_engine)
+		set_due(m, work, now,
+			time_for(&m->speed.prefill, work->prompt_ahead));
+	else
+		set_due(m, work, now, time_for(&m->speed.decode, 1));
+	sample(m, now);
+}
+
+static void recover(runner_model_t *m)
+{
+	m->health = MIN(m->health + health_step, 1);
+}
+
+void runner_model_first_token(runner_model_t *m, runner_work_t *work,
+			      int64_t now)
+{
+	if (work->first_token || !m->is_engine)
+		return;
+	work->first_token = now;
+	m->prefilling--;
+	m->prompt_pending -= work->prompt_tokens;
+	work->prefill_time = now - MAX(work->granted, m->last_first_token);
+	m->last_first_token = now;
+	if (now < work->due)
+		recover(m);
+	set_due(m, work, now, time_for(&m->speed.decode, work->output_tokens));
+}
+
+static void learn_from_end(runner_model_t *m, const runner_work_t *work,
+			   const done_t *done, int64_t now)
+{
+	if (now < work->due)
+		recover(m);
+	if (!m->is_engine) {
+		learn(&m->speed.decode, 1, now - work->granted);
+		return;
+	}
+	if (!work->first_token)
+		return;
+	learn(&m->speed.prefill,
+	      (double)done->prompt_tokens - done->cached_tokens,
+	      work->prefill_time);
+	learn(&m->speed.decode, (double)done->output_tokens - 1,
+	      now - work->first_token);
+}
+
+void runner_model_end(runner_model_t *m, const runner_work_t *work,
+		      const done_t *done, int64_t now)
+{
+	uint64_t tokens = work_tokens(m, work);
+
+	m->running--;
+	m->tokens -= tokens;
+	if (work->is_protected)
+		m->protected_tokens -= tokens;
+	if (!work->first_token) {
+		m->prefilling--;
+		m->prompt_pending -= work->prompt_tokens;
+	}
+	if (done && done->result == DONE_COMPLETED)
+		learn_from_end(m, work, done, now);
+	sample(m, now);
+}
+
+void runner_model_overdue(runner_model_t *m, runner_work_t *work, int64_t now)
+{
+	m->health = MAX(m->health / 2, min_health);
+	if (!m->is_engine)
+		bound(&m->speed.decode, 1, now - work->granted);
+	else if (work->first_token)
+		bound(&m->speed.decode, work->output_tokens,
+		      now - work->first_token);
+	else
+		bound(&m->speed.prefill, work->prompt_ahead,
+		      now - work->granted);
+	work->due = now + MAX(now - work->granted, OVERDUE_GRACE);
+}
+
+bool runner_model_report(runner_model_t *m, const dispatcher_report_t *report,
+			 int64_t now)
+{
+	double foreign;
+
+	if (report->as_of <= m->report_as_of)
+		return false;
+	m->report_as_of = report->as_of;
+	m->report_seen = now;
+	m->reported = (double)report->running + report->waiting;
+	foreign = (double)report->running + report->waiting -
+		  running_at(m, report->as_of);
+	m->foreign = (m->foreign + MAX(foreign, 0)) / 2;
+	return true;
+}
+
+static double foreign_tokens(const runner_model_t *m, int64_t now)
+{
+	double each = m->running ? (double)m->tokens / m->running : 1;
+
+	if (m->foreign < 1 || now - m->report_seen > FOREIGN_LIFE)
+		return 0;
+	return m->foreign * each;
+}
+
+static double room_limit(const runner_model_t *m, runner_room_t room)
+{
+	double limit = m->window * m->health;
+
+	if (m->is_engine && room != ROOM_LOWER)
+		limit *= 1 + protected_reserve;
+	if (!m->is_engine && room == ROOM_LOWER && m->window > 1)
+		limit -= MAX(limit * plain_reserve, 1);
+	return MAX(limit, 1);
+}
+
+bool runner_model_has_room(const runner_model_t *m, runner_room_t room,
+			   int64_t now)
+{
+	double limit = room_limit(m, room);
+
+	if (room == ROOM_FORCED && m->is_engine)
+		return (double)m->protected_tokens < limit;
+	if ((double)m->tokens + foreign_tokens(m, now) >= limit)
+		return false;
+	if (!m->is_engine || !m->prefilling || room != ROOM_LOWER)
+		return true;
+	return time_for(&m->speed.prefill, (double)m->prompt_pending) <
+	       PREFILL_QUEUE;
+}
+
+int64_t runner_model_service(const runner_model_t *m, uint32_t prompt_tokens,
+			     uint32_t output_tokens, double cached)
+{
+	if (!m->is_engine)
+		return time_for(&m->speed.decode, 1);
+	return time_for(&m->speed.prefill, prompt_tokens * (1 - cached)) +
+	       time_for(&m->speed.decode, output_tokens);
+}
+
+int64_t runner_model_predict(const runner_model_t *m, uint32_t prompt_tokens,
+			     uint32_t output_tokens, double cached)
+{
+	int64_t own =
+		runner_model_service(m, prompt_tokens, output_tokens, cached);
+
+	if (!m->is_engine)
+		return (int64_t)((double)own *
+				 MAX(1, (m->running + 1) / m->window));
+	return own + time_for(&m->speed.prefill, (double)m->prompt_pending);
+}
