standin: relay many addresses, judge order and refused connections

Cause: fault cases cut one zone from another, which is many addresses at once; a caller whose connection is refused knows that nothing was sent and goes to the next VM; no protected call may be refused while lower work of its service is served. Ruled out: one relay process an address, some fifty for three zones. The lagging load report moves to a module of its own. Conclusion: what the fault cases need from the stand-ins is there.

--- a/standin/desk.c
+++ b/standin/desk.c
@@ -33,6 +33,7 @@
 	json_t *keys;
 	json_t *requests;
 	json_int_t runs;
+	int64_t last_run_ms; /* wall clock, when the newest run came */
 	double slots;
 	double service_ms;
 	double jitter;
@@ -117,6 +118,7 @@
 	const char *request = exchange_header(x, "X-Request-Id");
 
 	d->runs++;
+	d->last_run_ms = clock_wall_ms();
 	if (run->call[0])
 		json_count(d->calls, run->call);
 	if (key)
@@ -179,8 +181,9 @@
 {
 	const desk_t *d = ctx;
 
-	return json_pack("{s:O,s:O,s:O,s:I}", "calls", d->calls, "keys",
-			 d->keys, "requests", d->requests, "runs", d->runs);
+	return json_pack("{s:O,s:O,s:O,s:I,s:I}", "calls", d->calls, "keys",
+			 d->keys, "requests", d->requests, "runs", d->runs,
+			 "last_run_ms", (json_int_t)d->last_run_ms);
 }
 
 static void free_runs(GQueue *queue)
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -12,6 +12,7 @@
 #include "standin/lib_args.h"
 #include "standin/lib_batch.h"
 #include "standin/lib_cache.h"
+#include "standin/lib_report.h"
 #include "standin/lib_server.h"
 
 enum {
@@ -24,14 +25,6 @@
 	ID_SIZE = 128,
 };
 
-/* What the load report said at some time. */
-typedef struct sample {
-	int64_t at_us;
-	int64_t wall_ms;
-	uint32_t running, waiting, waiting_tokens, running_tokens;
-	bool is_leaving;
-} sample_t;
-
 typedef enum run_state {
 	RUN_ACTIVE,
 	RUN_COMPLETE,
@@ -64,7 +57,7 @@
 	batch_t batch;
 	cache_t cache;
 	GHashTable *runs; /* id -> run_t, owned */
-	GQueue samples; /* oldest first */
+	report_t report;
 	json_t *calls;
 	json_t *orders;
 	totals_t totals;
@@ -72,6 +65,7 @@
 	int64_t stepped_us;
 	int64_t sampled_us;
 	int64_t newest_fence;
+	int64_t last_run_ms; /* wall clock, when the newest run came */
 	uint32_t next_id;
 	double generation;
 	double report_lag_ms;
@@ -225,25 +219,18 @@
 
 static void take_sample(engine_t *e, int64_t now)
 {
-	sample_t *s = g_new0(sample_t, 1);
-
-	s->at_us = now;
-	s->wall_ms = clock_wall_ms();
-	s->running = e->batch.running.length;
-	s->waiting = e->batch.waiting.length;
-	s->waiting_tokens = batch_waiting_tokens(&e->batch);
-	s->running_tokens = e->batch.kv_used;
-	s->is_leaving = server_fault_on(&e->server, "leaving");
-	g_queue_push_tail(&e->samples, s);
-	e->sampled_us = now;
-	/* The head is the newest sample that is old enough to be shown. */
-	while (e->samples.length > 1) {
-		const sample_t *second = e->samples.head->next->data;
+	const report_sample_t sample = {
+		.at_us = now,
+		.wall_ms = clock_wall_ms(),
+		.running = e->batch.running.length,
+		.waiting = e->batch.waiting.length,
+		.waiting_tokens = batch_waiting_tokens(&e->batch),
+		.running_tokens = e->batch.kv_used,
+		.is_leaving = server_fault_on(&e->server, "leaving"),
+	};
 
-		if (now - second->at_us < (int64_t)(e->report_lag_ms * 1000))
-			break;
-		g_free(g_queue_pop_head(&e->samples));
-	}
+	report_add(&e->report, &sample);
+	e->sampled_us = now;
 }
 
 /* Cancels what nobody reads, forgets what ended long ago. */
@@ -344,6 +331,7 @@
 		return;
 	}
 	book_call(e, run);
+	e->last_run_ms = clock_wall_ms();
 	run->item.user = run;
 	run->x = x;
 	x->user = run;
@@ -393,21 +381,6 @@
 	}
 }
 
-static void handle_load(engine_t *e, exchange_t *x)
-{
-	const sample_t *s = g_queue_peek_head(&e->samples);
-
-	exchange_reply(x, HTTP_OK,
-		       json_pack("{s:I,s:s,s:i,s:i,s:i,s:i,s:i}", "as_of_ms",
-				 (json_int_t)s->wall_ms, "state",
-				 s->is_leaving ? "leaving" : "live", "running",
-				 (int)s->running, "waiting", (int)s->waiting,
-				 "waiting_prompt_tokens",
-				 (int)s->waiting_tokens, "running_tokens",
-				 (int)s->running_tokens, "generation",
-				 (int)e->generation));
-}
-
 static void handle_order(engine_t *e, exchange_t *x)
 {
 	str_t text = exchange_body(x);
@@ -456,7 +429,8 @@
 	if (exchange_is(x, EVHTTP_REQ_POST, "/v1/completions"))
 		handle_completion(e, x);
 	else if (exchange_is(x, EVHTTP_REQ_GET, "/v1/load"))
-		handle_load(e, x);
+		exchange_reply(x, HTTP_OK,
+			       report_json(&e->report, (int)e->generation));
 	else if (exchange_is(x, EVHTTP_REQ_GET, "/v1/cache/events"))
 		exchange_reply(x, HTTP_OK,
 			       cache_events(&e->cache,
@@ -491,14 +465,15 @@
 	for (const GList *l = e->batch.running.head; l; l = l->next)
 		done += ((const batch_item_t *)l->data)->prefilled;
 	return json_pack(
-		"{s:O,s:{s:f,s:f,s:f,s:f},s:f,s:f,s:i,s:i,s:i,s:i,s:i,s:O}",
+		"{s:O,s:{s:f,s:f,s:f,s:f},s:f,s:f,s:i,s:i,s:i,s:i,s:i,s:O,s:I}",
 		"calls", e->calls, "prompt_tokens", "done", done, "useful",
 		t->prompt_useful, "wasted_cancelled", t->prompt_cancelled,
 		"wasted_killed", t->prompt_killed, "output_tokens", t->output,
 		"output_tokens_useful", t->output_useful, "completed",
 		(int)t->completed, "cancelled", (int)t->cancelled, "killed",
 		(int)t->killed, "running", (int)e->batch.running.length,
-		"waiting", (int)e->batch.waiting.length, "orders", e->orders);
+		"waiting", (int)e->batch.waiting.length, "orders", e->orders,
+		"last_run_ms", (json_int_t)e->last_run_ms);
 }
 
 static void on_faults(void *ctx)
@@ -530,7 +505,7 @@
 	cache_init(&e->cache, cache);
 	e->runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, run_free);
-	g_queue_init(&e->samples);
+	report_init(&e->report, (int64_t)(e->report_lag_ms * 1000));
 	e->calls = json_object();
 	e->orders = json_array();
 	e->stepped_us = clock_now_us();
@@ -545,7 +520,7 @@
 	server_finish(&e->server);
 	g_hash_table_destroy(e->runs);
 	cache_finish(&e->cache);
-	g_queue_clear_full(&e->samples, g_free);
+	report_finish(&e->report);
 	json_decref(e->calls);
 	json_decref(e->orders);
 }
--- a/standin/lib_caller.c
+++ b/standin/lib_caller.c
@@ -58,17 +58,37 @@
 	return c->key[0] || c->ticket[0];
 }
 
+static void try_next_target(caller_t *c, int64_t pause_ms)
+{
+	http_call_finish(&c->call);
+	c->target = (c->target + 1) % c->env->n_targets;
+	arm(c->step_timer, pause_ms);
+}
+
 /* Tries again on the next target when that is safe; else ends the call. */
 static void repeat_or_end(caller_t *c, call_result_t result, const char *reason)
 {
+	c->is_unsure = result == CALL_BROKEN;
 	if (!is_guarded(c) || c->attempts > c->env->repeats) {
 		end_call(c, result, reason);
 		return;
 	}
 	g_strlcpy(c->reason, reason, sizeof(c->reason));
-	http_call_finish(&c->call);
-	c->target = (c->target + 1) % c->env->n_targets;
-	arm(c->step_timer, REPEAT_PAUSE_MS);
+	try_next_target(c, REPEAT_PAUSE_MS);
+}
+
+/*
+ * A connection that was not made sent nothing: any daemon will do. With
+ * none left, the caller knows by itself that the call did not run.
+ */
+static void connect_elsewhere(caller_t *c, const char *reason)
+{
+	if (++c->refusals < c->env->n_targets) {
+		c->attempts--;
+		try_next_target(c, 0);
+	} else {
+		end_call(c, c->is_unsure ? CALL_BROKEN : CALL_NOT_RUN, reason);
+	}
 }
 
 static void judge_completed(caller_t *c)
@@ -117,7 +137,10 @@
 	} else if (err) {
 		snprintf(reason, sizeof(reason), "%s: %.90s", err->step,
 			 err->detail);
-		repeat_or_end(c, CALL_BROKEN, reason);
+		if (http_call_is_sent(&c->call))
+			repeat_or_end(c, CALL_BROKEN, reason);
+		else
+			connect_elsewhere(c, reason);
 	} else {
 		judge_outcome(c, c->outcome);
 	}
@@ -135,9 +158,8 @@
 	json_decref(root);
 	if (ticket)
 		start_attempt(c);
-	else if (c->attempts++ < c->env->repeats) {
-		c->target = (c->target + 1) % c->env->n_targets;
-		arm(c->step_timer, REPEAT_PAUSE_MS);
+	else if (c->attempts++ < c->env->repeats + c->env->n_targets) {
+		try_next_target(c, REPEAT_PAUSE_MS);
 	} else {
 		/* Without a ticket nothing was asked, so nothing ran. */
 		end_call(c, err ? CALL_BROKEN : CALL_NOT_RUN, "no ticket");
@@ -150,6 +172,7 @@
 	const char *outcome = evhttp_find_header(headers, "Papaya-Outcome");
 
 	c->status = status;
+	c->refusals = 0;
 	g_strlcpy(c->outcome, outcome ? outcome : "", sizeof(c->outcome));
 	/* Only a stream that began is fed as one. */
 	if (status != HTTP_OK && c->answer.kind == ANSWER_STREAM)
--- a/standin/lib_caller.h
+++ b/standin/lib_caller.h
@@ -1,7 +1,8 @@
 /*
  * One caller with one call: takes a ticket where the kind asks for one,
  * sends, checks the answer, repeats a guarded call whose end it did not
- * see, and reports how it ended.
+ * see, tries the next daemon when it cannot connect, and reports how the
+ * call ended.
  */
 #ifndef STANDIN_LIB_CALLER_H
 #define STANDIN_LIB_CALLER_H
@@ -45,20 +46,22 @@
 	uint32_t tokens;
 	uint32_t target; /* index; the next repeat takes the next one */
 	uint32_t attempts; /* to read */
+	uint32_t refusals; /* connections in a row that were not made */
 	http_call_t call;
 	answer_t answer;
 	GString *ticket_body;
 	struct event *limit_timer;
 	struct event *leave_timer;
 	struct event *step_timer; /* repeat, or resume of slow reading */
-	int64_t started_us;
+	int64_t started_us; /* to read */
 	int64_t first_us;
 	int64_t ended_us; /* to read */
 	int64_t leave_ms; /* 0: stays */
-	bool is_slow; /* reads slowly */
+	bool is_slow; /* reads slowly; to read */
 	bool is_ticketing; /* waits for a ticket */
 	bool is_paused;
 	bool is_ended;
+	bool is_unsure; /* an attempt was sent and its end not seen */
 	int status;
 	char outcome[16]; /* header */
 	call_result_t result; /* to read */
--- a/standin/lib_mix.c
+++ b/standin/lib_mix.c
@@ -15,11 +15,11 @@
 	"\"engine\":true,\"prompt\":[30,300],\"output\":[4,8],"
 	"\"deadline_ms\":10000},"
 	"{\"service\":\"seat-lookup\",\"tier\":\"lookups\",\"share\":0.35,"
-	"\"path\":\"/seats\",\"deadline_ms\":1000},"
+	"\"path\":\"/seats\",\"protected\":true,\"deadline_ms\":1000},"
 	"{\"service\":\"booking-desk\",\"tier\":\"holds\",\"share\":0.1,"
-	"\"path\":\"/holds\",\"guard\":\"uuid\",\"deadline_ms\":2000},"
+	"\"path\":\"/holds\",\"protected\":true,\"guard\":\"uuid\",\"deadline_ms\":2000},"
 	"{\"service\":\"booking-desk\",\"tier\":\"holds\",\"share\":0.1,"
-	"\"path\":\"/holds\",\"guard\":\"ticket\",\"deadline_ms\":2000}],"
+	"\"path\":\"/holds\",\"protected\":true,\"guard\":\"ticket\",\"deadline_ms\":2000}],"
 	"\"teams\":[{\"name\":\"agents\",\"weight\":5},"
 	"{\"name\":\"clerks\",\"weight\":3},{\"name\":\"letters\"},"
 	"{\"name\":\"disputes\"},{\"name\":\"web\"}],\"charters\":12}";
@@ -70,6 +70,7 @@
 	copy_name(kind->path, object, "path");
 	kind->share = json_number_value(json_object_get(object, "share"));
 	kind->is_engine = json_is_true(json_object_get(object, "engine"));
+	kind->is_protected = json_is_true(json_object_get(object, "protected"));
 	kind->is_stream = json_is_true(json_object_get(object, "stream"));
 	kind->deadline_ms =
 		json_integer_value(json_object_get(object, "deadline_ms"));
--- a/standin/lib_mix.h
+++ b/standin/lib_mix.h
@@ -31,6 +31,7 @@
 	double share;
 	bool is_engine;
 	bool is_stream;
+	bool is_protected; /* the profile protects its tier */
 	mix_guard_t guard;
 	uint32_t prompt_min, prompt_max; /* tokens */
 	uint32_t output_min, output_max; /* tokens */
@@ -53,7 +54,8 @@
 
 /*
  * Reads a mix: {"kinds":[{"service","tier","share","engine","stream",
- * "guard":"none|key|uuid|ticket","prompt":[MIN,MAX],"output":[MIN,MAX],
+ * "guard":"none|key|uuid|ticket","protected",
+ * "prompt":[MIN,MAX],"output":[MIN,MAX],
  * "deadline_ms","path"}],"teams":[{"name","weight","key"}],"charters":N}.
  * Returns false, with the reason on standard error. PATH may be NULL for
  * the mix built in.
--- a/standin/load.c
+++ b/standin/load.c
@@ -20,6 +20,7 @@
 	MAX_VIOLATIONS = 50, /* printed */
 	LEAVE_MIN_MS = 5,
 	LEAVE_MAX_MS = 800,
+	ORDER_MARGIN_MS = 150, /* for answers and refusals on their way */
 };
 
 typedef struct load {
@@ -31,6 +32,7 @@
 	tally_t tally;
 	json_t *calls; /* id -> what became of it */
 	json_t *violations;
+	int64_t start_us;
 	int64_t end_us;
 	double next_us; /* of the next arrival */
 	double rate;
@@ -44,6 +46,7 @@
 	uint64_t n_skipped;
 	uint64_t n_violations;
 	bool is_arriving;
+	bool is_order_checked;
 } load_t;
 
 static void add_violation(load_t *l, const char *id, const char *what)
@@ -64,13 +67,15 @@
 static void on_ended(void *ctx, caller_t *c)
 {
 	load_t *l = ctx;
-	json_t *entry =
-		json_pack("{s:s,s:s,s:s,s:i,s:s,s:s,s:f,s:f,s:s}", "tier",
-			  c->kind->tier, "service", c->kind->service, "outcome",
-			  call_result_name(c->result), "attempts",
-			  (int)c->attempts, "key", c->key, "ticket", c->ticket,
-			  "first_ms", caller_first_ms(c), "whole_ms",
-			  caller_whole_ms(c), "reason", c->reason);
+	json_t *entry = json_pack(
+		"{s:s,s:s,s:b,s:s,s:i,s:s,s:s,s:f,s:f,s:f,s:b,s:s}", "tier",
+		c->kind->tier, "service", c->kind->service, "protected",
+		(int)c->kind->is_protected, "outcome",
+		call_result_name(c->result), "attempts", (int)c->attempts,
+		"key", c->key, "ticket", c->ticket, "start_ms",
+		(double)(c->started_us - l->start_us) / 1000, "first_ms",
+		caller_first_ms(c), "whole_ms", caller_whole_ms(c), "slow",
+		(int)c->is_slow, "reason", c->reason);
 
 	json_object_set_new(l->calls, c->id, entry);
 	tally_add(&l->tally, c->kind->tier, c->result, caller_first_ms(c),
@@ -205,6 +210,61 @@
 	json_decref(runs);
 }
 
+static double number(json_t *entry, const char *name)
+{
+	return json_number_value(json_object_get(entry, name));
+}
+
+static bool text_is(json_t *entry, const char *name, const char *text)
+{
+	return !strcmp(json_string_value(json_object_get(entry, name)), text);
+}
+
+/*
+ * True when LOW was in progress at the time END_MS, well before and after,
+ * and completed: a runner of the service served it then.
+ */
+static bool was_served_at(json_t *low, double end_ms)
+{
+	double start = number(low, "start_ms");
+
+	return !json_is_true(json_object_get(low, "protected")) &&
+	       !json_is_true(json_object_get(low, "slow")) &&
+	       (text_is(low, "outcome", "completed") ||
+		text_is(low, "outcome", "late")) &&
+	       start + ORDER_MARGIN_MS < end_ms &&
+	       start + number(low, "whole_ms") > end_ms + ORDER_MARGIN_MS;
+}
+
+static void check_refusal(load_t *l, const char *id, json_t *refused)
+{
+	const char *service =
+		json_string_value(json_object_get(refused, "service"));
+	double end = number(refused, "start_ms") + number(refused, "whole_ms");
+	const char *low_id;
+	json_t *low;
+
+	json_object_foreach (l->calls, low_id, low) {
+		if (!text_is(low, "service", service) ||
+		    !was_served_at(low, end))
+			continue;
+		add_violation(l, id, "refused while lower work was served");
+		return;
+	}
+}
+
+/* No protected call was refused while lower work of its service ran. */
+static void check_order(load_t *l)
+{
+	const char *id;
+	json_t *entry;
+
+	json_object_foreach (l->calls, id, entry)
+		if (text_is(entry, "outcome", "not-run") &&
+		    json_is_true(json_object_get(entry, "protected")))
+			check_refusal(l, id, entry);
+}
+
 static bool write_result(load_t *l, const char *path)
 {
 	json_t *result = json_pack(
@@ -225,6 +285,7 @@
 {
 	int64_t now = clock_now_us();
 
+	l->start_us = now;
 	l->next_us = (double)now;
 	l->end_us = now + (int64_t)(l->seconds * 1e6);
 	l->is_arriving = true;
@@ -286,6 +347,8 @@
 		{ "settle-ms", ARG_NUMBER, &l.settle_ms, "before --verify" },
 		{ "verify", ARG_TEXT, &oracles,
 		  "IP:port,... of engines and desks" },
+		{ "check-order", ARG_FLAG, &l.is_order_checked,
+		  "no protected refusal while lower work is served" },
 		{ "out", ARG_TEXT, &out, "JSON file for the result" },
 	};
 
@@ -301,6 +364,8 @@
 	load_run(&l);
 	if (oracles)
 		verify(&l, oracles);
+	if (l.is_order_checked)
+		check_order(&l);
 	tally_print(&l.tally);
 	printf("%" PRIu64 " calls, %" PRIu64 " violations\n", l.n_started,
 	       l.n_violations);
--- a/standin/relay.c
+++ b/standin/relay.c
@@ -1,5 +1,6 @@
 /*
- * Relays TCP between processes, so that links can be broken. Switches by
+ * Relays TCP between processes, so that links can be broken. One process
+ * may relay several addresses: --listen A,B --to X,Y. Switches by
  * POST /standin/faults on --control:
  *   "cut": true         closes every connection and refuses new ones
  *   "blackhole": true   every connection, old and new, goes quiet
@@ -19,7 +20,11 @@
 #include "standin/lib_args.h"
 #include "standin/lib_server.h"
 
-enum { MAX_LINKS = 2000, MAX_BUFFERED = 1 << 20 /* bytes a direction */ };
+enum {
+	MAX_LINKS = 2000,
+	MAX_DOORS = 64,
+	MAX_BUFFERED = 1 << 20 /* bytes a direction */
+};
 
 struct tcp_link;
 
@@ -39,11 +44,18 @@
 	bool is_silent;
 } tcp_link_t;
 
-typedef struct relay {
-	server_t control;
-	struct evconnlistener *listener;
+/* One address that is relayed. */
+typedef struct door {
+	struct relay *relay;
+	struct evconnlistener *listener; /* NULL while cut */
 	struct sockaddr_in from;
 	struct sockaddr_in to;
+} door_t;
+
+typedef struct relay {
+	server_t control;
+	door_t doors[MAX_DOORS];
+	size_t n_doors;
 	GQueue links;
 	uint64_t n_accepted, n_bytes;
 } relay_t;
@@ -138,7 +150,8 @@
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *addr, int len, void *ctx)
 {
-	relay_t *r = ctx;
+	door_t *door = ctx;
+	relay_t *r = door->relay;
 	struct event_base *base = r->control.base;
 	struct bufferevent *in, *out;
 	tcp_link_t *link;
@@ -161,18 +174,32 @@
 		bufferevent_disable(in, EV_READ | EV_WRITE);
 		return;
 	}
-	if (bufferevent_socket_connect(out, (struct sockaddr *)&r->to,
-				       sizeof(r->to)))
+	if (bufferevent_socket_connect(out, (struct sockaddr *)&door->to,
+				       sizeof(door->to)))
 		link_free(link);
 }
 
-static bool start_listening(relay_t *r)
+static bool open_doors(relay_t *r)
 {
-	r->listener = evconnlistener_new_bind(
-		r->control.base, on_accept, r,
-		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-		(struct sockaddr *)&r->from, sizeof(r->from));
-	return r->listener != NULL;
+	for (size_t i = 0; i < r->n_doors; i++) {
+		door_t *door = &r->doors[i];
+
+		if (!door->listener)
+			door->listener = evconnlistener_new_bind(
+				r->control.base, on_accept, door,
+				LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+				(struct sockaddr *)&door->from,
+				sizeof(door->from));
+		if (!door->listener)
+			return false;
+	}
+	return true;
+}
+
+static void close_doors(relay_t *r)
+{
+	for (size_t i = 0; i < r->n_doors; i++)
+		g_clear_pointer(&r->doors[i].listener, evconnlistener_free);
 }
 
 static void silence_links(relay_t *r)
@@ -208,9 +235,9 @@
 
 	if (is_cut) {
 		close_links(r, true);
-		g_clear_pointer(&r->listener, evconnlistener_free);
-	} else if (!r->listener) {
-		start_listening(r);
+		close_doors(r);
+	} else {
+		open_doors(r);
 	}
 	if (server_fault_on(s, "blackhole") || server_fault_on(s, "silence"))
 		silence_links(r);
@@ -246,34 +273,54 @@
 	       !evutil_parse_sockaddr_port(text, (struct sockaddr *)addr, &len);
 }
 
+static bool read_doors(relay_t *r, const char *from, const char *to)
+{
+	g_auto(GStrv) listen = g_strsplit(from ? from : "", ",", -1);
+	g_auto(GStrv) target = g_strsplit(to ? to : "", ",", -1);
+	guint n = g_strv_length(listen);
+
+	if (!n || n > MAX_DOORS || n != g_strv_length(target))
+		return false;
+	for (guint i = 0; i < n; i++) {
+		door_t *door = &r->doors[r->n_doors++];
+
+		door->relay = r;
+		if (!read_address(listen[i], &door->from) ||
+		    !read_address(target[i], &door->to))
+			return false;
+	}
+	return true;
+}
+
 int main(int argc, char **argv)
 {
 	relay_t r = { 0 };
 	const char *listen = NULL, *to = NULL, *control = "127.0.0.1:0";
 	err_t err;
 	const arg_row_t rows[] = {
-		{ "listen", ARG_TEXT, &listen, "IP:port to relay from" },
-		{ "to", ARG_TEXT, &to, "IP:port to relay to" },
+		{ "listen", ARG_TEXT, &listen, "IP:port,... to relay from" },
+		{ "to", ARG_TEXT, &to,
+		  "IP:port,... to relay to, in the same order" },
 		{ "control", ARG_TEXT, &control, "IP:port of the switches" },
 	};
 	const server_ops_t ops = { on_http, on_closed, on_oracle, on_faults,
 				   NULL };
 
 	args_read(argc, argv, rows, G_N_ELEMENTS(rows));
-	if (!read_address(listen, &r.from) || !read_address(to, &r.to)) {
-		fprintf(stderr, "relay: --listen and --to: IP:port expected\n");
+	if (!read_doors(&r, listen, to)) {
+		fprintf(stderr, "relay: --listen and --to: as many IP:port in "
+				"each are expected\n");
 		return EXIT_FAILURE;
 	}
 	g_queue_init(&r.links);
 	if (!server_init(&r.control, control, &ops, &r, &err) ||
-	    !start_listening(&r)) {
+	    !open_doors(&r)) {
 		fprintf(stderr, "relay: cannot listen\n");
 		return EXIT_FAILURE;
 	}
 	server_run(&r.control);
 	close_links(&r, true);
-	if (r.listener)
-		evconnlistener_free(r.listener);
+	close_doors(&r);
 	server_finish(&r.control);
 	return EXIT_SUCCESS;
 }
