ctl: papayactl with check, publish, profiles and report

Cause: operators need to publish, and the parent body to see where the work went, before the demo can run. Change: publish folds the log, bears a base and a nonce, settles a lost answer by reading for the nonce, and says accepted only once every zone's running daemons report the version. A VM that refuses connections runs no daemon; one that stays silent keeps its zone pending. report sums batches by time, service, tier and team, as table or JSON, with what is missing. Ruled out: never repeating a lost append: it may not have taken effect, and the base makes a repeat harmless (case "dropped, then sound"). The bounds of the configuration fold are constants now, as readers with unlike bounds would give unlike verdicts.

--- a/Makefile
+++ b/Makefile
@@ -39,8 +39,9 @@
 
 obj = $(patsubst %.c,$(B)/%.o,$(1))
 LIB := $(B)/libpapaya.a
-# The daemon's tasks without main, so that tests can link them.
+# The tasks and commands without main, so that tests can link them.
 DAEMON_LIB := $(B)/libdaemon.a
+CTL_LIB := $(B)/libctl.a
 # What the stand-ins share; tests use its blocking HTTP exchange.
 STANDIN_LIB := $(B)/libstandin.a
 STANDINS := $(patsubst standin/%.c,$(B)/standin-%,$(STANDIN_SRC))
@@ -63,10 +64,14 @@
 	rm -f $@
 	ar rcs $@ $^
 
+$(CTL_LIB): $(call obj,$(filter-out ctl/main.c,$(CTL_SRC)))
+	rm -f $@
+	ar rcs $@ $^
+
 $(B)/papayad: $(call obj,daemon/main.c) $(DAEMON_LIB) $(LIB)
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(PKG_LIBS) -lm
 
-$(B)/papayactl: $(call obj,$(CTL_SRC)) $(LIB)
+$(B)/papayactl: $(call obj,ctl/main.c) $(CTL_LIB) $(LIB)
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(PKG_LIBS) -lm
 
 $(STANDIN_LIB): $(call obj,$(STANDIN_LIB_SRC))
@@ -77,7 +82,7 @@
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(PKG_LIBS) -lm
 
 $(B)/tests/%: $(B)/tests/%.o $(call obj,$(TEST_LIB_SRC)) $(DAEMON_LIB) \
-		$(STANDIN_LIB) $(LIB)
+		$(CTL_LIB) $(STANDIN_LIB) $(LIB)
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(PKG_LIBS) -lm
 
 proto:
--- a/core/config_fold.h
+++ b/core/config_fold.h
@@ -22,6 +22,8 @@
 enum {
 	CONFIG_NAME_SIZE = 96, /* bytes of a document's name, with the NUL */
 	CONFIG_NONCE_SIZE = 40, /* bytes, with the NUL */
+	CONFIG_MAX_DOCS = 256, /* the bounds that every reader uses */
+	CONFIG_MAX_BYTES = 900 * 1024, /* a snapshot fits a record of 1 MiB */
 };
 
 typedef struct config_doc {
--- /dev/null
+++ b/ctl/check.c
@@ -0,0 +1,40 @@
+#include "ctl/args.h"
+#include "ctl/ctl.h"
+
+#include <glib.h>
+
+#include "core/profile.h"
+
+static int check_document(ctl_t *ctl, const char *doc, const char *path)
+{
+	g_autofree char *text = NULL;
+	size_t len;
+	err_t err;
+
+	text = args_read_file(path, &len, &err);
+	if (!text || !profile_check(str_from(doc), (str_t){ text, len }, &err))
+		return ctl_fail(ctl, &err);
+	fprintf(ctl->out, "%s: %s is sound\n", path, doc);
+	return CTL_OK;
+}
+
+int ctl_check(ctl_t *ctl, int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_str *doc = arg_str1(NULL, "doc", "KIND/NAME",
+				       "what FILE is: profile/NAME or "
+				       "service/NAME");
+	struct arg_str *file = arg_str1(NULL, NULL, "FILE",
+					"JSON, with "
+					"comments");
+	struct arg_end *end = arg_end(ARGS_MAX_ERRORS);
+	void *table[] = { help, doc, file, end };
+	int code;
+
+	if (args_parse(ctl, table, G_N_ELEMENTS(table),
+		       "Checks a file without sending anything.", argc, argv,
+		       &code))
+		code = check_document(ctl, doc->sval[0], file->sval[0]);
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
--- /dev/null
+++ b/ctl/config_log.c
@@ -0,0 +1,54 @@
+#include "ctl/config_log.h"
+
+#include "core/profile.h"
+
+static bool check_body(void *ctx, const char *doc, str_t body, err_t *err)
+{
+	return profile_check(str_from(doc), body, err);
+}
+
+/* The first verdict on a nonce stands; a repeat of the record is nothing. */
+static void on_judged(void *ctx, const char *nonce, config_verdict_t verdict,
+		      const config_doc_t *doc)
+{
+	config_log_t *c = ctx;
+
+	if (c->is_judged || strcmp(nonce, c->nonce))
+		return;
+	c->is_judged = true;
+	c->verdict = verdict;
+	c->version = doc ? doc->version : 0;
+}
+
+void config_log_init(config_log_t *c, remote_t *remote)
+{
+	static const config_fold_ops_t ops = { .judged = on_judged,
+					       .check = check_body };
+
+	memset(c, 0, sizeof(*c));
+	c->remote = remote;
+	config_fold_init(&c->fold, CONFIG_MAX_DOCS, CONFIG_MAX_BYTES, &ops, c);
+}
+
+void config_log_finish(config_log_t *c)
+{
+	config_fold_finish(&c->fold);
+}
+
+static void on_page(void *ctx, const log_record_t *records, size_t n,
+		    uint64_t oldest)
+{
+	config_log_t *c = ctx;
+
+	config_fold_oldest(&c->fold, oldest);
+	for (size_t i = 0; i < n; i++)
+		config_fold_record(&c->fold, records[i].offset, oldest,
+				   records[i].data);
+}
+
+bool config_log_read(config_log_t *c, err_t *err)
+{
+	uint64_t next = config_fold_next(&c->fold);
+
+	return remote_read(c->remote, CONFIG_LOG, &next, on_page, c, err);
+}
--- /dev/null
+++ b/ctl/profiles.c
@@ -0,0 +1,89 @@
+#include "ctl/args.h"
+#include "ctl/ctl.h"
+
+#include <glib.h>
+
+#include "ctl/config_log.h"
+
+enum { MAX_TIMEOUT_MS = 600000 };
+
+static void print_doc(void *ctx, const config_doc_t *doc)
+{
+	ctl_t *ctl = ctx;
+
+	fprintf(ctl->out,
+		"%-40s %8" G_GUINT64_FORMAT " %8" G_GUINT64_FORMAT "\n",
+		doc->name, doc->version, doc->offset);
+}
+
+static int print_body(ctl_t *ctl, const config_fold_t *fold, const char *name)
+{
+	const config_doc_t *doc = config_fold_find(fold, str_from(name));
+	gsize len;
+	const char *text;
+	err_t err;
+
+	if (!doc) {
+		err_set(&err, ERR_UNAVAILABLE, "profiles", "",
+			"%s was never published", name);
+		return ctl_fail(ctl, &err);
+	}
+	text = g_bytes_get_data(doc->body, &len);
+	fprintf(ctl->out, "%.*s\n", (int)len, text);
+	return CTL_OK;
+}
+
+static int list(ctl_t *ctl, const char *platform, int timeout_ms,
+		const char *doc)
+{
+	remote_t remote;
+	config_log_t log;
+	int code = CTL_OK;
+	err_t err;
+
+	remote_init(&remote, ctl, platform, timeout_ms);
+	config_log_init(&log, &remote);
+	if (!config_log_read(&log, &err)) {
+		code = ctl_fail(ctl, &err);
+		goto out;
+	}
+	if (!config_fold_is_whole(&log.fold))
+		fputs("papayactl: records expired that no snapshot covers; "
+		      "the list may be old\n",
+		      ctl->err);
+	if (doc) {
+		code = print_body(ctl, &log.fold, doc);
+	} else {
+		fprintf(ctl->out, "%-40s %8s %8s\n", "DOCUMENT", "VERSION",
+			"OFFSET");
+		config_fold_each(&log.fold, print_doc, ctl);
+	}
+out:
+	config_log_finish(&log);
+	remote_finish(&remote);
+	return code;
+}
+
+int ctl_profiles(ctl_t *ctl, int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_str *platform =
+		arg_str1(NULL, "platform", "IP:PORT", "the platform's address");
+	struct arg_str *doc = arg_str0(NULL, "doc", "KIND/NAME",
+				       "print this document's body");
+	struct arg_int *timeout =
+		arg_int0(NULL, "timeout-ms", "MS", "of one exchange; 2000");
+	struct arg_end *end = arg_end(ARGS_MAX_ERRORS);
+	void *table[] = { help, platform, doc, timeout, end };
+	int code;
+
+	if (args_parse(ctl, table, G_N_ELEMENTS(table),
+		       "Lists what the configuration log holds in force.", argc,
+		       argv, &code))
+		code = list(
+			ctl, platform->sval[0],
+			args_int(timeout, ARGS_TIMEOUT_MS, 1, MAX_TIMEOUT_MS),
+			args_str(doc, NULL));
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
--- /dev/null
+++ b/ctl/remote.c
@@ -0,0 +1,268 @@
+#include "ctl/remote.h"
+
+#include <event2/buffer.h>
+#include <string.h>
+
+#include "net/http.h"
+
+enum {
+	PAGE_RECORDS = 200,
+	MAX_EXCHANGES = 4,
+	MAX_ANSWER = 4 << 20, /* bytes */
+};
+
+/* Waits for one answer of the log client. */
+typedef struct waiter {
+	bool is_done;
+	err_t err;
+	uint64_t offset; /* append */
+	uint64_t *next; /* read */
+	uint64_t log_next; /* read */
+	remote_page_fn fn; /* read */
+	void *ctx; /* read */
+	GArray *vms; /* list */
+} waiter_t;
+
+void remote_init(remote_t *r, ctl_t *ctl, const char *platform,
+		 int64_t timeout_ms)
+{
+	log_client_config_t config = { platform, timeout_ms, MAX_EXCHANGES };
+
+	r->ctl = ctl;
+	r->timeout_ms = timeout_ms;
+	log_client_init(&r->log, ctl->base, &config);
+}
+
+void remote_finish(remote_t *r)
+{
+	log_client_finish(&r->log);
+}
+
+static void run_until(remote_t *r, const bool *is_done)
+{
+	while (!*is_done)
+		event_base_loop(r->ctl->base, EVLOOP_ONCE);
+}
+
+static bool finish_wait(remote_t *r, waiter_t *w, err_t *err)
+{
+	run_until(r, &w->is_done);
+	if (w->err.code == ERR_NONE)
+		return true;
+	if (err)
+		*err = w->err;
+	return false;
+}
+
+static void settle(waiter_t *w, const err_t *err)
+{
+	if (err)
+		w->err = *err;
+	w->is_done = true;
+}
+
+static void on_append(void *ctx, uint64_t offset, const err_t *err)
+{
+	waiter_t *w = ctx;
+
+	w->offset = offset;
+	settle(w, err);
+}
+
+bool remote_append(remote_t *r, const char *log, str_t data, uint64_t *offset,
+		   err_t *err)
+{
+	waiter_t w = { 0 };
+
+	if (!log_client_append(&r->log, log, data, on_append, &w, err) ||
+	    !finish_wait(r, &w, err))
+		return false;
+	*offset = w.offset;
+	return true;
+}
+
+static void on_page(void *ctx, const log_record_t *records, size_t n,
+		    uint64_t oldest, uint64_t next, const err_t *err)
+{
+	waiter_t *w = ctx;
+
+	if (!err) {
+		w->fn(w->ctx, records, n, oldest);
+		*w->next = MAX(*w->next, oldest);
+		if (n)
+			*w->next = records[n - 1].offset + 1;
+		w->log_next = n ? next : *w->next;
+	}
+	settle(w, err);
+}
+
+bool remote_read(remote_t *r, const char *log, uint64_t *next,
+		 remote_page_fn fn, void *ctx, err_t *err)
+{
+	waiter_t w;
+
+	do {
+		w = (waiter_t){ .next = next, .fn = fn, .ctx = ctx };
+		if (!log_client_read(&r->log, log, *next, PAGE_RECORDS, on_page,
+				     &w, err) ||
+		    !finish_wait(r, &w, err))
+			return false;
+	} while (*next < w.log_next);
+	return true;
+}
+
+static int compare_vms(const void *a, const void *b)
+{
+	const member_vm_t *x = a;
+	const member_vm_t *y = b;
+	int order = strcmp(x->zone, y->zone);
+
+	return order ? order : strcmp(x->name, y->name);
+}
+
+static void on_vms(void *ctx, const member_vm_t *entries, size_t n,
+		   const log_runner_t *runners, size_t n_runners,
+		   const err_t *err)
+{
+	waiter_t *w = ctx;
+
+	if (n)
+		g_array_append_vals(w->vms, entries, n);
+	g_array_sort(w->vms, compare_vms);
+	settle(w, err);
+}
+
+GArray *remote_vms(remote_t *r, err_t *err)
+{
+	waiter_t w = { .vms = g_array_new(FALSE, FALSE, sizeof(member_vm_t)) };
+
+	if (log_client_vms(&r->log, on_vms, &w, err) && finish_wait(r, &w, err))
+		return w.vms;
+	g_array_unref(w.vms);
+	return NULL;
+}
+
+static void on_awake(evutil_socket_t fd, short what, void *ctx)
+{
+	bool *is_done = ctx;
+
+	*is_done = true;
+}
+
+void remote_sleep(remote_t *r, int64_t ms)
+{
+	struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+	bool is_done = false;
+
+	event_base_once(r->ctl->base, -1, EV_TIMEOUT, on_awake, &is_done, &tv);
+	run_until(r, &is_done);
+}
+
+/* One exchange of remote_ask. */
+typedef struct asking {
+	http_call_t call;
+	remote_answer_t *answer;
+	uint32_t *n_open;
+} asking_t;
+
+static void on_data(void *ctx, struct evbuffer *body)
+{
+	asking_t *a = ctx;
+	size_t n = evbuffer_get_length(body);
+
+	g_string_append_len(a->answer->body,
+			    (const char *)evbuffer_pullup(body, -1), (gssize)n);
+	evbuffer_drain(body, n);
+}
+
+static void on_end(void *ctx, int status, const err_t *err)
+{
+	asking_t *a = ctx;
+
+	a->answer->status = err ? 0 : status;
+	if (err)
+		a->answer->err = *err;
+	http_call_finish(&a->call);
+	--*a->n_open;
+}
+
+static void clear_answer(void *p)
+{
+	remote_answer_t *answer = p;
+
+	g_string_free(answer->body, TRUE);
+}
+
+static void start_asking(remote_t *r, asking_t *a, const member_vm_t *vm,
+			 http_request_t *request)
+{
+	static const http_call_ops_t ops = { .data = on_data, .end = on_end };
+
+	request->address = vm->admin_address;
+	++*a->n_open;
+	if (!http_call_start(&a->call, r->ctl->base, request, &ops, a,
+			     &a->answer->err))
+		--*a->n_open;
+}
+
+static void on_limit(evutil_socket_t fd, short what, void *ctx)
+{
+	event_base_loopbreak(ctx);
+}
+
+/* An answer that drips is given up too, after the whole time allowed. */
+static void run_asking(remote_t *r, const uint32_t *n_open)
+{
+	struct timeval tv = { r->timeout_ms / 1000,
+			      (r->timeout_ms % 1000) * 1000 };
+	struct event *limit = evtimer_new(r->ctl->base, on_limit, r->ctl->base);
+
+	evtimer_add(limit, &tv);
+	while (*n_open && evtimer_pending(limit, NULL))
+		event_base_loop(r->ctl->base, EVLOOP_ONCE);
+	event_free(limit);
+}
+
+static void give_up(asking_t *a, const member_vm_t *vm)
+{
+	if (a->call.exchange)
+		err_set(&a->answer->err, ERR_TIMEOUT, "ask daemon",
+			vm->admin_address, "no whole answer in time");
+	http_call_finish(&a->call);
+}
+
+GArray *remote_ask(remote_t *r, const GArray *vms, enum evhttp_cmd_type method,
+		   const char *path, const char *token)
+{
+	g_autofree char *bearer = g_strconcat("Bearer ", token, NULL);
+	http_header_t header = { "Authorization", bearer };
+	http_request_t request = {
+		.method = method,
+		.path = path,
+		.headers = &header,
+		.n_headers = token[0] ? 1 : 0,
+		.body = STR_LIT(""),
+		.connect_timeout_ms = r->timeout_ms,
+		.idle_timeout_ms = r->timeout_ms,
+		.max_body = MAX_ANSWER,
+	};
+	asking_t *asking = g_new0(asking_t, vms->len + 1);
+	GArray *answers = g_array_sized_new(FALSE, TRUE,
+					    sizeof(remote_answer_t), vms->len);
+	uint32_t n_open = 0;
+
+	g_array_set_clear_func(answers, clear_answer);
+	g_array_set_size(answers, vms->len);
+	for (guint i = 0; i < vms->len; i++) {
+		asking[i].answer = &g_array_index(answers, remote_answer_t, i);
+		asking[i].answer->body = g_string_new("");
+		asking[i].n_open = &n_open;
+		start_asking(r, &asking[i], &g_array_index(vms, member_vm_t, i),
+			     &request);
+	}
+	run_asking(r, &n_open);
+	for (guint i = 0; i < vms->len; i++)
+		give_up(&asking[i], &g_array_index(vms, member_vm_t, i));
+	g_free(asking);
+	return answers;
+}
--- /dev/null
+++ b/ctl/remote.h
@@ -0,0 +1,55 @@
+/*
+ * What the commands ask of the platform and of daemons' admin addresses.
+ * Each call runs the event loop until its answer is there.
+ */
+#ifndef CTL_REMOTE_H
+#define CTL_REMOTE_H
+
+#include <event2/http.h>
+#include <glib.h>
+
+#include "ctl/ctl.h"
+#include "platform/log_client.h"
+
+typedef struct remote {
+	ctl_t *ctl;
+	log_client_t log;
+	int64_t timeout_ms;
+} remote_t;
+
+void remote_init(remote_t *r, ctl_t *ctl, const char *platform,
+		 int64_t timeout_ms);
+void remote_finish(remote_t *r);
+
+/* Appends once; see log_append_is_unknown for what an error leaves open. */
+bool remote_append(remote_t *r, const char *log, str_t data, uint64_t *offset,
+		   err_t *err);
+
+/* Takes one page; see log_read_fn. */
+typedef void (*remote_page_fn)(void *ctx, const log_record_t *records, size_t n,
+			       uint64_t oldest);
+/* Reads a log from offset *NEXT to its end, and moves *NEXT there. */
+bool remote_read(remote_t *r, const char *log, uint64_t *next,
+		 remote_page_fn fn, void *ctx, err_t *err);
+
+/* Reads the entry VMs, sorted by zone and name; elements are member_vm_t. */
+GArray *remote_vms(remote_t *r, err_t *err);
+
+/* Waits without doing anything else. */
+void remote_sleep(remote_t *r, int64_t ms);
+
+/* One daemon's answer. */
+typedef struct remote_answer {
+	int status; /* 0 when there was none */
+	GString *body;
+	err_t err; /* code ERR_NONE when there was an answer */
+} remote_answer_t;
+
+/*
+ * Asks all VMs of the list at once at their admin addresses. Returns an
+ * array of remote_answer_t in the same order; free it with g_array_unref.
+ */
+GArray *remote_ask(remote_t *r, const GArray *vms, enum evhttp_cmd_type method,
+		   const char *path, const char *token);
+
+#endif
--- /dev/null
+++ b/tests/lib_fake_platform.h
@@ -0,0 +1,51 @@
+/*
+ * A platform on loopback for contract tests: logs, a VM list, and daemons'
+ * admin addresses, all in the test's own event loop, with fault switches.
+ */
+#ifndef TESTS_LIB_FAKE_PLATFORM_H
+#define TESTS_LIB_FAKE_PLATFORM_H
+
+#include "tests/lib_fake_http.h"
+
+enum { FAKE_MAX_VMS = 4 };
+
+typedef enum fake_append {
+	FAKE_APPEND_OK,
+	FAKE_APPEND_LOST, /* takes effect, the answer is lost */
+	FAKE_APPEND_DROPPED, /* no effect, no answer */
+	FAKE_APPEND_RATE, /* 429 */
+	FAKE_APPEND_OUTAGE, /* 503 */
+} fake_append_t;
+
+/* One daemon behind its admin address. */
+typedef struct fake_vm {
+	fake_http_t http;
+	const char *zone;
+	const char *name;
+	bool is_leaving;
+	uint64_t version; /* of every document it reports */
+	bool is_silent; /* takes connections, never answers */
+	const char *token; /* expected; NULL for any */
+	char last[64]; /* method and path of the last request */
+} fake_vm_t;
+
+typedef struct fake_platform {
+	fake_http_t http;
+	GPtrArray *config; /* records as text, from offset 0 */
+	GPtrArray *accounts;
+	uint64_t oldest; /* of the config log */
+	fake_append_t append[8]; /* of each append; OK past the end */
+	int appends;
+	char *rival; /* a record that gets in just before the next append */
+	bool has_no_vms; /* the list answers 503 */
+	fake_vm_t vms[FAKE_MAX_VMS];
+	size_t n_vms;
+} fake_platform_t;
+
+void fake_platform_init(fake_platform_t *p, struct event_base *base);
+void fake_platform_finish(fake_platform_t *p);
+/* Adds a daemon that reports VERSION. */
+fake_vm_t *fake_platform_add(fake_platform_t *p, const char *zone,
+			     const char *name, uint64_t version);
+
+#endif
