net: framed, greeted and proved links between daemons

Cause: the daemons have no way to talk to each other yet.

Change: net/frame.c reads and writes frames, the length checked before anything is allocated; net/proof.c makes the proof; net/peer_link.c is one connection from greeting to close; net/peer.c keeps one link a pair, reconnects with a seeded, jittered delay and probes silent peers. The proof covers the side and both greetings with their challenges, and the connector proves itself first, so nobody draws a proof from a listening daemon. Before the proof a frame is at most 4 KiB. A daemon with the greater name asks the lesser by a probe to connect, so a new daemon needs no listing at its peers first.

Ruled out: a proof over the challenge and own name alone, since a greeting could be altered under it; keeping the older of two connections of a name, since the older is mostly the one that went silent.

--- /dev/null
+++ b/net/frame.h
@@ -0,0 +1,40 @@
+/*
+ * Frames on a byte stream: a protobuf-c message behind a 4-byte big-endian
+ * length, which is checked before anything is allocated.
+ */
+#ifndef NET_FRAME_H
+#define NET_FRAME_H
+
+#include <event2/buffer.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "net/peer.pb-c.h"
+
+enum { FRAME_PREFIX_SIZE = 4 }; /* bytes */
+
+typedef enum frame_result {
+	FRAME_OK,
+	FRAME_PARTIAL, /* more bytes are needed */
+	FRAME_OVERSIZED, /* the length is over the limit, or zero */
+	FRAME_MALFORMED, /* the bytes are no frame that we know */
+} frame_result_t;
+
+/* Bytes that the frame takes on the stream, with its length. */
+size_t frame_size(const Papaya__Frame *frame);
+
+/* Appends a frame; returns false, with OUT unchanged, when out of memory. */
+bool frame_write(struct evbuffer *out, const Papaya__Frame *frame);
+
+/*
+ * Takes the first frame of at most MAX bytes from IN. With FRAME_OK, *FRAME
+ * is to be freed with frame_free; otherwise it is NULL and nothing is taken.
+ */
+frame_result_t frame_read(struct evbuffer *in, uint32_t max,
+			  Papaya__Frame **frame);
+void frame_free(Papaya__Frame *frame);
+
+const char *frame_result_text(frame_result_t result);
+
+#endif
--- a/net/peer.h
+++ b/net/peer.h
@@ -35,7 +35,11 @@
 typedef struct peer_ops {
 	/* A link is greeted and proved; VM is as the peer names itself. */
 	void (*up)(void *ctx, const member_vm_t *vm, uint64_t incarnation);
-	/* The link of a peer is gone; it is tried again by itself. */
+	/*
+	 * The link of a peer is gone, other than by peer_drop; it is tried
+	 * again by itself. A newer connection of the same name replaces the
+	 * link: down and up follow each other.
+	 */
 	void (*down)(void *ctx, const char *name, const err_t *err);
 	/* A frame other than hello and proof; FRAME is freed afterwards. */
 	void (*frame)(void *ctx, const char *name, const Papaya__Frame *frame);
@@ -58,16 +62,22 @@
 /* Listens on the own peer address. Returns false with ERR set. */
 bool peer_init(peer_t *p, struct event_base *base, const peer_config_t *config,
 	       const peer_ops_t *ops, void *ctx, err_t *err);
+/* Closes everything without callbacks; not to be called from one. */
 void peer_finish(peer_t *p);
 
 /*
  * Names a daemon that a link is to be kept to. Of each pair the daemon with
- * the lesser name connects; the other waits for it.
+ * the lesser name connects; the other waits for it, and meanwhile asks it
+ * to by short probe connections, so that a new daemon need not be listed
+ * everywhere first. Links of daemons that were not named are accepted too.
  */
 void peer_keep(peer_t *p, const member_vm_t *vm);
 /* Stops keeping a link and closes it. */
 void peer_drop(peer_t *p, str_t name);
-/* Tests a silent peer with a new connection; answered by ops->probed. */
+/*
+ * Tests a silent peer with a new connection; answered by ops->probed, which
+ * may be called at once. The peer lives when it proves the secret there.
+ */
 void peer_probe(peer_t *p, const member_vm_t *vm);
 /* Changes the incarnation; all links are greeted anew. */
 void peer_set_incarnation(peer_t *p, uint64_t incarnation);
--- /dev/null
+++ b/net/proof.h
@@ -0,0 +1,32 @@
+/*
+ * Proof that both ends of a connection know the peer secret: HMAC-SHA256
+ * over the side and both greetings, each with its fresh challenge.
+ */
+#ifndef NET_PROOF_H
+#define NET_PROOF_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/str.h"
+#include "net/peer.pb-c.h"
+
+enum {
+	PROOF_SIZE = 32, /* bytes */
+	PROOF_CHALLENGE_SIZE = 32, /* bytes */
+};
+
+typedef enum proof_side {
+	PROOF_CONNECTOR,
+	PROOF_ACCEPTOR,
+} proof_side_t;
+
+/* The proof that the sender of OWN, which is SIDE, gives to the other. */
+void proof_make(str_t secret, proof_side_t side, const Papaya__Hello *own,
+		const Papaya__Hello *other, uint8_t mac[PROOF_SIZE]);
+
+/* Compares a proof with the expected one, in constant time. */
+bool proof_is_equal(const uint8_t expected[PROOF_SIZE], const uint8_t *mac,
+		    size_t len);
+
+#endif
