ctl: add status, drain and burn

Cause: operators need to see and drain daemons, and to be alerted when an objective's budget burns too fast. Requests whose caller left count neither as good nor as bad. Ruled out: alerting on one window: the short one alerts on noise, the long one goes on after the fault has ended.

--- /dev/null
+++ b/ctl/burn_page.c
@@ -0,0 +1,415 @@
+#include "ctl/burn_page.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "ctl/report_rows.h"
+#include "ctl/svg.h"
+
+enum { STEPS = 60, MAX_TABLE_ROWS = 100 };
+
+static const char style[] =
+	"body{font:14px sans-serif;margin:1em auto;max-width:64em;"
+	"padding:0 1em;color:#222}"
+	"h1{font-size:1.3em}h2{font-size:1.05em;margin:1.2em 0 .4em}"
+	".tiles{display:flex;flex-wrap:wrap;gap:.8em}"
+	".tile{flex:1 1 14em;border:1px solid #ccc;padding:.6em .8em}"
+	".tile b{display:block;font-size:1.7em}"
+	".alert{border-color:#c00;color:#c00}"
+	"table{border-collapse:collapse;width:100%}"
+	"td,th{padding:.2em .5em;border-bottom:1px solid #ddd;"
+	"text-align:right;font-variant-numeric:tabular-nums}"
+	"td.n,th.n{text-align:left}"
+	"svg{width:100%;font:11px sans-serif}";
+
+/* Sums of the whole time shown, and of its parts. */
+typedef struct view {
+	const burn_page_t *page;
+	GString *out;
+	int64_t from_ms;
+	int64_t step_ms;
+	GArray *keys; /* report_row_t by service, tier, team */
+	GArray *steps; /* report_row_t by time, service, tier */
+	accounts_sum_t total;
+} view_t;
+
+static void text(const view_t *v, const char *s)
+{
+	g_string_append(v->out, s);
+}
+
+static void escaped(const view_t *v, const char *s)
+{
+	html_escape(v->out, s);
+}
+
+static void count(const view_t *v, uint64_t n)
+{
+	g_string_append_printf(v->out, "%" G_GUINT64_FORMAT, n);
+}
+
+static void number(const view_t *v, const char *format, double value)
+{
+	char s[G_ASCII_DTOSTR_BUF_SIZE];
+
+	g_ascii_formatd(s, sizeof(s), format, value);
+	text(v, s);
+}
+
+static const report_row_t *row_at(const GArray *rows, guint i)
+{
+	return &g_array_index(rows, report_row_t, i);
+}
+
+static bool is_protected(const view_t *v, const accounts_key_t *key)
+{
+	double objective;
+	bool is = false;
+
+	burn_objectives_find(v->page->objectives, key->service, key->tier,
+			     &objective, &is);
+	return is;
+}
+
+/* Sums of the protected tiers. */
+static accounts_sum_t protected_sum(const view_t *v)
+{
+	accounts_sum_t sum = { 0 };
+
+	for (guint i = 0; i < v->keys->len; i++)
+		if (is_protected(v, &row_at(v->keys, i)->key))
+			accounts_sum_add(&sum, &row_at(v->keys, i)->sum);
+	return sum;
+}
+
+static void open_tile(const view_t *v, bool is_alert, const char *title)
+{
+	text(v,
+	     is_alert ? "<div class=\"tile alert\">" : "<div class=\"tile\">");
+	text(v, title);
+	text(v, "<b>");
+}
+
+static void write_waste_tile(const view_t *v)
+{
+	uint64_t wasted = accounts_prompt_wasted(&v->total);
+
+	open_tile(v, false, "Wasted prompt tokens");
+	count(v, wasted);
+	text(v, "</b>");
+	number(v, "%.2f",
+	       report_percent(wasted, wasted + v->total.prompt_useful));
+	text(v, "% of all prompt work");
+	for (int i = 0; i < WASTE_CAUSES; i++) {
+		if (!v->total.prompt_wasted[i])
+			continue;
+		text(v, "<br>");
+		text(v, waste_cause_name(i));
+		text(v, ": ");
+		count(v, v->total.prompt_wasted[i]);
+	}
+	text(v, "</div>\n");
+}
+
+static void write_late_tile(const view_t *v)
+{
+	accounts_sum_t sum = protected_sum(v);
+
+	open_tile(v, report_bad(&sum) > 0, "Protected tiers: not within need");
+	count(v, report_bad(&sum));
+	text(v, "</b>of ");
+	count(v, report_ended(&sum));
+	text(v, " requests<br>late: ");
+	count(v, sum.late);
+	text(v, ", not run: ");
+	count(v, sum.not_run);
+	text(v, ", failed: ");
+	count(v, sum.failed);
+	text(v, ", unknown: ");
+	count(v, sum.unknown);
+	text(v, "</div>\n");
+}
+
+static void write_burn_tile(const view_t *v)
+{
+	const GArray *rows = v->page->rows;
+	const burn_row_t *worst = NULL;
+	guint alerts = 0;
+
+	for (guint i = 0; i < rows->len; i++) {
+		const burn_row_t *row = &g_array_index(rows, burn_row_t, i);
+
+		alerts += row->is_alert;
+		if (row->has_objective &&
+		    (!worst || row->lasting.rate > worst->lasting.rate))
+			worst = row;
+	}
+	open_tile(v, alerts > 0, "Budgets that burn too fast");
+	count(v, alerts);
+	text(v, "</b>");
+	if (worst) {
+		text(v, "fastest: ");
+		escaped(v, worst->key.service);
+		text(v, " ");
+		escaped(v, worst->key.tier);
+		text(v, " ");
+		escaped(v, worst->key.team);
+		text(v, " at ");
+		number(v, "%.2f", worst->lasting.rate);
+	}
+	text(v, "</div>\n");
+}
+
+static void write_missing(const view_t *v)
+{
+	const accounts_missing_t *m = &v->page->missing;
+
+	text(v, "<p>Batches read: ");
+	count(v, m->batches);
+	text(v, ". Missing in between: ");
+	count(v, m->gaps);
+	text(v, ", expired before: ");
+	count(v, m->expired);
+	text(v, ", damaged: ");
+	count(v, m->damaged);
+	text(v, ", daemons that ended without a last batch: ");
+	count(v, m->unended);
+	text(v, ".</p>\n");
+}
+
+static void write_rate_cells(const view_t *v, const burn_row_t *row)
+{
+	const burn_window_t *const windows[] = { &row->brief, &row->lasting };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(windows); i++) {
+		text(v, "<td>");
+		count(v, windows[i]->bad);
+		text(v, " of ");
+		count(v, windows[i]->ended);
+		text(v, "</td><td>");
+		if (row->has_objective)
+			number(v, "%.2f", windows[i]->rate);
+		text(v, "</td>");
+	}
+}
+
+static void write_name_cells(const view_t *v, const accounts_key_t *key)
+{
+	text(v, "<td class=\"n\">");
+	escaped(v, key->service);
+	text(v, "</td><td class=\"n\">");
+	escaped(v, key->tier);
+	text(v, "</td><td class=\"n\">");
+	escaped(v, key->team[0] ? key->team : "(all)");
+	text(v, "</td>");
+}
+
+static void write_burn_table(const view_t *v)
+{
+	const GArray *rows = v->page->rows;
+
+	text(v, "<h2>Burn of objectives</h2>\n<table><tr><th class=\"n\">"
+		"service</th><th class=\"n\">tier</th><th class=\"n\">team"
+		"</th><th>objective</th><th>bad, short</th><th>rate</th>"
+		"<th>bad, long</th><th>rate</th><th></th></tr>\n");
+	for (guint i = 0; i < MIN(rows->len, MAX_TABLE_ROWS); i++) {
+		const burn_row_t *row = &g_array_index(rows, burn_row_t, i);
+
+		text(v, row->is_alert ? "<tr class=\"alert\">" : "<tr>");
+		write_name_cells(v, &row->key);
+		text(v, "<td>");
+		if (row->has_objective)
+			number(v, "%.5g", row->objective);
+		text(v, "</td>");
+		write_rate_cells(v, row);
+		text(v, row->is_alert ? "<td>alert</td></tr>\n" :
+					"<td></td></tr>\n");
+	}
+	text(v, "</table>\n");
+}
+
+static int compare_waste(const void *a, const void *b)
+{
+	const report_row_t *x = a;
+	const report_row_t *y = b;
+	uint64_t left = accounts_prompt_wasted(&x->sum);
+	uint64_t right = accounts_prompt_wasted(&y->sum);
+
+	return left == right ? 0 : left > right ? -1 : 1;
+}
+
+static void write_waste_table(const view_t *v)
+{
+	g_autoptr(GArray) rows = g_array_copy(v->keys);
+
+	g_array_sort(rows, compare_waste);
+	text(v, "<h2>Who wasted prompt work</h2>\n<table><tr><th class=\"n\">"
+		"service</th><th class=\"n\">tier</th><th class=\"n\">team"
+		"</th><th>useful</th><th>wasted</th>");
+	for (int k = 0; k < WASTE_CAUSES; k++) {
+		text(v, "<th>");
+		text(v, waste_cause_name(k));
+		text(v, "</th>");
+	}
+	text(v, "</tr>\n");
+	for (guint i = 0; i < MIN(rows->len, MAX_TABLE_ROWS); i++) {
+		const accounts_sum_t *sum = &row_at(rows, i)->sum;
+
+		text(v, "<tr>");
+		write_name_cells(v, &row_at(rows, i)->key);
+		text(v, "<td>");
+		count(v, sum->prompt_useful);
+		text(v, "</td><td>");
+		count(v, accounts_prompt_wasted(sum));
+		text(v, "</td>");
+		for (int k = 0; k < WASTE_CAUSES; k++) {
+			text(v, "<td>");
+			count(v, sum->prompt_wasted[k]);
+			text(v, "</td>");
+		}
+		text(v, "</tr>\n");
+	}
+	text(v, "</table>\n");
+}
+
+static size_t step_of(const view_t *v, const report_row_t *row)
+{
+	return (size_t)((row->time_ms - v->from_ms) / v->step_ms);
+}
+
+static void plot_init(const view_t *v, svg_plot_t *p, const char *title,
+		      const char *unit)
+{
+	svg_plot_init(p, title, unit, v->from_ms, v->step_ms, STEPS);
+}
+
+/* Goodput or burn of each service's tier over time. */
+static void write_tier_plot(const view_t *v, bool is_burn)
+{
+	svg_plot_t p;
+
+	plot_init(v, &p,
+		  is_burn ? "Burn rate by tier (dashed: alert)" :
+			    "Goodput by tier",
+		  is_burn ? "times what the objective allows" :
+			    "% of requests within need");
+	if (is_burn)
+		p.mark = v->page->query->threshold;
+	else
+		p.top = 100;
+	for (guint i = 0; i < v->steps->len; i++) {
+		const report_row_t *row = row_at(v->steps, i);
+		g_autofree char *name = g_strdup_printf(
+			"%s %s", row->key.service, row->key.tier);
+		double objective;
+		bool unused;
+
+		if (!is_burn)
+			svg_plot_values(&p, name, NAN)[step_of(v, row)] =
+				report_percent(row->sum.in_need,
+					       report_ended(&row->sum));
+		else if (burn_objectives_find(v->page->objectives,
+					      row->key.service, row->key.tier,
+					      &objective, &unused))
+			svg_plot_values(&p, name, NAN)[step_of(v, row)] =
+				burn_rate(&row->sum, objective);
+	}
+	svg_plot_lines(&p, v->out);
+	svg_plot_finish(&p);
+}
+
+static void write_waste_plot(const view_t *v)
+{
+	svg_plot_t p;
+
+	plot_init(v, &p, "Wasted prompt work by cause", "tokens a step");
+	for (guint i = 0; i < v->steps->len; i++) {
+		const report_row_t *row = row_at(v->steps, i);
+
+		for (int k = 0; k < WASTE_CAUSES; k++)
+			if (row->sum.prompt_wasted[k])
+				svg_plot_values(&p, waste_cause_name(k),
+						0)[step_of(v, row)] +=
+					(double)row->sum.prompt_wasted[k];
+	}
+	svg_plot_bars(&p, v->out);
+	svg_plot_finish(&p);
+}
+
+/* Requests of protected tiers that were late or worse, by tier. */
+static void write_late_plot(const view_t *v)
+{
+	svg_plot_t p;
+
+	plot_init(v, &p, "Protected tiers: requests not within need",
+		  "requests a step");
+	for (guint i = 0; i < v->steps->len; i++) {
+		const report_row_t *row = row_at(v->steps, i);
+		g_autofree char *name = g_strdup_printf(
+			"%s %s", row->key.service, row->key.tier);
+
+		if (is_protected(v, &row->key) && report_bad(&row->sum))
+			svg_plot_values(&p, name, 0)[step_of(v, row)] +=
+				(double)report_bad(&row->sum);
+	}
+	svg_plot_bars(&p, v->out);
+	svg_plot_finish(&p);
+}
+
+static void view_init(view_t *v, const burn_page_t *page)
+{
+	const burn_query_t *q = page->query;
+	report_query_t query = {
+		.by = REPORT_BY_SERVICE | REPORT_BY_TIER | REPORT_BY_TEAM,
+		.until_ms = q->at_ms,
+	};
+
+	v->page = page;
+	v->out = g_string_new("");
+	v->step_ms = MAX((q->long_ms + STEPS - 1) / STEPS, 1);
+	v->from_ms = q->at_ms - v->step_ms * STEPS;
+	query.from_ms = v->from_ms;
+	query.bucket_ms = v->step_ms;
+	v->keys = report_rows(page->book, &query);
+	query.by = REPORT_BY_TIME | REPORT_BY_SERVICE | REPORT_BY_TIER;
+	v->steps = report_rows(page->book, &query);
+	v->total = report_total(v->keys);
+}
+
+static void write_head(const view_t *v)
+{
+	g_autoptr(GDateTime) time =
+		g_date_time_new_from_unix_utc(v->page->query->at_ms / 1000);
+	g_autofree char *at =
+		time ? g_date_time_format_iso8601(time) : g_strdup("-");
+
+	text(v, "<!DOCTYPE html>\n<html lang=\"en\"><meta charset=\"utf-8\">"
+		"<title>papayabank: burn report</title>\n<style>");
+	text(v, style);
+	text(v, "</style>\n<h1>Burn report until ");
+	escaped(v, at);
+	text(v, "</h1>\n<div class=\"tiles\">\n");
+}
+
+GString *burn_page_write(const burn_page_t *page)
+{
+	view_t v = { 0 };
+
+	view_init(&v, page);
+	write_head(&v);
+	write_late_tile(&v);
+	write_waste_tile(&v);
+	write_burn_tile(&v);
+	text(&v, "</div>\n");
+	write_late_plot(&v);
+	write_waste_plot(&v);
+	write_tier_plot(&v, false);
+	write_tier_plot(&v, true);
+	write_burn_table(&v);
+	write_waste_table(&v);
+	write_missing(&v);
+	text(&v, "</html>\n");
+	g_array_unref(v.keys);
+	g_array_unref(v.steps);
+	return v.out;
+}
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -8,7 +8,10 @@
 	  ctl_check },
 	{ "publish", "publish a profile or service", ctl_publish },
 	{ "profiles", "list the documents in force", ctl_profiles },
+	{ "status", "ask every daemon how it is", ctl_status },
+	{ "drain", "tell a daemon to finish and exit", ctl_drain },
 	{ "report", "sum up useful work and waste", ctl_report },
+	{ "burn", "tell how fast the objectives' budgets burn", ctl_burn },
 };
 
 static void print_help(FILE *out)
--- a/ctl/publish.c
+++ b/ctl/publish.c
@@ -182,7 +182,8 @@
 
 	g_string_truncate(pending, 0);
 	if (!vms || !vms->len) {
-		g_string_append(pending, "the VM list could not be read");
+		g_string_append(pending, vms ? "the VM list has no entry VM" :
+					       "the VM list could not be read");
 		return;
 	}
 	answers = remote_ask(&p->remote, vms, EVHTTP_REQ_GET, "/admin/config",
--- /dev/null
+++ b/ctl/svg.h
@@ -0,0 +1,42 @@
+/* Plots over time as inline SVG, for self-contained HTML pages. */
+#ifndef CTL_SVG_H
+#define CTL_SVG_H
+
+#include <glib.h>
+#include <stdint.h>
+
+enum { SVG_MAX_SERIES = 8 };
+
+/* Values of one series, one for each time step. */
+typedef struct svg_series {
+	char *name; /* owned */
+	double *values; /* owned; NAN where there is nothing */
+} svg_series_t;
+
+typedef struct svg_plot {
+	const char *title;
+	const char *unit; /* of the values */
+	int64_t from_ms; /* wall clock */
+	int64_t step_ms;
+	size_t n_steps;
+	GArray *series; /* of svg_series_t */
+	double mark; /* draws a line at this value; NAN for none */
+	double top; /* the greatest value shown; NAN for the data's own */
+} svg_plot_t;
+
+void svg_plot_init(svg_plot_t *p, const char *title, const char *unit,
+		   int64_t from_ms, int64_t step_ms, size_t n_steps);
+void svg_plot_finish(svg_plot_t *p);
+/*
+ * Returns a series' values, all DEF when it is new; past SVG_MAX_SERIES
+ * the last series takes the rest's place.
+ */
+double *svg_plot_values(svg_plot_t *p, const char *name, double def);
+/* Writes the plot as lines, or as stacked bars. */
+void svg_plot_lines(const svg_plot_t *p, GString *out);
+void svg_plot_bars(const svg_plot_t *p, GString *out);
+
+/* Appends text with what HTML gives a meaning escaped. */
+void html_escape(GString *out, const char *text);
+
+#endif
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -345,9 +345,11 @@
 	fixture_t f;
 
 	setup(&f);
+	ck_assert_int_eq(run(&f, PUBLISH), CTL_PENDING);
+	ck_assert_str_eq(f.out, "pending 1: the VM list has no entry VM\n");
 	f.platform.has_no_vms = true;
 	ck_assert_int_eq(run(&f, PUBLISH), CTL_PENDING);
-	ck_assert_str_eq(f.out, "pending 1: the VM list could not be read\n");
+	ck_assert_str_eq(f.out, "pending 2: the VM list could not be read\n");
 	teardown(&f);
 }
 END_TEST
@@ -474,10 +476,158 @@
 }
 END_TEST
 
+#define SERVICE \
+	"{\"profile\":\"p\",\"kind\":\"plain\",\"default_tier\":\"holds\"}"
+#define TIERS                                                               \
+	"{\"tiers\":[{\"name\":\"holds\",\"protected\":true,\"need_ms\":1," \
+	"\"objective\":0.999},{\"name\":\"drafts\",\"need_ms\":1,"          \
+	"\"objective\":0.5}]}"
+
+START_TEST(burn_alerts_only_when_both_windows_burn)
+{
+	/* holds: 1 of 10 bad a batch, 90 s and 30 s ago; drafts: 1 of 4. */
+	static const struct {
+		const char *line;
+		int code;
+		const char *expect;
+	} cases[] = {
+		{ "burn --platform @P --min-requests 5", CTL_ALERT,
+		  "        1       10   100.00        2       20   100.00  "
+		  "ALERT" },
+		{ "burn --platform @P --threshold 101", CTL_OK, "100.00" },
+		{ "burn --platform @P --short-s 10", CTL_OK, "0.00" },
+		{ "burn --platform @P --min-requests 21", CTL_OK, "100.00" },
+		{ "burn --platform @P --at 2023-11-14T23:00:00Z --long-s 60",
+		  CTL_OK, "OBJECTIVE" },
+	};
+	fixture_t f;
+
+	setup(&f);
+	fill_accounts(&f);
+	g_ptr_array_add(f.platform.config,
+			config_fold_publication("profile/p", 0, "a", "op",
+						STR_LIT(TIERS)));
+	g_ptr_array_add(f.platform.config,
+			config_fold_publication("service/s", 0, "b", "op",
+						STR_LIT(SERVICE)));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *line =
+			i ? g_strdup(cases[i].line) :
+			    g_strconcat(cases[i].line, " --short-s 60", NULL);
+
+		ck_assert_msg(run_at(&f, fixed_clock_ms, line) == cases[i].code,
+			      "%s: %s%s", line, f.out, f.err);
+		ck_assert_msg(strstr(f.out, cases[i].expect) != NULL, "%s: %s",
+			      line, f.out);
+	}
+	teardown(&f);
+}
+END_TEST
+
+START_TEST(burn_writes_a_page_that_needs_nothing_else)
+{
+	static const char *const parts[] = {
+		"<svg",	   "preempted: 200",	   "late: 2",
+		"s holds", "class=\"tile alert\"", "&lt;b&gt;team",
+		"</html>",
+	};
+	static const char *const foreign[] = { "http", "<script", "src=", "nan",
+					       "<b>team" };
+	accounts_key_t key = { "s", "drafts", "<b>team" };
+	accounts_sum_t sum = { .offered = 1, .in_need = 1 };
+	g_autofree char *page = NULL;
+	g_autofree char *line = NULL;
+	accounts_t a;
+	fixture_t f;
+	uint64_t seq;
+
+	setup(&f);
+	fill_accounts(&f);
+	accounts_init(&a, STR_LIT("vm"), 9, 10, 2);
+	accounts_add(&a, &key, &sum);
+	accounts_close(&a, NOW_MS - 1000);
+	g_ptr_array_add(f.platform.accounts,
+			g_strdup(accounts_peek(&a, &seq).ptr));
+	g_ptr_array_add(f.platform.config,
+			config_fold_publication("profile/p", 0, "a", "op",
+						STR_LIT(TIERS)));
+	g_ptr_array_add(f.platform.config,
+			config_fold_publication("service/s", 0, "b", "op",
+						STR_LIT(SERVICE)));
+	line = g_strdup_printf("burn --platform @P --html %s", f.file);
+	ck_assert_int_eq(run_at(&f, fixed_clock_ms, line), CTL_ALERT);
+	ck_assert(g_file_get_contents(f.file, &page, NULL, NULL));
+	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++)
+		ck_assert_msg(strstr(page, parts[i]) != NULL, "no %s",
+			      parts[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(foreign); i++)
+		ck_assert_msg(strstr(page, foreign[i]) == NULL, "a %s",
+			      foreign[i]);
+	accounts_finish(&a);
+	teardown(&f);
+}
+END_TEST
+
+START_TEST(status_and_drain_ask_the_daemons)
+{
+	static const struct {
+		const char *line;
+		int code;
+		const char *expect;
+		const char *last; /* what the first VM was asked */
+	} cases[] = {
+		{ "status --platform @P --token secret", CTL_OK, "state=live",
+		  "GET /admin/status" },
+		{ "status --platform @P --token wrong", CTL_ERROR, "status 401",
+		  "GET /admin/status" },
+		{ "drain --platform @P --token secret e1", CTL_OK,
+		  "e1 is draining", "POST /admin/drain" },
+		{ "drain --platform @P --token wrong e1", CTL_ERROR,
+		  "status 401", "POST /admin/drain" },
+		{ "drain --platform @P --token secret e9", CTL_ERROR,
+		  "no entry VM e9", "" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t f;
+
+		setup(&f);
+		fake_platform_add(&f.platform, "east", "e1", 1)->token =
+			"secret";
+		ck_assert_int_eq(run(&f, cases[i].line), cases[i].code);
+		ck_assert_msg(strstr(f.out, cases[i].expect) ||
+				      strstr(f.err, cases[i].expect),
+			      "%s: %s%s", cases[i].line, f.out, f.err);
+		ck_assert_str_eq(f.platform.vms[0].last, cases[i].last);
+		teardown(&f);
+	}
+}
+END_TEST
+
+START_TEST(status_shows_a_daemon_that_does_not_answer)
+{
+	fixture_t f;
+
+	setup(&f);
+	fake_platform_add(&f.platform, "east", "e1", 1)->is_silent = true;
+	fake_platform_add(&f.platform, "west", "w1", 1);
+	ck_assert_int_eq(run(&f, "status --platform @P --timeout-ms 100"),
+			 CTL_ERROR);
+	ck_assert_ptr_nonnull(strstr(f.out, "no answer"));
+	ck_assert_ptr_nonnull(strstr(f.out, "state=live"));
+	teardown(&f);
+}
+END_TEST
+
+static const char publish_line[] = PUBLISH;
+
 START_TEST(a_platform_that_is_down_is_an_error)
 {
 	static const char *const lines[] = {
-		PUBLISH,
+		publish_line,
+		"status --platform @P",
+		"drain --platform @P e1",
+		"burn --platform @P",
 		"report --platform @P",
 		"profiles --platform @P",
 	};
@@ -503,4 +653,8 @@
 	   publish_refuses_a_bad_document_before_sending,
 	   profiles_lists_versions_and_prints_bodies,
 	   report_sums_exactly_and_shows_what_is_missing,
+	   burn_alerts_only_when_both_windows_burn,
+	   burn_writes_a_page_that_needs_nothing_else,
+	   status_and_drain_ask_the_daemons,
+	   status_shows_a_daemon_that_does_not_answer,
 	   a_platform_that_is_down_is_an_error)
