net: a forbidden request never leaves

Cause: an owner must be able to refuse the dispatch between the connection and the first byte, since its right may have lapsed in a stall meanwhile. Ruled out: marking before the connection is made, which would use up the right on a connection that is refused; ending the exchange from the event loop alone, because libevent writes within the same turn that connects (tests/test_http, a_forbidden_request_never_leaves, failed so: 1 request arrived). Change: the sending callback may forbid; the socket is then shut down at once. log_init may be called again, since GLib takes a writer only once. Conclusion: the dispatch mark can be set at the last moment.

--- a/common/log.c
+++ b/common/log.c
@@ -55,11 +55,16 @@
 
 bool log_init(const char *level)
 {
+	/* GLib takes a writer once in a process's life. */
+	static bool has_writer;
+
 	for (size_t i = 0; i < G_N_ELEMENTS(levels); i++) {
 		if (strcmp(level, levels[i].name))
 			continue;
 		threshold = levels[i].flag;
-		g_log_set_writer_func(write_line, NULL, NULL);
+		if (!has_writer)
+			g_log_set_writer_func(write_line, NULL, NULL);
+		has_writer = true;
 		return true;
 	}
 	return false;
--- a/net/http.c
+++ b/net/http.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
 enum { MAX_HEADERS = 64 * 1024 /* bytes */ };
 
@@ -43,10 +44,9 @@
  */
 static void end_later(struct http_exchange *ex)
 {
-	static const struct timeval at_once;
-
 	ex->is_ended = true;
-	event_add(ex->timer, &at_once);
+	event_del(ex->timer);
+	event_active(ex->timer, EV_TIMEOUT, 0);
 }
 
 static void fail(struct http_exchange *ex, err_code_t code, const char *step,
@@ -145,12 +145,18 @@
 {
 	struct http_exchange *ex = arg;
 
-	if (ex->is_sent || !info->n_added)
+	if (ex->is_sent || ex->is_ended || !ex->call || !info->n_added)
 		return;
+	if (ex->ops.sending && !ex->ops.sending(ex->ctx)) {
+		/* libevent would write within this very turn. */
+		shutdown(bufferevent_getfd(
+				 evhttp_connection_get_bufferevent(ex->conn)),
+			 SHUT_RDWR);
+		fail(ex, ERR_REFUSED, "send", "sending was forbidden");
+		return;
+	}
 	ex->is_sent = true;
 	event_del(ex->timer);
-	if (ex->call && ex->ops.sending)
-		ex->ops.sending(ex->ctx);
 }
 
 bool http_split_address(const char *address, char *ip, size_t ip_size,
--- a/net/http.h
+++ b/net/http.h
@@ -36,10 +36,11 @@
 
 typedef struct http_call_ops {
 	/*
-	 * Connected: the first byte is about to leave. May be NULL. Runs
-	 * inside evhttp: it may only take note.
+	 * Connected: the first byte is about to leave. False forbids it: the
+	 * exchange then ends with ERR_REFUSED and sent nothing. May be NULL.
+	 * Runs inside evhttp: it may only take note and decide.
 	 */
-	void (*sending)(void *ctx);
+	bool (*sending)(void *ctx);
 	/* Status and headers came. May be NULL. */
 	void (*head)(void *ctx, int status, struct evkeyvalq *headers);
 	/* A piece of the body; the callback drains BODY. May be NULL. */
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -2,6 +2,7 @@
 #include <event2/listener.h>
 #include <glib.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <sys/socket.h>
 
 #include "net/http.h"
@@ -27,6 +28,7 @@
 	int ends;
 	err_t err;
 	bool finish_in_data;
+	bool forbid;
 } result_t;
 
 static void written(struct bufferevent *bev, void *arg)
@@ -72,6 +74,7 @@
 
 static void fake_init(fake_t *f, struct event_base *base)
 {
+	signal(SIGPIPE, SIG_IGN);
 	struct sockaddr_in sin = { .sin_family = AF_INET,
 				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
 	socklen_t len = sizeof(sin);
@@ -87,9 +90,12 @@
 		   ntohs(sin.sin_port));
 }
 
-static void sending(void *ctx)
+static bool sending(void *ctx)
 {
-	((result_t *)ctx)->is_sending = true;
+	result_t *r = ctx;
+
+	r->is_sending = true;
+	return !r->forbid;
 }
 
 static void data(void *ctx, struct evbuffer *body)
@@ -241,6 +247,27 @@
 }
 END_TEST
 
+START_TEST(a_forbidden_request_never_leaves)
+{
+	struct event_base *base = event_base_new();
+	fake_t f = { .answer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" };
+	result_t r = { .base = base, .forbid = true };
+
+	fake_init(&f, base);
+	run(&r, f.address, EVHTTP_REQ_POST, 500);
+	ck_assert_int_eq(r.err.code, ERR_REFUSED);
+	ck_assert(r.is_sending);
+	ck_assert_int_eq(r.ends, 1);
+	/* Whatever had left would have arrived by now. */
+	event_base_loopexit(base, &(struct timeval){ 0, 100000 });
+	event_base_dispatch(base);
+	ck_assert_int_eq(f.requests, 0);
+	evconnlistener_free(f.listener);
+	g_string_free(r.body, TRUE);
+	event_base_free(base);
+}
+END_TEST
+
 START_TEST(refuses_addresses_that_are_not_ip_and_port)
 {
 	static const char *const bad[] = { "",
@@ -266,4 +293,5 @@
 	   never_sends_a_request_twice_by_itself,
 	   a_refused_connection_sent_nothing,
 	   finishing_inside_a_callback_ends_without_another,
+	   a_forbidden_request_never_leaves,
 	   refuses_addresses_that_are_not_ip_and_port)
