net: split streams into server-sent events

Cause: a stream can be resumed only behind its last whole event, so cut events have to be held back. Ruled out: passing bytes through, after which a resumed stream repeats or loses the part of an event.

--- /dev/null
+++ b/net/sse.c
@@ -0,0 +1,82 @@
+#include "net/sse.h"
+
+void sse_init(sse_t *s, size_t max_event, sse_event_fn fn, void *ctx)
+{
+	s->partial = g_string_new("");
+	s->max_event = max_event;
+	s->fn = fn;
+	s->ctx = ctx;
+}
+
+void sse_finish(sse_t *s)
+{
+	g_string_free(s->partial, TRUE);
+	s->partial = NULL;
+}
+
+void sse_reset(sse_t *s)
+{
+	g_string_truncate(s->partial, 0);
+}
+
+/* Returns the length of the first whole event in TEXT, or 0. */
+static size_t event_length(const char *text, size_t len, size_t from)
+{
+	for (size_t i = from; i + 1 < len; i++) {
+		if (text[i] != '\n')
+			continue;
+		if (text[i + 1] == '\n')
+			return i + 2;
+		if (text[i + 1] == '\r' && i + 2 < len && text[i + 2] == '\n')
+			return i + 3;
+	}
+	return 0;
+}
+
+static str_t data_of(str_t raw)
+{
+	static const char prefix[] = "data:";
+	const char *line = raw.ptr;
+	const char *end = raw.ptr + raw.len;
+
+	while (line < end) {
+		const char *stop = memchr(line, '\n', end - line);
+		size_t n = (stop ? stop : end) - line;
+
+		if (n >= 5 && !memcmp(line, prefix, 5)) {
+			str_t data = { line + 5, n - 5 };
+
+			if (data.len && data.ptr[data.len - 1] == '\r')
+				data.len--;
+			if (data.len && data.ptr[0] == ' ') {
+				data.ptr++;
+				data.len--;
+			}
+			return data;
+		}
+		if (!stop)
+			break;
+		line = stop + 1;
+	}
+	return (str_t){ end, 0 };
+}
+
+bool sse_feed(sse_t *s, str_t bytes)
+{
+	/* The break may straddle the old and the new bytes. */
+	size_t from = s->partial->len > 2 ? s->partial->len - 2 : 0;
+	size_t start = 0;
+	size_t len;
+
+	g_string_append_len(s->partial, bytes.ptr, (gssize)bytes.len);
+	while ((len = event_length(s->partial->str + start,
+				   s->partial->len - start, from))) {
+		str_t raw = { s->partial->str + start, len };
+
+		s->fn(s->ctx, raw, data_of(raw));
+		start += len;
+		from = 0;
+	}
+	g_string_erase(s->partial, 0, (gssize)start);
+	return s->partial->len <= s->max_event;
+}
--- /dev/null
+++ b/net/sse.h
@@ -0,0 +1,30 @@
+/* Splits a byte stream into server-sent events; a cut event is held back. */
+#ifndef NET_SSE_H
+#define NET_SSE_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#include "common/str.h"
+
+/*
+ * One whole event: RAW with its closing empty line, DATA the content of its
+ * first data line (empty for a comment). Views live until it returns.
+ */
+typedef void (*sse_event_fn)(void *ctx, str_t raw, str_t data);
+
+typedef struct sse {
+	GString *partial;
+	size_t max_event; /* bytes */
+	sse_event_fn fn;
+	void *ctx;
+} sse_t;
+
+void sse_init(sse_t *s, size_t max_event, sse_event_fn fn, void *ctx);
+void sse_finish(sse_t *s);
+/* Takes bytes; false when one event is longer than max_event. */
+bool sse_feed(sse_t *s, str_t bytes);
+/* Drops a cut event, before the stream is resumed after the last whole one. */
+void sse_reset(sse_t *s);
+
+#endif
