--- /dev/null
+++ b/daemon/admin_task.c
@@ -0,0 +1,214 @@
+/* Answers operators, health checks and the collector of metrics. */
+#define LOG_PART "admin"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+#include <stdlib.h>
+
+#include "common/log.h"
+#include "daemon/supervisor.h"
+#include "net/http.h"
+
+typedef struct admin {
+	supervisor_t *sup;
+	struct evhttp *http;
+	config_view_t *config;
+	vm_view_t *vms;
+} admin_t;
+
+static void reply(struct evhttp_request *req, int status, const char *type,
+		  const char *text)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	evhttp_add_header(evhttp_request_get_output_headers(req),
+			  "Content-Type", type);
+	evbuffer_add(out, text, strlen(text));
+	evhttp_send_reply(req, status, NULL, out);
+	evbuffer_free(out);
+}
+
+static void reply_json(struct evhttp_request *req, int status, json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	reply(req, status, "application/json", text);
+	free(text);
+	json_decref(root);
+}
+
+/* Compares in a time that does not depend on where they differ. */
+static bool is_same_secret(const char *a, const char *b)
+{
+	size_t n = strlen(b);
+	unsigned char diff = strlen(a) != n;
+
+	for (size_t i = 0; i < n; i++)
+		diff |= (unsigned char)(a[i < strlen(a) ? i : 0] ^ b[i]);
+	return !diff;
+}
+
+static bool is_operator(const admin_t *a, struct evhttp_request *req)
+{
+	static const char scheme[] = "Bearer ";
+	const char *value = evhttp_find_header(
+		evhttp_request_get_input_headers(req), "Authorization");
+
+	return value && g_str_has_prefix(value, scheme) &&
+	       is_same_secret(value + sizeof(scheme) - 1,
+			      a->sup->settings->operator_token);
+}
+
+static void add_document(json_t *docs, const char *kind, const char *name,
+			 uint64_t version)
+{
+	g_autofree char *doc = g_strdup_printf("%s/%s", kind, name);
+
+	json_array_append_new(docs, json_pack("{s:s, s:I}", "doc", doc,
+					      "version", (json_int_t)version));
+}
+
+static json_t *documents(const admin_t *a)
+{
+	json_t *docs = json_array();
+	GHashTableIter iter;
+	profile_t *profile;
+	profile_service_t *service;
+
+	if (!a->config)
+		return docs;
+	g_hash_table_iter_init(&iter, a->config->profiles);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&profile))
+		add_document(docs, "profile", profile->name, profile->version);
+	g_hash_table_iter_init(&iter, a->config->services);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&service))
+		add_document(docs, "service", service->name, service->version);
+	return docs;
+}
+
+static void answer_config(admin_t *a, struct evhttp_request *req)
+{
+	reply_json(req, HTTP_OK,
+		   json_pack("{s:s, s:s, s:o}", "name", a->sup->settings->name,
+			     "zone", a->sup->settings->zone, "documents",
+			     documents(a)));
+}
+
+static void answer_status(admin_t *a, struct evhttp_request *req)
+{
+	const metrics_t *m = &a->sup->metrics;
+
+	reply_json(
+		req, HTTP_OK,
+		json_pack(
+			"{s:s, s:s, s:b, s:b, s:I, s:I, s:I, s:o}", "name",
+			a->sup->settings->name, "zone", a->sup->settings->zone,
+			"draining", supervisor_is_draining(a->sup), "ready",
+			a->config != NULL, "requests",
+			(json_int_t)metrics_get(
+				m, "papaya_requests_in_progress", NULL),
+			"links",
+			(json_int_t)metrics_get(m, "papaya_peer_links", NULL),
+			"stalls",
+			(json_int_t)metrics_get(m, "papaya_stalls_total", NULL),
+			"documents", documents(a)));
+}
+
+static void answer_metrics(admin_t *a, struct evhttp_request *req)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	metrics_print(&a->sup->metrics, text);
+	reply(req, HTTP_OK, "text/plain; version=0.0.4", text->str);
+}
+
+static void answer_ready(admin_t *a, struct evhttp_request *req)
+{
+	bool is_ready = a->config && !supervisor_is_draining(a->sup);
+
+	reply(req, is_ready ? HTTP_OK : HTTP_SERVUNAVAIL, "text/plain",
+	      is_ready ? "ready\n" : "not ready\n");
+}
+
+static void answer_operator(admin_t *a, struct evhttp_request *req,
+			    const char *path)
+{
+	bool is_post = evhttp_request_get_command(req) == EVHTTP_REQ_POST;
+
+	if (!is_operator(a, req)) {
+		reply(req, 401, "application/json",
+		      "{\"error\":{\"message\":\"the operator's credential is "
+		      "expected\",\"field\":\"Authorization\"}}");
+		return;
+	}
+	if (!strcmp(path, "/admin/config") && !is_post) {
+		answer_config(a, req);
+	} else if (!strcmp(path, "/admin/status") && !is_post) {
+		answer_status(a, req);
+	} else if (!strcmp(path, "/admin/drain") && is_post) {
+		supervisor_drain(a->sup);
+		reply_json(req, 202, json_pack("{s:b}", "draining", 1));
+	} else {
+		reply(req, HTTP_NOTFOUND, "application/json",
+		      "{\"error\":{\"message\":\"no such call\","
+		      "\"field\":\"path\"}}");
+	}
+}
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	admin_t *a = arg;
+	const char *path = evhttp_request_get_uri(req);
+
+	if (!strcmp(path, "/healthz"))
+		reply(req, HTTP_OK, "text/plain", "ok\n");
+	else if (!strcmp(path, "/readyz"))
+		answer_ready(a, req);
+	else if (!strcmp(path, "/metrics"))
+		answer_metrics(a, req);
+	else
+		answer_operator(a, req, path);
+}
+
+static void handle(void *state, const message_t *m)
+{
+	admin_t *a = state;
+
+	if (m->type == MESSAGE_CONFIG && a->config != m->config) {
+		config_view_unref(a->config);
+		a->config = config_view_ref(m->config);
+	}
+}
+
+static void *start(supervisor_t *sup, err_t *err)
+{
+	admin_t *a = g_new0(admin_t, 1);
+	char ip[MEMBER_NAME_SIZE];
+	uint16_t port;
+
+	a->sup = sup;
+	a->http = evhttp_new(sup->base);
+	evhttp_set_gencb(a->http, on_request, a);
+	if (http_split_address(sup->settings->admin_listen, ip, sizeof(ip),
+			       &port, err) &&
+	    !evhttp_bind_socket(a->http, ip, port))
+		return a;
+	err_set(err, ERR_SYSTEM, "listen for operators",
+		sup->settings->admin_listen, "the address can't be bound");
+	evhttp_free(a->http);
+	g_free(a);
+	return NULL;
+}
+
+static void stop(void *state)
+{
+	admin_t *a = state;
+
+	evhttp_free(a->http);
+	config_view_unref(a->config);
+	g_free(a);
+}
+
+const task_spec_t admin_task = { "admin", 3, start, handle, stop };
--- /dev/null
+++ b/daemon/capacity_task.c
@@ -0,0 +1,485 @@
+/*
+ * Hosts the dispatchers that this daemon was asked to be, and reads the load
+ * of their runners.
+ */
+#define LOG_PART "capacity"
+
+#include <jansson.h>
+
+#include "common/log.h"
+#include "daemon/supervisor.h"
+#include "net/http.h"
+
+enum {
+	TICK_MS = 10,
+	MAX_REPORT = 64 * 1024, /* bytes */
+	MAX_RUNNING = 100000,
+	REPORT_TIMEOUT_MS = 1000,
+};
+
+typedef struct capacity capacity_t;
+
+/* One dispatcher, of one service. */
+typedef struct service {
+	capacity_t *owner;
+	char name[MEMBER_NAME_SIZE];
+	dispatcher_t dispatcher;
+	GHashTable *runners; /* name to runner_t */
+} service_t;
+
+/* A runner whose load is read. */
+typedef struct runner {
+	service_t *service;
+	dispatcher_runner_t info;
+	http_call_t call;
+	GString *text;
+	bool is_asking;
+	bool is_listed; /* by the newest list */
+} runner_t;
+
+struct capacity {
+	supervisor_t *sup;
+	config_view_t *config;
+	vm_view_t *vms;
+	GHashTable *services; /* name to service_t */
+	GHashTable *owners; /* incarnation to peer name */
+	struct event *tick;
+	struct event *poll;
+};
+
+static void free_runner(void *data)
+{
+	runner_t *r = data;
+
+	http_call_finish(&r->call);
+	g_string_free(r->text, TRUE);
+	g_free(r);
+}
+
+static void free_service(void *data)
+{
+	service_t *s = data;
+
+	g_hash_table_destroy(s->runners);
+	dispatcher_finish(&s->dispatcher);
+	g_free(s);
+}
+
+static void post_answer(service_t *s, message_type_t type, const want_t *want,
+			message_t *m)
+{
+	capacity_t *c = s->owner;
+	const char *peer = g_hash_table_lookup(c->owners, &want->id.owner);
+
+	m->type = type;
+	m->capacity.want = *want;
+	g_strlcpy(m->capacity.peer, peer ? peer : "", sizeof(m->capacity.peer));
+	g_strlcpy(m->capacity.service, s->name, sizeof(m->capacity.service));
+	supervisor_post(c->sup, TASK_PEERS, m);
+}
+
+static void on_grant(void *ctx, const want_t *want,
+		     const dispatcher_runner_t *runner)
+{
+	message_t m = { .capacity.runner = *runner };
+
+	post_answer(ctx, MESSAGE_GRANT, want, &m);
+}
+
+static void on_refuse(void *ctx, const want_t *want, refuse_reason_t reason,
+		      uint32_t retry_after_ms)
+{
+	message_t m = { .capacity = { .reason = reason,
+				      .retry_after_ms = retry_after_ms } };
+
+	post_answer(ctx, MESSAGE_REFUSE, want, &m);
+}
+
+static void on_cancel(void *ctx, const want_t *want)
+{
+	message_t m = { .type = MESSAGE_CANCEL };
+
+	post_answer(ctx, MESSAGE_CANCEL, want, &m);
+}
+
+static dispatcher_policy_t parse_policy(const char *name)
+{
+	if (!strcmp(name, "round-robin"))
+		return DISPATCHER_POLICY_ROUND_ROBIN;
+	if (!strcmp(name, "two-choices"))
+		return DISPATCHER_POLICY_TWO_CHOICES;
+	return DISPATCHER_POLICY_LEDGER;
+}
+
+/* Brings a dispatcher's tiers and teams up to the documents in force. */
+static void apply_profile(service_t *s)
+{
+	const profile_service_t *service =
+		config_view_service(s->owner->config, s->name);
+	const profile_t *profile =
+		service ? config_view_profile(s->owner->config,
+					      service->profile) :
+			  NULL;
+	dispatcher_tier_t tiers[PROFILE_MAX_TIERS];
+
+	if (!profile)
+		return;
+	for (uint32_t i = 0; i < profile->n_tiers; i++) {
+		tiers[i].is_protected = profile->tiers[i].is_protected;
+		tiers[i].weight = profile->tiers[i].weight;
+	}
+	dispatcher_set_tiers(&s->dispatcher, tiers, profile->n_tiers);
+	for (uint32_t i = 0; i < profile->n_teams; i++)
+		dispatcher_set_team(&s->dispatcher,
+				    str_from(profile->teams[i].name),
+				    profile->teams[i].weight);
+}
+
+static void update_runner(service_t *s, const log_runner_t *listed)
+{
+	runner_t *r = g_hash_table_lookup(s->runners, listed->runner.name);
+
+	if (!r) {
+		r = g_new0(runner_t, 1);
+		r->service = s;
+		r->text = g_string_new("");
+		g_strlcpy(r->info.name, listed->runner.name,
+			  sizeof(r->info.name));
+		g_hash_table_insert(s->runners, r->info.name, r);
+	}
+	r->info = listed->runner;
+	r->is_listed = true;
+	dispatcher_set_runner(&s->dispatcher, &r->info, now_us());
+}
+
+/* Brings a dispatcher's runners up to the newest VM list. */
+static void apply_list(service_t *s)
+{
+	const char *zone = s->owner->sup->settings->zone;
+	GHashTableIter iter;
+	runner_t *r;
+
+	if (!s->owner->vms)
+		return;
+	g_hash_table_iter_init(&iter, s->runners);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&r))
+		r->is_listed = false;
+	for (guint i = 0; i < s->owner->vms->runners->len; i++) {
+		const log_runner_t *listed =
+			&g_array_index(s->owner->vms->runners, log_runner_t, i);
+
+		if (!strcmp(listed->service, s->name) &&
+		    !strcmp(listed->zone, zone))
+			update_runner(s, listed);
+	}
+	g_hash_table_iter_init(&iter, s->runners);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&r)) {
+		if (r->is_listed)
+			continue;
+		dispatcher_remove_runner(&s->dispatcher, str_from(r->info.name),
+					 now_us());
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static service_t *add_service(capacity_t *c, const profile_service_t *info)
+{
+	static const dispatcher_ops_t ops = { on_grant, on_refuse, on_cancel };
+	const settings_t *set = c->sup->settings;
+	service_t *s = g_new0(service_t, 1);
+	dispatcher_config_t config = {
+		.is_engine = info->is_engine,
+		.max_wants = (uint32_t)set->max_wants,
+		.max_running = MAX_RUNNING,
+		.plain_slots = info->slots,
+		.window_tokens = info->window_tokens,
+		.grant_timeout = set->grant_timeout_ms * 1000,
+		.seed = g_rand_int(c->sup->rand),
+		.policy = parse_policy(set->policy),
+	};
+
+	s->owner = c;
+	g_strlcpy(s->name, info->name, sizeof(s->name));
+	s->runners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   free_runner);
+	dispatcher_init(&s->dispatcher, &config, &ops, s, now_us());
+	g_hash_table_insert(c->services, s->name, s);
+	apply_profile(s);
+	apply_list(s);
+	log_info("dispatcher of service %s", s->name);
+	return s;
+}
+
+static service_t *find_service(capacity_t *c, const char *name)
+{
+	service_t *s = g_hash_table_lookup(c->services, name);
+	const profile_service_t *info;
+
+	if (s)
+		return s;
+	info = config_view_service(c->config, name);
+	return info ? add_service(c, info) : NULL;
+}
+
+static int tier_index(const capacity_t *c, const char *service,
+		      const char *tier)
+{
+	const profile_service_t *info = config_view_service(c->config, service);
+	const profile_t *profile =
+		info ? config_view_profile(c->config, info->profile) : NULL;
+	int index = profile ? profile_tier_index(profile, str_from(tier)) : -1;
+
+	return index >= 0 ? index : PROFILE_MAX_TIERS - 1;
+}
+
+static void remember_owner(capacity_t *c, uint64_t owner, const char *peer)
+{
+	if (!g_hash_table_contains(c->owners, &owner))
+		g_hash_table_insert(c->owners, g_memdup2(&owner, sizeof(owner)),
+				    g_strdup(peer));
+}
+
+static void refuse_unknown(capacity_t *c, const message_capacity_t *asked)
+{
+	message_t m = { .type = MESSAGE_REFUSE, .capacity = *asked };
+
+	m.capacity.reason = REFUSE_NO_RUNNER;
+	m.capacity.retry_after_ms = 1000;
+	supervisor_post(c->sup, TASK_PEERS, &m);
+}
+
+static void take_want(capacity_t *c, const message_capacity_t *asked)
+{
+	service_t *s = find_service(c, asked->service);
+	want_t want = asked->want;
+
+	if (!s) {
+		refuse_unknown(c, asked);
+		return;
+	}
+	remember_owner(c, want.id.owner, asked->peer);
+	want.tier = (uint32_t)tier_index(c, asked->service, asked->tier);
+	if (asked->running_on[0])
+		dispatcher_adopt(&s->dispatcher, &want,
+				 str_from(asked->running_on), now_us());
+	else
+		dispatcher_want(&s->dispatcher, &want, now_us());
+}
+
+static void lose_owner(capacity_t *c, const char *peer)
+{
+	GHashTableIter owners, services;
+	uint64_t *owner;
+	const char *name;
+	service_t *s;
+
+	g_hash_table_iter_init(&owners, c->owners);
+	while (g_hash_table_iter_next(&owners, (void **)&owner,
+				      (void **)&name)) {
+		if (strcmp(name, peer))
+			continue;
+		g_hash_table_iter_init(&services, c->services);
+		while (g_hash_table_iter_next(&services, NULL, (void **)&s))
+			dispatcher_owner_lost(&s->dispatcher, *owner, now_us());
+		g_hash_table_iter_remove(&owners);
+	}
+}
+
+static void on_report_data(void *ctx, struct evbuffer *body)
+{
+	runner_t *r = ctx;
+	size_t n = evbuffer_get_length(body);
+
+	g_string_append_len(r->text, (char *)evbuffer_pullup(body, -1),
+			    (gssize)n);
+}
+
+static uint32_t number(json_t *root, const char *key)
+{
+	json_int_t n = json_integer_value(json_object_get(root, key));
+
+	return n > 0 && n <= UINT32_MAX ? (uint32_t)n : 0;
+}
+
+static void take_report(runner_t *r)
+{
+	json_t *root = json_loadb(r->text->str, r->text->len, 0, NULL);
+	const char *state = json_string_value(json_object_get(root, "state"));
+	int64_t as_of_ms =
+		json_integer_value(json_object_get(root, "as_of_ms"));
+	int64_t lag_us = g_get_real_time() - as_of_ms * 1000;
+	dispatcher_report_t report = {
+		.as_of = now_us() - (as_of_ms && lag_us > 0 ? lag_us : 0),
+		.running = number(root, "running"),
+		.waiting = number(root, "waiting"),
+		.waiting_prompt_tokens = number(root, "waiting_prompt_tokens"),
+		.running_tokens = number(root, "running_tokens"),
+		.is_leaving = state && !strcmp(state, "leaving"),
+	};
+
+	if (json_is_object(root))
+		dispatcher_report(&r->service->dispatcher,
+				  str_from(r->info.name), &report, now_us());
+	json_decref(root);
+}
+
+static void on_report_end(void *ctx, int status, const err_t *err)
+{
+	runner_t *r = ctx;
+
+	r->is_asking = false;
+	http_call_finish(&r->call);
+	if (err)
+		dispatcher_runner_silent(&r->service->dispatcher,
+					 str_from(r->info.name), now_us());
+	else if (status == HTTP_OK)
+		take_report(r);
+}
+
+static void ask_load(runner_t *r)
+{
+	static const http_call_ops_t ops = { NULL, NULL, on_report_data,
+					     on_report_end };
+	http_request_t request = {
+		.address = r->info.address,
+		.method = EVHTTP_REQ_GET,
+		.path = "/v1/load",
+		.body = STR_LIT(""),
+		.connect_timeout_ms = REPORT_TIMEOUT_MS,
+		.idle_timeout_ms = REPORT_TIMEOUT_MS,
+		.max_body = MAX_REPORT,
+	};
+
+	if (r->is_asking)
+		return;
+	g_string_truncate(r->text, 0);
+	r->is_asking = http_call_start(&r->call, r->service->owner->sup->base,
+				       &request, &ops, r, NULL);
+}
+
+static void export_stats(capacity_t *c, const service_t *s)
+{
+	g_autofree char *label = g_strdup_printf("service=\"%s\"", s->name);
+	metrics_t *m = &c->sup->metrics;
+	dispatcher_stats_t stats;
+
+	dispatcher_stats(&s->dispatcher, &stats);
+	metrics_set(m, "papaya_dispatcher_wants_total", label, stats.wants);
+	metrics_set(m, "papaya_dispatcher_grants_total", label, stats.grants);
+	metrics_set(m, "papaya_dispatcher_cancels_total", label, stats.cancels);
+	metrics_set(m, "papaya_dispatcher_foreign_total", label, stats.foreign);
+	metrics_set(m, "papaya_dispatcher_queued", label, stats.queued);
+	metrics_set(m, "papaya_dispatcher_running", label, stats.running);
+	metrics_set(m, "papaya_dispatcher_runners", label, stats.runners);
+}
+
+static void on_poll(evutil_socket_t fd, short what, void *arg)
+{
+	capacity_t *c = arg;
+	GHashTableIter services, runners;
+	service_t *s;
+	runner_t *r;
+
+	g_hash_table_iter_init(&services, c->services);
+	while (g_hash_table_iter_next(&services, NULL, (void **)&s)) {
+		export_stats(c, s);
+		g_hash_table_iter_init(&runners, s->runners);
+		while (g_hash_table_iter_next(&runners, NULL, (void **)&r))
+			ask_load(r);
+	}
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	capacity_t *c = arg;
+	GHashTableIter iter;
+	service_t *s;
+
+	g_hash_table_iter_init(&iter, c->services);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
+		dispatcher_tick(&s->dispatcher, now_us());
+}
+
+static void update_all(capacity_t *c, void (*fn)(service_t *s))
+{
+	GHashTableIter iter;
+	service_t *s;
+
+	g_hash_table_iter_init(&iter, c->services);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
+		fn(s);
+}
+
+static void handle(void *state, const message_t *m)
+{
+	capacity_t *c = state;
+	service_t *s;
+
+	switch (m->type) {
+	case MESSAGE_CONFIG:
+		if (c->config == m->config)
+			return;
+		config_view_unref(c->config);
+		c->config = config_view_ref(m->config);
+		update_all(c, apply_profile);
+		return;
+	case MESSAGE_VMS:
+		vm_view_unref(c->vms);
+		c->vms = vm_view_ref(m->vms);
+		update_all(c, apply_list);
+		return;
+	case MESSAGE_WANT:
+		take_want(c, &m->capacity);
+		return;
+	case MESSAGE_OWNER_LOST:
+		lose_owner(c, m->capacity.peer);
+		return;
+	default:
+		break;
+	}
+	if (m->type != MESSAGE_WITHDRAW && m->type != MESSAGE_FIRST_TOKEN &&
+	    m->type != MESSAGE_DONE)
+		return;
+	s = g_hash_table_lookup(c->services, m->capacity.service);
+	if (!s)
+		return;
+	if (m->type == MESSAGE_WITHDRAW)
+		dispatcher_withdraw(&s->dispatcher, m->capacity.want.id,
+				    now_us());
+	else if (m->type == MESSAGE_FIRST_TOKEN)
+		dispatcher_first_token(&s->dispatcher, m->capacity.want.id,
+				       now_us());
+	else
+		dispatcher_done(&s->dispatcher, m->capacity.want.id,
+				&m->capacity.done, now_us());
+}
+
+static void *start(supervisor_t *sup, err_t *err)
+{
+	capacity_t *c = g_new0(capacity_t, 1);
+
+	c->sup = sup;
+	c->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    free_service);
+	c->owners = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					  g_free);
+	c->tick = supervisor_every(sup, TICK_MS, on_tick, c);
+	c->poll =
+		supervisor_every(sup, sup->settings->load_poll_ms, on_poll, c);
+	return c;
+}
+
+static void stop(void *state)
+{
+	capacity_t *c = state;
+
+	event_free(c->tick);
+	event_free(c->poll);
+	g_hash_table_destroy(c->services);
+	g_hash_table_destroy(c->owners);
+	config_view_unref(c->config);
+	vm_view_unref(c->vms);
+	g_free(c);
+}
+
+const task_spec_t capacity_task = { "capacity", 2, start, handle, stop };
--- /dev/null
+++ b/daemon/frames.c
@@ -0,0 +1,305 @@
+#include "daemon/frames.h"
+
+#include <string.h>
+
+enum { DOCUMENTS_BYTES = PEER_MAX_FRAME / 2 };
+
+static uint32_t to_ms(int64_t us)
+{
+	return us <= 0 ? 0 : (uint32_t)MIN(us / 1000, UINT32_MAX);
+}
+
+static bool send_want(peer_t *peer, str_t to, const message_capacity_t *c,
+		      int64_t now)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__Want want = PAPAYA__WANT__INIT;
+
+	want.attempt = c->want.id.attempt;
+	want.owner = c->want.id.owner;
+	want.service = (char *)c->service;
+	want.tier = (char *)c->tier;
+	want.team = (char *)c->want.team;
+	want.prompt_tokens = c->want.prompt_tokens;
+	want.output_tokens = c->want.output_tokens;
+	want.prefix_hash = c->want.prefix_hash;
+	want.need_ms = to_ms(c->want.deadline - now);
+	want.hops = c->hops;
+	want.avoid = (char *)c->want.avoid;
+	want.running_on = (char *)c->running_on;
+	frame.body_case = PAPAYA__FRAME__BODY_WANT;
+	frame.want = &want;
+	return peer_send(peer, to, &frame);
+}
+
+static bool send_grant(peer_t *peer, str_t to, const message_capacity_t *c)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__Grant grant = PAPAYA__GRANT__INIT;
+
+	grant.attempt = c->want.id.attempt;
+	grant.owner = c->want.id.owner;
+	grant.runner = (char *)c->runner.name;
+	grant.address = (char *)c->runner.address;
+	frame.body_case = PAPAYA__FRAME__BODY_GRANT;
+	frame.grant = &grant;
+	return peer_send(peer, to, &frame);
+}
+
+static bool send_refuse(peer_t *peer, str_t to, const message_capacity_t *c)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__Refuse refuse = PAPAYA__REFUSE__INIT;
+
+	refuse.attempt = c->want.id.attempt;
+	refuse.owner = c->want.id.owner;
+	refuse.reason = c->reason;
+	refuse.retry_after_ms = c->retry_after_ms;
+	frame.body_case = PAPAYA__FRAME__BODY_REFUSE;
+	frame.refuse = &refuse;
+	return peer_send(peer, to, &frame);
+}
+
+static bool send_cancel(peer_t *peer, str_t to, const message_capacity_t *c)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__Cancel cancel = PAPAYA__CANCEL__INIT;
+
+	cancel.attempt = c->want.id.attempt;
+	cancel.owner = c->want.id.owner;
+	frame.body_case = PAPAYA__FRAME__BODY_CANCEL;
+	frame.cancel = &cancel;
+	return peer_send(peer, to, &frame);
+}
+
+static bool send_withdraw(peer_t *peer, str_t to, const message_capacity_t *c)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__Withdraw withdraw = PAPAYA__WITHDRAW__INIT;
+
+	withdraw.attempt = c->want.id.attempt;
+	withdraw.owner = c->want.id.owner;
+	withdraw.service = (char *)c->service;
+	frame.body_case = PAPAYA__FRAME__BODY_WITHDRAW;
+	frame.withdraw = &withdraw;
+	return peer_send(peer, to, &frame);
+}
+
+static bool send_first_token(peer_t *peer, str_t to,
+			     const message_capacity_t *c)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__FirstToken first = PAPAYA__FIRST_TOKEN__INIT;
+
+	first.attempt = c->want.id.attempt;
+	first.owner = c->want.id.owner;
+	first.service = (char *)c->service;
+	frame.body_case = PAPAYA__FRAME__BODY_FIRST_TOKEN;
+	frame.first_token = &first;
+	return peer_send(peer, to, &frame);
+}
+
+static bool send_done(peer_t *peer, str_t to, const message_capacity_t *c)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__Done done = PAPAYA__DONE__INIT;
+
+	done.attempt = c->want.id.attempt;
+	done.owner = c->want.id.owner;
+	done.service = (char *)c->service;
+	done.result = c->done.result;
+	done.prompt_tokens = c->done.prompt_tokens;
+	done.output_tokens = c->done.output_tokens;
+	done.cached_tokens = c->done.cached_tokens;
+	frame.body_case = PAPAYA__FRAME__BODY_DONE;
+	frame.done = &done;
+	return peer_send(peer, to, &frame);
+}
+
+bool frames_send_capacity(peer_t *peer, str_t to, const message_t *m,
+			  int64_t now)
+{
+	const message_capacity_t *c = &m->capacity;
+
+	switch (m->type) {
+	case MESSAGE_WANT:
+		return send_want(peer, to, c, now);
+	case MESSAGE_GRANT:
+		return send_grant(peer, to, c);
+	case MESSAGE_REFUSE:
+		return send_refuse(peer, to, c);
+	case MESSAGE_CANCEL:
+		return send_cancel(peer, to, c);
+	case MESSAGE_WITHDRAW:
+		return send_withdraw(peer, to, c);
+	case MESSAGE_FIRST_TOKEN:
+		return send_first_token(peer, to, c);
+	case MESSAGE_DONE:
+		return send_done(peer, to, c);
+	default:
+		return false;
+	}
+}
+
+static bool copy(char *buf, const char *s)
+{
+	return str_copy(buf, MEMBER_NAME_SIZE, str_from(s));
+}
+
+static bool read_want(const Papaya__Want *f, int64_t now, message_capacity_t *c)
+{
+	c->want.id = (want_id_t){ f->owner, f->attempt };
+	c->want.prompt_tokens = f->prompt_tokens;
+	c->want.output_tokens = f->output_tokens;
+	c->want.prefix_hash = f->prefix_hash;
+	c->want.deadline = now + (int64_t)f->need_ms * 1000;
+	c->hops = f->hops;
+	return copy(c->service, f->service) && copy(c->tier, f->tier) &&
+	       copy(c->want.team, f->team) && copy(c->want.avoid, f->avoid) &&
+	       copy(c->running_on, f->running_on);
+}
+
+static bool read_grant(const Papaya__Grant *f, message_capacity_t *c)
+{
+	c->want.id = (want_id_t){ f->owner, f->attempt };
+	return copy(c->runner.name, f->runner) &&
+	       copy(c->runner.address, f->address);
+}
+
+static bool read_refuse(const Papaya__Refuse *f, message_capacity_t *c)
+{
+	c->want.id = (want_id_t){ f->owner, f->attempt };
+	c->reason = f->reason;
+	c->retry_after_ms = f->retry_after_ms;
+	return f->reason <= REFUSE_EXPIRED;
+}
+
+static bool read_done(const Papaya__Done *f, message_capacity_t *c)
+{
+	c->want.id = (want_id_t){ f->owner, f->attempt };
+	c->done.result = f->result;
+	c->done.prompt_tokens = f->prompt_tokens;
+	c->done.output_tokens = f->output_tokens;
+	c->done.cached_tokens = f->cached_tokens;
+	return f->result <= DONE_BROKEN && copy(c->service, f->service);
+}
+
+bool frames_read_capacity(const Papaya__Frame *frame, const char *peer,
+			  int64_t now, message_t *out)
+{
+	message_capacity_t *c = &out->capacity;
+
+	memset(out, 0, sizeof(*out));
+	g_strlcpy(c->peer, peer, sizeof(c->peer));
+	switch (frame->body_case) {
+	case PAPAYA__FRAME__BODY_WANT:
+		out->type = MESSAGE_WANT;
+		return read_want(frame->want, now, c);
+	case PAPAYA__FRAME__BODY_GRANT:
+		out->type = MESSAGE_GRANT;
+		return read_grant(frame->grant, c);
+	case PAPAYA__FRAME__BODY_REFUSE:
+		out->type = MESSAGE_REFUSE;
+		return read_refuse(frame->refuse, c);
+	case PAPAYA__FRAME__BODY_CANCEL:
+		out->type = MESSAGE_CANCEL;
+		c->want.id = (want_id_t){ frame->cancel->owner,
+					  frame->cancel->attempt };
+		return true;
+	case PAPAYA__FRAME__BODY_WITHDRAW:
+		out->type = MESSAGE_WITHDRAW;
+		c->want.id = (want_id_t){ frame->withdraw->owner,
+					  frame->withdraw->attempt };
+		return copy(c->service, frame->withdraw->service);
+	case PAPAYA__FRAME__BODY_FIRST_TOKEN:
+		out->type = MESSAGE_FIRST_TOKEN;
+		c->want.id = (want_id_t){ frame->first_token->owner,
+					  frame->first_token->attempt };
+		return copy(c->service, frame->first_token->service);
+	case PAPAYA__FRAME__BODY_DONE:
+		out->type = MESSAGE_DONE;
+		return read_done(frame->done, c);
+	default:
+		return false;
+	}
+}
+
+static bool send_batch(peer_t *peer, const char *to, uint64_t next,
+		       Papaya__Document **batch, size_t n)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__Documents documents = PAPAYA__DOCUMENTS__INIT;
+
+	documents.config_next = next;
+	documents.documents = batch;
+	documents.n_documents = n;
+	frame.body_case = PAPAYA__FRAME__BODY_DOCUMENTS;
+	frame.documents = &documents;
+	return peer_send(peer, str_from(to), &frame);
+}
+
+static void fill_document(Papaya__Document *out, const config_doc_t *doc)
+{
+	gsize len;
+	const void *body = g_bytes_get_data(doc->body, &len);
+
+	papaya__document__init(out);
+	out->name = (char *)doc->name;
+	out->version = doc->version;
+	out->offset = doc->offset;
+	out->nonce = (char *)doc->nonce;
+	out->body.data = (uint8_t *)body;
+	out->body.len = len;
+}
+
+/*
+ * Only the last frame states how far the documents reach, so that a receiver
+ * that lost one does not believe itself up to date.
+ */
+bool frames_send_documents(peer_t *peer, const message_docs_t *docs)
+{
+	guint n = docs->docs->len;
+	Papaya__Document *all = g_new0(Papaya__Document, n + 1);
+	Papaya__Document **batch = g_new0(Papaya__Document *, n + 1);
+	size_t count = 0;
+	size_t bytes = 0;
+	bool is_sent = true;
+
+	for (guint i = 0; i < n && is_sent; i++) {
+		fill_document(&all[i],
+			      &g_array_index(docs->docs, config_doc_t, i));
+		if (count && bytes + all[i].body.len > DOCUMENTS_BYTES) {
+			is_sent = send_batch(peer, docs->peer, 0, batch, count);
+			count = 0;
+			bytes = 0;
+		}
+		batch[count++] = &all[i];
+		bytes += all[i].body.len;
+	}
+	is_sent = is_sent &&
+		  send_batch(peer, docs->peer, docs->next, batch, count);
+	g_free(batch);
+	g_free(all);
+	return is_sent;
+}
+
+void frames_read_documents(const Papaya__Documents *frame, const char *peer,
+			   message_t *out)
+{
+	memset(out, 0, sizeof(*out));
+	out->type = MESSAGE_CONFIG_RELAYED;
+	out->docs.next = frame->config_next;
+	out->docs.docs = message_docs_new();
+	g_strlcpy(out->docs.peer, peer, sizeof(out->docs.peer));
+	for (size_t i = 0; i < frame->n_documents; i++) {
+		const Papaya__Document *d = frame->documents[i];
+		config_doc_t doc = { .version = d->version,
+				     .offset = d->offset };
+
+		if (!str_copy(doc.name, sizeof(doc.name), str_from(d->name)) ||
+		    !str_copy(doc.nonce, sizeof(doc.nonce), str_from(d->nonce)))
+			continue;
+		doc.body = g_bytes_new(d->body.data, d->body.len);
+		g_array_append_val(out->docs.docs, doc);
+	}
+}
--- /dev/null
+++ b/daemon/front.h
@@ -0,0 +1,36 @@
+/* What the front task's parts share: requests of callers and their tables. */
+#ifndef DAEMON_FRONT_H
+#define DAEMON_FRONT_H
+
+#include <event2/http.h>
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/limit.h"
+#include "core/retry.h"
+#include "core/rights.h"
+#include "daemon/call.h"
+#include "daemon/supervisor.h"
+
+typedef struct front {
+	supervisor_t *sup;
+	struct evhttp *http;
+	struct evhttp_bound_socket *socket; /* NULL once draining */
+	struct event *timer;
+	config_view_t *config; /* NULL until documents are in force */
+	rights_t rights;
+	limit_t limit;
+	retry_t retry;
+	GHashTable *jobs; /* attempt number to job_t, owned */
+	uint64_t next_attempt;
+	uint32_t daemons; /* of the own zone, by the VM list; at least 1 */
+	bool is_draining;
+	int64_t drain_until;
+} front_t;
+
+/* Finds the profile and the service that a call runs under; may be NULL. */
+const profile_service_t *front_service(const front_t *f, const call_t *call);
+const profile_t *front_profile(const front_t *f, const call_t *call);
+
+#endif
--- /dev/null
+++ b/daemon/front_task.c
@@ -0,0 +1,601 @@
+/*
+ * Accepts callers' requests, checks them, and runs each as a job. Owns the
+ * callers' listener, the table of rights, the limits and the jobs.
+ */
+#define LOG_PART "front"
+
+#include <inttypes.h>
+#include <sys/random.h>
+
+#include "common/log.h"
+#include "daemon/job.h"
+
+enum {
+	TICK_MS = 50,
+	MAX_TEAMS = 32768,
+	MAX_BUDGETS = 65536,
+	MAX_HEADERS = 32 * 1024, /* bytes */
+	TICKET_BYTES = 16,
+	METHODS = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+		  EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
+		  EVHTTP_REQ_PATCH,
+};
+
+static const double retry_ratio = 0.2; /* retries a first attempt */
+
+const profile_service_t *front_service(const front_t *f, const call_t *call)
+{
+	return config_view_service(f->config, call->service);
+}
+
+const profile_t *front_profile(const front_t *f, const call_t *call)
+{
+	const profile_service_t *service = front_service(f, call);
+
+	return service ? config_view_profile(f->config, service->profile) :
+			 NULL;
+}
+
+static void refuse(front_t *f, struct evhttp_request *req, int status,
+		   const char *field, const char *message,
+		   uint32_t retry_after_ms)
+{
+	caller_head_t head = { .status = status,
+			       .outcome = OUTCOME_NOT_RUN,
+			       .retry_after_ms = retry_after_ms };
+	static const caller_ops_t ops;
+	caller_t c;
+
+	metrics_add(&f->sup->metrics, "papaya_refused_requests_total", NULL, 1);
+	caller_init(&c, f->sup->base, req, &ops, NULL);
+	caller_reply_error(&c, &head, field, message);
+}
+
+/* True when the team's credential is right, or it has none. */
+static bool has_credential(const profile_team_t *team, const call_t *call)
+{
+	g_autofree char *hash = NULL;
+
+	if (!team->key_sha256[0])
+		return true;
+	if (!call->secret)
+		return false;
+	hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256, call->secret,
+					     -1);
+	return !g_ascii_strcasecmp(hash, team->key_sha256);
+}
+
+static bool check_team(const call_t *call, const profile_t *profile,
+		       call_error_t *error)
+{
+	const profile_team_t *team =
+		profile_team(profile, str_from(call->team));
+
+	if (!team)
+		return call_reject(error, 403, "Papaya-Team",
+				   "the profile is closed to this team");
+	if (!has_credential(team, call))
+		return call_reject(error, 401, "Authorization",
+				   "the team's credential is expected");
+	return true;
+}
+
+static bool check_kind(const profile_service_t *service, const call_t *call,
+		       call_error_t *error)
+{
+	if (service->is_engine && !call->is_completion)
+		return call_reject(error, HTTP_BADREQUEST, "path",
+				   "this service is a model: use "
+				   "/v1/completions");
+	if (!service->is_engine && call->is_completion)
+		return call_reject(error, HTTP_BADREQUEST, "model",
+				   "this service is no model: use "
+				   "/v1/services/");
+	if (!service->is_idempotent && !call->is_safe && !call->key &&
+	    !call->ticket)
+		return call_reject(error, 428, "Idempotency-Key",
+				   "this service's calls may not be repeated: "
+				   "a key or a ticket is needed");
+	return true;
+}
+
+static bool check_service(front_t *f, call_t *call, call_error_t *error)
+{
+	const profile_service_t *service = front_service(f, call);
+	const profile_t *profile = front_profile(f, call);
+
+	if (!service || !profile)
+		return call_reject(error, HTTP_NOTFOUND, "service",
+				   "no such service is in force");
+	if (!call->tier[0])
+		g_strlcpy(call->tier, service->default_tier,
+			  sizeof(call->tier));
+	if (profile_tier_index(profile, str_from(call->tier)) < 0)
+		return call_reject(error, HTTP_BADREQUEST, "Papaya-Tier",
+				   "the profile has no such tier");
+	return check_kind(service, call, error) &&
+	       check_team(call, profile, error);
+}
+
+/* A ticket is issued to a team that has shown its credential somewhere. */
+static bool check_ticket_team(front_t *f, const call_t *call)
+{
+	GHashTableIter iter;
+	profile_t *profile;
+	bool is_named = false;
+
+	g_hash_table_iter_init(&iter, f->config->profiles);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&profile)) {
+		const profile_team_t *team =
+			profile_team(profile, str_from(call->team));
+
+		if (!team)
+			continue;
+		if (has_credential(team, call))
+			return true;
+		is_named = true;
+	}
+	return !is_named;
+}
+
+static void issue_ticket(front_t *f, struct evhttp_request *req,
+			 const call_t *call)
+{
+	static const caller_ops_t ops;
+	caller_head_t head = { .status = HTTP_OK,
+			       .content_type = "application/json" };
+	unsigned char bytes[TICKET_BYTES];
+	g_autoptr(GString) ticket = g_string_new(NULL);
+	g_autoptr(GBytes) scoped = NULL;
+	g_autofree char *json = NULL;
+	caller_t c;
+
+	if (!check_ticket_team(f, call)) {
+		refuse(f, req, 401, "Authorization",
+		       "the team's credential is expected", 0);
+		return;
+	}
+	if (getrandom(bytes, sizeof(bytes), 0) != (ssize_t)sizeof(bytes)) {
+		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
+		       "no random numbers for a ticket", JOB_RETRY_MS);
+		return;
+	}
+	g_string_printf(ticket, "%s:%016" PRIx64 ":", f->sup->settings->name,
+			f->sup->boot);
+	for (size_t i = 0; i < sizeof(bytes); i++)
+		g_string_append_printf(ticket, "%02x", bytes[i]);
+	scoped = rights_scope(str_from(call->team), str_from(ticket->str));
+	if (!rights_issue(&f->rights, scoped, now_us())) {
+		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
+		       "the table of keys is full", JOB_RETRY_MS);
+		return;
+	}
+	json = g_strdup_printf("{\"ticket\":\"%s\"}", ticket->str);
+	caller_init(&c, f->sup->base, req, &ops, NULL);
+	caller_reply(&c, &head, str_from(json));
+}
+
+/* Joins a repeat to what is known of its key; false when nothing is. */
+static bool answer_repeat(front_t *f, struct evhttp_request *req,
+			  const call_t *call, GBytes *scoped)
+{
+	rights_entry_t *entry = rights_find(&f->rights, scoped);
+
+	if (!entry || entry->state == RIGHTS_ISSUED)
+		return false;
+	metrics_add(&f->sup->metrics, "papaya_repeats_total", NULL, 1);
+	if (entry->fingerprint != call->fingerprint)
+		refuse(f, req, 422,
+		       call->key ? "Idempotency-Key" : "Papaya-Ticket",
+		       "it names another request", 0);
+	else if (entry->state == RIGHTS_ENDED)
+		job_answer_kept(req, f->sup->base, &entry->answer);
+	else
+		job_join(entry->work, req);
+	return true;
+}
+
+static void refuse_ticket(front_t *f, struct evhttp_request *req)
+{
+	static const caller_ops_t ops;
+	caller_head_t head = { .status = 410, .outcome = OUTCOME_UNKNOWN };
+	caller_t c;
+
+	caller_init(&c, f->sup->base, req, &ops, NULL);
+	caller_reply_error(&c, &head, "Papaya-Ticket",
+			   "no such ticket, or it was used long ago");
+}
+
+static bool is_own_ticket(const front_t *f, const char *ticket)
+{
+	char daemon[MEMBER_NAME_SIZE];
+	uint64_t boot;
+
+	return call_ticket_daemon(ticket, daemon, sizeof(daemon), &boot) &&
+	       boot == f->sup->boot && !strcmp(daemon, f->sup->settings->name);
+}
+
+/* True when the ticket can't lead anywhere: no daemon will ever run it. */
+static bool is_dead_ticket(const front_t *f, const call_t *call, GBytes *scoped)
+{
+	char daemon[MEMBER_NAME_SIZE];
+	uint64_t boot;
+
+	if (!call->ticket)
+		return false;
+	if (!call_ticket_daemon(call->ticket, daemon, sizeof(daemon), &boot))
+		return true;
+	if (strcmp(daemon, f->sup->settings->name))
+		return call->is_forwarded;
+	return boot != f->sup->boot || !rights_find(&f->rights, scoped);
+}
+
+static void start_job(front_t *f, struct evhttp_request *req, call_t *call,
+		      GBytes *scoped)
+{
+	const profile_service_t *service = front_service(f, call);
+	const profile_t *profile = front_profile(f, call);
+	int tier = profile_tier_index(profile, str_from(call->tier));
+	bool is_limited = !call->is_forwarded;
+	job_t *job;
+	member_owner_t self = { .kind = MEMBER_OWNER_SELF };
+
+	retry_first(&f->retry, str_from(call->team), (uint32_t)tier);
+	job = job_new(f, call, service, profile, req);
+	job->is_limited = is_limited;
+	if (!scoped) {
+		job_want(job);
+		return;
+	}
+	job->scoped = g_bytes_ref(scoped);
+	if (job->call.ticket && is_own_ticket(f, job->call.ticket))
+		job_located(job, &self);
+	else
+		job_locate(job);
+}
+
+static bool take_limits(front_t *f, struct evhttp_request *req,
+			const call_t *call)
+{
+	uint32_t retry_after_ms = JOB_RETRY_MS;
+
+	if (g_hash_table_size(f->jobs) >= f->sup->settings->max_requests) {
+		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
+		       "too many requests in progress", JOB_RETRY_MS);
+		return false;
+	}
+	/* The daemon that accepted a forwarded request has counted it. */
+	if (call->is_forwarded || limit_take(&f->limit, str_from(call->team),
+					     now_us(), &retry_after_ms))
+		return true;
+	refuse(f, req, 429, "Papaya-Team", "the team's limit is reached",
+	       MAX(retry_after_ms, 1));
+	return false;
+}
+
+/* Answers what needs no job; false when a job is to be started. */
+static bool is_answered(front_t *f, struct evhttp_request *req,
+			const call_t *call, GBytes *scoped)
+{
+	if (scoped && answer_repeat(f, req, call, scoped))
+		return true;
+	if (scoped && is_dead_ticket(f, call, scoped)) {
+		refuse_ticket(f, req);
+		return true;
+	}
+	return !take_limits(f, req, call);
+}
+
+static void accept_call(front_t *f, struct evhttp_request *req, call_t *call)
+{
+	g_autoptr(GBytes) scoped = NULL;
+	const char *key = call->key ? call->key : call->ticket;
+	call_error_t error;
+
+	if (call->is_ticket_request) {
+		issue_ticket(f, req, call);
+		call_finish(call);
+		return;
+	}
+	if (!check_service(f, call, &error)) {
+		refuse(f, req, error.status, error.field, error.message, 0);
+		call_finish(call);
+		return;
+	}
+	if (key)
+		scoped = rights_scope(str_from(call->team), str_from(key));
+	if (is_answered(f, req, call, scoped))
+		call_finish(call);
+	else
+		start_job(f, req, call, scoped);
+}
+
+static void on_request(struct evhttp_request *req, void *arg)
+{
+	front_t *f = arg;
+	call_error_t error;
+	call_t call;
+
+	if (f->is_draining) {
+		evhttp_add_header(evhttp_request_get_output_headers(req),
+				  "Connection", "close");
+		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
+		       "this VM is leaving; ask another", 1);
+		return;
+	}
+	if (!f->config) {
+		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
+		       "no profile is in force yet", JOB_RETRY_MS);
+		return;
+	}
+	if (!call_parse(&call, req, f->sup->settings, &error)) {
+		refuse(f, req, error.status, error.field, error.message, 0);
+		return;
+	}
+	accept_call(f, req, &call);
+}
+
+static limit_terms_t share_of(const front_t *f, const profile_team_t *team)
+{
+	limit_terms_t whole = { team->rate, team->burst, team->concurrency };
+	uint32_t zones = g_strv_length(f->sup->settings->zones);
+
+	return limit_share(whole, 1, zones * f->daemons);
+}
+
+static void apply_limits(front_t *f)
+{
+	GHashTableIter iter;
+	profile_t *profile;
+
+	if (!f->config)
+		return;
+	g_hash_table_iter_init(&iter, f->config->profiles);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&profile)) {
+		limit_terms_t t = share_of(f, &profile->other_teams);
+
+		limit_set_other(&f->limit, t.rate, t.burst, t.concurrency);
+		for (uint32_t i = 0; i < profile->n_teams; i++) {
+			t = share_of(f, &profile->teams[i]);
+			limit_set(&f->limit, str_from(profile->teams[i].name),
+				  t.rate, t.burst, t.concurrency);
+		}
+	}
+}
+
+static void take_config(front_t *f, config_view_t *config)
+{
+	if (f->config == config)
+		return;
+	config_view_unref(f->config);
+	f->config = config_view_ref(config);
+	apply_limits(f);
+}
+
+static void take_list(front_t *f, const vm_view_t *vms)
+{
+	uint32_t daemons = 0;
+
+	for (guint i = 0; i < vms->entries->len; i++)
+		daemons += !strcmp(
+			g_array_index(vms->entries, member_vm_t, i).zone,
+			f->sup->settings->zone);
+	daemons = MAX(daemons, 1);
+	if (daemons == f->daemons)
+		return;
+	f->daemons = daemons;
+	apply_limits(f);
+}
+
+static void count_foreign(front_t *f)
+{
+	metrics_add(&f->sup->metrics, "papaya_foreign_answers_total", NULL, 1);
+}
+
+/* Finds the job that an answer is for; late and foreign ones are dropped. */
+static job_t *find_job(front_t *f, uint64_t owner, uint64_t attempt)
+{
+	job_t *job = owner == f->sup->boot ?
+			     g_hash_table_lookup(f->jobs, &attempt) :
+			     NULL;
+
+	if (!job || job->state == JOB_ENDED) {
+		count_foreign(f);
+		return NULL;
+	}
+	return job;
+}
+
+/* A grant that nobody takes would hold capacity until it expires. */
+static void return_grant(front_t *f, const message_t *m)
+{
+	message_t back = *m;
+
+	back.type = MESSAGE_WITHDRAW;
+	supervisor_post(f->sup, TASK_PEERS, &back);
+}
+
+static void take_capacity(front_t *f, const message_t *m)
+{
+	const message_capacity_t *c = &m->capacity;
+	job_t *job = find_job(f, c->want.id.owner, c->want.id.attempt);
+
+	if (!job) {
+		if (m->type == MESSAGE_GRANT && c->service[0])
+			return_grant(f, m);
+		return;
+	}
+	if (m->type == MESSAGE_ROUTED)
+		job_routed(job, c->peer);
+	else if (job->is_routed && strcmp(job->dispatcher, c->peer))
+		count_foreign(f);
+	else if (m->type == MESSAGE_GRANT)
+		job_granted(job, &c->runner);
+	else if (m->type == MESSAGE_REFUSE)
+		job_refused(job, c->reason, c->retry_after_ms);
+	else
+		job_preempted(job);
+}
+
+static void each_job(front_t *f, void (*fn)(job_t *job))
+{
+	GHashTableIter iter;
+	job_t *job;
+
+	g_hash_table_iter_init(&iter, f->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&job))
+		fn(job);
+}
+
+static void drain(front_t *f)
+{
+	f->is_draining = true;
+	f->drain_until = now_us() + f->sup->settings->drain_ms * 1000;
+	if (f->socket)
+		evhttp_del_accept_socket(f->http, f->socket);
+	f->socket = NULL;
+}
+
+static void handle(void *state, const message_t *m)
+{
+	front_t *f = state;
+	job_t *job;
+
+	switch (m->type) {
+	case MESSAGE_CONFIG:
+		take_config(f, m->config);
+		break;
+	case MESSAGE_VMS:
+		take_list(f, m->vms);
+		break;
+	case MESSAGE_LOCATED:
+		job = find_job(f, f->sup->boot, m->locate.attempt);
+		if (job)
+			job_located(job, &m->locate.owner);
+		break;
+	case MESSAGE_ROUTED:
+	case MESSAGE_GRANT:
+	case MESSAGE_REFUSE:
+	case MESSAGE_CANCEL:
+		take_capacity(f, m);
+		break;
+	case MESSAGE_VIEW_CHANGED:
+		each_job(f, job_view_changed);
+		break;
+	case MESSAGE_DRAIN:
+		drain(f);
+		break;
+	default:
+		break;
+	}
+}
+
+static gboolean is_ended(gpointer key, gpointer value, gpointer data)
+{
+	return ((job_t *)value)->state == JOB_ENDED;
+}
+
+static void end_when_drained(front_t *f)
+{
+	guint left = g_hash_table_size(f->jobs);
+
+	if (!f->is_draining || (left && now_us() < f->drain_until))
+		return;
+	log_info("drained with %u requests left", left);
+	f->drain_until = INT64_MAX;
+	f->is_draining = false;
+	supervisor_post(f->sup, TASK_ACCOUNTS,
+			&(message_t){ .type = MESSAGE_DRAINED });
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	front_t *f = arg;
+	int64_t now = now_us();
+	GHashTableIter iter;
+	job_t *job;
+
+	g_hash_table_iter_init(&iter, f->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&job))
+		job_tick(job, now);
+	g_hash_table_foreach_remove(f->jobs, is_ended, NULL);
+	rights_expire(&f->rights, now);
+	metrics_set(&f->sup->metrics, "papaya_requests_in_progress", NULL,
+		    g_hash_table_size(f->jobs));
+	metrics_set(&f->sup->metrics, "papaya_keys", NULL,
+		    g_hash_table_size(f->rights.entries));
+	end_when_drained(f);
+}
+
+static bool listen_for_callers(front_t *f, err_t *err)
+{
+	const settings_t *s = f->sup->settings;
+	struct timeval idle = { s->caller_idle_ms / 1000,
+				(s->caller_idle_ms % 1000) * 1000 };
+	char ip[MEMBER_NAME_SIZE];
+	uint16_t port;
+
+	if (!http_split_address(s->listen, ip, sizeof(ip), &port, err))
+		return false;
+	f->http = evhttp_new(f->sup->base);
+	evhttp_set_allowed_methods(f->http, METHODS);
+	evhttp_set_max_body_size(f->http, s->max_body_kib * 1024);
+	evhttp_set_max_headers_size(f->http, MAX_HEADERS);
+	evhttp_set_timeout_tv(f->http, &idle);
+	evhttp_set_gencb(f->http, on_request, f);
+	f->socket = evhttp_bind_socket_with_handle(f->http, ip, port);
+	if (f->socket)
+		return true;
+	evhttp_free(f->http);
+	return err_set(err, ERR_SYSTEM, "listen for callers", s->listen,
+		       "the address can't be bound");
+}
+
+static void init_tables(front_t *f)
+{
+	const settings_t *s = f->sup->settings;
+	rights_config_t config = {
+		.max_entries = (uint32_t)s->max_keys,
+		.max_bytes = (uint64_t)s->max_kept_kib * 1024,
+		.keep = s->retry_horizon_ms * 1000,
+		.ticket_life = s->ticket_life_ms * 1000,
+	};
+
+	rights_init(&f->rights, &config);
+	limit_init(&f->limit, MAX_TEAMS, now_us());
+	retry_init(&f->retry, retry_ratio, MAX_BUDGETS,
+		   g_rand_int(f->sup->rand));
+	f->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					job_free);
+	f->daemons = 1;
+}
+
+static void *start(supervisor_t *sup, err_t *err)
+{
+	front_t *f = g_new0(front_t, 1);
+
+	f->sup = sup;
+	if (!listen_for_callers(f, err)) {
+		g_free(f);
+		return NULL;
+	}
+	init_tables(f);
+	f->timer = supervisor_every(sup, TICK_MS, on_timer, f);
+	return f;
+}
+
+static void stop(void *state)
+{
+	front_t *f = state;
+
+	event_free(f->timer);
+	g_hash_table_destroy(f->jobs);
+	evhttp_free(f->http);
+	rights_finish(&f->rights);
+	limit_finish(&f->limit);
+	retry_finish(&f->retry);
+	config_view_unref(f->config);
+	g_free(f);
+}
+
+const task_spec_t front_task = { "front", 2, start, handle, stop };
--- /dev/null
+++ b/daemon/job.c
@@ -0,0 +1,411 @@
+#define LOG_PART "job"
+
+#include "daemon/job.h"
+
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "daemon/metrics.h"
+
+enum { MAX_RETRY_MS = 3600 * 1000 };
+
+static void on_gone(void *ctx, caller_t *caller)
+{
+	job_t *job = ctx;
+
+	g_ptr_array_remove(job->callers, caller);
+	if (!job->callers->len)
+		job_abandon(job);
+	else
+		job_pace(job);
+}
+
+static void on_drained(void *ctx, caller_t *caller)
+{
+	job_pace(ctx);
+}
+
+static const caller_ops_t caller_ops = { on_gone, on_drained };
+
+static caller_t *add_caller(job_t *job, struct evhttp_request *req)
+{
+	caller_t *c = g_new0(caller_t, 1);
+
+	caller_init(c, job->front->sup->base, req, &caller_ops, job);
+	g_ptr_array_add(job->callers, c);
+	return c;
+}
+
+static void free_caller(void *data)
+{
+	caller_finish(data);
+	g_free(data);
+}
+
+static void set_need(job_t *job, const profile_t *profile)
+{
+	int tier = profile_tier_index(profile, str_from(job->call.tier));
+	int64_t need_ms = job->call.need_ms;
+
+	if (tier >= 0) {
+		job->is_protected = profile->tiers[tier].is_protected;
+		if (!need_ms)
+			need_ms = profile->tiers[tier].need_ms;
+	}
+	job->deadline = job->accepted + need_ms * 1000;
+}
+
+job_t *job_new(front_t *f, call_t *call, const profile_service_t *service,
+	       const profile_t *profile, struct evhttp_request *req)
+{
+	job_t *job = g_new0(job_t, 1);
+
+	job->front = f;
+	job->attempt = ++f->next_attempt;
+	job->call = *call;
+	job->state = JOB_LOCATING;
+	job->callers = g_ptr_array_new_with_free_func(free_caller);
+	job->is_engine = service->is_engine;
+	job->accepted = now_us();
+	job->last_sent = job->accepted;
+	job->answer = g_string_new("");
+	job->usage.prompt = call->prompt_tokens;
+	g_snprintf(job->id, sizeof(job->id), "%s-%016" PRIx64 "-%" PRIu64,
+		   f->sup->settings->name, f->sup->boot, job->attempt);
+	set_need(job, profile);
+	g_hash_table_insert(f->jobs, &job->attempt, job);
+	add_caller(job, req);
+	log_debug("request %s: accepted for service %s, team %s, tier %s",
+		  job->id, call->service, call->team, call->tier);
+	return job;
+}
+
+void job_free(void *data)
+{
+	job_t *job = data;
+
+	http_call_finish(&job->upstream);
+	if (job->sse.partial)
+		sse_finish(&job->sse);
+	g_ptr_array_unref(job->callers);
+	call_finish(&job->call);
+	g_clear_pointer(&job->scoped, g_bytes_unref);
+	g_string_free(job->answer, TRUE);
+	g_free(job->content_type);
+	g_free(job);
+}
+
+/* Shows a caller that joins what the others have seen so far. */
+static void catch_up(job_t *job, caller_t *c)
+{
+	caller_head_t head = { .status = job->status,
+			       .content_type = job->content_type,
+			       .request_id = job->id };
+
+	if (!job->is_sse || !job->answer->len)
+		return;
+	if (!job->is_answer_cut) {
+		caller_start(c, &head);
+		caller_send(c, (str_t){ job->answer->str, job->answer->len });
+		return;
+	}
+	head.status = 409;
+	head.outcome = OUTCOME_UNKNOWN;
+	caller_reply_error(c, &head, "Idempotency-Key",
+			   "the answer so far is too long to be repeated");
+	g_ptr_array_remove(job->callers, c);
+}
+
+void job_join(job_t *job, struct evhttp_request *req)
+{
+	catch_up(job, add_caller(job, req));
+}
+
+/* Two calls with one key asked for its owner at once: one of them runs. */
+static void merge(job_t *job, job_t *target)
+{
+	while (job->callers->len) {
+		caller_t *c = g_ptr_array_steal_index(job->callers, 0);
+
+		c->ctx = target;
+		g_ptr_array_add(target->callers, c);
+		catch_up(target, c);
+	}
+	job_dissolve(job);
+}
+
+void job_locate(job_t *job)
+{
+	front_t *f = job->front;
+	const call_t *call = &job->call;
+	message_t m = { .type = MESSAGE_LOCATE,
+			.locate = { .attempt = job->attempt, .mint_age = -1 } };
+	uint64_t boot;
+
+	if (call->ticket) {
+		call_ticket_daemon(call->ticket, m.locate.ticket_daemon,
+				   sizeof(m.locate.ticket_daemon), &boot);
+	} else {
+		int64_t mint_ms = call_key_mint_ms(call->key);
+		int64_t age = g_get_real_time() - mint_ms * 1000;
+
+		m.locate.scoped = g_bytes_ref(job->scoped);
+		m.locate.mint_age = mint_ms < 0 ? -1 : MAX(age, 0);
+		call_key_zone(call->key, f->sup->settings->zones,
+			      m.locate.key_zone, sizeof(m.locate.key_zone));
+	}
+	supervisor_post(f->sup, TASK_PEERS, &m);
+}
+
+/* Claims the right to run a request that this daemon owns. */
+static void begin_owned(job_t *job)
+{
+	front_t *f = job->front;
+	rights_verdict_t verdict;
+	rights_entry_t *entry;
+
+	verdict = rights_begin(&f->rights, job->scoped, job->call.ticket,
+			       job->call.fingerprint, supervisor_epoch(f->sup),
+			       &job->right);
+	if (verdict == RIGHTS_NEW) {
+		job->right->work = job;
+		job_want(job);
+		return;
+	}
+	entry = job->right;
+	job->right = NULL;
+	if (verdict == RIGHTS_JOIN)
+		merge(job, entry->work);
+	else if (verdict == RIGHTS_KEPT)
+		job_repeat_kept(job, &entry->answer);
+	else if (verdict == RIGHTS_MISMATCH)
+		job_fail(job, OUTCOME_NOT_RUN, 422,
+			 "the key names another request", 0);
+	else if (verdict == RIGHTS_NO_TICKET)
+		job_fail(job, OUTCOME_UNKNOWN, 410, "no such ticket", 0);
+	else
+		job_fail(job, OUTCOME_NOT_RUN, HTTP_SERVUNAVAIL,
+			 "the table of keys is full", JOB_RETRY_MS);
+}
+
+static void answer_quiet(job_t *job, const member_owner_t *owner)
+{
+	int64_t wait_ms = (owner->quiet_until - now_us()) / 1000;
+
+	job_fail(job, OUTCOME_UNKNOWN, HTTP_SERVUNAVAIL,
+		 "an earlier call with this key may have run on a daemon "
+		 "that is gone",
+		 (uint32_t)CLAMP(wait_ms, JOB_RETRY_MS, MAX_RETRY_MS));
+}
+
+void job_located(job_t *job, const member_owner_t *owner)
+{
+	if (job->state != JOB_LOCATING)
+		return;
+	switch (owner->kind) {
+	case MEMBER_OWNER_SELF:
+		begin_owned(job);
+		return;
+	case MEMBER_OWNER_QUIET:
+		answer_quiet(job, owner);
+		return;
+	case MEMBER_OWNER_PEER:
+	case MEMBER_OWNER_ZONE:
+		if (job->call.is_forwarded)
+			break;
+		job_forward(job, owner->vm.address);
+		return;
+	case MEMBER_OWNER_NONE:
+		break;
+	}
+	/* An earlier call with the key may have run where we can't see it. */
+	job_fail(job, OUTCOME_UNKNOWN, HTTP_SERVUNAVAIL,
+		 "the owner of the key or ticket can't be reached",
+		 JOB_RETRY_MS);
+}
+
+static void fill_want(const job_t *job, message_capacity_t *c)
+{
+	const call_t *call = &job->call;
+
+	g_strlcpy(c->peer, job->dispatcher, sizeof(c->peer));
+	g_strlcpy(c->service, call->service, sizeof(c->service));
+	g_strlcpy(c->tier, call->tier, sizeof(c->tier));
+	g_strlcpy(c->zone, job->zone, sizeof(c->zone));
+	c->hops = job->zones_tried;
+	c->want.id = (want_id_t){ job->front->sup->boot, job->attempt };
+	g_strlcpy(c->want.team, call->team, sizeof(c->want.team));
+	c->want.prompt_tokens = call->prompt_tokens;
+	c->want.output_tokens = call->output_tokens;
+	c->want.prefix_hash = call->prefix_hash;
+	c->want.deadline = job->deadline;
+	g_strlcpy(c->want.avoid, job->avoid, sizeof(c->want.avoid));
+}
+
+static void post_capacity(job_t *job, message_type_t type, const done_t *done)
+{
+	message_t m = { .type = type };
+
+	fill_want(job, &m.capacity);
+	if (done)
+		m.capacity.done = *done;
+	if (job->state == JOB_SENDING || job->state == JOB_RUNNING)
+		g_strlcpy(m.capacity.running_on, job->runner.name,
+			  sizeof(m.capacity.running_on));
+	supervisor_post(job->front->sup, TASK_PEERS, &m);
+}
+
+void job_want(job_t *job)
+{
+	job->state = JOB_WAITING;
+	post_capacity(job, MESSAGE_WANT, NULL);
+}
+
+void job_tell(job_t *job, message_type_t type, const done_t *done)
+{
+	if (job->is_routed && !job->is_forward)
+		post_capacity(job, type, done);
+}
+
+void job_routed(job_t *job, const char *dispatcher)
+{
+	bool has_moved = job->is_routed && strcmp(job->dispatcher, dispatcher);
+
+	/* The old dispatcher may live on: it must not count the attempt. */
+	if (has_moved)
+		job_tell(job, MESSAGE_WITHDRAW, NULL);
+	job->is_routed = true;
+	g_strlcpy(job->dispatcher, dispatcher, sizeof(job->dispatcher));
+}
+
+void job_granted(job_t *job, const dispatcher_runner_t *runner)
+{
+	if (job->state != JOB_WAITING)
+		return;
+	job->runner = *runner;
+	job->state = JOB_SENDING;
+	metrics_observe(&job->front->sup->metrics, "papaya_wait_ms", NULL,
+			(now_us() - job->accepted) / 1000);
+	log_debug("request %s: granted runner %s", job->id, runner->name);
+	job_dispatch(job);
+}
+
+/* Picks the next zone to ask for capacity; false when all were asked. */
+static bool next_zone(job_t *job)
+{
+	const settings_t *s = job->front->sup->settings;
+	guint n = g_strv_length(s->zones);
+	guint own = 0;
+
+	while (strcmp(s->zones[own], s->zone))
+		own++;
+	if (++job->zones_tried >= n)
+		return false;
+	g_strlcpy(job->zone, s->zones[(own + job->zones_tried) % n],
+		  sizeof(job->zone));
+	job->is_routed = false;
+	return true;
+}
+
+static const char *refusal_text(refuse_reason_t reason)
+{
+	static const char *const texts[] = {
+		[REFUSE_DEADLINE] = "it could not finish within its deadline",
+		[REFUSE_QUEUE_FULL] = "the queue is full",
+		[REFUSE_SHED] = "it gave way to a more urgent tier",
+		[REFUSE_NO_RUNNER] = "the service has no runner",
+		[REFUSE_EXPIRED] = "its deadline passed while it waited",
+	};
+
+	return texts[reason];
+}
+
+void job_refused(job_t *job, refuse_reason_t reason, uint32_t retry_after_ms)
+{
+	bool may_overflow = reason == REFUSE_NO_RUNNER ||
+			    (job->is_protected && reason != REFUSE_EXPIRED);
+
+	if (job->state != JOB_WAITING)
+		return;
+	if (may_overflow && next_zone(job)) {
+		job_want(job);
+		return;
+	}
+	job->is_routed = false;
+	job_fail(job, OUTCOME_NOT_RUN, HTTP_SERVUNAVAIL, refusal_text(reason),
+		 MAX(retry_after_ms, 1));
+}
+
+void job_preempted(job_t *job)
+{
+	if (job->state != JOB_RUNNING || !job->is_engine)
+		return;
+	job_fail(job, OUTCOME_FAILED, HTTP_SERVUNAVAIL,
+		 "cancelled to make room for a more urgent tier", JOB_RETRY_MS);
+}
+
+/* Dispatchers may have moved, and what was on its way may be lost. */
+void job_view_changed(job_t *job)
+{
+	if (job->is_forward || job->state == JOB_LOCATING ||
+	    job->state == JOB_ENDED)
+		return;
+	post_capacity(job, MESSAGE_WANT, NULL);
+}
+
+static void send_keepalive(job_t *job, int64_t now)
+{
+	static const char comment[] = ": keep-alive\n\n";
+
+	job->last_sent = now;
+	for (guint i = 0; i < job->callers->len; i++) {
+		caller_t *c = g_ptr_array_index(job->callers, i);
+
+		if (c->is_started)
+			caller_send(c, STR_LIT(comment));
+	}
+}
+
+/* Drops callers that leave their answer unread for too long. */
+static void drop_slow_callers(job_t *job, int64_t now)
+{
+	int64_t limit = job->front->sup->settings->slow_caller_ms * 1000;
+
+	for (guint i = job->callers->len; i-- > 0;) {
+		caller_t *c = g_ptr_array_index(job->callers, i);
+
+		if (!c->behind_since || now - c->behind_since < limit)
+			continue;
+		log_info("request %s: caller left its answer unread", job->id);
+		g_ptr_array_remove_index(job->callers, i);
+	}
+	if (!job->callers->len)
+		job_abandon(job);
+}
+
+static void give_up_late(job_t *job)
+{
+	if (!job->is_dispatched)
+		job_fail(job, OUTCOME_NOT_RUN, HTTP_SERVUNAVAIL,
+			 refusal_text(REFUSE_EXPIRED), JOB_RETRY_MS);
+	else if (job->is_engine)
+		job_fail(job, OUTCOME_FAILED, 504,
+			 "cancelled: its deadline passed", JOB_RETRY_MS);
+}
+
+void job_tick(job_t *job, int64_t now)
+{
+	const settings_t *s = job->front->sup->settings;
+
+	if (job->state == JOB_ENDED)
+		return;
+	/* The owner of a forwarded request keeps its deadline. */
+	if (now >= job->deadline && !job->is_forward) {
+		give_up_late(job);
+		if (job->state == JOB_ENDED)
+			return;
+	}
+	if (job->is_sse && now - job->last_sent > s->keepalive_ms * 1000)
+		send_keepalive(job, now);
+	drop_slow_callers(job, now);
+}
--- /dev/null
+++ b/daemon/job_answer.c
@@ -0,0 +1,286 @@
+#define LOG_PART "job"
+
+#include "daemon/job.h"
+
+#include "common/log.h"
+
+static void account(job_t *job, outcome_t outcome, bool is_caller_gone,
+		    waste_cause_t cause)
+{
+	bool in_need = now_us() <= job->deadline;
+	accounts_sum_t *sum;
+	message_t m = { .type = MESSAGE_ACCOUNT };
+
+	if (job->is_forward)
+		return;
+	g_strlcpy(m.account.key.service, job->call.service,
+		  sizeof(m.account.key.service));
+	g_strlcpy(m.account.key.tier, job->call.tier,
+		  sizeof(m.account.key.tier));
+	g_strlcpy(m.account.key.team, job->call.team,
+		  sizeof(m.account.key.team));
+	sum = &m.account.delta;
+	sum->offered = 1;
+	if (is_caller_gone)
+		sum->cancelled = 1;
+	else if (outcome == OUTCOME_COMPLETED && in_need)
+		sum->in_need = 1;
+	else if (outcome == OUTCOME_COMPLETED)
+		sum->late = 1;
+	else if (outcome == OUTCOME_NOT_RUN)
+		sum->not_run = 1;
+	else if (outcome == OUTCOME_FAILED)
+		sum->failed = 1;
+	else
+		sum->unknown = 1;
+	if (sum->in_need) {
+		sum->prompt_useful = job->usage.prompt;
+		sum->output_useful = job->usage.output;
+	} else if (job->is_dispatched) {
+		sum->prompt_wasted[cause] = job->usage.prompt;
+		sum->output_wasted[cause] = job->usage.output;
+	}
+	supervisor_post(job->front->sup, TASK_ACCOUNTS, &m);
+}
+
+static void tell_done(job_t *job, done_result_t result)
+{
+	done_t done = { .result = result,
+			.prompt_tokens = job->usage.prompt,
+			.output_tokens = job->usage.output,
+			.cached_tokens = job->usage.cached };
+
+	if (job->state == JOB_SENDING || job->state == JOB_RUNNING)
+		job_tell(job, MESSAGE_DONE, &done);
+	else
+		job_tell(job, MESSAGE_WITHDRAW, NULL);
+}
+
+/* Keeps the final answer for repeats, or gives the right back. */
+static void settle_right(job_t *job, const rights_answer_t *answer)
+{
+	front_t *f = job->front;
+
+	if (!job->right)
+		return;
+	if (job->is_dispatched)
+		rights_end(&f->rights, job->right, answer, now_us());
+	else
+		rights_release(&f->rights, job->right, now_us());
+	job->right = NULL;
+}
+
+static void count_outcome(job_t *job, outcome_t outcome)
+{
+	g_autofree char *labels = g_strdup_printf(
+		"service=\"%s\",tier=\"%s\",outcome=\"%s\"", job->call.service,
+		job->call.tier, outcome_name(outcome));
+
+	metrics_add(&job->front->sup->metrics, "papaya_requests_total", labels,
+		    1);
+	log_info("request %s: %s after %lld ms", job->id, outcome_name(outcome),
+		 (long long)(now_us() - job->accepted) / 1000);
+}
+
+/* Ends the job; it is freed by the front's next turn. */
+static void end(job_t *job)
+{
+	if (job->is_limited)
+		limit_release(&job->front->limit, str_from(job->call.team));
+	job->is_limited = false;
+	http_call_finish(&job->upstream);
+	g_ptr_array_set_size(job->callers, 0);
+	job->state = JOB_ENDED;
+}
+
+static void reply_all(job_t *job, const caller_head_t *head, str_t body)
+{
+	for (guint i = 0; i < job->callers->len; i++) {
+		caller_t *c = g_ptr_array_index(job->callers, i);
+
+		if (c->is_started)
+			caller_end(c);
+		else
+			caller_reply(c, head, body);
+	}
+}
+
+void job_complete(job_t *job)
+{
+	bool is_ok = job->status < HTTP_BADREQUEST;
+	outcome_t outcome = is_ok ? OUTCOME_COMPLETED : OUTCOME_FAILED;
+	str_t body = { job->answer->str, job->answer->len };
+	caller_head_t head = { .status = job->status,
+			       .content_type = job->content_type,
+			       .outcome = outcome,
+			       .request_id = job->id };
+	g_autoptr(GBytes) kept =
+		job->is_answer_cut ? NULL : g_bytes_new(body.ptr, body.len);
+	rights_answer_t answer = { outcome, job->status, job->content_type,
+				   kept };
+
+	reply_all(job, &head, body);
+	settle_right(job, &answer);
+	account(job, outcome, false,
+		is_ok ? WASTE_DEADLINE : WASTE_RUNNER_FAILED);
+	tell_done(job, is_ok ? DONE_COMPLETED : DONE_FAILED);
+	count_outcome(job, outcome);
+	end(job);
+}
+
+static void end_stream_in_error(caller_t *c, const char *json)
+{
+	g_autofree char *event = g_strdup_printf("data: %s\n\n", json);
+
+	caller_send(c, str_from(event));
+	caller_end(c);
+}
+
+static waste_cause_t cause_of(const job_t *job, outcome_t outcome)
+{
+	if (now_us() >= job->deadline)
+		return WASTE_DEADLINE;
+	if (outcome == OUTCOME_UNKNOWN)
+		return WASTE_RUNNER_FAILED;
+	return WASTE_PREEMPTED;
+}
+
+void job_fail(job_t *job, outcome_t outcome, int status, const char *message,
+	      uint32_t retry_after_ms)
+{
+	g_autofree char *json =
+		caller_error_json(message, NULL, outcome, job->id);
+	g_autoptr(GBytes) kept = g_bytes_new(json, strlen(json));
+	rights_answer_t answer = { outcome, status, "application/json", kept };
+	caller_head_t head = { .status = status,
+			       .content_type = "application/json",
+			       .outcome = outcome,
+			       .request_id = job->id,
+			       .retry_after_ms = retry_after_ms };
+
+	log_info("request %s: %s: %s", job->id, outcome_name(outcome), message);
+	for (guint i = 0; i < job->callers->len; i++) {
+		caller_t *c = g_ptr_array_index(job->callers, i);
+
+		if (c->is_started)
+			end_stream_in_error(c, json);
+		else
+			caller_reply(c, &head, str_from(json));
+	}
+	settle_right(job, &answer);
+	account(job, outcome, false, cause_of(job, outcome));
+	tell_done(job,
+		  outcome == OUTCOME_UNKNOWN ? DONE_BROKEN : DONE_CANCELLED);
+	count_outcome(job, outcome);
+	end(job);
+}
+
+void job_relay(job_t *job)
+{
+	caller_head_t head = { .status = job->status,
+			       .content_type = job->content_type,
+			       .outcome = job->forwarded_outcome,
+			       .request_id = job->id,
+			       .retry_after_ms = job->forwarded_retry_ms };
+
+	reply_all(job, &head, (str_t){ job->answer->str, job->answer->len });
+	count_outcome(job, job->forwarded_outcome);
+	end(job);
+}
+
+/* A call that may not be cut, or whose caller may ask again, runs on. */
+static bool runs_on(const job_t *job)
+{
+	if (job->is_forward || !job->is_dispatched)
+		return false;
+	return job->right || !job->is_engine;
+}
+
+void job_abandon(job_t *job)
+{
+	rights_answer_t none = { OUTCOME_UNKNOWN, HTTP_SERVUNAVAIL, NULL,
+				 NULL };
+
+	if (job->state == JOB_ENDED)
+		return;
+	if (runs_on(job)) {
+		job_pace(job);
+		return;
+	}
+	settle_right(job, &none);
+	account(job, OUTCOME_NONE, true, WASTE_CALLER_LEFT);
+	tell_done(job, DONE_CANCELLED);
+	log_info("request %s: its caller left", job->id);
+	end(job);
+}
+
+static void keep_event(job_t *job, str_t raw)
+{
+	size_t max = (size_t)job->front->sup->settings->max_answer_kib * 1024;
+
+	if (!job->right || job->is_answer_cut)
+		return;
+	if (job->answer->len + raw.len > max) {
+		job->is_answer_cut = true;
+		return;
+	}
+	g_string_append_len(job->answer, raw.ptr, (gssize)raw.len);
+}
+
+void job_stream(job_t *job, str_t raw)
+{
+	caller_head_t head = { .status = job->status,
+			       .content_type = job->content_type,
+			       .request_id = job->id };
+
+	keep_event(job, raw);
+	job->last_sent = now_us();
+	for (guint i = 0; i < job->callers->len; i++) {
+		caller_t *c = g_ptr_array_index(job->callers, i);
+
+		caller_start(c, &head);
+		caller_send(c, raw);
+	}
+	job_pace(job);
+}
+
+static void reply_kept(caller_t *c, const rights_answer_t *answer)
+{
+	caller_head_t head = { .status = answer->status,
+			       .content_type = answer->content_type,
+			       .outcome = answer->outcome };
+	gsize len = 0;
+	const char *body;
+
+	if (answer->body) {
+		body = g_bytes_get_data(answer->body, &len);
+		caller_reply(c, &head, (str_t){ body ? body : "", len });
+		return;
+	}
+	head.status = 410;
+	caller_reply_error(c, &head, "Idempotency-Key",
+			   "the request ended; its answer was too long to be "
+			   "kept");
+}
+
+void job_repeat_kept(job_t *job, const rights_answer_t *answer)
+{
+	for (guint i = 0; i < job->callers->len; i++)
+		reply_kept(g_ptr_array_index(job->callers, i), answer);
+	end(job);
+}
+
+void job_dissolve(job_t *job)
+{
+	end(job);
+}
+
+void job_answer_kept(struct evhttp_request *req, struct event_base *base,
+		     const rights_answer_t *answer)
+{
+	static const caller_ops_t ops;
+	caller_t c;
+
+	caller_init(&c, base, req, &ops, NULL);
+	reply_kept(&c, answer);
+}
--- /dev/null
+++ b/daemon/main.c
@@ -0,0 +1,116 @@
+/* papayad: the daemon on every entry VM. */
+#define LOG_PART "main"
+
+#include <argtable2.h>
+#include <event2/event.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/log.h"
+#include "daemon/supervisor.h"
+
+#define VERSION "0.1.0"
+
+enum { EXIT_USAGE = 2 };
+
+static const task_spec_t *const tasks[TASK_COUNT] = {
+	[TASK_PLATFORM] = &platform_task, [TASK_PEERS] = &peers_task,
+	[TASK_CAPACITY] = &capacity_task, [TASK_FRONT] = &front_task,
+	[TASK_ACCOUNTS] = &accounts_task, [TASK_ADMIN] = &admin_task,
+};
+
+static void on_terminate(evutil_socket_t fd, short what, void *arg)
+{
+	supervisor_drain(arg);
+}
+
+static int run(const settings_t *settings)
+{
+	struct event_base *base = event_base_new();
+	struct event *term, *intr;
+	supervisor_t sup;
+	char text[ERR_DETAIL_SIZE * 2];
+	err_t err = { 0 };
+	int status = EXIT_FAILURE;
+
+	signal(SIGPIPE, SIG_IGN);
+	supervisor_init(&sup, base, settings);
+	term = evsignal_new(base, SIGTERM, on_terminate, &sup);
+	intr = evsignal_new(base, SIGINT, on_terminate, &sup);
+	event_add(term, NULL);
+	event_add(intr, NULL);
+	if (!supervisor_start(&sup, tasks, &err)) {
+		log_error("%s", err_text(&err, text, sizeof(text)));
+		goto out;
+	}
+	log_info("%s of zone %s serves callers at %s", settings->name,
+		 settings->zone, settings->listen);
+	event_base_dispatch(base);
+	status = supervisor_has_given_up(&sup) ? EXIT_FAILURE : EXIT_SUCCESS;
+	log_info("ended");
+out:
+	supervisor_finish(&sup);
+	event_free(term);
+	event_free(intr);
+	event_base_free(base);
+	return status;
+}
+
+static int start(const char *path, bool only_check)
+{
+	settings_t settings;
+	char text[ERR_DETAIL_SIZE * 2];
+	err_t err = { 0 };
+	int status;
+
+	if (!settings_load(&settings, path, &err)) {
+		fprintf(stderr, "papayad: %s\n",
+			err_text(&err, text, sizeof(text)));
+		return EXIT_USAGE;
+	}
+	if (only_check) {
+		printf("%s: settings are in order\n", path);
+		status = EXIT_SUCCESS;
+	} else {
+		log_init(settings.log_level);
+		status = run(&settings);
+	}
+	settings_finish(&settings);
+	return status;
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_lit *version = arg_lit0("V", "version", "print the version");
+	struct arg_lit *check =
+		arg_lit0(NULL, "check-settings", "check the settings and exit");
+	struct arg_lit *print = arg_lit0(NULL, "print-settings",
+					 "print every setting as Markdown");
+	struct arg_file *file = arg_file0(NULL, NULL, "SETTINGS",
+					  "settings, JSON with comments");
+	struct arg_end *end = arg_end(8);
+	void *table[] = { help, version, check, print, file, end };
+	int n_errors = arg_parse(argc, argv, table);
+	int status = EXIT_SUCCESS;
+
+	if (help->count) {
+		printf("usage: papayad");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-20s %s\n");
+	} else if (version->count) {
+		printf("papayad %s\n", VERSION);
+	} else if (print->count) {
+		settings_print_markdown(stdout);
+	} else if (n_errors || !file->count) {
+		arg_print_errors(stderr, end, "papayad");
+		fprintf(stderr, "papayad: a settings file is needed; "
+				"see papayad --help\n");
+		status = EXIT_USAGE;
+	} else {
+		status = start(file->filename[0], check->count);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return status;
+}
--- /dev/null
+++ b/daemon/message.c
@@ -0,0 +1,121 @@
+#include "daemon/message.h"
+
+const profile_service_t *config_view_service(const config_view_t *v,
+					     const char *name)
+{
+	return v ? g_hash_table_lookup(v->services, name) : NULL;
+}
+
+const profile_t *config_view_profile(const config_view_t *v, const char *name)
+{
+	return v ? g_hash_table_lookup(v->profiles, name) : NULL;
+}
+
+static void free_profile(void *data)
+{
+	profile_finish(data);
+	g_free(data);
+}
+
+config_view_t *config_view_new(void)
+{
+	config_view_t *v = g_rc_box_new0(config_view_t);
+
+	v->services =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	v->profiles = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    free_profile);
+	return v;
+}
+
+config_view_t *config_view_ref(config_view_t *v)
+{
+	return g_rc_box_acquire(v);
+}
+
+static void clear_config_view(void *data)
+{
+	config_view_t *v = data;
+
+	g_hash_table_destroy(v->services);
+	g_hash_table_destroy(v->profiles);
+}
+
+void config_view_unref(config_view_t *v)
+{
+	if (v)
+		g_rc_box_release_full(v, clear_config_view);
+}
+
+vm_view_t *vm_view_new(const member_vm_t *entries, size_t n,
+		       const log_runner_t *runners, size_t n_runners)
+{
+	vm_view_t *v = g_rc_box_new0(vm_view_t);
+
+	v->entries = g_array_sized_new(FALSE, FALSE, sizeof(*entries), n);
+	g_array_append_vals(v->entries, entries, n);
+	v->runners =
+		g_array_sized_new(FALSE, FALSE, sizeof(*runners), n_runners);
+	g_array_append_vals(v->runners, runners, n_runners);
+	return v;
+}
+
+vm_view_t *vm_view_ref(vm_view_t *v)
+{
+	return g_rc_box_acquire(v);
+}
+
+static void clear_vm_view(void *data)
+{
+	vm_view_t *v = data;
+
+	g_array_free(v->entries, TRUE);
+	g_array_free(v->runners, TRUE);
+}
+
+void vm_view_unref(vm_view_t *v)
+{
+	if (v)
+		g_rc_box_release_full(v, clear_vm_view);
+}
+
+static void clear_doc(void *data)
+{
+	config_doc_t *doc = data;
+
+	g_clear_pointer(&doc->body, g_bytes_unref);
+}
+
+GArray *message_docs_new(void)
+{
+	GArray *docs = g_array_new(FALSE, TRUE, sizeof(config_doc_t));
+
+	g_array_set_clear_func(docs, clear_doc);
+	return docs;
+}
+
+void message_finish(message_t *m)
+{
+	switch (m->type) {
+	case MESSAGE_CONFIG:
+		config_view_unref(m->config);
+		break;
+	case MESSAGE_VMS:
+		vm_view_unref(m->vms);
+		break;
+	case MESSAGE_CONFIG_SEND:
+	case MESSAGE_CONFIG_RELAYED:
+		g_clear_pointer(&m->docs.docs, g_array_unref);
+		break;
+	case MESSAGE_LOCATE:
+	case MESSAGE_LOCATED:
+		g_clear_pointer(&m->locate.scoped, g_bytes_unref);
+		break;
+	case MESSAGE_APPEND:
+	case MESSAGE_APPENDED:
+		g_clear_pointer(&m->append.data, g_bytes_unref);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/daemon/message.h
@@ -0,0 +1,133 @@
+/*
+ * The typed messages by which the daemon's tasks talk. A message belongs to
+ * the supervisor from the moment it is posted.
+ */
+#ifndef DAEMON_MESSAGE_H
+#define DAEMON_MESSAGE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/err.h"
+#include "core/accounts.h"
+#include "core/config_fold.h"
+#include "core/dispatcher.h"
+#include "core/member.h"
+#include "core/profile.h"
+#include "platform/log_client.h"
+
+/* All documents in force, parsed; immutable and reference counted. */
+typedef struct config_view {
+	GHashTable *services; /* name to profile_service_t */
+	GHashTable *profiles; /* name to profile_t */
+} config_view_t;
+
+config_view_t *config_view_new(void);
+config_view_t *config_view_ref(config_view_t *v);
+void config_view_unref(config_view_t *v);
+/* Both return NULL when V is NULL or has no such name. */
+const profile_service_t *config_view_service(const config_view_t *v,
+					     const char *name);
+const profile_t *config_view_profile(const config_view_t *v, const char *name);
+
+/* The platform's VM list; immutable and reference counted. */
+typedef struct vm_view {
+	GArray *entries; /* member_vm_t */
+	GArray *runners; /* log_runner_t */
+} vm_view_t;
+
+vm_view_t *vm_view_new(const member_vm_t *entries, size_t n,
+		       const log_runner_t *runners, size_t n_runners);
+vm_view_t *vm_view_ref(vm_view_t *v);
+void vm_view_unref(vm_view_t *v);
+
+typedef enum message_type {
+	MESSAGE_CONFIG, /* platform to all: documents in force */
+	MESSAGE_CONFIG_NEXT, /* platform to peers: folded up to here */
+	MESSAGE_CONFIG_ASK, /* peers to platform: a peer is behind */
+	MESSAGE_CONFIG_SEND, /* platform to peers: documents for it */
+	MESSAGE_CONFIG_RELAYED, /* peers to platform: from another daemon */
+	MESSAGE_VMS, /* platform to all: the VM list */
+	MESSAGE_LOCATE, /* front to peers: who owns this key? */
+	MESSAGE_LOCATED, /* peers to front */
+	MESSAGE_WANT, /* front to peers to capacity */
+	MESSAGE_ROUTED, /* peers to front: which dispatcher has the want */
+	MESSAGE_GRANT, /* capacity to peers to front */
+	MESSAGE_REFUSE, /* likewise */
+	MESSAGE_CANCEL, /* likewise */
+	MESSAGE_WITHDRAW, /* front to peers to capacity */
+	MESSAGE_FIRST_TOKEN, /* likewise */
+	MESSAGE_DONE, /* likewise */
+	MESSAGE_OWNER_LOST, /* peers to capacity: a daemon is dead */
+	MESSAGE_VIEW_CHANGED, /* peers to front: ask dispatchers anew */
+	MESSAGE_ACCOUNT, /* front to accounts */
+	MESSAGE_APPEND, /* accounts to platform */
+	MESSAGE_APPENDED, /* platform to accounts */
+	MESSAGE_DRAIN, /* supervisor to all */
+	MESSAGE_DRAINED, /* front to accounts: append the rest and end */
+} message_type_t;
+
+/* Documents on their way from or to a peer. */
+typedef struct message_docs {
+	char peer[MEMBER_NAME_SIZE];
+	uint64_t next; /* ASK: the peer's; else the sender's next offset */
+	GArray *docs; /* config_doc_t, each with a reference to its body */
+} message_docs_t;
+
+/* Where the owner of a key or ticket is asked for. */
+typedef struct message_locate {
+	uint64_t attempt;
+	GBytes *scoped; /* team and key; unused for a ticket */
+	char key_zone[MEMBER_NAME_SIZE]; /* zone prefix of the key, or "" */
+	int64_t mint_age; /* microseconds, or -1 */
+	char ticket_daemon[MEMBER_NAME_SIZE]; /* "" for a key */
+	member_owner_t owner; /* LOCATED */
+} message_locate_t;
+
+/* What travels between an owner and a dispatcher. */
+typedef struct message_capacity {
+	char peer[MEMBER_NAME_SIZE]; /* the other daemon; "" for this one */
+	char service[MEMBER_NAME_SIZE];
+	char tier[MEMBER_NAME_SIZE];
+	char zone[MEMBER_NAME_SIZE]; /* whose dispatcher is asked; WANT */
+	char running_on[MEMBER_NAME_SIZE]; /* WANT: it holds a grant there */
+	want_t want; /* deadline on the local clock */
+	dispatcher_runner_t runner; /* GRANT */
+	refuse_reason_t reason; /* REFUSE */
+	uint32_t retry_after_ms; /* REFUSE */
+	done_t done; /* DONE */
+	uint32_t hops; /* WANT */
+} message_capacity_t;
+
+typedef struct message_account {
+	accounts_key_t key;
+	accounts_sum_t delta;
+} message_account_t;
+
+typedef struct message_append {
+	uint64_t seq;
+	GBytes *data;
+	bool is_ok; /* APPENDED */
+} message_append_t;
+
+typedef struct message {
+	message_type_t type;
+	union {
+		config_view_t *config;
+		vm_view_t *vms;
+		uint64_t number; /* CONFIG_NEXT, OWNER_LOST */
+		message_docs_t docs; /* CONFIG_ASK, SEND, RELAYED */
+		message_locate_t locate;
+		message_capacity_t capacity;
+		message_account_t account;
+		message_append_t append;
+	};
+} message_t;
+
+/* Frees what a message holds, not the message itself. */
+void message_finish(message_t *m);
+/* Returns an array of documents that lets go of their bodies when freed. */
+GArray *message_docs_new(void);
+
+#endif
--- /dev/null
+++ b/daemon/peers_task.c
@@ -0,0 +1,481 @@
+/*
+ * Keeps links to other daemons, follows membership, answers who owns a key,
+ * and carries what owners and dispatchers say to each other.
+ */
+#define LOG_PART "peers"
+
+#include "common/log.h"
+#include "daemon/frames.h"
+#include "daemon/supervisor.h"
+
+enum {
+	MAX_MEMBERS = 1024,
+	MAX_BACKLOG = 4 << 20, /* bytes a link */
+	NO_RUNNER_RETRY_MS = 1000,
+};
+
+typedef struct peers {
+	supervisor_t *sup;
+	member_vm_t self;
+	member_t member;
+	peer_t peer;
+	GHashTable *incarnations; /* name to the last live incarnation */
+	struct event *timer;
+	uint64_t config_next;
+	uint64_t epoch;
+	bool is_draining;
+} peers_t;
+
+static uint64_t new_incarnation(supervisor_t *sup)
+{
+	return (uint64_t)g_rand_int(sup->rand) << 32 | g_rand_int(sup->rand);
+}
+
+static void on_probe(void *ctx, const member_vm_t *vm)
+{
+	peers_t *p = ctx;
+
+	log_info("testing silent daemon %s by a new connection", vm->name);
+	peer_probe(&p->peer, vm);
+}
+
+static void post_owner_lost(peers_t *p, const char *name)
+{
+	message_t m = { .type = MESSAGE_OWNER_LOST };
+
+	g_strlcpy(m.capacity.peer, name, sizeof(m.capacity.peer));
+	supervisor_post(p->sup, TASK_CAPACITY, &m);
+}
+
+static void note_state(void *ctx, const member_vm_t *vm, member_state_t state,
+		       uint64_t incarnation, int64_t heard_age)
+{
+	peers_t *p = ctx;
+	bool was_live = g_hash_table_contains(p->incarnations, vm->name);
+
+	if (state == MEMBER_LIVE && !was_live) {
+		log_info("daemon %s of zone %s is live", vm->name, vm->zone);
+		g_hash_table_add(p->incarnations, g_strdup(vm->name));
+	} else if (state == MEMBER_DEAD && was_live) {
+		log_warn("daemon %s of zone %s is dead", vm->name, vm->zone);
+		g_hash_table_remove(p->incarnations, vm->name);
+		post_owner_lost(p, vm->name);
+	}
+}
+
+static void post_view_changed(peers_t *p)
+{
+	supervisor_post(p->sup, TASK_FRONT,
+			&(message_t){ .type = MESSAGE_VIEW_CHANGED });
+}
+
+static void on_changed(void *ctx)
+{
+	peers_t *p = ctx;
+
+	member_each(&p->member, note_state, p, now_us());
+	post_view_changed(p);
+}
+
+static void on_up(void *ctx, const member_vm_t *vm, uint64_t incarnation)
+{
+	peers_t *p = ctx;
+
+	log_info("link to %s is up", vm->name);
+	member_heard(&p->member, vm, incarnation, false, now_us());
+	post_view_changed(p);
+}
+
+static void on_down(void *ctx, const char *name, const err_t *err)
+{
+	peers_t *p = ctx;
+	char text[ERR_DETAIL_SIZE * 2];
+
+	log_info("link to %s is down: %s", name,
+		 err ? err_text(err, text, sizeof(text)) : "closed");
+	/* Wants that went over the link may be lost; they are sent anew. */
+	post_view_changed(p);
+}
+
+static void take_heard(peers_t *p, const char *reporter,
+		       const Papaya__Heard *heard, int64_t now)
+{
+	if (heard->is_dead)
+		member_called_dead(&p->member, str_from(heard->name),
+				   heard->incarnation);
+	else
+		member_heard_by(&p->member, str_from(reporter),
+				str_from(heard->name), heard->incarnation,
+				(int64_t)heard->age_ms * 1000, now);
+}
+
+static void take_heartbeat(peers_t *p, const char *name,
+			   const Papaya__Heartbeat *hb)
+{
+	int64_t now = now_us();
+	member_vm_t vm;
+
+	if (!member_find(&p->member, str_from(name), &vm, NULL, NULL))
+		return;
+	member_heard(&p->member, &vm, hb->incarnation, hb->draining, now);
+	for (size_t i = 0; i < hb->n_heard; i++)
+		take_heard(p, name, hb->heard[i], now);
+	if (hb->config_next < p->config_next) {
+		message_t m = { .type = MESSAGE_CONFIG_ASK,
+				.docs.next = hb->config_next };
+
+		g_strlcpy(m.docs.peer, name, sizeof(m.docs.peer));
+		supervisor_post(p->sup, TASK_PLATFORM, &m);
+	}
+}
+
+/* True for what a dispatcher says to an owner. */
+static bool is_for_owner(message_type_t type)
+{
+	return type == MESSAGE_GRANT || type == MESSAGE_REFUSE ||
+	       type == MESSAGE_CANCEL;
+}
+
+static void on_frame(void *ctx, const char *name, const Papaya__Frame *frame)
+{
+	peers_t *p = ctx;
+	message_t m;
+
+	if (frame->body_case == PAPAYA__FRAME__BODY_HEARTBEAT) {
+		take_heartbeat(p, name, frame->heartbeat);
+		return;
+	}
+	if (frame->body_case == PAPAYA__FRAME__BODY_DOCUMENTS) {
+		frames_read_documents(frame->documents, name, &m);
+		supervisor_post(p->sup, TASK_PLATFORM, &m);
+		return;
+	}
+	if (!frames_read_capacity(frame, name, now_us(), &m)) {
+		metrics_add(&p->sup->metrics, "papaya_foreign_frames_total",
+			    NULL, 1);
+		return;
+	}
+	supervisor_post(p->sup,
+			is_for_owner(m.type) ? TASK_FRONT : TASK_CAPACITY, &m);
+}
+
+static void on_probed(void *ctx, const char *name, bool is_ok)
+{
+	peers_t *p = ctx;
+
+	log_info("silent daemon %s %s", name,
+		 is_ok ? "answered a new connection" :
+			 "did not answer a new connection");
+	member_probed(&p->member, str_from(name), is_ok, now_us());
+}
+
+/* What one heartbeat tells of the own zone's daemons. */
+typedef struct gossip {
+	const char *zone;
+	GPtrArray *heard; /* Papaya__Heard, owned */
+} gossip_t;
+
+static void add_heard(void *ctx, const member_vm_t *vm, member_state_t state,
+		      uint64_t incarnation, int64_t heard_age)
+{
+	gossip_t *g = ctx;
+	Papaya__Heard *heard;
+
+	if (strcmp(vm->zone, g->zone) || !incarnation || heard_age < 0)
+		return;
+	heard = g_new(Papaya__Heard, 1);
+	papaya__heard__init(heard);
+	heard->name = (char *)vm->name;
+	heard->incarnation = incarnation;
+	heard->age_ms = (uint32_t)MIN(heard_age / 1000, UINT32_MAX);
+	heard->is_dead = state == MEMBER_DEAD;
+	g_ptr_array_add(g->heard, heard);
+}
+
+static void send_heartbeats(peers_t *p)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__Heartbeat hb = PAPAYA__HEARTBEAT__INIT;
+	g_autoptr(GPtrArray) heard = g_ptr_array_new_with_free_func(g_free);
+	gossip_t gossip = { p->self.zone, heard };
+
+	member_each(&p->member, add_heard, &gossip, now_us());
+	hb.draining = p->is_draining;
+	hb.incarnation = member_incarnation(&p->member);
+	hb.config_next = p->config_next;
+	hb.heard = (Papaya__Heard **)heard->pdata;
+	hb.n_heard = heard->len;
+	frame.body_case = PAPAYA__FRAME__BODY_HEARTBEAT;
+	frame.heartbeat = &hb;
+	peer_send_all(&p->peer, &frame);
+}
+
+/* Takes a new incarnation when this daemon stalled or was called dead. */
+static void follow_epoch(peers_t *p)
+{
+	uint64_t epoch = supervisor_epoch(p->sup);
+	uint64_t incarnation;
+
+	if (epoch == p->epoch && !member_is_stalled(&p->member, now_us()))
+		return;
+	if (epoch == p->epoch)
+		supervisor_count_stall(p->sup);
+	p->epoch = supervisor_epoch(p->sup);
+	incarnation = new_incarnation(p->sup);
+	member_reincarnate(&p->member, incarnation, now_us());
+	peer_set_incarnation(&p->peer, incarnation);
+	log_warn("took a new incarnation; own keys are quiet for a while");
+}
+
+static void export_stats(peers_t *p)
+{
+	metrics_t *m = &p->sup->metrics;
+	peer_stats_t stats;
+
+	peer_stats(&p->peer, &stats);
+	metrics_set(m, "papaya_peer_links", NULL, stats.links_up);
+	metrics_set(m, "papaya_peer_bytes_in_total", NULL, stats.bytes_in);
+	metrics_set(m, "papaya_peer_bytes_out_total", NULL, stats.bytes_out);
+	metrics_set(m, "papaya_peer_frames_in_total", NULL, stats.frames_in);
+	metrics_set(m, "papaya_peer_frames_out_total", NULL, stats.frames_out);
+	metrics_set(m, "papaya_peer_refused_frames_total", NULL,
+		    stats.refused_frames);
+	metrics_set(m, "papaya_peer_dropped_backlog_total", NULL,
+		    stats.dropped_backlog);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	peers_t *p = arg;
+
+	follow_epoch(p);
+	member_tick(&p->member, now_us());
+	send_heartbeats(p);
+	export_stats(p);
+}
+
+static void take_list(peers_t *p, const vm_view_t *vms)
+{
+	const member_vm_t *list = (const member_vm_t *)vms->entries->data;
+
+	member_set_list(&p->member, list, vms->entries->len, now_us());
+	for (guint i = 0; i < vms->entries->len; i++)
+		if (strcmp(list[i].name, p->self.name))
+			peer_keep(&p->peer, &list[i]);
+}
+
+static void locate(peers_t *p, const message_t *asked)
+{
+	const message_locate_t *l = &asked->locate;
+	message_t m = { .type = MESSAGE_LOCATED, .locate = *l };
+	member_state_t state;
+	gsize len;
+	const char *scoped;
+
+	follow_epoch(p);
+	if (l->ticket_daemon[0]) {
+		bool found = member_find(&p->member, str_from(l->ticket_daemon),
+					 &m.locate.owner.vm, &state, NULL);
+
+		m.locate.owner.kind = found && state != MEMBER_DEAD ?
+					      MEMBER_OWNER_PEER :
+					      MEMBER_OWNER_NONE;
+	} else {
+		scoped = g_bytes_get_data(l->scoped, &len);
+		str_t home = l->key_zone[0] ?
+				     str_from(l->key_zone) :
+				     member_home_zone(&p->member,
+						      (str_t){ scoped, len });
+		member_key_owner(&p->member, (str_t){ scoped, len }, home,
+				 l->mint_age, now_us(), &m.locate.owner);
+	}
+	m.locate.scoped = l->scoped ? g_bytes_ref(l->scoped) : NULL;
+	supervisor_post(p->sup, TASK_FRONT, &m);
+}
+
+static void answer_routed(peers_t *p, const message_t *m, const char *peer)
+{
+	message_t routed = *m;
+
+	routed.type = MESSAGE_ROUTED;
+	g_strlcpy(routed.capacity.peer, peer, sizeof(routed.capacity.peer));
+	supervisor_post(p->sup, TASK_FRONT, &routed);
+}
+
+static void refuse_route(peers_t *p, const message_t *m)
+{
+	message_t refuse = *m;
+
+	refuse.type = MESSAGE_REFUSE;
+	refuse.capacity.reason = REFUSE_NO_RUNNER;
+	refuse.capacity.retry_after_ms = NO_RUNNER_RETRY_MS;
+	supervisor_post(p->sup, TASK_FRONT, &refuse);
+}
+
+/*
+ * Sends a want to the dispatcher of its zone. With the own zone's dispatcher
+ * out of reach this daemon decides for itself: that costs at most time.
+ */
+static void route_want(peers_t *p, const message_t *m)
+{
+	const message_capacity_t *c = &m->capacity;
+	bool is_own = !c->zone[0] || !strcmp(c->zone, p->self.zone);
+	str_t zone = is_own ? str_from(p->self.zone) : str_from(c->zone);
+	member_vm_t vm;
+	bool found = !p->sup->settings->alone &&
+		     member_dispatcher(&p->member, zone, str_from(c->service),
+				       0, &vm);
+
+	if (found && strcmp(vm.name, p->self.name) &&
+	    frames_send_capacity(&p->peer, str_from(vm.name), m, now_us())) {
+		answer_routed(p, m, vm.name);
+		return;
+	}
+	if (!is_own) {
+		refuse_route(p, m);
+		return;
+	}
+	answer_routed(p, m, "");
+	message_t local = *m;
+	local.capacity.peer[0] = '\0';
+	supervisor_post(p->sup, TASK_CAPACITY, &local);
+}
+
+/* Passes a message on to the daemon it names, or to a task of this one. */
+static void pass_on(peers_t *p, const message_t *m)
+{
+	const char *peer = m->capacity.peer;
+
+	if (peer[0])
+		frames_send_capacity(&p->peer, str_from(peer), m, now_us());
+	else
+		supervisor_post(
+			p->sup,
+			is_for_owner(m->type) ? TASK_FRONT : TASK_CAPACITY, m);
+}
+
+static void drain(peers_t *p)
+{
+	p->is_draining = true;
+	member_set_draining(&p->member, true, now_us());
+	send_heartbeats(p);
+}
+
+static void handle(void *state, const message_t *m)
+{
+	peers_t *p = state;
+
+	switch (m->type) {
+	case MESSAGE_CONFIG_NEXT:
+		p->config_next = m->number;
+		break;
+	case MESSAGE_CONFIG_SEND:
+		frames_send_documents(&p->peer, &m->docs);
+		break;
+	case MESSAGE_VMS:
+		take_list(p, m->vms);
+		break;
+	case MESSAGE_LOCATE:
+		locate(p, m);
+		break;
+	case MESSAGE_WANT:
+		route_want(p, m);
+		break;
+	case MESSAGE_GRANT:
+	case MESSAGE_REFUSE:
+	case MESSAGE_CANCEL:
+	case MESSAGE_WITHDRAW:
+	case MESSAGE_FIRST_TOKEN:
+	case MESSAGE_DONE:
+		pass_on(p, m);
+		break;
+	case MESSAGE_DRAIN:
+		drain(p);
+		break;
+	default:
+		break;
+	}
+}
+
+static void init_member(peers_t *p, uint64_t incarnation)
+{
+	static const member_ops_t ops = { on_probe, on_changed };
+	const settings_t *s = p->sup->settings;
+	/* A peer's death is seen by all within silence, test and gossip. */
+	int64_t timeout = 2 * (s->heartbeat_timeout_ms + s->heartbeat_ms) +
+			  s->connect_timeout_ms;
+	member_config_t config = {
+		.heartbeat_timeout = s->heartbeat_timeout_ms * 1000,
+		.quiet_period = (s->retry_horizon_ms + timeout) * 1000,
+		.mint_margin = (timeout + s->clock_skew_ms) * 1000,
+		.max_members = MAX_MEMBERS,
+	};
+	str_t zones[MEMBER_MAX_ZONES];
+	uint32_t n = 0;
+
+	for (char **zone = s->zones; *zone; zone++)
+		zones[n++] = str_from(*zone);
+	member_init(&p->member, &config, &p->self, incarnation, zones, n, &ops,
+		    p, now_us());
+}
+
+static bool init_peer(peers_t *p, uint64_t incarnation, err_t *err)
+{
+	static const peer_ops_t ops = { on_up, on_down, on_frame, on_probed };
+	const settings_t *s = p->sup->settings;
+	peer_config_t config = {
+		.self = p->self,
+		.incarnation = incarnation,
+		.secret = str_from(s->peer_secret),
+		.connect_timeout_ms = s->connect_timeout_ms,
+		.silence_timeout_ms = s->heartbeat_timeout_ms,
+		.max_backlog = MAX_BACKLOG,
+		.seed = g_rand_int(p->sup->rand),
+	};
+
+	return peer_init(&p->peer, p->sup->base, &config, &ops, p, err);
+}
+
+static void keep_seeds(peers_t *p)
+{
+	member_vm_t vm;
+
+	for (char **seed = p->sup->settings->seeds; *seed; seed++)
+		if (settings_seed(*seed, &vm, NULL) &&
+		    strcmp(vm.name, p->self.name))
+			peer_keep(&p->peer, &vm);
+}
+
+static void *start(supervisor_t *sup, err_t *err)
+{
+	peers_t *p = g_new0(peers_t, 1);
+	uint64_t incarnation = new_incarnation(sup);
+
+	p->sup = sup;
+	p->epoch = supervisor_epoch(sup);
+	settings_self(sup->settings, &p->self);
+	if (!init_peer(p, incarnation, err)) {
+		g_free(p);
+		return NULL;
+	}
+	p->incarnations =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	init_member(p, incarnation);
+	keep_seeds(p);
+	p->timer =
+		supervisor_every(sup, sup->settings->heartbeat_ms, on_timer, p);
+	return p;
+}
+
+static void stop(void *state)
+{
+	peers_t *p = state;
+
+	event_free(p->timer);
+	peer_finish(&p->peer);
+	member_finish(&p->member);
+	g_hash_table_destroy(p->incarnations);
+	g_free(p);
+}
+
+const task_spec_t peers_task = { "peers", 2, start, handle, stop };
--- /dev/null
+++ b/daemon/platform_task.c
@@ -0,0 +1,370 @@
+/*
+ * Reads the configuration log and the VM list, folds documents, writes
+ * snapshots before old records expire, and appends accounts.
+ */
+#define LOG_PART "platform"
+
+#include "common/log.h"
+#include "daemon/supervisor.h"
+
+enum {
+	READ_LIMIT = 256, /* records a read */
+	MAX_DOCS = 4096,
+	MAX_DOC_BYTES = 16 << 20,
+	MAX_PENDING = 64, /* appends */
+	SNAPSHOT_RECORDS = 256, /* publications between two snapshots */
+	SNAPSHOT_DELAY_US = 5 * G_USEC_PER_SEC,
+};
+
+typedef struct platform {
+	supervisor_t *sup;
+	log_client_t client;
+	config_fold_t fold;
+	config_view_t *view;
+	vm_view_t *vms;
+	struct event *config_timer;
+	struct event *vms_timer;
+	bool is_reading;
+	bool is_listing;
+	bool has_changed;
+	bool is_log_down;
+	bool is_list_down;
+	bool is_snapshotting;
+	uint64_t snapshot_offset; /* of the newest snapshot seen */
+	int64_t snapshot_due; /* monotonic */
+} platform_t;
+
+static const task_id_t view_readers[] = { TASK_PEERS, TASK_CAPACITY, TASK_FRONT,
+					  TASK_ADMIN };
+
+static void read_config(platform_t *p);
+
+static void add_document(void *ctx, const config_doc_t *doc)
+{
+	config_view_t *view = ctx;
+	gsize len;
+	const char *text = g_bytes_get_data(doc->body, &len);
+	str_t name = str_from(doc->name);
+	str_t body = { text, len };
+
+	if (g_str_has_prefix(doc->name, "service/")) {
+		profile_service_t *service = g_new0(profile_service_t, 1);
+
+		if (profile_service_parse(service, name, doc->version, body,
+					  NULL))
+			g_hash_table_replace(view->services, service->name,
+					     service);
+		else
+			g_free(service);
+		return;
+	}
+	profile_t *profile = g_new0(profile_t, 1);
+	if (profile_parse(profile, name, doc->version, body, NULL))
+		g_hash_table_replace(view->profiles, profile->name, profile);
+	else
+		g_free(profile);
+}
+
+static void post_view(platform_t *p)
+{
+	message_t next = { .type = MESSAGE_CONFIG_NEXT,
+			   .number = config_fold_next(&p->fold) };
+
+	supervisor_post(p->sup, TASK_PEERS, &next);
+	if (!p->view)
+		return;
+	for (size_t i = 0; i < G_N_ELEMENTS(view_readers); i++) {
+		message_t m = { .type = MESSAGE_CONFIG,
+				.config = config_view_ref(p->view) };
+
+		supervisor_post(p->sup, view_readers[i], &m);
+	}
+}
+
+/*
+ * Publishes what was folded, once it does not rest on records that expired
+ * unread: an older version must never be in force.
+ */
+static void rebuild_view(platform_t *p)
+{
+	if (!config_fold_is_whole(&p->fold))
+		return;
+	if (p->has_changed || !p->view) {
+		p->has_changed = false;
+		config_view_unref(p->view);
+		p->view = config_view_new();
+		config_fold_each(&p->fold, add_document, p->view);
+		log_info("documents in force up to offset %" G_GUINT64_FORMAT,
+			 config_fold_next(&p->fold));
+	}
+	post_view(p);
+}
+
+static void on_changed(void *ctx, const config_doc_t *doc)
+{
+	platform_t *p = ctx;
+
+	p->has_changed = true;
+	log_info("document %s version %" G_GUINT64_FORMAT, doc->name,
+		 doc->version);
+}
+
+static bool check_document(void *ctx, const char *doc, str_t body, err_t *err)
+{
+	return profile_check(str_from(doc), body, err);
+}
+
+static void put_off_snapshot(platform_t *p, int64_t ms)
+{
+	/* Daemons that share a deadline would all append at once. */
+	int64_t jitter = g_rand_int_range(p->sup->rand, 0, (gint32)ms / 2 + 1);
+
+	p->snapshot_due = now_us() + (ms + jitter) * 1000;
+}
+
+static void on_snapshot(void *ctx, uint64_t offset, const err_t *err)
+{
+	platform_t *p = ctx;
+
+	p->is_snapshotting = false;
+	if (err)
+		return;
+	log_info("appended a snapshot at offset %" G_GUINT64_FORMAT, offset);
+}
+
+static void snapshot_when_due(platform_t *p)
+{
+	g_autofree char *text = NULL;
+
+	if (p->is_snapshotting || !config_fold_is_whole(&p->fold) ||
+	    config_fold_next(&p->fold) == 0 || now_us() < p->snapshot_due)
+		return;
+	put_off_snapshot(p, p->sup->settings->snapshot_ms);
+	text = config_fold_snapshot(&p->fold);
+	p->is_snapshotting = log_client_append(
+		&p->client, "config", str_from(text), on_snapshot, p, NULL);
+}
+
+static void fold_records(platform_t *p, const log_record_t *records, size_t n,
+			 uint64_t oldest)
+{
+	for (size_t i = 0; i < n; i++) {
+		config_verdict_t verdict = config_fold_record(
+			&p->fold, records[i].offset, oldest, records[i].data);
+
+		if (verdict == CONFIG_SNAPSHOT_TAKEN ||
+		    verdict == CONFIG_SNAPSHOT_PASSED) {
+			p->snapshot_offset = records[i].offset;
+			put_off_snapshot(p, p->sup->settings->snapshot_ms);
+		} else if (verdict == CONFIG_DAMAGED) {
+			log_warn("skipped a damaged record at offset "
+				 "%" G_GUINT64_FORMAT,
+				 records[i].offset);
+		}
+	}
+	if (config_fold_next(&p->fold) > p->snapshot_offset + SNAPSHOT_RECORDS)
+		p->snapshot_due =
+			MIN(p->snapshot_due, now_us() + SNAPSHOT_DELAY_US);
+}
+
+static void on_records(void *ctx, const log_record_t *records, size_t n,
+		       uint64_t oldest, uint64_t next, const err_t *err)
+{
+	platform_t *p = ctx;
+	char text[ERR_DETAIL_SIZE * 2];
+
+	p->is_reading = false;
+	metrics_add(&p->sup->metrics, "papaya_config_reads_total",
+		    err ? "result=\"error\"" : "result=\"ok\"", 1);
+	if (err) {
+		if (!p->is_log_down)
+			log_warn("config log: %s",
+				 err_text(err, text, sizeof(text)));
+		p->is_log_down = true;
+		return;
+	}
+	p->is_log_down = false;
+	fold_records(p, records, n, oldest);
+	if (n && config_fold_next(&p->fold) < next) {
+		read_config(p);
+		return;
+	}
+	rebuild_view(p);
+	snapshot_when_due(p);
+}
+
+static void read_config(platform_t *p)
+{
+	if (p->is_reading)
+		return;
+	p->is_reading = log_client_read(&p->client, "config",
+					config_fold_next(&p->fold), READ_LIMIT,
+					on_records, p, NULL);
+}
+
+static void on_config_timer(evutil_socket_t fd, short what, void *arg)
+{
+	read_config(arg);
+}
+
+static void post_vms(platform_t *p)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(view_readers); i++) {
+		message_t m = { .type = MESSAGE_VMS,
+				.vms = vm_view_ref(p->vms) };
+
+		supervisor_post(p->sup, view_readers[i], &m);
+	}
+}
+
+static void on_vms(void *ctx, const member_vm_t *entries, size_t n,
+		   const log_runner_t *runners, size_t n_runners,
+		   const err_t *err)
+{
+	platform_t *p = ctx;
+	char text[ERR_DETAIL_SIZE * 2];
+
+	p->is_listing = false;
+	if (err) {
+		if (!p->is_list_down)
+			log_warn("VM list: %s",
+				 err_text(err, text, sizeof(text)));
+		p->is_list_down = true;
+		return;
+	}
+	p->is_list_down = false;
+	vm_view_unref(p->vms);
+	p->vms = vm_view_new(entries, n, runners, n_runners);
+	post_vms(p);
+}
+
+static void on_vms_timer(evutil_socket_t fd, short what, void *arg)
+{
+	platform_t *p = arg;
+
+	if (!p->is_listing)
+		p->is_listing = log_client_vms(&p->client, on_vms, p, NULL);
+}
+
+static void add_if_new(void *ctx, const config_doc_t *doc)
+{
+	message_docs_t *docs = ctx;
+	config_doc_t copy = *doc;
+
+	if (doc->offset < docs->next)
+		return;
+	copy.body = g_bytes_ref(doc->body);
+	g_array_append_val(docs->docs, copy);
+}
+
+static void send_documents(platform_t *p, const message_docs_t *asked)
+{
+	message_t m = { .type = MESSAGE_CONFIG_SEND };
+
+	if (!config_fold_is_whole(&p->fold))
+		return;
+	m.docs = *asked;
+	m.docs.docs = message_docs_new();
+	config_fold_each(&p->fold, add_if_new, &m.docs);
+	m.docs.next = config_fold_next(&p->fold);
+	supervisor_post(p->sup, TASK_PEERS, &m);
+}
+
+static void take_relayed(platform_t *p, const message_docs_t *docs)
+{
+	for (guint i = 0; i < docs->docs->len; i++)
+		config_fold_relay(&p->fold,
+				  &g_array_index(docs->docs, config_doc_t, i));
+	config_fold_relayed(&p->fold, docs->next);
+	if (p->has_changed || !p->view)
+		rebuild_view(p);
+}
+
+/* An append that waits for the platform's answer. */
+typedef struct append {
+	platform_t *platform;
+	uint64_t seq;
+} append_t;
+
+static void on_appended(void *ctx, uint64_t offset, const err_t *err)
+{
+	g_autofree append_t *append = ctx;
+	message_t m = { .type = MESSAGE_APPENDED,
+			.append = { .seq = append->seq, .is_ok = !err } };
+
+	supervisor_post(append->platform->sup, TASK_ACCOUNTS, &m);
+}
+
+static void append_accounts(platform_t *p, const message_append_t *a)
+{
+	append_t *append = g_new0(append_t, 1);
+	gsize len;
+	const char *text = g_bytes_get_data(a->data, &len);
+
+	append->platform = p;
+	append->seq = a->seq;
+	if (!log_client_append(&p->client, "accounts", (str_t){ text, len },
+			       on_appended, append, NULL)) {
+		err_t err = { .code = ERR_LIMIT };
+
+		on_appended(append, 0, &err);
+	}
+}
+
+static void handle(void *state, const message_t *m)
+{
+	platform_t *p = state;
+
+	switch (m->type) {
+	case MESSAGE_CONFIG_ASK:
+		send_documents(p, &m->docs);
+		break;
+	case MESSAGE_CONFIG_RELAYED:
+		take_relayed(p, &m->docs);
+		break;
+	case MESSAGE_APPEND:
+		append_accounts(p, &m->append);
+		break;
+	default:
+		break;
+	}
+}
+
+static void *start(supervisor_t *sup, err_t *err)
+{
+	static const config_fold_ops_t ops = { on_changed, NULL,
+					       check_document };
+	platform_t *p = g_new0(platform_t, 1);
+	log_client_config_t config = {
+		.address = sup->settings->platform,
+		.timeout_ms = sup->settings->platform_timeout_ms,
+		.max_pending = MAX_PENDING,
+	};
+
+	p->sup = sup;
+	log_client_init(&p->client, sup->base, &config);
+	config_fold_init(&p->fold, MAX_DOCS, MAX_DOC_BYTES, &ops, p);
+	put_off_snapshot(p, sup->settings->snapshot_ms);
+	p->config_timer = supervisor_every(sup, sup->settings->config_poll_ms,
+					   on_config_timer, p);
+	p->vms_timer = supervisor_every(sup, sup->settings->vms_poll_ms,
+					on_vms_timer, p);
+	on_vms_timer(-1, 0, p);
+	read_config(p);
+	return p;
+}
+
+static void stop(void *state)
+{
+	platform_t *p = state;
+
+	event_free(p->config_timer);
+	event_free(p->vms_timer);
+	log_client_finish(&p->client);
+	config_fold_finish(&p->fold);
+	config_view_unref(p->view);
+	vm_view_unref(p->vms);
+	g_free(p);
+}
+
+const task_spec_t platform_task = { "platform", 0, start, handle, stop };
--- /dev/null
+++ b/daemon/settings.c
@@ -0,0 +1,212 @@
+#include "daemon/settings.h"
+
+#include <glib.h>
+
+#include "common/option.h"
+#include "net/http.h"
+
+#define FIELD(name) offsetof(settings_t, name)
+#define INT(key, unit, min, max, def, help)                                   \
+	{                                                                     \
+#key, OPTION_INT, unit, min, max, def, FIELD(key), help, NULL \
+	}
+#define STRING(key, min, max, def, help)                                       \
+	{                                                                      \
+#key, OPTION_STRING, "", min, max, def, FIELD(key), help, NULL \
+	}
+#define LIST(key, min, max, def, help)                                       \
+	{                                                                    \
+#key, OPTION_LIST, "", min, max, def, FIELD(key), help, NULL \
+	}
+
+enum {
+	NAME_MAX_LEN = MEMBER_NAME_SIZE - 1,
+	ADDRESS_MAX_LEN = MEMBER_NAME_SIZE - 1,
+	DAY_MS = 24 * 3600 * 1000,
+};
+
+static const char *const levels[] = { "error", "warning", "info", "debug",
+				      NULL };
+static const char *const policies[] = { "ledger", "round-robin", "two-choices",
+					NULL };
+
+static const option_t table[] = {
+	STRING(name, 1, NAME_MAX_LEN, NULL, "name of this VM"),
+	STRING(zone, 1, NAME_MAX_LEN, NULL, "availability zone of this VM"),
+	LIST(zones, 1, MEMBER_MAX_ZONES, NULL,
+	     "all availability zones, the same list on every VM"),
+	STRING(listen, 3, ADDRESS_MAX_LEN, NULL, "IP:port for callers"),
+	STRING(peer_listen, 3, ADDRESS_MAX_LEN, NULL,
+	       "IP:port for other daemons"),
+	STRING(admin_listen, 3, ADDRESS_MAX_LEN, NULL,
+	       "IP:port for operators, metrics and health"),
+	STRING(platform, 3, ADDRESS_MAX_LEN, NULL,
+	       "IP:port of the platform's service"),
+	LIST(seeds, 0, 64, "",
+	     "daemons to start from while the platform is down, each "
+	     "\"NAME ZONE IP:PORT\" with the peer address"),
+	STRING(peer_secret, 16, 256, NULL,
+	       "secret that all daemons share, to prove themselves"),
+	STRING(operator_token, 16, 256, NULL, "credential of operators' calls"),
+	{ "log_level", OPTION_STRING, "", 1, 16, "info", FIELD(log_level),
+	  "least severe level that is logged", levels },
+	{ "policy", OPTION_STRING, "", 1, 16, "ledger", FIELD(policy),
+	  "how runners are chosen; the other two are baselines to measure "
+	  "against",
+	  policies },
+	{ "alone", OPTION_BOOL, "", 0, 0, "false", FIELD(alone),
+	  "decide for itself and ask no dispatcher; a baseline to measure "
+	  "against",
+	  NULL },
+	INT(heartbeat_ms, "ms", 20, 60000, "500",
+	    "time between heartbeats to a peer"),
+	INT(heartbeat_timeout_ms, "ms", 100, 600000, "3000",
+	    "silence after which a peer is tested by a new connection; a "
+	    "daemon that stood still for longer takes a new incarnation"),
+	INT(retry_horizon_ms, "ms", 100, DAY_MS, "60000",
+	    "how long callers may repeat a key; answers are kept so long"),
+	INT(clock_skew_ms, "ms", 0, 60000, "1000",
+	    "greatest difference of wall clocks, for keys with a mint time"),
+	INT(config_poll_ms, "ms", 50, 60000, "1000",
+	    "time between reads of the configuration log"),
+	INT(snapshot_ms, "ms", 1000, DAY_MS, "600000",
+	    "age of the newest snapshot at which another is appended; well "
+	    "below the log's retention"),
+	INT(vms_poll_ms, "ms", 50, 60000, "1000",
+	    "time between reads of the VM list"),
+	INT(load_poll_ms, "ms", 50, 60000, "500",
+	    "time between reads of a runner's load"),
+	INT(accounts_ms, "ms", 500, 600000, "10000",
+	    "time between batches of accounts"),
+	INT(platform_timeout_ms, "ms", 50, 60000, "2000",
+	    "limit of one exchange with the platform"),
+	INT(connect_timeout_ms, "ms", 50, 60000, "1000",
+	    "limit of a connection attempt"),
+	INT(upstream_idle_ms, "ms", 100, DAY_MS, "30000",
+	    "silence of an upstream after which a request is given up"),
+	INT(caller_idle_ms, "ms", 100, 600000, "10000",
+	    "silence of a caller that is sending a request"),
+	INT(keepalive_ms, "ms", 100, 600000, "10000",
+	    "silence of a stream after which a comment line is sent"),
+	INT(slow_caller_ms, "ms", 100, 600000, "30000",
+	    "how long a caller may leave its answer unread"),
+	INT(drain_ms, "ms", 100, DAY_MS, "600000",
+	    "limit of a drain; requests still running then are cut"),
+	INT(max_requests, "", 1, 1000000, "10000",
+	    "requests in progress, at most"),
+	INT(max_keys, "", 1, 10000000, "100000",
+	    "keys and tickets remembered, at most"),
+	INT(max_body_kib, "KiB", 1, 1048576, "1024",
+	    "length of a request's body"),
+	INT(max_answer_kib, "KiB", 1, 1048576, "4096",
+	    "length of an answer that is not a stream"),
+	INT(max_kept_kib, "KiB", 0, 1048576, "8192",
+	    "answers kept for repeats, together"),
+	INT(caller_backlog_kib, "KiB", 1, 1048576, "256",
+	    "unread answer of a caller, before its upstream is paused"),
+	INT(max_wants, "", 1, 1000000, "20000",
+	    "requests that one dispatcher queues, at most"),
+	INT(ticket_life_ms, "ms", 100, DAY_MS, "300000",
+	    "how long a ticket may stay unused"),
+	INT(grant_timeout_ms, "ms", 100, DAY_MS, "600000",
+	    "how long a grant may stay without news"),
+	INT(max_deadline_ms, "ms", 100, DAY_MS, "600000",
+	    "longest time that a caller may allow"),
+	INT(seed, "", 0, INT64_MAX, "0",
+	    "seed of random numbers; 0 takes one from the system"),
+};
+
+static bool check_addresses(const settings_t *s, const char *name, err_t *err)
+{
+	const struct {
+		const char *key;
+		const char *value;
+	} addresses[] = { { "listen", s->listen },
+			  { "peer_listen", s->peer_listen },
+			  { "admin_listen", s->admin_listen },
+			  { "platform", s->platform } };
+	char ip[MEMBER_NAME_SIZE];
+	uint16_t port;
+	member_vm_t vm;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(addresses); i++)
+		if (!http_split_address(addresses[i].value, ip, sizeof(ip),
+					&port, err))
+			return err_set(err, ERR_INVALID, "settings", "",
+				       "%s: %s: IP:port is expected", name,
+				       addresses[i].key);
+	for (char **seed = s->seeds; *seed; seed++)
+		if (!settings_seed(*seed, &vm, err))
+			return false;
+	return true;
+}
+
+static bool check_zone(const settings_t *s, const char *name, err_t *err)
+{
+	for (char **zone = s->zones; *zone; zone++)
+		if (!strcmp(*zone, s->zone))
+			return true;
+	return err_set(err, ERR_INVALID, "settings", "",
+		       "%s: zone: one of zones is expected", name);
+}
+
+bool settings_parse(settings_t *s, str_t text, const char *name, err_t *err)
+{
+	memset(s, 0, sizeof(*s));
+	if (option_parse(table, G_N_ELEMENTS(table), s, text, name, err) &&
+	    check_addresses(s, name, err) && check_zone(s, name, err))
+		return true;
+	settings_finish(s);
+	return false;
+}
+
+bool settings_load(settings_t *s, const char *path, err_t *err)
+{
+	g_autoptr(GError) error = NULL;
+	g_autofree char *text = NULL;
+	gsize len;
+
+	if (!g_file_get_contents(path, &text, &len, &error))
+		return err_set(err, ERR_SYSTEM, "settings", "", "%s",
+			       error->message);
+	return settings_parse(s, (str_t){ text, len }, path, err);
+}
+
+void settings_finish(settings_t *s)
+{
+	option_free(table, G_N_ELEMENTS(table), s);
+}
+
+void settings_print_markdown(FILE *out)
+{
+	option_print_markdown(table, G_N_ELEMENTS(table), out);
+}
+
+void settings_self(const settings_t *s, member_vm_t *out)
+{
+	memset(out, 0, sizeof(*out));
+	g_strlcpy(out->name, s->name, sizeof(out->name));
+	g_strlcpy(out->zone, s->zone, sizeof(out->zone));
+	g_strlcpy(out->address, s->listen, sizeof(out->address));
+	g_strlcpy(out->peer_address, s->peer_listen, sizeof(out->peer_address));
+	g_strlcpy(out->admin_address, s->admin_listen,
+		  sizeof(out->admin_address));
+}
+
+bool settings_seed(const char *text, member_vm_t *out, err_t *err)
+{
+	g_auto(GStrv) parts = g_strsplit(text, " ", -1);
+	char ip[MEMBER_NAME_SIZE];
+	uint16_t port;
+
+	memset(out, 0, sizeof(*out));
+	if (g_strv_length(parts) != 3 ||
+	    !str_copy(out->name, sizeof(out->name), str_from(parts[0])) ||
+	    !str_copy(out->zone, sizeof(out->zone), str_from(parts[1])) ||
+	    !str_copy(out->peer_address, sizeof(out->peer_address),
+		      str_from(parts[2])) ||
+	    !http_split_address(parts[2], ip, sizeof(ip), &port, NULL))
+		return err_set(err, ERR_INVALID, "settings", "",
+			       "seeds: \"%s\" is not NAME ZONE IP:PORT", text);
+	return true;
+}
--- /dev/null
+++ b/daemon/settings.h
@@ -0,0 +1,73 @@
+/* The daemon's settings: one option table, read once at the start. */
+#ifndef DAEMON_SETTINGS_H
+#define DAEMON_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "common/err.h"
+#include "common/str.h"
+#include "core/member.h"
+
+/* Field by field as docs/SETTINGS.md says; strings are owned. */
+typedef struct settings {
+	char *name;
+	char *zone;
+	char **zones;
+	char *listen;
+	char *peer_listen;
+	char *admin_listen;
+	char *platform;
+	char **seeds;
+	char *peer_secret;
+	char *operator_token;
+	char *log_level;
+	char *policy;
+	bool alone;
+	int64_t heartbeat_ms;
+	int64_t heartbeat_timeout_ms;
+	int64_t retry_horizon_ms;
+	int64_t clock_skew_ms;
+	int64_t config_poll_ms;
+	int64_t snapshot_ms;
+	int64_t vms_poll_ms;
+	int64_t load_poll_ms;
+	int64_t accounts_ms;
+	int64_t platform_timeout_ms;
+	int64_t connect_timeout_ms;
+	int64_t upstream_idle_ms;
+	int64_t caller_idle_ms;
+	int64_t keepalive_ms;
+	int64_t slow_caller_ms;
+	int64_t drain_ms;
+	int64_t max_requests;
+	int64_t max_keys;
+	int64_t max_body_kib;
+	int64_t max_answer_kib;
+	int64_t max_kept_kib;
+	int64_t caller_backlog_kib;
+	int64_t max_wants;
+	int64_t ticket_life_ms;
+	int64_t grant_timeout_ms;
+	int64_t max_deadline_ms;
+	int64_t seed;
+} settings_t;
+
+/*
+ * Reads settings from a text; NAME is for messages. On false ERR holds file,
+ * line, column, key and the accepted range, and nothing needs freeing.
+ */
+bool settings_parse(settings_t *s, str_t text, const char *name, err_t *err);
+/* Reads a file. */
+bool settings_load(settings_t *s, const char *path, err_t *err);
+void settings_finish(settings_t *s);
+/* Writes docs/SETTINGS.md's table. */
+void settings_print_markdown(FILE *out);
+
+/* The own VM as other daemons see it. */
+void settings_self(const settings_t *s, member_vm_t *out);
+/* Reads one seed, "NAME ZONE IP:PORT" (its peer address). */
+bool settings_seed(const char *text, member_vm_t *out, err_t *err);
+
+#endif
--- /dev/null
+++ b/daemon/supervisor.c
@@ -0,0 +1,272 @@
+#define LOG_PART "supervisor"
+
+#include "daemon/supervisor.h"
+
+#include "common/log.h"
+
+enum {
+	TICK_MS = 50,
+	FIRST_BACKOFF_MS = 100,
+	MAX_BACKOFF_MS = 5000,
+	MAX_RESTARTS = 5, /* of one task within RESTART_WINDOW_US */
+	RESTART_WINDOW_US = 60 * 1000 * 1000,
+	MESSAGES_A_TURN = 256,
+};
+
+/* One running task and its inbox. */
+typedef struct slot {
+	supervisor_t *sup;
+	const task_spec_t *spec;
+	void *state; /* NULL while the task is stopped */
+	GQueue inbox; /* message_t */
+	struct event *wake;
+	struct event *restart;
+	int64_t backoff_ms;
+	int64_t window_start;
+	int restarts;
+} slot_t;
+
+struct supervisor_state {
+	slot_t slots[TASK_COUNT];
+	struct event *tick;
+	int64_t last_tick;
+	uint64_t epoch;
+	bool is_draining;
+	bool has_given_up;
+};
+
+static void free_message(void *data)
+{
+	message_finish(data);
+	g_free(data);
+}
+
+static void drop_inbox(slot_t *slot)
+{
+	g_queue_clear_full(&slot->inbox, free_message);
+}
+
+static void on_wake(evutil_socket_t fd, short what, void *arg)
+{
+	slot_t *slot = arg;
+
+	for (int i = 0; i < MESSAGES_A_TURN && slot->state; i++) {
+		message_t *m = g_queue_pop_head(&slot->inbox);
+
+		if (!m)
+			return;
+		slot->spec->handle(slot->state, m);
+		free_message(m);
+	}
+	if (!g_queue_is_empty(&slot->inbox))
+		event_active(slot->wake, 0, 0);
+}
+
+static void give_up(supervisor_t *sup, const slot_t *slot)
+{
+	log_error("task %s failed too often; the daemon ends",
+		  slot->spec->name);
+	sup->state->has_given_up = true;
+	event_base_loopbreak(sup->base);
+}
+
+static void start_later(slot_t *slot)
+{
+	struct timeval delay = { slot->backoff_ms / 1000,
+				 (slot->backoff_ms % 1000) * 1000 };
+
+	event_add(slot->restart, &delay);
+	slot->backoff_ms = MIN(slot->backoff_ms * 2, MAX_BACKOFF_MS);
+}
+
+static void stop_task(slot_t *slot)
+{
+	if (!slot->state)
+		return;
+	slot->spec->stop(slot->state);
+	slot->state = NULL;
+	drop_inbox(slot);
+}
+
+static bool may_restart(slot_t *slot)
+{
+	int64_t now = now_us();
+
+	if (now - slot->window_start > RESTART_WINDOW_US) {
+		slot->window_start = now;
+		slot->restarts = 0;
+		slot->backoff_ms = FIRST_BACKOFF_MS;
+	}
+	return ++slot->restarts <= MAX_RESTARTS;
+}
+
+static bool start_task(slot_t *slot, err_t *err)
+{
+	slot->state = slot->spec->start(slot->sup, err);
+	if (!slot->state)
+		return false;
+	log_debug("task %s started", slot->spec->name);
+	if (!g_queue_is_empty(&slot->inbox))
+		event_active(slot->wake, 0, 0);
+	return true;
+}
+
+static void on_restart(evutil_socket_t fd, short what, void *arg)
+{
+	slot_t *slot = arg;
+	char text[ERR_DETAIL_SIZE * 2];
+	err_t err = { 0 };
+
+	if (start_task(slot, &err))
+		return;
+	log_warn("task %s did not start: %s", slot->spec->name,
+		 err_text(&err, text, sizeof(text)));
+	if (may_restart(slot))
+		start_later(slot);
+	else
+		give_up(slot->sup, slot);
+}
+
+uint64_t supervisor_epoch(supervisor_t *sup)
+{
+	struct supervisor_state *st = sup->state;
+	int64_t now = now_us();
+
+	if (now - st->last_tick > sup->settings->heartbeat_timeout_ms * 1000) {
+		st->last_tick = now;
+		log_warn("the process stood still past the heartbeat timeout");
+		supervisor_count_stall(sup);
+	}
+	return st->epoch;
+}
+
+void supervisor_count_stall(supervisor_t *sup)
+{
+	sup->state->epoch++;
+	metrics_add(&sup->metrics, "papaya_stalls_total", NULL, 1);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	supervisor_t *sup = arg;
+
+	supervisor_epoch(sup);
+	sup->state->last_tick = now_us();
+}
+
+bool supervisor_init(supervisor_t *sup, struct event_base *base,
+		     const settings_t *settings)
+{
+	sup->base = base;
+	sup->settings = settings;
+	sup->rand = settings->seed ?
+			    g_rand_new_with_seed((guint32)settings->seed) :
+			    g_rand_new();
+	sup->boot =
+		(uint64_t)g_rand_int(sup->rand) << 32 | g_rand_int(sup->rand);
+	metrics_init(&sup->metrics);
+	sup->state = g_new0(struct supervisor_state, 1);
+	sup->state->last_tick = now_us();
+	sup->state->tick = supervisor_every(sup, TICK_MS, on_tick, sup);
+	return sup->state->tick != NULL;
+}
+
+static void finish_slot(slot_t *slot)
+{
+	stop_task(slot);
+	drop_inbox(slot);
+	if (slot->wake)
+		event_free(slot->wake);
+	if (slot->restart)
+		event_free(slot->restart);
+}
+
+void supervisor_finish(supervisor_t *sup)
+{
+	for (int i = TASK_COUNT - 1; i >= 0; i--)
+		finish_slot(&sup->state->slots[i]);
+	event_free(sup->state->tick);
+	g_free(sup->state);
+	metrics_finish(&sup->metrics);
+	g_rand_free(sup->rand);
+}
+
+bool supervisor_start(supervisor_t *sup, const task_spec_t *const *specs,
+		      err_t *err)
+{
+	for (int i = 0; i < TASK_COUNT; i++) {
+		slot_t *slot = &sup->state->slots[i];
+
+		slot->sup = sup;
+		slot->spec = specs[i];
+		slot->backoff_ms = FIRST_BACKOFF_MS;
+		slot->window_start = now_us();
+		g_queue_init(&slot->inbox);
+		slot->wake = event_new(sup->base, -1, 0, on_wake, slot);
+		slot->restart = evtimer_new(sup->base, on_restart, slot);
+	}
+	for (int i = 0; i < TASK_COUNT; i++)
+		if (!start_task(&sup->state->slots[i], err))
+			return false;
+	return true;
+}
+
+void supervisor_post(supervisor_t *sup, task_id_t to, const message_t *m)
+{
+	slot_t *slot = &sup->state->slots[to];
+
+	g_queue_push_tail(&slot->inbox, g_memdup2(m, sizeof(*m)));
+	event_active(slot->wake, 0, 0);
+}
+
+void supervisor_fail(supervisor_t *sup, task_id_t task, const err_t *err)
+{
+	slot_t *failed = &sup->state->slots[task];
+	char text[ERR_DETAIL_SIZE * 2];
+
+	log_warn("task %s failed: %s", failed->spec->name,
+		 err_text(err, text, sizeof(text)));
+	metrics_add(&sup->metrics, "papaya_task_failures_total", NULL, 1);
+	if (!may_restart(failed)) {
+		give_up(sup, failed);
+		return;
+	}
+	for (int i = 0; i < TASK_COUNT; i++) {
+		slot_t *slot = &sup->state->slots[i];
+
+		if (slot->spec->group != failed->spec->group)
+			continue;
+		stop_task(slot);
+		start_later(slot);
+	}
+}
+
+void supervisor_drain(supervisor_t *sup)
+{
+	if (sup->state->is_draining)
+		return;
+	sup->state->is_draining = true;
+	log_info("draining");
+	for (int i = 0; i < TASK_COUNT; i++)
+		supervisor_post(sup, i, &(message_t){ .type = MESSAGE_DRAIN });
+}
+
+bool supervisor_is_draining(const supervisor_t *sup)
+{
+	return sup->state->is_draining;
+}
+
+bool supervisor_has_given_up(const supervisor_t *sup)
+{
+	return sup->state->has_given_up;
+}
+
+struct event *supervisor_every(supervisor_t *sup, int64_t ms,
+			       event_callback_fn fn, void *arg)
+{
+	struct timeval period = { ms / 1000, (ms % 1000) * 1000 };
+	struct event *ev = event_new(sup->base, -1, EV_PERSIST, fn, arg);
+
+	event_add(ev, &period);
+	return ev;
+}
