--- a/Makefile
+++ b/Makefile
@@ -101,6 +101,10 @@
 run-check: all $(TESTS)
 	@tests/run.sh $(B) $(TESTS)
 
+# Do the committed generated files fit their sources?
+generated-check: all
+	@tests/generated.sh $(B)
+
 spec:
 	@spec/run.sh
 
@@ -137,5 +141,5 @@
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
 .SECONDARY:
-.PHONY: all setup demo check run-check spec faults measure bench format \
+.PHONY: all setup demo check run-check generated-check spec faults measure bench format \
 	format-check tidy lint clean proto
