--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -32,7 +32,7 @@
 		return CTL_OK;
 	}
 	if (!strcmp(name, "--version")) {
-		fputs("papayactl 1.0\n", ctl->out);
+		fputs("papayactl 0.1.0\n", ctl->out);
 		return CTL_OK;
 	}
 	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
