dispatcher: give a lost grant again, follow a changed window

Cause: a grant that was lost with its link left the owner waiting until its deadline and the ledger holding capacity until the grant expired; and a changed "slots" or "window_tokens" did not reach a running dispatcher. Ruled out: answering every repeated want, which would answer one want twice after a plain duplicate. Change: a want carries "again" when its owner lost touch; dispatcher_want_again repeats the same grant or takes the want as new. dispatcher_set_window applies the service's document.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -324,6 +324,34 @@
 	dispatcher_decide(s, now);
 }
 
+void dispatcher_set_window(dispatcher_t *d, uint32_t window, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	uint32_t *mine = s->config.is_engine ? &s->config.window_tokens :
+					       &s->config.plain_slots;
+	GHashTableIter iter;
+	runner_t *runner;
+
+	if (*mine == window)
+		return;
+	*mine = window;
+	g_hash_table_iter_init(&iter, s->runners);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&runner))
+		runner->model.window = window;
+	dispatcher_decide(s, now);
+}
+
+void dispatcher_want_again(dispatcher_t *d, const want_t *want, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	item_t *item = g_hash_table_lookup(s->items, &want->id);
+
+	if (!item)
+		dispatcher_want(d, want, now);
+	else if (item->runner)
+		s->ops.grant(s->ctx, &item->want, &item->runner->info);
+}
+
 void dispatcher_withdraw(dispatcher_t *d, want_id_t id, int64_t now)
 {
 	struct dispatcher_state *s = d->state;
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -138,6 +138,13 @@
 /* Sets a team's weight within its tier; 1 is the default. */
 void dispatcher_set_team(dispatcher_t *d, str_t team, uint32_t weight);
 
+/*
+ * Changes what each runner may have in flight: tokens at first for engines,
+ * calls for plain services. The same value changes nothing, so that learned
+ * windows stay.
+ */
+void dispatcher_set_window(dispatcher_t *d, uint32_t window, int64_t now);
+
 /* Adds a runner or updates it; leaving stops its grants at once. */
 void dispatcher_set_runner(dispatcher_t *d, const dispatcher_runner_t *runner,
 			   int64_t now);
@@ -150,6 +157,12 @@
 
 /* A new want: answered by exactly one grant or refuse, now or later. */
 void dispatcher_want(dispatcher_t *d, const want_t *want, int64_t now);
+/*
+ * The owner asks again, because the first want or its answer may be lost. A
+ * want that waits goes on waiting, one that is granted gets the same grant
+ * once more, and one that is not known is new.
+ */
+void dispatcher_want_again(dispatcher_t *d, const want_t *want, int64_t now);
 /* The caller left before a grant was used. */
 void dispatcher_withdraw(dispatcher_t *d, want_id_t id, int64_t now);
 /* The first token of a granted request arrived. */
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -129,6 +129,10 @@
 		tiers[i].weight = profile->tiers[i].weight;
 	}
 	dispatcher_set_tiers(&s->dispatcher, tiers, profile->n_tiers);
+	dispatcher_set_window(&s->dispatcher,
+			      service->is_engine ? service->window_tokens :
+						   service->slots,
+			      now_us());
 	for (uint32_t i = 0; i < profile->n_teams; i++)
 		dispatcher_set_team(&s->dispatcher,
 				    str_from(profile->teams[i].name),
@@ -262,6 +266,8 @@
 	if (asked->running_on[0])
 		dispatcher_adopt(&s->dispatcher, &want,
 				 str_from(asked->running_on), now_us());
+	else if (asked->is_again)
+		dispatcher_want_again(&s->dispatcher, &want, now_us());
 	else
 		dispatcher_want(&s->dispatcher, &want, now_us());
 }
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -27,6 +27,7 @@
 	want.hops = c->hops;
 	want.avoid = (char *)c->want.avoid;
 	want.running_on = (char *)c->running_on;
+	want.again = c->is_again;
 	frame.body_case = PAPAYA__FRAME__BODY_WANT;
 	frame.want = &want;
 	return peer_send(peer, to, &frame);
@@ -154,6 +155,7 @@
 	c->want.prefix_hash = f->prefix_hash;
 	c->want.deadline = now + (int64_t)f->need_ms * 1000;
 	c->hops = f->hops;
+	c->is_again = f->again;
 	return copy(c->service, f->service) && copy(c->tier, f->tier) &&
 	       copy(c->want.team, f->team) && copy(c->want.avoid, f->avoid) &&
 	       copy(c->running_on, f->running_on);
--- a/daemon/job.c
+++ b/daemon/job.c
@@ -247,6 +247,7 @@
 	message_t m = { .type = type };
 
 	fill_want(job, &m.capacity);
+	m.capacity.is_again = job->is_again;
 	if (done)
 		m.capacity.done = *done;
 	if (job->state == JOB_SENDING || job->state == JOB_RUNNING)
@@ -258,6 +259,7 @@
 void job_want(job_t *job)
 {
 	job->state = JOB_WAITING;
+	job->is_again = false;
 	post_capacity(job, MESSAGE_WANT, NULL);
 }
 
@@ -350,6 +352,7 @@
 	if (job->is_forward || job->state == JOB_LOCATING ||
 	    job->state == JOB_ENDED)
 		return;
+	job->is_again = true;
 	post_capacity(job, MESSAGE_WANT, NULL);
 }
 
--- a/daemon/job.h
+++ b/daemon/job.h
@@ -51,6 +51,7 @@
 	/* Capacity. */
 	char dispatcher[MEMBER_NAME_SIZE]; /* "" for this daemon */
 	bool is_routed;
+	bool is_again; /* the want is repeated */
 	char zone[MEMBER_NAME_SIZE]; /* asked for capacity; "" for the own */
 	uint32_t zones_tried;
 	dispatcher_runner_t runner;
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -98,6 +98,7 @@
 	uint32_t retry_after_ms; /* REFUSE */
 	done_t done; /* DONE */
 	uint32_t hops; /* WANT */
+	bool is_again; /* WANT: the first one or its answer may be lost */
 } message_capacity_t;
 
 typedef struct message_account {
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1061,7 +1061,7 @@
   (ProtobufCMessageInit) papaya__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__want__field_descriptors[12] =
+static const ProtobufCFieldDescriptor papaya__want__field_descriptors[13] =
 {
   {
     "attempt",
@@ -1207,8 +1207,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "again",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Want, again),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__want__field_indices_by_name[] = {
+  12,   /* field[12] = again */
   0,   /* field[0] = attempt */
   9,   /* field[9] = avoid */
   8,   /* field[8] = hops */
@@ -1225,7 +1238,7 @@
 static const ProtobufCIntRange papaya__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor papaya__want__descriptor =
 {
@@ -1235,7 +1248,7 @@
   "Papaya__Want",
   "papaya",
   sizeof(Papaya__Want),
-  12,
+  13,
   papaya__want__field_descriptors,
   papaya__want__field_indices_by_name,
   1,  papaya__want__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -153,10 +153,14 @@
    * the owner's incarnation
    */
   uint64_t owner;
+  /*
+   * the first want or its answer may be lost
+   */
+  protobuf_c_boolean again;
 };
 #define PAPAYA__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__want__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Papaya__Grant
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -856,6 +856,48 @@
 }
 END_TEST
 
+START_TEST(want_that_is_asked_again_gets_its_lost_grant)
+{
+	bed_t bed = { 0 };
+	want_t want;
+
+	bed_init(&bed, true);
+	set_runner(&bed, "r", false);
+	for (uint64_t attempt = 1; attempt <= 3; attempt++) {
+		want = make_want(&bed, attempt, 1, 900);
+		if (attempt < 3)
+			dispatcher_want(&bed.d, &want, bed.now);
+		dispatcher_want_again(&bed.d, &want, bed.now);
+	}
+	/* Granted, waiting and new. */
+	ck_assert_int_eq(bed.answers[1].answers, 2);
+	ck_assert_int_eq(bed.answers[2].answers,
+			 kind(&bed, 2) == ANSWER_NONE ? 0 : 2);
+	ck_assert_uint_eq(stats(&bed).wants, 3);
+	done(&bed, 1, DONE_COMPLETED);
+	done(&bed, 2, DONE_COMPLETED);
+	done(&bed, 3, DONE_COMPLETED);
+	ck_assert_uint_eq(stats(&bed).running + stats(&bed).queued, 0);
+	dispatcher_finish(&bed.d);
+}
+END_TEST
+
+START_TEST(window_follows_the_service_s_document)
+{
+	bed_t bed = { 0 };
+
+	bed.config.plain_slots = 1;
+	bed_init(&bed, false);
+	set_runner(&bed, "r", false);
+	for (uint64_t attempt = 1; attempt <= 3; attempt++)
+		ask(&bed, attempt, 0, 1);
+	ck_assert_uint_eq(stats(&bed).running, 1);
+	dispatcher_set_window(&bed.d, 3, bed.now);
+	ck_assert_uint_eq(stats(&bed).running, 3);
+	dispatcher_finish(&bed.d);
+}
+END_TEST
+
 START_TEST(retry_after_grows_with_the_backlog)
 {
 	bed_t bed = { .config = { .max_wants = 50 } };
@@ -1017,6 +1059,8 @@
 	   adopted_work_takes_its_room,
 	   withdrawn_and_lost_wants_get_no_answer_and_free_their_room,
 	   repeated_want_gets_no_second_answer,
+	   want_that_is_asked_again_gets_its_lost_grant,
+	   window_follows_the_service_s_document,
 	   retry_after_grows_with_the_backlog,
 	   tiers_may_change_under_queued_wants, baselines_grant_at_once,
 	   random_events_keep_one_answer_and_bounds)
