dispatcher: refuse no protected want early in an unsettled view

Cause: for seconds after a change of the zone's view, and while a link between two live daemons is down, two daemons may dispatch for one service; each sees only its own grants, so one may refuse protected work while the other's grants serve lower work. Ruled out: asking the other daemons before each refusal, which needs the very links that are in doubt. Change: the peers task tells capacity whether the view is settled and all live daemons of the zone are linked; until then a protected want waits up to its deadline. Conclusion: a protected refusal rests on a settled view.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -183,10 +183,12 @@
 	       dispatcher_runs_lower(s, tier);
 }
 
-/* Protected work is refused only when nothing lower is served. */
+/* Protected work is refused only when surely nothing lower is served. */
 static bool may_refuse(const struct dispatcher_state *s, uint32_t tier)
 {
-	return !queue_is_protected(&s->queue, tier) || !has_lower(s, tier);
+	if (!queue_is_protected(&s->queue, tier))
+		return true;
+	return !s->is_unsettled && !has_lower(s, tier);
 }
 
 static void refuse_all_queued(struct dispatcher_state *s)
@@ -341,6 +343,12 @@
 	dispatcher_decide(s, now);
 }
 
+void dispatcher_set_settled(dispatcher_t *d, bool is_settled, int64_t now)
+{
+	d->state->is_unsettled = !is_settled;
+	dispatcher_decide(d->state, now);
+}
+
 void dispatcher_want_again(dispatcher_t *d, const want_t *want, int64_t now)
 {
 	struct dispatcher_state *s = d->state;
@@ -443,8 +451,7 @@
 {
 	if (now >= item->want.deadline)
 		refuse(s, item, REFUSE_EXPIRED);
-	else if (queue_is_protected(&s->queue, item->entry.tier) &&
-		 has_lower(s, item->entry.tier))
+	else if (!may_refuse(s, item->entry.tier))
 		hurry(s, item, now);
 	else if (now < item->latest_start)
 		queue_set_due(&s->queue, &item->entry, item->latest_start);
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -145,6 +145,13 @@
  */
 void dispatcher_set_window(dispatcher_t *d, uint32_t window, int64_t now);
 
+/*
+ * In an unsettled view another daemon may hold grants for lower work on the
+ * same runners: a protected want is then not refused before its deadline,
+ * unless there is no runner. Settled is the state at the start.
+ */
+void dispatcher_set_settled(dispatcher_t *d, bool is_settled, int64_t now);
+
 /* Adds a runner or updates it; leaving stops its grants at once. */
 void dispatcher_set_runner(dispatcher_t *d, const dispatcher_runner_t *runner,
 			   int64_t now);
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -65,6 +65,7 @@
 	double granted_tokens; /* while others waited, decaying */
 	double granted_seconds;
 	int64_t rate_at; /* up to when the two were counted */
+	bool is_unsettled; /* others may hold grants on the same runners */
 	bool is_deciding;
 	bool decide_again;
 	dispatcher_stats_t stats;
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -43,6 +43,7 @@
 	vm_view_t *vms;
 	GHashTable *services; /* name to service_t */
 	GHashTable *owners; /* incarnation to peer name */
+	bool is_settled; /* the zone's view, as the peers task sees it */
 	struct event *tick;
 	struct event *poll;
 };
@@ -208,6 +209,7 @@
 					   free_runner);
 	dispatcher_init(&s->dispatcher, &config, &ops, s, now_us());
 	g_hash_table_insert(c->services, s->name, s);
+	dispatcher_set_settled(&s->dispatcher, c->is_settled, now_us());
 	apply_profile(s);
 	apply_list(s);
 	log_info("dispatcher of service %s", s->name);
@@ -406,6 +408,11 @@
 		dispatcher_tick(&s->dispatcher, now_us());
 }
 
+static void apply_settled(service_t *s)
+{
+	dispatcher_set_settled(&s->dispatcher, s->owner->is_settled, now_us());
+}
+
 static void update_all(capacity_t *c, void (*fn)(service_t *s))
 {
 	GHashTableIter iter;
@@ -434,6 +441,10 @@
 		c->vms = vm_view_ref(m->vms);
 		update_all(c, apply_list);
 		return;
+	case MESSAGE_SETTLED:
+		c->is_settled = m->number;
+		update_all(c, apply_settled);
+		return;
 	case MESSAGE_WANT:
 		take_want(c, &m->capacity);
 		return;
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -60,6 +60,7 @@
 	MESSAGE_FIRST_TOKEN, /* likewise */
 	MESSAGE_DONE, /* likewise */
 	MESSAGE_OWNER_LOST, /* peers to capacity: a daemon is dead */
+	MESSAGE_SETTLED, /* peers to capacity: is the zone's view settled? */
 	MESSAGE_VIEW_CHANGED, /* peers to front: ask dispatchers anew */
 	MESSAGE_ACCOUNT, /* front to accounts */
 	MESSAGE_APPEND, /* accounts to platform */
@@ -117,7 +118,7 @@
 	union {
 		config_view_t *config;
 		vm_view_t *vms;
-		uint64_t number; /* CONFIG_NEXT, OWNER_LOST */
+		uint64_t number; /* CONFIG_NEXT, SETTLED */
 		message_docs_t docs; /* CONFIG_ASK, SEND, RELAYED */
 		message_locate_t locate;
 		message_capacity_t capacity;
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -24,6 +24,8 @@
 	uint64_t config_next;
 	uint64_t epoch;
 	bool is_draining;
+	bool has_broken_link;
+	bool is_settled; /* as the capacity task was told */
 } peers_t;
 
 static uint64_t new_incarnation(supervisor_t *sup)
@@ -244,12 +246,45 @@
 		    stats.dropped_backlog);
 }
 
+/* Notes a live daemon of the own zone whose link is down. */
+static void note_broken_link(void *ctx, const member_vm_t *vm,
+			     member_state_t state, uint64_t incarnation,
+			     int64_t heard_age)
+{
+	peers_t *p = ctx;
+
+	if (state == MEMBER_LIVE && !strcmp(vm->zone, p->self.zone) &&
+	    !peer_is_up(&p->peer, str_from(vm->name)))
+		p->has_broken_link = true;
+}
+
+/*
+ * While the view of the zone is unsettled, or a live daemon can't be
+ * reached, two daemons may dispatch for one service.
+ */
+static void tell_settled(peers_t *p)
+{
+	message_t m = { .type = MESSAGE_SETTLED };
+	bool is_settled;
+
+	p->has_broken_link = false;
+	member_each(&p->member, note_broken_link, p, now_us());
+	is_settled =
+		!p->has_broken_link && member_is_settled(&p->member, now_us());
+	if (is_settled == p->is_settled)
+		return;
+	p->is_settled = is_settled;
+	m.number = is_settled;
+	supervisor_post(p->sup, TASK_CAPACITY, &m);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	peers_t *p = arg;
 
 	follow_epoch(p);
 	member_tick(&p->member, now_us());
+	tell_settled(p);
 	send_heartbeats(p);
 	export_stats(p);
 }
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -898,6 +898,32 @@
 }
 END_TEST
 
+START_TEST(protected_want_is_not_refused_in_an_unsettled_view)
+{
+	for (int settled = 0; settled <= 1; settled++) {
+		bed_t bed = { .config.plain_slots = 1 };
+
+		bed_init(&bed, false);
+		set_runner(&bed, "r", false);
+		dispatcher_set_settled(&bed.d, settled, bed.now);
+		for (uint64_t attempt = 1; attempt <= 2; attempt++)
+			ask(&bed, attempt, 0, 1);
+		/* Learn that a call takes six seconds. */
+		bed.now += 6 * SECOND;
+		done(&bed, 1, DONE_COMPLETED);
+		for (uint64_t attempt = 3; attempt <= 9; attempt++)
+			ask(&bed, attempt, 0, 1);
+		ck_assert_int_eq(stats(&bed).refusals[REFUSE_DEADLINE] > 0,
+				 settled);
+		/* At its deadline each has an answer all the same. */
+		tick(&bed, 10 * SECOND);
+		for (uint64_t attempt = 1; attempt <= 9; attempt++)
+			ck_assert_int_ne(kind(&bed, attempt), ANSWER_NONE);
+		dispatcher_finish(&bed.d);
+	}
+}
+END_TEST
+
 START_TEST(retry_after_grows_with_the_backlog)
 {
 	bed_t bed = { .config = { .max_wants = 50 } };
@@ -1061,6 +1087,7 @@
 	   repeated_want_gets_no_second_answer,
 	   want_that_is_asked_again_gets_its_lost_grant,
 	   window_follows_the_service_s_document,
+	   protected_want_is_not_refused_in_an_unsettled_view,
 	   retry_after_grows_with_the_backlog,
 	   tiers_may_change_under_queued_wants, baselines_grant_at_once,
 	   random_events_keep_one_answer_and_bounds)
