--- /dev/null
+++ b/core/handover.c
@@ -0,0 +1,356 @@
+#include "core/handover_state.h"
+
+#include <string.h>
+
+enum {
+	/* A transfer that is not acknowledged is sent anew after it. */
+	RETRY_US = 2000 * 1000,
+};
+
+/* A daemon that this one hands keys over to. */
+typedef struct target {
+	char name[MEMBER_NAME_SIZE];
+	uint64_t incarnation;
+	bool is_current; /* still a candidate */
+	bool is_leaving; /* we drain */
+	bool is_started, is_sent, is_acked;
+	uint32_t serial;
+	uint32_t index; /* of the next part */
+	GPtrArray *keys; /* GBytes, scoped */
+	guint next_key, next_answer;
+	int64_t sent_at;
+} target_t;
+
+/* Arrays that a part points to while it is put together. */
+typedef struct part_view {
+	GArray *members; /* handover_member_t */
+	GArray *gaps; /* handover_gap_t */
+} part_view_t;
+
+static void free_target(void *data)
+{
+	target_t *t = data;
+
+	g_ptr_array_unref(t->keys);
+	g_free(t);
+}
+
+void handover_init(handover_t *h, member_t *member, rights_t *rights,
+		   const handover_ops_t *ops, void *ctx)
+{
+	struct handover_table *t = g_new0(struct handover_table, 1);
+
+	t->member = member;
+	t->rights = rights;
+	t->ops = *ops;
+	t->ctx = ctx;
+	t->targets = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   free_target);
+	t->sources = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   handover_free_source);
+	t->since = HANDOVER_NO_GAP;
+	h->table = t;
+}
+
+void handover_finish(handover_t *h)
+{
+	struct handover_table *t = h->table;
+
+	if (!t)
+		return;
+	g_hash_table_unref(t->targets);
+	g_hash_table_unref(t->sources);
+	g_free(t);
+	h->table = NULL;
+}
+
+void handover_reset(handover_t *h)
+{
+	struct handover_table *t = h->table;
+
+	g_hash_table_remove_all(t->targets);
+	g_hash_table_remove_all(t->sources);
+	t->since = HANDOVER_NO_GAP;
+	t->has_joined = false;
+}
+
+static void add_gap(void *ctx, str_t name, int64_t age)
+{
+	GArray *gaps = ctx;
+	handover_gap_t gap = { name, age };
+
+	g_array_append_val(gaps, gap);
+}
+
+static void view_init(part_view_t *v, const struct handover_table *t,
+		      int64_t now)
+{
+	v->members = g_array_new(FALSE, FALSE, sizeof(handover_member_t));
+	v->gaps = g_array_new(FALSE, FALSE, sizeof(handover_gap_t));
+	member_each_candidate(t->member, handover_add_member, v->members);
+	member_each_gap(t->member, add_gap, v->gaps, now);
+}
+
+static void view_finish(part_view_t *v)
+{
+	g_array_unref(v->members);
+	g_array_unref(v->gaps);
+}
+
+static handover_part_t part_for(const struct handover_table *t,
+				const target_t *target)
+{
+	return (handover_part_t){
+		.incarnation = member_incarnation(t->member),
+		.to_incarnation = target->incarnation,
+		.serial = target->serial,
+		.index = target->index,
+		.is_leaving = target->is_leaving,
+	};
+}
+
+/* Sends the next keys; returns false when the link takes no more. */
+static bool send_keys(struct handover_table *t, target_t *target,
+		      const part_view_t *view, int64_t now)
+{
+	guint left = target->keys->len - target->next_key;
+	guint n = MIN(left, HANDOVER_MAX_KEYS);
+	g_autofree handover_key_t *keys = g_new0(handover_key_t, n + 1);
+	handover_part_t part = part_for(t, target);
+
+	for (guint i = 0; i < n; i++) {
+		GBytes *scoped = target->keys->pdata[target->next_key + i];
+		const rights_entry_t *entry = rights_find(t->rights, scoped);
+
+		if (!entry)
+			continue;
+		keys[part.n_keys].scoped = scoped;
+		keys[part.n_keys++].fingerprint = entry->fingerprint;
+	}
+	part.keys = keys;
+	part.is_last = n == left;
+	if (part.is_last) {
+		part.members = (handover_member_t *)view->members->data;
+		part.n_members = view->members->len;
+		part.gaps = (handover_gap_t *)view->gaps->data;
+		part.n_gaps = view->gaps->len;
+	}
+	if (!t->ops.send_part(t->ctx, str_from(target->name), &part))
+		return false;
+	target->next_key += n;
+	target->index++;
+	target->is_sent = part.is_last;
+	target->sent_at = now;
+	return true;
+}
+
+static bool send_answer(struct handover_table *t, const target_t *target,
+			GBytes *scoped, uint64_t fingerprint,
+			const rights_answer_t *answer)
+{
+	handover_key_t key = { scoped, fingerprint, *answer };
+	handover_part_t part = part_for(t, target);
+
+	if (answer->body && g_bytes_get_size(answer->body) > HANDOVER_MAX_BODY)
+		key.answer.body = NULL;
+	part.is_answers = true;
+	part.keys = &key;
+	part.n_keys = 1;
+	return t->ops.send_part(t->ctx, str_from(target->name), &part);
+}
+
+/* Passes on the answers of requests that ended before the hand-over. */
+static void send_answers(struct handover_table *t, target_t *target)
+{
+	for (; target->next_answer < target->keys->len; target->next_answer++) {
+		GBytes *scoped = target->keys->pdata[target->next_answer];
+		const rights_entry_t *e = rights_find(t->rights, scoped);
+
+		if (!e || e->state != RIGHTS_ENDED ||
+		    e->answer.outcome == OUTCOME_UNKNOWN)
+			continue;
+		if (!send_answer(t, target, scoped, e->fingerprint, &e->answer))
+			return;
+	}
+}
+
+/* Finds or begins the transfer to a daemon that may own keys. */
+static void want_target(void *ctx, str_t name, uint64_t incarnation)
+{
+	struct handover_table *t = ctx;
+	char buf[MEMBER_NAME_SIZE];
+	target_t *target;
+
+	if (handover_is_self(t, name) || !str_copy(buf, sizeof(buf), name))
+		return;
+	target = g_hash_table_lookup(t->targets, buf);
+	if (!target) {
+		target = g_new0(target_t, 1);
+		memcpy(target->name, buf, sizeof(buf));
+		target->keys = g_ptr_array_new_with_free_func(
+			(GDestroyNotify)g_bytes_unref);
+		g_hash_table_insert(t->targets, target->name, target);
+	}
+	target->is_current = true;
+	if (target->is_started && target->incarnation == incarnation &&
+	    target->is_leaving == t->is_leaving)
+		return;
+	target->incarnation = incarnation;
+	target->is_leaving = t->is_leaving;
+	target->is_started = false;
+	target->is_acked = false;
+}
+
+static gboolean is_stale(void *key, void *value, void *ctx)
+{
+	target_t *target = value;
+	bool is_current = target->is_current;
+
+	target->is_current = false;
+	return !is_current;
+}
+
+/* The target that owns a key now, or NULL. */
+static target_t *target_of(const struct handover_table *t, GBytes *scoped,
+			   int64_t now)
+{
+	gsize len;
+	const char *bytes = g_bytes_get_data(scoped, &len);
+	str_t zone = str_from(member_self(t->member)->zone);
+	member_owner_t owner;
+
+	member_key_owner(t->member, (str_t){ bytes, len }, zone, -1, now,
+			 &owner);
+	if (owner.kind != MEMBER_OWNER_PEER)
+		return NULL;
+	return g_hash_table_lookup(t->targets, owner.vm.name);
+}
+
+/* What rights_each is given while keys are collected. */
+typedef struct collect {
+	const struct handover_table *table;
+	int64_t now;
+} collect_t;
+
+static void collect_key(void *ctx, const rights_entry_t *entry)
+{
+	const collect_t *c = ctx;
+	target_t *target;
+
+	if (entry->is_ticket)
+		return;
+	target = target_of(c->table, entry->scoped, c->now);
+	if (target && !target->is_started)
+		g_ptr_array_add(target->keys, g_bytes_ref(entry->scoped));
+}
+
+/* Starts the transfers that are due, with one walk over the key table. */
+static void start_transfers(struct handover_table *t, int64_t now)
+{
+	collect_t collect = { t, now };
+	GHashTableIter iter;
+	bool is_any = false;
+	void *value;
+
+	g_hash_table_iter_init(&iter, t->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		target_t *target = value;
+
+		if (target->is_started && target->is_sent &&
+		    !target->is_acked && now - target->sent_at >= RETRY_US)
+			target->is_started = false;
+		if (!target->is_started)
+			g_ptr_array_set_size(target->keys, 0);
+		is_any |= !target->is_started;
+	}
+	if (!is_any)
+		return;
+	rights_each(t->rights, collect_key, &collect);
+	g_hash_table_iter_init(&iter, t->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		target_t *target = value;
+
+		if (target->is_started)
+			continue;
+		target->is_started = true;
+		target->is_sent = false;
+		target->serial = ++t->serial;
+		target->index = 0;
+		target->next_key = 0;
+		target->next_answer = 0;
+	}
+}
+
+void handover_tick(handover_t *h, int64_t now)
+{
+	struct handover_table *t = h->table;
+	part_view_t view;
+	GHashTableIter iter;
+	void *value;
+
+	if (member_is_stalled(t->member, now))
+		return;
+	if (!t->has_joined)
+		handover_try_join(t);
+	t->is_leaving = member_is_draining(t->member);
+	member_each_candidate(t->member, want_target, t);
+	g_hash_table_foreach_remove(t->targets, is_stale, NULL);
+	start_transfers(t, now);
+	view_init(&view, t, now);
+	g_hash_table_iter_init(&iter, t->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		target_t *target = value;
+
+		while (!target->is_sent && send_keys(t, target, &view, now))
+			;
+		if (target->is_acked)
+			send_answers(t, target);
+	}
+	view_finish(&view);
+}
+
+void handover_acked(handover_t *h, str_t from, uint64_t incarnation,
+		    uint32_t serial)
+{
+	struct handover_table *t = h->table;
+	char name[MEMBER_NAME_SIZE];
+	target_t *target;
+
+	if (!str_copy(name, sizeof(name), from))
+		return;
+	target = g_hash_table_lookup(t->targets, name);
+	if (target && target->is_sent && target->serial == serial &&
+	    incarnation == member_incarnation(t->member))
+		target->is_acked = true;
+}
+
+void handover_ended(handover_t *h, GBytes *scoped, uint64_t fingerprint,
+		    const rights_answer_t *answer, int64_t now)
+{
+	target_t *target = target_of(h->table, scoped, now);
+
+	if (target && target->is_sent)
+		send_answer(h->table, target, scoped, fingerprint, answer);
+}
+
+bool handover_is_done(const handover_t *h)
+{
+	GHashTableIter iter;
+	void *value;
+
+	if (!h->table->is_leaving)
+		return false;
+	g_hash_table_iter_init(&iter, h->table->targets);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const target_t *target = value;
+
+		if (!target->is_acked || !target->is_leaving)
+			return false;
+	}
+	return true;
+}
+
+bool handover_has_joined(const handover_t *h)
+{
+	return h->table->has_joined;
+}
--- /dev/null
+++ b/core/handover_state.h
@@ -0,0 +1,41 @@
+/* What giving and taking share; private to core/handover*.c. */
+#ifndef CORE_HANDOVER_STATE_H
+#define CORE_HANDOVER_STATE_H
+
+#include "core/handover.h"
+
+/* Long before any time that is passed in, and safe to subtract from. */
+#define HANDOVER_NO_GAP (G_MININT64 / 4)
+
+/* A daemon that hands keys over to this one. */
+typedef struct source {
+	char name[MEMBER_NAME_SIZE];
+	uint64_t incarnation;
+	uint32_t serial;
+	uint32_t next_index;
+	bool is_failed; /* a key had no room */
+	bool is_accepted;
+	GHashTable *members; /* name to uint64_t: the giver's view */
+} handover_source_t;
+
+struct handover_table {
+	member_t *member;
+	rights_t *rights;
+	handover_ops_t ops;
+	void *ctx;
+	GHashTable *targets; /* by name */
+	GHashTable *sources; /* by name */
+	uint32_t serial; /* of the last transfer */
+	int64_t since; /* latest gap that any source told of */
+	bool has_joined;
+	bool is_leaving; /* as of the last tick */
+};
+
+void handover_free_source(void *data);
+bool handover_is_self(const struct handover_table *t, str_t name);
+/* Appends a handover_member_t to a GArray; for member_each_candidate. */
+void handover_add_member(void *ctx, str_t name, uint64_t incarnation);
+/* Ends the quiet period of a new daemon once all others handed over. */
+void handover_try_join(struct handover_table *t);
+
+#endif
--- /dev/null
+++ b/core/handover_take.c
@@ -0,0 +1,229 @@
+#include "core/handover_state.h"
+
+#include <string.h>
+
+void handover_free_source(void *data)
+{
+	handover_source_t *s = data;
+
+	g_hash_table_unref(s->members);
+	g_free(s);
+}
+
+bool handover_is_self(const struct handover_table *t, str_t name)
+{
+	return str_eq(name, str_from(member_self(t->member)->name));
+}
+
+void handover_add_member(void *ctx, str_t name, uint64_t incarnation)
+{
+	GArray *members = ctx;
+	handover_member_t m = { name, incarnation };
+
+	g_array_append_val(members, m);
+}
+
+static handover_source_t *source_of(struct handover_table *t, const char *name,
+				    const handover_part_t *part)
+{
+	handover_source_t *s = g_hash_table_lookup(t->sources, name);
+
+	if (!s) {
+		s = g_new0(handover_source_t, 1);
+		g_strlcpy(s->name, name, sizeof(s->name));
+		s->members = g_hash_table_new_full(g_str_hash, g_str_equal,
+						   g_free, g_free);
+		g_hash_table_insert(t->sources, s->name, s);
+	}
+	if (s->incarnation != part->incarnation)
+		s->is_accepted = false;
+	s->incarnation = part->incarnation;
+	if (!part->index) {
+		s->serial = part->serial;
+		s->next_index = 0;
+		s->is_failed = false;
+	}
+	return s;
+}
+
+static bool take_keys(struct handover_table *t, const handover_part_t *part,
+		      int64_t now)
+{
+	static const rights_answer_t running = { .outcome = OUTCOME_UNKNOWN };
+	bool is_ok = true;
+
+	for (size_t i = 0; i < part->n_keys; i++) {
+		const handover_key_t *key = &part->keys[i];
+
+		is_ok &= rights_take(t->rights, key->scoped, key->fingerprint,
+				     part->is_answers ? &key->answer : &running,
+				     now);
+	}
+	return is_ok;
+}
+
+/* Tells whether the giver saw the same daemons as this one does now. */
+static bool is_same_view(const struct handover_table *t, str_t giver,
+			 const handover_part_t *part)
+{
+	g_autoptr(GArray) own =
+		g_array_new(FALSE, FALSE, sizeof(handover_member_t));
+	size_t n = 0;
+
+	member_each_candidate(t->member, handover_add_member, own);
+	for (guint i = 0; i < own->len; i++) {
+		const handover_member_t *m =
+			&g_array_index(own, handover_member_t, i);
+		size_t k = 0;
+
+		if (str_eq(m->name, giver))
+			continue;
+		while (k < part->n_members &&
+		       (!str_eq(part->members[k].name, m->name) ||
+			part->members[k].incarnation != m->incarnation))
+			k++;
+		if (k == part->n_members)
+			return false;
+		n++;
+	}
+	return n == part->n_members;
+}
+
+/* The giver's own gap says since when it knew all of its keys. */
+static void take_leaving(struct handover_table *t, str_t giver,
+			 const handover_part_t *part, int64_t now)
+{
+	int64_t since = HANDOVER_NO_GAP;
+
+	for (size_t i = 0; i < part->n_gaps; i++) {
+		const handover_gap_t *gap = &part->gaps[i];
+
+		if (str_eq(gap->name, giver))
+			since = now - gap->age;
+		else
+			member_add_gap(t->member, gap->name, gap->age, now);
+	}
+	member_handed_over(t->member, giver, part->incarnation, since, now);
+}
+
+static void accept_source(struct handover_table *t, handover_source_t *s,
+			  const handover_part_t *part, int64_t now)
+{
+	s->is_accepted = true;
+	g_hash_table_remove_all(s->members);
+	for (size_t i = 0; i < part->n_members; i++) {
+		const handover_member_t *m = &part->members[i];
+
+		g_hash_table_insert(
+			s->members, g_strndup(m->name.ptr, m->name.len),
+			g_memdup2(&m->incarnation, sizeof(m->incarnation)));
+	}
+	for (size_t i = 0; i < part->n_gaps; i++)
+		t->since = MAX(t->since, now - part->gaps[i].age);
+}
+
+static bool is_accepted(const struct handover_table *t, const char *name,
+			uint64_t incarnation)
+{
+	const handover_source_t *s = g_hash_table_lookup(t->sources, name);
+
+	return s && s->is_accepted && s->incarnation == incarnation;
+}
+
+/* Everyone whom a giver saw must have handed over, and it must see us. */
+static bool is_closed(const struct handover_table *t,
+		      const handover_source_t *s)
+{
+	const char *self = member_self(t->member)->name;
+	const uint64_t *own = g_hash_table_lookup(s->members, self);
+	GHashTableIter iter;
+	void *name, *incarnation;
+
+	if (!own || *own != member_incarnation(t->member))
+		return false;
+	g_hash_table_iter_init(&iter, s->members);
+	while (g_hash_table_iter_next(&iter, &name, &incarnation))
+		if (strcmp(name, self) &&
+		    !is_accepted(t, name, *(uint64_t *)incarnation))
+			return false;
+	return true;
+}
+
+void handover_try_join(struct handover_table *t)
+{
+	g_autoptr(GArray) own =
+		g_array_new(FALSE, FALSE, sizeof(handover_member_t));
+	GHashTableIter iter;
+	bool is_any = false;
+	void *value;
+
+	member_each_candidate(t->member, handover_add_member, own);
+	for (guint i = 0; i < own->len; i++) {
+		const handover_member_t *m =
+			&g_array_index(own, handover_member_t, i);
+
+		if (!handover_is_self(t, m->name) &&
+		    !is_accepted(t, m->name.ptr, m->incarnation))
+			return;
+	}
+	g_hash_table_iter_init(&iter, t->sources);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const handover_source_t *s = value;
+
+		if (s->is_accepted && !is_closed(t, s))
+			return;
+		is_any |= s->is_accepted;
+	}
+	/* Alone we can't tell whether others are there. */
+	if (!is_any)
+		return;
+	t->has_joined = true;
+	member_joined(t->member, t->since);
+}
+
+/* True when the part is from and to the incarnations that are now. */
+static bool is_valid(const struct handover_table *t, str_t from,
+		     const handover_part_t *part, member_vm_t *vm, int64_t now)
+{
+	member_state_t state;
+	uint64_t incarnation;
+
+	/* What was read after a stall may be of any age. */
+	return !member_is_stalled(t->member, now) &&
+	       part->to_incarnation == member_incarnation(t->member) &&
+	       member_find(t->member, from, vm, &state, &incarnation) &&
+	       incarnation == part->incarnation && state != MEMBER_LISTED &&
+	       state != MEMBER_DEAD &&
+	       !strcmp(vm->zone, member_self(t->member)->zone);
+}
+
+void handover_receive(handover_t *h, str_t from, const handover_part_t *part,
+		      int64_t now)
+{
+	struct handover_table *t = h->table;
+	member_vm_t vm;
+	handover_source_t *s;
+
+	if (!is_valid(t, from, part, &vm, now))
+		return;
+	if (part->is_answers) {
+		take_keys(t, part, now);
+		return;
+	}
+	s = source_of(t, vm.name, part);
+	if (s->serial != part->serial || s->next_index != part->index)
+		return;
+	s->next_index++;
+	if (!take_keys(t, part, now))
+		s->is_failed = true;
+	if (!part->is_last || s->is_failed)
+		return;
+	if (part->is_leaving && !is_same_view(t, from, part))
+		return;
+	accept_source(t, s, part, now);
+	if (part->is_leaving)
+		take_leaving(t, from, part, now);
+	if (!t->has_joined)
+		handover_try_join(t);
+	t->ops.send_ack(t->ctx, from, part->incarnation, part->serial);
+}
--- a/core/member.h
+++ b/core/member.h
@@ -102,10 +102,38 @@
 void member_probed(member_t *m, str_t name, bool is_ok, int64_t now);
 /*
  * A daemon that is leaving handed its keys over to this one: its departure
- * makes nothing quiet here.
+ * makes nothing quiet here but for what it did not know itself, up to
+ * SINCE.
  */
 void member_handed_over(member_t *m, str_t name, uint64_t incarnation,
-			int64_t now);
+			int64_t since, int64_t now);
+/*
+ * Every live daemon of the zone handed over what this one took from it:
+ * since SINCE no key ran unknown, so the quiet period counts from there.
+ */
+void member_joined(member_t *m, int64_t since);
+/*
+ * A gap is a time until which keys of a daemon of the zone may have run
+ * without the peers knowing. Calls FN for each gap of the last quiet period
+ * that counts here, this daemon's own start included.
+ */
+void member_each_gap(const member_t *m,
+		     void (*fn)(void *ctx, str_t name, int64_t age), void *ctx,
+		     int64_t now);
+/*
+ * Takes over a gap that a peer told of. One that has no place in the table
+ * counts as this daemon's own.
+ */
+void member_add_gap(member_t *m, str_t name, int64_t age, int64_t now);
+/* Calls FN for each daemon of the zone that may own keys, this one too. */
+void member_each_candidate(const member_t *m,
+			   void (*fn)(void *ctx, str_t name,
+				      uint64_t incarnation),
+			   void *ctx);
+bool member_is_draining(const member_t *m);
+/* When this incarnation began, or what member_joined put in its place. */
+int64_t member_born_at(const member_t *m);
+const member_vm_t *member_self(const member_t *m);
 /* Advances suspicion and quiet periods; call it every heartbeat. */
 void member_tick(member_t *m, int64_t now);
 
--- /dev/null
+++ b/core/member_gap.c
@@ -0,0 +1,91 @@
+#include "core/member_state.h"
+
+void member_handed_over(member_t *m, str_t name, uint64_t incarnation,
+			int64_t since, int64_t now)
+{
+	member_entry_t *e = member_entry_find(m->table, name);
+
+	if (!e || e->state == MEMBER_LISTED || e->state == MEMBER_DEAD ||
+	    e->incarnation != incarnation)
+		return;
+	e->is_handed = true;
+	e->is_draining = true;
+	e->handed_since = since;
+	e->gap_at = MAX(e->gap_at, since);
+	member_changed(m->table, e, now);
+}
+
+void member_joined(member_t *m, int64_t since)
+{
+	struct member_table *t = m->table;
+
+	t->born_at = MIN(t->born_at, since);
+}
+
+void member_each_gap(const member_t *m,
+		     void (*fn)(void *ctx, str_t name, int64_t age), void *ctx,
+		     int64_t now)
+{
+	const struct member_table *t = m->table;
+
+	if (now - t->born_at < t->config.quiet_period)
+		fn(ctx, str_from(t->self.name), now - t->born_at);
+	for (guint i = 0; i < t->entries->len; i++) {
+		const member_entry_t *e = t->entries->pdata[i];
+		int64_t age = now - member_gap_end(e);
+
+		if (member_is_own_zone(t, e) && age < t->config.quiet_period)
+			fn(ctx, str_from(e->vm.name), age);
+	}
+}
+
+void member_add_gap(member_t *m, str_t name, int64_t age, int64_t now)
+{
+	struct member_table *t = m->table;
+	member_vm_t vm = { .is_leaving = false };
+	member_entry_t *e;
+
+	if (age < 0 || age >= t->config.quiet_period)
+		return;
+	e = member_entry_find(t, name);
+	if (!e && str_copy(vm.name, sizeof(vm.name), name)) {
+		g_strlcpy(vm.zone, t->self.zone, sizeof(vm.zone));
+		e = member_entry_intern(t, &vm, now);
+	}
+	if (e)
+		e->gap_at = MAX(e->gap_at, now - age);
+	else
+		t->born_at = MAX(t->born_at, now - age);
+}
+
+void member_each_candidate(const member_t *m,
+			   void (*fn)(void *ctx, str_t name,
+				      uint64_t incarnation),
+			   void *ctx)
+{
+	const struct member_table *t = m->table;
+
+	if (!t->is_draining)
+		fn(ctx, str_from(t->self.name), t->incarnation);
+	for (guint i = 0; i < t->entries->len; i++) {
+		const member_entry_t *e = t->entries->pdata[i];
+
+		if (member_is_candidate(e) && member_is_own_zone(t, e))
+			fn(ctx, str_from(e->vm.name), e->incarnation);
+	}
+}
+
+bool member_is_draining(const member_t *m)
+{
+	return m->table->is_draining;
+}
+
+int64_t member_born_at(const member_t *m)
+{
+	return m->table->born_at;
+}
+
+const member_vm_t *member_self(const member_t *m)
+{
+	return &m->table->self;
+}
--- /dev/null
+++ b/core/member_owner.c
@@ -0,0 +1,158 @@
+#include "core/member_state.h"
+#include "core/rendezvous.h"
+
+str_t member_home_zone(const member_t *m, str_t key)
+{
+	const struct member_table *t = m->table;
+	const char *slash = memchr(key.ptr, '/', key.len);
+	rendezvous_t best = { 0 };
+
+	for (uint32_t i = 0; slash && i < t->n_zones; i++) {
+		str_t zone = str_from(t->zones[i]);
+
+		if (str_eq(zone, (str_t){ key.ptr, (size_t)(slash - key.ptr) }))
+			return zone;
+	}
+	for (uint32_t i = 0; i < t->n_zones; i++) {
+		rendezvous_t r = rendezvous_weigh(str_from(t->zones[i]), key);
+
+		if (!i || rendezvous_beats(&r, &best))
+			best = r;
+	}
+	return best.name;
+}
+
+/* The member of ZONE with the highest weight among those in STATE. */
+static const member_entry_t *best_entry(const struct member_table *t,
+					str_t zone, str_t key, bool want_listed,
+					rendezvous_t *best)
+{
+	const member_entry_t *winner = NULL;
+
+	for (guint i = 0; i < t->entries->len; i++) {
+		const member_entry_t *e = t->entries->pdata[i];
+		bool is_wanted = want_listed ? e->state == MEMBER_LISTED :
+					       member_is_candidate(e);
+		rendezvous_t r;
+
+		if (!is_wanted || !str_eq(str_from(e->vm.zone), zone))
+			continue;
+		r = rendezvous_weigh(str_from(e->vm.name), key);
+		if (winner && !rendezvous_beats(&r, best))
+			continue;
+		*best = r;
+		winner = e;
+	}
+	return winner;
+}
+
+/* Who has KEY in the own zone; false when nobody has. */
+static bool local_owner(const struct member_table *t, str_t key,
+			rendezvous_t *best, const member_entry_t **peer)
+{
+	str_t name = str_from(t->self.name);
+	rendezvous_t self = rendezvous_weigh(name, key);
+
+	*peer = best_entry(t, str_from(t->self.zone), key, false, best);
+	if (t->is_draining || (*peer && rendezvous_beats(best, &self)))
+		return *peer != NULL;
+	*best = self;
+	*peer = NULL;
+	return true;
+}
+
+/*
+ * Since when this daemon owns KEY, at the latest: since its own start, or
+ * since the last departure of a member that would have the key before it.
+ */
+static int64_t owned_since(const struct member_table *t, str_t key,
+			   const rendezvous_t *self)
+{
+	int64_t since = t->born_at;
+
+	for (guint i = 0; i < t->entries->len; i++) {
+		const member_entry_t *e = t->entries->pdata[i];
+		rendezvous_t r;
+
+		if (member_is_candidate(e) || !member_is_own_zone(t, e) ||
+		    member_gap_end(e) <= since)
+			continue;
+		r = rendezvous_weigh(str_from(e->vm.name), key);
+		if (rendezvous_beats(&r, self))
+			since = member_gap_end(e);
+	}
+	return since;
+}
+
+static bool is_quiet(const struct member_table *t, int64_t since,
+		     int64_t mint_age, int64_t now)
+{
+	if (now - since >= t->config.quiet_period)
+		return false;
+	if (mint_age < 0)
+		return true;
+	return now - mint_age <= since + t->config.mint_margin;
+}
+
+/* A daemon of another zone; live ones first, else one never heard. */
+static const member_entry_t *remote_entry(const struct member_table *t,
+					  str_t zone, str_t key)
+{
+	rendezvous_t best;
+	const member_entry_t *e = best_entry(t, zone, key, false, &best);
+
+	return e ? e : best_entry(t, zone, key, true, &best);
+}
+
+void member_key_owner(const member_t *m, str_t scoped, str_t home_zone,
+		      int64_t mint_age, int64_t now, member_owner_t *out)
+{
+	const struct member_table *t = m->table;
+	rendezvous_t best = { 0 };
+	const member_entry_t *e;
+	int64_t since;
+
+	*out = (member_owner_t){ .kind = MEMBER_OWNER_NONE };
+	if (!str_eq(home_zone, str_from(t->self.zone))) {
+		e = remote_entry(t, home_zone, scoped);
+		if (!e)
+			return;
+		out->kind = MEMBER_OWNER_ZONE;
+		out->vm = e->vm;
+		return;
+	}
+	if (!local_owner(t, scoped, &best, &e))
+		return;
+	if (e) {
+		out->kind = MEMBER_OWNER_PEER;
+		out->vm = e->vm;
+		return;
+	}
+	since = owned_since(t, scoped, &best);
+	out->kind = MEMBER_OWNER_SELF;
+	if (!is_quiet(t, since, mint_age, now))
+		return;
+	out->kind = MEMBER_OWNER_QUIET;
+	out->quiet_until = since + t->config.quiet_period;
+}
+
+bool member_dispatcher(const member_t *m, str_t zone, str_t service,
+		       uint32_t group, member_vm_t *out)
+{
+	const struct member_table *t = m->table;
+	g_autofree char *key = g_strdup_printf("%.*s#%u", (int)service.len,
+					       service.ptr, group);
+	rendezvous_t best;
+	const member_entry_t *e;
+
+	if (!str_eq(zone, str_from(t->self.zone))) {
+		e = remote_entry(t, zone, str_from(key));
+		if (e)
+			*out = e->vm;
+		return e != NULL;
+	}
+	if (!local_owner(t, str_from(key), &best, &e))
+		return false;
+	*out = e ? e->vm : t->self;
+	return true;
+}
--- a/core/rights.c
+++ b/core/rights.c
@@ -186,3 +186,48 @@
 	expire_queue(r, &r->ended, now);
 	expire_queue(r, &r->issued, now);
 }
+
+/* Puts what is known by now in place of UNKNOWN. */
+static void take_answer(rights_t *r, rights_entry_t *entry,
+			const rights_answer_t *answer, int64_t now)
+{
+	g_queue_remove(&r->ended, entry);
+	if (answer->outcome == OUTCOME_NOT_RUN)
+		drop(r, entry);
+	else
+		rights_end(r, entry, answer, now);
+}
+
+bool rights_take(rights_t *r, GBytes *scoped, uint64_t fingerprint,
+		 const rights_answer_t *answer, int64_t now)
+{
+	rights_entry_t *entry = rights_find(r, scoped);
+
+	if (entry) {
+		if (entry->is_taken &&
+		    entry->answer.outcome == OUTCOME_UNKNOWN &&
+		    answer->outcome != OUTCOME_UNKNOWN)
+			take_answer(r, entry, answer, now);
+		return true;
+	}
+	if (answer->outcome == OUTCOME_NOT_RUN)
+		return true;
+	if (is_full(r))
+		return false;
+	entry = add(r, scoped, RIGHTS_DISPATCHED);
+	entry->fingerprint = fingerprint;
+	entry->is_taken = true;
+	rights_end(r, entry, answer, now);
+	return true;
+}
+
+void rights_each(const rights_t *r,
+		 void (*fn)(void *ctx, const rights_entry_t *entry), void *ctx)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, r->entries);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		fn(ctx, value);
+}
--- a/core/rights.h
+++ b/core/rights.h
@@ -54,6 +54,7 @@
 	rights_answer_t answer; /* ENDED */
 	void *work; /* the caller's own, while not ended */
 	bool is_ticket;
+	bool is_taken; /* over from another daemon, which may still run it */
 } rights_entry_t;
 
 typedef enum rights_verdict {
@@ -115,6 +116,17 @@
  * is a new request (a ticket may be used again).
  */
 void rights_release(rights_t *r, rights_entry_t *entry, int64_t now);
+/*
+ * Takes over a key from the daemon that had it. The answer is UNKNOWN while
+ * it may run there, NOT_RUN when it was given up there undispatched, which
+ * frees the key again. An entry of this daemon's own is left alone. Returns
+ * false when the table is full.
+ */
+bool rights_take(rights_t *r, GBytes *scoped, uint64_t fingerprint,
+		 const rights_answer_t *answer, int64_t now);
+/* Calls FN for every entry; FN changes nothing. */
+void rights_each(const rights_t *r,
+		 void (*fn)(void *ctx, const rights_entry_t *entry), void *ctx);
 /* Drops what expired. */
 void rights_expire(rights_t *r, int64_t now);
 
--- /dev/null
+++ b/net/handover_frame.c
@@ -0,0 +1,192 @@
+#include "net/handover_frame.h"
+
+enum { US_PER_MS = 1000 };
+
+static void pack_key(Papaya__HandedKey *out, const handover_key_t *key,
+		     bool has_outcome)
+{
+	const rights_answer_t *answer = &key->answer;
+	gsize len;
+
+	papaya__handed_key__init(out);
+	out->scoped.data = (uint8_t *)g_bytes_get_data(key->scoped, &len);
+	out->scoped.len = len;
+	out->fingerprint = key->fingerprint;
+	if (!has_outcome)
+		return;
+	out->outcome = (char *)outcome_name(answer->outcome);
+	out->status = (uint32_t)answer->status;
+	if (answer->content_type)
+		out->content_type = answer->content_type;
+	out->has_answer = answer->body != NULL;
+	if (!answer->body)
+		return;
+	out->body.data = (uint8_t *)g_bytes_get_data(answer->body, &len);
+	out->body.len = len;
+}
+
+/* A part as a message, with the arrays that it points to. */
+typedef struct packed {
+	Papaya__HandOver msg;
+	Papaya__HandedKey *keys;
+	Papaya__Heard *members;
+	Papaya__Gap *gaps;
+} packed_t;
+
+static void pack_keys(packed_t *p, const handover_part_t *part)
+{
+	p->keys = g_new(Papaya__HandedKey, part->n_keys + 1);
+	p->msg.keys = g_new(Papaya__HandedKey *, part->n_keys + 1);
+	p->msg.n_keys = part->n_keys;
+	for (size_t i = 0; i < part->n_keys; i++) {
+		pack_key(&p->keys[i], &part->keys[i], part->is_answers);
+		p->msg.keys[i] = &p->keys[i];
+	}
+}
+
+static void pack_members(packed_t *p, const handover_part_t *part)
+{
+	p->members = g_new(Papaya__Heard, part->n_members + 1);
+	p->msg.members = g_new(Papaya__Heard *, part->n_members + 1);
+	p->msg.n_members = part->n_members;
+	for (size_t i = 0; i < part->n_members; i++) {
+		papaya__heard__init(&p->members[i]);
+		p->members[i].name = (char *)part->members[i].name.ptr;
+		p->members[i].incarnation = part->members[i].incarnation;
+		p->msg.members[i] = &p->members[i];
+	}
+}
+
+static void pack_gaps(packed_t *p, const handover_part_t *part)
+{
+	p->gaps = g_new(Papaya__Gap, part->n_gaps + 1);
+	p->msg.gaps = g_new(Papaya__Gap *, part->n_gaps + 1);
+	p->msg.n_gaps = part->n_gaps;
+	for (size_t i = 0; i < part->n_gaps; i++) {
+		papaya__gap__init(&p->gaps[i]);
+		p->gaps[i].name = (char *)part->gaps[i].name.ptr;
+		p->gaps[i].age_ms = (uint32_t)(part->gaps[i].age / US_PER_MS);
+		p->msg.gaps[i] = &p->gaps[i];
+	}
+}
+
+static void packed_init(packed_t *p, const handover_part_t *part)
+{
+	papaya__hand_over__init(&p->msg);
+	pack_keys(p, part);
+	pack_members(p, part);
+	pack_gaps(p, part);
+	p->msg.last = part->is_last;
+	p->msg.incarnation = part->incarnation;
+	p->msg.to_incarnation = part->to_incarnation;
+	p->msg.serial = part->serial;
+	p->msg.index = part->index;
+	p->msg.leaving = part->is_leaving;
+	p->msg.answers = part->is_answers;
+}
+
+static void packed_finish(packed_t *p)
+{
+	g_free(p->keys);
+	g_free(p->members);
+	g_free(p->gaps);
+	g_free(p->msg.keys);
+	g_free(p->msg.members);
+	g_free(p->msg.gaps);
+}
+
+bool handover_frame_send_part(handover_frame_send_t send, void *ctx, str_t name,
+			      const handover_part_t *part)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	packed_t packed;
+	bool is_sent;
+
+	packed_init(&packed, part);
+	frame.body_case = PAPAYA__FRAME__BODY_HAND_OVER;
+	frame.hand_over = &packed.msg;
+	is_sent = send(ctx, name, &frame);
+	packed_finish(&packed);
+	return is_sent;
+}
+
+bool handover_frame_send_ack(handover_frame_send_t send, void *ctx, str_t name,
+			     uint64_t incarnation, uint32_t serial)
+{
+	Papaya__HandOverAck ack = PAPAYA__HAND_OVER_ACK__INIT;
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+
+	ack.incarnation = incarnation;
+	ack.serial = serial;
+	frame.body_case = PAPAYA__FRAME__BODY_HAND_OVER_ACK;
+	frame.hand_over_ack = &ack;
+	return send(ctx, name, &frame);
+}
+
+static void free_keys(GArray *keys)
+{
+	for (guint i = 0; i < keys->len; i++) {
+		handover_key_t *key = &g_array_index(keys, handover_key_t, i);
+
+		g_bytes_unref(key->scoped);
+		g_clear_pointer(&key->answer.body, g_bytes_unref);
+	}
+	g_array_unref(keys);
+}
+
+/* A key whose outcome we don't know is one that may have run. */
+static handover_key_t read_key(const Papaya__HandedKey *msg)
+{
+	handover_key_t key = { .fingerprint = msg->fingerprint };
+	outcome_t outcome = outcome_parse(msg->outcome);
+
+	key.scoped = g_bytes_new(msg->scoped.data, msg->scoped.len);
+	key.answer.outcome = outcome ? outcome : OUTCOME_UNKNOWN;
+	key.answer.status = (int)msg->status;
+	if (msg->content_type[0])
+		key.answer.content_type = msg->content_type;
+	if (msg->has_answer)
+		key.answer.body = g_bytes_new(msg->body.data, msg->body.len);
+	return key;
+}
+
+void handover_frame_receive(handover_t *h, str_t from,
+			    const Papaya__HandOver *msg, int64_t now)
+{
+	GArray *keys = g_array_new(FALSE, FALSE, sizeof(handover_key_t));
+	g_autofree handover_member_t *members =
+		g_new(handover_member_t, msg->n_members + 1);
+	g_autofree handover_gap_t *gaps =
+		g_new(handover_gap_t, msg->n_gaps + 1);
+	handover_part_t part = {
+		.incarnation = msg->incarnation,
+		.to_incarnation = msg->to_incarnation,
+		.serial = msg->serial,
+		.index = msg->index,
+		.is_last = msg->last,
+		.is_leaving = msg->leaving,
+		.is_answers = msg->answers,
+		.n_keys = msg->n_keys,
+		.n_members = msg->n_members,
+		.n_gaps = msg->n_gaps,
+		.members = members,
+		.gaps = gaps,
+	};
+
+	for (size_t i = 0; i < msg->n_keys; i++) {
+		handover_key_t key = read_key(msg->keys[i]);
+
+		g_array_append_val(keys, key);
+	}
+	for (size_t i = 0; i < msg->n_members; i++) {
+		members[i].name = str_from(msg->members[i]->name);
+		members[i].incarnation = msg->members[i]->incarnation;
+	}
+	for (size_t i = 0; i < msg->n_gaps; i++) {
+		gaps[i].name = str_from(msg->gaps[i]->name);
+		gaps[i].age = (int64_t)msg->gaps[i]->age_ms * US_PER_MS;
+	}
+	part.keys = (handover_key_t *)keys->data;
+	handover_receive(h, from, &part, now);
+	free_keys(keys);
+}
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &papaya__handed_key__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__gap__init
+                     (Papaya__Gap         *message)
+{
+  static const Papaya__Gap init_value = PAPAYA__GAP__INIT;
+  *message = init_value;
+}
+size_t papaya__gap__get_packed_size
+                     (const Papaya__Gap *message)
+{
+  assert(message->base.descriptor == &papaya__gap__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__gap__pack
+                     (const Papaya__Gap *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__gap__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__gap__pack_to_buffer
+                     (const Papaya__Gap *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__gap__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__Gap *
+       papaya__gap__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__Gap *)
+     protobuf_c_message_unpack (&papaya__gap__descriptor,
+                                allocator, len, data);
+}
+void   papaya__gap__free_unpacked
+                     (Papaya__Gap *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__gap__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__hand_over__init
                      (Papaya__HandOver         *message)
 {
@@ -682,6 +727,51 @@
   assert(message->base.descriptor == &papaya__hand_over__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__hand_over_ack__init
+                     (Papaya__HandOverAck         *message)
+{
+  static const Papaya__HandOverAck init_value = PAPAYA__HAND_OVER_ACK__INIT;
+  *message = init_value;
+}
+size_t papaya__hand_over_ack__get_packed_size
+                     (const Papaya__HandOverAck *message)
+{
+  assert(message->base.descriptor == &papaya__hand_over_ack__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__hand_over_ack__pack
+                     (const Papaya__HandOverAck *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__hand_over_ack__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__hand_over_ack__pack_to_buffer
+                     (const Papaya__HandOverAck *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__hand_over_ack__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__HandOverAck *
+       papaya__hand_over_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__HandOverAck *)
+     protobuf_c_message_unpack (&papaya__hand_over_ack__descriptor,
+                                allocator, len, data);
+}
+void   papaya__hand_over_ack__free_unpacked
+                     (Papaya__HandOverAck *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__hand_over_ack__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__frame__init
                      (Papaya__Frame         *message)
 {
@@ -1871,18 +1961,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "age_ms",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Papaya__HandedKey, age_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "status",
     4,
@@ -1931,19 +2009,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "fingerprint",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__HandedKey, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__handed_key__field_indices_by_name[] = {
-  2,   /* field[2] = age_ms */
-  5,   /* field[5] = body */
-  4,   /* field[4] = content_type */
-  6,   /* field[6] = has_answer */
+  4,   /* field[4] = body */
+  3,   /* field[3] = content_type */
+  6,   /* field[6] = fingerprint */
+  5,   /* field[5] = has_answer */
   1,   /* field[1] = outcome */
   0,   /* field[0] = scoped */
-  3,   /* field[3] = status */
+  2,   /* field[2] = status */
 };
-static const ProtobufCIntRange papaya__handed_key__number_ranges[1 + 1] =
+static const ProtobufCIntRange papaya__handed_key__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 4, 2 },
   { 0, 7 }
 };
 const ProtobufCMessageDescriptor papaya__handed_key__descriptor =
@@ -1957,11 +2048,62 @@
   7,
   papaya__handed_key__field_descriptors,
   papaya__handed_key__field_indices_by_name,
-  1,  papaya__handed_key__number_ranges,
+  2,  papaya__handed_key__number_ranges,
   (ProtobufCMessageInit) papaya__handed_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__hand_over__field_descriptors[3] =
+static const ProtobufCFieldDescriptor papaya__gap__field_descriptors[2] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Gap, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Gap, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__gap__field_indices_by_name[] = {
+  1,   /* field[1] = age_ms */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange papaya__gap__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor papaya__gap__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.Gap",
+  "Gap",
+  "Papaya__Gap",
+  "papaya",
+  sizeof(Papaya__Gap),
+  2,
+  papaya__gap__field_descriptors,
+  papaya__gap__field_indices_by_name,
+  1,  papaya__gap__number_ranges,
+  (ProtobufCMessageInit) papaya__gap__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__hand_over__field_descriptors[10] =
 {
   {
     "keys",
@@ -1999,16 +2141,107 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "to_incarnation",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__HandOver, to_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "serial",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__HandOver, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__HandOver, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__HandOver, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__HandOver, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__HandOver, n_members),
+    offsetof(Papaya__HandOver, members),
+    &papaya__heard__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gaps",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__HandOver, n_gaps),
+    offsetof(Papaya__HandOver, gaps),
+    &papaya__gap__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__hand_over__field_indices_by_name[] = {
+  7,   /* field[7] = answers */
+  9,   /* field[9] = gaps */
   2,   /* field[2] = incarnation */
+  5,   /* field[5] = index */
   0,   /* field[0] = keys */
   1,   /* field[1] = last */
+  6,   /* field[6] = leaving */
+  8,   /* field[8] = members */
+  4,   /* field[4] = serial */
+  3,   /* field[3] = to_incarnation */
 };
 static const ProtobufCIntRange papaya__hand_over__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor papaya__hand_over__descriptor =
 {
@@ -2018,14 +2251,65 @@
   "Papaya__HandOver",
   "papaya",
   sizeof(Papaya__HandOver),
-  3,
+  10,
   papaya__hand_over__field_descriptors,
   papaya__hand_over__field_indices_by_name,
   1,  papaya__hand_over__number_ranges,
   (ProtobufCMessageInit) papaya__hand_over__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[12] =
+static const ProtobufCFieldDescriptor papaya__hand_over_ack__field_descriptors[2] =
+{
+  {
+    "serial",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__HandOverAck, serial),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__HandOverAck, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__hand_over_ack__field_indices_by_name[] = {
+  1,   /* field[1] = incarnation */
+  0,   /* field[0] = serial */
+};
+static const ProtobufCIntRange papaya__hand_over_ack__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor papaya__hand_over_ack__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.HandOverAck",
+  "HandOverAck",
+  "Papaya__HandOverAck",
+  "papaya",
+  sizeof(Papaya__HandOverAck),
+  2,
+  papaya__hand_over_ack__field_descriptors,
+  papaya__hand_over_ack__field_indices_by_name,
+  1,  papaya__hand_over_ack__number_ranges,
+  (ProtobufCMessageInit) papaya__hand_over_ack__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[13] =
 {
   {
     "hello",
@@ -2171,6 +2455,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hand_over_ack",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, hand_over_ack),
+    &papaya__hand_over_ack__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__frame__field_indices_by_name[] = {
   6,   /* field[6] = cancel */
@@ -2179,6 +2475,7 @@
   8,   /* field[8] = first_token */
   4,   /* field[4] = grant */
   11,   /* field[11] = hand_over */
+  12,   /* field[12] = hand_over_ack */
   2,   /* field[2] = heartbeat */
   0,   /* field[0] = hello */
   1,   /* field[1] = proof */
@@ -2189,7 +2486,7 @@
 static const ProtobufCIntRange papaya__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor papaya__frame__descriptor =
 {
@@ -2199,7 +2496,7 @@
   "Papaya__Frame",
   "papaya",
   sizeof(Papaya__Frame),
-  12,
+  13,
   papaya__frame__field_descriptors,
   papaya__frame__field_indices_by_name,
   1,  papaya__frame__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -29,7 +29,9 @@
 typedef struct Papaya__Document Papaya__Document;
 typedef struct Papaya__Documents Papaya__Documents;
 typedef struct Papaya__HandedKey Papaya__HandedKey;
+typedef struct Papaya__Gap Papaya__Gap;
 typedef struct Papaya__HandOver Papaya__HandOver;
+typedef struct Papaya__HandOverAck Papaya__HandOverAck;
 typedef struct Papaya__Frame Papaya__Frame;
 
 
@@ -276,7 +278,8 @@
 
 
 /*
- * A key that the new owner must know of.
+ * A key that the new owner must know of. In a part with answers it also has
+ * the outcome and the kept answer.
  */
 struct  Papaya__HandedKey
 {
@@ -285,35 +288,99 @@
    * team and key
    */
   ProtobufCBinaryData scoped;
-  /*
-   * empty while it runs on the old owner
-   */
   char *outcome;
-  uint32_t age_ms;
   uint32_t status;
   char *content_type;
   ProtobufCBinaryData body;
+  /*
+   * the body is the whole answer
+   */
   protobuf_c_boolean has_answer;
+  /*
+   * of the request
+   */
+  uint64_t fingerprint;
 };
 #define PAPAYA__HANDED_KEY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__handed_key__descriptor) \
-    , {0,NULL}, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0 }
+    , {0,NULL}, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0 }
+
+
+/*
+ * Until age_ms ago keys of this daemon may have run without the zone knowing.
+ */
+struct  Papaya__Gap
+{
+  ProtobufCMessage base;
+  char *name;
+  uint32_t age_ms;
+};
+#define PAPAYA__GAP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__gap__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * One part of a hand-over; see docs/design/hand-over.md.
+ */
 struct  Papaya__HandOver
 {
   ProtobufCMessage base;
   size_t n_keys;
   Papaya__HandedKey **keys;
+  /*
+   * members and gaps are given in this part
+   */
   protobuf_c_boolean last;
   /*
-   * of the daemon that is leaving
+   * of the sender
    */
   uint64_t incarnation;
+  /*
+   * of the receiver
+   */
+  uint64_t to_incarnation;
+  /*
+   * of the transfer
+   */
+  uint32_t serial;
+  /*
+   * of the part, from 0
+   */
+  uint32_t index;
+  /*
+   * the sender drains
+   */
+  protobuf_c_boolean leaving;
+  /*
+   * answers to keys that were handed over before
+   */
+  protobuf_c_boolean answers;
+  /*
+   * who may own keys, as the sender sees it
+   */
+  size_t n_members;
+  Papaya__Heard **members;
+  size_t n_gaps;
+  Papaya__Gap **gaps;
 };
 #define PAPAYA__HAND_OVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__hand_over__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Papaya__HandOverAck
+{
+  ProtobufCMessage base;
+  uint32_t serial;
+  /*
+   * of the daemon that handed over
+   */
+  uint64_t incarnation;
+};
+#define PAPAYA__HAND_OVER_ACK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__hand_over_ack__descriptor) \
+    , 0, 0 }
 
 
 typedef enum {
@@ -329,7 +396,8 @@
   PAPAYA__FRAME__BODY_FIRST_TOKEN = 9,
   PAPAYA__FRAME__BODY_DONE = 10,
   PAPAYA__FRAME__BODY_DOCUMENTS = 11,
-  PAPAYA__FRAME__BODY_HAND_OVER = 12
+  PAPAYA__FRAME__BODY_HAND_OVER = 12,
+  PAPAYA__FRAME__BODY_HAND_OVER_ACK = 13
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PAPAYA__FRAME__BODY__CASE)
 } Papaya__Frame__BodyCase;
 
@@ -350,6 +418,7 @@
     Papaya__Done *done;
     Papaya__Documents *documents;
     Papaya__HandOver *hand_over;
+    Papaya__HandOverAck *hand_over_ack;
   };
 };
 #define PAPAYA__FRAME__INIT \
@@ -623,6 +692,25 @@
 void   papaya__handed_key__free_unpacked
                      (Papaya__HandedKey *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__Gap methods */
+void   papaya__gap__init
+                     (Papaya__Gap         *message);
+size_t papaya__gap__get_packed_size
+                     (const Papaya__Gap   *message);
+size_t papaya__gap__pack
+                     (const Papaya__Gap   *message,
+                      uint8_t             *out);
+size_t papaya__gap__pack_to_buffer
+                     (const Papaya__Gap   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__Gap *
+       papaya__gap__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__gap__free_unpacked
+                     (Papaya__Gap *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__HandOver methods */
 void   papaya__hand_over__init
                      (Papaya__HandOver         *message);
@@ -642,6 +730,25 @@
 void   papaya__hand_over__free_unpacked
                      (Papaya__HandOver *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__HandOverAck methods */
+void   papaya__hand_over_ack__init
+                     (Papaya__HandOverAck         *message);
+size_t papaya__hand_over_ack__get_packed_size
+                     (const Papaya__HandOverAck   *message);
+size_t papaya__hand_over_ack__pack
+                     (const Papaya__HandOverAck   *message,
+                      uint8_t             *out);
+size_t papaya__hand_over_ack__pack_to_buffer
+                     (const Papaya__HandOverAck   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__HandOverAck *
+       papaya__hand_over_ack__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__hand_over_ack__free_unpacked
+                     (Papaya__HandOverAck *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Frame methods */
 void   papaya__frame__init
                      (Papaya__Frame         *message);
@@ -705,9 +812,15 @@
 typedef void (*Papaya__HandedKey_Closure)
                  (const Papaya__HandedKey *message,
                   void *closure_data);
+typedef void (*Papaya__Gap_Closure)
+                 (const Papaya__Gap *message,
+                  void *closure_data);
 typedef void (*Papaya__HandOver_Closure)
                  (const Papaya__HandOver *message,
                   void *closure_data);
+typedef void (*Papaya__HandOverAck_Closure)
+                 (const Papaya__HandOverAck *message,
+                  void *closure_data);
 typedef void (*Papaya__Frame_Closure)
                  (const Papaya__Frame *message,
                   void *closure_data);
@@ -731,7 +844,9 @@
 extern const ProtobufCMessageDescriptor papaya__document__descriptor;
 extern const ProtobufCMessageDescriptor papaya__documents__descriptor;
 extern const ProtobufCMessageDescriptor papaya__handed_key__descriptor;
+extern const ProtobufCMessageDescriptor papaya__gap__descriptor;
 extern const ProtobufCMessageDescriptor papaya__hand_over__descriptor;
+extern const ProtobufCMessageDescriptor papaya__hand_over_ack__descriptor;
 extern const ProtobufCMessageDescriptor papaya__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/tests/lib_handover.h
@@ -0,0 +1,80 @@
+/*
+ * Fakes for the hand-over's tests: daemons "a" to "d" of one zone with their
+ * membership, key table and hand-over, and a wire that carries the frames.
+ */
+#ifndef TESTS_LIB_HANDOVER_H
+#define TESTS_LIB_HANDOVER_H
+
+#include <glib.h>
+
+#include "core/handover.h"
+
+enum {
+	N_DAEMONS = 4,
+	TICK = 100 * 1000, /* microseconds */
+	SECOND = 10 * TICK,
+	TIMEOUT = 2 * SECOND,
+	QUIET = 60 * SECOND,
+	MARGIN = 4 * SECOND,
+	FINGERPRINT = 77,
+};
+
+typedef enum op {
+	OP_START = 1, /* as incarnation ARG */
+	OP_KILL,
+	OP_PAUSE,
+	OP_RESUME,
+	OP_DRAIN,
+	OP_CLAIM, /* the first key, which it must own, and dispatch it */
+	OP_ENDED, /* the request ends, completed */
+	OP_RELEASE, /* the request is given up undispatched */
+	OP_LOSE, /* hand-over frames to ARG are lost */
+	OP_HOLD, /* hand-over frames to ARG wait */
+	OP_PASS, /* hand-over frames to ARG arrive again */
+	OP_DEAF, /* ARG hears no heartbeat of it */
+	OP_DONE, /* its drain must be done (ARG 1) or not (ARG 0) */
+} op_t;
+
+typedef struct step {
+	int at; /* seconds */
+	op_t op;
+	char name;
+	int arg;
+} step_t;
+
+typedef enum wire_state { WIRE_OK, WIRE_LOSES, WIRE_HOLDS } wire_state_t;
+
+typedef struct daemon_sim {
+	struct sim *sim;
+	member_vm_t vm;
+	member_t member;
+	rights_t rights;
+	handover_t handover;
+	uint64_t incarnation;
+	bool is_up, is_paused, drains;
+} daemon_sim_t;
+
+typedef struct sim {
+	daemon_sim_t daemons[N_DAEMONS];
+	GQueue wire[N_DAEMONS][N_DAEMONS]; /* GByteArray, from and to */
+	wire_state_t state[N_DAEMONS][N_DAEMONS];
+	bool deaf[N_DAEMONS][N_DAEMONS];
+	char key[2][16];
+	uint32_t max_entries;
+	int64_t now;
+} sim_t;
+
+/* Finds the Nth key whose winners are the names of ORDER, in that order. */
+void find_key(const char *order, int nth, char *buf);
+void start_daemon(sim_t *s, int i, uint64_t incarnation);
+void stop_daemon(daemon_sim_t *d);
+/* Frees what is left on the wire and all daemons. */
+void sim_finish(sim_t *s);
+/* Lets daemon TO hear a heartbeat of FROM. */
+void beat(sim_t *s, int from, int to);
+void tick_to(sim_t *s, int64_t to);
+void apply(sim_t *s, const step_t *step);
+/* Reads the next step of a script; returns false at its end. */
+bool next_step(const char **script, step_t *step);
+
+#endif
--- /dev/null
+++ b/tests/test_handover.c
@@ -0,0 +1,409 @@
+#include <glib.h>
+
+#include "core/handover.h"
+#include "tests/lib_handover.h"
+#include "tests/lib_suite.h"
+
+/* What a daemon would do with a call for a key. */
+typedef enum expect {
+	RUNS,
+	QUIETS, /* `unknown`, by the quiet period */
+	UNKNOWN, /* `unknown`, by the table */
+	ANSWERS, /* the kept answer */
+	FORWARDS,
+} expect_t;
+
+static expect_t ask(sim_t *s, daemon_sim_t *d, const char *key)
+{
+	g_autoptr(GBytes) scoped = g_bytes_new(key, strlen(key));
+	const rights_entry_t *entry = rights_find(&d->rights, scoped);
+	member_owner_t owner;
+
+	if (entry && entry->answer.outcome == OUTCOME_COMPLETED) {
+		ck_assert_int_eq(entry->answer.status, 201);
+		ck_assert_str_eq(entry->answer.content_type, "text/plain");
+		ck_assert_uint_eq(g_bytes_get_size(entry->answer.body), 6);
+	}
+	if (entry) {
+		ck_assert_uint_eq(entry->fingerprint, FINGERPRINT);
+		return entry->answer.outcome == OUTCOME_COMPLETED ? ANSWERS :
+								    UNKNOWN;
+	}
+	member_key_owner(&d->member, str_from(key), STR_LIT("z1"), -1, s->now,
+			 &owner);
+	return owner.kind == MEMBER_OWNER_SELF	? RUNS :
+	       owner.kind == MEMBER_OWNER_QUIET ? QUIETS :
+						  FORWARDS;
+}
+
+typedef struct handover_case {
+	const char *what;
+	const char *order; /* of the keys' winners */
+	const char *script; /* "SECONDS OP DAEMON [ARG], ..." */
+	int at;
+	char asked;
+	expect_t claimed; /* of the key that OP_CLAIM ran */
+	expect_t fresh; /* of another key */
+} handover_case_t;
+
+static void check_case(const handover_case_t *c)
+{
+	sim_t s = { .max_entries = 100 };
+	expect_t claimed, fresh;
+	daemon_sim_t *d = &s.daemons[c->asked - 'a'];
+	const char *script = c->script;
+	step_t step;
+
+	find_key(c->order, 0, s.key[0]);
+	find_key(c->order, 1, s.key[1]);
+	while (next_step(&script, &step)) {
+		tick_to(&s, (int64_t)step.at * SECOND);
+		apply(&s, &step);
+	}
+	tick_to(&s, (int64_t)c->at * SECOND);
+	claimed = ask(&s, d, s.key[0]);
+	fresh = ask(&s, d, s.key[1]);
+	ck_assert_msg(claimed == c->claimed, "%s: claimed key: %d", c->what,
+		      claimed);
+	ck_assert_msg(fresh == c->fresh, "%s: fresh key: %d", c->what, fresh);
+	sim_finish(&s);
+}
+
+#define CHECK_CASES(cases)                                       \
+	do {                                                     \
+		for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) \
+			check_case(&(cases)[i]);                 \
+	} while (0)
+
+START_TEST(leaving_hands_over)
+{
+	static const handover_case_t cases[] = {
+		{ "while it still runs", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 101 drain b, "
+		  "102 done b 1",
+		  103, 'a', UNKNOWN, RUNS },
+		{ "and is gone", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 101 drain b, "
+		  "105 kill b",
+		  130, 'a', UNKNOWN, RUNS },
+		{ "the answer came before", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 100 ended b, "
+		  "101 drain b",
+		  103, 'a', ANSWERS, RUNS },
+		{ "the answer comes afterwards", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 101 drain b, "
+		  "103 ended b",
+		  104, 'a', ANSWERS, RUNS },
+		{ "given up undispatched", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 101 drain b, "
+		  "103 release b",
+		  104, 'a', RUNS, RUNS },
+		{ "lost once, sent again", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 100 lose b a, "
+		  "101 drain b, 102 done b 0, 102 pass b a",
+		  106, 'a', UNKNOWN, RUNS },
+		{ "acknowledgement lost", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 100 lose a b, "
+		  "101 drain b, 103 done b 0",
+		  104, 'a', UNKNOWN, RUNS },
+		{ "new owner restarts", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 101 drain b, "
+		  "103 kill a, 104 start a 2, 108 done b 1",
+		  108, 'a', UNKNOWN, QUIETS },
+		{ "two new owners", "bca",
+		  "0 start a 1, 0 start b 1, 0 start c 1, 100 claim b, "
+		  "101 drain b, 103 done b 1, 103 kill b",
+		  110, 'c', UNKNOWN, RUNS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
+START_TEST(incomplete_hand_over_leaves_keys_quiet)
+{
+	static const handover_case_t cases[] = {
+		{ "all lost", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 100 lose b a, "
+		  "101 drain b, 105 done b 0, 105 kill b",
+		  115, 'a', QUIETS, QUIETS },
+		{ "killed at once", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 101 drain b, "
+		  "101 kill b",
+		  110, 'a', QUIETS, QUIETS },
+		{ "new owner dies", "bca",
+		  "0 start a 1, 0 start b 1, 0 start c 1, 100 claim b, "
+		  "101 drain b, 105 kill b, 110 kill c",
+		  120, 'a', QUIETS, QUIETS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
+START_TEST(read_after_a_stall_counts_for_nothing)
+{
+	static const handover_case_t cases[] = {
+		{ "receiver paused", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 100 pause a, "
+		  "101 drain b, 102 kill b, 110 resume a",
+		  120, 'a', QUIETS, QUIETS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
+START_TEST(old_incarnation_counts_for_nothing)
+{
+	static const handover_case_t cases[] = {
+		{ "giver is back as a new one and dies", "ba",
+		  "0 start a 1, 0 start b 1, 100 hold b a, 101 drain b, "
+		  "102 kill b, 103 start b 2, 104 lose b a, 130 kill b",
+		  140, 'a', QUIETS, QUIETS },
+		{ "acknowledged by an old one", "ba",
+		  "0 start a 1, 0 start b 1, 100 hold a b, 101 drain b, "
+		  "102 kill a, 102 lose b a, 103 start a 2, 104 pass a b, "
+		  "106 done b 0",
+		  106, 'a', QUIETS, QUIETS },
+		{ "receiver is a new one", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 100 hold b a, "
+		  "101 drain b, 102 kill a, 102 start a 2, 102 kill b, "
+		  "102 pass b a",
+		  110, 'a', QUIETS, QUIETS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
+START_TEST(differing_views_are_not_accepted)
+{
+	static const handover_case_t cases[] = {
+		{ "giver saw one more", "bca",
+		  "0 start a 1, 0 start b 1, 0 start c 1, 0 deaf c a, "
+		  "100 claim b, 101 drain b, 105 done b 0, 105 kill b",
+		  115, 'a', QUIETS, QUIETS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
+START_TEST(gaps_go_along)
+{
+	static const handover_case_t cases[] = {
+		{ "of the giver itself", "ba",
+		  "0 start a 1, 99 lose a b, 100 start b 1, 110 drain b, "
+		  "115 kill b",
+		  120, 'a', QUIETS, QUIETS },
+		{ "of a peer that only the giver knew", "cba",
+		  "0 start a 1, 0 start b 1, 0 start c 1, 0 deaf c a, "
+		  "99 claim c, 99 kill c, 110 drain b, 112 kill b",
+		  120, 'a', QUIETS, QUIETS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
+START_TEST(joining_takes_over)
+{
+	static const handover_case_t cases[] = {
+		{ "from one", "ba", "0 start a 1, 100 claim a, 101 start b 1",
+		  104, 'b', UNKNOWN, RUNS },
+		{ "from two", "bca",
+		  "0 start a 1, 0 start c 1, 100 claim c, 101 start b 1", 104,
+		  'b', UNKNOWN, RUNS },
+		{ "with the answer", "ba",
+		  "0 start a 1, 100 claim a, 101 start b 1, 103 ended a", 104,
+		  'b', ANSWERS, RUNS },
+		{ "giver forwards meanwhile", "ba",
+		  "0 start a 1, 101 start b 1", 104, 'a', FORWARDS, FORWARDS },
+		{ "one restart after the other", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 101 drain b, "
+		  "103 kill b, 104 start b 2, 110 drain a, 112 kill a, "
+		  "113 start a 2",
+		  120, 'b', UNKNOWN, RUNS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
+START_TEST(joining_needs_every_live_daemon)
+{
+	static const handover_case_t cases[] = {
+		{ "nobody there", "ba", "101 start b 1", 104, 'b', QUIETS,
+		  QUIETS },
+		{ "lost", "ba",
+		  "0 start a 1, 99 lose a b, 100 claim a, 101 start b 1", 110,
+		  'b', QUIETS, QUIETS },
+		{ "one of two lost", "bca",
+		  "0 start a 1, 0 start c 1, 99 lose c b, 100 claim c, "
+		  "101 start b 1",
+		  110, 'b', QUIETS, QUIETS },
+		{ "one that no other giver sees", "bca",
+		  "0 start a 1, 0 start c 1, 0 deaf c a, 99 lose c b, "
+		  "100 claim c, 101 start b 1",
+		  110, 'b', QUIETS, QUIETS },
+		{ "one that only the giver sees", "bca",
+		  "0 start a 1, 0 start c 1, 0 deaf c b, 100 claim c, "
+		  "101 start b 1",
+		  110, 'b', QUIETS, QUIETS },
+		{ "all start at once", "ba", "0 start a 1, 0 start b 1", 50,
+		  'b', QUIETS, QUIETS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
+START_TEST(joining_waits_for_what_died)
+{
+	static const handover_case_t cases[] = {
+		{ "its own earlier incarnation", "ba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 101 kill b, "
+		  "102 start b 2",
+		  110, 'b', QUIETS, QUIETS },
+		{ "the owner before it", "bca",
+		  "0 start a 1, 0 start c 1, 100 claim c, 101 kill c, "
+		  "110 start b 1",
+		  115, 'b', QUIETS, QUIETS },
+		{ "but no longer", "ba",
+		  "0 start a 1, 0 start b 1, 101 kill b, 102 start b 2", 163,
+		  'b', RUNS, RUNS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
+/* One part of a transfer from "a" to "b", which are incarnations 1. */
+typedef struct part_sim {
+	uint32_t serial, index;
+	bool is_last;
+	uint64_t from, to; /* incarnations */
+} part_sim_t;
+
+static void give_part(daemon_sim_t *d, const part_sim_t *p)
+{
+	handover_member_t members[] = { { STR_LIT("a"), 1 },
+					{ STR_LIT("b"), 1 } };
+	handover_part_t part = {
+		.incarnation = p->from,
+		.to_incarnation = p->to,
+		.serial = p->serial,
+		.index = p->index,
+		.is_last = p->is_last,
+		.members = members,
+		.n_members = 2,
+	};
+
+	handover_receive(&d->handover, STR_LIT("a"), &part, d->sim->now);
+}
+
+START_TEST(every_part_is_needed)
+{
+	static const struct {
+		const char *what;
+		part_sim_t parts[3];
+		size_t n;
+		bool is_accepted;
+	} cases[] = {
+		{ "one", { { 9, 0, true, 1, 1 } }, 1, true },
+		{ "to another incarnation",
+		  { { 9, 0, true, 1, 2 } },
+		  1,
+		  false },
+		{ "of another incarnation",
+		  { { 9, 0, true, 2, 1 } },
+		  1,
+		  false },
+		{ "first missing", { { 9, 1, true, 1, 1 } }, 1, false },
+		{ "whole",
+		  { { 9, 0, false, 1, 1 }, { 9, 1, true, 1, 1 } },
+		  2,
+		  true },
+		{ "not the last",
+		  { { 9, 0, false, 1, 1 }, { 9, 1, false, 1, 1 } },
+		  2,
+		  false },
+		{ "second missing",
+		  { { 9, 0, false, 1, 1 }, { 9, 2, true, 1, 1 } },
+		  2,
+		  false },
+		{ "of two transfers",
+		  { { 9, 0, false, 1, 1 }, { 8, 1, true, 1, 1 } },
+		  2,
+		  false },
+		{ "twice",
+		  { { 9, 0, false, 1, 1 },
+		    { 9, 0, false, 1, 1 },
+		    { 9, 1, true, 1, 1 } },
+		  3,
+		  true },
+		{ "of an older transfer",
+		  { { 9, 0, false, 1, 1 },
+		    { 10, 0, false, 1, 1 },
+		    { 9, 1, true, 1, 1 } },
+		  3,
+		  false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		sim_t s = { .max_entries = 9 };
+
+		start_daemon(&s, 0, 1);
+		start_daemon(&s, 1, 1);
+		beat(&s, 0, 1);
+		for (size_t k = 0; k < cases[i].n; k++)
+			give_part(&s.daemons[1], &cases[i].parts[k]);
+		ck_assert_msg(handover_has_joined(&s.daemons[1].handover) ==
+				      cases[i].is_accepted,
+			      "%s", cases[i].what);
+		ck_assert_uint_eq(s.wire[1][0].length, cases[i].is_accepted);
+		sim_finish(&s);
+	}
+}
+END_TEST
+
+START_TEST(full_table_accepts_nothing)
+{
+	static const handover_case_t c = {
+		"full",
+		"ba",
+		"0 start a 1, 0 start b 1, 100 claim b, 101 drain b, "
+		"105 done b 0, 105 kill b",
+		115,
+		'a',
+		QUIETS,
+		QUIETS
+	};
+	sim_t s = { .max_entries = 1 };
+	g_autoptr(GBytes) other = g_bytes_new_static("other", 5);
+	const char *script = c.script;
+	rights_entry_t *entry;
+	step_t step;
+
+	find_key(c.order, 0, s.key[0]);
+	while (next_step(&script, &step)) {
+		tick_to(&s, (int64_t)step.at * SECOND);
+		if (step.op == OP_CLAIM)
+			rights_begin(&s.daemons[0].rights, other, false, 1, 1,
+				     &entry);
+		apply(&s, &step);
+	}
+	tick_to(&s, (int64_t)c.at * SECOND);
+	ck_assert_int_eq(ask(&s, &s.daemons[0], s.key[0]), QUIETS);
+	sim_finish(&s);
+}
+END_TEST
+
+SUITE_MAIN("handover", leaving_hands_over,
+	   incomplete_hand_over_leaves_keys_quiet,
+	   read_after_a_stall_counts_for_nothing,
+	   old_incarnation_counts_for_nothing, differing_views_are_not_accepted,
+	   gaps_go_along, joining_takes_over, joining_needs_every_live_daemon,
+	   joining_waits_for_what_died, every_part_is_needed,
+	   full_table_accepts_nothing)
--- a/tests/test_member.c
+++ b/tests/test_member.c
@@ -20,13 +20,15 @@
 	OP_MUTE, /* falls silent; probes succeed */
 	OP_HANG, /* falls silent; probes are never answered */
 	OP_REPORTED, /* "c" says that it hears it, as incarnation ARG */
-	OP_HANDED, /* handed over by incarnation ARG */
+	OP_HANDED, /* handed over; ARG is HANDED(incarnation, since) */
 	OP_CALLED_DEAD, /* a peer calls incarnation ARG dead */
 	OP_REINCARNATE, /* we become incarnation ARG */
 	OP_STALL, /* our loop stands still until now */
 	OP_LEAVE, /* we drain (ARG 1) or no longer do (ARG 0) */
 } op_t;
 
+#define HANDED(incarnation, since) ((incarnation) + 1000 * (since))
+
 typedef struct step {
 	int at;
 	op_t op;
@@ -145,7 +147,8 @@
 		p->reported = true;
 		break;
 	case OP_HANDED:
-		member_handed_over(&s->m, name_of(&step->name), arg, s->now);
+		member_handed_over(&s->m, name_of(&step->name), arg % 1000,
+				   step->arg / 1000, s->now);
 		break;
 	case OP_CALLED_DEAD:
 		member_called_dead(&s->m, name_of(&step->name), arg);
@@ -564,7 +567,7 @@
 		{ "by one that was itself new",
 		  { { 150, OP_BEAT, 'b', 1 },
 		    { 170, OP_DRAIN, 'b', 0 },
-		    { 171, OP_HANDED, 'b', 1 },
+		    { 171, OP_HANDED, 'b', HANDED(1, 150) },
 		    { 180, OP_STOP, 'b', 0 } },
 		  200,
 		  "ba",
@@ -572,6 +575,18 @@
 		  MEMBER_OWNER_QUIET,
 		  0,
 		  150 + QUIET },
+		{ "then no longer draining, and killed",
+		  { B_BEATS,
+		    { 150, OP_DRAIN, 'b', 0 },
+		    { 151, OP_HANDED, 'b', 1 },
+		    { 160, OP_BEAT, 'b', 1 },
+		    { 300, OP_STOP, 'b', 0 } },
+		  320,
+		  "ba",
+		  -1,
+		  MEMBER_OWNER_QUIET,
+		  0,
+		  315 + QUIET },
 		{ "then back and killed",
 		  { B_BEATS,
 		    { 150, OP_DRAIN, 'b', 0 },
@@ -590,6 +605,70 @@
 }
 END_TEST
 
+static void on_gap(void *ctx, str_t name, int64_t age)
+{
+	g_string_append_printf(ctx, "%.*s%d ", (int)name.len, name.ptr,
+			       (int)age);
+}
+
+START_TEST(gaps_are_passed_on)
+{
+	static const struct {
+		const char *what;
+		step_t steps[6];
+		const char *gaps;
+	} cases[] = {
+		{ "own start", { { 30, OP_BEAT, 'b', 1 } }, "a30 " },
+		{ "long ago", { { 150, OP_BEAT, 'b', 1 } }, "" },
+		{ "dead peer",
+		  { B_BEATS,
+		    { 150, OP_STOP, 'b', 0 },
+		    { 200, OP_BEAT, 'c', 1 } },
+		  "b35 " },
+		{ "restarted peer",
+		  { B_BEATS,
+		    { 150, OP_BEAT, 'b', 2 },
+		    { 180, OP_BEAT, 'b', 2 } },
+		  "b30 " },
+		{ "drained peer",
+		  { B_BEATS,
+		    { 150, OP_DRAIN, 'b', 0 },
+		    { 180, OP_HANDED, 'b', HANDED(1, 120) },
+		    { 190, OP_STOP, 'b', 0 },
+		    { 210, OP_BEAT, 'c', 1 } },
+		  "b90 " },
+		{ "drained peer that handed over to others",
+		  { B_BEATS,
+		    { 150, OP_DRAIN, 'b', 0 },
+		    { 170, OP_BEAT, 'c', 1 } },
+		  "b1 " },
+	};
+	sim_t s;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autoptr(GString) gaps = g_string_new(NULL);
+
+		sim_init(&s);
+		play(&s, cases[i].steps);
+		member_each_gap(&s.m, on_gap, gaps, s.now);
+		ck_assert_msg(!strcmp(gaps->str, cases[i].gaps), "%s: %s",
+			      cases[i].what, gaps->str);
+		member_finish(&s.m);
+	}
+	/* A gap that does not fit counts for every key. */
+	sim_init(&s);
+	tick_to(&s, 150);
+	for (int i = 0; i < 8; i++)
+		member_add_gap(&s.m, name_of(&"bcdefghi"[i]), 20, s.now);
+	ck_assert_int_eq(member_born_at(&s.m), 0);
+	member_add_gap(&s.m, STR_LIT("z"), 30, s.now);
+	ck_assert_int_eq(member_born_at(&s.m), 120);
+	member_joined(&s.m, 10);
+	ck_assert_int_eq(member_born_at(&s.m), 10);
+	member_finish(&s.m);
+}
+END_TEST
+
 START_TEST(draining_owns_nothing)
 {
 	static const owner_case_t cases[] = {
@@ -780,7 +859,8 @@
 	   minted_after_take_over_runs_at_once, reincarnated_is_quiet,
 	   keys_of_dead_peer_are_quiet, latest_of_several_owners_counts,
 	   broken_link_moves_nothing, dead_incarnation_stays_dead,
-	   only_hand_over_ends_quiet_of_drained, draining_owns_nothing,
-	   stall_is_seen, keys_have_a_home_zone, foreign_keys_go_to_their_zone,
-	   a_cut_zone_comes_back_as_it_was, dispatchers_are_live_and_spread,
-	   table_is_bounded, the_list_kills_nobody)
+	   only_hand_over_ends_quiet_of_drained, gaps_are_passed_on,
+	   draining_owns_nothing, stall_is_seen, keys_have_a_home_zone,
+	   foreign_keys_go_to_their_zone, a_cut_zone_comes_back_as_it_was,
+	   dispatchers_are_live_and_spread, table_is_bounded,
+	   the_list_kills_nobody)
