standin: callers repeat on silence, within the retry horizon

Cause: a connection may go silent for good; a caller then asks again on a new one. Callers promise not to repeat a key beyond the horizon, so the load has to keep to it, or it would test what nobody promised. Ruled out: repeating on any timeout of the connection, which hides whether the first answer was lost or late. Conclusion: silent links towards callers can be tried.

--- a/standin/lib_caller.c
+++ b/standin/lib_caller.c
@@ -60,16 +60,25 @@
 
 static void try_next_target(caller_t *c, int64_t pause_ms)
 {
+	c->is_asking = false;
 	http_call_finish(&c->call);
 	c->target = (c->target + 1) % c->env->n_targets;
 	arm(c->step_timer, pause_ms);
 }
 
+static bool may_repeat(const caller_t *c)
+{
+	int64_t age_ms = (clock_now_us() - c->started_us) / 1000;
+
+	return is_guarded(c) && c->attempts <= c->env->repeats &&
+	       age_ms + REPEAT_PAUSE_MS <= c->env->horizon_ms;
+}
+
 /* Tries again on the next target when that is safe; else ends the call. */
 static void repeat_or_end(caller_t *c, call_result_t result, const char *reason)
 {
 	c->is_unsure = result == CALL_BROKEN;
-	if (!is_guarded(c) || c->attempts > c->env->repeats) {
+	if (!may_repeat(c)) {
 		end_call(c, result, reason);
 		return;
 	}
@@ -166,6 +175,14 @@
 	}
 }
 
+/* A guarded call that hears nothing for too long is asked again. */
+static void await_answer(caller_t *c)
+{
+	c->is_asking = true;
+	if (c->env->patience_ms && !c->is_slow)
+		arm(c->step_timer, c->env->patience_ms);
+}
+
 static void on_head(void *ctx, int status, struct evkeyvalq *headers)
 {
 	caller_t *c = ctx;
@@ -192,6 +209,7 @@
 	}
 	answer_feed(&c->answer, data);
 	evbuffer_drain(body, len);
+	await_answer(c);
 	/* Keep-alive comments are not the answer's first token. */
 	if (!c->first_us && (!c->kind->is_stream || c->answer.seen))
 		c->first_us = clock_now_us();
@@ -208,6 +226,7 @@
 
 	evtimer_del(c->step_timer);
 	c->is_paused = false;
+	c->is_asking = false;
 	if (c->is_ticketing)
 		take_ticket(c, err);
 	else
@@ -298,7 +317,9 @@
 	answer_finish(&c->answer);
 	answer_init(&c->answer, kind_of_answer(kind), c->id, str_from(c->text),
 		    c->tokens);
-	if (!send_request(c, path, c->body, limit_ms(c)))
+	if (send_request(c, path, c->body, limit_ms(c)))
+		await_answer(c);
+	else
 		end_call(c, CALL_BROKEN, "cannot start");
 }
 
@@ -319,8 +340,11 @@
 	if (c->is_paused) {
 		c->is_paused = false;
 		http_call_pause(&c->call, false);
-	} else {
+	} else if (!c->is_asking) {
 		start_attempt(c);
+	} else if (may_repeat(c)) {
+		c->is_unsure = true;
+		try_next_target(c, 0);
 	}
 }
 
--- a/standin/lib_caller.h
+++ b/standin/lib_caller.h
@@ -26,6 +26,8 @@
 	char **targets; /* NULL-terminated */
 	uint32_t n_targets;
 	uint32_t repeats; /* of a guarded call, at most */
+	int64_t horizon_ms; /* from its start; no repeat after it */
+	int64_t patience_ms; /* silence until a guarded call repeats; 0: off */
 	int64_t grace_ms; /* after the deadline, until an answer is missing */
 	int64_t default_limit_ms; /* for calls without a deadline */
 	/* The call ended; the callee frees the caller. */
@@ -60,6 +62,7 @@
 	bool is_slow; /* reads slowly; to read */
 	bool is_ticketing; /* waits for a ticket */
 	bool is_paused;
+	bool is_asking; /* an exchange is under way */
 	bool is_ended;
 	bool is_unsure; /* an attempt was sent and its end not seen */
 	int status;
--- a/standin/load.c
+++ b/standin/load.c
@@ -328,6 +328,7 @@
 	load_t l = { .rate = 20, .seconds = 5, .seed = 1, .settle_ms = 300 };
 	const char *targets = NULL, *mix = NULL, *out = NULL, *oracles = NULL;
 	double repeats = 2, grace_ms = 5000, limit_ms = 30000;
+	double horizon_ms = 60000, patience_ms = 0;
 	bool ok = true;
 	const arg_row_t rows[] = {
 		{ "targets", ARG_TEXT, &targets, "IP:port,... of daemons" },
@@ -340,6 +341,10 @@
 		{ "slow-share", ARG_NUMBER, &l.slow_share,
 		  "of callers who read slowly" },
 		{ "repeats", ARG_NUMBER, &repeats, "of a guarded call" },
+		{ "horizon-ms", ARG_NUMBER, &horizon_ms,
+		  "from a call's start until its last repeat" },
+		{ "patience-ms", ARG_NUMBER, &patience_ms,
+		  "silence until a guarded call repeats; 0: off" },
 		{ "grace-ms", ARG_NUMBER, &grace_ms,
 		  "after the deadline, until an answer is missing" },
 		{ "limit-ms", ARG_NUMBER, &limit_ms,
@@ -358,6 +363,8 @@
 		return EXIT_FAILURE;
 	}
 	l.env.repeats = (uint32_t)repeats;
+	l.env.horizon_ms = (int64_t)horizon_ms;
+	l.env.patience_ms = (int64_t)patience_ms;
 	l.env.grace_ms = (int64_t)grace_ms;
 	l.env.default_limit_ms = (int64_t)limit_ms;
 	load_init(&l, targets);
