faults: failure cases on real processes

Cause: what must always hold had unit tests and models, but no run of real daemons that die, stall, lose links or leave under load. Ruled out: network namespaces and packet filters, which need rights that a fresh machine may not give; relays in front of each daemon, which cannot tell who connects. A preloaded connect() sends the daemons' connections through the relay of their own zone instead. Before: none.

--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,13 @@
 		$(CTL_LIB) $(STANDIN_LIB) $(LIB)
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(PKG_LIBS) -lm
 
+# Preloaded into daemons by the fault tests.
+SHIM := $(B)/tests/libshim.so
+
+$(SHIM): tests/shim/connect.c
+	@mkdir -p $(@D)
+	$(CC) -std=gnu11 $(WARN) $(CFLAGS) -fPIC -shared -o $@ $< -ldl
+
 proto:
 	protoc-c --proto_path=net --c_out=net net/peer.proto
 
@@ -108,7 +115,7 @@
 spec:
 	@spec/run.sh
 
-faults: all $(TOOLS)
+faults: all $(TOOLS) $(SHIM)
 	@$(B)/tests/faults $(FAULTS_ARGS)
 
 measure: all $(TOOLS)
@@ -118,7 +125,8 @@
 	@$(B)/tests/bench
 
 LINT_SRC := $(filter-out %.pb-c.c,$(LIB_SRC) $(DAEMON_SRC) $(CTL_SRC) \
-	$(STANDIN_LIB_SRC) $(STANDIN_SRC) $(TEST_SRC) $(TEST_LIB_SRC) $(TOOL_SRC))
+	$(STANDIN_LIB_SRC) $(STANDIN_SRC) $(TEST_SRC) $(TEST_LIB_SRC) $(TOOL_SRC) \
+	$(wildcard tests/shim/*.c))
 LINT_HDR := $(filter-out %.pb-c.h,$(wildcard $(foreach d,$(LIB_DIRS) daemon \
 	ctl standin tests,$(d)/*.h)))
 
--- /dev/null
+++ b/tests/faults.c
@@ -0,0 +1,228 @@
+/*
+ * Runs the fault cases on real processes, a few side by side.
+ *
+ * Each prints "ok NAME seed N" or "FAIL NAME seed N: reason"; a case that
+ * KNOWN-RED.txt names as "faults:NAME " prints "KNOWN RED NAME ..." and is
+ * passed over. Closes with "N passed, N failed".
+ */
+#include <errno.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "standin/lib_args.h"
+#include "tests/lib_fault_table.h"
+
+enum {
+	MAX_JOBS = 8,
+	CASE_LIMIT_MS = 100000,
+	EXIT_NOT_OK = 1,
+	POLL_US = 20000,
+};
+
+/* One case that runs in a process of its own. */
+typedef struct job {
+	const fault_case_t *fault;
+	uint32_t seed;
+	process_t process;
+	char *dir;
+	char *out;
+	gint64 end_us;
+} job_t;
+
+typedef struct suite {
+	job_t jobs[MAX_JOBS];
+	int n_jobs;
+	char *known_red;
+	char *root; /* of the cases' folders */
+	int passed, failed, known;
+} suite_t;
+
+/* Runs one case in this process; for the child. */
+static int run_case(const char *name, uint32_t seed, const char *dir)
+{
+	static case_run_t run;
+
+	for (size_t i = 0; i < fault_table_size; i++) {
+		if (strcmp(fault_table[i].name, name))
+			continue;
+		if (case_execute(&run, &fault_table[i], dir, seed))
+			return EXIT_SUCCESS;
+		printf("%s\n", run.reason);
+		return EXIT_NOT_OK;
+	}
+	printf("no such case\n");
+	return EXIT_NOT_OK;
+}
+
+static bool is_known_red(const suite_t *s, const char *name)
+{
+	g_autofree char *entry = g_strdup_printf("faults:%s ", name);
+	const char *at = s->known_red ? strstr(s->known_red, entry) : NULL;
+
+	return at && (at == s->known_red || at[-1] == '\n');
+}
+
+static void remove_dir(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *file = g_build_filename(path, name, NULL);
+
+		g_unlink(file);
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_rmdir(path);
+}
+
+static void report(suite_t *s, const job_t *job, int status)
+{
+	g_autofree char *reason = NULL;
+
+	if (status == 0) {
+		printf("ok %s seed %u\n", job->fault->name, job->seed);
+		s->passed++;
+		remove_dir(job->dir);
+		return;
+	}
+	if (!g_file_get_contents(job->out, &reason, NULL, NULL) || !*reason) {
+		g_free(reason);
+		reason = g_strdup_printf("exit status %d", status);
+	}
+	g_strchomp(reason);
+	if (is_known_red(s, job->fault->name)) {
+		printf("KNOWN RED %s seed %u: %s\n", job->fault->name,
+		       job->seed, reason);
+		s->known++;
+	} else {
+		printf("FAIL %s seed %u: %s (logs in %s)\n", job->fault->name,
+		       job->seed, reason, job->dir);
+		s->failed++;
+	}
+}
+
+static bool start_job(suite_t *s, job_t *job, const fault_case_t *fault,
+		      uint32_t seed)
+{
+	g_autofree char *number = g_strdup_printf("%u", seed);
+	g_autofree char *folder = g_strdup_printf("%s-%u", fault->name, seed);
+
+	job->fault = fault;
+	job->seed = seed;
+	job->dir = g_build_filename(s->root, folder, NULL);
+	job->out = g_build_filename(job->dir, "case.out", NULL);
+	job->end_us = g_get_monotonic_time() + CASE_LIMIT_MS * 1000LL;
+	const char *const args[] = { "--run", fault->name, "--seed", number,
+				     "--dir", job->dir,	   NULL };
+
+	return !g_mkdir_with_parents(job->dir, 0700) &&
+	       process_start(&job->process, "tests/faults", args, job->out,
+			     false);
+}
+
+static void clear_job(job_t *job)
+{
+	g_free(job->dir);
+	g_free(job->out);
+	memset(job, 0, sizeof(*job));
+}
+
+/* Returns a free place, once there is one. */
+static job_t *await_place(suite_t *s, bool is_last)
+{
+	for (;;) {
+		bool is_busy = false;
+
+		for (int i = 0; i < s->n_jobs; i++) {
+			job_t *job = &s->jobs[i];
+			int status;
+
+			if (!job->fault && !is_last)
+				return job;
+			if (!job->fault)
+				continue;
+			is_busy = true;
+			status = process_wait(&job->process, 0);
+			/* SIGTERM lets the case stop what it started. */
+			if (status == -1 &&
+			    g_get_monotonic_time() > job->end_us)
+				status = process_stop(&job->process, 20000);
+			if (status == -1)
+				continue;
+			report(s, job, status);
+			clear_job(job);
+		}
+		if (is_last && !is_busy)
+			return NULL;
+		g_usleep(POLL_US);
+	}
+}
+
+static void run_all(suite_t *s, const char *only, uint32_t seed)
+{
+	for (size_t i = 0; i < fault_table_size; i++) {
+		job_t *job;
+
+		if (only && strcmp(fault_table[i].name, only))
+			continue;
+		job = await_place(s, false);
+		if (start_job(s, job, &fault_table[i], seed))
+			continue;
+		report(s, job, EXIT_NOT_OK);
+		clear_job(job);
+	}
+	await_place(s, true);
+}
+
+static void print_list(void)
+{
+	for (size_t i = 0; i < fault_table_size; i++)
+		printf("%s\n", fault_table[i].name);
+}
+
+int main(int argc, char **argv)
+{
+	suite_t s = { 0 };
+	const char *only = NULL, *run = NULL, *dir = NULL;
+	double seed = 1, jobs = 4, seeds = 1;
+	bool is_list = false;
+	const arg_row_t rows[] = {
+		{ "seed", ARG_NUMBER, &seed, "the first one" },
+		{ "seeds", ARG_NUMBER, &seeds, "how many in a row" },
+		{ "only", ARG_TEXT, &only, "the case to run" },
+		{ "jobs", ARG_NUMBER, &jobs, "cases side by side" },
+		{ "list", ARG_FLAG, &is_list, "print the cases' names" },
+		{ "run", ARG_TEXT, &run, "run this case here" },
+		{ "dir", ARG_TEXT, &dir, "folder of its files, for --run" },
+	};
+	g_autofree char *root = NULL;
+
+	args_read(argc, argv, rows, G_N_ELEMENTS(rows));
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	if (is_list) {
+		print_list();
+		return EXIT_SUCCESS;
+	}
+	if (run && dir)
+		return run_case(run, (uint32_t)seed, dir);
+	root = g_dir_make_tmp("faults-XXXXXX", NULL);
+	s.root = root;
+	s.n_jobs = CLAMP((int)jobs, 1, MAX_JOBS);
+	g_file_get_contents("KNOWN-RED.txt", &s.known_red, NULL, NULL);
+	for (int i = 0; i < (int)seeds; i++)
+		run_all(&s, only, (uint32_t)seed + (uint32_t)i);
+	if (s.known)
+		printf("%d known red\n", s.known);
+	printf("%d passed, %d failed\n", s.passed, s.failed);
+	g_rmdir(root);
+	g_free(s.known_red);
+	return s.failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
