tests: measure what one daemon costs against the size around it

Cause: docs/CAPACITY.md needs slopes of processor, memory and bytes to peers against daemons, requests, teams and publications. Change: tests/slopes.sh behind `make slopes`. Conclusion: the slopes can be run.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 #   make faults     failure tests on real processes
 #   make measure    load measurements on real processes
 #   make bench      cost of single decisions
+#   make slopes     cost of a daemon against the size around it
 #   make lint       clang-format and clang-tidy
 #   make proto      regenerates the peer protocol's C code
 #
@@ -121,6 +122,10 @@
 measure: all $(TOOLS)
 	@tests/measure.sh $(B)
 
+# What one daemon costs, for docs/CAPACITY.md.
+slopes: all
+	@tests/slopes.sh $(B)
+
 bench: $(TOOLS)
 	@$(B)/tests/bench
 
@@ -149,5 +154,5 @@
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
 .SECONDARY:
-.PHONY: all setup demo check run-check generated-check spec faults measure bench format \
+.PHONY: all setup demo check run-check generated-check spec faults measure slopes bench format \
 	format-check tidy lint clean proto
