dispatcher: let protected work pass the window where it meets its need

Cause: at twice the capacity 5.5 of 100 protected model calls ended past their need: they were granted on the only runner with room, a slow one, though a fast one was full of lower work only.

Change: if a protected want would finish past its deadline, or within a third of the predicted time of it, on the best runner with room, it may go past the window of a runner on which only lower work takes the room.

The rule has a test: protected_want_passes_the_window_where_it_meets_its_deadline.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -10,6 +10,7 @@
 	TOKEN_QUANTUM = 4096, /* a team may be ahead by, engines */
 	CALL_QUANTUM = 4, /* the same, plain services */
 	CANCEL_LEAD = 100 * US_PER_MS, /* cancel so long before it is late */
+	FINISH_MARGIN = 3, /* part of a predicted time that it may err by */
 	RECHECK = 20 * US_PER_MS, /* of a protected want that is late */
 	PROTECTED_OVERFLOW = 2, /* times max_wants, while lower work runs */
 };
@@ -199,19 +200,41 @@
 		refuse(s, (item_t *)entry, REFUSE_NO_RUNNER);
 }
 
+/*
+ * Chooses for protected work. A runner with room on which it would be late
+ * gives way to one on which only lower work takes the room.
+ */
+static runner_t *choose_for_protected(struct dispatcher_state *s,
+				      const item_t *item, int64_t now,
+				      int64_t *finish)
+{
+	int64_t forced_finish = 0;
+	runner_t *forced, *runner;
+
+	runner = dispatcher_choose(s, item, ROOM_PROTECTED, now, finish);
+	if (!runner ||
+	    *finish + (*finish - now) / FINISH_MARGIN <= item->want.deadline)
+		return runner;
+	forced = dispatcher_choose(s, item, ROOM_FORCED, now, &forced_finish);
+	if (!forced || forced_finish >= *finish)
+		return runner;
+	*finish = forced_finish;
+	return forced;
+}
+
 /* Grants or refuses the next want; false when it has to wait. */
 static bool decide_next(struct dispatcher_state *s, int64_t now)
 {
 	item_t *item = (item_t *)queue_head(&s->queue);
-	runner_room_t room = ROOM_LOWER;
 	runner_t *runner;
 	int64_t finish = 0;
 
 	if (!item || s->n_running >= s->config.max_running)
 		return false;
 	if (queue_is_protected(&s->queue, item->entry.tier))
-		room = ROOM_PROTECTED;
-	runner = dispatcher_choose(s, item, room, now, &finish);
+		runner = choose_for_protected(s, item, now, &finish);
+	else
+		runner = dispatcher_choose(s, item, ROOM_LOWER, now, &finish);
 	if (!runner)
 		return false;
 	if (finish > item->want.deadline && may_refuse(s, item->entry.tier))
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -745,6 +745,31 @@
 }
 END_TEST
 
+START_TEST(protected_want_passes_the_window_where_it_meets_its_deadline)
+{
+	bed_t bed = { 0 };
+	want_t want;
+
+	bed_init(&bed, true);
+	set_runner(&bed, "slow", false);
+	teach(&bed, 0, 500, 500 * MS, 10, 100 * MS);
+	set_runner(&bed, "slow", true);
+	set_runner(&bed, "fast", false);
+	teach(&bed, 1, 500, 50 * MS, 10, 10 * MS);
+	ask(&bed, 2, 1, 2000); /* lower work fills the fast one */
+	dispatcher_first_token(&bed.d, (want_id_t){ OWNER, 2 }, bed.now);
+	set_runner(&bed, "slow", false);
+	want = make_want(&bed, 3, 0, 500);
+	want.deadline = bed.now + 400 * MS;
+	dispatcher_want(&bed.d, &want, bed.now);
+	ck_assert_str_eq(bed.answers[3].runner, "fast");
+	want = make_want(&bed, 4, 0, 500); /* this one has time */
+	dispatcher_want(&bed.d, &want, bed.now);
+	ck_assert_str_eq(bed.answers[4].runner, "slow");
+	dispatcher_finish(&bed.d);
+}
+END_TEST
+
 START_TEST(prefix_returns_to_its_runner_but_never_past_a_deadline)
 {
 	static const struct {
@@ -1080,6 +1105,7 @@
 	   window_shrinks_when_a_runner_slows_without_a_report,
 	   reports_count_work_that_others_granted,
 	   faster_runner_is_chosen_and_the_avoided_is_not,
+	   protected_want_passes_the_window_where_it_meets_its_deadline,
 	   prefix_returns_to_its_runner_but_never_past_a_deadline,
 	   grants_expire_and_late_events_are_ignored,
 	   adopted_work_takes_its_room,
