runner_model: fit the decode speed to the number of requests running

Cause: a runner decodes each request slower the more run beside it, and one learned mean hid that: predictions were too good for a runner that fills up and too bad for one that empties.

Change: seconds a token are a straight line over the number of requests running, fitted by least squares with recent work counting most; a plain service's call time likewise, in place of a factor past the slots.

--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -10,12 +10,71 @@
 };
 
 static const double rate_memory = 0.9; /* kept at each sample */
+static const double pace_memory = 0.95; /* kept at each sample */
+static const double min_variance = 0.5; /* of requests, to fit a slope */
+static const double min_pace = 0.1; /* of the mean, far from the samples */
 static const double seed_weight = 0.1; /* of speeds of the generation */
 static const double min_health = 1.0 / 16;
 static const double health_step = 1.0 / 16;
 static const double protected_reserve = 0.25; /* of the window, on top */
 static const double plain_reserve = 0.25; /* of the slots, out of them */
 
+static void learn_pace(runner_pace_t *pace, double tokens, double n, int64_t us)
+{
+	double t;
+
+	if (tokens <= 0 || us <= 0)
+		return;
+	t = (double)us / US_PER_S / tokens;
+	pace->weight = pace->weight * pace_memory + tokens;
+	pace->n = pace->n * pace_memory + tokens * n;
+	pace->t = pace->t * pace_memory + tokens * t;
+	pace->nn = pace->nn * pace_memory + tokens * n * n;
+	pace->nt = pace->nt * pace_memory + tokens * n * t;
+}
+
+/* Seconds a token while N requests run; 0 when nothing is known. */
+static double pace_at(const runner_pace_t *pace, double n)
+{
+	double mean_n, mean_t, variance, slope;
+
+	if (pace->weight <= 0)
+		return 0;
+	mean_n = pace->n / pace->weight;
+	mean_t = pace->t / pace->weight;
+	variance = pace->nn / pace->weight - mean_n * mean_n;
+	if (variance < min_variance)
+		return mean_t;
+	slope = (pace->nt / pace->weight - mean_n * mean_t) / variance;
+	slope = CLAMP(slope, 0, mean_t);
+	return MAX(mean_t + slope * (n - mean_n), mean_t * min_pace);
+}
+
+/* Raises a pace to what an unfinished piece of work shows at least. */
+static void bound_pace(runner_pace_t *pace, double tokens, double n, int64_t us)
+{
+	double expected = pace_at(pace, n) * MAX(tokens, 1);
+	double seen = (double)us / US_PER_S;
+
+	if (expected <= 0 || seen <= expected)
+		return;
+	pace->t *= seen / expected;
+	pace->nt *= seen / expected;
+}
+
+static runner_pace_t scaled_pace(const runner_pace_t *pace, double factor)
+{
+	return (runner_pace_t){ pace->weight * factor, pace->n * factor,
+				pace->t * factor, pace->nn * factor,
+				pace->nt * factor };
+}
+
+/* Microseconds to decode while N requests run. */
+static int64_t decode_time(const runner_model_t *m, double tokens, double n)
+{
+	return (int64_t)(pace_at(&m->speed.decode, n) * tokens * US_PER_S);
+}
+
 static runner_rate_t scaled(const runner_rate_t *rate, double factor)
 {
 	return (runner_rate_t){ rate->tokens * factor, rate->seconds * factor };
@@ -33,7 +92,7 @@
 	if (!speed)
 		return;
 	m->speed.prefill = scaled(&speed->prefill, seed_weight);
-	m->speed.decode = scaled(&speed->decode, seed_weight);
+	m->speed.decode = scaled_pace(&speed->decode, seed_weight);
 }
 
 static void learn(runner_rate_t *rate, double tokens, int64_t us)
@@ -117,13 +176,14 @@
 		m->protected_tokens += tokens;
 	m->prompt_pending += work->prompt_tokens;
 	work->prompt_ahead = m->prompt_pending;
+	work->beside = m->running;
 	work->granted = now;
 	work->first_token = 0;
 	if (m->is_engine)
 		set_due(m, work, now,
 			time_for(&m->speed.prefill, work->prompt_ahead));
 	else
-		set_due(m, work, now, time_for(&m->speed.decode, 1));
+		set_due(m, work, now, decode_time(m, 1, m->running));
 	sample(m, now);
 }
 
@@ -144,16 +204,19 @@
 	m->last_first_token = now;
 	if (now < work->due)
 		recover(m);
-	set_due(m, work, now, time_for(&m->speed.decode, work->output_tokens));
+	work->beside = m->running;
+	set_due(m, work, now, decode_time(m, work->output_tokens, m->running));
 }
 
 static void learn_from_end(runner_model_t *m, const runner_work_t *work,
 			   const done_t *done, int64_t now)
 {
+	double n = ((double)work->beside + m->running + 1) / 2;
+
 	if (now < work->due)
 		recover(m);
 	if (!m->is_engine) {
-		learn(&m->speed.decode, 1, now - work->granted);
+		learn_pace(&m->speed.decode, 1, n, now - work->granted);
 		return;
 	}
 	if (!work->first_token)
@@ -161,8 +224,8 @@
 	learn(&m->speed.prefill,
 	      (double)done->prompt_tokens - done->cached_tokens,
 	      work->prefill_time);
-	learn(&m->speed.decode, (double)done->output_tokens - 1,
-	      now - work->first_token);
+	learn_pace(&m->speed.decode, (double)done->output_tokens - 1, n,
+		   now - work->first_token);
 }
 
 void runner_model_end(runner_model_t *m, const runner_work_t *work,
@@ -187,10 +250,11 @@
 {
 	m->health = MAX(m->health / 2, min_health);
 	if (!m->is_engine)
-		bound(&m->speed.decode, 1, now - work->granted);
+		bound_pace(&m->speed.decode, 1, m->running,
+			   now - work->granted);
 	else if (work->first_token)
-		bound(&m->speed.decode, work->output_tokens,
-		      now - work->first_token);
+		bound_pace(&m->speed.decode, work->output_tokens, m->running,
+			   now - work->first_token);
 	else
 		bound(&m->speed.prefill, work->prompt_ahead,
 		      now - work->granted);
@@ -248,23 +312,28 @@
 	       PREFILL_QUEUE;
 }
 
-int64_t runner_model_service(const runner_model_t *m, uint32_t prompt_tokens,
-			     uint32_t output_tokens, double cached)
+static int64_t time_beside(const runner_model_t *m, uint32_t prompt_tokens,
+			   uint32_t output_tokens, double cached, double n)
 {
 	if (!m->is_engine)
-		return time_for(&m->speed.decode, 1);
+		return decode_time(m, 1, n);
 	return time_for(&m->speed.prefill, prompt_tokens * (1 - cached)) +
-	       time_for(&m->speed.decode, output_tokens);
+	       decode_time(m, output_tokens, n);
+}
+
+int64_t runner_model_service(const runner_model_t *m, uint32_t prompt_tokens,
+			     uint32_t output_tokens, double cached)
+{
+	return time_beside(m, prompt_tokens, output_tokens, cached, 1);
 }
 
 int64_t runner_model_predict(const runner_model_t *m, uint32_t prompt_tokens,
 			     uint32_t output_tokens, double cached)
 {
-	int64_t own =
-		runner_model_service(m, prompt_tokens, output_tokens, cached);
+	int64_t own = time_beside(m, prompt_tokens, output_tokens, cached,
+				  (double)m->running + 1);
 
 	if (!m->is_engine)
-		return (int64_t)((double)own *
-				 MAX(1, (m->running + 1) / m->window));
+		return own;
 	return own + time_for(&m->speed.prefill, (double)m->prompt_pending);
 }
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -23,10 +23,21 @@
 	double seconds;
 } runner_rate_t;
 
+/*
+ * Seconds a token of one request, as a straight line over the requests that
+ * run beside it: sums for a fit by least squares, recent work counts most.
+ */
+typedef struct runner_pace {
+	double weight; /* tokens */
+	double n; /* weighted sums: requests running, */
+	double t; /* seconds a token, */
+	double nn, nt; /* and their products */
+} runner_pace_t;
+
 /* The speeds of a runner, or of a generation of hardware. */
 typedef struct runner_speed {
 	runner_rate_t prefill; /* prompt tokens, one prompt at a time */
-	runner_rate_t decode; /* output tokens of one request */
+	runner_pace_t decode; /* output tokens; whole calls if plain */
 } runner_speed_t;
 
 /* One piece of granted work. */
@@ -35,6 +46,7 @@
 	uint32_t output_tokens;
 	bool is_protected;
 	uint64_t prompt_ahead; /* prompt tokens to do until its first token */
+	uint32_t beside; /* requests running when it began to decode */
 	int64_t granted;
 	int64_t first_token; /* 0 until it came */
 	int64_t prefill_time; /* from its turn to its first token */
