runner_model: let lower work leave protected work its pace

Cause: protected model calls failed mostly on slow engines that had few requests at the grant: lower work that was granted beside them later slowed their decoding below what their deadline needs.

Change: a runner keeps the tightest pace, in seconds a token, that the protected work on it can bear, and gets no lower work while one more request would be predicted to decode slower than that.

Ruled out: a smaller window for all (takes throughput also where no protected work runs); cancelling lower work later (throws prompt work away).

Dropping the rule in a scratch copy fails lower_work_leaves_protected_work_its_pace; dropping that of the window fails protected_want_passes_the_window_where_it_meets_its_deadline.

--- a/core/dispatcher_ledger.c
+++ b/core/dispatcher_ledger.c
@@ -75,6 +75,7 @@
 		.prompt_tokens = want->prompt_tokens,
 		.output_tokens = want->output_tokens,
 		.is_protected = queue_is_protected(&s->queue, want->tier),
+		.deadline = want->deadline,
 	};
 	runner_model_grant(&runner->model, &item->work, now);
 	runner->running[want->tier]++;
--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -13,6 +13,7 @@
 static const double pace_memory = 0.95; /* kept at each sample */
 static const double min_variance = 0.5; /* of requests, to fit a slope */
 static const double min_pace = 0.1; /* of the mean, far from the samples */
+static const double spared_part = 0.8; /* of the time protected work has */
 static const double seed_weight = 0.1; /* of speeds of the generation */
 static const double min_health = 1.0 / 16;
 static const double health_step = 1.0 / 16;
@@ -165,6 +166,30 @@
 			    INT64_MAX;
 }
 
+/* Notes the tightest pace that protected work in flight needs. */
+static void spare(runner_model_t *m, const runner_work_t *work, int64_t now)
+{
+	int64_t prefill = time_for(&m->speed.prefill, work->prompt_ahead);
+	double left = (double)(work->deadline - now - prefill) / US_PER_S;
+	double pace = left * spared_part / MAX(work->output_tokens, 1);
+
+	if (m->spared_until > now && m->spared_pace <= pace)
+		return;
+	m->spared_pace = pace;
+	m->spared_until = work->deadline;
+}
+
+/* Tells whether one more request leaves protected work its pace. */
+static bool leaves_pace(const runner_model_t *m, int64_t now)
+{
+	double n = (double)m->running + 1;
+
+	if (m->spared_until <= now ||
+	    pace_at(&m->speed.decode, 1) > m->spared_pace)
+		return true;
+	return pace_at(&m->speed.decode, n) <= m->spared_pace;
+}
+
 void runner_model_grant(runner_model_t *m, runner_work_t *work, int64_t now)
 {
 	uint64_t tokens = work_tokens(m, work);
@@ -172,10 +197,14 @@
 	m->running++;
 	m->prefilling++;
 	m->tokens += tokens;
-	if (work->is_protected)
-		m->protected_tokens += tokens;
 	m->prompt_pending += work->prompt_tokens;
 	work->prompt_ahead = m->prompt_pending;
+	if (work->is_protected) {
+		m->protected_tokens += tokens;
+		m->protected_running++;
+		if (m->is_engine)
+			spare(m, work, now);
+	}
 	work->beside = m->running;
 	work->granted = now;
 	work->first_token = 0;
@@ -235,8 +264,11 @@
 
 	m->running--;
 	m->tokens -= tokens;
-	if (work->is_protected)
+	if (work->is_protected) {
 		m->protected_tokens -= tokens;
+		if (!--m->protected_running)
+			m->spared_until = 0;
+	}
 	if (!work->first_token) {
 		m->prefilling--;
 		m->prompt_pending -= work->prompt_tokens;
@@ -306,7 +338,11 @@
 		return (double)m->protected_tokens < limit;
 	if ((double)m->tokens + foreign_tokens(m, now) >= limit)
 		return false;
-	if (!m->is_engine || !m->prefilling || room != ROOM_LOWER)
+	if (!m->is_engine || room != ROOM_LOWER)
+		return true;
+	if (!leaves_pace(m, now))
+		return false;
+	if (!m->prefilling)
 		return true;
 	return time_for(&m->speed.prefill, (double)m->prompt_pending) <
 	       PREFILL_QUEUE;
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -45,6 +45,7 @@
 	uint32_t prompt_tokens;
 	uint32_t output_tokens;
 	bool is_protected;
+	int64_t deadline;
 	uint64_t prompt_ahead; /* prompt tokens to do until its first token */
 	uint32_t beside; /* requests running when it began to decode */
 	int64_t granted;
@@ -68,6 +69,9 @@
 	uint64_t tokens;
 	uint64_t protected_tokens;
 	uint64_t prompt_pending; /* tokens of those without a first token */
+	double spared_pace; /* seconds a token that protected work can bear */
+	int64_t spared_until; /* the deadline of that work; 0: none */
+	uint32_t protected_running;
 	int64_t last_first_token;
 	double reported; /* running and waiting, as last reported */
 	int64_t report_as_of;
@@ -91,7 +95,7 @@
 void runner_model_init(runner_model_t *m, bool is_engine, uint32_t window,
 		       const runner_speed_t *speed);
 
-/* Enters granted work; sets the fields of WORK but for the first three. */
+/* Enters granted work; sets the fields of WORK but for the first four. */
 void runner_model_grant(runner_model_t *m, runner_work_t *work, int64_t now);
 void runner_model_first_token(runner_model_t *m, runner_work_t *work,
 			      int64_t now);
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -770,6 +770,45 @@
 }
 END_TEST
 
+START_TEST(lower_work_leaves_protected_work_its_pace)
+{
+	static const struct {
+		int64_t need; /* of the protected want */
+		uint32_t granted; /* lower wants beside it */
+	} cases[] = { { 10 * SECOND, 19 }, { 450 * MS, 1 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		bed_t bed = { .config = { .window_tokens = 2000 } };
+		done_t end = { .result = DONE_COMPLETED,
+			       .prompt_tokens = 100,
+			       .output_tokens = 11 };
+		want_t want;
+
+		bed_init(&bed, true);
+		set_runner(&bed, "r", false);
+		/* Ten milliseconds a token alone, some eighty in eight. */
+		teach(&bed, 0, 500, 50 * MS, 10, 100 * MS);
+		for (uint64_t a = 1; a <= 8; a++) {
+			ask(&bed, a, 1, 100);
+			bed.now += 10 * MS;
+			dispatcher_first_token(&bed.d, (want_id_t){ OWNER, a },
+					       bed.now);
+		}
+		bed.now += 720 * MS;
+		for (uint64_t a = 1; a <= 8; a++)
+			dispatcher_done(&bed.d, (want_id_t){ OWNER, a }, &end,
+					bed.now);
+		want = make_want(&bed, 5, 0, 100);
+		want.output_tokens = 10;
+		want.deadline = bed.now + cases[i].need;
+		dispatcher_want(&bed.d, &want, bed.now);
+		dispatcher_first_token(&bed.d, want.id, bed.now);
+		ck_assert_int_eq(fill(&bed, 20), cases[i].granted);
+		dispatcher_finish(&bed.d);
+	}
+}
+END_TEST
+
 START_TEST(prefix_returns_to_its_runner_but_never_past_a_deadline)
 {
 	static const struct {
@@ -1106,6 +1145,7 @@
 	   reports_count_work_that_others_granted,
 	   faster_runner_is_chosen_and_the_avoided_is_not,
 	   protected_want_passes_the_window_where_it_meets_its_deadline,
+	   lower_work_leaves_protected_work_its_pace,
 	   prefix_returns_to_its_runner_but_never_past_a_deadline,
 	   grants_expire_and_late_events_are_ignored,
 	   adopted_work_takes_its_room,
