core/accounts: summaries that outlive the log's retention

Cause: the log keeps records for a limited time, and the parent body's sums went with them; a daemon killed before its first batch left no trace. Change: a summary record carries all sums before an offset and each writer's sequence numbers, so that repeats after it are still known; readers take the one that reaches furthest. papayactl summarize appends it. What expired before any summary shows as unread. A writer's first batch is empty and closed at once, so that readers know of it.

--- a/core/accounts.c
+++ b/core/accounts.c
@@ -4,6 +4,9 @@
 
 #include "core/accounts_record.h"
 
+/* The one that may be in the log, and one that may grow. */
+enum { MIN_BATCHES = 2 };
+
 /* A closed batch that waits for the log. */
 typedef struct waiting {
 	accounts_batch_t batch;
@@ -41,7 +44,7 @@
 	str_copy(s->daemon, sizeof(s->daemon), daemon);
 	s->incarnation = incarnation;
 	s->max_keys = MIN(max_keys, ACCOUNTS_MAX_KEYS);
-	s->max_batches = MAX(max_batches, 2);
+	s->max_batches = MAX(max_batches, MIN_BATCHES);
 	s->next_seq = 1;
 	s->closed_ms = -1;
 	accounts_table_init(&s->open, s->max_keys);
@@ -82,12 +85,15 @@
 	g_queue_push_tail(&s->waiting, w);
 }
 
-/* The newest batch takes the open one up, unless the log may have it. */
+/*
+ * The newest batch takes the open one up. The oldest may be in the log
+ * already and must not change, so at least two wait before this happens.
+ */
 static bool merge_batch(struct accounts_state *s, int64_t time_ms)
 {
 	waiting_t *w = g_queue_peek_tail(&s->waiting);
 
-	if (g_queue_get_length(&s->waiting) < s->max_batches || w->text)
+	if (g_queue_get_length(&s->waiting) < s->max_batches)
 		return false;
 	accounts_table_merge(&w->batch.table, &s->open);
 	accounts_table_finish(&s->open);
@@ -109,6 +115,11 @@
 	s->closed_ms = time_ms;
 }
 
+void accounts_begin(accounts_t *a, int64_t time_ms)
+{
+	close_batch(a->state, time_ms);
+}
+
 void accounts_close(accounts_t *a, int64_t time_ms)
 {
 	struct accounts_state *s = a->state;
--- a/core/accounts.h
+++ b/core/accounts.h
@@ -85,6 +85,11 @@
 void accounts_init(accounts_t *a, str_t daemon, uint64_t incarnation,
 		   uint32_t max_keys, uint32_t max_batches);
 void accounts_finish(accounts_t *a);
+/*
+ * Closes an empty first batch, so that readers know of this writer from the
+ * start and see when it is killed before its second. To be called once.
+ */
+void accounts_begin(accounts_t *a, int64_t time_ms);
 /* Adds DELTA to a key of the open batch. */
 void accounts_add(accounts_t *a, const accounts_key_t *key,
 		  const accounts_sum_t *delta);
@@ -113,7 +118,11 @@
 			      const accounts_sum_t *sum),
 		   void *ctx);
 
-/* Adds batches up on the reader's side. */
+/*
+ * Adds batches up on the reader's side. Records may come in any order; a
+ * summary record stands for all the records before an offset, which may have
+ * expired since.
+ */
 struct accounts_book_state;
 
 typedef struct accounts_book {
@@ -129,15 +138,30 @@
 	uint64_t repeats; /* records; they changed nothing */
 	uint64_t batches; /* taken */
 	uint64_t merged; /* closings that a later batch took up: no loss */
+	uint64_t unread; /* records of any kind: expired, and in no summary */
 } accounts_missing_t;
 
 void accounts_book_init(accounts_book_t *b);
 void accounts_book_finish(accounts_book_t *b);
-/* Takes one record; a repeat changes nothing, damage is counted. */
-bool accounts_book_record(accounts_book_t *b, str_t data, err_t *err);
+/*
+ * Takes the record at OFFSET; a repeated batch changes nothing, damage is
+ * counted.
+ */
+bool accounts_book_record(accounts_book_t *b, uint64_t offset, str_t data,
+			  err_t *err);
+/* The log kept nothing older than OLDEST when its reading began. */
+void accounts_book_oldest(accounts_book_t *b, uint64_t oldest);
+/*
+ * Writes a summary of all records before offset AS_OF, summaries included;
+ * the caller frees it with g_free. Its time steps are an hour, or longer as
+ * far as a record's size demands. NULL when the newest summary already goes
+ * as far.
+ */
+char *accounts_book_summary(const accounts_book_t *b, uint64_t as_of);
 /*
  * Sums of the batches closed from FROM_MS to before UNTIL_MS, wall clock, in
- * the order service, tier, team.
+ * the order service, tier, team. What a summary holds counts at the start of
+ * its time step.
  */
 void accounts_book_each(const accounts_book_t *b, int64_t from_ms,
 			int64_t until_ms,
--- a/core/accounts_book.c
+++ b/core/accounts_book.c
@@ -2,142 +2,170 @@
 
 #include <glib.h>
 
-#include "core/accounts_record.h"
-
-/* What was read of one daemon's incarnation. */
-typedef struct writer {
-	char daemon[ACCOUNTS_NAME_SIZE];
-	uint64_t incarnation;
-	GHashTable *seen; /* set of sequence numbers */
-	uint64_t least;
-	uint64_t greatest;
-	int64_t last_ms;
-	bool has_end;
-} writer_t;
+#include "core/accounts_view.h"
+
+typedef struct entry {
+	uint64_t offset;
+	accounts_batch_t batch;
+} entry_t;
 
 struct accounts_book_state {
-	GHashTable *writers; /* set of writer_t */
-	GPtrArray *batches; /* of accounts_batch_t, as read */
-	accounts_missing_t counts;
+	GPtrArray *entries; /* of entry_t */
+	GArray *damaged; /* offsets */
+	char *summary; /* text of the one that goes furthest, or NULL */
+	uint64_t summary_as_of;
+	uint64_t oldest;
+	accounts_view_t view; /* of all, when it is up to date */
+	bool has_view;
 };
 
-static guint hash_writer(gconstpointer p)
-{
-	const writer_t *w = p;
-
-	return g_str_hash(w->daemon) ^ g_int64_hash(&w->incarnation);
-}
-
-static gboolean equal_writers(gconstpointer a, gconstpointer b)
-{
-	const writer_t *x = a;
-	const writer_t *y = b;
-
-	return x->incarnation == y->incarnation &&
-	       !strcmp(x->daemon, y->daemon);
-}
-
-static void free_writer(void *p)
+static void free_entry(void *p)
 {
-	writer_t *w = p;
+	entry_t *entry = p;
 
-	g_hash_table_unref(w->seen);
-	g_free(w);
+	accounts_table_finish(&entry->batch.table);
+	g_free(entry);
 }
 
-static void free_batch(void *p)
+void accounts_book_init(accounts_book_t *b)
 {
-	accounts_batch_t *batch = p;
-
-	accounts_table_finish(&batch->table);
-	g_free(batch);
+	b->state = g_new0(struct accounts_book_state, 1);
+	b->state->entries = g_ptr_array_new_with_free_func(free_entry);
+	b->state->damaged = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 }
 
-void accounts_book_init(accounts_book_t *b)
+static void drop_view(struct accounts_book_state *s)
 {
-	b->state = g_new0(struct accounts_book_state, 1);
-	b->state->writers = g_hash_table_new_full(hash_writer, equal_writers,
-						  free_writer, NULL);
-	b->state->batches = g_ptr_array_new_with_free_func(free_batch);
+	if (s->has_view)
+		accounts_view_finish(&s->view);
+	s->has_view = false;
 }
 
 void accounts_book_finish(accounts_book_t *b)
 {
 	if (!b->state)
 		return;
-	g_hash_table_unref(b->state->writers);
-	g_ptr_array_unref(b->state->batches);
+	drop_view(b->state);
+	g_ptr_array_unref(b->state->entries);
+	g_array_unref(b->state->damaged);
+	g_free(b->state->summary);
 	g_clear_pointer(&b->state, g_free);
 }
 
-static writer_t *find_writer(struct accounts_book_state *s,
-			     const accounts_batch_t *batch)
+/* Keeps the summary that goes furthest; its own offset has to be later. */
+static bool take_summary(struct accounts_book_state *s, uint64_t offset,
+			 str_t data, err_t *err)
 {
-	writer_t want = { .incarnation = batch->incarnation };
-	writer_t *w;
-
-	memcpy(want.daemon, batch->daemon, sizeof(want.daemon));
-	w = g_hash_table_lookup(s->writers, &want);
-	if (w)
-		return w;
-	w = g_new(writer_t, 1);
-	*w = want;
-	w->seen = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-					NULL);
-	w->least = UINT64_MAX;
-	g_hash_table_add(s->writers, w);
-	return w;
-}
+	accounts_view_t view;
+	uint64_t as_of;
 
-/* Returns false for a repeat. */
-static bool note_batch(writer_t *w, const accounts_batch_t *batch)
-{
-	if (!g_hash_table_add(w->seen,
-			      g_memdup2(&batch->seq, sizeof(batch->seq))))
+	if (!accounts_view_parse(&view, data, err))
 		return false;
-	w->least = MIN(w->least, batch->seq);
-	w->greatest = MAX(w->greatest, batch->seq);
-	w->last_ms = MAX(w->last_ms, batch->until_ms);
-	w->has_end |= batch->is_end;
+	as_of = view.as_of;
+	accounts_view_finish(&view);
+	if (as_of > offset)
+		return err_set(err, ERR_INVALID, "accounts summary", "",
+			       "as_of: it is past the record itself");
+	if (!s->summary || as_of > s->summary_as_of) {
+		g_free(s->summary);
+		s->summary = g_strndup(data.ptr, data.len);
+		s->summary_as_of = as_of;
+	}
 	return true;
 }
 
-bool accounts_book_record(accounts_book_t *b, str_t data, err_t *err)
+bool accounts_book_record(accounts_book_t *b, uint64_t offset, str_t data,
+			  err_t *err)
 {
 	struct accounts_book_state *s = b->state;
 	accounts_batch_t batch;
+	entry_t *entry;
 
+	drop_view(s);
 	if (!accounts_record_parse(&batch, data, err)) {
-		s->counts.damaged++;
+		if (take_summary(s, offset, data, NULL))
+			return true;
+		g_array_append_val(s->damaged, offset);
 		return false;
 	}
-	if (!note_batch(find_writer(s, &batch), &batch)) {
-		s->counts.repeats++;
-		accounts_table_finish(&batch.table);
-		return true;
-	}
-	s->counts.batches++;
-	s->counts.merged += batch.merged;
-	g_ptr_array_add(s->batches, g_memdup2(&batch, sizeof(batch)));
+	entry = g_new(entry_t, 1);
+	entry->offset = offset;
+	entry->batch = batch;
+	g_ptr_array_add(s->entries, entry);
 	return true;
 }
 
+void accounts_book_oldest(accounts_book_t *b, uint64_t oldest)
+{
+	drop_view(b->state);
+	b->state->oldest = oldest;
+}
+
+/* The summary, and what came after it up to before UNTIL. */
+static void make_view(const struct accounts_book_state *s, uint64_t until,
+		      accounts_view_t *v)
+{
+	if (!s->summary || !accounts_view_parse(v, str_from(s->summary), NULL))
+		accounts_view_init(v);
+	if (s->oldest > v->as_of)
+		v->counts.unread += s->oldest - v->as_of;
+	for (guint i = 0; i < s->entries->len; i++) {
+		const entry_t *entry = g_ptr_array_index(s->entries, i);
+
+		if (entry->offset >= v->as_of && entry->offset < until)
+			accounts_view_add(v, &entry->batch);
+	}
+	for (guint i = 0; i < s->damaged->len; i++) {
+		uint64_t offset = g_array_index(s->damaged, uint64_t, i);
+
+		if (offset >= v->as_of && offset < until)
+			v->counts.damaged++;
+	}
+}
+
+static const accounts_view_t *view_of(const accounts_book_t *b)
+{
+	struct accounts_book_state *s = b->state;
+
+	if (!s->has_view)
+		make_view(s, UINT64_MAX, &s->view);
+	s->has_view = true;
+	return &s->view;
+}
+
+char *accounts_book_summary(const accounts_book_t *b, uint64_t as_of)
+{
+	const struct accounts_book_state *s = b->state;
+	accounts_view_t view;
+	char *text;
+
+	if (as_of <= s->summary_as_of)
+		return NULL;
+	make_view(s, as_of, &view);
+	view.as_of = as_of;
+	text = accounts_view_write(&view);
+	accounts_view_finish(&view);
+	return text;
+}
+
 void accounts_book_each(const accounts_book_t *b, int64_t from_ms,
 			int64_t until_ms,
 			void (*fn)(void *ctx, const accounts_key_t *key,
 				   const accounts_sum_t *sum),
 			void *ctx)
 {
-	const GPtrArray *batches = b->state->batches;
+	const accounts_view_t *v = view_of(b);
 	g_autofree const accounts_row_t **rows = NULL;
 	accounts_table_t sums;
 
 	accounts_table_init(&sums, UINT32_MAX);
-	for (guint i = 0; i < batches->len; i++) {
-		const accounts_batch_t *batch = g_ptr_array_index(batches, i);
+	for (guint i = 0; i < v->rows->len; i++) {
+		const accounts_timed_row_t *timed =
+			&g_array_index(v->rows, accounts_timed_row_t, i);
 
-		if (batch->until_ms >= from_ms && batch->until_ms < until_ms)
-			accounts_table_merge(&sums, &batch->table);
+		if (timed->time_ms >= from_ms && timed->time_ms < until_ms)
+			accounts_table_add(&sums, &timed->row.key,
+					   &timed->row.sum);
 	}
 	rows = accounts_table_sorted(&sums);
 	for (size_t i = 0; rows[i]; i++)
@@ -148,34 +176,25 @@
 bool accounts_book_span(const accounts_book_t *b, int64_t *first_ms,
 			int64_t *last_ms)
 {
-	const GPtrArray *batches = b->state->batches;
+	const accounts_view_t *v = view_of(b);
 
 	*first_ms = INT64_MAX;
 	*last_ms = INT64_MIN;
-	for (guint i = 0; i < batches->len; i++) {
-		const accounts_batch_t *batch = g_ptr_array_index(batches, i);
+	for (guint i = 0; i < v->rows->len; i++) {
+		const accounts_timed_row_t *timed =
+			&g_array_index(v->rows, accounts_timed_row_t, i);
 
-		*first_ms = MIN(*first_ms, batch->until_ms);
-		*last_ms = MAX(*last_ms, batch->until_ms);
+		*first_ms = MIN(*first_ms, timed->time_ms);
+		*last_ms = MAX(*last_ms, timed->time_ms);
 	}
-	return batches->len > 0;
+	return v->rows->len > 0;
 }
 
 void accounts_book_missing(const accounts_book_t *b, int64_t now_ms,
 			   int64_t silence_ms, accounts_missing_t *out)
 {
-	GHashTableIter iter;
-	void *value;
-
-	*out = b->state->counts;
-	g_hash_table_iter_init(&iter, b->state->writers);
-	while (g_hash_table_iter_next(&iter, &value, NULL)) {
-		const writer_t *w = value;
-
-		out->gaps +=
-			w->greatest - w->least + 1 - g_hash_table_size(w->seen);
-		out->expired += w->least - 1;
-		if (!w->has_end && w->last_ms + silence_ms < now_ms)
-			out->unended++;
-	}
+	const accounts_view_t *v = view_of(b);
+
+	*out = v->counts;
+	accounts_writers_missing(&v->writers, now_ms, silence_ms, out);
 }
--- a/core/accounts_record.c
+++ b/core/accounts_record.c
@@ -3,14 +3,13 @@
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
+#include <stdlib.h>
 
-enum {
-	MAX_RECORD_BYTES = 1 << 20, /* what the log takes */
-	MAX_NUMBER_BITS = 53, /* exact in readers that hold doubles */
-	INCARNATION_SIZE = 20, /* bytes of hex digits, with the NUL */
-};
+enum { MAX_NUMBER_BITS = 53 /* exact in readers that hold doubles */ };
 
-static json_t *row_json(const accounts_row_t *row)
+static const uint64_t MAX_NUMBER = (1ULL << MAX_NUMBER_BITS) - 1;
+
+json_t *accounts_record_row(const accounts_row_t *row)
 {
 	json_t *json = json_pack("{s:s, s:s, s:s}", "service", row->key.service,
 				 "tier", row->key.tier, "team", row->key.team);
@@ -20,7 +19,8 @@
 
 		if (value)
 			json_object_set_new(json, accounts_field_name(i),
-					    json_integer((json_int_t)value));
+					    json_integer((json_int_t)MIN(
+						    value, MAX_NUMBER)));
 	}
 	return json;
 }
@@ -30,35 +30,41 @@
 	g_autofree const accounts_row_t **rows =
 		accounts_table_sorted(&batch->table);
 	json_t *list = json_array();
-	char incarnation[INCARNATION_SIZE];
-	json_t *root;
-	char *text;
-	char *copy;
+	char incarnation[ACCOUNTS_INCARNATION_SIZE];
 
 	for (size_t i = 0; rows[i]; i++)
-		json_array_append_new(list, row_json(rows[i]));
-	snprintf(incarnation, sizeof(incarnation), "%016" PRIx64,
-		 batch->incarnation);
-	root = json_pack(
+		json_array_append_new(list, accounts_record_row(rows[i]));
+	accounts_record_incarnation(batch->incarnation, incarnation);
+	return accounts_record_text(json_pack(
 		"{s:s, s:s, s:s, s:I, s:I, s:I, s:I, s:b, s:o}", "type",
 		"batch", "daemon", batch->daemon, "incarnation", incarnation,
 		"seq", (json_int_t)batch->seq, "from_ms",
 		(json_int_t)batch->from_ms, "until_ms",
 		(json_int_t)batch->until_ms, "merged",
-		(json_int_t)batch->merged, "end", batch->is_end, "rows", list);
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	copy = g_strdup(text);
+		(json_int_t)batch->merged, "end", batch->is_end, "rows", list));
+}
+
+char *accounts_record_text(json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+	char *copy = g_strdup(text);
+
 	free(text);
+	json_decref(root);
 	return copy;
 }
 
+void accounts_record_incarnation(uint64_t incarnation, char *out)
+{
+	snprintf(out, ACCOUNTS_INCARNATION_SIZE, "%016" PRIx64, incarnation);
+}
+
 static bool damaged(err_t *err, const char *what)
 {
 	return err_set(err, ERR_INVALID, "accounts record", "", "%s", what);
 }
 
-static bool read_uint(json_t *object, const char *key, uint64_t *out)
+bool accounts_record_read_uint(json_t *object, const char *key, uint64_t *out)
 {
 	json_t *value = json_object_get(object, key);
 
@@ -69,24 +75,24 @@
 	return true;
 }
 
-static bool read_time(json_t *object, const char *key, int64_t *out)
+bool accounts_record_read_time(json_t *object, const char *key, int64_t *out)
 {
 	uint64_t value;
 
-	if (!read_uint(object, key, &value))
+	if (!accounts_record_read_uint(object, key, &value))
 		return false;
 	*out = (int64_t)value;
 	return true;
 }
 
-static bool read_name(json_t *object, const char *key, char *out)
+bool accounts_record_read_name(json_t *object, const char *key, char *out)
 {
 	const char *s = json_string_value(json_object_get(object, key));
 
 	return s && str_copy(out, ACCOUNTS_NAME_SIZE, str_from(s));
 }
 
-static bool read_incarnation(json_t *root, uint64_t *out)
+bool accounts_record_read_incarnation(json_t *root, uint64_t *out)
 {
 	const char *s = json_string_value(json_object_get(root, "incarnation"));
 	int used = 0;
@@ -95,19 +101,19 @@
 	       sscanf(s, "%" SCNx64 "%n", out, &used) == 1 && used == 16;
 }
 
-static bool read_row(json_t *json, accounts_row_t *row)
+bool accounts_record_read_row(json_t *json, accounts_row_t *row)
 {
 	memset(row, 0, sizeof(*row));
-	if (!read_name(json, "service", row->key.service) ||
-	    !read_name(json, "tier", row->key.tier) ||
-	    !read_name(json, "team", row->key.team))
+	if (!accounts_record_read_name(json, "service", row->key.service) ||
+	    !accounts_record_read_name(json, "tier", row->key.tier) ||
+	    !accounts_record_read_name(json, "team", row->key.team))
 		return false;
 	for (size_t i = 0; i < accounts_fields(); i++) {
 		const char *name = accounts_field_name(i);
 		uint64_t value = 0;
 
 		if (json_object_get(json, name) &&
-		    !read_uint(json, name, &value))
+		    !accounts_record_read_uint(json, name, &value))
 			return false;
 		accounts_field_set(&row->sum, i, value);
 	}
@@ -124,29 +130,42 @@
 	json_array_foreach (list, i, json) {
 		accounts_row_t row;
 
-		if (!read_row(json, &row))
+		if (!accounts_record_read_row(json, &row))
 			return false;
 		accounts_table_add(table, &row.key, &row.sum);
 	}
 	return true;
 }
 
-static bool read_batch(json_t *root, accounts_batch_t *batch, err_t *err)
+json_t *accounts_record_open(str_t data, const char *type, err_t *err)
 {
-	const char *type = json_string_value(json_object_get(root, "type"));
+	json_t *root;
+
+	if (data.len > ACCOUNTS_RECORD_BYTES) {
+		damaged(err, "longer than the log takes");
+		return NULL;
+	}
+	root = json_loadb(data.ptr, data.len, JSON_REJECT_DUPLICATES, NULL);
+	if (!g_strcmp0(json_string_value(json_object_get(root, "type")), type))
+		return root;
+	json_decref(root);
+	err_set(err, ERR_INVALID, "accounts record", "",
+		"a JSON object of type %s is expected", type);
+	return NULL;
+}
 
-	if (g_strcmp0(type, "batch"))
-		return damaged(err, "type: batch is expected");
-	if (!read_name(root, "daemon", batch->daemon) ||
-	    !read_incarnation(root, &batch->incarnation))
+static bool read_batch(json_t *root, accounts_batch_t *batch, err_t *err)
+{
+	if (!accounts_record_read_name(root, "daemon", batch->daemon) ||
+	    !accounts_record_read_incarnation(root, &batch->incarnation))
 		return damaged(err, "daemon, incarnation: names are expected");
-	if (!read_uint(root, "seq", &batch->seq) || !batch->seq)
+	if (!accounts_record_read_uint(root, "seq", &batch->seq) || !batch->seq)
 		return damaged(err, "seq: a number from 1 is expected");
-	if (!read_time(root, "from_ms", &batch->from_ms) ||
-	    !read_time(root, "until_ms", &batch->until_ms) ||
+	if (!accounts_record_read_time(root, "from_ms", &batch->from_ms) ||
+	    !accounts_record_read_time(root, "until_ms", &batch->until_ms) ||
 	    batch->from_ms > batch->until_ms)
 		return damaged(err, "from_ms, until_ms: times are expected");
-	if (!read_uint(root, "merged", &batch->merged))
+	if (!accounts_record_read_uint(root, "merged", &batch->merged))
 		return damaged(err, "merged: a number is expected");
 	batch->is_end = json_is_true(json_object_get(root, "end"));
 	if (!read_rows(json_object_get(root, "rows"), &batch->table))
@@ -156,16 +175,14 @@
 
 bool accounts_record_parse(accounts_batch_t *batch, str_t data, err_t *err)
 {
-	json_t *root;
+	json_t *root = accounts_record_open(data, "batch", err);
 	bool ok;
 
 	memset(batch, 0, sizeof(*batch));
-	if (data.len > MAX_RECORD_BYTES)
-		return damaged(err, "longer than the log takes");
-	root = json_loadb(data.ptr, data.len, JSON_REJECT_DUPLICATES, NULL);
+	if (!root)
+		return false;
 	accounts_table_init(&batch->table, UINT32_MAX);
-	ok = json_is_object(root) ? read_batch(root, batch, err) :
-				    damaged(err, "a JSON object is expected");
+	ok = read_batch(root, batch, err);
 	if (!ok)
 		accounts_table_finish(&batch->table);
 	json_decref(root);
--- a/core/accounts_table.c
+++ b/core/accounts_table.c
@@ -131,6 +131,12 @@
 	g_clear_pointer(&t->rows, g_hash_table_unref);
 }
 
+void accounts_table_free(accounts_table_t *t)
+{
+	accounts_table_finish(t);
+	g_free(t);
+}
+
 /* Names of callers' choice may be what no record could hold, or swells it. */
 static bool is_printable(const char *name, size_t len)
 {
--- a/core/accounts_table.h
+++ b/core/accounts_table.h
@@ -18,6 +18,8 @@
 
 void accounts_table_init(accounts_table_t *t, uint32_t max_keys);
 void accounts_table_finish(accounts_table_t *t);
+/* Finishes a table and frees it, for containers that own theirs. */
+void accounts_table_free(accounts_table_t *t);
 /* Adds to a key, or when full to "other" as core/accounts.h states. */
 void accounts_table_add(accounts_table_t *t, const accounts_key_t *key,
 			const accounts_sum_t *delta);
--- a/ctl/accounts_log.c
+++ b/ctl/accounts_log.c
@@ -1,15 +1,38 @@
 #include "ctl/accounts_log.h"
 
+/* A log being read. */
+typedef struct reading {
+	accounts_book_t *book;
+	bool has_begun;
+	int64_t before_ms;
+	uint64_t older_end;
+} reading_t;
+
 static void on_page(void *ctx, const log_record_t *records, size_t n,
 		    uint64_t oldest)
 {
-	for (size_t i = 0; i < n; i++)
-		accounts_book_record(ctx, records[i].data, NULL);
+	reading_t *r = ctx;
+
+	if (!r->has_begun)
+		accounts_book_oldest(r->book, oldest);
+	r->has_begun = true;
+	for (size_t i = 0; i < n; i++) {
+		accounts_book_record(r->book, records[i].offset,
+				     records[i].data, NULL);
+		if (records[i].time_ms < r->before_ms)
+			r->older_end = records[i].offset + 1;
+	}
 }
 
-bool accounts_log_read(accounts_book_t *book, remote_t *remote, err_t *err)
+bool accounts_log_read(accounts_book_t *book, remote_t *remote,
+		       int64_t before_ms, uint64_t *older_end, err_t *err)
 {
+	reading_t r = { book, false, before_ms, 0 };
 	uint64_t next = 0;
 
-	return remote_read(remote, ACCOUNTS_LOG, &next, on_page, book, err);
+	if (!remote_read(remote, ACCOUNTS_LOG, &next, on_page, &r, err))
+		return false;
+	if (older_end)
+		*older_end = r.older_end;
+	return true;
 }
--- a/ctl/accounts_log.h
+++ b/ctl/accounts_log.h
@@ -12,7 +12,12 @@
 	ACCOUNTS_SILENCE_MS = 60 * 1000,
 };
 
-/* Adds up all that the log holds now; BOOK was initialised. */
-bool accounts_log_read(accounts_book_t *book, remote_t *remote, err_t *err);
+/*
+ * Adds up all that the log holds now; BOOK was initialised. OLDER_END is the
+ * offset after the records written before BEFORE_MS, by the platform's clock;
+ * it may be NULL.
+ */
+bool accounts_log_read(accounts_book_t *book, remote_t *remote,
+		       int64_t before_ms, uint64_t *older_end, err_t *err);
 
 #endif
--- a/ctl/burn.c
+++ b/ctl/burn.c
@@ -112,7 +112,7 @@
 	remote_init(&remote, ctl, platform, timeout_ms);
 	config_log_init(&config, &remote);
 	if (config_log_read(&config, &err) &&
-	    accounts_log_read(&book, &remote, &err))
+	    accounts_log_read(&book, &remote, 0, NULL, &err))
 		code = judge(ctl, &book, &config.fold, query, page_path);
 	else
 		code = ctl_fail(ctl, &err);
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -11,6 +11,8 @@
 	{ "status", "ask every daemon how it is", ctl_status },
 	{ "drain", "tell a daemon to finish and exit", ctl_drain },
 	{ "report", "sum up useful work and waste", ctl_report },
+	{ "summarize", "keep the accounts' sums past the log's retention",
+	  ctl_summarize },
 	{ "burn", "tell how fast the objectives' budgets burn", ctl_burn },
 };
 
--- /dev/null
+++ b/ctl/summarize.c
@@ -0,0 +1,81 @@
+#include "ctl/args.h"
+#include "ctl/ctl.h"
+
+#include <glib.h>
+
+#include "ctl/accounts_log.h"
+
+enum {
+	MAX_TIMEOUT_MS = 600000,
+	DEFAULT_OLDER_S = 3600,
+	MAX_OLDER_S = 90 * 24 * 3600,
+};
+
+static int summarize(ctl_t *ctl, const char *platform, int timeout_ms,
+		     int64_t before_ms)
+{
+	g_autofree char *text = NULL;
+	accounts_book_t book;
+	remote_t remote;
+	uint64_t as_of = 0;
+	uint64_t offset;
+	int code = CTL_OK;
+	err_t err;
+
+	accounts_book_init(&book);
+	remote_init(&remote, ctl, platform, timeout_ms);
+	if (!accounts_log_read(&book, &remote, before_ms, &as_of, &err)) {
+		code = ctl_fail(ctl, &err);
+		goto out;
+	}
+	text = accounts_book_summary(&book, as_of);
+	if (!text) {
+		fputs("nothing to sum up\n", ctl->out);
+		goto out;
+	}
+	/* A second summary as of the same offset changes nothing. */
+	if (!remote_append(&remote, ACCOUNTS_LOG, str_from(text), &offset,
+			   &err)) {
+		code = ctl_fail(ctl, &err);
+		goto out;
+	}
+	fprintf(ctl->out,
+		"summed up all before offset %" G_GUINT64_FORMAT
+		" at offset %" G_GUINT64_FORMAT "\n",
+		as_of, offset);
+out:
+	remote_finish(&remote);
+	accounts_book_finish(&book);
+	return code;
+}
+
+int ctl_summarize(ctl_t *ctl, int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_str *platform =
+		arg_str1(NULL, "platform", "IP:PORT", "the platform's address");
+	struct arg_int *older = arg_int0(NULL, "older-than-s", "S",
+					 "records younger keep their detail; "
+					 "3600");
+	struct arg_int *timeout =
+		arg_int0(NULL, "timeout-ms", "MS", "of one exchange; 2000");
+	struct arg_end *end = arg_end(ARGS_MAX_ERRORS);
+	void *table[] = { help, platform, older, timeout, end };
+	int64_t age_ms;
+	int code;
+
+	if (args_parse(
+		    ctl, table, G_N_ELEMENTS(table),
+		    "Appends a summary of the accounts, so that sums outlive "
+		    "the log's retention.\nTo be run well within it.",
+		    argc, argv, &code)) {
+		age_ms = 1000LL *
+			 args_int(older, DEFAULT_OLDER_S, 0, MAX_OLDER_S);
+		code = summarize(
+			ctl, platform->sval[0],
+			args_int(timeout, ARGS_TIMEOUT_MS, 1, MAX_TIMEOUT_MS),
+			ctl->now_ms() - age_ms);
+	}
+	arg_freetable(table, G_N_ELEMENTS(table));
+	return code;
+}
--- a/tests/lib_fake_platform.c
+++ b/tests/lib_fake_platform.c
@@ -49,7 +49,7 @@
 {
 	bool is_accounts = strstr(request->path, "/accounts/") != NULL;
 	GPtrArray *log = is_accounts ? p->accounts : p->config;
-	uint64_t oldest = is_accounts ? 0 : p->oldest;
+	uint64_t oldest = is_accounts ? p->accounts_oldest : p->oldest;
 	uint64_t from = strtoull(strstr(request->path, "from=") + 5, NULL, 10);
 	uint64_t limit =
 		strtoull(strstr(request->path, "limit=") + 6, NULL, 10);
--- a/tests/lib_fake_platform.h
+++ b/tests/lib_fake_platform.h
@@ -34,6 +34,7 @@
 	GPtrArray *config; /* records as text, from offset 0 */
 	GPtrArray *accounts;
 	uint64_t oldest; /* of the config log */
+	uint64_t accounts_oldest;
 	fake_append_t append[8]; /* of each append; OK past the end */
 	int appends;
 	char *rival; /* a record that gets in just before the next append */
--- a/tests/test_accounts.c
+++ b/tests/test_accounts.c
@@ -27,13 +27,15 @@
 	accounts_add(a, &key, &delta);
 }
 
+static uint64_t next_offset; /* of the log that the tests write */
+
 static void append(accounts_t *a, accounts_book_t *b)
 {
 	uint64_t seq;
 	str_t text = accounts_peek(a, &seq);
 
 	ck_assert(text.len > 0);
-	ck_assert(accounts_book_record(b, text, NULL));
+	ck_assert(accounts_book_record(b, next_offset++, text, NULL));
 	accounts_appended(a, seq);
 }
 
@@ -90,7 +92,7 @@
 	uint64_t seq;
 	g_autofree char *first = NULL;
 
-	accounts_init(&a, STR_LIT("vm-1"), 7, MAX_KEYS, MAX_BATCHES);
+	accounts_init(&a, STR_LIT("vm-1"), 7, MAX_KEYS, 1);
 	accounts_book_init(&b);
 	add_one(&a, "x");
 	accounts_close(&a, INTERVAL_MS);
@@ -101,7 +103,8 @@
 		accounts_close(&a, i * INTERVAL_MS);
 	}
 	ck_assert_str_eq(accounts_peek(&a, &seq).ptr, first);
-	ck_assert(accounts_book_record(&b, str_from(first), NULL));
+	ck_assert(
+		accounts_book_record(&b, next_offset++, str_from(first), NULL));
 	accounts_appended(&a, 99);
 	while (accounts_waiting(&a))
 		append(&a, &b);
@@ -237,7 +240,8 @@
 				accounts_close(&a, k * INTERVAL_MS);
 			text = accounts_peek(&a, &seq);
 			if (cases[i].reach[k] == 'y')
-				accounts_book_record(&b, text, NULL);
+				accounts_book_record(&b, next_offset++, text,
+						     NULL);
 			accounts_appended(&a, seq);
 		}
 		m = missing(&b);
@@ -252,6 +256,10 @@
 }
 END_TEST
 
+#define COUNTS                                                              \
+	"\"counts\":{\"gaps\":0,\"expired\":0,\"unended\":0,\"damaged\":0," \
+	"\"repeats\":0,\"batches\":0,\"merged\":0,\"unread\":0}"
+
 START_TEST(damaged_records_are_skipped_and_counted)
 {
 #define BATCH(rest)                                             \
@@ -271,6 +279,12 @@
 		BATCH("\"seq\":1,\"from_ms\":0,\"until_ms\":1,\"rows\":["
 		      "{\"service\":\"s\",\"tier\":\"t\",\"team\":\"x\","
 		      "\"offered\":1e300}]"),
+		"{\"type\":\"summary\",\"as_of\":99," COUNTS "}",
+		"{\"type\":\"summary\",\"as_of\":0}",
+		"{\"type\":\"summary\",\"as_of\":0," COUNTS ",\"rows\":[{}]}",
+		"{\"type\":\"summary\",\"as_of\":0," COUNTS
+		",\"writers\":[{\"daemon\":\"d\",\"incarnation\":"
+		"\"00000000000000ff\",\"last_ms\":1,\"seen\":[[3,4],[2,2]]}]}",
 		BATCH("\"seq\":1,\"seq\":1,\"from_ms\":0,\"until_ms\":1,"
 		      "\"rows\":[]"),
 	};
@@ -281,7 +295,7 @@
 		err_t err = { 0 };
 
 		ck_assert_msg(
-			!accounts_book_record(&b, str_from(cases[i]), &err),
+			!accounts_book_record(&b, i, str_from(cases[i]), &err),
 			"case %zu", i);
 		ck_assert_int_eq(err.code, ERR_INVALID);
 	}
@@ -360,7 +374,7 @@
 						  rand, 0, (gint32)log->len) :
 					  n - 1;
 
-		accounts_book_record(&b, str_from(log->pdata[at]), NULL);
+		accounts_book_record(&b, n, str_from(log->pdata[at]), NULL);
 	}
 	m = missing(&b);
 	ck_assert_uint_eq(total(&b).offered, offered);
@@ -375,9 +389,233 @@
 }
 END_TEST
 
+START_TEST(a_writer_that_began_shows_when_it_is_killed)
+{
+	accounts_t a;
+	accounts_book_t b;
+
+	accounts_init(&a, STR_LIT("vm-1"), 7, MAX_KEYS, MAX_BATCHES);
+	accounts_book_init(&b);
+	accounts_begin(&a, INTERVAL_MS);
+	append(&a, &b);
+	add_one(&a, "x");
+	accounts_close(&a, 2 * INTERVAL_MS);
+	/* Killed before the append. */
+	accounts_finish(&a);
+	ck_assert_uint_eq(missing(&b).unended, 1);
+	accounts_book_finish(&b);
+}
+END_TEST
+
+/* A log with retention, writers, and readers who append summaries. */
+typedef struct world {
+	GRand *rand;
+	GPtrArray *log; /* text by offset */
+	uint64_t oldest;
+	bool is_covered; /* records expire only once a summary has them */
+	uint64_t covered;
+	char *late[2]; /* summaries made, not appended yet */
+	uint64_t late_as_of[2];
+	accounts_t writers[2];
+	uint64_t offered;
+} world_t;
+
+static void read_world(const world_t *w, accounts_book_t *b)
+{
+	accounts_book_init(b);
+	accounts_book_oldest(b, w->oldest);
+	for (uint64_t i = w->oldest; i < w->log->len; i++)
+		accounts_book_record(b, i, str_from(w->log->pdata[i]), NULL);
+}
+
+static void write_some(world_t *w)
+{
+	accounts_t *a = &w->writers[g_rand_int_range(w->rand, 0, 2)];
+	uint64_t seq;
+	str_t text;
+
+	add_one(a, g_rand_boolean(w->rand) ? "x" : "y");
+	w->offered++;
+	accounts_close(a, (int64_t)w->log->len * INTERVAL_MS);
+	text = accounts_peek(a, &seq);
+	g_ptr_array_add(w->log, g_strndup(text.ptr, text.len));
+	if (g_rand_boolean(w->rand))
+		accounts_appended(a, seq);
+}
+
+/* A paused reader appends its summary long after it was made. */
+static void summarize(world_t *w)
+{
+	int i = g_rand_int_range(w->rand, 0, 2);
+	accounts_book_t b;
+
+	if (w->late[i]) {
+		g_ptr_array_add(w->log, g_steal_pointer(&w->late[i]));
+		w->covered = MAX(w->covered, w->late_as_of[i]);
+		return;
+	}
+	read_world(w, &b);
+	w->late_as_of[i] =
+		w->log->len -
+		(uint64_t)g_rand_int_range(
+			w->rand, 0, (gint32)(w->log->len - w->oldest) + 1);
+	w->late[i] = accounts_book_summary(&b, w->late_as_of[i]);
+	accounts_book_finish(&b);
+}
+
+static void expire(world_t *w)
+{
+	uint64_t until =
+		w->oldest +
+		(uint64_t)g_rand_int_range(
+			w->rand, 0, (gint32)(w->log->len - w->oldest) + 1);
+
+	w->oldest =
+		w->is_covered ? MAX(w->oldest, MIN(until, w->covered)) : until;
+}
+
+static void end_world(world_t *w)
+{
+	for (int i = 0; i < 2; i++) {
+		uint64_t seq;
+		str_t text;
+
+		accounts_end(&w->writers[i], INTERVAL_MS);
+		while ((text = accounts_peek(&w->writers[i], &seq)).len) {
+			g_ptr_array_add(w->log, g_strndup(text.ptr, text.len));
+			accounts_appended(&w->writers[i], seq);
+		}
+		accounts_finish(&w->writers[i]);
+	}
+}
+
+static void run_world(uint32_t seed, bool is_covered)
+{
+	world_t w = { .rand = g_rand_new_with_seed(seed),
+		      .is_covered = is_covered };
+	accounts_missing_t m;
+	accounts_book_t b;
+	uint64_t got;
+
+	w.log = g_ptr_array_new_with_free_func(g_free);
+	for (uint64_t i = 0; i < 2; i++)
+		accounts_init(&w.writers[i], STR_LIT("vm"), i, MAX_KEYS,
+			      MAX_BATCHES);
+	for (int step = 0; step < 150; step++) {
+		int what = g_rand_int_range(w.rand, 0, 8);
+
+		if (what < 5)
+			write_some(&w);
+		else if (what < 7)
+			summarize(&w);
+		else
+			expire(&w);
+	}
+	end_world(&w);
+	read_world(&w, &b);
+	got = total(&b).offered;
+	m = missing(&b);
+	ck_assert_uint_le(got, w.offered);
+	if (is_covered) {
+		ck_assert_uint_eq(got, w.offered);
+		ck_assert_uint_eq(m.gaps + m.expired + m.unread, 0);
+	} else if (got < w.offered) {
+		ck_assert_uint_gt(m.unread, 0);
+	}
+	accounts_book_finish(&b);
+	g_ptr_array_unref(w.log);
+	g_free(w.late[0]);
+	g_free(w.late[1]);
+	g_rand_free(w.rand);
+}
+
+START_TEST(summaries_keep_sums_exact_past_retention)
+{
+	for (uint32_t seed = 1; seed <= 150; seed++)
+		run_world(seed, true);
+}
+END_TEST
+
+START_TEST(what_expired_before_a_summary_is_shown)
+{
+	for (uint32_t seed = 1; seed <= 150; seed++)
+		run_world(seed, false);
+}
+END_TEST
+
+START_TEST(a_writer_silent_for_long_is_forgotten_but_not_its_sums)
+{
+	static const int64_t MONTH_MS = 30LL * 24 * 3600 * 1000;
+	accounts_t a[2];
+	accounts_book_t b;
+	g_autofree char *summary = NULL;
+	uint64_t as_of;
+
+	accounts_book_init(&b);
+	for (uint64_t i = 0; i < 2; i++) {
+		accounts_init(&a[i], STR_LIT("vm"), i, MAX_KEYS, MAX_BATCHES);
+		add_one(&a[i], "x");
+		accounts_close(&a[i], (int64_t)i * MONTH_MS);
+		append(&a[i], &b);
+		accounts_finish(&a[i]);
+	}
+	as_of = next_offset++;
+	summary = accounts_book_summary(&b, as_of);
+	ck_assert_ptr_null(strstr(summary, "0000000000000000"));
+	/* The first writer's record is in the log still. */
+	ck_assert(accounts_book_record(&b, as_of, str_from(summary), NULL));
+	ck_assert_uint_eq(total(&b).offered, 2);
+	ck_assert_uint_eq(missing(&b).unended, 2);
+	accounts_book_finish(&b);
+}
+END_TEST
+
+START_TEST(a_summary_fits_a_record_at_the_cost_of_detail)
+{
+	enum {
+		RECORD_BYTES = 1 << 20,
+		BATCHES = 1200,
+		KEYS = 30,
+		REQUESTS = BATCHES * KEYS,
+	};
+	accounts_t a;
+	accounts_book_t b;
+	accounts_book_t again;
+	g_autofree char *summary = NULL;
+
+	accounts_init(&a, STR_LIT("vm-1"), 7, KEYS, MAX_BATCHES);
+	accounts_book_init(&b);
+	for (int64_t i = 0; i < BATCHES; i++) {
+		for (int k = 0; k < KEYS; k++) {
+			g_autofree char *team = g_strdup_printf("t%d", k);
+
+			add_one(&a, team);
+		}
+		accounts_close(&a, i * 360 * INTERVAL_MS);
+		append(&a, &b);
+	}
+	summary = accounts_book_summary(&b, next_offset);
+	ck_assert_ptr_nonnull(summary);
+	ck_assert_uint_le(strlen(summary), RECORD_BYTES);
+	accounts_book_init(&again);
+	ck_assert(accounts_book_record(&again, next_offset, str_from(summary),
+				       NULL));
+	ck_assert_uint_eq(total(&again).offered, REQUESTS);
+	ck_assert_ptr_null(accounts_book_summary(&again, next_offset));
+	accounts_finish(&a);
+	accounts_book_finish(&b);
+	accounts_book_finish(&again);
+}
+END_TEST
+
 SUITE_MAIN("accounts", every_field_goes_through_a_record,
 	   a_repeated_batch_counts_once_and_keeps_its_text,
 	   an_outage_costs_detail_but_no_sum, keys_past_the_bound_go_to_other,
 	   the_largest_batch_fits_a_record, what_is_missing_is_counted,
 	   damaged_records_are_skipped_and_counted, times_choose_the_batches,
+	   a_writer_that_began_shows_when_it_is_killed,
+	   summaries_keep_sums_exact_past_retention,
+	   what_expired_before_a_summary_is_shown,
+	   a_summary_fits_a_record_at_the_cost_of_detail,
+	   a_writer_silent_for_long_is_forgotten_but_not_its_sums,
 	   sums_are_exact_under_repeats_and_reorders)
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -476,6 +476,28 @@
 }
 END_TEST
 
+START_TEST(a_summary_keeps_sums_when_records_expire)
+{
+	static const char report[] = "report --platform @P --json --by tier";
+	fixture_t f;
+
+	setup(&f);
+	fill_accounts(&f);
+	ck_assert_int_eq(run_at(&f, fixed_clock_ms, "summarize --platform @P"),
+			 CTL_OK);
+	ck_assert_uint_eq(f.platform.accounts->len, 4);
+	f.platform.accounts_oldest = 3;
+	ck_assert_int_eq(run(&f, report), CTL_OK);
+	ck_assert_ptr_nonnull(strstr(f.out, "\"offered\": 20"));
+	ck_assert_ptr_nonnull(strstr(f.out, "\"unread\": 0"));
+	/* Without the summary the loss shows. */
+	g_ptr_array_remove_index(f.platform.accounts, 3);
+	ck_assert_int_eq(run(&f, report), CTL_OK);
+	ck_assert_ptr_nonnull(strstr(f.out, "\"unread\": 3"));
+	teardown(&f);
+}
+END_TEST
+
 #define SERVICE \
 	"{\"profile\":\"p\",\"kind\":\"plain\",\"default_tier\":\"holds\"}"
 #define TIERS                                                               \
@@ -628,6 +650,7 @@
 		"status --platform @P",
 		"drain --platform @P e1",
 		"burn --platform @P",
+		"summarize --platform @P",
 		"report --platform @P",
 		"profiles --platform @P",
 	};
@@ -653,6 +676,7 @@
 	   publish_refuses_a_bad_document_before_sending,
 	   profiles_lists_versions_and_prints_bodies,
 	   report_sums_exactly_and_shows_what_is_missing,
+	   a_summary_keeps_sums_when_records_expire,
 	   burn_alerts_only_when_both_windows_burn,
 	   burn_writes_a_page_that_needs_nothing_else,
 	   status_and_drain_ask_the_daemons,
