daemon: claim keys beside the question who owns them, and hand them over

Also, refusals before the owner was asked (limit, no profile, leaving) called a keyed request not-run although an earlier call may have run. Ruled out: merging the tasks; locking the table while a claim is under way. Change: daemon/keys.c, part of the peers task, holds the keys' table, the claims and the hand-over. The front keeps the claim's dispatch mark and tells how it ended. The owner counts a keyed request's limits. Others answer `unknown`. The daemon ends when its keys are handed over, or 10 s after its last request. Tickets stay with the front that issued them.

--- a/daemon/front.h
+++ b/daemon/front.h
@@ -19,7 +19,7 @@
 	struct evhttp_bound_socket *socket; /* NULL once draining */
 	struct event *timer;
 	config_view_t *config; /* NULL until documents are in force */
-	rights_t rights;
+	rights_t tickets; /* issued here */
 	limit_t limit;
 	retry_t retry;
 	GHashTable *jobs; /* attempt number to job_t, owned */
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -36,14 +36,29 @@
 			 NULL;
 }
 
+/*
+ * Only the owner of a key or ticket can say that its request was not run; a
+ * malformed request is none that ever ran.
+ */
+static outcome_t refusal_outcome(struct evhttp_request *req, int status)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+	bool is_named = evhttp_find_header(headers, "Idempotency-Key") ||
+			evhttp_find_header(headers, "Papaya-Ticket");
+
+	return is_named && status != HTTP_BADREQUEST && status != 422 ?
+		       OUTCOME_UNKNOWN :
+		       OUTCOME_NOT_RUN;
+}
+
 static void refuse(front_t *f, struct evhttp_request *req, int status,
 		   const char *field, const char *message,
 		   uint32_t retry_after_ms)
 {
+	static const caller_ops_t ops;
 	caller_head_t head = { .status = status,
-			       .outcome = OUTCOME_NOT_RUN,
+			       .outcome = refusal_outcome(req, status),
 			       .retry_after_ms = retry_after_ms };
-	static const caller_ops_t ops;
 	caller_t c;
 
 	metrics_add(&f->sup->metrics, "papaya_refused_requests_total", NULL, 1);
@@ -165,7 +180,7 @@
 	for (size_t i = 0; i < sizeof(bytes); i++)
 		g_string_append_printf(ticket, "%02x", bytes[i]);
 	scoped = rights_scope(str_from(call->team), str_from(ticket->str));
-	if (!rights_issue(&f->rights, scoped, now_us())) {
+	if (!rights_issue(&f->tickets, scoped, now_us())) {
 		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
 		       "the table of keys is full", JOB_RETRY_MS);
 		return;
@@ -175,19 +190,18 @@
 	caller_reply(&c, &head, str_from(json));
 }
 
-/* Joins a repeat to what is known of its key; false when nothing is. */
+/* Joins a repeat to what is known of its ticket; false when nothing is. */
 static bool answer_repeat(front_t *f, struct evhttp_request *req,
 			  const call_t *call, GBytes *scoped)
 {
-	rights_entry_t *entry = rights_find(&f->rights, scoped);
+	rights_entry_t *entry = rights_find(&f->tickets, scoped);
 
 	if (!entry || entry->state == RIGHTS_ISSUED)
 		return false;
 	metrics_add(&f->sup->metrics, "papaya_repeats_total", NULL, 1);
 	if (entry->fingerprint != call->fingerprint)
-		refuse(f, req, 422,
-		       call->key ? "Idempotency-Key" : "Papaya-Ticket",
-		       "it names another request", 0);
+		refuse(f, req, 422, "Papaya-Ticket", "it names another request",
+		       0);
 	else if (entry->state == RIGHTS_ENDED)
 		job_answer_kept(req, f->sup->base, &entry->answer);
 	else
@@ -221,13 +235,11 @@
 	char daemon[MEMBER_NAME_SIZE];
 	uint64_t boot;
 
-	if (!call->ticket)
-		return false;
 	if (!call_ticket_daemon(call->ticket, daemon, sizeof(daemon), &boot))
 		return true;
 	if (strcmp(daemon, f->sup->settings->name))
 		return call->is_forwarded;
-	return boot != f->sup->boot || !rights_find(&f->rights, scoped);
+	return boot != f->sup->boot || !rights_find(&f->tickets, scoped);
 }
 
 static void start_job(front_t *f, struct evhttp_request *req, call_t *call,
@@ -236,9 +248,8 @@
 	const profile_service_t *service = front_service(f, call);
 	const profile_t *profile = front_profile(f, call);
 	int tier = profile_tier_index(profile, str_from(call->tier));
-	bool is_limited = !call->is_forwarded;
+	bool is_limited = !call->key && !call->is_forwarded;
 	job_t *job;
-	member_owner_t self = { .kind = MEMBER_OWNER_SELF };
 
 	retry_first(&f->retry, str_from(call->team), (uint32_t)tier);
 	job = job_new(f, call, service, profile, req);
@@ -249,7 +260,7 @@
 	}
 	job->scoped = g_bytes_ref(scoped);
 	if (job->call.ticket && is_own_ticket(f, job->call.ticket))
-		job_located(job, &self);
+		job_use_ticket(job);
 	else
 		job_locate(job);
 }
@@ -264,9 +275,13 @@
 		       "too many requests in progress", JOB_RETRY_MS);
 		return false;
 	}
-	/* The daemon that accepted a forwarded request has counted it. */
-	if (call->is_forwarded || limit_take(&f->limit, str_from(call->team),
-					     now_us(), &retry_after_ms))
+	/*
+	 * The daemon that accepted a forwarded request has counted it, and a
+	 * key is counted by its owner.
+	 */
+	if (call->is_forwarded || call->key ||
+	    limit_take(&f->limit, str_from(call->team), now_us(),
+		       &retry_after_ms))
 		return true;
 	refuse(f, req, 429, "Papaya-Team", "the team's limit is reached",
 	       MAX(retry_after_ms, 1));
@@ -277,9 +292,9 @@
 static bool is_answered(front_t *f, struct evhttp_request *req,
 			const call_t *call, GBytes *scoped)
 {
-	if (scoped && answer_repeat(f, req, call, scoped))
+	if (call->ticket && answer_repeat(f, req, call, scoped))
 		return true;
-	if (scoped && is_dead_ticket(f, call, scoped)) {
+	if (call->ticket && is_dead_ticket(f, call, scoped)) {
 		refuse_ticket(f, req);
 		return true;
 	}
@@ -471,7 +486,7 @@
 	case MESSAGE_LOCATED:
 		job = find_job(f, f->sup->boot, m->locate.attempt);
 		if (job)
-			job_located(job, &m->locate.owner);
+			job_located(job, &m->locate);
 		break;
 	case MESSAGE_ROUTED:
 	case MESSAGE_GRANT:
@@ -504,7 +519,7 @@
 	log_info("drained with %u requests left", left);
 	f->drain_until = INT64_MAX;
 	f->is_draining = false;
-	supervisor_post(f->sup, TASK_ACCOUNTS,
+	supervisor_post(f->sup, TASK_PEERS,
 			&(message_t){ .type = MESSAGE_DRAINED });
 }
 
@@ -519,11 +534,11 @@
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&job))
 		job_tick(job, now);
 	g_hash_table_foreach_remove(f->jobs, is_ended, NULL);
-	rights_expire(&f->rights, now);
+	rights_expire(&f->tickets, now);
 	metrics_set(&f->sup->metrics, "papaya_requests_in_progress", NULL,
 		    g_hash_table_size(f->jobs));
-	metrics_set(&f->sup->metrics, "papaya_keys", NULL,
-		    g_hash_table_size(f->rights.entries));
+	metrics_set(&f->sup->metrics, "papaya_tickets", NULL,
+		    g_hash_table_size(f->tickets.entries));
 	end_when_drained(f);
 }
 
@@ -561,7 +576,7 @@
 		.ticket_life = s->ticket_life_ms * 1000,
 	};
 
-	rights_init(&f->rights, &config);
+	rights_init(&f->tickets, &config);
 	limit_init(&f->limit, MAX_TEAMS, now_us());
 	retry_init(&f->retry, retry_ratio, MAX_BUDGETS,
 		   g_rand_int(f->sup->rand));
@@ -591,7 +606,7 @@
 	event_free(f->timer);
 	g_hash_table_destroy(f->jobs);
 	evhttp_free(f->http);
-	rights_finish(&f->rights);
+	rights_finish(&f->tickets);
 	limit_finish(&f->limit);
 	retry_finish(&f->retry);
 	config_view_unref(f->config);
--- a/daemon/job.c
+++ b/daemon/job.c
@@ -150,6 +150,7 @@
 		int64_t age = g_get_real_time() - mint_ms * 1000;
 
 		m.locate.scoped = g_bytes_ref(job->scoped);
+		m.locate.fingerprint = call->fingerprint;
 		m.locate.mint_age = mint_ms < 0 ? -1 : MAX(age, 0);
 		call_key_zone(call->key, f->sup->settings->zones,
 			      m.locate.key_zone, sizeof(m.locate.key_zone));
@@ -157,14 +158,12 @@
 	supervisor_post(f->sup, TASK_PEERS, &m);
 }
 
-/* Claims the right to run a request that this daemon owns. */
-static void begin_owned(job_t *job)
+void job_use_ticket(job_t *job)
 {
 	front_t *f = job->front;
 	rights_verdict_t verdict;
-	rights_entry_t *entry;
 
-	verdict = rights_begin(&f->rights, job->scoped, job->call.ticket,
+	verdict = rights_begin(&f->tickets, job->scoped, true,
 			       job->call.fingerprint, supervisor_epoch(f->sup),
 			       &job->right);
 	if (verdict == RIGHTS_NEW) {
@@ -172,20 +171,62 @@
 		job_want(job);
 		return;
 	}
-	entry = job->right;
 	job->right = NULL;
-	if (verdict == RIGHTS_JOIN)
-		merge(job, entry->work);
-	else if (verdict == RIGHTS_KEPT)
-		job_repeat_kept(job, &entry->answer);
-	else if (verdict == RIGHTS_MISMATCH)
+	job_fail(job, OUTCOME_UNKNOWN, 410, "no such ticket", 0);
+}
+
+/* The owner of a key counts its team's limits: only it can say not-run. */
+static void start_claimed(job_t *job, const message_locate_t *found)
+{
+	front_t *f = job->front;
+	uint32_t retry_after_ms = JOB_RETRY_MS;
+
+	job->has_claim = true;
+	job->claim = (rights_entry_t){ .state = RIGHTS_WAITING,
+				       .epoch = found->epoch };
+	if (limit_take(&f->limit, str_from(job->call.team), now_us(),
+		       &retry_after_ms)) {
+		job->is_limited = true;
+		job_want(job);
+		return;
+	}
+	job_fail(job, OUTCOME_NOT_RUN, 429, "the team's limit is reached",
+		 MAX(retry_after_ms, 1));
+}
+
+/* Another call with the key was first: this one gets the same answer. */
+static void join_attempt(job_t *job, uint64_t attempt)
+{
+	job_t *target = g_hash_table_lookup(job->front->jobs, &attempt);
+
+	/* The other ended meanwhile: its answer is kept by now. */
+	if (!target || target->state == JOB_ENDED)
+		job_locate(job);
+	else
+		merge(job, target);
+}
+
+static void use_claim(job_t *job, const message_locate_t *found)
+{
+	switch (found->verdict) {
+	case RIGHTS_NEW:
+		start_claimed(job, found);
+		break;
+	case RIGHTS_JOIN:
+		join_attempt(job, found->joined);
+		break;
+	case RIGHTS_KEPT:
+		job_repeat_kept(job, &found->answer);
+		break;
+	case RIGHTS_MISMATCH:
 		job_fail(job, OUTCOME_NOT_RUN, 422,
 			 "the key names another request", 0);
-	else if (verdict == RIGHTS_NO_TICKET)
-		job_fail(job, OUTCOME_UNKNOWN, 410, "no such ticket", 0);
-	else
+		break;
+	default:
 		job_fail(job, OUTCOME_NOT_RUN, HTTP_SERVUNAVAIL,
 			 "the table of keys is full", JOB_RETRY_MS);
+		break;
+	}
 }
 
 static void answer_quiet(job_t *job, const member_owner_t *owner)
@@ -198,13 +239,15 @@
 		 (uint32_t)CLAMP(wait_ms, JOB_RETRY_MS, MAX_RETRY_MS));
 }
 
-void job_located(job_t *job, const member_owner_t *owner)
+void job_located(job_t *job, const message_locate_t *found)
 {
+	const member_owner_t *owner = &found->owner;
+
 	if (job->state != JOB_LOCATING)
 		return;
 	switch (owner->kind) {
 	case MEMBER_OWNER_SELF:
-		begin_owned(job);
+		use_claim(job, found);
 		return;
 	case MEMBER_OWNER_QUIET:
 		answer_quiet(job, owner);
--- a/daemon/job.h
+++ b/daemon/job.h
@@ -38,7 +38,9 @@
 	call_t call;
 	job_state_t state;
 	GPtrArray *callers; /* caller_t, owned */
-	rights_entry_t *right; /* NULL without key or ticket */
+	rights_entry_t *right; /* a ticket's; NULL without */
+	rights_entry_t claim; /* a key's, as the peers task gave it */
+	bool has_claim;
 	GBytes *scoped; /* team and key; NULL without */
 	bool is_engine;
 	bool is_protected;
@@ -88,7 +90,9 @@
 
 /* Events from other tasks. */
 void job_locate(job_t *job);
-void job_located(job_t *job, const member_owner_t *owner);
+void job_located(job_t *job, const message_locate_t *found);
+/* This daemon issued the job's ticket: claims it. */
+void job_use_ticket(job_t *job);
 void job_routed(job_t *job, const char *dispatcher);
 void job_granted(job_t *job, const dispatcher_runner_t *runner);
 void job_refused(job_t *job, refuse_reason_t reason, uint32_t retry_after_ms);
--- a/daemon/job_answer.c
+++ b/daemon/job_answer.c
@@ -56,17 +56,34 @@
 		job_tell(job, MESSAGE_WITHDRAW, NULL);
 }
 
+static void end_claim(job_t *job, const rights_answer_t *answer)
+{
+	message_t m = { .type = MESSAGE_KEY_ENDED };
+
+	m.key.scoped = g_bytes_ref(job->scoped);
+	m.key.fingerprint = job->call.fingerprint;
+	m.key.is_dispatched = job->is_dispatched;
+	m.key.answer = *answer;
+	m.key.answer.content_type = g_strdup(answer->content_type);
+	if (answer->body)
+		g_bytes_ref(answer->body);
+	supervisor_post(job->front->sup, TASK_PEERS, &m);
+	job->has_claim = false;
+}
+
 /* Keeps the final answer for repeats, or gives the right back. */
 static void settle_right(job_t *job, const rights_answer_t *answer)
 {
 	front_t *f = job->front;
 
+	if (job->has_claim)
+		end_claim(job, answer);
 	if (!job->right)
 		return;
 	if (job->is_dispatched)
-		rights_end(&f->rights, job->right, answer, now_us());
+		rights_end(&f->tickets, job->right, answer, now_us());
 	else
-		rights_release(&f->rights, job->right, now_us());
+		rights_release(&f->tickets, job->right, now_us());
 	job->right = NULL;
 }
 
@@ -193,7 +210,7 @@
 {
 	if (job->is_forward || !job->is_dispatched)
 		return false;
-	return job->right || !job->is_engine;
+	return job->right || job->has_claim || !job->is_engine;
 }
 
 void job_abandon(job_t *job)
@@ -218,7 +235,7 @@
 {
 	size_t max = (size_t)job->front->sup->settings->max_answer_kib * 1024;
 
-	if (!job->right || job->is_answer_cut)
+	if ((!job->right && !job->has_claim) || job->is_answer_cut)
 		return;
 	if (job->answer->len + raw.len > max) {
 		job->is_answer_cut = true;
@@ -257,6 +274,13 @@
 		caller_reply(c, &head, (str_t){ body ? body : "", len });
 		return;
 	}
+	if (answer->outcome == OUTCOME_UNKNOWN) {
+		head.status = HTTP_SERVUNAVAIL;
+		head.retry_after_ms = JOB_RETRY_MS;
+		caller_reply_error(c, &head, "Idempotency-Key",
+				   "it may still run on another daemon");
+		return;
+	}
 	head.status = 410;
 	caller_reply_error(c, &head, "Idempotency-Key",
 			   "the request ended; its answer was too long to be "
--- a/daemon/job_upstream.c
+++ b/daemon/job_upstream.c
@@ -75,14 +75,14 @@
 static bool on_sending(void *ctx)
 {
 	job_t *job = ctx;
+	rights_entry_t *right = job->has_claim ? &job->claim : job->right;
 
 	if (job->is_forward || job->state == JOB_RUNNING)
 		return true;
 	if (job->is_dispatched)
 		return false;
-	if (job->right &&
-	    !rights_mark_dispatched(job->right,
-				    supervisor_epoch(job->front->sup))) {
+	if (right &&
+	    !rights_mark_dispatched(right, supervisor_epoch(job->front->sup))) {
 		job->is_lapsed = true;
 		return false;
 	}
--- /dev/null
+++ b/daemon/keys.c
@@ -0,0 +1,139 @@
+#include "daemon/keys.h"
+
+#include "net/handover_frame.h"
+
+static bool send_frame(void *ctx, str_t name, const Papaya__Frame *frame)
+{
+	keys_t *k = ctx;
+
+	return peer_send(k->peer, name, frame);
+}
+
+static bool send_part(void *ctx, str_t name, const handover_part_t *part)
+{
+	return handover_frame_send_part(send_frame, ctx, name, part);
+}
+
+static void send_ack(void *ctx, str_t name, uint64_t incarnation,
+		     uint32_t serial)
+{
+	handover_frame_send_ack(send_frame, ctx, name, incarnation, serial);
+}
+
+void keys_init(keys_t *k, supervisor_t *sup, member_t *member, peer_t *peer)
+{
+	static const handover_ops_t ops = { send_part, send_ack };
+	const settings_t *s = sup->settings;
+	rights_config_t config = {
+		.max_entries = (uint32_t)s->max_keys,
+		.max_bytes = (uint64_t)s->max_kept_kib * 1024,
+		.keep = s->retry_horizon_ms * 1000,
+		.ticket_life = s->ticket_life_ms * 1000,
+	};
+
+	k->sup = sup;
+	k->member = member;
+	k->peer = peer;
+	rights_init(&k->rights, &config);
+	handover_init(&k->handover, member, &k->rights, &ops, k);
+}
+
+void keys_finish(keys_t *k)
+{
+	handover_finish(&k->handover);
+	rights_finish(&k->rights);
+}
+
+static void claim(keys_t *k, const message_locate_t *asked,
+		  message_locate_t *out)
+{
+	rights_entry_t *entry = NULL;
+
+	out->owner.kind = MEMBER_OWNER_SELF;
+	out->epoch = supervisor_epoch(k->sup);
+	out->verdict = rights_begin(&k->rights, asked->scoped, false,
+				    asked->fingerprint, out->epoch, &entry);
+	if (out->verdict == RIGHTS_NEW) {
+		entry->work = (void *)(uintptr_t)asked->attempt;
+	} else if (out->verdict == RIGHTS_JOIN) {
+		out->joined = (uint64_t)(uintptr_t)entry->work;
+	} else if (out->verdict == RIGHTS_KEPT) {
+		out->answer = entry->answer;
+		out->answer.content_type = g_strdup(entry->answer.content_type);
+		if (entry->answer.body)
+			g_bytes_ref(entry->answer.body);
+	}
+}
+
+void keys_locate(keys_t *k, const message_locate_t *asked, message_t *out)
+{
+	message_locate_t *l = &out->locate;
+	gsize len;
+	const char *scoped = g_bytes_get_data(asked->scoped, &len);
+	str_t name = { scoped, len };
+	str_t home = asked->key_zone[0] ? str_from(asked->key_zone) :
+					  member_home_zone(k->member, name);
+
+	*out = (message_t){ .type = MESSAGE_LOCATED, .locate = *asked };
+	l->scoped = g_bytes_ref(asked->scoped);
+	/* What is in the table is known, whoever owns the key by now. */
+	if (rights_find(&k->rights, asked->scoped)) {
+		claim(k, asked, l);
+		return;
+	}
+	member_key_owner(k->member, name, home, asked->mint_age, now_us(),
+			 &l->owner);
+	if (l->owner.kind == MEMBER_OWNER_SELF)
+		claim(k, asked, l);
+}
+
+void keys_ended(keys_t *k, const message_key_t *ended)
+{
+	rights_entry_t *entry = rights_find(&k->rights, ended->scoped);
+	rights_answer_t answer = ended->answer;
+
+	if (!entry || entry->state != RIGHTS_WAITING)
+		return;
+	if (ended->is_dispatched) {
+		rights_mark_dispatched(entry, entry->epoch);
+		rights_end(&k->rights, entry, &answer, now_us());
+	} else {
+		answer.outcome = OUTCOME_NOT_RUN;
+		rights_release(&k->rights, entry, now_us());
+	}
+	handover_ended(&k->handover, ended->scoped, ended->fingerprint, &answer,
+		       now_us());
+}
+
+bool keys_receive(keys_t *k, const char *from, const Papaya__Frame *frame)
+{
+	if (frame->body_case == PAPAYA__FRAME__BODY_HAND_OVER) {
+		handover_frame_receive(&k->handover, str_from(from),
+				       frame->hand_over, now_us());
+		return true;
+	}
+	if (frame->body_case != PAPAYA__FRAME__BODY_HAND_OVER_ACK)
+		return false;
+	handover_acked(&k->handover, str_from(from),
+		       frame->hand_over_ack->incarnation,
+		       frame->hand_over_ack->serial);
+	return true;
+}
+
+void keys_tick(keys_t *k)
+{
+	handover_tick(&k->handover, now_us());
+	rights_expire(&k->rights, now_us());
+	metrics_set(&k->sup->metrics, "papaya_keys", NULL,
+		    g_hash_table_size(k->rights.entries));
+}
+
+void keys_reset(keys_t *k)
+{
+	handover_reset(&k->handover);
+}
+
+bool keys_is_handed_over(const keys_t *k)
+{
+	return handover_is_done(&k->handover);
+}
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -94,6 +94,12 @@
 	return docs;
 }
 
+static void clear_answer(rights_answer_t *answer)
+{
+	g_clear_pointer(&answer->content_type, g_free);
+	g_clear_pointer(&answer->body, g_bytes_unref);
+}
+
 void message_finish(message_t *m)
 {
 	switch (m->type) {
@@ -110,6 +116,11 @@
 	case MESSAGE_LOCATE:
 	case MESSAGE_LOCATED:
 		g_clear_pointer(&m->locate.scoped, g_bytes_unref);
+		clear_answer(&m->locate.answer);
+		break;
+	case MESSAGE_KEY_ENDED:
+		g_clear_pointer(&m->key.scoped, g_bytes_unref);
+		clear_answer(&m->key.answer);
 		break;
 	case MESSAGE_APPEND:
 	case MESSAGE_APPENDED:
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -15,6 +15,7 @@
 #include "core/dispatcher.h"
 #include "core/member.h"
 #include "core/profile.h"
+#include "core/rights.h"
 #include "platform/log_client.h"
 
 /* All documents in force, parsed; immutable and reference counted. */
@@ -50,7 +51,8 @@
 	MESSAGE_CONFIG_RELAYED, /* peers to platform: from another daemon */
 	MESSAGE_VMS, /* platform to all: the VM list */
 	MESSAGE_LOCATE, /* front to peers: who owns this key? */
-	MESSAGE_LOCATED, /* peers to front */
+	MESSAGE_LOCATED, /* peers to front; claimed when it is ours */
+	MESSAGE_KEY_ENDED, /* front to peers: a claimed request ended */
 	MESSAGE_WANT, /* front to peers to capacity */
 	MESSAGE_ROUTED, /* peers to front: which dispatcher has the want */
 	MESSAGE_GRANT, /* capacity to peers to front */
@@ -66,7 +68,7 @@
 	MESSAGE_APPEND, /* accounts to platform */
 	MESSAGE_APPENDED, /* platform to accounts */
 	MESSAGE_DRAIN, /* supervisor to all */
-	MESSAGE_DRAINED, /* front to accounts: append the rest and end */
+	MESSAGE_DRAINED, /* front to peers to accounts: end the daemon */
 } message_type_t;
 
 /* Documents on their way from or to a peer. */
@@ -80,12 +82,26 @@
 typedef struct message_locate {
 	uint64_t attempt;
 	GBytes *scoped; /* team and key; unused for a ticket */
+	uint64_t fingerprint; /* of the request; unused for a ticket */
 	char key_zone[MEMBER_NAME_SIZE]; /* zone prefix of the key, or "" */
 	int64_t mint_age; /* microseconds, or -1 */
 	char ticket_daemon[MEMBER_NAME_SIZE]; /* "" for a key */
 	member_owner_t owner; /* LOCATED */
+	/* LOCATED, when a key is this daemon's own: */
+	rights_verdict_t verdict;
+	uint64_t epoch; /* NEW: in which the right was given */
+	uint64_t joined; /* JOIN: the attempt that runs */
+	rights_answer_t answer; /* KEPT: with references of its own */
 } message_locate_t;
 
+/* How a claimed request ended. */
+typedef struct message_key {
+	GBytes *scoped;
+	uint64_t fingerprint;
+	bool is_dispatched; /* else it was given up and may run anew */
+	rights_answer_t answer; /* with references of its own */
+} message_key_t;
+
 /* What travels between an owner and a dispatcher. */
 typedef struct message_capacity {
 	char peer[MEMBER_NAME_SIZE]; /* the other daemon; "" for this one */
@@ -121,6 +137,7 @@
 		uint64_t number; /* CONFIG_NEXT, SETTLED */
 		message_docs_t docs; /* CONFIG_ASK, SEND, RELAYED */
 		message_locate_t locate;
+		message_key_t key;
 		message_capacity_t capacity;
 		message_account_t account;
 		message_append_t append;
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -6,12 +6,14 @@
 
 #include "common/log.h"
 #include "daemon/frames.h"
+#include "daemon/keys.h"
 #include "daemon/supervisor.h"
 
 enum {
 	MAX_MEMBERS = 1024,
 	MAX_BACKLOG = 4 << 20, /* bytes a link */
 	NO_RUNNER_RETRY_MS = 1000,
+	HANDOVER_LIMIT_US = 10 * G_USEC_PER_SEC, /* after the last request */
 };
 
 typedef struct peers {
@@ -19,10 +21,12 @@
 	member_vm_t self;
 	member_t member;
 	peer_t peer;
+	keys_t keys;
 	GHashTable *incarnations; /* name to the last live incarnation */
 	struct event *timer;
 	uint64_t config_next;
 	uint64_t epoch;
+	int64_t drained_until; /* the front is done; 0: not yet */
 	bool is_draining;
 	bool has_broken_link;
 	bool is_settled; /* as the capacity task was told */
@@ -152,6 +156,8 @@
 		supervisor_post(p->sup, TASK_PLATFORM, &m);
 		return;
 	}
+	if (keys_receive(&p->keys, name, frame))
+		return;
 	if (!frames_read_capacity(frame, name, now_us(), &m)) {
 		metrics_add(&p->sup->metrics, "papaya_foreign_frames_total",
 			    NULL, 1);
@@ -226,6 +232,7 @@
 	incarnation = new_incarnation(p->sup);
 	member_reincarnate(&p->member, incarnation, now_us());
 	peer_set_incarnation(&p->peer, incarnation);
+	keys_reset(&p->keys);
 	log_warn("took a new incarnation; own keys are quiet for a while");
 }
 
@@ -278,6 +285,19 @@
 	supervisor_post(p->sup, TASK_CAPACITY, &m);
 }
 
+/* The process may end once others own its keys. */
+static void end_when_handed_over(peers_t *p)
+{
+	bool is_done = keys_is_handed_over(&p->keys);
+
+	if (!p->drained_until || (!is_done && now_us() < p->drained_until))
+		return;
+	log_info("keys are %s", is_done ? "handed over" : "not handed over");
+	p->drained_until = 0;
+	supervisor_post(p->sup, TASK_ACCOUNTS,
+			&(message_t){ .type = MESSAGE_DRAINED });
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	peers_t *p = arg;
@@ -286,6 +306,8 @@
 	member_tick(&p->member, now_us());
 	tell_settled(p);
 	send_heartbeats(p);
+	keys_tick(&p->keys);
+	end_when_handed_over(p);
 	export_stats(p);
 }
 
@@ -299,32 +321,30 @@
 			peer_keep(&p->peer, &list[i]);
 }
 
-static void locate(peers_t *p, const message_t *asked)
+/* A ticket is good at the daemon that issued it, and nowhere else. */
+static void locate_ticket(peers_t *p, const message_locate_t *asked,
+			  message_t *out)
 {
-	const message_locate_t *l = &asked->locate;
-	message_t m = { .type = MESSAGE_LOCATED, .locate = *l };
+	member_owner_t *owner = &out->locate.owner;
 	member_state_t state;
-	gsize len;
-	const char *scoped;
+	bool found;
+
+	*out = (message_t){ .type = MESSAGE_LOCATED, .locate = *asked };
+	found = member_find(&p->member, str_from(asked->ticket_daemon),
+			    &owner->vm, &state, NULL);
+	owner->kind = found && state != MEMBER_DEAD ? MEMBER_OWNER_PEER :
+						      MEMBER_OWNER_NONE;
+}
+
+static void locate(peers_t *p, const message_locate_t *asked)
+{
+	message_t m;
 
 	follow_epoch(p);
-	if (l->ticket_daemon[0]) {
-		bool found = member_find(&p->member, str_from(l->ticket_daemon),
-					 &m.locate.owner.vm, &state, NULL);
-
-		m.locate.owner.kind = found && state != MEMBER_DEAD ?
-					      MEMBER_OWNER_PEER :
-					      MEMBER_OWNER_NONE;
-	} else {
-		scoped = g_bytes_get_data(l->scoped, &len);
-		str_t home = l->key_zone[0] ?
-				     str_from(l->key_zone) :
-				     member_home_zone(&p->member,
-						      (str_t){ scoped, len });
-		member_key_owner(&p->member, (str_t){ scoped, len }, home,
-				 l->mint_age, now_us(), &m.locate.owner);
-	}
-	m.locate.scoped = l->scoped ? g_bytes_ref(l->scoped) : NULL;
+	if (asked->ticket_daemon[0])
+		locate_ticket(p, asked, &m);
+	else
+		keys_locate(&p->keys, asked, &m);
 	supervisor_post(p->sup, TASK_FRONT, &m);
 }
 
@@ -411,7 +431,10 @@
 		take_list(p, m->vms);
 		break;
 	case MESSAGE_LOCATE:
-		locate(p, m);
+		locate(p, &m->locate);
+		break;
+	case MESSAGE_KEY_ENDED:
+		keys_ended(&p->keys, &m->key);
 		break;
 	case MESSAGE_WANT:
 		route_want(p, m);
@@ -427,6 +450,9 @@
 	case MESSAGE_DRAIN:
 		drain(p);
 		break;
+	case MESSAGE_DRAINED:
+		p->drained_until = now_us() + HANDOVER_LIMIT_US;
+		break;
 	default:
 		break;
 	}
@@ -496,6 +522,7 @@
 	p->incarnations =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	init_member(p, incarnation);
+	keys_init(&p->keys, sup, &p->member, &p->peer);
 	keep_seeds(p);
 	p->timer =
 		supervisor_every(sup, sup->settings->heartbeat_ms, on_timer, p);
@@ -507,6 +534,7 @@
 	peers_t *p = state;
 
 	event_free(p->timer);
+	keys_finish(&p->keys);
 	peer_finish(&p->peer);
 	member_finish(&p->member);
 	g_hash_table_destroy(p->incarnations);
--- a/tests/slopes.sh
+++ b/tests/slopes.sh
@@ -22,6 +22,7 @@
 
 # cluster DAEMONS PROFILE: one zone, two engines and two desks
 cluster() {
+	local n
 	vms=
 	add_runner engine-1 yard 1 itinerary-model
 	add_runner engine-2 yard 2 itinerary-model
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -38,6 +38,7 @@
 	client_t clients[MAX_CALLS];
 	/* What the fake peers task does and saw. */
 	member_owner_t owner;
+	rights_t keys;
 	const char *grant_address; /* NULL: the fake runner's */
 	refuse_reason_t refuse;
 	bool refuses;
@@ -93,18 +94,55 @@
 	supervisor_post(&bed->sup, TASK_FRONT, &answer);
 }
 
+static void answer_locate(bed_t *bed, const message_locate_t *asked)
+{
+	message_t m = { .type = MESSAGE_LOCATED, .locate = *asked };
+	message_locate_t *l = &m.locate;
+	rights_entry_t *entry = NULL;
+
+	l->owner = bed->owner;
+	l->scoped = NULL;
+	if (l->owner.kind == MEMBER_OWNER_SELF && asked->scoped) {
+		l->epoch = supervisor_epoch(&bed->sup);
+		l->verdict = rights_begin(&bed->keys, asked->scoped, false,
+					  asked->fingerprint, l->epoch, &entry);
+	}
+	if (entry && l->verdict == RIGHTS_NEW)
+		entry->work = (void *)(uintptr_t)asked->attempt;
+	if (entry && l->verdict == RIGHTS_JOIN)
+		l->joined = (uint64_t)(uintptr_t)entry->work;
+	if (entry && l->verdict == RIGHTS_KEPT) {
+		l->answer = entry->answer;
+		l->answer.content_type = g_strdup(entry->answer.content_type);
+		if (l->answer.body)
+			g_bytes_ref(l->answer.body);
+	}
+	supervisor_post(&bed->sup, TASK_FRONT, &m);
+}
+
+static void end_key(bed_t *bed, const message_key_t *ended)
+{
+	rights_entry_t *entry = rights_find(&bed->keys, ended->scoped);
+
+	ck_assert_ptr_nonnull(entry);
+	if (!ended->is_dispatched) {
+		rights_release(&bed->keys, entry, 0);
+		return;
+	}
+	ck_assert(rights_mark_dispatched(entry, entry->epoch));
+	rights_end(&bed->keys, entry, &ended->answer, 0);
+}
+
 static void fake_handle(void *state, const message_t *m)
 {
 	bed_t *bed = state;
-	message_t located;
 
 	switch (m->type) {
 	case MESSAGE_LOCATE:
-		located = (message_t){ .type = MESSAGE_LOCATED,
-				       .locate = m->locate };
-		located.locate.owner = bed->owner;
-		located.locate.scoped = NULL;
-		supervisor_post(&bed->sup, TASK_FRONT, &located);
+		answer_locate(bed, &m->locate);
+		break;
+	case MESSAGE_KEY_ENDED:
+		end_key(bed, &m->key);
 		break;
 	case MESSAGE_WANT:
 		answer_want(bed, m);
@@ -211,6 +249,9 @@
 	return view;
 }
 
+static const rights_config_t key_config = { 16, 4096, G_USEC_PER_SEC * 60L,
+					    G_USEC_PER_SEC };
+
 static void bed_init(bed_t *bed)
 {
 	message_t config = { .type = MESSAGE_CONFIG };
@@ -222,6 +263,7 @@
 	log_init("error");
 	bed->base = event_base_new();
 	bed->owner.kind = MEMBER_OWNER_SELF;
+	rights_init(&bed->keys, &key_config);
 	bed->runner_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 	fake_http_init(&bed->runner, bed->base, on_runner, bed);
 	parse_settings(bed);
@@ -240,6 +282,7 @@
 			g_string_free(bed->clients[i].body, TRUE);
 	}
 	supervisor_finish(&bed->sup);
+	rights_finish(&bed->keys);
 	fake_http_finish(&bed->runner);
 	event_base_loop(bed->base, EVLOOP_NONBLOCK);
 	event_base_free(bed->base);
@@ -727,6 +770,56 @@
 }
 END_TEST
 
+START_TEST(the_owner_counts_a_key_s_limit_and_repeats_join)
+{
+	bed_t bed;
+	client_t *a, *b, *c;
+
+	bed_init(&bed);
+	bed.is_mute = true;
+	a = send_call(&bed, 0, EVHTTP_REQ_POST, HOLDS,
+		      "Papaya-Team: small\nIdempotency-Key: one", "x");
+	run_while_wants(&bed, 1);
+	b = ask(&bed, 1, EVHTTP_REQ_POST, HOLDS,
+		"Papaya-Team: small\nIdempotency-Key: two", "x");
+	ck_assert_int_eq(b->status, 429);
+	ck_assert_int_eq(b->outcome, OUTCOME_NOT_RUN);
+	c = send_call(&bed, 2, EVHTTP_REQ_POST, HOLDS,
+		      "Papaya-Team: small\nIdempotency-Key: one", "x");
+	bed.is_mute = false;
+	supervisor_post(&bed.sup, TASK_FRONT,
+			&(message_t){ .type = MESSAGE_VIEW_CHANGED });
+	run_until(&bed, &a->is_ended);
+	run_until(&bed, &c->is_ended);
+	ck_assert_int_eq(a->outcome, OUTCOME_COMPLETED);
+	ck_assert_int_eq(c->outcome, OUTCOME_COMPLETED);
+	b = ask(&bed, 1, EVHTTP_REQ_POST, HOLDS,
+		"Papaya-Team: small\nIdempotency-Key: two", "x");
+	ck_assert_int_eq(b->outcome, OUTCOME_COMPLETED);
+	ck_assert_int_eq(bed.runner.requests, 2);
+	bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_key_is_never_called_not_run_by_one_who_can_t_know)
+{
+	bed_t bed;
+	client_t *c;
+	config_view_t *empty;
+	message_t m = { .type = MESSAGE_CONFIG };
+
+	bed_init(&bed);
+	empty = config_view_new();
+	m.config = empty;
+	supervisor_post(&bed.sup, TASK_FRONT, &m);
+	event_base_loop(bed.base, EVLOOP_NONBLOCK);
+	c = ask(&bed, 0, EVHTTP_REQ_POST, HOLDS, "Idempotency-Key: k", "x");
+	ck_assert_int_eq(c->status, 404);
+	ck_assert_int_eq(c->outcome, OUTCOME_UNKNOWN);
+	bed_finish(&bed);
+}
+END_TEST
+
 SUITE_MAIN("front", refuses_what_is_malformed_and_dispatches_nothing,
 	   tells_how_every_exchange_with_a_runner_ended,
 	   a_refused_want_is_not_run_with_when_to_come_back,
@@ -739,4 +832,6 @@
 	   late_and_foreign_answers_are_dropped_and_counted,
 	   a_key_that_waited_through_a_stall_is_not_sent,
 	   draining_refuses_new_work_and_finishes_the_old,
-	   a_team_s_concurrency_is_bounded)
+	   a_team_s_concurrency_is_bounded,
+	   the_owner_counts_a_key_s_limit_and_repeats_join,
+	   a_key_is_never_called_not_run_by_one_who_can_t_know)
