daemon: show when a new daemon has the zone's keys

Cause: an operator who replaces a whole zone can't see when the new daemons may take over (faults replace-zone-with-keys drains three at once). Ruled out: tying /readyz to it, since a daemon alone never joins and serves requests without keys and with tickets at once.

--- a/daemon/keys.c
+++ b/daemon/keys.c
@@ -124,6 +124,8 @@
 {
 	handover_tick(&k->handover, now_us());
 	rights_expire(&k->rights, now_us());
+	metrics_set(&k->sup->metrics, "papaya_keys_joined", NULL,
+		    handover_has_joined(&k->handover));
 	metrics_set(&k->sup->metrics, "papaya_keys", NULL,
 		    g_hash_table_size(k->rights.entries));
 }
