--- a/daemon/platform_task.c
+++ b/daemon/platform_task.c
@@ -9,11 +9,9 @@
 
 enum {
 	READ_LIMIT = 256, /* records a read */
-	MAX_DOCS = 4096,
-	MAX_DOC_BYTES = 16 << 20,
 	MAX_PENDING = 64, /* appends */
 	SNAPSHOT_RECORDS = 256, /* publications between two snapshots */
-	SNAPSHOT_DELAY_US = 5 * G_USEC_PER_SEC,
+	SNAPSHOT_DELAY_MS = 5000,
 };
 
 typedef struct platform {
@@ -30,7 +28,7 @@
 	bool is_log_down;
 	bool is_list_down;
 	bool is_snapshotting;
-	uint64_t snapshot_offset; /* of the newest snapshot seen */
+	uint64_t covered; /* by the snapshots read so far */
 	int64_t snapshot_due; /* monotonic */
 } platform_t;
 
@@ -114,12 +112,17 @@
 	return profile_check(str_from(doc), body, err);
 }
 
-static void put_off_snapshot(platform_t *p, int64_t ms)
+/* Daemons that share a deadline would all append at once. */
+static int64_t snapshot_time(platform_t *p, int64_t ms)
 {
-	/* Daemons that share a deadline would all append at once. */
 	int64_t jitter = g_rand_int_range(p->sup->rand, 0, (gint32)ms / 2 + 1);
 
-	p->snapshot_due = now_us() + (ms + jitter) * 1000;
+	return now_us() + (ms + jitter) * 1000;
+}
+
+static void put_off_snapshot(platform_t *p)
+{
+	p->snapshot_due = snapshot_time(p, p->sup->settings->snapshot_ms);
 }
 
 static void on_snapshot(void *ctx, uint64_t offset, const err_t *err)
@@ -139,32 +142,41 @@
 	if (p->is_snapshotting || !config_fold_is_whole(&p->fold) ||
 	    config_fold_next(&p->fold) == 0 || now_us() < p->snapshot_due)
 		return;
-	put_off_snapshot(p, p->sup->settings->snapshot_ms);
+	put_off_snapshot(p);
 	text = config_fold_snapshot(&p->fold);
 	p->is_snapshotting = log_client_append(
 		&p->client, "config", str_from(text), on_snapshot, p, NULL);
 }
 
+/*
+ * What counts is how far the snapshots reach, not when one was appended: a
+ * paused daemon may append an old one late.
+ */
+static void plan_snapshot(platform_t *p)
+{
+	uint64_t covered = config_fold_covered(&p->fold);
+	int64_t soon;
+
+	if (covered > p->covered)
+		put_off_snapshot(p);
+	p->covered = covered;
+	if (config_fold_next(&p->fold) <= covered + SNAPSHOT_RECORDS)
+		return;
+	soon = snapshot_time(p, SNAPSHOT_DELAY_MS);
+	p->snapshot_due = MIN(p->snapshot_due, soon);
+}
+
 static void fold_records(platform_t *p, const log_record_t *records, size_t n,
 			 uint64_t oldest)
 {
-	for (size_t i = 0; i < n; i++) {
-		config_verdict_t verdict = config_fold_record(
-			&p->fold, records[i].offset, oldest, records[i].data);
-
-		if (verdict == CONFIG_SNAPSHOT_TAKEN ||
-		    verdict == CONFIG_SNAPSHOT_PASSED) {
-			p->snapshot_offset = records[i].offset;
-			put_off_snapshot(p, p->sup->settings->snapshot_ms);
-		} else if (verdict == CONFIG_DAMAGED) {
+	config_fold_oldest(&p->fold, oldest);
+	for (size_t i = 0; i < n; i++)
+		if (config_fold_record(&p->fold, records[i].offset, oldest,
+				       records[i].data) == CONFIG_DAMAGED)
 			log_warn("skipped a damaged record at offset "
 				 "%" G_GUINT64_FORMAT,
 				 records[i].offset);
-		}
-	}
-	if (config_fold_next(&p->fold) > p->snapshot_offset + SNAPSHOT_RECORDS)
-		p->snapshot_due =
-			MIN(p->snapshot_due, now_us() + SNAPSHOT_DELAY_US);
+	plan_snapshot(p);
 }
 
 static void on_records(void *ctx, const log_record_t *records, size_t n,
@@ -343,8 +355,8 @@
 
 	p->sup = sup;
 	log_client_init(&p->client, sup->base, &config);
-	config_fold_init(&p->fold, MAX_DOCS, MAX_DOC_BYTES, &ops, p);
-	put_off_snapshot(p, sup->settings->snapshot_ms);
+	config_fold_init(&p->fold, CONFIG_MAX_DOCS, CONFIG_MAX_BYTES, &ops, p);
+	put_off_snapshot(p);
 	p->config_timer = supervisor_every(sup, sup->settings->config_poll_ms,
 					   on_config_timer, p);
 	p->vms_timer = supervisor_every(sup, sup->settings->vms_poll_ms,
