daemon/accounts_task: begin and end batches, repeat lost appends

Cause: a fixed seed in the settings gave a restarted daemon the incarnation of the one before, so readers would drop its batches as repeats; a restart of the platform task lost an append's answer and nothing was appended any more; one refused append at the end of a drain lost the last batch. Change: the incarnation comes from the system; an append without an answer is repeated after two timeouts, under the same number; the first batch is closed at once and the last says so; appends are tried again every 200 ms while draining.

--- a/daemon/accounts_task.c
+++ b/daemon/accounts_task.c
@@ -1,20 +1,22 @@
 /* Counts useful work and waste, and appends it to the log in batches. */
 #define LOG_PART "accounts"
 
+#include <sys/random.h>
+
 #include "common/log.h"
 #include "daemon/supervisor.h"
 
 enum {
-	MAX_KEYS = 4096,
 	MAX_BATCHES = 360, /* an hour of outage at ten seconds a batch */
 	LAST_APPEND_S = 3, /* limit of the last appends of a drain */
+	LAST_RETRY_US = 200000, /* between tries of the last appends */
 };
 
 typedef struct accounts_keeper {
 	supervisor_t *sup;
 	accounts_t accounts;
 	struct event *timer;
-	bool is_appending;
+	int64_t append_due; /* monotonic: when to repeat; 0 when idle */
 	bool is_ending; /* the daemon ends once all is appended */
 } accounts_keeper_t;
 
@@ -26,9 +28,10 @@
 
 	if (!text.len && k->is_ending)
 		event_base_loopexit(k->sup->base, NULL);
-	if (k->is_appending || !text.len)
+	/* The platform's task may have lost it when it was restarted. */
+	if (!text.len || k->append_due > now_us())
 		return;
-	k->is_appending = true;
+	k->append_due = now_us() + 2000 * k->sup->settings->platform_timeout_ms;
 	m.append.seq = seq;
 	m.append.data = g_bytes_new(text.ptr, text.len);
 	supervisor_post(k->sup, TASK_PLATFORM, &m);
@@ -51,7 +54,7 @@
  */
 static void on_appended(accounts_keeper_t *k, const message_append_t *a)
 {
-	k->is_appending = false;
+	k->append_due = 0;
 	metrics_add(&k->sup->metrics, "papaya_account_batches_total",
 		    a->is_ok ? "result=\"ok\"" : "result=\"error\"", 1);
 	if (!a->is_ok)
@@ -63,10 +66,13 @@
 static void end_daemon(accounts_keeper_t *k)
 {
 	static const struct timeval limit = { LAST_APPEND_S, 0 };
+	static const struct timeval retry = { 0, LAST_RETRY_US };
 
 	k->is_ending = true;
 	event_base_loopexit(k->sup->base, &limit);
-	close_batch(k);
+	event_add(k->timer, &retry);
+	accounts_end(&k->accounts, g_get_real_time() / 1000);
+	append_oldest(k);
 }
 
 static void handle(void *state, const message_t *m)
@@ -81,16 +87,29 @@
 		end_daemon(k);
 }
 
+/*
+ * A restarted task counts anew, so it is a new writer to readers; a seed in
+ * the settings must not make two writers the same.
+ */
+static bool make_incarnation(uint64_t *out, err_t *err)
+{
+	if (getrandom(out, sizeof(*out), 0) == (ssize_t)sizeof(*out))
+		return true;
+	return err_set(err, ERR_SYSTEM, "accounts", "", "no random numbers");
+}
+
 static void *start(supervisor_t *sup, err_t *err)
 {
-	accounts_keeper_t *k = g_new0(accounts_keeper_t, 1);
-	/* A restarted task counts anew, so it is a new writer to readers. */
-	uint64_t incarnation =
-		(uint64_t)g_rand_int(sup->rand) << 32 | g_rand_int(sup->rand);
+	accounts_keeper_t *k;
+	uint64_t incarnation;
 
+	if (!make_incarnation(&incarnation, err))
+		return NULL;
+	k = g_new0(accounts_keeper_t, 1);
 	k->sup = sup;
 	accounts_init(&k->accounts, str_from(sup->settings->name), incarnation,
-		      MAX_KEYS, MAX_BATCHES);
+		      ACCOUNTS_MAX_KEYS, MAX_BATCHES);
+	accounts_begin(&k->accounts, g_get_real_time() / 1000);
 	k->timer =
 		supervisor_every(sup, sup->settings->accounts_ms, on_timer, k);
 	return k;
