member: tell only news, ask before a death, link few of other zones

Cause: each heartbeat told of the whole zone, so control traffic grew with the square of its size, and each daemon kept a link to every other in all zones.

Change: a heartbeat tells only of daemons that are new, silent or asked about, and of dead incarnations that still speak. A daemon silent for half the timeout is asked about before it is suspect; it is called dead when a new connection failed and every live peer answered, or after one more timeout. Of each other zone two links that answer are kept, chosen by rendezvous, and links to the hosts of dispatchers in use; a daemon of another zone that is silent because no link to it is kept is not tested. The host in another zone is now chosen among all its daemons that may be alive, not among those linked, so both zones agree on it. A new peer_release ends keeping without closing, since the peer may still keep the link.

Ruled out: a slower heartbeat across zones (12 KB/s at 350 daemons by its size and rate); closing released links (the other side connects again).

--- a/core/member.c
+++ b/core/member.c
@@ -2,11 +2,6 @@
 
 #include "core/member_state.h"
 
-enum {
-	/* A suspect waits timeout / CONFIRM_DIVISOR for its peers' reports. */
-	CONFIRM_DIVISOR = 2,
-};
-
 member_entry_t *member_entry_find(const struct member_table *t, str_t name)
 {
 	char buf[MEMBER_NAME_SIZE];
@@ -72,11 +67,23 @@
 	e->heard_at = MEMBER_NEVER;
 	e->reported_at = MEMBER_NEVER;
 	e->gap_at = MEMBER_NEVER;
+	e->link_wanted_at = MEMBER_NEVER;
+	e->needed_at = MEMBER_NEVER;
+	e->answered =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_ptr_array_add(t->entries, e);
 	g_hash_table_insert(t->by_name, e->vm.name, e);
 	return e;
 }
 
+static void free_entry(void *data)
+{
+	member_entry_t *e = data;
+
+	g_hash_table_unref(e->answered);
+	g_free(e);
+}
+
 void member_init(member_t *m, const member_config_t *config,
 		 const member_vm_t *self, uint64_t incarnation,
 		 const str_t *zones, uint32_t n_zones, const member_ops_t *ops,
@@ -94,7 +101,7 @@
 	for (uint32_t i = 0; i < n_zones; i++)
 		t->zones[i] = g_strndup(zones[i].ptr, zones[i].len);
 	t->by_name = g_hash_table_new(g_str_hash, g_str_equal);
-	t->entries = g_ptr_array_new_with_free_func(g_free);
+	t->entries = g_ptr_array_new_with_free_func(free_entry);
 	t->born_at = now;
 	t->changed_at = now;
 	t->ticked_at = now;
@@ -142,7 +149,8 @@
 /* Its keys may have run until now, unless it handed them over. */
 static void depart(member_entry_t *e, int64_t now)
 {
-	e->gap_at = MAX(e->gap_at, e->is_handed ? e->handed_since : now);
+	if (!e->is_handed)
+		e->gap_at = MAX(e->gap_at, now);
 }
 
 static void enter(struct member_table *t, member_entry_t *e,
@@ -243,15 +251,21 @@
 
 	if (!member_is_present(e) || now - heard_at <= timeout)
 		return;
+	/* Silent because no link to it is kept: nothing follows from it. */
+	if (!member_is_own_zone(t, e) && e->link_wanted_at == MEMBER_NEVER) {
+		e->state = MEMBER_LISTED;
+		return;
+	}
 	if (e->state == MEMBER_LIVE) {
 		e->state = MEMBER_SUSPECT;
 		e->has_probe_failed = false;
 		e->suspect_at = now;
+		g_hash_table_remove_all(e->answered);
 		probe(t, e, now);
 		return;
 	}
 	if (e->has_probe_failed &&
-	    now - e->suspect_at >= timeout / CONFIRM_DIVISOR) {
+	    (member_all_answered(t, e) || now - e->suspect_at >= timeout)) {
 		e->state = MEMBER_DEAD;
 		depart(e, now);
 		member_changed(t, e, now);
--- a/core/member.h
+++ b/core/member.h
@@ -14,6 +14,8 @@
 enum {
 	MEMBER_NAME_SIZE = 64, /* bytes, with the NUL */
 	MEMBER_MAX_ZONES = 32,
+	MEMBER_ZONE_LINKS = 2, /* live links to each other zone */
+	MEMBER_MAX_ZONE_LINKS = 8, /* tried at a time */
 };
 
 typedef struct member_config {
@@ -146,6 +148,35 @@
 bool member_is_stalled(const member_t *m, int64_t now);
 void member_reincarnate(member_t *m, uint64_t incarnation, int64_t now);
 
+/* What a heartbeat tells of another daemon of the zone. */
+typedef struct member_gossip {
+	str_t name;
+	uint64_t incarnation;
+	int64_t age; /* since it was heard directly; -1: never */
+	bool is_dead; /* this incarnation was called dead here */
+	bool is_asked; /* the sender is about to suspect it */
+} member_gossip_t;
+
+/*
+ * Calls FN for what the next heartbeat must tell: daemons that fell silent,
+ * those that a peer asked about, those that are new here, and dead
+ * incarnations that still speak. In a settled zone that is nothing.
+ */
+void member_each_gossip(member_t *m,
+			void (*fn)(void *ctx, const member_gossip_t *gossip),
+			void *ctx, int64_t now);
+/* REPORTER's heartbeat told GOSSIP. */
+void member_take_gossip(member_t *m, str_t reporter,
+			const member_gossip_t *gossip, int64_t now);
+
+/*
+ * Calls FN for each daemon that a link is to be kept to: all of the own
+ * zone, and of each other zone MEMBER_ZONE_LINKS that answer, chosen by
+ * rendezvous, and the hosts of dispatchers that are in use.
+ */
+void member_each_link(member_t *m, void (*fn)(void *ctx, const member_vm_t *vm),
+		      void *ctx, int64_t now);
+
 /* Sets whether this daemon itself is draining. */
 void member_set_draining(member_t *m, bool is_draining, int64_t now);
 
@@ -158,9 +189,13 @@
  */
 void member_key_owner(const member_t *m, str_t scoped, str_t home_zone,
 		      int64_t mint_age, int64_t now, member_owner_t *out);
-/* The daemon that hosts a service's dispatcher in a zone, as seen here. */
-bool member_dispatcher(const member_t *m, str_t zone, str_t service,
-		       uint32_t group, member_vm_t *out);
+/*
+ * The daemon that hosts a service's dispatcher in a zone, as seen here.
+ * Returns false when there is none, or when a link to a host in another zone
+ * is still to be made; member_each_link names it from now on.
+ */
+bool member_dispatcher(member_t *m, str_t zone, str_t service, uint32_t group,
+		       int64_t now, member_vm_t *out);
 /* Finds a daemon by name. */
 bool member_find(const member_t *m, str_t name, member_vm_t *out,
 		 member_state_t *state, uint64_t *incarnation);
--- a/core/member_gap.c
+++ b/core/member_gap.c
@@ -10,7 +10,6 @@
 		return;
 	e->is_handed = true;
 	e->is_draining = true;
-	e->handed_since = since;
 	e->gap_at = MAX(e->gap_at, since);
 	member_changed(m->table, e, now);
 }
--- /dev/null
+++ b/core/member_gossip.c
@@ -0,0 +1,84 @@
+#include "core/member_state.h"
+
+enum {
+	/* Peers are asked about a daemon silent for timeout / ASK_DIVISOR. */
+	ASK_DIVISOR = 2,
+};
+
+bool member_all_answered(const struct member_table *t,
+			 const member_entry_t *suspect)
+{
+	for (guint i = 0; i < t->entries->len; i++) {
+		const member_entry_t *e = t->entries->pdata[i];
+
+		if (e != suspect && e->state == MEMBER_LIVE &&
+		    member_is_own_zone(t, e) &&
+		    !g_hash_table_contains(suspect->answered, e->vm.name))
+			return false;
+	}
+	return true;
+}
+
+static bool is_worth_telling(const struct member_table *t,
+			     const member_entry_t *e, int64_t now)
+{
+	int64_t timeout = t->config.heartbeat_timeout;
+
+	if (e->state == MEMBER_DEAD)
+		return e->is_asked || now - e->heard_at <= timeout;
+	return e->is_asked ||
+	       (member_is_present(e) && now - e->entered_at <= timeout);
+}
+
+static bool is_in_question(const struct member_table *t,
+			   const member_entry_t *e, int64_t now)
+{
+	int64_t heard_at = MAX(e->heard_at, e->reported_at);
+
+	return member_is_present(e) &&
+	       now - heard_at > t->config.heartbeat_timeout / ASK_DIVISOR;
+}
+
+void member_each_gossip(member_t *m,
+			void (*fn)(void *ctx, const member_gossip_t *gossip),
+			void *ctx, int64_t now)
+{
+	const struct member_table *t = m->table;
+
+	for (guint i = 0; i < t->entries->len; i++) {
+		member_entry_t *e = t->entries->pdata[i];
+		member_gossip_t gossip = {
+			.name = str_from(e->vm.name),
+			.incarnation = e->incarnation,
+			.age = e->heard_at == MEMBER_NEVER ? -1 :
+							     now - e->heard_at,
+			.is_dead = e->state == MEMBER_DEAD,
+			.is_asked = is_in_question(t, e, now),
+		};
+
+		if (!member_is_own_zone(t, e))
+			continue;
+		if (gossip.is_asked || is_worth_telling(t, e, now))
+			fn(ctx, &gossip);
+		e->is_asked = false;
+	}
+}
+
+void member_take_gossip(member_t *m, str_t reporter,
+			const member_gossip_t *gossip, int64_t now)
+{
+	member_entry_t *e = member_entry_find(m->table, gossip->name);
+
+	if (gossip->is_dead)
+		member_called_dead(m, gossip->name, gossip->incarnation);
+	else if (gossip->age >= 0)
+		member_heard_by(m, reporter, gossip->name, gossip->incarnation,
+				gossip->age, now);
+	if (!e)
+		return;
+	if (gossip->is_asked)
+		e->is_asked = true;
+	if (e->state == MEMBER_SUSPECT)
+		g_hash_table_add(e->answered,
+				 g_strndup(reporter.ptr, reporter.len));
+}
--- a/core/member_owner.c
+++ b/core/member_owner.c
@@ -46,8 +46,7 @@
 	return winner;
 }
 
-/* Who has KEY in the own zone; false when nobody has. */
-static bool local_owner(const struct member_table *t, str_t key,
+bool member_local_owner(const struct member_table *t, str_t key,
 			rendezvous_t *best, const member_entry_t **peer)
 {
 	str_t name = str_from(t->self.name);
@@ -121,7 +120,7 @@
 		out->vm = e->vm;
 		return;
 	}
-	if (!local_owner(t, scoped, &best, &e))
+	if (!member_local_owner(t, scoped, &best, &e))
 		return;
 	if (e) {
 		out->kind = MEMBER_OWNER_PEER;
@@ -135,24 +134,3 @@
 	out->kind = MEMBER_OWNER_QUIET;
 	out->quiet_until = since + t->config.quiet_period;
 }
-
-bool member_dispatcher(const member_t *m, str_t zone, str_t service,
-		       uint32_t group, member_vm_t *out)
-{
-	const struct member_table *t = m->table;
-	g_autofree char *key = g_strdup_printf("%.*s#%u", (int)service.len,
-					       service.ptr, group);
-	rendezvous_t best;
-	const member_entry_t *e;
-
-	if (!str_eq(zone, str_from(t->self.zone))) {
-		e = remote_entry(t, zone, str_from(key));
-		if (e)
-			*out = e->vm;
-		return e != NULL;
-	}
-	if (!local_owner(t, str_from(key), &best, &e))
-		return false;
-	*out = e ? e->vm : t->self;
-	return true;
-}
--- a/core/member_state.h
+++ b/core/member_state.h
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "core/member.h"
+#include "core/rendezvous.h"
 
 /* Long before any time that is passed in, and safe to subtract from. */
 #define MEMBER_NEVER (G_MININT64 / 4)
@@ -21,10 +22,13 @@
 	int64_t heard_at; /* by ourselves */
 	int64_t reported_at; /* latest time at which a peer heard it */
 	int64_t entered_at; /* when this incarnation became live here */
-	int64_t handed_since; /* when is_handed: from then on all is known */
 	int64_t gap_at; /* until then its keys may have run unknown to us */
 	int64_t suspect_at;
 	int64_t probed_at;
+	bool is_asked; /* a peer wants to know when we heard it */
+	GHashTable *answered; /* peers that told it since it is suspect */
+	int64_t link_wanted_at; /* since when a link to it is tried */
+	int64_t needed_at; /* when a dispatcher there was last wanted */
 } member_entry_t;
 
 struct member_table {
@@ -51,6 +55,13 @@
 member_entry_t *member_entry_intern(struct member_table *t,
 				    const member_vm_t *vm, int64_t now);
 
+/* Who has KEY in the own zone, PEER or this; false when nobody has. */
+bool member_local_owner(const struct member_table *t, str_t key,
+			rendezvous_t *best, const member_entry_t **peer);
+/* True when every other live daemon told when it heard the suspect. */
+bool member_all_answered(const struct member_table *t,
+			 const member_entry_t *suspect);
+
 /* Says that the set of live members changed; E is NULL for this daemon. */
 void member_changed(struct member_table *t, const member_entry_t *e,
 		    int64_t now);
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -29,6 +29,7 @@
 	int64_t drained_until; /* the front is done; 0: not yet */
 	bool is_draining;
 	bool has_broken_link;
+	GHashTable *kept; /* names that a link is kept to; value: is wanted */
 	bool is_settled; /* as the capacity task was told */
 } peers_t;
 
@@ -106,13 +107,17 @@
 static void take_heard(peers_t *p, const char *reporter,
 		       const Papaya__Heard *heard, int64_t now)
 {
-	if (heard->is_dead)
-		member_called_dead(&p->member, str_from(heard->name),
-				   heard->incarnation);
-	else
-		member_heard_by(&p->member, str_from(reporter),
-				str_from(heard->name), heard->incarnation,
-				(int64_t)heard->age_ms * 1000, now);
+	member_gossip_t gossip = {
+		.name = str_from(heard->name),
+		.incarnation = heard->incarnation,
+		.age = heard->age_ms == UINT32_MAX ?
+			       -1 :
+			       (int64_t)heard->age_ms * 1000,
+		.is_dead = heard->is_dead,
+		.is_asked = heard->is_asked,
+	};
+
+	member_take_gossip(&p->member, str_from(reporter), &gossip, now);
 }
 
 static void take_heartbeat(peers_t *p, const char *name,
@@ -177,27 +182,19 @@
 	member_probed(&p->member, str_from(name), is_ok, now_us());
 }
 
-/* What one heartbeat tells of the own zone's daemons. */
-typedef struct gossip {
-	const char *zone;
-	GPtrArray *heard; /* Papaya__Heard, owned */
-} gossip_t;
-
-static void add_heard(void *ctx, const member_vm_t *vm, member_state_t state,
-		      uint64_t incarnation, int64_t heard_age)
+static void add_heard(void *ctx, const member_gossip_t *gossip)
 {
-	gossip_t *g = ctx;
-	Papaya__Heard *heard;
+	GPtrArray *all = ctx;
+	Papaya__Heard *heard = g_new(Papaya__Heard, 1);
 
-	if (strcmp(vm->zone, g->zone) || !incarnation || heard_age < 0)
-		return;
-	heard = g_new(Papaya__Heard, 1);
 	papaya__heard__init(heard);
-	heard->name = (char *)vm->name;
-	heard->incarnation = incarnation;
-	heard->age_ms = (uint32_t)MIN(heard_age / 1000, UINT32_MAX);
-	heard->is_dead = state == MEMBER_DEAD;
-	g_ptr_array_add(g->heard, heard);
+	heard->name = (char *)gossip->name.ptr;
+	heard->incarnation = gossip->incarnation;
+	heard->age_ms =
+		gossip->age < 0 ? UINT32_MAX : (uint32_t)(gossip->age / 1000);
+	heard->is_dead = gossip->is_dead;
+	heard->is_asked = gossip->is_asked;
+	g_ptr_array_add(all, heard);
 }
 
 static void send_heartbeats(peers_t *p)
@@ -205,9 +202,8 @@
 	Papaya__Frame frame = PAPAYA__FRAME__INIT;
 	Papaya__Heartbeat hb = PAPAYA__HEARTBEAT__INIT;
 	g_autoptr(GPtrArray) heard = g_ptr_array_new_with_free_func(g_free);
-	gossip_t gossip = { p->self.zone, heard };
 
-	member_each(&p->member, add_heard, &gossip, now_us());
+	member_each_gossip(&p->member, add_heard, heard, now_us());
 	hb.draining = p->is_draining;
 	hb.incarnation = member_incarnation(&p->member);
 	hb.config_next = p->config_next;
@@ -298,6 +294,47 @@
 			&(message_t){ .type = MESSAGE_DRAINED });
 }
 
+static void keep_seeds(peers_t *p)
+{
+	member_vm_t vm;
+
+	for (char **seed = p->sup->settings->seeds; *seed; seed++)
+		if (settings_seed(*seed, &vm, NULL) &&
+		    strcmp(vm.name, p->self.name))
+			peer_keep(&p->peer, &vm);
+}
+
+static void keep_link(void *ctx, const member_vm_t *vm)
+{
+	peers_t *p = ctx;
+
+	g_hash_table_insert(p->kept, g_strdup(vm->name), GINT_TO_POINTER(true));
+	peer_keep(&p->peer, vm);
+}
+
+/* Keeps the links that the membership wants, and no others. */
+static void follow_links(peers_t *p)
+{
+	peer_stats_t stats;
+	GHashTableIter iter;
+	void *name, *is_wanted;
+
+	g_hash_table_iter_init(&iter, p->kept);
+	while (g_hash_table_iter_next(&iter, NULL, NULL))
+		g_hash_table_iter_replace(&iter, GINT_TO_POINTER(false));
+	member_each_link(&p->member, keep_link, p, now_us());
+	g_hash_table_iter_init(&iter, p->kept);
+	while (g_hash_table_iter_next(&iter, &name, &is_wanted)) {
+		if (is_wanted)
+			continue;
+		peer_release(&p->peer, str_from(name));
+		g_hash_table_iter_remove(&iter);
+	}
+	peer_stats(&p->peer, &stats);
+	if (!stats.links_up)
+		keep_seeds(p);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	peers_t *p = arg;
@@ -305,6 +342,7 @@
 	follow_epoch(p);
 	member_tick(&p->member, now_us());
 	tell_settled(p);
+	follow_links(p);
 	send_heartbeats(p);
 	keys_tick(&p->keys);
 	end_when_handed_over(p);
@@ -316,9 +354,7 @@
 	const member_vm_t *list = (const member_vm_t *)vms->entries->data;
 
 	member_set_list(&p->member, list, vms->entries->len, now_us());
-	for (guint i = 0; i < vms->entries->len; i++)
-		if (strcmp(list[i].name, p->self.name))
-			peer_keep(&p->peer, &list[i]);
+	follow_links(p);
 }
 
 /* A ticket is good at the daemon that issued it, and nowhere else. */
@@ -379,7 +415,7 @@
 	member_vm_t vm;
 	bool found = !p->sup->settings->alone &&
 		     member_dispatcher(&p->member, zone, str_from(c->service),
-				       0, &vm);
+				       0, now_us(), &vm);
 
 	if (found && strcmp(vm.name, p->self.name) &&
 	    frames_send_capacity(&p->peer, str_from(vm.name), m, now_us())) {
@@ -497,16 +533,6 @@
 	return peer_init(&p->peer, p->sup->base, &config, &ops, p, err);
 }
 
-static void keep_seeds(peers_t *p)
-{
-	member_vm_t vm;
-
-	for (char **seed = p->sup->settings->seeds; *seed; seed++)
-		if (settings_seed(*seed, &vm, NULL) &&
-		    strcmp(vm.name, p->self.name))
-			peer_keep(&p->peer, &vm);
-}
-
 static void *start(supervisor_t *sup, err_t *err)
 {
 	peers_t *p = g_new0(peers_t, 1);
@@ -521,6 +547,7 @@
 	}
 	p->incarnations =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	p->kept = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	init_member(p, incarnation);
 	keys_init(&p->keys, sup, &p->member, &p->peer);
 	keep_seeds(p);
@@ -538,6 +565,7 @@
 	peer_finish(&p->peer);
 	member_finish(&p->member);
 	g_hash_table_destroy(p->incarnations);
+	g_hash_table_destroy(p->kept);
 	g_free(p);
 }
 
--- a/net/peer.c
+++ b/net/peer.c
@@ -412,6 +412,17 @@
 		try_later(s);
 }
 
+void peer_release(peer_t *p, str_t name)
+{
+	slot_t *s = slot_find(p->table, name);
+
+	if (!s)
+		return;
+	s->is_kept = false;
+	if (!s->conn)
+		drop_slot(p->table, s);
+}
+
 void peer_drop(peer_t *p, str_t name)
 {
 	slot_t *s = slot_find(p->table, name);
--- a/net/peer.h
+++ b/net/peer.h
@@ -72,6 +72,11 @@
  * everywhere first. Links of daemons that were not named are accepted too.
  */
 void peer_keep(peer_t *p, const member_vm_t *vm);
+/*
+ * Stops keeping a link without closing it, since the peer may still keep
+ * it; once closed it is not tried again.
+ */
+void peer_release(peer_t *p, str_t name);
 /* Stops keeping a link and closes it. */
 void peer_drop(peer_t *p, str_t name);
 /*
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -997,7 +997,7 @@
   (ProtobufCMessageInit) papaya__proof__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__heard__field_descriptors[4] =
+static const ProtobufCFieldDescriptor papaya__heard__field_descriptors[5] =
 {
   {
     "name",
@@ -1047,17 +1047,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_asked",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Heard, is_asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__heard__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   1,   /* field[1] = incarnation */
+  4,   /* field[4] = is_asked */
   3,   /* field[3] = is_dead */
   0,   /* field[0] = name */
 };
 static const ProtobufCIntRange papaya__heard__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor papaya__heard__descriptor =
 {
@@ -1067,7 +1080,7 @@
   "Papaya__Heard",
   "papaya",
   sizeof(Papaya__Heard),
-  4,
+  5,
   papaya__heard__field_descriptors,
   papaya__heard__field_indices_by_name,
   1,  papaya__heard__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -91,15 +91,22 @@
   ProtobufCMessage base;
   char *name;
   uint64_t incarnation;
+  /*
+   * all ones: never heard directly
+   */
   uint32_t age_ms;
   /*
    * the sender has called this incarnation dead
    */
   protobuf_c_boolean is_dead;
+  /*
+   * the sender asks when its peers heard it
+   */
+  protobuf_c_boolean is_asked;
 };
 #define PAPAYA__HEARD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__heard__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Papaya__Heartbeat
@@ -107,7 +114,7 @@
   ProtobufCMessage base;
   protobuf_c_boolean draining;
   /*
-   * own-zone peers heard directly
+   * silent, new or asked-about daemons
    */
   size_t n_heard;
   Papaya__Heard **heard;
--- a/tests/lib_handover.c
+++ b/tests/lib_handover.c
@@ -7,7 +7,7 @@
 #include "core/rendezvous.h"
 #include "net/handover_frame.h"
 
-void find_key(const char *order, int nth, char *buf)
+void handover_sim_find_key(const char *order, int nth, char *buf)
 {
 	for (int n = 0;; n++) {
 		rendezvous_t last = { .weight = G_MAXUINT64 };
@@ -68,7 +68,7 @@
 		      peer->is_up && !peer->is_paused, d->sim->now);
 }
 
-void start_daemon(sim_t *s, int i, uint64_t incarnation)
+void handover_sim_start_daemon(handover_sim_t *s, int i, uint64_t incarnation)
 {
 	daemon_sim_t *d = &s->daemons[i];
 	static const member_config_t config = { TIMEOUT, QUIET, MARGIN, 16 };
@@ -88,7 +88,7 @@
 	handover_init(&d->handover, &d->member, &d->rights, &ops, d);
 }
 
-void stop_daemon(daemon_sim_t *d)
+void handover_sim_stop_daemon(daemon_sim_t *d)
 {
 	if (!d->is_up)
 		return;
@@ -98,7 +98,7 @@
 	member_finish(&d->member);
 }
 
-static void deliver(sim_t *s, int from, int to)
+static void deliver(handover_sim_t *s, int from, int to)
 {
 	daemon_sim_t *d = &s->daemons[to];
 	str_t name = str_from(s->daemons[from].vm.name);
@@ -122,7 +122,7 @@
 	}
 }
 
-void beat(sim_t *s, int from, int to)
+void handover_sim_beat(handover_sim_t *s, int from, int to)
 {
 	const daemon_sim_t *d = &s->daemons[from];
 	daemon_sim_t *peer = &s->daemons[to];
@@ -133,7 +133,7 @@
 			     s->now);
 }
 
-static void tick_daemon(sim_t *s, daemon_sim_t *d)
+static void tick_daemon(handover_sim_t *s, daemon_sim_t *d)
 {
 	if (!d->is_up || d->is_paused)
 		return;
@@ -146,11 +146,11 @@
 	handover_tick(&d->handover, s->now);
 }
 
-void tick_to(sim_t *s, int64_t to)
+void handover_sim_tick_to(handover_sim_t *s, int64_t to)
 {
 	for (; s->now < to; s->now += TICK) {
 		for (int i = 0; i < N_DAEMONS * N_DAEMONS; i++) {
-			beat(s, i / N_DAEMONS, i % N_DAEMONS);
+			handover_sim_beat(s, i / N_DAEMONS, i % N_DAEMONS);
 			deliver(s, i / N_DAEMONS, i % N_DAEMONS);
 		}
 		for (int i = 0; i < N_DAEMONS; i++)
@@ -158,7 +158,7 @@
 	}
 }
 
-static void claim(sim_t *s, daemon_sim_t *d)
+static void claim(handover_sim_t *s, daemon_sim_t *d)
 {
 	g_autoptr(GBytes) scoped = g_bytes_new(s->key[0], strlen(s->key[0]));
 	rights_entry_t *entry;
@@ -172,7 +172,7 @@
 		RIGHTS_NEW);
 }
 
-static void finish_request(sim_t *s, daemon_sim_t *d, bool is_run)
+static void finish_request(handover_sim_t *s, daemon_sim_t *d, bool is_run)
 {
 	g_autoptr(GBytes) scoped = g_bytes_new(s->key[0], strlen(s->key[0]));
 	g_autoptr(GBytes) body = g_bytes_new_static("seat 7", 6);
@@ -194,17 +194,17 @@
 	handover_ended(&d->handover, scoped, FINGERPRINT, &answer, s->now);
 }
 
-void apply(sim_t *s, const step_t *step)
+void handover_sim_apply(handover_sim_t *s, const step_t *step)
 {
 	int i = step->name - 'a', to = step->arg - 'a';
 	daemon_sim_t *d = &s->daemons[i];
 
 	switch (step->op) {
 	case OP_START:
-		start_daemon(s, i, (uint64_t)step->arg);
+		handover_sim_start_daemon(s, i, (uint64_t)step->arg);
 		break;
 	case OP_KILL:
-		stop_daemon(d);
+		handover_sim_stop_daemon(d);
 		break;
 	case OP_PAUSE:
 	case OP_RESUME:
@@ -237,7 +237,7 @@
 	}
 }
 
-bool next_step(const char **script, step_t *step)
+bool handover_sim_next_step(const char **script, step_t *step)
 {
 	static const char *const names[] = {
 		[OP_START] = "start", [OP_KILL] = "kill",
@@ -265,10 +265,10 @@
 	return true;
 }
 
-void sim_finish(sim_t *s)
+void handover_sim_finish(handover_sim_t *s)
 {
 	for (int i = 0; i < N_DAEMONS; i++)
-		stop_daemon(&s->daemons[i]);
+		handover_sim_stop_daemon(&s->daemons[i]);
 	for (int i = 0; i < N_DAEMONS * N_DAEMONS; i++)
 		g_queue_clear_full(&s->wire[i / N_DAEMONS][i % N_DAEMONS],
 				   (GDestroyNotify)g_byte_array_unref);
--- a/tests/lib_handover.h
+++ b/tests/lib_handover.h
@@ -45,7 +45,7 @@
 typedef enum wire_state { WIRE_OK, WIRE_LOSES, WIRE_HOLDS } wire_state_t;
 
 typedef struct daemon_sim {
-	struct sim *sim;
+	struct handover_sim *sim;
 	member_vm_t vm;
 	member_t member;
 	rights_t rights;
@@ -54,7 +54,7 @@
 	bool is_up, is_paused, drains;
 } daemon_sim_t;
 
-typedef struct sim {
+typedef struct handover_sim {
 	daemon_sim_t daemons[N_DAEMONS];
 	GQueue wire[N_DAEMONS][N_DAEMONS]; /* GByteArray, from and to */
 	wire_state_t state[N_DAEMONS][N_DAEMONS];
@@ -62,19 +62,19 @@
 	char key[2][16];
 	uint32_t max_entries;
 	int64_t now;
-} sim_t;
+} handover_sim_t;
 
 /* Finds the Nth key whose winners are the names of ORDER, in that order. */
-void find_key(const char *order, int nth, char *buf);
-void start_daemon(sim_t *s, int i, uint64_t incarnation);
-void stop_daemon(daemon_sim_t *d);
+void handover_sim_find_key(const char *order, int nth, char *buf);
+void handover_sim_start_daemon(handover_sim_t *s, int i, uint64_t incarnation);
+void handover_sim_stop_daemon(daemon_sim_t *d);
 /* Frees what is left on the wire and all daemons. */
-void sim_finish(sim_t *s);
+void handover_sim_finish(handover_sim_t *s);
 /* Lets daemon TO hear a heartbeat of FROM. */
-void beat(sim_t *s, int from, int to);
-void tick_to(sim_t *s, int64_t to);
-void apply(sim_t *s, const step_t *step);
+void handover_sim_beat(handover_sim_t *s, int from, int to);
+void handover_sim_tick_to(handover_sim_t *s, int64_t to);
+void handover_sim_apply(handover_sim_t *s, const step_t *step);
 /* Reads the next step of a script; returns false at its end. */
-bool next_step(const char **script, step_t *step);
+bool handover_sim_next_step(const char **script, step_t *step);
 
 #endif
--- /dev/null
+++ b/tests/lib_member.h
@@ -0,0 +1,64 @@
+/*
+ * Fakes for the membership's tests: the daemon "a" of zone z1, and peers "b"
+ * to "w" of the same zone and "x" to "z" of z2 that speak or fall silent by
+ * a script. Times are in ticks.
+ */
+#ifndef TESTS_LIB_MEMBER_H
+#define TESTS_LIB_MEMBER_H
+
+#include <glib.h>
+
+#include "core/member.h"
+
+enum {
+	TIMEOUT = 10,
+	QUIET = 100,
+	MARGIN = 12,
+	MAX_PEERS = 26,
+};
+
+typedef enum op {
+	OP_BEAT, /* sends heartbeats from now on, as incarnation ARG */
+	OP_DRAIN, /* its heartbeats say that it drains */
+	OP_STOP, /* falls silent; probes fail */
+	OP_MUTE, /* falls silent; probes succeed */
+	OP_HANG, /* falls silent; probes are never answered */
+	OP_MUM, /* does not tell when it heard others */
+	OP_REPORTED, /* "c" says that it hears it, as incarnation ARG */
+	OP_HANDED, /* handed over by incarnation ARG, whole from SINCE on */
+	OP_CALLED_DEAD, /* a peer calls incarnation ARG dead */
+	OP_REINCARNATE, /* we become incarnation ARG */
+	OP_STALL, /* our loop stands still until now */
+	OP_LEAVE, /* we drain (ARG 1) or no longer do (ARG 0) */
+} op_t;
+
+typedef struct step {
+	int at;
+	op_t op;
+	char name;
+	int arg, since;
+} step_t;
+
+typedef struct peer_sim {
+	uint64_t incarnation;
+	bool beats, drains, reported, probe_ok, probe_hangs, mum;
+} peer_sim_t;
+
+typedef struct member_sim {
+	member_t m;
+	peer_sim_t peers[MAX_PEERS];
+	int64_t now;
+	int probes, changes;
+	int pending; /* index of the peer probed, or -1 */
+} member_sim_t;
+
+member_vm_t member_sim_vm_of(char name);
+str_t member_sim_name_of(const char *c);
+void member_sim_init(member_sim_t *s);
+void member_sim_tick_to(member_sim_t *s, int64_t to);
+/* Plays a script of "TIME OP DAEMON [ARG [SINCE]], ..." */
+void member_sim_play(member_sim_t *s, const char *script);
+/* Finds a key for which the names of ORDER weigh most, in that order. */
+const char *member_sim_key_for(const char *order, char *buf);
+
+#endif
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -13,7 +13,7 @@
 	FORWARDS,
 } expect_t;
 
-static expect_t ask(sim_t *s, daemon_sim_t *d, const char *key)
+static expect_t ask(handover_sim_t *s, daemon_sim_t *d, const char *key)
 {
 	g_autoptr(GBytes) scoped = g_bytes_new(key, strlen(key));
 	const rights_entry_t *entry = rights_find(&d->rights, scoped);
@@ -48,25 +48,25 @@
 
 static void check_case(const handover_case_t *c)
 {
-	sim_t s = { .max_entries = 100 };
+	handover_sim_t s = { .max_entries = 100 };
 	expect_t claimed, fresh;
 	daemon_sim_t *d = &s.daemons[c->asked - 'a'];
 	const char *script = c->script;
 	step_t step;
 
-	find_key(c->order, 0, s.key[0]);
-	find_key(c->order, 1, s.key[1]);
-	while (next_step(&script, &step)) {
-		tick_to(&s, (int64_t)step.at * SECOND);
-		apply(&s, &step);
+	handover_sim_find_key(c->order, 0, s.key[0]);
+	handover_sim_find_key(c->order, 1, s.key[1]);
+	while (handover_sim_next_step(&script, &step)) {
+		handover_sim_tick_to(&s, (int64_t)step.at * SECOND);
+		handover_sim_apply(&s, &step);
 	}
-	tick_to(&s, (int64_t)c->at * SECOND);
+	handover_sim_tick_to(&s, (int64_t)c->at * SECOND);
 	claimed = ask(&s, d, s.key[0]);
 	fresh = ask(&s, d, s.key[1]);
 	ck_assert_msg(claimed == c->claimed, "%s: claimed key: %d", c->what,
 		      claimed);
 	ck_assert_msg(fresh == c->fresh, "%s: fresh key: %d", c->what, fresh);
-	sim_finish(&s);
+	handover_sim_finish(&s);
 }
 
 #define CHECK_CASES(cases)                                       \
@@ -352,18 +352,18 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		sim_t s = { .max_entries = 9 };
+		handover_sim_t s = { .max_entries = 9 };
 
-		start_daemon(&s, 0, 1);
-		start_daemon(&s, 1, 1);
-		beat(&s, 0, 1);
+		handover_sim_start_daemon(&s, 0, 1);
+		handover_sim_start_daemon(&s, 1, 1);
+		handover_sim_beat(&s, 0, 1);
 		for (size_t k = 0; k < cases[i].n; k++)
 			give_part(&s.daemons[1], &cases[i].parts[k]);
 		ck_assert_msg(handover_has_joined(&s.daemons[1].handover) ==
 				      cases[i].is_accepted,
 			      "%s", cases[i].what);
 		ck_assert_uint_eq(s.wire[1][0].length, cases[i].is_accepted);
-		sim_finish(&s);
+		handover_sim_finish(&s);
 	}
 }
 END_TEST
@@ -380,23 +380,23 @@
 		QUIETS,
 		QUIETS
 	};
-	sim_t s = { .max_entries = 1 };
+	handover_sim_t s = { .max_entries = 1 };
 	g_autoptr(GBytes) other = g_bytes_new_static("other", 5);
 	const char *script = c.script;
 	rights_entry_t *entry;
 	step_t step;
 
-	find_key(c.order, 0, s.key[0]);
-	while (next_step(&script, &step)) {
-		tick_to(&s, (int64_t)step.at * SECOND);
+	handover_sim_find_key(c.order, 0, s.key[0]);
+	while (handover_sim_next_step(&script, &step)) {
+		handover_sim_tick_to(&s, (int64_t)step.at * SECOND);
 		if (step.op == OP_CLAIM)
 			rights_begin(&s.daemons[0].rights, other, false, 1, 1,
 				     &entry);
-		apply(&s, &step);
+		handover_sim_apply(&s, &step);
 	}
-	tick_to(&s, (int64_t)c.at * SECOND);
+	handover_sim_tick_to(&s, (int64_t)c.at * SECOND);
 	ck_assert_int_eq(ask(&s, &s.daemons[0], s.key[0]), QUIETS);
-	sim_finish(&s);
+	handover_sim_finish(&s);
 }
 END_TEST
 
--- /dev/null
+++ b/tests/test_member_link.c
@@ -0,0 +1,235 @@
+#include <glib.h>
+
+#include "core/member.h"
+#include "tests/lib_suite.h"
+
+enum {
+	TIMEOUT = 10,
+	QUIET = 100,
+	N_ZONE = 12, /* daemons of each zone */
+};
+
+static const str_t zones[] = { STR_LIT("z1"), STR_LIT("z2"), STR_LIT("z3") };
+
+/* The Ith daemon; i / N_ZONE is its zone. */
+static member_vm_t vm_of(int i)
+{
+	member_vm_t vm = { .is_leaving = false };
+
+	g_snprintf(vm.name, sizeof(vm.name), "d%02d", i);
+	g_snprintf(vm.zone, sizeof(vm.zone), "z%d", 1 + i / N_ZONE);
+	g_snprintf(vm.peer_address, sizeof(vm.peer_address), "10.0.0.%d:1", i);
+	return vm;
+}
+
+static int n_probes;
+
+static void on_probe(void *ctx, const member_vm_t *vm)
+{
+	n_probes++;
+}
+
+static void setup(member_t *m, int self)
+{
+	static const member_config_t config = { TIMEOUT, QUIET, 0, 100 };
+	static const member_ops_t ops = { .probe = on_probe };
+	member_vm_t vms[3 * N_ZONE];
+	member_vm_t vm = vm_of(self);
+
+	member_init(m, &config, &vm, 1, zones, 3, &ops, NULL, 0);
+	for (int i = 0; i < 3 * N_ZONE; i++)
+		vms[i] = vm_of(i);
+	member_set_list(m, vms, 3 * N_ZONE, 0);
+}
+
+/* The links of each zone; names that begin with "d" in NAMES. */
+typedef struct links {
+	int n[3];
+	GString *names;
+} links_t;
+
+static void on_link(void *ctx, const member_vm_t *vm)
+{
+	links_t *links = ctx;
+
+	links->n[vm->zone[1] - '1']++;
+	g_string_append_printf(links->names, "%s ", vm->name);
+}
+
+static links_t links_of(member_t *m, int64_t now)
+{
+	links_t links = { .names = g_string_new(NULL) };
+
+	member_each_link(m, on_link, &links, now);
+	return links;
+}
+
+/* Lets every daemon that is linked to answer, but for those named in DOWN. */
+static void answer(member_t *m, const char *down, int64_t now)
+{
+	links_t links = links_of(m, now);
+
+	for (int i = 0; i < 3 * N_ZONE; i++) {
+		member_vm_t vm = vm_of(i);
+
+		if (strstr(links.names->str, vm.name) && !strstr(down, vm.name))
+			member_heard(m, &vm, 1, false, now);
+	}
+	g_string_free(links.names, TRUE);
+	member_tick(m, now);
+	for (int i = 0; i < 3 * N_ZONE; i++) {
+		member_vm_t vm = vm_of(i);
+
+		if (strstr(down, vm.name))
+			member_probed(m, str_from(vm.name), false, now);
+	}
+}
+
+START_TEST(own_zone_whole_and_two_of_each_other)
+{
+	links_t links;
+	member_t m;
+
+	setup(&m, 0);
+	for (int64_t now = 0; now < 50; now += 5) {
+		links = links_of(&m, now);
+		ck_assert_int_eq(links.n[0], N_ZONE - 1);
+		ck_assert_int_eq(links.n[1], MEMBER_ZONE_LINKS);
+		ck_assert_int_eq(links.n[2], MEMBER_ZONE_LINKS);
+		g_string_free(links.names, TRUE);
+		answer(&m, "", now);
+	}
+	member_finish(&m);
+}
+END_TEST
+
+START_TEST(links_are_spread_over_the_zone)
+{
+	int chosen[3 * N_ZONE] = { 0 };
+
+	for (int self = 0; self < N_ZONE; self++) {
+		links_t links;
+		member_t m;
+
+		setup(&m, self);
+		links = links_of(&m, 0);
+		for (int i = N_ZONE; i < 3 * N_ZONE; i++)
+			chosen[i] +=
+				strstr(links.names->str, vm_of(i).name) != NULL;
+		g_string_free(links.names, TRUE);
+		member_finish(&m);
+	}
+	/* 24 links in each zone to 12 daemons; a hash spreads them well. */
+	for (int i = N_ZONE; i < 3 * N_ZONE; i++)
+		ck_assert_int_le(chosen[i], 7);
+}
+END_TEST
+
+START_TEST(others_are_tried_when_the_chosen_do_not_answer)
+{
+	links_t links;
+	member_t m;
+	g_autofree char *first = NULL;
+
+	setup(&m, 0);
+	links = links_of(&m, 0);
+	first = g_string_free(links.names, FALSE);
+	/* Those of the first choice, in every zone, never answer. */
+	for (int64_t now = 0; now < 100; now += 5)
+		answer(&m, first, now);
+	links = links_of(&m, 100);
+	ck_assert_int_eq(links.n[1], MEMBER_ZONE_LINKS + MEMBER_ZONE_LINKS);
+	ck_assert_int_eq(links.n[2], MEMBER_ZONE_LINKS + MEMBER_ZONE_LINKS);
+	g_string_free(links.names, TRUE);
+	/* They answer again: the others are let go. */
+	for (int64_t now = 100; now < 150; now += 5)
+		answer(&m, "", now);
+	links = links_of(&m, 150);
+	ck_assert_str_eq(links.names->str, first);
+	g_string_free(links.names, TRUE);
+	member_finish(&m);
+}
+END_TEST
+
+START_TEST(a_cut_zone_is_tried_with_bounds)
+{
+	g_autoptr(GString) down = g_string_new(NULL);
+	links_t links;
+	member_t m;
+
+	for (int i = N_ZONE; i < 2 * N_ZONE; i++)
+		g_string_append_printf(down, "%s ", vm_of(i).name);
+	setup(&m, 0);
+	for (int64_t now = 0; now < 200; now += 5)
+		answer(&m, now < 50 ? "" : down->str, now);
+	links = links_of(&m, 200);
+	ck_assert_int_eq(links.n[1], MEMBER_MAX_ZONE_LINKS);
+	ck_assert_int_eq(links.n[2], MEMBER_ZONE_LINKS);
+	g_string_free(links.names, TRUE);
+	member_finish(&m);
+}
+END_TEST
+
+START_TEST(host_of_a_dispatcher_is_linked_on_demand)
+{
+	int n_found = 0;
+	member_vm_t vm, again;
+	links_t links;
+	member_t m;
+
+	setup(&m, 0);
+	answer(&m, "", 0);
+	for (uint32_t group = 0; group < 8; group++) {
+		bool is_linked = member_dispatcher(&m, zones[1], STR_LIT("s"),
+						   group, 1, &vm);
+
+		links = links_of(&m, 1);
+		ck_assert_ptr_nonnull(strstr(links.names->str, vm.name));
+		g_string_free(links.names, TRUE);
+		n_found += is_linked;
+		answer(&m, "", 2);
+		ck_assert(member_dispatcher(&m, zones[1], STR_LIT("s"), group,
+					    2, &again));
+		ck_assert_str_eq(again.name, vm.name);
+	}
+	ck_assert_int_lt(n_found, 8);
+	/* Not wanted for long, it is let go. */
+	for (int64_t now = 3; now < 400; now += 3)
+		answer(&m, "", now);
+	links = links_of(&m, 400);
+	ck_assert_int_eq(links.n[1], MEMBER_ZONE_LINKS);
+	ck_assert_int_eq(n_probes, 0);
+	g_string_free(links.names, TRUE);
+	member_finish(&m);
+}
+END_TEST
+
+START_TEST(all_zones_agree_on_the_host)
+{
+	member_vm_t own, foreign;
+	member_t a, b;
+
+	setup(&a, 0);
+	setup(&b, N_ZONE);
+	for (int64_t now = 0; now < 4; now++) {
+		answer(&a, "", now);
+		answer(&b, "", now);
+	}
+	for (uint32_t group = 0; group < 16; group++) {
+		member_dispatcher(&a, zones[1], STR_LIT("s"), group, 5,
+				  &foreign);
+		ck_assert(member_dispatcher(&b, zones[1], STR_LIT("s"), group,
+					    5, &own));
+		ck_assert_str_eq(own.name, foreign.name);
+	}
+	member_finish(&a);
+	member_finish(&b);
+}
+END_TEST
+
+SUITE_MAIN("member_link", own_zone_whole_and_two_of_each_other,
+	   links_are_spread_over_the_zone,
+	   others_are_tried_when_the_chosen_do_not_answer,
+	   a_cut_zone_is_tried_with_bounds,
+	   host_of_a_dispatcher_is_linked_on_demand,
+	   all_zones_agree_on_the_host)
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -719,6 +719,30 @@
 }
 END_TEST
 
+START_TEST(released_link_stays_until_it_breaks)
+{
+	node_t a = { 0 }, b = { 0 };
+
+	setup();
+	node_start(&a, 'a', 1);
+	node_start(&b, 'b', 1);
+	peer_keep(&a.peer, &b.vm);
+	WAIT(a.ups == 1 && b.ups == 1);
+	peer_release(&a.peer, STR_LIT("b"));
+	ck_assert(send_grant(&a, "b", 7, 0));
+	WAIT(b.frames == 1);
+	peer_drop(&b.peer, STR_LIT("a"));
+	WAIT(a.downs == 1);
+	turn(200);
+	ck_assert_int_eq(a.ups, 1);
+	/* Not kept and not linked: nothing is left to release. */
+	peer_release(&a.peer, STR_LIT("b"));
+	peer_finish(&a.peer);
+	peer_finish(&b.peer);
+	teardown();
+}
+END_TEST
+
 START_TEST(probe_needs_a_proof)
 {
 	static const struct {
@@ -805,5 +829,5 @@
 	   faulty_acceptors_are_refused_and_tried_again, silent_link_is_closed,
 	   newer_connection_replaces_the_link, backlog_is_bounded,
 	   restarted_peer_is_linked_again, greater_name_asks_to_be_connected,
-	   probe_needs_a_proof, probe_of_a_daemon_disturbs_no_link,
-	   bad_addresses_are_errors)
+	   released_link_stays_until_it_breaks, probe_needs_a_proof,
+	   probe_of_a_daemon_disturbs_no_link, bad_addresses_are_errors)
