limits: count a team's limit once in each zone

Ruled out: one counter for the deployment (a cut-off zone counts nothing); batches of tokens (concurrency can't be handed out ahead). Change: a limits task; the daemon that counts a team is found by rendezvous hashing; fallback to an own share after 300 ms; places of a dead daemon are freed. Conclusion: a limit holds for a zone, whichever daemon the balancer picks.

--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -226,6 +226,60 @@
 	}
 }
 
+bool frames_send_limit(peer_t *peer, str_t to, const message_t *m)
+{
+	const message_limit_t *l = &m->limit;
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__LimitAsk ask = PAPAYA__LIMIT_ASK__INIT;
+	Papaya__LimitAnswer answer = PAPAYA__LIMIT_ANSWER__INIT;
+	Papaya__LimitRelease release = PAPAYA__LIMIT_RELEASE__INIT;
+
+	ask.team = answer.team = release.team = (char *)l->team;
+	ask.attempt = answer.attempt = l->attempt;
+	ask.owner = answer.owner = l->owner;
+	answer.ok = l->is_ok;
+	answer.retry_after_ms = l->retry_after_ms;
+	if (m->type == MESSAGE_LIMIT_ASK) {
+		frame.body_case = PAPAYA__FRAME__BODY_LIMIT_ASK;
+		frame.limit_ask = &ask;
+	} else if (m->type == MESSAGE_LIMIT_ANSWER) {
+		frame.body_case = PAPAYA__FRAME__BODY_LIMIT_ANSWER;
+		frame.limit_answer = &answer;
+	} else {
+		frame.body_case = PAPAYA__FRAME__BODY_LIMIT_RELEASE;
+		frame.limit_release = &release;
+	}
+	return peer_send(peer, to, &frame);
+}
+
+bool frames_read_limit(const Papaya__Frame *frame, const char *peer,
+		       message_t *out)
+{
+	message_limit_t *l = &out->limit;
+
+	memset(out, 0, sizeof(*out));
+	g_strlcpy(l->peer, peer, sizeof(l->peer));
+	switch (frame->body_case) {
+	case PAPAYA__FRAME__BODY_LIMIT_ASK:
+		out->type = MESSAGE_LIMIT_ASK;
+		l->attempt = frame->limit_ask->attempt;
+		l->owner = frame->limit_ask->owner;
+		return copy(l->team, frame->limit_ask->team);
+	case PAPAYA__FRAME__BODY_LIMIT_ANSWER:
+		out->type = MESSAGE_LIMIT_ANSWER;
+		l->attempt = frame->limit_answer->attempt;
+		l->owner = frame->limit_answer->owner;
+		l->is_ok = frame->limit_answer->ok;
+		l->retry_after_ms = frame->limit_answer->retry_after_ms;
+		return copy(l->team, frame->limit_answer->team);
+	case PAPAYA__FRAME__BODY_LIMIT_RELEASE:
+		out->type = MESSAGE_LIMIT_RELEASE;
+		return copy(l->team, frame->limit_release->team);
+	default:
+		return false;
+	}
+}
+
 static bool send_batch(peer_t *peer, const char *to, uint64_t next,
 		       Papaya__Document **batch, size_t n)
 {
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -7,7 +7,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "core/limit.h"
 #include "core/retry.h"
 #include "core/rights.h"
 #include "daemon/call.h"
@@ -20,11 +19,9 @@
 	struct event *timer;
 	config_view_t *config; /* NULL until documents are in force */
 	rights_t tickets; /* issued here */
-	limit_t limit;
 	retry_t retry;
 	GHashTable *jobs; /* attempt number to job_t, owned */
 	uint64_t next_attempt;
-	uint32_t daemons; /* of the own zone, by the VM list; at least 1 */
 	bool is_draining;
 	int64_t drain_until;
 } front_t;
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -12,7 +12,6 @@
 
 enum {
 	TICK_MS = 50,
-	MAX_TEAMS = 32768,
 	MAX_BUDGETS = 65536,
 	MAX_HEADERS = 32 * 1024, /* bytes */
 	TICKET_BYTES = 16,
@@ -248,14 +247,12 @@
 	const profile_service_t *service = front_service(f, call);
 	const profile_t *profile = front_profile(f, call);
 	int tier = profile_tier_index(profile, str_from(call->tier));
-	bool is_limited = !call->key && !call->is_forwarded;
 	job_t *job;
 
 	retry_first(&f->retry, str_from(call->team), (uint32_t)tier);
 	job = job_new(f, call, service, profile, req);
-	job->is_limited = is_limited;
 	if (!scoped) {
-		job_want(job);
+		job_limit(job);
 		return;
 	}
 	job->scoped = g_bytes_ref(scoped);
@@ -265,26 +262,12 @@
 		job_locate(job);
 }
 
-static bool take_limits(front_t *f, struct evhttp_request *req,
-			const call_t *call)
+static bool has_room(front_t *f, struct evhttp_request *req)
 {
-	uint32_t retry_after_ms = JOB_RETRY_MS;
-
-	if (g_hash_table_size(f->jobs) >= f->sup->settings->max_requests) {
-		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
-		       "too many requests in progress", JOB_RETRY_MS);
-		return false;
-	}
-	/*
-	 * The daemon that accepted a forwarded request has counted it, and a
-	 * key is counted by its owner.
-	 */
-	if (call->is_forwarded || call->key ||
-	    limit_take(&f->limit, str_from(call->team), now_us(),
-		       &retry_after_ms))
+	if (g_hash_table_size(f->jobs) < f->sup->settings->max_requests)
 		return true;
-	refuse(f, req, 429, "Papaya-Team", "the team's limit is reached",
-	       MAX(retry_after_ms, 1));
+	refuse(f, req, HTTP_SERVUNAVAIL, NULL, "too many requests in progress",
+	       JOB_RETRY_MS);
 	return false;
 }
 
@@ -298,7 +281,7 @@
 		refuse_ticket(f, req);
 		return true;
 	}
-	return !take_limits(f, req, call);
+	return !has_room(f, req);
 }
 
 static void accept_call(front_t *f, struct evhttp_request *req, call_t *call)
@@ -350,56 +333,12 @@
 	accept_call(f, req, &call);
 }
 
-static limit_terms_t share_of(const front_t *f, const profile_team_t *team)
-{
-	limit_terms_t whole = { team->rate, team->burst, team->concurrency };
-	uint32_t zones = g_strv_length(f->sup->settings->zones);
-
-	return limit_share(whole, 1, zones * f->daemons);
-}
-
-static void apply_limits(front_t *f)
-{
-	GHashTableIter iter;
-	profile_t *profile;
-
-	if (!f->config)
-		return;
-	g_hash_table_iter_init(&iter, f->config->profiles);
-	while (g_hash_table_iter_next(&iter, NULL, (void **)&profile)) {
-		limit_terms_t t = share_of(f, &profile->other_teams);
-
-		limit_set_other(&f->limit, t.rate, t.burst, t.concurrency);
-		for (uint32_t i = 0; i < profile->n_teams; i++) {
-			t = share_of(f, &profile->teams[i]);
-			limit_set(&f->limit, str_from(profile->teams[i].name),
-				  t.rate, t.burst, t.concurrency);
-		}
-	}
-}
-
 static void take_config(front_t *f, config_view_t *config)
 {
 	if (f->config == config)
 		return;
 	config_view_unref(f->config);
 	f->config = config_view_ref(config);
-	apply_limits(f);
-}
-
-static void take_list(front_t *f, const vm_view_t *vms)
-{
-	uint32_t daemons = 0;
-
-	for (guint i = 0; i < vms->entries->len; i++)
-		daemons += !strcmp(
-			g_array_index(vms->entries, member_vm_t, i).zone,
-			f->sup->settings->zone);
-	daemons = MAX(daemons, 1);
-	if (daemons == f->daemons)
-		return;
-	f->daemons = daemons;
-	apply_limits(f);
 }
 
 static void count_foreign(front_t *f)
@@ -452,6 +391,21 @@
 		job_preempted(job);
 }
 
+/* A place that nobody takes goes back to who counted it. */
+static void take_limit(front_t *f, const message_t *m)
+{
+	job_t *job = find_job(f, m->limit.owner, m->limit.attempt);
+	message_t back = *m;
+
+	if (job && job->state == JOB_LIMITING) {
+		job_limited(job, &m->limit);
+		return;
+	}
+	back.type = MESSAGE_LIMIT_RELEASE;
+	if (m->limit.is_ok)
+		supervisor_post(f->sup, TASK_PEERS, &back);
+}
+
 static void each_job(front_t *f, void (*fn)(job_t *job))
 {
 	GHashTableIter iter;
@@ -480,9 +434,6 @@
 	case MESSAGE_CONFIG:
 		take_config(f, m->config);
 		break;
-	case MESSAGE_VMS:
-		take_list(f, m->vms);
-		break;
 	case MESSAGE_LOCATED:
 		job = find_job(f, f->sup->boot, m->locate.attempt);
 		if (job)
@@ -494,6 +445,9 @@
 	case MESSAGE_CANCEL:
 		take_capacity(f, m);
 		break;
+	case MESSAGE_LIMIT_ANSWER:
+		take_limit(f, m);
+		break;
 	case MESSAGE_VIEW_CHANGED:
 		each_job(f, job_view_changed);
 		break;
@@ -577,12 +531,10 @@
 	};
 
 	rights_init(&f->tickets, &config);
-	limit_init(&f->limit, MAX_TEAMS, now_us());
 	retry_init(&f->retry, retry_ratio, MAX_BUDGETS,
 		   g_rand_int(f->sup->rand));
 	f->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					job_free);
-	f->daemons = 1;
 }
 
 static void *start(supervisor_t *sup, err_t *err)
@@ -607,7 +559,6 @@
 	g_hash_table_destroy(f->jobs);
 	evhttp_free(f->http);
 	rights_finish(&f->tickets);
-	limit_finish(&f->limit);
 	retry_finish(&f->retry);
 	config_view_unref(f->config);
 	g_free(f);
--- a/daemon/job.c
+++ b/daemon/job.c
@@ -7,7 +7,10 @@
 #include "common/log.h"
 #include "daemon/metrics.h"
 
-enum { MAX_RETRY_MS = 3600 * 1000 };
+enum {
+	MAX_RETRY_MS = 3600 * 1000,
+	LIMIT_TIMEOUT_US = 300 * 1000, /* until a daemon counts for itself */
+};
 
 static void on_gone(void *ctx, caller_t *caller)
 {
@@ -168,30 +171,19 @@
 			       &job->right);
 	if (verdict == RIGHTS_NEW) {
 		job->right->work = job;
-		job_want(job);
+		job_limit(job);
 		return;
 	}
 	job->right = NULL;
 	job_fail(job, OUTCOME_UNKNOWN, 410, "no such ticket", 0);
 }
 
-/* The owner of a key counts its team's limits: only it can say not-run. */
 static void start_claimed(job_t *job, const message_locate_t *found)
 {
-	front_t *f = job->front;
-	uint32_t retry_after_ms = JOB_RETRY_MS;
-
 	job->has_claim = true;
 	job->claim = (rights_entry_t){ .state = RIGHTS_WAITING,
 				       .epoch = found->epoch };
-	if (limit_take(&f->limit, str_from(job->call.team), now_us(),
-		       &retry_after_ms)) {
-		job->is_limited = true;
-		job_want(job);
-		return;
-	}
-	job_fail(job, OUTCOME_NOT_RUN, 429, "the team's limit is reached",
-		 MAX(retry_after_ms, 1));
+	job_limit(job);
 }
 
 /* Another call with the key was first: this one gets the same answer. */
@@ -267,6 +259,72 @@
 		 JOB_RETRY_MS);
 }
 
+static void post_limit(job_t *job, message_type_t type)
+{
+	message_t m = { .type = type };
+	message_limit_t *l = &m.limit;
+
+	l->attempt = job->attempt;
+	l->owner = job->front->sup->boot;
+	l->is_fallback = job->is_limit_fallback;
+	g_strlcpy(l->team, job->call.team, sizeof(l->team));
+	g_strlcpy(l->peer, job->limiter, sizeof(l->peer));
+	supervisor_post(job->front->sup, TASK_PEERS, &m);
+}
+
+static bool has_limit(const job_t *job)
+{
+	const profile_t *profile = front_profile(job->front, &job->call);
+	const profile_team_t *team =
+		profile ? profile_team(profile, str_from(job->call.team)) :
+			  NULL;
+
+	return team && (team->rate > 0 || team->concurrency);
+}
+
+/* Only the owner counts: it alone can then say that nothing was run. */
+void job_limit(job_t *job)
+{
+	if (!has_limit(job)) {
+		job_want(job);
+		return;
+	}
+	job->state = JOB_LIMITING;
+	job->limit_asked = now_us();
+	post_limit(job, MESSAGE_LIMIT_ASK);
+}
+
+void job_limited(job_t *job, const message_limit_t *answer)
+{
+	if (!answer->is_ok) {
+		job_fail(job, OUTCOME_NOT_RUN, 429,
+			 "the team's limit is reached",
+			 MAX(answer->retry_after_ms, 1));
+		return;
+	}
+	job->is_limited = true;
+	job->is_limit_fallback = answer->is_fallback;
+	g_strlcpy(job->limiter, answer->peer, sizeof(job->limiter));
+	job_want(job);
+}
+
+void job_unlimit(job_t *job)
+{
+	if (job->is_limited)
+		post_limit(job, MESSAGE_LIMIT_RELEASE);
+	job->is_limited = false;
+}
+
+/* The counter may be paused or its answer lost. */
+static void check_limiter(job_t *job, int64_t now)
+{
+	if (job->state != JOB_LIMITING || job->is_limit_fallback ||
+	    now - job->limit_asked < LIMIT_TIMEOUT_US)
+		return;
+	job->is_limit_fallback = true;
+	post_limit(job, MESSAGE_LIMIT_ASK);
+}
+
 static void fill_want(const job_t *job, message_capacity_t *c)
 {
 	const call_t *call = &job->call;
@@ -392,7 +450,7 @@
 /* Dispatchers may have moved, and what was on its way may be lost. */
 void job_view_changed(job_t *job)
 {
-	if (job->is_forward || job->state == JOB_LOCATING ||
+	if (job->is_forward || job->state < JOB_WAITING ||
 	    job->state == JOB_ENDED)
 		return;
 	job->is_again = true;
@@ -451,6 +509,7 @@
 		if (job->state == JOB_ENDED)
 			return;
 	}
+	check_limiter(job, now);
 	if (job->is_sse && now - job->last_sent > s->keepalive_ms * 1000)
 		send_keepalive(job, now);
 	drop_slow_callers(job, now);
--- a/daemon/job.h
+++ b/daemon/job.h
@@ -17,6 +17,7 @@
 
 typedef enum job_state {
 	JOB_LOCATING, /* asks who owns its key */
+	JOB_LIMITING, /* asked for a place within its team's limit */
 	JOB_WAITING, /* asked a dispatcher for a runner */
 	JOB_SENDING, /* has a runner; nothing was sent yet */
 	JOB_RUNNING, /* dispatched, or forwarded to its owner */
@@ -45,6 +46,9 @@
 	bool is_engine;
 	bool is_protected;
 	bool is_limited; /* holds a place in the team's concurrency */
+	bool is_limit_fallback; /* counted by this daemon for itself */
+	char limiter[MEMBER_NAME_SIZE]; /* who counted it; "": this one */
+	int64_t limit_asked; /* monotonic */
 	bool is_forward; /* another daemon owns it */
 	bool is_dispatched;
 	bool is_lapsed; /* the right lapsed in a stall */
@@ -93,6 +97,7 @@
 void job_located(job_t *job, const message_locate_t *found);
 /* This daemon issued the job's ticket: claims it. */
 void job_use_ticket(job_t *job);
+void job_limited(job_t *job, const message_limit_t *answer);
 void job_routed(job_t *job, const char *dispatcher);
 void job_granted(job_t *job, const dispatcher_runner_t *runner);
 void job_refused(job_t *job, refuse_reason_t reason, uint32_t retry_after_ms);
@@ -100,6 +105,10 @@
 void job_view_changed(job_t *job);
 void job_tick(job_t *job, int64_t now);
 
+/* Asks for a place within the team's limit, then for capacity. */
+void job_limit(job_t *job);
+/* Gives the place back. */
+void job_unlimit(job_t *job);
 /* For the parts of a job: asks (again) for capacity. */
 void job_want(job_t *job);
 /* Tells the dispatcher something about the attempt. */
--- a/daemon/job_answer.c
+++ b/daemon/job_answer.c
@@ -102,9 +102,7 @@
 /* Ends the job; it is freed by the front's next turn. */
 static void end(job_t *job)
 {
-	if (job->is_limited)
-		limit_release(&job->front->limit, str_from(job->call.team));
-	job->is_limited = false;
+	job_unlimit(job);
 	http_call_finish(&job->upstream);
 	g_ptr_array_set_size(job->callers, 0);
 	job->state = JOB_ENDED;
--- /dev/null
+++ b/daemon/limits_task.c
@@ -0,0 +1,193 @@
+/*
+ * Counts teams' limits: for each team one daemon of the zone, found by
+ * rendezvous hashing, counts the zone's share. A daemon that can't reach it
+ * counts its own share of the zone's meanwhile.
+ */
+#define LOG_PART "limits"
+
+#include "core/limit.h"
+#include "daemon/supervisor.h"
+
+enum { MAX_TEAMS = 32768 };
+
+typedef struct limits {
+	supervisor_t *sup;
+	config_view_t *config;
+	limit_t zone; /* for teams that this daemon counts for the zone */
+	limit_t own; /* while the team's counter is out of reach */
+	GHashTable *held; /* "peer\nteam" to the number in progress */
+	uint32_t daemons; /* of the own zone, by the VM list; at least 1 */
+} limits_t;
+
+static char *holder_name(const message_limit_t *l)
+{
+	return g_strconcat(l->peer, "\n", l->team, NULL);
+}
+
+/* Changes what a daemon holds of a team's places; never below nothing. */
+static bool count_held(limits_t *s, const message_limit_t *l, int change)
+{
+	g_autofree char *name = holder_name(l);
+	int held = GPOINTER_TO_INT(g_hash_table_lookup(s->held, name));
+
+	if (held + change < 0)
+		return false;
+	if (held + change == 0)
+		g_hash_table_remove(s->held, name);
+	else
+		g_hash_table_insert(s->held, g_steal_pointer(&name),
+				    GINT_TO_POINTER(held + change));
+	return true;
+}
+
+static void ask(limits_t *s, const message_limit_t *asked)
+{
+	message_t m = { .type = MESSAGE_LIMIT_ANSWER, .limit = *asked };
+	message_limit_t *l = &m.limit;
+	limit_t *limit = asked->is_fallback ? &s->own : &s->zone;
+
+	l->is_ok = limit_take(limit, str_from(l->team), now_us(),
+			      &l->retry_after_ms);
+	if (l->is_ok && !l->is_fallback)
+		count_held(s, l, 1);
+	supervisor_post(s->sup, TASK_PEERS, &m);
+}
+
+static void release(limits_t *s, const message_limit_t *l)
+{
+	if (l->is_fallback)
+		limit_release(&s->own, str_from(l->team));
+	else if (count_held(s, l, -1))
+		limit_release(&s->zone, str_from(l->team));
+}
+
+/* A daemon died: what it held is free again. */
+static void lose_holder(limits_t *s, const char *peer)
+{
+	g_autofree char *prefix = g_strconcat(peer, "\n", NULL);
+	GHashTableIter iter;
+	const char *name;
+	void *held;
+
+	g_hash_table_iter_init(&iter, s->held);
+	while (g_hash_table_iter_next(&iter, (void **)&name, &held)) {
+		str_t team = str_from(name + strlen(prefix));
+
+		if (!g_str_has_prefix(name, prefix))
+			continue;
+		for (int i = GPOINTER_TO_INT(held); i > 0; i--)
+			limit_release(&s->zone, team);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+static void set_terms(limits_t *s, limit_t *limit, uint32_t parts,
+		      const profile_team_t *team, bool is_other)
+{
+	limit_terms_t whole = { team->rate, team->burst, team->concurrency };
+	limit_terms_t t = limit_share(whole, 1, parts);
+
+	if (is_other)
+		limit_set_other(limit, t.rate, t.burst, t.concurrency);
+	else
+		limit_set(limit, str_from(team->name), t.rate, t.burst,
+			  t.concurrency);
+}
+
+static void apply_profile(limits_t *s, const profile_t *profile)
+{
+	uint32_t zones = g_strv_length(s->sup->settings->zones);
+	uint32_t parts = zones * s->daemons;
+
+	set_terms(s, &s->zone, zones, &profile->other_teams, true);
+	set_terms(s, &s->own, parts, &profile->other_teams, true);
+	for (uint32_t i = 0; i < profile->n_teams; i++) {
+		set_terms(s, &s->zone, zones, &profile->teams[i], false);
+		set_terms(s, &s->own, parts, &profile->teams[i], false);
+	}
+}
+
+static void apply_profiles(limits_t *s)
+{
+	GHashTableIter iter;
+	profile_t *profile;
+
+	if (!s->config)
+		return;
+	g_hash_table_iter_init(&iter, s->config->profiles);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&profile))
+		apply_profile(s, profile);
+}
+
+static void take_config(limits_t *s, config_view_t *config)
+{
+	if (s->config == config)
+		return;
+	config_view_unref(s->config);
+	s->config = config_view_ref(config);
+	apply_profiles(s);
+}
+
+static void take_list(limits_t *s, const vm_view_t *vms)
+{
+	const member_vm_t *list = (const member_vm_t *)vms->entries->data;
+	uint32_t daemons = 0;
+
+	for (guint i = 0; i < vms->entries->len; i++)
+		daemons += !strcmp(list[i].zone, s->sup->settings->zone);
+	daemons = MAX(daemons, 1);
+	if (daemons == s->daemons)
+		return;
+	s->daemons = daemons;
+	apply_profiles(s);
+}
+
+static void handle(void *state, const message_t *m)
+{
+	limits_t *s = state;
+
+	switch (m->type) {
+	case MESSAGE_CONFIG:
+		take_config(s, m->config);
+		break;
+	case MESSAGE_VMS:
+		take_list(s, m->vms);
+		break;
+	case MESSAGE_LIMIT_ASK:
+		ask(s, &m->limit);
+		break;
+	case MESSAGE_LIMIT_RELEASE:
+		release(s, &m->limit);
+		break;
+	case MESSAGE_OWNER_LOST:
+		lose_holder(s, m->capacity.peer);
+		break;
+	default:
+		break;
+	}
+}
+
+static void *start(supervisor_t *sup, err_t *err)
+{
+	limits_t *s = g_new0(limits_t, 1);
+
+	s->sup = sup;
+	s->daemons = 1;
+	limit_init(&s->zone, MAX_TEAMS, now_us());
+	limit_init(&s->own, MAX_TEAMS, now_us());
+	s->held = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return s;
+}
+
+static void stop(void *state)
+{
+	limits_t *s = state;
+
+	limit_finish(&s->zone);
+	limit_finish(&s->own);
+	g_hash_table_destroy(s->held);
+	config_view_unref(s->config);
+	g_free(s);
+}
+
+const task_spec_t limits_task = { "limits", 2, start, handle, stop };
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -16,8 +16,9 @@
 
 static const task_spec_t *const tasks[TASK_COUNT] = {
 	[TASK_PLATFORM] = &platform_task, [TASK_PEERS] = &peers_task,
-	[TASK_CAPACITY] = &capacity_task, [TASK_FRONT] = &front_task,
-	[TASK_ACCOUNTS] = &accounts_task, [TASK_ADMIN] = &admin_task,
+	[TASK_CAPACITY] = &capacity_task, [TASK_LIMITS] = &limits_task,
+	[TASK_FRONT] = &front_task,	  [TASK_ACCOUNTS] = &accounts_task,
+	[TASK_ADMIN] = &admin_task,
 };
 
 static void on_terminate(evutil_socket_t fd, short what, void *arg)
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -61,7 +61,10 @@
 	MESSAGE_WITHDRAW, /* front to peers to capacity */
 	MESSAGE_FIRST_TOKEN, /* likewise */
 	MESSAGE_DONE, /* likewise */
-	MESSAGE_OWNER_LOST, /* peers to capacity: a daemon is dead */
+	MESSAGE_LIMIT_ASK, /* front to peers to limits */
+	MESSAGE_LIMIT_ANSWER, /* limits to peers to front */
+	MESSAGE_LIMIT_RELEASE, /* front to peers to limits */
+	MESSAGE_OWNER_LOST, /* peers to capacity, limits: a daemon is dead */
 	MESSAGE_SETTLED, /* peers to capacity: is the zone's view settled? */
 	MESSAGE_VIEW_CHANGED, /* peers to front: ask dispatchers anew */
 	MESSAGE_ACCOUNT, /* front to accounts */
@@ -118,6 +121,17 @@
 	bool is_again; /* WANT: the first one or its answer may be lost */
 } message_capacity_t;
 
+/* One place within a team's limit. */
+typedef struct message_limit {
+	char peer[MEMBER_NAME_SIZE]; /* the other daemon; "" for this one */
+	uint64_t attempt;
+	uint64_t owner; /* boot number of the daemon that asks */
+	char team[MEMBER_NAME_SIZE];
+	bool is_fallback; /* the zone's counter is out of reach */
+	bool is_ok; /* ANSWER */
+	uint32_t retry_after_ms; /* ANSWER */
+} message_limit_t;
+
 typedef struct message_account {
 	accounts_key_t key;
 	accounts_sum_t delta;
@@ -139,6 +153,7 @@
 		message_locate_t locate;
 		message_key_t key;
 		message_capacity_t capacity;
+		message_limit_t limit;
 		message_account_t account;
 		message_append_t append;
 	};
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -52,6 +52,7 @@
 
 	g_strlcpy(m.capacity.peer, name, sizeof(m.capacity.peer));
 	supervisor_post(p->sup, TASK_CAPACITY, &m);
+	supervisor_post(p->sup, TASK_LIMITS, &m);
 }
 
 static void note_state(void *ctx, const member_vm_t *vm, member_state_t state,
@@ -163,6 +164,13 @@
 	}
 	if (keys_receive(&p->keys, name, frame))
 		return;
+	if (frames_read_limit(frame, name, &m)) {
+		supervisor_post(p->sup,
+				m.type == MESSAGE_LIMIT_ANSWER ? TASK_FRONT :
+								 TASK_LIMITS,
+				&m);
+		return;
+	}
 	if (!frames_read_capacity(frame, name, now_us(), &m)) {
 		metrics_add(&p->sup->metrics, "papaya_foreign_frames_total",
 			    NULL, 1);
@@ -445,6 +453,40 @@
 			is_for_owner(m->type) ? TASK_FRONT : TASK_CAPACITY, m);
 }
 
+/*
+ * Asks the daemon that counts the team's limit for the zone; when it is out
+ * of reach this daemon counts a share of its own.
+ */
+static void route_limit(peers_t *p, const message_t *asked)
+{
+	char role[sizeof("limit/") + MEMBER_NAME_SIZE];
+	message_t m = *asked;
+	member_vm_t vm = { 0 };
+	bool found;
+
+	g_snprintf(role, sizeof(role), "limit/%s", asked->limit.team);
+	found = !m.limit.is_fallback &&
+		member_dispatcher(&p->member, str_from(p->self.zone),
+				  str_from(role), 0, &vm);
+	if (found && strcmp(vm.name, p->self.name)) {
+		if (frames_send_limit(&p->peer, str_from(vm.name), &m))
+			return;
+		m.limit.is_fallback = true;
+	}
+	supervisor_post(p->sup, TASK_LIMITS, &m);
+}
+
+static void pass_limit_on(peers_t *p, const message_t *m)
+{
+	if (m->limit.peer[0])
+		frames_send_limit(&p->peer, str_from(m->limit.peer), m);
+	else
+		supervisor_post(p->sup,
+				m->type == MESSAGE_LIMIT_ANSWER ? TASK_FRONT :
+								  TASK_LIMITS,
+				m);
+}
+
 static void drain(peers_t *p)
 {
 	p->is_draining = true;
@@ -483,6 +525,13 @@
 	case MESSAGE_DONE:
 		pass_on(p, m);
 		break;
+	case MESSAGE_LIMIT_ASK:
+		route_limit(p, m);
+		break;
+	case MESSAGE_LIMIT_ANSWER:
+	case MESSAGE_LIMIT_RELEASE:
+		pass_limit_on(p, m);
+		break;
 	case MESSAGE_DRAIN:
 		drain(p);
 		break;
--- a/daemon/platform_task.c
+++ b/daemon/platform_task.c
@@ -32,8 +32,8 @@
 	int64_t snapshot_due; /* monotonic */
 } platform_t;
 
-static const task_id_t view_readers[] = { TASK_PEERS, TASK_CAPACITY, TASK_FRONT,
-					  TASK_ADMIN };
+static const task_id_t view_readers[] = { TASK_PEERS, TASK_CAPACITY,
+					  TASK_LIMITS, TASK_FRONT, TASK_ADMIN };
 
 static void read_config(platform_t *p);
 
--- a/daemon/supervisor.h
+++ b/daemon/supervisor.h
@@ -20,6 +20,7 @@
 	TASK_PLATFORM, /* log and VM list */
 	TASK_PEERS, /* links, membership, who does what */
 	TASK_CAPACITY, /* dispatchers and runners' load */
+	TASK_LIMITS, /* teams' limits */
 	TASK_FRONT, /* callers and their requests */
 	TASK_ACCOUNTS,
 	TASK_ADMIN, /* operators, metrics, health */
@@ -87,6 +88,7 @@
 extern const task_spec_t platform_task;
 extern const task_spec_t peers_task;
 extern const task_spec_t capacity_task;
+extern const task_spec_t limits_task;
 extern const task_spec_t front_task;
 extern const task_spec_t accounts_task;
 extern const task_spec_t admin_task;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -502,6 +502,141 @@
   assert(message->base.descriptor == &papaya__done__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__limit_ask__init
+                     (Papaya__LimitAsk         *message)
+{
+  static const Papaya__LimitAsk init_value = PAPAYA__LIMIT_ASK__INIT;
+  *message = init_value;
+}
+size_t papaya__limit_ask__get_packed_size
+                     (const Papaya__LimitAsk *message)
+{
+  assert(message->base.descriptor == &papaya__limit_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__limit_ask__pack
+                     (const Papaya__LimitAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__limit_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__limit_ask__pack_to_buffer
+                     (const Papaya__LimitAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__limit_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__LimitAsk *
+       papaya__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__LimitAsk *)
+     protobuf_c_message_unpack (&papaya__limit_ask__descriptor,
+                                allocator, len, data);
+}
+void   papaya__limit_ask__free_unpacked
+                     (Papaya__LimitAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__limit_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   papaya__limit_answer__init
+                     (Papaya__LimitAnswer         *message)
+{
+  static const Papaya__LimitAnswer init_value = PAPAYA__LIMIT_ANSWER__INIT;
+  *message = init_value;
+}
+size_t papaya__limit_answer__get_packed_size
+                     (const Papaya__LimitAnswer *message)
+{
+  assert(message->base.descriptor == &papaya__limit_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__limit_answer__pack
+                     (const Papaya__LimitAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__limit_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__limit_answer__pack_to_buffer
+                     (const Papaya__LimitAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__limit_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__LimitAnswer *
+       papaya__limit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__LimitAnswer *)
+     protobuf_c_message_unpack (&papaya__limit_answer__descriptor,
+                                allocator, len, data);
+}
+void   papaya__limit_answer__free_unpacked
+                     (Papaya__LimitAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__limit_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   papaya__limit_release__init
+                     (Papaya__LimitRelease         *message)
+{
+  static const Papaya__LimitRelease init_value = PAPAYA__LIMIT_RELEASE__INIT;
+  *message = init_value;
+}
+size_t papaya__limit_release__get_packed_size
+                     (const Papaya__LimitRelease *message)
+{
+  assert(message->base.descriptor == &papaya__limit_release__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__limit_release__pack
+                     (const Papaya__LimitRelease *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__limit_release__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__limit_release__pack_to_buffer
+                     (const Papaya__LimitRelease *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__limit_release__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__LimitRelease *
+       papaya__limit_release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__LimitRelease *)
+     protobuf_c_message_unpack (&papaya__limit_release__descriptor,
+                                allocator, len, data);
+}
+void   papaya__limit_release__free_unpacked
+                     (Papaya__LimitRelease *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__limit_release__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__document__init
                      (Papaya__Document         *message)
 {
@@ -1807,6 +1942,198 @@
   (ProtobufCMessageInit) papaya__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor papaya__limit_ask__field_descriptors[3] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAsk, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAsk, owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAsk, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__limit_ask__field_indices_by_name[] = {
+  0,   /* field[0] = attempt */
+  1,   /* field[1] = owner */
+  2,   /* field[2] = team */
+};
+static const ProtobufCIntRange papaya__limit_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor papaya__limit_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.LimitAsk",
+  "LimitAsk",
+  "Papaya__LimitAsk",
+  "papaya",
+  sizeof(Papaya__LimitAsk),
+  3,
+  papaya__limit_ask__field_descriptors,
+  papaya__limit_ask__field_indices_by_name,
+  1,  papaya__limit_ask__number_ranges,
+  (ProtobufCMessageInit) papaya__limit_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__limit_answer__field_descriptors[5] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAnswer, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAnswer, owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAnswer, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ok",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAnswer, ok),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAnswer, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__limit_answer__field_indices_by_name[] = {
+  0,   /* field[0] = attempt */
+  3,   /* field[3] = ok */
+  1,   /* field[1] = owner */
+  4,   /* field[4] = retry_after_ms */
+  2,   /* field[2] = team */
+};
+static const ProtobufCIntRange papaya__limit_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor papaya__limit_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.LimitAnswer",
+  "LimitAnswer",
+  "Papaya__LimitAnswer",
+  "papaya",
+  sizeof(Papaya__LimitAnswer),
+  5,
+  papaya__limit_answer__field_descriptors,
+  papaya__limit_answer__field_indices_by_name,
+  1,  papaya__limit_answer__number_ranges,
+  (ProtobufCMessageInit) papaya__limit_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__limit_release__field_descriptors[1] =
+{
+  {
+    "team",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitRelease, team),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__limit_release__field_indices_by_name[] = {
+  0,   /* field[0] = team */
+};
+static const ProtobufCIntRange papaya__limit_release__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor papaya__limit_release__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.LimitRelease",
+  "LimitRelease",
+  "Papaya__LimitRelease",
+  "papaya",
+  sizeof(Papaya__LimitRelease),
+  1,
+  papaya__limit_release__field_descriptors,
+  papaya__limit_release__field_indices_by_name,
+  1,  papaya__limit_release__number_ranges,
+  (ProtobufCMessageInit) papaya__limit_release__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor papaya__document__field_descriptors[5] =
 {
   {
@@ -2322,7 +2649,7 @@
   (ProtobufCMessageInit) papaya__hand_over_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[13] =
+static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[16] =
 {
   {
     "hello",
@@ -2480,6 +2807,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_ask",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, limit_ask),
+    &papaya__limit_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_answer",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, limit_answer),
+    &papaya__limit_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_release",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, limit_release),
+    &papaya__limit_release__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__frame__field_indices_by_name[] = {
   6,   /* field[6] = cancel */
@@ -2491,6 +2854,9 @@
   12,   /* field[12] = hand_over_ack */
   2,   /* field[2] = heartbeat */
   0,   /* field[0] = hello */
+  14,   /* field[14] = limit_answer */
+  13,   /* field[13] = limit_ask */
+  15,   /* field[15] = limit_release */
   1,   /* field[1] = proof */
   5,   /* field[5] = refuse */
   3,   /* field[3] = want */
@@ -2499,7 +2865,7 @@
 static const ProtobufCIntRange papaya__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor papaya__frame__descriptor =
 {
@@ -2509,7 +2875,7 @@
   "Papaya__Frame",
   "papaya",
   sizeof(Papaya__Frame),
-  13,
+  16,
   papaya__frame__field_descriptors,
   papaya__frame__field_indices_by_name,
   1,  papaya__frame__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -26,6 +26,9 @@
 typedef struct Papaya__Withdraw Papaya__Withdraw;
 typedef struct Papaya__FirstToken Papaya__FirstToken;
 typedef struct Papaya__Done Papaya__Done;
+typedef struct Papaya__LimitAsk Papaya__LimitAsk;
+typedef struct Papaya__LimitAnswer Papaya__LimitAnswer;
+typedef struct Papaya__LimitRelease Papaya__LimitRelease;
 typedef struct Papaya__Document Papaya__Document;
 typedef struct Papaya__Documents Papaya__Documents;
 typedef struct Papaya__HandedKey Papaya__HandedKey;
@@ -252,6 +255,45 @@
     , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Owner to the daemon that counts a team's limit for the zone.
+ */
+struct  Papaya__LimitAsk
+{
+  ProtobufCMessage base;
+  uint64_t attempt;
+  uint64_t owner;
+  char *team;
+};
+#define PAPAYA__LIMIT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__limit_ask__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string }
+
+
+struct  Papaya__LimitAnswer
+{
+  ProtobufCMessage base;
+  uint64_t attempt;
+  uint64_t owner;
+  char *team;
+  protobuf_c_boolean ok;
+  uint32_t retry_after_ms;
+};
+#define PAPAYA__LIMIT_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__limit_answer__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+struct  Papaya__LimitRelease
+{
+  ProtobufCMessage base;
+  char *team;
+};
+#define PAPAYA__LIMIT_RELEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__limit_release__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
 /*
  * The newest accepted version of one configuration document.
  */
@@ -404,7 +446,10 @@
   PAPAYA__FRAME__BODY_DONE = 10,
   PAPAYA__FRAME__BODY_DOCUMENTS = 11,
   PAPAYA__FRAME__BODY_HAND_OVER = 12,
-  PAPAYA__FRAME__BODY_HAND_OVER_ACK = 13
+  PAPAYA__FRAME__BODY_HAND_OVER_ACK = 13,
+  PAPAYA__FRAME__BODY_LIMIT_ASK = 14,
+  PAPAYA__FRAME__BODY_LIMIT_ANSWER = 15,
+  PAPAYA__FRAME__BODY_LIMIT_RELEASE = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PAPAYA__FRAME__BODY__CASE)
 } Papaya__Frame__BodyCase;
 
@@ -426,6 +471,9 @@
     Papaya__Documents *documents;
     Papaya__HandOver *hand_over;
     Papaya__HandOverAck *hand_over_ack;
+    Papaya__LimitAsk *limit_ask;
+    Papaya__LimitAnswer *limit_answer;
+    Papaya__LimitRelease *limit_release;
   };
 };
 #define PAPAYA__FRAME__INIT \
@@ -642,6 +690,63 @@
 void   papaya__done__free_unpacked
                      (Papaya__Done *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__LimitAsk methods */
+void   papaya__limit_ask__init
+                     (Papaya__LimitAsk         *message);
+size_t papaya__limit_ask__get_packed_size
+                     (const Papaya__LimitAsk   *message);
+size_t papaya__limit_ask__pack
+                     (const Papaya__LimitAsk   *message,
+                      uint8_t             *out);
+size_t papaya__limit_ask__pack_to_buffer
+                     (const Papaya__LimitAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__LimitAsk *
+       papaya__limit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__limit_ask__free_unpacked
+                     (Papaya__LimitAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__LimitAnswer methods */
+void   papaya__limit_answer__init
+                     (Papaya__LimitAnswer         *message);
+size_t papaya__limit_answer__get_packed_size
+                     (const Papaya__LimitAnswer   *message);
+size_t papaya__limit_answer__pack
+                     (const Papaya__LimitAnswer   *message,
+                      uint8_t             *out);
+size_t papaya__limit_answer__pack_to_buffer
+                     (const Papaya__LimitAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__LimitAnswer *
+       papaya__limit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__limit_answer__free_unpacked
+                     (Papaya__LimitAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__LimitRelease methods */
+void   papaya__limit_release__init
+                     (Papaya__LimitRelease         *message);
+size_t papaya__limit_release__get_packed_size
+                     (const Papaya__LimitRelease   *message);
+size_t papaya__limit_release__pack
+                     (const Papaya__LimitRelease   *message,
+                      uint8_t             *out);
+size_t papaya__limit_release__pack_to_buffer
+                     (const Papaya__LimitRelease   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__LimitRelease *
+       papaya__limit_release__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__limit_release__free_unpacked
+                     (Papaya__LimitRelease *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Document methods */
 void   papaya__document__init
                      (Papaya__Document         *message);
@@ -810,6 +915,15 @@
 typedef void (*Papaya__Done_Closure)
                  (const Papaya__Done *message,
                   void *closure_data);
+typedef void (*Papaya__LimitAsk_Closure)
+                 (const Papaya__LimitAsk *message,
+                  void *closure_data);
+typedef void (*Papaya__LimitAnswer_Closure)
+                 (const Papaya__LimitAnswer *message,
+                  void *closure_data);
+typedef void (*Papaya__LimitRelease_Closure)
+                 (const Papaya__LimitRelease *message,
+                  void *closure_data);
 typedef void (*Papaya__Document_Closure)
                  (const Papaya__Document *message,
                   void *closure_data);
@@ -848,6 +962,9 @@
 extern const ProtobufCMessageDescriptor papaya__withdraw__descriptor;
 extern const ProtobufCMessageDescriptor papaya__first_token__descriptor;
 extern const ProtobufCMessageDescriptor papaya__done__descriptor;
+extern const ProtobufCMessageDescriptor papaya__limit_ask__descriptor;
+extern const ProtobufCMessageDescriptor papaya__limit_answer__descriptor;
+extern const ProtobufCMessageDescriptor papaya__limit_release__descriptor;
 extern const ProtobufCMessageDescriptor papaya__document__descriptor;
 extern const ProtobufCMessageDescriptor papaya__documents__descriptor;
 extern const ProtobufCMessageDescriptor papaya__handed_key__descriptor;
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -43,6 +43,7 @@
 	refuse_reason_t refuse;
 	bool refuses;
 	bool is_mute; /* neither grants nor refuses */
+	bool is_limiter_mute; /* the zone's counter does not answer */
 	int wants;
 	int dones;
 	int withdraws;
@@ -147,6 +148,14 @@
 	case MESSAGE_WANT:
 		answer_want(bed, m);
 		break;
+	case MESSAGE_LIMIT_ASK:
+	case MESSAGE_LIMIT_RELEASE:
+		if (!bed->is_limiter_mute || m->limit.is_fallback)
+			supervisor_post(&bed->sup, TASK_LIMITS, m);
+		break;
+	case MESSAGE_LIMIT_ANSWER:
+		supervisor_post(&bed->sup, TASK_FRONT, m);
+		break;
 	case MESSAGE_DONE:
 		bed->dones++;
 		bed->last_done = m->capacity.done.result;
@@ -172,8 +181,9 @@
 
 static const task_spec_t *const specs[TASK_COUNT] = {
 	[TASK_PLATFORM] = &fake_task, [TASK_PEERS] = &fake_task,
-	[TASK_CAPACITY] = &fake_task, [TASK_FRONT] = &front_task,
-	[TASK_ACCOUNTS] = &fake_task, [TASK_ADMIN] = &fake_task,
+	[TASK_CAPACITY] = &fake_task, [TASK_LIMITS] = &limits_task,
+	[TASK_FRONT] = &front_task,   [TASK_ACCOUNTS] = &fake_task,
+	[TASK_ADMIN] = &fake_task,
 };
 
 static void on_runner(void *ctx, const fake_request_t *request,
@@ -271,6 +281,8 @@
 	ck_assert(supervisor_start(&bed->sup, specs, &err));
 	config.config = make_config();
 	supervisor_post(&bed->sup, TASK_FRONT, &config);
+	config.config = config_view_ref(config.config);
+	supervisor_post(&bed->sup, TASK_LIMITS, &config);
 	event_base_loop(bed->base, EVLOOP_NONBLOCK);
 }
 
@@ -770,6 +782,24 @@
 }
 END_TEST
 
+START_TEST(a_silent_limiter_is_replaced_by_an_own_share)
+{
+	bed_t bed;
+	client_t *c;
+
+	bed_init(&bed);
+	bed.is_limiter_mute = true;
+	bed.is_mute = true;
+	send_call(&bed, 0, EVHTTP_REQ_POST, COMPLETIONS, "Papaya-Team: small",
+		  PROMPT);
+	run_while_wants(&bed, 1);
+	c = ask(&bed, 1, EVHTTP_REQ_POST, COMPLETIONS, "Papaya-Team: small",
+		PROMPT);
+	ck_assert_int_eq(c->status, 429);
+	bed_finish(&bed);
+}
+END_TEST
+
 START_TEST(the_owner_counts_a_key_s_limit_and_repeats_join)
 {
 	bed_t bed;
@@ -833,5 +863,6 @@
 	   a_key_that_waited_through_a_stall_is_not_sent,
 	   draining_refuses_new_work_and_finishes_the_old,
 	   a_team_s_concurrency_is_bounded,
+	   a_silent_limiter_is_replaced_by_an_own_share,
 	   the_owner_counts_a_key_s_limit_and_repeats_join,
 	   a_key_is_never_called_not_run_by_one_who_can_t_know)
