peers: fit the limits' route to the new host lookup

Cause: member_dispatcher takes the time since its cross-zone links are made on demand. Change: the limits' route passes the time. Before: it did not build.

--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -467,8 +467,8 @@
 	g_snprintf(role, sizeof(role), "limit/%s", asked->limit.team);
 	found = !m.limit.is_fallback &&
 		member_dispatcher(&p->member, str_from(p->self.zone),
-				  str_from(role), 0, &vm);
-	if (found && strcmp(vm.name, p->self.name)) {
+				  str_from(role), 0, now_us(), &vm);
+	if (found && !str_eq(str_from(vm.name), str_from(p->self.name))) {
 		if (frames_send_limit(&p->peer, str_from(vm.name), &m))
 			return;
 		m.limit.is_fallback = true;
