--- a/Makefile
+++ b/Makefile
@@ -72,7 +72,7 @@
 $(B)/papayad: $(call obj,daemon/main.c) $(DAEMON_LIB) $(LIB)
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(PKG_LIBS) -lm
 
-$(B)/papayactl: $(call obj,ctl/main.c) $(CTL_LIB) $(LIB)
+$(B)/papayactl: $(call obj,ctl/main.c daemon/settings.c) $(CTL_LIB) $(LIB)
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(PKG_LIBS) -lm
 
 $(STANDIN_LIB): $(call obj,$(STANDIN_LIB_SRC))
@@ -82,8 +82,8 @@
 $(B)/standin-%: $(B)/standin/%.o $(STANDIN_LIB) $(LIB)
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(PKG_LIBS) -lm
 
-$(B)/tests/%: $(B)/tests/%.o $(call obj,$(TEST_LIB_SRC)) $(DAEMON_LIB) \
-		$(CTL_LIB) $(STANDIN_LIB) $(LIB)
+$(B)/tests/%: $(B)/tests/%.o $(call obj,$(TEST_LIB_SRC)) $(CTL_LIB) \
+		$(DAEMON_LIB) $(STANDIN_LIB) $(LIB)
 	$(CC) $(ALL_LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(PKG_LIBS) -lm
 
 # Preloaded into daemons by the fault tests.
--- a/ctl/check.c
+++ b/ctl/check.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "core/profile.h"
+#include "daemon/settings.h"
 
 static int check_document(ctl_t *ctl, const char *doc, const char *path)
 {
@@ -18,23 +19,46 @@
 	return CTL_OK;
 }
 
+static int check_settings(ctl_t *ctl, const char *path)
+{
+	settings_t settings;
+	err_t err;
+
+	if (!settings_load(&settings, path, &err))
+		return ctl_fail(ctl, &err);
+	settings_finish(&settings);
+	fprintf(ctl->out, "%s: the settings are sound\n", path);
+	return CTL_OK;
+}
+
 int ctl_check(ctl_t *ctl, int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
-	struct arg_str *doc = arg_str1(NULL, "doc", "KIND/NAME",
-				       "what FILE is: profile/NAME or "
-				       "service/NAME");
+	struct arg_str *doc = arg_str0(NULL, "doc", "KIND/NAME",
+				       "FILE is profile/NAME or service/NAME");
+	struct arg_lit *settings =
+		arg_lit0(NULL, "settings", "FILE is a daemon's settings");
 	struct arg_str *file = arg_str1(NULL, NULL, "FILE",
 					"JSON, with "
 					"comments");
 	struct arg_end *end = arg_end(ARGS_MAX_ERRORS);
-	void *table[] = { help, doc, file, end };
+	void *table[] = { help, doc, settings, file, end };
 	int code;
 
-	if (args_parse(ctl, table, G_N_ELEMENTS(table),
-		       "Checks a file without sending anything.", argc, argv,
-		       &code))
+	if (!args_parse(ctl, table, G_N_ELEMENTS(table),
+			"Checks a file without sending anything.", argc, argv,
+			&code))
+		goto out;
+	if (doc->count + settings->count != 1) {
+		fputs("papayactl: either --doc or --settings is needed\n",
+		      ctl->err);
+		code = CTL_USAGE;
+	} else if (settings->count) {
+		code = check_settings(ctl, file->sval[0]);
+	} else {
 		code = check_document(ctl, doc->sval[0], file->sval[0]);
+	}
+out:
 	arg_freetable(table, G_N_ELEMENTS(table));
 	return code;
 }
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -15,6 +15,13 @@
 
 #define BODY "{\"tiers\":[{\"name\":\"a\",\"need_ms\":1}]}"
 
+#define SETTINGS                                                           \
+	"{\"name\":\"d\",\"zone\":\"a\",\"zones\":[\"a\",\"b\"],\n"        \
+	"\"listen\":\"127.0.0.1:1\",\"peer_listen\":\"127.0.0.1:2\",\n"    \
+	"\"admin_listen\":\"127.0.0.1:3\",\"platform\":\"127.0.0.1:4\",\n" \
+	"\"peer_secret\":\"0123456789abcdef\",\n"                          \
+	"\"operator_token\":\"0123456789abcdef\"}"
+
 typedef struct fixture {
 	struct event_base *base;
 	fake_platform_t platform;
@@ -143,22 +150,30 @@
 
 START_TEST(check_tells_sound_files_from_bad_ones)
 {
+	static const char document[] = "check --doc profile/p @F";
+	static const char settings[] = "check --settings @F";
 	static const struct {
+		const char *line;
 		const char *text;
 		int code;
 		const char *message;
 	} cases[] = {
-		{ BODY, CTL_OK, "is sound" },
-		{ "{\"tiers\":[]}", CTL_ERROR, "1 to 8 tiers" },
-		{ "{", CTL_ERROR, "profile/p:1:1" },
+		{ document, BODY, CTL_OK, "is sound" },
+		{ document, "{\"tiers\":[]}", CTL_ERROR, "1 to 8 tiers" },
+		{ document, "{", CTL_ERROR, "profile/p:1:1" },
+		{ settings, "{\n\"nonsense\":1}", CTL_ERROR,
+		  ":2:1: nonsense: unknown key" },
+		{ settings, SETTINGS, CTL_OK, "settings are sound" },
+		{ "check @F", BODY, CTL_USAGE, "--doc or --settings" },
+		{ "check --settings --doc profile/p @F", BODY, CTL_USAGE,
+		  "--doc or --settings" },
 	};
 	fixture_t f;
 
 	setup(&f);
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
 		ck_assert(g_file_set_contents(f.file, cases[i].text, -1, NULL));
-		ck_assert_int_eq(run(&f, "check --doc profile/p @F"),
-				 cases[i].code);
+		ck_assert_int_eq(run(&f, cases[i].line), cases[i].code);
 		ck_assert_msg(strstr(f.out, cases[i].message) ||
 				      strstr(f.err, cases[i].message),
 			      "%s%s", f.out, f.err);
