core/weight_budget: keep loads within the weight store's rate

Cause: the store is rate-limited, and orders of many daemons load from it. Change: equal shares by zone, split between the zone's live daemons; idle time saves one load at most. Ruled out: a limiter daemon that hands out shares: it would be one more role to fail, for a few loads an hour.

--- /dev/null
+++ b/core/weight_budget.c
@@ -0,0 +1,49 @@
+#include "core/weight_budget.h"
+
+#include <glib.h>
+
+static const double US_A_SECOND = 1e6;
+
+static void advance(weight_budget_t *b, int64_t now)
+{
+	if (now <= b->as_of)
+		return;
+	b->saved += b->rate * (double)(now - b->as_of) / US_A_SECOND;
+	/* Daemons that idled together must not burst together. */
+	b->saved = MIN(b->saved, 1);
+	b->as_of = now;
+}
+
+void weight_budget_init(weight_budget_t *b, double store_rate, uint32_t zones,
+			int64_t now)
+{
+	b->zone_rate = store_rate / MAX(zones, 1);
+	b->rate = b->zone_rate;
+	b->saved = 0;
+	b->as_of = now;
+}
+
+void weight_budget_set_daemons(weight_budget_t *b, uint32_t n, int64_t now)
+{
+	advance(b, now);
+	b->rate = b->zone_rate / MAX(n, 1);
+}
+
+bool weight_budget_take(weight_budget_t *b, int64_t now)
+{
+	advance(b, now);
+	if (b->saved < 1)
+		return false;
+	b->saved -= 1;
+	return true;
+}
+
+int64_t weight_budget_wait(weight_budget_t *b, int64_t now)
+{
+	advance(b, now);
+	if (b->saved >= 1)
+		return 0;
+	if (b->rate <= 0)
+		return -1;
+	return (int64_t)((1 - b->saved) / b->rate * US_A_SECOND) + 1;
+}
