--- a/spec/dispatch_right.pml
+++ b/spec/dispatch_right.pml
@@ -20,7 +20,7 @@
  * begins with MUTANT drops one rule; see README.md.
  */
 #ifndef R
-#define R 2 /* callers' retry horizon */
+#define R 1 /* callers' retry horizon */
 #endif
 #ifndef H
 #define H 2 /* heartbeat timeout */
