daemon: follow a forwarded request by its id, run the callers' examples

Cause: the owner's log did not name the request that a caller was told, and the curl lines of docs/CALLERS.md were not run by anything. Ruled out: using the accepting daemon's id at the owner, whose attempts and upstream ids must be its own. Change: the id goes along and is logged; the demo runs every example and fails when one does. Ports of the scripts can be moved. Before: not run. Conclusion: one request can be followed through two logs.

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -110,6 +110,9 @@
 			 const settings_t *settings, call_error_t *error)
 {
 	call->is_forwarded = evhttp_find_header(headers, "Papaya-Hops");
+	if (call->is_forwarded &&
+	    !read_token(headers, "X-Request-Id", &call->parent, error))
+		return false;
 	if (!read_name(headers, "Papaya-Team", call->team, "default", error) ||
 	    !read_name(headers, "Papaya-Tier", call->tier, "", error) ||
 	    !read_deadline(call, headers, settings, error) ||
@@ -326,6 +329,7 @@
 	g_free(call->key);
 	g_free(call->ticket);
 	g_free(call->secret);
+	g_free(call->parent);
 	g_free(call->uri);
 	g_free(call->path);
 	g_bytes_unref(call->body);
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -20,6 +20,7 @@
 	char *key; /* Idempotency-Key, or NULL */
 	char *ticket; /* Papaya-Ticket, or NULL */
 	char *secret; /* bearer credential, or NULL */
+	char *parent; /* forwarded: the other daemon's request id, or NULL */
 	char *uri; /* as the caller sent it */
 	char *path; /* for the upstream, with the query */
 	GBytes *body;
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -4,6 +4,7 @@
  */
 #define LOG_PART "capacity"
 
+#include <inttypes.h>
 #include <jansson.h>
 
 #include "common/log.h"
@@ -84,6 +85,8 @@
 {
 	message_t m = { .capacity.runner = *runner };
 
+	log_debug("attempt %016" PRIx64 "-%" PRIu64 ": granted runner %s",
+		  want->id.owner, want->id.attempt, runner->name);
 	post_answer(ctx, MESSAGE_GRANT, want, &m);
 }
 
--- a/daemon/job.c
+++ b/daemon/job.c
@@ -78,8 +78,10 @@
 	set_need(job, profile);
 	g_hash_table_insert(f->jobs, &job->attempt, job);
 	add_caller(job, req);
-	log_debug("request %s: accepted for service %s, team %s, tier %s",
-		  job->id, call->service, call->team, call->tier);
+	log_info("request %s: accepted for service %s, team %s, tier %s%s%s",
+		 job->id, call->service, call->team, call->tier,
+		 call->parent ? ", forwarded as " : "",
+		 call->parent ? call->parent : "");
 	return job;
 }
 
@@ -389,7 +391,7 @@
 	job->state = JOB_SENDING;
 	metrics_observe(&job->front->sup->metrics, "papaya_wait_ms", NULL,
 			(now_us() - job->accepted) / 1000);
-	log_debug("request %s: granted runner %s", job->id, runner->name);
+	log_info("request %s: granted runner %s", job->id, runner->name);
 	job_dispatch(job);
 }
 
--- a/daemon/job_upstream.c
+++ b/daemon/job_upstream.c
@@ -321,6 +321,7 @@
 	job->is_forward = true;
 	job->state = JOB_RUNNING;
 	headers[n++] = (http_header_t){ "Papaya-Hops", "1" };
+	headers[n++] = (http_header_t){ "X-Request-Id", job->id };
 	headers[n++] = (http_header_t){ "Papaya-Team", call->team };
 	headers[n++] = (http_header_t){ "Papaya-Tier", call->tier };
 	headers[n++] = (http_header_t){ "Papaya-Deadline-Ms", left };
@@ -338,7 +339,7 @@
 		.connect_timeout_ms = s->connect_timeout_ms,
 		.idle_timeout_ms = left_ms + s->upstream_idle_ms,
 	};
-	log_debug("request %s: forwarded to its owner at %s", job->id, address);
+	log_info("request %s: forwarded to its owner at %s", job->id, address);
 	start(job, &request);
 }
 
--- a/tests/cluster.sh
+++ b/tests/cluster.sh
@@ -3,7 +3,7 @@
 
 pids=
 token=demo-operator-token
-port=18000
+port=${PAPAYA_PORT:-18000}
 
 # Makes the work folder and stops everything at the end, by pid.
 cluster_init() {
--- a/tests/demo.sh
+++ b/tests/demo.sh
@@ -61,6 +61,13 @@
 "$build/standin-load" --targets=$targets --rate=60 --seconds=10 --seed=1 \
 	--verify=$upstreams --out="$work/load.json"
 
+echo "the examples of docs/CALLERS.md:"
+sed -n '/^```sh/,/^```/p' docs/CALLERS.md | grep -v '^```' >"$work/examples.sh"
+export DAEMON=127.0.1.1:$((port + 1))
+bash -euc 'curl() { command curl -f -m 10 "$@" && echo; }
+	. "$0"' "$work/examples.sh" >"$work/examples.txt"
+cut -c 1-76 "$work/examples.txt" | grep -v '^$' | head -n 4
+
 # What is counted is appended every second.
 sleep 2.5
 "$build/papayactl" report --platform=$platform
