standin: a request may outlive a stream that a switch cuts

The switch that cuts a stream also ended the request, so that nothing was ever resumed. Ruled out: cutting only by the relay, which hits every link at once.

--- a/standin/engine.c
+++ b/standin/engine.c
@@ -104,6 +104,16 @@
 	}
 }
 
+/* The connection is gone; the request outlives it where it may linger. */
+static void lose_reader(engine_t *e, run_t *run, bool is_cancel)
+{
+	run->x = NULL;
+	if (e->linger_ms > 0)
+		run->orphan_us = clock_now_us();
+	else
+		break_run(e, run, is_cancel);
+}
+
 static json_t *usage_json(const run_t *run)
 {
 	return json_pack("{s:i,s:i,s:i}", "prompt_tokens",
@@ -201,11 +211,10 @@
 	run_t *run = item->user;
 	bool is_complete = batch_item_is_complete(item);
 
-	if (run->x && run->is_stream && !send_events(run)) {
-		run->x = NULL;
-		break_run(e, run, false);
+	if (run->x && run->is_stream && !send_events(run))
+		lose_reader(e, run, false);
+	if (run->state != RUN_ACTIVE)
 		return;
-	}
 	if (!is_complete)
 		return;
 	complete_run(e, run);
@@ -374,8 +383,7 @@
 	run->sent = (uint32_t)from;
 	exchange_stream(x);
 	if (!send_events(run)) {
-		run->x = NULL;
-		break_run(e, run, false);
+		lose_reader(e, run, false);
 	} else if (run->state == RUN_COMPLETE) {
 		exchange_end(g_steal_pointer(&run->x));
 	}
@@ -449,11 +457,7 @@
 
 	if (!run || run->x != x)
 		return;
-	run->x = NULL;
-	if (e->linger_ms > 0)
-		run->orphan_us = clock_now_us();
-	else
-		break_run(e, run, true);
+	lose_reader(e, run, true);
 }
 
 static json_t *on_oracle(void *ctx)
