--- a/tests/lib_process.h
+++ b/tests/lib_process.h
@@ -23,6 +23,14 @@
  */
 bool process_start(process_t *p, const char *name, const char *const *args,
 		   const char *log_path, bool is_piped);
+/*
+ * The same in a process group of its own, which what it starts belongs to;
+ * for process_kill_group.
+ */
+bool process_start_group(process_t *p, const char *name,
+			 const char *const *args, const char *log_path);
+/* SIGKILL to the whole group, and reaps its first process. */
+void process_kill_group(process_t *p);
 /* Starts a stand-in and waits until it listens. */
 bool process_start_standin(process_t *p, const char *name,
 			   const char *const *args);
