peers: relay the VM list to a daemon that starts while the platform is down

Cause: a daemon that started in an outage had the documents from its peers but no runners; as dispatcher of a service it refused every want. Ruled out: runners in the settings, which go stale; not hosting dispatchers without a list, since then all of a zone's daemons that restart in an outage serve nothing.

--- a/daemon/message.c
+++ b/daemon/message.c
@@ -53,10 +53,12 @@
 	vm_view_t *v = g_rc_box_new0(vm_view_t);
 
 	v->entries = g_array_sized_new(FALSE, FALSE, sizeof(*entries), n);
-	g_array_append_vals(v->entries, entries, n);
+	if (n)
+		g_array_append_vals(v->entries, entries, n);
 	v->runners =
 		g_array_sized_new(FALSE, FALSE, sizeof(*runners), n_runners);
-	g_array_append_vals(v->runners, runners, n_runners);
+	if (n_runners)
+		g_array_append_vals(v->runners, runners, n_runners);
 	return v;
 }
 
@@ -107,6 +109,7 @@
 		config_view_unref(m->config);
 		break;
 	case MESSAGE_VMS:
+	case MESSAGE_VMS_RELAYED:
 		vm_view_unref(m->vms);
 		break;
 	case MESSAGE_CONFIG_SEND:
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -50,6 +50,7 @@
 	MESSAGE_CONFIG_SEND, /* platform to peers: documents for it */
 	MESSAGE_CONFIG_RELAYED, /* peers to platform: from another daemon */
 	MESSAGE_VMS, /* platform to all: the VM list */
+	MESSAGE_VMS_RELAYED, /* peers to platform: from another daemon */
 	MESSAGE_LOCATE, /* front to peers: who owns this key? */
 	MESSAGE_LOCATED, /* peers to front; claimed when it is ours */
 	MESSAGE_KEY_ENDED, /* front to peers: a claimed request ended */
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -8,6 +8,7 @@
 #include "daemon/frames.h"
 #include "daemon/keys.h"
 #include "daemon/supervisor.h"
+#include "daemon/vm_frames.h"
 
 enum {
 	MAX_MEMBERS = 1024,
@@ -22,6 +23,7 @@
 	member_t member;
 	peer_t peer;
 	keys_t keys;
+	vm_view_t *vms; /* NULL until there is one */
 	GHashTable *incarnations; /* name to the last live incarnation */
 	struct event *timer;
 	uint64_t config_next;
@@ -132,6 +134,8 @@
 	member_heard(&p->member, &vm, hb->incarnation, hb->draining, now);
 	for (size_t i = 0; i < hb->n_heard; i++)
 		take_heard(p, name, hb->heard[i], now);
+	if (hb->no_vms && p->vms)
+		vm_frames_send(&p->peer, str_from(name), p->vms);
 	if (hb->config_next < p->config_next) {
 		message_t m = { .type = MESSAGE_CONFIG_ASK,
 				.docs.next = hb->config_next };
@@ -162,6 +166,12 @@
 		supervisor_post(p->sup, TASK_PLATFORM, &m);
 		return;
 	}
+	if (frame->body_case == PAPAYA__FRAME__BODY_VM_LIST) {
+		m = (message_t){ .type = MESSAGE_VMS_RELAYED,
+				 .vms = vm_frames_read(frame->vm_list) };
+		supervisor_post(p->sup, TASK_PLATFORM, &m);
+		return;
+	}
 	if (keys_receive(&p->keys, name, frame))
 		return;
 	if (frames_read_limit(frame, name, &m)) {
@@ -215,6 +225,7 @@
 	hb.draining = p->is_draining;
 	hb.incarnation = member_incarnation(&p->member);
 	hb.config_next = p->config_next;
+	hb.no_vms = !p->vms;
 	hb.heard = (Papaya__Heard **)heard->pdata;
 	hb.n_heard = heard->len;
 	frame.body_case = PAPAYA__FRAME__BODY_HEARTBEAT;
@@ -506,6 +517,8 @@
 		frames_send_documents(&p->peer, &m->docs);
 		break;
 	case MESSAGE_VMS:
+		vm_view_unref(p->vms);
+		p->vms = vm_view_ref(m->vms);
 		take_list(p, m->vms);
 		break;
 	case MESSAGE_LOCATE:
@@ -613,6 +626,7 @@
 	keys_finish(&p->keys);
 	peer_finish(&p->peer);
 	member_finish(&p->member);
+	vm_view_unref(p->vms);
 	g_hash_table_destroy(p->incarnations);
 	g_hash_table_destroy(p->kept);
 	g_free(p);
--- a/daemon/platform_task.c
+++ b/daemon/platform_task.c
@@ -229,6 +229,16 @@
 	}
 }
 
+/* Takes another daemon's list until the platform gives one. */
+static void take_list(platform_t *p, vm_view_t *vms)
+{
+	if (p->vms)
+		return;
+	log_info("VM list from another daemon");
+	p->vms = vm_view_ref(vms);
+	post_vms(p);
+}
+
 static void on_vms(void *ctx, const member_vm_t *entries, size_t n,
 		   const log_runner_t *runners, size_t n_runners,
 		   const err_t *err)
@@ -334,6 +344,9 @@
 	case MESSAGE_CONFIG_RELAYED:
 		take_relayed(p, &m->docs);
 		break;
+	case MESSAGE_VMS_RELAYED:
+		take_list(p, m->vms);
+		break;
 	case MESSAGE_APPEND:
 		append_accounts(p, &m->append);
 		break;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -187,6 +187,96 @@
   assert(message->base.descriptor == &papaya__heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__vm__init
+                     (Papaya__Vm         *message)
+{
+  static const Papaya__Vm init_value = PAPAYA__VM__INIT;
+  *message = init_value;
+}
+size_t papaya__vm__get_packed_size
+                     (const Papaya__Vm *message)
+{
+  assert(message->base.descriptor == &papaya__vm__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__vm__pack
+                     (const Papaya__Vm *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__vm__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__vm__pack_to_buffer
+                     (const Papaya__Vm *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__vm__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__Vm *
+       papaya__vm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__Vm *)
+     protobuf_c_message_unpack (&papaya__vm__descriptor,
+                                allocator, len, data);
+}
+void   papaya__vm__free_unpacked
+                     (Papaya__Vm *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__vm__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   papaya__vm_list__init
+                     (Papaya__VmList         *message)
+{
+  static const Papaya__VmList init_value = PAPAYA__VM_LIST__INIT;
+  *message = init_value;
+}
+size_t papaya__vm_list__get_packed_size
+                     (const Papaya__VmList *message)
+{
+  assert(message->base.descriptor == &papaya__vm_list__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__vm_list__pack
+                     (const Papaya__VmList *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__vm_list__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__vm_list__pack_to_buffer
+                     (const Papaya__VmList *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__vm_list__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__VmList *
+       papaya__vm_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__VmList *)
+     protobuf_c_message_unpack (&papaya__vm_list__descriptor,
+                                allocator, len, data);
+}
+void   papaya__vm_list__free_unpacked
+                     (Papaya__VmList *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__vm_list__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__want__init
                      (Papaya__Want         *message)
 {
@@ -1222,7 +1312,7 @@
   (ProtobufCMessageInit) papaya__heard__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__heartbeat__field_descriptors[4] =
+static const ProtobufCFieldDescriptor papaya__heartbeat__field_descriptors[5] =
 {
   {
     "draining",
@@ -1272,17 +1362,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "no_vms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Heartbeat, no_vms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__heartbeat__field_indices_by_name[] = {
   2,   /* field[2] = config_next */
   0,   /* field[0] = draining */
   1,   /* field[1] = heard */
   3,   /* field[3] = incarnation */
+  4,   /* field[4] = no_vms */
 };
 static const ProtobufCIntRange papaya__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor papaya__heartbeat__descriptor =
 {
@@ -1292,13 +1395,193 @@
   "Papaya__Heartbeat",
   "papaya",
   sizeof(Papaya__Heartbeat),
-  4,
+  5,
   papaya__heartbeat__field_descriptors,
   papaya__heartbeat__field_indices_by_name,
   1,  papaya__heartbeat__number_ranges,
   (ProtobufCMessageInit) papaya__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor papaya__vm__field_descriptors[9] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Vm, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Vm, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Vm, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peer_address",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Vm, peer_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "admin_address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Vm, admin_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Vm, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Vm, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "generation",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Vm, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fencing",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Vm, fencing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__vm__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  4,   /* field[4] = admin_address */
+  8,   /* field[8] = fencing */
+  7,   /* field[7] = generation */
+  5,   /* field[5] = leaving */
+  0,   /* field[0] = name */
+  3,   /* field[3] = peer_address */
+  6,   /* field[6] = service */
+  1,   /* field[1] = zone */
+};
+static const ProtobufCIntRange papaya__vm__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor papaya__vm__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.Vm",
+  "Vm",
+  "Papaya__Vm",
+  "papaya",
+  sizeof(Papaya__Vm),
+  9,
+  papaya__vm__field_descriptors,
+  papaya__vm__field_indices_by_name,
+  1,  papaya__vm__number_ranges,
+  (ProtobufCMessageInit) papaya__vm__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__vm_list__field_descriptors[1] =
+{
+  {
+    "vms",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__VmList, n_vms),
+    offsetof(Papaya__VmList, vms),
+    &papaya__vm__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__vm_list__field_indices_by_name[] = {
+  0,   /* field[0] = vms */
+};
+static const ProtobufCIntRange papaya__vm_list__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor papaya__vm_list__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.VmList",
+  "VmList",
+  "Papaya__VmList",
+  "papaya",
+  sizeof(Papaya__VmList),
+  1,
+  papaya__vm_list__field_descriptors,
+  papaya__vm_list__field_indices_by_name,
+  1,  papaya__vm_list__number_ranges,
+  (ProtobufCMessageInit) papaya__vm_list__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor papaya__want__field_descriptors[13] =
 {
   {
@@ -2649,7 +2932,7 @@
   (ProtobufCMessageInit) papaya__hand_over_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[16] =
+static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[17] =
 {
   {
     "hello",
@@ -2843,6 +3126,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "vm_list",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, vm_list),
+    &papaya__vm_list__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__frame__field_indices_by_name[] = {
   6,   /* field[6] = cancel */
@@ -2859,13 +3154,14 @@
   15,   /* field[15] = limit_release */
   1,   /* field[1] = proof */
   5,   /* field[5] = refuse */
+  16,   /* field[16] = vm_list */
   3,   /* field[3] = want */
   7,   /* field[7] = withdraw */
 };
 static const ProtobufCIntRange papaya__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor papaya__frame__descriptor =
 {
@@ -2875,7 +3171,7 @@
   "Papaya__Frame",
   "papaya",
   sizeof(Papaya__Frame),
-  16,
+  17,
   papaya__frame__field_descriptors,
   papaya__frame__field_indices_by_name,
   1,  papaya__frame__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -19,6 +19,8 @@
 typedef struct Papaya__Proof Papaya__Proof;
 typedef struct Papaya__Heard Papaya__Heard;
 typedef struct Papaya__Heartbeat Papaya__Heartbeat;
+typedef struct Papaya__Vm Papaya__Vm;
+typedef struct Papaya__VmList Papaya__VmList;
 typedef struct Papaya__Want Papaya__Want;
 typedef struct Papaya__Grant Papaya__Grant;
 typedef struct Papaya__Refuse Papaya__Refuse;
@@ -129,10 +131,49 @@
    * changes when the daemon stalled
    */
   uint64_t incarnation;
+  /*
+   * it has no VM list yet
+   */
+  protobuf_c_boolean no_vms;
 };
 #define PAPAYA__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__heartbeat__descriptor) \
-    , 0, 0,NULL, 0, 0 }
+    , 0, 0,NULL, 0, 0, 0 }
+
+
+/*
+ * A VM of the platform's list: a runner when it has a service.
+ */
+struct  Papaya__Vm
+{
+  ProtobufCMessage base;
+  char *name;
+  char *zone;
+  char *address;
+  char *peer_address;
+  char *admin_address;
+  protobuf_c_boolean leaving;
+  char *service;
+  uint32_t generation;
+  protobuf_c_boolean fencing;
+};
+#define PAPAYA__VM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__vm__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * Sent to a daemon that has no VM list.
+ */
+struct  Papaya__VmList
+{
+  ProtobufCMessage base;
+  size_t n_vms;
+  Papaya__Vm **vms;
+};
+#define PAPAYA__VM_LIST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__vm_list__descriptor) \
+    , 0,NULL }
 
 
 /*
@@ -449,7 +490,8 @@
   PAPAYA__FRAME__BODY_HAND_OVER_ACK = 13,
   PAPAYA__FRAME__BODY_LIMIT_ASK = 14,
   PAPAYA__FRAME__BODY_LIMIT_ANSWER = 15,
-  PAPAYA__FRAME__BODY_LIMIT_RELEASE = 16
+  PAPAYA__FRAME__BODY_LIMIT_RELEASE = 16,
+  PAPAYA__FRAME__BODY_VM_LIST = 17
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PAPAYA__FRAME__BODY__CASE)
 } Papaya__Frame__BodyCase;
 
@@ -474,6 +516,7 @@
     Papaya__LimitAsk *limit_ask;
     Papaya__LimitAnswer *limit_answer;
     Papaya__LimitRelease *limit_release;
+    Papaya__VmList *vm_list;
   };
 };
 #define PAPAYA__FRAME__INIT \
@@ -557,6 +600,44 @@
 void   papaya__heartbeat__free_unpacked
                      (Papaya__Heartbeat *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__Vm methods */
+void   papaya__vm__init
+                     (Papaya__Vm         *message);
+size_t papaya__vm__get_packed_size
+                     (const Papaya__Vm   *message);
+size_t papaya__vm__pack
+                     (const Papaya__Vm   *message,
+                      uint8_t             *out);
+size_t papaya__vm__pack_to_buffer
+                     (const Papaya__Vm   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__Vm *
+       papaya__vm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__vm__free_unpacked
+                     (Papaya__Vm *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__VmList methods */
+void   papaya__vm_list__init
+                     (Papaya__VmList         *message);
+size_t papaya__vm_list__get_packed_size
+                     (const Papaya__VmList   *message);
+size_t papaya__vm_list__pack
+                     (const Papaya__VmList   *message,
+                      uint8_t             *out);
+size_t papaya__vm_list__pack_to_buffer
+                     (const Papaya__VmList   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__VmList *
+       papaya__vm_list__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__vm_list__free_unpacked
+                     (Papaya__VmList *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Want methods */
 void   papaya__want__init
                      (Papaya__Want         *message);
@@ -894,6 +975,12 @@
 typedef void (*Papaya__Heartbeat_Closure)
                  (const Papaya__Heartbeat *message,
                   void *closure_data);
+typedef void (*Papaya__Vm_Closure)
+                 (const Papaya__Vm *message,
+                  void *closure_data);
+typedef void (*Papaya__VmList_Closure)
+                 (const Papaya__VmList *message,
+                  void *closure_data);
 typedef void (*Papaya__Want_Closure)
                  (const Papaya__Want *message,
                   void *closure_data);
@@ -955,6 +1042,8 @@
 extern const ProtobufCMessageDescriptor papaya__proof__descriptor;
 extern const ProtobufCMessageDescriptor papaya__heard__descriptor;
 extern const ProtobufCMessageDescriptor papaya__heartbeat__descriptor;
+extern const ProtobufCMessageDescriptor papaya__vm__descriptor;
+extern const ProtobufCMessageDescriptor papaya__vm_list__descriptor;
 extern const ProtobufCMessageDescriptor papaya__want__descriptor;
 extern const ProtobufCMessageDescriptor papaya__grant__descriptor;
 extern const ProtobufCMessageDescriptor papaya__refuse__descriptor;
--- /dev/null
+++ b/tests/test_frames.c
@@ -0,0 +1,179 @@
+/* What daemons say to each other survives the way through a frame. */
+#include <glib.h>
+
+#include "daemon/frames.h"
+#include "daemon/vm_frames.h"
+#include "tests/lib_suite.h"
+
+static const int64_t now = 1000000;
+
+/* Stands in for the link: keeps the frame's bytes. */
+static GByteArray *sent;
+
+bool peer_send(peer_t *p, str_t name, const Papaya__Frame *frame)
+{
+	if (sent)
+		g_byte_array_unref(sent);
+	sent = g_byte_array_new();
+	g_byte_array_set_size(sent, papaya__frame__get_packed_size(frame));
+	papaya__frame__pack(frame, sent->data);
+	return true;
+}
+
+static Papaya__Frame *received(void)
+{
+	return papaya__frame__unpack(NULL, sent->len, sent->data);
+}
+
+static void fill_capacity(message_t *m, message_type_t type)
+{
+	memset(m, 0, sizeof(*m));
+	m->type = type;
+	m->capacity.want = (want_t){ .id = { 7, 9 },
+				     .prompt_tokens = 11,
+				     .output_tokens = 12,
+				     .prefix_hash = 13,
+				     .deadline = now + 5000000 };
+	g_strlcpy(m->capacity.service, "model", MEMBER_NAME_SIZE);
+	g_strlcpy(m->capacity.tier, "drafts", MEMBER_NAME_SIZE);
+	g_strlcpy(m->capacity.want.team, "agents", DISPATCHER_NAME_SIZE);
+	g_strlcpy(m->capacity.want.avoid, "r1", DISPATCHER_NAME_SIZE);
+	g_strlcpy(m->capacity.running_on, "r2", MEMBER_NAME_SIZE);
+	g_strlcpy(m->capacity.runner.name, "r3", DISPATCHER_NAME_SIZE);
+	g_strlcpy(m->capacity.runner.address, "127.0.0.1:5",
+		  DISPATCHER_NAME_SIZE);
+	m->capacity.reason = REFUSE_SHED;
+	m->capacity.retry_after_ms = 1500;
+	m->capacity.done = (done_t){ DONE_BROKEN, 1, 2, 3 };
+	m->capacity.hops = 1;
+	m->capacity.is_again = true;
+}
+
+START_TEST(capacity_messages_come_back_whole)
+{
+	static const message_type_t types[] = {
+		MESSAGE_WANT,	MESSAGE_GRANT,	  MESSAGE_REFUSE,
+		MESSAGE_CANCEL, MESSAGE_WITHDRAW, MESSAGE_FIRST_TOKEN,
+		MESSAGE_DONE,
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(types); i++) {
+		message_t in, out;
+		Papaya__Frame *frame;
+
+		fill_capacity(&in, types[i]);
+		ck_assert(frames_send_capacity(NULL, STR_LIT("d2"), &in, now));
+		frame = received();
+		ck_assert(frames_read_capacity(frame, "d1", now, &out));
+		ck_assert_int_eq(out.type, types[i]);
+		ck_assert_str_eq(out.capacity.peer, "d1");
+		ck_assert_uint_eq(out.capacity.want.id.attempt, 9);
+		if (types[i] == MESSAGE_WANT) {
+			ck_assert_int_eq(out.capacity.want.deadline,
+					 in.capacity.want.deadline);
+			ck_assert_str_eq(out.capacity.want.avoid, "r1");
+			ck_assert_str_eq(out.capacity.running_on, "r2");
+			ck_assert(out.capacity.is_again);
+		} else if (types[i] == MESSAGE_GRANT) {
+			ck_assert_str_eq(out.capacity.runner.address,
+					 "127.0.0.1:5");
+		} else if (types[i] == MESSAGE_REFUSE) {
+			ck_assert_int_eq(out.capacity.reason, REFUSE_SHED);
+		} else if (types[i] == MESSAGE_DONE) {
+			ck_assert_int_eq(out.capacity.done.result, DONE_BROKEN);
+			ck_assert_uint_eq(out.capacity.done.cached_tokens, 3);
+		}
+		papaya__frame__free_unpacked(frame, NULL);
+	}
+}
+END_TEST
+
+START_TEST(fields_out_of_range_are_refused)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__Refuse refuse = PAPAYA__REFUSE__INIT;
+	Papaya__Done done = PAPAYA__DONE__INIT;
+	Papaya__Want want = PAPAYA__WANT__INIT;
+	char name[MEMBER_NAME_SIZE + 1];
+	message_t out;
+
+	refuse.reason = REFUSE_EXPIRED + 1;
+	frame.body_case = PAPAYA__FRAME__BODY_REFUSE;
+	frame.refuse = &refuse;
+	ck_assert(!frames_read_capacity(&frame, "d", now, &out));
+	done.result = DONE_BROKEN + 1;
+	frame.body_case = PAPAYA__FRAME__BODY_DONE;
+	frame.done = &done;
+	ck_assert(!frames_read_capacity(&frame, "d", now, &out));
+	memset(name, 'x', sizeof(name));
+	name[MEMBER_NAME_SIZE] = '\0';
+	want.service = name;
+	frame.body_case = PAPAYA__FRAME__BODY_WANT;
+	frame.want = &want;
+	ck_assert(!frames_read_capacity(&frame, "d", now, &out));
+	frame.body_case = PAPAYA__FRAME__BODY__NOT_SET;
+	ck_assert(!frames_read_capacity(&frame, "d", now, &out));
+	ck_assert(!frames_read_limit(&frame, "d", &out));
+}
+END_TEST
+
+START_TEST(limits_come_back_whole)
+{
+	static const message_type_t types[] = { MESSAGE_LIMIT_ASK,
+						MESSAGE_LIMIT_ANSWER,
+						MESSAGE_LIMIT_RELEASE };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(types); i++) {
+		message_t in = { .type = types[i],
+				 .limit = { .attempt = 3,
+					    .owner = 4,
+					    .is_ok = true,
+					    .retry_after_ms = 5 } };
+		message_t out;
+		Papaya__Frame *frame;
+
+		g_strlcpy(in.limit.team, "agents", MEMBER_NAME_SIZE);
+		ck_assert(frames_send_limit(NULL, STR_LIT("d2"), &in));
+		frame = received();
+		ck_assert(frames_read_limit(frame, "d1", &out));
+		ck_assert_int_eq(out.type, types[i]);
+		ck_assert_str_eq(out.limit.team, "agents");
+		ck_assert(out.limit.is_ok ==
+			  (types[i] == MESSAGE_LIMIT_ANSWER));
+		papaya__frame__free_unpacked(frame, NULL);
+	}
+}
+END_TEST
+
+START_TEST(the_vm_list_comes_back_whole)
+{
+	member_vm_t entry = { "d1", "z1", "1:1", "1:2", "1:3", true };
+	log_runner_t runner = { { "r1", "2:1", 2, true }, "desk", "z2", true };
+	vm_view_t *in = vm_view_new(&entry, 1, &runner, 1);
+	Papaya__Frame *frame;
+	vm_view_t *out;
+
+	ck_assert(vm_frames_send(NULL, STR_LIT("d2"), in));
+	frame = received();
+	out = vm_frames_read(frame->vm_list);
+	ck_assert_uint_eq(out->entries->len, 1);
+	ck_assert_uint_eq(out->runners->len, 1);
+	ck_assert_str_eq(
+		g_array_index(out->entries, member_vm_t, 0).admin_address,
+		"1:3");
+	ck_assert(g_array_index(out->entries, member_vm_t, 0).is_leaving);
+	ck_assert_str_eq(g_array_index(out->runners, log_runner_t, 0).service,
+			 "desk");
+	ck_assert_uint_eq(
+		g_array_index(out->runners, log_runner_t, 0).runner.generation,
+		2);
+	ck_assert(g_array_index(out->runners, log_runner_t, 0).has_fencing);
+	papaya__frame__free_unpacked(frame, NULL);
+	vm_view_unref(in);
+	vm_view_unref(out);
+}
+END_TEST
+
+SUITE_MAIN("frames", capacity_messages_come_back_whole,
+	   fields_out_of_range_are_refused, limits_come_back_whole,
+	   the_vm_list_comes_back_whole)
