--- a/Makefile
+++ b/Makefile
@@ -120,7 +120,7 @@
 	@$(B)/tests/faults $(FAULTS_ARGS)
 
 measure: all $(TOOLS)
-	@tests/measure.sh $(B)
+	@tests/measure.sh $(B) $(MEASURE_ARGS)
 
 # What one daemon costs, for docs/CAPACITY.md.
 slopes: all
