dispatcher: put a want aside that only a better runner can serve in time

Change: such a want is put aside for the round of decisions, at most 16 a round, so that others may use the room; it is refused at once only when it would be late on every runner in use, room or not.

Ruled out: waiting at the head of the queue (blocks the rest).

late_want_waits_for_a_better_runner_and_lets_others_pass fails when the rule is dropped.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -10,6 +10,7 @@
 	TOKEN_QUANTUM = 4096, /* a team may be ahead by, engines */
 	CALL_QUANTUM = 4, /* the same, plain services */
 	CANCEL_LEAD = 100 * US_PER_MS, /* cancel so long before it is late */
+	MAX_PARKED = 16, /* wants put aside in one round of decisions */
 	FINISH_MARGIN = 3, /* part of a predicted time that it may err by */
 	RECHECK = 20 * US_PER_MS, /* of a protected want that is late */
 	PROTECTED_OVERFLOW = 2, /* times max_wants, while lower work runs */
@@ -64,6 +65,7 @@
 	g_sequence_free(s->ranked);
 	g_ptr_array_free(s->live, true);
 	g_queue_clear(&s->silent);
+	g_queue_clear(&s->parked);
 	g_hash_table_destroy(s->generations);
 	g_hash_table_destroy(s->runners);
 	queue_finish(&s->queue);
@@ -180,7 +182,7 @@
 
 static bool has_lower(const struct dispatcher_state *s, uint32_t tier)
 {
-	return queue_has_lower(&s->queue, tier) ||
+	return queue_has_lower(&s->queue, tier) || s->parked.length ||
 	       dispatcher_runs_lower(s, tier);
 }
 
@@ -222,6 +224,31 @@
 	return forced;
 }
 
+/*
+ * A want that would be late on every runner with room, but not on a better
+ * one that has none now, is put aside so that others may use the room.
+ */
+static bool park(struct dispatcher_state *s, item_t *item, int64_t now)
+{
+	int64_t finish = 0;
+
+	if (s->parked.length >= MAX_PARKED ||
+	    !dispatcher_choose(s, item, ROOM_ANY, now, &finish) ||
+	    finish > item->want.deadline)
+		return false;
+	queue_remove(&s->queue, &item->entry);
+	g_queue_push_tail(&s->parked, item);
+	return true;
+}
+
+static void unpark_all(struct dispatcher_state *s)
+{
+	item_t *item;
+
+	while ((item = g_queue_pop_head(&s->parked)))
+		queue_push(&s->queue, &item->entry);
+}
+
 /* Grants or refuses the next want; false when it has to wait. */
 static bool decide_next(struct dispatcher_state *s, int64_t now)
 {
@@ -237,10 +264,10 @@
 		runner = dispatcher_choose(s, item, ROOM_LOWER, now, &finish);
 	if (!runner)
 		return false;
-	if (finish > item->want.deadline && may_refuse(s, item->entry.tier))
-		refuse(s, item, REFUSE_DEADLINE);
-	else
+	if (finish <= item->want.deadline || !may_refuse(s, item->entry.tier))
 		grant(s, item, runner, now);
+	else if (!park(s, item, now))
+		refuse(s, item, REFUSE_DEADLINE);
 	return true;
 }
 
@@ -256,6 +283,7 @@
 			refuse_all_queued(s);
 		while (decide_next(s, now))
 			;
+		unpark_all(s);
 	}
 	s->is_deciding = false;
 }
@@ -383,6 +411,15 @@
 		s->ops.grant(s->ctx, &item->want, &item->runner->info);
 }
 
+static void forget_waiting(struct dispatcher_state *s, item_t *item)
+{
+	if (item->entry.share)
+		queue_remove(&s->queue, &item->entry);
+	else
+		g_queue_remove(&s->parked, item);
+	drop_item(s, item);
+}
+
 void dispatcher_withdraw(dispatcher_t *d, want_id_t id, int64_t now)
 {
 	struct dispatcher_state *s = d->state;
@@ -390,12 +427,10 @@
 
 	if (!item)
 		return;
-	if (item->runner) {
+	if (item->runner)
 		end_item(s, item, NULL, now);
-	} else {
-		queue_remove(&s->queue, &item->entry);
-		drop_item(s, item);
-	}
+	else
+		forget_waiting(s, item);
 	dispatcher_decide(s, now);
 }
 
@@ -429,8 +464,10 @@
 
 	if (!known || (item && item->runner))
 		return;
-	if (item)
+	if (item && item->entry.share)
 		queue_remove(&s->queue, &item->entry);
+	else if (item)
+		g_queue_remove(&s->parked, item);
 	else
 		item = add_item(s, want);
 	dispatcher_enter(s, item, known, now);
@@ -444,12 +481,10 @@
 	while ((owned = g_hash_table_lookup(s->owners, &owner))) {
 		item_t *item = g_queue_peek_head(owned);
 
-		if (item->runner) {
+		if (item->runner)
 			end_item(s, item, NULL, now);
-			continue;
-		}
-		queue_remove(&s->queue, &item->entry);
-		drop_item(s, item);
+		else
+			forget_waiting(s, item);
 	}
 	dispatcher_decide(s, now);
 }
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -51,6 +51,7 @@
 	GHashTable *generations; /* of hardware, to runner_speed_t */
 	GPtrArray *live; /* runners that may get work, for the baselines */
 	GSequence *ranked; /* the same, the best for a typical want first */
+	GQueue parked; /* items put aside while others are decided on */
 	GQueue silent; /* runners, in the order they fell silent */
 	GQueue by_sign; /* running items, least recent sign first */
 	GSequence *by_due; /* running items by when they are overdue */
--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -334,6 +334,8 @@
 {
 	double limit = room_limit(m, room);
 
+	if (room == ROOM_ANY)
+		return true;
 	if (room == ROOM_FORCED && m->is_engine)
 		return (double)m->protected_tokens < limit;
 	if ((double)m->tokens + foreign_tokens(m, now) >= limit)
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -86,6 +86,7 @@
 	ROOM_LOWER, /* unprotected work */
 	ROOM_PROTECTED, /* may use the reserve */
 	ROOM_FORCED, /* only protected work counts against it */
+	ROOM_ANY, /* whether there is room or not */
 } runner_room_t;
 
 /*
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -770,6 +770,37 @@
 }
 END_TEST
 
+START_TEST(late_want_waits_for_a_better_runner_and_lets_others_pass)
+{
+	bed_t bed = { 0 };
+	want_t want;
+
+	bed_init(&bed, true);
+	set_runner(&bed, "slow", false);
+	teach(&bed, 0, 500, 500 * MS, 10, 100 * MS);
+	set_runner(&bed, "slow", true);
+	set_runner(&bed, "fast", false);
+	teach(&bed, 1, 500, 50 * MS, 10, 10 * MS);
+	ask(&bed, 2, 1, 2000);
+	dispatcher_first_token(&bed.d, (want_id_t){ OWNER, 2 }, bed.now);
+	set_runner(&bed, "slow", false);
+	want = make_want(&bed, 3, 1, 900);
+	want.deadline = bed.now + 600 * MS;
+	dispatcher_want(&bed.d, &want, bed.now);
+	ck_assert_int_eq(kind(&bed, 3), ANSWER_NONE);
+	ask(&bed, 4, 1, 100);
+	ck_assert_str_eq(bed.answers[4].runner, "slow");
+	want.id.attempt = 5;
+	want.deadline = bed.now + 50 * MS; /* too soon for any */
+	dispatcher_want(&bed.d, &want, bed.now);
+	ck_assert_int_eq(bed.answers[5].reason, REFUSE_DEADLINE);
+	done(&bed, 2, DONE_COMPLETED);
+	ck_assert_str_eq(bed.answers[3].runner, "fast");
+	ck_assert_int_eq(stats(&bed).queued, 0);
+	dispatcher_finish(&bed.d);
+}
+END_TEST
+
 START_TEST(lower_work_leaves_protected_work_its_pace)
 {
 	static const struct {
@@ -1145,6 +1176,7 @@
 	   reports_count_work_that_others_granted,
 	   faster_runner_is_chosen_and_the_avoided_is_not,
 	   protected_want_passes_the_window_where_it_meets_its_deadline,
+	   late_want_waits_for_a_better_runner_and_lets_others_pass,
 	   lower_work_leaves_protected_work_its_pace,
 	   prefix_returns_to_its_runner_but_never_past_a_deadline,
 	   grants_expire_and_late_events_are_ignored,
