dispatcher: keep a margin where lower work may be refused

Cause: most of the prompt work that the ledger policy wasted belonged to drafts that were granted close to their deadline, ran past it and were cancelled there.

Change: work that may be refused is granted only if it would still meet its deadline when the predicted time grows by a sixth; the same rule says when waiting for a better runner is of use.

Ruled out: a third, as for protected work that may go elsewhere (refuses too many drafts that would have ended in time: an argument, not measured).

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -12,6 +12,7 @@
 	CANCEL_LEAD = 100 * US_PER_MS, /* cancel so long before it is late */
 	MAX_PARKED = 16, /* wants put aside in one round of decisions */
 	FINISH_MARGIN = 3, /* part of a predicted time that it may err by */
+	LOWER_MARGIN = 6, /* the same for work that may be refused */
 	RECHECK = 20 * US_PER_MS, /* of a protected want that is late */
 	PROTECTED_OVERFLOW = 2, /* times max_wants, while lower work runs */
 };
@@ -224,6 +225,12 @@
 	return forced;
 }
 
+/* Tells whether a predicted finish is past the deadline, or too close. */
+static bool is_late(const item_t *item, int64_t finish, int64_t now)
+{
+	return finish + (finish - now) / LOWER_MARGIN > item->want.deadline;
+}
+
 /*
  * A want that would be late on every runner with room, but not on a better
  * one that has none now, is put aside so that others may use the room.
@@ -234,7 +241,7 @@
 
 	if (s->parked.length >= MAX_PARKED ||
 	    !dispatcher_choose(s, item, ROOM_ANY, now, &finish) ||
-	    finish > item->want.deadline)
+	    is_late(item, finish, now))
 		return false;
 	queue_remove(&s->queue, &item->entry);
 	g_queue_push_tail(&s->parked, item);
@@ -264,7 +271,7 @@
 		runner = dispatcher_choose(s, item, ROOM_LOWER, now, &finish);
 	if (!runner)
 		return false;
-	if (finish <= item->want.deadline || !may_refuse(s, item->entry.tier))
+	if (!is_late(item, finish, now) || !may_refuse(s, item->entry.tier))
 		grant(s, item, runner, now);
 	else if (!park(s, item, now))
 		refuse(s, item, REFUSE_DEADLINE);
