runner_model: give a runner of unknown speed that of another generation

Cause: a trial that printed each choice showed that a runner of which nothing was learned yet had a predicted time of nothing, so that all work went there: 19 requests on one, with others idle.

Change: as soon as the first runner of a generation ends its first work, every runner without a speed takes it as its first estimate.

Ruled out: at most two requests on such a runner (a service whose runners answer nothing yet would stand still; seven tests of other rules failed); the least loaded on a tie (the ranking does that already: dropping it failed no test).

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -139,7 +139,7 @@
 
 	dispatcher_leave(s, item, done, now);
 	if (done && done->result == DONE_COMPLETED)
-		dispatcher_keep_speed(s, runner);
+		dispatcher_keep_speed(s, runner, now);
 	drop_item(s, item);
 	dispatcher_free_runner(s, runner);
 }
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -17,10 +17,28 @@
 	g_hash_table_remove(s->runners, &runner->key);
 }
 
-void dispatcher_keep_speed(struct dispatcher_state *s, const runner_t *runner)
+/* Better another generation's speed than none. */
+static void seed_all(struct dispatcher_state *s, const runner_speed_t *speed,
+		     int64_t now)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->runners);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		runner_t *runner = value;
+
+		runner_model_seed(&runner->model, speed);
+		dispatcher_rank_runner(s, runner, now);
+	}
+}
+
+void dispatcher_keep_speed(struct dispatcher_state *s, const runner_t *runner,
+			   int64_t now)
 {
 	gpointer key = GUINT_TO_POINTER(runner->info.generation);
 	runner_speed_t *speed = g_hash_table_lookup(s->generations, key);
+	bool is_new = !speed;
 
 	if (!speed) {
 		if (g_hash_table_size(s->generations) >= MAX_GENERATIONS)
@@ -29,6 +47,8 @@
 		g_hash_table_insert(s->generations, key, speed);
 	}
 	*speed = runner->model.speed;
+	if (is_new)
+		seed_all(s, speed, now);
 }
 
 static runner_t *add_runner(struct dispatcher_state *s,
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -83,7 +83,8 @@
 /* Frees a runner that is neither listed nor at work. */
 void dispatcher_free_runner(struct dispatcher_state *s, runner_t *runner);
 /* Keeps a runner's speed as first estimate for others of its generation. */
-void dispatcher_keep_speed(struct dispatcher_state *s, const runner_t *runner);
+void dispatcher_keep_speed(struct dispatcher_state *s, const runner_t *runner,
+			   int64_t now);
 /* Gives silent runners another try. */
 void dispatcher_check_silent(struct dispatcher_state *s, int64_t now);
 
--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -90,7 +90,13 @@
 		.health = 1,
 		.report_as_of = INT64_MIN,
 	};
-	if (!speed)
+	if (speed)
+		runner_model_seed(m, speed);
+}
+
+void runner_model_seed(runner_model_t *m, const runner_speed_t *speed)
+{
+	if (m->speed.decode.weight > 0)
 		return;
 	m->speed.prefill = scaled(&speed->prefill, seed_weight);
 	m->speed.decode = scaled_pace(&speed->decode, seed_weight);
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -96,6 +96,9 @@
 void runner_model_init(runner_model_t *m, bool is_engine, uint32_t window,
 		       const runner_speed_t *speed);
 
+/* Gives a runner a first estimate of its speed if it has none yet. */
+void runner_model_seed(runner_model_t *m, const runner_speed_t *speed);
+
 /* Enters granted work; sets the fields of WORK but for the first four. */
 void runner_model_grant(runner_model_t *m, runner_work_t *work, int64_t now);
 void runner_model_first_token(runner_model_t *m, runner_work_t *work,
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -802,6 +802,40 @@
 }
 END_TEST
 
+START_TEST(runners_of_unknown_speed_share_the_work)
+{
+	static const char *const names[] = { "a", "b", "c", "d" };
+	static const bool is_one_known[] = { false, true };
+
+	for (size_t c = 0; c < G_N_ELEMENTS(is_one_known); c++) {
+		bed_t bed = { .config = { .window_tokens = 10000 } };
+		uint32_t counts[4] = { 0 };
+
+		bed_init(&bed, true);
+		for (size_t i = 0; i < 4; i++) {
+			dispatcher_runner_t r = { .generation = (uint32_t)i };
+
+			g_strlcpy(r.name, names[i], sizeof(r.name));
+			dispatcher_set_runner(&bed.d, &r, bed.now);
+		}
+		if (is_one_known[c])
+			teach(&bed, 0, 500, 50 * MS, 10, 10 * MS);
+		for (uint64_t a = 1; a <= 16; a++) {
+			want_t want = make_want(&bed, a, 0, 100);
+
+			want.output_tokens = 10;
+			dispatcher_want(&bed.d, &want, bed.now);
+			for (size_t i = 0; i < 4; i++)
+				counts[i] += !strcmp(bed.answers[a].runner,
+						     names[i]);
+		}
+		for (size_t i = 0; i < 4; i++)
+			ck_assert_int_ge(counts[i], 2);
+		dispatcher_finish(&bed.d);
+	}
+}
+END_TEST
+
 START_TEST(lower_work_leaves_protected_work_its_pace)
 {
 	static const struct {
@@ -1178,6 +1212,7 @@
 	   faster_runner_is_chosen_and_the_avoided_is_not,
 	   protected_want_passes_the_window_where_it_meets_its_deadline,
 	   late_want_waits_for_a_better_runner_and_lets_others_pass,
+	   runners_of_unknown_speed_share_the_work,
 	   lower_work_leaves_protected_work_its_pace,
 	   prefix_returns_to_its_runner_but_never_past_a_deadline,
 	   grants_expire_and_late_events_are_ignored,
