runner_model: let one overdue sign slow a runner twofold at most

Cause: a trial that printed each choice showed a fast runner with three requests and a predicted time of 79 s. An overdue sign lowered its speed to what one piece of work showed, and work that waits in the engine's own queue, or beside many, shows far too little.

Change: an overdue sign lowers a learned speed to half at most. Signs double their distance, so that a runner slowed tenfold is known as such after four of them.

--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -6,6 +6,7 @@
 	FOREIGN_LIFE = 5 * US_PER_S, /* a report's word lasts so long */
 	PREFILL_QUEUE = 50000, /* microseconds of prompt work waiting there */
 	OVERDUE_GRACE = 50000, /* microseconds */
+	MAX_SLOWING = 2, /* times, an overdue sign */
 	OVERDUE_FACTOR = 2, /* times the predicted time */
 };
 
@@ -57,10 +58,12 @@
 	double expected = pace_at(pace, n) * MAX(tokens, 1);
 	double seen = (double)us / US_PER_S;
 
-	if (expected <= 0 || seen <= expected)
+	double factor = expected > 0 ? MIN(seen / expected, MAX_SLOWING) : 1;
+
+	if (factor <= 1)
 		return;
-	pace->t *= seen / expected;
-	pace->nt *= seen / expected;
+	pace->t *= factor;
+	pace->nt *= factor;
 }
 
 static runner_pace_t scaled_pace(const runner_pace_t *pace, double factor)
@@ -115,9 +118,10 @@
 {
 	double seconds = (double)us / US_PER_S;
 
-	if (rate->tokens > 0 && seconds > 0 &&
-	    rate->tokens * seconds > tokens * rate->seconds)
-		rate->seconds = rate->tokens * seconds / MAX(tokens, 1);
+	double seen = rate->tokens * seconds / MAX(tokens, 1);
+
+	if (seen > rate->seconds)
+		rate->seconds = MIN(seen, rate->seconds * MAX_SLOWING);
 }
 
 static int64_t time_for(const runner_rate_t *rate, double tokens)
