--- a/core/accounts.h
+++ b/core/accounts.h
@@ -38,7 +38,10 @@
 	char team[ACCOUNTS_NAME_SIZE];
 } accounts_key_t;
 
-/* Sums of one key; tokens are as the runner counted or, cut, estimated. */
+/*
+ * Sums of one key. Tokens are as the runner counted or, cut, estimated;
+ * prompt tokens without those that its prefix cache held, plain calls none.
+ */
 typedef struct accounts_sum {
 	uint64_t offered;
 	uint64_t in_need; /* completed within need */
--- a/daemon/job_answer.c
+++ b/daemon/job_answer.c
@@ -4,6 +4,14 @@
 
 #include "common/log.h"
 
+/* Prompt work that the engine did: what its prefix cache held cost nothing. */
+static uint32_t prompt_work(const job_t *job)
+{
+	if (!job->is_engine || job->usage.cached > job->usage.prompt)
+		return 0;
+	return job->usage.prompt - job->usage.cached;
+}
+
 static void account(job_t *job, outcome_t outcome, bool is_caller_gone,
 		    waste_cause_t cause)
 {
@@ -34,10 +42,10 @@
 	else
 		sum->unknown = 1;
 	if (sum->in_need) {
-		sum->prompt_useful = job->usage.prompt;
+		sum->prompt_useful = prompt_work(job);
 		sum->output_useful = job->usage.output;
 	} else if (job->is_dispatched) {
-		sum->prompt_wasted[cause] = job->usage.prompt;
+		sum->prompt_wasted[cause] = prompt_work(job);
 		sum->output_wasted[cause] = job->usage.output;
 	}
 	supervisor_post(job->front->sup, TASK_ACCOUNTS, &m);
