core/accounts: tell idle writers from dead ones

Change: an idle writer closes an empty batch every 30 s; reports count the writers heard within a minute that have not ended.

--- a/core/accounts.c
+++ b/core/accounts.c
@@ -20,6 +20,7 @@
 	uint32_t max_batches;
 	uint64_t next_seq;
 	int64_t closed_ms; /* -1 before the first closing */
+	int64_t batch_ms; /* when the newest batch was closed; -1: none */
 	accounts_table_t open;
 	accounts_table_t totals;
 	GQueue waiting; /* of waiting_t, by sequence */
@@ -47,6 +48,7 @@
 	s->max_batches = MAX(max_batches, MIN_BATCHES);
 	s->next_seq = 1;
 	s->closed_ms = -1;
+	s->batch_ms = -1;
 	accounts_table_init(&s->open, s->max_keys);
 	accounts_table_init(&s->totals, s->max_keys);
 	g_queue_init(&s->waiting);
@@ -113,6 +115,7 @@
 	if (!merge_batch(s, time_ms))
 		push_batch(s, time_ms);
 	s->closed_ms = time_ms;
+	s->batch_ms = time_ms;
 }
 
 void accounts_begin(accounts_t *a, int64_t time_ms)
@@ -124,7 +127,9 @@
 {
 	struct accounts_state *s = a->state;
 
-	if (accounts_table_size(&s->open))
+	s->batch_ms = MIN(s->batch_ms, time_ms);
+	if (accounts_table_size(&s->open) ||
+	    (s->batch_ms >= 0 && time_ms - s->batch_ms >= ACCOUNTS_IDLE_MS))
 		close_batch(s, time_ms);
 	else
 		s->closed_ms = time_ms;
--- a/core/accounts.h
+++ b/core/accounts.h
@@ -17,6 +17,7 @@
 enum {
 	ACCOUNTS_NAME_SIZE = 64, /* bytes, with the NUL */
 	ACCOUNTS_MAX_KEYS = 750, /* of a batch, to fit a record of 1 MiB */
+	ACCOUNTS_IDLE_MS = 30 * 1000, /* an idle writer's batches are apart */
 };
 
 /* Takes the place of names that a full table has no room for. */
@@ -96,7 +97,11 @@
 /* Adds DELTA to a key of the open batch. */
 void accounts_add(accounts_t *a, const accounts_key_t *key,
 		  const accounts_sum_t *delta);
-/* Closes the open batch when it holds anything. TIME_MS is wall clock. */
+/*
+ * Closes the open batch when it holds anything; an empty one too when the
+ * last is ACCOUNTS_IDLE_MS old, so that readers tell idle writers from dead
+ * ones. TIME_MS is wall clock.
+ */
 void accounts_close(accounts_t *a, int64_t time_ms);
 /*
  * Closes the last batch of a daemon that leaves: readers then know that
@@ -137,6 +142,7 @@
 	uint64_t gaps; /* batches: holes in an incarnation's sequence */
 	uint64_t expired; /* batches before the oldest one read */
 	uint64_t unended; /* incarnations silent for long, without an end */
+	uint64_t running; /* heard lately: what they do now is not in yet */
 	uint64_t damaged; /* records */
 	uint64_t repeats; /* records; they changed nothing */
 	uint64_t batches; /* taken */
--- a/core/accounts_writers.c
+++ b/core/accounts_writers.c
@@ -72,8 +72,12 @@
 		return;
 	out->gaps += seq_set_holes(&w->seen);
 	out->expired += seq_set_least(&w->seen) - 1;
-	if (!w->has_end && w->last_ms < silent_ms)
+	if (w->has_end)
+		return;
+	if (w->last_ms < silent_ms)
 		out->unended++;
+	else
+		out->running++;
 }
 
 void accounts_writers_missing(const accounts_writers_t *w, int64_t now_ms,
--- a/ctl/burn_page.c
+++ b/ctl/burn_page.c
@@ -174,6 +174,8 @@
 	count(v, m->damaged);
 	text(v, ", daemons that ended without a last batch: ");
 	count(v, m->unended);
+	text(v, ", still counting, or lost just now: ");
+	count(v, m->running);
 	text(v, ", records that expired before any summary: ");
 	count(v, m->unread);
 	text(v, ".</p>\n");
--- a/ctl/report.c
+++ b/ctl/report.c
@@ -109,11 +109,11 @@
 		" expired before, %" G_GUINT64_FORMAT
 		" damaged, %" G_GUINT64_FORMAT " repeated\n"
 		"daemons that ended without a last batch: %" G_GUINT64_FORMAT
-		"\n"
+		"; still counting, or lost just now: %" G_GUINT64_FORMAT "\n"
 		"records that expired before any summary: %" G_GUINT64_FORMAT
 		"\n",
 		m->batches, m->gaps, m->expired, m->damaged, m->repeats,
-		m->unended, m->unread);
+		m->unended, m->running, m->unread);
 }
 
 static void print_table(const report_t *r)
@@ -158,13 +158,14 @@
 
 static json_t *missing_json(const accounts_missing_t *m)
 {
-	return json_pack(
-		"{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}", "batches",
-		(json_int_t)m->batches, "gaps", (json_int_t)m->gaps, "expired",
-		(json_int_t)m->expired, "unended", (json_int_t)m->unended,
-		"damaged", (json_int_t)m->damaged, "repeats",
-		(json_int_t)m->repeats, "merged", (json_int_t)m->merged,
-		"unread", (json_int_t)m->unread);
+	return json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
+			 "batches", (json_int_t)m->batches, "gaps",
+			 (json_int_t)m->gaps, "expired", (json_int_t)m->expired,
+			 "unended", (json_int_t)m->unended, "damaged",
+			 (json_int_t)m->damaged, "repeats",
+			 (json_int_t)m->repeats, "merged",
+			 (json_int_t)m->merged, "unread", (json_int_t)m->unread,
+			 "running", (json_int_t)m->running);
 }
 
 static void print_json(const report_t *r)
--- a/tests/test_accounts.c
+++ b/tests/test_accounts.c
@@ -407,6 +407,35 @@
 }
 END_TEST
 
+START_TEST(an_idle_writer_is_told_from_a_dead_one)
+{
+	accounts_t a;
+	accounts_book_t b;
+	accounts_missing_t m;
+	int64_t now = 0;
+
+	accounts_init(&a, STR_LIT("vm-1"), 7, MAX_KEYS, MAX_BATCHES);
+	accounts_book_init(&b);
+	accounts_begin(&a, now);
+	for (int i = 0; i < 20; i++) {
+		now += INTERVAL_MS;
+		accounts_close(&a, now);
+		while (accounts_waiting(&a))
+			append(&a, &b);
+		accounts_book_missing(&b, now, ACCOUNTS_IDLE_MS, &m);
+		ck_assert_uint_eq(m.unended, 0);
+		ck_assert_uint_eq(m.running, 1);
+	}
+	ck_assert_uint_eq(m.batches, 7);
+	accounts_book_missing(&b, now + 2L * ACCOUNTS_IDLE_MS, ACCOUNTS_IDLE_MS,
+			      &m);
+	ck_assert_uint_eq(m.unended, 1);
+	ck_assert_uint_eq(m.running, 0);
+	accounts_finish(&a);
+	accounts_book_finish(&b);
+}
+END_TEST
+
 /* A log with retention, writers, and readers who append summaries. */
 typedef struct world {
 	GRand *rand;
@@ -613,6 +642,7 @@
 	   an_outage_costs_detail_but_no_sum, keys_past_the_bound_go_to_other,
 	   the_largest_batch_fits_a_record, what_is_missing_is_counted,
 	   damaged_records_are_skipped_and_counted, times_choose_the_batches,
+	   an_idle_writer_is_told_from_a_dead_one,
 	   a_writer_that_began_shows_when_it_is_killed,
 	   summaries_keep_sums_exact_past_retention,
 	   what_expired_before_a_summary_is_shown,
