tests: split the dispatcher's tests by module

Change: the dispatcher under test moves to tests/lib_bed, its tests of order and shedding to test_queue, those of speeds, windows and choice of runner to test_runner_model. No test, case or check changed.

--- /dev/null
+++ b/tests/lib_bed.h
@@ -0,0 +1,66 @@
+/* A dispatcher under test, with what it answered to each attempt. */
+#ifndef TESTS_LIB_BED_H
+#define TESTS_LIB_BED_H
+
+#include "core/dispatcher.h"
+
+#define MS INT64_C(1000)
+#define SECOND INT64_C(1000000)
+
+enum { MAX_ANSWERS = 4096, OWNER = 7 };
+
+typedef enum answer_kind {
+	ANSWER_NONE,
+	ANSWER_GRANT,
+	ANSWER_REFUSE,
+} answer_kind_t;
+
+typedef struct answer {
+	answer_kind_t kind;
+	uint32_t answers;
+	uint32_t order; /* among all answers */
+	refuse_reason_t reason;
+	uint32_t retry_after_ms;
+	char runner[DISPATCHER_NAME_SIZE];
+	bool is_cancelled;
+} answer_t;
+
+/* A dispatcher with what it answered to each attempt. */
+typedef struct bed {
+	dispatcher_t d;
+	dispatcher_config_t config;
+	answer_t answers[MAX_ANSWERS];
+	uint32_t n_answers;
+	int64_t now;
+	bool ends_at_once; /* a cancelled want is done inside the callback */
+} bed_t;
+
+/* Starts a dispatcher; limits that CONFIG leaves at 0 get a default. */
+void bed_init(bed_t *bed, bool is_engine);
+/* Lists a runner. */
+void bed_set_runner(bed_t *bed, const char *name, bool is_leaving);
+/* Returns a want with ten seconds until its deadline. */
+want_t bed_make_want(bed_t *bed, uint64_t attempt, uint32_t tier,
+		     uint32_t tokens);
+/* Asks with such a want. */
+void bed_ask(bed_t *bed, uint64_t attempt, uint32_t tier, uint32_t tokens);
+/* Lets time pass. */
+void bed_tick(bed_t *bed, int64_t step);
+/* Ends an attempt. */
+void bed_done(bed_t *bed, uint64_t attempt, done_result_t result);
+/*
+ * Runs one request of the size given, so that the speed of the runner that
+ * takes it is known.
+ */
+void bed_teach(bed_t *bed, uint64_t attempt, uint32_t prompt, int64_t prefill,
+	       uint32_t output, int64_t decode);
+/*
+ * Asks for work that gets its first token at once, until a want has to wait;
+ * that one is withdrawn. Returns how many were granted.
+ */
+uint32_t bed_fill(bed_t *bed, uint64_t from);
+/* What an attempt was answered so far. */
+answer_kind_t bed_kind(const bed_t *bed, uint64_t attempt);
+dispatcher_stats_t bed_stats(const bed_t *bed);
+
+#endif
