ctl/accounts_log: hold only what came after the newest summary

Cause: a report held every batch that the log keeps in memory. Change: a first pass looks for the newest summary, a second reads from where it reaches to. A record read in both passes counts as damaged once.

--- a/core/accounts.h
+++ b/core/accounts.h
@@ -160,6 +160,8 @@
 			  err_t *err);
 /* The log kept nothing older than OLDEST when its reading began. */
 void accounts_book_oldest(accounts_book_t *b, uint64_t oldest);
+/* The offset that the summary read so far reaches to; 0 without one. */
+uint64_t accounts_book_covered(const accounts_book_t *b);
 /*
  * Writes a summary of all records before offset AS_OF, summaries included;
  * the caller frees it with g_free. Its time steps are an hour, or longer as
--- a/core/accounts_book.c
+++ b/core/accounts_book.c
@@ -11,7 +11,7 @@
 
 struct accounts_book_state {
 	GPtrArray *entries; /* of entry_t */
-	GArray *damaged; /* offsets */
+	GHashTable *damaged; /* set of offsets */
 	char *summary; /* text of the one that goes furthest, or NULL */
 	uint64_t summary_as_of;
 	uint64_t oldest;
@@ -31,7 +31,8 @@
 {
 	b->state = g_new0(struct accounts_book_state, 1);
 	b->state->entries = g_ptr_array_new_with_free_func(free_entry);
-	b->state->damaged = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	b->state->damaged = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  g_free, NULL);
 }
 
 static void drop_view(struct accounts_book_state *s)
@@ -47,7 +48,7 @@
 		return;
 	drop_view(b->state);
 	g_ptr_array_unref(b->state->entries);
-	g_array_unref(b->state->damaged);
+	g_hash_table_unref(b->state->damaged);
 	g_free(b->state->summary);
 	g_clear_pointer(&b->state, g_free);
 }
@@ -85,7 +86,8 @@
 	if (!accounts_record_parse(&batch, data, err)) {
 		if (take_summary(s, offset, data, NULL))
 			return true;
-		g_array_append_val(s->damaged, offset);
+		g_hash_table_add(s->damaged,
+				 g_memdup2(&offset, sizeof(offset)));
 		return false;
 	}
 	entry = g_new(entry_t, 1);
@@ -101,10 +103,18 @@
 	b->state->oldest = oldest;
 }
 
+uint64_t accounts_book_covered(const accounts_book_t *b)
+{
+	return b->state->summary_as_of;
+}
+
 /* The summary, and what came after it up to before UNTIL. */
 static void make_view(const struct accounts_book_state *s, uint64_t until,
 		      accounts_view_t *v)
 {
+	GHashTableIter iter;
+	void *key;
+
 	if (!s->summary || !accounts_view_parse(v, str_from(s->summary), NULL))
 		accounts_view_init(v);
 	if (s->oldest > v->as_of)
@@ -115,10 +125,11 @@
 		if (entry->offset >= v->as_of && entry->offset < until)
 			accounts_view_add(v, &entry->batch);
 	}
-	for (guint i = 0; i < s->damaged->len; i++) {
-		uint64_t offset = g_array_index(s->damaged, uint64_t, i);
+	g_hash_table_iter_init(&iter, s->damaged);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const uint64_t *offset = key;
 
-		if (offset >= v->as_of && offset < until)
+		if (*offset >= v->as_of && *offset < until)
 			v->counts.damaged++;
 	}
 }
--- a/ctl/accounts_log.c
+++ b/ctl/accounts_log.c
@@ -1,5 +1,7 @@
 #include "ctl/accounts_log.h"
 
+#include <glib.h>
+
 /* A log being read. */
 typedef struct reading {
 	accounts_book_t *book;
@@ -8,6 +10,21 @@
 	uint64_t older_end;
 } reading_t;
 
+static bool is_summary(str_t data)
+{
+	return g_strstr_len(data.ptr, (gssize)data.len,
+			    "\"type\":\"summary\"") != NULL;
+}
+
+static void on_summary_page(void *ctx, const log_record_t *records, size_t n,
+			    uint64_t oldest)
+{
+	for (size_t i = 0; i < n; i++)
+		if (is_summary(records[i].data))
+			accounts_book_record(ctx, records[i].offset,
+					     records[i].data, NULL);
+}
+
 static void on_page(void *ctx, const log_record_t *records, size_t n,
 		    uint64_t oldest)
 {
@@ -24,12 +41,20 @@
 	}
 }
 
+/*
+ * The first pass looks for the newest summary only, so that memory holds no
+ * batches but those after it.
+ */
 bool accounts_log_read(accounts_book_t *book, remote_t *remote,
 		       int64_t before_ms, uint64_t *older_end, err_t *err)
 {
 	reading_t r = { book, false, before_ms, 0 };
 	uint64_t next = 0;
 
+	if (!remote_read(remote, ACCOUNTS_LOG, &next, on_summary_page, book,
+			 err))
+		return false;
+	next = accounts_book_covered(book);
 	if (!remote_read(remote, ACCOUNTS_LOG, &next, on_page, &r, err))
 		return false;
 	if (older_end)
--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -501,6 +501,9 @@
 	ck_assert_int_eq(run_at(&f, fixed_clock_ms, "summarize --platform @P"),
 			 CTL_OK);
 	ck_assert_uint_eq(f.platform.accounts->len, 4);
+	/* Nothing is counted twice while its batches are there still. */
+	ck_assert_int_eq(run(&f, report), CTL_OK);
+	ck_assert_ptr_nonnull(strstr(f.out, "\"offered\": 20"));
 	f.platform.accounts_oldest = 3;
 	ck_assert_int_eq(run(&f, report), CTL_OK);
 	ck_assert_ptr_nonnull(strstr(f.out, "\"offered\": 20"));
