dispatcher: refuse wants when every runner is silent and idle

Ruled out: refusing at the first silence (one lost report would refuse all); refusing while work runs on a silent runner (its reports alone may be lost, and protected work must not be refused while lower work is served). Change: with no runner answering and none at work for 1.5 s wants are refused as without a runner, so that their owners ask other zones. Conclusion: a dead runner that is still listed costs seconds.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -13,6 +13,7 @@
 	MAX_PARKED = 16, /* wants put aside in one round of decisions */
 	FINISH_MARGIN = 3, /* part of a predicted time that it may err by */
 	LOWER_MARGIN = 6, /* the same for work that may be refused */
+	SILENCE_PATIENCE = 1500 * US_PER_MS, /* of all runners together */
 	RECHECK = 20 * US_PER_MS, /* of a protected want that is late */
 	PROTECTED_OVERFLOW = 2, /* times max_wants, while lower work runs */
 };
@@ -278,6 +279,24 @@
 	return true;
 }
 
+/*
+ * Tells whether there is a runner to wait for. Listed runners that all fell
+ * silent, with no work left on them, are dead for all that can be known;
+ * while work runs on one its reports alone may be lost.
+ */
+static bool has_runner(struct dispatcher_state *s, int64_t now)
+{
+	if (!s->n_usable)
+		return false;
+	if (s->live->len || s->n_running) {
+		s->none_since = 0;
+		return true;
+	}
+	if (!s->none_since)
+		s->none_since = now;
+	return now - s->none_since < SILENCE_PATIENCE;
+}
+
 void dispatcher_decide(struct dispatcher_state *s, int64_t now)
 {
 	s->decide_again = true;
@@ -286,7 +305,7 @@
 	s->is_deciding = true;
 	while (s->decide_again) {
 		s->decide_again = false;
-		if (!s->n_usable)
+		if (!has_runner(s, now))
 			refuse_all_queued(s);
 		while (decide_next(s, now))
 			;
@@ -371,7 +390,7 @@
 	item->arrived = now;
 	item->latest_start = want->deadline - dispatcher_service_time(s, want);
 	item->entry.due = first_due(s, item);
-	if (!s->n_usable)
+	if (!has_runner(s, now))
 		refuse(s, item, REFUSE_NO_RUNNER);
 	else if (now + dispatcher_wait_time(s, item->entry.tier) >
 			 item->latest_start &&
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -59,6 +59,7 @@
 	uint32_t running[DISPATCHER_MAX_TIERS]; /* on usable runners */
 	uint32_t n_usable; /* runners listed and not leaving */
 	uint32_t n_running;
+	int64_t none_since; /* no runner answers and none works; 0: not so */
 	uint32_t turn; /* of round robin */
 	uint64_t rank_turn;
 	double typical_prompt; /* tokens of a mean want */
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -105,6 +105,38 @@
 }
 END_TEST
 
+START_TEST(silent_runners_without_work_are_no_runners)
+{
+	for (int works = 0; works <= 1; works++) {
+		bed_t bed = { 0 };
+
+		bed_init(&bed, true);
+		bed_set_runner(&bed, "r", false);
+		if (works)
+			bed_ask(&bed, 9, 1, 10);
+		for (int i = 0; i < 4; i++) {
+			dispatcher_runner_silent(&bed.d, STR_LIT("r"), bed.now);
+			if (!i)
+				bed_ask(&bed, 1, 0, 10);
+			bed_tick(&bed, 500 * MS);
+		}
+		ck_assert_int_eq(bed_kind(&bed, 1),
+				 works ? ANSWER_NONE : ANSWER_REFUSE);
+		if (!works) {
+			bed_ask(&bed, 2, 0, 10);
+			ck_assert_int_eq(bed_kind(&bed, 2), ANSWER_REFUSE);
+			ck_assert_uint_eq(
+				bed_stats(&bed).refusals[REFUSE_NO_RUNNER], 2);
+		}
+		/* An answer brings it back. */
+		bed_tick(&bed, 1100 * MS);
+		bed_ask(&bed, 3, 0, 10);
+		ck_assert_int_eq(bed_kind(&bed, 3), ANSWER_GRANT);
+		dispatcher_finish(&bed.d);
+	}
+}
+END_TEST
+
 START_TEST(grants_in_use_are_bounded)
 {
 	bed_t bed = { .config = { .max_running = 5, .window_tokens = 100000 } };
@@ -512,8 +544,9 @@
 SUITE_MAIN("dispatcher", leaving_runner_gets_no_grant,
 	   leaving_runner_gets_no_grant_beside_others,
 	   queued_wants_are_refused_when_the_last_runner_leaves,
-	   silent_runner_gets_grants_again, grants_in_use_are_bounded,
-	   queued_want_expires_with_one_answer,
+	   silent_runner_gets_grants_again,
+	   silent_runners_without_work_are_no_runners,
+	   grants_in_use_are_bounded, queued_want_expires_with_one_answer,
 	   protected_want_is_not_refused_while_lower_work_runs,
 	   protected_want_cancels_lower_work_and_gets_its_place,
 	   cancels_the_lowest_tier_and_there_the_least_prompt_work,
