faults: make the order case show a refusal out of order

Cause: trial: a dispatcher that refuses protected work while lower work is queued passed overload-order, since the queue was never full. Ruled out: more protected work than the desks can do, which may be refused by right. Change: the case bounds the queue at 30 wants, so that tags fill it. Before: that mutant passed.

--- a/tests/lib_case.c
+++ b/tests/lib_case.c
@@ -228,6 +228,7 @@
 
 	c->runner_args[CLUSTER_ENGINE] = g_strdup(r->fault->tuning.engine_args);
 	c->runner_args[CLUSTER_BOOKING] = g_strdup(r->fault->tuning.desk_args);
+	c->extra_settings = g_strdup(r->fault->tuning.daemon_settings);
 	if (!case_write_files(c) || !cluster_start(c)) {
 		case_fail(r, "start: the processes do not come up");
 		return false;
--- a/tests/lib_case.h
+++ b/tests/lib_case.h
@@ -30,6 +30,7 @@
 	const char *mix; /* a file of lib_case_files.c */
 	const char *engine_args;
 	const char *desk_args;
+	const char *daemon_settings; /* more of them, ",\"NAME\":VALUE" */
 	double rate; /* calls a second */
 	double seconds; /* of arrivals */
 	bool is_relayed; /* callers reach the daemons through a relay */
--- a/tests/lib_fault_table.c
+++ b/tests/lib_fault_table.c
@@ -201,6 +201,7 @@
 	  NULL,
 	  fault_check_some_refused,
 	  { .mix = "order.json",
+	    .daemon_settings = ",\"max_wants\":30",
 	    .desk_args = "--service-ms 60 --slots 4",
 	    .rate = 220 } },
 	{ "overload-order-engine",
