daemon/job: end a whole stream without an error at its deadline

Change: a stream whose `[DONE]` was seen is complete at its deadline.

Ruled out: completing at `[DONE]` always (the connection's end follows at once as a rule, and then costs nothing).

Figures: a_whole_stream_gets_no_error_at_its_deadline fails without the change and passes with it.

--- a/daemon/job.c
+++ b/daemon/job.c
@@ -494,6 +494,8 @@
 	if (!job->is_dispatched)
 		job_fail(job, OUTCOME_NOT_RUN, HTTP_SERVUNAVAIL,
 			 refusal_text(REFUSE_EXPIRED), JOB_RETRY_MS);
+	else if (job->is_engine && job->is_done)
+		job_complete(job); /* only the connection's end is missing */
 	else if (job->is_engine)
 		job_fail(job, OUTCOME_FAILED, 504,
 			 "cancelled: its deadline passed", JOB_RETRY_MS);
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -539,6 +539,24 @@
 }
 END_TEST
 
+START_TEST(a_whole_stream_gets_no_error_at_its_deadline)
+{
+	bed_t bed;
+	client_t *c;
+
+	bed_init(&bed);
+	bed.runner_answer = SSE_HEAD "data: {\"a\":1}\n\ndata: [DONE]\n\n";
+	bed.runner_end = FAKE_HOLD;
+	c = ask(&bed, 0, EVHTTP_REQ_POST, COMPLETIONS,
+		"Papaya-Deadline-Ms: 300", STREAM);
+	ck_assert_int_eq(c->status, 200);
+	ck_assert_ptr_eq(strstr(c->body->str, "error"), NULL);
+	event_base_loop(bed.base, EVLOOP_NONBLOCK);
+	ck_assert_int_eq(bed.last_done, DONE_COMPLETED);
+	bed_finish(&bed);
+}
+END_TEST
+
 START_TEST(a_refused_want_is_not_run_with_when_to_come_back)
 {
 	bed_t bed;
@@ -852,6 +870,7 @@
 
 SUITE_MAIN("front", refuses_what_is_malformed_and_dispatches_nothing,
 	   tells_how_every_exchange_with_a_runner_ended,
+	   a_whole_stream_gets_no_error_at_its_deadline,
 	   a_refused_want_is_not_run_with_when_to_come_back,
 	   a_runner_that_refuses_the_connection_is_no_dispatch,
 	   a_key_runs_once_and_repeats_get_its_answer,
