handover: a new daemon waits for who left and saw it

Cause: found by spec/hand_over.pml, in 66 steps: a daemon leaves while its view has a new one. It gives each of the two remaining daemons its share; the old one accepts, the new one has not got its share yet. The old one hands over to the new one, which has not heard the leaving one, takes itself for complete, and runs a key that ran at the leaving one.

Change: who accepts a leaving daemon's keys notes the shares of the other members of its view for a quiet period, and names them (HandOver.owing) to those members; a new one then waits for the leaving daemon too.

Ruled out: telling such a share as a gap, since each restart beside a leaving daemon would then be quiet for Q though the share comes.

Before: the new test cases `one that left, and saw it` and `one that left, then its heir` run the key twice. After: quiet, and with the share received it is known.

--- a/core/handover.c
+++ b/core/handover.c
@@ -48,6 +48,7 @@
 					   free_target);
 	t->sources = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   handover_free_source);
+	t->shares = g_array_new(FALSE, FALSE, sizeof(handover_share_t));
 	t->since = HANDOVER_NO_GAP;
 	h->table = t;
 }
@@ -60,6 +61,7 @@
 		return;
 	g_hash_table_unref(t->targets);
 	g_hash_table_unref(t->sources);
+	g_array_unref(t->shares);
 	g_free(t);
 	h->table = NULL;
 }
@@ -70,6 +72,7 @@
 
 	g_hash_table_remove_all(t->targets);
 	g_hash_table_remove_all(t->sources);
+	g_array_set_size(t->shares, 0);
 	t->since = HANDOVER_NO_GAP;
 	t->has_joined = false;
 }
@@ -109,6 +112,23 @@
 	};
 }
 
+/* The daemons that left and owe the target its share of their keys. */
+static GArray *owing_to(const struct handover_table *t, const target_t *target)
+{
+	GArray *owing = g_array_new(FALSE, FALSE, sizeof(handover_member_t));
+
+	for (guint i = 0; i < t->shares->len; i++) {
+		const handover_share_t *s =
+			&g_array_index(t->shares, handover_share_t, i);
+
+		if (!strcmp(s->to, target->name) &&
+		    s->to_incarnation == target->incarnation)
+			handover_add_member(owing, str_from(s->from),
+					    s->from_incarnation);
+	}
+	return owing;
+}
+
 /* Sends the next keys; returns false when the link takes no more. */
 static bool send_keys(struct handover_table *t, target_t *target,
 		      const part_view_t *view, int64_t now)
@@ -117,6 +137,8 @@
 	guint n = MIN(left, HANDOVER_MAX_KEYS);
 	g_autofree handover_key_t *keys = g_new0(handover_key_t, n + 1);
 	handover_part_t part = part_for(t, target);
+	GArray *owing = owing_to(t, target);
+	bool is_sent;
 
 	for (guint i = 0; i < n; i++) {
 		GBytes *scoped = target->keys->pdata[target->next_key + i];
@@ -134,8 +156,12 @@
 		part.n_members = view->members->len;
 		part.gaps = (handover_gap_t *)view->gaps->data;
 		part.n_gaps = view->gaps->len;
+		part.owing = (handover_member_t *)owing->data;
+		part.n_owing = owing->len;
 	}
-	if (!t->ops.send_part(t->ctx, str_from(target->name), &part))
+	is_sent = t->ops.send_part(t->ctx, str_from(target->name), &part);
+	g_array_unref(owing);
+	if (!is_sent)
 		return false;
 	target->next_key += n;
 	target->index++;
@@ -292,6 +318,7 @@
 		return;
 	if (!t->has_joined)
 		handover_try_join(t);
+	handover_expire_shares(t, now);
 	t->is_leaving = member_is_draining(t->member);
 	member_each_candidate(t->member, want_target, t);
 	g_hash_table_foreach_remove(t->targets, is_stale, NULL);
--- a/core/handover.h
+++ b/core/handover.h
@@ -51,7 +51,12 @@
 	const handover_key_t *keys;
 	const handover_member_t *members;
 	const handover_gap_t *gaps;
-	size_t n_keys, n_members, n_gaps;
+	/*
+	 * Daemons that left and saw the receiver: its share of their keys
+	 * is with them, not with the giver.
+	 */
+	const handover_member_t *owing;
+	size_t n_keys, n_members, n_gaps, n_owing;
 } handover_part_t;
 
 typedef struct handover_ops {
--- a/core/handover_state.h
+++ b/core/handover_state.h
@@ -15,9 +15,18 @@
 	uint32_t next_index;
 	bool is_failed; /* a key had no room */
 	bool is_accepted;
-	GHashTable *members; /* name to uint64_t: the giver's view */
+	/* Who must hand over too, name to uint64_t: the giver's view ... */
+	GHashTable *members;
+	GHashTable *owing; /* ... and the daemons that owe us a share */
 } handover_source_t;
 
+/* A daemon that left has keys for TO that this one did not get. */
+typedef struct handover_share {
+	char from[MEMBER_NAME_SIZE], to[MEMBER_NAME_SIZE];
+	uint64_t from_incarnation, to_incarnation;
+	int64_t at;
+} handover_share_t;
+
 struct handover_table {
 	member_t *member;
 	rights_t *rights;
@@ -25,6 +34,7 @@
 	void *ctx;
 	GHashTable *targets; /* by name */
 	GHashTable *sources; /* by name */
+	GArray *shares; /* handover_share_t, of the last quiet period */
 	uint32_t serial; /* of the last transfer */
 	int64_t since; /* latest gap that any source told of */
 	bool has_joined;
@@ -35,6 +45,8 @@
 bool handover_is_self(const struct handover_table *t, str_t name);
 /* Appends a handover_member_t to a GArray; for member_each_candidate. */
 void handover_add_member(void *ctx, str_t name, uint64_t incarnation);
+/* Forgets shares of keys that no caller repeats any more. */
+void handover_expire_shares(struct handover_table *t, int64_t now);
 /* Ends the quiet period of a new daemon once all others handed over. */
 void handover_try_join(struct handover_table *t);
 
--- a/core/handover_take.c
+++ b/core/handover_take.c
@@ -7,6 +7,7 @@
 	handover_source_t *s = data;
 
 	g_hash_table_unref(s->members);
+	g_hash_table_unref(s->owing);
 	g_free(s);
 }
 
@@ -33,6 +34,8 @@
 		g_strlcpy(s->name, name, sizeof(s->name));
 		s->members = g_hash_table_new_full(g_str_hash, g_str_equal,
 						   g_free, g_free);
+		s->owing = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, g_free);
 		g_hash_table_insert(t->sources, s->name, s);
 	}
 	if (s->incarnation != part->incarnation)
@@ -106,20 +109,61 @@
 	member_handed_over(t->member, giver, part->incarnation, since, now);
 }
 
+static void set_members(GHashTable *table, const handover_member_t *members,
+			size_t n)
+{
+	g_hash_table_remove_all(table);
+	for (size_t i = 0; i < n; i++)
+		g_hash_table_insert(
+			table,
+			g_strndup(members[i].name.ptr, members[i].name.len),
+			g_memdup2(&members[i].incarnation,
+				  sizeof(members[i].incarnation)));
+}
+
 static void accept_source(struct handover_table *t, handover_source_t *s,
 			  const handover_part_t *part, int64_t now)
 {
 	s->is_accepted = true;
-	g_hash_table_remove_all(s->members);
+	set_members(s->members, part->members, part->n_members);
+	set_members(s->owing, part->owing, part->n_owing);
+	for (size_t i = 0; i < part->n_gaps; i++)
+		t->since = MAX(t->since, now - part->gaps[i].age);
+}
+
+/*
+ * What the leaving giver had for the other members of its view went to
+ * them, so a new one among them must hear from the giver itself.
+ */
+static void note_shares(struct handover_table *t, str_t giver,
+			const handover_part_t *part, int64_t now)
+{
 	for (size_t i = 0; i < part->n_members; i++) {
 		const handover_member_t *m = &part->members[i];
+		handover_share_t share = {
+			.from_incarnation = part->incarnation,
+			.to_incarnation = m->incarnation,
+			.at = now,
+		};
 
-		g_hash_table_insert(
-			s->members, g_strndup(m->name.ptr, m->name.len),
-			g_memdup2(&m->incarnation, sizeof(m->incarnation)));
+		if (handover_is_self(t, m->name))
+			continue;
+		str_copy(share.from, sizeof(share.from), giver);
+		str_copy(share.to, sizeof(share.to), m->name);
+		g_array_append_val(t->shares, share);
 	}
-	for (size_t i = 0; i < part->n_gaps; i++)
-		t->since = MAX(t->since, now - part->gaps[i].age);
+}
+
+void handover_expire_shares(struct handover_table *t, int64_t now)
+{
+	guint n = 0;
+
+	while (n < t->shares->len &&
+	       now - g_array_index(t->shares, handover_share_t, n).at >=
+		       member_quiet_period(t->member))
+		n++;
+	if (n)
+		g_array_remove_range(t->shares, 0, n);
 }
 
 static bool is_accepted(const struct handover_table *t, const char *name,
@@ -130,18 +174,13 @@
 	return s && s->is_accepted && s->incarnation == incarnation;
 }
 
-/* Everyone whom a giver saw must have handed over, and it must see us. */
-static bool is_closed(const struct handover_table *t,
-		      const handover_source_t *s)
+static bool are_accepted(const struct handover_table *t, GHashTable *members)
 {
 	const char *self = member_self(t->member)->name;
-	const uint64_t *own = g_hash_table_lookup(s->members, self);
 	GHashTableIter iter;
 	void *name, *incarnation;
 
-	if (!own || *own != member_incarnation(t->member))
-		return false;
-	g_hash_table_iter_init(&iter, s->members);
+	g_hash_table_iter_init(&iter, members);
 	while (g_hash_table_iter_next(&iter, &name, &incarnation))
 		if (strcmp(name, self) &&
 		    !is_accepted(t, name, *(uint64_t *)incarnation))
@@ -149,6 +188,20 @@
 	return true;
 }
 
+/*
+ * Everyone whom a giver saw, and who left it without our share, must have
+ * handed over, and it must see us.
+ */
+static bool is_closed(const struct handover_table *t,
+		      const handover_source_t *s)
+{
+	const char *self = member_self(t->member)->name;
+	const uint64_t *own = g_hash_table_lookup(s->members, self);
+
+	return own && *own == member_incarnation(t->member) &&
+	       are_accepted(t, s->members) && are_accepted(t, s->owing);
+}
+
 void handover_try_join(struct handover_table *t)
 {
 	g_autoptr(GArray) own =
@@ -221,8 +274,10 @@
 	if (part->is_leaving && !is_same_view(t, from, part))
 		return;
 	accept_source(t, s, part, now);
-	if (part->is_leaving)
+	if (part->is_leaving) {
 		take_leaving(t, from, part, now);
+		note_shares(t, from, part, now);
+	}
 	if (!t->has_joined)
 		handover_try_join(t);
 	t->ops.send_ack(t->ctx, from, part->incarnation, part->serial);
--- a/core/member.h
+++ b/core/member.h
@@ -135,6 +135,7 @@
 bool member_is_draining(const member_t *m);
 /* When this incarnation began, or what member_joined put in its place. */
 int64_t member_born_at(const member_t *m);
+int64_t member_quiet_period(const member_t *m);
 const member_vm_t *member_self(const member_t *m);
 /* Advances suspicion and quiet periods; call it every heartbeat. */
 void member_tick(member_t *m, int64_t now);
--- a/core/member_gap.c
+++ b/core/member_gap.c
@@ -84,6 +84,11 @@
 	return m->table->born_at;
 }
 
+int64_t member_quiet_period(const member_t *m)
+{
+	return m->table->config.quiet_period;
+}
+
 const member_vm_t *member_self(const member_t *m)
 {
 	return &m->table->self;
--- a/net/handover_frame.c
+++ b/net/handover_frame.c
@@ -29,7 +29,7 @@
 typedef struct packed {
 	Papaya__HandOver msg;
 	Papaya__HandedKey *keys;
-	Papaya__Heard *members;
+	Papaya__Heard *members, *owing;
 	Papaya__Gap *gaps;
 } packed_t;
 
@@ -44,17 +44,20 @@
 	}
 }
 
-static void pack_members(packed_t *p, const handover_part_t *part)
+/* Packs members into *OUT, and returns pointers to them. */
+static Papaya__Heard **pack_members(Papaya__Heard **out,
+				    const handover_member_t *members, size_t n)
 {
-	p->members = g_new(Papaya__Heard, part->n_members + 1);
-	p->msg.members = g_new(Papaya__Heard *, part->n_members + 1);
-	p->msg.n_members = part->n_members;
-	for (size_t i = 0; i < part->n_members; i++) {
-		papaya__heard__init(&p->members[i]);
-		p->members[i].name = (char *)part->members[i].name.ptr;
-		p->members[i].incarnation = part->members[i].incarnation;
-		p->msg.members[i] = &p->members[i];
+	Papaya__Heard **ptrs = g_new(Papaya__Heard *, n + 1);
+
+	*out = g_new(Papaya__Heard, n + 1);
+	for (size_t i = 0; i < n; i++) {
+		ptrs[i] = &(*out)[i];
+		papaya__heard__init(ptrs[i]);
+		ptrs[i]->name = (char *)members[i].name.ptr;
+		ptrs[i]->incarnation = members[i].incarnation;
 	}
+	return ptrs;
 }
 
 static void pack_gaps(packed_t *p, const handover_part_t *part)
@@ -74,7 +77,11 @@
 {
 	papaya__hand_over__init(&p->msg);
 	pack_keys(p, part);
-	pack_members(p, part);
+	p->msg.members =
+		pack_members(&p->members, part->members, part->n_members);
+	p->msg.n_members = part->n_members;
+	p->msg.owing = pack_members(&p->owing, part->owing, part->n_owing);
+	p->msg.n_owing = part->n_owing;
 	pack_gaps(p, part);
 	p->msg.last = part->is_last;
 	p->msg.incarnation = part->incarnation;
@@ -89,9 +96,11 @@
 {
 	g_free(p->keys);
 	g_free(p->members);
+	g_free(p->owing);
 	g_free(p->gaps);
 	g_free(p->msg.keys);
 	g_free(p->msg.members);
+	g_free(p->msg.owing);
 	g_free(p->msg.gaps);
 }
 
@@ -150,12 +159,25 @@
 	return key;
 }
 
+static GArray *read_members(Papaya__Heard **msgs, size_t n)
+{
+	GArray *members = g_array_new(FALSE, FALSE, sizeof(handover_member_t));
+
+	for (size_t i = 0; i < n; i++) {
+		handover_member_t member = { str_from(msgs[i]->name),
+					     msgs[i]->incarnation };
+
+		g_array_append_val(members, member);
+	}
+	return members;
+}
+
 void handover_frame_receive(handover_t *h, str_t from,
 			    const Papaya__HandOver *msg, int64_t now)
 {
 	GArray *keys = g_array_new(FALSE, FALSE, sizeof(handover_key_t));
-	g_autofree handover_member_t *members =
-		g_new(handover_member_t, msg->n_members + 1);
+	GArray *members = read_members(msg->members, msg->n_members);
+	GArray *owing = read_members(msg->owing, msg->n_owing);
 	g_autofree handover_gap_t *gaps =
 		g_new(handover_gap_t, msg->n_gaps + 1);
 	handover_part_t part = {
@@ -169,7 +191,9 @@
 		.n_keys = msg->n_keys,
 		.n_members = msg->n_members,
 		.n_gaps = msg->n_gaps,
-		.members = members,
+		.members = (handover_member_t *)members->data,
+		.owing = (handover_member_t *)owing->data,
+		.n_owing = msg->n_owing,
 		.gaps = gaps,
 	};
 
@@ -178,10 +202,6 @@
 
 		g_array_append_val(keys, key);
 	}
-	for (size_t i = 0; i < msg->n_members; i++) {
-		members[i].name = str_from(msg->members[i]->name);
-		members[i].incarnation = msg->members[i]->incarnation;
-	}
 	for (size_t i = 0; i < msg->n_gaps; i++) {
 		gaps[i].name = str_from(msg->gaps[i]->name);
 		gaps[i].age = (int64_t)msg->gaps[i]->age_ms * US_PER_MS;
@@ -189,4 +209,6 @@
 	part.keys = (handover_key_t *)keys->data;
 	handover_receive(h, from, &part, now);
 	free_keys(keys);
+	g_array_unref(members);
+	g_array_unref(owing);
 }
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -2726,7 +2726,7 @@
   (ProtobufCMessageInit) papaya__gap__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__hand_over__field_descriptors[10] =
+static const ProtobufCFieldDescriptor papaya__hand_over__field_descriptors[11] =
 {
   {
     "keys",
@@ -2848,6 +2848,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owing",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__HandOver, n_owing),
+    offsetof(Papaya__HandOver, owing),
+    &papaya__heard__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__hand_over__field_indices_by_name[] = {
   7,   /* field[7] = answers */
@@ -2858,13 +2870,14 @@
   1,   /* field[1] = last */
   6,   /* field[6] = leaving */
   8,   /* field[8] = members */
+  10,   /* field[10] = owing */
   4,   /* field[4] = serial */
   3,   /* field[3] = to_incarnation */
 };
 static const ProtobufCIntRange papaya__hand_over__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor papaya__hand_over__descriptor =
 {
@@ -2874,7 +2887,7 @@
   "Papaya__HandOver",
   "papaya",
   sizeof(Papaya__HandOver),
-  10,
+  11,
   papaya__hand_over__field_descriptors,
   papaya__hand_over__field_indices_by_name,
   1,  papaya__hand_over__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -453,10 +453,15 @@
   Papaya__Heard **members;
   size_t n_gaps;
   Papaya__Gap **gaps;
+  /*
+   * who left and has keys for the receiver
+   */
+  size_t n_owing;
+  Papaya__Heard **owing;
 };
 #define PAPAYA__HAND_OVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__hand_over__descriptor) \
-    , 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 struct  Papaya__HandOverAck
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -218,6 +218,11 @@
 		{ "with the answer", "ba",
 		  "0 start a 1, 100 claim a, 101 start b 1, 103 ended a", 104,
 		  'b', ANSWERS, RUNS },
+		{ "from one that left, and saw it", "cba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 100 lose b c, "
+		  "100 lose a c, 101 start c 1, 103 drain b, 105 pass a c, "
+		  "106 pass b c",
+		  110, 'c', UNKNOWN, RUNS },
 		{ "giver forwards meanwhile", "ba",
 		  "0 start a 1, 101 start b 1", 104, 'a', FORWARDS, FORWARDS },
 		{ "one restart after the other", "ba",
@@ -247,6 +252,16 @@
 		  "0 start a 1, 0 start c 1, 0 deaf c a, 99 lose c b, "
 		  "100 claim c, 101 start b 1",
 		  110, 'b', QUIETS, QUIETS },
+		{ "one that left, and saw it", "cba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 100 deaf b c, "
+		  "100 lose b c, 100 lose a c, 101 start c 1, 103 drain b, "
+		  "105 pass a c",
+		  110, 'c', QUIETS, QUIETS },
+		{ "one that left, then its heir", "cba",
+		  "0 start a 1, 0 start b 1, 100 claim b, 100 deaf b c, "
+		  "100 lose b c, 100 lose a c, 101 start c 1, 103 drain b, "
+		  "104 drain a, 105 pass a c",
+		  110, 'c', QUIETS, QUIETS },
 		{ "one that only the giver sees", "bca",
 		  "0 start a 1, 0 start c 1, 0 deaf c b, 100 claim c, "
 		  "101 start b 1",
