runner_model: fit prompt time by a line, so that short prompts don't hide it

Cause: a trial that printed each choice showed learned prefill speeds of 78 and 333 tokens a second for engines that do 2,000: over ten recent prompts, mostly short, the fixed part of each (the way there and back, the engine's step) outweighed the prompt work. Fast runners were passed over.

Change: core/line_fit, a straight line by least squares with decaying weights; the prompt time is fitted over the uncached tokens, and the decode pace, which had its own sums, uses the same.

--- /dev/null
+++ b/core/line_fit.c
@@ -0,0 +1,46 @@
+#include "core/line_fit.h"
+
+#include <glib.h>
+
+static const double memory = 0.95; /* kept at each sample */
+static const double min_spread = 0.04; /* variance over the mean squared */
+
+void line_fit_learn(line_fit_t *f, double weight, double x, double y)
+{
+	f->weight = f->weight * memory + weight;
+	f->x = f->x * memory + weight * x;
+	f->y = f->y * memory + weight * y;
+	f->xx = f->xx * memory + weight * x * x;
+	f->xy = f->xy * memory + weight * x * y;
+}
+
+double line_fit_at(const line_fit_t *f, line_shape_t shape, double x)
+{
+	double mean_x, mean_y, variance, steepest, slope;
+
+	if (f->weight <= 0)
+		return 0;
+	mean_x = f->x / f->weight;
+	mean_y = f->y / f->weight;
+	variance = f->xx / f->weight - mean_x * mean_x;
+	/* A steeper line would fall below zero at the origin. */
+	steepest = mean_x > 0 ? mean_y / mean_x : 0;
+	if (variance > min_spread * mean_x * mean_x)
+		slope = (f->xy / f->weight - mean_x * mean_y) / variance;
+	else
+		slope = shape == LINE_FLAT ? 0 : steepest;
+	slope = CLAMP(slope, 0, steepest);
+	return mean_y + slope * (x - mean_x);
+}
+
+void line_fit_raise(line_fit_t *f, double factor)
+{
+	f->y *= factor;
+	f->xy *= factor;
+}
+
+line_fit_t line_fit_lighter(const line_fit_t *f, double factor)
+{
+	return (line_fit_t){ f->weight * factor, f->x * factor, f->y * factor,
+			     f->xx * factor, f->xy * factor };
+}
--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -10,10 +10,6 @@
 	OVERDUE_FACTOR = 2, /* times the predicted time */
 };
 
-static const double rate_memory = 0.9; /* kept at each sample */
-static const double pace_memory = 0.95; /* kept at each sample */
-static const double min_variance = 0.5; /* of requests, to fit a slope */
-static const double min_pace = 0.1; /* of the mean, far from the samples */
 static const double spared_part = 0.8; /* of the time protected work has */
 static const double seed_weight = 0.1; /* of speeds of the generation */
 static const double min_health = 1.0 / 16;
@@ -21,67 +17,41 @@
 static const double protected_reserve = 0.25; /* of the window, on top */
 static const double plain_reserve = 0.25; /* of the slots, out of them */
 
-static void learn_pace(runner_pace_t *pace, double tokens, double n, int64_t us)
-{
-	double t;
-
-	if (tokens <= 0 || us <= 0)
-		return;
-	t = (double)us / US_PER_S / tokens;
-	pace->weight = pace->weight * pace_memory + tokens;
-	pace->n = pace->n * pace_memory + tokens * n;
-	pace->t = pace->t * pace_memory + tokens * t;
-	pace->nn = pace->nn * pace_memory + tokens * n * n;
-	pace->nt = pace->nt * pace_memory + tokens * n * t;
-}
-
 /* Seconds a token while N requests run; 0 when nothing is known. */
-static double pace_at(const runner_pace_t *pace, double n)
+static double pace_at(const runner_model_t *m, double n)
 {
-	double mean_n, mean_t, variance, slope;
-
-	if (pace->weight <= 0)
-		return 0;
-	mean_n = pace->n / pace->weight;
-	mean_t = pace->t / pace->weight;
-	variance = pace->nn / pace->weight - mean_n * mean_n;
-	if (variance < min_variance)
-		return mean_t;
-	slope = (pace->nt / pace->weight - mean_n * mean_t) / variance;
-	slope = CLAMP(slope, 0, mean_t);
-	return MAX(mean_t + slope * (n - mean_n), mean_t * min_pace);
+	return line_fit_at(&m->speed.decode, LINE_FLAT, n);
 }
 
-/* Raises a pace to what an unfinished piece of work shows at least. */
-static void bound_pace(runner_pace_t *pace, double tokens, double n, int64_t us)
+static void learn_pace(runner_model_t *m, double tokens, double n, int64_t us)
 {
-	double expected = pace_at(pace, n) * MAX(tokens, 1);
-	double seen = (double)us / US_PER_S;
-
-	double factor = expected > 0 ? MIN(seen / expected, MAX_SLOWING) : 1;
-
-	if (factor <= 1)
-		return;
-	pace->t *= factor;
-	pace->nt *= factor;
+	if (tokens > 0 && us > 0)
+		line_fit_learn(&m->speed.decode, tokens, n,
+			       (double)us / US_PER_S / tokens);
 }
 
-static runner_pace_t scaled_pace(const runner_pace_t *pace, double factor)
+/* Raises a fit when unfinished work took longer than it says. */
+static void raise_fit(line_fit_t *fit, int64_t expected, int64_t us)
 {
-	return (runner_pace_t){ pace->weight * factor, pace->n * factor,
-				pace->t * factor, pace->nn * factor,
-				pace->nt * factor };
+	if (expected > 0 && us > expected)
+		line_fit_raise(fit,
+			       MIN((double)us / (double)expected, MAX_SLOWING));
 }
 
 /* Microseconds to decode while N requests run. */
 static int64_t decode_time(const runner_model_t *m, double tokens, double n)
 {
-	return (int64_t)(pace_at(&m->speed.decode, n) * tokens * US_PER_S);
+	return (int64_t)(pace_at(m, n) * tokens * US_PER_S);
 }
 
-static runner_rate_t scaled(const runner_rate_t *rate, double factor)
+/* Microseconds for so many prompt tokens. */
+static int64_t prompt_time(const runner_model_t *m, double tokens)
 {
-	return (runner_rate_t){ rate->tokens * factor, rate->seconds * factor };
+	if (tokens <= 0)
+		return 0;
+	return (int64_t)(line_fit_at(&m->speed.prefill, LINE_PROPORTIONAL,
+				     tokens) *
+			 US_PER_S);
 }
 
 void runner_model_init(runner_model_t *m, bool is_engine, uint32_t window,
@@ -101,34 +71,8 @@
 {
 	if (m->speed.decode.weight > 0)
 		return;
-	m->speed.prefill = scaled(&speed->prefill, seed_weight);
-	m->speed.decode = scaled_pace(&speed->decode, seed_weight);
-}
-
-static void learn(runner_rate_t *rate, double tokens, int64_t us)
-{
-	if (tokens <= 0 || us <= 0)
-		return;
-	rate->tokens = rate->tokens * rate_memory + tokens;
-	rate->seconds = rate->seconds * rate_memory + (double)us / US_PER_S;
-}
-
-/* Lowers a speed to what an unfinished piece of work shows at best. */
-static void bound(runner_rate_t *rate, double tokens, int64_t us)
-{
-	double seconds = (double)us / US_PER_S;
-
-	double seen = rate->tokens * seconds / MAX(tokens, 1);
-
-	if (seen > rate->seconds)
-		rate->seconds = MIN(seen, rate->seconds * MAX_SLOWING);
-}
-
-static int64_t time_for(const runner_rate_t *rate, double tokens)
-{
-	if (rate->tokens <= 0)
-		return 0;
-	return (int64_t)(tokens * rate->seconds / rate->tokens * US_PER_S);
+	m->speed.prefill = line_fit_lighter(&speed->prefill, seed_weight);
+	m->speed.decode = line_fit_lighter(&speed->decode, seed_weight);
 }
 
 static void sample(runner_model_t *m, int64_t now)
@@ -179,7 +123,7 @@
 /* Notes the tightest pace that protected work in flight needs. */
 static void spare(runner_model_t *m, const runner_work_t *work, int64_t now)
 {
-	int64_t prefill = time_for(&m->speed.prefill, work->prompt_ahead);
+	int64_t prefill = prompt_time(m, work->prompt_ahead);
 	double left = (double)(work->deadline - now - prefill) / US_PER_S;
 	double pace = left * spared_part / MAX(work->output_tokens, 1);
 
@@ -194,10 +138,9 @@
 {
 	double n = (double)m->running + 1;
 
-	if (m->spared_until <= now ||
-	    pace_at(&m->speed.decode, 1) > m->spared_pace)
+	if (m->spared_until <= now || pace_at(m, 1) > m->spared_pace)
 		return true;
-	return pace_at(&m->speed.decode, n) <= m->spared_pace;
+	return pace_at(m, n) <= m->spared_pace;
 }
 
 void runner_model_grant(runner_model_t *m, runner_work_t *work, int64_t now)
@@ -219,8 +162,7 @@
 	work->granted = now;
 	work->first_token = 0;
 	if (m->is_engine)
-		set_due(m, work, now,
-			time_for(&m->speed.prefill, work->prompt_ahead));
+		set_due(m, work, now, prompt_time(m, work->prompt_ahead));
 	else
 		set_due(m, work, now, decode_time(m, 1, m->running));
 	sample(m, now);
@@ -255,15 +197,17 @@
 	if (now < work->due)
 		recover(m);
 	if (!m->is_engine) {
-		learn_pace(&m->speed.decode, 1, n, now - work->granted);
+		learn_pace(m, 1, n, now - work->granted);
 		return;
 	}
 	if (!work->first_token)
 		return;
-	learn(&m->speed.prefill,
-	      (double)done->prompt_tokens - done->cached_tokens,
-	      work->prefill_time);
-	learn_pace(&m->speed.decode, (double)done->output_tokens - 1, n,
+	if (work->prefill_time > 0)
+		line_fit_learn(&m->speed.prefill, 1,
+			       (double)done->prompt_tokens -
+				       done->cached_tokens,
+			       (double)work->prefill_time / US_PER_S);
+	learn_pace(m, (double)done->output_tokens - 1, n,
 		   now - work->first_token);
 }
 
@@ -292,14 +236,16 @@
 {
 	m->health = MAX(m->health / 2, min_health);
 	if (!m->is_engine)
-		bound_pace(&m->speed.decode, 1, m->running,
-			   now - work->granted);
+		raise_fit(&m->speed.decode, decode_time(m, 1, m->running),
+			  now - work->granted);
 	else if (work->first_token)
-		bound_pace(&m->speed.decode, work->output_tokens, m->running,
-			   now - work->first_token);
+		raise_fit(&m->speed.decode,
+			  decode_time(m, work->output_tokens, m->running),
+			  now - work->first_token);
 	else
-		bound(&m->speed.prefill, work->prompt_ahead,
-		      now - work->granted);
+		raise_fit(&m->speed.prefill,
+			  prompt_time(m, (double)work->prompt_ahead),
+			  now - work->granted);
 	work->due = now + MAX(now - work->granted, OVERDUE_GRACE);
 }
 
@@ -356,8 +302,7 @@
 		return false;
 	if (!m->prefilling)
 		return true;
-	return time_for(&m->speed.prefill, (double)m->prompt_pending) <
-	       PREFILL_QUEUE;
+	return prompt_time(m, (double)m->prompt_pending) < PREFILL_QUEUE;
 }
 
 static int64_t time_beside(const runner_model_t *m, uint32_t prompt_tokens,
@@ -365,7 +310,7 @@
 {
 	if (!m->is_engine)
 		return decode_time(m, 1, n);
-	return time_for(&m->speed.prefill, prompt_tokens * (1 - cached)) +
+	return prompt_time(m, prompt_tokens * (1 - cached)) +
 	       decode_time(m, output_tokens, n);
 }
 
@@ -383,5 +328,5 @@
 
 	if (!m->is_engine)
 		return own;
-	return own + time_for(&m->speed.prefill, (double)m->prompt_pending);
+	return own + prompt_time(m, (double)m->prompt_pending);
 }
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -12,32 +12,17 @@
 #include <stdint.h>
 
 #include "core/dispatcher.h"
+#include "core/line_fit.h"
 
 enum {
 	RUNNER_HISTORY = 64, /* samples of the ledger kept */
 };
 
-/* Tokens over the seconds they took; recent work counts most. */
-typedef struct runner_rate {
-	double tokens;
-	double seconds;
-} runner_rate_t;
-
-/*
- * Seconds a token of one request, as a straight line over the requests that
- * run beside it: sums for a fit by least squares, recent work counts most.
- */
-typedef struct runner_pace {
-	double weight; /* tokens */
-	double n; /* weighted sums: requests running, */
-	double t; /* seconds a token, */
-	double nn, nt; /* and their products */
-} runner_pace_t;
-
 /* The speeds of a runner, or of a generation of hardware. */
 typedef struct runner_speed {
-	runner_rate_t prefill; /* prompt tokens, one prompt at a time */
-	runner_pace_t decode; /* output tokens; whole calls if plain */
+	line_fit_t prefill; /* seconds a prompt over its tokens */
+	/* seconds a token (a call if plain) over requests running */
+	line_fit_t decode;
 } runner_speed_t;
 
 /* One piece of granted work. */
