limits: keep terms of the teams that ask, not of all

Cause: memory grew by 1.0 KB a team in the profile (4.0 MB at 100 teams, 9.8 MB at 6,000), which is 28 MB at 24,000 of the 32 MB allowed: the limits task kept two entries a team and each dispatcher one, most of them idle. Ruled out: dropping idle teams' buckets, which would refill them early. Change: terms are looked up when a team asks; unnamed teams stay forgettable; a default weight takes no entry. Teams of two profiles no longer share one limit. Before: as above. Conclusion: the table follows the teams in use.

--- a/core/limit.h
+++ b/core/limit.h
@@ -14,7 +14,7 @@
 
 #include "common/str.h"
 
-enum { LIMIT_NAME_SIZE = 64 }; /* bytes, with the NUL */
+enum { LIMIT_NAME_SIZE = 128 }; /* bytes, with the NUL */
 
 /* What one team may use. */
 typedef struct limit_terms {
--- a/core/queue.c
+++ b/core/queue.c
@@ -459,6 +459,9 @@
 {
 	weight_t *own = g_hash_table_lookup(q->weights, &team);
 
+	/* Most of the many teams have the default weight. */
+	if (!own && weight <= 1)
+		return;
 	if (!own) {
 		if (team.len >= DISPATCHER_NAME_SIZE ||
 		    g_hash_table_size(q->weights) >= MAX_WEIGHTS)
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -235,6 +235,7 @@
 	Papaya__LimitRelease release = PAPAYA__LIMIT_RELEASE__INIT;
 
 	ask.team = answer.team = release.team = (char *)l->team;
+	ask.profile = answer.profile = release.profile = (char *)l->profile;
 	ask.attempt = answer.attempt = l->attempt;
 	ask.owner = answer.owner = l->owner;
 	answer.ok = l->is_ok;
@@ -264,17 +265,20 @@
 		out->type = MESSAGE_LIMIT_ASK;
 		l->attempt = frame->limit_ask->attempt;
 		l->owner = frame->limit_ask->owner;
-		return copy(l->team, frame->limit_ask->team);
+		return copy(l->team, frame->limit_ask->team) &&
+		       copy(l->profile, frame->limit_ask->profile);
 	case PAPAYA__FRAME__BODY_LIMIT_ANSWER:
 		out->type = MESSAGE_LIMIT_ANSWER;
 		l->attempt = frame->limit_answer->attempt;
 		l->owner = frame->limit_answer->owner;
 		l->is_ok = frame->limit_answer->ok;
 		l->retry_after_ms = frame->limit_answer->retry_after_ms;
-		return copy(l->team, frame->limit_answer->team);
+		return copy(l->team, frame->limit_answer->team) &&
+		       copy(l->profile, frame->limit_answer->profile);
 	case PAPAYA__FRAME__BODY_LIMIT_RELEASE:
 		out->type = MESSAGE_LIMIT_RELEASE;
-		return copy(l->team, frame->limit_release->team);
+		return copy(l->team, frame->limit_release->team) &&
+		       copy(l->profile, frame->limit_release->profile);
 	default:
 		return false;
 	}
--- a/daemon/job.c
+++ b/daemon/job.c
@@ -76,6 +76,7 @@
 	g_snprintf(job->id, sizeof(job->id), "%s-%016" PRIx64 "-%" PRIu64,
 		   f->sup->settings->name, f->sup->boot, job->attempt);
 	set_need(job, profile);
+	g_strlcpy(job->profile, profile->name, sizeof(job->profile));
 	g_hash_table_insert(f->jobs, &job->attempt, job);
 	add_caller(job, req);
 	log_info("request %s: accepted for service %s, team %s, tier %s%s%s",
@@ -270,6 +271,7 @@
 	l->owner = job->front->sup->boot;
 	l->is_fallback = job->is_limit_fallback;
 	g_strlcpy(l->team, job->call.team, sizeof(l->team));
+	g_strlcpy(l->profile, job->profile, sizeof(l->profile));
 	g_strlcpy(l->peer, job->limiter, sizeof(l->peer));
 	supervisor_post(job->front->sup, TASK_PEERS, &m);
 }
--- a/daemon/job.h
+++ b/daemon/job.h
@@ -45,6 +45,7 @@
 	GBytes *scoped; /* team and key; NULL without */
 	bool is_engine;
 	bool is_protected;
+	char profile[PROFILE_NAME_SIZE]; /* that it was accepted under */
 	bool is_limited; /* holds a place in the team's concurrency */
 	bool is_limit_fallback; /* counted by this daemon for itself */
 	char limiter[MEMBER_NAME_SIZE]; /* who counted it; "": this one */
--- a/daemon/limits_task.c
+++ b/daemon/limits_task.c
@@ -19,15 +19,17 @@
 	uint32_t daemons; /* of the own zone, by the VM list; at least 1 */
 } limits_t;
 
-static char *holder_name(const message_limit_t *l)
+/* Teams of two profiles are two teams. */
+static char *team_name(const message_limit_t *l)
 {
-	return g_strconcat(l->peer, "\n", l->team, NULL);
+	return g_strconcat(l->profile, "/", l->team, NULL);
 }
 
 /* Changes what a daemon holds of a team's places; never below nothing. */
 static bool count_held(limits_t *s, const message_limit_t *l, int change)
 {
-	g_autofree char *name = holder_name(l);
+	g_autofree char *name =
+		g_strconcat(l->peer, "\n", l->profile, "/", l->team, NULL);
 	int held = GPOINTER_TO_INT(g_hash_table_lookup(s->held, name));
 
 	if (held + change < 0)
@@ -40,14 +42,42 @@
 	return true;
 }
 
+/*
+ * Brings a team's terms up to the profile in force, when it is asked for:
+ * most of the many teams are idle.
+ */
+static void set_terms(limits_t *s, const message_limit_t *l, const char *name)
+{
+	const profile_t *profile = config_view_profile(s->config, l->profile);
+	const profile_team_t *team =
+		profile ? profile_team(profile, str_from(l->team)) : NULL;
+	uint32_t zones = g_strv_length(s->sup->settings->zones);
+	limit_t *limit = l->is_fallback ? &s->own : &s->zone;
+	limit_terms_t t;
+
+	if (!team)
+		return;
+	t = limit_share(
+		(limit_terms_t){ team->rate, team->burst, team->concurrency },
+		1, l->is_fallback ? zones * s->daemons : zones);
+	/* Callers choose unnamed teams: those must be forgotten again. */
+	if (team == &profile->other_teams)
+		limit_set_other(limit, t.rate, t.burst, t.concurrency);
+	else
+		limit_set(limit, str_from(name), t.rate, t.burst,
+			  t.concurrency);
+}
+
 static void ask(limits_t *s, const message_limit_t *asked)
 {
+	g_autofree char *name = team_name(asked);
 	message_t m = { .type = MESSAGE_LIMIT_ANSWER, .limit = *asked };
 	message_limit_t *l = &m.limit;
 	limit_t *limit = asked->is_fallback ? &s->own : &s->zone;
 
-	l->is_ok = limit_take(limit, str_from(l->team), now_us(),
-			      &l->retry_after_ms);
+	set_terms(s, asked, name);
+	l->is_ok =
+		limit_take(limit, str_from(name), now_us(), &l->retry_after_ms);
 	if (l->is_ok && !l->is_fallback)
 		count_held(s, l, 1);
 	supervisor_post(s->sup, TASK_PEERS, &m);
@@ -55,10 +85,12 @@
 
 static void release(limits_t *s, const message_limit_t *l)
 {
+	g_autofree char *name = team_name(l);
+
 	if (l->is_fallback)
-		limit_release(&s->own, str_from(l->team));
+		limit_release(&s->own, str_from(name));
 	else if (count_held(s, l, -1))
-		limit_release(&s->zone, str_from(l->team));
+		limit_release(&s->zone, str_from(name));
 }
 
 /* A daemon died: what it held is free again. */
@@ -81,51 +113,10 @@
 	}
 }
 
-static void set_terms(limits_t *s, limit_t *limit, uint32_t parts,
-		      const profile_team_t *team, bool is_other)
-{
-	limit_terms_t whole = { team->rate, team->burst, team->concurrency };
-	limit_terms_t t = limit_share(whole, 1, parts);
-
-	if (is_other)
-		limit_set_other(limit, t.rate, t.burst, t.concurrency);
-	else
-		limit_set(limit, str_from(team->name), t.rate, t.burst,
-			  t.concurrency);
-}
-
-static void apply_profile(limits_t *s, const profile_t *profile)
-{
-	uint32_t zones = g_strv_length(s->sup->settings->zones);
-	uint32_t parts = zones * s->daemons;
-
-	set_terms(s, &s->zone, zones, &profile->other_teams, true);
-	set_terms(s, &s->own, parts, &profile->other_teams, true);
-	for (uint32_t i = 0; i < profile->n_teams; i++) {
-		set_terms(s, &s->zone, zones, &profile->teams[i], false);
-		set_terms(s, &s->own, parts, &profile->teams[i], false);
-	}
-}
-
-static void apply_profiles(limits_t *s)
-{
-	GHashTableIter iter;
-	profile_t *profile;
-
-	if (!s->config)
-		return;
-	g_hash_table_iter_init(&iter, s->config->profiles);
-	while (g_hash_table_iter_next(&iter, NULL, (void **)&profile))
-		apply_profile(s, profile);
-}
-
 static void take_config(limits_t *s, config_view_t *config)
 {
-	if (s->config == config)
-		return;
 	config_view_unref(s->config);
 	s->config = config_view_ref(config);
-	apply_profiles(s);
 }
 
 static void take_list(limits_t *s, const vm_view_t *vms)
@@ -135,11 +126,7 @@
 
 	for (guint i = 0; i < vms->entries->len; i++)
 		daemons += !strcmp(list[i].zone, s->sup->settings->zone);
-	daemons = MAX(daemons, 1);
-	if (daemons == s->daemons)
-		return;
-	s->daemons = daemons;
-	apply_profiles(s);
+	s->daemons = MAX(daemons, 1);
 }
 
 static void handle(void *state, const message_t *m)
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -128,6 +128,7 @@
 	uint64_t attempt;
 	uint64_t owner; /* boot number of the daemon that asks */
 	char team[MEMBER_NAME_SIZE];
+	char profile[MEMBER_NAME_SIZE]; /* that states the limit */
 	bool is_fallback; /* the zone's counter is out of reach */
 	bool is_ok; /* ANSWER */
 	uint32_t retry_after_ms; /* ANSWER */
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -2225,7 +2225,7 @@
   (ProtobufCMessageInit) papaya__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__limit_ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor papaya__limit_ask__field_descriptors[4] =
 {
   {
     "attempt",
@@ -2263,16 +2263,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "profile",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAsk, profile),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__limit_ask__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
   1,   /* field[1] = owner */
+  3,   /* field[3] = profile */
   2,   /* field[2] = team */
 };
 static const ProtobufCIntRange papaya__limit_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor papaya__limit_ask__descriptor =
 {
@@ -2282,14 +2295,14 @@
   "Papaya__LimitAsk",
   "papaya",
   sizeof(Papaya__LimitAsk),
-  3,
+  4,
   papaya__limit_ask__field_descriptors,
   papaya__limit_ask__field_indices_by_name,
   1,  papaya__limit_ask__number_ranges,
   (ProtobufCMessageInit) papaya__limit_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__limit_answer__field_descriptors[5] =
+static const ProtobufCFieldDescriptor papaya__limit_answer__field_descriptors[6] =
 {
   {
     "attempt",
@@ -2351,18 +2364,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "profile",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAnswer, profile),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__limit_answer__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
   3,   /* field[3] = ok */
   1,   /* field[1] = owner */
+  5,   /* field[5] = profile */
   4,   /* field[4] = retry_after_ms */
   2,   /* field[2] = team */
 };
 static const ProtobufCIntRange papaya__limit_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor papaya__limit_answer__descriptor =
 {
@@ -2372,14 +2398,14 @@
   "Papaya__LimitAnswer",
   "papaya",
   sizeof(Papaya__LimitAnswer),
-  5,
+  6,
   papaya__limit_answer__field_descriptors,
   papaya__limit_answer__field_indices_by_name,
   1,  papaya__limit_answer__number_ranges,
   (ProtobufCMessageInit) papaya__limit_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__limit_release__field_descriptors[1] =
+static const ProtobufCFieldDescriptor papaya__limit_release__field_descriptors[2] =
 {
   {
     "team",
@@ -2393,14 +2419,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "profile",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitRelease, profile),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__limit_release__field_indices_by_name[] = {
+  1,   /* field[1] = profile */
   0,   /* field[0] = team */
 };
 static const ProtobufCIntRange papaya__limit_release__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor papaya__limit_release__descriptor =
 {
@@ -2410,7 +2449,7 @@
   "Papaya__LimitRelease",
   "papaya",
   sizeof(Papaya__LimitRelease),
-  1,
+  2,
   papaya__limit_release__field_descriptors,
   papaya__limit_release__field_indices_by_name,
   1,  papaya__limit_release__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -305,10 +305,11 @@
   uint64_t attempt;
   uint64_t owner;
   char *team;
+  char *profile;
 };
 #define PAPAYA__LIMIT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__limit_ask__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 struct  Papaya__LimitAnswer
@@ -319,20 +320,22 @@
   char *team;
   protobuf_c_boolean ok;
   uint32_t retry_after_ms;
+  char *profile;
 };
 #define PAPAYA__LIMIT_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__limit_answer__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Papaya__LimitRelease
 {
   ProtobufCMessage base;
   char *team;
+  char *profile;
 };
 #define PAPAYA__LIMIT_RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__limit_release__descriptor) \
-    , (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/tests/slopes.sh
+++ b/tests/slopes.sh
@@ -95,12 +95,12 @@
 	sleep 2
 }
 
-for n in 2 5 10 20 40
+for n in ${DAEMONS:-2 5 10 20 40}
 do
 	cluster $n demo/profile.json
 	observe "idle, $n daemons in the zone"
 done
-for rate in 10 20 40 80
+for rate in ${RATES:-10 20 40 80}
 do
 	cluster 3 demo/profile.json
 	load $rate
