daemon: take incarnations from the system, not from the seed

Ruled out: mixing in the clock, which may stand or go back. Conclusion: a seed repeats choices, never identities.

--- a/daemon/accounts_task.c
+++ b/daemon/accounts_task.c
@@ -1,9 +1,8 @@
 /* Counts useful work and waste, and appends it to the log in batches. */
 #define LOG_PART "accounts"
 
-#include <sys/random.h>
-
 #include "common/log.h"
+#include "common/unique.h"
 #include "daemon/supervisor.h"
 
 enum {
@@ -87,27 +86,13 @@
 		end_daemon(k);
 }
 
-/*
- * A restarted task counts anew, so it is a new writer to readers; a seed in
- * the settings must not make two writers the same.
- */
-static bool make_incarnation(uint64_t *out, err_t *err)
-{
-	if (getrandom(out, sizeof(*out), 0) == (ssize_t)sizeof(*out))
-		return true;
-	return err_set(err, ERR_SYSTEM, "accounts", "", "no random numbers");
-}
-
 static void *start(supervisor_t *sup, err_t *err)
 {
-	accounts_keeper_t *k;
-	uint64_t incarnation;
+	accounts_keeper_t *k = g_new0(accounts_keeper_t, 1);
 
-	if (!make_incarnation(&incarnation, err))
-		return NULL;
-	k = g_new0(accounts_keeper_t, 1);
 	k->sup = sup;
-	accounts_init(&k->accounts, str_from(sup->settings->name), incarnation,
+	/* A restarted task counts anew, so it is a new writer to readers. */
+	accounts_init(&k->accounts, str_from(sup->settings->name), unique_id(),
 		      ACCOUNTS_MAX_KEYS, MAX_BATCHES);
 	accounts_begin(&k->accounts, g_get_real_time() / 1000);
 	k->timer =
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -5,6 +5,7 @@
 #define LOG_PART "peers"
 
 #include "common/log.h"
+#include "common/unique.h"
 #include "daemon/frames.h"
 #include "daemon/keys.h"
 #include "daemon/supervisor.h"
@@ -35,11 +36,6 @@
 	bool is_settled; /* as the capacity task was told */
 } peers_t;
 
-static uint64_t new_incarnation(supervisor_t *sup)
-{
-	return (uint64_t)g_rand_int(sup->rand) << 32 | g_rand_int(sup->rand);
-}
-
 static void on_probe(void *ctx, const member_vm_t *vm)
 {
 	peers_t *p = ctx;
@@ -244,7 +240,7 @@
 	if (epoch == p->epoch)
 		supervisor_count_stall(p->sup);
 	p->epoch = supervisor_epoch(p->sup);
-	incarnation = new_incarnation(p->sup);
+	incarnation = unique_id();
 	member_reincarnate(&p->member, incarnation, now_us());
 	peer_set_incarnation(&p->peer, incarnation);
 	keys_reset(&p->keys);
@@ -598,7 +594,7 @@
 static void *start(supervisor_t *sup, err_t *err)
 {
 	peers_t *p = g_new0(peers_t, 1);
-	uint64_t incarnation = new_incarnation(sup);
+	uint64_t incarnation = unique_id();
 
 	p->sup = sup;
 	p->epoch = supervisor_epoch(sup);
--- a/daemon/supervisor.c
+++ b/daemon/supervisor.c
@@ -3,6 +3,7 @@
 #include "daemon/supervisor.h"
 
 #include "common/log.h"
+#include "common/unique.h"
 
 enum {
 	TICK_MS = 50,
@@ -162,8 +163,7 @@
 	sup->rand = settings->seed ?
 			    g_rand_new_with_seed((guint32)settings->seed) :
 			    g_rand_new();
-	sup->boot =
-		(uint64_t)g_rand_int(sup->rand) << 32 | g_rand_int(sup->rand);
+	sup->boot = unique_id();
 	metrics_init(&sup->metrics);
 	sup->state = g_new0(struct supervisor_state, 1);
 	sup->state->last_tick = now_us();
