daemon: mend where code and specifications differ

Cause: the code was read against the three models. A call still looking for its owner at its deadline was told not-run; the quiet period and the kept answers lacked the two heartbeat timeouts for which a copy may wait unread; a call that waited through a stall was still forwarded; a mint time in the future counted as now; a claim whose request had gone was never released; a repeated want got its grant on a leaving runner; a new dispatcher used a runner before its first load report; a stalled dispatcher could refuse protected work before its view was checked; a peer that restarted within the heartbeat timeout kept its grants. Ruled out: a longer quiet period alone, which does not help a copy that waits in a daemon that stands still for longer. Change: job_fail says not-run only with a claim; Q = R + T + 2H and keep = R + 2H; named calls read within 2 s after a stall are answered unknown, and none goes on across a stall epoch; late claims and grants go back; new runners wait for their first report; settled is told every heartbeat. Before: the new tests had no such behaviour to find; each names its rule.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -426,11 +426,21 @@
 	dispatcher_decide(d->state, now);
 }
 
+static bool is_leaving(const runner_t *runner)
+{
+	return runner->info.is_leaving || runner->is_leaving_by_report;
+}
+
 void dispatcher_want_again(dispatcher_t *d, const want_t *want, int64_t now)
 {
 	struct dispatcher_state *s = d->state;
 	item_t *item = g_hash_table_lookup(s->items, &want->id);
 
+	if (item && item->runner && is_leaving(item->runner)) {
+		/* The owner has not used the grant: it holds none. */
+		end_item(s, item, NULL, now);
+		item = NULL;
+	}
 	if (!item)
 		dispatcher_want(d, want, now);
 	else if (item->runner)
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -36,6 +36,7 @@
 	GString *text;
 	bool is_asking;
 	bool is_listed; /* by the newest list */
+	bool is_known; /* its load was asked for */
 } runner_t;
 
 struct capacity {
@@ -45,6 +46,7 @@
 	GHashTable *services; /* name to service_t */
 	GHashTable *owners; /* incarnation to peer name */
 	bool is_settled; /* the zone's view, as the peers task sees it */
+	uint64_t epoch; /* stall epoch that is_settled is of */
 	struct event *tick;
 	struct event *poll;
 };
@@ -143,6 +145,89 @@
 				    profile->teams[i].weight);
 }
 
+static void on_report_data(void *ctx, struct evbuffer *body)
+{
+	runner_t *r = ctx;
+	size_t n = evbuffer_get_length(body);
+
+	g_string_append_len(r->text, (char *)evbuffer_pullup(body, -1),
+			    (gssize)n);
+}
+
+static uint32_t number(json_t *root, const char *key)
+{
+	json_int_t n = json_integer_value(json_object_get(root, key));
+
+	return n > 0 && n <= UINT32_MAX ? (uint32_t)n : 0;
+}
+
+static void take_report(runner_t *r)
+{
+	json_t *root = json_loadb(r->text->str, r->text->len, 0, NULL);
+	const char *state = json_string_value(json_object_get(root, "state"));
+	int64_t as_of_ms =
+		json_integer_value(json_object_get(root, "as_of_ms"));
+	int64_t lag_us = g_get_real_time() - as_of_ms * 1000;
+	dispatcher_report_t report = {
+		.as_of = now_us() - (as_of_ms && lag_us > 0 ? lag_us : 0),
+		.running = number(root, "running"),
+		.waiting = number(root, "waiting"),
+		.waiting_prompt_tokens = number(root, "waiting_prompt_tokens"),
+		.running_tokens = number(root, "running_tokens"),
+		.is_leaving = state && !strcmp(state, "leaving"),
+	};
+
+	if (json_is_object(root))
+		dispatcher_report(&r->service->dispatcher,
+				  str_from(r->info.name), &report, now_us());
+	json_decref(root);
+}
+
+/* A service that offers no load report, but answers. */
+static void take_no_report(runner_t *r)
+{
+	dispatcher_report_t none = { .as_of = now_us() };
+
+	dispatcher_report(&r->service->dispatcher, str_from(r->info.name),
+			  &none, now_us());
+}
+
+static void on_report_end(void *ctx, int status, const err_t *err)
+{
+	runner_t *r = ctx;
+
+	r->is_asking = false;
+	http_call_finish(&r->call);
+	if (err)
+		dispatcher_runner_silent(&r->service->dispatcher,
+					 str_from(r->info.name), now_us());
+	else if (status == HTTP_OK)
+		take_report(r);
+	else
+		take_no_report(r);
+}
+
+static void ask_load(runner_t *r)
+{
+	static const http_call_ops_t ops = { NULL, NULL, on_report_data,
+					     on_report_end };
+	http_request_t request = {
+		.address = r->info.address,
+		.method = EVHTTP_REQ_GET,
+		.path = "/v1/load",
+		.body = STR_LIT(""),
+		.connect_timeout_ms = REPORT_TIMEOUT_MS,
+		.idle_timeout_ms = REPORT_TIMEOUT_MS,
+		.max_body = MAX_REPORT,
+	};
+
+	if (r->is_asking)
+		return;
+	g_string_truncate(r->text, 0);
+	r->is_asking = http_call_start(&r->call, r->service->owner->sup->base,
+				       &request, &ops, r, NULL);
+}
+
 static void update_runner(service_t *s, const log_runner_t *listed)
 {
 	runner_t *r = g_hash_table_lookup(s->runners, listed->runner.name);
@@ -158,6 +243,13 @@
 	r->info = listed->runner;
 	r->is_listed = true;
 	dispatcher_set_runner(&s->dispatcher, &r->info, now_us());
+	if (r->is_known)
+		return;
+	/* It may be leaving by its own report: wait for the first one. */
+	r->is_known = true;
+	dispatcher_runner_silent(&s->dispatcher, str_from(r->info.name),
+				 now_us());
+	ask_load(r);
 }
 
 /* Brings a dispatcher's runners up to the newest VM list. */
@@ -296,78 +388,6 @@
 	}
 }
 
-static void on_report_data(void *ctx, struct evbuffer *body)
-{
-	runner_t *r = ctx;
-	size_t n = evbuffer_get_length(body);
-
-	g_string_append_len(r->text, (char *)evbuffer_pullup(body, -1),
-			    (gssize)n);
-}
-
-static uint32_t number(json_t *root, const char *key)
-{
-	json_int_t n = json_integer_value(json_object_get(root, key));
-
-	return n > 0 && n <= UINT32_MAX ? (uint32_t)n : 0;
-}
-
-static void take_report(runner_t *r)
-{
-	json_t *root = json_loadb(r->text->str, r->text->len, 0, NULL);
-	const char *state = json_string_value(json_object_get(root, "state"));
-	int64_t as_of_ms =
-		json_integer_value(json_object_get(root, "as_of_ms"));
-	int64_t lag_us = g_get_real_time() - as_of_ms * 1000;
-	dispatcher_report_t report = {
-		.as_of = now_us() - (as_of_ms && lag_us > 0 ? lag_us : 0),
-		.running = number(root, "running"),
-		.waiting = number(root, "waiting"),
-		.waiting_prompt_tokens = number(root, "waiting_prompt_tokens"),
-		.running_tokens = number(root, "running_tokens"),
-		.is_leaving = state && !strcmp(state, "leaving"),
-	};
-
-	if (json_is_object(root))
-		dispatcher_report(&r->service->dispatcher,
-				  str_from(r->info.name), &report, now_us());
-	json_decref(root);
-}
-
-static void on_report_end(void *ctx, int status, const err_t *err)
-{
-	runner_t *r = ctx;
-
-	r->is_asking = false;
-	http_call_finish(&r->call);
-	if (err)
-		dispatcher_runner_silent(&r->service->dispatcher,
-					 str_from(r->info.name), now_us());
-	else if (status == HTTP_OK)
-		take_report(r);
-}
-
-static void ask_load(runner_t *r)
-{
-	static const http_call_ops_t ops = { NULL, NULL, on_report_data,
-					     on_report_end };
-	http_request_t request = {
-		.address = r->info.address,
-		.method = EVHTTP_REQ_GET,
-		.path = "/v1/load",
-		.body = STR_LIT(""),
-		.connect_timeout_ms = REPORT_TIMEOUT_MS,
-		.idle_timeout_ms = REPORT_TIMEOUT_MS,
-		.max_body = MAX_REPORT,
-	};
-
-	if (r->is_asking)
-		return;
-	g_string_truncate(r->text, 0);
-	r->is_asking = http_call_start(&r->call, r->service->owner->sup->base,
-				       &request, &ops, r, NULL);
-}
-
 static void export_stats(capacity_t *c, const service_t *s)
 {
 	g_autofree char *label = g_strdup_printf("service=\"%s\"", s->name);
@@ -400,30 +420,49 @@
 	}
 }
 
-static void on_tick(evutil_socket_t fd, short what, void *arg)
+static void apply_settled(service_t *s)
+{
+	dispatcher_set_settled(&s->dispatcher, s->owner->is_settled, now_us());
+}
+
+static void update_all(capacity_t *c, void (*fn)(service_t *s))
 {
-	capacity_t *c = arg;
 	GHashTableIter iter;
 	service_t *s;
 
 	g_hash_table_iter_init(&iter, c->services);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
-		dispatcher_tick(&s->dispatcher, now_us());
+		fn(s);
 }
 
-static void apply_settled(service_t *s)
+static void settle(capacity_t *c, bool is_settled)
 {
-	dispatcher_set_settled(&s->dispatcher, s->owner->is_settled, now_us());
+	if (c->is_settled == is_settled)
+		return;
+	c->is_settled = is_settled;
+	update_all(c, apply_settled);
 }
 
-static void update_all(capacity_t *c, void (*fn)(service_t *s))
+/* While this daemon stood still another may have dispatched. */
+static void note_stall(capacity_t *c)
+{
+	uint64_t epoch = supervisor_epoch(c->sup);
+
+	if (epoch != c->epoch)
+		settle(c, false);
+	c->epoch = epoch;
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
+	capacity_t *c = arg;
 	GHashTableIter iter;
 	service_t *s;
 
+	note_stall(c);
 	g_hash_table_iter_init(&iter, c->services);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
-		fn(s);
+		dispatcher_tick(&s->dispatcher, now_us());
 }
 
 static void handle(void *state, const message_t *m)
@@ -445,8 +484,7 @@
 		update_all(c, apply_list);
 		return;
 	case MESSAGE_SETTLED:
-		c->is_settled = m->number;
-		update_all(c, apply_settled);
+		settle(c, m->number);
 		return;
 	case MESSAGE_WANT:
 		take_want(c, &m->capacity);
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -42,6 +42,7 @@
 	grant.owner = c->want.id.owner;
 	grant.runner = (char *)c->runner.name;
 	grant.address = (char *)c->runner.address;
+	grant.service = (char *)c->service;
 	frame.body_case = PAPAYA__FRAME__BODY_GRANT;
 	frame.grant = &grant;
 	return peer_send(peer, to, &frame);
@@ -165,7 +166,8 @@
 {
 	c->want.id = (want_id_t){ f->owner, f->attempt };
 	return copy(c->runner.name, f->runner) &&
-	       copy(c->runner.address, f->address);
+	       copy(c->runner.address, f->address) &&
+	       copy(c->service, f->service);
 }
 
 static bool read_refuse(const Papaya__Refuse *f, message_capacity_t *c)
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -15,6 +15,7 @@
 	MAX_BUDGETS = 65536,
 	MAX_HEADERS = 32 * 1024, /* bytes */
 	TICKET_BYTES = 16,
+	STALL_RETRY_MS = 2000,
 	METHODS = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
 		  EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS |
 		  EVHTTP_REQ_PATCH,
@@ -35,17 +36,22 @@
 			 NULL;
 }
 
+/* True for a request with a key or a ticket. */
+static bool is_named(struct evhttp_request *req)
+{
+	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+
+	return evhttp_find_header(headers, "Idempotency-Key") ||
+	       evhttp_find_header(headers, "Papaya-Ticket");
+}
+
 /*
  * Only the owner of a key or ticket can say that its request was not run; a
  * malformed request is none that ever ran.
  */
 static outcome_t refusal_outcome(struct evhttp_request *req, int status)
 {
-	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
-	bool is_named = evhttp_find_header(headers, "Idempotency-Key") ||
-			evhttp_find_header(headers, "Papaya-Ticket");
-
-	return is_named && status != HTTP_BADREQUEST && status != 422 ?
+	return is_named(req) && status != HTTP_BADREQUEST && status != 422 ?
 		       OUTCOME_UNKNOWN :
 		       OUTCOME_NOT_RUN;
 }
@@ -326,6 +332,11 @@
 		       "no profile is in force yet", JOB_RETRY_MS);
 		return;
 	}
+	if (supervisor_is_just_stalled(f->sup) && is_named(req)) {
+		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
+		       "this VM stood still; ask again", STALL_RETRY_MS);
+		return;
+	}
 	if (!call_parse(&call, req, f->sup->settings, &error)) {
 		refuse(f, req, error.status, error.field, error.message, 0);
 		return;
@@ -374,16 +385,19 @@
 	const message_capacity_t *c = &m->capacity;
 	job_t *job = find_job(f, c->want.id.owner, c->want.id.attempt);
 
-	if (!job) {
-		if (m->type == MESSAGE_GRANT && c->service[0])
+	if (m->type == MESSAGE_ROUTED) {
+		if (job)
+			job_routed(job, c->peer);
+		return;
+	}
+	if (!job || (job->is_routed && strcmp(job->dispatcher, c->peer))) {
+		if (m->type == MESSAGE_GRANT)
 			return_grant(f, m);
+		if (job)
+			count_foreign(f);
 		return;
 	}
-	if (m->type == MESSAGE_ROUTED)
-		job_routed(job, c->peer);
-	else if (job->is_routed && strcmp(job->dispatcher, c->peer))
-		count_foreign(f);
-	else if (m->type == MESSAGE_GRANT)
+	if (m->type == MESSAGE_GRANT)
 		job_granted(job, &c->runner);
 	else if (m->type == MESSAGE_REFUSE)
 		job_refused(job, c->reason, c->retry_after_ms);
@@ -406,6 +420,24 @@
 		supervisor_post(f->sup, TASK_PEERS, &back);
 }
 
+/* A claim that came too late for its request is given back. */
+static void take_located(front_t *f, const message_locate_t *found)
+{
+	job_t *job = find_job(f, f->sup->boot, found->attempt);
+	message_t m = { .type = MESSAGE_KEY_ENDED };
+
+	if (job && job->state == JOB_LOCATING) {
+		job_located(job, found);
+		return;
+	}
+	if (found->owner.kind != MEMBER_OWNER_SELF || !found->scoped ||
+	    found->verdict != RIGHTS_NEW)
+		return;
+	m.key.scoped = g_bytes_ref(found->scoped);
+	m.key.fingerprint = found->fingerprint;
+	supervisor_post(f->sup, TASK_PEERS, &m);
+}
+
 static void each_job(front_t *f, void (*fn)(job_t *job))
 {
 	GHashTableIter iter;
@@ -428,16 +460,13 @@
 static void handle(void *state, const message_t *m)
 {
 	front_t *f = state;
-	job_t *job;
 
 	switch (m->type) {
 	case MESSAGE_CONFIG:
 		take_config(f, m->config);
 		break;
 	case MESSAGE_LOCATED:
-		job = find_job(f, f->sup->boot, m->locate.attempt);
-		if (job)
-			job_located(job, &m->locate);
+		take_located(f, &m->locate);
 		break;
 	case MESSAGE_ROUTED:
 	case MESSAGE_GRANT:
@@ -526,7 +555,7 @@
 	rights_config_t config = {
 		.max_entries = (uint32_t)s->max_keys,
 		.max_bytes = (uint64_t)s->max_kept_kib * 1024,
-		.keep = s->retry_horizon_ms * 1000,
+		.keep = settings_key_life_ms(s) * 1000,
 		.ticket_life = s->ticket_life_ms * 1000,
 	};
 
--- a/daemon/job.c
+++ b/daemon/job.c
@@ -70,6 +70,7 @@
 	job->callers = g_ptr_array_new_with_free_func(free_caller);
 	job->is_engine = service->is_engine;
 	job->accepted = now_us();
+	job->epoch = supervisor_epoch(f->sup);
 	job->last_sent = job->accepted;
 	job->answer = g_string_new("");
 	job->usage.prompt = call->prompt_tokens;
@@ -140,6 +141,14 @@
 	job_dissolve(job);
 }
 
+/* A key from further in the future than clocks differ tells nothing. */
+static int64_t mint_age(const job_t *job, int64_t age)
+{
+	int64_t skew = job->front->sup->settings->clock_skew_ms * 1000;
+
+	return age < -skew ? -1 : MAX(age, 0);
+}
+
 void job_locate(job_t *job)
 {
 	front_t *f = job->front;
@@ -157,7 +166,7 @@
 
 		m.locate.scoped = g_bytes_ref(job->scoped);
 		m.locate.fingerprint = call->fingerprint;
-		m.locate.mint_age = mint_ms < 0 ? -1 : MAX(age, 0);
+		m.locate.mint_age = mint_ms < 0 ? -1 : mint_age(job, age);
 		call_key_zone(call->key, f->sup->settings->zones,
 			      m.locate.key_zone, sizeof(m.locate.key_zone));
 	}
--- a/daemon/job.h
+++ b/daemon/job.h
@@ -53,6 +53,7 @@
 	bool is_forward; /* another daemon owns it */
 	bool is_dispatched;
 	bool is_lapsed; /* the right lapsed in a stall */
+	uint64_t epoch; /* stall epoch in which it was accepted */
 	int64_t accepted; /* monotonic */
 	int64_t deadline; /* monotonic */
 	/* Capacity. */
@@ -123,7 +124,7 @@
 
 /* job_answer.c: final answers. Each ends the job. */
 void job_complete(job_t *job);
-void job_fail(job_t *job, outcome_t outcome, int status, const char *message,
+void job_fail(job_t *job, outcome_t wanted, int status, const char *message,
 	      uint32_t retry_after_ms);
 /* Relays what the owner of a forwarded request answered. */
 void job_relay(job_t *job);
--- a/daemon/job_answer.c
+++ b/daemon/job_answer.c
@@ -168,9 +168,24 @@
 	return WASTE_PREEMPTED;
 }
 
-void job_fail(job_t *job, outcome_t outcome, int status, const char *message,
+/*
+ * Only who has the right to run a named request may say that it was not run:
+ * an earlier call with the key may have run elsewhere.
+ */
+static outcome_t provable(const job_t *job, outcome_t outcome)
+{
+	bool is_named = job->call.key || job->call.ticket;
+
+	if (outcome != OUTCOME_NOT_RUN || !is_named || job->has_claim ||
+	    job->right)
+		return outcome;
+	return OUTCOME_UNKNOWN;
+}
+
+void job_fail(job_t *job, outcome_t wanted, int status, const char *message,
 	      uint32_t retry_after_ms)
 {
+	outcome_t outcome = provable(job, wanted);
 	g_autofree char *json =
 		caller_error_json(message, NULL, outcome, job->id);
 	g_autoptr(GBytes) kept = g_bytes_new(json, strlen(json));
--- a/daemon/job_upstream.c
+++ b/daemon/job_upstream.c
@@ -77,7 +77,13 @@
 	job_t *job = ctx;
 	rights_entry_t *right = job->has_claim ? &job->claim : job->right;
 
-	if (job->is_forward || job->state == JOB_RUNNING)
+	/* A call that waited through a stall may be older than any repeat. */
+	if (job->is_forward) {
+		job->is_lapsed =
+			job->epoch != supervisor_epoch(job->front->sup);
+		return !job->is_lapsed;
+	}
+	if (job->state == JOB_RUNNING)
 		return true;
 	if (job->is_dispatched)
 		return false;
--- a/daemon/keys.c
+++ b/daemon/keys.c
@@ -27,7 +27,7 @@
 	rights_config_t config = {
 		.max_entries = (uint32_t)s->max_keys,
 		.max_bytes = (uint64_t)s->max_kept_kib * 1024,
-		.keep = s->retry_horizon_ms * 1000,
+		.keep = settings_key_life_ms(s) * 1000,
 		.ticket_life = s->ticket_life_ms * 1000,
 	};
 
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -33,7 +33,6 @@
 	bool is_draining;
 	bool has_broken_link;
 	GHashTable *kept; /* names that a link is kept to; value: is wanted */
-	bool is_settled; /* as the capacity task was told */
 } peers_t;
 
 static void on_probe(void *ctx, const member_vm_t *vm)
@@ -57,16 +56,23 @@
 		       uint64_t incarnation, int64_t heard_age)
 {
 	peers_t *p = ctx;
-	bool was_live = g_hash_table_contains(p->incarnations, vm->name);
+	uint64_t *known = g_hash_table_lookup(p->incarnations, vm->name);
 
-	if (state == MEMBER_LIVE && !was_live) {
+	if (state == MEMBER_LIVE && !known) {
 		log_info("daemon %s of zone %s is live", vm->name, vm->zone);
-		g_hash_table_add(p->incarnations, g_strdup(vm->name));
-	} else if (state == MEMBER_DEAD && was_live) {
+	} else if (state == MEMBER_LIVE && *known != incarnation) {
+		log_info("daemon %s of zone %s has a new incarnation", vm->name,
+			 vm->zone);
+		post_owner_lost(p, vm->name);
+	} else if (state == MEMBER_DEAD && known) {
 		log_warn("daemon %s of zone %s is dead", vm->name, vm->zone);
 		g_hash_table_remove(p->incarnations, vm->name);
 		post_owner_lost(p, vm->name);
 	}
+	if (state == MEMBER_LIVE)
+		g_hash_table_insert(
+			p->incarnations, g_strdup(vm->name),
+			g_memdup2(&incarnation, sizeof(incarnation)));
 }
 
 static void post_view_changed(peers_t *p)
@@ -92,6 +98,35 @@
 	post_view_changed(p);
 }
 
+/* Notes a live daemon of the own zone whose link is down. */
+static void note_broken_link(void *ctx, const member_vm_t *vm,
+			     member_state_t state, uint64_t incarnation,
+			     int64_t heard_age)
+{
+	peers_t *p = ctx;
+
+	if (state == MEMBER_LIVE && !strcmp(vm->zone, p->self.zone) &&
+	    !peer_is_up(&p->peer, str_from(vm->name)))
+		p->has_broken_link = true;
+}
+
+/*
+ * While the view of the zone is unsettled, or a live daemon can't be
+ * reached, two daemons may dispatch for one service.
+ */
+static void tell_settled(peers_t *p)
+{
+	message_t m = { .type = MESSAGE_SETTLED };
+	bool is_settled;
+
+	p->has_broken_link = false;
+	member_each(&p->member, note_broken_link, p, now_us());
+	is_settled =
+		!p->has_broken_link && member_is_settled(&p->member, now_us());
+	m.number = is_settled;
+	supervisor_post(p->sup, TASK_CAPACITY, &m);
+}
+
 static void on_down(void *ctx, const char *name, const err_t *err)
 {
 	peers_t *p = ctx;
@@ -99,6 +134,7 @@
 
 	log_info("link to %s is down: %s", name,
 		 err ? err_text(err, text, sizeof(text)) : "closed");
+	tell_settled(p);
 	/* Wants that went over the link may be lost; they are sent anew. */
 	post_view_changed(p);
 }
@@ -264,38 +300,6 @@
 		    stats.dropped_backlog);
 }
 
-/* Notes a live daemon of the own zone whose link is down. */
-static void note_broken_link(void *ctx, const member_vm_t *vm,
-			     member_state_t state, uint64_t incarnation,
-			     int64_t heard_age)
-{
-	peers_t *p = ctx;
-
-	if (state == MEMBER_LIVE && !strcmp(vm->zone, p->self.zone) &&
-	    !peer_is_up(&p->peer, str_from(vm->name)))
-		p->has_broken_link = true;
-}
-
-/*
- * While the view of the zone is unsettled, or a live daemon can't be
- * reached, two daemons may dispatch for one service.
- */
-static void tell_settled(peers_t *p)
-{
-	message_t m = { .type = MESSAGE_SETTLED };
-	bool is_settled;
-
-	p->has_broken_link = false;
-	member_each(&p->member, note_broken_link, p, now_us());
-	is_settled =
-		!p->has_broken_link && member_is_settled(&p->member, now_us());
-	if (is_settled == p->is_settled)
-		return;
-	p->is_settled = is_settled;
-	m.number = is_settled;
-	supervisor_post(p->sup, TASK_CAPACITY, &m);
-}
-
 /* The process may end once others own its keys. */
 static void end_when_handed_over(peers_t *p)
 {
@@ -561,7 +565,7 @@
 			  s->connect_timeout_ms;
 	member_config_t config = {
 		.heartbeat_timeout = s->heartbeat_timeout_ms * 1000,
-		.quiet_period = (s->retry_horizon_ms + timeout) * 1000,
+		.quiet_period = (settings_key_life_ms(s) + timeout) * 1000,
 		.mint_margin = (timeout + s->clock_skew_ms) * 1000,
 		.max_members = MAX_MEMBERS,
 	};
@@ -604,7 +608,7 @@
 		return NULL;
 	}
 	p->incarnations =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->kept = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	init_member(p, incarnation);
 	keys_init(&p->keys, sup, &p->member, &p->peer);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -193,6 +193,11 @@
 		  sizeof(out->admin_address));
 }
 
+int64_t settings_key_life_ms(const settings_t *s)
+{
+	return s->retry_horizon_ms + 2 * s->heartbeat_timeout_ms;
+}
+
 bool settings_seed(const char *text, member_vm_t *out, err_t *err)
 {
 	g_auto(GStrv) parts = g_strsplit(text, " ", -1);
--- a/daemon/supervisor.c
+++ b/daemon/supervisor.c
@@ -12,6 +12,7 @@
 	MAX_RESTARTS = 5, /* of one task within RESTART_WINDOW_US */
 	RESTART_WINDOW_US = 60 * 1000 * 1000,
 	MESSAGES_A_TURN = 256,
+	STALL_BACKLOG_US = 2 * 1000 * 1000, /* to read all that waited */
 };
 
 /* One running task and its inbox. */
@@ -32,6 +33,7 @@
 	struct event *tick;
 	int64_t last_tick;
 	uint64_t epoch;
+	int64_t stalled_at; /* when the last stall was seen; 0: never */
 	bool is_draining;
 	bool has_given_up;
 };
@@ -144,9 +146,17 @@
 void supervisor_count_stall(supervisor_t *sup)
 {
 	sup->state->epoch++;
+	sup->state->stalled_at = now_us();
 	metrics_add(&sup->metrics, "papaya_stalls_total", NULL, 1);
 }
 
+bool supervisor_is_just_stalled(supervisor_t *sup)
+{
+	supervisor_epoch(sup);
+	return sup->state->stalled_at &&
+	       now_us() - sup->state->stalled_at < STALL_BACKLOG_US;
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	supervisor_t *sup = arg;
--- a/daemon/supervisor.h
+++ b/daemon/supervisor.h
@@ -67,6 +67,11 @@
  * whichever task runs first after it.
  */
 uint64_t supervisor_epoch(supervisor_t *sup);
+/*
+ * True for a while after a stall: what is read now may have waited unread
+ * through it, and be older than any repeat that its caller still makes.
+ */
+bool supervisor_is_just_stalled(supervisor_t *sup);
 /* Counts a stall that others saw: peers called this daemon dead. */
 void supervisor_count_stall(supervisor_t *sup);
 /* Tells every task to drain; the front ends the loop when it is done. */
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1776,7 +1776,7 @@
   (ProtobufCMessageInit) papaya__want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__grant__field_descriptors[4] =
+static const ProtobufCFieldDescriptor papaya__grant__field_descriptors[5] =
 {
   {
     "attempt",
@@ -1826,17 +1826,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Grant, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__grant__field_indices_by_name[] = {
   2,   /* field[2] = address */
   0,   /* field[0] = attempt */
   3,   /* field[3] = owner */
   1,   /* field[1] = runner */
+  4,   /* field[4] = service */
 };
 static const ProtobufCIntRange papaya__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor papaya__grant__descriptor =
 {
@@ -1846,7 +1859,7 @@
   "Papaya__Grant",
   "papaya",
   sizeof(Papaya__Grant),
-  4,
+  5,
   papaya__grant__field_descriptors,
   papaya__grant__field_indices_by_name,
   1,  papaya__grant__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -223,10 +223,14 @@
   char *runner;
   char *address;
   uint64_t owner;
+  /*
+   * so that the grant can be given back
+   */
+  char *service;
 };
 #define PAPAYA__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__grant__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Papaya__Refuse
--- a/tests/test_dispatcher.c
+++ b/tests/test_dispatcher.c
@@ -137,6 +137,24 @@
 }
 END_TEST
 
+START_TEST(want_that_is_asked_again_gets_no_leaving_runner)
+{
+	bed_t bed = { 0 };
+	want_t want;
+
+	bed_init(&bed, true);
+	bed_set_runner(&bed, "r", false);
+	want = bed_make_want(&bed, 1, 0, 10);
+	dispatcher_want(&bed.d, &want, bed.now);
+	ck_assert_int_eq(bed_kind(&bed, 1), ANSWER_GRANT);
+	bed_set_runner(&bed, "r", true);
+	dispatcher_want_again(&bed.d, &want, bed.now);
+	ck_assert_int_eq(bed_kind(&bed, 1), ANSWER_REFUSE);
+	ck_assert_uint_eq(bed_stats(&bed).running, 0);
+	dispatcher_finish(&bed.d);
+}
+END_TEST
+
 START_TEST(grants_in_use_are_bounded)
 {
 	bed_t bed = { .config = { .max_running = 5, .window_tokens = 100000 } };
@@ -546,6 +564,7 @@
 	   queued_wants_are_refused_when_the_last_runner_leaves,
 	   silent_runner_gets_grants_again,
 	   silent_runners_without_work_are_no_runners,
+	   want_that_is_asked_again_gets_no_leaving_runner,
 	   grants_in_use_are_bounded, queued_want_expires_with_one_answer,
 	   protected_want_is_not_refused_while_lower_work_runs,
 	   protected_want_cancels_lower_work_and_gets_its_place,
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -42,6 +42,8 @@
 	const char *grant_address; /* NULL: the fake runner's */
 	refuse_reason_t refuse;
 	bool refuses;
+	bool is_locate_mute; /* keeps what is asked instead of answering */
+	message_locate_t located; /* what was asked last, kept */
 	bool is_mute; /* neither grants nor refuses */
 	bool is_limiter_mute; /* the zone's counter does not answer */
 	int wants;
@@ -102,7 +104,7 @@
 	rights_entry_t *entry = NULL;
 
 	l->owner = bed->owner;
-	l->scoped = NULL;
+	l->scoped = asked->scoped ? g_bytes_ref(asked->scoped) : NULL;
 	if (l->owner.kind == MEMBER_OWNER_SELF && asked->scoped) {
 		l->epoch = supervisor_epoch(&bed->sup);
 		l->verdict = rights_begin(&bed->keys, asked->scoped, false,
@@ -121,6 +123,14 @@
 	supervisor_post(&bed->sup, TASK_FRONT, &m);
 }
 
+static void keep_locate(bed_t *bed, const message_locate_t *asked)
+{
+	if (bed->located.scoped)
+		g_bytes_unref(bed->located.scoped);
+	bed->located = *asked;
+	g_bytes_ref(asked->scoped);
+}
+
 static void end_key(bed_t *bed, const message_key_t *ended)
 {
 	rights_entry_t *entry = rights_find(&bed->keys, ended->scoped);
@@ -140,7 +150,10 @@
 
 	switch (m->type) {
 	case MESSAGE_LOCATE:
-		answer_locate(bed, &m->locate);
+		if (bed->is_locate_mute)
+			keep_locate(bed, &m->locate);
+		else
+			answer_locate(bed, &m->locate);
 		break;
 	case MESSAGE_KEY_ENDED:
 		end_key(bed, &m->key);
@@ -868,6 +881,110 @@
 }
 END_TEST
 
+START_TEST(a_grant_that_nobody_takes_is_given_back)
+{
+	bed_t bed;
+	client_t *c;
+	message_t late = { .type = MESSAGE_GRANT };
+
+	bed_init(&bed);
+	late.capacity.want.id = (want_id_t){ bed.sup.boot, 77 };
+	g_strlcpy(late.capacity.peer, "d2", MEMBER_NAME_SIZE);
+	supervisor_post(&bed.sup, TASK_FRONT, &late);
+	c = ask(&bed, 0, EVHTTP_REQ_POST, COMPLETIONS, "", PROMPT);
+	ck_assert_int_eq(c->outcome, OUTCOME_COMPLETED);
+	ck_assert_int_eq(bed.withdraws, 1);
+	/* From a dispatcher that was not asked. */
+	bed.is_mute = true;
+	send_call(&bed, 0, EVHTTP_REQ_POST, COMPLETIONS, "", PROMPT);
+	run_while_wants(&bed, 2);
+	late.capacity.want.id.attempt = 2;
+	supervisor_post(&bed.sup, TASK_FRONT, &late);
+	while (bed.withdraws < 2)
+		event_base_loop(bed.base, EVLOOP_ONCE);
+	ck_assert_int_eq(bed.runner.requests, 1);
+	bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_call_whose_owner_was_not_found_in_time_is_unknown)
+{
+	bed_t bed;
+	client_t *c;
+
+	bed_init(&bed);
+	bed.is_locate_mute = true;
+	c = ask(&bed, 0, EVHTTP_REQ_POST, HOLDS,
+		"Idempotency-Key: k\nPapaya-Deadline-Ms: 100", "x");
+	ck_assert_int_eq(c->outcome, OUTCOME_UNKNOWN);
+	bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_claim_that_comes_too_late_is_given_back)
+{
+	bed_t bed;
+	client_t *c;
+	message_t late = { .type = MESSAGE_LOCATED };
+
+	bed_init(&bed);
+	bed.is_locate_mute = true;
+	c = ask(&bed, 0, EVHTTP_REQ_POST, HOLDS,
+		"Idempotency-Key: k\nPapaya-Deadline-Ms: 100", "x");
+	ck_assert_int_eq(c->status, 503);
+	late.locate = bed.located;
+	answer_locate(&bed, &late.locate);
+	for (int i = 0; i < 5; i++)
+		event_base_loop(bed.base, EVLOOP_ONCE);
+	ck_assert_uint_eq(g_hash_table_size(bed.keys.entries), 0);
+	bed.is_locate_mute = false;
+	c = ask(&bed, 0, EVHTTP_REQ_POST, HOLDS, "Idempotency-Key: k", "x");
+	ck_assert_int_eq(c->outcome, OUTCOME_COMPLETED);
+	g_bytes_unref(bed.located.scoped);
+	bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_call_read_just_after_a_stall_is_not_taken)
+{
+	bed_t bed;
+	client_t *c;
+
+	bed_init(&bed);
+	supervisor_count_stall(&bed.sup);
+	c = ask(&bed, 0, EVHTTP_REQ_POST, HOLDS, "Idempotency-Key: k", "x");
+	ck_assert_int_eq(c->outcome, OUTCOME_UNKNOWN);
+	ck_assert_int_eq(bed.wants, 0);
+	c = ask(&bed, 0, EVHTTP_REQ_POST, COMPLETIONS, "", PROMPT);
+	ck_assert_int_eq(c->outcome, OUTCOME_COMPLETED);
+	bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_call_that_waited_through_a_stall_is_not_forwarded)
+{
+	bed_t bed;
+	client_t *c;
+
+	bed_init(&bed);
+	bed.is_locate_mute = true;
+	bed.owner.kind = MEMBER_OWNER_PEER;
+	g_strlcpy(bed.owner.vm.address, bed.runner.address,
+		  sizeof(bed.owner.vm.address));
+	c = send_call(&bed, 0, EVHTTP_REQ_POST, HOLDS, "Idempotency-Key: k",
+		      "x");
+	while (!bed.located.attempt)
+		event_base_loop(bed.base, EVLOOP_ONCE);
+	supervisor_count_stall(&bed.sup);
+	answer_locate(&bed, &bed.located);
+	run_until(&bed, &c->is_ended);
+	ck_assert_int_eq(c->outcome, OUTCOME_UNKNOWN);
+	ck_assert_int_eq(bed.runner.requests, 0);
+	g_bytes_unref(bed.located.scoped);
+	bed_finish(&bed);
+}
+END_TEST
+
 SUITE_MAIN("front", refuses_what_is_malformed_and_dispatches_nothing,
 	   tells_how_every_exchange_with_a_runner_ended,
 	   a_whole_stream_gets_no_error_at_its_deadline,
@@ -884,4 +1001,9 @@
 	   a_team_s_concurrency_is_bounded,
 	   a_silent_limiter_is_replaced_by_an_own_share,
 	   the_owner_counts_a_key_s_limit_and_repeats_join,
-	   a_key_is_never_called_not_run_by_one_who_can_t_know)
+	   a_key_is_never_called_not_run_by_one_who_can_t_know,
+	   a_grant_that_nobody_takes_is_given_back,
+	   a_call_whose_owner_was_not_found_in_time_is_unknown,
+	   a_claim_that_comes_too_late_is_given_back,
+	   a_call_read_just_after_a_stall_is_not_taken,
+	   a_call_that_waited_through_a_stall_is_not_forwarded)
