--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -156,3 +156,20 @@
 		dispatcher_rank_runner(s, runner, now);
 	}
 }
+
+void dispatcher_set_window(dispatcher_t *d, uint32_t window, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	uint32_t *mine = s->config.is_engine ? &s->config.window_tokens :
+					       &s->config.plain_slots;
+	GHashTableIter iter;
+	runner_t *runner;
+
+	if (*mine == window)
+		return;
+	*mine = window;
+	g_hash_table_iter_init(&iter, s->runners);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&runner))
+		runner->model.window = window;
+	dispatcher_decide(s, now);
+}
