--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -35,6 +35,7 @@
 	const char *runner_answer; /* raw bytes; NULL: close without any */
 	fake_end_t runner_end;
 	const char *resume_answer; /* to a resume */
+	char resume_path[160]; /* of the last resume */
 	client_t clients[MAX_CALLS];
 	/* What the fake peers task does and saw. */
 	member_owner_t owner;
@@ -207,6 +208,9 @@
 				    bed->resume_answer :
 				    bed->runner_answer;
 
+	if (strstr(request->path, "/stream?from="))
+		g_strlcpy(bed->resume_path, request->path,
+			  sizeof(bed->resume_path));
 	if (bytes)
 		g_string_assign(reply->bytes, bytes);
 	reply->end = bed->runner_end;
@@ -544,6 +548,9 @@
 		ck_assert_int_eq(bed.dones, 1);
 		ck_assert_int_eq(bed.last_done, cases[i].done);
 		ck_assert_uint_eq(bed.sum.offered, 1);
+		if (cases[i].resume)
+			ck_assert(g_str_has_suffix(bed.resume_path,
+						   "/stream?from=1"));
 		if (cases[i].requests)
 			ck_assert_int_eq(bed.runner.requests,
 					 cases[i].requests);
@@ -899,8 +906,14 @@
 	send_call(&bed, 0, EVHTTP_REQ_POST, COMPLETIONS, "", PROMPT);
 	run_while_wants(&bed, 2);
 	late.capacity.want.id.attempt = 2;
+	g_strlcpy(late.capacity.runner.address, bed.runner.address,
+		  DISPATCHER_NAME_SIZE);
 	supervisor_post(&bed.sup, TASK_FRONT, &late);
-	while (bed.withdraws < 2)
+	/* For the same attempt of another daemon. */
+	late.capacity.peer[0] = '\0';
+	late.capacity.want.id.owner++;
+	supervisor_post(&bed.sup, TASK_FRONT, &late);
+	while (bed.withdraws < 3)
 		event_base_loop(bed.base, EVLOOP_ONCE);
 	ck_assert_int_eq(bed.runner.requests, 1);
 	bed_finish(&bed);
