ctl: one place for the options that commands share

Ruled out: one table for all commands, since each takes its own options. Change: args_platform_option and its like. Conclusion: behaviour is the same.

--- a/ctl/args.c
+++ b/ctl/args.c
@@ -99,3 +99,19 @@
 	}
 	return text;
 }
+
+struct arg_str *args_platform_option(void)
+{
+	return arg_str1(NULL, "platform", "IP:PORT", "the platform's address");
+}
+
+struct arg_str *args_token_option(void)
+{
+	return arg_str0(NULL, "token", "TOKEN",
+			"the operator's token; else PAPAYA_TOKEN");
+}
+
+struct arg_int *args_timeout_option(void)
+{
+	return arg_int0(NULL, "timeout-ms", "MS", "of one exchange; 2000");
+}
--- a/ctl/args.h
+++ b/ctl/args.h
@@ -37,4 +37,9 @@
 /* Reads a whole file of up to 1 MiB. NULL with ERR set, or g_free it. */
 char *args_read_file(const char *path, size_t *len, err_t *err);
 
+/* The options that several commands share. */
+struct arg_str *args_platform_option(void);
+struct arg_str *args_token_option(void);
+struct arg_int *args_timeout_option(void);
+
 #endif
--- a/ctl/burn.c
+++ b/ctl/burn.c
@@ -125,8 +125,7 @@
 int ctl_burn(ctl_t *ctl, int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
-	struct arg_str *platform =
-		arg_str1(NULL, "platform", "IP:PORT", "the platform's address");
+	struct arg_str *platform = args_platform_option();
 	struct arg_str *at =
 		arg_str0(NULL, "at", "TIME", "end of the windows; now");
 	struct arg_int *brief =
@@ -141,8 +140,7 @@
 					 "10");
 	struct arg_str *page =
 		arg_str0(NULL, "html", "FILE", "write a page with plots");
-	struct arg_int *timeout =
-		arg_int0(NULL, "timeout-ms", "MS", "of one exchange; 2000");
+	struct arg_int *timeout = args_timeout_option();
 	struct arg_end *end = arg_end(ARGS_MAX_ERRORS);
 	void *table[] = { help,	     platform, at,   brief,   lasting,
 			  threshold, least,    page, timeout, end };
--- a/ctl/drain.c
+++ b/ctl/drain.c
@@ -64,13 +64,9 @@
 int ctl_drain(ctl_t *ctl, int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
-	struct arg_str *platform =
-		arg_str1(NULL, "platform", "IP:PORT", "the platform's address");
-	struct arg_str *token = arg_str0(NULL, "token", "TOKEN",
-					 "the operator's token; else "
-					 "PAPAYA_TOKEN");
-	struct arg_int *timeout =
-		arg_int0(NULL, "timeout-ms", "MS", "of one exchange; 2000");
+	struct arg_str *platform = args_platform_option();
+	struct arg_str *token = args_token_option();
+	struct arg_int *timeout = args_timeout_option();
 	struct arg_str *vm = arg_str1(NULL, NULL, "VM", "its name in the list");
 	struct arg_end *end = arg_end(ARGS_MAX_ERRORS);
 	void *table[] = { help, platform, token, timeout, vm, end };
--- a/ctl/profiles.c
+++ b/ctl/profiles.c
@@ -67,12 +67,10 @@
 int ctl_profiles(ctl_t *ctl, int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
-	struct arg_str *platform =
-		arg_str1(NULL, "platform", "IP:PORT", "the platform's address");
+	struct arg_str *platform = args_platform_option();
 	struct arg_str *doc = arg_str0(NULL, "doc", "KIND/NAME",
 				       "print this document's body");
-	struct arg_int *timeout =
-		arg_int0(NULL, "timeout-ms", "MS", "of one exchange; 2000");
+	struct arg_int *timeout = args_timeout_option();
 	struct arg_end *end = arg_end(ARGS_MAX_ERRORS);
 	void *table[] = { help, platform, doc, timeout, end };
 	int code;
--- a/ctl/publish.c
+++ b/ctl/publish.c
@@ -262,8 +262,7 @@
 int ctl_publish(ctl_t *ctl, int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
-	struct arg_str *platform =
-		arg_str1(NULL, "platform", "IP:PORT", "the platform's address");
+	struct arg_str *platform = args_platform_option();
 	struct arg_str *doc = arg_str1(NULL, "doc", "KIND/NAME",
 				       "profile/NAME or service/NAME");
 	struct arg_str *by =
@@ -271,14 +270,11 @@
 	struct arg_int *base = arg_int0(NULL, "base", "N",
 					"publish only over version N; else "
 					"over the newest");
-	struct arg_str *token = arg_str0(NULL, "token", "TOKEN",
-					 "the operator's token; else "
-					 "PAPAYA_TOKEN");
+	struct arg_str *token = args_token_option();
 	struct arg_int *wait = arg_int0(NULL, "wait-ms", "MS",
 					"how long to wait until it is in "
 					"force; 10000");
-	struct arg_int *timeout =
-		arg_int0(NULL, "timeout-ms", "MS", "of one exchange; 2000");
+	struct arg_int *timeout = args_timeout_option();
 	struct arg_str *file = arg_str1(NULL, NULL, "FILE",
 					"JSON, with "
 					"comments");
--- a/ctl/report.c
+++ b/ctl/report.c
@@ -242,8 +242,7 @@
 int ctl_report(ctl_t *ctl, int argc, char **argv)
 {
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
-	struct arg_str *platform =
-		arg_str1(NULL, "platform", "IP:PORT", "the platform's address");
+	struct arg_str *platform = args_platform_option();
 	struct arg_str *by = arg_str0(NULL, "by", "LIST",
 				      "any of time,service,tier,team; "
 				      "service,tier,team");
@@ -253,8 +252,7 @@
 	struct arg_int *step =
 		arg_int0(NULL, "step-s", "S", "with --by time; 60");
 	struct arg_lit *json = arg_lit0(NULL, "json", "print JSON");
-	struct arg_int *timeout =
-		arg_int0(NULL, "timeout-ms", "MS", "of one exchange; 2000");
+	struct arg_int *timeout = args_timeout_option();
 	struct arg_end *end = arg_end(ARGS_MAX_ERRORS);
 	void *table[] = { help, platform, by,	   from, until,
 			  step, json,	  timeout, end };
