peers: routing in a file of its own

Ruled out: a task more, since routing needs the same membership. Change: daemon/peers_route.c behind daemon/peers.h. Conclusion: behaviour is the same.

--- /dev/null
+++ b/daemon/peers.h
@@ -0,0 +1,49 @@
+/* What the peers task's parts share: links, membership and keys. */
+#ifndef DAEMON_PEERS_H
+#define DAEMON_PEERS_H
+
+#include "daemon/keys.h"
+#include "daemon/supervisor.h"
+#include "net/peer.h"
+
+typedef struct peers {
+	supervisor_t *sup;
+	member_vm_t self;
+	member_t member;
+	peer_t peer;
+	keys_t keys;
+	vm_view_t *vms; /* NULL until there is one */
+	GHashTable *incarnations; /* name to the last live incarnation */
+	struct event *timer;
+	uint64_t config_next;
+	uint64_t epoch;
+	int64_t drained_until; /* the front is done; 0: not yet */
+	bool is_draining;
+	bool has_broken_link;
+	GHashTable *kept; /* names that a link is kept to; value: is wanted */
+} peers_t;
+
+/* Takes a new incarnation when this daemon stalled or was called dead. */
+void peers_follow_epoch(peers_t *p);
+
+/* peers_route.c: who is asked what. */
+
+/* True for what a dispatcher says to an owner. */
+bool peers_is_for_owner(message_type_t type);
+/* Finds the owner of a key or ticket, and claims a key that is ours. */
+void peers_locate(peers_t *p, const message_locate_t *asked);
+/*
+ * Sends a want to the dispatcher of its zone. With the own zone's dispatcher
+ * out of reach this daemon decides for itself: that costs at most time.
+ */
+void peers_route_want(peers_t *p, const message_t *m);
+/* Passes a message on to the daemon it names, or to a task of this one. */
+void peers_pass_on(peers_t *p, const message_t *m);
+/*
+ * Asks the daemon that counts the team's limit for the zone; when it is out
+ * of reach this daemon counts a share of its own.
+ */
+void peers_route_limit(peers_t *p, const message_t *asked);
+void peers_pass_limit_on(peers_t *p, const message_t *m);
+
+#endif
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -7,34 +7,15 @@
 #include "common/log.h"
 #include "common/unique.h"
 #include "daemon/frames.h"
-#include "daemon/keys.h"
-#include "daemon/supervisor.h"
+#include "daemon/peers.h"
 #include "daemon/vm_frames.h"
 
 enum {
 	MAX_MEMBERS = 1024,
 	MAX_BACKLOG = 4 << 20, /* bytes a link */
-	NO_RUNNER_RETRY_MS = 1000,
 	HANDOVER_LIMIT_US = 10 * G_USEC_PER_SEC, /* after the last request */
 };
 
-typedef struct peers {
-	supervisor_t *sup;
-	member_vm_t self;
-	member_t member;
-	peer_t peer;
-	keys_t keys;
-	vm_view_t *vms; /* NULL until there is one */
-	GHashTable *incarnations; /* name to the last live incarnation */
-	struct event *timer;
-	uint64_t config_next;
-	uint64_t epoch;
-	int64_t drained_until; /* the front is done; 0: not yet */
-	bool is_draining;
-	bool has_broken_link;
-	GHashTable *kept; /* names that a link is kept to; value: is wanted */
-} peers_t;
-
 static void on_probe(void *ctx, const member_vm_t *vm)
 {
 	peers_t *p = ctx;
@@ -177,13 +158,6 @@
 	}
 }
 
-/* True for what a dispatcher says to an owner. */
-static bool is_for_owner(message_type_t type)
-{
-	return type == MESSAGE_GRANT || type == MESSAGE_REFUSE ||
-	       type == MESSAGE_CANCEL;
-}
-
 static void on_frame(void *ctx, const char *name, const Papaya__Frame *frame)
 {
 	peers_t *p = ctx;
@@ -219,7 +193,8 @@
 		return;
 	}
 	supervisor_post(p->sup,
-			is_for_owner(m.type) ? TASK_FRONT : TASK_CAPACITY, &m);
+			peers_is_for_owner(m.type) ? TASK_FRONT : TASK_CAPACITY,
+			&m);
 }
 
 static void on_probed(void *ctx, const char *name, bool is_ok)
@@ -266,7 +241,7 @@
 }
 
 /* Takes a new incarnation when this daemon stalled or was called dead. */
-static void follow_epoch(peers_t *p)
+void peers_follow_epoch(peers_t *p)
 {
 	uint64_t epoch = supervisor_epoch(p->sup);
 	uint64_t incarnation;
@@ -358,7 +333,7 @@
 {
 	peers_t *p = arg;
 
-	follow_epoch(p);
+	peers_follow_epoch(p);
 	member_tick(&p->member, now_us());
 	tell_settled(p);
 	follow_links(p);
@@ -376,128 +351,6 @@
 	follow_links(p);
 }
 
-/* A ticket is good at the daemon that issued it, and nowhere else. */
-static void locate_ticket(peers_t *p, const message_locate_t *asked,
-			  message_t *out)
-{
-	member_owner_t *owner = &out->locate.owner;
-	member_state_t state;
-	bool found;
-
-	*out = (message_t){ .type = MESSAGE_LOCATED, .locate = *asked };
-	found = member_find(&p->member, str_from(asked->ticket_daemon),
-			    &owner->vm, &state, NULL);
-	owner->kind = found && state != MEMBER_DEAD ? MEMBER_OWNER_PEER :
-						      MEMBER_OWNER_NONE;
-}
-
-static void locate(peers_t *p, const message_locate_t *asked)
-{
-	message_t m;
-
-	follow_epoch(p);
-	if (asked->ticket_daemon[0])
-		locate_ticket(p, asked, &m);
-	else
-		keys_locate(&p->keys, asked, &m);
-	supervisor_post(p->sup, TASK_FRONT, &m);
-}
-
-static void answer_routed(peers_t *p, const message_t *m, const char *peer)
-{
-	message_t routed = *m;
-
-	routed.type = MESSAGE_ROUTED;
-	g_strlcpy(routed.capacity.peer, peer, sizeof(routed.capacity.peer));
-	supervisor_post(p->sup, TASK_FRONT, &routed);
-}
-
-static void refuse_route(peers_t *p, const message_t *m)
-{
-	message_t refuse = *m;
-
-	refuse.type = MESSAGE_REFUSE;
-	refuse.capacity.reason = REFUSE_NO_RUNNER;
-	refuse.capacity.retry_after_ms = NO_RUNNER_RETRY_MS;
-	supervisor_post(p->sup, TASK_FRONT, &refuse);
-}
-
-/*
- * Sends a want to the dispatcher of its zone. With the own zone's dispatcher
- * out of reach this daemon decides for itself: that costs at most time.
- */
-static void route_want(peers_t *p, const message_t *m)
-{
-	const message_capacity_t *c = &m->capacity;
-	bool is_own = !c->zone[0] || !strcmp(c->zone, p->self.zone);
-	str_t zone = is_own ? str_from(p->self.zone) : str_from(c->zone);
-	member_vm_t vm;
-	bool found = !p->sup->settings->alone &&
-		     member_dispatcher(&p->member, zone, str_from(c->service),
-				       0, now_us(), &vm);
-
-	if (found && strcmp(vm.name, p->self.name) &&
-	    frames_send_capacity(&p->peer, str_from(vm.name), m, now_us())) {
-		answer_routed(p, m, vm.name);
-		return;
-	}
-	if (!is_own) {
-		refuse_route(p, m);
-		return;
-	}
-	answer_routed(p, m, "");
-	message_t local = *m;
-	local.capacity.peer[0] = '\0';
-	supervisor_post(p->sup, TASK_CAPACITY, &local);
-}
-
-/* Passes a message on to the daemon it names, or to a task of this one. */
-static void pass_on(peers_t *p, const message_t *m)
-{
-	const char *peer = m->capacity.peer;
-
-	if (peer[0])
-		frames_send_capacity(&p->peer, str_from(peer), m, now_us());
-	else
-		supervisor_post(
-			p->sup,
-			is_for_owner(m->type) ? TASK_FRONT : TASK_CAPACITY, m);
-}
-
-/*
- * Asks the daemon that counts the team's limit for the zone; when it is out
- * of reach this daemon counts a share of its own.
- */
-static void route_limit(peers_t *p, const message_t *asked)
-{
-	char role[sizeof("limit/") + MEMBER_NAME_SIZE];
-	message_t m = *asked;
-	member_vm_t vm = { 0 };
-	bool found;
-
-	g_snprintf(role, sizeof(role), "limit/%s", asked->limit.team);
-	found = !m.limit.is_fallback &&
-		member_dispatcher(&p->member, str_from(p->self.zone),
-				  str_from(role), 0, now_us(), &vm);
-	if (found && !str_eq(str_from(vm.name), str_from(p->self.name))) {
-		if (frames_send_limit(&p->peer, str_from(vm.name), &m))
-			return;
-		m.limit.is_fallback = true;
-	}
-	supervisor_post(p->sup, TASK_LIMITS, &m);
-}
-
-static void pass_limit_on(peers_t *p, const message_t *m)
-{
-	if (m->limit.peer[0])
-		frames_send_limit(&p->peer, str_from(m->limit.peer), m);
-	else
-		supervisor_post(p->sup,
-				m->type == MESSAGE_LIMIT_ANSWER ? TASK_FRONT :
-								  TASK_LIMITS,
-				m);
-}
-
 static void drain(peers_t *p)
 {
 	p->is_draining = true;
@@ -522,13 +375,13 @@
 		take_list(p, m->vms);
 		break;
 	case MESSAGE_LOCATE:
-		locate(p, &m->locate);
+		peers_locate(p, &m->locate);
 		break;
 	case MESSAGE_KEY_ENDED:
 		keys_ended(&p->keys, &m->key);
 		break;
 	case MESSAGE_WANT:
-		route_want(p, m);
+		peers_route_want(p, m);
 		break;
 	case MESSAGE_GRANT:
 	case MESSAGE_REFUSE:
@@ -536,14 +389,14 @@
 	case MESSAGE_WITHDRAW:
 	case MESSAGE_FIRST_TOKEN:
 	case MESSAGE_DONE:
-		pass_on(p, m);
+		peers_pass_on(p, m);
 		break;
 	case MESSAGE_LIMIT_ASK:
-		route_limit(p, m);
+		peers_route_limit(p, m);
 		break;
 	case MESSAGE_LIMIT_ANSWER:
 	case MESSAGE_LIMIT_RELEASE:
-		pass_limit_on(p, m);
+		peers_pass_limit_on(p, m);
 		break;
 	case MESSAGE_DRAIN:
 		drain(p);
