--- /dev/null
+++ b/tests/lib_front.c
@@ -0,0 +1,370 @@
+#include "tests/lib_front.h"
+
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/log.h"
+#include "tests/lib_suite.h"
+
+enum { LIMIT_US = 10 * G_USEC_PER_SEC };
+
+static front_bed_t *current;
+
+static const char profile_text[] =
+	"{\"tiers\":[{\"name\":\"holds\",\"protected\":true,\"need_ms\":2000},"
+	"{\"name\":\"drafts\",\"need_ms\":5000}],"
+	"\"teams\":{\"agents\":{\"key_sha256\":"
+	/* SHA-256 of "secret" */
+	"\"2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b\"},"
+	"\"small\":{\"concurrency\":1}}}";
+
+static void *fake_start(supervisor_t *sup, err_t *err)
+{
+	return current;
+}
+
+static void fake_stop(void *state)
+{
+}
+
+static void answer_want(front_bed_t *bed, const message_t *m)
+{
+	message_t routed = { .type = MESSAGE_ROUTED, .capacity = m->capacity };
+	message_t answer = { .type = MESSAGE_GRANT, .capacity = m->capacity };
+	const char *address = bed->grant_address;
+
+	bed->wants++;
+	routed.capacity.peer[0] = '\0';
+	supervisor_post(&bed->sup, TASK_FRONT, &routed);
+	answer.capacity.peer[0] = '\0';
+	if (bed->is_mute)
+		return;
+	if (bed->refuses) {
+		answer.type = MESSAGE_REFUSE;
+		answer.capacity.reason = bed->refuse;
+		answer.capacity.retry_after_ms = 1500;
+	}
+	g_strlcpy(answer.capacity.runner.name, "runner",
+		  sizeof(answer.capacity.runner.name));
+	g_strlcpy(answer.capacity.runner.address,
+		  address ? address : bed->runner.address,
+		  sizeof(answer.capacity.runner.address));
+	supervisor_post(&bed->sup, TASK_FRONT, &answer);
+}
+
+void front_answer_locate(front_bed_t *bed, const message_locate_t *asked)
+{
+	message_t m = { .type = MESSAGE_LOCATED, .locate = *asked };
+	message_locate_t *l = &m.locate;
+	rights_entry_t *entry = NULL;
+
+	l->owner = bed->owner;
+	l->scoped = asked->scoped ? g_bytes_ref(asked->scoped) : NULL;
+	if (l->owner.kind == MEMBER_OWNER_SELF && asked->scoped) {
+		l->epoch = supervisor_epoch(&bed->sup);
+		l->verdict = rights_begin(&bed->keys, asked->scoped, false,
+					  asked->fingerprint, l->epoch, &entry);
+	}
+	if (entry && l->verdict == RIGHTS_NEW)
+		entry->work = (void *)(uintptr_t)asked->attempt;
+	if (entry && l->verdict == RIGHTS_JOIN)
+		l->joined = (uint64_t)(uintptr_t)entry->work;
+	if (entry && l->verdict == RIGHTS_KEPT) {
+		l->answer = entry->answer;
+		l->answer.content_type = g_strdup(entry->answer.content_type);
+		if (l->answer.body)
+			g_bytes_ref(l->answer.body);
+	}
+	supervisor_post(&bed->sup, TASK_FRONT, &m);
+}
+
+static void keep_locate(front_bed_t *bed, const message_locate_t *asked)
+{
+	if (bed->located.scoped)
+		g_bytes_unref(bed->located.scoped);
+	bed->located = *asked;
+	g_bytes_ref(asked->scoped);
+}
+
+static void end_key(front_bed_t *bed, const message_key_t *ended)
+{
+	rights_entry_t *entry = rights_find(&bed->keys, ended->scoped);
+
+	ck_assert_ptr_nonnull(entry);
+	if (!ended->is_dispatched) {
+		rights_release(&bed->keys, entry, 0);
+		return;
+	}
+	ck_assert(rights_mark_dispatched(entry, entry->epoch));
+	rights_end(&bed->keys, entry, &ended->answer, 0);
+}
+
+static void fake_handle(void *state, const message_t *m)
+{
+	front_bed_t *bed = state;
+
+	switch (m->type) {
+	case MESSAGE_LOCATE:
+		if (bed->is_locate_mute)
+			keep_locate(bed, &m->locate);
+		else
+			front_answer_locate(bed, &m->locate);
+		break;
+	case MESSAGE_KEY_ENDED:
+		end_key(bed, &m->key);
+		break;
+	case MESSAGE_WANT:
+		answer_want(bed, m);
+		break;
+	case MESSAGE_LIMIT_ASK:
+	case MESSAGE_LIMIT_RELEASE:
+		if (!bed->is_limiter_mute || m->limit.is_fallback)
+			supervisor_post(&bed->sup, TASK_LIMITS, m);
+		break;
+	case MESSAGE_LIMIT_ANSWER:
+		supervisor_post(&bed->sup, TASK_FRONT, m);
+		break;
+	case MESSAGE_DONE:
+		bed->dones++;
+		bed->last_done = m->capacity.done.result;
+		break;
+	case MESSAGE_WITHDRAW:
+		bed->withdraws++;
+		break;
+	case MESSAGE_ACCOUNT:
+		bed->sum.offered += m->account.delta.offered;
+		bed->sum.in_need += m->account.delta.in_need;
+		bed->sum.not_run += m->account.delta.not_run;
+		bed->sum.cancelled += m->account.delta.cancelled;
+		bed->sum.unknown += m->account.delta.unknown;
+		bed->sum.prompt_useful += m->account.delta.prompt_useful;
+		break;
+	default:
+		break;
+	}
+}
+
+static const task_spec_t fake_task = { "fake", 9, fake_start, fake_handle,
+				       fake_stop };
+
+static const task_spec_t *const specs[TASK_COUNT] = {
+	[TASK_PLATFORM] = &fake_task, [TASK_PEERS] = &fake_task,
+	[TASK_CAPACITY] = &fake_task, [TASK_LIMITS] = &limits_task,
+	[TASK_FRONT] = &front_task,   [TASK_ACCOUNTS] = &fake_task,
+	[TASK_ADMIN] = &fake_task,
+};
+
+static void on_runner(void *ctx, const fake_request_t *request,
+		      fake_reply_t *reply)
+{
+	front_bed_t *bed = ctx;
+	const char *bytes = strstr(request->path, "/stream?from=") ?
+				    bed->resume_answer :
+				    bed->runner_answer;
+
+	if (strstr(request->path, "/stream?from="))
+		g_strlcpy(bed->resume_path, request->path,
+			  sizeof(bed->resume_path));
+	if (bytes)
+		g_string_assign(reply->bytes, bytes);
+	reply->end = bed->runner_end;
+}
+
+int front_free_port(void)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	getsockname(fd, (struct sockaddr *)&sin, &len);
+	close(fd);
+	return ntohs(sin.sin_port);
+}
+
+static void parse_settings(front_bed_t *bed)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"name\":\"d1\",\"zone\":\"z1\",\"zones\":[\"z1\"],"
+		"\"listen\":\"127.0.0.1:%d\",\"peer_listen\":\"127.0.0.1:1\","
+		"\"admin_listen\":\"127.0.0.1:1\","
+		"\"platform\":\"127.0.0.1:1\","
+		"\"peer_secret\":\"0123456789abcdef\","
+		"\"operator_token\":\"0123456789abcdef\",\"seed\":7,"
+		"\"max_keys\":16,\"max_body_kib\":4,\"max_answer_kib\":4}",
+		front_free_port());
+	err_t err = { 0 };
+
+	ck_assert_msg(settings_parse(&bed->settings, str_from(text), "t", &err),
+		      "%s", err.detail);
+}
+
+static void add_service(config_view_t *view, const char *doc, const char *body)
+{
+	profile_service_t *s = g_new0(profile_service_t, 1);
+	err_t err = { 0 };
+
+	ck_assert_msg(profile_service_parse(s, str_from(doc), 1, str_from(body),
+					    &err),
+		      "%s", err.detail);
+	g_hash_table_insert(view->services, s->name, s);
+}
+
+static config_view_t *make_config(void)
+{
+	config_view_t *view = config_view_new();
+	profile_t *profile = g_new0(profile_t, 1);
+	err_t err = { 0 };
+
+	ck_assert_msg(profile_parse(profile, STR_LIT("profile/p"), 1,
+				    str_from(profile_text), &err),
+		      "%s", err.detail);
+	g_hash_table_insert(view->profiles, profile->name, profile);
+	add_service(view, "service/model",
+		    "{\"profile\":\"p\",\"kind\":\"engine\",\"idempotent\":"
+		    "true,\"default_tier\":\"drafts\"}");
+	add_service(view, "service/desk",
+		    "{\"profile\":\"p\",\"kind\":\"plain\",\"idempotent\":"
+		    "false,\"default_tier\":\"holds\"}");
+	return view;
+}
+
+static const rights_config_t key_config = { 16, 4096, G_USEC_PER_SEC * 60L,
+					    G_USEC_PER_SEC };
+
+void front_bed_init(front_bed_t *bed)
+{
+	message_t config = { .type = MESSAGE_CONFIG };
+	err_t err = { 0 };
+
+	memset(bed, 0, sizeof(*bed));
+	current = bed;
+	signal(SIGPIPE, SIG_IGN);
+	log_init("error");
+	bed->base = event_base_new();
+	bed->owner.kind = MEMBER_OWNER_SELF;
+	rights_init(&bed->keys, &key_config);
+	bed->runner_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+	fake_http_init(&bed->runner, bed->base, on_runner, bed);
+	parse_settings(bed);
+	supervisor_init(&bed->sup, bed->base, &bed->settings);
+	ck_assert(supervisor_start(&bed->sup, specs, &err));
+	config.config = make_config();
+	supervisor_post(&bed->sup, TASK_FRONT, &config);
+	config.config = config_view_ref(config.config);
+	supervisor_post(&bed->sup, TASK_LIMITS, &config);
+	event_base_loop(bed->base, EVLOOP_NONBLOCK);
+}
+
+void front_bed_finish(front_bed_t *bed)
+{
+	for (int i = 0; i < MAX_CALLS; i++) {
+		http_call_finish(&bed->clients[i].call);
+		if (bed->clients[i].body)
+			g_string_free(bed->clients[i].body, TRUE);
+	}
+	supervisor_finish(&bed->sup);
+	rights_finish(&bed->keys);
+	fake_http_finish(&bed->runner);
+	event_base_loop(bed->base, EVLOOP_NONBLOCK);
+	event_base_free(bed->base);
+	settings_finish(&bed->settings);
+}
+
+static void on_head(void *ctx, int status, struct evkeyvalq *headers)
+{
+	front_client_t *c = ctx;
+	const char *retry = evhttp_find_header(headers, "Retry-After");
+
+	c->status = status;
+	c->outcome =
+		outcome_parse(evhttp_find_header(headers, "Papaya-Outcome"));
+	g_strlcpy(c->retry_after, retry ? retry : "", sizeof(c->retry_after));
+}
+
+static void on_data(void *ctx, struct evbuffer *body)
+{
+	front_client_t *c = ctx;
+	size_t n = evbuffer_get_length(body);
+
+	g_string_append_len(c->body, (char *)evbuffer_pullup(body, -1),
+			    (gssize)n);
+}
+
+static void on_end(void *ctx, int status, const err_t *err)
+{
+	front_client_t *c = ctx;
+
+	c->is_ended = true;
+	if (err)
+		c->err = *err;
+}
+
+/* Sends a request; HEADERS is "Name: value" lines. */
+front_client_t *front_send(front_bed_t *bed, int i, enum evhttp_cmd_type method,
+			   const char *path, const char *headers,
+			   const char *body)
+{
+	static const http_call_ops_t ops = { NULL, on_head, on_data, on_end };
+	front_client_t *c = &bed->clients[i];
+	g_auto(GStrv) lines = g_strsplit(headers, "\n", -1);
+	http_header_t list[8];
+	size_t n = 0;
+
+	for (char **line = lines; *line && **line; line++) {
+		char *colon = strstr(*line, ": ");
+
+		*colon = '\0';
+		list[n++] = (http_header_t){ *line, colon + 2 };
+	}
+	http_request_t request = {
+		.address = bed->settings.listen,
+		.method = method,
+		.path = path,
+		.headers = list,
+		.n_headers = n,
+		.body = str_from(body),
+		.connect_timeout_ms = 2000,
+		.idle_timeout_ms = 8000,
+	};
+	http_call_finish(&c->call);
+	if (c->body)
+		g_string_free(c->body, TRUE);
+	memset(c, 0, sizeof(*c));
+	c->body = g_string_new("");
+	ck_assert(
+		http_call_start(&c->call, bed->base, &request, &ops, c, NULL));
+	return c;
+}
+
+void front_run_until(front_bed_t *bed, const bool *flag)
+{
+	gint64 limit = g_get_monotonic_time() + LIMIT_US;
+
+	while (!*flag && g_get_monotonic_time() < limit)
+		event_base_loop(bed->base, EVLOOP_ONCE);
+	ck_assert(*flag);
+}
+
+void front_await_wants(front_bed_t *bed, int wants)
+{
+	gint64 limit = g_get_monotonic_time() + LIMIT_US;
+
+	while (bed->wants < wants && g_get_monotonic_time() < limit)
+		event_base_loop(bed->base, EVLOOP_ONCE);
+	ck_assert_int_ge(bed->wants, wants);
+}
+
+front_client_t *front_ask(front_bed_t *bed, int i, enum evhttp_cmd_type method,
+			  const char *path, const char *headers,
+			  const char *body)
+{
+	front_client_t *c = front_send(bed, i, method, path, headers, body);
+
+	front_run_until(bed, &c->is_ended);
+	return c;
+}
