daemon: pass a key on twice, to its zone and there to its owner

Cause: a daemon knows only some daemons of other zones since it keeps two links to each; it forwarded a key to one of those, which was mostly not the owner and, as the second, answered `unknown`. With 6 daemons in each of 2 zones 23 of 60 calls with the other zone's prefix got 503. Change: two hops are allowed; each may add a heartbeat timeout of waiting, so keys are known, and quiet, for one more: R + 3H. Conclusion: callers may use any daemon for any zone's key. The third H is not model-checked.

--- a/daemon/call.c
+++ b/daemon/call.c
@@ -109,7 +109,10 @@
 static bool read_headers(call_t *call, struct evkeyvalq *headers,
 			 const settings_t *settings, call_error_t *error)
 {
-	call->is_forwarded = evhttp_find_header(headers, "Papaya-Hops");
+	const char *hops = evhttp_find_header(headers, "Papaya-Hops");
+
+	call->is_forwarded = hops;
+	call->hops = hops ? (uint32_t)CLAMP(atoi(hops), 1, CALL_MAX_HOPS) : 0;
 	if (call->is_forwarded &&
 	    !read_token(headers, "X-Request-Id", &call->parent, error))
 		return false;
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -34,8 +34,15 @@
 	bool is_stream;
 	bool is_safe; /* a method that changes nothing */
 	bool is_forwarded; /* another daemon passed it on */
+	uint32_t hops; /* daemons that passed it on */
 } call_t;
 
+/*
+ * From a zone that knows few daemons of the key's zone to one of those, and
+ * from there to the owner.
+ */
+enum { CALL_MAX_HOPS = 2 };
+
 /* Why a request was not accepted. */
 typedef struct call_error {
 	int status; /* HTTP status */
--- a/daemon/job.c
+++ b/daemon/job.c
@@ -258,7 +258,7 @@
 		return;
 	case MEMBER_OWNER_PEER:
 	case MEMBER_OWNER_ZONE:
-		if (job->call.is_forwarded)
+		if (job->call.hops >= CALL_MAX_HOPS)
 			break;
 		job_forward(job, owner->vm.address);
 		return;
--- a/daemon/job_upstream.c
+++ b/daemon/job_upstream.c
@@ -320,13 +320,15 @@
 	http_header_t headers[MAX_SENT_HEADERS + 8];
 	size_t n = add_call_headers(call, headers);
 	g_autofree char *left = g_strdup_printf("%" PRId64, left_ms);
+	char hops[12];
 	g_autofree char *secret =
 		call->secret ? g_strconcat("Bearer ", call->secret, NULL) :
 			       NULL;
 
 	job->is_forward = true;
 	job->state = JOB_RUNNING;
-	headers[n++] = (http_header_t){ "Papaya-Hops", "1" };
+	g_snprintf(hops, sizeof(hops), "%u", call->hops + 1);
+	headers[n++] = (http_header_t){ "Papaya-Hops", hops };
 	headers[n++] = (http_header_t){ "X-Request-Id", job->id };
 	headers[n++] = (http_header_t){ "Papaya-Team", call->team };
 	headers[n++] = (http_header_t){ "Papaya-Tier", call->tier };
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "common/option.h"
+#include "daemon/call.h"
 #include "net/http.h"
 
 #define FIELD(name) offsetof(settings_t, name)
@@ -195,7 +196,8 @@
 
 int64_t settings_key_life_ms(const settings_t *s)
 {
-	return s->retry_horizon_ms + 2 * s->heartbeat_timeout_ms;
+	return s->retry_horizon_ms +
+	       (CALL_MAX_HOPS + 1) * s->heartbeat_timeout_ms;
 }
 
 bool settings_seed(const char *text, member_vm_t *out, err_t *err)
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -69,7 +69,7 @@
 void settings_self(const settings_t *s, member_vm_t *out);
 /*
  * How long what is known of a key must be kept, milliseconds: a copy of a
- * call may wait unread for a heartbeat timeout in the daemon that forwards it
+ * call may wait unread for a heartbeat timeout in each daemon that forwards it
  * and again in its owner.
  */
 int64_t settings_key_life_ms(const settings_t *s);
--- a/tests/lib_front.c
+++ b/tests/lib_front.c
@@ -165,6 +165,7 @@
 				    bed->resume_answer :
 				    bed->runner_answer;
 
+	bed->is_last_hop = strstr(request->head, "Papaya-Hops: 2");
 	if (strstr(request->path, "/stream?from="))
 		g_strlcpy(bed->resume_path, request->path,
 			  sizeof(bed->resume_path));
--- a/tests/lib_front.h
+++ b/tests/lib_front.h
@@ -31,6 +31,7 @@
 	fake_end_t runner_end;
 	const char *resume_answer; /* to a resume */
 	char resume_path[160]; /* of the last resume */
+	bool is_last_hop; /* the last request said that two passed it on */
 	front_client_t clients[MAX_CALLS];
 	/* What the fake peers task does and saw. */
 	member_owner_t owner;
--- a/tests/test_front_keys.c
+++ b/tests/test_front_keys.c
@@ -82,6 +82,40 @@
 }
 END_TEST
 
+START_TEST(a_key_is_passed_on_twice_and_no_more)
+{
+	static const struct {
+		const char *headers;
+		outcome_t outcome;
+		int requests;
+	} cases[] = {
+		{ "Idempotency-Key: k", OUTCOME_COMPLETED, 1 },
+		{ "Idempotency-Key: k\nPapaya-Hops: 1", OUTCOME_COMPLETED, 1 },
+		{ "Idempotency-Key: k\nPapaya-Hops: 2", OUTCOME_UNKNOWN, 0 },
+		{ "Idempotency-Key: k\nPapaya-Hops: x", OUTCOME_COMPLETED, 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		front_bed_t bed;
+		front_client_t *c;
+
+		front_bed_init(&bed);
+		bed.owner.kind = MEMBER_OWNER_PEER;
+		bed.runner_answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+				    "Papaya-Outcome: completed\r\n\r\nok";
+		g_strlcpy(bed.owner.vm.address, bed.runner.address,
+			  sizeof(bed.owner.vm.address));
+		c = front_ask(&bed, 0, EVHTTP_REQ_POST, HOLDS, cases[i].headers,
+			      "x");
+		ck_assert_msg(c->outcome == cases[i].outcome, "case %zu: %s", i,
+			      c->body->str);
+		ck_assert_int_eq(bed.runner.requests, cases[i].requests);
+		ck_assert(bed.is_last_hop == (i == 1 || i == 3));
+		front_bed_finish(&bed);
+	}
+}
+END_TEST
+
 START_TEST(a_ticket_runs_once_for_its_team)
 {
 	front_bed_t bed;
@@ -264,6 +298,7 @@
 SUITE_MAIN("front_keys", a_key_runs_once_and_repeats_get_its_answer,
 	   an_ended_unknown_is_never_sent_again,
 	   keys_of_other_owners_are_answered_unknown_when_out_of_reach,
+	   a_key_is_passed_on_twice_and_no_more,
 	   a_ticket_runs_once_for_its_team,
 	   a_key_that_waited_through_a_stall_is_not_sent,
 	   the_owner_counts_a_key_s_limit_and_repeats_join,
