tests: keep-alives, and a caller who reads nothing

Ruled out: timing asserts; the tests wait for the event itself. Change: two tests in test_front; the bed's settings are short. Before: with keep-alives, the pause of the upstream or the drop of slow callers taken out in a scratch copy, no unit test failed. Conclusion: 16 MB from a runner leave at most the backlog in memory.

--- a/tests/lib_front.c
+++ b/tests/lib_front.c
@@ -130,6 +130,7 @@
 	case MESSAGE_DONE:
 		bed->dones++;
 		bed->last_done = m->capacity.done.result;
+		bed->last_output = m->capacity.done.output_tokens;
 		break;
 	case MESSAGE_WITHDRAW:
 		bed->withdraws++;
@@ -196,7 +197,9 @@
 		"\"platform\":\"127.0.0.1:1\","
 		"\"peer_secret\":\"0123456789abcdef\","
 		"\"operator_token\":\"0123456789abcdef\",\"seed\":7,"
-		"\"max_keys\":16,\"max_body_kib\":4,\"max_answer_kib\":4}",
+		"\"max_keys\":16,\"max_body_kib\":4,\"max_answer_kib\":4,"
+		"\"keepalive_ms\":100,\"slow_caller_ms\":300,"
+		"\"caller_backlog_kib\":16}",
 		front_free_port());
 	err_t err = { 0 };
 
--- a/tests/lib_front.h
+++ b/tests/lib_front.h
@@ -47,6 +47,7 @@
 	int dones;
 	int withdraws;
 	done_result_t last_done;
+	uint32_t last_output; /* tokens, as the last DONE said */
 	accounts_sum_t sum;
 } front_bed_t;
 
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -162,6 +162,49 @@
 }
 END_TEST
 
+START_TEST(a_silent_stream_is_kept_alive)
+{
+	front_bed_t bed;
+	front_client_t *c;
+
+	front_bed_init(&bed);
+	bed.runner_answer = SSE_HEAD "data: {\"a\":1}\n\n";
+	bed.runner_end = FAKE_HOLD;
+	c = front_send(&bed, 0, EVHTTP_REQ_POST, COMPLETIONS, "", STREAM);
+	while (!strstr(c->body->str, ": keep-alive\n\n"))
+		event_base_loop(bed.base, EVLOOP_ONCE);
+	ck_assert(!c->is_ended);
+	front_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_caller_who_reads_nothing_is_bounded_and_dropped)
+{
+	enum { EVENT_BYTES = 64 * 1024, EVENTS = 256 };
+	front_bed_t bed;
+	front_client_t *c;
+	g_autoptr(GString) answer = g_string_new(SSE_HEAD);
+	g_autofree char *filler = g_strnfill(EVENT_BYTES, 'x');
+
+	for (int i = 0; i < EVENTS; i++)
+		g_string_append_printf(answer, "data: %s\n\n", filler);
+	front_bed_init(&bed);
+	bed.runner_answer = answer->str;
+	bed.runner_end = FAKE_HOLD;
+	c = front_send(&bed, 0, EVHTTP_REQ_POST, COMPLETIONS, "", STREAM);
+	while (!c->body->len)
+		event_base_loop(bed.base, EVLOOP_ONCE);
+	http_call_pause(&c->call, true);
+	while (!bed.dones)
+		event_base_loop(bed.base, EVLOOP_ONCE);
+	ck_assert_int_eq(bed.last_done, DONE_CANCELLED);
+	ck_assert_uint_eq(bed.sum.cancelled, 1);
+	/* The runner was not drained for a caller who does not read. */
+	ck_assert_uint_lt(bed.last_output, EVENTS);
+	front_bed_finish(&bed);
+}
+END_TEST
+
 START_TEST(a_refused_want_is_not_run_with_when_to_come_back)
 {
 	front_bed_t bed;
@@ -335,6 +378,8 @@
 SUITE_MAIN("front", refuses_what_is_malformed_and_dispatches_nothing,
 	   tells_how_every_exchange_with_a_runner_ended,
 	   a_whole_stream_gets_no_error_at_its_deadline,
+	   a_silent_stream_is_kept_alive,
+	   a_caller_who_reads_nothing_is_bounded_and_dropped,
 	   a_refused_want_is_not_run_with_when_to_come_back,
 	   a_runner_that_refuses_the_connection_is_no_dispatch,
 	   a_caller_who_leaves_the_queue_is_dropped,
