handover: new daemons join together beside an established one

Cause: a joining daemon counted the start of another joining daemon as a gap, because every giver tells of its own start. Two that started together therefore stayed quiet for Q, although an established daemon had given both their keys.

Ruled out: dropping own starts altogether (spin: MUTANT_JOIN_AMONG_NEW, two new daemons run the key twice); remembering that some giver was established (spin counterexample: that giver restarts and its new part replaces the old one, and with it the closure of whom it saw).

Change: the start of a giver that is new itself is no gap, when at least one giver of the present set told of no start of its own.

--- a/core/handover_state.h
+++ b/core/handover_state.h
@@ -15,6 +15,7 @@
 	uint32_t next_index;
 	bool is_failed; /* a key had no room */
 	bool is_accepted;
+	bool is_elder; /* accepted, and it told of no start of its own */
 	/* Who must hand over too, name to uint64_t: the giver's view ... */
 	GHashTable *members;
 	GHashTable *owing; /* ... and the daemons that owe us a share */
--- a/core/handover_take.c
+++ b/core/handover_take.c
@@ -38,8 +38,10 @@
 						 g_free, g_free);
 		g_hash_table_insert(t->sources, s->name, s);
 	}
-	if (s->incarnation != part->incarnation)
+	if (s->incarnation != part->incarnation) {
 		s->is_accepted = false;
+		s->is_elder = false;
+	}
 	s->incarnation = part->incarnation;
 	if (!part->index) {
 		s->serial = part->serial;
@@ -121,14 +123,26 @@
 				  sizeof(members[i].incarnation)));
 }
 
+/*
+ * A giver that is new itself tells of its own start. That is no gap for us
+ * when we wait for all whom it waits for, one of them no new daemon: what ran
+ * before its start comes from those.
+ */
 static void accept_source(struct handover_table *t, handover_source_t *s,
 			  const handover_part_t *part, int64_t now)
 {
 	s->is_accepted = true;
+	s->is_elder = true;
 	set_members(s->members, part->members, part->n_members);
 	set_members(s->owing, part->owing, part->n_owing);
-	for (size_t i = 0; i < part->n_gaps; i++)
-		t->since = MAX(t->since, now - part->gaps[i].age);
+	for (size_t i = 0; i < part->n_gaps; i++) {
+		const handover_gap_t *gap = &part->gaps[i];
+
+		if (str_eq(gap->name, str_from(s->name)))
+			s->is_elder = false;
+		else
+			t->since = MAX(t->since, now - gap->age);
+	}
 }
 
 /*
@@ -207,7 +221,7 @@
 	g_autoptr(GArray) own =
 		g_array_new(FALSE, FALSE, sizeof(handover_member_t));
 	GHashTableIter iter;
-	bool is_any = false;
+	bool has_elder = false;
 	void *value;
 
 	member_each_candidate(t->member, handover_add_member, own);
@@ -225,10 +239,10 @@
 
 		if (s->is_accepted && !is_closed(t, s))
 			return;
-		is_any |= s->is_accepted;
+		has_elder |= s->is_accepted && s->is_elder;
 	}
-	/* Alone we can't tell whether others are there. */
-	if (!is_any)
+	/* New daemons alone can't tell whether others are there. */
+	if (!has_elder)
 		return;
 	t->has_joined = true;
 	member_joined(t->member, t->since);
--- a/spec/hand_over.pml
+++ b/spec/hand_over.pml
@@ -68,6 +68,7 @@
 byte accepted[9]; /* the incarnation */
 byte seen[9]; /* the members in e's view, bits */
 byte seen_0[9], seen_1[9], seen_2[9];
+bool is_elder[9]; /* e had joined itself when it gave */
 byte due_0[9], due_1[9], due_2[9]; /* daemons that owe d its share */
 bool told_gap[N]; /* some giver told of a gap */
 
@@ -241,11 +242,20 @@
 	due_0[at(d, g)] = part_owed_0[at(g, d)];
 	due_1[at(d, g)] = part_owed_1[at(g, d)];
 	due_2[at(d, g)] = part_owed_2[at(g, d)];
+	/*
+	 * A giver that is new itself has run nothing yet; what ran before it
+	 * comes from the daemons that it waits for, and this one with it.
+	 */
 #ifndef MUTANT_JOIN_WITHOUT_GAPS
 	if
-	:: part_gaps[at(g, d)] != 0 -> told_gap[d] = true
+	:: (part_gaps[at(g, d)] & (7 - bit(g))) != 0 -> told_gap[d] = true
 	:: else
-	fi
+	fi;
+#endif
+#ifndef MUTANT_JOIN_AMONG_NEW
+	is_elder[at(d, g)] = (part_gaps[at(g, d)] & bit(g)) == 0
+#else
+	is_elder[at(d, g)] = true
 #endif
 }
 
@@ -270,13 +280,14 @@
 #ifdef MUTANT_JOINS_ALONE
 #define has_giver(d) true
 #else
-#define has_giver(d) (accepted[at(d, 0)] != 0 || \
-		      accepted[at(d, 1)] != 0 || accepted[at(d, 2)] != 0)
+#define has_giver(d) (is_elder[at(d, 0)] || is_elder[at(d, 1)] || \
+		      is_elder[at(d, 2)])
 #endif
 
 /* What is of no use any more is cleared, to keep the search small. */
 inline forget_source(d, e) {
 	accepted[at(d, e)] = 0;
+	is_elder[at(d, e)] = false;
 	seen[at(d, e)] = 0;
 	seen_0[at(d, e)] = 0;
 	seen_1[at(d, e)] = 0;
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -236,6 +236,30 @@
 }
 END_TEST
 
+START_TEST(joining_together_beside_an_elder)
+{
+	static const handover_case_t cases[] = {
+		{ "two new ones beside one", "bca",
+		  "0 start a 1, 100 claim a, 101 start b 1, 101 start c 1", 108,
+		  'b', UNKNOWN, RUNS },
+		{ "then the old one leaves", "bca",
+		  "0 start a 1, 100 claim a, 101 start b 1, 101 start c 1, "
+		  "110 drain a, 114 kill a",
+		  120, 'b', UNKNOWN, RUNS },
+		{ "and the first new one leaves", "bca",
+		  "0 start a 1, 100 claim a, 101 start b 1, 101 start c 1, "
+		  "110 drain a, 114 kill a, 116 drain b, 118 kill b",
+		  120, 'c', UNKNOWN, RUNS },
+		{ "the old one dies before it gave", "bca",
+		  "0 start a 1, 99 lose a b, 99 lose a c, 100 claim a, "
+		  "101 start b 1, 101 start c 1, 104 kill a",
+		  115, 'b', QUIETS, QUIETS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
 START_TEST(joining_needs_every_live_daemon)
 {
 	static const handover_case_t cases[] = {
@@ -419,6 +443,7 @@
 	   incomplete_hand_over_leaves_keys_quiet,
 	   read_after_a_stall_counts_for_nothing,
 	   old_incarnation_counts_for_nothing, differing_views_are_not_accepted,
-	   gaps_go_along, joining_takes_over, joining_needs_every_live_daemon,
+	   gaps_go_along, joining_takes_over, joining_together_beside_an_elder,
+	   joining_needs_every_live_daemon,
 	   joining_waits_for_what_died, every_part_is_needed,
 	   full_table_accepts_nothing)
