--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -444,6 +444,5 @@
 	   read_after_a_stall_counts_for_nothing,
 	   old_incarnation_counts_for_nothing, differing_views_are_not_accepted,
 	   gaps_go_along, joining_takes_over, joining_together_beside_an_elder,
-	   joining_needs_every_live_daemon,
-	   joining_waits_for_what_died, every_part_is_needed,
-	   full_table_accepts_nothing)
+	   joining_needs_every_live_daemon, joining_waits_for_what_died,
+	   every_part_is_needed, full_table_accepts_nothing)
