--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 PKGS := libevent libevent_pthreads libprotobuf-c jansson argtable2 glib-2.0 \
 	libxxhash
 PKG_CFLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
-PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lhttp_parser
 CHECK_LIBS = $(shell pkg-config --libs check 2>/dev/null)
 WARN := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	-Wmissing-prototypes -Wpointer-arith -Wno-unused-parameter
--- a/common/option.c
+++ b/common/option.c
@@ -48,6 +48,18 @@
 	return true;
 }
 
+static bool set_real(const reader_t *r, const option_t *opt, json_t *value,
+		     void *settings)
+{
+	double number = json_number_value(value);
+
+	if (!json_is_number(value) || number < (double)opt->min ||
+	    number > (double)opt->max)
+		return fail_range(r, opt, "a number");
+	*(double *)field_of(opt, settings) = number;
+	return true;
+}
+
 static bool set_bool(const reader_t *r, const option_t *opt, json_t *value,
 		     void *settings)
 {
@@ -114,6 +126,8 @@
 	switch (opt->type) {
 	case OPTION_INT:
 		return set_int(r, opt, value, settings);
+	case OPTION_REAL:
+		return set_real(r, opt, value, settings);
 	case OPTION_BOOL:
 		return set_bool(r, opt, value, settings);
 	case OPTION_STRING:
@@ -133,6 +147,9 @@
 		*(int64_t *)field_of(opt, settings) =
 			g_ascii_strtoll(def, NULL, 10);
 		break;
+	case OPTION_REAL:
+		*(double *)field_of(opt, settings) = g_ascii_strtod(def, NULL);
+		break;
 	case OPTION_BOOL:
 		*(bool *)field_of(opt, settings) = !strcmp(def, "true");
 		break;
@@ -204,9 +221,8 @@
 static const char *type_name(option_type_t type)
 {
 	static const char *const names[] = {
-		[OPTION_INT] = "integer",
-		[OPTION_BOOL] = "true or false",
-		[OPTION_STRING] = "string",
+		[OPTION_INT] = "integer",	   [OPTION_REAL] = "number",
+		[OPTION_BOOL] = "true or false",   [OPTION_STRING] = "string",
 		[OPTION_LIST] = "list of strings",
 	};
 
@@ -228,7 +244,8 @@
 				g_strjoinv(", ", (char **)opt->choices);
 
 			fputs(all, out);
-		} else if (opt->type == OPTION_INT) {
+		} else if (opt->type == OPTION_INT ||
+			   opt->type == OPTION_REAL) {
 			fprintf(out, "%" PRId64 " to %" PRId64, opt->min,
 				opt->max);
 		} else if (opt->type != OPTION_BOOL) {
--- a/common/option.h
+++ b/common/option.h
@@ -14,6 +14,7 @@
 
 typedef enum option_type {
 	OPTION_INT, /* int64_t, within min and max */
+	OPTION_REAL, /* double, within min and max */
 	OPTION_BOOL, /* bool */
 	OPTION_STRING, /* char *, owned by the settings */
 	OPTION_LIST, /* char **, NULL-terminated, owned by the settings */
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -48,6 +48,8 @@
 	char name[DISPATCHER_NAME_SIZE];
 	char address[DISPATCHER_NAME_SIZE]; /* IP:port */
 	uint32_t generation; /* of hardware, for the first speed estimate */
+	uint32_t slots; /* requests at once; 0: as the service states */
+	int64_t born_ms; /* tells incarnations of one name apart */
 	bool is_leaving;
 } dispatcher_runner_t;
 
@@ -97,6 +99,7 @@
 	uint32_t max_running; /* granted and not done, at most */
 	uint32_t plain_slots; /* calls in flight a runner, plain services */
 	uint32_t window_tokens; /* tokens in flight a runner at first */
+	uint32_t engine_slots; /* requests at once an engine; 0: any */
 	int64_t grant_timeout; /* a silent grant is given up after it */
 	uint64_t seed;
 	dispatcher_policy_t policy;
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -67,6 +67,7 @@
 			  config->is_engine ? config->window_tokens :
 					      config->plain_slots,
 			  g_hash_table_lookup(s->generations, generation));
+	runner->model.slots = config->engine_slots;
 	g_hash_table_insert(s->runners, &runner->key, runner);
 	return runner;
 }
--- /dev/null
+++ b/core/fleet.c
@@ -0,0 +1,181 @@
+#include "core/fleet.h"
+
+enum {
+	MAX_TEAM_PRIORITY = 15,
+	MAX_ROUTE_PRIORITY = 15,
+};
+
+void fleet_route_free(fleet_route_t *route)
+{
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	g_array_unref(route->shares);
+	g_free(route);
+}
+
+static void free_service(void *data)
+{
+	fleet_service_t *service = data;
+
+	g_free(service->health_path);
+	g_free(service);
+}
+
+fleet_t *fleet_new(uint64_t version)
+{
+	fleet_t *f = g_rc_box_new0(fleet_t);
+
+	f->version = version;
+	f->routes = g_ptr_array_new_with_free_func(
+		(GDestroyNotify)fleet_route_free);
+	f->by_host = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   (GDestroyNotify)g_ptr_array_unref);
+	f->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    free_service);
+	f->teams = g_ptr_array_new_with_free_func(g_free);
+	f->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	return f;
+}
+
+fleet_t *fleet_ref(fleet_t *f)
+{
+	return g_rc_box_acquire(f);
+}
+
+static void clear(void *data)
+{
+	fleet_t *f = data;
+
+	g_hash_table_unref(f->by_host);
+	g_ptr_array_unref(f->routes);
+	g_hash_table_unref(f->services);
+	g_hash_table_unref(f->keys);
+	g_ptr_array_unref(f->teams);
+}
+
+void fleet_unref(fleet_t *f)
+{
+	if (f)
+		g_rc_box_release_full(f, clear);
+}
+
+static gint by_length(gconstpointer a, gconstpointer b)
+{
+	const fleet_route_t *x = *(fleet_route_t *const *)a;
+	const fleet_route_t *y = *(fleet_route_t *const *)b;
+	size_t m = strlen(x->prefix);
+	size_t n = strlen(y->prefix);
+
+	return m < n ? 1 : m > n ? -1 : 0;
+}
+
+void fleet_add_route(fleet_t *f, fleet_route_t *route)
+{
+	GPtrArray *of_host = g_hash_table_lookup(f->by_host, route->host);
+
+	if (!of_host) {
+		of_host = g_ptr_array_new();
+		g_hash_table_insert(f->by_host, route->host, of_host);
+	}
+	g_ptr_array_add(f->routes, route);
+	g_ptr_array_add(of_host, route);
+	g_ptr_array_sort(of_host, by_length);
+}
+
+void fleet_add_service(fleet_t *f, fleet_service_t *service)
+{
+	g_hash_table_replace(f->services, service->name, service);
+}
+
+void fleet_add_team(fleet_t *f, fleet_team_t *team)
+{
+	g_ptr_array_add(f->teams, team);
+}
+
+void fleet_add_key(fleet_t *f, const char *key, fleet_team_t *team)
+{
+	g_hash_table_replace(f->keys, g_strdup(key), team);
+}
+
+static str_t without_port(str_t host)
+{
+	const char *colon = memchr(host.ptr, ':', host.len);
+
+	if (colon)
+		host.len = colon - host.ptr;
+	return host;
+}
+
+const fleet_route_t *fleet_find_route(const fleet_t *f, str_t host, str_t path)
+{
+	str_t plain = without_port(host);
+	g_autofree char *name = g_ascii_strdown(plain.ptr, (gssize)plain.len);
+	const GPtrArray *of_host = g_hash_table_lookup(f->by_host, name);
+
+	for (guint i = 0; of_host && i < of_host->len; i++) {
+		const fleet_route_t *route = of_host->pdata[i];
+		size_t n = strlen(route->prefix);
+
+		if (path.len >= n && !memcmp(path.ptr, route->prefix, n))
+			return route;
+	}
+	return NULL;
+}
+
+const fleet_service_t *fleet_find_service(const fleet_t *f, const char *name)
+{
+	return g_hash_table_lookup(f->services, name);
+}
+
+const fleet_team_t *fleet_find_key(const fleet_t *f, str_t key)
+{
+	g_autofree char *text = g_strndup(key.ptr, key.len);
+
+	return strlen(text) == key.len ? g_hash_table_lookup(f->keys, text) :
+					 NULL;
+}
+
+const fleet_team_t *fleet_find_team(const fleet_t *f, const char *name)
+{
+	for (guint i = 0; i < f->teams->len; i++) {
+		const fleet_team_t *team = f->teams->pdata[i];
+
+		if (!strcmp(team->name, name))
+			return team;
+	}
+	return NULL;
+}
+
+const char *fleet_pick_service(const fleet_route_t *route, uint64_t spread)
+{
+	const fleet_share_t *shares = (fleet_share_t *)route->shares->data;
+	uint64_t total = 0;
+	uint64_t at;
+
+	for (guint i = 0; i < route->shares->len; i++)
+		total += shares[i].weight;
+	if (!total)
+		return shares[0].service;
+	at = spread % total;
+	for (guint i = 0; i < route->shares->len; i++) {
+		if (at < shares[i].weight)
+			return shares[i].service;
+		at -= shares[i].weight;
+	}
+	return shares[0].service;
+}
+
+uint32_t fleet_rank(const fleet_team_t *team, const fleet_route_t *route)
+{
+	uint32_t of_team = team && team->has_priority ? team->priority : 0;
+
+	return MIN(of_team, MAX_TEAM_PRIORITY) * (MAX_ROUTE_PRIORITY + 1) +
+	       MIN(route->priority, MAX_ROUTE_PRIORITY);
+}
+
+bool fleet_may_repeat(const fleet_route_t *route)
+{
+	return route->kind == FLEET_SAFE ||
+	       (route->kind == FLEET_STREAM && route->is_resumable);
+}
--- a/core/limit.c
+++ b/core/limit.c
@@ -142,16 +142,18 @@
 			   bucket_size(&team->terms));
 }
 
-static uint32_t refill_time_ms(const team_t *team)
+static uint32_t refill_time_ms(const team_t *team, double needed)
 {
-	double ms = (1 - team->tokens) * 1000 / team->terms.rate;
+	double ms = (needed - team->tokens) * 1000 / team->terms.rate;
 
 	return (uint32_t)CLAMP(ms + 1, 1, MAX_RETRY_AFTER_MS);
 }
 
-bool limit_take(limit_t *l, str_t name, int64_t now, uint32_t *retry_after_ms)
+bool limit_take_many(limit_t *l, str_t name, uint32_t cost, int64_t now,
+		     uint32_t *retry_after_ms)
 {
 	team_t *team = find_or_add(l, name);
+	double needed;
 
 	*retry_after_ms = BUSY_RETRY_AFTER_MS;
 	if (!team)
@@ -160,11 +162,12 @@
 		return false;
 	if (team->terms.rate > 0) {
 		refill(team, now);
-		if (team->tokens < 1) {
-			*retry_after_ms = refill_time_ms(team);
+		needed = MIN((double)cost, bucket_size(&team->terms));
+		if (team->tokens < needed) {
+			*retry_after_ms = refill_time_ms(team, needed);
 			return false;
 		}
-		team->tokens--;
+		team->tokens -= cost;
 	}
 	*retry_after_ms = 0;
 	team->running++;
@@ -172,6 +175,11 @@
 	return true;
 }
 
+bool limit_take(limit_t *l, str_t name, int64_t now, uint32_t *retry_after_ms)
+{
+	return limit_take_many(l, name, 1, now, retry_after_ms);
+}
+
 void limit_release(limit_t *l, str_t name)
 {
 	team_t *team = g_hash_table_lookup(l->teams, &name);
--- a/core/profile.h
+++ b/core/profile.h
@@ -57,7 +57,8 @@
 	bool is_engine; /* "kind": "engine" or "plain" */
 	bool is_idempotent; /* "idempotent": calls may be repeated */
 	char default_tier[PROFILE_NAME_SIZE];
-	uint32_t slots; /* "slots": calls in flight a runner (plain) */
+	uint32_t slots; /* "slots": calls in flight a runner (plain); for
+			 * engines of a fleet, requests at once */
 	uint32_t window_tokens; /* "window_tokens": a runner (engines) */
 } profile_service_t;
 
--- /dev/null
+++ b/core/runner_list.c
@@ -0,0 +1,124 @@
+#include "core/runner_list.h"
+
+typedef struct entry {
+	listed_runner_t runner;
+	int64_t gone_at; /* when the drop takes effect; 0: it is listed */
+	bool is_seen; /* in the listing that is being read */
+} entry_t;
+
+void runner_list_init(runner_list_t *l, int64_t patience)
+{
+	*l = (runner_list_t){ .patience = patience };
+	l->runners =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+}
+
+void runner_list_finish(runner_list_t *l)
+{
+	g_hash_table_destroy(l->runners);
+}
+
+static bool is_same(const listed_runner_t *a, const listed_runner_t *b)
+{
+	return !strcmp(a->id, b->id) && !strcmp(a->service, b->service) &&
+	       !strcmp(a->address, b->address) && !strcmp(a->zone, b->zone) &&
+	       a->born_ms == b->born_ms && a->slots == b->slots &&
+	       a->is_leaving == b->is_leaving;
+}
+
+void runner_list_set(runner_list_t *l, const listed_runner_t *runner)
+{
+	entry_t *e = g_hash_table_lookup(l->runners, runner->id);
+
+	if (!e) {
+		e = g_new0(entry_t, 1);
+		e->runner = *runner;
+		g_hash_table_insert(l->runners, e->runner.id, e);
+		l->has_changed = true;
+	} else if (!is_same(&e->runner, runner)) {
+		e->runner = *runner;
+		l->has_changed = true;
+	}
+	e->gone_at = 0;
+	e->is_seen = true;
+}
+
+static void drop(runner_list_t *l, entry_t *e, int64_t now)
+{
+	bool was_away =
+		l->is_away || (l->back_at && now - l->back_at < l->patience);
+
+	if (e->gone_at)
+		return;
+	e->gone_at = now;
+	if (was_away)
+		e->gone_at = (l->is_away ? now : l->back_at) + l->patience;
+}
+
+void runner_list_drop(runner_list_t *l, str_t id, int64_t now)
+{
+	g_autofree char *name = g_strndup(id.ptr, id.len);
+	entry_t *e = g_hash_table_lookup(l->runners, name);
+
+	if (e)
+		drop(l, e, now);
+}
+
+void runner_list_begin(runner_list_t *l)
+{
+	GHashTableIter iter;
+	entry_t *e;
+
+	g_hash_table_iter_init(&iter, l->runners);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&e))
+		e->is_seen = false;
+}
+
+void runner_list_end(runner_list_t *l, int64_t now)
+{
+	GHashTableIter iter;
+	entry_t *e;
+
+	g_hash_table_iter_init(&iter, l->runners);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&e))
+		if (!e->is_seen)
+			drop(l, e, now);
+}
+
+void runner_list_away(runner_list_t *l, bool is_away, int64_t now)
+{
+	if (l->is_away && !is_away)
+		l->back_at = now;
+	l->is_away = is_away;
+}
+
+bool runner_list_poll(runner_list_t *l, int64_t now)
+{
+	GHashTableIter iter;
+	bool has_changed;
+	entry_t *e;
+
+	g_hash_table_iter_init(&iter, l->runners);
+	while (!l->is_away &&
+	       g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
+		if (!e->gone_at || e->gone_at > now)
+			continue;
+		g_hash_table_iter_remove(&iter);
+		l->has_changed = true;
+	}
+	has_changed = l->has_changed;
+	l->has_changed = false;
+	return has_changed;
+}
+
+void runner_list_each(const runner_list_t *l,
+		      void (*fn)(void *ctx, const listed_runner_t *runner),
+		      void *ctx)
+{
+	GHashTableIter iter;
+	entry_t *e;
+
+	g_hash_table_iter_init(&iter, l->runners);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&e))
+		fn(ctx, &e->runner);
+}
--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -296,6 +296,8 @@
 		return (double)m->protected_tokens < limit;
 	if ((double)m->tokens + foreign_tokens(m, now) >= limit)
 		return false;
+	if (m->is_engine && m->slots && m->running >= m->slots)
+		return false;
 	if (!m->is_engine || room != ROOM_LOWER)
 		return true;
 	if (!leaves_pace(m, now))
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -47,6 +47,7 @@
 typedef struct runner_model {
 	bool is_engine;
 	double window; /* tokens, or calls of a plain service */
+	uint32_t slots; /* engines: requests at once; 0: any */
 	double health; /* 1, less while signs are overdue */
 	runner_speed_t speed;
 	uint32_t running;
--- a/daemon/admin_task.c
+++ b/daemon/admin_task.c
@@ -14,6 +14,7 @@
 typedef struct admin {
 	supervisor_t *sup;
 	struct evhttp *http;
+	struct evhttp *ready; /* for the balancer; NULL: none */
 	config_view_t *config;
 	vm_view_t *vms;
 } admin_t;
@@ -161,6 +162,25 @@
 		answer_operator(a, req, path);
 }
 
+/* The balancer asks under a path of its own. */
+static void on_ready(struct evhttp_request *req, void *arg)
+{
+	answer_ready(arg, req);
+}
+
+static bool listen_at(struct evhttp *http, const char *address, err_t *err)
+{
+	char ip[MEMBER_NAME_SIZE];
+	uint16_t port;
+
+	if (!http_split_address(address, ip, sizeof(ip), &port, err))
+		return false;
+	if (!evhttp_bind_socket(http, ip, port))
+		return true;
+	return err_set(err, ERR_SYSTEM, "listen for operators", address,
+		       "the address can't be bound");
+}
+
 static void handle(void *state, const message_t *m)
 {
 	admin_t *a = state;
@@ -171,33 +191,34 @@
 	}
 }
 
+static void stop(void *state)
+{
+	admin_t *a = state;
+
+	if (a->ready)
+		evhttp_free(a->ready);
+	evhttp_free(a->http);
+	config_view_unref(a->config);
+	g_free(a);
+}
+
 static void *start(supervisor_t *sup, err_t *err)
 {
 	admin_t *a = g_new0(admin_t, 1);
-	char ip[MEMBER_NAME_SIZE];
-	uint16_t port;
+	const char *ready_listen = sup->settings->ready_listen;
 
 	a->sup = sup;
 	a->http = evhttp_new(sup->base);
 	evhttp_set_gencb(a->http, on_request, a);
-	if (http_split_address(sup->settings->admin_listen, ip, sizeof(ip),
-			       &port, err) &&
-	    !evhttp_bind_socket(a->http, ip, port))
+	if (ready_listen[0]) {
+		a->ready = evhttp_new(sup->base);
+		evhttp_set_gencb(a->ready, on_ready, a);
+	}
+	if (listen_at(a->http, sup->settings->admin_listen, err) &&
+	    (!a->ready || listen_at(a->ready, ready_listen, err)))
 		return a;
-	err_set(err, ERR_SYSTEM, "listen for operators",
-		sup->settings->admin_listen, "the address can't be bound");
-	evhttp_free(a->http);
-	g_free(a);
+	stop(a);
 	return NULL;
 }
 
-static void stop(void *state)
-{
-	admin_t *a = state;
-
-	evhttp_free(a->http);
-	config_view_unref(a->config);
-	g_free(a);
-}
-
 const task_spec_t admin_task = { "admin", 3, start, handle, stop };
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -16,6 +16,7 @@
 	MAX_REPORT = 64 * 1024, /* bytes */
 	MAX_RUNNING = 100000,
 	REPORT_TIMEOUT_MS = 1000,
+	EXPORT_MS = 500,
 };
 
 typedef struct capacity capacity_t;
@@ -48,7 +49,8 @@
 	bool is_settled; /* the zone's view, as the peers task sees it */
 	uint64_t epoch; /* stall epoch that is_settled is of */
 	struct event *tick;
-	struct event *poll;
+	struct event *poll; /* exports metrics */
+	struct event *ask; /* reads runners' load; NULL: they are not asked */
 };
 
 static void free_runner(void *data)
@@ -243,7 +245,7 @@
 	r->info = listed->runner;
 	r->is_listed = true;
 	dispatcher_set_runner(&s->dispatcher, &r->info, now_us());
-	if (r->is_known)
+	if (r->is_known || !s->owner->sup->settings->load_poll_ms)
 		return;
 	/* It may be leaving by its own report: wait for the first one. */
 	r->is_known = true;
@@ -293,6 +295,7 @@
 		.max_running = MAX_RUNNING,
 		.plain_slots = info->slots,
 		.window_tokens = info->window_tokens,
+		.engine_slots = info->is_engine ? info->slots : 0,
 		.grant_timeout = set->grant_timeout_ms * 1000,
 		.seed = g_rand_int(c->sup->rand),
 		.policy = parse_policy(set->policy),
@@ -413,13 +416,23 @@
 
 	g_hash_table_iter_init(&services, c->services);
 	while (g_hash_table_iter_next(&services, NULL, (void **)&s)) {
-		export_stats(c, s);
 		g_hash_table_iter_init(&runners, s->runners);
 		while (g_hash_table_iter_next(&runners, NULL, (void **)&r))
 			ask_load(r);
 	}
 }
 
+static void on_export(evutil_socket_t fd, short what, void *arg)
+{
+	capacity_t *c = arg;
+	GHashTableIter services;
+	service_t *s;
+
+	g_hash_table_iter_init(&services, c->services);
+	while (g_hash_table_iter_next(&services, NULL, (void **)&s))
+		export_stats(c, s);
+}
+
 static void apply_settled(service_t *s)
 {
 	dispatcher_set_settled(&s->dispatcher, s->owner->is_settled, now_us());
@@ -522,8 +535,10 @@
 	c->owners = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					  g_free);
 	c->tick = supervisor_every(sup, TICK_MS, on_tick, c);
-	c->poll =
-		supervisor_every(sup, sup->settings->load_poll_ms, on_poll, c);
+	c->poll = supervisor_every(sup, EXPORT_MS, on_export, c);
+	if (sup->settings->load_poll_ms)
+		c->ask = supervisor_every(sup, sup->settings->load_poll_ms,
+					  on_poll, c);
 	return c;
 }
 
@@ -533,6 +548,8 @@
 
 	event_free(c->tick);
 	event_free(c->poll);
+	if (c->ask)
+		event_free(c->ask);
 	g_hash_table_destroy(c->services);
 	g_hash_table_destroy(c->owners);
 	config_view_unref(c->config);
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -240,6 +240,7 @@
 	ask.profile = answer.profile = release.profile = (char *)l->profile;
 	ask.attempt = answer.attempt = l->attempt;
 	ask.owner = answer.owner = l->owner;
+	ask.cost = l->cost;
 	answer.ok = l->is_ok;
 	answer.retry_after_ms = l->retry_after_ms;
 	if (m->type == MESSAGE_LIMIT_ASK) {
@@ -267,6 +268,7 @@
 		out->type = MESSAGE_LIMIT_ASK;
 		l->attempt = frame->limit_ask->attempt;
 		l->owner = frame->limit_ask->owner;
+		l->cost = frame->limit_ask->cost;
 		return copy(l->team, frame->limit_ask->team) &&
 		       copy(l->profile, frame->limit_ask->profile);
 	case PAPAYA__FRAME__BODY_LIMIT_ANSWER:
--- /dev/null
+++ b/daemon/gateway_task.c
@@ -0,0 +1,223 @@
+/*
+ * Serves the callers of a fleet's routes. In the place of the front where a
+ * fleet is served.
+ */
+#define LOG_PART "gateway"
+
+#include "common/log.h"
+#include "daemon/gateway.h"
+
+enum {
+	BACKLOG = 512, /* connections not accepted yet */
+	TICK_MS = 50,
+	/* The balancer sends new connections for so long after a drain began. */
+	DRAIN_LINGER_US = 3000 * 1000,
+	GRACE_MARGIN_MS = 700, /* the daemon ends so long before it is killed */
+};
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *address, int len, void *arg)
+{
+	ingress_accept(arg, fd);
+}
+
+static void set_budget(gateway_t *g, guint daemons)
+{
+	const settings_t *s = g->sup->settings;
+	retry_terms_t terms = {
+		.ratio = s->retry_ratio,
+		.slack = (double)s->retry_slack,
+		.window = s->retry_window_ms * 1000,
+		.daemons = daemons,
+	};
+
+	retry_budget_set(&g->retries, &terms);
+}
+
+static void export_stats(gateway_t *g)
+{
+	metrics_t *m = &g->sup->metrics;
+
+	metrics_set(m, "papaya_requests_in_progress", NULL,
+		    g_hash_table_size(g->relays));
+	metrics_set(m, "papaya_callers", NULL, g_hash_table_size(g->callers));
+	metrics_set(m, "papaya_upstream_connects_total", NULL,
+		    g->pool.stats.connects);
+	metrics_set(m, "papaya_upstream_reuses_total", NULL,
+		    g->pool.stats.reuses);
+	metrics_set(m, "papaya_upstream_out_of_turn_total", NULL,
+		    g->pool.stats.out_of_turn);
+}
+
+/* Ends the daemon once nobody is left, or when its time is up. */
+static void check_drain(gateway_t *g, int64_t now)
+{
+	int64_t limit = (g->sup->settings->drain_ms - GRACE_MARGIN_MS) * 1000;
+	g_autoptr(GList) callers = NULL;
+
+	if (!g->drain_since || now - g->drain_since < DRAIN_LINGER_US)
+		return;
+	callers = g_hash_table_get_keys(g->callers);
+	for (GList *link = callers; link; link = link->next)
+		ingress_close_idle(link->data);
+	if (!g_hash_table_size(g->callers) || now - g->drain_since > limit) {
+		log_info("drained; %u callers are cut off",
+			 g_hash_table_size(g->callers));
+		event_base_loopbreak(g->sup->base);
+	}
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	gateway_t *g = arg;
+	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
+	int64_t now = now_us();
+
+	for (GList *link = relays; link; link = link->next)
+		relay_tick(link->data, now);
+	export_stats(g);
+	check_drain(g, now);
+}
+
+static relay_t *find(gateway_t *g, uint64_t owner, uint64_t attempt)
+{
+	return owner == g->sup->boot ?
+		       g_hash_table_lookup(g->relays, &attempt) :
+		       NULL;
+}
+
+/* A grant for a request that is gone is given back. */
+static void give_back(gateway_t *g, const message_t *grant)
+{
+	message_t m = *grant;
+
+	m.type = MESSAGE_WITHDRAW;
+	supervisor_post(g->sup, TASK_PEERS, &m);
+}
+
+static void take_capacity(gateway_t *g, const message_t *m)
+{
+	const message_capacity_t *c = &m->capacity;
+	relay_t *r = find(g, c->want.id.owner, c->want.id.attempt);
+
+	if (!r && m->type == MESSAGE_GRANT)
+		give_back(g, m);
+	if (!r)
+		return;
+	if (m->type == MESSAGE_ROUTED)
+		relay_routed(r, c->peer);
+	else if (m->type == MESSAGE_GRANT)
+		relay_granted(r, c);
+	else if (m->type == MESSAGE_REFUSE)
+		relay_refused(r, c->reason, c->retry_after_ms);
+}
+
+static void take_limit(gateway_t *g, const message_limit_t *answer)
+{
+	relay_t *r = find(g, answer->owner, answer->attempt);
+
+	if (r)
+		relay_limited(r, answer);
+}
+
+static void view_changed(gateway_t *g)
+{
+	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
+
+	for (GList *link = relays; link; link = link->next)
+		relay_view_changed(link->data);
+}
+
+static void handle(void *state, const message_t *m)
+{
+	gateway_t *g = state;
+
+	switch (m->type) {
+	case MESSAGE_FLEET:
+		fleet_unref(g->fleet);
+		g->fleet = fleet_ref(m->fleet);
+		break;
+	case MESSAGE_VMS:
+		set_budget(g, m->vms->entries->len);
+		break;
+	case MESSAGE_ROUTED:
+	case MESSAGE_GRANT:
+	case MESSAGE_REFUSE:
+		take_capacity(g, m);
+		break;
+	case MESSAGE_LIMIT_ANSWER:
+		take_limit(g, &m->limit);
+		break;
+	case MESSAGE_VIEW_CHANGED:
+		view_changed(g);
+		break;
+	case MESSAGE_DRAIN:
+		g->drain_since = now_us();
+		break;
+	default:
+		break;
+	}
+}
+
+static bool listen_for_callers(gateway_t *g, err_t *err)
+{
+	const char *address = g->sup->settings->listen;
+	struct sockaddr_storage name;
+	int len = sizeof(name);
+
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&name, &len))
+		return err_set(err, ERR_INVALID, "listen for callers", address,
+			       "IP:port is expected");
+	g->listener = evconnlistener_new_bind(
+		g->sup->base, on_accept, g,
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+			LEV_OPT_CLOSE_ON_EXEC,
+		BACKLOG, (struct sockaddr *)&name, len);
+	if (g->listener)
+		return true;
+	return err_set(err, ERR_SYSTEM, "listen for callers", address,
+		       "the address can't be bound");
+}
+
+static void *start(supervisor_t *sup, err_t *err)
+{
+	static const retry_terms_t none = { .daemons = 1 };
+	gateway_t *g = g_new0(gateway_t, 1);
+
+	g->sup = sup;
+	if (!listen_for_callers(g, err)) {
+		g_free(g);
+		return NULL;
+	}
+	g->callers = g_hash_table_new(NULL, NULL);
+	g->relays = g_hash_table_new(g_int64_hash, g_int64_equal);
+	upstream_pool_init(&g->pool, sup->base);
+	retry_budget_init(&g->retries, &none);
+	g->tick = supervisor_every(sup, TICK_MS, on_tick, g);
+	/* After a restart of the group the store task tells all again. */
+	supervisor_post(sup, TASK_PLATFORM,
+			&(message_t){ .type = MESSAGE_VIEW_CHANGED });
+	return g;
+}
+
+static void stop(void *state)
+{
+	gateway_t *g = state;
+	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
+	g_autoptr(GList) callers = g_hash_table_get_keys(g->callers);
+
+	for (GList *link = relays; link; link = link->next)
+		relay_free(link->data);
+	for (GList *link = callers; link; link = link->next)
+		ingress_free(link->data);
+	evconnlistener_free(g->listener);
+	event_free(g->tick);
+	upstream_pool_finish(&g->pool);
+	retry_budget_finish(&g->retries);
+	g_hash_table_destroy(g->relays);
+	g_hash_table_destroy(g->callers);
+	fleet_unref(g->fleet);
+	g_free(g);
+}
+
+const task_spec_t gateway_task = { "gateway", 2, start, handle, stop };
--- /dev/null
+++ b/daemon/ingress.c
@@ -0,0 +1,356 @@
+#define LOG_PART "ingress"
+
+#include <sys/socket.h>
+
+#include "common/log.h"
+#include "common/timeval.h"
+#include "daemon/gateway.h"
+#include "net/tcp.h"
+
+enum {
+	DEFAULT_MAX_HEADER = 16 * 1024, /* bytes, before a configuration */
+	DEFAULT_MAX_BODY = 4 * 1024 * 1024, /* bytes, likewise */
+	DEFAULT_TIMEOUT_MS = 5000, /* likewise */
+	READ_AHEAD = 64 * 1024, /* bytes of a later request kept unread */
+	LINGER_MS = 1000, /* for the caller to take the last answer */
+	STATUS_CONTINUE = 100,
+};
+
+typedef enum ingress_state {
+	INGRESS_IDLE, /* no byte of a request yet */
+	INGRESS_READING,
+	INGRESS_RELAYING,
+	INGRESS_ANSWERING, /* a streamed answer has begun */
+	INGRESS_CLOSING, /* the last answer is being written */
+} ingress_state_t;
+
+struct ingress {
+	gateway_t *gateway;
+	struct bufferevent *bev;
+	struct event *timer;
+	http1_reader_t reader;
+	GByteArray *body;
+	relay_t *relay;
+	ingress_state_t state;
+	bool closes; /* after the present answer */
+	bool is_shut;
+};
+
+static const fleet_limits_t default_limits = {
+	.max_header_bytes = DEFAULT_MAX_HEADER,
+	.max_body_bytes = DEFAULT_MAX_BODY,
+	.header_timeout_ms = DEFAULT_TIMEOUT_MS,
+	.idle_timeout_ms = DEFAULT_TIMEOUT_MS,
+};
+
+static fleet_limits_t limits(const ingress_t *c)
+{
+	fleet_limits_t l =
+		c->gateway->fleet ? c->gateway->fleet->limits : default_limits;
+
+	if (!l.max_header_bytes)
+		l.max_header_bytes = DEFAULT_MAX_HEADER;
+	if (!l.max_body_bytes)
+		l.max_body_bytes = DEFAULT_MAX_BODY;
+	if (!l.header_timeout_ms)
+		l.header_timeout_ms = DEFAULT_TIMEOUT_MS;
+	if (!l.idle_timeout_ms)
+		l.idle_timeout_ms = DEFAULT_TIMEOUT_MS;
+	return l;
+}
+
+void ingress_free(ingress_t *c)
+{
+	g_hash_table_remove(c->gateway->callers, c);
+	bufferevent_free(c->bev);
+	event_free(c->timer);
+	http1_reader_finish(&c->reader);
+	g_byte_array_unref(c->body);
+	g_free(c);
+}
+
+static void set_timer(ingress_t *c, int64_t ms)
+{
+	struct timeval limit = timeval_from_ms(ms);
+
+	event_add(c->timer, &limit);
+}
+
+/* Closes with unread bytes would reset the answer on its way. */
+static void shut(ingress_t *c)
+{
+	if (c->is_shut || evbuffer_get_length(bufferevent_get_output(c->bev)))
+		return;
+	c->is_shut = true;
+	shutdown(bufferevent_getfd(c->bev), SHUT_WR);
+	set_timer(c, LINGER_MS);
+}
+
+/* The answer is written: reads on, or closes. */
+static void finish_answer(ingress_t *c)
+{
+	c->relay = NULL;
+	if (c->closes) {
+		c->state = INGRESS_CLOSING;
+		set_timer(c, limits(c).idle_timeout_ms);
+		shut(c);
+		return;
+	}
+	c->state = INGRESS_IDLE;
+	http1_reader_reset(&c->reader);
+	g_byte_array_set_size(c->body, 0);
+	set_timer(c, limits(c).idle_timeout_ms);
+	/* What was read ahead is served from the event loop. */
+	if (evbuffer_get_length(bufferevent_get_input(c->bev)))
+		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
+static bool is_last(ingress_t *c)
+{
+	c->closes |= !c->reader.head.keeps_alive || c->gateway->drain_since;
+	return c->closes;
+}
+
+static void write_refusal(ingress_t *c, int status, int64_t retry_after_ms,
+			  const char *why)
+{
+	g_autofree char *body =
+		g_strdup_printf("{\"error\":{\"message\":\"%s\"}}", why);
+	str_t id = { "", 0 };
+	call_head_t call;
+
+	if (c->reader.has_head && call_head_read(&c->reader.head, &call, NULL))
+		id = call.attempt_id;
+	answer_own_write(bufferevent_get_output(c->bev), status, id,
+			 retry_after_ms, str_from(body), is_last(c));
+}
+
+void ingress_refuse(ingress_t *c, int status, int64_t retry_after_ms,
+		    const char *why)
+{
+	write_refusal(c, status, retry_after_ms, why);
+	finish_answer(c);
+}
+
+void ingress_answer(ingress_t *c, const http1_head_t *head,
+		    struct evbuffer *body)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+
+	answer_head_write(out, head, (int64_t)evbuffer_get_length(body),
+			  is_last(c));
+	evbuffer_add_buffer(out, body);
+	finish_answer(c);
+}
+
+void ingress_begin(ingress_t *c, const http1_head_t *head)
+{
+	c->state = INGRESS_ANSWERING;
+	answer_head_write(bufferevent_get_output(c->bev), head, -1, is_last(c));
+}
+
+void ingress_write(ingress_t *c, str_t bytes)
+{
+	struct evbuffer *out = bufferevent_get_output(c->bev);
+
+	evbuffer_add_printf(out, "%zx\r\n", bytes.len);
+	evbuffer_add(out, bytes.ptr, bytes.len);
+	evbuffer_add(out, "\r\n", 2);
+}
+
+void ingress_end(ingress_t *c, bool is_whole)
+{
+	if (is_whole) {
+		evbuffer_add(bufferevent_get_output(c->bev), "0\r\n\r\n", 5);
+		finish_answer(c);
+		return;
+	}
+	/* What is missing shows: the last chunk never comes. */
+	c->closes = true;
+	finish_answer(c);
+}
+
+size_t ingress_backlog(const ingress_t *c)
+{
+	return evbuffer_get_length(bufferevent_get_output(c->bev));
+}
+
+/* A request that can't be read on is the connection's last. */
+static void reject(ingress_t *c, int status, const char *why)
+{
+	log_debug("request refused with %d: %s", status, why);
+	metrics_add(&c->gateway->sup->metrics, "papaya_rejected_total", NULL,
+		    1);
+	c->closes = true;
+	ingress_refuse(c, status, 0, why);
+}
+
+static bool on_head(void *ctx, const http1_head_t *head)
+{
+	ingress_t *c = ctx;
+	const http1_header_t *expect = http1_find(head, STR_LIT("expect"));
+	int64_t length = head->content_length;
+
+	if (length != HTTP1_NO_LENGTH &&
+	    length > (int64_t)limits(c).max_body_bytes)
+		return false;
+	if (expect && http1_same_name(expect->value, STR_LIT("100-continue")))
+		evbuffer_add_printf(bufferevent_get_output(c->bev),
+				    "HTTP/1.1 %d Continue\r\n\r\n",
+				    STATUS_CONTINUE);
+	return true;
+}
+
+static bool on_body(void *ctx, str_t bytes)
+{
+	ingress_t *c = ctx;
+
+	if (c->body->len + bytes.len > limits(c).max_body_bytes)
+		return false;
+	g_byte_array_append(c->body, (const guint8 *)bytes.ptr,
+			    (guint)bytes.len);
+	return true;
+}
+
+static void start_relay(ingress_t *c)
+{
+	GBytes *body = g_bytes_new(c->body->data, c->body->len);
+
+	event_del(c->timer);
+	c->state = INGRESS_RELAYING;
+	g_byte_array_set_size(c->body, 0);
+	relay_start(c->gateway, c, &c->reader.head, body);
+	g_bytes_unref(body);
+}
+
+static void take(ingress_t *c, http1_result_t result)
+{
+	switch (result) {
+	case HTTP1_END:
+		start_relay(c);
+		break;
+	case HTTP1_STOPPED:
+		reject(c, 413, "the body is too long");
+		break;
+	case HTTP1_OVERSIZED:
+		reject(c, 431, "the headers are too long");
+		break;
+	case HTTP1_MALFORMED:
+		reject(c, 400, "the request can't be read");
+		break;
+	case HTTP1_MORE:
+		break;
+	}
+}
+
+static void note_begin(ingress_t *c)
+{
+	if (c->state != INGRESS_IDLE)
+		return;
+	c->state = INGRESS_READING;
+	http1_reader_set_limit(&c->reader, limits(c).max_header_bytes);
+	set_timer(c, limits(c).header_timeout_ms);
+}
+
+static void read_next(ingress_t *c)
+{
+	struct evbuffer *in = bufferevent_get_input(c->bev);
+	http1_result_t result = HTTP1_MORE;
+
+	while (result == HTTP1_MORE && evbuffer_get_length(in)) {
+		size_t n = evbuffer_get_contiguous_space(in);
+		str_t bytes = { (char *)evbuffer_pullup(in, (ev_ssize_t)n), n };
+		size_t taken;
+
+		note_begin(c);
+		result = http1_reader_feed(&c->reader, bytes, &taken);
+		evbuffer_drain(in, taken);
+	}
+	/* A body may take long as long as it comes. */
+	if (result == HTTP1_MORE && c->reader.has_head)
+		set_timer(c, limits(c).idle_timeout_ms);
+	take(c, result);
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	ingress_t *c = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	if (c->state == INGRESS_CLOSING)
+		evbuffer_drain(in, evbuffer_get_length(in));
+	else if (c->state <= INGRESS_READING)
+		read_next(c);
+}
+
+static void on_written(struct bufferevent *bev, void *arg)
+{
+	ingress_t *c = arg;
+
+	if (c->state == INGRESS_CLOSING)
+		shut(c);
+	else if (c->relay)
+		relay_resume(c->relay);
+}
+
+/* The caller is gone: so is what it asked for. */
+static void leave(ingress_t *c)
+{
+	relay_t *relay = c->relay;
+
+	c->relay = NULL;
+	if (relay)
+		relay_abandon(relay);
+	ingress_free(c);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		leave(arg);
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	ingress_t *c = arg;
+
+	if (c->state == INGRESS_READING)
+		reject(c, 408, "the request did not come in time");
+	else if (c->state != INGRESS_RELAYING && c->state != INGRESS_ANSWERING)
+		leave(c);
+}
+
+void ingress_close_idle(ingress_t *c)
+{
+	if (c->state == INGRESS_IDLE &&
+	    !evbuffer_get_length(bufferevent_get_input(c->bev))) {
+		c->closes = true;
+		finish_answer(c);
+	}
+}
+
+void ingress_set_relay(ingress_t *c, relay_t *relay)
+{
+	c->relay = relay;
+}
+
+void ingress_accept(gateway_t *g, evutil_socket_t fd)
+{
+	static const http1_ops_t ops = { on_head, on_body };
+	ingress_t *c = g_new0(ingress_t, 1);
+
+	tcp_keep_watch(fd);
+	c->gateway = g;
+	c->body = g_byte_array_new();
+	c->bev = bufferevent_socket_new(g->sup->base, fd,
+					BEV_OPT_CLOSE_ON_FREE |
+						BEV_OPT_DEFER_CALLBACKS);
+	c->timer = evtimer_new(g->sup->base, on_timer, c);
+	http1_reader_init(&c->reader, HTTP1_REQUEST, DEFAULT_MAX_HEADER, &ops,
+			  c);
+	bufferevent_setcb(c->bev, on_read, on_written, on_event, c);
+	bufferevent_setwatermark(c->bev, EV_READ, 0, READ_AHEAD);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	set_timer(c, limits(c).idle_timeout_ms);
+	g_hash_table_add(g->callers, c);
+}
--- a/daemon/limits_task.c
+++ b/daemon/limits_task.c
@@ -46,17 +46,18 @@
  * Brings a team's terms up to the profile in force, when it is asked for:
  * most of the many teams are idle.
  */
-static void set_terms(limits_t *s, const message_limit_t *l, const char *name)
+static limit_terms_t set_terms(limits_t *s, const message_limit_t *l,
+			       const char *name)
 {
 	const profile_t *profile = config_view_profile(s->config, l->profile);
 	const profile_team_t *team =
 		profile ? profile_team(profile, str_from(l->team)) : NULL;
 	uint32_t zones = g_strv_length(s->sup->settings->zones);
 	limit_t *limit = l->is_fallback ? &s->own : &s->zone;
-	limit_terms_t t;
+	limit_terms_t t = { 0 };
 
 	if (!team)
-		return;
+		return t;
 	t = limit_share(
 		(limit_terms_t){ team->rate, team->burst, team->concurrency },
 		1, l->is_fallback ? zones * s->daemons : zones);
@@ -66,6 +67,7 @@
 	else
 		limit_set(limit, str_from(name), t.rate, t.burst,
 			  t.concurrency);
+	return t;
 }
 
 static void ask(limits_t *s, const message_limit_t *asked)
@@ -74,11 +76,14 @@
 	message_t m = { .type = MESSAGE_LIMIT_ANSWER, .limit = *asked };
 	message_limit_t *l = &m.limit;
 	limit_t *limit = asked->is_fallback ? &s->own : &s->zone;
-
-	set_terms(s, asked, name);
-	l->is_ok =
-		limit_take(limit, str_from(name), now_us(), &l->retry_after_ms);
-	if (l->is_ok && !l->is_fallback)
+	limit_terms_t terms = set_terms(s, asked, name);
+
+	l->is_ok = limit_take_many(limit, str_from(name), MAX(l->cost, 1),
+				   now_us(), &l->retry_after_ms);
+	/* Without a limit on requests in progress none is ever given back. */
+	if (l->is_ok && !terms.concurrency)
+		limit_release(limit, str_from(name));
+	else if (l->is_ok && !l->is_fallback)
 		count_held(s, l, 1);
 	supervisor_post(s->sup, TASK_PEERS, &m);
 }
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -14,22 +14,37 @@
 
 enum { EXIT_USAGE = 2 };
 
-static const task_spec_t *const tasks[TASK_COUNT] = {
+/* Published profiles, and callers of the own interface. */
+static const task_spec_t *const own_tasks[TASK_COUNT] = {
 	[TASK_PLATFORM] = &platform_task, [TASK_PEERS] = &peers_task,
 	[TASK_CAPACITY] = &capacity_task, [TASK_LIMITS] = &limits_task,
 	[TASK_FRONT] = &front_task,	  [TASK_ACCOUNTS] = &accounts_task,
 	[TASK_ADMIN] = &admin_task,
 };
 
+/* Routes of a platform's operators, and its callers. */
+static const task_spec_t *const fleet_tasks[TASK_COUNT] = {
+	[TASK_PLATFORM] = &store_task,	  [TASK_PEERS] = &peers_task,
+	[TASK_CAPACITY] = &capacity_task, [TASK_LIMITS] = &limits_task,
+	[TASK_FRONT] = &gateway_task,	  [TASK_ACCOUNTS] = &accounts_task,
+	[TASK_ADMIN] = &admin_task,
+};
+
 static void on_terminate(evutil_socket_t fd, short what, void *arg)
 {
 	supervisor_drain(arg);
 }
 
+/* Settings that may change while the daemon runs are read again. */
+static void on_hangup(evutil_socket_t fd, short what, void *arg)
+{
+	supervisor_reload(arg);
+}
+
 static int run(const settings_t *settings)
 {
 	struct event_base *base = event_base_new();
-	struct event *term, *intr;
+	struct event *term, *intr, *hup;
 	supervisor_t sup;
 	char text[ERR_DETAIL_SIZE * 2];
 	err_t err = { 0 };
@@ -39,9 +54,12 @@
 	supervisor_init(&sup, base, settings);
 	term = evsignal_new(base, SIGTERM, on_terminate, &sup);
 	intr = evsignal_new(base, SIGINT, on_terminate, &sup);
+	hup = evsignal_new(base, SIGHUP, on_hangup, &sup);
 	event_add(term, NULL);
 	event_add(intr, NULL);
-	if (!supervisor_start(&sup, tasks, &err)) {
+	event_add(hup, NULL);
+	if (!supervisor_start(&sup, settings->fleet ? fleet_tasks : own_tasks,
+			      &err)) {
 		log_error("%s", err_text(&err, text, sizeof(text)));
 		goto out;
 	}
@@ -54,6 +72,7 @@
 	supervisor_finish(&sup);
 	event_free(term);
 	event_free(intr);
+	event_free(hup);
 	event_base_free(base);
 	return status;
 }
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -108,6 +108,9 @@
 	case MESSAGE_CONFIG:
 		config_view_unref(m->config);
 		break;
+	case MESSAGE_FLEET:
+		fleet_unref(m->fleet);
+		break;
 	case MESSAGE_VMS:
 	case MESSAGE_VMS_RELAYED:
 		vm_view_unref(m->vms);
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -13,6 +13,7 @@
 #include "core/accounts.h"
 #include "core/config_fold.h"
 #include "core/dispatcher.h"
+#include "core/fleet.h"
 #include "core/member.h"
 #include "core/profile.h"
 #include "core/rights.h"
@@ -49,6 +50,7 @@
 	MESSAGE_CONFIG_ASK, /* peers to platform: a peer is behind */
 	MESSAGE_CONFIG_SEND, /* platform to peers: documents for it */
 	MESSAGE_CONFIG_RELAYED, /* peers to platform: from another daemon */
+	MESSAGE_FLEET, /* platform to front: routes, services and teams */
 	MESSAGE_VMS, /* platform to all: the VM list */
 	MESSAGE_VMS_RELAYED, /* peers to platform: from another daemon */
 	MESSAGE_LOCATE, /* front to peers: who owns this key? */
@@ -129,6 +131,7 @@
 	uint64_t owner; /* boot number of the daemon that asks */
 	char team[MEMBER_NAME_SIZE];
 	char profile[MEMBER_NAME_SIZE]; /* that states the limit */
+	uint32_t cost; /* units of the limit, 0 counts as 1; ASK */
 	bool is_fallback; /* the zone's counter is out of reach */
 	bool is_ok; /* ANSWER */
 	uint32_t retry_after_ms; /* ANSWER */
@@ -149,6 +152,7 @@
 	message_type_t type;
 	union {
 		config_view_t *config;
+		fleet_t *fleet;
 		vm_view_t *vms;
 		uint64_t number; /* CONFIG_NEXT, SETTLED */
 		message_docs_t docs; /* CONFIG_ASK, SEND, RELAYED */
--- /dev/null
+++ b/daemon/relay.c
@@ -0,0 +1,424 @@
+#define LOG_PART "relay"
+
+#include "daemon/relay.h"
+
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "common/timeval.h"
+
+enum {
+	US_PER_MS = 1000,
+	NO_FLEET_RETRY_MS = 500,
+	LIMIT_TIMEOUT_US = 150 * US_PER_MS, /* then the own share counts */
+	ASK_AGAIN_US = 250 * US_PER_MS, /* for a grant that may be lost */
+	MAX_SENDS = 4, /* upstreams asked, also such as refuse at once */
+	MIN_DEADLINE_US = 20 * US_PER_MS, /* less is not worth sending */
+	DEFAULT_OUTPUT_TOKENS = 128,
+	MAX_EVENT = 256 * 1024, /* bytes */
+	MAX_TIER_TEXT = 16,
+};
+
+static supervisor_t *sup_of(const relay_t *r)
+{
+	return r->gateway->sup;
+}
+
+static uint32_t output_tokens(const call_head_t *call)
+{
+	if (call->output_hint)
+		return call->output_hint;
+	return call->has_tokens ? call->max_output_tokens / 2 + 1 :
+				  DEFAULT_OUTPUT_TOKENS;
+}
+
+static void fill_capacity(const relay_t *r, message_capacity_t *c)
+{
+	const fleet_service_t *service =
+		fleet_find_service(r->fleet, r->service);
+	bool is_engine = service && service->is_engine;
+
+	g_strlcpy(c->peer, r->dispatcher, sizeof(c->peer));
+	g_strlcpy(c->service, r->service, sizeof(c->service));
+	g_snprintf(c->tier, sizeof(c->tier), "%u", r->rank);
+	c->want.id = (want_id_t){ sup_of(r)->boot, r->attempt };
+	if (r->team)
+		g_strlcpy(c->want.team, r->team->name, sizeof(c->want.team));
+	c->want.prompt_tokens = is_engine ? MAX(r->call.prompt_tokens, 1) : 1;
+	c->want.output_tokens = is_engine ? output_tokens(&r->call) : 1;
+	c->want.prefix_hash = r->call.prefix;
+	c->want.deadline = r->deadline;
+	g_strlcpy(c->want.avoid, r->avoid, sizeof(c->want.avoid));
+}
+
+static void post_capacity(relay_t *r, message_type_t type, const done_t *done)
+{
+	message_t m = { .type = type };
+
+	fill_capacity(r, &m.capacity);
+	m.capacity.is_again = r->has_asked_again;
+	if (done)
+		m.capacity.done = *done;
+	if (r->state == RELAY_SENT)
+		g_strlcpy(m.capacity.running_on, r->runner.name,
+			  sizeof(m.capacity.running_on));
+	supervisor_post(sup_of(r), TASK_PEERS, &m);
+}
+
+/* A new attempt's number: the dispatcher must not mix it with the last. */
+static void renumber(relay_t *r)
+{
+	if (r->attempt)
+		g_hash_table_steal(r->gateway->relays, &r->attempt);
+	r->attempt = ++r->gateway->next_attempt;
+	g_hash_table_insert(r->gateway->relays, &r->attempt, r);
+}
+
+void relay_want(relay_t *r)
+{
+	renumber(r);
+	r->state = RELAY_WAITING;
+	r->asked = now_us();
+	r->has_asked_again = false;
+	r->is_routed = false;
+	r->dispatcher[0] = '\0';
+	post_capacity(r, MESSAGE_WANT, NULL);
+}
+
+static void want_again(relay_t *r, int64_t now)
+{
+	r->asked = now;
+	r->has_asked_again = true;
+	post_capacity(r, MESSAGE_WANT, NULL);
+}
+
+void relay_tell_done(relay_t *r, done_result_t result)
+{
+	done_t done = { .result = result };
+
+	done.prompt_tokens = r->call.prompt_tokens;
+	done.output_tokens = output_tokens(&r->call);
+	post_capacity(r, MESSAGE_DONE, &done);
+}
+
+void relay_free(relay_t *r)
+{
+	if (r->upstream)
+		upstream_cancel(r->upstream);
+	if (r->attempt)
+		g_hash_table_steal(r->gateway->relays, &r->attempt);
+	event_free(r->timer);
+	evbuffer_free(r->answer_body);
+	sse_finish(&r->events);
+	g_string_free(r->last_event, TRUE);
+	g_bytes_unref(r->body);
+	g_free(r->id);
+	fleet_unref(r->fleet);
+	g_free(r);
+}
+
+void relay_end(relay_t *r)
+{
+	if (r->caller)
+		ingress_set_relay(r->caller, NULL);
+	relay_free(r);
+}
+
+static void count_end(relay_t *r, int status, const char *why)
+{
+	log_info("request %s: answered %d: %s (route %s, sent %u, ran %u, "
+		 "%" PRId64 " ms)",
+		 r->id, status, why, r->route ? r->route->name : "-", r->sends,
+		 r->runs, (now_us() - r->arrived) / US_PER_MS);
+	metrics_add(&sup_of(r)->metrics, "papaya_own_answers_total", NULL, 1);
+}
+
+void relay_refuse(relay_t *r, int status, int64_t retry_after_ms,
+		  const char *why)
+{
+	ingress_t *caller = r->caller;
+
+	count_end(r, status, why);
+	if (r->has_begun) {
+		r->caller = NULL;
+		ingress_end(caller, false);
+	} else {
+		r->caller = NULL;
+		ingress_refuse(caller, status, retry_after_ms, why);
+	}
+	relay_end(r);
+}
+
+/* Gives back what dispatcher or upstream hold for this request. */
+static void let_go(relay_t *r, done_result_t result)
+{
+	if (r->state == RELAY_WAITING)
+		post_capacity(r, MESSAGE_WITHDRAW, NULL);
+	else if (r->state == RELAY_SENT)
+		relay_tell_done(r, result);
+	if (r->upstream)
+		upstream_cancel(r->upstream);
+	r->upstream = NULL;
+}
+
+void relay_abandon(relay_t *r)
+{
+	r->caller = NULL;
+	let_go(r, DONE_CANCELLED);
+	log_info("request %s: the caller left after %" PRId64 " ms", r->id,
+		 (now_us() - r->arrived) / US_PER_MS);
+	relay_end(r);
+}
+
+static void on_deadline(evutil_socket_t fd, short what, void *arg)
+{
+	relay_t *r = arg;
+
+	r->runs += r->upstream && upstream_is_sent(r->upstream);
+	let_go(r, DONE_CANCELLED);
+	if (r->runs || r->has_begun)
+		relay_refuse(r, 504, 0, "the time is up");
+	else
+		relay_refuse(r, 503, NO_FLEET_RETRY_MS,
+			     "no upstream was free in time");
+}
+
+static bool has_time(const relay_t *r)
+{
+	return r->deadline - now_us() > MIN_DEADLINE_US;
+}
+
+bool relay_try_again(relay_t *r)
+{
+	g_strlcpy(r->avoid, r->runner.name, sizeof(r->avoid));
+	if (r->sends >= MAX_SENDS || r->runs >= r->route->max_attempts ||
+	    (r->runs && !fleet_may_repeat(r->route)) || !has_time(r))
+		return false;
+	if (r->sends &&
+	    !retry_budget_take(&r->gateway->retries, r->service, now_us())) {
+		metrics_add(&sup_of(r)->metrics, "papaya_retries_denied_total",
+			    NULL, 1);
+		return false;
+	}
+	relay_want(r);
+	return true;
+}
+
+static void send_upstream(relay_t *r)
+{
+	bool may_reuse = fleet_may_repeat(r->route);
+	call_terms_t terms = {
+		.team = r->team ? r->team->name : NULL,
+		.runner = r->runner.name,
+		.allowed_ms = (r->deadline - now_us()) / US_PER_MS,
+		.has_resume = r->n_events > 0,
+		.resume_after = { r->last_event->str, r->last_event->len },
+	};
+	struct evbuffer *request = evbuffer_new();
+	gsize len;
+	const void *bytes = g_bytes_get_data(r->body, &len);
+
+	call_head_write(request, r->head, &r->call, &terms, len);
+	evbuffer_add(request, bytes, len);
+	r->has_answer = false;
+	r->is_streaming = false;
+	evbuffer_drain(r->answer_body, evbuffer_get_length(r->answer_body));
+	sse_reset(&r->events);
+	r->state = RELAY_SENT;
+	r->upstream =
+		upstream_start(&r->gateway->pool, r->runner.address, may_reuse,
+			       str_eq(r->call.method, STR_LIT("HEAD")), request,
+			       &relay_answer_ops, r);
+	evbuffer_free(request);
+	if (r->upstream)
+		return;
+	relay_tell_done(r, DONE_UNREACHABLE);
+	if (!relay_try_again(r))
+		relay_refuse(r, 503, NO_FLEET_RETRY_MS,
+			     "no upstream can be reached");
+}
+
+void relay_granted(relay_t *r, const message_capacity_t *grant)
+{
+	if (r->state != RELAY_WAITING)
+		return;
+	r->runner = grant->runner;
+	r->is_routed = true;
+	g_strlcpy(r->dispatcher, grant->peer, sizeof(r->dispatcher));
+	metrics_observe(&sup_of(r)->metrics, "papaya_wait_ms", NULL,
+			(now_us() - r->arrived) / US_PER_MS);
+	log_debug("request %s: granted runner %s", r->id, r->runner.name);
+	send_upstream(r);
+}
+
+static const char *refusal_text(refuse_reason_t reason)
+{
+	static const char *const texts[] = {
+		[REFUSE_DEADLINE] = "it could not finish in time",
+		[REFUSE_QUEUE_FULL] = "the queue is full",
+		[REFUSE_SHED] = "it gave way to more urgent work",
+		[REFUSE_NO_RUNNER] = "the service has no runner",
+		[REFUSE_EXPIRED] = "its time passed while it waited",
+	};
+
+	return texts[reason];
+}
+
+void relay_refused(relay_t *r, refuse_reason_t reason, uint32_t retry_ms)
+{
+	if (r->state != RELAY_WAITING)
+		return;
+	r->state = RELAY_ENDED;
+	if (r->runs || r->has_begun)
+		relay_refuse(r, 502, 0, refusal_text(reason));
+	else
+		relay_refuse(r, 503, MAX(retry_ms, 1), refusal_text(reason));
+}
+
+void relay_routed(relay_t *r, const char *dispatcher)
+{
+	if (r->is_routed && strcmp(r->dispatcher, dispatcher) != 0 &&
+	    r->state == RELAY_WAITING)
+		post_capacity(r, MESSAGE_WITHDRAW, NULL);
+	r->is_routed = true;
+	g_strlcpy(r->dispatcher, dispatcher, sizeof(r->dispatcher));
+}
+
+void relay_view_changed(relay_t *r)
+{
+	if (r->state == RELAY_WAITING || r->state == RELAY_SENT)
+		want_again(r, now_us());
+}
+
+/* What the request takes of its team's limit. */
+static uint32_t limit_cost(const relay_t *r)
+{
+	if (!r->team->counts_tokens)
+		return 1;
+	if (!r->call.has_tokens)
+		return MAX(r->team->default_tokens, 1);
+	return r->call.prompt_tokens + r->call.max_output_tokens;
+}
+
+static void post_limit(relay_t *r)
+{
+	message_t m = { .type = MESSAGE_LIMIT_ASK };
+	message_limit_t *l = &m.limit;
+
+	r->asked = now_us();
+	l->attempt = r->attempt;
+	l->owner = sup_of(r)->boot;
+	l->is_fallback = r->is_limit_fallback;
+	l->cost = limit_cost(r);
+	g_strlcpy(l->team, r->team->name, sizeof(l->team));
+	g_strlcpy(l->profile, FLEET_PROFILE, sizeof(l->profile));
+	supervisor_post(sup_of(r), TASK_PEERS, &m);
+}
+
+void relay_limited(relay_t *r, const message_limit_t *answer)
+{
+	if (r->state != RELAY_LIMITING)
+		return;
+	if (answer->is_ok) {
+		relay_want(r);
+		return;
+	}
+	relay_refuse(r, 429, MAX(answer->retry_after_ms, 1),
+		     "the team's limit is reached");
+}
+
+void relay_tick(relay_t *r, int64_t now)
+{
+	if (r->state == RELAY_LIMITING && !r->is_limit_fallback &&
+	    now - r->asked > LIMIT_TIMEOUT_US) {
+		r->is_limit_fallback = true;
+		post_limit(r);
+	} else if (r->state == RELAY_WAITING && now - r->asked > ASK_AGAIN_US) {
+		want_again(r, now);
+	}
+}
+
+void relay_resume(relay_t *r)
+{
+	if (!r->is_paused || !r->upstream)
+		return;
+	r->is_paused = false;
+	upstream_pause(r->upstream, false);
+}
+
+/* Finds route and team; false when the request was refused. */
+static bool admit(relay_t *r)
+{
+	fleet_t *fleet = r->gateway->fleet;
+	err_t err = { 0 };
+
+	if (!fleet) {
+		relay_refuse(r, 503, NO_FLEET_RETRY_MS,
+			     "no configuration is known yet");
+		return false;
+	}
+	r->fleet = fleet_ref(fleet);
+	if (!call_head_read(r->head, &r->call, &err)) {
+		relay_refuse(r, 400, 0, err.detail);
+		return false;
+	}
+	g_free(r->id);
+	r->id = g_strndup(r->call.attempt_id.ptr, r->call.attempt_id.len);
+	r->route = fleet_find_route(fleet, r->call.host, r->call.path);
+	if (!r->route) {
+		relay_refuse(r, 404, 0, "no route fits");
+		return false;
+	}
+	if (r->call.key.len)
+		r->team = fleet_find_key(fleet, r->call.key);
+	if (!r->team && !r->route->is_anonymous && fleet->teams->len) {
+		relay_refuse(r, 401, 0, "the key is not known");
+		return false;
+	}
+	return true;
+}
+
+static void set_deadline(relay_t *r)
+{
+	int64_t ms = r->route->timeout_ms;
+	struct timeval left;
+
+	if (r->call.allowed_ms && (!ms || r->call.allowed_ms < ms))
+		ms = r->call.allowed_ms;
+	if (!ms)
+		ms = sup_of(r)->settings->max_deadline_ms;
+	r->deadline = r->arrived + ms * US_PER_MS;
+	left = timeval_from_ms(ms);
+	event_add(r->timer, &left);
+}
+
+void relay_start(gateway_t *g, ingress_t *c, const http1_head_t *head,
+		 GBytes *body)
+{
+	relay_t *r = g_new0(relay_t, 1);
+
+	r->gateway = g;
+	r->caller = c;
+	r->head = head;
+	r->body = g_bytes_ref(body);
+	r->id = g_strdup("-");
+	r->arrived = now_us();
+	r->timer = evtimer_new(g->sup->base, on_deadline, r);
+	r->answer_body = evbuffer_new();
+	r->last_event = g_string_new("");
+	relay_answer_init(r, MAX_EVENT);
+	ingress_set_relay(c, r);
+	if (!admit(r))
+		return;
+	r->service = fleet_pick_service(r->route, str_hash(r->call.attempt_id));
+	r->rank = fleet_rank(r->team, r->route);
+	retry_budget_first(&g->retries, r->service, r->arrived);
+	set_deadline(r);
+	if (!r->team || r->team->rate <= 0) {
+		relay_want(r);
+		return;
+	}
+	renumber(r);
+	r->state = RELAY_LIMITING;
+	post_limit(r);
+}
--- /dev/null
+++ b/daemon/relay.h
@@ -0,0 +1,77 @@
+/* What relay.c and relay_answer.c share of one request; private to them. */
+#ifndef DAEMON_RELAY_H
+#define DAEMON_RELAY_H
+
+#include "daemon/gateway.h"
+
+typedef enum relay_state {
+	RELAY_LIMITING, /* the team's limit is being asked for */
+	RELAY_WAITING, /* for a dispatcher's grant */
+	RELAY_SENT, /* an upstream has it */
+	RELAY_ENDED,
+} relay_state_t;
+
+struct relay {
+	gateway_t *gateway;
+	ingress_t *caller; /* NULL once it left or is answered */
+	const http1_head_t *head; /* of the request */
+	call_head_t call;
+	GBytes *body;
+	char *id; /* the attempt's id, for logs */
+
+	fleet_t *fleet; /* the configuration it is served by */
+	const fleet_route_t *route;
+	const fleet_team_t *team; /* NULL: none */
+	const char *service;
+	uint32_t rank;
+
+	relay_state_t state;
+	uint64_t attempt; /* of this daemon, for dispatcher and limiter */
+	int64_t arrived; /* all times: microseconds, monotonic */
+	int64_t deadline; /* the caller's or the route's, whichever is first */
+	int64_t asked; /* when limiter or dispatcher was asked last */
+	struct event *timer; /* at the deadline */
+	bool is_limit_fallback;
+	bool is_routed;
+	bool has_asked_again;
+	char dispatcher[MEMBER_NAME_SIZE]; /* "": this daemon's own */
+
+	dispatcher_runner_t runner;
+	char avoid[DISPATCHER_NAME_SIZE]; /* runner that failed last */
+	upstream_t *upstream;
+	uint32_t sends; /* upstreams that got it */
+	uint32_t runs; /* of those, that may have run it */
+
+	const http1_head_t *answer_http; /* while the exchange lasts */
+	answer_head_t answer;
+	struct evbuffer *answer_body;
+	bool has_answer;
+	bool is_streaming; /* this exchange's answer is passed on as it comes */
+	bool has_begun; /* the caller has the answer's head */
+	bool is_paused; /* the caller is slow */
+	sse_t events;
+	GString *last_event; /* id of the last event passed on */
+	uint64_t n_events;
+};
+
+/* relay.c */
+
+/* Asks a dispatcher for an upstream. */
+void relay_want(relay_t *r);
+/* Tells the dispatcher how the grant was used. */
+void relay_tell_done(relay_t *r, done_result_t result);
+/* Answers with an own status, and ends. */
+void relay_refuse(relay_t *r, int status, int64_t retry_after_ms,
+		  const char *why);
+/* The answer is given: lets go of everything. */
+void relay_end(relay_t *r);
+/* Sends the request once more elsewhere, if that is allowed; else false. */
+bool relay_try_again(relay_t *r);
+
+/* relay_answer.c */
+
+void relay_answer_init(relay_t *r, size_t max_event);
+/* Callbacks for the exchange with the upstream. */
+extern const upstream_ops_t relay_answer_ops;
+
+#endif
--- /dev/null
+++ b/daemon/relay_answer.c
@@ -0,0 +1,196 @@
+#define LOG_PART "relay"
+
+#include "common/log.h"
+#include "daemon/relay.h"
+
+enum {
+	RETRY_MS = 300, /* for requests that no upstream ran */
+};
+
+static bool is_success(const relay_t *r)
+{
+	return r->answer.status >= 200 && r->answer.status < 300;
+}
+
+/* Passes on one whole event; its id is where a resumed stream goes on. */
+static void on_event(void *ctx, str_t raw, str_t data)
+{
+	relay_t *r = ctx;
+	str_t id = sse_id(raw);
+
+	ingress_write(r->caller, raw);
+	r->n_events++;
+	if (!id.len)
+		return;
+	g_string_truncate(r->last_event, 0);
+	g_string_append_len(r->last_event, id.ptr, (gssize)id.len);
+}
+
+void relay_answer_init(relay_t *r, size_t max_event)
+{
+	sse_init(&r->events, max_event, on_event, r);
+}
+
+/* Tells whether an answer may go to the caller as this request's success. */
+static bool is_sound(const relay_t *r)
+{
+	return r->answer.is_ours && !r->answer.is_encoded &&
+	       (!is_success(r) || r->answer.is_sealed);
+}
+
+static void begin_stream(relay_t *r)
+{
+	r->is_streaming = true;
+	if (r->has_begun)
+		return;
+	r->has_begun = true;
+	ingress_begin(r->caller, r->answer_http);
+}
+
+static bool on_head(void *ctx, const http1_head_t *head)
+{
+	relay_t *r = ctx;
+
+	r->answer_http = head;
+	r->has_answer = true;
+	answer_head_read(head, r->call.attempt_id, &r->answer);
+	if (!is_sound(r))
+		return false;
+	if (r->route->kind == FLEET_STREAM && is_success(r))
+		begin_stream(r);
+	return true;
+}
+
+static void note_first_bytes(relay_t *r)
+{
+	message_t m = { .type = MESSAGE_FIRST_TOKEN };
+
+	g_strlcpy(m.capacity.peer, r->dispatcher, sizeof(m.capacity.peer));
+	g_strlcpy(m.capacity.service, r->service, sizeof(m.capacity.service));
+	m.capacity.want.id = (want_id_t){ r->gateway->sup->boot, r->attempt };
+	supervisor_post(r->gateway->sup, TASK_PEERS, &m);
+}
+
+static bool on_body(void *ctx, str_t bytes)
+{
+	relay_t *r = ctx;
+	uint64_t before = r->n_events;
+	size_t max =
+		(size_t)r->gateway->sup->settings->caller_backlog_kib * 1024;
+
+	if (!r->is_streaming) {
+		evbuffer_add(r->answer_body, bytes.ptr, bytes.len);
+		return evbuffer_get_length(r->answer_body) <=
+		       (size_t)r->gateway->sup->settings->max_answer_kib * 1024;
+	}
+	if (!sse_feed(&r->events, bytes))
+		return false;
+	if (!before && r->n_events)
+		note_first_bytes(r);
+	if (!r->is_paused && ingress_backlog(r->caller) > max) {
+		r->is_paused = true;
+		upstream_pause(r->upstream, true);
+	}
+	return true;
+}
+
+static void pass_on(relay_t *r)
+{
+	ingress_t *caller = r->caller;
+
+	log_debug("request %s: runner %s answered %d", r->id, r->runner.name,
+		  r->answer.status);
+	r->caller = NULL;
+	if (r->has_begun)
+		ingress_end(caller, true);
+	else
+		ingress_answer(caller, r->answer_http, r->answer_body);
+	relay_end(r);
+}
+
+/* The runner says that it did not run the request. */
+static void take_refusal(relay_t *r)
+{
+	relay_tell_done(r, DONE_FAILED);
+	if (relay_try_again(r))
+		return;
+	if (r->runs)
+		relay_refuse(r, 502, 0, "runners failed and refused it");
+	else
+		relay_refuse(r, 503, RETRY_MS, "the runners are full");
+}
+
+/* The request may have run, and no whole answer came of it. */
+static void take_loss(relay_t *r, const char *why)
+{
+	log_info("request %s: runner %s: %s", r->id, r->runner.name, why);
+	r->runs++;
+	relay_tell_done(r, DONE_BROKEN);
+	if (!relay_try_again(r))
+		relay_refuse(r, 502, 0, why);
+}
+
+/* A runner's own failure: another one may do better. */
+static void take_failure(relay_t *r)
+{
+	r->runs++;
+	relay_tell_done(r, DONE_FAILED);
+	if (r->has_begun || !fleet_may_repeat(r->route) || !relay_try_again(r))
+		pass_on(r);
+}
+
+static void take_whole(relay_t *r)
+{
+	if (!is_sound(r)) {
+		take_loss(r, "the answer is not the runner's");
+		return;
+	}
+	if (r->answer.is_not_run) {
+		take_refusal(r);
+		return;
+	}
+	if (!is_success(r) && r->has_begun) {
+		take_loss(r, "the stream was not taken up again");
+		return;
+	}
+	if (r->answer.status >= 500) {
+		take_failure(r);
+		return;
+	}
+	if (r->is_streaming && r->events.partial->len) {
+		take_loss(r, "the stream ended within an event");
+		return;
+	}
+	r->runs++;
+	relay_tell_done(r, is_success(r) ? DONE_COMPLETED : DONE_FAILED);
+	pass_on(r);
+}
+
+static void on_end(void *ctx, upstream_end_t end)
+{
+	relay_t *r = ctx;
+
+	r->upstream = NULL;
+	r->is_paused = false;
+	r->sends += end != UPSTREAM_UNSENT;
+	switch (end) {
+	case UPSTREAM_WHOLE:
+		take_whole(r);
+		break;
+	case UPSTREAM_UNSENT:
+		relay_tell_done(r, DONE_UNREACHABLE);
+		if (!relay_try_again(r))
+			relay_refuse(r, r->runs ? 502 : 503,
+				     r->runs ? 0 : RETRY_MS,
+				     "no runner can be reached");
+		break;
+	case UPSTREAM_BROKEN:
+		take_loss(r, "the connection broke");
+		break;
+	case UPSTREAM_MALFORMED:
+		take_loss(r, "the answer can't be used");
+		break;
+	}
+}
+
+const upstream_ops_t relay_answer_ops = { on_head, on_body, on_end };
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -59,6 +59,31 @@
 	  "decide for itself and ask no dispatcher; a baseline to measure "
 	  "against",
 	  NULL },
+	{ "fleet", OPTION_BOOL, "", 0, 0, "false", FIELD(fleet),
+	  "serve the routes that the platform's operators put in force, "
+	  "instead of published profiles",
+	  NULL },
+	STRING(ready_listen, 0, ADDRESS_MAX_LEN, "",
+	       "IP:port that tells the balancer whether callers are served; "
+	       "fleet only"),
+	LIST(places, 0, 256, "",
+	     "the platform's places, each \"PLACE ZONE\"; fleet only"),
+	LIST(seed_addresses, 0, 64, "",
+	     "IP:port of daemons to start from, whose peer port is this "
+	     "daemon's own; fleet only"),
+	{ "retry_ratio", OPTION_REAL, "", 0, 10, "0.2", FIELD(retry_ratio),
+	  "requests sent once more, a first send, over all daemons; fleet "
+	  "only",
+	  NULL },
+	INT(retry_slack, "", 0, 1000000, "100",
+	    "requests sent once more besides, in a window, over all daemons; "
+	    "fleet only"),
+	INT(retry_window_ms, "ms", 100, DAY_MS, "10000",
+	    "window of the two settings above"),
+	INT(runners_poll_ms, "ms", 50, 60000, "600",
+	    "time between reads of the runners' entries; fleet only"),
+	INT(config_wait_ms, "ms", 50, 30000, "1000",
+	    "how long one read waits for a new configuration; fleet only"),
 	INT(heartbeat_ms, "ms", 20, 60000, "500",
 	    "time between heartbeats to a peer"),
 	INT(heartbeat_timeout_ms, "ms", 100, 600000, "3000",
@@ -75,8 +100,8 @@
 	    "below the log's retention"),
 	INT(vms_poll_ms, "ms", 50, 60000, "1000",
 	    "time between reads of the VM list"),
-	INT(load_poll_ms, "ms", 50, 60000, "500",
-	    "time between reads of a runner's load"),
+	INT(load_poll_ms, "ms", 0, 60000, "500",
+	    "time between reads of a runner's load; 0: its answers tell it"),
 	INT(accounts_ms, "ms", 500, 600000, "10000",
 	    "time between batches of accounts"),
 	INT(platform_timeout_ms, "ms", 50, 60000, "2000",
@@ -136,6 +161,10 @@
 			return err_set(err, ERR_INVALID, "settings", "",
 				       "%s: %s: IP:port is expected", name,
 				       addresses[i].key);
+	if (s->ready_listen[0] &&
+	    !http_split_address(s->ready_listen, ip, sizeof(ip), &port, err))
+		return err_set(err, ERR_INVALID, "settings", "",
+			       "%s: ready_listen: IP:port is expected", name);
 	for (char **seed = s->seeds; *seed; seed++)
 		if (!settings_seed(*seed, &vm, err))
 			return false;
@@ -151,12 +180,42 @@
 		       "%s: zone: one of zones is expected", name);
 }
 
+/* Zones may be given once for each of their places. */
+static void drop_duplicate_zones(settings_t *s)
+{
+	guint n = 0;
+
+	for (char **zone = s->zones; *zone; zone++) {
+		guint i = 0;
+
+		while (i < n && strcmp(s->zones[i], *zone) != 0)
+			i++;
+		if (i < n)
+			g_free(*zone);
+		else
+			s->zones[n++] = *zone;
+	}
+	s->zones[n] = NULL;
+}
+
+const char *settings_zone_of(const settings_t *s, const char *place)
+{
+	size_t n = strlen(place);
+
+	for (char **line = s->places; *line; line++)
+		if (!strncmp(*line, place, n) && (*line)[n] == ' ')
+			return *line + n + 1;
+	return s->zone;
+}
+
 bool settings_parse(settings_t *s, str_t text, const char *name, err_t *err)
 {
 	memset(s, 0, sizeof(*s));
 	if (option_parse(table, G_N_ELEMENTS(table), s, text, name, err) &&
-	    check_addresses(s, name, err) && check_zone(s, name, err))
+	    check_addresses(s, name, err) && check_zone(s, name, err)) {
+		drop_duplicate_zones(s);
 		return true;
+	}
 	settings_finish(s);
 	return false;
 }
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -25,6 +25,15 @@
 	char *log_level;
 	char *policy;
 	bool alone;
+	bool fleet;
+	char *ready_listen;
+	char **places;
+	char **seed_addresses;
+	double retry_ratio;
+	int64_t retry_slack;
+	int64_t retry_window_ms;
+	int64_t runners_poll_ms;
+	int64_t config_wait_ms;
 	int64_t heartbeat_ms;
 	int64_t heartbeat_timeout_ms;
 	int64_t retry_horizon_ms;
@@ -73,6 +82,8 @@
  * and again in its owner.
  */
 int64_t settings_key_life_ms(const settings_t *s);
+/* The zone that a place of the platform belongs to; the own one if unknown. */
+const char *settings_zone_of(const settings_t *s, const char *place);
 /* Reads one seed, "NAME ZONE IP:PORT" (its peer address). */
 bool settings_seed(const char *text, member_vm_t *out, err_t *err);
 
--- /dev/null
+++ b/daemon/upstream.c
@@ -0,0 +1,418 @@
+#include "daemon/upstream.h"
+
+#include <event2/bufferevent.h>
+#include <stdlib.h>
+
+#include "common/timeval.h"
+#include "net/http.h"
+#include "net/tcp.h"
+
+enum {
+	MAX_HEAD = 64 * 1024, /* bytes of an answer's head */
+	CONNECT_MS = 400,
+	DEFAULT_IDLE_MS = 2000, /* where the upstream states no time */
+	MAX_IDLE_MS = 10000,
+	IDLE_MARGIN_MS = 700, /* closed so long before the upstream does */
+	REAP_MS = 500,
+	MAX_IDLE = 4, /* connections kept to one upstream */
+	ADDRESS_SIZE = 64,
+};
+
+struct upstream {
+	upstream_pool_t *pool;
+	char address[ADDRESS_SIZE];
+	struct bufferevent *bev;
+	struct event *timer; /* connect timeout */
+	http1_reader_t reader;
+	upstream_ops_t ops;
+	void *ctx;
+	struct evbuffer *request; /* until the connection is made */
+	int64_t idle_until;
+	bool is_sent;
+	bool is_busy;
+	bool is_kept; /* the last answer allows another request */
+	bool is_interim; /* a 1xx head: the answer follows */
+	bool is_head_request;
+	bool is_dead; /* waits to be freed */
+};
+
+static void free_upstream(upstream_t *u)
+{
+	bufferevent_free(u->bev);
+	event_free(u->timer);
+	http1_reader_finish(&u->reader);
+	evbuffer_free(u->request);
+	g_free(u);
+}
+
+static int64_t now_us(void)
+{
+	return g_get_monotonic_time();
+}
+
+static void on_reap(evutil_socket_t fd, short what, void *arg);
+
+static void free_queue(void *data)
+{
+	g_queue_free(data);
+}
+
+void upstream_pool_init(upstream_pool_t *p, struct event_base *base)
+{
+	struct timeval period = timeval_from_ms(REAP_MS);
+
+	*p = (upstream_pool_t){ .base = base };
+	p->idle = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					free_queue);
+	p->busy = g_hash_table_new(NULL, NULL);
+	p->ended = g_ptr_array_new();
+	p->reaper = event_new(base, -1, EV_PERSIST, on_reap, p);
+	event_add(p->reaper, &period);
+}
+
+static void free_idle(upstream_pool_t *p, GQueue *queue)
+{
+	upstream_t *u;
+
+	while ((u = g_queue_pop_head(queue)))
+		free_upstream(u);
+}
+
+void upstream_pool_finish(upstream_pool_t *p)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, p->idle);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		free_idle(p, value);
+	g_hash_table_iter_init(&iter, p->busy);
+	while (g_hash_table_iter_next(&iter, &value, NULL))
+		free_upstream(value);
+	for (guint i = 0; i < p->ended->len; i++)
+		free_upstream(p->ended->pdata[i]);
+	g_ptr_array_unref(p->ended);
+	g_hash_table_destroy(p->idle);
+	g_hash_table_destroy(p->busy);
+	event_free(p->reaper);
+}
+
+/* Takes a connection out of the pool; it is freed from the event loop. */
+static void retire(upstream_t *u)
+{
+	upstream_pool_t *p = u->pool;
+	GQueue *queue = g_hash_table_lookup(p->idle, u->address);
+
+	if (u->is_dead)
+		return;
+	u->is_dead = true;
+	g_hash_table_remove(p->busy, u);
+	if (queue)
+		g_queue_remove(queue, u);
+	bufferevent_disable(u->bev, EV_READ | EV_WRITE);
+	bufferevent_setcb(u->bev, NULL, NULL, NULL, NULL);
+	event_del(u->timer);
+	/* The peer must see the end now, not when the memory is freed. */
+	evutil_closesocket(bufferevent_getfd(u->bev));
+	bufferevent_setfd(u->bev, -1);
+	g_ptr_array_add(p->ended, u);
+	event_active(p->reaper, EV_TIMEOUT, 0);
+}
+
+static void reap_idle(upstream_pool_t *p, GQueue *queue, int64_t now)
+{
+	upstream_t *u;
+
+	while ((u = g_queue_peek_head(queue)) && u->idle_until <= now)
+		retire(u);
+}
+
+static void on_reap(evutil_socket_t fd, short what, void *arg)
+{
+	upstream_pool_t *p = arg;
+	GHashTableIter iter;
+	gpointer queue;
+
+	g_hash_table_iter_init(&iter, p->idle);
+	while (g_hash_table_iter_next(&iter, NULL, &queue)) {
+		reap_idle(p, queue, now_us());
+		if (g_queue_is_empty(queue))
+			g_hash_table_iter_remove(&iter);
+	}
+	for (guint i = 0; i < p->ended->len; i++)
+		free_upstream(p->ended->pdata[i]);
+	g_ptr_array_set_size(p->ended, 0);
+}
+
+void upstream_pool_forget(upstream_pool_t *p, const char *address)
+{
+	GQueue *queue = g_hash_table_lookup(p->idle, address);
+	upstream_t *u;
+
+	while (queue && (u = g_queue_peek_head(queue)))
+		retire(u);
+}
+
+static void end(upstream_t *u, upstream_end_t how)
+{
+	upstream_ops_t ops = u->ops;
+	void *ctx = u->ctx;
+
+	if (!u->is_busy)
+		return;
+	u->is_busy = false;
+	ops.end(ctx, how);
+}
+
+static void fail(upstream_t *u, upstream_end_t how)
+{
+	retire(u);
+	end(u, how);
+}
+
+/* "timeout=5" of the answer's Keep-Alive header. */
+static int64_t stated_idle_ms(const http1_head_t *head)
+{
+	const http1_header_t *h = http1_find(head, STR_LIT("keep-alive"));
+	g_autofree char *text =
+		h ? g_strndup(h->value.ptr, h->value.len) : NULL;
+	const char *at = text ? strstr(text, "timeout=") : NULL;
+	int64_t ms;
+
+	if (!at)
+		return DEFAULT_IDLE_MS;
+	ms = g_ascii_strtoll(at + strlen("timeout="), NULL, 10) * 1000;
+	return CLAMP(ms - IDLE_MARGIN_MS, 0, MAX_IDLE_MS);
+}
+
+static bool on_head(void *ctx, const http1_head_t *head)
+{
+	upstream_t *u = ctx;
+
+	u->is_interim = head->status < HTTP_STATUS_OK;
+	if (u->is_interim)
+		return head->status != HTTP_STATUS_SWITCHING_PROTOCOLS;
+	u->is_kept = head->keeps_alive;
+	u->idle_until = now_us() + stated_idle_ms(head) * 1000;
+	return u->ops.head(u->ctx, head);
+}
+
+static bool on_body(void *ctx, str_t bytes)
+{
+	upstream_t *u = ctx;
+
+	return u->ops.body(u->ctx, bytes);
+}
+
+/* The answer is whole: the connection is kept if all went in turn. */
+static void finish(upstream_t *u)
+{
+	upstream_pool_t *p = u->pool;
+	struct evbuffer *in = bufferevent_get_input(u->bev);
+	struct evbuffer *out = bufferevent_get_output(u->bev);
+	GQueue *queue = g_hash_table_lookup(p->idle, u->address);
+
+	if (evbuffer_get_length(in))
+		p->stats.out_of_turn++;
+	/* An early answer leaves a body that the upstream still waits for. */
+	if (!u->is_kept || evbuffer_get_length(in) ||
+	    evbuffer_get_length(out) || u->idle_until <= now_us() ||
+	    (queue && queue->length >= MAX_IDLE)) {
+		fail(u, UPSTREAM_WHOLE);
+		return;
+	}
+	if (!queue) {
+		queue = g_queue_new();
+		g_hash_table_insert(p->idle, g_strdup(u->address), queue);
+	}
+	g_hash_table_remove(p->busy, u);
+	g_queue_push_tail(queue, u);
+	bufferevent_enable(u->bev, EV_READ);
+	end(u, UPSTREAM_WHOLE);
+}
+
+/* Feeds what came to the reader; stops when the exchange is over. */
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	upstream_t *u = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	if (!u->is_busy) {
+		u->pool->stats.out_of_turn++;
+		retire(u);
+		return;
+	}
+	while (!u->is_dead && u->is_busy && evbuffer_get_length(in)) {
+		size_t n = evbuffer_get_length(in);
+		str_t bytes = { (char *)evbuffer_pullup(in, -1), n };
+		size_t taken;
+		http1_result_t result =
+			http1_reader_feed(&u->reader, bytes, &taken);
+
+		if (u->is_dead)
+			return;
+		evbuffer_drain(in, taken);
+		if (result == HTTP1_END && u->is_interim) {
+			http1_reader_reset(&u->reader);
+			u->reader.is_answer_to_head = u->is_head_request;
+		} else if (result == HTTP1_END) {
+			finish(u);
+		} else if (result != HTTP1_MORE) {
+			fail(u, UPSTREAM_MALFORMED);
+		}
+	}
+}
+
+static void send_request(upstream_t *u)
+{
+	u->is_sent = true;
+	event_del(u->timer);
+	bufferevent_write_buffer(u->bev, u->request);
+	bufferevent_enable(u->bev, EV_READ | EV_WRITE);
+}
+
+static void on_eof(upstream_t *u)
+{
+	if (!u->is_busy) {
+		retire(u);
+		return;
+	}
+	if (u->reader.has_head && !u->is_interim &&
+	    http1_reader_eof(&u->reader) == HTTP1_END) {
+		u->is_kept = false;
+		finish(u);
+		return;
+	}
+	fail(u, UPSTREAM_BROKEN);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	upstream_t *u = arg;
+
+	if (what & BEV_EVENT_CONNECTED) {
+		tcp_keep_watch(bufferevent_getfd(bev));
+		send_request(u);
+		return;
+	}
+	if (!u->is_sent) {
+		fail(u, UPSTREAM_UNSENT);
+		return;
+	}
+	/* An answer may have come before the body was refused: read on. */
+	if ((what & BEV_EVENT_WRITING) && u->is_busy)
+		return;
+	if (what & BEV_EVENT_EOF)
+		on_eof(u);
+	else if (u->is_busy)
+		fail(u, UPSTREAM_BROKEN);
+	else
+		retire(u);
+}
+
+static void on_timeout(evutil_socket_t fd, short what, void *arg)
+{
+	upstream_t *u = arg;
+
+	if (!u->is_sent)
+		fail(u, UPSTREAM_UNSENT);
+}
+
+static upstream_t *take_idle(upstream_pool_t *p, const char *address)
+{
+	GQueue *queue = g_hash_table_lookup(p->idle, address);
+	upstream_t *u;
+
+	if (!queue)
+		return NULL;
+	while ((u = g_queue_peek_tail(queue))) {
+		if (u->idle_until > now_us()) {
+			g_queue_pop_tail(queue);
+			return u;
+		}
+		retire(u);
+	}
+	return NULL;
+}
+
+static bool connect_to(upstream_t *u)
+{
+	struct sockaddr_storage address;
+	int len = sizeof(address);
+	struct timeval limit = timeval_from_ms(CONNECT_MS);
+
+	if (evutil_parse_sockaddr_port(u->address, (struct sockaddr *)&address,
+				       &len))
+		return false;
+	event_add(u->timer, &limit);
+	u->pool->stats.connects++;
+	return !bufferevent_socket_connect(u->bev, (struct sockaddr *)&address,
+					   len);
+}
+
+static upstream_t *new_upstream(upstream_pool_t *p, const char *address)
+{
+	static const http1_ops_t ops = { on_head, on_body };
+	upstream_t *u = g_new0(upstream_t, 1);
+
+	u->pool = p;
+	g_strlcpy(u->address, address, sizeof(u->address));
+	u->bev = bufferevent_socket_new(
+		p->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	u->timer = evtimer_new(p->base, on_timeout, u);
+	u->request = evbuffer_new();
+	http1_reader_init(&u->reader, HTTP1_RESPONSE, MAX_HEAD, &ops, u);
+	bufferevent_setcb(u->bev, on_read, NULL, on_event, u);
+	return u;
+}
+
+upstream_t *upstream_start(upstream_pool_t *p, const char *address,
+			   bool may_reuse, bool is_head_request,
+			   struct evbuffer *request, const upstream_ops_t *ops,
+			   void *ctx)
+{
+	upstream_t *u = may_reuse ? take_idle(p, address) : NULL;
+	bool is_new = !u;
+
+	if (is_new)
+		u = new_upstream(p, address);
+	u->ops = *ops;
+	u->ctx = ctx;
+	u->is_busy = true;
+	u->is_kept = false;
+	u->is_interim = false;
+	u->is_head_request = is_head_request;
+	http1_reader_reset(&u->reader);
+	u->reader.is_answer_to_head = is_head_request;
+	evbuffer_add_buffer(u->request, request);
+	g_hash_table_add(p->busy, u);
+	if (!is_new) {
+		p->stats.reuses++;
+		send_request(u);
+		return u;
+	}
+	if (connect_to(u))
+		return u;
+	u->is_busy = false;
+	retire(u);
+	return NULL;
+}
+
+void upstream_cancel(upstream_t *u)
+{
+	u->is_busy = false;
+	retire(u);
+}
+
+void upstream_pause(upstream_t *u, bool is_paused)
+{
+	if (is_paused)
+		bufferevent_disable(u->bev, EV_READ);
+	else
+		bufferevent_enable(u->bev, EV_READ);
+}
+
+bool upstream_is_sent(const upstream_t *u)
+{
+	return u->is_sent;
+}
--- a/net/http.c
+++ b/net/http.c
@@ -191,6 +191,9 @@
 	for (size_t i = 0; i < request->n_headers; i++)
 		evhttp_add_header(headers, request->headers[i].name,
 				  request->headers[i].value);
+	/* evhttp leaves it out, though HTTP/1.1 asks for it. */
+	if (!evhttp_find_header(headers, "Host"))
+		evhttp_add_header(headers, "Host", request->address);
 	evhttp_add_header(headers, "Connection", "close");
 	evbuffer_add(evhttp_request_get_output_buffer(req), request->body.ptr,
 		     request->body.len);
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -2238,7 +2238,7 @@
   (ProtobufCMessageInit) papaya__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__limit_ask__field_descriptors[4] =
+static const ProtobufCFieldDescriptor papaya__limit_ask__field_descriptors[5] =
 {
   {
     "attempt",
@@ -2288,9 +2288,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cost",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAsk, cost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__limit_ask__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
+  4,   /* field[4] = cost */
   1,   /* field[1] = owner */
   3,   /* field[3] = profile */
   2,   /* field[2] = team */
@@ -2298,7 +2311,7 @@
 static const ProtobufCIntRange papaya__limit_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor papaya__limit_ask__descriptor =
 {
@@ -2308,7 +2321,7 @@
   "Papaya__LimitAsk",
   "papaya",
   sizeof(Papaya__LimitAsk),
-  4,
+  5,
   papaya__limit_ask__field_descriptors,
   papaya__limit_ask__field_indices_by_name,
   1,  papaya__limit_ask__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -310,10 +310,14 @@
   uint64_t owner;
   char *team;
   char *profile;
+  /*
+   * units of the limit; 0 counts as 1
+   */
+  uint32_t cost;
 };
 #define PAPAYA__LIMIT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__limit_ask__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Papaya__LimitAnswer
--- a/net/sse.c
+++ b/net/sse.c
@@ -33,9 +33,9 @@
 	return 0;
 }
 
-static str_t data_of(str_t raw)
+/* The content of the first line that begins with PREFIX, without a blank. */
+static str_t line_of(str_t raw, str_t prefix)
 {
-	static const char prefix[] = "data:";
 	const char *line = raw.ptr;
 	const char *end = raw.ptr + raw.len;
 
@@ -43,8 +43,8 @@
 		const char *stop = memchr(line, '\n', end - line);
 		size_t n = (stop ? stop : end) - line;
 
-		if (n >= 5 && !memcmp(line, prefix, 5)) {
-			str_t data = { line + 5, n - 5 };
+		if (n >= prefix.len && !memcmp(line, prefix.ptr, prefix.len)) {
+			str_t data = { line + prefix.len, n - prefix.len };
 
 			if (data.len && data.ptr[data.len - 1] == '\r')
 				data.len--;
@@ -61,6 +61,16 @@
 	return (str_t){ end, 0 };
 }
 
+static str_t data_of(str_t raw)
+{
+	return line_of(raw, STR_LIT("data:"));
+}
+
+str_t sse_id(str_t raw)
+{
+	return line_of(raw, STR_LIT("id:"));
+}
+
 bool sse_feed(sse_t *s, str_t bytes)
 {
 	/* The break may straddle the old and the new bytes. */
--- /dev/null
+++ b/net/tcp.c
@@ -0,0 +1,28 @@
+#include "net/tcp.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+enum {
+	PROBE_IDLE_S = 2, /* silence before the first keep-alive probe */
+	PROBE_INTERVAL_S = 1,
+	PROBE_COUNT = 2,
+	UNACKED_MS = 4000, /* bytes sent and not acknowledged */
+};
+
+static void set(evutil_socket_t fd, int level, int option, int value)
+{
+	/* An option that the system lacks only delays what it is for. */
+	(void)setsockopt(fd, level, option, &value, sizeof(value));
+}
+
+void tcp_keep_watch(evutil_socket_t fd)
+{
+	set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+	set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	set(fd, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S);
+	set(fd, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S);
+	set(fd, IPPROTO_TCP, TCP_KEEPCNT, PROBE_COUNT);
+	set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKED_MS);
+}
