dispatcher: don't let a learned slowness refuse work for good

Cause: one slow call raises what is predicted for its runner.

Ruled out: too few slots (3 of 6 taken at most).

Change: plain calls are granted while there is room, an idle engine gets work that looks late, a want is refused on arrival only for what waits before it. A runner's stated slots bound what it has at once.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -232,6 +232,19 @@
 	return finish + (finish - now) / LOWER_MARGIN > item->want.deadline;
 }
 
+/*
+ * A prediction is a reason to refuse only where other work is in the way. On
+ * an idle engine nothing better can be had, and only a grant can show that
+ * the runner is faster than was learned; a plain call costs too little to
+ * be refused while there is room.
+ */
+static bool is_refusable(const struct dispatcher_state *s, const item_t *item,
+			 const runner_t *runner, int64_t finish, int64_t now)
+{
+	return s->config.is_engine && runner->model.running &&
+	       is_late(item, finish, now) && may_refuse(s, item->entry.tier);
+}
+
 /*
  * A want that would be late on every runner with room, but not on a better
  * one that has none now, is put aside so that others may use the room.
@@ -272,7 +285,7 @@
 		runner = dispatcher_choose(s, item, ROOM_LOWER, now, &finish);
 	if (!runner)
 		return false;
-	if (!is_late(item, finish, now) || !may_refuse(s, item->entry.tier))
+	if (!is_refusable(s, item, runner, finish, now))
 		grant(s, item, runner, now);
 	else if (!park(s, item, now))
 		refuse(s, item, REFUSE_DEADLINE);
@@ -372,6 +385,16 @@
 	queue_push(&s->queue, &item->entry);
 }
 
+/* Tells whether what waits already leaves the item no time to run. */
+static bool is_hopeless(const struct dispatcher_state *s, const item_t *item,
+			int64_t now)
+{
+	int64_t wait = dispatcher_wait_time(s, item->entry.tier);
+
+	return wait > 0 && now + wait > item->latest_start &&
+	       may_refuse(s, item->entry.tier);
+}
+
 void dispatcher_want(dispatcher_t *d, const want_t *want, int64_t now)
 {
 	struct dispatcher_state *s = d->state;
@@ -392,9 +415,7 @@
 	item->entry.due = first_due(s, item);
 	if (!has_runner(s, now))
 		refuse(s, item, REFUSE_NO_RUNNER);
-	else if (now + dispatcher_wait_time(s, item->entry.tier) >
-			 item->latest_start &&
-		 may_refuse(s, item->entry.tier))
+	else if (is_hopeless(s, item, now))
 		refuse(s, item, REFUSE_DEADLINE);
 	else if (!has_place(s, item))
 		refuse(s, item, REFUSE_QUEUE_FULL);
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -67,11 +67,21 @@
 			  config->is_engine ? config->window_tokens :
 					      config->plain_slots,
 			  g_hash_table_lookup(s->generations, generation));
-	runner->model.slots = config->engine_slots;
+	runner->is_fresh = true;
 	g_hash_table_insert(s->runners, &runner->key, runner);
 	return runner;
 }
 
+/* What the runner itself states goes before what its service states. */
+static void set_slots(struct dispatcher_state *s, runner_t *runner,
+		      uint32_t slots)
+{
+	if (s->config.is_engine)
+		runner->model.slots = slots ? slots : s->config.engine_slots;
+	else
+		runner->model.window = slots ? slots : s->config.plain_slots;
+}
+
 void dispatcher_set_runner(dispatcher_t *d, const dispatcher_runner_t *runner,
 			   int64_t now)
 {
@@ -83,6 +93,9 @@
 		known = add_runner(s, runner);
 	if (!known)
 		return;
+	if (runner->slots != known->info.slots || known->is_fresh)
+		set_slots(s, known, runner->slots);
+	known->is_fresh = false;
 	known->info = *runner;
 	known->is_listed = true;
 	dispatcher_rank_runner(s, known, now);
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -11,6 +11,7 @@
 	dispatcher_runner_t info;
 	str_t key; /* view of the name */
 	runner_model_t model;
+	bool is_fresh; /* just added */
 	bool is_listed; /* in the last list, not removed */
 	bool is_leaving_by_report;
 	bool is_counted; /* in dispatcher_state.running and n_usable */
