relay: don't use a grant of a runner that is known to leave

Ruled out: a slow read at the owner (its list had the change 1.4 s before the request was sent).

Change: an owner checks its own list (core/runner_watch) and gives the grant back as DONE_LEAVING, which the dispatcher believes at once.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -491,6 +491,10 @@
 
 	if (!item || !item->runner)
 		return;
+	if (done->result == DONE_LEAVING)
+		item->runner->is_leaving_by_report = true;
+	else if (done->result == DONE_UNREACHABLE)
+		dispatcher_hold(d->state, item->runner, now);
 	end_item(d->state, item, done, now);
 	dispatcher_decide(d->state, now);
 }
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -77,6 +77,7 @@
 	DONE_CANCELLED, /* the caller left or a dispatcher cancelled it */
 	DONE_UNREACHABLE, /* connect failed: nothing was sent */
 	DONE_BROKEN, /* the connection broke after sending */
+	DONE_LEAVING, /* the owner knows that the runner leaves: unused */
 } done_result_t;
 
 /* How an attempt ended. */
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -95,6 +95,9 @@
 		return;
 	if (runner->slots != known->info.slots || known->is_fresh)
 		set_slots(s, known, runner->slots);
+	/* An incarnation that left may be followed by one of the same name. */
+	if (runner->born_ms != known->info.born_ms)
+		known->is_leaving_by_report = false;
 	known->is_fresh = false;
 	known->info = *runner;
 	known->is_listed = true;
@@ -132,13 +135,8 @@
 	runner->silent = NULL;
 }
 
-void dispatcher_runner_silent(dispatcher_t *d, str_t name, int64_t now)
+void dispatcher_hold(struct dispatcher_state *s, runner_t *runner, int64_t now)
 {
-	struct dispatcher_state *s = d->state;
-	runner_t *runner = dispatcher_find_runner(s, name);
-
-	if (!runner)
-		return;
 	end_silence(s, runner);
 	runner->silent_until = now + SILENT_HOLD;
 	g_queue_push_tail(&s->silent, runner);
@@ -146,6 +144,15 @@
 	dispatcher_rank_runner(s, runner, now);
 }
 
+void dispatcher_runner_silent(dispatcher_t *d, str_t name, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+	runner_t *runner = dispatcher_find_runner(s, name);
+
+	if (runner)
+		dispatcher_hold(s, runner, now);
+}
+
 void dispatcher_report(dispatcher_t *d, str_t name,
 		       const dispatcher_report_t *report, int64_t now)
 {
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -87,6 +87,8 @@
 /* Keeps a runner's speed as first estimate for others of its generation. */
 void dispatcher_keep_speed(struct dispatcher_state *s, const runner_t *runner,
 			   int64_t now);
+/* No grants for a while for a runner that did not answer. */
+void dispatcher_hold(struct dispatcher_state *s, runner_t *runner, int64_t now);
 /* Gives silent runners another try. */
 void dispatcher_check_silent(struct dispatcher_state *s, int64_t now);
 
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -185,7 +185,7 @@
 	c->done.prompt_tokens = f->prompt_tokens;
 	c->done.output_tokens = f->output_tokens;
 	c->done.cached_tokens = f->cached_tokens;
-	return f->result <= DONE_BROKEN && copy(c->service, f->service);
+	return f->result <= DONE_LEAVING && copy(c->service, f->service);
 }
 
 bool frames_read_capacity(const Papaya__Frame *frame, const char *peer,
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -12,6 +12,7 @@
 
 #include "core/fleet.h"
 #include "core/retry_budget.h"
+#include "core/runner_watch.h"
 #include "daemon/supervisor.h"
 #include "daemon/upstream.h"
 #include "net/sse.h"
@@ -28,6 +29,7 @@
 	upstream_pool_t pool;
 	fleet_t *fleet; /* NULL until a configuration is in force */
 	retry_budget_t retries;
+	runner_watch_t runners; /* as this daemon itself knows them */
 	uint64_t next_attempt;
 	struct event *tick;
 	int64_t drain_since; /* 0: not draining */
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -12,6 +12,7 @@
 	TICK_MS = 50,
 	/* The balancer sends new connections for so long after a drain began. */
 	DRAIN_LINGER_US = 3000 * 1000,
+	GONE_MEMORY_US = 60 * 1000 * 1000, /* of runners that left */
 	GRACE_MARGIN_MS = 700, /* the daemon ends so long before it is killed */
 };
 
@@ -34,6 +35,19 @@
 	retry_budget_set(&g->retries, &terms);
 }
 
+static void watch_runners(gateway_t *g, const vm_view_t *vms)
+{
+	runner_watch_begin(&g->runners);
+	for (guint i = 0; i < vms->runners->len; i++) {
+		const log_runner_t *r =
+			&g_array_index(vms->runners, log_runner_t, i);
+
+		runner_watch_add(&g->runners, r->runner.name,
+				 r->runner.is_leaving);
+	}
+	runner_watch_end(&g->runners, now_us());
+}
+
 static void export_stats(gateway_t *g)
 {
 	metrics_t *m = &g->sup->metrics;
@@ -138,6 +152,7 @@
 		g->fleet = fleet_ref(m->fleet);
 		break;
 	case MESSAGE_VMS:
+		watch_runners(g, m->vms);
 		set_budget(g, m->vms->entries->len);
 		break;
 	case MESSAGE_ROUTED:
@@ -193,6 +208,7 @@
 	g->relays = g_hash_table_new(g_int64_hash, g_int64_equal);
 	upstream_pool_init(&g->pool, sup->base);
 	retry_budget_init(&g->retries, &none);
+	runner_watch_init(&g->runners, GONE_MEMORY_US);
 	g->tick = supervisor_every(sup, TICK_MS, on_tick, g);
 	/* After a restart of the group the store task tells all again. */
 	supervisor_post(sup, TASK_PLATFORM,
@@ -214,6 +230,7 @@
 	event_free(g->tick);
 	upstream_pool_finish(&g->pool);
 	retry_budget_finish(&g->retries);
+	runner_watch_finish(&g->runners);
 	g_hash_table_destroy(g->relays);
 	g_hash_table_destroy(g->callers);
 	fleet_unref(g->fleet);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -238,6 +238,19 @@
 			     "no upstream can be reached");
 }
 
+/* The dispatcher does not know yet that the runner leaves. */
+static void decline_leaving(relay_t *r)
+{
+	log_info("request %s: grant of runner %s declined: it leaves", r->id,
+		 r->runner.name);
+	r->state = RELAY_SENT;
+	relay_tell_done(r, DONE_LEAVING);
+	if (!relay_try_again(r))
+		relay_refuse(r, r->runs ? 502 : 503,
+			     r->runs ? 0 : NO_FLEET_RETRY_MS,
+			     "the runners are leaving");
+}
+
 void relay_granted(relay_t *r, const message_capacity_t *grant)
 {
 	if (r->state != RELAY_WAITING)
@@ -247,6 +260,10 @@
 	g_strlcpy(r->dispatcher, grant->peer, sizeof(r->dispatcher));
 	metrics_observe(&sup_of(r)->metrics, "papaya_wait_ms", NULL,
 			(now_us() - r->arrived) / US_PER_MS);
+	if (!runner_watch_may_use(&r->gateway->runners, r->runner.name)) {
+		decline_leaving(r);
+		return;
+	}
 	log_debug("request %s: granted runner %s", r->id, r->runner.name);
 	send_upstream(r);
 }
--- /dev/null
+++ b/tests/test_runner_list.c
@@ -0,0 +1,82 @@
+#include "core/runner_list.h"
+#include "tests/lib_suite.h"
+
+enum { SECOND = 1000000, PATIENCE = 2 * SECOND };
+
+static void set(runner_list_t *l, const char *id, bool is_leaving)
+{
+	listed_runner_t runner = { .is_leaving = is_leaving };
+
+	g_strlcpy(runner.id, id, sizeof(runner.id));
+	runner_list_set(l, &runner);
+}
+
+static void count(void *ctx, const listed_runner_t *runner)
+{
+	(*(int *)ctx)++;
+}
+
+static int size(const runner_list_t *l)
+{
+	int n = 0;
+
+	runner_list_each(l, count, &n);
+	return n;
+}
+
+START_TEST(dropped_at_once_while_the_store_is_there)
+{
+	runner_list_t l;
+
+	runner_list_init(&l, PATIENCE);
+	set(&l, "a", false);
+	ck_assert(runner_list_poll(&l, SECOND));
+	ck_assert(!runner_list_poll(&l, SECOND));
+	runner_list_drop(&l, STR_LIT("a"), SECOND);
+	ck_assert(runner_list_poll(&l, SECOND));
+	ck_assert_int_eq(size(&l), 0);
+	runner_list_finish(&l);
+}
+END_TEST
+
+START_TEST(entries_that_lapsed_in_an_outage_may_return)
+{
+	runner_list_t l;
+
+	runner_list_init(&l, PATIENCE);
+	set(&l, "stays", false);
+	set(&l, "dies", false);
+	runner_list_poll(&l, SECOND);
+	runner_list_away(&l, true, 2 * SECOND);
+	runner_list_away(&l, false, 10 * SECOND);
+	runner_list_drop(&l, STR_LIT("stays"), 10 * SECOND);
+	runner_list_drop(&l, STR_LIT("dies"), 10 * SECOND);
+	ck_assert(!runner_list_poll(&l, 11 * SECOND));
+	ck_assert_int_eq(size(&l), 2);
+	set(&l, "stays", false);
+	ck_assert(runner_list_poll(&l, 12 * SECOND));
+	ck_assert_int_eq(size(&l), 1);
+	runner_list_finish(&l);
+}
+END_TEST
+
+START_TEST(a_listing_drops_what_it_lacks)
+{
+	runner_list_t l;
+
+	runner_list_init(&l, PATIENCE);
+	set(&l, "a", false);
+	set(&l, "b", false);
+	runner_list_poll(&l, SECOND);
+	runner_list_begin(&l);
+	set(&l, "b", true);
+	runner_list_end(&l, 2 * SECOND);
+	ck_assert(runner_list_poll(&l, 2 * SECOND));
+	ck_assert_int_eq(size(&l), 1);
+	runner_list_finish(&l);
+}
+END_TEST
+
+SUITE_MAIN("runner_list", dropped_at_once_while_the_store_is_there,
+	   entries_that_lapsed_in_an_outage_may_return,
+	   a_listing_drops_what_it_lacks)
