store: two daemons of a zone read the store and tell the others

Ruled out: longer polls alone (a leaving runner must be known within 2 s).

Change: two readers, found by rendezvous, read and send what they read, or that it was nothing, on the peer links. Who hears nothing for 0.8 s, or missed a record, reads for itself (core/topic_follow). A daemon that can't read gets configuration and lists from a peer; seeds are linked by address.

--- a/daemon/message.c
+++ b/daemon/message.c
@@ -96,6 +96,22 @@
 	return docs;
 }
 
+static void clear_record(void *data)
+{
+	message_record_t *record = data;
+
+	g_clear_pointer(&record->key, g_bytes_unref);
+	g_clear_pointer(&record->value, g_bytes_unref);
+}
+
+GArray *message_records_new(void)
+{
+	GArray *records = g_array_new(FALSE, TRUE, sizeof(message_record_t));
+
+	g_array_set_clear_func(records, clear_record);
+	return records;
+}
+
 static void clear_answer(rights_answer_t *answer)
 {
 	g_clear_pointer(&answer->content_type, g_free);
@@ -119,6 +135,9 @@
 	case MESSAGE_CONFIG_RELAYED:
 		g_clear_pointer(&m->docs.docs, g_array_unref);
 		break;
+	case MESSAGE_NEWS:
+		g_clear_pointer(&m->news.records, g_array_unref);
+		break;
 	case MESSAGE_LOCATE:
 	case MESSAGE_LOCATED:
 		g_clear_pointer(&m->locate.scoped, g_bytes_unref);
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -53,6 +53,8 @@
 	MESSAGE_FLEET, /* platform to front: routes, services and teams */
 	MESSAGE_VMS, /* platform to all: the VM list */
 	MESSAGE_VMS_RELAYED, /* peers to platform: from another daemon */
+	MESSAGE_NEWS, /* store to peers and back: records of a topic */
+	MESSAGE_READER, /* peers to store: does this daemon tell the others? */
 	MESSAGE_LOCATE, /* front to peers: who owns this key? */
 	MESSAGE_LOCATED, /* peers to front; claimed when it is ours */
 	MESSAGE_KEY_ENDED, /* front to peers: a claimed request ended */
@@ -84,6 +86,19 @@
 	GArray *docs; /* config_doc_t, each with a reference to its body */
 } message_docs_t;
 
+/* A record of the platform's store; owns both. */
+typedef struct message_record {
+	GBytes *key;
+	GBytes *value; /* empty: the key is gone */
+} message_record_t;
+
+/* What was read of a topic, for daemons that don't read it. */
+typedef struct message_news {
+	uint32_t topic;
+	uint64_t from, next; /* offsets */
+	GArray *records; /* message_record_t */
+} message_news_t;
+
 /* Where the owner of a key or ticket is asked for. */
 typedef struct message_locate {
 	uint64_t attempt;
@@ -154,7 +169,8 @@
 		config_view_t *config;
 		fleet_t *fleet;
 		vm_view_t *vms;
-		uint64_t number; /* CONFIG_NEXT, SETTLED */
+		uint64_t number; /* CONFIG_NEXT, SETTLED, READER */
+		message_news_t news;
 		message_docs_t docs; /* CONFIG_ASK, SEND, RELAYED */
 		message_locate_t locate;
 		message_key_t key;
@@ -169,5 +185,7 @@
 void message_finish(message_t *m);
 /* Returns an array of documents that lets go of their bodies when freed. */
 GArray *message_docs_new(void);
+/* The same for records. */
+GArray *message_records_new(void);
 
 #endif
--- /dev/null
+++ b/daemon/news_frames.c
@@ -0,0 +1,55 @@
+#include "daemon/news_frames.h"
+
+static void fill(Papaya__StoreRecord *out, const message_record_t *record)
+{
+	gsize len;
+
+	papaya__store_record__init(out);
+	out->key.data = (uint8_t *)g_bytes_get_data(record->key, &len);
+	out->key.len = len;
+	out->value.data = (uint8_t *)g_bytes_get_data(record->value, &len);
+	out->value.len = len;
+}
+
+void news_frames_send(peer_t *peer, const message_news_t *news)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__StoreNews out = PAPAYA__STORE_NEWS__INIT;
+	guint n = news->records->len;
+	g_autofree Papaya__StoreRecord *all =
+		g_new0(Papaya__StoreRecord, n + 1);
+	g_autofree Papaya__StoreRecord **pointers =
+		g_new0(Papaya__StoreRecord *, n + 1);
+
+	for (guint i = 0; i < n; i++) {
+		fill(&all[i],
+		     &g_array_index(news->records, message_record_t, i));
+		pointers[i] = &all[i];
+	}
+	out.topic = news->topic;
+	out.from = news->from;
+	out.next = news->next;
+	out.records = pointers;
+	out.n_records = n;
+	frame.body_case = PAPAYA__FRAME__BODY_STORE_NEWS;
+	frame.store_news = &out;
+	peer_send_all(peer, &frame);
+}
+
+void news_frames_read(const Papaya__StoreNews *frame, message_t *out)
+{
+	*out = (message_t){ .type = MESSAGE_NEWS };
+	out->news.topic = frame->topic;
+	out->news.from = frame->from;
+	out->news.next = frame->next;
+	out->news.records = message_records_new();
+	for (size_t i = 0; i < frame->n_records; i++) {
+		const Papaya__StoreRecord *r = frame->records[i];
+		message_record_t record = {
+			.key = g_bytes_new(r->key.data, r->key.len),
+			.value = g_bytes_new(r->value.data, r->value.len),
+		};
+
+		g_array_append_val(out->news.records, record);
+	}
+}
--- /dev/null
+++ b/daemon/news_frames.h
@@ -0,0 +1,13 @@
+/* What readers of the store tell other daemons, as frames. */
+#ifndef DAEMON_NEWS_FRAMES_H
+#define DAEMON_NEWS_FRAMES_H
+
+#include "daemon/message.h"
+#include "net/peer.h"
+
+/* Sends news on every link. */
+void news_frames_send(peer_t *peer, const message_news_t *news);
+/* Reads a frame into a message that owns its records. */
+void news_frames_read(const Papaya__StoreNews *frame, message_t *out);
+
+#endif
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -7,10 +7,12 @@
 #include "common/log.h"
 #include "common/unique.h"
 #include "daemon/frames.h"
+#include "daemon/news_frames.h"
 #include "daemon/peers.h"
 #include "daemon/vm_frames.h"
 
 enum {
+	READERS = 2, /* of the platform's store, in a zone */
 	MAX_MEMBERS = 1024,
 	MAX_BACKLOG = 4 << 20, /* bytes a link */
 	HANDOVER_LIMIT_US = 10 * G_USEC_PER_SEC, /* after the last request */
@@ -178,6 +180,11 @@
 		supervisor_post(p->sup, TASK_PLATFORM, &m);
 		return;
 	}
+	if (frame->body_case == PAPAYA__FRAME__BODY_STORE_NEWS) {
+		news_frames_read(frame->store_news, &m);
+		supervisor_post(p->sup, TASK_PLATFORM, &m);
+		return;
+	}
 	if (keys_receive(&p->keys, name, frame))
 		return;
 	if (frames_read_limit(frame, name, &m)) {
@@ -296,6 +303,10 @@
 		if (settings_seed(*seed, &vm, NULL) &&
 		    strcmp(vm.name, p->self.name))
 			peer_keep(&p->peer, &vm);
+	for (char **seed = p->sup->settings->seed_addresses; *seed; seed++)
+		if (settings_seed_address(p->sup->settings, *seed, &vm) &&
+		    strcmp(vm.name, p->self.name))
+			peer_keep(&p->peer, &vm);
 }
 
 static void keep_link(void *ctx, const member_vm_t *vm)
@@ -329,6 +340,23 @@
 		keep_seeds(p);
 }
 
+/* Two daemons of the zone read the store for all. */
+static void tell_reader(peers_t *p)
+{
+	message_t m = { .type = MESSAGE_READER };
+	member_vm_t vm;
+
+	if (!p->sup->settings->fleet)
+		return;
+	for (uint32_t i = 0; i < READERS; i++)
+		m.number |=
+			member_dispatcher(&p->member, str_from(p->self.zone),
+					  STR_LIT("store-reader"), i, now_us(),
+					  &vm) &&
+			!strcmp(vm.name, p->self.name);
+	supervisor_post(p->sup, TASK_PLATFORM, &m);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	peers_t *p = arg;
@@ -336,6 +364,7 @@
 	peers_follow_epoch(p);
 	member_tick(&p->member, now_us());
 	tell_settled(p);
+	tell_reader(p);
 	follow_links(p);
 	send_heartbeats(p);
 	keys_tick(&p->keys);
@@ -374,6 +403,9 @@
 		p->vms = vm_view_ref(m->vms);
 		take_list(p, m->vms);
 		break;
+	case MESSAGE_NEWS:
+		news_frames_send(&p->peer, &m->news);
+		break;
 	case MESSAGE_LOCATE:
 		peers_locate(p, &m->locate);
 		break;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -80,9 +80,9 @@
 	    "fleet only"),
 	INT(retry_window_ms, "ms", 100, DAY_MS, "10000",
 	    "window of the two settings above"),
-	INT(runners_poll_ms, "ms", 50, 60000, "600",
+	INT(runners_poll_ms, "ms", 50, 60000, "400",
 	    "time between reads of the runners' entries; fleet only"),
-	INT(config_wait_ms, "ms", 50, 30000, "1000",
+	INT(config_wait_ms, "ms", 50, 30000, "400",
 	    "how long one read waits for a new configuration; fleet only"),
 	INT(heartbeat_ms, "ms", 20, 60000, "500",
 	    "time between heartbeats to a peer"),
@@ -276,3 +276,22 @@
 			       "seeds: \"%s\" is not NAME ZONE IP:PORT", text);
 	return true;
 }
+
+bool settings_seed_address(const settings_t *s, const char *address,
+			   member_vm_t *out)
+{
+	char ip[MEMBER_NAME_SIZE];
+	char own_ip[MEMBER_NAME_SIZE];
+	uint16_t port;
+
+	memset(out, 0, sizeof(*out));
+	if (!http_split_address(address, ip, sizeof(ip), &port, NULL) ||
+	    !http_split_address(s->peer_listen, own_ip, sizeof(own_ip), &port,
+				NULL))
+		return false;
+	g_strlcpy(out->name, ip, sizeof(out->name));
+	g_strlcpy(out->zone, s->zone, sizeof(out->zone));
+	g_snprintf(out->peer_address, sizeof(out->peer_address), "%s:%u", ip,
+		   port);
+	return true;
+}
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -86,5 +86,11 @@
 const char *settings_zone_of(const settings_t *s, const char *place);
 /* Reads one seed, "NAME ZONE IP:PORT" (its peer address). */
 bool settings_seed(const char *text, member_vm_t *out, err_t *err);
+/*
+ * The daemon behind a seed address of a fleet, where every daemon is named
+ * by its IP and has the same peer port. False when it is no IP:port.
+ */
+bool settings_seed_address(const settings_t *s, const char *address,
+			   member_vm_t *out);
 
 #endif
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -10,6 +10,7 @@
 #include "common/log.h"
 #include "common/timeval.h"
 #include "core/runner_list.h"
+#include "core/topic_follow.h"
 #include "daemon/fleet_view.h"
 #include "daemon/supervisor.h"
 #include "platform/fleet_text.h"
@@ -19,6 +20,9 @@
 	RETURN_US = 2300 * 1000, /* for runners to return after an outage */
 	RETRY_MS = 200, /* after a failed call */
 	DAEMONS_POLL_MS = 5000,
+	LOOK_MS = 100, /* between looks whether the readers fell silent */
+	PATIENCE_MS = 800, /* for their next word */
+	DAEMONS_PATIENCE_MS = 7000, /* the same for the list of daemons */
 	APPLY_MS = 100, /* between looks for drops that are due */
 };
 
@@ -27,8 +31,7 @@
 	struct store_follow *owner;
 	store_topic_t topic;
 	struct event *timer;
-	uint64_t next; /* offset to read from; has_list */
-	bool has_list; /* the whole of it was listed once */
+	topic_follow_t state;
 	bool is_calling;
 	bool is_down;
 } follower_t;
@@ -40,6 +43,7 @@
 	runner_list_t runner_list;
 	GHashTable *daemon_list; /* name to listed_daemon_t */
 	fleet_t *fleet;
+	GBytes *config_text; /* of the fleet, as the store holds it */
 	vm_view_t *vms;
 	struct event *apply;
 	bool has_entry; /* our own is in the store */
@@ -57,6 +61,9 @@
 	message_t m = { .type = MESSAGE_FLEET, .fleet = fleet_ref(s->fleet) };
 
 	supervisor_post(s->sup, TASK_FRONT, &m);
+	m = (message_t){ .type = MESSAGE_CONFIG_NEXT,
+			 .number = s->fleet->version };
+	supervisor_post(s->sup, TASK_PEERS, &m);
 	for (size_t i = 0; i < G_N_ELEMENTS(readers); i++) {
 		m = (message_t){ .type = MESSAGE_CONFIG,
 				 .config = config_view_ref(view) };
@@ -89,6 +96,8 @@
 		    fleet->version);
 	fleet_unref(s->fleet);
 	s->fleet = fleet;
+	g_clear_pointer(&s->config_text, g_bytes_unref);
+	s->config_text = g_bytes_new(text.ptr, text.len);
 	post_fleet(s);
 }
 
@@ -166,17 +175,71 @@
 {
 	const settings_t *s = f->owner->sup->settings;
 
-	if (f->is_down || !f->has_list)
+	if (f->is_down || !f->state.is_listed)
 		return RETRY_MS;
+	if (!f->state.is_reader)
+		return LOOK_MS;
 	if (f->topic == STORE_CONFIG)
 		return 1;
 	return f->topic == STORE_RUNNERS ? s->runners_poll_ms : DAEMONS_POLL_MS;
 }
 
+/* Tells the other daemons what was read, also when it is nothing. */
+static void post_news(follower_t *f, uint64_t from, const store_page_t *page)
+{
+	message_t m = { .type = MESSAGE_NEWS };
+
+	m.news.topic = f->topic;
+	m.news.from = from;
+	m.news.next = page->next;
+	m.news.records = message_records_new();
+	for (size_t i = 0; i < page->n_entries; i++) {
+		const store_entry_t *e = &page->entries[i];
+		message_record_t record = {
+			.key = g_bytes_new(e->key.ptr, e->key.len),
+			.value = g_bytes_new(e->value.ptr, e->value.len),
+		};
+
+		g_array_append_val(m.news.records, record);
+	}
+	supervisor_post(f->owner->sup, TASK_PEERS, &m);
+}
+
+static str_t view_of(GBytes *bytes)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(bytes, &len);
+
+	return (str_t){ data, len };
+}
+
+/* Takes what another daemon read. */
+static void hear_news(follower_t *f, const message_news_t *news)
+{
+	switch (topic_follow_hear(&f->state, news->from, news->next,
+				  now_us())) {
+	case TOPIC_NEWS_OLD:
+		return;
+	case TOPIC_NEWS_MISSED:
+		follow(f);
+		return;
+	case TOPIC_NEWS_APPLY:
+		break;
+	}
+	for (guint i = 0; i < news->records->len; i++) {
+		const message_record_t *r =
+			&g_array_index(news->records, message_record_t, i);
+		store_entry_t entry = { view_of(r->key), view_of(r->value) };
+
+		take_entry(f, &entry);
+	}
+}
+
 static void on_page(void *ctx, const store_page_t *page, const err_t *err)
 {
 	follower_t *f = ctx;
-	bool was_listing = !f->has_list;
+	bool was_listing = !f->state.is_listed;
+	uint64_t from = f->state.next;
 
 	f->is_calling = false;
 	note_down(f, err);
@@ -187,7 +250,7 @@
 	if (page->has_gap) {
 		log_info("store: %s is listed anew, records are gone",
 			 store_topic_name(f->topic));
-		f->has_list = false;
+		topic_follow_lost(&f->state);
 		follow(f);
 		return;
 	}
@@ -197,8 +260,13 @@
 		take_entry(f, &page->entries[i]);
 	if (was_listing && f->topic == STORE_RUNNERS)
 		runner_list_end(&f->owner->runner_list, now_us());
-	f->next = page->next;
-	f->has_list = true;
+	/* What others told meanwhile may reach further. */
+	if (was_listing || page->next > f->state.next)
+		topic_follow_read(&f->state, page->next, now_us());
+	else
+		topic_follow_read(&f->state, f->state.next, now_us());
+	if (f->state.is_reader && !was_listing)
+		post_news(f, from, page);
 	follow_later(f, pause_ms(f));
 }
 
@@ -213,9 +281,9 @@
 
 	if (f->is_calling)
 		return;
-	if (f->has_list)
-		is_begun = store_read(store, f->topic, f->next, wait, on_page,
-				      f, NULL);
+	if (f->state.is_listed)
+		is_begun = store_read(store, f->topic, f->state.next, wait,
+				      on_page, f, NULL);
 	else
 		is_begun = store_list(store, f->topic, on_page, f, NULL);
 	f->is_calling = is_begun;
@@ -225,7 +293,12 @@
 
 static void on_follow(evutil_socket_t fd, short what, void *arg)
 {
-	follow(arg);
+	follower_t *f = arg;
+
+	if (topic_follow_is_due(&f->state, now_us()))
+		follow(f);
+	else
+		follow_later(f, LOOK_MS);
 }
 
 static void on_written(void *ctx, const err_t *err)
@@ -274,7 +347,7 @@
 	bool has_changed = runner_list_poll(&s->runner_list, now_us());
 	store_stats_t stats;
 
-	if (!s->has_entry && !s->is_writing && s->daemons.has_list)
+	if (!s->has_entry && !s->is_writing && s->daemons.state.is_listed)
 		write_entry(s);
 	if (!has_changed && !s->daemons_changed)
 		return;
@@ -296,16 +369,80 @@
 
 static void follower_init(follower_t *f, store_follow_t *s, store_topic_t topic)
 {
+	f->state.patience =
+		(topic == STORE_DAEMONS ? DAEMONS_PATIENCE_MS : PATIENCE_MS) *
+		1000;
 	f->owner = s;
 	f->topic = topic;
 	f->timer = evtimer_new(s->sup->base, on_follow, f);
 	follow(f);
 }
 
+static void set_reader(store_follow_t *s, bool is_reader)
+{
+	if (s->config.state.is_reader == is_reader)
+		return;
+	log_info("this daemon %s the store for others",
+		 is_reader ? "reads" : "does not read");
+	s->config.state.is_reader = is_reader;
+	s->runners.state.is_reader = is_reader;
+	s->daemons.state.is_reader = is_reader;
+}
+
+/* Until the store can be read, another daemon's list is better than none. */
+static void take_relayed_vms(store_follow_t *s, vm_view_t *vms)
+{
+	log_info("runners by another daemon: %u", vms->runners->len);
+	s->vms = vm_view_ref(vms);
+	post_vms(s);
+}
+
+/* A peer that can't read the store itself gets the configuration from us. */
+static void relay_config(store_follow_t *s, const char *peer)
+{
+	message_t m = { .type = MESSAGE_CONFIG_SEND };
+	config_doc_t doc = { .offset = 0 };
+
+	if (!s->fleet || (!s->config.state.is_reader && !s->config.is_down))
+		return;
+	g_strlcpy(m.docs.peer, peer, sizeof(m.docs.peer));
+	g_strlcpy(doc.name, FLEET_PROFILE, sizeof(doc.name));
+	doc.version = s->fleet->version;
+	doc.body = g_bytes_ref(s->config_text);
+	m.docs.next = s->fleet->version;
+	m.docs.docs = message_docs_new();
+	g_array_append_val(m.docs.docs, doc);
+	supervisor_post(s->sup, TASK_PEERS, &m);
+}
+
+static void take_relayed_config(store_follow_t *s, const GArray *docs)
+{
+	for (guint i = 0; i < docs->len; i++) {
+		const config_doc_t *doc = &g_array_index(docs, config_doc_t, i);
+
+		if (!strcmp(doc->name, FLEET_PROFILE))
+			take_config(s, view_of(doc->body));
+	}
+}
+
 static void handle(void *state, const message_t *m)
 {
 	store_follow_t *s = state;
-
+	follower_t *of_topic[] = { [STORE_CONFIG] = &s->config,
+				   [STORE_RUNNERS] = &s->runners,
+				   [STORE_DAEMONS] = &s->daemons };
+
+	if (m->type == MESSAGE_READER)
+		set_reader(s, m->number);
+	else if (m->type == MESSAGE_NEWS &&
+		 m->news.topic < G_N_ELEMENTS(of_topic))
+		hear_news(of_topic[m->news.topic], &m->news);
+	else if (m->type == MESSAGE_VMS_RELAYED && !s->vms)
+		take_relayed_vms(s, m->vms);
+	else if (m->type == MESSAGE_CONFIG_ASK)
+		relay_config(s, m->docs.peer);
+	else if (m->type == MESSAGE_CONFIG_RELAYED)
+		take_relayed_config(s, m->docs.docs);
 	/* A task of the group that restarted asks with its first message. */
 	if (m->type == MESSAGE_VIEW_CHANGED && s->fleet) {
 		post_fleet(s);
@@ -343,6 +480,7 @@
 	runner_list_finish(&s->runner_list);
 	g_hash_table_destroy(s->daemon_list);
 	fleet_unref(s->fleet);
+	g_clear_pointer(&s->config_text, g_bytes_unref);
 	vm_view_unref(s->vms);
 	g_free(s);
 }
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -997,6 +997,96 @@
   assert(message->base.descriptor == &papaya__hand_over_ack__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__store_record__init
+                     (Papaya__StoreRecord         *message)
+{
+  static const Papaya__StoreRecord init_value = PAPAYA__STORE_RECORD__INIT;
+  *message = init_value;
+}
+size_t papaya__store_record__get_packed_size
+                     (const Papaya__StoreRecord *message)
+{
+  assert(message->base.descriptor == &papaya__store_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__store_record__pack
+                     (const Papaya__StoreRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__store_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__store_record__pack_to_buffer
+                     (const Papaya__StoreRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__store_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__StoreRecord *
+       papaya__store_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__StoreRecord *)
+     protobuf_c_message_unpack (&papaya__store_record__descriptor,
+                                allocator, len, data);
+}
+void   papaya__store_record__free_unpacked
+                     (Papaya__StoreRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__store_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   papaya__store_news__init
+                     (Papaya__StoreNews         *message)
+{
+  static const Papaya__StoreNews init_value = PAPAYA__STORE_NEWS__INIT;
+  *message = init_value;
+}
+size_t papaya__store_news__get_packed_size
+                     (const Papaya__StoreNews *message)
+{
+  assert(message->base.descriptor == &papaya__store_news__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__store_news__pack
+                     (const Papaya__StoreNews *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__store_news__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__store_news__pack_to_buffer
+                     (const Papaya__StoreNews *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__store_news__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__StoreNews *
+       papaya__store_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__StoreNews *)
+     protobuf_c_message_unpack (&papaya__store_news__descriptor,
+                                allocator, len, data);
+}
+void   papaya__store_news__free_unpacked
+                     (Papaya__StoreNews *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__store_news__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__frame__init
                      (Papaya__Frame         *message)
 {
@@ -3010,7 +3100,135 @@
   (ProtobufCMessageInit) papaya__hand_over_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[17] =
+static const ProtobufCFieldDescriptor papaya__store_record__field_descriptors[2] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StoreRecord, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StoreRecord, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__store_record__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  1,   /* field[1] = value */
+};
+static const ProtobufCIntRange papaya__store_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor papaya__store_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.StoreRecord",
+  "StoreRecord",
+  "Papaya__StoreRecord",
+  "papaya",
+  sizeof(Papaya__StoreRecord),
+  2,
+  papaya__store_record__field_descriptors,
+  papaya__store_record__field_indices_by_name,
+  1,  papaya__store_record__number_ranges,
+  (ProtobufCMessageInit) papaya__store_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__store_news__field_descriptors[4] =
+{
+  {
+    "topic",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StoreNews, topic),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StoreNews, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StoreNews, next),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "records",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__StoreNews, n_records),
+    offsetof(Papaya__StoreNews, records),
+    &papaya__store_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__store_news__field_indices_by_name[] = {
+  1,   /* field[1] = from */
+  2,   /* field[2] = next */
+  3,   /* field[3] = records */
+  0,   /* field[0] = topic */
+};
+static const ProtobufCIntRange papaya__store_news__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor papaya__store_news__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.StoreNews",
+  "StoreNews",
+  "Papaya__StoreNews",
+  "papaya",
+  sizeof(Papaya__StoreNews),
+  4,
+  papaya__store_news__field_descriptors,
+  papaya__store_news__field_indices_by_name,
+  1,  papaya__store_news__number_ranges,
+  (ProtobufCMessageInit) papaya__store_news__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[18] =
 {
   {
     "hello",
@@ -3216,6 +3434,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_news",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, store_news),
+    &papaya__store_news__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__frame__field_indices_by_name[] = {
   6,   /* field[6] = cancel */
@@ -3232,6 +3462,7 @@
   15,   /* field[15] = limit_release */
   1,   /* field[1] = proof */
   5,   /* field[5] = refuse */
+  17,   /* field[17] = store_news */
   16,   /* field[16] = vm_list */
   3,   /* field[3] = want */
   7,   /* field[7] = withdraw */
@@ -3239,7 +3470,7 @@
 static const ProtobufCIntRange papaya__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor papaya__frame__descriptor =
 {
@@ -3249,7 +3480,7 @@
   "Papaya__Frame",
   "papaya",
   sizeof(Papaya__Frame),
-  17,
+  18,
   papaya__frame__field_descriptors,
   papaya__frame__field_indices_by_name,
   1,  papaya__frame__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -37,6 +37,8 @@
 typedef struct Papaya__Gap Papaya__Gap;
 typedef struct Papaya__HandOver Papaya__HandOver;
 typedef struct Papaya__HandOverAck Papaya__HandOverAck;
+typedef struct Papaya__StoreRecord Papaya__StoreRecord;
+typedef struct Papaya__StoreNews Papaya__StoreNews;
 typedef struct Papaya__Frame Papaya__Frame;
 
 
@@ -489,6 +491,43 @@
     , 0, 0 }
 
 
+/*
+ * A record of the platform's store; an empty value: the key is gone.
+ */
+struct  Papaya__StoreRecord
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData key;
+  ProtobufCBinaryData value;
+};
+#define PAPAYA__STORE_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__store_record__descriptor) \
+    , {0,NULL}, {0,NULL} }
+
+
+/*
+ * A reader of the store tells the others what it read, or that it is nothing.
+ */
+struct  Papaya__StoreNews
+{
+  ProtobufCMessage base;
+  uint32_t topic;
+  /*
+   * offset of the first record
+   */
+  uint64_t from;
+  /*
+   * offset after the last
+   */
+  uint64_t next;
+  size_t n_records;
+  Papaya__StoreRecord **records;
+};
+#define PAPAYA__STORE_NEWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__store_news__descriptor) \
+    , 0, 0, 0, 0,NULL }
+
+
 typedef enum {
   PAPAYA__FRAME__BODY__NOT_SET = 0,
   PAPAYA__FRAME__BODY_HELLO = 1,
@@ -507,7 +546,8 @@
   PAPAYA__FRAME__BODY_LIMIT_ASK = 14,
   PAPAYA__FRAME__BODY_LIMIT_ANSWER = 15,
   PAPAYA__FRAME__BODY_LIMIT_RELEASE = 16,
-  PAPAYA__FRAME__BODY_VM_LIST = 17
+  PAPAYA__FRAME__BODY_VM_LIST = 17,
+  PAPAYA__FRAME__BODY_STORE_NEWS = 18
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PAPAYA__FRAME__BODY__CASE)
 } Papaya__Frame__BodyCase;
 
@@ -533,6 +573,7 @@
     Papaya__LimitAnswer *limit_answer;
     Papaya__LimitRelease *limit_release;
     Papaya__VmList *vm_list;
+    Papaya__StoreNews *store_news;
   };
 };
 #define PAPAYA__FRAME__INIT \
@@ -958,6 +999,44 @@
 void   papaya__hand_over_ack__free_unpacked
                      (Papaya__HandOverAck *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__StoreRecord methods */
+void   papaya__store_record__init
+                     (Papaya__StoreRecord         *message);
+size_t papaya__store_record__get_packed_size
+                     (const Papaya__StoreRecord   *message);
+size_t papaya__store_record__pack
+                     (const Papaya__StoreRecord   *message,
+                      uint8_t             *out);
+size_t papaya__store_record__pack_to_buffer
+                     (const Papaya__StoreRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__StoreRecord *
+       papaya__store_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__store_record__free_unpacked
+                     (Papaya__StoreRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__StoreNews methods */
+void   papaya__store_news__init
+                     (Papaya__StoreNews         *message);
+size_t papaya__store_news__get_packed_size
+                     (const Papaya__StoreNews   *message);
+size_t papaya__store_news__pack
+                     (const Papaya__StoreNews   *message,
+                      uint8_t             *out);
+size_t papaya__store_news__pack_to_buffer
+                     (const Papaya__StoreNews   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__StoreNews *
+       papaya__store_news__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__store_news__free_unpacked
+                     (Papaya__StoreNews *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Frame methods */
 void   papaya__frame__init
                      (Papaya__Frame         *message);
@@ -1045,6 +1124,12 @@
 typedef void (*Papaya__HandOverAck_Closure)
                  (const Papaya__HandOverAck *message,
                   void *closure_data);
+typedef void (*Papaya__StoreRecord_Closure)
+                 (const Papaya__StoreRecord *message,
+                  void *closure_data);
+typedef void (*Papaya__StoreNews_Closure)
+                 (const Papaya__StoreNews *message,
+                  void *closure_data);
 typedef void (*Papaya__Frame_Closure)
                  (const Papaya__Frame *message,
                   void *closure_data);
@@ -1076,6 +1161,8 @@
 extern const ProtobufCMessageDescriptor papaya__gap__descriptor;
 extern const ProtobufCMessageDescriptor papaya__hand_over__descriptor;
 extern const ProtobufCMessageDescriptor papaya__hand_over_ack__descriptor;
+extern const ProtobufCMessageDescriptor papaya__store_record__descriptor;
+extern const ProtobufCMessageDescriptor papaya__store_news__descriptor;
 extern const ProtobufCMessageDescriptor papaya__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/tests/test_topic_follow.c
@@ -0,0 +1,85 @@
+#include "core/topic_follow.h"
+#include "tests/lib_suite.h"
+
+enum { PATIENCE = 700 };
+
+static topic_follow_t listed(uint64_t next)
+{
+	topic_follow_t f = { .patience = PATIENCE };
+
+	topic_follow_read(&f, next, 0);
+	return f;
+}
+
+START_TEST(news_keep_a_follower_from_reading)
+{
+	topic_follow_t f = listed(10);
+
+	for (int64_t now = 400; now < 4000; now += 400) {
+		topic_follow_hear(&f, 10, 10, now);
+		ck_assert(!topic_follow_is_due(&f, now + 400));
+	}
+}
+END_TEST
+
+START_TEST(silence_makes_a_follower_read)
+{
+	topic_follow_t f = listed(10);
+
+	ck_assert(!topic_follow_is_due(&f, PATIENCE - 1));
+	ck_assert(topic_follow_is_due(&f, PATIENCE));
+}
+END_TEST
+
+START_TEST(a_reader_and_a_new_daemon_read_always)
+{
+	topic_follow_t f = { .patience = PATIENCE };
+
+	ck_assert(topic_follow_is_due(&f, 0));
+	f = listed(10);
+	f.is_reader = true;
+	ck_assert(topic_follow_is_due(&f, 1));
+	f = listed(10);
+	topic_follow_lost(&f);
+	ck_assert(topic_follow_is_due(&f, 1));
+}
+END_TEST
+
+START_TEST(news_are_applied_in_order_or_read)
+{
+	static const struct {
+		uint64_t from, next;
+		topic_news_t expected;
+		uint64_t known;
+	} cases[] = {
+		{ 10, 12, TOPIC_NEWS_APPLY, 12 },
+		{ 8, 11, TOPIC_NEWS_APPLY, 11 },
+		{ 10, 10, TOPIC_NEWS_OLD, 10 },
+		{ 7, 9, TOPIC_NEWS_OLD, 10 },
+		{ 11, 12, TOPIC_NEWS_MISSED, 10 },
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		topic_follow_t f = listed(10);
+
+		ck_assert_int_eq(
+			topic_follow_hear(&f, cases[i].from, cases[i].next, 1),
+			cases[i].expected);
+		ck_assert_uint_eq(f.next, cases[i].known);
+	}
+}
+END_TEST
+
+START_TEST(a_missed_record_is_not_counted_as_known)
+{
+	topic_follow_t f = listed(10);
+
+	topic_follow_hear(&f, 12, 13, 600);
+	ck_assert(topic_follow_is_due(&f, PATIENCE));
+}
+END_TEST
+
+SUITE_MAIN("topic_follow", news_keep_a_follower_from_reading,
+	   silence_makes_a_follower_read, a_reader_and_a_new_daemon_read_always,
+	   news_are_applied_in_order_or_read,
+	   a_missed_record_is_not_counted_as_known)
