gateway: a draining daemon stops listening before its time runs out

Change: the listener closes 2.6 s after the drain began; connections that are open then are served and closed after their answer. Besides: half of the operators' tolerance is lent by a team's limiter as burst, shares follow the live daemons in a cut, and logs are structured, bounded and non-blocking on standard output (common/log_buffer).

--- a/common/log.c
+++ b/common/log.c
@@ -1,13 +1,31 @@
 #include "common/log.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
-enum { MESSAGE_SIZE = 1024 };
+#include "common/log_buffer.h"
+
+enum {
+	MESSAGE_SIZE = 1024,
+	LINE_SIZE = 1400,
+	MAX_BUFFER = 256 * 1024, /* bytes */
+	FLUSH_MS = 100,
+	FLUSH_BYTES = 8 * 1024, /* written without waiting for the timer */
+	MAX_WRITE = 64 * 1024, /* bytes at once */
+};
 
 static GLogLevelFlags threshold = G_LOG_LEVEL_INFO;
 
+/* Where a daemon's lines go; without a base: standard error. */
+static struct {
+	struct event *timer;
+	int fd;
+	log_buffer_t buffer;
+} sink;
+
 static const struct {
 	const char *name;
 	GLogLevelFlags flag;
@@ -34,22 +52,69 @@
 	return "error";
 }
 
+static void flush(void)
+{
+	log_buffer_t *b = &sink.buffer;
+	ssize_t n;
+
+	while (b->text->len) {
+		n = write(sink.fd, b->text->str, MIN(b->text->len, MAX_WRITE));
+		if (n < 0 && errno == EINTR)
+			continue;
+		/* A reader that is slow or gone loses lines, not we time. */
+		if (n <= 0)
+			return;
+		log_buffer_written(b, (size_t)n);
+	}
+}
+
+static void tell_drops(int64_t now)
+{
+	uint64_t n = log_buffer_untold(&sink.buffer, now);
+
+	if (n)
+		log_event_write(G_LOG_LEVEL_WARNING, LOG_CLASS_KEEP, "log",
+				"lines-dropped",
+				"count=%" G_GUINT64_FORMAT
+				" kept_class=%" G_GUINT64_FORMAT
+				" sample_class=%" G_GUINT64_FORMAT,
+				n, log_dropped(LOG_CLASS_KEEP),
+				log_dropped(LOG_CLASS_SAMPLE));
+}
+
+static void put(log_class_t class, const char *line)
+{
+	int64_t now = g_get_monotonic_time();
+
+	if (!sink.timer) {
+		fprintf(stderr, "%s\n", line);
+		return;
+	}
+	log_buffer_add(&sink.buffer, class, line, now);
+	if (sink.buffer.text->len >= FLUSH_BYTES)
+		flush();
+}
+
 static GLogWriterOutput write_line(GLogLevelFlags level,
 				   const GLogField *fields, gsize n_fields,
 				   gpointer user_data)
 {
+	const char *class = field(fields, n_fields, "PAPAYA_CLASS");
 	struct timespec now;
 	struct tm tm;
 	char stamp[32];
+	char line[LINE_SIZE];
 
 	if ((level & G_LOG_LEVEL_MASK) > threshold)
 		return G_LOG_WRITER_HANDLED;
 	clock_gettime(CLOCK_REALTIME, &now);
 	gmtime_r(&now.tv_sec, &tm);
 	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &tm);
-	fprintf(stderr, "%s.%03ldZ %s %s: %s\n", stamp, now.tv_nsec / 1000000,
-		level_name(level), field(fields, n_fields, "PAPAYA_PART"),
-		field(fields, n_fields, "MESSAGE"));
+	g_snprintf(line, sizeof(line), "time=%s.%03ldZ level=%s part=%s %s",
+		   stamp, now.tv_nsec / 1000000, level_name(level),
+		   field(fields, n_fields, "PAPAYA_PART"),
+		   field(fields, n_fields, "MESSAGE"));
+	put(class[0] == 's' ? LOG_CLASS_SAMPLE : LOG_CLASS_KEEP, line);
 	return G_LOG_WRITER_HANDLED;
 }
 
@@ -59,7 +124,7 @@
 	static bool has_writer;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(levels); i++) {
-		if (strcmp(level, levels[i].name))
+		if (strcmp(level, levels[i].name) != 0)
 			continue;
 		threshold = levels[i].flag;
 		if (!has_writer)
@@ -70,16 +135,76 @@
 	return false;
 }
 
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	tell_drops(g_get_monotonic_time());
+	flush();
+}
+
+void log_attach(struct event_base *base, int fd)
+{
+	static const struct timeval period = { .tv_usec = FLUSH_MS * 1000 };
+
+	evutil_make_socket_nonblocking(fd);
+	log_buffer_init(&sink.buffer, MAX_BUFFER);
+	sink.fd = fd;
+	sink.timer = event_new(base, -1, EV_PERSIST, on_timer, NULL);
+	event_add(sink.timer, &period);
+}
+
+void log_detach(void)
+{
+	if (!sink.timer)
+		return;
+	flush();
+	event_free(sink.timer);
+	sink.timer = NULL;
+	log_buffer_finish(&sink.buffer);
+}
+
+uint64_t log_dropped(log_class_t class)
+{
+	return sink.buffer.rates[class].dropped;
+}
+
+static void pass(GLogLevelFlags level, log_class_t class, const char *part,
+		 const char *message)
+{
+	g_log_structured("papayabank", level, "PAPAYA_PART", part,
+			 "PAPAYA_CLASS",
+			 class == LOG_CLASS_SAMPLE ? "sample" : "keep",
+			 "MESSAGE", "%s", message);
+}
+
 void log_write(GLogLevelFlags level, const char *part, const char *fmt, ...)
+{
+	char text[MESSAGE_SIZE];
+	char message[MESSAGE_SIZE + 8];
+	va_list ap;
+
+	if ((level & G_LOG_LEVEL_MASK) > threshold)
+		return;
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	/* A quote inside would end the value for readers. */
+	g_strdelimit(text, "\"\n", '\'');
+	g_snprintf(message, sizeof(message), "msg=\"%s\"", text);
+	pass(level, LOG_CLASS_KEEP, part, message);
+}
+
+void log_event_write(GLogLevelFlags level, log_class_t class, const char *part,
+		     const char *event, const char *fmt, ...)
 {
 	char message[MESSAGE_SIZE];
 	va_list ap;
+	int n;
 
 	if ((level & G_LOG_LEVEL_MASK) > threshold)
 		return;
+	n = g_snprintf(message, sizeof(message), "event=%s ", event);
 	va_start(ap, fmt);
-	vsnprintf(message, sizeof(message), fmt, ap);
+	vsnprintf(message + n, sizeof(message) - (size_t)n, fmt, ap);
 	va_end(ap);
-	g_log_structured("papayabank", level, "PAPAYA_PART", part, "MESSAGE",
-			 "%s", message);
+	pass(level, class, part, message);
 }
--- a/core/limit.c
+++ b/core/limit.c
@@ -6,9 +6,12 @@
 	US_PER_S = 1000000,
 	US_PER_MS = 1000,
 	MAX_RETRY_AFTER_MS = 60000,
+	LOW_START = 4, /* part of a bucket */
 	BUSY_RETRY_AFTER_MS = 200, /* no telling when a request will end */
 };
 
+static const double lent_part = 0.5; /* of the tolerance */
+
 typedef struct team {
 	char name[LIMIT_NAME_SIZE];
 	str_t key; /* view of the name */
@@ -38,6 +41,16 @@
 	return MAX(terms->burst, 1.0);
 }
 
+/*
+ * Where limiters take over from each other, a team's bucket was used
+ * elsewhere a moment ago.
+ */
+static double first_fill(const limit_t *l, const limit_terms_t *terms)
+{
+	return l->starts_low ? bucket_size(terms) / LOW_START :
+			       bucket_size(terms);
+}
+
 static void leave_idle(limit_t *l, team_t *team)
 {
 	if (!team->idle)
@@ -84,20 +97,21 @@
 	}
 	team->key = (str_t){ team->name, name.len };
 	team->terms = l->other;
-	team->tokens = bucket_size(&team->terms);
+	team->tokens = first_fill(l, &team->terms);
 	team->filled = l->start;
 	g_hash_table_insert(l->teams, &team->key, team);
 	join_idle(l, team);
 	return team;
 }
 
-static void set_terms(team_t *team, const limit_terms_t *terms)
+static void set_terms(const limit_t *l, team_t *team,
+		      const limit_terms_t *terms)
 {
 	bool had_rate = team->terms.rate > 0;
 
 	team->terms = *terms;
 	if (!had_rate)
-		team->tokens = bucket_size(terms);
+		team->tokens = first_fill(l, terms);
 	team->tokens = MIN(team->tokens, bucket_size(terms));
 }
 
@@ -111,7 +125,7 @@
 		return false;
 	leave_idle(l, team);
 	team->has_terms = true;
-	set_terms(team, &terms);
+	set_terms(l, team, &terms);
 	return true;
 }
 
@@ -127,7 +141,7 @@
 		team_t *team = value;
 
 		if (!team->has_terms)
-			set_terms(team, &l->other);
+			set_terms(l, team, &l->other);
 	}
 }
 
@@ -205,3 +219,14 @@
 		part.concurrency = MAX(part.concurrency, 1);
 	return part;
 }
+
+limit_terms_t limit_lend(limit_terms_t terms,
+			 const limit_tolerance_t *tolerance)
+{
+	double allowed = terms.rate * tolerance->window_s + terms.burst;
+
+	if (terms.rate > 0)
+		terms.burst += lent_part * (tolerance->overrun * allowed +
+					    tolerance->slack);
+	return terms;
+}
--- a/core/limit.h
+++ b/core/limit.h
@@ -16,6 +16,17 @@
 
 enum { LIMIT_NAME_SIZE = 128 }; /* bytes, with the NUL */
 
+/*
+ * How far all daemons together may go beyond a limit in a window: the
+ * operators' tolerance. One limiter that sees every daemon lends a part of it
+ * as a deeper bucket; the rest covers what limiters don't know of each other.
+ */
+typedef struct limit_tolerance {
+	double overrun; /* part of what the limit allows in a window */
+	double slack; /* units besides */
+	double window_s;
+} limit_tolerance_t;
+
 /* What one team may use. */
 typedef struct limit_terms {
 	double rate; /* requests a second; 0: no limit */
@@ -28,6 +39,7 @@
 	GHashTable *teams;
 	GQueue idle; /* unnamed teams with nothing in progress, oldest first */
 	uint32_t max_teams;
+	bool starts_low; /* new buckets are filled in part only */
 	limit_terms_t other; /* for teams without terms of their own */
 	int64_t start;
 } limit_t;
@@ -69,5 +81,8 @@
  */
 limit_terms_t limit_share(limit_terms_t whole, uint32_t weight,
 			  uint32_t total_weight);
+/* Returns the terms of a limiter that lends its part of the tolerance. */
+limit_terms_t limit_lend(limit_terms_t terms,
+			 const limit_tolerance_t *tolerance);
 
 #endif
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -11,7 +11,7 @@
 	BACKLOG = 512, /* connections not accepted yet */
 	TICK_MS = 50,
 	/* The balancer sends new connections for so long after a drain began. */
-	DRAIN_LINGER_US = 3000 * 1000,
+	DRAIN_LINGER_US = 2600 * 1000,
 	GONE_MEMORY_US = 60 * 1000 * 1000, /* of runners that left */
 	GRACE_MARGIN_MS = 700, /* the daemon ends so long before it is killed */
 };
@@ -63,6 +63,17 @@
 		    g->pool.stats.out_of_turn);
 }
 
+/* What comes from now on could not be finished in time. */
+static void stop_listening(gateway_t *g)
+{
+	if (!g->listener)
+		return;
+	log_event("listener-closed", "callers=%u requests=%u",
+		  g_hash_table_size(g->callers), g_hash_table_size(g->relays));
+	evconnlistener_free(g->listener);
+	g->listener = NULL;
+}
+
 /* Ends the daemon once nobody is left, or when its time is up. */
 static void check_drain(gateway_t *g, int64_t now)
 {
@@ -71,6 +82,7 @@
 
 	if (!g->drain_since || now - g->drain_since < DRAIN_LINGER_US)
 		return;
+	stop_listening(g);
 	callers = g_hash_table_get_keys(g->callers);
 	for (GList *link = callers; link; link = link->next)
 		ingress_close_idle(link->data);
@@ -226,7 +238,8 @@
 		relay_free(link->data);
 	for (GList *link = callers; link; link = link->next)
 		ingress_free(link->data);
-	evconnlistener_free(g->listener);
+	if (g->listener)
+		evconnlistener_free(g->listener);
 	event_free(g->tick);
 	upstream_pool_finish(&g->pool);
 	retry_budget_finish(&g->retries);
--- a/daemon/limits_task.c
+++ b/daemon/limits_task.c
@@ -15,7 +15,9 @@
 	config_view_t *config;
 	limit_t zone; /* for teams that this daemon counts for the zone */
 	limit_t own; /* while the team's counter is out of reach */
+	limit_tolerance_t tolerance; /* none but in a fleet */
 	GHashTable *held; /* "peer\nteam" to the number in progress */
+	uint32_t live, known; /* daemons of the zone; a cut makes them differ */
 	uint32_t daemons; /* of the own zone, by the VM list; at least 1 */
 } limits_t;
 
@@ -62,6 +64,11 @@
 		(limit_terms_t){ team->rate, team->burst, team->concurrency },
 		1, l->is_fallback ? zones * s->daemons : zones);
 	/* Callers choose unnamed teams: those must be forgotten again. */
+	/* Beyond a cut another limiter may count for the daemons there. */
+	if (!l->is_fallback) {
+		t = limit_share(t, s->live, s->known);
+		t = limit_lend(t, &s->tolerance);
+	}
 	if (team == &profile->other_teams)
 		limit_set_other(limit, t.rate, t.burst, t.concurrency);
 	else
@@ -145,6 +152,10 @@
 	case MESSAGE_VMS:
 		take_list(s, m->vms);
 		break;
+	case MESSAGE_LIVE:
+		s->live = m->daemons.live;
+		s->known = m->daemons.known;
+		break;
 	case MESSAGE_LIMIT_ASK:
 		ask(s, &m->limit);
 		break;
@@ -165,8 +176,19 @@
 
 	s->sup = sup;
 	s->daemons = 1;
+	s->live = 1;
+	s->known = 1;
+	if (sup->settings->fleet)
+		s->tolerance = (limit_tolerance_t){
+			.overrun = sup->settings->limit_overrun,
+			.slack = (double)sup->settings->limit_slack,
+			.window_s =
+				(double)sup->settings->limit_window_ms / 1000,
+		};
 	limit_init(&s->zone, MAX_TEAMS, now_us());
 	limit_init(&s->own, MAX_TEAMS, now_us());
+	s->zone.starts_low = sup->settings->fleet;
+	s->own.starts_low = sup->settings->fleet;
 	s->held = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return s;
 }
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include "common/log.h"
 #include "daemon/supervisor.h"
@@ -51,6 +52,7 @@
 	int status = EXIT_FAILURE;
 
 	signal(SIGPIPE, SIG_IGN);
+	log_attach(base, STDOUT_FILENO);
 	supervisor_init(&sup, base, settings);
 	term = evsignal_new(base, SIGTERM, on_terminate, &sup);
 	intr = evsignal_new(base, SIGINT, on_terminate, &sup);
@@ -63,13 +65,14 @@
 		log_error("%s", err_text(&err, text, sizeof(text)));
 		goto out;
 	}
-	log_info("%s of zone %s serves callers at %s", settings->name,
-		 settings->zone, settings->listen);
+	log_event("start", "name=%s zone=%s listen=%s version=%s",
+		  settings->name, settings->zone, settings->listen, VERSION);
 	event_base_dispatch(base);
 	status = supervisor_has_given_up(&sup) ? EXIT_FAILURE : EXIT_SUCCESS;
-	log_info("ended");
+	log_event("stop", "name=%s status=%d", settings->name, status);
 out:
 	supervisor_finish(&sup);
+	log_detach();
 	event_free(term);
 	event_free(intr);
 	event_free(hup);
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -70,6 +70,7 @@
 	MESSAGE_LIMIT_ANSWER, /* limits to peers to front */
 	MESSAGE_LIMIT_RELEASE, /* front to peers to limits */
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: a daemon is dead */
+	MESSAGE_LIVE, /* peers to limits: daemons seen and known */
 	MESSAGE_SETTLED, /* peers to capacity: is the zone's view settled? */
 	MESSAGE_VIEW_CHANGED, /* peers to front: ask dispatchers anew */
 	MESSAGE_ACCOUNT, /* front to accounts */
@@ -169,6 +170,10 @@
 		config_view_t *config;
 		fleet_t *fleet;
 		vm_view_t *vms;
+		struct {
+			uint32_t live; /* this daemon included */
+			uint32_t known; /* those that may serve unseen too */
+		} daemons; /* LIVE */
 		uint64_t number; /* CONFIG_NEXT, SETTLED, READER */
 		message_news_t news;
 		message_docs_t docs; /* CONFIG_ASK, SEND, RELAYED */
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -17,6 +17,7 @@
 	struct event *timer;
 	uint64_t config_next;
 	uint64_t epoch;
+	int64_t started;
 	int64_t drained_until; /* the front is done; 0: not yet */
 	bool is_draining;
 	bool has_broken_link;
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -4,6 +4,8 @@
  */
 #define LOG_PART "peers"
 
+#include <inttypes.h>
+
 #include "common/log.h"
 #include "common/unique.h"
 #include "daemon/frames.h"
@@ -12,6 +14,7 @@
 #include "daemon/vm_frames.h"
 
 enum {
+	CUT_MEMORY_US = 30 * G_USEC_PER_SEC, /* of daemons that are gone */
 	READERS = 2, /* of the platform's store, in a zone */
 	MAX_MEMBERS = 1024,
 	MAX_BACKLOG = 4 << 20, /* bytes a link */
@@ -42,13 +45,14 @@
 	uint64_t *known = g_hash_table_lookup(p->incarnations, vm->name);
 
 	if (state == MEMBER_LIVE && !known) {
-		log_info("daemon %s of zone %s is live", vm->name, vm->zone);
+		log_event("peer-live", "peer=%s zone=%s", vm->name, vm->zone);
 	} else if (state == MEMBER_LIVE && *known != incarnation) {
-		log_info("daemon %s of zone %s has a new incarnation", vm->name,
-			 vm->zone);
+		log_event("peer-restarted", "peer=%s zone=%s", vm->name,
+			  vm->zone);
 		post_owner_lost(p, vm->name);
 	} else if (state == MEMBER_DEAD && known) {
-		log_warn("daemon %s of zone %s is dead", vm->name, vm->zone);
+		log_event("peer-dead", "peer=%s zone=%s heard_age_ms=%" PRId64,
+			  vm->name, vm->zone, heard_age / 1000);
 		g_hash_table_remove(p->incarnations, vm->name);
 		post_owner_lost(p, vm->name);
 	}
@@ -340,6 +344,39 @@
 		keep_seeds(p);
 }
 
+typedef struct live_count {
+	const peers_t *peers;
+	uint32_t live, known;
+} live_count_t;
+
+/* A daemon that fell silent may serve on behind a cut. */
+static void count_live(void *ctx, const member_vm_t *vm, member_state_t state,
+		       uint64_t incarnation, int64_t heard_age)
+{
+	live_count_t *n = ctx;
+	bool is_live = state == MEMBER_LIVE || state == MEMBER_SUSPECT ||
+		       state == MEMBER_DRAINING;
+
+	if (strcmp(vm->zone, n->peers->self.zone) != 0)
+		return;
+	/* One that was never heard may be behind a cut that was there first. */
+	if (heard_age < 0)
+		heard_age = now_us() - n->peers->started;
+	n->live += is_live;
+	n->known += is_live || heard_age < CUT_MEMORY_US;
+}
+
+static void tell_live(peers_t *p)
+{
+	live_count_t n = { .peers = p, .live = 1, .known = 1 };
+	message_t m = { .type = MESSAGE_LIVE };
+
+	member_each(&p->member, count_live, &n, now_us());
+	m.daemons.live = n.live;
+	m.daemons.known = n.known;
+	supervisor_post(p->sup, TASK_LIMITS, &m);
+}
+
 /* Two daemons of the zone read the store for all. */
 static void tell_reader(peers_t *p)
 {
@@ -365,6 +402,7 @@
 	member_tick(&p->member, now_us());
 	tell_settled(p);
 	tell_reader(p);
+	tell_live(p);
 	follow_links(p);
 	send_heartbeats(p);
 	keys_tick(&p->keys);
@@ -487,6 +525,7 @@
 
 	p->sup = sup;
 	p->epoch = supervisor_epoch(sup);
+	p->started = now_us();
 	settings_self(sup->settings, &p->self);
 	if (!init_peer(p, incarnation, err)) {
 		g_free(p);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -126,11 +126,21 @@
 
 static void count_end(relay_t *r, int status, const char *why)
 {
-	log_info("request %s: answered %d: %s (route %s, sent %u, ran %u, "
-		 "%" PRId64 " ms)",
-		 r->id, status, why, r->route ? r->route->name : "-", r->sends,
-		 r->runs, (now_us() - r->arrived) / US_PER_MS);
-	metrics_add(&sup_of(r)->metrics, "papaya_own_answers_total", NULL, 1);
+	g_autofree char *label = g_strdup_printf("status=\"%d\"", status);
+
+	log_event("answered",
+		  "request=%s status=%d by=daemon why=\"%s\" route=%s "
+		  "team=%s service=%s rank=%u config=%" PRIu64
+		  " dispatcher=%s runner=%s sent=%u ran=%u events=%" PRIu64
+		  " age_ms=%" PRId64 " left_ms=%" PRId64,
+		  r->id, status, why, r->route ? r->route->name : "-",
+		  r->team ? r->team->name : "-", r->service ? r->service : "-",
+		  r->rank, r->fleet ? r->fleet->version : 0,
+		  r->dispatcher[0] ? r->dispatcher : "own",
+		  r->runner.name[0] ? r->runner.name : "-", r->sends, r->runs,
+		  r->n_events, (now_us() - r->arrived) / US_PER_MS,
+		  r->deadline ? (r->deadline - now_us()) / US_PER_MS : 0);
+	metrics_add(&sup_of(r)->metrics, "papaya_own_answers_total", label, 1);
 }
 
 void relay_refuse(relay_t *r, int status, int64_t retry_after_ms,
@@ -165,8 +175,9 @@
 {
 	r->caller = NULL;
 	let_go(r, DONE_CANCELLED);
-	log_info("request %s: the caller left after %" PRId64 " ms", r->id,
-		 (now_us() - r->arrived) / US_PER_MS);
+	log_event("caller-left", "request=%s runner=%s sent=%u age_ms=%" PRId64,
+		  r->id, r->runner.name[0] ? r->runner.name : "-", r->sends,
+		  (now_us() - r->arrived) / US_PER_MS);
 	relay_end(r);
 }
 
@@ -196,6 +207,12 @@
 		return false;
 	if (r->sends &&
 	    !retry_budget_take(&r->gateway->retries, r->service, now_us())) {
+		log_event("retry-denied",
+			  "request=%s service=%s left=%.1f why=\"the retry "
+			  "budget is used up\"",
+			  r->id, r->service,
+			  retry_budget_left(&r->gateway->retries, r->service,
+					    now_us()));
 		metrics_add(&sup_of(r)->metrics, "papaya_retries_denied_total",
 			    NULL, 1);
 		return false;
@@ -241,8 +258,11 @@
 /* The dispatcher does not know yet that the runner leaves. */
 static void decline_leaving(relay_t *r)
 {
-	log_info("request %s: grant of runner %s declined: it leaves", r->id,
-		 r->runner.name);
+	log_event("grant-declined",
+		  "request=%s runner=%s dispatcher=%s why=\"the runner is "
+		  "leaving by this daemon's list\"",
+		  r->id, r->runner.name,
+		  r->dispatcher[0] ? r->dispatcher : "own");
 	r->state = RELAY_SENT;
 	relay_tell_done(r, DONE_LEAVING);
 	if (!relay_try_again(r))
@@ -264,7 +284,10 @@
 		decline_leaving(r);
 		return;
 	}
-	log_debug("request %s: granted runner %s", r->id, r->runner.name);
+	log_sample("granted",
+		   "request=%s runner=%s dispatcher=%s wait_ms=%" PRId64, r->id,
+		   r->runner.name, r->dispatcher[0] ? r->dispatcher : "own",
+		   (now_us() - r->asked) / US_PER_MS);
 	send_upstream(r);
 }
 
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -3,6 +3,8 @@
 #include "common/log.h"
 #include "daemon/relay.h"
 
+#include <inttypes.h>
+
 enum {
 	RETRY_MS = 300, /* for requests that no upstream ran */
 };
@@ -94,12 +96,30 @@
 	return true;
 }
 
+/* What went well is sampled; a runner's own failure is kept. */
+static void log_answer(const relay_t *r)
+{
+	static const char format[] =
+		"request=%s status=%d by=runner route=%s team=%s runner=%s "
+		"config=%" PRIu64 " sent=%u events=%" PRIu64 " age_ms=%" PRId64;
+	int64_t age_ms = (now_us() - r->arrived) / 1000;
+	const char *team = r->team ? r->team->name : "-";
+
+	if (is_success(r))
+		log_sample("answered", format, r->id, r->answer.status,
+			   r->route->name, team, r->runner.name,
+			   r->fleet->version, r->sends, r->n_events, age_ms);
+	else
+		log_event("answered", format, r->id, r->answer.status,
+			  r->route->name, team, r->runner.name,
+			  r->fleet->version, r->sends, r->n_events, age_ms);
+}
+
 static void pass_on(relay_t *r)
 {
 	ingress_t *caller = r->caller;
 
-	log_debug("request %s: runner %s answered %d", r->id, r->runner.name,
-		  r->answer.status);
+	log_answer(r);
 	r->caller = NULL;
 	if (r->has_begun)
 		ingress_end(caller, true);
@@ -112,6 +132,11 @@
 static void take_refusal(relay_t *r)
 {
 	relay_tell_done(r, DONE_FAILED);
+	log_event("attempt-refused",
+		  "request=%s runner=%s status=%d running=%u waiting=%u "
+		  "slots=%u sent=%u",
+		  r->id, r->runner.name, r->answer.status, r->answer.running,
+		  r->answer.waiting, r->answer.slots, r->sends);
 	if (relay_try_again(r))
 		return;
 	if (r->runs)
@@ -123,7 +148,11 @@
 /* The request may have run, and no whole answer came of it. */
 static void take_loss(relay_t *r, const char *why)
 {
-	log_info("request %s: runner %s: %s", r->id, r->runner.name, why);
+	log_event("attempt-lost",
+		  "request=%s runner=%s status=%d events=%" PRIu64
+		  " sent=%u why=\"%s\"",
+		  r->id, r->runner.name, r->has_answer ? r->answer.status : 0,
+		  r->n_events, r->sends, why);
 	r->runs++;
 	relay_tell_done(r, DONE_BROKEN);
 	if (!relay_try_again(r))
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -32,6 +32,9 @@
 	double retry_ratio;
 	int64_t retry_slack;
 	int64_t retry_window_ms;
+	double limit_overrun;
+	int64_t limit_slack;
+	int64_t limit_window_ms;
 	int64_t runners_poll_ms;
 	int64_t config_wait_ms;
 	int64_t heartbeat_ms;
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -89,9 +89,10 @@
 		fleet_unref(fleet);
 		return;
 	}
-	log_info("configuration version %" PRIu64 " in force: %u routes, "
-		 "%u teams",
-		 fleet->version, fleet->routes->len, fleet->teams->len);
+	log_event("config-in-force",
+		  "version=%" PRIu64 " was=%" PRIu64 " routes=%u teams=%u",
+		  fleet->version, s->fleet ? s->fleet->version : 0,
+		  fleet->routes->len, fleet->teams->len);
 	metrics_set(&s->sup->metrics, "papaya_config_version", NULL,
 		    fleet->version);
 	fleet_unref(s->fleet);
@@ -156,12 +157,14 @@
 		return;
 	f->is_down = err != NULL;
 	if (err)
-		log_warn("store: %s can't be read: %s",
-			 store_topic_name(f->topic),
-			 err_text(err, text, sizeof(text)));
+		log_event("dependency-lost",
+			  "dependency=store topic=%s "
+			  "why=\"%s\"",
+			  store_topic_name(f->topic),
+			  err_text(err, text, sizeof(text)));
 	else
-		log_info("store: %s can be read again",
-			 store_topic_name(f->topic));
+		log_event("dependency-back", "dependency=store topic=%s",
+			  store_topic_name(f->topic));
 }
 
 static void follow_later(follower_t *f, int64_t ms)
@@ -340,6 +343,16 @@
 	}
 }
 
+static uint32_t count_leaving(const vm_view_t *vms)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < vms->runners->len; i++)
+		n += g_array_index(vms->runners, log_runner_t, i)
+			     .runner.is_leaving;
+	return n;
+}
+
 /* Publishes what changed, and writes the own entry until it is there. */
 static void on_apply(evutil_socket_t fd, short what, void *arg)
 {
@@ -355,8 +368,12 @@
 	vm_view_unref(s->vms);
 	s->vms = fleet_view_vms(&s->runner_list, s->daemon_list,
 				s->sup->settings);
-	log_info("runners in force: %u; daemons known: %u",
-		 s->vms->runners->len, s->vms->entries->len);
+	log_event("runners-in-force",
+		  "runners=%u leaving=%u daemons=%u next=%" PRIu64
+		  " list_age_ms=%" PRId64,
+		  s->vms->runners->len, count_leaving(s->vms),
+		  s->vms->entries->len, s->runners.state.next,
+		  (now_us() - s->runners.state.known_at) / 1000);
 	post_vms(s);
 	store_stats(&s->store, &stats);
 	metrics_set(&s->sup->metrics, "papaya_store_calls_total", NULL,
@@ -382,8 +399,7 @@
 {
 	if (s->config.state.is_reader == is_reader)
 		return;
-	log_info("this daemon %s the store for others",
-		 is_reader ? "reads" : "does not read");
+	log_event("reader", "reads=%s", is_reader ? "yes" : "no");
 	s->config.state.is_reader = is_reader;
 	s->runners.state.is_reader = is_reader;
 	s->daemons.state.is_reader = is_reader;
--- /dev/null
+++ b/tests/test_call_head.c
@@ -0,0 +1,236 @@
+#include "platform/call_head.h"
+#include "tests/lib_suite.h"
+
+typedef struct parsed {
+	http1_reader_t reader;
+} parsed_t;
+
+static bool accept_head(void *ctx, const http1_head_t *head)
+{
+	return true;
+}
+
+static bool accept_body(void *ctx, str_t bytes)
+{
+	return true;
+}
+
+static const http1_head_t *parse(parsed_t *p, http1_kind_t kind,
+				 const char *text)
+{
+	static const http1_ops_t ops = { accept_head, accept_body };
+	size_t taken;
+
+	http1_reader_init(&p->reader, kind, 8192, &ops, p);
+	http1_reader_feed(&p->reader, str_from(text), &taken);
+	ck_assert(p->reader.has_head);
+	return &p->reader.head;
+}
+
+static char *drain(struct evbuffer *buf)
+{
+	size_t n = evbuffer_get_length(buf);
+	char *text = g_strndup((char *)evbuffer_pullup(buf, -1), n);
+
+	evbuffer_free(buf);
+	return text;
+}
+
+#define REQUEST                                                           \
+	"POST /p/q?x=1 HTTP/1.1\r\nHost: h:80\r\nX-Attempt-Id: 9c41\r\n"  \
+	"X-Token-Usage: 1460,80\r\nX-Prefix-Hash: 5c:800,91:410,e4:2\r\n" \
+	"X-Deadline-Ms: 15000\r\nX-Key: secret\r\nX-Tenant: other\r\n"    \
+	"X-Hold: 1\r\nX-Pin-Ms: 4\r\nX-Kv-Backup: a\r\nKv-From: b\r\n"    \
+	"X-Expect-Instance: i\r\nLast-Event-Id: 12\r\n"                   \
+	"Connection: X-Mine\r\nX-Mine: 1\r\nX-Other: kept\r\n"            \
+	"Content-Length: 0\r\n\r\n"
+
+START_TEST(a_request_is_decoded_once)
+{
+	parsed_t p;
+	call_head_t call;
+
+	ck_assert(
+		call_head_read(parse(&p, HTTP1_REQUEST, REQUEST), &call, NULL));
+	ck_assert(str_eq(call.path, STR_LIT("/p/q")));
+	ck_assert(str_eq(call.attempt_id, STR_LIT("9c41")));
+	ck_assert(str_eq(call.key, STR_LIT("secret")));
+	ck_assert(str_eq(call.last_event, STR_LIT("12")));
+	ck_assert_int_eq(call.allowed_ms, 15000);
+	ck_assert(call.has_tokens);
+	ck_assert_uint_eq(call.prompt_tokens, 1460);
+	ck_assert_uint_eq(call.max_output_tokens, 80);
+	ck_assert_uint_ne(call.prefix, 0);
+	http1_reader_finish(&p.reader);
+}
+END_TEST
+
+START_TEST(an_upstream_gets_what_is_ours_to_set_from_us_alone)
+{
+	static const char *const dropped[] = { "secret",      "other",
+					       "X-Hold",      "X-Pin",
+					       "X-Kv-Backup", "Kv-From",
+					       "X-Mine",      "Instance: i\r" };
+	static const char *const present[] = {
+		"POST /p/q?x=1 HTTP/1.1\r\n",
+		"X-Attempt-Id: 9c41\r\n",
+		"X-Tenant: team\r\n",
+		"X-Expect-Instance: r1\r\n",
+		"X-Deadline-Ms: 900\r\n",
+		"X-Other: kept\r\n",
+		"Host: h:80\r\n",
+		"X-Token-Usage: 1460,80\r\n",
+		"Last-Event-Id: 12\r\n",
+		"Content-Length: 0\r\n\r\n",
+	};
+	call_terms_t terms = { .team = "team",
+			       .runner = "r1",
+			       .allowed_ms = 900 };
+	struct evbuffer *out = evbuffer_new();
+	const http1_head_t *head;
+	g_autofree char *text = NULL;
+	call_head_t call;
+	parsed_t p;
+
+	head = parse(&p, HTTP1_REQUEST, REQUEST);
+	ck_assert(call_head_read(head, &call, NULL));
+	call_head_write(out, head, &call, &terms, 0);
+	text = drain(out);
+	for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++)
+		ck_assert_msg(!strstr(text, dropped[i]), "%s", dropped[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(present); i++)
+		ck_assert_msg(strstr(text, present[i]) != NULL, "%s",
+			      present[i]);
+	http1_reader_finish(&p.reader);
+}
+END_TEST
+
+START_TEST(a_resumed_stream_names_the_last_event_passed_on)
+{
+	call_terms_t terms = { .runner = "r1",
+			       .allowed_ms = 0,
+			       .has_resume = true,
+			       .resume_after = STR_LIT("31") };
+	struct evbuffer *out = evbuffer_new();
+	const http1_head_t *head;
+	g_autofree char *text = NULL;
+	call_head_t call;
+	parsed_t p;
+
+	head = parse(&p, HTTP1_REQUEST, REQUEST);
+	ck_assert(call_head_read(head, &call, NULL));
+	call_head_write(out, head, &call, &terms, 0);
+	text = drain(out);
+	ck_assert_ptr_nonnull(strstr(text, "Last-Event-Id: 31\r\n"));
+	ck_assert_ptr_null(strstr(text, "Last-Event-Id: 12"));
+	ck_assert_ptr_nonnull(strstr(text, "X-Deadline-Ms: 1\r\n"));
+	ck_assert_ptr_null(strstr(text, "X-Tenant"));
+	http1_reader_finish(&p.reader);
+}
+END_TEST
+
+START_TEST(requests_that_are_answered_400)
+{
+	static const char *const lines[] = {
+		"",
+		"Host: a\r\nHost: b\r\n",
+		"Host: a\r\nX-Key: 1\r\nX-Key: 2\r\n",
+		"Host: a\r\nX-Deadline-Ms: soon\r\n",
+		"Host: a\r\nX-Token-Usage: 5\r\n",
+		"Host: a\r\nX-Token-Usage: 5,x\r\n",
+		"Host: a\r\nX-Token-Usage: 99999999999,1\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		g_autofree char *text = g_strconcat("GET / HTTP/1.1\r\n",
+						    lines[i], "\r\n", NULL);
+		call_head_t call;
+		err_t err = { 0 };
+		parsed_t p;
+
+		ck_assert_msg(!call_head_read(parse(&p, HTTP1_REQUEST, text),
+					      &call, &err),
+			      "%s", lines[i]);
+		ck_assert_int_eq(err.code, ERR_INVALID);
+		http1_reader_finish(&p.reader);
+	}
+}
+END_TEST
+
+START_TEST(whose_answer_it_is)
+{
+	static const struct {
+		const char *text;
+		bool is_ours, is_sealed, is_not_run, is_encoded;
+	} cases[] = {
+		{ "200 OK\r\nX-Attempt-Id: 9c\r\nX-Server-Seal: s\r\n", true,
+		  true, false, false },
+		{ "200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\n",
+		  false, true, false, false },
+		{ "200 OK\r\nX-Server-Seal: s\r\n", false, true, false, false },
+		{ "503 Full\r\nX-Not-Executed: 1\r\n", true, false, true,
+		  false },
+		{ "421 Other\r\nX-Instance-Id: i\r\n", true, false, true,
+		  false },
+		{ "200 OK\r\nX-Attempt-Id: 9c\r\nX-Server-Seal: s\r\n"
+		  "Content-Encoding: gzip\r\n",
+		  true, true, false, true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text =
+			g_strconcat("HTTP/1.1 ", cases[i].text,
+				    "Content-Length: 0\r\n\r\n", NULL);
+		answer_head_t a;
+		parsed_t p;
+
+		answer_head_read(parse(&p, HTTP1_RESPONSE, text), STR_LIT("9c"),
+				 &a);
+		ck_assert_msg(a.is_ours == cases[i].is_ours &&
+				      a.is_sealed == cases[i].is_sealed &&
+				      a.is_not_run == cases[i].is_not_run &&
+				      a.is_encoded == cases[i].is_encoded,
+			      "case %zu", i);
+		http1_reader_finish(&p.reader);
+	}
+}
+END_TEST
+
+START_TEST(load_is_read_from_an_answer)
+{
+	parsed_t p;
+	answer_head_t a;
+
+	answer_head_read(parse(&p, HTTP1_RESPONSE,
+			       "HTTP/1.1 200 OK\r\nX-Server-Load: 3,10,8\r\n"
+			       "Content-Length: 0\r\n\r\n"),
+			 STR_LIT("9c"), &a);
+	ck_assert(a.has_load);
+	ck_assert_uint_eq(a.running, 3);
+	ck_assert_uint_eq(a.waiting, 10);
+	ck_assert_uint_eq(a.slots, 8);
+	http1_reader_finish(&p.reader);
+}
+END_TEST
+
+START_TEST(an_answer_of_our_own_says_when_to_come_back)
+{
+	struct evbuffer *out = evbuffer_new();
+	g_autofree char *text = NULL;
+
+	answer_own_write(out, 503, STR_LIT("9c"), 1250, STR_LIT("{}"), true);
+	text = drain(out);
+	ck_assert_ptr_nonnull(strstr(text, "HTTP/1.1 503 "));
+	ck_assert_ptr_nonnull(strstr(text, "Retry-After: 1.250\r\n"));
+	ck_assert_ptr_nonnull(strstr(text, "X-Attempt-Id: 9c\r\n"));
+	ck_assert_ptr_nonnull(strstr(text, "Connection: close\r\n"));
+	ck_assert_ptr_nonnull(strstr(text, "Content-Length: 2\r\n"));
+}
+END_TEST
+
+SUITE_MAIN("call_head", a_request_is_decoded_once,
+	   an_upstream_gets_what_is_ours_to_set_from_us_alone,
+	   a_resumed_stream_names_the_last_event_passed_on,
+	   requests_that_are_answered_400, whose_answer_it_is,
+	   load_is_read_from_an_answer,
+	   an_answer_of_our_own_says_when_to_come_back)
--- /dev/null
+++ b/tests/test_limit_tolerance.c
@@ -0,0 +1,109 @@
+/*
+ * Bursts of one team under a limit that is counted in one place: what the
+ * operators tolerate serves short bursts, and is never exceeded, also when
+ * the place changes.
+ */
+#include "core/limit.h"
+#include "tests/lib_suite.h"
+
+enum { MS = 1000, STEP = 10 * MS, STEPS = 3000, WINDOW_STEPS = 800 };
+
+static const limit_terms_t stated = { .rate = 146000, .burst = 146000 };
+static const limit_tolerance_t tolerance = { .overrun = 0.1,
+					     .slack = 140000,
+					     .window_s = 8 };
+
+static double most_allowed(void)
+{
+	return (stated.rate * tolerance.window_s + stated.burst) *
+		       (1 + tolerance.overrun) +
+	       tolerance.slack;
+}
+
+static void begin(limit_t *l, int64_t now)
+{
+	limit_terms_t t = limit_lend(stated, &tolerance);
+
+	limit_init(l, 10, now);
+	l->starts_low = true;
+	limit_set(l, STR_LIT("t"), t.rate, t.burst, 0);
+}
+
+/* A team that sends six times its limit; HANDOVERS new limiters at a time. */
+static double most_in_a_window(int first_handover, int second_handover)
+{
+	static double used[STEPS];
+	double most = 0;
+	limit_t l;
+
+	begin(&l, 0);
+	for (int i = 0; i < STEPS; i++) {
+		int64_t now = (int64_t)i * STEP;
+		uint32_t retry_ms;
+
+		if (i == first_handover || i == second_handover) {
+			limit_finish(&l);
+			begin(&l, now);
+		}
+		used[i] = 0;
+		for (int k = 0; k < 6; k++)
+			if (limit_take_many(&l, STR_LIT("t"), 1460, now,
+					    &retry_ms)) {
+				used[i] += 1460;
+				limit_release(&l, STR_LIT("t"));
+			}
+	}
+	limit_finish(&l);
+	for (int from = 0; from + WINDOW_STEPS <= STEPS; from++) {
+		double sum = 0;
+
+		for (int i = from; i < from + WINDOW_STEPS; i++)
+			sum += used[i];
+		most = MAX(most, sum);
+	}
+	return most;
+}
+
+START_TEST(a_hot_team_stays_within_the_tolerance)
+{
+	double most = most_in_a_window(-1, -1);
+
+	ck_assert_double_le(most, most_allowed());
+	ck_assert_double_ge(most, stated.rate * tolerance.window_s);
+}
+END_TEST
+
+START_TEST(also_when_the_limiter_moves)
+{
+	ck_assert_double_le(most_in_a_window(1000, -1), most_allowed());
+	ck_assert_double_le(most_in_a_window(1000, 1300), most_allowed());
+}
+END_TEST
+
+START_TEST(a_request_larger_than_the_burst_is_served_when_the_bucket_is_full)
+{
+	uint32_t retry_ms;
+	limit_t l;
+
+	limit_init(&l, 10, 0);
+	limit_set(&l, STR_LIT("t"), 1000, 1000, 0);
+	ck_assert(limit_take_many(&l, STR_LIT("t"), 5000, 0, &retry_ms));
+	ck_assert(!limit_take_many(&l, STR_LIT("t"), 1, 0, &retry_ms));
+	ck_assert_uint_ge(retry_ms, 4000);
+	ck_assert_uint_le(retry_ms, 4010);
+	limit_finish(&l);
+}
+END_TEST
+
+START_TEST(no_limit_stays_none)
+{
+	limit_terms_t none = { 0 };
+
+	ck_assert_double_eq(limit_lend(none, &tolerance).burst, 0);
+}
+END_TEST
+
+SUITE_MAIN("limit_tolerance", a_hot_team_stays_within_the_tolerance,
+	   also_when_the_limiter_moves,
+	   a_request_larger_than_the_burst_is_served_when_the_bucket_is_full,
+	   no_limit_stays_none)
--- /dev/null
+++ b/tests/test_log_buffer.c
@@ -0,0 +1,84 @@
+#include "common/log_buffer.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "tests/lib_suite.h"
+
+enum { SECOND = 1000000, MAX = 1000 };
+
+/* Adds lines of 9 bytes and their end; returns how many were taken. */
+static int add(log_buffer_t *b, log_class_t class, int n, int64_t now)
+{
+	int taken = 0;
+
+	while (n--)
+		taken += log_buffer_add(b, class, "123456789", now);
+	return taken;
+}
+
+START_TEST(a_reader_that_stops_costs_lines_only)
+{
+	log_buffer_t b;
+
+	log_buffer_init(&b, MAX);
+	ck_assert_int_eq(add(&b, LOG_CLASS_KEEP, 150, SECOND), 100);
+	ck_assert_uint_eq(b.text->len, MAX);
+	ck_assert_uint_eq(log_buffer_untold(&b, 2 * SECOND), 50);
+	ck_assert_uint_eq(log_buffer_untold(&b, 4 * SECOND), 0);
+	log_buffer_written(&b, MAX);
+	ck_assert_int_eq(add(&b, LOG_CLASS_KEEP, 1, SECOND), 1);
+	log_buffer_finish(&b);
+}
+END_TEST
+
+START_TEST(samples_give_way_to_what_must_be_kept)
+{
+	log_buffer_t b;
+
+	log_buffer_init(&b, MAX);
+	ck_assert_int_eq(add(&b, LOG_CLASS_SAMPLE, 80, SECOND), 50);
+	ck_assert_int_eq(add(&b, LOG_CLASS_KEEP, 80, SECOND), 50);
+	log_buffer_finish(&b);
+}
+END_TEST
+
+START_TEST(the_volume_is_bounded)
+{
+	log_buffer_t b;
+	int taken = 0;
+
+	log_buffer_init(&b, 64 * 1024 * 1024);
+	for (int i = 0; i < 100; i++)
+		taken += add(&b, LOG_CLASS_SAMPLE, 100,
+			     SECOND + (int64_t)i * SECOND / 10);
+	ck_assert_int_ge(taken, 200);
+	ck_assert_int_le(taken, 100 + 20 * 10);
+	log_buffer_finish(&b);
+}
+END_TEST
+
+/* A pipe that nobody reads: writing must return at once. */
+START_TEST(a_full_pipe_does_not_block)
+{
+	struct event_base *base = event_base_new();
+	int ends[2];
+
+	ck_assert(!pipe(ends));
+	log_init("info");
+	log_attach(base, ends[1]);
+	for (int i = 0; i < 20000; i++)
+		log_event_write(G_LOG_LEVEL_INFO, LOG_CLASS_KEEP, "test",
+				"line", "number=%d text=%0200d", i, 0);
+	event_base_loop(base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+	ck_assert_uint_gt(log_dropped(LOG_CLASS_KEEP), 0);
+	log_detach();
+	event_base_free(base);
+	close(ends[0]);
+	close(ends[1]);
+}
+END_TEST
+
+SUITE_MAIN("log_buffer", a_reader_that_stops_costs_lines_only,
+	   samples_give_way_to_what_must_be_kept, the_volume_is_bounded,
+	   a_full_pipe_does_not_block)
--- /dev/null
+++ b/tests/test_retry_budget.c
@@ -0,0 +1,74 @@
+#include "core/retry_budget.h"
+#include "tests/lib_suite.h"
+
+enum { SECOND = 1000000, WINDOW = 10 * SECOND };
+
+static const retry_terms_t terms = { .ratio = 0.2,
+				     .slack = 100,
+				     .window = WINDOW,
+				     .daemons = 20 };
+
+/* Takes repeats until they are denied; returns how many. */
+static int take_all(retry_budget_t *b, const char *service, int64_t now)
+{
+	int n = 0;
+
+	while (retry_budget_take(b, service, now))
+		n++;
+	return n;
+}
+
+START_TEST(a_daemon_has_its_share_of_the_slack)
+{
+	retry_budget_t b;
+
+	retry_budget_init(&b, &terms);
+	ck_assert_int_eq(take_all(&b, "s", SECOND), 5);
+	ck_assert_int_eq(take_all(&b, "other", SECOND), 5);
+	retry_budget_finish(&b);
+}
+END_TEST
+
+START_TEST(first_sends_earn_repeats)
+{
+	retry_budget_t b;
+
+	retry_budget_init(&b, &terms);
+	for (int i = 0; i < 50; i++)
+		retry_budget_first(&b, "s", SECOND);
+	ck_assert_int_eq(take_all(&b, "s", SECOND), 5 + 10);
+	retry_budget_finish(&b);
+}
+END_TEST
+
+/* Failing runners for a long time: no window may hold more than allowed. */
+START_TEST(no_window_holds_more_than_is_allowed)
+{
+	enum { STEP = SECOND / 10, STEPS = 600, FIRSTS = 3 };
+	int repeats[STEPS];
+	retry_budget_t b;
+
+	retry_budget_init(&b, &terms);
+	for (int i = 0; i < STEPS; i++) {
+		int64_t now = (int64_t)(i + 1) * STEP;
+
+		for (int k = 0; k < FIRSTS; k++)
+			retry_budget_first(&b, "s", now);
+		repeats[i] = take_all(&b, "s", now);
+	}
+	for (int from = 0; from + WINDOW / STEP <= STEPS; from++) {
+		int sum = 0;
+
+		for (int i = from; i < from + WINDOW / STEP; i++)
+			sum += repeats[i];
+		/* One slice of the window is counted as a whole. */
+		ck_assert_int_le(
+			sum,
+			5 + (int)(0.2 * FIRSTS * WINDOW / STEP * 17 / 16) + 1);
+	}
+	retry_budget_finish(&b);
+}
+END_TEST
+
+SUITE_MAIN("retry_budget", a_daemon_has_its_share_of_the_slack,
+	   first_sends_earn_repeats, no_window_holds_more_than_is_allowed)
