dispatcher: work that can be in time goes before work that is late

Ruled out: slow engines (letters that were granted at once took 0.1 s).

Change: a want names its target; while that can be met the target orders it, afterwards it goes behind all of its tier that are in time.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -14,6 +14,8 @@
 	FINISH_MARGIN = 3, /* part of a predicted time that it may err by */
 	LOWER_MARGIN = 6, /* the same for work that may be refused */
 	SILENCE_PATIENCE = 1500 * US_PER_MS, /* of all runners together */
+	/* Between work in time and work that is late; longer than any wait. */
+	LATE_OFFSET = 1000 * 1000 * US_PER_MS,
 	RECHECK = 20 * US_PER_MS, /* of a protected want that is late */
 	PROTECTED_OVERFLOW = 2, /* times max_wants, while lower work runs */
 };
@@ -371,10 +373,27 @@
 	return s->queue.entries < PROTECTED_OVERFLOW * s->config.max_wants;
 }
 
+/*
+ * In overload, work that can still be of full use goes before work that has
+ * missed its target, or all would miss theirs. The latter is served while
+ * nothing of its tier is in time, and refused when its deadline comes.
+ */
+static void set_order(item_t *item, int64_t now)
+{
+	item->entry.deadline = item->want.deadline;
+	if (!item->latest_timely)
+		return;
+	item->entry.deadline = now < item->latest_timely ?
+				       item->want.target :
+				       item->want.deadline + LATE_OFFSET;
+}
+
 static int64_t first_due(const struct dispatcher_state *s, const item_t *item)
 {
 	if (queue_is_protected(&s->queue, item->entry.tier))
 		return item->latest_start - CANCEL_LEAD;
+	if (item->latest_timely)
+		return MIN(item->latest_timely, item->latest_start);
 	return item->latest_start;
 }
 
@@ -412,6 +431,10 @@
 	item = add_item(s, want);
 	item->arrived = now;
 	item->latest_start = want->deadline - dispatcher_service_time(s, want);
+	if (want->target)
+		item->latest_timely =
+			want->target - dispatcher_start_time(s, want);
+	set_order(item, now);
 	item->entry.due = first_due(s, item);
 	if (!has_runner(s, now))
 		refuse(s, item, REFUSE_NO_RUNNER);
@@ -549,12 +572,23 @@
 			      MIN(now + RECHECK, item->want.deadline));
 }
 
+/* The target can't be met any more: others go first. */
+static void demote(struct dispatcher_state *s, item_t *item, int64_t now)
+{
+	queue_remove(&s->queue, &item->entry);
+	set_order(item, now);
+	item->entry.due = item->latest_start;
+	queue_push(&s->queue, &item->entry);
+}
+
 static void check_due(struct dispatcher_state *s, item_t *item, int64_t now)
 {
 	if (now >= item->want.deadline)
 		refuse(s, item, REFUSE_EXPIRED);
 	else if (!may_refuse(s, item->entry.tier))
 		hurry(s, item, now);
+	else if (now < item->latest_start && item->latest_timely)
+		demote(s, item, now);
 	else if (now < item->latest_start)
 		queue_set_due(&s->queue, &item->entry, item->latest_start);
 	else
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -35,6 +35,7 @@
 	uint32_t output_tokens; /* estimate; 1 for a plain call */
 	uint64_t prefix_hash; /* 0 when there is no known prefix */
 	int64_t deadline; /* when the answer must be whole */
+	int64_t target; /* by when its start is fully useful; 0: none */
 	char avoid[DISPATCHER_NAME_SIZE]; /* runner that just failed, or "" */
 } want_t;
 
--- a/core/dispatcher_pick.c
+++ b/core/dispatcher_pick.c
@@ -142,6 +142,16 @@
 	return reported_load(b) < reported_load(a) ? b : a;
 }
 
+int64_t dispatcher_start_time(const struct dispatcher_state *s,
+			      const want_t *want)
+{
+	want_t first = *want;
+
+	if (s->config.is_engine)
+		first.output_tokens = 1;
+	return dispatcher_service_time(s, &first);
+}
+
 int64_t dispatcher_service_time(const struct dispatcher_state *s,
 				const want_t *want)
 {
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -29,6 +29,7 @@
 	want_t want;
 	int64_t arrived;
 	int64_t latest_start; /* later, the deadline can't be met */
+	int64_t latest_timely; /* later, the target can't be met; 0: none */
 	runner_t *runner; /* NULL while queued */
 	runner_work_t work;
 	bool is_cancelled; /* its owner was told to cancel it */
@@ -109,6 +110,9 @@
 /* Least time that the item would take on a good runner if it were idle. */
 int64_t dispatcher_service_time(const struct dispatcher_state *s,
 				const want_t *want);
+/* The same until its first token; for plain calls until its end. */
+int64_t dispatcher_start_time(const struct dispatcher_state *s,
+			      const want_t *want);
 
 /* Enters a granted item into the ledger, and takes it out again. */
 void dispatcher_enter(struct dispatcher_state *s, item_t *item,
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -28,6 +28,10 @@
 	want.avoid = (char *)c->want.avoid;
 	want.running_on = (char *)c->running_on;
 	want.again = c->is_again;
+	if (c->want.target) {
+		want.target_ms = to_ms(c->want.target - now);
+		want.late = !want.target_ms;
+	}
 	frame.body_case = PAPAYA__FRAME__BODY_WANT;
 	frame.want = &want;
 	return peer_send(peer, to, &frame);
@@ -157,6 +161,8 @@
 	c->want.deadline = now + (int64_t)f->need_ms * 1000;
 	c->hops = f->hops;
 	c->is_again = f->again;
+	if (f->target_ms || f->late)
+		c->want.target = now + (int64_t)f->target_ms * 1000;
 	return copy(c->service, f->service) && copy(c->tier, f->tier) &&
 	       copy(c->want.team, f->team) && copy(c->want.avoid, f->avoid) &&
 	       copy(c->running_on, f->running_on);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -48,6 +48,8 @@
 	c->want.output_tokens = is_engine ? output_tokens(&r->call) : 1;
 	c->want.prefix_hash = r->call.prefix;
 	c->want.deadline = r->deadline;
+	if (r->route->target_ms && !r->has_begun)
+		c->want.target = r->arrived + r->route->target_ms * US_PER_MS;
 	g_strlcpy(c->want.avoid, r->avoid, sizeof(c->want.avoid));
 }
 
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1672,7 +1672,7 @@
   (ProtobufCMessageInit) papaya__vm_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__want__field_descriptors[13] =
+static const ProtobufCFieldDescriptor papaya__want__field_descriptors[15] =
 {
   {
     "attempt",
@@ -1830,12 +1830,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target_ms",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Want, target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "late",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Want, late),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__want__field_indices_by_name[] = {
   12,   /* field[12] = again */
   0,   /* field[0] = attempt */
   9,   /* field[9] = avoid */
   8,   /* field[8] = hops */
+  14,   /* field[14] = late */
   7,   /* field[7] = need_ms */
   5,   /* field[5] = output_tokens */
   11,   /* field[11] = owner */
@@ -1843,13 +1868,14 @@
   4,   /* field[4] = prompt_tokens */
   10,   /* field[10] = running_on */
   1,   /* field[1] = service */
+  13,   /* field[13] = target_ms */
   3,   /* field[3] = team */
   2,   /* field[2] = tier */
 };
 static const ProtobufCIntRange papaya__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor papaya__want__descriptor =
 {
@@ -1859,7 +1885,7 @@
   "Papaya__Want",
   "papaya",
   sizeof(Papaya__Want),
-  13,
+  15,
   papaya__want__field_descriptors,
   papaya__want__field_indices_by_name,
   1,  papaya__want__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -212,10 +212,18 @@
    * the first want or its answer may be lost
    */
   protobuf_c_boolean again;
+  /*
+   * time left until its start is late; 0: none
+   */
+  uint32_t target_ms;
+  /*
+   * that time is over
+   */
+  protobuf_c_boolean late;
 };
 #define PAPAYA__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__want__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Papaya__Grant
