--- /dev/null
+++ b/tests/lib_gateway.c
@@ -0,0 +1,394 @@
+#include "tests/lib_gateway.h"
+
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#include "common/log.h"
+#include "platform/fleet_text.h"
+#include "tests/lib_front.h"
+#include "tests/lib_suite.h"
+
+enum { LIMIT_US = 8 * G_USEC_PER_SEC };
+
+static gateway_bed_t *current;
+
+static const char config_text[] =
+	"{\"version\":1,\"routes\":["
+	"{\"name\":\"safe\",\"host\":\"h\",\"path_prefix\":\"/safe/\","
+	"\"route_type\":\"safe\",\"timeout_ms\":700,\"service\":\"s\","
+	"\"max_attempts\":2},"
+	"{\"name\":\"once\",\"host\":\"h\",\"path_prefix\":\"/once/\","
+	"\"route_type\":\"unsafe\",\"timeout_ms\":700,\"service\":\"s\","
+	"\"max_attempts\":1},"
+	"{\"name\":\"stream\",\"host\":\"h\",\"path_prefix\":\"/stream/\","
+	"\"route_type\":\"streaming\",\"timeout_ms\":2000,\"service\":\"s\","
+	"\"max_attempts\":2,\"resumable\":true},"
+	"{\"name\":\"fixed\",\"host\":\"h\",\"path_prefix\":\"/fixed/\","
+	"\"route_type\":\"streaming\",\"timeout_ms\":2000,\"service\":\"s\","
+	"\"max_attempts\":2}],"
+	"\"services\":[{\"name\":\"s\",\"max_conns\":100}],"
+	"\"limits\":{\"max_header_bytes\":1024,\"max_body_bytes\":2048,"
+	"\"header_timeout_ms\":500,\"idle_timeout_ms\":600},"
+	"\"tenants\":[{\"name\":\"team\",\"api_keys\":[\"key\"]},"
+	"{\"name\":\"limited\",\"api_keys\":[\"low\"],\"rate_per_s\":1,"
+	"\"burst\":1,\"unit\":\"tokens\",\"uncached_tokens\":5}]}";
+
+static void *fake_start(supervisor_t *sup, err_t *err)
+{
+	return current;
+}
+
+static void fake_stop(void *state)
+{
+}
+
+/* Grants the runners in turn, so that a second try goes elsewhere. */
+static void answer_want(gateway_bed_t *bed, const message_t *m)
+{
+	message_t answer = *m;
+	const raw_runner_t *r = &bed->runners[bed->wants++ % BED_RUNNERS];
+
+	if (bed->is_mute)
+		return;
+	answer.type = bed->refuses ? MESSAGE_REFUSE : MESSAGE_GRANT;
+	answer.capacity.reason = REFUSE_DEADLINE;
+	answer.capacity.retry_after_ms = 1500;
+	g_strlcpy(answer.capacity.runner.name, r->name,
+		  sizeof(answer.capacity.runner.name));
+	g_strlcpy(answer.capacity.runner.address, r->address,
+		  sizeof(answer.capacity.runner.address));
+	supervisor_post(&bed->sup, TASK_FRONT, &answer);
+}
+
+static void answer_limit(gateway_bed_t *bed, const message_t *m)
+{
+	message_t answer = *m;
+
+	bed->limits++;
+	answer.type = MESSAGE_LIMIT_ANSWER;
+	answer.limit.is_ok = !bed->limit_refuses;
+	answer.limit.retry_after_ms = 2500;
+	supervisor_post(&bed->sup, TASK_FRONT, &answer);
+}
+
+static void fake_handle(void *state, const message_t *m)
+{
+	gateway_bed_t *bed = state;
+
+	switch (m->type) {
+	case MESSAGE_WANT:
+		answer_want(bed, m);
+		break;
+	case MESSAGE_LIMIT_ASK:
+		answer_limit(bed, m);
+		break;
+	case MESSAGE_WITHDRAW:
+		bed->withdraws++;
+		break;
+	case MESSAGE_DONE:
+		bed->dones++;
+		bed->last_done = m->capacity.done.result;
+		break;
+	default:
+		break;
+	}
+}
+
+static void no_handle(void *state, const message_t *m)
+{
+}
+
+static const task_spec_t fake_peers = { "peers", 2, fake_start, fake_handle,
+					fake_stop };
+static const task_spec_t fake_other = { "other", 1, fake_start, no_handle,
+					fake_stop };
+
+static const task_spec_t *const specs[TASK_COUNT] = {
+	[TASK_PLATFORM] = &fake_other, [TASK_PEERS] = &fake_peers,
+	[TASK_CAPACITY] = &fake_other, [TASK_LIMITS] = &fake_other,
+	[TASK_FRONT] = &gateway_task,  [TASK_ACCOUNTS] = &fake_other,
+	[TASK_ADMIN] = &fake_other,
+};
+
+/* Finds the id of the request whose head is TEXT. */
+static char *attempt_of(const char *text)
+{
+	const char *at = strstr(text, "X-Attempt-Id: ");
+	const char *end = at ? strstr(at, "\r\n") : NULL;
+
+	at = at ? at + strlen("X-Attempt-Id: ") : "";
+	return g_strndup(at, end ? (gsize)(end - at) : 0);
+}
+
+static void drop_conn(raw_runner_t *r, struct bufferevent *bev, bool resets)
+{
+	struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+
+	if (resets)
+		setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER,
+			   &at_once, sizeof(at_once));
+	g_hash_table_remove(r->conns, bev);
+}
+
+static void on_reply_sent(struct bufferevent *bev, void *arg)
+{
+	drop_conn(arg, bev, false);
+}
+
+static void answer(raw_runner_t *r, struct bufferevent *bev, const char *head)
+{
+	const reply_t *reply = &r->replies[r->n_requests++];
+	g_autofree char *id = attempt_of(head);
+	g_auto(GStrv) parts =
+		g_strsplit(reply->bytes ? reply->bytes : "", "@", -1);
+	g_autofree char *bytes = g_strjoinv(id, parts);
+
+	bufferevent_write(bev, bytes, strlen(bytes));
+	if (reply->end == REPLY_CLOSE && !bytes[0])
+		drop_conn(r, bev, false);
+	else if (reply->end == REPLY_CLOSE)
+		bufferevent_setcb(bev, NULL, on_reply_sent, NULL, r);
+	if (reply->end == REPLY_RESET) {
+		evbuffer_write(bufferevent_get_output(bev),
+			       bufferevent_getfd(bev));
+		drop_conn(r, bev, true);
+	}
+}
+
+static void on_runner_read(struct bufferevent *bev, void *arg)
+{
+	raw_runner_t *r = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	size_t n = evbuffer_get_length(in);
+	g_autofree char *text = g_strndup((char *)evbuffer_pullup(in, -1), n);
+
+	if (!strstr(text, "\r\n\r\n"))
+		return;
+	evbuffer_drain(in, n);
+	g_string_append(r->heads, text);
+	answer(r, bev, text);
+}
+
+static void on_runner_event(struct bufferevent *bev, short what, void *arg)
+{
+	raw_runner_t *r = arg;
+
+	r->n_closed++;
+	drop_conn(r, bev, false);
+}
+
+static void free_bev(void *data)
+{
+	bufferevent_free(data);
+}
+
+static void on_runner_accept(struct evconnlistener *listener,
+			     evutil_socket_t fd, struct sockaddr *address,
+			     int len, void *arg)
+{
+	raw_runner_t *r = arg;
+	struct bufferevent *bev =
+		bufferevent_socket_new(r->bed->base, fd, BEV_OPT_CLOSE_ON_FREE);
+
+	r->n_connects++;
+	g_hash_table_add(r->conns, bev);
+	bufferevent_setcb(bev, on_runner_read, NULL, on_runner_event, r);
+	bufferevent_enable(bev, EV_READ | EV_WRITE);
+}
+
+static void runner_init(gateway_bed_t *bed, int i)
+{
+	raw_runner_t *r = &bed->runners[i];
+	struct sockaddr_in name = { .sin_family = AF_INET };
+	socklen_t len = sizeof(name);
+
+	name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	r->bed = bed;
+	r->heads = g_string_new("");
+	r->conns = g_hash_table_new_full(NULL, NULL, free_bev, NULL);
+	g_snprintf(r->name, sizeof(r->name), "i-%d", i);
+	r->listener = evconnlistener_new_bind(
+		bed->base, on_runner_accept, r, LEV_OPT_CLOSE_ON_FREE, 16,
+		(struct sockaddr *)&name, sizeof(name));
+	getsockname(evconnlistener_get_fd(r->listener),
+		    (struct sockaddr *)&name, &len);
+	g_snprintf(r->address, sizeof(r->address), "127.0.0.1:%d",
+		   ntohs(name.sin_port));
+}
+
+static void parse_settings(gateway_bed_t *bed)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"name\":\"d\",\"zone\":\"z\",\"zones\":[\"z\"],"
+		"\"fleet\":true,\"listen\":\"127.0.0.1:%d\","
+		"\"peer_listen\":\"127.0.0.1:%d\","
+		"\"admin_listen\":\"127.0.0.1:%d\","
+		"\"platform\":\"127.0.0.1:1\","
+		"\"peer_secret\":\"0123456789abcdef\","
+		"\"operator_token\":\"0123456789abcdef\","
+		"\"drain_ms\":3500,\"seed\":1}",
+		front_free_port(), front_free_port(), front_free_port());
+	err_t err = { 0 };
+
+	ck_assert_msg(
+		settings_parse(&bed->settings, str_from(text), "test", &err),
+		"%s", err.detail);
+}
+
+void gateway_bed_init(gateway_bed_t *bed)
+{
+	err_t err = { 0 };
+
+	memset(bed, 0, sizeof(*bed));
+	current = bed;
+	signal(SIGPIPE, SIG_IGN);
+	log_init("error");
+	bed->base = event_base_new();
+	for (int i = 0; i < BED_RUNNERS; i++)
+		runner_init(bed, i);
+	parse_settings(bed);
+	supervisor_init(&bed->sup, bed->base, &bed->settings);
+	ck_assert_msg(supervisor_start(&bed->sup, specs, &err), "%s",
+		      err.detail);
+	event_base_loop(bed->base, EVLOOP_NONBLOCK);
+}
+
+void gateway_bed_configure(gateway_bed_t *bed)
+{
+	message_t vms = { .type = MESSAGE_VMS,
+			  .vms = vm_view_new(NULL, 0, NULL, 0) };
+	message_t m = { .type = MESSAGE_FLEET };
+	err_t err = { 0 };
+
+	m.fleet = fleet_text_config(str_from(config_text), &err);
+	ck_assert_msg(m.fleet != NULL, "%s", err.detail);
+	supervisor_post(&bed->sup, TASK_FRONT, &m);
+	supervisor_post(&bed->sup, TASK_FRONT, &vms);
+	event_base_loop(bed->base, EVLOOP_NONBLOCK);
+}
+
+void gateway_bed_finish(gateway_bed_t *bed)
+{
+	for (int i = 0; i < BED_CALLERS; i++)
+		gateway_leave(bed, i);
+	supervisor_finish(&bed->sup);
+	for (int i = 0; i < BED_RUNNERS; i++) {
+		evconnlistener_free(bed->runners[i].listener);
+		g_hash_table_destroy(bed->runners[i].conns);
+		g_string_free(bed->runners[i].heads, TRUE);
+	}
+	event_base_loop(bed->base, EVLOOP_NONBLOCK);
+	event_base_free(bed->base);
+	settings_finish(&bed->settings);
+}
+
+static void on_caller_read(struct bufferevent *bev, void *arg)
+{
+	raw_caller_t *c = arg;
+	struct evbuffer *in = bufferevent_get_input(bev);
+	size_t n = evbuffer_get_length(in);
+
+	g_string_append_len(c->received, (char *)evbuffer_pullup(in, -1),
+			    (gssize)n);
+	evbuffer_drain(in, n);
+}
+
+static void on_caller_event(struct bufferevent *bev, short what, void *arg)
+{
+	raw_caller_t *c = arg;
+
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+		c->is_closed = true;
+}
+
+static void connect_caller(gateway_bed_t *bed, raw_caller_t *c)
+{
+	struct sockaddr_storage name;
+	int len = sizeof(name);
+
+	evutil_parse_sockaddr_port(bed->settings.listen,
+				   (struct sockaddr *)&name, &len);
+	c->received = g_string_new("");
+	c->bev = bufferevent_socket_new(bed->base, -1, BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(c->bev, on_caller_read, NULL, on_caller_event, c);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	bufferevent_socket_connect(c->bev, (struct sockaddr *)&name, len);
+}
+
+void gateway_send(gateway_bed_t *bed, int i, const char *text)
+{
+	raw_caller_t *c = &bed->callers[i];
+
+	if (!c->bev)
+		connect_caller(bed, c);
+	bufferevent_write(c->bev, text, strlen(text));
+}
+
+void gateway_leave(gateway_bed_t *bed, int i)
+{
+	raw_caller_t *c = &bed->callers[i];
+
+	if (!c->bev)
+		return;
+	bufferevent_free(c->bev);
+	g_string_free(c->received, TRUE);
+	*c = (raw_caller_t){ NULL };
+}
+
+static bool is_over(gint64 limit)
+{
+	return g_get_monotonic_time() > limit;
+}
+
+void gateway_await(gateway_bed_t *bed, int i, const char *text)
+{
+	raw_caller_t *c = &bed->callers[i];
+	gint64 limit = g_get_monotonic_time() + LIMIT_US;
+
+	while (!strstr(c->received->str, text) && !c->is_closed &&
+	       !is_over(limit))
+		event_base_loop(bed->base, EVLOOP_ONCE);
+	ck_assert_msg(strstr(c->received->str, text) != NULL,
+		      "caller %d waits for \"%s\" and has \"%s\"", i, text,
+		      c->received->str);
+}
+
+void gateway_await_close(gateway_bed_t *bed, int i)
+{
+	gint64 limit = g_get_monotonic_time() + LIMIT_US;
+
+	while (!bed->callers[i].is_closed && !is_over(limit))
+		event_base_loop(bed->base, EVLOOP_ONCE);
+	ck_assert_msg(bed->callers[i].is_closed, "caller %d is not closed", i);
+}
+
+void gateway_await_count(gateway_bed_t *bed, const int *value, int n)
+{
+	gint64 limit = g_get_monotonic_time() + LIMIT_US;
+
+	while (*value < n && !is_over(limit))
+		event_base_loop(bed->base, EVLOOP_ONCE);
+	ck_assert_int_ge(*value, n);
+}
+
+void gateway_run(gateway_bed_t *bed, int64_t ms)
+{
+	gint64 limit = g_get_monotonic_time() + ms * 1000;
+
+	while (!is_over(limit))
+		event_base_loop(bed->base, EVLOOP_ONCE);
+}
+
+int gateway_count(const gateway_bed_t *bed, int i, const char *text)
+{
+	const char *at = bed->callers[i].received->str;
+	int n = 0;
+
+	while ((at = strstr(at, text))) {
+		at += strlen(text);
+		n++;
+	}
+	return n;
+}
--- /dev/null
+++ b/tests/lib_gateway.h
@@ -0,0 +1,84 @@
+/*
+ * The gateway alone: raw callers and runners over TCP, and fakes in place of
+ * the other tasks. A runner answers each request with the next reply of its
+ * script, bytes as they are.
+ */
+#ifndef TESTS_LIB_GATEWAY_H
+#define TESTS_LIB_GATEWAY_H
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+#include "daemon/gateway.h"
+
+enum {
+	BED_RUNNERS = 2,
+	BED_CALLERS = 4,
+	BED_REPLIES = 8,
+};
+
+typedef enum reply_end {
+	REPLY_KEEP, /* the connection serves on */
+	REPLY_CLOSE,
+	REPLY_RESET,
+	REPLY_MUTE, /* nothing is answered, the connection stays */
+} reply_end_t;
+
+/* What a runner answers; "@" stands for the attempt's id. */
+typedef struct reply {
+	const char *bytes;
+	reply_end_t end;
+} reply_t;
+
+/* One runner: what it answers, and what came. */
+typedef struct raw_runner {
+	struct gateway_bed *bed;
+	struct evconnlistener *listener;
+	char name[16];
+	char address[32];
+	const reply_t *replies; /* ends with NULL bytes and REPLY_KEEP */
+	int n_requests;
+	int n_connects;
+	int n_closed; /* by the gateway */
+	GString *heads; /* of all requests, in order */
+	GHashTable *conns;
+} raw_runner_t;
+
+typedef struct raw_caller {
+	struct bufferevent *bev;
+	GString *received;
+	bool is_closed;
+} raw_caller_t;
+
+typedef struct gateway_bed {
+	struct event_base *base;
+	settings_t settings;
+	supervisor_t sup;
+	raw_runner_t runners[BED_RUNNERS];
+	raw_caller_t callers[BED_CALLERS];
+	bool is_mute; /* the dispatcher does not answer */
+	bool refuses; /* it refuses */
+	bool limit_refuses;
+	int wants, dones, withdraws, limits;
+	done_result_t last_done;
+} gateway_bed_t;
+
+void gateway_bed_init(gateway_bed_t *bed);
+void gateway_bed_finish(gateway_bed_t *bed);
+/* Puts a configuration in force; without it requests get 503. */
+void gateway_bed_configure(gateway_bed_t *bed);
+/* Connects caller I if it is not, and sends TEXT. */
+void gateway_send(gateway_bed_t *bed, int i, const char *text);
+/* Runs until caller I received TEXT, or was closed; fails after a while. */
+void gateway_await(gateway_bed_t *bed, int i, const char *text);
+void gateway_await_close(gateway_bed_t *bed, int i);
+/* Runs until *VALUE is at least N; fails after a while. */
+void gateway_await_count(gateway_bed_t *bed, const int *value, int n);
+/* Runs for so many milliseconds. */
+void gateway_run(gateway_bed_t *bed, int64_t ms);
+/* Caller I leaves. */
+void gateway_leave(gateway_bed_t *bed, int i);
+/* How often TEXT stands in what caller I received. */
+int gateway_count(const gateway_bed_t *bed, int i, const char *text);
+
+#endif
--- /dev/null
+++ b/tests/test_gateway.c
@@ -0,0 +1,440 @@
+#include "tests/lib_gateway.h"
+#include "tests/lib_suite.h"
+
+#define ASK(path, id)                                                \
+	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " id     \
+	"\r\nX-Key: key\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2" \
+	"\r\n\r\nhi"
+#define OK                                                              \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
+	"Content-Length: 2\r\n\r\nok"
+#define FAILED                                                         \
+	"HTTP/1.1 500 Error\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal" \
+	"\r\nContent-Length: 3\r\n\r\nbad"
+#define FULL                                                          \
+	"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0" \
+	"\r\n\r\n"
+#define OTHER                                                           \
+	"HTTP/1.1 421 Other\r\nX-Instance-Id: i-9\r\nContent-Length: 0" \
+	"\r\n\r\n"
+#define STREAM                                                          \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
+	"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked" \
+	"\r\n\r\n"
+#define EVENT_1 "c\r\nid: 1\ndata\n\n\r\n"
+#define EVENT_2 "c\r\nid: 2\ndata\n\n\r\n"
+
+typedef struct exchange_case {
+	const char *what;
+	const char *request;
+	reply_t first[2], second[2]; /* of the two runners */
+	const char *answer; /* what the caller gets, in part */
+	int runs[BED_RUNNERS]; /* requests that reached each */
+} exchange_case_t;
+
+static void check_exchange(const exchange_case_t *c)
+{
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = c->first;
+	bed.runners[1].replies = c->second;
+	gateway_send(&bed, 0, c->request);
+	gateway_await(&bed, 0, c->answer);
+	gateway_run(&bed, 20);
+	for (int i = 0; i < BED_RUNNERS; i++)
+		ck_assert_msg(bed.runners[i].n_requests == c->runs[i],
+			      "%s: runner %d got %d requests", c->what, i,
+			      bed.runners[i].n_requests);
+	ck_assert_msg(bed.dones == c->runs[0] + c->runs[1],
+		      "%s: %d grants ended", c->what, bed.dones);
+	gateway_bed_finish(&bed);
+}
+
+START_TEST(every_loss_at_a_runner)
+{
+	static const exchange_case_t cases[] = {
+		{ "whole",
+		  ASK("/once/", "a"),
+		  { { OK, REPLY_KEEP } },
+		  {},
+		  "HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Seal: seal",
+		  { 1, 0 } },
+		{ "safe, closed unanswered",
+		  ASK("/safe/", "a"),
+		  { { "", REPLY_CLOSE } },
+		  { { OK, REPLY_KEEP } },
+		  "200 OK",
+		  { 1, 1 } },
+		{ "safe, reset in the answer",
+		  ASK("/safe/", "a"),
+		  { { "HTTP/1.1 200 OK\r\nX-Att", REPLY_RESET } },
+		  { { OK, REPLY_KEEP } },
+		  "200 OK",
+		  { 1, 1 } },
+		{ "once, closed unanswered",
+		  ASK("/once/", "a"),
+		  { { "", REPLY_CLOSE } },
+		  {},
+		  "502 ",
+		  { 1, 0 } },
+		{ "once, reset",
+		  ASK("/once/", "a"),
+		  { { "", REPLY_RESET } },
+		  {},
+		  "502 ",
+		  { 1, 0 } },
+		{ "once, cut in its body",
+		  ASK("/once/", "a"),
+		  { { "HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\n"
+		      "X-Server-Seal: s\r\nContent-Length: 9\r\n\r\nok",
+		      REPLY_CLOSE } },
+		  {},
+		  "502 ",
+		  { 1, 0 } },
+		{ "once, no answer of HTTP",
+		  ASK("/once/", "a"),
+		  { { "garbage\r\n\r\n", REPLY_KEEP } },
+		  {},
+		  "502 ",
+		  { 1, 0 } },
+		{ "once, another request's answer",
+		  ASK("/once/", "a"),
+		  { { "HTTP/1.1 200 OK\r\nX-Attempt-Id: b\r\n"
+		      "X-Server-Seal: s\r\nContent-Length: 2\r\n\r\nno",
+		      REPLY_KEEP } },
+		  {},
+		  "502 ",
+		  { 1, 0 } },
+		{ "once, a success without a seal",
+		  ASK("/once/", "a"),
+		  { { "HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\n"
+		      "Content-Length: 2\r\n\r\nno",
+		      REPLY_KEEP } },
+		  {},
+		  "502 ",
+		  { 1, 0 } },
+		{ "once, encoded on the way",
+		  ASK("/once/", "a"),
+		  { { "HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\n"
+		      "X-Server-Seal: s\r\nContent-Encoding: gzip\r\n"
+		      "Content-Length: 2\r\n\r\nno",
+		      REPLY_KEEP } },
+		  {},
+		  "502 ",
+		  { 1, 0 } },
+		{ "once, an interim answer first",
+		  ASK("/once/", "a"),
+		  { { "HTTP/1.1 103 Early\r\n\r\n" OK, REPLY_KEEP } },
+		  {},
+		  "200 OK",
+		  { 1, 0 } },
+		{ "once, no length",
+		  ASK("/once/", "a"),
+		  { { "HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\n"
+		      "X-Server-Seal: s\r\nConnection: keep-alive\r\n\r\nall",
+		      REPLY_CLOSE } },
+		  {},
+		  "Content-Length: 3\r\n\r\nall",
+		  { 1, 0 } },
+		{ "once, no length and reset",
+		  ASK("/once/", "a"),
+		  { { "HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\n"
+		      "X-Server-Seal: s\r\n\r\nall",
+		      REPLY_RESET } },
+		  {},
+		  "502 ",
+		  { 1, 0 } },
+		{ "once, the runner's own failure",
+		  ASK("/once/", "a"),
+		  { { FAILED, REPLY_KEEP } },
+		  {},
+		  "HTTP/1.1 500 Internal Server Error\r\nX-Attempt-Id: a\r\n"
+		  "X-Server-Seal: seal",
+		  { 1, 0 } },
+		{ "safe, the runner's own failure",
+		  ASK("/safe/", "a"),
+		  { { FAILED, REPLY_KEEP } },
+		  { { OK, REPLY_KEEP } },
+		  "200 OK",
+		  { 1, 1 } },
+		{ "once, refused and run elsewhere",
+		  ASK("/once/", "a"),
+		  { { FULL, REPLY_KEEP } },
+		  { { OK, REPLY_KEEP } },
+		  "200 OK",
+		  { 1, 1 } },
+		{ "once, the address is another runner's",
+		  ASK("/once/", "a"),
+		  { { OTHER, REPLY_KEEP } },
+		  { { OK, REPLY_KEEP } },
+		  "200 OK",
+		  { 1, 1 } },
+		{ "fixed stream, cut before its first event",
+		  ASK("/fixed/", "a"),
+		  { { STREAM, REPLY_CLOSE } },
+		  {},
+		  "200 OK",
+		  { 1, 0 } },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		check_exchange(&cases[i]);
+}
+END_TEST
+
+START_TEST(a_refusal_is_given_only_where_nothing_ran)
+{
+	static const reply_t full[] = { { FULL, REPLY_KEEP },
+					{ FULL, REPLY_KEEP },
+					{ FULL, REPLY_KEEP } };
+	static const reply_t lost[] = { { "", REPLY_CLOSE },
+					{ "", REPLY_CLOSE } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = full;
+	bed.runners[1].replies = full;
+	gateway_send(&bed, 0, ASK("/once/", "a"));
+	gateway_await(&bed, 0, "503 ");
+	gateway_await(&bed, 0, "Retry-After: ");
+	gateway_bed_finish(&bed);
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = lost;
+	bed.runners[1].replies = full;
+	gateway_send(&bed, 1, ASK("/safe/", "b"));
+	gateway_await(&bed, 1, "502 ");
+	ck_assert_int_eq(gateway_count(&bed, 1, "Retry-After"), 0);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_stream_goes_on_after_the_last_event_passed_on)
+{
+	static const reply_t cut[] = { { STREAM EVENT_1 "5\r\nid: 2",
+					 REPLY_CLOSE } };
+	static const reply_t rest[] = { { STREAM EVENT_2 "0\r\n\r\n",
+					  REPLY_KEEP } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = cut;
+	bed.runners[1].replies = rest;
+	gateway_send(&bed, 0, ASK("/stream/", "a"));
+	gateway_await(&bed, 0, "0\r\n\r\n");
+	ck_assert_int_eq(gateway_count(&bed, 0, "HTTP/1.1"), 1);
+	ck_assert_int_eq(gateway_count(&bed, 0, "id: 1"), 1);
+	ck_assert_int_eq(gateway_count(&bed, 0, "id: 2"), 1);
+	ck_assert_ptr_nonnull(
+		strstr(bed.runners[1].heads->str, "Last-Event-Id: 1\r\n"));
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_stream_that_may_not_go_on_is_cut_visibly)
+{
+	static const reply_t cut[] = { { STREAM EVENT_1, REPLY_CLOSE } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = cut;
+	gateway_send(&bed, 0, ASK("/fixed/", "a"));
+	gateway_await_close(&bed, 0);
+	ck_assert_int_eq(gateway_count(&bed, 0, "id: 1"), 1);
+	ck_assert_int_eq(gateway_count(&bed, 0, "\r\n0\r\n\r\n"), 0);
+	ck_assert_int_eq(bed.runners[1].n_requests, 0);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_second_answer_belongs_to_nobody)
+{
+	static const reply_t twice[] = { { OK OK, REPLY_KEEP },
+					 { OK, REPLY_KEEP } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = twice;
+	gateway_send(&bed, 0, ASK("/safe/", "a"));
+	gateway_await(&bed, 0, "\r\n\r\nok");
+	bed.wants = 0;
+	gateway_send(&bed, 1, ASK("/safe/", "b"));
+	gateway_await(&bed, 1, "X-Attempt-Id: b\r\n");
+	ck_assert_int_eq(gateway_count(&bed, 0, "HTTP/1.1"), 1);
+	ck_assert_int_eq(bed.runners[0].n_connects, 2);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(connections_are_used_again_but_not_for_what_runs_once)
+{
+	static const reply_t three[] = { { OK, REPLY_KEEP },
+					 { OK, REPLY_KEEP },
+					 { OK, REPLY_KEEP } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = three;
+	for (int i = 0; i < 3; i++) {
+		bed.wants = 0;
+		gateway_send(&bed, i,
+			     i < 2 ? ASK("/safe/", "a") : ASK("/once/", "a"));
+		gateway_await(&bed, i, "\r\n\r\nok");
+	}
+	ck_assert_int_eq(bed.runners[0].n_connects, 2);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(what_the_daemon_itself_answers)
+{
+	static const struct {
+		const char *request, *answer;
+		bool closes;
+	} cases[] = {
+		{ "GET /none/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n"
+		  "X-Key: key\r\n\r\n",
+		  "404 ", false },
+		{ "GET /safe/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n"
+		  "X-Key: no\r\n\r\n",
+		  "401 ", false },
+		{ "GET /safe/ HTTP/1.1\r\nX-Attempt-Id: a\r\n\r\n", "400 ",
+		  false },
+		{ "GET /safe/ HTTP/1.1\r\nHost : h\r\n\r\n", "400 ", true },
+		{ "POST /safe/ HTTP/1.1\r\nHost: h\r\nX-Key: key\r\n"
+		  "Content-Length: 4000\r\n\r\n",
+		  "413 ", true },
+		{ "POST /safe/ HTTP/1.1\r\nHost: h\r\nX-Key: key\r\n"
+		  "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+		  "400 ", true },
+		{ "GET /safe/ HTTP/1.1\r\nHost: h\r\n", "408 ", true },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		gateway_bed_t bed;
+
+		gateway_bed_init(&bed);
+		gateway_bed_configure(&bed);
+		gateway_send(&bed, 0, cases[i].request);
+		gateway_await(&bed, 0, cases[i].answer);
+		if (cases[i].closes)
+			gateway_await_close(&bed, 0);
+		ck_assert_int_eq(bed.wants, 0);
+		gateway_bed_finish(&bed);
+	}
+}
+END_TEST
+
+START_TEST(before_a_configuration_nothing_is_denied)
+{
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_send(&bed, 0, ASK("/safe/", "a"));
+	gateway_await(&bed, 0, "503 ");
+	gateway_await(&bed, 0, "Retry-After: ");
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_dispatchers_refusal_and_a_limit_say_when_to_come_back)
+{
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.refuses = true;
+	gateway_send(&bed, 0, ASK("/safe/", "a"));
+	gateway_await(&bed, 0, "503 ");
+	gateway_await(&bed, 0, "Retry-After: 1.500\r\n");
+	bed.limit_refuses = true;
+	gateway_send(&bed, 1,
+		     "GET /safe/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n"
+		     "X-Key: low\r\n\r\n");
+	gateway_await(&bed, 1, "429 ");
+	gateway_await(&bed, 1, "Retry-After: 2.500\r\n");
+	ck_assert_int_eq(bed.limits, 1);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_caller_that_leaves_cancels_its_work)
+{
+	static const reply_t mute[] = { { "", REPLY_MUTE } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = mute;
+	gateway_send(&bed, 0, ASK("/safe/", "a"));
+	gateway_await_count(&bed, &bed.runners[0].n_requests, 1);
+	gateway_leave(&bed, 0);
+	gateway_await_count(&bed, &bed.runners[0].n_closed, 1);
+	ck_assert_int_eq(bed.dones, 1);
+	ck_assert_int_eq(bed.last_done, DONE_CANCELLED);
+	bed.is_mute = true;
+	gateway_send(&bed, 1, ASK("/safe/", "b"));
+	gateway_await_count(&bed, &bed.wants, 2);
+	gateway_leave(&bed, 1);
+	gateway_await_count(&bed, &bed.withdraws, 1);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_routes_time_ends_a_request)
+{
+	static const reply_t mute[] = { { "", REPLY_MUTE } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = mute;
+	gateway_send(&bed, 0, ASK("/once/", "a"));
+	bed.is_mute = false;
+	gateway_await(&bed, 0, "504 ");
+	bed.is_mute = true;
+	gateway_send(&bed, 1, ASK("/once/", "b"));
+	gateway_await(&bed, 1, "503 ");
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_drain_finishes_what_runs_and_closes_the_rest)
+{
+	static const reply_t slow[] = { { STREAM EVENT_1 "0\r\n\r\n",
+					  REPLY_KEEP } };
+	gateway_bed_t bed;
+	message_t drain = { .type = MESSAGE_DRAIN };
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = slow;
+	gateway_send(&bed, 0, "GET /sa");
+	gateway_run(&bed, 20);
+	supervisor_post(&bed.sup, TASK_FRONT, &drain);
+	gateway_send(&bed, 1, ASK("/stream/", "a"));
+	gateway_await(&bed, 1, "Connection: close\r\n");
+	gateway_await(&bed, 1, "0\r\n\r\n");
+	gateway_await_close(&bed, 1);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+SUITE_MAIN("gateway", every_loss_at_a_runner,
+	   a_refusal_is_given_only_where_nothing_ran,
+	   a_stream_goes_on_after_the_last_event_passed_on,
+	   a_stream_that_may_not_go_on_is_cut_visibly,
+	   a_second_answer_belongs_to_nobody,
+	   connections_are_used_again_but_not_for_what_runs_once,
+	   what_the_daemon_itself_answers,
+	   before_a_configuration_nothing_is_denied,
+	   a_dispatchers_refusal_and_a_limit_say_when_to_come_back,
+	   a_caller_that_leaves_cancels_its_work, a_routes_time_ends_a_request,
+	   a_drain_finishes_what_runs_and_closes_the_rest)
