dispatcher: a dispatcher for each group of runners; an answer to every want

Change: a service with more than 16 runners is split into a power of two of groups (core/runner_group), each with its own dispatcher by rendezvous; a refused want is tried at one more group. A want that is sent again is answered when it waits, so that an owner whose dispatcher is silent decides alone after 0.75 s whatever the heartbeat timeout is.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -458,7 +458,7 @@
 	return runner->info.is_leaving || runner->is_leaving_by_report;
 }
 
-void dispatcher_want_again(dispatcher_t *d, const want_t *want, int64_t now)
+bool dispatcher_want_again(dispatcher_t *d, const want_t *want, int64_t now)
 {
 	struct dispatcher_state *s = d->state;
 	item_t *item = g_hash_table_lookup(s->items, &want->id);
@@ -472,6 +472,8 @@
 		dispatcher_want(d, want, now);
 	else if (item->runner)
 		s->ops.grant(s->ctx, &item->want, &item->runner->info);
+	item = g_hash_table_lookup(s->items, &want->id);
+	return item && !item->runner;
 }
 
 static void forget_waiting(struct dispatcher_state *s, item_t *item)
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -172,9 +172,9 @@
 /*
  * The owner asks again, because the first want or its answer may be lost. A
  * want that waits goes on waiting, one that is granted gets the same grant
- * once more, and one that is not known is new.
+ * once more, and one that is not known is new. Returns whether it waits now.
  */
-void dispatcher_want_again(dispatcher_t *d, const want_t *want, int64_t now);
+bool dispatcher_want_again(dispatcher_t *d, const want_t *want, int64_t now);
 /* The caller left before a grant was used. */
 void dispatcher_withdraw(dispatcher_t *d, want_id_t id, int64_t now);
 /* The first token of a granted request arrived. */
--- /dev/null
+++ b/core/runner_group.c
@@ -0,0 +1,48 @@
+#include "core/runner_group.h"
+
+#include <glib.h>
+#include <stdio.h>
+
+enum {
+	RUNNERS_A_GROUP = 16, /* at most */
+	MAX_GROUPS = 1024,
+};
+
+uint32_t runner_group_count(uint32_t runners)
+{
+	uint32_t count = 1;
+
+	while (count * RUNNERS_A_GROUP < runners && count < MAX_GROUPS)
+		count *= 2;
+	return count;
+}
+
+uint32_t runner_group_of(str_t runner, uint32_t count)
+{
+	return (uint32_t)(str_hash(runner) % MAX(count, 1));
+}
+
+void runner_group_name(const runner_group_t *group, char *out, size_t size)
+{
+	if (group->count <= 1)
+		g_strlcpy(out, group->service, size);
+	else
+		g_snprintf(out, size, "%s#%u/%u", group->service, group->index,
+			   group->count);
+}
+
+bool runner_group_parse(const char *name, runner_group_t *out)
+{
+	const char *mark = strrchr(name, '#');
+	size_t n = mark ? (size_t)(mark - name) : strlen(name);
+
+	*out = (runner_group_t){ .count = 1 };
+	if (!n ||
+	    !str_copy(out->service, sizeof(out->service), (str_t){ name, n }))
+		return false;
+	if (!mark)
+		return true;
+	return sscanf(mark, "#%u/%u", &out->index, &out->count) == 2 &&
+	       out->count > 1 && out->count <= MAX_GROUPS &&
+	       out->index < out->count;
+}
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -8,6 +8,7 @@
 #include <jansson.h>
 
 #include "common/log.h"
+#include "core/runner_group.h"
 #include "daemon/supervisor.h"
 #include "net/http.h"
 
@@ -24,7 +25,8 @@
 /* One dispatcher, of one service. */
 typedef struct service {
 	capacity_t *owner;
-	char name[MEMBER_NAME_SIZE];
+	char name[MEMBER_NAME_SIZE]; /* of the service, or of one group */
+	runner_group_t group;
 	dispatcher_t dispatcher;
 	GHashTable *runners; /* name to runner_t */
 } service_t;
@@ -123,7 +125,7 @@
 static void apply_profile(service_t *s)
 {
 	const profile_service_t *service =
-		config_view_service(s->owner->config, s->name);
+		config_view_service(s->owner->config, s->group.service);
 	const profile_t *profile =
 		service ? config_view_profile(s->owner->config,
 					      service->profile) :
@@ -270,8 +272,10 @@
 		const log_runner_t *listed =
 			&g_array_index(s->owner->vms->runners, log_runner_t, i);
 
-		if (!strcmp(listed->service, s->name) &&
-		    !strcmp(listed->zone, zone))
+		if (!strcmp(listed->service, s->group.service) &&
+		    !strcmp(listed->zone, zone) &&
+		    runner_group_of(str_from(listed->runner.name),
+				    s->group.count) == s->group.index)
 			update_runner(s, listed);
 	}
 	g_hash_table_iter_init(&iter, s->runners);
@@ -284,7 +288,9 @@
 	}
 }
 
-static service_t *add_service(capacity_t *c, const profile_service_t *info)
+static service_t *add_service(capacity_t *c, const char *name,
+			      const runner_group_t *group,
+			      const profile_service_t *info)
 {
 	static const dispatcher_ops_t ops = { on_grant, on_refuse, on_cancel };
 	const settings_t *set = c->sup->settings;
@@ -302,7 +308,8 @@
 	};
 
 	s->owner = c;
-	g_strlcpy(s->name, info->name, sizeof(s->name));
+	s->group = *group;
+	g_strlcpy(s->name, name, sizeof(s->name));
 	s->runners = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   free_runner);
 	dispatcher_init(&s->dispatcher, &config, &ops, s, now_us());
@@ -318,11 +325,14 @@
 {
 	service_t *s = g_hash_table_lookup(c->services, name);
 	const profile_service_t *info;
+	runner_group_t group;
 
 	if (s)
 		return s;
-	info = config_view_service(c->config, name);
-	return info ? add_service(c, info) : NULL;
+	if (!runner_group_parse(name, &group))
+		return NULL;
+	info = config_view_service(c->config, group.service);
+	return info ? add_service(c, name, &group, info) : NULL;
 }
 
 static int tier_index(const capacity_t *c, const char *service,
@@ -352,6 +362,14 @@
 	supervisor_post(c->sup, TASK_PEERS, &m);
 }
 
+/* The owner must know that its want waits here, and was not lost. */
+static void answer_queued(capacity_t *c, const message_capacity_t *asked)
+{
+	message_t m = { .type = MESSAGE_QUEUED, .capacity = *asked };
+
+	supervisor_post(c->sup, TASK_PEERS, &m);
+}
+
 static void take_want(capacity_t *c, const message_capacity_t *asked)
 {
 	service_t *s = find_service(c, asked->service);
@@ -362,12 +380,15 @@
 		return;
 	}
 	remember_owner(c, want.id.owner, asked->peer);
-	want.tier = (uint32_t)tier_index(c, asked->service, asked->tier);
+	want.tier = (uint32_t)tier_index(c, s->group.service, asked->tier);
 	if (asked->running_on[0])
 		dispatcher_adopt(&s->dispatcher, &want,
 				 str_from(asked->running_on), now_us());
+	else if (asked->is_again &&
+		 dispatcher_want_again(&s->dispatcher, &want, now_us()))
+		answer_queued(c, asked);
 	else if (asked->is_again)
-		dispatcher_want_again(&s->dispatcher, &want, now_us());
+		return;
 	else
 		dispatcher_want(&s->dispatcher, &want, now_us());
 }
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -78,6 +78,18 @@
 	return peer_send(peer, to, &frame);
 }
 
+static bool send_queued(peer_t *peer, str_t to, const message_capacity_t *c)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__Queued queued = PAPAYA__QUEUED__INIT;
+
+	queued.attempt = c->want.id.attempt;
+	queued.owner = c->want.id.owner;
+	frame.body_case = PAPAYA__FRAME__BODY_QUEUED;
+	frame.queued = &queued;
+	return peer_send(peer, to, &frame);
+}
+
 static bool send_withdraw(peer_t *peer, str_t to, const message_capacity_t *c)
 {
 	Papaya__Frame frame = PAPAYA__FRAME__INIT;
@@ -136,6 +148,8 @@
 		return send_refuse(peer, to, c);
 	case MESSAGE_CANCEL:
 		return send_cancel(peer, to, c);
+	case MESSAGE_QUEUED:
+		return send_queued(peer, to, c);
 	case MESSAGE_WITHDRAW:
 		return send_withdraw(peer, to, c);
 	case MESSAGE_FIRST_TOKEN:
@@ -216,6 +230,11 @@
 		c->want.id = (want_id_t){ frame->cancel->owner,
 					  frame->cancel->attempt };
 		return true;
+	case PAPAYA__FRAME__BODY_QUEUED:
+		out->type = MESSAGE_QUEUED;
+		c->want.id = (want_id_t){ frame->queued->owner,
+					  frame->queued->attempt };
+		return true;
 	case PAPAYA__FRAME__BODY_WITHDRAW:
 		out->type = MESSAGE_WITHDRAW;
 		c->want.id = (want_id_t){ frame->withdraw->owner,
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -27,6 +27,7 @@
 	GHashTable *callers; /* set of ingress_t */
 	GHashTable *relays; /* attempt to relay_t */
 	upstream_pool_t pool;
+	GHashTable *group_counts; /* service to its number of groups */
 	fleet_t *fleet; /* NULL until a configuration is in force */
 	retry_budget_t retries;
 	runner_watch_t runners; /* as this daemon itself knows them */
@@ -75,6 +76,8 @@
 void relay_routed(relay_t *r, const char *dispatcher);
 void relay_granted(relay_t *r, const message_capacity_t *grant);
 void relay_refused(relay_t *r, refuse_reason_t reason, uint32_t retry_ms);
+/* The dispatcher has it queued. */
+void relay_queued(relay_t *r);
 /* Asks again what may have been lost; called every few ms. */
 void relay_tick(relay_t *r, int64_t now);
 /* The set of daemons changed: dispatchers may have moved. */
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -5,6 +5,7 @@
 #define LOG_PART "gateway"
 
 #include "common/log.h"
+#include "core/runner_group.h"
 #include "daemon/gateway.h"
 
 enum {
@@ -48,6 +49,31 @@
 	runner_watch_end(&g->runners, now_us());
 }
 
+/* How many groups each service's runners make. */
+static void count_groups(gateway_t *g, const vm_view_t *vms)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_remove_all(g->group_counts);
+	for (guint i = 0; i < vms->runners->len; i++) {
+		const log_runner_t *r =
+			&g_array_index(vms->runners, log_runner_t, i);
+		guint n = GPOINTER_TO_UINT(
+			g_hash_table_lookup(g->group_counts, r->service));
+
+		if (!strcmp(r->zone, g->sup->settings->zone))
+			g_hash_table_insert(g->group_counts,
+					    g_strdup(r->service),
+					    GUINT_TO_POINTER(n + 1));
+	}
+	g_hash_table_iter_init(&iter, g->group_counts);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_hash_table_iter_replace(&iter,
+					  GUINT_TO_POINTER(runner_group_count(
+						  GPOINTER_TO_UINT(value))));
+}
+
 static void export_stats(gateway_t *g)
 {
 	metrics_t *m = &g->sup->metrics;
@@ -134,6 +160,8 @@
 		relay_routed(r, c->peer);
 	else if (m->type == MESSAGE_GRANT)
 		relay_granted(r, c);
+	else if (m->type == MESSAGE_QUEUED)
+		relay_queued(r);
 	else if (m->type == MESSAGE_REFUSE)
 		relay_refused(r, c->reason, c->retry_after_ms);
 }
@@ -165,11 +193,13 @@
 		break;
 	case MESSAGE_VMS:
 		watch_runners(g, m->vms);
+		count_groups(g, m->vms);
 		set_budget(g, m->vms->entries->len);
 		break;
 	case MESSAGE_ROUTED:
 	case MESSAGE_GRANT:
 	case MESSAGE_REFUSE:
+	case MESSAGE_QUEUED:
 		take_capacity(g, m);
 		break;
 	case MESSAGE_LIMIT_ANSWER:
@@ -218,6 +248,8 @@
 	}
 	g->callers = g_hash_table_new(NULL, NULL);
 	g->relays = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g->group_counts =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	upstream_pool_init(&g->pool, sup->base);
 	retry_budget_init(&g->retries, &none);
 	runner_watch_init(&g->runners, GONE_MEMORY_US);
@@ -246,6 +278,7 @@
 	runner_watch_finish(&g->runners);
 	g_hash_table_destroy(g->relays);
 	g_hash_table_destroy(g->callers);
+	g_hash_table_destroy(g->group_counts);
 	fleet_unref(g->fleet);
 	g_free(g);
 }
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -63,6 +63,7 @@
 	MESSAGE_GRANT, /* capacity to peers to front */
 	MESSAGE_REFUSE, /* likewise */
 	MESSAGE_CANCEL, /* likewise */
+	MESSAGE_QUEUED, /* likewise: a want that was sent again waits there */
 	MESSAGE_WITHDRAW, /* front to peers to capacity */
 	MESSAGE_FIRST_TOKEN, /* likewise */
 	MESSAGE_DONE, /* likewise */
@@ -137,6 +138,7 @@
 	uint32_t retry_after_ms; /* REFUSE */
 	done_t done; /* DONE */
 	uint32_t hops; /* WANT */
+	bool is_alone; /* WANT: no dispatcher answers; decide here */
 	bool is_again; /* WANT: the first one or its answer may be lost */
 } message_capacity_t;
 
--- a/daemon/peers_route.c
+++ b/daemon/peers_route.c
@@ -6,7 +6,7 @@
 bool peers_is_for_owner(message_type_t type)
 {
 	return type == MESSAGE_GRANT || type == MESSAGE_REFUSE ||
-	       type == MESSAGE_CANCEL;
+	       type == MESSAGE_CANCEL || type == MESSAGE_QUEUED;
 }
 
 /* A ticket is good at the daemon that issued it, and nowhere else. */
@@ -61,7 +61,7 @@
 	bool is_own = !c->zone[0] || !strcmp(c->zone, p->self.zone);
 	str_t zone = is_own ? str_from(p->self.zone) : str_from(c->zone);
 	member_vm_t vm;
-	bool found = !p->sup->settings->alone &&
+	bool found = !p->sup->settings->alone && !c->is_alone &&
 		     member_dispatcher(&p->member, zone, str_from(c->service),
 				       0, now_us(), &vm);
 
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -456,6 +456,7 @@
 	case MESSAGE_GRANT:
 	case MESSAGE_REFUSE:
 	case MESSAGE_CANCEL:
+	case MESSAGE_QUEUED:
 	case MESSAGE_WITHDRAW:
 	case MESSAGE_FIRST_TOKEN:
 	case MESSAGE_DONE:
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -12,6 +12,8 @@
 	NO_FLEET_RETRY_MS = 500,
 	LIMIT_TIMEOUT_US = 150 * US_PER_MS, /* then the own share counts */
 	ASK_AGAIN_US = 250 * US_PER_MS, /* for a grant that may be lost */
+	MAX_UNANSWERED = 2, /* wants, before deciding alone */
+	MAX_GROUPS_TRIED = 2, /* dispatchers asked in turn */
 	MAX_SENDS = 4, /* upstreams asked, also such as refuse at once */
 	MIN_DEADLINE_US = 20 * US_PER_MS, /* less is not worth sending */
 	DEFAULT_OUTPUT_TOKENS = 128,
@@ -32,6 +34,21 @@
 				  DEFAULT_OUTPUT_TOKENS;
 }
 
+/* Each try goes to another group's dispatcher. */
+static void pick_group(relay_t *r)
+{
+	uint32_t count = GPOINTER_TO_UINT(
+		g_hash_table_lookup(r->gateway->group_counts, r->service));
+
+	count = MAX(count, 1);
+	if (r->group.count != count)
+		r->group.index = g_rand_int(sup_of(r)->rand) % count;
+	else
+		r->group.index = (r->group.index + 1) % count;
+	r->group.count = count;
+	g_strlcpy(r->group.service, r->service, sizeof(r->group.service));
+}
+
 static void fill_capacity(const relay_t *r, message_capacity_t *c)
 {
 	const fleet_service_t *service =
@@ -39,7 +56,8 @@
 	bool is_engine = service && service->is_engine;
 
 	g_strlcpy(c->peer, r->dispatcher, sizeof(c->peer));
-	g_strlcpy(c->service, r->service, sizeof(c->service));
+	runner_group_name(&r->group, c->service, sizeof(c->service));
+	c->is_alone = r->is_alone;
 	g_snprintf(c->tier, sizeof(c->tier), "%u", r->rank);
 	c->want.id = (want_id_t){ sup_of(r)->boot, r->attempt };
 	if (r->team)
@@ -82,6 +100,7 @@
 	r->state = RELAY_WAITING;
 	r->asked = now_us();
 	r->has_asked_again = false;
+	r->unanswered = 0;
 	r->is_routed = false;
 	r->dispatcher[0] = '\0';
 	post_capacity(r, MESSAGE_WANT, NULL);
@@ -89,6 +108,18 @@
 
 static void want_again(relay_t *r, int64_t now)
 {
+	if (r->state == RELAY_WAITING && ++r->unanswered > MAX_UNANSWERED &&
+	    !r->is_alone) {
+		log_event("dispatcher-silent",
+			  "request=%s dispatcher=%s waited_ms=%" PRId64
+			  " why=\"no answer; this daemon decides alone\"",
+			  r->id, r->dispatcher[0] ? r->dispatcher : "own",
+			  (now - r->arrived) / US_PER_MS);
+		post_capacity(r, MESSAGE_WITHDRAW, NULL);
+		r->is_alone = true;
+		r->is_routed = false;
+		r->dispatcher[0] = '\0';
+	}
 	r->asked = now;
 	r->has_asked_again = true;
 	post_capacity(r, MESSAGE_WANT, NULL);
@@ -306,10 +337,21 @@
 	return texts[reason];
 }
 
+void relay_queued(relay_t *r)
+{
+	r->unanswered = 0;
+}
+
 void relay_refused(relay_t *r, refuse_reason_t reason, uint32_t retry_ms)
 {
 	if (r->state != RELAY_WAITING)
 		return;
+	if (r->group.count > 1 && ++r->groups_tried < MAX_GROUPS_TRIED &&
+	    has_time(r)) {
+		pick_group(r);
+		relay_want(r);
+		return;
+	}
 	r->state = RELAY_ENDED;
 	if (r->runs || r->has_begun)
 		relay_refuse(r, 502, 0, refusal_text(reason));
@@ -454,6 +496,7 @@
 		return;
 	r->service = fleet_pick_service(r->route, str_hash(r->call.attempt_id));
 	r->rank = fleet_rank(r->team, r->route);
+	pick_group(r);
 	retry_budget_first(&g->retries, r->service, r->arrived);
 	set_deadline(r);
 	if (!r->team || r->team->rate <= 0) {
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -457,6 +457,51 @@
   assert(message->base.descriptor == &papaya__cancel__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__queued__init
+                     (Papaya__Queued         *message)
+{
+  static const Papaya__Queued init_value = PAPAYA__QUEUED__INIT;
+  *message = init_value;
+}
+size_t papaya__queued__get_packed_size
+                     (const Papaya__Queued *message)
+{
+  assert(message->base.descriptor == &papaya__queued__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__queued__pack
+                     (const Papaya__Queued *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__queued__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__queued__pack_to_buffer
+                     (const Papaya__Queued *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__queued__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__Queued *
+       papaya__queued__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__Queued *)
+     protobuf_c_message_unpack (&papaya__queued__descriptor,
+                                allocator, len, data);
+}
+void   papaya__queued__free_unpacked
+                     (Papaya__Queued *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__queued__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__withdraw__init
                      (Papaya__Withdraw         *message)
 {
@@ -2110,6 +2155,57 @@
   (ProtobufCMessageInit) papaya__cancel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor papaya__queued__field_descriptors[2] =
+{
+  {
+    "attempt",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Queued, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Queued, owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__queued__field_indices_by_name[] = {
+  0,   /* field[0] = attempt */
+  1,   /* field[1] = owner */
+};
+static const ProtobufCIntRange papaya__queued__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor papaya__queued__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.Queued",
+  "Queued",
+  "Papaya__Queued",
+  "papaya",
+  sizeof(Papaya__Queued),
+  2,
+  papaya__queued__field_descriptors,
+  papaya__queued__field_indices_by_name,
+  1,  papaya__queued__number_ranges,
+  (ProtobufCMessageInit) papaya__queued__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor papaya__withdraw__field_descriptors[3] =
 {
   {
@@ -3254,7 +3350,7 @@
   (ProtobufCMessageInit) papaya__store_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[18] =
+static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[19] =
 {
   {
     "hello",
@@ -3472,6 +3568,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "queued",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, queued),
+    &papaya__queued__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__frame__field_indices_by_name[] = {
   6,   /* field[6] = cancel */
@@ -3487,6 +3595,7 @@
   13,   /* field[13] = limit_ask */
   15,   /* field[15] = limit_release */
   1,   /* field[1] = proof */
+  18,   /* field[18] = queued */
   5,   /* field[5] = refuse */
   17,   /* field[17] = store_news */
   16,   /* field[16] = vm_list */
@@ -3496,7 +3605,7 @@
 static const ProtobufCIntRange papaya__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor papaya__frame__descriptor =
 {
@@ -3506,7 +3615,7 @@
   "Papaya__Frame",
   "papaya",
   sizeof(Papaya__Frame),
-  18,
+  19,
   papaya__frame__field_descriptors,
   papaya__frame__field_indices_by_name,
   1,  papaya__frame__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -25,6 +25,7 @@
 typedef struct Papaya__Grant Papaya__Grant;
 typedef struct Papaya__Refuse Papaya__Refuse;
 typedef struct Papaya__Cancel Papaya__Cancel;
+typedef struct Papaya__Queued Papaya__Queued;
 typedef struct Papaya__Withdraw Papaya__Withdraw;
 typedef struct Papaya__FirstToken Papaya__FirstToken;
 typedef struct Papaya__Done Papaya__Done;
@@ -270,6 +271,20 @@
     , 0, 0 }
 
 
+/*
+ * Dispatcher to owner: a want that was sent again waits here.
+ */
+struct  Papaya__Queued
+{
+  ProtobufCMessage base;
+  uint64_t attempt;
+  uint64_t owner;
+};
+#define PAPAYA__QUEUED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__queued__descriptor) \
+    , 0, 0 }
+
+
 struct  Papaya__Withdraw
 {
   ProtobufCMessage base;
@@ -555,7 +570,8 @@
   PAPAYA__FRAME__BODY_LIMIT_ANSWER = 15,
   PAPAYA__FRAME__BODY_LIMIT_RELEASE = 16,
   PAPAYA__FRAME__BODY_VM_LIST = 17,
-  PAPAYA__FRAME__BODY_STORE_NEWS = 18
+  PAPAYA__FRAME__BODY_STORE_NEWS = 18,
+  PAPAYA__FRAME__BODY_QUEUED = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PAPAYA__FRAME__BODY__CASE)
 } Papaya__Frame__BodyCase;
 
@@ -582,6 +598,7 @@
     Papaya__LimitRelease *limit_release;
     Papaya__VmList *vm_list;
     Papaya__StoreNews *store_news;
+    Papaya__Queued *queued;
   };
 };
 #define PAPAYA__FRAME__INIT \
@@ -779,6 +796,25 @@
 void   papaya__cancel__free_unpacked
                      (Papaya__Cancel *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__Queued methods */
+void   papaya__queued__init
+                     (Papaya__Queued         *message);
+size_t papaya__queued__get_packed_size
+                     (const Papaya__Queued   *message);
+size_t papaya__queued__pack
+                     (const Papaya__Queued   *message,
+                      uint8_t             *out);
+size_t papaya__queued__pack_to_buffer
+                     (const Papaya__Queued   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__Queued *
+       papaya__queued__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__queued__free_unpacked
+                     (Papaya__Queued *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Withdraw methods */
 void   papaya__withdraw__init
                      (Papaya__Withdraw         *message);
@@ -1096,6 +1132,9 @@
 typedef void (*Papaya__Cancel_Closure)
                  (const Papaya__Cancel *message,
                   void *closure_data);
+typedef void (*Papaya__Queued_Closure)
+                 (const Papaya__Queued *message,
+                  void *closure_data);
 typedef void (*Papaya__Withdraw_Closure)
                  (const Papaya__Withdraw *message,
                   void *closure_data);
@@ -1157,6 +1196,7 @@
 extern const ProtobufCMessageDescriptor papaya__grant__descriptor;
 extern const ProtobufCMessageDescriptor papaya__refuse__descriptor;
 extern const ProtobufCMessageDescriptor papaya__cancel__descriptor;
+extern const ProtobufCMessageDescriptor papaya__queued__descriptor;
 extern const ProtobufCMessageDescriptor papaya__withdraw__descriptor;
 extern const ProtobufCMessageDescriptor papaya__first_token__descriptor;
 extern const ProtobufCMessageDescriptor papaya__done__descriptor;
