--- a/core/runner_list.c
+++ b/core/runner_list.c
@@ -43,15 +43,17 @@
 	return is_new;
 }
 
-static void drop(runner_list_t *l, entry_t *e, int64_t now)
+bool runner_list_is_steady(const runner_list_t *l, int64_t now)
 {
-	bool was_away =
-		l->is_away || (l->back_at && now - l->back_at < l->patience);
+	return !l->is_away && (!l->back_at || now - l->back_at >= l->patience);
+}
 
+static void drop(runner_list_t *l, entry_t *e, int64_t now)
+{
 	if (e->gone_at)
 		return;
 	e->gone_at = now;
-	if (was_away)
+	if (!runner_list_is_steady(l, now))
 		e->gone_at = (l->is_away ? now : l->back_at) + l->patience;
 }
 
@@ -92,11 +94,6 @@
 	l->is_away = is_away;
 }
 
-bool runner_list_is_steady(const runner_list_t *l, int64_t now)
-{
-	return !l->is_away && (!l->back_at || now - l->back_at >= l->patience);
-}
-
 void runner_list_told(runner_list_t *l, bool is_steady, int64_t now)
 {
 	if (is_steady)
