papayactl: explain shows one request's way through the logs

Merges lines of several daemons by time, marks the decision that settled the request, counts damaged lines; exit status tells whether it was found.

--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -13,6 +13,8 @@
 	{ "report", "sum up useful work and waste", ctl_report },
 	{ "summarize", "keep the accounts' sums past the log's retention",
 	  ctl_summarize },
+	{ "explain", "show a request's way through the daemons' logs",
+	  ctl_explain },
 	{ "burn", "tell how fast the objectives' budgets burn", ctl_burn },
 };
 
--- /dev/null
+++ b/ctl/log_lines.c
@@ -0,0 +1,125 @@
+#include "ctl/log_lines.h"
+
+#include <string.h>
+
+static void free_line(void *data)
+{
+	log_line_t *line = data;
+
+	g_free(line->source);
+	g_free(line->text);
+	g_free(line->time);
+	g_free(line->event);
+	g_free(line);
+}
+
+void log_lines_init(log_lines_t *l)
+{
+	*l = (log_lines_t){
+		.lines = g_ptr_array_new_with_free_func(free_line),
+	};
+}
+
+void log_lines_finish(log_lines_t *l)
+{
+	g_ptr_array_unref(l->lines);
+}
+
+/* The end of the value at TEXT; NULL when a quote is not closed. */
+static const char *value_end(const char *text)
+{
+	if (text[0] == '"')
+		return strchr(text + 1, '"');
+	return text + strcspn(text, " \r\n");
+}
+
+char *log_lines_value(const char *text, const char *key)
+{
+	size_t n = strlen(key);
+
+	while (*text) {
+		size_t name = strcspn(text, "= ");
+		const char *value = text + name + 1;
+		const char *end;
+
+		if (text[name] != '=') {
+			text += name + (text[name] != '\0');
+			continue;
+		}
+		end = value_end(value);
+		if (!end)
+			return NULL;
+		if (name == n && !strncmp(text, key, n))
+			return g_strndup(value + (value[0] == '"'),
+					 (gsize)(end - value) -
+						 (value[0] == '"'));
+		text = end + (*end != '\0');
+	}
+	return NULL;
+}
+
+static char *source_of(const char *file, const char *line, const char *at)
+{
+	g_autofree char *before = g_strndup(line, (gsize)(at - line));
+
+	g_strstrip(before);
+	if (!before[0])
+		return g_strdup(file);
+	return g_strconcat(file, file[0] ? " " : "", before, NULL);
+}
+
+void log_lines_add(log_lines_t *l, const char *file, const char *line,
+		   const char *request)
+{
+	const char *at = strstr(line, "time=");
+	g_autofree char *of = NULL;
+	log_line_t *kept;
+
+	l->n_read++;
+	if (!at || !strstr(at, " part=")) {
+		l->n_damaged++;
+		return;
+	}
+	of = log_lines_value(at, "request");
+	if (g_strcmp0(of, request) != 0 || l->lines->len >= LOG_LINES_MAX)
+		return;
+	kept = g_new0(log_line_t, 1);
+	kept->source = source_of(file, line, at);
+	kept->text = g_strchomp(g_strdup(at));
+	kept->time = log_lines_value(at, "time");
+	kept->event = log_lines_value(at, "event");
+	kept->order = l->n_read;
+	if (!kept->event)
+		kept->event = g_strdup("");
+	g_ptr_array_add(l->lines, kept);
+}
+
+static gint by_time(gconstpointer a, gconstpointer b)
+{
+	const log_line_t *x = *(log_line_t *const *)a;
+	const log_line_t *y = *(log_line_t *const *)b;
+	int order = g_strcmp0(x->time, y->time);
+
+	if (order)
+		return order;
+	return x->order < y->order ? -1 : x->order > y->order;
+}
+
+void log_lines_sort(log_lines_t *l)
+{
+	g_ptr_array_sort(l->lines, by_time);
+}
+
+int log_lines_decisive(const log_lines_t *l)
+{
+	static const char *const ends[] = { "answered", "caller-left" };
+
+	for (guint i = l->lines->len; i-- > 0;) {
+		const log_line_t *line = l->lines->pdata[i];
+
+		for (size_t k = 0; k < G_N_ELEMENTS(ends); k++)
+			if (!strcmp(line->event, ends[k]))
+				return (int)i;
+	}
+	return -1;
+}
