--- a/daemon/main.c
+++ b/daemon/main.c
@@ -36,13 +36,28 @@
 	supervisor_drain(arg);
 }
 
-/* Settings that may change while the daemon runs are read again. */
+/*
+ * Checks the changed settings, so that a mistake shows now and not at the
+ * next start, when they come into force. Nothing that runs is touched.
+ */
 static void on_hangup(evutil_socket_t fd, short what, void *arg)
 {
-	supervisor_reload(arg);
+	const char *path = arg;
+	char text[ERR_DETAIL_SIZE * 2];
+	settings_t settings;
+	err_t err = { 0 };
+
+	if (!settings_load(&settings, path, &err)) {
+		log_event("reload", "path=%s sound=no why=\"%s\"", path,
+			  err_text(&err, text, sizeof(text)));
+		return;
+	}
+	log_event("reload", "path=%s sound=yes in_force=\"at the next start\"",
+		  path);
+	settings_finish(&settings);
 }
 
-static int run(const settings_t *settings)
+static int run(const settings_t *settings, const char *path)
 {
 	struct event_base *base = event_base_new();
 	struct event *term, *intr, *hup;
@@ -56,7 +71,7 @@
 	supervisor_init(&sup, base, settings);
 	term = evsignal_new(base, SIGTERM, on_terminate, &sup);
 	intr = evsignal_new(base, SIGINT, on_terminate, &sup);
-	hup = evsignal_new(base, SIGHUP, on_hangup, &sup);
+	hup = evsignal_new(base, SIGHUP, on_hangup, (void *)path);
 	event_add(term, NULL);
 	event_add(intr, NULL);
 	event_add(hup, NULL);
@@ -97,7 +112,7 @@
 		status = EXIT_SUCCESS;
 	} else {
 		log_init(settings.log_level);
-		status = run(&settings);
+		status = run(&settings, path);
 	}
 	settings_finish(&settings);
 	return status;
--- a/daemon/supervisor.c
+++ b/daemon/supervisor.c
@@ -251,11 +251,6 @@
 	}
 }
 
-void supervisor_reload(supervisor_t *sup)
-{
-	log_info("settings file has changed; it is read at the next start");
-}
-
 void supervisor_drain(supervisor_t *sup)
 {
 	if (sup->state->is_draining)
--- a/daemon/supervisor.h
+++ b/daemon/supervisor.h
@@ -74,8 +74,6 @@
 bool supervisor_is_just_stalled(supervisor_t *sup);
 /* Counts a stall that others saw: peers called this daemon dead. */
 void supervisor_count_stall(supervisor_t *sup);
-/* Reads the settings again; what can't change while it runs is logged. */
-void supervisor_reload(supervisor_t *sup);
 /* Tells every task to drain; the front ends the loop when it is done. */
 void supervisor_drain(supervisor_t *sup);
 bool supervisor_is_draining(const supervisor_t *sup);
