--- a/tests/lib_fake_http.c
+++ b/tests/lib_fake_http.c
@@ -78,12 +78,14 @@
 	static const char length_header[] = "\r\nContent-Length:";
 	conn_t *c = ctx;
 	struct evbuffer *in = bufferevent_get_input(bev);
-	g_autofree char *text = g_strndup((const char *)evbuffer_pullup(in, -1),
-					  evbuffer_get_length(in));
-	char *body = strstr(text, "\r\n\r\n");
+	size_t n = evbuffer_get_length(in);
+	/* A body may hold NUL bytes, which g_strndup would stop at. */
+	g_autofree char *text = g_malloc0(n + 1);
+	char *body = memcpy(text, evbuffer_pullup(in, -1), n);
 	const char *length;
 	size_t want;
 
+	body = strstr(text, "\r\n\r\n");
 	if (!body)
 		return;
 	*body = '\0';
