--- a/common/log.c
+++ b/common/log.c
@@ -143,7 +143,7 @@
 
 void log_attach(struct event_base *base, int fd)
 {
-	static const struct timeval period = { .tv_usec = FLUSH_MS * 1000 };
+	static const struct timeval period = { .tv_usec = FLUSH_MS * 1000L };
 
 	evutil_make_socket_nonblocking(fd);
 	log_buffer_init(&sink.buffer, MAX_BUFFER);
--- a/daemon/news_frames.c
+++ b/daemon/news_frames.c
@@ -16,10 +16,8 @@
 	Papaya__Frame frame = PAPAYA__FRAME__INIT;
 	Papaya__StoreNews out = PAPAYA__STORE_NEWS__INIT;
 	guint n = news->records->len;
-	g_autofree Papaya__StoreRecord *all =
-		g_new0(Papaya__StoreRecord, n + 1);
-	g_autofree Papaya__StoreRecord **pointers =
-		g_new0(Papaya__StoreRecord *, n + 1);
+	Papaya__StoreRecord *all = g_new0(Papaya__StoreRecord, n + 1);
+	Papaya__StoreRecord **pointers = g_new0(Papaya__StoreRecord *, n + 1);
 
 	for (guint i = 0; i < n; i++) {
 		fill(&all[i],
@@ -35,6 +33,8 @@
 	frame.body_case = PAPAYA__FRAME__BODY_STORE_NEWS;
 	frame.store_news = &out;
 	peer_send_all(peer, &frame);
+	g_free(pointers);
+	g_free(all);
 }
 
 void news_frames_read(const Papaya__StoreNews *frame, message_t *out)
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -21,8 +21,8 @@
 	RETRY_MS = 200, /* after a failed call */
 	DAEMONS_POLL_MS = 5000,
 	LOOK_MS = 100, /* between looks whether the readers fell silent */
-	PATIENCE_MS = 800, /* for their next word */
-	DAEMONS_PATIENCE_MS = 7000, /* the same for the list of daemons */
+	PATIENCE_US = 800 * 1000, /* for their next word */
+	DAEMONS_PATIENCE_US = 7000 * 1000, /* the same for the daemons' list */
 	APPLY_MS = 100, /* between looks for drops that are due */
 };
 
@@ -408,8 +408,7 @@
 static void follower_init(follower_t *f, store_follow_t *s, store_topic_t topic)
 {
 	f->state.patience =
-		(topic == STORE_DAEMONS ? DAEMONS_PATIENCE_MS : PATIENCE_MS) *
-		1000;
+		topic == STORE_DAEMONS ? DAEMONS_PATIENCE_US : PATIENCE_US;
 	f->owner = s;
 	f->topic = topic;
 	f->timer = evtimer_new(s->sup->base, on_follow, f);
--- a/tests/lib_fake_http.c
+++ b/tests/lib_fake_http.c
@@ -81,10 +81,11 @@
 	size_t n = evbuffer_get_length(in);
 	/* A body may hold NUL bytes, which g_strndup would stop at. */
 	g_autofree char *text = g_malloc0(n + 1);
-	char *body = memcpy(text, evbuffer_pullup(in, -1), n);
+	char *body;
 	const char *length;
 	size_t want;
 
+	evbuffer_copyout(in, text, n);
 	body = strstr(text, "\r\n\r\n");
 	if (!body)
 		return;
--- a/tests/test_log_buffer.c
+++ b/tests/test_log_buffer.c
@@ -5,7 +5,9 @@
 
 #include "tests/lib_suite.h"
 
-enum { SECOND = 1000000, MAX = 1000 };
+enum { MAX = 1000 };
+
+static const int64_t SECOND = 1000000;
 
 /* Adds lines of 9 bytes and their end; returns how many were taken. */
 static int add(log_buffer_t *b, log_class_t class, int n, int64_t now)
@@ -48,7 +50,7 @@
 	log_buffer_t b;
 	int taken = 0;
 
-	log_buffer_init(&b, 64 * 1024 * 1024);
+	log_buffer_init(&b, (size_t)64 << 20);
 	for (int i = 0; i < 100; i++)
 		taken += add(&b, LOG_CLASS_SAMPLE, 100,
 			     SECOND + (int64_t)i * SECOND / 10);
--- a/tests/test_runner_list.c
+++ b/tests/test_runner_list.c
@@ -1,7 +1,8 @@
 #include "core/runner_list.h"
 #include "tests/lib_suite.h"
 
-enum { SECOND = 1000000, PATIENCE = 2 * SECOND };
+static const int64_t SECOND = 1000000;
+static const int64_t PATIENCE = 2000000;
 
 static void set(runner_list_t *l, const char *id, bool is_leaving)
 {
