dispatcher: runners that lose answers rest

Ruled out: a runner that was gone (its entry stayed, other calls on it were answered).

Change: two answers lost in a short time, and each further one until whole answers came, give the runner a second without grants, while half of the runners stay in use.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -10,6 +10,7 @@
 	TOKEN_QUANTUM = 4096, /* a team may be ahead by, engines */
 	CALL_QUANTUM = 4, /* the same, plain services */
 	CANCEL_LEAD = 100 * US_PER_MS, /* cancel so long before it is late */
+	MAX_LOSSES = 2, /* answers lost, before a runner rests */
 	MAX_PARKED = 16, /* wants put aside in one round of decisions */
 	FINISH_MARGIN = 3, /* part of a predicted time that it may err by */
 	LOWER_MARGIN = 6, /* the same for work that may be refused */
@@ -20,6 +21,8 @@
 	PROTECTED_OVERFLOW = 2, /* times max_wants, while lower work runs */
 };
 
+static const double loss_memory = 0.8; /* kept at each whole answer */
+
 static guint hash_id(gconstpointer key)
 {
 	const want_id_t *id = key;
@@ -509,6 +512,32 @@
 	dispatcher_decide(d->state, now);
 }
 
+/* Half of the runners stay in use, whatever happens to the answers. */
+static bool may_rest(const struct dispatcher_state *s)
+{
+	return s->live->len > 1 && s->live->len * 2 > s->n_usable;
+}
+
+/*
+ * A runner that loses answers is given a rest again and again, though it says
+ * that it is well: others do its work meanwhile.
+ */
+static void note_result(struct dispatcher_state *s, runner_t *runner,
+			done_result_t result, int64_t now)
+{
+	if (result == DONE_LEAVING)
+		runner->is_leaving_by_report = true;
+	else if (result == DONE_UNREACHABLE)
+		dispatcher_hold(s, runner, now);
+	else if (result == DONE_COMPLETED)
+		runner->losses *= loss_memory;
+	else if (result == DONE_BROKEN)
+		runner->losses++;
+	if (result == DONE_BROKEN && runner->losses >= MAX_LOSSES &&
+	    runner->silent_until <= now && may_rest(s))
+		dispatcher_hold(s, runner, now);
+}
+
 void dispatcher_done(dispatcher_t *d, want_id_t id, const done_t *done,
 		     int64_t now)
 {
@@ -516,10 +545,7 @@
 
 	if (!item || !item->runner)
 		return;
-	if (done->result == DONE_LEAVING)
-		item->runner->is_leaving_by_report = true;
-	else if (done->result == DONE_UNREACHABLE)
-		dispatcher_hold(d->state, item->runner, now);
+	note_result(d->state, item->runner, done->result, now);
 	end_item(d->state, item, done, now);
 	dispatcher_decide(d->state, now);
 }
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -16,6 +16,7 @@
 	bool is_leaving_by_report;
 	bool is_counted; /* in dispatcher_state.running and n_usable */
 	int64_t silent_until; /* 0 when it answers */
+	double losses; /* answers that it lost of late, less for whole ones */
 	GList *silent; /* link in dispatcher_state.silent */
 	uint32_t running[DISPATCHER_MAX_TIERS];
 	GSequenceIter *ranked; /* in dispatcher_state.ranked, or NULL */
--- /dev/null
+++ b/tests/test_grey_runner.c
@@ -0,0 +1,65 @@
+/*
+ * One of several runners takes work, says that it is well, and loses most of
+ * its answers: it must get little work, and the others must never all rest.
+ */
+#include "tests/lib_bed.h"
+#include "tests/lib_suite.h"
+
+enum { RUNNERS = 4, CALLS = 400 };
+
+static void add_runners(bed_t *bed)
+{
+	bed_init(bed, false);
+	for (int i = 0; i < RUNNERS; i++) {
+		g_autofree char *name = g_strdup_printf("r%d", i);
+
+		bed_set_runner(bed, name, false);
+	}
+}
+
+/* Runs calls one after the other; those on runners that LOSE say so fail. */
+static int run_calls(bed_t *bed, int losing)
+{
+	int lost = 0;
+
+	for (uint64_t a = 1; a <= CALLS; a++) {
+		int runner;
+
+		bed_ask(bed, a, 1, 1);
+		ck_assert_int_eq(bed_kind(bed, a), ANSWER_GRANT);
+		runner = bed->answers[a].runner[1] - '0';
+		lost += runner < losing;
+		bed_tick(bed, 20 * MS);
+		bed_done(bed, a,
+			 runner < losing ? DONE_BROKEN : DONE_COMPLETED);
+	}
+	return lost;
+}
+
+START_TEST(a_runner_that_loses_answers_rests)
+{
+	static bed_t bed;
+	int lost;
+
+	bed = (bed_t){ 0 };
+	add_runners(&bed);
+	lost = run_calls(&bed, 1);
+	/* Its even share would be a quarter. */
+	ck_assert_int_le(lost, CALLS / 20);
+	dispatcher_finish(&bed.d);
+}
+END_TEST
+
+START_TEST(when_all_lose_answers_work_goes_on)
+{
+	static bed_t bed;
+
+	bed = (bed_t){ 0 };
+	add_runners(&bed);
+	ck_assert_int_eq(run_calls(&bed, RUNNERS), CALLS);
+	dispatcher_finish(&bed.d);
+}
+END_TEST
+
+SUITE_MAIN("grey_runner", a_runner_that_loses_answers_rests,
+	   when_all_lose_answers_work_goes_on)
