--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -10,7 +10,7 @@
 	TOKEN_QUANTUM = 4096, /* a team may be ahead by, engines */
 	CALL_QUANTUM = 4, /* the same, plain services */
 	CANCEL_LEAD = 100 * US_PER_MS, /* cancel so long before it is late */
-	MAX_LOSSES = 2, /* answers lost, before a runner rests */
+	MAX_LOSSES = 2, /* answers lost, before a runner is suspended */
 	MAX_PARKED = 16, /* wants put aside in one round of decisions */
 	FINISH_MARGIN = 3, /* part of a predicted time that it may err by */
 	LOWER_MARGIN = 6, /* the same for work that may be refused */
@@ -513,14 +513,14 @@
 }
 
 /* Half of the runners stay in use, whatever happens to the answers. */
-static bool may_rest(const struct dispatcher_state *s)
+static bool may_suspend(const struct dispatcher_state *s)
 {
 	return s->live->len > 1 && s->live->len * 2 > s->n_usable;
 }
 
 /*
- * A runner that loses answers is given a rest again and again, though it says
- * that it is well: others do its work meanwhile.
+ * A runner that loses answers is suspended for a moment each time, though it
+ * reports itself healthy: others do its work meanwhile.
  */
 static void note_result(struct dispatcher_state *s, runner_t *runner,
 			done_result_t result, int64_t now)
@@ -534,7 +534,7 @@
 	else if (result == DONE_BROKEN)
 		runner->losses++;
 	if (result == DONE_BROKEN && runner->losses >= MAX_LOSSES &&
-	    runner->silent_until <= now && may_rest(s))
+	    runner->silent_until <= now && may_suspend(s))
 		dispatcher_hold(s, runner, now);
 }
 
--- a/core/runner_list.h
+++ b/core/runner_list.h
@@ -61,7 +61,7 @@
 bool runner_list_is_steady(const runner_list_t *l, int64_t now);
 /*
  * Another daemon told what it read. When the store was steady for it, only
- * this daemon was turned away, and what is dropped is gone.
+ * this daemon's calls were rejected, and what is dropped is gone.
  */
 void runner_list_told(runner_list_t *l, bool is_steady, int64_t now);
 /* Takes what changed since the last call; applies drops that are due. */
--- a/tests/test_grey_runner.c
+++ b/tests/test_grey_runner.c
@@ -1,6 +1,6 @@
 /*
  * One of several runners takes work, says that it is well, and loses most of
- * its answers: it must get little work, and the others must never all rest.
+ * its answers: it must get little work, and never may all be suspended.
  */
 #include "tests/lib_bed.h"
 #include "tests/lib_suite.h"
@@ -36,7 +36,7 @@
 	return lost;
 }
 
-START_TEST(a_runner_that_loses_answers_rests)
+START_TEST(a_runner_that_loses_answers_is_suspended)
 {
 	static bed_t bed;
 	int lost;
@@ -61,5 +61,5 @@
 }
 END_TEST
 
-SUITE_MAIN("grey_runner", a_runner_that_loses_answers_rests,
+SUITE_MAIN("grey_runner", a_runner_that_loses_answers_is_suspended,
 	   when_all_lose_answers_work_goes_on)
