--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -246,8 +246,10 @@
 static bool is_refusable(const struct dispatcher_state *s, const item_t *item,
 			 const runner_t *runner, int64_t finish, int64_t now)
 {
-	return s->config.is_engine && runner->model.running &&
-	       is_late(item, finish, now) && may_refuse(s, item->entry.tier);
+	if (s->config.tries_idle &&
+	    (!s->config.is_engine || !runner->model.running))
+		return false;
+	return is_late(item, finish, now) && may_refuse(s, item->entry.tier);
 }
 
 /*
@@ -413,7 +415,9 @@
 {
 	int64_t wait = dispatcher_wait_time(s, item->entry.tier);
 
-	return wait > 0 && now + wait > item->latest_start &&
+	if (s->config.tries_idle && !wait)
+		return false;
+	return now + wait > item->latest_start &&
 	       may_refuse(s, item->entry.tier);
 }
 
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -104,6 +104,12 @@
 	uint32_t engine_slots; /* requests at once an engine; 0: any */
 	int64_t grant_timeout; /* a silent grant is given up after it */
 	uint64_t seed;
+	/*
+	 * Predictions refuse only where other work is in the way, so that one
+	 * slow answer can't refuse work for good. It costs prompt work on
+	 * runners that are slow for good.
+	 */
+	bool tries_idle;
 	dispatcher_policy_t policy;
 } dispatcher_config_t;
 
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -304,6 +304,7 @@
 		.engine_slots = info->is_engine ? info->slots : 0,
 		.grant_timeout = set->grant_timeout_ms * 1000,
 		.seed = g_rand_int(c->sup->rand),
+		.tries_idle = set->fleet,
 		.policy = parse_policy(set->policy),
 	};
 
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -101,7 +101,7 @@
 	frame.body_case = PAPAYA__FRAME__BODY_REFUSE;
 	frame.refuse = &refuse;
 	ck_assert(!frames_read_capacity(&frame, "d", now, &out));
-	done.result = DONE_BROKEN + 1;
+	done.result = DONE_LEAVING + 1;
 	frame.body_case = PAPAYA__FRAME__BODY_DONE;
 	frame.done = &done;
 	ck_assert(!frames_read_capacity(&frame, "d", now, &out));
@@ -148,7 +148,13 @@
 START_TEST(the_vm_list_comes_back_whole)
 {
 	member_vm_t entry = { "d1", "z1", "1:1", "1:2", "1:3", true };
-	log_runner_t runner = { { "r1", "2:1", 2, true }, "desk", "z2", true };
+	log_runner_t runner = { { .name = "r1",
+				  .address = "2:1",
+				  .generation = 2,
+				  .is_leaving = true },
+				"desk",
+				"z2",
+				true };
 	vm_view_t *in = vm_view_new(&entry, 1, &runner, 1);
 	Papaya__Frame *frame;
 	vm_view_t *out;
