hand-over: a zone whose daemons are all replaced at once keeps its keys

Three things met. A new daemon was ready before anyone had handed its keys over, so the drain raced the joining. A leaving daemon whose view had changed was refused by the heirs and sent anew only after 2 s. And each leaving daemon told of the others' leaving as a gap of now, which the heirs kept for the whole quiet period although those others handed their own keys over a moment later.

Change: /readyz waits until every live daemon has handed over, 5 s at most; a leaving daemon sends at once by a changed view, else every 300 ms; a gap that is only another's leaving is told with its incarnation, and a receiver that sees that incarnation leave waits for its keys itself. It stays a gap for one that never heard it, and for one that dies before it gave.

--- a/core/handover.c
+++ b/core/handover.c
@@ -1,10 +1,15 @@
 #include "core/handover_state.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum {
 	/* A transfer that is not acknowledged is sent anew after it. */
 	RETRY_US = 2000 * 1000,
+	/* The same while leaving: until then callers of the keys can't run. */
+	LEAVING_RETRY_US = 300 * 1000,
+	/* A new daemon serves after it, whoever still owes it keys. */
+	READY_LIMIT_US = 5 * 1000 * 1000,
 };
 
 /* A daemon that this one hands keys over to. */
@@ -19,12 +24,13 @@
 	GPtrArray *keys; /* GBytes, scoped */
 	guint next_key, next_answer;
 	int64_t sent_at;
+	uint64_t view; /* candidates_digest as it was sent */
 } target_t;
 
 /* Arrays that a part points to while it is put together. */
 typedef struct part_view {
 	GArray *members; /* handover_member_t */
-	GArray *gaps; /* handover_gap_t */
+	GArray *gaps; /* member_gap_t */
 } part_view_t;
 
 static void free_target(void *data)
@@ -77,19 +83,18 @@
 	t->has_joined = false;
 }
 
-static void add_gap(void *ctx, str_t name, int64_t age)
+static void add_gap(void *ctx, const member_gap_t *gap)
 {
 	GArray *gaps = ctx;
-	handover_gap_t gap = { name, age };
 
-	g_array_append_val(gaps, gap);
+	g_array_append_vals(gaps, gap, 1);
 }
 
 static void view_init(part_view_t *v, const struct handover_table *t,
 		      int64_t now)
 {
 	v->members = g_array_new(FALSE, FALSE, sizeof(handover_member_t));
-	v->gaps = g_array_new(FALSE, FALSE, sizeof(handover_gap_t));
+	v->gaps = g_array_new(FALSE, FALSE, sizeof(member_gap_t));
 	member_each_candidate(t->member, handover_add_member, v->members);
 	member_each_gap(t->member, add_gap, v->gaps, now);
 }
@@ -154,7 +159,7 @@
 	if (part.is_last) {
 		part.members = (handover_member_t *)view->members->data;
 		part.n_members = view->members->len;
-		part.gaps = (handover_gap_t *)view->gaps->data;
+		part.gaps = (member_gap_t *)view->gaps->data;
 		part.n_gaps = view->gaps->len;
 		part.owing = (handover_member_t *)owing->data;
 		part.n_owing = owing->len;
@@ -270,9 +275,40 @@
 		g_ptr_array_add(target->keys, g_bytes_ref(entry->scoped));
 }
 
+static void add_to_digest(void *ctx, str_t name, uint64_t incarnation)
+{
+	uint64_t *digest = ctx;
+
+	*digest ^= XXH3_64bits_withSeed(name.ptr, name.len, incarnation);
+}
+
+/* Differs between two sets of candidates, whatever their order. */
+static uint64_t candidates_digest(const struct handover_table *t)
+{
+	uint64_t digest = 0;
+
+	member_each_candidate(t->member, add_to_digest, &digest);
+	return digest;
+}
+
+/*
+ * An unacknowledged transfer may be lost. A leaving daemon is also refused by
+ * whoever sees other candidates, so it goes by its new view at once.
+ */
+static bool must_send_anew(const target_t *target, uint64_t view, int64_t now)
+{
+	int64_t retry = target->is_leaving ? LEAVING_RETRY_US : RETRY_US;
+
+	if (!target->is_started || target->is_acked)
+		return false;
+	return (target->is_leaving && target->view != view) ||
+	       (target->is_sent && now - target->sent_at >= retry);
+}
+
 /* Starts the transfers that are due, with one walk over the key table. */
 static void start_transfers(struct handover_table *t, int64_t now)
 {
+	uint64_t view = candidates_digest(t);
 	collect_t collect = { t, now };
 	GHashTableIter iter;
 	bool is_any = false;
@@ -282,8 +318,7 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		target_t *target = value;
 
-		if (target->is_started && target->is_sent &&
-		    !target->is_acked && now - target->sent_at >= RETRY_US)
+		if (must_send_anew(target, view, now))
 			target->is_started = false;
 		if (!target->is_started)
 			g_ptr_array_set_size(target->keys, 0);
@@ -301,6 +336,7 @@
 		target->is_started = true;
 		target->is_sent = false;
 		target->serial = ++t->serial;
+		target->view = view;
 		target->index = 0;
 		target->next_key = 0;
 		target->next_answer = 0;
@@ -381,3 +417,38 @@
 {
 	return h->table->has_joined;
 }
+
+/* Counts the candidates whose keys have not come. */
+typedef struct await_count {
+	const struct handover_table *table;
+	uint32_t n;
+} await_count_t;
+
+static void count_awaited(void *ctx, str_t name, uint64_t incarnation)
+{
+	await_count_t *c = ctx;
+	char buf[MEMBER_NAME_SIZE];
+
+	if (handover_is_self(c->table, name) ||
+	    !str_copy(buf, sizeof(buf), name))
+		return;
+	c->n += !handover_is_accepted(c->table, buf, incarnation);
+}
+
+uint32_t handover_awaited(const handover_t *h)
+{
+	await_count_t c = { .table = h->table };
+
+	if (!h->table->has_joined)
+		member_each_candidate(h->table->member, count_awaited, &c);
+	return c.n;
+}
+
+bool handover_is_ready(const handover_t *h, int64_t age)
+{
+	if (h->table->has_joined || age >= READY_LIMIT_US)
+		return true;
+	/* By then every daemon that lives has been heard. */
+	return age >= member_heartbeat_timeout(h->table->member) &&
+	       !handover_awaited(h);
+}
--- a/core/handover.h
+++ b/core/handover.h
@@ -34,11 +34,6 @@
 	uint64_t incarnation;
 } handover_member_t;
 
-typedef struct handover_gap {
-	str_t name;
-	int64_t age; /* microseconds */
-} handover_gap_t;
-
 /* One message; all views are valid during the call only. */
 typedef struct handover_part {
 	uint64_t incarnation; /* of the giver */
@@ -50,7 +45,7 @@
 	bool is_answers; /* answers to keys handed over before */
 	const handover_key_t *keys;
 	const handover_member_t *members;
-	const handover_gap_t *gaps;
+	const member_gap_t *gaps;
 	/*
 	 * Daemons that left and saw the receiver: its share of their keys
 	 * is with them, not with the giver.
@@ -98,5 +93,12 @@
 bool handover_is_done(const handover_t *h);
 /* True when every live daemon has handed over to this new one. */
 bool handover_has_joined(const handover_t *h);
+/* The live daemons that this new one still awaits keys from; 0: joined. */
+uint32_t handover_awaited(const handover_t *h);
+/*
+ * True when a new daemon, AGE microseconds after its start, has the keys that
+ * the others could give it: those may be drained then.
+ */
+bool handover_is_ready(const handover_t *h, int64_t age);
 
 #endif
--- a/core/handover_take.c
+++ b/core/handover_take.c
@@ -101,12 +101,12 @@
 	int64_t since = HANDOVER_NO_GAP;
 
 	for (size_t i = 0; i < part->n_gaps; i++) {
-		const handover_gap_t *gap = &part->gaps[i];
+		const member_gap_t *gap = &part->gaps[i];
 
 		if (str_eq(gap->name, giver))
 			since = now - gap->age;
 		else
-			member_add_gap(t->member, gap->name, gap->age, now);
+			member_add_gap(t->member, gap, now);
 	}
 	member_handed_over(t->member, giver, part->incarnation, since, now);
 }
@@ -136,7 +136,7 @@
 	set_members(s->members, part->members, part->n_members);
 	set_members(s->owing, part->owing, part->n_owing);
 	for (size_t i = 0; i < part->n_gaps; i++) {
-		const handover_gap_t *gap = &part->gaps[i];
+		const member_gap_t *gap = &part->gaps[i];
 
 		if (str_eq(gap->name, str_from(s->name)))
 			s->is_elder = false;
@@ -180,8 +180,8 @@
 		g_array_remove_range(t->shares, 0, n);
 }
 
-static bool is_accepted(const struct handover_table *t, const char *name,
-			uint64_t incarnation)
+bool handover_is_accepted(const struct handover_table *t, const char *name,
+			  uint64_t incarnation)
 {
 	const handover_source_t *s = g_hash_table_lookup(t->sources, name);
 
@@ -197,7 +197,7 @@
 	g_hash_table_iter_init(&iter, members);
 	while (g_hash_table_iter_next(&iter, &name, &incarnation))
 		if (strcmp(name, self) &&
-		    !is_accepted(t, name, *(uint64_t *)incarnation))
+		    !handover_is_accepted(t, name, *(uint64_t *)incarnation))
 			return false;
 	return true;
 }
@@ -230,7 +230,7 @@
 			&g_array_index(own, handover_member_t, i);
 
 		if (!handover_is_self(t, m->name) &&
-		    !is_accepted(t, m->name.ptr, m->incarnation))
+		    !handover_is_accepted(t, m->name.ptr, m->incarnation))
 			return;
 	}
 	g_hash_table_iter_init(&iter, t->sources);
--- a/core/member.h
+++ b/core/member.h
@@ -116,17 +116,31 @@
 void member_joined(member_t *m, int64_t since);
 /*
  * A gap is a time until which keys of a daemon of the zone may have run
- * without the peers knowing. Calls FN for each gap of the last quiet period
- * that counts here, this daemon's own start included.
+ * without the peers knowing.
+ */
+typedef struct member_gap {
+	str_t name;
+	int64_t age; /* microseconds */
+	/*
+	 * Of a daemon that is leaving and has not handed over to whoever
+	 * tells of the gap; 0 for other gaps.
+	 */
+	uint64_t leaving_incarnation;
+} member_gap_t;
+
+/*
+ * Calls FN for each gap of the last quiet period that counts here, this
+ * daemon's own start included.
  */
 void member_each_gap(const member_t *m,
-		     void (*fn)(void *ctx, str_t name, int64_t age), void *ctx,
+		     void (*fn)(void *ctx, const member_gap_t *gap), void *ctx,
 		     int64_t now);
 /*
  * Takes over a gap that a peer told of. One that has no place in the table
- * counts as this daemon's own.
+ * counts as this daemon's own. That of a leaving daemon is left out when this
+ * one sees it leave too: it then awaits the keys itself.
  */
-void member_add_gap(member_t *m, str_t name, int64_t age, int64_t now);
+void member_add_gap(member_t *m, const member_gap_t *gap, int64_t now);
 /* Calls FN for each daemon of the zone that may own keys, this one too. */
 void member_each_candidate(const member_t *m,
 			   void (*fn)(void *ctx, str_t name,
@@ -136,6 +150,7 @@
 /* When this incarnation began, or what member_joined put in its place. */
 int64_t member_born_at(const member_t *m);
 int64_t member_quiet_period(const member_t *m);
+int64_t member_heartbeat_timeout(const member_t *m);
 const member_vm_t *member_self(const member_t *m);
 /* Advances suspicion and quiet periods; call it every heartbeat. */
 void member_tick(member_t *m, int64_t now);
--- a/core/member_gap.c
+++ b/core/member_gap.c
@@ -21,40 +21,55 @@
 	t->born_at = MIN(t->born_at, since);
 }
 
+/* It leaves, and its keys have not come: the gap ends when they do. */
+static bool is_awaited(const member_entry_t *e)
+{
+	return member_is_present(e) && e->is_draining && !e->is_handed;
+}
+
 void member_each_gap(const member_t *m,
-		     void (*fn)(void *ctx, str_t name, int64_t age), void *ctx,
+		     void (*fn)(void *ctx, const member_gap_t *gap), void *ctx,
 		     int64_t now)
 {
 	const struct member_table *t = m->table;
+	const member_gap_t own = { .name = str_from(t->self.name),
+				   .age = now - t->born_at };
 
-	if (now - t->born_at < t->config.quiet_period)
-		fn(ctx, str_from(t->self.name), now - t->born_at);
+	if (own.age < t->config.quiet_period)
+		fn(ctx, &own);
 	for (guint i = 0; i < t->entries->len; i++) {
 		const member_entry_t *e = t->entries->pdata[i];
-		int64_t age = now - member_gap_end(e);
-
-		if (member_is_own_zone(t, e) && age < t->config.quiet_period)
-			fn(ctx, str_from(e->vm.name), age);
+		member_gap_t gap = { .name = str_from(e->vm.name),
+				     .age = now - member_gap_end(e) };
+
+		if (is_awaited(e))
+			gap.leaving_incarnation = e->incarnation;
+		if (member_is_own_zone(t, e) &&
+		    gap.age < t->config.quiet_period)
+			fn(ctx, &gap);
 	}
 }
 
-void member_add_gap(member_t *m, str_t name, int64_t age, int64_t now)
+void member_add_gap(member_t *m, const member_gap_t *gap, int64_t now)
 {
 	struct member_table *t = m->table;
 	member_vm_t vm = { .is_leaving = false };
 	member_entry_t *e;
 
-	if (age < 0 || age >= t->config.quiet_period)
+	if (gap->age < 0 || gap->age >= t->config.quiet_period)
 		return;
-	e = member_entry_find(t, name);
-	if (!e && str_copy(vm.name, sizeof(vm.name), name)) {
+	e = member_entry_find(t, gap->name);
+	if (e && gap->leaving_incarnation == e->incarnation &&
+	    member_is_present(e) && e->is_draining)
+		return;
+	if (!e && str_copy(vm.name, sizeof(vm.name), gap->name)) {
 		g_strlcpy(vm.zone, t->self.zone, sizeof(vm.zone));
 		e = member_entry_intern(t, &vm, now);
 	}
 	if (e)
-		e->gap_at = MAX(e->gap_at, now - age);
+		e->gap_at = MAX(e->gap_at, now - gap->age);
 	else
-		t->born_at = MAX(t->born_at, now - age);
+		t->born_at = MAX(t->born_at, now - gap->age);
 }
 
 void member_each_candidate(const member_t *m,
@@ -89,6 +104,11 @@
 	return m->table->config.quiet_period;
 }
 
+int64_t member_heartbeat_timeout(const member_t *m)
+{
+	return m->table->config.heartbeat_timeout;
+}
+
 const member_vm_t *member_self(const member_t *m)
 {
 	return &m->table->self;
--- a/daemon/admin_task.c
+++ b/daemon/admin_task.c
@@ -17,6 +17,7 @@
 	struct evhttp *ready; /* for the balancer; NULL: none */
 	config_view_t *config;
 	vm_view_t *vms;
+	bool has_keys; /* what MESSAGE_KEYS_READY said */
 } admin_t;
 
 static void reply(struct evhttp_request *req, int status, const char *type,
@@ -116,7 +117,8 @@
 
 static void answer_ready(admin_t *a, struct evhttp_request *req)
 {
-	bool is_ready = a->config && !supervisor_is_draining(a->sup);
+	bool is_ready =
+		a->config && a->has_keys && !supervisor_is_draining(a->sup);
 
 	reply(req, is_ready ? HTTP_OK : HTTP_SERVUNAVAIL, "text/plain",
 	      is_ready ? "ready\n" : "not ready\n");
@@ -188,6 +190,8 @@
 	if (m->type == MESSAGE_CONFIG && a->config != m->config) {
 		config_view_unref(a->config);
 		a->config = config_view_ref(m->config);
+	} else if (m->type == MESSAGE_KEYS_READY) {
+		a->has_keys = m->number != 0;
 	}
 }
 
@@ -208,6 +212,8 @@
 	const char *ready_listen = sup->settings->ready_listen;
 
 	a->sup = sup;
+	/* The routes of a platform's operators know no keys. */
+	a->has_keys = sup->settings->fleet;
 	a->http = evhttp_new(sup->base);
 	evhttp_set_gencb(a->http, on_request, a);
 	if (ready_listen[0]) {
--- a/daemon/keys.c
+++ b/daemon/keys.c
@@ -34,6 +34,7 @@
 	k->sup = sup;
 	k->member = member;
 	k->peer = peer;
+	k->started = now_us();
 	rights_init(&k->rights, &config);
 	handover_init(&k->handover, member, &k->rights, &ops, k);
 }
@@ -120,12 +121,25 @@
 	return true;
 }
 
+static void tell_ready(keys_t *k)
+{
+	message_t m = { .type = MESSAGE_KEYS_READY };
+
+	m.number = handover_is_ready(&k->handover, now_us() - k->started);
+	if (m.number != k->is_ready)
+		supervisor_post(k->sup, TASK_ADMIN, &m);
+	k->is_ready = m.number;
+}
+
 void keys_tick(keys_t *k)
 {
 	handover_tick(&k->handover, now_us());
 	rights_expire(&k->rights, now_us());
 	metrics_set(&k->sup->metrics, "papaya_keys_joined", NULL,
 		    handover_has_joined(&k->handover));
+	metrics_set(&k->sup->metrics, "papaya_keys_awaited", NULL,
+		    handover_awaited(&k->handover));
+	tell_ready(k);
 	metrics_set(&k->sup->metrics, "papaya_keys", NULL,
 		    g_hash_table_size(k->rights.entries));
 }
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -73,6 +73,7 @@
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: a daemon is dead */
 	MESSAGE_LIVE, /* peers to limits: daemons seen and known */
 	MESSAGE_SETTLED, /* peers to capacity: is the zone's view settled? */
+	MESSAGE_KEYS_READY, /* peers to admin: may callers bring keys? */
 	MESSAGE_VIEW_CHANGED, /* peers to front: ask dispatchers anew */
 	MESSAGE_ACCOUNT, /* front to accounts */
 	MESSAGE_APPEND, /* accounts to platform */
@@ -177,7 +178,7 @@
 			uint32_t live; /* this daemon included */
 			uint32_t known; /* those that may serve unseen too */
 		} daemons; /* LIVE */
-		uint64_t number; /* CONFIG_NEXT, SETTLED, READER */
+		uint64_t number; /* CONFIG_NEXT, SETTLED, READER, KEYS_READY */
 		message_news_t news;
 		message_docs_t docs; /* CONFIG_ASK, SEND, RELAYED */
 		message_locate_t locate;
--- a/net/handover_frame.c
+++ b/net/handover_frame.c
@@ -69,6 +69,8 @@
 		papaya__gap__init(&p->gaps[i]);
 		p->gaps[i].name = (char *)part->gaps[i].name.ptr;
 		p->gaps[i].age_ms = (uint32_t)(part->gaps[i].age / US_PER_MS);
+		p->gaps[i].leaving_incarnation =
+			part->gaps[i].leaving_incarnation;
 		p->msg.gaps[i] = &p->gaps[i];
 	}
 }
@@ -178,8 +180,7 @@
 	GArray *keys = g_array_new(FALSE, FALSE, sizeof(handover_key_t));
 	GArray *members = read_members(msg->members, msg->n_members);
 	GArray *owing = read_members(msg->owing, msg->n_owing);
-	g_autofree handover_gap_t *gaps =
-		g_new(handover_gap_t, msg->n_gaps + 1);
+	g_autofree member_gap_t *gaps = g_new(member_gap_t, msg->n_gaps + 1);
 	handover_part_t part = {
 		.incarnation = msg->incarnation,
 		.to_incarnation = msg->to_incarnation,
@@ -205,6 +206,7 @@
 	for (size_t i = 0; i < msg->n_gaps; i++) {
 		gaps[i].name = str_from(msg->gaps[i]->name);
 		gaps[i].age = (int64_t)msg->gaps[i]->age_ms * US_PER_MS;
+		gaps[i].leaving_incarnation = msg->gaps[i]->leaving_incarnation;
 	}
 	part.keys = (handover_key_t *)keys->data;
 	handover_receive(h, from, &part, now);
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -2952,7 +2952,7 @@
   (ProtobufCMessageInit) papaya__handed_key__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__gap__field_descriptors[2] =
+static const ProtobufCFieldDescriptor papaya__gap__field_descriptors[3] =
 {
   {
     "name",
@@ -2978,15 +2978,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving_incarnation",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Gap, leaving_incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__gap__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  2,   /* field[2] = leaving_incarnation */
   0,   /* field[0] = name */
 };
 static const ProtobufCIntRange papaya__gap__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor papaya__gap__descriptor =
 {
@@ -2996,7 +3009,7 @@
   "Papaya__Gap",
   "papaya",
   sizeof(Papaya__Gap),
-  2,
+  3,
   papaya__gap__field_descriptors,
   papaya__gap__field_indices_by_name,
   1,  papaya__gap__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -440,10 +440,14 @@
   ProtobufCMessage base;
   char *name;
   uint32_t age_ms;
+  /*
+   * Of a daemon that leaves and has not handed over to the giver; else 0.
+   */
+  uint64_t leaving_incarnation;
 };
 #define PAPAYA__GAP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__gap__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
--- a/tests/lib_handover.h
+++ b/tests/lib_handover.h
@@ -33,6 +33,7 @@
 	OP_PASS, /* hand-over frames to ARG arrive again */
 	OP_DEAF, /* ARG hears no heartbeat of it */
 	OP_DONE, /* its drain must be done (ARG 1) or not (ARG 0) */
+	OP_READY, /* it must be ready for keys (ARG 1) or not (ARG 0) */
 } op_t;
 
 typedef struct step {
@@ -51,6 +52,7 @@
 	rights_t rights;
 	handover_t handover;
 	uint64_t incarnation;
+	int64_t started;
 	bool is_up, is_paused, drains;
 } daemon_sim_t;
 
--- a/tests/test_handover.c
+++ b/tests/test_handover.c
@@ -260,6 +260,57 @@
 }
 END_TEST
 
+START_TEST(ready_when_the_keys_have_come)
+{
+	static const handover_case_t cases[] = {
+		{ "alone", "ba", "0 start b 1, 1 ready b 0, 3 ready b 1", 4,
+		  'b', QUIETS, QUIETS },
+		{ "beside one", "ba",
+		  "0 start a 1, 100 claim a, 101 start b 1, 103 ready b 1", 104,
+		  'b', UNKNOWN, RUNS },
+		{ "not before the last has given", "bca",
+		  "0 start a 1, 0 start c 1, 99 lose c b, 100 claim c, "
+		  "101 start b 1, 105 ready b 0, 105 pass c b, 109 ready b 1",
+		  110, 'b', UNKNOWN, RUNS },
+		{ "at the limit, whoever has not", "ba",
+		  "0 start a 1, 99 lose a b, 100 claim a, 101 start b 1, "
+		  "105 ready b 0, 106 ready b 1",
+		  110, 'b', QUIETS, QUIETS },
+		{ "all start at once", "ba",
+		  "0 start a 1, 0 start b 1, 3 ready a 1, 3 ready b 1", 50, 'b',
+		  QUIETS, QUIETS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
+START_TEST(leaving_together)
+{
+	static const handover_case_t cases[] = {
+		/* They see each other leave only after the keys went out. */
+		{ "two at once", "bca",
+		  "0 start a 1, 0 start b 1, 0 start c 1, 100 claim b, "
+		  "101 drain b, 101 drain c",
+		  102, 'a', UNKNOWN, RUNS },
+		{ "one that the heir never heard", "bca",
+		  "0 start a 1, 0 start b 1, 0 start c 1, 0 deaf c a, "
+		  "100 claim b, 101 drain b, 101 drain c",
+		  102, 'a', UNKNOWN, QUIETS },
+		{ "one that dies before it gave", "bca",
+		  "0 start a 1, 0 start b 1, 0 start c 1, 100 claim b, "
+		  "100 lose c a, 101 drain b, 101 drain c, 103 kill c",
+		  110, 'a', UNKNOWN, QUIETS },
+		{ "with a link that was down", "bca",
+		  "0 start a 1, 0 start b 1, 0 start c 1, 100 claim b, "
+		  "100 lose b a, 101 drain b, 101 drain c, 102 pass b a",
+		  103, 'a', UNKNOWN, RUNS },
+	};
+
+	CHECK_CASES(cases);
+}
+END_TEST
+
 START_TEST(joining_needs_every_live_daemon)
 {
 	static const handover_case_t cases[] = {
@@ -444,5 +495,6 @@
 	   read_after_a_stall_counts_for_nothing,
 	   old_incarnation_counts_for_nothing, differing_views_are_not_accepted,
 	   gaps_go_along, joining_takes_over, joining_together_beside_an_elder,
+	   ready_when_the_keys_have_come, leaving_together,
 	   joining_needs_every_live_daemon, joining_waits_for_what_died,
 	   every_part_is_needed, full_table_accepts_nothing)
