runner list, dispatcher: runners that lapsed with the store come back

A daemon that was started meanwhile had its list from another one that was away too, counted itself steady 2.3 s later, and took the store's first, empty list as the truth. It declined every grant with "leaving"; the dispatcher kept that word until the runner's next start, so the service was refused for good by all daemons.

Change: a word from a daemon that is not steady leaves a daemon away until the store was read here or a steady one tells; an owner's "leaving" suspends the runner for a second, as an unreachable one, instead of for good.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -529,9 +529,11 @@
 static void note_result(struct dispatcher_state *s, runner_t *runner,
 			done_result_t result, int64_t now)
 {
-	if (result == DONE_LEAVING)
-		runner->is_leaving_by_report = true;
-	else if (result == DONE_UNREACHABLE)
+	/*
+	 * An owner may be the one that is wrong about a runner that leaves, so
+	 * its word holds for a while only.
+	 */
+	if (result == DONE_LEAVING || result == DONE_UNREACHABLE)
 		dispatcher_hold(s, runner, now);
 	else if (result == DONE_COMPLETED)
 		runner->losses *= loss_memory;
--- a/core/runner_list.c
+++ b/core/runner_list.c
@@ -92,15 +92,18 @@
 	if (l->is_away && !is_away)
 		l->back_at = now;
 	l->is_away = is_away;
+	l->was_read |= !is_away;
 }
 
-void runner_list_told(runner_list_t *l, bool is_steady, int64_t now)
+void runner_list_told(runner_list_t *l, bool is_steady)
 {
-	if (is_steady)
+	if (is_steady) {
 		l->back_at = 0;
-	else if (l->is_away)
-		l->back_at = now;
-	l->is_away = false;
+		l->is_away = false;
+		l->was_read = true;
+	} else if (!l->was_read) {
+		l->is_away = true;
+	}
 }
 
 bool runner_list_poll(runner_list_t *l, int64_t now)
--- a/core/runner_list.h
+++ b/core/runner_list.h
@@ -39,6 +39,7 @@
 	int64_t patience; /* how long a runner may take to return */
 	int64_t back_at; /* when the store came back; 0: it never was away */
 	bool is_away;
+	bool was_read; /* here, or by a teller for whom it was steady */
 	bool has_changed;
 } runner_list_t;
 
@@ -61,9 +62,10 @@
 bool runner_list_is_steady(const runner_list_t *l, int64_t now);
 /*
  * Another daemon told what it read. When the store was steady for it, only
- * this daemon's calls were rejected, and what is dropped is gone.
+ * this daemon's calls were rejected, and what is dropped is gone. While it
+ * was not, a daemon that is away, or never read the store, waits on.
  */
-void runner_list_told(runner_list_t *l, bool is_steady, int64_t now);
+void runner_list_told(runner_list_t *l, bool is_steady);
 /* Takes what changed since the last call; applies drops that are due. */
 bool runner_list_poll(runner_list_t *l, int64_t now);
 void runner_list_each(const runner_list_t *l,
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -231,8 +231,7 @@
 static void hear_news(follower_t *f, const message_news_t *news)
 {
 	if (f->topic == STORE_RUNNERS)
-		runner_list_told(&f->owner->runner_list, news->is_steady,
-				 now_us());
+		runner_list_told(&f->owner->runner_list, news->is_steady);
 	switch (topic_follow_hear(&f->state, news->from, news->next,
 				  now_us())) {
 	case TOPIC_NEWS_OLD:
