--- a/core/fleet.c
+++ b/core/fleet.c
@@ -136,17 +136,6 @@
 					 NULL;
 }
 
-const fleet_team_t *fleet_find_team(const fleet_t *f, const char *name)
-{
-	for (guint i = 0; i < f->teams->len; i++) {
-		const fleet_team_t *team = f->teams->pdata[i];
-
-		if (!strcmp(team->name, name))
-			return team;
-	}
-	return NULL;
-}
-
 const char *fleet_pick_service(const fleet_route_t *route, uint64_t spread)
 {
 	const fleet_share_t *shares = (fleet_share_t *)route->shares->data;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -98,8 +98,6 @@
 const fleet_service_t *fleet_find_service(const fleet_t *f, const char *name);
 /* The team that holds a key; NULL when nobody does. */
 const fleet_team_t *fleet_find_key(const fleet_t *f, str_t key);
-/* The team of that name; NULL when there is none. */
-const fleet_team_t *fleet_find_team(const fleet_t *f, const char *name);
 /* Picks one of the route's services by weight, the same for equal SPREAD. */
 const char *fleet_pick_service(const fleet_route_t *route, uint64_t spread);
 /* The rank of a request, 0 the most urgent: the team's, then the route's. */
--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "common/timeval.h"
+#include "daemon/supervisor.h"
 #include "net/http.h"
 #include "net/tcp.h"
 
@@ -45,11 +46,6 @@
 	g_free(u);
 }
 
-static int64_t now_us(void)
-{
-	return g_get_monotonic_time();
-}
-
 static void on_reap(evutil_socket_t fd, short what, void *arg);
 
 static void free_queue(void *data)
@@ -144,15 +140,6 @@
 	g_ptr_array_set_size(p->ended, 0);
 }
 
-void upstream_pool_forget(upstream_pool_t *p, const char *address)
-{
-	GQueue *queue = g_hash_table_lookup(p->idle, address);
-	upstream_t *u;
-
-	while (queue && (u = g_queue_peek_head(queue)))
-		retire(u);
-}
-
 static void end(upstream_t *u, upstream_end_t how)
 {
 	upstream_ops_t ops = u->ops;
--- a/daemon/upstream.h
+++ b/daemon/upstream.h
@@ -46,8 +46,6 @@
 void upstream_pool_init(upstream_pool_t *p, struct event_base *base);
 /* Closes all connections without callbacks. */
 void upstream_pool_finish(upstream_pool_t *p);
-/* Closes the idle connections to an address. */
-void upstream_pool_forget(upstream_pool_t *p, const char *address);
 
 /*
  * Sends REQUEST, whose bytes are taken, to IP:port. MAY_REUSE allows a
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -427,6 +427,29 @@
 }
 END_TEST
 
+/* Whoever connects late could not be served to the end. */
+START_TEST(a_drain_takes_new_connections_for_a_while_only)
+{
+	static const reply_t whole[] = { { OK, REPLY_KEEP } };
+	gateway_bed_t bed;
+	message_t drain = { .type = MESSAGE_DRAIN };
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = whole;
+	bed.runners[1].replies = whole;
+	supervisor_post(&bed.sup, TASK_FRONT, &drain);
+	gateway_run(&bed, 2000);
+	gateway_send(&bed, 0, ASK("/safe/", "a"));
+	gateway_await(&bed, 0, "200 OK");
+	gateway_run(&bed, 1000);
+	gateway_send(&bed, 1, ASK("/safe/", "b"));
+	gateway_await_close(&bed, 1);
+	ck_assert_uint_eq(bed.callers[1].received->len, 0);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
 SUITE_MAIN("gateway", every_loss_at_a_runner,
 	   a_refusal_is_given_only_where_nothing_ran,
 	   a_stream_goes_on_after_the_last_event_passed_on,
@@ -437,4 +460,5 @@
 	   before_a_configuration_nothing_is_denied,
 	   a_dispatchers_refusal_and_a_limit_say_when_to_come_back,
 	   a_caller_that_leaves_cancels_its_work, a_routes_time_ends_a_request,
-	   a_drain_finishes_what_runs_and_closes_the_rest)
+	   a_drain_finishes_what_runs_and_closes_the_rest,
+	   a_drain_takes_new_connections_for_a_while_only)
