--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 #   make check      installs what is missing, runs the unit tests
 #   make spec       model-checks the protocols and their mutants
 #   make faults     failure tests on real processes
+#   make soak       random faults on real processes, a short seeded run
 #   make measure    load measurements on real processes
 #   make bench      cost of single decisions
 #   make slopes     cost of a daemon against the size around it
@@ -119,6 +120,11 @@
 faults: all $(TOOLS) $(SHIM)
 	@$(B)/tests/faults $(FAULTS_ARGS)
 
+# By hand: make soak SOAK_ARGS='--seed 1 --seeds 50 --seconds 20'.
+soak: all $(TOOLS)
+	@$(B)/tests/soak --known-red KNOWN-RED.txt \
+		$(if $(SOAK_ARGS),$(SOAK_ARGS),--list tests/soak-seeds)
+
 measure: all $(TOOLS)
 	@tests/measure.sh $(B) $(MEASURE_ARGS)
 
@@ -154,5 +160,5 @@
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
 .SECONDARY:
-.PHONY: all setup demo check run-check generated-check spec faults measure slopes bench format \
-	format-check tidy lint clean proto
+.PHONY: all setup demo check run-check generated-check spec faults soak \
+	measure slopes bench format format-check tidy lint clean proto
--- a/standin/lib_server.c
+++ b/standin/lib_server.c
@@ -123,6 +123,23 @@
 	return def;
 }
 
+bool exchange_query_text(const exchange_t *x, const char *name, char *out,
+			 size_t size)
+{
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(x->req);
+	const char *query = uri ? evhttp_uri_get_query(uri) : NULL;
+	struct evkeyvalq params = { 0 };
+	const char *value;
+	bool ok;
+
+	if (!query || evhttp_parse_query_str(query, &params))
+		return false;
+	value = evhttp_find_header(&params, name);
+	ok = value && str_copy(out, size, str_from(value));
+	evhttp_clear_headers(&params);
+	return ok;
+}
+
 bool exchange_is(const exchange_t *x, enum evhttp_cmd_type method,
 		 const char *path)
 {
@@ -159,7 +176,7 @@
 	return evhttp_request_get_connection(x->req);
 }
 
-static void set_header(exchange_t *x, const char *name, const char *value)
+void exchange_set_header(exchange_t *x, const char *name, const char *value)
 {
 	evhttp_add_header(evhttp_request_get_output_headers(x->req), name,
 			  value);
@@ -168,7 +185,7 @@
 /* Hands the whole answer to evhttp. */
 static void send_reply(exchange_t *x)
 {
-	set_header(x, "Content-Type", "application/json");
+	exchange_set_header(x, "Content-Type", "application/json");
 	evhttp_connection_set_closecb(conn_of(x), NULL, NULL);
 	evhttp_send_reply(x->req, x->status, NULL, x->held);
 	exchange_free(x);
@@ -176,7 +193,7 @@
 
 static void start_stream(exchange_t *x)
 {
-	set_header(x, "Content-Type", "text/event-stream");
+	exchange_set_header(x, "Content-Type", "text/event-stream");
 	evhttp_send_reply_start(x->req, HTTP_OK, NULL);
 	x->is_started = true;
 	if (evbuffer_get_length(x->held))
@@ -269,13 +286,18 @@
 	}
 }
 
-void exchange_reply_text(exchange_t *x, int status, const char *text)
+void exchange_reply_bytes(exchange_t *x, int status, str_t body)
 {
 	x->status = status;
-	evbuffer_add(x->held, text, strlen(text));
+	evbuffer_add(x->held, body.ptr, body.len);
 	finish_reply(x);
 }
 
+void exchange_reply_text(exchange_t *x, int status, const char *text)
+{
+	exchange_reply_bytes(x, status, str_from(text));
+}
+
 void exchange_reply(exchange_t *x, int status, json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
--- a/standin/lib_server.h
+++ b/standin/lib_server.h
@@ -95,13 +95,20 @@
 /* Returns NULL when there is none. */
 const char *exchange_header(const exchange_t *x, const char *name);
 int64_t exchange_query(const exchange_t *x, const char *name, int64_t def);
+/* Copies a value of the query; false when there is none, or it is longer. */
+bool exchange_query_text(const exchange_t *x, const char *name, char *out,
+			 size_t size);
 /* True for this method and this path. */
 bool exchange_is(const exchange_t *x, enum evhttp_cmd_type method,
 		 const char *path);
 
+/* Adds a header to the answer, before it starts. */
+void exchange_set_header(exchange_t *x, const char *name, const char *value);
+
 /* Each of these ends the exchange; X is gone afterwards. */
 void exchange_reply(exchange_t *x, int status, json_t *body); /* steals it */
 void exchange_reply_text(exchange_t *x, int status, const char *text);
+void exchange_reply_bytes(exchange_t *x, int status, str_t body);
 void exchange_end(exchange_t *x);
 /* Closes the connection at once. */
 void exchange_cut(exchange_t *x);
--- /dev/null
+++ b/standin/lib_topic.h
@@ -0,0 +1,38 @@
+/*
+ * One topic of the users' store, in memory: records in order, and in keyed
+ * topics the newest record of each key. Bodies have the store's own format.
+ */
+#ifndef STANDIN_LIB_TOPIC_H
+#define STANDIN_LIB_TOPIC_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/str.h"
+
+typedef struct topic {
+	GQueue records; /* topic_record_t, oldest first */
+	GHashTable *newest; /* key -> topic_record_t; keyed topics */
+	uint64_t next; /* offset */
+	bool is_keyed;
+} topic_t;
+
+void topic_init(topic_t *t, bool is_keyed);
+void topic_finish(topic_t *t);
+/* Appends length-prefixed records, all or none; false when malformed. */
+bool topic_append(topic_t *t, str_t body, int64_t now_ms);
+/* Appends one keyed record; an empty VALUE drops the key. */
+void topic_put(topic_t *t, str_t key, str_t value, int64_t now_ms);
+/* Drops the keys that were not written since SINCE_MS. */
+void topic_drop_stale(topic_t *t, int64_t since_ms, int64_t now_ms);
+/* Deletes records older than SINCE_MS; newest records of keys stay listed. */
+void topic_expire(topic_t *t, int64_t since_ms);
+uint64_t topic_first(const topic_t *t);
+/* The answer to a read from FROM on; FROM is not before topic_first. */
+GByteArray *topic_read(const topic_t *t, uint64_t from, size_t max_bytes);
+/* The answer to a list of the newest records; a new reference. */
+json_t *topic_list(const topic_t *t, const char *after);
+
+#endif
--- a/standin/relay.c
+++ b/standin/relay.c
@@ -6,6 +6,9 @@
  *   "blackhole": true   every connection, old and new, goes quiet
  *   "silence": true     open connections go quiet for good, new ones work;
  *                       acts once
+ *   "mute_to": true     what callers send is kept back while it is on
+ *   "mute_from": true   what the targets send is
+ *   "reset": true       resets every open connection; acts once
  *   "delay_ms": N       each piece travels this much later
  * Turning "blackhole" off closes what was quiet.
  */
@@ -82,6 +85,15 @@
 		link_free(end->owner);
 }
 
+/* True while a switch keeps this direction back. */
+static bool is_muted(const pipe_end_t *end)
+{
+	const server_t *s = &end->owner->relay->control;
+
+	return server_fault_on(s, end == &end->owner->ends[0] ? "mute_to" :
+								"mute_from");
+}
+
 static void pass_later(pipe_end_t *end)
 {
 	double ms =
@@ -89,7 +101,7 @@
 	struct timeval tv = { (time_t)(ms / 1000),
 			      (suseconds_t)((int64_t)(ms * 1000) % 1000000) };
 
-	if (end->owner->is_silent)
+	if (end->owner->is_silent || is_muted(end))
 		return;
 	if (ms <= 0)
 		pass(end);
@@ -227,6 +239,39 @@
 	}
 }
 
+static void reset_links(relay_t *r)
+{
+	const struct linger at_once = { .l_onoff = 1, .l_linger = 0 };
+
+	for (GList *l = r->links.head; l; l = l->next)
+		for (int i = 0; i < 2; i++) {
+			tcp_link_t *link = l->data;
+
+			setsockopt(bufferevent_getfd(link->ends[i].in),
+				   SOL_SOCKET, SO_LINGER, &at_once,
+				   sizeof(at_once));
+		}
+	close_links(r, true);
+}
+
+static bool has_kept(const pipe_end_t *end)
+{
+	return end->is_eof ||
+	       evbuffer_get_length(bufferevent_get_input(end->in));
+}
+
+/* Passes on what was kept back in directions that are not muted any more. */
+static void pass_kept(relay_t *r, int direction)
+{
+	for (GList *l = r->links.head, *next; l; l = next) {
+		tcp_link_t *link = l->data;
+
+		next = l->next;
+		if (has_kept(&link->ends[direction]))
+			pass_later(&link->ends[direction]);
+	}
+}
+
 static void on_faults(void *ctx)
 {
 	relay_t *r = ctx;
@@ -245,6 +290,11 @@
 		close_links(r, false);
 	if (!server_fault_on(s, "blackhole"))
 		json_object_del(s->faults, "blackhole");
+	if (server_fault_on(s, "reset"))
+		reset_links(r);
+	json_object_del(s->faults, "reset");
+	pass_kept(r, 0);
+	pass_kept(r, 1);
 }
 
 static void on_http(void *ctx, exchange_t *x)
--- /dev/null
+++ b/standin/runner.c
@@ -0,0 +1,385 @@
+/*
+ * Stand-in for a runner of the users' platform: it keeps its entry in the
+ * store, runs so many requests at once, and records each run. A plain runner
+ * answers once; with --events it streams them, one every --event-ms.
+ * Besides the common switches (lib_server.h) it knows:
+ *   "close_after_run": N  that many runs close without an answer
+ *   "fail_after_run": N   that many runs answer 500
+ *   "unhealthy": true     the health check says so, nothing else changes
+ *   "mute_store": true    its entry is not renewed
+ *   "leaving": true       its entry says so, and it exits --drain-ms later
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "platform/names.h"
+#include "net/http.h"
+#include "standin/lib_args.h"
+#include "standin/lib_server.h"
+
+enum {
+	ID_SIZE = 128, /* bytes of an attempt's id */
+	MAX_WAITING = 40, /* requests */
+	STATUS_OTHER_RUNNER = 421,
+	PATH_SIZE = 256,
+	CALL_MS = 1000, /* of a call to the store */
+};
+
+typedef struct run {
+	GList link;
+	struct runner *runner;
+	exchange_t *x; /* NULL once the caller left */
+	struct event *timer;
+	char attempt[ID_SIZE];
+	char team[ID_SIZE]; /* that the caller belongs to; empty: none */
+	int next_event; /* counted from 1 */
+} run_t;
+
+typedef struct runner {
+	server_t server;
+	const char *store, *service, *zone, *id, *advertise;
+	GQueue waiting, running;
+	const char *runs_path; /* NULL: runs are not written down */
+	FILE *runs; /* a line "ATTEMPT TEAM" each, which outlives a kill */
+	uint64_t n_runs;
+	http_call_t call; /* to the store */
+	struct event *heartbeat;
+	int64_t born_ms; /* wall clock */
+	int64_t leave_at_ms; /* 0: does not leave */
+	int64_t sequence;
+	double slots, work_ms, events, event_ms, heartbeat_ms, drain_ms;
+} runner_t;
+
+static void start_runs(runner_t *r);
+static void continue_run(run_t *run);
+
+static void set_timer(struct event *timer, double ms)
+{
+	const struct timeval tv = { (time_t)(ms / 1000),
+				    (suseconds_t)((int64_t)(ms * 1000) %
+						  1000000) };
+
+	evtimer_add(timer, &tv);
+}
+
+/* Takes one from a counting switch. */
+static bool take_fault(runner_t *r, const char *name)
+{
+	double n = server_fault_number(&r->server, name, 0);
+
+	if (n < 1)
+		return false;
+	json_object_set_new(r->server.faults, name, json_real(n - 1));
+	return true;
+}
+
+static void run_free(run_t *run)
+{
+	if (run->x)
+		run->x->user = NULL;
+	if (run->timer)
+		event_free(run->timer);
+	g_free(run);
+}
+
+static void end_run(run_t *run)
+{
+	runner_t *r = run->runner;
+
+	g_queue_unlink(&r->running, &run->link);
+	run_free(run);
+	start_runs(r);
+}
+
+static void answer_plain(run_t *run)
+{
+	runner_t *r = run->runner;
+	exchange_t *x = run->x;
+
+	run->x = NULL;
+	if (!x)
+		return;
+	if (take_fault(r, "close_after_run"))
+		exchange_cut(x);
+	else if (take_fault(r, "fail_after_run"))
+		exchange_reply_text(x, HTTP_INTERNAL, "{}");
+	else
+		exchange_reply(x, HTTP_OK,
+			       json_pack("{s:s,s:s}", "attempt", run->attempt,
+					 "runner", r->id));
+}
+
+/* Sends one event; false when the stream is over. */
+static bool send_event(run_t *run)
+{
+	runner_t *r = run->runner;
+	g_autofree char *text =
+		g_strdup_printf("id: %d\ndata: %s %d\n\n", run->next_event,
+				run->attempt, run->next_event);
+	exchange_t *x = run->x;
+
+	if (!x || !exchange_chunk(x, str_from(text))) {
+		run->x = NULL;
+		return false;
+	}
+	if (run->next_event++ < (int)r->events)
+		return true;
+	run->x = NULL;
+	exchange_end(x);
+	return false;
+}
+
+static void on_run_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	run_t *run = ctx;
+	runner_t *r = run->runner;
+
+	if (!r->events) {
+		answer_plain(run);
+		end_run(run);
+		return;
+	}
+	if (run->x && take_fault(r, "close_after_run")) {
+		exchange_cut(run->x);
+		run->x = NULL;
+	}
+	if (send_event(run))
+		continue_run(run);
+	else
+		end_run(run);
+}
+
+static void continue_run(run_t *run)
+{
+	set_timer(run->timer, run->runner->event_ms);
+}
+
+static void start_run(runner_t *r, run_t *run)
+{
+	g_queue_push_tail_link(&r->running, &run->link);
+	r->n_runs++;
+	if (r->runs) {
+		fprintf(r->runs, "%s %s\n", run->attempt, run->team);
+		fflush(r->runs);
+	}
+	if (r->events)
+		exchange_stream(run->x);
+	run->timer = evtimer_new(r->server.base, on_run_timer, run);
+	set_timer(run->timer, r->work_ms);
+}
+
+static void start_runs(runner_t *r)
+{
+	while (r->waiting.length && r->running.length < r->slots) {
+		run_t *run = g_queue_peek_head(&r->waiting);
+
+		g_queue_unlink(&r->waiting, &run->link);
+		start_run(r, run);
+	}
+}
+
+static void refuse(exchange_t *x, int status)
+{
+	exchange_set_header(x, NAME_NOT_RUN, "1");
+	exchange_reply_text(x, status, "{}");
+}
+
+static void take_request(runner_t *r, exchange_t *x, const char *attempt)
+{
+	const char *last = exchange_header(x, NAME_LAST_EVENT);
+	const char *team = exchange_header(x, NAME_TEAM);
+	run_t *run = g_new0(run_t, 1);
+
+	run->runner = r;
+	run->x = x;
+	run->link.data = run;
+	run->next_event = 1 + (last ? atoi(last) : 0);
+	g_strlcpy(run->attempt, attempt, sizeof(run->attempt));
+	x->user = run;
+	g_strlcpy(run->team, team ? team : "", sizeof(run->team));
+	exchange_set_header(x, NAME_ATTEMPT, attempt);
+	exchange_set_header(x, NAME_SEAL, r->id);
+	g_queue_push_tail_link(&r->waiting, &run->link);
+	start_runs(r);
+}
+
+static void on_http(void *ctx, exchange_t *x)
+{
+	runner_t *r = ctx;
+	const char *attempt = exchange_header(x, NAME_ATTEMPT);
+	const char *expected = exchange_header(x, NAME_EXPECT_RUNNER);
+	g_autofree char *load =
+		g_strdup_printf("%u,%u,%d", r->running.length,
+				r->waiting.length, (int)r->slots);
+
+	exchange_set_header(x, NAME_RUNNER, r->id);
+	exchange_set_header(x, NAME_LOAD, load);
+	if (exchange_is(x, EVHTTP_REQ_GET, "/health"))
+		exchange_reply_text(
+			x,
+			r->leave_at_ms || server_fault_on(&r->server,
+							  "unhealthy") ?
+				HTTP_SERVUNAVAIL :
+				HTTP_OK,
+			"{}");
+	else if (expected && strcmp(expected, r->id))
+		refuse(x, STATUS_OTHER_RUNNER);
+	else if (!attempt || strlen(attempt) >= ID_SIZE)
+		refuse(x, HTTP_BADREQUEST);
+	else if (r->waiting.length >= MAX_WAITING)
+		refuse(x, HTTP_SERVUNAVAIL);
+	else
+		take_request(r, x, attempt);
+}
+
+/* A run goes on when its caller leaves, unless it streams. */
+static void on_closed(void *ctx, exchange_t *x)
+{
+	run_t *run = x->user;
+
+	if (run)
+		run->x = NULL;
+}
+
+static json_t *on_oracle(void *ctx)
+{
+	const runner_t *r = ctx;
+
+	return json_pack("{s:s,s:I,s:I}", "id", r->id, "runs",
+			 (json_int_t)r->n_runs, "running",
+			 (json_int_t)r->running.length);
+}
+
+static void on_stored(void *ctx, int status, const err_t *err)
+{
+	runner_t *r = ctx;
+
+	http_call_finish(&r->call);
+	/* It leaves when the store has accepted that it says so. */
+	if (status == HTTP_OK && !r->leave_at_ms &&
+	    server_fault_on(&r->server, "leaving"))
+		r->leave_at_ms = clock_wall_ms() + (int64_t)r->drain_ms;
+}
+
+/* Writes its entry anew; one that is still on its way is given up. */
+static void renew_entry(runner_t *r)
+{
+	static const http_call_ops_t ops = { NULL, NULL, NULL, on_stored };
+	bool is_leaving = server_fault_on(&r->server, "leaving");
+	json_t *entry =
+		json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I}", "service",
+			  r->service, "address", r->advertise, "zone", r->zone,
+			  "version", "1", "slots", (int)r->slots, "state",
+			  is_leaving ? "draining" : "ready", "warmup_left_ms",
+			  0, "sequence", (json_int_t)r->sequence++, "born",
+			  (json_int_t)r->born_ms);
+	char *text = json_dumps(entry, JSON_COMPACT);
+	char path[PATH_SIZE];
+	http_request_t request = {
+		.address = r->store,
+		.method = EVHTTP_REQ_POST,
+		.path = path,
+		.body = str_from(text),
+		.connect_timeout_ms = CALL_MS,
+		.idle_timeout_ms = CALL_MS,
+	};
+
+	g_snprintf(path, sizeof(path), "/standin/put?topic=%s&key=%s",
+		   TOPIC_RUNNERS, r->id);
+	http_call_finish(&r->call);
+	if (!http_call_start(&r->call, r->server.base, &request, &ops, r, NULL))
+		fprintf(stderr, "runner: the store can't be called\n");
+	json_decref(entry);
+	free(text);
+}
+
+static void on_heartbeat(evutil_socket_t fd, short what, void *ctx)
+{
+	runner_t *r = ctx;
+
+	if (r->leave_at_ms && clock_wall_ms() >= r->leave_at_ms) {
+		event_base_loopbreak(r->server.base);
+		return;
+	}
+	if (!server_fault_on(&r->server, "mute_store"))
+		renew_entry(r);
+	set_timer(r->heartbeat, r->heartbeat_ms);
+}
+
+static void free_runs(GQueue *queue)
+{
+	run_t *run;
+
+	while ((run = g_queue_peek_head(queue))) {
+		g_queue_unlink(queue, &run->link);
+		run_free(run);
+	}
+}
+
+static void runner_run(runner_t *r)
+{
+	r->born_ms = clock_wall_ms();
+	r->heartbeat = evtimer_new(r->server.base, on_heartbeat, r);
+	set_timer(r->heartbeat, 0);
+	server_run(&r->server);
+	http_call_finish(&r->call);
+	event_free(r->heartbeat);
+	free_runs(&r->waiting);
+	free_runs(&r->running);
+	server_finish(&r->server);
+	if (r->runs)
+		fclose(r->runs);
+}
+
+int main(int argc, char **argv)
+{
+	runner_t r = { .slots = 8,
+		       .work_ms = 15,
+		       .event_ms = 20,
+		       .heartbeat_ms = 1200,
+		       .drain_ms = 3000,
+		       .service = "desk",
+		       .zone = "z1",
+		       .id = "runner-1" };
+	const char *listen = "127.0.0.1:0";
+	err_t err;
+	const arg_row_t rows[] = {
+		{ "listen", ARG_TEXT, &listen, "IP:port, port 0 for any" },
+		{ "store", ARG_TEXT, &r.store, "IP:port of the store" },
+		{ "advertise", ARG_TEXT, &r.advertise,
+		  "IP:port that its entry gives" },
+		{ "service", ARG_TEXT, &r.service, "that it belongs to" },
+		{ "zone", ARG_TEXT, &r.zone, "where it is" },
+		{ "id", ARG_TEXT, &r.id, "its name" },
+		{ "slots", ARG_NUMBER, &r.slots, "runs at once" },
+		{ "work-ms", ARG_NUMBER, &r.work_ms,
+		  "of a run, or until the first event" },
+		{ "events", ARG_NUMBER, &r.events, "of a stream; 0: plain" },
+		{ "event-ms", ARG_NUMBER, &r.event_ms, "between two events" },
+		{ "heartbeat-ms", ARG_NUMBER, &r.heartbeat_ms,
+		  "between two writes of its entry" },
+		{ "runs", ARG_TEXT, &r.runs_path,
+		  "file that each run is appended to" },
+		{ "drain-ms", ARG_NUMBER, &r.drain_ms,
+		  "that it serves on once it leaves" },
+	};
+	const server_ops_t ops = { on_http, on_closed, on_oracle, NULL, NULL };
+
+	args_read(argc, argv, rows, G_N_ELEMENTS(rows));
+	if (!r.store || !r.advertise) {
+		fprintf(stderr, "runner: --store and --advertise are needed\n");
+		return EXIT_FAILURE;
+	}
+	if (r.runs_path && !(r.runs = fopen(r.runs_path, "a"))) {
+		perror(r.runs_path);
+		return EXIT_FAILURE;
+	}
+	g_queue_init(&r.waiting);
+	g_queue_init(&r.running);
+	if (!server_init(&r.server, listen, &ops, &r, &err)) {
+		fprintf(stderr, "runner: %s: %s\n", err.step, err.detail);
+		return EXIT_FAILURE;
+	}
+	runner_run(&r);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/standin/store.c
@@ -0,0 +1,296 @@
+/*
+ * Stand-in for the store of the users' platform: logs and keyed topics, as
+ * platform/store.h calls them. Operators and runners write through calls
+ * below /standin/, which the common switches (lib_server.h) leave alone:
+ *   POST /standin/put?topic=T&key=K    the body is the value; empty: drops K
+ * It also knows the switches
+ *   "outage": true      calls are answered 503, and runners' entries too
+ *   "lose_answers": N   that many appends take effect and then close
+ *                       without an answer
+ *   "forget": true      deletes all history; acts once
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "platform/names.h"
+#include "standin/lib_args.h"
+#include "standin/lib_server.h"
+#include "standin/lib_topic.h"
+
+enum {
+	NAME_SIZE = 256, /* bytes of a topic or key */
+	MAX_WAIT_MS = 30000, /* of a read */
+	MAX_KIB = 1024, /* of a read */
+	TICK_MS = 100,
+	STATUS_FORBIDDEN = 403,
+	STATUS_GONE = 410,
+};
+
+/* A read that waits for a record. */
+typedef struct waiter {
+	GList link;
+	struct store *store;
+	exchange_t *x;
+	topic_t *topic;
+	uint64_t from;
+	int64_t max_kib;
+	int64_t until_ms;
+} waiter_t;
+
+typedef struct store {
+	server_t server;
+	GHashTable *topics; /* name -> topic_t */
+	GQueue waiters;
+	struct event *timer;
+	double keep_ms; /* history */
+	double entry_ms; /* runners' entries */
+	uint64_t n_calls, n_lost;
+} store_t;
+
+static void free_topic(void *data)
+{
+	topic_finish(data);
+	g_free(data);
+}
+
+static topic_t *find_topic(store_t *s, const char *name)
+{
+	topic_t *t = g_hash_table_lookup(s->topics, name);
+
+	if (!t) {
+		t = g_new0(topic_t, 1);
+		topic_init(t, g_str_has_prefix(name, "keyed."));
+		g_hash_table_insert(s->topics, g_strdup(name), t);
+	}
+	return t;
+}
+
+static topic_t *topic_asked(store_t *s, const exchange_t *x, char *name)
+{
+	if (!exchange_query_text(x, "topic", name, NAME_SIZE))
+		return NULL;
+	return find_topic(s, name);
+}
+
+static void reply_read(exchange_t *x, const topic_t *t, uint64_t from,
+		       int64_t max_kib)
+{
+	g_autoptr(GByteArray) out = topic_read(t, from, (size_t)max_kib * 1024);
+
+	exchange_reply_bytes(x, HTTP_OK,
+			     (str_t){ (const char *)out->data, out->len });
+}
+
+static void free_waiter(waiter_t *w)
+{
+	g_queue_unlink(&w->store->waiters, &w->link);
+	g_free(w);
+}
+
+/* Answers the reads whose record came, or whose time is over. */
+static void wake(store_t *s)
+{
+	int64_t now = clock_wall_ms();
+	GList *next;
+
+	for (GList *l = s->waiters.head; l; l = next) {
+		waiter_t *w = l->data;
+		bool is_due = w->topic->next > w->from || now >= w->until_ms;
+
+		next = l->next;
+		if (!is_due || server_fault_on(&s->server, "hang"))
+			continue;
+		reply_read(w->x, w->topic, w->from, w->max_kib);
+		free_waiter(w);
+	}
+}
+
+static void handle_read(store_t *s, exchange_t *x, topic_t *t)
+{
+	uint64_t from = (uint64_t)exchange_query(x, "source", 0);
+	int64_t max_kib =
+		CLAMP(exchange_query(x, "max_kb", MAX_KIB), 1, MAX_KIB);
+	int64_t wait_ms =
+		CLAMP(exchange_query(x, "wait_ms", 0), 0, MAX_WAIT_MS);
+	waiter_t *w;
+
+	if (from < topic_first(t)) {
+		exchange_reply(x, STATUS_GONE,
+			       json_pack("{s:I}", "first_offset",
+					 (json_int_t)topic_first(t)));
+		return;
+	}
+	if (from < t->next || !wait_ms) {
+		reply_read(x, t, MIN(from, t->next), max_kib);
+		return;
+	}
+	w = g_new0(waiter_t, 1);
+	w->store = s;
+	w->x = x;
+	w->topic = t;
+	w->from = from;
+	w->max_kib = max_kib;
+	w->until_ms = clock_wall_ms() + wait_ms;
+	w->link.data = w;
+	x->user = w;
+	g_queue_push_tail_link(&s->waiters, &w->link);
+}
+
+static void handle_append(store_t *s, exchange_t *x, topic_t *t)
+{
+	double lose = server_fault_number(&s->server, "lose_answers", 0);
+	uint64_t first = t->next;
+
+	if (!topic_append(t, exchange_body(x), clock_wall_ms())) {
+		exchange_reply_text(x, HTTP_BADREQUEST, "{}");
+		return;
+	}
+	if (lose >= 1) {
+		json_object_set_new(s->server.faults, "lose_answers",
+				    json_real(lose - 1));
+		s->n_lost++;
+		exchange_cut(x);
+	} else {
+		exchange_reply(x, HTTP_OK,
+			       json_pack("{s:I,s:I}", "offset",
+					 (json_int_t)first, "end_offset",
+					 (json_int_t)t->next));
+	}
+	wake(s);
+}
+
+static void handle_list(exchange_t *x, const topic_t *t)
+{
+	char after[NAME_SIZE];
+	bool has_after = exchange_query_text(x, "after", after, sizeof(after));
+
+	exchange_reply(x, HTTP_OK, topic_list(t, has_after ? after : NULL));
+}
+
+static void on_http(void *ctx, exchange_t *x)
+{
+	store_t *s = ctx;
+	char name[NAME_SIZE];
+	topic_t *t = topic_asked(s, x, name);
+
+	s->n_calls++;
+	if (server_fault_on(&s->server, "outage"))
+		exchange_reply_text(x, HTTP_SERVUNAVAIL, "{}");
+	else if (!t)
+		exchange_reply_text(x, HTTP_BADREQUEST, "{}");
+	else if (exchange_is(x, EVHTTP_REQ_GET, "/log-read"))
+		handle_read(s, x, t);
+	else if (exchange_is(x, EVHTTP_REQ_GET, "/log-newest"))
+		handle_list(x, t);
+	else if (!exchange_is(x, EVHTTP_REQ_POST, "/log-append"))
+		exchange_reply_text(x, HTTP_NOTFOUND, "{}");
+	else if (!strcmp(name, TOPIC_OPERATOR) || !strcmp(name, TOPIC_RUNNERS))
+		exchange_reply_text(x, STATUS_FORBIDDEN, "{}");
+	else
+		handle_append(s, x, t);
+}
+
+static bool on_control(void *ctx, exchange_t *x)
+{
+	store_t *s = ctx;
+	char name[NAME_SIZE], key[NAME_SIZE];
+	topic_t *t = topic_asked(s, x, name);
+
+	if (!exchange_is(x, EVHTTP_REQ_POST, "/standin/put") || !t ||
+	    !exchange_query_text(x, "key", key, sizeof(key)))
+		return false;
+	/* Runners can't reach a store that is down; operators always can. */
+	if (!strcmp(name, TOPIC_RUNNERS) &&
+	    server_fault_on(&s->server, "outage")) {
+		exchange_reply_text(x, HTTP_SERVUNAVAIL, "{}");
+		return true;
+	}
+	topic_put(t, str_from(key), exchange_body(x), clock_wall_ms());
+	exchange_reply_text(x, HTTP_OK, "{}");
+	wake(s);
+	return true;
+}
+
+static void on_faults(void *ctx)
+{
+	store_t *s = ctx;
+	GHashTableIter iter;
+	void *topic;
+
+	if (!server_fault_on(&s->server, "forget"))
+		return;
+	g_hash_table_iter_init(&iter, s->topics);
+	while (g_hash_table_iter_next(&iter, NULL, &topic))
+		topic_expire(topic, G_MAXINT64);
+	json_object_del(s->server.faults, "forget");
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *ctx)
+{
+	store_t *s = ctx;
+	int64_t now = clock_wall_ms();
+	GHashTableIter iter;
+	void *topic;
+
+	topic_drop_stale(find_topic(s, TOPIC_RUNNERS),
+			 now - (int64_t)s->entry_ms, now);
+	g_hash_table_iter_init(&iter, s->topics);
+	while (g_hash_table_iter_next(&iter, NULL, &topic))
+		topic_expire(topic, now - (int64_t)s->keep_ms);
+	wake(s);
+}
+
+static void on_closed(void *ctx, exchange_t *x)
+{
+	if (x->user)
+		free_waiter(x->user);
+}
+
+static json_t *on_oracle(void *ctx)
+{
+	store_t *s = ctx;
+
+	return json_pack("{s:I,s:I}", "calls", (json_int_t)s->n_calls,
+			 "lost_answers", (json_int_t)s->n_lost);
+}
+
+static void store_run(store_t *s)
+{
+	const struct timeval tv = { 0, TICK_MS * 1000 };
+
+	s->topics = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					  free_topic);
+	s->timer = event_new(s->server.base, -1, EV_PERSIST, on_tick, s);
+	evtimer_add(s->timer, &tv);
+	server_run(&s->server);
+	event_free(s->timer);
+	while (s->waiters.head)
+		free_waiter(s->waiters.head->data);
+	server_finish(&s->server);
+	g_hash_table_destroy(s->topics);
+}
+
+int main(int argc, char **argv)
+{
+	store_t s = { .keep_ms = 300000, .entry_ms = 3600 };
+	const char *listen = "127.0.0.1:0";
+	err_t err;
+	const arg_row_t rows[] = {
+		{ "listen", ARG_TEXT, &listen, "IP:port, port 0 for any" },
+		{ "keep-ms", ARG_NUMBER, &s.keep_ms,
+		  "how long records are read" },
+		{ "entry-ms", ARG_NUMBER, &s.entry_ms,
+		  "until a runner's silent entry lapses" },
+	};
+	const server_ops_t ops = { on_http, on_closed, on_oracle, on_faults,
+				   on_control };
+
+	args_read(argc, argv, rows, G_N_ELEMENTS(rows));
+	g_queue_init(&s.waiters);
+	if (!server_init(&s.server, listen, &ops, &s, &err)) {
+		fprintf(stderr, "store: %s: %s\n", err.step, err.detail);
+		return EXIT_FAILURE;
+	}
+	store_run(&s);
+	return EXIT_SUCCESS;
+}
--- a/tests/lib_cluster.c
+++ b/tests/lib_cluster.c
@@ -51,8 +51,7 @@
 	return g_file_set_contents(path, text, -1, NULL);
 }
 
-/* Claims a second byte that no other run uses now. */
-static bool claim_net(cluster_t *c)
+int cluster_claim_net(int *lock)
 {
 	int span = LAST_NET - FIRST_NET;
 	int start = (int)(getpid() % span);
@@ -60,19 +59,19 @@
 	for (int i = 0; i < span; i++) {
 		struct sockaddr_in addr = { .sin_family = AF_INET,
 					    .sin_port = htons(LOCK_PORT) };
+		int net = FIRST_NET + (start + i) % span;
 		char ip[CLUSTER_TEXT];
 
-		c->net = FIRST_NET + (start + i) % span;
-		snprintf(ip, sizeof(ip), "127.%d.0.9", c->net);
+		snprintf(ip, sizeof(ip), "127.%d.0.9", net);
 		inet_pton(AF_INET, ip, &addr.sin_addr);
-		c->lock = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		if (c->lock >= 0 &&
-		    !bind(c->lock, (struct sockaddr *)&addr, sizeof(addr)))
-			return true;
-		close(c->lock);
+		*lock = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		if (*lock >= 0 &&
+		    !bind(*lock, (struct sockaddr *)&addr, sizeof(addr)))
+			return net;
+		close(*lock);
 	}
 	fprintf(stderr, "cluster: no free addresses\n");
-	return false;
+	return 0;
 }
 
 static void set_address(const cluster_t *c, char out[CLUSTER_TEXT], int zone,
@@ -188,7 +187,8 @@
 	memset(c, 0, sizeof(*c));
 	c->dir = g_strdup(dir);
 	c->seed = seed;
-	if (!claim_net(c))
+	c->net = cluster_claim_net(&c->lock);
+	if (!c->net)
 		return false;
 	for (int z = 0; z < CLUSTER_ZONES; z++)
 		name_nodes(c, z);
--- a/tests/lib_cluster.h
+++ b/tests/lib_cluster.h
@@ -59,6 +59,11 @@
 	char *runner_args[CLUSTER_RUNNERS]; /* by a space; or NULL */
 } cluster_t;
 
+/*
+ * Claims a second byte of loopback addresses that no other run uses now; LOCK
+ * is the socket that keeps it. Returns 0 when there is none.
+ */
+int cluster_claim_net(int *lock);
 /*
  * Sets the addresses up and writes the files into DIR. Returns false with
  * the reason on standard error.
--- /dev/null
+++ b/tests/lib_soak_check.c
@@ -0,0 +1,278 @@
+#include "tests/lib_soak_check.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "tests/lib_soak_plan.h"
+
+enum {
+	ANSWER_SLACK_MS = 500, /* after the route's timeout */
+	LINE_SIZE = 4096,
+	STATUS_OK = 200,
+	STATUS_KEY = 401,
+	STATUS_ROUTE = 404,
+	SETTLE_MS = 500, /* that a fault acts on after its end */
+};
+
+/* One line of the callers' results. */
+typedef struct soak_call {
+	const char *id, *how;
+	const soak_kind_t *kind;
+	const soak_key_t *key;
+	int daemon;
+	int status;
+	int64_t begin_ms, end_ms;
+	bool is_reused;
+} soak_call_t;
+
+typedef struct soak_checker {
+	const soak_site_t *site;
+	const GArray *faults;
+	int64_t calm_ms;
+	GHashTable *runs; /* attempt -> GPtrArray of teams */
+	soak_findings_t *out;
+	int served, calls;
+} soak_checker_t;
+
+void soak_findings_init(soak_findings_t *f)
+{
+	f->texts = g_ptr_array_new_with_free_func(g_free);
+}
+
+void soak_findings_finish(soak_findings_t *f)
+{
+	g_ptr_array_unref(f->texts);
+}
+
+void soak_find(soak_findings_t *f, const char *fmt, ...)
+{
+	va_list args;
+
+	va_start(args, fmt);
+	g_ptr_array_add(f->texts, g_strdup_vprintf(fmt, args));
+	va_end(args);
+}
+
+static void read_runs_of(soak_checker_t *c, int runner)
+{
+	g_autofree char *file = g_strdup_printf("runner-%d.runs", runner);
+	g_autofree char *path = soak_path(c->site, file);
+	FILE *in = fopen(path, "r");
+	char line[LINE_SIZE];
+
+	while (in && fgets(line, sizeof(line), in)) {
+		g_auto(GStrv) words = g_strsplit(g_strchomp(line), " ", 2);
+		GPtrArray *teams = g_hash_table_lookup(c->runs, words[0]);
+
+		if (!teams) {
+			teams = g_ptr_array_new_with_free_func(g_free);
+			g_hash_table_insert(c->runs, g_strdup(words[0]), teams);
+		}
+		g_ptr_array_add(teams, g_strdup(words[1] ? words[1] : ""));
+	}
+	if (in)
+		fclose(in);
+}
+
+/* True when a fault at PLACE, on the call's daemon if any, met the call. */
+static bool has_met(const soak_checker_t *c, const soak_call_t *call,
+		    soak_place_t place)
+{
+	for (guint i = 0; i < c->faults->len; i++) {
+		const soak_fault_t *f =
+			&g_array_index(c->faults, soak_fault_t, i);
+		bool is_here =
+			place == SOAK_ON_RUNNER || f->target == call->daemon;
+
+		if (f->kind->place == place && is_here &&
+		    f->begin_ms <= call->end_ms &&
+		    f->end_ms + SETTLE_MS >= call->begin_ms)
+			return true;
+	}
+	return false;
+}
+
+/* The same for faults of one name on the call's own daemon. */
+static bool has_met_kind(const soak_checker_t *c, const soak_call_t *call,
+			 const char *name)
+{
+	for (guint i = 0; i < c->faults->len; i++) {
+		const soak_fault_t *f =
+			&g_array_index(c->faults, soak_fault_t, i);
+
+		if (!strcmp(f->kind->name, name) && f->target == call->daemon &&
+		    f->begin_ms <= call->end_ms &&
+		    f->end_ms + SETTLE_MS >= call->begin_ms)
+			return true;
+	}
+	return false;
+}
+
+static bool is_promise(int status)
+{
+	return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
+static bool is_whole(const soak_call_t *call)
+{
+	return !strcmp(call->how, "whole");
+}
+
+static void check_runs(soak_checker_t *c, const soak_call_t *call)
+{
+	const GPtrArray *teams = g_hash_table_lookup(c->runs, call->id);
+	int runs = teams ? (int)teams->len : 0;
+
+	if (runs > call->kind->max_runs)
+		soak_find(c->out, "TWICE %s (%s): %d runs, %d allowed",
+			  call->id, call->kind->name, runs,
+			  call->kind->max_runs);
+	if (runs && !call->key->team)
+		soak_find(c->out, "DENIED %s: a stranger's call was run",
+			  call->id);
+	if (runs && is_promise(call->status))
+		soak_find(c->out, "REFUSED %s (%s): answered %d, but run",
+			  call->id, call->kind->name, call->status);
+	if (!runs && call->status == STATUS_OK)
+		soak_find(c->out, "MIXED %s: answered 200, never run",
+			  call->id);
+	for (int i = 0; i < runs && call->key->team; i++)
+		if (strcmp(teams->pdata[i], call->key->team))
+			soak_find(c->out, "MIXED %s: run for team '%s', not %s",
+				  call->id, (char *)teams->pdata[i],
+				  call->key->team);
+}
+
+static void check_status(soak_checker_t *c, const soak_call_t *call)
+{
+	bool may_be_404 = !call->kind->prefix;
+
+	if (call->key->team && call->status == STATUS_KEY)
+		soak_find(c->out, "DENIED %s: a valid key got 401", call->id);
+	if (call->status == STATUS_ROUTE && !may_be_404)
+		soak_find(c->out, "ROUTE %s (%s): got 404", call->id,
+			  call->kind->name);
+	if (call->status == STATUS_OK && (may_be_404 || !call->key->team))
+		soak_find(c->out, "DENIED %s: got 200", call->id);
+}
+
+/* A call that ended without a whole answer needs a fault that explains it. */
+static void check_end(soak_checker_t *c, const soak_call_t *call)
+{
+	const GPtrArray *teams = g_hash_table_lookup(c->runs, call->id);
+	int64_t limit = call->kind->timeout_ms + ANSWER_SLACK_MS;
+	bool is_killed = has_met_kind(c, call, "daemon-kill") ||
+			 has_met_kind(c, call, "daemon-pause");
+
+	if (is_killed)
+		return;
+	if (call->end_ms - call->begin_ms > limit)
+		soak_find(c->out, "LATE %s (%s): ended after %d ms, %s",
+			  call->id, call->kind->name,
+			  (int)(call->end_ms - call->begin_ms), call->how);
+	if (is_whole(call))
+		return;
+	/* A daemon that leaves may close what it has not read. */
+	if (!call->status && !teams && has_met_kind(c, call, "daemon-drain"))
+		return;
+	if (call->kind->is_stream && call->status == STATUS_OK &&
+	    has_met(c, call, SOAK_ON_RUNNER))
+		return;
+	soak_find(c->out, "LOST %s (%s): %s after status %d", call->id,
+		  call->kind->name, call->how, call->status);
+}
+
+/* Once all faults are over and done with, everything is served. */
+static void check_calm(soak_checker_t *c, const soak_call_t *call)
+{
+	int expected = !call->key->team	   ? STATUS_KEY :
+		       !call->kind->prefix ? STATUS_ROUTE :
+					     STATUS_OK;
+	bool is_either = !call->key->team && !call->kind->prefix &&
+			 call->status == STATUS_ROUTE;
+
+	if (call->begin_ms < c->calm_ms || is_either ||
+	    (is_whole(call) && call->status == expected))
+		return;
+	soak_find(c->out, "RECOVER %s (%s): %s, status %d, %d ms into the calm",
+		  call->id, call->kind->name, call->how, call->status,
+		  (int)(call->begin_ms - c->calm_ms));
+}
+
+static int daemon_of(const soak_site_t *s, const char *address)
+{
+	for (int i = 0; i < SOAK_DAEMONS; i++)
+		if (!g_strcmp0(s->daemons[i].address, address))
+			return i;
+	return -1;
+}
+
+static void check_line(soak_checker_t *c, const json_t *line)
+{
+	const char *violation =
+		json_string_value(json_object_get(line, "violation"));
+	soak_call_t call = {
+		.id = json_string_value(json_object_get(line, "id")),
+		.how = json_string_value(json_object_get(line, "how")),
+		.status = (int)json_integer_value(
+			json_object_get(line, "status")),
+		.begin_ms = json_integer_value(json_object_get(line, "begin")),
+		.end_ms = json_integer_value(json_object_get(line, "end")),
+		.is_reused = json_is_true(json_object_get(line, "reused")),
+		.daemon = daemon_of(c->site, json_string_value(json_object_get(
+						     line, "daemon"))),
+	};
+
+	if (violation)
+		soak_find(c->out, "MIXED %s: %s", call.id ? call.id : "-",
+			  violation);
+	if (!call.id)
+		return;
+	call.kind = soak_find_kind(
+		json_string_value(json_object_get(line, "kind")));
+	call.key =
+		soak_find_key(json_string_value(json_object_get(line, "key")));
+	c->calls++;
+	c->served += call.status == STATUS_OK && is_whole(&call);
+	check_runs(c, &call);
+	check_status(c, &call);
+	check_end(c, &call);
+	check_calm(c, &call);
+}
+
+void soak_check(const soak_site_t *s, const GArray *faults, int64_t calm_ms,
+		soak_findings_t *out)
+{
+	soak_checker_t c = {
+		.site = s,
+		.faults = faults,
+		.calm_ms = calm_ms,
+		.runs = g_hash_table_new_full(
+			g_str_hash, g_str_equal, g_free,
+			(GDestroyNotify)g_ptr_array_unref),
+		.out = out,
+	};
+	g_autofree char *path = soak_path(s, "calls");
+	FILE *in = fopen(path, "r");
+	char line[LINE_SIZE];
+
+	for (int i = 0; i < SOAK_RUNNERS; i++)
+		read_runs_of(&c, i);
+	while (in && fgets(line, sizeof(line), in)) {
+		json_t *root = json_loads(line, 0, NULL);
+
+		if (root)
+			check_line(&c, root);
+		else
+			soak_find(out, "a line of the results can't be read");
+		json_decref(root);
+	}
+	if (in)
+		fclose(in);
+	if (!c.served)
+		soak_find(out, "no call was served");
+	printf("# %d calls, %d served, %u faults\n", c.calls, c.served,
+	       faults->len);
+	g_hash_table_destroy(c.runs);
+}
--- /dev/null
+++ b/tests/lib_soak_check.h
@@ -0,0 +1,25 @@
+/*
+ * What the soak checks: what callers saw, against what runners ran and which
+ * faults were on. A finding names the call, so that the logs can be searched.
+ */
+#ifndef TESTS_LIB_SOAK_CHECK_H
+#define TESTS_LIB_SOAK_CHECK_H
+
+#include "tests/lib_soak_fault.h"
+
+typedef struct soak_findings {
+	GPtrArray *texts; /* char *, owned */
+} soak_findings_t;
+
+void soak_findings_init(soak_findings_t *f);
+void soak_findings_finish(soak_findings_t *f);
+void soak_find(soak_findings_t *f, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+/*
+ * Reads the results of callers and runners. FAULTS has soak_fault_t; from
+ * CALM_MS on every call must be served.
+ */
+void soak_check(const soak_site_t *s, const GArray *faults, int64_t calm_ms,
+		soak_findings_t *out);
+
+#endif
--- /dev/null
+++ b/tests/lib_soak_plan.h
@@ -0,0 +1,45 @@
+/* What the soak's callers ask for, and the configuration that serves it. */
+#ifndef TESTS_LIB_SOAK_PLAN_H
+#define TESTS_LIB_SOAK_PLAN_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+#define SOAK_HOST "soak.example"
+
+enum {
+	SOAK_EVENTS = 12, /* of a stream */
+	SOAK_OLD_ROUTES = 2, /* routes of earlier versions that are kept */
+};
+
+/* One kind of request, which has a route of its own. */
+typedef struct soak_kind {
+	const char *name;
+	const char *method;
+	const char *path;
+	const char *prefix; /* of its route; NULL: it has none */
+	const char *service;
+	const char *type; /* of its route, as the platform names it */
+	int timeout_ms;
+	int max_runs; /* of one attempt */
+	bool is_stream;
+	bool may_resume;
+	int weight; /* share of the calls, a hundred in all */
+} soak_kind_t;
+
+/* A caller's key; the team is NULL when nobody has the key. */
+typedef struct soak_key {
+	const char *name;
+	const char *key;
+	const char *team;
+	int weight; /* a hundred in all */
+} soak_key_t;
+
+const soak_kind_t *soak_pick_kind(GRand *rand);
+const soak_key_t *soak_pick_key(GRand *rand);
+const soak_kind_t *soak_find_kind(const char *name);
+const soak_key_t *soak_find_key(const char *name);
+/* The configuration of a version; the caller frees it with g_free. */
+char *soak_config(int version);
+
+#endif
--- /dev/null
+++ b/tests/lib_soak_site.h
@@ -0,0 +1,72 @@
+/*
+ * The soak's deployment: real daemons in fleet mode, the stand-ins of the
+ * store and of runners, and a relay on every link that may fail.
+ */
+#ifndef TESTS_LIB_SOAK_SITE_H
+#define TESTS_LIB_SOAK_SITE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "tests/lib_process.h"
+
+enum {
+	SOAK_ZONES = 2,
+	SOAK_DAEMONS = 6,
+	SOAK_RUNNERS = 6,
+	SOAK_TEXT = 64, /* bytes of an address or name */
+	SOAK_GRACE_MS = 8000, /* from SIGTERM to the end of a daemon */
+};
+
+typedef enum soak_state {
+	SOAK_DOWN,
+	SOAK_UP,
+	SOAK_PAUSED, /* by SIGSTOP */
+	SOAK_LEAVING, /* told to end, which it may take its time for */
+} soak_state_t;
+
+typedef struct soak_node {
+	process_t process;
+	process_t relay; /* towards the store, or in front of the runner */
+	char name[SOAK_TEXT]; /* runners: of its latest start */
+	char address[SOAK_TEXT];
+	char relay_address[SOAK_TEXT];
+	int index;
+	int starts;
+	soak_state_t state;
+	int64_t since_ms; /* of the state */
+	bool is_busy; /* a fault is on it, or just was */
+} soak_node_t;
+
+typedef struct soak_site {
+	char *dir; /* logs and results */
+	int net; /* second byte of its addresses */
+	int lock; /* socket that keeps the net ours */
+	process_t store;
+	bool is_store_busy;
+	int version; /* of the configuration */
+	process_t load;
+	soak_node_t daemons[SOAK_DAEMONS];
+	soak_node_t runners[SOAK_RUNNERS];
+} soak_site_t;
+
+/* Milliseconds, monotonic, the same in all processes of a machine. */
+int64_t soak_now_ms(void);
+/* Starts all; false with the reason on standard error. */
+bool soak_site_start(soak_site_t *s, const char *dir);
+/* Ends all that it started, by process id. */
+void soak_site_finish(soak_site_t *s);
+bool soak_start_daemon(soak_site_t *s, int i);
+/* Starts a runner, under its old name or a new one. */
+bool soak_start_runner(soak_site_t *s, int i, bool is_renamed);
+/* Puts the next version of the configuration in the store. */
+bool soak_publish(soak_site_t *s);
+bool soak_start_load(soak_site_t *s, double rate, double seconds,
+		     uint32_t seed);
+void soak_set_state(soak_node_t *n, soak_state_t state);
+char *soak_path(const soak_site_t *s, const char *file);
+/* The status of a GET of the path at a daemon; 0: no whole answer. */
+int soak_probe(const soak_site_t *s, int daemon, const char *path);
+
+#endif
--- /dev/null
+++ b/tests/soak.c
@@ -0,0 +1,347 @@
+/*
+ * Fault soak: plays days of random faults, in series and overlapping, against
+ * real daemons with callers at work, and checks what callers and runners saw.
+ *
+ * Prints "ok seed N" or "FAIL seed N" with its findings, and keeps the logs
+ * of a run that failed; closes with "N passed, N failed". A seed that
+ * KNOWN-RED.txt names as "soak:N " is passed over. With --list it plays the
+ * seeds of a file, a line each: SEED SECONDS, and what it once found.
+ */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/lib_args.h"
+#include "tests/lib_soak_check.h"
+#include "tests/lib_soak_plan.h"
+
+enum {
+	MAX_ACTIVE = 4, /* faults at once */
+	MEAN_PAUSE_MS = 700, /* between the beginnings of two */
+	HEAL_MS = 12000, /* from the last fault to the calm */
+	CALM_MS = 4000,
+	POLL_US = 10000,
+	CONFIG_MS = 2000, /* until a version is in force everywhere */
+	CONFIG_RECOVER_MS = 4000, /* after a fault of the store or a daemon */
+	LEAVE_SLACK_MS = 500,
+	LOAD_LIMIT_MS = 15000, /* after the last arrival */
+	STATUS_ROUTE = 404,
+	MAX_SHOWN = 20, /* findings of a run */
+};
+
+typedef struct soak_run {
+	soak_site_t site;
+	GArray *faults; /* soak_fault_t, in order of their beginnings */
+	soak_findings_t findings;
+	GRand *rand;
+	FILE *story; /* what happened when */
+	int64_t start_ms;
+	int64_t next_ms; /* of the next fault */
+	int64_t published_ms; /* 0: no version to probe for */
+} soak_run_t;
+
+static void tell(soak_run_t *r, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+static void tell(soak_run_t *r, const char *fmt, ...)
+{
+	va_list args;
+
+	fprintf(r->story, "%6d ", (int)(soak_now_ms() - r->start_ms));
+	va_start(args, fmt);
+	vfprintf(r->story, fmt, args);
+	va_end(args);
+	fputc('\n', r->story);
+	fflush(r->story);
+}
+
+/* Notes an end that nobody asked for, and ends that took too long. */
+static void watch_daemon(soak_run_t *r, soak_node_t *n)
+{
+	int status;
+
+	if (n->state == SOAK_DOWN)
+		return;
+	status = process_wait(&n->process, 0);
+	if (n->state == SOAK_LEAVING && status == -1 &&
+	    soak_now_ms() - n->since_ms > SOAK_GRACE_MS + LEAVE_SLACK_MS) {
+		soak_find(&r->findings, "DRAIN %s has not ended in time",
+			  n->name);
+		process_kill(&n->process);
+		status = 0;
+	}
+	if (status == -1)
+		return;
+	tell(r, "%s ended with %d", n->name, status);
+	if (n->state != SOAK_LEAVING || status)
+		soak_find(&r->findings, "DRAIN %s ended with status %d",
+			  n->name, status);
+	if (n->state == SOAK_LEAVING)
+		soak_set_state(n, SOAK_DOWN);
+	else if (!soak_start_daemon(&r->site, n->index))
+		soak_find(&r->findings, "%s does not start", n->name);
+}
+
+static void watch(soak_run_t *r)
+{
+	for (int i = 0; i < SOAK_DAEMONS; i++)
+		watch_daemon(r, &r->site.daemons[i]);
+}
+
+/* True when DAEMON could hear of the newest version all the while. */
+static bool could_hear(const soak_run_t *r, int daemon)
+{
+	const soak_node_t *n = &r->site.daemons[daemon];
+	int64_t since = r->published_ms - CONFIG_RECOVER_MS;
+
+	if (n->state != SOAK_UP || n->since_ms > since)
+		return false;
+	for (guint i = 0; i < r->faults->len; i++) {
+		const soak_fault_t *f =
+			&g_array_index(r->faults, soak_fault_t, i);
+		bool is_here = f->kind->place == SOAK_ON_STORE ||
+			       (f->kind->place != SOAK_ON_RUNNER &&
+				f->target == daemon);
+
+		if (is_here && strcmp(f->kind->name, "config") &&
+		    (!f->is_over || f->end_ms >= since))
+			return false;
+	}
+	return true;
+}
+
+static void probe_version(soak_run_t *r, int daemon)
+{
+	int version = r->site.version;
+	g_autofree char *added = g_strdup_printf("/v%d/x", version);
+	g_autofree char *removed =
+		g_strdup_printf("/v%d/x", version - SOAK_OLD_ROUTES);
+	const char *name = r->site.daemons[daemon].name;
+
+	if (soak_probe(&r->site, daemon, added) == STATUS_ROUTE)
+		soak_find(&r->findings, "CONFIG %s lacks the route of %d", name,
+			  version);
+	if (version > SOAK_OLD_ROUTES &&
+	    soak_probe(&r->site, daemon, removed) != STATUS_ROUTE)
+		soak_find(&r->findings, "CONFIG %s has a route from before %d",
+			  name, version);
+}
+
+/* Asks the daemons for the newest version once it must be in force. */
+static void probe_versions(soak_run_t *r)
+{
+	if (!r->published_ms || soak_now_ms() - r->published_ms < CONFIG_MS)
+		return;
+	for (int i = 0; i < SOAK_DAEMONS; i++)
+		if (could_hear(r, i))
+			probe_version(r, i);
+	r->published_ms = 0;
+}
+
+static int count_active(const soak_run_t *r)
+{
+	int n = 0;
+
+	for (guint i = 0; i < r->faults->len; i++)
+		n += !g_array_index(r->faults, soak_fault_t, i).is_over;
+	return n;
+}
+
+static void begin_fault(soak_run_t *r)
+{
+	soak_fault_t f;
+	bool is_config;
+
+	r->next_ms +=
+		(int64_t)(-log(1 - g_rand_double(r->rand)) * MEAN_PAUSE_MS);
+	if (!soak_fault_draw(&r->site, r->rand, &f) ||
+	    count_active(r) >= MAX_ACTIVE)
+		return;
+	is_config = !strcmp(f.kind->name, "config");
+	/* One version after the other, so that each is probed for. */
+	if (is_config && r->published_ms)
+		return;
+	tell(r, "%s on %d begins", f.kind->name, f.target);
+	if (!soak_fault_begin(&r->site, &f))
+		soak_find(&r->findings, "%s can't begin", f.kind->name);
+	if (is_config)
+		r->published_ms = soak_now_ms();
+	g_array_append_val(r->faults, f);
+}
+
+/* Ends the faults whose time is over; all of them with IS_ALL. */
+static void end_faults(soak_run_t *r, bool is_all)
+{
+	for (guint i = 0; i < r->faults->len; i++) {
+		soak_fault_t *f = &g_array_index(r->faults, soak_fault_t, i);
+
+		if (f->is_over || (!is_all && soak_now_ms() < f->end_ms) ||
+		    !soak_fault_may_end(&r->site, f))
+			continue;
+		if (!soak_fault_end(&r->site, f))
+			soak_find(&r->findings, "%s can't end", f->kind->name);
+		tell(r, "%s on %d is over", f->kind->name, f->target);
+	}
+}
+
+static void end_all(soak_run_t *r)
+{
+	while (count_active(r)) {
+		end_faults(r, true);
+		watch(r);
+		g_usleep(POLL_US);
+	}
+}
+
+static void play(soak_run_t *r, int64_t end_ms, bool has_faults)
+{
+	while (soak_now_ms() < end_ms) {
+		if (has_faults && soak_now_ms() >= r->next_ms)
+			begin_fault(r);
+		end_faults(r, false);
+		watch(r);
+		probe_versions(r);
+		g_usleep(POLL_US);
+	}
+}
+
+/* Plays one seed in DIR; true when nothing was found. */
+static bool run_seed(soak_run_t *r, uint32_t seed, double seconds, double rate,
+		     const char *dir)
+{
+	int64_t calm_ms = 0, faults_ms = (int64_t)(seconds * 1000);
+	double all = seconds + (HEAL_MS + CALM_MS) / 1000.0;
+	g_autofree char *story = g_build_filename(dir, "story", NULL);
+
+	r->faults = g_array_new(FALSE, TRUE, sizeof(soak_fault_t));
+	r->rand = g_rand_new_with_seed(seed);
+	r->story = fopen(story, "w");
+	r->start_ms = soak_now_ms();
+	soak_findings_init(&r->findings);
+	if (!soak_site_start(&r->site, dir) ||
+	    !soak_start_load(&r->site, rate, all, seed)) {
+		soak_find(&r->findings, "the site does not start");
+	} else {
+		r->start_ms = soak_now_ms();
+		r->next_ms = r->start_ms + MEAN_PAUSE_MS;
+		play(r, r->start_ms + faults_ms, true);
+		end_all(r);
+		calm_ms = soak_now_ms() + HEAL_MS;
+		play(r, calm_ms + CALM_MS, false);
+		if (process_wait(&r->site.load, LOAD_LIMIT_MS))
+			soak_find(&r->findings, "the callers do not end");
+		soak_check(&r->site, r->faults, calm_ms, &r->findings);
+	}
+	soak_site_finish(&r->site);
+	fclose(r->story);
+	return !r->findings.texts->len;
+}
+
+static void report(soak_run_t *r, uint32_t seed, const char *dir)
+{
+	printf("%s seed %u%s%s\n", r->findings.texts->len ? "FAIL" : "ok", seed,
+	       r->findings.texts->len ? ", logs in " : "",
+	       r->findings.texts->len ? dir : "");
+	for (guint i = 0; i < MIN(r->findings.texts->len, MAX_SHOWN); i++)
+		printf("   %s\n", (char *)r->findings.texts->pdata[i]);
+	fflush(stdout);
+	soak_findings_finish(&r->findings);
+	g_array_unref(r->faults);
+	g_rand_free(r->rand);
+}
+
+static void remove_dir(const char *path)
+{
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		g_autofree char *file = g_build_filename(path, name, NULL);
+
+		g_unlink(file);
+	}
+	if (dir)
+		g_dir_close(dir);
+	g_rmdir(path);
+}
+
+static bool is_known_red(const char *list, uint32_t seed)
+{
+	g_autofree char *entry = g_strdup_printf("soak:%u ", seed);
+	const char *at = list ? strstr(list, entry) : NULL;
+
+	return at && (at == list || at[-1] == '\n');
+}
+
+/* What to play, and how the plays went. */
+typedef struct soak_plan {
+	char *known_red;
+	double rate;
+	int passed, failed;
+} soak_plan_t;
+
+static void play_seed(soak_plan_t *plan, uint32_t seed, double seconds)
+{
+	static soak_run_t run;
+	g_autofree char *dir = g_dir_make_tmp("papaya-soak-XXXXXX", NULL);
+	bool ok;
+
+	memset(&run, 0, sizeof(run));
+	ok = run_seed(&run, seed, seconds, plan->rate, dir);
+	report(&run, seed, dir);
+	if (ok)
+		remove_dir(dir);
+	if (!ok && is_known_red(plan->known_red, seed))
+		printf("KNOWN RED soak seed %u\n", seed);
+	else
+		*(ok ? &plan->passed : &plan->failed) += 1;
+}
+
+static bool play_list(soak_plan_t *plan, const char *path)
+{
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return false;
+	lines = g_strsplit(text, "\n", -1);
+	for (char **line = lines; *line; line++) {
+		unsigned int seed;
+		double seconds;
+
+		if (sscanf(*line, "%u %lf", &seed, &seconds) == 2)
+			play_seed(plan, seed, seconds);
+	}
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	double first = 1, n_seeds = 1, seconds = 12;
+	const char *known = NULL, *list = NULL;
+	soak_plan_t plan = { .rate = 60 };
+	const arg_row_t rows[] = {
+		{ "seed", ARG_NUMBER, &first, "the first to play" },
+		{ "seeds", ARG_NUMBER, &n_seeds, "how many, from it on" },
+		{ "seconds", ARG_NUMBER, &seconds, "of faults in each" },
+		{ "list", ARG_TEXT, &list, "file of seeds to play instead" },
+		{ "rate", ARG_NUMBER, &plan.rate, "calls a second" },
+		{ "known-red", ARG_TEXT, &known, "file of known failures" },
+	};
+
+	args_read(argc, argv, rows, G_N_ELEMENTS(rows));
+	if (known)
+		g_file_get_contents(known, &plan.known_red, NULL, NULL);
+	if (list && !play_list(&plan, list)) {
+		fprintf(stderr, "soak: %s can't be read\n", list);
+		return EXIT_FAILURE;
+	}
+	for (int i = 0; !list && i < (int)n_seeds; i++)
+		play_seed(&plan, (uint32_t)first + (uint32_t)i, seconds);
+	printf("%d passed, %d failed\n", plan.passed, plan.failed);
+	g_free(plan.known_red);
+	return plan.failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
