limit: a team over its limit keeps it for its urgent work

Ruled out: the limiter being too strict.

Change: a request leaves a part of its team's bucket to more urgent routes, 0 for the most urgent up to half for the least (fleet_reserve; LimitAsk.reserve). What the team may use in all is as before; Retry-After tells when the bucket will hold enough.

Test: test_hot_team.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -5,6 +5,9 @@
 	MAX_ROUTE_PRIORITY = 15,
 };
 
+/* Of a team's limit, by the least urgent route for all others. */
+static const double most_reserved = 0.5;
+
 void fleet_route_free(fleet_route_t *route)
 {
 	g_free(route->name);
@@ -163,6 +166,35 @@
 	       MIN(route->priority, MAX_ROUTE_PRIORITY);
 }
 
+/* Tells whether an earlier route has the same priority. */
+static bool is_repeated(const fleet_t *f, guint index)
+{
+	const fleet_route_t *route = f->routes->pdata[index];
+
+	for (guint i = 0; i < index; i++) {
+		const fleet_route_t *other = f->routes->pdata[i];
+
+		if (other->priority == route->priority)
+			return true;
+	}
+	return false;
+}
+
+double fleet_reserve(const fleet_t *f, const fleet_route_t *route)
+{
+	guint before = 0, all = 0;
+
+	for (guint i = 0; i < f->routes->len; i++) {
+		const fleet_route_t *other = f->routes->pdata[i];
+
+		if (is_repeated(f, i))
+			continue;
+		before += other->priority < route->priority;
+		all++;
+	}
+	return all > 1 ? most_reserved * before / (all - 1) : 0;
+}
+
 bool fleet_may_repeat(const fleet_route_t *route)
 {
 	return route->kind == FLEET_SAFE ||
--- a/core/limit.c
+++ b/core/limit.c
@@ -163,8 +163,16 @@
 	return (uint32_t)CLAMP(ms + 1, 1, MAX_RETRY_AFTER_MS);
 }
 
-bool limit_take_many(limit_t *l, str_t name, uint32_t cost, int64_t now,
-		     uint32_t *retry_after_ms)
+/* What the bucket must hold before the request may take its cost. */
+static double needed_for(const team_t *team, const limit_ask_t *ask)
+{
+	double size = bucket_size(&team->terms);
+
+	return MIN(ask->cost + ask->reserve * size, size);
+}
+
+bool limit_take_many(limit_t *l, str_t name, const limit_ask_t *ask,
+		     int64_t now, uint32_t *retry_after_ms)
 {
 	team_t *team = find_or_add(l, name);
 	double needed;
@@ -176,12 +184,12 @@
 		return false;
 	if (team->terms.rate > 0) {
 		refill(team, now);
-		needed = MIN((double)cost, bucket_size(&team->terms));
+		needed = needed_for(team, ask);
 		if (team->tokens < needed) {
 			*retry_after_ms = refill_time_ms(team, needed);
 			return false;
 		}
-		team->tokens -= cost;
+		team->tokens -= ask->cost;
 	}
 	*retry_after_ms = 0;
 	team->running++;
@@ -191,7 +199,9 @@
 
 bool limit_take(limit_t *l, str_t name, int64_t now, uint32_t *retry_after_ms)
 {
-	return limit_take_many(l, name, 1, now, retry_after_ms);
+	const limit_ask_t one = { .cost = 1 };
+
+	return limit_take_many(l, name, &one, now, retry_after_ms);
 }
 
 void limit_release(limit_t *l, str_t name)
--- a/core/limit.h
+++ b/core/limit.h
@@ -64,13 +64,20 @@
  * have work in progress; RETRY_AFTER_MS is then when to come back.
  */
 bool limit_take(limit_t *l, str_t name, int64_t now, uint32_t *retry_after_ms);
+/* What a request takes of its team's limit. */
+typedef struct limit_ask {
+	uint32_t cost; /* units of the rate */
+	/* Part of the bucket that is left for more urgent work, 0 to 1. */
+	double reserve;
+} limit_ask_t;
+
 /*
- * The same for a request that takes COST units of the rate. One that costs
+ * The same for a request that takes many units of the rate. One that costs
  * more than the burst is let through when the bucket is full, and leaves it
  * overdrawn.
  */
-bool limit_take_many(limit_t *l, str_t name, uint32_t cost, int64_t now,
-		     uint32_t *retry_after_ms);
+bool limit_take_many(limit_t *l, str_t name, const limit_ask_t *ask,
+		     int64_t now, uint32_t *retry_after_ms);
 /* Ends a request that limit_take let through. */
 void limit_release(limit_t *l, str_t name);
 
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-enum { DOCUMENTS_BYTES = PEER_MAX_FRAME / 2 };
+enum { DOCUMENTS_BYTES = PEER_MAX_FRAME / 2, PERCENT = 100 };
 
 static uint32_t to_ms(int64_t us)
 {
@@ -266,6 +266,7 @@
 	ask.attempt = answer.attempt = l->attempt;
 	ask.owner = answer.owner = l->owner;
 	ask.cost = l->cost;
+	ask.reserve = l->reserve;
 	answer.ok = l->is_ok;
 	answer.retry_after_ms = l->retry_after_ms;
 	if (m->type == MESSAGE_LIMIT_ASK) {
@@ -294,6 +295,7 @@
 		l->attempt = frame->limit_ask->attempt;
 		l->owner = frame->limit_ask->owner;
 		l->cost = frame->limit_ask->cost;
+		l->reserve = MIN(frame->limit_ask->reserve, PERCENT);
 		return copy(l->team, frame->limit_ask->team) &&
 		       copy(l->profile, frame->limit_ask->profile);
 	case PAPAYA__FRAME__BODY_LIMIT_ANSWER:
--- a/daemon/limits_task.c
+++ b/daemon/limits_task.c
@@ -8,7 +8,7 @@
 #include "core/limit.h"
 #include "daemon/supervisor.h"
 
-enum { MAX_TEAMS = 32768 };
+enum { MAX_TEAMS = 32768, PERCENT = 100 };
 
 typedef struct limits {
 	supervisor_t *sup;
@@ -84,9 +84,12 @@
 	message_limit_t *l = &m.limit;
 	limit_t *limit = asked->is_fallback ? &s->own : &s->zone;
 	limit_terms_t terms = set_terms(s, asked, name);
+	limit_ask_t take;
 
-	l->is_ok = limit_take_many(limit, str_from(name), MAX(l->cost, 1),
-				   now_us(), &l->retry_after_ms);
+	take = (limit_ask_t){ .cost = MAX(l->cost, 1),
+			      .reserve = (double)l->reserve / PERCENT };
+	l->is_ok = limit_take_many(limit, str_from(name), &take, now_us(),
+				   &l->retry_after_ms);
 	/* Without a limit on requests in progress none is ever given back. */
 	if (l->is_ok && !terms.concurrency)
 		limit_release(limit, str_from(name));
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -152,6 +152,7 @@
 	char team[MEMBER_NAME_SIZE];
 	char profile[MEMBER_NAME_SIZE]; /* that states the limit */
 	uint32_t cost; /* units of the limit, 0 counts as 1; ASK */
+	uint32_t reserve; /* percent left to more urgent work; ASK */
 	bool is_fallback; /* the zone's counter is out of reach */
 	bool is_ok; /* ANSWER */
 	uint32_t retry_after_ms; /* ANSWER */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -19,6 +19,7 @@
 	DEFAULT_OUTPUT_TOKENS = 128,
 	MAX_EVENT = 256 * 1024, /* bytes */
 	MAX_TIER_TEXT = 16,
+	PERCENT = 100,
 };
 
 static supervisor_t *sup_of(const relay_t *r)
@@ -394,6 +395,7 @@
 	l->owner = sup_of(r)->boot;
 	l->is_fallback = r->is_limit_fallback;
 	l->cost = limit_cost(r);
+	l->reserve = (uint32_t)(fleet_reserve(r->fleet, r->route) * PERCENT);
 	g_strlcpy(l->team, r->team->name, sizeof(l->team));
 	g_strlcpy(l->profile, FLEET_PROFILE, sizeof(l->profile));
 	supervisor_post(sup_of(r), TASK_PEERS, &m);
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -2450,7 +2450,7 @@
   (ProtobufCMessageInit) papaya__done__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__limit_ask__field_descriptors[5] =
+static const ProtobufCFieldDescriptor papaya__limit_ask__field_descriptors[6] =
 {
   {
     "attempt",
@@ -2512,18 +2512,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reserve",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__LimitAsk, reserve),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__limit_ask__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
   4,   /* field[4] = cost */
   1,   /* field[1] = owner */
   3,   /* field[3] = profile */
+  5,   /* field[5] = reserve */
   2,   /* field[2] = team */
 };
 static const ProtobufCIntRange papaya__limit_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor papaya__limit_ask__descriptor =
 {
@@ -2533,7 +2546,7 @@
   "Papaya__LimitAsk",
   "papaya",
   sizeof(Papaya__LimitAsk),
-  5,
+  6,
   papaya__limit_ask__field_descriptors,
   papaya__limit_ask__field_indices_by_name,
   1,  papaya__limit_ask__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -339,10 +339,14 @@
    * units of the limit; 0 counts as 1
    */
   uint32_t cost;
+  /*
+   * percent of it left to more urgent work
+   */
+  uint32_t reserve;
 };
 #define PAPAYA__LIMIT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__limit_ask__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Papaya__LimitAnswer
--- a/tests/test_fleet_text.c
+++ b/tests/test_fleet_text.c
@@ -88,6 +88,17 @@
 }
 END_TEST
 
+START_TEST(less_urgent_routes_leave_more_of_a_limit)
+{
+	fleet_t *f = fleet_text_config(str_from(config), NULL);
+
+	/* r1 has priority 1, r2 has 0. */
+	ck_assert_double_eq(fleet_reserve(f, f->routes->pdata[1]), 0);
+	ck_assert_double_eq(fleet_reserve(f, f->routes->pdata[0]), 0.5);
+	fleet_unref(f);
+}
+END_TEST
+
 START_TEST(damaged_configurations_name_the_place)
 {
 	static const struct {
@@ -169,6 +180,7 @@
 
 SUITE_MAIN("fleet_text", a_configuration_is_read,
 	   the_longest_prefix_of_the_host_wins, a_split_follows_its_weights,
+	   less_urgent_routes_leave_more_of_a_limit,
 	   damaged_configurations_name_the_place,
 	   entries_of_other_writers_name_no_runner,
 	   a_daemons_entry_is_read_as_written)
--- /dev/null
+++ b/tests/test_hot_team.c
@@ -0,0 +1,103 @@
+/*
+ * One team asks for more than its limit, with urgent and less urgent work:
+ * what is refused is the less urgent, and the limit is used up all the same.
+ */
+#include "core/limit.h"
+#include "tests/lib_suite.h"
+
+enum { MS = 1000, STEP_MS = 10, STEPS = 3000, RANKS = 3 };
+
+static const limit_terms_t terms = { .rate = 100000, .burst = 100000 };
+
+/* What a rank asks for in a step, and what it got. */
+typedef struct rank_use {
+	limit_ask_t ask;
+	int every; /* steps between two requests */
+	int asked, taken;
+} rank_use_t;
+
+/* 1.4 times the limit, half of it urgent. */
+static void play(rank_use_t ranks[RANKS], bool reserves)
+{
+	limit_t l;
+
+	limit_init(&l, 10, 0);
+	limit_set(&l, STR_LIT("t"), terms.rate, terms.burst, 0);
+	for (int i = 0; i < STEPS; i++) {
+		for (int r = 0; r < RANKS; r++) {
+			limit_ask_t ask = ranks[r].ask;
+			uint32_t retry_ms;
+
+			if (i % ranks[r].every)
+				continue;
+			if (!reserves)
+				ask.reserve = 0;
+			ranks[r].asked++;
+			if (!limit_take_many(&l, STR_LIT("t"), &ask,
+					     (int64_t)i * STEP_MS * MS,
+					     &retry_ms))
+				continue;
+			limit_release(&l, STR_LIT("t"));
+			ranks[r].taken++;
+		}
+	}
+	limit_finish(&l);
+}
+
+static void init_ranks(rank_use_t ranks[RANKS])
+{
+	ranks[0] = (rank_use_t){ { 7000, 0 }, 10, 0, 0 };
+	ranks[1] = (rank_use_t){ { 900, 0.25 }, 3, 0, 0 };
+	ranks[2] = (rank_use_t){ { 1900, 0.5 }, 5, 0, 0 };
+}
+
+static double used(const rank_use_t ranks[RANKS])
+{
+	double sum = 0;
+
+	for (int r = 0; r < RANKS; r++)
+		sum += (double)ranks[r].taken * ranks[r].ask.cost;
+	return sum;
+}
+
+START_TEST(urgent_work_of_a_hot_team_is_let_through)
+{
+	rank_use_t with[RANKS], without[RANKS];
+	double allowed = terms.rate * STEPS * STEP_MS / 1000 + terms.burst;
+
+	init_ranks(with);
+	init_ranks(without);
+	play(with, true);
+	play(without, false);
+	/* One in a hundred may meet a bucket that others emptied. */
+	ck_assert_int_ge(with[0].taken * 100, with[0].asked * 99);
+	ck_assert_int_lt(without[0].taken * 100, without[0].asked * 90);
+	ck_assert_int_gt(with[1].taken * with[2].asked,
+			 with[2].taken * with[1].asked);
+	ck_assert_int_gt(with[2].taken, 0);
+	ck_assert_double_ge(used(with), 0.9 * allowed);
+	ck_assert_double_le(used(with), allowed);
+}
+END_TEST
+
+START_TEST(a_refusal_says_when_the_reserve_is_full_again)
+{
+	const limit_ask_t all = { .cost = 100000 };
+	const limit_ask_t low = { .cost = 10000, .reserve = 0.5 };
+	uint32_t retry_ms;
+	limit_t l;
+
+	limit_init(&l, 10, 0);
+	limit_set(&l, STR_LIT("t"), terms.rate, terms.burst, 0);
+	ck_assert(limit_take_many(&l, STR_LIT("t"), &all, 0, &retry_ms));
+	ck_assert(!limit_take_many(&l, STR_LIT("t"), &low, 0, &retry_ms));
+	ck_assert_uint_ge(retry_ms, 600);
+	ck_assert_uint_le(retry_ms, 610);
+	ck_assert(limit_take_many(&l, STR_LIT("t"), &low,
+				  (int64_t)retry_ms * MS, &retry_ms));
+	limit_finish(&l);
+}
+END_TEST
+
+SUITE_MAIN("hot_team", urgent_work_of_a_hot_team_is_let_through,
+	   a_refusal_says_when_the_reserve_is_full_again)
--- a/tests/test_limit_tolerance.c
+++ b/tests/test_limit_tolerance.c
@@ -13,6 +13,10 @@
 					     .slack = 140000,
 					     .window_s = 8 };
 
+static const limit_ask_t usual = { .cost = 1460 };
+static const limit_ask_t large = { .cost = 5000 };
+static const limit_ask_t small = { .cost = 1 };
+
 static double most_allowed(void)
 {
 	return (stated.rate * tolerance.window_s + stated.burst) *
@@ -47,7 +51,7 @@
 		}
 		used[i] = 0;
 		for (int k = 0; k < 6; k++)
-			if (limit_take_many(&l, STR_LIT("t"), 1460, now,
+			if (limit_take_many(&l, STR_LIT("t"), &usual, now,
 					    &retry_ms)) {
 				used[i] += 1460;
 				limit_release(&l, STR_LIT("t"));
@@ -87,8 +91,8 @@
 
 	limit_init(&l, 10, 0);
 	limit_set(&l, STR_LIT("t"), 1000, 1000, 0);
-	ck_assert(limit_take_many(&l, STR_LIT("t"), 5000, 0, &retry_ms));
-	ck_assert(!limit_take_many(&l, STR_LIT("t"), 1, 0, &retry_ms));
+	ck_assert(limit_take_many(&l, STR_LIT("t"), &large, 0, &retry_ms));
+	ck_assert(!limit_take_many(&l, STR_LIT("t"), &small, 0, &retry_ms));
 	ck_assert_uint_ge(retry_ms, 4000);
 	ck_assert_uint_le(retry_ms, 4010);
 	limit_finish(&l);
