dispatcher: tell callers before they leave, by what really waits ahead

Callers of a stream leave after four times its target, eight times its pause or 2 s without a first event; the dispatcher queued until the deadline of the whole answer, 12 s. And the wait that it predicts, for hopeless work and for Retry-After, counted only the request's own rank: a fleet's ranks are weighted, not protected, so thousands of urgent tokens ahead counted for nothing.

Change: a want says by when it must have begun (start_by; fleet_patience_ms); what waits ahead is the rank's own tokens and, by weight, the others'.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -150,9 +150,10 @@
 	dispatcher_free_runner(s, runner);
 }
 
-static uint32_t retry_after(struct dispatcher_state *s, uint32_t tier)
+static uint32_t retry_after(struct dispatcher_state *s, uint32_t tier,
+			    uint64_t cost)
 {
-	int64_t wait = dispatcher_wait_time(s, tier);
+	int64_t wait = dispatcher_wait_time(s, tier, cost);
 
 	return retry_after_jittered(s->rand,
 				    (uint32_t)MIN(wait / US_PER_MS, G_MAXINT));
@@ -163,12 +164,13 @@
 		   refuse_reason_t reason)
 {
 	want_t want = item->want;
+	uint64_t cost = item->entry.cost;
 
 	if (item->entry.share)
 		queue_remove(&s->queue, &item->entry);
 	drop_item(s, item);
 	s->stats.refusals[reason]++;
-	s->ops.refuse(s->ctx, &want, reason, retry_after(s, want.tier));
+	s->ops.refuse(s->ctx, &want, reason, retry_after(s, want.tier, cost));
 }
 
 static void grant(struct dispatcher_state *s, item_t *item, runner_t *runner,
@@ -413,7 +415,8 @@
 static bool is_hopeless(const struct dispatcher_state *s, const item_t *item,
 			int64_t now)
 {
-	int64_t wait = dispatcher_wait_time(s, item->entry.tier);
+	int64_t wait =
+		dispatcher_wait_time(s, item->entry.tier, item->entry.cost);
 
 	if (s->config.tries_idle && !wait)
 		return false;
@@ -421,6 +424,17 @@
 	       may_refuse(s, item->entry.tier);
 }
 
+/* After it the caller would leave before the end, or before the beginning. */
+static int64_t latest_start(const struct dispatcher_state *s,
+			    const want_t *want)
+{
+	int64_t latest = want->deadline - dispatcher_service_time(s, want);
+
+	if (!want->start_by)
+		return latest;
+	return MIN(latest, want->start_by - dispatcher_start_time(s, want));
+}
+
 void dispatcher_want(dispatcher_t *d, const want_t *want, int64_t now)
 {
 	struct dispatcher_state *s = d->state;
@@ -437,7 +451,7 @@
 	}
 	item = add_item(s, want);
 	item->arrived = now;
-	item->latest_start = want->deadline - dispatcher_service_time(s, want);
+	item->latest_start = latest_start(s, want);
 	if (want->target)
 		item->latest_timely =
 			want->target - dispatcher_start_time(s, want);
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -36,6 +36,7 @@
 	uint64_t prefix_hash; /* 0 when there is no known prefix */
 	int64_t deadline; /* when the answer must be whole */
 	int64_t target; /* by when its start is fully useful; 0: none */
+	int64_t start_by; /* when its caller leaves unless it began; 0: never */
 	char avoid[DISPATCHER_NAME_SIZE]; /* runner that just failed, or "" */
 } want_t;
 
--- a/core/dispatcher_ledger.c
+++ b/core/dispatcher_ledger.c
@@ -171,9 +171,10 @@
 	}
 }
 
-int64_t dispatcher_wait_time(const struct dispatcher_state *s, uint32_t tier)
+int64_t dispatcher_wait_time(const struct dispatcher_state *s, uint32_t tier,
+			     uint64_t cost)
 {
-	double ahead = (double)queue_tokens_ahead(&s->queue, tier);
+	double ahead = (double)queue_tokens_ahead(&s->queue, tier, cost);
 
 	if (s->granted_tokens <= 0)
 		return 0;
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -133,7 +133,8 @@
 void dispatcher_cancel_for(struct dispatcher_state *s, const item_t *item);
 
 /* The wait of work of TIER that is queued now, in microseconds. */
-int64_t dispatcher_wait_time(const struct dispatcher_state *s, uint32_t tier);
+int64_t dispatcher_wait_time(const struct dispatcher_state *s, uint32_t tier,
+			     uint64_t cost);
 /* Counts a grant of a time of backlog, for dispatcher_wait_time. */
 void dispatcher_count_rate(struct dispatcher_state *s, uint64_t tokens,
 			   int64_t now);
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -3,6 +3,10 @@
 enum {
 	MAX_TEAM_PRIORITY = 15,
 	MAX_ROUTE_PRIORITY = 15,
+	/* Whichever is longest, callers wait for an event of a stream. */
+	LEAST_PATIENCE_MS = 2000,
+	TARGETS_WAITED = 4, /* times the route's target */
+	PAUSES_WAITED = 8, /* times the longest pause that is in time */
 };
 
 /* Of a team's limit, by the least urgent route for all others. */
@@ -166,6 +170,14 @@
 	       MIN(route->priority, MAX_ROUTE_PRIORITY);
 }
 
+int64_t fleet_patience_ms(const fleet_route_t *route)
+{
+	int64_t ms = MAX(route->target_ms * TARGETS_WAITED,
+			 route->pause_ms * PAUSES_WAITED);
+
+	return MAX(ms, LEAST_PATIENCE_MS);
+}
+
 /* Tells whether an earlier route has the same priority. */
 static bool is_repeated(const fleet_t *f, guint index)
 {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -102,6 +102,11 @@
 const char *fleet_pick_service(const fleet_route_t *route, uint64_t spread);
 /* The rank of a request, 0 the most urgent: the team's, then the route's. */
 uint32_t fleet_rank(const fleet_team_t *team, const fleet_route_t *route);
+/*
+ * How long callers of a streaming route wait for an event, the first one
+ * included, before they leave.
+ */
+int64_t fleet_patience_ms(const fleet_route_t *route);
 /*
  * The part of its team's limit that a request of the route leaves to more
  * urgent routes, 0 to 1.
--- a/core/queue.c
+++ b/core/queue.c
@@ -394,15 +394,31 @@
 	return false;
 }
 
-uint64_t queue_tokens_ahead(const queue_t *q, uint32_t tier)
+/* What a tier is served, by weight, while OWN is served TOKENS. */
+static uint64_t tokens_beside(const queue_tier_t *t, const queue_tier_t *own,
+			      uint64_t tokens)
 {
-	uint32_t own = queue_tier_index(q, tier);
-	uint64_t tokens = q->tiers[own].tokens;
+	double share =
+		(double)tokens * t->terms.weight / MAX(own->terms.weight, 1);
 
-	for (uint32_t i = 0; i < q->n_tiers; i++)
-		if (i != own && q->tiers[i].terms.is_protected &&
-		    q->tiers[i].rank < q->tiers[own].rank)
-			tokens += q->tiers[i].tokens;
+	return (uint64_t)MIN((double)t->tokens, share);
+}
+
+uint64_t queue_tokens_ahead(const queue_t *q, uint32_t tier, uint64_t cost)
+{
+	const queue_tier_t *own = &q->tiers[queue_tier_index(q, tier)];
+	uint64_t tokens = own->tokens;
+
+	for (uint32_t i = 0; i < q->n_tiers; i++) {
+		const queue_tier_t *t = &q->tiers[i];
+
+		if (t == own)
+			continue;
+		if (t->terms.is_protected && t->rank < own->rank)
+			tokens += t->tokens;
+		else if (!t->terms.is_protected && !own->terms.is_protected)
+			tokens += tokens_beside(t, own, own->tokens + cost);
+	}
 	return tokens;
 }
 
--- a/core/queue.h
+++ b/core/queue.h
@@ -94,8 +94,11 @@
 bool queue_is_lower(const queue_t *q, uint32_t a, uint32_t b);
 /* Tells whether anything waits in a tier that gives way to TIER. */
 bool queue_has_lower(const queue_t *q, uint32_t tier);
-/* Tokens that wait in TIER and in the tiers strictly before it. */
-uint64_t queue_tokens_ahead(const queue_t *q, uint32_t tier);
+/*
+ * Tokens that are served before a new entry of TIER that costs COST: those of
+ * the tier, of the tiers strictly before it, and the others' by weight.
+ */
+uint64_t queue_tokens_ahead(const queue_t *q, uint32_t tier, uint64_t cost);
 /* Tokens that wait in all tiers. */
 uint64_t queue_tokens(const queue_t *q);
 
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -28,6 +28,8 @@
 	want.avoid = (char *)c->want.avoid;
 	want.running_on = (char *)c->running_on;
 	want.again = c->is_again;
+	if (c->want.start_by)
+		want.start_ms = MAX(to_ms(c->want.start_by - now), 1);
 	if (c->want.target) {
 		want.target_ms = to_ms(c->want.target - now);
 		want.late = !want.target_ms;
@@ -175,6 +177,8 @@
 	c->want.deadline = now + (int64_t)f->need_ms * 1000;
 	c->hops = f->hops;
 	c->is_again = f->again;
+	if (f->start_ms)
+		c->want.start_by = now + (int64_t)f->start_ms * 1000;
 	if (f->target_ms || f->late)
 		c->want.target = now + (int64_t)f->target_ms * 1000;
 	return copy(c->service, f->service) && copy(c->tier, f->tier) &&
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -69,6 +69,9 @@
 	c->want.deadline = r->deadline;
 	if (r->route->target_ms && !r->has_begun)
 		c->want.target = r->arrived + r->route->target_ms * US_PER_MS;
+	if (r->route->kind == FLEET_STREAM && !r->has_begun)
+		c->want.start_by =
+			r->arrived + fleet_patience_ms(r->route) * US_PER_MS;
 	g_strlcpy(c->want.avoid, r->avoid, sizeof(c->want.avoid));
 }
 
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1717,7 +1717,7 @@
   (ProtobufCMessageInit) papaya__vm_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__want__field_descriptors[15] =
+static const ProtobufCFieldDescriptor papaya__want__field_descriptors[16] =
 {
   {
     "attempt",
@@ -1899,6 +1899,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "start_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Want, start_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__want__field_indices_by_name[] = {
   12,   /* field[12] = again */
@@ -1913,6 +1925,7 @@
   4,   /* field[4] = prompt_tokens */
   10,   /* field[10] = running_on */
   1,   /* field[1] = service */
+  15,   /* field[15] = start_ms */
   13,   /* field[13] = target_ms */
   3,   /* field[3] = team */
   2,   /* field[2] = tier */
@@ -1920,7 +1933,7 @@
 static const ProtobufCIntRange papaya__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor papaya__want__descriptor =
 {
@@ -1930,7 +1943,7 @@
   "Papaya__Want",
   "papaya",
   sizeof(Papaya__Want),
-  15,
+  16,
   papaya__want__field_descriptors,
   papaya__want__field_indices_by_name,
   1,  papaya__want__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -221,10 +221,14 @@
    * that time is over
    */
   protobuf_c_boolean late;
+  /*
+   * time left until its caller leaves; 0: no bound
+   */
+  uint32_t start_ms;
 };
 #define PAPAYA__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__want__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Papaya__Grant
--- a/tests/test_fleet_text.c
+++ b/tests/test_fleet_text.c
@@ -88,6 +88,25 @@
 }
 END_TEST
 
+START_TEST(a_stream_is_waited_for_by_its_targets)
+{
+	static const struct {
+		int64_t target_ms, pause_ms, patience_ms;
+	} cases[] = { { 800, 400, 3200 },
+		      { 1500, 400, 6000 },
+		      { 100, 400, 3200 },
+		      { 100, 50, 2000 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fleet_route_t route = { .target_ms = cases[i].target_ms,
+					.pause_ms = cases[i].pause_ms };
+
+		ck_assert_int_eq(fleet_patience_ms(&route),
+				 cases[i].patience_ms);
+	}
+}
+END_TEST
+
 START_TEST(less_urgent_routes_leave_more_of_a_limit)
 {
 	fleet_t *f = fleet_text_config(str_from(config), NULL);
@@ -180,6 +199,7 @@
 
 SUITE_MAIN("fleet_text", a_configuration_is_read,
 	   the_longest_prefix_of_the_host_wins, a_split_follows_its_weights,
+	   a_stream_is_waited_for_by_its_targets,
 	   less_urgent_routes_leave_more_of_a_limit,
 	   damaged_configurations_name_the_place,
 	   entries_of_other_writers_name_no_runner,
--- /dev/null
+++ b/tests/test_impatient_callers.c
@@ -0,0 +1,90 @@
+/*
+ * More streams than the runners can begin in time: callers leave without a
+ * first event long before the route's deadline, so whoever will not be begun
+ * by then is told so while there is time to come back.
+ */
+#include "core/queue.h"
+#include "tests/lib_bed.h"
+#include "tests/lib_suite.h"
+
+/* One runner with one slot, taken by attempt 1. */
+static void begin(bed_t *bed)
+{
+	bed->config.engine_slots = 1;
+	bed_init(bed, true);
+	bed_set_runner(bed, "r", false);
+	bed_ask(bed, 1, 1, 1);
+}
+
+START_TEST(refused_before_its_caller_leaves)
+{
+	bed_t bed = { 0 };
+	want_t want;
+
+	begin(&bed);
+	want = bed_make_want(&bed, 2, 1, 1);
+	want.start_by = bed.now + 3 * SECOND;
+	dispatcher_want(&bed.d, &want, bed.now);
+	for (int i = 0; i < 29; i++)
+		bed_tick(&bed, 100 * MS);
+	ck_assert_int_eq(bed_kind(&bed, 2), ANSWER_NONE);
+	bed_tick(&bed, 100 * MS);
+	ck_assert_int_eq(bed_kind(&bed, 2), ANSWER_REFUSE);
+	dispatcher_finish(&bed.d);
+}
+END_TEST
+
+START_TEST(begun_in_time_it_may_take_until_its_deadline)
+{
+	bed_t bed = { 0 };
+	want_t want;
+
+	begin(&bed);
+	want = bed_make_want(&bed, 2, 1, 1);
+	want.start_by = bed.now + 3 * SECOND;
+	dispatcher_want(&bed.d, &want, bed.now);
+	bed_tick(&bed, SECOND);
+	bed_done(&bed, 1, DONE_COMPLETED);
+	ck_assert_int_eq(bed_kind(&bed, 2), ANSWER_GRANT);
+	for (int i = 0; i < 40; i++)
+		bed_tick(&bed, 100 * MS);
+	ck_assert_uint_eq(bed.answers[2].answers, 1);
+	dispatcher_finish(&bed.d);
+}
+END_TEST
+
+typedef struct waiting {
+	uint32_t tier;
+	uint64_t cost;
+} waiting_t;
+
+START_TEST(what_waits_ahead_counts_by_weight)
+{
+	static const dispatcher_tier_t tiers[] = { { false, 64 },
+						   { false, 1 } };
+	static const waiting_t waiting[] = { { 0, 5000 }, { 1, 300 } };
+	queue_entry_t entries[G_N_ELEMENTS(waiting)] = { { 0 } };
+	queue_t q;
+
+	queue_init(&q, 1000);
+	queue_set_tiers(&q, tiers, G_N_ELEMENTS(tiers));
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting); i++) {
+		entries[i].tier = waiting[i].tier;
+		entries[i].team = STR_LIT("t");
+		entries[i].cost = waiting[i].cost;
+		entries[i].deadline = entries[i].due = SECOND;
+		queue_push(&q, &entries[i]);
+	}
+	/* All of the urgent tier is served before the other's 400 tokens. */
+	ck_assert_uint_eq(queue_tokens_ahead(&q, 1, 100), 300 + 5000);
+	/* Of the other a 64th is served beside the urgent tier's. */
+	ck_assert_uint_eq(queue_tokens_ahead(&q, 0, 1400), 5000 + 100);
+	for (size_t i = 0; i < G_N_ELEMENTS(waiting); i++)
+		queue_remove(&q, &entries[i]);
+	queue_finish(&q);
+}
+END_TEST
+
+SUITE_MAIN("impatient_callers", refused_before_its_caller_leaves,
+	   begun_in_time_it_may_take_until_its_deadline,
+	   what_waits_ahead_counts_by_weight)
