limit: a small request leaves less of its team's limit

Change: the reserve shrinks with the request's cost against the mean of what its team asked lately (64 requests).

--- a/core/limit.c
+++ b/core/limit.c
@@ -7,6 +7,7 @@
 	US_PER_MS = 1000,
 	MAX_RETRY_AFTER_MS = 60000,
 	LOW_START = 4, /* part of a bucket */
+	COSTS_REMEMBERED = 64, /* requests that a mean goes back */
 	BUSY_RETRY_AFTER_MS = 200, /* no telling when a request will end */
 };
 
@@ -18,6 +19,7 @@
 	bool has_terms;
 	limit_terms_t terms;
 	double tokens;
+	double mean_cost; /* of what was asked lately; 0: nothing yet */
 	int64_t filled; /* when the bucket was last filled */
 	uint32_t running;
 	GList *idle; /* link in limit_t.idle */
@@ -163,12 +165,23 @@
 	return (uint32_t)CLAMP(ms + 1, 1, MAX_RETRY_AFTER_MS);
 }
 
-/* What the bucket must hold before the request may take its cost. */
+static void note_cost(team_t *team, uint32_t cost)
+{
+	if (team->mean_cost <= 0)
+		team->mean_cost = cost;
+	team->mean_cost += (cost - team->mean_cost) / COSTS_REMEMBERED;
+}
+
+/*
+ * What the bucket must hold before the request may take its cost. One that
+ * is small for its team takes little from urgent work, and leaves less.
+ */
 static double needed_for(const team_t *team, const limit_ask_t *ask)
 {
 	double size = bucket_size(&team->terms);
+	double part = MIN(ask->cost / team->mean_cost, 1);
 
-	return MIN(ask->cost + ask->reserve * size, size);
+	return MIN(ask->cost + ask->reserve * part * size, size);
 }
 
 bool limit_take_many(limit_t *l, str_t name, const limit_ask_t *ask,
@@ -184,6 +197,7 @@
 		return false;
 	if (team->terms.rate > 0) {
 		refill(team, now);
+		note_cost(team, ask->cost);
 		needed = needed_for(team, ask);
 		if (team->tokens < needed) {
 			*retry_after_ms = refill_time_ms(team, needed);
--- a/core/limit.h
+++ b/core/limit.h
@@ -67,7 +67,10 @@
 /* What a request takes of its team's limit. */
 typedef struct limit_ask {
 	uint32_t cost; /* units of the rate */
-	/* Part of the bucket that is left for more urgent work, 0 to 1. */
+	/*
+	 * Part of the bucket that is left for more urgent work, 0 to 1; less
+	 * by a request that is small for its team.
+	 */
 	double reserve;
 } limit_ask_t;
 
