dispatcher: a grant ends with its deadline, whatever became of the message

The word that a grant ended, or the grant itself, is sent once; over a link that is being replaced it is lost. The dispatcher then counted the runner's place as taken for grant_timeout_ms, ten minutes, and its work as overdue, so its learned speed fell further and further.

Ruled out: the runner's entry (listed with all others), suspension (lasts a second), owners that died (lose_owner frees theirs).

Change: no owner in a fleet lets work run on beyond its deadline, so a grant a second past it is over. Counted (papaya_dispatcher_forgotten_total) and logged (grants-forgotten).

Test: test_grey_runner a_grant_ends_with_its_deadline, seen failing before.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -17,6 +17,7 @@
 	SILENCE_PATIENCE = 1500 * US_PER_MS, /* of all runners together */
 	/* Between work in time and work that is late; longer than any wait. */
 	LATE_OFFSET = 1000 * 1000 * US_PER_MS,
+	FORGOTTEN_AFTER = 1000 * US_PER_MS, /* a deadline */
 	RECHECK = 20 * US_PER_MS, /* of a protected want that is late */
 	PROTECTED_OVERFLOW = 2, /* times max_wants, while lower work runs */
 };
@@ -659,6 +660,22 @@
 		dispatcher_note_overdue(s, item, now);
 }
 
+/* Their owners have ended them for sure: that word, or our grant, is lost. */
+static void end_forgotten(struct dispatcher_state *s, int64_t now)
+{
+	GList *next;
+
+	for (GList *link = s->by_sign.head; link; link = next) {
+		item_t *item = link->data;
+
+		next = link->next;
+		if (now < item->want.deadline + FORGOTTEN_AFTER)
+			continue;
+		s->stats.forgotten++;
+		end_item(s, item, NULL, now);
+	}
+}
+
 /* Gives up grants of which nothing was heard for too long. */
 static void check_signs(struct dispatcher_state *s, int64_t now)
 {
@@ -676,6 +693,8 @@
 	/* What callbacks bring meanwhile waits for the decisions below. */
 	s->is_deciding = true;
 	check_signs(s, now);
+	if (s->config.ends_at_deadline)
+		end_forgotten(s, now);
 	dispatcher_check_silent(s, now);
 	if (is_ledger(s)) {
 		check_overdue(s, now);
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -111,6 +111,11 @@
 	 * runners that are slow for good.
 	 */
 	bool tries_idle;
+	/*
+	 * No owner lets work run on beyond its deadline: a grant that was not
+	 * ended some time after it is over, whatever became of the message.
+	 */
+	bool ends_at_deadline;
 	dispatcher_policy_t policy;
 } dispatcher_config_t;
 
@@ -130,6 +135,7 @@
 	uint64_t wants, grants, cancels;
 	uint64_t refusals[REFUSE_EXPIRED + 1];
 	uint64_t foreign; /* events that named an unknown want or runner */
+	uint64_t forgotten; /* grants that ended by their deadline alone */
 	uint32_t queued, running, runners;
 } dispatcher_stats_t;
 
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -29,6 +29,7 @@
 	runner_group_t group;
 	dispatcher_t dispatcher;
 	GHashTable *runners; /* name to runner_t */
+	uint64_t forgotten; /* grants that the log was told of */
 } service_t;
 
 /* A runner whose load is read. */
@@ -305,6 +306,7 @@
 		.grant_timeout = set->grant_timeout_ms * 1000,
 		.seed = g_rand_int(c->sup->rand),
 		.tries_idle = set->fleet,
+		.ends_at_deadline = set->fleet,
 		.policy = parse_policy(set->policy),
 	};
 
@@ -413,7 +415,7 @@
 	}
 }
 
-static void export_stats(capacity_t *c, const service_t *s)
+static void export_stats(capacity_t *c, service_t *s)
 {
 	g_autofree char *label = g_strdup_printf("service=\"%s\"", s->name);
 	metrics_t *m = &c->sup->metrics;
@@ -424,6 +426,14 @@
 	metrics_set(m, "papaya_dispatcher_grants_total", label, stats.grants);
 	metrics_set(m, "papaya_dispatcher_cancels_total", label, stats.cancels);
 	metrics_set(m, "papaya_dispatcher_foreign_total", label, stats.foreign);
+	if (stats.forgotten != s->forgotten)
+		log_event("grants-forgotten",
+			  "service=%s grants=%" PRIu64
+			  " why=\"their owners never said that they ended\"",
+			  s->name, stats.forgotten - s->forgotten);
+	s->forgotten = stats.forgotten;
+	metrics_set(m, "papaya_dispatcher_forgotten_total", label,
+		    stats.forgotten);
 	metrics_set(m, "papaya_dispatcher_queued", label, stats.queued);
 	metrics_set(m, "papaya_dispatcher_running", label, stats.running);
 	metrics_set(m, "papaya_dispatcher_runners", label, stats.runners);
--- a/tests/test_grey_runner.c
+++ b/tests/test_grey_runner.c
@@ -86,6 +86,30 @@
 }
 END_TEST
 
+/* The word that a call ended is lost: its place is not taken for ever. */
+START_TEST(a_grant_ends_with_its_deadline)
+{
+	static bed_t bed;
+	want_t want;
+
+	bed = (bed_t){ .config.ends_at_deadline = true,
+		       .config.plain_slots = 1 };
+	bed_init(&bed, false);
+	bed_set_runner(&bed, "r0", false);
+	want = bed_make_want(&bed, 1, 1, 1);
+	want.deadline = bed.now + 2 * SECOND;
+	dispatcher_want(&bed.d, &want, bed.now);
+	ck_assert_int_eq(bed_kind(&bed, 1), ANSWER_GRANT);
+	bed_ask(&bed, 2, 1, 1);
+	ck_assert_int_eq(bed_kind(&bed, 2), ANSWER_NONE);
+	for (int i = 0; i < 60; i++)
+		bed_tick(&bed, 100 * MS);
+	ck_assert_int_eq(bed_kind(&bed, 2), ANSWER_GRANT);
+	dispatcher_finish(&bed.d);
+}
+END_TEST
+
 SUITE_MAIN("grey_runner", a_runner_that_loses_answers_is_suspended,
 	   when_all_lose_answers_work_goes_on,
-	   a_runner_that_an_owner_declines_is_tried_again)
+	   a_runner_that_an_owner_declines_is_tried_again,
+	   a_grant_ends_with_its_deadline)
