dispatcher: refuse while the caller can still come back

A dispatcher that had just taken over knew no speed, so a request was due for refusal at its very deadline, and the refusal came when the caller had left.

Change: the last moment to begin leaves a sixteenth of the time to the deadline at least, and so for the time at which a caller leaves.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -18,6 +18,7 @@
 	/* Between work in time and work that is late; longer than any wait. */
 	LATE_OFFSET = 1000 * 1000 * US_PER_MS,
 	FORGOTTEN_AFTER = 1000 * US_PER_MS, /* a deadline */
+	LEFT_PART = 16, /* of the time to a deadline, for its refusal */
 	RECHECK = 20 * US_PER_MS, /* of a protected want that is late */
 	PROTECTED_OVERFLOW = 2, /* times max_wants, while lower work runs */
 };
@@ -425,15 +426,27 @@
 	       may_refuse(s, item->entry.tier);
 }
 
+/*
+ * When NEEDED must begin to be done by END. Speeds may not be known yet, and
+ * a refusal must reach its caller while it can still come back: so a part of
+ * the time is always left.
+ */
+static int64_t leave_time(int64_t end, int64_t now, int64_t needed)
+{
+	return end - MAX(needed, (end - now) / LEFT_PART);
+}
+
 /* After it the caller would leave before the end, or before the beginning. */
 static int64_t latest_start(const struct dispatcher_state *s,
-			    const want_t *want)
+			    const want_t *want, int64_t now)
 {
-	int64_t latest = want->deadline - dispatcher_service_time(s, want);
+	int64_t latest = leave_time(want->deadline, now,
+				    dispatcher_service_time(s, want));
 
 	if (!want->start_by)
 		return latest;
-	return MIN(latest, want->start_by - dispatcher_start_time(s, want));
+	return MIN(latest, leave_time(want->start_by, now,
+				      dispatcher_start_time(s, want)));
 }
 
 void dispatcher_want(dispatcher_t *d, const want_t *want, int64_t now)
@@ -452,7 +465,7 @@
 	}
 	item = add_item(s, want);
 	item->arrived = now;
-	item->latest_start = latest_start(s, want);
+	item->latest_start = latest_start(s, want, now);
 	if (want->target)
 		item->latest_timely =
 			want->target - dispatcher_start_time(s, want);
