ingress: an answer that ends in a drain closes its connection

A client's stream had begun before SIGTERM, so its head promised to keep the connection; the stream ended seven seconds into the drain, and in the tenth of a second until the next look for idle connections the client sent another request on it, which was taken with 0.3 s left and cut at the end of the drain.

Change: every answer that ends while the daemon drains closes its connection. A request that is sent meanwhile is not read, so its caller may repeat it.

Test: test_gateway a_stream_that_ends_in_a_drain_closes_its_connection, seen failing before.

--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -90,6 +90,8 @@
 static void finish_answer(ingress_t *c)
 {
 	c->relay = NULL;
+	/* A request that came now could not be served to the end. */
+	c->closes |= c->gateway->drain_since != 0;
 	if (c->closes) {
 		c->state = INGRESS_CLOSING;
 		set_timer(c, limits(c).idle_timeout_ms);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -427,6 +427,32 @@
 }
 END_TEST
 
+/* Its head was sent before the drain, and promised to keep the connection. */
+START_TEST(a_stream_that_ends_in_a_drain_closes_its_connection)
+{
+	static const reply_t slow[] = { { STREAM EVENT_1, REPLY_KEEP } };
+	gateway_bed_t bed;
+	message_t drain = { .type = MESSAGE_DRAIN };
+	GHashTableIter iter;
+	void *conn;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = slow;
+	gateway_send(&bed, 0, ASK("/stream/", "a"));
+	gateway_await(&bed, 0, EVENT_1);
+	supervisor_post(&bed.sup, TASK_FRONT, &drain);
+	gateway_run(&bed, 20);
+	g_hash_table_iter_init(&iter, bed.runners[0].conns);
+	while (g_hash_table_iter_next(&iter, &conn, NULL))
+		bufferevent_write(conn, "0\r\n\r\n", 5);
+	gateway_await(&bed, 0, "0\r\n\r\n");
+	gateway_run(&bed, 20);
+	ck_assert(bed.callers[0].is_closed);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
 /* Whoever connects late could not be served to the end. */
 START_TEST(a_drain_takes_new_connections_for_a_while_only)
 {
@@ -461,4 +487,5 @@
 	   a_dispatchers_refusal_and_a_limit_say_when_to_come_back,
 	   a_caller_that_leaves_cancels_its_work, a_routes_time_ends_a_request,
 	   a_drain_finishes_what_runs_and_closes_the_rest,
+	   a_stream_that_ends_in_a_drain_closes_its_connection,
 	   a_drain_takes_new_connections_for_a_while_only)
