fleet: a route's reserve is found without walking the routes

fleet_reserve walked all routes for each route, for every request of a limited team: with hundreds of routes tens of thousands of comparisons a request. The priorities that occur are kept as bits when a route is added. Priorities above 15 count as one, as they do for the rank.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -67,6 +67,11 @@
 		g_rc_box_release_full(f, clear);
 }
 
+static uint32_t priority_of(const fleet_route_t *route)
+{
+	return MIN(route->priority, MAX_ROUTE_PRIORITY);
+}
+
 static gint by_length(gconstpointer a, gconstpointer b)
 {
 	const fleet_route_t *x = *(fleet_route_t *const *)a;
@@ -85,6 +90,7 @@
 		of_host = g_ptr_array_new();
 		g_hash_table_insert(f->by_host, route->host, of_host);
 	}
+	f->priorities |= 1U << priority_of(route);
 	g_ptr_array_add(f->routes, route);
 	g_ptr_array_add(of_host, route);
 	g_ptr_array_sort(of_host, by_length);
@@ -167,7 +173,7 @@
 	uint32_t of_team = team && team->has_priority ? team->priority : 0;
 
 	return MIN(of_team, MAX_TEAM_PRIORITY) * (MAX_ROUTE_PRIORITY + 1) +
-	       MIN(route->priority, MAX_ROUTE_PRIORITY);
+	       priority_of(route);
 }
 
 int64_t fleet_patience_ms(const fleet_route_t *route)
@@ -178,33 +184,14 @@
 	return MAX(ms, LEAST_PATIENCE_MS);
 }
 
-/* Tells whether an earlier route has the same priority. */
-static bool is_repeated(const fleet_t *f, guint index)
-{
-	const fleet_route_t *route = f->routes->pdata[index];
-
-	for (guint i = 0; i < index; i++) {
-		const fleet_route_t *other = f->routes->pdata[i];
-
-		if (other->priority == route->priority)
-			return true;
-	}
-	return false;
-}
-
 double fleet_reserve(const fleet_t *f, const fleet_route_t *route)
 {
-	guint before = 0, all = 0;
+	uint32_t before = f->priorities & ((1U << priority_of(route)) - 1);
+	int all = __builtin_popcount(f->priorities);
 
-	for (guint i = 0; i < f->routes->len; i++) {
-		const fleet_route_t *other = f->routes->pdata[i];
-
-		if (is_repeated(f, i))
-			continue;
-		before += other->priority < route->priority;
-		all++;
-	}
-	return all > 1 ? most_reserved * before / (all - 1) : 0;
+	return all > 1 ?
+		       most_reserved * __builtin_popcount(before) / (all - 1) :
+		       0;
 }
 
 bool fleet_may_repeat(const fleet_route_t *route)
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -75,6 +75,7 @@
 typedef struct fleet {
 	uint64_t version;
 	GPtrArray *routes; /* fleet_route_t */
+	uint32_t priorities; /* a bit for each that a route has */
 	GHashTable *by_host; /* host to GPtrArray, the longest prefix first */
 	GHashTable *services; /* name to fleet_service_t */
 	GPtrArray *teams; /* fleet_team_t */
