hand-over, member: one loop counts who has not given, one rule who is awaited

handover_try_join and handover_awaited walked the candidates alike, and member_gap.c repeated the condition of member_gap_end. No change of behaviour.

--- a/core/handover.c
+++ b/core/handover.c
@@ -418,30 +418,9 @@
 	return h->table->has_joined;
 }
 
-/* Counts the candidates whose keys have not come. */
-typedef struct await_count {
-	const struct handover_table *table;
-	uint32_t n;
-} await_count_t;
-
-static void count_awaited(void *ctx, str_t name, uint64_t incarnation)
-{
-	await_count_t *c = ctx;
-	char buf[MEMBER_NAME_SIZE];
-
-	if (handover_is_self(c->table, name) ||
-	    !str_copy(buf, sizeof(buf), name))
-		return;
-	c->n += !handover_is_accepted(c->table, buf, incarnation);
-}
-
 uint32_t handover_awaited(const handover_t *h)
 {
-	await_count_t c = { .table = h->table };
-
-	if (!h->table->has_joined)
-		member_each_candidate(h->table->member, count_awaited, &c);
-	return c.n;
+	return h->table->has_joined ? 0 : handover_count_awaited(h->table);
 }
 
 bool handover_is_ready(const handover_t *h, int64_t age)
--- a/core/handover_state.h
+++ b/core/handover_state.h
@@ -48,9 +48,8 @@
 void handover_add_member(void *ctx, str_t name, uint64_t incarnation);
 /* Forgets shares of keys that no caller repeats any more. */
 void handover_expire_shares(struct handover_table *t, int64_t now);
-/* True when this incarnation of NAME has handed its keys over. */
-bool handover_is_accepted(const struct handover_table *t, const char *name,
-			  uint64_t incarnation);
+/* How many candidates have not handed their keys over to this daemon. */
+uint32_t handover_count_awaited(const struct handover_table *t);
 /* Ends the quiet period of a new daemon once all others handed over. */
 void handover_try_join(struct handover_table *t);
 
--- a/core/handover_take.c
+++ b/core/handover_take.c
@@ -180,8 +180,8 @@
 		g_array_remove_range(t->shares, 0, n);
 }
 
-bool handover_is_accepted(const struct handover_table *t, const char *name,
-			  uint64_t incarnation)
+static bool is_accepted(const struct handover_table *t, const char *name,
+			uint64_t incarnation)
 {
 	const handover_source_t *s = g_hash_table_lookup(t->sources, name);
 
@@ -197,7 +197,7 @@
 	g_hash_table_iter_init(&iter, members);
 	while (g_hash_table_iter_next(&iter, &name, &incarnation))
 		if (strcmp(name, self) &&
-		    !handover_is_accepted(t, name, *(uint64_t *)incarnation))
+		    !is_accepted(t, name, *(uint64_t *)incarnation))
 			return false;
 	return true;
 }
@@ -216,23 +216,36 @@
 	       are_accepted(t, s->members) && are_accepted(t, s->owing);
 }
 
+/* Counts the candidates whose keys have not come. */
+typedef struct await_count {
+	const struct handover_table *table;
+	uint32_t n;
+} await_count_t;
+
+static void count_awaited(void *ctx, str_t name, uint64_t incarnation)
+{
+	await_count_t *c = ctx;
+
+	if (!handover_is_self(c->table, name))
+		c->n += !is_accepted(c->table, name.ptr, incarnation);
+}
+
+uint32_t handover_count_awaited(const struct handover_table *t)
+{
+	await_count_t c = { .table = t };
+
+	member_each_candidate(t->member, count_awaited, &c);
+	return c.n;
+}
+
 void handover_try_join(struct handover_table *t)
 {
-	g_autoptr(GArray) own =
-		g_array_new(FALSE, FALSE, sizeof(handover_member_t));
 	GHashTableIter iter;
 	bool has_elder = false;
 	void *value;
 
-	member_each_candidate(t->member, handover_add_member, own);
-	for (guint i = 0; i < own->len; i++) {
-		const handover_member_t *m =
-			&g_array_index(own, handover_member_t, i);
-
-		if (!handover_is_self(t, m->name) &&
-		    !handover_is_accepted(t, m->name.ptr, m->incarnation))
-			return;
-	}
+	if (handover_count_awaited(t))
+		return;
 	g_hash_table_iter_init(&iter, t->sources);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const handover_source_t *s = value;
--- a/core/member_gap.c
+++ b/core/member_gap.c
@@ -21,12 +21,6 @@
 	t->born_at = MIN(t->born_at, since);
 }
 
-/* It leaves, and its keys have not come: the gap ends when they do. */
-static bool is_awaited(const member_entry_t *e)
-{
-	return member_is_present(e) && e->is_draining && !e->is_handed;
-}
-
 void member_each_gap(const member_t *m,
 		     void (*fn)(void *ctx, const member_gap_t *gap), void *ctx,
 		     int64_t now)
@@ -42,7 +36,7 @@
 		member_gap_t gap = { .name = str_from(e->vm.name),
 				     .age = now - member_gap_end(e) };
 
-		if (is_awaited(e))
+		if (member_is_awaited(e))
 			gap.leaving_incarnation = e->incarnation;
 		if (member_is_own_zone(t, e) &&
 		    gap.age < t->config.quiet_period)
--- a/core/member_state.h
+++ b/core/member_state.h
@@ -84,10 +84,16 @@
 	return member_is_present(e) && !e->is_draining;
 }
 
+/* It leaves, and its keys have not come: the gap ends when they do. */
+static inline bool member_is_awaited(const member_entry_t *e)
+{
+	return member_is_present(e) && e->is_draining && !e->is_handed;
+}
+
 /* Until when keys of a member that is no candidate may have run unknown. */
 static inline int64_t member_gap_end(const member_entry_t *e)
 {
-	if (member_is_present(e) && e->is_draining && !e->is_handed)
+	if (member_is_awaited(e))
 		return MAX(e->heard_at, e->reported_at);
 	return e->gap_at;
 }
