--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -17,9 +17,7 @@
 	SILENCE_PATIENCE = 1500 * US_PER_MS, /* of all runners together */
 	/* Between work in time and work that is late; longer than any wait. */
 	LATE_OFFSET = 1000 * 1000 * US_PER_MS,
-	FORGOTTEN_AFTER = 1000 * US_PER_MS, /* a deadline */
 	LEFT_PART = 16, /* of the time to a deadline, for its refusal */
-	RECHECK = 20 * US_PER_MS, /* of a protected want that is late */
 	PROTECTED_OVERFLOW = 2, /* times max_wants, while lower work runs */
 };
 
@@ -86,7 +84,7 @@
 	d->state = NULL;
 }
 
-static bool is_ledger(const struct dispatcher_state *s)
+bool dispatcher_is_ledger(const struct dispatcher_state *s)
 {
 	return s->config.policy == DISPATCHER_POLICY_LEDGER;
 }
@@ -139,9 +137,8 @@
 	g_hash_table_remove(s->items, &item->want.id);
 }
 
-/* Takes an item out of the ledger and frees it. */
-static void end_item(struct dispatcher_state *s, item_t *item,
-		     const done_t *done, int64_t now)
+void dispatcher_end_item(struct dispatcher_state *s, item_t *item,
+			 const done_t *done, int64_t now)
 {
 	runner_t *runner = item->runner;
 
@@ -161,9 +158,8 @@
 				    (uint32_t)MIN(wait / US_PER_MS, G_MAXINT));
 }
 
-/* Answers a want that is in no queue; the item is freed. */
-static void refuse(struct dispatcher_state *s, item_t *item,
-		   refuse_reason_t reason)
+void dispatcher_refuse(struct dispatcher_state *s, item_t *item,
+		       refuse_reason_t reason)
 {
 	want_t want = item->want;
 	uint64_t cost = item->entry.cost;
@@ -175,8 +171,8 @@
 	s->ops.refuse(s->ctx, &want, reason, retry_after(s, want.tier, cost));
 }
 
-static void grant(struct dispatcher_state *s, item_t *item, runner_t *runner,
-		  int64_t now)
+void dispatcher_grant(struct dispatcher_state *s, item_t *item,
+		      runner_t *runner, int64_t now)
 {
 	want_t want = item->want;
 	dispatcher_runner_t info = runner->info;
@@ -197,8 +193,7 @@
 	       dispatcher_runs_lower(s, tier);
 }
 
-/* Protected work is refused only when surely nothing lower is served. */
-static bool may_refuse(const struct dispatcher_state *s, uint32_t tier)
+bool dispatcher_may_refuse(const struct dispatcher_state *s, uint32_t tier)
 {
 	if (!queue_is_protected(&s->queue, tier))
 		return true;
@@ -210,7 +205,7 @@
 	queue_entry_t *entry;
 
 	while ((entry = queue_due(&s->queue)))
-		refuse(s, (item_t *)entry, REFUSE_NO_RUNNER);
+		dispatcher_refuse(s, (item_t *)entry, REFUSE_NO_RUNNER);
 }
 
 /*
@@ -253,7 +248,8 @@
 	if (s->config.tries_idle &&
 	    (!s->config.is_engine || !runner->model.running))
 		return false;
-	return is_late(item, finish, now) && may_refuse(s, item->entry.tier);
+	return is_late(item, finish, now) &&
+	       dispatcher_may_refuse(s, item->entry.tier);
 }
 
 /*
@@ -297,9 +293,9 @@
 	if (!runner)
 		return false;
 	if (!is_refusable(s, item, runner, finish, now))
-		grant(s, item, runner, now);
+		dispatcher_grant(s, item, runner, now);
 	else if (!park(s, item, now))
-		refuse(s, item, REFUSE_DEADLINE);
+		dispatcher_refuse(s, item, REFUSE_DEADLINE);
 	return true;
 }
 
@@ -357,11 +353,11 @@
 	item_t *item = add_item(s, want);
 
 	if (!runner)
-		refuse(s, item, REFUSE_NO_RUNNER);
+		dispatcher_refuse(s, item, REFUSE_NO_RUNNER);
 	else if (s->n_running >= s->config.max_running)
-		refuse(s, item, REFUSE_QUEUE_FULL);
+		dispatcher_refuse(s, item, REFUSE_QUEUE_FULL);
 	else
-		grant(s, item, runner, now);
+		dispatcher_grant(s, item, runner, now);
 }
 
 /* Makes room in the queue; false when the want itself is to be refused. */
@@ -374,20 +370,15 @@
 	victim = queue_victim(&s->queue, item->entry.tier, item->entry.team,
 			      item->entry.cost);
 	if (victim) {
-		refuse(s, (item_t *)victim, REFUSE_SHED);
+		dispatcher_refuse(s, (item_t *)victim, REFUSE_SHED);
 		return true;
 	}
-	if (may_refuse(s, item->entry.tier))
+	if (dispatcher_may_refuse(s, item->entry.tier))
 		return false;
 	return s->queue.entries < PROTECTED_OVERFLOW * s->config.max_wants;
 }
 
-/*
- * In overload, work that can still be of full use goes before work that has
- * missed its target, or all would miss theirs. The latter is served while
- * nothing of its tier is in time, and refused when its deadline comes.
- */
-static void set_order(item_t *item, int64_t now)
+void dispatcher_set_order(item_t *item, int64_t now)
 {
 	item->entry.deadline = item->want.deadline;
 	if (!item->latest_timely)
@@ -423,7 +414,7 @@
 	if (s->config.tries_idle && !wait)
 		return false;
 	return now + wait > item->latest_start &&
-	       may_refuse(s, item->entry.tier);
+	       dispatcher_may_refuse(s, item->entry.tier);
 }
 
 /*
@@ -459,7 +450,7 @@
 		return;
 	}
 	s->stats.wants++;
-	if (!is_ledger(s)) {
+	if (!dispatcher_is_ledger(s)) {
 		want_baseline(s, want, now);
 		return;
 	}
@@ -469,14 +460,14 @@
 	if (want->target)
 		item->latest_timely =
 			want->target - dispatcher_start_time(s, want);
-	set_order(item, now);
+	dispatcher_set_order(item, now);
 	item->entry.due = first_due(s, item);
 	if (!has_runner(s, now))
-		refuse(s, item, REFUSE_NO_RUNNER);
+		dispatcher_refuse(s, item, REFUSE_NO_RUNNER);
 	else if (is_hopeless(s, item, now))
-		refuse(s, item, REFUSE_DEADLINE);
+		dispatcher_refuse(s, item, REFUSE_DEADLINE);
 	else if (!has_place(s, item))
-		refuse(s, item, REFUSE_QUEUE_FULL);
+		dispatcher_refuse(s, item, REFUSE_QUEUE_FULL);
 	else
 		enqueue(s, item, now);
 	dispatcher_decide(s, now);
@@ -500,7 +491,7 @@
 
 	if (item && item->runner && is_leaving(item->runner)) {
 		/* The owner has not used the grant: it holds none. */
-		end_item(s, item, NULL, now);
+		dispatcher_end_item(s, item, NULL, now);
 		item = NULL;
 	}
 	if (!item)
@@ -528,7 +519,7 @@
 	if (!item)
 		return;
 	if (item->runner)
-		end_item(s, item, NULL, now);
+		dispatcher_end_item(s, item, NULL, now);
 	else
 		forget_waiting(s, item);
 	dispatcher_decide(s, now);
@@ -580,7 +571,7 @@
 	if (!item || !item->runner)
 		return;
 	note_result(d->state, item->runner, done->result, now);
-	end_item(d->state, item, done, now);
+	dispatcher_end_item(d->state, item, done, now);
 	dispatcher_decide(d->state, now);
 }
 
@@ -611,112 +602,13 @@
 		item_t *item = g_queue_peek_head(owned);
 
 		if (item->runner)
-			end_item(s, item, NULL, now);
+			dispatcher_end_item(s, item, NULL, now);
 		else
 			forget_waiting(s, item);
 	}
 	dispatcher_decide(s, now);
 }
 
-/* A protected want is late: cancels lower work, then goes past the window. */
-static void hurry(struct dispatcher_state *s, item_t *item, int64_t now)
-{
-	runner_t *runner = NULL;
-	int64_t finish = 0;
-
-	if (now >= item->latest_start && s->n_running < s->config.max_running)
-		runner = dispatcher_choose(s, item, ROOM_FORCED, now, &finish);
-	dispatcher_cancel_for(s, item);
-	if (runner)
-		grant(s, item, runner, now);
-	else
-		queue_set_due(&s->queue, &item->entry,
-			      MIN(now + RECHECK, item->want.deadline));
-}
-
-/* The target can't be met any more: others go first. */
-static void demote(struct dispatcher_state *s, item_t *item, int64_t now)
-{
-	queue_remove(&s->queue, &item->entry);
-	set_order(item, now);
-	item->entry.due = item->latest_start;
-	queue_push(&s->queue, &item->entry);
-}
-
-static void check_due(struct dispatcher_state *s, item_t *item, int64_t now)
-{
-	if (now >= item->want.deadline)
-		refuse(s, item, REFUSE_EXPIRED);
-	else if (!may_refuse(s, item->entry.tier))
-		hurry(s, item, now);
-	else if (now < item->latest_start && item->latest_timely)
-		demote(s, item, now);
-	else if (now < item->latest_start)
-		queue_set_due(&s->queue, &item->entry, item->latest_start);
-	else
-		refuse(s, item, REFUSE_DEADLINE);
-}
-
-static void check_queue(struct dispatcher_state *s, int64_t now)
-{
-	queue_entry_t *entry;
-
-	while ((entry = queue_due(&s->queue)) && entry->due <= now)
-		check_due(s, (item_t *)entry, now);
-}
-
-static void check_overdue(struct dispatcher_state *s, int64_t now)
-{
-	item_t *item;
-
-	while ((item = sequence_first(s->by_due)) && item->work.due <= now)
-		dispatcher_note_overdue(s, item, now);
-}
-
-/* Their owners have ended them for sure: that word, or our grant, is lost. */
-static void end_forgotten(struct dispatcher_state *s, int64_t now)
-{
-	GList *next;
-
-	for (GList *link = s->by_sign.head; link; link = next) {
-		item_t *item = link->data;
-
-		next = link->next;
-		if (now < item->want.deadline + FORGOTTEN_AFTER)
-			continue;
-		s->stats.forgotten++;
-		end_item(s, item, NULL, now);
-	}
-}
-
-/* Gives up grants of which nothing was heard for too long. */
-static void check_signs(struct dispatcher_state *s, int64_t now)
-{
-	item_t *item;
-
-	while ((item = g_queue_peek_head(&s->by_sign)) &&
-	       item->last_sign + s->config.grant_timeout <= now)
-		end_item(s, item, NULL, now);
-}
-
-void dispatcher_tick(dispatcher_t *d, int64_t now)
-{
-	struct dispatcher_state *s = d->state;
-
-	/* What callbacks bring meanwhile waits for the decisions below. */
-	s->is_deciding = true;
-	check_signs(s, now);
-	if (s->config.ends_at_deadline)
-		end_forgotten(s, now);
-	dispatcher_check_silent(s, now);
-	if (is_ledger(s)) {
-		check_overdue(s, now);
-		check_queue(s, now);
-	}
-	s->is_deciding = false;
-	dispatcher_decide(s, now);
-}
-
 void dispatcher_stats(const dispatcher_t *d, dispatcher_stats_t *out)
 {
 	const struct dispatcher_state *s = d->state;
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -82,6 +82,27 @@
  */
 void dispatcher_decide(struct dispatcher_state *s, int64_t now);
 
+/* False for the baseline policies, which keep no ledger of predictions. */
+bool dispatcher_is_ledger(const struct dispatcher_state *s);
+/* Answers a want, and takes it out of the queue if it is there; frees it. */
+void dispatcher_refuse(struct dispatcher_state *s, item_t *item,
+		       refuse_reason_t reason);
+/* Grants a want, in the queue or not; the item moves to the ledger. */
+void dispatcher_grant(struct dispatcher_state *s, item_t *item,
+		      runner_t *runner, int64_t now);
+/* Takes an item out of the ledger and frees it; DONE may be NULL. */
+void dispatcher_end_item(struct dispatcher_state *s, item_t *item,
+			 const done_t *done, int64_t now);
+/* Protected work is refused only when surely nothing lower is served. */
+bool dispatcher_may_refuse(const struct dispatcher_state *s, uint32_t tier);
+/*
+ * Sets an item's place in its tier. In overload, work that can still be of
+ * full use goes before work that has missed its target, or all would miss
+ * theirs. The latter is served while nothing of its tier is in time, and
+ * refused when its deadline comes.
+ */
+void dispatcher_set_order(item_t *item, int64_t now);
+
 /* Returns NULL, and counts it, for a name that is not known. */
 runner_t *dispatcher_find_runner(struct dispatcher_state *s, str_t name);
 /* Frees a runner that is neither listed nor at work. */
--- /dev/null
+++ b/core/dispatcher_tick.c
@@ -0,0 +1,107 @@
+#include "common/sequence.h"
+#include "core/dispatcher_state.h"
+
+enum {
+	US_PER_MS = 1000,
+	RECHECK = 20 * US_PER_MS, /* of a protected want that is late */
+	FORGOTTEN_AFTER = 1000 * US_PER_MS, /* a deadline */
+};
+
+/* A protected want is late: cancels lower work, then goes past the window. */
+static void hurry(struct dispatcher_state *s, item_t *item, int64_t now)
+{
+	runner_t *runner = NULL;
+	int64_t finish = 0;
+
+	if (now >= item->latest_start && s->n_running < s->config.max_running)
+		runner = dispatcher_choose(s, item, ROOM_FORCED, now, &finish);
+	dispatcher_cancel_for(s, item);
+	if (runner)
+		dispatcher_grant(s, item, runner, now);
+	else
+		queue_set_due(&s->queue, &item->entry,
+			      MIN(now + RECHECK, item->want.deadline));
+}
+
+/* The target can't be met any more: others go first. */
+static void demote(struct dispatcher_state *s, item_t *item, int64_t now)
+{
+	queue_remove(&s->queue, &item->entry);
+	dispatcher_set_order(item, now);
+	item->entry.due = item->latest_start;
+	queue_push(&s->queue, &item->entry);
+}
+
+static void check_due(struct dispatcher_state *s, item_t *item, int64_t now)
+{
+	if (now >= item->want.deadline)
+		dispatcher_refuse(s, item, REFUSE_EXPIRED);
+	else if (!dispatcher_may_refuse(s, item->entry.tier))
+		hurry(s, item, now);
+	else if (now < item->latest_start && item->latest_timely)
+		demote(s, item, now);
+	else if (now < item->latest_start)
+		queue_set_due(&s->queue, &item->entry, item->latest_start);
+	else
+		dispatcher_refuse(s, item, REFUSE_DEADLINE);
+}
+
+static void check_queue(struct dispatcher_state *s, int64_t now)
+{
+	queue_entry_t *entry;
+
+	while ((entry = queue_due(&s->queue)) && entry->due <= now)
+		check_due(s, (item_t *)entry, now);
+}
+
+static void check_overdue(struct dispatcher_state *s, int64_t now)
+{
+	item_t *item;
+
+	while ((item = sequence_first(s->by_due)) && item->work.due <= now)
+		dispatcher_note_overdue(s, item, now);
+}
+
+/* Their owners have ended them for sure: that word, or our grant, is lost. */
+static void end_forgotten(struct dispatcher_state *s, int64_t now)
+{
+	GList *next;
+
+	for (GList *link = s->by_sign.head; link; link = next) {
+		item_t *item = link->data;
+
+		next = link->next;
+		if (now < item->want.deadline + FORGOTTEN_AFTER)
+			continue;
+		s->stats.forgotten++;
+		dispatcher_end_item(s, item, NULL, now);
+	}
+}
+
+/* Gives up grants of which nothing was heard for too long. */
+static void check_signs(struct dispatcher_state *s, int64_t now)
+{
+	item_t *item;
+
+	while ((item = g_queue_peek_head(&s->by_sign)) &&
+	       item->last_sign + s->config.grant_timeout <= now)
+		dispatcher_end_item(s, item, NULL, now);
+}
+
+void dispatcher_tick(dispatcher_t *d, int64_t now)
+{
+	struct dispatcher_state *s = d->state;
+
+	/* What callbacks bring meanwhile waits for the decisions below. */
+	s->is_deciding = true;
+	check_signs(s, now);
+	if (s->config.ends_at_deadline)
+		end_forgotten(s, now);
+	dispatcher_check_silent(s, now);
+	if (dispatcher_is_ledger(s)) {
+		check_overdue(s, now);
+		check_queue(s, now);
+	}
+	s->is_deciding = false;
+	dispatcher_decide(s, now);
+}
