--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -27,6 +27,17 @@
 	return r->gateway->sup;
 }
 
+/* The two names for logs. */
+static const char *dispatcher_name(const relay_t *r)
+{
+	return r->dispatcher[0] ? r->dispatcher : "own";
+}
+
+static const char *runner_name(const relay_t *r)
+{
+	return r->runner.name[0] ? r->runner.name : "-";
+}
+
 static uint32_t output_tokens(const call_head_t *call)
 {
 	if (call->output_hint)
@@ -117,7 +128,7 @@
 		log_event("dispatcher-silent",
 			  "request=%s dispatcher=%s waited_ms=%" PRId64
 			  " why=\"no answer; this daemon decides alone\"",
-			  r->id, r->dispatcher[0] ? r->dispatcher : "own",
+			  r->id, dispatcher_name(r),
 			  (now - r->arrived) / US_PER_MS);
 		post_capacity(r, MESSAGE_WITHDRAW, NULL);
 		r->is_alone = true;
@@ -172,10 +183,9 @@
 		  " age_ms=%" PRId64 " left_ms=%" PRId64,
 		  r->id, status, why, r->route ? r->route->name : "-",
 		  r->team ? r->team->name : "-", r->service ? r->service : "-",
-		  r->rank, r->fleet ? r->fleet->version : 0,
-		  r->dispatcher[0] ? r->dispatcher : "own",
-		  r->runner.name[0] ? r->runner.name : "-", r->sends, r->runs,
-		  r->n_events, (now_us() - r->arrived) / US_PER_MS,
+		  r->rank, r->fleet ? r->fleet->version : 0, dispatcher_name(r),
+		  runner_name(r), r->sends, r->runs, r->n_events,
+		  (now_us() - r->arrived) / US_PER_MS,
 		  r->deadline ? (r->deadline - now_us()) / US_PER_MS : 0);
 	metrics_add(&sup_of(r)->metrics, "papaya_own_answers_total", label, 1);
 }
@@ -186,13 +196,11 @@
 	ingress_t *caller = r->caller;
 
 	count_end(r, status, why);
-	if (r->has_begun) {
-		r->caller = NULL;
+	r->caller = NULL;
+	if (r->has_begun)
 		ingress_end(caller, false);
-	} else {
-		r->caller = NULL;
+	else
 		ingress_refuse(caller, status, retry_after_ms, why);
-	}
 	relay_end(r);
 }
 
@@ -213,7 +221,7 @@
 	r->caller = NULL;
 	let_go(r, DONE_CANCELLED);
 	log_event("caller-left", "request=%s runner=%s sent=%u age_ms=%" PRId64,
-		  r->id, r->runner.name[0] ? r->runner.name : "-", r->sends,
+		  r->id, runner_name(r), r->sends,
 		  (now_us() - r->arrived) / US_PER_MS);
 	relay_end(r);
 }
@@ -298,8 +306,7 @@
 	log_event("grant-declined",
 		  "request=%s runner=%s dispatcher=%s why=\"the runner is "
 		  "leaving by this daemon's list\"",
-		  r->id, r->runner.name,
-		  r->dispatcher[0] ? r->dispatcher : "own");
+		  r->id, r->runner.name, dispatcher_name(r));
 	r->state = RELAY_SENT;
 	relay_tell_done(r, DONE_LEAVING);
 	if (!relay_try_again(r))
@@ -323,7 +330,7 @@
 	}
 	log_sample("granted",
 		   "request=%s runner=%s dispatcher=%s wait_ms=%" PRId64, r->id,
-		   r->runner.name, r->dispatcher[0] ? r->dispatcher : "own",
+		   r->runner.name, dispatcher_name(r),
 		   (now_us() - r->asked) / US_PER_MS);
 	send_upstream(r);
 }
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -78,7 +78,10 @@
 	config_view_unref(view);
 }
 
-/* Returns whether the configuration is newer than the one in force. */
+/*
+ * Returns whether the configuration is newer than the one in force. One that
+ * can't be read may be: others find out for themselves.
+ */
 static bool take_config(store_follow_t *s, str_t text)
 {
 	char reason[ERR_DETAIL_SIZE * 2];
