tests, standin: what stood twice stands once

Fake tasks, a free port and waiting for a count (lib_task_bed, for the front and the gateway); removing a run's folder and finding known failures (lib_run_dir, for faults and soak); the one-slot dispatcher of two overload tests; the soak's weighted draws and its check of what a fault met; a timer of the runner stand-in. All assertions are as they were.

--- a/standin/runner.c
+++ b/standin/runner.c
@@ -12,8 +12,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "platform/names.h"
+#include "common/timeval.h"
 #include "net/http.h"
+#include "platform/names.h"
 #include "standin/lib_args.h"
 #include "standin/lib_server.h"
 
@@ -55,9 +56,7 @@
 
 static void set_timer(struct event *timer, double ms)
 {
-	const struct timeval tv = { (time_t)(ms / 1000),
-				    (suseconds_t)((int64_t)(ms * 1000) %
-						  1000000) };
+	const struct timeval tv = timeval_from_ms((int64_t)ms);
 
 	evtimer_add(timer, &tv);
 }
--- a/tests/faults.c
+++ b/tests/faults.c
@@ -14,6 +14,7 @@
 
 #include "standin/lib_args.h"
 #include "tests/lib_fault_table.h"
+#include "tests/lib_run_dir.h"
 
 enum {
 	MAX_JOBS = 8,
@@ -68,24 +69,8 @@
 static bool is_known_red(const suite_t *s, const char *name)
 {
 	g_autofree char *entry = g_strdup_printf("faults:%s ", name);
-	const char *at = s->known_red ? strstr(s->known_red, entry) : NULL;
 
-	return at && (at == s->known_red || at[-1] == '\n');
-}
-
-static void remove_dir(const char *path)
-{
-	GDir *dir = g_dir_open(path, 0, NULL);
-	const char *name;
-
-	while (dir && (name = g_dir_read_name(dir))) {
-		g_autofree char *file = g_build_filename(path, name, NULL);
-
-		g_unlink(file);
-	}
-	if (dir)
-		g_dir_close(dir);
-	g_rmdir(path);
+	return run_is_known_red(s->known_red, entry);
 }
 
 static void report(suite_t *s, const job_t *job, int status)
@@ -95,7 +80,7 @@
 	if (status == 0) {
 		printf("ok %s seed %u\n", job->fault->name, job->seed);
 		s->passed++;
-		remove_dir(job->dir);
+		run_dir_remove(job->dir);
 		return;
 	}
 	if (!g_file_get_contents(job->out, &reason, NULL, NULL) || !*reason) {
--- a/tests/lib_bed.c
+++ b/tests/lib_bed.c
@@ -76,6 +76,14 @@
 	dispatcher_set_runner(&bed->d, &runner, bed->now);
 }
 
+void bed_init_taken(bed_t *bed)
+{
+	bed->config.engine_slots = 1;
+	bed_init(bed, true);
+	bed_set_runner(bed, "r", false);
+	bed_ask(bed, 1, 1, 1);
+}
+
 want_t bed_make_want(bed_t *bed, uint64_t attempt, uint32_t tier,
 		     uint32_t tokens)
 {
--- a/tests/lib_bed.h
+++ b/tests/lib_bed.h
@@ -37,6 +37,8 @@
 
 /* Starts a dispatcher; limits that CONFIG leaves at 0 get a default. */
 void bed_init(bed_t *bed, bool is_engine);
+/* Starts one with a single runner "r" of one slot, taken by attempt 1. */
+void bed_init_taken(bed_t *bed);
 /* Lists a runner. */
 void bed_set_runner(bed_t *bed, const char *name, bool is_leaving);
 /* Returns a want with ten seconds until its deadline. */
--- a/tests/lib_front.c
+++ b/tests/lib_front.c
@@ -8,11 +8,10 @@
 
 #include "common/log.h"
 #include "tests/lib_suite.h"
+#include "tests/lib_task_bed.h"
 
 enum { LIMIT_US = 10 * G_USEC_PER_SEC };
 
-static front_bed_t *current;
-
 static const char profile_text[] =
 	"{\"tiers\":[{\"name\":\"holds\",\"protected\":true,\"need_ms\":2000},"
 	"{\"name\":\"drafts\",\"need_ms\":5000}],"
@@ -21,15 +20,6 @@
 	"\"2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b\"},"
 	"\"small\":{\"concurrency\":1}}}";
 
-static void *fake_start(supervisor_t *sup, err_t *err)
-{
-	return current;
-}
-
-static void fake_stop(void *state)
-{
-}
-
 static void answer_want(front_bed_t *bed, const message_t *m)
 {
 	message_t routed = { .type = MESSAGE_ROUTED, .capacity = m->capacity };
@@ -148,8 +138,8 @@
 	}
 }
 
-static const task_spec_t fake_task = { "fake", 9, fake_start, fake_handle,
-				       fake_stop };
+static const task_spec_t fake_task = { "fake", 9, task_bed_start, fake_handle,
+				       task_bed_stop };
 
 static const task_spec_t *const specs[TASK_COUNT] = {
 	[TASK_PLATFORM] = &fake_task, [TASK_PEERS] = &fake_task,
@@ -175,19 +165,6 @@
 	reply->end = bed->runner_end;
 }
 
-int front_free_port(void)
-{
-	struct sockaddr_in sin = { .sin_family = AF_INET,
-				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	socklen_t len = sizeof(sin);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
-	getsockname(fd, (struct sockaddr *)&sin, &len);
-	close(fd);
-	return ntohs(sin.sin_port);
-}
-
 static void parse_settings(front_bed_t *bed)
 {
 	g_autofree char *text = g_strdup_printf(
@@ -200,7 +177,7 @@
 		"\"max_keys\":16,\"max_body_kib\":4,\"max_answer_kib\":4,"
 		"\"keepalive_ms\":100,\"slow_caller_ms\":300,"
 		"\"caller_backlog_kib\":16}",
-		front_free_port());
+		task_bed_free_port());
 	err_t err = { 0 };
 
 	ck_assert_msg(settings_parse(&bed->settings, str_from(text), "t", &err),
@@ -246,7 +223,7 @@
 	err_t err = { 0 };
 
 	memset(bed, 0, sizeof(*bed));
-	current = bed;
+	task_bed_set_state(bed);
 	signal(SIGPIPE, SIG_IGN);
 	log_init("error");
 	bed->base = event_base_new();
@@ -356,11 +333,7 @@
 
 void front_await_wants(front_bed_t *bed, int wants)
 {
-	gint64 limit = g_get_monotonic_time() + LIMIT_US;
-
-	while (bed->wants < wants && g_get_monotonic_time() < limit)
-		event_base_loop(bed->base, EVLOOP_ONCE);
-	ck_assert_int_ge(bed->wants, wants);
+	task_bed_await_count(bed->base, &bed->wants, wants, LIMIT_US);
 }
 
 front_client_t *front_ask(front_bed_t *bed, int i, enum evhttp_cmd_type method,
--- a/tests/lib_front.h
+++ b/tests/lib_front.h
@@ -59,8 +59,6 @@
 
 void front_bed_init(front_bed_t *bed);
 void front_bed_finish(front_bed_t *bed);
-/* Returns a loopback port that nobody listens on. */
-int front_free_port(void);
 /* Sends a request in slot I; HEADERS is "Name: value" lines. */
 front_client_t *front_send(front_bed_t *bed, int i, enum evhttp_cmd_type method,
 			   const char *path, const char *headers,
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -7,13 +7,11 @@
 
 #include "common/log.h"
 #include "platform/fleet_text.h"
-#include "tests/lib_front.h"
 #include "tests/lib_suite.h"
+#include "tests/lib_task_bed.h"
 
 enum { LIMIT_US = 8 * G_USEC_PER_SEC };
 
-static gateway_bed_t *current;
-
 static const char config_text[] =
 	"{\"version\":1,\"routes\":["
 	"{\"name\":\"safe\",\"host\":\"h\",\"path_prefix\":\"/safe/\","
@@ -35,15 +33,6 @@
 	"{\"name\":\"limited\",\"api_keys\":[\"low\"],\"rate_per_s\":1,"
 	"\"burst\":1,\"unit\":\"tokens\",\"uncached_tokens\":5}]}";
 
-static void *fake_start(supervisor_t *sup, err_t *err)
-{
-	return current;
-}
-
-static void fake_stop(void *state)
-{
-}
-
 /* Grants the runners in turn, so that a second try goes elsewhere. */
 static void answer_want(gateway_bed_t *bed, const message_t *m)
 {
@@ -100,10 +89,10 @@
 {
 }
 
-static const task_spec_t fake_peers = { "peers", 2, fake_start, fake_handle,
-					fake_stop };
-static const task_spec_t fake_other = { "other", 1, fake_start, no_handle,
-					fake_stop };
+static const task_spec_t fake_peers = { "peers", 2, task_bed_start, fake_handle,
+					task_bed_stop };
+static const task_spec_t fake_other = { "other", 1, task_bed_start, no_handle,
+					task_bed_stop };
 
 static const task_spec_t *const specs[TASK_COUNT] = {
 	[TASK_PLATFORM] = &fake_other, [TASK_PEERS] = &fake_peers,
@@ -229,7 +218,8 @@
 		"\"peer_secret\":\"0123456789abcdef\","
 		"\"operator_token\":\"0123456789abcdef\","
 		"\"drain_ms\":3500,\"seed\":1}",
-		front_free_port(), front_free_port(), front_free_port());
+		task_bed_free_port(), task_bed_free_port(),
+		task_bed_free_port());
 	err_t err = { 0 };
 
 	ck_assert_msg(
@@ -242,7 +232,7 @@
 	err_t err = { 0 };
 
 	memset(bed, 0, sizeof(*bed));
-	current = bed;
+	task_bed_set_state(bed);
 	signal(SIGPIPE, SIG_IGN);
 	log_init("error");
 	bed->base = event_base_new();
@@ -366,11 +356,7 @@
 
 void gateway_await_count(gateway_bed_t *bed, const int *value, int n)
 {
-	gint64 limit = g_get_monotonic_time() + LIMIT_US;
-
-	while (*value < n && !is_over(limit))
-		event_base_loop(bed->base, EVLOOP_ONCE);
-	ck_assert_int_ge(*value, n);
+	task_bed_await_count(bed->base, value, n, LIMIT_US);
 }
 
 void gateway_run(gateway_bed_t *bed, int64_t ms)
--- a/tests/lib_soak_check.c
+++ b/tests/lib_soak_check.c
@@ -74,35 +74,36 @@
 		fclose(in);
 }
 
-/* True when a fault at PLACE, on the call's daemon if any, met the call. */
-static bool has_met(const soak_checker_t *c, const soak_call_t *call,
-		    soak_place_t place)
+static bool is_beside(const soak_fault_t *f, const soak_call_t *call)
+{
+	return f->begin_ms <= call->end_ms &&
+	       f->end_ms + SETTLE_MS >= call->begin_ms;
+}
+
+/* True when a fault of a runner met the call. */
+static bool has_met_runner_fault(const soak_checker_t *c,
+				 const soak_call_t *call)
 {
 	for (guint i = 0; i < c->faults->len; i++) {
 		const soak_fault_t *f =
 			&g_array_index(c->faults, soak_fault_t, i);
-		bool is_here =
-			place == SOAK_ON_RUNNER || f->target == call->daemon;
 
-		if (f->kind->place == place && is_here &&
-		    f->begin_ms <= call->end_ms &&
-		    f->end_ms + SETTLE_MS >= call->begin_ms)
+		if (f->kind->place == SOAK_ON_RUNNER && is_beside(f, call))
 			return true;
 	}
 	return false;
 }
 
-/* The same for faults of one name on the call's own daemon. */
-static bool has_met_kind(const soak_checker_t *c, const soak_call_t *call,
-			 const char *name)
+/* True when a fault of one name met the call on its own daemon. */
+static bool has_met(const soak_checker_t *c, const soak_call_t *call,
+		    const char *name)
 {
 	for (guint i = 0; i < c->faults->len; i++) {
 		const soak_fault_t *f =
 			&g_array_index(c->faults, soak_fault_t, i);
 
 		if (!strcmp(f->kind->name, name) && f->target == call->daemon &&
-		    f->begin_ms <= call->end_ms &&
-		    f->end_ms + SETTLE_MS >= call->begin_ms)
+		    is_beside(f, call))
 			return true;
 	}
 	return false;
@@ -161,8 +162,8 @@
 {
 	const GPtrArray *teams = g_hash_table_lookup(c->runs, call->id);
 	int64_t limit = call->kind->timeout_ms + ANSWER_SLACK_MS;
-	bool is_killed = has_met_kind(c, call, "daemon-kill") ||
-			 has_met_kind(c, call, "daemon-pause");
+	bool is_killed = has_met(c, call, "daemon-kill") ||
+			 has_met(c, call, "daemon-pause");
 
 	if (is_killed)
 		return;
@@ -173,10 +174,10 @@
 	if (is_whole(call))
 		return;
 	/* A daemon that leaves may close what it has not read. */
-	if (!call->status && !teams && has_met_kind(c, call, "daemon-drain"))
+	if (!call->status && !teams && has_met(c, call, "daemon-drain"))
 		return;
 	if (call->kind->is_stream && call->status == STATUS_OK &&
-	    has_met(c, call, SOAK_ON_RUNNER))
+	    has_met_runner_fault(c, call))
 		return;
 	soak_find(c->out, "LOST %s (%s): %s after status %d", call->id,
 		  call->kind->name, call->how, call->status);
--- a/tests/lib_soak_fault.c
+++ b/tests/lib_soak_fault.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include "standin/lib_fetch.h"
+#include "tests/lib_soak_plan.h"
 
 static bool kill_node(soak_site_t *s, soak_node_t *n)
 {
@@ -11,25 +12,26 @@
 	return true;
 }
 
-static bool pause_node(soak_site_t *s, soak_node_t *n)
+static bool signal_node(soak_node_t *n, int number, soak_state_t state)
 {
-	process_signal(&n->process, SIGSTOP);
-	soak_set_state(n, SOAK_PAUSED);
+	process_signal(&n->process, number);
+	soak_set_state(n, state);
 	return true;
 }
 
+static bool pause_node(soak_site_t *s, soak_node_t *n)
+{
+	return signal_node(n, SIGSTOP, SOAK_PAUSED);
+}
+
 static bool resume_node(soak_site_t *s, soak_node_t *n)
 {
-	process_signal(&n->process, SIGCONT);
-	soak_set_state(n, SOAK_UP);
-	return true;
+	return signal_node(n, SIGCONT, SOAK_UP);
 }
 
 static bool drain_daemon(soak_site_t *s, soak_node_t *n)
 {
-	process_signal(&n->process, SIGTERM);
-	soak_set_state(n, SOAK_LEAVING);
-	return true;
+	return signal_node(n, SIGTERM, SOAK_LEAVING);
 }
 
 static bool restart_daemon(soak_site_t *s, soak_node_t *n)
@@ -147,17 +149,9 @@
 	  NULL, NULL, NULL },
 };
 
-static const soak_fault_kind_t *draw_kind(GRand *rand)
+static int weight_of(size_t i)
 {
-	int sum = 0, at;
-	size_t i = 0;
-
-	for (size_t k = 0; k < G_N_ELEMENTS(kinds); k++)
-		sum += kinds[k].weight;
-	at = g_rand_int_range(rand, 0, sum);
-	while (at >= kinds[i].weight)
-		at -= kinds[i++].weight;
-	return &kinds[i];
+	return kinds[i].weight;
 }
 
 static soak_node_t *node_of(soak_site_t *s, const soak_fault_t *f)
@@ -181,7 +175,10 @@
 	int span;
 	const soak_node_t *n;
 
-	*out = (soak_fault_t){ .kind = draw_kind(rand), .begin_ms = now };
+	*out = (soak_fault_t){
+		.kind = &kinds[soak_draw(rand, weight_of, G_N_ELEMENTS(kinds))],
+		.begin_ms = now
+	};
 	/* Both draws are always made, so that a seed stays the same story. */
 	out->target = g_rand_int_range(rand, 0, SOAK_DAEMONS);
 	span = out->kind->max_ms - out->kind->min_ms;
--- a/tests/lib_soak_plan.c
+++ b/tests/lib_soak_plan.c
@@ -21,24 +21,37 @@
 	{ "stranger", "key-none", NULL, 10 },
 };
 
-const soak_kind_t *soak_pick_kind(GRand *rand)
+size_t soak_draw(GRand *rand, int (*weight_of)(size_t i), size_t n)
 {
-	int at = g_rand_int_range(rand, 0, 100);
+	int sum = 0, at;
 	size_t i = 0;
 
-	while (i + 1 < G_N_ELEMENTS(kinds) && at >= kinds[i].weight)
-		at -= kinds[i++].weight;
-	return &kinds[i];
+	for (size_t k = 0; k < n; k++)
+		sum += weight_of(k);
+	at = g_rand_int_range(rand, 0, sum);
+	while (at >= weight_of(i))
+		at -= weight_of(i++);
+	return i;
 }
 
-const soak_key_t *soak_pick_key(GRand *rand)
+static int weight_of_kind(size_t i)
 {
-	int at = g_rand_int_range(rand, 0, 100);
-	size_t i = 0;
+	return kinds[i].weight;
+}
+
+static int weight_of_key(size_t i)
+{
+	return keys[i].weight;
+}
 
-	while (i + 1 < G_N_ELEMENTS(keys) && at >= keys[i].weight)
-		at -= keys[i++].weight;
-	return &keys[i];
+const soak_kind_t *soak_pick_kind(GRand *rand)
+{
+	return &kinds[soak_draw(rand, weight_of_kind, G_N_ELEMENTS(kinds))];
+}
+
+const soak_key_t *soak_pick_key(GRand *rand)
+{
+	return &keys[soak_draw(rand, weight_of_key, G_N_ELEMENTS(keys))];
 }
 
 const soak_kind_t *soak_find_kind(const char *name)
--- a/tests/lib_soak_plan.h
+++ b/tests/lib_soak_plan.h
@@ -35,6 +35,8 @@
 	int weight; /* a hundred in all */
 } soak_key_t;
 
+/* Draws one of N rows, each as often as its weight says against the others. */
+size_t soak_draw(GRand *rand, int (*weight_of)(size_t i), size_t n);
 const soak_kind_t *soak_pick_kind(GRand *rand);
 const soak_key_t *soak_pick_key(GRand *rand);
 const soak_kind_t *soak_find_kind(const char *name);
--- /dev/null
+++ b/tests/lib_task_bed.c
@@ -0,0 +1,46 @@
+#include "tests/lib_task_bed.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tests/lib_suite.h"
+
+static void *current;
+
+void task_bed_set_state(void *state)
+{
+	current = state;
+}
+
+void *task_bed_start(supervisor_t *sup, err_t *err)
+{
+	return current;
+}
+
+void task_bed_stop(void *state)
+{
+}
+
+int task_bed_free_port(void)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	socklen_t len = sizeof(sin);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	ck_assert_int_eq(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	getsockname(fd, (struct sockaddr *)&sin, &len);
+	close(fd);
+	return ntohs(sin.sin_port);
+}
+
+void task_bed_await_count(struct event_base *base, const int *value, int n,
+			  int64_t limit_us)
+{
+	gint64 limit = g_get_monotonic_time() + limit_us;
+
+	while (*value < n && g_get_monotonic_time() < limit)
+		event_base_loop(base, EVLOOP_ONCE);
+	ck_assert_int_ge(*value, n);
+}
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -8,13 +8,13 @@
  * seeds of a file, a line each: SEED SECONDS, and what it once found.
  */
 #include <glib.h>
-#include <glib/gstdio.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "standin/lib_args.h"
+#include "tests/lib_run_dir.h"
 #include "tests/lib_soak_check.h"
 #include "tests/lib_soak_plan.h"
 
@@ -253,27 +253,11 @@
 	g_rand_free(r->rand);
 }
 
-static void remove_dir(const char *path)
-{
-	GDir *dir = g_dir_open(path, 0, NULL);
-	const char *name;
-
-	while (dir && (name = g_dir_read_name(dir))) {
-		g_autofree char *file = g_build_filename(path, name, NULL);
-
-		g_unlink(file);
-	}
-	if (dir)
-		g_dir_close(dir);
-	g_rmdir(path);
-}
-
 static bool is_known_red(const char *list, uint32_t seed)
 {
 	g_autofree char *entry = g_strdup_printf("soak:%u ", seed);
-	const char *at = list ? strstr(list, entry) : NULL;
 
-	return at && (at == list || at[-1] == '\n');
+	return run_is_known_red(list, entry);
 }
 
 /* What to play, and how the plays went. */
@@ -293,7 +277,7 @@
 	ok = run_seed(&run, seed, seconds, plan->rate, dir);
 	report(&run, seed, dir);
 	if (ok)
-		remove_dir(dir);
+		run_dir_remove(dir);
 	if (!ok && is_known_red(plan->known_red, seed))
 		printf("KNOWN RED soak seed %u\n", seed);
 	else
--- a/tests/test_call_head.c
+++ b/tests/test_call_head.c
@@ -65,6 +65,21 @@
 }
 END_TEST
 
+/* Returns REQUEST's head as it is sent on. */
+static char *sent_on(const call_terms_t *terms)
+{
+	struct evbuffer *out = evbuffer_new();
+	const http1_head_t *head;
+	call_head_t call;
+	parsed_t p;
+
+	head = parse(&p, HTTP1_REQUEST, REQUEST);
+	ck_assert(call_head_read(head, &call, NULL));
+	call_head_write(out, head, &call, terms, 0);
+	http1_reader_finish(&p.reader);
+	return drain(out);
+}
+
 START_TEST(an_upstream_gets_what_is_ours_to_set_from_us_alone)
 {
 	static const char *const dropped[] = { "secret",      "other",
@@ -86,22 +101,13 @@
 	call_terms_t terms = { .team = "team",
 			       .runner = "r1",
 			       .allowed_ms = 900 };
-	struct evbuffer *out = evbuffer_new();
-	const http1_head_t *head;
-	g_autofree char *text = NULL;
-	call_head_t call;
-	parsed_t p;
+	g_autofree char *text = sent_on(&terms);
 
-	head = parse(&p, HTTP1_REQUEST, REQUEST);
-	ck_assert(call_head_read(head, &call, NULL));
-	call_head_write(out, head, &call, &terms, 0);
-	text = drain(out);
 	for (size_t i = 0; i < G_N_ELEMENTS(dropped); i++)
 		ck_assert_msg(!strstr(text, dropped[i]), "%s", dropped[i]);
 	for (size_t i = 0; i < G_N_ELEMENTS(present); i++)
 		ck_assert_msg(strstr(text, present[i]) != NULL, "%s",
 			      present[i]);
-	http1_reader_finish(&p.reader);
 }
 END_TEST
 
@@ -111,21 +117,12 @@
 			       .allowed_ms = 0,
 			       .has_resume = true,
 			       .resume_after = STR_LIT("31") };
-	struct evbuffer *out = evbuffer_new();
-	const http1_head_t *head;
-	g_autofree char *text = NULL;
-	call_head_t call;
-	parsed_t p;
+	g_autofree char *text = sent_on(&terms);
 
-	head = parse(&p, HTTP1_REQUEST, REQUEST);
-	ck_assert(call_head_read(head, &call, NULL));
-	call_head_write(out, head, &call, &terms, 0);
-	text = drain(out);
 	ck_assert_ptr_nonnull(strstr(text, "Last-Event-Id: 31\r\n"));
 	ck_assert_ptr_null(strstr(text, "Last-Event-Id: 12"));
 	ck_assert_ptr_nonnull(strstr(text, "X-Deadline-Ms: 1\r\n"));
 	ck_assert_ptr_null(strstr(text, "X-Tenant"));
-	http1_reader_finish(&p.reader);
 }
 END_TEST
 
--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -1,6 +1,7 @@
 /* Checking, limits, capacity and answers. */
 #include "tests/lib_front.h"
 #include "tests/lib_suite.h"
+#include "tests/lib_task_bed.h"
 
 START_TEST(refuses_what_is_malformed_and_dispatches_nothing)
 {
@@ -229,7 +230,7 @@
 	g_autofree char *closed = NULL;
 
 	front_bed_init(&bed);
-	closed = g_strdup_printf("127.0.0.1:%d", front_free_port());
+	closed = g_strdup_printf("127.0.0.1:%d", task_bed_free_port());
 	bed.grant_address = closed;
 	c = front_ask(&bed, 0, EVHTTP_REQ_POST, HOLDS, "Idempotency-Key: k",
 		      "x");
--- a/tests/test_front_keys.c
+++ b/tests/test_front_keys.c
@@ -1,6 +1,7 @@
 /* Keys and tickets: at most one dispatch, and who may say not-run. */
 #include "tests/lib_front.h"
 #include "tests/lib_suite.h"
+#include "tests/lib_task_bed.h"
 
 START_TEST(a_key_runs_once_and_repeats_get_its_answer)
 {
@@ -71,7 +72,7 @@
 		front_bed_init(&bed);
 		bed.owner.kind = cases[i].kind;
 		g_snprintf(bed.owner.vm.address, sizeof(bed.owner.vm.address),
-			   "127.0.0.1:%d", front_free_port());
+			   "127.0.0.1:%d", task_bed_free_port());
 		c = front_ask(&bed, 0, EVHTTP_REQ_POST, HOLDS, cases[i].headers,
 			      "x");
 		ck_assert_msg(c->outcome == OUTCOME_UNKNOWN, "case %zu: %s", i,
--- a/tests/test_impatient_callers.c
+++ b/tests/test_impatient_callers.c
@@ -7,24 +7,22 @@
 #include "tests/lib_bed.h"
 #include "tests/lib_suite.h"
 
-/* One runner with one slot, taken by attempt 1. */
-static void begin(bed_t *bed)
+/* Asks as attempt 2, whose caller leaves in three seconds. */
+static void ask_impatient(bed_t *bed)
 {
-	bed->config.engine_slots = 1;
-	bed_init(bed, true);
-	bed_set_runner(bed, "r", false);
-	bed_ask(bed, 1, 1, 1);
+	want_t want;
+
+	bed_init_taken(bed);
+	want = bed_make_want(bed, 2, 1, 1);
+	want.start_by = bed->now + 3 * SECOND;
+	dispatcher_want(&bed->d, &want, bed->now);
 }
 
 START_TEST(refused_before_its_caller_leaves)
 {
 	bed_t bed = { 0 };
-	want_t want;
 
-	begin(&bed);
-	want = bed_make_want(&bed, 2, 1, 1);
-	want.start_by = bed.now + 3 * SECOND;
-	dispatcher_want(&bed.d, &want, bed.now);
+	ask_impatient(&bed);
 	for (int i = 0; i < 27; i++)
 		bed_tick(&bed, 100 * MS);
 	ck_assert_int_eq(bed_kind(&bed, 2), ANSWER_NONE);
@@ -39,12 +37,8 @@
 START_TEST(begun_in_time_it_may_take_until_its_deadline)
 {
 	bed_t bed = { 0 };
-	want_t want;
 
-	begin(&bed);
-	want = bed_make_want(&bed, 2, 1, 1);
-	want.start_by = bed.now + 3 * SECOND;
-	dispatcher_want(&bed.d, &want, bed.now);
+	ask_impatient(&bed);
 	bed_tick(&bed, SECOND);
 	bed_done(&bed, 1, DONE_COMPLETED);
 	ck_assert_int_eq(bed_kind(&bed, 2), ANSWER_GRANT);
--- a/tests/test_overload_timely.c
+++ b/tests/test_overload_timely.c
@@ -16,21 +16,12 @@
 	return want;
 }
 
-/* One runner with one slot, taken by attempt 1. */
-static void begin(bed_t *bed)
-{
-	bed->config.engine_slots = 1;
-	bed_init(bed, true);
-	bed_set_runner(bed, "r", false);
-	bed_ask(bed, 1, 1, 1);
-}
-
 START_TEST(work_in_time_goes_before_late_work)
 {
 	bed_t bed = { 0 };
 	want_t early, fresh;
 
-	begin(&bed);
+	bed_init_taken(&bed);
 	early = timed(&bed, 2, 100 * MS, 5 * SECOND);
 	dispatcher_want(&bed.d, &early, bed.now);
 	bed_tick(&bed, 200 * MS);
@@ -50,7 +41,7 @@
 	bed_t bed = { 0 };
 	want_t want;
 
-	begin(&bed);
+	bed_init_taken(&bed);
 	want = timed(&bed, 2, 100 * MS, 500 * MS);
 	dispatcher_want(&bed.d, &want, bed.now);
 	bed_tick(&bed, 300 * MS);
@@ -66,7 +57,7 @@
 	bed_t bed = { 0 };
 	want_t late, fresh;
 
-	begin(&bed);
+	bed_init_taken(&bed);
 	late = timed(&bed, 2, -100 * MS, 5 * SECOND);
 	dispatcher_want(&bed.d, &late, bed.now);
 	fresh = timed(&bed, 3, 900 * MS, 6 * SECOND);
