--- a/common/option.c
+++ b/common/option.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 #include <inttypes.h>
 #include <jansson.h>
+#include <math.h>
 #include <stdlib.h>
 
 #include "common/json_text.h"
@@ -60,6 +61,55 @@
 	return true;
 }
 
+/* Milliseconds of a unit; 0 for one that is not known. */
+static double unit_ms(const char *unit)
+{
+	static const struct {
+		const char *name;
+		double ms;
+	} units[] = {
+		{ "ms", 1 },
+		{ "s", 1000 },
+		{ "min", 60 * 1000 },
+		{ "h", 3600 * 1000 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(units); i++)
+		if (!strcmp(units[i].name, unit))
+			return units[i].ms;
+	return 0;
+}
+
+/* Reads "NUMBER UNIT"; a text that is none gives NaN. */
+static double duration_text_ms(const char *text)
+{
+	char *end;
+	double number = g_ascii_strtod(text, &end);
+	double unit;
+
+	if (end == text)
+		return NAN;
+	while (*end == ' ')
+		end++;
+	unit = unit_ms(end);
+	return unit > 0 ? number * unit : NAN;
+}
+
+static bool set_duration(const reader_t *r, const option_t *opt, json_t *value,
+			 void *settings)
+{
+	double ms = NAN;
+
+	if (json_is_number(value))
+		ms = json_number_value(value);
+	else if (json_is_string(value))
+		ms = duration_text_ms(json_string_value(value));
+	if (!(ms >= (double)opt->min && ms <= (double)opt->max))
+		return fail_range(r, opt, "a duration");
+	*(int64_t *)field_of(opt, settings) = llround(ms);
+	return true;
+}
+
 static bool set_bool(const reader_t *r, const option_t *opt, json_t *value,
 		     void *settings)
 {
@@ -128,6 +178,8 @@
 		return set_int(r, opt, value, settings);
 	case OPTION_REAL:
 		return set_real(r, opt, value, settings);
+	case OPTION_DURATION:
+		return set_duration(r, opt, value, settings);
 	case OPTION_BOOL:
 		return set_bool(r, opt, value, settings);
 	case OPTION_STRING:
@@ -144,6 +196,7 @@
 
 	switch (opt->type) {
 	case OPTION_INT:
+	case OPTION_DURATION:
 		*(int64_t *)field_of(opt, settings) =
 			g_ascii_strtoll(def, NULL, 10);
 		break;
@@ -221,8 +274,11 @@
 static const char *type_name(option_type_t type)
 {
 	static const char *const names[] = {
-		[OPTION_INT] = "integer",	   [OPTION_REAL] = "number",
-		[OPTION_BOOL] = "true or false",   [OPTION_STRING] = "string",
+		[OPTION_INT] = "integer",
+		[OPTION_REAL] = "number",
+		[OPTION_DURATION] = "duration",
+		[OPTION_BOOL] = "true or false",
+		[OPTION_STRING] = "string",
 		[OPTION_LIST] = "list of strings",
 	};
 
@@ -245,7 +301,8 @@
 
 			fputs(all, out);
 		} else if (opt->type == OPTION_INT ||
-			   opt->type == OPTION_REAL) {
+			   opt->type == OPTION_REAL ||
+			   opt->type == OPTION_DURATION) {
 			fprintf(out, "%" PRId64 " to %" PRId64, opt->min,
 				opt->max);
 		} else if (opt->type != OPTION_BOOL) {
--- a/common/option.h
+++ b/common/option.h
@@ -15,6 +15,8 @@
 typedef enum option_type {
 	OPTION_INT, /* int64_t, within min and max */
 	OPTION_REAL, /* double, within min and max */
+	/* int64_t, milliseconds: a number of them, or a text like "7.5 s" */
+	OPTION_DURATION,
 	OPTION_BOOL, /* bool */
 	OPTION_STRING, /* char *, owned by the settings */
 	OPTION_LIST, /* char **, NULL-terminated, owned by the settings */
@@ -24,7 +26,7 @@
 	const char *name;
 	option_type_t type;
 	const char *unit; /* "" where there is none */
-	int64_t min; /* integers: least value; strings and lists: length */
+	int64_t min; /* numbers: least value; strings and lists: length */
 	int64_t max; /* the greatest, likewise */
 	const char *def; /* default as text; NULL when the key is required */
 	size_t offset; /* of the field in the settings struct */
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -5,16 +5,14 @@
 #define LOG_PART "gateway"
 
 #include "common/log.h"
+#include "core/drain_plan.h"
 #include "core/runner_group.h"
 #include "daemon/gateway.h"
 
 enum {
 	BACKLOG = 512, /* connections not accepted yet */
 	TICK_MS = 50,
-	/* The balancer sends new connections for so long after a drain began. */
-	DRAIN_LINGER_US = 2600 * 1000,
 	GONE_MEMORY_US = 60 * 1000 * 1000, /* of runners that left */
-	GRACE_MARGIN_MS = 700, /* the daemon ends so long before it is killed */
 };
 
 static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
@@ -28,7 +26,7 @@
 	const settings_t *s = g->sup->settings;
 	retry_terms_t terms = {
 		.ratio = s->retry_ratio,
-		.slack = (double)s->retry_slack,
+		.slack = s->retry_slack,
 		.window = s->retry_window_ms * 1000,
 		.daemons = daemons,
 	};
@@ -103,16 +101,17 @@
 /* Ends the daemon once nobody is left, or when its time is up. */
 static void check_drain(gateway_t *g, int64_t now)
 {
-	int64_t limit = (g->sup->settings->drain_ms - GRACE_MARGIN_MS) * 1000;
+	drain_plan_t plan = drain_plan(g->sup->settings->drain_ms * 1000);
 	g_autoptr(GList) callers = NULL;
 
-	if (!g->drain_since || now - g->drain_since < DRAIN_LINGER_US)
+	if (!g->drain_since || now - g->drain_since < plan.linger)
 		return;
 	stop_listening(g);
 	callers = g_hash_table_get_keys(g->callers);
 	for (GList *link = callers; link; link = link->next)
 		ingress_close_idle(link->data);
-	if (!g_hash_table_size(g->callers) || now - g->drain_since > limit) {
+	if (!g_hash_table_size(g->callers) ||
+	    now - g->drain_since > plan.limit) {
 		log_info("drained; %u callers are cut off",
 			 g_hash_table_size(g->callers));
 		event_base_loopbreak(g->sup->base);
--- a/daemon/limits_task.c
+++ b/daemon/limits_task.c
@@ -184,7 +184,7 @@
 	if (sup->settings->fleet)
 		s->tolerance = (limit_tolerance_t){
 			.overrun = sup->settings->limit_overrun,
-			.slack = (double)sup->settings->limit_slack,
+			.slack = sup->settings->limit_slack,
 			.window_s =
 				(double)sup->settings->limit_window_ms / 1000,
 		};
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -11,6 +11,15 @@
 	{                                                                     \
 #key, OPTION_INT, unit, min, max, def, FIELD(key), help, NULL \
 	}
+#define DURATION(key, min, max, def, help)                                    \
+	{                                                                     \
+#key, OPTION_DURATION, "ms", min, max, def, FIELD(key), help, \
+			NULL                                                  \
+	}
+#define REAL(key, min, max, def, help)                                       \
+	{                                                                    \
+#key, OPTION_REAL, "", min, max, def, FIELD(key), help, NULL \
+	}
 #define STRING(key, min, max, def, help)                                       \
 	{                                                                      \
 #key, OPTION_STRING, "", min, max, def, FIELD(key), help, NULL \
@@ -71,61 +80,62 @@
 	LIST(seed_addresses, 0, 64, "",
 	     "IP:port of daemons to start from, whose peer port is this "
 	     "daemon's own; fleet only"),
-	{ "retry_ratio", OPTION_REAL, "", 0, 10, "0.2", FIELD(retry_ratio),
-	  "requests sent once more, a first send, over all daemons; fleet "
-	  "only",
-	  NULL },
-	INT(retry_slack, "", 0, 1000000, "100",
-	    "requests sent once more besides, in a window, over all daemons; "
-	    "fleet only"),
-	INT(retry_window_ms, "ms", 100, DAY_MS, "10000",
-	    "window of the two settings above"),
-	{ "limit_overrun", OPTION_REAL, "", 0, 10, "0", FIELD(limit_overrun),
-	  "how far teams may go beyond their limits in a window, as a part; "
-	  "fleet only",
-	  NULL },
-	INT(limit_slack, "", 0, 1000000000, "0",
-	    "the same in units of the limit, besides; fleet only"),
-	INT(limit_window_ms, "ms", 100, DAY_MS, "8000",
-	    "window of the two settings above"),
-	INT(runners_poll_ms, "ms", 50, 60000, "400",
-	    "time between reads of the runners' entries; fleet only"),
-	INT(config_wait_ms, "ms", 50, 30000, "400",
-	    "how long one read waits for a new configuration; fleet only"),
-	INT(heartbeat_ms, "ms", 20, 60000, "500",
-	    "time between heartbeats to a peer"),
-	INT(heartbeat_timeout_ms, "ms", 100, 600000, "3000",
-	    "silence after which a peer is tested by a new connection; a "
-	    "daemon that stood still for longer takes a new incarnation"),
-	INT(retry_horizon_ms, "ms", 100, DAY_MS, "60000",
-	    "how long callers may repeat a key; answers are kept so long"),
-	INT(clock_skew_ms, "ms", 0, 60000, "1000",
-	    "greatest difference of wall clocks, for keys with a mint time"),
-	INT(config_poll_ms, "ms", 50, 60000, "1000",
-	    "time between reads of the configuration log"),
-	INT(snapshot_ms, "ms", 1000, DAY_MS, "600000",
-	    "age of the newest snapshot at which another is appended; well "
-	    "below the log's retention"),
-	INT(vms_poll_ms, "ms", 50, 60000, "1000",
-	    "time between reads of the VM list"),
-	INT(load_poll_ms, "ms", 0, 60000, "500",
-	    "time between reads of a runner's load; 0: its answers tell it"),
-	INT(accounts_ms, "ms", 500, 600000, "10000",
-	    "time between batches of accounts"),
-	INT(platform_timeout_ms, "ms", 50, 60000, "2000",
-	    "limit of one exchange with the platform"),
-	INT(connect_timeout_ms, "ms", 50, 60000, "1000",
-	    "limit of a connection attempt"),
-	INT(upstream_idle_ms, "ms", 100, DAY_MS, "30000",
-	    "silence of an upstream after which a request is given up"),
-	INT(caller_idle_ms, "ms", 100, 600000, "10000",
-	    "silence of a caller that is sending a request"),
-	INT(keepalive_ms, "ms", 100, 600000, "10000",
-	    "silence of a stream after which a comment line is sent"),
-	INT(slow_caller_ms, "ms", 100, 600000, "30000",
-	    "how long a caller may leave its answer unread"),
-	INT(drain_ms, "ms", 100, DAY_MS, "600000",
-	    "limit of a drain; requests still running then are cut"),
+	REAL(retry_ratio, 0, 10, "0.2",
+	     "requests sent once more, a first send, over all daemons; fleet "
+	     "only"),
+	REAL(retry_slack, 0, 1000000, "100",
+	     "requests sent once more besides, in a window, over all daemons; "
+	     "fleet only"),
+	DURATION(retry_window_ms, 100, DAY_MS, "10000",
+		 "window of the two settings above"),
+	REAL(limit_overrun, 0, 10, "0",
+	     "how far teams may go beyond their limits in a window, as a part; "
+	     "fleet only"),
+	REAL(limit_slack, 0, 1000000000, "0",
+	     "the same in units of the limit, besides; fleet only"),
+	DURATION(limit_window_ms, 100, DAY_MS, "8000",
+		 "window of the two settings above"),
+	DURATION(runners_poll_ms, 50, 60000, "400",
+		 "time between reads of the runners' entries; fleet only"),
+	DURATION(config_wait_ms, 50, 30000, "400",
+		 "how long one read waits for a new configuration; fleet only"),
+	DURATION(heartbeat_ms, 20, 60000, "500",
+		 "time between heartbeats to a peer"),
+	DURATION(heartbeat_timeout_ms, 100, 600000, "3000",
+		 "silence after which a peer is tested by a new connection; a "
+		 "daemon that stood still for longer takes a new incarnation"),
+	DURATION(retry_horizon_ms, 100, DAY_MS, "60000",
+		 "how long callers may repeat a key; answers are kept so long"),
+	DURATION(
+		clock_skew_ms, 0, 60000, "1000",
+		"greatest difference of wall clocks, for keys with a mint time"),
+	DURATION(config_poll_ms, 50, 60000, "1000",
+		 "time between reads of the configuration log"),
+	DURATION(
+		snapshot_ms, 1000, DAY_MS, "600000",
+		"age of the newest snapshot at which another is appended; well "
+		"below the log's retention"),
+	DURATION(vms_poll_ms, 50, 60000, "1000",
+		 "time between reads of the VM list"),
+	DURATION(
+		load_poll_ms, 0, 60000, "500",
+		"time between reads of a runner's load; 0: its answers tell it"),
+	DURATION(accounts_ms, 500, 600000, "10000",
+		 "time between batches of accounts"),
+	DURATION(platform_timeout_ms, 50, 60000, "2000",
+		 "limit of one exchange with the platform"),
+	DURATION(connect_timeout_ms, 50, 60000, "1000",
+		 "limit of a connection attempt"),
+	DURATION(upstream_idle_ms, 100, DAY_MS, "30000",
+		 "silence of an upstream after which a request is given up"),
+	DURATION(caller_idle_ms, 100, 600000, "10000",
+		 "silence of a caller that is sending a request"),
+	DURATION(keepalive_ms, 100, 600000, "10000",
+		 "silence of a stream after which a comment line is sent"),
+	DURATION(slow_caller_ms, 100, 600000, "30000",
+		 "how long a caller may leave its answer unread"),
+	DURATION(drain_ms, 0, DAY_MS, "600000",
+		 "limit of a drain; requests still running then are cut"),
 	INT(max_requests, "", 1, 1000000, "10000",
 	    "requests in progress, at most"),
 	INT(max_keys, "", 1, 10000000, "100000",
@@ -140,12 +150,12 @@
 	    "unread answer of a caller, before its upstream is paused"),
 	INT(max_wants, "", 1, 1000000, "20000",
 	    "requests that one dispatcher queues, at most"),
-	INT(ticket_life_ms, "ms", 100, DAY_MS, "300000",
-	    "how long a ticket may stay unused"),
-	INT(grant_timeout_ms, "ms", 100, DAY_MS, "600000",
-	    "how long a grant may stay without news"),
-	INT(max_deadline_ms, "ms", 100, DAY_MS, "600000",
-	    "longest time that a caller may allow"),
+	DURATION(ticket_life_ms, 100, DAY_MS, "300000",
+		 "how long a ticket may stay unused"),
+	DURATION(grant_timeout_ms, 100, DAY_MS, "600000",
+		 "how long a grant may stay without news"),
+	DURATION(max_deadline_ms, 100, DAY_MS, "600000",
+		 "longest time that a caller may allow"),
 	INT(seed, "", 0, INT64_MAX, "0",
 	    "seed of random numbers; 0 takes one from the system"),
 };
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -30,10 +30,10 @@
 	char **places;
 	char **seed_addresses;
 	double retry_ratio;
-	int64_t retry_slack;
+	double retry_slack;
 	int64_t retry_window_ms;
 	double limit_overrun;
-	int64_t limit_slack;
+	double limit_slack;
 	int64_t limit_window_ms;
 	int64_t runners_poll_ms;
 	int64_t config_wait_ms;
--- /dev/null
+++ b/tests/test_drain_plan.c
@@ -0,0 +1,32 @@
+#include <glib.h>
+
+#include "core/drain_plan.h"
+#include "tests/lib_suite.h"
+
+enum { US_PER_MS = 1000 };
+
+START_TEST(long_grace_keeps_the_balancers_time)
+{
+	drain_plan_t plan = drain_plan(8000 * US_PER_MS);
+
+	ck_assert_int_eq(plan.linger, 2600 * US_PER_MS);
+	ck_assert_int_eq(plan.limit, 7300 * US_PER_MS);
+}
+END_TEST
+
+/* Whatever the grace: it listens first, then ends in its last sixth. */
+START_TEST(every_grace_is_used_up_to_its_last_sixth)
+{
+	for (int64_t grace = 0; grace <= 60000 * US_PER_MS;
+	     grace += 250 * US_PER_MS) {
+		drain_plan_t plan = drain_plan(grace);
+
+		ck_assert_int_le(plan.linger, plan.limit / 2);
+		ck_assert_int_ge(plan.limit, grace - grace / 6);
+		ck_assert_int_le(plan.limit, grace);
+	}
+}
+END_TEST
+
+SUITE_MAIN("drain_plan", long_grace_keeps_the_balancers_time,
+	   every_grace_is_used_up_to_its_last_sixth)
