peers, relay: the platform's zones are zones, with duties for all of them

Cause: the whole region was one zone, so each of 295 daemons kept 294 links with a heartbeat each 600 ms, and four of five grants crossed zones.

Change: zone in the template is the platform's zone. A service with few runners keeps one dispatcher over all zones (NAME@), a larger one has groups in each zone; the own zone is asked first, another one once after a refusal (core/zone_groups.c). Who is linked to a reader in another zone tells its own zone.

--- a/core/member.c
+++ b/core/member.c
@@ -102,6 +102,7 @@
 		t->zones[i] = g_strndup(zones[i].ptr, zones[i].len);
 	t->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	t->entries = g_ptr_array_new_with_free_func(free_entry);
+	t->started_at = now;
 	t->born_at = now;
 	t->changed_at = now;
 	t->ticked_at = now;
--- a/core/member.h
+++ b/core/member.h
@@ -212,6 +212,23 @@
  */
 bool member_dispatcher(member_t *m, str_t zone, str_t service, uint32_t group,
 		       int64_t now, member_vm_t *out);
+/*
+ * The daemon that has a duty for all zones together, as seen here: the zones
+ * are tried in an order that follows from the duty's name, and the first that
+ * answers has it, so a zone that is cut off finds a host of its own. False
+ * while the link to a host in another zone is still to be made.
+ */
+bool member_regional_host(member_t *m, str_t duty, int64_t now,
+			  member_vm_t *out);
+/* Tells whether that is this daemon; makes no link. */
+bool member_is_regional_host(const member_t *m, str_t duty);
+/*
+ * Counts the daemons of all zones, this one included: those that answer, and
+ * those that may serve on behind a cut, which were heard within MEMORY. Of
+ * other zones only a few are heard: the rest is taken to be as these are.
+ */
+void member_count(const member_t *m, int64_t memory, int64_t now,
+		  uint32_t *live, uint32_t *known);
 /* Finds a daemon by name. */
 bool member_find(const member_t *m, str_t name, member_vm_t *out,
 		 member_state_t *state, uint64_t *incarnation);
--- a/core/member_state.h
+++ b/core/member_state.h
@@ -43,6 +43,7 @@
 	GPtrArray *entries; /* of member_entry_t, owned */
 	bool is_draining;
 	bool is_called_dead;
+	int64_t started_at;
 	int64_t born_at; /* when this incarnation began */
 	int64_t changed_at;
 	int64_t ticked_at;
--- a/core/runner_group.c
+++ b/core/runner_group.c
@@ -8,6 +8,14 @@
 	MAX_GROUPS = 1024,
 };
 
+/* Ends the name of a dispatcher that serves all zones. */
+static const char regional_mark[] = "@";
+
+bool runner_group_is_regional(uint32_t runners)
+{
+	return runners <= RUNNERS_A_GROUP;
+}
+
 uint32_t runner_group_count(uint32_t runners)
 {
 	uint32_t count = 1;
@@ -24,7 +32,9 @@
 
 void runner_group_name(const runner_group_t *group, char *out, size_t size)
 {
-	if (group->count <= 1)
+	if (group->is_regional)
+		g_snprintf(out, size, "%s%s", group->service, regional_mark);
+	else if (group->count <= 1)
 		g_strlcpy(out, group->service, size);
 	else
 		g_snprintf(out, size, "%s#%u/%u", group->service, group->index,
@@ -33,10 +43,13 @@
 
 bool runner_group_parse(const char *name, runner_group_t *out)
 {
-	const char *mark = strrchr(name, '#');
+	bool is_regional = g_str_has_suffix(name, regional_mark);
+	const char *mark = is_regional ? NULL : strrchr(name, '#');
 	size_t n = mark ? (size_t)(mark - name) : strlen(name);
 
-	*out = (runner_group_t){ .count = 1 };
+	if (is_regional)
+		n -= strlen(regional_mark);
+	*out = (runner_group_t){ .count = 1, .is_regional = is_regional };
 	if (!n ||
 	    !str_copy(out->service, sizeof(out->service), (str_t){ name, n }))
 		return false;
--- a/core/runner_group.h
+++ b/core/runner_group.h
@@ -18,8 +18,12 @@
 	char service[64]; /* NUL-terminated */
 	uint32_t index;
 	uint32_t count; /* 1: the service is not split */
+	/* Few enough for one dispatcher over all zones; else one a zone. */
+	bool is_regional;
 } runner_group_t;
 
+/* Tells whether so many runners, of all zones, have one dispatcher. */
+bool runner_group_is_regional(uint32_t runners);
 /* Groups for so many runners. */
 uint32_t runner_group_count(uint32_t runners);
 /* The group of a runner. */
--- /dev/null
+++ b/core/zone_groups.c
@@ -0,0 +1,161 @@
+#include "core/zone_groups.h"
+
+#include "common/str_table.h"
+
+enum { MAX_TRIED = 2 }; /* dispatchers that one request asks */
+
+typedef struct zone_runners {
+	char zone[ZONE_GROUPS_NAME_SIZE];
+	uint32_t runners;
+} zone_runners_t;
+
+typedef struct service {
+	GArray *zones; /* zone_runners_t */
+	uint32_t runners; /* of all zones */
+} service_t;
+
+static void free_service(void *data)
+{
+	service_t *s = data;
+
+	g_array_unref(s->zones);
+	g_free(s);
+}
+
+void zone_groups_init(zone_groups_t *z, const char *own_zone)
+{
+	z->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					    free_service);
+	g_strlcpy(z->own_zone, own_zone, sizeof(z->own_zone));
+}
+
+void zone_groups_finish(zone_groups_t *z)
+{
+	g_hash_table_destroy(z->services);
+	z->services = NULL;
+}
+
+void zone_groups_clear(zone_groups_t *z)
+{
+	g_hash_table_remove_all(z->services);
+}
+
+static zone_runners_t *find_zone(const service_t *s, const char *zone)
+{
+	for (guint i = 0; s && i < s->zones->len; i++) {
+		zone_runners_t *r = &g_array_index(s->zones, zone_runners_t, i);
+
+		if (!strcmp(r->zone, zone))
+			return r;
+	}
+	return NULL;
+}
+
+void zone_groups_add(zone_groups_t *z, const char *service, const char *zone)
+{
+	service_t *s = g_hash_table_lookup(z->services, service);
+	zone_runners_t *r;
+
+	if (!s) {
+		s = g_new0(service_t, 1);
+		s->zones = g_array_new(FALSE, TRUE, sizeof(zone_runners_t));
+		g_hash_table_insert(z->services, g_strdup(service), s);
+	}
+	r = find_zone(s, zone);
+	if (!r) {
+		zone_runners_t added = { .runners = 0 };
+
+		g_strlcpy(added.zone, zone, sizeof(added.zone));
+		g_array_append_val(s->zones, added);
+		r = find_zone(s, zone);
+	}
+	r->runners++;
+	s->runners++;
+}
+
+static uint32_t runners_in(const service_t *s, const char *zone)
+{
+	const zone_runners_t *r = find_zone(s, zone);
+
+	return r ? r->runners : 0;
+}
+
+static void pick_group(zone_pick_t *pick, uint32_t runners, GRand *rand)
+{
+	pick->group.count = runner_group_count(runners);
+	pick->group.index = g_rand_int(rand) % pick->group.count;
+}
+
+/* One of the other zones, each as likely as it has runners. */
+static bool pick_other_zone(const zone_groups_t *z, const service_t *s,
+			    GRand *rand, zone_pick_t *pick)
+{
+	uint32_t others = s->runners - runners_in(s, z->own_zone);
+	uint32_t at = others ? g_rand_int(rand) % others : 0;
+
+	for (guint i = 0; others && i < s->zones->len; i++) {
+		const zone_runners_t *r =
+			&g_array_index(s->zones, zone_runners_t, i);
+
+		if (!strcmp(r->zone, z->own_zone))
+			continue;
+		if (at < r->runners) {
+			g_strlcpy(pick->zone, r->zone, sizeof(pick->zone));
+			pick_group(pick, r->runners, rand);
+			return true;
+		}
+		at -= r->runners;
+	}
+	return false;
+}
+
+void zone_groups_first(const zone_groups_t *z, const char *service, GRand *rand,
+		       zone_pick_t *out)
+{
+	const service_t *s = g_hash_table_lookup(z->services, service);
+	uint32_t own = runners_in(s, z->own_zone);
+
+	*out = (zone_pick_t){ .group.count = 1 };
+	g_strlcpy(out->group.service, service, sizeof(out->group.service));
+	out->group.is_regional = runner_group_is_regional(s ? s->runners : 0);
+	if (out->group.is_regional)
+		return;
+	if (own || !pick_other_zone(z, s, rand, out))
+		pick_group(out, own, rand);
+}
+
+bool zone_groups_next(const zone_groups_t *z, GRand *rand, zone_pick_t *pick)
+{
+	const service_t *s =
+		g_hash_table_lookup(z->services, pick->group.service);
+
+	if (pick->group.is_regional || !s || ++pick->tried >= MAX_TRIED)
+		return false;
+	if (pick_other_zone(z, s, rand, pick))
+		return true;
+	if (pick->group.count <= 1)
+		return false;
+	pick->group.index = (pick->group.index + 1) % pick->group.count;
+	return true;
+}
+
+void zone_groups_each_regional(const zone_groups_t *z,
+			       void (*fn)(void *ctx, const char *dispatcher),
+			       void *ctx)
+{
+	GHashTableIter iter;
+	const char *name;
+	service_t *s;
+
+	g_hash_table_iter_init(&iter, z->services);
+	while (g_hash_table_iter_next(&iter, (void **)&name, (void **)&s)) {
+		runner_group_t group = { .count = 1, .is_regional = true };
+		char dispatcher[2 * ZONE_GROUPS_NAME_SIZE];
+
+		if (!runner_group_is_regional(s->runners))
+			continue;
+		g_strlcpy(group.service, name, sizeof(group.service));
+		runner_group_name(&group, dispatcher, sizeof(dispatcher));
+		fn(ctx, dispatcher);
+	}
+}
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -257,10 +257,22 @@
 	ask_load(r);
 }
 
+static bool is_ours(const service_t *s, const log_runner_t *listed)
+{
+	const char *zone = s->owner->sup->settings->zone;
+
+	if (strcmp(listed->service, s->group.service) != 0)
+		return false;
+	if (s->group.is_regional)
+		return true;
+	return !strcmp(listed->zone, zone) &&
+	       runner_group_of(str_from(listed->runner.name), s->group.count) ==
+		       s->group.index;
+}
+
 /* Brings a dispatcher's runners up to the newest VM list. */
 static void apply_list(service_t *s)
 {
-	const char *zone = s->owner->sup->settings->zone;
 	GHashTableIter iter;
 	runner_t *r;
 
@@ -273,10 +285,7 @@
 		const log_runner_t *listed =
 			&g_array_index(s->owner->vms->runners, log_runner_t, i);
 
-		if (!strcmp(listed->service, s->group.service) &&
-		    !strcmp(listed->zone, zone) &&
-		    runner_group_of(str_from(listed->runner.name),
-				    s->group.count) == s->group.index)
+		if (is_ours(s, listed))
 			update_runner(s, listed);
 	}
 	g_hash_table_iter_init(&iter, s->runners);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -13,6 +13,7 @@
 #include "core/fleet.h"
 #include "core/retry_budget.h"
 #include "core/runner_watch.h"
+#include "core/zone_groups.h"
 #include "daemon/supervisor.h"
 #include "daemon/upstream.h"
 #include "net/sse.h"
@@ -27,7 +28,7 @@
 	GHashTable *callers; /* set of ingress_t */
 	GHashTable *relays; /* attempt to relay_t */
 	upstream_pool_t pool;
-	GHashTable *group_counts; /* service to its number of groups */
+	zone_groups_t groups; /* of each service's runners */
 	fleet_t *fleet; /* NULL until a configuration is in force */
 	retry_budget_t retries;
 	runner_watch_t runners; /* as this daemon itself knows them */
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -6,7 +6,6 @@
 
 #include "common/log.h"
 #include "core/drain_plan.h"
-#include "core/runner_group.h"
 #include "daemon/gateway.h"
 
 enum {
@@ -47,29 +46,15 @@
 	runner_watch_end(&g->runners, now_us());
 }
 
-/* How many groups each service's runners make. */
 static void count_groups(gateway_t *g, const vm_view_t *vms)
 {
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_remove_all(g->group_counts);
+	zone_groups_clear(&g->groups);
 	for (guint i = 0; i < vms->runners->len; i++) {
 		const log_runner_t *r =
 			&g_array_index(vms->runners, log_runner_t, i);
-		guint n = GPOINTER_TO_UINT(
-			g_hash_table_lookup(g->group_counts, r->service));
 
-		if (!strcmp(r->zone, g->sup->settings->zone))
-			g_hash_table_insert(g->group_counts,
-					    g_strdup(r->service),
-					    GUINT_TO_POINTER(n + 1));
+		zone_groups_add(&g->groups, r->service, r->zone);
 	}
-	g_hash_table_iter_init(&iter, g->group_counts);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		g_hash_table_iter_replace(&iter,
-					  GUINT_TO_POINTER(runner_group_count(
-						  GPOINTER_TO_UINT(value))));
 }
 
 static void export_stats(gateway_t *g)
@@ -247,8 +232,7 @@
 	}
 	g->callers = g_hash_table_new(NULL, NULL);
 	g->relays = g_hash_table_new(g_int64_hash, g_int64_equal);
-	g->group_counts =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	zone_groups_init(&g->groups, sup->settings->zone);
 	upstream_pool_init(&g->pool, sup->base);
 	retry_budget_init(&g->retries, &none);
 	runner_watch_init(&g->runners, GONE_MEMORY_US);
@@ -277,7 +261,7 @@
 	runner_watch_finish(&g->runners);
 	g_hash_table_destroy(g->relays);
 	g_hash_table_destroy(g->callers);
-	g_hash_table_destroy(g->group_counts);
+	zone_groups_finish(&g->groups);
 	fleet_unref(g->fleet);
 	g_free(g);
 }
--- a/daemon/limits_task.c
+++ b/daemon/limits_task.c
@@ -1,7 +1,7 @@
 /*
  * Counts teams' limits: for each team one daemon of the zone, found by
- * rendezvous hashing, counts the zone's share. A daemon that can't reach it
- * counts its own share of the zone's meanwhile.
+ * rendezvous hashing, counts the zone's share; in a fleet one daemon counts
+ * for all zones. A daemon that can't reach it counts its own share meanwhile.
  */
 #define LOG_PART "limits"
 
@@ -17,8 +17,9 @@
 	limit_t own; /* while the team's counter is out of reach */
 	limit_tolerance_t tolerance; /* none but in a fleet */
 	GHashTable *held; /* "peer\nteam" to the number in progress */
-	uint32_t live, known; /* daemons of the zone; a cut makes them differ */
-	uint32_t daemons; /* of the own zone, by the VM list; at least 1 */
+	/* Of the zone, or of the whole fleet: */
+	uint32_t live, known; /* daemons; a cut makes them differ */
+	uint32_t daemons; /* by the VM list; at least 1 */
 } limits_t;
 
 /* Teams of two profiles are two teams. */
@@ -54,7 +55,10 @@
 	const profile_t *profile = config_view_profile(s->config, l->profile);
 	const profile_team_t *team =
 		profile ? profile_team(profile, str_from(l->team)) : NULL;
-	uint32_t zones = g_strv_length(s->sup->settings->zones);
+	/* A fleet's teams are counted for all zones together. */
+	uint32_t zones = s->sup->settings->fleet ?
+				 1 :
+				 g_strv_length(s->sup->settings->zones);
 	limit_t *limit = l->is_fallback ? &s->own : &s->zone;
 	limit_terms_t t = { 0 };
 
@@ -140,7 +144,8 @@
 	uint32_t daemons = 0;
 
 	for (guint i = 0; i < vms->entries->len; i++)
-		daemons += !strcmp(list[i].zone, s->sup->settings->zone);
+		daemons += s->sup->settings->fleet ||
+			   !strcmp(list[i].zone, s->sup->settings->zone);
 	s->daemons = MAX(daemons, 1);
 }
 
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -100,6 +100,8 @@
 	uint32_t topic;
 	uint64_t from, next; /* offsets */
 	bool is_steady; /* the store was not away for the teller of late */
+	bool is_from_far; /* heard from a daemon of another zone */
+	bool is_relayed; /* read by another: only the own zone is told */
 	GArray *records; /* message_record_t */
 } message_news_t;
 
--- a/daemon/news_frames.c
+++ b/daemon/news_frames.c
@@ -16,7 +16,8 @@
 	out->size = size;
 }
 
-void news_frames_send(peer_t *peer, const message_news_t *news)
+void news_frames_send(peer_t *peer, const message_news_t *news,
+		      bool (*wants)(void *ctx, const char *name), void *ctx)
 {
 	Papaya__Frame frame = PAPAYA__FRAME__INIT;
 	Papaya__StoreNews out = PAPAYA__STORE_NEWS__INIT;
@@ -44,7 +45,7 @@
 	out.n_records = n;
 	frame.body_case = PAPAYA__FRAME__BODY_STORE_NEWS;
 	frame.store_news = &out;
-	peer_send_all(peer, &frame);
+	peer_send_where(peer, &frame, wants, ctx);
 	g_free(pointers);
 	g_free(all);
 }
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -21,6 +21,7 @@
 	int64_t drained_until; /* the front is done; 0: not yet */
 	bool is_draining;
 	bool has_broken_link;
+	GPtrArray *regional; /* names of dispatchers that serve all zones */
 	GHashTable *kept; /* names that a link is kept to; value: is wanted */
 } peers_t;
 
@@ -45,6 +46,11 @@
  * of reach this daemon counts a share of its own.
  */
 void peers_route_limit(peers_t *p, const message_t *asked);
+/*
+ * Keeps links to the hosts of a fleet's regional duties, so that they are
+ * there before the first request.
+ */
+void peers_link_duties(peers_t *p);
 void peers_pass_limit_on(peers_t *p, const message_t *m);
 
 #endif
--- a/daemon/peers_route.c
+++ b/daemon/peers_route.c
@@ -1,7 +1,11 @@
+#include "core/runner_group.h"
 #include "daemon/frames.h"
 #include "daemon/peers.h"
 
-enum { NO_RUNNER_RETRY_MS = 1000 };
+enum {
+	NO_RUNNER_RETRY_MS = 1000,
+	LIMIT_HOSTS = 8, /* of a fleet, among which its teams are spread */
+};
 
 bool peers_is_for_owner(message_type_t type)
 {
@@ -55,15 +59,28 @@
 	supervisor_post(p->sup, TASK_FRONT, &refuse);
 }
 
+/* The dispatcher's host; false when none is known or linked. */
+static bool find_dispatcher(peers_t *p, const message_capacity_t *c, str_t zone,
+			    member_vm_t *out)
+{
+	str_t name = str_from(c->service);
+	runner_group_t group;
+
+	if (p->sup->settings->alone || c->is_alone)
+		return false;
+	if (p->sup->settings->fleet && runner_group_parse(c->service, &group) &&
+	    group.is_regional)
+		return member_regional_host(&p->member, name, now_us(), out);
+	return member_dispatcher(&p->member, zone, name, 0, now_us(), out);
+}
+
 void peers_route_want(peers_t *p, const message_t *m)
 {
 	const message_capacity_t *c = &m->capacity;
 	bool is_own = !c->zone[0] || !strcmp(c->zone, p->self.zone);
 	str_t zone = is_own ? str_from(p->self.zone) : str_from(c->zone);
 	member_vm_t vm;
-	bool found = !p->sup->settings->alone && !c->is_alone &&
-		     member_dispatcher(&p->member, zone, str_from(c->service),
-				       0, now_us(), &vm);
+	bool found = find_dispatcher(p, c, zone, &vm);
 
 	if (found && strcmp(vm.name, p->self.name) &&
 	    frames_send_capacity(&p->peer, str_from(vm.name), m, now_us())) {
@@ -93,22 +110,58 @@
 				m);
 }
 
+/* The duty of counting a team's limit: in a fleet, one of a few. */
+static void name_limit_duty(const peers_t *p, const char *team, char *out,
+			    size_t size)
+{
+	if (p->sup->settings->fleet)
+		g_snprintf(out, size, "limits-%u",
+			   (uint32_t)(str_hash(str_from(team)) % LIMIT_HOSTS));
+	else
+		g_snprintf(out, size, "limit/%s", team);
+}
+
+static bool find_limiter(peers_t *p, const char *team, member_vm_t *out)
+{
+	char duty[sizeof("limits-") + MEMBER_NAME_SIZE];
+
+	name_limit_duty(p, team, duty, sizeof(duty));
+	if (p->sup->settings->fleet)
+		return member_regional_host(&p->member, str_from(duty),
+					    now_us(), out);
+	return member_dispatcher(&p->member, str_from(p->self.zone),
+				 str_from(duty), 0, now_us(), out);
+}
+
+void peers_link_duties(peers_t *p)
+{
+	member_vm_t vm;
+
+	for (unsigned int i = 0; i < LIMIT_HOSTS; i++) {
+		char duty[MEMBER_NAME_SIZE];
+
+		g_snprintf(duty, sizeof(duty), "limits-%u", i);
+		member_regional_host(&p->member, str_from(duty), now_us(), &vm);
+	}
+	for (guint i = 0; i < p->regional->len; i++)
+		member_regional_host(&p->member,
+				     str_from(p->regional->pdata[i]), now_us(),
+				     &vm);
+}
+
 void peers_route_limit(peers_t *p, const message_t *asked)
 {
-	char role[sizeof("limit/") + MEMBER_NAME_SIZE];
 	message_t m = *asked;
 	member_vm_t vm = { 0 };
-	bool found;
+	bool found =
+		!m.limit.is_fallback && find_limiter(p, asked->limit.team, &vm);
 
-	g_snprintf(role, sizeof(role), "limit/%s", asked->limit.team);
-	found = !m.limit.is_fallback &&
-		member_dispatcher(&p->member, str_from(p->self.zone),
-				  str_from(role), 0, now_us(), &vm);
 	if (found && !str_eq(str_from(vm.name), str_from(p->self.name))) {
 		if (frames_send_limit(&p->peer, str_from(vm.name), &m))
 			return;
 		m.limit.is_fallback = true;
 	}
+	m.limit.is_fallback |= !found && p->sup->settings->fleet;
 	supervisor_post(p->sup, TASK_LIMITS, &m);
 }
 
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -8,6 +8,7 @@
 
 #include "common/log.h"
 #include "common/unique.h"
+#include "core/zone_groups.h"
 #include "daemon/frames.h"
 #include "daemon/news_frames.h"
 #include "daemon/peers.h"
@@ -15,7 +16,6 @@
 
 enum {
 	CUT_MEMORY_US = 30 * G_USEC_PER_SEC, /* of daemons that are gone */
-	READERS = 2, /* of the platform's store, in a zone */
 	MAX_MEMBERS = 1024,
 	MAX_BACKLOG = 4 << 20, /* bytes a link */
 	HANDOVER_LIMIT_US = 10 * G_USEC_PER_SEC, /* after the last request */
@@ -164,6 +164,15 @@
 	}
 }
 
+static bool is_own_zone(void *ctx, const char *name)
+{
+	peers_t *p = ctx;
+	member_vm_t vm;
+
+	return member_find(&p->member, str_from(name), &vm, NULL, NULL) &&
+	       !strcmp(vm.zone, p->self.zone);
+}
+
 static void on_frame(void *ctx, const char *name, const Papaya__Frame *frame)
 {
 	peers_t *p = ctx;
@@ -185,11 +194,13 @@
 		return;
 	}
 	if (frame->body_case == PAPAYA__FRAME__BODY_STORE_NEWS) {
-		if (news_frames_read(frame->store_news, &m))
+		if (news_frames_read(frame->store_news, &m)) {
+			m.news.is_from_far = !is_own_zone(p, name);
 			supervisor_post(p->sup, TASK_PLATFORM, &m);
-		else
+		} else {
 			metrics_add(&p->sup->metrics,
 				    "papaya_foreign_frames_total", NULL, 1);
+		}
 		return;
 	}
 	if (keys_receive(&p->keys, name, frame))
@@ -347,53 +358,23 @@
 		keep_seeds(p);
 }
 
-typedef struct live_count {
-	const peers_t *peers;
-	uint32_t live, known;
-} live_count_t;
-
-/* A daemon that fell silent may serve on behind a cut. */
-static void count_live(void *ctx, const member_vm_t *vm, member_state_t state,
-		       uint64_t incarnation, int64_t heard_age)
-{
-	live_count_t *n = ctx;
-	bool is_live = state == MEMBER_LIVE || state == MEMBER_SUSPECT ||
-		       state == MEMBER_DRAINING;
-
-	if (strcmp(vm->zone, n->peers->self.zone) != 0)
-		return;
-	/* One that was never heard may be behind a cut that was there first. */
-	if (heard_age < 0)
-		heard_age = now_us() - n->peers->started;
-	n->live += is_live;
-	n->known += is_live || heard_age < CUT_MEMORY_US;
-}
-
 static void tell_live(peers_t *p)
 {
-	live_count_t n = { .peers = p, .live = 1, .known = 1 };
 	message_t m = { .type = MESSAGE_LIVE };
 
-	member_each(&p->member, count_live, &n, now_us());
-	m.daemons.live = n.live;
-	m.daemons.known = n.known;
+	member_count(&p->member, CUT_MEMORY_US, now_us(), &m.daemons.live,
+		     &m.daemons.known);
 	supervisor_post(p->sup, TASK_LIMITS, &m);
 }
 
-/* Two daemons of the zone read the store for all. */
+/* One daemon of all reads the store for the others. */
 static void tell_reader(peers_t *p)
 {
 	message_t m = { .type = MESSAGE_READER };
-	member_vm_t vm;
 
 	if (!p->sup->settings->fleet)
 		return;
-	for (uint32_t i = 0; i < READERS; i++)
-		m.number |=
-			member_dispatcher(&p->member, str_from(p->self.zone),
-					  STR_LIT("store-reader"), i, now_us(),
-					  &vm) &&
-			!strcmp(vm.name, p->self.name);
+	m.number = member_is_regional_host(&p->member, STR_LIT("store-reader"));
 	supervisor_post(p->sup, TASK_PLATFORM, &m);
 }
 
@@ -406,6 +387,8 @@
 	tell_settled(p);
 	tell_reader(p);
 	tell_live(p);
+	if (p->sup->settings->fleet)
+		peers_link_duties(p);
 	follow_links(p);
 	send_heartbeats(p);
 	keys_tick(&p->keys);
@@ -413,14 +396,43 @@
 	export_stats(p);
 }
 
+static void add_regional(void *ctx, const char *dispatcher)
+{
+	g_ptr_array_add(ctx, g_strdup(dispatcher));
+}
+
+/* Which services have one dispatcher for all zones. */
+static void take_services(peers_t *p, const vm_view_t *vms)
+{
+	zone_groups_t groups;
+
+	g_ptr_array_set_size(p->regional, 0);
+	zone_groups_init(&groups, p->self.zone);
+	for (guint i = 0; i < vms->runners->len; i++) {
+		const log_runner_t *r =
+			&g_array_index(vms->runners, log_runner_t, i);
+
+		zone_groups_add(&groups, r->service, r->zone);
+	}
+	zone_groups_each_regional(&groups, add_regional, p->regional);
+	zone_groups_finish(&groups);
+}
+
 static void take_list(peers_t *p, const vm_view_t *vms)
 {
 	const member_vm_t *list = (const member_vm_t *)vms->entries->data;
 
+	take_services(p, vms);
 	member_set_list(&p->member, list, vms->entries->len, now_us());
 	follow_links(p);
 }
 
+static void send_news(peers_t *p, const message_news_t *news)
+{
+	news_frames_send(&p->peer, news, news->is_relayed ? is_own_zone : NULL,
+			 p);
+}
+
 static void drain(peers_t *p)
 {
 	p->is_draining = true;
@@ -445,7 +457,7 @@
 		take_list(p, m->vms);
 		break;
 	case MESSAGE_NEWS:
-		news_frames_send(&p->peer, &m->news);
+		send_news(p, &m->news);
 		break;
 	case MESSAGE_LOCATE:
 		peers_locate(p, &m->locate);
@@ -537,6 +549,7 @@
 	}
 	p->incarnations =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	p->regional = g_ptr_array_new_with_free_func(g_free);
 	p->kept = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	init_member(p, incarnation);
 	keys_init(&p->keys, sup, &p->member, &p->peer);
@@ -557,6 +570,7 @@
 	vm_view_unref(p->vms);
 	g_hash_table_destroy(p->incarnations);
 	g_hash_table_destroy(p->kept);
+	g_ptr_array_unref(p->regional);
 	g_free(p);
 }
 
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -13,7 +13,6 @@
 	LIMIT_TIMEOUT_US = 150 * US_PER_MS, /* then the own share counts */
 	ASK_AGAIN_US = 250 * US_PER_MS, /* for a grant that may be lost */
 	MAX_UNANSWERED = 2, /* wants, before deciding alone */
-	MAX_GROUPS_TRIED = 2, /* dispatchers asked in turn */
 	MAX_SENDS = 4, /* upstreams asked, also such as refuse at once */
 	MIN_DEADLINE_US = 20 * US_PER_MS, /* less is not worth sending */
 	DEFAULT_OUTPUT_TOKENS = 128,
@@ -46,21 +45,6 @@
 				  DEFAULT_OUTPUT_TOKENS;
 }
 
-/* Each try goes to another group's dispatcher. */
-static void pick_group(relay_t *r)
-{
-	uint32_t count = GPOINTER_TO_UINT(
-		g_hash_table_lookup(r->gateway->group_counts, r->service));
-
-	count = MAX(count, 1);
-	if (r->group.count != count)
-		r->group.index = g_rand_int(sup_of(r)->rand) % count;
-	else
-		r->group.index = (r->group.index + 1) % count;
-	r->group.count = count;
-	g_strlcpy(r->group.service, r->service, sizeof(r->group.service));
-}
-
 static void fill_capacity(const relay_t *r, message_capacity_t *c)
 {
 	const fleet_service_t *service =
@@ -68,7 +52,9 @@
 	bool is_engine = service && service->is_engine;
 
 	g_strlcpy(c->peer, r->dispatcher, sizeof(c->peer));
-	runner_group_name(&r->group, c->service, sizeof(c->service));
+	runner_group_name(&r->pick.group, c->service, sizeof(c->service));
+	if (!r->is_alone)
+		g_strlcpy(c->zone, r->pick.zone, sizeof(c->zone));
 	c->is_alone = r->is_alone;
 	g_snprintf(c->tier, sizeof(c->tier), "%u", r->rank);
 	c->want.id = (want_id_t){ sup_of(r)->boot, r->attempt };
@@ -357,9 +343,8 @@
 {
 	if (r->state != RELAY_WAITING)
 		return;
-	if (r->group.count > 1 && ++r->groups_tried < MAX_GROUPS_TRIED &&
-	    has_time(r)) {
-		pick_group(r);
+	if (has_time(r) &&
+	    zone_groups_next(&r->gateway->groups, sup_of(r)->rand, &r->pick)) {
 		relay_want(r);
 		return;
 	}
@@ -508,7 +493,8 @@
 		return;
 	r->service = fleet_pick_service(r->route, str_hash(r->call.attempt_id));
 	r->rank = fleet_rank(r->team, r->route);
-	pick_group(r);
+	zone_groups_first(&r->gateway->groups, r->service, sup_of(r)->rand,
+			  &r->pick);
 	retry_budget_first(&g->retries, r->service, r->arrived);
 	set_deadline(r);
 	if (!r->team || r->team->rate <= 0) {
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -2,7 +2,6 @@
 #ifndef DAEMON_RELAY_H
 #define DAEMON_RELAY_H
 
-#include "core/runner_group.h"
 #include "daemon/gateway.h"
 
 typedef enum relay_state {
@@ -37,8 +36,7 @@
 	bool has_asked_again;
 	uint32_t unanswered; /* wants without a word from the dispatcher */
 	bool is_alone; /* no dispatcher answers: this daemon decides */
-	uint32_t groups_tried; /* dispatchers that refused it */
-	runner_group_t group; /* whose dispatcher is asked */
+	zone_pick_t pick; /* whose dispatcher is asked */
 	char dispatcher[MEMBER_NAME_SIZE]; /* "": this daemon's own */
 
 	dispatcher_runner_t runner;
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -29,6 +29,7 @@
 	 */
 	PATIENCE_US = 750 * 1000,
 	DAEMONS_PATIENCE_US = 7000 * 1000, /* the same for the daemons' list */
+	RELAY_GAP_US = 150 * 1000, /* between tellings that nothing is new */
 	APPLY_MS = 100, /* between looks for drops that are due */
 };
 
@@ -259,19 +260,40 @@
 	return (str_t){ data, len };
 }
 
+/*
+ * Readers have links to a few daemons of each other zone, and these tell
+ * theirs what is new there, be it only that nothing is.
+ */
+static void relay_news(follower_t *f, const message_news_t *news)
+{
+	message_t m = { .type = MESSAGE_NEWS, .news = *news };
+
+	m.news.is_relayed = true;
+	m.news.records = g_array_ref(news->records);
+	supervisor_post(f->owner->sup, TASK_PEERS, &m);
+}
+
 /* Takes what another daemon read. */
 static void hear_news(follower_t *f, const message_news_t *news)
 {
+	int64_t known_at = f->state.known_at;
+	uint64_t next = f->state.next;
+
 	if (f->topic == STORE_RUNNERS)
 		runner_list_told(&f->owner->runner_list, news->is_steady);
 	switch (topic_follow_hear(&f->state, news->from, news->next,
 				  now_us())) {
 	case TOPIC_NEWS_OLD:
+		if (news->is_from_far && news->next == next &&
+		    f->state.known_at - known_at > RELAY_GAP_US)
+			relay_news(f, news);
 		return;
 	case TOPIC_NEWS_MISSED:
 		follow(f);
 		return;
 	case TOPIC_NEWS_APPLY:
+		if (news->is_from_far)
+			relay_news(f, news);
 		break;
 	}
 	for (guint i = 0; i < news->records->len; i++) {
--- a/net/peer.c
+++ b/net/peer.c
@@ -500,7 +500,8 @@
 	return s && s->conn && peer_link_send(&s->conn->link, frame);
 }
 
-uint32_t peer_send_all(peer_t *p, const Papaya__Frame *frame)
+uint32_t peer_send_where(peer_t *p, const Papaya__Frame *frame,
+			 bool (*wants)(void *ctx, const char *name), void *ctx)
 {
 	GHashTableIter iter;
 	void *value;
@@ -510,11 +511,17 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		slot_t *s = value;
 
-		n += s->conn && peer_link_send(&s->conn->link, frame);
+		n += s->conn && (!wants || wants(ctx, s->vm.name)) &&
+		     peer_link_send(&s->conn->link, frame);
 	}
 	return n;
 }
 
+uint32_t peer_send_all(peer_t *p, const Papaya__Frame *frame)
+{
+	return peer_send_where(p, frame, NULL, NULL);
+}
+
 bool peer_is_up(const peer_t *p, str_t name)
 {
 	slot_t *s = slot_find(p->table, name);
--- a/net/peer.h
+++ b/net/peer.h
@@ -93,6 +93,9 @@
 bool peer_send(peer_t *p, str_t name, const Papaya__Frame *frame);
 /* Sends a frame on every link; returns on how many. */
 uint32_t peer_send_all(peer_t *p, const Papaya__Frame *frame);
+/* The same on the links of those names for which WANTS is true. */
+uint32_t peer_send_where(peer_t *p, const Papaya__Frame *frame,
+			 bool (*wants)(void *ctx, const char *name), void *ctx);
 bool peer_is_up(const peer_t *p, str_t name);
 void peer_stats(const peer_t *p, peer_stats_t *out);
 
--- a/tests/lib_soak_site.c
+++ b/tests/lib_soak_site.c
@@ -58,8 +58,8 @@
 	g_autofree char *file = g_strdup_printf("%s.json", n->name);
 	g_autofree char *path = soak_path(s, file);
 	g_autofree char *text = g_strdup_printf(
-		"{\"name\":\"%s\",\"zone\":\"region\",\"zones\":[\"region\"],"
-		"\"places\":[\"z0 region\",\"z1 region\"],\"fleet\":true,"
+		"{\"name\":\"%s\",\"zone\":\"z%d\",\"zones\":[\"z0\",\"z1\"],"
+		"\"fleet\":true,"
 		"\"listen\":\"%s:%d\",\"ready_listen\":\"%s:%d\","
 		"\"peer_listen\":\"%s:%d\",\"admin_listen\":\"%s:%d\","
 		"\"platform\":\"%s\","
@@ -69,9 +69,9 @@
 		"\"heartbeat_ms\":600,\"heartbeat_timeout_ms\":2500,"
 		"\"connect_timeout_ms\":400,\"platform_timeout_ms\":800,"
 		"\"load_poll_ms\":0,\"drain_ms\":%d}\n",
-		ip, ip, CALLER_PORT, ip, READY_PORT, ip, PEER_PORT, ip,
-		ADMIN_PORT, n->relay_address, seed, CALLER_PORT, other,
-		CALLER_PORT, SOAK_GRACE_MS);
+		ip, i % SOAK_ZONES, ip, CALLER_PORT, ip, READY_PORT, ip,
+		PEER_PORT, ip, ADMIN_PORT, n->relay_address, seed, CALLER_PORT,
+		other, CALLER_PORT, SOAK_GRACE_MS);
 
 	return g_file_set_contents(path, text, -1, NULL);
 }
--- a/tests/test_runner_group.c
+++ b/tests/test_runner_group.c
@@ -19,9 +19,11 @@
 
 START_TEST(names_are_read_as_written)
 {
-	static const runner_group_t groups[] = { { "s", 0, 1 },
-						 { "s", 0, 2 },
-						 { "s#x", 15, 16 } };
+	static const runner_group_t groups[] = { { "s", 0, 1, false },
+						 { "s", 0, 2, false },
+						 { "s#x", 15, 16, false },
+						 { "s", 0, 1, true },
+						 { "s#1/2", 0, 1, true } };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(groups); i++) {
 		runner_group_t out;
@@ -32,6 +34,7 @@
 		ck_assert_str_eq(out.service, groups[i].service);
 		ck_assert_uint_eq(out.index, groups[i].index);
 		ck_assert_uint_eq(out.count, groups[i].count);
+		ck_assert(out.is_regional == groups[i].is_regional);
 	}
 }
 END_TEST
@@ -39,7 +42,8 @@
 START_TEST(malformed_names_are_refused)
 {
 	static const char *const names[] = { "",      "#0/2",  "s#2/2",
-					     "s#0/1", "s#x/2", "s#1/9999999" };
+					     "s#0/1", "s#x/2", "s#1/9999999",
+					     "@" };
 	runner_group_t out;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
--- /dev/null
+++ b/tests/test_zone_groups.c
@@ -0,0 +1,143 @@
+/*
+ * Work stays in its zone: which dispatcher is asked first, and which when
+ * the own zone refuses, has no runner, or a service is small.
+ */
+#include "core/zone_groups.h"
+#include "tests/lib_suite.h"
+
+enum { TRIES = 2000 };
+
+typedef struct bed {
+	zone_groups_t z;
+	GRand *rand;
+} bed_t;
+
+static void bed_init(bed_t *b)
+{
+	zone_groups_init(&b->z, "north");
+	b->rand = g_rand_new_with_seed(7);
+}
+
+static void bed_finish(bed_t *b)
+{
+	zone_groups_finish(&b->z);
+	g_rand_free(b->rand);
+}
+
+static void add(bed_t *b, const char *service, const char *zone, int n)
+{
+	while (n-- > 0)
+		zone_groups_add(&b->z, service, zone);
+}
+
+START_TEST(the_own_zone_is_asked_first)
+{
+	bed_t b;
+	zone_pick_t pick;
+
+	bed_init(&b);
+	add(&b, "model", "north", 40);
+	add(&b, "model", "south", 40);
+	for (int i = 0; i < TRIES; i++) {
+		zone_groups_first(&b.z, "model", b.rand, &pick);
+		ck_assert_str_eq(pick.zone, "");
+		ck_assert_uint_eq(pick.group.count, runner_group_count(40));
+		ck_assert_uint_lt(pick.group.index, pick.group.count);
+		ck_assert(!pick.group.is_regional);
+	}
+	bed_finish(&b);
+}
+END_TEST
+
+START_TEST(a_refused_request_goes_to_another_zone_once)
+{
+	bed_t b;
+	zone_pick_t pick;
+	int east = 0;
+
+	bed_init(&b);
+	add(&b, "model", "north", 20);
+	add(&b, "model", "south", 30);
+	add(&b, "model", "east", 10);
+	for (int i = 0; i < TRIES; i++) {
+		zone_groups_first(&b.z, "model", b.rand, &pick);
+		ck_assert(zone_groups_next(&b.z, b.rand, &pick));
+		ck_assert_str_ne(pick.zone, "");
+		east += !strcmp(pick.zone, "east");
+		ck_assert_uint_eq(
+			pick.group.count,
+			runner_group_count(!strcmp(pick.zone, "east") ? 10 :
+									30));
+		ck_assert(!zone_groups_next(&b.z, b.rand, &pick));
+	}
+	/* By the number of their runners: one in four. */
+	ck_assert_int_gt(east, TRIES / 5);
+	ck_assert_int_lt(east, TRIES / 3);
+	bed_finish(&b);
+}
+END_TEST
+
+START_TEST(without_runners_of_its_own_a_zone_asks_others)
+{
+	bed_t b;
+	zone_pick_t pick;
+
+	bed_init(&b);
+	add(&b, "model", "south", 20);
+	zone_groups_first(&b.z, "model", b.rand, &pick);
+	ck_assert_str_eq(pick.zone, "south");
+	bed_finish(&b);
+}
+END_TEST
+
+START_TEST(alone_a_zone_tries_its_other_groups)
+{
+	bed_t b;
+	zone_pick_t pick;
+	uint32_t first;
+
+	bed_init(&b);
+	add(&b, "model", "north", 40);
+	zone_groups_first(&b.z, "model", b.rand, &pick);
+	first = pick.group.index;
+	ck_assert(zone_groups_next(&b.z, b.rand, &pick));
+	ck_assert_str_eq(pick.zone, "");
+	ck_assert_uint_ne(pick.group.index, first);
+	ck_assert(!zone_groups_next(&b.z, b.rand, &pick));
+	bed_finish(&b);
+}
+END_TEST
+
+static void count_call(void *ctx, const char *dispatcher)
+{
+	ck_assert_str_eq(dispatcher, "desk@");
+	++*(int *)ctx;
+}
+
+START_TEST(few_runners_have_one_dispatcher_over_all_zones)
+{
+	bed_t b;
+	zone_pick_t pick;
+	int n = 0;
+
+	bed_init(&b);
+	add(&b, "desk", "north", 1);
+	add(&b, "desk", "south", 1);
+	add(&b, "model", "north", 40);
+	zone_groups_first(&b.z, "desk", b.rand, &pick);
+	ck_assert(pick.group.is_regional);
+	ck_assert_str_eq(pick.zone, "");
+	ck_assert(!zone_groups_next(&b.z, b.rand, &pick));
+	zone_groups_each_regional(&b.z, count_call, &n);
+	ck_assert_int_eq(n, 1);
+	zone_groups_first(&b.z, "unknown", b.rand, &pick);
+	ck_assert_uint_eq(pick.group.count, 1);
+	bed_finish(&b);
+}
+END_TEST
+
+SUITE_MAIN("zone_groups", the_own_zone_is_asked_first,
+	   a_refused_request_goes_to_another_zone_once,
+	   without_runners_of_its_own_a_zone_asks_others,
+	   alone_a_zone_tries_its_other_groups,
+	   few_runners_have_one_dispatcher_over_all_zones)
