--- a/core/topic_follow.c
+++ b/core/topic_follow.c
@@ -1,10 +1,52 @@
 #include "core/topic_follow.h"
 
+enum {
+	US_PER_MS = 1000,
+	MIN_PATIENCE_US = 950 * US_PER_MS,
+	PATIENCE_STEP_US = 5 * US_PER_MS, /* a daemon of the crowd */
+	MIN_SPREAD_US = 350 * US_PER_MS,
+	FIRST_BACKOFF_US = 200 * US_PER_MS,
+	MAX_DOUBLINGS = 3,
+	BACKOFF_STEP_US = 60 * US_PER_MS, /* a daemon of the crowd */
+	MAX_CROWD = 300,
+};
+
+static int64_t spread(uint32_t crowd, int64_t step, double draw)
+{
+	uint32_t n = crowd < MAX_CROWD ? crowd : MAX_CROWD;
+
+	return (int64_t)(draw * (double)(n * step));
+}
+
+int64_t topic_follow_patience(uint32_t crowd, double draw)
+{
+	return MIN_PATIENCE_US + (int64_t)(draw * MIN_SPREAD_US) +
+	       spread(crowd, PATIENCE_STEP_US, draw);
+}
+
+static void note_success(topic_follow_t *f, int64_t now)
+{
+	f->known_at = now;
+	f->retry_at = 0;
+	f->failures = 0;
+}
+
+void topic_follow_failed(topic_follow_t *f, uint32_t crowd, double draw,
+			 int64_t now)
+{
+	int64_t backoff =
+		FIRST_BACKOFF_US
+		<< (f->failures < MAX_DOUBLINGS ? f->failures : MAX_DOUBLINGS);
+
+	f->failures++;
+	f->retry_at = now + backoff + spread(crowd, BACKOFF_STEP_US, draw);
+}
+
 bool topic_follow_read(topic_follow_t *f, uint64_t next, int64_t now)
 {
 	bool is_news = !f->is_listed || next > f->next;
 
-	f->known_at = now;
+	note_success(f, now);
 	if (!is_news)
 		return false;
 	f->next = next;
@@ -12,6 +54,16 @@
 	return true;
 }
 
+bool topic_follow_take_list(topic_follow_t *f, uint64_t next, int64_t now)
+{
+	if (f->is_listed && next <= f->next)
+		return false;
+	f->next = next;
+	f->is_listed = true;
+	f->known_at = now;
+	return true;
+}
+
 void topic_follow_lost(topic_follow_t *f)
 {
 	f->is_listed = false;
@@ -33,6 +85,9 @@
 
 bool topic_follow_is_due(const topic_follow_t *f, int64_t now)
 {
-	return f->is_reader || !f->is_listed ||
-	       now - f->known_at >= f->patience;
+	if (now < f->retry_at)
+		return false;
+	if (!f->is_listed)
+		return now >= f->list_at;
+	return f->is_reader || now - f->known_at >= f->patience;
 }
--- a/core/topic_follow.h
+++ b/core/topic_follow.h
@@ -16,6 +16,9 @@
 	bool is_reader; /* this daemon tells the others */
 	int64_t patience; /* how old the readers' last word may be */
 	int64_t known_at; /* up to when the topic is known */
+	int64_t list_at; /* until then another daemon may give its list */
+	int64_t retry_at; /* the store failed: not to be called before */
+	uint32_t failures; /* calls in a row */
 } topic_follow_t;
 
 typedef enum topic_news {
@@ -38,6 +41,23 @@
  */
 topic_news_t topic_follow_hear(topic_follow_t *f, uint64_t from, uint64_t next,
 			       int64_t now);
+/*
+ * Another daemon gave its whole list, which is up to NEXT. Returns whether it
+ * is to be taken in the place of what is known.
+ */
+bool topic_follow_take_list(topic_follow_t *f, uint64_t next, int64_t now);
+/*
+ * A call failed. CROWD daemons may be trying; the more they are, the later
+ * this one tries again, since whoever gets through tells the others. DRAW is
+ * a random number from 0 to 1.
+ */
+void topic_follow_failed(topic_follow_t *f, uint32_t crowd, double draw,
+			 int64_t now);
+/*
+ * How old the readers' last word may be for one of CROWD daemons that hear
+ * it: drawn apart, so that one reads and tells the others before they do.
+ */
+int64_t topic_follow_patience(uint32_t crowd, double draw);
 /* Tells whether this daemon must read for itself now. */
 bool topic_follow_is_due(const topic_follow_t *f, int64_t now);
 
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -137,6 +137,7 @@
 		break;
 	case MESSAGE_NEWS:
 		g_clear_pointer(&m->news.records, g_array_unref);
+		g_clear_pointer(&m->news.batch, g_bytes_unref);
 		break;
 	case MESSAGE_LOCATE:
 	case MESSAGE_LOCATED:
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -71,7 +71,9 @@
 	MESSAGE_LIMIT_ANSWER, /* limits to peers to front */
 	MESSAGE_LIMIT_RELEASE, /* front to peers to limits */
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: a daemon is dead */
-	MESSAGE_LIVE, /* peers to limits: daemons seen and known */
+	MESSAGE_STORE_ASK, /* store to peers: another daemon's lists */
+	MESSAGE_STORE_ASKED, /* peers to store: a daemon wants lists */
+	MESSAGE_LIVE, /* peers to limits, store: daemons seen and known */
 	MESSAGE_SETTLED, /* peers to capacity: is the zone's view settled? */
 	MESSAGE_KEYS_READY, /* peers to admin: may callers bring keys? */
 	MESSAGE_VIEW_CHANGED, /* peers to front: ask dispatchers anew */
@@ -102,7 +104,11 @@
 	bool is_steady; /* the store was not away for the teller of late */
 	bool is_from_far; /* heard from a daemon of another zone */
 	bool is_relayed; /* read by another: only the own zone is told */
+	bool is_list; /* heard: the newest record of every key */
+	char peer[MEMBER_NAME_SIZE]; /* for it alone; "": for all */
 	GArray *records; /* message_record_t */
+	GBytes *batch; /* a whole list, packed; NULL: none */
+	uint32_t batch_size; /* before it was packed; 0: it was not */
 } message_news_t;
 
 /* Where the owner of a key or ticket is asked for. */
@@ -183,6 +189,10 @@
 		} daemons; /* LIVE */
 		uint64_t number; /* CONFIG_NEXT, SETTLED, READER, KEYS_READY */
 		message_news_t news;
+		struct {
+			uint32_t topics; /* a bit each */
+			char peer[MEMBER_NAME_SIZE]; /* who asked */
+		} lists; /* STORE_ASK, STORE_ASKED */
 		message_docs_t docs; /* CONFIG_ASK, SEND, RELAYED */
 		message_locate_t locate;
 		message_key_t key;
--- a/daemon/news_frames.c
+++ b/daemon/news_frames.c
@@ -2,7 +2,14 @@
 
 #include "net/packed.h"
 
-/* VALUE is what record->value is sent as; it outlives the frame. */
+/* Records on their way into a frame; the values outlive it. */
+typedef struct outgoing {
+	Papaya__StoreRecord *all;
+	Papaya__StoreRecord **pointers;
+	GPtrArray *values; /* GBytes */
+} outgoing_t;
+
+/* VALUE is what record->value is sent as. */
 static void fill(Papaya__StoreRecord *out, const message_record_t *record,
 		 GBytes *value, uint32_t size)
 {
@@ -16,62 +23,136 @@
 	out->size = size;
 }
 
-void news_frames_send(peer_t *peer, const message_news_t *news,
-		      bool (*wants)(void *ctx, const char *name), void *ctx)
+static void outgoing_init(outgoing_t *o, const GArray *records, bool is_packed)
 {
-	Papaya__Frame frame = PAPAYA__FRAME__INIT;
-	Papaya__StoreNews out = PAPAYA__STORE_NEWS__INIT;
-	guint n = news->records->len;
-	Papaya__StoreRecord *all = g_new0(Papaya__StoreRecord, n + 1);
-	Papaya__StoreRecord **pointers = g_new0(Papaya__StoreRecord *, n + 1);
-	g_autoptr(GPtrArray) values =
-		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+	guint n = records->len;
 
+	o->all = g_new0(Papaya__StoreRecord, n + 1);
+	o->pointers = g_new0(Papaya__StoreRecord *, n + 1);
+	o->values =
+		g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	for (guint i = 0; i < n; i++) {
 		const message_record_t *record =
-			&g_array_index(news->records, message_record_t, i);
-		uint32_t size;
-		GBytes *value = packed_pack(record->value, &size);
+			&g_array_index(records, message_record_t, i);
+		uint32_t size = 0;
+		GBytes *value = is_packed ? packed_pack(record->value, &size) :
+					    g_bytes_ref(record->value);
 
-		g_ptr_array_add(values, value);
-		fill(&all[i], record, value, size);
-		pointers[i] = &all[i];
+		g_ptr_array_add(o->values, value);
+		fill(&o->all[i], record, value, size);
+		o->pointers[i] = &o->all[i];
 	}
+}
+
+static void outgoing_finish(outgoing_t *o)
+{
+	g_free(o->pointers);
+	g_free(o->all);
+	g_ptr_array_unref(o->values);
+}
+
+GBytes *news_frames_pack(const GArray *records, uint32_t *size)
+{
+	Papaya__StoreRecords batch = PAPAYA__STORE_RECORDS__INIT;
+	g_autoptr(GBytes) bytes = NULL;
+	outgoing_t o;
+	uint8_t *data;
+	size_t len;
+
+	outgoing_init(&o, records, false);
+	batch.records = o.pointers;
+	batch.n_records = records->len;
+	len = papaya__store_records__get_packed_size(&batch);
+	data = g_malloc(len + 1);
+	papaya__store_records__pack(&batch, data);
+	bytes = g_bytes_new_take(data, len);
+	outgoing_finish(&o);
+	return packed_pack(bytes, size);
+}
+
+void news_frames_send(peer_t *peer, const message_news_t *news,
+		      bool (*wants)(void *ctx, const char *name), void *ctx)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__StoreNews out = PAPAYA__STORE_NEWS__INIT;
+	outgoing_t o;
+
+	outgoing_init(&o, news->records, true);
 	out.topic = news->topic;
 	out.from = news->from;
 	out.next = news->next;
 	out.steady = news->is_steady;
-	out.records = pointers;
-	out.n_records = n;
+	out.records = o.pointers;
+	out.n_records = news->records->len;
+	if (news->batch) {
+		out.list = true;
+		out.batch.data = (uint8_t *)g_bytes_get_data(news->batch,
+							     &out.batch.len);
+		out.batch_size = news->batch_size;
+	}
 	frame.body_case = PAPAYA__FRAME__BODY_STORE_NEWS;
 	frame.store_news = &out;
-	peer_send_where(peer, &frame, wants, ctx);
-	g_free(pointers);
-	g_free(all);
+	if (news->peer[0])
+		peer_send(peer, str_from(news->peer), &frame);
+	else
+		peer_send_where(peer, &frame, wants, ctx);
+	outgoing_finish(&o);
 }
 
-bool news_frames_read(const Papaya__StoreNews *frame, message_t *out)
+static bool read_records(Papaya__StoreRecord **records, size_t n, GArray *out)
 {
-	*out = (message_t){ .type = MESSAGE_NEWS };
-	out->news.topic = frame->topic;
-	out->news.from = frame->from;
-	out->news.next = frame->next;
-	out->news.is_steady = frame->steady;
-	out->news.records = message_records_new();
-	for (size_t i = 0; i < frame->n_records; i++) {
-		const Papaya__StoreRecord *r = frame->records[i];
+	for (size_t i = 0; i < n; i++) {
+		const Papaya__StoreRecord *r = records[i];
 		g_autoptr(GBytes) sent =
 			g_bytes_new(r->value.data, r->value.len);
 		message_record_t record = {
 			.value = packed_unpack(sent, r->size),
 		};
 
-		if (!record.value) {
-			message_finish(out);
+		if (!record.value)
 			return false;
-		}
 		record.key = g_bytes_new(r->key.data, r->key.len);
-		g_array_append_val(out->news.records, record);
+		g_array_append_val(out, record);
 	}
 	return true;
 }
+
+static bool read_batch(const Papaya__StoreNews *frame, GArray *out)
+{
+	g_autoptr(GBytes) sent =
+		g_bytes_new(frame->batch.data, frame->batch.len);
+	g_autoptr(GBytes) bytes = packed_unpack(sent, frame->batch_size);
+	Papaya__StoreRecords *batch = NULL;
+	const uint8_t *data;
+	gsize len;
+	bool ok;
+
+	if (!bytes)
+		return false;
+	data = g_bytes_get_data(bytes, &len);
+	batch = papaya__store_records__unpack(NULL, len, data);
+	if (!batch)
+		return false;
+	ok = read_records(batch->records, batch->n_records, out);
+	papaya__store_records__free_unpacked(batch, NULL);
+	return ok;
+}
+
+bool news_frames_read(const Papaya__StoreNews *frame, message_t *out)
+{
+	bool ok;
+
+	*out = (message_t){ .type = MESSAGE_NEWS };
+	out->news.topic = frame->topic;
+	out->news.from = frame->from;
+	out->news.next = frame->next;
+	out->news.is_steady = frame->steady;
+	out->news.is_list = frame->list;
+	out->news.records = message_records_new();
+	ok = read_records(frame->records, frame->n_records, out->news.records);
+	if (ok && frame->list)
+		ok = read_batch(frame, out->news.records);
+	if (!ok)
+		message_finish(out);
+	return ok;
+}
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -16,6 +16,7 @@
 
 enum {
 	CUT_MEMORY_US = 30 * G_USEC_PER_SEC, /* of daemons that are gone */
+	BOOT_US = 5 * G_USEC_PER_SEC, /* until the other daemons are known */
 	MAX_MEMBERS = 1024,
 	MAX_BACKLOG = 4 << 20, /* bytes a link */
 	HANDOVER_LIMIT_US = 10 * G_USEC_PER_SEC, /* after the last request */
@@ -203,6 +204,13 @@
 		}
 		return;
 	}
+	if (frame->body_case == PAPAYA__FRAME__BODY_STORE_ASK) {
+		m = (message_t){ .type = MESSAGE_STORE_ASKED };
+		m.lists.topics = frame->store_ask->topics;
+		g_strlcpy(m.lists.peer, name, sizeof(m.lists.peer));
+		supervisor_post(p->sup, TASK_PLATFORM, &m);
+		return;
+	}
 	if (keys_receive(&p->keys, name, frame))
 		return;
 	if (frames_read_limit(frame, name, &m)) {
@@ -257,7 +265,8 @@
 	hb.draining = p->is_draining;
 	hb.incarnation = member_incarnation(&p->member);
 	hb.config_next = p->config_next;
-	hb.no_vms = !p->vms;
+	/* A fleet's daemon asks one peer for its lists. */
+	hb.no_vms = !p->vms && !p->sup->settings->fleet;
 	hb.heard = (Papaya__Heard **)heard->pdata;
 	hb.n_heard = heard->len;
 	frame.body_case = PAPAYA__FRAME__BODY_HEARTBEAT;
@@ -365,16 +374,28 @@
 	member_count(&p->member, CUT_MEMORY_US, now_us(), &m.daemons.live,
 		     &m.daemons.known);
 	supervisor_post(p->sup, TASK_LIMITS, &m);
+	if (p->sup->settings->fleet)
+		supervisor_post(p->sup, TASK_PLATFORM, &m);
+}
+
+/*
+ * One daemon of all reads the store for the others. Who starts does not know
+ * them yet; the seeds, to whom all link first, read until then.
+ */
+static bool is_reader(const peers_t *p)
+{
+	if (now_us() - p->started < BOOT_US)
+		return settings_is_seed(p->sup->settings);
+	return member_is_regional_host(&p->member, STR_LIT("store-reader"));
 }
 
-/* One daemon of all reads the store for the others. */
 static void tell_reader(peers_t *p)
 {
 	message_t m = { .type = MESSAGE_READER };
 
 	if (!p->sup->settings->fleet)
 		return;
-	m.number = member_is_regional_host(&p->member, STR_LIT("store-reader"));
+	m.number = is_reader(p);
 	supervisor_post(p->sup, TASK_PLATFORM, &m);
 }
 
@@ -427,6 +448,21 @@
 	follow_links(p);
 }
 
+/* Any daemon will do: they all know the same, or nothing yet. */
+static void ask_for_lists(peers_t *p, uint32_t topics)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__StoreAsk ask = PAPAYA__STORE_ASK__INIT;
+	char name[MEMBER_NAME_SIZE];
+
+	if (!peer_draw(&p->peer, name))
+		return;
+	ask.topics = topics;
+	frame.body_case = PAPAYA__FRAME__BODY_STORE_ASK;
+	frame.store_ask = &ask;
+	peer_send(&p->peer, str_from(name), &frame);
+}
+
 static void send_news(peers_t *p, const message_news_t *news)
 {
 	news_frames_send(&p->peer, news, news->is_relayed ? is_own_zone : NULL,
@@ -459,6 +495,9 @@
 	case MESSAGE_NEWS:
 		send_news(p, &m->news);
 		break;
+	case MESSAGE_STORE_ASK:
+		ask_for_lists(p, m->lists.topics);
+		break;
 	case MESSAGE_LOCATE:
 		peers_locate(p, &m->locate);
 		break;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -95,9 +95,9 @@
 	     "the same in units of the limit, besides; fleet only"),
 	DURATION(limit_window_ms, 100, DAY_MS, "8000",
 		 "window of the two settings above"),
-	DURATION(runners_poll_ms, 50, 60000, "400",
+	DURATION(runners_poll_ms, 50, 60000, "500",
 		 "time between reads of the runners' entries; fleet only"),
-	DURATION(config_wait_ms, 50, 30000, "400",
+	DURATION(config_wait_ms, 50, 30000, "700",
 		 "how long one read waits for a new configuration; fleet only"),
 	DURATION(heartbeat_ms, 20, 60000, "500",
 		 "time between heartbeats to a peer"),
@@ -313,3 +313,14 @@
 		   port);
 	return true;
 }
+
+bool settings_is_seed(const settings_t *s)
+{
+	member_vm_t vm;
+
+	for (char **seed = s->seed_addresses; *seed; seed++)
+		if (settings_seed_address(s, *seed, &vm) &&
+		    !strcmp(vm.peer_address, s->peer_listen))
+			return true;
+	return false;
+}
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -95,5 +95,7 @@
  */
 bool settings_seed_address(const settings_t *s, const char *address,
 			   member_vm_t *out);
+/* Tells whether this daemon is behind one of its own seed addresses. */
+bool settings_is_seed(const settings_t *s);
 
 #endif
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -14,22 +14,23 @@
 #include "core/topic_follow.h"
 #include "daemon/fleet_view.h"
 #include "daemon/supervisor.h"
+#include "daemon/topic_records.h"
 #include "platform/fleet_text.h"
 #include "platform/store.h"
 
 enum {
 	RETURN_US = 2300 * 1000, /* for runners to return after an outage */
-	RETRY_MS = 200, /* after a failed call */
+	RETRY_MS = 200, /* when a call can't begin */
 	DAEMONS_POLL_MS = 5000,
 	CONFIG_PAUSE_MS = 100, /* after a read: versions may come in a storm */
 	LOOK_MS = 100, /* between looks whether the readers fell silent */
-	/*
-	 * For their next word. Up to half as long again, drawn at the start:
-	 * whoever reads first tells all others, who then need not.
-	 */
-	PATIENCE_US = 750 * 1000,
-	DAEMONS_PATIENCE_US = 7000 * 1000, /* the same for the daemons' list */
+	DAEMONS_PATIENCE = 6, /* times that for the daemons' list */
+	BOOT_CROWD = 300, /* daemons that may start at once */
+	/* For the lists of another daemon, before the store is asked. */
+	PEERS_FIRST_US = 1200 * 1000,
+	ASK_PEERS_US = 200 * 1000, /* between asking one and the next */
 	RELAY_GAP_US = 150 * 1000, /* between tellings that nothing is new */
+	EXPORT_MS = 1000,
 	APPLY_MS = 100, /* between looks for drops that are due */
 };
 
@@ -39,6 +40,7 @@
 	store_topic_t topic;
 	struct event *timer;
 	topic_follow_t state;
+	topic_records_t records;
 	bool is_calling;
 	bool is_down;
 } follower_t;
@@ -50,12 +52,15 @@
 	runner_list_t runner_list;
 	GHashTable *daemon_list; /* name to listed_daemon_t */
 	fleet_t *fleet;
-	GBytes *config_text; /* of the fleet, as the store holds it */
 	vm_view_t *vms;
 	struct event *apply;
+	struct event *export; /* of metrics */
 	bool has_entry; /* our own is in the store */
 	bool is_writing;
 	bool daemons_changed;
+	uint32_t crowd; /* daemons that answer, this one included */
+	double draw; /* 0 to 1: this daemon's turn to read for silent readers */
+	int64_t asked_at; /* when another daemon was asked for its lists */
 } store_follow_t;
 
 static void follow(follower_t *f);
@@ -109,8 +114,6 @@
 		    fleet->version);
 	fleet_unref(s->fleet);
 	s->fleet = fleet;
-	g_clear_pointer(&s->config_text, g_bytes_unref);
-	s->config_text = g_bytes_new(text.ptr, text.len);
 	post_fleet(s);
 	return true;
 }
@@ -165,8 +168,7 @@
 	return true;
 }
 
-/* Returns whether the entry says anything that was not known. */
-static bool take_entry(follower_t *f, const store_entry_t *entry)
+static bool read_entry(follower_t *f, const store_entry_t *entry)
 {
 	switch (f->topic) {
 	case STORE_CONFIG:
@@ -180,6 +182,16 @@
 	return false;
 }
 
+/* Returns whether the entry says anything that was not known. */
+static bool take_entry(follower_t *f, const store_entry_t *entry)
+{
+	bool is_new = read_entry(f, entry);
+
+	if (is_new || !topic_records_get(&f->records, entry->key))
+		topic_records_set(&f->records, entry->key, entry->value);
+	return is_new;
+}
+
 static void note_down(follower_t *f, const err_t *err)
 {
 	char text[ERR_DETAIL_SIZE * 2];
@@ -211,9 +223,7 @@
 {
 	const settings_t *s = f->owner->sup->settings;
 
-	if (f->is_down || !f->state.is_listed)
-		return RETRY_MS;
-	if (!f->state.is_reader)
+	if (!f->state.is_listed || !f->state.is_reader)
 		return LOOK_MS;
 	if (f->topic == STORE_CONFIG)
 		return CONFIG_PAUSE_MS;
@@ -273,12 +283,62 @@
 	supervisor_post(f->owner->sup, TASK_PEERS, &m);
 }
 
+/* Takes a page over; adds the keys whose entries say anything new. */
+static void take_page(follower_t *f, const store_page_t *page, bool is_list,
+		      GHashTable *changed)
+{
+	runner_list_t *runners = &f->owner->runner_list;
+
+	if (is_list)
+		topic_records_clear(&f->records);
+	if (is_list && f->topic == STORE_RUNNERS)
+		runner_list_begin(runners);
+	for (size_t i = 0; i < page->n_entries; i++)
+		if (take_entry(f, &page->entries[i]))
+			g_hash_table_add(changed,
+					 (gpointer)&page->entries[i].key);
+	if (is_list && f->topic == STORE_RUNNERS)
+		runner_list_end(runners, now_us());
+}
+
+static void take_records(follower_t *f, const GArray *records)
+{
+	for (guint i = 0; i < records->len; i++) {
+		const message_record_t *r =
+			&g_array_index(records, message_record_t, i);
+		store_entry_t entry = { view_of(r->key), view_of(r->value) };
+
+		take_entry(f, &entry);
+	}
+}
+
+/* Takes another daemon's whole list, when nothing newer is known. */
+static void hear_list(follower_t *f, const message_news_t *news)
+{
+	runner_list_t *runners = &f->owner->runner_list;
+
+	if (!topic_follow_take_list(&f->state, news->next, now_us()))
+		return;
+	log_event("listed-by-daemon", "topic=%s records=%u next=%" PRIu64,
+		  store_topic_name(f->topic), news->records->len, news->next);
+	topic_records_clear(&f->records);
+	if (f->topic == STORE_RUNNERS)
+		runner_list_begin(runners);
+	take_records(f, news->records);
+	if (f->topic == STORE_RUNNERS)
+		runner_list_end(runners, now_us());
+}
+
 /* Takes what another daemon read. */
 static void hear_news(follower_t *f, const message_news_t *news)
 {
 	int64_t known_at = f->state.known_at;
 	uint64_t next = f->state.next;
 
+	if (news->is_list) {
+		hear_list(f, news);
+		return;
+	}
 	if (f->topic == STORE_RUNNERS)
 		runner_list_told(&f->owner->runner_list, news->is_steady);
 	switch (topic_follow_hear(&f->state, news->from, news->next,
@@ -296,29 +356,7 @@
 			relay_news(f, news);
 		break;
 	}
-	for (guint i = 0; i < news->records->len; i++) {
-		const message_record_t *r =
-			&g_array_index(news->records, message_record_t, i);
-		store_entry_t entry = { view_of(r->key), view_of(r->value) };
-
-		take_entry(f, &entry);
-	}
-}
-
-/* Takes a page over; adds the keys whose entries say anything new. */
-static void take_page(follower_t *f, const store_page_t *page, bool is_list,
-		      GHashTable *changed)
-{
-	runner_list_t *runners = &f->owner->runner_list;
-
-	if (is_list && f->topic == STORE_RUNNERS)
-		runner_list_begin(runners);
-	for (size_t i = 0; i < page->n_entries; i++)
-		if (take_entry(f, &page->entries[i]))
-			g_hash_table_add(changed,
-					 (gpointer)&page->entries[i].key);
-	if (is_list && f->topic == STORE_RUNNERS)
-		runner_list_end(runners, now_us());
+	take_records(f, news->records);
 }
 
 static void on_page(void *ctx, const store_page_t *page, const err_t *err)
@@ -331,7 +369,10 @@
 	f->is_calling = false;
 	note_down(f, err);
 	if (err) {
-		follow_later(f, RETRY_MS);
+		topic_follow_failed(&f->state, f->owner->crowd,
+				    g_rand_double(f->owner->sup->rand),
+				    now_us());
+		follow_later(f, LOOK_MS);
 		return;
 	}
 	if (page->has_gap) {
@@ -432,13 +473,50 @@
 	return n;
 }
 
+static uint32_t unlisted_bit(const follower_t *f)
+{
+	return f->state.is_listed ? 0 : 1U << f->topic;
+}
+
+/* Asks another daemon for what was not listed yet. */
+static void ask_for_lists(store_follow_t *s)
+{
+	message_t m = { .type = MESSAGE_STORE_ASK };
+	int64_t now = now_us();
+
+	m.lists.topics = unlisted_bit(&s->config) | unlisted_bit(&s->runners) |
+			 unlisted_bit(&s->daemons);
+	if (!m.lists.topics || now - s->asked_at < ASK_PEERS_US)
+		return;
+	s->asked_at = now;
+	supervisor_post(s->sup, TASK_PEERS, &m);
+}
+
+static void on_export(evutil_socket_t fd, short what, void *arg)
+{
+	store_follow_t *s = arg;
+	metrics_t *m = &s->sup->metrics;
+	store_stats_t stats;
+
+	store_stats(&s->store, &stats);
+	for (int kind = 0; kind < STORE_KINDS; kind++) {
+		g_autofree char *label =
+			g_strdup_printf("kind=\"%s\"", store_kind_name(kind));
+
+		metrics_set(m, "papaya_store_calls_total", label,
+			    stats.of_kind[kind]);
+	}
+	metrics_set(m, "papaya_store_failed_total", NULL, stats.failed);
+	metrics_set(m, "papaya_store_bytes_in_total", NULL, stats.bytes_in);
+}
+
 /* Publishes what changed, and writes the own entry until it is there. */
 static void on_apply(evutil_socket_t fd, short what, void *arg)
 {
 	store_follow_t *s = arg;
 	bool has_changed = runner_list_poll(&s->runner_list, now_us());
-	store_stats_t stats;
 
+	ask_for_lists(s);
 	if (!s->has_entry && !s->is_writing && s->daemons.state.is_listed)
 		write_entry(s);
 	if (!has_changed && !s->daemons_changed)
@@ -454,58 +532,77 @@
 		  s->vms->entries->len, s->runners.state.next,
 		  (now_us() - s->runners.state.known_at) / 1000);
 	post_vms(s);
-	store_stats(&s->store, &stats);
-	metrics_set(&s->sup->metrics, "papaya_store_calls_total", NULL,
-		    stats.calls);
-	metrics_set(&s->sup->metrics, "papaya_store_failed_total", NULL,
-		    stats.failed);
-	metrics_set(&s->sup->metrics, "papaya_store_bytes_in_total", NULL,
-		    stats.bytes_in);
 }
 
 static void follower_init(follower_t *f, store_follow_t *s, store_topic_t topic)
 {
-	int64_t patience =
-		topic == STORE_DAEMONS ? DAEMONS_PATIENCE_US : PATIENCE_US;
-
-	f->state.patience =
-		patience + g_rand_int_range(s->sup->rand, 0, patience / 2);
 	f->owner = s;
 	f->topic = topic;
+	if (!settings_is_seed(s->sup->settings))
+		f->state.list_at = now_us() + PEERS_FIRST_US +
+				   (int64_t)(s->draw * PEERS_FIRST_US);
+	topic_records_init(&f->records);
 	f->timer = evtimer_new(s->sup->base, on_follow, f);
-	follow(f);
+	on_follow(-1, 0, f);
+}
+
+static void set_crowd(store_follow_t *s, uint32_t crowd)
+{
+	int64_t patience = topic_follow_patience(crowd, s->draw);
+
+	s->crowd = crowd;
+	s->config.state.patience = patience;
+	s->runners.state.patience = patience;
+	s->daemons.state.patience = patience * DAEMONS_PATIENCE;
+}
+
+/* Gives another daemon a topic's whole list. */
+static void give_list(follower_t *f, const char *peer)
+{
+	message_t m = { .type = MESSAGE_NEWS };
+
+	if (!f->state.is_listed)
+		return;
+	m.news.topic = f->topic;
+	m.news.next = f->state.next;
+	m.news.is_steady =
+		runner_list_is_steady(&f->owner->runner_list, now_us());
+	g_strlcpy(m.news.peer, peer, sizeof(m.news.peer));
+	m.news.records = message_records_new();
+	m.news.batch = topic_records_pack(&f->records, &m.news.batch_size);
+	supervisor_post(f->owner->sup, TASK_PEERS, &m);
 }
 
 static void set_reader(store_follow_t *s, bool is_reader)
 {
+	store_stats_t stats;
+
 	if (s->config.state.is_reader == is_reader)
 		return;
-	log_event("reader", "reads=%s", is_reader ? "yes" : "no");
+	store_stats(&s->store, &stats);
+	log_event(
+		"reader", "reads=%s crowd=%u calls=%" PRIu64 " failed=%" PRIu64,
+		is_reader ? "yes" : "no", s->crowd, stats.calls, stats.failed);
 	s->config.state.is_reader = is_reader;
 	s->runners.state.is_reader = is_reader;
 	s->daemons.state.is_reader = is_reader;
 }
 
-/* Until the store can be read, another daemon's list is better than none. */
-static void take_relayed_vms(store_follow_t *s, vm_view_t *vms)
-{
-	log_info("runners by another daemon: %u", vms->runners->len);
-	s->vms = vm_view_ref(vms);
-	post_vms(s);
-}
-
 /* A peer that can't read the store itself gets the configuration from us. */
 static void relay_config(store_follow_t *s, const char *peer)
 {
 	message_t m = { .type = MESSAGE_CONFIG_SEND };
 	config_doc_t doc = { .offset = 0 };
+	GBytes *text =
+		topic_records_get(&s->config.records, store_config_key());
 
-	if (!s->fleet || (!s->config.state.is_reader && !s->config.is_down))
+	if (!s->fleet || !text ||
+	    (!s->config.state.is_reader && !s->config.is_down))
 		return;
 	g_strlcpy(m.docs.peer, peer, sizeof(m.docs.peer));
 	g_strlcpy(doc.name, FLEET_PROFILE, sizeof(doc.name));
 	doc.version = s->fleet->version;
-	doc.body = g_bytes_ref(s->config_text);
+	doc.body = g_bytes_ref(text);
 	m.docs.next = s->fleet->version;
 	m.docs.docs = message_docs_new();
 	g_array_append_val(m.docs.docs, doc);
@@ -534,8 +631,13 @@
 	else if (m->type == MESSAGE_NEWS &&
 		 m->news.topic < G_N_ELEMENTS(of_topic))
 		hear_news(of_topic[m->news.topic], &m->news);
-	else if (m->type == MESSAGE_VMS_RELAYED && !s->vms)
-		take_relayed_vms(s, m->vms);
+	else if (m->type == MESSAGE_LIVE)
+		set_crowd(s, m->daemons.live);
+	else if (m->type == MESSAGE_STORE_ASKED)
+		for (size_t i = 0; i < G_N_ELEMENTS(of_topic); i++) {
+			if (m->lists.topics & (1U << i))
+				give_list(of_topic[i], m->lists.peer);
+		}
 	else if (m->type == MESSAGE_CONFIG_ASK)
 		relay_config(s, m->docs.peer);
 	else if (m->type == MESSAGE_CONFIG_RELAYED)
@@ -558,26 +660,35 @@
 	runner_list_init(&s->runner_list, RETURN_US);
 	s->daemon_list =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->draw = g_rand_double(sup->rand);
 	follower_init(&s->config, s, STORE_CONFIG);
 	follower_init(&s->runners, s, STORE_RUNNERS);
 	follower_init(&s->daemons, s, STORE_DAEMONS);
+	set_crowd(s, BOOT_CROWD);
 	s->apply = supervisor_every(sup, APPLY_MS, on_apply, s);
+	s->export = supervisor_every(sup, EXPORT_MS, on_export, s);
 	return s;
 }
 
+static void follower_finish(follower_t *f)
+{
+	event_free(f->timer);
+	topic_records_finish(&f->records);
+}
+
 static void stop(void *state)
 {
 	store_follow_t *s = state;
 
 	store_finish(&s->store);
-	event_free(s->config.timer);
-	event_free(s->runners.timer);
-	event_free(s->daemons.timer);
+	follower_finish(&s->config);
+	follower_finish(&s->runners);
+	follower_finish(&s->daemons);
 	event_free(s->apply);
+	event_free(s->export);
 	runner_list_finish(&s->runner_list);
 	g_hash_table_destroy(s->daemon_list);
 	fleet_unref(s->fleet);
-	g_clear_pointer(&s->config_text, g_bytes_unref);
 	vm_view_unref(s->vms);
 	g_free(s);
 }
--- /dev/null
+++ b/daemon/topic_records.c
@@ -0,0 +1,70 @@
+#include "daemon/topic_records.h"
+
+#include "daemon/news_frames.h"
+
+void topic_records_init(topic_records_t *t)
+{
+	*t = (topic_records_t){
+		.values = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
+						(GDestroyNotify)g_bytes_unref,
+						(GDestroyNotify)g_bytes_unref),
+	};
+}
+
+static void drop_packed(topic_records_t *t)
+{
+	g_clear_pointer(&t->packed, g_bytes_unref);
+}
+
+void topic_records_finish(topic_records_t *t)
+{
+	drop_packed(t);
+	g_clear_pointer(&t->values, g_hash_table_unref);
+}
+
+void topic_records_clear(topic_records_t *t)
+{
+	drop_packed(t);
+	g_hash_table_remove_all(t->values);
+}
+
+void topic_records_set(topic_records_t *t, str_t key, str_t value)
+{
+	GBytes *name = g_bytes_new(key.ptr, key.len);
+
+	drop_packed(t);
+	if (value.len) {
+		g_hash_table_replace(t->values, name,
+				     g_bytes_new(value.ptr, value.len));
+		return;
+	}
+	g_hash_table_remove(t->values, name);
+	g_bytes_unref(name);
+}
+
+GBytes *topic_records_get(const topic_records_t *t, str_t key)
+{
+	g_autoptr(GBytes) name = g_bytes_new_static(key.ptr, key.len);
+
+	return g_hash_table_lookup(t->values, name);
+}
+
+GBytes *topic_records_pack(topic_records_t *t, uint32_t *size)
+{
+	if (!t->packed) {
+		g_autoptr(GArray) records = message_records_new();
+		GHashTableIter iter;
+		void *key, *value;
+
+		g_hash_table_iter_init(&iter, t->values);
+		while (g_hash_table_iter_next(&iter, &key, &value)) {
+			message_record_t record = { g_bytes_ref(key),
+						    g_bytes_ref(value) };
+
+			g_array_append_val(records, record);
+		}
+		t->packed = news_frames_pack(records, &t->packed_size);
+	}
+	*size = t->packed_size;
+	return g_bytes_ref(t->packed);
+}
--- a/net/peer.c
+++ b/net/peer.c
@@ -522,6 +522,23 @@
 	return peer_send_where(p, frame, NULL, NULL);
 }
 
+bool peer_draw(peer_t *p, char name[MEMBER_NAME_SIZE])
+{
+	GHashTableIter iter;
+	void *value;
+	int32_t n = 0;
+
+	g_hash_table_iter_init(&iter, p->table->slots);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const slot_t *s = value;
+
+		/* The nth replaces what was drawn with a chance of 1/n. */
+		if (s->conn && !g_rand_int_range(p->table->rand, 0, ++n))
+			g_strlcpy(name, s->vm.name, MEMBER_NAME_SIZE);
+	}
+	return n > 0;
+}
+
 bool peer_is_up(const peer_t *p, str_t name)
 {
 	slot_t *s = slot_find(p->table, name);
--- a/net/peer.h
+++ b/net/peer.h
@@ -96,6 +96,8 @@
 /* The same on the links of those names for which WANTS is true. */
 uint32_t peer_send_where(peer_t *p, const Papaya__Frame *frame,
 			 bool (*wants)(void *ctx, const char *name), void *ctx);
+/* Draws one of the peers whose links are up; false when there is none. */
+bool peer_draw(peer_t *p, char name[MEMBER_NAME_SIZE]);
 bool peer_is_up(const peer_t *p, str_t name);
 void peer_stats(const peer_t *p, peer_stats_t *out);
 
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1132,6 +1132,96 @@
   assert(message->base.descriptor == &papaya__store_news__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__store_records__init
+                     (Papaya__StoreRecords         *message)
+{
+  static const Papaya__StoreRecords init_value = PAPAYA__STORE_RECORDS__INIT;
+  *message = init_value;
+}
+size_t papaya__store_records__get_packed_size
+                     (const Papaya__StoreRecords *message)
+{
+  assert(message->base.descriptor == &papaya__store_records__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__store_records__pack
+                     (const Papaya__StoreRecords *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__store_records__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__store_records__pack_to_buffer
+                     (const Papaya__StoreRecords *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__store_records__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__StoreRecords *
+       papaya__store_records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__StoreRecords *)
+     protobuf_c_message_unpack (&papaya__store_records__descriptor,
+                                allocator, len, data);
+}
+void   papaya__store_records__free_unpacked
+                     (Papaya__StoreRecords *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__store_records__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   papaya__store_ask__init
+                     (Papaya__StoreAsk         *message)
+{
+  static const Papaya__StoreAsk init_value = PAPAYA__STORE_ASK__INIT;
+  *message = init_value;
+}
+size_t papaya__store_ask__get_packed_size
+                     (const Papaya__StoreAsk *message)
+{
+  assert(message->base.descriptor == &papaya__store_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__store_ask__pack
+                     (const Papaya__StoreAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__store_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__store_ask__pack_to_buffer
+                     (const Papaya__StoreAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__store_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__StoreAsk *
+       papaya__store_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__StoreAsk *)
+     protobuf_c_message_unpack (&papaya__store_ask__descriptor,
+                                allocator, len, data);
+}
+void   papaya__store_ask__free_unpacked
+                     (Papaya__StoreAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__store_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__frame__init
                      (Papaya__Frame         *message)
 {
@@ -3325,7 +3415,7 @@
   (ProtobufCMessageInit) papaya__store_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__store_news__field_descriptors[5] =
+static const ProtobufCFieldDescriptor papaya__store_news__field_descriptors[8] =
 {
   {
     "topic",
@@ -3387,9 +3477,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "list",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StoreNews, list),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batch",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StoreNews, batch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batch_size",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StoreNews, batch_size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__store_news__field_indices_by_name[] = {
+  6,   /* field[6] = batch */
+  7,   /* field[7] = batch_size */
   1,   /* field[1] = from */
+  5,   /* field[5] = list */
   2,   /* field[2] = next */
   3,   /* field[3] = records */
   4,   /* field[4] = steady */
@@ -3398,7 +3527,7 @@
 static const ProtobufCIntRange papaya__store_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor papaya__store_news__descriptor =
 {
@@ -3408,14 +3537,90 @@
   "Papaya__StoreNews",
   "papaya",
   sizeof(Papaya__StoreNews),
-  5,
+  8,
   papaya__store_news__field_descriptors,
   papaya__store_news__field_indices_by_name,
   1,  papaya__store_news__number_ranges,
   (ProtobufCMessageInit) papaya__store_news__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[19] =
+static const ProtobufCFieldDescriptor papaya__store_records__field_descriptors[1] =
+{
+  {
+    "records",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__StoreRecords, n_records),
+    offsetof(Papaya__StoreRecords, records),
+    &papaya__store_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__store_records__field_indices_by_name[] = {
+  0,   /* field[0] = records */
+};
+static const ProtobufCIntRange papaya__store_records__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor papaya__store_records__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.StoreRecords",
+  "StoreRecords",
+  "Papaya__StoreRecords",
+  "papaya",
+  sizeof(Papaya__StoreRecords),
+  1,
+  papaya__store_records__field_descriptors,
+  papaya__store_records__field_indices_by_name,
+  1,  papaya__store_records__number_ranges,
+  (ProtobufCMessageInit) papaya__store_records__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__store_ask__field_descriptors[1] =
+{
+  {
+    "topics",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StoreAsk, topics),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__store_ask__field_indices_by_name[] = {
+  0,   /* field[0] = topics */
+};
+static const ProtobufCIntRange papaya__store_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor papaya__store_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.StoreAsk",
+  "StoreAsk",
+  "Papaya__StoreAsk",
+  "papaya",
+  sizeof(Papaya__StoreAsk),
+  1,
+  papaya__store_ask__field_descriptors,
+  papaya__store_ask__field_indices_by_name,
+  1,  papaya__store_ask__number_ranges,
+  (ProtobufCMessageInit) papaya__store_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[20] =
 {
   {
     "hello",
@@ -3645,6 +3850,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_ask",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, store_ask),
+    &papaya__store_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__frame__field_indices_by_name[] = {
   6,   /* field[6] = cancel */
@@ -3662,6 +3879,7 @@
   1,   /* field[1] = proof */
   18,   /* field[18] = queued */
   5,   /* field[5] = refuse */
+  19,   /* field[19] = store_ask */
   17,   /* field[17] = store_news */
   16,   /* field[16] = vm_list */
   3,   /* field[3] = want */
@@ -3670,7 +3888,7 @@
 static const ProtobufCIntRange papaya__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor papaya__frame__descriptor =
 {
@@ -3680,7 +3898,7 @@
   "Papaya__Frame",
   "papaya",
   sizeof(Papaya__Frame),
-  19,
+  20,
   papaya__frame__field_descriptors,
   papaya__frame__field_indices_by_name,
   1,  papaya__frame__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -40,6 +40,8 @@
 typedef struct Papaya__HandOverAck Papaya__HandOverAck;
 typedef struct Papaya__StoreRecord Papaya__StoreRecord;
 typedef struct Papaya__StoreNews Papaya__StoreNews;
+typedef struct Papaya__StoreRecords Papaya__StoreRecords;
+typedef struct Papaya__StoreAsk Papaya__StoreAsk;
 typedef struct Papaya__Frame Papaya__Frame;
 
 
@@ -565,10 +567,49 @@
    * the store was not away for the sender of late
    */
   protobuf_c_boolean steady;
+  /*
+   * the newest record of every key
+   */
+  protobuf_c_boolean list;
+  /*
+   * of a list: its records, as StoreRecords
+   */
+  ProtobufCBinaryData batch;
+  /*
+   * before it was deflated; 0: it was not
+   */
+  uint32_t batch_size;
 };
 #define PAPAYA__STORE_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__store_news__descriptor) \
-    , 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0, {0,NULL}, 0 }
+
+
+struct  Papaya__StoreRecords
+{
+  ProtobufCMessage base;
+  size_t n_records;
+  Papaya__StoreRecord **records;
+};
+#define PAPAYA__STORE_RECORDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__store_records__descriptor) \
+    , 0,NULL }
+
+
+/*
+ * Asks a daemon for its lists of topics.
+ */
+struct  Papaya__StoreAsk
+{
+  ProtobufCMessage base;
+  /*
+   * a bit each
+   */
+  uint32_t topics;
+};
+#define PAPAYA__STORE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__store_ask__descriptor) \
+    , 0 }
 
 
 typedef enum {
@@ -591,7 +632,8 @@
   PAPAYA__FRAME__BODY_LIMIT_RELEASE = 16,
   PAPAYA__FRAME__BODY_VM_LIST = 17,
   PAPAYA__FRAME__BODY_STORE_NEWS = 18,
-  PAPAYA__FRAME__BODY_QUEUED = 19
+  PAPAYA__FRAME__BODY_QUEUED = 19,
+  PAPAYA__FRAME__BODY_STORE_ASK = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PAPAYA__FRAME__BODY__CASE)
 } Papaya__Frame__BodyCase;
 
@@ -619,6 +661,7 @@
     Papaya__VmList *vm_list;
     Papaya__StoreNews *store_news;
     Papaya__Queued *queued;
+    Papaya__StoreAsk *store_ask;
   };
 };
 #define PAPAYA__FRAME__INIT \
@@ -1101,6 +1144,44 @@
 void   papaya__store_news__free_unpacked
                      (Papaya__StoreNews *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__StoreRecords methods */
+void   papaya__store_records__init
+                     (Papaya__StoreRecords         *message);
+size_t papaya__store_records__get_packed_size
+                     (const Papaya__StoreRecords   *message);
+size_t papaya__store_records__pack
+                     (const Papaya__StoreRecords   *message,
+                      uint8_t             *out);
+size_t papaya__store_records__pack_to_buffer
+                     (const Papaya__StoreRecords   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__StoreRecords *
+       papaya__store_records__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__store_records__free_unpacked
+                     (Papaya__StoreRecords *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__StoreAsk methods */
+void   papaya__store_ask__init
+                     (Papaya__StoreAsk         *message);
+size_t papaya__store_ask__get_packed_size
+                     (const Papaya__StoreAsk   *message);
+size_t papaya__store_ask__pack
+                     (const Papaya__StoreAsk   *message,
+                      uint8_t             *out);
+size_t papaya__store_ask__pack_to_buffer
+                     (const Papaya__StoreAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__StoreAsk *
+       papaya__store_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__store_ask__free_unpacked
+                     (Papaya__StoreAsk *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Frame methods */
 void   papaya__frame__init
                      (Papaya__Frame         *message);
@@ -1197,6 +1278,12 @@
 typedef void (*Papaya__StoreNews_Closure)
                  (const Papaya__StoreNews *message,
                   void *closure_data);
+typedef void (*Papaya__StoreRecords_Closure)
+                 (const Papaya__StoreRecords *message,
+                  void *closure_data);
+typedef void (*Papaya__StoreAsk_Closure)
+                 (const Papaya__StoreAsk *message,
+                  void *closure_data);
 typedef void (*Papaya__Frame_Closure)
                  (const Papaya__Frame *message,
                   void *closure_data);
@@ -1231,6 +1318,8 @@
 extern const ProtobufCMessageDescriptor papaya__hand_over_ack__descriptor;
 extern const ProtobufCMessageDescriptor papaya__store_record__descriptor;
 extern const ProtobufCMessageDescriptor papaya__store_news__descriptor;
+extern const ProtobufCMessageDescriptor papaya__store_records__descriptor;
+extern const ProtobufCMessageDescriptor papaya__store_ask__descriptor;
 extern const ProtobufCMessageDescriptor papaya__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/test_topic_follow.c
+++ b/tests/test_topic_follow.c
@@ -94,8 +94,67 @@
 }
 END_TEST
 
+START_TEST(a_new_daemon_waits_for_anothers_list)
+{
+	topic_follow_t f = { .patience = PATIENCE, .list_at = 1000 };
+
+	ck_assert(!topic_follow_is_due(&f, 999));
+	ck_assert(topic_follow_is_due(&f, 1000));
+	ck_assert(topic_follow_take_list(&f, 10, 500));
+	ck_assert(!topic_follow_is_due(&f, 1000));
+	/* A second one that is older or the same changes nothing. */
+	ck_assert(!topic_follow_take_list(&f, 10, 600));
+	ck_assert(!topic_follow_take_list(&f, 9, 600));
+	ck_assert_int_eq(topic_follow_hear(&f, 10, 11, 700), TOPIC_NEWS_APPLY);
+}
+END_TEST
+
+/* A store that turns the reader away must not make it call more. */
+START_TEST(a_failing_store_is_called_less_and_less)
+{
+	enum { SECOND = 1000 * 1000, MINUTE = 60 * SECOND, STEP = 100 * 1000 };
+	static const struct {
+		uint32_t crowd;
+		int calls; /* in a minute, by one daemon, at most */
+	} cases[] = { { 1, 40 }, { 20, 30 }, { 300, 8 } };
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		topic_follow_t f = listed(10);
+		int calls = 0;
+
+		f.is_reader = true;
+		for (int64_t now = 1; now < MINUTE; now += STEP) {
+			if (!topic_follow_is_due(&f, now))
+				continue;
+			topic_follow_failed(&f, cases[i].crowd, 0.5, now);
+			calls++;
+		}
+		ck_assert_int_le(calls, cases[i].calls);
+		/* What others tell ends the back-off. */
+		topic_follow_read(&f, 11, MINUTE);
+		ck_assert(topic_follow_is_due(&f, MINUTE + 1));
+	}
+}
+END_TEST
+
+/* Of many that wait for a silent reader one is first, well before most. */
+START_TEST(the_patience_of_a_crowd_is_spread)
+{
+	ck_assert_int_lt(topic_follow_patience(1, 1), 1500 * 1000);
+	ck_assert_int_eq(topic_follow_patience(1, 0),
+			 topic_follow_patience(300, 0));
+	ck_assert_int_gt(topic_follow_patience(300, 0.5) -
+				 topic_follow_patience(300, 0.4),
+			 100 * 1000);
+	ck_assert_int_lt(topic_follow_patience(5000, 1), 3000 * 1000);
+}
+END_TEST
+
 SUITE_MAIN("topic_follow", news_keep_a_follower_from_reading,
 	   silence_makes_a_follower_read, a_reader_and_a_new_daemon_read_always,
 	   news_are_applied_in_order_or_read,
 	   an_answer_that_news_overtook_changes_nothing,
-	   a_missed_record_is_not_counted_as_known)
+	   a_missed_record_is_not_counted_as_known,
+	   a_new_daemon_waits_for_anothers_list,
+	   a_failing_store_is_called_less_and_less,
+	   the_patience_of_a_crowd_is_spread)
