store: records that were missed are waited for before they are read

Change: what is missing is asked of another daemon, and read after 600 ms if nobody told it (core/topic_follow.c, with its test).

--- a/core/topic_follow.c
+++ b/core/topic_follow.c
@@ -4,6 +4,7 @@
 	US_PER_MS = 1000,
 	MIN_PATIENCE_US = 950 * US_PER_MS,
 	PATIENCE_STEP_US = 5 * US_PER_MS, /* a daemon of the crowd */
+	MISSED_WAIT_US = 600 * US_PER_MS,
 	MIN_SPREAD_US = 350 * US_PER_MS,
 	FIRST_BACKOFF_US = 200 * US_PER_MS,
 	MAX_DOUBLINGS = 3,
@@ -27,6 +28,7 @@
 static void note_success(topic_follow_t *f, int64_t now)
 {
 	f->known_at = now;
+	f->missed_at = 0;
 	f->retry_at = 0;
 	f->failures = 0;
 }
@@ -61,6 +63,7 @@
 	f->next = next;
 	f->is_listed = true;
 	f->known_at = now;
+	f->missed_at = 0;
 	return true;
 }
 
@@ -74,9 +77,13 @@
 {
 	if (!f->is_listed || next < f->next)
 		return TOPIC_NEWS_OLD;
-	if (from > f->next)
+	if (from > f->next) {
+		if (!f->missed_at)
+			f->missed_at = now;
 		return TOPIC_NEWS_MISSED;
+	}
 	f->known_at = now;
+	f->missed_at = 0;
 	if (next == f->next)
 		return TOPIC_NEWS_OLD;
 	f->next = next;
@@ -89,5 +96,12 @@
 		return false;
 	if (!f->is_listed)
 		return now >= f->list_at;
+	if (f->missed_at && now - f->missed_at >= MISSED_WAIT_US)
+		return true;
 	return f->is_reader || now - f->known_at >= f->patience;
 }
+
+bool topic_follow_wants_list(const topic_follow_t *f)
+{
+	return !f->is_listed || f->missed_at;
+}
--- a/core/topic_follow.h
+++ b/core/topic_follow.h
@@ -1,7 +1,7 @@
 /*
  * How a daemon keeps up with a topic of the store without every daemon
  * reading it: a few readers read and tell the others; who hears nothing for
- * too long, or missed something, reads for itself. Pure; times are
+ * too long, or misses something for long, reads for itself. Pure; times are
  * microseconds of the monotonic clock.
  */
 #ifndef CORE_TOPIC_FOLLOW_H
@@ -16,6 +16,7 @@
 	bool is_reader; /* this daemon tells the others */
 	int64_t patience; /* how old the readers' last word may be */
 	int64_t known_at; /* up to when the topic is known */
+	int64_t missed_at; /* since when records are missing; 0: none are */
 	int64_t list_at; /* until then another daemon may give its list */
 	int64_t retry_at; /* the store failed: not to be called before */
 	uint32_t failures; /* calls in a row */
@@ -24,7 +25,7 @@
 typedef enum topic_news {
 	TOPIC_NEWS_OLD, /* nothing that is not known */
 	TOPIC_NEWS_APPLY, /* take the records */
-	TOPIC_NEWS_MISSED, /* records before these were missed: read */
+	TOPIC_NEWS_MISSED, /* records before these were missed */
 } topic_news_t;
 
 /*
@@ -58,6 +59,12 @@
  * it: drawn apart, so that one reads and tells the others before they do.
  */
 int64_t topic_follow_patience(uint32_t crowd, double draw);
+/*
+ * Tells whether another daemon's list would help: nothing was listed yet, or
+ * records were missed. Both may also come by themselves: the tellers are not
+ * all equally far.
+ */
+bool topic_follow_wants_list(const topic_follow_t *f);
 /* Tells whether this daemon must read for itself now. */
 bool topic_follow_is_due(const topic_follow_t *f, int64_t now);
 
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -349,7 +349,6 @@
 			relay_news(f, news);
 		return;
 	case TOPIC_NEWS_MISSED:
-		follow(f);
 		return;
 	case TOPIC_NEWS_APPLY:
 		if (news->is_from_far)
@@ -473,19 +472,19 @@
 	return n;
 }
 
-static uint32_t unlisted_bit(const follower_t *f)
+static uint32_t wanted_bit(const follower_t *f)
 {
-	return f->state.is_listed ? 0 : 1U << f->topic;
+	return topic_follow_wants_list(&f->state) ? 1U << f->topic : 0;
 }
 
-/* Asks another daemon for what was not listed yet. */
+/* Asks another daemon for what is missing here. */
 static void ask_for_lists(store_follow_t *s)
 {
 	message_t m = { .type = MESSAGE_STORE_ASK };
 	int64_t now = now_us();
 
-	m.lists.topics = unlisted_bit(&s->config) | unlisted_bit(&s->runners) |
-			 unlisted_bit(&s->daemons);
+	m.lists.topics = wanted_bit(&s->config) | wanted_bit(&s->runners) |
+			 wanted_bit(&s->daemons);
 	if (!m.lists.topics || now - s->asked_at < ASK_PEERS_US)
 		return;
 	s->asked_at = now;
--- a/tests/test_topic_follow.c
+++ b/tests/test_topic_follow.c
@@ -94,6 +94,25 @@
 }
 END_TEST
 
+/* Of two tellers one is further: what lies between comes from the other. */
+START_TEST(what_was_missed_is_waited_for_before_it_is_read)
+{
+	enum { WAIT = 600 * 1000, LONG = 10 * WAIT };
+	topic_follow_t f = listed(10);
+
+	f.patience = LONG;
+	ck_assert(!topic_follow_wants_list(&f));
+	ck_assert_int_eq(topic_follow_hear(&f, 12, 13, 1), TOPIC_NEWS_MISSED);
+	ck_assert(topic_follow_wants_list(&f));
+	ck_assert_int_eq(topic_follow_hear(&f, 13, 14, 100), TOPIC_NEWS_MISSED);
+	ck_assert(!topic_follow_is_due(&f, WAIT));
+	ck_assert(topic_follow_is_due(&f, WAIT + 1));
+	ck_assert_int_eq(topic_follow_hear(&f, 10, 12, 200), TOPIC_NEWS_APPLY);
+	ck_assert(!topic_follow_wants_list(&f));
+	ck_assert(!topic_follow_is_due(&f, WAIT + 1));
+}
+END_TEST
+
 START_TEST(a_new_daemon_waits_for_anothers_list)
 {
 	topic_follow_t f = { .patience = PATIENCE, .list_at = 1000 };
@@ -155,6 +174,7 @@
 	   news_are_applied_in_order_or_read,
 	   an_answer_that_news_overtook_changes_nothing,
 	   a_missed_record_is_not_counted_as_known,
+	   what_was_missed_is_waited_for_before_it_is_read,
 	   a_new_daemon_waits_for_anothers_list,
 	   a_failing_store_is_called_less_and_less,
 	   the_patience_of_a_crowd_is_spread)
