relay: a long prompt goes where its parts were read, whatever the zone

Further, no answer of these upstreams says what was kept, so what a runner was thought to keep of a prefix sank towards nothing with each answer.

Change: the parts' stated lengths count, not a learned share; a prefix of 500 tokens and more has one home among all zones' groups by weighted rendezvous (core/zone_groups.c), unless much of the recent traffic shares it (core/prefix_share.c). Refused there, it goes to the own zone.

--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -34,6 +34,9 @@
 	uint32_t prompt_tokens; /* estimate; 1 for a plain call */
 	uint32_t output_tokens; /* estimate; 1 for a plain call */
 	uint64_t prefix_hash; /* 0 when there is no known prefix */
+	uint32_t prefix_tokens; /* its length; 0: to be learned from answers */
+	uint64_t session_hash; /* of the whole prompt or its session; 0: none */
+	uint32_t session_tokens; /* its length */
 	int64_t deadline; /* when the answer must be whole */
 	int64_t target; /* by when its start is fully useful; 0: none */
 	int64_t start_by; /* when its caller leaves unless it began; 0: never */
--- a/core/dispatcher_ledger.c
+++ b/core/dispatcher_ledger.c
@@ -64,6 +64,31 @@
 	g_queue_push_tail_link(&s->by_sign, &item->by_sign);
 }
 
+static bool is_kept_by(const struct dispatcher_state *s, uint64_t hash,
+		       const runner_t *runner)
+{
+	double cached;
+
+	return hash && affinity_find(&s->affinity, hash, &cached) == runner;
+}
+
+/* Notes what the runner will keep, and what it is thought to have kept. */
+static void note_affinity(struct dispatcher_state *s, item_t *item,
+			  const runner_t *runner)
+{
+	const want_t *want = &item->want;
+
+	item->cached_tokens = 0;
+	if (is_kept_by(s, want->session_hash, runner))
+		item->cached_tokens = want->session_tokens;
+	else if (is_kept_by(s, want->prefix_hash, runner))
+		item->cached_tokens = want->prefix_tokens;
+	if (want->prefix_hash)
+		affinity_note(&s->affinity, want->prefix_hash, runner);
+	if (want->session_hash)
+		affinity_note(&s->affinity, want->session_hash, runner);
+}
+
 void dispatcher_enter(struct dispatcher_state *s, item_t *item,
 		      runner_t *runner, int64_t now)
 {
@@ -86,8 +111,7 @@
 		g_sequence_insert_sorted(s->by_due, item, by_work_due, NULL);
 	insert_cancellable(s, item);
 	set_sign(s, item, now);
-	if (want->prefix_hash)
-		affinity_note(&s->affinity, want->prefix_hash, runner);
+	note_affinity(s, item, runner);
 	dispatcher_rank_runner(s, runner, now);
 }
 
@@ -95,8 +119,14 @@
 		      const done_t *done, int64_t now)
 {
 	runner_t *runner = item->runner;
-
-	runner_model_end(&runner->model, &item->work, done, now);
+	done_t counted = done ? *done : (done_t){ DONE_FAILED, 0, 0, 0 };
+
+	/* An upstream that does not say what it kept is taken to have. */
+	if (!counted.cached_tokens)
+		counted.cached_tokens =
+			MIN(item->cached_tokens, counted.prompt_tokens);
+	runner_model_end(&runner->model, &item->work, done ? &counted : NULL,
+			 now);
 	runner->running[item->want.tier]--;
 	if (runner->is_counted)
 		s->running[item->want.tier]--;
@@ -104,7 +134,8 @@
 	sequence_clear(&item->by_due);
 	sequence_clear(&item->cancellable);
 	g_queue_unlink(&s->by_sign, &item->by_sign);
-	if (done && done->prompt_tokens && item->want.prefix_hash)
+	if (done && done->prompt_tokens && item->want.prefix_hash &&
+	    !item->want.prefix_tokens)
 		affinity_learn(&s->affinity, item->want.prefix_hash, runner,
 			       (double)done->cached_tokens /
 				       done->prompt_tokens);
--- a/core/dispatcher_pick.c
+++ b/core/dispatcher_pick.c
@@ -79,29 +79,51 @@
 				    want->output_tokens, cached);
 }
 
-/* Takes the runner that holds the prefix if the want ends sooner there. */
-static runner_t *prefer_affinity(struct dispatcher_state *s, const item_t *item,
-				 runner_t *best, runner_room_t room,
-				 int64_t now, int64_t *finish)
+/* What a runner's cache may hold of a prompt. */
+typedef struct kept {
+	uint64_t hash;
+	uint32_t tokens; /* 0: to be learned */
+} kept_t;
+
+/* Takes the runner that holds KEPT if the want ends sooner there. */
+static runner_t *prefer_kept(struct dispatcher_state *s, const item_t *item,
+			     const kept_t *kept, runner_t *best,
+			     runner_room_t room, int64_t now, int64_t *finish)
 {
 	double cached = 0;
 	const void *known;
 	runner_t *runner;
 
-	if (!item->want.prefix_hash)
+	if (!kept->hash)
 		return best;
-	known = affinity_find(&s->affinity, item->want.prefix_hash, &cached);
+	known = affinity_find(&s->affinity, kept->hash, &cached);
 	/* Runners are freed only after their prefixes were forgotten. */
 	runner = (runner_t *)known;
 	if (!runner || !runner->ranked || avoids(s, item, runner) ||
 	    !runner_model_has_room(&runner->model, room, now))
 		return best;
+	if (kept->tokens)
+		cached =
+			MIN((double)kept->tokens / item->want.prompt_tokens, 1);
 	if (predict(runner, &item->want, cached) > *finish - now)
 		return best;
 	*finish = now + predict(runner, &item->want, cached);
 	return runner;
 }
 
+/* The session's own runner holds the most, that of its prefix less. */
+static runner_t *prefer_affinity(struct dispatcher_state *s, const item_t *item,
+				 runner_t *best, runner_room_t room,
+				 int64_t now, int64_t *finish)
+{
+	const want_t *w = &item->want;
+	kept_t prefix = { w->prefix_hash, w->prefix_tokens };
+	kept_t session = { w->session_hash, w->session_tokens };
+
+	best = prefer_kept(s, item, &prefix, best, room, now, finish);
+	return prefer_kept(s, item, &session, best, room, now, finish);
+}
+
 runner_t *dispatcher_choose(struct dispatcher_state *s, const item_t *item,
 			    runner_room_t room, int64_t now, int64_t *finish)
 {
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -33,6 +33,7 @@
 	int64_t latest_timely; /* later, the target can't be met; 0: none */
 	runner_t *runner; /* NULL while queued */
 	runner_work_t work;
+	uint32_t cached_tokens; /* that the runner is thought to have kept */
 	bool is_cancelled; /* its owner was told to cancel it */
 	int64_t last_sign; /* of its owner or runner */
 	GList by_sign; /* link in dispatcher_state.by_sign */
--- a/core/zone_groups.c
+++ b/core/zone_groups.c
@@ -1,5 +1,7 @@
 #include "core/zone_groups.h"
 
+#include <math.h>
+
 #include "common/str_table.h"
 
 enum { MAX_TRIED = 2 }; /* dispatchers that one request asks */
@@ -109,7 +111,62 @@
 	return false;
 }
 
-void zone_groups_first(const zone_groups_t *z, const char *service, GRand *rand,
+/* Weighted rendezvous: the least -ln(u) / weight has the key. */
+static double distance(const char *zone, uint32_t index, uint64_t key,
+		       double weight)
+{
+	struct {
+		uint64_t zone, index, key;
+	} place = { str_hash(str_from(zone)), index, key };
+	uint64_t hash = str_hash((str_t){ (char *)&place, sizeof(place) });
+	double u = ((double)(hash >> 11) + 1) / ((double)(1ULL << 53) + 1);
+
+	return -log(u) / weight;
+}
+
+/* The group of all zones that keeps what has the hash KEY. */
+static void pick_home(const zone_groups_t *z, const service_t *s, uint64_t key,
+		      zone_pick_t *pick)
+{
+	double best = INFINITY;
+
+	for (guint i = 0; i < s->zones->len; i++) {
+		const zone_runners_t *r =
+			&g_array_index(s->zones, zone_runners_t, i);
+		uint32_t count = runner_group_count(r->runners);
+
+		for (uint32_t n = 0; n < count; n++) {
+			double d = distance(r->zone, n, key,
+					    (double)r->runners / count);
+
+			if (d >= best)
+				continue;
+			best = d;
+			pick->group.index = n;
+			pick->group.count = count;
+			g_strlcpy(pick->zone,
+				  strcmp(r->zone, z->own_zone) ? r->zone : "",
+				  sizeof(pick->zone));
+		}
+	}
+	pick->is_home = true;
+}
+
+uint32_t zone_groups_count(const zone_groups_t *z, const char *service)
+{
+	const service_t *s = g_hash_table_lookup(z->services, service);
+	uint32_t n = 0;
+
+	if (!s || runner_group_is_regional(s->runners))
+		return 1;
+	for (guint i = 0; i < s->zones->len; i++)
+		n += runner_group_count(
+			g_array_index(s->zones, zone_runners_t, i).runners);
+	return n;
+}
+
+void zone_groups_first(const zone_groups_t *z, const char *service,
+		       const zone_affinity_t *affinity, GRand *rand,
 		       zone_pick_t *out)
 {
 	const service_t *s = g_hash_table_lookup(z->services, service);
@@ -120,17 +177,30 @@
 	out->group.is_regional = runner_group_is_regional(s ? s->runners : 0);
 	if (out->group.is_regional)
 		return;
+	if (affinity->prefix) {
+		pick_home(z, s, affinity->prefix, out);
+		return;
+	}
 	if (own || !pick_other_zone(z, s, rand, out))
 		pick_group(out, own, rand);
+	if (affinity->session)
+		out->group.index =
+			(uint32_t)(affinity->session % out->group.count);
 }
 
 bool zone_groups_next(const zone_groups_t *z, GRand *rand, zone_pick_t *pick)
 {
 	const service_t *s =
 		g_hash_table_lookup(z->services, pick->group.service);
+	uint32_t own = runners_in(s, z->own_zone);
 
 	if (pick->group.is_regional || !s || ++pick->tried >= MAX_TRIED)
 		return false;
+	if (pick->is_home && pick->zone[0] && own) {
+		pick->zone[0] = '\0';
+		pick_group(pick, own, rand);
+		return true;
+	}
 	if (pick_other_zone(z, s, rand, pick))
 		return true;
 	if (pick->group.count <= 1)
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -23,6 +23,9 @@
 	want.prompt_tokens = c->want.prompt_tokens;
 	want.output_tokens = c->want.output_tokens;
 	want.prefix_hash = c->want.prefix_hash;
+	want.prefix_tokens = c->want.prefix_tokens;
+	want.session_hash = c->want.session_hash;
+	want.session_tokens = c->want.session_tokens;
 	want.need_ms = to_ms(c->want.deadline - now);
 	want.hops = c->hops;
 	want.avoid = (char *)c->want.avoid;
@@ -174,6 +177,9 @@
 	c->want.prompt_tokens = f->prompt_tokens;
 	c->want.output_tokens = f->output_tokens;
 	c->want.prefix_hash = f->prefix_hash;
+	c->want.prefix_tokens = f->prefix_tokens;
+	c->want.session_hash = f->session_hash;
+	c->want.session_tokens = f->session_tokens;
 	c->want.deadline = now + (int64_t)f->need_ms * 1000;
 	c->hops = f->hops;
 	c->is_again = f->again;
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -11,6 +11,7 @@
 #include <event2/listener.h>
 
 #include "core/fleet.h"
+#include "core/prefix_share.h"
 #include "core/retry_budget.h"
 #include "core/runner_watch.h"
 #include "core/zone_groups.h"
@@ -29,6 +30,7 @@
 	GHashTable *relays; /* attempt to relay_t */
 	upstream_pool_t pool;
 	zone_groups_t groups; /* of each service's runners */
+	prefix_share_t prefixes; /* of recent requests */
 	fleet_t *fleet; /* NULL until a configuration is in force */
 	retry_budget_t retries;
 	runner_watch_t runners; /* as this daemon itself knows them */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -16,6 +16,7 @@
 	MAX_SENDS = 4, /* upstreams asked, also such as refuse at once */
 	MIN_DEADLINE_US = 20 * US_PER_MS, /* less is not worth sending */
 	DEFAULT_OUTPUT_TOKENS = 128,
+	WORTHY_PREFIX = 500, /* tokens; reading fewer again is quick */
 	MAX_EVENT = 256 * 1024, /* bytes */
 	MAX_TIER_TEXT = 16,
 	PERCENT = 100,
@@ -63,6 +64,9 @@
 	c->want.prompt_tokens = is_engine ? MAX(r->call.prompt_tokens, 1) : 1;
 	c->want.output_tokens = is_engine ? output_tokens(&r->call) : 1;
 	c->want.prefix_hash = r->call.prefix;
+	c->want.prefix_tokens = r->call.prefix_tokens;
+	c->want.session_hash = r->call.session;
+	c->want.session_tokens = r->call.session_tokens;
 	c->want.deadline = r->deadline;
 	if (r->route->target_ms && !r->has_begun)
 		c->want.target = r->arrived + r->route->target_ms * US_PER_MS;
@@ -459,6 +463,20 @@
 	return true;
 }
 
+/* A long prompt that some runner may have read is worth the way there. */
+static void pick_dispatcher(relay_t *r)
+{
+	gateway_t *g = r->gateway;
+	uint32_t groups = zone_groups_count(&g->groups, r->service);
+	zone_affinity_t affinity = { .session = r->call.session };
+
+	if (r->call.prefix_tokens >= WORTHY_PREFIX &&
+	    !prefix_share_note(&g->prefixes, r->call.prefix, groups))
+		affinity.prefix = r->call.prefix;
+	zone_groups_first(&g->groups, r->service, &affinity, sup_of(r)->rand,
+			  &r->pick);
+}
+
 static void set_deadline(relay_t *r)
 {
 	int64_t ms = r->route->timeout_ms;
@@ -493,8 +511,7 @@
 		return;
 	r->service = fleet_pick_service(r->route, str_hash(r->call.attempt_id));
 	r->rank = fleet_rank(r->team, r->route);
-	zone_groups_first(&r->gateway->groups, r->service, sup_of(r)->rand,
-			  &r->pick);
+	pick_dispatcher(r);
 	retry_budget_first(&g->retries, r->service, r->arrived);
 	set_deadline(r);
 	if (!r->team || r->team->rate <= 0) {
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1807,7 +1807,7 @@
   (ProtobufCMessageInit) papaya__vm_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__want__field_descriptors[16] =
+static const ProtobufCFieldDescriptor papaya__want__field_descriptors[19] =
 {
   {
     "attempt",
@@ -2001,6 +2001,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefix_tokens",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Want, prefix_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "session_hash",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Want, session_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "session_tokens",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Want, session_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__want__field_indices_by_name[] = {
   12,   /* field[12] = again */
@@ -2012,9 +2048,12 @@
   5,   /* field[5] = output_tokens */
   11,   /* field[11] = owner */
   6,   /* field[6] = prefix_hash */
+  16,   /* field[16] = prefix_tokens */
   4,   /* field[4] = prompt_tokens */
   10,   /* field[10] = running_on */
   1,   /* field[1] = service */
+  17,   /* field[17] = session_hash */
+  18,   /* field[18] = session_tokens */
   15,   /* field[15] = start_ms */
   13,   /* field[13] = target_ms */
   3,   /* field[3] = team */
@@ -2023,7 +2062,7 @@
 static const ProtobufCIntRange papaya__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor papaya__want__descriptor =
 {
@@ -2033,7 +2072,7 @@
   "Papaya__Want",
   "papaya",
   sizeof(Papaya__Want),
-  16,
+  19,
   papaya__want__field_descriptors,
   papaya__want__field_indices_by_name,
   1,  papaya__want__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -227,10 +227,19 @@
    * time left until its caller leaves; 0: no bound
    */
   uint32_t start_ms;
+  /*
+   * length of the prefix; 0: not stated
+   */
+  uint32_t prefix_tokens;
+  /*
+   * of the whole prompt or its session
+   */
+  uint64_t session_hash;
+  uint32_t session_tokens;
 };
 #define PAPAYA__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__want__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Papaya__Grant
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -33,6 +33,9 @@
 				     .prompt_tokens = 11,
 				     .output_tokens = 12,
 				     .prefix_hash = 13,
+				     .prefix_tokens = 14,
+				     .session_hash = 15,
+				     .session_tokens = 16,
 				     .deadline = now + 5000000 };
 	g_strlcpy(m->capacity.service, "model", MEMBER_NAME_SIZE);
 	g_strlcpy(m->capacity.tier, "drafts", MEMBER_NAME_SIZE);
