--- a/daemon/caller.c
+++ b/daemon/caller.c
@@ -6,6 +6,8 @@
 #include <jansson.h>
 #include <stdlib.h>
 
+#include "common/clock.h"
+
 static void stop_watching(caller_t *c)
 {
 	struct evhttp_connection *conn = evhttp_request_get_connection(c->req);
@@ -156,7 +158,7 @@
 	evhttp_send_reply_chunk_with_cb(c->req, out, on_drained, c);
 	evbuffer_free(out);
 	if (!c->behind_since)
-		c->behind_since = g_get_monotonic_time();
+		c->behind_since = clock_steady_us();
 }
 
 void caller_end(caller_t *c)
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -104,6 +104,7 @@
 	renumber(r);
 	r->state = RELAY_WAITING;
 	r->asked = now_us();
+	r->epoch = supervisor_epoch(sup_of(r));
 	r->has_asked_again = false;
 	r->unanswered = 0;
 	r->is_routed = false;
@@ -277,6 +278,7 @@
 	evbuffer_drain(r->answer_body, evbuffer_get_length(r->answer_body));
 	sse_reset(&r->events);
 	r->state = RELAY_SENT;
+	r->progress_at = now_us();
 	r->upstream =
 		upstream_start(&r->gateway->pool, r->runner.address, may_reuse,
 			       str_eq(r->call.method, STR_LIT("HEAD")), request,
@@ -305,6 +307,30 @@
 			     "the runners are leaving");
 }
 
+/*
+ * An answer that came while this process stood still may be a permission that
+ * ran out meanwhile: it was given up, and may be another's by now.
+ */
+static bool is_stale(const relay_t *r)
+{
+	return r->epoch != supervisor_epoch(sup_of(r));
+}
+
+static void decline_stale(relay_t *r)
+{
+	log_event("grant-declined",
+		  "request=%s runner=%s dispatcher=%s why=\"it came while this "
+		  "process stood still\"",
+		  r->id, r->runner.name, dispatcher_name(r));
+	post_capacity(r, MESSAGE_WITHDRAW, NULL);
+	if (has_time(r))
+		relay_want(r);
+	else
+		relay_refuse(r, r->runs || r->has_begun ? 504 : 503,
+			     r->runs || r->has_begun ? 0 : NO_FLEET_RETRY_MS,
+			     "the time passed while the process stood still");
+}
+
 void relay_granted(relay_t *r, const message_capacity_t *grant)
 {
 	if (r->state != RELAY_WAITING)
@@ -312,6 +338,10 @@
 	r->runner = grant->runner;
 	r->is_routed = true;
 	g_strlcpy(r->dispatcher, grant->peer, sizeof(r->dispatcher));
+	if (is_stale(r)) {
+		decline_stale(r);
+		return;
+	}
 	metrics_observe(&sup_of(r)->metrics, "papaya_wait_ms", NULL,
 			(now_us() - r->arrived) / US_PER_MS);
 	if (!runner_watch_may_use(&r->gateway->runners, r->runner.name)) {
@@ -390,6 +420,7 @@
 	message_limit_t *l = &m.limit;
 
 	r->asked = now_us();
+	r->epoch = supervisor_epoch(sup_of(r));
 	l->attempt = r->attempt;
 	l->owner = sup_of(r)->boot;
 	l->is_fallback = r->is_limit_fallback;
@@ -404,6 +435,10 @@
 {
 	if (r->state != RELAY_LIMITING)
 		return;
+	if (is_stale(r)) {
+		post_limit(r);
+		return;
+	}
 	if (answer->is_ok) {
 		relay_want(r);
 		return;
@@ -420,6 +455,12 @@
 		post_limit(r);
 	} else if (r->state == RELAY_WAITING && now - r->asked > ASK_AGAIN_US) {
 		want_again(r, now);
+	} else if (r->state == RELAY_SENT && r->is_streaming && !r->is_paused &&
+		   now - r->progress_at >
+			   sup_of(r)->settings->upstream_idle_ms * US_PER_MS) {
+		upstream_cancel(r->upstream);
+		r->upstream = NULL;
+		relay_answer_lost(r, "no event came for too long");
 	}
 }
 
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -30,6 +30,8 @@
 	int64_t arrived; /* all times: microseconds, monotonic */
 	int64_t deadline; /* the caller's or the route's, whichever is first */
 	int64_t asked; /* when limiter or dispatcher was asked last */
+	uint64_t epoch; /* stall epoch of that question */
+	int64_t progress_at; /* last event, head or send */
 	struct event *timer; /* at the deadline */
 	bool is_limit_fallback;
 	bool is_routed;
@@ -66,6 +68,8 @@
 /* Answers with an own status, and ends. */
 void relay_refuse(relay_t *r, int status, int64_t retry_after_ms,
 		  const char *why);
+/* The upstream's answer is of no use: tries again, or answers 502. */
+void relay_answer_lost(relay_t *r, const char *why);
 /* The answer is given: lets go of everything. */
 void relay_end(relay_t *r);
 /* Sends the request once more elsewhere, if that is allowed; else false. */
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -22,6 +22,9 @@
 
 	ingress_write(r->caller, raw);
 	r->n_events++;
+	/* Comments keep a stalled stream's connection open; no more. */
+	if (id.len || data.len)
+		r->progress_at = now_us();
 	if (!id.len)
 		return;
 	g_string_truncate(r->last_event, 0);
@@ -146,7 +149,7 @@
 }
 
 /* The request may have run, and no whole answer came of it. */
-static void take_loss(relay_t *r, const char *why)
+void relay_answer_lost(relay_t *r, const char *why)
 {
 	log_event("attempt-lost",
 		  "request=%s runner=%s status=%d events=%" PRIu64
@@ -171,7 +174,7 @@
 static void take_whole(relay_t *r)
 {
 	if (!is_sound(r)) {
-		take_loss(r, "the answer is not the runner's");
+		relay_answer_lost(r, "the answer is not the runner's");
 		return;
 	}
 	if (r->answer.is_not_run) {
@@ -179,7 +182,7 @@
 		return;
 	}
 	if (!is_success(r) && r->has_begun) {
-		take_loss(r, "the stream was not taken up again");
+		relay_answer_lost(r, "the stream was not taken up again");
 		return;
 	}
 	if (r->answer.status >= 500) {
@@ -187,7 +190,7 @@
 		return;
 	}
 	if (r->is_streaming && r->events.partial->len) {
-		take_loss(r, "the stream ended within an event");
+		relay_answer_lost(r, "the stream ended within an event");
 		return;
 	}
 	r->runs++;
@@ -214,10 +217,10 @@
 				     "no runner can be reached");
 		break;
 	case UPSTREAM_BROKEN:
-		take_loss(r, "the connection broke");
+		relay_answer_lost(r, "the connection broke");
 		break;
 	case UPSTREAM_MALFORMED:
-		take_loss(r, "the answer can't be used");
+		relay_answer_lost(r, "the answer can't be used");
 		break;
 	}
 }
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -126,8 +126,10 @@
 		 "limit of one exchange with the platform"),
 	DURATION(connect_timeout_ms, 50, 60000, "1000",
 		 "limit of a connection attempt"),
-	DURATION(upstream_idle_ms, 100, DAY_MS, "30000",
-		 "silence of an upstream after which a request is given up"),
+	DURATION(
+		upstream_idle_ms, 100, DAY_MS, "30000",
+		"silence of an upstream after which a request is given up; of a "
+		"stream only whole events count"),
 	DURATION(caller_idle_ms, 100, 600000, "10000",
 		 "silence of a caller that is sending a request"),
 	DURATION(keepalive_ms, 100, 600000, "10000",
--- a/daemon/supervisor.h
+++ b/daemon/supervisor.h
@@ -12,6 +12,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "common/clock.h"
 #include "daemon/message.h"
 #include "daemon/metrics.h"
 #include "daemon/settings.h"
@@ -80,10 +81,10 @@
 /* True when the daemon ended by giving up and not by a drain. */
 bool supervisor_has_given_up(const supervisor_t *sup);
 
-/* Monotonic time in microseconds. */
+/* Steady time in microseconds; a suspended VM's time counts. */
 static inline int64_t now_us(void)
 {
-	return g_get_monotonic_time();
+	return clock_steady_us();
 }
 
 /* Starts a repeating timer; freed with event_free. */
--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -15,6 +15,7 @@
 	MAX_IDLE_MS = 10000,
 	IDLE_MARGIN_MS = 700, /* closed so long before the upstream does */
 	REAP_MS = 500,
+	MAX_INTERIM = 8, /* 1xx answers before the one that counts */
 	MAX_IDLE = 4, /* connections kept to one upstream */
 	ADDRESS_SIZE = 64,
 };
@@ -33,6 +34,7 @@
 	bool is_busy;
 	bool is_kept; /* the last answer allows another request */
 	bool is_interim; /* a 1xx head: the answer follows */
+	uint32_t n_interim;
 	bool is_head_request;
 	bool is_dead; /* waits to be freed */
 };
@@ -178,7 +180,8 @@
 
 	u->is_interim = head->status < HTTP_STATUS_OK;
 	if (u->is_interim)
-		return head->status != HTTP_STATUS_SWITCHING_PROTOCOLS;
+		return head->status != HTTP_STATUS_SWITCHING_PROTOCOLS &&
+		       ++u->n_interim <= MAX_INTERIM;
 	u->is_kept = head->keeps_alive;
 	u->idle_until = now_us() + stated_idle_ms(head) * 1000;
 	return u->ops.head(u->ctx, head);
@@ -368,6 +371,7 @@
 	u->is_busy = true;
 	u->is_kept = false;
 	u->is_interim = false;
+	u->n_interim = 0;
 	u->is_head_request = is_head_request;
 	http1_reader_reset(&u->reader);
 	u->reader.is_answer_to_head = is_head_request;
--- a/net/http1.c
+++ b/net/http1.c
@@ -179,6 +179,7 @@
 {
 	http1_reader_t *r = p->data;
 
+	r->framing = 0;
 	if (r->ops.body(r->ctx, (str_t){ at, len }))
 		return 0;
 	r->has_stopped = true;
@@ -236,6 +237,7 @@
 	r->has_head = false;
 	r->is_whole = false;
 	r->has_stopped = false;
+	r->framing = 0;
 	r->is_answer_to_head = false;
 }
 
@@ -275,6 +277,7 @@
 {
 	enum http_errno error;
 
+	r->framing += bytes.len;
 	*taken = http_parser_execute(&r->parser, &callbacks, bytes.ptr,
 				     bytes.len);
 	error = HTTP_PARSER_ERRNO(&r->parser);
@@ -346,6 +349,9 @@
 		*taken += n;
 		if (result != HTTP1_MORE)
 			return result;
+		/* Chunk extensions and trailers may go on for ever. */
+		if (r->framing > HTTP1_MAX_FRAMING)
+			return HTTP1_OVERSIZED;
 	}
 	return result;
 }
--- a/net/http1.h
+++ b/net/http1.h
@@ -13,7 +13,10 @@
 
 #include "common/str.h"
 
-enum { HTTP1_NO_LENGTH = -1 };
+enum {
+	HTTP1_NO_LENGTH = -1,
+	HTTP1_MAX_FRAMING = 16 * 1024, /* bytes in a row that are no body */
+};
 
 typedef struct http1_header {
 	str_t name;
@@ -38,7 +41,7 @@
 	HTTP1_MORE, /* all bytes are taken, the message goes on */
 	HTTP1_END, /* the message is whole; bytes after it are not taken */
 	HTTP1_STOPPED, /* a callback returned false */
-	HTTP1_OVERSIZED, /* the head is over the limit */
+	HTTP1_OVERSIZED, /* the head or the framing is over its limit */
 	HTTP1_MALFORMED,
 } http1_result_t;
 
@@ -61,6 +64,7 @@
 	bool is_answer_to_head; /* responses: no body whatever the head says */
 	bool is_whole;
 	bool has_stopped;
+	size_t framing; /* bytes of chunk headers and trailers, in a row */
 } http1_reader_t;
 
 void http1_reader_init(http1_reader_t *r, http1_kind_t kind, size_t max_head,
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -10,7 +10,10 @@
 #include "tests/lib_suite.h"
 #include "tests/lib_task_bed.h"
 
-enum { LIMIT_US = 8 * G_USEC_PER_SEC };
+enum {
+	LIMIT_US = 8 * G_USEC_PER_SEC,
+	MAX_WAITING = 1024 * 1024, /* bytes of a trail that are not taken */
+};
 
 static const char config_text[] =
 	"{\"version\":1,\"routes\":["
@@ -39,6 +42,7 @@
 	message_t answer = *m;
 	const raw_runner_t *r = &bed->runners[bed->wants++ % BED_RUNNERS];
 
+	bed->last_want = *m;
 	if (bed->is_mute)
 		return;
 	answer.type = bed->refuses ? MESSAGE_REFUSE : MESSAGE_GRANT;
@@ -56,12 +60,35 @@
 	message_t answer = *m;
 
 	bed->limits++;
+	bed->last_limit = *m;
+	if (bed->limit_is_mute)
+		return;
 	answer.type = MESSAGE_LIMIT_ANSWER;
 	answer.limit.is_ok = !bed->limit_refuses;
 	answer.limit.retry_after_ms = 2500;
 	supervisor_post(&bed->sup, TASK_FRONT, &answer);
 }
 
+void gateway_grant_last(gateway_bed_t *bed)
+{
+	message_t want = bed->last_want;
+	bool is_mute = bed->is_mute;
+
+	bed->is_mute = false;
+	answer_want(bed, &want);
+	bed->is_mute = is_mute;
+}
+
+void gateway_allow_last(gateway_bed_t *bed)
+{
+	message_t asked = bed->last_limit;
+	bool is_mute = bed->limit_is_mute;
+
+	bed->limit_is_mute = false;
+	answer_limit(bed, &asked);
+	bed->limit_is_mute = is_mute;
+}
+
 static void fake_handle(void *state, const message_t *m)
 {
 	gateway_bed_t *bed = state;
@@ -126,6 +153,54 @@
 	drop_conn(arg, bev, false);
 }
 
+/* One connection's trail. */
+typedef struct trailing {
+	raw_runner_t *runner;
+	struct bufferevent *bev;
+	struct event *timer;
+	int n;
+} trailing_t;
+
+static void on_trail(evutil_socket_t fd, short what, void *arg)
+{
+	trailing_t *t = arg;
+	const trail_t *trail = &t->runner->trail;
+	struct timeval delay = { 0, trail->every_ms * 1000 };
+	size_t waiting = evbuffer_get_length(bufferevent_get_output(t->bev));
+
+	/* Endless, but not without bound in this process. */
+	if (waiting < MAX_WAITING) {
+		bufferevent_write(t->bev, trail->bytes.ptr, trail->bytes.len);
+		t->runner->n_trailed += trail->bytes.len;
+	}
+	if (!trail->times || ++t->n < trail->times)
+		event_add(t->timer, &delay);
+}
+
+static void begin_trail(raw_runner_t *r, struct bufferevent *bev)
+{
+	trailing_t *t = g_new0(trailing_t, 1);
+	struct timeval delay = { 0, r->trail.every_ms * 1000 };
+
+	t->runner = r;
+	t->bev = bev;
+	t->timer = evtimer_new(r->bed->base, on_trail, t);
+	event_add(t->timer, &delay);
+	/* Else the table would free the connection as a second key. */
+	g_hash_table_steal(r->conns, bev);
+	g_hash_table_insert(r->conns, bev, t);
+}
+
+static void free_trail(void *data)
+{
+	trailing_t *t = data;
+
+	if (!t)
+		return;
+	event_free(t->timer);
+	g_free(t);
+}
+
 static void answer(raw_runner_t *r, struct bufferevent *bev, const char *head)
 {
 	const reply_t *reply = &r->replies[r->n_requests++];
@@ -135,6 +210,8 @@
 	g_autofree char *bytes = g_strjoinv(id, parts);
 
 	bufferevent_write(bev, bytes, strlen(bytes));
+	if (r->trail.bytes.len && !g_hash_table_lookup(r->conns, bev))
+		begin_trail(r, bev);
 	if (reply->end == REPLY_CLOSE && !bytes[0])
 		drop_conn(r, bev, false);
 	else if (reply->end == REPLY_CLOSE)
@@ -182,7 +259,7 @@
 		bufferevent_socket_new(r->bed->base, fd, BEV_OPT_CLOSE_ON_FREE);
 
 	r->n_connects++;
-	g_hash_table_add(r->conns, bev);
+	g_hash_table_insert(r->conns, bev, NULL);
 	bufferevent_setcb(bev, on_runner_read, NULL, on_runner_event, r);
 	bufferevent_enable(bev, EV_READ | EV_WRITE);
 }
@@ -196,7 +273,7 @@
 	name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	r->bed = bed;
 	r->heads = g_string_new("");
-	r->conns = g_hash_table_new_full(NULL, NULL, free_bev, NULL);
+	r->conns = g_hash_table_new_full(NULL, NULL, free_bev, free_trail);
 	g_snprintf(r->name, sizeof(r->name), "i-%d", i);
 	r->listener = evconnlistener_new_bind(
 		bed->base, on_runner_accept, r, LEV_OPT_CLOSE_ON_FREE, 16,
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -30,6 +30,13 @@
 	reply_end_t end;
 } reply_t;
 
+/* Bytes that follow each reply, again and again. */
+typedef struct trail {
+	str_t bytes;
+	int64_t every_ms;
+	int times; /* 0: until the connection is closed */
+} trail_t;
+
 /* One runner: what it answers, and what came. */
 typedef struct raw_runner {
 	struct gateway_bed *bed;
@@ -37,11 +44,13 @@
 	char name[16];
 	char address[32];
 	const reply_t *replies; /* ends with NULL bytes and REPLY_KEEP */
+	trail_t trail; /* none while its bytes are empty */
+	uint64_t n_trailed; /* bytes that the trail wrote */
 	int n_requests;
 	int n_connects;
 	int n_closed; /* by the gateway */
 	GString *heads; /* of all requests, in order */
-	GHashTable *conns;
+	GHashTable *conns; /* bufferevent to its trail's timer */
 } raw_runner_t;
 
 typedef struct raw_caller {
@@ -59,6 +68,8 @@
 	bool is_mute; /* the dispatcher does not answer */
 	bool refuses; /* it refuses */
 	bool limit_refuses;
+	bool limit_is_mute; /* the limiter does not answer */
+	message_t last_want, last_limit; /* the latest questions */
 	int wants, dones, withdraws, limits;
 	done_result_t last_done;
 } gateway_bed_t;
@@ -67,6 +78,9 @@
 void gateway_bed_finish(gateway_bed_t *bed);
 /* Puts a configuration in force; without it requests get 503. */
 void gateway_bed_configure(gateway_bed_t *bed);
+/* Answers the latest question as if there were time again. */
+void gateway_grant_last(gateway_bed_t *bed);
+void gateway_allow_last(gateway_bed_t *bed);
 /* Connects caller I if it is not, and sends TEXT. */
 void gateway_send(gateway_bed_t *bed, int i, const char *text);
 /* Runs until caller I received TEXT, or was closed; fails after a while. */
--- /dev/null
+++ b/tests/test_dripping_stream.c
@@ -0,0 +1,91 @@
+/*
+ * Streams that are slow but sound run to their end; stalled ones that send a
+ * byte or a comment now and then are ended, by progress in events.
+ */
+#include "tests/lib_gateway.h"
+#include "tests/lib_suite.h"
+
+#define ASK(path)                                                  \
+	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n" \
+	"X-Key: key\r\nX-Deadline-Ms: 60000\r\nContent-Length: 2"  \
+	"\r\n\r\nhi"
+#define STREAM                                                          \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
+	"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked" \
+	"\r\n\r\n"
+#define EVENT "c\r\nid: 1\ndata\n\n\r\n"
+#define END "0\r\n\r\n"
+
+enum {
+	IDLE_MS = 400, /* silence that is borne */
+	TIMEOUT_MS = 2000, /* of the route */
+};
+
+typedef struct drip_case {
+	const char *what;
+	const char *bytes;
+	int64_t every_ms;
+	bool is_sound;
+} drip_case_t;
+
+static void play(const drip_case_t *c)
+{
+	static const reply_t begins[] = { { STREAM EVENT, REPLY_KEEP } };
+	gateway_bed_t bed;
+	gint64 begin = g_get_monotonic_time();
+	int64_t took_ms;
+
+	gateway_bed_init(&bed);
+	bed.settings.upstream_idle_ms = IDLE_MS;
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = begins;
+	bed.runners[0].trail = (trail_t){ str_from(c->bytes), c->every_ms, 0 };
+	gateway_send(&bed, 0, ASK("/fixed/"));
+	gateway_await_close(&bed, 0);
+	took_ms = (g_get_monotonic_time() - begin) / 1000;
+	/* A sound one lasts until the route's timeout; no stalled one does. */
+	ck_assert_msg(c->is_sound == (took_ms >= TIMEOUT_MS - IDLE_MS),
+		      "%s: ended after %" G_GINT64_FORMAT " ms", c->what,
+		      took_ms);
+	ck_assert_int_eq(gateway_count(&bed, 0, "\r\n" END), 0);
+	gateway_bed_finish(&bed);
+}
+
+START_TEST(stalled_streams_end_and_slow_ones_run_on)
+{
+	static const drip_case_t cases[] = {
+		{ "slow events", EVENT, IDLE_MS / 2, true },
+		{ "a byte of an event", "1\r\nb\r\n", IDLE_MS / 8, false },
+		{ "comments", "3\r\n:\n\n\r\n", IDLE_MS / 8, false },
+		{ "nothing", "", IDLE_MS, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		play(&cases[i]);
+}
+END_TEST
+
+START_TEST(a_stalled_stream_goes_on_elsewhere_where_it_may)
+{
+	static const reply_t begins[] = { { STREAM EVENT, REPLY_KEEP } };
+	static const reply_t rest[] = { { STREAM "c\r\nid: 2\ndata\n\n\r\n" END,
+					  REPLY_KEEP } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	bed.settings.upstream_idle_ms = IDLE_MS;
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = begins;
+	bed.runners[0].trail = (trail_t){ STR_LIT("1\r\nb\r\n"), 20, 0 };
+	bed.runners[1].replies = rest;
+	gateway_send(&bed, 0, ASK("/stream/"));
+	gateway_await(&bed, 0, "id: 2");
+	ck_assert_int_eq(gateway_count(&bed, 0, "id: 1"), 1);
+	/* The first runner's connection was closed before that. */
+	ck_assert_int_eq(bed.runners[0].n_closed, 1);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+SUITE_MAIN("dripping_stream", stalled_streams_end_and_slow_ones_run_on,
+	   a_stalled_stream_goes_on_elsewhere_where_it_may)
--- /dev/null
+++ b/tests/test_endless_answer.c
@@ -0,0 +1,161 @@
+/*
+ * Bytes that are no answer and never end, until somebody closes: in a head,
+ * in interim answers, in chunk extensions and trailers, in a body. Each is
+ * cut within a bound of bytes, and others are served meanwhile.
+ */
+#include "net/http1.h"
+#include "tests/lib_gateway.h"
+#include "tests/lib_suite.h"
+
+#define ASK(path, id)                                                \
+	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " id     \
+	"\r\nX-Key: key\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2" \
+	"\r\n\r\nhi"
+#define SEAL "X-Attempt-Id: @\r\nX-Server-Seal: seal\r\n"
+#define OK "HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok"
+#define CHUNKED "HTTP/1.1 200 OK\r\n" SEAL "Transfer-Encoding: chunked\r\n\r\n"
+#define TEN(x) x x x x x x x x x x
+#define HUNDRED(x) TEN(TEN(x))
+
+enum {
+	SOON_MS = 450, /* well before the route's timeout of 700 */
+	/* What may be on its way in sockets when the connection is cut. */
+	IN_FLIGHT = 9 * 1024 * 1024,
+	MAX_HEAD = 1024,
+	FEED_LIMIT = 4 * HTTP1_MAX_FRAMING,
+};
+
+typedef struct endless_case {
+	const char *what;
+	const char *begin;
+	const char *more;
+	const char *path;
+} endless_case_t;
+
+static const endless_case_t cases[] = {
+	{ "bytes of no protocol", "", HUNDRED("garbage "), "/safe/" },
+	{ "a head", "HTTP/1.1 200 OK\r\n", HUNDRED("X-A: b\r\n"), "/safe/" },
+	{ "one header", "HTTP/1.1 200 OK\r\nX-A: ", HUNDRED("bbbbbbbb"),
+	  "/safe/" },
+	{ "interim answers", "", TEN("HTTP/1.1 103 Early\r\nX-A: b\r\n\r\n"),
+	  "/safe/" },
+	{ "a chunk's extension", CHUNKED "2;a=", HUNDRED("bbbbbbbb"),
+	  "/safe/" },
+	{ "trailers", CHUNKED "2\r\nok\r\n0\r\n", HUNDRED("X-A: b\r\n"),
+	  "/safe/" },
+	{ "a body", "HTTP/1.1 200 OK\r\n" SEAL "\r\n",
+	  HUNDRED(HUNDRED("bbbbbbbb")), "/safe/" },
+	{ "a chunked body", CHUNKED, HUNDRED(HUNDRED("8\r\nbbbbbbbb\r\n")),
+	  "/safe/" },
+	{ "one event", CHUNKED, HUNDRED(TEN("8\r\nbbbbbbbb\r\n")), "/stream/" },
+};
+
+static void check_endless(const endless_case_t *c)
+{
+	const reply_t endless[] = { { c->begin, REPLY_KEEP },
+				    { c->begin, REPLY_KEEP } };
+	const reply_t whole[] = { { OK, REPLY_KEEP }, { OK, REPLY_KEEP } };
+	gateway_bed_t bed;
+	raw_runner_t *sick;
+	gint64 begin;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	sick = &bed.runners[0];
+	sick->replies = endless;
+	sick->trail = (trail_t){ str_from(c->more), 1, 0 };
+	bed.runners[1].replies = whole;
+	gateway_send(&bed, 0, ASK("/once/", "a"));
+	gateway_await_count(&bed, &bed.wants, 1);
+	/* Another caller is served by the sound runner meanwhile. */
+	gateway_send(&bed, 1, ASK("/safe/", "b"));
+	gateway_await(&bed, 1, "\r\n\r\nok");
+	/* This one meets the endless answer, and is sent on. */
+	bed.wants = 0;
+	begin = g_get_monotonic_time();
+	gateway_send(&bed, 2, ASK("/safe/", "c"));
+	gateway_await(&bed, 2, "\r\n\r\nok");
+	ck_assert_msg(g_get_monotonic_time() - begin < SOON_MS * 1000,
+		      "%s: cut too late", c->what);
+	ck_assert_msg(sick->n_trailed < 2 * IN_FLIGHT,
+		      "%s: %" G_GUINT64_FORMAT " bytes were taken", c->what,
+		      sick->n_trailed);
+	gateway_bed_finish(&bed);
+}
+
+START_TEST(endless_bytes_are_cut_and_others_served)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++)
+		if (!strcmp(cases[i].path, "/safe/"))
+			check_endless(&cases[i]);
+}
+END_TEST
+
+/* The caller has the head already: it sees the cut. */
+START_TEST(an_endless_event_is_cut_visibly)
+{
+	const endless_case_t *c = &cases[G_N_ELEMENTS(cases) - 1];
+	const reply_t endless[] = { { c->begin, REPLY_KEEP } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = endless;
+	bed.runners[0].trail = (trail_t){ str_from(c->more), 1, 0 };
+	gateway_send(&bed, 0, ASK("/fixed/", "a"));
+	gateway_await_close(&bed, 0);
+	ck_assert_int_eq(gateway_count(&bed, 0, "\r\n0\r\n\r\n"), 0);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+static bool on_head(void *ctx, const http1_head_t *head)
+{
+	return true;
+}
+
+static bool on_body(void *ctx, str_t bytes)
+{
+	*(size_t *)ctx += bytes.len;
+	return true;
+}
+
+/* Feeds MORE again and again; returns how many bytes the reader took. */
+static size_t feed(const char *begin, const char *more, size_t *body)
+{
+	static const http1_ops_t ops = { on_head, on_body };
+	http1_reader_t r;
+	http1_result_t result;
+	size_t taken, sum = 0;
+
+	*body = 0;
+	http1_reader_init(&r, HTTP1_RESPONSE, MAX_HEAD, &ops, body);
+	result = http1_reader_feed(&r, str_from(begin), &taken);
+	while (result == HTTP1_MORE && sum < FEED_LIMIT) {
+		result = http1_reader_feed(&r, str_from(more), &taken);
+		sum += taken;
+	}
+	http1_reader_finish(&r);
+	return sum;
+}
+
+START_TEST(framing_without_a_body_has_a_bound)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n";
+	g_autofree char *extension = g_strconcat(head, "2;a=", NULL);
+	g_autofree char *trailer = g_strconcat(head, "2\r\nok\r\n0\r\n", NULL);
+	size_t body;
+
+	ck_assert_uint_lt(feed(extension, "bbbbbbbb", &body),
+			  HTTP1_MAX_FRAMING + MAX_HEAD);
+	ck_assert_uint_lt(feed(trailer, "X-A: b\r\n", &body),
+			  HTTP1_MAX_FRAMING + MAX_HEAD);
+	/* Many small chunks are no more than their framing. */
+	ck_assert_uint_ge(feed(head, "1\r\nb\r\n", &body), FEED_LIMIT);
+	ck_assert_uint_ge(body, FEED_LIMIT / 8);
+}
+END_TEST
+
+SUITE_MAIN("endless_answer", endless_bytes_are_cut_and_others_served,
+	   an_endless_event_is_cut_visibly, framing_without_a_body_has_a_bound)
--- /dev/null
+++ b/tests/test_late_copy.c
@@ -0,0 +1,93 @@
+/*
+ * A second copy of an answer that comes late, on a connection that is in use
+ * again: the next caller must get its own answer or an error, and what runs
+ * once must not be on such a connection.
+ */
+#include "tests/lib_gateway.h"
+#include "tests/lib_suite.h"
+
+#define ASK(path, id)                                                \
+	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " id     \
+	"\r\nX-Key: key\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2" \
+	"\r\n\r\nhi"
+#define ANSWER(id, body)                       \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: " id \
+	"\r\nX-Server-Seal: seal\r\nContent-Length: 3\r\n\r\n" body
+
+enum { COPY_MS = 60 };
+
+/* The copy of a's answer comes once, while b waits for its own. */
+START_TEST(a_late_copy_is_no_answer_to_the_next_request)
+{
+	static const reply_t first[] = { { ANSWER("@", "aaa"), REPLY_KEEP },
+					 { "", REPLY_MUTE } };
+	static const reply_t second[] = { { ANSWER("@", "bbb"), REPLY_KEEP } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = first;
+	bed.runners[0].trail =
+		(trail_t){ STR_LIT(ANSWER("a", "aaa")), COPY_MS, 1 };
+	bed.runners[1].replies = second;
+	gateway_send(&bed, 0, ASK("/safe/", "a"));
+	gateway_await(&bed, 0, "aaa");
+	bed.wants = 0;
+	gateway_send(&bed, 1, ASK("/safe/", "b"));
+	gateway_await_count(&bed, &bed.runners[0].n_requests, 2);
+	ck_assert_int_eq(bed.runners[0].n_connects, 1);
+	gateway_await(&bed, 1, "bbb");
+	ck_assert_int_eq(gateway_count(&bed, 1, "aaa"), 0);
+	ck_assert_int_eq(gateway_count(&bed, 0, "aaa"), 1);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_copy_on_an_idle_connection_ends_it)
+{
+	static const reply_t twice[] = { { ANSWER("@", "aaa"), REPLY_KEEP },
+					 { ANSWER("@", "bbb"), REPLY_KEEP } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = twice;
+	bed.runners[0].trail =
+		(trail_t){ STR_LIT(ANSWER("a", "aaa")), COPY_MS, 1 };
+	gateway_send(&bed, 0, ASK("/safe/", "a"));
+	gateway_await(&bed, 0, "aaa");
+	gateway_run(&bed, 3 * COPY_MS);
+	bed.runners[0].trail.bytes.len = 0;
+	bed.wants = 0;
+	gateway_send(&bed, 0, ASK("/safe/", "b"));
+	gateway_await(&bed, 0, "bbb");
+	ck_assert_int_eq(gateway_count(&bed, 0, "aaa"), 1);
+	ck_assert_int_eq(bed.runners[0].n_connects, 2);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(what_runs_once_takes_no_used_connection)
+{
+	static const reply_t both[] = { { ANSWER("@", "aaa"), REPLY_KEEP },
+					{ ANSWER("@", "bbb"), REPLY_KEEP } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = both;
+	bed.runners[0].trail =
+		(trail_t){ STR_LIT(ANSWER("a", "aaa")), COPY_MS, 1 };
+	gateway_send(&bed, 0, ASK("/safe/", "a"));
+	gateway_await(&bed, 0, "aaa");
+	bed.wants = 0;
+	gateway_send(&bed, 1, ASK("/once/", "b"));
+	gateway_await(&bed, 1, "bbb");
+	ck_assert_int_eq(bed.runners[0].n_connects, 2);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+SUITE_MAIN("late_copy", a_late_copy_is_no_answer_to_the_next_request,
+	   a_copy_on_an_idle_connection_ends_it,
+	   what_runs_once_takes_no_used_connection)
--- /dev/null
+++ b/tests/test_paused_process.c
@@ -0,0 +1,137 @@
+/*
+ * A process that stood still, or whose VM was suspended, must not act on what
+ * was granted before: the permission may have run out meanwhile. The clock
+ * that counts suspended time is moved here; the monotonic one does not count
+ * it.
+ */
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "tests/lib_gateway.h"
+#include "tests/lib_suite.h"
+
+#define ASK(path, key)                                               \
+	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n"   \
+	"X-Key: " key "\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2" \
+	"\r\n\r\nhi"
+#define OK                                                              \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
+	"Content-Length: 2\r\n\r\nok"
+
+enum {
+	TIMEOUT_MS = 200, /* after which the others take over */
+	PAUSE_S = 1, /* past the route's timeout of 700 ms too */
+	SHORT_PAUSE_MS = 300,
+	MS_PER_S = 1000,
+	NS_PER_MS = 1000 * 1000,
+	NS_PER_S = 1000 * 1000 * 1000,
+};
+
+static int64_t suspended_ms;
+
+/* In the place of the C library's. */
+int clock_gettime(clockid_t id, struct timespec *t)
+{
+	int status = (int)syscall(SYS_clock_gettime, id, t);
+
+	if (status || id != CLOCK_BOOTTIME)
+		return status;
+	t->tv_sec += suspended_ms / MS_PER_S;
+	t->tv_nsec += suspended_ms % MS_PER_S * NS_PER_MS;
+	if (t->tv_nsec >= NS_PER_S) {
+		t->tv_nsec -= NS_PER_S;
+		t->tv_sec++;
+	}
+	return 0;
+}
+
+static const reply_t whole[] = { { OK, REPLY_KEEP }, { OK, REPLY_KEEP } };
+
+static void begin(gateway_bed_t *bed)
+{
+	suspended_ms = 0;
+	gateway_bed_init(bed);
+	bed->settings.heartbeat_timeout_ms = TIMEOUT_MS;
+	gateway_bed_configure(bed);
+	bed->runners[0].replies = whole;
+	bed->runners[1].replies = whole;
+}
+
+START_TEST(a_suspended_process_takes_a_new_epoch)
+{
+	gateway_bed_t bed;
+	uint64_t epoch;
+
+	begin(&bed);
+	epoch = supervisor_epoch(&bed.sup);
+	ck_assert_uint_eq(supervisor_epoch(&bed.sup), epoch);
+	suspended_ms += SHORT_PAUSE_MS;
+	ck_assert_uint_eq(supervisor_epoch(&bed.sup), epoch + 1);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+/* The grant is given back, and the request asks anew: it runs once. */
+START_TEST(a_grant_from_before_the_pause_is_not_used)
+{
+	gateway_bed_t bed;
+
+	begin(&bed);
+	bed.is_mute = true;
+	gateway_send(&bed, 0, ASK("/once/", "key"));
+	gateway_await_count(&bed, &bed.wants, 1);
+	suspended_ms += SHORT_PAUSE_MS;
+	gateway_grant_last(&bed);
+	gateway_await_count(&bed, &bed.withdraws, 1);
+	ck_assert_int_eq(bed.runners[0].n_requests, 0);
+	ck_assert_int_eq(bed.runners[1].n_requests, 0);
+	gateway_grant_last(&bed);
+	gateway_await(&bed, 0, "200 OK");
+	ck_assert_int_eq(bed.runners[0].n_requests + bed.runners[1].n_requests,
+			 1);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+/* Nobody waits for it any more: it must not run, and says so. */
+START_TEST(a_grant_past_the_deadline_is_not_used)
+{
+	gateway_bed_t bed;
+
+	begin(&bed);
+	bed.is_mute = true;
+	gateway_send(&bed, 0, ASK("/once/", "key"));
+	gateway_await_count(&bed, &bed.wants, 1);
+	suspended_ms += PAUSE_S * MS_PER_S;
+	gateway_grant_last(&bed);
+	gateway_await(&bed, 0, "503 ");
+	gateway_run(&bed, 50);
+	ck_assert_int_eq(bed.runners[0].n_requests + bed.runners[1].n_requests,
+			 0);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+START_TEST(a_limit_allowed_before_the_pause_is_asked_anew)
+{
+	gateway_bed_t bed;
+
+	begin(&bed);
+	bed.limit_is_mute = true;
+	gateway_send(&bed, 0, ASK("/once/", "low"));
+	gateway_await_count(&bed, &bed.limits, 1);
+	suspended_ms += SHORT_PAUSE_MS;
+	gateway_allow_last(&bed);
+	gateway_await_count(&bed, &bed.limits, 3);
+	ck_assert_int_eq(bed.wants, 0);
+	gateway_allow_last(&bed);
+	gateway_await(&bed, 0, "200 OK");
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
+SUITE_MAIN("paused_process", a_suspended_process_takes_a_new_epoch,
+	   a_grant_from_before_the_pause_is_not_used,
+	   a_grant_past_the_deadline_is_not_used,
+	   a_limit_allowed_before_the_pause_is_asked_anew)
