--- a/core/zone_groups.c
+++ b/core/zone_groups.c
@@ -92,7 +92,7 @@
 static bool pick_other_zone(const zone_groups_t *z, const service_t *s,
 			    GRand *rand, zone_pick_t *pick)
 {
-	uint32_t others = s->runners - runners_in(s, z->own_zone);
+	uint32_t others = s ? s->runners - runners_in(s, z->own_zone) : 0;
 	uint32_t at = others ? g_rand_int(rand) % others : 0;
 
 	for (guint i = 0; others && i < s->zones->len; i++) {
@@ -175,7 +175,7 @@
 	*out = (zone_pick_t){ .group.count = 1 };
 	g_strlcpy(out->group.service, service, sizeof(out->group.service));
 	out->group.is_regional = runner_group_is_regional(s ? s->runners : 0);
-	if (out->group.is_regional)
+	if (out->group.is_regional || !s)
 		return;
 	if (affinity->prefix) {
 		pick_home(z, s, affinity->prefix, out);
--- a/tests/test_drain_plan.c
+++ b/tests/test_drain_plan.c
@@ -3,29 +3,28 @@
 #include "core/drain_plan.h"
 #include "tests/lib_suite.h"
 
-enum { US_PER_MS = 1000 };
+#define MS INT64_C(1000)
 
 START_TEST(long_grace_keeps_the_balancers_time)
 {
-	drain_plan_t plan = drain_plan(8000 * US_PER_MS);
+	drain_plan_t plan = drain_plan(8000 * MS);
 
-	ck_assert_int_eq(plan.linger, 2600 * US_PER_MS);
-	ck_assert_int_eq(plan.limit, 7300 * US_PER_MS);
+	ck_assert_int_eq(plan.linger, 2600 * MS);
+	ck_assert_int_eq(plan.limit, 7300 * MS);
 }
 END_TEST
 
 /* The balancer goes on for two to three seconds, also before a short stop. */
 START_TEST(short_grace_still_waits_for_the_balancer)
 {
-	ck_assert_int_ge(drain_plan(3500 * US_PER_MS).linger, 2500 * US_PER_MS);
+	ck_assert_int_ge(drain_plan(3500 * MS).linger, 2500 * MS);
 }
 END_TEST
 
 /* Whatever the grace: it listens first, then ends in its last sixth. */
 START_TEST(every_grace_is_used_up_to_its_last_sixth)
 {
-	for (int64_t grace = 0; grace <= 60000 * US_PER_MS;
-	     grace += 250 * US_PER_MS) {
+	for (int64_t grace = 0; grace <= 60000 * MS; grace += 250 * MS) {
 		drain_plan_t plan = drain_plan(grace);
 
 		ck_assert_int_le(plan.linger, plan.limit);
--- a/tests/test_endless_answer.c
+++ b/tests/test_endless_answer.c
@@ -18,9 +18,9 @@
 #define HUNDRED(x) TEN(TEN(x))
 
 enum {
-	SOON_MS = 450, /* well before the route's timeout of 700 */
+	SOON_US = 450 * 1000, /* well before the route's timeout of 700 ms */
 	/* What may be on its way in sockets when the connection is cut. */
-	IN_FLIGHT = 9 * 1024 * 1024,
+	IN_FLIGHT = 18 * 1024 * 1024,
 	MAX_HEAD = 1024,
 	FEED_LIMIT = 4 * HTTP1_MAX_FRAMING,
 };
@@ -75,9 +75,9 @@
 	begin = g_get_monotonic_time();
 	gateway_send(&bed, 2, ASK("/safe/", "c"));
 	gateway_await(&bed, 2, "\r\n\r\nok");
-	ck_assert_msg(g_get_monotonic_time() - begin < SOON_MS * 1000,
+	ck_assert_msg(g_get_monotonic_time() - begin < SOON_US,
 		      "%s: cut too late", c->what);
-	ck_assert_msg(sick->n_trailed < 2 * IN_FLIGHT,
+	ck_assert_msg(sick->n_trailed < IN_FLIGHT,
 		      "%s: %" G_GUINT64_FORMAT " bytes were taken", c->what,
 		      sick->n_trailed);
 	gateway_bed_finish(&bed);
--- a/tests/test_late_copy.c
+++ b/tests/test_late_copy.c
@@ -14,7 +14,7 @@
 	"HTTP/1.1 200 OK\r\nX-Attempt-Id: " id \
 	"\r\nX-Server-Seal: seal\r\nContent-Length: 3\r\n\r\n" body
 
-enum { COPY_MS = 60 };
+enum { COPY_MS = 60, AFTER_COPY_MS = 3 * COPY_MS };
 
 /* The copy of a's answer comes once, while b waits for its own. */
 START_TEST(a_late_copy_is_no_answer_to_the_next_request)
@@ -56,7 +56,7 @@
 		(trail_t){ STR_LIT(ANSWER("a", "aaa")), COPY_MS, 1 };
 	gateway_send(&bed, 0, ASK("/safe/", "a"));
 	gateway_await(&bed, 0, "aaa");
-	gateway_run(&bed, 3 * COPY_MS);
+	gateway_run(&bed, AFTER_COPY_MS);
 	bed.runners[0].trail.bytes.len = 0;
 	bed.wants = 0;
 	gateway_send(&bed, 0, ASK("/safe/", "b"));
--- a/tests/test_member_region.c
+++ b/tests/test_member_region.c
@@ -6,11 +6,15 @@
 
 enum {
 	TIMEOUT = 10,
+	SEEN = 6 * TIMEOUT, /* by then a cut is known */
+	LATER = 10 * TIMEOUT,
 	QUIET = 100,
 	MEMORY = 300,
+	FORGOTTEN = MEMORY + 2 * TIMEOUT,
 	N_ZONES = 3,
 	N_ZONE = 8, /* daemons of each zone */
 	N_ALL = N_ZONES * N_ZONE,
+	N_TWO = 2 * N_ZONE,
 	DUTIES = 200,
 };
 
@@ -121,7 +125,7 @@
 START_TEST(a_zone_that_is_cut_off_has_hosts_of_its_own)
 {
 	member_t m;
-	int64_t now = 6 * TIMEOUT;
+	int64_t now = SEEN;
 
 	setup(&m, 0);
 	run(&m, 1, TIMEOUT, "");
@@ -147,14 +151,14 @@
 	member_count(&m, MEMORY, TIMEOUT, &live, &known);
 	ck_assert_uint_eq(live, N_ALL);
 	ck_assert_uint_eq(known, N_ALL);
-	run(&m, TIMEOUT + 1, 10 * TIMEOUT, "z2");
-	member_count(&m, MEMORY, 10 * TIMEOUT, &live, &known);
-	ck_assert_uint_eq(live, 2 * N_ZONE);
+	run(&m, TIMEOUT + 1, LATER, "z2");
+	member_count(&m, MEMORY, LATER, &live, &known);
+	ck_assert_uint_eq(live, N_TWO);
 	ck_assert_uint_eq(known, N_ALL);
-	run(&m, 10 * TIMEOUT + 1, MEMORY + 2 * TIMEOUT, "z2");
-	member_count(&m, MEMORY, MEMORY + 2 * TIMEOUT, &live, &known);
-	ck_assert_uint_eq(live, 2 * N_ZONE);
-	ck_assert_uint_eq(known, 2 * N_ZONE);
+	run(&m, LATER + 1, FORGOTTEN, "z2");
+	member_count(&m, MEMORY, FORGOTTEN, &live, &known);
+	ck_assert_uint_eq(live, N_TWO);
+	ck_assert_uint_eq(known, N_TWO);
 	member_finish(&m);
 }
 END_TEST
@@ -166,8 +170,8 @@
 	uint32_t live, known;
 
 	setup(&m, 0);
-	run(&m, 1, 6 * TIMEOUT, "z1 z2");
-	member_count(&m, MEMORY, 6 * TIMEOUT, &live, &known);
+	run(&m, 1, SEEN, "z1 z2");
+	member_count(&m, MEMORY, SEEN, &live, &known);
 	ck_assert_uint_eq(live, N_ZONE);
 	ck_assert_uint_eq(known, N_ALL);
 	member_finish(&m);
--- a/tests/test_paused_process.c
+++ b/tests/test_paused_process.c
@@ -21,7 +21,7 @@
 
 enum {
 	TIMEOUT_MS = 200, /* after which the others take over */
-	PAUSE_S = 1, /* past the route's timeout of 700 ms too */
+	LONG_PAUSE_MS = 1000, /* past the route's timeout of 700 ms too */
 	SHORT_PAUSE_MS = 300,
 	MS_PER_S = 1000,
 	NS_PER_MS = 1000 * 1000,
@@ -30,12 +30,13 @@
 
 static int64_t suspended_ms;
 
-/* In the place of the C library's. */
-int clock_gettime(clockid_t id, struct timespec *t)
+/* In the place of the C library's, whose names for the parameters it has. */
+int clock_gettime(clockid_t __clock_id, struct timespec *__tp)
 {
-	int status = (int)syscall(SYS_clock_gettime, id, t);
+	struct timespec *t = __tp;
+	int status = (int)syscall(SYS_clock_gettime, __clock_id, t);
 
-	if (status || id != CLOCK_BOOTTIME)
+	if (status || __clock_id != CLOCK_BOOTTIME)
 		return status;
 	t->tv_sec += suspended_ms / MS_PER_S;
 	t->tv_nsec += suspended_ms % MS_PER_S * NS_PER_MS;
@@ -103,7 +104,7 @@
 	bed.is_mute = true;
 	gateway_send(&bed, 0, ASK("/once/", "key"));
 	gateway_await_count(&bed, &bed.wants, 1);
-	suspended_ms += PAUSE_S * MS_PER_S;
+	suspended_ms += LONG_PAUSE_MS;
 	gateway_grant_last(&bed);
 	gateway_await(&bed, 0, "503 ");
 	gateway_run(&bed, 50);
--- a/tests/test_topic_follow.c
+++ b/tests/test_topic_follow.c
@@ -159,13 +159,13 @@
 /* Of many that wait for a silent reader one is first, well before most. */
 START_TEST(the_patience_of_a_crowd_is_spread)
 {
-	ck_assert_int_lt(topic_follow_patience(1, 1), 1500 * 1000);
+	ck_assert_int_lt(topic_follow_patience(1, 1), INT64_C(1500000));
 	ck_assert_int_eq(topic_follow_patience(1, 0),
 			 topic_follow_patience(300, 0));
 	ck_assert_int_gt(topic_follow_patience(300, 0.5) -
 				 topic_follow_patience(300, 0.4),
-			 100 * 1000);
-	ck_assert_int_lt(topic_follow_patience(5000, 1), 3000 * 1000);
+			 INT64_C(100000));
+	ck_assert_int_lt(topic_follow_patience(5000, 1), INT64_C(3000000));
 }
 END_TEST
 
