--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -28,6 +28,20 @@
 /* Takes a new incarnation when this daemon stalled or was called dead. */
 void peers_follow_epoch(peers_t *p);
 
+/* peers_news.c: what daemons tell each other of the platform's store. */
+
+/* Passes news or a question on to the store task; false for other frames. */
+bool peers_take_news(peers_t *p, const char *name, const Papaya__Frame *frame);
+/* Sends news on all links, or where they say. */
+void peers_send_news(peers_t *p, const message_news_t *news);
+/*
+ * Asks some linked daemon for its lists. Any will do: they all know the same,
+ * or nothing yet.
+ */
+void peers_ask_for_lists(peers_t *p, uint32_t topics);
+/* Tells the store task whether this daemon reads for the others. */
+void peers_tell_reader(peers_t *p);
+
 /* peers_route.c: who is asked what. */
 
 /* True for what a dispatcher says to an owner. */
--- /dev/null
+++ b/daemon/peers_news.c
@@ -0,0 +1,90 @@
+#include "daemon/news_frames.h"
+#include "daemon/peers.h"
+
+enum {
+	BOOT_US = 5 * G_USEC_PER_SEC, /* until the other daemons are known */
+};
+
+static bool is_own_zone(void *ctx, const char *name)
+{
+	peers_t *p = ctx;
+	member_vm_t vm;
+
+	return member_find(&p->member, str_from(name), &vm, NULL, NULL) &&
+	       !strcmp(vm.zone, p->self.zone);
+}
+
+static void take_news(peers_t *p, const char *name,
+		      const Papaya__StoreNews *news)
+{
+	message_t m;
+
+	if (!news_frames_read(news, &m)) {
+		metrics_add(&p->sup->metrics, "papaya_foreign_frames_total",
+			    NULL, 1);
+		return;
+	}
+	m.news.is_from_far = !is_own_zone(p, name);
+	supervisor_post(p->sup, TASK_PLATFORM, &m);
+}
+
+static void take_ask(peers_t *p, const char *name, const Papaya__StoreAsk *ask)
+{
+	message_t m = { .type = MESSAGE_STORE_ASKED };
+
+	m.lists.topics = ask->topics;
+	g_strlcpy(m.lists.peer, name, sizeof(m.lists.peer));
+	supervisor_post(p->sup, TASK_PLATFORM, &m);
+}
+
+bool peers_take_news(peers_t *p, const char *name, const Papaya__Frame *frame)
+{
+	if (frame->body_case == PAPAYA__FRAME__BODY_STORE_NEWS)
+		take_news(p, name, frame->store_news);
+	else if (frame->body_case == PAPAYA__FRAME__BODY_STORE_ASK)
+		take_ask(p, name, frame->store_ask);
+	else
+		return false;
+	return true;
+}
+
+void peers_ask_for_lists(peers_t *p, uint32_t topics)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__StoreAsk ask = PAPAYA__STORE_ASK__INIT;
+	char name[MEMBER_NAME_SIZE];
+
+	if (!peer_draw(&p->peer, name))
+		return;
+	ask.topics = topics;
+	frame.body_case = PAPAYA__FRAME__BODY_STORE_ASK;
+	frame.store_ask = &ask;
+	peer_send(&p->peer, str_from(name), &frame);
+}
+
+void peers_send_news(peers_t *p, const message_news_t *news)
+{
+	news_frames_send(&p->peer, news, news->is_relayed ? is_own_zone : NULL,
+			 p);
+}
+
+/*
+ * One daemon of all reads the store for the others. Who starts does not know
+ * them yet; the seeds, to whom all link first, read until then.
+ */
+static bool is_reader(const peers_t *p)
+{
+	if (now_us() - p->started < BOOT_US)
+		return settings_is_seed(p->sup->settings);
+	return member_is_regional_host(&p->member, STR_LIT("store-reader"));
+}
+
+void peers_tell_reader(peers_t *p)
+{
+	message_t m = { .type = MESSAGE_READER };
+
+	if (!p->sup->settings->fleet)
+		return;
+	m.number = is_reader(p);
+	supervisor_post(p->sup, TASK_PLATFORM, &m);
+}
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -10,13 +10,11 @@
 #include "common/unique.h"
 #include "core/zone_groups.h"
 #include "daemon/frames.h"
-#include "daemon/news_frames.h"
 #include "daemon/peers.h"
 #include "daemon/vm_frames.h"
 
 enum {
 	CUT_MEMORY_US = 30 * G_USEC_PER_SEC, /* of daemons that are gone */
-	BOOT_US = 5 * G_USEC_PER_SEC, /* until the other daemons are known */
 	MAX_MEMBERS = 1024,
 	MAX_BACKLOG = 4 << 20, /* bytes a link */
 	HANDOVER_LIMIT_US = 10 * G_USEC_PER_SEC, /* after the last request */
@@ -165,15 +163,6 @@
 	}
 }
 
-static bool is_own_zone(void *ctx, const char *name)
-{
-	peers_t *p = ctx;
-	member_vm_t vm;
-
-	return member_find(&p->member, str_from(name), &vm, NULL, NULL) &&
-	       !strcmp(vm.zone, p->self.zone);
-}
-
 static void on_frame(void *ctx, const char *name, const Papaya__Frame *frame)
 {
 	peers_t *p = ctx;
@@ -194,23 +183,8 @@
 		supervisor_post(p->sup, TASK_PLATFORM, &m);
 		return;
 	}
-	if (frame->body_case == PAPAYA__FRAME__BODY_STORE_NEWS) {
-		if (news_frames_read(frame->store_news, &m)) {
-			m.news.is_from_far = !is_own_zone(p, name);
-			supervisor_post(p->sup, TASK_PLATFORM, &m);
-		} else {
-			metrics_add(&p->sup->metrics,
-				    "papaya_foreign_frames_total", NULL, 1);
-		}
+	if (peers_take_news(p, name, frame))
 		return;
-	}
-	if (frame->body_case == PAPAYA__FRAME__BODY_STORE_ASK) {
-		m = (message_t){ .type = MESSAGE_STORE_ASKED };
-		m.lists.topics = frame->store_ask->topics;
-		g_strlcpy(m.lists.peer, name, sizeof(m.lists.peer));
-		supervisor_post(p->sup, TASK_PLATFORM, &m);
-		return;
-	}
 	if (keys_receive(&p->keys, name, frame))
 		return;
 	if (frames_read_limit(frame, name, &m)) {
@@ -378,27 +352,6 @@
 		supervisor_post(p->sup, TASK_PLATFORM, &m);
 }
 
-/*
- * One daemon of all reads the store for the others. Who starts does not know
- * them yet; the seeds, to whom all link first, read until then.
- */
-static bool is_reader(const peers_t *p)
-{
-	if (now_us() - p->started < BOOT_US)
-		return settings_is_seed(p->sup->settings);
-	return member_is_regional_host(&p->member, STR_LIT("store-reader"));
-}
-
-static void tell_reader(peers_t *p)
-{
-	message_t m = { .type = MESSAGE_READER };
-
-	if (!p->sup->settings->fleet)
-		return;
-	m.number = is_reader(p);
-	supervisor_post(p->sup, TASK_PLATFORM, &m);
-}
-
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	peers_t *p = arg;
@@ -406,7 +359,7 @@
 	peers_follow_epoch(p);
 	member_tick(&p->member, now_us());
 	tell_settled(p);
-	tell_reader(p);
+	peers_tell_reader(p);
 	tell_live(p);
 	if (p->sup->settings->fleet)
 		peers_link_duties(p);
@@ -448,27 +401,6 @@
 	follow_links(p);
 }
 
-/* Any daemon will do: they all know the same, or nothing yet. */
-static void ask_for_lists(peers_t *p, uint32_t topics)
-{
-	Papaya__Frame frame = PAPAYA__FRAME__INIT;
-	Papaya__StoreAsk ask = PAPAYA__STORE_ASK__INIT;
-	char name[MEMBER_NAME_SIZE];
-
-	if (!peer_draw(&p->peer, name))
-		return;
-	ask.topics = topics;
-	frame.body_case = PAPAYA__FRAME__BODY_STORE_ASK;
-	frame.store_ask = &ask;
-	peer_send(&p->peer, str_from(name), &frame);
-}
-
-static void send_news(peers_t *p, const message_news_t *news)
-{
-	news_frames_send(&p->peer, news, news->is_relayed ? is_own_zone : NULL,
-			 p);
-}
-
 static void drain(peers_t *p)
 {
 	p->is_draining = true;
@@ -493,10 +425,10 @@
 		take_list(p, m->vms);
 		break;
 	case MESSAGE_NEWS:
-		send_news(p, &m->news);
+		peers_send_news(p, &m->news);
 		break;
 	case MESSAGE_STORE_ASK:
-		ask_for_lists(p, m->lists.topics);
+		peers_ask_for_lists(p, m->lists.topics);
 		break;
 	case MESSAGE_LOCATE:
 		peers_locate(p, &m->locate);
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -8,47 +8,24 @@
 #include <inttypes.h>
 
 #include "common/log.h"
-#include "common/str_table.h"
-#include "common/timeval.h"
-#include "core/runner_list.h"
-#include "core/topic_follow.h"
 #include "daemon/fleet_view.h"
-#include "daemon/supervisor.h"
-#include "daemon/topic_records.h"
+#include "daemon/store_topic.h"
 #include "platform/fleet_text.h"
-#include "platform/store.h"
 
 enum {
 	RETURN_US = 2300 * 1000, /* for runners to return after an outage */
-	RETRY_MS = 200, /* when a call can't begin */
-	DAEMONS_POLL_MS = 5000,
-	CONFIG_PAUSE_MS = 100, /* after a read: versions may come in a storm */
-	LOOK_MS = 100, /* between looks whether the readers fell silent */
 	DAEMONS_PATIENCE = 6, /* times that for the daemons' list */
 	BOOT_CROWD = 300, /* daemons that may start at once */
-	/* For the lists of another daemon, before the store is asked. */
-	PEERS_FIRST_US = 1200 * 1000,
 	ASK_PEERS_US = 200 * 1000, /* between asking one and the next */
-	RELAY_GAP_US = 150 * 1000, /* between tellings that nothing is new */
 	EXPORT_MS = 1000,
 	APPLY_MS = 100, /* between looks for drops that are due */
 };
 
-/* What one topic was read up to. */
-typedef struct follower {
-	struct store_follow *owner;
-	store_topic_t topic;
-	struct event *timer;
-	topic_follow_t state;
-	topic_records_t records;
-	bool is_calling;
-	bool is_down;
-} follower_t;
-
 typedef struct store_follow {
 	supervisor_t *sup;
 	store_t store;
-	follower_t config, runners, daemons;
+	store_env_t env;
+	store_follower_t config, runners, daemons;
 	runner_list_t runner_list;
 	GHashTable *daemon_list; /* name to listed_daemon_t */
 	fleet_t *fleet;
@@ -58,13 +35,9 @@
 	bool has_entry; /* our own is in the store */
 	bool is_writing;
 	bool daemons_changed;
-	uint32_t crowd; /* daemons that answer, this one included */
-	double draw; /* 0 to 1: this daemon's turn to read for silent readers */
 	int64_t asked_at; /* when another daemon was asked for its lists */
 } store_follow_t;
 
-static void follow(follower_t *f);
-
 static void post_fleet(store_follow_t *s)
 {
 	static const task_id_t readers[] = { TASK_PEERS, TASK_CAPACITY,
@@ -168,261 +141,24 @@
 	return true;
 }
 
-static bool read_entry(follower_t *f, const store_entry_t *entry)
+/* Returns whether the entry says anything that was not known. */
+static bool take_entry(void *ctx, store_topic_t topic,
+		       const store_entry_t *entry)
 {
-	switch (f->topic) {
+	store_follow_t *s = ctx;
+
+	switch (topic) {
 	case STORE_CONFIG:
 		return store_is_config_key(entry->key) && entry->value.len &&
-		       take_config(f->owner, entry->value);
+		       take_config(s, entry->value);
 	case STORE_RUNNERS:
-		return take_runner(f->owner, entry->key, entry->value);
+		return take_runner(s, entry->key, entry->value);
 	case STORE_DAEMONS:
-		return take_daemon(f->owner, entry->key, entry->value);
+		return take_daemon(s, entry->key, entry->value);
 	}
 	return false;
 }
 
-/* Returns whether the entry says anything that was not known. */
-static bool take_entry(follower_t *f, const store_entry_t *entry)
-{
-	bool is_new = read_entry(f, entry);
-
-	if (is_new || !topic_records_get(&f->records, entry->key))
-		topic_records_set(&f->records, entry->key, entry->value);
-	return is_new;
-}
-
-static void note_down(follower_t *f, const err_t *err)
-{
-	char text[ERR_DETAIL_SIZE * 2];
-
-	if (f->topic == STORE_RUNNERS)
-		runner_list_away(&f->owner->runner_list, err != NULL, now_us());
-	if (f->is_down == (err != NULL))
-		return;
-	f->is_down = err != NULL;
-	if (err)
-		log_event("dependency-lost",
-			  "dependency=store topic=%s "
-			  "why=\"%s\"",
-			  store_topic_name(f->topic),
-			  err_text(err, text, sizeof(text)));
-	else
-		log_event("dependency-back", "dependency=store topic=%s",
-			  store_topic_name(f->topic));
-}
-
-static void follow_later(follower_t *f, int64_t ms)
-{
-	struct timeval delay = timeval_from_ms(ms);
-
-	event_add(f->timer, &delay);
-}
-
-static int64_t pause_ms(const follower_t *f)
-{
-	const settings_t *s = f->owner->sup->settings;
-
-	if (!f->state.is_listed || !f->state.is_reader)
-		return LOOK_MS;
-	if (f->topic == STORE_CONFIG)
-		return CONFIG_PAUSE_MS;
-	return f->topic == STORE_RUNNERS ? s->runners_poll_ms : DAEMONS_POLL_MS;
-}
-
-static void add_record(GArray *records, const store_entry_t *e)
-{
-	message_record_t record = {
-		.key = g_bytes_new(e->key.ptr, e->key.len),
-		.value = g_bytes_new(e->value.ptr, e->value.len),
-	};
-
-	g_array_append_val(records, record);
-}
-
-/*
- * Tells the other daemons what was read, also when it is nothing: of the keys
- * in CHANGED the newest record of the page. Whoever knows all up to FROM, or
- * listed the topic since, then knows what this daemon does.
- */
-static void post_news(follower_t *f, uint64_t from, const store_page_t *page,
-		      GHashTable *changed)
-{
-	message_t m = { .type = MESSAGE_NEWS };
-
-	m.news.topic = f->topic;
-	m.news.from = from;
-	m.news.next = page->next;
-	m.news.is_steady =
-		runner_list_is_steady(&f->owner->runner_list, now_us());
-	m.news.records = message_records_new();
-	for (size_t i = page->n_entries; i-- > 0;)
-		if (g_hash_table_remove(changed, &page->entries[i].key))
-			add_record(m.news.records, &page->entries[i]);
-	supervisor_post(f->owner->sup, TASK_PEERS, &m);
-}
-
-static str_t view_of(GBytes *bytes)
-{
-	gsize len;
-	const char *data = g_bytes_get_data(bytes, &len);
-
-	return (str_t){ data, len };
-}
-
-/*
- * Readers have links to a few daemons of each other zone, and these tell
- * theirs what is new there, be it only that nothing is.
- */
-static void relay_news(follower_t *f, const message_news_t *news)
-{
-	message_t m = { .type = MESSAGE_NEWS, .news = *news };
-
-	m.news.is_relayed = true;
-	m.news.records = g_array_ref(news->records);
-	supervisor_post(f->owner->sup, TASK_PEERS, &m);
-}
-
-/* Takes a page over; adds the keys whose entries say anything new. */
-static void take_page(follower_t *f, const store_page_t *page, bool is_list,
-		      GHashTable *changed)
-{
-	runner_list_t *runners = &f->owner->runner_list;
-
-	if (is_list)
-		topic_records_clear(&f->records);
-	if (is_list && f->topic == STORE_RUNNERS)
-		runner_list_begin(runners);
-	for (size_t i = 0; i < page->n_entries; i++)
-		if (take_entry(f, &page->entries[i]))
-			g_hash_table_add(changed,
-					 (gpointer)&page->entries[i].key);
-	if (is_list && f->topic == STORE_RUNNERS)
-		runner_list_end(runners, now_us());
-}
-
-static void take_records(follower_t *f, const GArray *records)
-{
-	for (guint i = 0; i < records->len; i++) {
-		const message_record_t *r =
-			&g_array_index(records, message_record_t, i);
-		store_entry_t entry = { view_of(r->key), view_of(r->value) };
-
-		take_entry(f, &entry);
-	}
-}
-
-/* Takes another daemon's whole list, when nothing newer is known. */
-static void hear_list(follower_t *f, const message_news_t *news)
-{
-	runner_list_t *runners = &f->owner->runner_list;
-
-	if (!topic_follow_take_list(&f->state, news->next, now_us()))
-		return;
-	log_event("listed-by-daemon", "topic=%s records=%u next=%" PRIu64,
-		  store_topic_name(f->topic), news->records->len, news->next);
-	topic_records_clear(&f->records);
-	if (f->topic == STORE_RUNNERS)
-		runner_list_begin(runners);
-	take_records(f, news->records);
-	if (f->topic == STORE_RUNNERS)
-		runner_list_end(runners, now_us());
-}
-
-/* Takes what another daemon read. */
-static void hear_news(follower_t *f, const message_news_t *news)
-{
-	int64_t known_at = f->state.known_at;
-	uint64_t next = f->state.next;
-
-	if (news->is_list) {
-		hear_list(f, news);
-		return;
-	}
-	if (f->topic == STORE_RUNNERS)
-		runner_list_told(&f->owner->runner_list, news->is_steady);
-	switch (topic_follow_hear(&f->state, news->from, news->next,
-				  now_us())) {
-	case TOPIC_NEWS_OLD:
-		if (news->is_from_far && news->next == next &&
-		    f->state.known_at - known_at > RELAY_GAP_US)
-			relay_news(f, news);
-		return;
-	case TOPIC_NEWS_MISSED:
-		return;
-	case TOPIC_NEWS_APPLY:
-		if (news->is_from_far)
-			relay_news(f, news);
-		break;
-	}
-	take_records(f, news->records);
-}
-
-static void on_page(void *ctx, const store_page_t *page, const err_t *err)
-{
-	follower_t *f = ctx;
-	g_autoptr(GHashTable) changed = str_table_new(NULL);
-	bool was_listing = !f->state.is_listed;
-	uint64_t from = f->state.next;
-
-	f->is_calling = false;
-	note_down(f, err);
-	if (err) {
-		topic_follow_failed(&f->state, f->owner->crowd,
-				    g_rand_double(f->owner->sup->rand),
-				    now_us());
-		follow_later(f, LOOK_MS);
-		return;
-	}
-	if (page->has_gap) {
-		log_info("store: %s is listed anew, records are gone",
-			 store_topic_name(f->topic));
-		topic_follow_lost(&f->state);
-		follow(f);
-		return;
-	}
-	if (topic_follow_read(&f->state, page->next, now_us()))
-		take_page(f, page, was_listing, changed);
-	/*
-	 * Who read because the readers were silent tells the others too: the
-	 * store may turn the readers' VMs away and others with them.
-	 */
-	if (!was_listing)
-		post_news(f, from, page, changed);
-	follow_later(f, pause_ms(f));
-}
-
-/* Lists a topic first, then reads what is new. */
-static void follow(follower_t *f)
-{
-	store_t *store = &f->owner->store;
-	int64_t wait = f->topic == STORE_CONFIG ?
-			       f->owner->sup->settings->config_wait_ms :
-			       0;
-	bool is_begun;
-
-	if (f->is_calling)
-		return;
-	if (f->state.is_listed)
-		is_begun = store_read(store, f->topic, f->state.next, wait,
-				      on_page, f, NULL);
-	else
-		is_begun = store_list(store, f->topic, on_page, f, NULL);
-	f->is_calling = is_begun;
-	if (!is_begun)
-		follow_later(f, RETRY_MS);
-}
-
-static void on_follow(evutil_socket_t fd, short what, void *arg)
-{
-	follower_t *f = arg;
-
-	if (topic_follow_is_due(&f->state, now_us()))
-		follow(f);
-	else
-		follow_later(f, LOOK_MS);
-}
-
 static void on_written(void *ctx, const err_t *err)
 {
 	store_follow_t *s = ctx;
@@ -472,7 +208,7 @@
 	return n;
 }
 
-static uint32_t wanted_bit(const follower_t *f)
+static uint32_t wanted_bit(const store_follower_t *f)
 {
 	return topic_follow_wants_list(&f->state) ? 1U << f->topic : 0;
 }
@@ -533,45 +269,16 @@
 	post_vms(s);
 }
 
-static void follower_init(follower_t *f, store_follow_t *s, store_topic_t topic)
-{
-	f->owner = s;
-	f->topic = topic;
-	if (!settings_is_seed(s->sup->settings))
-		f->state.list_at = now_us() + PEERS_FIRST_US +
-				   (int64_t)(s->draw * PEERS_FIRST_US);
-	topic_records_init(&f->records);
-	f->timer = evtimer_new(s->sup->base, on_follow, f);
-	on_follow(-1, 0, f);
-}
-
 static void set_crowd(store_follow_t *s, uint32_t crowd)
 {
-	int64_t patience = topic_follow_patience(crowd, s->draw);
+	int64_t patience = topic_follow_patience(crowd, s->env.draw);
 
-	s->crowd = crowd;
+	s->env.crowd = crowd;
 	s->config.state.patience = patience;
 	s->runners.state.patience = patience;
 	s->daemons.state.patience = patience * DAEMONS_PATIENCE;
 }
 
-/* Gives another daemon a topic's whole list. */
-static void give_list(follower_t *f, const char *peer)
-{
-	message_t m = { .type = MESSAGE_NEWS };
-
-	if (!f->state.is_listed)
-		return;
-	m.news.topic = f->topic;
-	m.news.next = f->state.next;
-	m.news.is_steady =
-		runner_list_is_steady(&f->owner->runner_list, now_us());
-	g_strlcpy(m.news.peer, peer, sizeof(m.news.peer));
-	m.news.records = message_records_new();
-	m.news.batch = topic_records_pack(&f->records, &m.news.batch_size);
-	supervisor_post(f->owner->sup, TASK_PEERS, &m);
-}
-
 static void set_reader(store_follow_t *s, bool is_reader)
 {
 	store_stats_t stats;
@@ -579,9 +286,10 @@
 	if (s->config.state.is_reader == is_reader)
 		return;
 	store_stats(&s->store, &stats);
-	log_event(
-		"reader", "reads=%s crowd=%u calls=%" PRIu64 " failed=%" PRIu64,
-		is_reader ? "yes" : "no", s->crowd, stats.calls, stats.failed);
+	log_event("reader",
+		  "reads=%s crowd=%u calls=%" PRIu64 " failed=%" PRIu64,
+		  is_reader ? "yes" : "no", s->env.crowd, stats.calls,
+		  stats.failed);
 	s->config.state.is_reader = is_reader;
 	s->runners.state.is_reader = is_reader;
 	s->daemons.state.is_reader = is_reader;
@@ -614,28 +322,29 @@
 		const config_doc_t *doc = &g_array_index(docs, config_doc_t, i);
 
 		if (!strcmp(doc->name, FLEET_PROFILE))
-			take_config(s, view_of(doc->body));
+			take_config(s, topic_records_view(doc->body));
 	}
 }
 
 static void handle(void *state, const message_t *m)
 {
 	store_follow_t *s = state;
-	follower_t *of_topic[] = { [STORE_CONFIG] = &s->config,
-				   [STORE_RUNNERS] = &s->runners,
-				   [STORE_DAEMONS] = &s->daemons };
+	store_follower_t *of_topic[] = { [STORE_CONFIG] = &s->config,
+					 [STORE_RUNNERS] = &s->runners,
+					 [STORE_DAEMONS] = &s->daemons };
 
 	if (m->type == MESSAGE_READER)
 		set_reader(s, m->number);
 	else if (m->type == MESSAGE_NEWS &&
 		 m->news.topic < G_N_ELEMENTS(of_topic))
-		hear_news(of_topic[m->news.topic], &m->news);
+		store_follower_hear(of_topic[m->news.topic], &m->news);
 	else if (m->type == MESSAGE_LIVE)
 		set_crowd(s, m->daemons.live);
 	else if (m->type == MESSAGE_STORE_ASKED)
 		for (size_t i = 0; i < G_N_ELEMENTS(of_topic); i++) {
 			if (m->lists.topics & (1U << i))
-				give_list(of_topic[i], m->lists.peer);
+				store_follower_give_list(of_topic[i],
+							 m->lists.peer);
 		}
 	else if (m->type == MESSAGE_CONFIG_ASK)
 		relay_config(s, m->docs.peer);
@@ -659,30 +368,31 @@
 	runner_list_init(&s->runner_list, RETURN_US);
 	s->daemon_list =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	s->draw = g_rand_double(sup->rand);
-	follower_init(&s->config, s, STORE_CONFIG);
-	follower_init(&s->runners, s, STORE_RUNNERS);
-	follower_init(&s->daemons, s, STORE_DAEMONS);
+	s->env = (store_env_t){
+		.sup = sup,
+		.store = &s->store,
+		.runners = &s->runner_list,
+		.draw = g_rand_double(sup->rand),
+		.take = take_entry,
+		.ctx = s,
+	};
+	store_follower_init(&s->config, &s->env, STORE_CONFIG);
+	store_follower_init(&s->runners, &s->env, STORE_RUNNERS);
+	store_follower_init(&s->daemons, &s->env, STORE_DAEMONS);
 	set_crowd(s, BOOT_CROWD);
 	s->apply = supervisor_every(sup, APPLY_MS, on_apply, s);
 	s->export = supervisor_every(sup, EXPORT_MS, on_export, s);
 	return s;
 }
 
-static void follower_finish(follower_t *f)
-{
-	event_free(f->timer);
-	topic_records_finish(&f->records);
-}
-
 static void stop(void *state)
 {
 	store_follow_t *s = state;
 
 	store_finish(&s->store);
-	follower_finish(&s->config);
-	follower_finish(&s->runners);
-	follower_finish(&s->daemons);
+	store_follower_finish(&s->config);
+	store_follower_finish(&s->runners);
+	store_follower_finish(&s->daemons);
 	event_free(s->apply);
 	event_free(s->export);
 	runner_list_finish(&s->runner_list);
--- a/daemon/topic_records.c
+++ b/daemon/topic_records.c
@@ -49,6 +49,14 @@
 	return g_hash_table_lookup(t->values, name);
 }
 
+str_t topic_records_view(GBytes *bytes)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(bytes, &len);
+
+	return (str_t){ data, len };
+}
+
 GBytes *topic_records_pack(topic_records_t *t, uint32_t *size)
 {
 	if (!t->packed) {
--- a/daemon/topic_records.h
+++ b/daemon/topic_records.h
@@ -22,6 +22,8 @@
 void topic_records_set(topic_records_t *t, str_t key, str_t value);
 /* The value of a key; NULL when there is none. */
 GBytes *topic_records_get(const topic_records_t *t, str_t key);
+/* A view of a key's or value's bytes; lives as long as they. */
+str_t topic_records_view(GBytes *bytes);
 /* Returns the whole list, packed for the wire, with its length in SIZE. */
 GBytes *topic_records_pack(topic_records_t *t, uint32_t *size);
 
