relay: the first event is told to the dispatcher by its own name

FIRST_TOKEN named the service, not the dispatcher, which is NAME@ for all zones or NAME#i/n for a group: nobody took it, so the speeds of runners were never learned.

Change: the group's name; a test that failed first.

--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -71,7 +71,8 @@
 	message_t m = { .type = MESSAGE_FIRST_TOKEN };
 
 	g_strlcpy(m.capacity.peer, r->dispatcher, sizeof(m.capacity.peer));
-	g_strlcpy(m.capacity.service, r->service, sizeof(m.capacity.service));
+	runner_group_name(&r->pick.group, m.capacity.service,
+			  sizeof(m.capacity.service));
 	m.capacity.want.id = (want_id_t){ r->gateway->sup->boot, r->attempt };
 	supervisor_post(r->gateway->sup, TASK_PEERS, &m);
 }
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -100,6 +100,10 @@
 	case MESSAGE_LIMIT_ASK:
 		answer_limit(bed, m);
 		break;
+	case MESSAGE_FIRST_TOKEN:
+		bed->first_tokens++;
+		bed->last_first_token = *m;
+		break;
 	case MESSAGE_WITHDRAW:
 		bed->withdraws++;
 		break;
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -70,7 +70,8 @@
 	bool limit_refuses;
 	bool limit_is_mute; /* the limiter does not answer */
 	message_t last_want, last_limit; /* the latest questions */
-	int wants, dones, withdraws, limits;
+	int wants, dones, withdraws, limits, first_tokens;
+	message_t last_first_token;
 	done_result_t last_done;
 } gateway_bed_t;
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -235,6 +235,27 @@
 }
 END_TEST
 
+/* Of a group, or of all zones: its name is not just the service's. */
+START_TEST(a_first_event_is_told_to_the_dispatcher_that_granted)
+{
+	static const reply_t whole[] = { { STREAM EVENT_1 "0\r\n\r\n",
+					   REPLY_KEEP } };
+	gateway_bed_t bed;
+
+	gateway_bed_init(&bed);
+	gateway_bed_configure(&bed);
+	bed.runners[0].replies = whole;
+	gateway_send(&bed, 0, ASK("/stream/", "a"));
+	gateway_await(&bed, 0, "0\r\n\r\n");
+	ck_assert_int_eq(bed.first_tokens, 1);
+	ck_assert_str_eq(bed.last_first_token.capacity.service,
+			 bed.last_want.capacity.service);
+	ck_assert_uint_eq(bed.last_first_token.capacity.want.id.attempt,
+			  bed.last_want.capacity.want.id.attempt);
+	gateway_bed_finish(&bed);
+}
+END_TEST
+
 START_TEST(a_stream_that_may_not_go_on_is_cut_visibly)
 {
 	static const reply_t cut[] = { { STREAM EVENT_1, REPLY_CLOSE } };
@@ -479,6 +500,7 @@
 SUITE_MAIN("gateway", every_loss_at_a_runner,
 	   a_refusal_is_given_only_where_nothing_ran,
 	   a_stream_goes_on_after_the_last_event_passed_on,
+	   a_first_event_is_told_to_the_dispatcher_that_granted,
 	   a_stream_that_may_not_go_on_is_cut_visibly,
 	   a_second_answer_belongs_to_nobody,
 	   connections_are_used_again_but_not_for_what_runs_once,
