--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -197,7 +197,7 @@
 	if (now < work->due)
 		recover(m);
 	if (!m->is_engine) {
-		m->overtaken_until = MAX(m->overtaken_until, work->granted);
+		m->last_whole_grant = MAX(m->last_whole_grant, work->granted);
 		learn_pace(m, 1, n, now - work->granted);
 		return;
 	}
@@ -236,7 +236,7 @@
 /* A call that later ones overtook is long itself; its runner is well. */
 static bool is_overtaken(const runner_model_t *m, const runner_work_t *work)
 {
-	return !m->is_engine && m->overtaken_until > work->granted;
+	return !m->is_engine && m->last_whole_grant > work->granted;
 }
 
 void runner_model_overdue(runner_model_t *m, runner_work_t *work, int64_t now)
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -50,7 +50,7 @@
 	uint32_t slots; /* engines: requests at once; 0: any */
 	double health; /* 1, less while signs are overdue */
 	runner_speed_t speed;
-	int64_t overtaken_until; /* plain: latest grant that ended whole */
+	int64_t last_whole_grant; /* plain: latest grant that ended whole */
 	uint32_t running;
 	uint32_t prefilling; /* without a first token */
 	uint64_t tokens;
--- a/core/topic_follow.c
+++ b/core/topic_follow.c
@@ -3,26 +3,26 @@
 enum {
 	US_PER_MS = 1000,
 	MIN_PATIENCE_US = 950 * US_PER_MS,
-	PATIENCE_STEP_US = 5 * US_PER_MS, /* a daemon of the crowd */
+	PATIENCE_STEP_US = 5 * US_PER_MS, /* for each daemon */
 	MISSED_WAIT_US = 600 * US_PER_MS,
 	MIN_SPREAD_US = 350 * US_PER_MS,
 	FIRST_BACKOFF_US = 200 * US_PER_MS,
 	MAX_DOUBLINGS = 3,
-	BACKOFF_STEP_US = 60 * US_PER_MS, /* a daemon of the crowd */
-	MAX_CROWD = 300,
+	BACKOFF_STEP_US = 60 * US_PER_MS, /* for each daemon */
+	MAX_DAEMONS = 300,
 };
 
-static int64_t spread(uint32_t crowd, int64_t step, double draw)
+static int64_t spread(uint32_t daemons, int64_t step, double draw)
 {
-	uint32_t n = crowd < MAX_CROWD ? crowd : MAX_CROWD;
+	uint32_t n = daemons < MAX_DAEMONS ? daemons : MAX_DAEMONS;
 
 	return (int64_t)(draw * (double)(n * step));
 }
 
-int64_t topic_follow_patience(uint32_t crowd, double draw)
+int64_t topic_follow_patience(uint32_t daemons, double draw)
 {
 	return MIN_PATIENCE_US + (int64_t)(draw * MIN_SPREAD_US) +
-	       spread(crowd, PATIENCE_STEP_US, draw);
+	       spread(daemons, PATIENCE_STEP_US, draw);
 }
 
 static void note_success(topic_follow_t *f, int64_t now)
@@ -33,7 +33,7 @@
 	f->failures = 0;
 }
 
-void topic_follow_failed(topic_follow_t *f, uint32_t crowd, double draw,
+void topic_follow_failed(topic_follow_t *f, uint32_t daemons, double draw,
 			 int64_t now)
 {
 	int64_t backoff =
@@ -41,7 +41,7 @@
 		<< (f->failures < MAX_DOUBLINGS ? f->failures : MAX_DOUBLINGS);
 
 	f->failures++;
-	f->retry_at = now + backoff + spread(crowd, BACKOFF_STEP_US, draw);
+	f->retry_at = now + backoff + spread(daemons, BACKOFF_STEP_US, draw);
 }
 
 bool topic_follow_read(topic_follow_t *f, uint64_t next, int64_t now)
--- a/core/topic_follow.h
+++ b/core/topic_follow.h
@@ -48,17 +48,17 @@
  */
 bool topic_follow_take_list(topic_follow_t *f, uint64_t next, int64_t now);
 /*
- * A call failed. CROWD daemons may be trying; the more they are, the later
+ * A call failed. DAEMONS may be trying; the more they are, the later
  * this one tries again, since whoever gets through tells the others. DRAW is
  * a random number from 0 to 1.
  */
-void topic_follow_failed(topic_follow_t *f, uint32_t crowd, double draw,
+void topic_follow_failed(topic_follow_t *f, uint32_t daemons, double draw,
 			 int64_t now);
 /*
- * How old the readers' last word may be for one of CROWD daemons that hear
+ * How old the readers' last word may be for one of so many DAEMONS that hear
  * it: drawn apart, so that one reads and tells the others before they do.
  */
-int64_t topic_follow_patience(uint32_t crowd, double draw);
+int64_t topic_follow_patience(uint32_t daemons, double draw);
 /*
  * Tells whether another daemon's list would help: nothing was listed yet, or
  * records were missed. Both may also come by themselves: the tellers are not
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -102,7 +102,7 @@
 	uint32_t topic;
 	uint64_t from, next; /* offsets */
 	bool is_steady; /* the store was not away for the teller of late */
-	bool is_from_far; /* heard from a daemon of another zone */
+	bool is_from_other_zone; /* heard from a daemon of another zone */
 	bool is_relayed; /* read by another: only the own zone is told */
 	bool is_list; /* heard: the newest record of every key */
 	char peer[MEMBER_NAME_SIZE]; /* for it alone; "": for all */
--- a/daemon/peers_news.c
+++ b/daemon/peers_news.c
@@ -24,7 +24,7 @@
 			    NULL, 1);
 		return;
 	}
-	m.news.is_from_far = !is_own_zone(p, name);
+	m.news.is_from_other_zone = !is_own_zone(p, name);
 	supervisor_post(p->sup, TASK_PLATFORM, &m);
 }
 
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -16,7 +16,7 @@
 	MAX_SENDS = 4, /* upstreams asked, also such as refuse at once */
 	MIN_DEADLINE_US = 20 * US_PER_MS, /* less is not worth sending */
 	DEFAULT_OUTPUT_TOKENS = 128,
-	WORTHY_PREFIX = 500, /* tokens; reading fewer again is quick */
+	MIN_HOME_PREFIX = 500, /* tokens; reading fewer again is quick */
 	MAX_EVENT = 256 * 1024, /* bytes */
 	MAX_TIER_TEXT = 16,
 	PERCENT = 100,
@@ -511,7 +511,7 @@
 	uint32_t groups = zone_groups_count(&g->groups, r->service);
 	zone_affinity_t affinity = { .session = r->call.session };
 
-	if (r->call.prefix_tokens >= WORTHY_PREFIX &&
+	if (r->call.prefix_tokens >= MIN_HOME_PREFIX &&
 	    !prefix_share_note(&g->prefixes, r->call.prefix, groups))
 		affinity.prefix = r->call.prefix;
 	zone_groups_first(&g->groups, r->service, &affinity, sup_of(r)->rand,
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -15,7 +15,7 @@
 enum {
 	RETURN_US = 2300 * 1000, /* for runners to return after an outage */
 	DAEMONS_PATIENCE = 6, /* times that for the daemons' list */
-	BOOT_CROWD = 300, /* daemons that may start at once */
+	BOOT_DAEMONS = 300, /* daemons that may start at once */
 	ASK_PEERS_US = 200 * 1000, /* between asking one and the next */
 	EXPORT_MS = 1000,
 	APPLY_MS = 100, /* between looks for drops that are due */
@@ -269,11 +269,11 @@
 	post_vms(s);
 }
 
-static void set_crowd(store_follow_t *s, uint32_t crowd)
+static void set_daemons(store_follow_t *s, uint32_t daemons)
 {
-	int64_t patience = topic_follow_patience(crowd, s->env.draw);
+	int64_t patience = topic_follow_patience(daemons, s->env.draw);
 
-	s->env.crowd = crowd;
+	s->env.daemons = daemons;
 	s->config.state.patience = patience;
 	s->runners.state.patience = patience;
 	s->daemons.state.patience = patience * DAEMONS_PATIENCE;
@@ -287,8 +287,8 @@
 		return;
 	store_stats(&s->store, &stats);
 	log_event("reader",
-		  "reads=%s crowd=%u calls=%" PRIu64 " failed=%" PRIu64,
-		  is_reader ? "yes" : "no", s->env.crowd, stats.calls,
+		  "reads=%s daemons=%u calls=%" PRIu64 " failed=%" PRIu64,
+		  is_reader ? "yes" : "no", s->env.daemons, stats.calls,
 		  stats.failed);
 	s->config.state.is_reader = is_reader;
 	s->runners.state.is_reader = is_reader;
@@ -339,7 +339,7 @@
 		 m->news.topic < G_N_ELEMENTS(of_topic))
 		store_follower_hear(of_topic[m->news.topic], &m->news);
 	else if (m->type == MESSAGE_LIVE)
-		set_crowd(s, m->daemons.live);
+		set_daemons(s, m->daemons.live);
 	else if (m->type == MESSAGE_STORE_ASKED)
 		for (size_t i = 0; i < G_N_ELEMENTS(of_topic); i++) {
 			if (m->lists.topics & (1U << i))
@@ -379,7 +379,7 @@
 	store_follower_init(&s->config, &s->env, STORE_CONFIG);
 	store_follower_init(&s->runners, &s->env, STORE_RUNNERS);
 	store_follower_init(&s->daemons, &s->env, STORE_DAEMONS);
-	set_crowd(s, BOOT_CROWD);
+	set_daemons(s, BOOT_DAEMONS);
 	s->apply = supervisor_every(sup, APPLY_MS, on_apply, s);
 	s->export = supervisor_every(sup, EXPORT_MS, on_export, s);
 	return s;
--- a/daemon/store_topic.c
+++ b/daemon/store_topic.c
@@ -173,14 +173,14 @@
 	switch (topic_follow_hear(&f->state, news->from, news->next,
 				  now_us())) {
 	case TOPIC_NEWS_OLD:
-		if (news->is_from_far && news->next == next &&
+		if (news->is_from_other_zone && news->next == next &&
 		    f->state.known_at - known_at > RELAY_GAP_US)
 			relay_news(f, news);
 		return;
 	case TOPIC_NEWS_MISSED:
 		return;
 	case TOPIC_NEWS_APPLY:
-		if (news->is_from_far)
+		if (news->is_from_other_zone)
 			relay_news(f, news);
 		break;
 	}
@@ -197,7 +197,7 @@
 	f->is_calling = false;
 	note_down(f, err);
 	if (err) {
-		topic_follow_failed(&f->state, f->env->crowd,
+		topic_follow_failed(&f->state, f->env->daemons,
 				    g_rand_double(f->env->sup->rand), now_us());
 		follow_later(f, LOOK_MS);
 		return;
--- a/daemon/store_topic.h
+++ b/daemon/store_topic.h
@@ -16,7 +16,7 @@
 	supervisor_t *sup;
 	store_t *store;
 	runner_list_t *runners; /* is told when the runners' list is whole */
-	uint32_t crowd; /* daemons that answer, this one included */
+	uint32_t daemons; /* that answer, this one included */
 	double draw; /* 0 to 1: this daemon's turn to read for silent readers */
 	/* Takes a record; returns whether it says anything new. */
 	bool (*take)(void *ctx, store_topic_t topic, const store_entry_t *e);
--- a/tests/test_topic_follow.c
+++ b/tests/test_topic_follow.c
@@ -133,7 +133,7 @@
 {
 	enum { SECOND = 1000 * 1000, MINUTE = 60 * SECOND, STEP = 100 * 1000 };
 	static const struct {
-		uint32_t crowd;
+		uint32_t daemons;
 		int calls; /* in a minute, by one daemon, at most */
 	} cases[] = { { 1, 40 }, { 20, 30 }, { 300, 8 } };
 
@@ -145,7 +145,7 @@
 		for (int64_t now = 1; now < MINUTE; now += STEP) {
 			if (!topic_follow_is_due(&f, now))
 				continue;
-			topic_follow_failed(&f, cases[i].crowd, 0.5, now);
+			topic_follow_failed(&f, cases[i].daemons, 0.5, now);
 			calls++;
 		}
 		ck_assert_int_le(calls, cases[i].calls);
@@ -157,7 +157,7 @@
 END_TEST
 
 /* Of many that wait for a silent reader one is first, well before most. */
-START_TEST(the_patience_of_a_crowd_is_spread)
+START_TEST(the_patience_of_many_daemons_is_spread)
 {
 	ck_assert_int_lt(topic_follow_patience(1, 1), INT64_C(1500000));
 	ck_assert_int_eq(topic_follow_patience(1, 0),
@@ -177,4 +177,4 @@
 	   what_was_missed_is_waited_for_before_it_is_read,
 	   a_new_daemon_waits_for_anothers_list,
 	   a_failing_store_is_called_less_and_less,
-	   the_patience_of_a_crowd_is_spread)
+	   the_patience_of_many_daemons_is_spread)
