member: a duty leaves a host whose test failed, before that counts as dead

Ruled out: wrong hosts before or after the cut (one dispatcher granted).

Change: for duties a silent daemon that refused a new connection is passed over (keys still need a death); the test fails without it.

--- a/core/member_link.c
+++ b/core/member_link.c
@@ -49,7 +49,7 @@
 		       int64_t now)
 {
 	if (member_is_present(e))
-		return true;
+		return member_seems_up(e);
 	return e->state == MEMBER_LISTED &&
 	       (e->link_wanted_at == MEMBER_NEVER ||
 		now - e->link_wanted_at <= t->config.heartbeat_timeout);
--- a/core/member_region.c
+++ b/core/member_region.c
@@ -25,7 +25,7 @@
 	for (guint i = 0; i < t->entries->len; i++) {
 		const member_entry_t *e = t->entries->pdata[i];
 
-		if (member_is_present(e) && str_eq(str_from(e->vm.zone), zone))
+		if (member_seems_up(e) && str_eq(str_from(e->vm.zone), zone))
 			return true;
 	}
 	return false;
--- a/core/member_state.h
+++ b/core/member_state.h
@@ -79,6 +79,16 @@
 	return e->state == MEMBER_LIVE || e->state == MEMBER_SUSPECT;
 }
 
+/*
+ * For duties, which a wrong guess costs only time: neither silence nor a
+ * refused test speaks against it.
+ */
+static inline bool member_seems_up(const member_entry_t *e)
+{
+	return member_is_present(e) &&
+	       !(e->state == MEMBER_SUSPECT && e->has_probe_failed);
+}
+
 /* May own keys and host dispatchers. */
 static inline bool member_is_candidate(const member_entry_t *e)
 {
--- a/tests/test_member_region.c
+++ b/tests/test_member_region.c
@@ -141,6 +141,26 @@
 }
 END_TEST
 
+/* A test that failed is enough for a duty: it need not be called dead. */
+START_TEST(a_duty_leaves_a_cut_zone_before_its_daemons_count_as_dead)
+{
+	enum { SOON = 2 * TIMEOUT + 2 };
+	member_t m;
+
+	setup(&m, 0);
+	run(&m, 1, TIMEOUT, "");
+	run(&m, TIMEOUT + 1, SOON, "z1 z2");
+	for (int n = 0; n < DUTIES; n++) {
+		g_autofree char *duty = g_strdup_printf("duty-%d", n);
+		g_autofree char *host = host_of(&m, duty, SOON);
+
+		ck_assert_ptr_nonnull(host);
+		ck_assert_int_lt(atoi(host + 1), N_ZONE);
+	}
+	member_finish(&m);
+}
+END_TEST
+
 START_TEST(a_cut_zone_counts_as_known_while_it_is_remembered)
 {
 	member_t m;
@@ -180,5 +200,6 @@
 
 SUITE_MAIN("member_region", all_zones_name_the_same_host,
 	   a_zone_that_is_cut_off_has_hosts_of_its_own,
+	   a_duty_leaves_a_cut_zone_before_its_daemons_count_as_dead,
 	   a_cut_zone_counts_as_known_while_it_is_remembered,
 	   a_zone_that_was_never_heard_counts_as_known_at_first)
