store_topic: who lists a topic anew tells the others what they missed

The store forgot its history just then, so the reader listed the topics anew, and told nobody of what that brought: the others missed the next news, each had to read, met the gap too, and a failed list waited for up to 1.4 s and more with its ears shut.

--- a/core/topic_follow.c
+++ b/core/topic_follow.c
@@ -4,7 +4,7 @@
 	US_PER_MS = 1000,
 	MIN_PATIENCE_US = 950 * US_PER_MS,
 	PATIENCE_STEP_US = 5 * US_PER_MS, /* for each daemon */
-	MISSED_WAIT_US = 600 * US_PER_MS,
+	MISSED_WAIT_US = 300 * US_PER_MS,
 	MIN_SPREAD_US = 350 * US_PER_MS,
 	FIRST_BACKOFF_US = 200 * US_PER_MS,
 	MAX_DOUBLINGS = 3,
@@ -41,7 +41,10 @@
 		<< (f->failures < MAX_DOUBLINGS ? f->failures : MAX_DOUBLINGS);
 
 	f->failures++;
-	f->retry_at = now + backoff + spread(daemons, BACKOFF_STEP_US, draw);
+	f->retry_at = now + backoff;
+	/* Without a list nothing that others tell can be taken. */
+	if (f->is_listed)
+		f->retry_at += spread(daemons, BACKOFF_STEP_US, draw);
 }
 
 bool topic_follow_read(topic_follow_t *f, uint64_t next, int64_t now)
@@ -58,7 +61,7 @@
 
 bool topic_follow_take_list(topic_follow_t *f, uint64_t next, int64_t now)
 {
-	if (f->is_listed && next <= f->next)
+	if (next < f->next || (f->is_listed && next == f->next))
 		return false;
 	f->next = next;
 	f->is_listed = true;
--- a/daemon/store_topic.c
+++ b/daemon/store_topic.c
@@ -80,11 +80,12 @@
 
 /*
  * Tells the other daemons what was read, also when it is nothing: of the keys
- * in CHANGED the newest record of the page. Whoever knows all up to FROM, or
+ * in CHANGED the newest record of the page, and that those in GONE are gone. Whoever knows all up to FROM, or
  * listed the topic since, then knows what this daemon does.
  */
 static void post_news(store_follower_t *f, uint64_t from,
-		      const store_page_t *page, GHashTable *changed)
+		      const store_page_t *page, GHashTable *changed,
+		      const GArray *gone)
 {
 	message_t m = { .type = MESSAGE_NEWS };
 
@@ -96,6 +97,9 @@
 	for (size_t i = page->n_entries; i-- > 0;)
 		if (g_hash_table_remove(changed, &page->entries[i].key))
 			add_record(m.news.records, &page->entries[i]);
+	for (guint i = 0; gone && i < gone->len; i++)
+		add_record(m.news.records,
+			   &g_array_index(gone, store_entry_t, i));
 	supervisor_post(f->env->sup, TASK_PEERS, &m);
 }
 
@@ -193,6 +197,7 @@
 	g_autoptr(GHashTable) changed = str_table_new(NULL);
 	bool was_listing = !f->state.is_listed;
 	uint64_t from = f->state.next;
+	g_autoptr(GArray) gone = NULL;
 
 	f->is_calling = false;
 	note_down(f, err);
@@ -209,14 +214,17 @@
 		follow(f);
 		return;
 	}
+	if (was_listing)
+		gone = topic_records_missing(&f->records, page);
 	if (topic_follow_read(&f->state, page->next, now_us()))
 		take_page(f, page, was_listing, changed);
 	/*
 	 * Who read because the readers were silent tells the others too: the
-	 * store may turn the readers' VMs away and others with them.
+	 * store may turn the readers' VMs away and others with them. So does
+	 * who had to list anew, after what was known up to FROM.
 	 */
-	if (!was_listing)
-		post_news(f, from, page, changed);
+	if (!was_listing || from)
+		post_news(f, from, page, changed, gone);
 	follow_later(f, pause_ms(f));
 }
 
--- a/daemon/topic_records.c
+++ b/daemon/topic_records.c
@@ -49,6 +49,42 @@
 	return g_hash_table_lookup(t->values, name);
 }
 
+static void free_key(void *data)
+{
+	store_entry_t *entry = data;
+
+	g_free((char *)entry->key.ptr);
+}
+
+static bool has_key(const store_page_t *list, str_t key)
+{
+	for (size_t i = 0; i < list->n_entries; i++)
+		if (str_eq(list->entries[i].key, key))
+			return true;
+	return false;
+}
+
+GArray *topic_records_missing(const topic_records_t *t,
+			      const store_page_t *list)
+{
+	GArray *missing = g_array_new(FALSE, FALSE, sizeof(store_entry_t));
+	GHashTableIter iter;
+	void *key;
+
+	g_array_set_clear_func(missing, free_key);
+	g_hash_table_iter_init(&iter, t->values);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		str_t view = topic_records_view(key);
+		store_entry_t entry = { .value = STR_LIT("") };
+
+		if (has_key(list, view))
+			continue;
+		entry.key = (str_t){ g_memdup2(view.ptr, view.len), view.len };
+		g_array_append_val(missing, entry);
+	}
+	return missing;
+}
+
 str_t topic_records_view(GBytes *bytes)
 {
 	gsize len;
--- a/daemon/topic_records.h
+++ b/daemon/topic_records.h
@@ -7,6 +7,7 @@
 
 #include "common/str.h"
 #include "daemon/message.h"
+#include "platform/store.h"
 
 typedef struct topic_records {
 	GHashTable *values; /* key to value, GBytes */
@@ -22,6 +23,12 @@
 void topic_records_set(topic_records_t *t, str_t key, str_t value);
 /* The value of a key; NULL when there is none. */
 GBytes *topic_records_get(const topic_records_t *t, str_t key);
+/*
+ * Returns the keys that a whole list no longer has, as entries without a
+ * value. Their bytes are copies, freed with the array.
+ */
+GArray *topic_records_missing(const topic_records_t *t,
+			      const store_page_t *list);
 /* A view of a key's or value's bytes; lives as long as they. */
 str_t topic_records_view(GBytes *bytes);
 /* Returns the whole list, packed for the wire, with its length in SIZE. */
