--- a/tests/test_settings_template.c
+++ b/tests/test_settings_template.c
@@ -40,7 +40,7 @@
 
 typedef struct deployment {
 	const char *name;
-	const char *ip;
+	const char *host; /* last byte of its address */
 	const char *ports; /* the daemons' own, first and last */
 	const char *zones;
 	const char *seeds;
@@ -53,21 +53,31 @@
 } deployment_t;
 
 static const deployment_t deployments[] = {
-	{ "usual", "127.83.0.1", "[29116,29131]", seven_zones, seeds,
-	  whole_bounds, 8000, 129, 10000, 140000, 8000 },
-	{ "fractions", "127.83.0.2", "[29116,29131]", seven_zones, seeds,
+	{ "usual", "1", "[29116,29131]", seven_zones, seeds, whole_bounds, 8000,
+	  129, 10000, 140000, 8000 },
+	{ "fractions", "2", "[29116,29131]", seven_zones, seeds, fractions,
+	  7500, 33.157, 9400, 7368.42, 7250 },
+	{ "one zone, no seeds", "200", "[19117,19118]", one_zone, "[]",
 	  fractions, 7500, 33.157, 9400, 7368.42, 7250 },
-	{ "one zone, no seeds", "127.83.44.200", "[19117,19118]", one_zone,
-	  "[]", fractions, 7500, 33.157, 9400, 7368.42, 7250 },
-	{ "no bounds of its own", "127.200.7.9", "[31000,31999]", one_zone,
-	  "[]", "{}", 600000, 100, 10000, 0, 8000 },
-	{ "no grace", "127.83.0.3", "[29116,29131]", one_zone, "[]",
+	{ "no bounds of its own", "9", "[31000,31999]", one_zone, "[]", "{}",
+	  600000, 100, 10000, 0, 8000 },
+	{ "no grace", "3", "[29116,29131]", one_zone, "[]",
 	  "{\"grace_s\":0,\"retry_slack\":0,\"retry_ratio\":0}", 0, 0, 10000, 0,
 	  8000 },
 };
 
+/* Two runs of this test at once must not meet: one address each. */
+static char *ip_of(const deployment_t *d)
+{
+	unsigned int run = (unsigned int)getppid() % (200 * 250);
+
+	return g_strdup_printf("127.%u.%u.%s", 20 + run / 250, 1 + run % 250,
+			       d->host);
+}
+
 static json_t *fields_of(const deployment_t *d)
 {
+	g_autofree char *ip = ip_of(d);
 	g_autofree char *text = g_strdup_printf(
 		"{\"node_name\":\"edge-north-1\",\"ip\":\"%s\","
 		"\"zone\":\"north\",\"region\":\"r\",\"internal_ports\":%s,"
@@ -77,8 +87,8 @@
 		"\"listen\":{\"frontend\":\"%s:29113\",\"ready\":\"%s:%d\","
 		"\"control_plane\":\"%s:29111\"},"
 		"\"platform\":{\"address\":\"127.83.0.250:29110\"}}",
-		d->ip, d->ports, d->zones, d->seeds, d->bounds, d->ip, d->ip,
-		READY_PORT, d->ip);
+		ip, d->ports, d->zones, d->seeds, d->bounds, ip, ip, READY_PORT,
+		ip);
 	json_t *fields = json_loads(text, 0, NULL);
 
 	ck_assert_msg(fields != NULL, "%s: %s", d->name, text);
@@ -103,12 +113,13 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(deployments); i++) {
 		const deployment_t *d = &deployments[i];
 		g_autofree char *text = settings_text(d);
+		g_autofree char *ip = ip_of(d);
 		settings_t s;
 		err_t err = { 0 };
 
 		ck_assert_msg(settings_parse(&s, str_from(text), d->name, &err),
 			      "%s\n%s", err.detail, text);
-		ck_assert_str_eq(s.name, d->ip);
+		ck_assert_str_eq(s.name, ip);
 		ck_assert_int_eq(s.drain_ms, d->drain_ms);
 		ck_assert_double_eq(s.retry_slack, d->retry_slack);
 		ck_assert_int_eq(s.retry_window_ms, d->retry_window_ms);
@@ -140,6 +151,7 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(deployments); i++) {
 		const deployment_t *d = &deployments[i];
 		g_autofree char *text = settings_text(d);
+		g_autofree char *ip = ip_of(d);
 		g_autofree char *path = g_build_filename(dir, "s.json", NULL);
 		g_autofree char *log = g_build_filename(dir, "log", NULL);
 		const char *const args[] = { path, NULL };
@@ -148,14 +160,14 @@
 
 		ck_assert(g_file_set_contents(path, text, -1, NULL));
 		ck_assert(process_start(&p, "papayad", args, log, false));
-		while (!is_listening(d->ip, READY_PORT) &&
+		while (!is_listening(ip, READY_PORT) &&
 		       waited_us < START_MS * 1000) {
 			ck_assert_msg(process_wait(&p, 0) == -1, "%s: ended",
 				      d->name);
 			g_usleep(POLL_US);
 			waited_us += POLL_US;
 		}
-		ck_assert_msg(is_listening(d->ip, READY_PORT), "%s", d->name);
+		ck_assert_msg(is_listening(ip, READY_PORT), "%s", d->name);
 		ck_assert_int_eq(process_stop(&p, STOP_MS), 0);
 	}
 	run_dir_remove(dir);
