member, peers, store_topic: what stood twice stands once

Ruled out: one walk over the zones for member_regional_host and member_is_regional_host; they differ for a daemon that drains alone in its zone.

--- a/core/member_link.c
+++ b/core/member_link.c
@@ -122,12 +122,16 @@
 	return winner;
 }
 
+char *member_duty_key(str_t duty, uint32_t group)
+{
+	return g_strdup_printf("%.*s#%u", (int)duty.len, duty.ptr, group);
+}
+
 bool member_dispatcher(member_t *m, str_t zone, str_t service, uint32_t group,
 		       int64_t now, member_vm_t *out)
 {
 	struct member_table *t = m->table;
-	g_autofree char *key = g_strdup_printf("%.*s#%u", (int)service.len,
-					       service.ptr, group);
+	g_autofree char *key = member_duty_key(service, group);
 	bool is_own = str_eq(zone, str_from(t->self.zone));
 	const member_entry_t *peer;
 	rendezvous_t best;
--- a/core/member_region.c
+++ b/core/member_region.c
@@ -54,8 +54,7 @@
 bool member_is_regional_host(const member_t *m, str_t duty)
 {
 	const struct member_table *t = m->table;
-	g_autofree char *key =
-		g_strdup_printf("%.*s#0", (int)duty.len, duty.ptr);
+	g_autofree char *key = member_duty_key(duty, 0);
 	rendezvous_t zones[MEMBER_MAX_ZONES];
 	const member_entry_t *peer;
 	rendezvous_t best;
--- a/core/member_state.h
+++ b/core/member_state.h
@@ -56,6 +56,8 @@
 member_entry_t *member_entry_intern(struct member_table *t,
 				    const member_vm_t *vm, int64_t now);
 
+/* What a duty's hosts are weighed by; to be freed. */
+char *member_duty_key(str_t duty, uint32_t group);
 /* Who has KEY in the own zone, PEER or this; false when nobody has. */
 bool member_local_owner(const struct member_table *t, str_t key,
 			rendezvous_t *best, const member_entry_t **peer);
--- a/daemon/fleet_view.c
+++ b/daemon/fleet_view.c
@@ -173,3 +173,14 @@
 	return vm_view_new((member_vm_t *)entries->data, entries->len,
 			   (log_runner_t *)listed->data, listed->len);
 }
+
+void fleet_view_groups(const vm_view_t *vms, zone_groups_t *out)
+{
+	zone_groups_clear(out);
+	for (guint i = 0; i < vms->runners->len; i++) {
+		const log_runner_t *r =
+			&g_array_index(vms->runners, log_runner_t, i);
+
+		zone_groups_add(out, r->service, r->zone);
+	}
+}
--- a/daemon/fleet_view.h
+++ b/daemon/fleet_view.h
@@ -5,6 +5,7 @@
 #ifndef DAEMON_FLEET_VIEW_H
 #define DAEMON_FLEET_VIEW_H
 
+#include "core/zone_groups.h"
 #include "core/runner_list.h"
 #include "daemon/message.h"
 #include "daemon/settings.h"
@@ -18,4 +19,7 @@
 vm_view_t *fleet_view_vms(const runner_list_t *runners, GHashTable *daemons,
 			  const settings_t *settings);
 
+/* Counts the list's runners by service and zone, anew. */
+void fleet_view_groups(const vm_view_t *vms, zone_groups_t *out);
+
 #endif
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -6,6 +6,7 @@
 
 #include "common/log.h"
 #include "core/drain_plan.h"
+#include "daemon/fleet_view.h"
 #include "daemon/gateway.h"
 
 enum {
@@ -46,17 +47,6 @@
 	runner_watch_end(&g->runners, now_us());
 }
 
-static void count_groups(gateway_t *g, const vm_view_t *vms)
-{
-	zone_groups_clear(&g->groups);
-	for (guint i = 0; i < vms->runners->len; i++) {
-		const log_runner_t *r =
-			&g_array_index(vms->runners, log_runner_t, i);
-
-		zone_groups_add(&g->groups, r->service, r->zone);
-	}
-}
-
 static void export_stats(gateway_t *g)
 {
 	metrics_t *m = &g->sup->metrics;
@@ -177,7 +167,7 @@
 		break;
 	case MESSAGE_VMS:
 		watch_runners(g, m->vms);
-		count_groups(g, m->vms);
+		fleet_view_groups(m->vms, &g->groups);
 		set_budget(g, m->vms->entries->len);
 		break;
 	case MESSAGE_ROUTED:
--- a/daemon/peers_route.c
+++ b/daemon/peers_route.c
@@ -110,25 +110,24 @@
 				m);
 }
 
-/* The duty of counting a team's limit: in a fleet, one of a few. */
-static void name_limit_duty(const peers_t *p, const char *team, char *out,
-			    size_t size)
+/* The host of the Ith of the few counters that a fleet's teams share. */
+static bool find_fleet_limiter(peers_t *p, uint32_t i, member_vm_t *out)
 {
-	if (p->sup->settings->fleet)
-		g_snprintf(out, size, "limits-%u",
-			   (uint32_t)(str_hash(str_from(team)) % LIMIT_HOSTS));
-	else
-		g_snprintf(out, size, "limit/%s", team);
+	char duty[MEMBER_NAME_SIZE];
+
+	g_snprintf(duty, sizeof(duty), "limits-%u", i);
+	return member_regional_host(&p->member, str_from(duty), now_us(), out);
 }
 
 static bool find_limiter(peers_t *p, const char *team, member_vm_t *out)
 {
-	char duty[sizeof("limits-") + MEMBER_NAME_SIZE];
+	char duty[sizeof("limit/") + MEMBER_NAME_SIZE];
 
-	name_limit_duty(p, team, duty, sizeof(duty));
 	if (p->sup->settings->fleet)
-		return member_regional_host(&p->member, str_from(duty),
-					    now_us(), out);
+		return find_fleet_limiter(
+			p, (uint32_t)(str_hash(str_from(team)) % LIMIT_HOSTS),
+			out);
+	g_snprintf(duty, sizeof(duty), "limit/%s", team);
 	return member_dispatcher(&p->member, str_from(p->self.zone),
 				 str_from(duty), 0, now_us(), out);
 }
@@ -137,12 +136,8 @@
 {
 	member_vm_t vm;
 
-	for (unsigned int i = 0; i < LIMIT_HOSTS; i++) {
-		char duty[MEMBER_NAME_SIZE];
-
-		g_snprintf(duty, sizeof(duty), "limits-%u", i);
-		member_regional_host(&p->member, str_from(duty), now_us(), &vm);
-	}
+	for (uint32_t i = 0; i < LIMIT_HOSTS; i++)
+		find_fleet_limiter(p, i, &vm);
 	for (guint i = 0; i < p->regional->len; i++)
 		member_regional_host(&p->member,
 				     str_from(p->regional->pdata[i]), now_us(),
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -8,7 +8,7 @@
 
 #include "common/log.h"
 #include "common/unique.h"
-#include "core/zone_groups.h"
+#include "daemon/fleet_view.h"
 #include "daemon/frames.h"
 #include "daemon/peers.h"
 #include "daemon/vm_frames.h"
@@ -382,12 +382,7 @@
 
 	g_ptr_array_set_size(p->regional, 0);
 	zone_groups_init(&groups, p->self.zone);
-	for (guint i = 0; i < vms->runners->len; i++) {
-		const log_runner_t *r =
-			&g_array_index(vms->runners, log_runner_t, i);
-
-		zone_groups_add(&groups, r->service, r->zone);
-	}
+	fleet_view_groups(vms, &groups);
 	zone_groups_each_regional(&groups, add_regional, p->regional);
 	zone_groups_finish(&groups);
 }
--- a/daemon/store_topic.c
+++ b/daemon/store_topic.c
@@ -80,8 +80,9 @@
 
 /*
  * Tells the other daemons what was read, also when it is nothing: of the keys
- * in CHANGED the newest record of the page, and that those in GONE are gone. Whoever knows all up to FROM, or
- * listed the topic since, then knows what this daemon does.
+ * in CHANGED the newest record of the page, and that those in GONE are gone.
+ * Whoever knows all up to FROM, or listed the topic since, then knows what
+ * this daemon does.
  */
 static void post_news(store_follower_t *f, uint64_t from,
 		      const store_page_t *page, GHashTable *changed,
@@ -116,22 +117,32 @@
 	supervisor_post(f->env->sup, TASK_PEERS, &m);
 }
 
+/* What follows is the topic's whole list, until end_list. */
+static void begin_list(store_follower_t *f)
+{
+	topic_records_clear(&f->records);
+	if (f->topic == STORE_RUNNERS)
+		runner_list_begin(f->env->runners);
+}
+
+static void end_list(store_follower_t *f)
+{
+	if (f->topic == STORE_RUNNERS)
+		runner_list_end(f->env->runners, now_us());
+}
+
 /* Takes a page over; adds the keys whose entries say anything new. */
 static void take_page(store_follower_t *f, const store_page_t *page,
 		      bool is_list, GHashTable *changed)
 {
-	runner_list_t *runners = f->env->runners;
-
 	if (is_list)
-		topic_records_clear(&f->records);
-	if (is_list && f->topic == STORE_RUNNERS)
-		runner_list_begin(runners);
+		begin_list(f);
 	for (size_t i = 0; i < page->n_entries; i++)
 		if (take_entry(f, &page->entries[i]))
 			g_hash_table_add(changed,
 					 (gpointer)&page->entries[i].key);
-	if (is_list && f->topic == STORE_RUNNERS)
-		runner_list_end(runners, now_us());
+	if (is_list)
+		end_list(f);
 }
 
 static void take_records(store_follower_t *f, const GArray *records)
@@ -149,18 +160,13 @@
 /* Takes another daemon's whole list, when nothing newer is known. */
 static void hear_list(store_follower_t *f, const message_news_t *news)
 {
-	runner_list_t *runners = f->env->runners;
-
 	if (!topic_follow_take_list(&f->state, news->next, now_us()))
 		return;
 	log_event("listed-by-daemon", "topic=%s records=%u next=%" PRIu64,
 		  store_topic_name(f->topic), news->records->len, news->next);
-	topic_records_clear(&f->records);
-	if (f->topic == STORE_RUNNERS)
-		runner_list_begin(runners);
+	begin_list(f);
 	take_records(f, news->records);
-	if (f->topic == STORE_RUNNERS)
-		runner_list_end(runners, now_us());
+	end_list(f);
 }
 
 void store_follower_hear(store_follower_t *f, const message_news_t *news)
