tests: requests and answers of the gateway's modules stand in its bed

Five modules wrote the same request, the same whole answer and the same head of a stream. The bytes on the wire are the same, no assertion changed.

--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -11,6 +11,21 @@
 
 #include "daemon/gateway.h"
 
+/* A caller's request, with its attempt's id; its head alone. */
+#define ASK_HEAD(path, id)                                           \
+	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " id     \
+	"\r\nX-Key: key\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2" \
+	"\r\n\r\n"
+#define ASK(path, id) ASK_HEAD(path, id) "hi"
+/* A runner's whole answer, and the head of a stream. */
+#define OK                                                              \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
+	"Content-Length: 2\r\n\r\nok"
+#define STREAM                                                          \
+	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
+	"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked" \
+	"\r\n\r\n"
+
 enum {
 	BED_RUNNERS = 2,
 	BED_CALLERS = 4,
--- a/tests/test_dripping_stream.c
+++ b/tests/test_dripping_stream.c
@@ -5,14 +5,10 @@
 #include "tests/lib_gateway.h"
 #include "tests/lib_suite.h"
 
-#define ASK(path)                                                  \
+#define ASK_LONG(path)                                             \
 	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n" \
 	"X-Key: key\r\nX-Deadline-Ms: 60000\r\nContent-Length: 2"  \
 	"\r\n\r\nhi"
-#define STREAM                                                          \
-	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
-	"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked" \
-	"\r\n\r\n"
 #define EVENT "c\r\nid: 1\ndata\n\n\r\n"
 #define END "0\r\n\r\n"
 
@@ -40,7 +36,7 @@
 	gateway_bed_configure(&bed);
 	bed.runners[0].replies = begins;
 	bed.runners[0].trail = (trail_t){ str_from(c->bytes), c->every_ms, 0 };
-	gateway_send(&bed, 0, ASK("/fixed/"));
+	gateway_send(&bed, 0, ASK_LONG("/fixed/"));
 	gateway_await_close(&bed, 0);
 	took_ms = (g_get_monotonic_time() - begin) / 1000;
 	/* A sound one lasts until the route's timeout; no stalled one does. */
@@ -78,7 +74,7 @@
 	bed.runners[0].replies = begins;
 	bed.runners[0].trail = (trail_t){ STR_LIT("1\r\nb\r\n"), 20, 0 };
 	bed.runners[1].replies = rest;
-	gateway_send(&bed, 0, ASK("/stream/"));
+	gateway_send(&bed, 0, ASK_LONG("/stream/"));
 	gateway_await(&bed, 0, "id: 2");
 	ck_assert_int_eq(gateway_count(&bed, 0, "id: 1"), 1);
 	/* The first runner's connection was closed before that. */
--- a/tests/test_endless_answer.c
+++ b/tests/test_endless_answer.c
@@ -7,12 +7,7 @@
 #include "tests/lib_gateway.h"
 #include "tests/lib_suite.h"
 
-#define ASK(path, id)                                                \
-	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " id     \
-	"\r\nX-Key: key\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2" \
-	"\r\n\r\nhi"
 #define SEAL "X-Attempt-Id: @\r\nX-Server-Seal: seal\r\n"
-#define OK "HTTP/1.1 200 OK\r\n" SEAL "Content-Length: 2\r\n\r\nok"
 #define CHUNKED "HTTP/1.1 200 OK\r\n" SEAL "Transfer-Encoding: chunked\r\n\r\n"
 #define TEN(x) x x x x x x x x x x
 #define HUNDRED(x) TEN(TEN(x))
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -1,13 +1,6 @@
 #include "tests/lib_gateway.h"
 #include "tests/lib_suite.h"
 
-#define ASK(path, id)                                                \
-	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " id     \
-	"\r\nX-Key: key\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2" \
-	"\r\n\r\nhi"
-#define OK                                                              \
-	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
-	"Content-Length: 2\r\n\r\nok"
 #define FAILED                                                         \
 	"HTTP/1.1 500 Error\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal" \
 	"\r\nContent-Length: 3\r\n\r\nbad"
@@ -17,10 +10,6 @@
 #define OTHER                                                           \
 	"HTTP/1.1 421 Other\r\nX-Instance-Id: i-9\r\nContent-Length: 0" \
 	"\r\n\r\n"
-#define STREAM                                                          \
-	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
-	"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked" \
-	"\r\n\r\n"
 #define EVENT_1 "c\r\nid: 1\ndata\n\n\r\n"
 #define EVENT_2 "c\r\nid: 2\ndata\n\n\r\n"
 
--- a/tests/test_late_copy.c
+++ b/tests/test_late_copy.c
@@ -6,10 +6,6 @@
 #include "tests/lib_gateway.h"
 #include "tests/lib_suite.h"
 
-#define ASK(path, id)                                                \
-	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " id     \
-	"\r\nX-Key: key\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2" \
-	"\r\n\r\nhi"
 #define ANSWER(id, body)                       \
 	"HTTP/1.1 200 OK\r\nX-Attempt-Id: " id \
 	"\r\nX-Server-Seal: seal\r\nContent-Length: 3\r\n\r\n" body
--- a/tests/test_paused_process.c
+++ b/tests/test_paused_process.c
@@ -11,13 +11,10 @@
 #include "tests/lib_gateway.h"
 #include "tests/lib_suite.h"
 
-#define ASK(path, key)                                               \
+#define ASK_AS(path, key)                                            \
 	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n"   \
 	"X-Key: " key "\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2" \
 	"\r\n\r\nhi"
-#define OK                                                              \
-	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
-	"Content-Length: 2\r\n\r\nok"
 
 enum {
 	TIMEOUT_MS = 200, /* after which the others take over */
@@ -80,7 +77,7 @@
 
 	begin(&bed);
 	bed.is_mute = true;
-	gateway_send(&bed, 0, ASK("/once/", "key"));
+	gateway_send(&bed, 0, ASK_AS("/once/", "key"));
 	gateway_await_count(&bed, &bed.wants, 1);
 	suspended_ms += SHORT_PAUSE_MS;
 	gateway_grant_last(&bed);
@@ -102,7 +99,7 @@
 
 	begin(&bed);
 	bed.is_mute = true;
-	gateway_send(&bed, 0, ASK("/once/", "key"));
+	gateway_send(&bed, 0, ASK_AS("/once/", "key"));
 	gateway_await_count(&bed, &bed.wants, 1);
 	suspended_ms += LONG_PAUSE_MS;
 	gateway_grant_last(&bed);
@@ -120,7 +117,7 @@
 
 	begin(&bed);
 	bed.limit_is_mute = true;
-	gateway_send(&bed, 0, ASK("/once/", "low"));
+	gateway_send(&bed, 0, ASK_AS("/once/", "low"));
 	gateway_await_count(&bed, &bed.limits, 1);
 	suspended_ms += SHORT_PAUSE_MS;
 	gateway_allow_last(&bed);
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -6,17 +6,7 @@
 #include "tests/lib_gateway.h"
 #include "tests/lib_suite.h"
 
-#define HEAD(path)                                                 \
-	"POST " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n" \
-	"X-Key: key\r\nX-Deadline-Ms: 5000\r\nContent-Length: 2\r\n\r\n"
-#define ASK(path) HEAD(path) "hi"
-#define OK                                                              \
-	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
-	"Content-Length: 2\r\n\r\nok"
-#define STREAM                                                          \
-	"HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\nX-Server-Seal: seal\r\n" \
-	"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked" \
-	"\r\n\r\nc\r\nid: 1\ndata\n\n\r\n"
+#define EVENT "c\r\nid: 1\ndata\n\n\r\n"
 #define REST "c\r\nid: 2\ndata\n\n\r\n0\r\n\r\n"
 
 enum {
@@ -56,11 +46,11 @@
 
 	begin(&bed);
 	/* One connection is kept, one request half sent, one not granted. */
-	gateway_send(&bed, 0, ASK("/safe/"));
+	gateway_send(&bed, 0, ASK("/safe/", "a"));
 	gateway_await(&bed, 0, "\r\n\r\nok");
-	gateway_send(&bed, 1, HEAD("/once/"));
+	gateway_send(&bed, 1, ASK_HEAD("/once/", "a"));
 	bed.is_mute = true;
-	gateway_send(&bed, 2, ASK("/once/"));
+	gateway_send(&bed, 2, ASK("/once/", "a"));
 	gateway_await_count(&bed, &bed.wants, 2);
 	drain(&bed);
 	bed.is_mute = false;
@@ -69,7 +59,7 @@
 	gateway_send(&bed, 1, "hi");
 	gateway_await(&bed, 1, "\r\n\r\nok");
 	g_string_truncate(bed.callers[0].received, 0);
-	gateway_send(&bed, 0, ASK("/once/"));
+	gateway_send(&bed, 0, ASK("/once/", "a"));
 	gateway_await(&bed, 0, "\r\n\r\nok");
 	/* Each was told that the connection ends. */
 	for (int i = 0; i < 3; i++) {
@@ -88,7 +78,7 @@
 	begin(&bed);
 	drain(&bed);
 	for (int i = 0; i < ROUNDS; i++) {
-		gateway_send(&bed, i % BED_CALLERS, ASK("/once/"));
+		gateway_send(&bed, i % BED_CALLERS, ASK("/once/", "a"));
 		gateway_await(&bed, i % BED_CALLERS, "\r\n\r\nok");
 		gateway_leave(&bed, i % BED_CALLERS);
 		gateway_run(&bed, ROUND_MS);
@@ -99,13 +89,13 @@
 
 START_TEST(a_running_stream_goes_on_to_its_end)
 {
-	static const reply_t begins[] = { { STREAM, REPLY_KEEP } };
+	static const reply_t begins[] = { { STREAM EVENT, REPLY_KEEP } };
 	gateway_bed_t bed;
 
 	begin(&bed);
 	bed.runners[0].replies = begins;
 	bed.runners[0].trail = (trail_t){ STR_LIT(REST), STREAM_MS, 1 };
-	gateway_send(&bed, 0, ASK("/fixed/"));
+	gateway_send(&bed, 0, ASK("/fixed/", "a"));
 	gateway_await(&bed, 0, "id: 1");
 	drain(&bed);
 	gateway_await(&bed, 0, "0\r\n\r\n");
