--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -7,6 +7,8 @@
 
 enum {
 	RETRY_MS = 300, /* Retry-After of requests that did not run */
+	PART_TEXT_SIZE = 17, /* 16 hexadecimal digits and a separator */
+	PARTS_TEXT_SIZE = PART_TEXT_SIZE * CALL_MAX_PARTS + 1,
 };
 
 static bool is_success(const relay_t *r)
@@ -108,23 +110,40 @@
 	return true;
 }
 
+/* Writes the shared parts of the request's prompt for a log line. */
+static const char *parts_text(const relay_t *r, char buf[PARTS_TEXT_SIZE])
+{
+	size_t len = 0;
+
+	g_strlcpy(buf, "-", PARTS_TEXT_SIZE);
+	for (uint32_t i = 0; i < r->call.n_parts; i++)
+		len += (size_t)g_snprintf(buf + len, PARTS_TEXT_SIZE - len,
+					  "%s%" PRIx64, i ? "," : "",
+					  r->call.parts[i]);
+	return buf;
+}
+
 /* Logs a sample of the successes, and every error of a runner. */
 static void log_answer(const relay_t *r)
 {
 	static const char format[] =
 		"request=%s status=%d by=runner route=%s team=%s runner=%s "
-		"config=%" PRIu64 " sent=%u events=%" PRIu64 " age_ms=%" PRId64;
+		"config=%" PRIu64 " sent=%u events=%" PRIu64 " age_ms=%" PRId64
+		" parts=%s";
+	char parts[PARTS_TEXT_SIZE];
 	int64_t age_ms = (now_us() - r->arrived_at) / 1000;
 	const char *team = r->team ? r->team->name : "-";
 
 	if (is_success(r))
 		log_sample("answered", format, r->id, r->answer.status,
 			   r->route->name, team, r->runner.name,
-			   r->fleet->version, r->sends, r->n_events, age_ms);
+			   r->fleet->version, r->sends, r->n_events, age_ms,
+			   parts_text(r, parts));
 	else
 		log_event("answered", format, r->id, r->answer.status,
 			  r->route->name, team, r->runner.name,
-			  r->fleet->version, r->sends, r->n_events, age_ms);
+			  r->fleet->version, r->sends, r->n_events, age_ms,
+			  parts_text(r, parts));
 }
 
 static void forward_answer(relay_t *r)
@@ -159,11 +178,13 @@
 
 void relay_on_attempt_lost(relay_t *r, const char *why)
 {
+	char parts[PARTS_TEXT_SIZE];
+
 	log_event("attempt-lost",
 		  "request=%s runner=%s status=%d events=%" PRIu64
-		  " sent=%u why=\"%s\"",
+		  " sent=%u parts=%s why=\"%s\"",
 		  r->id, r->runner.name, r->has_answer ? r->answer.status : 0,
-		  r->n_events, r->sends, why);
+		  r->n_events, r->sends, parts_text(r, parts), why);
 	r->possible_runs++;
 	relay_report_done(r, DONE_BROKEN);
 	if (!relay_retry(r))
--- a/tests/test_call_head.c
+++ b/tests/test_call_head.c
@@ -62,10 +62,48 @@
 	ck_assert_uint_eq(call.prompt_tokens, 1460);
 	ck_assert_uint_eq(call.max_output_tokens, 80);
 	ck_assert_uint_ne(call.prefix_hash, 0);
+	/* The last part is the request's own. */
+	ck_assert_uint_eq(call.n_parts, 2);
+	ck_assert_uint_eq(call.parts[0], 0x5c);
+	ck_assert_uint_eq(call.parts[1], 0x91);
 	http1_reader_finish(&p.reader);
 }
 END_TEST
 
+/* Decodes a request with the prompt parts PARTS. */
+static call_head_t call_with_parts(const char *parts)
+{
+	g_autofree char *text = g_strdup_printf("POST / HTTP/1.1\r\nHost: h\r\n"
+						"X-Prefix-Hash: %s\r\n\r\n",
+						parts);
+	call_head_t call;
+	parsed_t p;
+
+	ck_assert(call_head_read(parse(&p, HTTP1_REQUEST, text), &call, NULL));
+	http1_reader_finish(&p.reader);
+	return call;
+}
+
+START_TEST(parts_of_a_prompt_are_told_apart)
+{
+	g_autoptr(GString) many = g_string_new("1:1");
+	call_head_t call = call_with_parts("zz:1,5C:2,:3,"
+					   "10000000000000000:4,e:5");
+
+	ck_assert_uint_eq(call.n_parts, 3);
+	ck_assert_uint_eq(call.parts[1], 0x5c);
+	/* Identifiers that are no numbers of 64 bits are hashed. */
+	ck_assert_uint_ne(call.parts[0], call.parts[2]);
+	ck_assert_uint_ne(call.parts[2], 0);
+	ck_assert_uint_eq(call_with_parts("e:5").n_parts, 0);
+	ck_assert_uint_eq(call_with_parts("").n_parts, 0);
+	ck_assert_uint_eq(call_with_parts(",,").n_parts, 0);
+	for (int i = 0; i < CALL_MAX_PARTS * 2; i++)
+		g_string_append(many, ",2:2");
+	ck_assert_uint_eq(call_with_parts(many->str).n_parts, CALL_MAX_PARTS);
+}
+END_TEST
+
 /* Returns REQUEST's head as it is forwarded to a runner. */
 static char *forwarded_head(const forward_params_t *terms)
 {
@@ -320,6 +358,7 @@
 END_TEST
 
 SUITE_MAIN("call_head", a_request_head_is_decoded,
+	   parts_of_a_prompt_are_told_apart,
 	   headers_set_by_the_gateway_are_not_taken_from_callers,
 	   a_resumed_stream_names_the_last_event_forwarded,
 	   requests_with_invalid_headers_are_refused,
