--- /dev/null
+++ b/core/quarantine.c
@@ -0,0 +1,255 @@
+#include "core/quarantine.h"
+
+#include "common/str.h"
+
+#define SETTLE_US (QUARANTINE_SETTLE_MS * INT64_C(1000))
+#define MINUTE_US (INT64_C(60) * 1000 * 1000)
+/* Crashes further apart than this are not related. */
+#define REPORT_LIFE_US MINUTE_US
+/* Doubles with each further quarantine of the same part. */
+#define FIRST_DURATION_US (5 * MINUTE_US)
+#define MAX_DURATION_US (60 * MINUTE_US)
+/* After a quarantine, one crash within this time begins the next. */
+#define PROBATION_US (60 * MINUTE_US)
+
+void quarantine_init(quarantine_t *q)
+{
+	crash_reports_init(&q->reports);
+	q->entries = g_array_new(FALSE, TRUE, sizeof(quarantine_entry_t));
+}
+
+void quarantine_finish(quarantine_t *q)
+{
+	crash_reports_finish(&q->reports);
+	g_array_unref(q->entries);
+}
+
+uint64_t quarantine_runner_hash(const char *name, int64_t born_ms)
+{
+	return str_hash(str_from(name)) ^
+	       str_hash((str_t){ (const char *)&born_ms, sizeof(born_ms) });
+}
+
+static quarantine_entry_t *entry_at(const quarantine_t *q, guint i)
+{
+	return &g_array_index(q->entries, quarantine_entry_t, i);
+}
+
+static quarantine_entry_t *find_entry(const quarantine_t *q, uint64_t part)
+{
+	for (guint i = 0; i < q->entries->len; i++)
+		if (entry_at(q, i)->part == part)
+			return entry_at(q, i);
+	return NULL;
+}
+
+static void remove_old(quarantine_t *q, int64_t now)
+{
+	crash_reports_remove_before(&q->reports, now - REPORT_LIFE_US);
+	for (guint i = q->entries->len; i-- > 0;)
+		if (now - entry_at(q, i)->until > PROBATION_US)
+			g_array_remove_index(q->entries, i);
+}
+
+static int64_t duration_us(uint32_t times)
+{
+	int64_t us = FIRST_DURATION_US;
+
+	while (--times && us < MAX_DURATION_US)
+		us *= 2;
+	return MIN(us, MAX_DURATION_US);
+}
+
+/* Returns the entry of PART; makes room for a new one. */
+static quarantine_entry_t *add_entry(quarantine_t *q, uint64_t part)
+{
+	quarantine_entry_t *entry = find_entry(q, part);
+	guint first = 0;
+
+	if (entry)
+		return entry;
+	if (q->entries->len < QUARANTINE_MAX_ENTRIES) {
+		g_array_set_size(q->entries, q->entries->len + 1);
+		first = q->entries->len - 1;
+	} else {
+		for (guint i = 1; i < q->entries->len; i++)
+			if (entry_at(q, i)->until < entry_at(q, first)->until)
+				first = i;
+	}
+	entry = entry_at(q, first);
+	*entry = (quarantine_entry_t){ .part = part };
+	return entry;
+}
+
+/* Quarantines PART if the reports suffice. Returns whether that is new. */
+static bool judge(quarantine_t *q, uint64_t part, int64_t now)
+{
+	quarantine_entry_t *entry = find_entry(q, part);
+	crash_evidence_t e = crash_reports_evidence(&q->reports, part);
+	bool is_held = entry && now < entry->until;
+	bool is_enough = e.n_runners >= QUARANTINE_CRASHES &&
+			 e.n_requests >= QUARANTINE_REQUESTS;
+
+	/* On probation, or held by another daemon's word, one is enough. */
+	if (!e.n_runners || (!is_enough && !entry))
+		return false;
+	if (!entry)
+		entry = add_entry(q, part);
+	if (!is_held) {
+		entry->times++;
+		entry->until = e.latest_at + duration_us(entry->times);
+	}
+	if (entry->common.n)
+		prompt_parts_intersect(&entry->common, &e.common);
+	else
+		entry->common = e.common;
+	return !is_held;
+}
+
+void quarantine_add_report(quarantine_t *q, const crash_report_t *report,
+			   bool is_own, int64_t now)
+{
+	if (report->parts.n && now - report->at <= REPORT_LIFE_US)
+		crash_reports_add(&q->reports, report, is_own, now);
+}
+
+/* Judges all parts of a report that counts from now on. */
+static void judge_parts(quarantine_t *q, const crash_record_t *record,
+			int64_t now, quarantine_fn fn, void *ctx)
+{
+	for (uint32_t p = 0; p < record->crash.parts.n; p++) {
+		uint64_t part = record->crash.parts.ids[p];
+
+		if (judge(q, part, now))
+			fn(ctx, find_entry(q, part), record->is_own);
+	}
+}
+
+void quarantine_tick(quarantine_t *q, int64_t now, quarantine_fn fn, void *ctx)
+{
+	remove_old(q, now);
+	for (guint i = 0; i < q->reports.records->len; i++) {
+		crash_record_t *record = crash_reports_get(&q->reports, i);
+
+		if (record->is_judged || now - record->received_at < SETTLE_US)
+			continue;
+		record->is_judged = true;
+		judge_parts(q, record, now, fn, ctx);
+	}
+}
+
+bool quarantine_set_sound(quarantine_t *q, const prompt_parts_t *parts)
+{
+	bool is_news = false;
+
+	for (uint32_t p = 0; p < parts->n; p++) {
+		is_news |= crash_reports_set_sound(&q->reports, parts->ids[p]);
+		for (guint i = q->entries->len; i-- > 0;) {
+			quarantine_entry_t *entry = entry_at(q, i);
+
+			if (entry->part != parts->ids[p]) {
+				prompt_parts_remove(&entry->common,
+						    parts->ids[p]);
+				continue;
+			}
+			g_array_remove_index(q->entries, i);
+			is_news = true;
+		}
+	}
+	return is_news;
+}
+
+/* Ends PART's first quarantine if it began on reports that are gone now. */
+static void reconsider(quarantine_t *q, uint64_t part, int64_t now)
+{
+	for (guint i = q->entries->len; i-- > 0;) {
+		const quarantine_entry_t *entry = entry_at(q, i);
+		int64_t since = entry->until - duration_us(entry->times);
+
+		if (entry->part == part && entry->times == 1 &&
+		    now - since < REPORT_LIFE_US &&
+		    crash_reports_evidence(&q->reports, part).n_runners <
+			    QUARANTINE_CRASHES)
+			g_array_remove_index(q->entries, i);
+	}
+}
+
+bool quarantine_set_alive(quarantine_t *q, uint64_t runner, int64_t sent_at,
+			  int64_t now)
+{
+	bool is_news = false;
+
+	for (guint i = q->reports.records->len; i-- > 0;) {
+		crash_report_t crash = crash_reports_get(&q->reports, i)->crash;
+
+		if (crash.runner != runner || crash.at >= sent_at)
+			continue;
+		g_array_remove_index(q->reports.records, i);
+		for (uint32_t p = 0; p < crash.parts.n; p++)
+			reconsider(q, crash.parts.ids[p], now);
+		is_news = true;
+	}
+	return is_news;
+}
+
+bool quarantine_add_entry(quarantine_t *q, const quarantine_entry_t *entry,
+			  int64_t now)
+{
+	quarantine_entry_t *known = find_entry(q, entry->part);
+	bool is_held = known && now < known->until;
+
+	remove_old(q, now);
+	if (now >= entry->until || !entry->common.n || !entry->times)
+		return false;
+	known = add_entry(q, entry->part);
+	if (is_held) {
+		prompt_parts_intersect(&known->common, &entry->common);
+	} else {
+		known->common = entry->common;
+		known->until = MIN(entry->until, now + MAX_DURATION_US);
+	}
+	known->times = MAX(known->times, entry->times);
+	return !is_held;
+}
+
+const quarantine_entry_t *quarantine_match(const quarantine_t *q,
+					   const prompt_parts_t *parts,
+					   int64_t now)
+{
+	for (guint i = 0; i < q->entries->len; i++) {
+		const quarantine_entry_t *entry = entry_at(q, i);
+
+		if (now < entry->until &&
+		    prompt_parts_find(parts, entry->part) >= 0 &&
+		    prompt_parts_is_subset(&entry->common, parts))
+			return entry;
+	}
+	return NULL;
+}
+
+bool quarantine_is_suspect(const quarantine_t *q, const prompt_parts_t *parts,
+			   int64_t now)
+{
+	for (guint i = 0; i < q->entries->len; i++)
+		if (now < entry_at(q, i)->until &&
+		    prompt_parts_find(parts, entry_at(q, i)->part) >= 0)
+			return true;
+	return false;
+}
+
+uint32_t quarantine_count(const quarantine_t *q, int64_t now)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < q->entries->len; i++)
+		n += now < entry_at(q, i)->until;
+	return n;
+}
+
+void quarantine_each(const quarantine_t *q, int64_t now, quarantine_fn fn,
+		     void *ctx)
+{
+	for (guint i = 0; i < q->entries->len; i++)
+		if (now < entry_at(q, i)->until)
+			fn(ctx, entry_at(q, i), false);
+}
--- /dev/null
+++ b/core/quarantine.h
@@ -0,0 +1,99 @@
+/*
+ * Quarantine of prompt parts that crash runners (poison requests). A daemon
+ * reports each exchange that broke right after its answer began, and all
+ * daemons keep the recent reports. A part is quarantined once enough runners
+ * crashed on requests that have it, unless a request with that part was
+ * answered since. All these crashes may have other parts in common as well: a
+ * request is refused only if it has them all.
+ *
+ * A crash is judged when the reports of other daemons had time to arrive.
+ *
+ * Does no I/O and reads no clock; times are microseconds of the monotonic
+ * clock. The tables are bounded: the quarantine that ends first makes room.
+ */
+#ifndef CORE_QUARANTINE_H
+#define CORE_QUARANTINE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/crash_reports.h"
+
+enum {
+	QUARANTINE_MAX_ENTRIES = 64,
+	/* Crashes of different runners that put a part into quarantine. */
+	QUARANTINE_CRASHES = 3,
+	/* Of different requests: one alone may be unlucky several times. */
+	QUARANTINE_REQUESTS = 2,
+	/* After the first report of a crash, until it is judged. */
+	QUARANTINE_SETTLE_MS = 100,
+};
+
+/* A part in quarantine. */
+typedef struct quarantine_entry {
+	uint64_t part;
+	prompt_parts_t common; /* parts of all crashes, PART included */
+	int64_t until;
+	uint32_t times; /* how often it was quarantined; sets the duration */
+} quarantine_entry_t;
+
+typedef struct quarantine {
+	crash_reports_t reports;
+	GArray *entries; /* of quarantine_entry_t, ended ones included */
+} quarantine_t;
+
+void quarantine_init(quarantine_t *q);
+void quarantine_finish(quarantine_t *q);
+
+/* Returns the hash of a runner's incarnation, for reports. */
+uint64_t quarantine_runner_hash(const char *name, int64_t born_ms);
+
+/*
+ * Adds a report, this daemon's own or another's, unless it is known or too old.
+ */
+void quarantine_add_report(quarantine_t *q, const crash_report_t *report,
+			   bool is_own, int64_t now);
+/* Called for a part that is quarantined; ENTRY is valid until it returns. */
+typedef void (*quarantine_fn)(void *ctx, const quarantine_entry_t *entry,
+			      bool is_own);
+/*
+ * Judges the reports that are old enough. Calls FN for each quarantine that
+ * begins; IS_OWN: the last report that it needed is this daemon's. FN must not
+ * change Q. To be called a few times in QUARANTINE_SETTLE_MS.
+ */
+void quarantine_tick(quarantine_t *q, int64_t now, quarantine_fn fn, void *ctx);
+/*
+ * A request with PARTS is being answered: none of them crashes runners. Ends
+ * their quarantine. Returns whether that was news: a report had named one.
+ */
+bool quarantine_set_sound(quarantine_t *q, const prompt_parts_t *parts);
+/*
+ * A runner's incarnation answers a request that was sent at SENT_AT: what was
+ * reported of it before that was no crash. Returns whether there was anything.
+ */
+bool quarantine_set_alive(quarantine_t *q, uint64_t runner, int64_t sent_at,
+			  int64_t now);
+/* Adds another daemon's quarantine. Returns whether it was news. */
+bool quarantine_add_entry(quarantine_t *q, const quarantine_entry_t *entry,
+			  int64_t now);
+/*
+ * Returns the quarantine that refuses a request with PARTS now; NULL: none.
+ * It is valid until Q changes.
+ */
+const quarantine_entry_t *quarantine_match(const quarantine_t *q,
+					   const prompt_parts_t *parts,
+					   int64_t now);
+/*
+ * Tells whether PARTS has a part in quarantine, also where a request with these
+ * is not refused, as it lacks others that the crashes have in common.
+ */
+bool quarantine_is_suspect(const quarantine_t *q, const prompt_parts_t *parts,
+			   int64_t now);
+/* Returns how many parts are in quarantine now. */
+uint32_t quarantine_count(const quarantine_t *q, int64_t now);
+/* Calls FN, which must not change Q, for each part in quarantine now. */
+void quarantine_each(const quarantine_t *q, int64_t now, quarantine_fn fn,
+		     void *ctx);
+
+#endif
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -13,6 +13,7 @@
 
 #include "core/fleet.h"
 #include "core/hot_prefix.h"
+#include "core/quarantine.h"
 #include "core/retry_budget.h"
 #include "core/runner_filter.h"
 #include "core/zone_groups.h"
@@ -34,6 +35,7 @@
 	upstream_pool_t pool;
 	zone_groups_t groups; /* of the runners of each service */
 	hot_prefix_t prefixes; /* prompt prefixes of recent requests */
+	quarantine_t quarantine; /* prompt parts that crash runners */
 	fleet_t *fleet; /* NULL until a configuration is in force */
 	retry_budget_t retries;
 	/* status of runners, as known to this daemon */
@@ -108,4 +110,13 @@
 void relay_on_zone_partition(relay_t *r, const char *zone);
 void relay_free(relay_t *r);
 
+/* relay_quarantine.c: prompt parts that crash runners. */
+
+/* Judges what was reported lately; called every TICK_MS. */
+void gateway_check_quarantine(gateway_t *g);
+/* Handles another daemon's notice. */
+void gateway_on_part_notice(gateway_t *g, const message_part_t *notice);
+/* Tells a daemon, to which a link is up now, what is in quarantine. */
+void gateway_send_quarantine(gateway_t *g, const char *peer);
+
 #endif
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -87,6 +87,8 @@
 
 	metrics_set(m, "papaya_requests_in_progress", NULL,
 		    g_hash_table_size(g->relays));
+	metrics_set(m, "papaya_quarantined_parts", NULL,
+		    quarantine_count(&g->quarantine, now_us()));
 	metrics_set(m, "papaya_callers", NULL, g_hash_table_size(g->callers));
 	metrics_set(m, "papaya_upstream_connects_total", NULL,
 		    g->pool.stats.connects);
@@ -133,6 +135,7 @@
 	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
 	int64_t now = now_us();
 
+	gateway_check_quarantine(g);
 	for (GList *link = relays; link; link = link->next)
 		relay_tick(link->data, now);
 	export_stats(g);
@@ -237,6 +240,12 @@
 	case MESSAGE_ZONE_PARTITION:
 		set_zone_partitioned(g, m->contact.name, m->contact.is_lost);
 		break;
+	case MESSAGE_PART_NOTICE:
+		gateway_on_part_notice(g, &m->part);
+		break;
+	case MESSAGE_LINK_UP:
+		gateway_send_quarantine(g, m->contact.name);
+		break;
 	case MESSAGE_DRAIN:
 		g->drain_since = now_us();
 		break;
@@ -283,6 +292,7 @@
 	g->partitioned_zones =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	zone_groups_init(&g->groups, sup->settings->zone);
+	quarantine_init(&g->quarantine);
 	upstream_pool_init(&g->pool, sup->base);
 	retry_budget_init(&g->retries, &none);
 	runner_filter_init(&g->runners, LEFT_RUNNER_KEEP_US);
@@ -313,6 +323,7 @@
 		evconnlistener_free(g->listener);
 	event_free(g->tick);
 	upstream_pool_finish(&g->pool);
+	quarantine_finish(&g->quarantine);
 	retry_budget_finish(&g->retries);
 	runner_filter_finish(&g->runners);
 	g_hash_table_destroy(g->relays);
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -17,6 +17,7 @@
 #include "core/limit_lease.h"
 #include "core/member.h"
 #include "core/profile.h"
+#include "core/quarantine.h"
 #include "core/dedup.h"
 #include "platform/platform_client.h"
 
@@ -74,6 +75,9 @@
 	MESSAGE_LIMIT_HOSTS, /* peers to limits: who hosts the limiter roles */
 	MESSAGE_LIMIT_LEND, /* limits to peers to limits: shares are lent */
 	MESSAGE_LIMIT_STAMP, /* likewise: the stamp for the next lease */
+	/* front to peers and back: prompt parts that crash runners */
+	MESSAGE_PART_NOTICE,
+	MESSAGE_LINK_UP, /* peers to front: a link to a daemon is up */
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: incarnation ended */
 	MESSAGE_REQUEST_LISTS, /* store to peers: request a daemon's lists */
 	MESSAGE_LISTS_REQUESTED, /* peers to store: a daemon requests lists */
@@ -204,6 +208,21 @@
 	char hosts[LIMIT_ROLES][MEMBER_NAME_SIZE]; /* "": none is reachable */
 } message_limit_hosts_t;
 
+typedef enum part_notice_kind {
+	PART_NOTICE_CRASH, /* a runner crashed as it began to answer */
+	PART_NOTICE_SOUND, /* a request with these parts is being answered */
+	PART_NOTICE_QUARANTINE, /* a part is in quarantine */
+	PART_NOTICE_KINDS,
+} part_notice_kind_t;
+
+/* What a daemon knows of prompt parts that crash runners. */
+typedef struct message_part {
+	char peer[MEMBER_NAME_SIZE]; /* the only receiver; "": all */
+	part_notice_kind_t kind;
+	crash_report_t crash; /* CRASH; SOUND: only its parts */
+	quarantine_entry_t entry; /* QUARANTINE */
+} message_part_t;
+
 typedef struct message_account {
 	accounts_key_t key;
 	accounts_sum_t delta;
@@ -232,7 +251,7 @@
 			char name[MEMBER_NAME_SIZE]; /* zone or daemon */
 			/* the zone is partitioned, the daemon unresponsive */
 			bool is_lost;
-		} contact; /* ZONE_PARTITION, PEER_UNRESPONSIVE */
+		} contact; /* ZONE_PARTITION, PEER_UNRESPONSIVE, LINK_UP */
 		message_update_t update;
 		struct {
 			uint32_t topics; /* bit mask */
@@ -246,6 +265,7 @@
 		message_limit_t limit;
 		message_lease_t lease;
 		message_limit_hosts_t limit_hosts;
+		message_part_t part;
 		message_account_t account;
 		message_append_t append;
 	};
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -46,6 +46,9 @@
  */
 void peers_check_incarnation(peers_t *p);
 
+/* Tells whether a daemon is in this one's zone; CTX is the peers_t. */
+bool peers_is_own_zone(void *ctx, const char *name);
+
 /* peers_updates.c: exchange of the platform store's records. */
 
 /*
@@ -67,6 +70,19 @@
 /* Posts to the store task whether this daemon is the fleet's store reader. */
 void peers_post_reader(peers_t *p);
 
+/* peers_parts.c: exchange of notices of prompt parts that crash runners. */
+
+/*
+ * Posts a received notice to the front task, and sends one from another zone to
+ * the daemons of the own one; false for other frames.
+ */
+bool peers_on_part_frame(peers_t *p, const char *name,
+			 const Papaya__Frame *frame);
+/* Sends a notice to the daemon that it names, or on all links. */
+void peers_send_part(peers_t *p, const message_part_t *notice);
+/* Tells the front task that the link to a daemon is up. */
+void peers_post_link_up(peers_t *p, const char *name);
+
 /* peers_detector.c: detection of unresponsive daemons and partitioned zones. */
 
 void peers_detector_start(peers_t *p);
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -25,6 +25,15 @@
 	HANDOVER_TIMEOUT_US = 10 * G_USEC_PER_SEC,
 };
 
+bool peers_is_own_zone(void *ctx, const char *name)
+{
+	peers_t *p = ctx;
+	member_vm_t vm;
+
+	return member_find(&p->member, str_from(name), &vm, NULL, NULL) &&
+	       !strcmp(vm.zone, p->self.zone);
+}
+
 static void on_probe(void *ctx, const member_vm_t *vm)
 {
 	peers_t *p = ctx;
@@ -90,6 +99,7 @@
 	log_info("link to %s is up", vm->name);
 	member_on_heartbeat(&p->member, vm, incarnation, false, now_us());
 	detector_link_up(&p->detector, vm->name, vm->zone, now_us());
+	peers_post_link_up(p, vm->name);
 	peers_post_view_changed(p);
 }
 
@@ -196,6 +206,7 @@
 		return;
 	}
 	if (peers_on_store_frame(p, name, frame) ||
+	    peers_on_part_frame(p, name, frame) ||
 	    peers_on_ping(p, name, frame))
 		return;
 	if (key_table_receive(&p->keys, name, frame))
@@ -454,6 +465,9 @@
 	case MESSAGE_TOPIC_UPDATE:
 		peers_send_update(p, &m->update);
 		break;
+	case MESSAGE_PART_NOTICE:
+		peers_send_part(p, &m->part);
+		break;
 	case MESSAGE_REQUEST_LISTS:
 		peers_request_lists(p, m->lists.topics);
 		break;
--- a/daemon/peers_updates.c
+++ b/daemon/peers_updates.c
@@ -5,15 +5,6 @@
 	STARTUP_US = 5 * G_USEC_PER_SEC, /* to learn of the other daemons */
 };
 
-static bool is_own_zone(void *ctx, const char *name)
-{
-	peers_t *p = ctx;
-	member_vm_t vm;
-
-	return member_find(&p->member, str_from(name), &vm, NULL, NULL) &&
-	       !strcmp(vm.zone, p->self.zone);
-}
-
 static void receive_update(peers_t *p, const char *name,
 			   const Papaya__StoreNews *news)
 {
@@ -24,7 +15,7 @@
 			    NULL, 1);
 		return;
 	}
-	m.update.is_from_other_zone = !is_own_zone(p, name);
+	m.update.is_from_other_zone = !peers_is_own_zone(p, name);
 	supervisor_post(p->sup, TASK_PLATFORM, &m);
 }
 
@@ -67,7 +58,7 @@
 void peers_send_update(peers_t *p, const message_update_t *update)
 {
 	update_frames_send(&p->peer, update,
-			   update->is_relayed ? is_own_zone : NULL, p);
+			   update->is_relayed ? peers_is_own_zone : NULL, p);
 }
 
 /*
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -221,8 +221,7 @@
 	r->upstream = NULL;
 }
 
-/* Withdraws the want or reports the grant's result; cancels the exchange. */
-static void release_grant(relay_t *r, done_result_t result)
+void relay_release_grant(relay_t *r, done_result_t result)
 {
 	if (r->state == RELAY_AWAITING_GRANT)
 		post_capacity(r, MESSAGE_WITHDRAW, NULL);
@@ -234,7 +233,7 @@
 void relay_cancel(relay_t *r)
 {
 	r->caller = NULL;
-	release_grant(r, DONE_CANCELLED);
+	relay_release_grant(r, DONE_CANCELLED);
 	log_event("caller-left", "request=%s runner=%s sent=%u age_ms=%" PRId64,
 		  r->id, runner_name(r), r->sends,
 		  (now_us() - r->arrived_at) / US_PER_MS);
@@ -250,7 +249,7 @@
 		return;
 	}
 	r->possible_runs += r->upstream && upstream_conn_is_sent(r->upstream);
-	release_grant(r, DONE_CANCELLED);
+	relay_release_grant(r, DONE_CANCELLED);
 	if (r->possible_runs || r->has_begun)
 		relay_fail(r, 504, 0, "the time is up");
 	else
@@ -290,7 +289,7 @@
 	if (r->sends >= MAX_SENDS ||
 	    r->possible_runs >= r->route->max_attempts ||
 	    (r->possible_runs && !fleet_may_repeat(r->route)) ||
-	    !has_retry_time(r))
+	    !has_retry_time(r) || relay_is_quarantined(r))
 		return false;
 	if (r->sends && !take_retry(r))
 		return false;
@@ -372,7 +371,7 @@
 	}
 	metrics_observe(&supervisor_of(r)->metrics, "papaya_wait_ms", NULL,
 			(now_us() - r->arrived_at) / US_PER_MS);
-	if (relay_decline_if_unusable(r))
+	if (relay_refuse_quarantined(r) || relay_decline_if_unusable(r))
 		return;
 	log_sample("granted",
 		   "request=%s runner=%s dispatcher=%s wait_ms=%" PRId64, r->id,
@@ -473,6 +472,8 @@
 
 void relay_tick(relay_t *r, int64_t now)
 {
+	if (relay_refuse_quarantined(r))
+		return;
 	if (r->state == RELAY_AWAITING_LIMIT) {
 		relay_check_limit_timeout(r, now);
 	} else if (r->state == RELAY_AWAITING_GRANT &&
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -74,6 +74,9 @@
 	sse_t sse;
 	GString *last_event_id; /* id of the last event sent to the caller */
 	uint64_t n_events; /* sent to the caller */
+	bool has_output; /* one of them had content */
+	/* A runner broke off as it began to answer this request. */
+	bool has_crash_report;
 };
 
 /* relay.c */
@@ -100,6 +103,8 @@
 /* Answers with an error made by this daemon, and frees the relay. */
 void relay_fail(relay_t *r, int status, int64_t retry_after_ms,
 		const char *why);
+/* Withdraws the want or reports the grant's result; cancels the exchange. */
+void relay_release_grant(relay_t *r, done_result_t result);
 /*
  * Cancels the exchange with the runner, if there is one. Counts it as a send
  * when any byte may have left, so that another send needs the retry budget.
@@ -136,8 +141,34 @@
  */
 bool relay_decline_if_unusable(relay_t *r);
 
+/* relay_quarantine.c */
+
+/*
+ * The exchange broke: reports it if the runner had begun to answer and the
+ * caller got no event, since a part of the prompt may have crashed the runner.
+ */
+void relay_report_crash(relay_t *r);
+/* The answer goes on after its beginning: no part of its prompt is to blame. */
+void relay_report_sound(relay_t *r);
+/* The runner began to answer: it didn't crash before the request was sent. */
+void relay_report_alive(relay_t *r);
+/*
+ * Tells whether another runner must not be tried: a part of the prompt is in
+ * quarantine, and either the quarantine refuses the request, or a runner broke
+ * off as it began to answer it.
+ */
+bool relay_is_quarantined(const relay_t *r);
+/*
+ * Answers a request with a part in quarantine, in any state, and frees the
+ * relay. Returns false, with nothing done, for other requests.
+ */
+bool relay_refuse_quarantined(relay_t *r);
+
 /* relay_answer.c */
 
+/* Tells whether the runner's answer is a success; call it after its head. */
+bool relay_is_success(const relay_t *r);
+
 void relay_answer_init(relay_t *r, size_t max_event);
 /* Callbacks of the exchange with the upstream. */
 extern const upstream_ops_t relay_answer_ops;
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -217,7 +217,7 @@
 	gateway_t *g = r->gateway;
 
 	g_hash_table_remove(g->pending, r);
-	if (!find_route_and_team(r))
+	if (!find_route_and_team(r) || relay_refuse_quarantined(r))
 		return;
 	r->service = fleet_pick_service(r->route, str_hash(r->call.attempt_id));
 	r->rank = fleet_rank(r->team, r->route);
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -7,11 +7,9 @@
 
 enum {
 	RETRY_MS = 300, /* Retry-After of requests that did not run */
-	PART_TEXT_SIZE = 17, /* 16 hexadecimal digits and a separator */
-	PARTS_TEXT_SIZE = PART_TEXT_SIZE * CALL_MAX_PARTS + 1,
 };
 
-static bool is_success(const relay_t *r)
+bool relay_is_success(const relay_t *r)
 {
 	return r->answer.status >= 200 && r->answer.status < 300;
 }
@@ -25,8 +23,10 @@
 	ingress_write_chunk(r->caller, raw);
 	r->n_events++;
 	/* A comment without id and data is a keep-alive, not progress. */
-	if (id.len || data.len)
+	if (id.len || data.len) {
 		r->progress_at = now_us();
+		r->has_output = true;
+	}
 	if (!id.len)
 		return;
 	g_string_truncate(r->last_event_id, 0);
@@ -45,7 +45,7 @@
 static bool is_valid_answer(const relay_t *r)
 {
 	return r->answer.matches_attempt && !r->answer.is_encoded &&
-	       (!is_success(r) || r->answer.is_sealed);
+	       (!relay_is_success(r) || r->answer.is_sealed);
 }
 
 static void begin_stream(relay_t *r)
@@ -67,7 +67,8 @@
 	relay_read_runner_status(r);
 	if (!is_valid_answer(r))
 		return false;
-	if (r->route->kind == FLEET_STREAM && is_success(r))
+	relay_report_alive(r);
+	if (r->route->kind == FLEET_STREAM && relay_is_success(r))
 		begin_stream(r);
 	return true;
 }
@@ -91,6 +92,7 @@
 {
 	relay_t *r = ctx;
 	uint64_t before = r->n_events;
+	bool had_output = r->has_output;
 	size_t max_backlog =
 		(size_t)r->gateway->sup->settings->caller_backlog_kib * 1024;
 
@@ -103,6 +105,8 @@
 		return false;
 	if (!before && r->n_events)
 		report_first_event(r);
+	if (!had_output && r->has_output)
+		relay_report_sound(r);
 	if (!r->is_paused && ingress_backlog(r->caller) > max_backlog) {
 		r->is_paused = true;
 		upstream_conn_pause(r->upstream, true);
@@ -110,19 +114,6 @@
 	return true;
 }
 
-/* Writes the shared parts of the request's prompt for a log line. */
-static const char *parts_text(const relay_t *r, char buf[PARTS_TEXT_SIZE])
-{
-	size_t len = 0;
-
-	g_strlcpy(buf, "-", PARTS_TEXT_SIZE);
-	for (uint32_t i = 0; i < r->call.n_parts; i++)
-		len += (size_t)g_snprintf(buf + len, PARTS_TEXT_SIZE - len,
-					  "%s%" PRIx64, i ? "," : "",
-					  r->call.parts[i]);
-	return buf;
-}
-
 /* Logs a sample of the successes, and every error of a runner. */
 static void log_answer(const relay_t *r)
 {
@@ -130,20 +121,20 @@
 		"request=%s status=%d by=runner route=%s team=%s runner=%s "
 		"config=%" PRIu64 " sent=%u events=%" PRIu64 " age_ms=%" PRId64
 		" parts=%s";
-	char parts[PARTS_TEXT_SIZE];
+	char parts[PROMPT_PARTS_TEXT_SIZE];
 	int64_t age_ms = (now_us() - r->arrived_at) / 1000;
 	const char *team = r->team ? r->team->name : "-";
 
-	if (is_success(r))
+	if (relay_is_success(r))
 		log_sample("answered", format, r->id, r->answer.status,
 			   r->route->name, team, r->runner.name,
 			   r->fleet->version, r->sends, r->n_events, age_ms,
-			   parts_text(r, parts));
+			   prompt_parts_text(&r->call.parts, parts));
 	else
 		log_event("answered", format, r->id, r->answer.status,
 			  r->route->name, team, r->runner.name,
 			  r->fleet->version, r->sends, r->n_events, age_ms,
-			  parts_text(r, parts));
+			  prompt_parts_text(&r->call.parts, parts));
 }
 
 static void forward_answer(relay_t *r)
@@ -178,13 +169,14 @@
 
 void relay_on_attempt_lost(relay_t *r, const char *why)
 {
-	char parts[PARTS_TEXT_SIZE];
+	char parts[PROMPT_PARTS_TEXT_SIZE];
 
 	log_event("attempt-lost",
 		  "request=%s runner=%s status=%d events=%" PRIu64
 		  " sent=%u parts=%s why=\"%s\"",
 		  r->id, r->runner.name, r->has_answer ? r->answer.status : 0,
-		  r->n_events, r->sends, parts_text(r, parts), why);
+		  r->n_events, r->sends,
+		  prompt_parts_text(&r->call.parts, parts), why);
 	r->possible_runs++;
 	relay_report_done(r, DONE_BROKEN);
 	if (!relay_retry(r))
@@ -213,7 +205,7 @@
 		handle_refusal(r);
 		return;
 	}
-	if (!is_success(r) && r->has_begun) {
+	if (!relay_is_success(r) && r->has_begun) {
 		relay_on_attempt_lost(r, "the stream was not taken up again");
 		return;
 	}
@@ -226,7 +218,10 @@
 		return;
 	}
 	r->possible_runs++;
-	relay_report_done(r, is_success(r) ? DONE_COMPLETED : DONE_FAILED);
+	if (relay_is_success(r) && !r->has_output)
+		relay_report_sound(r);
+	relay_report_done(r,
+			  relay_is_success(r) ? DONE_COMPLETED : DONE_FAILED);
 	forward_answer(r);
 }
 
@@ -249,6 +244,7 @@
 				   "no runner can be reached");
 		break;
 	case UPSTREAM_BROKEN:
+		relay_report_crash(r);
 		relay_on_attempt_lost(r, "the connection broke");
 		break;
 	case UPSTREAM_MALFORMED:
--- /dev/null
+++ b/daemon/relay_quarantine.c
@@ -0,0 +1,174 @@
+/*
+ * Keeps prompt parts that crash runners from them (core/quarantine.h): reports
+ * crashes and sound parts to the other daemons, and refuses requests with a
+ * part in quarantine.
+ */
+#define LOG_PART "relay"
+
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "daemon/relay.h"
+
+enum { US_PER_MS = 1000 };
+
+static uint64_t runner_hash(const relay_t *r)
+{
+	return quarantine_runner_hash(r->runner.name, r->runner.born_ms);
+}
+
+static void post_notice(gateway_t *g, const message_part_t *notice)
+{
+	message_t m = { .type = MESSAGE_PART_NOTICE, .part = *notice };
+
+	supervisor_post(g->sup, TASK_PEERS, &m);
+}
+
+static void log_quarantine(const quarantine_entry_t *entry, const char *why)
+{
+	char common[PROMPT_PARTS_TEXT_SIZE];
+
+	log_event("part-quarantined",
+		  "part=%" PRIx64 " common=%s times=%u left_ms=%" PRId64
+		  " why=\"%s\"",
+		  entry->part, prompt_parts_text(&entry->common, common),
+		  entry->times, (entry->until - now_us()) / US_PER_MS, why);
+}
+
+/* Other daemons may lack a report: who sent the last one tells them. */
+static void on_quarantine(void *ctx, const quarantine_entry_t *entry,
+			  bool is_own)
+{
+	message_part_t notice = { .kind = PART_NOTICE_QUARANTINE,
+				  .entry = *entry };
+
+	log_quarantine(entry, "runners crashed on it");
+	if (is_own)
+		post_notice(ctx, &notice);
+}
+
+void gateway_check_quarantine(gateway_t *g)
+{
+	quarantine_tick(&g->quarantine, now_us(), on_quarantine, g);
+}
+
+void relay_report_crash(relay_t *r)
+{
+	gateway_t *g = r->gateway;
+	message_part_t notice = {
+		.kind = PART_NOTICE_CRASH,
+		.crash = { runner_hash(r), str_hash(r->call.attempt_id),
+			   r->call.parts, now_us() },
+	};
+	char parts[PROMPT_PARTS_TEXT_SIZE];
+
+	if (!r->has_answer || !relay_is_success(r) || r->has_output ||
+	    !r->call.parts.n)
+		return;
+	log_event("crash-reported",
+		  "request=%s runner=%s born=%" PRId64 " parts=%s", r->id,
+		  r->runner.name, r->runner.born_ms,
+		  prompt_parts_text(&r->call.parts, parts));
+	metrics_add(&g->sup->metrics, "papaya_crash_reports_total", NULL, 1);
+	r->has_crash_report = true;
+	post_notice(g, &notice);
+	quarantine_add_report(&g->quarantine, &notice.crash, true, now_us());
+}
+
+void relay_report_sound(relay_t *r)
+{
+	gateway_t *g = r->gateway;
+	message_part_t notice = { .kind = PART_NOTICE_SOUND,
+				  .crash = { .parts = r->call.parts } };
+	char parts[PROMPT_PARTS_TEXT_SIZE];
+
+	if (!quarantine_set_sound(&g->quarantine, &r->call.parts))
+		return;
+	log_event("part-sound", "request=%s runner=%s parts=%s", r->id,
+		  r->runner.name, prompt_parts_text(&r->call.parts, parts));
+	post_notice(g, &notice);
+}
+
+void relay_report_alive(relay_t *r)
+{
+	if (quarantine_set_alive(&r->gateway->quarantine, runner_hash(r),
+				 r->progress_at, now_us()))
+		log_event("crash-disproved", "request=%s runner=%s", r->id,
+			  r->runner.name);
+}
+
+bool relay_is_quarantined(const relay_t *r)
+{
+	const quarantine_t *q = &r->gateway->quarantine;
+	int64_t now = now_us();
+
+	if (r->has_output)
+		return false;
+	if (r->has_crash_report)
+		return quarantine_is_suspect(q, &r->call.parts, now);
+	return quarantine_match(q, &r->call.parts, now) != NULL;
+}
+
+bool relay_refuse_quarantined(relay_t *r)
+{
+	static const char why[] = "a part of its prompt crashes runners";
+	const quarantine_entry_t *entry = quarantine_match(
+		&r->gateway->quarantine, &r->call.parts, now_us());
+	int64_t left_ms;
+
+	/* Once there was output, its parts are sound. */
+	if (!entry || r->has_output)
+		return false;
+	r->possible_runs += r->upstream && upstream_conn_is_sent(r->upstream);
+	left_ms = (entry->until - now_us()) / US_PER_MS;
+	relay_release_grant(r, DONE_CANCELLED);
+	if (r->possible_runs || r->has_begun)
+		relay_fail(r, 502, 0, why);
+	else
+		relay_fail(r, 503, MAX(left_ms, 1), why);
+	return true;
+}
+
+void gateway_on_part_notice(gateway_t *g, const message_part_t *notice)
+{
+	switch (notice->kind) {
+	case PART_NOTICE_CRASH:
+		quarantine_add_report(&g->quarantine, &notice->crash, false,
+				      now_us());
+		break;
+	case PART_NOTICE_SOUND:
+		quarantine_set_sound(&g->quarantine, &notice->crash.parts);
+		break;
+	case PART_NOTICE_QUARANTINE:
+		if (quarantine_add_entry(&g->quarantine, &notice->entry,
+					 now_us()))
+			log_quarantine(&notice->entry,
+				       "another daemon told so");
+		break;
+	case PART_NOTICE_KINDS:
+		break;
+	}
+}
+
+/* Where a quarantine is sent to, for quarantine_each. */
+typedef struct quarantine_receiver {
+	gateway_t *gateway;
+	const char *peer;
+} quarantine_receiver_t;
+
+static void send_entry(void *ctx, const quarantine_entry_t *entry, bool is_own)
+{
+	const quarantine_receiver_t *to = ctx;
+	message_part_t notice = { .kind = PART_NOTICE_QUARANTINE,
+				  .entry = *entry };
+
+	g_strlcpy(notice.peer, to->peer, sizeof(notice.peer));
+	post_notice(to->gateway, &notice);
+}
+
+void gateway_send_quarantine(gateway_t *g, const char *peer)
+{
+	quarantine_receiver_t to = { g, peer };
+
+	quarantine_each(&g->quarantine, now_us(), send_entry, &to);
+}
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1402,6 +1402,51 @@
   assert(message->base.descriptor == &papaya__ping__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__part_notice__init
+                     (Papaya__PartNotice         *message)
+{
+  static const Papaya__PartNotice init_value = PAPAYA__PART_NOTICE__INIT;
+  *message = init_value;
+}
+size_t papaya__part_notice__get_packed_size
+                     (const Papaya__PartNotice *message)
+{
+  assert(message->base.descriptor == &papaya__part_notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__part_notice__pack
+                     (const Papaya__PartNotice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__part_notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__part_notice__pack_to_buffer
+                     (const Papaya__PartNotice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__part_notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__PartNotice *
+       papaya__part_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__PartNotice *)
+     protobuf_c_message_unpack (&papaya__part_notice__descriptor,
+                                allocator, len, data);
+}
+void   papaya__part_notice__free_unpacked
+                     (Papaya__PartNotice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__part_notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__frame__init
                      (Papaya__Frame         *message)
 {
@@ -4186,7 +4231,136 @@
   (ProtobufCMessageInit) papaya__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[23] =
+static const ProtobufCFieldDescriptor papaya__part_notice__field_descriptors[8] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__PartNotice, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Papaya__PartNotice, n_parts),
+    offsetof(Papaya__PartNotice, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runner",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__PartNotice, runner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "request",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__PartNotice, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__PartNotice, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__PartNotice, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__PartNotice, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "times",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__PartNotice, times),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__part_notice__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  0,   /* field[0] = kind */
+  6,   /* field[6] = left_ms */
+  5,   /* field[5] = part */
+  1,   /* field[1] = parts */
+  3,   /* field[3] = request */
+  2,   /* field[2] = runner */
+  7,   /* field[7] = times */
+};
+static const ProtobufCIntRange papaya__part_notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor papaya__part_notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.PartNotice",
+  "PartNotice",
+  "Papaya__PartNotice",
+  "papaya",
+  sizeof(Papaya__PartNotice),
+  8,
+  papaya__part_notice__field_descriptors,
+  papaya__part_notice__field_indices_by_name,
+  1,  papaya__part_notice__number_ranges,
+  (ProtobufCMessageInit) papaya__part_notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[24] =
 {
   {
     "hello",
@@ -4464,6 +4638,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_notice",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, part_notice),
+    &papaya__part_notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__frame__field_indices_by_name[] = {
   6,   /* field[6] = cancel */
@@ -4480,6 +4666,7 @@
   21,   /* field[21] = limit_lend */
   15,   /* field[15] = limit_release */
   22,   /* field[22] = limit_stamp */
+  23,   /* field[23] = part_notice */
   20,   /* field[20] = ping */
   1,   /* field[1] = proof */
   18,   /* field[18] = queued */
@@ -4493,7 +4680,7 @@
 static const ProtobufCIntRange papaya__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor papaya__frame__descriptor =
 {
@@ -4503,7 +4690,7 @@
   "Papaya__Frame",
   "papaya",
   sizeof(Papaya__Frame),
-  23,
+  24,
   papaya__frame__field_descriptors,
   papaya__frame__field_indices_by_name,
   1,  papaya__frame__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -46,6 +46,7 @@
 typedef struct Papaya__StoreRecords Papaya__StoreRecords;
 typedef struct Papaya__StoreAsk Papaya__StoreAsk;
 typedef struct Papaya__Ping Papaya__Ping;
+typedef struct Papaya__PartNotice Papaya__PartNotice;
 typedef struct Papaya__Frame Papaya__Frame;
 
 
@@ -756,6 +757,51 @@
     , 0 }
 
 
+/*
+ * What a daemon knows of prompt parts that crash runners.
+ */
+struct  Papaya__PartNotice
+{
+  ProtobufCMessage base;
+  /*
+   * 0: a runner crashed, 1: sound parts, 2: a quarantine
+   */
+  uint32_t kind;
+  /*
+   * 2: the parts that all crashes have in common
+   */
+  size_t n_parts;
+  uint64_t *parts;
+  /*
+   * 0: hash of the incarnation that crashed
+   */
+  uint64_t runner;
+  /*
+   * 0: hash of the request that it was answering
+   */
+  uint64_t request;
+  /*
+   * 0: since the crash
+   */
+  uint32_t age_ms;
+  /*
+   * 2: the part in quarantine
+   */
+  uint64_t part;
+  /*
+   * 2: until the quarantine ends
+   */
+  uint32_t left_ms;
+  /*
+   * 2: how often the part was quarantined
+   */
+  uint32_t times;
+};
+#define PAPAYA__PART_NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__part_notice__descriptor) \
+    , 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
+
+
 typedef enum {
   PAPAYA__FRAME__BODY__NOT_SET = 0,
   PAPAYA__FRAME__BODY_HELLO = 1,
@@ -780,7 +826,8 @@
   PAPAYA__FRAME__BODY_STORE_ASK = 20,
   PAPAYA__FRAME__BODY_PING = 21,
   PAPAYA__FRAME__BODY_LIMIT_LEND = 22,
-  PAPAYA__FRAME__BODY_LIMIT_STAMP = 23
+  PAPAYA__FRAME__BODY_LIMIT_STAMP = 23,
+  PAPAYA__FRAME__BODY_PART_NOTICE = 24
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PAPAYA__FRAME__BODY__CASE)
 } Papaya__Frame__BodyCase;
 
@@ -812,6 +859,7 @@
     Papaya__Ping *ping;
     Papaya__LimitLend *limit_lend;
     Papaya__LimitStamp *limit_stamp;
+    Papaya__PartNotice *part_notice;
   };
 };
 #define PAPAYA__FRAME__INIT \
@@ -1408,6 +1456,25 @@
 void   papaya__ping__free_unpacked
                      (Papaya__Ping *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__PartNotice methods */
+void   papaya__part_notice__init
+                     (Papaya__PartNotice         *message);
+size_t papaya__part_notice__get_packed_size
+                     (const Papaya__PartNotice   *message);
+size_t papaya__part_notice__pack
+                     (const Papaya__PartNotice   *message,
+                      uint8_t             *out);
+size_t papaya__part_notice__pack_to_buffer
+                     (const Papaya__PartNotice   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__PartNotice *
+       papaya__part_notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__part_notice__free_unpacked
+                     (Papaya__PartNotice *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Frame methods */
 void   papaya__frame__init
                      (Papaya__Frame         *message);
@@ -1522,6 +1589,9 @@
 typedef void (*Papaya__Ping_Closure)
                  (const Papaya__Ping *message,
                   void *closure_data);
+typedef void (*Papaya__PartNotice_Closure)
+                 (const Papaya__PartNotice *message,
+                  void *closure_data);
 typedef void (*Papaya__Frame_Closure)
                  (const Papaya__Frame *message,
                   void *closure_data);
@@ -1562,6 +1632,7 @@
 extern const ProtobufCMessageDescriptor papaya__store_records__descriptor;
 extern const ProtobufCMessageDescriptor papaya__store_ask__descriptor;
 extern const ProtobufCMessageDescriptor papaya__ping__descriptor;
+extern const ProtobufCMessageDescriptor papaya__part_notice__descriptor;
 extern const ProtobufCMessageDescriptor papaya__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -106,6 +106,10 @@
 		fixture->first_tokens++;
 		fixture->last_first_token = *m;
 		break;
+	case MESSAGE_PART_NOTICE:
+		fixture->part_notices++;
+		fixture->last_part_notice = m->part;
+		break;
 	case MESSAGE_WITHDRAW:
 		fixture->withdraws++;
 		break;
@@ -226,6 +230,8 @@
 	else if (reply->end == REPLY_CLOSE)
 		bufferevent_setcb(bev, NULL, on_reply_sent, NULL, r);
 	if (reply->end == REPLY_RESET) {
+		/* A bufferevent allows it only from its own callback. */
+		evbuffer_unfreeze(bufferevent_get_output(bev), 1);
 		evbuffer_write(bufferevent_get_output(bev),
 			       bufferevent_getfd(bev));
 		drop_conn(r, bev, true);
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -92,6 +92,8 @@
 	/* Numbers of messages received from the gateway. */
 	int wants, dones, withdraws, limits, first_tokens;
 	message_t last_first_token;
+	int part_notices; /* sent to other daemons */
+	message_part_t last_part_notice;
 	done_result_t last_done;
 	bool has_leaving_notice; /* a DONE reported a leaving runner */
 	uint32_t last_pause_ms; /* of the latest DONE with a pause */
--- a/tests/test_call_head.c
+++ b/tests/test_call_head.c
@@ -63,9 +63,9 @@
 	ck_assert_uint_eq(call.max_output_tokens, 80);
 	ck_assert_uint_ne(call.prefix_hash, 0);
 	/* The last part is the request's own. */
-	ck_assert_uint_eq(call.n_parts, 2);
-	ck_assert_uint_eq(call.parts[0], 0x5c);
-	ck_assert_uint_eq(call.parts[1], 0x91);
+	ck_assert_uint_eq(call.parts.n, 2);
+	ck_assert_uint_eq(call.parts.ids[0], 0x5c);
+	ck_assert_uint_eq(call.parts.ids[1], 0x91);
 	http1_reader_finish(&p.reader);
 }
 END_TEST
@@ -90,17 +90,17 @@
 	call_head_t call = call_with_parts("zz:1,5C:2,:3,"
 					   "10000000000000000:4,e:5");
 
-	ck_assert_uint_eq(call.n_parts, 3);
-	ck_assert_uint_eq(call.parts[1], 0x5c);
+	ck_assert_uint_eq(call.parts.n, 3);
+	ck_assert_uint_eq(call.parts.ids[1], 0x5c);
 	/* Identifiers that are no numbers of 64 bits are hashed. */
-	ck_assert_uint_ne(call.parts[0], call.parts[2]);
-	ck_assert_uint_ne(call.parts[2], 0);
-	ck_assert_uint_eq(call_with_parts("e:5").n_parts, 0);
-	ck_assert_uint_eq(call_with_parts("").n_parts, 0);
-	ck_assert_uint_eq(call_with_parts(",,").n_parts, 0);
-	for (int i = 0; i < CALL_MAX_PARTS * 2; i++)
+	ck_assert_uint_ne(call.parts.ids[0], call.parts.ids[2]);
+	ck_assert_uint_ne(call.parts.ids[2], 0);
+	ck_assert_uint_eq(call_with_parts("e:5").parts.n, 0);
+	ck_assert_uint_eq(call_with_parts("").parts.n, 0);
+	ck_assert_uint_eq(call_with_parts(",,").parts.n, 0);
+	for (int i = 0; i < PROMPT_MAX_PARTS * 2; i++)
 		g_string_append(many, ",2:2");
-	ck_assert_uint_eq(call_with_parts(many->str).n_parts, CALL_MAX_PARTS);
+	ck_assert_uint_eq(call_with_parts(many->str).parts.n, PROMPT_MAX_PARTS);
 }
 END_TEST
 
--- a/tests/test_crashing_prompt.c
+++ b/tests/test_crashing_prompt.c
@@ -12,6 +12,7 @@
 enum {
 	CRASHES = 5, /* after these, no request with the part is sent */
 	MORE_REQUESTS = 4,
+	MINUTE_US = 60 * 1000 * 1000,
 };
 
 static const reply_t crash[FIXTURE_REPLIES] = {
@@ -116,5 +117,132 @@
 }
 END_TEST
 
+/* Another daemon tells that the part dead, with a1, is in quarantine. */
+static void receive_quarantine(gateway_fixture_t *fixture)
+{
+	message_t m = { .type = MESSAGE_PART_NOTICE };
+
+	m.part.kind = PART_NOTICE_QUARANTINE;
+	m.part.entry.part = 0xdead;
+	m.part.entry.times = 1;
+	m.part.entry.until = now_us() + MINUTE_US;
+	prompt_parts_add(&m.part.entry.common, 0xa1);
+	prompt_parts_add(&m.part.entry.common, 0xdead);
+	supervisor_post(&fixture->sup, TASK_FRONT, &m);
+}
+
+static void begin(gateway_fixture_t *fixture, const reply_t *replies)
+{
+	gateway_fixture_init(fixture);
+	gateway_fixture_configure(fixture);
+	restart_runners(fixture, replies);
+}
+
+/* Guards against crashes at daemons that saw none themselves. */
+START_TEST(a_part_that_others_quarantined_is_refused)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture, sound);
+	receive_quarantine(&fixture);
+	send_prompt(&fixture, "a1:60,dead:800");
+	gateway_await(&fixture, 0, "HTTP/1.1 503 ");
+	gateway_await(&fixture, 0, "Retry-After: ");
+	ck_assert_int_eq(count_arrivals(&fixture), 0);
+	/* Nobody but the runners can tell it apart from these. */
+	gateway_close_caller(&fixture, 0);
+	send_prompt(&fixture, "a1:60");
+	gateway_await(&fixture, 0, "id: 1");
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against a crash by a request that waited while others crashed. */
+START_TEST(a_waiting_request_is_refused_when_its_part_is_quarantined)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture, sound);
+	fixture.is_mute = true;
+	send_prompt(&fixture, "a1:60,dead:800");
+	gateway_await_count(&fixture, &fixture.wants, 1);
+	receive_quarantine(&fixture);
+	gateway_await(&fixture, 0, "HTTP/1.1 503 ");
+	ck_assert_int_ge(fixture.withdraws, 1);
+	ck_assert_int_eq(count_arrivals(&fixture), 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against a crash by a request that waits in a runner's queue. */
+START_TEST(a_sent_request_is_cancelled_when_its_part_is_quarantined)
+{
+	static const reply_t mute[] = { { "", REPLY_MUTE },
+					{ "", REPLY_MUTE },
+					{} };
+	gateway_fixture_t fixture;
+
+	begin(&fixture, mute);
+	send_prompt(&fixture, "a1:60,dead:800");
+	gateway_await_count(&fixture, &fixture.runners[0].n_requests, 1);
+	receive_quarantine(&fixture);
+	/* It may have run, so it isn't said to be unexecuted. */
+	gateway_await(&fixture, 0, "HTTP/1.1 502 ");
+	gateway_await_count(&fixture, &fixture.runners[0].n_closed, 1);
+	ck_assert_int_eq(count_arrivals(&fixture), 1);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against ending streams whose parts are sound. */
+START_TEST(a_stream_that_has_begun_goes_on)
+{
+	static const reply_t open_stream[] = {
+		{ STREAM_HEAD EVENT, REPLY_MUTE }, {}
+	};
+	gateway_fixture_t fixture;
+
+	begin(&fixture, open_stream);
+	send_prompt(&fixture, "a1:60,dead:800");
+	gateway_await(&fixture, 0, "id: 1");
+	receive_quarantine(&fixture);
+	gateway_run(&fixture, 200);
+	ck_assert_int_eq(fixture.runners[0].n_closed, 0);
+	ck_assert(!fixture.callers[0].is_closed);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+START_TEST(crashes_and_sound_parts_are_told_to_the_others)
+{
+	gateway_fixture_t fixture;
+	message_t m = { .type = MESSAGE_LINK_UP, .contact = { .name = "p" } };
+	int told;
+
+	crash_runners(&fixture, "a1:60,dead:800", "a1:60,dead:800");
+	/* Four crashes, and the quarantine of both parts. */
+	ck_assert_int_eq(fixture.part_notices, 6);
+	ck_assert_int_eq(fixture.last_part_notice.kind, PART_NOTICE_QUARANTINE);
+	restart_runners(&fixture, sound);
+	send_prompt(&fixture, "a1:60");
+	gateway_await(&fixture, 0, "id: 1");
+	ck_assert_int_eq(fixture.last_part_notice.kind, PART_NOTICE_SOUND);
+	ck_assert_int_eq(fixture.last_part_notice.crash.parts.n, 1);
+	/* A daemon that starts is told what is in quarantine. */
+	told = fixture.part_notices;
+	supervisor_post(&fixture.sup, TASK_FRONT, &m);
+	gateway_await_count(&fixture, &fixture.part_notices, told + 1);
+	ck_assert_str_eq(fixture.last_part_notice.peer, "p");
+	ck_assert_uint_eq(fixture.last_part_notice.entry.part, 0xdead);
+	ck_assert_uint_eq(fixture.last_part_notice.entry.common.n, 1);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 SUITE_MAIN("crashing_prompt", a_part_that_crashes_runners_is_kept_from_them,
-	   requests_with_their_other_parts_are_served)
+	   requests_with_their_other_parts_are_served,
+	   a_part_that_others_quarantined_is_refused,
+	   a_waiting_request_is_refused_when_its_part_is_quarantined,
+	   a_sent_request_is_cancelled_when_its_part_is_quarantined,
+	   a_stream_that_has_begun_goes_on,
+	   crashes_and_sound_parts_are_told_to_the_others)
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "daemon/frames.h"
+#include "daemon/part_frames.h"
 #include "daemon/vm_frames.h"
 #include "tests/lib_suite.h"
 
@@ -22,6 +23,12 @@
 	return true;
 }
 
+uint32_t peer_send_where(peer_t *p, const Papaya__Frame *frame,
+			 bool (*filter)(void *ctx, const char *name), void *ctx)
+{
+	return peer_send(p, str_from("all"), frame);
+}
+
 static Papaya__Frame *received(void)
 {
 	return papaya__frame__unpack(NULL, sent->len, sent->data);
@@ -240,7 +247,67 @@
 }
 END_TEST
 
-SUITE_MAIN("frames", a_limit_that_makes_no_sense_is_not_taken,
+static message_t decoded_notice(const message_part_t *notice)
+{
+	Papaya__Frame *frame;
+	message_t m;
+
+	part_frames_send(NULL, notice, now, NULL, NULL);
+	frame = received();
+	ck_assert(part_frames_read(frame, now, &m));
+	ck_assert_int_eq(m.type, MESSAGE_PART_NOTICE);
+	ck_assert_int_eq(m.part.kind, notice->kind);
+	papaya__frame__free_unpacked(frame, NULL);
+	return m;
+}
+
+START_TEST(part_notices_are_decoded_unchanged)
+{
+	static const prompt_parts_t parts = { .ids = { 1, UINT64_MAX },
+					      .n = 2 };
+	message_part_t crash = { .kind = PART_NOTICE_CRASH,
+				 .crash = { UINT64_MAX, 5, parts,
+					    now - 70000 } };
+	message_part_t held = { .kind = PART_NOTICE_QUARANTINE,
+				.entry = { 1, parts, now + 9000, 3 } };
+	message_t m = decoded_notice(&crash);
+
+	ck_assert_uint_eq(m.part.crash.runner, UINT64_MAX);
+	ck_assert_uint_eq(m.part.crash.request, 5);
+	ck_assert_uint_eq(m.part.crash.parts.n, 2);
+	ck_assert_uint_eq(m.part.crash.parts.ids[1], UINT64_MAX);
+	ck_assert_int_eq(m.part.crash.at, now - 70000);
+	m = decoded_notice(&held);
+	ck_assert_uint_eq(m.part.entry.part, 1);
+	ck_assert_uint_eq(m.part.entry.common.n, 2);
+	ck_assert_int_eq(m.part.entry.until, now + 9000);
+	ck_assert_uint_eq(m.part.entry.times, 3);
+}
+END_TEST
+
+START_TEST(part_notices_out_of_range_are_refused)
+{
+	uint64_t parts[PROMPT_MAX_PARTS + 1] = { 0 };
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__PartNotice notice = PAPAYA__PART_NOTICE__INIT;
+	message_t m;
+
+	ck_assert(!part_frames_read(&frame, now, &m));
+	frame.body_case = PAPAYA__FRAME__BODY_PART_NOTICE;
+	frame.part_notice = &notice;
+	ck_assert(!part_frames_read(&frame, now, &m));
+	notice.parts = parts;
+	notice.n_parts = G_N_ELEMENTS(parts);
+	ck_assert(part_frames_read(&frame, now, &m));
+	ck_assert_uint_eq(m.part.crash.parts.n, PROMPT_MAX_PARTS);
+	notice.kind = PART_NOTICE_KINDS;
+	ck_assert(!part_frames_read(&frame, now, &m));
+}
+END_TEST
+
+SUITE_MAIN("frames", part_notices_are_decoded_unchanged,
+	   part_notices_out_of_range_are_refused,
+	   a_limit_that_makes_no_sense_is_not_taken,
 	   capacity_messages_are_decoded_unchanged,
 	   fields_out_of_range_are_refused, limits_are_decoded_unchanged,
 	   the_vm_list_is_decoded_unchanged)
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,311 @@
+/* The quarantine of prompt parts, driven by reports without a network. */
+#include "core/quarantine.h"
+#include "tests/lib_suite.h"
+
+/* Microseconds. */
+#define S (INT64_C(1000) * 1000)
+#define MINUTE (60 * S)
+#define SETTLE (QUARANTINE_SETTLE_MS * INT64_C(1000))
+
+#define PARTS(...)                                                    \
+	((prompt_parts_t){ .ids = { __VA_ARGS__ },                    \
+			   .n = sizeof((uint64_t[]){ __VA_ARGS__ }) / \
+				sizeof(uint64_t) })
+
+static void count_begun(void *ctx, const quarantine_entry_t *entry, bool is_own)
+{
+	++*(int *)ctx;
+}
+
+/* Judges what was reported; returns whether a quarantine begins. */
+static bool judge(quarantine_t *q, int64_t now)
+{
+	int n = 0;
+
+	quarantine_tick(q, now, count_begun, &n);
+	return n > 0;
+}
+
+static void report(quarantine_t *q, uint64_t runner, uint64_t request,
+		   prompt_parts_t parts, int64_t now)
+{
+	crash_report_t report = { runner, request, parts, now };
+
+	quarantine_add_report(q, &report, false, now);
+}
+
+/*
+ * Reports that RUNNER crashed on REQUEST, long enough ago to be judged at NOW;
+ * returns whether a quarantine begins.
+ */
+static bool crash(quarantine_t *q, uint64_t runner, uint64_t request,
+		  prompt_parts_t parts, int64_t now)
+{
+	report(q, runner, request, parts, now - SETTLE);
+	return judge(q, now);
+}
+
+static bool is_refused(const quarantine_t *q, prompt_parts_t parts, int64_t now)
+{
+	return quarantine_match(q, &parts, now) != NULL;
+}
+
+/* Crashes three runners with {1, 9}; 9 is the part that does it. */
+static void hold(quarantine_t *q, int64_t now)
+{
+	ck_assert(!crash(q, 1, 1, PARTS(1, 9), now));
+	ck_assert(!crash(q, 2, 1, PARTS(1, 9), now));
+	ck_assert(crash(q, 3, 2, PARTS(1, 9), now));
+}
+
+START_TEST(a_part_is_held_after_three_crashes)
+{
+	quarantine_t q;
+
+	quarantine_init(&q);
+	hold(&q, 0);
+	ck_assert(is_refused(&q, PARTS(1, 9), S));
+	ck_assert(is_refused(&q, PARTS(1, 2, 9), S));
+	/* Parts that go with it don't suffice. */
+	ck_assert(!is_refused(&q, PARTS(1), S));
+	ck_assert(!is_refused(&q, PARTS(1, 2), S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+/* Guards against blaming a part for runners that one request took down. */
+START_TEST(one_request_or_one_runner_is_not_enough)
+{
+	quarantine_t q;
+
+	quarantine_init(&q);
+	for (uint64_t i = 0; i < 8; i++)
+		ck_assert(!crash(&q, i, 1, PARTS(1, 9), 0));
+	quarantine_finish(&q);
+	quarantine_init(&q);
+	for (uint64_t i = 0; i < 8; i++)
+		ck_assert(!crash(&q, 1, i, PARTS(1, 9), 0));
+	quarantine_finish(&q);
+}
+END_TEST
+
+/* The same report may come over several links. */
+START_TEST(a_repeated_report_counts_once)
+{
+	quarantine_t q;
+
+	quarantine_init(&q);
+	for (int i = 0; i < 4; i++) {
+		ck_assert(!crash(&q, 1, 1, PARTS(9), 0));
+		ck_assert(!crash(&q, 2, 2, PARTS(9), 0));
+	}
+	quarantine_finish(&q);
+}
+END_TEST
+
+START_TEST(a_crash_without_the_other_part_clears_it)
+{
+	quarantine_t q;
+
+	quarantine_init(&q);
+	hold(&q, 0);
+	ck_assert(!is_refused(&q, PARTS(2, 9), S));
+	ck_assert(quarantine_is_suspect(&q, &PARTS(2, 9), S));
+	ck_assert(!quarantine_is_suspect(&q, &PARTS(2, 3), S));
+	crash(&q, 4, 3, PARTS(2, 9), S);
+	ck_assert(is_refused(&q, PARTS(5, 9), S));
+	ck_assert(!is_refused(&q, PARTS(1, 5), S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+/* Guards against holding what all requests share when runners crash anyway. */
+START_TEST(a_part_that_is_answered_in_between_is_not_held)
+{
+	quarantine_t q;
+	prompt_parts_t sound = PARTS(1);
+
+	quarantine_init(&q);
+	ck_assert(!quarantine_set_sound(&q, &sound));
+	for (uint64_t i = 1; i <= 12; i++) {
+		ck_assert(!crash(&q, i, i, PARTS(1, 100 + i), 0));
+		ck_assert(quarantine_set_sound(&q, &sound));
+		ck_assert(!quarantine_set_sound(&q, &sound));
+	}
+	quarantine_finish(&q);
+}
+END_TEST
+
+START_TEST(a_sound_part_is_told_from_the_one_that_crashes)
+{
+	quarantine_t q;
+	prompt_parts_t sound = PARTS(1, 2);
+
+	quarantine_init(&q);
+	hold(&q, 0);
+	ck_assert(quarantine_set_sound(&q, &sound));
+	ck_assert(is_refused(&q, PARTS(9), S));
+	ck_assert(!is_refused(&q, PARTS(1, 2), S));
+	ck_assert_uint_eq(quarantine_count(&q, S), 1);
+	/* Nor is it needed when the answer came before the third crash. */
+	quarantine_finish(&q);
+	quarantine_init(&q);
+	crash(&q, 1, 1, PARTS(1, 9), 0);
+	crash(&q, 2, 2, PARTS(1, 9), 0);
+	quarantine_set_sound(&q, &sound);
+	ck_assert(crash(&q, 3, 3, PARTS(1, 9), 0));
+	ck_assert(is_refused(&q, PARTS(7, 9), S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+START_TEST(an_answer_ends_a_wrong_quarantine)
+{
+	quarantine_t q;
+	prompt_parts_t parts = PARTS(1, 9);
+
+	quarantine_init(&q);
+	hold(&q, 0);
+	ck_assert(quarantine_set_sound(&q, &parts));
+	ck_assert(!is_refused(&q, PARTS(1, 9), S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+/* Guards against taking a runner's broken connections for crashes. */
+START_TEST(a_runner_that_answers_again_did_not_crash)
+{
+	quarantine_t q;
+
+	quarantine_init(&q);
+	hold(&q, S);
+	/* What was sent before the break says nothing. */
+	ck_assert(!quarantine_set_alive(&q, 2, S / 2, S));
+	ck_assert(is_refused(&q, PARTS(1, 9), S));
+	ck_assert(quarantine_set_alive(&q, 2, 2 * S, 2 * S));
+	ck_assert(!is_refused(&q, PARTS(1, 9), 2 * S));
+	ck_assert(!quarantine_set_alive(&q, 2, 2 * S, 2 * S));
+	ck_assert(crash(&q, 4, 4, PARTS(1, 9), 2 * S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+START_TEST(crashes_far_apart_are_not_related)
+{
+	quarantine_t q;
+
+	quarantine_init(&q);
+	for (uint64_t i = 1; i <= 8; i++)
+		ck_assert(!crash(&q, i, i, PARTS(9), (int64_t)i * 40 * S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+START_TEST(a_quarantine_ends_and_one_crash_renews_it)
+{
+	quarantine_t q;
+
+	quarantine_init(&q);
+	hold(&q, 0);
+	ck_assert(is_refused(&q, PARTS(1, 9), 4 * MINUTE));
+	ck_assert(!is_refused(&q, PARTS(1, 9), 6 * MINUTE));
+	ck_assert_uint_eq(quarantine_count(&q, 6 * MINUTE), 0);
+	ck_assert(crash(&q, 7, 7, PARTS(1, 9), 6 * MINUTE));
+	/* Twice as long. */
+	ck_assert(is_refused(&q, PARTS(1, 9), 15 * MINUTE));
+	ck_assert(!is_refused(&q, PARTS(1, 9), 17 * MINUTE));
+	quarantine_finish(&q);
+}
+END_TEST
+
+static void copy_entry(void *ctx, const quarantine_entry_t *entry, bool is_own)
+{
+	quarantine_add_entry(ctx, entry, 10 * S);
+}
+
+/* Guards against daemons that start and know nothing of earlier crashes. */
+START_TEST(a_quarantine_is_passed_on)
+{
+	quarantine_t q, other;
+
+	quarantine_init(&q);
+	quarantine_init(&other);
+	hold(&q, 0);
+	quarantine_each(&q, 10 * S, copy_entry, &other);
+	ck_assert(is_refused(&other, PARTS(1, 9), 11 * S));
+	ck_assert(!is_refused(&other, PARTS(1), 11 * S));
+	/* The receiver narrows it by what it sees itself. */
+	crash(&other, 8, 8, PARTS(2, 9), 11 * S);
+	ck_assert(is_refused(&other, PARTS(9), 12 * S));
+	/* Known, or ended: no news. */
+	quarantine_each(&q, 10 * S, copy_entry, &other);
+	ck_assert(!quarantine_add_entry(
+		&other, &(quarantine_entry_t){ 5, PARTS(5), 9 * S, 1 },
+		10 * S));
+	ck_assert(!quarantine_add_entry(
+		&other, &(quarantine_entry_t){ .part = 5, .until = MINUTE },
+		10 * S));
+	quarantine_finish(&q);
+	quarantine_finish(&other);
+}
+END_TEST
+
+/*
+ * Guards against blaming a sound part that is in a request beside the one that
+ * crashes the runner: the other report of that crash may come later.
+ */
+START_TEST(one_cause_of_a_crash_is_enough)
+{
+	quarantine_t q;
+
+	quarantine_init(&q);
+	ck_assert(!crash(&q, 1, 1, PARTS(1, 9), 0));
+	ck_assert(!crash(&q, 2, 2, PARTS(1, 9), 0));
+	report(&q, 3, 3, PARTS(1, 5), S);
+	ck_assert(!judge(&q, S + SETTLE / 2));
+	report(&q, 3, 4, PARTS(1, 9), S + SETTLE / 2);
+	ck_assert(judge(&q, S + SETTLE));
+	ck_assert(is_refused(&q, PARTS(1, 9), 2 * S));
+	ck_assert(!is_refused(&q, PARTS(1, 5), 2 * S));
+	ck_assert(!is_refused(&q, PARTS(1, 7), 2 * S));
+	/* Whichever report of the crash was first. */
+	quarantine_finish(&q);
+	quarantine_init(&q);
+	report(&q, 1, 1, PARTS(1, 5), 0);
+	report(&q, 1, 2, PARTS(2, 9), 0);
+	ck_assert(!crash(&q, 2, 3, PARTS(1, 9), S));
+	ck_assert(crash(&q, 3, 4, PARTS(1, 9), S));
+	ck_assert(is_refused(&q, PARTS(1, 9), 2 * S));
+	ck_assert(!is_refused(&q, PARTS(1, 7), 2 * S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+START_TEST(tables_are_bounded)
+{
+	prompt_parts_t parts = { .n = PROMPT_MAX_PARTS };
+	quarantine_t q;
+
+	quarantine_init(&q);
+	for (uint64_t i = 0; i < 400; i++) {
+		for (uint32_t p = 0; p < parts.n; p++)
+			parts.ids[p] = i / 4 * PROMPT_MAX_PARTS + p;
+		crash(&q, i, i, parts, (int64_t)i);
+	}
+	ck_assert_uint_le(q.reports.records->len, CRASH_REPORTS_MAX);
+	ck_assert_uint_eq(q.entries->len, QUARANTINE_MAX_ENTRIES);
+	quarantine_finish(&q);
+}
+END_TEST
+
+SUITE_MAIN("quarantine", a_part_is_held_after_three_crashes,
+	   one_request_or_one_runner_is_not_enough,
+	   a_repeated_report_counts_once,
+	   a_crash_without_the_other_part_clears_it,
+	   a_part_that_is_answered_in_between_is_not_held,
+	   a_sound_part_is_told_from_the_one_that_crashes,
+	   an_answer_ends_a_wrong_quarantine,
+	   a_runner_that_answers_again_did_not_crash,
+	   crashes_far_apart_are_not_related,
+	   a_quarantine_ends_and_one_crash_renews_it, a_quarantine_is_passed_on,
+	   one_cause_of_a_crash_is_enough, tables_are_bounded)
--- /dev/null
+++ b/tests/test_quarantine_fleet.c
@@ -0,0 +1,352 @@
+/*
+ * A fleet of daemons with a quarantine each, before runners that crash when
+ * they begin to answer on one part of a prompt. Random schedules check what the
+ * users' rules state: from three seconds after the fifth crash, at most three
+ * requests with that part reach a runner, and of the others with the same first
+ * part at least half are served.
+ */
+#include "core/quarantine.h"
+#include "tests/lib_suite.h"
+
+#define MS INT64_C(1000) /* microseconds */
+#define TICK (10 * MS)
+#define JUDGE_GAP (50 * MS)
+#define SECOND (1000 * MS)
+#define DAY (30 * SECOND)
+#define GRACE (3 * SECOND) /* after the fifth crash, a restart or a cut */
+#define DOWN (3 * SECOND) /* until a crashed runner is back */
+
+enum {
+	CRASHES = 5, /* the rule counts after so many */
+	MAX_ARRIVALS = 3,
+	MAX_DAEMONS = 40,
+	RUNNERS = 12,
+	MAX_WORK = 4096,
+	SCHEDULES = 200,
+	FIRST_PART = 1,
+	CRASHING_PART = 9,
+};
+
+/* Something that happens at a later time. */
+typedef struct work {
+	int64_t at;
+	enum { WORK_BEGIN, WORK_NOTICE, WORK_ENTRY } kind;
+	int daemon;
+	/* BEGIN: a request's answer begins, unless the runner crashed before */
+	int runner;
+	uint64_t incarnation;
+	int64_t sent_at;
+	int sends;
+	bool is_sound_notice;
+	crash_report_t crash; /* BEGIN: of the request; NOTICE */
+	quarantine_entry_t entry;
+} work_t;
+
+typedef struct daemon {
+	quarantine_t quarantine;
+	int64_t disturbed_at; /* last restart or end of a cut */
+	bool is_cut;
+} daemon_t;
+
+typedef struct fleet_model {
+	GRand *rand;
+	int64_t now;
+	int n_daemons;
+	daemon_t daemons[MAX_DAEMONS];
+	uint64_t incarnations[RUNNERS];
+	int64_t down_until[RUNNERS];
+	uint64_t last_incarnation, last_request;
+	GArray *work;
+	int crashes;
+	int64_t fifth_at;
+	int late_arrivals; /* with the crashing part, counted by the rule */
+	int sound, sound_refused; /* with the first part, after the fifth */
+} fleet_model_t;
+
+/* What may disturb the fleet in a schedule. */
+typedef enum trouble { TROUBLE_NONE, TROUBLE_CUT, TROUBLE_RESTARTS } trouble_t;
+
+static bool chance(fleet_model_t *f, double per_second)
+{
+	return g_rand_double(f->rand) <
+	       per_second * (double)TICK / (double)SECOND;
+}
+
+static int64_t delay(fleet_model_t *f, int least_ms, int most_ms)
+{
+	return f->now + g_rand_int_range(f->rand, least_ms, most_ms) * MS;
+}
+
+static bool is_in_touch(const fleet_model_t *f, int d)
+{
+	return !f->daemons[d].is_cut &&
+	       f->now - f->daemons[d].disturbed_at > GRACE;
+}
+
+static bool is_linked(const fleet_model_t *f, int a, int b)
+{
+	return a != b && f->daemons[a].is_cut == f->daemons[b].is_cut;
+}
+
+/* Sends a notice of daemon FROM to all that it has links to. */
+static void tell(fleet_model_t *f, int from, work_t notice)
+{
+	for (int d = 0; d < f->n_daemons; d++) {
+		if (!is_linked(f, from, d))
+			continue;
+		notice.daemon = d;
+		notice.at = delay(f, 2, 60);
+		g_array_append_val(f->work, notice);
+	}
+}
+
+typedef struct teller {
+	fleet_model_t *fleet;
+	int from;
+} teller_t;
+
+static void tell_entry(void *ctx, const quarantine_entry_t *entry, bool is_own)
+{
+	const teller_t *t = ctx;
+	work_t notice = { .kind = WORK_ENTRY, .entry = *entry };
+
+	tell(t->fleet, t->from, notice);
+}
+
+static void tell_quarantine(fleet_model_t *f, int from)
+{
+	teller_t t = { f, from };
+
+	quarantine_each(&f->daemons[from].quarantine, f->now, tell_entry, &t);
+}
+
+/* Daemon D sends a request to a runner that is up, unless it refuses it. */
+static bool send(fleet_model_t *f, int d, const crash_report_t *request,
+		 int sends)
+{
+	int runner = g_rand_int_range(f->rand, 0, RUNNERS);
+	work_t begin = { .kind = WORK_BEGIN, .daemon = d, .runner = runner };
+
+	if (quarantine_match(&f->daemons[d].quarantine, &request->parts,
+			     f->now))
+		return false;
+	if (f->now < f->down_until[runner])
+		return true;
+	begin.at = delay(f, 30, 600);
+	begin.sent_at = f->now;
+	begin.incarnation = f->incarnations[runner];
+	begin.crash = *request;
+	begin.sends = sends;
+	g_array_append_val(f->work, begin);
+	if (prompt_parts_find(&request->parts, CRASHING_PART) >= 0 &&
+	    f->crashes >= CRASHES && f->now > f->fifth_at + GRACE &&
+	    is_in_touch(f, d))
+		f->late_arrivals++;
+	return true;
+}
+
+static void report(fleet_model_t *f, const work_t *begin)
+{
+	work_t notice = { .kind = WORK_NOTICE, .crash = begin->crash };
+	quarantine_t *q = &f->daemons[begin->daemon].quarantine;
+
+	notice.crash.runner = begin->incarnation;
+	notice.crash.at = f->now;
+	tell(f, begin->daemon, notice);
+	quarantine_add_report(q, &notice.crash, true, f->now);
+	if (!begin->sends &&
+	    !quarantine_is_suspect(q, &begin->crash.parts, f->now))
+		send(f, begin->daemon, &begin->crash, 1);
+}
+
+/* The runner crashes; a tenth of what it runs had just begun as well. */
+static void crash_runner(fleet_model_t *f, const work_t *begin)
+{
+	f->crashes++;
+	if (f->crashes == CRASHES)
+		f->fifth_at = f->now;
+	f->incarnations[begin->runner] = ++f->last_incarnation;
+	f->down_until[begin->runner] = f->now + DOWN;
+	report(f, begin);
+	for (guint i = 0; i < f->work->len; i++) {
+		work_t other = g_array_index(f->work, work_t, i);
+
+		if (other.kind == WORK_BEGIN &&
+		    other.incarnation == begin->incarnation &&
+		    g_rand_int_range(f->rand, 0, 10) == 0)
+			report(f, &other);
+	}
+}
+
+static void begin_answer(fleet_model_t *f, const work_t *begin)
+{
+	quarantine_t *q = &f->daemons[begin->daemon].quarantine;
+	work_t notice = { .kind = WORK_NOTICE,
+			  .is_sound_notice = true,
+			  .crash = begin->crash };
+
+	if (f->incarnations[begin->runner] != begin->incarnation)
+		return;
+	quarantine_set_alive(q, begin->incarnation, begin->sent_at, f->now);
+	if (prompt_parts_find(&begin->crash.parts, CRASHING_PART) >= 0)
+		crash_runner(f, begin);
+	else if (quarantine_set_sound(q, &begin->crash.parts))
+		tell(f, begin->daemon, notice);
+}
+
+static void do_work(fleet_model_t *f, const work_t *w)
+{
+	quarantine_t *q = &f->daemons[w->daemon].quarantine;
+
+	if (w->kind == WORK_BEGIN)
+		begin_answer(f, w);
+	else if (w->kind == WORK_ENTRY)
+		quarantine_add_entry(q, &w->entry, f->now);
+	else if (w->is_sound_notice)
+		quarantine_set_sound(q, &w->crash.parts);
+	else
+		quarantine_add_report(q, &w->crash, false, f->now);
+}
+
+/* A caller's request at a random daemon, with the parts A and B. */
+static void arrive(fleet_model_t *f, uint64_t a, uint64_t b)
+{
+	crash_report_t request = { .request = ++f->last_request,
+				   .parts = { .ids = { a, b }, .n = 2 } };
+	int d = g_rand_int_range(f->rand, 0, f->n_daemons);
+	bool is_sent = send(f, d, &request, 0);
+
+	if (a != FIRST_PART || b == CRASHING_PART || f->crashes < CRASHES)
+		return;
+	f->sound++;
+	f->sound_refused += !is_sent;
+}
+
+static void restart(fleet_model_t *f, int d)
+{
+	quarantine_finish(&f->daemons[d].quarantine);
+	quarantine_init(&f->daemons[d].quarantine);
+	f->daemons[d].disturbed_at = f->now;
+	tell_quarantine(f, d ? 0 : 1);
+}
+
+static void set_cut(fleet_model_t *f, bool is_cut)
+{
+	for (int d = 0; d < f->n_daemons / 3; d++) {
+		f->daemons[d].is_cut = is_cut;
+		f->daemons[d].disturbed_at = f->now;
+	}
+	for (int d = 0; !is_cut && d < f->n_daemons; d++)
+		tell_quarantine(f, d);
+}
+
+static void disturb(fleet_model_t *f, trouble_t trouble)
+{
+	if (trouble == TROUBLE_RESTARTS && chance(f, 0.5))
+		restart(f, g_rand_int_range(f->rand, 0, f->n_daemons));
+	if (trouble == TROUBLE_CUT && f->now == 2 * SECOND)
+		set_cut(f, true);
+	if (trouble == TROUBLE_CUT && f->now == 12 * SECOND)
+		set_cut(f, false);
+}
+
+static void on_quarantine(void *ctx, const quarantine_entry_t *entry,
+			  bool is_own)
+{
+	if (is_own)
+		tell_entry(ctx, entry, is_own);
+}
+
+static void judge(fleet_model_t *f)
+{
+	for (int d = 0; d < f->n_daemons; d++) {
+		teller_t t = { f, d };
+
+		quarantine_tick(&f->daemons[d].quarantine, f->now,
+				on_quarantine, &t);
+	}
+}
+
+static void tick(fleet_model_t *f, double crashing_per_second)
+{
+	if (f->now % JUDGE_GAP == 0)
+		judge(f);
+	if (chance(f, crashing_per_second))
+		arrive(f, g_rand_boolean(f->rand) ? FIRST_PART : 2,
+		       CRASHING_PART);
+	if (chance(f, 3))
+		arrive(f, FIRST_PART,
+		       (uint64_t)g_rand_int_range(f->rand, 100, 120));
+	if (chance(f, 20))
+		arrive(f, (uint64_t)g_rand_int_range(f->rand, 10, 40),
+		       (uint64_t)g_rand_int_range(f->rand, 100, 600));
+	for (guint i = 0; i < f->work->len;) {
+		work_t w = g_array_index(f->work, work_t, i);
+
+		if (w.at > f->now) {
+			i++;
+			continue;
+		}
+		g_array_remove_index_fast(f->work, i);
+		do_work(f, &w);
+	}
+}
+
+static void play(uint32_t seed, trouble_t trouble, double crashing_per_second)
+{
+	fleet_model_t f = { .rand = g_rand_new_with_seed(seed) };
+
+	f.work = g_array_new(FALSE, FALSE, sizeof(work_t));
+	f.n_daemons = g_rand_int_range(f.rand, 3, MAX_DAEMONS + 1);
+	for (int d = 0; d < f.n_daemons; d++) {
+		quarantine_init(&f.daemons[d].quarantine);
+		f.daemons[d].disturbed_at = -GRACE - 1;
+	}
+	for (int i = 0; i < RUNNERS; i++)
+		f.incarnations[i] = ++f.last_incarnation;
+	for (; f.now < DAY; f.now += TICK) {
+		disturb(&f, trouble);
+		tick(&f, crashing_per_second);
+	}
+	ck_assert_msg(f.late_arrivals <= MAX_ARRIVALS,
+		      "seed %u: %d requests with the part reached runners",
+		      seed, f.late_arrivals);
+	ck_assert_msg(f.sound_refused * 2 <= f.sound,
+		      "seed %u: %d of %d sound requests were refused", seed,
+		      f.sound_refused, f.sound);
+	for (int d = 0; d < f.n_daemons; d++)
+		quarantine_finish(&f.daemons[d].quarantine);
+	g_array_unref(f.work);
+	g_rand_free(f.rand);
+}
+
+static void play_all(trouble_t trouble)
+{
+	for (uint32_t seed = 1; seed <= SCHEDULES; seed++)
+		play(seed, trouble, seed % 2 ? 1 : 4);
+}
+
+/* Guards against requests that crash runners all over a fleet. */
+START_TEST(a_crashing_part_is_kept_from_all_runners)
+{
+	play_all(TROUBLE_NONE);
+}
+END_TEST
+
+/* Guards against two sides of a cut that each know of too few crashes. */
+START_TEST(a_crashing_part_is_kept_from_runners_beside_a_cut)
+{
+	play_all(TROUBLE_CUT);
+}
+END_TEST
+
+/* Guards against daemons that start and know nothing of the part. */
+START_TEST(a_crashing_part_is_kept_from_runners_while_daemons_restart)
+{
+	play_all(TROUBLE_RESTARTS);
+}
+END_TEST
+
+SUITE_MAIN("quarantine_fleet", a_crashing_part_is_kept_from_all_runners,
+	   a_crashing_part_is_kept_from_runners_beside_a_cut,
+	   a_crashing_part_is_kept_from_runners_while_daemons_restart)
