--- a/core/crash_reports.c
+++ b/core/crash_reports.c
@@ -137,7 +137,8 @@
 	return false;
 }
 
-crash_evidence_t crash_reports_evidence(const crash_reports_t *r, uint64_t part)
+crash_evidence_t crash_reports_evidence(const crash_reports_t *r, uint64_t part,
+					bool has_unjudged)
 {
 	crash_evidence_t e = { 0 };
 
@@ -145,7 +146,7 @@
 		const crash_report_t *crash = &crash_reports_get(r, i)->crash;
 
 		if (!is_against(crash_reports_get(r, i), part) ||
-		    !is_settled(r, crash->runner))
+		    (!has_unjudged && !is_settled(r, crash->runner)))
 			continue;
 		if (!e.n_runners)
 			e.common = find_causes(r, crash->runner, part);
--- a/core/crash_reports.h
+++ b/core/crash_reports.h
@@ -57,8 +57,11 @@
 crash_record_t *crash_reports_get(const crash_reports_t *r, guint i);
 /* Marks a part as sound in all reports. Returns whether that is news. */
 bool crash_reports_set_sound(crash_reports_t *r, uint64_t part);
-/* Returns what the crashes with a judged report say of a part. */
-crash_evidence_t crash_reports_evidence(const crash_reports_t *r,
-					uint64_t part);
+/*
+ * Returns what the crashes with a judged report say of a part; with
+ * HAS_UNJUDGED, those without one, too.
+ */
+crash_evidence_t crash_reports_evidence(const crash_reports_t *r, uint64_t part,
+					bool has_unjudged);
 
 #endif
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -81,17 +81,21 @@
 	return entry;
 }
 
+static bool is_enough(const crash_evidence_t *e)
+{
+	return e->n_runners >= QUARANTINE_CRASHES &&
+	       e->n_requests >= QUARANTINE_REQUESTS;
+}
+
 /* Quarantines PART if the reports suffice. Returns whether that is new. */
 static bool judge(quarantine_t *q, uint64_t part, int64_t now)
 {
 	quarantine_entry_t *entry = find_entry(q, part);
-	crash_evidence_t e = crash_reports_evidence(&q->reports, part);
+	crash_evidence_t e = crash_reports_evidence(&q->reports, part, false);
 	bool is_held = entry && now < entry->until;
-	bool is_enough = e.n_runners >= QUARANTINE_CRASHES &&
-			 e.n_requests >= QUARANTINE_REQUESTS;
 
 	/* On probation, or held by another daemon's word, one is enough. */
-	if (!e.n_runners || (!is_enough && !entry))
+	if (!e.n_runners || (!is_enough(&e) && !entry))
 		return false;
 	if (!entry)
 		entry = add_entry(q, part);
@@ -168,7 +172,7 @@
 
 		if (entry->part == part && entry->times == 1 &&
 		    now - since < REPORT_LIFE_US &&
-		    crash_reports_evidence(&q->reports, part).n_runners <
+		    crash_reports_evidence(&q->reports, part, false).n_runners <
 			    QUARANTINE_CRASHES)
 			g_array_remove_index(q->entries, i);
 	}
@@ -230,10 +234,16 @@
 bool quarantine_is_suspect(const quarantine_t *q, const prompt_parts_t *parts,
 			   int64_t now)
 {
-	for (guint i = 0; i < q->entries->len; i++)
-		if (now < entry_at(q, i)->until &&
-		    prompt_parts_find(parts, entry_at(q, i)->part) >= 0)
+	for (uint32_t p = 0; p < parts->n; p++) {
+		const quarantine_entry_t *entry = find_entry(q, parts->ids[p]);
+		crash_evidence_t e;
+
+		if (entry && now < entry->until)
 			return true;
+		e = crash_reports_evidence(&q->reports, parts->ids[p], true);
+		if (is_enough(&e))
+			return true;
+	}
 	return false;
 }
 
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -85,7 +85,8 @@
 					   const prompt_parts_t *parts,
 					   int64_t now);
 /*
- * Tells whether PARTS has a part in quarantine, also where a request with these
+ * Tells whether PARTS has a part that is in quarantine or will be, should the
+ * reports that are not judged yet say the same; also where a request with these
  * is not refused, as it lacks others that the crashes have in common.
  */
 bool quarantine_is_suspect(const quarantine_t *q, const prompt_parts_t *parts,
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -153,9 +153,9 @@
 /* The runner began to answer: it didn't crash before the request was sent. */
 void relay_report_alive(relay_t *r);
 /*
- * Tells whether another runner must not be tried: a part of the prompt is in
- * quarantine, and either the quarantine refuses the request, or a runner broke
- * off as it began to answer it.
+ * Tells whether another runner must not be tried: the quarantine refuses the
+ * request, or a runner broke off as it began to answer it, and a part of it is
+ * suspect.
  */
 bool relay_is_quarantined(const relay_t *r);
 /*
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -264,6 +264,9 @@
 	report(&q, 3, 3, PARTS(1, 5), S);
 	ck_assert(!judge(&q, S + SETTLE / 2));
 	report(&q, 3, 4, PARTS(1, 9), S + SETTLE / 2);
+	/* A second try need not wait for the judgement. */
+	ck_assert(quarantine_is_suspect(&q, &PARTS(9), S + SETTLE / 2));
+	ck_assert(!quarantine_is_suspect(&q, &PARTS(5, 7), S + SETTLE / 2));
 	ck_assert(judge(&q, S + SETTLE));
 	ck_assert(is_refused(&q, PARTS(1, 9), 2 * S));
 	ck_assert(!is_refused(&q, PARTS(1, 5), 2 * S));
