--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -203,6 +203,29 @@
 	apply_records(f, update->records);
 }
 
+/* Logs which of the store's histories an answer belongs to, if it changed. */
+static void log_epoch(store_follower_t *f, const store_page_t *page)
+{
+	if (page->epoch == f->epoch)
+		return;
+	log_event("store-epoch",
+		  "topic=%s epoch=%" PRIu64 " was=%" PRIu64 " next=%" PRIu64
+		  " known=%" PRIu64,
+		  store_topic_name(f->topic), page->epoch, f->epoch, page->next,
+		  f->state.next);
+	f->epoch = page->epoch;
+}
+
+/* Logs a list or read of the store that says less than is known here. */
+static void log_ignored(const store_follower_t *f, const store_page_t *page)
+{
+	log_event("store-ignored",
+		  "topic=%s epoch=%" PRIu64 " records=%zu next=%" PRIu64
+		  " known=%" PRIu64,
+		  store_topic_name(f->topic), page->epoch, page->n_entries,
+		  page->next, f->state.next);
+}
+
 static void on_page(void *ctx, const store_page_t *page, const err_t *err)
 {
 	store_follower_t *f = ctx;
@@ -220,6 +243,7 @@
 		schedule_call(f, DUE_CHECK_MS);
 		return;
 	}
+	log_epoch(f, page);
 	if (page->has_gap) {
 		log_info("the store dropped unread records of topic %s; "
 			 "listing it again",
@@ -232,6 +256,8 @@
 		removed = topic_records_find_removed(&f->records, page);
 	if (topic_follow_on_read(&f->state, page->next, now_us()))
 		apply_page(f, page, was_listing, changed);
+	else if (page->next < f->state.next)
+		log_ignored(f, page);
 	/*
 	 * A daemon that isn't a reader, but read the store because no update
 	 * arrived, also sends an update: the store may be rejecting calls from
--- a/daemon/store_follower.h
+++ b/daemon/store_follower.h
@@ -33,6 +33,7 @@
 	topic_records_t records;
 	bool is_calling; /* a call to the store is pending */
 	bool is_down; /* the last call to the store failed */
+	uint64_t epoch; /* the store's, in its latest answer */
 } store_follower_t;
 
 /*
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -16,7 +16,7 @@
 	store_t store;
 	GString *request_log; /* request lines and bodies received */
 	GString *seen; /* "key=value;" of the page */
-	uint64_t next;
+	uint64_t next, epoch;
 	bool has_gap, is_ended, is_done;
 	err_code_t error;
 } fixture_t;
@@ -76,6 +76,7 @@
 	if (!page)
 		return;
 	fixture->next = page->next;
+	fixture->epoch = page->epoch;
 	fixture->has_gap = page->has_gap;
 }
 
@@ -172,6 +173,60 @@
 }
 END_TEST
 
+/* Guards against positions whose history of the store isn't known. */
+START_TEST(answers_state_the_epoch_of_the_store)
+{
+	static const struct {
+		const char *status;
+		uint64_t epoch;
+	} cases[] = {
+		{ "200 OK\r\nStore-Era: 3", 3 },
+		{ "410 Gone\r\nStore-Era: 4", 4 },
+		{ "200 OK", 0 },
+		{ "200 OK\r\nStore-Era: x", 0 },
+		{ "200 OK\r\nStore-Era: -1", 0 },
+		{ "200 OK\r\nStore-Era: 99999999999999999999", 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t fixture;
+
+		fixture_init(&fixture);
+		fixture.replies[0] =
+			answer(cases[i].status, OFFSETS, sizeof(OFFSETS) - 1);
+		ck_assert(store_read(&fixture.store, STORE_CONFIG, 1, 0,
+				     on_page, &fixture, NULL));
+		run(&fixture);
+		ck_assert_int_eq(fixture.error, ERR_NONE);
+		ck_assert_msg(fixture.epoch == cases[i].epoch, "case %zu", i);
+		fixture_finish(&fixture);
+	}
+}
+END_TEST
+
+/* Guards against a list whose pages are of two histories of the store. */
+START_TEST(a_list_has_the_lowest_epoch_of_its_pages)
+{
+	static const char first[] = "{\"entries\":[{\"key\":\"a\",\"value\":"
+				    "\"b25l\",\"offset\":1}],"
+				    "\"has_more\":true,\"end_offset\":6}";
+	static const char last[] = "{\"entries\":[],\"has_more\":false,"
+				   "\"end_offset\":2}";
+	fixture_t fixture;
+
+	fixture_init(&fixture);
+	fixture.replies[0] =
+		answer("200 OK\r\nStore-Era: 1", first, sizeof(first) - 1);
+	fixture.replies[1] =
+		answer("200 OK\r\nStore-Era: 2", last, sizeof(last) - 1);
+	ck_assert(store_list(&fixture.store, STORE_CONFIG, on_page, &fixture,
+			     NULL));
+	run(&fixture);
+	ck_assert_uint_eq(fixture.epoch, 1);
+	fixture_finish(&fixture);
+}
+END_TEST
+
 START_TEST(a_list_is_read_over_several_pages)
 {
 	static const char first[] =
@@ -239,6 +294,8 @@
 }
 END_TEST
 
-SUITE_MAIN("store", records_are_read_as_keys_and_values,
-	   answers_without_records, a_list_is_read_over_several_pages,
+SUITE_MAIN("store", answers_state_the_epoch_of_the_store,
+	   a_list_has_the_lowest_epoch_of_its_pages,
+	   records_are_read_as_keys_and_values, answers_without_records,
+	   a_list_is_read_over_several_pages,
 	   an_entry_is_appended_as_one_record, a_silent_connection_times_out)
