--- a/core/topic_follow.c
+++ b/core/topic_follow.c
@@ -1,5 +1,7 @@
 #include "core/topic_follow.h"
 
+#include <glib.h>
+
 enum {
 	US_PER_MS = 1000,
 	BASE_UPDATE_AGE_US = 950 * US_PER_MS, /* maximum without jitter */
@@ -49,49 +51,105 @@
 		f->retry_at += jitter(daemons, BACKOFF_STEP_US, draw);
 }
 
-bool topic_follow_on_read(topic_follow_t *f, uint64_t next, int64_t now)
+bool topic_position_is_after(topic_position_t a, topic_position_t b)
+{
+	return a.epoch != b.epoch ? a.epoch > b.epoch : a.next > b.next;
+}
+
+static bool is_same(topic_position_t a, topic_position_t b)
 {
-	bool is_new = !f->is_listed || next > f->next;
+	return a.epoch == b.epoch && a.next == b.next;
+}
 
+/* An answer that doesn't state its epoch counts as of the known one. */
+static topic_position_t with_epoch(topic_position_t p, uint64_t known)
+{
+	if (!p.epoch)
+		p.epoch = known;
+	return p;
+}
+
+topic_read_t topic_follow_on_read(topic_follow_t *f, topic_position_t from,
+				  topic_position_t to, int64_t now)
+{
+	to = with_epoch(to, from.epoch);
+	if (to.epoch > f->known.epoch) {
+		topic_follow_invalidate(f, to.epoch);
+		return TOPIC_READ_LIST;
+	}
+	/* Offsets of the read, or of its answer, are of an earlier epoch. */
+	if (to.epoch < f->known.epoch || from.epoch != f->known.epoch)
+		return TOPIC_READ_OLD;
 	set_up_to_date(f, now);
-	if (!is_new)
+	if (!f->is_listed || to.next <= f->known.next)
+		return TOPIC_READ_OLD;
+	f->known = to;
+	return TOPIC_READ_APPLY;
+}
+
+static bool accept_list(topic_follow_t *f, topic_position_t to)
+{
+	if (to.epoch < f->required_epoch)
 		return false;
-	f->next = next;
+	f->known = to;
+	f->required_epoch = to.epoch;
 	f->is_listed = true;
 	return true;
 }
 
-bool topic_follow_on_list(topic_follow_t *f, uint64_t next, int64_t now)
+bool topic_follow_on_own_list(topic_follow_t *f, topic_position_t to,
+			      int64_t now)
 {
-	if (next < f->next || (f->is_listed && next == f->next))
+	to = with_epoch(to, MAX(f->known.epoch, f->required_epoch));
+	if (to.epoch >= f->required_epoch)
+		set_up_to_date(f, now);
+	if (f->is_listed && !topic_position_is_after(to, f->known))
+		return false;
+	return accept_list(f, to);
+}
+
+bool topic_follow_on_list(topic_follow_t *f, topic_position_t to, int64_t now)
+{
+	if (topic_position_is_after(f->known, to) ||
+	    (f->is_listed && is_same(to, f->known)) || !accept_list(f, to))
 		return false;
-	f->next = next;
-	f->is_listed = true;
 	f->updated_at = now;
 	f->missing_since = 0;
 	return true;
 }
 
-void topic_follow_invalidate(topic_follow_t *f)
+void topic_follow_invalidate(topic_follow_t *f, uint64_t epoch)
 {
 	f->is_listed = false;
+	f->required_epoch = MAX(f->required_epoch, epoch);
+}
+
+/* Tells whether an update that begins at FROM can be applied to what is known. */
+static bool connects(const topic_follow_t *f, topic_position_t from,
+		     topic_position_t to)
+{
+	/* Over a change of epoch it is a difference to just this position. */
+	if (to.epoch != f->known.epoch)
+		return is_same(from, f->known);
+	return from.epoch == to.epoch && from.next <= f->known.next;
 }
 
-topic_update_t topic_follow_on_update(topic_follow_t *f, uint64_t from,
-				      uint64_t next, int64_t now)
+topic_update_t topic_follow_on_update(topic_follow_t *f, topic_position_t from,
+				      topic_position_t to, int64_t now)
 {
-	if (!f->is_listed || next < f->next)
+	if (!f->is_listed || topic_position_is_after(f->known, to))
 		return TOPIC_UPDATE_OLD;
-	if (from > f->next) {
+	if (!connects(f, from, to) && !is_same(f->known, to)) {
 		if (!f->missing_since)
 			f->missing_since = now;
 		return TOPIC_UPDATE_GAP;
 	}
 	f->updated_at = now;
 	f->missing_since = 0;
-	if (next == f->next)
+	if (is_same(f->known, to))
 		return TOPIC_UPDATE_OLD;
-	f->next = next;
+	f->known = to;
+	f->required_epoch = MAX(f->required_epoch, to.epoch);
 	return TOPIC_UPDATE_APPLY;
 }
 
--- a/core/topic_follow.h
+++ b/core/topic_follow.h
@@ -11,12 +11,24 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-typedef struct topic_follow {
+/*
+ * How much of a topic is known. The store may come back from an old copy: its
+ * epoch rises, and offsets name other records than before. Positions are
+ * ordered by epoch, then by offset.
+ */
+typedef struct topic_position {
+	uint64_t epoch;
 	uint64_t next; /* first offset that is not known yet */
-	bool is_listed; /* a full list was read: NEXT is valid */
+} topic_position_t;
+
+typedef struct topic_follow {
+	topic_position_t known; /* valid once a list was applied */
+	uint64_t
+		required_epoch; /* the store's; lists of earlier ones are old */
+	bool is_listed; /* the list in force needs no other one */
 	bool is_reader; /* this daemon sends updates to the others */
 	int64_t max_update_age; /* maximum age of the last update */
-	int64_t updated_at; /* when the topic was last known up to NEXT */
+	int64_t updated_at; /* when the topic was last known to be KNOWN */
 	int64_t missing_since; /* since when records are missing; 0: none */
 	int64_t list_after; /* wait for another daemon's list until then */
 	int64_t retry_at; /* no call before, after a failed one */
@@ -29,28 +41,43 @@
 	TOPIC_UPDATE_GAP, /* records before these are missing */
 } topic_update_t;
 
+typedef enum topic_read {
+	TOPIC_READ_OLD, /* updates from other daemons reached as far */
+	TOPIC_READ_APPLY, /* apply the records */
+	TOPIC_READ_LIST, /* of another epoch: list the topic again */
+} topic_read_t;
+
+/* Tells whether A is after B. */
+bool topic_position_is_after(topic_position_t a, topic_position_t b);
 /*
- * Records that this daemon listed or read the topic up to NEXT. Returns whether
- * to apply the records: updates from other daemons may have reached further
+ * Records that this daemon read the topic, which it knew up to FROM when it
+ * sent the read, up to TO. Updates from other daemons may have reached further
  * meanwhile, and older records must not overwrite them.
  */
-bool topic_follow_on_read(topic_follow_t *f, uint64_t next, int64_t now);
+topic_read_t topic_follow_on_read(topic_follow_t *f, topic_position_t from,
+				  topic_position_t to, int64_t now);
+/*
+ * Records that this daemon listed the topic, which reaches up to TO. Returns
+ * whether the list replaces what is known.
+ */
+bool topic_follow_on_own_list(topic_follow_t *f, topic_position_t to,
+			      int64_t now);
 /*
- * Call it when the store dropped records before they were read: the topic must
- * be listed again.
+ * Call it when the store doesn't have the records to be read next: the topic
+ * must be listed again. EPOCH is the store's.
  */
-void topic_follow_invalidate(topic_follow_t *f);
+void topic_follow_invalidate(topic_follow_t *f, uint64_t epoch);
 /*
- * Handles a reader's update with the records from FROM up to NEXT. On
- * TOPIC_UPDATE_APPLY the topic counts as known up to NEXT.
+ * Handles a reader's update: what has to be applied to get from FROM to TO. On
+ * TOPIC_UPDATE_APPLY the topic counts as known up to TO.
  */
-topic_update_t topic_follow_on_update(topic_follow_t *f, uint64_t from,
-				      uint64_t next, int64_t now);
+topic_update_t topic_follow_on_update(topic_follow_t *f, topic_position_t from,
+				      topic_position_t to, int64_t now);
 /*
- * Handles another daemon's full list, which reaches up to NEXT. Returns whether
+ * Handles another daemon's full list, which reaches up to TO. Returns whether
  * it replaces what this daemon knows.
  */
-bool topic_follow_on_list(topic_follow_t *f, uint64_t next, int64_t now);
+bool topic_follow_on_list(topic_follow_t *f, topic_position_t to, int64_t now);
 /*
  * Records a failed call to the store. The more DAEMONS may be retrying, the
  * longer the backoff, since the first one to succeed sends updates to the
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -18,6 +18,7 @@
 #include "core/member.h"
 #include "core/profile.h"
 #include "core/quarantine.h"
+#include "core/topic_follow.h"
 #include "core/dedup.h"
 #include "platform/platform_client.h"
 
@@ -119,7 +120,7 @@
 /* Records read from a topic, for daemons that don't read it themselves. */
 typedef struct message_update {
 	uint32_t topic;
-	uint64_t from, next; /* offsets: first record, one past the last */
+	topic_position_t from, to; /* of the first record; past the last */
 	bool is_stable; /* no recent store outage at the sender */
 	bool is_from_other_zone; /* received from another zone */
 	bool is_relayed; /* read by another daemon; sent to the own zone only */
--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -80,13 +80,22 @@
 	g_array_append_val(records, record);
 }
 
+/* Returns the position that a page reaches; the known epoch if unstated. */
+static topic_position_t page_position(const store_follower_t *f,
+				      const store_page_t *page)
+{
+	uint64_t epoch = page->epoch ? page->epoch : f->state.known.epoch;
+
+	return (topic_position_t){ epoch, page->next };
+}
+
 /*
  * Sends an update to the other daemons, also when nothing is new. It has the
  * page's newest record of each key in CHANGED, and the entries in REMOVED. A
  * daemon that has all records up to FROM, or has listed the topic since, has
  * the same state as this one after it applies the update.
  */
-static void post_update(store_follower_t *f, uint64_t from,
+static void post_update(store_follower_t *f, topic_position_t from,
 			const store_page_t *page, GHashTable *changed,
 			const GArray *removed)
 {
@@ -94,7 +103,7 @@
 
 	m.update.topic = f->topic;
 	m.update.from = from;
-	m.update.next = page->next;
+	m.update.to = page_position(f, page);
 	m.update.is_stable =
 		runner_list_is_stable(f->env->runner_list, now_us());
 	m.update.records = message_records_new();
@@ -164,11 +173,12 @@
 /* Replaces the list with another daemon's, unless this one is as new. */
 static void apply_list(store_follower_t *f, const message_update_t *update)
 {
-	if (!topic_follow_on_list(&f->state, update->next, now_us()))
+	if (!topic_follow_on_list(&f->state, update->to, now_us()))
 		return;
-	log_event("listed-by-daemon", "topic=%s records=%u next=%" PRIu64,
+	log_event("listed-by-daemon",
+		  "topic=%s records=%u epoch=%" PRIu64 " next=%" PRIu64,
 		  store_topic_name(f->topic), update->records->len,
-		  update->next);
+		  update->to.epoch, update->to.next);
 	begin_list(f);
 	apply_records(f, update->records);
 	end_list(f);
@@ -178,7 +188,7 @@
 			      const message_update_t *update)
 {
 	int64_t known_at = f->state.updated_at;
-	uint64_t next = f->state.next;
+	topic_position_t known = f->state.known;
 
 	if (update->is_list) {
 		apply_list(f, update);
@@ -186,10 +196,11 @@
 	}
 	if (f->topic == STORE_RUNNERS)
 		runner_list_on_update(f->env->runner_list, update->is_stable);
-	switch (topic_follow_on_update(&f->state, update->from, update->next,
+	switch (topic_follow_on_update(&f->state, update->from, update->to,
 				       now_us())) {
 	case TOPIC_UPDATE_OLD:
-		if (update->is_from_other_zone && update->next == next &&
+		if (update->is_from_other_zone &&
+		    !topic_position_is_after(known, update->to) &&
 		    f->state.updated_at - known_at > EMPTY_RELAY_GAP_US)
 			relay_update(f, update);
 		return;
@@ -203,37 +214,93 @@
 	apply_records(f, update->records);
 }
 
-/* Logs which of the store's histories an answer belongs to, if it changed. */
+/* Logs which of the store's epochs an answer belongs to, if it changed. */
 static void log_epoch(store_follower_t *f, const store_page_t *page)
 {
 	if (page->epoch == f->epoch)
 		return;
 	log_event("store-epoch",
 		  "topic=%s epoch=%" PRIu64 " was=%" PRIu64 " next=%" PRIu64
-		  " known=%" PRIu64,
+		  " known=%" PRIu64 " known_epoch=%" PRIu64,
 		  store_topic_name(f->topic), page->epoch, f->epoch, page->next,
-		  f->state.next);
+		  f->state.known.next, f->state.known.epoch);
 	f->epoch = page->epoch;
 }
 
-/* Logs a list or read of the store that says less than is known here. */
+/* Logs an answer of the store that says less than is known here. */
 static void log_ignored(const store_follower_t *f, const store_page_t *page)
 {
 	log_event("store-ignored",
 		  "topic=%s epoch=%" PRIu64 " records=%zu next=%" PRIu64
-		  " known=%" PRIu64,
+		  " known=%" PRIu64 " known_epoch=%" PRIu64,
 		  store_topic_name(f->topic), page->epoch, page->n_entries,
-		  page->next, f->state.next);
+		  page->next, f->state.known.next, f->state.known.epoch);
 }
 
-static void on_page(void *ctx, const store_page_t *page, const err_t *err)
+static void list_again(store_follower_t *f, const char *why)
+{
+	log_info("listing topic %s again: %s", store_topic_name(f->topic), why);
+	call_store(f);
+}
+
+/*
+ * Applies what the store answered if it IS_NEW, and sends it to the other
+ * daemons as the difference to FROM, what was known before. A daemon that isn't
+ * a reader, but read the store because no update arrived, sends an update, too:
+ * the store may be rejecting calls from the readers' VMs and from other VMs. So
+ * does one that had to list the topic again.
+ */
+static void on_records(store_follower_t *f, const store_page_t *page,
+		       topic_position_t from, bool is_new)
 {
-	store_follower_t *f = ctx;
 	g_autoptr(GHashTable) changed = str_table_new(NULL);
-	bool was_listing = !f->state.is_listed;
-	uint64_t from = f->state.next;
+	topic_position_t to = page_position(f, page);
 	g_autoptr(GArray) removed = NULL;
 
+	if (f->is_listing)
+		removed = topic_records_find_removed(&f->records, page);
+	if (is_new)
+		apply_page(f, page, f->is_listing, changed);
+	else if (topic_position_is_after(from, to))
+		log_ignored(f, page);
+	/* What was not applied, though it is later, must not count as known. */
+	if ((is_new || !topic_position_is_after(to, from)) &&
+	    (!f->is_listing || from.next))
+		post_update(f, from, page, changed, removed);
+	schedule_call(f, next_delay_ms(f));
+}
+
+static void on_list(store_follower_t *f, const store_page_t *page)
+{
+	topic_position_t to = { page->epoch, page->next };
+	topic_position_t from = f->state.known;
+
+	on_records(f, page, from,
+		   topic_follow_on_own_list(&f->state, to, now_us()));
+}
+
+static void on_read(store_follower_t *f, const store_page_t *page)
+{
+	topic_position_t to = { page->epoch, page->next };
+	topic_position_t from = f->state.known;
+
+	switch (topic_follow_on_read(&f->state, f->read_from, to, now_us())) {
+	case TOPIC_READ_OLD:
+		on_records(f, page, from, false);
+		break;
+	case TOPIC_READ_APPLY:
+		on_records(f, page, from, true);
+		break;
+	case TOPIC_READ_LIST:
+		list_again(f, "the store came back from a copy");
+		break;
+	}
+}
+
+static void on_page(void *ctx, const store_page_t *page, const err_t *err)
+{
+	store_follower_t *f = ctx;
+
 	f->is_calling = false;
 	set_down(f, err);
 	if (err) {
@@ -245,29 +312,13 @@
 	}
 	log_epoch(f, page);
 	if (page->has_gap) {
-		log_info("the store dropped unread records of topic %s; "
-			 "listing it again",
-			 store_topic_name(f->topic));
-		topic_follow_invalidate(&f->state);
-		call_store(f);
-		return;
+		topic_follow_invalidate(&f->state, page->epoch);
+		list_again(f, "the store doesn't have the records to read");
+	} else if (f->is_listing) {
+		on_list(f, page);
+	} else {
+		on_read(f, page);
 	}
-	if (was_listing)
-		removed = topic_records_find_removed(&f->records, page);
-	if (topic_follow_on_read(&f->state, page->next, now_us()))
-		apply_page(f, page, was_listing, changed);
-	else if (page->next < f->state.next)
-		log_ignored(f, page);
-	/*
-	 * A daemon that isn't a reader, but read the store because no update
-	 * arrived, also sends an update: the store may be rejecting calls from
-	 * the readers' VMs and from other VMs. So does a daemon that had to
-	 * list the topic again; its update begins at FROM, the offset known
-	 * before.
-	 */
-	if (!was_listing || from)
-		post_update(f, from, page, changed, removed);
-	schedule_call(f, next_delay_ms(f));
 }
 
 /* Lists the topic if it isn't listed yet; otherwise reads new records. */
@@ -281,8 +332,10 @@
 
 	if (f->is_calling)
 		return;
-	if (f->state.is_listed)
-		is_begun = store_read(store, f->topic, f->state.next, wait,
+	f->is_listing = !f->state.is_listed;
+	f->read_from = f->state.known;
+	if (!f->is_listing)
+		is_begun = store_read(store, f->topic, f->read_from.next, wait,
 				      on_page, f, NULL);
 	else
 		is_begun = store_list(store, f->topic, on_page, f, NULL);
@@ -327,7 +380,7 @@
 	if (!f->state.is_listed)
 		return;
 	m.update.topic = f->topic;
-	m.update.next = f->state.next;
+	m.update.to = f->state.known;
 	m.update.is_stable =
 		runner_list_is_stable(f->env->runner_list, now_us());
 	g_strlcpy(m.update.peer, peer, sizeof(m.update.peer));
--- a/daemon/store_follower.h
+++ b/daemon/store_follower.h
@@ -32,6 +32,8 @@
 	topic_follow_t state;
 	topic_records_t records;
 	bool is_calling; /* a call to the store is pending */
+	bool is_listing; /* and it is a list */
+	topic_position_t read_from; /* what was known when it began */
 	bool is_down; /* the last call to the store failed */
 	uint64_t epoch; /* the store's, in its latest answer */
 } store_follower_t;
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -109,7 +109,7 @@
 	if (!text.len) {
 		log_event("runner-dropped", "runner=%.*s next=%" PRIu64,
 			  (int)MIN(id.len, FLEET_NAME_SIZE), id.ptr,
-			  s->runners.state.next);
+			  s->runners.state.known.next);
 		runner_list_remove(&s->runner_list, id, now_us());
 	} else if (fleet_json_parse_runner(id, text, &runner, &err)) {
 		is_new = runner_list_set(&s->runner_list, &runner);
@@ -119,7 +119,7 @@
 				  "next=%" PRIu64,
 				  runner.id, runner.service, runner.address,
 				  runner.is_leaving ? "yes" : "no",
-				  s->runners.state.next);
+				  s->runners.state.known.next);
 	} else {
 		log_warn("removing runner %.*s: invalid entry: %s",
 			 (int)MIN(id.len, FLEET_NAME_SIZE), id.ptr,
@@ -272,7 +272,7 @@
 		  "runners=%u leaving=%u daemons=%u next=%" PRIu64
 		  " list_age_ms=%" PRId64,
 		  s->vms->runners->len, count_leaving(s->vms),
-		  s->vms->daemons->len, s->runners.state.next,
+		  s->vms->daemons->len, s->runners.state.known.next,
 		  (now_us() - s->runners.state.updated_at) / 1000);
 	post_vms(s);
 }
--- a/daemon/update_frames.c
+++ b/daemon/update_frames.c
@@ -84,8 +84,10 @@
 
 	outgoing_init(&o, update->records, true);
 	out.topic = update->topic;
-	out.from = update->from;
-	out.next = update->next;
+	out.from = update->from.next;
+	out.from_epoch = update->from.epoch;
+	out.next = update->to.next;
+	out.epoch = update->to.epoch;
 	out.steady = update->is_stable;
 	out.records = o.pointers;
 	out.n_records = update->records->len;
@@ -149,8 +151,8 @@
 
 	*out = (message_t){ .type = MESSAGE_TOPIC_UPDATE };
 	out->update.topic = frame->topic;
-	out->update.from = frame->from;
-	out->update.next = frame->next;
+	out->update.from = (topic_position_t){ frame->from_epoch, frame->from };
+	out->update.to = (topic_position_t){ frame->epoch, frame->next };
 	out->update.is_stable = frame->steady;
 	out->update.is_list = frame->list;
 	out->update.records = message_records_new();
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3988,7 +3988,7 @@
   (ProtobufCMessageInit) papaya__store_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__store_news__field_descriptors[8] =
+static const ProtobufCFieldDescriptor papaya__store_news__field_descriptors[10] =
 {
   {
     "topic",
@@ -4086,11 +4086,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "epoch",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StoreNews, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from_epoch",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StoreNews, from_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__store_news__field_indices_by_name[] = {
   6,   /* field[6] = batch */
   7,   /* field[7] = batch_size */
+  8,   /* field[8] = epoch */
   1,   /* field[1] = from */
+  9,   /* field[9] = from_epoch */
   5,   /* field[5] = list */
   2,   /* field[2] = next */
   3,   /* field[3] = records */
@@ -4100,7 +4126,7 @@
 static const ProtobufCIntRange papaya__store_news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor papaya__store_news__descriptor =
 {
@@ -4110,7 +4136,7 @@
   "Papaya__StoreNews",
   "papaya",
   sizeof(Papaya__StoreNews),
-  8,
+  10,
   papaya__store_news__field_descriptors,
   papaya__store_news__field_indices_by_name,
   1,  papaya__store_news__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -711,10 +711,18 @@
    * of batch before compression; 0: not compressed
    */
   uint32_t batch_size;
+  /*
+   * of the store, which next belongs to
+   */
+  uint64_t epoch;
+  /*
+   * which from belongs to
+   */
+  uint64_t from_epoch;
 };
 #define PAPAYA__STORE_NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__store_news__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, 0, {0,NULL}, 0 }
+    , 0, 0, 0, 0,NULL, 0, 0, {0,NULL}, 0, 0, 0 }
 
 
 struct  Papaya__StoreRecords
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -43,6 +43,9 @@
 	/* What the other tasks were told. */
 	int version, lowest_version; /* lowest: after a higher one; 0: none */
 	int runners, leaving;
+	/* Of the latest update of the configuration with another epoch: */
+	topic_position_t told_from, told_to;
+	int tells; /* such updates */
 	bool has_old_peer; /* another daemon lists what it knew before */
 	int old_peer_next;
 } fixture_t;
@@ -170,7 +173,8 @@
 
 	m.update.topic = STORE_CONFIG;
 	m.update.is_list = true;
-	m.update.next = (uint64_t)f->old_peer_next;
+	m.update.to.epoch = 1;
+	m.update.to.next = (uint64_t)f->old_peer_next;
 	m.update.records = message_records_new();
 	supervisor_post(&f->sup, TASK_PLATFORM, &m);
 }
@@ -213,6 +217,12 @@
 		f->version = (int)m->number;
 	} else if (m->type == MESSAGE_VMS) {
 		count_runners(f, m->vms);
+	} else if (m->type == MESSAGE_TOPIC_UPDATE &&
+		   m->update.topic == STORE_CONFIG &&
+		   m->update.from.epoch != m->update.to.epoch) {
+		f->told_from = m->update.from;
+		f->told_to = m->update.to;
+		f->tells++;
 	}
 }
 
@@ -346,6 +356,51 @@
 }
 END_TEST
 
+/* Guards against daemons that don't read the store and are not told. */
+START_TEST(a_reader_tells_the_others_of_the_new_epoch)
+{
+	fixture_t f;
+
+	fixture_init(&f);
+	restore(&f, 1);
+	ck_assert(await(&f, &f.tells, 1));
+	ck_assert_uint_eq(f.told_from.epoch, 1);
+	ck_assert_uint_eq(f.told_from.next, 3);
+	ck_assert_uint_eq(f.told_to.epoch, 2);
+	ck_assert_uint_eq(f.told_to.next, 1);
+	fixture_finish(&f);
+}
+END_TEST
+
+/* Guards against daemons that are told and keep what they knew before. */
+START_TEST(an_update_of_the_new_epoch_is_applied)
+{
+	message_t m = { .type = MESSAGE_TOPIC_UPDATE };
+	message_t reader = { .type = MESSAGE_READER_ROLE, .number = false };
+	message_record_t record;
+	fixture_t f;
+
+	fixture_init(&f);
+	restore(&f, 3);
+	f.epoch = 1;
+	supervisor_post(&f.sup, TASK_PLATFORM, &reader);
+	put_config(&f, 14);
+	record.key = g_bytes_new_static("config", strlen("config"));
+	record.value =
+		g_bytes_new(f.topics[STORE_CONFIG].records[3].value,
+			    strlen(f.topics[STORE_CONFIG].records[3].value));
+	go_back(&f, STORE_CONFIG, 3);
+	m.update.topic = STORE_CONFIG;
+	m.update.from = (topic_position_t){ 1, 3 };
+	m.update.to = (topic_position_t){ 2, 2 };
+	m.update.records = message_records_new();
+	g_array_append_val(m.update.records, record);
+	supervisor_post(&f.sup, TASK_PLATFORM, &m);
+	ck_assert(await(&f, &f.version, 14));
+	fixture_finish(&f);
+}
+END_TEST
+
 /* Guards against taking an old configuration from the copy. */
 START_TEST(a_configuration_does_not_go_back)
 {
@@ -385,5 +440,7 @@
 
 SUITE_MAIN("restored_store", a_change_after_the_store_went_back_is_in_force,
 	   a_list_of_the_old_store_does_not_hide_the_new_one,
+	   a_reader_tells_the_others_of_the_new_epoch,
+	   an_update_of_the_new_epoch_is_applied,
 	   a_configuration_does_not_go_back,
 	   a_runner_that_leaves_is_not_ready_again)
--- a/tests/test_topic_follow.c
+++ b/tests/test_topic_follow.c
@@ -3,20 +3,39 @@
 
 enum { MAX_UPDATE_AGE = 700 };
 
+/* A position in the first epoch. */
+static topic_position_t at(uint64_t next)
+{
+	return (topic_position_t){ 1, next };
+}
+
+/* A position in the second epoch, after the store came back from a copy. */
+static topic_position_t later(uint64_t next)
+{
+	return (topic_position_t){ 2, next };
+}
+
 static topic_follow_t listed(uint64_t next)
 {
 	topic_follow_t f = { .max_update_age = MAX_UPDATE_AGE };
 
-	topic_follow_on_read(&f, next, 0);
+	topic_follow_on_own_list(&f, at(next), 0);
 	return f;
 }
 
+/* Reads from what is known up to NEXT; returns whether to apply the records. */
+static bool read_up_to(topic_follow_t *f, uint64_t next, int64_t now)
+{
+	return topic_follow_on_read(f, f->known, at(next), now) ==
+	       TOPIC_READ_APPLY;
+}
+
 START_TEST(updates_keep_a_follower_from_reading)
 {
 	topic_follow_t f = listed(10);
 
 	for (int64_t now = 400; now < 4000; now += 400) {
-		topic_follow_on_update(&f, 10, 10, now);
+		topic_follow_on_update(&f, at(10), at(10), now);
 		ck_assert(!topic_follow_is_due(&f, now + 400));
 	}
 }
@@ -40,7 +59,7 @@
 	f.is_reader = true;
 	ck_assert(topic_follow_is_due(&f, 1));
 	f = listed(10);
-	topic_follow_invalidate(&f);
+	topic_follow_invalidate(&f, 1);
 	ck_assert(topic_follow_is_due(&f, 1));
 }
 END_TEST
@@ -62,10 +81,10 @@
 	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		topic_follow_t f = listed(10);
 
-		ck_assert_int_eq(topic_follow_on_update(&f, cases[i].from,
-							cases[i].next, 1),
+		ck_assert_int_eq(topic_follow_on_update(&f, at(cases[i].from),
+							at(cases[i].next), 1),
 				 cases[i].expected);
-		ck_assert_uint_eq(f.next, cases[i].known);
+		ck_assert_uint_eq(f.known.next, cases[i].known);
 	}
 }
 END_TEST
@@ -74,15 +93,15 @@
 {
 	topic_follow_t f = listed(10);
 
-	ck_assert_int_eq(topic_follow_on_update(&f, 10, 13, 1),
+	ck_assert_int_eq(topic_follow_on_update(&f, at(10), at(13), 1),
 			 TOPIC_UPDATE_APPLY);
-	ck_assert(!topic_follow_on_read(&f, 11, 2));
-	ck_assert(!topic_follow_on_read(&f, 13, 2));
-	ck_assert_uint_eq(f.next, 13);
-	ck_assert(topic_follow_on_read(&f, 14, 3));
-	topic_follow_invalidate(&f);
-	ck_assert(topic_follow_on_read(&f, 12, 4));
-	ck_assert_uint_eq(f.next, 12);
+	ck_assert(!read_up_to(&f, 11, 2));
+	ck_assert(!read_up_to(&f, 13, 2));
+	ck_assert_uint_eq(f.known.next, 13);
+	ck_assert(read_up_to(&f, 14, 3));
+	topic_follow_invalidate(&f, 1);
+	ck_assert(topic_follow_on_own_list(&f, at(12), 4));
+	ck_assert_uint_eq(f.known.next, 12);
 }
 END_TEST
 
@@ -90,7 +109,7 @@
 {
 	topic_follow_t f = listed(10);
 
-	topic_follow_on_update(&f, 12, 13, 600);
+	topic_follow_on_update(&f, at(12), at(13), 600);
 	ck_assert(topic_follow_is_due(&f, MAX_UPDATE_AGE));
 }
 END_TEST
@@ -103,14 +122,14 @@
 
 	f.max_update_age = LONG;
 	ck_assert(!topic_follow_needs_list(&f));
-	ck_assert_int_eq(topic_follow_on_update(&f, 12, 13, 1),
+	ck_assert_int_eq(topic_follow_on_update(&f, at(12), at(13), 1),
 			 TOPIC_UPDATE_GAP);
 	ck_assert(topic_follow_needs_list(&f));
-	ck_assert_int_eq(topic_follow_on_update(&f, 13, 14, 100),
+	ck_assert_int_eq(topic_follow_on_update(&f, at(13), at(14), 100),
 			 TOPIC_UPDATE_GAP);
 	ck_assert(!topic_follow_is_due(&f, WAIT));
 	ck_assert(topic_follow_is_due(&f, WAIT + 1));
-	ck_assert_int_eq(topic_follow_on_update(&f, 10, 12, 200),
+	ck_assert_int_eq(topic_follow_on_update(&f, at(10), at(12), 200),
 			 TOPIC_UPDATE_APPLY);
 	ck_assert(!topic_follow_needs_list(&f));
 	ck_assert(!topic_follow_is_due(&f, WAIT + 1));
@@ -124,17 +143,17 @@
 
 	ck_assert(!topic_follow_is_due(&f, 999));
 	ck_assert(topic_follow_is_due(&f, 1000));
-	ck_assert(topic_follow_on_list(&f, 10, 500));
+	ck_assert(topic_follow_on_list(&f, at(10), 500));
 	ck_assert(!topic_follow_is_due(&f, 1000));
 	/* A second list that is older or the same changes nothing. */
-	ck_assert(!topic_follow_on_list(&f, 10, 600));
-	ck_assert(!topic_follow_on_list(&f, 9, 600));
-	ck_assert_int_eq(topic_follow_on_update(&f, 10, 11, 700),
+	ck_assert(!topic_follow_on_list(&f, at(10), 600));
+	ck_assert(!topic_follow_on_list(&f, at(9), 600));
+	ck_assert_int_eq(topic_follow_on_update(&f, at(10), at(11), 700),
 			 TOPIC_UPDATE_APPLY);
 	/* Neither does one after the own list was invalidated. */
-	topic_follow_invalidate(&f);
-	ck_assert(!topic_follow_on_list(&f, 10, 800));
-	ck_assert(topic_follow_on_list(&f, 11, 800));
+	topic_follow_invalidate(&f, 1);
+	ck_assert(!topic_follow_on_list(&f, at(10), 800));
+	ck_assert(topic_follow_on_list(&f, at(11), 800));
 }
 END_TEST
 
@@ -160,7 +179,7 @@
 		}
 		ck_assert_int_le(calls, cases[i].calls);
 		/* A successful read ends the back-off. */
-		topic_follow_on_read(&f, 11, MINUTE);
+		read_up_to(&f, 11, MINUTE);
 		ck_assert(topic_follow_is_due(&f, MINUTE + 1));
 	}
 }
@@ -172,7 +191,7 @@
 	enum { RETRIED_BY = 900 * 1000 };
 	topic_follow_t f = listed(10);
 
-	topic_follow_invalidate(&f);
+	topic_follow_invalidate(&f, 1);
 	topic_follow_on_failure(&f, 300, 1, 0);
 	topic_follow_on_failure(&f, 300, 1, RETRIED_BY / 3);
 	ck_assert(topic_follow_is_due(&f, RETRIED_BY));
@@ -193,6 +212,92 @@
 }
 END_TEST
 
+/* Guards against records that are never read as their offsets were known. */
+START_TEST(a_read_of_a_later_epoch_needs_a_list)
+{
+	topic_follow_t f = listed(10);
+
+	ck_assert_int_eq(topic_follow_on_read(&f, at(10), later(12), 1),
+			 TOPIC_READ_LIST);
+	ck_assert(topic_follow_is_due(&f, 1));
+	ck_assert(topic_follow_needs_list(&f));
+	/* Other daemons' lists of the first epoch are old, however long. */
+	ck_assert(!topic_follow_on_list(&f, at(10), 2));
+	ck_assert(!topic_follow_on_list(&f, at(99), 2));
+	ck_assert(!topic_follow_on_own_list(&f, at(99), 2));
+	ck_assert(topic_follow_on_own_list(&f, later(4), 3));
+	ck_assert_uint_eq(f.known.next, 4);
+	ck_assert(!topic_follow_needs_list(&f));
+	/* An answer to a read from before says nothing of the second epoch. */
+	ck_assert_int_eq(topic_follow_on_read(&f, at(10), later(12), 4),
+			 TOPIC_READ_OLD);
+	ck_assert_int_eq(topic_follow_on_read(&f, at(10), at(12), 4),
+			 TOPIC_READ_OLD);
+	ck_assert_int_eq(topic_follow_on_read(&f, later(4), later(5), 5),
+			 TOPIC_READ_APPLY);
+}
+END_TEST
+
+START_TEST(a_list_of_a_later_epoch_replaces_a_longer_one)
+{
+	topic_follow_t f = listed(10);
+
+	ck_assert(topic_follow_on_list(&f, later(2), 1));
+	ck_assert_uint_eq(f.known.epoch, 2);
+	ck_assert(!topic_follow_on_list(&f, at(12), 2));
+	/* Missing records, with the epoch known from the store's answer. */
+	f = listed(10);
+	topic_follow_invalidate(&f, 2);
+	ck_assert(!topic_follow_on_list(&f, at(11), 3));
+	ck_assert(topic_follow_on_list(&f, later(2), 3));
+}
+END_TEST
+
+START_TEST(an_update_over_epochs_is_for_one_position)
+{
+	topic_follow_t f = listed(10);
+
+	ck_assert_int_eq(topic_follow_on_update(&f, at(10), later(7), 1),
+			 TOPIC_UPDATE_APPLY);
+	ck_assert_int_eq(topic_follow_on_update(&f, at(10), at(11), 2),
+			 TOPIC_UPDATE_OLD);
+	ck_assert_int_eq(topic_follow_on_update(&f, later(7), later(8), 3),
+			 TOPIC_UPDATE_APPLY);
+	/* To more or fewer records of the first epoch it can't be applied. */
+	f = listed(11);
+	ck_assert_int_eq(topic_follow_on_update(&f, at(10), later(7), 1),
+			 TOPIC_UPDATE_GAP);
+	ck_assert(topic_follow_needs_list(&f));
+	f = listed(9);
+	ck_assert_int_eq(topic_follow_on_update(&f, at(10), later(7), 1),
+			 TOPIC_UPDATE_GAP);
+	/* Nor can one within the second epoch. */
+	f = listed(7);
+	ck_assert_int_eq(topic_follow_on_update(&f, later(7), later(8), 1),
+			 TOPIC_UPDATE_GAP);
+	/* Who has listed the second epoch needs what follows it only. */
+	f = listed(10);
+	ck_assert(topic_follow_on_own_list(&f, later(6), 1));
+	ck_assert_int_eq(topic_follow_on_update(&f, at(10), later(7), 2),
+			 TOPIC_UPDATE_GAP);
+}
+END_TEST
+
+/* Stores and daemons that don't state an epoch. */
+START_TEST(positions_without_an_epoch_are_of_the_known_one)
+{
+	topic_follow_t f = listed(10);
+	topic_position_t unstated = { 0, 12 };
+
+	ck_assert_int_eq(topic_follow_on_read(&f, at(10), unstated, 1),
+			 TOPIC_READ_APPLY);
+	ck_assert_uint_eq(f.known.epoch, 1);
+	topic_follow_invalidate(&f, 2);
+	ck_assert(topic_follow_on_own_list(&f, unstated, 2));
+	ck_assert_uint_eq(f.known.epoch, 2);
+}
+END_TEST
+
 SUITE_MAIN("topic_follow", updates_keep_a_follower_from_reading,
 	   follower_reads_without_updates, readers_and_new_daemons_always_read,
 	   updates_are_applied_in_order_or_read,
@@ -202,4 +307,8 @@
 	   new_daemon_waits_for_the_list_of_another,
 	   a_failing_store_is_called_less_often,
 	   failed_call_without_a_list_is_retried_soon,
-	   timeouts_of_many_daemons_are_spread)
+	   timeouts_of_many_daemons_are_spread,
+	   a_read_of_a_later_epoch_needs_a_list,
+	   a_list_of_a_later_epoch_replaces_a_longer_one,
+	   an_update_over_epochs_is_for_one_position,
+	   positions_without_an_epoch_are_of_the_known_one)
