--- a/core/runner_list.c
+++ b/core/runner_list.c
@@ -1,8 +1,13 @@
 #include "core/runner_list.h"
 
+/* How long a removed runner is remembered: far longer than copies are old. */
+#define MEMORY_US (INT64_C(5) * 60 * 1000 * 1000)
+
 typedef struct entry {
 	listed_runner_t runner;
+	uint64_t epoch; /* of the store that it was read from */
 	int64_t remove_at; /* when its removal takes effect; 0: listed */
+	bool is_removed; /* only remembered */
 	bool is_seen; /* in the current listing */
 } entry_t;
 
@@ -26,22 +31,62 @@
 	       a->is_leaving == b->is_leaving;
 }
 
-bool runner_list_set(runner_list_t *l, const listed_runner_t *runner)
+/*
+ * Tells whether RUNNER comes from an old copy: the store's epoch has risen
+ * since E was read, and the runner hasn't written anything after E.
+ */
+static bool is_old(const runner_list_t *l, const entry_t *e,
+		   const listed_runner_t *runner)
+{
+	if (e->epoch >= l->epoch)
+		return false;
+	if (runner->born_ms != e->runner.born_ms)
+		return runner->born_ms < e->runner.born_ms;
+	if (runner->sequence != e->runner.sequence)
+		return runner->sequence < e->runner.sequence;
+	return e->is_removed || (e->runner.is_leaving && !runner->is_leaving);
+}
+
+static entry_t *add_entry(runner_list_t *l, const char *id)
+{
+	entry_t *e = g_new0(entry_t, 1);
+
+	g_strlcpy(e->runner.id, id, sizeof(e->runner.id));
+	g_hash_table_insert(l->runners, e->runner.id, e);
+	return e;
+}
+
+runner_entry_t runner_list_set(runner_list_t *l, const listed_runner_t *runner)
 {
 	entry_t *e = g_hash_table_lookup(l->runners, runner->id);
-	bool is_new = !e || !is_same(&e->runner, runner);
+	bool is_new = !e || e->is_removed || !is_same(&e->runner, runner);
 	bool was_being_removed = e && e->remove_at;
 
-	if (!e) {
-		e = g_new0(entry_t, 1);
-		g_strlcpy(e->runner.id, runner->id, sizeof(e->runner.id));
-		g_hash_table_insert(l->runners, e->runner.id, e);
+	if (e && is_old(l, e, runner)) {
+		e->is_seen = true;
+		if (!e->is_removed)
+			e->remove_at = 0;
+		return RUNNER_ENTRY_OLD;
 	}
+	if (!e)
+		e = add_entry(l, runner->id);
 	e->runner = *runner;
+	e->epoch = l->epoch;
 	l->has_changed |= is_new;
 	e->remove_at = 0;
+	e->is_removed = false;
 	e->is_seen = true;
-	return is_new || was_being_removed;
+	return is_new || was_being_removed ? RUNNER_ENTRY_NEW :
+					     RUNNER_ENTRY_KNOWN;
+}
+
+void runner_list_set_epoch(runner_list_t *l, uint64_t epoch, int64_t now)
+{
+	if (epoch <= l->epoch)
+		return;
+	if (l->epoch)
+		l->outage_ended_at = now;
+	l->epoch = epoch;
 }
 
 bool runner_list_is_stable(const runner_list_t *l, int64_t now)
@@ -121,8 +166,12 @@
 	       g_hash_table_iter_next(&iter, NULL, (void **)&e)) {
 		if (!e->remove_at || e->remove_at > now)
 			continue;
-		g_hash_table_iter_remove(&iter);
-		l->has_changed = true;
+		if (!e->is_removed) {
+			e->is_removed = true;
+			l->has_changed = true;
+		} else if (now - e->remove_at > MEMORY_US) {
+			g_hash_table_iter_remove(&iter);
+		}
 	}
 	has_changed = l->has_changed;
 	l->has_changed = false;
@@ -138,5 +187,6 @@
 
 	g_hash_table_iter_init(&iter, l->runners);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&e))
-		fn(ctx, &e->runner);
+		if (!e->is_removed)
+			fn(ctx, &e->runner);
 }
--- a/core/runner_list.h
+++ b/core/runner_list.h
@@ -7,6 +7,11 @@
  * store itself was unavailable for too long. So a removal seen soon after an
  * outage takes effect only after a grace period, in which the runner can
  * register again.
+ *
+ * The store may also come back from an old copy, in a later epoch. Entries of
+ * the copy are then older than what is known: a runner that said that it leaves
+ * isn't ready again, and one that left doesn't come back, until it registers
+ * again itself.
  */
 #ifndef CORE_RUNNER_LIST_H
 #define CORE_RUNNER_LIST_H
@@ -25,6 +30,7 @@
 	/* the platform's name for it; setting `places` maps it to a zone */
 	char zone[FLEET_NAME_SIZE];
 	int64_t born_ms; /* identifies the incarnation behind an id */
+	uint64_t sequence; /* rises with each of its entries; 0: not stated */
 	uint32_t slots;
 	bool is_leaving;
 } listed_runner_t;
@@ -41,6 +47,7 @@
 	GHashTable *runners; /* id to entry */
 	int64_t grace_period; /* for runners to register after an outage */
 	int64_t outage_ended_at; /* end of the last outage; 0: there was none */
+	uint64_t epoch; /* of the store; 0: not known */
 	bool is_store_down; /* the store is unavailable */
 	/* The store was read here, or by a daemon that saw no recent outage. */
 	bool was_read;
@@ -50,11 +57,15 @@
 void runner_list_init(runner_list_t *l, int64_t grace_period);
 void runner_list_finish(runner_list_t *l);
 
-/*
- * Sets an entry that was read; it replaces one with the same id. Returns
- * whether the entry is new or changed, or cancels a pending removal.
- */
-bool runner_list_set(runner_list_t *l, const listed_runner_t *runner);
+/* What an entry that was read says beyond what is known. */
+typedef enum runner_entry {
+	RUNNER_ENTRY_KNOWN, /* nothing */
+	RUNNER_ENTRY_NEW, /* it is new or changed, or ends a pending removal */
+	RUNNER_ENTRY_OLD, /* it is older than what is known: nothing is set */
+} runner_entry_t;
+
+/* Sets an entry that was read; it replaces one with the same id. */
+runner_entry_t runner_list_set(runner_list_t *l, const listed_runner_t *runner);
 /* Removes an entry that the store removed or that names no usable runner. */
 void runner_list_remove(runner_list_t *l, str_t id, int64_t now);
 /* Begins and ends a full listing; entries not set in between are removed. */
@@ -62,6 +73,11 @@
 void runner_list_end(runner_list_t *l, int64_t now);
 /* Records that the store can't be read, or can be read again. */
 void runner_list_set_outage(runner_list_t *l, bool is_down, int64_t now);
+/*
+ * Sets the epoch of the store that entries are of from now on. When it rises,
+ * runners have the grace period to register again.
+ */
+void runner_list_set_epoch(runner_list_t *l, uint64_t epoch, int64_t now);
 /* True when the store is available, and was for at least the grace period. */
 bool runner_list_is_stable(const runner_list_t *l, int64_t now);
 /*
--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -24,11 +24,13 @@
 /* Applies and keeps an entry. Returns whether it contains anything new. */
 static bool apply_entry(store_follower_t *f, const store_entry_t *entry)
 {
-	bool is_new = f->env->on_entry(f->env->ctx, f->topic, entry);
+	entry_news_t news = f->env->on_entry(f->env->ctx, f->topic, entry);
 
-	if (is_new || !topic_records_get(&f->records, entry->key))
+	topic_records_see(&f->records, entry->key);
+	if (news == ENTRY_NEW || (news == ENTRY_KNOWN &&
+				  !topic_records_get(&f->records, entry->key)))
 		topic_records_set(&f->records, entry->key, entry->value);
-	return is_new;
+	return news == ENTRY_NEW;
 }
 
 static void set_down(store_follower_t *f, const err_t *err)
@@ -133,21 +135,33 @@
 /* Entries applied between begin_list and end_list replace the whole list. */
 static void begin_list(store_follower_t *f)
 {
-	topic_records_clear(&f->records);
+	topic_records_begin(&f->records);
 	if (f->topic == STORE_RUNNERS)
 		runner_list_begin(f->env->runner_list);
 }
 
 static void end_list(store_follower_t *f)
 {
+	/* An old copy may be from before the first configuration. */
+	if (f->topic != STORE_CONFIG)
+		topic_records_end(&f->records);
 	if (f->topic == STORE_RUNNERS)
 		runner_list_end(f->env->runner_list, now_us());
 }
 
+/* What is applied from now on is of the position's epoch. */
+static void set_epoch(const store_follower_t *f)
+{
+	if (f->topic == STORE_RUNNERS)
+		runner_list_set_epoch(f->env->runner_list, f->state.known.epoch,
+				      now_us());
+}
+
 /* Applies a page; adds the keys of entries with anything new to CHANGED. */
 static void apply_page(store_follower_t *f, const store_page_t *page,
 		       bool is_list, GHashTable *changed)
 {
+	set_epoch(f);
 	if (is_list)
 		begin_list(f);
 	for (size_t i = 0; i < page->n_entries; i++)
@@ -160,6 +174,7 @@
 
 static void apply_records(store_follower_t *f, const GArray *records)
 {
+	set_epoch(f);
 	for (guint i = 0; i < records->len; i++) {
 		const message_record_t *r =
 			&g_array_index(records, message_record_t, i);
@@ -179,6 +194,7 @@
 		  "topic=%s records=%u epoch=%" PRIu64 " next=%" PRIu64,
 		  store_topic_name(f->topic), update->records->len,
 		  update->to.epoch, update->to.next);
+	set_epoch(f);
 	begin_list(f);
 	apply_records(f, update->records);
 	end_list(f);
--- a/daemon/store_follower.h
+++ b/daemon/store_follower.h
@@ -11,6 +11,13 @@
 #include "daemon/topic_records.h"
 #include "platform/store.h"
 
+/* What an entry that was read says beyond what is known. */
+typedef enum entry_news {
+	ENTRY_KNOWN, /* nothing */
+	ENTRY_NEW, /* something: it is kept, and sent to the other daemons */
+	ENTRY_OLD, /* it is older than what is known, which is kept */
+} entry_news_t;
+
 /* Shared by the followers of all topics. */
 typedef struct store_env {
 	supervisor_t *sup;
@@ -18,9 +25,9 @@
 	runner_list_t *runner_list; /* updated from the topic of runners */
 	uint32_t daemons; /* reachable, including this one */
 	double jitter; /* random, 0 to 1; spreads the daemons' fallback reads */
-	/* Applies an entry; returns whether it contains anything new. */
-	bool (*on_entry)(void *ctx, store_topic_t topic,
-			 const store_entry_t *e);
+	/* Applies an entry. */
+	entry_news_t (*on_entry)(void *ctx, store_topic_t topic,
+				 const store_entry_t *e);
 	void *ctx;
 } store_env_t;
 
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -61,11 +61,11 @@
 }
 
 /*
- * Puts a configuration in force if it is newer. Returns whether it is. One
- * that can't be parsed here counts as newer, so that it is still forwarded to
- * other daemons, which parse it for themselves.
+ * Puts a configuration in force if it is newer. One that can't be parsed here
+ * counts as new, so that it is still forwarded to other daemons, which parse it
+ * for themselves.
  */
-static bool apply_config(store_sync_t *s, str_t text)
+static entry_news_t apply_config(store_sync_t *s, str_t text)
 {
 	char reason[ERR_DETAIL_SIZE * 2];
 	err_t err = { 0 };
@@ -76,11 +76,13 @@
 			 err_text(&err, reason, sizeof(reason)));
 		metrics_add(&s->sup->metrics, "papaya_config_damaged_total",
 			    NULL, 1);
-		return true;
+		return ENTRY_NEW;
 	}
 	if (s->fleet && fleet->version <= s->fleet->version) {
+		bool is_old = fleet->version < s->fleet->version;
+
 		fleet_unref(fleet);
-		return false;
+		return is_old ? ENTRY_OLD : ENTRY_KNOWN;
 	}
 	log_event("config-in-force",
 		  "version=%" PRIu64 " was=%" PRIu64
@@ -92,78 +94,97 @@
 	fleet_unref(s->fleet);
 	s->fleet = fleet;
 	post_fleet(s);
-	return true;
+	return ENTRY_NEW;
+}
+
+/* Updates the runner list from a valid entry. */
+static entry_news_t set_runner(store_sync_t *s, const listed_runner_t *runner)
+{
+	static const entry_news_t news[] = {
+		[RUNNER_ENTRY_KNOWN] = ENTRY_KNOWN,
+		[RUNNER_ENTRY_NEW] = ENTRY_NEW,
+		[RUNNER_ENTRY_OLD] = ENTRY_OLD,
+	};
+	runner_entry_t result = runner_list_set(&s->runner_list, runner);
+
+	if (result == RUNNER_ENTRY_NEW)
+		log_event("runner-changed",
+			  "runner=%s service=%s address=%s leaving=%s "
+			  "next=%" PRIu64,
+			  runner->id, runner->service, runner->address,
+			  runner->is_leaving ? "yes" : "no",
+			  s->runners.state.known.next);
+	else if (result == RUNNER_ENTRY_OLD)
+		log_event("runner-old-entry",
+			  "runner=%s leaving=%s sequence=%" PRIu64
+			  " epoch=%" PRIu64,
+			  runner->id, runner->is_leaving ? "yes" : "no",
+			  runner->sequence, s->runners.state.known.epoch);
+	return news[result];
 }
 
 /*
  * Updates the runner list from an entry; an empty or invalid one removes the
- * runner. Returns whether the entry contains anything new.
+ * runner.
  */
-static bool apply_runner(store_sync_t *s, str_t id, str_t text)
+static entry_news_t apply_runner(store_sync_t *s, str_t id, str_t text)
 {
 	listed_runner_t runner;
 	char reason[ERR_DETAIL_SIZE * 2];
 	err_t err = { 0 };
-	bool is_new = true;
 
 	if (!text.len) {
 		log_event("runner-dropped", "runner=%.*s next=%" PRIu64,
 			  (int)MIN(id.len, FLEET_NAME_SIZE), id.ptr,
 			  s->runners.state.known.next);
 		runner_list_remove(&s->runner_list, id, now_us());
-	} else if (fleet_json_parse_runner(id, text, &runner, &err)) {
-		is_new = runner_list_set(&s->runner_list, &runner);
-		if (is_new)
-			log_event("runner-changed",
-				  "runner=%s service=%s address=%s leaving=%s "
-				  "next=%" PRIu64,
-				  runner.id, runner.service, runner.address,
-				  runner.is_leaving ? "yes" : "no",
-				  s->runners.state.known.next);
-	} else {
-		log_warn("removing runner %.*s: invalid entry: %s",
-			 (int)MIN(id.len, FLEET_NAME_SIZE), id.ptr,
-			 err_text(&err, reason, sizeof(reason)));
-		runner_list_remove(&s->runner_list, id, now_us());
+		return ENTRY_NEW;
 	}
-	return is_new;
+	if (fleet_json_parse_runner(id, text, &runner, &err))
+		return set_runner(s, &runner);
+	log_warn("removing runner %.*s: invalid entry: %s",
+		 (int)MIN(id.len, FLEET_NAME_SIZE), id.ptr,
+		 err_text(&err, reason, sizeof(reason)));
+	runner_list_remove(&s->runner_list, id, now_us());
+	return ENTRY_NEW;
 }
 
-/* Updates the daemon list from an entry. Returns whether it changed. */
-static bool apply_daemon(store_sync_t *s, str_t name, str_t text)
+/* Updates the daemon list from an entry. */
+static entry_news_t apply_daemon(store_sync_t *s, str_t name, str_t text)
 {
 	const listed_daemon_t *known;
 	listed_daemon_t daemon;
 
 	if (!fleet_json_parse_daemon(name, text, &daemon, NULL))
-		return false;
+		return ENTRY_KNOWN;
 	known = g_hash_table_lookup(s->daemon_list, daemon.name);
 	if (known && !strcmp(known->zone, daemon.zone) &&
 	    !strcmp(known->address, daemon.address) &&
 	    !strcmp(known->peer_address, daemon.peer_address))
-		return false;
+		return ENTRY_KNOWN;
 	g_hash_table_replace(s->daemon_list, g_strdup(daemon.name),
 			     g_memdup2(&daemon, sizeof(daemon)));
 	s->daemons_changed = true;
-	return true;
+	return ENTRY_NEW;
 }
 
-/* Applies an entry of any topic. Returns whether it contains anything new. */
-static bool apply_entry(void *ctx, store_topic_t topic,
-			const store_entry_t *entry)
+/* Applies an entry of any topic. */
+static entry_news_t apply_entry(void *ctx, store_topic_t topic,
+				const store_entry_t *entry)
 {
 	store_sync_t *s = ctx;
 
 	switch (topic) {
 	case STORE_CONFIG:
-		return store_is_config_key(entry->key) && entry->value.len &&
-		       apply_config(s, entry->value);
+		if (store_is_config_key(entry->key) && entry->value.len)
+			return apply_config(s, entry->value);
+		break;
 	case STORE_RUNNERS:
 		return apply_runner(s, entry->key, entry->value);
 	case STORE_DAEMONS:
 		return apply_daemon(s, entry->key, entry->value);
 	}
-	return false;
+	return ENTRY_KNOWN;
 }
 
 static void on_written(void *ctx, const err_t *err)
--- a/daemon/topic_records.c
+++ b/daemon/topic_records.c
@@ -8,6 +8,9 @@
 		.values = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
 						(GDestroyNotify)g_bytes_unref,
 						(GDestroyNotify)g_bytes_unref),
+		.unseen = g_hash_table_new_full(g_bytes_hash, g_bytes_equal,
+						(GDestroyNotify)g_bytes_unref,
+						NULL),
 	};
 }
 
@@ -20,12 +23,38 @@
 {
 	drop_encoded(t);
 	g_clear_pointer(&t->values, g_hash_table_unref);
+	g_clear_pointer(&t->unseen, g_hash_table_unref);
 }
 
-void topic_records_clear(topic_records_t *t)
+void topic_records_begin(topic_records_t *t)
 {
-	drop_encoded(t);
-	g_hash_table_remove_all(t->values);
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_remove_all(t->unseen);
+	g_hash_table_iter_init(&iter, t->values);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_hash_table_add(t->unseen, g_bytes_ref(key));
+}
+
+void topic_records_see(topic_records_t *t, str_t key)
+{
+	g_autoptr(GBytes) name = g_bytes_new_static(key.ptr, key.len);
+
+	g_hash_table_remove(t->unseen, name);
+}
+
+void topic_records_end(topic_records_t *t)
+{
+	GHashTableIter iter;
+	void *key;
+
+	if (g_hash_table_size(t->unseen))
+		drop_encoded(t);
+	g_hash_table_iter_init(&iter, t->unseen);
+	while (g_hash_table_iter_next(&iter, &key, NULL))
+		g_hash_table_remove(t->values, key);
+	g_hash_table_remove_all(t->unseen);
 }
 
 void topic_records_set(topic_records_t *t, str_t key, str_t value)
--- a/daemon/topic_records.h
+++ b/daemon/topic_records.h
@@ -11,14 +11,20 @@
 
 typedef struct topic_records {
 	GHashTable *values; /* key to value, GBytes */
+	GHashTable *unseen; /* keys that the list being read lacks so far */
 	GBytes *encoded; /* whole list, for a frame; NULL after a change */
 	uint32_t plain_size; /* before compression; 0: not compressed */
 } topic_records_t;
 
 void topic_records_init(topic_records_t *t);
 void topic_records_finish(topic_records_t *t);
-/* Removes all keys, before a new list is set. */
-void topic_records_clear(topic_records_t *t);
+/*
+ * Begins and ends a whole list: removes the keys for which topic_records_see
+ * is not called in between.
+ */
+void topic_records_begin(topic_records_t *t);
+void topic_records_see(topic_records_t *t, str_t key);
+void topic_records_end(topic_records_t *t);
 /* Sets a key's value; an empty one removes the key. */
 void topic_records_set(topic_records_t *t, str_t key, str_t value);
 /* Returns the value of a key, owned by T; NULL if there is none. */
--- a/tests/test_runner_list.c
+++ b/tests/test_runner_list.c
@@ -94,12 +94,12 @@
 	runner_list_t l;
 
 	runner_list_init(&l, GRACE_PERIOD);
-	ck_assert(runner_list_set(&l, &runner));
-	ck_assert(!runner_list_set(&l, &runner));
+	ck_assert_int_eq(runner_list_set(&l, &runner), RUNNER_ENTRY_NEW);
+	ck_assert_int_eq(runner_list_set(&l, &runner), RUNNER_ENTRY_KNOWN);
 	runner_list_set_outage(&l, true, SECOND);
 	runner_list_remove(&l, STR_LIT("a"), SECOND);
-	ck_assert(runner_list_set(&l, &runner));
-	ck_assert(!runner_list_set(&l, &runner));
+	ck_assert_int_eq(runner_list_set(&l, &runner), RUNNER_ENTRY_NEW);
+	ck_assert_int_eq(runner_list_set(&l, &runner), RUNNER_ENTRY_KNOWN);
 	runner_list_finish(&l);
 }
 END_TEST
@@ -143,9 +143,125 @@
 }
 END_TEST
 
+/* An entry of incarnation BORN_MS, the SEQUENCE-th that it wrote. */
+static runner_entry_t set_entry(runner_list_t *l, int64_t born_ms,
+				uint64_t sequence, bool is_leaving)
+{
+	listed_runner_t runner = { .id = "a",
+				   .born_ms = born_ms,
+				   .sequence = sequence,
+				   .is_leaving = is_leaving };
+
+	return runner_list_set(l, &runner);
+}
+
+static void copy(void *ctx, const listed_runner_t *runner)
+{
+	*(listed_runner_t *)ctx = *runner;
+}
+
+static bool is_leaving(const runner_list_t *l)
+{
+	listed_runner_t runner = { .is_leaving = false };
+
+	runner_list_each(l, copy, &runner);
+	return runner.is_leaving;
+}
+
+/* Guards against requests to a runner whose leaving the store has lost. */
+START_TEST(an_old_copy_does_not_undo_a_leaving)
+{
+	runner_list_t l;
+
+	runner_list_init(&l, GRACE_PERIOD);
+	runner_list_set_epoch(&l, 1, 0);
+	set_entry(&l, 5, 1, false);
+	set_entry(&l, 5, 9, true);
+	runner_list_set_epoch(&l, 2, SECOND);
+	ck_assert_int_eq(set_entry(&l, 5, 1, false), RUNNER_ENTRY_OLD);
+	ck_assert(is_leaving(&l));
+	/* Nor does an earlier incarnation come back. */
+	ck_assert_int_eq(set_entry(&l, 4, 99, false), RUNNER_ENTRY_OLD);
+	ck_assert(is_leaving(&l));
+	/* What it writes itself counts, as does a later incarnation. */
+	ck_assert_int_eq(set_entry(&l, 5, 10, false), RUNNER_ENTRY_NEW);
+	ck_assert(!is_leaving(&l));
+	runner_list_set_epoch(&l, 3, SECOND);
+	ck_assert_int_eq(set_entry(&l, 6, 1, false), RUNNER_ENTRY_NEW);
+	runner_list_finish(&l);
+	/* Without numbers, a leaving stands. */
+	runner_list_init(&l, GRACE_PERIOD);
+	runner_list_set_epoch(&l, 1, 0);
+	set_entry(&l, 0, 0, true);
+	runner_list_set_epoch(&l, 2, SECOND);
+	ck_assert_int_eq(set_entry(&l, 0, 0, false), RUNNER_ENTRY_OLD);
+	runner_list_finish(&l);
+}
+END_TEST
+
+/* Guards against requests to a runner that left in the time the store lost. */
+START_TEST(an_old_copy_does_not_bring_a_runner_back)
+{
+	runner_list_t l;
+
+	runner_list_init(&l, GRACE_PERIOD);
+	runner_list_set_epoch(&l, 1, 0);
+	set_entry(&l, 5, 8, false);
+	runner_list_remove(&l, STR_LIT("a"), SECOND);
+	runner_list_apply_due(&l, SECOND);
+	ck_assert_int_eq(size(&l), 0);
+	runner_list_set_epoch(&l, 2, 2 * SECOND);
+	ck_assert_int_eq(set_entry(&l, 5, 8, false), RUNNER_ENTRY_OLD);
+	ck_assert_int_eq(set_entry(&l, 5, 7, false), RUNNER_ENTRY_OLD);
+	ck_assert_int_eq(size(&l), 0);
+	ck_assert_int_eq(set_entry(&l, 5, 9, false), RUNNER_ENTRY_NEW);
+	ck_assert_int_eq(size(&l), 1);
+	runner_list_finish(&l);
+}
+END_TEST
+
+/* Within an epoch the newest record of the store is what counts. */
+START_TEST(a_removed_runner_registers_again_with_the_same_entry)
+{
+	runner_list_t l;
+
+	runner_list_init(&l, GRACE_PERIOD);
+	runner_list_set_epoch(&l, 1, 0);
+	set_entry(&l, 5, 8, false);
+	runner_list_remove(&l, STR_LIT("a"), SECOND);
+	runner_list_apply_due(&l, SECOND);
+	ck_assert_int_eq(set_entry(&l, 5, 8, false), RUNNER_ENTRY_NEW);
+	ck_assert_int_eq(size(&l), 1);
+	runner_list_finish(&l);
+}
+END_TEST
+
+/* Runners that registered in the time that the store lost write again. */
+START_TEST(runners_that_a_copy_lacks_have_a_grace_period)
+{
+	runner_list_t l;
+
+	runner_list_init(&l, GRACE_PERIOD);
+	runner_list_set_epoch(&l, 1, 0);
+	set_entry(&l, 5, 1, false);
+	runner_list_apply_due(&l, SECOND);
+	runner_list_set_epoch(&l, 2, 2 * SECOND);
+	runner_list_begin(&l);
+	runner_list_end(&l, 2 * SECOND);
+	ck_assert(!runner_list_apply_due(&l, 3 * SECOND));
+	ck_assert_int_eq(size(&l), 1);
+	ck_assert(runner_list_apply_due(&l, 5 * SECOND));
+	ck_assert_int_eq(size(&l), 0);
+	runner_list_finish(&l);
+}
+END_TEST
+
 SUITE_MAIN("runner_list", entry_that_returns_in_time_is_a_change,
 	   started_during_an_outage_of_the_store,
 	   dropped_at_once_while_the_store_is_available,
 	   entries_that_expired_in_an_outage_have_a_grace_period,
 	   removal_reported_by_a_reader_of_a_stable_store_is_applied,
-	   full_list_drops_missing_runners)
+	   full_list_drops_missing_runners, an_old_copy_does_not_undo_a_leaving,
+	   an_old_copy_does_not_bring_a_runner_back,
+	   a_removed_runner_registers_again_with_the_same_entry,
+	   runners_that_a_copy_lacks_have_a_grace_period)
