--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -335,6 +335,8 @@
 	} else {
 		on_read(f, page);
 	}
+	/* Last, as it may begin the next call of this follower. */
+	f->env->on_epoch(f->env->ctx, page->epoch);
 }
 
 /* Lists the topic if it isn't listed yet; otherwise reads new records. */
@@ -383,6 +385,15 @@
 	on_timer(-1, 0, f);
 }
 
+void store_follower_require_epoch(store_follower_t *f, uint64_t epoch)
+{
+	if (!f->state.is_reader || !f->state.is_listed || f->is_calling ||
+	    epoch <= f->state.known.epoch)
+		return;
+	topic_follow_invalidate(&f->state, epoch);
+	call_store(f);
+}
+
 void store_follower_finish(store_follower_t *f)
 {
 	event_free(f->timer);
--- a/daemon/store_follower.h
+++ b/daemon/store_follower.h
@@ -28,6 +28,8 @@
 	/* Applies an entry. */
 	entry_news_t (*on_entry)(void *ctx, store_topic_t topic,
 				 const store_entry_t *e);
+	/* An answer of the store stated this epoch. */
+	void (*on_epoch)(void *ctx, uint64_t epoch);
 	void *ctx;
 } store_env_t;
 
@@ -58,6 +60,11 @@
  */
 void store_follower_on_update(store_follower_t *f,
 			      const message_update_t *update);
+/*
+ * The store is in EPOCH: a reader lists the topic at once, if what it knows is
+ * of an earlier one. Others are told by the reader.
+ */
+void store_follower_require_epoch(store_follower_t *f, uint64_t epoch);
 /* Sends the whole list to another daemon; does nothing if there is none. */
 void store_follower_send_list(store_follower_t *f, const char *peer);
 
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -36,6 +36,7 @@
 	struct event *publish_timer;
 	struct event *export_timer; /* of metrics */
 	bool has_entry; /* this daemon's entry is in the store */
+	uint64_t entry_epoch; /* of the store, in which it is known to be */
 	bool is_writing;
 	bool daemons_changed;
 	int64_t lists_requested_at; /* last request to another daemon */
@@ -197,6 +198,7 @@
 	 * same entry changes nothing.
 	 */
 	s->has_entry = !err;
+	s->entry_epoch = s->daemons.state.known.epoch;
 	if (s->has_entry)
 		log_info("wrote this daemon's entry to the store");
 }
@@ -216,6 +218,21 @@
 			     str_from(text), on_written, s, NULL);
 }
 
+/* After a return from an old copy the store may lack this daemon's entry. */
+static void check_entry(store_sync_t *s)
+{
+	uint64_t epoch = s->daemons.state.known.epoch;
+	const char *name = s->sup->settings->name;
+
+	if (!s->has_entry || epoch <= s->entry_epoch)
+		return;
+	s->entry_epoch = epoch;
+	s->has_entry =
+		topic_records_get(&s->daemons.records, str_from(name)) != NULL;
+	log_event("own-entry", "epoch=%" PRIu64 " found=%s", epoch,
+		  s->has_entry ? "yes" : "no");
+}
+
 static void post_vms(store_sync_t *s)
 {
 	static const task_id_t recipients[] = { TASK_PEERS, TASK_CAPACITY,
@@ -307,6 +324,7 @@
 	store_sync_t *s = arg;
 
 	request_lists(s);
+	check_entry(s);
 	if (!s->has_entry && !s->is_writing && s->daemons.state.is_listed)
 		write_entry(s);
 	publish_changes(s);
@@ -373,6 +391,16 @@
 	}
 }
 
+/* Each topic is of the store's epoch, whichever showed it first. */
+static void on_epoch(void *ctx, uint64_t epoch)
+{
+	store_sync_t *s = ctx;
+
+	store_follower_require_epoch(&s->config, epoch);
+	store_follower_require_epoch(&s->runners, epoch);
+	store_follower_require_epoch(&s->daemons, epoch);
+}
+
 static void on_update(store_sync_t *s, store_follower_t *f,
 		      const message_update_t *update)
 {
@@ -430,6 +458,7 @@
 		.runner_list = &s->runner_list,
 		.jitter = g_rand_double(sup->rand),
 		.on_entry = apply_entry,
+		.on_epoch = on_epoch,
 		.ctx = s,
 	};
 	store_follower_init(&s->config, &s->env, STORE_CONFIG);
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -46,6 +46,7 @@
 	/* Of the latest update of the configuration with another epoch: */
 	topic_position_t told_from, told_to;
 	int tells; /* such updates */
+	int appends; /* of this daemon's entry */
 	bool has_old_peer; /* another daemon lists what it knew before */
 	int old_peer_next;
 } fixture_t;
@@ -166,6 +167,20 @@
 	reply(f, out, STATUS_OK, body);
 }
 
+/* The daemon writes its own entry. */
+static void reply_append(fixture_t *f, str_t record, fake_reply_t *out)
+{
+	enum { LENGTH_SIZE = 4, KEY_SIZE = 2 }; /* bytes; the key is "d" */
+	g_autoptr(GString) empty = g_string_new("{}");
+
+	ck_assert_uint_gt(record.len, LENGTH_SIZE + KEY_SIZE);
+	put(f, STORE_DAEMONS, "d",
+	    g_strndup(record.ptr + LENGTH_SIZE + KEY_SIZE,
+		      record.len - LENGTH_SIZE - KEY_SIZE));
+	f->appends++;
+	reply(f, out, STATUS_OK, empty);
+}
+
 /* Another daemon sends its list of the configuration, as it was before. */
 static void send_old_list(fixture_t *f)
 {
@@ -185,14 +200,13 @@
 	fixture_t *f = ctx;
 	const char *source = strstr(request->path, "source=");
 	fake_topic_t *t = topic_of(f, request->path);
-	g_autoptr(GString) empty = g_string_new("{}");
 
 	if (source)
 		reply_read(f, t, (size_t)atoi(source + strlen("source=")), out);
 	else if (strstr(request->path, "log-newest"))
 		reply_list(f, t, out);
 	else
-		reply(f, out, STATUS_OK, empty);
+		reply_append(f, request->body, out);
 	/* It is asked at the same time, and nearer than the store. */
 	if (f->has_old_peer && !source)
 		send_old_list(f);
@@ -438,9 +452,31 @@
 }
 END_TEST
 
+/* Guards against daemons that a new one can't find, as the store lost them. */
+START_TEST(a_daemon_writes_its_entry_again)
+{
+	fixture_t f;
+
+	fixture_init(&f);
+	ck_assert(await(&f, &f.appends, 1));
+	run(&f, LIMIT_US / 10);
+	go_back(&f, STORE_DAEMONS, 0);
+	f.epoch++;
+	ck_assert(await(&f, &f.appends, 2));
+	run(&f, LIMIT_US / 3);
+	ck_assert_int_eq(f.appends, 2);
+	/* A copy that has the entry needs no other one. */
+	f.epoch++;
+	run(&f, LIMIT_US / 3);
+	ck_assert_int_eq(f.appends, 2);
+	fixture_finish(&f);
+}
+END_TEST
+
 SUITE_MAIN("restored_store", a_change_after_the_store_went_back_is_in_force,
 	   a_list_of_the_old_store_does_not_hide_the_new_one,
 	   a_reader_tells_the_others_of_the_new_epoch,
 	   an_update_of_the_new_epoch_is_applied,
 	   a_configuration_does_not_go_back,
-	   a_runner_that_leaves_is_not_ready_again)
+	   a_runner_that_leaves_is_not_ready_again,
+	   a_daemon_writes_its_entry_again)
