--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -386,8 +386,11 @@
 	for (guint i = 0; i < docs->len; i++) {
 		const config_doc_t *doc = &g_array_index(docs, config_doc_t, i);
 
-		if (!strcmp(doc->name, FLEET_PROFILE))
-			apply_config(s, topic_records_view(doc->body));
+		if (!strcmp(doc->name, FLEET_PROFILE) &&
+		    apply_config(s, topic_records_view(doc->body)) == ENTRY_NEW)
+			topic_records_set(&s->config.records,
+					  store_config_key(),
+					  topic_records_view(doc->body));
 	}
 }
 
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -8,6 +8,7 @@
 
 #include "common/log.h"
 #include "daemon/supervisor.h"
+#include "platform/fleet_json.h"
 #include "platform/store.h"
 #include "tests/lib_fake_http.h"
 #include "tests/lib_suite.h"
@@ -47,6 +48,7 @@
 	topic_position_t told_from, told_to;
 	int tells; /* such updates */
 	int appends; /* of this daemon's entry */
+	int sent_version; /* of the configuration sent to another daemon */
 	bool has_old_peer; /* another daemon lists what it knew before */
 	int old_peer_next;
 } fixture_t;
@@ -221,6 +223,20 @@
 				      .runner.is_leaving;
 }
 
+static void read_version(fixture_t *f, const config_doc_t *doc)
+{
+	err_t err = { 0 };
+	fleet_t *fleet = fleet_json_parse_config(
+		(str_t){ g_bytes_get_data(doc->body, NULL),
+			 g_bytes_get_size(doc->body) },
+		&err);
+
+	ck_assert_msg(fleet != NULL, "%s", err.detail);
+	ck_assert_uint_eq(fleet->version, doc->version);
+	f->sent_version = (int)fleet->version;
+	fleet_unref(fleet);
+}
+
 static void fake_handle(void *state, const message_t *m)
 {
 	fixture_t *f = state;
@@ -231,6 +247,8 @@
 		f->version = (int)m->number;
 	} else if (m->type == MESSAGE_VMS) {
 		count_runners(f, m->vms);
+	} else if (m->type == MESSAGE_CONFIG_SEND) {
+		read_version(f, &g_array_index(m->docs.docs, config_doc_t, 0));
 	} else if (m->type == MESSAGE_TOPIC_UPDATE &&
 		   m->update.topic == STORE_CONFIG &&
 		   m->update.from.epoch != m->update.to.epoch) {
@@ -473,10 +491,44 @@
 }
 END_TEST
 
+/* Another daemon sends version 14 itself, not as an update of the store. */
+static void relay_config(fixture_t *f)
+{
+	message_t m = { .type = MESSAGE_CONFIG_RELAYED };
+	config_doc_t doc = { .version = 14, .name = FLEET_PROFILE };
+	fake_record_t *record;
+
+	put_config(f, 14);
+	record =
+		&f->topics[STORE_CONFIG].records[f->topics[STORE_CONFIG].n - 1];
+	doc.body = g_bytes_new(record->value, strlen(record->value));
+	go_back(f, STORE_CONFIG, f->topics[STORE_CONFIG].n - 1);
+	m.docs.docs = message_docs_new();
+	g_array_append_val(m.docs.docs, doc);
+	supervisor_post(&f->sup, TASK_PLATFORM, &m);
+}
+
+/* Guards against handing an older configuration on under a newer version. */
+START_TEST(the_configuration_in_force_is_what_is_handed_on)
+{
+	message_t m = { .type = MESSAGE_CONFIG_REQUEST };
+	fixture_t f;
+
+	fixture_init(&f);
+	restore(&f, 1);
+	relay_config(&f);
+	ck_assert(await(&f, &f.version, 14));
+	supervisor_post(&f.sup, TASK_PLATFORM, &m);
+	ck_assert(await(&f, &f.sent_version, 14));
+	fixture_finish(&f);
+}
+END_TEST
+
 SUITE_MAIN("restored_store", a_change_after_the_store_went_back_is_in_force,
 	   a_list_of_the_old_store_does_not_hide_the_new_one,
 	   a_reader_tells_the_others_of_the_new_epoch,
 	   an_update_of_the_new_epoch_is_applied,
 	   a_configuration_does_not_go_back,
 	   a_runner_that_leaves_is_not_ready_again,
-	   a_daemon_writes_its_entry_again)
+	   a_daemon_writes_its_entry_again,
+	   the_configuration_in_force_is_what_is_handed_on)
