--- /dev/null
+++ b/tests/lib_store_fixture.c
@@ -0,0 +1,305 @@
+#include "tests/lib_store_fixture.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/log.h"
+#include "platform/fleet_json.h"
+#include "tests/lib_suite.h"
+#include "tests/lib_task_fixture.h"
+
+enum { STATUS_OK = 200, STATUS_GONE = 410 };
+
+static fake_topic_t *topic_of(store_fixture_t *f, const char *path)
+{
+	for (size_t i = 0; i < STORE_FIXTURE_TOPICS; i++)
+		if (strstr(path, f->topics[i].name))
+			return &f->topics[i];
+	ck_abort_msg("no such topic: %s", path);
+	return NULL;
+}
+
+void store_fixture_put(store_fixture_t *f, int topic, const char *key,
+		       char *value)
+{
+	fake_topic_t *t = &f->topics[topic];
+
+	t->records[t->n++] = (fake_record_t){ key, value };
+}
+
+void store_fixture_put_config(store_fixture_t *f, int version)
+{
+	store_fixture_put(
+		f, STORE_CONFIG, "config",
+		g_strdup_printf("{\"version\":%d,\"routes\":[],\"services\":[],"
+				"\"limits\":{\"max_header_bytes\":1024,"
+				"\"max_body_bytes\":2048,"
+				"\"header_timeout_ms\":500,"
+				"\"idle_timeout_ms\":600},\"tenants\":[]}",
+				version));
+}
+
+void store_fixture_put_runner(store_fixture_t *f, const char *id, int sequence,
+			      const char *state)
+{
+	store_fixture_put(
+		f, STORE_RUNNERS, id,
+		g_strdup_printf(
+			"{\"service\":\"s\",\"address\":\"127.0.0.1:9\","
+			"\"zone\":\"z\",\"slots\":4,\"state\":\"%s\","
+			"\"sequence\":%d,\"born\":7}",
+			state, sequence));
+}
+
+void store_fixture_go_back(store_fixture_t *f, int topic, size_t n)
+{
+	fake_topic_t *t = &f->topics[topic];
+
+	while (t->n > n)
+		g_free(t->records[--t->n].value);
+}
+
+static void add_number(GString *out, uint64_t value, int bytes)
+{
+	for (int i = bytes; i-- > 0;)
+		g_string_append_c(out, (char)(value >> (8 * i) & 0xff));
+}
+
+static void reply(store_fixture_t *f, fake_reply_t *out, int status,
+		  const GString *body)
+{
+	g_string_append_printf(out->bytes,
+			       "HTTP/1.1 %d x\r\nStore-Era: %d\r\n"
+			       "Content-Length: %zu\r\n\r\n",
+			       status, f->epoch, (size_t)body->len);
+	g_string_append_len(out->bytes, body->str, (gssize)body->len);
+}
+
+static void reply_read(store_fixture_t *f, const fake_topic_t *t, size_t from,
+		       fake_reply_t *out)
+{
+	g_autoptr(GString) body = g_string_new("");
+
+	if (from > t->n) {
+		reply(f, out, STATUS_GONE, body);
+		return;
+	}
+	add_number(body, t->n, 8);
+	add_number(body, 0, 8);
+	for (size_t i = from; i < t->n; i++) {
+		const fake_record_t *r = &t->records[i];
+		size_t key = strlen(r->key);
+
+		add_number(body, 1 + key + strlen(r->value), 4);
+		add_number(body, key, 1);
+		g_string_append(body, r->key);
+		g_string_append(body, r->value);
+	}
+	reply(f, out, STATUS_OK, body);
+}
+
+static bool is_newest(const fake_topic_t *t, size_t i)
+{
+	for (size_t k = i + 1; k < t->n; k++)
+		if (!strcmp(t->records[k].key, t->records[i].key))
+			return false;
+	return true;
+}
+
+static void reply_list(store_fixture_t *f, const fake_topic_t *t,
+		       fake_reply_t *out)
+{
+	g_autoptr(GString) body = g_string_new("{\"entries\":[");
+	const char *separator = "";
+
+	for (size_t i = 0; i < t->n; i++) {
+		const fake_record_t *r = &t->records[i];
+		g_autofree char *value = g_base64_encode(
+			(const guchar *)r->value, strlen(r->value));
+
+		if (!is_newest(t, i))
+			continue;
+		g_string_append_printf(body,
+				       "%s{\"key\":\"%s\",\"value\":\"%s\","
+				       "\"offset\":%zu}",
+				       separator, r->key, value, i);
+		separator = ",";
+	}
+	g_string_append_printf(body, "],\"has_more\":false,\"end_offset\":%zu}",
+			       t->n);
+	reply(f, out, STATUS_OK, body);
+}
+
+/* The daemon writes its own entry. */
+static void reply_append(store_fixture_t *f, str_t record, fake_reply_t *out)
+{
+	enum { LENGTH_SIZE = 4, KEY_SIZE = 2 }; /* bytes; the key is "d" */
+	g_autoptr(GString) empty = g_string_new("{}");
+
+	ck_assert_uint_gt(record.len, LENGTH_SIZE + KEY_SIZE);
+	store_fixture_put(f, STORE_DAEMONS, "d",
+			  g_strndup(record.ptr + LENGTH_SIZE + KEY_SIZE,
+				    record.len - LENGTH_SIZE - KEY_SIZE));
+	f->appends++;
+	reply(f, out, STATUS_OK, empty);
+}
+
+/* Another daemon sends its list of the configuration, as it was before. */
+static void send_old_list(store_fixture_t *f)
+{
+	message_t m = { .type = MESSAGE_TOPIC_UPDATE };
+
+	m.update.topic = STORE_CONFIG;
+	m.update.is_list = true;
+	m.update.to.epoch = 1;
+	m.update.to.next = (uint64_t)f->old_peer_next;
+	m.update.records = message_records_new();
+	supervisor_post(&f->sup, TASK_PLATFORM, &m);
+}
+
+static void on_request(void *ctx, const fake_request_t *request,
+		       fake_reply_t *out)
+{
+	store_fixture_t *f = ctx;
+	const char *source = strstr(request->path, "source=");
+	fake_topic_t *t = topic_of(f, request->path);
+
+	if (source)
+		reply_read(f, t, (size_t)atoi(source + strlen("source=")), out);
+	else if (strstr(request->path, "log-newest"))
+		reply_list(f, t, out);
+	else
+		reply_append(f, request->body, out);
+	/* It is asked at the same time, and nearer than the store. */
+	if (f->has_old_peer && !source)
+		send_old_list(f);
+}
+
+static void count_runners(store_fixture_t *f, const vm_list_t *vms)
+{
+	f->runners = (int)vms->runners->len;
+	f->leaving = 0;
+	for (guint i = 0; i < vms->runners->len; i++)
+		f->leaving += g_array_index(vms->runners, vm_list_runner_t, i)
+				      .runner.is_leaving;
+}
+
+static void read_version(store_fixture_t *f, const config_doc_t *doc)
+{
+	err_t err = { 0 };
+	fleet_t *fleet = fleet_json_parse_config(
+		(str_t){ g_bytes_get_data(doc->body, NULL),
+			 g_bytes_get_size(doc->body) },
+		&err);
+
+	ck_assert_msg(fleet != NULL, "%s", err.detail);
+	ck_assert_uint_eq(fleet->version, doc->version);
+	f->sent_version = (int)fleet->version;
+	fleet_unref(fleet);
+}
+
+static void fake_handle(void *state, const message_t *m)
+{
+	store_fixture_t *f = state;
+
+	if (m->type == MESSAGE_CONFIG_NEXT) {
+		if ((int)m->number < f->version)
+			f->lowest_version = (int)m->number;
+		f->version = (int)m->number;
+	} else if (m->type == MESSAGE_VMS) {
+		count_runners(f, m->vms);
+	} else if (m->type == MESSAGE_CONFIG_SEND) {
+		read_version(f, &g_array_index(m->docs.docs, config_doc_t, 0));
+	} else if (m->type == MESSAGE_TOPIC_UPDATE &&
+		   m->update.topic == STORE_CONFIG &&
+		   m->update.from.epoch != m->update.to.epoch) {
+		f->told_from = m->update.from;
+		f->told_to = m->update.to;
+		f->tells++;
+	}
+}
+
+static void no_handle(void *state, const message_t *m)
+{
+}
+
+static const task_spec_t fake_peers = { "peers", 2, task_fixture_start,
+					fake_handle, task_fixture_stop };
+static const task_spec_t fake_other = { "other", 1, task_fixture_start,
+					no_handle, task_fixture_stop };
+
+static const task_spec_t *const specs[TASK_COUNT] = {
+	[TASK_PLATFORM] = &store_task, [TASK_PEERS] = &fake_peers,
+	[TASK_CAPACITY] = &fake_other, [TASK_LIMITS] = &fake_other,
+	[TASK_FRONT] = &fake_other,    [TASK_ACCOUNTS] = &fake_other,
+	[TASK_ADMIN] = &fake_other,
+};
+
+static void parse_settings(store_fixture_t *f)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"name\":\"d\",\"zone\":\"z\",\"zones\":[\"z\"],"
+		"\"fleet\":true,\"listen\":\"127.0.0.1:%d\","
+		"\"peer_listen\":\"127.0.0.1:%d\","
+		"\"admin_listen\":\"127.0.0.1:%d\","
+		"\"platform\":\"%s\",\"platform_timeout_ms\":100,"
+		"\"runners_poll_ms\":50,\"config_wait_ms\":50,"
+		"\"peer_secret\":\"0123456789abcdef\","
+		"\"operator_token\":\"0123456789abcdef\",\"seed\":1}",
+		task_fixture_free_port(), task_fixture_free_port(),
+		task_fixture_free_port(), f->http.address);
+	err_t err = { 0 };
+
+	ck_assert_msg(
+		settings_parse(&f->settings, str_from(text), "test", &err),
+		"%s", err.detail);
+}
+
+void store_fixture_init(store_fixture_t *f)
+{
+	message_t reader = { .type = MESSAGE_READER_ROLE, .number = true };
+	message_t count = { .type = MESSAGE_DAEMON_COUNT, .daemons = { 1, 1 } };
+	err_t err = { 0 };
+
+	*f = (store_fixture_t){ .epoch = 1 };
+	f->topics[STORE_CONFIG].name = "keyed.op";
+	f->topics[STORE_RUNNERS].name = "keyed.servers";
+	f->topics[STORE_DAEMONS].name = "keyed.daemons";
+	task_fixture_set_state(f);
+	log_init("error");
+	f->base = event_base_new();
+	fake_http_init(&f->http, f->base, on_request, f);
+	parse_settings(f);
+	supervisor_init(&f->sup, f->base, &f->settings);
+	ck_assert_msg(supervisor_start(&f->sup, specs, &err), "%s", err.detail);
+	supervisor_post(&f->sup, TASK_PLATFORM, &reader);
+	supervisor_post(&f->sup, TASK_PLATFORM, &count);
+}
+
+void store_fixture_finish(store_fixture_t *f)
+{
+	supervisor_finish(&f->sup);
+	fake_http_finish(&f->http);
+	event_base_loop(f->base, EVLOOP_NONBLOCK);
+	event_base_free(f->base);
+	settings_finish(&f->settings);
+	for (int i = 0; i < STORE_FIXTURE_TOPICS; i++)
+		store_fixture_go_back(f, i, 0);
+}
+
+bool store_fixture_await(store_fixture_t *f, const int *value, int wanted)
+{
+	int64_t limit = g_get_monotonic_time() + STORE_FIXTURE_LIMIT_US;
+
+	while (*value != wanted && g_get_monotonic_time() < limit)
+		event_base_loop(f->base, EVLOOP_ONCE);
+	return *value == wanted;
+}
+
+void store_fixture_run(store_fixture_t *f, int64_t us)
+{
+	int64_t limit = g_get_monotonic_time() + us;
+
+	while (g_get_monotonic_time() < limit)
+		event_base_loop(f->base, EVLOOP_ONCE);
+}
--- /dev/null
+++ b/tests/lib_store_fixture.h
@@ -0,0 +1,69 @@
+/*
+ * Runs the store task alone, as the store's reader, before a fake store whose
+ * topics a test fills, shortens and moves to another epoch, and fakes for the
+ * other tasks.
+ */
+#ifndef TESTS_LIB_STORE_FIXTURE_H
+#define TESTS_LIB_STORE_FIXTURE_H
+
+#include "daemon/supervisor.h"
+#include "platform/store.h"
+#include "tests/lib_fake_http.h"
+
+enum {
+	STORE_FIXTURE_TOPICS = 3,
+	STORE_FIXTURE_RECORDS = 16, /* of a topic, at most */
+	STORE_FIXTURE_LIMIT_US = 3 * 1000 * 1000, /* for the task to learn it */
+};
+
+typedef struct fake_record {
+	const char *key;
+	char *value;
+} fake_record_t;
+
+/* A topic and its records. */
+typedef struct fake_topic {
+	const char *name;
+	fake_record_t records[STORE_FIXTURE_RECORDS];
+	size_t n;
+} fake_topic_t;
+
+/* The task, its store, and what the other tasks were told. */
+typedef struct store_fixture {
+	struct event_base *base;
+	settings_t settings;
+	supervisor_t sup;
+	fake_http_t http;
+	fake_topic_t topics[STORE_FIXTURE_TOPICS];
+	int epoch;
+	/* What the other tasks were told. */
+	int version, lowest_version; /* lowest: after a higher one; 0: none */
+	int runners, leaving;
+	/* Of the latest update of the configuration with another epoch: */
+	topic_position_t told_from, told_to;
+	int tells; /* such updates */
+	int appends; /* of this daemon's entry */
+	int sent_version; /* of the configuration sent to another daemon */
+	bool has_old_peer; /* another daemon lists what it knew before */
+	int old_peer_next;
+} store_fixture_t;
+
+/* Starts the task; the store is in epoch 1, with no records. */
+void store_fixture_init(store_fixture_t *f);
+void store_fixture_finish(store_fixture_t *f);
+/* Adds a record; VALUE is freed by the fixture. */
+void store_fixture_put(store_fixture_t *f, int topic, const char *key,
+		       char *value);
+/* Adds a valid configuration of this version. */
+void store_fixture_put_config(store_fixture_t *f, int version);
+/* Adds an entry of a runner, of an incarnation that is always the same. */
+void store_fixture_put_runner(store_fixture_t *f, const char *id, int sequence,
+			      const char *state);
+/* Removes all but the first N records of a topic. */
+void store_fixture_go_back(store_fixture_t *f, int topic, size_t n);
+/* Runs until VALUE equals WANTED; returns whether it does in time. */
+bool store_fixture_await(store_fixture_t *f, const int *value, int wanted);
+/* Runs the event loop for US microseconds. */
+void store_fixture_run(store_fixture_t *f, int64_t us);
+
+#endif
