--- a/tests/lib_store_fixture.h
+++ b/tests/lib_store_fixture.h
@@ -12,7 +12,7 @@
 
 enum {
 	STORE_FIXTURE_TOPICS = 3,
-	STORE_FIXTURE_RECORDS = 16, /* of a topic, at most */
+	STORE_FIXTURE_RECORDS = 48, /* of a topic, at most */
 	STORE_FIXTURE_LIMIT_US = 3 * 1000 * 1000, /* for the task to learn it */
 };
 
