--- a/common/log.c
+++ b/common/log.c
@@ -85,6 +85,14 @@
 				log_dropped(LOG_CLASS_SAMPLE));
 }
 
+/* Texts of other writers must not break a line, or begin one of their own. */
+static void replace_controls(char *line)
+{
+	for (; *line; line++)
+		if (g_ascii_iscntrl(*line))
+			*line = '?';
+}
+
 static void write_or_buffer(log_class_t class, const char *line)
 {
 	int64_t now = g_get_monotonic_time();
@@ -117,6 +125,7 @@
 		   stamp, now.tv_nsec / 1000000, level_name(level),
 		   field(fields, n_fields, "PAPAYA_PART"),
 		   field(fields, n_fields, "MESSAGE"));
+	replace_controls(line);
 	write_or_buffer(class[0] == 's' ? LOG_CLASS_SAMPLE : LOG_CLASS_KEEP,
 			line);
 	return G_LOG_WRITER_HANDLED;
