--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -299,7 +299,11 @@
 
 static void send_upstream(relay_t *r)
 {
-	bool may_reuse = fleet_may_repeat(r->route);
+	/*
+	 * A late copy of an answer to an earlier send has this request's id, so
+	 * another send needs a connection of its own.
+	 */
+	bool may_reuse = fleet_may_repeat(r->route) && !r->sends;
 	forward_params_t params = {
 		.team = r->team ? r->team->name : NULL,
 		.runner = r->runner.name,
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -68,6 +68,7 @@
 	answer_head_t answer;
 	struct evbuffer *answer_body;
 	bool has_answer; /* the head was received */
+	bool is_own_answer; /* and it answers this attempt */
 	bool is_streaming; /* forwards this answer event by event */
 	bool has_begun; /* the head was sent to the caller */
 	bool is_paused; /* reading stopped: the caller reads slowly */
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -38,13 +38,25 @@
 	sse_init(&r->sse, max_event, on_event, r);
 }
 
+/*
+ * Tells whether the answer is for this attempt. A refusal doesn't always name
+ * it; on a connection that was used before it may be a late copy of another
+ * request's.
+ */
+static bool is_own_answer(const relay_t *r)
+{
+	if (r->answer.names_attempt)
+		return r->answer.matches_attempt;
+	return r->answer.is_not_run && !upstream_conn_is_reused(r->upstream);
+}
+
 /*
  * Tells whether an answer may be forwarded: it belongs to this attempt, has no
  * Content-Encoding, and carries the runner's seal if it is a success.
  */
 static bool is_valid_answer(const relay_t *r)
 {
-	return r->answer.matches_attempt && !r->answer.is_encoded &&
+	return r->is_own_answer && !r->answer.is_encoded &&
 	       (!relay_is_success(r) || r->answer.is_sealed);
 }
 
@@ -64,7 +76,9 @@
 	r->answer_http_head = head;
 	r->has_answer = true;
 	answer_head_read(head, r->call.attempt_id, &r->answer);
-	relay_read_runner_status(r);
+	r->is_own_answer = is_own_answer(r);
+	if (r->is_own_answer)
+		relay_read_runner_status(r);
 	if (!is_valid_answer(r))
 		return false;
 	relay_report_alive(r);
@@ -156,9 +170,10 @@
 	relay_report_done(r, DONE_FAILED);
 	log_event("attempt-refused",
 		  "request=%s runner=%s status=%d running=%u waiting=%u "
-		  "slots=%u sent=%u",
+		  "slots=%u sent=%u named=%s",
 		  r->id, r->runner.name, r->answer.status, r->answer.running,
-		  r->answer.waiting, r->answer.slots, r->sends);
+		  r->answer.waiting, r->answer.slots, r->sends,
+		  r->answer.names_attempt ? "yes" : "no");
 	if (relay_retry(r))
 		return;
 	if (r->possible_runs)
--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -33,6 +33,7 @@
 	bool is_sent; /* the request's first byte may have been sent */
 	bool is_busy; /* an exchange is in progress */
 	bool is_reusable; /* the last answer allows another request */
+	bool is_reused; /* it had an exchange before */
 	bool is_interim; /* the head is a 1xx; the answer follows */
 	uint32_t n_interim;
 	bool is_head_request;
@@ -385,6 +386,7 @@
 	u->reader.is_head_response = is_head_request;
 	evbuffer_add_buffer(u->request, request);
 	g_hash_table_add(p->busy, u);
+	u->is_reused = !is_new;
 	if (!is_new) {
 		p->stats.reuses++;
 		send_request(u);
@@ -415,3 +417,8 @@
 {
 	return u->is_sent;
 }
+
+bool upstream_conn_is_reused(const upstream_conn_t *u)
+{
+	return u->is_reused;
+}
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -223,7 +223,8 @@
 	g_autofree char *bytes = g_strjoinv(id, parts);
 
 	bufferevent_write(bev, bytes, strlen(bytes));
-	if (r->trail.bytes.len && !g_hash_table_lookup(r->conns, bev))
+	if (r->trail.bytes.len && !g_hash_table_lookup(r->conns, bev) &&
+	    (!r->trails_first_only || r->n_connects == 1))
 		begin_trail(r, bev);
 	if (reply->end == REPLY_CLOSE && !bytes[0])
 		drop_conn(r, bev, false);
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -63,6 +63,7 @@
 	char address[32];
 	const reply_t *replies; /* ends with NULL bytes and REPLY_KEEP */
 	trail_t trail; /* not sent if its bytes are empty */
+	bool trails_first_only; /* the trail is for the first connection */
 	uint64_t n_trailed; /* bytes of the trail written so far */
 	int n_requests;
 	int n_connects;
--- a/tests/test_call_head.c
+++ b/tests/test_call_head.c
@@ -198,20 +198,23 @@
 {
 	static const struct {
 		const char *text;
-		bool is_ours, is_sealed, is_not_run, is_encoded;
+		bool is_named, is_ours, is_sealed, is_not_run, is_encoded;
 	} cases[] = {
 		{ "200 OK\r\nX-Attempt-Id: 9c\r\nX-Server-Seal: s\r\n", true,
-		  true, false, false },
-		{ "200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\n",
+		  true, true, false, false },
+		{ "200 OK\r\nX-Attempt-Id: other\r\nX-Server-Seal: s\r\n", true,
 		  false, true, false, false },
-		{ "200 OK\r\nX-Server-Seal: s\r\n", false, true, false, false },
-		{ "503 Full\r\nX-Not-Executed: 1\r\n", true, false, true,
-		  false },
-		{ "421 Other\r\nX-Instance-Id: i\r\n", true, false, true,
+		{ "200 OK\r\nX-Server-Seal: s\r\n", false, false, true, false,
 		  false },
+		{ "503 Full\r\nX-Not-Executed: 1\r\n", false, false, false,
+		  true, false },
+		{ "503 Full\r\nX-Attempt-Id: 9c\r\nX-Not-Executed: 1\r\n", true,
+		  true, false, true, false },
+		{ "421 Other\r\nX-Instance-Id: i\r\n", false, false, false,
+		  true, false },
 		{ "200 OK\r\nX-Attempt-Id: 9c\r\nX-Server-Seal: s\r\n"
 		  "Content-Encoding: gzip\r\n",
-		  true, true, false, true },
+		  true, true, true, false, true },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
@@ -223,7 +226,8 @@
 
 		answer_head_read(parse(&p, HTTP1_RESPONSE, text), STR_LIT("9c"),
 				 &a);
-		ck_assert_msg(a.matches_attempt == cases[i].is_ours &&
+		ck_assert_msg(a.names_attempt == cases[i].is_named &&
+				      a.matches_attempt == cases[i].is_ours &&
 				      a.is_sealed == cases[i].is_sealed &&
 				      a.is_not_run == cases[i].is_not_run &&
 				      a.is_encoded == cases[i].is_encoded,
