--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -320,6 +320,7 @@
 	evbuffer_add(request, bytes, len);
 	r->has_answer = false;
 	r->is_streaming = false;
+	r->events_before = r->n_events;
 	r->says_leaving = false;
 	r->pause_ms = 0;
 	evbuffer_drain(r->answer_body, evbuffer_get_length(r->answer_body));
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -71,10 +71,12 @@
 	bool is_own_answer; /* and it answers this attempt */
 	bool is_streaming; /* forwards this answer event by event */
 	bool has_begun; /* the head was sent to the caller */
+	int begun_status; /* the status in that head */
 	bool is_paused; /* reading stopped: the caller reads slowly */
 	sse_t sse;
 	GString *last_event_id; /* id of the last event sent to the caller */
 	uint64_t n_events; /* sent to the caller */
+	uint64_t events_before; /* of them, by earlier runners */
 	bool has_output; /* one of them had content */
 	/* A runner broke off as it began to answer this request. */
 	bool has_crash_report;
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -66,6 +66,7 @@
 	if (r->has_begun)
 		return;
 	r->has_begun = true;
+	r->begun_status = r->answer.status;
 	ingress_begin_stream(r->caller, r->answer_http_head);
 }
 
@@ -211,15 +212,21 @@
 }
 
 /*
- * Tells whether a stream ended before its first event, by the end of its
- * connection alone: that is how it looks when the runner crashed.
+ * Tells whether a runner's stream ended before its first event, by the end of
+ * its connection alone: that is how it looks when the runner crashed.
  */
 static bool ended_before_output(const relay_t *r)
 {
 	const http1_head_t *head = r->answer_http_head;
 
-	return r->is_streaming && !r->n_events && !head->is_chunked &&
-	       head->content_length == HTTP1_NO_LENGTH;
+	return r->is_streaming && r->n_events == r->events_before &&
+	       !head->is_chunked && head->content_length == HTTP1_NO_LENGTH;
+}
+
+/* Tells whether the answer is the stream that has begun, or its rest. */
+static bool is_taken_up(const relay_t *r)
+{
+	return r->is_streaming && r->answer.status == r->begun_status;
 }
 
 static void handle_complete(relay_t *r)
@@ -232,7 +239,7 @@
 		handle_refusal(r);
 		return;
 	}
-	if (!relay_is_success(r) && r->has_begun) {
+	if (r->has_begun && !is_taken_up(r)) {
 		relay_on_attempt_lost(r, "the stream was not taken up again");
 		return;
 	}
