--- a/tests/test_late_refusal.c
+++ b/tests/test_late_refusal.c
@@ -103,6 +103,36 @@
 }
 END_TEST
 
+/*
+ * Guards against requests to a runner that asked for a pause: the answer says
+ * so of the runner, whichever request it is for.
+ */
+START_TEST(a_pause_in_an_answer_without_an_id_is_kept)
+{
+	static const reply_t then_pauses[] = {
+		{ OK, REPLY_KEEP },
+		{ REFUSAL_HEAD "Retry-After: 2\r\nContent-Length: 0\r\n\r\n",
+		  REPLY_KEEP },
+		{},
+	};
+	gateway_fixture_t fixture;
+
+	gateway_fixture_init(&fixture);
+	gateway_fixture_configure(&fixture);
+	fixture.runners[0].replies = then_pauses;
+	fixture.runners[1].replies = refusals;
+	gateway_send(&fixture, 0, REQUEST("/safe/", "a"));
+	gateway_await(&fixture, 0, "ok");
+	fixture.wants = 0;
+	gateway_send(&fixture, 1, REQUEST("/safe/", "b"));
+	gateway_await(&fixture, 1, "HTTP/1.1 ");
+	ck_assert_int_eq(fixture.runners[0].n_connects, 1);
+	ck_assert_uint_eq(fixture.last_pause_ms, 2000);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 SUITE_MAIN("late_refusal", a_copy_of_its_own_refusal_is_not_believed,
 	   a_copy_without_an_id_is_not_believed,
-	   a_refusal_without_an_id_is_believed_on_a_new_connection)
+	   a_refusal_without_an_id_is_believed_on_a_new_connection,
+	   a_pause_in_an_answer_without_an_id_is_kept)
