--- a/standin/lib_topic.c
+++ b/standin/lib_topic.c
@@ -152,6 +152,39 @@
 		record_free(g_queue_pop_head(&t->records));
 }
 
+static void drop_newest_after(topic_t *t, int64_t before_ms)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, t->newest);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (((topic_record_t *)value)->at_ms >= before_ms)
+			g_hash_table_iter_remove(&iter);
+}
+
+void topic_restore(topic_t *t, int64_t before_ms)
+{
+	topic_record_t *r;
+
+	while ((r = g_queue_peek_tail(&t->records)) && r->at_ms >= before_ms) {
+		t->next = r->offset;
+		record_free(g_queue_pop_tail(&t->records));
+	}
+	drop_newest_after(t, before_ms);
+	for (GList *l = t->records.head; l && t->is_keyed; l = l->next)
+		update_newest(t, l->data);
+}
+
+GBytes *topic_get(const topic_t *t, const char *key)
+{
+	const topic_record_t *r = g_hash_table_lookup(t->newest, key);
+	str_t value = STR_LIT("");
+	g_autofree char *copy = r ? split_keyed(r->bytes, &value) : NULL;
+
+	return copy ? g_bytes_new(value.ptr, value.len) : NULL;
+}
+
 uint64_t topic_first_offset(const topic_t *t)
 {
 	const topic_record_t *r =
--- a/standin/lib_topic.h
+++ b/standin/lib_topic.h
@@ -30,6 +30,13 @@
 void topic_drop_stale(topic_t *t, int64_t before_ms, int64_t now_ms);
 /* Deletes records before BEFORE_MS; the newest of each key stays listed. */
 void topic_expire(topic_t *t, int64_t before_ms);
+/*
+ * Goes back to a copy made at BEFORE_MS: later records are gone, and their
+ * offsets are given out again. A key whose earlier record expired is gone, too.
+ */
+void topic_restore(topic_t *t, int64_t before_ms);
+/* The value of a key as a new reference, or NULL. */
+GBytes *topic_get(const topic_t *t, const char *key);
 /* Offset of the oldest record kept, or next. */
 uint64_t topic_first_offset(const topic_t *t);
 /* The answer to a read from FROM on; FROM is not before topic_first_offset. */
--- a/standin/store.c
+++ b/standin/store.c
@@ -8,6 +8,9 @@
  *   "lose_answers": N   the next N appends take effect, then the
  *                       connection closes without an answer
  *   "forget": true      deletes all history; acts once
+ *   "restore_ms": N     comes back from a copy N ms old, in the next epoch; acts
+ *                       once. The operators write their configuration again,
+ *                       and the runners their entries.
  */
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,6 +25,8 @@
 	MAX_WAIT_MS = 30000, /* of a read */
 	MAX_KIB = 1024, /* of a read */
 	TICK_US = 100 * 1000, /* between checks for expired records */
+	REWRITE_MS =
+		500, /* after a return, until operators have written again */
 	STATUS_FORBIDDEN = 403,
 	STATUS_GONE = 410,
 };
@@ -45,6 +50,9 @@
 	double keep_ms; /* how long records are kept */
 	double entry_ms; /* until a runner's entry expires */
 	uint64_t n_calls, n_lost_answers;
+	uint64_t epoch;
+	GBytes *lost_config; /* to be written again; NULL: none */
+	int64_t rewrite_ms; /* when */
 } store_t;
 
 static void free_topic(void *data)
@@ -114,14 +122,14 @@
 		CLAMP(exchange_query(x, "wait_ms", 0), 0, MAX_WAIT_MS);
 	waiter_t *w;
 
-	if (from < topic_first_offset(t)) {
+	if (from < topic_first_offset(t) || from > t->next) {
 		exchange_reply(x, STATUS_GONE,
 			       json_pack("{s:I}", "first_offset",
 					 (json_int_t)topic_first_offset(t)));
 		return;
 	}
 	if (from < t->next || !wait_ms) {
-		reply_read(x, t, MIN(from, t->next), max_kib);
+		reply_read(x, t, from, max_kib);
 		return;
 	}
 	w = g_new0(waiter_t, 1);
@@ -173,8 +181,11 @@
 	store_t *s = ctx;
 	char name[NAME_SIZE];
 	topic_t *t = topic_of_query(s, x, name);
+	g_autofree char *epoch =
+		g_strdup_printf("%" G_GUINT64_FORMAT, s->epoch);
 
 	s->n_calls++;
+	exchange_set_header(x, HEADER_STORE_EPOCH, epoch);
 	if (server_fault_on(&s->server, "outage"))
 		exchange_reply_text(x, HTTP_SERVUNAVAIL, "{}");
 	else if (!t)
@@ -207,17 +218,65 @@
 		return true;
 	}
 	topic_put(t, str_from(key), exchange_body(x), clock_wall_ms());
+	if (!strcmp(name, TOPIC_OPERATOR))
+		g_clear_pointer(&s->lost_config, g_bytes_unref);
 	exchange_reply_text(x, HTTP_OK, "{}");
 	answer_waiters(s);
 	return true;
 }
 
+/* Breaks the connections of all waiting reads. */
+static void cut_waiters(store_t *s)
+{
+	waiter_t *w;
+
+	while ((w = g_queue_peek_head(&s->waiters))) {
+		exchange_cut(w->x);
+		free_waiter(w);
+	}
+}
+
+/* Goes back by AGE_MS, in the next epoch. */
+static void restore(store_t *s, double age_ms)
+{
+	int64_t now = clock_wall_ms();
+	GHashTableIter iter;
+	void *topic;
+
+	g_clear_pointer(&s->lost_config, g_bytes_unref);
+	s->lost_config = topic_get(find_topic(s, TOPIC_OPERATOR), KEY_CONFIG);
+	s->rewrite_ms = now + REWRITE_MS;
+	s->epoch++;
+	cut_waiters(s);
+	g_hash_table_iter_init(&iter, s->topics);
+	while (g_hash_table_iter_next(&iter, NULL, &topic))
+		topic_restore(topic, now - (int64_t)age_ms);
+}
+
+static void write_config_again(store_t *s)
+{
+	gsize len;
+	const char *text;
+
+	if (!s->lost_config || clock_wall_ms() < s->rewrite_ms)
+		return;
+	text = g_bytes_get_data(s->lost_config, &len);
+	topic_put(find_topic(s, TOPIC_OPERATOR), STR_LIT(KEY_CONFIG),
+		  (str_t){ text, len }, clock_wall_ms());
+	g_clear_pointer(&s->lost_config, g_bytes_unref);
+}
+
 static void on_faults(void *ctx)
 {
 	store_t *s = ctx;
+	double age_ms = server_fault_number(&s->server, "restore_ms", 0);
 	GHashTableIter iter;
 	void *topic;
 
+	if (age_ms > 0) {
+		restore(s, age_ms);
+		json_object_del(s->server.faults, "restore_ms");
+	}
 	if (!server_fault_on(&s->server, "forget"))
 		return;
 	g_hash_table_iter_init(&iter, s->topics);
@@ -238,6 +297,7 @@
 	g_hash_table_iter_init(&iter, s->topics);
 	while (g_hash_table_iter_next(&iter, NULL, &topic))
 		topic_expire(topic, now - (int64_t)s->keep_ms);
+	write_config_again(s);
 	answer_waiters(s);
 }
 
@@ -268,13 +328,14 @@
 	event_free(s->timer);
 	while ((w = g_queue_peek_head(&s->waiters)))
 		free_waiter(w);
+	g_clear_pointer(&s->lost_config, g_bytes_unref);
 	server_finish(&s->server);
 	g_hash_table_destroy(s->topics);
 }
 
 int main(int argc, char **argv)
 {
-	store_t s = { .keep_ms = 300000, .entry_ms = 3600 };
+	store_t s = { .keep_ms = 300000, .entry_ms = 3600, .epoch = 1 };
 	const char *listen = "127.0.0.1:0";
 	err_t err;
 	const arg_row_t rows[] = {
--- a/tests/lib_soak_fault.c
+++ b/tests/lib_soak_fault.c
@@ -102,6 +102,8 @@
 	  NULL, NULL, NULL },
 	{ "store-forgets", SOAK_ON_STORE, 1, 0, 0, "{\"forget\":true}", NULL,
 	  NULL, NULL },
+	{ "store-restored", SOAK_ON_STORE, 2, 0, 0, "{\"restore_ms\":4000}",
+	  NULL, NULL, NULL },
 	{ "store-pause", SOAK_ON_STORE, 1, 200, 5000, NULL, NULL, pause_store,
 	  resume_store },
 	{ "config", SOAK_ON_STORE, 6, 0, 0, NULL, NULL, publish, NULL },
