--- a/core/crash_reports.c
+++ b/core/crash_reports.c
@@ -115,24 +115,25 @@
 			prompt_parts_remove(parts, parts->ids[i]);
 }
 
-/* Tells whether an earlier report against PART is of the same crash. */
-static bool is_known_crash(const crash_reports_t *r, guint end, uint64_t part)
+static uint64_t runner_of(const crash_report_t *report)
 {
-	for (guint i = 0; i < end; i++)
-		if (is_against(crash_reports_get(r, i), part) &&
-		    crash_reports_get(r, i)->crash.runner ==
-			    crash_reports_get(r, end)->crash.runner)
-			return true;
-	return false;
+	return report->runner;
 }
 
-/* Tells whether an earlier report against PART is of the same request. */
-static bool is_known_request(const crash_reports_t *r, guint end, uint64_t part)
+static uint64_t request_of(const crash_report_t *report)
 {
+	return report->request;
+}
+
+/* Tells whether a report against PART before END has the same ID_OF. */
+static bool is_counted(const crash_reports_t *r, guint end, uint64_t part,
+		       uint64_t (*id_of)(const crash_report_t *report))
+{
+	uint64_t id = id_of(&crash_reports_get(r, end)->crash);
+
 	for (guint i = 0; i < end; i++)
 		if (is_against(crash_reports_get(r, i), part) &&
-		    crash_reports_get(r, i)->crash.request ==
-			    crash_reports_get(r, end)->crash.request)
+		    id_of(&crash_reports_get(r, i)->crash) == id)
 			return true;
 	return false;
 }
@@ -151,8 +152,8 @@
 		if (!e.n_runners)
 			e.common = find_causes(r, crash->runner, part);
 		keep_causes(r, crash->runner, &e.common);
-		e.n_runners += !is_known_crash(r, i, part);
-		e.n_requests += !is_known_request(r, i, part);
+		e.n_runners += !is_counted(r, i, part, runner_of);
+		e.n_requests += !is_counted(r, i, part, request_of);
 		e.latest_at = MAX(e.latest_at, crash->at);
 	}
 	return e;
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -5,18 +5,15 @@
 #define LOG_PART "capacity"
 
 #include <inttypes.h>
-#include <jansson.h>
 
 #include "common/log.h"
 #include "core/runner_group.h"
+#include "daemon/load_poll.h"
 #include "daemon/supervisor.h"
-#include "net/http.h"
 
 enum {
 	TICK_MS = 10,
-	MAX_REPORT_BYTES = 64 * 1024,
 	MAX_RUNNING = 100000, /* grants in progress per dispatcher */
-	REPORT_TIMEOUT_MS = 1000,
 	EXPORT_MS = 500, /* between updates of the metrics */
 };
 
@@ -36,9 +33,7 @@
 typedef struct runner {
 	service_t *service;
 	dispatcher_runner_t info;
-	http_call_t call;
-	GString *body; /* of the load report being received */
-	bool is_polling;
+	load_poll_t load;
 	bool is_listed; /* in the newest VM list */
 	bool has_requested_load; /* the first poll was started */
 } runner_t;
@@ -61,8 +56,7 @@
 {
 	runner_t *r = data;
 
-	http_call_finish(&r->call);
-	g_string_free(r->body, TRUE);
+	load_poll_finish(&r->load);
 	g_free(r);
 }
 
@@ -154,89 +148,22 @@
 				    profile->teams[i].weight);
 }
 
-static void on_report_data(void *ctx, struct evbuffer *body)
+/* Applies a load report; NULL: the runner didn't answer. */
+static void on_load(void *ctx, const dispatcher_report_t *report)
 {
 	runner_t *r = ctx;
-	size_t n = evbuffer_get_length(body);
+	dispatcher_t *d = &r->service->dispatcher;
 
-	g_string_append_len(r->body, (char *)evbuffer_pullup(body, -1),
-			    (gssize)n);
-}
-
-static uint32_t get_uint32(json_t *root, const char *key)
-{
-	json_int_t n = json_integer_value(json_object_get(root, key));
-
-	return n > 0 && n <= UINT32_MAX ? (uint32_t)n : 0;
-}
-
-static void apply_report(runner_t *r)
-{
-	json_t *root = json_loadb(r->body->str, r->body->len, 0, NULL);
-	const char *state = json_string_value(json_object_get(root, "state"));
-	int64_t as_of_ms =
-		json_integer_value(json_object_get(root, "as_of_ms"));
-	int64_t lag_us = g_get_real_time() - as_of_ms * 1000;
-	dispatcher_report_t report = {
-		.as_of = now_us() - (as_of_ms && lag_us > 0 ? lag_us : 0),
-		.running = get_uint32(root, "running"),
-		.waiting = get_uint32(root, "waiting"),
-		.waiting_prompt_tokens =
-			get_uint32(root, "waiting_prompt_tokens"),
-		.running_tokens = get_uint32(root, "running_tokens"),
-		.is_leaving = state && !strcmp(state, "leaving"),
-	};
-
-	if (json_is_object(root))
-		dispatcher_report(&r->service->dispatcher,
-				  str_from(r->info.name), &report, now_us());
-	json_decref(root);
-}
-
-/* A status other than 200 means that the runner has no load report. */
-static void apply_empty_report(runner_t *r)
-{
-	dispatcher_report_t none = { .as_of = now_us() };
-
-	dispatcher_report(&r->service->dispatcher, str_from(r->info.name),
-			  &none, now_us());
-}
-
-static void on_report_end(void *ctx, int status, const err_t *err)
-{
-	runner_t *r = ctx;
-
-	r->is_polling = false;
-	http_call_finish(&r->call);
-	if (err)
-		dispatcher_suspend_runner(&r->service->dispatcher,
-					  str_from(r->info.name), now_us());
-	else if (status == HTTP_OK)
-		apply_report(r);
+	if (report)
+		dispatcher_report(d, str_from(r->info.name), report, now_us());
 	else
-		apply_empty_report(r);
+		dispatcher_suspend_runner(d, str_from(r->info.name), now_us());
 }
 
 static void poll_load(runner_t *r)
 {
-	static const http_call_ops_t ops = { NULL, NULL, on_report_data,
-					     on_report_end };
-	http_request_t request = {
-		.address = r->info.address,
-		.method = EVHTTP_REQ_GET,
-		.path = "/v1/load",
-		.body = STR_LIT(""),
-		.connect_timeout_ms = REPORT_TIMEOUT_MS,
-		.idle_timeout_ms = REPORT_TIMEOUT_MS,
-		.max_body = MAX_REPORT_BYTES,
-	};
-
-	if (r->is_polling)
-		return;
-	g_string_truncate(r->body, 0);
-	r->is_polling =
-		http_call_start(&r->call, r->service->capacity->sup->base,
-				&request, &ops, r, NULL);
+	load_poll_start(&r->load, r->service->capacity->sup->base,
+			r->info.address);
 }
 
 static void update_runner(service_t *s, const vm_list_runner_t *listed)
@@ -246,7 +173,7 @@
 	if (!r) {
 		r = g_new0(runner_t, 1);
 		r->service = s;
-		r->body = g_string_new("");
+		load_poll_init(&r->load, on_load, r);
 		g_strlcpy(r->info.name, listed->runner.name,
 			  sizeof(r->info.name));
 		g_hash_table_insert(s->runners, r->info.name, r);
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -353,6 +353,15 @@
 	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
 }
 
+void gateway_fixture_begin(gateway_fixture_t *fixture, const reply_t *first,
+			   const reply_t *second)
+{
+	gateway_fixture_init(fixture);
+	gateway_fixture_configure(fixture);
+	fixture->runners[0].replies = first;
+	fixture->runners[1].replies = second;
+}
+
 void gateway_fixture_finish(gateway_fixture_t *fixture)
 {
 	for (int i = 0; i < FIXTURE_CALLERS; i++)
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -104,6 +104,9 @@
 void gateway_fixture_finish(gateway_fixture_t *fixture);
 /* Applies a configuration; before that, requests are answered with 503. */
 void gateway_fixture_configure(gateway_fixture_t *fixture);
+/* Both of these, with the replies of the two runners. */
+void gateway_fixture_begin(gateway_fixture_t *fixture, const reply_t *first,
+			   const reply_t *second);
 /* Answer the latest WANT or LIMIT_ASK, even if answers are switched off. */
 void gateway_grant_last(gateway_fixture_t *fixture);
 void gateway_allow_last(gateway_fixture_t *fixture);
--- a/tests/test_broken_resume.c
+++ b/tests/test_broken_resume.c
@@ -49,10 +49,7 @@
 	const reply_t answers[ANSWERS + 1] = { *other, *other, *other };
 	gateway_fixture_t fixture;
 
-	gateway_fixture_init(&fixture);
-	gateway_fixture_configure(&fixture);
-	fixture.runners[0].replies = breaks_off;
-	fixture.runners[1].replies = answers;
+	gateway_fixture_begin(&fixture, breaks_off, answers);
 	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
 	gateway_await_close(&fixture, 0);
 	ck_assert_msg(fixture.runners[1].n_requests > 0, "answer %zu", number);
@@ -83,10 +80,7 @@
 					  REPLY_KEEP } };
 	gateway_fixture_t fixture;
 
-	gateway_fixture_init(&fixture);
-	gateway_fixture_configure(&fixture);
-	fixture.runners[0].replies = breaks_off;
-	fixture.runners[1].replies = ends;
+	gateway_fixture_begin(&fixture, breaks_off, ends);
 	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
 	gateway_await(&fixture, 0, LAST_CHUNK);
 	gateway_fixture_finish(&fixture);
--- a/tests/test_late_refusal.c
+++ b/tests/test_late_refusal.c
@@ -36,13 +36,10 @@
 					     {} };
 	gateway_fixture_t fixture;
 
-	gateway_fixture_init(&fixture);
-	gateway_fixture_configure(&fixture);
-	fixture.runners[0].replies = then_runs;
+	gateway_fixture_begin(&fixture, then_runs, refusals);
 	fixture.runners[0].trails_first_only = true;
 	fixture.runners[0].trail =
 		(trail_t){ STR_LIT(REFUSAL("a")), COPY_MS, 1 };
-	fixture.runners[1].replies = refusals;
 	gateway_send(&fixture, 0, REQUEST("/safe/", "a"));
 	gateway_await_count(&fixture, &fixture.runners[0].n_requests, 2);
 	gateway_await(&fixture, 0, "HTTP/1.1 ");
@@ -62,13 +59,10 @@
 	static const reply_t serves[] = { { OK, REPLY_KEEP } };
 	gateway_fixture_t fixture;
 
-	gateway_fixture_init(&fixture);
-	gateway_fixture_configure(&fixture);
-	fixture.runners[0].replies = then_runs;
+	gateway_fixture_begin(&fixture, then_runs, serves);
 	fixture.runners[0].trails_first_only = true;
 	fixture.runners[0].trail =
 		(trail_t){ STR_LIT(REFUSAL_WITHOUT_ID), COPY_MS, 1 };
-	fixture.runners[1].replies = serves;
 	gateway_send(&fixture, 0, REQUEST("/safe/", "a"));
 	gateway_await(&fixture, 0, "ok");
 	fixture.runners[1].replies = refusals;
@@ -93,10 +87,7 @@
 	};
 	gateway_fixture_t fixture;
 
-	gateway_fixture_init(&fixture);
-	gateway_fixture_configure(&fixture);
-	fixture.runners[0].replies = refuses;
-	fixture.runners[1].replies = refuses;
+	gateway_fixture_begin(&fixture, refuses, refuses);
 	gateway_send(&fixture, 0, REQUEST("/once/", "a"));
 	gateway_await(&fixture, 0, "HTTP/1.1 503 ");
 	gateway_fixture_finish(&fixture);
@@ -117,10 +108,7 @@
 	};
 	gateway_fixture_t fixture;
 
-	gateway_fixture_init(&fixture);
-	gateway_fixture_configure(&fixture);
-	fixture.runners[0].replies = then_pauses;
-	fixture.runners[1].replies = refusals;
+	gateway_fixture_begin(&fixture, then_pauses, refusals);
 	gateway_send(&fixture, 0, REQUEST("/safe/", "a"));
 	gateway_await(&fixture, 0, "ok");
 	fixture.wants = 0;
--- a/tests/test_runner_list.c
+++ b/tests/test_runner_list.c
@@ -155,6 +155,12 @@
 	return runner_list_set(l, &runner);
 }
 
+static void init_in_first_epoch(runner_list_t *l)
+{
+	runner_list_init(l, GRACE_PERIOD);
+	runner_list_set_epoch(l, 1, 0);
+}
+
 static void copy(void *ctx, const listed_runner_t *runner)
 {
 	*(listed_runner_t *)ctx = *runner;
@@ -173,8 +179,7 @@
 {
 	runner_list_t l;
 
-	runner_list_init(&l, GRACE_PERIOD);
-	runner_list_set_epoch(&l, 1, 0);
+	init_in_first_epoch(&l);
 	set_entry(&l, 5, 1, false);
 	set_entry(&l, 5, 9, true);
 	runner_list_set_epoch(&l, 2, SECOND);
@@ -190,8 +195,7 @@
 	ck_assert_int_eq(set_entry(&l, 6, 1, false), RUNNER_ENTRY_NEW);
 	runner_list_finish(&l);
 	/* Without numbers, a leaving stands. */
-	runner_list_init(&l, GRACE_PERIOD);
-	runner_list_set_epoch(&l, 1, 0);
+	init_in_first_epoch(&l);
 	set_entry(&l, 0, 0, true);
 	runner_list_set_epoch(&l, 2, SECOND);
 	ck_assert_int_eq(set_entry(&l, 0, 0, false), RUNNER_ENTRY_OLD);
@@ -204,8 +208,7 @@
 {
 	runner_list_t l;
 
-	runner_list_init(&l, GRACE_PERIOD);
-	runner_list_set_epoch(&l, 1, 0);
+	init_in_first_epoch(&l);
 	set_entry(&l, 5, 8, false);
 	runner_list_remove(&l, STR_LIT("a"), SECOND);
 	runner_list_apply_due(&l, SECOND);
@@ -225,8 +228,7 @@
 {
 	runner_list_t l;
 
-	runner_list_init(&l, GRACE_PERIOD);
-	runner_list_set_epoch(&l, 1, 0);
+	init_in_first_epoch(&l);
 	set_entry(&l, 5, 8, false);
 	runner_list_remove(&l, STR_LIT("a"), SECOND);
 	runner_list_apply_due(&l, SECOND);
@@ -241,8 +243,7 @@
 {
 	runner_list_t l;
 
-	runner_list_init(&l, GRACE_PERIOD);
-	runner_list_set_epoch(&l, 1, 0);
+	init_in_first_epoch(&l);
 	set_entry(&l, 5, 1, false);
 	runner_list_apply_due(&l, SECOND);
 	runner_list_set_epoch(&l, 2, 2 * SECOND);
