--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -21,16 +21,28 @@
 
 static void call_store(store_follower_t *f);
 
+/* Tells whether an applied entry changes the record that is kept. */
+static bool changes_record(const store_follower_t *f,
+			   const store_entry_t *entry, entry_news_t news)
+{
+	bool is_kept = topic_records_get(&f->records, entry->key) != NULL;
+
+	/* The configuration in force stays, whatever the store lost. */
+	if (!entry->value.len)
+		return is_kept && f->topic != STORE_CONFIG;
+	return news == ENTRY_NEW || (news == ENTRY_KNOWN && !is_kept);
+}
+
 /* Applies and keeps an entry. Returns whether it contains anything new. */
 static bool apply_entry(store_follower_t *f, const store_entry_t *entry)
 {
 	entry_news_t news = f->env->on_entry(f->env->ctx, f->topic, entry);
+	bool is_changed = changes_record(f, entry, news);
 
 	topic_records_see(&f->records, entry->key);
-	if (news == ENTRY_NEW || (news == ENTRY_KNOWN &&
-				  !topic_records_get(&f->records, entry->key)))
+	if (is_changed)
 		topic_records_set(&f->records, entry->key, entry->value);
-	return news == ENTRY_NEW;
+	return news == ENTRY_NEW || (is_changed && !entry->value.len);
 }
 
 static void set_down(store_follower_t *f, const err_t *err)
--- a/tests/test_restored_store.c
+++ b/tests/test_restored_store.c
@@ -154,6 +154,50 @@
 }
 END_TEST
 
+/* The reader tells that the entry is in the store. */
+static void send_own_entry(store_fixture_t *f)
+{
+	const char *text = f->topics[STORE_DAEMONS].records[0].value;
+	message_t m = { .type = MESSAGE_TOPIC_UPDATE };
+	message_record_t record = {
+		.key = g_bytes_new_static("d", 1),
+		.value = g_bytes_new(text, strlen(text)),
+	};
+
+	m.update.topic = STORE_DAEMONS;
+	m.update.from = (topic_position_t){ 1, 0 };
+	m.update.to = (topic_position_t){ 1, 1 };
+	m.update.records = message_records_new();
+	g_array_append_val(m.update.records, record);
+	supervisor_post(&f->sup, TASK_PLATFORM, &m);
+}
+
+/* Guards against the same at daemons that don't read the store themselves. */
+START_TEST(a_daemon_that_is_told_writes_its_entry_again)
+{
+	message_t reader = { .type = MESSAGE_READER_ROLE, .number = false };
+	message_t m = { .type = MESSAGE_TOPIC_UPDATE };
+	message_record_t lost;
+	store_fixture_t f;
+
+	store_fixture_init(&f);
+	ck_assert(store_fixture_await(&f, &f.appends, 1));
+	send_own_entry(&f);
+	supervisor_post(&f.sup, TASK_PLATFORM, &reader);
+	store_fixture_run(&f, STORE_FIXTURE_LIMIT_US / 10);
+	lost.key = g_bytes_new_static("d", 1);
+	lost.value = g_bytes_new_static("", 0);
+	m.update.topic = STORE_DAEMONS;
+	m.update.from = (topic_position_t){ 1, 1 };
+	m.update.to = (topic_position_t){ 2, 0 };
+	m.update.records = message_records_new();
+	g_array_append_val(m.update.records, lost);
+	supervisor_post(&f.sup, TASK_PLATFORM, &m);
+	ck_assert(store_fixture_await(&f, &f.appends, 2));
+	store_fixture_finish(&f);
+}
+END_TEST
+
 /* Another daemon sends version 14 itself, not as an update of the store. */
 static void relay_config(store_fixture_t *f)
 {
@@ -194,4 +238,5 @@
 	   a_configuration_does_not_go_back,
 	   a_runner_that_leaves_is_not_ready_again,
 	   a_daemon_writes_its_entry_again,
+	   a_daemon_that_is_told_writes_its_entry_again,
 	   the_configuration_in_force_is_what_is_handed_on)
