--- a/core/crash_reports.h
+++ b/core/crash_reports.h
@@ -27,8 +27,7 @@
 /* A report, and what is known of it since. */
 typedef struct crash_record {
 	crash_report_t crash;
-	uint32_t
-		sound_mask; /* bit I: part I was in an answered request since */
+	uint32_t sound_mask; /* bit I: part I was answered since */
 	int64_t received_at;
 	bool is_own; /* of this daemon */
 	bool is_judged; /* it counts as evidence, with others of its crash */
--- a/core/topic_follow.h
+++ b/core/topic_follow.h
@@ -23,12 +23,11 @@
 
 typedef struct topic_follow {
 	topic_position_t known; /* valid once a list was applied */
-	uint64_t
-		required_epoch; /* the store's; lists of earlier ones are old */
+	uint64_t required_epoch; /* lists of earlier epochs are old */
 	bool is_listed; /* the list in force needs no other one */
 	bool is_reader; /* this daemon sends updates to the others */
 	int64_t max_update_age; /* maximum age of the last update */
-	int64_t updated_at; /* when the topic was last known to be KNOWN */
+	int64_t updated_at; /* when KNOWN was last the end of the topic */
 	int64_t missing_since; /* since when records are missing; 0: none */
 	int64_t list_after; /* wait for another daemon's list until then */
 	int64_t retry_at; /* no call before, after a failed one */
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -78,7 +78,7 @@
 	r->has_answer = true;
 	answer_head_read(head, r->call.attempt_id, &r->answer);
 	r->is_own_answer = is_own_answer(r);
-	/* An answer without a name is at least this runner's word of itself. */
+	/* One that names no attempt still states this runner's status. */
 	if (r->is_own_answer || !r->answer.names_attempt)
 		relay_read_runner_status(r);
 	if (!is_valid_answer(r))
--- a/daemon/relay_quarantine.c
+++ b/daemon/relay_quarantine.c
@@ -35,16 +35,24 @@
 		  entry->times, (entry->until - now_us()) / US_PER_MS, why);
 }
 
-/* Other daemons may lack a report: who sent the last one tells them. */
-static void on_quarantine(void *ctx, const quarantine_entry_t *entry,
-			  bool is_own)
+/* Tells PEER of a quarantine; "": all daemons. */
+static void post_quarantine(gateway_t *g, const quarantine_entry_t *entry,
+			    const char *peer)
 {
 	message_part_t notice = { .kind = PART_NOTICE_QUARANTINE,
 				  .entry = *entry };
 
+	g_strlcpy(notice.peer, peer, sizeof(notice.peer));
+	post_notice(g, &notice);
+}
+
+/* Other daemons may lack a report: who sent the last one tells them. */
+static void on_quarantine(void *ctx, const quarantine_entry_t *entry,
+			  bool is_own)
+{
 	log_quarantine(entry, "runners crashed on it");
 	if (is_own)
-		post_notice(ctx, &notice);
+		post_quarantine(ctx, entry, "");
 }
 
 void gateway_check_quarantine(gateway_t *g)
@@ -78,12 +86,12 @@
 void relay_report_sound(relay_t *r)
 {
 	gateway_t *g = r->gateway;
-	message_part_t notice = { .kind = PART_NOTICE_SOUND,
-				  .crash = { .parts = r->call.parts } };
+	message_part_t notice = { .kind = PART_NOTICE_SOUND };
 	char parts[PROMPT_PARTS_TEXT_SIZE];
 
 	if (!quarantine_set_sound(&g->quarantine, &r->call.parts))
 		return;
+	notice.crash.parts = r->call.parts;
 	log_event("part-sound", "request=%s runner=%s parts=%s", r->id,
 		  r->runner.name, prompt_parts_text(&r->call.parts, parts));
 	post_notice(g, &notice);
@@ -91,8 +99,11 @@
 
 void relay_report_alive(relay_t *r)
 {
-	if (quarantine_set_alive(&r->gateway->quarantine, runner_hash(r),
-				 r->progress_at, now_us()))
+	quarantine_t *q = &r->gateway->quarantine;
+
+	/* Called for every answer; there are reports only after crashes. */
+	if (q->reports.records->len &&
+	    quarantine_set_alive(q, runner_hash(r), r->progress_at, now_us()))
 		log_event("crash-disproved", "request=%s runner=%s", r->id,
 			  r->runner.name);
 }
@@ -159,11 +170,8 @@
 static void send_entry(void *ctx, const quarantine_entry_t *entry, bool is_own)
 {
 	const quarantine_receiver_t *to = ctx;
-	message_part_t notice = { .kind = PART_NOTICE_QUARANTINE,
-				  .entry = *entry };
 
-	g_strlcpy(notice.peer, to->peer, sizeof(notice.peer));
-	post_notice(to->gateway, &notice);
+	post_quarantine(to->gateway, entry, to->peer);
 }
 
 void gateway_send_quarantine(gateway_t *g, const char *peer)
--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -206,7 +206,6 @@
 		  "topic=%s records=%u epoch=%" PRIu64 " next=%" PRIu64,
 		  store_topic_name(f->topic), update->records->len,
 		  update->to.epoch, update->to.next);
-	set_epoch(f);
 	begin_list(f);
 	apply_records(f, update->records);
 	end_list(f);
