--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -541,6 +541,12 @@
 	return runner->info.is_leaving || runner->is_leaving_by_report;
 }
 
+static void grant_again(struct dispatcher_state *s, attempt_t *attempt)
+{
+	attempt->confirm_by = 0;
+	s->ops.grant(s->ctx, &attempt->want, &attempt->runner->info);
+}
+
 bool dispatcher_want_again(dispatcher_t *d, const want_t *want, int64_t now)
 {
 	struct dispatcher_state *s = d->state;
@@ -554,7 +560,7 @@
 	if (!attempt)
 		dispatcher_want(d, want, now);
 	else if (attempt->runner)
-		s->ops.grant(s->ctx, &attempt->want, &attempt->runner->info);
+		grant_again(s, attempt);
 	return dispatcher_is_waiting(d, want->id);
 }
 
@@ -587,6 +593,7 @@
 
 	if (!attempt || !attempt->runner)
 		return;
+	attempt->confirm_by = 0;
 	dispatcher_record_first_token(d->state, attempt, now);
 	dispatcher_decide(d->state, now);
 }
@@ -647,6 +654,8 @@
 	runner_t *known = dispatcher_find_runner(s, runner);
 	attempt_t *attempt = g_hash_table_lookup(s->attempts, &want->id);
 
+	if (attempt)
+		attempt->confirm_by = 0;
 	if (!known || (attempt && attempt->runner))
 		return;
 	if (attempt && attempt->entry.team_queue)
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -163,7 +163,7 @@
 	uint64_t unknown; /* unknown want or runner, or duplicate want */
 	/*
 	 * Grants removed because no end arrived: past their deadline, or
-	 * overdue while their owner is unresponsive.
+	 * overdue while their owner is unresponsive, or not confirmed by it.
 	 */
 	uint64_t expired;
 	uint32_t queued, running, runners;
@@ -239,7 +239,8 @@
 		     int64_t now);
 /*
  * Adds a grant of the previous dispatcher, which the owner reports as running
- * after a change of dispatchers, so that the ledger is complete.
+ * after a change of dispatchers, so that the ledger is complete. Confirms a
+ * grant that is known.
  */
 void dispatcher_adopt(dispatcher_t *d, const want_t *want, str_t runner,
 		      int64_t now);
@@ -250,6 +251,14 @@
  */
 void dispatcher_set_owner_unresponsive(dispatcher_t *d, uint64_t owner,
 				       bool is_unresponsive, int64_t now);
+/*
+ * Messages of the owner may have been lost: its link is a new one, or this
+ * process stood still. Owners then repeat the wants of requests that run
+ * (dispatcher_adopt). With expires_grants, a grant that isn't confirmed so
+ * within a second is removed. Delays of these grants don't count against their
+ * runners, since their events may have been lost, too.
+ */
+void dispatcher_doubt_grants(dispatcher_t *d, uint64_t owner, int64_t now);
 /* Returns whether the want is known and not yet granted. */
 bool dispatcher_is_waiting(const dispatcher_t *d, want_id_t id);
 /* Removes all wants and grants of an owner that died. */
--- a/core/dispatcher_ledger.c
+++ b/core/dispatcher_ledger.c
@@ -154,15 +154,21 @@
 	dispatcher_rank_runner(s, attempt->runner, now);
 }
 
+void dispatcher_ignore_delay(attempt_t *attempt)
+{
+	attempt->work.overdue_at = INT64_MAX;
+	g_sequence_sort_changed(attempt->by_overdue, by_overdue_at, NULL);
+}
+
 void dispatcher_record_overdue(struct dispatcher_state *s, attempt_t *attempt,
 			       int64_t now)
 {
 	/* The delay is due to the network partition, not the runner. */
-	if (attempt->runner->info.is_partitioned)
-		attempt->work.overdue_at = INT64_MAX;
-	else
-		runner_model_overdue(&attempt->runner->model, &attempt->work,
-				     now);
+	if (attempt->runner->info.is_partitioned) {
+		dispatcher_ignore_delay(attempt);
+		return;
+	}
+	runner_model_overdue(&attempt->runner->model, &attempt->work, now);
 	g_sequence_sort_changed(attempt->by_overdue, by_overdue_at, NULL);
 	dispatcher_rank_runner(s, attempt->runner, now);
 }
--- a/core/dispatcher_owner.c
+++ b/core/dispatcher_owner.c
@@ -1,6 +1,12 @@
 /* Events of the dispatcher that affect all wants of one owner. */
 #include "core/dispatcher_state.h"
 
+enum {
+	US_PER_S = 1000000,
+	/* Owners repeat their wants at once; the messages may be late. */
+	CONFIRMATION_US = US_PER_S,
+};
+
 bool dispatcher_is_owner_unresponsive(const struct dispatcher_state *s,
 				      uint64_t owner)
 {
@@ -55,6 +61,22 @@
 		dispatcher_refuse_paused(s, late->pdata[i], now);
 }
 
+void dispatcher_doubt_grants(dispatcher_t *d, uint64_t owner, int64_t now)
+{
+	GQueue *owned = g_hash_table_lookup(d->state->owners, &owner);
+
+	for (GList *link = owned ? owned->head : NULL; link;
+	     link = link->next) {
+		attempt_t *attempt = link->data;
+
+		if (!attempt->runner)
+			continue;
+		if (!attempt->confirm_by)
+			attempt->confirm_by = now + CONFIRMATION_US;
+		dispatcher_ignore_delay(attempt);
+	}
+}
+
 void dispatcher_owner_lost(dispatcher_t *d, uint64_t owner, int64_t now)
 {
 	struct dispatcher_state *s = d->state;
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -38,6 +38,8 @@
 	runner_work_t work;
 	uint32_t cached_tokens; /* of the prompt, estimated */
 	bool is_cancelled; /* its cancellation was requested */
+	/* Ended then unless the owner confirms that it runs; 0: no doubt. */
+	int64_t confirm_by;
 	int64_t last_event_at; /* time of the grant or of the first token */
 	GList by_last_event; /* link in dispatcher_state.by_last_event */
 	GSequenceIter *by_overdue; /* in dispatcher_state.by_overdue */
@@ -188,6 +190,8 @@
 			      const done_t *done, int64_t now);
 void dispatcher_record_first_token(struct dispatcher_state *s,
 				   attempt_t *attempt, int64_t now);
+/* The attempt's next event may be late through no fault of the runner. */
+void dispatcher_ignore_delay(attempt_t *attempt);
 /* Lowers the runner's window because the attempt is overdue. */
 void dispatcher_record_overdue(struct dispatcher_state *s, attempt_t *attempt,
 			       int64_t now);
--- a/core/dispatcher_tick.c
+++ b/core/dispatcher_tick.c
@@ -84,9 +84,15 @@
 }
 
 /*
- * Ends grants some time after their deadline. The owner has stopped the work by
- * then; its message, or the grant, was lost.
+ * Some time after the deadline the owner has stopped the work; its message, or
+ * the grant, was lost.
  */
+static bool is_expired(const attempt_t *attempt, int64_t now)
+{
+	return now >= attempt->want.deadline + EXPIRY_DELAY_US ||
+	       (attempt->confirm_by && now >= attempt->confirm_by);
+}
+
 static void end_expired(struct dispatcher_state *s, int64_t now)
 {
 	GList *next;
@@ -95,7 +101,7 @@
 		attempt_t *attempt = link->data;
 
 		next = link->next;
-		if (now < attempt->want.deadline + EXPIRY_DELAY_US)
+		if (!is_expired(attempt, now))
 			continue;
 		s->stats.expired++;
 		dispatcher_end_attempt(s, attempt, NULL, now);
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -331,11 +331,80 @@
 		post_queued(c, request);
 }
 
+static void for_each_service(capacity_t *c, void (*fn)(service_t *s))
+{
+	GHashTableIter iter;
+	service_t *s;
+
+	g_hash_table_iter_init(&iter, c->services);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
+		fn(s);
+}
+
+/*
+ * Calls FN for every dispatcher and every known boot ID of PEER; NULL: of all
+ * other daemons.
+ */
+static void for_each_owner_of(capacity_t *c, const char *peer,
+			      void (*fn)(dispatcher_t *d, uint64_t owner))
+{
+	GHashTableIter owners, services;
+	uint64_t *owner;
+	const char *name;
+	service_t *s;
+
+	g_hash_table_iter_init(&owners, c->owners);
+	while (g_hash_table_iter_next(&owners, (void **)&owner,
+				      (void **)&name)) {
+		if (peer ? strcmp(name, peer) : !name[0])
+			continue;
+		g_hash_table_iter_init(&services, c->services);
+		while (g_hash_table_iter_next(&services, NULL, (void **)&s))
+			fn(&s->dispatcher, *owner);
+	}
+}
+
+static void doubt_grants(dispatcher_t *d, uint64_t owner)
+{
+	dispatcher_doubt_grants(d, owner, now_us());
+}
+
+static void apply_view_stable(service_t *s)
+{
+	dispatcher_set_view_stable(&s->dispatcher, s->capacity->is_view_stable,
+				   now_us());
+}
+
+static void set_view_stable(capacity_t *c, bool is_view_stable)
+{
+	if (c->is_view_stable == is_view_stable)
+		return;
+	c->is_view_stable = is_view_stable;
+	for_each_service(c, apply_view_stable);
+}
+
+/*
+ * After a stall the view isn't stable: another daemon may have granted the
+ * same runners meanwhile, and was told of the ends of grants.
+ */
+static void check_stall(capacity_t *c)
+{
+	uint64_t epoch = supervisor_stall_epoch(c->sup);
+
+	if (epoch == c->epoch)
+		return;
+	c->epoch = epoch;
+	set_view_stable(c, false);
+	for_each_owner_of(c, NULL, doubt_grants);
+}
+
 static void handle_want(capacity_t *c, const message_capacity_t *request)
 {
 	service_t *s = find_service(c, request->service);
 	want_t want = request->want;
 
+	/* Owners confirm their grants only once, right after a stall. */
+	check_stall(c);
 	if (!s) {
 		refuse_unknown_service(c, request);
 		return;
@@ -353,16 +422,6 @@
 		handle_new_want(c, s, request, &want);
 }
 
-static void for_each_service(capacity_t *c, void (*fn)(service_t *s))
-{
-	GHashTableIter iter;
-	service_t *s;
-
-	g_hash_table_iter_init(&iter, c->services);
-	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
-		fn(s);
-}
-
 static void set_owner_lost(dispatcher_t *d, uint64_t owner)
 {
 	dispatcher_owner_lost(d, owner, now_us());
@@ -378,26 +437,6 @@
 	dispatcher_set_owner_unresponsive(d, owner, false, now_us());
 }
 
-/* Calls FN for every dispatcher and every known boot ID of PEER. */
-static void for_each_owner_of(capacity_t *c, const char *peer,
-			      void (*fn)(dispatcher_t *d, uint64_t owner))
-{
-	GHashTableIter owners, services;
-	uint64_t *owner;
-	const char *name;
-	service_t *s;
-
-	g_hash_table_iter_init(&owners, c->owners);
-	while (g_hash_table_iter_next(&owners, (void **)&owner,
-				      (void **)&name)) {
-		if (strcmp(name, peer))
-			continue;
-		g_hash_table_iter_init(&services, c->services);
-		while (g_hash_table_iter_next(&services, NULL, (void **)&s))
-			fn(&s->dispatcher, *owner);
-	}
-}
-
 static gboolean is_of_peer(void *owner, void *name, void *peer)
 {
 	return !strcmp(name, peer);
@@ -469,33 +508,6 @@
 		export_stats(c, s);
 }
 
-static void apply_view_stable(service_t *s)
-{
-	dispatcher_set_view_stable(&s->dispatcher, s->capacity->is_view_stable,
-				   now_us());
-}
-
-static void set_view_stable(capacity_t *c, bool is_view_stable)
-{
-	if (c->is_view_stable == is_view_stable)
-		return;
-	c->is_view_stable = is_view_stable;
-	for_each_service(c, apply_view_stable);
-}
-
-/*
- * After a stall the view isn't stable: another daemon may have granted the
- * same runners meanwhile.
- */
-static void check_stall(capacity_t *c)
-{
-	uint64_t epoch = supervisor_stall_epoch(c->sup);
-
-	if (epoch != c->epoch)
-		set_view_stable(c, false);
-	c->epoch = epoch;
-}
-
 static void on_tick_timer(evutil_socket_t fd, short what, void *arg)
 {
 	capacity_t *c = arg;
@@ -571,6 +583,9 @@
 				  m->contact.is_lost ? set_owner_unresponsive :
 						       set_owner_responsive);
 		return;
+	case MESSAGE_LINK_UP:
+		for_each_owner_of(c, m->contact.name, doubt_grants);
+		return;
 	case MESSAGE_WANT:
 		handle_want(c, &m->capacity);
 		return;
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -78,7 +78,7 @@
 	MESSAGE_LIMIT_STAMP, /* likewise: the stamp for the next lease */
 	/* front to peers and back: prompt parts that crash runners */
 	MESSAGE_PART_NOTICE,
-	MESSAGE_LINK_UP, /* peers to front: a link to a daemon is up */
+	MESSAGE_LINK_UP, /* peers to capacity, front: a link to a daemon is up */
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: incarnation ended */
 	MESSAGE_REQUEST_LISTS, /* store to peers: request a daemon's lists */
 	MESSAGE_LISTS_REQUESTED, /* peers to store: a daemon requests lists */
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -80,8 +80,6 @@
 			 const Papaya__Frame *frame);
 /* Sends a notice to the daemon that it names, or on all links. */
 void peers_send_part(peers_t *p, const message_part_t *notice);
-/* Tells the front task that the link to a daemon is up. */
-void peers_post_link_up(peers_t *p, const char *name);
 
 /* peers_detector.c: detection of unresponsive daemons and partitioned zones. */
 
--- a/daemon/peers_parts.c
+++ b/daemon/peers_parts.c
@@ -20,11 +20,3 @@
 {
 	part_frames_send(&p->peer, notice, now_us(), NULL, NULL);
 }
-
-void peers_post_link_up(peers_t *p, const char *name)
-{
-	message_t m = { .type = MESSAGE_LINK_UP };
-
-	g_strlcpy(m.contact.name, name, sizeof(m.contact.name));
-	supervisor_post(p->sup, TASK_FRONT, &m);
-}
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -92,6 +92,16 @@
 	peers_post_view_changed(p);
 }
 
+/* Frames to and from the daemon may have been lost before. */
+static void post_link_up(peers_t *p, const char *name)
+{
+	message_t m = { .type = MESSAGE_LINK_UP };
+
+	g_strlcpy(m.contact.name, name, sizeof(m.contact.name));
+	supervisor_post(p->sup, TASK_CAPACITY, &m);
+	supervisor_post(p->sup, TASK_FRONT, &m);
+}
+
 static void on_link_up(void *ctx, const member_vm_t *vm, uint64_t incarnation)
 {
 	peers_t *p = ctx;
@@ -99,7 +109,7 @@
 	log_info("link to %s is up", vm->name);
 	member_on_heartbeat(&p->member, vm, incarnation, false, now_us());
 	detector_link_up(&p->detector, vm->name, vm->zone, now_us());
-	peers_post_link_up(p, vm->name);
+	post_link_up(p, vm->name);
 	peers_post_view_changed(p);
 }
 
--- /dev/null
+++ b/tests/test_lost_done.c
@@ -0,0 +1,198 @@
+/*
+ * A dispatcher misses the ends of its grants: its process was paused, or the
+ * link to their owner broke. The places of those grants must not stay taken
+ * until the requests' deadlines, since owners say again what still runs.
+ */
+#include <string.h>
+
+#include "common/log.h"
+#include "tests/lib_suite.h"
+#include "tests/lib_task_fixture.h"
+
+#define PEER "peer"
+
+enum {
+	MAX_ATTEMPTS = 8,
+	SLOTS = 2,
+	OWNER = 7,
+	PAUSE_US = 200 * 1000, /* longer than heartbeat_timeout_ms */
+	/* Within it a dispatcher knows which of its grants still run. */
+	LIMIT_US = 2 * G_USEC_PER_SEC,
+	DEADLINE_US = 60 * G_USEC_PER_SEC,
+	SHORT_US = 100 * 1000,
+};
+
+/* The capacity task, and how often it granted each attempt. */
+typedef struct capacity_fixture {
+	struct event_base *base;
+	settings_t settings;
+	supervisor_t sup;
+	int grants[MAX_ATTEMPTS];
+} capacity_fixture_t;
+
+static void fake_handle(void *state, const message_t *m)
+{
+	capacity_fixture_t *f = state;
+
+	if (m->type == MESSAGE_GRANT)
+		f->grants[m->capacity.want.id.attempt]++;
+}
+
+static void no_handle(void *state, const message_t *m)
+{
+}
+
+static const task_spec_t fake_peers = { "peers", 2, task_fixture_start,
+					fake_handle, task_fixture_stop };
+static const task_spec_t fake_other = { "other", 1, task_fixture_start,
+					no_handle, task_fixture_stop };
+
+static const task_spec_t *const specs[TASK_COUNT] = {
+	[TASK_PLATFORM] = &fake_other,	  [TASK_PEERS] = &fake_peers,
+	[TASK_CAPACITY] = &capacity_task, [TASK_LIMITS] = &fake_other,
+	[TASK_FRONT] = &fake_other,	  [TASK_ACCOUNTS] = &fake_other,
+	[TASK_ADMIN] = &fake_other,
+};
+
+static void parse_settings(capacity_fixture_t *f)
+{
+	static const char text[] =
+		"{\"name\":\"d\",\"zone\":\"z\",\"zones\":[\"z\"],"
+		"\"fleet\":true,\"listen\":\"127.0.0.1:1\","
+		"\"peer_listen\":\"127.0.0.1:1\","
+		"\"admin_listen\":\"127.0.0.1:1\","
+		"\"platform\":\"127.0.0.1:1\","
+		"\"heartbeat_ms\":20,\"heartbeat_timeout_ms\":100,"
+		"\"load_poll_ms\":0,"
+		"\"peer_secret\":\"0123456789abcdef\","
+		"\"operator_token\":\"0123456789abcdef\",\"seed\":1}";
+	err_t err = { 0 };
+
+	ck_assert_msg(
+		settings_parse(&f->settings, str_from(text), "test", &err),
+		"%s", err.detail);
+}
+
+/* One engine with SLOTS places. */
+static void post_runner(capacity_fixture_t *f)
+{
+	static const vm_list_runner_t runner = {
+		.runner = { .name = "r",
+			    .address = "127.0.0.1:1",
+			    .slots = SLOTS },
+		.service = "s",
+		.zone = "z",
+	};
+	message_t config = { .type = MESSAGE_CONFIG,
+			     .config = config_view_new() };
+	message_t vms = { .type = MESSAGE_VMS,
+			  .vms = vm_list_new(NULL, 0, &runner, 1) };
+	profile_service_t *service = g_new0(profile_service_t, 1);
+
+	g_strlcpy(service->name, "s", sizeof(service->name));
+	service->is_engine = true;
+	service->slots = SLOTS;
+	service->window_tokens = 100000;
+	g_hash_table_insert(config.config->services, service->name, service);
+	supervisor_post(&f->sup, TASK_CAPACITY, &config);
+	supervisor_post(&f->sup, TASK_CAPACITY, &vms);
+}
+
+static void run(capacity_fixture_t *f, int64_t us)
+{
+	gint64 end = g_get_monotonic_time() + us;
+
+	while (g_get_monotonic_time() < end)
+		event_base_loop(f->base, EVLOOP_ONCE);
+}
+
+static void fixture_begin(capacity_fixture_t *f)
+{
+	err_t err = { 0 };
+
+	memset(f, 0, sizeof(*f));
+	task_fixture_set_state(f);
+	log_init("error");
+	f->base = event_base_new();
+	parse_settings(f);
+	supervisor_init(&f->sup, f->base, &f->settings);
+	ck_assert_msg(supervisor_start(&f->sup, specs, &err), "%s", err.detail);
+	post_runner(f);
+	run(f, SHORT_US);
+}
+
+static void fixture_end(capacity_fixture_t *f)
+{
+	supervisor_finish(&f->sup);
+	event_base_free(f->base);
+	settings_finish(&f->settings);
+}
+
+/* The peer's want; RUNNING: the request runs already, the want is repeated. */
+static void post_want(capacity_fixture_t *f, uint64_t attempt, bool is_running)
+{
+	message_t m = { .type = MESSAGE_WANT };
+	message_capacity_t *c = &m.capacity;
+
+	g_strlcpy(c->peer, PEER, sizeof(c->peer));
+	g_strlcpy(c->service, "s", sizeof(c->service));
+	c->want.id = (want_id_t){ OWNER, attempt };
+	c->want.prompt_tokens = 1;
+	c->want.output_tokens = 1;
+	c->want.deadline = g_get_monotonic_time() + DEADLINE_US;
+	if (is_running) {
+		g_strlcpy(c->running_on, "r", sizeof(c->running_on));
+		c->is_resent = true;
+	}
+	supervisor_post(&f->sup, TASK_CAPACITY, &m);
+}
+
+static void grant_both(capacity_fixture_t *f)
+{
+	post_want(f, 1, false);
+	post_want(f, 2, false);
+	task_fixture_await_count(f->base, &f->grants[2], 1, LIMIT_US);
+	ck_assert_int_eq(f->grants[1], 1);
+}
+
+/* Attempt 1 still runs, attempt 2 has ended: there is one free place. */
+static void expect_one_place(capacity_fixture_t *f)
+{
+	post_want(f, 1, true);
+	post_want(f, 3, false);
+	post_want(f, 4, false);
+	task_fixture_await_count(f->base, &f->grants[3], 1, LIMIT_US);
+	run(f, LIMIT_US / 2);
+	ck_assert_int_eq(f->grants[4], 0);
+	ck_assert_int_eq(f->grants[1], 1);
+}
+
+/* The end of attempt 2 was reported to another daemon during the pause. */
+START_TEST(ends_during_a_pause_of_the_dispatcher_free_their_places)
+{
+	capacity_fixture_t f;
+
+	fixture_begin(&f);
+	grant_both(&f);
+	g_usleep(PAUSE_US);
+	expect_one_place(&f);
+	fixture_end(&f);
+}
+END_TEST
+
+/* The message that reported the end of attempt 2 was lost with the link. */
+START_TEST(ends_lost_with_a_link_free_their_places)
+{
+	capacity_fixture_t f;
+	message_t link_up = { .type = MESSAGE_LINK_UP, .contact.name = PEER };
+
+	fixture_begin(&f);
+	grant_both(&f);
+	supervisor_post(&f.sup, TASK_CAPACITY, &link_up);
+	expect_one_place(&f);
+	fixture_end(&f);
+}
+END_TEST
+
+SUITE_MAIN("lost_done", ends_during_a_pause_of_the_dispatcher_free_their_places,
+	   ends_lost_with_a_link_free_their_places)
--- a/tests/test_silent_vm.c
+++ b/tests/test_silent_vm.c
@@ -8,7 +8,7 @@
 #include "tests/lib_fixture.h"
 #include "tests/lib_suite.h"
 
-enum { TOKENS = 100, SILENCE_TICKS = 400 };
+enum { TOKENS = 100, WINDOW = 5000, LARGE = 1000, SILENCE_TICKS = 400 };
 
 static void tick_many(fixture_t *fixture, int ticks)
 {
@@ -18,7 +18,7 @@
 
 START_TEST(a_runner_that_does_not_report_keeps_its_work)
 {
-	fixture_t fixture = { .config = { .window_tokens = 5000,
+	fixture_t fixture = { .config = { .window_tokens = WINDOW,
 					  .grants_if_idle = true,
 					  .expires_grants = true } };
 
@@ -41,7 +41,7 @@
 /* The owner's link broke; its request continues and is reported again. */
 START_TEST(an_owner_that_was_unreachable_reports_its_work_again)
 {
-	fixture_t fixture = { .config = { .window_tokens = 5000,
+	fixture_t fixture = { .config = { .window_tokens = WINDOW,
 					  .grants_if_idle = true,
 					  .expires_grants = true } };
 	want_t want;
@@ -66,5 +66,41 @@
 }
 END_TEST
 
+/*
+ * Guards against places that stay taken, and against runners that are taken to
+ * be slow, when the dispatcher itself was paused and missed what ended.
+ */
+START_TEST(a_dispatcher_that_was_paused_keeps_only_confirmed_grants)
+{
+	fixture_t fixture = { .config = { .window_tokens = WINDOW,
+					  .grants_if_idle = true,
+					  .expires_grants = true } };
+	want_t want;
+
+	fixture_init(&fixture, true);
+	fixture_set_runner(&fixture, "a", false);
+	fixture_calibrate(&fixture, 1, TOKENS, MS, TOKENS, 100 * MS);
+	want = fixture_make_want(&fixture, 2, 0, TOKENS);
+	dispatcher_want(&fixture.d, &want, fixture.now);
+	fixture_submit(&fixture, 3, 0, TOKENS);
+	fixture.now += 4 * SECOND;
+	dispatcher_doubt_grants(&fixture.d, OWNER, fixture.now);
+	dispatcher_adopt(&fixture.d, &want, STR_LIT("a"), fixture.now);
+	tick_many(&fixture, 10);
+	ck_assert_uint_eq(fixture_stats(&fixture).running, 2);
+	tick_many(&fixture, 100);
+	ck_assert_uint_eq(fixture_stats(&fixture).running, 1);
+	ck_assert_uint_eq(fixture_stats(&fixture).expired, 1);
+	fixture_done(&fixture, 2, DONE_COMPLETED);
+	ck_assert_uint_eq(fixture_stats(&fixture).unknown, 0);
+	/* The runner's whole window is in use again. */
+	for (uint32_t i = 0; i < WINDOW / LARGE; i++)
+		fixture_submit(&fixture, 100 + i, 0, LARGE);
+	ck_assert_uint_eq(fixture_stats(&fixture).running, WINDOW / LARGE);
+	dispatcher_finish(&fixture.d);
+}
+END_TEST
+
 SUITE_MAIN("silent_vm", a_runner_that_does_not_report_keeps_its_work,
-	   an_owner_that_was_unreachable_reports_its_work_again)
+	   an_owner_that_was_unreachable_reports_its_work_again,
+	   a_dispatcher_that_was_paused_keeps_only_confirmed_grants)
