--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -142,7 +142,18 @@
 	}
 }
 
-bool quarantine_set_sound(quarantine_t *q, const prompt_parts_t *parts)
+/* Removes entry I; tells FN, if there is one, that its quarantine ended. */
+static void end_entry(quarantine_t *q, guint i, quarantine_fn fn, void *ctx)
+{
+	quarantine_entry_t entry = *entry_at(q, i);
+
+	g_array_remove_index(q->entries, i);
+	if (fn)
+		fn(ctx, &entry, true);
+}
+
+bool quarantine_set_sound(quarantine_t *q, const prompt_parts_t *parts,
+			  quarantine_fn fn, void *ctx)
 {
 	bool is_news = false;
 
@@ -156,7 +167,7 @@
 						    parts->ids[p]);
 				continue;
 			}
-			g_array_remove_index(q->entries, i);
+			end_entry(q, i, fn, ctx);
 			is_news = true;
 		}
 	}
@@ -164,7 +175,8 @@
 }
 
 /* Ends PART's first quarantine if it began on reports that are gone now. */
-static void reconsider(quarantine_t *q, uint64_t part, int64_t now)
+static void reconsider(quarantine_t *q, uint64_t part, int64_t now,
+		       quarantine_fn fn, void *ctx)
 {
 	for (guint i = q->entries->len; i-- > 0;) {
 		const quarantine_entry_t *entry = entry_at(q, i);
@@ -174,12 +186,12 @@
 		    now - since < REPORT_LIFE_US &&
 		    crash_reports_evidence(&q->reports, part, false).n_runners <
 			    QUARANTINE_CRASHES)
-			g_array_remove_index(q->entries, i);
+			end_entry(q, i, fn, ctx);
 	}
 }
 
 bool quarantine_set_alive(quarantine_t *q, uint64_t runner, int64_t sent_at,
-			  int64_t now)
+			  int64_t now, quarantine_fn fn, void *ctx)
 {
 	bool is_news = false;
 
@@ -190,7 +202,7 @@
 			continue;
 		g_array_remove_index(q->reports.records, i);
 		for (uint32_t p = 0; p < crash.parts.n; p++)
-			reconsider(q, crash.parts.ids[p], now);
+			reconsider(q, crash.parts.ids[p], now, fn, ctx);
 		is_news = true;
 	}
 	return is_news;
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -65,15 +65,18 @@
 void quarantine_tick(quarantine_t *q, int64_t now, quarantine_fn fn, void *ctx);
 /*
  * A request with PARTS is being answered: none of them crashes runners. Ends
- * their quarantine. Returns whether that was news: a report had named one.
+ * their quarantine, and calls FN, if it isn't NULL, for each that ends. Returns
+ * whether that was news: a report had named one.
  */
-bool quarantine_set_sound(quarantine_t *q, const prompt_parts_t *parts);
+bool quarantine_set_sound(quarantine_t *q, const prompt_parts_t *parts,
+			  quarantine_fn fn, void *ctx);
 /*
  * A runner's incarnation answers a request that was sent at SENT_AT: what was
- * reported of it before that was no crash. Returns whether there was anything.
+ * reported of it before that was no crash. Calls FN, if it isn't NULL, for each
+ * quarantine that ends with it. Returns whether there was anything.
  */
 bool quarantine_set_alive(quarantine_t *q, uint64_t runner, int64_t sent_at,
-			  int64_t now);
+			  int64_t now, quarantine_fn fn, void *ctx);
 /* Adds another daemon's quarantine. Returns whether it was news. */
 bool quarantine_add_entry(quarantine_t *q, const quarantine_entry_t *entry,
 			  int64_t now);
--- a/daemon/relay_quarantine.c
+++ b/daemon/relay_quarantine.c
@@ -46,13 +46,35 @@
 	post_notice(g, &notice);
 }
 
+/* Has the record in the platform's store written or deleted. */
+static void post_record(gateway_t *g, const message_part_t *notice)
+{
+	message_t m = { .type = MESSAGE_PART_NOTICE, .part = *notice };
+
+	supervisor_post(g->sup, TASK_PLATFORM, &m);
+}
+
 /* Other daemons may lack a report: who sent the last one tells them. */
 static void on_quarantine(void *ctx, const quarantine_entry_t *entry,
 			  bool is_own)
 {
+	message_part_t record = { .kind = PART_NOTICE_QUARANTINE,
+				  .entry = *entry };
+
 	log_quarantine(entry, "runners crashed on it");
-	if (is_own)
-		post_quarantine(ctx, entry, "");
+	if (!is_own)
+		return;
+	post_quarantine(ctx, entry, "");
+	post_record(ctx, &record);
+}
+
+static void on_early_end(void *ctx, const quarantine_entry_t *entry,
+			 bool is_own)
+{
+	message_part_t record = { .kind = PART_NOTICE_SOUND };
+
+	prompt_parts_add(&record.crash.parts, entry->part);
+	post_record(ctx, &record);
 }
 
 void gateway_check_quarantine(gateway_t *g)
@@ -89,7 +111,8 @@
 	message_part_t notice = { .kind = PART_NOTICE_SOUND };
 	char parts[PROMPT_PARTS_TEXT_SIZE];
 
-	if (!quarantine_set_sound(&g->quarantine, &r->call.parts))
+	if (!quarantine_set_sound(&g->quarantine, &r->call.parts, on_early_end,
+				  g))
 		return;
 	notice.crash.parts = r->call.parts;
 	log_event("part-sound", "request=%s runner=%s parts=%s", r->id,
@@ -103,7 +126,8 @@
 
 	/* Called for every answer; there are reports only after crashes. */
 	if (q->reports.records->len &&
-	    quarantine_set_alive(q, runner_hash(r), r->progress_at, now_us()))
+	    quarantine_set_alive(q, runner_hash(r), r->progress_at, now_us(),
+				 on_early_end, r->gateway))
 		log_event("crash-disproved", "request=%s runner=%s", r->id,
 			  r->runner.name);
 }
@@ -148,13 +172,14 @@
 				      now_us());
 		break;
 	case PART_NOTICE_SOUND:
-		quarantine_set_sound(&g->quarantine, &notice->crash.parts);
+		quarantine_set_sound(&g->quarantine, &notice->crash.parts, NULL,
+				     NULL);
 		break;
 	case PART_NOTICE_QUARANTINE:
 		if (quarantine_add_entry(&g->quarantine, &notice->entry,
 					 now_us()))
 			log_quarantine(&notice->entry,
-				       "another daemon told so");
+				       "another daemon or the store told so");
 		break;
 	case PART_NOTICE_KINDS:
 		break;
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -9,6 +9,7 @@
 
 #include "common/log.h"
 #include "daemon/fleet_view.h"
+#include "daemon/part_records.h"
 #include "daemon/store_follower.h"
 #include "platform/fleet_json.h"
 
@@ -29,6 +30,7 @@
 	store_t store;
 	store_env_t env;
 	store_follower_t config, runners, daemons;
+	part_records_t parts; /* in the topic of the daemons */
 	runner_list_t runner_list;
 	GHashTable *daemon_list; /* name to listed_daemon_t */
 	fleet_t *fleet;
@@ -169,6 +171,17 @@
 	return ENTRY_NEW;
 }
 
+/* Keeps the record of a prompt part; it is read when the topic is listed. */
+static entry_news_t apply_part(const store_sync_t *s,
+			       const store_entry_t *entry)
+{
+	GBytes *known = topic_records_get(&s->daemons.records, entry->key);
+
+	return known && str_eq(topic_records_view(known), entry->value) ?
+		       ENTRY_KNOWN :
+		       ENTRY_NEW;
+}
+
 /* Applies an entry of any topic. */
 static entry_news_t apply_entry(void *ctx, store_topic_t topic,
 				const store_entry_t *entry)
@@ -183,6 +196,8 @@
 	case STORE_RUNNERS:
 		return apply_runner(s, entry->key, entry->value);
 	case STORE_DAEMONS:
+		if (part_records_is_key(entry->key))
+			return apply_part(s, entry);
 		return apply_daemon(s, entry->key, entry->value);
 	}
 	return ENTRY_KNOWN;
@@ -316,8 +331,8 @@
 }
 
 /*
- * Requests missing lists, publishes changes, and writes this daemon's entry
- * until a write succeeds.
+ * Requests missing lists, publishes changes, and writes this daemon's entry and
+ * the records of prompt parts until the writes succeed.
  */
 static void on_publish_timer(evutil_socket_t fd, short what, void *arg)
 {
@@ -327,6 +342,9 @@
 	check_entry(s);
 	if (!s->has_entry && !s->is_writing && s->daemons.state.is_listed)
 		write_entry(s);
+	if (s->daemons.state.is_listed)
+		part_records_load(&s->parts, now_us());
+	part_records_tick(&s->parts, now_us());
 	publish_changes(s);
 }
 
@@ -437,6 +455,8 @@
 		send_config(s, m->docs.peer);
 	else if (m->type == MESSAGE_CONFIG_RELAYED)
 		apply_relayed_config(s, m->docs.docs);
+	else if (m->type == MESSAGE_PART_NOTICE)
+		part_records_on_notice(&s->parts, &m->part);
 	/* Sent by the gateway task when it starts, to get the current state. */
 	if (m->type == MESSAGE_VIEW_CHANGED && s->fleet) {
 		post_fleet(s);
@@ -467,6 +487,7 @@
 	store_follower_init(&s->config, &s->env, STORE_CONFIG);
 	store_follower_init(&s->runners, &s->env, STORE_RUNNERS);
 	store_follower_init(&s->daemons, &s->env, STORE_DAEMONS);
+	part_records_init(&s->parts, sup, &s->store, &s->daemons.records);
 	set_daemon_count(s, INITIAL_DAEMONS);
 	s->publish_timer =
 		supervisor_add_timer(sup, PUBLISH_MS, on_publish_timer, s);
@@ -483,6 +504,7 @@
 	store_follower_finish(&s->config);
 	store_follower_finish(&s->runners);
 	store_follower_finish(&s->daemons);
+	part_records_finish(&s->parts);
 	event_free(s->publish_timer);
 	event_free(s->export_timer);
 	runner_list_finish(&s->runner_list);
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -133,17 +133,29 @@
 	}
 }
 
+static void store_handle(void *state, const message_t *m)
+{
+	gateway_fixture_t *fixture = state;
+
+	if (m->type != MESSAGE_PART_NOTICE)
+		return;
+	fixture->part_records++;
+	fixture->last_part_record = m->part;
+}
+
 static void no_handle(void *state, const message_t *m)
 {
 }
 
 static const task_spec_t fake_peers = { "peers", 2, task_fixture_start,
 					fake_handle, task_fixture_stop };
+static const task_spec_t fake_store = { "store", 0, task_fixture_start,
+					store_handle, task_fixture_stop };
 static const task_spec_t fake_other = { "other", 1, task_fixture_start,
 					no_handle, task_fixture_stop };
 
 static const task_spec_t *const specs[TASK_COUNT] = {
-	[TASK_PLATFORM] = &fake_other, [TASK_PEERS] = &fake_peers,
+	[TASK_PLATFORM] = &fake_store, [TASK_PEERS] = &fake_peers,
 	[TASK_CAPACITY] = &fake_other, [TASK_LIMITS] = &fake_other,
 	[TASK_FRONT] = &gateway_task,  [TASK_ACCOUNTS] = &fake_other,
 	[TASK_ADMIN] = &fake_other,
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -95,6 +95,8 @@
 	message_t last_first_token;
 	int part_notices; /* sent to other daemons */
 	message_part_t last_part_notice;
+	int part_records; /* changes of records in the platform's store */
+	message_part_t last_part_record;
 	done_result_t last_done;
 	bool has_leaving_notice; /* a DONE reported a leaving runner */
 	/* Of the first and the latest DONE with a pause. */
--- a/tests/lib_store_fixture.c
+++ b/tests/lib_store_fixture.c
@@ -8,7 +8,7 @@
 #include "tests/lib_suite.h"
 #include "tests/lib_task_fixture.h"
 
-enum { STATUS_OK = 200, STATUS_GONE = 410 };
+enum { STATUS_OK = 200, STATUS_GONE = 410, STATUS_UNAVAILABLE = 503 };
 
 static fake_topic_t *topic_of(store_fixture_t *f, const char *path)
 {
@@ -24,7 +24,8 @@
 {
 	fake_topic_t *t = &f->topics[topic];
 
-	t->records[t->n++] = (fake_record_t){ key, value };
+	ck_assert_uint_lt(t->n, STORE_FIXTURE_RECORDS);
+	t->records[t->n++] = (fake_record_t){ g_strdup(key), value };
 }
 
 void store_fixture_put_config(store_fixture_t *f, int version)
@@ -55,8 +56,10 @@
 {
 	fake_topic_t *t = &f->topics[topic];
 
-	while (t->n > n)
+	while (t->n > n) {
 		g_free(t->records[--t->n].value);
+		g_free(t->records[t->n].key);
+	}
 }
 
 static void add_number(GString *out, uint64_t value, int bytes)
@@ -117,7 +120,7 @@
 		g_autofree char *value = g_base64_encode(
 			(const guchar *)r->value, strlen(r->value));
 
-		if (!is_newest(t, i))
+		if (!is_newest(t, i) || !r->value[0])
 			continue;
 		g_string_append_printf(body,
 				       "%s{\"key\":\"%s\",\"value\":\"%s\","
@@ -130,17 +133,29 @@
 	reply(f, out, STATUS_OK, body);
 }
 
-/* The daemon writes its own entry. */
+/* The daemon, whose name is "d", writes its own entry or another record. */
 static void reply_append(store_fixture_t *f, str_t record, fake_reply_t *out)
 {
-	enum { LENGTH_SIZE = 4, KEY_SIZE = 2 }; /* bytes; the key is "d" */
+	enum { LENGTH_SIZE = 4 }; /* bytes; then the key, after its length */
 	g_autoptr(GString) empty = g_string_new("{}");
+	g_autofree char *key = NULL;
+	size_t head;
 
-	ck_assert_uint_gt(record.len, LENGTH_SIZE + KEY_SIZE);
-	store_fixture_put(f, STORE_DAEMONS, "d",
-			  g_strndup(record.ptr + LENGTH_SIZE + KEY_SIZE,
-				    record.len - LENGTH_SIZE - KEY_SIZE));
-	f->appends++;
+	if (f->refused_appends > 0) {
+		f->refused_appends--;
+		reply(f, out, STATUS_UNAVAILABLE, empty);
+		return;
+	}
+	ck_assert_uint_gt(record.len, LENGTH_SIZE);
+	head = LENGTH_SIZE + 1 + (unsigned char)record.ptr[LENGTH_SIZE];
+	ck_assert_uint_ge(record.len, head);
+	key = g_strndup(record.ptr + LENGTH_SIZE + 1, head - LENGTH_SIZE - 1);
+	store_fixture_put(f, STORE_DAEMONS, key,
+			  g_strndup(record.ptr + head, record.len - head));
+	if (!strcmp(key, "d"))
+		f->appends++;
+	else
+		f->part_appends++;
 	reply(f, out, STATUS_OK, empty);
 }
 
@@ -219,19 +234,32 @@
 	}
 }
 
+static void front_handle(void *state, const message_t *m)
+{
+	store_fixture_t *f = state;
+
+	if (m->type != MESSAGE_PART_NOTICE)
+		return;
+	ck_assert_int_eq(m->part.kind, PART_NOTICE_QUARANTINE);
+	f->last_quarantined = m->part.entry;
+	f->quarantined++;
+}
+
 static void no_handle(void *state, const message_t *m)
 {
 }
 
 static const task_spec_t fake_peers = { "peers", 2, task_fixture_start,
 					fake_handle, task_fixture_stop };
+static const task_spec_t fake_front = { "front", 1, task_fixture_start,
+					front_handle, task_fixture_stop };
 static const task_spec_t fake_other = { "other", 1, task_fixture_start,
 					no_handle, task_fixture_stop };
 
 static const task_spec_t *const specs[TASK_COUNT] = {
 	[TASK_PLATFORM] = &store_task, [TASK_PEERS] = &fake_peers,
 	[TASK_CAPACITY] = &fake_other, [TASK_LIMITS] = &fake_other,
-	[TASK_FRONT] = &fake_other,    [TASK_ACCOUNTS] = &fake_other,
+	[TASK_FRONT] = &fake_front,    [TASK_ACCOUNTS] = &fake_other,
 	[TASK_ADMIN] = &fake_other,
 };
 
@@ -255,12 +283,26 @@
 		"%s", err.detail);
 }
 
-void store_fixture_init(store_fixture_t *f)
+static void start_tasks(store_fixture_t *f)
 {
 	message_t reader = { .type = MESSAGE_READER_ROLE, .number = true };
 	message_t count = { .type = MESSAGE_DAEMON_COUNT, .daemons = { 1, 1 } };
 	err_t err = { 0 };
 
+	supervisor_init(&f->sup, f->base, &f->settings);
+	ck_assert_msg(supervisor_start(&f->sup, specs, &err), "%s", err.detail);
+	supervisor_post(&f->sup, TASK_PLATFORM, &reader);
+	supervisor_post(&f->sup, TASK_PLATFORM, &count);
+}
+
+void store_fixture_restart(store_fixture_t *f)
+{
+	supervisor_finish(&f->sup);
+	start_tasks(f);
+}
+
+void store_fixture_init(store_fixture_t *f)
+{
 	*f = (store_fixture_t){ .epoch = 1 };
 	f->topics[STORE_CONFIG].name = "keyed.op";
 	f->topics[STORE_RUNNERS].name = "keyed.servers";
@@ -270,10 +312,7 @@
 	f->base = event_base_new();
 	fake_http_init(&f->http, f->base, on_request, f);
 	parse_settings(f);
-	supervisor_init(&f->sup, f->base, &f->settings);
-	ck_assert_msg(supervisor_start(&f->sup, specs, &err), "%s", err.detail);
-	supervisor_post(&f->sup, TASK_PLATFORM, &reader);
-	supervisor_post(&f->sup, TASK_PLATFORM, &count);
+	start_tasks(f);
 }
 
 void store_fixture_finish(store_fixture_t *f)
--- a/tests/lib_store_fixture.h
+++ b/tests/lib_store_fixture.h
@@ -16,9 +16,9 @@
 	STORE_FIXTURE_LIMIT_US = 3 * 1000 * 1000, /* for the task to learn it */
 };
 
+/* Both strings are owned by the topic. */
 typedef struct fake_record {
-	const char *key;
-	char *value;
+	char *key, *value;
 } fake_record_t;
 
 /* A topic and its records. */
@@ -43,6 +43,10 @@
 	topic_position_t told_from, told_to;
 	int tells; /* such updates */
 	int appends; /* of this daemon's entry */
+	int part_appends; /* of other records */
+	int refused_appends; /* the next ones that the store refuses */
+	int quarantined; /* prompt parts that the front task was told of */
+	quarantine_entry_t last_quarantined;
 	int sent_version; /* of the configuration sent to another daemon */
 	bool has_old_peer; /* another daemon lists what it knew before */
 	int old_peer_next;
@@ -51,6 +55,8 @@
 /* Starts the task; the store is in epoch 1, with no records. */
 void store_fixture_init(store_fixture_t *f);
 void store_fixture_finish(store_fixture_t *f);
+/* Starts the task anew, as a new process would. */
+void store_fixture_restart(store_fixture_t *f);
 /* Adds a record; VALUE is freed by the fixture. */
 void store_fixture_put(store_fixture_t *f, int topic, const char *key,
 		       char *value);
--- a/tests/test_crashing_prompt.c
+++ b/tests/test_crashing_prompt.c
@@ -213,6 +213,28 @@
 }
 END_TEST
 
+/* Guards against quarantines that end with the last process that knows them. */
+START_TEST(records_of_quarantines_are_written_and_deleted)
+{
+	gateway_fixture_t fixture;
+
+	crash_runners(&fixture, "a1:60,dead:800", "a1:60,dead:800");
+	ck_assert_int_eq(fixture.part_records, 2);
+	ck_assert_int_eq(fixture.last_part_record.kind, PART_NOTICE_QUARANTINE);
+	restart_runners(&fixture, sound);
+	send_prompt(&fixture, "a1:60");
+	gateway_await(&fixture, 0, "id: 1");
+	gateway_await_count(&fixture, &fixture.part_records, 3);
+	ck_assert_int_eq(fixture.last_part_record.kind, PART_NOTICE_SOUND);
+	ck_assert_uint_eq(fixture.last_part_record.crash.parts.ids[0], 0xa1);
+	/* Whoever is only told of it leaves the record to the teller. */
+	receive_quarantine(&fixture);
+	gateway_run(&fixture, 100);
+	ck_assert_int_eq(fixture.part_records, 3);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 START_TEST(crashes_and_sound_parts_are_told_to_the_others)
 {
 	gateway_fixture_t fixture;
@@ -245,4 +267,5 @@
 	   a_waiting_request_is_refused_when_its_part_is_quarantined,
 	   a_sent_request_is_cancelled_when_its_part_is_quarantined,
 	   a_stream_that_has_begun_goes_on,
+	   records_of_quarantines_are_written_and_deleted,
 	   crashes_and_sound_parts_are_told_to_the_others)
--- /dev/null
+++ b/tests/test_part_records.c
@@ -0,0 +1,140 @@
+/*
+ * All daemons are killed at once while a prompt part that crashes runners is in
+ * quarantine. The next processes must know of it before they send requests, and
+ * of no quarantine that has ended.
+ */
+#include "tests/lib_store_fixture.h"
+#include "tests/lib_suite.h"
+
+enum {
+	PART = 0xabc,
+	OTHER_PART = 0xdef,
+	LEFT_US = 60 * 1000 * 1000,
+	SHORT_US = 300 * 1000,
+	RUN_US = 800 * 1000, /* for the task to list its topics */
+};
+
+static void post(store_fixture_t *f, part_notice_kind_t kind, int64_t left_us)
+{
+	message_t m = { .type = MESSAGE_PART_NOTICE, .part.kind = kind };
+
+	m.part.entry.part = PART;
+	prompt_parts_add(&m.part.entry.common, PART);
+	prompt_parts_add(&m.part.entry.common, OTHER_PART);
+	m.part.entry.until = g_get_monotonic_time() + left_us;
+	m.part.entry.times = 2;
+	if (kind == PART_NOTICE_SOUND)
+		prompt_parts_add(&m.part.crash.parts, PART);
+	supervisor_post(&f->sup, TASK_PLATFORM, &m);
+}
+
+static void begin(store_fixture_t *f, int64_t left_us)
+{
+	store_fixture_init(f);
+	store_fixture_run(f, RUN_US);
+	post(f, PART_NOTICE_QUARANTINE, left_us);
+	ck_assert(store_fixture_await(f, &f->part_appends, 1));
+}
+
+START_TEST(a_quarantine_outlives_a_restart_of_all)
+{
+	store_fixture_t f;
+	int64_t left;
+
+	begin(&f, LEFT_US);
+	ck_assert_int_eq(f.quarantined, 0);
+	store_fixture_restart(&f);
+	ck_assert(store_fixture_await(&f, &f.quarantined, 1));
+	ck_assert_uint_eq(f.last_quarantined.part, PART);
+	ck_assert_uint_eq(f.last_quarantined.times, 2);
+	ck_assert_uint_eq(f.last_quarantined.common.n, 2);
+	ck_assert_int_ge(
+		prompt_parts_find(&f.last_quarantined.common, OTHER_PART), 0);
+	left = f.last_quarantined.until - g_get_monotonic_time();
+	ck_assert_int_le(left, LEFT_US);
+	ck_assert_int_gt(left, LEFT_US / 2);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+/* Guards against refusals of sound requests by all later processes. */
+START_TEST(a_quarantine_that_ended_early_does_not_return)
+{
+	store_fixture_t f;
+
+	begin(&f, LEFT_US);
+	store_fixture_run(&f, RUN_US);
+	post(&f, PART_NOTICE_SOUND, 0);
+	ck_assert(store_fixture_await(&f, &f.part_appends, 2));
+	store_fixture_restart(&f);
+	store_fixture_run(&f, RUN_US);
+	ck_assert_int_eq(f.quarantined, 0);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+START_TEST(a_quarantine_whose_time_is_over_does_not_return)
+{
+	store_fixture_t f;
+
+	begin(&f, SHORT_US);
+	store_fixture_run(&f, SHORT_US);
+	store_fixture_restart(&f);
+	store_fixture_run(&f, RUN_US);
+	ck_assert_int_eq(f.quarantined, 0);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+START_TEST(a_record_that_the_store_refuses_is_written_later)
+{
+	store_fixture_t f;
+
+	store_fixture_init(&f);
+	store_fixture_run(&f, RUN_US);
+	f.refused_appends = 1;
+	post(&f, PART_NOTICE_QUARANTINE, LEFT_US);
+	ck_assert(store_fixture_await(&f, &f.part_appends, 1));
+	ck_assert_int_eq(f.refused_appends, 0);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+/* Other writers may leave anything under these keys. */
+START_TEST(damaged_records_are_ignored)
+{
+	static const char *const damaged[] = {
+		"",
+		"{",
+		"[[[[[[[[]]]]]]]]",
+		"{\"part\":1,\"common\":[],\"until_ms\":1,\"times\":1}",
+		"{\"part\":\"x\",\"common\":[\"x\"],"
+		"\"until_ms\":9e99,\"times\":-1}",
+		"{\"part\":\"abc\",\"common\":[],"
+		"\"until_ms\":9000000000000,\"times\":1}",
+		"{\"part\":\"abc\",\"common\":[\"abc\",7],"
+		"\"until_ms\":9000000000000,\"times\":1}",
+		"{\"part\":\"abc\",\"common\":[\"abc\"],"
+		"\"until_ms\":9000000000000,\"times\":0}",
+	};
+	store_fixture_t f;
+
+	begin(&f, LEFT_US);
+	for (size_t i = 0; i < G_N_ELEMENTS(damaged); i++) {
+		g_autofree char *key = g_strdup_printf("part/x%zu", i);
+
+		store_fixture_put(&f, STORE_DAEMONS, key, g_strdup(damaged[i]));
+	}
+	store_fixture_restart(&f);
+	ck_assert(store_fixture_await(&f, &f.quarantined, 1));
+	store_fixture_run(&f, RUN_US);
+	ck_assert_int_eq(f.quarantined, 1);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+SUITE_MAIN("part_records", a_quarantine_outlives_a_restart_of_all,
+	   a_quarantine_that_ended_early_does_not_return,
+	   a_quarantine_whose_time_is_over_does_not_return,
+	   a_record_that_the_store_refuses_is_written_later,
+	   damaged_records_are_ignored)
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -12,7 +12,7 @@
 			   .n = sizeof((uint64_t[]){ __VA_ARGS__ }) / \
 				sizeof(uint64_t) })
 
-static void count_begun(void *ctx, const quarantine_entry_t *entry, bool is_own)
+static void count(void *ctx, const quarantine_entry_t *entry, bool is_own)
 {
 	++*(int *)ctx;
 }
@@ -22,7 +22,7 @@
 {
 	int n = 0;
 
-	quarantine_tick(q, now, count_begun, &n);
+	quarantine_tick(q, now, count, &n);
 	return n > 0;
 }
 
@@ -126,11 +126,11 @@
 	prompt_parts_t sound = PARTS(1);
 
 	quarantine_init(&q);
-	ck_assert(!quarantine_set_sound(&q, &sound));
+	ck_assert(!quarantine_set_sound(&q, &sound, NULL, NULL));
 	for (uint64_t i = 1; i <= 12; i++) {
 		ck_assert(!crash(&q, i, i, PARTS(1, 100 + i), 0));
-		ck_assert(quarantine_set_sound(&q, &sound));
-		ck_assert(!quarantine_set_sound(&q, &sound));
+		ck_assert(quarantine_set_sound(&q, &sound, NULL, NULL));
+		ck_assert(!quarantine_set_sound(&q, &sound, NULL, NULL));
 	}
 	quarantine_finish(&q);
 }
@@ -143,7 +143,7 @@
 
 	quarantine_init(&q);
 	hold(&q, 0);
-	ck_assert(quarantine_set_sound(&q, &sound));
+	ck_assert(quarantine_set_sound(&q, &sound, NULL, NULL));
 	ck_assert(is_refused(&q, PARTS(9), S));
 	ck_assert(!is_refused(&q, PARTS(1, 2), S));
 	ck_assert_uint_eq(quarantine_count(&q, S), 1);
@@ -152,7 +152,7 @@
 	quarantine_init(&q);
 	crash(&q, 1, 1, PARTS(1, 9), 0);
 	crash(&q, 2, 2, PARTS(1, 9), 0);
-	quarantine_set_sound(&q, &sound);
+	quarantine_set_sound(&q, &sound, NULL, NULL);
 	ck_assert(crash(&q, 3, 3, PARTS(1, 9), 0));
 	ck_assert(is_refused(&q, PARTS(7, 9), S));
 	quarantine_finish(&q);
@@ -163,10 +163,12 @@
 {
 	quarantine_t q;
 	prompt_parts_t parts = PARTS(1, 9);
+	int ended = 0;
 
 	quarantine_init(&q);
 	hold(&q, 0);
-	ck_assert(quarantine_set_sound(&q, &parts));
+	ck_assert(quarantine_set_sound(&q, &parts, count, &ended));
+	ck_assert_int_eq(ended, 2); /* both parts were held */
 	ck_assert(!is_refused(&q, PARTS(1, 9), S));
 	quarantine_finish(&q);
 }
@@ -176,15 +178,18 @@
 START_TEST(a_runner_that_answers_again_did_not_crash)
 {
 	quarantine_t q;
+	int ended = 0;
 
 	quarantine_init(&q);
 	hold(&q, S);
 	/* What was sent before the break says nothing. */
-	ck_assert(!quarantine_set_alive(&q, 2, S / 2, S));
+	ck_assert(!quarantine_set_alive(&q, 2, S / 2, S, count, &ended));
 	ck_assert(is_refused(&q, PARTS(1, 9), S));
-	ck_assert(quarantine_set_alive(&q, 2, 2 * S, 2 * S));
+	ck_assert_int_eq(ended, 0);
+	ck_assert(quarantine_set_alive(&q, 2, 2 * S, 2 * S, count, &ended));
 	ck_assert(!is_refused(&q, PARTS(1, 9), 2 * S));
-	ck_assert(!quarantine_set_alive(&q, 2, 2 * S, 2 * S));
+	ck_assert(!quarantine_set_alive(&q, 2, 2 * S, 2 * S, count, &ended));
+	ck_assert_int_eq(ended, 2);
 	ck_assert(crash(&q, 4, 4, PARTS(1, 9), 2 * S));
 	quarantine_finish(&q);
 }
--- a/tests/test_quarantine_fleet.c
+++ b/tests/test_quarantine_fleet.c
@@ -187,10 +187,11 @@
 
 	if (f->incarnations[begin->runner] != begin->incarnation)
 		return;
-	quarantine_set_alive(q, begin->incarnation, begin->sent_at, f->now);
+	quarantine_set_alive(q, begin->incarnation, begin->sent_at, f->now,
+			     NULL, NULL);
 	if (prompt_parts_find(&begin->crash.parts, CRASHING_PART) >= 0)
 		crash_runner(f, begin);
-	else if (quarantine_set_sound(q, &begin->crash.parts))
+	else if (quarantine_set_sound(q, &begin->crash.parts, NULL, NULL))
 		tell(f, begin->daemon, notice);
 }
 
@@ -203,7 +204,7 @@
 	else if (w->kind == WORK_ENTRY)
 		quarantine_add_entry(q, &w->entry, f->now);
 	else if (w->is_sound_notice)
-		quarantine_set_sound(q, &w->crash.parts);
+		quarantine_set_sound(q, &w->crash.parts, NULL, NULL);
 	else
 		quarantine_add_report(q, &w->crash, false, f->now);
 }
