--- a/daemon/part_records.c
+++ b/daemon/part_records.c
@@ -63,6 +63,7 @@
 /* Returns the record's value; the caller frees it with g_free. */
 static char *write_value(const quarantine_entry_t *entry, int64_t now)
 {
+	json_int_t until_ms = wall_ms() + (entry->until - now) / US_PER_MS;
 	json_t *common = json_array();
 	json_t *root;
 	char *text, *copy;
