--- a/daemon/part_records.c
+++ b/daemon/part_records.c
@@ -70,11 +70,9 @@
 
 	for (uint32_t i = 0; i < entry->common.n; i++)
 		json_array_append_new(common, hex_json(entry->common.ids[i]));
-	root = json_pack(
-		"{s:o, s:o, s:I, s:I}", "part", hex_json(entry->part), "common",
-		common, "until_ms",
-		(json_int_t)(wall_ms() + (entry->until - now) / US_PER_MS),
-		"times", (json_int_t)entry->times);
+	root = json_pack("{s:o, s:o, s:I, s:I}", "part", hex_json(entry->part),
+			 "common", common, "until_ms", until_ms, "times",
+			 (json_int_t)entry->times);
 	text = json_dumps(root, JSON_COMPACT);
 	copy = g_strdup(text);
 	free(text);
