--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -20,7 +20,6 @@
 	/* A request with less time left is not sent again. */
 	MIN_RETRY_TIME_US = 20 * US_PER_MS,
 	DEFAULT_OUTPUT_TOKENS = 128,
-	MAX_TIER_TEXT = 16,
 };
 
 static supervisor_t *supervisor_of(const relay_t *r)
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -143,22 +143,18 @@
 	fixture->last_part_record = m->part;
 }
 
-static void no_handle(void *state, const message_t *m)
-{
-}
-
 static const task_spec_t fake_peers = { "peers", 2, task_fixture_start,
 					fake_handle, task_fixture_stop };
 static const task_spec_t fake_store = { "store", 0, task_fixture_start,
 					store_handle, task_fixture_stop };
-static const task_spec_t fake_other = { "other", 1, task_fixture_start,
-					no_handle, task_fixture_stop };
-
 static const task_spec_t *const specs[TASK_COUNT] = {
-	[TASK_PLATFORM] = &fake_store, [TASK_PEERS] = &fake_peers,
-	[TASK_CAPACITY] = &fake_other, [TASK_LIMITS] = &fake_other,
-	[TASK_FRONT] = &gateway_task,  [TASK_ACCOUNTS] = &fake_other,
-	[TASK_ADMIN] = &fake_other,
+	[TASK_PLATFORM] = &fake_store,
+	[TASK_PEERS] = &fake_peers,
+	[TASK_CAPACITY] = &task_fixture_idle,
+	[TASK_LIMITS] = &task_fixture_idle,
+	[TASK_FRONT] = &gateway_task,
+	[TASK_ACCOUNTS] = &task_fixture_idle,
+	[TASK_ADMIN] = &task_fixture_idle,
 };
 
 /* Returns the X-Attempt-Id of the request whose head is TEXT, or "". */
@@ -320,26 +316,6 @@
 		   ntohs(name.sin_port));
 }
 
-static void parse_settings(gateway_fixture_t *fixture)
-{
-	g_autofree char *text = g_strdup_printf(
-		"{\"name\":\"d\",\"zone\":\"z\",\"zones\":[\"z\"],"
-		"\"fleet\":true,\"listen\":\"127.0.0.1:%d\","
-		"\"peer_listen\":\"127.0.0.1:%d\","
-		"\"admin_listen\":\"127.0.0.1:%d\","
-		"\"platform\":\"127.0.0.1:1\","
-		"\"peer_secret\":\"0123456789abcdef\","
-		"\"operator_token\":\"0123456789abcdef\","
-		"\"drain_ms\":3500,\"retry_ratio\":10,\"seed\":1}",
-		task_fixture_free_port(), task_fixture_free_port(),
-		task_fixture_free_port());
-	err_t err = { 0 };
-
-	ck_assert_msg(settings_parse(&fixture->settings, str_from(text), "test",
-				     &err),
-		      "%s", err.detail);
-}
-
 void gateway_fixture_init(gateway_fixture_t *fixture)
 {
 	err_t err = { 0 };
@@ -351,7 +327,9 @@
 	fixture->base = event_base_new();
 	for (int i = 0; i < FIXTURE_RUNNERS; i++)
 		runner_init(fixture, i);
-	parse_settings(fixture);
+	task_fixture_parse_settings(&fixture->settings,
+				    "\"platform\":\"127.0.0.1:1\","
+				    "\"drain_ms\":3500,\"retry_ratio\":10");
 	supervisor_init(&fixture->sup, fixture->base, &fixture->settings);
 	ck_assert_msg(supervisor_start(&fixture->sup, specs, &err), "%s",
 		      err.detail);
--- a/tests/lib_store_fixture.c
+++ b/tests/lib_store_fixture.c
@@ -245,44 +245,20 @@
 	f->quarantined++;
 }
 
-static void no_handle(void *state, const message_t *m)
-{
-}
-
 static const task_spec_t fake_peers = { "peers", 2, task_fixture_start,
 					fake_handle, task_fixture_stop };
 static const task_spec_t fake_front = { "front", 1, task_fixture_start,
 					front_handle, task_fixture_stop };
-static const task_spec_t fake_other = { "other", 1, task_fixture_start,
-					no_handle, task_fixture_stop };
-
 static const task_spec_t *const specs[TASK_COUNT] = {
-	[TASK_PLATFORM] = &store_task, [TASK_PEERS] = &fake_peers,
-	[TASK_CAPACITY] = &fake_other, [TASK_LIMITS] = &fake_other,
-	[TASK_FRONT] = &fake_front,    [TASK_ACCOUNTS] = &fake_other,
-	[TASK_ADMIN] = &fake_other,
+	[TASK_PLATFORM] = &store_task,
+	[TASK_PEERS] = &fake_peers,
+	[TASK_CAPACITY] = &task_fixture_idle,
+	[TASK_LIMITS] = &task_fixture_idle,
+	[TASK_FRONT] = &fake_front,
+	[TASK_ACCOUNTS] = &task_fixture_idle,
+	[TASK_ADMIN] = &task_fixture_idle,
 };
 
-static void parse_settings(store_fixture_t *f)
-{
-	g_autofree char *text = g_strdup_printf(
-		"{\"name\":\"d\",\"zone\":\"z\",\"zones\":[\"z\"],"
-		"\"fleet\":true,\"listen\":\"127.0.0.1:%d\","
-		"\"peer_listen\":\"127.0.0.1:%d\","
-		"\"admin_listen\":\"127.0.0.1:%d\","
-		"\"platform\":\"%s\",\"platform_timeout_ms\":100,"
-		"\"runners_poll_ms\":50,\"config_wait_ms\":50,"
-		"\"peer_secret\":\"0123456789abcdef\","
-		"\"operator_token\":\"0123456789abcdef\",\"seed\":1}",
-		task_fixture_free_port(), task_fixture_free_port(),
-		task_fixture_free_port(), f->http.address);
-	err_t err = { 0 };
-
-	ck_assert_msg(
-		settings_parse(&f->settings, str_from(text), "test", &err),
-		"%s", err.detail);
-}
-
 static void start_tasks(store_fixture_t *f)
 {
 	message_t reader = { .type = MESSAGE_READER_ROLE, .number = true };
@@ -303,6 +279,8 @@
 
 void store_fixture_init(store_fixture_t *f)
 {
+	g_autofree char *members = NULL;
+
 	*f = (store_fixture_t){ .epoch = 1 };
 	f->topics[STORE_CONFIG].name = "keyed.op";
 	f->topics[STORE_RUNNERS].name = "keyed.servers";
@@ -311,7 +289,12 @@
 	log_init("error");
 	f->base = event_base_new();
 	fake_http_init(&f->http, f->base, on_request, f);
-	parse_settings(f);
+	members = g_strdup_printf("\"platform\":\"%s\","
+				  "\"platform_timeout_ms\":100,"
+				  "\"runners_poll_ms\":50,"
+				  "\"config_wait_ms\":50",
+				  f->http.address);
+	task_fixture_parse_settings(&f->settings, members);
 	start_tasks(f);
 }
 
--- a/tests/lib_task_fixture.c
+++ b/tests/lib_task_fixture.c
@@ -22,6 +22,30 @@
 {
 }
 
+static void no_handle(void *state, const message_t *m)
+{
+}
+
+const task_spec_t task_fixture_idle = { "idle", 1, task_fixture_start,
+					no_handle, task_fixture_stop };
+
+void task_fixture_parse_settings(settings_t *out, const char *members)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"name\":\"d\",\"zone\":\"z\",\"zones\":[\"z\"],"
+		"\"fleet\":true,\"listen\":\"127.0.0.1:%d\","
+		"\"peer_listen\":\"127.0.0.1:%d\","
+		"\"admin_listen\":\"127.0.0.1:%d\","
+		"\"peer_secret\":\"0123456789abcdef\","
+		"\"operator_token\":\"0123456789abcdef\",\"seed\":1,%s}",
+		task_fixture_free_port(), task_fixture_free_port(),
+		task_fixture_free_port(), members);
+	err_t err = { 0 };
+
+	ck_assert_msg(settings_parse(out, str_from(text), "test", &err), "%s",
+		      err.detail);
+}
+
 int task_fixture_free_port(void)
 {
 	struct sockaddr_in sin = { .sin_family = AF_INET,
--- a/tests/test_lost_done.c
+++ b/tests/test_lost_done.c
@@ -38,41 +38,18 @@
 		f->grants[m->capacity.want.id.attempt]++;
 }
 
-static void no_handle(void *state, const message_t *m)
-{
-}
-
 static const task_spec_t fake_peers = { "peers", 2, task_fixture_start,
 					fake_handle, task_fixture_stop };
-static const task_spec_t fake_other = { "other", 1, task_fixture_start,
-					no_handle, task_fixture_stop };
-
 static const task_spec_t *const specs[TASK_COUNT] = {
-	[TASK_PLATFORM] = &fake_other,	  [TASK_PEERS] = &fake_peers,
-	[TASK_CAPACITY] = &capacity_task, [TASK_LIMITS] = &fake_other,
-	[TASK_FRONT] = &fake_other,	  [TASK_ACCOUNTS] = &fake_other,
-	[TASK_ADMIN] = &fake_other,
+	[TASK_PLATFORM] = &task_fixture_idle,
+	[TASK_PEERS] = &fake_peers,
+	[TASK_CAPACITY] = &capacity_task,
+	[TASK_LIMITS] = &task_fixture_idle,
+	[TASK_FRONT] = &task_fixture_idle,
+	[TASK_ACCOUNTS] = &task_fixture_idle,
+	[TASK_ADMIN] = &task_fixture_idle,
 };
 
-static void parse_settings(capacity_fixture_t *f)
-{
-	static const char text[] =
-		"{\"name\":\"d\",\"zone\":\"z\",\"zones\":[\"z\"],"
-		"\"fleet\":true,\"listen\":\"127.0.0.1:1\","
-		"\"peer_listen\":\"127.0.0.1:1\","
-		"\"admin_listen\":\"127.0.0.1:1\","
-		"\"platform\":\"127.0.0.1:1\","
-		"\"heartbeat_ms\":20,\"heartbeat_timeout_ms\":100,"
-		"\"load_poll_ms\":0,"
-		"\"peer_secret\":\"0123456789abcdef\","
-		"\"operator_token\":\"0123456789abcdef\",\"seed\":1}";
-	err_t err = { 0 };
-
-	ck_assert_msg(
-		settings_parse(&f->settings, str_from(text), "test", &err),
-		"%s", err.detail);
-}
-
 /* One engine with SLOTS places. */
 static void post_runner(capacity_fixture_t *f)
 {
@@ -114,7 +91,11 @@
 	task_fixture_set_state(f);
 	log_init("error");
 	f->base = event_base_new();
-	parse_settings(f);
+	task_fixture_parse_settings(&f->settings,
+				    "\"platform\":\"127.0.0.1:1\","
+				    "\"heartbeat_ms\":20,"
+				    "\"heartbeat_timeout_ms\":100,"
+				    "\"load_poll_ms\":0");
 	supervisor_init(&f->sup, f->base, &f->settings);
 	ck_assert_msg(supervisor_start(&f->sup, specs, &err), "%s", err.detail);
 	post_runner(f);
