--- a/daemon/part_records.c
+++ b/daemon/part_records.c
@@ -237,8 +237,22 @@
 				     str_from(value), on_written, p, NULL);
 }
 
-void part_records_tick(part_records_t *p, int64_t now)
+/*
+ * Has all values written again in another epoch: the store has come back from
+ * an old copy. Also in the first one, as they may have been written before it.
+ */
+static void check_epoch(part_records_t *p, uint64_t epoch)
 {
+	if (epoch <= p->epoch)
+		return;
+	for (uint32_t i = 0; i < PART_RECORDS_MAX; i++)
+		p->is_due[i] |= p->values[i] != NULL;
+	p->epoch = epoch;
+}
+
+void part_records_tick(part_records_t *p, uint64_t epoch, int64_t now)
+{
+	check_epoch(p, epoch);
 	if (p->is_writing || now < p->retry_at)
 		return;
 	for (uint32_t i = 0; i < PART_RECORDS_MAX; i++) {
--- a/daemon/part_records.h
+++ b/daemon/part_records.h
@@ -27,6 +27,7 @@
 	bool is_writing;
 	bool is_loaded;
 	int64_t retry_at; /* after a failed write */
+	uint64_t epoch; /* of the store, in which the values were written */
 } part_records_t;
 
 /* TOPIC is that of the daemons' entries; the caller keeps it. */
@@ -39,7 +40,10 @@
 void part_records_on_notice(part_records_t *p, const message_part_t *notice);
 /* Sends the quarantines in the topic to the front task; call it once listed. */
 void part_records_load(part_records_t *p, int64_t now);
-/* Begins the next write that is due. To be called a few times a second. */
-void part_records_tick(part_records_t *p, int64_t now);
+/*
+ * Begins the next write that is due. To be called a few times a second, with
+ * the store's epoch; when it rises, the store may have lost what was written.
+ */
+void part_records_tick(part_records_t *p, uint64_t epoch, int64_t now);
 
 #endif
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -344,7 +344,7 @@
 		write_entry(s);
 	if (s->daemons.state.is_listed)
 		part_records_load(&s->parts, now_us());
-	part_records_tick(&s->parts, now_us());
+	part_records_tick(&s->parts, s->daemons.state.known.epoch, now_us());
 	publish_changes(s);
 }
 
--- a/tests/lib_store_fixture.c
+++ b/tests/lib_store_fixture.c
@@ -277,6 +277,15 @@
 	start_tasks(f);
 }
 
+void store_fixture_restart_as_seed(store_fixture_t *f)
+{
+	g_strfreev(f->settings.seed_addresses);
+	f->settings.seed_addresses =
+		g_strsplit(f->settings.peer_listen, ",", 0);
+	ck_assert(settings_is_seed(&f->settings));
+	store_fixture_restart(f);
+}
+
 void store_fixture_init(store_fixture_t *f)
 {
 	g_autofree char *members = NULL;
--- a/tests/lib_store_fixture.h
+++ b/tests/lib_store_fixture.h
@@ -57,6 +57,8 @@
 void store_fixture_finish(store_fixture_t *f);
 /* Starts the task anew, as a new process would. */
 void store_fixture_restart(store_fixture_t *f);
+/* The same as a seed, which lists the store without waiting for daemons. */
+void store_fixture_restart_as_seed(store_fixture_t *f);
 /* Adds a record; VALUE is freed by the fixture. */
 void store_fixture_put(store_fixture_t *f, int topic, const char *key,
 		       char *value);
