--- a/tests/test_crashing_prompt.c
+++ b/tests/test_crashing_prompt.c
@@ -13,6 +13,7 @@
 	CRASHES = 5, /* after these, no request with the part is sent */
 	MORE_REQUESTS = 4,
 	MINUTE_US = 60 * 1000 * 1000,
+	VERDICT_MS = 2 * QUARANTINE_SETTLE_MS, /* with the next tick */
 };
 
 static const reply_t crash[FIXTURE_REPLIES] = {
@@ -65,7 +66,7 @@
 /* Runs until the reports of the crashes so far have been judged. */
 static void await_verdict(gateway_fixture_t *fixture)
 {
-	gateway_run(fixture, 2 * QUARANTINE_SETTLE_MS);
+	gateway_run(fixture, VERDICT_MS);
 	/* Ticks that are overdue, if this process was held up. */
 	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
 }
