relay: logs name the fingerprint of a request

Which failed requests are repeats of the same one couldn't be told from the logs: each attempt has an ID of its own, and requests to plain services have no prompt parts. attempt-lost and answered now name a hash of what all attempts at a request have in common: method, host, path, team and body. Nothing else changes.

--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -22,6 +22,8 @@
 	call_head_t call;
 	GBytes *body;
 	char *id; /* the caller's id of this attempt, for logs */
+	/* Hash of what all attempts at this request have in common. */
+	uint64_t fingerprint;
 
 	fleet_t *fleet; /* configuration in force when it was admitted */
 	const fleet_route_t *route;
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -160,6 +160,21 @@
 	return true;
 }
 
+/* The caller is named by its team, whose keys may change. */
+static uint64_t find_fingerprint(const relay_t *r)
+{
+	gsize len;
+	const char *body = g_bytes_get_data(r->body, &len);
+	str_t caller = r->team ? str_from(r->team->name) : r->call.api_key;
+	const uint64_t hashes[] = {
+		str_hash(r->call.method),	str_hash(r->call.host),
+		str_hash(r->call.target),	str_hash(caller),
+		str_hash((str_t){ body, len }),
+	};
+
+	return str_hash((str_t){ (const char *)hashes, sizeof(hashes) });
+}
+
 /*
  * A long prefix goes to the group of runners that may have it cached, also in
  * another zone, unless many recent requests share it.
@@ -217,7 +232,10 @@
 	gateway_t *g = r->gateway;
 
 	g_hash_table_remove(g->pending, r);
-	if (!find_route_and_team(r) || relay_refuse_quarantined(r))
+	if (!find_route_and_team(r))
+		return;
+	r->fingerprint = find_fingerprint(r);
+	if (relay_refuse_quarantined(r))
 		return;
 	r->service = fleet_pick_service(r->route, str_hash(r->call.attempt_id));
 	r->rank = fleet_rank(r->team, r->route);
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -136,7 +136,7 @@
 	static const char format[] =
 		"request=%s status=%d by=runner route=%s team=%s runner=%s "
 		"config=%" PRIu64 " sent=%u events=%" PRIu64 " age_ms=%" PRId64
-		" parts=%s";
+		" fingerprint=%" PRIx64 " parts=%s";
 	char parts[PROMPT_PARTS_TEXT_SIZE];
 	int64_t age_ms = (now_us() - r->arrived_at) / 1000;
 	const char *team = r->team ? r->team->name : "-";
@@ -145,11 +145,13 @@
 		log_sample("answered", format, r->id, r->answer.status,
 			   r->route->name, team, r->runner.name,
 			   r->fleet->version, r->sends, r->n_events, age_ms,
+			   r->fingerprint,
 			   prompt_parts_text(&r->call.parts, parts));
 	else
 		log_event("answered", format, r->id, r->answer.status,
 			  r->route->name, team, r->runner.name,
 			  r->fleet->version, r->sends, r->n_events, age_ms,
+			  r->fingerprint,
 			  prompt_parts_text(&r->call.parts, parts));
 }
 
@@ -190,9 +192,9 @@
 
 	log_event("attempt-lost",
 		  "request=%s runner=%s status=%d events=%" PRIu64
-		  " sent=%u parts=%s why=\"%s\"",
+		  " sent=%u fingerprint=%" PRIx64 " parts=%s why=\"%s\"",
 		  r->id, r->runner.name, r->has_answer ? r->answer.status : 0,
-		  r->n_events, r->sends,
+		  r->n_events, r->sends, r->fingerprint,
 		  prompt_parts_text(&r->call.parts, parts), why);
 	r->possible_runs++;
 	relay_report_done(r, DONE_BROKEN);
