--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -13,6 +13,7 @@
 enum {
 	LIMIT_US = 8 * G_USEC_PER_SEC,
 	MAX_UNSENT = 128 * 1024, /* bytes of a trail; exceeded by one write */
+	VERDICT_MS = 2 * QUARANTINE_SETTLE_MS, /* with the next tick */
 };
 
 static const char config_text[] =
@@ -360,6 +361,35 @@
 	fixture->runners[1].replies = second;
 }
 
+void gateway_restart_runners(gateway_fixture_t *fixture, const reply_t *replies)
+{
+	static int n;
+
+	for (int i = 0; i < FIXTURE_RUNNERS; i++) {
+		raw_runner_t *r = &fixture->runners[i];
+
+		g_snprintf(r->name, sizeof(r->name), "i-%d", ++n);
+		r->replies = replies;
+		r->n_requests = 0;
+	}
+}
+
+int gateway_count_arrivals(const gateway_fixture_t *fixture)
+{
+	int n = 0;
+
+	for (int i = 0; i < FIXTURE_RUNNERS; i++)
+		n += fixture->runners[i].n_requests;
+	return n;
+}
+
+void gateway_await_verdict(gateway_fixture_t *fixture)
+{
+	gateway_run(fixture, VERDICT_MS);
+	/* Ticks that are overdue, if this process was held up. */
+	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+}
+
 void gateway_fixture_finish(gateway_fixture_t *fixture)
 {
 	for (int i = 0; i < FIXTURE_CALLERS; i++)
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -110,6 +110,16 @@
 /* Both of these, with the replies of the two runners. */
 void gateway_fixture_begin(gateway_fixture_t *fixture, const reply_t *first,
 			   const reply_t *second);
+/*
+ * Starts all runners anew, as other incarnations that answer with REPLIES and
+ * have received nothing.
+ */
+void gateway_restart_runners(gateway_fixture_t *fixture,
+			     const reply_t *replies);
+/* Returns how many requests the runners received since they started. */
+int gateway_count_arrivals(const gateway_fixture_t *fixture);
+/* Runs until the reports of the crashes so far have been judged. */
+void gateway_await_verdict(gateway_fixture_t *fixture);
 /* Answer the latest WANT or LIMIT_ASK, even if answers are switched off. */
 void gateway_grant_last(gateway_fixture_t *fixture);
 void gateway_allow_last(gateway_fixture_t *fixture);
--- a/tests/test_crashing_prompt.c
+++ b/tests/test_crashing_prompt.c
@@ -13,7 +13,6 @@
 	CRASHES = 5, /* after these, no request with the part is sent */
 	MORE_REQUESTS = 4,
 	MINUTE_US = 60 * 1000 * 1000,
-	VERDICT_MS = 2 * QUARANTINE_SETTLE_MS, /* with the next tick */
 };
 
 static const reply_t crash[FIXTURE_REPLIES] = {
@@ -28,25 +27,6 @@
 	{ STREAM, REPLY_KEEP },
 };
 
-/* Starts both runners anew, as other incarnations that answer with REPLIES. */
-static void restart_runners(gateway_fixture_t *fixture, const reply_t *replies)
-{
-	static int n;
-
-	for (int i = 0; i < FIXTURE_RUNNERS; i++) {
-		raw_runner_t *r = &fixture->runners[i];
-
-		g_snprintf(r->name, sizeof(r->name), "i-%d", ++n);
-		r->replies = replies;
-		r->n_requests = 0;
-	}
-}
-
-static int count_arrivals(const gateway_fixture_t *fixture)
-{
-	return fixture->runners[0].n_requests + fixture->runners[1].n_requests;
-}
-
 /* Sends a request with the prompt parts PARTS and one of its own. */
 static void send_prompt(gateway_fixture_t *fixture, const char *parts)
 {
@@ -63,14 +43,6 @@
 	gateway_send(fixture, 0, text);
 }
 
-/* Runs until the reports of the crashes so far have been judged. */
-static void await_verdict(gateway_fixture_t *fixture)
-{
-	gateway_run(fixture, VERDICT_MS);
-	/* Ticks that are overdue, if this process was held up. */
-	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
-}
-
 /*
  * Sends requests with the crashing part, in turn with PARTS and OTHER_PARTS,
  * until CRASHES runners have crashed.
@@ -82,14 +54,14 @@
 
 	gateway_fixture_init(fixture);
 	gateway_fixture_configure(fixture);
-	for (int n = 0; n < CRASHES; n += count_arrivals(fixture)) {
-		restart_runners(fixture, crash);
+	for (int n = 0; n < CRASHES; n += gateway_count_arrivals(fixture)) {
+		gateway_restart_runners(fixture, crash);
 		send_prompt(fixture, is_other ? other_parts : parts);
 		gateway_await_close(fixture, 0);
-		await_verdict(fixture);
+		gateway_await_verdict(fixture);
 		gateway_close_caller(fixture, 0);
 		is_other = !is_other;
-		if (!count_arrivals(fixture))
+		if (!gateway_count_arrivals(fixture))
 			break;
 	}
 }
@@ -100,13 +72,13 @@
 	gateway_fixture_t fixture;
 
 	crash_runners(&fixture, "a1:60,dead:800", "b2:60,dead:800");
-	restart_runners(&fixture, crash);
+	gateway_restart_runners(&fixture, crash);
 	for (int i = 0; i < MORE_REQUESTS; i++) {
 		send_prompt(&fixture, i % 2 ? "c3:60,dead:800" : "dead:800");
 		gateway_run(&fixture, 100);
 		gateway_close_caller(&fixture, 0);
 	}
-	ck_assert_int_eq(count_arrivals(&fixture), 0);
+	ck_assert_int_eq(gateway_count_arrivals(&fixture), 0);
 	gateway_fixture_finish(&fixture);
 }
 END_TEST
@@ -117,7 +89,7 @@
 	gateway_fixture_t fixture;
 
 	crash_runners(&fixture, "a1:60,dead:800", "a1:60,dead:800");
-	restart_runners(&fixture, sound);
+	gateway_restart_runners(&fixture, sound);
 	for (int i = 0; i < MORE_REQUESTS; i++) {
 		send_prompt(&fixture, "a1:60,c3:800");
 		gateway_await(&fixture, 0, "id: 1");
@@ -145,7 +117,7 @@
 {
 	gateway_fixture_init(fixture);
 	gateway_fixture_configure(fixture);
-	restart_runners(fixture, replies);
+	gateway_restart_runners(fixture, replies);
 }
 
 /* Guards against crashes at daemons that saw none themselves. */
@@ -158,7 +130,7 @@
 	send_prompt(&fixture, "a1:60,dead:800");
 	gateway_await(&fixture, 0, "HTTP/1.1 503 ");
 	gateway_await(&fixture, 0, "Retry-After: ");
-	ck_assert_int_eq(count_arrivals(&fixture), 0);
+	ck_assert_int_eq(gateway_count_arrivals(&fixture), 0);
 	/* Nobody but the runners can tell it apart from these. */
 	gateway_close_caller(&fixture, 0);
 	send_prompt(&fixture, "a1:60");
@@ -179,7 +151,7 @@
 	receive_quarantine(&fixture);
 	gateway_await(&fixture, 0, "HTTP/1.1 503 ");
 	ck_assert_int_ge(fixture.withdraws, 1);
-	ck_assert_int_eq(count_arrivals(&fixture), 0);
+	ck_assert_int_eq(gateway_count_arrivals(&fixture), 0);
 	gateway_fixture_finish(&fixture);
 }
 END_TEST
@@ -199,7 +171,7 @@
 	/* It may have run, so it isn't said to be unexecuted. */
 	gateway_await(&fixture, 0, "HTTP/1.1 502 ");
 	gateway_await_count(&fixture, &fixture.runners[0].n_closed, 1);
-	ck_assert_int_eq(count_arrivals(&fixture), 1);
+	ck_assert_int_eq(gateway_count_arrivals(&fixture), 1);
 	gateway_fixture_finish(&fixture);
 }
 END_TEST
@@ -231,7 +203,7 @@
 	crash_runners(&fixture, "a1:60,dead:800", "a1:60,dead:800");
 	ck_assert_int_eq(fixture.part_records, 2);
 	ck_assert_int_eq(fixture.last_part_record.kind, PART_NOTICE_QUARANTINE);
-	restart_runners(&fixture, sound);
+	gateway_restart_runners(&fixture, sound);
 	send_prompt(&fixture, "a1:60");
 	gateway_await(&fixture, 0, "id: 1");
 	gateway_await_count(&fixture, &fixture.part_records, 3);
@@ -255,7 +227,7 @@
 	/* Three crashes, no second try after the last, and both parts. */
 	ck_assert_int_eq(fixture.part_notices, 5);
 	ck_assert_int_eq(fixture.last_part_notice.kind, PART_NOTICE_QUARANTINE);
-	restart_runners(&fixture, sound);
+	gateway_restart_runners(&fixture, sound);
 	send_prompt(&fixture, "a1:60");
 	gateway_await(&fixture, 0, "id: 1");
 	ck_assert_int_eq(fixture.last_part_notice.kind, PART_NOTICE_SOUND);
--- /dev/null
+++ b/tests/test_crashing_request.c
@@ -0,0 +1,117 @@
+/*
+ * A request to a plain service crashes each runner that begins to run it, and
+ * callers send it again, with other attempt IDs and at any daemon. It must soon
+ * be kept from the runners; other requests must not.
+ */
+#include "tests/lib_gateway.h"
+#include "tests/lib_suite.h"
+
+enum {
+	CRASHES = 3, /* after these, the request is not sent */
+	MORE_REQUESTS = 4,
+};
+
+#define CRASH                   \
+	{                       \
+		"", REPLY_RESET \
+	}
+#define ANSWER                 \
+	{                      \
+		OK, REPLY_KEEP \
+	}
+static const reply_t crash[FIXTURE_REPLIES] = { CRASH, CRASH, CRASH, CRASH,
+						CRASH, CRASH, CRASH };
+static const reply_t sound[FIXTURE_REPLIES] = { ANSWER, ANSWER, ANSWER, ANSWER,
+						ANSWER, ANSWER, ANSWER };
+
+/* Sends a request as a new attempt. */
+static void send_request(gateway_fixture_t *fixture, const char *path,
+			 const char *key, const char *body)
+{
+	static int n;
+	g_autofree char *text = g_strdup_printf(
+		"POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r%d\r\n"
+		"X-Key: %s\r\nX-Deadline-Ms: 1500\r\nContent-Length: %zu\r\n"
+		"\r\n%s",
+		path, ++n, key, strlen(body), body);
+
+	gateway_send(fixture, 0, text);
+}
+
+/*
+ * Sends the same request until CRASHES runners have crashed on it, or until it
+ * reaches no runner.
+ */
+static void crash_runners(gateway_fixture_t *fixture, const char *path)
+{
+	int arrivals;
+
+	gateway_fixture_init(fixture);
+	gateway_fixture_configure(fixture);
+	for (int n = 0; n < CRASHES; n += arrivals) {
+		gateway_restart_runners(fixture, crash);
+		send_request(fixture, path, "key", "x");
+		gateway_await(fixture, 0, "\r\n\r\n");
+		gateway_await_verdict(fixture);
+		gateway_close_caller(fixture, 0);
+		arrivals = gateway_count_arrivals(fixture);
+		if (!arrivals)
+			break;
+	}
+}
+
+static void assert_refused(const char *path)
+{
+	gateway_fixture_t fixture;
+
+	crash_runners(&fixture, path);
+	gateway_restart_runners(&fixture, crash);
+	for (int i = 0; i < MORE_REQUESTS; i++) {
+		send_request(&fixture, path, "key", "x");
+		gateway_await(&fixture, 0, "HTTP/1.1 503 ");
+		gateway_await(&fixture, 0, "Retry-After: ");
+		gateway_close_caller(&fixture, 0);
+	}
+	ck_assert_int_eq(gateway_count_arrivals(&fixture), 0);
+	gateway_fixture_finish(&fixture);
+}
+
+/* Guards against callers' repeats that crash one runner after the other. */
+START_TEST(an_unsafe_request_that_crashes_runners_is_kept_from_them)
+{
+	assert_refused("/once/x");
+}
+END_TEST
+
+/* Guards against daemons' retries that crash one runner after the other. */
+START_TEST(a_safe_request_that_crashes_runners_is_kept_from_them)
+{
+	assert_refused("/safe/x");
+}
+END_TEST
+
+/* Guards against refusing whoever shares its route, team or body. */
+START_TEST(other_requests_are_served)
+{
+	static const char *const others[][3] = { { "/once/x", "key", "y" },
+						 { "/once/x?y", "key", "x" },
+						 { "/safe/x", "key", "x" },
+						 { "/once/x", "low", "x" } };
+	gateway_fixture_t fixture;
+
+	crash_runners(&fixture, "/once/x");
+	gateway_restart_runners(&fixture, sound);
+	for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+		send_request(&fixture, others[i][0], others[i][1],
+			     others[i][2]);
+		gateway_await(&fixture, 0, "HTTP/1.1 200 ");
+		gateway_close_caller(&fixture, 0);
+	}
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+SUITE_MAIN("crashing_request",
+	   an_unsafe_request_that_crashes_runners_is_kept_from_them,
+	   a_safe_request_that_crashes_runners_is_kept_from_them,
+	   other_requests_are_served)
