quarantine: the fingerprint of a request is held like a part of a prompt

Ruled out: second tries by daemons (the kind may run once) and runners that break by themselves (no crash without the request).

The fingerprint is now one more part of a request, which no other request has. An exchange with a plain service that breaks before its answer is reported, unless the connection was used before (runners drop idle ones) or the runner had answered after an earlier report (it resets requests, and would cost a frame to all daemons for each). An answer that shows that it ran, an error too, proves it sound.

In test_crashing_prompt each request has a body of its own, as others than one repeated request are meant there; a sound request's notice names its fingerprint too (two parts, which are both checked, where it was one).

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -15,12 +15,14 @@
 void quarantine_init(quarantine_t *q)
 {
 	crash_reports_init(&q->reports);
+	q->survivors = g_array_new(FALSE, TRUE, sizeof(quarantine_survivor_t));
 	q->entries = g_array_new(FALSE, TRUE, sizeof(quarantine_entry_t));
 }
 
 void quarantine_finish(quarantine_t *q)
 {
 	crash_reports_finish(&q->reports);
+	g_array_unref(q->survivors);
 	g_array_unref(q->entries);
 }
 
@@ -190,6 +192,29 @@
 	}
 }
 
+bool quarantine_is_survivor(const quarantine_t *q, uint64_t runner, int64_t now)
+{
+	for (guint i = q->survivors->len; i-- > 0;) {
+		const quarantine_survivor_t *s =
+			&g_array_index(q->survivors, quarantine_survivor_t, i);
+
+		if (s->runner == runner && now - s->at <= REPORT_LIFE_US)
+			return true;
+	}
+	return false;
+}
+
+static void add_survivor(quarantine_t *q, uint64_t runner, int64_t now)
+{
+	quarantine_survivor_t survivor = { runner, now };
+
+	if (quarantine_is_survivor(q, runner, now))
+		return;
+	if (q->survivors->len >= QUARANTINE_MAX_SURVIVORS)
+		g_array_remove_index(q->survivors, 0);
+	g_array_append_val(q->survivors, survivor);
+}
+
 bool quarantine_set_alive(quarantine_t *q, uint64_t runner, int64_t sent_at,
 			  int64_t now, quarantine_fn fn, void *ctx)
 {
@@ -205,6 +230,8 @@
 			reconsider(q, crash.parts.ids[p], now, fn, ctx);
 		is_news = true;
 	}
+	if (is_news)
+		add_survivor(q, runner, now);
 	return is_news;
 }
 
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -1,5 +1,7 @@
 /*
- * Quarantine of prompt parts that crash runners (poison requests). A daemon
+ * Quarantine of requests and prompt parts that crash runners (poison requests).
+ * The fingerprint of a request counts as a part of its prompt that no other
+ * request has; requests to plain services have only that. A daemon
  * reports each exchange that broke right after its answer began, and all
  * daemons keep the recent reports. A part is quarantined once enough runners
  * crashed on requests that have it, unless a request with that part was
@@ -22,6 +24,7 @@
 
 enum {
 	QUARANTINE_MAX_ENTRIES = 64,
+	QUARANTINE_MAX_SURVIVORS = 128,
 	/* Crashes of different runners that put a part into quarantine. */
 	QUARANTINE_CRASHES = 3,
 	/* Of different requests: one alone may be unlucky several times. */
@@ -38,8 +41,15 @@
 	uint32_t times; /* how often it was quarantined; sets the duration */
 } quarantine_entry_t;
 
+/* A runner's incarnation that answered after a report of its crash. */
+typedef struct quarantine_survivor {
+	uint64_t runner;
+	int64_t at;
+} quarantine_survivor_t;
+
 typedef struct quarantine {
 	crash_reports_t reports;
+	GArray *survivors; /* of quarantine_survivor_t, the oldest first */
 	GArray *entries; /* of quarantine_entry_t, ended ones included */
 } quarantine_t;
 
@@ -77,6 +87,12 @@
  */
 bool quarantine_set_alive(quarantine_t *q, uint64_t runner, int64_t sent_at,
 			  int64_t now, quarantine_fn fn, void *ctx);
+/*
+ * Tells whether a runner's incarnation lately answered after a report of its
+ * crash: it breaks exchanges for other reasons.
+ */
+bool quarantine_is_survivor(const quarantine_t *q, uint64_t runner,
+			    int64_t now);
 /* Adds another daemon's quarantine. Returns whether it was news. */
 bool quarantine_add_entry(quarantine_t *q, const quarantine_entry_t *entry,
 			  int64_t now);
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -24,6 +24,8 @@
 	char *id; /* the caller's id of this attempt, for logs */
 	/* Hash of what all attempts at this request have in common. */
 	uint64_t fingerprint;
+	/* What runners may crash on: the fingerprint, the prompt's parts. */
+	prompt_parts_t parts;
 
 	fleet_t *fleet; /* configuration in force when it was admitted */
 	const fleet_route_t *route;
@@ -58,6 +60,7 @@
 	runner_limit_t granted_limit; /* the runner's, from the grant */
 	char avoid[DISPATCHER_NAME_SIZE]; /* runner that failed last */
 	upstream_conn_t *upstream;
+	bool is_conn_reused; /* the connection had an exchange before */
 	/* Stated in the runner's answer, and reported to the dispatcher: */
 	bool says_leaving; /* the runner is leaving */
 	uint32_t pause_ms; /* time without requests from this VM; 0: none */
@@ -149,11 +152,11 @@
 /* relay_quarantine.c */
 
 /*
- * The exchange broke: reports it if the runner had begun to answer and the
- * caller got no event, since a part of the prompt may have crashed the runner.
+ * The exchange broke: reports it if that was at the beginning of the run, as
+ * the request or a part of its prompt may have crashed the runner.
  */
 void relay_report_crash(relay_t *r);
-/* The answer goes on after its beginning: no part of its prompt is to blame. */
+/* The runner got past the beginning: neither request nor prompt is to blame. */
 void relay_report_sound(relay_t *r);
 /* The runner began to answer: it didn't crash before the request was sent. */
 void relay_report_alive(relay_t *r);
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -175,6 +175,14 @@
 	return str_hash((str_t){ (const char *)hashes, sizeof(hashes) });
 }
 
+static void set_parts(relay_t *r)
+{
+	r->fingerprint = find_fingerprint(r);
+	prompt_parts_add(&r->parts, r->fingerprint);
+	for (uint32_t i = 0; i < r->call.parts.n; i++)
+		prompt_parts_add(&r->parts, r->call.parts.ids[i]);
+}
+
 /*
  * A long prefix goes to the group of runners that may have it cached, also in
  * another zone, unless many recent requests share it.
@@ -234,7 +242,7 @@
 	g_hash_table_remove(g->pending, r);
 	if (!find_route_and_team(r))
 		return;
-	r->fingerprint = find_fingerprint(r);
+	set_parts(r);
 	if (relay_refuse_quarantined(r))
 		return;
 	r->service = fleet_pick_service(r->route, str_hash(r->call.attempt_id));
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -232,6 +232,13 @@
 	return r->is_streaming && r->answer.status == r->begun_status;
 }
 
+/* Tells whether the answer shows that the runner doesn't crash on it. */
+static bool is_proof_of_run(const relay_t *r)
+{
+	return !r->has_output &&
+	       (relay_is_success(r) || r->route->kind != FLEET_STREAM);
+}
+
 static void handle_complete(relay_t *r)
 {
 	if (!is_valid_answer(r)) {
@@ -247,6 +254,8 @@
 		return;
 	}
 	if (r->answer.status >= 500) {
+		if (is_proof_of_run(r))
+			relay_report_sound(r);
 		handle_failure(r);
 		return;
 	}
@@ -260,7 +269,7 @@
 		return;
 	}
 	r->possible_runs++;
-	if (relay_is_success(r) && !r->has_output)
+	if (is_proof_of_run(r))
 		relay_report_sound(r);
 	relay_report_done(r,
 			  relay_is_success(r) ? DONE_COMPLETED : DONE_FAILED);
--- a/daemon/relay_quarantine.c
+++ b/daemon/relay_quarantine.c
@@ -1,7 +1,7 @@
 /*
- * Keeps prompt parts that crash runners from them (core/quarantine.h): reports
- * crashes and sound parts to the other daemons, and refuses requests with a
- * part in quarantine.
+ * Keeps requests and prompt parts that crash runners from them
+ * (core/quarantine.h): reports crashes and sound parts to the other daemons,
+ * and refuses requests with a part in quarantine.
  */
 #define LOG_PART "relay"
 
@@ -82,23 +82,36 @@
 	quarantine_tick(&g->quarantine, now_us(), on_quarantine, g);
 }
 
+/*
+ * Tells whether the exchange broke as the runner began to run the request. A
+ * stream's head is sent then; a plain service sends nothing before the end.
+ */
+static bool broke_at_start(const relay_t *r)
+{
+	if (r->route->kind == FLEET_STREAM)
+		return r->has_answer && relay_is_success(r) && !r->has_output;
+	/* Runners drop idle connections unnoticed, and reset some requests. */
+	return !r->has_answer && !r->is_conn_reused &&
+	       !quarantine_is_survivor(&r->gateway->quarantine, runner_hash(r),
+				       now_us());
+}
+
 void relay_report_crash(relay_t *r)
 {
 	gateway_t *g = r->gateway;
 	message_part_t notice = {
 		.kind = PART_NOTICE_CRASH,
 		.crash = { runner_hash(r), str_hash(r->call.attempt_id),
-			   r->call.parts, now_us() },
+			   r->parts, now_us() },
 	};
 	char parts[PROMPT_PARTS_TEXT_SIZE];
 
-	if (!r->has_answer || !relay_is_success(r) || r->has_output ||
-	    !r->call.parts.n)
+	if (!broke_at_start(r))
 		return;
 	log_event("crash-reported",
 		  "request=%s runner=%s born=%" PRId64 " parts=%s", r->id,
 		  r->runner.name, r->runner.born_ms,
-		  prompt_parts_text(&r->call.parts, parts));
+		  prompt_parts_text(&r->parts, parts));
 	metrics_add(&g->sup->metrics, "papaya_crash_reports_total", NULL, 1);
 	r->has_crash_report = true;
 	post_notice(g, &notice);
@@ -111,12 +124,11 @@
 	message_part_t notice = { .kind = PART_NOTICE_SOUND };
 	char parts[PROMPT_PARTS_TEXT_SIZE];
 
-	if (!quarantine_set_sound(&g->quarantine, &r->call.parts, on_early_end,
-				  g))
+	if (!quarantine_set_sound(&g->quarantine, &r->parts, on_early_end, g))
 		return;
-	notice.crash.parts = r->call.parts;
+	notice.crash.parts = r->parts;
 	log_event("part-sound", "request=%s runner=%s parts=%s", r->id,
-		  r->runner.name, prompt_parts_text(&r->call.parts, parts));
+		  r->runner.name, prompt_parts_text(&r->parts, parts));
 	post_notice(g, &notice);
 }
 
@@ -140,20 +152,22 @@
 	if (r->has_output)
 		return false;
 	if (r->has_crash_report)
-		return quarantine_is_suspect(q, &r->call.parts, now);
-	return quarantine_match(q, &r->call.parts, now) != NULL;
+		return quarantine_is_suspect(q, &r->parts, now);
+	return quarantine_match(q, &r->parts, now) != NULL;
 }
 
 bool relay_refuse_quarantined(relay_t *r)
 {
-	static const char why[] = "a part of its prompt crashes runners";
-	const quarantine_entry_t *entry = quarantine_match(
-		&r->gateway->quarantine, &r->call.parts, now_us());
+	const char *why = "a part of its prompt crashes runners";
+	const quarantine_entry_t *entry =
+		quarantine_match(&r->gateway->quarantine, &r->parts, now_us());
 	int64_t left_ms;
 
 	/* Once there was output, its parts are sound. */
 	if (!entry || r->has_output)
 		return false;
+	if (entry->part == r->fingerprint)
+		why = "this request crashes runners";
 	r->possible_runs += r->upstream && upstream_conn_is_sent(r->upstream);
 	left_ms = (entry->until - now_us()) / US_PER_MS;
 	relay_release_grant(r, DONE_CANCELLED);
--- a/tests/test_crashing_prompt.c
+++ b/tests/test_crashing_prompt.c
@@ -38,8 +38,8 @@
 			       "X-Attempt-Id: r%d\r\nX-Key: key\r\n"
 			       "X-Deadline-Ms: 1500\r\n"
 			       "X-Prefix-Hash: %s,%x:9\r\n"
-			       "Content-Length: 2\r\n\r\nhi",
-			       n, parts, n);
+			       "Content-Length: 4\r\n\r\n%04d",
+			       n, parts, n, n);
 	gateway_send(fixture, 0, text);
 }
 
@@ -231,7 +231,9 @@
 	send_prompt(&fixture, "a1:60");
 	gateway_await(&fixture, 0, "id: 1");
 	ck_assert_int_eq(fixture.last_part_notice.kind, PART_NOTICE_SOUND);
-	ck_assert_int_eq(fixture.last_part_notice.crash.parts.n, 1);
+	/* The request's fingerprint, and the part of its prompt. */
+	ck_assert_int_eq(fixture.last_part_notice.crash.parts.n, 2);
+	ck_assert_uint_eq(fixture.last_part_notice.crash.parts.ids[1], 0xa1);
 	/* A daemon that starts is told what is in quarantine. */
 	told = fixture.part_notices;
 	supervisor_post(&fixture.sup, TASK_FRONT, &m);
--- a/tests/test_crashing_request.c
+++ b/tests/test_crashing_request.c
@@ -111,7 +111,59 @@
 }
 END_TEST
 
+/* Sends a request that no other one equals, and awaits its answer. */
+static void send_once(gateway_fixture_t *fixture, const char *path)
+{
+	static int n;
+	g_autofree char *body = g_strdup_printf("%d", ++n);
+
+	send_request(fixture, path, "key", body);
+	gateway_await(fixture, 0, "\r\n\r\n");
+	gateway_close_caller(fixture, 0);
+}
+
+static void begin(gateway_fixture_t *fixture, const reply_t *replies)
+{
+	gateway_fixture_init(fixture);
+	gateway_fixture_configure(fixture);
+	gateway_restart_runners(fixture, replies);
+}
+
+/* Guards against a frame to all daemons for each request that is reset. */
+START_TEST(resets_of_a_live_runner_are_reported_once)
+{
+	static const reply_t grey[FIXTURE_REPLIES] = { CRASH, ANSWER, CRASH,
+						       CRASH, CRASH };
+	const int n = 5 * FIXTURE_RUNNERS;
+	gateway_fixture_t fixture;
+
+	begin(&fixture, grey);
+	for (int i = 0; i < n; i++)
+		send_once(&fixture, "/once/x");
+	ck_assert_int_eq(gateway_count_arrivals(&fixture), n);
+	ck_assert_int_eq(fixture.part_notices, FIXTURE_RUNNERS);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against taking a dropped idle connection for a crash. */
+START_TEST(resets_of_used_connections_are_not_reported)
+{
+	static const reply_t drop[FIXTURE_REPLIES] = { ANSWER, CRASH };
+	gateway_fixture_t fixture;
+
+	gateway_fixture_begin(&fixture, drop, sound);
+	for (int i = 0; i < 3; i++)
+		send_once(&fixture, "/safe/x");
+	ck_assert_int_eq(fixture.runners[0].n_requests, 2);
+	ck_assert_int_eq(fixture.runners[1].n_requests, 2);
+	ck_assert_int_eq(fixture.part_notices, 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 SUITE_MAIN("crashing_request",
 	   an_unsafe_request_that_crashes_runners_is_kept_from_them,
 	   a_safe_request_that_crashes_runners_is_kept_from_them,
-	   other_requests_are_served)
+	   other_requests_are_served, resets_of_a_live_runner_are_reported_once,
+	   resets_of_used_connections_are_not_reported)
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -306,6 +306,45 @@
 }
 END_TEST
 
+/* Guards against holding nothing because one request was beside another. */
+START_TEST(a_request_beside_the_crashing_one_is_told_apart)
+{
+	quarantine_t q;
+
+	quarantine_init(&q);
+	for (uint64_t i = 1; i <= 3; i++) {
+		report(&q, i, i, PARTS(9), -SETTLE);
+		report(&q, i, 10 + i, PARTS(5), -SETTLE);
+	}
+	judge(&q, 0);
+	/* Either may be the cause, and no request is both. */
+	ck_assert(!is_refused(&q, PARTS(9), S));
+	ck_assert(!is_refused(&q, PARTS(5), S));
+	crash(&q, 4, 4, PARTS(9), S);
+	ck_assert(is_refused(&q, PARTS(9), S));
+	ck_assert(!is_refused(&q, PARTS(5), S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+START_TEST(a_runner_that_answers_after_a_report_is_a_survivor)
+{
+	quarantine_t q;
+
+	quarantine_init(&q);
+	ck_assert(!quarantine_is_survivor(&q, 1, 0));
+	report(&q, 1, 1, PARTS(9), 0);
+	/* An answer to a request from before the report proves nothing. */
+	ck_assert(!quarantine_set_alive(&q, 1, -1, S, NULL, NULL));
+	ck_assert(!quarantine_is_survivor(&q, 1, S));
+	ck_assert(quarantine_set_alive(&q, 1, 1, S, NULL, NULL));
+	ck_assert(quarantine_is_survivor(&q, 1, 2 * S));
+	ck_assert(!quarantine_is_survivor(&q, 2, 2 * S));
+	ck_assert(!quarantine_is_survivor(&q, 1, 2 * S + MINUTE));
+	quarantine_finish(&q);
+}
+END_TEST
+
 SUITE_MAIN("quarantine", a_part_is_held_after_three_crashes,
 	   one_request_or_one_runner_is_not_enough,
 	   a_repeated_report_counts_once,
@@ -316,4 +355,6 @@
 	   a_runner_that_answers_again_did_not_crash,
 	   crashes_far_apart_are_not_related,
 	   a_quarantine_ends_and_one_crash_renews_it, a_quarantine_is_passed_on,
-	   one_cause_of_a_crash_is_enough, tables_are_bounded)
+	   one_cause_of_a_crash_is_enough, tables_are_bounded,
+	   a_request_beside_the_crashing_one_is_told_apart,
+	   a_runner_that_answers_after_a_report_is_a_survivor)
