quarantine: a runner that was restarted disproves nothing

An answer now disproves a crash only on a connection from before the crash, or within a second of it; a runner that crashed is away for longer. Test that failed before: a_restarted_runner_disproves_nothing.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -6,6 +6,8 @@
 #define MINUTE_US (INT64_C(60) * 1000 * 1000)
 /* Crashes further apart than this are not related. */
 #define REPORT_LIFE_US MINUTE_US
+/* A runner needs longer than this to be back after a crash. */
+#define MIN_RESTART_US (INT64_C(1000) * 1000)
 /* Doubles with each further quarantine of the same part. */
 #define FIRST_DURATION_US (5 * MINUTE_US)
 #define MAX_DURATION_US (60 * MINUTE_US)
@@ -215,7 +217,20 @@
 	g_array_append_val(q->survivors, survivor);
 }
 
-bool quarantine_set_alive(quarantine_t *q, uint64_t runner, int64_t sent_at,
+/*
+ * Tells whether an answer shows that its runner didn't crash. One that crashed
+ * may be back under its old name before this daemon knows of its new
+ * incarnation, but its connections are gone, and it is away for a while.
+ */
+static bool is_disproof(const quarantine_answer_t *answer,
+			const crash_report_t *crash, int64_t now)
+{
+	return crash->runner == answer->runner && crash->at < answer->sent_at &&
+	       (answer->connected_at < crash->at ||
+		now - crash->at < MIN_RESTART_US);
+}
+
+bool quarantine_set_alive(quarantine_t *q, const quarantine_answer_t *answer,
 			  int64_t now, quarantine_fn fn, void *ctx)
 {
 	bool is_news = false;
@@ -223,7 +238,7 @@
 	for (guint i = q->reports.records->len; i-- > 0;) {
 		crash_report_t crash = crash_reports_get(&q->reports, i)->crash;
 
-		if (crash.runner != runner || crash.at >= sent_at)
+		if (!is_disproof(answer, &crash, now))
 			continue;
 		g_array_remove_index(q->reports.records, i);
 		for (uint32_t p = 0; p < crash.parts.n; p++)
@@ -231,7 +246,7 @@
 		is_news = true;
 	}
 	if (is_news)
-		add_survivor(q, runner, now);
+		add_survivor(q, answer->runner, now);
 	return is_news;
 }
 
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -80,12 +80,20 @@
  */
 bool quarantine_set_sound(quarantine_t *q, const prompt_parts_t *parts,
 			  quarantine_fn fn, void *ctx);
+/* An answer that begins, and the exchange that it belongs to. */
+typedef struct quarantine_answer {
+	uint64_t runner; /* hash of the incarnation, as this daemon knows it */
+	int64_t connected_at; /* when its connection was begun */
+	int64_t sent_at; /* when the request was sent */
+} quarantine_answer_t;
+
 /*
- * A runner's incarnation answers a request that was sent at SENT_AT: what was
- * reported of it before that was no crash. Calls FN, if it isn't NULL, for each
- * quarantine that ends with it. Returns whether there was anything.
+ * A runner answers: what was reported of it before the request was sent was no
+ * crash, unless the runner may have been restarted meanwhile. Calls FN, if it
+ * isn't NULL, for each quarantine that ends with it. Returns whether there was
+ * anything.
  */
-bool quarantine_set_alive(quarantine_t *q, uint64_t runner, int64_t sent_at,
+bool quarantine_set_alive(quarantine_t *q, const quarantine_answer_t *answer,
 			  int64_t now, quarantine_fn fn, void *ctx);
 /*
  * Tells whether a runner's incarnation lately answered after a report of its
--- a/daemon/relay_quarantine.c
+++ b/daemon/relay_quarantine.c
@@ -135,11 +135,16 @@
 void relay_report_alive(relay_t *r)
 {
 	quarantine_t *q = &r->gateway->quarantine;
+	quarantine_answer_t answer = {
+		.runner = runner_hash(r),
+		.connected_at = upstream_conn_opened_at(r->upstream),
+		.sent_at = r->progress_at,
+	};
 
 	/* Called for every answer; there are reports only after crashes. */
 	if (q->reports.records->len &&
-	    quarantine_set_alive(q, runner_hash(r), r->progress_at, now_us(),
-				 on_early_end, r->gateway))
+	    quarantine_set_alive(q, &answer, now_us(), on_early_end,
+				 r->gateway))
 		log_event("crash-disproved", "request=%s runner=%s", r->id,
 			  r->runner.name);
 }
--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -29,6 +29,7 @@
 	upstream_ops_t ops;
 	void *ctx;
 	struct evbuffer *request; /* until the connection is established */
+	int64_t opened_at; /* microseconds, monotonic */
 	int64_t idle_until; /* no reuse after this; microseconds, monotonic */
 	bool is_sent; /* the request's first byte may have been sent */
 	bool is_busy; /* an exchange is in progress */
@@ -355,6 +356,7 @@
 	upstream_conn_t *u = g_new0(upstream_conn_t, 1);
 
 	u->pool = p;
+	u->opened_at = now_us();
 	g_strlcpy(u->address, address, sizeof(u->address));
 	u->bev = bufferevent_socket_new(
 		p->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -418,6 +420,11 @@
 	return u->is_sent;
 }
 
+int64_t upstream_conn_opened_at(const upstream_conn_t *u)
+{
+	return u->opened_at;
+}
+
 bool upstream_conn_is_reused(const upstream_conn_t *u)
 {
 	return u->is_reused;
--- a/daemon/upstream.h
+++ b/daemon/upstream.h
@@ -67,6 +67,8 @@
 void upstream_conn_pause(upstream_conn_t *u, bool is_paused);
 /* True once the first byte may have been sent. */
 bool upstream_conn_is_sent(const upstream_conn_t *u);
+/* Returns when the connection was begun; microseconds, monotonic clock. */
+int64_t upstream_conn_opened_at(const upstream_conn_t *u);
 /*
  * True when the connection had an exchange before this one, so that a late copy
  * of an earlier answer may arrive on it.
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -175,6 +175,15 @@
 END_TEST
 
 /* Guards against taking a runner's broken connections for crashes. */
+/* A request that is sent at SENT_AT to runner N is answered at NOW. */
+static bool answer(quarantine_t *q, uint64_t n, int64_t connected_at,
+		   int64_t sent_at, int64_t now, int *ended)
+{
+	quarantine_answer_t answer = { n, connected_at, sent_at };
+
+	return quarantine_set_alive(q, &answer, now, count, ended);
+}
+
 START_TEST(a_runner_that_answers_again_did_not_crash)
 {
 	quarantine_t q;
@@ -183,18 +192,40 @@
 	quarantine_init(&q);
 	hold(&q, S);
 	/* What was sent before the break says nothing. */
-	ck_assert(!quarantine_set_alive(&q, 2, S / 2, S, count, &ended));
+	ck_assert(!answer(&q, 2, 0, S / 2, S, &ended));
 	ck_assert(is_refused(&q, PARTS(1, 9), S));
 	ck_assert_int_eq(ended, 0);
-	ck_assert(quarantine_set_alive(&q, 2, 2 * S, 2 * S, count, &ended));
+	ck_assert(answer(&q, 2, 0, 2 * S, 2 * S, &ended));
 	ck_assert(!is_refused(&q, PARTS(1, 9), 2 * S));
-	ck_assert(!quarantine_set_alive(&q, 2, 2 * S, 2 * S, count, &ended));
+	ck_assert(!answer(&q, 2, 0, 2 * S, 2 * S, &ended));
 	ck_assert_int_eq(ended, 2);
 	ck_assert(crash(&q, 4, 4, PARTS(1, 9), 2 * S));
 	quarantine_finish(&q);
 }
 END_TEST
 
+/*
+ * Guards against a quarantine that ends as its runners are back under their old
+ * names, before the list of runners tells of their restart.
+ */
+START_TEST(a_restarted_runner_disproves_nothing)
+{
+	quarantine_t q;
+	int ended = 0;
+
+	quarantine_init(&q);
+	hold(&q, S);
+	for (uint64_t n = 1; n <= 3; n++)
+		ck_assert(!answer(&q, n, 3 * S, 3 * S, 3 * S, &ended));
+	ck_assert(is_refused(&q, PARTS(1, 9), 3 * S));
+	ck_assert_int_eq(ended, 0);
+	/* None is back so soon: the connection alone was reset. */
+	ck_assert(answer(&q, 2, S, S, S + SETTLE, &ended));
+	ck_assert(!is_refused(&q, PARTS(1, 9), S + SETTLE));
+	quarantine_finish(&q);
+}
+END_TEST
+
 START_TEST(crashes_far_apart_are_not_related)
 {
 	quarantine_t q;
@@ -331,13 +362,15 @@
 {
 	quarantine_t q;
 
+	int ended = 0;
+
 	quarantine_init(&q);
 	ck_assert(!quarantine_is_survivor(&q, 1, 0));
 	report(&q, 1, 1, PARTS(9), 0);
 	/* An answer to a request from before the report proves nothing. */
-	ck_assert(!quarantine_set_alive(&q, 1, -1, S, NULL, NULL));
+	ck_assert(!answer(&q, 1, -1, -1, S, &ended));
 	ck_assert(!quarantine_is_survivor(&q, 1, S));
-	ck_assert(quarantine_set_alive(&q, 1, 1, S, NULL, NULL));
+	ck_assert(answer(&q, 1, -1, 1, S, &ended));
 	ck_assert(quarantine_is_survivor(&q, 1, 2 * S));
 	ck_assert(!quarantine_is_survivor(&q, 2, 2 * S));
 	ck_assert(!quarantine_is_survivor(&q, 1, 2 * S + MINUTE));
@@ -353,6 +386,7 @@
 	   a_sound_part_is_told_from_the_one_that_crashes,
 	   an_answer_ends_a_wrong_quarantine,
 	   a_runner_that_answers_again_did_not_crash,
+	   a_restarted_runner_disproves_nothing,
 	   crashes_far_apart_are_not_related,
 	   a_quarantine_ends_and_one_crash_renews_it, a_quarantine_is_passed_on,
 	   one_cause_of_a_crash_is_enough, tables_are_bounded,
--- a/tests/test_quarantine_fleet.c
+++ b/tests/test_quarantine_fleet.c
@@ -184,11 +184,12 @@
 	work_t notice = { .kind = WORK_NOTICE,
 			  .is_sound_notice = true,
 			  .crash = begin->crash };
+	quarantine_answer_t answer = { begin->incarnation, begin->sent_at,
+				       begin->sent_at };
 
 	if (f->incarnations[begin->runner] != begin->incarnation)
 		return;
-	quarantine_set_alive(q, begin->incarnation, begin->sent_at, f->now,
-			     NULL, NULL);
+	quarantine_set_alive(q, &answer, f->now, NULL, NULL);
 	if (prompt_parts_find(&begin->crash.parts, CRASHING_PART) >= 0)
 		crash_runner(f, begin);
 	else if (quarantine_set_sound(q, &begin->crash.parts, NULL, NULL))
