quarantine: one attempt takes down two runners at most

A request on which two runners broke off as it began is not tried on a third, and breaks on used connections are reported, too.

--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -331,7 +331,6 @@
 		str_eq(r->call.method, STR_LIT("HEAD")), request,
 		&relay_answer_ops, r);
 	evbuffer_free(request);
-	r->is_conn_reused = r->upstream && upstream_conn_is_reused(r->upstream);
 	if (r->upstream)
 		return;
 	relay_report_done(r, DONE_UNREACHABLE);
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -60,7 +60,6 @@
 	runner_limit_t granted_limit; /* the runner's, from the grant */
 	char avoid[DISPATCHER_NAME_SIZE]; /* runner that failed last */
 	upstream_conn_t *upstream;
-	bool is_conn_reused; /* the connection had an exchange before */
 	/* Stated in the runner's answer, and reported to the dispatcher: */
 	bool says_leaving; /* the runner is leaving */
 	uint32_t pause_ms; /* time without requests from this VM; 0: none */
@@ -83,8 +82,8 @@
 	uint64_t n_events; /* sent to the caller */
 	uint64_t events_before; /* of them, by earlier runners */
 	bool has_output; /* one of them had content */
-	/* A runner broke off as it began to answer this request. */
-	bool has_crash_report;
+	/* Runners that broke off as they began to run this request. */
+	uint32_t crash_reports;
 };
 
 /* relay.c */
--- a/daemon/relay_quarantine.c
+++ b/daemon/relay_quarantine.c
@@ -10,7 +10,11 @@
 #include "common/log.h"
 #include "daemon/relay.h"
 
-enum { US_PER_MS = 1000 };
+enum {
+	US_PER_MS = 1000,
+	/* Runners that one request may take down; the first may be chance. */
+	MAX_CRASHES = 2,
+};
 
 static uint64_t runner_hash(const relay_t *r)
 {
@@ -90,8 +94,8 @@
 {
 	if (r->route->kind == FLEET_STREAM)
 		return r->has_answer && relay_is_success(r) && !r->has_output;
-	/* Runners drop idle connections unnoticed, and reset some requests. */
-	return !r->has_answer && !r->is_conn_reused &&
+	/* Some runners reset a few requests, or drop idle connections. */
+	return !r->has_answer &&
 	       !quarantine_is_survivor(&r->gateway->quarantine, runner_hash(r),
 				       now_us());
 }
@@ -113,7 +117,7 @@
 		  r->runner.name, r->runner.born_ms,
 		  prompt_parts_text(&r->parts, parts));
 	metrics_add(&g->sup->metrics, "papaya_crash_reports_total", NULL, 1);
-	r->has_crash_report = true;
+	r->crash_reports++;
 	post_notice(g, &notice);
 	quarantine_add_report(&g->quarantine, &notice.crash, true, now_us());
 }
@@ -156,7 +160,9 @@
 
 	if (r->has_output)
 		return false;
-	if (r->has_crash_report)
+	if (r->crash_reports >= MAX_CRASHES)
+		return true;
+	if (r->crash_reports)
 		return quarantine_is_suspect(q, &r->parts, now);
 	return quarantine_match(q, &r->parts, now) != NULL;
 }
