store, relay: releases of runners are read and logged; test_version_skew fails

The frames of streams' releases are declared here and used by the mend. Nothing is decided differently yet.

--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -47,6 +47,7 @@
 	int64_t target; /* the answer should start by then; 0: none */
 	int64_t start_by; /* caller leaves if not begun by then; 0: never */
 	char avoid[DISPATCHER_NAME_SIZE]; /* runner that just failed, or "" */
+	uint64_t release; /* only runners of this one may be granted; 0: any */
 	/*
 	 * Its owner dispatches for itself, as the dispatcher can't be reached.
 	 * Others may do so too, so runners that named a limit are not used.
@@ -66,6 +67,7 @@
 	uint32_t generation; /* of hardware, for the initial speed estimate */
 	uint32_t slots; /* concurrent requests; 0: the service's default */
 	int64_t born_ms; /* start time, distinguishes incarnations of a name */
+	uint64_t release; /* hash of its software's release; 0: not known */
 	bool is_leaving;
 	bool is_partitioned; /* its zone is unreachable at present */
 } dispatcher_runner_t;
--- a/core/runner_list.c
+++ b/core/runner_list.c
@@ -27,8 +27,8 @@
 {
 	return !strcmp(a->id, b->id) && !strcmp(a->service, b->service) &&
 	       !strcmp(a->address, b->address) && !strcmp(a->zone, b->zone) &&
-	       a->born_ms == b->born_ms && a->slots == b->slots &&
-	       a->is_leaving == b->is_leaving;
+	       !strcmp(a->release, b->release) && a->born_ms == b->born_ms &&
+	       a->slots == b->slots && a->is_leaving == b->is_leaving;
 }
 
 /*
--- a/core/runner_list.h
+++ b/core/runner_list.h
@@ -29,6 +29,8 @@
 	char address[FLEET_NAME_SIZE]; /* IP:port */
 	/* the platform's name for it; setting `places` maps it to a zone */
 	char zone[FLEET_NAME_SIZE];
+	/* of its software; a stream goes on only on a runner of the same */
+	char release[FLEET_NAME_SIZE];
 	int64_t born_ms; /* identifies the incarnation behind an id */
 	uint64_t sequence; /* rises with each of its entries; 0: not stated */
 	uint32_t slots;
--- a/daemon/fleet_view.c
+++ b/daemon/fleet_view.c
@@ -139,6 +139,7 @@
 	out.runner.is_leaving = runner->is_leaving;
 	out.runner.slots = runner->slots;
 	out.runner.born_ms = runner->born_ms;
+	out.runner.release = str_hash(str_from(runner->release));
 	g_strlcpy(out.service, runner->service, sizeof(out.service));
 	g_strlcpy(out.zone,
 		  settings_place_zone(collector->settings, runner->zone),
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -31,6 +31,7 @@
 	want.prefix_tokens = c->want.prefix_tokens;
 	want.session_hash = c->want.session_hash;
 	want.session_tokens = c->want.session_tokens;
+	want.release = c->want.release;
 	want.need_ms = to_ms(c->want.deadline - now);
 	want.hops = c->hops;
 	want.avoid = (char *)c->want.avoid;
@@ -80,6 +81,7 @@
 	grant.address = (char *)c->runner.address;
 	grant.service = (char *)c->service;
 	grant.born_ms = c->runner.born_ms;
+	grant.release = c->runner.release;
 	grant.limit = write_limit(&c->limit, now, &limit);
 	frame.body_case = PAPAYA__FRAME__BODY_GRANT;
 	frame.grant = &grant;
@@ -217,6 +219,7 @@
 	c->want.prefix_tokens = f->prefix_tokens;
 	c->want.session_hash = f->session_hash;
 	c->want.session_tokens = f->session_tokens;
+	c->want.release = f->release;
 	c->want.deadline = now + (int64_t)f->need_ms * 1000;
 	c->hops = f->hops;
 	c->is_resent = f->again;
@@ -237,6 +240,7 @@
 	c->limit = read_limit(f->limit, now);
 	c->want.id = (want_id_t){ f->owner, f->attempt };
 	c->runner.born_ms = f->born_ms;
+	c->runner.release = f->release;
 	return copy_name(c->runner.name, f->runner) &&
 	       copy_name(c->runner.address, f->address) &&
 	       copy_name(c->service, f->service);
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -5,6 +5,7 @@
  */
 #define LOG_PART "relay"
 
+#include "common/log.h"
 #include "common/timeval.h"
 #include "daemon/relay.h"
 
@@ -175,6 +176,16 @@
 	return str_hash((str_t){ (const char *)hashes, sizeof(hashes) });
 }
 
+/* The caller takes up a stream that broke off, here or at another daemon. */
+static void log_take_up(const relay_t *r)
+{
+	if (r->route->kind != FLEET_STREAM || !r->call.last_event_id.len)
+		return;
+	log_event("take-up", "request=%s resumes=%.*s after=%.*s", r->id,
+		  (int)r->call.resumed_attempt.len, r->call.resumed_attempt.ptr,
+		  (int)r->call.last_event_id.len, r->call.last_event_id.ptr);
+}
+
 static void set_parts(relay_t *r)
 {
 	r->fingerprint = find_fingerprint(r);
@@ -243,6 +254,7 @@
 	if (!find_route_and_team(r))
 		return;
 	set_parts(r);
+	log_take_up(r);
 	if (relay_refuse_quarantined(r))
 		return;
 	r->service = fleet_pick_service(r->route, str_hash(r->call.attempt_id));
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -112,9 +112,10 @@
 
 	if (result == RUNNER_ENTRY_NEW)
 		log_event("runner-changed",
-			  "runner=%s service=%s address=%s leaving=%s "
-			  "next=%" PRIu64,
+			  "runner=%s service=%s address=%s release=%s "
+			  "leaving=%s next=%" PRIu64,
 			  runner->id, runner->service, runner->address,
+			  runner->release[0] ? runner->release : "-",
 			  runner->is_leaving ? "yes" : "no",
 			  s->runners.state.known.next);
 	else if (result == RUNNER_ENTRY_OLD)
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1447,6 +1447,141 @@
   assert(message->base.descriptor == &papaya__part_notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__stream_notes__init
+                     (Papaya__StreamNotes         *message)
+{
+  static const Papaya__StreamNotes init_value = PAPAYA__STREAM_NOTES__INIT;
+  *message = init_value;
+}
+size_t papaya__stream_notes__get_packed_size
+                     (const Papaya__StreamNotes *message)
+{
+  assert(message->base.descriptor == &papaya__stream_notes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__stream_notes__pack
+                     (const Papaya__StreamNotes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__stream_notes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__stream_notes__pack_to_buffer
+                     (const Papaya__StreamNotes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__stream_notes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__StreamNotes *
+       papaya__stream_notes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__StreamNotes *)
+     protobuf_c_message_unpack (&papaya__stream_notes__descriptor,
+                                allocator, len, data);
+}
+void   papaya__stream_notes__free_unpacked
+                     (Papaya__StreamNotes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__stream_notes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   papaya__stream_ask__init
+                     (Papaya__StreamAsk         *message)
+{
+  static const Papaya__StreamAsk init_value = PAPAYA__STREAM_ASK__INIT;
+  *message = init_value;
+}
+size_t papaya__stream_ask__get_packed_size
+                     (const Papaya__StreamAsk *message)
+{
+  assert(message->base.descriptor == &papaya__stream_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__stream_ask__pack
+                     (const Papaya__StreamAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__stream_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__stream_ask__pack_to_buffer
+                     (const Papaya__StreamAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__stream_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__StreamAsk *
+       papaya__stream_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__StreamAsk *)
+     protobuf_c_message_unpack (&papaya__stream_ask__descriptor,
+                                allocator, len, data);
+}
+void   papaya__stream_ask__free_unpacked
+                     (Papaya__StreamAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__stream_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   papaya__stream_answer__init
+                     (Papaya__StreamAnswer         *message)
+{
+  static const Papaya__StreamAnswer init_value = PAPAYA__STREAM_ANSWER__INIT;
+  *message = init_value;
+}
+size_t papaya__stream_answer__get_packed_size
+                     (const Papaya__StreamAnswer *message)
+{
+  assert(message->base.descriptor == &papaya__stream_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__stream_answer__pack
+                     (const Papaya__StreamAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__stream_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__stream_answer__pack_to_buffer
+                     (const Papaya__StreamAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__stream_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__StreamAnswer *
+       papaya__stream_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__StreamAnswer *)
+     protobuf_c_message_unpack (&papaya__stream_answer__descriptor,
+                                allocator, len, data);
+}
+void   papaya__stream_answer__free_unpacked
+                     (Papaya__StreamAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__stream_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__frame__init
                      (Papaya__Frame         *message)
 {
@@ -2032,7 +2167,7 @@
   (ProtobufCMessageInit) papaya__vm_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__want__field_descriptors[19] =
+static const ProtobufCFieldDescriptor papaya__want__field_descriptors[20] =
 {
   {
     "attempt",
@@ -2262,6 +2397,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "release",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Want, release),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__want__field_indices_by_name[] = {
   12,   /* field[12] = again */
@@ -2275,6 +2422,7 @@
   6,   /* field[6] = prefix_hash */
   16,   /* field[16] = prefix_tokens */
   4,   /* field[4] = prompt_tokens */
+  19,   /* field[19] = release */
   10,   /* field[10] = running_on */
   1,   /* field[1] = service */
   17,   /* field[17] = session_hash */
@@ -2287,7 +2435,7 @@
 static const ProtobufCIntRange papaya__want__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor papaya__want__descriptor =
 {
@@ -2297,7 +2445,7 @@
   "Papaya__Want",
   "papaya",
   sizeof(Papaya__Want),
-  19,
+  20,
   papaya__want__field_descriptors,
   papaya__want__field_indices_by_name,
   1,  papaya__want__number_ranges,
@@ -2368,7 +2516,7 @@
   (ProtobufCMessageInit) papaya__runner_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__grant__field_descriptors[7] =
+static const ProtobufCFieldDescriptor papaya__grant__field_descriptors[8] =
 {
   {
     "attempt",
@@ -2454,6 +2602,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "release",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Grant, release),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__grant__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -2461,13 +2621,14 @@
   5,   /* field[5] = born_ms */
   6,   /* field[6] = limit */
   3,   /* field[3] = owner */
+  7,   /* field[7] = release */
   1,   /* field[1] = runner */
   4,   /* field[4] = service */
 };
 static const ProtobufCIntRange papaya__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor papaya__grant__descriptor =
 {
@@ -2477,7 +2638,7 @@
   "Papaya__Grant",
   "papaya",
   sizeof(Papaya__Grant),
-  7,
+  8,
   papaya__grant__field_descriptors,
   papaya__grant__field_indices_by_name,
   1,  papaya__grant__number_ranges,
@@ -4386,7 +4547,160 @@
   (ProtobufCMessageInit) papaya__part_notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[24] =
+static const ProtobufCFieldDescriptor papaya__stream_notes__field_descriptors[2] =
+{
+  {
+    "streams",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Papaya__StreamNotes, n_streams),
+    offsetof(Papaya__StreamNotes, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "releases",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Papaya__StreamNotes, n_releases),
+    offsetof(Papaya__StreamNotes, releases),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__stream_notes__field_indices_by_name[] = {
+  1,   /* field[1] = releases */
+  0,   /* field[0] = streams */
+};
+static const ProtobufCIntRange papaya__stream_notes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor papaya__stream_notes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.StreamNotes",
+  "StreamNotes",
+  "Papaya__StreamNotes",
+  "papaya",
+  sizeof(Papaya__StreamNotes),
+  2,
+  papaya__stream_notes__field_descriptors,
+  papaya__stream_notes__field_indices_by_name,
+  1,  papaya__stream_notes__number_ranges,
+  (ProtobufCMessageInit) papaya__stream_notes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__stream_ask__field_descriptors[2] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StreamAsk, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StreamAsk, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__stream_ask__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  0,   /* field[0] = stream */
+};
+static const ProtobufCIntRange papaya__stream_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor papaya__stream_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.StreamAsk",
+  "StreamAsk",
+  "Papaya__StreamAsk",
+  "papaya",
+  sizeof(Papaya__StreamAsk),
+  2,
+  papaya__stream_ask__field_descriptors,
+  papaya__stream_ask__field_indices_by_name,
+  1,  papaya__stream_ask__number_ranges,
+  (ProtobufCMessageInit) papaya__stream_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__stream_answer__field_descriptors[2] =
+{
+  {
+    "release",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StreamAnswer, release),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StreamAnswer, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__stream_answer__field_indices_by_name[] = {
+  1,   /* field[1] = attempt */
+  0,   /* field[0] = release */
+};
+static const ProtobufCIntRange papaya__stream_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor papaya__stream_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.StreamAnswer",
+  "StreamAnswer",
+  "Papaya__StreamAnswer",
+  "papaya",
+  sizeof(Papaya__StreamAnswer),
+  2,
+  papaya__stream_answer__field_descriptors,
+  papaya__stream_answer__field_indices_by_name,
+  1,  papaya__stream_answer__number_ranges,
+  (ProtobufCMessageInit) papaya__stream_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[27] =
 {
   {
     "hello",
@@ -4676,6 +4990,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_notes",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, stream_notes),
+    &papaya__stream_notes__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_ask",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, stream_ask),
+    &papaya__stream_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_answer",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, stream_answer),
+    &papaya__stream_answer__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__frame__field_indices_by_name[] = {
   6,   /* field[6] = cancel */
@@ -4699,6 +5049,9 @@
   5,   /* field[5] = refuse */
   19,   /* field[19] = store_ask */
   17,   /* field[17] = store_news */
+  26,   /* field[26] = stream_answer */
+  25,   /* field[25] = stream_ask */
+  24,   /* field[24] = stream_notes */
   16,   /* field[16] = vm_list */
   3,   /* field[3] = want */
   7,   /* field[7] = withdraw */
@@ -4706,7 +5059,7 @@
 static const ProtobufCIntRange papaya__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor papaya__frame__descriptor =
 {
@@ -4716,7 +5069,7 @@
   "Papaya__Frame",
   "papaya",
   sizeof(Papaya__Frame),
-  24,
+  27,
   papaya__frame__field_descriptors,
   papaya__frame__field_indices_by_name,
   1,  papaya__frame__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -47,6 +47,9 @@
 typedef struct Papaya__StoreAsk Papaya__StoreAsk;
 typedef struct Papaya__Ping Papaya__Ping;
 typedef struct Papaya__PartNotice Papaya__PartNotice;
+typedef struct Papaya__StreamNotes Papaya__StreamNotes;
+typedef struct Papaya__StreamAsk Papaya__StreamAsk;
+typedef struct Papaya__StreamAnswer Papaya__StreamAnswer;
 typedef struct Papaya__Frame Papaya__Frame;
 
 
@@ -244,10 +247,14 @@
    */
   uint64_t session_hash;
   uint32_t session_tokens;
+  /*
+   * the only one that may serve it; 0: any
+   */
+  uint64_t release;
 };
 #define PAPAYA__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__want__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -293,10 +300,14 @@
    * of the runner, as the dispatcher knows it
    */
   Papaya__RunnerLimit *limit;
+  /*
+   * hash of its software's release; 0: not known
+   */
+  uint64_t release;
 };
 #define PAPAYA__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__grant__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, NULL }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, NULL, 0 }
 
 
 /*
@@ -810,6 +821,59 @@
     , 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Streams that have begun, to the daemon that records them.
+ */
+struct  Papaya__StreamNotes
+{
+  ProtobufCMessage base;
+  /*
+   * hashes of the attempts that began them
+   */
+  size_t n_streams;
+  uint64_t *streams;
+  /*
+   * of the runners that began them
+   */
+  size_t n_releases;
+  uint64_t *releases;
+};
+#define PAPAYA__STREAM_NOTES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__stream_notes__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
+/*
+ * Asks that daemon which release began a stream.
+ */
+struct  Papaya__StreamAsk
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  uint64_t attempt;
+};
+#define PAPAYA__STREAM_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__stream_ask__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * The answer to it.
+ */
+struct  Papaya__StreamAnswer
+{
+  ProtobufCMessage base;
+  /*
+   * 0: not known
+   */
+  uint64_t release;
+  uint64_t attempt;
+};
+#define PAPAYA__STREAM_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__stream_answer__descriptor) \
+    , 0, 0 }
+
+
 typedef enum {
   PAPAYA__FRAME__BODY__NOT_SET = 0,
   PAPAYA__FRAME__BODY_HELLO = 1,
@@ -835,7 +899,10 @@
   PAPAYA__FRAME__BODY_PING = 21,
   PAPAYA__FRAME__BODY_LIMIT_LEND = 22,
   PAPAYA__FRAME__BODY_LIMIT_STAMP = 23,
-  PAPAYA__FRAME__BODY_PART_NOTICE = 24
+  PAPAYA__FRAME__BODY_PART_NOTICE = 24,
+  PAPAYA__FRAME__BODY_STREAM_NOTES = 25,
+  PAPAYA__FRAME__BODY_STREAM_ASK = 26,
+  PAPAYA__FRAME__BODY_STREAM_ANSWER = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PAPAYA__FRAME__BODY__CASE)
 } Papaya__Frame__BodyCase;
 
@@ -868,6 +935,9 @@
     Papaya__LimitLend *limit_lend;
     Papaya__LimitStamp *limit_stamp;
     Papaya__PartNotice *part_notice;
+    Papaya__StreamNotes *stream_notes;
+    Papaya__StreamAsk *stream_ask;
+    Papaya__StreamAnswer *stream_answer;
   };
 };
 #define PAPAYA__FRAME__INIT \
@@ -1483,6 +1553,63 @@
 void   papaya__part_notice__free_unpacked
                      (Papaya__PartNotice *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__StreamNotes methods */
+void   papaya__stream_notes__init
+                     (Papaya__StreamNotes         *message);
+size_t papaya__stream_notes__get_packed_size
+                     (const Papaya__StreamNotes   *message);
+size_t papaya__stream_notes__pack
+                     (const Papaya__StreamNotes   *message,
+                      uint8_t             *out);
+size_t papaya__stream_notes__pack_to_buffer
+                     (const Papaya__StreamNotes   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__StreamNotes *
+       papaya__stream_notes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__stream_notes__free_unpacked
+                     (Papaya__StreamNotes *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__StreamAsk methods */
+void   papaya__stream_ask__init
+                     (Papaya__StreamAsk         *message);
+size_t papaya__stream_ask__get_packed_size
+                     (const Papaya__StreamAsk   *message);
+size_t papaya__stream_ask__pack
+                     (const Papaya__StreamAsk   *message,
+                      uint8_t             *out);
+size_t papaya__stream_ask__pack_to_buffer
+                     (const Papaya__StreamAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__StreamAsk *
+       papaya__stream_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__stream_ask__free_unpacked
+                     (Papaya__StreamAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__StreamAnswer methods */
+void   papaya__stream_answer__init
+                     (Papaya__StreamAnswer         *message);
+size_t papaya__stream_answer__get_packed_size
+                     (const Papaya__StreamAnswer   *message);
+size_t papaya__stream_answer__pack
+                     (const Papaya__StreamAnswer   *message,
+                      uint8_t             *out);
+size_t papaya__stream_answer__pack_to_buffer
+                     (const Papaya__StreamAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__StreamAnswer *
+       papaya__stream_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__stream_answer__free_unpacked
+                     (Papaya__StreamAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Frame methods */
 void   papaya__frame__init
                      (Papaya__Frame         *message);
@@ -1600,6 +1727,15 @@
 typedef void (*Papaya__PartNotice_Closure)
                  (const Papaya__PartNotice *message,
                   void *closure_data);
+typedef void (*Papaya__StreamNotes_Closure)
+                 (const Papaya__StreamNotes *message,
+                  void *closure_data);
+typedef void (*Papaya__StreamAsk_Closure)
+                 (const Papaya__StreamAsk *message,
+                  void *closure_data);
+typedef void (*Papaya__StreamAnswer_Closure)
+                 (const Papaya__StreamAnswer *message,
+                  void *closure_data);
 typedef void (*Papaya__Frame_Closure)
                  (const Papaya__Frame *message,
                   void *closure_data);
@@ -1641,6 +1777,9 @@
 extern const ProtobufCMessageDescriptor papaya__store_ask__descriptor;
 extern const ProtobufCMessageDescriptor papaya__ping__descriptor;
 extern const ProtobufCMessageDescriptor papaya__part_notice__descriptor;
+extern const ProtobufCMessageDescriptor papaya__stream_notes__descriptor;
+extern const ProtobufCMessageDescriptor papaya__stream_ask__descriptor;
+extern const ProtobufCMessageDescriptor papaya__stream_answer__descriptor;
 extern const ProtobufCMessageDescriptor papaya__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -57,6 +57,7 @@
 		  sizeof(answer.capacity.runner.name));
 	g_strlcpy(answer.capacity.runner.address, r->address,
 		  sizeof(answer.capacity.runner.address));
+	answer.capacity.runner.release = r->release;
 	supervisor_post(&fixture->sup, TASK_FRONT, &answer);
 }
 
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -61,6 +61,7 @@
 	struct evconnlistener *listener;
 	char name[16];
 	char address[32];
+	uint64_t release; /* as its grants state it */
 	const reply_t *replies; /* ends with NULL bytes and REPLY_KEEP */
 	trail_t trail; /* not sent if its bytes are empty */
 	bool trails_first_only; /* the trail is for the first connection */
--- /dev/null
+++ b/tests/test_version_skew.c
@@ -0,0 +1,75 @@
+/*
+ * Two releases of a service's runners are in service. What they write doesn't
+ * fit together, so a stream that broke off goes on only on a runner of the
+ * release that began it: within its answer, and when its caller takes it up.
+ */
+#include "tests/lib_gateway.h"
+#include "tests/lib_suite.h"
+
+#define EVENT "c\r\nid: 1\ndata\n\n\r\n"
+#define REST "c\r\nid: 2\ndata\n\n\r\n0\r\n\r\n"
+#define TAKE_UP(id, resumes)                                          \
+	"POST /stream/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " id      \
+	"\r\nX-Key: key\r\nX-Deadline-Ms: 1500\r\nLast-Event-Id: 1\r" \
+	"\nResumes: " resumes "\r\nContent-Length: 2\r\n\r\nhi"
+
+enum { OLD_RELEASE = 1, NEW_RELEASE };
+
+static const reply_t breaks_off[FIXTURE_REPLIES] = {
+	{ STREAM_HEAD EVENT, REPLY_CLOSE },
+	{ STREAM_HEAD EVENT, REPLY_CLOSE },
+};
+static const reply_t resumes[FIXTURE_REPLIES] = {
+	{ STREAM_HEAD REST, REPLY_KEEP },
+	{ STREAM_HEAD REST, REPLY_KEEP },
+	{ STREAM_HEAD REST, REPLY_KEEP },
+};
+
+/* The first runner is of the old release, the second of the new one. */
+static void begin(gateway_fixture_t *fixture, const reply_t *old_replies,
+		  const reply_t *new_replies)
+{
+	gateway_fixture_begin(fixture, old_replies, new_replies);
+	fixture->runners[0].release = OLD_RELEASE;
+	fixture->runners[1].release = NEW_RELEASE;
+}
+
+/* Guards against an answer with events of two releases. */
+START_TEST(a_broken_stream_resumes_on_its_release_only)
+{
+	static const reply_t once[FIXTURE_REPLIES] = {
+		{ STREAM_HEAD EVENT, REPLY_CLOSE },
+		{ STREAM_HEAD REST, REPLY_KEEP },
+	};
+	gateway_fixture_t fixture;
+
+	begin(&fixture, once, resumes);
+	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
+	gateway_await(&fixture, 0, "id: 2");
+	ck_assert_int_eq(fixture.runners[1].n_requests, 0);
+	ck_assert_uint_eq(fixture.last_want.capacity.want.release, OLD_RELEASE);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against events of two releases over a caller's attempts. */
+START_TEST(a_take_up_goes_to_the_release_that_began_the_stream)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture, breaks_off, resumes);
+	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
+	gateway_await_close(&fixture, 0);
+	gateway_close_caller(&fixture, 0);
+	fixture.runners[0].replies = resumes;
+	fixture.runners[0].n_requests = 0;
+	gateway_send(&fixture, 0, TAKE_UP("b", "a"));
+	gateway_await(&fixture, 0, "id: 2");
+	ck_assert_int_eq(fixture.runners[1].n_requests, 0);
+	ck_assert_uint_eq(fixture.last_want.capacity.want.release, OLD_RELEASE);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+SUITE_MAIN("version_skew", a_broken_stream_resumes_on_its_release_only,
+	   a_take_up_goes_to_the_release_that_began_the_stream)
