--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -12,7 +12,11 @@
 	/* Lower work is cancelled this long before latest_start. */
 	CANCEL_LEAD_US = 100 * US_PER_MS,
 	MAX_LOST_ANSWERS = 2, /* lost answers that suspend a runner */
-	MAX_DEFERRED = 16, /* wants deferred in one round of decisions */
+	/*
+	 * Wants deferred in one round of decisions: after a crash many streams
+	 * wait for the runners of one release, and must not block the others.
+	 */
+	MAX_DEFERRED = 64,
 	FINISH_MARGIN_DIVISOR = 3, /* safety margin: predicted time / 3 */
 	REFUSAL_MARGIN_DIVISOR = 6, /* the same for refusals: / 6 */
 	/* All wants are refused after this long without an available runner. */
@@ -318,6 +322,41 @@
 		queue_push(&s->queue, &attempt->entry);
 }
 
+/* Returns whether a runner serves that is of the release a want needs. */
+static bool has_release(const struct dispatcher_state *s,
+			const attempt_t *attempt)
+{
+	GHashTableIter iter;
+	runner_t *runner;
+
+	if (!attempt->want.release ||
+	    (s->config.awaits_list && !s->has_runner_list))
+		return true;
+	g_hash_table_iter_init(&iter, s->runners);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&runner))
+		if (runner->is_serving &&
+		    dispatcher_is_of_release(attempt, runner))
+			return true;
+	return false;
+}
+
+/*
+ * Decides a want that no runner has room for now. One that waits for the end of
+ * a pause, or for a runner of its release, must not block others.
+ */
+static bool decide_without_room(struct dispatcher_state *s, attempt_t *attempt,
+				int64_t now)
+{
+	if (!has_release(s, attempt)) {
+		dispatcher_refuse(s, attempt, REFUSE_NO_RELEASE);
+		return true;
+	}
+	if (!attempt->want.release &&
+	    !dispatcher_has_pauses(s, attempt->want.id.owner, now))
+		return false;
+	return defer(s, attempt);
+}
+
 /* Grants, refuses or defers the next want; false if none can be decided. */
 static bool decide_next(struct dispatcher_state *s, int64_t now)
 {
@@ -332,10 +371,8 @@
 	else
 		runner = dispatcher_choose(s, attempt, ROOM_UNPROTECTED, now,
 					   &finish);
-	/* A want that waits for the end of a pause must not block others. */
 	if (!runner)
-		return dispatcher_has_pauses(s, attempt->want.id.owner, now) &&
-		       defer(s, attempt);
+		return decide_without_room(s, attempt, now);
 	if (!is_refusable(s, attempt, runner, finish, now))
 		dispatcher_grant(s, attempt, runner, now);
 	else if (!can_meet_deadline(s, attempt, now) || !defer(s, attempt))
@@ -511,6 +548,8 @@
 	attempt->entry.due = first_check_time(s, attempt);
 	if (!has_runner(s, now))
 		dispatcher_refuse(s, attempt, REFUSE_NO_RUNNER);
+	else if (!has_release(s, attempt))
+		dispatcher_refuse(s, attempt, REFUSE_NO_RELEASE);
 	else if (dispatcher_paused_too_long(s, attempt, now))
 		dispatcher_refuse_paused(s, attempt, now);
 	else if (misses_start(s, attempt, now))
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -89,6 +89,8 @@
 	REFUSE_NO_RUNNER, /* the service has no working runner in the zone */
 	REFUSE_EXPIRED, /* the deadline passed in the queue */
 	REFUSE_PAUSED, /* all runners pause for the owner for too long */
+	REFUSE_NO_RELEASE, /* no runner of the stream's release serves */
+	REFUSE_REASONS,
 } refuse_reason_t;
 
 typedef enum done_result {
@@ -161,7 +163,7 @@
 
 typedef struct dispatcher_stats {
 	uint64_t wants, grants, cancels;
-	uint64_t refusals[REFUSE_PAUSED + 1];
+	uint64_t refusals[REFUSE_REASONS];
 	uint64_t unknown; /* unknown want or runner, or duplicate want */
 	/*
 	 * Grants removed because no end arrived: past their deadline, or
--- a/core/dispatcher_choose.c
+++ b/core/dispatcher_choose.c
@@ -84,11 +84,19 @@
 				      now);
 }
 
+bool dispatcher_is_of_release(const attempt_t *attempt, const runner_t *runner)
+{
+	uint64_t release = attempt->want.release;
+
+	return !release || runner->info.release == release;
+}
+
 /* Returns whether the want may not use the runner, whatever room it has. */
 static bool is_excluded(const struct dispatcher_state *s,
 			const attempt_t *attempt, runner_t *runner, int64_t now)
 {
 	return is_avoided(s, attempt, runner) ||
+	       !dispatcher_is_of_release(attempt, runner) ||
 	       dispatcher_is_paused(s, runner, attempt->want.id.owner, now) ||
 	       is_limited(attempt, runner, now);
 }
@@ -157,12 +165,16 @@
 {
 	GSequenceIter *iter = g_sequence_get_begin_iter(s->ranked);
 	runner_t *best = NULL;
+	int n = 0;
 
-	for (int i = 0; i < MAX_CANDIDATES && !g_sequence_iter_is_end(iter);
-	     i++, iter = g_sequence_iter_next(iter)) {
+	for (; n < MAX_CANDIDATES && !g_sequence_iter_is_end(iter);
+	     iter = g_sequence_iter_next(iter)) {
 		runner_t *runner = g_sequence_get(iter);
 		int64_t end = now + predict(runner, &attempt->want, 0);
 
+		if (!dispatcher_is_of_release(attempt, runner))
+			continue;
+		n++;
 		if (is_excluded(s, attempt, runner, now) ||
 		    !runner_model_has_room(&runner->model, room, now) ||
 		    (best && end >= *finish))
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -134,6 +134,8 @@
 /* Updates a runner in the ranking and sums, or removes it from them. */
 void dispatcher_rank_runner(struct dispatcher_state *s, runner_t *runner,
 			    int64_t now);
+/* Returns whether the runner is of the release that a want needs, if any. */
+bool dispatcher_is_of_release(const attempt_t *attempt, const runner_t *runner);
 /* Returns whether a runner may get work, regardless of its load. */
 bool dispatcher_is_available(const runner_t *runner, int64_t now);
 
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -10,6 +10,8 @@
 	MIN_CALLER_WAIT_MS = 2000,
 	CALLER_WAIT_TARGETS = 4, /* multiple of the route's target_ms */
 	CALLER_WAIT_PAUSES = 8, /* multiple of the route's pause_ms */
+	DEFAULT_STREAM_MS = 60 * 1000, /* where no route states a timeout */
+	LIST_DELAY_MS = 3000, /* until all daemons know a change of the list */
 };
 
 /* Share of a team's limit that the least urgent routes leave to the others. */
@@ -189,6 +191,19 @@
 	return MAX(ms, MIN_CALLER_WAIT_MS);
 }
 
+int64_t fleet_longest_stream_ms(const fleet_t *f)
+{
+	int64_t longest = 0;
+
+	for (guint i = 0; i < f->routes->len; i++) {
+		const fleet_route_t *route = f->routes->pdata[i];
+
+		if (route->kind == FLEET_STREAM)
+			longest = MAX(longest, route->timeout_ms);
+	}
+	return (longest ? longest : DEFAULT_STREAM_MS) + LIST_DELAY_MS;
+}
+
 double fleet_reserved_share(const fleet_t *f, const fleet_route_t *route)
 {
 	uint32_t more_urgent = f->priorities & ((1U << priority_of(route)) - 1);
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -122,6 +122,11 @@
  * first one, before they leave.
  */
 int64_t fleet_caller_wait_ms(const fleet_route_t *route);
+/*
+ * Returns how long a stream may last, with the time that daemons need to learn
+ * of a change in the list of runners.
+ */
+int64_t fleet_longest_stream_ms(const fleet_t *f);
 /*
  * Returns the share of a team's limit, 0 to 1, that the route's requests must
  * leave to more urgent routes.
--- a/core/runner_filter.h
+++ b/core/runner_filter.h
@@ -37,6 +37,8 @@
 	RUNNER_PAUSED,
 	RUNNER_PARTITIONED, /* its zone is partitioned; set by callers */
 	RUNNER_LIMITED, /* the dispatcher doesn't know its limit; likewise */
+	/* the stream began on another release; likewise */
+	RUNNER_OTHER_RELEASE,
 } runner_use_t;
 
 /* Whether a runner may be used; if not, since when. */
--- a/daemon/fleet_view.c
+++ b/daemon/fleet_view.c
@@ -2,6 +2,8 @@
 
 #include <stdlib.h>
 
+#include "core/release_history.h"
+
 enum {
 	RANK_WEIGHT_FACTOR = 64, /* a rank's weight / the next rank's weight */
 	DEFAULT_SLOTS = 4, /* concurrent calls of a plain service's runner */
@@ -139,7 +141,7 @@
 	out.runner.is_leaving = runner->is_leaving;
 	out.runner.slots = runner->slots;
 	out.runner.born_ms = runner->born_ms;
-	out.runner.release = str_hash(str_from(runner->release));
+	out.runner.release = release_history_hash(runner->release);
 	g_strlcpy(out.service, runner->service, sizeof(out.service));
 	g_strlcpy(out.zone,
 		  settings_place_zone(collector->settings, runner->zone),
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -251,7 +251,7 @@
 	c->want.id = (want_id_t){ f->owner, f->attempt };
 	c->reason = f->reason;
 	c->retry_after_ms = f->retry_after_ms;
-	return f->reason <= REFUSE_PAUSED;
+	return f->reason < REFUSE_REASONS;
 }
 
 static bool read_done(const Papaya__Done *f, int64_t now, message_capacity_t *c)
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -16,6 +16,7 @@
 #include "core/quarantine.h"
 #include "core/retry_budget.h"
 #include "core/runner_filter.h"
+#include "core/stream_releases.h"
 #include "core/zone_groups.h"
 #include "daemon/supervisor.h"
 #include "daemon/upstream.h"
@@ -36,6 +37,9 @@
 	zone_groups_t groups; /* of the runners of each service */
 	hot_prefix_t prefixes; /* prompt prefixes of recent requests */
 	quarantine_t quarantine; /* prompt parts that crash runners */
+	vm_list_t *vms; /* NULL until a list was received */
+	stream_releases_t streams; /* that began here */
+	GArray *new_streams; /* of stream_release_t, to be recorded */
 	fleet_t *fleet; /* NULL until a configuration is in force */
 	retry_budget_t retries;
 	/* status of runners, as known to this daemon */
@@ -119,4 +123,13 @@
 /* Tells a daemon, to which a link is up now, what is in quarantine. */
 void gateway_send_quarantine(gateway_t *g, const char *peer);
 
+/* relay_release.c: streams that go on only on the release that began them. */
+
+/* Sends streams that began to their recorders; called every TICK_MS. */
+void gateway_send_streams(gateway_t *g, int64_t now);
+/* Handles the answer of a stream's recorder. */
+void gateway_on_stream_answer(gateway_t *g, const stream_release_t *stream);
+/* A new list of runners: sends streams to be recorded that were not so far. */
+void gateway_on_releases(gateway_t *g, const vm_list_t *before);
+
 #endif
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -16,6 +16,7 @@
 	TICK_MS = 50,
 	/* A runner that left the list is forgotten after this time. */
 	LEFT_RUNNER_KEEP_US = 60 * 1000 * 1000,
+	MAX_STREAMS = 8192, /* whose release is remembered */
 };
 
 bool gateway_is_ready(const gateway_t *g)
@@ -136,6 +137,7 @@
 	int64_t now = now_us();
 
 	gateway_check_quarantine(g);
+	gateway_send_streams(g, now);
 	for (GList *link = relays; link; link = link->next)
 		relay_tick(link->data, now);
 	export_stats(g);
@@ -207,6 +209,15 @@
 		relay_on_zone_partition(link->data, zone);
 }
 
+static void set_vms(gateway_t *g, vm_list_t *vms)
+{
+	vm_list_t *before = g->vms;
+
+	g->vms = vm_list_ref(vms);
+	gateway_on_releases(g, before);
+	vm_list_unref(before);
+}
+
 static void handle(void *state, const message_t *m)
 {
 	gateway_t *g = state;
@@ -218,6 +229,7 @@
 		admit_pending(g);
 		break;
 	case MESSAGE_VMS:
+		set_vms(g, m->vms);
 		update_runner_filter(g, m->vms);
 		set_runner_zones(g, m->vms);
 		fleet_view_count_runners(m->vms, &g->groups);
@@ -243,6 +255,9 @@
 	case MESSAGE_PART_NOTICE:
 		gateway_on_part_notice(g, &m->part);
 		break;
+	case MESSAGE_STREAM_ANSWER:
+		gateway_on_stream_answer(g, &m->streams.stream);
+		break;
 	case MESSAGE_LINK_UP:
 		gateway_send_quarantine(g, m->contact.name);
 		break;
@@ -293,6 +308,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	zone_groups_init(&g->groups, sup->settings->zone);
 	quarantine_init(&g->quarantine);
+	stream_releases_init(&g->streams, MAX_STREAMS);
+	g->new_streams = g_array_new(FALSE, FALSE, sizeof(stream_release_t));
 	upstream_pool_init(&g->pool, sup->base);
 	retry_budget_init(&g->retries, &none);
 	runner_filter_init(&g->runners, LEFT_RUNNER_KEEP_US);
@@ -324,6 +341,9 @@
 	event_free(g->tick);
 	upstream_pool_finish(&g->pool);
 	quarantine_finish(&g->quarantine);
+	stream_releases_finish(&g->streams);
+	g_array_unref(g->new_streams);
+	vm_list_unref(g->vms);
 	retry_budget_finish(&g->retries);
 	runner_filter_finish(&g->runners);
 	g_hash_table_destroy(g->relays);
--- a/daemon/job.c
+++ b/daemon/job.c
@@ -448,6 +448,7 @@
 		[REFUSE_NO_RUNNER] = "the service has no runner",
 		[REFUSE_EXPIRED] = "its deadline passed while it waited",
 		[REFUSE_PAUSED] = "the engines asked for a pause",
+		[REFUSE_NO_RELEASE] = "no engine of its release serves",
 	};
 
 	return texts[reason];
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -60,9 +60,26 @@
 		g_array_sized_new(FALSE, FALSE, sizeof(*runners), n_runners);
 	if (n_runners)
 		g_array_append_vals(v->runners, runners, n_runners);
+	v->releases =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return v;
 }
 
+void vm_list_set_release(vm_list_t *v, const char *service, uint64_t release)
+{
+	if (release)
+		g_hash_table_insert(v->releases, g_strdup(service),
+				    g_memdup2(&release, sizeof(release)));
+}
+
+uint64_t vm_list_release(const vm_list_t *v, const char *service)
+{
+	const uint64_t *release =
+		v ? g_hash_table_lookup(v->releases, service) : NULL;
+
+	return release ? *release : 0;
+}
+
 vm_list_t *vm_list_ref(vm_list_t *v)
 {
 	return g_rc_box_acquire(v);
@@ -74,6 +91,7 @@
 
 	g_array_free(v->daemons, TRUE);
 	g_array_free(v->runners, TRUE);
+	g_hash_table_destroy(v->releases);
 }
 
 void vm_list_unref(vm_list_t *v)
@@ -136,6 +154,9 @@
 	case MESSAGE_CONFIG_RELAYED:
 		g_clear_pointer(&m->docs.docs, g_array_unref);
 		break;
+	case MESSAGE_STREAM_NOTES:
+		g_clear_pointer(&m->streams.begun, g_array_unref);
+		break;
 	case MESSAGE_TOPIC_UPDATE:
 		g_clear_pointer(&m->update.records, g_array_unref);
 		g_clear_pointer(&m->update.batch, g_bytes_unref);
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -18,6 +18,7 @@
 #include "core/member.h"
 #include "core/profile.h"
 #include "core/quarantine.h"
+#include "core/stream_releases.h"
 #include "core/topic_follow.h"
 #include "core/dedup.h"
 #include "platform/platform_client.h"
@@ -40,12 +41,21 @@
 typedef struct vm_list {
 	GArray *daemons; /* member_vm_t */
 	GArray *runners; /* vm_list_runner_t */
+	/*
+	 * Service to the hash of the only release that its streams can be of;
+	 * services with several, or of which that isn't known, are missing.
+	 */
+	GHashTable *releases;
 } vm_list_t;
 
 vm_list_t *vm_list_new(const member_vm_t *daemons, size_t n_daemons,
 		       const vm_list_runner_t *runners, size_t n_runners);
 vm_list_t *vm_list_ref(vm_list_t *v);
 void vm_list_unref(vm_list_t *v);
+/* Sets a service's only release, before the list is passed on; 0: none. */
+void vm_list_set_release(vm_list_t *v, const char *service, uint64_t release);
+/* Returns it; 0 when V is NULL or doesn't have it. */
+uint64_t vm_list_release(const vm_list_t *v, const char *service);
 
 typedef enum message_type {
 	MESSAGE_CONFIG, /* platform to all: the current documents */
@@ -78,6 +88,9 @@
 	MESSAGE_LIMIT_STAMP, /* likewise: the stamp for the next lease */
 	/* front to peers and back: prompt parts that crash runners */
 	MESSAGE_PART_NOTICE,
+	MESSAGE_STREAM_NOTES, /* front to peers to store: streams began */
+	MESSAGE_STREAM_ASK, /* likewise: which release began this one? */
+	MESSAGE_STREAM_ANSWER, /* store to peers to front */
 	MESSAGE_LINK_UP, /* peers to capacity, front: a link to a daemon is up */
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: incarnation ended */
 	MESSAGE_REQUEST_LISTS, /* store to peers: request a daemon's lists */
@@ -224,6 +237,14 @@
 	quarantine_entry_t entry; /* QUARANTINE */
 } message_part_t;
 
+/* Streams that began, or one stream that is asked for. */
+typedef struct message_streams {
+	char peer[MEMBER_NAME_SIZE]; /* who asked; "": this daemon */
+	GArray *begun; /* NOTES: of stream_release_t */
+	stream_release_t stream; /* ASK, ANSWER; release 0: not known */
+	bool from_memory; /* ASK: answer at once, without reading the store */
+} message_streams_t;
+
 typedef struct message_account {
 	accounts_key_t key;
 	accounts_sum_t delta;
@@ -267,6 +288,7 @@
 		message_lease_t lease;
 		message_limit_hosts_t limit_hosts;
 		message_part_t part;
+		message_streams_t streams;
 		message_account_t account;
 		message_append_t append;
 	};
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -81,6 +81,18 @@
 /* Sends a notice to the daemon that it names, or on all links. */
 void peers_send_part(peers_t *p, const message_part_t *notice);
 
+/* peers_streams.c: which release began a stream. */
+
+/* Sends streams that have begun to their recorders. */
+void peers_send_stream_notes(peers_t *p, const GArray *begun);
+/* Sends a question to the stream's recorder, or an answer to who asked. */
+void peers_route_stream(peers_t *p, const message_t *m);
+/* Posts a received message to its task; false for other frames. */
+bool peers_on_stream_frame(peers_t *p, const char *name,
+			   const Papaya__Frame *frame);
+/* Keeps links to the recorders. */
+void peers_link_recorders(peers_t *p);
+
 /* peers_detector.c: detection of unresponsive daemons and partitioned zones. */
 
 void peers_detector_start(peers_t *p);
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -217,6 +217,7 @@
 	}
 	if (peers_on_store_frame(p, name, frame) ||
 	    peers_on_part_frame(p, name, frame) ||
+	    peers_on_stream_frame(p, name, frame) ||
 	    peers_on_ping(p, name, frame))
 		return;
 	if (key_table_receive(&p->keys, name, frame))
@@ -413,8 +414,10 @@
 	peers_post_reader(p);
 	post_daemon_count(p);
 	peers_post_limit_hosts(p);
-	if (p->sup->settings->fleet)
+	if (p->sup->settings->fleet) {
 		peers_link_roles(p);
+		peers_link_recorders(p);
+	}
 	update_links(p);
 	send_heartbeats(p);
 	key_table_tick(&p->keys);
@@ -478,6 +481,13 @@
 	case MESSAGE_PART_NOTICE:
 		peers_send_part(p, &m->part);
 		break;
+	case MESSAGE_STREAM_NOTES:
+		peers_send_stream_notes(p, m->streams.begun);
+		break;
+	case MESSAGE_STREAM_ASK:
+	case MESSAGE_STREAM_ANSWER:
+		peers_route_stream(p, m);
+		break;
 	case MESSAGE_REQUEST_LISTS:
 		peers_request_lists(p, m->lists.topics);
 		break;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -74,6 +74,7 @@
 		c->want.start_by = r->arrived_at +
 				   fleet_caller_wait_ms(r->route) * US_PER_MS;
 	g_strlcpy(c->want.avoid, r->avoid, sizeof(c->want.avoid));
+	c->want.release = r->release;
 }
 
 static void post_capacity(relay_t *r, message_type_t type, const done_t *done)
@@ -393,6 +394,8 @@
 		[REFUSE_NO_RUNNER] = "the service has no runner",
 		[REFUSE_EXPIRED] = "its time passed while it waited",
 		[REFUSE_PAUSED] = "the runners asked for a pause",
+		[REFUSE_NO_RELEASE] =
+			"no runner of the stream's release serves",
 	};
 
 	return texts[reason];
@@ -478,7 +481,9 @@
 {
 	if (relay_refuse_quarantined(r))
 		return;
-	if (r->state == RELAY_AWAITING_LIMIT) {
+	if (r->state == RELAY_AWAITING_RELEASE) {
+		relay_check_release_timeout(r, now);
+	} else if (r->state == RELAY_AWAITING_LIMIT) {
 		relay_check_limit_timeout(r, now);
 	} else if (r->state == RELAY_AWAITING_GRANT &&
 		   try_next_dispatcher(r, now)) {
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -9,6 +9,8 @@
 
 typedef enum relay_state {
 	RELAY_AWAITING_READY, /* no configuration or runners are known yet */
+	/* the recorder of the stream that it takes up was asked */
+	RELAY_AWAITING_RELEASE,
 	RELAY_AWAITING_LIMIT, /* waits for the answer of the team's limiter */
 	RELAY_AWAITING_GRANT, /* waits for a dispatcher's grant */
 	RELAY_GRANTED, /* a runner is granted; the exchange with it runs */
@@ -59,6 +61,11 @@
 	dispatcher_runner_t runner;
 	runner_limit_t granted_limit; /* the runner's, from the grant */
 	char avoid[DISPATCHER_NAME_SIZE]; /* runner that failed last */
+	/*
+	 * Release that began the stream: only its runners may go on with it. 0:
+	 * it has not begun.
+	 */
+	uint64_t release;
 	upstream_conn_t *upstream;
 	/* Stated in the runner's answer, and reported to the dispatcher: */
 	bool says_leaving; /* the runner is leaving */
@@ -137,6 +144,26 @@
 /* Uses this daemon's share of the limit when the limiter doesn't answer. */
 void relay_check_limit_timeout(relay_t *r, int64_t now);
 
+/*
+ * Asks the limiter for the team's limit, or goes on without one: the release of
+ * a stream that is taken up is known.
+ */
+void relay_request_limit(relay_t *r);
+
+/* relay_release.c */
+
+/* Tells whether the request takes up a stream that broke off earlier. */
+bool relay_is_take_up(const relay_t *r);
+/*
+ * Finds the release of the stream that the request takes up. Returns false when
+ * its recorder was asked, or the request was refused.
+ */
+bool relay_find_release(relay_t *r);
+/* Asks the recorder again, or gives up; for RELAY_AWAITING_RELEASE. */
+void relay_check_release_timeout(relay_t *r, int64_t now);
+/* The stream's first event arrived: it is bound to the runner's release. */
+void relay_bind_release(relay_t *r);
+
 /* relay_runner.c */
 
 /* Handles what the answer's head states of the runner: leaving, pause, limit. */
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -42,6 +42,11 @@
 	return r->call.prompt_tokens + r->call.max_output_tokens;
 }
 
+static uint32_t reserved_percent(const relay_t *r)
+{
+	return (uint32_t)(fleet_reserved_share(r->fleet, r->route) * PERCENT);
+}
+
 static void post_limit(relay_t *r)
 {
 	message_t m = { .type = MESSAGE_LIMIT_ASK };
@@ -54,8 +59,8 @@
 	l->is_fallback = r->is_limit_fallback;
 	l->is_young = r->is_counter_young;
 	l->cost = limit_cost(r);
-	l->reserve =
-		(uint32_t)(fleet_reserved_share(r->fleet, r->route) * PERCENT);
+	/* A stream that has begun goes on before others begin. */
+	l->reserve = relay_is_take_up(r) ? 0 : reserved_percent(r);
 	g_strlcpy(l->team, r->team->name, sizeof(l->team));
 	g_strlcpy(l->profile, FLEET_PROFILE, sizeof(l->profile));
 	supervisor_post(r->gateway->sup, TASK_PEERS, &m);
@@ -77,10 +82,11 @@
 	return waited + LIMIT_RETRY_US < most;
 }
 
-/* Nothing of the team's limit is reserved for requests of more urgent routes. */
+/* Nothing of the team's limit is reserved for more urgent requests. */
 static bool is_urgent(const relay_t *r)
 {
-	return fleet_reserved_share(r->fleet, r->route) <= 0;
+	return relay_is_take_up(r) ||
+	       fleet_reserved_share(r->fleet, r->route) <= 0;
 }
 
 void relay_on_limit_answer(relay_t *r, const message_limit_t *answer)
@@ -179,7 +185,7 @@
 /* The caller takes up a stream that broke off, here or at another daemon. */
 static void log_take_up(const relay_t *r)
 {
-	if (r->route->kind != FLEET_STREAM || !r->call.last_event_id.len)
+	if (!relay_is_take_up(r))
 		return;
 	log_event("take-up", "request=%s resumes=%.*s after=%.*s", r->id,
 		  (int)r->call.resumed_attempt.len, r->call.resumed_attempt.ptr,
@@ -262,6 +268,12 @@
 	pick_dispatcher(r);
 	retry_budget_count_first(&g->retries, r->service);
 	start_deadline(r);
+	if (relay_find_release(r))
+		relay_request_limit(r);
+}
+
+void relay_request_limit(relay_t *r)
+{
 	if (!r->team || r->team->rate <= 0) {
 		relay_request_runner(r);
 		return;
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -119,8 +119,10 @@
 	}
 	if (!sse_feed(&r->sse, bytes))
 		return false;
-	if (!before && r->n_events)
+	if (!before && r->n_events) {
+		relay_bind_release(r);
 		report_first_event(r);
+	}
 	if (!had_output && r->has_output)
 		relay_report_sound(r);
 	if (!r->is_paused && ingress_backlog(r->caller) > max_backlog) {
--- /dev/null
+++ b/daemon/relay_release.c
@@ -0,0 +1,181 @@
+/*
+ * A stream goes on only on runners of the release that began it. While a
+ * service has several releases, daemons send the streams that begin to
+ * recorders (daemon/stream_recorder.h), which tell any daemon where its caller
+ * takes one up.
+ */
+#define LOG_PART "relay"
+
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "daemon/relay.h"
+
+enum {
+	US_PER_MS = 1000,
+	/* The question or the answer may be lost. */
+	REPEAT_ASK_US = 400 * US_PER_MS,
+	/* For the recorder to read the store, and to be replaced if it died. */
+	MAX_ASK_US = 1600 * US_PER_MS,
+	/* For an answer from memory, which is only to confirm. */
+	MAX_CONFIRM_US = 200 * US_PER_MS,
+	UNKNOWN_RETRY_MS = 1000,
+	/* Streams end sooner, with their callers' deadlines. */
+	STREAM_KEEP_US = 60 * 1000 * US_PER_MS,
+};
+
+static uint64_t only_release(const relay_t *r)
+{
+	return vm_list_release(r->gateway->vms, r->service);
+}
+
+bool relay_is_take_up(const relay_t *r)
+{
+	return r->route->kind == FLEET_STREAM && r->route->is_resumable &&
+	       r->call.last_event_id.len;
+}
+
+static void log_found(const relay_t *r, const char *why)
+{
+	log_event("stream-release",
+		  "request=%s resumes=%.*s release=%" PRIx64 " age_ms=%" PRId64
+		  " why=\"%s\"",
+		  r->id, (int)r->call.resumed_attempt.len,
+		  r->call.resumed_attempt.ptr, r->release,
+		  (now_us() - r->arrived_at) / US_PER_MS, why);
+}
+
+static void refuse_unknown(relay_t *r, const char *why)
+{
+	log_found(r, why);
+	relay_fail(r, 503, UNKNOWN_RETRY_MS,
+		   "it is not known which release began the stream");
+}
+
+static void post_ask(relay_t *r)
+{
+	message_t m = { .type = MESSAGE_STREAM_ASK };
+
+	r->requested_at = now_us();
+	m.streams.stream.stream = str_hash(r->call.resumed_attempt);
+	m.streams.from_memory = only_release(r) != 0;
+	supervisor_post(r->gateway->sup, TASK_PEERS, &m);
+}
+
+/*
+ * Nobody knows the stream: it is of the service's only release, if that is
+ * known. Returns false when there is none, and the request was refused.
+ */
+static bool use_only_release(relay_t *r, const char *why)
+{
+	r->release = only_release(r);
+	if (!r->release) {
+		refuse_unknown(r, why);
+		return false;
+	}
+	log_found(r, "the service has no other");
+	return true;
+}
+
+bool relay_find_release(relay_t *r)
+{
+	uint64_t stream = str_hash(r->call.resumed_attempt);
+
+	if (!relay_is_take_up(r))
+		return true;
+	r->release = stream_releases_find(&r->gateway->streams, stream);
+	if (r->release) {
+		log_found(r, "it began here");
+		return true;
+	}
+	if (!r->call.resumed_attempt.len)
+		return use_only_release(
+			r, "it doesn't name the attempt that began it");
+	/* Also with one release: other daemons may know of a new one before. */
+	relay_new_attempt(r);
+	r->state = RELAY_AWAITING_RELEASE;
+	post_ask(r);
+	return false;
+}
+
+void relay_check_release_timeout(relay_t *r, int64_t now)
+{
+	int64_t most = only_release(r) ? MAX_CONFIRM_US : MAX_ASK_US;
+
+	if (now - r->arrived_at > most) {
+		if (use_only_release(r, "no recorder answered"))
+			relay_request_limit(r);
+	} else if (now - r->requested_at > REPEAT_ASK_US) {
+		post_ask(r);
+	}
+}
+
+static void on_answer(relay_t *r, const stream_release_t *stream)
+{
+	if (stream->release) {
+		r->release = stream->release;
+		log_found(r, "its recorder knows it");
+	} else if (!use_only_release(r, "its recorder doesn't know it")) {
+		return;
+	}
+	relay_request_limit(r);
+}
+
+void gateway_on_stream_answer(gateway_t *g, const stream_release_t *stream)
+{
+	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
+
+	for (GList *link = relays; link; link = link->next) {
+		relay_t *r = link->data;
+
+		if (r->state == RELAY_AWAITING_RELEASE &&
+		    str_hash(r->call.resumed_attempt) == stream->stream)
+			on_answer(r, stream);
+	}
+}
+
+void relay_bind_release(relay_t *r)
+{
+	gateway_t *g = r->gateway;
+	stream_release_t stream = { str_hash(r->call.attempt_id),
+				    r->runner.release };
+
+	if (r->release || !stream.release || !r->route->is_resumable)
+		return;
+	r->release = stream.release;
+	stream_releases_add(&g->streams, &stream, now_us());
+	if (!only_release(r))
+		g_array_append_val(g->new_streams, stream);
+}
+
+void gateway_send_streams(gateway_t *g, int64_t now)
+{
+	message_t m = { .type = MESSAGE_STREAM_NOTES };
+
+	stream_releases_remove_before(&g->streams, now - STREAM_KEEP_US);
+	if (!g->new_streams->len)
+		return;
+	m.streams.begun = g->new_streams;
+	g->new_streams = g_array_new(FALSE, FALSE, sizeof(stream_release_t));
+	supervisor_post(g->sup, TASK_PEERS, &m);
+}
+
+/* Streams began while the service had one release, and were not recorded. */
+void gateway_on_releases(gateway_t *g, const vm_list_t *before)
+{
+	GHashTableIter iter;
+	void *service;
+
+	if (!before)
+		return;
+	g_hash_table_iter_init(&iter, before->releases);
+	while (g_hash_table_iter_next(&iter, &service, NULL)) {
+		if (vm_list_release(g->vms, service))
+			continue;
+		log_event("releases-mixed", "service=%s streams=%u",
+			  (const char *)service, g->streams.order.length);
+		g_array_set_size(g->new_streams, 0);
+		stream_releases_list(&g->streams, g->new_streams);
+		return;
+	}
+}
--- a/daemon/relay_runner.c
+++ b/daemon/relay_runner.c
@@ -182,6 +182,7 @@
 		[RUNNER_PAUSED] = "the runner asked for a pause",
 		[RUNNER_PARTITIONED] = "the runner's zone does not answer",
 		[RUNNER_LIMITED] = "the dispatcher doesn't know its limit",
+		[RUNNER_OTHER_RELEASE] = "the stream began on another release",
 	};
 
 	return texts[use];
@@ -189,7 +190,8 @@
 
 static done_result_t decline_result(runner_use_t use)
 {
-	if (use == RUNNER_PAUSED || use == RUNNER_LIMITED)
+	if (use == RUNNER_PAUSED || use == RUNNER_LIMITED ||
+	    use == RUNNER_OTHER_RELEASE)
 		return DONE_CANCELLED;
 	return use == RUNNER_PARTITIONED ? DONE_UNREACHABLE : DONE_LEAVING;
 }
@@ -206,6 +208,8 @@
 		return s;
 	if (is_partitioned(r)) {
 		s.use = RUNNER_PARTITIONED;
+	} else if (r->release && r->runner.release != r->release) {
+		s.use = RUNNER_OTHER_RELEASE;
 	} else if (!runner_limit_allows(&limit, &r->granted_limit)) {
 		s.use = RUNNER_LIMITED;
 		s.reported_at = limit.at;
@@ -236,7 +240,7 @@
 	r->pause_ms = is_paused ? (uint32_t)left_ms : 0;
 	relay_report_done(r, decline_result(s.use));
 	if (++r->declined_grants > MAX_DECLINES || !relay_retry(r))
-		relay_fail(r, r->possible_runs ? 502 : 503,
+		relay_fail(r, r->possible_runs || r->has_begun ? 502 : 503,
 			   r->possible_runs ? 0 : MAX(RETRY_MS, r->pause_ms),
 			   unusable_text(s.use));
 	return true;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -4613,12 +4613,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "from_memory",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Papaya__StreamAsk, attempt),
+    offsetof(Papaya__StreamAsk, from_memory),
     NULL,
     NULL,
     0,             /* flags */
@@ -4626,7 +4626,7 @@
   },
 };
 static const unsigned papaya__stream_ask__field_indices_by_name[] = {
-  1,   /* field[1] = attempt */
+  1,   /* field[1] = from_memory */
   0,   /* field[0] = stream */
 };
 static const ProtobufCIntRange papaya__stream_ask__number_ranges[1 + 1] =
@@ -4652,24 +4652,24 @@
 static const ProtobufCFieldDescriptor papaya__stream_answer__field_descriptors[2] =
 {
   {
-    "release",
+    "stream",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Papaya__StreamAnswer, release),
+    offsetof(Papaya__StreamAnswer, stream),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "release",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Papaya__StreamAnswer, attempt),
+    offsetof(Papaya__StreamAnswer, release),
     NULL,
     NULL,
     0,             /* flags */
@@ -4677,8 +4677,8 @@
   },
 };
 static const unsigned papaya__stream_answer__field_indices_by_name[] = {
-  1,   /* field[1] = attempt */
-  0,   /* field[0] = release */
+  1,   /* field[1] = release */
+  0,   /* field[0] = stream */
 };
 static const ProtobufCIntRange papaya__stream_answer__number_ranges[1 + 1] =
 {
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -850,7 +850,10 @@
 {
   ProtobufCMessage base;
   uint64_t stream;
-  uint64_t attempt;
+  /*
+   * answer at once, without reading the store
+   */
+  protobuf_c_boolean from_memory;
 };
 #define PAPAYA__STREAM_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__stream_ask__descriptor) \
@@ -863,11 +866,11 @@
 struct  Papaya__StreamAnswer
 {
   ProtobufCMessage base;
+  uint64_t stream;
   /*
    * 0: not known
    */
   uint64_t release;
-  uint64_t attempt;
 };
 #define PAPAYA__STREAM_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__stream_answer__descriptor) \
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -124,6 +124,14 @@
 		fixture->part_notices++;
 		fixture->last_part_notice = m->part;
 		break;
+	case MESSAGE_STREAM_ASK:
+		fixture->stream_asks++;
+		fixture->last_ask = m->streams.stream;
+		fixture->was_ask_from_memory = m->streams.from_memory;
+		break;
+	case MESSAGE_STREAM_NOTES:
+		fixture->streams_noted += (int)m->streams.begun->len;
+		break;
 	case MESSAGE_WITHDRAW:
 		fixture->withdraws++;
 		break;
@@ -341,19 +349,35 @@
 	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
 }
 
-void gateway_fixture_configure(gateway_fixture_t *fixture)
+void gateway_set_only_release(gateway_fixture_t *fixture, uint64_t release)
 {
 	static const member_vm_t self = { .name = "d", .zone = "z" };
 	message_t vms = { .type = MESSAGE_VMS,
 			  .vms = vm_list_new(&self, 1, NULL, 0) };
+
+	vm_list_set_release(vms.vms, "s", release);
+	supervisor_post(&fixture->sup, TASK_FRONT, &vms);
+	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+}
+
+void gateway_answer_ask(gateway_fixture_t *fixture, uint64_t release)
+{
+	message_t m = { .type = MESSAGE_STREAM_ANSWER };
+
+	m.streams.stream = fixture->last_ask;
+	m.streams.stream.release = release;
+	supervisor_post(&fixture->sup, TASK_FRONT, &m);
+}
+
+void gateway_fixture_configure(gateway_fixture_t *fixture)
+{
 	message_t m = { .type = MESSAGE_FLEET };
 	err_t err = { 0 };
 
 	m.fleet = fleet_json_parse_config(str_from(config_text), &err);
 	ck_assert_msg(m.fleet != NULL, "%s", err.detail);
 	supervisor_post(&fixture->sup, TASK_FRONT, &m);
-	supervisor_post(&fixture->sup, TASK_FRONT, &vms);
-	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+	gateway_set_only_release(fixture, 0);
 }
 
 void gateway_fixture_begin(gateway_fixture_t *fixture, const reply_t *first,
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -96,6 +96,10 @@
 	message_t last_first_token;
 	int part_notices; /* sent to other daemons */
 	message_part_t last_part_notice;
+	int stream_asks; /* to recorders of streams */
+	stream_release_t last_ask;
+	bool was_ask_from_memory;
+	int streams_noted; /* sent to recorders */
 	int part_records; /* changes of records in the platform's store */
 	message_part_t last_part_record;
 	done_result_t last_done;
@@ -121,6 +125,13 @@
 int gateway_count_arrivals(const gateway_fixture_t *fixture);
 /* Runs until the reports of the crashes so far have been judged. */
 void gateway_await_verdict(gateway_fixture_t *fixture);
+/*
+ * Sends a list of VMs on which service "s" has RELEASE as its only release; 0:
+ * it has several.
+ */
+void gateway_set_only_release(gateway_fixture_t *fixture, uint64_t release);
+/* Answers the latest question for a stream's release; 0: not known. */
+void gateway_answer_ask(gateway_fixture_t *fixture, uint64_t release);
 /* Answer the latest WANT or LIMIT_ASK, even if answers are switched off. */
 void gateway_grant_last(gateway_fixture_t *fixture);
 void gateway_allow_last(gateway_fixture_t *fixture);
--- a/tests/lib_store_fixture.c
+++ b/tests/lib_store_fixture.c
@@ -19,13 +19,29 @@
 	return NULL;
 }
 
+static void add_record(fake_topic_t *t, const char *key, char *value,
+		       size_t len)
+{
+	ck_assert_uint_lt(t->n, STORE_FIXTURE_RECORDS);
+	t->records[t->n++] = (fake_record_t){ g_strdup(key), value, len };
+}
+
 void store_fixture_put(store_fixture_t *f, int topic, const char *key,
 		       char *value)
 {
-	fake_topic_t *t = &f->topics[topic];
+	add_record(&f->topics[topic], key, value, strlen(value));
+}
 
-	ck_assert_uint_lt(t->n, STORE_FIXTURE_RECORDS);
-	t->records[t->n++] = (fake_record_t){ g_strdup(key), value };
+void store_fixture_put_release(store_fixture_t *f, const char *id,
+			       const char *release)
+{
+	store_fixture_put(
+		f, STORE_RUNNERS, id,
+		g_strdup_printf(
+			"{\"service\":\"s\",\"address\":\"127.0.0.1:9\","
+			"\"zone\":\"z\",\"slots\":4,\"state\":\"ready\","
+			"\"version\":\"%s\",\"sequence\":1,\"born\":7}",
+			release));
 }
 
 void store_fixture_put_config(store_fixture_t *f, int version)
@@ -93,10 +109,10 @@
 		const fake_record_t *r = &t->records[i];
 		size_t key = strlen(r->key);
 
-		add_number(body, 1 + key + strlen(r->value), 4);
+		add_number(body, 1 + key + r->len, 4);
 		add_number(body, key, 1);
 		g_string_append(body, r->key);
-		g_string_append(body, r->value);
+		g_string_append_len(body, r->value, (gssize)r->len);
 	}
 	reply(f, out, STATUS_OK, body);
 }
@@ -117,10 +133,10 @@
 
 	for (size_t i = 0; i < t->n; i++) {
 		const fake_record_t *r = &t->records[i];
-		g_autofree char *value = g_base64_encode(
-			(const guchar *)r->value, strlen(r->value));
+		g_autofree char *value =
+			g_base64_encode((const guchar *)r->value, r->len);
 
-		if (!is_newest(t, i) || !r->value[0])
+		if (!is_newest(t, i) || !r->len)
 			continue;
 		g_string_append_printf(body,
 				       "%s{\"key\":\"%s\",\"value\":\"%s\","
@@ -134,7 +150,8 @@
 }
 
 /* The daemon, whose name is "d", writes its own entry or another record. */
-static void reply_append(store_fixture_t *f, str_t record, fake_reply_t *out)
+static void reply_append(store_fixture_t *f, fake_topic_t *t, str_t record,
+			 fake_reply_t *out)
 {
 	enum { LENGTH_SIZE = 4 }; /* bytes; then the key, after its length */
 	g_autoptr(GString) empty = g_string_new("{}");
@@ -150,9 +167,11 @@
 	head = LENGTH_SIZE + 1 + (unsigned char)record.ptr[LENGTH_SIZE];
 	ck_assert_uint_ge(record.len, head);
 	key = g_strndup(record.ptr + LENGTH_SIZE + 1, head - LENGTH_SIZE - 1);
-	store_fixture_put(f, STORE_DAEMONS, key,
-			  g_strndup(record.ptr + head, record.len - head));
-	if (!strcmp(key, "d"))
+	add_record(t, key, g_memdup2(record.ptr + head, record.len - head),
+		   record.len - head);
+	if (t == &f->topics[STORE_STREAMS])
+		f->stream_appends++;
+	else if (!strcmp(key, "d"))
 		f->appends++;
 	else
 		f->part_appends++;
@@ -184,7 +203,7 @@
 	else if (strstr(request->path, "log-newest"))
 		reply_list(f, t, out);
 	else
-		reply_append(f, request->body, out);
+		reply_append(f, t, request->body, out);
 	/* It is asked at the same time, and nearer than the store. */
 	if (f->has_old_peer && !source)
 		send_old_list(f);
@@ -221,7 +240,12 @@
 		if ((int)m->number < f->version)
 			f->lowest_version = (int)m->number;
 		f->version = (int)m->number;
+	} else if (m->type == MESSAGE_STREAM_ANSWER) {
+		f->last_stream = m->streams.stream;
+		f->stream_answers++;
 	} else if (m->type == MESSAGE_VMS) {
+		f->only_release = vm_list_release(m->vms, "s");
+		f->lists++;
 		count_runners(f, m->vms);
 	} else if (m->type == MESSAGE_CONFIG_SEND) {
 		read_version(f, &g_array_index(m->docs.docs, config_doc_t, 0));
@@ -294,6 +318,7 @@
 	f->topics[STORE_CONFIG].name = "keyed.op";
 	f->topics[STORE_RUNNERS].name = "keyed.servers";
 	f->topics[STORE_DAEMONS].name = "keyed.daemons";
+	f->topics[STORE_STREAMS].name = "topic=streams";
 	task_fixture_set_state(f);
 	log_init("error");
 	f->base = event_base_new();
--- a/tests/lib_store_fixture.h
+++ b/tests/lib_store_fixture.h
@@ -11,7 +11,7 @@
 #include "tests/lib_fake_http.h"
 
 enum {
-	STORE_FIXTURE_TOPICS = 3,
+	STORE_FIXTURE_TOPICS = 4,
 	STORE_FIXTURE_RECORDS = 48, /* of a topic, at most */
 	STORE_FIXTURE_LIMIT_US = 3 * 1000 * 1000, /* for the task to learn it */
 };
@@ -19,6 +19,7 @@
 /* Both strings are owned by the topic. */
 typedef struct fake_record {
 	char *key, *value;
+	size_t len; /* of the value */
 } fake_record_t;
 
 /* A topic and its records. */
@@ -43,7 +44,12 @@
 	topic_position_t told_from, told_to;
 	int tells; /* such updates */
 	int appends; /* of this daemon's entry */
-	int part_appends; /* of other records */
+	int part_appends; /* of other records in the daemons' topic */
+	int stream_appends; /* of streams that began */
+	int stream_answers; /* to questions about these */
+	stream_release_t last_stream; /* the latest answer */
+	uint64_t only_release; /* of service "s", in the latest list */
+	int lists; /* of VMs */
 	int refused_appends; /* the next ones that the store refuses */
 	int quarantined; /* prompt parts that the front task was told of */
 	quarantine_entry_t last_quarantined;
@@ -64,6 +70,9 @@
 		       char *value);
 /* Adds a valid configuration of this version. */
 void store_fixture_put_config(store_fixture_t *f, int version);
+/* Adds an entry of a ready runner of this release of its software. */
+void store_fixture_put_release(store_fixture_t *f, const char *id,
+			       const char *release);
 /* Adds an entry of a runner, of an incarnation that is always the same. */
 void store_fixture_put_runner(store_fixture_t *f, const char *id, int sequence,
 			      const char *state);
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -137,7 +137,7 @@
 	char name[MEMBER_NAME_SIZE + 1];
 	message_t out;
 
-	refuse.reason = REFUSE_PAUSED + 1;
+	refuse.reason = REFUSE_REASONS;
 	frame.body_case = PAPAYA__FRAME__BODY_REFUSE;
 	frame.refuse = &refuse;
 	ck_assert(!frames_read_capacity(&frame, "d", now, &out));
--- /dev/null
+++ b/tests/test_stream_recorder.c
@@ -0,0 +1,159 @@
+/*
+ * All daemons are killed while two releases of a service are in service. The
+ * next processes must know which release began a stream that a caller takes up,
+ * and must not take the release that is left for the only one.
+ */
+#include "core/release_history.h"
+#include "tests/lib_store_fixture.h"
+#include "tests/lib_suite.h"
+
+enum {
+	STREAM = 0xabc,
+	OTHER_STREAM = 0xdef,
+	RELEASE = 7,
+	RUN_US = 300 * 1000, /* for what must not happen */
+};
+
+static void post_notes(store_fixture_t *f)
+{
+	message_t m = { .type = MESSAGE_STREAM_NOTES };
+	stream_release_t s = { STREAM, RELEASE };
+
+	m.streams.begun = g_array_new(FALSE, FALSE, sizeof(stream_release_t));
+	g_array_append_val(m.streams.begun, s);
+	supervisor_post(&f->sup, TASK_PLATFORM, &m);
+}
+
+static void post_ask(store_fixture_t *f, uint64_t stream, bool from_memory)
+{
+	message_t m = { .type = MESSAGE_STREAM_ASK };
+
+	m.streams.stream.stream = stream;
+	m.streams.from_memory = from_memory;
+	supervisor_post(&f->sup, TASK_PLATFORM, &m);
+}
+
+static void start(store_fixture_t *f)
+{
+	store_fixture_init(f);
+	store_fixture_restart_as_seed(f);
+	store_fixture_put_config(f, 1);
+}
+
+static void assert_answer(store_fixture_t *f, uint64_t stream, uint64_t release)
+{
+	int answers = f->stream_answers;
+
+	post_ask(f, stream, false);
+	ck_assert(store_fixture_await(f, &f->stream_answers, answers + 1));
+	ck_assert_uint_eq(f->last_stream.stream, stream);
+	ck_assert_uint_eq(f->last_stream.release, release);
+}
+
+START_TEST(a_recorder_answers_from_memory)
+{
+	store_fixture_t f;
+
+	start(&f);
+	post_notes(&f);
+	post_ask(&f, STREAM, true);
+	ck_assert(store_fixture_await(&f, &f.stream_answers, 1));
+	ck_assert_uint_eq(f.last_stream.release, RELEASE);
+	post_ask(&f, OTHER_STREAM, true);
+	ck_assert(store_fixture_await(&f, &f.stream_answers, 2));
+	ck_assert_uint_eq(f.last_stream.release, 0);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+/* Guards against streams that nobody knows after all daemons were killed. */
+START_TEST(streams_outlive_a_restart_of_all)
+{
+	store_fixture_t f;
+
+	start(&f);
+	post_notes(&f);
+	ck_assert(store_fixture_await(&f, &f.stream_appends, 1));
+	store_fixture_restart(&f);
+	assert_answer(&f, STREAM, RELEASE);
+	assert_answer(&f, OTHER_STREAM, 0);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+START_TEST(streams_that_the_store_refuses_are_written_later)
+{
+	store_fixture_t f;
+
+	start(&f);
+	ck_assert(store_fixture_await(&f, &f.appends, 1));
+	f.refused_appends = 1;
+	post_notes(&f);
+	ck_assert(store_fixture_await(&f, &f.stream_appends, 1));
+	ck_assert_int_eq(f.refused_appends, 0);
+	store_fixture_run(&f, RUN_US);
+	ck_assert_int_eq(f.stream_appends, 1);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+/* Guards against a store that comes back from a copy without the streams. */
+START_TEST(streams_are_written_again_to_a_restored_store)
+{
+	store_fixture_t f;
+
+	start(&f);
+	post_notes(&f);
+	ck_assert(store_fixture_await(&f, &f.stream_appends, 1));
+	f.epoch = 2;
+	store_fixture_go_back(&f, STORE_STREAMS, 0);
+	ck_assert(store_fixture_await(&f, &f.stream_appends, 2));
+	store_fixture_restart(&f);
+	assert_answer(&f, STREAM, RELEASE);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+/* Guards against streams joined from a release that left with the daemons. */
+START_TEST(a_new_process_knows_of_releases_that_have_left)
+{
+	store_fixture_t f;
+
+	start(&f);
+	store_fixture_put_release(&f, "i-1", "v1");
+	store_fixture_put_release(&f, "i-2", "v2");
+	ck_assert(store_fixture_await(&f, &f.part_appends, 1));
+	ck_assert_uint_eq(f.only_release, 0);
+	store_fixture_put(&f, STORE_RUNNERS, "i-1", g_strdup(""));
+	f.lists = 0;
+	store_fixture_restart(&f);
+	store_fixture_run(&f, RUN_US);
+	ck_assert_int_ge(f.lists, 1);
+	ck_assert_int_eq(f.runners, 1);
+	ck_assert_uint_eq(f.only_release, 0);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+/* Guards against take-ups that are refused though there is one release. */
+START_TEST(a_new_process_knows_of_a_release_that_is_the_only_one)
+{
+	store_fixture_t f;
+
+	start(&f);
+	store_fixture_put_release(&f, "i-1", "v1");
+	ck_assert(store_fixture_await(&f, &f.part_appends, 1));
+	store_fixture_restart(&f);
+	for (int i = 0; i < 10 && !f.only_release; i++)
+		store_fixture_run(&f, RUN_US);
+	ck_assert_uint_eq(f.only_release, release_history_hash("v1"));
+	store_fixture_finish(&f);
+}
+END_TEST
+
+SUITE_MAIN("stream_recorder", a_recorder_answers_from_memory,
+	   streams_outlive_a_restart_of_all,
+	   streams_that_the_store_refuses_are_written_later,
+	   streams_are_written_again_to_a_restored_store,
+	   a_new_process_knows_of_releases_that_have_left,
+	   a_new_process_knows_of_a_release_that_is_the_only_one)
--- a/tests/test_version_skew.c
+++ b/tests/test_version_skew.c
@@ -71,5 +71,120 @@
 }
 END_TEST
 
+/* Takes up a stream that began at another daemon; the recorder is asked. */
+static void take_up_unknown(gateway_fixture_t *fixture)
+{
+	begin(fixture, resumes, resumes);
+	gateway_send(fixture, 0, TAKE_UP("b", "a"));
+	gateway_await_count(fixture, &fixture->stream_asks, 1);
+	ck_assert_int_eq(fixture->wants, 0);
+	ck_assert(!fixture->was_ask_from_memory);
+}
+
+START_TEST(a_recorder_tells_the_release_of_another_daemons_stream)
+{
+	gateway_fixture_t fixture;
+
+	take_up_unknown(&fixture);
+	gateway_answer_ask(&fixture, NEW_RELEASE);
+	gateway_await(&fixture, 0, "id: 2");
+	ck_assert_uint_eq(fixture.last_want.capacity.want.release, NEW_RELEASE);
+	ck_assert_int_eq(fixture.runners[0].n_requests, 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against going on somewhere when nobody knows the stream. */
+START_TEST(a_stream_of_an_unknown_release_is_not_taken_up)
+{
+	gateway_fixture_t fixture;
+
+	take_up_unknown(&fixture);
+	gateway_answer_ask(&fixture, 0);
+	gateway_await(&fixture, 0, "HTTP/1.1 503 ");
+	ck_assert_int_eq(gateway_count_arrivals(&fixture), 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+START_TEST(a_recorder_that_is_silent_is_asked_again_and_given_up)
+{
+	gateway_fixture_t fixture;
+
+	take_up_unknown(&fixture);
+	gateway_await(&fixture, 0, "HTTP/1.1 503 ");
+	ck_assert_int_ge(fixture.stream_asks, 2);
+	ck_assert_int_eq(gateway_count_arrivals(&fixture), 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against refusing take-ups while there is no skew. */
+START_TEST(a_stream_of_the_only_release_is_taken_up)
+{
+	static const uint64_t answers[] = { 0, OLD_RELEASE };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		gateway_fixture_t fixture;
+
+		begin(&fixture, resumes, resumes);
+		gateway_set_only_release(&fixture, OLD_RELEASE);
+		gateway_send(&fixture, 0, TAKE_UP("b", "a"));
+		gateway_await_count(&fixture, &fixture.stream_asks, 1);
+		ck_assert(fixture.was_ask_from_memory);
+		gateway_answer_ask(&fixture, answers[i]);
+		gateway_await(&fixture, 0, "id: 2");
+		ck_assert_int_eq(fixture.runners[1].n_requests, 0);
+		gateway_fixture_finish(&fixture);
+	}
+}
+END_TEST
+
+/* Guards against a daemon that learns of a new release after the others. */
+START_TEST(a_recorder_knows_better_than_the_own_list)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture, resumes, resumes);
+	gateway_set_only_release(&fixture, OLD_RELEASE);
+	gateway_send(&fixture, 0, TAKE_UP("b", "a"));
+	gateway_await_count(&fixture, &fixture.stream_asks, 1);
+	gateway_answer_ask(&fixture, NEW_RELEASE);
+	gateway_await(&fixture, 0, "id: 2");
+	ck_assert_int_eq(fixture.runners[0].n_requests, 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against a frame and a record for each stream in ordinary times. */
+START_TEST(streams_are_recorded_only_beside_another_release)
+{
+	static const reply_t whole[FIXTURE_REPLIES] = {
+		{ STREAM_HEAD EVENT "0\r\n\r\n", REPLY_KEEP },
+		{ STREAM_HEAD EVENT "0\r\n\r\n", REPLY_KEEP },
+	};
+	gateway_fixture_t fixture;
+
+	begin(&fixture, whole, whole);
+	gateway_set_only_release(&fixture, OLD_RELEASE);
+	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
+	gateway_await(&fixture, 0, "0\r\n\r\n");
+	gateway_run(&fixture, 100);
+	ck_assert_int_eq(fixture.streams_noted, 0);
+	/* It may have broken off for its caller; now it must be known. */
+	gateway_set_only_release(&fixture, 0);
+	gateway_await_count(&fixture, &fixture.streams_noted, 1);
+	gateway_send(&fixture, 1, REQUEST("/stream/", "c"));
+	gateway_await_count(&fixture, &fixture.streams_noted, 2);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 SUITE_MAIN("version_skew", a_broken_stream_resumes_on_its_release_only,
-	   a_take_up_goes_to_the_release_that_began_the_stream)
+	   a_take_up_goes_to_the_release_that_began_the_stream,
+	   a_recorder_tells_the_release_of_another_daemons_stream,
+	   a_stream_of_an_unknown_release_is_not_taken_up,
+	   a_recorder_that_is_silent_is_asked_again_and_given_up,
+	   a_stream_of_the_only_release_is_taken_up,
+	   a_recorder_knows_better_than_the_own_list,
+	   streams_are_recorded_only_beside_another_release)
