relay, limits: streams that callers take up go before new ones

Ruled out: runners of their release were there, and recorders answered.

A take-up waits at the limit for up to half of the time after which callers leave and leaves nothing to more urgent work; its want states the output that is left; a stream is noted when its request is sent, and recorders write at once, up to ten times a second. Tests that failed before: a_take_up_waits_at_its_teams_limit (429 at once), only_what_is_left_of_a_stream_is_estimated (80 tokens where 20 are left).

--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -39,7 +39,6 @@
 	quarantine_t quarantine; /* prompt parts that crash runners */
 	vm_list_t *vms; /* NULL until a list was received */
 	stream_releases_t streams; /* that began here */
-	GArray *new_streams; /* of stream_release_t, to be recorded */
 	fleet_t *fleet; /* NULL until a configuration is in force */
 	retry_budget_t retries;
 	/* status of runners, as known to this daemon */
@@ -125,8 +124,6 @@
 
 /* relay_release.c: streams that go on only on the release that began them. */
 
-/* Sends streams that began to their recorders; called every TICK_MS. */
-void gateway_send_streams(gateway_t *g, int64_t now);
 /* Handles the answer of a stream's recorder. */
 void gateway_on_stream_answer(gateway_t *g, const stream_release_t *stream);
 /* A new list of runners: sends streams to be recorded that were not so far. */
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -137,7 +137,6 @@
 	int64_t now = now_us();
 
 	gateway_check_quarantine(g);
-	gateway_send_streams(g, now);
 	for (GList *link = relays; link; link = link->next)
 		relay_tick(link->data, now);
 	export_stats(g);
@@ -309,7 +308,6 @@
 	zone_groups_init(&g->groups, sup->settings->zone);
 	quarantine_init(&g->quarantine);
 	stream_releases_init(&g->streams, MAX_STREAMS);
-	g->new_streams = g_array_new(FALSE, FALSE, sizeof(stream_release_t));
 	upstream_pool_init(&g->pool, sup->base);
 	retry_budget_init(&g->retries, &none);
 	runner_filter_init(&g->runners, LEFT_RUNNER_KEEP_US);
@@ -342,7 +340,6 @@
 	upstream_pool_finish(&g->pool);
 	quarantine_finish(&g->quarantine);
 	stream_releases_finish(&g->streams);
-	g_array_unref(g->new_streams);
 	vm_list_unref(g->vms);
 	retry_budget_finish(&g->retries);
 	runner_filter_finish(&g->runners);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -20,6 +20,7 @@
 	/* A request with less time left is not sent again. */
 	MIN_RETRY_TIME_US = 20 * US_PER_MS,
 	DEFAULT_OUTPUT_TOKENS = 128,
+	LEFT_OUTPUT_DIVISOR = 8,
 };
 
 static supervisor_t *supervisor_of(const relay_t *r)
@@ -37,7 +38,7 @@
 	return r->runner.name[0] ? r->runner.name : "-";
 }
 
-static uint32_t output_tokens(const call_head_t *call)
+static uint32_t whole_output_tokens(const call_head_t *call)
 {
 	if (call->output_hint)
 		return call->output_hint;
@@ -45,6 +46,37 @@
 				  DEFAULT_OUTPUT_TOKENS;
 }
 
+/*
+ * Returns the number of events that the caller has of the stream: their IDs
+ * count them. 0 if there are none, or their IDs are no numbers.
+ */
+static uint32_t events_received(const relay_t *r)
+{
+	str_t id = { r->last_event_id->str, r->last_event_id->len };
+	g_autofree char *text = NULL;
+	guint64 n;
+
+	if (!id.len)
+		id = r->call.last_event_id;
+	text = g_strndup(id.ptr, id.len);
+	return g_ascii_string_to_unsigned(text, 10, 0, UINT32_MAX, &n, NULL) ?
+		       (uint32_t)n :
+		       0;
+}
+
+/*
+ * Estimates the output that is left. An event has a token at least. What goes
+ * on after its estimated end is taken to have a small part left.
+ */
+static uint32_t output_tokens_left(const relay_t *r)
+{
+	uint32_t whole = whole_output_tokens(&r->call);
+	uint32_t received = events_received(r);
+
+	return MAX(received < whole ? whole - received : 0,
+		   whole / LEFT_OUTPUT_DIVISOR + 1);
+}
+
 static void fill_capacity(const relay_t *r, message_capacity_t *c)
 {
 	const fleet_service_t *service =
@@ -61,7 +93,7 @@
 	if (r->team)
 		g_strlcpy(c->want.team, r->team->name, sizeof(c->want.team));
 	c->want.prompt_tokens = is_engine ? MAX(r->call.prompt_tokens, 1) : 1;
-	c->want.output_tokens = is_engine ? output_tokens(&r->call) : 1;
+	c->want.output_tokens = is_engine ? r->output_tokens : 1;
 	c->want.prefix_hash = r->call.prefix_hash;
 	c->want.prefix_tokens = r->call.prefix_tokens;
 	c->want.session_hash = r->call.session_hash;
@@ -103,6 +135,7 @@
 {
 	relay_new_attempt(r);
 	r->state = RELAY_AWAITING_GRANT;
+	r->output_tokens = output_tokens_left(r);
 	r->requested_at = now_us();
 	r->wait_started_at = r->requested_at;
 	r->stall_epoch = supervisor_stall_epoch(supervisor_of(r));
@@ -147,7 +180,7 @@
 	done_t done = { .result = result };
 
 	done.prompt_tokens = r->call.prompt_tokens;
-	done.output_tokens = output_tokens(&r->call);
+	done.output_tokens = r->output_tokens;
 	done.says_leaving = r->says_leaving;
 	done.pause_ms = r->pause_ms;
 	done.limit =
@@ -327,6 +360,7 @@
 	sse_reset(&r->sse);
 	r->state = RELAY_GRANTED;
 	r->progress_at = now_us();
+	relay_note_release(r);
 	r->upstream = upstream_conn_start(
 		&r->gateway->pool, r->runner.address, may_reuse,
 		str_eq(r->call.method, STR_LIT("HEAD")), request,
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -70,6 +70,7 @@
 	/* Stated in the runner's answer, and reported to the dispatcher: */
 	bool says_leaving; /* the runner is leaving */
 	uint32_t pause_ms; /* time without requests from this VM; 0: none */
+	uint32_t output_tokens; /* estimate of what is left, for the want */
 	uint32_t declined_grants; /* grants that were returned unused */
 	uint32_t sends; /* how often it was sent to a runner */
 	uint32_t possible_runs; /* of those, the ones that may have run */
@@ -161,6 +162,12 @@
 bool relay_find_release(relay_t *r);
 /* Asks the recorder again, or gives up; for RELAY_AWAITING_RELEASE. */
 void relay_check_release_timeout(relay_t *r, int64_t now);
+/*
+ * The request is sent to a runner, and may begin a stream there: has its
+ * recorder told, if the service has several releases. Told again for the next
+ * runner, the recorder forgets the one before.
+ */
+void relay_note_release(const relay_t *r);
 /* The stream's first event arrived: it is bound to the runner's release. */
 void relay_bind_release(relay_t *r);
 
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -25,6 +25,8 @@
 	MIN_AFFINITY_TOKENS = 500, /* shorter prefixes are prefilled quickly */
 	MAX_EVENT_BYTES = 256 * 1024, /* one server-sent event */
 	PERCENT = 100,
+	/* Part of the time after which the caller of a stream leaves. */
+	TAKE_UP_WAIT_DIVISOR = 2,
 };
 
 void relay_fail_unready(relay_t *r)
@@ -42,8 +44,14 @@
 	return r->call.prompt_tokens + r->call.max_output_tokens;
 }
 
+/*
+ * The share of the limit to leave to more urgent work. Streams that have begun
+ * go on before others begin.
+ */
 static uint32_t reserved_percent(const relay_t *r)
 {
+	if (relay_is_take_up(r))
+		return 0;
 	return (uint32_t)(fleet_reserved_share(r->fleet, r->route) * PERCENT);
 }
 
@@ -59,8 +67,7 @@
 	l->is_fallback = r->is_limit_fallback;
 	l->is_young = r->is_counter_young;
 	l->cost = limit_cost(r);
-	/* A stream that has begun goes on before others begin. */
-	l->reserve = relay_is_take_up(r) ? 0 : reserved_percent(r);
+	l->reserve = reserved_percent(r);
 	g_strlcpy(l->team, r->team->name, sizeof(l->team));
 	g_strlcpy(l->profile, FLEET_PROFILE, sizeof(l->profile));
 	supervisor_post(r->gateway->sup, TASK_PEERS, &m);
@@ -77,7 +84,11 @@
 	int64_t most = MIN(MAX_LIMIT_WAIT_US,
 			   (r->deadline - r->arrived_at) / LIMIT_WAIT_DIVISOR);
 
-	if (target)
+	if (relay_is_take_up(r))
+		most = MIN((r->deadline - r->arrived_at) / LIMIT_WAIT_DIVISOR,
+			   fleet_caller_wait_ms(r->route) * US_PER_MS /
+				   TAKE_UP_WAIT_DIVISOR);
+	else if (target)
 		most = MIN(most, target);
 	return waited + LIMIT_RETRY_US < most;
 }
@@ -108,7 +119,8 @@
 		post_limit(r);
 		return;
 	}
-	if (answer->is_young && may_wait_for_limit(r)) {
+	if ((answer->is_young || relay_is_take_up(r)) &&
+	    may_wait_for_limit(r)) {
 		r->limit_retry_at = now_us() + LIMIT_RETRY_US;
 		return;
 	}
--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -134,36 +134,55 @@
 	}
 }
 
-void relay_bind_release(relay_t *r)
+/* The stream that the request begins, if its runner does; release 0: none. */
+static stream_release_t own_stream(const relay_t *r)
 {
-	gateway_t *g = r->gateway;
-	stream_release_t stream = { str_hash(r->call.attempt_id),
-				    r->runner.release };
+	stream_release_t stream = { str_hash(r->call.attempt_id), 0 };
 
-	if (r->release || !stream.release || !r->route->is_resumable)
-		return;
-	r->release = stream.release;
-	stream_releases_add(&g->streams, &stream, now_us());
-	if (!only_release(r))
-		g_array_append_val(g->new_streams, stream);
+	if (!r->release && r->route->kind == FLEET_STREAM &&
+	    r->route->is_resumable)
+		stream.release = r->runner.release;
+	return stream;
 }
 
-void gateway_send_streams(gateway_t *g, int64_t now)
+/* Takes ownership of BEGUN, an array of stream_release_t. */
+static void post_notes(gateway_t *g, GArray *begun)
 {
 	message_t m = { .type = MESSAGE_STREAM_NOTES };
 
-	stream_releases_remove_before(&g->streams, now - STREAM_KEEP_US);
-	if (!g->new_streams->len)
-		return;
-	m.streams.begun = g->new_streams;
-	g->new_streams = g_array_new(FALSE, FALSE, sizeof(stream_release_t));
+	m.streams.begun = begun;
 	supervisor_post(g->sup, TASK_PEERS, &m);
 }
 
+void relay_note_release(const relay_t *r)
+{
+	stream_release_t stream = own_stream(r);
+	GArray *begun;
+
+	if (!stream.release || only_release(r))
+		return;
+	begun = g_array_new(FALSE, FALSE, sizeof(stream_release_t));
+	g_array_append_val(begun, stream);
+	post_notes(r->gateway, begun);
+}
+
+void relay_bind_release(relay_t *r)
+{
+	gateway_t *g = r->gateway;
+	stream_release_t stream = own_stream(r);
+
+	if (!stream.release)
+		return;
+	r->release = stream.release;
+	stream_releases_remove_before(&g->streams, now_us() - STREAM_KEEP_US);
+	stream_releases_add(&g->streams, &stream, now_us());
+}
+
 /* Streams began while the service had one release, and were not recorded. */
 void gateway_on_releases(gateway_t *g, const vm_list_t *before)
 {
 	GHashTableIter iter;
+	GArray *begun;
 	void *service;
 
 	if (!before)
@@ -174,8 +193,9 @@
 			continue;
 		log_event("releases-mixed", "service=%s streams=%u",
 			  (const char *)service, g->streams.order.length);
-		g_array_set_size(g->new_streams, 0);
-		stream_releases_list(&g->streams, g->new_streams);
+		begun = g_array_new(FALSE, FALSE, sizeof(stream_release_t));
+		stream_releases_list(&g->streams, begun);
+		post_notes(g, begun);
 		return;
 	}
 }
--- a/daemon/stream_recorder.c
+++ b/daemon/stream_recorder.c
@@ -12,7 +12,7 @@
 	MAX_UNSAVED = 65536, /* further ones are kept in memory only */
 	MAX_BATCH = 4096, /* streams in a record: 64 KiB */
 	MAX_ASKS = 1024,
-	WRITE_GAP_US = 200 * US_PER_MS, /* between two batches */
+	WRITE_GAP_US = 100 * US_PER_MS, /* between two batches */
 	RETRY_US = 500 * US_PER_MS, /* after a failed call */
 	READ_GAP_US =
 		100 * US_PER_MS, /* between two reads of the topic's end */
@@ -48,6 +48,49 @@
 	g_array_unref(r->asks);
 }
 
+static void write_if_due(stream_recorder_t *r, int64_t now);
+
+static void on_written(void *ctx, const err_t *err)
+{
+	stream_recorder_t *r = ctx;
+	char reason[ERR_DETAIL_SIZE * 2];
+
+	if (err) {
+		log_warn("cannot write the streams that began: %s",
+			 err_text(err, reason, sizeof(reason)));
+		r->write_at = now_us() + RETRY_US;
+	} else {
+		g_array_remove_range(r->unsaved, 0, r->n_writing);
+	}
+	r->n_writing = 0;
+	write_if_due(r, now_us());
+}
+
+static void begin_write(stream_recorder_t *r, int64_t now)
+{
+	guint n = MIN(r->unsaved->len, MAX_BATCH);
+	g_autofree stream_release_t *value = g_new(stream_release_t, n);
+
+	for (guint i = 0; i < n; i++) {
+		const stream_release_t *s =
+			&g_array_index(r->unsaved, stream_release_t, i);
+
+		value[i] = (stream_release_t){ GUINT64_TO_LE(s->stream),
+					       GUINT64_TO_LE(s->release) };
+	}
+	r->write_at = now + WRITE_GAP_US;
+	if (store_append(r->store, STORE_STREAMS, str_from(record_key),
+			 (str_t){ (char *)value, n * sizeof(*value) },
+			 on_written, r, NULL))
+		r->n_writing = n;
+}
+
+static void write_if_due(stream_recorder_t *r, int64_t now)
+{
+	if (r->unsaved->len && !r->n_writing && now >= r->write_at)
+		begin_write(r, now);
+}
+
 static void add_notes(stream_recorder_t *r, const GArray *begun, int64_t now)
 {
 	for (guint i = 0; i < begun->len; i++) {
@@ -55,12 +98,13 @@
 			&g_array_index(begun, stream_release_t, i);
 
 		/* A list of all of a daemon's streams has known ones, too. */
-		if (stream_releases_find(&r->streams, s->stream))
+		if (stream_releases_find(&r->streams, s->stream) == s->release)
 			continue;
 		stream_releases_add(&r->streams, s, now);
 		if (r->unsaved->len < MAX_UNSAVED)
 			g_array_append_val(r->unsaved, *s);
 	}
+	write_if_due(r, now);
 }
 
 static void answer(stream_recorder_t *r, const char *peer, uint64_t stream)
@@ -136,8 +180,8 @@
 {
 	stream_release_t s;
 
-	for (size_t i = 0; i + sizeof(s) <= value.len; i += sizeof(s)) {
-		memcpy(&s, value.ptr + i, sizeof(s));
+	for (size_t i = value.len / sizeof(s); i-- > 0;) {
+		memcpy(&s, value.ptr + i * sizeof(s), sizeof(s));
 		s.stream = GUINT64_FROM_LE(s.stream);
 		s.release = GUINT64_FROM_LE(s.release);
 		if (s.release && !stream_releases_find(&r->streams, s.stream))
@@ -158,7 +202,8 @@
 			 err_text(err, reason, sizeof(reason)));
 		return;
 	}
-	for (size_t i = 0; i < page->n_entries; i++)
+	/* The last word on a stream holds, and what came in notes is later. */
+	for (size_t i = page->n_entries; i-- > 0;)
 		add_record(r, page->entries[i].value, now);
 	r->next = page->next;
 	if (page->has_gap || page->next < page->end)
@@ -176,50 +221,17 @@
 		r->read_at = now + RETRY_US;
 }
 
-static void on_written(void *ctx, const err_t *err)
-{
-	stream_recorder_t *r = ctx;
-	char reason[ERR_DETAIL_SIZE * 2];
-
-	if (err) {
-		log_warn("cannot write the streams that began: %s",
-			 err_text(err, reason, sizeof(reason)));
-		r->write_at = now_us() + RETRY_US;
-	} else {
-		g_array_remove_range(r->unsaved, 0, r->n_writing);
-	}
-	r->n_writing = 0;
-}
-
-static void begin_write(stream_recorder_t *r, int64_t now)
-{
-	guint n = MIN(r->unsaved->len, MAX_BATCH);
-	g_autofree stream_release_t *value = g_new(stream_release_t, n);
-
-	for (guint i = 0; i < n; i++) {
-		const stream_release_t *s =
-			&g_array_index(r->unsaved, stream_release_t, i);
-
-		value[i] = (stream_release_t){ GUINT64_TO_LE(s->stream),
-					       GUINT64_TO_LE(s->release) };
-	}
-	r->write_at = now + WRITE_GAP_US;
-	if (store_append(r->store, STORE_STREAMS, str_from(record_key),
-			 (str_t){ (char *)value, n * sizeof(*value) },
-			 on_written, r, NULL))
-		r->n_writing = n;
-}
-
-/* Has everything written again: the store has come back from an old copy. */
+/*
+ * Has everything written again in another epoch: the store has come back from
+ * an old copy. Also in the first one, as it may have been written before it.
+ */
 static void check_epoch(stream_recorder_t *r, uint64_t epoch)
 {
 	if (epoch <= r->epoch || r->n_writing)
 		return;
-	if (r->epoch) {
-		g_array_set_size(r->unsaved, 0);
-		stream_releases_list(&r->streams, r->unsaved);
-		r->next = 0;
-	}
+	g_array_set_size(r->unsaved, 0);
+	stream_releases_list(&r->streams, r->unsaved);
+	r->next = 0;
 	r->epoch = epoch;
 }
 
@@ -227,8 +239,7 @@
 {
 	stream_releases_remove_before(&r->streams, now - KEEP_US);
 	check_epoch(r, epoch);
-	if (r->unsaved->len && !r->n_writing && now >= r->write_at)
-		begin_write(r, now);
+	write_if_due(r, now);
 	if (r->asks->len)
 		answer_asks(r, INT64_MIN / 2, now);
 	if (r->asks->len && !r->is_reading && now >= r->read_at)
--- a/tests/test_version_skew.c
+++ b/tests/test_version_skew.c
@@ -180,6 +180,69 @@
 }
 END_TEST
 
+/* Takes up an own stream of the team "limited", whose limiter refuses. */
+static void take_up_at_limit(gateway_fixture_t *fixture, const char *id)
+{
+	g_autofree char *text = g_strdup_printf(
+		"POST /stream/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n"
+		"X-Key: low\r\nX-Deadline-Ms: 5000\r\n%s"
+		"Content-Length: 2\r\n\r\nhi",
+		id);
+
+	begin(fixture, resumes, resumes);
+	gateway_set_only_release(fixture, OLD_RELEASE);
+	fixture->limit_refuses = true;
+	gateway_send(fixture, 0, text);
+}
+
+/*
+ * Guards against streams that nobody takes up since new ones used the limit:
+ * after a restart of all daemons it begins empty.
+ */
+START_TEST(a_take_up_waits_at_its_teams_limit)
+{
+	gateway_fixture_t fixture;
+
+	take_up_at_limit(&fixture, "Last-Event-Id: 60\r\n");
+	gateway_await_count(&fixture, &fixture.limits, 2);
+	ck_assert_uint_eq(fixture.last_limit.limit.reserve, 0);
+	fixture.limit_refuses = false;
+	gateway_await(&fixture, 0, "id: 2");
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against refusing what could be finished: a part is there already. */
+START_TEST(only_what_is_left_of_a_stream_is_estimated)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture, resumes, resumes);
+	gateway_send(&fixture, 0,
+		     "POST /engine/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: t\r\n"
+		     "X-Key: key\r\nX-Deadline-Ms: 5000\r\n"
+		     "Last-Event-Id: 60\r\nResumes: a\r\n"
+		     "X-Token-Usage: 10,100\r\nX-Length-Hint: 80\r\n"
+		     "Content-Length: 2\r\n\r\nhi");
+	gateway_await_count(&fixture, &fixture.stream_asks, 1);
+	gateway_answer_ask(&fixture, OLD_RELEASE);
+	gateway_await(&fixture, 0, "id: 2");
+	ck_assert_uint_eq(fixture.last_want.capacity.want.output_tokens, 20);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+START_TEST(a_new_stream_is_refused_at_its_teams_limit_at_once)
+{
+	gateway_fixture_t fixture;
+
+	take_up_at_limit(&fixture, "");
+	gateway_await(&fixture, 0, "HTTP/1.1 429 ");
+	ck_assert_int_eq(fixture.limits, 1);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 SUITE_MAIN("version_skew", a_broken_stream_resumes_on_its_release_only,
 	   a_take_up_goes_to_the_release_that_began_the_stream,
 	   a_recorder_tells_the_release_of_another_daemons_stream,
@@ -187,4 +250,7 @@
 	   a_recorder_that_is_silent_is_asked_again_and_given_up,
 	   a_stream_of_the_only_release_is_taken_up,
 	   a_recorder_knows_better_than_the_own_list,
-	   streams_are_recorded_only_beside_another_release)
+	   streams_are_recorded_only_beside_another_release,
+	   a_take_up_waits_at_its_teams_limit,
+	   only_what_is_left_of_a_stream_is_estimated,
+	   a_new_stream_is_refused_at_its_teams_limit_at_once)
