test_cut_answer, test_http: heads that break off at any byte

A report of other operators: a runner that stopped in the middle of its answer's head and closed became a 200 with an empty or short body, framed as whole. It can't happen here: heads are read whole before they are parsed (net/http1), and the own interface's client reports an error. Nothing else changes.

--- a/tests/test_cut_answer.c
+++ b/tests/test_cut_answer.c
@@ -112,6 +112,39 @@
 }
 END_TEST
 
+static void check_head(const char *what)
+{
+	const framing_t *f = framings;
+
+	while (strcmp(f->what, what) != 0)
+		f++;
+	for (size_t n = 1; n < head_len(f); n++) {
+		ck_assert_msg(!taken_as_complete(f, n, REPLY_CLOSE),
+			      "%s, closed after %zu bytes", what, n);
+		ck_assert_msg(!taken_as_complete(f, n, REPLY_RESET),
+			      "%s, reset after %zu bytes", what, n);
+	}
+}
+
+/* Guard against an answer that ends within its head and looks whole. */
+START_TEST(a_head_that_breaks_off_is_no_answer)
+{
+	check_head("length");
+}
+END_TEST
+
+START_TEST(a_head_without_length_that_breaks_off_is_no_answer)
+{
+	check_head("until close");
+}
+END_TEST
+
+START_TEST(a_streams_head_that_breaks_off_is_no_answer)
+{
+	check_head("events until close");
+}
+END_TEST
+
 /*
  * A stream that ends within an event, or before its first one, is incomplete
  * even if the connection is closed by a FIN.
@@ -130,4 +163,7 @@
 END_TEST
 
 SUITE_MAIN("cut_answer", a_cut_answer_is_never_complete,
+	   a_head_that_breaks_off_is_no_answer,
+	   a_head_without_length_that_breaks_off_is_no_answer,
+	   a_streams_head_that_breaks_off_is_no_answer,
 	   a_stream_that_ends_within_an_event_is_not_complete)
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -191,6 +191,34 @@
 }
 END_TEST
 
+/* Guards against an answer that ends within its head and counts as whole. */
+START_TEST(a_head_that_breaks_off_is_no_answer)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		for (size_t n = 0; n < strlen(answers[i]); n++) {
+			g_autofree char *cut = g_strndup(answers[i], n);
+			struct event_base *base = event_base_new();
+			fake_t f = { .answer = n ? cut : NULL };
+			result_t r = { .base = base };
+
+			fake_init(&f, base);
+			run(&r, f.address, EVHTTP_REQ_POST, 200);
+			ck_assert_msg(r.err.code != ERR_NONE,
+				      "answer %zu: whole after %zu bytes", i,
+				      n);
+			evconnlistener_free(f.listener);
+			g_string_free(r.body, TRUE);
+			event_base_free(base);
+		}
+	}
+}
+END_TEST
+
 START_TEST(never_sends_a_request_twice_by_itself)
 {
 	static const enum evhttp_cmd_type methods[] = { EVHTTP_REQ_GET,
@@ -291,6 +319,7 @@
 END_TEST
 
 SUITE_MAIN("http", distinguishes_a_complete_answer_from_every_other_end,
+	   a_head_that_breaks_off_is_no_answer,
 	   never_sends_a_request_twice_by_itself,
 	   a_refused_connection_sent_nothing,
 	   finishing_inside_a_callback_prevents_further_ones,
