gateway: late in a drain, requests are refused or answered, never cut

A report of other operators: in a planned stop, requests that came late in the grace were taken and passed on, and cut at its end with no answer, among them requests that may not be repeated. It could happen here: a request that was half read when the listener closed was passed on whenever it was complete, and at the end of the drain all connections were closed as they stood.

Once the listener is closed, a request whose time reaches beyond the end of the drain is refused at once (503, back in 50 ms: it hasn't run, and other daemons are there). At the end all that still runs is answered, 503 where nothing was sent and 504 else, and the process exits 0.2 s later, within the margin before the kill.

--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -86,6 +86,13 @@
  */
 void relay_start(gateway_t *g, ingress_t *c, const http1_head_t *head,
 		 GBytes *body);
+/*
+ * gateway_task.c: true late in a drain, if the daemon will end before DEADLINE.
+ * Requests that come then may not be completed here.
+ */
+bool gateway_ends_before(const gateway_t *g, int64_t deadline);
+/* The daemon ends: answers the request, and frees the relay. */
+void relay_end_unfinished(relay_t *r);
 /* gateway_task.c: true once it received a configuration and the runners. */
 bool gateway_is_ready(const gateway_t *g);
 /* Admits a request, once the daemon is ready. */
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -14,6 +14,7 @@
 enum {
 	BACKLOG = 512, /* connections that wait to be accepted */
 	TICK_MS = 50,
+	FLUSH_US = 200 * 1000, /* to send the last answers of a drain */
 	/* A runner that left the list is forgotten after this time. */
 	LEFT_RUNNER_KEEP_US = 60 * 1000 * 1000,
 	MAX_STREAMS = 8192, /* whose release is remembered */
@@ -110,10 +111,35 @@
 	g->listener = NULL;
 }
 
+static drain_plan_t plan_of(const gateway_t *g)
+{
+	return drain_plan(g->sup->settings->drain_ms * 1000);
+}
+
+bool gateway_ends_before(const gateway_t *g, int64_t deadline)
+{
+	drain_plan_t plan = plan_of(g);
+
+	return g->drain_since &&
+	       now_us() - g->drain_since >= plan.accept_time &&
+	       deadline > g->drain_since + plan.exit_after;
+}
+
+/* Answers what still runs; the answers need a moment to be sent. */
+static void end_requests(gateway_t *g)
+{
+	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
+
+	log_info("drain ended; ending %u requests that still run",
+		 g_hash_table_size(g->relays));
+	for (GList *link = relays; link; link = link->next)
+		relay_end_unfinished(link->data);
+}
+
 /* Ends the daemon once no caller is connected, or at the drain's time limit. */
 static void check_drain(gateway_t *g, int64_t now)
 {
-	drain_plan_t plan = drain_plan(g->sup->settings->drain_ms * 1000);
+	drain_plan_t plan = plan_of(g);
 	g_autoptr(GList) callers = NULL;
 
 	if (!g->drain_since || now - g->drain_since < plan.accept_time)
@@ -122,8 +148,10 @@
 	callers = g_hash_table_get_keys(g->callers);
 	for (GList *link = callers; link; link = link->next)
 		ingress_close_idle(link->data);
+	if (now - g->drain_since > plan.exit_after)
+		end_requests(g);
 	if (!g_hash_table_size(g->callers) ||
-	    now - g->drain_since > plan.exit_after) {
+	    now - g->drain_since > plan.exit_after + FLUSH_US) {
 		log_info("drain ended; closing %u caller connections",
 			 g_hash_table_size(g->callers));
 		event_base_loopbreak(g->sup->base);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -273,21 +273,31 @@
 	relay_end(r);
 }
 
+/* Ends a request before its answer: 503 only if it hasn't run. */
+static void end_request(relay_t *r, const char *why_run, const char *why_not)
+{
+	r->possible_runs += r->upstream && upstream_conn_is_sent(r->upstream);
+	relay_release_grant(r, DONE_CANCELLED);
+	if (r->possible_runs || r->has_begun)
+		relay_fail(r, 504, 0, why_run);
+	else
+		relay_fail(r, 503, NO_UPSTREAM_RETRY_MS, why_not);
+}
+
 void relay_on_deadline(evutil_socket_t fd, short what, void *arg)
 {
 	relay_t *r = arg;
 
-	if (r->state == RELAY_AWAITING_READY) {
+	if (r->state == RELAY_AWAITING_READY)
 		relay_fail_unready(r);
-		return;
-	}
-	r->possible_runs += r->upstream && upstream_conn_is_sent(r->upstream);
-	relay_release_grant(r, DONE_CANCELLED);
-	if (r->possible_runs || r->has_begun)
-		relay_fail(r, 504, 0, "the time is up");
 	else
-		relay_fail(r, 503, NO_UPSTREAM_RETRY_MS,
-			   "no upstream was free in time");
+		end_request(r, "the time is up",
+			    "no upstream was free in time");
+}
+
+void relay_end_unfinished(relay_t *r)
+{
+	end_request(r, "the daemon is stopping", "the daemon is stopping");
 }
 
 static bool has_retry_time(const relay_t *r)
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -22,6 +22,7 @@
 	MAX_READY_WAIT_MS = 1500,
 	MAX_PENDING = 512, /* requests that wait until ready */
 	UNREADY_RETRY_MS = 500,
+	STOPPING_RETRY_MS = 50, /* other daemons can take it at once */
 	MIN_AFFINITY_TOKENS = 500, /* shorter prefixes are prefilled quickly */
 	MAX_EVENT_BYTES = 256 * 1024, /* one server-sent event */
 	PERCENT = 100,
@@ -280,6 +281,10 @@
 	pick_dispatcher(r);
 	retry_budget_count_first(&g->retries, r->service);
 	start_deadline(r);
+	if (gateway_ends_before(g, r->deadline)) {
+		relay_fail(r, 503, STOPPING_RETRY_MS, "the daemon is stopping");
+		return;
+	}
 	if (relay_find_release(r))
 		relay_request_limit(r);
 }
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -13,6 +13,9 @@
 	ROUNDS = 10, /* further callers during the drain */
 	ROUND_MS = 200, /* in all shorter than the listener stays open */
 	STREAM_MS = 300,
+	/* The fixture's daemon accepts for 2.6 s and ends after 3.06 s. */
+	LATE_ROUNDS = 13,
+	LAST_MS = 2450,
 };
 
 static const reply_t whole[] = { { OK, REPLY_KEEP }, { OK, REPLY_KEEP },
@@ -106,6 +109,56 @@
 }
 END_TEST
 
+/*
+ * Guards against a request that is read late in a drain, passed on, and cut at
+ * the end without an answer.
+ */
+START_TEST(a_request_that_comes_too_late_is_refused)
+{
+	static const reply_t mute[] = { { "", REPLY_MUTE }, {} };
+	gateway_fixture_t fixture;
+
+	begin(&fixture);
+	fixture.runners[0].replies = mute;
+	gateway_send(&fixture, 0,
+		     "POST /once/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n"
+		     "X-Key: key\r\nX-Deadline-Ms: 5000\r\n"
+		     "Content-Length: 15\r\n\r\n");
+	drain(&fixture);
+	for (int i = 0; i < LATE_ROUNDS; i++) {
+		gateway_send(&fixture, 0, "x");
+		gateway_run(&fixture, ROUND_MS);
+	}
+	gateway_send(&fixture, 0, "xx");
+	gateway_await(&fixture, 0, "HTTP/1.1 503 ");
+	gateway_await(&fixture, 0, "Retry-After: ");
+	gateway_await_close(&fixture, 0);
+	ck_assert_int_eq(fixture.runners[0].n_requests, 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against an exit that leaves a caller without any answer. */
+START_TEST(what_still_runs_at_the_end_is_answered)
+{
+	static const reply_t mute[] = { { "", REPLY_MUTE }, {} };
+	gateway_fixture_t fixture;
+
+	begin(&fixture);
+	fixture.runners[0].replies = mute;
+	drain(&fixture);
+	gateway_run(&fixture, LAST_MS);
+	/* Its own time ends after the daemon's. */
+	gateway_send(&fixture, 0, REQUEST("/once/", "a"));
+	gateway_await_count(&fixture, &fixture.runners[0].n_requests, 1);
+	gateway_await(&fixture, 0, "HTTP/1.1 504 ");
+	gateway_await_close(&fixture, 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 SUITE_MAIN("planned_stop", requests_in_every_state_are_answered,
 	   callers_that_arrive_during_a_drain_are_served,
-	   a_running_stream_continues_to_its_end)
+	   a_running_stream_continues_to_its_end,
+	   a_request_that_comes_too_late_is_refused,
+	   what_still_runs_at_the_end_is_answered)
