--- a/daemon/part_records.c
+++ b/daemon/part_records.c
@@ -209,32 +209,41 @@
 	}
 }
 
+static void delay_retry(part_records_t *p, const err_t *err)
+{
+	char reason[ERR_DETAIL_SIZE * 2];
+
+	log_warn("cannot write the record of a prompt part: %s",
+		 err_text(err, reason, sizeof(reason)));
+	p->retry_at = now_us() + RETRY_US;
+}
+
 static void on_written(void *ctx, const err_t *err)
 {
 	part_records_t *p = ctx;
-	char reason[ERR_DETAIL_SIZE * 2];
 
 	p->is_writing = false;
 	if (!err)
 		return;
-	log_warn("cannot write the record of a prompt part: %s",
-		 err_text(err, reason, sizeof(reason)));
 	p->is_due[p->writing] = true;
-	p->retry_at = now_us() + RETRY_US;
+	delay_retry(p, err);
 }
 
 static void begin_write(part_records_t *p, uint32_t i)
 {
 	const char *value = p->values[i];
 	char key[KEY_SIZE];
+	err_t err = { 0 };
 
 	write_key(i, key);
 	log_event("part-record", "key=%s why=\"%s\"", key,
 		  value[0] ? "a quarantine began" : "a quarantine ended early");
 	p->writing = i;
-	p->is_due[i] = false;
 	p->is_writing = store_append(p->store, STORE_DAEMONS, str_from(key),
-				     str_from(value), on_written, p, NULL);
+				     str_from(value), on_written, p, &err);
+	p->is_due[i] = !p->is_writing;
+	if (!p->is_writing)
+		delay_retry(p, &err);
 }
 
 /*
--- a/tests/test_part_records.c
+++ b/tests/test_part_records.c
@@ -5,6 +5,8 @@
  */
 #include <inttypes.h>
 
+#include "common/log.h"
+#include "daemon/part_records.h"
 #include "tests/lib_store_fixture.h"
 #include "tests/lib_suite.h"
 
@@ -177,9 +179,38 @@
 }
 END_TEST
 
+/* Guards against a record that is given up since no call could be made. */
+START_TEST(a_write_that_cannot_begin_is_tried_again)
+{
+	struct event_base *base = event_base_new();
+	message_part_t notice = { .kind = PART_NOTICE_QUARANTINE,
+				  .entry = { .part = PART, .times = 1 } };
+	topic_records_t topic;
+	part_records_t p;
+	store_t store;
+
+	log_init("error");
+	topic_records_init(&topic);
+	store_init(&store, base, "nowhere", 100);
+	part_records_init(&p, NULL, &store, &topic);
+	notice.entry.until = g_get_monotonic_time() + LEFT_US;
+	prompt_parts_add(&notice.entry.common, PART);
+	part_records_on_notice(&p, &notice);
+	part_records_tick(&p, 0, 1);
+	ck_assert(!p.is_writing);
+	ck_assert(p.is_due[PART % PART_RECORDS_MAX]);
+	ck_assert_int_gt(p.retry_at, 1);
+	part_records_finish(&p);
+	store_finish(&store);
+	topic_records_finish(&topic);
+	event_base_free(base);
+}
+END_TEST
+
 SUITE_MAIN("part_records", a_quarantine_outlives_a_restart_of_all,
 	   a_quarantine_that_ended_early_does_not_return,
 	   a_quarantine_whose_time_is_over_does_not_return,
 	   a_record_that_the_store_refuses_is_written_later,
 	   a_record_that_the_store_lost_is_written_again,
-	   damaged_records_are_ignored)
+	   damaged_records_are_ignored,
+	   a_write_that_cannot_begin_is_tried_again)
