--- a/daemon/message.h
+++ b/daemon/message.h
@@ -86,7 +86,11 @@
 	MESSAGE_LIMIT_HOSTS, /* peers to limits: who hosts the limiter roles */
 	MESSAGE_LIMIT_LEND, /* limits to peers to limits: shares are lent */
 	MESSAGE_LIMIT_STAMP, /* likewise: the stamp for the next lease */
-	/* front to peers and back: prompt parts that crash runners */
+	/*
+	 * front to peers and back: requests and prompt parts that crash
+	 * runners; front to store: a record is to be written (QUARANTINE) or
+	 * deleted (SOUND); store to front: a record was read
+	 */
 	MESSAGE_PART_NOTICE,
 	MESSAGE_STREAM_NOTES, /* front to peers to store: streams began */
 	MESSAGE_STREAM_ASK, /* likewise: which release began this one? */
--- a/daemon/relay_quarantine.c
+++ b/daemon/relay_quarantine.c
@@ -21,11 +21,13 @@
 	return quarantine_runner_hash(r->runner.name, r->runner.born_ms);
 }
 
-static void post_notice(gateway_t *g, const message_part_t *notice)
+/* Posts to TASK_PEERS, for other daemons, or TASK_PLATFORM, for the record. */
+static void post_notice(gateway_t *g, task_id_t to,
+			const message_part_t *notice)
 {
 	message_t m = { .type = MESSAGE_PART_NOTICE, .part = *notice };
 
-	supervisor_post(g->sup, TASK_PEERS, &m);
+	supervisor_post(g->sup, to, &m);
 }
 
 static void log_quarantine(const quarantine_entry_t *entry, const char *why)
@@ -47,15 +49,7 @@
 				  .entry = *entry };
 
 	g_strlcpy(notice.peer, peer, sizeof(notice.peer));
-	post_notice(g, &notice);
-}
-
-/* Has the record in the platform's store written or deleted. */
-static void post_record(gateway_t *g, const message_part_t *notice)
-{
-	message_t m = { .type = MESSAGE_PART_NOTICE, .part = *notice };
-
-	supervisor_post(g->sup, TASK_PLATFORM, &m);
+	post_notice(g, TASK_PEERS, &notice);
 }
 
 /* Other daemons may lack a report: who sent the last one tells them. */
@@ -69,7 +63,7 @@
 	if (!is_own)
 		return;
 	post_quarantine(ctx, entry, "");
-	post_record(ctx, &record);
+	post_notice(ctx, TASK_PLATFORM, &record);
 }
 
 static void on_early_end(void *ctx, const quarantine_entry_t *entry,
@@ -78,7 +72,7 @@
 	message_part_t record = { .kind = PART_NOTICE_SOUND };
 
 	prompt_parts_add(&record.crash.parts, entry->part);
-	post_record(ctx, &record);
+	post_notice(ctx, TASK_PLATFORM, &record);
 }
 
 void gateway_check_quarantine(gateway_t *g)
@@ -118,7 +112,7 @@
 		  prompt_parts_text(&r->parts, parts));
 	metrics_add(&g->sup->metrics, "papaya_crash_reports_total", NULL, 1);
 	r->crash_reports++;
-	post_notice(g, &notice);
+	post_notice(g, TASK_PEERS, &notice);
 	quarantine_add_report(&g->quarantine, &notice.crash, true, now_us());
 }
 
@@ -133,7 +127,7 @@
 	notice.crash.parts = r->parts;
 	log_event("part-sound", "request=%s runner=%s parts=%s", r->id,
 		  r->runner.name, prompt_parts_text(&r->parts, parts));
-	post_notice(g, &notice);
+	post_notice(g, TASK_PEERS, &notice);
 }
 
 void relay_report_alive(relay_t *r)
