--- a/daemon/release_record.c
+++ b/daemon/release_record.c
@@ -90,20 +90,40 @@
 	return text;
 }
 
-static void on_written(void *ctx, const err_t *err)
+static void delay_retry(release_record_t *r, const err_t *err)
 {
-	release_record_t *r = ctx;
 	char reason[ERR_DETAIL_SIZE * 2];
 
-	r->is_writing = false;
-	if (!err)
-		return;
 	r->written_at = 0;
 	r->retry_at = now_us() + RETRY_US;
 	log_warn("cannot write the record of releases: %s",
 		 err_text(err, reason, sizeof(reason)));
 }
 
+static void on_written(void *ctx, const err_t *err)
+{
+	release_record_t *r = ctx;
+
+	r->is_writing = false;
+	if (err)
+		delay_retry(r, err);
+}
+
+static void begin_write(release_record_t *r, const char *value, int64_t now)
+{
+	err_t err = { 0 };
+
+	log_event("release-record",
+		  "releases=%s why=\"the releases in service changed\"", value);
+	r->written = str_hash(str_from(value));
+	r->written_at = now;
+	r->is_writing =
+		store_append(r->store, STORE_DAEMONS, str_from(record_key),
+			     str_from(value), on_written, r, &err);
+	if (!r->is_writing)
+		delay_retry(r, &err);
+}
+
 /* The topic isn't read so soon after a write. */
 static bool is_just_written(const release_record_t *r, const char *value,
 			    int64_t now)
@@ -122,16 +142,7 @@
 		return;
 	value = write_value(r, now);
 	if ((!known || !str_eq(topic_records_view(known), str_from(value))) &&
-	    !is_just_written(r, value, now)) {
-		log_event("release-record",
-			  "releases=%s why=\"the releases in service "
-			  "changed\"",
-			  value);
-		r->written = str_hash(str_from(value));
-		r->written_at = now;
-		r->is_writing = store_append(
-			r->store, STORE_DAEMONS, str_from(record_key),
-			str_from(value), on_written, r, NULL);
-	}
+	    !is_just_written(r, value, now))
+		begin_write(r, value, now);
 	free(value);
 }
