relay: a take-up goes to the service that began the stream

Found by reading: a route may split its requests among services by a hash of the attempt's ID, which differs in a take-up, so half of the streams of an even split would have gone on at the other service; and the same version name at two services counted as one release. The service follows from the attempt that is resumed, and the hash of a release includes its service.

--- a/core/release_history.c
+++ b/core/release_history.c
@@ -43,9 +43,12 @@
 		h->began_at = now;
 }
 
-uint64_t release_history_hash(const char *release)
+uint64_t release_history_hash(const char *service, const char *release)
 {
-	uint64_t hash = str_hash(str_from(release));
+	const uint64_t hashes[] = { str_hash(str_from(service)),
+				    str_hash(str_from(release)) };
+	uint64_t hash =
+		str_hash((str_t){ (const char *)hashes, sizeof(hashes) });
 
 	return hash ? hash : 1;
 }
@@ -141,7 +144,7 @@
 			return 0;
 		only = release_at(s, i)->name;
 	}
-	return only ? release_history_hash(only) : 0;
+	return only ? release_history_hash(service, only) : 0;
 }
 
 void release_history_each(const release_history_t *h, int64_t now,
--- a/core/release_history.h
+++ b/core/release_history.h
@@ -41,8 +41,8 @@
  */
 uint64_t release_history_only(const release_history_t *h, const char *service,
 			      int64_t now);
-/* Returns the hash by which a release is known elsewhere; never 0. */
-uint64_t release_history_hash(const char *release);
+/* Returns the hash by which a service's release is known; never 0. */
+uint64_t release_history_hash(const char *service, const char *release);
 
 typedef void (*release_history_fn)(void *ctx, const char *service,
 				   const char *release);
--- a/daemon/fleet_view.c
+++ b/daemon/fleet_view.c
@@ -141,7 +141,8 @@
 	out.runner.is_leaving = runner->is_leaving;
 	out.runner.slots = runner->slots;
 	out.runner.born_ms = runner->born_ms;
-	out.runner.release = release_history_hash(runner->release);
+	out.runner.release =
+		release_history_hash(runner->service, runner->release);
 	g_strlcpy(out.service, runner->service, sizeof(out.service));
 	g_strlcpy(out.zone,
 		  settings_place_zone(collector->settings, runner->zone),
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -265,6 +265,14 @@
 	event_add(r->timer, &timeout);
 }
 
+/* A stream that is taken up goes on at the service that began it. */
+static str_t stream_attempt(const relay_t *r)
+{
+	return relay_is_take_up(r) && r->call.resumed_attempt.len ?
+		       r->call.resumed_attempt :
+		       r->call.attempt_id;
+}
+
 void relay_admit(relay_t *r)
 {
 	gateway_t *g = r->gateway;
@@ -276,7 +284,7 @@
 	log_take_up(r);
 	if (relay_refuse_quarantined(r))
 		return;
-	r->service = fleet_pick_service(r->route, str_hash(r->call.attempt_id));
+	r->service = fleet_pick_service(r->route, str_hash(stream_attempt(r)));
 	r->rank = fleet_rank(r->team, r->route);
 	pick_dispatcher(r);
 	retry_budget_count_first(&g->retries, r->service);
--- a/tests/test_release_history.c
+++ b/tests/test_release_history.c
@@ -25,7 +25,8 @@
 	/* What was there before this process isn't known yet. */
 	ck_assert_uint_eq(only(&h, 2), 0);
 	release_history_see(&h, "s", "old", WINDOW + 2);
-	ck_assert_uint_eq(only(&h, WINDOW + 2), release_history_hash("old"));
+	ck_assert_uint_eq(only(&h, WINDOW + 2),
+			  release_history_hash("s", "old"));
 	release_history_finish(&h);
 }
 END_TEST
@@ -39,13 +40,14 @@
 	release_history_begin(&h, 1);
 	release_history_set_complete(&h, "s");
 	release_history_see(&h, "s", "old", 1);
-	ck_assert_uint_eq(only(&h, 1), release_history_hash("old"));
+	ck_assert_uint_eq(only(&h, 1), release_history_hash("s", "old"));
 	release_history_see(&h, "s", "new", 2);
 	ck_assert_uint_eq(only(&h, 2), 0);
 	for (int64_t now = 3; now <= 2 * WINDOW; now++)
 		release_history_see(&h, "s", "new", now);
 	ck_assert_uint_eq(only(&h, 1 + WINDOW), 0);
-	ck_assert_uint_eq(only(&h, 2 + WINDOW), release_history_hash("new"));
+	ck_assert_uint_eq(only(&h, 2 + WINDOW),
+			  release_history_hash("s", "new"));
 	release_history_finish(&h);
 }
 END_TEST
@@ -71,6 +73,16 @@
 	g_string_append_printf(ctx, "%s:%s ", service, release);
 }
 
+/* Guards against a stream that goes on at another service of its route. */
+START_TEST(the_same_release_of_two_services_differs)
+{
+	ck_assert_uint_ne(release_history_hash("s", "v1"),
+			  release_history_hash("t", "v1"));
+	ck_assert_uint_ne(release_history_hash("s", "v1"),
+			  release_history_hash("s", "v2"));
+}
+END_TEST
+
 START_TEST(releases_are_listed_in_order_and_bounded)
 {
 	release_history_t h;
@@ -99,4 +111,5 @@
 	   a_service_with_one_release_for_the_window_has_only_that,
 	   a_release_counts_until_its_streams_have_ended,
 	   what_a_record_names_counts_as_seen,
+	   the_same_release_of_two_services_differs,
 	   releases_are_listed_in_order_and_bounded)
--- a/tests/test_stream_recorder.c
+++ b/tests/test_stream_recorder.c
@@ -146,7 +146,7 @@
 	store_fixture_restart(&f);
 	for (int i = 0; i < 10 && !f.only_release; i++)
 		store_fixture_run(&f, RUN_US);
-	ck_assert_uint_eq(f.only_release, release_history_hash("v1"));
+	ck_assert_uint_eq(f.only_release, release_history_hash("s", "v1"));
 	store_fixture_finish(&f);
 }
 END_TEST
--- a/tests/test_version_skew.c
+++ b/tests/test_version_skew.c
@@ -180,6 +180,37 @@
 }
 END_TEST
 
+/* Guards against a stream that goes on at another service of its route. */
+START_TEST(a_take_up_goes_to_the_service_that_began_the_stream)
+{
+	for (int i = 0; i < 8; i++) {
+		g_autofree char *first = g_strdup_printf(
+			"POST /split/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a%d"
+			"\r\nX-Key: key\r\nContent-Length: 2\r\n\r\nhi",
+			i);
+		g_autofree char *again = g_strdup_printf(
+			"POST /split/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: b%d"
+			"\r\nX-Key: key\r\nLast-Event-Id: 1\r\nResumes: a%d"
+			"\r\nContent-Length: 2\r\n\r\nhi",
+			i, i);
+		char service[MEMBER_NAME_SIZE];
+		gateway_fixture_t fixture;
+
+		begin(&fixture, breaks_off, resumes);
+		gateway_send(&fixture, 0, first);
+		gateway_await_close(&fixture, 0);
+		g_strlcpy(service, fixture.last_want.capacity.service,
+			  sizeof(service));
+		gateway_close_caller(&fixture, 0);
+		fixture.wants = 0;
+		gateway_send(&fixture, 0, again);
+		gateway_await_count(&fixture, &fixture.wants, 1);
+		ck_assert_str_eq(fixture.last_want.capacity.service, service);
+		gateway_fixture_finish(&fixture);
+	}
+}
+END_TEST
+
 /* Takes up an own stream of the team "limited", whose limiter refuses. */
 static void take_up_at_limit(gateway_fixture_t *fixture, const char *id)
 {
@@ -251,6 +282,7 @@
 	   a_stream_of_the_only_release_is_taken_up,
 	   a_recorder_knows_better_than_the_own_list,
 	   streams_are_recorded_only_beside_another_release,
+	   a_take_up_goes_to_the_service_that_began_the_stream,
 	   a_take_up_waits_at_its_teams_limit,
 	   only_what_is_left_of_a_stream_is_estimated,
 	   a_new_stream_is_refused_at_its_teams_limit_at_once)
