tests/lib_store_fixture: what daemons append has a NUL behind it

Since records are counted (for the streams, which are no text) the fixture kept what was appended without a NUL, and that test reads it as text. The test is unchanged.

--- a/tests/lib_store_fixture.c
+++ b/tests/lib_store_fixture.c
@@ -156,7 +156,8 @@
 	enum { LENGTH_SIZE = 4 }; /* bytes; then the key, after its length */
 	g_autoptr(GString) empty = g_string_new("{}");
 	g_autofree char *key = NULL;
-	size_t head;
+	size_t head, len;
+	char *value;
 
 	if (f->refused_appends > 0) {
 		f->refused_appends--;
@@ -167,8 +168,11 @@
 	head = LENGTH_SIZE + 1 + (unsigned char)record.ptr[LENGTH_SIZE];
 	ck_assert_uint_ge(record.len, head);
 	key = g_strndup(record.ptr + LENGTH_SIZE + 1, head - LENGTH_SIZE - 1);
-	add_record(t, key, g_memdup2(record.ptr + head, record.len - head),
-		   record.len - head);
+	/* Its NUL is for the tests that read it as text. */
+	len = record.len - head;
+	value = g_malloc0(len + 1);
+	memcpy(value, record.ptr + head, len);
+	add_record(t, key, value, len);
 	if (t == &f->topics[STORE_STREAMS])
 		f->stream_appends++;
 	else if (!strcmp(key, "d"))
--- a/tests/lib_store_fixture.h
+++ b/tests/lib_store_fixture.h
@@ -19,7 +19,7 @@
 /* Both strings are owned by the topic. */
 typedef struct fake_record {
 	char *key, *value;
-	size_t len; /* of the value */
+	size_t len; /* of the value, which has a NUL behind it */
 } fake_record_t;
 
 /* A topic and its records. */
