--- a/core/dispatcher_choose.c
+++ b/core/dispatcher_choose.c
@@ -165,16 +165,17 @@
 {
 	GSequenceIter *iter = g_sequence_get_begin_iter(s->ranked);
 	runner_t *best = NULL;
-	int n = 0;
+	int n = 0; /* candidates so far */
 
 	for (; n < MAX_CANDIDATES && !g_sequence_iter_is_end(iter);
 	     iter = g_sequence_iter_next(iter)) {
 		runner_t *runner = g_sequence_get(iter);
-		int64_t end = now + predict(runner, &attempt->want, 0);
+		int64_t end;
 
 		if (!dispatcher_is_of_release(attempt, runner))
 			continue;
 		n++;
+		end = now + predict(runner, &attempt->want, 0);
 		if (is_excluded(s, attempt, runner, now) ||
 		    !runner_model_has_room(&runner->model, room, now) ||
 		    (best && end >= *finish))
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -93,6 +93,15 @@
  */
 void dispatcher_decide(struct dispatcher_state *s, int64_t now);
 
+/*
+ * Returns whether there is a runner to wait for. If all listed runners are
+ * suspended or unreachable for some time and none has work, they are taken to
+ * be dead. While one has work, it may be only its load reports that are lost.
+ */
+bool dispatcher_has_runner(struct dispatcher_state *s, int64_t now);
+/* Returns whether a runner serves that is of the release a want needs. */
+bool dispatcher_has_release(const struct dispatcher_state *s,
+			    const attempt_t *attempt);
 /* False for the baseline policies, which neither queue nor predict. */
 bool dispatcher_uses_ledger(const struct dispatcher_state *s);
 /* Refuses a want and frees it; removes it from the queue first. */
