peers, relay: less work for each stream, and one constant for how long they are kept

Read again: notes of streams were sorted into recorders by a pass and an array for each recorder, and the daemons were counted for each send; they are sorted in one pass now, with the count of the last heartbeat. Links to recorders are kept with those to other regional roles. The end of a drain is logged once, not each tick. Two constants said how long streams are kept. No decision changes.

--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -47,6 +47,13 @@
 	int64_t at;
 } quarantine_survivor_t;
 
+/* An answer that begins, and the exchange that it belongs to. */
+typedef struct quarantine_answer {
+	uint64_t runner; /* hash of the incarnation, as this daemon knows it */
+	int64_t connected_at; /* when its connection was begun */
+	int64_t sent_at; /* when the request was sent */
+} quarantine_answer_t;
+
 typedef struct quarantine {
 	crash_reports_t reports;
 	GArray *survivors; /* of quarantine_survivor_t, the oldest first */
@@ -80,13 +87,6 @@
  */
 bool quarantine_set_sound(quarantine_t *q, const prompt_parts_t *parts,
 			  quarantine_fn fn, void *ctx);
-/* An answer that begins, and the exchange that it belongs to. */
-typedef struct quarantine_answer {
-	uint64_t runner; /* hash of the incarnation, as this daemon knows it */
-	int64_t connected_at; /* when its connection was begun */
-	int64_t sent_at; /* when the request was sent */
-} quarantine_answer_t;
-
 /*
  * A runner answers: what was reported of it before the request was sent was no
  * crash, unless the runner may have been restarted meanwhile. Calls FN, if it
--- a/core/stream_releases.h
+++ b/core/stream_releases.h
@@ -10,6 +10,9 @@
 #include <glib.h>
 #include <stdint.h>
 
+/* How long a stream is kept, at least; they end with their callers' time. */
+#define STREAM_RELEASES_KEEP_US (INT64_C(60) * 1000 * 1000)
+
 typedef struct stream_release {
 	uint64_t stream; /* hash of the attempt that began it */
 	uint64_t release; /* hash of the release; not 0 */
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -130,6 +130,8 @@
 {
 	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
 
+	if (!relays)
+		return;
 	log_info("drain ended; ending %u requests that still run",
 		 g_hash_table_size(g->relays));
 	for (GList *link = relays; link; link = link->next)
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -30,6 +30,7 @@
 	/* Names of the dispatchers that serve all zones. */
 	GPtrArray *regional_dispatchers;
 	GHashTable *linked; /* name of a daemon to whether its link is needed */
+	uint32_t live_daemons; /* in all zones, at the last heartbeat */
 	detector_t detector; /* failure detector for daemons and zones */
 	struct event *detector_timer;
 	GHashTable *zone_probes; /* unreachable zone to its zone_probe_t */
--- a/daemon/peers_route.c
+++ b/daemon/peers_route.c
@@ -150,6 +150,7 @@
 	/* Each lookup records that the link to the host is needed. */
 	for (uint32_t i = 0; i < LIMIT_ROLES; i++)
 		find_fleet_limiter(p, i, &vm);
+	peers_link_recorders(p);
 	for (guint i = 0; i < p->regional_dispatchers->len; i++) {
 		str_t role = str_from(p->regional_dispatchers->pdata[i]);
 
--- a/daemon/peers_streams.c
+++ b/daemon/peers_streams.c
@@ -9,16 +9,11 @@
 enum {
 	DAEMONS_PER_RECORDER = 32,
 	MAX_RECORDERS = 16,
-	/* As in post_daemon_count: a daemon that may serve beyond a cut. */
-	MEMORY_US = 30 * G_USEC_PER_SEC,
 };
 
-static uint32_t count_recorders(peers_t *p)
+static uint32_t count_recorders(const peers_t *p)
 {
-	uint32_t live, known;
-
-	member_count(&p->member, MEMORY_US, now_us(), &live, &known);
-	return MIN(1 + live / DAEMONS_PER_RECORDER, MAX_RECORDERS);
+	return MIN(1 + p->live_daemons / DAEMONS_PER_RECORDER, MAX_RECORDERS);
 }
 
 /* Finds recorder I; false when it is this daemon, or none is known. */
@@ -42,13 +37,12 @@
 		find_recorder(p, i, &vm);
 }
 
+/* Sends streams to recorder I, which may be this daemon. */
 static void send_notes(peers_t *p, uint32_t i, GArray *begun)
 {
 	message_t m = { .type = MESSAGE_STREAM_NOTES };
 	member_vm_t vm;
 
-	if (!begun->len)
-		return;
 	if (find_recorder(p, i, &vm) &&
 	    stream_frames_send_notes(&p->peer, str_from(vm.name), begun))
 		return;
@@ -58,20 +52,23 @@
 
 void peers_send_stream_notes(peers_t *p, const GArray *begun)
 {
+	GArray *by_recorder[MAX_RECORDERS] = { NULL };
 	uint32_t n = count_recorders(p);
 
-	for (uint32_t i = 0; i < n; i++) {
-		g_autoptr(GArray) part =
-			g_array_new(FALSE, FALSE, sizeof(stream_release_t));
-
-		for (guint k = 0; k < begun->len; k++) {
-			const stream_release_t *s =
-				&g_array_index(begun, stream_release_t, k);
+	for (guint k = 0; k < begun->len; k++) {
+		const stream_release_t *s =
+			&g_array_index(begun, stream_release_t, k);
+		GArray **part = &by_recorder[s->stream % n];
 
-			if (s->stream % n == i)
-				g_array_append_val(part, *s);
-		}
-		send_notes(p, i, part);
+		if (!*part)
+			*part = g_array_new(FALSE, FALSE, sizeof(*s));
+		g_array_append_vals(*part, s, 1);
+	}
+	for (uint32_t i = 0; i < n; i++) {
+		if (!by_recorder[i])
+			continue;
+		send_notes(p, i, by_recorder[i]);
+		g_array_unref(by_recorder[i]);
 	}
 }
 
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -399,6 +399,7 @@
 
 	member_count(&p->member, PARTITION_MEMORY_US, now_us(), &m.daemons.live,
 		     &m.daemons.known);
+	p->live_daemons = m.daemons.live;
 	supervisor_post(p->sup, TASK_LIMITS, &m);
 	if (p->sup->settings->fleet)
 		supervisor_post(p->sup, TASK_PLATFORM, &m);
@@ -414,10 +415,8 @@
 	peers_post_reader(p);
 	post_daemon_count(p);
 	peers_post_limit_hosts(p);
-	if (p->sup->settings->fleet) {
+	if (p->sup->settings->fleet)
 		peers_link_roles(p);
-		peers_link_recorders(p);
-	}
 	update_links(p);
 	send_heartbeats(p);
 	key_table_tick(&p->keys);
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -82,16 +82,15 @@
 {
 	int64_t waited = now_us() - r->arrived_at;
 	int64_t target = r->route->target_ms * US_PER_MS;
-	int64_t most = MIN(MAX_LIMIT_WAIT_US,
-			   (r->deadline - r->arrived_at) / LIMIT_WAIT_DIVISOR);
+	int64_t in_time = (r->deadline - r->arrived_at) / LIMIT_WAIT_DIVISOR;
+	int64_t most = MAX_LIMIT_WAIT_US;
 
 	if (relay_is_take_up(r))
-		most = MIN((r->deadline - r->arrived_at) / LIMIT_WAIT_DIVISOR,
-			   fleet_caller_wait_ms(r->route) * US_PER_MS /
-				   TAKE_UP_WAIT_DIVISOR);
+		most = fleet_caller_wait_ms(r->route) * US_PER_MS /
+		       TAKE_UP_WAIT_DIVISOR;
 	else if (target)
 		most = MIN(most, target);
-	return waited + LIMIT_RETRY_US < most;
+	return waited + LIMIT_RETRY_US < MIN(most, in_time);
 }
 
 /* Nothing of the team's limit is reserved for more urgent requests. */
--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -20,8 +20,6 @@
 	/* For an answer from memory, which is only to confirm. */
 	MAX_CONFIRM_US = 200 * US_PER_MS,
 	UNKNOWN_RETRY_MS = 1000,
-	/* Streams end sooner, with their callers' deadlines. */
-	STREAM_KEEP_US = 60 * 1000 * US_PER_MS,
 };
 
 static uint64_t only_release(const relay_t *r)
@@ -174,7 +172,8 @@
 	if (!stream.release)
 		return;
 	r->release = stream.release;
-	stream_releases_remove_before(&g->streams, now_us() - STREAM_KEEP_US);
+	stream_releases_remove_before(&g->streams,
+				      now_us() - STREAM_RELEASES_KEEP_US);
 	stream_releases_add(&g->streams, &stream, now_us());
 }
 
--- a/daemon/stream_recorder.c
+++ b/daemon/stream_recorder.c
@@ -14,13 +14,10 @@
 	MAX_ASKS = 1024,
 	WRITE_GAP_US = 100 * US_PER_MS, /* between two batches */
 	RETRY_US = 500 * US_PER_MS, /* after a failed call */
-	READ_GAP_US =
-		100 * US_PER_MS, /* between two reads of the topic's end */
+	READ_GAP_US = 100 * US_PER_MS, /* between reads of the topic's end */
 	/* For another daemon's batch to reach the store. */
 	ASK_SETTLE_US = 500 * US_PER_MS,
 	ASK_TIMEOUT_US = 1500 * US_PER_MS, /* while the store can't be read */
-	/* Streams end sooner, with their callers' deadlines. */
-	KEEP_US = 60 * 1000 * US_PER_MS,
 };
 
 static const char record_key[] = "s"; /* the topic has no other records */
@@ -237,7 +234,8 @@
 
 void stream_recorder_tick(stream_recorder_t *r, uint64_t epoch, int64_t now)
 {
-	stream_releases_remove_before(&r->streams, now - KEEP_US);
+	stream_releases_remove_before(&r->streams,
+				      now - STREAM_RELEASES_KEEP_US);
 	check_epoch(r, epoch);
 	write_if_due(r, now);
 	if (r->asks->len)
