daemon: one writer for records of prompt parts and of releases

release_record had been written beside part_records with the same calls, retries and log line; both use daemon/record_writer now. The history of releases belongs to release_record, which store_task asked for its parts; that file is shorter by 45 lines. Nothing is written or decided differently; test_part_records reads the same two fields where they are now.

--- a/core/release_history.c
+++ b/core/release_history.c
@@ -147,6 +147,19 @@
 	return only ? release_history_hash(service, only) : 0;
 }
 
+void release_history_each_only(const release_history_t *h, int64_t now,
+			       void (*fn)(void *ctx, const char *service,
+					  uint64_t only),
+			       void *ctx)
+{
+	GHashTableIter iter;
+	void *service;
+
+	g_hash_table_iter_init(&iter, h->services);
+	while (g_hash_table_iter_next(&iter, &service, NULL))
+		fn(ctx, service, release_history_only(h, service, now));
+}
+
 void release_history_each(const release_history_t *h, int64_t now,
 			  release_history_fn fn, void *ctx)
 {
--- a/core/release_history.h
+++ b/core/release_history.h
@@ -44,6 +44,11 @@
 /* Returns the hash by which a service's release is known; never 0. */
 uint64_t release_history_hash(const char *service, const char *release);
 
+/* Calls FN for each service with what release_history_only returns. */
+void release_history_each_only(const release_history_t *h, int64_t now,
+			       void (*fn)(void *ctx, const char *service,
+					  uint64_t only),
+			       void *ctx);
 typedef void (*release_history_fn)(void *ctx, const char *service,
 				   const char *release);
 /* Calls FN for each release in the window, sorted by service and release. */
--- a/daemon/part_records.c
+++ b/daemon/part_records.c
@@ -10,7 +10,6 @@
 
 enum {
 	US_PER_MS = 1000,
-	RETRY_US = 1000 * US_PER_MS, /* after a failed write */
 	/* Longer than any quarantine, by more than clocks may differ. */
 	MAX_LEFT_MS = 2 * 60 * 60 * 1000,
 	KEY_SIZE = 16,
@@ -18,12 +17,6 @@
 
 static const char prefix[] = "part/";
 
-void part_records_init(part_records_t *p, supervisor_t *sup, store_t *store,
-		       const topic_records_t *topic)
-{
-	*p = (part_records_t){ .sup = sup, .store = store, .topic = topic };
-}
-
 void part_records_finish(part_records_t *p)
 {
 	for (uint32_t i = 0; i < PART_RECORDS_MAX; i++)
@@ -209,41 +202,32 @@
 	}
 }
 
-static void delay_retry(part_records_t *p, const err_t *err)
+static void on_failure(void *ctx)
 {
-	char reason[ERR_DETAIL_SIZE * 2];
+	part_records_t *p = ctx;
 
-	log_warn("cannot write the record of a prompt part: %s",
-		 err_text(err, reason, sizeof(reason)));
-	p->retry_at = now_us() + RETRY_US;
+	p->is_due[p->writing] = true;
 }
 
-static void on_written(void *ctx, const err_t *err)
+void part_records_init(part_records_t *p, supervisor_t *sup, store_t *store,
+		       const topic_records_t *topic)
 {
-	part_records_t *p = ctx;
-
-	p->is_writing = false;
-	if (!err)
-		return;
-	p->is_due[p->writing] = true;
-	delay_retry(p, err);
+	*p = (part_records_t){ .sup = sup, .topic = topic };
+	record_writer_init(&p->writer, store, "the record of a prompt part",
+			   on_failure, p);
 }
 
 static void begin_write(part_records_t *p, uint32_t i)
 {
 	const char *value = p->values[i];
 	char key[KEY_SIZE];
-	err_t err = { 0 };
 
 	write_key(i, key);
 	log_event("part-record", "key=%s why=\"%s\"", key,
 		  value[0] ? "a quarantine began" : "a quarantine ended early");
 	p->writing = i;
-	p->is_writing = store_append(p->store, STORE_DAEMONS, str_from(key),
-				     str_from(value), on_written, p, &err);
-	p->is_due[i] = !p->is_writing;
-	if (!p->is_writing)
-		delay_retry(p, &err);
+	p->is_due[i] = false;
+	record_writer_begin(&p->writer, str_from(key), str_from(value));
 }
 
 /*
@@ -262,7 +246,7 @@
 void part_records_tick(part_records_t *p, uint64_t epoch, int64_t now)
 {
 	check_epoch(p, epoch);
-	if (p->is_writing || now < p->retry_at)
+	if (!record_writer_is_ready(&p->writer, now))
 		return;
 	for (uint32_t i = 0; i < PART_RECORDS_MAX; i++) {
 		if (!p->is_due[i])
--- a/daemon/part_records.h
+++ b/daemon/part_records.h
@@ -11,6 +11,7 @@
 #ifndef DAEMON_PART_RECORDS_H
 #define DAEMON_PART_RECORDS_H
 
+#include "daemon/record_writer.h"
 #include "daemon/supervisor.h"
 #include "daemon/topic_records.h"
 
@@ -18,15 +19,13 @@
 
 typedef struct part_records {
 	supervisor_t *sup;
-	store_t *store;
+	record_writer_t writer;
 	const topic_records_t *topic; /* as it was read from the store */
 	/* By key: this process's latest record; "": deleted, NULL: none. */
 	char *values[PART_RECORDS_MAX];
 	bool is_due[PART_RECORDS_MAX]; /* the value is to be written */
 	uint32_t writing; /* index of the value that is being written */
-	bool is_writing;
 	bool is_loaded;
-	int64_t retry_at; /* after a failed write */
 	uint64_t epoch; /* of the store, in which the values were written */
 } part_records_t;
 
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -34,10 +34,8 @@
 	store_env_t env;
 	store_follower_t config, runners, daemons;
 	part_records_t parts; /* in the topic of the daemons */
-	release_history_t releases;
-	release_record_t release_record; /* in the topic of the daemons */
+	release_record_t releases; /* in the topic of the daemons */
 	stream_recorder_t recorder;
-	int64_t releases_seen_at; /* when the list was last added to them */
 	runner_list_t runner_list;
 	GHashTable *daemon_list; /* name to listed_daemon_t */
 	fleet_t *fleet;
@@ -103,7 +101,7 @@
 		    fleet->version);
 	fleet_unref(s->fleet);
 	s->fleet = fleet;
-	release_history_set_window(&s->releases,
+	release_history_set_window(&s->releases.history,
 				   fleet_longest_stream_ms(fleet) * 1000);
 	post_fleet(s);
 	return ENTRY_NEW;
@@ -323,64 +321,23 @@
 	metrics_set(m, "papaya_store_bytes_in_total", NULL, stats.bytes_in);
 }
 
-static void see_release(void *ctx, const listed_runner_t *runner)
-{
-	store_sync_t *s = ctx;
-
-	release_history_see(&s->releases, runner->service, runner->release,
-			    s->releases_seen_at);
-}
-
-/* Adds the listed runners to the history of releases. */
-static void see_releases(store_sync_t *s, int64_t now)
-{
-	if (!s->runners.state.is_listed)
-		return;
-	s->releases_seen_at = now;
-	release_history_begin(&s->releases, now);
-	runner_list_each(&s->runner_list, see_release, s);
-}
-
-static void set_only_release(void *ctx, const char *service,
-			     const char *release)
-{
-	store_sync_t *s = ctx;
-
-	vm_list_set_release(
-		s->vms, service,
-		release_history_only(&s->releases, service, now_us()));
-}
-
-/* Tells whether a service has another only release than in the list in force. */
-static bool have_releases_changed(const store_sync_t *s, int64_t now)
-{
-	GHashTableIter iter;
-	void *service;
-
-	g_hash_table_iter_init(&iter, s->releases.services);
-	while (s->vms && g_hash_table_iter_next(&iter, &service, NULL))
-		if (vm_list_release(s->vms, service) !=
-		    release_history_only(&s->releases, service, now))
-			return true;
-	return false;
-}
-
 /* Sends the list of runners and daemons to other tasks if it changed. */
 static void publish_changes(store_sync_t *s)
 {
 	int64_t now = now_us();
 	bool has_changed = runner_list_apply_due(&s->runner_list, now);
 
-	if (has_changed || now - s->releases_seen_at > RELEASES_GAP_US)
-		see_releases(s, now);
+	if (s->runners.state.is_listed &&
+	    (has_changed || now - s->releases.seen_at > RELEASES_GAP_US))
+		release_record_see(&s->releases, &s->runner_list, now);
 	if (!has_changed && !s->daemons_changed &&
-	    !have_releases_changed(s, now))
+	    !(s->vms && release_record_has_news(&s->releases, s->vms, now)))
 		return;
 	s->daemons_changed = false;
 	vm_list_unref(s->vms);
 	s->vms = fleet_view_vms(&s->runner_list, s->daemon_list,
 				s->sup->settings);
-	release_history_each(&s->releases, now, set_only_release, s);
+	release_record_set_only(&s->releases, s->vms, now);
 	log_event("runners-in-force",
 		  "runners=%u leaving=%u daemons=%u next=%" PRIu64
 		  " list_age_ms=%" PRId64,
@@ -406,13 +363,13 @@
 		write_entry(s);
 	if (s->daemons.state.is_listed) {
 		part_records_load(&s->parts, now);
-		release_record_load(&s->release_record, now);
+		release_record_load(&s->releases, now);
 	}
 	part_records_tick(&s->parts, epoch, now);
 	stream_recorder_tick(&s->recorder, epoch, now);
 	publish_changes(s);
 	if (s->daemons.state.is_reader && s->vms)
-		release_record_tick(&s->release_record, now);
+		release_record_tick(&s->releases, now);
 }
 
 static void set_daemon_count(store_sync_t *s, uint32_t daemons)
@@ -557,9 +514,7 @@
 	store_follower_init(&s->runners, &s->env, STORE_RUNNERS);
 	store_follower_init(&s->daemons, &s->env, STORE_DAEMONS);
 	part_records_init(&s->parts, sup, &s->store, &s->daemons.records);
-	release_history_init(&s->releases);
-	release_record_init(&s->release_record, &s->store, &s->daemons.records,
-			    &s->releases);
+	release_record_init(&s->releases, &s->store, &s->daemons.records);
 	stream_recorder_init(&s->recorder, sup, &s->store);
 	set_daemon_count(s, INITIAL_DAEMONS);
 	s->publish_timer =
@@ -579,7 +534,7 @@
 	store_follower_finish(&s->daemons);
 	part_records_finish(&s->parts);
 	stream_recorder_finish(&s->recorder);
-	release_history_finish(&s->releases);
+	release_record_finish(&s->releases);
 	event_free(s->publish_timer);
 	event_free(s->export_timer);
 	runner_list_finish(&s->runner_list);
--- a/tests/test_part_records.c
+++ b/tests/test_part_records.c
@@ -197,9 +197,9 @@
 	prompt_parts_add(&notice.entry.common, PART);
 	part_records_on_notice(&p, &notice);
 	part_records_tick(&p, 0, 1);
-	ck_assert(!p.is_writing);
+	ck_assert(!p.writer.is_writing);
 	ck_assert(p.is_due[PART % PART_RECORDS_MAX]);
-	ck_assert_int_gt(p.retry_at, 1);
+	ck_assert_int_gt(p.writer.retry_at, 1);
 	part_records_finish(&p);
 	store_finish(&store);
 	topic_records_finish(&topic);
