relay, docs: a take-up's log line names the stream as its recorder's does

stream-asked could be matched with stream-release by time only; both name the hash of the attempt now. Two tests of test_release_wants share their set-up.

--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -22,6 +22,12 @@
 	UNKNOWN_RETRY_MS = 1000,
 };
 
+/* The stream that the request takes up. */
+static uint64_t resumed_stream(const relay_t *r)
+{
+	return str_hash(r->call.resumed_attempt);
+}
+
 static uint64_t only_release(const relay_t *r)
 {
 	return vm_list_release(r->gateway->vms, r->service);
@@ -36,10 +42,10 @@
 static void log_found(const relay_t *r, const char *why)
 {
 	log_event("stream-release",
-		  "request=%s resumes=%.*s release=%" PRIx64 " age_ms=%" PRId64
-		  " why=\"%s\"",
+		  "request=%s resumes=%.*s stream=%" PRIx64 " release=%" PRIx64
+		  " age_ms=%" PRId64 " why=\"%s\"",
 		  r->id, (int)r->call.resumed_attempt.len,
-		  r->call.resumed_attempt.ptr, r->release,
+		  r->call.resumed_attempt.ptr, resumed_stream(r), r->release,
 		  (now_us() - r->arrived_at) / US_PER_MS, why);
 }
 
@@ -55,7 +61,7 @@
 	message_t m = { .type = MESSAGE_STREAM_ASK };
 
 	r->requested_at = now_us();
-	m.streams.stream.stream = str_hash(r->call.resumed_attempt);
+	m.streams.stream.stream = resumed_stream(r);
 	m.streams.from_memory = only_release(r) != 0;
 	supervisor_post(r->gateway->sup, TASK_PEERS, &m);
 }
@@ -77,11 +83,10 @@
 
 bool relay_find_release(relay_t *r)
 {
-	uint64_t stream = str_hash(r->call.resumed_attempt);
-
 	if (!relay_is_take_up(r))
 		return true;
-	r->release = stream_releases_find(&r->gateway->streams, stream);
+	r->release =
+		stream_releases_find(&r->gateway->streams, resumed_stream(r));
 	if (r->release) {
 		log_found(r, "it began here");
 		return true;
@@ -127,7 +132,7 @@
 		relay_t *r = link->data;
 
 		if (r->state == RELAY_AWAITING_RELEASE &&
-		    str_hash(r->call.resumed_attempt) == stream->stream)
+		    resumed_stream(r) == stream->stream)
 			on_answer(r, stream);
 	}
 }
--- a/tests/test_release_wants.c
+++ b/tests/test_release_wants.c
@@ -52,15 +52,21 @@
 }
 END_TEST
 
+/* One stream runs on the only old runner, and another waits for it. */
+static void fill_old(fixture_t *fixture)
+{
+	init(fixture);
+	submit(fixture, 1, OLD_RELEASE);
+	submit(fixture, 2, OLD_RELEASE);
+	ck_assert_int_eq(fixture_answer_kind(fixture, 2), ANSWER_NONE);
+}
+
 /* Guards against new work that waits behind a stream's full runners. */
 START_TEST(a_want_that_waits_for_its_release_delays_no_others)
 {
 	static fixture_t fixture;
 
-	init(&fixture);
-	submit(&fixture, 1, OLD_RELEASE);
-	submit(&fixture, 2, OLD_RELEASE);
-	ck_assert_int_eq(fixture_answer_kind(&fixture, 2), ANSWER_NONE);
+	fill_old(&fixture);
 	submit(&fixture, 3, 0);
 	ck_assert_int_eq(fixture_answer_kind(&fixture, 3), ANSWER_GRANT);
 	ck_assert_str_eq(fixture.answers[3].runner, "new");
@@ -75,9 +81,7 @@
 {
 	static fixture_t fixture;
 
-	init(&fixture);
-	submit(&fixture, 1, OLD_RELEASE);
-	submit(&fixture, 2, OLD_RELEASE);
+	fill_old(&fixture);
 	set_runner(&fixture, "old", OLD_RELEASE, true);
 	ck_assert_int_eq(fixture_answer_kind(&fixture, 2), ANSWER_REFUSE);
 	ck_assert_int_eq(fixture.answers[2].reason, REFUSE_NO_RELEASE);
