--- a/review/1/case.c
+++ b/review/1/case.c
@@ -25,7 +25,7 @@
 
 static const char routes[] =
 	"[{\"name\":\"book\",\"host\":\"a.example\",\"path_prefix\":\"/book/\","
-	"\"route_type\":\"unsafe\",\"timeout_ms\":4000,"
+	"\"route_type\":\"unsafe\",\"timeout_ms\":1500,"
 	"\"latency_target_ms\":150,\"priority\":2,\"service\":\"desk\","
 	"\"max_attempts\":1,\"anonymous\":false,\"sticky\":false,"
 	"\"resumable\":false}]";
@@ -82,7 +82,7 @@
 		sim_fail("connect to the daemon");
 	snprintf(head, sizeof(head),
 		 "POST /book/x HTTP/1.1\r\nHost: a.example\r\n"
-		 "X-Attempt-Id: attempt-%d\r\nX-Deadline-Ms: 4000\r\n"
+		 "X-Attempt-Id: attempt-%d\r\nX-Deadline-Ms: 1500\r\n"
 		 "X-Key: key-one\r\nContent-Length: %d\r\n\r\n",
 		 i, REQUEST_BYTES);
 	sim_send(fd, head, strlen(head));
