--- a/review/lib/sim.c
+++ b/review/lib/sim.c
@@ -13,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <time.h>
@@ -423,6 +424,8 @@
 	if (!pid) {
 		int fd = open(path, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
+		/* Ends with the case, also if that is killed. */
+		prctl(PR_SET_PDEATHSIG, SIGKILL);
 		dup2(fd, STDOUT_FILENO);
 		dup2(fd, STDERR_FILENO);
 		execv(argv[0], argv);
