--- a/review/build.sh
+++ b/review/build.sh
@@ -8,6 +8,6 @@
 for source in review/*/case.c
 do
 	n=$(basename "$(dirname "$source")")
-	gcc -std=gnu11 -O2 -g -Wall -Wextra -Ireview/lib -o "target/review/case-$n" \
-		"$source" review/lib/sim.c -lpthread
+	gcc -std=gnu11 -O2 -g -Wall -Wextra -Ireview -o "target/review/case-$n" \
+		"$source" review/sim.c -lpthread
 done
