--- a/review/1/case.c
+++ b/review/1/case.c
@@ -7,6 +7,7 @@
  * Rule MIXED: an answer that is reset on the way isn't complete, and a client
  * must not get it as one.
  */
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -16,7 +17,9 @@
 #include "sim.h"
 
 enum {
-	REQUESTS = 40,
+	CLIENTS = 1,
+	REQUESTS = 400,
+	SPOILED_EACH = 20, /* of one runner's answers: x 0.05 */
 	REQUEST_BYTES = 4000000, /* max_body_bytes is 4194304 */
 	ANSWER_BYTES = 800,
 	RECEIVE_BUFFER = 16384,
@@ -35,13 +38,20 @@
 static const char tenants[] =
 	"[{\"name\":\"t1\",\"api_keys\":[\"key-one\"],\"priority\":1}]";
 
+static atomic_int n_answers[2]; /* of each runner */
+/* The busier one spoils answers: one of two, a share of 0.5. */
+static void *_Atomic spoiler;
+static sim_runner_t runners[2];
+
 static void serve(int fd, void *ctx)
 {
 	char buf[16384], out[512], attempt[64] = "";
 	char body[ANSWER_BYTES];
 	size_t n = 0;
 
-	(void)ctx;
+	void *nobody = NULL;
+	bool is_spoiled;
+
 	if (!sim_read_head(fd, buf, sizeof(buf), &n)) {
 		close(fd);
 		return;
@@ -53,7 +63,12 @@
 		 "X-Server-Seal: seal.%s\r\nConnection: close\r\n\r\n",
 		 attempt, attempt);
 	sim_send(fd, out, strlen(out));
-	if (sim_has_trouble()) {
+	is_spoiled = !(++n_answers[(sim_runner_t *)ctx - runners] %
+		       SPOILED_EACH);
+	if (is_spoiled)
+		atomic_compare_exchange_strong(&spoiler, &nobody, ctx);
+	is_spoiled &= sim_has_trouble() && ctx == spoiler;
+	if (is_spoiled) {
 		sim_send(fd, body, sizeof(body) / 2);
 		sim_reset(fd);
 		sim_record("%s runner: sent 200 and %zu of %zu bytes, reset",
@@ -102,23 +117,42 @@
 	return is_broken;
 }
 
-int main(int argc, char **argv)
+static atomic_int n_broken, n_ended;
+
+static void *run_client(void *arg)
 {
-	sim_runner_t runner = { .id = "i-1", .service = "desk", .zone = "z1" };
-	int n_broken = 0;
+	int first = (int)(intptr_t)arg;
+
+	for (int i = first; i < REQUESTS; i += CLIENTS)
+		n_broken += request(i);
+	n_ended++;
+	return NULL;
+}
 
+int main(int argc, char **argv)
+{
 	sim_start(argc, argv);
-	sim_serve(sim_ip(1, 100), SIM_RUNNER_PORT, RECEIVE_BUFFER, serve, NULL);
-	snprintf(runner.address, sizeof(runner.address), "%s:%d",
-		 sim_ip(1, 100), SIM_RUNNER_PORT);
 	sim_config(1, routes, services, tenants);
-	sim_runner_register(&runner);
+	for (int i = 0; i < 2; i++) {
+		sim_runner_t *r = &runners[i];
+
+		snprintf(r->id, sizeof(r->id), "i-%d", i);
+		strcpy(r->service, "desk");
+		strcpy(r->zone, "z1");
+		snprintf(r->address, sizeof(r->address), "%s:%d",
+			 sim_ip(1, 100 + i), SIM_RUNNER_PORT);
+		sim_serve(sim_ip(1, 100 + i), SIM_RUNNER_PORT, RECEIVE_BUFFER,
+			  serve, r);
+		sim_runner_register(r);
+	}
 	sim_daemon(1, 10);
 	sim_await_ready(1, 10);
 	sim_sleep(2000);
-	for (int i = 0; i < REQUESTS; i++)
-		n_broken += request(i);
-	sim_record("%d of %d answers were cut and looked complete", n_broken,
+	for (int i = 0; i < CLIENTS; i++)
+		sim_thread(run_client, (void *)(intptr_t)i);
+	while (n_ended < CLIENTS)
+		sim_sleep(50);
+	sim_record("%d answers of %d were cut and looked complete", n_broken,
 		   REQUESTS);
 	sim_end(n_broken ? SIM_BROKEN : SIM_HELD);
 }
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -18,7 +18,8 @@
 #include "sim.h"
 
 enum {
-	ROUNDS = 4,
+	ROUNDS = 3, /* one runner leaves in each */
+	RUNNERS = 8, /* so that a share of 1/6 leaves at most */
 	LATE_MS = 6000, /* how much later the lost write is carried out */
 	STABILITY_MS = 3000,
 	DRAIN_MS = 2000,
@@ -47,7 +48,7 @@
 	atomic_bool has_exited;
 } desk_t;
 
-static desk_t desks[ROUNDS + 1];
+static desk_t desks[RUNNERS];
 static atomic_int n_broken, n_lost, n_calls;
 static atomic_bool is_over;
 
@@ -122,7 +123,7 @@
 
 static void leave(desk_t *d)
 {
-	static sim_runner_t lost[ROUNDS + 1];
+	static sim_runner_t lost[RUNNERS];
 	sim_runner_t *copy = &lost[d - desks];
 
 	d->entry.renews = false;
@@ -182,7 +183,7 @@
 {
 	sim_start(argc, argv);
 	sim_config(1, routes, services, tenants);
-	for (int i = 0; i <= ROUNDS; i++)
+	for (int i = 0; i < RUNNERS; i++)
 		start_runner(&desks[i], i);
 	sim_daemon(1, 10);
 	sim_await_ready(1, 10);
