--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -32,6 +32,8 @@
 	int64_t opened_at; /* microseconds, monotonic */
 	int64_t idle_until; /* no reuse after this; microseconds, monotonic */
 	bool is_sent; /* the request's first byte may have been sent */
+	/* A write failed: the end of the stream may be a reset's. */
+	bool has_write_failed;
 	bool is_busy; /* an exchange is in progress */
 	bool is_reusable; /* the last answer allows another request */
 	bool is_reused; /* it had an exchange before */
@@ -189,7 +191,7 @@
 	if (u->is_interim)
 		return head->status != HTTP_STATUS_SWITCHING_PROTOCOLS &&
 		       ++u->n_interim <= MAX_INTERIM_ANSWERS;
-	u->is_reusable = head->keeps_alive;
+	u->is_reusable = head->keeps_alive && !u->has_write_failed;
 	u->idle_until = now_us() + stated_idle_ms(head) * 1000;
 	return u->ops.head(u->ctx, head);
 }
@@ -277,7 +279,7 @@
 		retire(u);
 		return;
 	}
-	if (u->reader.has_head && !u->is_interim &&
+	if (u->reader.has_head && !u->is_interim && !u->has_write_failed &&
 	    http1_reader_eof(&u->reader) == HTTP1_END) {
 		u->is_reusable = false;
 		finish_exchange(u);
@@ -286,6 +288,18 @@
 	fail_exchange(u, UPSTREAM_BROKEN);
 }
 
+/*
+ * The upstream may have answered before it stopped reading, so the answer is
+ * still read. But the system reports a reset only once: after a write took it,
+ * reads return an orderly end. So only the answer's own framing can complete it
+ * from now on.
+ */
+static void on_write_error(upstream_conn_t *u)
+{
+	u->has_write_failed = true;
+	u->is_reusable = false;
+}
+
 static void on_event(struct bufferevent *bev, short what, void *arg)
 {
 	upstream_conn_t *u = arg;
@@ -299,8 +313,10 @@
 		fail_exchange(u, UPSTREAM_UNSENT);
 		return;
 	}
-	/* The upstream may have answered before it stopped reading: read on. */
-	if ((what & BEV_EVENT_WRITING) && u->is_busy)
+	if (what & BEV_EVENT_WRITING)
+		on_write_error(u);
+	/* One callback may report errors of both directions. */
+	if (u->is_busy && !(what & BEV_EVENT_READING))
 		return;
 	if (what & BEV_EVENT_EOF)
 		on_eof(u);
@@ -381,6 +397,7 @@
 	u->ctx = ctx;
 	u->is_busy = true;
 	u->is_reusable = false;
+	u->has_write_failed = false;
 	u->is_interim = false;
 	u->n_interim = 0;
 	u->is_head_request = is_head_request;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -14,6 +14,7 @@
 	struct evconnlistener *listener;
 	const char *answer; /* NULL: close without one */
 	bool is_silent; /* accepts and never answers */
+	bool resets; /* right after the answer, with the request unread */
 	int connections;
 	int requests;
 	char address[32];
@@ -29,6 +30,7 @@
 	err_t err;
 	bool finish_in_data;
 	bool forbids_sending;
+	str_t request_body; /* "hello" if empty */
 } result_t;
 
 static void on_written(struct bufferevent *bev, void *arg)
@@ -36,6 +38,16 @@
 	bufferevent_free(bev);
 }
 
+static void answer_and_reset(const fake_t *f, struct bufferevent *bev)
+{
+	struct linger at_once = { .l_onoff = 1 };
+	int fd = bufferevent_getfd(bev);
+
+	send(fd, f->answer, strlen(f->answer), 0);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+	bufferevent_free(bev);
+}
+
 static void on_readable(struct bufferevent *bev, void *arg)
 {
 	fake_t *f = arg;
@@ -47,6 +59,10 @@
 	evbuffer_drain(in, evbuffer_get_length(in));
 	if (f->is_silent)
 		return;
+	if (f->resets) {
+		answer_and_reset(f, bev);
+		return;
+	}
 	if (!f->answer) {
 		bufferevent_free(bev);
 		return;
@@ -131,7 +147,8 @@
 		.address = address,
 		.method = method,
 		.path = "/x",
-		.body = STR_LIT("hello"),
+		.body = r->request_body.len ? r->request_body :
+					      STR_LIT("hello"),
 		.connect_timeout_ms = 1000,
 		.idle_timeout_ms = idle_ms,
 		.max_body = 64,
@@ -219,6 +236,29 @@
 }
 END_TEST
 
+/* Guards against an early answer that is reset and counts as whole. */
+START_TEST(an_early_answer_that_is_reset_is_not_complete)
+{
+	enum { BYTES = 4000000, ROUNDS = 20 };
+	g_autofree char *bytes = g_malloc0(BYTES);
+
+	for (int i = 0; i < ROUNDS; i++) {
+		struct event_base *base = event_base_new();
+		fake_t f = { .answer = "HTTP/1.1 200 OK\r\n\r\nhello",
+			     .resets = true };
+		result_t r = { .base = base, .request_body = { bytes, BYTES } };
+
+		fake_init(&f, base);
+		run(&r, f.address, EVHTTP_REQ_POST, 200);
+		ck_assert_int_eq(r.n_ends, 1);
+		ck_assert_int_ne(r.err.code, ERR_NONE);
+		evconnlistener_free(f.listener);
+		g_string_free(r.body, TRUE);
+		event_base_free(base);
+	}
+}
+END_TEST
+
 START_TEST(never_sends_a_request_twice_by_itself)
 {
 	static const enum evhttp_cmd_type methods[] = { EVHTTP_REQ_GET,
@@ -320,6 +360,7 @@
 
 SUITE_MAIN("http", distinguishes_a_complete_answer_from_every_other_end,
 	   a_head_that_breaks_off_is_no_answer,
+	   an_early_answer_that_is_reset_is_not_complete,
 	   never_sends_a_request_twice_by_itself,
 	   a_refused_connection_sent_nothing,
 	   finishing_inside_a_callback_prevents_further_ones,
