runner_list: an entry that was written earlier doesn't replace a later one

A write that the store carries out late bore a lower sequence than the entry that says draining, and within an epoch the last record of the log counted.

Ruled out: a late removal, and a dispatcher that had not heard yet (the record shows requests only between the late write and the next heartbeat).

Entries are ordered by incarnation and number within an epoch, too.

--- a/core/runner_list.c
+++ b/core/runner_list.c
@@ -32,14 +32,12 @@
 }
 
 /*
- * Tells whether RUNNER comes from an old copy: the store's epoch has risen
- * since E was read, and the runner hasn't written anything after E.
+ * Tells whether RUNNER was written before E, by the same incarnation or by an
+ * earlier one. An entry that was removed, or that says that the runner leaves,
+ * is followed only by a later one.
  */
-static bool is_old(const runner_list_t *l, const entry_t *e,
-		   const listed_runner_t *runner)
+static bool is_old(const entry_t *e, const listed_runner_t *runner)
 {
-	if (e->epoch >= l->epoch)
-		return false;
 	if (runner->born_ms != e->runner.born_ms)
 		return runner->born_ms < e->runner.born_ms;
 	if (runner->sequence != e->runner.sequence)
@@ -47,6 +45,17 @@
 	return e->is_removed || (e->runner.is_leaving && !runner->is_leaving);
 }
 
+/*
+ * An old copy of the store still lists the runner, which ends a pending
+ * removal. A late write doesn't: the runner may be gone.
+ */
+static void see_old(const runner_list_t *l, entry_t *e)
+{
+	e->is_seen = true;
+	if (!e->is_removed && e->epoch < l->epoch)
+		e->remove_at = 0;
+}
+
 static entry_t *add_entry(runner_list_t *l, const char *id)
 {
 	entry_t *e = g_new0(entry_t, 1);
@@ -62,10 +71,8 @@
 	bool is_new = !e || e->is_removed || !is_same(&e->runner, runner);
 	bool was_being_removed = e && e->remove_at;
 
-	if (e && is_old(l, e, runner)) {
-		e->is_seen = true;
-		if (!e->is_removed)
-			e->remove_at = 0;
+	if (e && is_old(e, runner)) {
+		see_old(l, e);
 		return RUNNER_ENTRY_OLD;
 	}
 	if (!e)
--- a/core/runner_list.h
+++ b/core/runner_list.h
@@ -8,10 +8,11 @@
  * outage takes effect only after a grace period, in which the runner can
  * register again.
  *
- * The store may also come back from an old copy, in a later epoch. Entries of
- * the copy are then older than what is known: a runner that said that it leaves
- * isn't ready again, and one that left doesn't come back, until it registers
- * again itself.
+ * An entry may be older than what is known: a write that the store carries out
+ * late, or a store that comes back from an old copy, in a later epoch. Each
+ * incarnation of a runner numbers its entries, so such an entry is recognized: a
+ * runner that said that it leaves isn't ready again, and one that left doesn't
+ * come back, until it registers again itself.
  */
 #ifndef CORE_RUNNER_LIST_H
 #define CORE_RUNNER_LIST_H
