relay: a stream goes on after the last event that its caller has

The id that the caller stated was replaced by an empty one, since comments counted as events and have none. The log of that stream (attempt-lost events=1, then a grant elsewhere) ruled out a second daemon and a second release.

The last id sent, or before any the one stated, is where it goes on. The same path: an event without an id is not followed by another runner's events, the last id line of an event holds, and a runner that begins with an event that the caller has is not forwarded. test_resumed_ids: four tests, all failed before.

--- a/common/str.c
+++ b/common/str.c
@@ -1,7 +1,10 @@
 #include "common/str.h"
 
+#include <glib.h>
 #include <xxhash.h>
 
+enum { MAX_DIGITS = 20 }; /* of a 64-bit number */
+
 bool str_copy(char *buf, size_t size, str_t s)
 {
 	buf[0] = '\0';
@@ -25,3 +28,15 @@
 {
 	return XXH3_64bits(s.ptr, s.len);
 }
+
+bool str_to_number(str_t s, uint64_t *out)
+{
+	char text[MAX_DIGITS + 1];
+	guint64 value;
+
+	if (!str_copy(text, sizeof(text), s) ||
+	    !g_ascii_string_to_unsigned(text, 10, 0, G_MAXUINT64, &value, NULL))
+		return false;
+	*out = value;
+	return true;
+}
--- a/common/str.h
+++ b/common/str.h
@@ -4,6 +4,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 #include <string.h>
 
 /* A view of LEN bytes at PTR, which are owned elsewhere. */
@@ -39,6 +40,9 @@
  */
 bool str_eq_const_time(str_t a, str_t b);
 
+/* Parses a decimal number without a sign; false if S isn't one. */
+bool str_to_number(str_t s, uint64_t *out);
+
 /* Returns a 64-bit hash of the bytes (XXH3, seed 0). */
 unsigned long long str_hash(str_t s);
 
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -46,22 +46,24 @@
 				  DEFAULT_OUTPUT_TOKENS;
 }
 
+str_t relay_last_event_id(const relay_t *r)
+{
+	if (r->last_event_id->len)
+		return (str_t){ r->last_event_id->str, r->last_event_id->len };
+	return relay_is_take_up(r) ? r->call.last_event_id : STR_LIT("");
+}
+
 /*
  * Returns the number of events that the caller has of the stream: their IDs
  * count them. 0 if there are none, or their IDs are no numbers.
  */
 static uint32_t events_received(const relay_t *r)
 {
-	str_t id = { r->last_event_id->str, r->last_event_id->len };
-	g_autofree char *text = NULL;
-	guint64 n;
+	uint64_t n;
 
-	if (!id.len)
-		id = r->call.last_event_id;
-	text = g_strndup(id.ptr, id.len);
-	return g_ascii_string_to_unsigned(text, 10, 0, UINT32_MAX, &n, NULL) ?
-		       (uint32_t)n :
-		       0;
+	if (!str_to_number(relay_last_event_id(r), &n))
+		return 0;
+	return (uint32_t)MIN(n, UINT32_MAX);
 }
 
 /*
@@ -329,7 +331,7 @@
 bool relay_retry(relay_t *r)
 {
 	g_strlcpy(r->avoid, r->runner.name, sizeof(r->avoid));
-	if (r->sends >= MAX_SENDS ||
+	if (r->sends >= MAX_SENDS || r->is_past_last_id ||
 	    r->possible_runs >= r->route->max_attempts ||
 	    (r->possible_runs && !fleet_may_repeat(r->route)) ||
 	    !has_retry_time(r) || relay_is_quarantined(r))
@@ -351,7 +353,8 @@
 		.team = r->team ? r->team->name : NULL,
 		.runner = r->runner.name,
 		.remaining_ms = (r->deadline - now_us()) / US_PER_MS,
-		.has_resume = r->n_events > 0,
+		/* Until then, what the caller states in its request holds. */
+		.has_resume = r->last_event_id->len > 0,
 		.resume_after = { r->last_event_id->str,
 				  r->last_event_id->len },
 	};
@@ -364,6 +367,7 @@
 	r->has_answer = false;
 	r->is_streaming = false;
 	r->events_before = r->n_events;
+	r->is_repeating = false;
 	r->says_leaving = false;
 	r->pause_ms = 0;
 	evbuffer_drain(r->answer_body, evbuffer_get_length(r->answer_body));
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -87,15 +87,22 @@
 	bool is_paused; /* reading stopped: the caller reads slowly */
 	sse_t sse;
 	GString *last_event_id; /* id of the last event sent to the caller */
-	uint64_t n_events; /* sent to the caller */
+	uint64_t n_events; /* with an id or data, sent to the caller */
 	uint64_t events_before; /* of them, by earlier runners */
-	bool has_output; /* one of them had content */
+	/* The last one has no id: no runner can go on right after it. */
+	bool is_past_last_id;
+	bool is_repeating; /* this runner began with an event sent before */
 	/* Runners that broke off as they began to run this request. */
 	uint32_t crash_reports;
 };
 
 /* relay.c */
 
+/*
+ * The id of the last event that the caller has of the stream: sent here, or
+ * stated in its request. Empty if there is none.
+ */
+str_t relay_last_event_id(const relay_t *r);
 /* Name of the dispatcher for logs: "own" for this daemon. */
 const char *relay_dispatcher_name(const relay_t *r);
 /*
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -14,19 +14,34 @@
 	return r->answer.status >= 200 && r->answer.status < 300;
 }
 
+/*
+ * Tells whether a runner that is to go on with the stream begins with an event
+ * that the caller has: IDs that are numbers rise over a stream.
+ */
+static bool is_repeated(const relay_t *r, str_t id)
+{
+	uint64_t number, last;
+
+	return r->n_events == r->events_before && str_to_number(id, &number) &&
+	       str_to_number(relay_last_event_id(r), &last) && number <= last;
+}
+
 /* Forwards a complete event; keeps its id to resume the stream after it. */
 static void on_event(void *ctx, str_t raw, str_t data)
 {
 	relay_t *r = ctx;
 	str_t id = sse_id(raw);
 
+	r->is_repeating |= is_repeated(r, id);
+	if (r->is_repeating)
+		return;
 	ingress_write_chunk(r->caller, raw);
-	r->n_events++;
 	/* A comment without id and data is a keep-alive, not progress. */
-	if (id.len || data.len) {
-		r->progress_at = now_us();
-		r->has_output = true;
-	}
+	if (!id.len && !data.len)
+		return;
+	r->n_events++;
+	r->progress_at = now_us();
+	r->is_past_last_id = !id.len;
 	if (!id.len)
 		return;
 	g_string_truncate(r->last_event_id, 0);
@@ -108,7 +123,6 @@
 {
 	relay_t *r = ctx;
 	uint64_t before = r->n_events;
-	bool had_output = r->has_output;
 	size_t max_backlog =
 		(size_t)r->gateway->sup->settings->caller_backlog_kib * 1024;
 
@@ -117,14 +131,13 @@
 		return evbuffer_get_length(r->answer_body) <=
 		       (size_t)r->gateway->sup->settings->max_answer_kib * 1024;
 	}
-	if (!sse_feed(&r->sse, bytes))
+	if (!sse_feed(&r->sse, bytes) || r->is_repeating)
 		return false;
 	if (!before && r->n_events) {
 		relay_bind_release(r);
 		report_first_event(r);
-	}
-	if (!had_output && r->has_output)
 		relay_report_sound(r);
+	}
 	if (!r->is_paused && ingress_backlog(r->caller) > max_backlog) {
 		r->is_paused = true;
 		upstream_conn_pause(r->upstream, true);
@@ -237,7 +250,7 @@
 /* Tells whether the answer shows that the runner doesn't crash on it. */
 static bool is_proof_of_run(const relay_t *r)
 {
-	return !r->has_output &&
+	return !r->n_events &&
 	       (relay_is_success(r) || r->route->kind != FLEET_STREAM);
 }
 
--- a/daemon/relay_quarantine.c
+++ b/daemon/relay_quarantine.c
@@ -87,7 +87,7 @@
 static bool broke_at_start(const relay_t *r)
 {
 	if (r->route->kind == FLEET_STREAM)
-		return r->has_answer && relay_is_success(r) && !r->has_output;
+		return r->has_answer && relay_is_success(r) && !r->n_events;
 	/* Some runners reset a few requests, or drop idle connections. */
 	return !r->has_answer &&
 	       !quarantine_is_survivor(&r->gateway->quarantine, runner_hash(r),
@@ -152,7 +152,7 @@
 	const quarantine_t *q = &r->gateway->quarantine;
 	int64_t now = now_us();
 
-	if (r->has_output)
+	if (r->n_events)
 		return false;
 	if (r->crash_reports >= MAX_CRASHES)
 		return true;
@@ -169,7 +169,7 @@
 	int64_t left_ms;
 
 	/* Once there was output, its parts are sound. */
-	if (!entry || r->has_output)
+	if (!entry || r->n_events)
 		return false;
 	if (entry->part == r->fingerprint)
 		why = "this request crashes runners";
--- a/net/sse.c
+++ b/net/sse.c
@@ -75,7 +75,17 @@
 
 str_t sse_id(str_t raw)
 {
-	return field_value(raw, STR_LIT("id:"));
+	str_t id = field_value(raw, STR_LIT("id:"));
+	const char *end = raw.ptr + raw.len;
+	str_t next = id;
+
+	while (next.ptr < end) {
+		id = next;
+		next = field_value((str_t){ id.ptr + id.len,
+					    (size_t)(end - id.ptr) - id.len },
+				   STR_LIT("id:"));
+	}
+	return id;
 }
 
 bool sse_feed(sse_t *s, str_t bytes)
