gateway: answers and requests' bodies of all requests together are bounded

The same held for bodies, of which a request had up to three copies.

Beyond it the largest answer of the runner that holds most is given up (502: it ran), and a body is refused before it is read (503: not run). A body is held once now. Streams are paused earlier while much is held.

--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -11,6 +11,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 
+#include "core/byte_budget.h"
 #include "core/fleet.h"
 #include "core/hot_prefix.h"
 #include "core/quarantine.h"
@@ -41,6 +42,10 @@
 	stream_releases_t streams; /* that began here */
 	fleet_t *fleet; /* NULL until a configuration is in force */
 	retry_budget_t retries;
+	byte_budget_t
+		answers; /* received in part, or not yet read by callers */
+	byte_budget_t
+		bodies; /* of requests, from their first byte to their end */
 	/* status of runners, as known to this daemon */
 	runner_filter_t runners;
 	GHashTable *runner_zones; /* name to zone, of all listed runners */
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -17,6 +17,7 @@
 	FLUSH_US = 200 * 1000, /* to send the last answers of a drain */
 	/* A runner that left the list is forgotten after this time. */
 	LEFT_RUNNER_KEEP_US = 60 * 1000 * 1000,
+	BYTES_PER_MB = 1000000,
 	MAX_STREAMS = 8192, /* whose release is remembered */
 };
 
@@ -58,6 +59,15 @@
 	retry_budget_set(&g->retries, &quota);
 }
 
+static void set_byte_budgets(gateway_t *g)
+{
+	uint64_t memory =
+		(uint64_t)(g->sup->settings->memory_mb * BYTES_PER_MB);
+
+	byte_budget_init(&g->answers, memory);
+	byte_budget_init(&g->bodies, memory);
+}
+
 static void update_runner_filter(gateway_t *g, const vm_list_t *vms)
 {
 	runner_filter_begin(&g->runners);
@@ -92,6 +102,8 @@
 	metrics_set(m, "papaya_quarantined_parts", NULL,
 		    quarantine_count(&g->quarantine, now_us()));
 	metrics_set(m, "papaya_callers", NULL, g_hash_table_size(g->callers));
+	metrics_set(m, "papaya_held_answer_bytes", NULL, g->answers.held);
+	metrics_set(m, "papaya_held_body_bytes", NULL, g->bodies.held);
 	metrics_set(m, "papaya_upstream_connects_total", NULL,
 		    g->pool.stats.connects);
 	metrics_set(m, "papaya_upstream_reuses_total", NULL,
@@ -340,6 +352,7 @@
 	stream_releases_init(&g->streams, MAX_STREAMS);
 	upstream_pool_init(&g->pool, sup->base);
 	retry_budget_init(&g->retries, &none);
+	set_byte_budgets(g);
 	runner_filter_init(&g->runners, LEFT_RUNNER_KEEP_US);
 	g->tick = supervisor_add_timer(sup, TICK_MS, on_tick, g);
 	/*
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -1,10 +1,12 @@
 #define LOG_PART "ingress"
 
+#include <inttypes.h>
 #include <sys/socket.h>
 
 #include "common/log.h"
 #include "common/timeval.h"
 #include "daemon/gateway.h"
+#include "daemon/held_bytes.h"
 #include "net/tcp.h"
 
 enum {
@@ -16,6 +18,7 @@
 	READ_AHEAD_BYTES = 64 * 1024, /* input buffered during a request */
 	LINGER_MS = 1000, /* from shutdown to close, to deliver the answer */
 	STATUS_CONTINUE = 100,
+	NO_MEMORY_RETRY_MS = 500, /* other requests will have ended */
 };
 
 typedef enum ingress_state {
@@ -36,6 +39,7 @@
 	ingress_state_t state;
 	bool closes_after_answer;
 	bool is_write_shut; /* the sending side is shut down */
+	bool lacks_memory; /* for the body of the request that is read */
 };
 
 static const fleet_limits_t default_limits = {
@@ -61,9 +65,17 @@
 	return l;
 }
 
+static void discard_body(ingress_t *c)
+{
+	byte_budget_remove(&c->gateway->bodies, c->body->len);
+	g_byte_array_set_size(c->body, 0);
+}
+
 void ingress_free(ingress_t *c)
 {
 	g_hash_table_remove(c->gateway->callers, c);
+	discard_body(c);
+	held_bytes_forget(&c->gateway->answers, bufferevent_get_output(c->bev));
 	bufferevent_free(c->bev);
 	event_free(c->timer);
 	http1_reader_finish(&c->reader);
@@ -107,7 +119,7 @@
 	}
 	c->state = INGRESS_IDLE;
 	http1_reader_reset(&c->reader);
-	g_byte_array_set_size(c->body, 0);
+	discard_body(c);
 	set_timer(c, limits(c).idle_timeout_ms);
 	/* Bytes that are already buffered are parsed from the event loop. */
 	if (evbuffer_get_length(bufferevent_get_input(c->bev)))
@@ -189,13 +201,28 @@
 }
 
 /* Refuses a request that can't be read to its end, and closes. */
-static void reject(ingress_t *c, int status, const char *why)
+static void reject(ingress_t *c, int status, int64_t retry_after_ms,
+		   const char *why)
 {
 	log_debug("request refused with %d: %s", status, why);
 	metrics_add(&c->gateway->sup->metrics, "papaya_rejected_total", NULL,
 		    1);
 	c->closes_after_answer = true;
-	ingress_answer_error(c, status, 0, why);
+	ingress_answer_error(c, status, retry_after_ms, why);
+}
+
+/* Tells whether N more bytes of a body may be held. */
+static bool has_memory(ingress_t *c, size_t n)
+{
+	const byte_budget_t *b = &c->gateway->bodies;
+
+	c->lacks_memory = !byte_budget_fits(b, n);
+	if (c->lacks_memory)
+		log_event("body-refused",
+			  "bytes=%zu held=%" PRIu64 " limit=%" PRIu64
+			  " why=\"bodies take up the memory that they may\"",
+			  n, b->held, b->limit);
+	return !c->lacks_memory;
 }
 
 static bool on_head(void *ctx, const http1_head_t *head)
@@ -208,6 +235,8 @@
 	if (length != HTTP1_NO_LENGTH &&
 	    length > (int64_t)limits(c).max_body_bytes)
 		return false;
+	if (length != HTTP1_NO_LENGTH && !has_memory(c, (size_t)length))
+		return false;
 	if (expect && http1_name_equal(expect->value, STR_LIT("100-continue")))
 		evbuffer_add_printf(bufferevent_get_output(c->bev),
 				    "HTTP/1.1 %d Continue\r\n\r\n",
@@ -219,8 +248,10 @@
 {
 	ingress_t *c = ctx;
 
-	if (c->body->len + bytes.len > limits(c).max_body_bytes)
+	if (c->body->len + bytes.len > limits(c).max_body_bytes ||
+	    !has_memory(c, bytes.len))
 		return false;
+	byte_budget_add(&c->gateway->bodies, bytes.len);
 	g_byte_array_append(c->body, (const guint8 *)bytes.ptr,
 			    (guint)bytes.len);
 	return true;
@@ -228,11 +259,12 @@
 
 static void start_relay(ingress_t *c)
 {
-	GBytes *body = g_bytes_new(c->body->data, c->body->len);
+	/* The relay counts it from now on. */
+	GBytes *body = g_byte_array_free_to_bytes(c->body);
 
+	c->body = g_byte_array_new();
 	event_del(c->timer);
 	c->state = INGRESS_RELAYING;
-	g_byte_array_set_size(c->body, 0);
 	relay_start(c->gateway, c, &c->reader.head, body);
 	g_bytes_unref(body);
 }
@@ -244,13 +276,17 @@
 		start_relay(c);
 		break;
 	case HTTP1_STOPPED:
-		reject(c, 413, "the body is too long");
+		if (c->lacks_memory)
+			reject(c, 503, NO_MEMORY_RETRY_MS,
+			       "the daemon holds too many requests");
+		else
+			reject(c, 413, 0, "the body is too long");
 		break;
 	case HTTP1_OVERSIZED:
-		reject(c, 431, "the headers are too long");
+		reject(c, 431, 0, "the headers are too long");
 		break;
 	case HTTP1_MALFORMED:
-		reject(c, 400, "the request can't be read");
+		reject(c, 400, 0, "the request can't be read");
 		break;
 	case HTTP1_MORE:
 		break;
@@ -329,7 +365,7 @@
 	ingress_t *c = arg;
 
 	if (c->state == INGRESS_READING)
-		reject(c, 408, "the request did not come in time");
+		reject(c, 408, 0, "the request did not come in time");
 	else if (c->state != INGRESS_RELAYING && c->state != INGRESS_STREAMING)
 		drop_caller(c);
 }
@@ -359,6 +395,7 @@
 	c->bev = bufferevent_socket_new(g->sup->base, fd,
 					BEV_OPT_CLOSE_ON_FREE |
 						BEV_OPT_DEFER_CALLBACKS);
+	held_bytes_watch(&g->answers, bufferevent_get_output(c->bev));
 	c->timer = evtimer_new(g->sup->base, on_timer, c);
 	http1_reader_init(&c->reader, HTTP1_REQUEST, DEFAULT_MAX_HEADER_BYTES,
 			  &ops, c);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -6,6 +6,7 @@
 
 #include "common/log.h"
 #include "common/timeval.h"
+#include "daemon/held_bytes.h"
 
 enum {
 	US_PER_MS = 1000,
@@ -198,9 +199,13 @@
 		g_hash_table_steal(r->gateway->relays, &r->attempt);
 	g_hash_table_remove(r->gateway->pending, r);
 	event_free(r->timer);
+	held_bytes_forget(&r->gateway->answers, r->answer_body);
 	evbuffer_free(r->answer_body);
+	sse_reset(&r->sse);
+	relay_count_event(r);
 	sse_finish(&r->sse);
 	g_string_free(r->last_event_id, TRUE);
+	byte_budget_remove(&r->gateway->bodies, g_bytes_get_size(r->body));
 	g_bytes_unref(r->body);
 	g_free(r->id);
 	fleet_unref(r->fleet);
@@ -342,6 +347,22 @@
 	return true;
 }
 
+static void unref_body(const void *data, size_t len, void *body)
+{
+	g_bytes_unref(body);
+}
+
+/* The body isn't copied: REQUEST holds a reference to it until it is sent. */
+static void add_body(struct evbuffer *request, GBytes *body)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(body, &len);
+
+	if (len)
+		evbuffer_add_reference(request, data, len, unref_body,
+				       g_bytes_ref(body));
+}
+
 static void send_upstream(relay_t *r)
 {
 	/*
@@ -359,11 +380,10 @@
 				  r->last_event_id->len },
 	};
 	struct evbuffer *request = evbuffer_new();
-	gsize len;
-	const void *bytes = g_bytes_get_data(r->body, &len);
 
-	call_head_write(request, r->head, &r->call, &params, len);
-	evbuffer_add(request, bytes, len);
+	call_head_write(request, r->head, &r->call, &params,
+			g_bytes_get_size(r->body));
+	add_body(request, r->body);
 	r->has_answer = false;
 	r->is_streaming = false;
 	r->events_before = r->n_events;
@@ -372,6 +392,7 @@
 	r->pause_ms = 0;
 	evbuffer_drain(r->answer_body, evbuffer_get_length(r->answer_body));
 	sse_reset(&r->sse);
+	relay_count_event(r);
 	r->state = RELAY_GRANTED;
 	r->progress_at = now_us();
 	relay_note_release(r);
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -86,6 +86,7 @@
 	int begun_status; /* the status in that head */
 	bool is_paused; /* reading stopped: the caller reads slowly */
 	sse_t sse;
+	size_t held_event; /* bytes of an event that is not whole, counted */
 	GString *last_event_id; /* id of the last event sent to the caller */
 	uint64_t n_events; /* with an id or data, sent to the caller */
 	uint64_t events_before; /* of them, by earlier runners */
@@ -178,6 +179,16 @@
 /* The stream's first event arrived: it is bound to the runner's release. */
 void relay_bind_release(relay_t *r);
 
+/* relay_memory.c */
+
+/*
+ * Makes room for N more bytes of this request's answer, by giving up others of
+ * the runner that holds most. Returns false when this one has to be given up.
+ */
+bool relay_make_room(relay_t *r, size_t n);
+/* Counts what is received of an event that is not whole yet. */
+void relay_count_event(relay_t *r);
+
 /* relay_runner.c */
 
 /* Handles what the answer's head states of the runner: leaving, pause, limit. */
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -7,6 +7,7 @@
 
 #include "common/log.h"
 #include "common/timeval.h"
+#include "daemon/held_bytes.h"
 #include "daemon/relay.h"
 
 enum {
@@ -320,6 +321,7 @@
 	r->arrived_at = now_us();
 	r->timer = evtimer_new(g->sup->base, relay_on_deadline, r);
 	r->answer_body = evbuffer_new();
+	held_bytes_watch(&g->answers, r->answer_body);
 	r->last_event_id = g_string_new("");
 	relay_answer_init(r, MAX_EVENT_BYTES);
 	ingress_set_relay(c, r);
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -123,15 +123,21 @@
 {
 	relay_t *r = ctx;
 	uint64_t before = r->n_events;
-	size_t max_backlog =
-		(size_t)r->gateway->sup->settings->caller_backlog_kib * 1024;
+	bool is_sound;
+	size_t max_backlog = byte_budget_backlog(
+		&r->gateway->answers,
+		(size_t)r->gateway->sup->settings->caller_backlog_kib * 1024);
 
+	if (!relay_make_room(r, bytes.len))
+		return false;
 	if (!r->is_streaming) {
 		evbuffer_add(r->answer_body, bytes.ptr, bytes.len);
 		return evbuffer_get_length(r->answer_body) <=
 		       (size_t)r->gateway->sup->settings->max_answer_kib * 1024;
 	}
-	if (!sse_feed(&r->sse, bytes) || r->is_repeating)
+	is_sound = sse_feed(&r->sse, bytes);
+	relay_count_event(r);
+	if (!is_sound || r->is_repeating)
 		return false;
 	if (!before && r->n_events) {
 		relay_bind_release(r);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -148,6 +148,9 @@
 	    "answers kept for repeats, together"),
 	INT(caller_backlog_kib, "KiB", 1, 1048576, "256",
 	    "unread part of a caller's answer at which its upstream is paused"),
+	REAL(memory_mb, 16, 1000000, "1024",
+	     "memory of the process, in MB; answers and requests' bodies may "
+	     "take up a fifth of it each; fleet only"),
 	INT(max_wants, "", 1, 1000000, "20000",
 	    "requests that one dispatcher queues, at most"),
 	DURATION(ticket_life_ms, 100, DAY_MS, "300000",
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -59,6 +59,7 @@
 	int64_t max_answer_kib;
 	int64_t max_kept_kib;
 	int64_t caller_backlog_kib;
+	double memory_mb;
 	int64_t max_wants;
 	int64_t ticket_life_ms;
 	int64_t grant_timeout_ms;
