relay: a VM out of step doesn't take its only known release for a stream's

Its log: the daemon woke, was the stream's recorder itself, and answered release 0 from memory with the notes still in its sockets; ruled out: a second daemon's answer, and a resume within one answer.

Its own answer and no answer count only with a list of runners newer than the request; the store's task tells the front task how new it is.

--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -34,6 +34,7 @@
 	GHashTable *relays; /* attempt number to relay_t */
 	GHashTable *pending; /* set of relay_t that wait for gateway_is_ready */
 	bool has_runners; /* a list of runners was received */
+	int64_t runners_seen_at; /* the list was up to date; microseconds */
 	upstream_pool_t pool;
 	zone_groups_t groups; /* of the runners of each service */
 	hot_prefix_t prefixes; /* prompt prefixes of recent requests */
@@ -137,7 +138,7 @@
 /* relay_release.c: streams that go on only on the release that began them. */
 
 /* Handles the answer of a stream's recorder. */
-void gateway_on_stream_answer(gateway_t *g, const stream_release_t *stream);
+void gateway_on_stream_answer(gateway_t *g, const message_streams_t *m);
 /* A new list of runners: sends streams to be recorded that were not so far. */
 void gateway_on_releases(gateway_t *g, const vm_list_t *before);
 
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -278,6 +278,9 @@
 		g->has_runners = true;
 		admit_pending(g);
 		break;
+	case MESSAGE_RUNNERS_SEEN:
+		g->runners_seen_at = (int64_t)m->number;
+		break;
 	case MESSAGE_ROUTED:
 	case MESSAGE_GRANT:
 	case MESSAGE_REFUSE:
@@ -297,7 +300,7 @@
 		gateway_on_part_notice(g, &m->part);
 		break;
 	case MESSAGE_STREAM_ANSWER:
-		gateway_on_stream_answer(g, &m->streams.stream);
+		gateway_on_stream_answer(g, &m->streams);
 		break;
 	case MESSAGE_LINK_UP:
 		gateway_send_quarantine(g, m->contact.name);
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -65,6 +65,7 @@
 	MESSAGE_CONFIG_RELAYED, /* peers to platform: from another daemon */
 	MESSAGE_FLEET, /* platform to front: routes, services and teams */
 	MESSAGE_VMS, /* platform to all: the VM list */
+	MESSAGE_RUNNERS_SEEN, /* store to front: when the runners' list was new */
 	MESSAGE_VMS_RELAYED, /* peers to platform: from another daemon */
 	MESSAGE_TOPIC_UPDATE, /* store to peers and back: a topic's update */
 	MESSAGE_READER_ROLE, /* peers to store: is this daemon a reader? */
--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -20,6 +20,10 @@
 	/* For an answer from memory, which is only to confirm. */
 	MAX_CONFIRM_US = 200 * US_PER_MS,
 	UNKNOWN_RETRY_MS = 1000,
+	/* From a daemon's read of the store until others have what it read. */
+	LIST_LAG_US = 100 * US_PER_MS,
+	/* Of the list of runners, on a VM that hears of changes. */
+	LIST_AGE_US = 1500 * US_PER_MS,
 };
 
 /* The stream that the request takes up. */
@@ -66,6 +70,24 @@
 	supervisor_post(r->gateway->sup, TASK_PEERS, &m);
 }
 
+static bool names_attempt(const relay_t *r)
+{
+	return r->call.resumed_attempt.len > 0;
+}
+
+/*
+ * Tells whether this VM knows of all runners on which the stream may have begun.
+ * It may have stood still, or been cut off, while a release joined. Where the
+ * stream's recorder is asked, the list has to be newer than the request.
+ */
+static bool has_new_list(const relay_t *r)
+{
+	int64_t since = names_attempt(r) ? r->arrived_at + LIST_LAG_US :
+					   r->arrived_at - LIST_AGE_US;
+
+	return r->gateway->runners_seen_at > since;
+}
+
 /*
  * Nobody knows the stream: it is of the service's only release, if that is
  * known. Returns false when there is none, and the request was refused.
@@ -91,40 +113,52 @@
 		log_found(r, "it began here");
 		return true;
 	}
-	if (!r->call.resumed_attempt.len)
+	if (!names_attempt(r) && has_new_list(r))
 		return use_only_release(
 			r, "it doesn't name the attempt that began it");
 	/* Also with one release: other daemons may know of a new one before. */
 	relay_new_attempt(r);
 	r->state = RELAY_AWAITING_RELEASE;
-	post_ask(r);
+	if (names_attempt(r))
+		post_ask(r);
 	return false;
 }
 
 void relay_check_release_timeout(relay_t *r, int64_t now)
 {
-	int64_t most = only_release(r) ? MAX_CONFIRM_US : MAX_ASK_US;
+	int64_t age = now - r->arrived_at;
 
-	if (now - r->arrived_at > most) {
+	if (age > MAX_ASK_US) {
+		refuse_unknown(r, "no recorder answered");
+	} else if (only_release(r) && has_new_list(r) &&
+		   (!names_attempt(r) || age > MAX_CONFIRM_US)) {
 		if (use_only_release(r, "no recorder answered"))
 			relay_request_limit(r);
-	} else if (now - r->requested_at > REPEAT_ASK_US) {
+	} else if (names_attempt(r) && now - r->requested_at > REPEAT_ASK_US) {
 		post_ask(r);
 	}
 }
 
-static void on_answer(relay_t *r, const stream_release_t *stream)
+/*
+ * This daemon's own word that it doesn't know the stream says little until its
+ * list of runners is new: notes may wait in its sockets.
+ */
+static void on_answer(relay_t *r, const message_streams_t *m)
 {
-	if (stream->release) {
-		r->release = stream->release;
+	bool is_own = !m->peer[0];
+
+	if (m->stream.release) {
+		r->release = m->stream.release;
 		log_found(r, "its recorder knows it");
+	} else if (is_own && only_release(r) && !has_new_list(r)) {
+		return;
 	} else if (!use_only_release(r, "its recorder doesn't know it")) {
 		return;
 	}
 	relay_request_limit(r);
 }
 
-void gateway_on_stream_answer(gateway_t *g, const stream_release_t *stream)
+void gateway_on_stream_answer(gateway_t *g, const message_streams_t *m)
 {
 	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
 
@@ -132,8 +166,8 @@
 		relay_t *r = link->data;
 
 		if (r->state == RELAY_AWAITING_RELEASE &&
-		    resumed_stream(r) == stream->stream)
-			on_answer(r, stream);
+		    resumed_stream(r) == m->stream.stream)
+			on_answer(r, m);
 	}
 }
 
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -47,6 +47,7 @@
 	bool is_writing;
 	bool daemons_changed;
 	int64_t lists_requested_at; /* last request to another daemon */
+	int64_t runners_seen_at; /* as last told to the front task */
 } store_sync_t;
 
 static void post_fleet(store_sync_t *s)
@@ -347,6 +348,18 @@
 	post_vms(s);
 }
 
+/* Tells the front task how new the list of runners is that it has. */
+static void post_runners_seen(store_sync_t *s)
+{
+	message_t m = { .type = MESSAGE_RUNNERS_SEEN,
+			.number = (uint64_t)s->runners.state.updated_at };
+
+	if (s->runners_seen_at == s->runners.state.updated_at)
+		return;
+	s->runners_seen_at = s->runners.state.updated_at;
+	supervisor_post(s->sup, TASK_FRONT, &m);
+}
+
 /*
  * Requests missing lists, publishes changes, and writes this daemon's entry and
  * the records of prompt parts until the writes succeed.
@@ -368,6 +381,7 @@
 	part_records_tick(&s->parts, epoch, now);
 	stream_recorder_tick(&s->recorder, epoch, now);
 	publish_changes(s);
+	post_runners_seen(s);
 	if (s->daemons.state.is_reader && s->vms)
 		release_record_tick(&s->releases, now);
 }
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -13,6 +13,7 @@
 enum {
 	LIMIT_US = 8 * G_USEC_PER_SEC,
 	MAX_UNSENT = 128 * 1024, /* bytes of a trail; exceeded by one write */
+	LIST_MS = 20, /* between looks at the runners' list by the fake store */
 	VERDICT_MS = 2 * QUARANTINE_SETTLE_MS, /* with the next tick */
 };
 
@@ -338,6 +339,16 @@
 		   ntohs(name.sin_port));
 }
 
+static void on_list_timer(evutil_socket_t fd, short what, void *arg)
+{
+	gateway_fixture_t *fixture = arg;
+	message_t m = { .type = MESSAGE_RUNNERS_SEEN,
+			.number = (uint64_t)now_us() };
+
+	if (!fixture->is_list_old)
+		supervisor_post(&fixture->sup, TASK_FRONT, &m);
+}
+
 void gateway_fixture_init(gateway_fixture_t *fixture)
 {
 	err_t err = { 0 };
@@ -356,6 +367,9 @@
 	ck_assert_msg(supervisor_start(&fixture->sup, specs, &err), "%s",
 		      err.detail);
 	event_base_loop(fixture->base, EVLOOP_NONBLOCK);
+	fixture->list_timer = supervisor_add_timer(&fixture->sup, LIST_MS,
+						   on_list_timer, fixture);
+	on_list_timer(-1, 0, fixture);
 }
 
 void gateway_set_only_release(gateway_fixture_t *fixture, uint64_t release)
@@ -431,6 +445,7 @@
 {
 	for (int i = 0; i < FIXTURE_CALLERS; i++)
 		gateway_close_caller(fixture, i);
+	event_free(fixture->list_timer);
 	supervisor_finish(&fixture->sup);
 	for (int i = 0; i < FIXTURE_RUNNERS; i++) {
 		evconnlistener_free(fixture->runners[i].listener);
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -87,6 +87,8 @@
 	raw_caller_t callers[FIXTURE_CALLERS];
 	bool is_mute; /* the fake dispatcher does not answer */
 	bool refuses; /* the fake dispatcher refuses */
+	struct event *list_timer;
+	bool is_list_old; /* the list of runners is not renewed */
 	bool limit_refuses; /* the fake limiter refuses */
 	bool is_limiter_young; /* and has begun to count just now */
 	bool is_limiter_mute; /* the fake limiter does not answer */
--- a/tests/test_version_skew.c
+++ b/tests/test_version_skew.c
@@ -86,6 +86,49 @@
 	ck_assert(!fixture->was_ask_from_memory);
 }
 
+/*
+ * Guards against streams joined from two releases at a VM that stood still or
+ * was cut off while the second one joined: it knows the first only.
+ */
+START_TEST(a_vm_out_of_step_asks_again_before_it_goes_on)
+{
+	enum { WHILE_MS = 150 };
+	gateway_fixture_t fixture;
+
+	begin(&fixture, resumes, resumes);
+	gateway_set_only_release(&fixture, OLD_RELEASE);
+	fixture.is_list_old = true;
+	gateway_send(&fixture, 0, TAKE_UP("b", "a"));
+	gateway_await_count(&fixture, &fixture.stream_asks, 1);
+	/* It is the stream's recorder itself, and has not read its notes. */
+	gateway_answer_ask(&fixture, 0);
+	gateway_run(&fixture, WHILE_MS);
+	ck_assert_int_eq(fixture.wants, 0);
+	gateway_set_only_release(&fixture, 0);
+	fixture.is_list_old = false;
+	gateway_await_count(&fixture, &fixture.stream_asks, 2);
+	gateway_answer_ask(&fixture, NEW_RELEASE);
+	gateway_await(&fixture, 0, "id: 2");
+	ck_assert_uint_eq(fixture.last_want.capacity.want.release, NEW_RELEASE);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* The same, where no recorder can be asked: refused rather than joined. */
+START_TEST(a_vm_that_stays_out_of_step_refuses_take_ups)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture, resumes, resumes);
+	gateway_set_only_release(&fixture, OLD_RELEASE);
+	fixture.is_list_old = true;
+	gateway_send(&fixture, 0, TAKE_UP("b", "a"));
+	gateway_await(&fixture, 0, "HTTP/1.1 503 ");
+	ck_assert_int_eq(fixture.wants, 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 START_TEST(a_recorder_tells_the_release_of_another_daemons_stream)
 {
 	gateway_fixture_t fixture;
@@ -281,6 +324,8 @@
 
 SUITE_MAIN("version_skew", a_broken_stream_resumes_on_its_release_only,
 	   a_take_up_goes_to_the_release_that_began_the_stream,
+	   a_vm_out_of_step_asks_again_before_it_goes_on,
+	   a_vm_that_stays_out_of_step_refuses_take_ups,
 	   a_recorder_tells_the_release_of_another_daemons_stream,
 	   a_stream_of_an_unknown_release_is_not_taken_up,
 	   a_recorder_that_is_silent_is_asked_again_and_given_up,
