--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -150,12 +150,13 @@
 	if (m->stream.release) {
 		r->release = m->stream.release;
 		log_found(r, "its recorder knows it");
-	} else if (is_own && only_release(r) && !has_new_list(r)) {
-		return;
-	} else if (!use_only_release(r, "its recorder doesn't know it")) {
+		relay_request_limit(r);
 		return;
 	}
-	relay_request_limit(r);
+	if (is_own && only_release(r) && !has_new_list(r))
+		return;
+	if (use_only_release(r, "its recorder doesn't know it"))
+		relay_request_limit(r);
 }
 
 void gateway_on_stream_answer(gateway_t *g, const message_streams_t *m)
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -154,6 +154,8 @@
 	}
 	if (fleet_json_parse_runner(id, text, &runner, &err))
 		return set_runner(s, &runner);
+	metrics_add(&s->sup->metrics, "papaya_runner_entries_refused_total",
+		    NULL, 1);
 	log_warn("removing runner %.*s: invalid entry: %s",
 		 (int)MIN(id.len, FLEET_NAME_SIZE), id.ptr,
 		 err_text(&err, reason, sizeof(reason)));
--- a/tests/lib_store_fixture.c
+++ b/tests/lib_store_fixture.c
@@ -39,7 +39,8 @@
 		f, STORE_RUNNERS, id,
 		g_strdup_printf(
 			"{\"service\":\"s\",\"address\":\"127.0.0.1:9\","
-			"\"zone\":\"z\",\"slots\":4,\"state\":\"ready\","
+			"\"zone\":\"z\",\"warmup_left_ms\":0,"
+			"\"slots\":4,\"state\":\"ready\","
 			"\"version\":\"%s\",\"sequence\":1,\"born\":7}",
 			release));
 }
@@ -63,7 +64,8 @@
 		f, STORE_RUNNERS, id,
 		g_strdup_printf(
 			"{\"service\":\"s\",\"address\":\"127.0.0.1:9\","
-			"\"zone\":\"z\",\"slots\":4,\"state\":\"%s\","
+			"\"zone\":\"z\",\"version\":\"1\","
+			"\"warmup_left_ms\":0,\"slots\":4,\"state\":\"%s\","
 			"\"sequence\":%d,\"born\":7}",
 			state, sequence));
 }
--- a/tests/test_fleet_json.c
+++ b/tests/test_fleet_json.c
@@ -149,7 +149,71 @@
 
 #define RUNNER                                                            \
 	"{\"service\":\"s1\",\"address\":\"10.0.0.9:80\",\"zone\":\"z\"," \
-	"\"slots\":8,\"state\":\"%s\",\"born\":%s}"
+	"\"version\":\"1\",\"slots\":8,\"warmup_left_ms\":0,"             \
+	"\"sequence\":1,\"state\":\"%s\",\"born\":%s}"
+
+/* Fields of a runner's entry, and values that they can't have. */
+typedef struct entry_field {
+	const char *key, *sound;
+	const char *odd[4];
+} entry_field_t;
+
+static const entry_field_t entry_fields[] = {
+	{ "service", "\"s1\"", { "1", "\"\"", "{}", "null" } },
+	{ "address",
+	  "\"10.0.0.9:80\"",
+	  { "80", "\"10.0.0.9\"", "[]", "null" } },
+	{ "zone", "\"z\"", { "1", "\"\"", "[\"z\"]", "null" } },
+	{ "version", "\"1\"", { "1", "\"\"", "{}", "null" } },
+	{ "slots", "8", { "\"8\"", "-1", "1e99", "null" } },
+	{ "warmup_left_ms", "0", { "\"0\"", "-1", "1e99", "null" } },
+	{ "state", "\"ready\"", { "1", "\"gone\"", "true", "null" } },
+	{ "sequence", "1", { "\"1\"", "-1", "1.5", "null" } },
+};
+
+/* Returns an entry whose field ODD has VALUE; NULL leaves the field out. */
+static char *entry_with(size_t odd, const char *value)
+{
+	GString *text = g_string_new("{\"born\":7");
+
+	for (size_t i = 0; i < G_N_ELEMENTS(entry_fields); i++) {
+		const entry_field_t *f = &entry_fields[i];
+
+		if (i != odd || value)
+			g_string_append_printf(text, ",\"%s\":%s", f->key,
+					       i == odd ? value : f->sound);
+	}
+	g_string_append_c(text, '}');
+	return g_string_free(text, FALSE);
+}
+
+static bool is_runner(const char *text)
+{
+	listed_runner_t runner;
+
+	return fleet_json_parse_runner(STR_LIT("i-1"), str_from(text), &runner,
+				       NULL);
+}
+
+/* Guards against requests to what an entry of another writer names (review/2). */
+START_TEST(an_entry_with_a_field_missing_or_odd_is_no_runner)
+{
+	g_autofree char *whole = entry_with(G_N_ELEMENTS(entry_fields), NULL);
+
+	ck_assert(is_runner(whole));
+	for (size_t i = 0; i < G_N_ELEMENTS(entry_fields); i++) {
+		const entry_field_t *f = &entry_fields[i];
+		g_autofree char *without = entry_with(i, NULL);
+
+		ck_assert_msg(!is_runner(without), "%s", without);
+		for (size_t k = 0; k < G_N_ELEMENTS(f->odd); k++) {
+			g_autofree char *text = entry_with(i, f->odd[k]);
+
+			ck_assert_msg(!is_runner(text), "%s", text);
+		}
+	}
+}
+END_TEST
 
 START_TEST(runner_entries_are_validated)
 {
@@ -203,4 +267,5 @@
 	   the_longest_prefix_of_the_host_wins, a_split_follows_its_weights,
 	   callers_wait_by_the_targets_of_the_route,
 	   less_urgent_routes_reserve_more_of_a_limit, errors_name_the_location,
+	   an_entry_with_a_field_missing_or_odd_is_no_runner,
 	   runner_entries_are_validated, a_daemons_entry_is_read_as_written)
--- a/tests/test_memory_bound.c
+++ b/tests/test_memory_bound.c
@@ -24,7 +24,7 @@
 	RUN_MS = 4000,
 	CALL_MS = 2500,
 	UNREAD_US = 2500 * 1000, /* by callers that don't read */
-	PROBE_MS = 100, /* between sound calls */
+	PROBE_US = 100 * 1000, /* between sound calls */
 	READY_MS = 10000,
 	PORT = 8000, /* of the daemon */
 	RUNNER_PORT = 9000,
@@ -345,7 +345,7 @@
 	}
 	while (now_ms() < until) {
 		probe(s);
-		g_usleep(PROBE_MS * 1000);
+		g_usleep(PROBE_US);
 	}
 	g_atomic_int_set(&s->is_over, 1);
 	for (int i = 0; i < CALLERS; i++) {
--- a/tests/test_odd_entry.c
+++ b/tests/test_odd_entry.c
@@ -8,12 +8,14 @@
 #include "tests/lib_store_fixture.h"
 #include "tests/lib_suite.h"
 
-#define ENTRY(field)                                                     \
-	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\"," \
-	"\"slots\":4,\"state\":\"ready\",\"sequence\":1,\"born\":7," field "}"
-#define ADDRESS(address)                                                 \
-	"{\"service\":\"s\",\"address\":\"" address "\",\"zone\":\"z\"," \
-	"\"slots\":4,\"state\":\"ready\",\"sequence\":1,\"born\":7}"
+#define OTHERS "\"version\":\"1\",\"warmup_left_ms\":0,\"sequence\":1,"
+#define ENTRY(field)                                                            \
+	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\"," OTHERS \
+	"\"slots\":4,\"state\":\"ready\",\"born\":7," field "}"
+#define ADDRESS(address)                            \
+	"{\"service\":\"s\",\"address\":\"" address \
+	"\",\"zone\":\"z\"," OTHERS                 \
+	"\"slots\":4,\"state\":\"ready\",\"born\":7}"
 
 enum { DEPTH = 20 * 1000 };
 
@@ -31,15 +33,16 @@
 	ADDRESS("host:9"),
 	ADDRESS(""),
 	ENTRY("\"slots\":1e99"),
-	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","
+	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\"," OTHERS
 	"\"slots\":1e999,\"state\":\"ready\"}",
-	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","
+	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\"," OTHERS
 	"\"slots\":99999999999999999999,\"state\":\"ready\"}",
-	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","
+	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\"," OTHERS
 	"\"slots\":4,\"state\":\"ready\",\"born\":9999999999999999999999}",
-	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","
+	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\"," OTHERS
 	"\"slots\":4,\"state\":\"ready\",\"born\":1e300}",
 	"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":\"z\","
+	"\"version\":\"1\",\"warmup_left_ms\":0,"
 	"\"slots\":4,\"state\":\"ready\",\"sequence\":-1}",
 	"{\"service\":{},\"address\":[],\"zone\":1,\"slots\":\"\",\"state\":0}",
 	"[]",
@@ -53,7 +56,7 @@
 {
 	g_autoptr(GString) text = g_string_new(
 		"{\"service\":\"s\",\"address\":\"127.0.0.1:9\",\"zone\":"
-		"\"z\",\"slots\":4,\"state\":\"ready\",\"x\":");
+		"\"z\"," OTHERS "\"slots\":4,\"state\":\"ready\",\"x\":");
 
 	for (int i = 0; i < DEPTH; i++)
 		g_string_append(text, open);
