ingress: an idle connection is closed only with nothing in it

The timer looks at both buffers now. A host's routes are inserted in order, not sorted again after each one. Ruled out: the drain, which looked before.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 #   make spec       model-checks the specifications and their mutants
 #   make faults     fault-injection tests on real processes
 #   make soak       random faults on real processes, a short seeded run
+#   make streams    streams over several real daemons: order, retry budget
 #   make measure    load measurements on real processes
 #   make bench      microbenchmarks of scheduling decisions
 #   make slopes     cost of a daemon by daemons, load, teams, publications
@@ -125,6 +126,10 @@
 	@$(B)/tests/soak --known-red KNOWN-RED.txt \
 		$(if $(SOAK_ARGS),$(SOAK_ARGS),--list tests/soak-seeds)
 
+# Longer: make streams STREAMS_ARGS='--seconds 60 --seed 3'.
+streams: all $(TOOLS)
+	@$(B)/tests/streams $(if $(STREAMS_ARGS),$(STREAMS_ARGS),--seconds 15)
+
 measure: all $(TOOLS)
 	@tests/measure.sh $(B) $(MEASURE_ARGS)
 
@@ -161,4 +166,4 @@
 
 .SECONDARY:
 .PHONY: all setup demo check run-check generated-check spec faults soak \
-	measure slopes bench format format-check tidy lint clean proto
+	streams measure slopes bench format format-check tidy lint clean proto
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -77,14 +77,25 @@
 	return MIN(route->priority, MAX_ROUTE_PRIORITY);
 }
 
-static gint compare_prefix_length(gconstpointer a, gconstpointer b)
-{
-	const fleet_route_t *x = *(fleet_route_t *const *)a;
-	const fleet_route_t *y = *(fleet_route_t *const *)b;
-	size_t m = strlen(x->prefix);
-	size_t n = strlen(y->prefix);
-
-	return m < n ? 1 : m > n ? -1 : 0;
+/*
+ * Returns where a route stands among those of its host: the longest prefix
+ * first, and behind others of the same length.
+ */
+static guint position_of(const GPtrArray *routes, const fleet_route_t *route)
+{
+	size_t len = strlen(route->prefix);
+	guint from = 0, to = routes->len;
+
+	while (from < to) {
+		guint middle = from + (to - from) / 2;
+		const fleet_route_t *other = g_ptr_array_index(routes, middle);
+
+		if (strlen(other->prefix) >= len)
+			from = middle + 1;
+		else
+			to = middle;
+	}
+	return from;
 }
 
 void fleet_add_route(fleet_t *f, fleet_route_t *route)
@@ -97,8 +108,7 @@
 	}
 	f->priorities |= 1U << priority_of(route);
 	g_ptr_array_add(f->routes, route);
-	g_ptr_array_add(of_host, route);
-	g_ptr_array_sort(of_host, compare_prefix_length);
+	g_ptr_array_insert(of_host, (gint)position_of(of_host, route), route);
 }
 
 void fleet_add_service(fleet_t *f, fleet_service_t *service)
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -39,6 +39,7 @@
 	ingress_state_t state;
 	bool closes_after_answer;
 	bool is_write_shut; /* the sending side is shut down */
+	size_t unsent; /* bytes of the answer, as the timer last saw it */
 	bool lacks_memory; /* for the body of the request that is read */
 };
 
@@ -111,6 +112,7 @@
 	c->relay = NULL;
 	/* A further request might not be completed before the daemon exits. */
 	c->closes_after_answer |= c->gateway->drain_since != 0;
+	c->unsent = SIZE_MAX;
 	if (c->closes_after_answer) {
 		c->state = INGRESS_CLOSING;
 		set_timer(c, limits(c).idle_timeout_ms);
@@ -360,13 +362,39 @@
 		drop_caller(arg);
 }
 
+/* Tells whether the caller has read of its last answer since the last time. */
+static bool is_still_read(ingress_t *c)
+{
+	size_t unsent = ingress_backlog(c);
+	bool is_less = unsent && unsent < c->unsent;
+
+	c->unsent = unsent;
+	return is_less;
+}
+
+/*
+ * An idle connection may have a request in its input, if the event loop was
+ * late, and the rest of an answer in its output.
+ */
+static bool is_in_use(ingress_t *c)
+{
+	if (c->state == INGRESS_IDLE &&
+	    evbuffer_get_length(bufferevent_get_input(c->bev)))
+		return true;
+	return is_still_read(c);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	ingress_t *c = arg;
 
 	if (c->state == INGRESS_READING)
 		reject(c, 408, 0, "the request did not come in time");
-	else if (c->state != INGRESS_RELAYING && c->state != INGRESS_STREAMING)
+	else if (c->state == INGRESS_RELAYING || c->state == INGRESS_STREAMING)
+		return;
+	else if (is_in_use(c))
+		set_timer(c, limits(c).idle_timeout_ms);
+	else
 		drop_caller(c);
 }
 
