relay: what was received of an answer is dropped when it is awaited again

An answer given up for the memory it took was counted until its request was sent to the next runner, so others of the same runner, and then of sound ones, were given up in its place.

--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -134,8 +134,17 @@
 	g_hash_table_insert(r->gateway->relays, &r->attempt, r);
 }
 
+/* Drops what was received of an answer that isn't forwarded. */
+static void drop_answer(relay_t *r)
+{
+	evbuffer_drain(r->answer_body, evbuffer_get_length(r->answer_body));
+	sse_reset(&r->sse);
+	relay_count_event(r);
+}
+
 void relay_request_runner(relay_t *r)
 {
+	drop_answer(r);
 	relay_new_attempt(r);
 	r->state = RELAY_AWAITING_GRANT;
 	r->output_tokens = output_tokens_left(r);
@@ -390,9 +399,6 @@
 	r->is_repeating = false;
 	r->says_leaving = false;
 	r->pause_ms = 0;
-	evbuffer_drain(r->answer_body, evbuffer_get_length(r->answer_body));
-	sse_reset(&r->sse);
-	relay_count_event(r);
 	r->state = RELAY_GRANTED;
 	r->progress_at = now_us();
 	relay_note_release(r);
--- a/tests/test_memory_bound.c
+++ b/tests/test_memory_bound.c
@@ -167,6 +167,9 @@
 	    "{\"name\":\"endless\",\"host\":\"h\",\"path_prefix\":\"/endless/"
 	    "\",\"route_type\":\"unsafe\",\"timeout_ms\":2000,\"service\":"
 	    "\"faulty\",\"max_attempts\":1},"
+	    "{\"name\":\"again\",\"host\":\"h\",\"path_prefix\":\"/again/"
+	    "\",\"route_type\":\"safe\",\"timeout_ms\":2000,\"service\":"
+	    "\"faulty\",\"max_attempts\":3},"
 	    "{\"name\":\"events\",\"host\":\"h\",\"path_prefix\":\"/events/"
 	    "\",\"route_type\":\"streaming\",\"timeout_ms\":2000,\"service\":"
 	    "\"faulty\",\"max_attempts\":1},"
@@ -375,6 +378,13 @@
 }
 END_TEST
 
+/* Guards against others that pay for answers that are awaited once more. */
+START_TEST(endless_answers_that_are_retried_stay_within_the_memory)
+{
+	check(&(calls_t){ "/again/x", 2, true });
+}
+END_TEST
+
 /* Guards against streams that fill the memory as nobody reads them. */
 START_TEST(unread_streams_stay_within_the_memory)
 {
@@ -396,5 +406,6 @@
 END_TEST
 
 SUITE_MAIN("memory_bound", endless_answers_stay_within_the_memory,
+	   endless_answers_that_are_retried_stay_within_the_memory,
 	   unread_streams_stay_within_the_memory,
 	   long_bodies_stay_within_the_memory)
