--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -43,10 +43,10 @@
 	stream_releases_t streams; /* that began here */
 	fleet_t *fleet; /* NULL until a configuration is in force */
 	retry_budget_t retries;
-	byte_budget_t
-		answers; /* received in part, or not yet read by callers */
-	byte_budget_t
-		bodies; /* of requests, from their first byte to their end */
+	/* Of answers: received in part, or not yet read by callers. */
+	byte_budget_t answers;
+	/* Of requests' bodies, from their first byte to the request's end. */
+	byte_budget_t bodies;
 	/* status of runners, as known to this daemon */
 	runner_filter_t runners;
 	GHashTable *runner_zones; /* name to zone, of all listed runners */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -6,7 +6,6 @@
 
 #include "common/log.h"
 #include "common/timeval.h"
-#include "daemon/held_bytes.h"
 
 enum {
 	US_PER_MS = 1000,
@@ -208,10 +207,8 @@
 		g_hash_table_steal(r->gateway->relays, &r->attempt);
 	g_hash_table_remove(r->gateway->pending, r);
 	event_free(r->timer);
-	held_bytes_forget(&r->gateway->answers, r->answer_body);
+	drop_answer(r);
 	evbuffer_free(r->answer_body);
-	sse_reset(&r->sse);
-	relay_count_event(r);
 	sse_finish(&r->sse);
 	g_string_free(r->last_event_id, TRUE);
 	byte_budget_remove(&r->gateway->bodies, g_bytes_get_size(r->body));
--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -32,7 +32,10 @@
 	int64_t opened_at; /* microseconds, monotonic */
 	int64_t idle_until; /* no reuse after this; microseconds, monotonic */
 	bool is_sent; /* the request's first byte may have been sent */
-	/* A write failed: the end of the stream may be a reset's. */
+	/*
+	 * A write failed. The system reports a reset only once: after a write
+	 * took it, reads return an orderly end, which completes no answer.
+	 */
 	bool has_write_failed;
 	bool is_busy; /* an exchange is in progress */
 	bool is_reusable; /* the last answer allows another request */
@@ -191,7 +194,7 @@
 	if (u->is_interim)
 		return head->status != HTTP_STATUS_SWITCHING_PROTOCOLS &&
 		       ++u->n_interim <= MAX_INTERIM_ANSWERS;
-	u->is_reusable = head->keeps_alive && !u->has_write_failed;
+	u->is_reusable = head->keeps_alive;
 	u->idle_until = now_us() + stated_idle_ms(head) * 1000;
 	return u->ops.head(u->ctx, head);
 }
@@ -217,7 +220,7 @@
 	if (evbuffer_get_length(in))
 		p->stats.unexpected_data++;
 	/* After an early answer, part of the request's body is still unsent. */
-	if (!u->is_reusable || evbuffer_get_length(in) ||
+	if (!u->is_reusable || u->has_write_failed || evbuffer_get_length(in) ||
 	    evbuffer_get_length(out) || u->idle_until <= now_us() ||
 	    (queue && queue->length >= MAX_IDLE_CONNECTIONS)) {
 		fail_exchange(u, UPSTREAM_COMPLETE);
@@ -288,18 +291,6 @@
 	fail_exchange(u, UPSTREAM_BROKEN);
 }
 
-/*
- * The upstream may have answered before it stopped reading, so the answer is
- * still read. But the system reports a reset only once: after a write took it,
- * reads return an orderly end. So only the answer's own framing can complete it
- * from now on.
- */
-static void on_write_error(upstream_conn_t *u)
-{
-	u->has_write_failed = true;
-	u->is_reusable = false;
-}
-
 static void on_event(struct bufferevent *bev, short what, void *arg)
 {
 	upstream_conn_t *u = arg;
@@ -314,8 +305,11 @@
 		return;
 	}
 	if (what & BEV_EVENT_WRITING)
-		on_write_error(u);
-	/* One callback may report errors of both directions. */
+		u->has_write_failed = true;
+	/*
+	 * The upstream may have answered before it stopped reading: read on,
+	 * unless this callback reports an error of reading as well.
+	 */
 	if (u->is_busy && !(what & BEV_EVENT_READING))
 		return;
 	if (what & BEV_EVENT_EOF)
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -10,6 +10,7 @@
 #include "daemon/supervisor.h"
 #include "daemon/upstream.h"
 #include "tests/lib_suite.h"
+#include "tests/lib_tcp.h"
 
 #define HEAD "HTTP/1.1 200 OK\r\nConnection: close\r\n"
 #define BODY "hello, world"
@@ -118,14 +119,6 @@
 	}
 }
 
-static void reset(int fd)
-{
-	struct linger at_once = { .l_onoff = 1 };
-
-	setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
-	close(fd);
-}
-
 static void read_to_end(exchange_t *x, int fd)
 {
 	int64_t give_up = now_us() + LIMIT_US;
@@ -158,7 +151,7 @@
 	if (ending == CLOSE_IN_ORDER)
 		read_to_end(x, fd);
 	else
-		reset(fd);
+		tcp_reset(fd);
 	run_until(x, G_MAXSIZE);
 	ck_assert_msg(x->n_ends == 1, "%d ends were reported", x->n_ends);
 	return x->end;
