call_head, relay: the load that a runner states reaches its dispatcher

Three figures of the load header were decoded and dropped, the fourth (how long work takes on the machine now) wasn't read. All four are decoded once, in platform/; a negative, missing or implausible figure makes the header worthless, which is counted. The owner passes on what it heard with FirstToken and Done, as RunnerLoad with its age. The answered line has the figures, the time of the first event and the longest pause.

--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -20,6 +20,7 @@
 
 #include "common/str.h"
 #include "core/runner_limit.h"
+#include "core/runner_load.h"
 
 enum {
 	DISPATCHER_MAX_TIERS = 8,
@@ -115,6 +116,7 @@
 	bool says_leaving; /* the answer announces the runner's shutdown */
 	uint32_t pause_ms; /* for which it accepts nothing from this owner */
 	runner_limit_t limit; /* the runner's, as the owner knows it */
+	runner_load_t load; /* stated in the answer's head; at 0: not known */
 } done_t;
 
 typedef enum dispatcher_policy {
@@ -147,6 +149,10 @@
 	bool expires_grants;
 	/* Wants are queued until the first list of runners is received. */
 	bool awaits_list;
+	/* The load that runners state counts in predictions and room. */
+	bool uses_stated_load;
+	/* What a cached beginning saves is weighed against the wait for it. */
+	bool weighs_prompt_cache;
 	dispatcher_policy_t policy;
 } dispatcher_config_t;
 
@@ -164,6 +170,12 @@
 typedef struct dispatcher_stats {
 	uint64_t wants, grants, cancels;
 	uint64_t refusals[REFUSE_REASONS];
+	/*
+	 * With weighs_prompt_cache: grants of a runner that is expected to have
+	 * a part of the prompt cached, the time that this saves, in
+	 * microseconds, and grants of others though some have a part.
+	 */
+	uint64_t cache_choices, cache_saved, cache_passed;
 	uint64_t unknown; /* unknown want or runner, or duplicate want */
 	/*
 	 * Grants removed because no end arrived: past their deadline, or
@@ -238,6 +250,9 @@
 			       const runner_limit_t *limit, int64_t now);
 /* Returns what is known of a runner's limit. */
 runner_limit_t dispatcher_limit(const dispatcher_t *d, str_t runner);
+/* The runner of a granted request stated its load, as its owner heard it. */
+void dispatcher_runner_load(dispatcher_t *d, want_id_t id,
+			    const runner_load_t *load, int64_t now);
 void dispatcher_first_token(dispatcher_t *d, want_id_t id, int64_t now);
 void dispatcher_done(dispatcher_t *d, want_id_t id, const done_t *done,
 		     int64_t now);
--- a/core/runner_load.h
+++ b/core/runner_load.h
@@ -3,6 +3,9 @@
  * ages. Many owners hear a runner; what one of them heard reaches the
  * dispatcher with the first event or the end of a request. Does no I/O; times
  * are microseconds of the monotonic clock.
+ *
+ * A pace is the factor by which work takes longer on the runner's machine than
+ * on one of pace 1. It changes many times a second, as machines are shared.
  */
 #ifndef CORE_RUNNER_LOAD_H
 #define CORE_RUNNER_LOAD_H
@@ -11,32 +14,50 @@
 #include <stdint.h>
 
 enum {
-	/* Percent of the usual time that work takes on an idle machine. */
-	RUNNER_PACE_USUAL = 100,
+	RUNNER_PACE_PERCENT = 100, /* a stated pace of 1 */
 };
 
+/* What an answer stated. */
 typedef struct runner_load {
 	int64_t at; /* when it was heard; 0: never */
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots; /* 0: not stated */
-	uint32_t pace; /* percent of the usual time; 0: not stated */
+	uint32_t pace; /* percent; 0: not stated */
 } runner_load_t;
 
+/* What a runner stated last, and its usual pace. */
+typedef struct runner_statements {
+	runner_load_t last;
+	double usual_pace; /* moving average; 0: none was stated */
+	uint32_t n_paces;
+} runner_statements_t;
+
 /* Returns the weight, 0 to 1, of a statement that is AGE old. */
 double runner_load_weight(int64_t age);
-/* Replaces HELD by HEARD if that is newer; returns whether it is. */
-bool runner_load_update(runner_load_t *held, const runner_load_t *heard);
+/* Takes HEARD over if it is newer than the last; returns whether it is. */
+bool runner_load_hear(runner_statements_t *s, const runner_load_t *heard);
+/* Returns the usual pace; 1 if none was stated. */
+double runner_load_usual(const runner_statements_t *s);
+/* Returns the pace now: as stated, or as usual the older the statement is. */
+double runner_load_pace(const runner_statements_t *s, int64_t now);
+/*
+ * Returns how long work takes from now on that takes TIME microseconds at the
+ * usual pace. The stated pace lasts for a short time only.
+ */
+int64_t runner_load_slowed(const runner_statements_t *s, int64_t time,
+			   int64_t now);
 /*
- * Returns the factor by which work takes longer on the runner's machine now: 1
- * as usual. Fades to 1 as the statement ages.
+ * Returns how long work would have taken at pace 1 that ended now and took TIME
+ * microseconds.
  */
-double runner_load_pace(const runner_load_t *load, int64_t now);
+int64_t runner_load_at_pace_1(const runner_statements_t *s, int64_t time,
+			      int64_t now);
 /*
  * Returns the requests at the runner that are not in the dispatcher's ledger of
- * LEDGER requests, faded by the statement's age.
+ * LEDGER requests, fading with the statement's age.
  */
-double runner_load_external(const runner_load_t *load, uint32_t ledger,
+double runner_load_external(const runner_statements_t *s, uint32_t ledger,
 			    int64_t now);
 
 #endif
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -68,6 +68,27 @@
 				 now - (int64_t)f->age_ms * 1000 };
 }
 
+/* Returns OUT with the load, or NULL if the runner stated none. */
+static Papaya__RunnerLoad *write_load(const runner_load_t *load, int64_t now,
+				      Papaya__RunnerLoad *out)
+{
+	papaya__runner_load__init(out);
+	out->running = load->running;
+	out->waiting = load->waiting;
+	out->slots = load->slots;
+	out->pace = load->pace;
+	out->age_ms = to_ms(now - load->at);
+	return load->at ? out : NULL;
+}
+
+static runner_load_t read_load(const Papaya__RunnerLoad *f, int64_t now)
+{
+	if (!f)
+		return (runner_load_t){ 0 };
+	return (runner_load_t){ now - (int64_t)f->age_ms * 1000, f->running,
+				f->waiting, f->slots, f->pace };
+}
+
 static bool send_grant(peer_t *peer, str_t to, const message_capacity_t *c,
 		       int64_t now)
 {
@@ -143,6 +164,7 @@
 			     const message_capacity_t *c, int64_t now)
 {
 	Papaya__RunnerLimit limit;
+	Papaya__RunnerLoad load;
 	Papaya__Frame frame = PAPAYA__FRAME__INIT;
 	Papaya__FirstToken first = PAPAYA__FIRST_TOKEN__INIT;
 
@@ -151,6 +173,7 @@
 	first.service = (char *)c->service;
 	first.leaving = c->done.says_leaving;
 	first.limit = write_limit(&c->done.limit, now, &limit);
+	first.load = write_load(&c->done.load, now, &load);
 	frame.body_case = PAPAYA__FRAME__BODY_FIRST_TOKEN;
 	frame.first_token = &first;
 	return peer_send(peer, to, &frame);
@@ -160,6 +183,7 @@
 		      int64_t now)
 {
 	Papaya__RunnerLimit limit;
+	Papaya__RunnerLoad load;
 	Papaya__Frame frame = PAPAYA__FRAME__INIT;
 	Papaya__Done done = PAPAYA__DONE__INIT;
 
@@ -173,6 +197,7 @@
 	done.leaving = c->done.says_leaving;
 	done.pause_ms = c->done.pause_ms;
 	done.limit = write_limit(&c->done.limit, now, &limit);
+	done.load = write_load(&c->done.load, now, &load);
 	frame.body_case = PAPAYA__FRAME__BODY_DONE;
 	frame.done = &done;
 	return peer_send(peer, to, &frame);
@@ -257,6 +282,7 @@
 static bool read_done(const Papaya__Done *f, int64_t now, message_capacity_t *c)
 {
 	c->done.limit = read_limit(f->limit, now);
+	c->done.load = read_load(f->load, now);
 	c->want.id = (want_id_t){ f->owner, f->attempt };
 	c->done.result = f->result;
 	c->done.prompt_tokens = f->prompt_tokens;
@@ -305,6 +331,7 @@
 					  frame->first_token->attempt };
 		c->done.says_leaving = frame->first_token->leaving;
 		c->done.limit = read_limit(frame->first_token->limit, now);
+		c->done.load = read_load(frame->first_token->load, now);
 		return copy_name(c->service, frame->first_token->service);
 	case PAPAYA__FRAME__BODY_DONE:
 		out->type = MESSAGE_DONE;
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -186,7 +186,8 @@
 	refuse_reason_t reason; /* REFUSE */
 	uint32_t retry_after_ms; /* REFUSE */
 	runner_limit_t limit; /* GRANT: the runner's, known to the dispatcher */
-	done_t done; /* DONE; FIRST_TOKEN: only says_leaving and limit */
+	/* DONE; FIRST_TOKEN: only says_leaving, limit and load */
+	done_t done;
 	uint32_t hops; /* WANT */
 	/*
 	 * WANT: this daemon dispatches for itself, since no dispatcher responds
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -196,6 +196,7 @@
 	done.pause_ms = r->pause_ms;
 	done.limit =
 		runner_filter_known_limit(&r->gateway->runners, r->runner.name);
+	done.load = r->load;
 	post_capacity(r, MESSAGE_DONE, &done);
 }
 
@@ -395,6 +396,7 @@
 	r->events_before = r->n_events;
 	r->is_repeating = false;
 	r->says_leaving = false;
+	r->load = (runner_load_t){ 0 };
 	r->pause_ms = 0;
 	r->state = RELAY_GRANTED;
 	r->progress_at = now_us();
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -69,6 +69,7 @@
 	upstream_conn_t *upstream;
 	/* Stated in the runner's answer, and reported to the dispatcher: */
 	bool says_leaving; /* the runner is leaving */
+	runner_load_t load; /* at 0: none */
 	uint32_t pause_ms; /* time without requests from this VM; 0: none */
 	uint32_t output_tokens; /* estimate of what is left, for the want */
 	uint32_t declined_grants; /* grants that were returned unused */
@@ -89,6 +90,9 @@
 	size_t held_event; /* bytes of an event that is not whole, counted */
 	GString *last_event_id; /* id of the last event sent to the caller */
 	uint64_t n_events; /* with an id or data, sent to the caller */
+	int64_t first_event_at; /* 0: none yet */
+	int64_t event_at; /* time of the last one */
+	int64_t longest_pause; /* between two events, microseconds */
 	uint64_t events_before; /* of them, by earlier runners */
 	/* The last one has no id: no runner can go on right after it. */
 	bool is_past_last_id;
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -26,6 +26,18 @@
 	       str_to_number(relay_last_event_id(r), &last) && number <= last;
 }
 
+static void record_event_time(relay_t *r)
+{
+	int64_t now = now_us();
+
+	if (r->n_events++)
+		r->longest_pause = MAX(r->longest_pause, now - r->event_at);
+	else
+		r->first_event_at = now;
+	r->event_at = now;
+	r->progress_at = now;
+}
+
 /* Forwards a complete event; keeps its id to resume the stream after it. */
 static void on_event(void *ctx, str_t raw, str_t data)
 {
@@ -39,8 +51,7 @@
 	/* A comment without id and data is a keep-alive, not progress. */
 	if (!id.len && !data.len)
 		return;
-	r->n_events++;
-	r->progress_at = now_us();
+	record_event_time(r);
 	r->is_past_last_id = !id.len;
 	if (!id.len)
 		return;
@@ -116,6 +127,7 @@
 	m.capacity.done.says_leaving = r->says_leaving;
 	m.capacity.done.limit =
 		runner_filter_known_limit(&r->gateway->runners, r->runner.name);
+	m.capacity.done.load = r->load;
 	supervisor_post(r->gateway->sup, TASK_PEERS, &m);
 }
 
@@ -157,22 +169,30 @@
 	static const char format[] =
 		"request=%s status=%d by=runner route=%s team=%s runner=%s "
 		"config=%" PRIu64 " sent=%u events=%" PRIu64 " age_ms=%" PRId64
-		" fingerprint=%" PRIx64 " parts=%s";
+		" first_ms=%" PRId64 " pause_ms=%" PRId64
+		" running=%u waiting=%u slots=%u pace=%u fingerprint=%" PRIx64
+		" parts=%s";
 	char parts[PROMPT_PARTS_TEXT_SIZE];
 	int64_t age_ms = (now_us() - r->arrived_at) / 1000;
+	int64_t first_ms = r->first_event_at ?
+				   (r->first_event_at - r->arrived_at) / 1000 :
+				   age_ms;
+	int64_t pause_ms = r->longest_pause / 1000;
 	const char *team = r->team ? r->team->name : "-";
 
 	if (relay_is_success(r))
 		log_sample("answered", format, r->id, r->answer.status,
 			   r->route->name, team, r->runner.name,
 			   r->fleet->version, r->sends, r->n_events, age_ms,
-			   r->fingerprint,
+			   first_ms, pause_ms, r->load.running, r->load.waiting,
+			   r->load.slots, r->load.pace, r->fingerprint,
 			   prompt_parts_text(&r->call.parts, parts));
 	else
 		log_event("answered", format, r->id, r->answer.status,
 			  r->route->name, team, r->runner.name,
 			  r->fleet->version, r->sends, r->n_events, age_ms,
-			  r->fingerprint,
+			  first_ms, pause_ms, r->load.running, r->load.waiting,
+			  r->load.slots, r->load.pace, r->fingerprint,
 			  prompt_parts_text(&r->call.parts, parts));
 }
 
--- a/daemon/relay_runner.c
+++ b/daemon/relay_runner.c
@@ -127,6 +127,20 @@
 		  r->answer.rate_limit, relay_dispatcher_name(r));
 }
 
+static void record_load(relay_t *r)
+{
+	const answer_head_t *a = &r->answer;
+
+	if (a->is_load_unreadable)
+		metrics_add(metrics_of(r), "papaya_runner_loads_invalid_total",
+			    NULL, 1);
+	if (!a->has_load)
+		return;
+	metrics_add(metrics_of(r), "papaya_runner_loads_total", NULL, 1);
+	r->load = (runner_load_t){ now_us(), a->running, a->waiting, a->slots,
+				   a->pace };
+}
+
 void relay_read_runner_status(relay_t *r)
 {
 	/*
@@ -137,6 +151,7 @@
 		record_leaving(r, "another runner has its address");
 		return;
 	}
+	record_load(r);
 	if (r->answer.is_leaving)
 		record_leaving(r, "its answer says so");
 	if (r->answer.pause_ms)
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -367,6 +367,51 @@
   assert(message->base.descriptor == &papaya__runner_limit__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__runner_load__init
+                     (Papaya__RunnerLoad         *message)
+{
+  static const Papaya__RunnerLoad init_value = PAPAYA__RUNNER_LOAD__INIT;
+  *message = init_value;
+}
+size_t papaya__runner_load__get_packed_size
+                     (const Papaya__RunnerLoad *message)
+{
+  assert(message->base.descriptor == &papaya__runner_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__runner_load__pack
+                     (const Papaya__RunnerLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__runner_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__runner_load__pack_to_buffer
+                     (const Papaya__RunnerLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__runner_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__RunnerLoad *
+       papaya__runner_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__RunnerLoad *)
+     protobuf_c_message_unpack (&papaya__runner_load__descriptor,
+                                allocator, len, data);
+}
+void   papaya__runner_load__free_unpacked
+                     (Papaya__RunnerLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__runner_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__grant__init
                      (Papaya__Grant         *message)
 {
@@ -2516,6 +2561,96 @@
   (ProtobufCMessageInit) papaya__runner_limit__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor papaya__runner_load__field_descriptors[5] =
+{
+  {
+    "running",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RunnerLoad, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waiting",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RunnerLoad, waiting),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RunnerLoad, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pace",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RunnerLoad, pace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RunnerLoad, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__runner_load__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  3,   /* field[3] = pace */
+  0,   /* field[0] = running */
+  2,   /* field[2] = slots */
+  1,   /* field[1] = waiting */
+};
+static const ProtobufCIntRange papaya__runner_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor papaya__runner_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.RunnerLoad",
+  "RunnerLoad",
+  "Papaya__RunnerLoad",
+  "papaya",
+  sizeof(Papaya__RunnerLoad),
+  5,
+  papaya__runner_load__field_descriptors,
+  papaya__runner_load__field_indices_by_name,
+  1,  papaya__runner_load__number_ranges,
+  (ProtobufCMessageInit) papaya__runner_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor papaya__grant__field_descriptors[8] =
 {
   {
@@ -2888,7 +3023,7 @@
   (ProtobufCMessageInit) papaya__withdraw__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__first_token__field_descriptors[5] =
+static const ProtobufCFieldDescriptor papaya__first_token__field_descriptors[6] =
 {
   {
     "attempt",
@@ -2950,18 +3085,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__FirstToken, load),
+    &papaya__runner_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__first_token__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
   3,   /* field[3] = leaving */
   4,   /* field[4] = limit */
+  5,   /* field[5] = load */
   2,   /* field[2] = owner */
   1,   /* field[1] = service */
 };
 static const ProtobufCIntRange papaya__first_token__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor papaya__first_token__descriptor =
 {
@@ -2971,14 +3119,14 @@
   "Papaya__FirstToken",
   "papaya",
   sizeof(Papaya__FirstToken),
-  5,
+  6,
   papaya__first_token__field_descriptors,
   papaya__first_token__field_indices_by_name,
   1,  papaya__first_token__number_ranges,
   (ProtobufCMessageInit) papaya__first_token__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__done__field_descriptors[10] =
+static const ProtobufCFieldDescriptor papaya__done__field_descriptors[11] =
 {
   {
     "attempt",
@@ -3100,12 +3248,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "load",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Done, load),
+    &papaya__runner_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__done__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
   5,   /* field[5] = cached_tokens */
   7,   /* field[7] = leaving */
   9,   /* field[9] = limit */
+  10,   /* field[10] = load */
   4,   /* field[4] = output_tokens */
   6,   /* field[6] = owner */
   8,   /* field[8] = pause_ms */
@@ -3116,7 +3277,7 @@
 static const ProtobufCIntRange papaya__done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor papaya__done__descriptor =
 {
@@ -3126,7 +3287,7 @@
   "Papaya__Done",
   "papaya",
   sizeof(Papaya__Done),
-  10,
+  11,
   papaya__done__field_descriptors,
   papaya__done__field_indices_by_name,
   1,  papaya__done__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Papaya__VmList Papaya__VmList;
 typedef struct Papaya__Want Papaya__Want;
 typedef struct Papaya__RunnerLimit Papaya__RunnerLimit;
+typedef struct Papaya__RunnerLoad Papaya__RunnerLoad;
 typedef struct Papaya__Grant Papaya__Grant;
 typedef struct Papaya__Refuse Papaya__Refuse;
 typedef struct Papaya__Cancel Papaya__Cancel;
@@ -278,6 +279,29 @@
     , 0, 0, 0 }
 
 
+/*
+ * The load that a runner stated in an answer.
+ */
+struct  Papaya__RunnerLoad
+{
+  ProtobufCMessage base;
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t slots;
+  /*
+   * percent of the usual time; 0: not stated
+   */
+  uint32_t pace;
+  /*
+   * since the owner heard it
+   */
+  uint32_t age_ms;
+};
+#define PAPAYA__RUNNER_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__runner_load__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 /*
  * Dispatcher to owner: the request may use this runner.
  */
@@ -386,10 +410,14 @@
    * of the runner, as the owner knows it
    */
   Papaya__RunnerLimit *limit;
+  /*
+   * of the runner, stated in the answer's head
+   */
+  Papaya__RunnerLoad *load;
 };
 #define PAPAYA__FIRST_TOKEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__first_token__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, NULL, NULL }
 
 
 /*
@@ -417,10 +445,14 @@
    * of the runner, as the owner knows it
    */
   Papaya__RunnerLimit *limit;
+  /*
+   * of the runner, stated in the answer's head
+   */
+  Papaya__RunnerLoad *load;
 };
 #define PAPAYA__DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__done__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, NULL, NULL }
 
 
 /*
@@ -1100,6 +1132,25 @@
 void   papaya__runner_limit__free_unpacked
                      (Papaya__RunnerLimit *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__RunnerLoad methods */
+void   papaya__runner_load__init
+                     (Papaya__RunnerLoad         *message);
+size_t papaya__runner_load__get_packed_size
+                     (const Papaya__RunnerLoad   *message);
+size_t papaya__runner_load__pack
+                     (const Papaya__RunnerLoad   *message,
+                      uint8_t             *out);
+size_t papaya__runner_load__pack_to_buffer
+                     (const Papaya__RunnerLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__RunnerLoad *
+       papaya__runner_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__runner_load__free_unpacked
+                     (Papaya__RunnerLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Grant methods */
 void   papaya__grant__init
                      (Papaya__Grant         *message);
@@ -1658,6 +1709,9 @@
 typedef void (*Papaya__RunnerLimit_Closure)
                  (const Papaya__RunnerLimit *message,
                   void *closure_data);
+typedef void (*Papaya__RunnerLoad_Closure)
+                 (const Papaya__RunnerLoad *message,
+                  void *closure_data);
 typedef void (*Papaya__Grant_Closure)
                  (const Papaya__Grant *message,
                   void *closure_data);
@@ -1756,6 +1810,7 @@
 extern const ProtobufCMessageDescriptor papaya__vm_list__descriptor;
 extern const ProtobufCMessageDescriptor papaya__want__descriptor;
 extern const ProtobufCMessageDescriptor papaya__runner_limit__descriptor;
+extern const ProtobufCMessageDescriptor papaya__runner_load__descriptor;
 extern const ProtobufCMessageDescriptor papaya__grant__descriptor;
 extern const ProtobufCMessageDescriptor papaya__refuse__descriptor;
 extern const ProtobufCMessageDescriptor papaya__cancel__descriptor;
--- a/tests/test_call_head.c
+++ b/tests/test_call_head.c
@@ -346,6 +346,41 @@
 }
 END_TEST
 
+START_TEST(an_implausible_load_is_ignored)
+{
+	static const struct {
+		const char *text;
+		bool has_load;
+		uint32_t pace;
+	} cases[] = {
+		{ "3,10,8", true, 0 },	    { "3, 10, 8, 250", true, 250 },
+		{ "0,0,0,68", true, 68 },   { "3,10,8,100,7", true, 100 },
+		{ "3,10", false, 0 },	    { "", false, 0 },
+		{ "-3,10,8", false, 0 },    { "3,10,8,-100", false, 0 },
+		{ "3,10,8,0", false, 0 },   { "3,10,8,99999", false, 0 },
+		{ "3,10,8,1.5", false, 0 }, { "3;10;8", false, 0 },
+		{ "3,10,8,", false, 0 },    { "3,10,99999999999", false, 0 },
+		{ "few,10,8", false, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strconcat(
+			"HTTP/1.1 200 OK\r\nX-Server-Load: ", cases[i].text,
+			"\r\nContent-Length: 0\r\n\r\n", NULL);
+		answer_head_t a;
+		parsed_t p;
+
+		answer_head_read(parse(&p, HTTP1_RESPONSE, text), STR_LIT("9c"),
+				 &a);
+		ck_assert_msg(a.has_load == cases[i].has_load &&
+				      a.is_load_unreadable != a.has_load &&
+				      a.pace == cases[i].pace,
+			      "case %zu: %d, %u", i, a.has_load, a.pace);
+		http1_reader_finish(&p.reader);
+	}
+}
+END_TEST
+
 START_TEST(an_answer_of_the_gateway_has_retry_after)
 {
 	struct evbuffer *out = evbuffer_new();
@@ -369,4 +404,5 @@
 	   an_answers_origin_and_flags_are_read,
 	   notices_of_leaving_and_pauses_are_read,
 	   a_rate_limit_is_read_from_an_answer, load_is_read_from_an_answer,
+	   an_implausible_load_is_ignored,
 	   an_answer_of_the_gateway_has_retry_after)
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -64,7 +64,8 @@
 				     3,
 				     true,
 				     4000,
-				     { RUNNER_LIMIT_NAMED, 1.5, now - 3000 } };
+				     { RUNNER_LIMIT_NAMED, 1.5, now - 3000 },
+				     { now - 2000, 5, 6, 7, 250 } };
 	m->capacity.runner.born_ms = INT64_C(1764800000000);
 	m->capacity.hops = 1;
 	m->capacity.is_resent = true;
@@ -78,6 +79,15 @@
 	ck_assert_int_eq(limit->at, expected->at);
 }
 
+static void check_load(const runner_load_t *load, const runner_load_t *expected)
+{
+	ck_assert_int_eq(load->at, expected->at);
+	ck_assert_uint_eq(load->running, expected->running);
+	ck_assert_uint_eq(load->waiting, expected->waiting);
+	ck_assert_uint_eq(load->slots, expected->slots);
+	ck_assert_uint_eq(load->pace, expected->pace);
+}
+
 START_TEST(capacity_messages_are_decoded_unchanged)
 {
 	static const message_type_t types[] = {
@@ -118,7 +128,11 @@
 			ck_assert_uint_eq(out.capacity.done.pause_ms, 4000);
 			check_limit(&out.capacity.done.limit,
 				    &in.capacity.done.limit);
+			check_load(&out.capacity.done.load,
+				   &in.capacity.done.load);
 		} else if (types[i] == MESSAGE_FIRST_TOKEN) {
+			check_load(&out.capacity.done.load,
+				   &in.capacity.done.load);
 			ck_assert(out.capacity.done.says_leaving);
 			check_limit(&out.capacity.done.limit,
 				    &in.capacity.done.limit);
