dispatcher: stated load and cached beginnings count in the choice of a runner

runner_load (default off): what a runner states is weighed by its age. Its pace scales the predicted time of the next 0.3 s of work, relative to its own usual pace; speeds are learned at pace 1, so that a generation's speed holds for fast and slow runners, and a slow moment isn't learned. Requests beyond the ledger take room. Plain services lose the reserve for protected tiers where there are none, and get a few calls beyond their slots.

prompt_cache_weighing (default off): up to four runners of a beginning are known, with the time of its last use and the tokens given since. The certainty that it is still there falls with both; the saving is weighed against the predicted end there, the wait for a slot included, and against the best of the others. A full home may have one request wait.

--- a/core/affinity.c
+++ b/core/affinity.c
@@ -1,13 +1,16 @@
 #include "core/affinity.h"
 
+#include <string.h>
+
 static const double initial_cached =
 	0.5; /* cached part before the first answer */
 static const double learning_rate = 0.3;
 
 typedef struct prefix {
 	uint64_t hash;
-	const void *runner;
-	double cached;
+	/* Latest first; one that is not used has no runner. */
+	affinity_holder_t holders[AFFINITY_HOLDERS];
+	double cached; /* part that the latest has */
 	GList link; /* in affinity_t.recent */
 } prefix_t;
 
@@ -48,22 +51,55 @@
 	return p;
 }
 
+/* Returns a runner's index among the holders; if it is none, the last index. */
+static uint32_t find_holder(const prefix_t *p, const void *runner)
+{
+	uint32_t i = 0;
+
+	while (i < AFFINITY_HOLDERS - 1 && p->holders[i].runner &&
+	       p->holders[i].runner != runner)
+		i++;
+	return i;
+}
+
 void affinity_record(affinity_t *a, uint64_t prefix, const void *runner)
 {
 	prefix_t *p = find_or_add(a, prefix);
 
-	if (p->runner == runner)
+	if (p->holders[0].runner == runner)
 		return;
-	p->runner = runner;
+	memmove(&p->holders[1], &p->holders[0],
+		find_holder(p, runner) * sizeof(p->holders[0]));
+	p->holders[0] = (affinity_holder_t){ .runner = runner };
 	p->cached = initial_cached;
 }
 
+void affinity_note(affinity_t *a, uint64_t prefix, int64_t at, uint64_t tokens)
+{
+	prefix_t *p = g_hash_table_lookup(a->prefixes, &prefix);
+
+	if (!p)
+		return;
+	p->holders[0].at = at;
+	p->holders[0].tokens = tokens;
+}
+
+const affinity_holder_t *affinity_holder(const affinity_t *a, uint64_t prefix,
+					 uint32_t i)
+{
+	const prefix_t *p = g_hash_table_lookup(a->prefixes, &prefix);
+
+	if (!p || i >= AFFINITY_HOLDERS || !p->holders[i].runner)
+		return NULL;
+	return &p->holders[i];
+}
+
 void affinity_learn(affinity_t *a, uint64_t prefix, const void *runner,
 		    double cached)
 {
 	prefix_t *p = g_hash_table_lookup(a->prefixes, &prefix);
 
-	if (p && p->runner == runner)
+	if (p && p->holders[0].runner == runner)
 		p->cached += learning_rate * (cached - p->cached);
 }
 
@@ -74,7 +110,18 @@
 	if (!p)
 		return NULL;
 	*cached = p->cached;
-	return p->runner;
+	return p->holders[0].runner;
+}
+
+static void drop_holder(prefix_t *p, const void *runner)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < AFFINITY_HOLDERS; i++)
+		if (p->holders[i].runner != runner)
+			p->holders[n++] = p->holders[i];
+	while (n < AFFINITY_HOLDERS)
+		p->holders[n++] = (affinity_holder_t){ .runner = NULL };
 }
 
 void affinity_drop_runner(affinity_t *a, const void *runner)
@@ -85,7 +132,10 @@
 		prefix_t *p = link->data;
 
 		next = link->next;
-		if (p->runner == runner)
+		if (p->holders[0].runner == runner)
+			p->cached = initial_cached;
+		drop_holder(p, runner);
+		if (!p->holders[0].runner)
 			evict(a, p);
 	}
 }
--- a/core/affinity.h
+++ b/core/affinity.h
@@ -1,7 +1,8 @@
 /*
- * Maps a prompt prefix to the runner that served it last and to the part of
- * such prompts that was in its prefix cache. Of bounded size: evicts the least
- * recently used prefix. A wrong entry only costs time. Does no I/O.
+ * Maps a prompt prefix to the runners that served it last, latest first, and
+ * to the part of such prompts that was in the latest one's prefix cache. Of
+ * bounded size: evicts the least recently used prefix. A wrong entry only costs
+ * time. Does no I/O.
  */
 #ifndef CORE_AFFINITY_H
 #define CORE_AFFINITY_H
@@ -9,6 +10,15 @@
 #include <glib.h>
 #include <stdint.h>
 
+enum { AFFINITY_HOLDERS = 4 }; /* runners known of a prefix */
+
+/* A runner that has served a prefix. */
+typedef struct affinity_holder {
+	const void *runner; /* only compared, never dereferenced */
+	int64_t at; /* microseconds, monotonic; as in affinity_note */
+	uint64_t tokens; /* likewise */
+} affinity_holder_t;
+
 typedef struct affinity {
 	GHashTable *prefixes;
 	GQueue recent; /* least recently used first */
@@ -20,6 +30,14 @@
 
 /* Records a dispatch; RUNNER is only compared, never dereferenced. */
 void affinity_record(affinity_t *a, uint64_t prefix, const void *runner);
+/*
+ * Notes when the latest runner served the prefix, and how many tokens that
+ * runner had been given until then.
+ */
+void affinity_note(affinity_t *a, uint64_t prefix, int64_t at, uint64_t tokens);
+/* Returns the Ith runner, from 0 for the latest; NULL: there are no more. */
+const affinity_holder_t *affinity_holder(const affinity_t *a, uint64_t prefix,
+					 uint32_t i);
 /*
  * Corrects the estimate by the part that was cached, 0 to 1. Ignored unless
  * RUNNER is the last one that served the prefix.
@@ -28,7 +46,7 @@
 		    double cached);
 /* Returns the runner or NULL; sets CACHED to the estimated cached part. */
 const void *affinity_find(const affinity_t *a, uint64_t prefix, double *cached);
-/* Removes all prefixes of a runner. */
+/* Removes a runner from all prefixes. */
 void affinity_drop_runner(affinity_t *a, const void *runner);
 
 #endif
--- a/core/dispatcher_choose.c
+++ b/core/dispatcher_choose.c
@@ -91,9 +91,9 @@
 	return !release || runner->info.release == release;
 }
 
-/* Returns whether the want may not use the runner, whatever room it has. */
-static bool is_excluded(const struct dispatcher_state *s,
-			const attempt_t *attempt, runner_t *runner, int64_t now)
+bool dispatcher_is_excluded(const struct dispatcher_state *s,
+			    const attempt_t *attempt, runner_t *runner,
+			    int64_t now)
 {
 	return is_avoided(s, attempt, runner) ||
 	       !dispatcher_is_of_release(attempt, runner) ||
@@ -101,68 +101,39 @@
 	       is_limited(attempt, runner, now);
 }
 
-static int64_t predict(const runner_t *runner, const want_t *want,
-		       double cached)
+int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
+			   double cached, int64_t now)
 {
-	return runner_model_predict(&runner->model, want->prompt_tokens,
-				    want->output_tokens, cached);
+	return runner_model_predict_now(&runner->model, want->prompt_tokens,
+					want->output_tokens, cached, now);
 }
 
-/* A part of a prompt that a runner may have cached. */
-typedef struct cache_hint {
-	uint64_t hash;
-	uint32_t tokens; /* length; 0: unknown, estimated */
-} cache_hint_t;
-
-/* Prefers the runner that cached HINT if the want ends no later there. */
-static runner_t *prefer_cached(struct dispatcher_state *s,
-			       const attempt_t *attempt,
-			       const cache_hint_t *hint, runner_t *best,
-			       runner_room_t room, int64_t now, int64_t *finish)
+static bool has_protected_tier(const struct dispatcher_state *s)
 {
-	double cached = 0;
-	const void *known;
-	runner_t *runner;
-
-	if (!hint->hash)
-		return best;
-	known = affinity_find(&s->affinity, hint->hash, &cached);
-	/* A runner's entries are removed before it is freed. */
-	runner = (runner_t *)known;
-	if (!runner || !runner->ranked ||
-	    is_excluded(s, attempt, runner, now) ||
-	    !runner_model_has_room(&runner->model, room, now))
-		return best;
-	if (hint->tokens)
-		cached = MIN((double)hint->tokens / attempt->want.prompt_tokens,
-			     1);
-	if (predict(runner, &attempt->want, cached) > *finish - now)
-		return best;
-	*finish = now + predict(runner, &attempt->want, cached);
-	return runner;
+	for (uint32_t i = 0; i < s->queue.n_tiers; i++)
+		if (queue_is_protected(&s->queue, i))
+			return true;
+	return false;
 }
 
 /*
- * The session's runner is considered last, so that it takes precedence: it has
- * more cached than the prefix's runner.
+ * Without a protected tier, the places of plain runners that are kept for one
+ * are free for all.
  */
-static runner_t *prefer_affinity(struct dispatcher_state *s,
-				 const attempt_t *attempt, runner_t *best,
-				 runner_room_t room, int64_t now,
-				 int64_t *finish)
+static runner_room_t usable_room(const struct dispatcher_state *s,
+				 runner_room_t room)
 {
-	const want_t *w = &attempt->want;
-	cache_hint_t prefix = { w->prefix_hash, w->prefix_tokens };
-	cache_hint_t session = { w->session_hash, w->session_tokens };
-
-	best = prefer_cached(s, attempt, &prefix, best, room, now, finish);
-	return prefer_cached(s, attempt, &session, best, room, now, finish);
+	if (room != ROOM_UNPROTECTED || s->config.is_engine ||
+	    !s->config.uses_stated_load || has_protected_tier(s))
+		return room;
+	return ROOM_PROTECTED;
 }
 
 runner_t *dispatcher_choose(struct dispatcher_state *s,
-			    const attempt_t *attempt, runner_room_t room,
+			    const attempt_t *attempt, runner_room_t wanted,
 			    int64_t now, int64_t *finish)
 {
+	runner_room_t room = usable_room(s, wanted);
 	GSequenceIter *iter = g_sequence_get_begin_iter(s->ranked);
 	runner_t *best = NULL;
 	int n = 0; /* candidates so far */
@@ -175,15 +146,16 @@
 		if (!dispatcher_is_of_release(attempt, runner))
 			continue;
 		n++;
-		end = now + predict(runner, &attempt->want, 0);
-		if (is_excluded(s, attempt, runner, now) ||
+		end = now + dispatcher_predict(runner, &attempt->want, 0, now);
+		if (dispatcher_is_excluded(s, attempt, runner, now) ||
 		    !runner_model_has_room(&runner->model, room, now) ||
 		    (best && end >= *finish))
 			continue;
 		best = runner;
 		*finish = end;
 	}
-	return best ? prefer_affinity(s, attempt, best, room, now, finish) :
+	return best ? dispatcher_prefer_cached(s, attempt, best, room, now,
+					       finish) :
 		      NULL;
 }
 
--- a/core/dispatcher_ledger.c
+++ b/core/dispatcher_ledger.c
@@ -66,31 +66,6 @@
 	g_queue_push_tail_link(&s->by_last_event, &attempt->by_last_event);
 }
 
-static bool is_cached_by(const struct dispatcher_state *s, uint64_t hash,
-			 const runner_t *runner)
-{
-	double cached;
-
-	return hash && affinity_find(&s->affinity, hash, &cached) == runner;
-}
-
-/* Estimates what the runner has cached and records what it will cache. */
-static void update_affinity(struct dispatcher_state *s, attempt_t *attempt,
-			    const runner_t *runner)
-{
-	const want_t *want = &attempt->want;
-
-	attempt->cached_tokens = 0;
-	if (is_cached_by(s, want->session_hash, runner))
-		attempt->cached_tokens = want->session_tokens;
-	else if (is_cached_by(s, want->prefix_hash, runner))
-		attempt->cached_tokens = want->prefix_tokens;
-	if (want->prefix_hash)
-		affinity_record(&s->affinity, want->prefix_hash, runner);
-	if (want->session_hash)
-		affinity_record(&s->affinity, want->session_hash, runner);
-}
-
 void dispatcher_ledger_add(struct dispatcher_state *s, attempt_t *attempt,
 			   runner_t *runner, int64_t now)
 {
@@ -113,7 +88,7 @@
 						       by_overdue_at, NULL);
 	insert_cancellable(s, attempt);
 	record_event(s, attempt, now);
-	update_affinity(s, attempt, runner);
+	dispatcher_record_cached(s, attempt, runner, now);
 	dispatcher_rank_runner(s, runner, now);
 }
 
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -104,6 +104,7 @@
 	if (runner->born_ms != known->info.born_ms) {
 		known->is_leaving_by_report = false;
 		known->limit = (runner_limit_t){ 0 };
+		known->model.stated = (runner_statements_t){ 0 };
 		if (known->pauses)
 			g_array_set_size(known->pauses, 0);
 	}
@@ -156,6 +157,17 @@
 	return true;
 }
 
+void dispatcher_runner_load(dispatcher_t *d, want_id_t id,
+			    const runner_load_t *load, int64_t now)
+{
+	attempt_t *attempt = g_hash_table_lookup(d->state->attempts, &id);
+
+	if (!attempt || !attempt->runner || !d->state->config.uses_stated_load)
+		return;
+	runner_model_hear(&attempt->runner->model, load);
+	dispatcher_rank_runner(d->state, attempt->runner, now);
+}
+
 runner_limit_t dispatcher_limit(const dispatcher_t *d, str_t runner)
 {
 	const runner_t *known = g_hash_table_lookup(d->state->runners, &runner);
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -184,6 +184,24 @@
 runner_t *dispatcher_choose(struct dispatcher_state *s,
 			    const attempt_t *attempt, runner_room_t room,
 			    int64_t now, int64_t *finish);
+/*
+ * Returns BEST or a runner to be preferred for what it has cached of the want's
+ * prompt; BEST ends it at FINISH, which is updated.
+ */
+runner_t *dispatcher_prefer_cached(struct dispatcher_state *s,
+				   const attempt_t *attempt, runner_t *best,
+				   runner_room_t room, int64_t now,
+				   int64_t *finish);
+/* Estimates what the runner has cached and records what it will cache. */
+void dispatcher_record_cached(struct dispatcher_state *s, attempt_t *attempt,
+			      const runner_t *runner, int64_t now);
+/* Returns whether the want may not use the runner, whatever room it has. */
+bool dispatcher_is_excluded(const struct dispatcher_state *s,
+			    const attempt_t *attempt, runner_t *runner,
+			    int64_t now);
+/* Predicts the microseconds until the want would end if granted now. */
+int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
+			   double cached, int64_t now);
 /* Chooses a runner by a baseline policy; returns NULL if there is none. */
 runner_t *dispatcher_choose_baseline(struct dispatcher_state *s);
 /* Returns the least time the want would take if the runners were idle. */
--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -1,5 +1,7 @@
 #include "core/runner_model.h"
 
+#include <math.h>
+
 enum {
 	US_PER_S = 1000000,
 	SAMPLE_GAP_US = 50000, /* between samples of running requests */
@@ -7,6 +9,7 @@
 	MAX_PREFILL_QUEUE_US = 200000, /* limit of queued prompt work */
 	OVERDUE_GRACE_US = 50000,
 	OVERDUE_FACTOR = 2, /* times the predicted time */
+	MAX_WAITING = 1, /* requests that wait at an engine for a slot */
 };
 
 static const double token_time_margin =
@@ -16,11 +19,17 @@
 static const double health_step = 1.0 / 16;
 static const double protected_reserve = 0.25; /* engines: added to the window */
 static const double plain_reserve = 0.25; /* withheld from unprotected calls */
+/*
+ * Calls that may wait at a runner that states its load, as a part of its window
+ * beside one: the next one begins while the end of another is on its way here.
+ */
+static const double plain_queue = 0.2;
 
 /* Seconds per token or call while N requests run; 0 if unknown. */
 static double unit_time_at(const runner_model_t *m, double n)
 {
-	return line_fit_at(&m->speed.decode, LINE_FLAT, n);
+	return line_fit_at(&m->speed.decode, LINE_FLAT, n) *
+	       runner_load_usual(&m->stated);
 }
 
 static void learn_unit_time(runner_model_t *m, double tokens, double n,
@@ -44,7 +53,7 @@
 		return 0;
 	return (int64_t)(line_fit_at(&m->speed.prefill, LINE_PROPORTIONAL,
 				     tokens) *
-			 US_PER_S);
+			 runner_load_usual(&m->stated) * US_PER_S);
 }
 
 void runner_model_init(runner_model_t *m, bool is_engine, uint32_t window,
@@ -149,10 +158,13 @@
 void runner_model_grant(runner_model_t *m, runner_work_t *work, int64_t now)
 {
 	uint64_t tokens = work_tokens(m, work);
+	int64_t expected;
 
 	m->running++;
 	m->prefilling++;
 	m->tokens += tokens;
+	m->output_tokens += work->output_tokens;
+	m->tokens_given += tokens;
 	m->prompt_pending += work->prompt_tokens;
 	work->prompt_tokens_ahead = m->prompt_pending;
 	if (work->is_protected) {
@@ -164,11 +176,10 @@
 	work->concurrency = m->running;
 	work->granted_at = now;
 	work->first_token_at = 0;
-	if (m->is_engine)
-		set_overdue_at(m, work, now,
-			       prompt_time(m, work->prompt_tokens_ahead));
-	else
-		set_overdue_at(m, work, now, decode_time(m, 1, m->running));
+	expected = m->is_engine ? prompt_time(m, work->prompt_tokens_ahead) :
+				  decode_time(m, 1, m->running);
+	set_overdue_at(m, work, now,
+		       runner_load_slowed(&m->stated, expected, now));
 	record_sample(m, now);
 }
 
@@ -185,8 +196,9 @@
 	work->first_token_at = now;
 	m->prefilling--;
 	m->prompt_pending -= work->prompt_tokens;
-	work->prefill_time =
-		now - MAX(work->granted_at, m->last_first_token_at);
+	work->prefill_time = runner_load_at_pace_1(
+		&m->stated, now - MAX(work->granted_at, m->last_first_token_at),
+		now);
 	m->last_first_token_at = now;
 	if (now < work->overdue_at)
 		raise_health(m);
@@ -205,7 +217,10 @@
 	if (!m->is_engine) {
 		m->last_completed_grant =
 			MAX(m->last_completed_grant, work->granted_at);
-		learn_unit_time(m, 1, n, now - work->granted_at);
+		learn_unit_time(m, 1, n,
+				runner_load_at_pace_1(&m->stated,
+						      now - work->granted_at,
+						      now));
 		return;
 	}
 	if (!work->first_token_at)
@@ -216,7 +231,8 @@
 				       done->cached_tokens,
 			       (double)work->prefill_time / US_PER_S);
 	learn_unit_time(m, (double)done->output_tokens - 1, n,
-			now - work->first_token_at);
+			runner_load_at_pace_1(&m->stated,
+					      now - work->first_token_at, now));
 }
 
 void runner_model_end(runner_model_t *m, const runner_work_t *work,
@@ -226,6 +242,7 @@
 
 	m->running--;
 	m->tokens -= tokens;
+	m->output_tokens -= work->output_tokens;
 	if (work->is_protected) {
 		m->protected_tokens -= tokens;
 		if (!--m->protected_running)
@@ -273,14 +290,31 @@
 	return true;
 }
 
+void runner_model_hear(runner_model_t *m, const runner_load_t *load)
+{
+	if (!runner_load_hear(&m->stated, load))
+		return;
+	/* Grants on their way there, and ends on their way here, don't count. */
+	m->stated_ledger = MAX(running_at(m, load->at), m->running);
+}
+
+/* Returns requests that others put there; a part of one is uncertainty. */
+static double external_requests(const runner_model_t *m, int64_t now)
+{
+	double stated = runner_load_external(&m->stated, m->stated_ledger, now);
+	double reported = m->external_requests;
+
+	if (now - m->report_received_at > REPORT_VALIDITY_US)
+		reported = 0;
+	stated = MAX(stated, reported);
+	return stated < 1 ? 0 : stated;
+}
+
 static double external_tokens(const runner_model_t *m, int64_t now)
 {
 	double each = m->running ? (double)m->tokens / m->running : 1;
 
-	if (m->external_requests < 1 ||
-	    now - m->report_received_at > REPORT_VALIDITY_US)
-		return 0;
-	return m->external_requests * each;
+	return external_requests(m, now) * each;
 }
 
 static double room_limit(const runner_model_t *m, runner_room_t room)
@@ -291,6 +325,8 @@
 		limit *= 1 + protected_reserve;
 	if (!m->is_engine && room == ROOM_UNPROTECTED && m->window > 1)
 		limit -= MAX(limit * plain_reserve, 1);
+	else if (!m->is_engine && m->stated.last.at)
+		limit += 1 + floor(limit * plain_queue);
 	return MAX(limit, 1);
 }
 
@@ -298,6 +334,7 @@
 			   int64_t now)
 {
 	double limit = room_limit(m, room);
+	double stated = runner_load_external(&m->stated, m->stated_ledger, now);
 
 	if (room == ROOM_ANY)
 		return true;
@@ -305,7 +342,7 @@
 		return (double)m->protected_tokens < limit;
 	if ((double)m->tokens + external_tokens(m, now) >= limit)
 		return false;
-	if (m->is_engine && m->slots && m->running >= m->slots)
+	if (m->is_engine && m->slots && m->running + stated >= m->slots)
 		return false;
 	if (!m->is_engine || room != ROOM_UNPROTECTED)
 		return true;
@@ -316,6 +353,24 @@
 	return prompt_time(m, (double)m->prompt_pending) < MAX_PREFILL_QUEUE_US;
 }
 
+int64_t runner_model_place_wait(const runner_model_t *m, runner_room_t room,
+				int64_t now)
+{
+	double running = m->running;
+	double stated = external_requests(m, now);
+
+	if (runner_model_has_room(m, room, now))
+		return 0;
+	if (!m->is_engine || !m->slots ||
+	    running + stated < m->slots || /* it is full for other reasons */
+	    running + stated >= m->slots + MAX_WAITING ||
+	    (double)m->tokens >= room_limit(m, room))
+		return INT64_MAX;
+	/* Of several that began at any time, one ends first. */
+	return decode_time(m, (double)m->output_tokens / running, running) /
+	       (int64_t)(running + 1);
+}
+
 /* Predicts the microseconds for work without queueing, if N requests run. */
 static int64_t service_time(const runner_model_t *m, uint32_t prompt_tokens,
 			    uint32_t output_tokens, double cached, double n)
@@ -332,6 +387,16 @@
 	return service_time(m, prompt_tokens, output_tokens, cached, 1);
 }
 
+/* Predicts the wait of a call that takes OWN, in a plain runner's queue. */
+static int64_t queue_time(const runner_model_t *m, int64_t own)
+{
+	double waiting = (double)m->running + 1 - m->window;
+
+	if (!m->stated.last.at || waiting <= 0)
+		return 0;
+	return (int64_t)((double)own * waiting / m->window);
+}
+
 int64_t runner_model_predict(const runner_model_t *m, uint32_t prompt_tokens,
 			     uint32_t output_tokens, double cached)
 {
@@ -339,6 +404,16 @@
 				   (double)m->running + 1);
 
 	if (!m->is_engine)
-		return own;
+		return own + queue_time(m, own);
 	return own + prompt_time(m, (double)m->prompt_pending);
 }
+
+int64_t runner_model_predict_now(const runner_model_t *m,
+				 uint32_t prompt_tokens, uint32_t output_tokens,
+				 double cached, int64_t now)
+{
+	return runner_load_slowed(
+		&m->stated,
+		runner_model_predict(m, prompt_tokens, output_tokens, cached),
+		now);
+}
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -19,7 +19,7 @@
 	RUNNER_HISTORY = 64, /* samples of the number of running requests */
 };
 
-/* The learned speeds of a runner or a hardware generation. */
+/* The learned speeds of a runner or a hardware generation, at pace 1. */
 typedef struct runner_speed {
 	line_fit_t prefill; /* seconds per prompt over its tokens */
 	/* seconds per token (plain: per call) over requests running */
@@ -59,6 +59,8 @@
 	uint32_t prefilling; /* requests without a first token */
 	uint64_t tokens; /* of granted work; plain: calls */
 	uint64_t protected_tokens; /* the part of protected work */
+	uint64_t output_tokens; /* the estimated output of granted work */
+	uint64_t tokens_given; /* of all work so far */
 	uint64_t prompt_pending; /* prompt tokens of prefilling requests */
 	/* seconds per token that protected work allows */
 	double token_time_limit;
@@ -70,6 +72,8 @@
 	int64_t report_received_at;
 	/* estimated requests not granted by this dispatcher */
 	double external_requests;
+	runner_statements_t stated; /* by the runner in its answers */
+	uint32_t stated_ledger; /* requests in the ledger at the last one */
 	runner_sample_t history[RUNNER_HISTORY];
 	uint32_t n_history;
 } runner_model_t;
@@ -105,16 +109,34 @@
 bool runner_model_report(runner_model_t *m, const dispatcher_report_t *report,
 			 int64_t now);
 
+/*
+ * The runner stated its load in an answer. It counts in predictions and room
+ * and keeps slow times out of the learned speed, less so as it ages.
+ */
+void runner_model_hear(runner_model_t *m, const runner_load_t *load);
+
 /* Returns whether more work may be granted now. */
 bool runner_model_has_room(const runner_model_t *m, runner_room_t room,
 			   int64_t now);
 /*
- * Predicts the microseconds until work granted now would finish. CACHED is the
+ * Returns the microseconds until the runner begins with one more request: 0 if
+ * it has room. Of an engine whose slots are taken, the predicted time until one
+ * is free, if it may have a request wait for it; else INT64_MAX.
+ */
+int64_t runner_model_place_wait(const runner_model_t *m, runner_room_t room,
+				int64_t now);
+/*
+ * Predicts the microseconds until work granted now would finish at the usual
+ * pace. CACHED is the
  * estimated part of the prompt in the runner's prefix cache, 0 to 1.
  */
 int64_t runner_model_predict(const runner_model_t *m, uint32_t prompt_tokens,
 			     uint32_t output_tokens, double cached);
-/* The same if the runner were idle. */
+/* The same at the pace that the runner stated last. */
+int64_t runner_model_predict_now(const runner_model_t *m,
+				 uint32_t prompt_tokens, uint32_t output_tokens,
+				 double cached, int64_t now);
+/* The same as runner_model_predict if the runner were idle. */
 int64_t runner_model_idle_time(const runner_model_t *m, uint32_t prompt_tokens,
 			       uint32_t output_tokens, double cached);
 
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -12,6 +12,7 @@
 #include "daemon/supervisor.h"
 
 enum {
+	US_PER_MS = 1000,
 	TICK_MS = 10,
 	MAX_RUNNING = 100000, /* grants in progress per dispatcher */
 	EXPORT_MS = 500, /* between updates of the metrics */
@@ -253,6 +254,8 @@
 		.grants_if_idle = set->fleet,
 		.expires_grants = set->fleet,
 		.awaits_list = set->fleet,
+		.uses_stated_load = set->runner_load,
+		.weighs_prompt_cache = set->prompt_cache_weighing,
 		.policy = parse_policy(set->policy),
 	};
 
@@ -477,6 +480,12 @@
 	s->n_expired_logged = stats.expired;
 	metrics_set(m, "papaya_dispatcher_forgotten_total", label,
 		    stats.expired);
+	metrics_set(m, "papaya_dispatcher_cache_grants_total", label,
+		    stats.cache_choices);
+	metrics_set(m, "papaya_dispatcher_cache_passed_total", label,
+		    stats.cache_passed);
+	metrics_set(m, "papaya_dispatcher_cache_saved_ms_total", label,
+		    stats.cache_saved / US_PER_MS);
 	metrics_set(m, "papaya_dispatcher_queued", label, stats.queued);
 	metrics_set(m, "papaya_dispatcher_running", label, stats.running);
 	metrics_set(m, "papaya_dispatcher_runners", label, stats.runners);
@@ -543,6 +552,8 @@
 static void handle_first_token(service_t *s, const message_capacity_t *c)
 {
 	handle_limit(s, c);
+	dispatcher_runner_load(&s->dispatcher, c->want.id, &c->done.load,
+			       now_us());
 	dispatcher_first_token(&s->dispatcher, c->want.id, now_us());
 	if (c->done.says_leaving)
 		dispatcher_runner_leaves(&s->dispatcher, c->want.id, now_us());
@@ -551,6 +562,8 @@
 static void handle_done(service_t *s, const message_capacity_t *c)
 {
 	handle_limit(s, c);
+	dispatcher_runner_load(&s->dispatcher, c->want.id, &c->done.load,
+			       now_us());
 	dispatcher_done(&s->dispatcher, c->want.id, &c->done, now_us());
 }
 
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -153,6 +153,15 @@
 	     "take up a fifth of it each; fleet only"),
 	INT(max_wants, "", 1, 1000000, "20000",
 	    "requests that one dispatcher queues, at most"),
+	{ "runner_load", OPTION_BOOL, "", 0, 0, "false", FIELD(runner_load),
+	  "the load that runners state in their answers counts in the choice "
+	  "of a runner",
+	  NULL },
+	{ "prompt_cache_weighing", OPTION_BOOL, "", 0, 0, "false",
+	  FIELD(prompt_cache_weighing),
+	  "what a runner saves by having a prompt's beginning in its cache is "
+	  "weighed against the wait there",
+	  NULL },
 	DURATION(ticket_life_ms, 100, DAY_MS, "300000",
 		 "how long a ticket may stay unused"),
 	DURATION(grant_timeout_ms, 100, DAY_MS, "600000",
