upstream, dispatcher: connections are used again, also by requests that run once

Cause: 25,099 of 31,588 requests on smlcp opened a connection (25 daemons, 115 runners). Three quarters of them are of kinds that may run only once and never used an idle connection; the idle time of a connection was counted from the head of its answer, so that a stream of two seconds left none; and grants went to runners without regard to who has a connection there.

Change, with reuse_connections (default off): such a request uses a connection that has been idle for less than half of its timeout and on which nothing came in since, and skips one answer that names another request. Owners say with Done how long they keep the connection; the dispatcher prefers, among runners whose predicted ends differ by a twentieth and 10 ms at most, one to which the owner has one. In any case the idle time begins with the end of the answer.

Ruled out: larger pools, longer idle times (the runner closes first).

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -55,7 +55,7 @@
 					  g_free);
 	s->unresponsive_owners = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, NULL);
-	s->runners = str_table_new(g_free);
+	s->runners = str_table_new(dispatcher_finish_runner);
 	s->generations = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	s->available = g_ptr_array_new();
 	s->ranked = g_sequence_new(NULL);
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -117,6 +117,8 @@
 	uint32_t pause_ms; /* for which it accepts nothing from this owner */
 	runner_limit_t limit; /* the runner's, as the owner knows it */
 	runner_load_t load; /* stated in the answer's head; at 0: not known */
+	/* How long the owner may use its connection again; 0: it has none. */
+	uint32_t connection_ms;
 } done_t;
 
 typedef enum dispatcher_policy {
@@ -153,6 +155,8 @@
 	bool uses_stated_load;
 	/* What a cached beginning saves is weighed against the wait for it. */
 	bool weighs_prompt_cache;
+	/* Owners are granted runners to which they have a connection. */
+	bool prefers_connected;
 	dispatcher_policy_t policy;
 } dispatcher_config_t;
 
--- a/core/dispatcher_choose.c
+++ b/core/dispatcher_choose.c
@@ -2,6 +2,8 @@
 #include "core/dispatcher_state.h"
 
 enum {
+	CONNECTION_US = 10 * 1000, /* what a connection saves, at most */
+	CONNECTION_DIVISOR = 20, /* and as a part of the predicted time */
 	MAX_CANDIDATES = 16, /* best-ranked runners considered per want */
 };
 
@@ -129,6 +131,18 @@
 	return ROOM_PROTECTED;
 }
 
+/* What is saved by a connection that the want's owner has to the runner. */
+static int64_t connection_bonus(const struct dispatcher_state *s,
+				const attempt_t *attempt,
+				const runner_t *runner, int64_t end,
+				int64_t now)
+{
+	if (!s->config.prefers_connected ||
+	    !warm_owners_has(&runner->connected, attempt->want.id.owner, now))
+		return 0;
+	return MIN((end - now) / CONNECTION_DIVISOR, CONNECTION_US);
+}
+
 runner_t *dispatcher_choose(struct dispatcher_state *s,
 			    const attempt_t *attempt, runner_room_t wanted,
 			    int64_t now, int64_t *finish)
@@ -147,6 +161,7 @@
 			continue;
 		n++;
 		end = now + dispatcher_predict(runner, &attempt->want, 0, now);
+		end -= connection_bonus(s, attempt, runner, end, now);
 		if (dispatcher_is_excluded(s, attempt, runner, now) ||
 		    !runner_model_has_room(&runner->model, room, now) ||
 		    (best && end >= *finish))
--- a/core/dispatcher_ledger.c
+++ b/core/dispatcher_ledger.c
@@ -2,6 +2,7 @@
 #include "core/dispatcher_state.h"
 
 enum {
+	US_PER_MS = 1000,
 	US_PER_S = 1000000,
 	MAX_RATE_GAP_US = 10 * US_PER_S, /* longer gaps don't count */
 };
@@ -89,6 +90,7 @@
 	insert_cancellable(s, attempt);
 	record_event(s, attempt, now);
 	dispatcher_record_cached(s, attempt, runner, now);
+	warm_owners_take(&runner->connected, want->id.owner);
 	dispatcher_rank_runner(s, runner, now);
 }
 
@@ -116,6 +118,9 @@
 		affinity_learn(&s->affinity, attempt->want.prefix_hash, runner,
 			       (double)done->cached_tokens /
 				       done->prompt_tokens);
+	if (done && done->connection_ms && s->config.prefers_connected)
+		warm_owners_add(&runner->connected, attempt->want.id.owner,
+				now + (int64_t)done->connection_ms * US_PER_MS);
 	dispatcher_rank_runner(s, runner, now);
 }
 
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -7,6 +7,16 @@
 	MAX_RUNNERS = 4096,
 };
 
+void dispatcher_finish_runner(void *data)
+{
+	runner_t *runner = data;
+
+	if (runner->pauses)
+		g_array_unref(runner->pauses);
+	warm_owners_finish(&runner->connected);
+	g_free(runner);
+}
+
 void dispatcher_free_runner(struct dispatcher_state *s, runner_t *runner)
 {
 	if (runner->is_listed || runner->model.running)
@@ -14,8 +24,6 @@
 	affinity_drop_runner(&s->affinity, runner);
 	if (runner->suspended)
 		g_queue_delete_link(&s->suspended, runner->suspended);
-	if (runner->pauses)
-		g_array_unref(runner->pauses);
 	g_hash_table_remove(s->runners, &runner->key);
 }
 
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -6,6 +6,7 @@
 #include "core/dispatcher.h"
 #include "core/queue.h"
 #include "core/runner_model.h"
+#include "core/warm_owners.h"
 
 typedef struct runner {
 	dispatcher_runner_t info;
@@ -17,6 +18,7 @@
 	GArray *pauses; /* pause_t, one per owner; NULL: none so far */
 	runner_limit_t limit; /* named by the runner itself */
 	runner_limit_bucket_t limit_bucket; /* counts its grants */
+	warm_owners_t connected; /* owners with an idle connection to it */
 	bool is_serving; /* in dispatcher_state.running and n_serving */
 	int64_t suspended_until; /* gets no grants before; 0: not suspended */
 	double lost_answers; /* lost answers; decays with each complete one */
@@ -129,6 +131,8 @@
 
 /* Returns NULL for an unknown name and counts it in the statistics. */
 runner_t *dispatcher_find_runner(struct dispatcher_state *s, str_t name);
+/* Frees a runner_t; for the table of runners. */
+void dispatcher_finish_runner(void *data);
 /* Frees a runner unless it is listed or has work in progress. */
 void dispatcher_free_runner(struct dispatcher_state *s, runner_t *runner);
 /* Stores a runner's speed as initial estimate for its generation. */
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -255,6 +255,7 @@
 		.expires_grants = set->fleet,
 		.awaits_list = set->fleet,
 		.uses_stated_load = set->runner_load,
+		.prefers_connected = set->reuse_connections,
 		.weighs_prompt_cache = set->prompt_cache_weighing,
 		.policy = parse_policy(set->policy),
 	};
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -198,6 +198,7 @@
 	done.pause_ms = c->done.pause_ms;
 	done.limit = write_limit(&c->done.limit, now, &limit);
 	done.load = write_load(&c->done.load, now, &load);
+	done.connection_ms = c->done.connection_ms;
 	frame.body_case = PAPAYA__FRAME__BODY_DONE;
 	frame.done = &done;
 	return peer_send(peer, to, &frame);
@@ -283,6 +284,7 @@
 {
 	c->done.limit = read_limit(f->limit, now);
 	c->done.load = read_load(f->load, now);
+	c->done.connection_ms = f->connection_ms;
 	c->want.id = (want_id_t){ f->owner, f->attempt };
 	c->done.result = f->result;
 	c->done.prompt_tokens = f->prompt_tokens;
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -108,6 +108,8 @@
 		    g->pool.stats.connects);
 	metrics_set(m, "papaya_upstream_reuses_total", NULL,
 		    g->pool.stats.reuses);
+	metrics_set(m, "papaya_upstream_skipped_total", NULL,
+		    g->pool.stats.skipped);
 	metrics_set(m, "papaya_upstream_out_of_turn_total", NULL,
 		    g->pool.stats.unexpected_data);
 }
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -197,6 +197,9 @@
 	done.limit =
 		runner_filter_known_limit(&r->gateway->runners, r->runner.name);
 	done.load = r->load;
+	if (result == DONE_COMPLETED)
+		done.connection_ms = upstream_pool_fresh_ms(&r->gateway->pool,
+							    r->runner.address);
 	post_capacity(r, MESSAGE_DONE, &done);
 }
 
@@ -370,13 +373,24 @@
 				       g_bytes_ref(body));
 }
 
+/*
+ * A late copy of an answer to an earlier send has this request's id, so another
+ * send needs a connection of its own. A request that may run only once can't be
+ * sent again when its connection turns out to be closed.
+ */
+static upstream_reuse_t allowed_reuse(const relay_t *r)
+{
+	if (r->sends)
+		return UPSTREAM_REUSE_NONE;
+	if (fleet_may_repeat(r->route))
+		return UPSTREAM_REUSE_ANY;
+	return supervisor_of(r)->settings->reuse_connections ?
+		       UPSTREAM_REUSE_FRESH :
+		       UPSTREAM_REUSE_NONE;
+}
+
 static void send_upstream(relay_t *r)
 {
-	/*
-	 * A late copy of an answer to an earlier send has this request's id, so
-	 * another send needs a connection of its own.
-	 */
-	bool may_reuse = fleet_may_repeat(r->route) && !r->sends;
 	forward_params_t params = {
 		.team = r->team ? r->team->name : NULL,
 		.runner = r->runner.name,
@@ -402,7 +416,7 @@
 	r->progress_at = now_us();
 	relay_note_release(r);
 	r->upstream = upstream_conn_start(
-		&r->gateway->pool, r->runner.address, may_reuse,
+		&r->gateway->pool, r->runner.address, allowed_reuse(r),
 		str_eq(r->call.method, STR_LIT("HEAD")), request,
 		&relay_answer_ops, r);
 	evbuffer_free(request);
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -86,6 +86,27 @@
 	       (!relay_is_success(r) || r->answer.is_sealed);
 }
 
+/*
+ * Tells whether the answer is another request's, and this request's own may
+ * still follow it. One that may be repeated rather goes to another runner.
+ */
+static bool is_late_copy(const relay_t *r)
+{
+	return r->answer.names_attempt && !r->answer.matches_attempt &&
+	       upstream_conn_is_reused(r->upstream) &&
+	       !fleet_may_repeat(r->route);
+}
+
+static bool skip_answer(relay_t *r)
+{
+	log_event("late-answer-skipped",
+		  "request=%s runner=%s status=%d why=\"it names another "
+		  "request\"",
+		  r->id, r->runner.name, r->answer.status);
+	r->has_answer = false;
+	return upstream_conn_skip_answer(r->upstream);
+}
+
 static void begin_stream(relay_t *r)
 {
 	r->is_streaming = true;
@@ -104,6 +125,8 @@
 	r->has_answer = true;
 	answer_head_read(head, r->call.attempt_id, &r->answer);
 	r->is_own_answer = is_own_answer(r);
+	if (is_late_copy(r))
+		return skip_answer(r);
 	/* One that names no attempt still states this runner's status. */
 	if (r->is_own_answer || !r->answer.names_attempt)
 		relay_read_runner_status(r);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -153,6 +153,11 @@
 	     "take up a fifth of it each; fleet only"),
 	INT(max_wants, "", 1, 1000000, "20000",
 	    "requests that one dispatcher queues, at most"),
+	{ "reuse_connections", OPTION_BOOL, "", 0, 0, "false",
+	  FIELD(reuse_connections),
+	  "connections to runners are used again for requests that may run "
+	  "only once, too, and runners to which there is one are preferred",
+	  NULL },
 	{ "runner_load", OPTION_BOOL, "", 0, 0, "false", FIELD(runner_load),
 	  "the load that runners state in their answers counts in the choice "
 	  "of a runner",
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -61,6 +61,7 @@
 	int64_t caller_backlog_kib;
 	double memory_mb;
 	int64_t max_wants;
+	bool reuse_connections;
 	bool runner_load;
 	bool prompt_cache_weighing;
 	int64_t ticket_life_ms;
--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -1,7 +1,9 @@
 #include "daemon/upstream.h"
 
+#include <errno.h>
 #include <event2/bufferevent.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 
 #include "common/timeval.h"
 #include "daemon/supervisor.h"
@@ -17,6 +19,7 @@
 	REAP_INTERVAL_MS = 500,
 	MAX_INTERIM_ANSWERS = 8, /* 1xx answers before the final one */
 	MAX_IDLE_CONNECTIONS = 4, /* per upstream */
+	FRESH_DIVISOR = 2, /* idle for less than its timeout / this */
 	ADDRESS_SIZE = 64,
 };
 
@@ -30,6 +33,8 @@
 	void *ctx;
 	struct evbuffer *request; /* until the connection is established */
 	int64_t opened_at; /* microseconds, monotonic */
+	int64_t idle_timeout; /* microseconds, by the last answer */
+	int64_t idle_since; /* microseconds, monotonic */
 	int64_t idle_until; /* no reuse after this; microseconds, monotonic */
 	bool is_sent; /* the request's first byte may have been sent */
 	/*
@@ -41,6 +46,8 @@
 	bool is_reusable; /* the last answer allows another request */
 	bool is_reused; /* it had an exchange before */
 	bool is_interim; /* the head is a 1xx; the answer follows */
+	bool is_skipped; /* the answer is dropped; the next one counts */
+	bool has_skipped; /* an answer of this exchange was dropped */
 	uint32_t n_interim;
 	bool is_head_request;
 	bool is_retired; /* the reaper will free it */
@@ -194,8 +201,8 @@
 	if (u->is_interim)
 		return head->status != HTTP_STATUS_SWITCHING_PROTOCOLS &&
 		       ++u->n_interim <= MAX_INTERIM_ANSWERS;
-	u->is_reusable = head->keeps_alive;
-	u->idle_until = now_us() + stated_idle_ms(head) * 1000;
+	u->is_reusable = head->keeps_alive && !u->has_skipped;
+	u->idle_timeout = stated_idle_ms(head) * 1000;
 	return u->ops.head(u->ctx, head);
 }
 
@@ -203,7 +210,17 @@
 {
 	upstream_conn_t *u = ctx;
 
-	return u->ops.body(u->ctx, bytes);
+	return u->is_skipped || u->ops.body(u->ctx, bytes);
+}
+
+bool upstream_conn_skip_answer(upstream_conn_t *u)
+{
+	if (!u->is_reused || u->has_skipped)
+		return false;
+	u->is_skipped = true;
+	u->has_skipped = true;
+	u->pool->stats.skipped++;
+	return true;
 }
 
 /*
@@ -221,7 +238,7 @@
 		p->stats.unexpected_data++;
 	/* After an early answer, part of the request's body is still unsent. */
 	if (!u->is_reusable || u->has_write_failed || evbuffer_get_length(in) ||
-	    evbuffer_get_length(out) || u->idle_until <= now_us() ||
+	    evbuffer_get_length(out) || u->idle_timeout <= 0 ||
 	    (queue && queue->length >= MAX_IDLE_CONNECTIONS)) {
 		fail_exchange(u, UPSTREAM_COMPLETE);
 		return;
@@ -231,6 +248,8 @@
 		g_hash_table_insert(p->idle, g_strdup(u->address), queue);
 	}
 	g_hash_table_remove(p->busy, u);
+	u->idle_since = now_us();
+	u->idle_until = u->idle_since + u->idle_timeout;
 	g_queue_push_tail(queue, u);
 	bufferevent_enable(u->bev, EV_READ);
 	end_exchange(u, UPSTREAM_COMPLETE);
@@ -257,7 +276,8 @@
 		if (u->is_retired)
 			return;
 		evbuffer_drain(in, consumed);
-		if (result == HTTP1_END && u->is_interim) {
+		if (result == HTTP1_END && (u->is_interim || u->is_skipped)) {
+			u->is_skipped = false;
 			http1_reader_reset(&u->reader);
 			u->reader.is_head_response = u->is_head_request;
 		} else if (result == HTTP1_END) {
@@ -282,8 +302,8 @@
 		retire(u);
 		return;
 	}
-	if (u->reader.has_head && !u->is_interim && !u->has_write_failed &&
-	    http1_reader_eof(&u->reader) == HTTP1_END) {
+	if (u->reader.has_head && !u->is_interim && !u->is_skipped &&
+	    !u->has_write_failed && http1_reader_eof(&u->reader) == HTTP1_END) {
 		u->is_reusable = false;
 		finish_exchange(u);
 		return;
@@ -328,19 +348,53 @@
 		fail_exchange(u, UPSTREAM_UNSENT);
 }
 
-static upstream_conn_t *take_idle(upstream_pool_t *p, const char *address)
+/* Returns whether the upstream has sent nothing that wasn't read yet. */
+static bool is_silent(const upstream_conn_t *u)
+{
+	char byte;
+	ssize_t n = recv(bufferevent_getfd(u->bev), &byte, sizeof(byte),
+			 MSG_PEEK | MSG_DONTWAIT);
+
+	return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+static bool is_fresh(const upstream_conn_t *u, int64_t now)
+{
+	return now - u->idle_since < u->idle_timeout / FRESH_DIVISOR &&
+	       is_silent(u);
+}
+
+uint32_t upstream_pool_fresh_ms(const upstream_pool_t *p, const char *address)
 {
 	GQueue *queue = g_hash_table_lookup(p->idle, address);
+	const upstream_conn_t *u = queue ? g_queue_peek_tail(queue) : NULL;
+	int64_t left = 0;
+
+	if (u)
+		left = u->idle_since + u->idle_timeout / FRESH_DIVISOR -
+		       now_us();
+	return (uint32_t)(MAX(left, 0) / 1000);
+}
+
+/* The connection that was used last is tried first. */
+static upstream_conn_t *take_idle(upstream_pool_t *p, const char *address,
+				  upstream_reuse_t reuse)
+{
+	GQueue *queue = g_hash_table_lookup(p->idle, address);
+	int64_t now = now_us();
 	upstream_conn_t *u;
 
-	if (!queue)
+	if (!queue || reuse == UPSTREAM_REUSE_NONE)
 		return NULL;
 	while ((u = g_queue_peek_tail(queue))) {
-		if (u->idle_until > now_us()) {
-			g_queue_pop_tail(queue);
-			return u;
+		if (u->idle_until <= now) {
+			retire(u);
+			continue;
 		}
-		retire(u);
+		if (reuse == UPSTREAM_REUSE_FRESH && !is_fresh(u, now))
+			return NULL;
+		g_queue_pop_tail(queue);
+		return u;
 	}
 	return NULL;
 }
@@ -378,11 +432,12 @@
 }
 
 upstream_conn_t *upstream_conn_start(upstream_pool_t *p, const char *address,
-				     bool may_reuse, bool is_head_request,
+				     upstream_reuse_t reuse,
+				     bool is_head_request,
 				     struct evbuffer *request,
 				     const upstream_ops_t *ops, void *ctx)
 {
-	upstream_conn_t *u = may_reuse ? take_idle(p, address) : NULL;
+	upstream_conn_t *u = take_idle(p, address, reuse);
 	bool is_new = !u;
 
 	if (is_new)
@@ -393,6 +448,8 @@
 	u->is_reusable = false;
 	u->has_write_failed = false;
 	u->is_interim = false;
+	u->is_skipped = false;
+	u->has_skipped = false;
 	u->n_interim = 0;
 	u->is_head_request = is_head_request;
 	http1_reader_reset(&u->reader);
--- a/daemon/upstream.h
+++ b/daemon/upstream.h
@@ -21,6 +21,17 @@
 	UPSTREAM_MALFORMED, /* invalid answer, or a callback returned false */
 } upstream_end_t;
 
+/* Which idle connection a request may use; else it gets a new one. */
+typedef enum upstream_reuse {
+	UPSTREAM_REUSE_NONE,
+	/*
+	 * One that the upstream is far from closing for being idle, and that it
+	 * has sent nothing on since its last answer.
+	 */
+	UPSTREAM_REUSE_FRESH,
+	UPSTREAM_REUSE_ANY, /* the upstream may have closed it unnoticed */
+} upstream_reuse_t;
+
 typedef struct upstream_ops {
 	/* The answer's head; not called for 1xx. False aborts the exchange. */
 	bool (*head)(void *ctx, const http1_head_t *head);
@@ -33,6 +44,7 @@
 typedef struct upstream_stats {
 	/* Connections attempted, reused, and with data outside of an answer. */
 	uint64_t connects, reuses, unexpected_data;
+	uint64_t skipped; /* answers to earlier requests */
 } upstream_stats_t;
 
 typedef struct upstream_conn upstream_conn_t;
@@ -53,14 +65,25 @@
 void upstream_pool_finish(upstream_pool_t *p);
 
 /*
- * Sends REQUEST to ADDRESS, IP:port, and drains it. MAY_REUSE allows an idle
- * connection, which the upstream may have closed unnoticed. Returns NULL when
- * no connection can be attempted; no callback is called then.
+ * Sends REQUEST to ADDRESS, IP:port, and drains it. Returns NULL when no
+ * connection can be attempted; no callback is called then.
  */
 upstream_conn_t *upstream_conn_start(upstream_pool_t *p, const char *address,
-				     bool may_reuse, bool is_head_request,
+				     upstream_reuse_t reuse,
+				     bool is_head_request,
 				     struct evbuffer *request,
 				     const upstream_ops_t *ops, void *ctx);
+/*
+ * The head is of an answer to an earlier request: drops that answer and waits
+ * for the next head. Call it in the head callback, on a connection that had an
+ * exchange before, and return its result.
+ */
+bool upstream_conn_skip_answer(upstream_conn_t *u);
+/*
+ * Returns for how many milliseconds UPSTREAM_REUSE_FRESH will find a connection
+ * to ADDRESS, if nothing else uses it.
+ */
+uint32_t upstream_pool_fresh_ms(const upstream_pool_t *p, const char *address);
 /* Closes the connection at once; no callback is called. */
 void upstream_conn_cancel(upstream_conn_t *u);
 /* Stops or resumes reading, for a slow caller. */
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3126,7 +3126,7 @@
   (ProtobufCMessageInit) papaya__first_token__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__done__field_descriptors[11] =
+static const ProtobufCFieldDescriptor papaya__done__field_descriptors[12] =
 {
   {
     "attempt",
@@ -3260,10 +3260,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "connection_ms",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Done, connection_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__done__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
   5,   /* field[5] = cached_tokens */
+  11,   /* field[11] = connection_ms */
   7,   /* field[7] = leaving */
   9,   /* field[9] = limit */
   10,   /* field[10] = load */
@@ -3277,7 +3290,7 @@
 static const ProtobufCIntRange papaya__done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor papaya__done__descriptor =
 {
@@ -3287,7 +3300,7 @@
   "Papaya__Done",
   "papaya",
   sizeof(Papaya__Done),
-  11,
+  12,
   papaya__done__field_descriptors,
   papaya__done__field_indices_by_name,
   1,  papaya__done__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -449,10 +449,14 @@
    * of the runner, stated in the answer's head
    */
   Papaya__RunnerLoad *load;
+  /*
+   * How long the owner may use its connection to the runner again.
+   */
+  uint32_t connection_ms;
 };
 #define PAPAYA__DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__done__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, NULL, NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, 0 }
 
 
 /*
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -65,7 +65,8 @@
 				     true,
 				     4000,
 				     { RUNNER_LIMIT_NAMED, 1.5, now - 3000 },
-				     { now - 2000, 5, 6, 7, 250 } };
+				     { now - 2000, 5, 6, 7, 250 },
+				     6000 };
 	m->capacity.runner.born_ms = INT64_C(1764800000000);
 	m->capacity.hops = 1;
 	m->capacity.is_resent = true;
@@ -130,6 +131,8 @@
 				    &in.capacity.done.limit);
 			check_load(&out.capacity.done.load,
 				   &in.capacity.done.load);
+			ck_assert_uint_eq(out.capacity.done.connection_ms,
+					  6000);
 		} else if (types[i] == MESSAGE_FIRST_TOKEN) {
 			check_load(&out.capacity.done.load,
 				   &in.capacity.done.load);
