runner_load, runner_model, dispatcher_cache: a review's findings, runners' memory

Mended: a predicted wait of NaN at a runner that only others fill; the delay by a slow pace, which could exceed the time that the pace lasts; statements without a pace change nothing any more (such runners keep the ledger and the reserve); a restarted runner is no holder of cached prompts; calls beyond a plain runner's slots only while its window is whole and its statement fresh; no second count of a runner's queue; protected work isn't passed at a full engine; others' requests are rounded; the latest holder's loss is a loss with the old rule too; figures of peers are checked; a repeated statement counts once; more candidates where paces spread the ranking; what is cached takes up no cache.

runner_memory (default off): what an engine was granted stays within its memory, with a quarter more output than estimated; what doesn't fit waits or is refused. A break-off with the memory nearly full is logged and counted.

--- a/core/affinity.c
+++ b/core/affinity.c
@@ -11,6 +11,7 @@
 	/* Latest first; one that is not used has no runner. */
 	affinity_holder_t holders[AFFINITY_HOLDERS];
 	double cached; /* part that the latest has */
+	bool is_latest_lost; /* the latest was dropped */
 	GList link; /* in affinity_t.recent */
 } prefix_t;
 
@@ -66,8 +67,9 @@
 {
 	prefix_t *p = find_or_add(a, prefix);
 
-	if (p->holders[0].runner == runner)
+	if (p->holders[0].runner == runner && !p->is_latest_lost)
 		return;
+	p->is_latest_lost = false;
 	memmove(&p->holders[1], &p->holders[0],
 		find_holder(p, runner) * sizeof(p->holders[0]));
 	p->holders[0] = (affinity_holder_t){ .runner = runner };
@@ -99,7 +101,7 @@
 {
 	prefix_t *p = g_hash_table_lookup(a->prefixes, &prefix);
 
-	if (p && p->holders[0].runner == runner)
+	if (p && !p->is_latest_lost && p->holders[0].runner == runner)
 		p->cached += learning_rate * (cached - p->cached);
 }
 
@@ -107,7 +109,7 @@
 {
 	const prefix_t *p = g_hash_table_lookup(a->prefixes, &prefix);
 
-	if (!p)
+	if (!p || p->is_latest_lost)
 		return NULL;
 	*cached = p->cached;
 	return p->holders[0].runner;
@@ -132,8 +134,7 @@
 		prefix_t *p = link->data;
 
 		next = link->next;
-		if (p->holders[0].runner == runner)
-			p->cached = initial_cached;
+		p->is_latest_lost |= p->holders[0].runner == runner;
 		drop_holder(p, runner);
 		if (!p->holders[0].runner)
 			evict(a, p);
--- a/core/affinity.h
+++ b/core/affinity.h
@@ -8,6 +8,7 @@
 #define CORE_AFFINITY_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 enum { AFFINITY_HOLDERS = 4 }; /* runners known of a prefix */
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -155,6 +155,8 @@
 	bool uses_stated_load;
 	/* What a cached beginning saves is weighed against the wait for it. */
 	bool weighs_prompt_cache;
+	/* Work that may exceed an engine's memory is not granted. */
+	bool bounds_memory;
 	/* Owners are granted runners to which they have a connection. */
 	bool prefers_connected;
 	dispatcher_policy_t policy;
@@ -252,6 +254,11 @@
  */
 bool dispatcher_runner_limited(dispatcher_t *d, want_id_t id,
 			       const runner_limit_t *limit, int64_t now);
+/*
+ * Returns the part of its memory that the runner of a granted request may hold
+ * for all its requests, or 0 if that isn't known.
+ */
+double dispatcher_memory_part(const dispatcher_t *d, want_id_t id);
 /* Returns what is known of a runner's limit. */
 runner_limit_t dispatcher_limit(const dispatcher_t *d, str_t runner);
 /* The runner of a granted request stated its load, as its owner heard it. */
--- a/core/dispatcher_cache.c
+++ b/core/dispatcher_cache.c
@@ -35,7 +35,8 @@
 	runner = (runner_t *)known;
 	if (!runner || !runner->ranked ||
 	    dispatcher_is_excluded(s, attempt, runner, now) ||
-	    !runner_model_has_room(&runner->model, room, now))
+	    !runner_model_has_room(&runner->model, room, now) ||
+	    !dispatcher_fits(s, &attempt->want, runner))
 		return best;
 	if (hint->tokens)
 		cached = MIN((double)hint->tokens / attempt->want.prompt_tokens,
@@ -98,7 +99,9 @@
 	runner_t *runner = (runner_t *)holder->runner;
 	int64_t wait, saving, end;
 
-	if (!runner->ranked || dispatcher_is_excluded(s, attempt, runner, now))
+	if (!runner->ranked ||
+	    dispatcher_is_excluded(s, attempt, runner, now) ||
+	    !dispatcher_fits(s, want, runner))
 		return;
 	wait = runner_model_place_wait(&runner->model, room, now);
 	if (wait == INT64_MAX)
@@ -174,23 +177,31 @@
 	return NULL;
 }
 
-/* Returns the tokens of a part that the runner has, as far as is expected. */
-static uint32_t cached_tokens(const struct dispatcher_state *s, uint64_t hash,
-			      uint32_t tokens, const runner_t *runner,
-			      int64_t now)
+/*
+ * Sets TOKENS to the part of HINT that the runner has, as far as is expected;
+ * returns whether it is known to have had it.
+ */
+static bool find_cached(const struct dispatcher_state *s,
+			const cache_hint_t *hint, const runner_t *runner,
+			int64_t now, uint32_t *tokens)
 {
 	const affinity_holder_t *holder =
-		hash ? find_holder(s, hash, runner) : NULL;
+		hint->hash ? find_holder(s, hint->hash, runner) : NULL;
 	cached_prefix_t p;
+	double cached;
 
+	*tokens = 0;
 	if (!holder)
-		return 0;
-	if (!s->config.weighs_prompt_cache)
-		return holder == affinity_holder(&s->affinity, hash, 0) ?
-			       tokens :
-			       0;
-	p = describe(s, holder, runner, tokens, now);
-	return (uint32_t)(tokens * cache_value_certainty(&p));
+		return false;
+	if (!s->config.weighs_prompt_cache) {
+		if (affinity_find(&s->affinity, hint->hash, &cached) != runner)
+			return false;
+		*tokens = hint->tokens;
+		return true;
+	}
+	p = describe(s, holder, runner, hint->tokens, now);
+	*tokens = (uint32_t)(hint->tokens * cache_value_certainty(&p));
+	return true;
 }
 
 /* Counts a grant, before it is recorded who has the prompt cached. */
@@ -214,15 +225,17 @@
 }
 
 void dispatcher_record_cached(struct dispatcher_state *s, attempt_t *attempt,
-			      const runner_t *runner, int64_t now)
+			      runner_t *runner, int64_t now)
 {
 	const want_t *want = &attempt->want;
-
-	attempt->cached_tokens = cached_tokens(
-		s, want->session_hash, want->session_tokens, runner, now);
-	if (!attempt->cached_tokens)
-		attempt->cached_tokens = cached_tokens(
-			s, want->prefix_hash, want->prefix_tokens, runner, now);
+	cache_hint_t prefix = { want->prefix_hash, want->prefix_tokens };
+	cache_hint_t session = { want->session_hash, want->session_tokens };
+
+	if (!find_cached(s, &session, runner, now, &attempt->cached_tokens))
+		find_cached(s, &prefix, runner, now, &attempt->cached_tokens);
+	/* What it has already takes up no more of its cache. */
+	runner->model.tokens_given -=
+		MIN(attempt->cached_tokens, want->prompt_tokens);
 	if (s->config.weighs_prompt_cache)
 		count_cached(s, attempt, runner, now);
 	record_part(s, want->prefix_hash, runner, now);
--- a/core/dispatcher_choose.c
+++ b/core/dispatcher_choose.c
@@ -5,6 +5,8 @@
 	CONNECTION_US = 10 * 1000, /* what a connection saves, at most */
 	CONNECTION_DIVISOR = 20, /* and as a part of the predicted time */
 	MAX_CANDIDATES = 16, /* best-ranked runners considered per want */
+	/* The same where stated paces spread the ranking. */
+	MAX_CANDIDATES_PACED = 64,
 };
 
 bool dispatcher_is_available(const runner_t *runner, int64_t now)
@@ -103,6 +105,14 @@
 	       is_limited(attempt, runner, now);
 }
 
+bool dispatcher_fits(const struct dispatcher_state *s, const want_t *want,
+		     const runner_t *runner)
+{
+	return !s->config.bounds_memory ||
+	       runner_model_fits(&runner->model, want->prompt_tokens,
+				 want->output_tokens);
+}
+
 int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
 			   double cached, int64_t now)
 {
@@ -120,13 +130,14 @@
 
 /*
  * Without a protected tier, the places of plain runners that are kept for one
- * are free for all.
+ * are free for all. Runners that state no pace keep them: their load is known
+ * too late to fill them.
  */
 static runner_room_t usable_room(const struct dispatcher_state *s,
 				 runner_room_t room)
 {
 	if (room != ROOM_UNPROTECTED || s->config.is_engine ||
-	    !s->config.uses_stated_load || has_protected_tier(s))
+	    !s->has_stated_pace || has_protected_tier(s))
 		return room;
 	return ROOM_PROTECTED;
 }
@@ -150,9 +161,10 @@
 	runner_room_t room = usable_room(s, wanted);
 	GSequenceIter *iter = g_sequence_get_begin_iter(s->ranked);
 	runner_t *best = NULL;
+	int most = s->has_stated_pace ? MAX_CANDIDATES_PACED : MAX_CANDIDATES;
 	int n = 0; /* candidates so far */
 
-	for (; n < MAX_CANDIDATES && !g_sequence_iter_is_end(iter);
+	for (; n < most && !g_sequence_iter_is_end(iter);
 	     iter = g_sequence_iter_next(iter)) {
 		runner_t *runner = g_sequence_get(iter);
 		int64_t end;
@@ -164,6 +176,7 @@
 		end -= connection_bonus(s, attempt, runner, end, now);
 		if (dispatcher_is_excluded(s, attempt, runner, now) ||
 		    !runner_model_has_room(&runner->model, room, now) ||
+		    !dispatcher_fits(s, &attempt->want, runner) ||
 		    (best && end >= *finish))
 			continue;
 		best = runner;
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -113,6 +113,9 @@
 		known->is_leaving_by_report = false;
 		known->limit = (runner_limit_t){ 0 };
 		known->model.stated = (runner_statements_t){ 0 };
+		known->model.stated_ledger = 0;
+		if (s->config.weighs_prompt_cache)
+			affinity_drop_runner(&s->affinity, known);
 		if (known->pauses)
 			g_array_set_size(known->pauses, 0);
 	}
@@ -170,12 +173,26 @@
 {
 	attempt_t *attempt = g_hash_table_lookup(d->state->attempts, &id);
 
-	if (!attempt || !attempt->runner || !d->state->config.uses_stated_load)
+	/* Without a pace the ledger knows as much as the statement. */
+	if (!attempt || !attempt->runner || !load->pace ||
+	    !d->state->config.uses_stated_load)
 		return;
+	d->state->has_stated_pace = true;
 	runner_model_hear(&attempt->runner->model, load);
 	dispatcher_rank_runner(d->state, attempt->runner, now);
 }
 
+double dispatcher_memory_part(const dispatcher_t *d, want_id_t id)
+{
+	const attempt_t *attempt = g_hash_table_lookup(d->state->attempts, &id);
+	const runner_model_t *m;
+
+	if (!attempt || !attempt->runner || !d->state->config.is_engine)
+		return 0;
+	m = &attempt->runner->model;
+	return (double)m->memory_tokens / m->window;
+}
+
 runner_limit_t dispatcher_limit(const dispatcher_t *d, str_t runner)
 {
 	const runner_t *known = g_hash_table_lookup(d->state->runners, &runner);
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -83,6 +83,7 @@
 	int64_t rate_at; /* end of the interval that both cover */
 	int64_t paused_until; /* the latest end of all runners' pauses */
 	bool has_runner_list; /* a list of runners was received */
+	bool has_stated_pace; /* a runner stated its pace */
 	bool is_view_unstable; /* other daemons may use the same runners */
 	bool is_deciding;
 	bool decide_again; /* an event arrived during the round */
@@ -198,11 +199,14 @@
 				   int64_t *finish);
 /* Estimates what the runner has cached and records what it will cache. */
 void dispatcher_record_cached(struct dispatcher_state *s, attempt_t *attempt,
-			      const runner_t *runner, int64_t now);
+			      runner_t *runner, int64_t now);
 /* Returns whether the want may not use the runner, whatever room it has. */
 bool dispatcher_is_excluded(const struct dispatcher_state *s,
 			    const attempt_t *attempt, runner_t *runner,
 			    int64_t now);
+/* Returns whether the want doesn't exceed the runner's memory. */
+bool dispatcher_fits(const struct dispatcher_state *s, const want_t *want,
+		     const runner_t *runner);
 /* Predicts the microseconds until the want would end if granted now. */
 int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
 			   double cached, int64_t now);
--- a/core/runner_load.c
+++ b/core/runner_load.c
@@ -9,8 +9,20 @@
 	MAX_AGE_US = 2000 * US_PER_MS, /* older statements say nothing */
 	PACE_US = 300 * US_PER_MS, /* how long a pace lasts */
 	MAX_PACES = 32, /* in the moving average of the usual pace */
+	REPEATED_US = 5 * US_PER_MS, /* equal ones are one within this time */
+	MAX_REQUESTS = 1000000, /* more is implausible */
+	MIN_PACE = 10, /* percent */
+	MAX_PACE = 10000,
 };
 
+bool runner_load_is_plausible(const runner_load_t *load)
+{
+	return load->running <= MAX_REQUESTS && load->waiting <= MAX_REQUESTS &&
+	       load->slots <= MAX_REQUESTS &&
+	       (!load->pace ||
+		(load->pace >= MIN_PACE && load->pace <= MAX_PACE));
+}
+
 double runner_load_weight(int64_t age)
 {
 	if (age <= 0)
@@ -20,11 +32,26 @@
 	return exp2(-(double)age / HALF_LIFE_US);
 }
 
+static double weight_at(const runner_statements_t *s, int64_t now)
+{
+	return s->last.at ? runner_load_weight(now - s->last.at) : 0;
+}
+
+static bool is_repeated(const runner_statements_t *s,
+			const runner_load_t *heard)
+{
+	const runner_load_t *l = &s->last;
+
+	return l->at && heard->at - l->at < REPEATED_US &&
+	       l->running == heard->running && l->waiting == heard->waiting &&
+	       l->slots == heard->slots && l->pace == heard->pace;
+}
+
 bool runner_load_hear(runner_statements_t *s, const runner_load_t *heard)
 {
 	double pace = (double)heard->pace / RUNNER_PACE_PERCENT;
 
-	if (!heard->at || heard->at <= s->last.at)
+	if (!heard->at || heard->at <= s->last.at || is_repeated(s, heard))
 		return false;
 	s->last = *heard;
 	if (!heard->pace)
@@ -34,14 +61,14 @@
 	return true;
 }
 
-double runner_load_usual(const runner_statements_t *s)
+bool runner_load_is_fresh(const runner_statements_t *s, int64_t now)
 {
-	return s->n_paces ? s->usual_pace : 1;
+	return weight_at(s, now) > 0;
 }
 
-static double weight_at(const runner_statements_t *s, int64_t now)
+double runner_load_usual(const runner_statements_t *s)
 {
-	return s->last.at ? runner_load_weight(now - s->last.at) : 0;
+	return s->n_paces ? s->usual_pace : 1;
 }
 
 double runner_load_pace(const runner_statements_t *s, int64_t now)
@@ -57,20 +84,22 @@
 int64_t runner_load_slowed(const runner_statements_t *s, int64_t time,
 			   int64_t now)
 {
-	double slowness = runner_load_pace(s, now) / runner_load_usual(s) - 1;
+	double ratio = runner_load_pace(s, now) / runner_load_usual(s);
+	double slowed = (double)time * ratio;
 
-	return time + (int64_t)((double)MIN(time, PACE_US) * slowness);
+	if (slowed <= PACE_US)
+		return (int64_t)slowed;
+	return PACE_US + time - (int64_t)(PACE_US / ratio);
 }
 
 int64_t runner_load_at_pace_1(const runner_statements_t *s, int64_t time,
 			      int64_t now)
 {
-	double usual = runner_load_usual(s);
-	/* The part of the time at the pace that was stated in the end. */
-	double part = time > PACE_US ? (double)PACE_US / (double)time : 1;
-	double pace = usual + (runner_load_pace(s, now) - usual) * part;
+	double last = (double)MIN(time, PACE_US);
+	double before = (double)time - last;
 
-	return (int64_t)((double)time / pace);
+	return (int64_t)(last / runner_load_pace(s, now) +
+			 before / runner_load_usual(s));
 }
 
 double runner_load_external(const runner_statements_t *s, uint32_t ledger,
--- a/core/runner_load.h
+++ b/core/runner_load.h
@@ -5,7 +5,7 @@
  * are microseconds of the monotonic clock.
  *
  * A pace is the factor by which work takes longer on the runner's machine than
- * on one of pace 1. It changes many times a second, as machines are shared.
+ * on one of pace 1. Other work on the machine raises it for short times.
  */
 #ifndef CORE_RUNNER_LOAD_H
 #define CORE_RUNNER_LOAD_H
@@ -33,10 +33,17 @@
 	uint32_t n_paces;
 } runner_statements_t;
 
+/* Returns whether all figures are ones that a runner may state. */
+bool runner_load_is_plausible(const runner_load_t *load);
 /* Returns the weight, 0 to 1, of a statement that is AGE old. */
 double runner_load_weight(int64_t age);
-/* Takes HEARD over if it is newer than the last; returns whether it is. */
+/*
+ * Takes HEARD over if it is newer than the last; returns whether it is. One
+ * that is repeated may look a little newer, as its age is passed on in ms.
+ */
 bool runner_load_hear(runner_statements_t *s, const runner_load_t *heard);
+/* Returns whether the last statement still has weight. */
+bool runner_load_is_fresh(const runner_statements_t *s, int64_t now);
 /* Returns the usual pace; 1 if none was stated. */
 double runner_load_usual(const runner_statements_t *s);
 /* Returns the pace now: as stated, or as usual the older the statement is. */
--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -9,6 +9,7 @@
 	MAX_PREFILL_QUEUE_US = 200000, /* limit of queued prompt work */
 	OVERDUE_GRACE_US = 50000,
 	OVERDUE_FACTOR = 2, /* times the predicted time */
+	OUTPUT_MARGIN_DIVISOR = 4, /* output may be longer by 1/4 */
 	MAX_WAITING = 1, /* requests that wait at an engine for a slot */
 };
 
@@ -114,6 +115,25 @@
 	return (uint64_t)work->prompt_tokens + work->output_tokens;
 }
 
+uint64_t runner_model_memory(uint32_t prompt_tokens, uint32_t output_tokens)
+{
+	return (uint64_t)prompt_tokens + output_tokens +
+	       output_tokens / OUTPUT_MARGIN_DIVISOR;
+}
+
+static uint64_t work_memory(const runner_work_t *work)
+{
+	return runner_model_memory(work->prompt_tokens, work->output_tokens);
+}
+
+bool runner_model_fits(const runner_model_t *m, uint32_t prompt_tokens,
+		       uint32_t output_tokens)
+{
+	uint64_t own = runner_model_memory(prompt_tokens, output_tokens);
+
+	return !m->is_engine || (double)(m->memory_tokens + own) <= m->window;
+}
+
 static void set_overdue_at(const runner_model_t *m, runner_work_t *work,
 			   int64_t from, int64_t expected)
 {
@@ -165,6 +185,7 @@
 	m->tokens += tokens;
 	m->output_tokens += work->output_tokens;
 	m->tokens_given += tokens;
+	m->memory_tokens += work_memory(work);
 	m->prompt_pending += work->prompt_tokens;
 	work->prompt_tokens_ahead = m->prompt_pending;
 	if (work->is_protected) {
@@ -243,6 +264,7 @@
 	m->running--;
 	m->tokens -= tokens;
 	m->output_tokens -= work->output_tokens;
+	m->memory_tokens -= work_memory(work);
 	if (work->is_protected) {
 		m->protected_tokens -= tokens;
 		if (!--m->protected_running)
@@ -298,16 +320,20 @@
 	m->stated_ledger = MAX(running_at(m, load->at), m->running);
 }
 
-/* Returns requests that others put there; a part of one is uncertainty. */
+/* Returns the requests that others put there, as the runner stated. */
+static double others_stated(const runner_model_t *m, int64_t now)
+{
+	return round(runner_load_external(&m->stated, m->stated_ledger, now));
+}
+
+/* The same, as reports say if those show more; below one is uncertainty. */
 static double external_requests(const runner_model_t *m, int64_t now)
 {
-	double stated = runner_load_external(&m->stated, m->stated_ledger, now);
 	double reported = m->external_requests;
 
-	if (now - m->report_received_at > REPORT_VALIDITY_US)
+	if (reported < 1 || now - m->report_received_at > REPORT_VALIDITY_US)
 		reported = 0;
-	stated = MAX(stated, reported);
-	return stated < 1 ? 0 : stated;
+	return MAX(others_stated(m, now), reported);
 }
 
 static double external_tokens(const runner_model_t *m, int64_t now)
@@ -317,7 +343,16 @@
 	return external_requests(m, now) * each;
 }
 
-static double room_limit(const runner_model_t *m, runner_room_t room)
+/* Returns the calls that may wait in a plain runner's queue. */
+static double queue_limit(const runner_model_t *m, int64_t now)
+{
+	if (m->health < 1 || !runner_load_is_fresh(&m->stated, now))
+		return 0;
+	return 1 + floor(m->window * plain_queue);
+}
+
+static double room_limit(const runner_model_t *m, runner_room_t room,
+			 int64_t now)
 {
 	double limit = m->window * m->health;
 
@@ -325,16 +360,16 @@
 		limit *= 1 + protected_reserve;
 	if (!m->is_engine && room == ROOM_UNPROTECTED && m->window > 1)
 		limit -= MAX(limit * plain_reserve, 1);
-	else if (!m->is_engine && m->stated.last.at)
-		limit += 1 + floor(limit * plain_queue);
+	if (!m->is_engine && room != ROOM_UNPROTECTED)
+		limit += queue_limit(m, now);
 	return MAX(limit, 1);
 }
 
 bool runner_model_has_room(const runner_model_t *m, runner_room_t room,
 			   int64_t now)
 {
-	double limit = room_limit(m, room);
-	double stated = runner_load_external(&m->stated, m->stated_ledger, now);
+	double limit = room_limit(m, room, now);
+	double others = others_stated(m, now);
 
 	if (room == ROOM_ANY)
 		return true;
@@ -342,7 +377,7 @@
 		return (double)m->protected_tokens < limit;
 	if ((double)m->tokens + external_tokens(m, now) >= limit)
 		return false;
-	if (m->is_engine && m->slots && m->running + stated >= m->slots)
+	if (m->is_engine && m->slots && m->running + others >= m->slots)
 		return false;
 	if (!m->is_engine || room != ROOM_UNPROTECTED)
 		return true;
@@ -357,14 +392,16 @@
 				int64_t now)
 {
 	double running = m->running;
-	double stated = external_requests(m, now);
+	double all = running + others_stated(m, now);
 
 	if (runner_model_has_room(m, room, now))
 		return 0;
-	if (!m->is_engine || !m->slots ||
-	    running + stated < m->slots || /* it is full for other reasons */
-	    running + stated >= m->slots + MAX_WAITING ||
-	    (double)m->tokens >= room_limit(m, room))
+	if (!m->is_engine || !m->slots || !m->running ||
+	    (room == ROOM_UNPROTECTED && m->protected_running))
+		return INT64_MAX;
+	/* It may also be full for other reasons than its slots. */
+	if (all < m->slots || all >= m->slots + MAX_WAITING ||
+	    (double)m->tokens >= room_limit(m, room, now))
 		return INT64_MAX;
 	/* Of several that began at any time, one ends first. */
 	return decode_time(m, (double)m->output_tokens / running, running) /
@@ -387,16 +424,6 @@
 	return service_time(m, prompt_tokens, output_tokens, cached, 1);
 }
 
-/* Predicts the wait of a call that takes OWN, in a plain runner's queue. */
-static int64_t queue_time(const runner_model_t *m, int64_t own)
-{
-	double waiting = (double)m->running + 1 - m->window;
-
-	if (!m->stated.last.at || waiting <= 0)
-		return 0;
-	return (int64_t)((double)own * waiting / m->window);
-}
-
 int64_t runner_model_predict(const runner_model_t *m, uint32_t prompt_tokens,
 			     uint32_t output_tokens, double cached)
 {
@@ -404,7 +431,7 @@
 				   (double)m->running + 1);
 
 	if (!m->is_engine)
-		return own + queue_time(m, own);
+		return own;
 	return own + prompt_time(m, (double)m->prompt_pending);
 }
 
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -61,6 +61,7 @@
 	uint64_t protected_tokens; /* the part of protected work */
 	uint64_t output_tokens; /* the estimated output of granted work */
 	uint64_t tokens_given; /* of all work so far */
+	uint64_t memory_tokens; /* that granted work may come to hold */
 	uint64_t prompt_pending; /* prompt tokens of prefilling requests */
 	/* seconds per token that protected work allows */
 	double token_time_limit;
@@ -118,6 +119,17 @@
 /* Returns whether more work may be granted now. */
 bool runner_model_has_room(const runner_model_t *m, runner_room_t room,
 			   int64_t now);
+/*
+ * Returns the tokens that work may come to hold in a runner's memory: its
+ * output is estimated, and the estimate may be too low.
+ */
+uint64_t runner_model_memory(uint32_t prompt_tokens, uint32_t output_tokens);
+/*
+ * Returns whether an engine's memory, its window, has room for the work besides
+ * all that it holds.
+ */
+bool runner_model_fits(const runner_model_t *m, uint32_t prompt_tokens,
+		       uint32_t output_tokens);
 /*
  * Returns the microseconds until the runner begins with one more request: 0 if
  * it has room. Of an engine whose slots are taken, the predicted time until one
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -16,8 +16,12 @@
 	TICK_MS = 10,
 	MAX_RUNNING = 100000, /* grants in progress per dispatcher */
 	EXPORT_MS = 500, /* between updates of the metrics */
+	PERCENT = 100,
 };
 
+/* Part of an engine's memory that is nearly all of it. */
+static const double full_memory = 0.9;
+
 typedef struct capacity capacity_t;
 
 /* The dispatcher of one service, or of one group of its runners. */
@@ -255,6 +259,7 @@
 		.expires_grants = set->fleet,
 		.awaits_list = set->fleet,
 		.uses_stated_load = set->runner_load,
+		.bounds_memory = set->runner_memory,
 		.prefers_connected = set->reuse_connections,
 		.weighs_prompt_cache = set->prompt_cache_weighing,
 		.policy = parse_policy(set->policy),
@@ -560,8 +565,29 @@
 		dispatcher_runner_leaves(&s->dispatcher, c->want.id, now_us());
 }
 
+/* Tells a crash for want of memory from others. */
+static void check_lost_memory(service_t *s, const message_capacity_t *c)
+{
+	double part;
+
+	if (c->done.result != DONE_BROKEN)
+		return;
+	part = dispatcher_memory_part(&s->dispatcher, c->want.id);
+	if (part < full_memory)
+		return;
+	log_event("runner-broke-full",
+		  "service=%s owner=%s attempt=%" PRIu64
+		  " memory_percent=%.0f why=\"it broke off with its memory "
+		  "nearly full\"",
+		  s->name, c->peer[0] ? c->peer : "own", c->want.id.attempt,
+		  part * PERCENT);
+	metrics_add(&s->capacity->sup->metrics,
+		    "papaya_runner_broke_full_total", NULL, 1);
+}
+
 static void handle_done(service_t *s, const message_capacity_t *c)
 {
+	check_lost_memory(s, c);
 	handle_limit(s, c);
 	dispatcher_runner_load(&s->dispatcher, c->want.id, &c->done.load,
 			       now_us());
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -83,10 +83,13 @@
 
 static runner_load_t read_load(const Papaya__RunnerLoad *f, int64_t now)
 {
+	runner_load_t load = { 0 };
+
 	if (!f)
-		return (runner_load_t){ 0 };
-	return (runner_load_t){ now - (int64_t)f->age_ms * 1000, f->running,
+		return load;
+	load = (runner_load_t){ now - (int64_t)f->age_ms * 1000, f->running,
 				f->waiting, f->slots, f->pace };
+	return runner_load_is_plausible(&load) ? load : (runner_load_t){ 0 };
 }
 
 static bool send_grant(peer_t *peer, str_t to, const message_capacity_t *c,
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -196,7 +196,8 @@
 	done.pause_ms = r->pause_ms;
 	done.limit =
 		runner_filter_known_limit(&r->gateway->runners, r->runner.name);
-	done.load = r->load;
+	if (!r->is_load_told)
+		done.load = r->load;
 	if (result == DONE_COMPLETED)
 		done.connection_ms = upstream_pool_fresh_ms(&r->gateway->pool,
 							    r->runner.address);
@@ -411,6 +412,7 @@
 	r->is_repeating = false;
 	r->says_leaving = false;
 	r->load = (runner_load_t){ 0 };
+	r->is_load_told = false;
 	r->pause_ms = 0;
 	r->state = RELAY_GRANTED;
 	r->progress_at = now_us();
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -70,6 +70,7 @@
 	/* Stated in the runner's answer, and reported to the dispatcher: */
 	bool says_leaving; /* the runner is leaving */
 	runner_load_t load; /* at 0: none */
+	bool is_load_told; /* with the first event */
 	uint32_t pause_ms; /* time without requests from this VM; 0: none */
 	uint32_t output_tokens; /* estimate of what is left, for the want */
 	uint32_t declined_grants; /* grants that were returned unused */
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -151,6 +151,7 @@
 	m.capacity.done.limit =
 		runner_filter_known_limit(&r->gateway->runners, r->runner.name);
 	m.capacity.done.load = r->load;
+	r->is_load_told = true;
 	supervisor_post(r->gateway->sup, TASK_PEERS, &m);
 }
 
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -159,8 +159,13 @@
 	  "only once, too, and runners to which there is one are preferred",
 	  NULL },
 	{ "runner_load", OPTION_BOOL, "", 0, 0, "false", FIELD(runner_load),
-	  "the load that runners state in their answers counts in the choice "
-	  "of a runner",
+	  "the load that runners state with a pace counts in the choice of a "
+	  "runner; plain ones keep slots for protected tiers only if there are "
+	  "some",
+	  NULL },
+	{ "runner_memory", OPTION_BOOL, "", 0, 0, "false", FIELD(runner_memory),
+	  "a request is sent to an engine only if its memory has room for it "
+	  "besides all that it holds",
 	  NULL },
 	{ "prompt_cache_weighing", OPTION_BOOL, "", 0, 0, "false",
 	  FIELD(prompt_cache_weighing),
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -63,6 +63,7 @@
 	int64_t max_wants;
 	bool reuse_connections;
 	bool runner_load;
+	bool runner_memory;
 	bool prompt_cache_weighing;
 	int64_t ticket_life_ms;
 	int64_t grant_timeout_ms;
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -289,7 +289,7 @@
   uint32_t waiting;
   uint32_t slots;
   /*
-   * percent of the usual time; 0: not stated
+   * percent, 200: all takes twice as long; 0: not stated
    */
   uint32_t pace;
   /*
--- a/tests/test_cached_beginning.c
+++ b/tests/test_cached_beginning.c
@@ -78,6 +78,7 @@
 START_TEST(several_runners_of_a_beginning_are_known)
 {
 	static const int runners[AFFINITY_HOLDERS + 1];
+	double cached;
 	affinity_t a;
 
 	affinity_init(&a, 2);
@@ -96,6 +97,8 @@
 	ck_assert_ptr_eq(affinity_holder(&a, PREFIX, 0)->runner,
 			 &runners[AFFINITY_HOLDERS]);
 	ck_assert_ptr_null(affinity_holder(&a, PREFIX, AFFINITY_HOLDERS - 1));
+	/* The estimate was of the latest. */
+	ck_assert_ptr_null(affinity_find(&a, PREFIX, &cached));
 	affinity_finish(&a);
 }
 END_TEST
@@ -108,7 +111,7 @@
 				  .weighs_prompt_cache = true,
 			  } };
 	fixture_init(f, true);
-	fixture_set_runner(f, "home", false);
+	fixture_set_runner(f, "holder", false);
 	fixture_calibrate(f, 1, PROMPT, PROMPT * MS, OUTPUT, OUTPUT * MS);
 }
 
@@ -122,7 +125,7 @@
 	return want;
 }
 
-/* Runs a request with the shared beginning on "home". */
+/* Runs a request with the shared beginning on "holder". */
 static void fill_cache(fixture_t *f, uint64_t attempt)
 {
 	want_t want = shared_want(f, attempt, OUTPUT);
@@ -131,28 +134,28 @@
 			.output_tokens = OUTPUT };
 
 	dispatcher_want(&f->d, &want, f->now);
-	ck_assert_str_eq(f->answers[attempt].runner, "home");
+	ck_assert_str_eq(f->answers[attempt].runner, "holder");
 	f->now += PROMPT * MS;
 	dispatcher_first_token(&f->d, want.id, f->now);
 	f->now += OUTPUT * MS;
 	dispatcher_done(&f->d, want.id, &done, f->now);
 }
 
-/* Has "home" take N requests that make OUTPUT tokens each. */
-static void occupy_home(fixture_t *f, uint64_t from, int n, uint32_t output)
+/* Has "holder" take N requests that make OUTPUT tokens each. */
+static void occupy_holder(fixture_t *f, uint64_t from, int n, uint32_t output)
 {
 	for (uint64_t a = from; a < from + (uint64_t)n; a++) {
 		want_t want = fixture_make_want(f, a, 1, 1);
 
 		want.output_tokens = output;
 		dispatcher_want(&f->d, &want, f->now);
-		ck_assert_str_eq(f->answers[a].runner, "home");
+		ck_assert_str_eq(f->answers[a].runner, "holder");
 		dispatcher_first_token(&f->d, want.id, f->now);
 	}
 }
 
 /*
- * Returns the runner of a request with the shared beginning, when "home" has
+ * Returns the runner of a request with the shared beginning, when "holder" has
  * SLOTS requests of OUTPUT tokens and "idle" none.
  */
 static const char *chosen_beside(uint32_t output)
@@ -162,7 +165,7 @@
 
 	begin(&f);
 	fill_cache(&f, 2);
-	occupy_home(&f, 3, SLOTS, output);
+	occupy_holder(&f, 3, SLOTS, output);
 	fixture_set_runner(&f, "idle", false);
 	want = shared_want(&f, 10, OUTPUT);
 	dispatcher_want(&f.d, &want, f.now);
@@ -171,34 +174,34 @@
 }
 
 /* 800 ms are saved; a slot is free in 200 ms, or in 2 s. */
-START_TEST(a_busy_home_wins_only_if_the_wait_is_shorter_than_the_saving)
+START_TEST(a_busy_holder_wins_only_if_the_wait_is_shorter_than_the_saving)
 {
-	ck_assert_str_eq(chosen_beside(600), "home");
+	ck_assert_str_eq(chosen_beside(600), "holder");
 	ck_assert_str_eq(chosen_beside(6000), "idle");
 }
 END_TEST
 
-START_TEST(only_one_request_waits_at_a_full_home)
+START_TEST(only_one_request_waits_at_a_full_holder)
 {
 	static fixture_t f;
 	want_t want;
 
 	begin(&f);
 	fill_cache(&f, 2);
-	occupy_home(&f, 3, SLOTS, 600);
+	occupy_holder(&f, 3, SLOTS, 600);
 	fixture_set_runner(&f, "idle", false);
 	for (uint64_t a = 10; a < 12; a++) {
 		want = shared_want(&f, a, OUTPUT);
 		dispatcher_want(&f.d, &want, f.now);
 	}
-	ck_assert_str_eq(f.answers[10].runner, "home");
+	ck_assert_str_eq(f.answers[10].runner, "holder");
 	ck_assert_str_eq(f.answers[11].runner, "idle");
 	dispatcher_finish(&f.d);
 }
 END_TEST
 
 /* Prompts that wait to be read there count as well as slots. */
-START_TEST(a_home_that_reads_other_prompts_loses)
+START_TEST(a_holder_that_reads_other_prompts_loses)
 {
 	static fixture_t f;
 	want_t want;
@@ -215,7 +218,7 @@
 END_TEST
 
 /* Other prompts filled the cache since, so the beginning is gone. */
-START_TEST(a_home_that_has_read_much_since_is_a_stranger)
+START_TEST(a_holder_that_read_much_since_is_no_holder)
 {
 	static fixture_t f;
 	want_t want;
@@ -227,7 +230,7 @@
 		dispatcher_first_token(&f.d, (want_id_t){ OWNER, a }, f.now);
 		fixture_done(&f, a, DONE_CANCELLED);
 	}
-	occupy_home(&f, 3, 1, OUTPUT);
+	occupy_holder(&f, 3, 1, OUTPUT);
 	fixture_set_runner(&f, "idle", false);
 	want = shared_want(&f, 10, OUTPUT);
 	dispatcher_want(&f.d, &want, f.now);
@@ -237,8 +240,8 @@
 }
 END_TEST
 
-/* More runners than are looked at for each want; home is the last in line. */
-START_TEST(a_home_wins_that_is_not_among_the_first)
+/* More runners than are looked at for each want; the holder is the last of them. */
+START_TEST(a_holder_wins_that_is_not_among_the_first)
 {
 	static fixture_t f;
 	char name[DISPATCHER_NAME_SIZE];
@@ -246,26 +249,44 @@
 
 	begin(&f);
 	fill_cache(&f, 2);
-	occupy_home(&f, 3, 1, OUTPUT);
+	occupy_holder(&f, 3, 1, OUTPUT);
 	for (int i = 0; i < 40; i++) {
 		g_snprintf(name, sizeof(name), "idle-%d", i);
 		fixture_set_runner(&f, name, false);
 	}
 	want = shared_want(&f, 10, OUTPUT);
 	dispatcher_want(&f.d, &want, f.now);
-	ck_assert_str_eq(f.answers[10].runner, "home");
+	ck_assert_str_eq(f.answers[10].runner, "holder");
 	ck_assert_uint_eq(fixture_stats(&f).cache_choices, 1);
 	dispatcher_finish(&f.d);
 }
 END_TEST
 
+/* A restarted runner has an empty cache. */
+START_TEST(a_restarted_runner_holds_nothing)
+{
+	static fixture_t f;
+	dispatcher_runner_t restarted = { .name = "holder", .born_ms = 7 };
+	want_t want;
+
+	begin(&f);
+	fill_cache(&f, 2);
+	dispatcher_set_runner(&f.d, &restarted, f.now);
+	want = shared_want(&f, 10, OUTPUT);
+	dispatcher_want(&f.d, &want, f.now);
+	ck_assert_uint_eq(fixture_stats(&f).cache_choices, 0);
+	dispatcher_finish(&f.d);
+}
+END_TEST
+
 SUITE_MAIN("cached_beginning",
 	   certainty_falls_with_age_and_with_what_was_read_since,
 	   a_cache_of_unknown_size_is_trusted_for_a_short_time,
 	   a_saving_is_worth_a_shorter_wait_only,
 	   several_runners_of_a_beginning_are_known,
-	   a_busy_home_wins_only_if_the_wait_is_shorter_than_the_saving,
-	   only_one_request_waits_at_a_full_home,
-	   a_home_that_reads_other_prompts_loses,
-	   a_home_that_has_read_much_since_is_a_stranger,
-	   a_home_wins_that_is_not_among_the_first)
+	   a_busy_holder_wins_only_if_the_wait_is_shorter_than_the_saving,
+	   only_one_request_waits_at_a_full_holder,
+	   a_holder_that_reads_other_prompts_loses,
+	   a_holder_that_read_much_since_is_no_holder,
+	   a_holder_wins_that_is_not_among_the_first,
+	   a_restarted_runner_holds_nothing)
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -145,6 +145,29 @@
 }
 END_TEST
 
+START_TEST(an_implausible_load_of_a_peer_is_ignored)
+{
+	static const runner_load_t loads[] = {
+		{ 1, 4000000000U, 0, 8, 100 },
+		{ 1, 1, 0, 8, 1 },
+		{ 1, 1, 0, 8, UINT32_MAX },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(loads); i++) {
+		message_t in, out;
+		Papaya__Frame *frame;
+
+		fill_capacity(&in, MESSAGE_DONE);
+		in.capacity.done.load = loads[i];
+		ck_assert(frames_send_capacity(NULL, STR_LIT("d2"), &in, now));
+		frame = received();
+		ck_assert(frames_read_capacity(frame, "d1", now, &out));
+		ck_assert_int_eq(out.capacity.done.load.at, 0);
+		papaya__frame__free_unpacked(frame, NULL);
+	}
+}
+END_TEST
+
 START_TEST(fields_out_of_range_are_refused)
 {
 	Papaya__Frame frame = PAPAYA__FRAME__INIT;
@@ -326,5 +349,6 @@
 	   part_notices_out_of_range_are_refused,
 	   a_limit_that_makes_no_sense_is_not_taken,
 	   capacity_messages_are_decoded_unchanged,
+	   an_implausible_load_of_a_peer_is_ignored,
 	   fields_out_of_range_are_refused, limits_are_decoded_unchanged,
 	   the_vm_list_is_decoded_unchanged)
--- a/tests/test_noisy_machine.c
+++ b/tests/test_noisy_machine.c
@@ -1,7 +1,7 @@
 /*
- * Runners share their machines with others: for some hundred milliseconds at a
- * time all work on one takes several times as long, and its answers say so.
- * Few runners with few places serve short calls with a short latency target.
+ * Co-located work slows a runner for some hundred milliseconds at a time, and
+ * its answers say so. Few runners with few slots serve short calls with a short
+ * latency target.
  */
 #include "core/runner_load.h"
 #include "core/runner_model.h"
@@ -14,6 +14,7 @@
 	USUAL = RUNNER_PACE_PERCENT,
 	SLOW = 250,
 	WARM_UP = 12, /* calls that make the speeds known */
+	GAP = 10 * MS, /* between two statements */
 };
 
 static runner_load_t load_at(int64_t at, uint32_t running, uint32_t pace)
@@ -29,7 +30,7 @@
 	double before = 3;
 
 	ck_assert_double_eq(runner_load_pace(&s, SECOND), 1);
-	for (int i = 0; i < WARM_UP; i++, usual.at++)
+	for (int i = 0; i < WARM_UP; i++, usual.at += GAP)
 		ck_assert(runner_load_hear(&s, &usual));
 	ck_assert(runner_load_hear(&s, &slow));
 	for (int64_t age = 0; age <= 3 * SECOND; age += 100 * MS) {
@@ -54,6 +55,10 @@
 	ck_assert(!runner_load_hear(&s, &older));
 	ck_assert(!runner_load_hear(&s, &none));
 	ck_assert_uint_eq(s.last.running, 3);
+	/* The same once more, its age rounded. */
+	first.at += MS;
+	ck_assert(!runner_load_hear(&s, &first));
+	ck_assert_uint_eq(s.n_paces, 1);
 }
 END_TEST
 
@@ -64,14 +69,15 @@
 	runner_load_t l = load_at(SECOND, 0, USUAL);
 	int64_t brief, lengthy;
 
-	for (int i = 0; i < 100; i++, l.at++)
+	for (int i = 0; i < 100; i++, l.at += GAP)
 		runner_load_hear(&s, &l);
 	l.pace = SLOW;
 	runner_load_hear(&s, &l);
 	brief = runner_load_slowed(&s, WORK, l.at);
 	lengthy = runner_load_slowed(&s, 10 * SECOND, l.at);
 	ck_assert_int_gt(brief, 2 * WORK);
-	ck_assert_int_lt(lengthy, 11 * SECOND);
+	ck_assert_int_gt(lengthy, 10 * SECOND);
+	ck_assert_int_le(lengthy, 10 * SECOND + 300 * MS);
 }
 END_TEST
 
@@ -183,6 +189,23 @@
 }
 END_TEST
 
+/* A runner that is full of others' requests, and has none of this ledger. */
+START_TEST(a_slot_that_others_hold_has_no_predicted_end)
+{
+	static const runner_room_t rooms[] = { ROOM_UNPROTECTED,
+					       ROOM_PROTECTED };
+	runner_model_t m;
+	runner_load_t full = load_at(SECOND, SLOTS, USUAL);
+
+	runner_model_init(&m, true, 100000, NULL);
+	m.slots = SLOTS;
+	runner_model_hear(&m, &full);
+	for (size_t i = 0; i < G_N_ELEMENTS(rooms); i++)
+		ck_assert_int_eq(runner_model_place_wait(&m, rooms[i], SECOND),
+				 INT64_MAX);
+}
+END_TEST
+
 /* All places of the runners are taken, and a call waits at each besides. */
 START_TEST(no_place_stays_empty_in_overload)
 {
@@ -254,6 +277,7 @@
 	   work_of_others_counts_beyond_the_ledger,
 	   a_machine_that_says_it_is_slow_gets_less,
 	   a_machine_that_was_slow_long_ago_is_used,
+	   a_slot_that_others_hold_has_no_predicted_end,
 	   no_place_stays_empty_in_overload,
 	   work_that_others_put_there_takes_its_room,
 	   the_stated_pace_tells_the_speed_of_an_unknown_runner)
