zone_groups, relay: a move to a zone that can't be used is no refusal

Cause: a request that left its dispatcher's queue for another zone's group, or whose group's dispatcher moved, was refused with "the service has no runner" when no link to that dispatcher was up: the peers task answers such a want at once, and two dispatchers was all that a request might try.

Change: a refusal for want of a runner, and a dispatcher in another zone that doesn't answer, don't count as refusals. The request goes on to zones not tried yet, last back to its own zone's group, and may leave that again later. A request that is given up so is withdrawn. This daemon dispatches alone for its own zone only.

Ruled out: that runners were missing (own zone's runners served all the while).

Tests: three in test_full_zone, failing before; four in test_zone_groups.

--- a/core/zone_groups.c
+++ b/core/zone_groups.c
@@ -4,7 +4,10 @@
 
 #include "common/str_table.h"
 
-enum { MAX_DISPATCHERS = 2 }; /* tried per request */
+enum {
+	MAX_DISPATCHERS = 2, /* that may refuse a request */
+	ZONE_BITS = 64,
+};
 
 typedef struct zone_runners {
 	char zone[ZONE_GROUPS_NAME_SIZE];
@@ -88,18 +91,39 @@
 	pick->group.index = g_rand_int(rand) % pick->group.count;
 }
 
+/* Two zones may share a bit: then one of them is passed over. */
+static uint64_t zone_bit(const char *zone)
+{
+	return 1ULL << str_hash(str_from(zone)) % ZONE_BITS;
+}
+
+/* Returns whether the request may go from the own zone to R. */
+static bool is_other_zone(const zone_groups_t *z, const zone_runners_t *r,
+			  const zone_pick_t *pick)
+{
+	return strcmp(r->zone, z->own_zone) != 0 &&
+	       !(pick->unusable_zones & zone_bit(r->zone));
+}
+
 /* Selects another zone at random, weighted by its number of runners. */
 static bool pick_other_zone(const zone_groups_t *z, const service_t *s,
 			    GRand *rand, zone_pick_t *pick)
 {
-	uint32_t others = s ? s->runners - runners_in(s, z->own_zone) : 0;
-	uint32_t at = others ? g_rand_int(rand) % others : 0;
+	uint32_t others = 0;
+	uint32_t at;
+
+	for (guint i = 0; s && i < s->zones->len; i++) {
+		const zone_runners_t *r =
+			&g_array_index(s->zones, zone_runners_t, i);
 
+		others += is_other_zone(z, r, pick) ? r->runners : 0;
+	}
+	at = others ? g_rand_int(rand) % others : 0;
 	for (guint i = 0; others && i < s->zones->len; i++) {
 		const zone_runners_t *r =
 			&g_array_index(s->zones, zone_runners_t, i);
 
-		if (!strcmp(r->zone, z->own_zone))
+		if (!is_other_zone(z, r, pick))
 			continue;
 		if (at < r->runners) {
 			g_strlcpy(pick->zone, r->zone, sizeof(pick->zone));
@@ -177,6 +201,7 @@
 
 	*out = (zone_pick_t){ .group.count = 1 };
 	g_strlcpy(out->group.service, service, sizeof(out->group.service));
+	out->session = affinity->session;
 	out->group.is_regional = runner_group_is_regional(s ? s->runners : 0);
 	if (out->group.is_regional || !s)
 		return;
@@ -198,6 +223,7 @@
 		g_hash_table_lookup(z->services, pick->group.service);
 	uint32_t own = runners_in(s, z->own_zone);
 
+	pick->has_left = false;
 	if (pick->group.is_regional || !s ||
 	    ++pick->n_refused >= MAX_DISPATCHERS)
 		return false;
@@ -214,6 +240,65 @@
 	return true;
 }
 
+bool zone_groups_leave(const zone_groups_t *z, GRand *rand, zone_pick_t *pick)
+{
+	if (!zone_groups_pick_next(z, rand, pick))
+		return false;
+	pick->has_left = true;
+	return true;
+}
+
+/*
+ * The own zone hasn't refused the request if it left there before: other zones
+ * may be usable when it leaves again.
+ */
+static void return_to_own_zone(uint32_t runners, GRand *rand, zone_pick_t *pick)
+{
+	pick->zone[0] = '\0';
+	pick_group(pick, runners, rand);
+	if (pick->session)
+		pick->group.index =
+			(uint32_t)(pick->session % pick->group.count);
+	if (!pick->has_left)
+		return;
+	pick->has_left = false;
+	pick->n_refused--;
+	pick->unusable_zones = 0;
+}
+
+/* Selects the next group of the own zone, in which the request is. */
+static bool pick_next_group(zone_pick_t *pick)
+{
+	if (++pick->unusable_groups >= pick->group.count)
+		return false;
+	pick->group.index = (pick->group.index + 1) % pick->group.count;
+	return true;
+}
+
+bool zone_groups_pick_usable(const zone_groups_t *z, GRand *rand,
+			     zone_pick_t *pick)
+{
+	const service_t *s =
+		g_hash_table_lookup(z->services, pick->group.service);
+	uint32_t own = runners_in(s, z->own_zone);
+	bool is_own = !pick->zone[0];
+	bool may_return = own && !is_own &&
+			  pick->unusable_groups < runner_group_count(own);
+
+	if (pick->group.is_regional || !s)
+		return false;
+	if (is_own && pick_next_group(pick))
+		return true;
+	if (!is_own)
+		pick->unusable_zones |= zone_bit(pick->zone);
+	if (!(may_return && pick->is_prefix_owner) &&
+	    pick_other_zone(z, s, rand, pick))
+		return true;
+	if (may_return)
+		return_to_own_zone(own, rand, pick);
+	return may_return;
+}
+
 void zone_groups_each_regional(const zone_groups_t *z,
 			       void (*fn)(void *ctx, const char *dispatcher),
 			       void *ctx)
--- a/core/zone_groups.h
+++ b/core/zone_groups.h
@@ -28,6 +28,11 @@
 	runner_group_t group;
 	char zone[ZONE_GROUPS_NAME_SIZE]; /* "": the local zone, or all zones */
 	uint32_t n_refused; /* dispatchers that refused so far */
+	bool has_left; /* the one before didn't refuse; see zone_groups_leave */
+	/* Other zones in which nothing could be used, as bits of their hashes */
+	uint64_t unusable_zones;
+	uint32_t unusable_groups; /* of the own zone */
+	uint64_t session; /* of the request; 0: none */
 	/* selected because its runners may cache the prefix */
 	bool is_prefix_owner;
 } zone_pick_t;
@@ -62,6 +67,20 @@
  */
 bool zone_groups_pick_next(const zone_groups_t *z, GRand *rand,
 			   zone_pick_t *pick);
+/*
+ * Likewise when the request leaves a dispatcher that hasn't decided in time. If
+ * no other can be used, zone_groups_pick_usable leads back to the own zone,
+ * and the request may leave it again.
+ */
+bool zone_groups_leave(const zone_groups_t *z, GRand *rand, zone_pick_t *pick);
+/*
+ * Replaces PICK, whose dispatcher can't be reached or has no runner that works:
+ * by one of a zone not tried yet, and in the end of the own zone. This is no
+ * refusal. Returns false when no zone is left, or for a single dispatcher over
+ * all zones.
+ */
+bool zone_groups_pick_usable(const zone_groups_t *z, GRand *rand,
+			     zone_pick_t *pick);
 
 /* Calls FN with the name of each regional dispatcher. */
 void zone_groups_each_regional(const zone_groups_t *z,
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -169,19 +169,53 @@
 	post_capacity(r, MESSAGE_WANT, NULL);
 }
 
+/*
+ * Goes to the next dispatcher that may have runners within reach, as this one
+ * can't be reached or has none. False if there is no other.
+ */
+static bool go_to_usable_dispatcher(relay_t *r)
+{
+	zone_pick_t next = r->pick;
+
+	if (!zone_groups_pick_usable(&r->gateway->groups,
+				     supervisor_of(r)->rand, &next))
+		return false;
+	log_event("dispatcher-unusable",
+		  "request=%s service=%s zone=%s dispatcher=%s next_zone=%s "
+		  "age_ms=%" PRId64 " left_ms=%" PRId64,
+		  r->id, r->service, r->pick.zone[0] ? r->pick.zone : "own",
+		  relay_dispatcher_name(r), next.zone[0] ? next.zone : "own",
+		  (now_us() - r->arrived_at) / US_PER_MS,
+		  (r->deadline - now_us()) / US_PER_MS);
+	/* It may have the want nevertheless: only its answer is missing. */
+	post_capacity(r, MESSAGE_WITHDRAW, NULL);
+	r->pick = next;
+	r->dispatches_locally = false;
+	relay_request_runner(r);
+	return true;
+}
+
+static void dispatch_locally(relay_t *r, int64_t now)
+{
+	log_event("dispatcher-silent",
+		  "request=%s dispatcher=%s waited_ms=%" PRId64
+		  " why=\"no answer; dispatched by this daemon\"",
+		  r->id, relay_dispatcher_name(r),
+		  (now - r->arrived_at) / US_PER_MS);
+	post_capacity(r, MESSAGE_WITHDRAW, NULL);
+	r->dispatches_locally = true;
+	r->is_routed = false;
+	r->dispatcher[0] = '\0';
+}
+
 static void repeat_unanswered(relay_t *r, int64_t now)
 {
 	if (++r->unanswered_wants > MAX_UNANSWERED_WANTS &&
 	    !r->dispatches_locally) {
-		log_event("dispatcher-silent",
-			  "request=%s dispatcher=%s waited_ms=%" PRId64
-			  " why=\"no answer; dispatched by this daemon\"",
-			  r->id, relay_dispatcher_name(r),
-			  (now - r->arrived_at) / US_PER_MS);
-		post_capacity(r, MESSAGE_WITHDRAW, NULL);
-		r->dispatches_locally = true;
-		r->is_routed = false;
-		r->dispatcher[0] = '\0';
+		/* This daemon can dispatch for its own zone only. */
+		if (r->pick.zone[0] && go_to_usable_dispatcher(r))
+			return;
+		dispatch_locally(r, now);
 	}
 	repeat_want(r, now);
 }
@@ -478,16 +512,23 @@
 	r->unanswered_wants = 0;
 }
 
+static bool try_after_refusal(relay_t *r, refuse_reason_t reason)
+{
+	if (reason == REFUSE_NO_RUNNER)
+		return go_to_usable_dispatcher(r);
+	if (!zone_groups_pick_next(&r->gateway->groups, supervisor_of(r)->rand,
+				   &r->pick))
+		return false;
+	relay_request_runner(r);
+	return true;
+}
+
 void relay_on_refusal(relay_t *r, refuse_reason_t reason, uint32_t retry_ms)
 {
 	if (r->state != RELAY_AWAITING_GRANT)
 		return;
-	if (has_retry_time(r) &&
-	    zone_groups_pick_next(&r->gateway->groups, supervisor_of(r)->rand,
-				  &r->pick)) {
-		relay_request_runner(r);
+	if (has_retry_time(r) && try_after_refusal(r, reason))
 		return;
-	}
 	r->state = RELAY_ENDED;
 	if (r->possible_runs || r->has_begun)
 		relay_fail(r, 502, 0, refuse_reason_text(reason));
@@ -538,7 +579,7 @@
 		return false;
 	/* Look for another dispatcher only once in this wait. */
 	r->wait_started_at = INT64_MAX;
-	if (!zone_groups_pick_next(&g->groups, supervisor_of(r)->rand, &next))
+	if (!zone_groups_leave(&g->groups, supervisor_of(r)->rand, &next))
 		return false;
 	log_sample("dispatcher-left",
 		   "request=%s dispatcher=%s why=\"no grant in time\"", r->id,
--- a/tests/test_full_zone.c
+++ b/tests/test_full_zone.c
@@ -101,6 +101,79 @@
 }
 END_TEST
 
+static void refuse_unreachable(gateway_fixture_t *fixture)
+{
+	message_t m = fixture->last_want;
+
+	m.type = MESSAGE_REFUSE;
+	m.capacity.reason = REFUSE_NO_RUNNER;
+	m.capacity.retry_after_ms = 1000;
+	supervisor_post(&fixture->sup, TASK_FRONT, &m);
+}
+
+/* No link to the other zone's dispatcher is up yet, or the zone is cut off. */
+START_TEST(a_request_returns_when_the_other_zone_cannot_be_reached)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture, true);
+	gateway_send(&fixture, 0, REQUEST("/fixed/", "a"));
+	gateway_await_count(&fixture, &fixture.withdraws, 1);
+	gateway_run(&fixture, SETTLE_MS);
+	ck_assert_str_eq(fixture.last_want.capacity.zone, "z2");
+	refuse_unreachable(&fixture);
+	gateway_run(&fixture, SETTLE_MS);
+	ck_assert_int_eq(gateway_count(&fixture, 0, "HTTP/1.1"), 0);
+	ck_assert_str_eq(fixture.last_want.capacity.zone, "");
+	/* The zone may be reachable by now, so it tries again after a while. */
+	answer_queued(&fixture);
+	gateway_await_count(&fixture, &fixture.withdraws, 3);
+	gateway_run(&fixture, SETTLE_MS);
+	ck_assert_str_eq(fixture.last_want.capacity.zone, "z2");
+	gateway_grant_last(&fixture);
+	gateway_await(&fixture, 0, "200 OK");
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+START_TEST(a_request_is_refused_when_no_zone_has_a_runner)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture, true);
+	gateway_send(&fixture, 0, REQUEST("/fixed/", "a"));
+	gateway_await_count(&fixture, &fixture.wants, 1);
+	for (int n = 1; n < 8 && !gateway_count(&fixture, 0, "HTTP/1.1"); n++) {
+		refuse_unreachable(&fixture);
+		gateway_run(&fixture, SETTLE_MS);
+	}
+	ck_assert_int_eq(gateway_count(&fixture, 0, "503 "), 1);
+	/* Both groups of the own zone, and one of the other. */
+	ck_assert_int_eq(fixture.wants, 3);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* A dispatcher that doesn't answer at all, in a zone that is cut off. */
+START_TEST(a_request_returns_from_a_silent_zone)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture, true);
+	gateway_send(&fixture, 0, REQUEST("/fixed/", "a"));
+	gateway_await_count(&fixture, &fixture.withdraws, 1);
+	gateway_run(&fixture, SETTLE_MS);
+	ck_assert_str_eq(fixture.last_want.capacity.zone, "z2");
+	gateway_await_count(&fixture, &fixture.withdraws, 2);
+	gateway_run(&fixture, SETTLE_MS);
+	ck_assert_str_eq(fixture.last_want.capacity.zone, "");
+	ck_assert(!fixture.last_want.capacity.is_local_only);
+	gateway_grant_last(&fixture);
+	gateway_await(&fixture, 0, "200 OK");
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 /* Processing the whole prompt in another zone would take longer. */
 START_TEST(a_long_prompt_waits_where_its_prefix_is_cached)
 {
@@ -122,4 +195,7 @@
 
 SUITE_MAIN("full_zone", a_request_leaves_a_full_zone_in_time,
 	   a_request_queued_in_another_zone_stays_there,
+	   a_request_returns_when_the_other_zone_cannot_be_reached,
+	   a_request_is_refused_when_no_zone_has_a_runner,
+	   a_request_returns_from_a_silent_zone,
 	   a_long_prompt_waits_where_its_prefix_is_cached)
--- a/tests/test_zone_groups.c
+++ b/tests/test_zone_groups.c
@@ -171,6 +171,92 @@
 }
 END_TEST
 
+/* Its dispatcher can't be reached, as no link to it is up. */
+START_TEST(a_request_returns_from_a_zone_that_cannot_be_reached)
+{
+	fixture_t f;
+	zone_pick_t pick;
+
+	fixture_init(&f);
+	add(&f, "model", "north", 20);
+	add(&f, "model", "south", 30);
+	zone_groups_pick_first(&f.z, "model", &none, f.rand, &pick);
+	/* It may leave again, as nobody refused it. */
+	for (int i = 0; i < 3; i++) {
+		ck_assert(zone_groups_leave(&f.z, f.rand, &pick));
+		ck_assert_str_eq(pick.zone, "south");
+		ck_assert(zone_groups_pick_usable(&f.z, f.rand, &pick));
+		ck_assert_str_eq(pick.zone, "");
+	}
+	/* The own zone refuses it, another can't be reached, it refuses. */
+	ck_assert(zone_groups_pick_next(&f.z, f.rand, &pick));
+	ck_assert(zone_groups_pick_usable(&f.z, f.rand, &pick));
+	ck_assert_str_eq(pick.zone, "");
+	ck_assert(!zone_groups_pick_next(&f.z, f.rand, &pick));
+	fixture_finish(&f);
+}
+END_TEST
+
+START_TEST(a_request_tries_each_zone_that_can_be_reached)
+{
+	fixture_t f;
+	zone_pick_t pick;
+	char second[ZONE_GROUPS_NAME_SIZE];
+
+	fixture_init(&f);
+	add(&f, "model", "north", 20);
+	add(&f, "model", "south", 30);
+	add(&f, "model", "east", 30);
+	zone_groups_pick_first(&f.z, "model", &none, f.rand, &pick);
+	ck_assert(zone_groups_leave(&f.z, f.rand, &pick));
+	g_strlcpy(second, pick.zone, sizeof(second));
+	ck_assert(zone_groups_pick_usable(&f.z, f.rand, &pick));
+	ck_assert_str_ne(pick.zone, second);
+	ck_assert_str_ne(pick.zone, "");
+	ck_assert(zone_groups_pick_usable(&f.z, f.rand, &pick));
+	ck_assert_str_eq(pick.zone, "");
+	fixture_finish(&f);
+}
+END_TEST
+
+START_TEST(no_zone_with_a_runner_ends_the_search)
+{
+	fixture_t f;
+	zone_pick_t pick;
+	int n = 0;
+
+	fixture_init(&f);
+	add(&f, "model", "north", 40);
+	add(&f, "model", "south", 30);
+	zone_groups_pick_first(&f.z, "model", &none, f.rand, &pick);
+	while (zone_groups_pick_usable(&f.z, f.rand, &pick))
+		n++;
+	/* The other groups of the own zone, then the other zone. */
+	ck_assert_int_eq(n, (int)runner_group_count(40));
+	fixture_finish(&f);
+}
+END_TEST
+
+START_TEST(a_session_returns_to_its_group)
+{
+	zone_affinity_t affinity = { .session = 5 };
+	fixture_t f;
+	zone_pick_t first, pick;
+
+	fixture_init(&f);
+	add(&f, "model", "north", 64);
+	add(&f, "model", "south", 64);
+	zone_groups_pick_first(&f.z, "model", &affinity, f.rand, &first);
+	for (int i = 0; i < TRIES; i++) {
+		pick = first;
+		ck_assert(zone_groups_leave(&f.z, f.rand, &pick));
+		ck_assert(zone_groups_pick_usable(&f.z, f.rand, &pick));
+		ck_assert_uint_eq(pick.group.index, first.group.index);
+	}
+	fixture_finish(&f);
+}
+END_TEST
+
 static void count_call(void *ctx, const char *dispatcher)
 {
 	ck_assert_str_eq(dispatcher, "desk@");
@@ -204,4 +290,8 @@
 	   zone_without_runners_uses_other_zones,
 	   only_zone_tries_its_other_groups, a_session_stays_with_its_group,
 	   prefix_has_one_owner_group_over_all_zones,
+	   a_request_returns_from_a_zone_that_cannot_be_reached,
+	   a_request_tries_each_zone_that_can_be_reached,
+	   no_zone_with_a_runner_ends_the_search,
+	   a_session_returns_to_its_group,
 	   few_runners_have_one_dispatcher_over_all_zones)
