log: a write takes whole lines, at most as many as a pipe takes at once

Cause: lines were written in blocks of 8 kB and more. A pipe takes such a block in part when it is full, so that another process's line, or the end of this one, cuts a line; a reader that takes 8 kB of a write loses the rest.

Change: a write has whole lines, together at most PIPE_BUF bytes, which a pipe takes whole or not at all. A line of which another kind of file took a part is finished before the next.

--- a/common/log.c
+++ b/common/log.c
@@ -1,6 +1,7 @@
 #include "common/log.h"
 
 #include <errno.h>
+#include <limits.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
@@ -14,7 +15,11 @@
 	MAX_BUFFER = 256 * 1024, /* bytes */
 	FLUSH_MS = 100,
 	FLUSH_BYTES = 8 * 1024, /* flushed without waiting for the timer */
-	MAX_WRITE = 64 * 1024, /* bytes per call */
+	/*
+	 * Bytes per call: a pipe takes them whole or not at all, so that other
+	 * writers, or the end of this process, cut no line.
+	 */
+	MAX_WRITE = PIPE_BUF,
 };
 
 static GLogLevelFlags threshold = G_LOG_LEVEL_INFO;
@@ -58,17 +63,20 @@
 static void flush(void)
 {
 	log_buffer_t *b = &sink.buffer;
+	size_t done = 0;
 	ssize_t n;
 
-	while (b->text->len) {
-		n = write(sink.fd, b->text->str, MIN(b->text->len, MAX_WRITE));
+	while (done < b->text->len) {
+		n = write(sink.fd, b->text->str + done,
+			  log_buffer_chunk(b, done, MAX_WRITE));
 		if (n < 0 && errno == EINTR)
 			continue;
 		/* Keep the rest: a slow or closed reader must not block. */
 		if (n <= 0)
-			return;
-		log_buffer_written(b, (size_t)n);
+			break;
+		done += (size_t)n;
 	}
+	log_buffer_written(b, done);
 }
 
 static void log_drops(int64_t now)
--- a/common/log_buffer.c
+++ b/common/log_buffer.c
@@ -71,6 +71,20 @@
 	return unreported;
 }
 
+size_t log_buffer_chunk(const log_buffer_t *b, size_t at, size_t max)
+{
+	const char *text = b->text->str + at;
+	size_t len = b->text->len - at;
+	const char *end;
+
+	if (len <= max)
+		return len;
+	end = g_strrstr_len(text, (gssize)max, "\n");
+	if (!end)
+		end = memchr(text, '\n', len);
+	return (size_t)(end - text) + 1;
+}
+
 void log_buffer_written(log_buffer_t *b, size_t n)
 {
 	g_string_erase(b->text, 0, (gssize)n);
--- a/common/log_buffer.h
+++ b/common/log_buffer.h
@@ -39,6 +39,11 @@
  * reported; 0 when there are none or the last report is less than 1 s old.
  */
 uint64_t log_buffer_take_dropped(log_buffer_t *b, int64_t now);
+/*
+ * Returns the length of the text from byte AT on that one write may take: whole
+ * lines of up to MAX bytes together, or a longer line alone.
+ */
+size_t log_buffer_chunk(const log_buffer_t *b, size_t at, size_t max);
 /* Removes the first N bytes, which were written. */
 void log_buffer_written(log_buffer_t *b, size_t n);
 
--- a/tests/test_log_buffer.c
+++ b/tests/test_log_buffer.c
@@ -34,6 +34,23 @@
 }
 END_TEST
 
+START_TEST(a_write_takes_whole_lines)
+{
+	log_buffer_t b;
+
+	log_buffer_init(&b, MAX);
+	add(&b, LOG_CLASS_KEEP, 5, SECOND);
+	ck_assert_uint_eq(log_buffer_chunk(&b, 0, 50), 50);
+	ck_assert_uint_eq(log_buffer_chunk(&b, 0, 49), 40);
+	ck_assert_uint_eq(log_buffer_chunk(&b, 0, 10), 10);
+	/* What is left of a line that was written in part goes first. */
+	ck_assert_uint_eq(log_buffer_chunk(&b, 3, 29), 27);
+	/* A line that is too long goes alone. */
+	ck_assert_uint_eq(log_buffer_chunk(&b, 10, 4), 10);
+	log_buffer_finish(&b);
+}
+END_TEST
+
 START_TEST(samples_fill_at_most_half_of_the_buffer)
 {
 	log_buffer_t b;
@@ -82,5 +99,5 @@
 END_TEST
 
 SUITE_MAIN("log_buffer", a_stalled_reader_only_causes_dropped_lines,
-	   samples_fill_at_most_half_of_the_buffer,
+	   a_write_takes_whole_lines, samples_fill_at_most_half_of_the_buffer,
 	   the_rate_of_samples_is_bounded, a_full_pipe_does_not_block)
