--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -288,10 +288,21 @@
 	return !m->is_engine && m->last_completed_grant > work->granted_at;
 }
 
+/*
+ * A plain runner that stated its load since is at work, and its statement tells
+ * how slow it is.
+ */
+static bool was_heard_since(const runner_model_t *m, const runner_work_t *work,
+			    int64_t now)
+{
+	return !m->is_engine && m->stated.last.at > work->granted_at &&
+	       runner_load_is_fresh(&m->stated, now);
+}
+
 void runner_model_overdue(runner_model_t *m, runner_work_t *work, int64_t now)
 {
 	work->overdue_at = now + MAX(now - work->granted_at, OVERDUE_GRACE_US);
-	if (was_overtaken(m, work))
+	if (was_overtaken(m, work) || was_heard_since(m, work, now))
 		return;
 	m->health = MAX(m->health / 2, min_health);
 }
--- a/tests/test_noisy_machine.c
+++ b/tests/test_noisy_machine.c
@@ -224,6 +224,41 @@
 }
 END_TEST
 
+/*
+ * All calls in progress are overdue at once, while one that ends says why. That
+ * must not close the runner's window, as a silent runner's is.
+ */
+static uint32_t granted_after_slow_time(bool is_stated)
+{
+	static fixture_t f;
+	uint32_t granted = 0;
+
+	begin(&f, true);
+	warm_up(&f);
+	for (uint64_t a = 20; a < 20 + 2 * SLOTS; a++)
+		fixture_submit(&f, a, 0, 1);
+	f.now += 2 * WORK;
+	for (uint64_t a = 20; a < 22 && is_stated; a++)
+		end_call(&f, a, SLOTS, SLOW);
+	for (int i = 0; i < 30; i++)
+		fixture_tick(&f, 10 * MS);
+	for (uint64_t a = is_stated ? 22 : 20; a < 20 + 2 * SLOTS; a++)
+		fixture_done(&f, a, DONE_CANCELLED);
+	for (uint64_t a = 100; a < 140; a++) {
+		fixture_submit(&f, a, 0, 1);
+		granted += fixture_answer_kind(&f, a) == ANSWER_GRANT;
+	}
+	dispatcher_finish(&f.d);
+	return granted;
+}
+
+START_TEST(a_slow_time_does_not_close_the_window)
+{
+	ck_assert_uint_ge(granted_after_slow_time(true), 2 * SLOTS);
+	ck_assert_uint_le(granted_after_slow_time(false), SLOTS);
+}
+END_TEST
+
 /* Another dispatcher has filled a runner; its answers show it. */
 START_TEST(work_that_others_put_there_takes_its_room)
 {
@@ -279,5 +314,6 @@
 	   a_machine_that_was_slow_long_ago_is_used,
 	   a_slot_that_others_hold_has_no_predicted_end,
 	   no_place_stays_empty_in_overload,
+	   a_slow_time_does_not_close_the_window,
 	   work_that_others_put_there_takes_its_room,
 	   the_stated_pace_tells_the_speed_of_an_unknown_runner)
