capacity, member: a starting host keeps wants; a lost link moves a dispatcher

Cause: (1) a daemon is linked about 100 ms before it has configuration and runners, and is known as a dispatcher's host at once. (2) The links of a killed daemon end at once, but it counts as live for its heartbeat timeout, 2.5 s: so long each daemon of its zone decided alone for the dispatchers that it had hosted.

(2) a daemon whose link is lost hosts no dispatcher, so that all who lost it ask the same next host. Hosts of limits stay as they were, since their counters must not be doubled.

--- a/core/member.h
+++ b/core/member.h
@@ -254,6 +254,17 @@
  * host for no dispatcher or role. It keeps its keys and counts as live.
  */
 void member_set_unresponsive(member_t *m, str_t name, bool is_unresponsive);
+/*
+ * The same two for a dispatcher, of a group or over all zones: a daemon whose
+ * link is lost hosts none, though it may not be known to be dead yet. The next
+ * host is asked then, and not by each daemon itself.
+ */
+bool member_dispatcher_host(member_t *m, str_t zone, str_t dispatcher,
+			    int64_t now, member_vm_t *out);
+bool member_regional_dispatcher_host(member_t *m, str_t dispatcher, int64_t now,
+				     member_vm_t *out);
+/* Sets whether the link to a daemon is lost, until a new one is up. */
+void member_set_link_lost(member_t *m, str_t name, bool is_lost);
 /*
  * Returns true if this daemon is the role's host; requests no link. Unlike
  * member_regional_host, it doesn't pass over unresponsive daemons.
--- a/core/member_link.c
+++ b/core/member_link.c
@@ -103,7 +103,7 @@
 
 /* Finds the host among all daemons of another zone that may be up. */
 static member_entry_t *remote_host(const struct member_table *t, str_t zone,
-				   str_t key, int64_t now)
+				   str_t key, bool needs_link, int64_t now)
 {
 	member_entry_t *winner = NULL;
 	rendezvous_t best = { 0 };
@@ -113,6 +113,7 @@
 		rendezvous_t r;
 
 		if (!is_linkable(e) || e->is_draining || e->is_unresponsive ||
+		    (needs_link && e->is_link_lost) ||
 		    !may_be_linked(t, e, now) ||
 		    !str_eq(str_from(e->vm.zone), zone))
 			continue;
@@ -131,7 +132,7 @@
 }
 
 /* Finds the host in the own zone; PEER is NULL if it is this daemon. */
-static bool local_host(const struct member_table *t, str_t key,
+static bool local_host(const struct member_table *t, str_t key, bool needs_link,
 		       const member_entry_t **peer)
 {
 	rendezvous_t best = rendezvous_weigh(str_from(t->self.name), key);
@@ -142,7 +143,8 @@
 		const member_entry_t *e = t->entries->pdata[i];
 		rendezvous_t r;
 
-		if (!member_is_own_zone(t, e) || !member_can_host(e))
+		if (!member_is_own_zone(t, e) ||
+		    !member_can_host(e, needs_link))
 			continue;
 		r = rendezvous_weigh(str_from(e->vm.name), key);
 		if (found && !rendezvous_precedes(&r, &best))
@@ -162,25 +164,48 @@
 		e->is_unresponsive = is_unresponsive;
 }
 
-bool member_zone_host(member_t *m, str_t zone, str_t role, uint32_t group,
-		      int64_t now, member_vm_t *out)
+void member_set_link_lost(member_t *m, str_t name, bool is_lost)
+{
+	member_entry_t *e = member_entry_find(m->table, name);
+
+	if (e)
+		e->is_link_lost = is_lost;
+}
+
+bool member_find_zone_host(member_t *m, str_t zone, const char *key,
+			   bool needs_link, int64_t now, member_vm_t *out)
 {
 	struct member_table *t = m->table;
-	g_autofree char *key = member_role_key(role, group);
 	bool is_own = str_eq(zone, str_from(t->self.zone));
 	const member_entry_t *peer;
 	member_entry_t *e;
 
 	if (is_own) {
-		if (!local_host(t, str_from(key), &peer))
+		if (!local_host(t, str_from(key), needs_link, &peer))
 			return false;
 		*out = peer ? peer->vm : t->self;
 		return true;
 	}
-	e = remote_host(t, zone, str_from(key), now);
+	e = remote_host(t, zone, str_from(key), needs_link, now);
 	if (!e)
 		return false;
 	e->host_used_at = now;
 	*out = e->vm;
 	return member_is_candidate(e);
 }
+
+bool member_zone_host(member_t *m, str_t zone, str_t role, uint32_t group,
+		      int64_t now, member_vm_t *out)
+{
+	g_autofree char *key = member_role_key(role, group);
+
+	return member_find_zone_host(m, zone, key, false, now, out);
+}
+
+bool member_dispatcher_host(member_t *m, str_t zone, str_t dispatcher,
+			    int64_t now, member_vm_t *out)
+{
+	g_autofree char *key = member_role_key(dispatcher, 0);
+
+	return member_find_zone_host(m, zone, key, true, now, out);
+}
--- a/core/member_region.c
+++ b/core/member_region.c
@@ -20,12 +20,14 @@
 }
 
 /* Returns true if a daemon of another zone can host a role now. */
-static bool zone_can_host(const struct member_table *t, str_t zone)
+static bool zone_can_host(const struct member_table *t, str_t zone,
+			  bool needs_link)
 {
 	for (guint i = 0; i < t->entries->len; i++) {
 		const member_entry_t *e = t->entries->pdata[i];
 
 		if (member_is_reachable(e) && !e->is_unresponsive &&
+		    !(needs_link && e->is_link_lost) &&
 		    str_eq(str_from(e->vm.zone), zone))
 			return true;
 	}
@@ -45,19 +47,21 @@
 	return false;
 }
 
-bool member_regional_host(member_t *m, str_t role, int64_t now,
-			  member_vm_t *out)
+static bool find_regional_host(member_t *m, str_t role, bool needs_link,
+			       int64_t now, member_vm_t *out)
 {
 	const struct member_table *t = m->table;
+	g_autofree char *key = member_role_key(role, 0);
 	rendezvous_t zones[MEMBER_MAX_ZONES];
 
 	order_zones(t, role, zones);
 	for (uint32_t i = 0; i < t->n_zones; i++) {
 		bool is_own = str_eq(zones[i].name, str_from(t->self.zone));
 
-		if (!is_own && !zone_can_host(t, zones[i].name))
+		if (!is_own && !zone_can_host(t, zones[i].name, needs_link))
 			continue;
-		if (member_zone_host(m, zones[i].name, role, 0, now, out))
+		if (member_find_zone_host(m, zones[i].name, key, needs_link,
+					  now, out))
 			return true;
 		if (!is_own)
 			return false;
@@ -65,6 +69,18 @@
 	return false;
 }
 
+bool member_regional_host(member_t *m, str_t role, int64_t now,
+			  member_vm_t *out)
+{
+	return find_regional_host(m, role, false, now, out);
+}
+
+bool member_regional_dispatcher_host(member_t *m, str_t dispatcher, int64_t now,
+				     member_vm_t *out)
+{
+	return find_regional_host(m, dispatcher, true, now, out);
+}
+
 void member_link_standby(member_t *m, str_t role, int64_t now)
 {
 	const struct member_table *t = m->table;
--- a/core/member_state.h
+++ b/core/member_state.h
@@ -31,6 +31,7 @@
 	int64_t link_tried_since; /* since then a link is attempted */
 	int64_t host_used_at; /* last use of a dispatcher or role it hosts */
 	bool is_unresponsive; /* leaves pings unanswered: hosts nothing */
+	bool is_link_lost; /* and no new one is up: hosts no dispatcher */
 } member_entry_t;
 
 struct member_table {
@@ -106,12 +107,20 @@
 	return member_is_present(e) && !e->is_draining;
 }
 
-/* Returns true if E may host dispatchers and other roles now. */
-static inline bool member_can_host(const member_entry_t *e)
+/*
+ * Returns true if E may host roles now: anyone whose process answers, and if
+ * NEEDS_LINK, only who can be sent something.
+ */
+static inline bool member_can_host(const member_entry_t *e, bool needs_link)
 {
-	return member_is_candidate(e) && !e->is_unresponsive;
+	return member_is_candidate(e) && !e->is_unresponsive &&
+	       !(needs_link && e->is_link_lost);
 }
 
+/* member_zone_host, with or without hosts whose link is lost. */
+bool member_find_zone_host(member_t *m, str_t zone, const char *key,
+			   bool needs_link, int64_t now, member_vm_t *out);
+
 /*
  * Returns true if E is draining and has not handed its keys over yet. Its gap
  * ends when it does.
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -8,6 +8,7 @@
 
 #include "common/log.h"
 #include "core/runner_group.h"
+#include "daemon/early_wants.h"
 #include "daemon/load_poll.h"
 #include "daemon/supervisor.h"
 
@@ -43,6 +44,7 @@
 	config_view_t *config;
 	vm_list_t *vms;
 	GHashTable *services; /* name to service_t */
+	early_wants_t early; /* received before configuration and VM list */
 	GHashTable *owners; /* boot ID to name of the daemon */
 	GHashTable *partitioned_zones; /* set of zone names */
 	bool is_view_stable; /* of the membership, by MESSAGE_VIEW_STABLE */
@@ -398,13 +400,34 @@
 	for_each_owner_of(c, NULL, doubt_grants);
 }
 
+/* Outside a fleet there may be no VM list at all. */
+static bool is_too_early(const capacity_t *c)
+{
+	return c->sup->settings->fleet && (!c->config || !c->vms);
+}
+
+/* Keeps a want until it can be decided. Returns false if it can be now. */
+static bool keep_early_want(capacity_t *c, const message_capacity_t *request)
+{
+	if (!is_too_early(c))
+		return false;
+	if (!early_wants_add(&c->early, request))
+		refuse_unknown_service(c, request);
+	else if (request->peer[0] && !request->running_on[0])
+		post_queued(c, request);
+	return true;
+}
+
 static void handle_want(capacity_t *c, const message_capacity_t *request)
 {
-	service_t *s = find_service(c, request->service);
 	want_t want = request->want;
+	service_t *s;
 
 	/* Owners confirm their grants only once, right after a stall. */
 	check_stall(c);
+	if (keep_early_want(c, request))
+		return;
+	s = find_service(c, request->service);
 	if (!s) {
 		refuse_unknown_service(c, request);
 		return;
@@ -422,6 +445,22 @@
 		handle_new_want(c, s, request, &want);
 }
 
+static void handle_early_wants(capacity_t *c)
+{
+	message_capacity_t *want;
+	guint n = c->early.wants.length;
+
+	if (!n || is_too_early(c))
+		return;
+	log_event("early-wants",
+		  "wants=%u why=\"configuration and runners are known now\"",
+		  n);
+	while ((want = early_wants_pop(&c->early))) {
+		handle_want(c, want);
+		g_free(want);
+	}
+}
+
 static void set_owner_lost(dispatcher_t *d, uint64_t owner)
 {
 	dispatcher_owner_lost(d, owner, now_us());
@@ -444,6 +483,7 @@
 
 static void remove_owner(capacity_t *c, const char *peer)
 {
+	early_wants_remove_peer(&c->early, peer);
 	for_each_owner_of(c, peer, set_owner_lost);
 	g_hash_table_foreach_remove(c->owners, is_of_peer, (void *)peer);
 }
@@ -566,11 +606,13 @@
 		config_view_unref(c->config);
 		c->config = config_view_ref(m->config);
 		for_each_service(c, apply_profile);
+		handle_early_wants(c);
 		return;
 	case MESSAGE_VMS:
 		vm_list_unref(c->vms);
 		c->vms = vm_list_ref(m->vms);
 		for_each_service(c, apply_list);
+		handle_early_wants(c);
 		return;
 	case MESSAGE_VIEW_STABLE:
 		set_view_stable(c, m->number);
@@ -598,6 +640,8 @@
 	if (m->type != MESSAGE_WITHDRAW && m->type != MESSAGE_FIRST_TOKEN &&
 	    m->type != MESSAGE_DONE)
 		return;
+	if (m->type != MESSAGE_FIRST_TOKEN)
+		early_wants_remove(&c->early, m->capacity.want.id);
 	s = g_hash_table_lookup(c->services, m->capacity.service);
 	if (!s)
 		return;
@@ -619,6 +663,7 @@
 					    free_service);
 	c->partitioned_zones =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	early_wants_init(&c->early);
 	c->owners = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					  g_free);
 	c->tick_timer = supervisor_add_timer(sup, TICK_MS, on_tick_timer, c);
@@ -641,6 +686,7 @@
 	g_hash_table_destroy(c->services);
 	g_hash_table_destroy(c->partitioned_zones);
 	g_hash_table_destroy(c->owners);
+	early_wants_finish(&c->early);
 	config_view_unref(c->config);
 	vm_list_unref(c->vms);
 	g_free(c);
--- a/daemon/peers_route.c
+++ b/daemon/peers_route.c
@@ -75,8 +75,9 @@
 		return false;
 	if (p->sup->settings->fleet && runner_group_parse(c->service, &group) &&
 	    group.is_regional)
-		return member_regional_host(&p->member, name, now_us(), out);
-	return member_zone_host(&p->member, zone, name, 0, now_us(), out);
+		return member_regional_dispatcher_host(&p->member, name,
+						       now_us(), out);
+	return member_dispatcher_host(&p->member, zone, name, now_us(), out);
 }
 
 void peers_route_want(peers_t *p, const message_t *m)
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -108,6 +108,7 @@
 
 	log_info("link to %s is up", vm->name);
 	member_on_heartbeat(&p->member, vm, incarnation, false, now_us());
+	member_set_link_lost(&p->member, str_from(vm->name), false);
 	detector_link_up(&p->detector, vm->name, vm->zone, now_us());
 	post_link_up(p, vm->name);
 	peers_post_view_changed(p);
@@ -149,6 +150,9 @@
 
 	log_info("link to %s is down: %s", name,
 		 err ? err_text(err, text, sizeof(text)) : "closed");
+	/* Its roles are with the next host before it is known to be dead. */
+	if (p->sup->settings->fleet && g_hash_table_contains(p->linked, name))
+		member_set_link_lost(&p->member, str_from(name), true);
 	detector_link_down(&p->detector, name, now_us());
 	post_view_stable(p);
 	/* Wants sent over the link may be lost; the front sends them again. */
--- a/tests/test_member_region.c
+++ b/tests/test_member_region.c
@@ -204,8 +204,75 @@
 }
 END_TEST
 
+static char *dispatcher_host_of(member_t *m, const char *role, int64_t now)
+{
+	member_vm_t vm;
+
+	if (!member_regional_dispatcher_host(m, str_from(role), now, &vm))
+		return NULL;
+	return g_strdup(vm.name);
+}
+
+/*
+ * A daemon is killed: its links end at once, and seconds pass until it counts
+ * as dead. All daemons of its zone ask the same next one meanwhile. Limits stay
+ * with their counter, which must not be doubled.
+ */
+START_TEST(dispatchers_of_a_killed_daemon_have_one_next_host)
+{
+	static const int selves[] = { 0, 3, ZONE_SIZE - 1 };
+	member_t m[G_N_ELEMENTS(selves)];
+	str_t zone = STR_LIT("z0");
+	member_vm_t killed = vm_of(1), vm;
+	int moved = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(selves); i++) {
+		setup(&m[i], selves[i]);
+		run(&m[i], 1, HEARTBEAT_TIMEOUT, "z1 z2");
+		run(&m[i], 1 + HEARTBEAT_TIMEOUT, DETECTED, "z1 z2");
+	}
+	for (int n = 0; n < ROLES; n++) {
+		g_autofree char *role = g_strdup_printf("duty-%d", n);
+		g_autofree char *before =
+			dispatcher_host_of(&m[0], role, DETECTED);
+		g_autofree char *next = NULL;
+
+		if (strcmp(before, killed.name) != 0)
+			continue;
+		moved++;
+		for (size_t i = 0; i < G_N_ELEMENTS(selves); i++) {
+			g_autofree char *host = NULL;
+
+			member_set_link_lost(&m[i], str_from(killed.name),
+					     true);
+			host = dispatcher_host_of(&m[i], role, DETECTED);
+			ck_assert_str_ne(host, killed.name);
+			if (next)
+				ck_assert_str_eq(host, next);
+			else
+				next = g_strdup(host);
+			g_free(host);
+			host = host_of(&m[i], role, DETECTED);
+			ck_assert_str_eq(host, killed.name);
+			ck_assert(member_dispatcher_host(
+				&m[i], zone, str_from(role), DETECTED, &vm));
+			ck_assert_str_ne(vm.name, killed.name);
+			member_set_link_lost(&m[i], str_from(killed.name),
+					     false);
+			g_free(host);
+			host = dispatcher_host_of(&m[i], role, DETECTED);
+			ck_assert_str_eq(host, killed.name);
+		}
+	}
+	ck_assert_int_gt(moved, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(selves); i++)
+		member_finish(&m[i]);
+}
+END_TEST
+
 SUITE_MAIN("member_region", all_zones_name_the_same_host,
 	   partitioned_zone_hosts_all_roles_itself,
 	   roles_leave_a_partitioned_zone_before_its_daemons_are_dead,
 	   partitioned_zone_counts_as_known_until_it_expires,
-	   zone_without_any_heartbeat_counts_as_known_at_first)
+	   zone_without_any_heartbeat_counts_as_known_at_first,
+	   dispatchers_of_a_killed_daemon_have_one_next_host)
