zone_groups: no request is sent to a zone that is cut off

Change: the zones that the peers task reports as partitioned are left out. A prompt prefix whose home is there has its next home meanwhile, the same from all zones; others keep theirs.

--- a/core/zone_groups.c
+++ b/core/zone_groups.c
@@ -31,13 +31,17 @@
 {
 	z->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    free_service);
+	z->partitioned =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_strlcpy(z->own_zone, own_zone, sizeof(z->own_zone));
 }
 
 void zone_groups_finish(zone_groups_t *z)
 {
 	g_hash_table_destroy(z->services);
+	g_hash_table_destroy(z->partitioned);
 	z->services = NULL;
+	z->partitioned = NULL;
 }
 
 void zone_groups_clear(zone_groups_t *z)
@@ -45,6 +49,15 @@
 	g_hash_table_remove_all(z->services);
 }
 
+void zone_groups_set_partitioned(zone_groups_t *z, const char *zone,
+				 bool is_partitioned)
+{
+	if (is_partitioned)
+		g_hash_table_add(z->partitioned, g_strdup(zone));
+	else
+		g_hash_table_remove(z->partitioned, zone);
+}
+
 static zone_runners_t *find_zone(const service_t *s, const char *zone)
 {
 	for (guint i = 0; s && i < s->zones->len; i++) {
@@ -102,7 +115,8 @@
 			  const zone_pick_t *pick)
 {
 	return strcmp(r->zone, z->own_zone) != 0 &&
-	       !(pick->unusable_zones & zone_bit(r->zone));
+	       !(pick->unusable_zones & zone_bit(r->zone)) &&
+	       !g_hash_table_contains(z->partitioned, r->zone);
 }
 
 /* Selects another zone at random, weighted by its number of runners. */
@@ -151,7 +165,10 @@
 	return -log(u) / weight;
 }
 
-/* Selects, over all zones, the group that the hash KEY maps to. */
+/*
+ * Selects, over all zones that can be reached, the group that the hash KEY maps
+ * to. Other prefixes keep theirs when a zone is partitioned.
+ */
 static void pick_prefix_owner(const zone_groups_t *z, const service_t *s,
 			      uint64_t key, zone_pick_t *pick)
 {
@@ -162,6 +179,8 @@
 			&g_array_index(s->zones, zone_runners_t, i);
 		uint32_t count = runner_group_count(r->runners);
 
+		if (g_hash_table_contains(z->partitioned, r->zone))
+			continue;
 		for (uint32_t n = 0; n < count; n++) {
 			double d = rendezvous_distance(
 				r->zone, n, key, (double)r->runners / count);
--- a/core/zone_groups.h
+++ b/core/zone_groups.h
@@ -20,6 +20,7 @@
 /* Runners per service and zone; the caller provides the memory. */
 typedef struct zone_groups {
 	GHashTable *services; /* service name to its runners per zone */
+	GHashTable *partitioned; /* set of names of zones not used now */
 	char own_zone[ZONE_GROUPS_NAME_SIZE];
 } zone_groups_t;
 
@@ -44,6 +45,13 @@
 /* Counts one more runner of the service in the zone. */
 void zone_groups_add(zone_groups_t *z, const char *service, const char *zone);
 
+/*
+ * Sets whether a zone is unreachable: no request is sent there then. Removing
+ * all runners doesn't change it.
+ */
+void zone_groups_set_partitioned(zone_groups_t *z, const char *zone,
+				 bool is_partitioned);
+
 /* Hashes of what a runner may have cached for a request; 0: none. */
 typedef struct zone_affinity {
 	uint64_t prefix; /* worth sending the request to another zone */
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -241,6 +241,7 @@
 {
 	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
 
+	zone_groups_set_partitioned(&g->groups, zone, is_partitioned);
 	if (!is_partitioned) {
 		g_hash_table_remove(g->partitioned_zones, zone);
 		return;
--- a/tests/test_zone_groups.c
+++ b/tests/test_zone_groups.c
@@ -257,6 +257,43 @@
 }
 END_TEST
 
+START_TEST(a_zone_that_is_cut_off_is_not_tried)
+{
+	fixture_t f;
+	zone_pick_t pick;
+	int moved = 0;
+
+	fixture_init(&f);
+	add(&f, "model", "north", 10);
+	add(&f, "model", "south", 30);
+	add(&f, "model", "east", 30);
+	for (uint64_t prefix = 1; prefix <= TRIES; prefix++) {
+		zone_affinity_t affinity = { .prefix = prefix };
+		zone_pick_t before;
+
+		zone_groups_pick_first(&f.z, "model", &affinity, f.rand,
+				       &before);
+		zone_groups_set_partitioned(&f.z, "south", true);
+		zone_groups_pick_first(&f.z, "model", &affinity, f.rand, &pick);
+		ck_assert_str_ne(pick.zone, "south");
+		/* Other prefixes stay where they are cached. */
+		if (strcmp(before.zone, "south") != 0)
+			moved += strcmp(before.zone, pick.zone) != 0 ||
+				 before.group.index != pick.group.index;
+		zone_groups_pick_first(&f.z, "model", &none, f.rand, &pick);
+		ck_assert(zone_groups_leave(&f.z, f.rand, &pick));
+		ck_assert_str_eq(pick.zone, "east");
+		zone_groups_set_partitioned(&f.z, "south", false);
+	}
+	ck_assert_int_eq(moved, 0);
+	zone_groups_set_partitioned(&f.z, "south", true);
+	zone_groups_set_partitioned(&f.z, "east", true);
+	zone_groups_pick_first(&f.z, "model", &none, f.rand, &pick);
+	ck_assert(!zone_groups_leave(&f.z, f.rand, &pick));
+	fixture_finish(&f);
+}
+END_TEST
+
 static void count_call(void *ctx, const char *dispatcher)
 {
 	ck_assert_str_eq(dispatcher, "desk@");
@@ -293,5 +330,5 @@
 	   a_request_returns_from_a_zone_that_cannot_be_reached,
 	   a_request_tries_each_zone_that_can_be_reached,
 	   no_zone_with_a_runner_ends_the_search,
-	   a_session_returns_to_its_group,
+	   a_session_returns_to_its_group, a_zone_that_is_cut_off_is_not_tried,
 	   few_runners_have_one_dispatcher_over_all_zones)
