limit_lease: leases of 5 ms a daemon, renewed as often as before

What delays order is teams' limits: a process waits for the length of a lease before it lends its shares, 0.85 s at 106 daemons, and counters begin empty. From second 14 to 16 most answers were "the team's limit is reached", for teams that were far below it before.

Ruled out: late lists or configuration; missing runners.

Change: a lease lasts 5 ms a daemon instead of 8 (0.53 s at 106, as before 0.4 s up to 50), and is renewed at the same rate, so that a counter gets no more frames. It is safe at any length by construction; what gets smaller is the time by which renewals may be late: 0.35 s, as in small fleets.

Test: shares_are_lent_soon_after_a_start_at_any_size, failing before.

--- a/core/limit_lease.c
+++ b/core/limit_lease.c
@@ -6,10 +6,14 @@
 	US_PER_MS = 1000,
 	/* A new process waits for so long at least; it serves less meanwhile. */
 	MIN_DURATION_US = 400 * US_PER_MS,
-	DURATION_PER_DAEMON_US = 8 * US_PER_MS,
+	DURATION_PER_DAEMON_US = 5 * US_PER_MS,
 	MAX_DURATION_US = 6000 * US_PER_MS,
-	/* A lease outlives renewals that are late or lost. */
-	RENEWALS_PER_LEASE = 5,
+	/*
+	 * A lease outlives renewals that are late or lost: by a daemon that is
+	 * busy for some tenths of a second, however long the lease is.
+	 */
+	SHORT_RENEWAL_US = MIN_DURATION_US / 5,
+	RENEWALS_PER_LONG_LEASE = 3,
 	/* Its counter stops using it so much earlier, as it checks now and then. */
 	CHECK_MARGIN_US = 2 * LIMIT_LEASE_TICK_US,
 };
@@ -50,6 +54,7 @@
 
 	if (!daemons)
 		return;
+	l->daemons = daemons;
 	l->duration = CLAMP(duration, MIN_DURATION_US, MAX_DURATION_US);
 	/* The process before this one may have lent its shares for so long. */
 	for (int i = 0; i < LIMIT_ROLES; i++) {
@@ -194,6 +199,15 @@
 	return roles;
 }
 
+/* The time between renewals; with it, the frames that a counter gets. */
+static int64_t renewal_time(const limit_lease_t *l)
+{
+	int64_t per_daemon = l->daemons * DURATION_PER_DAEMON_US;
+
+	return CLAMP(per_daemon / RENEWALS_PER_LONG_LEASE, SHORT_RENEWAL_US,
+		     l->duration / RENEWALS_PER_LONG_LEASE);
+}
+
 /* Sends HOST what it is lent, or a request for its first stamp. */
 static void send_due(limit_lease_t *l, const char *host, bool is_new,
 		     limit_lend_fn lend, void *ctx, int64_t now)
@@ -207,8 +221,7 @@
 	}
 	if (c->sent_at == now)
 		return;
-	if (!is_new && c->sent_at &&
-	    now - c->sent_at < l->duration / RENEWALS_PER_LEASE)
+	if (!is_new && c->sent_at && now - c->sent_at < renewal_time(l))
 		return;
 	c->sent_at = now;
 	roles = is_fresh(c, now) ? renew(l, host, c) : 0;
--- a/tests/test_limit_fleet.c
+++ b/tests/test_limit_fleet.c
@@ -486,8 +486,56 @@
 }
 END_TEST
 
+static void count_lend(void *ctx, const char *peer, uint32_t roles,
+		       const limit_stamp_t *stamp)
+{
+	(*(int *)ctx)++;
+}
+
+/*
+ * All daemons start at once: until shares are lent, their teams' requests wait,
+ * so that is to be short in a fleet of a hundred; a counter is to get no more
+ * than some 600 frames a second in one of any size.
+ */
+START_TEST(shares_are_lent_soon_after_a_start_at_any_size)
+{
+	static const struct {
+		uint32_t daemons;
+		int64_t most; /* until it lends */
+	} cases[] = { { 10, 450 * MS },
+		      { 50, 450 * MS },
+		      { 100, 550 * MS },
+		      { 300, 1600 * MS } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		limit_stamp_t stamp = { .process = 2, .duration = 10 * SECOND };
+		limit_lease_t l;
+		int64_t lent_at = 0;
+		int frames = 0;
+
+		limit_lease_init(&l, "d0", 1, 0);
+		limit_lease_set_daemons(&l, cases[i].daemons);
+		limit_lease_set_host(&l, 0, "d1");
+		for (int64_t now = 0; now < WARM_UP_US;
+		     now += LIMIT_LEASE_TICK_US) {
+			limit_lease_on_stamp(&l, "d1", &stamp, now);
+			limit_lease_tick(&l, count_lend, &frames, now);
+			if (!lent_at &&
+			    limit_lease_use(&l, 0) == LIMIT_SHARE_LENT)
+				lent_at = now;
+		}
+		ck_assert_int_gt(lent_at, 0);
+		ck_assert_int_le(lent_at, cases[i].most);
+		ck_assert_int_le(frames * (int)cases[i].daemons,
+				 650 * (WARM_UP_US / SECOND));
+		limit_lease_finish(&l);
+	}
+}
+END_TEST
+
 SUITE_MAIN("limit_fleet",
 	   a_process_that_knows_no_daemons_lends_and_uses_nothing,
+	   shares_are_lent_soon_after_a_start_at_any_size,
 	   a_hot_team_keeps_to_its_limit_through_any_trouble,
 	   a_team_below_its_limit_is_not_refused_in_calm,
 	   a_team_below_its_limit_is_mostly_served_in_trouble)
