relay_moves, zone_groups, log: what a review of the moves found

- zone_groups: a group of the own zone that was found without runners could be drawn again after the request had left for another zone and gone back, and the search ended though another group served.
Groups are kept as bits, like zones.
- A zone that left wants unanswered is not tried again by that request, and a request leaves its zone in vain four times at most: out of its queue it loses places that get free.
- log: nothing is copied when nothing could be written.
- tests wait for the next want and not for a fixed time; how the writers of test_log ended is checked.

Not taken: a bound on how many dispatchers without runners a request tries: the groups of its zone and the other zones bound it, and a bound below that would refuse requests that some group could serve.

--- a/common/log.c
+++ b/common/log.c
@@ -76,7 +76,8 @@
 			break;
 		done += (size_t)n;
 	}
-	log_buffer_written(b, done);
+	if (done)
+		log_buffer_written(b, done);
 }
 
 static void log_drops(int64_t now)
--- a/core/zone_groups.c
+++ b/core/zone_groups.c
@@ -6,7 +6,8 @@
 
 enum {
 	MAX_DISPATCHERS = 2, /* that may refuse a request */
-	ZONE_BITS = 64,
+	MAX_BACK = 4, /* times that a request leaves its zone in vain */
+	MASK_BITS = 64,
 };
 
 typedef struct zone_runners {
@@ -107,7 +108,7 @@
 /* Two zones may share a bit: then one of them is passed over. */
 static uint64_t zone_bit(const char *zone)
 {
-	return 1ULL << str_hash(str_from(zone)) % ZONE_BITS;
+	return 1ULL << str_hash(str_from(zone)) % MASK_BITS;
 }
 
 /* Returns whether the request may go from the own zone to R. */
@@ -261,61 +262,76 @@
 
 bool zone_groups_leave(const zone_groups_t *z, GRand *rand, zone_pick_t *pick)
 {
-	if (!zone_groups_pick_next(z, rand, pick))
+	if (pick->n_back >= MAX_BACK || !zone_groups_pick_next(z, rand, pick))
 		return false;
 	pick->has_left = true;
 	return true;
 }
 
+static uint64_t group_bit(uint32_t index)
+{
+	return 1ULL << index % MASK_BITS;
+}
+
+/* Selects the first usable one of COUNT groups of the own zone, from FIRST. */
+static bool pick_own_group(uint32_t first, uint32_t count, zone_pick_t *pick)
+{
+	for (uint32_t n = 0; n < count; n++) {
+		uint32_t index = (first + n) % count;
+
+		if (pick->unusable_groups & group_bit(index))
+			continue;
+		pick->zone[0] = '\0';
+		pick->group.index = index;
+		pick->group.count = count;
+		return true;
+	}
+	return false;
+}
+
 /*
- * The own zone hasn't refused the request if it left there before: other zones
- * may be usable when it leaves again.
+ * From another zone back to the own one. That hasn't refused the request if it
+ * left there: other zones may be usable when it leaves again.
  */
-static void return_to_own_zone(uint32_t runners, GRand *rand, zone_pick_t *pick)
+static bool go_back(uint32_t runners, GRand *rand, zone_pick_t *pick)
 {
-	pick->zone[0] = '\0';
-	pick_group(pick, runners, rand);
-	if (pick->session)
-		pick->group.index =
-			(uint32_t)(pick->session % pick->group.count);
+	uint32_t count = runner_group_count(runners);
+	uint32_t first = pick->session ? (uint32_t)(pick->session % count) :
+					 g_rand_int(rand) % count;
+
+	if (!runners || !pick_own_group(first, count, pick))
+		return false;
 	if (!pick->has_left)
-		return;
+		return true;
 	pick->has_left = false;
 	pick->n_refused--;
-	pick->unusable_zones = 0;
-}
-
-/* Selects the next group of the own zone, in which the request is. */
-static bool pick_next_group(zone_pick_t *pick)
-{
-	if (++pick->unusable_groups >= pick->group.count)
-		return false;
-	pick->group.index = (pick->group.index + 1) % pick->group.count;
+	pick->n_back++;
+	pick->unusable_zones = pick->silent_zones;
 	return true;
 }
 
 bool zone_groups_pick_usable(const zone_groups_t *z, GRand *rand,
-			     zone_pick_t *pick)
+			     bool is_silent, zone_pick_t *pick)
 {
 	const service_t *s =
 		g_hash_table_lookup(z->services, pick->group.service);
 	uint32_t own = runners_in(s, z->own_zone);
 	bool is_own = !pick->zone[0];
-	bool may_return = own && !is_own &&
-			  pick->unusable_groups < runner_group_count(own);
 
 	if (pick->group.is_regional || !s)
 		return false;
-	if (is_own && pick_next_group(pick))
-		return true;
-	if (!is_own)
-		pick->unusable_zones |= zone_bit(pick->zone);
-	if (!(may_return && pick->is_prefix_owner) &&
-	    pick_other_zone(z, s, rand, pick))
+	if (is_own) {
+		pick->unusable_groups |= group_bit(pick->group.index);
+		return pick_own_group(pick->group.index, pick->group.count,
+				      pick) ||
+		       pick_other_zone(z, s, rand, pick);
+	}
+	pick->unusable_zones |= zone_bit(pick->zone);
+	if (is_silent)
+		pick->silent_zones |= zone_bit(pick->zone);
+	if (pick->is_prefix_owner && go_back(own, rand, pick))
 		return true;
-	if (may_return)
-		return_to_own_zone(own, rand, pick);
-	return may_return;
+	return pick_other_zone(z, s, rand, pick) || go_back(own, rand, pick);
 }
 
 void zone_groups_each_regional(const zone_groups_t *z,
--- a/core/zone_groups.h
+++ b/core/zone_groups.h
@@ -29,10 +29,17 @@
 	runner_group_t group;
 	char zone[ZONE_GROUPS_NAME_SIZE]; /* "": the local zone, or all zones */
 	uint32_t n_refused; /* dispatchers that refused so far */
-	bool has_left; /* the one before didn't refuse; see zone_groups_leave */
-	/* Other zones in which nothing could be used, as bits of their hashes */
+	/* It left a dispatcher that hadn't refused it, which was counted. */
+	bool has_left;
+	uint32_t n_back; /* how often it left and had to go back */
+	/*
+	 * What couldn't be used: other zones, as bits of their hashes, of these
+	 * the ones that left wants unanswered, and groups of the own zone, as
+	 * bits of their indexes. A request may pass over one that shares a bit.
+	 */
 	uint64_t unusable_zones;
-	uint32_t unusable_groups; /* of the own zone */
+	uint64_t silent_zones;
+	uint64_t unusable_groups;
 	uint64_t session; /* of the request; 0: none */
 	/* selected because its runners may cache the prefix */
 	bool is_prefix_owner;
@@ -78,17 +85,18 @@
 /*
  * Likewise when the request leaves a dispatcher that hasn't decided in time. If
  * no other can be used, zone_groups_pick_usable leads back to the own zone,
- * and the request may leave it again.
+ * and the request may leave it again, but only so often.
  */
 bool zone_groups_leave(const zone_groups_t *z, GRand *rand, zone_pick_t *pick);
 /*
- * Replaces PICK, whose dispatcher can't be reached or has no runner that works:
- * by one of a zone not tried yet, and in the end of the own zone. This is no
- * refusal. Returns false when no zone is left, or for a single dispatcher over
- * all zones.
+ * Replaces PICK, which can't be used: its dispatcher can't be reached, or has no
+ * runner that works, or is silent. Next are the other groups of the own zone
+ * if the request is there, then zones not tried yet, and last the own zone's
+ * groups again that weren't found unusable. This is no refusal. Returns false
+ * when nothing is left, or for a single dispatcher over all zones.
  */
 bool zone_groups_pick_usable(const zone_groups_t *z, GRand *rand,
-			     zone_pick_t *pick);
+			     bool is_silent, zone_pick_t *pick);
 
 /* Calls FN with the name of each regional dispatcher. */
 void zone_groups_each_regional(const zone_groups_t *z,
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -11,11 +11,6 @@
 	US_PER_MS = 1000,
 	NO_UPSTREAM_RETRY_MS = 500,
 	REPEAT_WANT_US = 250 * US_PER_MS, /* the want or grant may be lost */
-	/* Longest wait at a dispatcher: latency target / this. */
-	WAIT_TARGET_DIVISOR = 4,
-	MIN_WAIT_US = 50 * US_PER_MS,
-	MAX_WAIT_US = 300 * US_PER_MS,
-	MAX_UNANSWERED_WANTS = 2, /* after these, this daemon dispatches */
 	MAX_SENDS = 4, /* including runners that refuse at once */
 	/* A request with less time left is not sent again. */
 	MIN_RETRY_TIME_US = 20 * US_PER_MS,
@@ -111,7 +106,7 @@
 	c->want.release = r->release;
 }
 
-static void post_capacity(relay_t *r, message_type_t type, const done_t *done)
+void relay_post_capacity(relay_t *r, message_type_t type, const done_t *done)
 {
 	message_t m = { .type = type };
 
@@ -154,70 +149,14 @@
 	r->unanswered_wants = 0;
 	r->is_routed = false;
 	r->dispatcher[0] = '\0';
-	post_capacity(r, MESSAGE_WANT, NULL);
+	relay_post_capacity(r, MESSAGE_WANT, NULL);
 }
 
-/*
- * Repeats the want, also for a request that was already granted a runner: the
- * dispatcher may have moved to another daemon, which has to know of the running
- * request.
- */
-static void repeat_want(relay_t *r, int64_t now)
+void relay_repeat_want(relay_t *r, int64_t now)
 {
 	r->requested_at = now;
 	r->is_resent = true;
-	post_capacity(r, MESSAGE_WANT, NULL);
-}
-
-/*
- * Goes to the next dispatcher that may have runners within reach, as this one
- * can't be reached or has none. False if there is no other.
- */
-static bool go_to_usable_dispatcher(relay_t *r)
-{
-	zone_pick_t next = r->pick;
-
-	if (!zone_groups_pick_usable(&r->gateway->groups,
-				     supervisor_of(r)->rand, &next))
-		return false;
-	log_event("dispatcher-unusable",
-		  "request=%s service=%s zone=%s dispatcher=%s next_zone=%s "
-		  "age_ms=%" PRId64 " left_ms=%" PRId64,
-		  r->id, r->service, r->pick.zone[0] ? r->pick.zone : "own",
-		  relay_dispatcher_name(r), next.zone[0] ? next.zone : "own",
-		  (now_us() - r->arrived_at) / US_PER_MS,
-		  (r->deadline - now_us()) / US_PER_MS);
-	/* It may have the want nevertheless: only its answer is missing. */
-	post_capacity(r, MESSAGE_WITHDRAW, NULL);
-	r->pick = next;
-	r->dispatches_locally = false;
-	relay_request_runner(r);
-	return true;
-}
-
-static void dispatch_locally(relay_t *r, int64_t now)
-{
-	log_event("dispatcher-silent",
-		  "request=%s dispatcher=%s waited_ms=%" PRId64
-		  " why=\"no answer; dispatched by this daemon\"",
-		  r->id, relay_dispatcher_name(r),
-		  (now - r->arrived_at) / US_PER_MS);
-	post_capacity(r, MESSAGE_WITHDRAW, NULL);
-	r->dispatches_locally = true;
-	r->is_routed = false;
-	r->dispatcher[0] = '\0';
-}
-
-static void repeat_unanswered(relay_t *r, int64_t now)
-{
-	if (++r->unanswered_wants > MAX_UNANSWERED_WANTS &&
-	    !r->dispatches_locally) {
-		/* This daemon can dispatch for its own zone only. */
-		if (r->pick.zone[0] && go_to_usable_dispatcher(r))
-			return;
-		dispatch_locally(r, now);
-	}
-	repeat_want(r, now);
+	relay_post_capacity(r, MESSAGE_WANT, NULL);
 }
 
 void relay_report_done(relay_t *r, done_result_t result)
@@ -230,7 +169,7 @@
 	done.pause_ms = r->pause_ms;
 	done.limit =
 		runner_filter_known_limit(&r->gateway->runners, r->runner.name);
-	post_capacity(r, MESSAGE_DONE, &done);
+	relay_post_capacity(r, MESSAGE_DONE, &done);
 }
 
 void relay_free(relay_t *r)
@@ -304,7 +243,7 @@
 void relay_release_grant(relay_t *r, done_result_t result)
 {
 	if (r->state == RELAY_AWAITING_GRANT)
-		post_capacity(r, MESSAGE_WITHDRAW, NULL);
+		relay_post_capacity(r, MESSAGE_WITHDRAW, NULL);
 	else if (r->state == RELAY_GRANTED)
 		relay_report_done(r, result);
 	relay_cancel_exchange(r);
@@ -457,7 +396,7 @@
 		  "request=%s runner=%s dispatcher=%s why=\"the process "
 		  "stalled after the want was sent\"",
 		  r->id, r->runner.name, relay_dispatcher_name(r));
-	post_capacity(r, MESSAGE_WITHDRAW, NULL);
+	relay_post_capacity(r, MESSAGE_WITHDRAW, NULL);
 	if (has_retry_time(r))
 		relay_request_runner(r);
 	else
@@ -512,22 +451,11 @@
 	r->unanswered_wants = 0;
 }
 
-static bool try_after_refusal(relay_t *r, refuse_reason_t reason)
-{
-	if (reason == REFUSE_NO_RUNNER)
-		return go_to_usable_dispatcher(r);
-	if (!zone_groups_pick_next(&r->gateway->groups, supervisor_of(r)->rand,
-				   &r->pick))
-		return false;
-	relay_request_runner(r);
-	return true;
-}
-
 void relay_on_refusal(relay_t *r, refuse_reason_t reason, uint32_t retry_ms)
 {
 	if (r->state != RELAY_AWAITING_GRANT)
 		return;
-	if (has_retry_time(r) && try_after_refusal(r, reason))
+	if (has_retry_time(r) && relay_try_after_refusal(r, reason))
 		return;
 	r->state = RELAY_ENDED;
 	if (r->possible_runs || r->has_begun)
@@ -541,7 +469,7 @@
 {
 	if (r->is_routed && strcmp(r->dispatcher, dispatcher) != 0) {
 		/* The previous dispatcher must not count it any longer. */
-		post_capacity(r, MESSAGE_WITHDRAW, NULL);
+		relay_post_capacity(r, MESSAGE_WITHDRAW, NULL);
 		r->unanswered_wants = 0;
 	}
 	r->is_routed = true;
@@ -551,43 +479,7 @@
 void relay_on_view_change(relay_t *r)
 {
 	if (r->state == RELAY_AWAITING_GRANT || r->state == RELAY_GRANTED)
-		repeat_want(r, now_us());
-}
-
-/* How long a request waits at one dispatcher before it tries another. */
-static int64_t dispatcher_timeout(const relay_t *r)
-{
-	int64_t target = r->route->target_ms * US_PER_MS;
-
-	if (!target)
-		return MAX_WAIT_US;
-	return CLAMP(target / WAIT_TARGET_DIVISOR, MIN_WAIT_US, MAX_WAIT_US);
-}
-
-/*
- * Tries another dispatcher after a wait that is too long: other groups of
- * runners or other zones may have free runners. Queues are ordered by the
- * requests' own times, so a request doesn't lose its place by moving.
- */
-static bool try_next_dispatcher(relay_t *r, int64_t now)
-{
-	gateway_t *g = r->gateway;
-	zone_pick_t next = r->pick;
-
-	if (r->dispatches_locally || r->pick.is_prefix_owner ||
-	    now - r->wait_started_at < dispatcher_timeout(r))
-		return false;
-	/* Look for another dispatcher only once in this wait. */
-	r->wait_started_at = INT64_MAX;
-	if (!zone_groups_leave(&g->groups, supervisor_of(r)->rand, &next))
-		return false;
-	log_sample("dispatcher-left",
-		   "request=%s dispatcher=%s why=\"no grant in time\"", r->id,
-		   relay_dispatcher_name(r));
-	post_capacity(r, MESSAGE_WITHDRAW, NULL);
-	r->pick = next;
-	relay_request_runner(r);
-	return true;
+		relay_repeat_want(r, now_us());
 }
 
 void relay_tick(relay_t *r, int64_t now)
@@ -599,11 +491,11 @@
 	} else if (r->state == RELAY_AWAITING_LIMIT) {
 		relay_check_limit_timeout(r, now);
 	} else if (r->state == RELAY_AWAITING_GRANT &&
-		   try_next_dispatcher(r, now)) {
+		   relay_try_next_dispatcher(r, now)) {
 		return;
 	} else if (r->state == RELAY_AWAITING_GRANT &&
 		   now - r->requested_at > REPEAT_WANT_US) {
-		repeat_unanswered(r, now);
+		relay_repeat_unanswered(r, now);
 	} else if (r->state == RELAY_GRANTED && r->is_streaming &&
 		   !r->is_paused &&
 		   now - r->progress_at >
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -121,6 +121,14 @@
 void relay_on_deadline(evutil_socket_t fd, short what, void *arg);
 /* Sends a want to a dispatcher, under a new attempt number. */
 void relay_request_runner(relay_t *r);
+/* Sends a message about this attempt to its dispatcher; DONE may be NULL. */
+void relay_post_capacity(relay_t *r, message_type_t type, const done_t *done);
+/*
+ * Repeats the want, also for a request that was already granted a runner: the
+ * dispatcher may have moved to another daemon, which has to know of the running
+ * request.
+ */
+void relay_repeat_want(relay_t *r, int64_t now);
 /* Reports the result of a grant to the dispatcher. */
 void relay_report_done(relay_t *r, done_result_t result);
 /* Answers with an error made by this daemon, and frees the relay. */
@@ -146,6 +154,18 @@
  */
 bool relay_retry(relay_t *r);
 
+/* relay_moves.c: from one dispatcher to another */
+
+/* After a refusal: requests a runner of another one; false: there is none. */
+bool relay_try_after_refusal(relay_t *r, refuse_reason_t reason);
+/* The same after a wait that is too long. */
+bool relay_try_next_dispatcher(relay_t *r, int64_t now);
+/*
+ * No answer came to the want: repeats it, and after some time goes to another
+ * dispatcher, or has this daemon dispatch the request.
+ */
+void relay_repeat_unanswered(relay_t *r, int64_t now);
+
 /* relay_admit.c */
 
 /* Answers 503: no configuration and runners are known yet. */
--- a/tests/test_full_zone.c
+++ b/tests/test_full_zone.c
@@ -9,6 +9,8 @@
 enum {
 	RUNNERS_PER_ZONE = 24, /* too many for one dispatcher */
 	SETTLE_MS = 40, /* until posted messages are handled */
+	STEP_MS = 5,
+	LIMIT_US = 8 * G_USEC_PER_SEC,
 	OBSERVE_MS = 400, /* in which a request must stay where it is */
 };
 
@@ -101,6 +103,17 @@
 }
 END_TEST
 
+/* Runs until a want goes to ZONE; "": the own one. */
+static void await_zone(gateway_fixture_t *fixture, const char *zone)
+{
+	int64_t end = now_us() + LIMIT_US;
+
+	while (strcmp(fixture->last_want.capacity.zone, zone) != 0) {
+		ck_assert_int_lt(now_us(), end);
+		gateway_run(fixture, STEP_MS);
+	}
+}
+
 static void refuse_unreachable(gateway_fixture_t *fixture)
 {
 	message_t m = fixture->last_want;
@@ -118,18 +131,14 @@
 
 	begin(&fixture, true);
 	gateway_send(&fixture, 0, REQUEST("/fixed/", "a"));
-	gateway_await_count(&fixture, &fixture.withdraws, 1);
-	gateway_run(&fixture, SETTLE_MS);
-	ck_assert_str_eq(fixture.last_want.capacity.zone, "z2");
+	gateway_await_count(&fixture, &fixture.wants, 1);
+	await_zone(&fixture, "z2");
 	refuse_unreachable(&fixture);
-	gateway_run(&fixture, SETTLE_MS);
+	await_zone(&fixture, "");
 	ck_assert_int_eq(gateway_count(&fixture, 0, "HTTP/1.1"), 0);
-	ck_assert_str_eq(fixture.last_want.capacity.zone, "");
 	/* The zone may be reachable by now, so it tries again after a while. */
 	answer_queued(&fixture);
-	gateway_await_count(&fixture, &fixture.withdraws, 3);
-	gateway_run(&fixture, SETTLE_MS);
-	ck_assert_str_eq(fixture.last_want.capacity.zone, "z2");
+	await_zone(&fixture, "z2");
 	gateway_grant_last(&fixture);
 	gateway_await(&fixture, 0, "200 OK");
 	gateway_fixture_finish(&fixture);
@@ -139,17 +148,21 @@
 START_TEST(a_request_is_refused_when_no_zone_has_a_runner)
 {
 	gateway_fixture_t fixture;
+	uint64_t first, last = 0;
 
 	begin(&fixture, true);
 	gateway_send(&fixture, 0, REQUEST("/fixed/", "a"));
 	gateway_await_count(&fixture, &fixture.wants, 1);
-	for (int n = 1; n < 8 && !gateway_count(&fixture, 0, "HTTP/1.1"); n++) {
-		refuse_unreachable(&fixture);
-		gateway_run(&fixture, SETTLE_MS);
+	first = fixture.last_want.capacity.want.id.attempt;
+	while (!gateway_count(&fixture, 0, "HTTP/1.1")) {
+		if (fixture.last_want.capacity.want.id.attempt != last)
+			refuse_unreachable(&fixture);
+		last = fixture.last_want.capacity.want.id.attempt;
+		gateway_run(&fixture, STEP_MS);
 	}
 	ck_assert_int_eq(gateway_count(&fixture, 0, "503 "), 1);
 	/* Both groups of the own zone, and one of the other. */
-	ck_assert_int_eq(fixture.wants, 3);
+	ck_assert_uint_eq(last - first, 2);
 	gateway_fixture_finish(&fixture);
 }
 END_TEST
@@ -161,12 +174,9 @@
 
 	begin(&fixture, true);
 	gateway_send(&fixture, 0, REQUEST("/fixed/", "a"));
-	gateway_await_count(&fixture, &fixture.withdraws, 1);
-	gateway_run(&fixture, SETTLE_MS);
-	ck_assert_str_eq(fixture.last_want.capacity.zone, "z2");
-	gateway_await_count(&fixture, &fixture.withdraws, 2);
-	gateway_run(&fixture, SETTLE_MS);
-	ck_assert_str_eq(fixture.last_want.capacity.zone, "");
+	gateway_await_count(&fixture, &fixture.wants, 1);
+	await_zone(&fixture, "z2");
+	await_zone(&fixture, "");
 	ck_assert(!fixture.last_want.capacity.is_local_only);
 	gateway_grant_last(&fixture);
 	gateway_await(&fixture, 0, "200 OK");
--- a/tests/test_log.c
+++ b/tests/test_log.c
@@ -103,8 +103,12 @@
 		pids[i] = start_writer(fds, i);
 	close(fds[1]);
 	text = read_slowly(fds[0]);
-	for (int i = 0; i < WRITERS; i++)
-		waitpid(pids[i], NULL, 0);
+	for (int i = 0; i < WRITERS; i++) {
+		int status = -1;
+
+		ck_assert_int_eq(waitpid(pids[i], &status, 0), pids[i]);
+		ck_assert_int_eq(status, 0);
+	}
 	ck_assert(g_str_has_suffix(text->str, "\n"));
 	lines = g_strsplit(text->str, "\n", -1);
 	for (; lines[n][0]; n++) {
--- a/tests/test_zone_groups.c
+++ b/tests/test_zone_groups.c
@@ -185,12 +185,12 @@
 	for (int i = 0; i < 3; i++) {
 		ck_assert(zone_groups_leave(&f.z, f.rand, &pick));
 		ck_assert_str_eq(pick.zone, "south");
-		ck_assert(zone_groups_pick_usable(&f.z, f.rand, &pick));
+		ck_assert(zone_groups_pick_usable(&f.z, f.rand, false, &pick));
 		ck_assert_str_eq(pick.zone, "");
 	}
 	/* The own zone refuses it, another can't be reached, it refuses. */
 	ck_assert(zone_groups_pick_next(&f.z, f.rand, &pick));
-	ck_assert(zone_groups_pick_usable(&f.z, f.rand, &pick));
+	ck_assert(zone_groups_pick_usable(&f.z, f.rand, false, &pick));
 	ck_assert_str_eq(pick.zone, "");
 	ck_assert(!zone_groups_pick_next(&f.z, f.rand, &pick));
 	fixture_finish(&f);
@@ -210,10 +210,10 @@
 	zone_groups_pick_first(&f.z, "model", &none, f.rand, &pick);
 	ck_assert(zone_groups_leave(&f.z, f.rand, &pick));
 	g_strlcpy(second, pick.zone, sizeof(second));
-	ck_assert(zone_groups_pick_usable(&f.z, f.rand, &pick));
+	ck_assert(zone_groups_pick_usable(&f.z, f.rand, false, &pick));
 	ck_assert_str_ne(pick.zone, second);
 	ck_assert_str_ne(pick.zone, "");
-	ck_assert(zone_groups_pick_usable(&f.z, f.rand, &pick));
+	ck_assert(zone_groups_pick_usable(&f.z, f.rand, false, &pick));
 	ck_assert_str_eq(pick.zone, "");
 	fixture_finish(&f);
 }
@@ -229,7 +229,7 @@
 	add(&f, "model", "north", 40);
 	add(&f, "model", "south", 30);
 	zone_groups_pick_first(&f.z, "model", &none, f.rand, &pick);
-	while (zone_groups_pick_usable(&f.z, f.rand, &pick))
+	while (zone_groups_pick_usable(&f.z, f.rand, false, &pick))
 		n++;
 	/* The other groups of the own zone, then the other zone. */
 	ck_assert_int_eq(n, (int)runner_group_count(40));
@@ -237,6 +237,72 @@
 }
 END_TEST
 
+/* One group of the own zone has no runner that works, the other is full. */
+START_TEST(a_group_without_runners_is_not_drawn_again)
+{
+	fixture_t f;
+
+	fixture_init(&f);
+	add(&f, "model", "north", 24);
+	add(&f, "model", "south", 24);
+	for (uint64_t session = 0; session <= 100; session++) {
+		zone_affinity_t affinity = { .session = session };
+		zone_pick_t pick;
+		uint32_t bad;
+
+		zone_groups_pick_first(&f.z, "model", &affinity, f.rand, &pick);
+		bad = pick.group.index;
+		ck_assert(zone_groups_pick_usable(&f.z, f.rand, false, &pick));
+		ck_assert_uint_ne(pick.group.index, bad);
+		ck_assert(zone_groups_leave(&f.z, f.rand, &pick));
+		ck_assert_str_eq(pick.zone, "south");
+		ck_assert(zone_groups_pick_usable(&f.z, f.rand, false, &pick));
+		ck_assert_str_eq(pick.zone, "");
+		ck_assert_uint_ne(pick.group.index, bad);
+	}
+	fixture_finish(&f);
+}
+END_TEST
+
+/* Each stay there costs time, so it isn't tried again. */
+START_TEST(a_silent_zone_is_left_for_good)
+{
+	fixture_t f;
+	zone_pick_t pick;
+
+	fixture_init(&f);
+	add(&f, "model", "north", 10);
+	add(&f, "model", "south", 30);
+	zone_groups_pick_first(&f.z, "model", &none, f.rand, &pick);
+	ck_assert(zone_groups_leave(&f.z, f.rand, &pick));
+	ck_assert_str_eq(pick.zone, "south");
+	ck_assert(zone_groups_pick_usable(&f.z, f.rand, true, &pick));
+	ck_assert_str_eq(pick.zone, "");
+	ck_assert(!zone_groups_leave(&f.z, f.rand, &pick));
+	fixture_finish(&f);
+}
+END_TEST
+
+START_TEST(a_request_leaves_its_zone_in_vain_only_so_often)
+{
+	fixture_t f;
+	zone_pick_t pick;
+	int n = 0;
+
+	fixture_init(&f);
+	add(&f, "model", "north", 10);
+	add(&f, "model", "south", 30);
+	zone_groups_pick_first(&f.z, "model", &none, f.rand, &pick);
+	while (n < 100 && zone_groups_leave(&f.z, f.rand, &pick)) {
+		n++;
+		ck_assert(zone_groups_pick_usable(&f.z, f.rand, false, &pick));
+		ck_assert_str_eq(pick.zone, "");
+	}
+	ck_assert_int_le(n, 4);
+	fixture_finish(&f);
+}
+END_TEST
+
 START_TEST(a_session_returns_to_its_group)
 {
 	zone_affinity_t affinity = { .session = 5 };
@@ -250,7 +316,7 @@
 	for (int i = 0; i < TRIES; i++) {
 		pick = first;
 		ck_assert(zone_groups_leave(&f.z, f.rand, &pick));
-		ck_assert(zone_groups_pick_usable(&f.z, f.rand, &pick));
+		ck_assert(zone_groups_pick_usable(&f.z, f.rand, false, &pick));
 		ck_assert_uint_eq(pick.group.index, first.group.index);
 	}
 	fixture_finish(&f);
@@ -330,5 +396,8 @@
 	   a_request_returns_from_a_zone_that_cannot_be_reached,
 	   a_request_tries_each_zone_that_can_be_reached,
 	   no_zone_with_a_runner_ends_the_search,
+	   a_group_without_runners_is_not_drawn_again,
+	   a_silent_zone_is_left_for_good,
+	   a_request_leaves_its_zone_in_vain_only_so_often,
 	   a_session_returns_to_its_group, a_zone_that_is_cut_off_is_not_tried,
 	   few_runners_have_one_dispatcher_over_all_zones)
