--- a/core/zone_groups.c
+++ b/core/zone_groups.c
@@ -6,7 +6,8 @@
 
 enum {
 	MAX_DISPATCHERS = 2, /* that may refuse a request */
-	ZONE_BITS = 64,
+	MAX_BACK = 4, /* times that a request leaves its zone in vain */
+	MASK_BITS = 64,
 };
 
 typedef struct zone_runners {
@@ -31,13 +32,17 @@
 {
 	z->services = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					    free_service);
+	z->partitioned =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_strlcpy(z->own_zone, own_zone, sizeof(z->own_zone));
 }
 
 void zone_groups_finish(zone_groups_t *z)
 {
 	g_hash_table_destroy(z->services);
+	g_hash_table_destroy(z->partitioned);
 	z->services = NULL;
+	z->partitioned = NULL;
 }
 
 void zone_groups_clear(zone_groups_t *z)
@@ -45,6 +50,15 @@
 	g_hash_table_remove_all(z->services);
 }
 
+void zone_groups_set_partitioned(zone_groups_t *z, const char *zone,
+				 bool is_partitioned)
+{
+	if (is_partitioned)
+		g_hash_table_add(z->partitioned, g_strdup(zone));
+	else
+		g_hash_table_remove(z->partitioned, zone);
+}
+
 static zone_runners_t *find_zone(const service_t *s, const char *zone)
 {
 	for (guint i = 0; s && i < s->zones->len; i++) {
@@ -94,7 +108,7 @@
 /* Two zones may share a bit: then one of them is passed over. */
 static uint64_t zone_bit(const char *zone)
 {
-	return 1ULL << str_hash(str_from(zone)) % ZONE_BITS;
+	return 1ULL << str_hash(str_from(zone)) % MASK_BITS;
 }
 
 /* Returns whether the request may go from the own zone to R. */
@@ -102,7 +116,8 @@
 			  const zone_pick_t *pick)
 {
 	return strcmp(r->zone, z->own_zone) != 0 &&
-	       !(pick->unusable_zones & zone_bit(r->zone));
+	       !(pick->unusable_zones & zone_bit(r->zone)) &&
+	       !g_hash_table_contains(z->partitioned, r->zone);
 }
 
 /* Selects another zone at random, weighted by its number of runners. */
@@ -151,7 +166,10 @@
 	return -log(u) / weight;
 }
 
-/* Selects, over all zones, the group that the hash KEY maps to. */
+/*
+ * Selects, over all zones that can be reached, the group that the hash KEY maps
+ * to. Other prefixes keep theirs when a zone is partitioned.
+ */
 static void pick_prefix_owner(const zone_groups_t *z, const service_t *s,
 			      uint64_t key, zone_pick_t *pick)
 {
@@ -162,6 +180,8 @@
 			&g_array_index(s->zones, zone_runners_t, i);
 		uint32_t count = runner_group_count(r->runners);
 
+		if (g_hash_table_contains(z->partitioned, r->zone))
+			continue;
 		for (uint32_t n = 0; n < count; n++) {
 			double d = rendezvous_distance(
 				r->zone, n, key, (double)r->runners / count);
@@ -242,61 +262,76 @@
 
 bool zone_groups_leave(const zone_groups_t *z, GRand *rand, zone_pick_t *pick)
 {
-	if (!zone_groups_pick_next(z, rand, pick))
+	if (pick->n_back >= MAX_BACK || !zone_groups_pick_next(z, rand, pick))
 		return false;
 	pick->has_left = true;
 	return true;
 }
 
+static uint64_t group_bit(uint32_t index)
+{
+	return 1ULL << index % MASK_BITS;
+}
+
+/* Selects the first usable one of COUNT groups of the own zone, from FIRST. */
+static bool pick_own_group(uint32_t first, uint32_t count, zone_pick_t *pick)
+{
+	for (uint32_t n = 0; n < count; n++) {
+		uint32_t index = (first + n) % count;
+
+		if (pick->unusable_groups & group_bit(index))
+			continue;
+		pick->zone[0] = '\0';
+		pick->group.index = index;
+		pick->group.count = count;
+		return true;
+	}
+	return false;
+}
+
 /*
- * The own zone hasn't refused the request if it left there before: other zones
- * may be usable when it leaves again.
+ * From another zone back to the own one. That hasn't refused the request if it
+ * left there: other zones may be usable when it leaves again.
  */
-static void return_to_own_zone(uint32_t runners, GRand *rand, zone_pick_t *pick)
+static bool go_back(uint32_t runners, GRand *rand, zone_pick_t *pick)
 {
-	pick->zone[0] = '\0';
-	pick_group(pick, runners, rand);
-	if (pick->session)
-		pick->group.index =
-			(uint32_t)(pick->session % pick->group.count);
+	uint32_t count = runner_group_count(runners);
+	uint32_t first = pick->session ? (uint32_t)(pick->session % count) :
+					 g_rand_int(rand) % count;
+
+	if (!runners || !pick_own_group(first, count, pick))
+		return false;
 	if (!pick->has_left)
-		return;
+		return true;
 	pick->has_left = false;
 	pick->n_refused--;
-	pick->unusable_zones = 0;
-}
-
-/* Selects the next group of the own zone, in which the request is. */
-static bool pick_next_group(zone_pick_t *pick)
-{
-	if (++pick->unusable_groups >= pick->group.count)
-		return false;
-	pick->group.index = (pick->group.index + 1) % pick->group.count;
+	pick->n_back++;
+	pick->unusable_zones = pick->silent_zones;
 	return true;
 }
 
 bool zone_groups_pick_usable(const zone_groups_t *z, GRand *rand,
-			     zone_pick_t *pick)
+			     bool is_silent, zone_pick_t *pick)
 {
 	const service_t *s =
 		g_hash_table_lookup(z->services, pick->group.service);
 	uint32_t own = runners_in(s, z->own_zone);
 	bool is_own = !pick->zone[0];
-	bool may_return = own && !is_own &&
-			  pick->unusable_groups < runner_group_count(own);
 
 	if (pick->group.is_regional || !s)
 		return false;
-	if (is_own && pick_next_group(pick))
-		return true;
-	if (!is_own)
-		pick->unusable_zones |= zone_bit(pick->zone);
-	if (!(may_return && pick->is_prefix_owner) &&
-	    pick_other_zone(z, s, rand, pick))
+	if (is_own) {
+		pick->unusable_groups |= group_bit(pick->group.index);
+		return pick_own_group(pick->group.index, pick->group.count,
+				      pick) ||
+		       pick_other_zone(z, s, rand, pick);
+	}
+	pick->unusable_zones |= zone_bit(pick->zone);
+	if (is_silent)
+		pick->silent_zones |= zone_bit(pick->zone);
+	if (pick->is_prefix_owner && go_back(own, rand, pick))
 		return true;
-	if (may_return)
-		return_to_own_zone(own, rand, pick);
-	return may_return;
+	return pick_other_zone(z, s, rand, pick) || go_back(own, rand, pick);
 }
 
 void zone_groups_each_regional(const zone_groups_t *z,
