--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -7,6 +7,16 @@
 	MAX_RUNNERS = 4096,
 };
 
+void dispatcher_finish_runner(void *data)
+{
+	runner_t *runner = data;
+
+	if (runner->pauses)
+		g_array_unref(runner->pauses);
+	warm_owners_finish(&runner->connected);
+	g_free(runner);
+}
+
 void dispatcher_free_runner(struct dispatcher_state *s, runner_t *runner)
 {
 	if (runner->is_listed || runner->model.running)
@@ -14,8 +24,6 @@
 	affinity_drop_runner(&s->affinity, runner);
 	if (runner->suspended)
 		g_queue_delete_link(&s->suspended, runner->suspended);
-	if (runner->pauses)
-		g_array_unref(runner->pauses);
 	g_hash_table_remove(s->runners, &runner->key);
 }
 
@@ -104,6 +112,10 @@
 	if (runner->born_ms != known->info.born_ms) {
 		known->is_leaving_by_report = false;
 		known->limit = (runner_limit_t){ 0 };
+		known->model.stated = (runner_statements_t){ 0 };
+		known->model.stated_ledger = 0;
+		if (s->config.weighs_prompt_cache)
+			affinity_drop_runner(&s->affinity, known);
 		if (known->pauses)
 			g_array_set_size(known->pauses, 0);
 	}
@@ -156,6 +168,31 @@
 	return true;
 }
 
+void dispatcher_runner_load(dispatcher_t *d, want_id_t id,
+			    const runner_load_t *load, int64_t now)
+{
+	attempt_t *attempt = g_hash_table_lookup(d->state->attempts, &id);
+
+	/* Without a pace the ledger knows as much as the statement. */
+	if (!attempt || !attempt->runner || !load->pace ||
+	    !d->state->config.uses_stated_load)
+		return;
+	d->state->has_stated_pace = true;
+	runner_model_hear(&attempt->runner->model, load);
+	dispatcher_rank_runner(d->state, attempt->runner, now);
+}
+
+double dispatcher_memory_part(const dispatcher_t *d, want_id_t id)
+{
+	const attempt_t *attempt = g_hash_table_lookup(d->state->attempts, &id);
+	const runner_model_t *m;
+
+	if (!attempt || !attempt->runner || !d->state->config.is_engine)
+		return 0;
+	m = &attempt->runner->model;
+	return (double)m->memory_tokens / m->window;
+}
+
 runner_limit_t dispatcher_limit(const dispatcher_t *d, str_t runner)
 {
 	const runner_t *known = g_hash_table_lookup(d->state->runners, &runner);
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -6,6 +6,7 @@
 #include "core/dispatcher.h"
 #include "core/queue.h"
 #include "core/runner_model.h"
+#include "core/warm_owners.h"
 
 typedef struct runner {
 	dispatcher_runner_t info;
@@ -17,6 +18,7 @@
 	GArray *pauses; /* pause_t, one per owner; NULL: none so far */
 	runner_limit_t limit; /* named by the runner itself */
 	runner_limit_bucket_t limit_bucket; /* counts its grants */
+	warm_owners_t connected; /* owners with an idle connection to it */
 	bool is_serving; /* in dispatcher_state.running and n_serving */
 	int64_t suspended_until; /* gets no grants before; 0: not suspended */
 	double lost_answers; /* lost answers; decays with each complete one */
@@ -81,6 +83,7 @@
 	int64_t rate_at; /* end of the interval that both cover */
 	int64_t paused_until; /* the latest end of all runners' pauses */
 	bool has_runner_list; /* a list of runners was received */
+	bool has_stated_pace; /* a runner stated its pace */
 	bool is_view_unstable; /* other daemons may use the same runners */
 	bool is_deciding;
 	bool decide_again; /* an event arrived during the round */
@@ -129,6 +132,8 @@
 
 /* Returns NULL for an unknown name and counts it in the statistics. */
 runner_t *dispatcher_find_runner(struct dispatcher_state *s, str_t name);
+/* Frees a runner_t; for the table of runners. */
+void dispatcher_finish_runner(void *data);
 /* Frees a runner unless it is listed or has work in progress. */
 void dispatcher_free_runner(struct dispatcher_state *s, runner_t *runner);
 /* Stores a runner's speed as initial estimate for its generation. */
@@ -184,6 +189,27 @@
 runner_t *dispatcher_choose(struct dispatcher_state *s,
 			    const attempt_t *attempt, runner_room_t room,
 			    int64_t now, int64_t *finish);
+/*
+ * Returns BEST or a runner to be preferred for what it has cached of the want's
+ * prompt; BEST ends it at FINISH, which is updated.
+ */
+runner_t *dispatcher_prefer_cached(struct dispatcher_state *s,
+				   const attempt_t *attempt, runner_t *best,
+				   runner_room_t room, int64_t now,
+				   int64_t *finish);
+/* Estimates what the runner has cached and records what it will cache. */
+void dispatcher_record_cached(struct dispatcher_state *s, attempt_t *attempt,
+			      runner_t *runner, int64_t now);
+/* Returns whether the want may not use the runner, whatever room it has. */
+bool dispatcher_is_excluded(const struct dispatcher_state *s,
+			    const attempt_t *attempt, runner_t *runner,
+			    int64_t now);
+/* Returns whether the want doesn't exceed the runner's memory. */
+bool dispatcher_fits(const struct dispatcher_state *s, const want_t *want,
+		     const runner_t *runner);
+/* Predicts the microseconds until the want would end if granted now. */
+int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
+			   double cached, int64_t now);
 /* Chooses a runner by a baseline policy; returns NULL if there is none. */
 runner_t *dispatcher_choose_baseline(struct dispatcher_state *s);
 /* Returns the least time the want would take if the runners were idle. */
