--- a/core/zone_groups.h
+++ b/core/zone_groups.h
@@ -20,6 +20,7 @@
 /* Runners per service and zone; the caller provides the memory. */
 typedef struct zone_groups {
 	GHashTable *services; /* service name to its runners per zone */
+	GHashTable *partitioned; /* set of names of zones not used now */
 	char own_zone[ZONE_GROUPS_NAME_SIZE];
 } zone_groups_t;
 
@@ -28,10 +29,17 @@
 	runner_group_t group;
 	char zone[ZONE_GROUPS_NAME_SIZE]; /* "": the local zone, or all zones */
 	uint32_t n_refused; /* dispatchers that refused so far */
-	bool has_left; /* the one before didn't refuse; see zone_groups_leave */
-	/* Other zones in which nothing could be used, as bits of their hashes */
+	/* It left a dispatcher that hadn't refused it, which was counted. */
+	bool has_left;
+	uint32_t n_back; /* how often it left and had to go back */
+	/*
+	 * What couldn't be used: other zones, as bits of their hashes, of these
+	 * the ones that left wants unanswered, and groups of the own zone, as
+	 * bits of their indexes. A request may pass over one that shares a bit.
+	 */
 	uint64_t unusable_zones;
-	uint32_t unusable_groups; /* of the own zone */
+	uint64_t silent_zones;
+	uint64_t unusable_groups;
 	uint64_t session; /* of the request; 0: none */
 	/* selected because its runners may cache the prefix */
 	bool is_prefix_owner;
@@ -44,6 +52,13 @@
 /* Counts one more runner of the service in the zone. */
 void zone_groups_add(zone_groups_t *z, const char *service, const char *zone);
 
+/*
+ * Sets whether a zone is unreachable: no request is sent there then. Removing
+ * all runners doesn't change it.
+ */
+void zone_groups_set_partitioned(zone_groups_t *z, const char *zone,
+				 bool is_partitioned);
+
 /* Hashes of what a runner may have cached for a request; 0: none. */
 typedef struct zone_affinity {
 	uint64_t prefix; /* worth sending the request to another zone */
@@ -70,17 +85,18 @@
 /*
  * Likewise when the request leaves a dispatcher that hasn't decided in time. If
  * no other can be used, zone_groups_pick_usable leads back to the own zone,
- * and the request may leave it again.
+ * and the request may leave it again, but only so often.
  */
 bool zone_groups_leave(const zone_groups_t *z, GRand *rand, zone_pick_t *pick);
 /*
- * Replaces PICK, whose dispatcher can't be reached or has no runner that works:
- * by one of a zone not tried yet, and in the end of the own zone. This is no
- * refusal. Returns false when no zone is left, or for a single dispatcher over
- * all zones.
+ * Replaces PICK, which can't be used: its dispatcher can't be reached, or has no
+ * runner that works, or is silent. Next are the other groups of the own zone
+ * if the request is there, then zones not tried yet, and last the own zone's
+ * groups again that weren't found unusable. This is no refusal. Returns false
+ * when nothing is left, or for a single dispatcher over all zones.
  */
 bool zone_groups_pick_usable(const zone_groups_t *z, GRand *rand,
-			     zone_pick_t *pick);
+			     bool is_silent, zone_pick_t *pick);
 
 /* Calls FN with the name of each regional dispatcher. */
 void zone_groups_each_regional(const zone_groups_t *z,
