--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -365,6 +365,8 @@
 		dispatcher_refuse(s, attempt, REFUSE_NO_RUNNER);
 	else if (!dispatcher_has_release(s, attempt))
 		dispatcher_refuse(s, attempt, REFUSE_NO_RELEASE);
+	else if (dispatcher_never_fits(s, want))
+		dispatcher_refuse(s, attempt, REFUSE_TOO_LARGE);
 	else if (dispatcher_paused_too_long(s, attempt, now))
 		dispatcher_refuse_paused(s, attempt, now);
 	else if (misses_start(s, attempt, now))
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -91,6 +91,7 @@
 	REFUSE_EXPIRED, /* the deadline passed in the queue */
 	REFUSE_PAUSED, /* all runners pause for the owner for too long */
 	REFUSE_NO_RELEASE, /* no runner of the stream's release serves */
+	REFUSE_TOO_LARGE, /* it exceeds the memory of the runners */
 	REFUSE_REASONS,
 } refuse_reason_t;
 
--- a/core/dispatcher_cache.c
+++ b/core/dispatcher_cache.c
@@ -36,7 +36,7 @@
 	if (!runner || !runner->ranked ||
 	    dispatcher_is_excluded(s, attempt, runner, now) ||
 	    !runner_model_has_room(&runner->model, room, now) ||
-	    !dispatcher_fits(s, &attempt->want, runner))
+	    !dispatcher_fits(s, &attempt->want, runner, now))
 		return best;
 	if (hint->tokens)
 		cached = MIN((double)hint->tokens / attempt->want.prompt_tokens,
@@ -101,7 +101,7 @@
 
 	if (!runner->ranked ||
 	    dispatcher_is_excluded(s, attempt, runner, now) ||
-	    !dispatcher_fits(s, want, runner))
+	    !dispatcher_fits(s, want, runner, now))
 		return;
 	wait = runner_model_place_wait(&runner->model, room, now);
 	if (wait == INT64_MAX)
@@ -224,8 +224,8 @@
 	}
 }
 
-void dispatcher_record_cached(struct dispatcher_state *s, attempt_t *attempt,
-			      runner_t *runner, int64_t now)
+void dispatcher_find_cached(struct dispatcher_state *s, attempt_t *attempt,
+			    const runner_t *runner, int64_t now)
 {
 	const want_t *want = &attempt->want;
 	cache_hint_t prefix = { want->prefix_hash, want->prefix_tokens };
@@ -233,11 +233,19 @@
 
 	if (!find_cached(s, &session, runner, now, &attempt->cached_tokens))
 		find_cached(s, &prefix, runner, now, &attempt->cached_tokens);
+	if (s->config.weighs_prompt_cache)
+		count_cached(s, attempt, runner, now);
+}
+
+void dispatcher_record_cached(struct dispatcher_state *s,
+			      const attempt_t *attempt, runner_t *runner,
+			      int64_t now)
+{
+	const want_t *want = &attempt->want;
+
 	/* What it has already takes up no more of its cache. */
 	runner->model.tokens_given -=
 		MIN(attempt->cached_tokens, want->prompt_tokens);
-	if (s->config.weighs_prompt_cache)
-		count_cached(s, attempt, runner, now);
 	record_part(s, want->prefix_hash, runner, now);
 	record_part(s, want->session_hash, runner, now);
 }
--- a/core/dispatcher_choose.c
+++ b/core/dispatcher_choose.c
@@ -105,14 +105,6 @@
 	       is_limited(attempt, runner, now);
 }
 
-bool dispatcher_fits(const struct dispatcher_state *s, const want_t *want,
-		     const runner_t *runner)
-{
-	return !s->config.bounds_memory ||
-	       runner_model_fits(&runner->model, want->prompt_tokens,
-				 want->output_tokens);
-}
-
 int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
 			   double cached, int64_t now)
 {
@@ -130,14 +122,15 @@
 
 /*
  * Without a protected tier, the places of plain runners that are kept for one
- * are free for all. Runners that state no pace keep them: their load is known
- * too late to fill them.
+ * are free for all, at runners whose load is known in time to fill them.
  */
 static runner_room_t usable_room(const struct dispatcher_state *s,
-				 runner_room_t room)
+				 const runner_t *runner, runner_room_t room,
+				 int64_t now)
 {
 	if (room != ROOM_UNPROTECTED || s->config.is_engine ||
-	    !s->has_stated_pace || has_protected_tier(s))
+	    !runner_load_is_fresh(&runner->model.stated, now) ||
+	    has_protected_tier(s))
 		return room;
 	return ROOM_PROTECTED;
 }
@@ -149,7 +142,8 @@
 				int64_t now)
 {
 	if (!s->config.prefers_connected ||
-	    !warm_owners_has(&runner->connected, attempt->want.id.owner, now))
+	    !connected_owners_has(&runner->connected, attempt->want.id.owner,
+				  now))
 		return 0;
 	return MIN(time / CONNECTION_DIVISOR, CONNECTION_US);
 }
@@ -158,13 +152,13 @@
 			    const attempt_t *attempt, runner_room_t room,
 			    int64_t now, int64_t *finish)
 {
-	runner_room_t usable = usable_room(s, room);
 	GSequenceIter *iter = g_sequence_get_begin_iter(s->ranked);
 	runner_t *best = NULL;
 	int64_t least = 0;
 	int most = s->has_stated_pace ? MAX_CANDIDATES_PACED : MAX_CANDIDATES;
 	int n = 0; /* candidates so far */
 
+	s->lacks_memory = false;
 	for (; n < most && !g_sequence_iter_is_end(iter);
 	     iter = g_sequence_iter_next(iter)) {
 		runner_t *runner = g_sequence_get(iter);
@@ -176,15 +170,20 @@
 		time = dispatcher_predict(runner, &attempt->want, 0, now);
 		cost = time - connection_bonus(s, attempt, runner, time, now);
 		if (dispatcher_is_excluded(s, attempt, runner, now) ||
-		    !runner_model_has_room(&runner->model, usable, now) ||
-		    !dispatcher_fits(s, &attempt->want, runner) ||
+		    !runner_model_has_room(&runner->model,
+					   usable_room(s, runner, room, now),
+					   now) ||
 		    (best && cost >= least))
 			continue;
+		if (!dispatcher_fits(s, &attempt->want, runner, now)) {
+			s->lacks_memory = true;
+			continue;
+		}
 		best = runner;
 		least = cost;
 		*finish = now + time;
 	}
-	return best ? dispatcher_prefer_cached(s, attempt, best, usable, now,
+	return best ? dispatcher_prefer_cached(s, attempt, best, room, now,
 					       finish) :
 		      NULL;
 }
--- a/core/dispatcher_decide.c
+++ b/core/dispatcher_decide.c
@@ -116,7 +116,7 @@
 
 /*
  * Decides a want that no runner has room for now. One that waits for the end of
- * a pause, or for a runner of its release, must not block others.
+ * a pause, for a runner of its release or for memory must not block others.
  */
 static bool decide_without_room(struct dispatcher_state *s, attempt_t *attempt,
 				int64_t now)
@@ -125,7 +125,9 @@
 		dispatcher_refuse(s, attempt, REFUSE_NO_RELEASE);
 		return true;
 	}
-	if (!attempt->want.release &&
+	if (s->lacks_memory)
+		dispatcher_await_memory(s, attempt, now);
+	if (!attempt->want.release && !s->lacks_memory &&
 	    !dispatcher_has_pauses(s, attempt->want.id.owner, now))
 		return false;
 	return defer(s, attempt);
--- a/core/dispatcher_ledger.c
+++ b/core/dispatcher_ledger.c
@@ -80,7 +80,9 @@
 		.is_protected = queue_is_protected(&s->queue, want->tier),
 		.deadline = want->deadline,
 	};
+	dispatcher_find_cached(s, attempt, runner, now);
 	runner_model_grant(&runner->model, &attempt->work, now);
+	dispatcher_record_cached(s, attempt, runner, now);
 	runner->running[want->tier]++;
 	if (runner->is_serving)
 		s->running[want->tier]++;
@@ -89,8 +91,7 @@
 						       by_overdue_at, NULL);
 	insert_cancellable(s, attempt);
 	record_event(s, attempt, now);
-	dispatcher_record_cached(s, attempt, runner, now);
-	warm_owners_take(&runner->connected, want->id.owner);
+	connected_owners_take(&runner->connected, want->id.owner);
 	dispatcher_rank_runner(s, runner, now);
 }
 
@@ -119,8 +120,9 @@
 			       (double)done->cached_tokens /
 				       done->prompt_tokens);
 	if (done && done->connection_ms && s->config.prefers_connected)
-		warm_owners_add(&runner->connected, attempt->want.id.owner,
-				now + (int64_t)done->connection_ms * US_PER_MS);
+		connected_owners_add(
+			&runner->connected, attempt->want.id.owner,
+			now + (int64_t)done->connection_ms * US_PER_MS, now);
 	dispatcher_rank_runner(s, runner, now);
 }
 
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -13,7 +13,7 @@
 
 	if (runner->pauses)
 		g_array_unref(runner->pauses);
-	warm_owners_finish(&runner->connected);
+	connected_owners_finish(&runner->connected);
 	g_free(runner);
 }
 
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -6,7 +6,7 @@
 #include "core/dispatcher.h"
 #include "core/queue.h"
 #include "core/runner_model.h"
-#include "core/warm_owners.h"
+#include "core/connected_owners.h"
 
 typedef struct runner {
 	dispatcher_runner_t info;
@@ -18,7 +18,9 @@
 	GArray *pauses; /* pause_t, one per owner; NULL: none so far */
 	runner_limit_t limit; /* named by the runner itself */
 	runner_limit_bucket_t limit_bucket; /* counts its grants */
-	warm_owners_t connected; /* owners with an idle connection to it */
+	want_id_t kept_for; /* its memory is kept for this want */
+	int64_t kept_until;
+	connected_owners_t connected; /* owners with an idle connection to it */
 	bool is_serving; /* in dispatcher_state.running and n_serving */
 	int64_t suspended_until; /* gets no grants before; 0: not suspended */
 	double lost_answers; /* lost answers; decays with each complete one */
@@ -36,6 +38,7 @@
 	int64_t arrived;
 	int64_t latest_start; /* starting later misses the deadline */
 	int64_t latest_on_time; /* starting later misses the target; 0: none */
+	int64_t unfit_since; /* no runner's memory has room; 0: one has */
 	runner_t *runner; /* NULL while queued */
 	runner_work_t work;
 	uint32_t cached_tokens; /* of the prompt, estimated */
@@ -84,6 +87,7 @@
 	int64_t paused_until; /* the latest end of all runners' pauses */
 	bool has_runner_list; /* a list of runners was received */
 	bool has_stated_pace; /* a runner stated its pace */
+	bool lacks_memory; /* dispatcher_choose passed over runners for it */
 	bool is_view_unstable; /* other daemons may use the same runners */
 	bool is_deciding;
 	bool decide_again; /* an event arrived during the round */
@@ -197,16 +201,26 @@
 				   const attempt_t *attempt, runner_t *best,
 				   runner_room_t room, int64_t now,
 				   int64_t *finish);
-/* Estimates what the runner has cached and records what it will cache. */
-void dispatcher_record_cached(struct dispatcher_state *s, attempt_t *attempt,
-			      runner_t *runner, int64_t now);
+/* Estimates what the runner has cached, before the want is granted. */
+void dispatcher_find_cached(struct dispatcher_state *s, attempt_t *attempt,
+			    const runner_t *runner, int64_t now);
+/* Records what the runner caches of a granted want. */
+void dispatcher_record_cached(struct dispatcher_state *s,
+			      const attempt_t *attempt, runner_t *runner,
+			      int64_t now);
 /* Returns whether the want may not use the runner, whatever room it has. */
 bool dispatcher_is_excluded(const struct dispatcher_state *s,
 			    const attempt_t *attempt, runner_t *runner,
 			    int64_t now);
-/* Returns whether the want doesn't exceed the runner's memory. */
+/* Returns whether the runner's memory has room for the want now. */
 bool dispatcher_fits(const struct dispatcher_state *s, const want_t *want,
-		     const runner_t *runner);
+		     const runner_t *runner, int64_t now);
+/* Returns whether the want exceeds the memory of any runner. */
+bool dispatcher_never_fits(const struct dispatcher_state *s,
+			   const want_t *want);
+/* The want fits no runner's memory now: after a while one is kept for it. */
+void dispatcher_await_memory(struct dispatcher_state *s, attempt_t *attempt,
+			     int64_t now);
 /* Predicts the microseconds until the want would end if granted now. */
 int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
 			   double cached, int64_t now);
--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -115,25 +115,30 @@
 	return (uint64_t)work->prompt_tokens + work->output_tokens;
 }
 
-uint64_t runner_model_memory(uint32_t prompt_tokens, uint32_t output_tokens)
-{
-	return (uint64_t)prompt_tokens + output_tokens +
-	       output_tokens / OUTPUT_MARGIN_DIVISOR;
-}
-
+/* The output is estimated, and the estimate may be too low. */
 static uint64_t work_memory(const runner_work_t *work)
 {
-	return runner_model_memory(work->prompt_tokens, work->output_tokens);
+	return (uint64_t)work->prompt_tokens + work->output_tokens +
+	       work->output_tokens / OUTPUT_MARGIN_DIVISOR;
 }
 
 bool runner_model_fits(const runner_model_t *m, uint32_t prompt_tokens,
 		       uint32_t output_tokens)
 {
-	uint64_t own = runner_model_memory(prompt_tokens, output_tokens);
+	uint64_t own = (uint64_t)prompt_tokens + output_tokens;
 
 	return !m->is_engine || (double)(m->memory_tokens + own) <= m->window;
 }
 
+/*
+ * Returns the factor by which a call takes longer when N are at a plain runner
+ * that queues those beyond its slots.
+ */
+static double queue_factor(const runner_model_t *m, double n)
+{
+	return m->stated.last.at && n > m->window ? n / m->window : 1;
+}
+
 static void set_overdue_at(const runner_model_t *m, runner_work_t *work,
 			   int64_t from, int64_t expected)
 {
@@ -197,8 +202,10 @@
 	work->concurrency = m->running;
 	work->granted_at = now;
 	work->first_token_at = 0;
-	expected = m->is_engine ? prompt_time(m, work->prompt_tokens_ahead) :
-				  decode_time(m, 1, m->running);
+	expected = m->is_engine ?
+			   prompt_time(m, work->prompt_tokens_ahead) :
+			   (int64_t)((double)decode_time(m, 1, m->running) *
+				     queue_factor(m, m->running));
 	set_overdue_at(m, work, now,
 		       runner_load_slowed(&m->stated, expected, now));
 	record_sample(m, now);
@@ -232,16 +239,19 @@
 			   const done_t *done, int64_t now)
 {
 	double n = ((double)work->concurrency + m->running + 1) / 2;
+	int64_t took;
 
 	if (now < work->overdue_at)
 		raise_health(m);
 	if (!m->is_engine) {
 		m->last_completed_grant =
 			MAX(m->last_completed_grant, work->granted_at);
+		took = runner_load_at_pace_1(&m->stated, now - work->granted_at,
+					     now);
+		/* Without the wait behind the calls that it found there. */
 		learn_unit_time(m, 1, n,
-				runner_load_at_pace_1(&m->stated,
-						      now - work->granted_at,
-						      now));
+				(int64_t)((double)took /
+					  queue_factor(m, work->concurrency)));
 		return;
 	}
 	if (!work->first_token_at)
@@ -424,7 +434,8 @@
 			    uint32_t output_tokens, double cached, double n)
 {
 	if (!m->is_engine)
-		return decode_time(m, 1, n);
+		return (int64_t)((double)decode_time(m, 1, n) *
+				 queue_factor(m, n));
 	return prompt_time(m, prompt_tokens * (1 - cached)) +
 	       decode_time(m, output_tokens, n);
 }
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -119,14 +119,9 @@
 /* Returns whether more work may be granted now. */
 bool runner_model_has_room(const runner_model_t *m, runner_room_t room,
 			   int64_t now);
-/*
- * Returns the tokens that work may come to hold in a runner's memory: its
- * output is estimated, and the estimate may be too low.
- */
-uint64_t runner_model_memory(uint32_t prompt_tokens, uint32_t output_tokens);
 /*
  * Returns whether an engine's memory, its window, has room for the work besides
- * all that it holds.
+ * all that it holds, those with their margins.
  */
 bool runner_model_fits(const runner_model_t *m, uint32_t prompt_tokens,
 		       uint32_t output_tokens);
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -610,7 +610,8 @@
 {
 	double part;
 
-	if (c->done.result != DONE_BROKEN)
+	if (c->done.result != DONE_BROKEN ||
+	    !s->capacity->sup->settings->runner_memory)
 		return;
 	part = dispatcher_memory_part(&s->dispatcher, c->want.id);
 	if (part < full_memory)
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -6,7 +6,8 @@
 enum {
 	/* Body bytes of one DOCUMENTS frame; the rest is for other fields. */
 	MAX_DOCUMENTS_BYTES = PEER_MAX_FRAME / 2,
-	MAX_PERCENT = 100
+	MAX_PERCENT = 100,
+	MAX_CONNECTION_MS = 10000, /* that an idle connection is kept */
 };
 
 static uint32_t to_ms(int64_t us)
@@ -287,7 +288,7 @@
 {
 	c->done.limit = read_limit(f->limit, now);
 	c->done.load = read_load(f->load, now);
-	c->done.connection_ms = f->connection_ms;
+	c->done.connection_ms = MIN(f->connection_ms, MAX_CONNECTION_MS);
 	c->want.id = (want_id_t){ f->owner, f->attempt };
 	c->done.result = f->result;
 	c->done.prompt_tokens = f->prompt_tokens;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -139,6 +139,9 @@
 void relay_request_runner(relay_t *r)
 {
 	drop_answer(r);
+	r->load = (runner_load_t){ 0 };
+	r->is_load_told = false;
+	r->connection_ms = 0;
 	relay_new_attempt(r);
 	r->state = RELAY_AWAITING_GRANT;
 	r->output_tokens = output_tokens_left(r);
@@ -171,9 +174,7 @@
 		runner_filter_known_limit(&r->gateway->runners, r->runner.name);
 	if (!r->is_load_told)
 		done.load = r->load;
-	if (result == DONE_COMPLETED)
-		done.connection_ms = upstream_pool_fresh_ms(&r->gateway->pool,
-							    r->runner.address);
+	done.connection_ms = r->connection_ms;
 	relay_post_capacity(r, MESSAGE_DONE, &done);
 }
 
@@ -384,8 +385,6 @@
 	r->events_before = r->n_events;
 	r->is_repeating = false;
 	r->says_leaving = false;
-	r->load = (runner_load_t){ 0 };
-	r->is_load_told = false;
 	r->pause_ms = 0;
 	r->state = RELAY_GRANTED;
 	r->progress_at = now_us();
@@ -459,6 +458,7 @@
 		[REFUSE_PAUSED] = "the runners asked for a pause",
 		[REFUSE_NO_RELEASE] =
 			"no runner of the stream's release serves",
+		[REFUSE_TOO_LARGE] = "it exceeds the runners' memory",
 	};
 
 	return texts[reason];
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -71,6 +71,7 @@
 	bool says_leaving; /* the runner is leaving */
 	runner_load_t load; /* at 0: none */
 	bool is_load_told; /* with the first event */
+	uint32_t connection_ms; /* for which the connection is kept */
 	uint32_t pause_ms; /* time without requests from this VM; 0: none */
 	uint32_t output_tokens; /* estimate of what is left, for the want */
 	uint32_t declined_grants; /* grants that were returned unused */
@@ -82,6 +83,7 @@
 	answer_head_t answer;
 	struct evbuffer *answer_body;
 	bool has_answer; /* the head was received */
+	bool was_reused; /* the connection that ended */
 	bool is_own_answer; /* and it answers this attempt */
 	bool is_streaming; /* forwards this answer event by event */
 	bool has_begun; /* the head was sent to the caller */
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -345,6 +345,9 @@
 {
 	relay_t *r = ctx;
 
+	if (end == UPSTREAM_COMPLETE)
+		r->connection_ms = upstream_conn_fresh_ms(r->upstream);
+	r->was_reused = upstream_conn_is_reused(r->upstream);
 	r->upstream = NULL;
 	r->is_paused = false;
 	r->sends += end != UPSTREAM_UNSENT;
--- a/daemon/relay_quarantine.c
+++ b/daemon/relay_quarantine.c
@@ -88,8 +88,12 @@
 {
 	if (r->route->kind == FLEET_STREAM)
 		return r->has_answer && relay_is_success(r) && !r->n_events;
-	/* Some runners reset a few requests, or drop idle connections. */
+	/*
+	 * Some runners reset a few requests. A kept connection may have been
+	 * closed before the request.
+	 */
 	return !r->has_answer &&
+	       !(r->was_reused && !fleet_may_repeat(r->route)) &&
 	       !quarantine_is_survivor(&r->gateway->quarantine, runner_hash(r),
 				       now_us());
 }
--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -50,6 +50,7 @@
 	bool has_skipped; /* an answer of this exchange was dropped */
 	uint32_t n_interim;
 	bool is_head_request;
+	bool was_head_request; /* in an earlier exchange */
 	bool is_retired; /* the reaper will free it */
 };
 
@@ -215,7 +216,9 @@
 
 bool upstream_conn_skip_answer(upstream_conn_t *u)
 {
-	if (!u->is_reused || u->has_skipped)
+	/* An answer to HEAD has no body, whatever its head states. */
+	if (!u->is_reused || u->has_skipped || u->is_head_request ||
+	    u->was_head_request)
 		return false;
 	u->is_skipped = true;
 	u->has_skipped = true;
@@ -355,6 +358,8 @@
 	ssize_t n = recv(bufferevent_getfd(u->bev), &byte, sizeof(byte),
 			 MSG_PEEK | MSG_DONTWAIT);
 
+	if (evbuffer_get_length(bufferevent_get_input(u->bev)))
+		return false;
 	return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -364,16 +369,11 @@
 	       is_silent(u);
 }
 
-uint32_t upstream_pool_fresh_ms(const upstream_pool_t *p, const char *address)
+uint32_t upstream_conn_fresh_ms(const upstream_conn_t *u)
 {
-	GQueue *queue = g_hash_table_lookup(p->idle, address);
-	const upstream_conn_t *u = queue ? g_queue_peek_tail(queue) : NULL;
-	int64_t left = 0;
-
-	if (u)
-		left = u->idle_since + u->idle_timeout / FRESH_DIVISOR -
-		       now_us();
-	return (uint32_t)(MAX(left, 0) / 1000);
+	if (u->is_retired)
+		return 0;
+	return (uint32_t)(u->idle_timeout / FRESH_DIVISOR / 1000);
 }
 
 /* The connection that was used last is tried first. */
@@ -451,6 +451,7 @@
 	u->is_skipped = false;
 	u->has_skipped = false;
 	u->n_interim = 0;
+	u->was_head_request |= u->is_head_request;
 	u->is_head_request = is_head_request;
 	http1_reader_reset(&u->reader);
 	u->reader.is_head_response = is_head_request;
--- a/daemon/upstream.h
+++ b/daemon/upstream.h
@@ -80,10 +80,10 @@
  */
 bool upstream_conn_skip_answer(upstream_conn_t *u);
 /*
- * Returns for how many milliseconds UPSTREAM_REUSE_FRESH will find a connection
- * to ADDRESS, if nothing else uses it.
+ * Returns, in the end callback, for how many milliseconds UPSTREAM_REUSE_FRESH
+ * will find the connection; 0: it was closed.
  */
-uint32_t upstream_pool_fresh_ms(const upstream_pool_t *p, const char *address);
+uint32_t upstream_conn_fresh_ms(const upstream_conn_t *u);
 /* Closes the connection at once; no callback is called. */
 void upstream_conn_cancel(upstream_conn_t *u);
 /* Stops or resumes reading, for a slow caller. */
--- a/tests/test_cached_beginning.c
+++ b/tests/test_cached_beginning.c
@@ -174,7 +174,7 @@
 }
 
 /* 800 ms are saved; a slot is free in 200 ms, or in 2 s. */
-START_TEST(a_busy_holder_wins_only_if_the_wait_is_shorter_than_the_saving)
+START_TEST(a_busy_holder_wins_if_it_saves_more_than_the_wait)
 {
 	ck_assert_str_eq(chosen_beside(600), "holder");
 	ck_assert_str_eq(chosen_beside(6000), "idle");
@@ -240,7 +240,7 @@
 }
 END_TEST
 
-/* More runners than are looked at for each want; the holder is the last of them. */
+/* More runners than are looked at for each want; the holder is the last. */
 START_TEST(a_holder_wins_that_is_not_among_the_first)
 {
 	static fixture_t f;
@@ -284,7 +284,7 @@
 	   a_cache_of_unknown_size_is_trusted_for_a_short_time,
 	   a_saving_is_worth_a_shorter_wait_only,
 	   several_runners_of_a_beginning_are_known,
-	   a_busy_holder_wins_only_if_the_wait_is_shorter_than_the_saving,
+	   a_busy_holder_wins_if_it_saves_more_than_the_wait,
 	   only_one_request_waits_at_a_full_holder,
 	   a_holder_that_reads_other_prompts_loses,
 	   a_holder_that_read_much_since_is_no_holder,
--- a/tests/test_connection_reuse.c
+++ b/tests/test_connection_reuse.c
@@ -4,7 +4,7 @@
  * only once, where a closed connection or another request's answer would lose
  * the request.
  */
-#include "core/warm_owners.h"
+#include "core/connected_owners.h"
 #include "tests/lib_fixture.h"
 #include "tests/lib_gateway.h"
 #include "tests/lib_suite.h"
@@ -14,7 +14,6 @@
 	"\r\nX-Server-Seal: seal\r\nContent-Length: 3\r\n\r\n" body
 
 enum {
-	COPY_MS = 60,
 	HALF_IDLE_MS = 1100, /* over half of the default idle timeout */
 	OTHER_OWNER = OWNER + 1,
 };
@@ -47,24 +46,44 @@
 
 START_TEST(an_answer_to_an_earlier_request_is_skipped)
 {
-	static const reply_t first[] = { { ANSWER("@", "aaa"), REPLY_KEEP },
-					 { "", REPLY_MUTE } };
+	static const reply_t late_copy[] = {
+		{ ANSWER("@", "aaa"), REPLY_KEEP },
+		{ ANSWER("a", "aaa") ANSWER("@", "bbb"), REPLY_KEEP },
+	};
+	gateway_fixture_t f;
+
+	begin(&f, late_copy);
+	gateway_send(&f, 1, REQUEST("/once/", "b"));
+	gateway_await(&f, 1, "bbb");
+	ck_assert_int_eq(gateway_count(&f, 1, "aaa"), 0);
+	ck_assert_int_eq(f.runners[0].n_requests, 2);
+	gateway_fixture_finish(&f);
+}
+END_TEST
+
+/* How long a copy of an answer to HEAD is can't be told. */
+START_TEST(after_a_head_request_no_answer_is_skipped)
+{
+	static const reply_t replies[] = {
+		{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\n"
+		  "X-Server-Seal: seal\r\nContent-Length: 3\r\n\r\n",
+		  REPLY_KEEP },
+		{ ANSWER("a", "aaa") ANSWER("@", "bbb"), REPLY_KEEP },
+	};
 	gateway_fixture_t f;
 
 	gateway_fixture_init(&f);
 	f.settings.reuse_connections = true;
 	gateway_fixture_configure(&f);
-	f.runners[0].replies = first;
-	f.runners[0].trail =
-		(trail_t){ STR_LIT(ANSWER("a", "aaa") ANSWER("b", "bbb")),
-			   COPY_MS, 1 };
-	gateway_send(&f, 0, REQUEST("/safe/", "a"));
-	gateway_await(&f, 0, "aaa");
+	f.runners[0].replies = replies;
+	gateway_send(&f, 0,
+		     "HEAD /safe/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n"
+		     "X-Key: key\r\nX-Deadline-Ms: 5000\r\n\r\n");
+	gateway_await(&f, 0, "X-Server-Seal");
 	f.wants = 0;
 	gateway_send(&f, 1, REQUEST("/once/", "b"));
-	gateway_await(&f, 1, "bbb");
+	gateway_await(&f, 1, "HTTP/1.1 502");
 	ck_assert_int_eq(gateway_count(&f, 1, "aaa"), 0);
-	ck_assert_int_eq(f.runners[0].n_requests, 2);
 	gateway_fixture_finish(&f);
 }
 END_TEST
@@ -100,23 +119,23 @@
 
 START_TEST(connections_of_owners_are_known_for_their_time)
 {
-	warm_owners_t w = { .idle = NULL };
-
-	ck_assert(!warm_owners_has(&w, OWNER, 0));
-	warm_owners_add(&w, OWNER, SECOND);
-	warm_owners_add(&w, OWNER, 2 * SECOND);
-	ck_assert(warm_owners_has(&w, OWNER, SECOND));
-	ck_assert(!warm_owners_has(&w, OTHER_OWNER, 0));
-	warm_owners_take(&w, OWNER);
-	ck_assert(warm_owners_has(&w, OWNER, SECOND - 1));
-	ck_assert(!warm_owners_has(&w, OWNER, SECOND));
-	warm_owners_take(&w, OWNER);
-	warm_owners_take(&w, OWNER);
-	ck_assert(!warm_owners_has(&w, OWNER, 0));
-	for (int i = 0; i < 2 * WARM_OWNERS_MAX; i++)
-		warm_owners_add(&w, OTHER_OWNER, SECOND + i);
-	ck_assert_uint_eq(w.idle->len, WARM_OWNERS_MAX);
-	warm_owners_finish(&w);
+	connected_owners_t w = { .idle = NULL };
+
+	ck_assert(!connected_owners_has(&w, OWNER, 0));
+	connected_owners_add(&w, OWNER, SECOND, 0);
+	connected_owners_add(&w, OWNER, 2 * SECOND, 0);
+	ck_assert(connected_owners_has(&w, OWNER, SECOND));
+	ck_assert(!connected_owners_has(&w, OTHER_OWNER, 0));
+	connected_owners_take(&w, OWNER);
+	ck_assert(connected_owners_has(&w, OWNER, SECOND - 1));
+	ck_assert(!connected_owners_has(&w, OWNER, SECOND));
+	connected_owners_take(&w, OWNER);
+	connected_owners_take(&w, OWNER);
+	ck_assert(!connected_owners_has(&w, OWNER, 0));
+	for (int i = 0; i < 2 * CONNECTED_OWNERS_MAX; i++)
+		connected_owners_add(&w, OTHER_OWNER, SECOND + i, 0);
+	ck_assert_uint_eq(w.idle->len, CONNECTED_OWNERS_MAX);
+	connected_owners_finish(&w);
 }
 END_TEST
 
@@ -207,6 +226,7 @@
 SUITE_MAIN("connection_reuse",
 	   requests_that_may_run_once_use_a_connection_again,
 	   an_answer_to_an_earlier_request_is_skipped,
+	   after_a_head_request_no_answer_is_skipped,
 	   a_connection_that_may_be_closed_soon_is_not_used,
 	   a_closed_connection_is_not_used,
 	   connections_of_owners_are_known_for_their_time,
--- a/tests/test_noisy_machine.c
+++ b/tests/test_noisy_machine.c
@@ -206,6 +206,27 @@
 }
 END_TEST
 
+/* A free slot is better than a queue, if the runner isn't much slower. */
+START_TEST(no_call_waits_beside_a_free_slot)
+{
+	static fixture_t f;
+	uint32_t at_first = 0;
+
+	begin(&f, true);
+	warm_up(&f);
+	/* One of them is a little slower. */
+	fixture_submit(&f, 20, 0, 1);
+	f.now += WORK + WORK / 20;
+	end_call(&f, 20, 1, USUAL);
+	for (uint64_t a = 100; a < 100 + 2 * SLOTS; a++) {
+		fixture_submit(&f, a, 0, 1);
+		at_first += runs_on(&f, a, f.answers[100].runner);
+	}
+	ck_assert_uint_eq(at_first, SLOTS);
+	dispatcher_finish(&f.d);
+}
+END_TEST
+
 /* All places of the runners are taken, and a call waits at each besides. */
 START_TEST(no_place_stays_empty_in_overload)
 {
@@ -313,7 +334,7 @@
 	   a_machine_that_says_it_is_slow_gets_less,
 	   a_machine_that_was_slow_long_ago_is_used,
 	   a_slot_that_others_hold_has_no_predicted_end,
-	   no_place_stays_empty_in_overload,
+	   no_call_waits_beside_a_free_slot, no_place_stays_empty_in_overload,
 	   a_slow_time_does_not_close_the_window,
 	   work_that_others_put_there_takes_its_room,
 	   the_stated_pace_tells_the_speed_of_an_unknown_runner)
--- a/tests/test_runner_memory.c
+++ b/tests/test_runner_memory.c
@@ -80,14 +80,58 @@
 }
 END_TEST
 
-START_TEST(what_exceeds_the_memory_alone_is_never_sent)
+START_TEST(what_exceeds_the_memory_is_refused_at_once)
 {
 	static fixture_t f;
 
 	begin(&f, true);
 	ck_assert(!submit(&f, 1, MEMORY, OUTPUT));
-	fixture_tick(&f, 20 * SECOND);
 	ck_assert_int_eq(fixture_answer_kind(&f, 1), ANSWER_REFUSE);
+	ck_assert_int_eq(f.answers[1].reason, REFUSE_TOO_LARGE);
+	dispatcher_finish(&f.d);
+}
+END_TEST
+
+START_TEST(an_idle_runner_takes_what_just_fits)
+{
+	static fixture_t f;
+
+	begin(&f, true);
+	ck_assert(submit(&f, 1, MEMORY - OUTPUT, OUTPUT));
+	dispatcher_finish(&f.d);
+}
+END_TEST
+
+START_TEST(small_work_passes_large_work_that_does_not_fit)
+{
+	static fixture_t f;
+
+	begin(&f, true);
+	ck_assert(submit(&f, 1, MEMORY / 2, OUTPUT));
+	ck_assert(!submit(&f, 2, MEMORY / 2, OUTPUT));
+	for (uint64_t a = 3; a < 6; a++)
+		ck_assert(submit(&f, a, PROMPT / 10, OUTPUT / 10));
+	dispatcher_finish(&f.d);
+}
+END_TEST
+
+/* Small work keeps coming and ending, but doesn't take the place for good. */
+START_TEST(a_runner_is_kept_for_large_work_in_the_end)
+{
+	static fixture_t f;
+	uint64_t newest = 10, oldest = 10;
+
+	begin(&f, true);
+	while (submit(&f, newest, PROMPT, OUTPUT))
+		newest++;
+	submit(&f, 1, MEMORY / 2, OUTPUT);
+	while (fixture_answer_kind(&f, 1) == ANSWER_NONE && newest < 100) {
+		fixture_tick(&f, 20 * MS);
+		submit(&f, ++newest, PROMPT, OUTPUT);
+		if (fixture_answer_kind(&f, oldest) == ANSWER_GRANT)
+			fixture_done(&f, oldest++, DONE_COMPLETED);
+	}
+	ck_assert_int_eq(fixture_answer_kind(&f, 1), ANSWER_GRANT);
 	dispatcher_finish(&f.d);
 }
 END_TEST
@@ -118,6 +162,9 @@
 
 SUITE_MAIN("runner_memory", what_a_runner_holds_stays_below_its_memory,
 	   what_does_not_fit_waits_until_it_does,
-	   what_exceeds_the_memory_alone_is_never_sent,
+	   what_exceeds_the_memory_is_refused_at_once,
+	   an_idle_runner_takes_what_just_fits,
+	   small_work_passes_large_work_that_does_not_fit,
+	   a_runner_is_kept_for_large_work_in_the_end,
 	   a_smaller_memory_holds_at_once,
 	   without_the_bound_the_window_may_be_passed_by_one)
--- a/tests/test_slow_reader.c
+++ b/tests/test_slow_reader.c
@@ -11,8 +11,8 @@
 	BACKLOG_KIB = 64,
 	EVENTS = 16, /* sent at a time */
 	EVERY_MS = 1,
-	CHECK_MS = 100,
-	MAX_CHECKS = 12, /* within the route's timeout */
+	CHECK_MS = 50,
+	MAX_CHECKS = 20, /* within the route's timeout */
 	/* More than the sockets on the way hold together. */
 	MAX_SENT = 64 * 1000 * 1000,
 };
