runner_load: three figures count again; overdue calls are excused by a slow pace only

Also: a job names the refusal of what exceeds the memory (the table of texts ended before it); only the prompt decides that, an estimate of the output never alone; wants that a smaller memory can't hold any more are refused; at most a quarter of the runners are kept for large work; an early break on a kept connection is excused only within 20 ms; a runner of its usual pace with overdue calls loses window as before.

--- a/core/dispatcher_decide.c
+++ b/core/dispatcher_decide.c
@@ -125,8 +125,14 @@
 		dispatcher_refuse(s, attempt, REFUSE_NO_RELEASE);
 		return true;
 	}
+	if (dispatcher_never_fits(s, &attempt->want)) {
+		dispatcher_refuse(s, attempt, REFUSE_TOO_LARGE);
+		return true;
+	}
 	if (s->lacks_memory)
 		dispatcher_await_memory(s, attempt, now);
+	else
+		attempt->unfit_since = 0;
 	if (!attempt->want.release && !s->lacks_memory &&
 	    !dispatcher_has_pauses(s, attempt->want.id.owner, now))
 		return false;
--- a/core/dispatcher_memory.c
+++ b/core/dispatcher_memory.c
@@ -8,6 +8,7 @@
 	US_PER_MS = 1000,
 	PASS_US = 100 * US_PER_MS, /* how long other work may pass */
 	KEEP_US = 50 * US_PER_MS, /* a runner is kept; renewed by each round */
+	KEPT_DIVISOR = 4, /* a quarter of the runners may be kept at a time */
 };
 
 static bool is_same(want_id_t a, want_id_t b)
@@ -33,9 +34,9 @@
 
 bool dispatcher_never_fits(const struct dispatcher_state *s, const want_t *want)
 {
+	/* The output is an estimate; one token is the least. */
 	return s->config.bounds_memory && s->config.is_engine &&
-	       (uint64_t)want->prompt_tokens + want->output_tokens >
-		       s->config.window_tokens;
+	       want->prompt_tokens >= s->config.window_tokens;
 }
 
 static double free_memory(const runner_t *runner)
@@ -63,6 +64,17 @@
 	return best;
 }
 
+/* Returns how many runners are kept for other wants than ID. */
+static uint32_t count_kept(const struct dispatcher_state *s, want_id_t id,
+			   int64_t now)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < s->available->len; i++)
+		n += is_kept(s->available->pdata[i], id, now);
+	return n;
+}
+
 void dispatcher_await_memory(struct dispatcher_state *s, attempt_t *attempt,
 			     int64_t now)
 {
@@ -70,7 +82,9 @@
 
 	if (!attempt->unfit_since)
 		attempt->unfit_since = now;
-	if (now - attempt->unfit_since < PASS_US)
+	if (now - attempt->unfit_since < PASS_US ||
+	    count_kept(s, attempt->want.id, now) >=
+		    MAX(s->available->len / KEPT_DIVISOR, 1))
 		return;
 	runner = find_runner(s, attempt, now);
 	if (!runner)
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -173,11 +173,10 @@
 {
 	attempt_t *attempt = g_hash_table_lookup(d->state->attempts, &id);
 
-	/* Without a pace the ledger knows as much as the statement. */
-	if (!attempt || !attempt->runner || !load->pace ||
+	if (!attempt || !attempt->runner || !load->at ||
 	    !d->state->config.uses_stated_load)
 		return;
-	d->state->has_stated_pace = true;
+	d->state->has_stated_pace |= load->pace != 0;
 	runner_model_hear(&attempt->runner->model, load);
 	dispatcher_rank_runner(d->state, attempt->runner, now);
 }
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -38,7 +38,7 @@
 	int64_t arrived;
 	int64_t latest_start; /* starting later misses the deadline */
 	int64_t latest_on_time; /* starting later misses the target; 0: none */
-	int64_t unfit_since; /* no runner's memory has room; 0: one has */
+	int64_t unfit_since; /* since when no runner's memory has room */
 	runner_t *runner; /* NULL while queued */
 	runner_work_t work;
 	uint32_t cached_tokens; /* of the prompt, estimated */
--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -25,6 +25,8 @@
  * beside one: the next one begins while the end of another is on its way here.
  */
 static const double plain_queue = 0.2;
+/* Times the usual pace, from which on calls are overdue for it. */
+static const double slow_pace = 1.1;
 
 /* Seconds per token or call while N requests run; 0 if unknown. */
 static double unit_time_at(const runner_model_t *m, double n)
@@ -84,11 +86,12 @@
 
 	if (m->n_history)
 		last = &m->history[(m->n_history - 1) % RUNNER_HISTORY];
-	if (!last || now - last->at >= SAMPLE_GAP_US)
+	if (!last || now - last->at >= SAMPLE_GAP_US) {
 		last = &m->history[m->n_history++ % RUNNER_HISTORY];
-	else
-		now = last->at;
-	*last = (runner_sample_t){ .at = now, .running = m->running };
+		*last = (runner_sample_t){ .at = now };
+	}
+	last->running = m->running;
+	last->most = MAX(last->most, m->running);
 }
 
 /* Returns the number of requests that were running at a past time. */
@@ -108,6 +111,23 @@
 	return m->n_history > RUNNER_HISTORY ? running : 0;
 }
 
+/* Returns the most requests that were running at once since a past time. */
+static uint32_t most_since(const runner_model_t *m, int64_t at)
+{
+	uint32_t n = MIN(m->n_history, RUNNER_HISTORY);
+	uint32_t most = m->running;
+
+	for (uint32_t i = 1; i <= n; i++) {
+		const runner_sample_t *s =
+			&m->history[(m->n_history - i) % RUNNER_HISTORY];
+
+		most = MAX(most, s->most);
+		if (s->at <= at)
+			break;
+	}
+	return most;
+}
+
 static uint64_t work_tokens(const runner_model_t *m, const runner_work_t *work)
 {
 	if (!m->is_engine)
@@ -127,7 +147,9 @@
 {
 	uint64_t own = (uint64_t)prompt_tokens + output_tokens;
 
-	return !m->is_engine || (double)(m->memory_tokens + own) <= m->window;
+	/* More than its memory is an estimate that may be wrong. */
+	return !m->is_engine || !m->memory_tokens ||
+	       (double)(m->memory_tokens + own) <= m->window;
 }
 
 /*
@@ -298,21 +320,19 @@
 	return !m->is_engine && m->last_completed_grant > work->granted_at;
 }
 
-/*
- * A plain runner that stated its load since is at work, and its statement tells
- * how slow it is.
- */
-static bool was_heard_since(const runner_model_t *m, const runner_work_t *work,
-			    int64_t now)
+/* A plain runner that has stated a slow pace since isn't silent. */
+static bool is_known_slow(const runner_model_t *m, const runner_work_t *work,
+			  int64_t now)
 {
 	return !m->is_engine && m->stated.last.at > work->granted_at &&
-	       runner_load_is_fresh(&m->stated, now);
+	       runner_load_pace(&m->stated, now) >
+		       slow_pace * runner_load_usual(&m->stated);
 }
 
 void runner_model_overdue(runner_model_t *m, runner_work_t *work, int64_t now)
 {
 	work->overdue_at = now + MAX(now - work->granted_at, OVERDUE_GRACE_US);
-	if (was_overtaken(m, work) || was_heard_since(m, work, now))
+	if (was_overtaken(m, work) || is_known_slow(m, work, now))
 		return;
 	m->health = MAX(m->health / 2, min_health);
 }
@@ -337,8 +357,11 @@
 {
 	if (!runner_load_hear(&m->stated, load))
 		return;
-	/* Grants on their way there, and ends on their way here, don't count. */
-	m->stated_ledger = MAX(running_at(m, load->at), m->running);
+	/*
+	 * Grants on their way there and ends on their way here don't count;
+	 * what the runner had when it wrote the head may be in neither.
+	 */
+	m->stated_ledger = most_since(m, load->at - SAMPLE_GAP_US);
 }
 
 /* Returns the requests that others put there, as the runner stated. */
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -43,8 +43,9 @@
 } runner_work_t;
 
 typedef struct runner_sample {
-	int64_t at;
-	uint32_t running;
+	int64_t at; /* the first of some times that count as one */
+	uint32_t running; /* at the last of them */
+	uint32_t most; /* at any of them */
 } runner_sample_t;
 
 typedef struct runner_model {
--- a/daemon/job.c
+++ b/daemon/job.c
@@ -441,7 +441,7 @@
 
 static const char *refuse_reason_text(refuse_reason_t reason)
 {
-	static const char *const texts[] = {
+	static const char *const texts[REFUSE_REASONS] = {
 		[REFUSE_DEADLINE] = "it could not finish within its deadline",
 		[REFUSE_QUEUE_FULL] = "the queue is full",
 		[REFUSE_SHED] = "it gave way to a more urgent tier",
@@ -449,6 +449,7 @@
 		[REFUSE_EXPIRED] = "its deadline passed while it waited",
 		[REFUSE_PAUSED] = "the engines asked for a pause",
 		[REFUSE_NO_RELEASE] = "no engine of its release serves",
+		[REFUSE_TOO_LARGE] = "it exceeds the memory of the engines",
 	};
 
 	return texts[reason];
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -449,7 +449,7 @@
 
 static const char *refuse_reason_text(refuse_reason_t reason)
 {
-	static const char *const texts[] = {
+	static const char *const texts[REFUSE_REASONS] = {
 		[REFUSE_DEADLINE] = "it could not finish in time",
 		[REFUSE_QUEUE_FULL] = "the queue is full",
 		[REFUSE_SHED] = "it gave way to more urgent work",
--- a/daemon/relay_quarantine.c
+++ b/daemon/relay_quarantine.c
@@ -12,6 +12,8 @@
 
 enum {
 	US_PER_MS = 1000,
+	/* A kept connection that was closed breaks this soon after sending. */
+	STALE_US = 20 * US_PER_MS,
 	/* Runners that one request may take down; the first may be chance. */
 	MAX_CRASHES = 2,
 };
@@ -93,7 +95,8 @@
 	 * closed before the request.
 	 */
 	return !r->has_answer &&
-	       !(r->was_reused && !fleet_may_repeat(r->route)) &&
+	       !(r->was_reused && !fleet_may_repeat(r->route) &&
+		 now_us() - r->progress_at < STALE_US) &&
 	       !quarantine_is_survivor(&r->gateway->quarantine, runner_hash(r),
 				       now_us());
 }
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -159,8 +159,8 @@
 	  "only once, too, and runners to which there is one are preferred",
 	  NULL },
 	{ "runner_load", OPTION_BOOL, "", 0, 0, "false", FIELD(runner_load),
-	  "the load that runners state with a pace counts in the choice of a "
-	  "runner; plain ones keep slots for protected tiers only if there are "
+	  "the load that runners state counts in the choice of a runner; plain "
+	  "ones that state it keep slots for protected tiers only if there are "
 	  "some",
 	  NULL },
 	{ "runner_memory", OPTION_BOOL, "", 0, 0, "false", FIELD(runner_memory),
--- a/tests/test_noisy_machine.c
+++ b/tests/test_noisy_machine.c
@@ -249,7 +249,7 @@
  * All calls in progress are overdue at once, while one that ends says why. That
  * must not close the runner's window, as a silent runner's is.
  */
-static uint32_t granted_after_slow_time(bool is_stated)
+static uint32_t granted_after_slow_time(uint32_t pace)
 {
 	static fixture_t f;
 	uint32_t granted = 0;
@@ -259,11 +259,11 @@
 	for (uint64_t a = 20; a < 20 + 2 * SLOTS; a++)
 		fixture_submit(&f, a, 0, 1);
 	f.now += 2 * WORK;
-	for (uint64_t a = 20; a < 22 && is_stated; a++)
-		end_call(&f, a, SLOTS, SLOW);
+	for (uint64_t a = 20; a < 22; a++)
+		end_call(&f, a, SLOTS, pace);
 	for (int i = 0; i < 30; i++)
 		fixture_tick(&f, 10 * MS);
-	for (uint64_t a = is_stated ? 22 : 20; a < 20 + 2 * SLOTS; a++)
+	for (uint64_t a = 22; a < 20 + 2 * SLOTS; a++)
 		fixture_done(&f, a, DONE_CANCELLED);
 	for (uint64_t a = 100; a < 140; a++) {
 		fixture_submit(&f, a, 0, 1);
@@ -275,8 +275,9 @@
 
 START_TEST(a_slow_time_does_not_close_the_window)
 {
-	ck_assert_uint_ge(granted_after_slow_time(true), 2 * SLOTS);
-	ck_assert_uint_le(granted_after_slow_time(false), SLOTS);
+	ck_assert_uint_ge(granted_after_slow_time(SLOW), 2 * SLOTS);
+	/* It isn't slow by its own account, but calls hang. */
+	ck_assert_uint_le(granted_after_slow_time(USUAL), SLOTS);
 }
 END_TEST
 
@@ -303,6 +304,33 @@
 }
 END_TEST
 
+/* What a runner had when it wrote its answer may have ended since. */
+START_TEST(work_of_the_ledger_that_ended_since_is_not_others)
+{
+	static fixture_t f;
+	uint32_t granted = 0;
+
+	begin(&f, true);
+	warm_up(&f);
+	for (uint64_t a = 20; a < 20 + 2 * SLOTS; a++)
+		fixture_submit(&f, a, 0, 1);
+	f.now += WORK;
+	/* All write their heads at once; the first to be heard ends last. */
+	for (uint64_t a = 20; a < 20 + 2 * SLOTS; a++)
+		if (a % SLOTS)
+			fixture_done(&f, a, DONE_COMPLETED);
+	for (uint64_t a = 20; a < 20 + 2 * SLOTS; a++)
+		if (!(a % SLOTS))
+			end_call(&f, a, SLOTS, USUAL);
+	for (uint64_t a = 100; a < 140; a++) {
+		fixture_submit(&f, a, 0, 1);
+		granted += fixture_answer_kind(&f, a) == ANSWER_GRANT;
+	}
+	ck_assert_uint_ge(granted, 2 * SLOTS);
+	dispatcher_finish(&f.d);
+}
+END_TEST
+
 /* A runner of unknown speed that says that it is slow is taken at its word. */
 START_TEST(the_stated_pace_tells_the_speed_of_an_unknown_runner)
 {
@@ -337,4 +365,5 @@
 	   no_call_waits_beside_a_free_slot, no_place_stays_empty_in_overload,
 	   a_slow_time_does_not_close_the_window,
 	   work_that_others_put_there_takes_its_room,
+	   work_of_the_ledger_that_ended_since_is_not_others,
 	   the_stated_pace_tells_the_speed_of_an_unknown_runner)
--- a/tests/test_runner_memory.c
+++ b/tests/test_runner_memory.c
@@ -102,6 +102,16 @@
 }
 END_TEST
 
+START_TEST(a_long_estimate_alone_is_no_reason_to_refuse)
+{
+	static fixture_t f;
+
+	begin(&f, true);
+	ck_assert(submit(&f, 1, MEMORY / 2, MEMORY));
+	dispatcher_finish(&f.d);
+}
+END_TEST
+
 START_TEST(small_work_passes_large_work_that_does_not_fit)
 {
 	static fixture_t f;
@@ -164,6 +174,7 @@
 	   what_does_not_fit_waits_until_it_does,
 	   what_exceeds_the_memory_is_refused_at_once,
 	   an_idle_runner_takes_what_just_fits,
+	   a_long_estimate_alone_is_no_reason_to_refuse,
 	   small_work_passes_large_work_that_does_not_fit,
 	   a_runner_is_kept_for_large_work_in_the_end,
 	   a_smaller_memory_holds_at_once,
