--- a/common/err.c
+++ b/common/err.c
@@ -38,6 +38,7 @@
 		[ERR_CLOSED] = "closed",
 		[ERR_LIMIT] = "limit",
 		[ERR_UNAVAILABLE] = "unavailable",
+		[ERR_CONFLICT] = "conflict",
 		[ERR_SYSTEM] = "system",
 	};
 
--- a/core/rollout.c
+++ b/core/rollout.c
@@ -4,6 +4,7 @@
 
 enum {
 	US_PER_MS = 1000,
+	BEGIN_US = 3000 * US_PER_MS, /* the target's runners come later */
 	LOOK_US = 200 * US_PER_MS, /* between looks of the judge */
 	MIN_SLOT_US = 500 * US_PER_MS, /* of time, for the judge */
 	READ_US = 1000 * US_PER_MS, /* between confirmations of the term */
@@ -143,6 +144,11 @@
 	set_stage(r, ROLLOUT_TAKEN_BACK, now);
 }
 
+void rollout_refuse(rollout_t *r, const char *why, int64_t now)
+{
+	revert(r, why, now);
+}
+
 void rollout_withdraw(rollout_t *r)
 {
 	r->is_withdrawn = true;
@@ -282,6 +288,8 @@
 		out->phase = ROLLOUT_COMPLETED;
 	else if (r->is_conducting)
 		enlarge_budget(r, out, now);
+	if (out->phase != ROLLOUT_IN_PROGRESS)
+		out->decided_ms = wall_ms;
 	if (!r->is_conducting || out->phase != ROLLOUT_IN_PROGRESS ||
 	    out->is_moving != r->stored.is_moving)
 		return true;
@@ -418,8 +426,22 @@
 	return r->is_conducting && now - r->confirmed_at < MAX_UNCONFIRMED_US;
 }
 
+/* The order names the release that all runners have already. */
+static bool has_nothing_to_move(const rollout_t *r, const rollout_view_t *view,
+				int64_t now)
+{
+	return view->target_runners && !view->other_runners &&
+	       now - r->began_at < BEGIN_US;
+}
+
 static void advance(rollout_t *r, const rollout_view_t *view, int64_t now)
 {
+	if (r->stage == ROLLOUT_HELD && has_nothing_to_move(r, view, now)) {
+		set_stage(r, ROLLOUT_MOVED, now);
+		r->must_complete = true;
+		g_strlcpy(r->why, "the service has no other release",
+			  sizeof(r->why));
+	}
 	if (r->stage == ROLLOUT_HELD)
 		set_stage(r, ROLLOUT_TRYING, now);
 	if (r->stage == ROLLOUT_TRYING)
@@ -470,7 +492,10 @@
 				.conductor = r->self,
 				.stage = r->stage,
 				.process = report->counts.process,
-				.stamp = report->stamp };
+				.stamp = report->stamp,
+				.decided_ms = rollout_is_settled(r) ?
+						      r->stored.decided_ms :
+						      0 };
 
 	if (d)
 		*d = (rollout_daemon_t){ now, report->stage, report->term,
--- a/core/rollout.h
+++ b/core/rollout.h
@@ -74,6 +74,7 @@
 	uint64_t budget; /* requests that the target may get in all so far */
 	uint64_t counted; /* requests of the service since the order */
 	int64_t ends_ms; /* to be decided by then; wall clock */
+	int64_t decided_ms; /* completed or reverted; wall clock */
 	char why[ROLLOUT_WHY_SIZE];
 } rollout_record_t;
 
@@ -111,12 +112,14 @@
 	uint64_t granted; /* to the daemon's process PROCESS, in all */
 	uint64_t process;
 	int64_t stamp; /* of the report that is answered */
+	int64_t decided_ms; /* wall clock; 0: it is in progress */
 } rollout_told_t;
 
 /* What the conductor's daemon knows from elsewhere. */
 typedef struct rollout_view {
 	uint32_t daemons; /* that are live */
 	uint32_t target_runners; /* listed, and not leaving */
+	uint32_t other_runners; /* likewise, of other releases */
 } rollout_view_t;
 
 typedef struct rollout {
@@ -151,6 +154,8 @@
 void rollout_finish(rollout_t *r);
 /* The operator took the order back. */
 void rollout_withdraw(rollout_t *r);
+/* The order can't be followed, for the reason given: nothing is tried. */
+void rollout_refuse(rollout_t *r, const char *why, int64_t now);
 /*
  * The store's record was read; NULL: there is none. Records of other orders
  * only show the term. KNOWS_BEGIN: this process saw when the order was written.
--- a/core/rollout_share.c
+++ b/core/rollout_share.c
@@ -157,10 +157,13 @@
 void rollout_lease_set(rollout_lease_t *l, uint64_t granter, uint64_t granted,
 		       int64_t sent_at, int64_t now)
 {
+	int64_t duration = l->duration ? l->duration : ROLLOUT_LEASE_US;
+
 	if (l->granter != granter)
-		*l = (rollout_lease_t){ .granter = granter };
+		*l = (rollout_lease_t){ .granter = granter,
+					.duration = l->duration };
 	l->granted = MAX(l->granted, granted);
-	l->ends_at = MAX(l->ends_at, MIN(sent_at, now) + ROLLOUT_LEASE_US);
+	l->ends_at = MAX(l->ends_at, MIN(sent_at, now) + duration);
 	rollout_lease_tick(l, now);
 }
 
--- a/core/rollout_share.h
+++ b/core/rollout_share.h
@@ -92,6 +92,7 @@
 	uint64_t used;
 	uint64_t returned;
 	int64_t ends_at;
+	int64_t duration; /* of leases; 0: ROLLOUT_LEASE_US */
 } rollout_lease_t;
 
 /*
--- a/core/runner_filter.h
+++ b/core/runner_filter.h
@@ -39,6 +39,8 @@
 	RUNNER_LIMITED, /* the dispatcher doesn't know its limit; likewise */
 	/* the stream began on another release; likewise */
 	RUNNER_OTHER_RELEASE,
+	/* a roll-out keeps requests from its release; likewise */
+	RUNNER_RELEASE_HELD,
 } runner_use_t;
 
 /* Whether a runner may be used; if not, since when. */
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -41,6 +41,7 @@
 	quarantine_t quarantine; /* prompt parts that crash runners */
 	vm_list_t *vms; /* NULL until a list was received */
 	stream_releases_t streams; /* that began here */
+	GHashTable *rollouts; /* service to gateway_rollout_t */
 	fleet_t *fleet; /* NULL until a configuration is in force */
 	retry_budget_t retries;
 	/* Of answers: received in part, or not yet read by callers. */
@@ -142,4 +143,17 @@
 /* A new list of runners: sends streams to be recorded that were not so far. */
 void gateway_on_releases(gateway_t *g, const vm_list_t *before);
 
+/* relay_rollout.c: a service's traffic moves to another release. */
+
+void gateway_rollouts_init(gateway_t *g);
+void gateway_rollouts_finish(gateway_t *g);
+/* All orders (rollout_order_t) that operators gave. */
+void gateway_on_rollout_orders(gateway_t *g, const GArray *orders);
+/* There is a new list of VMs. */
+void gateway_on_rollout_runners(gateway_t *g);
+/* The conductor's answer to a report. */
+void gateway_on_rollout_told(gateway_t *g, const message_rollout_t *m);
+/* Reports to the conductor, and moves requests; called every TICK_MS. */
+void gateway_check_rollouts(gateway_t *g);
+
 #endif
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -181,6 +181,7 @@
 	gateway_check_quarantine(g);
 	for (GList *link = relays; link; link = link->next)
 		relay_tick(link->data, now);
+	gateway_check_rollouts(g);
 	export_stats(g);
 	check_drain(g, now);
 }
@@ -271,6 +272,7 @@
 		break;
 	case MESSAGE_VMS:
 		set_vms(g, m->vms);
+		gateway_on_rollout_runners(g);
 		update_runner_filter(g, m->vms);
 		set_runner_zones(g, m->vms);
 		fleet_view_count_runners(m->vms, &g->groups);
@@ -302,6 +304,12 @@
 	case MESSAGE_STREAM_ANSWER:
 		gateway_on_stream_answer(g, &m->streams);
 		break;
+	case MESSAGE_ROLLOUT_ORDERS:
+		gateway_on_rollout_orders(g, m->rollout_orders);
+		break;
+	case MESSAGE_ROLLOUT_TOLD:
+		gateway_on_rollout_told(g, &m->rollout);
+		break;
 	case MESSAGE_LINK_UP:
 		gateway_send_quarantine(g, m->contact.name);
 		break;
@@ -353,6 +361,7 @@
 	zone_groups_init(&g->groups, sup->settings->zone);
 	quarantine_init(&g->quarantine);
 	stream_releases_init(&g->streams, MAX_STREAMS);
+	gateway_rollouts_init(g);
 	upstream_pool_init(&g->pool, sup->base);
 	retry_budget_init(&g->retries, &none);
 	set_byte_budgets(g);
@@ -386,6 +395,7 @@
 	upstream_pool_finish(&g->pool);
 	quarantine_finish(&g->quarantine);
 	stream_releases_finish(&g->streams);
+	gateway_rollouts_finish(g);
 	vm_list_unref(g->vms);
 	retry_budget_finish(&g->retries);
 	runner_filter_finish(&g->runners);
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -1,9 +1,16 @@
 #include "daemon/message.h"
 
+/* The runners of a roll-out's target are dispatched under another name. */
 const profile_service_t *config_view_service(const config_view_t *v,
 					     const char *name)
 {
-	return v ? g_hash_table_lookup(v->services, name) : NULL;
+	char service[FLEET_NAME_SIZE];
+	profile_service_t *found =
+		v ? g_hash_table_lookup(v->services, name) : NULL;
+
+	if (found || !v || !rollout_pool_service(name, service))
+		return found;
+	return g_hash_table_lookup(v->services, service);
 }
 
 const profile_t *config_view_profile(const config_view_t *v, const char *name)
@@ -157,6 +164,12 @@
 	case MESSAGE_STREAM_NOTES:
 		g_clear_pointer(&m->streams.begun, g_array_unref);
 		break;
+	case MESSAGE_ROLLOUT_ORDERS:
+		g_clear_pointer(&m->rollout_orders, g_array_unref);
+		break;
+	case MESSAGE_ROLLOUT_REPORT:
+		g_clear_pointer(&m->rollout.tallies, g_array_unref);
+		break;
 	case MESSAGE_TOPIC_UPDATE:
 		g_clear_pointer(&m->update.records, g_array_unref);
 		g_clear_pointer(&m->update.batch, g_bytes_unref);
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -18,6 +18,7 @@
 #include "core/member.h"
 #include "core/profile.h"
 #include "core/quarantine.h"
+#include "core/rollout.h"
 #include "core/stream_releases.h"
 #include "core/topic_follow.h"
 #include "core/dedup.h"
@@ -96,6 +97,10 @@
 	MESSAGE_STREAM_NOTES, /* front to peers to store: streams began */
 	MESSAGE_STREAM_ASK, /* likewise: which release began this one? */
 	MESSAGE_STREAM_ANSWER, /* store to peers to front */
+	MESSAGE_ROLLOUT_ORDERS, /* store to front: all orders of roll-outs */
+	MESSAGE_ROLLOUT_HOST, /* peers to store: does this daemon conduct? */
+	MESSAGE_ROLLOUT_REPORT, /* front to peers to store, which conducts */
+	MESSAGE_ROLLOUT_TOLD, /* store to peers to front: the answer to it */
 	MESSAGE_LINK_UP, /* peers to capacity, front: a link to a daemon is up */
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: incarnation ended */
 	MESSAGE_REQUEST_LISTS, /* store to peers: request a daemon's lists */
@@ -250,6 +255,21 @@
 	bool from_memory; /* ASK: answer at once, without reading the store */
 } message_streams_t;
 
+/* Answers alike, as a daemon counted them. */
+typedef struct rollout_tally {
+	rollout_answer_t answer;
+	uint32_t n;
+} rollout_tally_t;
+
+/* What a daemon reports of a roll-out, or what it is told. */
+typedef struct message_rollout {
+	char peer[MEMBER_NAME_SIZE]; /* the daemon; "": this one */
+	char service[FLEET_NAME_SIZE];
+	rollout_report_t report; /* REPORT */
+	rollout_told_t told; /* TOLD */
+	GArray *tallies; /* REPORT: of rollout_tally_t */
+} message_rollout_t;
+
 typedef struct message_account {
 	accounts_key_t key;
 	accounts_sum_t delta;
@@ -272,7 +292,7 @@
 			/* also those that may serve behind a partition */
 			uint32_t known;
 		} daemons; /* DAEMON_COUNT */
-		/* CONFIG_NEXT, READER_ROLE, VIEW_STABLE, KEYS_READY */
+		/* CONFIG_NEXT, READER_ROLE, VIEW_STABLE, KEYS_READY, ROLLOUT_HOST */
 		uint64_t number;
 		struct {
 			char name[MEMBER_NAME_SIZE]; /* zone or daemon */
@@ -294,6 +314,8 @@
 		message_limit_hosts_t limit_hosts;
 		message_part_t part;
 		message_streams_t streams;
+		GArray *rollout_orders; /* of rollout_order_t */
+		message_rollout_t rollout;
 		message_account_t account;
 		message_append_t append;
 	};
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -94,6 +94,18 @@
 /* Keeps links to the recorders. */
 void peers_link_recorders(peers_t *p);
 
+/* peers_rollouts.c: reports of roll-outs to the daemon that conducts them. */
+
+/* Sends a report to the conductor, or its answer to who reported. */
+void peers_route_rollout(peers_t *p, const message_t *m);
+/* Posts a received message to its task; false for other frames. */
+bool peers_on_rollout_frame(peers_t *p, const char *name,
+			    const Papaya__Frame *frame);
+/* Posts to the store task whether this daemon conducts roll-outs. */
+void peers_post_rollout_host(peers_t *p);
+/* Keeps links to the conductor, and to who conducts if it is lost. */
+void peers_link_conductor(peers_t *p);
+
 /* peers_detector.c: detection of unresponsive daemons and partitioned zones. */
 
 void peers_detector_start(peers_t *p);
--- a/daemon/peers_route.c
+++ b/daemon/peers_route.c
@@ -151,6 +151,7 @@
 	for (uint32_t i = 0; i < LIMIT_ROLES; i++)
 		find_fleet_limiter(p, i, &vm);
 	peers_link_recorders(p);
+	peers_link_conductor(p);
 	for (guint i = 0; i < p->regional_dispatchers->len; i++) {
 		str_t role = str_from(p->regional_dispatchers->pdata[i]);
 
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -218,6 +218,7 @@
 	if (peers_on_store_frame(p, name, frame) ||
 	    peers_on_part_frame(p, name, frame) ||
 	    peers_on_stream_frame(p, name, frame) ||
+	    peers_on_rollout_frame(p, name, frame) ||
 	    peers_on_ping(p, name, frame))
 		return;
 	if (key_table_receive(&p->keys, name, frame))
@@ -413,6 +414,7 @@
 	member_tick(&p->member, now_us());
 	post_view_stable(p);
 	peers_post_reader(p);
+	peers_post_rollout_host(p);
 	post_daemon_count(p);
 	peers_post_limit_hosts(p);
 	if (p->sup->settings->fleet)
@@ -487,6 +489,10 @@
 	case MESSAGE_STREAM_ANSWER:
 		peers_route_stream(p, m);
 		break;
+	case MESSAGE_ROLLOUT_REPORT:
+	case MESSAGE_ROLLOUT_TOLD:
+		peers_route_rollout(p, m);
+		break;
 	case MESSAGE_REQUEST_LISTS:
 		peers_request_lists(p, m->lists.topics);
 		break;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -143,6 +143,8 @@
 
 void relay_request_runner(relay_t *r)
 {
+	if (!relay_choose_pool(r))
+		return;
 	drop_answer(r);
 	relay_new_attempt(r);
 	r->state = RELAY_AWAITING_GRANT;
@@ -190,6 +192,7 @@
 {
 	done_t done = { .result = result };
 
+	relay_on_done(r, result);
 	done.prompt_tokens = r->call.prompt_tokens;
 	done.output_tokens = r->output_tokens;
 	done.says_leaving = r->says_leaving;
@@ -399,6 +402,7 @@
 	r->state = RELAY_GRANTED;
 	r->progress_at = now_us();
 	relay_note_release(r);
+	relay_on_sent(r);
 	r->upstream = upstream_conn_start(
 		&r->gateway->pool, r->runner.address, may_reuse,
 		str_eq(r->call.method, STR_LIT("HEAD")), request,
@@ -482,6 +486,8 @@
 {
 	if (r->state != RELAY_AWAITING_GRANT)
 		return;
+	if (has_retry_time(r) && relay_leave_pool(r))
+		return;
 	if (has_retry_time(r) &&
 	    zone_groups_pick_next(&r->gateway->groups, supervisor_of(r)->rand,
 				  &r->pick)) {
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -17,6 +17,18 @@
 	RELAY_ENDED,
 } relay_state_t;
 
+/* What a request has to do with a roll-out of its service. */
+typedef struct relay_rollout {
+	bool is_chosen; /* IN_POOL was decided */
+	bool in_pool; /* it is dispatched to the target's runners */
+	bool has_share; /* of the target's exposure, and not used yet */
+	bool was_refused; /* by the target's dispatcher */
+	bool is_counted; /* among the service's requests */
+	bool is_timed; /* the first answer of this send was counted */
+	int64_t sent_at; /* to the runner; 0: it is not */
+	int64_t first_at; /* first event of its stream; 0: none */
+} relay_rollout_t;
+
 struct relay {
 	gateway_t *gateway;
 	ingress_t *caller; /* NULL once the caller left or was answered */
@@ -66,6 +78,7 @@
 	 * it has not begun.
 	 */
 	uint64_t release;
+	relay_rollout_t rollout;
 	upstream_conn_t *upstream;
 	/* Stated in the runner's answer, and reported to the dispatcher: */
 	bool says_leaving; /* the runner is leaving */
@@ -146,8 +159,32 @@
  */
 bool relay_retry(relay_t *r);
 
+/* relay_rollout.c */
+
+/*
+ * Chooses the release for the next want, while its service is being rolled out.
+ * Returns false when there is none that it may use: it was answered, and freed.
+ */
+bool relay_choose_pool(relay_t *r);
+/* The name under which the runners for its next want are dispatched. */
+const char *relay_pool(const relay_t *r);
+/* Whether the granted runner's release may be used now. */
+bool relay_may_send(const relay_t *r);
+/*
+ * A dispatcher of the target's runners refused: tries those of the other
+ * releases. Returns false when it may not.
+ */
+bool relay_leave_pool(relay_t *r);
+/* For the reports: it was sent, its stream began, the use of its runner ended. */
+void relay_on_sent(relay_t *r);
+void relay_on_first_event(relay_t *r);
+void relay_on_done(relay_t *r, done_result_t result);
+
 /* relay_admit.c */
 
+/* Picks the dispatcher for the first want among the runners of its pool. */
+void relay_pick_dispatcher(relay_t *r);
+
 /* Answers 503: no configuration and runners are known yet. */
 void relay_fail_unready(relay_t *r);
 /* Uses this daemon's share of the limit when the limiter doesn't answer. */
@@ -199,6 +236,8 @@
  * or is in a partitioned zone. Returns false when the grant may be used.
  */
 bool relay_decline_if_unusable(relay_t *r);
+/* Requests another runner if nothing was sent to the granted one yet. */
+void relay_reroute_unsent(relay_t *r, const char *why);
 
 /* relay_quarantine.c */
 
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -217,16 +217,16 @@
  * A long prefix goes to the group of runners that may have it cached, also in
  * another zone, unless many recent requests share it.
  */
-static void pick_dispatcher(relay_t *r)
+void relay_pick_dispatcher(relay_t *r)
 {
 	gateway_t *g = r->gateway;
-	uint32_t groups = zone_groups_count(&g->groups, r->service);
+	uint32_t groups = zone_groups_count(&g->groups, relay_pool(r));
 	zone_affinity_t affinity = { .session = r->call.session_hash };
 
 	if (r->call.prefix_tokens >= MIN_AFFINITY_TOKENS &&
 	    !hot_prefix_record(&g->prefixes, r->call.prefix_hash, groups))
 		affinity.prefix = r->call.prefix_hash;
-	zone_groups_pick_first(&g->groups, r->service, &affinity,
+	zone_groups_pick_first(&g->groups, relay_pool(r), &affinity,
 			       r->gateway->sup->rand, &r->pick);
 }
 
@@ -286,7 +286,7 @@
 		return;
 	r->service = fleet_pick_service(r->route, str_hash(stream_attempt(r)));
 	r->rank = fleet_rank(r->team, r->route);
-	pick_dispatcher(r);
+	relay_pick_dispatcher(r);
 	retry_budget_count_first(&g->retries, r->service);
 	start_deadline(r);
 	if (gateway_ends_before(g, r->deadline)) {
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -141,6 +141,7 @@
 		return false;
 	if (!before && r->n_events) {
 		relay_bind_release(r);
+		relay_on_first_event(r);
 		report_first_event(r);
 		relay_report_sound(r);
 	}
--- /dev/null
+++ b/daemon/relay_rollout.c
@@ -0,0 +1,553 @@
+/*
+ * Roll-outs, at the daemons that own requests: decides for each request whether
+ * it goes to the runners of the target release, as the conductor of the
+ * roll-out says, and reports how both releases answer.
+ *
+ * The runners of the target are dispatched apart from the service's other ones,
+ * under the name of their pool (rollout_pool_name). What is granted is checked
+ * again before anything is sent, as dispatchers may have another list.
+ */
+#define LOG_PART "relay"
+
+#include <inttypes.h>
+
+#include "common/log.h"
+#include "core/release_history.h"
+#include "daemon/relay.h"
+
+enum {
+	US_PER_MS = 1000,
+	REPORT_US = ROLLOUT_REPORT_MS * US_PER_MS,
+	MAX_TALLIES = 512, /* of one report; further answers don't count */
+	RETRY_MS = 1000, /* Retry-After of a stream that can't go on now */
+};
+
+/* A roll-out, as this daemon knows it. */
+typedef struct gateway_rollout {
+	rollout_order_t order;
+	uint64_t order_id;
+	uint64_t target; /* hash of the release */
+	char pool[ROLLOUT_POOL_SIZE];
+	rollout_stage_t told; /* by the conductor */
+	rollout_stage_t applied; /* at the last look at all requests */
+	uint64_t term; /* of the conductor; 0: it was not heard of */
+	int64_t decided_ms; /* in the store; 0: in progress */
+	rollout_lease_t lease;
+	uint64_t requests; /* of the service, sent to any runner */
+	GArray *tallies; /* rollout_tally_t; answers since the last report */
+	int64_t reported_at;
+	/* Listed runners, and not leaving: of the target, of other releases. */
+	uint32_t target_runners, other_runners;
+	uint32_t newer_runners; /* of these, started after the decision */
+} gateway_rollout_t;
+
+static void free_rollout(void *data)
+{
+	gateway_rollout_t *o = data;
+
+	g_array_unref(o->tallies);
+	g_free(o);
+}
+
+void gateway_rollouts_init(gateway_t *g)
+{
+	g->rollouts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    free_rollout);
+}
+
+void gateway_rollouts_finish(gateway_t *g)
+{
+	g_clear_pointer(&g->rollouts, g_hash_table_destroy);
+}
+
+static gateway_rollout_t *find(const relay_t *r)
+{
+	return r->service ?
+		       g_hash_table_lookup(r->gateway->rollouts, r->service) :
+		       NULL;
+}
+
+/* Without news of the conductor, no request goes to the target. */
+static rollout_stage_t stage_at(const gateway_rollout_t *o, int64_t now)
+{
+	bool needs_lease =
+		o->told == ROLLOUT_TRYING || o->told == ROLLOUT_MOVING;
+
+	/* It may have been completed before this process started. */
+	if (!o->term && !o->other_runners && o->target_runners)
+		return ROLLOUT_MOVED;
+	if (needs_lease && !rollout_lease_is_live(&o->lease, now))
+		return ROLLOUT_HELD;
+	return o->told;
+}
+
+static bool is_target(const gateway_rollout_t *o, uint64_t release)
+{
+	return release == o->target;
+}
+
+/* Runners that started after the completion replace the target's in turn. */
+static bool is_newer(const gateway_rollout_t *o, int64_t born_ms)
+{
+	return o->decided_ms && born_ms > o->decided_ms;
+}
+
+static void count_runners(const gateway_t *g, gateway_rollout_t *o)
+{
+	o->target_runners = o->other_runners = o->newer_runners = 0;
+	for (guint i = 0; g->vms && i < g->vms->runners->len; i++) {
+		const vm_list_runner_t *r =
+			&g_array_index(g->vms->runners, vm_list_runner_t, i);
+
+		if (r->runner.is_leaving)
+			continue;
+		if (is_target(o, r->runner.release)) {
+			o->target_runners++;
+		} else if (!strcmp(r->service, o->order.service)) {
+			o->other_runners++;
+			o->newer_runners += is_newer(o, r->runner.born_ms);
+		}
+	}
+}
+
+static void update_runners(gateway_t *g)
+{
+	GHashTableIter iter;
+	gateway_rollout_t *o;
+
+	g_hash_table_iter_init(&iter, g->rollouts);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&o))
+		count_runners(g, o);
+}
+
+void gateway_on_rollout_runners(gateway_t *g)
+{
+	update_runners(g);
+}
+
+/* Half of the bound is left for the judge and for messages. */
+static int64_t lease_time(const settings_t *s)
+{
+	return MIN(ROLLOUT_LEASE_US, s->rollout_revert_ms * US_PER_MS / 2);
+}
+
+void gateway_on_rollout_orders(gateway_t *g, const GArray *orders)
+{
+	for (guint i = 0; i < orders->len; i++) {
+		const rollout_order_t *order =
+			&g_array_index(orders, rollout_order_t, i);
+		const gateway_rollout_t *known =
+			g_hash_table_lookup(g->rollouts, order->service);
+		gateway_rollout_t *o;
+
+		if (known && known->order_id == rollout_order_id(order))
+			continue;
+		o = g_new0(gateway_rollout_t, 1);
+		o->lease.duration = lease_time(g->sup->settings);
+		o->order = *order;
+		o->order_id = rollout_order_id(order);
+		o->target = release_history_hash(order->service, order->target);
+		rollout_pool_name(order->service, order->target, o->pool);
+		o->tallies = g_array_new(FALSE, FALSE, sizeof(rollout_tally_t));
+		g_hash_table_replace(g->rollouts, o->order.service, o);
+	}
+	update_runners(g);
+}
+
+/* Sends the request to the target, if a lease allows one more. */
+static bool take_share(relay_t *r, gateway_rollout_t *o, int64_t now)
+{
+	if (!r->rollout.has_share)
+		r->rollout.has_share = rollout_lease_take(&o->lease, now);
+	return r->rollout.has_share;
+}
+
+/* Whether a request that may use any release goes to the target. */
+static bool chooses_target(relay_t *r, gateway_rollout_t *o, int64_t now)
+{
+	uint32_t all = o->target_runners + o->newer_runners;
+
+	if (!o->target_runners)
+		return false;
+	switch (stage_at(o, now)) {
+	case ROLLOUT_TRYING:
+		/* A retry goes to a release that is known to be good. */
+		return !r->sends && !r->rollout.was_refused &&
+		       take_share(r, o, now);
+	case ROLLOUT_MOVING:
+	case ROLLOUT_MOVED:
+		return true;
+	case ROLLOUT_DONE:
+		return g_rand_int_range(r->gateway->sup->rand, 0,
+					(gint32)all) >=
+		       (gint32)o->newer_runners;
+	default:
+		return false;
+	}
+}
+
+/* Whether a stream that began on the target may go on there. */
+static bool may_go_on(relay_t *r, gateway_rollout_t *o, int64_t now)
+{
+	switch (stage_at(o, now)) {
+	case ROLLOUT_TRYING:
+		return take_share(r, o, now);
+	case ROLLOUT_MOVING:
+	case ROLLOUT_MOVED:
+	case ROLLOUT_DONE:
+		return true;
+	default:
+		return false;
+	}
+}
+
+/* Whether a request that was sent to a pool may stay there. */
+static bool may_stay(const relay_t *r, const gateway_rollout_t *o, int64_t now)
+{
+	rollout_stage_t stage = stage_at(o, now);
+
+	if (r->rollout.in_pool)
+		return (stage == ROLLOUT_TRYING && r->rollout.has_share) ||
+		       (stage >= ROLLOUT_MOVING && stage <= ROLLOUT_DONE);
+	return stage < ROLLOUT_MOVING || stage == ROLLOUT_TAKEN_BACK ||
+	       !o->target_runners ||
+	       (stage == ROLLOUT_DONE && o->newer_runners);
+}
+
+const char *relay_pool(const relay_t *r)
+{
+	const gateway_rollout_t *o = find(r);
+
+	return o && r->rollout.in_pool ? o->pool : r->service;
+}
+
+bool relay_choose_pool(relay_t *r)
+{
+	gateway_rollout_t *o = find(r);
+	int64_t now = now_us();
+	bool in_pool;
+
+	if (!o)
+		return true;
+	if (r->release && is_target(o, r->release)) {
+		if (!may_go_on(r, o, now)) {
+			relay_fail(r,
+				   r->possible_runs || r->has_begun ? 502 : 503,
+				   r->possible_runs ? 0 : RETRY_MS,
+				   "the stream's release is not used now");
+			return false;
+		}
+		in_pool = true;
+	} else if (r->release) {
+		in_pool = false;
+	} else if (r->rollout.is_chosen && !r->sends && may_stay(r, o, now)) {
+		in_pool = r->rollout.in_pool;
+	} else {
+		in_pool = chooses_target(r, o, now);
+	}
+	r->rollout.is_chosen = true;
+	if (in_pool == r->rollout.in_pool)
+		return true;
+	r->rollout.in_pool = in_pool;
+	relay_pick_dispatcher(r);
+	return true;
+}
+
+bool relay_may_send(const relay_t *r)
+{
+	const gateway_rollout_t *o = find(r);
+	rollout_stage_t stage;
+
+	if (!o)
+		return true;
+	stage = stage_at(o, now_us());
+	if (is_target(o, r->runner.release))
+		return (stage == ROLLOUT_TRYING && r->rollout.has_share) ||
+		       (stage >= ROLLOUT_MOVING && stage <= ROLLOUT_DONE);
+	if (stage == ROLLOUT_DONE)
+		return is_newer(o, r->runner.born_ms);
+	return stage != ROLLOUT_MOVED || !o->target_runners;
+}
+
+bool relay_leave_pool(relay_t *r)
+{
+	const gateway_rollout_t *o = find(r);
+
+	if (!o || !r->rollout.in_pool || r->release ||
+	    stage_at(o, now_us()) != ROLLOUT_TRYING)
+		return false;
+	r->rollout.was_refused = true;
+	r->rollout.is_chosen = false;
+	relay_request_runner(r);
+	return true;
+}
+
+void relay_on_sent(relay_t *r)
+{
+	gateway_rollout_t *o = find(r);
+
+	r->rollout.sent_at = now_us();
+	r->rollout.first_at = 0;
+	r->rollout.is_timed = false;
+	if (!o || r->rollout.is_counted)
+		return;
+	r->rollout.is_counted = true;
+	o->requests++;
+}
+
+static bool is_alike(const rollout_answer_t *a, const rollout_answer_t *b)
+{
+	return a->route == b->route && a->runner == b->runner &&
+	       a->timing == b->timing && a->bucket == b->bucket &&
+	       a->is_target == b->is_target && a->has_failed == b->has_failed;
+}
+
+static void tally(gateway_rollout_t *o, const rollout_answer_t *answer)
+{
+	rollout_tally_t one = { *answer, 1 };
+
+	for (guint i = 0; i < o->tallies->len; i++) {
+		rollout_tally_t *t =
+			&g_array_index(o->tallies, rollout_tally_t, i);
+
+		if (!is_alike(&t->answer, answer))
+			continue;
+		t->n++;
+		return;
+	}
+	if (o->tallies->len < MAX_TALLIES)
+		g_array_append_val(o->tallies, one);
+}
+
+/* Adds an answer of the runner that the request was sent to. */
+static void add_answer(const relay_t *r, rollout_timing_t timing, int64_t time,
+		       bool has_failed)
+{
+	gateway_rollout_t *o = find(r);
+	rollout_answer_t answer = {
+		.route = str_hash(str_from(r->route->name)),
+		.timing = timing,
+		.bucket = rollout_time_bucket(time),
+		.has_failed = has_failed,
+	};
+
+	if (!o)
+		return;
+	answer.is_target = is_target(o, r->runner.release);
+	if (answer.is_target)
+		answer.runner = str_hash(str_from(r->runner.name)) | 1;
+	tally(o, &answer);
+}
+
+static rollout_timing_t first_timing(const relay_t *r)
+{
+	return r->route->kind == FLEET_STREAM ? ROLLOUT_FIRST_EVENT :
+						ROLLOUT_WHOLE;
+}
+
+/* Each send's first answer counts once. */
+static void add_first(relay_t *r, int64_t now, bool has_failed)
+{
+	if (r->rollout.is_timed && !has_failed)
+		return;
+	r->rollout.is_timed = true;
+	add_answer(r, first_timing(r), now - r->rollout.sent_at, has_failed);
+}
+
+void relay_on_first_event(relay_t *r)
+{
+	r->rollout.first_at = now_us();
+	add_first(r, r->rollout.first_at, false);
+}
+
+static void add_complete(relay_t *r, int64_t now)
+{
+	uint64_t n = r->n_events - r->events_before;
+
+	add_first(r, now, false);
+	if (r->rollout.first_at && n > 1)
+		add_answer(r, ROLLOUT_PACE,
+			   (now - r->rollout.first_at) / (int64_t)(n - 1),
+			   false);
+}
+
+void relay_on_done(relay_t *r, done_result_t result)
+{
+	int64_t now = now_us();
+
+	if (!r->rollout.sent_at)
+		return;
+	switch (result) {
+	case DONE_COMPLETED:
+		add_complete(r, now);
+		break;
+	case DONE_FAILED:
+		if (r->answer.status >= 500 && !r->answer.is_not_run)
+			add_first(r, now, true);
+		break;
+	case DONE_BROKEN:
+		add_first(r, now, true);
+		break;
+	default:
+		break;
+	}
+	/* The share is used up, unless nothing was sent. */
+	if (result != DONE_UNREACHABLE && result != DONE_LEAVING)
+		r->rollout.has_share = false;
+	r->rollout.sent_at = 0;
+}
+
+/* What is late already counts before its end, which may be far off. */
+static void check_late(relay_t *r, int64_t now)
+{
+	int64_t target = r->route->target_ms * US_PER_MS;
+
+	if (r->state == RELAY_GRANTED && r->rollout.sent_at && target &&
+	    !r->rollout.is_timed && now - r->rollout.sent_at > target)
+		add_first(r, now, false);
+}
+
+/* Has a request that waits, or is not sent yet, choose again. */
+static void check_place(relay_t *r, const gateway_rollout_t *o, int64_t now)
+{
+	if (may_stay(r, o, now) || (r->release && !r->rollout.in_pool))
+		return;
+	if (r->state == RELAY_AWAITING_GRANT) {
+		relay_release_grant(r, DONE_CANCELLED);
+		relay_request_runner(r);
+	} else if (r->state == RELAY_GRANTED) {
+		relay_reroute_unsent(r, "the release is not used any more");
+	}
+}
+
+static void check_relays(gateway_t *g, int64_t now)
+{
+	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
+
+	for (GList *link = relays; link; link = link->next) {
+		relay_t *r = link->data;
+		const gateway_rollout_t *o = find(r);
+
+		if (!o)
+			continue;
+		check_late(r, now);
+		check_place(r, o, now);
+	}
+}
+
+/* Requests on runners of other releases, or on their way there. */
+static uint32_t count_running(const gateway_t *g, const gateway_rollout_t *o)
+{
+	GHashTableIter iter;
+	uint32_t n = 0;
+	relay_t *r;
+
+	g_hash_table_iter_init(&iter, g->relays);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&r)) {
+		if (find(r) != o)
+			continue;
+		n += r->state == RELAY_GRANTED &&
+		     !is_target(o, r->runner.release);
+		n += r->state == RELAY_AWAITING_GRANT && !r->rollout.in_pool;
+	}
+	return n;
+}
+
+static void post_report(gateway_t *g, gateway_rollout_t *o, int64_t now)
+{
+	message_t m = { .type = MESSAGE_ROLLOUT_REPORT };
+	rollout_report_t *report = &m.rollout.report;
+
+	o->reported_at = now;
+	rollout_lease_tick(&o->lease, now);
+	g_strlcpy(m.rollout.service, o->order.service,
+		  sizeof(m.rollout.service));
+	report->order = o->order_id;
+	report->counts = (rollout_counts_t){ .process = g->sup->boot_id,
+					     .requests = o->requests,
+					     .granter = o->lease.granter,
+					     .used = o->lease.used,
+					     .returned = o->lease.returned };
+	report->stage = stage_at(o, now);
+	report->term = o->term;
+	report->running = count_running(g, o);
+	report->stamp = now;
+	m.rollout.tallies = o->tallies;
+	o->tallies = g_array_new(FALSE, FALSE, sizeof(rollout_tally_t));
+	supervisor_post(g->sup, TASK_PEERS, &m);
+}
+
+static void log_stage(const gateway_rollout_t *o, rollout_stage_t stage)
+{
+	log_event("rollout-applied",
+		  "service=%s target=%s stage=%s was=%s told=%s term=%" PRIu64
+		  " requests=%" PRIu64 " leased=%" PRIu64 " used=%" PRIu64
+		  " returned=%" PRIu64 " target_runners=%u other_runners=%u",
+		  o->order.service, o->order.target, rollout_stage_name(stage),
+		  rollout_stage_name(o->applied), rollout_stage_name(o->told),
+		  o->term, o->requests, o->lease.granted, o->lease.used,
+		  o->lease.returned, o->target_runners, o->other_runners);
+}
+
+static void export_counts(gateway_t *g, const gateway_rollout_t *o)
+{
+	g_autofree char *label =
+		g_strdup_printf("service=\"%s\"", o->order.service);
+	metrics_t *m = &g->sup->metrics;
+
+	metrics_set(m, "papaya_rollout_applied_stage", label, o->applied);
+	metrics_set(m, "papaya_rollout_requests_total", label, o->requests);
+	metrics_set(m, "papaya_rollout_leases_used_total", label,
+		    o->lease.used);
+}
+
+void gateway_check_rollouts(gateway_t *g)
+{
+	int64_t now = now_us();
+	GHashTableIter iter;
+	gateway_rollout_t *o;
+
+	if (!g_hash_table_size(g->rollouts))
+		return;
+	g_hash_table_iter_init(&iter, g->rollouts);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&o)) {
+		rollout_stage_t stage = stage_at(o, now);
+
+		if (stage != o->applied)
+			log_stage(o, stage);
+		o->applied = stage;
+		export_counts(g, o);
+		if (!o->decided_ms && now - o->reported_at >= REPORT_US)
+			post_report(g, o, now);
+	}
+	check_relays(g, now);
+}
+
+/* A decision that the store has stays; else the latest conductor has the say. */
+static bool is_outdated(const gateway_rollout_t *o, const rollout_told_t *told)
+{
+	return o->decided_ms || told->order != o->order_id ||
+	       told->term < o->term;
+}
+
+void gateway_on_rollout_told(gateway_t *g, const message_rollout_t *m)
+{
+	gateway_rollout_t *o = g_hash_table_lookup(g->rollouts, m->service);
+	const rollout_told_t *told = &m->told;
+	int64_t now = now_us();
+
+	if (!o || is_outdated(o, told))
+		return;
+	o->term = told->term;
+	o->told = told->stage;
+	o->decided_ms = told->decided_ms;
+	if (told->process == g->sup->boot_id)
+		rollout_lease_set(&o->lease, told->conductor, told->granted,
+				  told->stamp, now);
+	if (o->told != ROLLOUT_TRYING)
+		rollout_lease_drop(&o->lease);
+	if (o->decided_ms)
+		count_runners(g, o);
+	if (stage_at(o, now) != o->applied)
+		gateway_check_rollouts(g);
+}
--- a/daemon/relay_runner.c
+++ b/daemon/relay_runner.c
@@ -38,6 +38,12 @@
 			   why);
 }
 
+void relay_reroute_unsent(relay_t *r, const char *why)
+{
+	if (r->upstream && !upstream_conn_is_sent(r->upstream))
+		reroute_unsent(r, DONE_CANCELLED, why);
+}
+
 /* Moves requests that are still connecting to RUNNER to another one. */
 static void reroute_all_unsent(gateway_t *g, const char *runner,
 			       uint32_t pause_ms)
@@ -183,6 +189,7 @@
 		[RUNNER_PARTITIONED] = "the runner's zone does not answer",
 		[RUNNER_LIMITED] = "the dispatcher doesn't know its limit",
 		[RUNNER_OTHER_RELEASE] = "the stream began on another release",
+		[RUNNER_RELEASE_HELD] = "its release is not used now",
 	};
 
 	return texts[use];
@@ -191,7 +198,7 @@
 static done_result_t decline_result(runner_use_t use)
 {
 	if (use == RUNNER_PAUSED || use == RUNNER_LIMITED ||
-	    use == RUNNER_OTHER_RELEASE)
+	    use == RUNNER_OTHER_RELEASE || use == RUNNER_RELEASE_HELD)
 		return DONE_CANCELLED;
 	return use == RUNNER_PARTITIONED ? DONE_UNREACHABLE : DONE_LEAVING;
 }
@@ -210,6 +217,8 @@
 		s.use = RUNNER_PARTITIONED;
 	} else if (r->release && r->runner.release != r->release) {
 		s.use = RUNNER_OTHER_RELEASE;
+	} else if (!relay_may_send(r)) {
+		s.use = RUNNER_RELEASE_HELD;
 	} else if (!runner_limit_allows(&limit, &r->granted_limit)) {
 		s.use = RUNNER_LIMITED;
 		s.reported_at = limit.at;
--- /dev/null
+++ b/daemon/rollout_frames.c
@@ -0,0 +1,152 @@
+#include "daemon/rollout_frames.h"
+
+enum { MAX_TALLIES = 1024 /* of one report; further ones are ignored */ };
+
+static void write_tally(const rollout_tally_t *t, Papaya__RolloutTally *out)
+{
+	papaya__rollout_tally__init(out);
+	out->route = t->answer.route;
+	out->runner = t->answer.is_target ? t->answer.runner : 0;
+	out->timing = t->answer.timing;
+	out->bucket = t->answer.bucket;
+	out->target = t->answer.is_target;
+	out->failed = t->answer.has_failed;
+	out->n = t->n;
+}
+
+static bool send_report(peer_t *peer, str_t to, const message_rollout_t *m)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__RolloutReport out = PAPAYA__ROLLOUT_REPORT__INIT;
+	const rollout_counts_t *counts = &m->report.counts;
+	guint n = m->tallies ? m->tallies->len : 0;
+	g_autofree Papaya__RolloutTally *tallies =
+		g_new(Papaya__RolloutTally, n + 1);
+	g_autofree Papaya__RolloutTally **list =
+		g_new(Papaya__RolloutTally *, n + 1);
+
+	for (guint i = 0; i < n; i++) {
+		write_tally(&g_array_index(m->tallies, rollout_tally_t, i),
+			    &tallies[i]);
+		list[i] = &tallies[i];
+	}
+	out.service = (char *)m->service;
+	out.order = m->report.order;
+	out.process = counts->process;
+	out.requests = counts->requests;
+	out.granter = counts->granter;
+	out.used = counts->used;
+	out.returned = counts->returned;
+	out.stage = m->report.stage;
+	out.term = m->report.term;
+	out.running = m->report.running;
+	out.stamp_us = m->report.stamp;
+	out.tallies = list;
+	out.n_tallies = n;
+	frame.body_case = PAPAYA__FRAME__BODY_ROLLOUT_REPORT;
+	frame.rollout_report = &out;
+	return peer_send(peer, to, &frame);
+}
+
+static bool send_told(peer_t *peer, str_t to, const message_rollout_t *m)
+{
+	Papaya__Frame frame = PAPAYA__FRAME__INIT;
+	Papaya__RolloutTold out = PAPAYA__ROLLOUT_TOLD__INIT;
+
+	out.service = (char *)m->service;
+	out.order = m->told.order;
+	out.term = m->told.term;
+	out.conductor = m->told.conductor;
+	out.stage = m->told.stage;
+	out.granted = m->told.granted;
+	out.process = m->told.process;
+	out.stamp_us = m->told.stamp;
+	out.decided_ms = m->told.decided_ms;
+	frame.body_case = PAPAYA__FRAME__BODY_ROLLOUT_TOLD;
+	frame.rollout_told = &out;
+	return peer_send(peer, to, &frame);
+}
+
+bool rollout_frames_send(peer_t *peer, str_t to, const message_t *m)
+{
+	if (m->type == MESSAGE_ROLLOUT_REPORT)
+		return send_report(peer, to, &m->rollout);
+	return send_told(peer, to, &m->rollout);
+}
+
+static void read_tallies(const Papaya__RolloutReport *in, GArray *out)
+{
+	for (size_t i = 0; i < MIN(in->n_tallies, MAX_TALLIES); i++) {
+		const Papaya__RolloutTally *t = in->tallies[i];
+		rollout_tally_t tally = {
+			.answer = { .route = t->route,
+				    .runner = t->runner,
+				    .timing = t->timing,
+				    .bucket = t->bucket,
+				    .is_target = t->target,
+				    .has_failed = t->failed },
+			.n = t->n,
+		};
+
+		if (t->timing < ROLLOUT_TIMINGS && t->bucket < ROLLOUT_BUCKETS)
+			g_array_append_val(out, tally);
+	}
+}
+
+static bool read_report(const Papaya__RolloutReport *in, message_t *out)
+{
+	message_rollout_t *m = &out->rollout;
+
+	if (in->stage >= ROLLOUT_STAGES ||
+	    !str_copy(m->service, sizeof(m->service), str_from(in->service)))
+		return false;
+	out->type = MESSAGE_ROLLOUT_REPORT;
+	m->report = (rollout_report_t){
+		.order = in->order,
+		.counts = { .process = in->process,
+			    .requests = in->requests,
+			    .granter = in->granter,
+			    .used = in->used,
+			    .returned = in->returned },
+		.stage = in->stage,
+		.term = in->term,
+		.running = in->running,
+		.stamp = in->stamp_us,
+	};
+	m->tallies = g_array_new(FALSE, FALSE, sizeof(rollout_tally_t));
+	read_tallies(in, m->tallies);
+	return true;
+}
+
+static bool read_told(const Papaya__RolloutTold *in, message_t *out)
+{
+	message_rollout_t *m = &out->rollout;
+
+	if (in->stage >= ROLLOUT_STAGES ||
+	    !str_copy(m->service, sizeof(m->service), str_from(in->service)))
+		return false;
+	out->type = MESSAGE_ROLLOUT_TOLD;
+	m->told = (rollout_told_t){
+		.order = in->order,
+		.term = in->term,
+		.conductor = in->conductor,
+		.stage = in->stage,
+		.granted = in->granted,
+		.process = in->process,
+		.stamp = in->stamp_us,
+		.decided_ms = in->decided_ms,
+	};
+	return true;
+}
+
+bool rollout_frames_read(const Papaya__Frame *frame, const char *peer,
+			 message_t *out)
+{
+	*out = (message_t){ .type = MESSAGE_ROLLOUT_TOLD };
+	g_strlcpy(out->rollout.peer, peer, sizeof(out->rollout.peer));
+	if (frame->body_case == PAPAYA__FRAME__BODY_ROLLOUT_REPORT)
+		return read_report(frame->rollout_report, out);
+	if (frame->body_case == PAPAYA__FRAME__BODY_ROLLOUT_TOLD)
+		return read_told(frame->rollout_told, out);
+	return false;
+}
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -94,6 +94,18 @@
 	     "the same in units of the limit, in addition; fleet only"),
 	DURATION(limit_window_ms, 100, DAY_MS, "8000",
 		 "window of the two settings above"),
+	{ "rollouts", OPTION_BOOL, "", 0, 0, "false", FIELD(rollouts),
+	  "follow operators' orders to move a service's traffic to another "
+	  "release; fleet only",
+	  NULL },
+	REAL(rollout_exposure, 0, 1, "0.05",
+	     "share of a service's requests that a release may get before it "
+	     "is found good, over all daemons"),
+	REAL(rollout_exposure_slack, 0, 1000000, "50",
+	     "requests that it may get in addition"),
+	DURATION(rollout_revert_ms, 1, DAY_MS, "5000",
+		 "time after which a release that was found bad gets no "
+		 "request"),
 	DURATION(runners_poll_ms, 50, 60000, "500",
 		 "time between reads of the runners' entries; fleet only"),
 	DURATION(config_wait_ms, 50, 30000, "700",
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -35,6 +35,10 @@
 	double limit_overrun;
 	double limit_slack;
 	int64_t limit_window_ms;
+	bool rollouts;
+	double rollout_exposure;
+	double rollout_exposure_slack;
+	int64_t rollout_revert_ms;
 	int64_t runners_poll_ms;
 	int64_t config_wait_ms;
 	int64_t heartbeat_ms;
--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -29,7 +29,8 @@
 
 	/* The configuration in force stays, whatever the store lost. */
 	if (!entry->value.len)
-		return is_kept && f->topic != STORE_CONFIG;
+		return is_kept && (f->topic != STORE_CONFIG ||
+				   !store_is_config_key(entry->key));
 	return news == ENTRY_NEW || (news == ENTRY_KNOWN && !is_kept);
 }
 
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -11,6 +11,7 @@
 #include "daemon/fleet_view.h"
 #include "daemon/part_records.h"
 #include "daemon/release_record.h"
+#include "daemon/rollout_conductor.h"
 #include "daemon/store_follower.h"
 #include "daemon/stream_recorder.h"
 #include "platform/fleet_json.h"
@@ -36,6 +37,7 @@
 	part_records_t parts; /* in the topic of the daemons */
 	release_record_t releases; /* in the topic of the daemons */
 	stream_recorder_t recorder;
+	rollout_conductor_t rollouts;
 	runner_list_t runner_list;
 	GHashTable *daemon_list; /* name to listed_daemon_t */
 	fleet_t *fleet;
@@ -102,6 +104,7 @@
 		    fleet->version);
 	fleet_unref(s->fleet);
 	s->fleet = fleet;
+	rollout_conductor_set_view(&s->rollouts, s->fleet, s->vms);
 	release_history_set_window(&s->releases.history,
 				   fleet_longest_stream_ms(fleet) * 1000);
 	post_fleet(s);
@@ -182,6 +185,21 @@
 	return ENTRY_NEW;
 }
 
+/*
+ * Keeps an operator's order of a roll-out. Its target's runners are told apart
+ * in the next list of VMs.
+ */
+static entry_news_t apply_order(store_sync_t *s, const store_entry_t *entry)
+{
+	str_t service = store_rollout_service(entry->key);
+
+	if (!service.len || !s->sup->settings->rollouts ||
+	    !rollout_conductor_set_order(&s->rollouts, service, entry->value))
+		return ENTRY_KNOWN;
+	s->daemons_changed = true;
+	return ENTRY_NEW;
+}
+
 /* Keeps a record of another kind; it is read when the topic is listed. */
 static entry_news_t apply_record(const store_sync_t *s,
 				 const store_entry_t *entry)
@@ -203,7 +221,7 @@
 	case STORE_CONFIG:
 		if (store_is_config_key(entry->key) && entry->value.len)
 			return apply_config(s, entry->value);
-		break;
+		return apply_order(s, entry);
 	case STORE_RUNNERS:
 		return apply_runner(s, entry->key, entry->value);
 	case STORE_DAEMONS:
@@ -211,7 +229,8 @@
 		    release_record_is_key(entry->key))
 			return apply_record(s, entry);
 		return apply_daemon(s, entry->key, entry->value);
-	case STORE_STREAMS: /* not followed */
+	case STORE_STREAMS: /* neither is followed */
+	case STORE_STATUS:
 		break;
 	}
 	return ENTRY_KNOWN;
@@ -340,6 +359,8 @@
 	vm_list_unref(s->vms);
 	s->vms = fleet_view_vms(&s->runner_list, s->daemon_list,
 				s->sup->settings);
+	rollout_conductor_split(&s->rollouts, s->vms);
+	rollout_conductor_set_view(&s->rollouts, s->fleet, s->vms);
 	release_record_set_only(&s->releases, s->vms, now);
 	log_event("runners-in-force",
 		  "runners=%u leaving=%u daemons=%u next=%" PRIu64
@@ -499,8 +520,10 @@
 		part_records_on_notice(&s->parts, &m->part);
 	else
 		stream_recorder_handle(&s->recorder, m);
+	rollout_conductor_handle(&s->rollouts, m);
 	/* Sent by the gateway task when it starts, to get the current state. */
 	if (m->type == MESSAGE_VIEW_CHANGED && s->fleet) {
+		rollout_conductor_post_orders(&s->rollouts);
 		post_fleet(s);
 		if (s->vms)
 			post_vms(s);
@@ -532,6 +555,7 @@
 	part_records_init(&s->parts, sup, &s->store, &s->daemons.records);
 	release_record_init(&s->releases, &s->store, &s->daemons.records);
 	stream_recorder_init(&s->recorder, sup, &s->store);
+	rollout_conductor_init(&s->rollouts, sup, &s->store);
 	set_daemon_count(s, INITIAL_DAEMONS);
 	s->publish_timer =
 		supervisor_add_timer(sup, PUBLISH_MS, on_publish_timer, s);
@@ -550,6 +574,7 @@
 	store_follower_finish(&s->daemons);
 	part_records_finish(&s->parts);
 	stream_recorder_finish(&s->recorder);
+	rollout_conductor_finish(&s->rollouts);
 	release_record_finish(&s->releases);
 	event_free(s->publish_timer);
 	event_free(s->export_timer);
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1582,6 +1582,141 @@
   assert(message->base.descriptor == &papaya__stream_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__rollout_tally__init
+                     (Papaya__RolloutTally         *message)
+{
+  static const Papaya__RolloutTally init_value = PAPAYA__ROLLOUT_TALLY__INIT;
+  *message = init_value;
+}
+size_t papaya__rollout_tally__get_packed_size
+                     (const Papaya__RolloutTally *message)
+{
+  assert(message->base.descriptor == &papaya__rollout_tally__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__rollout_tally__pack
+                     (const Papaya__RolloutTally *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__rollout_tally__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__rollout_tally__pack_to_buffer
+                     (const Papaya__RolloutTally *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__rollout_tally__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__RolloutTally *
+       papaya__rollout_tally__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__RolloutTally *)
+     protobuf_c_message_unpack (&papaya__rollout_tally__descriptor,
+                                allocator, len, data);
+}
+void   papaya__rollout_tally__free_unpacked
+                     (Papaya__RolloutTally *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__rollout_tally__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   papaya__rollout_report__init
+                     (Papaya__RolloutReport         *message)
+{
+  static const Papaya__RolloutReport init_value = PAPAYA__ROLLOUT_REPORT__INIT;
+  *message = init_value;
+}
+size_t papaya__rollout_report__get_packed_size
+                     (const Papaya__RolloutReport *message)
+{
+  assert(message->base.descriptor == &papaya__rollout_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__rollout_report__pack
+                     (const Papaya__RolloutReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__rollout_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__rollout_report__pack_to_buffer
+                     (const Papaya__RolloutReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__rollout_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__RolloutReport *
+       papaya__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__RolloutReport *)
+     protobuf_c_message_unpack (&papaya__rollout_report__descriptor,
+                                allocator, len, data);
+}
+void   papaya__rollout_report__free_unpacked
+                     (Papaya__RolloutReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__rollout_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   papaya__rollout_told__init
+                     (Papaya__RolloutTold         *message)
+{
+  static const Papaya__RolloutTold init_value = PAPAYA__ROLLOUT_TOLD__INIT;
+  *message = init_value;
+}
+size_t papaya__rollout_told__get_packed_size
+                     (const Papaya__RolloutTold *message)
+{
+  assert(message->base.descriptor == &papaya__rollout_told__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__rollout_told__pack
+                     (const Papaya__RolloutTold *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__rollout_told__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__rollout_told__pack_to_buffer
+                     (const Papaya__RolloutTold *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__rollout_told__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__RolloutTold *
+       papaya__rollout_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__RolloutTold *)
+     protobuf_c_message_unpack (&papaya__rollout_told__descriptor,
+                                allocator, len, data);
+}
+void   papaya__rollout_told__free_unpacked
+                     (Papaya__RolloutTold *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__rollout_told__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__frame__init
                      (Papaya__Frame         *message)
 {
@@ -4700,7 +4835,446 @@
   (ProtobufCMessageInit) papaya__stream_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[27] =
+static const ProtobufCFieldDescriptor papaya__rollout_tally__field_descriptors[7] =
+{
+  {
+    "route",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTally, route),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "runner",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTally, runner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timing",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTally, timing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bucket",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTally, bucket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTally, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTally, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "n",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTally, n),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__rollout_tally__field_indices_by_name[] = {
+  3,   /* field[3] = bucket */
+  5,   /* field[5] = failed */
+  6,   /* field[6] = n */
+  0,   /* field[0] = route */
+  1,   /* field[1] = runner */
+  4,   /* field[4] = target */
+  2,   /* field[2] = timing */
+};
+static const ProtobufCIntRange papaya__rollout_tally__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor papaya__rollout_tally__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.RolloutTally",
+  "RolloutTally",
+  "Papaya__RolloutTally",
+  "papaya",
+  sizeof(Papaya__RolloutTally),
+  7,
+  papaya__rollout_tally__field_descriptors,
+  papaya__rollout_tally__field_indices_by_name,
+  1,  papaya__rollout_tally__number_ranges,
+  (ProtobufCMessageInit) papaya__rollout_tally__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__rollout_report__field_descriptors[12] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "process",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granter",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, granter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "used",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, used),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "returned",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, returned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stage",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, stage),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tallies",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__RolloutReport, n_tallies),
+    offsetof(Papaya__RolloutReport, tallies),
+    &papaya__rollout_tally__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__rollout_report__field_indices_by_name[] = {
+  4,   /* field[4] = granter */
+  1,   /* field[1] = order */
+  2,   /* field[2] = process */
+  3,   /* field[3] = requests */
+  6,   /* field[6] = returned */
+  9,   /* field[9] = running */
+  0,   /* field[0] = service */
+  7,   /* field[7] = stage */
+  10,   /* field[10] = stamp_us */
+  11,   /* field[11] = tallies */
+  8,   /* field[8] = term */
+  5,   /* field[5] = used */
+};
+static const ProtobufCIntRange papaya__rollout_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor papaya__rollout_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.RolloutReport",
+  "RolloutReport",
+  "Papaya__RolloutReport",
+  "papaya",
+  sizeof(Papaya__RolloutReport),
+  12,
+  papaya__rollout_report__field_descriptors,
+  papaya__rollout_report__field_indices_by_name,
+  1,  papaya__rollout_report__number_ranges,
+  (ProtobufCMessageInit) papaya__rollout_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__rollout_told__field_descriptors[9] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTold, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTold, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTold, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "conductor",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTold, conductor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stage",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTold, stage),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTold, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "process",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTold, process),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stamp_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTold, stamp_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "decided_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutTold, decided_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__rollout_told__field_indices_by_name[] = {
+  3,   /* field[3] = conductor */
+  8,   /* field[8] = decided_ms */
+  5,   /* field[5] = granted */
+  1,   /* field[1] = order */
+  6,   /* field[6] = process */
+  0,   /* field[0] = service */
+  4,   /* field[4] = stage */
+  7,   /* field[7] = stamp_us */
+  2,   /* field[2] = term */
+};
+static const ProtobufCIntRange papaya__rollout_told__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor papaya__rollout_told__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.RolloutTold",
+  "RolloutTold",
+  "Papaya__RolloutTold",
+  "papaya",
+  sizeof(Papaya__RolloutTold),
+  9,
+  papaya__rollout_told__field_descriptors,
+  papaya__rollout_told__field_indices_by_name,
+  1,  papaya__rollout_told__number_ranges,
+  (ProtobufCMessageInit) papaya__rollout_told__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[29] =
 {
   {
     "hello",
@@ -5026,6 +5600,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollout_report",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, rollout_report),
+    &papaya__rollout_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollout_told",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, rollout_told),
+    &papaya__rollout_told__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__frame__field_indices_by_name[] = {
   6,   /* field[6] = cancel */
@@ -5047,6 +5645,8 @@
   1,   /* field[1] = proof */
   18,   /* field[18] = queued */
   5,   /* field[5] = refuse */
+  27,   /* field[27] = rollout_report */
+  28,   /* field[28] = rollout_told */
   19,   /* field[19] = store_ask */
   17,   /* field[17] = store_news */
   26,   /* field[26] = stream_answer */
@@ -5056,10 +5656,11 @@
   3,   /* field[3] = want */
   7,   /* field[7] = withdraw */
 };
-static const ProtobufCIntRange papaya__frame__number_ranges[1 + 1] =
+static const ProtobufCIntRange papaya__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 32, 27 },
+  { 0, 29 }
 };
 const ProtobufCMessageDescriptor papaya__frame__descriptor =
 {
@@ -5069,10 +5670,10 @@
   "Papaya__Frame",
   "papaya",
   sizeof(Papaya__Frame),
-  27,
+  29,
   papaya__frame__field_descriptors,
   papaya__frame__field_indices_by_name,
-  1,  papaya__frame__number_ranges,
+  2,  papaya__frame__number_ranges,
   (ProtobufCMessageInit) papaya__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -50,6 +50,9 @@
 typedef struct Papaya__StreamNotes Papaya__StreamNotes;
 typedef struct Papaya__StreamAsk Papaya__StreamAsk;
 typedef struct Papaya__StreamAnswer Papaya__StreamAnswer;
+typedef struct Papaya__RolloutTally Papaya__RolloutTally;
+typedef struct Papaya__RolloutReport Papaya__RolloutReport;
+typedef struct Papaya__RolloutTold Papaya__RolloutTold;
 typedef struct Papaya__Frame Papaya__Frame;
 
 
@@ -877,6 +880,98 @@
     , 0, 0 }
 
 
+/*
+ * Answers alike of runners of a service that is being rolled out.
+ */
+struct  Papaya__RolloutTally
+{
+  ProtobufCMessage base;
+  uint64_t route;
+  /*
+   * 0 for those of current releases
+   */
+  uint64_t runner;
+  uint32_t timing;
+  /*
+   * of times
+   */
+  uint32_t bucket;
+  protobuf_c_boolean target;
+  protobuf_c_boolean failed;
+  uint32_t n;
+};
+#define PAPAYA__ROLLOUT_TALLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__rollout_tally__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A daemon's report to the conductor of a roll-out; counts only rise.
+ */
+struct  Papaya__RolloutReport
+{
+  ProtobufCMessage base;
+  char *service;
+  uint64_t order;
+  /*
+   * of the daemon
+   */
+  uint64_t process;
+  uint64_t requests;
+  /*
+   * the process that leased what follows
+   */
+  uint64_t granter;
+  uint64_t used;
+  uint64_t returned;
+  /*
+   * that the daemon acts on
+   */
+  uint32_t stage;
+  uint64_t term;
+  /*
+   * requests on runners of other releases
+   */
+  uint32_t running;
+  /*
+   * returned in the answer
+   */
+  int64_t stamp_us;
+  size_t n_tallies;
+  Papaya__RolloutTally **tallies;
+};
+#define PAPAYA__ROLLOUT_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__rollout_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * The answer to it.
+ */
+struct  Papaya__RolloutTold
+{
+  ProtobufCMessage base;
+  char *service;
+  uint64_t order;
+  uint64_t term;
+  uint64_t conductor;
+  uint32_t stage;
+  /*
+   * to the daemon's process, in all
+   */
+  uint64_t granted;
+  uint64_t process;
+  int64_t stamp_us;
+  /*
+   * wall clock; 0: in progress
+   */
+  int64_t decided_ms;
+};
+#define PAPAYA__ROLLOUT_TOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__rollout_told__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 typedef enum {
   PAPAYA__FRAME__BODY__NOT_SET = 0,
   PAPAYA__FRAME__BODY_HELLO = 1,
@@ -905,7 +1000,9 @@
   PAPAYA__FRAME__BODY_PART_NOTICE = 24,
   PAPAYA__FRAME__BODY_STREAM_NOTES = 25,
   PAPAYA__FRAME__BODY_STREAM_ASK = 26,
-  PAPAYA__FRAME__BODY_STREAM_ANSWER = 27
+  PAPAYA__FRAME__BODY_STREAM_ANSWER = 27,
+  PAPAYA__FRAME__BODY_ROLLOUT_REPORT = 32,
+  PAPAYA__FRAME__BODY_ROLLOUT_TOLD = 33
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PAPAYA__FRAME__BODY__CASE)
 } Papaya__Frame__BodyCase;
 
@@ -941,6 +1038,8 @@
     Papaya__StreamNotes *stream_notes;
     Papaya__StreamAsk *stream_ask;
     Papaya__StreamAnswer *stream_answer;
+    Papaya__RolloutReport *rollout_report;
+    Papaya__RolloutTold *rollout_told;
   };
 };
 #define PAPAYA__FRAME__INIT \
@@ -1613,6 +1712,63 @@
 void   papaya__stream_answer__free_unpacked
                      (Papaya__StreamAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__RolloutTally methods */
+void   papaya__rollout_tally__init
+                     (Papaya__RolloutTally         *message);
+size_t papaya__rollout_tally__get_packed_size
+                     (const Papaya__RolloutTally   *message);
+size_t papaya__rollout_tally__pack
+                     (const Papaya__RolloutTally   *message,
+                      uint8_t             *out);
+size_t papaya__rollout_tally__pack_to_buffer
+                     (const Papaya__RolloutTally   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__RolloutTally *
+       papaya__rollout_tally__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__rollout_tally__free_unpacked
+                     (Papaya__RolloutTally *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__RolloutReport methods */
+void   papaya__rollout_report__init
+                     (Papaya__RolloutReport         *message);
+size_t papaya__rollout_report__get_packed_size
+                     (const Papaya__RolloutReport   *message);
+size_t papaya__rollout_report__pack
+                     (const Papaya__RolloutReport   *message,
+                      uint8_t             *out);
+size_t papaya__rollout_report__pack_to_buffer
+                     (const Papaya__RolloutReport   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__RolloutReport *
+       papaya__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__rollout_report__free_unpacked
+                     (Papaya__RolloutReport *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__RolloutTold methods */
+void   papaya__rollout_told__init
+                     (Papaya__RolloutTold         *message);
+size_t papaya__rollout_told__get_packed_size
+                     (const Papaya__RolloutTold   *message);
+size_t papaya__rollout_told__pack
+                     (const Papaya__RolloutTold   *message,
+                      uint8_t             *out);
+size_t papaya__rollout_told__pack_to_buffer
+                     (const Papaya__RolloutTold   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__RolloutTold *
+       papaya__rollout_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__rollout_told__free_unpacked
+                     (Papaya__RolloutTold *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Frame methods */
 void   papaya__frame__init
                      (Papaya__Frame         *message);
@@ -1739,6 +1895,15 @@
 typedef void (*Papaya__StreamAnswer_Closure)
                  (const Papaya__StreamAnswer *message,
                   void *closure_data);
+typedef void (*Papaya__RolloutTally_Closure)
+                 (const Papaya__RolloutTally *message,
+                  void *closure_data);
+typedef void (*Papaya__RolloutReport_Closure)
+                 (const Papaya__RolloutReport *message,
+                  void *closure_data);
+typedef void (*Papaya__RolloutTold_Closure)
+                 (const Papaya__RolloutTold *message,
+                  void *closure_data);
 typedef void (*Papaya__Frame_Closure)
                  (const Papaya__Frame *message,
                   void *closure_data);
@@ -1783,6 +1948,9 @@
 extern const ProtobufCMessageDescriptor papaya__stream_notes__descriptor;
 extern const ProtobufCMessageDescriptor papaya__stream_ask__descriptor;
 extern const ProtobufCMessageDescriptor papaya__stream_answer__descriptor;
+extern const ProtobufCMessageDescriptor papaya__rollout_tally__descriptor;
+extern const ProtobufCMessageDescriptor papaya__rollout_report__descriptor;
+extern const ProtobufCMessageDescriptor papaya__rollout_told__descriptor;
 extern const ProtobufCMessageDescriptor papaya__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/test_rollout.c
+++ b/tests/test_rollout.c
@@ -224,7 +224,7 @@
 
 static void run_conductor(world_t *w, conductor_model_t *c)
 {
-	rollout_view_t view = { DAEMONS, RUNNERS };
+	rollout_view_t view = { DAEMONS, RUNNERS, RUNNERS };
 	rollout_t *r = &c->rollout;
 
 	if (c->is_calling && w->now >= c->call_ends_at) {
@@ -498,7 +498,7 @@
 START_TEST(a_late_conductor_reverts)
 {
 	rollout_t r = new_rollout();
-	rollout_view_t view = { 1, 1 };
+	rollout_view_t view = { 1, 1, 1 };
 	rollout_record_t out;
 
 	rollout_tick(&r, &view, DURATION_MS * MS);
@@ -513,7 +513,7 @@
 START_TEST(a_withdrawn_order_is_reverted)
 {
 	rollout_t r = new_rollout();
-	rollout_view_t view = { 1, 1 };
+	rollout_view_t view = { 1, 1, 1 };
 	rollout_record_t out;
 
 	rollout_on_record(&r, NULL, true, 1, 0);
@@ -526,6 +526,25 @@
 }
 END_TEST
 
+START_TEST(a_release_that_all_runners_have_is_completed)
+{
+	rollout_t r = new_rollout();
+	rollout_view_t view = { 1, 1, 0 };
+	rollout_report_t report = { .order = r.order_id };
+	rollout_record_t out;
+
+	rollout_on_record(&r, NULL, true, 1, 0);
+	ck_assert(rollout_next_record(&r, &out, 1, 0));
+	rollout_on_written(&r, &out, 2);
+	rollout_tick(&r, &view, 3);
+	ck_assert_int_eq(rollout_on_report(&r, "d", &report, 3).stage,
+			 ROLLOUT_MOVED);
+	ck_assert(rollout_next_record(&r, &out, 4, 0));
+	ck_assert_int_eq(out.phase, ROLLOUT_COMPLETED);
+	rollout_finish(&r);
+}
+END_TEST
+
 /* A repeated order is the same one; what was decided stays. */
 START_TEST(a_decided_order_stays_decided)
 {
@@ -614,6 +633,7 @@
 			    G_N_ELEMENTS(stories));
 	tcase_add_test(tests, a_late_conductor_reverts);
 	tcase_add_test(tests, a_withdrawn_order_is_reverted);
+	tcase_add_test(tests, a_release_that_all_runners_have_is_completed);
 	tcase_add_test(tests, a_decided_order_stays_decided);
 	tcase_add_test(tests, a_new_order_begins_anew);
 	tcase_add_test(tests, a_conductor_that_was_replaced_has_no_say);
