--- a/standin/runner.c
+++ b/standin/runner.c
@@ -5,6 +5,8 @@
  * Switches besides those of lib_server.h:
  *   "close_after_run": N  the next N runs close without an answer
  *   "fail_after_run": N   the next N runs answer 500
+ *   "fail_share": P       a share P of the runs (0 to 1) answer 500
+ *   "slow_share": P       a share P of the runs take five times as long
  *   "unhealthy": true     the health check fails, nothing else changes
  *   "mute_store": true    its entry is not renewed
  *   "leaving": true       its entry says that it leaves; exits --drain-ms later
@@ -29,6 +31,7 @@
 	MAX_WAITING = 40, /* requests */
 	STATUS_MISDIRECTED = 421, /* meant for another runner */
 	PATH_SIZE = 256,
+	SLOWNESS = 5, /* factor, of runs by "slow_share" */
 	STORE_TIMEOUT_MS = 1000, /* to connect, and without data */
 };
 
@@ -44,7 +47,7 @@
 
 typedef struct runner {
 	server_t server;
-	const char *store, *service, *zone, *id, *advertise;
+	const char *store, *service, *zone, *id, *advertise, *release;
 	GQueue waiting, running;
 	const char *runs_path; /* NULL: runs are not logged */
 	/* A line "ATTEMPT TEAM" per run, flushed so that it outlives a kill. */
@@ -85,6 +88,12 @@
 	return true;
 }
 
+/* True for the share of all calls that the switch NAME states. */
+static bool has_share(runner_t *r, const char *name)
+{
+	return g_random_double() < server_fault_number(&r->server, name, 0);
+}
+
 static void run_free(run_t *run)
 {
 	if (run->x)
@@ -113,7 +122,8 @@
 		return;
 	if (consume_fault(r, "close_after_run"))
 		exchange_cut(x);
-	else if (consume_fault(r, "fail_after_run"))
+	else if (consume_fault(r, "fail_after_run") ||
+		 has_share(r, "fail_share"))
 		exchange_reply_text(x, HTTP_INTERNAL, "{}");
 	else
 		exchange_reply(x, HTTP_OK,
@@ -177,7 +187,8 @@
 	if (r->events)
 		exchange_stream(run->x);
 	run->timer = evtimer_new(r->server.base, on_run_timer, run);
-	set_timer(run->timer, r->work_ms);
+	set_timer(run->timer,
+		  r->work_ms * (has_share(r, "slow_share") ? SLOWNESS : 1));
 }
 
 static void start_runs(runner_t *r)
@@ -314,13 +325,13 @@
 {
 	static const http_call_ops_t ops = { NULL, NULL, NULL, on_stored };
 	bool is_leaving = server_fault_on(&r->server, "leaving");
-	json_t *entry =
-		json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I}", "service",
-			  r->service, "address", r->advertise, "zone", r->zone,
-			  "version", "1", "slots", (int)r->slots, "state",
-			  is_leaving ? "draining" : "ready", "warmup_left_ms",
-			  0, "sequence", (json_int_t)r->sequence++, "born",
-			  (json_int_t)r->started_ms);
+	json_t *entry = json_pack(
+		"{s:s,s:s,s:s,s:s,s:i,s:s,s:i,s:I,s:I}", "service", r->service,
+		"address", r->advertise, "zone", r->zone, "version", r->release,
+		"slots", (int)r->slots, "state",
+		is_leaving ? "draining" : "ready", "warmup_left_ms", 0,
+		"sequence", (json_int_t)r->sequence++, "born",
+		(json_int_t)r->started_ms);
 	char *text = json_dumps(entry, JSON_COMPACT);
 	char path[PATH_SIZE];
 	http_request_t request = {
@@ -392,6 +403,7 @@
 		       .drain_ms = 3000,
 		       .service = "desk",
 		       .zone = "z1",
+		       .release = "1",
 		       .id = "runner-1" };
 	const char *listen = "127.0.0.1:0";
 	err_t err;
@@ -404,6 +416,7 @@
 		{ "zone", ARG_TEXT, &r.zone,
 		  "availability zone that it is in" },
 		{ "id", ARG_TEXT, &r.id, "id of the runner" },
+		{ "release", ARG_TEXT, &r.release, "of its software" },
 		{ "slots", ARG_NUMBER, &r.slots, "concurrent runs" },
 		{ "work-ms", ARG_NUMBER, &r.work_ms,
 		  "time of a run, or until its first event" },
--- a/standin/store.c
+++ b/standin/store.c
@@ -29,6 +29,7 @@
 		500, /* after a return, until operators have written again */
 	STATUS_FORBIDDEN = 403,
 	STATUS_GONE = 410,
+	STATUS_CONDITION = 412,
 };
 
 /* A read that waits for a record (long polling). */
@@ -149,7 +150,14 @@
 	double lose_answers =
 		server_fault_number(&s->server, "lose_answers", 0);
 	uint64_t first = t->next;
+	int64_t at = exchange_query(x, "at", -1);
 
+	if (at >= 0 && (uint64_t)at != t->next) {
+		exchange_reply(
+			x, STATUS_CONDITION,
+			json_pack("{s:I}", "end_offset", (json_int_t)t->next));
+		return;
+	}
 	if (!topic_append(t, exchange_body(x), clock_wall_ms())) {
 		exchange_reply_text(x, HTTP_BADREQUEST, "{}");
 		return;
