--- a/core/rollout.c
+++ b/core/rollout.c
@@ -4,25 +4,35 @@
 
 enum {
 	US_PER_MS = 1000,
+	MAX_LEFT_MS = INT32_MAX, /* some weeks */
 	BEGIN_US = 3000 * US_PER_MS, /* the target's runners come later */
-	LOOK_US = 200 * US_PER_MS, /* between looks of the judge */
+	LOOK_US = 400 * US_PER_MS, /* between looks of the judge */
 	MIN_SLOT_US = 500 * US_PER_MS, /* of time, for the judge */
 	READ_US = 1000 * US_PER_MS, /* between confirmations of the term */
 	MAX_UNCONFIRMED_US = 2500 * US_PER_MS,
 	/* After another process took it over, until this one may. */
+	MISSING_US = 1500 * US_PER_MS, /* until runners count as gone */
+	ORDERS_LAG_US =
+		300 * US_PER_MS, /* until others' reads are known here */
 	RETAKE_US = 2000 * US_PER_MS,
+	CALL_GAP_US = 100 * US_PER_MS, /* after a call that failed */
 	WRITE_GAP_US = 250 * US_PER_MS, /* between larger reservations */
 	OWNER_LIVE_US = 2 * ROLLOUT_LEASE_US, /* from its last report */
-	MAX_ACK_US = 700 * US_PER_MS, /* for all to hear that it has moved */
+	/* What a daemon said before may have changed with its lease. */
+	FRESH_US = 2 * ROLLOUT_REPORT_MS * US_PER_MS + 100 * US_PER_MS,
 	/* Before the end, for the last messages and the store. */
+	MESSAGES_US = 1000 * US_PER_MS, /* for steps to reach all daemons */
 	MAX_CLOSING_US = 1500 * US_PER_MS,
 	CLOSING_DIVISOR = 8, /* of the duration */
 	MIN_ANSWERS = 10, /* that a release must have to be used */
 };
 
-/* Parts of the duration at which steps end. */
-static const double judged_by = 0.6; /* if it has enough answers */
-static const double must_be_judged_by = 0.75;
+/*
+ * The move takes time, for requests that run on other releases to end, but no
+ * more: until then the target's share is bounded. Parts of the duration.
+ */
+static const double max_move = 0.4;
+static const double usual_move = 0.3; /* if no request's time is known */
 
 /* A share of the target's budget that is used from a part of the time on. */
 typedef struct step {
@@ -63,9 +73,11 @@
 
 void rollout_pool_name(const char *service, const char *target, char *out)
 {
+	g_autofree char *both = g_strdup_printf("%s\n%s", service, target);
+
 	g_snprintf(out, ROLLOUT_POOL_SIZE, "%.*s%c%08x",
 		   ROLLOUT_POOL_SIZE - 1 - POOL_SUFFIX, service, pool_mark,
-		   (unsigned)str_hash(str_from(target)));
+		   (unsigned)str_hash(str_from(both)));
 }
 
 bool rollout_pool_service(const char *pool, char *out)
@@ -162,12 +174,14 @@
 /* Another process may have seen when the order was written. */
 static void correct_end(rollout_t *r, int64_t now, int64_t wall_ms)
 {
-	int64_t left = (r->stored.ends_ms - wall_ms) * US_PER_MS;
 	int64_t duration = r->order.duration_ms * US_PER_MS;
+	int64_t left_ms =
+		CLAMP(r->stored.ends_ms, 0, wall_ms + MAX_LEFT_MS) - wall_ms;
+	int64_t left = MAX(left_ms, 0) * US_PER_MS;
 
 	if (left > duration || now + left >= r->ends_at)
 		return;
-	r->ends_at = now + MAX(left, 0);
+	r->ends_at = now + left;
 	r->began_at = r->ends_at - duration;
 }
 
@@ -207,6 +221,8 @@
 {
 	r->is_read = true;
 	r->read_at = now;
+	if (record && record->term != r->stored.term)
+		r->stored_at = now;
 	r->stored = record ? *record : (rollout_record_t){ .term = 0 };
 	if (is_of_order(r) && !knows_begin)
 		correct_end(r, now, wall_ms);
@@ -218,15 +234,16 @@
 		lose(r, now);
 }
 
-void rollout_on_store_lost(rollout_t *r)
+void rollout_on_store_lost(rollout_t *r, int64_t now)
 {
 	r->is_read = false;
+	r->lost_store_at = now;
 }
 
 bool rollout_needs_read(const rollout_t *r, int64_t now)
 {
 	if (!r->is_read)
-		return true;
+		return now - r->lost_store_at > CALL_GAP_US;
 	if (rollout_is_settled(r))
 		return false;
 	return now - r->read_at > READ_US;
@@ -241,6 +258,9 @@
 	g_strlcpy(out->target, r->order.target, sizeof(out->target));
 	out->ends_ms = wall_ms + (r->ends_at - now) / US_PER_MS;
 	out->term = r->stored.term + !r->is_conducting;
+	g_strlcpy(out->why,
+		  r->why[0] || !is_of_order(r) ? r->why : r->stored.why,
+		  sizeof(out->why));
 	if (is_of_order(r)) {
 		out->budget = r->stored.budget;
 		out->counted = r->stored.counted;
@@ -250,18 +270,23 @@
 	if (r->is_conducting)
 		out->counted = r->budget.counted;
 	out->is_moving |= r->must_move;
-	g_strlcpy(out->why, r->why, sizeof(out->why));
+}
+
+/* Returns the part of the order's duration that is over. */
+static double part_done(const rollout_t *r, int64_t now)
+{
+	return (double)(now - r->began_at) /
+	       (double)MAX(r->ends_at - r->began_at, 1);
 }
 
 static const step_t *current_step(const rollout_t *r, int64_t now)
 {
-	double done = (double)(now - r->began_at) /
-		      (double)MAX(r->ends_at - r->began_at, 1);
+	double done = part_done(r, now);
 	const step_t *step = steps;
 
-	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++)
-		if (done >= steps[i].from)
-			step = &steps[i];
+	for (size_t n = 0; n < G_N_ELEMENTS(steps); n++)
+		if (done >= steps[n].from)
+			step = &steps[n];
 	return step;
 }
 
@@ -274,12 +299,29 @@
 						    current_step(r, now)->part);
 }
 
+/*
+ * A record of another order may be of a newer one: this process must have read
+ * the orders after the record.
+ */
+static bool may_take_over(const rollout_t *r, int64_t now)
+{
+	if (r->lost_at && now - r->lost_at < RETAKE_US)
+		return false;
+	return !r->stored.term || is_of_order(r) ||
+	       r->orders_at > r->stored_at + ORDERS_LAG_US;
+}
+
+void rollout_set_orders_read(rollout_t *r, int64_t at)
+{
+	r->orders_at = MAX(r->orders_at, at);
+}
+
 bool rollout_next_record(rollout_t *r, rollout_record_t *out, int64_t now,
 			 int64_t wall_ms)
 {
 	if (!r->is_read || rollout_is_settled(r))
 		return false;
-	if (!r->is_conducting && r->lost_at && now - r->lost_at < RETAKE_US)
+	if (!r->is_conducting && !may_take_over(r, now))
 		return false;
 	fill_record(r, out, now, wall_ms);
 	if (r->must_revert)
@@ -335,8 +377,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&d)) {
 		if (!is_live(d, now))
 			continue;
-		if (d->stage == r->stage && d->term == r->stored.term &&
-		    !d->running)
+		if (now - d->heard_at < FRESH_US && d->stage == r->stage &&
+		    d->term == r->stored.term && !d->running)
 			ready++;
 		else
 			others++;
@@ -350,13 +392,6 @@
 		   MAX_CLOSING_US);
 }
 
-/* Returns the part of the order's duration that is over. */
-static double part_done(const rollout_t *r, int64_t now)
-{
-	return (double)(now - r->began_at) /
-	       (double)MAX(r->ends_at - r->began_at, 1);
-}
-
 static void set_why(rollout_t *r, const char *what)
 {
 	const rollout_finding_t *f = &r->finding;
@@ -366,20 +401,42 @@
 		   f->answers, f->bad, f->excess, f->score);
 }
 
+/* Returns how long before the end all requests must begin to move. */
+static int64_t move_time(const rollout_t *r)
+{
+	double duration = (double)(r->ends_at - r->began_at);
+	int64_t longest = r->longest + r->longest / 2;
+
+	if (!r->longest)
+		return (int64_t)(usual_move * duration);
+	return (int64_t)MIN((double)(longest + closing_time(r) + MESSAGES_US),
+			    max_move * duration);
+}
+
+/* A list of runners that is read anew may lack some for a moment. */
+static void check_missing(rollout_t *r, int64_t now)
+{
+	if (!r->no_target_since)
+		r->no_target_since = now;
+	if (now - r->no_target_since > MISSING_US)
+		revert(r, "the target has no runner", now);
+}
+
 static void check_tried(rollout_t *r, const rollout_view_t *view, int64_t now)
 {
 	bool is_sound = r->finding.verdict == ROLLOUT_SOUND;
-	double done = part_done(r, now);
+	int64_t left = r->ends_at - now;
+	int64_t move = move_time(r);
 
 	if (r->stored.is_moving) {
 		set_stage(r, ROLLOUT_MOVING, now);
 	} else if (!view->target_runners) {
-		if (done >= must_be_judged_by)
-			revert(r, "the target has no runner", now);
-	} else if (done >= judged_by && is_sound) {
+		if (left <= move)
+			check_missing(r, now);
+	} else if (left <= move && is_sound) {
 		r->must_move = true;
 		set_why(r, "as good as the current release");
-	} else if (done >= must_be_judged_by) {
+	} else if (left <= move * 3 / 4) {
 		/* Few answers, none of which shows that it is worse. */
 		if (r->finding.answers < MIN_ANSWERS) {
 			revert(r, "too few answers to judge the target", now);
@@ -394,7 +451,7 @@
 {
 	r->waiting_for = count_waited_for(r, view, now);
 	if (!view->target_runners)
-		revert(r, "the target has no runner", now);
+		check_missing(r, now);
 	else if (!r->waiting_for || now >= r->ends_at - closing_time(r))
 		set_stage(r, ROLLOUT_MOVED, now);
 }
@@ -402,15 +459,16 @@
 static void check_moved(rollout_t *r, const rollout_view_t *view, int64_t now)
 {
 	r->waiting_for = count_waited_for(r, view, now);
-	if (!r->waiting_for || now - r->stage_at > MAX_ACK_US)
+	if (!r->waiting_for || now >= r->ends_at - closing_time(r) / 2)
 		r->must_complete = true;
 }
 
 static void judge(rollout_t *r, int64_t now)
 {
-	if (now - r->looked_at < LOOK_US)
+	if (now - r->looked_at < LOOK_US || !r->has_answers)
 		return;
 	r->looked_at = now;
+	r->has_answers = false;
 	r->finding = rollout_judge_find(&r->judge);
 	if (r->finding.verdict != ROLLOUT_BAD || r->must_complete)
 		return;
@@ -436,6 +494,8 @@
 
 static void advance(rollout_t *r, const rollout_view_t *view, int64_t now)
 {
+	if (view->target_runners)
+		r->no_target_since = 0;
 	if (r->stage == ROLLOUT_HELD && has_nothing_to_move(r, view, now)) {
 		set_stage(r, ROLLOUT_MOVED, now);
 		r->must_complete = true;
@@ -485,11 +545,10 @@
 {
 	rollout_daemon_t *d = find_daemon(r, name);
 	const step_t *step = current_step(r, now);
-	bool has_say =
-		r->is_conducting || r->must_revert || rollout_is_settled(r);
+	bool has_say = r->is_conducting || rollout_is_settled(r);
 	rollout_told_t told = { .order = r->order_id,
 				.term = has_say ? r->stored.term : 0,
-				.conductor = r->self,
+				.granter = r->budget.granter,
 				.stage = r->stage,
 				.process = report->counts.process,
 				.stamp = report->stamp,
@@ -500,6 +559,9 @@
 	if (d)
 		*d = (rollout_daemon_t){ now, report->stage, report->term,
 					 report->running };
+	if (report->stage == ROLLOUT_TAKEN_BACK && !r->must_complete)
+		revert(r, "found bad by the conductor before", now);
+	r->longest = MAX(r->longest, report->longest);
 	rollout_budget_report(&r->budget, name, &report->counts);
 	told.granted = rollout_budget_lease(
 		&r->budget, name,
@@ -511,4 +573,5 @@
 		       int64_t now)
 {
 	rollout_judge_add(&r->judge, answer, n, now);
+	r->has_answers |= answer->is_target;
 }
--- a/core/rollout.h
+++ b/core/rollout.h
@@ -100,6 +100,7 @@
 	rollout_stage_t stage; /* that it acts on */
 	uint64_t term; /* whose it is */
 	uint32_t running; /* requests on runners of other releases */
+	int64_t longest; /* time of a request that ended there lately */
 	int64_t stamp; /* of its clock; returned in the answer */
 } rollout_report_t;
 
@@ -107,7 +108,7 @@
 typedef struct rollout_told {
 	uint64_t order;
 	uint64_t term; /* 0: nothing, another process may conduct */
-	uint64_t conductor; /* whose leases these are */
+	uint64_t granter; /* id of the leases */
 	rollout_stage_t stage;
 	uint64_t granted; /* to the daemon's process PROCESS, in all */
 	uint64_t process;
@@ -128,6 +129,7 @@
 	uint64_t self; /* unique id of this process */
 	rollout_stage_t stage;
 	rollout_record_t stored; /* as last read or written; term 0: none */
+	int64_t stored_at; /* this record was first read then */
 	bool is_read; /* the store's record is known */
 	bool is_conducting; /* the store has this process's term */
 	bool is_withdrawn;
@@ -137,13 +139,18 @@
 	int64_t read_at; /* the record, or its write confirmed */
 	int64_t confirmed_at; /* the store had this process's term */
 	int64_t lost_at; /* another process took it over; 0: none */
+	int64_t lost_store_at; /* the last call failed; 0: none did */
 	int64_t written_at;
+	int64_t no_target_since; /* the target has no runner; 0: it has */
+	int64_t orders_at; /* the operators' topic is known to its end then */
 	int64_t stage_at;
 	int64_t looked_at; /* last look of the judge */
+	bool has_answers; /* of the target, since then */
 	uint32_t waiting_for; /* daemons, before the next stage */
 	rollout_budget_t budget;
 	rollout_judge_t judge;
 	rollout_finding_t finding;
+	int64_t longest; /* request on other releases that daemons reported */
 	GHashTable *owners; /* name to rollout_daemon_t */
 	char why[ROLLOUT_WHY_SIZE]; /* of the last decision */
 } rollout_t;
@@ -156,6 +163,8 @@
 void rollout_withdraw(rollout_t *r);
 /* The order can't be followed, for the reason given: nothing is tried. */
 void rollout_refuse(rollout_t *r, const char *why, int64_t now);
+/* The operators' topic was known to its end at AT: there was no newer order. */
+void rollout_set_orders_read(rollout_t *r, int64_t at);
 /*
  * The store's record was read; NULL: there is none. Records of other orders
  * only show the term. KNOWS_BEGIN: this process saw when the order was written.
@@ -163,7 +172,7 @@
 void rollout_on_record(rollout_t *r, const rollout_record_t *record,
 		       bool knows_begin, int64_t now, int64_t wall_ms);
 /* It could not be read, or a write's outcome is not known. */
-void rollout_on_store_lost(rollout_t *r);
+void rollout_on_store_lost(rollout_t *r, int64_t now);
 /*
  * Returns true with the record to be written now, under the condition that the
  * store has nothing newer than what was last read.
--- a/core/rollout_share.c
+++ b/core/rollout_share.c
@@ -1,5 +1,7 @@
 #include "core/rollout_share.h"
 
+#include "common/str.h"
+
 /*
  * Parts of the bound that aren't used: requests may be counted here that the
  * operator counts later or not at all, such as one that its caller gave up.
@@ -37,12 +39,28 @@
 	g_clear_pointer(&b->owners, g_hash_table_destroy);
 }
 
+/* Unlike any other process's, and any of this one's before. */
+static uint64_t new_granter(const rollout_budget_t *b)
+{
+	const uint64_t parts[] = { b->self, b->takeovers + 1 };
+
+	return str_hash((str_t){ (const char *)parts, sizeof(parts) }) | 1;
+}
+
 void rollout_budget_begin(rollout_budget_t *b, uint64_t reserved,
 			  uint64_t counted)
 {
-	if (reserved > b->reserved) {
-		b->before += reserved - b->reserved;
-		b->reserved = reserved;
+	GHashTableIter iter;
+	rollout_owner_t *o;
+
+	b->reserved = MAX(b->reserved, reserved);
+	b->before = b->reserved;
+	b->leased = 0;
+	b->granter = new_granter(b);
+	g_hash_table_iter_init(&iter, b->owners);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&o)) {
+		o->granted = o->counts.used = o->counts.returned = 0;
+		o->credit = 0;
 	}
 	/* Another conductor may have counted what daemons report next. */
 	b->counted = counted;
@@ -78,7 +96,7 @@
 {
 	uint64_t news;
 
-	if (counts->granter != b->self ||
+	if (counts->granter != b->granter ||
 	    counts->used + counts->returned > o->granted ||
 	    counts->returned <= o->counts.returned)
 		return;
--- a/core/rollout_share.h
+++ b/core/rollout_share.h
@@ -35,7 +35,7 @@
 typedef struct rollout_counts {
 	uint64_t process; /* unique id of the daemon's process */
 	uint64_t requests; /* of the service, sent to any runner */
-	/* Of what the conductor's process GRANTER leased: */
+	/* Of what was leased under the id GRANTER: */
 	uint64_t granter;
 	uint64_t used; /* requests that were sent to the target */
 	uint64_t returned; /* leases that ended unused */
@@ -45,12 +45,13 @@
 
 typedef struct rollout_budget {
 	uint64_t self; /* unique id of this process */
+	uint64_t granter; /* id of its leases since it last took over */
 	double share; /* of the requests */
 	double slack; /* requests */
 	uint64_t counted; /* requests of the service since the order */
 	uint64_t reserved; /* by all conductors so far, in the store */
 	uint64_t leased; /* of it, by this process, and not returned */
-	uint64_t before; /* of it, by other processes */
+	uint64_t before; /* of it, before this process last took over */
 	uint64_t takeovers; /* how often this process began to conduct */
 	GHashTable *owners; /* name to rollout_owner_t */
 } rollout_budget_t;
@@ -59,8 +60,9 @@
 			 double slack);
 void rollout_budget_finish(rollout_budget_t *b);
 /*
- * This process begins to conduct, at first or again: it never leases what others
- * reserved before, and counts on from the store's record.
+ * This process begins to conduct, at first or again: it never leases what was
+ * reserved before, by itself or others, and counts on from the store's record.
+ * Its leases get a new id, as daemons may have had others in between.
  */
 void rollout_budget_begin(rollout_budget_t *b, uint64_t reserved,
 			  uint64_t counted);
@@ -87,7 +89,7 @@
 /* The side of a daemon that sends requests. */
 
 typedef struct rollout_lease {
-	uint64_t granter; /* process that leases; 0: none */
+	uint64_t granter; /* id of the leases; 0: none */
 	uint64_t granted; /* by it, in all */
 	uint64_t used;
 	uint64_t returned;
@@ -96,8 +98,8 @@
 } rollout_lease_t;
 
 /*
- * The conductor's process GRANTER has leased GRANTED in all, in answer to the
- * report that was sent at SENT_AT.
+ * The conductor has leased GRANTED in all under the id GRANTER, in answer to
+ * the report that was sent at SENT_AT.
  */
 void rollout_lease_set(rollout_lease_t *l, uint64_t granter, uint64_t granted,
 		       int64_t sent_at, int64_t now);
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -9,6 +9,8 @@
 	{ "publish", "publish a profile or service", ctl_publish },
 	{ "profiles", "list the documents in force", ctl_profiles },
 	{ "status", "show the state of every daemon", ctl_status },
+	{ "rollouts", "show the roll-outs that a daemon follows, and why",
+	  ctl_rollouts },
 	{ "drain", "tell a daemon to finish and exit", ctl_drain },
 	{ "report", "sum up useful work and waste", ctl_report },
 	{ "summarize", "keep the accounts' sums past the log's retention",
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -40,6 +40,7 @@
 int ctl_publish(ctl_t *ctl, int argc, char **argv);
 int ctl_profiles(ctl_t *ctl, int argc, char **argv);
 int ctl_status(ctl_t *ctl, int argc, char **argv);
+int ctl_rollouts(ctl_t *ctl, int argc, char **argv);
 int ctl_drain(ctl_t *ctl, int argc, char **argv);
 int ctl_report(ctl_t *ctl, int argc, char **argv);
 int ctl_summarize(ctl_t *ctl, int argc, char **argv);
--- a/daemon/admin_task.c
+++ b/daemon/admin_task.c
@@ -17,6 +17,7 @@
 	struct evhttp *ready_http; /* for the load balancer, or NULL */
 	config_view_t *config;
 	vm_list_t *vms;
+	GArray *rollouts; /* rollout_state_t; NULL: none are followed */
 	bool accepts_keys; /* idempotency keys, by MESSAGE_KEYS_READY */
 } admin_t;
 
@@ -107,6 +108,47 @@
 			"documents", list_documents(a)));
 }
 
+static json_t *describe_rollout(const admin_t *a, const rollout_state_t *s)
+{
+	const rollout_finding_t *f = &s->finding;
+	g_autofree char *label =
+		g_strdup_printf("service=\"%s\"", s->order.service);
+	rollout_stage_t applied = (rollout_stage_t)metrics_get(
+		&a->sup->metrics, "papaya_rollout_applied_stage", label);
+
+	return json_pack(
+		"{s:s, s:s, s:I, s:b, s:s, s:s, s:b, s:s, s:I, s:I, s:I, s:I, "
+		"s:i, s:i, s:f, s:f, s:i, s:i, s:i, s:I}",
+		"service", s->order.service, "target", s->order.target,
+		"duration_ms", (json_int_t)s->order.duration_ms, "conducts",
+		s->is_conducted, "applied", rollout_stage_name(applied),
+		"stage", s->is_conducted ? rollout_stage_name(s->stage) : "-",
+		"settled", s->is_settled, "why", s->why, "term",
+		(json_int_t)s->term, "requests", (json_int_t)s->requests,
+		"budget", (json_int_t)s->budget, "leased",
+		(json_int_t)s->leased, "answers", (int)f->answers, "bad",
+		(int)f->bad, "excess", f->excess, "score", f->score,
+		"target_runners", (int)s->view.target_runners, "other_runners",
+		(int)s->view.other_runners, "waiting_for", (int)s->waiting_for,
+		"left_ms", (json_int_t)s->left_ms);
+}
+
+static void reply_rollouts(admin_t *a, struct evhttp_request *req)
+{
+	json_t *rollouts = json_array();
+
+	for (guint i = 0; a->rollouts && i < a->rollouts->len; i++)
+		json_array_append_new(
+			rollouts,
+			describe_rollout(a,
+					 &g_array_index(a->rollouts,
+							rollout_state_t, i)));
+	reply_json(req, HTTP_OK,
+		   json_pack("{s:s, s:s, s:o}", "name", a->sup->settings->name,
+			     "zone", a->sup->settings->zone, "rollouts",
+			     rollouts));
+}
+
 static void reply_metrics(admin_t *a, struct evhttp_request *req)
 {
 	g_autoptr(GString) text = g_string_new(NULL);
@@ -139,6 +181,8 @@
 		reply_config(a, req);
 	} else if (!strcmp(path, "/admin/status") && !is_post) {
 		reply_status(a, req);
+	} else if (!strcmp(path, "/admin/rollouts") && !is_post) {
+		reply_rollouts(a, req);
 	} else if (!strcmp(path, "/admin/drain") && is_post) {
 		supervisor_drain(a->sup);
 		reply_json(req, 202, json_pack("{s:b}", "draining", 1));
@@ -190,6 +234,9 @@
 	if (m->type == MESSAGE_CONFIG && a->config != m->config) {
 		config_view_unref(a->config);
 		a->config = config_view_ref(m->config);
+	} else if (m->type == MESSAGE_ROLLOUT_STATES) {
+		g_clear_pointer(&a->rollouts, g_array_unref);
+		a->rollouts = g_array_ref(m->rollout_states);
 	} else if (m->type == MESSAGE_KEYS_READY) {
 		a->accepts_keys = m->number || a->sup->settings->fleet;
 	}
@@ -203,6 +250,7 @@
 		evhttp_free(a->ready_http);
 	evhttp_free(a->http);
 	config_view_unref(a->config);
+	g_clear_pointer(&a->rollouts, g_array_unref);
 	g_free(a);
 }
 
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -167,6 +167,9 @@
 	case MESSAGE_ROLLOUT_ORDERS:
 		g_clear_pointer(&m->rollout_orders, g_array_unref);
 		break;
+	case MESSAGE_ROLLOUT_STATES:
+		g_clear_pointer(&m->rollout_states, g_array_unref);
+		break;
 	case MESSAGE_ROLLOUT_REPORT:
 		g_clear_pointer(&m->rollout.tallies, g_array_unref);
 		break;
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -101,6 +101,7 @@
 	MESSAGE_ROLLOUT_HOST, /* peers to store: does this daemon conduct? */
 	MESSAGE_ROLLOUT_REPORT, /* front to peers to store, which conducts */
 	MESSAGE_ROLLOUT_TOLD, /* store to peers to front: the answer to it */
+	MESSAGE_ROLLOUT_STATES, /* store to admin: all roll-outs, for operators */
 	MESSAGE_LINK_UP, /* peers to capacity, front: a link to a daemon is up */
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: incarnation ended */
 	MESSAGE_REQUEST_LISTS, /* store to peers: request a daemon's lists */
@@ -270,6 +271,21 @@
 	GArray *tallies; /* REPORT: of rollout_tally_t */
 } message_rollout_t;
 
+/* What the conductor knows of a roll-out; another daemon: only the order. */
+typedef struct rollout_state {
+	rollout_order_t order;
+	bool is_conducted; /* by this daemon */
+	bool is_settled; /* the store has the decision */
+	rollout_stage_t stage;
+	uint64_t term;
+	uint64_t requests, budget, leased;
+	rollout_finding_t finding;
+	rollout_view_t view;
+	uint32_t waiting_for; /* daemons, before the next stage */
+	int64_t left_ms;
+	char why[ROLLOUT_WHY_SIZE];
+} rollout_state_t;
+
 typedef struct message_account {
 	accounts_key_t key;
 	accounts_sum_t delta;
@@ -315,6 +331,7 @@
 		message_part_t part;
 		message_streams_t streams;
 		GArray *rollout_orders; /* of rollout_order_t */
+		GArray *rollout_states; /* of rollout_state_t */
 		message_rollout_t rollout;
 		message_account_t account;
 		message_append_t append;
--- a/daemon/relay_rollout.c
+++ b/daemon/relay_rollout.c
@@ -36,6 +36,7 @@
 	uint64_t requests; /* of the service, sent to any runner */
 	GArray *tallies; /* rollout_tally_t; answers since the last report */
 	int64_t reported_at;
+	int64_t longest; /* request that ended on another release, since then */
 	/* Listed runners, and not leaving: of the target, of other releases. */
 	uint32_t target_runners, other_runners;
 	uint32_t newer_runners; /* of these, started after the decision */
@@ -371,6 +372,15 @@
 			   false);
 }
 
+/* How long the runners of other releases may need to end what they have. */
+static void note_time(const relay_t *r, int64_t time)
+{
+	gateway_rollout_t *o = find(r);
+
+	if (o && !is_target(o, r->runner.release))
+		o->longest = MAX(o->longest, time);
+}
+
 void relay_on_done(relay_t *r, done_result_t result)
 {
 	int64_t now = now_us();
@@ -391,6 +401,7 @@
 	default:
 		break;
 	}
+	note_time(r, now - r->rollout.sent_at);
 	/* The share is used up, unless nothing was sent. */
 	if (result != DONE_UNREACHABLE && result != DONE_LEAVING)
 		r->rollout.has_share = false;
@@ -472,6 +483,8 @@
 	report->term = o->term;
 	report->running = count_running(g, o);
 	report->stamp = now;
+	report->longest = o->longest;
+	o->longest = 0;
 	m.rollout.tallies = o->tallies;
 	o->tallies = g_array_new(FALSE, FALSE, sizeof(rollout_tally_t));
 	supervisor_post(g->sup, TASK_PEERS, &m);
@@ -542,7 +555,7 @@
 	o->told = told->stage;
 	o->decided_ms = told->decided_ms;
 	if (told->process == g->sup->boot_id)
-		rollout_lease_set(&o->lease, told->conductor, told->granted,
+		rollout_lease_set(&o->lease, told->granter, told->granted,
 				  told->stamp, now);
 	if (o->told != ROLLOUT_TRYING)
 		rollout_lease_drop(&o->lease);
--- a/daemon/rollout_conductor.c
+++ b/daemon/rollout_conductor.c
@@ -11,6 +11,7 @@
 enum {
 	US_PER_MS = 1000,
 	TICK_MS = 50,
+	STATES_US = 1000 * US_PER_MS, /* between two for the admin task */
 	RETRY_US = 300 * US_PER_MS, /* after a call to the store failed */
 	/* Orders that are read so soon may have been written before. */
 	STARTUP_US = 2000 * US_PER_MS,
@@ -71,7 +72,7 @@
 	c->retry_at = now_us() + RETRY_US;
 	g_hash_table_iter_init(&iter, c->items);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&item))
-		rollout_on_store_lost(&item->rollout);
+		rollout_on_store_lost(&item->rollout, now_us());
 }
 
 static void log_failure(const rollout_conductor_t *c, const err_t *err)
@@ -230,6 +231,46 @@
 	}
 }
 
+static rollout_state_t describe(const rollout_conductor_t *c,
+				const rollout_item_t *item, int64_t now)
+{
+	const rollout_t *r = &item->rollout;
+	rollout_state_t s = { .order = r->order,
+			      .is_conducted = c->is_host,
+			      .is_settled = rollout_is_settled(r),
+			      .stage = r->stage,
+			      .term = r->stored.term,
+			      .requests = r->budget.counted,
+			      .budget = r->budget.reserved,
+			      .leased = r->budget.leased,
+			      .finding = r->finding,
+			      .view = look(c, item),
+			      .waiting_for = r->waiting_for,
+			      .left_ms = (r->ends_at - now) / US_PER_MS };
+
+	g_strlcpy(s.why, r->why, sizeof(s.why));
+	return s;
+}
+
+static void post_states(rollout_conductor_t *c, int64_t now)
+{
+	message_t m = { .type = MESSAGE_ROLLOUT_STATES };
+	GHashTableIter iter;
+	rollout_item_t *item;
+
+	if (now - c->states_at < STATES_US)
+		return;
+	c->states_at = now;
+	m.rollout_states = g_array_new(FALSE, FALSE, sizeof(rollout_state_t));
+	g_hash_table_iter_init(&iter, c->items);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&item)) {
+		rollout_state_t state = describe(c, item, now);
+
+		g_array_append_val(m.rollout_states, state);
+	}
+	supervisor_post(c->sup, TASK_ADMIN, &m);
+}
+
 static void on_timer(evutil_socket_t fd, short what, void *arg)
 {
 	rollout_conductor_t *c = arg;
@@ -237,6 +278,7 @@
 	rollout_item_t *item;
 	int64_t now = now_us();
 
+	post_states(c, now);
 	if (!c->is_host)
 		return;
 	g_hash_table_iter_init(&iter, c->items);
@@ -316,6 +358,16 @@
 	return true;
 }
 
+void rollout_conductor_set_orders_read(rollout_conductor_t *c, int64_t at)
+{
+	GHashTableIter iter;
+	rollout_item_t *item;
+
+	g_hash_table_iter_init(&iter, c->items);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&item))
+		rollout_set_orders_read(&item->rollout, at);
+}
+
 bool rollout_conductor_set_order(rollout_conductor_t *c, str_t service,
 				 str_t text)
 {
--- a/daemon/rollout_conductor.h
+++ b/daemon/rollout_conductor.h
@@ -24,6 +24,7 @@
 	bool has_end; /* END is what the store last confirmed */
 	int64_t retry_at; /* after a failed call: no other before */
 	int64_t started_at;
+	int64_t states_at; /* the admin task was last told of the states */
 	char writing[FLEET_NAME_SIZE]; /* service whose record is written */
 	rollout_record_t record; /* that is written */
 	struct event *timer;
@@ -40,6 +41,8 @@
  */
 bool rollout_conductor_set_order(rollout_conductor_t *c, str_t service,
 				 str_t text);
+/* The operators' topic was known to its end at AT. */
+void rollout_conductor_set_orders_read(rollout_conductor_t *c, int64_t at);
 /* Handles ROLLOUT_HOST, ROLLOUT_REPORT and DAEMON_COUNT. */
 void rollout_conductor_handle(rollout_conductor_t *c, const message_t *m);
 /*
--- a/daemon/rollout_frames.c
+++ b/daemon/rollout_frames.c
@@ -1,6 +1,10 @@
 #include "daemon/rollout_frames.h"
 
-enum { MAX_TALLIES = 1024 /* of one report; further ones are ignored */ };
+enum {
+	US_PER_MS = 1000,
+	MAX_TALLIES = 1024, /* of one report; further ones are ignored */
+	MAX_ALIKE = 100000, /* answers that a tally may stand for */
+};
 
 static void write_tally(const rollout_tally_t *t, Papaya__RolloutTally *out)
 {
@@ -41,6 +45,8 @@
 	out.term = m->report.term;
 	out.running = m->report.running;
 	out.stamp_us = m->report.stamp;
+	out.longest_ms =
+		(uint32_t)MIN(m->report.longest / US_PER_MS, UINT32_MAX);
 	out.tallies = list;
 	out.n_tallies = n;
 	frame.body_case = PAPAYA__FRAME__BODY_ROLLOUT_REPORT;
@@ -56,7 +62,7 @@
 	out.service = (char *)m->service;
 	out.order = m->told.order;
 	out.term = m->told.term;
-	out.conductor = m->told.conductor;
+	out.granter = m->told.granter;
 	out.stage = m->told.stage;
 	out.granted = m->told.granted;
 	out.process = m->told.process;
@@ -88,7 +94,8 @@
 			.n = t->n,
 		};
 
-		if (t->timing < ROLLOUT_TIMINGS && t->bucket < ROLLOUT_BUCKETS)
+		if (t->timing < ROLLOUT_TIMINGS &&
+		    t->bucket < ROLLOUT_BUCKETS && t->n <= MAX_ALIKE)
 			g_array_append_val(out, tally);
 	}
 }
@@ -112,6 +119,7 @@
 		.term = in->term,
 		.running = in->running,
 		.stamp = in->stamp_us,
+		.longest = (int64_t)in->longest_ms * US_PER_MS,
 	};
 	m->tallies = g_array_new(FALSE, FALSE, sizeof(rollout_tally_t));
 	read_tallies(in, m->tallies);
@@ -129,7 +137,7 @@
 	m->told = (rollout_told_t){
 		.order = in->order,
 		.term = in->term,
-		.conductor = in->conductor,
+		.granter = in->granter,
 		.stage = in->stage,
 		.granted = in->granted,
 		.process = in->process,
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -401,6 +401,8 @@
 		part_records_load(&s->parts, now);
 		release_record_load(&s->releases, now);
 	}
+	rollout_conductor_set_orders_read(&s->rollouts,
+					  s->config.state.updated_at);
 	part_records_tick(&s->parts, epoch, now);
 	stream_recorder_tick(&s->recorder, epoch, now);
 	publish_changes(s);
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -4951,7 +4951,7 @@
   (ProtobufCMessageInit) papaya__rollout_tally__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__rollout_report__field_descriptors[12] =
+static const ProtobufCFieldDescriptor papaya__rollout_report__field_descriptors[13] =
 {
   {
     "service",
@@ -5097,9 +5097,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "longest_ms",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RolloutReport, longest_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__rollout_report__field_indices_by_name[] = {
   4,   /* field[4] = granter */
+  12,   /* field[12] = longest_ms */
   1,   /* field[1] = order */
   2,   /* field[2] = process */
   3,   /* field[3] = requests */
@@ -5115,7 +5128,7 @@
 static const ProtobufCIntRange papaya__rollout_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor papaya__rollout_report__descriptor =
 {
@@ -5125,7 +5138,7 @@
   "Papaya__RolloutReport",
   "papaya",
   sizeof(Papaya__RolloutReport),
-  12,
+  13,
   papaya__rollout_report__field_descriptors,
   papaya__rollout_report__field_indices_by_name,
   1,  papaya__rollout_report__number_ranges,
@@ -5171,12 +5184,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "conductor",
+    "granter",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Papaya__RolloutTold, conductor),
+    offsetof(Papaya__RolloutTold, granter),
     NULL,
     NULL,
     0,             /* flags */
@@ -5244,9 +5257,9 @@
   },
 };
 static const unsigned papaya__rollout_told__field_indices_by_name[] = {
-  3,   /* field[3] = conductor */
   8,   /* field[8] = decided_ms */
   5,   /* field[5] = granted */
+  3,   /* field[3] = granter */
   1,   /* field[1] = order */
   6,   /* field[6] = process */
   0,   /* field[0] = service */
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -919,7 +919,7 @@
   uint64_t process;
   uint64_t requests;
   /*
-   * the process that leased what follows
+   * id of the leases that follow
    */
   uint64_t granter;
   uint64_t used;
@@ -939,10 +939,14 @@
   int64_t stamp_us;
   size_t n_tallies;
   Papaya__RolloutTally **tallies;
+  /*
+   * request that ended there lately
+   */
+  uint32_t longest_ms;
 };
 #define PAPAYA__ROLLOUT_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__rollout_report__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -954,7 +958,10 @@
   char *service;
   uint64_t order;
   uint64_t term;
-  uint64_t conductor;
+  /*
+   * id of the leases
+   */
+  uint64_t granter;
   uint32_t stage;
   /*
    * to the daemon's process, in all
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -102,6 +102,11 @@
 	stream_release_t last_ask;
 	bool was_ask_from_memory;
 	int streams_noted; /* sent to recorders */
+	/* Pools of roll-outs are granted runner 1, and services runner 0. */
+	bool follows_pools;
+	int rollout_reports;
+	message_rollout_t last_rollout; /* the latest report, without tallies */
+	int target_answers, target_failures; /* in all reports */
 	int part_records; /* changes of records in the platform's store */
 	message_part_t last_part_record;
 	done_result_t last_done;
