--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -88,6 +88,14 @@
 	fixture->error = err ? err->code : ERR_NONE;
 }
 
+static void on_appended(void *ctx, uint64_t end, const err_t *err)
+{
+	fixture_t *fixture = ctx;
+
+	on_done(fixture, err);
+	fixture->next = end;
+}
+
 static void run(fixture_t *fixture)
 {
 	gint64 limit = g_get_monotonic_time() + LIMIT_US;
@@ -278,6 +286,41 @@
 }
 END_TEST
 
+/* Guards against a writer that was replaced and writes nevertheless. */
+START_TEST(an_append_under_a_condition)
+{
+	static const struct {
+		const char *status, *body;
+		err_code_t error;
+		uint64_t end;
+	} cases[] = {
+		{ "200 OK", "{\"offset\":7,\"end_offset\":8}", ERR_NONE, 8 },
+		{ "412 Failed", "{\"end_offset\":9}", ERR_CONFLICT, 0 },
+		{ "503 Down", "{}", ERR_UNAVAILABLE, 0 },
+		{ "200 OK", "{\"offset\":7}", ERR_INVALID, 0 },
+		{ "200 OK", "nonsense", ERR_INVALID, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		fixture_t fixture;
+
+		fixture_init(&fixture);
+		fixture.replies[0] = answer(cases[i].status, cases[i].body,
+					    strlen(cases[i].body));
+		ck_assert(store_append_at(&fixture.store, STORE_STATUS, 7,
+					  STR_LIT("key"), STR_LIT("text"),
+					  on_appended, &fixture, NULL));
+		run(&fixture);
+		ck_assert_msg(fixture.error == cases[i].error &&
+				      fixture.next == cases[i].end,
+			      "case %zu: %d", i, fixture.error);
+		ck_assert_ptr_nonnull(strstr(fixture.request_log->str,
+					     "topic=keyed.status&part=0&at=7"));
+		fixture_finish(&fixture);
+	}
+}
+END_TEST
+
 START_TEST(a_silent_connection_times_out)
 {
 	gint64 begun = g_get_monotonic_time();
@@ -298,4 +341,5 @@
 	   a_list_has_the_lowest_epoch_of_its_pages,
 	   records_are_read_as_keys_and_values, answers_without_records,
 	   a_list_is_read_over_several_pages,
-	   an_entry_is_appended_as_one_record, a_silent_connection_times_out)
+	   an_entry_is_appended_as_one_record, an_append_under_a_condition,
+	   a_silent_connection_times_out)
