--- a/core/rollout_judge.c
+++ b/core/rollout_judge.c
@@ -447,12 +447,12 @@
 static void judge_alone(const struct rollout_judge_state *s,
 			rollout_finding_t *f)
 {
-	g_autofree limits_t *limits = g_new0(limits_t, 1);
+	limits_t limits;
 	test_t t = { .rule = SLOW_NEVER };
 	uint32_t n = 0, bad = 0;
 
-	find_limits(s, SLOW_NEVER, limits);
-	t.left_out = find_worst(s, &t, limits);
+	find_limits(s, SLOW_NEVER, &limits);
+	t.left_out = find_worst(s, &t, &limits);
 	for (uint32_t i = 0; i < count_kept(s); i++) {
 		const kept_t *k = &s->kept[i];
 
@@ -487,17 +487,17 @@
 {
 	const struct rollout_judge_state *s = j->state;
 	rollout_finding_t f = { .answers = count_answers(s) };
-	g_autofree limits_t *limits = g_new0(limits_t, 1);
+	limits_t limits;
 
 	for (slow_rule_t rule = 0; rule < SLOW_RULES; rule++) {
-		find_limits(s, rule, limits);
-		run_tests(s, rule, 0, limits, &f);
+		find_limits(s, rule, &limits);
+		run_tests(s, rule, 0, &limits, &f);
 		if (s->last_slot >= RECENT_SLOTS)
 			run_tests(s, rule, s->last_slot - RECENT_SLOTS + 1,
-				  limits, &f);
+				  &limits, &f);
 		if (s->last_slot >= LAST_SLOTS)
 			run_tests(s, rule, s->last_slot - LAST_SLOTS + 1,
-				  limits, &f);
+				  &limits, &f);
 	}
 	if (f.verdict != ROLLOUT_BAD)
 		judge_alone(s, &f);
--- a/daemon/rollout_frames.c
+++ b/daemon/rollout_frames.c
@@ -6,16 +6,19 @@
 	MAX_ALIKE = 100000, /* answers that a tally may stand for */
 };
 
-static void write_tally(const rollout_tally_t *t, Papaya__RolloutTally *out)
+static void add_tally(const rollout_tally_t *t, GPtrArray *out)
 {
-	papaya__rollout_tally__init(out);
-	out->route = t->answer.route;
-	out->runner = t->answer.is_target ? t->answer.runner : 0;
-	out->timing = t->answer.timing;
-	out->bucket = t->answer.bucket;
-	out->target = t->answer.is_target;
-	out->failed = t->answer.has_failed;
-	out->n = t->n;
+	Papaya__RolloutTally *tally = g_new(Papaya__RolloutTally, 1);
+
+	papaya__rollout_tally__init(tally);
+	tally->route = t->answer.route;
+	tally->runner = t->answer.is_target ? t->answer.runner : 0;
+	tally->timing = t->answer.timing;
+	tally->bucket = t->answer.bucket;
+	tally->target = t->answer.is_target;
+	tally->failed = t->answer.has_failed;
+	tally->n = t->n;
+	g_ptr_array_add(out, tally);
 }
 
 static bool send_report(peer_t *peer, str_t to, const message_rollout_t *m)
@@ -23,17 +26,11 @@
 	Papaya__Frame frame = PAPAYA__FRAME__INIT;
 	Papaya__RolloutReport out = PAPAYA__ROLLOUT_REPORT__INIT;
 	const rollout_counts_t *counts = &m->report.counts;
-	guint n = m->tallies ? m->tallies->len : 0;
-	g_autofree Papaya__RolloutTally *tallies =
-		g_new(Papaya__RolloutTally, n + 1);
-	g_autofree Papaya__RolloutTally **list =
-		g_new(Papaya__RolloutTally *, n + 1);
+	g_autoptr(GPtrArray) tallies = g_ptr_array_new_with_free_func(g_free);
 
-	for (guint i = 0; i < n; i++) {
-		write_tally(&g_array_index(m->tallies, rollout_tally_t, i),
-			    &tallies[i]);
-		list[i] = &tallies[i];
-	}
+	for (guint i = 0; m->tallies && i < m->tallies->len; i++)
+		add_tally(&g_array_index(m->tallies, rollout_tally_t, i),
+			  tallies);
 	out.service = (char *)m->service;
 	out.order = m->report.order;
 	out.process = counts->process;
@@ -47,8 +44,8 @@
 	out.stamp_us = m->report.stamp;
 	out.longest_ms =
 		(uint32_t)MIN(m->report.longest / US_PER_MS, UINT32_MAX);
-	out.tallies = list;
-	out.n_tallies = n;
+	out.tallies = (Papaya__RolloutTally **)tallies->pdata;
+	out.n_tallies = tallies->len;
 	frame.body_case = PAPAYA__FRAME__BODY_ROLLOUT_REPORT;
 	frame.rollout_report = &out;
 	return peer_send(peer, to, &frame);
--- a/tests/rollouts.c
+++ b/tests/rollouts.c
@@ -33,7 +33,6 @@
 	EXPOSURE_SLACK = 50,
 	REVERT_MS = 5000,
 	DURATION_S = 12,
-	MS_PER_S = 1000,
 	WORK_MS = 40,
 	CALLER_PORT = 8000,
 	STORE_PORT = 7000,
@@ -58,6 +57,8 @@
 	int64_t restart_at; /* all daemons are killed and started again */
 } story_t;
 
+static const int64_t ms_per_s = 1000;
+
 static const story_t stories[] = {
 	{ .name = "good" },
 	{ .name = "fails", .switches = "{\"fail_share\":0.3}" },
@@ -427,7 +428,7 @@
 {
 	int64_t age = 0, before;
 
-	while (age < (DURATION_S + 1) * MS_PER_S) {
+	while (age < (DURATION_S + 1) * ms_per_s) {
 		before = age;
 		sleep_ms(50);
 		age = now_ms() - p->ordered_at;
@@ -455,7 +456,7 @@
 		return;
 	sleep_ms(quiet_at - now_ms());
 	runs = count_runs(p->target);
-	sleep_ms(MS_PER_S);
+	sleep_ms(ms_per_s);
 	p->after = count_runs(p->target) - runs;
 }
 
@@ -482,7 +483,7 @@
 	double most = EXPOSURE * p->n_sent_in_window + EXPOSURE_SLACK;
 	int most_lost = is_disturbed(p->story) ? p->n_sent / MAX_LOST_SHARE : 0;
 	bool ok = !strcmp(p->state, is_bad ? "reverted" : "completed") &&
-		  p->decided_at <= DURATION_S * MS_PER_S &&
+		  p->decided_at <= DURATION_S * ms_per_s &&
 		  (is_bad ? p->exposed <= most : p->exposed >= MIN_TRIED) &&
 		  !p->after && p->n_lost <= most_lost;
 
