--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -8,15 +8,21 @@
 
 #include "common/log.h"
 #include "core/runner_group.h"
+#include "daemon/early_wants.h"
 #include "daemon/load_poll.h"
 #include "daemon/supervisor.h"
 
 enum {
+	US_PER_MS = 1000,
 	TICK_MS = 10,
 	MAX_RUNNING = 100000, /* grants in progress per dispatcher */
 	EXPORT_MS = 500, /* between updates of the metrics */
+	PERCENT = 100,
 };
 
+/* Part of an engine's memory that is nearly all of it. */
+static const double full_memory = 0.9;
+
 typedef struct capacity capacity_t;
 
 /* The dispatcher of one service, or of one group of its runners. */
@@ -43,6 +49,7 @@
 	config_view_t *config;
 	vm_list_t *vms;
 	GHashTable *services; /* name to service_t */
+	early_wants_t early; /* received before configuration and VM list */
 	GHashTable *owners; /* boot ID to name of the daemon */
 	GHashTable *partitioned_zones; /* set of zone names */
 	bool is_view_stable; /* of the membership, by MESSAGE_VIEW_STABLE */
@@ -253,6 +260,10 @@
 		.grants_if_idle = set->fleet,
 		.expires_grants = set->fleet,
 		.awaits_list = set->fleet,
+		.uses_stated_load = set->runner_load,
+		.bounds_memory = set->runner_memory,
+		.prefers_connected = set->reuse_connections,
+		.weighs_prompt_cache = set->prompt_cache_weighing,
 		.policy = parse_policy(set->policy),
 	};
 
@@ -398,13 +409,34 @@
 	for_each_owner_of(c, NULL, doubt_grants);
 }
 
+/* Outside a fleet there may be no VM list at all. */
+static bool is_too_early(const capacity_t *c)
+{
+	return c->sup->settings->fleet && (!c->config || !c->vms);
+}
+
+/* Keeps a want until it can be decided. Returns false if it can be now. */
+static bool keep_early_want(capacity_t *c, const message_capacity_t *request)
+{
+	if (!is_too_early(c))
+		return false;
+	if (!early_wants_add(&c->early, request))
+		refuse_unknown_service(c, request);
+	else if (request->peer[0] && !request->running_on[0])
+		post_queued(c, request);
+	return true;
+}
+
 static void handle_want(capacity_t *c, const message_capacity_t *request)
 {
-	service_t *s = find_service(c, request->service);
 	want_t want = request->want;
+	service_t *s;
 
 	/* Owners confirm their grants only once, right after a stall. */
 	check_stall(c);
+	if (keep_early_want(c, request))
+		return;
+	s = find_service(c, request->service);
 	if (!s) {
 		refuse_unknown_service(c, request);
 		return;
@@ -422,6 +454,22 @@
 		handle_new_want(c, s, request, &want);
 }
 
+static void handle_early_wants(capacity_t *c)
+{
+	message_capacity_t *want;
+	guint n = c->early.wants.length;
+
+	if (!n || is_too_early(c))
+		return;
+	log_event("early-wants",
+		  "wants=%u why=\"configuration and runners are known now\"",
+		  n);
+	while ((want = early_wants_pop(&c->early))) {
+		handle_want(c, want);
+		g_free(want);
+	}
+}
+
 static void set_owner_lost(dispatcher_t *d, uint64_t owner)
 {
 	dispatcher_owner_lost(d, owner, now_us());
@@ -444,6 +492,7 @@
 
 static void remove_owner(capacity_t *c, const char *peer)
 {
+	early_wants_remove_peer(&c->early, peer);
 	for_each_owner_of(c, peer, set_owner_lost);
 	g_hash_table_foreach_remove(c->owners, is_of_peer, (void *)peer);
 }
@@ -477,6 +526,12 @@
 	s->n_expired_logged = stats.expired;
 	metrics_set(m, "papaya_dispatcher_forgotten_total", label,
 		    stats.expired);
+	metrics_set(m, "papaya_dispatcher_cache_grants_total", label,
+		    stats.cache_choices);
+	metrics_set(m, "papaya_dispatcher_cache_passed_total", label,
+		    stats.cache_passed);
+	metrics_set(m, "papaya_dispatcher_cache_saved_ms_total", label,
+		    stats.cache_saved / US_PER_MS);
 	metrics_set(m, "papaya_dispatcher_queued", label, stats.queued);
 	metrics_set(m, "papaya_dispatcher_running", label, stats.running);
 	metrics_set(m, "papaya_dispatcher_runners", label, stats.runners);
@@ -543,14 +598,39 @@
 static void handle_first_token(service_t *s, const message_capacity_t *c)
 {
 	handle_limit(s, c);
+	dispatcher_runner_load(&s->dispatcher, c->want.id, &c->done.load,
+			       now_us());
 	dispatcher_first_token(&s->dispatcher, c->want.id, now_us());
 	if (c->done.says_leaving)
 		dispatcher_runner_leaves(&s->dispatcher, c->want.id, now_us());
 }
 
+/* Tells a crash for want of memory from others. */
+static void check_lost_memory(service_t *s, const message_capacity_t *c)
+{
+	double part;
+
+	if (c->done.result != DONE_BROKEN)
+		return;
+	part = dispatcher_memory_part(&s->dispatcher, c->want.id);
+	if (part < full_memory)
+		return;
+	log_event("runner-broke-full",
+		  "service=%s owner=%s attempt=%" PRIu64
+		  " memory_percent=%.0f why=\"it broke off with its memory "
+		  "nearly full\"",
+		  s->name, c->peer[0] ? c->peer : "own", c->want.id.attempt,
+		  part * PERCENT);
+	metrics_add(&s->capacity->sup->metrics,
+		    "papaya_runner_broke_full_total", NULL, 1);
+}
+
 static void handle_done(service_t *s, const message_capacity_t *c)
 {
+	check_lost_memory(s, c);
 	handle_limit(s, c);
+	dispatcher_runner_load(&s->dispatcher, c->want.id, &c->done.load,
+			       now_us());
 	dispatcher_done(&s->dispatcher, c->want.id, &c->done, now_us());
 }
 
@@ -566,11 +646,13 @@
 		config_view_unref(c->config);
 		c->config = config_view_ref(m->config);
 		for_each_service(c, apply_profile);
+		handle_early_wants(c);
 		return;
 	case MESSAGE_VMS:
 		vm_list_unref(c->vms);
 		c->vms = vm_list_ref(m->vms);
 		for_each_service(c, apply_list);
+		handle_early_wants(c);
 		return;
 	case MESSAGE_VIEW_STABLE:
 		set_view_stable(c, m->number);
@@ -598,6 +680,8 @@
 	if (m->type != MESSAGE_WITHDRAW && m->type != MESSAGE_FIRST_TOKEN &&
 	    m->type != MESSAGE_DONE)
 		return;
+	if (m->type != MESSAGE_FIRST_TOKEN)
+		early_wants_remove(&c->early, m->capacity.want.id);
 	s = g_hash_table_lookup(c->services, m->capacity.service);
 	if (!s)
 		return;
@@ -619,6 +703,7 @@
 					    free_service);
 	c->partitioned_zones =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	early_wants_init(&c->early);
 	c->owners = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					  g_free);
 	c->tick_timer = supervisor_add_timer(sup, TICK_MS, on_tick_timer, c);
@@ -641,6 +726,7 @@
 	g_hash_table_destroy(c->services);
 	g_hash_table_destroy(c->partitioned_zones);
 	g_hash_table_destroy(c->owners);
+	early_wants_finish(&c->early);
 	config_view_unref(c->config);
 	vm_list_unref(c->vms);
 	g_free(c);
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -108,6 +108,8 @@
 		    g->pool.stats.connects);
 	metrics_set(m, "papaya_upstream_reuses_total", NULL,
 		    g->pool.stats.reuses);
+	metrics_set(m, "papaya_upstream_skipped_total", NULL,
+		    g->pool.stats.skipped);
 	metrics_set(m, "papaya_upstream_out_of_turn_total", NULL,
 		    g->pool.stats.unexpected_data);
 }
@@ -242,6 +244,7 @@
 {
 	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
 
+	zone_groups_set_partitioned(&g->groups, zone, is_partitioned);
 	if (!is_partitioned) {
 		g_hash_table_remove(g->partitioned_zones, zone);
 		return;
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -82,6 +82,8 @@
 	upstream_conn_t *upstream;
 	/* Stated in the runner's answer, and reported to the dispatcher: */
 	bool says_leaving; /* the runner is leaving */
+	runner_load_t load; /* at 0: none */
+	bool is_load_told; /* with the first event */
 	uint32_t pause_ms; /* time without requests from this VM; 0: none */
 	uint32_t output_tokens; /* estimate of what is left, for the want */
 	uint32_t declined_grants; /* grants that were returned unused */
@@ -102,6 +104,9 @@
 	size_t held_event; /* bytes of an event that is not whole, counted */
 	GString *last_event_id; /* id of the last event sent to the caller */
 	uint64_t n_events; /* with an id or data, sent to the caller */
+	int64_t first_event_at; /* 0: none yet */
+	int64_t event_at; /* time of the last one */
+	int64_t longest_pause; /* between two events, microseconds */
 	uint64_t events_before; /* of them, by earlier runners */
 	/* The last one has no id: no runner can go on right after it. */
 	bool is_past_last_id;
@@ -134,6 +139,14 @@
 void relay_on_deadline(evutil_socket_t fd, short what, void *arg);
 /* Sends a want to a dispatcher, under a new attempt number. */
 void relay_request_runner(relay_t *r);
+/* Sends a message about this attempt to its dispatcher; DONE may be NULL. */
+void relay_post_capacity(relay_t *r, message_type_t type, const done_t *done);
+/*
+ * Repeats the want, also for a request that was already granted a runner: the
+ * dispatcher may have moved to another daemon, which has to know of the running
+ * request.
+ */
+void relay_repeat_want(relay_t *r, int64_t now);
 /* Reports the result of a grant to the dispatcher. */
 void relay_report_done(relay_t *r, done_result_t result);
 /* Answers with an error made by this daemon, and frees the relay. */
@@ -180,6 +193,18 @@
 void relay_on_first_event(relay_t *r);
 void relay_on_done(relay_t *r, done_result_t result);
 
+/* relay_moves.c: from one dispatcher to another */
+
+/* After a refusal: requests a runner of another one; false: there is none. */
+bool relay_try_after_refusal(relay_t *r, refuse_reason_t reason);
+/* The same after a wait that is too long. */
+bool relay_try_next_dispatcher(relay_t *r, int64_t now);
+/*
+ * No answer came to the want: repeats it, and after some time goes to another
+ * dispatcher, or has this daemon dispatch the request.
+ */
+void relay_repeat_unanswered(relay_t *r, int64_t now);
+
 /* relay_admit.c */
 
 /* Picks the dispatcher for the first want among the runners of its pool. */
--- a/tests/lib_rollout.c
+++ b/tests/lib_rollout.c
@@ -311,7 +311,7 @@
 	for (int i = 0; i < DAEMONS; i++) {
 		send_request(w, i);
 		if ((w->now / TICK_US) % (ROLLOUT_REPORT_MS * MS / TICK_US) ==
-		    i * 2)
+		    2 * (int64_t)i)
 			report(w, i);
 	}
 }
--- a/tests/lib_rollout.h
+++ b/tests/lib_rollout.h
@@ -9,6 +9,7 @@
 #include "core/rollout.h"
 
 #define MS INT64_C(1000)
+#define SERVICE_US (120 * MS) /* of a usual request */
 #define ROLLOUT_SHARE 0.1
 #define ROLLOUT_SLACK 50
 
@@ -23,7 +24,6 @@
 	MAX_RUNNING = 4096,
 	BAD_ANSWERS = 50, /* after these, the target must soon get none */
 	REVERT_US = 5000 * MS,
-	SERVICE_US = 120 * MS, /* of a usual request */
 	STORE_US = 20 * MS, /* of a call */
 };
 
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -64,7 +64,9 @@
 				     3,
 				     true,
 				     4000,
-				     { RUNNER_LIMIT_NAMED, 1.5, now - 3000 } };
+				     { RUNNER_LIMIT_NAMED, 1.5, now - 3000 },
+				     { now - 2000, 5, 6, 7, 250 },
+				     6000 };
 	m->capacity.runner.born_ms = INT64_C(1764800000000);
 	m->capacity.hops = 1;
 	m->capacity.is_resent = true;
@@ -78,6 +80,15 @@
 	ck_assert_int_eq(limit->at, expected->at);
 }
 
+static void check_load(const runner_load_t *load, const runner_load_t *expected)
+{
+	ck_assert_int_eq(load->at, expected->at);
+	ck_assert_uint_eq(load->running, expected->running);
+	ck_assert_uint_eq(load->waiting, expected->waiting);
+	ck_assert_uint_eq(load->slots, expected->slots);
+	ck_assert_uint_eq(load->pace, expected->pace);
+}
+
 START_TEST(capacity_messages_are_decoded_unchanged)
 {
 	static const message_type_t types[] = {
@@ -118,7 +129,13 @@
 			ck_assert_uint_eq(out.capacity.done.pause_ms, 4000);
 			check_limit(&out.capacity.done.limit,
 				    &in.capacity.done.limit);
+			check_load(&out.capacity.done.load,
+				   &in.capacity.done.load);
+			ck_assert_uint_eq(out.capacity.done.connection_ms,
+					  6000);
 		} else if (types[i] == MESSAGE_FIRST_TOKEN) {
+			check_load(&out.capacity.done.load,
+				   &in.capacity.done.load);
 			ck_assert(out.capacity.done.says_leaving);
 			check_limit(&out.capacity.done.limit,
 				    &in.capacity.done.limit);
@@ -128,6 +145,29 @@
 }
 END_TEST
 
+START_TEST(an_implausible_load_of_a_peer_is_ignored)
+{
+	static const runner_load_t loads[] = {
+		{ 1, 4000000000U, 0, 8, 100 },
+		{ 1, 1, 0, 8, 1 },
+		{ 1, 1, 0, 8, UINT32_MAX },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(loads); i++) {
+		message_t in, out;
+		Papaya__Frame *frame;
+
+		fill_capacity(&in, MESSAGE_DONE);
+		in.capacity.done.load = loads[i];
+		ck_assert(frames_send_capacity(NULL, STR_LIT("d2"), &in, now));
+		frame = received();
+		ck_assert(frames_read_capacity(frame, "d1", now, &out));
+		ck_assert_int_eq(out.capacity.done.load.at, 0);
+		papaya__frame__free_unpacked(frame, NULL);
+	}
+}
+END_TEST
+
 START_TEST(fields_out_of_range_are_refused)
 {
 	Papaya__Frame frame = PAPAYA__FRAME__INIT;
@@ -309,5 +349,6 @@
 	   part_notices_out_of_range_are_refused,
 	   a_limit_that_makes_no_sense_is_not_taken,
 	   capacity_messages_are_decoded_unchanged,
+	   an_implausible_load_of_a_peer_is_ignored,
 	   fields_out_of_range_are_refused, limits_are_decoded_unchanged,
 	   the_vm_list_is_decoded_unchanged)
