speed_digest: the next host of a dispatcher is told what runners' speeds are

Cause: learned speeds end with the dispatcher's process, or stay behind when it moves. The next host gives its first work to slow runners again.

Change: each second a dispatcher's host tells what it has learned since: to the dispatcher's host if that is another by now, else to the daemon that would be next; all of it when a link comes up, and when it drains. The receiver keeps it until it hosts the dispatcher, weighs it like a few answers, and takes nothing that is older than what it knows itself. Frame 28 of net/peer.proto, about 70 bytes a runner that had an answer, so at most some kB a second for each dispatcher, whatever the fleet's size; 64 runners a frame, 64 dispatchers kept.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -147,8 +147,10 @@
 	runner_t *runner = attempt->runner;
 
 	dispatcher_ledger_remove(s, attempt, done, now);
-	if (done && done->result == DONE_COMPLETED)
+	if (done && done->result == DONE_COMPLETED) {
+		runner->speed_at = now;
 		dispatcher_store_speed(s, runner, now);
+	}
 	free_attempt(s, attempt);
 	dispatcher_free_runner(s, runner);
 }
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -104,6 +104,7 @@
 	if (runner->born_ms != known->info.born_ms) {
 		known->is_leaving_by_report = false;
 		known->limit = (runner_limit_t){ 0 };
+		known->speed_at = 0;
 		if (known->pauses)
 			g_array_set_size(known->pauses, 0);
 	}
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -19,6 +19,8 @@
 	runner_limit_bucket_t limit_bucket; /* counts its grants */
 	bool is_serving; /* in dispatcher_state.running and n_serving */
 	int64_t suspended_until; /* gets no grants before; 0: not suspended */
+	/* Its speed was learned then, here or by another dispatcher; 0: not. */
+	int64_t speed_at;
 	double lost_answers; /* lost answers; decays with each complete one */
 	GList *suspended; /* link in dispatcher_state.suspended */
 	uint32_t running[DISPATCHER_MAX_TIERS];
--- a/core/member.h
+++ b/core/member.h
@@ -263,6 +263,11 @@
 			    int64_t now, member_vm_t *out);
 bool member_regional_dispatcher_host(member_t *m, str_t dispatcher, int64_t now,
 				     member_vm_t *out);
+/*
+ * Finds the daemon of the own zone that would host a dispatcher if this one
+ * didn't; false if there is none.
+ */
+bool member_next_host(const member_t *m, str_t dispatcher, member_vm_t *out);
 /* Sets whether the link to a daemon is lost, until a new one is up. */
 void member_set_link_lost(member_t *m, str_t name, bool is_lost);
 /*
--- a/core/member_link.c
+++ b/core/member_link.c
@@ -131,14 +131,12 @@
 	return g_strdup_printf("%.*s#%u", (int)role.len, role.ptr, group);
 }
 
-/* Finds the host in the own zone; PEER is NULL if it is this daemon. */
-static bool local_host(const struct member_table *t, str_t key, bool needs_link,
-		       const member_entry_t **peer)
+/* Finds the other daemon of the own zone with the greatest weight. */
+static const member_entry_t *local_peer(const struct member_table *t, str_t key,
+					bool needs_link, rendezvous_t *best)
 {
-	rendezvous_t best = rendezvous_weigh(str_from(t->self.name), key);
-	bool found = !t->is_draining;
+	const member_entry_t *peer = NULL;
 
-	*peer = NULL;
 	for (guint i = 0; i < t->entries->len; i++) {
 		const member_entry_t *e = t->entries->pdata[i];
 		rendezvous_t r;
@@ -147,13 +145,26 @@
 		    !member_can_host(e, needs_link))
 			continue;
 		r = rendezvous_weigh(str_from(e->vm.name), key);
-		if (found && !rendezvous_precedes(&r, &best))
+		if (peer && !rendezvous_precedes(&r, best))
 			continue;
-		best = r;
-		*peer = e;
-		found = true;
+		*best = r;
+		peer = e;
 	}
-	return found;
+	return peer;
+}
+
+/* Finds the host in the own zone; PEER is NULL if it is this daemon. */
+static bool local_host(const struct member_table *t, str_t key, bool needs_link,
+		       const member_entry_t **peer)
+{
+	rendezvous_t self = rendezvous_weigh(str_from(t->self.name), key);
+	rendezvous_t best;
+
+	*peer = local_peer(t, key, needs_link, &best);
+	if (t->is_draining || (*peer && rendezvous_precedes(&best, &self)))
+		return *peer != NULL;
+	*peer = NULL;
+	return true;
 }
 
 void member_set_unresponsive(member_t *m, str_t name, bool is_unresponsive)
@@ -172,6 +183,18 @@
 		e->is_link_lost = is_lost;
 }
 
+bool member_next_host(const member_t *m, str_t dispatcher, member_vm_t *out)
+{
+	g_autofree char *key = member_role_key(dispatcher, 0);
+	rendezvous_t best;
+	const member_entry_t *e =
+		local_peer(m->table, str_from(key), true, &best);
+
+	if (e)
+		*out = e->vm;
+	return e != NULL;
+}
+
 bool member_find_zone_host(member_t *m, str_t zone, const char *key,
 			   bool needs_link, int64_t now, member_vm_t *out)
 {
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -10,12 +10,14 @@
 #include "core/runner_group.h"
 #include "daemon/early_wants.h"
 #include "daemon/load_poll.h"
+#include "daemon/speed_keeper.h"
 #include "daemon/supervisor.h"
 
 enum {
 	TICK_MS = 10,
 	MAX_RUNNING = 100000, /* grants in progress per dispatcher */
 	EXPORT_MS = 500, /* between updates of the metrics */
+	SPEEDS_MS = 1000, /* between messages with learned speeds */
 };
 
 typedef struct capacity capacity_t;
@@ -28,6 +30,7 @@
 	dispatcher_t dispatcher;
 	GHashTable *runners; /* name to runner_t */
 	uint64_t n_expired_logged; /* expired grants logged so far */
+	int64_t speeds_told_at; /* speeds learned before were told */
 } service_t;
 
 /* A runner and the state of its load poll. */
@@ -44,6 +47,7 @@
 	config_view_t *config;
 	vm_list_t *vms;
 	GHashTable *services; /* name to service_t */
+	speed_keeper_t speeds; /* of dispatchers that are elsewhere */
 	early_wants_t early; /* received before configuration and VM list */
 	GHashTable *owners; /* boot ID to name of the daemon */
 	GHashTable *partitioned_zones; /* set of zone names */
@@ -51,6 +55,7 @@
 	uint64_t epoch; /* stall epoch at the last check */
 	struct event *tick_timer;
 	struct event *export_timer;
+	struct event *speeds_timer; /* NULL unless learned_speeds is set */
 	struct event *load_timer; /* NULL when load_poll_ms is 0 */
 };
 
@@ -236,6 +241,45 @@
 	dispatcher_set_list_received(&s->dispatcher, now_us());
 }
 
+/* Takes over what other daemons told of the runners' speeds. */
+static void import_speeds(service_t *s)
+{
+	capacity_t *c = s->capacity;
+	uint32_t n = c->vms ? speed_keeper_import(&c->speeds, s->name,
+						  &s->dispatcher, now_us()) :
+			      0;
+
+	if (!n)
+		return;
+	log_event("speeds-taken", "service=%s runners=%u", s->name, n);
+	metrics_add(&c->sup->metrics, "papaya_speeds_taken_total", NULL, n);
+}
+
+/* Tells the dispatcher's other host what was learned since the last time. */
+static void tell_speeds(service_t *s)
+{
+	message_t m = { .type = MESSAGE_SPEEDS };
+	runner_digest_t digests[SPEED_DIGEST_MAX];
+	int64_t now = now_us();
+	size_t n = dispatcher_export_speeds(&s->dispatcher, digests,
+					    SPEED_DIGEST_MAX, s->speeds_told_at,
+					    now);
+
+	s->speeds_told_at = now;
+	if (!n)
+		return;
+	g_strlcpy(m.speeds.service, s->name, sizeof(m.speeds.service));
+	m.speeds.digests = g_array_new(FALSE, FALSE, sizeof(runner_digest_t));
+	g_array_append_vals(m.speeds.digests, digests, (guint)n);
+	supervisor_post(s->capacity->sup, TASK_PEERS, &m);
+}
+
+/* The other host may be a new process, which knows nothing. */
+static void tell_all_speeds_again(service_t *s)
+{
+	s->speeds_told_at = 0;
+}
+
 static service_t *add_service(capacity_t *c, const char *name,
 			      const runner_group_t *group,
 			      const profile_service_t *info)
@@ -268,6 +312,7 @@
 	dispatcher_set_view_stable(&s->dispatcher, c->is_view_stable, now_us());
 	apply_profile(s);
 	apply_list(s);
+	import_speeds(s);
 	log_info("started dispatcher of service %s", s->name);
 	return s;
 }
@@ -498,6 +543,18 @@
 	for_each_service(c, apply_list);
 }
 
+static void handle_speeds(capacity_t *c, const message_speeds_t *speeds)
+{
+	service_t *s = g_hash_table_lookup(c->services, speeds->service);
+
+	if (!c->speeds_timer)
+		return;
+	speed_keeper_add(&c->speeds, speeds->service, speeds->digests,
+			 now_us());
+	if (s)
+		import_speeds(s);
+}
+
 static void export_stats(capacity_t *c, service_t *s)
 {
 	g_autofree char *label = g_strdup_printf("service=\"%s\"", s->name);
@@ -548,6 +605,11 @@
 		export_stats(c, s);
 }
 
+static void on_speeds_timer(evutil_socket_t fd, short what, void *arg)
+{
+	for_each_service(arg, tell_speeds);
+}
+
 static void on_tick_timer(evutil_socket_t fd, short what, void *arg)
 {
 	capacity_t *c = arg;
@@ -627,6 +689,16 @@
 		return;
 	case MESSAGE_LINK_UP:
 		for_each_owner_of(c, m->contact.name, doubt_grants);
+		for_each_service(c, tell_all_speeds_again);
+		return;
+	case MESSAGE_SPEEDS:
+		handle_speeds(c, &m->speeds);
+		return;
+	case MESSAGE_DRAIN:
+		if (!c->speeds_timer)
+			return;
+		for_each_service(c, tell_all_speeds_again);
+		for_each_service(c, tell_speeds);
 		return;
 	case MESSAGE_WANT:
 		handle_want(c, &m->capacity);
@@ -664,11 +736,15 @@
 	c->partitioned_zones =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	early_wants_init(&c->early);
+	speed_keeper_init(&c->speeds);
 	c->owners = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 					  g_free);
 	c->tick_timer = supervisor_add_timer(sup, TICK_MS, on_tick_timer, c);
 	c->export_timer =
 		supervisor_add_timer(sup, EXPORT_MS, on_export_timer, c);
+	if (sup->settings->fleet && sup->settings->learned_speeds)
+		c->speeds_timer = supervisor_add_timer(sup, SPEEDS_MS,
+						       on_speeds_timer, c);
 	if (sup->settings->load_poll_ms)
 		c->load_timer = supervisor_add_timer(
 			sup, sup->settings->load_poll_ms, on_load_timer, c);
@@ -681,12 +757,15 @@
 
 	event_free(c->tick_timer);
 	event_free(c->export_timer);
+	if (c->speeds_timer)
+		event_free(c->speeds_timer);
 	if (c->load_timer)
 		event_free(c->load_timer);
 	g_hash_table_destroy(c->services);
 	g_hash_table_destroy(c->partitioned_zones);
 	g_hash_table_destroy(c->owners);
 	early_wants_finish(&c->early);
+	speed_keeper_finish(&c->speeds);
 	config_view_unref(c->config);
 	vm_list_unref(c->vms);
 	g_free(c);
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -157,6 +157,9 @@
 	case MESSAGE_STREAM_NOTES:
 		g_clear_pointer(&m->streams.begun, g_array_unref);
 		break;
+	case MESSAGE_SPEEDS:
+		g_clear_pointer(&m->speeds.digests, g_array_unref);
+		break;
 	case MESSAGE_TOPIC_UPDATE:
 		g_clear_pointer(&m->update.records, g_array_unref);
 		g_clear_pointer(&m->update.batch, g_bytes_unref);
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -18,6 +18,7 @@
 #include "core/member.h"
 #include "core/profile.h"
 #include "core/quarantine.h"
+#include "core/speed_digest.h"
 #include "core/stream_releases.h"
 #include "core/topic_follow.h"
 #include "core/dedup.h"
@@ -96,6 +97,8 @@
 	MESSAGE_STREAM_NOTES, /* front to peers to store: streams began */
 	MESSAGE_STREAM_ASK, /* likewise: which release began this one? */
 	MESSAGE_STREAM_ANSWER, /* store to peers to front */
+	/* capacity to peers and back: learned speeds of a dispatcher's runners */
+	MESSAGE_SPEEDS,
 	MESSAGE_LINK_UP, /* peers to capacity, front: a link to a daemon is up */
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: incarnation ended */
 	MESSAGE_REQUEST_LISTS, /* store to peers: request a daemon's lists */
@@ -250,6 +253,12 @@
 	bool from_memory; /* ASK: answer at once, without reading the store */
 } message_streams_t;
 
+/* Learned speeds of the runners of one dispatcher. */
+typedef struct message_speeds {
+	char service[MEMBER_NAME_SIZE]; /* the dispatcher's name */
+	GArray *digests; /* runner_digest_t */
+} message_speeds_t;
+
 typedef struct message_account {
 	accounts_key_t key;
 	accounts_sum_t delta;
@@ -294,6 +303,7 @@
 		message_limit_hosts_t limit_hosts;
 		message_part_t part;
 		message_streams_t streams;
+		message_speeds_t speeds;
 		message_account_t account;
 		message_append_t append;
 	};
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -113,6 +113,11 @@
  * effect is a longer wait.
  */
 void peers_route_want(peers_t *p, const message_t *m);
+/*
+ * Sends learned speeds to the dispatcher's host, or if that is this daemon, to
+ * the daemon of this zone that would be next.
+ */
+void peers_send_speeds(peers_t *p, const message_speeds_t *speeds);
 /*
  * Forwards a message to the daemon that it names, or to a task of this daemon
  * when it names none.
--- a/daemon/peers_route.c
+++ b/daemon/peers_route.c
@@ -1,6 +1,7 @@
 #include "core/runner_group.h"
 #include "daemon/frames.h"
 #include "daemon/peers.h"
+#include "daemon/speed_frames.h"
 
 enum {
 	NO_RUNNER_RETRY_MS = 1000,
@@ -111,6 +112,21 @@
 	supervisor_post(p->sup, TASK_CAPACITY, &local);
 }
 
+void peers_send_speeds(peers_t *p, const message_speeds_t *speeds)
+{
+	message_capacity_t c = { .is_local_only = false };
+	member_vm_t vm;
+
+	g_strlcpy(c.service, speeds->service, sizeof(c.service));
+	if (find_dispatcher(p, &c, str_from(p->self.zone), &vm) &&
+	    strcmp(vm.name, p->self.name) != 0) {
+		speed_frames_send(&p->peer, str_from(vm.name), speeds);
+		return;
+	}
+	if (member_next_host(&p->member, str_from(speeds->service), &vm))
+		speed_frames_send(&p->peer, str_from(vm.name), speeds);
+}
+
 void peers_forward(peers_t *p, const message_t *m)
 {
 	const char *peer = m->capacity.peer;
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -11,6 +11,7 @@
 #include "daemon/fleet_view.h"
 #include "daemon/frames.h"
 #include "daemon/peers.h"
+#include "daemon/speed_frames.h"
 #include "daemon/vm_frames.h"
 
 enum {
@@ -224,6 +225,10 @@
 	    peers_on_stream_frame(p, name, frame) ||
 	    peers_on_ping(p, name, frame))
 		return;
+	if (speed_frames_read(frame, &m)) {
+		supervisor_post(p->sup, TASK_CAPACITY, &m);
+		return;
+	}
 	if (key_table_receive(&p->keys, name, frame))
 		return;
 	if (frames_read_limit(frame, name, &m)) {
@@ -487,6 +492,9 @@
 	case MESSAGE_STREAM_NOTES:
 		peers_send_stream_notes(p, m->streams.begun);
 		break;
+	case MESSAGE_SPEEDS:
+		peers_send_speeds(p, &m->speeds);
+		break;
 	case MESSAGE_STREAM_ASK:
 	case MESSAGE_STREAM_ANSWER:
 		peers_route_stream(p, m);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -98,6 +98,11 @@
 		 "time between reads of the runners' entries; fleet only"),
 	DURATION(config_wait_ms, 50, 30000, "700",
 		 "how long one read waits for a new configuration; fleet only"),
+	{ "learned_speeds", OPTION_BOOL, "", 0, 0, "false",
+	  FIELD(learned_speeds),
+	  "tell the next host of a dispatcher what was learned of its "
+	  "runners' speeds; fleet only",
+	  NULL },
 	DURATION(heartbeat_ms, 20, 60000, "500",
 		 "time between heartbeats to a peer"),
 	DURATION(heartbeat_timeout_ms, 100, 600000, "3000",
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -37,6 +37,7 @@
 	int64_t limit_window_ms;
 	int64_t runners_poll_ms;
 	int64_t config_wait_ms;
+	bool learned_speeds;
 	int64_t heartbeat_ms;
 	int64_t heartbeat_timeout_ms;
 	int64_t retry_horizon_ms;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -1582,6 +1582,96 @@
   assert(message->base.descriptor == &papaya__stream_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   papaya__runner_speed__init
+                     (Papaya__RunnerSpeed         *message)
+{
+  static const Papaya__RunnerSpeed init_value = PAPAYA__RUNNER_SPEED__INIT;
+  *message = init_value;
+}
+size_t papaya__runner_speed__get_packed_size
+                     (const Papaya__RunnerSpeed *message)
+{
+  assert(message->base.descriptor == &papaya__runner_speed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__runner_speed__pack
+                     (const Papaya__RunnerSpeed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__runner_speed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__runner_speed__pack_to_buffer
+                     (const Papaya__RunnerSpeed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__runner_speed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__RunnerSpeed *
+       papaya__runner_speed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__RunnerSpeed *)
+     protobuf_c_message_unpack (&papaya__runner_speed__descriptor,
+                                allocator, len, data);
+}
+void   papaya__runner_speed__free_unpacked
+                     (Papaya__RunnerSpeed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__runner_speed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   papaya__runner_speeds__init
+                     (Papaya__RunnerSpeeds         *message)
+{
+  static const Papaya__RunnerSpeeds init_value = PAPAYA__RUNNER_SPEEDS__INIT;
+  *message = init_value;
+}
+size_t papaya__runner_speeds__get_packed_size
+                     (const Papaya__RunnerSpeeds *message)
+{
+  assert(message->base.descriptor == &papaya__runner_speeds__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t papaya__runner_speeds__pack
+                     (const Papaya__RunnerSpeeds *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &papaya__runner_speeds__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t papaya__runner_speeds__pack_to_buffer
+                     (const Papaya__RunnerSpeeds *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &papaya__runner_speeds__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Papaya__RunnerSpeeds *
+       papaya__runner_speeds__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Papaya__RunnerSpeeds *)
+     protobuf_c_message_unpack (&papaya__runner_speeds__descriptor,
+                                allocator, len, data);
+}
+void   papaya__runner_speeds__free_unpacked
+                     (Papaya__RunnerSpeeds *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &papaya__runner_speeds__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   papaya__frame__init
                      (Papaya__Frame         *message)
 {
@@ -4700,7 +4790,148 @@
   (ProtobufCMessageInit) papaya__stream_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[27] =
+static const ProtobufCFieldDescriptor papaya__runner_speed__field_descriptors[5] =
+{
+  {
+    "runner",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RunnerSpeed, runner),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RunnerSpeed, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RunnerSpeed, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefill",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Papaya__RunnerSpeed, n_prefill),
+    offsetof(Papaya__RunnerSpeed, prefill),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "decode",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FLOAT,
+    offsetof(Papaya__RunnerSpeed, n_decode),
+    offsetof(Papaya__RunnerSpeed, decode),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__runner_speed__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  1,   /* field[1] = born_ms */
+  4,   /* field[4] = decode */
+  3,   /* field[3] = prefill */
+  0,   /* field[0] = runner */
+};
+static const ProtobufCIntRange papaya__runner_speed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor papaya__runner_speed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.RunnerSpeed",
+  "RunnerSpeed",
+  "Papaya__RunnerSpeed",
+  "papaya",
+  sizeof(Papaya__RunnerSpeed),
+  5,
+  papaya__runner_speed__field_descriptors,
+  papaya__runner_speed__field_indices_by_name,
+  1,  papaya__runner_speed__number_ranges,
+  (ProtobufCMessageInit) papaya__runner_speed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__runner_speeds__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RunnerSpeeds, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "speeds",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__RunnerSpeeds, n_speeds),
+    offsetof(Papaya__RunnerSpeeds, speeds),
+    &papaya__runner_speed__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned papaya__runner_speeds__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = speeds */
+};
+static const ProtobufCIntRange papaya__runner_speeds__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor papaya__runner_speeds__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "papaya.RunnerSpeeds",
+  "RunnerSpeeds",
+  "Papaya__RunnerSpeeds",
+  "papaya",
+  sizeof(Papaya__RunnerSpeeds),
+  2,
+  papaya__runner_speeds__field_descriptors,
+  papaya__runner_speeds__field_indices_by_name,
+  1,  papaya__runner_speeds__number_ranges,
+  (ProtobufCMessageInit) papaya__runner_speeds__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor papaya__frame__field_descriptors[28] =
 {
   {
     "hello",
@@ -5026,6 +5257,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "runner_speeds",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Papaya__Frame, body_case),
+    offsetof(Papaya__Frame, runner_speeds),
+    &papaya__runner_speeds__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__frame__field_indices_by_name[] = {
   6,   /* field[6] = cancel */
@@ -5047,6 +5290,7 @@
   1,   /* field[1] = proof */
   18,   /* field[18] = queued */
   5,   /* field[5] = refuse */
+  27,   /* field[27] = runner_speeds */
   19,   /* field[19] = store_ask */
   17,   /* field[17] = store_news */
   26,   /* field[26] = stream_answer */
@@ -5059,7 +5303,7 @@
 static const ProtobufCIntRange papaya__frame__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor papaya__frame__descriptor =
 {
@@ -5069,7 +5313,7 @@
   "Papaya__Frame",
   "papaya",
   sizeof(Papaya__Frame),
-  27,
+  28,
   papaya__frame__field_descriptors,
   papaya__frame__field_indices_by_name,
   1,  papaya__frame__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -50,6 +50,8 @@
 typedef struct Papaya__StreamNotes Papaya__StreamNotes;
 typedef struct Papaya__StreamAsk Papaya__StreamAsk;
 typedef struct Papaya__StreamAnswer Papaya__StreamAnswer;
+typedef struct Papaya__RunnerSpeed Papaya__RunnerSpeed;
+typedef struct Papaya__RunnerSpeeds Papaya__RunnerSpeeds;
 typedef struct Papaya__Frame Papaya__Frame;
 
 
@@ -877,6 +879,54 @@
     , 0, 0 }
 
 
+/*
+ * What a dispatcher learned of a runner's speed from its answers: the sums of a
+ * line fitted to the time of prompts over their tokens, and of one fitted to
+ * the time of a token, or call, over the requests running.
+ */
+struct  Papaya__RunnerSpeed
+{
+  ProtobufCMessage base;
+  char *runner;
+  /*
+   * start time of the runner's incarnation
+   */
+  int64_t born_ms;
+  /*
+   * since the last answer that it was learned from
+   */
+  uint32_t age_ms;
+  /*
+   * weight, x, y, xx, xy
+   */
+  size_t n_prefill;
+  float *prefill;
+  size_t n_decode;
+  float *decode;
+};
+#define PAPAYA__RUNNER_SPEED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__runner_speed__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * A dispatcher's host to the host that it moved to, or would move to next.
+ */
+struct  Papaya__RunnerSpeeds
+{
+  ProtobufCMessage base;
+  /*
+   * name of the dispatcher
+   */
+  char *service;
+  size_t n_speeds;
+  Papaya__RunnerSpeed **speeds;
+};
+#define PAPAYA__RUNNER_SPEEDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__runner_speeds__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
 typedef enum {
   PAPAYA__FRAME__BODY__NOT_SET = 0,
   PAPAYA__FRAME__BODY_HELLO = 1,
@@ -905,7 +955,8 @@
   PAPAYA__FRAME__BODY_PART_NOTICE = 24,
   PAPAYA__FRAME__BODY_STREAM_NOTES = 25,
   PAPAYA__FRAME__BODY_STREAM_ASK = 26,
-  PAPAYA__FRAME__BODY_STREAM_ANSWER = 27
+  PAPAYA__FRAME__BODY_STREAM_ANSWER = 27,
+  PAPAYA__FRAME__BODY_RUNNER_SPEEDS = 28
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PAPAYA__FRAME__BODY__CASE)
 } Papaya__Frame__BodyCase;
 
@@ -941,6 +992,7 @@
     Papaya__StreamNotes *stream_notes;
     Papaya__StreamAsk *stream_ask;
     Papaya__StreamAnswer *stream_answer;
+    Papaya__RunnerSpeeds *runner_speeds;
   };
 };
 #define PAPAYA__FRAME__INIT \
@@ -1613,6 +1665,44 @@
 void   papaya__stream_answer__free_unpacked
                      (Papaya__StreamAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__RunnerSpeed methods */
+void   papaya__runner_speed__init
+                     (Papaya__RunnerSpeed         *message);
+size_t papaya__runner_speed__get_packed_size
+                     (const Papaya__RunnerSpeed   *message);
+size_t papaya__runner_speed__pack
+                     (const Papaya__RunnerSpeed   *message,
+                      uint8_t             *out);
+size_t papaya__runner_speed__pack_to_buffer
+                     (const Papaya__RunnerSpeed   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__RunnerSpeed *
+       papaya__runner_speed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__runner_speed__free_unpacked
+                     (Papaya__RunnerSpeed *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__RunnerSpeeds methods */
+void   papaya__runner_speeds__init
+                     (Papaya__RunnerSpeeds         *message);
+size_t papaya__runner_speeds__get_packed_size
+                     (const Papaya__RunnerSpeeds   *message);
+size_t papaya__runner_speeds__pack
+                     (const Papaya__RunnerSpeeds   *message,
+                      uint8_t             *out);
+size_t papaya__runner_speeds__pack_to_buffer
+                     (const Papaya__RunnerSpeeds   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__RunnerSpeeds *
+       papaya__runner_speeds__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__runner_speeds__free_unpacked
+                     (Papaya__RunnerSpeeds *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Frame methods */
 void   papaya__frame__init
                      (Papaya__Frame         *message);
@@ -1739,6 +1829,12 @@
 typedef void (*Papaya__StreamAnswer_Closure)
                  (const Papaya__StreamAnswer *message,
                   void *closure_data);
+typedef void (*Papaya__RunnerSpeed_Closure)
+                 (const Papaya__RunnerSpeed *message,
+                  void *closure_data);
+typedef void (*Papaya__RunnerSpeeds_Closure)
+                 (const Papaya__RunnerSpeeds *message,
+                  void *closure_data);
 typedef void (*Papaya__Frame_Closure)
                  (const Papaya__Frame *message,
                   void *closure_data);
@@ -1783,6 +1879,8 @@
 extern const ProtobufCMessageDescriptor papaya__stream_notes__descriptor;
 extern const ProtobufCMessageDescriptor papaya__stream_ask__descriptor;
 extern const ProtobufCMessageDescriptor papaya__stream_answer__descriptor;
+extern const ProtobufCMessageDescriptor papaya__runner_speed__descriptor;
+extern const ProtobufCMessageDescriptor papaya__runner_speeds__descriptor;
 extern const ProtobufCMessageDescriptor papaya__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -5,6 +5,7 @@
 
 #include "daemon/frames.h"
 #include "daemon/part_frames.h"
+#include "daemon/speed_frames.h"
 #include "daemon/vm_frames.h"
 #include "tests/lib_suite.h"
 
@@ -305,9 +306,45 @@
 }
 END_TEST
 
+START_TEST(learned_speeds_survive)
+{
+	runner_digest_t digests[3] = {
+		{ .name = "r1",
+		  .born_ms = -3,
+		  .age_ms = 70,
+		  .speed = { .prefill = { 1, 2, 3, 4, 5 },
+			     .decode = { 6, 7, 8, 9, 10 } } },
+		{ .name = "r2", .speed.decode.weight = NAN },
+		{ .name = "r3", .age_ms = UINT32_MAX },
+	};
+	message_speeds_t speeds = { .service = "s#1/2" };
+	const runner_digest_t *read;
+	Papaya__Frame *frame;
+	message_t m;
+
+	speeds.digests = g_array_new(FALSE, FALSE, sizeof(runner_digest_t));
+	g_array_append_vals(speeds.digests, digests, G_N_ELEMENTS(digests));
+	ck_assert(speed_frames_send(NULL, STR_LIT("d"), &speeds));
+	frame = received();
+	ck_assert(speed_frames_read(frame, &m));
+	ck_assert_str_eq(m.speeds.service, "s#1/2");
+	/* Those with figures that make no sense are left out. */
+	ck_assert_uint_eq(m.speeds.digests->len, 1);
+	read = &g_array_index(m.speeds.digests, runner_digest_t, 0);
+	ck_assert_str_eq(read->name, "r1");
+	ck_assert_int_eq(read->born_ms, -3);
+	ck_assert_uint_eq(read->age_ms, 70);
+	ck_assert_double_eq(read->speed.prefill.xx, 4);
+	ck_assert_double_eq(read->speed.decode.weight, 6);
+	message_finish(&m);
+	g_array_unref(speeds.digests);
+	papaya__frame__free_unpacked(frame, NULL);
+}
+END_TEST
+
 SUITE_MAIN("frames", part_notices_are_decoded_unchanged,
 	   part_notices_out_of_range_are_refused,
 	   a_limit_that_makes_no_sense_is_not_taken,
 	   capacity_messages_are_decoded_unchanged,
 	   fields_out_of_range_are_refused, limits_are_decoded_unchanged,
-	   the_vm_list_is_decoded_unchanged)
+	   the_vm_list_is_decoded_unchanged, learned_speeds_survive)
