--- a/tests/test_speed_digest.c
+++ b/tests/test_speed_digest.c
@@ -6,8 +6,10 @@
 #include <string.h>
 
 #include "daemon/speed_keeper.h"
+#include "tests/lib_capacity.h"
 #include "tests/lib_fixture.h"
 #include "tests/lib_suite.h"
+#include "tests/lib_task_fixture.h"
 
 enum {
 	PROMPT = 1000,
@@ -192,6 +194,51 @@
 }
 END_TEST
 
+static void run_one(capacity_fixture_t *f)
+{
+	capacity_post_config(f);
+	capacity_post_list(f);
+	capacity_post(f, 1, MESSAGE_WANT);
+	task_fixture_await_count(f->base, &f->grants[1], 1, CAPACITY_LIMIT_US);
+	capacity_post(f, 1, MESSAGE_FIRST_TOKEN);
+	capacity_post(f, 1, MESSAGE_DONE);
+}
+
+/* Daemons are restarted in turn: the next host is told before this one ends. */
+START_TEST(a_host_that_drains_tells_all_that_it_learned)
+{
+	message_t drain = { .type = MESSAGE_DRAIN };
+	capacity_fixture_t f;
+	int told;
+
+	capacity_begin(&f, ",\"learned_speeds\":true");
+	run_one(&f);
+	task_fixture_await_count(f.base, &f.speeds, 1, CAPACITY_LIMIT_US);
+	told = f.speeds;
+	supervisor_post(&f.sup, TASK_CAPACITY, &drain);
+	task_fixture_await_count(f.base, &f.speeds, told + 1,
+				 CAPACITY_LIMIT_US);
+	ck_assert_uint_eq(f.speeds_told, (uint32_t)f.speeds);
+	capacity_end(&f);
+}
+END_TEST
+
+START_TEST(nothing_is_told_by_default)
+{
+	message_t drain = { .type = MESSAGE_DRAIN };
+	capacity_fixture_t f;
+
+	capacity_begin(&f, "");
+	run_one(&f);
+	supervisor_post(&f.sup, TASK_CAPACITY, &drain);
+	capacity_run(&f, CAPACITY_LIMIT_US);
+	ck_assert_int_eq(f.speeds, 0);
+	capacity_end(&f);
+}
+END_TEST
+
 SUITE_MAIN("speed_digest", the_next_host_knows_the_slow_runners,
 	   what_was_learned_later_or_of_another_incarnation_stays,
-	   only_what_is_new_is_told, what_is_kept_is_bounded)
+	   only_what_is_new_is_told, what_is_kept_is_bounded,
+	   a_host_that_drains_tells_all_that_it_learned,
+	   nothing_is_told_by_default)
