--- a/core/dispatcher_choose.c
+++ b/core/dispatcher_choose.c
@@ -2,7 +2,11 @@
 #include "core/dispatcher_state.h"
 
 enum {
+	CONNECTION_US = 10 * 1000, /* what a connection saves, at most */
+	CONNECTION_DIVISOR = 20, /* and as a part of the predicted time */
 	MAX_CANDIDATES = 16, /* best-ranked runners considered per want */
+	/* The same where stated paces spread the ranking. */
+	MAX_CANDIDATES_PACED = 64,
 };
 
 bool dispatcher_is_available(const runner_t *runner, int64_t now)
@@ -91,9 +95,9 @@
 	return !release || runner->info.release == release;
 }
 
-/* Returns whether the want may not use the runner, whatever room it has. */
-static bool is_excluded(const struct dispatcher_state *s,
-			const attempt_t *attempt, runner_t *runner, int64_t now)
+bool dispatcher_is_excluded(const struct dispatcher_state *s,
+			    const attempt_t *attempt, runner_t *runner,
+			    int64_t now)
 {
 	return is_avoided(s, attempt, runner) ||
 	       !dispatcher_is_of_release(attempt, runner) ||
@@ -101,89 +105,87 @@
 	       is_limited(attempt, runner, now);
 }
 
-static int64_t predict(const runner_t *runner, const want_t *want,
-		       double cached)
+bool dispatcher_fits(const struct dispatcher_state *s, const want_t *want,
+		     const runner_t *runner)
 {
-	return runner_model_predict(&runner->model, want->prompt_tokens,
-				    want->output_tokens, cached);
+	return !s->config.bounds_memory ||
+	       runner_model_fits(&runner->model, want->prompt_tokens,
+				 want->output_tokens);
 }
 
-/* A part of a prompt that a runner may have cached. */
-typedef struct cache_hint {
-	uint64_t hash;
-	uint32_t tokens; /* length; 0: unknown, estimated */
-} cache_hint_t;
-
-/* Prefers the runner that cached HINT if the want ends no later there. */
-static runner_t *prefer_cached(struct dispatcher_state *s,
-			       const attempt_t *attempt,
-			       const cache_hint_t *hint, runner_t *best,
-			       runner_room_t room, int64_t now, int64_t *finish)
+int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
+			   double cached, int64_t now)
 {
-	double cached = 0;
-	const void *known;
-	runner_t *runner;
+	return runner_model_predict_now(&runner->model, want->prompt_tokens,
+					want->output_tokens, cached, now);
+}
 
-	if (!hint->hash)
-		return best;
-	known = affinity_find(&s->affinity, hint->hash, &cached);
-	/* A runner's entries are removed before it is freed. */
-	runner = (runner_t *)known;
-	if (!runner || !runner->ranked ||
-	    is_excluded(s, attempt, runner, now) ||
-	    !runner_model_has_room(&runner->model, room, now))
-		return best;
-	if (hint->tokens)
-		cached = MIN((double)hint->tokens / attempt->want.prompt_tokens,
-			     1);
-	if (predict(runner, &attempt->want, cached) > *finish - now)
-		return best;
-	*finish = now + predict(runner, &attempt->want, cached);
-	return runner;
+static bool has_protected_tier(const struct dispatcher_state *s)
+{
+	for (uint32_t i = 0; i < s->queue.n_tiers; i++)
+		if (queue_is_protected(&s->queue, i))
+			return true;
+	return false;
 }
 
 /*
- * The session's runner is considered last, so that it takes precedence: it has
- * more cached than the prefix's runner.
+ * Without a protected tier, the places of plain runners that are kept for one
+ * are free for all. Runners that state no pace keep them: their load is known
+ * too late to fill them.
  */
-static runner_t *prefer_affinity(struct dispatcher_state *s,
-				 const attempt_t *attempt, runner_t *best,
-				 runner_room_t room, int64_t now,
-				 int64_t *finish)
+static runner_room_t usable_room(const struct dispatcher_state *s,
+				 runner_room_t room)
 {
-	const want_t *w = &attempt->want;
-	cache_hint_t prefix = { w->prefix_hash, w->prefix_tokens };
-	cache_hint_t session = { w->session_hash, w->session_tokens };
+	if (room != ROOM_UNPROTECTED || s->config.is_engine ||
+	    !s->has_stated_pace || has_protected_tier(s))
+		return room;
+	return ROOM_PROTECTED;
+}
 
-	best = prefer_cached(s, attempt, &prefix, best, room, now, finish);
-	return prefer_cached(s, attempt, &session, best, room, now, finish);
+/* What is saved by a connection that the want's owner has to the runner. */
+static int64_t connection_bonus(const struct dispatcher_state *s,
+				const attempt_t *attempt,
+				const runner_t *runner, int64_t time,
+				int64_t now)
+{
+	if (!s->config.prefers_connected ||
+	    !warm_owners_has(&runner->connected, attempt->want.id.owner, now))
+		return 0;
+	return MIN(time / CONNECTION_DIVISOR, CONNECTION_US);
 }
 
 runner_t *dispatcher_choose(struct dispatcher_state *s,
 			    const attempt_t *attempt, runner_room_t room,
 			    int64_t now, int64_t *finish)
 {
+	runner_room_t usable = usable_room(s, room);
 	GSequenceIter *iter = g_sequence_get_begin_iter(s->ranked);
 	runner_t *best = NULL;
+	int64_t least = 0;
+	int most = s->has_stated_pace ? MAX_CANDIDATES_PACED : MAX_CANDIDATES;
 	int n = 0; /* candidates so far */
 
-	for (; n < MAX_CANDIDATES && !g_sequence_iter_is_end(iter);
+	for (; n < most && !g_sequence_iter_is_end(iter);
 	     iter = g_sequence_iter_next(iter)) {
 		runner_t *runner = g_sequence_get(iter);
-		int64_t end;
+		int64_t time, cost;
 
 		if (!dispatcher_is_of_release(attempt, runner))
 			continue;
 		n++;
-		end = now + predict(runner, &attempt->want, 0);
-		if (is_excluded(s, attempt, runner, now) ||
-		    !runner_model_has_room(&runner->model, room, now) ||
-		    (best && end >= *finish))
+		time = dispatcher_predict(runner, &attempt->want, 0, now);
+		cost = time - connection_bonus(s, attempt, runner, time, now);
+		if (dispatcher_is_excluded(s, attempt, runner, now) ||
+		    !runner_model_has_room(&runner->model, usable, now) ||
+		    !dispatcher_fits(s, &attempt->want, runner) ||
+		    (best && cost >= least))
 			continue;
 		best = runner;
-		*finish = end;
+		least = cost;
+		*finish = now + time;
 	}
-	return best ? prefer_affinity(s, attempt, best, room, now, finish) :
+	return best ? dispatcher_prefer_cached(s, attempt, best, usable, now,
+					       finish) :
 		      NULL;
 }
 
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -14,12 +14,17 @@
 #include "daemon/supervisor.h"
 
 enum {
+	US_PER_MS = 1000,
 	TICK_MS = 10,
 	MAX_RUNNING = 100000, /* grants in progress per dispatcher */
 	EXPORT_MS = 500, /* between updates of the metrics */
 	SPEEDS_MS = 1000, /* between messages with learned speeds */
+	PERCENT = 100,
 };
 
+/* Part of an engine's memory that is nearly all of it. */
+static const double full_memory = 0.9;
+
 typedef struct capacity capacity_t;
 
 /* The dispatcher of one service, or of one group of its runners. */
@@ -299,6 +304,10 @@
 		.grants_if_idle = set->fleet,
 		.expires_grants = set->fleet,
 		.awaits_list = set->fleet,
+		.uses_stated_load = set->runner_load,
+		.bounds_memory = set->runner_memory,
+		.prefers_connected = set->reuse_connections,
+		.weighs_prompt_cache = set->prompt_cache_weighing,
 		.policy = parse_policy(set->policy),
 	};
 
@@ -574,6 +583,12 @@
 	s->n_expired_logged = stats.expired;
 	metrics_set(m, "papaya_dispatcher_forgotten_total", label,
 		    stats.expired);
+	metrics_set(m, "papaya_dispatcher_cache_grants_total", label,
+		    stats.cache_choices);
+	metrics_set(m, "papaya_dispatcher_cache_passed_total", label,
+		    stats.cache_passed);
+	metrics_set(m, "papaya_dispatcher_cache_saved_ms_total", label,
+		    stats.cache_saved / US_PER_MS);
 	metrics_set(m, "papaya_dispatcher_queued", label, stats.queued);
 	metrics_set(m, "papaya_dispatcher_running", label, stats.running);
 	metrics_set(m, "papaya_dispatcher_runners", label, stats.runners);
@@ -645,14 +660,39 @@
 static void handle_first_token(service_t *s, const message_capacity_t *c)
 {
 	handle_limit(s, c);
+	dispatcher_runner_load(&s->dispatcher, c->want.id, &c->done.load,
+			       now_us());
 	dispatcher_first_token(&s->dispatcher, c->want.id, now_us());
 	if (c->done.says_leaving)
 		dispatcher_runner_leaves(&s->dispatcher, c->want.id, now_us());
 }
 
+/* Tells a crash for want of memory from others. */
+static void check_lost_memory(service_t *s, const message_capacity_t *c)
+{
+	double part;
+
+	if (c->done.result != DONE_BROKEN)
+		return;
+	part = dispatcher_memory_part(&s->dispatcher, c->want.id);
+	if (part < full_memory)
+		return;
+	log_event("runner-broke-full",
+		  "service=%s owner=%s attempt=%" PRIu64
+		  " memory_percent=%.0f why=\"it broke off with its memory "
+		  "nearly full\"",
+		  s->name, c->peer[0] ? c->peer : "own", c->want.id.attempt,
+		  part * PERCENT);
+	metrics_add(&s->capacity->sup->metrics,
+		    "papaya_runner_broke_full_total", NULL, 1);
+}
+
 static void handle_done(service_t *s, const message_capacity_t *c)
 {
+	check_lost_memory(s, c);
 	handle_limit(s, c);
+	dispatcher_runner_load(&s->dispatcher, c->want.id, &c->done.load,
+			       now_us());
 	dispatcher_done(&s->dispatcher, c->want.id, &c->done, now_us());
 }
 
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -18,6 +18,7 @@
 #include "core/member.h"
 #include "core/profile.h"
 #include "core/quarantine.h"
+#include "core/rollout.h"
 #include "core/speed_digest.h"
 #include "core/stream_releases.h"
 #include "core/topic_follow.h"
@@ -99,6 +100,11 @@
 	MESSAGE_STREAM_ANSWER, /* store to peers to front */
 	/* capacity to peers and back: learned speeds of a dispatcher's runners */
 	MESSAGE_SPEEDS,
+	MESSAGE_ROLLOUT_ORDERS, /* store to front: all orders of roll-outs */
+	MESSAGE_ROLLOUT_HOST, /* peers to store: does this daemon conduct? */
+	MESSAGE_ROLLOUT_REPORT, /* front to peers to store, which conducts */
+	MESSAGE_ROLLOUT_TOLD, /* store to peers to front: the answer to it */
+	MESSAGE_ROLLOUT_STATES, /* store to admin: all roll-outs, for operators */
 	MESSAGE_LINK_UP, /* peers to capacity, front: a link to a daemon is up */
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: incarnation ended */
 	MESSAGE_REQUEST_LISTS, /* store to peers: request a daemon's lists */
@@ -189,7 +195,8 @@
 	refuse_reason_t reason; /* REFUSE */
 	uint32_t retry_after_ms; /* REFUSE */
 	runner_limit_t limit; /* GRANT: the runner's, known to the dispatcher */
-	done_t done; /* DONE; FIRST_TOKEN: only says_leaving and limit */
+	/* DONE; FIRST_TOKEN: only says_leaving, limit and load */
+	done_t done;
 	uint32_t hops; /* WANT */
 	/*
 	 * WANT: this daemon dispatches for itself, since no dispatcher responds
@@ -258,6 +265,35 @@
 	char service[MEMBER_NAME_SIZE]; /* the dispatcher's name */
 	GArray *digests; /* runner_digest_t */
 } message_speeds_t;
+/* Answers alike, as a daemon counted them. */
+typedef struct rollout_tally {
+	rollout_answer_t answer;
+	uint32_t n;
+} rollout_tally_t;
+
+/* What a daemon reports of a roll-out, or what it is told. */
+typedef struct message_rollout {
+	char peer[MEMBER_NAME_SIZE]; /* the daemon; "": this one */
+	char service[FLEET_NAME_SIZE];
+	rollout_report_t report; /* REPORT */
+	rollout_told_t told; /* TOLD */
+	GArray *tallies; /* REPORT: of rollout_tally_t */
+} message_rollout_t;
+
+/* What the conductor knows of a roll-out; another daemon: only the order. */
+typedef struct rollout_state {
+	rollout_order_t order;
+	bool is_conducted; /* by this daemon */
+	bool is_settled; /* the store has the decision */
+	rollout_stage_t stage;
+	uint64_t term;
+	uint64_t requests, budget, leased;
+	rollout_finding_t finding;
+	rollout_view_t view;
+	uint32_t waiting_for; /* daemons, before the next stage */
+	int64_t left_ms;
+	char why[ROLLOUT_WHY_SIZE];
+} rollout_state_t;
 
 typedef struct message_account {
 	accounts_key_t key;
@@ -281,7 +317,7 @@
 			/* also those that may serve behind a partition */
 			uint32_t known;
 		} daemons; /* DAEMON_COUNT */
-		/* CONFIG_NEXT, READER_ROLE, VIEW_STABLE, KEYS_READY */
+		/* CONFIG_NEXT, READER_ROLE, VIEW_STABLE, KEYS_READY, ROLLOUT_HOST */
 		uint64_t number;
 		struct {
 			char name[MEMBER_NAME_SIZE]; /* zone or daemon */
@@ -304,6 +340,9 @@
 		message_part_t part;
 		message_streams_t streams;
 		message_speeds_t speeds;
+		GArray *rollout_orders; /* of rollout_order_t */
+		GArray *rollout_states; /* of rollout_state_t */
+		message_rollout_t rollout;
 		message_account_t account;
 		message_append_t append;
 	};
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -138,6 +138,8 @@
 
 void relay_request_runner(relay_t *r)
 {
+	if (!relay_choose_pool(r))
+		return;
 	drop_answer(r);
 	relay_new_attempt(r);
 	r->state = RELAY_AWAITING_GRANT;
@@ -163,12 +165,18 @@
 {
 	done_t done = { .result = result };
 
+	relay_on_done(r, result);
 	done.prompt_tokens = r->call.prompt_tokens;
 	done.output_tokens = r->output_tokens;
 	done.says_leaving = r->says_leaving;
 	done.pause_ms = r->pause_ms;
 	done.limit =
 		runner_filter_known_limit(&r->gateway->runners, r->runner.name);
+	if (!r->is_load_told)
+		done.load = r->load;
+	if (result == DONE_COMPLETED)
+		done.connection_ms = upstream_pool_fresh_ms(&r->gateway->pool,
+							    r->runner.address);
 	relay_post_capacity(r, MESSAGE_DONE, &done);
 }
 
@@ -342,13 +350,24 @@
 				       g_bytes_ref(body));
 }
 
+/*
+ * A late copy of an answer to an earlier send has this request's id, so another
+ * send needs a connection of its own. A request that may run only once can't be
+ * sent again when its connection turns out to be closed.
+ */
+static upstream_reuse_t allowed_reuse(const relay_t *r)
+{
+	if (r->sends)
+		return UPSTREAM_REUSE_NONE;
+	if (fleet_may_repeat(r->route))
+		return UPSTREAM_REUSE_ANY;
+	return supervisor_of(r)->settings->reuse_connections ?
+		       UPSTREAM_REUSE_FRESH :
+		       UPSTREAM_REUSE_NONE;
+}
+
 static void send_upstream(relay_t *r)
 {
-	/*
-	 * A late copy of an answer to an earlier send has this request's id, so
-	 * another send needs a connection of its own.
-	 */
-	bool may_reuse = fleet_may_repeat(r->route) && !r->sends;
 	forward_params_t params = {
 		.team = r->team ? r->team->name : NULL,
 		.runner = r->runner.name,
@@ -368,12 +387,15 @@
 	r->events_before = r->n_events;
 	r->is_repeating = false;
 	r->says_leaving = false;
+	r->load = (runner_load_t){ 0 };
+	r->is_load_told = false;
 	r->pause_ms = 0;
 	r->state = RELAY_GRANTED;
 	r->progress_at = now_us();
 	relay_note_release(r);
+	relay_on_sent(r);
 	r->upstream = upstream_conn_start(
-		&r->gateway->pool, r->runner.address, may_reuse,
+		&r->gateway->pool, r->runner.address, allowed_reuse(r),
 		str_eq(r->call.method, STR_LIT("HEAD")), request,
 		&relay_answer_ops, r);
 	evbuffer_free(request);
@@ -455,7 +477,8 @@
 {
 	if (r->state != RELAY_AWAITING_GRANT)
 		return;
-	if (has_retry_time(r) && relay_try_after_refusal(r, reason))
+	if (has_retry_time(r) &&
+	    (relay_leave_pool(r) || relay_try_after_refusal(r, reason)))
 		return;
 	r->state = RELAY_ENDED;
 	if (r->possible_runs || r->has_begun)
--- a/daemon/relay_runner.c
+++ b/daemon/relay_runner.c
@@ -38,6 +38,12 @@
 			   why);
 }
 
+void relay_reroute_unsent(relay_t *r, const char *why)
+{
+	if (r->upstream && !upstream_conn_is_sent(r->upstream))
+		reroute_unsent(r, DONE_CANCELLED, why);
+}
+
 /* Moves requests that are still connecting to RUNNER to another one. */
 static void reroute_all_unsent(gateway_t *g, const char *runner,
 			       uint32_t pause_ms)
@@ -127,6 +133,20 @@
 		  r->answer.rate_limit, relay_dispatcher_name(r));
 }
 
+static void record_load(relay_t *r)
+{
+	const answer_head_t *a = &r->answer;
+
+	if (a->is_load_unreadable)
+		metrics_add(metrics_of(r), "papaya_runner_loads_invalid_total",
+			    NULL, 1);
+	if (!a->has_load)
+		return;
+	metrics_add(metrics_of(r), "papaya_runner_loads_total", NULL, 1);
+	r->load = (runner_load_t){ now_us(), a->running, a->waiting, a->slots,
+				   a->pace };
+}
+
 void relay_read_runner_status(relay_t *r)
 {
 	/*
@@ -137,6 +157,7 @@
 		record_leaving(r, "another runner has its address");
 		return;
 	}
+	record_load(r);
 	if (r->answer.is_leaving)
 		record_leaving(r, "its answer says so");
 	if (r->answer.pause_ms)
@@ -183,6 +204,7 @@
 		[RUNNER_PARTITIONED] = "the runner's zone does not answer",
 		[RUNNER_LIMITED] = "the dispatcher doesn't know its limit",
 		[RUNNER_OTHER_RELEASE] = "the stream began on another release",
+		[RUNNER_RELEASE_HELD] = "its release is not used now",
 	};
 
 	return texts[use];
@@ -191,7 +213,7 @@
 static done_result_t decline_result(runner_use_t use)
 {
 	if (use == RUNNER_PAUSED || use == RUNNER_LIMITED ||
-	    use == RUNNER_OTHER_RELEASE)
+	    use == RUNNER_OTHER_RELEASE || use == RUNNER_RELEASE_HELD)
 		return DONE_CANCELLED;
 	return use == RUNNER_PARTITIONED ? DONE_UNREACHABLE : DONE_LEAVING;
 }
@@ -210,6 +232,8 @@
 		s.use = RUNNER_PARTITIONED;
 	} else if (r->release && r->runner.release != r->release) {
 		s.use = RUNNER_OTHER_RELEASE;
+	} else if (!relay_may_send(r)) {
+		s.use = RUNNER_RELEASE_HELD;
 	} else if (!runner_limit_allows(&limit, &r->granted_limit)) {
 		s.use = RUNNER_LIMITED;
 		s.reported_at = limit.at;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -94,6 +94,18 @@
 	     "the same in units of the limit, in addition; fleet only"),
 	DURATION(limit_window_ms, 100, DAY_MS, "8000",
 		 "window of the two settings above"),
+	{ "rollouts", OPTION_BOOL, "", 0, 0, "false", FIELD(rollouts),
+	  "follow operators' orders to move a service's traffic to another "
+	  "release; fleet only",
+	  NULL },
+	REAL(rollout_exposure, 0, 1, "0.05",
+	     "share of a service's requests that a release may get before it "
+	     "is found good, over all daemons"),
+	REAL(rollout_exposure_slack, 0, 1000000, "50",
+	     "requests that it may get in addition"),
+	DURATION(rollout_revert_ms, 1, DAY_MS, "5000",
+		 "time after which a release that was found bad gets no "
+		 "request"),
 	DURATION(runners_poll_ms, 50, 60000, "500",
 		 "time between reads of the runners' entries; fleet only"),
 	DURATION(config_wait_ms, 50, 30000, "700",
@@ -158,6 +170,25 @@
 	     "take up a fifth of it each; fleet only"),
 	INT(max_wants, "", 1, 1000000, "20000",
 	    "requests that one dispatcher queues, at most"),
+	{ "reuse_connections", OPTION_BOOL, "", 0, 0, "false",
+	  FIELD(reuse_connections),
+	  "connections to runners are used again for requests that may run "
+	  "only once, too, and runners to which there is one are preferred",
+	  NULL },
+	{ "runner_load", OPTION_BOOL, "", 0, 0, "false", FIELD(runner_load),
+	  "the load that runners state with a pace counts in the choice of a "
+	  "runner; plain ones keep slots for protected tiers only if there are "
+	  "some",
+	  NULL },
+	{ "runner_memory", OPTION_BOOL, "", 0, 0, "false", FIELD(runner_memory),
+	  "a request is sent to an engine only if its memory has room for it "
+	  "besides all that it holds",
+	  NULL },
+	{ "prompt_cache_weighing", OPTION_BOOL, "", 0, 0, "false",
+	  FIELD(prompt_cache_weighing),
+	  "what a runner saves by having a prompt's beginning in its cache is "
+	  "weighed against the wait there",
+	  NULL },
 	DURATION(ticket_life_ms, 100, DAY_MS, "300000",
 		 "how long a ticket may stay unused"),
 	DURATION(grant_timeout_ms, 100, DAY_MS, "600000",
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -35,6 +35,10 @@
 	double limit_overrun;
 	double limit_slack;
 	int64_t limit_window_ms;
+	bool rollouts;
+	double rollout_exposure;
+	double rollout_exposure_slack;
+	int64_t rollout_revert_ms;
 	int64_t runners_poll_ms;
 	int64_t config_wait_ms;
 	bool learned_speeds;
@@ -62,6 +66,10 @@
 	int64_t caller_backlog_kib;
 	double memory_mb;
 	int64_t max_wants;
+	bool reuse_connections;
+	bool runner_load;
+	bool runner_memory;
+	bool prompt_cache_weighing;
 	int64_t ticket_life_ms;
 	int64_t grant_timeout_ms;
 	int64_t max_deadline_ms;
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -23,6 +23,7 @@
 typedef struct Papaya__VmList Papaya__VmList;
 typedef struct Papaya__Want Papaya__Want;
 typedef struct Papaya__RunnerLimit Papaya__RunnerLimit;
+typedef struct Papaya__RunnerLoad Papaya__RunnerLoad;
 typedef struct Papaya__Grant Papaya__Grant;
 typedef struct Papaya__Refuse Papaya__Refuse;
 typedef struct Papaya__Cancel Papaya__Cancel;
@@ -52,6 +53,9 @@
 typedef struct Papaya__StreamAnswer Papaya__StreamAnswer;
 typedef struct Papaya__RunnerSpeed Papaya__RunnerSpeed;
 typedef struct Papaya__RunnerSpeeds Papaya__RunnerSpeeds;
+typedef struct Papaya__RolloutTally Papaya__RolloutTally;
+typedef struct Papaya__RolloutReport Papaya__RolloutReport;
+typedef struct Papaya__RolloutTold Papaya__RolloutTold;
 typedef struct Papaya__Frame Papaya__Frame;
 
 
@@ -280,6 +284,29 @@
     , 0, 0, 0 }
 
 
+/*
+ * The load that a runner stated in an answer.
+ */
+struct  Papaya__RunnerLoad
+{
+  ProtobufCMessage base;
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t slots;
+  /*
+   * percent, 200: all takes twice as long; 0: not stated
+   */
+  uint32_t pace;
+  /*
+   * since the owner heard it
+   */
+  uint32_t age_ms;
+};
+#define PAPAYA__RUNNER_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__runner_load__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
 /*
  * Dispatcher to owner: the request may use this runner.
  */
@@ -388,10 +415,14 @@
    * of the runner, as the owner knows it
    */
   Papaya__RunnerLimit *limit;
+  /*
+   * of the runner, stated in the answer's head
+   */
+  Papaya__RunnerLoad *load;
 };
 #define PAPAYA__FIRST_TOKEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__first_token__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, NULL, NULL }
 
 
 /*
@@ -419,10 +450,18 @@
    * of the runner, as the owner knows it
    */
   Papaya__RunnerLimit *limit;
+  /*
+   * of the runner, stated in the answer's head
+   */
+  Papaya__RunnerLoad *load;
+  /*
+   * How long the owner may use its connection to the runner again.
+   */
+  uint32_t connection_ms;
 };
 #define PAPAYA__DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__done__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, 0 }
 
 
 /*
@@ -927,6 +966,105 @@
     , (char *)protobuf_c_empty_string, 0,NULL }
 
 
+/*
+ * Answers alike of runners of a service that is being rolled out.
+ */
+struct  Papaya__RolloutTally
+{
+  ProtobufCMessage base;
+  uint64_t route;
+  /*
+   * 0 for those of current releases
+   */
+  uint64_t runner;
+  uint32_t timing;
+  /*
+   * of times
+   */
+  uint32_t bucket;
+  protobuf_c_boolean target;
+  protobuf_c_boolean failed;
+  uint32_t n;
+};
+#define PAPAYA__ROLLOUT_TALLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__rollout_tally__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * A daemon's report to the conductor of a roll-out; counts only rise.
+ */
+struct  Papaya__RolloutReport
+{
+  ProtobufCMessage base;
+  char *service;
+  uint64_t order;
+  /*
+   * of the daemon
+   */
+  uint64_t process;
+  uint64_t requests;
+  /*
+   * id of the leases that follow
+   */
+  uint64_t granter;
+  uint64_t used;
+  uint64_t returned;
+  /*
+   * that the daemon acts on
+   */
+  uint32_t stage;
+  uint64_t term;
+  /*
+   * requests on runners of other releases
+   */
+  uint32_t running;
+  /*
+   * returned in the answer
+   */
+  int64_t stamp_us;
+  size_t n_tallies;
+  Papaya__RolloutTally **tallies;
+  /*
+   * request that ended there lately
+   */
+  uint32_t longest_ms;
+};
+#define PAPAYA__ROLLOUT_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__rollout_report__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+
+
+/*
+ * The answer to it.
+ */
+struct  Papaya__RolloutTold
+{
+  ProtobufCMessage base;
+  char *service;
+  uint64_t order;
+  uint64_t term;
+  /*
+   * id of the leases
+   */
+  uint64_t granter;
+  uint32_t stage;
+  /*
+   * to the daemon's process, in all
+   */
+  uint64_t granted;
+  uint64_t process;
+  int64_t stamp_us;
+  /*
+   * wall clock; 0: in progress
+   */
+  int64_t decided_ms;
+};
+#define PAPAYA__ROLLOUT_TOLD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&papaya__rollout_told__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 typedef enum {
   PAPAYA__FRAME__BODY__NOT_SET = 0,
   PAPAYA__FRAME__BODY_HELLO = 1,
@@ -956,7 +1094,9 @@
   PAPAYA__FRAME__BODY_STREAM_NOTES = 25,
   PAPAYA__FRAME__BODY_STREAM_ASK = 26,
   PAPAYA__FRAME__BODY_STREAM_ANSWER = 27,
-  PAPAYA__FRAME__BODY_RUNNER_SPEEDS = 28
+  PAPAYA__FRAME__BODY_RUNNER_SPEEDS = 28,
+  PAPAYA__FRAME__BODY_ROLLOUT_REPORT = 32,
+  PAPAYA__FRAME__BODY_ROLLOUT_TOLD = 33
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PAPAYA__FRAME__BODY__CASE)
 } Papaya__Frame__BodyCase;
 
@@ -993,6 +1133,8 @@
     Papaya__StreamAsk *stream_ask;
     Papaya__StreamAnswer *stream_answer;
     Papaya__RunnerSpeeds *runner_speeds;
+    Papaya__RolloutReport *rollout_report;
+    Papaya__RolloutTold *rollout_told;
   };
 };
 #define PAPAYA__FRAME__INIT \
@@ -1152,6 +1294,25 @@
 void   papaya__runner_limit__free_unpacked
                      (Papaya__RunnerLimit *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__RunnerLoad methods */
+void   papaya__runner_load__init
+                     (Papaya__RunnerLoad         *message);
+size_t papaya__runner_load__get_packed_size
+                     (const Papaya__RunnerLoad   *message);
+size_t papaya__runner_load__pack
+                     (const Papaya__RunnerLoad   *message,
+                      uint8_t             *out);
+size_t papaya__runner_load__pack_to_buffer
+                     (const Papaya__RunnerLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__RunnerLoad *
+       papaya__runner_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__runner_load__free_unpacked
+                     (Papaya__RunnerLoad *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Grant methods */
 void   papaya__grant__init
                      (Papaya__Grant         *message);
@@ -1703,6 +1864,63 @@
 void   papaya__runner_speeds__free_unpacked
                      (Papaya__RunnerSpeeds *message,
                       ProtobufCAllocator *allocator);
+/* Papaya__RolloutTally methods */
+void   papaya__rollout_tally__init
+                     (Papaya__RolloutTally         *message);
+size_t papaya__rollout_tally__get_packed_size
+                     (const Papaya__RolloutTally   *message);
+size_t papaya__rollout_tally__pack
+                     (const Papaya__RolloutTally   *message,
+                      uint8_t             *out);
+size_t papaya__rollout_tally__pack_to_buffer
+                     (const Papaya__RolloutTally   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__RolloutTally *
+       papaya__rollout_tally__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__rollout_tally__free_unpacked
+                     (Papaya__RolloutTally *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__RolloutReport methods */
+void   papaya__rollout_report__init
+                     (Papaya__RolloutReport         *message);
+size_t papaya__rollout_report__get_packed_size
+                     (const Papaya__RolloutReport   *message);
+size_t papaya__rollout_report__pack
+                     (const Papaya__RolloutReport   *message,
+                      uint8_t             *out);
+size_t papaya__rollout_report__pack_to_buffer
+                     (const Papaya__RolloutReport   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__RolloutReport *
+       papaya__rollout_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__rollout_report__free_unpacked
+                     (Papaya__RolloutReport *message,
+                      ProtobufCAllocator *allocator);
+/* Papaya__RolloutTold methods */
+void   papaya__rollout_told__init
+                     (Papaya__RolloutTold         *message);
+size_t papaya__rollout_told__get_packed_size
+                     (const Papaya__RolloutTold   *message);
+size_t papaya__rollout_told__pack
+                     (const Papaya__RolloutTold   *message,
+                      uint8_t             *out);
+size_t papaya__rollout_told__pack_to_buffer
+                     (const Papaya__RolloutTold   *message,
+                      ProtobufCBuffer     *buffer);
+Papaya__RolloutTold *
+       papaya__rollout_told__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   papaya__rollout_told__free_unpacked
+                     (Papaya__RolloutTold *message,
+                      ProtobufCAllocator *allocator);
 /* Papaya__Frame methods */
 void   papaya__frame__init
                      (Papaya__Frame         *message);
@@ -1748,6 +1966,9 @@
 typedef void (*Papaya__RunnerLimit_Closure)
                  (const Papaya__RunnerLimit *message,
                   void *closure_data);
+typedef void (*Papaya__RunnerLoad_Closure)
+                 (const Papaya__RunnerLoad *message,
+                  void *closure_data);
 typedef void (*Papaya__Grant_Closure)
                  (const Papaya__Grant *message,
                   void *closure_data);
@@ -1835,6 +2056,15 @@
 typedef void (*Papaya__RunnerSpeeds_Closure)
                  (const Papaya__RunnerSpeeds *message,
                   void *closure_data);
+typedef void (*Papaya__RolloutTally_Closure)
+                 (const Papaya__RolloutTally *message,
+                  void *closure_data);
+typedef void (*Papaya__RolloutReport_Closure)
+                 (const Papaya__RolloutReport *message,
+                  void *closure_data);
+typedef void (*Papaya__RolloutTold_Closure)
+                 (const Papaya__RolloutTold *message,
+                  void *closure_data);
 typedef void (*Papaya__Frame_Closure)
                  (const Papaya__Frame *message,
                   void *closure_data);
@@ -1852,6 +2082,7 @@
 extern const ProtobufCMessageDescriptor papaya__vm_list__descriptor;
 extern const ProtobufCMessageDescriptor papaya__want__descriptor;
 extern const ProtobufCMessageDescriptor papaya__runner_limit__descriptor;
+extern const ProtobufCMessageDescriptor papaya__runner_load__descriptor;
 extern const ProtobufCMessageDescriptor papaya__grant__descriptor;
 extern const ProtobufCMessageDescriptor papaya__refuse__descriptor;
 extern const ProtobufCMessageDescriptor papaya__cancel__descriptor;
@@ -1881,6 +2112,9 @@
 extern const ProtobufCMessageDescriptor papaya__stream_answer__descriptor;
 extern const ProtobufCMessageDescriptor papaya__runner_speed__descriptor;
 extern const ProtobufCMessageDescriptor papaya__runner_speeds__descriptor;
+extern const ProtobufCMessageDescriptor papaya__rollout_tally__descriptor;
+extern const ProtobufCMessageDescriptor papaya__rollout_report__descriptor;
+extern const ProtobufCMessageDescriptor papaya__rollout_told__descriptor;
 extern const ProtobufCMessageDescriptor papaya__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
