member, early_wants, peers: lost links are forgotten; early wants end

- a daemon whose link was lost, and then not needed any more, was never a dispatcher's host again for those who had lost it.
The mark ends with the need for the link, with the incarnation, and after three heartbeat timeouts.
- early wants are refused after 1.5 s without configuration and list, instead of being held until their deadline.
- requests that run are told to the dispatcher before those that wait, whatever came first, and have places of their own in the bound.

Not covered by a test: a loss of one side's link between three daemons.

--- a/core/member.c
+++ b/core/member.c
@@ -2,6 +2,11 @@
 
 #include "core/member_state.h"
 
+enum {
+	/* Within so many heartbeat timeouts a dead member is known to be dead. */
+	LINK_LOST_TIMEOUTS = 3,
+};
+
 member_entry_t *member_entry_find(const struct member_table *t, str_t name)
 {
 	char buf[MEMBER_NAME_SIZE];
@@ -166,6 +171,7 @@
 	e->state = MEMBER_LIVE;
 	e->is_draining = false;
 	e->has_handed_over = false;
+	e->link_lost_at = 0;
 	e->entered_at = now;
 	member_notify_change(t, e, now);
 }
@@ -257,6 +263,9 @@
 	int64_t timeout = t->config.heartbeat_timeout;
 	int64_t heard_at = MAX(e->heard_at, e->reported_at);
 
+	if (e->link_lost_at &&
+	    now - e->link_lost_at > LINK_LOST_TIMEOUTS * timeout)
+		e->link_lost_at = 0;
 	if (!member_is_present(e) || now - heard_at <= timeout)
 		return;
 	/* No link to it is kept, so no heartbeat can arrive. */
--- a/core/member.h
+++ b/core/member.h
@@ -268,8 +268,14 @@
  * didn't; false if there is none.
  */
 bool member_next_host(const member_t *m, str_t dispatcher, member_vm_t *out);
-/* Sets whether the link to a daemon is lost, until a new one is up. */
-void member_set_link_lost(member_t *m, str_t name, bool is_lost);
+/*
+ * Sets whether the link to a daemon is lost: set it when the link ends, and
+ * clear it when a new one is up or none is needed. It ends by itself with the
+ * incarnation, and after some heartbeat timeouts: a daemon that is dead is known
+ * to be so by then, and one that only this daemon can't reach is a host to all
+ * others.
+ */
+void member_set_link_lost(member_t *m, str_t name, bool is_lost, int64_t now);
 /*
  * Returns true if this daemon is the role's host; requests no link. Unlike
  * member_regional_host, it doesn't pass over unresponsive daemons.
--- a/core/member_link.c
+++ b/core/member_link.c
@@ -113,7 +113,7 @@
 		rendezvous_t r;
 
 		if (!is_linkable(e) || e->is_draining || e->is_unresponsive ||
-		    (needs_link && e->is_link_lost) ||
+		    (needs_link && e->link_lost_at) ||
 		    !may_be_linked(t, e, now) ||
 		    !str_eq(str_from(e->vm.zone), zone))
 			continue;
@@ -175,12 +175,12 @@
 		e->is_unresponsive = is_unresponsive;
 }
 
-void member_set_link_lost(member_t *m, str_t name, bool is_lost)
+void member_set_link_lost(member_t *m, str_t name, bool is_lost, int64_t now)
 {
 	member_entry_t *e = member_entry_find(m->table, name);
 
 	if (e)
-		e->is_link_lost = is_lost;
+		e->link_lost_at = is_lost ? MAX(now, 1) : 0;
 }
 
 bool member_next_host(const member_t *m, str_t dispatcher, member_vm_t *out)
--- a/core/member_region.c
+++ b/core/member_region.c
@@ -27,7 +27,7 @@
 		const member_entry_t *e = t->entries->pdata[i];
 
 		if (member_is_reachable(e) && !e->is_unresponsive &&
-		    !(needs_link && e->is_link_lost) &&
+		    !(needs_link && e->link_lost_at) &&
 		    str_eq(str_from(e->vm.zone), zone))
 			return true;
 	}
--- a/core/member_state.h
+++ b/core/member_state.h
@@ -31,7 +31,8 @@
 	int64_t link_tried_since; /* since then a link is attempted */
 	int64_t host_used_at; /* last use of a dispatcher or role it hosts */
 	bool is_unresponsive; /* leaves pings unanswered: hosts nothing */
-	bool is_link_lost; /* and no new one is up: hosts no dispatcher */
+	/* Its link was lost, and no new one is up: hosts no dispatcher; 0: no. */
+	int64_t link_lost_at;
 } member_entry_t;
 
 struct member_table {
@@ -114,7 +115,7 @@
 static inline bool member_can_host(const member_entry_t *e, bool needs_link)
 {
 	return member_is_candidate(e) && !e->is_unresponsive &&
-	       !(needs_link && e->is_link_lost);
+	       !(needs_link && e->link_lost_at);
 }
 
 /* member_zone_host, with or without hosts whose link is lost. */
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -465,7 +465,7 @@
 {
 	if (!is_too_early(c))
 		return false;
-	if (!early_wants_add(&c->early, request))
+	if (!early_wants_add(&c->early, request, now_us()))
 		refuse_unknown_service(c, request);
 	else if (request->peer[0] && !request->running_on[0])
 		post_queued(c, request);
@@ -501,18 +501,25 @@
 
 static void handle_early_wants(capacity_t *c)
 {
-	message_capacity_t *want;
-	guint n = c->early.wants.length;
+	uint32_t n = early_wants_count(&c->early);
+	message_capacity_t want;
 
 	if (!n || is_too_early(c))
 		return;
 	log_event("early-wants",
 		  "wants=%u why=\"configuration and runners are known now\"",
 		  n);
-	while ((want = early_wants_pop(&c->early))) {
-		handle_want(c, want);
-		g_free(want);
-	}
+	while (early_wants_pop(&c->early, &want))
+		handle_want(c, &want);
+}
+
+/* Their owners may find another dispatcher. */
+static void refuse_late_early_wants(capacity_t *c)
+{
+	message_capacity_t want;
+
+	while (early_wants_pop_late(&c->early, now_us(), &want))
+		refuse_unknown_service(c, &want);
 }
 
 static void set_owner_lost(dispatcher_t *d, uint64_t owner)
@@ -632,6 +639,7 @@
 	service_t *s;
 
 	check_stall(c);
+	refuse_late_early_wants(c);
 	g_hash_table_iter_init(&iter, c->services);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&s))
 		dispatcher_tick(&s->dispatcher, now_us());
--- a/daemon/early_wants.h
+++ b/daemon/early_wants.h
@@ -2,28 +2,43 @@
  * Wants that reach a daemon before its first configuration: others may know it
  * as a dispatcher's host as soon as it is linked. They are kept and decided
  * once the configuration is known, since no other daemon serves them meanwhile.
- * Bounded; what doesn't fit is refused.
+ * Requests that run already come first, so that their places are known to be
+ * taken. Bounded in number and time; what doesn't fit is refused.
+ *
+ * Beside its task, as what it keeps are messages.
  */
 #ifndef DAEMON_EARLY_WANTS_H
 #define DAEMON_EARLY_WANTS_H
 
 #include "daemon/message.h"
 
-enum { EARLY_WANTS_MAX = 512 };
+enum {
+	EARLY_WANTS_MAX = 512, /* of each kind */
+	/* Lists come from other daemons much earlier, or may not come at all */
+	EARLY_WANTS_LIMIT_US = 1500 * 1000,
+};
 
 typedef struct early_wants {
-	GQueue wants; /* message_capacity_t, in the order of arrival */
+	GQueue running, waiting; /* in the order of arrival */
 } early_wants_t;
 
 void early_wants_init(early_wants_t *e);
 void early_wants_finish(early_wants_t *e);
 /* Keeps a copy, in place of an earlier one of the same ID; false: full. */
-bool early_wants_add(early_wants_t *e, const message_capacity_t *want);
+bool early_wants_add(early_wants_t *e, const message_capacity_t *want,
+		     int64_t now);
 /* Removes a want that its owner withdrew, or whose use of a runner ended. */
 void early_wants_remove(early_wants_t *e, want_id_t id);
 /* Removes all wants of a daemon that died. */
 void early_wants_remove_peer(early_wants_t *e, const char *peer);
-/* Removes the oldest and returns it, to be freed with g_free; NULL: none. */
-message_capacity_t *early_wants_pop(early_wants_t *e);
+/*
+ * Removes the next want to be handled, and stores it in OUT; false: there is
+ * none.
+ */
+bool early_wants_pop(early_wants_t *e, message_capacity_t *out);
+/* Likewise a waiting one that was kept for too long. */
+bool early_wants_pop_late(early_wants_t *e, int64_t now,
+			  message_capacity_t *out);
+uint32_t early_wants_count(const early_wants_t *e);
 
 #endif
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -125,6 +125,11 @@
  * effect is a longer wait.
  */
 void peers_route_want(peers_t *p, const message_t *m);
+/*
+ * Posts a want of another daemon to the capacity task; as one that others may
+ * dispatch too, if this daemon isn't the dispatcher's host in its own view.
+ */
+void peers_receive_want(peers_t *p, message_t *m);
 /*
  * Sends learned speeds to the dispatcher's host, or if that is this daemon, to
  * the daemon of this zone that would be next.
--- a/daemon/peers_route.c
+++ b/daemon/peers_route.c
@@ -81,6 +81,22 @@
 	return member_dispatcher_host(&p->member, zone, name, now_us(), out);
 }
 
+void peers_receive_want(peers_t *p, message_t *m)
+{
+	message_capacity_t *c = &m->capacity;
+	member_vm_t host;
+
+	/*
+	 * The sender may have lost its link to the host that this daemon, and
+	 * others, still use.
+	 */
+	c->is_local_only =
+		p->sup->settings->fleet &&
+		find_dispatcher(p, c, str_from(p->self.zone), &host) &&
+		strcmp(host.name, p->self.name) != 0;
+	supervisor_post(p->sup, TASK_CAPACITY, m);
+}
+
 void peers_route_want(peers_t *p, const message_t *m)
 {
 	const message_capacity_t *c = &m->capacity;
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -109,7 +109,7 @@
 
 	log_info("link to %s is up", vm->name);
 	member_on_heartbeat(&p->member, vm, incarnation, false, now_us());
-	member_set_link_lost(&p->member, str_from(vm->name), false);
+	member_set_link_lost(&p->member, str_from(vm->name), false, now_us());
 	detector_link_up(&p->detector, vm->name, vm->zone, now_us());
 	post_link_up(p, vm->name);
 	peers_post_view_changed(p);
@@ -153,7 +153,8 @@
 		 err ? err_text(err, text, sizeof(text)) : "closed");
 	/* Its roles are with the next host before it is known to be dead. */
 	if (p->sup->settings->fleet && g_hash_table_contains(p->linked, name))
-		member_set_link_lost(&p->member, str_from(name), true);
+		member_set_link_lost(&p->member, str_from(name), true,
+				     now_us());
 	detector_link_down(&p->detector, name, now_us());
 	post_view_stable(p);
 	/* Wants sent over the link may be lost; the front sends them again. */
@@ -248,9 +249,13 @@
 			    NULL, 1);
 		return;
 	}
-	supervisor_post(p->sup,
-			peers_is_for_owner(m.type) ? TASK_FRONT : TASK_CAPACITY,
-			&m);
+	if (m.type == MESSAGE_WANT)
+		peers_receive_want(p, &m);
+	else
+		supervisor_post(p->sup,
+				peers_is_for_owner(m.type) ? TASK_FRONT :
+							     TASK_CAPACITY,
+				&m);
 }
 
 static void on_probe_result(void *ctx, const char *name, bool is_ok)
@@ -396,6 +401,8 @@
 		if (is_needed)
 			continue;
 		peer_release(&p->peer, str_from(name));
+		member_set_link_lost(&p->member, str_from(name), false,
+				     now_us());
 		g_hash_table_iter_remove(&iter);
 	}
 	peer_stats(&p->peer, &stats);
--- a/tests/test_member_region.c
+++ b/tests/test_member_region.c
@@ -243,8 +243,8 @@
 		for (size_t i = 0; i < G_N_ELEMENTS(selves); i++) {
 			g_autofree char *host = NULL;
 
-			member_set_link_lost(&m[i], str_from(killed.name),
-					     true);
+			member_set_link_lost(&m[i], str_from(killed.name), true,
+					     DETECTED);
 			host = dispatcher_host_of(&m[i], role, DETECTED);
 			ck_assert_str_ne(host, killed.name);
 			if (next)
@@ -258,7 +258,7 @@
 				&m[i], zone, str_from(role), DETECTED, &vm));
 			ck_assert_str_ne(vm.name, killed.name);
 			member_set_link_lost(&m[i], str_from(killed.name),
-					     false);
+					     false, DETECTED);
 			g_free(host);
 			host = dispatcher_host_of(&m[i], role, DETECTED);
 			ck_assert_str_eq(host, killed.name);
@@ -270,9 +270,48 @@
 }
 END_TEST
 
+/* A zone was cut off for long, or a VM was replaced: links end for good. */
+START_TEST(a_lost_link_is_forgotten)
+{
+	enum { SOON = 5 * HEARTBEAT_TIMEOUT };
+	str_t name = str_from(vm_of(1).name), zone = STR_LIT("z0");
+	member_vm_t self = vm_of(1), vm;
+	int64_t now = DETECTED;
+	const char *role = NULL;
+	member_t m;
+
+	setup(&m, 0);
+	run(&m, 1, now, "z1 z2");
+	for (int n = 0; !role; n++) {
+		g_autofree char *tried = g_strdup_printf("duty-%d", n);
+
+		ck_assert_int_lt(n, ROLES);
+		ck_assert(member_dispatcher_host(&m, zone, str_from(tried), now,
+						 &vm));
+		if (!strcmp(vm.name, self.name))
+			role = g_intern_string(tried);
+	}
+	/* Nobody tells that a link is up: it is live by others' reports. */
+	member_set_link_lost(&m, name, true, now);
+	ck_assert(member_dispatcher_host(&m, zone, str_from(role), now, &vm));
+	ck_assert_str_ne(vm.name, self.name);
+	run(&m, now + 1, now + SOON, "z1 z2");
+	now += SOON;
+	ck_assert(member_dispatcher_host(&m, zone, str_from(role), now, &vm));
+	ck_assert_str_eq(vm.name, self.name);
+	/* Another process of it has links of its own. */
+	member_set_link_lost(&m, name, true, now);
+	member_on_heartbeat(&m, &self, 2, false, now);
+	ck_assert(member_dispatcher_host(&m, zone, str_from(role), now, &vm));
+	ck_assert_str_eq(vm.name, self.name);
+	member_finish(&m);
+}
+END_TEST
+
 SUITE_MAIN("member_region", all_zones_name_the_same_host,
 	   partitioned_zone_hosts_all_roles_itself,
 	   roles_leave_a_partitioned_zone_before_its_daemons_are_dead,
 	   partitioned_zone_counts_as_known_until_it_expires,
 	   zone_without_any_heartbeat_counts_as_known_at_first,
-	   dispatchers_of_a_killed_daemon_have_one_next_host)
+	   dispatchers_of_a_killed_daemon_have_one_next_host,
+	   a_lost_link_is_forgotten)
