limit_lease: a lease outlives each renewal by the same time at any size

Cause, found by a review: with leases of 5 ms a daemon and at least 0.4 s, and renewals at 5/3 ms a daemon, a renewal might be late by 0.23 s only at 80 daemons, less than in smaller and larger fleets.

Safe at any length by construction.

--- a/core/limit_lease.c
+++ b/core/limit_lease.c
@@ -4,16 +4,20 @@
 
 enum {
 	US_PER_MS = 1000,
-	/* A new process waits for so long at least; it serves less meanwhile. */
-	MIN_DURATION_US = 400 * US_PER_MS,
-	DURATION_PER_DAEMON_US = 5 * US_PER_MS,
-	MAX_DURATION_US = 6000 * US_PER_MS,
 	/*
-	 * A lease outlives renewals that are late or lost: by a daemon that is
-	 * busy for some tenths of a second, however long the lease is.
+	 * Between renewals: a counter gets as many frames a second in a fleet of
+	 * any size that is not small.
+	 */
+	MIN_RENEWAL_US = 80 * US_PER_MS,
+	RENEWAL_PER_DAEMON_NS = 5 * 1000 * US_PER_MS / 3,
+	/*
+	 * A lease outlives a renewal that is late by so much. A new process
+	 * waits for a whole lease, so it is no longer than that.
 	 */
-	SHORT_RENEWAL_US = MIN_DURATION_US / 5,
-	RENEWALS_PER_LONG_LEASE = 3,
+	RENEWAL_SLACK_US = 320 * US_PER_MS,
+	/* Before the size of the fleet is known. */
+	MAX_DURATION_US = 6000 * US_PER_MS,
+	NS_PER_US = 1000,
 	/* Its counter stops using it so much earlier, as it checks now and then. */
 	CHECK_MARGIN_US = 2 * LIMIT_LEASE_TICK_US,
 };
@@ -44,18 +48,20 @@
 						      g_free, g_free);
 	/* How long earlier leases last is known with the number of daemons. */
 	l->duration = MAX_DURATION_US;
+	l->renewal = l->duration - RENEWAL_SLACK_US;
 	for (int i = 0; i < LIMIT_ROLES; i++)
 		l->shares[i].free_at = INT64_MAX;
 }
 
 void limit_lease_set_daemons(limit_lease_t *l, uint32_t daemons)
 {
-	int64_t duration = (int64_t)daemons * DURATION_PER_DAEMON_US;
+	int64_t per_daemon = RENEWAL_PER_DAEMON_NS;
 
 	if (!daemons)
 		return;
-	l->daemons = daemons;
-	l->duration = CLAMP(duration, MIN_DURATION_US, MAX_DURATION_US);
+	l->renewal = CLAMP(daemons * per_daemon / NS_PER_US, MIN_RENEWAL_US,
+			   MAX_DURATION_US - RENEWAL_SLACK_US);
+	l->duration = l->renewal + RENEWAL_SLACK_US;
 	/* The process before this one may have lent its shares for so long. */
 	for (int i = 0; i < LIMIT_ROLES; i++) {
 		limit_share_state_t *s = &l->shares[i];
@@ -199,15 +205,6 @@
 	return roles;
 }
 
-/* The time between renewals; with it, the frames that a counter gets. */
-static int64_t renewal_time(const limit_lease_t *l)
-{
-	int64_t per_daemon = l->daemons * DURATION_PER_DAEMON_US;
-
-	return CLAMP(per_daemon / RENEWALS_PER_LONG_LEASE, SHORT_RENEWAL_US,
-		     l->duration / RENEWALS_PER_LONG_LEASE);
-}
-
 /* Sends HOST what it is lent, or a request for its first stamp. */
 static void send_due(limit_lease_t *l, const char *host, bool is_new,
 		     limit_lend_fn lend, void *ctx, int64_t now)
@@ -221,7 +218,7 @@
 	}
 	if (c->sent_at == now)
 		return;
-	if (!is_new && c->sent_at && now - c->sent_at < renewal_time(l))
+	if (!is_new && c->sent_at && now - c->sent_at < l->renewal)
 		return;
 	c->sent_at = now;
 	roles = is_fresh(c, now) ? renew(l, host, c) : 0;
--- a/core/limit_lease.h
+++ b/core/limit_lease.h
@@ -60,7 +60,7 @@
 	uint64_t process; /* unique id of this process */
 	int64_t started_at;
 	int64_t duration; /* of leases from now on */
-	int64_t daemons; /* of the fleet; 0: not known */
+	int64_t renewal; /* time between renewals */
 	char self[LIMIT_LEASE_NAME_SIZE];
 	limit_share_state_t shares[LIMIT_ROLES];
 	GHashTable *counters; /* name to the last stamp of that daemon */
