speed_digest: paces are told too, and figures that can't be learned are refused

Change: a digest has the runner's usual pace, which weighs as much as four statements at most; lines and paces are checked on receipt and on import; each line is taken only if it has samples.

--- a/core/speed_digest.c
+++ b/core/speed_digest.c
@@ -4,12 +4,20 @@
 
 enum {
 	US_PER_MS = 1000,
+	MAX_MEAN_S = 3600, /* of a prompt, or of a token or call */
+	MAX_MEAN_X = 100000000, /* tokens, or requests running */
+	MAX_PACE = 1000,
+	TOLD_PACES = 4, /* weight of a told pace, in statements */
 	/* A speed that is known here is replaced by one that much later only. */
 	REPLACE_US = 10000 * US_PER_MS,
 };
 
 /* A few answers outweigh what another dispatcher learned. */
 static const double import_weight = 0.25;
+/* More than answers add up to: tokens of the longest ones. */
+static const double max_weight = 1e9;
+static const double min_pace = 0.01;
+static const double rounding = 1e-3; /* of the sums in frames */
 
 size_t dispatcher_export_speeds(const dispatcher_t *d, runner_digest_t *out,
 				size_t n, int64_t since, int64_t now)
@@ -28,6 +36,8 @@
 		*digest = (runner_digest_t){
 			.born_ms = r->info.born_ms,
 			.speed = r->model.speed,
+			.usual_pace = r->model.stated.usual_pace,
+			.n_paces = r->model.stated.n_paces,
 			.age_ms = (uint32_t)(MAX(now - r->speed_at, 0) /
 					     US_PER_MS),
 		};
@@ -37,6 +47,46 @@
 	return written;
 }
 
+/* Also true for a line without samples. */
+static bool is_plausible(const line_fit_t *line)
+{
+	double mean_x, mean_xx;
+
+	if (line->weight <= 0)
+		return line->weight >= 0;
+	mean_x = line->x / line->weight;
+	mean_xx = line->xx / line->weight;
+	return line->weight <= max_weight && mean_x >= 0 &&
+	       mean_x <= MAX_MEAN_X && line->y >= 0 && line->xy >= 0 &&
+	       line->y / line->weight <= MAX_MEAN_S &&
+	       mean_xx >= mean_x * mean_x * (1 - rounding) &&
+	       (mean_x > 0 || line->xy <= 0);
+}
+
+bool runner_digest_is_plausible(const runner_digest_t *digest)
+{
+	return is_plausible(&digest->speed.prefill) &&
+	       is_plausible(&digest->speed.decode) &&
+	       digest->usual_pace <= MAX_PACE &&
+	       (digest->usual_pace >= min_pace || digest->usual_pace == 0);
+}
+
+static void import_line(line_fit_t *line, const line_fit_t *told)
+{
+	if (told->weight > 0)
+		*line = line_fit_scaled(told, import_weight);
+}
+
+/* A pace that was stated here stays. */
+static void import_pace(runner_statements_t *stated,
+			const runner_digest_t *digest)
+{
+	if (stated->n_paces || digest->usual_pace <= 0)
+		return;
+	stated->usual_pace = digest->usual_pace;
+	stated->n_paces = CLAMP(digest->n_paces, 1, TOLD_PACES);
+}
+
 bool dispatcher_import_speed(dispatcher_t *d, const runner_digest_t *digest,
 			     int64_t now)
 {
@@ -47,12 +97,12 @@
 	if (!r || !r->is_listed || r->info.born_ms != digest->born_ms ||
 	    digest->age_ms > SPEED_DIGEST_MAX_AGE_MS ||
 	    (r->speed_at && learned_at <= r->speed_at + REPLACE_US) ||
-	    digest->speed.decode.weight <= 0)
+	    digest->speed.decode.weight <= 0 ||
+	    !runner_digest_is_plausible(digest))
 		return false;
-	r->model.speed.prefill =
-		line_fit_scaled(&digest->speed.prefill, import_weight);
-	r->model.speed.decode =
-		line_fit_scaled(&digest->speed.decode, import_weight);
+	import_line(&r->model.speed.prefill, &digest->speed.prefill);
+	import_line(&r->model.speed.decode, &digest->speed.decode);
+	import_pace(&r->model.stated, digest);
 	r->speed_at = learned_at;
 	dispatcher_rank_runner(d->state, r, now);
 	return true;
--- a/core/speed_digest.h
+++ b/core/speed_digest.h
@@ -15,7 +15,7 @@
 
 enum {
 	SPEED_DIGEST_MAX = 64, /* runners of one dispatcher that are told of */
-	/* Older digests say little: runners share their machines with others. */
+	/* Older digests say little, as speeds change. */
 	SPEED_DIGEST_MAX_AGE_MS = 120000,
 };
 
@@ -23,7 +23,9 @@
 typedef struct runner_digest {
 	char name[DISPATCHER_NAME_SIZE];
 	int64_t born_ms; /* a later incarnation may have another speed */
-	runner_speed_t speed;
+	runner_speed_t speed; /* at pace 1 */
+	double usual_pace; /* 0: it stated none */
+	uint32_t n_paces;
 	uint32_t age_ms; /* since it was last confirmed by an answer */
 } runner_digest_t;
 
@@ -33,11 +35,13 @@
  */
 size_t dispatcher_export_speeds(const dispatcher_t *d, runner_digest_t *out,
 				size_t n, int64_t since, int64_t now);
+/* Returns whether the figures of a digest are ones that can be learned. */
+bool runner_digest_is_plausible(const runner_digest_t *digest);
 /*
- * Takes a digest as estimate of a listed runner, unless what is known here was
- * learned about as late or later, or the digest is too old, or of another
- * incarnation.
- * It weighs as little as a few answers. Returns whether it was taken.
+ * Takes a digest as estimate of a listed runner. Not so if what is known here
+ * was learned about as late or later, or the digest is too old, not plausible
+ * or of another incarnation. It weighs as little as a few answers. Returns
+ * whether it was taken.
  */
 bool dispatcher_import_speed(dispatcher_t *d, const runner_digest_t *digest,
 			     int64_t now);
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -260,7 +260,11 @@
 	metrics_add(&c->sup->metrics, "papaya_speeds_taken_total", NULL, n);
 }
 
-/* Tells the dispatcher's other host what was learned since the last time. */
+/*
+ * Tells the dispatcher's other host what was learned since the last time. What
+ * no link takes, or doesn't fit into a message of the largest size, is told
+ * with the runner's next answer, or when a link comes up.
+ */
 static void tell_speeds(service_t *s)
 {
 	message_t m = { .type = MESSAGE_SPEEDS };
--- a/daemon/speed_frames.c
+++ b/daemon/speed_frames.c
@@ -25,6 +25,8 @@
 	out->frame.runner = (char *)digest->name;
 	out->frame.born_ms = digest->born_ms;
 	out->frame.age_ms = digest->age_ms;
+	out->frame.usual_pace = (float)digest->usual_pace;
+	out->frame.n_paces = digest->n_paces;
 	write_line(&digest->speed.prefill, out->prefill);
 	write_line(&digest->speed.decode, out->decode);
 	out->frame.prefill = out->prefill;
@@ -38,7 +40,7 @@
 	Papaya__Frame frame = PAPAYA__FRAME__INIT;
 	Papaya__RunnerSpeeds out = PAPAYA__RUNNER_SPEEDS__INIT;
 	Papaya__RunnerSpeed *list[SPEED_DIGEST_MAX];
-	g_autofree speed_out_t *digests = g_new(speed_out_t, SPEED_DIGEST_MAX);
+	speed_out_t digests[SPEED_DIGEST_MAX];
 	size_t n = MIN(speeds->digests->len, SPEED_DIGEST_MAX);
 
 	for (size_t i = 0; i < n; i++) {
@@ -69,11 +71,14 @@
 static bool read_digest(const Papaya__RunnerSpeed *in, runner_digest_t *out)
 {
 	*out = (runner_digest_t){ .born_ms = in->born_ms,
-				  .age_ms = in->age_ms };
+				  .age_ms = in->age_ms,
+				  .usual_pace = in->usual_pace,
+				  .n_paces = in->n_paces };
 	return in->age_ms <= SPEED_DIGEST_MAX_AGE_MS &&
 	       str_copy(out->name, sizeof(out->name), str_from(in->runner)) &&
 	       read_line(in->prefill, in->n_prefill, &out->speed.prefill) &&
-	       read_line(in->decode, in->n_decode, &out->speed.decode);
+	       read_line(in->decode, in->n_decode, &out->speed.decode) &&
+	       isfinite(in->usual_pace) && runner_digest_is_plausible(out);
 }
 
 bool speed_frames_read(const Papaya__Frame *frame, message_t *out)
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -5099,7 +5099,7 @@
   (ProtobufCMessageInit) papaya__stream_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__runner_speed__field_descriptors[5] =
+static const ProtobufCFieldDescriptor papaya__runner_speed__field_descriptors[7] =
 {
   {
     "runner",
@@ -5161,18 +5161,44 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "usual_pace",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FLOAT,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RunnerSpeed, usual_pace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "n_paces",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__RunnerSpeed, n_paces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__runner_speed__field_indices_by_name[] = {
   2,   /* field[2] = age_ms */
   1,   /* field[1] = born_ms */
   4,   /* field[4] = decode */
+  6,   /* field[6] = n_paces */
   3,   /* field[3] = prefill */
   0,   /* field[0] = runner */
+  5,   /* field[5] = usual_pace */
 };
 static const ProtobufCIntRange papaya__runner_speed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor papaya__runner_speed__descriptor =
 {
@@ -5182,7 +5208,7 @@
   "Papaya__RunnerSpeed",
   "papaya",
   sizeof(Papaya__RunnerSpeed),
-  5,
+  7,
   papaya__runner_speed__field_descriptors,
   papaya__runner_speed__field_indices_by_name,
   1,  papaya__runner_speed__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -942,10 +942,18 @@
   float *prefill;
   size_t n_decode;
   float *decode;
+  /*
+   * Its usual pace, which the lines leave out, and on how many it rests.
+   */
+  /*
+   * 0: it stated none
+   */
+  float usual_pace;
+  uint32_t n_paces;
 };
 #define PAPAYA__RUNNER_SPEED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__runner_speed__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -346,16 +346,22 @@
 }
 END_TEST
 
-START_TEST(learned_speeds_survive)
+START_TEST(learned_speeds_are_decoded_unchanged)
 {
-	runner_digest_t digests[3] = {
+	runner_digest_t digests[] = {
 		{ .name = "r1",
 		  .born_ms = -3,
 		  .age_ms = 70,
+		  .usual_pace = 4,
+		  .n_paces = 9,
 		  .speed = { .prefill = { 1, 2, 3, 4, 5 },
 			     .decode = { 6, 7, 8, 9, 10 } } },
 		{ .name = "r2", .speed.decode.weight = NAN },
 		{ .name = "r3", .age_ms = UINT32_MAX },
+		{ .name = "r4", .speed.decode = { 1e-30, 0, 1e30, 0, 0 } },
+		{ .name = "r5", .speed.decode = { 1e30, 1, 1, 1, 1 } },
+		{ .name = "r6", .speed.prefill = { 1, 3, 1, 2, 1 } },
+		{ .name = "r7", .usual_pace = 1e30 },
 	};
 	message_speeds_t speeds = { .service = "s#1/2" };
 	const runner_digest_t *read;
@@ -376,6 +382,8 @@
 	ck_assert_uint_eq(read->age_ms, 70);
 	ck_assert_double_eq(read->speed.prefill.xx, 4);
 	ck_assert_double_eq(read->speed.decode.weight, 6);
+	ck_assert_double_eq(read->usual_pace, 4);
+	ck_assert_uint_eq(read->n_paces, 9);
 	message_finish(&m);
 	g_array_unref(speeds.digests);
 	papaya__frame__free_unpacked(frame, NULL);
@@ -388,4 +396,5 @@
 	   capacity_messages_are_decoded_unchanged,
 	   an_implausible_load_of_a_peer_is_ignored,
 	   fields_out_of_range_are_refused, limits_are_decoded_unchanged,
-	   the_vm_list_is_decoded_unchanged, learned_speeds_survive)
+	   the_vm_list_is_decoded_unchanged,
+	   learned_speeds_are_decoded_unchanged)
--- a/tests/test_speed_digest.c
+++ b/tests/test_speed_digest.c
@@ -148,6 +148,38 @@
 }
 END_TEST
 
+/*
+ * Runners state their paces with answers: a speed that is learned is the one at
+ * pace 1, so it says little without the pace.
+ */
+START_TEST(the_next_host_knows_usual_paces)
+{
+	static fixture_t f;
+	runner_digest_t digest = {
+		.name = "r1",
+		.usual_pace = 4,
+		.n_paces = 3,
+		.speed = { .prefill = { 1, 1000, 0.1, 1000000, 100 },
+			   .decode = { 100, 100, 0.5, 100, 0.5 } },
+	};
+	runner_digest_t told[RUNNERS];
+
+	begin(&f, 0);
+	ck_assert(dispatcher_import_speed(&f.d, &digest, f.now + 1));
+	ck_assert_uint_eq(
+		dispatcher_export_speeds(&f.d, told, RUNNERS, 0, f.now + 1), 1);
+	ck_assert_double_eq(told[0].usual_pace, 4);
+	ck_assert_uint_eq(told[0].n_paces, 3);
+	/* A prompt is not told of: what is known of it stays. */
+	digest.speed.prefill = (line_fit_t){ 0 };
+	f.now += 20 * SECOND;
+	ck_assert(dispatcher_import_speed(&f.d, &digest, f.now));
+	dispatcher_export_speeds(&f.d, told, RUNNERS, 0, f.now);
+	ck_assert_double_gt(told[0].speed.prefill.weight, 0);
+	dispatcher_finish(&f.d);
+}
+END_TEST
+
 START_TEST(only_what_is_new_is_told)
 {
 	static fixture_t f;
@@ -239,6 +271,7 @@
 
 SUITE_MAIN("speed_digest", the_next_host_knows_the_slow_runners,
 	   what_was_learned_later_or_of_another_incarnation_stays,
-	   only_what_is_new_is_told, what_is_kept_is_bounded,
+	   the_next_host_knows_usual_paces, only_what_is_new_is_told,
+	   what_is_kept_is_bounded,
 	   a_host_that_drains_tells_all_that_it_learned,
 	   nothing_is_told_by_default)
