--- a/daemon/message.h
+++ b/daemon/message.h
@@ -19,6 +19,7 @@
 #include "core/profile.h"
 #include "core/quarantine.h"
 #include "core/rollout.h"
+#include "core/speed_digest.h"
 #include "core/stream_releases.h"
 #include "core/topic_follow.h"
 #include "core/dedup.h"
@@ -97,6 +98,8 @@
 	MESSAGE_STREAM_NOTES, /* front to peers to store: streams began */
 	MESSAGE_STREAM_ASK, /* likewise: which release began this one? */
 	MESSAGE_STREAM_ANSWER, /* store to peers to front */
+	/* capacity to peers and back: learned speeds of a dispatcher's runners */
+	MESSAGE_SPEEDS,
 	MESSAGE_ROLLOUT_ORDERS, /* store to front: all orders of roll-outs */
 	MESSAGE_ROLLOUT_HOST, /* peers to store: does this daemon conduct? */
 	MESSAGE_ROLLOUT_REPORT, /* front to peers to store, which conducts */
@@ -257,6 +260,11 @@
 	bool from_memory; /* ASK: answer at once, without reading the store */
 } message_streams_t;
 
+/* Learned speeds of the runners of one dispatcher. */
+typedef struct message_speeds {
+	char service[MEMBER_NAME_SIZE]; /* the dispatcher's name */
+	GArray *digests; /* runner_digest_t */
+} message_speeds_t;
 /* Answers alike, as a daemon counted them. */
 typedef struct rollout_tally {
 	rollout_answer_t answer;
@@ -331,6 +339,7 @@
 		message_limit_hosts_t limit_hosts;
 		message_part_t part;
 		message_streams_t streams;
+		message_speeds_t speeds;
 		GArray *rollout_orders; /* of rollout_order_t */
 		GArray *rollout_states; /* of rollout_state_t */
 		message_rollout_t rollout;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -41,6 +41,7 @@
 	int64_t rollout_revert_ms;
 	int64_t runners_poll_ms;
 	int64_t config_wait_ms;
+	bool learned_speeds;
 	int64_t heartbeat_ms;
 	int64_t heartbeat_timeout_ms;
 	int64_t retry_horizon_ms;
