tests: callers that nobody controls, at both interfaces

What callers that stop short of a request's end cost a daemon was measured by hand so far. test_unruly_clients starts a real daemon with 112 MB and 512 descriptors on loopback addresses, plays one small crowd a test at the own interface or at a fleet's, and checks that the process lives, that its peak of memory stays below what it was given, that 64 descriptors stay free, and that an ordinary request with 2 bytes and one with 256 KiB get a 200, while the crowd is there and afterwards. No times, no share of served requests.

--- /dev/null
+++ b/tests/test_unruly_clients.c
@@ -0,0 +1,141 @@
+/*
+ * Callers that nobody controls, before a real daemon: they send bodies that
+ * never end, or that are too long, or heads that never end, and stay open. The
+ * daemon must live, stay within its memory and its descriptors, and answer
+ * ordinary requests. Each crowd is played at both interfaces.
+ */
+#include <event2/http.h>
+#include <glib.h>
+
+#include "tests/lib_crowd.h"
+#include "tests/lib_suite.h"
+#include "tests/lib_unruly.h"
+
+enum {
+	KB = 1024,
+	MB = 1024 * KB,
+	CROWD = 240,
+	LONG_BODY = MB, /* the most that the own interface takes */
+	FAR_TOO_LONG = 12 * MB,
+	ORDINARY_BODY = 256 * KB,
+	/* Left for other daemons, runners, the store and operators. */
+	SPARE_DESCRIPTORS = 64,
+	MOST_DESCRIPTORS = UNRULY_DESCRIPTORS - SPARE_DESCRIPTORS,
+	MANY = 700, /* connections, more than the daemon has descriptors */
+};
+
+static void check_ordinary(const unruly_t *u, const char *when)
+{
+	int small = unruly_call(u, 2);
+	int large = unruly_call(u, ORDINARY_BODY);
+
+	ck_assert_msg(small == HTTP_OK && large == HTTP_OK,
+		      "%s: ordinary requests got %d and %d", when, small,
+		      large);
+}
+
+static void check_bounds(unruly_t *u)
+{
+	int peak = unruly_peak_mb(u);
+
+	unruly_watch(u);
+	g_printerr("peak %d MB, %d descriptors\n", peak, u->most_descriptors);
+	ck_assert_msg(unruly_is_alive(u), "the daemon ended");
+	ck_assert_msg(peak < UNRULY_MEMORY_MB, "%d MB", peak);
+	ck_assert_msg(u->most_descriptors < MOST_DESCRIPTORS, "%d descriptors",
+		      u->most_descriptors);
+}
+
+static void play(bool is_fleet, const crowd_shape_t *shape)
+{
+	unruly_t u;
+	crowd_t *crowd;
+
+	unruly_init(&u, is_fleet);
+	crowd = crowd_new(u.ip, UNRULY_PORT, unruly_head(&u), shape);
+	crowd_run(crowd, unruly_watch, &u);
+	check_bounds(&u);
+	check_ordinary(&u, "beside the crowd");
+	crowd_free(crowd);
+	check_ordinary(&u, "afterwards");
+	check_bounds(&u);
+	unruly_finish(&u);
+}
+
+/* Defines the test of one crowd at both interfaces. */
+#define CROWD_TEST(name, ...)                                 \
+	START_TEST(own_##name)                                \
+	{                                                     \
+		play(false, &(crowd_shape_t){ __VA_ARGS__ }); \
+	}                                                     \
+	END_TEST                                              \
+	START_TEST(fleet_##name)                              \
+	{                                                     \
+		play(true, &(crowd_shape_t){ __VA_ARGS__ });  \
+	}                                                     \
+	END_TEST
+
+CROWD_TEST(announced_bodies_that_stop_short, .connections = CROWD,
+	   .body = LONG_BODY, .announced = LONG_BODY, .whole = 8, .returns = 1)
+
+CROWD_TEST(bodies_piece_by_piece_that_stop_short, .connections = CROWD,
+	   .body = LONG_BODY, .announced = LONG_BODY, .piece = 4 * KB,
+	   .whole = 8, .returns = 1)
+
+CROWD_TEST(large_chunks_that_stop_short, .connections = CROWD,
+	   .body = LONG_BODY, .chunk = 256 * KB, .whole = 8, .returns = 1)
+
+CROWD_TEST(small_chunks_that_stop_short, .connections = CROWD,
+	   .body = LONG_BODY / 2, .chunk = 8, .whole = 8, .returns = 1)
+
+CROWD_TEST(small_chunks_piece_by_piece, .connections = CROWD, .body = 128 * KB,
+	   .chunk = 4, .piece = 99, .whole = 8)
+
+CROWD_TEST(bodies_announced_far_too_long, .connections = CROWD,
+	   .body = FAR_TOO_LONG, .announced = 400 * MB, .returns = 1)
+
+CROWD_TEST(bodies_sent_far_too_long, .connections = CROWD / 2,
+	   .body = FAR_TOO_LONG, .chunk = 32 * KB, .returns = 1)
+
+CROWD_TEST(heads_that_stop_short, .connections = MANY, .head = 12 * KB,
+	   .returns = 1)
+
+CROWD_TEST(silent_connections, .connections = MANY, .is_silent = true,
+	   .returns = 1)
+
+/* A single body of the greatest legal length is served in calm. */
+static void serve_longest(bool is_fleet)
+{
+	unruly_t u;
+
+	unruly_init(&u, is_fleet);
+	ck_assert_int_eq(unruly_call(&u, is_fleet ? 4 * MB : LONG_BODY),
+			 HTTP_OK);
+	unruly_finish(&u);
+}
+
+START_TEST(own_longest_body_is_served)
+{
+	serve_longest(false);
+}
+END_TEST
+
+START_TEST(fleet_longest_body_is_served)
+{
+	serve_longest(true);
+}
+END_TEST
+
+SUITE_MAIN("unruly_clients", own_announced_bodies_that_stop_short,
+	   fleet_announced_bodies_that_stop_short,
+	   own_bodies_piece_by_piece_that_stop_short,
+	   fleet_bodies_piece_by_piece_that_stop_short,
+	   own_large_chunks_that_stop_short, fleet_large_chunks_that_stop_short,
+	   own_small_chunks_that_stop_short, fleet_small_chunks_that_stop_short,
+	   own_small_chunks_piece_by_piece, fleet_small_chunks_piece_by_piece,
+	   own_bodies_announced_far_too_long,
+	   fleet_bodies_announced_far_too_long, own_bodies_sent_far_too_long,
+	   fleet_bodies_sent_far_too_long, own_heads_that_stop_short,
+	   fleet_heads_that_stop_short, own_silent_connections,
+	   fleet_silent_connections, own_longest_body_is_served,
+	   fleet_longest_body_is_served)
