intake_budget: what is held for requests that are not complete is bounded

Cause: nothing adds up what callers that stop short of a request's end hold, and nobody chooses which of them goes first.

Change: a pure budget over all connections: bytes held by requests that are read, the number of connections, and the time by which a request must be complete, which follows what came of it. At the bound it names the connection to give up: silent or slow ones first, by bytes times age. Requests that come in good time are not given up for equals, as that would complete none; only for much smaller ones. A connection that is alone always fits.

The header agreed on gains the connection's state, its announced length and the limits. Ruled out: a victim by bytes times age alone; under more sound bodies than fit, it gives up the one next to its end each time.

--- a/core/intake_budget.h
+++ b/core/intake_budget.h
@@ -1,7 +1,8 @@
 /*
- * Bounds what a process holds for requests that are not complete yet, and
- * chooses which of them to give up when the bound is reached. Does no I/O;
- * times are microseconds of the monotonic clock.
+ * Bounds what a process holds for callers' connections whose requests are not
+ * complete, and how many connections there are. Chooses which of them to give
+ * up when a bound is reached: first those that hold much for long without an
+ * end. Does no I/O; times are microseconds of the monotonic clock.
  */
 #ifndef CORE_INTAKE_BUDGET_H
 #define CORE_INTAKE_BUDGET_H
@@ -11,32 +12,81 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* One connection whose request is not complete. The caller owns it. */
+typedef struct intake_limits {
+	uint64_t bytes; /* held for requests that are not complete */
+	uint32_t connections;
+	/*
+	 * A request has to be complete after GRACE, and a second more for each
+	 * RATE bytes of it that came. RATE 0: there is no such time.
+	 */
+	int64_t grace;
+	uint64_t rate; /* bytes a second */
+} intake_limits_t;
+
+typedef enum intake_state {
+	INTAKE_CLOSING, /* has its last answer */
+	INTAKE_NEW, /* no byte was received */
+	INTAKE_KEPT, /* between two requests */
+	INTAKE_READING, /* a request is received in part */
+	INTAKE_SERVED, /* a complete request is being answered */
+	INTAKE_STATES,
+} intake_state_t;
+
+/* One connection. The caller owns it. */
 typedef struct intake {
-	uint64_t bytes; /* held for it */
-	int64_t since; /* when its request began */
-	GSequenceIter *link; /* NULL: holds nothing */
-	void *ctx; /* passed back when it is chosen */
+	intake_state_t state;
+	int64_t since; /* when it entered its state */
+	uint64_t bytes; /* held for the request that is read */
+	uint64_t expected; /* length that it announced; 0: none */
+	int64_t heard; /* when it came to hold more */
+	GList link; /* in intake_budget.by_state; its data is the intake */
+	void *ctx; /* the caller's */
 } intake_t;
 
 typedef struct intake_budget {
-	uint64_t limit; /* bytes, over all */
-	uint64_t held;
-	GSequence *by_cost; /* intakes that hold something */
+	intake_limits_t limits;
+	uint64_t held; /* bytes */
+	uint64_t peak;
+	uint32_t connections;
+	GQueue by_state[INTAKE_STATES]; /* each by intake.since */
 } intake_budget_t;
 
-void intake_budget_init(intake_budget_t *b, uint64_t limit);
-void intake_budget_finish(intake_budget_t *b);
-/* Sets what an intake holds; 0 removes it. */
-void intake_budget_set(intake_budget_t *b, intake_t *i, uint64_t bytes,
-		       int64_t now);
-/* Returns whether N more bytes fit. */
-bool intake_budget_fits(const intake_budget_t *b, uint64_t n);
+/* Everything is zero before; limits may be changed at any time. */
+void intake_budget_init(intake_budget_t *b, const intake_limits_t *limits);
+/* Adds a connection, in the state INTAKE_NEW. */
+void intake_budget_add(intake_budget_t *b, intake_t *i, void *ctx, int64_t now);
+void intake_budget_remove(intake_budget_t *b, intake_t *i);
+/* Holds nothing from now on; the same state begins anew. */
+void intake_budget_enter(intake_budget_t *b, intake_t *i, intake_state_t state,
+			 int64_t now);
+/* Sets what a connection in the state INTAKE_READING holds. */
+void intake_budget_hold(intake_budget_t *b, intake_t *i, uint64_t bytes,
+			int64_t now);
+/*
+ * Returns whether N more bytes fit. They always do for a connection that is
+ * the only one to hold any.
+ */
+bool intake_budget_fits(const intake_budget_t *b, const intake_t *i,
+			uint64_t n);
+/*
+ * Returns the connection to give up so that I can hold N more bytes: of those
+ * that fell silent or come slowly, the one that has held the most for the
+ * longest. If all are timely, one that holds many times what I will: among
+ * equals the first ones are to be completed. NULL if it is I, or if there is
+ * none.
+ */
+intake_t *intake_budget_victim(const intake_budget_t *b, const intake_t *i,
+			       uint64_t n, int64_t now);
 /*
- * Returns the intake to give up so that EXCEPT can go on: the one that has held
- * the most for the longest. NULL if EXCEPT itself is that one.
+ * Returns the connection to close so that another can be accepted: one that is
+ * closing or that never sent anything, then of the ones that are kept or read
+ * what lasts longest without an end. NULL if all are being answered.
  */
-intake_t *intake_budget_victim(const intake_budget_t *b, const intake_t *except,
-			       int64_t now);
+intake_t *intake_budget_spare(const intake_budget_t *b, int64_t now);
+/* Returns whether one more connection exceeds the limit; OTHER are not ours. */
+bool intake_budget_is_crowded(const intake_budget_t *b, uint32_t other);
+/* Returns when a request that is read must be complete; INT64_MAX: never. */
+int64_t intake_budget_due(const intake_budget_t *b, const intake_t *i,
+			  uint64_t received);
 
 #endif
