http_server: both interfaces read requests with one bounded server

Cause: the own interface stood on evhttp, which reads whatever comes: 240 bodies of 1 MB that stop short took 306 MB of the 112 MB given, and connections were bounded by nothing on either interface, so that 700 of them took all of the 512 descriptors.

Ruled out: evhttp with a limit of one body (it was set), with bufferevents that count their input (evhttp keeps chunks as whole blocks and headers in three allocations each, so bytes that came don't tell what is held), and a filter before it (two parsers). docs/design/intake.md has the weighing.

Change: the connection's part of ingress.c becomes daemon/http_conn.c, under daemon/http_server.c, which listens and bounds: bytes of requests that are not complete (intake_percent of memory_mb), bytes of all requests until they are answered (a fifth, as bodies of a fleet before; heads count too), connections below the limit of descriptors less intake_reserve, upstreams included, and the time of a request by its size (intake_rate, intake_grace_ms). ingress.c keeps what is a relay's, front_task.c and caller.c stand on the same server. The own interface now refuses what two parsers could read differently, as a fleet's did, and answers 408 to a request that doesn't come in time, where it closed. The admin and readiness addresses take bodies of 64 KiB at most.

--- a/daemon/admin_task.c
+++ b/daemon/admin_task.c
@@ -11,6 +11,11 @@
 #include "daemon/supervisor.h"
 #include "net/http.h"
 
+enum {
+	MAX_HEADER_BYTES = 16 * 1024,
+	MAX_BODY_BYTES = 64 * 1024,
+};
+
 typedef struct admin {
 	supervisor_t *sup;
 	struct evhttp *http;
@@ -170,6 +175,15 @@
 	reply_ready(arg, req);
 }
 
+static struct evhttp *new_server(struct event_base *base)
+{
+	struct evhttp *http = evhttp_new(base);
+
+	evhttp_set_max_headers_size(http, MAX_HEADER_BYTES);
+	evhttp_set_max_body_size(http, MAX_BODY_BYTES);
+	return http;
+}
+
 static bool listen_at(struct evhttp *http, const char *address, err_t *err)
 {
 	char ip[MEMBER_NAME_SIZE];
@@ -214,10 +228,10 @@
 	a->sup = sup;
 	/* A fleet's routes use no keys, so readiness does not wait for them. */
 	a->accepts_keys = sup->settings->fleet;
-	a->http = evhttp_new(sup->base);
+	a->http = new_server(sup->base);
 	evhttp_set_gencb(a->http, on_request, a);
 	if (ready_listen[0]) {
-		a->ready_http = evhttp_new(sup->base);
+		a->ready_http = new_server(sup->base);
 		evhttp_set_gencb(a->ready_http, on_ready_request, a);
 	}
 	if (listen_at(a->http, sup->settings->admin_listen, err) &&
--- a/daemon/call.c
+++ b/daemon/call.c
@@ -6,6 +6,7 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/queue.h>
 
 enum {
 	BYTES_PER_TOKEN = 4,
@@ -286,16 +287,6 @@
 	return call->is_ticket_request || read_completion(call, error);
 }
 
-static GBytes *take_body(struct evhttp_request *req)
-{
-	struct evbuffer *in = evhttp_request_get_input_buffer(req);
-	size_t len = evbuffer_get_length(in);
-	char *copy = g_malloc(len + 1);
-
-	evbuffer_remove(in, copy, len);
-	return g_bytes_new_take(copy, len);
-}
-
 static uint64_t compute_fingerprint(const call_t *call)
 {
 	gsize len;
@@ -307,26 +298,76 @@
 	return str_hash((str_t){ text->str, text->len });
 }
 
-bool call_parse(call_t *call, struct evhttp_request *req,
-		const settings_t *settings, call_error_t *error)
+static void copy_head(const http1_head_t *head, struct evkeyvalq *out)
 {
-	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
+	TAILQ_INIT(out);
+	for (guint i = 0; i < head->headers->len; i++) {
+		const http1_header_t *h =
+			&g_array_index(head->headers, http1_header_t, i);
+		g_autofree char *name = g_strndup(h->name.ptr, h->name.len);
+		g_autofree char *value = g_strndup(h->value.ptr, h->value.len);
+
+		evhttp_add_header(out, name, value);
+	}
+}
 
-	memset(call, 0, sizeof(*call));
-	call->method = evhttp_request_get_command(req);
-	call->uri = g_strdup(evhttp_request_get_uri(req));
-	call->body = take_body(req);
+static bool read_method(call_t *call, const http1_head_t *head,
+			call_error_t *error)
+{
+	static const struct {
+		const char *name;
+		enum evhttp_cmd_type method;
+	} methods[] = {
+		{ "GET", EVHTTP_REQ_GET },
+		{ "POST", EVHTTP_REQ_POST },
+		{ "HEAD", EVHTTP_REQ_HEAD },
+		{ "PUT", EVHTTP_REQ_PUT },
+		{ "DELETE", EVHTTP_REQ_DELETE },
+		{ "OPTIONS", EVHTTP_REQ_OPTIONS },
+		{ "PATCH", EVHTTP_REQ_PATCH },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(methods); i++) {
+		if (!str_eq(head->method, str_from(methods[i].name)))
+			continue;
+		call->method = methods[i].method;
+		return true;
+	}
+	return call_reject(error, HTTP_NOTIMPLEMENTED, "method",
+			   "no such method");
+}
+
+static bool read_request(call_t *call, const http1_head_t *head,
+			 struct evkeyvalq *headers, const settings_t *settings,
+			 call_error_t *error)
+{
+	if (!read_method(call, head, error))
+		return false;
 	call->is_safe = call->method == EVHTTP_REQ_GET ||
 			call->method == EVHTTP_REQ_HEAD ||
 			call->method == EVHTTP_REQ_OPTIONS;
-	copy_headers(call, headers);
-	if (!read_headers(call, headers, settings, error) ||
-	    !read_path(call, error)) {
+	return read_headers(call, headers, settings, error) &&
+	       read_path(call, error);
+}
+
+bool call_parse(call_t *call, const http1_head_t *head, GBytes *body,
+		const settings_t *settings, call_error_t *error)
+{
+	struct evkeyvalq headers;
+	bool ok;
+
+	memset(call, 0, sizeof(*call));
+	call->uri = g_strndup(head->target.ptr, head->target.len);
+	call->body = g_bytes_ref(body);
+	copy_head(head, &headers);
+	copy_headers(call, &headers);
+	ok = read_request(call, head, &headers, settings, error);
+	evhttp_clear_headers(&headers);
+	if (ok)
+		call->fingerprint = compute_fingerprint(call);
+	else
 		call_finish(call);
-		return false;
-	}
-	call->fingerprint = compute_fingerprint(call);
-	return true;
+	return ok;
 }
 
 void call_finish(call_t *call)
--- a/daemon/call.h
+++ b/daemon/call.h
@@ -9,6 +9,7 @@
 
 #include "core/member.h"
 #include "daemon/settings.h"
+#include "net/http1.h"
 
 /* One request; owns all its strings. */
 typedef struct call {
@@ -56,10 +57,10 @@
 		 const char *fmt, ...) __attribute__((format(printf, 4, 5)));
 
 /*
- * Parses a request; its body is moved out of REQ. On failure returns false
+ * Parses a request; CALL keeps a reference to BODY. On failure returns false
  * with ERROR set, and nothing needs freeing.
  */
-bool call_parse(call_t *call, struct evhttp_request *req,
+bool call_parse(call_t *call, const http1_head_t *head, GBytes *body,
 		const settings_t *settings, call_error_t *error);
 void call_finish(call_t *call);
 
--- a/daemon/caller.c
+++ b/daemon/caller.c
@@ -1,107 +1,130 @@
 #include "daemon/caller.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
+#include <event2/http.h>
 #include <glib.h>
 #include <jansson.h>
 #include <stdlib.h>
 
 #include "common/clock.h"
 
+enum { DATE_SIZE = 40 };
+
 static void stop_watching(caller_t *c)
 {
-	struct evhttp_connection *conn = evhttp_request_get_connection(c->req);
-
-	if (conn)
-		evhttp_connection_set_closecb(conn, NULL, NULL);
-	if (c->closed)
-		event_free(c->closed);
-	c->closed = NULL;
-	c->req = NULL;
+	if (c->conn)
+		http_conn_set_user(c->conn, NULL);
+	c->conn = NULL;
 }
 
-/* Called by evhttp when it closes the connection itself. */
-static void on_close(struct evhttp_connection *conn, void *arg)
+void caller_init(caller_t *c, http_conn_t *conn, const caller_ops_t *ops,
+		 void *ctx)
 {
-	caller_t *c = arg;
-
-	stop_watching(c);
-	c->ops->disconnected(c->ctx, c);
+	*c = (caller_t){ .conn = conn, .ops = ops, .ctx = ctx };
+	http_conn_set_user(conn, c);
 }
 
-/*
- * evhttp does not read from the socket while a request is processed, so it
- * would miss a disconnect; EV_CLOSED reports it.
- */
-static void on_socket_closed(evutil_socket_t fd, short what, void *arg)
+void caller_on_left(http_conn_t *conn)
 {
-	caller_t *c = arg;
+	caller_t *c = http_conn_user(conn);
 
-	caller_finish(c);
+	if (!c)
+		return;
+	stop_watching(c);
 	c->ops->disconnected(c->ctx, c);
 }
 
-void caller_init(caller_t *c, struct event_base *base,
-		 struct evhttp_request *req, const caller_ops_t *ops, void *ctx)
+void caller_on_written(http_conn_t *conn)
 {
-	struct evhttp_connection *conn = evhttp_request_get_connection(req);
-	evutil_socket_t fd =
-		bufferevent_getfd(evhttp_connection_get_bufferevent(conn));
+	caller_t *c = http_conn_user(conn);
 
-	*c = (caller_t){ .req = req, .ops = ops, .ctx = ctx };
-	evhttp_connection_set_closecb(conn, on_close, c);
-	c->closed = event_new(base, fd, EV_CLOSED, on_socket_closed, c);
-	event_add(c->closed, NULL);
+	if (!c || !c->unwritten_since)
+		return;
+	c->unwritten_since = 0;
+	c->ops->drained(c->ctx, c);
 }
 
 void caller_finish(caller_t *c)
 {
-	struct evhttp_connection *conn;
+	http_conn_t *conn = c->conn;
 
-	if (!c->req)
-		return;
-	conn = evhttp_request_get_connection(c->req);
 	stop_watching(c);
 	if (conn)
-		evhttp_connection_free(conn);
+		http_conn_free(conn);
 }
 
-static void add_header(caller_t *c, const char *name, const char *value)
+static void add_header(struct evbuffer *out, const char *name,
+		       const char *value)
 {
 	if (value)
-		evhttp_add_header(evhttp_request_get_output_headers(c->req),
-				  name, value);
+		evbuffer_add_printf(out, "%s: %s\r\n", name, value);
 }
 
-static void add_head(caller_t *c, const response_head_t *head)
+/* Writes status line and headers, without those of the body's framing. */
+static void add_head(struct evbuffer *out, const response_head_t *head)
 {
+	char date[DATE_SIZE];
 	char seconds[16];
 
-	add_header(c, "Content-Type", head->content_type);
-	add_header(c, "Papaya-Request-Id", head->request_id);
+	evutil_date_rfc1123(date, sizeof(date), NULL);
+	evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\n", head->status,
+			    http_status_str((enum http_status)head->status));
+	add_header(out, "Date", date);
+	add_header(out, "Content-Type", head->content_type);
+	add_header(out, "Papaya-Request-Id", head->request_id);
 	if (head->outcome != OUTCOME_NONE)
-		add_header(c, "Papaya-Outcome", outcome_name(head->outcome));
+		add_header(out, "Papaya-Outcome", outcome_name(head->outcome));
 	if (!head->retry_after_ms)
 		return;
 	/* The header holds whole seconds; round up, never retry too early. */
 	g_snprintf(seconds, sizeof(seconds), "%u",
 		   (head->retry_after_ms + 999) / 1000);
-	add_header(c, "Retry-After", seconds);
+	add_header(out, "Retry-After", seconds);
+}
+
+static void end_head(http_conn_t *conn)
+{
+	struct evbuffer *out = http_conn_output(conn);
+
+	if (http_conn_is_last(conn)) {
+		/* The head says so now. */
+		http_conn_set_last(conn);
+		add_header(out, "Connection", "close");
+	} else if (!http_conn_head(conn)->takes_chunks) {
+		/* What a caller of HTTP/1.0 asked for. */
+		add_header(out, "Connection", "keep-alive");
+	}
+	evbuffer_add(out, "\r\n", 2);
+}
+
+static bool is_head_request(http_conn_t *conn)
+{
+	const http1_head_t *head = http_conn_head(conn);
+
+	return head && str_eq(head->method, STR_LIT("HEAD"));
+}
+
+void caller_write_reply(http_conn_t *conn, const response_head_t *head,
+			str_t body)
+{
+	struct evbuffer *out = http_conn_output(conn);
+
+	add_head(out, head);
+	if (head->status != HTTP_NOCONTENT && head->status != HTTP_NOTMODIFIED)
+		evbuffer_add_printf(out, "Content-Length: %zu\r\n", body.len);
+	end_head(conn);
+	if (!is_head_request(conn))
+		evbuffer_add(out, body.ptr, body.len);
 }
 
 void caller_reply(caller_t *c, const response_head_t *head, str_t body)
 {
-	struct evhttp_request *req = c->req;
-	struct evbuffer *out;
+	http_conn_t *conn = c->conn;
 
-	if (!req)
+	if (!conn)
 		return;
-	add_head(c, head);
 	stop_watching(c);
-	out = evbuffer_new();
-	evbuffer_add(out, body.ptr, body.len);
-	evhttp_send_reply(req, head->status, NULL, out);
-	evbuffer_free(out);
+	caller_write_reply(conn, head, body);
+	http_conn_end(conn);
 }
 
 char *caller_error_json(const char *message, const char *field,
@@ -132,55 +155,49 @@
 
 void caller_begin_stream(caller_t *c, const response_head_t *head)
 {
-	if (!c->req || c->is_started)
+	if (!c->conn || c->is_started)
 		return;
 	c->is_started = true;
-	add_head(c, head);
-	add_header(c, "Cache-Control", "no-store");
-	evhttp_send_reply_start(c->req, head->status, NULL);
-}
-
-static void on_drained(struct evhttp_connection *conn, void *arg)
-{
-	caller_t *c = arg;
-
-	if (!c->req)
-		return;
-	c->unwritten_since = 0;
-	c->ops->drained(c->ctx, c);
+	c->is_chunked = http_conn_head(c->conn)->takes_chunks;
+	if (!c->is_chunked)
+		http_conn_set_last(c->conn);
+	add_head(http_conn_output(c->conn), head);
+	add_header(http_conn_output(c->conn), "Cache-Control", "no-store");
+	if (c->is_chunked)
+		add_header(http_conn_output(c->conn), "Transfer-Encoding",
+			   "chunked");
+	end_head(c->conn);
 }
 
 void caller_write_chunk(caller_t *c, str_t bytes)
 {
 	struct evbuffer *out;
 
-	if (!c->req)
+	if (!c->conn || !bytes.len)
 		return;
-	out = evbuffer_new();
+	out = http_conn_output(c->conn);
+	if (c->is_chunked)
+		evbuffer_add_printf(out, "%zx\r\n", bytes.len);
 	evbuffer_add(out, bytes.ptr, bytes.len);
-	evhttp_send_reply_chunk_with_cb(c->req, out, on_drained, c);
-	evbuffer_free(out);
+	if (c->is_chunked)
+		evbuffer_add(out, "\r\n", 2);
 	if (!c->unwritten_since)
 		c->unwritten_since = clock_boottime_us();
 }
 
 void caller_end_stream(caller_t *c)
 {
-	struct evhttp_request *req = c->req;
+	http_conn_t *conn = c->conn;
 
-	if (!req)
+	if (!conn)
 		return;
 	stop_watching(c);
-	evhttp_send_reply_end(req);
+	if (c->is_chunked)
+		evbuffer_add(http_conn_output(conn), "0\r\n\r\n", 5);
+	http_conn_end(conn);
 }
 
 size_t caller_backlog(const caller_t *c)
 {
-	struct evhttp_connection *conn;
-
-	if (!c->req)
-		return 0;
-	conn = evhttp_request_get_connection(c->req);
-	return evbuffer_get_length(bufferevent_get_output(
-		evhttp_connection_get_bufferevent(conn)));
+	return c->conn ? http_conn_backlog(c->conn) : 0;
 }
--- a/daemon/caller.h
+++ b/daemon/caller.h
@@ -1,17 +1,16 @@
 /*
- * A caller that waits for its response: an evhttp request, with detection of
- * a disconnect and of a caller that does not read its response.
+ * A caller that waits for its response: the request of a connection, with
+ * detection of a disconnect and of a caller that does not read its response.
  */
 #ifndef DAEMON_CALLER_H
 #define DAEMON_CALLER_H
 
-#include <event2/event.h>
-#include <event2/http.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "common/str.h"
 #include "core/dedup.h"
+#include "daemon/http_server.h"
 
 typedef struct caller caller_t;
 
@@ -23,11 +22,11 @@
 } caller_ops_t;
 
 struct caller {
-	struct evhttp_request *req; /* NULL once replied or disconnected */
-	struct event *closed; /* waits for EV_CLOSED on the socket */
+	http_conn_t *conn; /* NULL once replied or disconnected */
 	const caller_ops_t *ops;
 	void *ctx;
 	bool is_started; /* the head of a streamed response was sent */
+	bool is_chunked; /* the streamed response is */
 	int64_t unwritten_since; /* oldest unwritten send, monotonic; 0: none */
 };
 
@@ -40,11 +39,16 @@
 	uint32_t retry_after_ms; /* 0 for none */
 } response_head_t;
 
-void caller_init(caller_t *c, struct event_base *base,
-		 struct evhttp_request *req, const caller_ops_t *ops,
+void caller_init(caller_t *c, http_conn_t *conn, const caller_ops_t *ops,
 		 void *ctx);
+/* For the server's callbacks: the caller left, or its output is written. */
+void caller_on_left(http_conn_t *conn);
+void caller_on_written(http_conn_t *conn);
 /* Closes the connection if no response was completed. */
 void caller_finish(caller_t *c);
+/* Writes a whole response, without ending the request. */
+void caller_write_reply(http_conn_t *conn, const response_head_t *head,
+			str_t body);
 /* Sends a whole response. */
 void caller_reply(caller_t *c, const response_head_t *head, str_t body);
 /* Sends an error response as JSON; FIELD may be NULL. */
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -2,7 +2,6 @@
 #ifndef DAEMON_FRONT_H
 #define DAEMON_FRONT_H
 
-#include <event2/http.h>
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -10,12 +9,12 @@
 #include "core/team_retry.h"
 #include "core/dedup.h"
 #include "daemon/call.h"
+#include "daemon/http_server.h"
 #include "daemon/supervisor.h"
 
 typedef struct front {
 	supervisor_t *sup;
-	struct evhttp *http;
-	struct evhttp_bound_socket *socket; /* NULL once draining */
+	http_server_t http;
 	struct event *timer;
 	config_view_t *config; /* NULL until a configuration is in force */
 	dedup_t tickets; /* issued by this daemon */
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -18,9 +18,6 @@
 	MAX_HEADER_BYTES = 32 * 1024,
 	TICKET_BYTES = 16, /* random part of a ticket */
 	STALL_RETRY_MS = 2000, /* Retry-After after a process stall */
-	ALLOWED_METHODS = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
-			  EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
-			  EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH,
 };
 
 static const double retry_ratio = 0.2; /* retries per first attempt */
@@ -38,12 +35,10 @@
 			 NULL;
 }
 
-static bool has_key_or_ticket(struct evhttp_request *req)
+static bool has_key_or_ticket(const http1_head_t *head)
 {
-	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
-
-	return evhttp_find_header(headers, "Idempotency-Key") ||
-	       evhttp_find_header(headers, "Papaya-Ticket");
+	return head && (http1_find_header(head, STR_LIT("Idempotency-Key")) ||
+			http1_find_header(head, STR_LIT("Papaya-Ticket")));
 }
 
 /*
@@ -52,26 +47,26 @@
  * is NOT_RUN for a malformed request (400) and for one whose ticket belongs to
  * another request (422), as neither can have run anywhere.
  */
-static outcome_t refusal_outcome(struct evhttp_request *req, int status)
+static outcome_t refusal_outcome(const http1_head_t *head, int status)
 {
-	return has_key_or_ticket(req) && status != HTTP_BADREQUEST &&
+	return has_key_or_ticket(head) && status != HTTP_BADREQUEST &&
 			       status != 422 ?
 		       OUTCOME_UNKNOWN :
 		       OUTCOME_NOT_RUN;
 }
 
-static void refuse(front_t *f, struct evhttp_request *req, int status,
-		   const char *field, const char *message,
-		   uint32_t retry_after_ms)
+static void refuse(front_t *f, http_conn_t *conn, int status, const char *field,
+		   const char *message, uint32_t retry_after_ms)
 {
 	static const caller_ops_t ops;
 	response_head_t head = { .status = status,
-				 .outcome = refusal_outcome(req, status),
+				 .outcome = refusal_outcome(
+					 http_conn_head(conn), status),
 				 .retry_after_ms = retry_after_ms };
 	caller_t c;
 
 	metrics_add(&f->sup->metrics, "papaya_refused_requests_total", NULL, 1);
-	caller_init(&c, f->sup->base, req, &ops, NULL);
+	caller_init(&c, conn, &ops, NULL);
 	caller_reply_error(&c, &head, field, message);
 }
 
@@ -165,8 +160,7 @@
 	return !is_known;
 }
 
-static void issue_ticket(front_t *f, struct evhttp_request *req,
-			 const call_t *call)
+static void issue_ticket(front_t *f, http_conn_t *conn, const call_t *call)
 {
 	static const caller_ops_t ops;
 	response_head_t head = { .status = HTTP_OK,
@@ -178,12 +172,12 @@
 	caller_t c;
 
 	if (!check_ticket_team(f, call)) {
-		refuse(f, req, 401, "Authorization",
+		refuse(f, conn, 401, "Authorization",
 		       "the team's credential is expected", 0);
 		return;
 	}
 	if (getrandom(bytes, sizeof(bytes), 0) != (ssize_t)sizeof(bytes)) {
-		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
+		refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
 		       "no random numbers for a ticket", JOB_RETRY_MS);
 		return;
 	}
@@ -193,12 +187,12 @@
 		g_string_append_printf(ticket, "%02x", bytes[i]);
 	scoped_key = dedup_scope(str_from(call->team), str_from(ticket->str));
 	if (!dedup_issue_ticket(&f->tickets, scoped_key, now_us())) {
-		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
+		refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
 		       "the table of keys is full", JOB_RETRY_MS);
 		return;
 	}
 	json = g_strdup_printf("{\"ticket\":\"%s\"}", ticket->str);
-	caller_init(&c, f->sup->base, req, &ops, NULL);
+	caller_init(&c, conn, &ops, NULL);
 	caller_reply(&c, &head, str_from(json));
 }
 
@@ -207,8 +201,8 @@
  * caller to the running job, or refuses a request that differs from the first.
  * Returns false when the ticket was not used here.
  */
-static bool reply_to_repeat(front_t *f, struct evhttp_request *req,
-			    const call_t *call, GBytes *scoped_key)
+static bool reply_to_repeat(front_t *f, http_conn_t *conn, const call_t *call,
+			    GBytes *scoped_key)
 {
 	dedup_entry_t *entry = dedup_find(&f->tickets, scoped_key);
 
@@ -216,22 +210,22 @@
 		return false;
 	metrics_add(&f->sup->metrics, "papaya_repeats_total", NULL, 1);
 	if (entry->fingerprint != call->fingerprint)
-		refuse(f, req, 422, "Papaya-Ticket", "it names another request",
-		       0);
+		refuse(f, conn, 422, "Papaya-Ticket",
+		       "it names another request", 0);
 	else if (entry->state == DEDUP_ENDED)
-		job_reply_stored_to(req, f->sup->base, &entry->answer);
+		job_reply_stored_to(conn, &entry->answer);
 	else
-		job_join(entry->user_data, req);
+		job_join(entry->user_data, conn);
 	return true;
 }
 
-static void refuse_ticket(front_t *f, struct evhttp_request *req)
+static void refuse_ticket(front_t *f, http_conn_t *conn)
 {
 	static const caller_ops_t ops;
 	response_head_t head = { .status = 410, .outcome = OUTCOME_UNKNOWN };
 	caller_t c;
 
-	caller_init(&c, f->sup->base, req, &ops, NULL);
+	caller_init(&c, conn, &ops, NULL);
 	caller_reply_error(&c, &head, "Papaya-Ticket",
 			   "no such ticket, or it was used long ago");
 }
@@ -261,7 +255,7 @@
 	       !dedup_find(&f->tickets, scoped_key);
 }
 
-static void start_job(front_t *f, struct evhttp_request *req, call_t *call,
+static void start_job(front_t *f, http_conn_t *conn, call_t *call,
 		      GBytes *scoped_key)
 {
 	const profile_service_t *service = front_service(f, call);
@@ -270,7 +264,7 @@
 	job_t *job;
 
 	team_retry_count_first(&f->retry, str_from(call->team), (uint32_t)tier);
-	job = job_new(f, call, service, profile, req);
+	job = job_new(f, call, service, profile, conn);
 	if (!scoped_key) {
 		job_check_limit(job);
 		return;
@@ -282,82 +276,147 @@
 		job_look_up_owner(job);
 }
 
-static bool check_request_limit(front_t *f, struct evhttp_request *req)
+static bool check_request_limit(front_t *f, http_conn_t *conn)
 {
 	if (g_hash_table_size(f->jobs) < f->sup->settings->max_requests)
 		return true;
-	refuse(f, req, HTTP_SERVUNAVAIL, NULL, "too many requests in progress",
+	refuse(f, conn, HTTP_SERVUNAVAIL, NULL, "too many requests in progress",
 	       JOB_RETRY_MS);
 	return false;
 }
 
 /* Replies to requests that need no job; false when a job is needed. */
-static bool reply_without_job(front_t *f, struct evhttp_request *req,
-			      const call_t *call, GBytes *scoped_key)
+static bool reply_without_job(front_t *f, http_conn_t *conn, const call_t *call,
+			      GBytes *scoped_key)
 {
-	if (call->ticket && reply_to_repeat(f, req, call, scoped_key))
+	if (call->ticket && reply_to_repeat(f, conn, call, scoped_key))
 		return true;
 	if (call->ticket && is_unusable_ticket(f, call, scoped_key)) {
-		refuse_ticket(f, req);
+		refuse_ticket(f, conn);
 		return true;
 	}
-	return !check_request_limit(f, req);
+	return !check_request_limit(f, conn);
 }
 
-static void accept_call(front_t *f, struct evhttp_request *req, call_t *call)
+static void accept_call(front_t *f, http_conn_t *conn, call_t *call)
 {
 	g_autoptr(GBytes) scoped_key = NULL;
 	const char *key = call->key ? call->key : call->ticket;
 	call_error_t error;
 
 	if (call->is_ticket_request) {
-		issue_ticket(f, req, call);
+		issue_ticket(f, conn, call);
 		call_finish(call);
 		return;
 	}
 	if (!check_service(f, call, &error)) {
-		refuse(f, req, error.status, error.field, error.message, 0);
+		refuse(f, conn, error.status, error.field, error.message, 0);
 		call_finish(call);
 		return;
 	}
 	if (key)
 		scoped_key = dedup_scope(str_from(call->team), str_from(key));
-	if (reply_without_job(f, req, call, scoped_key))
+	if (reply_without_job(f, conn, call, scoped_key))
 		call_finish(call);
 	else
-		start_job(f, req, call, scoped_key);
+		start_job(f, conn, call, scoped_key);
 }
 
-static void on_request(struct evhttp_request *req, void *arg)
+static void on_request(void *ctx, http_conn_t *conn, const http1_head_t *head,
+		       GBytes *body)
 {
-	front_t *f = arg;
+	front_t *f = ctx;
 	call_error_t error;
 	call_t call;
 
 	if (f->is_draining) {
-		evhttp_add_header(evhttp_request_get_output_headers(req),
-				  "Connection", "close");
-		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
+		refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
 		       "this VM is leaving; ask another", 1);
 		return;
 	}
 	if (!f->config) {
-		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
+		refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
 		       "no profile is in force yet", JOB_RETRY_MS);
 		return;
 	}
-	if (supervisor_stalled_recently(f->sup) && has_key_or_ticket(req)) {
-		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
+	if (supervisor_stalled_recently(f->sup) && has_key_or_ticket(head)) {
+		refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
 		       "this VM stood still; ask again", STALL_RETRY_MS);
 		return;
 	}
-	if (!call_parse(&call, req, f->sup->settings, &error)) {
-		refuse(f, req, error.status, error.field, error.message, 0);
+	if (!call_parse(&call, head, body, f->sup->settings, &error)) {
+		refuse(f, conn, error.status, error.field, error.message, 0);
 		return;
 	}
-	accept_call(f, req, &call);
+	accept_call(f, conn, &call);
+}
+
+/*
+ * Of a request whose head didn't come whole nobody knows whether it has a key,
+ * under which it may have run before.
+ */
+static outcome_t incomplete_outcome(const http1_head_t *head, int status)
+{
+	bool is_refused_always =
+		status == HTTP_BADREQUEST ||
+		status == HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+
+	if (!head && !is_refused_always)
+		return OUTCOME_UNKNOWN;
+	return refusal_outcome(head, status);
+}
+
+static void on_refusal(void *ctx, http_conn_t *conn, int status,
+		       int64_t retry_after_ms, const char *why)
+{
+	front_t *f = ctx;
+	outcome_t outcome = incomplete_outcome(http_conn_head(conn), status);
+	g_autofree char *text = caller_error_json(why, NULL, outcome, NULL);
+	response_head_t head = { .status = status,
+				 .content_type = "application/json",
+				 .outcome = outcome,
+				 .retry_after_ms = (uint32_t)retry_after_ms };
+
+	metrics_add(&f->sup->metrics, "papaya_refused_requests_total", NULL, 1);
+	caller_write_reply(conn, &head, str_from(text));
+}
+
+static http_limits_t limits(void *ctx)
+{
+	const settings_t *s = ((const front_t *)ctx)->sup->settings;
+
+	return (http_limits_t){
+		.max_header_bytes = MAX_HEADER_BYTES,
+		.max_body_bytes = (uint64_t)s->max_body_kib * 1024,
+		.idle_timeout_ms = s->caller_idle_ms,
+	};
 }
 
+static void on_left(void *ctx, http_conn_t *conn)
+{
+	caller_on_left(conn);
+}
+
+static void on_written(void *ctx, http_conn_t *conn)
+{
+	caller_on_written(conn);
+}
+
+/* A job has one connection towards its runner or owner, at most. */
+static uint32_t count_upstreams(void *ctx)
+{
+	return g_hash_table_size(((const front_t *)ctx)->jobs);
+}
+
+static const http_server_ops_t server_ops = {
+	.limits = limits,
+	.request = on_request,
+	.refuse = on_refusal,
+	.left = on_left,
+	.written = on_written,
+	.upstreams = count_upstreams,
+};
+
 static void apply_config(front_t *f, config_view_t *config)
 {
 	if (f->config == config)
@@ -477,9 +536,8 @@
 {
 	f->is_draining = true;
 	f->drain_deadline = now_us() + f->sup->settings->drain_ms * 1000;
-	if (f->socket)
-		evhttp_del_accept_socket(f->http, f->socket);
-	f->socket = NULL;
+	http_server_stop_listening(&f->http);
+	f->http.is_draining = true;
 }
 
 static void handle(void *state, const message_t *m)
@@ -547,32 +605,10 @@
 		    g_hash_table_size(f->jobs));
 	metrics_set(&f->sup->metrics, "papaya_tickets", NULL,
 		    g_hash_table_size(f->tickets.entries));
+	http_server_export(&f->http);
 	check_drained(f);
 }
 
-static bool listen_for_callers(front_t *f, err_t *err)
-{
-	const settings_t *s = f->sup->settings;
-	struct timeval idle = timeval_from_ms(s->caller_idle_ms);
-	char ip[MEMBER_NAME_SIZE];
-	uint16_t port;
-
-	if (!http_split_address(s->listen, ip, sizeof(ip), &port, err))
-		return false;
-	f->http = evhttp_new(f->sup->base);
-	evhttp_set_allowed_methods(f->http, ALLOWED_METHODS);
-	evhttp_set_max_body_size(f->http, s->max_body_kib * 1024);
-	evhttp_set_max_headers_size(f->http, MAX_HEADER_BYTES);
-	evhttp_set_timeout_tv(f->http, &idle);
-	evhttp_set_gencb(f->http, on_request, f);
-	f->socket = evhttp_bind_socket_with_handle(f->http, ip, port);
-	if (f->socket)
-		return true;
-	evhttp_free(f->http);
-	return err_set(err, ERR_SYSTEM, "listen for callers", s->listen,
-		       "the address can't be bound");
-}
-
 static void init_tables(front_t *f)
 {
 	const settings_t *s = f->sup->settings;
@@ -595,7 +631,7 @@
 	front_t *f = g_new0(front_t, 1);
 
 	f->sup = sup;
-	if (!listen_for_callers(f, err)) {
+	if (!http_server_init(&f->http, sup, &server_ops, f, NULL, err)) {
 		g_free(f);
 		return NULL;
 	}
@@ -610,7 +646,7 @@
 
 	event_free(f->timer);
 	g_hash_table_destroy(f->jobs);
-	evhttp_free(f->http);
+	http_server_finish(&f->http);
 	dedup_finish(&f->tickets);
 	team_retry_finish(&f->retry);
 	config_view_unref(f->config);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -8,9 +8,6 @@
 #ifndef DAEMON_GATEWAY_H
 #define DAEMON_GATEWAY_H
 
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-
 #include "core/byte_budget.h"
 #include "core/fleet.h"
 #include "core/hot_prefix.h"
@@ -19,18 +16,19 @@
 #include "core/runner_filter.h"
 #include "core/stream_releases.h"
 #include "core/zone_groups.h"
+#include "daemon/http_server.h"
 #include "daemon/supervisor.h"
 #include "daemon/upstream.h"
 #include "net/sse.h"
 #include "platform/call_head.h"
 
-typedef struct ingress ingress_t;
+/* A caller's connection; its user is the relay of its request. */
+typedef http_conn_t ingress_t;
 typedef struct relay relay_t;
 
 typedef struct gateway {
 	supervisor_t *sup;
-	struct evconnlistener *listener;
-	GHashTable *callers; /* set of ingress_t */
+	http_server_t callers;
 	GHashTable *relays; /* attempt number to relay_t */
 	GHashTable *pending; /* set of relay_t that wait for gateway_is_ready */
 	bool has_runners; /* a list of runners was received */
@@ -45,8 +43,6 @@
 	retry_budget_t retries;
 	/* Of answers: received in part, or not yet read by callers. */
 	byte_budget_t answers;
-	/* Of requests' bodies, from their first byte to the request's end. */
-	byte_budget_t bodies;
 	/* status of runners, as known to this daemon */
 	runner_filter_t runners;
 	GHashTable *runner_zones; /* name to zone, of all listed runners */
@@ -56,13 +52,10 @@
 	int64_t drain_since; /* microseconds; 0: not draining */
 } gateway_t;
 
-/* ingress.c: a caller's connection. */
+/* ingress.c: a caller whose request is served. */
 
-void ingress_accept(gateway_t *g, evutil_socket_t fd);
-/* Closes at once; the relay is not notified. */
-void ingress_free(ingress_t *c);
-/* Closes the connection if no request is being read or answered. */
-void ingress_close_idle(ingress_t *c);
+/* Makes requests of callers into relays; its context is the gateway. */
+extern const http_server_ops_t ingress_ops;
 /* Answers the request with an error made by this daemon. */
 void ingress_answer_error(ingress_t *c, int status, int64_t retry_after_ms,
 			  const char *why);
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -12,12 +12,10 @@
 #include "daemon/gateway.h"
 
 enum {
-	BACKLOG = 512, /* connections that wait to be accepted */
 	TICK_MS = 50,
 	FLUSH_US = 200 * 1000, /* to send the last answers of a drain */
 	/* A runner that left the list is forgotten after this time. */
 	LEFT_RUNNER_KEEP_US = 60 * 1000 * 1000,
-	BYTES_PER_MB = 1000000,
 	MAX_STREAMS = 8192, /* whose release is remembered */
 };
 
@@ -35,12 +33,6 @@
 		relay_admit(link->data);
 }
 
-static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
-		      struct sockaddr *address, int len, void *arg)
-{
-	ingress_accept(arg, fd);
-}
-
 static void set_retry_quota(gateway_t *g, guint daemons)
 {
 	const settings_t *s = g->sup->settings;
@@ -59,15 +51,6 @@
 	retry_budget_set(&g->retries, &quota);
 }
 
-static void set_byte_budgets(gateway_t *g)
-{
-	uint64_t memory =
-		(uint64_t)(g->sup->settings->memory_mb * BYTES_PER_MB);
-
-	byte_budget_init(&g->answers, memory);
-	byte_budget_init(&g->bodies, memory);
-}
-
 static void update_runner_filter(gateway_t *g, const vm_list_t *vms)
 {
 	runner_filter_begin(&g->runners);
@@ -101,9 +84,8 @@
 		    g_hash_table_size(g->relays));
 	metrics_set(m, "papaya_quarantined_parts", NULL,
 		    quarantine_count(&g->quarantine, now_us()));
-	metrics_set(m, "papaya_callers", NULL, g_hash_table_size(g->callers));
 	metrics_set(m, "papaya_held_answer_bytes", NULL, g->answers.held);
-	metrics_set(m, "papaya_held_body_bytes", NULL, g->bodies.held);
+	http_server_export(&g->callers);
 	metrics_set(m, "papaya_upstream_connects_total", NULL,
 		    g->pool.stats.connects);
 	metrics_set(m, "papaya_upstream_reuses_total", NULL,
@@ -115,12 +97,12 @@
 /* A request accepted from now on could not be completed before the exit. */
 static void stop_listening(gateway_t *g)
 {
-	if (!g->listener)
+	if (!g->callers.listener)
 		return;
 	log_event("listener-closed", "callers=%u requests=%u",
-		  g_hash_table_size(g->callers), g_hash_table_size(g->relays));
-	evconnlistener_free(g->listener);
-	g->listener = NULL;
+		  http_server_connections(&g->callers),
+		  g_hash_table_size(g->relays));
+	http_server_stop_listening(&g->callers);
 }
 
 static drain_plan_t plan_of(const gateway_t *g)
@@ -154,20 +136,17 @@
 static void check_drain(gateway_t *g, int64_t now)
 {
 	drain_plan_t plan = plan_of(g);
-	g_autoptr(GList) callers = NULL;
 
 	if (!g->drain_since || now - g->drain_since < plan.accept_time)
 		return;
 	stop_listening(g);
-	callers = g_hash_table_get_keys(g->callers);
-	for (GList *link = callers; link; link = link->next)
-		ingress_close_idle(link->data);
+	http_server_close_idle(&g->callers);
 	if (now - g->drain_since > plan.exit_after)
 		end_requests(g);
-	if (!g_hash_table_size(g->callers) ||
+	if (!http_server_connections(&g->callers) ||
 	    now - g->drain_since > plan.exit_after + FLUSH_US) {
 		log_info("drain ended; closing %u caller connections",
-			 g_hash_table_size(g->callers));
+			 http_server_connections(&g->callers));
 		event_base_loopbreak(g->sup->base);
 	}
 }
@@ -307,43 +286,25 @@
 		break;
 	case MESSAGE_DRAIN:
 		g->drain_since = now_us();
+		g->callers.is_draining = true;
 		break;
 	default:
 		break;
 	}
 }
 
-static bool listen_for_callers(gateway_t *g, err_t *err)
-{
-	const char *address = g->sup->settings->listen;
-	struct sockaddr_storage name;
-	int len = sizeof(name);
-
-	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&name, &len))
-		return err_set(err, ERR_INVALID, "listen for callers", address,
-			       "IP:port is expected");
-	g->listener = evconnlistener_new_bind(
-		g->sup->base, on_accept, g,
-		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
-			LEV_OPT_CLOSE_ON_EXEC,
-		BACKLOG, (struct sockaddr *)&name, len);
-	if (g->listener)
-		return true;
-	return err_set(err, ERR_SYSTEM, "listen for callers", address,
-		       "the address can't be bound");
-}
-
 static void *start(supervisor_t *sup, err_t *err)
 {
 	static const retry_quota_t none = { 0 };
 	gateway_t *g = g_new0(gateway_t, 1);
 
 	g->sup = sup;
-	if (!listen_for_callers(g, err)) {
+	if (!http_server_init(&g->callers, sup, &ingress_ops, g, &g->answers,
+			      err)) {
 		g_free(g);
 		return NULL;
 	}
-	g->callers = g_hash_table_new(NULL, NULL);
+	byte_budget_init(&g->answers, g->callers.memory);
 	g->relays = g_hash_table_new(g_int64_hash, g_int64_equal);
 	g->pending = g_hash_table_new(NULL, NULL);
 	g->runner_zones =
@@ -355,7 +316,6 @@
 	stream_releases_init(&g->streams, MAX_STREAMS);
 	upstream_pool_init(&g->pool, sup->base);
 	retry_budget_init(&g->retries, &none);
-	set_byte_budgets(g);
 	runner_filter_init(&g->runners, LEFT_RUNNER_KEEP_US);
 	g->tick = supervisor_add_timer(sup, TICK_MS, on_tick, g);
 	/*
@@ -372,16 +332,12 @@
 	gateway_t *g = state;
 	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
 	g_autoptr(GList) pending = g_hash_table_get_keys(g->pending);
-	g_autoptr(GList) callers = g_hash_table_get_keys(g->callers);
 
 	for (GList *link = relays; link; link = link->next)
 		relay_free(link->data);
 	for (GList *link = pending; link; link = link->next)
 		relay_free(link->data);
-	for (GList *link = callers; link; link = link->next)
-		ingress_free(link->data);
-	if (g->listener)
-		evconnlistener_free(g->listener);
+	http_server_finish(&g->callers);
 	event_free(g->tick);
 	upstream_pool_finish(&g->pool);
 	quarantine_finish(&g->quarantine);
@@ -391,7 +347,6 @@
 	runner_filter_finish(&g->runners);
 	g_hash_table_destroy(g->relays);
 	g_hash_table_destroy(g->pending);
-	g_hash_table_destroy(g->callers);
 	g_hash_table_destroy(g->runner_zones);
 	g_hash_table_destroy(g->partitioned_zones);
 	zone_groups_finish(&g->groups);
--- a/daemon/job.c
+++ b/daemon/job.c
@@ -30,11 +30,11 @@
 
 static const caller_ops_t caller_ops = { on_disconnected, on_drained };
 
-static caller_t *add_caller(job_t *job, struct evhttp_request *req)
+static caller_t *add_caller(job_t *job, http_conn_t *conn)
 {
 	caller_t *c = g_new0(caller_t, 1);
 
-	caller_init(c, job->front->sup->base, req, &caller_ops, job);
+	caller_init(c, conn, &caller_ops, job);
 	g_ptr_array_add(job->callers, c);
 	return c;
 }
@@ -59,7 +59,7 @@
 }
 
 job_t *job_new(front_t *f, call_t *call, const profile_service_t *service,
-	       const profile_t *profile, struct evhttp_request *req)
+	       const profile_t *profile, http_conn_t *conn)
 {
 	job_t *job = g_new0(job_t, 1);
 
@@ -79,7 +79,7 @@
 	set_deadline(job, profile);
 	g_strlcpy(job->profile, profile->name, sizeof(job->profile));
 	g_hash_table_insert(f->jobs, &job->attempt, job);
-	add_caller(job, req);
+	add_caller(job, conn);
 	log_info("request %s: accepted for service %s, team %s, tier %s%s%s",
 		 job->id, call->service, call->team, call->tier,
 		 call->parent_id ? ", forwarded as " : "",
@@ -124,9 +124,9 @@
 	g_ptr_array_remove(job->callers, c);
 }
 
-void job_join(job_t *job, struct evhttp_request *req)
+void job_join(job_t *job, http_conn_t *conn)
 {
-	send_stream_so_far(job, add_caller(job, req));
+	send_stream_so_far(job, add_caller(job, conn));
 }
 
 /*
--- a/daemon/job.h
+++ b/daemon/job.h
@@ -93,10 +93,10 @@
  * of what CALL holds. The job is owned by the front's job table.
  */
 job_t *job_new(front_t *f, call_t *call, const profile_service_t *service,
-	       const profile_t *profile, struct evhttp_request *req);
+	       const profile_t *profile, http_conn_t *conn);
 void job_free(void *data);
 /* Adds a caller that sent the same key or ticket again. */
-void job_join(job_t *job, struct evhttp_request *req);
+void job_join(job_t *job, http_conn_t *conn);
 
 /* Starts the lookup of the daemon that owns the job's key or ticket. */
 void job_look_up_owner(job_t *job);
@@ -150,7 +150,6 @@
 /* Sends one complete event of the stream to all callers. */
 void job_send_event(job_t *job, str_t raw);
 /* Sends a stored response to a caller without a job. */
-void job_reply_stored_to(struct evhttp_request *req, struct event_base *base,
-			 const dedup_answer_t *answer);
+void job_reply_stored_to(http_conn_t *conn, const dedup_answer_t *answer);
 
 #endif
--- a/daemon/job_answer.c
+++ b/daemon/job_answer.c
@@ -328,12 +328,11 @@
 	end(job);
 }
 
-void job_reply_stored_to(struct evhttp_request *req, struct event_base *base,
-			 const dedup_answer_t *answer)
+void job_reply_stored_to(http_conn_t *conn, const dedup_answer_t *answer)
 {
 	static const caller_ops_t ops;
 	caller_t c;
 
-	caller_init(&c, base, req, &ops, NULL);
+	caller_init(&c, conn, &ops, NULL);
 	reply_stored(&c, answer);
 }
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -211,7 +211,6 @@
 	evbuffer_free(r->answer_body);
 	sse_finish(&r->sse);
 	g_string_free(r->last_event_id, TRUE);
-	byte_budget_remove(&r->gateway->bodies, g_bytes_get_size(r->body));
 	g_bytes_unref(r->body);
 	g_free(r->id);
 	fleet_unref(r->fleet);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -149,8 +149,23 @@
 	INT(caller_backlog_kib, "KiB", 1, 1048576, "256",
 	    "unread part of a caller's answer at which its upstream is paused"),
 	REAL(memory_mb, 16, 1000000, "1024",
-	     "memory of the process, in MB; answers and requests' bodies may "
-	     "take up a fifth of it each; fleet only"),
+	     "memory of the process, in MB; requests, until they are answered, "
+	     "may take up a fifth of it, in a fleet answers another"),
+	INT(intake_percent, "%", 1, 50, "20",
+	    "part of the memory that requests which are not complete may take "
+	    "up; above it, those that hold the most for the longest are "
+	    "refused"),
+	INT(intake_connections, "", 0, 1000000, "0",
+	    "callers' connections, at most; 0: the process's limit of "
+	    "descriptors less intake_reserve"),
+	INT(intake_reserve, "", 16, 1000000, "256",
+	    "descriptors kept free of callers, for other daemons, the platform "
+	    "and operators"),
+	INT(intake_rate, "B/s", 0, 1000000000, "1024",
+	    "bytes of a body that must come each second on average, besides "
+	    "intake_grace_ms; 0: a body may take any time"),
+	DURATION(intake_grace_ms, 1000, DAY_MS, "60000",
+		 "how long a request may take to come whatever its size"),
 	INT(max_wants, "", 1, 1000000, "20000",
 	    "requests that one dispatcher queues, at most"),
 	DURATION(ticket_life_ms, 100, DAY_MS, "300000",
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -60,6 +60,11 @@
 	int64_t max_kept_kib;
 	int64_t caller_backlog_kib;
 	double memory_mb;
+	int64_t intake_percent;
+	int64_t intake_connections;
+	int64_t intake_reserve;
+	int64_t intake_rate;
+	int64_t intake_grace_ms;
 	int64_t max_wants;
 	int64_t ticket_life_ms;
 	int64_t grant_timeout_ms;
--- a/net/http1.c
+++ b/net/http1.c
@@ -2,7 +2,10 @@
 
 #include <string.h>
 
-enum { MAX_LEADING_BREAKS = 4 /* bytes of empty lines before a request */ };
+enum {
+	MAX_LEADING_BREAKS = 4, /* bytes of empty lines before a request */
+	KEPT_HEAD_BYTES = 4 * 1024, /* memory kept for the next head */
+};
 
 static int on_url(http_parser *p, const char *at, size_t len)
 {
@@ -168,6 +171,7 @@
 	r->head.content_length =
 		length ? (int64_t)p->content_length : HTTP1_NO_LENGTH;
 	r->head.keeps_alive = http_should_keep_alive(p);
+	r->head.takes_chunks = p->http_minor > 0;
 	p->upgrade = 0;
 	if (!has_unambiguous_framing(r) || p->http_major != 1 ||
 	    (r->kind == HTTP1_REQUEST && p->method == HTTP_CONNECT))
@@ -245,6 +249,16 @@
 	r->is_head_response = false;
 }
 
+void http1_reader_shrink(http1_reader_t *r)
+{
+	if (r->head.text->allocated_len <= KEPT_HEAD_BYTES)
+		return;
+	g_string_free(r->head.text, TRUE);
+	g_array_unref(r->head.headers);
+	r->head.text = g_string_new(NULL);
+	r->head.headers = g_array_new(FALSE, FALSE, sizeof(http1_header_t));
+}
+
 void http1_reader_set_limit(http1_reader_t *r, size_t max_head)
 {
 	r->max_head = max_head;
--- a/net/http1.h
+++ b/net/http1.h
@@ -2,7 +2,7 @@
  * Incremental HTTP/1.1 reader for a stream of messages, using http_parser. It
  * rejects ambiguous messages, which two parsers could interpret differently
  * (request smuggling). evhttp accepts several of them, so it is not used
- * towards callers and upstreams of the platform; see docs/ARCHITECTURE.md.
+ * towards callers and a fleet's upstreams; see docs/ARCHITECTURE.md.
  */
 #ifndef NET_HTTP1_H
 #define NET_HTTP1_H
@@ -31,6 +31,7 @@
 	str_t target; /* requests */
 	int status; /* responses */
 	bool keeps_alive; /* the connection may be used again */
+	bool takes_chunks; /* its sender reads chunked messages: HTTP/1.1 */
 	bool is_chunked;
 	int64_t content_length; /* HTTP1_NO_LENGTH when not stated */
 } http1_head_t;
@@ -76,6 +77,8 @@
 void http1_reader_finish(http1_reader_t *r);
 /* Prepares for the next message of the connection. */
 void http1_reader_reset(http1_reader_t *r);
+/* Between two messages: gives back the memory of a long head. */
+void http1_reader_shrink(http1_reader_t *r);
 /* Sets the size limit of the head, in bytes, for subsequent messages. */
 void http1_reader_set_limit(http1_reader_t *r, size_t max_head);
 /* Feeds bytes; TAKEN is set to the number that the message consumed. */
--- a/tests/test_unruly_clients.c
+++ b/tests/test_unruly_clients.c
@@ -11,9 +11,10 @@
 #include "tests/lib_suite.h"
 #include "tests/lib_unruly.h"
 
+#define KB 1024UL /* bytes */
+#define MB (1024 * KB)
+
 enum {
-	KB = 1024,
-	MB = 1024 * KB,
 	CROWD = 240,
 	LONG_BODY = MB, /* the most that the own interface takes */
 	FAR_TOO_LONG = 12 * MB,
