dispatcher_explain: where a want would go now, and why, without sending it

The runners weighed with their verdict, predicted start and end, work in flight, window, last report and its age, prompt kept, named rate; and whether the want would be granted, wait, or be refused with which reason. The choice is dispatcher_choose itself, so that it can't tell another story. Margins of early refusals are left out, as their code is static in files that others change now.

--- /dev/null
+++ b/core/dispatcher_explain.c
@@ -0,0 +1,231 @@
+#include "core/dispatcher_explain.h"
+
+#include "core/dispatcher_state.h"
+
+const char *explain_verdict_name(explain_verdict_t verdict)
+{
+	static const char *const names[EXPLAIN_VERDICTS] = {
+		[EXPLAIN_CHOSEN] = "chosen",
+		[EXPLAIN_LATER] = "another is chosen",
+		[EXPLAIN_FULL] = "full",
+		[EXPLAIN_LEAVING] = "leaving",
+		[EXPLAIN_PARTITIONED] = "its zone can't be reached",
+		[EXPLAIN_SUSPENDED] = "suspended after failures",
+		[EXPLAIN_AVOIDED] = "failed with an earlier attempt",
+		[EXPLAIN_OTHER_RELEASE] = "of another release",
+		[EXPLAIN_PAUSED] = "paused for this daemon",
+		[EXPLAIN_LIMITED] = "at the rate that it named",
+	};
+
+	return names[verdict];
+}
+
+static bool is_limited(const runner_t *runner, int64_t now)
+{
+	runner_limit_bucket_t copy = runner->limit_bucket;
+
+	return !runner_limit_has_room(&runner->limit, &copy, now);
+}
+
+static explain_verdict_t judge(const struct dispatcher_state *s,
+			       const attempt_t *attempt, const runner_t *runner,
+			       runner_room_t room, int64_t now)
+{
+	if (runner->info.is_leaving || runner->is_leaving_by_report ||
+	    !runner->is_listed)
+		return EXPLAIN_LEAVING;
+	if (runner->info.is_partitioned)
+		return EXPLAIN_PARTITIONED;
+	if (runner->suspended_until > now)
+		return EXPLAIN_SUSPENDED;
+	if (!dispatcher_is_of_release(attempt, runner))
+		return EXPLAIN_OTHER_RELEASE;
+	if (!strcmp(attempt->want.avoid, runner->info.name))
+		return EXPLAIN_AVOIDED;
+	if (dispatcher_is_paused(s, runner, attempt->want.id.owner, now))
+		return EXPLAIN_PAUSED;
+	if (is_limited(runner, now))
+		return EXPLAIN_LIMITED;
+	return runner_model_has_room(&runner->model, room, now) ?
+		       EXPLAIN_LATER :
+		       EXPLAIN_FULL;
+}
+
+/* Tokens of the prompt that the runner served last with the same beginning. */
+static uint32_t cached_tokens(const struct dispatcher_state *s,
+			      const want_t *want, const runner_t *runner)
+{
+	const uint64_t hashes[] = { want->session_hash, want->prefix_hash };
+	const uint32_t tokens[] = { want->session_tokens, want->prefix_tokens };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(hashes); i++) {
+		double part = 0;
+
+		if (!hashes[i] ||
+		    affinity_find(&s->affinity, hashes[i], &part) != runner)
+			continue;
+		if (tokens[i])
+			return MIN(tokens[i], want->prompt_tokens);
+		return (uint32_t)(part * want->prompt_tokens);
+	}
+	return 0;
+}
+
+static void describe(const struct dispatcher_state *s, const want_t *want,
+		     const runner_t *runner, int64_t now,
+		     explained_runner_t *out)
+{
+	const runner_model_t *m = &runner->model;
+	uint32_t cached = cached_tokens(s, want, runner);
+	double part = (double)cached / MAX(want->prompt_tokens, 1);
+
+	g_strlcpy(out->name, runner->info.name, sizeof(out->name));
+	out->end = runner_model_predict(m, want->prompt_tokens,
+					want->output_tokens, part);
+	if (s->config.is_engine)
+		out->start =
+			runner_model_predict(m, want->prompt_tokens, 1, part);
+	out->blocked = MAX(runner->suspended_until - now, 0);
+	out->running = m->running;
+	out->tokens = m->tokens;
+	out->window = m->window;
+	out->reported = m->reported_requests;
+	out->report_age =
+		m->report_received_at ? now - m->report_received_at : -1;
+	out->cached_tokens = cached;
+	if (runner->limit.state == RUNNER_LIMIT_NAMED)
+		out->rate = runner->limit.rate;
+}
+
+static int by_verdict(gconstpointer a, gconstpointer b)
+{
+	const explained_runner_t *x = a, *y = b;
+
+	if (x->verdict != y->verdict)
+		return x->verdict < y->verdict ? -1 : 1;
+	if (x->end != y->end)
+		return x->end < y->end ? -1 : 1;
+	return strcmp(x->name, y->name);
+}
+
+static void list_runners(const struct dispatcher_state *s,
+			 const attempt_t *attempt, const runner_t *chosen,
+			 runner_room_t room, int64_t now,
+			 dispatcher_explanation_t *out)
+{
+	g_autoptr(GArray) all =
+		g_array_new(FALSE, TRUE, sizeof(explained_runner_t));
+	GHashTableIter iter;
+	const runner_t *runner;
+
+	g_hash_table_iter_init(&iter, s->runners);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&runner)) {
+		explained_runner_t row = { 0 };
+
+		describe(s, &attempt->want, runner, now, &row);
+		row.verdict = runner == chosen ?
+				      EXPLAIN_CHOSEN :
+				      judge(s, attempt, runner, room, now);
+		g_array_append_val(all, row);
+	}
+	g_array_sort(all, by_verdict);
+	out->n_runners = all->len;
+	out->n = MIN(all->len, EXPLAIN_MAX_RUNNERS);
+	if (out->n)
+		memcpy(out->runners, all->data,
+		       out->n * sizeof(explained_runner_t));
+}
+
+static bool has_runner(struct dispatcher_state *s, int64_t now)
+{
+	int64_t since = s->unavailable_since;
+	bool found = dispatcher_has_runner(s, now);
+
+	s->unavailable_since = since;
+	return found;
+}
+
+static bool is_queue_full(const struct dispatcher_state *s,
+			  const attempt_t *attempt)
+{
+	return s->queue.entries >= s->config.max_wants &&
+	       !queue_victim(&s->queue, attempt->entry.tier,
+			     attempt->entry.team, attempt->entry.cost) &&
+	       dispatcher_may_refuse(s, attempt->entry.tier);
+}
+
+static bool misses_deadline(const struct dispatcher_state *s,
+			    const attempt_t *attempt, int64_t wait, int64_t now)
+{
+	if (s->config.grants_if_idle && !wait)
+		return false;
+	return now + wait > attempt->latest_start &&
+	       dispatcher_may_refuse(s, attempt->entry.tier);
+}
+
+/* Tells whether the want would be refused on arrival; sets REASON. */
+static bool is_refused(struct dispatcher_state *s, const attempt_t *attempt,
+		       int64_t wait, int64_t now, refuse_reason_t *reason)
+{
+	if (!has_runner(s, now))
+		*reason = REFUSE_NO_RUNNER;
+	else if (!dispatcher_has_release(s, attempt))
+		*reason = REFUSE_NO_RELEASE;
+	else if (dispatcher_paused_too_long(s, attempt, now))
+		*reason = REFUSE_PAUSED;
+	else if (misses_deadline(s, attempt, wait, now))
+		*reason = REFUSE_DEADLINE;
+	else if (is_queue_full(s, attempt))
+		*reason = REFUSE_QUEUE_FULL;
+	else
+		return false;
+	return true;
+}
+
+/* The attempt that the want would become, in no queue and no table. */
+static attempt_t make_attempt(const struct dispatcher_state *s,
+			      const want_t *want)
+{
+	attempt_t attempt = { .want = *want };
+
+	attempt.want.tier = MIN(want->tier, DISPATCHER_MAX_TIERS - 1);
+	attempt.entry.tier = attempt.want.tier;
+	attempt.entry.deadline = want->deadline;
+	attempt.entry.cost = 1;
+	if (s->config.is_engine)
+		attempt.entry.cost = MAX(
+			(uint64_t)want->prompt_tokens + want->output_tokens, 1);
+	attempt.latest_start =
+		want->deadline - dispatcher_service_time(s, want);
+	return attempt;
+}
+
+void dispatcher_explain(const dispatcher_t *d, const want_t *want, int64_t now,
+			dispatcher_explanation_t *out)
+{
+	struct dispatcher_state *s = d->state;
+	attempt_t attempt = make_attempt(s, want);
+	runner_room_t room = ROOM_UNPROTECTED;
+	runner_t *chosen;
+	int64_t finish = 0;
+
+	attempt.entry.team = str_from(attempt.want.team);
+	if (queue_is_protected(&s->queue, attempt.entry.tier))
+		room = ROOM_PROTECTED;
+	*out = (dispatcher_explanation_t){
+		.outcome = EXPLAIN_QUEUE,
+		.queued = s->queue.entries,
+		.running = s->n_running,
+		.wait = dispatcher_wait_time(s, attempt.entry.tier,
+					     attempt.entry.cost),
+	};
+	chosen = dispatcher_choose(s, &attempt, room, now, &finish);
+	if (is_refused(s, &attempt, out->wait, now, &out->reason))
+		out->outcome = EXPLAIN_REFUSE;
+	else if (chosen && !s->queue.entries &&
+		 s->n_running < s->config.max_running)
+		out->outcome = EXPLAIN_GRANT;
+	if (out->outcome != EXPLAIN_GRANT)
+		chosen = NULL;
+	list_runners(s, &attempt, chosen, room, now, out);
+}
