papayactl: route tells where a request would go now, and why

An operator gives the request's path and headers and a daemon's admin address (POST /admin/route, operator's token). The question passes through the tasks as a want would, as a typed message: the gateway or the front finds route, team, limit, rank and group, the peers task the dispatcher's daemon, the capacity task what the dispatcher would decide (core/dispatcher_explain), the admin task answers. If the dispatcher is on another daemon, papayactl asks there as well, which needs no frame between daemons. What a request would change is decided on copies: hot prefixes, random numbers, a runner's rate bucket. A dispatcher that doesn't run isn't started by asking.

--- a/core/dispatcher_explain.c
+++ b/core/dispatcher_explain.c
@@ -20,6 +20,21 @@
 	return names[verdict];
 }
 
+const char *refuse_reason_text(refuse_reason_t reason)
+{
+	const char *const texts[] = {
+		[REFUSE_DEADLINE] = "it could not finish within its deadline",
+		[REFUSE_QUEUE_FULL] = "the queue is full",
+		[REFUSE_SHED] = "it gave way to a more urgent tier",
+		[REFUSE_NO_RUNNER] = "the service has no runner",
+		[REFUSE_EXPIRED] = "its deadline passed while it waited",
+		[REFUSE_PAUSED] = "the engines asked for a pause",
+		[REFUSE_NO_RELEASE] = "no engine of its release serves",
+	};
+
+	return texts[reason];
+}
+
 static bool is_limited(const runner_t *runner, int64_t now)
 {
 	runner_limit_bucket_t copy = runner->limit_bucket;
--- a/core/dispatcher_explain.h
+++ b/core/dispatcher_explain.h
@@ -61,6 +61,8 @@
 
 void dispatcher_explain(const dispatcher_t *d, const want_t *want, int64_t now,
 			dispatcher_explanation_t *out);
+/* What a refused caller is told. */
+const char *refuse_reason_text(refuse_reason_t reason);
 const char *explain_verdict_name(explain_verdict_t verdict);
 
 #endif
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -15,6 +15,7 @@
 	  ctl_summarize },
 	{ "explain", "show a request's way through the daemons' logs",
 	  ctl_explain },
+	{ "route", "ask a daemon where a request would go now", ctl_route },
 	{ "burn", "tell how fast the objectives' budgets burn", ctl_burn },
 };
 
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -44,6 +44,7 @@
 int ctl_report(ctl_t *ctl, int argc, char **argv);
 int ctl_summarize(ctl_t *ctl, int argc, char **argv);
 int ctl_explain(ctl_t *ctl, int argc, char **argv);
+int ctl_route(ctl_t *ctl, int argc, char **argv);
 int ctl_burn(ctl_t *ctl, int argc, char **argv);
 
 /* Prints an error as "papayactl: STEP: ..." and returns CTL_ERROR. */
--- a/ctl/remote.c
+++ b/ctl/remote.c
@@ -240,9 +240,9 @@
 	http_call_finish(&a->call);
 }
 
-GArray *remote_request_all(remote_t *r, const GArray *vms,
+static GArray *request_all(remote_t *r, const GArray *vms,
 			   enum evhttp_cmd_type method, const char *path,
-			   const char *token)
+			   str_t body, const char *token)
 {
 	g_autofree char *bearer = g_strconcat("Bearer ", token, NULL);
 	http_header_t header = { "Authorization", bearer };
@@ -251,7 +251,7 @@
 		.path = path,
 		.headers = &header,
 		.n_headers = token[0] ? 1 : 0,
-		.body = STR_LIT(""),
+		.body = body,
 		.connect_timeout_ms = r->timeout_ms,
 		.idle_timeout_ms = r->timeout_ms,
 		.max_body = MAX_ANSWER_BYTES,
@@ -278,3 +278,26 @@
 	g_free(requests);
 	return answers;
 }
+
+GArray *remote_request_all(remote_t *r, const GArray *vms,
+			   enum evhttp_cmd_type method, const char *path,
+			   const char *token)
+{
+	return request_all(r, vms, method, path, STR_LIT(""), token);
+}
+
+void remote_post(remote_t *r, const char *address, const char *path, str_t body,
+		 const char *token, remote_answer_t *answer)
+{
+	g_autoptr(GArray) vms = g_array_new(FALSE, TRUE, sizeof(member_vm_t));
+	GArray *answers;
+
+	g_array_set_size(vms, 1);
+	g_strlcpy(g_array_index(vms, member_vm_t, 0).admin_address, address,
+		  MEMBER_NAME_SIZE);
+	answers = request_all(r, vms, EVHTTP_REQ_POST, path, body, token);
+	*answer = g_array_index(answers, remote_answer_t, 0);
+	/* The answer's body is the caller's now. */
+	g_array_set_clear_func(answers, NULL);
+	g_array_unref(answers);
+}
--- a/ctl/remote.h
+++ b/ctl/remote.h
@@ -56,5 +56,11 @@
 GArray *remote_request_all(remote_t *r, const GArray *vms,
 			   enum evhttp_cmd_type method, const char *path,
 			   const char *token);
+/*
+ * Sends BODY by POST to one daemon's admin address. ANSWER->body is to be freed
+ * in any case.
+ */
+void remote_post(remote_t *r, const char *address, const char *path, str_t body,
+		 const char *token, remote_answer_t *answer);
 
 #endif
--- a/daemon/admin_task.c
+++ b/daemon/admin_task.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 
 #include "common/log.h"
+#include "daemon/admin_route.h"
 #include "daemon/supervisor.h"
 #include "net/http.h"
 
@@ -22,6 +23,7 @@
 	struct evhttp *ready_http; /* for the load balancer, or NULL */
 	config_view_t *config;
 	vm_list_t *vms;
+	admin_routes_t routes;
 	bool accepts_keys; /* idempotency keys, by MESSAGE_KEYS_READY */
 } admin_t;
 
@@ -129,6 +131,12 @@
 	      is_ready ? "ready\n" : "not ready\n");
 }
 
+static bool is_route_question(const char *path)
+{
+	return !strcmp(path, "/admin/route") ||
+	       g_str_has_prefix(path, "/admin/route?");
+}
+
 static void handle_operator_request(admin_t *a, struct evhttp_request *req,
 				    const char *path)
 {
@@ -144,6 +152,8 @@
 		reply_config(a, req);
 	} else if (!strcmp(path, "/admin/status") && !is_post) {
 		reply_status(a, req);
+	} else if (is_route_question(path) && is_post) {
+		admin_routes_ask(&a->routes, req);
 	} else if (!strcmp(path, "/admin/drain") && is_post) {
 		supervisor_drain(a->sup);
 		reply_json(req, 202, json_pack("{s:b}", "draining", 1));
@@ -206,6 +216,8 @@
 		a->config = config_view_ref(m->config);
 	} else if (m->type == MESSAGE_KEYS_READY) {
 		a->accepts_keys = m->number || a->sup->settings->fleet;
+	} else if (m->type == MESSAGE_ROUTE_QUERY) {
+		admin_routes_answer(&a->routes, m->query);
 	}
 }
 
@@ -213,6 +225,7 @@
 {
 	admin_t *a = state;
 
+	admin_routes_finish(&a->routes);
 	if (a->ready_http)
 		evhttp_free(a->ready_http);
 	evhttp_free(a->http);
@@ -226,6 +239,7 @@
 	const char *ready_listen = sup->settings->ready_listen;
 
 	a->sup = sup;
+	admin_routes_init(&a->routes, sup);
 	/* A fleet's routes use no keys, so readiness does not wait for them. */
 	a->accepts_keys = sup->settings->fleet;
 	a->http = new_server(sup->base);
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -9,6 +9,7 @@
 #include "common/log.h"
 #include "core/runner_group.h"
 #include "daemon/load_poll.h"
+#include "daemon/route_query.h"
 #include "daemon/supervisor.h"
 
 enum {
@@ -554,6 +555,22 @@
 	dispatcher_done(&s->dispatcher, c->want.id, &c->done, now_us());
 }
 
+/* Starts no dispatcher for an operator's question. */
+static void explain(capacity_t *c, route_query_t *q)
+{
+	service_t *s = g_hash_table_lookup(c->services, q->capacity.service);
+	want_t want = q->capacity.want;
+
+	if (s) {
+		want.tier = (uint32_t)tier_index(c, s->group.service,
+						 q->capacity.tier);
+		dispatcher_explain(&s->dispatcher, &want, now_us(),
+				   &q->explanation);
+		q->is_explained = true;
+	}
+	route_query_post(c->sup, TASK_ADMIN, q);
+}
+
 static void handle(void *state, const message_t *m)
 {
 	capacity_t *c = state;
@@ -589,6 +606,9 @@
 	case MESSAGE_WANT:
 		handle_want(c, &m->capacity);
 		return;
+	case MESSAGE_ROUTE_QUERY:
+		explain(c, m->query);
+		return;
 	case MESSAGE_OWNER_LOST:
 		remove_owner(c, m->capacity.peer);
 		return;
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -5,9 +5,6 @@
  */
 #define LOG_PART "front"
 
-#include <inttypes.h>
-#include <sys/random.h>
-
 #include "common/log.h"
 #include "common/timeval.h"
 #include "daemon/job.h"
@@ -16,7 +13,6 @@
 	TICK_MS = 50,
 	MAX_BUDGETS = 65536, /* pairs of team and tier */
 	MAX_HEADER_BYTES = 32 * 1024,
-	TICKET_BYTES = 16, /* random part of a ticket */
 	STALL_RETRY_MS = 2000, /* Retry-After after a process stall */
 };
 
@@ -55,8 +51,8 @@
 		       OUTCOME_NOT_RUN;
 }
 
-static void refuse(front_t *f, http_conn_t *conn, int status, const char *field,
-		   const char *message, uint32_t retry_after_ms)
+void front_refuse(front_t *f, http_conn_t *conn, int status, const char *field,
+		  const char *message, uint32_t retry_after_ms)
 {
 	static const caller_ops_t ops;
 	response_head_t head = { .status = status,
@@ -70,8 +66,7 @@
 	caller_reply_error(&c, &head, field, message);
 }
 
-/* True when the credential is valid or the team requires none. */
-static bool is_authorized(const profile_team_t *team, const call_t *call)
+bool front_is_authorized(const profile_team_t *team, const call_t *call)
 {
 	g_autofree char *hash = NULL;
 
@@ -93,7 +88,7 @@
 	if (!team)
 		return call_reject(error, 403, "Papaya-Team",
 				   "the profile is closed to this team");
-	if (!is_authorized(team, call))
+	if (!front_is_authorized(team, call))
 		return call_reject(error, 401, "Authorization",
 				   "the team's credential is expected");
 	return true;
@@ -118,7 +113,7 @@
 	return true;
 }
 
-static bool check_service(front_t *f, call_t *call, call_error_t *error)
+bool front_check(front_t *f, call_t *call, call_error_t *error)
 {
 	const profile_service_t *service = front_service(f, call);
 	const profile_t *profile = front_profile(f, call);
@@ -136,125 +131,6 @@
 	       check_team(call, profile, error);
 }
 
-/*
- * True when the credential is valid for the team in any profile, or no profile
- * has the team. A ticket request names no service, so any profile may apply.
- */
-static bool check_ticket_team(front_t *f, const call_t *call)
-{
-	GHashTableIter iter;
-	profile_t *profile;
-	bool is_known = false;
-
-	g_hash_table_iter_init(&iter, f->config->profiles);
-	while (g_hash_table_iter_next(&iter, NULL, (void **)&profile)) {
-		const profile_team_t *team =
-			profile_find_team(profile, str_from(call->team));
-
-		if (!team)
-			continue;
-		if (is_authorized(team, call))
-			return true;
-		is_known = true;
-	}
-	return !is_known;
-}
-
-static void issue_ticket(front_t *f, http_conn_t *conn, const call_t *call)
-{
-	static const caller_ops_t ops;
-	response_head_t head = { .status = HTTP_OK,
-				 .content_type = "application/json" };
-	unsigned char bytes[TICKET_BYTES];
-	g_autoptr(GString) ticket = g_string_new(NULL);
-	g_autoptr(GBytes) scoped_key = NULL;
-	g_autofree char *json = NULL;
-	caller_t c;
-
-	if (!check_ticket_team(f, call)) {
-		refuse(f, conn, 401, "Authorization",
-		       "the team's credential is expected", 0);
-		return;
-	}
-	if (getrandom(bytes, sizeof(bytes), 0) != (ssize_t)sizeof(bytes)) {
-		refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
-		       "no random numbers for a ticket", JOB_RETRY_MS);
-		return;
-	}
-	g_string_printf(ticket, "%s:%016" PRIx64 ":", f->sup->settings->name,
-			f->sup->boot_id);
-	for (size_t i = 0; i < sizeof(bytes); i++)
-		g_string_append_printf(ticket, "%02x", bytes[i]);
-	scoped_key = dedup_scope(str_from(call->team), str_from(ticket->str));
-	if (!dedup_issue_ticket(&f->tickets, scoped_key, now_us())) {
-		refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
-		       "the table of keys is full", JOB_RETRY_MS);
-		return;
-	}
-	json = g_strdup_printf("{\"ticket\":\"%s\"}", ticket->str);
-	caller_init(&c, conn, &ops, NULL);
-	caller_reply(&c, &head, str_from(json));
-}
-
-/*
- * Handles a ticket that was used before: sends the stored response, adds the
- * caller to the running job, or refuses a request that differs from the first.
- * Returns false when the ticket was not used here.
- */
-static bool reply_to_repeat(front_t *f, http_conn_t *conn, const call_t *call,
-			    GBytes *scoped_key)
-{
-	dedup_entry_t *entry = dedup_find(&f->tickets, scoped_key);
-
-	if (!entry || entry->state == DEDUP_ISSUED)
-		return false;
-	metrics_add(&f->sup->metrics, "papaya_repeats_total", NULL, 1);
-	if (entry->fingerprint != call->fingerprint)
-		refuse(f, conn, 422, "Papaya-Ticket",
-		       "it names another request", 0);
-	else if (entry->state == DEDUP_ENDED)
-		job_reply_stored_to(conn, &entry->answer);
-	else
-		job_join(entry->user_data, conn);
-	return true;
-}
-
-static void refuse_ticket(front_t *f, http_conn_t *conn)
-{
-	static const caller_ops_t ops;
-	response_head_t head = { .status = 410, .outcome = OUTCOME_UNKNOWN };
-	caller_t c;
-
-	caller_init(&c, conn, &ops, NULL);
-	caller_reply_error(&c, &head, "Papaya-Ticket",
-			   "no such ticket, or it was used long ago");
-}
-
-static bool is_own_ticket(const front_t *f, const char *ticket)
-{
-	char daemon[MEMBER_NAME_SIZE];
-	uint64_t boot_id;
-
-	return call_ticket_daemon(ticket, daemon, sizeof(daemon), &boot_id) &&
-	       boot_id == f->sup->boot_id &&
-	       !strcmp(daemon, f->sup->settings->name);
-}
-
-/* True when no daemon can run the ticket: it is malformed, lost or expired. */
-static bool is_unusable_ticket(const front_t *f, const call_t *call,
-			       GBytes *scoped_key)
-{
-	char daemon[MEMBER_NAME_SIZE];
-	uint64_t boot_id;
-
-	if (!call_ticket_daemon(call->ticket, daemon, sizeof(daemon), &boot_id))
-		return true;
-	if (strcmp(daemon, f->sup->settings->name))
-		return call->is_forwarded;
-	return boot_id != f->sup->boot_id ||
-	       !dedup_find(&f->tickets, scoped_key);
-}
-
 static void start_job(front_t *f, http_conn_t *conn, call_t *call,
 		      GBytes *scoped_key)
 {
@@ -270,7 +146,7 @@
 		return;
 	}
 	job->scoped_key = g_bytes_ref(scoped_key);
-	if (job->call.ticket && is_own_ticket(f, job->call.ticket))
+	if (job->call.ticket && front_is_own_ticket(f, job->call.ticket))
 		job_claim_ticket(job);
 	else
 		job_look_up_owner(job);
@@ -280,8 +156,8 @@
 {
 	if (g_hash_table_size(f->jobs) < f->sup->settings->max_requests)
 		return true;
-	refuse(f, conn, HTTP_SERVUNAVAIL, NULL, "too many requests in progress",
-	       JOB_RETRY_MS);
+	front_refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
+		     "too many requests in progress", JOB_RETRY_MS);
 	return false;
 }
 
@@ -289,10 +165,10 @@
 static bool reply_without_job(front_t *f, http_conn_t *conn, const call_t *call,
 			      GBytes *scoped_key)
 {
-	if (call->ticket && reply_to_repeat(f, conn, call, scoped_key))
+	if (call->ticket && front_reply_to_repeat(f, conn, call, scoped_key))
 		return true;
-	if (call->ticket && is_unusable_ticket(f, call, scoped_key)) {
-		refuse_ticket(f, conn);
+	if (call->ticket && front_is_unusable_ticket(f, call, scoped_key)) {
+		front_refuse_ticket(f, conn);
 		return true;
 	}
 	return !check_request_limit(f, conn);
@@ -305,12 +181,13 @@
 	call_error_t error;
 
 	if (call->is_ticket_request) {
-		issue_ticket(f, conn, call);
+		front_issue_ticket(f, conn, call);
 		call_finish(call);
 		return;
 	}
-	if (!check_service(f, call, &error)) {
-		refuse(f, conn, error.status, error.field, error.message, 0);
+	if (!front_check(f, call, &error)) {
+		front_refuse(f, conn, error.status, error.field, error.message,
+			     0);
 		call_finish(call);
 		return;
 	}
@@ -330,22 +207,23 @@
 	call_t call;
 
 	if (f->is_draining) {
-		refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
-		       "this VM is leaving; ask another", 1);
+		front_refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
+			     "this VM is leaving; ask another", 1);
 		return;
 	}
 	if (!f->config) {
-		refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
-		       "no profile is in force yet", JOB_RETRY_MS);
+		front_refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
+			     "no profile is in force yet", JOB_RETRY_MS);
 		return;
 	}
 	if (supervisor_stalled_recently(f->sup) && has_key_or_ticket(head)) {
-		refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
-		       "this VM stood still; ask again", STALL_RETRY_MS);
+		front_refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
+			     "this VM stood still; ask again", STALL_RETRY_MS);
 		return;
 	}
 	if (!call_parse(&call, head, body, f->sup->settings, &error)) {
-		refuse(f, conn, error.status, error.field, error.message, 0);
+		front_refuse(f, conn, error.status, error.field, error.message,
+			     0);
 		return;
 	}
 	accept_call(f, conn, &call);
@@ -563,6 +441,9 @@
 	case MESSAGE_VIEW_CHANGED:
 		for_each_job(f, job_on_view_change);
 		break;
+	case MESSAGE_ROUTE_QUERY:
+		front_on_route_query(f, m->query);
+		break;
 	case MESSAGE_DRAIN:
 		drain(f);
 		break;
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -128,6 +128,10 @@
 /* Tells a daemon, to which a link is up now, what is in quarantine. */
 void gateway_send_quarantine(gateway_t *g, const char *peer);
 
+/* gateway_route.c: tells an operator where a request would go. */
+
+void gateway_on_route_query(gateway_t *g, route_query_t *q);
+
 /* relay_release.c: streams that go on only on the release that began them. */
 
 /* Handles the answer of a stream's recorder. */
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -284,6 +284,9 @@
 	case MESSAGE_LINK_UP:
 		gateway_send_quarantine(g, m->contact.name);
 		break;
+	case MESSAGE_ROUTE_QUERY:
+		gateway_on_route_query(g, m->query);
+		break;
 	case MESSAGE_DRAIN:
 		g->drain_since = now_us();
 		g->callers.is_draining = true;
--- a/daemon/job.c
+++ b/daemon/job.c
@@ -5,6 +5,7 @@
 #include <inttypes.h>
 
 #include "common/log.h"
+#include "core/dispatcher_explain.h"
 #include "daemon/metrics.h"
 
 enum {
@@ -439,21 +440,6 @@
 	return true;
 }
 
-static const char *refuse_reason_text(refuse_reason_t reason)
-{
-	static const char *const texts[] = {
-		[REFUSE_DEADLINE] = "it could not finish within its deadline",
-		[REFUSE_QUEUE_FULL] = "the queue is full",
-		[REFUSE_SHED] = "it gave way to a more urgent tier",
-		[REFUSE_NO_RUNNER] = "the service has no runner",
-		[REFUSE_EXPIRED] = "its deadline passed while it waited",
-		[REFUSE_PAUSED] = "the engines asked for a pause",
-		[REFUSE_NO_RELEASE] = "no engine of its release serves",
-	};
-
-	return texts[reason];
-}
-
 void job_on_refusal(job_t *job, refuse_reason_t reason, uint32_t retry_after_ms)
 {
 	bool may_overflow = reason == REFUSE_NO_RUNNER ||
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -174,6 +174,9 @@
 	case MESSAGE_APPENDED:
 		g_clear_pointer(&m->append.data, g_bytes_unref);
 		break;
+	case MESSAGE_ROUTE_QUERY:
+		g_clear_pointer(&m->query, route_query_unref);
+		break;
 	default:
 		break;
 	}
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -114,6 +114,8 @@
 	MESSAGE_ACCOUNT, /* front to accounts */
 	MESSAGE_APPEND, /* accounts to platform */
 	MESSAGE_APPENDED, /* platform to accounts */
+	/* admin to front to peers to capacity, and back to admin */
+	MESSAGE_ROUTE_QUERY,
 	MESSAGE_DRAIN, /* supervisor to all */
 	MESSAGE_DRAINED, /* front to peers to accounts: drain is done */
 } message_type_t;
@@ -261,6 +263,10 @@
 	bool is_ok; /* APPENDED */
 } message_append_t;
 
+typedef struct route_query route_query_t; /* daemon/route_query.h */
+
+void route_query_unref(route_query_t *q);
+
 typedef struct message {
 	message_type_t type;
 	union {
@@ -296,6 +302,7 @@
 		message_streams_t streams;
 		message_account_t account;
 		message_append_t append;
+		route_query_t *query;
 	};
 } message_t;
 
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -113,6 +113,8 @@
  * effect is a longer wait.
  */
 void peers_route_want(peers_t *p, const message_t *m);
+/* Finds the dispatcher of a request that an operator asks for. */
+void peers_on_route_query(peers_t *p, route_query_t *q);
 /*
  * Forwards a message to the daemon that it names, or to a task of this daemon
  * when it names none.
--- a/daemon/peers_route.c
+++ b/daemon/peers_route.c
@@ -1,6 +1,7 @@
 #include "core/runner_group.h"
 #include "daemon/frames.h"
 #include "daemon/peers.h"
+#include "daemon/route_query.h"
 
 enum {
 	NO_RUNNER_RETRY_MS = 1000,
@@ -110,6 +111,29 @@
 	supervisor_post(p->sup, TASK_CAPACITY, &local);
 }
 
+void peers_on_route_query(peers_t *p, route_query_t *q)
+{
+	message_capacity_t *c = &q->capacity;
+	bool is_own = !c->zone[0] || !strcmp(c->zone, p->self.zone);
+	str_t zone = is_own ? str_from(p->self.zone) : str_from(c->zone);
+	member_vm_t vm;
+	bool found = find_dispatcher(p, c, zone, &vm);
+
+	if (!found && !is_own) {
+		route_query_refuse(q, 503, "no daemon of that zone is linked");
+		route_query_post(p->sup, TASK_ADMIN, q);
+		return;
+	}
+	if (!found)
+		vm = p->self;
+	g_strlcpy(c->zone, vm.zone, sizeof(c->zone));
+	g_strlcpy(c->peer, vm.name, sizeof(c->peer));
+	g_strlcpy(q->admin_address, vm.admin_address, sizeof(q->admin_address));
+	route_query_post(
+		p->sup,
+		strcmp(vm.name, p->self.name) ? TASK_ADMIN : TASK_CAPACITY, q);
+}
+
 void peers_forward(peers_t *p, const message_t *m)
 {
 	const char *peer = m->capacity.peer;
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -496,6 +496,9 @@
 	case MESSAGE_CLAIM_ENDED:
 		key_table_on_request_end(&p->keys, &m->claim);
 		break;
+	case MESSAGE_ROUTE_QUERY:
+		peers_on_route_query(p, m->query);
+		break;
 	case MESSAGE_WANT:
 		peers_route_want(p, m);
 		break;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -38,7 +38,7 @@
 	return r->runner.name[0] ? r->runner.name : "-";
 }
 
-static uint32_t whole_output_tokens(const call_head_t *call)
+uint32_t relay_whole_output_tokens(const call_head_t *call)
 {
 	if (call->output_hint)
 		return call->output_hint;
@@ -72,7 +72,7 @@
  */
 static uint32_t output_tokens_left(const relay_t *r)
 {
-	uint32_t whole = whole_output_tokens(&r->call);
+	uint32_t whole = relay_whole_output_tokens(&r->call);
 	uint32_t received = events_received(r);
 
 	return MAX(received < whole ? whole - received : 0,
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -106,6 +106,8 @@
 str_t relay_last_event_id(const relay_t *r);
 /* Name of the dispatcher for logs: "own" for this daemon. */
 const char *relay_dispatcher_name(const relay_t *r);
+/* Estimates the output of a request, from its start. */
+uint32_t relay_whole_output_tokens(const call_head_t *call);
 /*
  * Gives the request a new attempt number. Messages that answer the previous
  * attempt are no longer matched to this request.
@@ -148,6 +150,16 @@
 
 /* relay_admit.c */
 
+/* The cost in a team's limit: tokens, or 1 for a request. */
+uint32_t relay_limit_cost(const fleet_team_t *team, const call_head_t *call);
+/*
+ * Picks the dispatcher to ask first. A long prefix goes to the group of runners
+ * that may have it cached, also in another zone, unless many recent requests
+ * share it; PREFIXES counts them.
+ */
+void relay_pick_dispatcher(const zone_groups_t *zones, hot_prefix_t *prefixes,
+			   const call_head_t *call, const char *service,
+			   GRand *rand, zone_pick_t *out);
 /* Answers 503: no configuration and runners are known yet. */
 void relay_fail_unready(relay_t *r);
 /* Uses this daemon's share of the limit when the limiter doesn't answer. */
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -36,14 +36,13 @@
 	relay_fail(r, 503, UNREADY_RETRY_MS, "no configuration is known yet");
 }
 
-/* The request's cost in its team's limit: tokens, or 1 for a request. */
-static uint32_t limit_cost(const relay_t *r)
+uint32_t relay_limit_cost(const fleet_team_t *team, const call_head_t *call)
 {
-	if (!r->team->counts_tokens)
+	if (!team->counts_tokens)
 		return 1;
-	if (!r->call.has_tokens)
-		return MAX(r->team->default_tokens, 1);
-	return r->call.prompt_tokens + r->call.max_output_tokens;
+	if (!call->has_tokens)
+		return MAX(team->default_tokens, 1);
+	return call->prompt_tokens + call->max_output_tokens;
 }
 
 /*
@@ -68,7 +67,7 @@
 	l->owner = r->gateway->sup->boot_id;
 	l->is_fallback = r->is_limit_fallback;
 	l->is_young = r->is_counter_young;
-	l->cost = limit_cost(r);
+	l->cost = relay_limit_cost(r->team, &r->call);
 	l->reserve = reserved_percent(r);
 	g_strlcpy(l->team, r->team->name, sizeof(l->team));
 	g_strlcpy(l->profile, FLEET_PROFILE, sizeof(l->profile));
@@ -213,21 +212,17 @@
 		prompt_parts_add(&r->parts, r->call.parts.ids[i]);
 }
 
-/*
- * A long prefix goes to the group of runners that may have it cached, also in
- * another zone, unless many recent requests share it.
- */
-static void pick_dispatcher(relay_t *r)
+void relay_pick_dispatcher(const zone_groups_t *zones, hot_prefix_t *prefixes,
+			   const call_head_t *call, const char *service,
+			   GRand *rand, zone_pick_t *out)
 {
-	gateway_t *g = r->gateway;
-	uint32_t groups = zone_groups_count(&g->groups, r->service);
-	zone_affinity_t affinity = { .session = r->call.session_hash };
-
-	if (r->call.prefix_tokens >= MIN_AFFINITY_TOKENS &&
-	    !hot_prefix_record(&g->prefixes, r->call.prefix_hash, groups))
-		affinity.prefix = r->call.prefix_hash;
-	zone_groups_pick_first(&g->groups, r->service, &affinity,
-			       r->gateway->sup->rand, &r->pick);
+	uint32_t groups = zone_groups_count(zones, service);
+	zone_affinity_t affinity = { .session = call->session_hash };
+
+	if (call->prefix_tokens >= MIN_AFFINITY_TOKENS &&
+	    !hot_prefix_record(prefixes, call->prefix_hash, groups))
+		affinity.prefix = call->prefix_hash;
+	zone_groups_pick_first(zones, service, &affinity, rand, out);
 }
 
 static void start_deadline(relay_t *r)
@@ -286,7 +281,8 @@
 		return;
 	r->service = fleet_pick_service(r->route, str_hash(stream_attempt(r)));
 	r->rank = fleet_rank(r->team, r->route);
-	pick_dispatcher(r);
+	relay_pick_dispatcher(&g->groups, &g->prefixes, &r->call, r->service,
+			      g->sup->rand, &r->pick);
 	retry_budget_count_first(&g->retries, r->service);
 	start_deadline(r);
 	if (gateway_ends_before(g, r->deadline)) {
--- a/tests/test_dispatcher_explain.c
+++ b/tests/test_dispatcher_explain.c
@@ -28,12 +28,12 @@
 	fixture_t fixture = { 0 };
 
 	fixture_init(&fixture, true);
-	for (int i = 0; i < 5; i++) {
-		char name[] = { 'a' + (char)i, '\0' };
+	for (uint64_t i = 0; i < 5; i++) {
+		char name[] = { (char)('a' + i), '\0' };
 
 		fixture_set_runner(&fixture, name, false);
-		fixture_calibrate(&fixture, (uint64_t)(10 + i), 100,
-				  (5 - i) * 10 * MS, 1, MS);
+		fixture_calibrate(&fixture, 10 + i, 100,
+				  (int64_t)(5 - i) * 10 * MS, 1, MS);
 	}
 	for (uint64_t a = 100; a < 120; a++) {
 		dispatcher_explanation_t e = explain(&fixture, 50);
@@ -129,7 +129,7 @@
 	}
 	e = explain(&fixture, 10);
 	ck_assert_uint_eq(e.n, EXPLAIN_MAX_RUNNERS);
-	ck_assert_uint_eq(e.n_runners, 3 * EXPLAIN_MAX_RUNNERS);
+	ck_assert_uint_eq(e.n_runners / 3, EXPLAIN_MAX_RUNNERS);
 	ck_assert_int_eq(e.runners[0].verdict, EXPLAIN_CHOSEN);
 	dispatcher_finish(&fixture.d);
 }
