http_server: an answer that is being written is not cut for a newcomer

- A connection counted as closing or kept as soon as its answer was in the buffer, and closing ones are closed first when descriptors are short: beside 700 silent connections a caller that reads 4,000,000 bytes slowly got 2,637,824.
Until the answer is written the connection is in a state of its own now, which is never closed for another.
- A connection that has just come was closed before heads without an end, though its bytes may be on their way: for 200 ms what lasts longer goes first.
- The own interface counted each job as a connection to an upstream; it counts those that exist.
- When requests that are being answered take up the fifth alone, others were refused one by one in vain; only the one that asks is.
Heads of up to 4 KiB are read all the same, so that small requests without a body pass.
- With 4 KiB of a following request in the input the caller's close went unseen; EV_CLOSED tells it.
- intake-given-up is a sample of lines; the counter has all.

--- a/core/intake_budget.c
+++ b/core/intake_budget.c
@@ -3,10 +3,14 @@
 enum {
 	US_PER_S = 1000000,
 	KIB = 1024,
-	/* A request is timely that is not silent for longer than this ... */
+	/*
+	 * A request is timely unless it is silent for longer, or less of it
+	 * came each second.
+	 */
 	TIMELY_SILENCE_US = 100 * 1000,
-	/* ... and of which at least this much came each second. */
 	TIMELY_BYTES_PER_S = 256 * KIB,
+	/* The first bytes of a new connection may be on their way. */
+	NEW_GRACE_US = 200 * 1000,
 	/* Holds many times as much: a small request is not kept out by it. */
 	MANY_TIMES = 8,
 	/* So that what just began to be read is told apart by its bytes. */
@@ -23,7 +27,7 @@
 {
 	i->state = state;
 	i->since = now;
-	i->heard = now;
+	i->last_growth = now;
 	g_queue_push_tail_link(&b->by_state[state], &i->link);
 }
 
@@ -61,7 +65,7 @@
 {
 	g_assert(i->state == INTAKE_READING);
 	if (bytes > i->bytes)
-		i->heard = now;
+		i->last_growth = now;
 	b->held = b->held - i->bytes + bytes;
 	b->peak = MAX(b->peak, b->held);
 	i->bytes = bytes;
@@ -82,7 +86,7 @@
 	int64_t fair_time =
 		(int64_t)((double)i->bytes / TIMELY_BYTES_PER_S * US_PER_S);
 
-	return now - i->heard < TIMELY_SILENCE_US &&
+	return now - i->last_growth < TIMELY_SILENCE_US &&
 	       now - i->since < TIMELY_SILENCE_US + fair_time;
 }
 
@@ -124,16 +128,19 @@
 intake_t *intake_budget_spare(const intake_budget_t *b, int64_t now)
 {
 	intake_t *kept = oldest(b, INTAKE_KEPT);
+	intake_t *silent = oldest(b, INTAKE_NEW);
 	intake_t *read;
 
 	if (oldest(b, INTAKE_CLOSING))
 		return oldest(b, INTAKE_CLOSING);
-	if (oldest(b, INTAKE_NEW))
-		return oldest(b, INTAKE_NEW);
+	if (silent && now - silent->since >= NEW_GRACE_US)
+		return silent;
 	read = costliest(b, 0, now);
 	if (kept && (!read || kept->since <= read->since))
 		return kept;
-	return read ? read : oldest(b, INTAKE_READING);
+	if (!read)
+		read = oldest(b, INTAKE_READING);
+	return read ? read : silent;
 }
 
 bool intake_budget_is_crowded(const intake_budget_t *b, uint32_t other)
--- a/core/intake_budget.h
+++ b/core/intake_budget.h
@@ -24,11 +24,12 @@
 } intake_limits_t;
 
 typedef enum intake_state {
-	INTAKE_CLOSING, /* has its last answer */
+	INTAKE_CLOSING, /* its last answer is written */
 	INTAKE_NEW, /* no byte was received */
-	INTAKE_KEPT, /* between two requests */
+	INTAKE_KEPT, /* between two requests, all answers are written */
 	INTAKE_READING, /* a request is received in part */
 	INTAKE_SERVED, /* a complete request is being answered */
+	INTAKE_WRITING, /* an answer is complete, but not written */
 	INTAKE_STATES,
 } intake_state_t;
 
@@ -38,7 +39,7 @@
 	int64_t since; /* when it entered its state */
 	uint64_t bytes; /* held for the request that is read */
 	uint64_t expected; /* length that it announced; 0: none */
-	int64_t heard; /* when it came to hold more */
+	int64_t last_growth; /* when it came to hold more */
 	GList link; /* in intake_budget.by_state; its data is the intake */
 	void *ctx; /* the caller's */
 } intake_t;
@@ -79,8 +80,9 @@
 			       uint64_t n, int64_t now);
 /*
  * Returns the connection to close so that another can be accepted: one that is
- * closing or that never sent anything, then of the ones that are kept or read
- * what lasts longest without an end. NULL if all are being answered.
+ * closing, or that has sent nothing for some time, then of the ones that are
+ * kept or read what lasts longest without an end, then one that has just come.
+ * NULL if all are being answered, or their answers are being written.
  */
 intake_t *intake_budget_spare(const intake_budget_t *b, int64_t now);
 /* Returns whether one more connection exceeds the limit; OTHER are not ours. */
--- a/daemon/admin_route.c
+++ b/daemon/admin_route.c
@@ -13,11 +13,15 @@
 	struct evbuffer *out = evbuffer_new();
 	char *text = json_dumps(root, JSON_COMPACT);
 
+	/* A name that isn't UTF-8 can't be told. */
+	if (!text)
+		status = HTTP_INTERNAL;
 	evhttp_connection_set_closecb(evhttp_request_get_connection(req), NULL,
 				      NULL);
 	evhttp_add_header(evhttp_request_get_output_headers(req),
 			  "Content-Type", "application/json");
-	evbuffer_add(out, text, strlen(text));
+	if (text)
+		evbuffer_add(out, text, strlen(text));
 	evhttp_send_reply(req, status, NULL, out);
 	evbuffer_free(out);
 	free(text);
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -280,10 +280,17 @@
 	caller_on_written(conn);
 }
 
-/* A job has one connection towards its runner or owner, at most. */
 static uint32_t count_upstreams(void *ctx)
 {
-	return g_hash_table_size(((const front_t *)ctx)->jobs);
+	const front_t *f = ctx;
+	GHashTableIter iter;
+	const job_t *job;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&iter, f->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&job))
+		n += job->upstream.exchange != NULL;
+	return n;
 }
 
 static const http_server_ops_t server_ops = {
--- a/daemon/http_conn.c
+++ b/daemon/http_conn.c
@@ -14,6 +14,7 @@
 	READ_AHEAD_BYTES = 64 * 1024, /* input buffered during a request */
 	/* Input buffered beside a request that is answered. */
 	SERVED_AHEAD_BYTES = 4 * 1024,
+	SHORT_HEAD_BYTES = 4 * 1024,
 	CONN_BYTES = 2 * 1024, /* of the structures of a connection */
 	LINGER_MS = 1000, /* from shutdown to close, to deliver the answer */
 	STATUS_CONTINUE = 100,
@@ -31,7 +32,8 @@
 
 static bool is_idle(const http_conn_t *c)
 {
-	return state(c) == INTAKE_NEW || state(c) == INTAKE_KEPT;
+	return !c->is_closing && state(c) != INTAKE_READING &&
+	       state(c) != INTAKE_SERVED;
 }
 
 static struct evbuffer *input(const http_conn_t *c)
@@ -44,6 +46,9 @@
 	size_t ahead =
 		next == INTAKE_SERVED ? SERVED_AHEAD_BYTES : READ_AHEAD_BYTES;
 
+	if (c->closed)
+		event_free(c->closed);
+	c->closed = NULL;
 	intake_budget_enter(&c->server->intake, &c->intake, next, now_us());
 	bufferevent_setwatermark(c->bev, EV_READ, 0, ahead);
 }
@@ -94,6 +99,8 @@
 	evutil_closesocket(bufferevent_getfd(c->bev));
 	bufferevent_setfd(c->bev, -1);
 	bufferevent_free(c->bev);
+	if (c->closed)
+		event_free(c->closed);
 	event_free(c->timer);
 	http1_reader_finish(&c->reader);
 	g_byte_array_unref(c->body);
@@ -157,6 +164,17 @@
 	set_timer(c, LINGER_MS);
 }
 
+/* The answers are written, or what is left of them awaits its reader. */
+static void enter_answered(http_conn_t *c)
+{
+	if (http_conn_backlog(c))
+		enter(c, INTAKE_WRITING);
+	else
+		enter(c, c->is_closing ? INTAKE_CLOSING : INTAKE_KEPT);
+	if (c->is_closing)
+		shut_down_write(c);
+}
+
 void http_conn_end(http_conn_t *c)
 {
 	/* A further request might not be completed before the daemon exits. */
@@ -170,14 +188,10 @@
 	http1_reader_shrink(&c->reader);
 	count_request(c, 0);
 	set_timer(c, limits(c).idle_timeout_ms);
-	if (c->closes_after_answer) {
-		enter(c, INTAKE_CLOSING);
-		shut_down_write(c);
-		return;
-	}
-	enter(c, INTAKE_KEPT);
+	c->is_closing = c->closes_after_answer;
+	enter_answered(c);
 	/* Bytes that are already buffered are parsed from the event loop. */
-	if (evbuffer_get_length(input(c)))
+	if (!c->is_closing && evbuffer_get_length(input(c)))
 		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
@@ -221,7 +235,7 @@
 	http_conn_t *c = ctx;
 
 	if (c->body->len + bytes.len > limits(c).max_body_bytes ||
-	    !http_server_make_room(c, bytes.len))
+	    !http_server_make_room(c, bytes.len, false))
 		return false;
 	g_byte_array_append(c->body, (const guint8 *)bytes.ptr,
 			    (guint)bytes.len);
@@ -329,7 +343,9 @@
 	size_t consumed;
 
 	begin_request(c);
-	if (!c->reader.has_head && !http_server_make_room(c, n))
+	if (!c->reader.has_head &&
+	    !http_server_make_room(
+		    c, n, c->reader.head.text->len + n <= SHORT_HEAD_BYTES))
 		return HTTP1_STOPPED;
 	result = http1_reader_feed(&c->reader, bytes, &consumed);
 	evbuffer_drain(in, consumed);
@@ -349,36 +365,56 @@
 	handle_result(c, result);
 }
 
+/* Closes the connection; its request, if one is served, has no caller then. */
+static void drop(http_conn_t *c)
+{
+	http_server_t *s = c->server;
+
+	if (state(c) == INTAKE_SERVED)
+		s->ops->left(s->ctx, c);
+	http_conn_free(c);
+}
+
+static void on_closed(evutil_socket_t fd, short what, void *arg)
+{
+	drop(arg);
+}
+
+/*
+ * No more is read while the request is answered, so the end of the input would
+ * go unnoticed.
+ */
+static void await_close(http_conn_t *c)
+{
+	if (c->closed)
+		return;
+	c->closed = event_new(c->server->sup->base, bufferevent_getfd(c->bev),
+			      EV_CLOSED, on_closed, c);
+	event_add(c->closed, NULL);
+}
+
 static void on_read(struct bufferevent *bev, void *arg)
 {
 	http_conn_t *c = arg;
 
-	if (state(c) == INTAKE_CLOSING)
+	if (c->is_closing)
 		evbuffer_drain(input(c), evbuffer_get_length(input(c)));
 	else if (state(c) != INTAKE_SERVED)
 		read_request(c);
+	else if (evbuffer_get_length(input(c)) >= SERVED_AHEAD_BYTES)
+		await_close(c);
 }
 
 static void on_written(struct bufferevent *bev, void *arg)
 {
 	http_conn_t *c = arg;
 
-	if (state(c) == INTAKE_CLOSING)
-		shut_down_write(c);
+	if (state(c) == INTAKE_WRITING)
+		enter_answered(c);
 	else if (state(c) == INTAKE_SERVED)
 		c->server->ops->written(c->server->ctx, c);
 }
 
-/* Closes the connection; its request, if one is served, has no caller then. */
-static void drop(http_conn_t *c)
-{
-	http_server_t *s = c->server;
-
-	if (state(c) == INTAKE_SERVED)
-		s->ops->left(s->ctx, c);
-	http_conn_free(c);
-}
-
 static void on_event(struct bufferevent *bev, short what, void *arg)
 {
 	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
--- a/daemon/http_conn.h
+++ b/daemon/http_conn.h
@@ -16,6 +16,7 @@
 	http_server_t *server;
 	struct bufferevent *bev;
 	struct event *timer;
+	struct event *closed; /* the caller left; see await_close */
 	http1_reader_t reader;
 	GByteArray *body;
 	intake_t intake;
@@ -23,6 +24,7 @@
 	size_t counted; /* bytes in http_server.requests */
 	size_t unsent; /* bytes of the answer, as the timer last saw it */
 	bool closes_after_answer;
+	bool is_closing; /* has its last answer */
 	bool is_write_shut; /* the sending side is shut down */
 	bool lacks_memory; /* for the request that is read */
 	char peer[HTTP_CONN_PEER_SIZE];
@@ -42,9 +44,10 @@
 
 /*
  * Tells whether the request that C reads may take up N more bytes. Others that
- * are not complete may be refused to make room for it.
+ * are not complete may be refused to make room for it. A head of ordinary
+ * length may be read also beside many requests that are being answered.
  */
-bool http_server_make_room(http_conn_t *c, size_t n);
+bool http_server_make_room(http_conn_t *c, size_t n, bool is_short_head);
 /* Tells whether a body of LEN bytes fits beside requests that are answered. */
 bool http_server_may_take(const http_conn_t *c, uint64_t len);
 /* Logs and counts that a connection's request, if any, is given up. */
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -27,34 +27,51 @@
 	const http_server_t *s = c->server;
 	g_autofree char *label = g_strdup_printf("cause=\"%s\"", cause);
 
-	log_event("intake-given-up",
-		  "peer=%s cause=%s bytes=%" PRIu64 " age_ms=%" PRId64
-		  " held=%" PRIu64 " limit=%" PRIu64 " requests=%" PRIu64
-		  " connections=%u of=%u why=\"%s\"",
-		  c->peer, cause, c->intake.bytes,
-		  (now_us() - c->intake.since) / US_PER_MS, s->intake.held,
-		  s->intake.limits.bytes, s->requests.held,
-		  s->intake.connections, s->intake.limits.connections, why);
+	log_sample("intake-given-up",
+		   "peer=%s cause=%s bytes=%" PRIu64 " age_ms=%" PRId64
+		   " held=%" PRIu64 " limit=%" PRIu64 " requests=%" PRIu64
+		   " connections=%u limit_connections=%u why=\"%s\"",
+		   c->peer, cause, c->intake.bytes,
+		   (now_us() - c->intake.since) / US_PER_MS, s->intake.held,
+		   s->intake.limits.bytes, s->requests.held,
+		   s->intake.connections, s->intake.limits.connections, why);
 	metrics_add(&s->sup->metrics, "papaya_intake_given_up_total", label, 1);
 }
 
-static bool fits(const http_conn_t *c, size_t n)
+/* Bytes of complete requests, which can't make room. */
+static uint64_t answered_bytes(const http_server_t *s)
+{
+	return s->requests.held > s->intake.held ?
+		       s->requests.held - s->intake.held :
+		       0;
+}
+
+static bool is_taken_up(const http_server_t *s, uint64_t n)
+{
+	uint64_t answered = answered_bytes(s);
+
+	return answered && answered + n > s->requests.limit;
+}
+
+static bool fits(const http_conn_t *c, size_t n, bool is_short_head)
 {
 	const http_server_t *s = c->server;
 
 	return intake_budget_fits(&s->intake, &c->intake, n) &&
-	       (s->requests.held == c->counted ||
+	       (is_short_head || s->requests.held == c->counted ||
 		byte_budget_fits(&s->requests, n));
 }
 
-bool http_server_make_room(http_conn_t *c, size_t n)
+bool http_server_make_room(http_conn_t *c, size_t n, bool is_short_head)
 {
 	http_server_t *s = c->server;
 
-	while (!fits(c, n)) {
-		intake_t *victim = intake_budget_victim(&s->intake, &c->intake,
-							n, now_us());
+	while (!fits(c, n, is_short_head)) {
+		intake_t *victim = NULL;
 
+		if (is_short_head || !is_taken_up(s, n))
+			victim = intake_budget_victim(&s->intake, &c->intake, n,
+						      now_us());
 		http_server_log_given_up(
 			victim ? victim->ctx : c, "memory",
 			"requests take up the memory that they may");
@@ -79,13 +96,7 @@
 
 bool http_server_may_take(const http_conn_t *c, uint64_t len)
 {
-	const http_server_t *s = c->server;
-	/* Those that are not complete could make room. */
-	uint64_t answered = s->requests.held > s->intake.held ?
-				    s->requests.held - s->intake.held :
-				    0;
-
-	bool may_take = !answered || answered + len <= s->requests.limit;
+	bool may_take = !is_taken_up(c->server, len);
 
 	if (!may_take)
 		log_refused(c, len);
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -35,7 +35,8 @@
 	http_limits_t (*limits)(void *ctx);
 	/*
 	 * A request is complete. It is answered through CONN, possibly before
-	 * this returns; HEAD is valid until then.
+	 * this returns; HEAD is valid until then. BODY counts in requests until
+	 * its last reference is dropped, so the server must outlive it.
 	 */
 	void (*request)(void *ctx, http_conn_t *conn, const http1_head_t *head,
 			GBytes *body);
--- a/tests/lib_crowd.c
+++ b/tests/lib_crowd.c
@@ -2,10 +2,12 @@
 #include "tests/lib_crowd.h"
 
 #include <arpa/inet.h>
+#include <check.h>
 #include <errno.h>
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,7 +16,7 @@
 	SETTLE_US = 800 * 1000, /* without progress, until a run ends */
 	PAUSE_US = 5000,
 	WATCH_TURNS = 16,
-	CUT_BYTES = 3, /* missing at the end of a body that stops short */
+	MISSING_BYTES = 3, /* missing at the end of a body that stops short */
 	DISCARD_BYTES = 4096,
 };
 
@@ -32,6 +34,7 @@
 	GString *pattern; /* the body on the wire repeats this */
 	size_t body_wire; /* bytes of the body on the wire, without its end */
 	GArray *members;
+	int sent_all; /* connections */
 };
 
 static const char last_chunk[] = "0\r\n\r\n";
@@ -59,19 +62,14 @@
 	g_autofree char *bytes = g_strnfill(chunk, 'b');
 	size_t period;
 
-	do {
+	while (c->pattern->len < PATTERN_BYTES) {
 		if (!s->announced)
 			g_string_append_printf(c->pattern, "%zx\r\n", chunk);
 		g_string_append_len(c->pattern, bytes, (gssize)chunk);
 		if (!s->announced)
 			g_string_append(c->pattern, "\r\n");
-		if (c->pattern->len >= PATTERN_BYTES)
-			break;
-	} while (true);
-	period =
-		s->announced ?
-			1 :
-			chunk + 2 + (size_t)snprintf(NULL, 0, "%zx\r\n", chunk);
+	}
+	period = chunk + 2 + (size_t)snprintf(NULL, 0, "%zx\r\n", chunk);
 	c->body_wire = s->announced ? s->body : s->body / chunk * period;
 }
 
@@ -82,7 +80,7 @@
 	if (c->shape.head)
 		return c->head->len;
 	if (!is_whole)
-		return c->head->len + c->body_wire - CUT_BYTES;
+		return c->head->len + c->body_wire - MISSING_BYTES;
 	return c->head->len + c->body_wire +
 	       (c->shape.announced ? 0 : strlen(last_chunk));
 }
@@ -104,6 +102,7 @@
 static void open_member(crowd_t *c, member_t *m)
 {
 	m->fd = connect_socket(c);
+	ck_assert_int_ge(m->fd, 0);
 	m->sent = 0;
 	m->total = wire_total(c, m->is_whole);
 }
@@ -136,7 +135,7 @@
 }
 
 /* Sends what one turn allows; false if the peer has closed. */
-static bool send_turn(const crowd_t *c, member_t *m, bool *progress)
+static bool send_turn(crowd_t *c, member_t *m, bool *progress)
 {
 	const char *bytes;
 	ssize_t got;
@@ -152,6 +151,7 @@
 	if (got < 0)
 		return errno == EAGAIN || errno == ENOTCONN;
 	m->sent += (size_t)got;
+	c->sent_all += m->sent == m->total;
 	*progress = true;
 	return true;
 }
@@ -200,8 +200,19 @@
 	return c;
 }
 
+/* The crowd's sockets are this process's. */
+static void raise_limit(void)
+{
+	struct rlimit limit;
+
+	getrlimit(RLIMIT_NOFILE, &limit);
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 static void open_all(crowd_t *c)
 {
+	raise_limit();
 	for (int i = 0; i < c->shape.connections; i++) {
 		member_t m = {
 			.returns = c->shape.returns,
@@ -240,6 +251,11 @@
 	return n;
 }
 
+int crowd_sent_all(const crowd_t *c)
+{
+	return c->sent_all;
+}
+
 void crowd_free(crowd_t *c)
 {
 	for (guint i = 0; i < c->members->len; i++) {
--- a/tests/lib_crowd.h
+++ b/tests/lib_crowd.h
@@ -28,12 +28,14 @@
 crowd_t *crowd_new(const char *ip, int port, const char *head,
 		   const crowd_shape_t *shape);
 /*
- * Connects and sends until nothing more can be sent for a while; connections
+ * Connects all, which must succeed, and sends until nothing more can be sent for a while; connections
  * stay open. Calls WATCH from time to time.
  */
 void crowd_run(crowd_t *c, void (*watch)(void *ctx), void *ctx);
 /* Returns how many connections the peer has not closed. */
 int crowd_open(const crowd_t *c);
+/* Returns how many connections sent all that they were to send. */
+int crowd_sent_all(const crowd_t *c);
 /* Closes all connections. */
 void crowd_free(crowd_t *c);
 
--- a/tests/lib_unruly.c
+++ b/tests/lib_unruly.c
@@ -43,8 +43,8 @@
 	return at ? strtoul(at + strlen("\r\nContent-Length: "), NULL, 10) : 0;
 }
 
-/* Reads a whole request; false at the end of the connection. */
-static bool read_request(int fd, char *head)
+/* Reads a whole message; false at the end of the connection. */
+static bool read_message(int fd, char *head)
 {
 	char *end = NULL;
 	size_t n = 0, left;
@@ -80,12 +80,16 @@
 	int fd = GPOINTER_TO_INT(arg);
 	g_autofree char *head = g_malloc(HEAD_BYTES);
 
-	while (read_request(fd, head)) {
+	while (read_message(fd, head)) {
+		bool is_large = strstr(head, " /desk/large") != NULL;
+		g_autofree char *body =
+			g_strnfill(is_large ? UNRULY_LARGE_ANSWER : 2, 'o');
 		const char *id = strstr(head, HEADER_ATTEMPT_ID ": ");
 		g_autofree char *answer = g_strdup_printf(
 			"HTTP/1.1 200 OK\r\n%.*s\r\n" HEADER_SEAL
-			": seal\r\nContent-Length: 2\r\n\r\nok",
-			(int)(id ? strcspn(id, "\r") : 0), id ? id : "");
+			": seal\r\nContent-Length: %zu\r\n\r\n%s",
+			(int)(id ? strcspn(id, "\r") : 0), id ? id : "",
+			strlen(body), body);
 
 		if (!tcp_send_all(fd, answer, strlen(answer)))
 			break;
@@ -211,7 +215,7 @@
 }
 
 /* The daemon inherits the limit of this process. */
-static void start_daemon(unruly_t *u)
+static void start_daemon(unruly_t *u, const char *more)
 {
 	g_autofree char *settings = g_build_filename(u->dir, "s.json", NULL);
 	g_autofree char *log = g_build_filename(u->dir, "log", NULL);
@@ -222,9 +226,9 @@
 		"\"platform\":\"%s\",\"peer_secret\":\"" TOKEN "\","
 		"\"operator_token\":\"" TOKEN "\",\"load_poll_ms\":0,"
 		"\"caller_idle_ms\":15000,\"max_body_kib\":1024,"
-		"\"memory_mb\":%d}",
+		"\"memory_mb\":%d%s}",
 		u->is_fleet ? "true" : "false", u->ip, UNRULY_PORT, u->ip,
-		u->ip, u->platform.address, UNRULY_MEMORY_MB);
+		u->ip, u->platform.address, UNRULY_MEMORY_MB, more);
 	const char *const args[] = { settings, NULL };
 	struct rlimit before, lowered;
 
@@ -238,6 +242,11 @@
 }
 
 void unruly_init(unruly_t *u, bool is_fleet)
+{
+	unruly_init_with(u, is_fleet, "");
+}
+
+void unruly_init_with(unruly_t *u, bool is_fleet, const char *settings)
 {
 	int64_t give_up = now_ms() + READY_MS;
 
@@ -255,7 +264,7 @@
 		start_fleet(u);
 	else
 		start_profiles(u);
-	start_daemon(u);
+	start_daemon(u, settings);
 	if (!is_fleet)
 		publish_profiles(u);
 	while (unruly_call(u, 2) != HTTP_OK) {
@@ -287,23 +296,40 @@
 	return "POST /v1/services/desk/x HTTP/1.1\r\nHost: h\r\n";
 }
 
-int unruly_call(const unruly_t *u, size_t len)
+/* Reads an answer to its end; returns its status, 0 if it is not whole. */
+static int read_answer(int fd)
+{
+	g_autofree char *head = g_malloc0(HEAD_BYTES);
+	int status = 0;
+
+	if (read_message(fd, head))
+		sscanf(head, "HTTP/1.1 %d", &status);
+	return status;
+}
+
+int unruly_connect(const unruly_t *u)
 {
+	struct timeval limit = { CALL_MS / 1000, 0 };
 	int fd = tcp_connect_to(u->ip, UNRULY_PORT);
+
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+	return fd;
+}
+
+int unruly_call(const unruly_t *u, size_t len)
+{
+	int fd = unruly_connect(u);
 	g_autofree char *body = g_strnfill(len, 'b');
 	g_autofree char *head = g_strdup_printf("%sContent-Length: %zu\r\n\r\n",
 						unruly_head(u), len);
-	char answer[512] = "";
-	int status = 0;
-	ssize_t n;
+	int status;
 
 	if (fd < 0)
 		return 0;
 	tcp_send_all(fd, head, strlen(head));
 	tcp_send_all(fd, body, len);
-	n = tcp_receive(fd, answer, sizeof(answer) - 1, CALL_MS);
-	answer[MAX(n, 0)] = '\0';
-	sscanf(answer, "HTTP/1.1 %d", &status);
+	status = read_answer(fd);
 	close(fd);
 	return status;
 }
--- a/tests/lib_unruly.h
+++ b/tests/lib_unruly.h
@@ -15,6 +15,8 @@
 	UNRULY_MEMORY_MB = 112, /* of the smallest VMs */
 	UNRULY_DESCRIPTORS = 512, /* limit of the daemon's process */
 	UNRULY_PORT = 8000,
+	/* Bytes of the answer of a fleet's runner to /desk/large. */
+	UNRULY_LARGE_ANSWER = 4 * 1000 * 1000,
 };
 
 typedef struct unruly {
@@ -29,12 +31,21 @@
 	int most_descriptors; /* of the daemon, by unruly_watch */
 } unruly_t;
 
-/* Starts all processes; returns when the daemon serves. */
+/*
+ * Starts all processes; returns when the daemon serves. SETTINGS is appended to
+ * the daemon's, as ",\"key\":value"; "" for none.
+ */
 void unruly_init(unruly_t *u, bool is_fleet);
+void unruly_init_with(unruly_t *u, bool is_fleet, const char *settings);
 void unruly_finish(unruly_t *u);
 /* Start line and headers of a request, without those of its body. */
 const char *unruly_head(const unruly_t *u);
-/* Sends an ordinary request with a body of LEN bytes; returns the status. */
+/* Connects to the daemon; sends are bounded in time. */
+int unruly_connect(const unruly_t *u);
+/*
+ * Sends an ordinary request with a body of LEN bytes; returns the status of its
+ * answer, 0 if that is not whole.
+ */
 int unruly_call(const unruly_t *u, size_t len);
 /* Notes how many descriptors the daemon has open; CTX is an unruly_t. */
 void unruly_watch(void *ctx);
--- a/tests/test_intake_budget.c
+++ b/tests/test_intake_budget.c
@@ -199,6 +199,35 @@
 }
 END_TEST
 
+/* An answer that its caller reads slowly is not cut off for a newcomer. */
+START_TEST(answers_that_are_being_written_are_not_given_up)
+{
+	intake_t writing, silent;
+	intake_budget_t b;
+
+	intake_budget_init(&b, &limits);
+	intake_budget_add(&b, &writing, NULL, 0);
+	intake_budget_enter(&b, &writing, INTAKE_WRITING, 0);
+	ck_assert_ptr_null(intake_budget_spare(&b, 9 * S));
+	intake_budget_add(&b, &silent, NULL, 9 * S);
+	ck_assert_ptr_eq(intake_budget_spare(&b, 9 * S), &silent);
+	intake_budget_enter(&b, &writing, INTAKE_CLOSING, 9 * S);
+	ck_assert_ptr_eq(intake_budget_spare(&b, 9 * S), &writing);
+}
+END_TEST
+
+/* Heads that stop short come back at once: the newcomer is not read yet. */
+START_TEST(a_connection_that_has_just_come_outlives_heads_without_an_end)
+{
+	scene_t s;
+
+	begin(&s, 12 * KB);
+	intake_budget_add(&s.budget, &s.ordinary, NULL, S);
+	ck_assert_ptr_eq(intake_budget_spare(&s.budget, S + 1000), &s.crowd[0]);
+	ck_assert_ptr_eq(intake_budget_spare(&s.budget, 2 * S), &s.ordinary);
+}
+END_TEST
+
 /* A head that stops short is closed before a connection in recent use. */
 START_TEST(a_kept_connection_outlives_an_older_request_without_an_end)
 {
@@ -260,5 +289,7 @@
 	   a_single_body_fits_whatever_the_limit, what_ends_is_not_held,
 	   connections_are_given_up_in_order_of_use,
 	   a_kept_connection_outlives_an_older_request_without_an_end,
+	   answers_that_are_being_written_are_not_given_up,
+	   a_connection_that_has_just_come_outlives_heads_without_an_end,
 	   silent_connections_leave_room_for_another,
 	   a_trickle_does_not_last_forever)
--- a/tests/test_unruly_clients.c
+++ b/tests/test_unruly_clients.c
@@ -6,9 +6,13 @@
  */
 #include <event2/http.h>
 #include <glib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "tests/lib_crowd.h"
 #include "tests/lib_suite.h"
+#include "tests/lib_tcp.h"
 #include "tests/lib_unruly.h"
 
 #define KB 1024UL /* bytes */
@@ -22,9 +26,14 @@
 	/* Left for other daemons, runners, the store and operators. */
 	SPARE_DESCRIPTORS = 64,
 	MOST_DESCRIPTORS = UNRULY_DESCRIPTORS - SPARE_DESCRIPTORS,
+	WAIT_MS = 20000,
 	MANY = 700, /* connections, more than the daemon has descriptors */
 };
 
+#define LARGE_REQUEST                                                 \
+	"GET /desk/large HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a2\r\n" \
+	"X-Key: key\r\nX-Deadline-Ms: 15000\r\nConnection: close\r\n\r\n"
+
 static void check_ordinary(const unruly_t *u, const char *when)
 {
 	int small = unruly_call(u, 2);
@@ -55,6 +64,8 @@
 	unruly_init(&u, is_fleet);
 	crowd = crowd_new(u.ip, UNRULY_PORT, unruly_head(&u), shape);
 	crowd_run(crowd, unruly_watch, &u);
+	g_printerr("%d of the connections are open, %d sent all\n",
+		   crowd_open(crowd), crowd_sent_all(crowd));
 	check_bounds(&u);
 	check_ordinary(&u, "beside the crowd");
 	crowd_free(crowd);
@@ -104,6 +115,40 @@
 CROWD_TEST(silent_connections, .connections = MANY, .is_silent = true,
 	   .returns = 1)
 
+/* An answer that is read slowly, of a connection that closes after it. */
+START_TEST(fleet_answer_is_whole_beside_silent_connections)
+{
+	static const crowd_shape_t shape = { .connections = MANY,
+					     .is_silent = true,
+					     .returns = 1 };
+	static char answer[UNRULY_LARGE_ANSWER + 4 * KB];
+	int buffer = 64 * KB;
+	size_t n = 0;
+	ssize_t got;
+	unruly_t u;
+	crowd_t *crowd;
+	int fd;
+
+	unruly_init(&u, true);
+	fd = unruly_connect(&u);
+	ck_assert_int_ge(fd, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
+	ck_assert(tcp_send_all(fd, LARGE_REQUEST, strlen(LARGE_REQUEST)));
+	while (n < KB && (got = tcp_receive(fd, answer + n, KB, WAIT_MS)) > 0)
+		n += (size_t)got;
+	crowd = crowd_new(u.ip, UNRULY_PORT, unruly_head(&u), &shape);
+	crowd_run(crowd, unruly_watch, &u);
+	while ((got = tcp_receive(fd, answer + n, sizeof(answer) - n,
+				  WAIT_MS)) > 0)
+		n += (size_t)got;
+	ck_assert_uint_gt(n, UNRULY_LARGE_ANSWER);
+	check_bounds(&u);
+	close(fd);
+	crowd_free(crowd);
+	unruly_finish(&u);
+}
+END_TEST
+
 /* A single body of the greatest legal length is served in calm. */
 static void serve_longest(bool is_fleet)
 {
@@ -138,5 +183,6 @@
 	   fleet_bodies_announced_far_too_long, own_bodies_sent_far_too_long,
 	   fleet_bodies_sent_far_too_long, own_heads_that_stop_short,
 	   fleet_heads_that_stop_short, own_silent_connections,
-	   fleet_silent_connections, own_longest_body_is_served,
-	   fleet_longest_body_is_served)
+	   fleet_silent_connections,
+	   fleet_answer_is_whole_beside_silent_connections,
+	   own_longest_body_is_served, fleet_longest_body_is_served)
