dispatcher_explain: reasons and times are those of the decision

Margins aren't left out any more. A runner that could take a want that waits "has room". papayactl route shows stated load and its age, pace, and since when a prompt is kept, and 503 with the predicted wait where a dispatcher refuses.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -303,9 +303,8 @@
 	queue_push(&s->queue, &attempt->entry);
 }
 
-/* Returns whether the queue ahead of a want makes it miss latest_start. */
-static bool misses_start(const struct dispatcher_state *s,
-			 const attempt_t *attempt, int64_t now)
+bool dispatcher_misses_start(const struct dispatcher_state *s,
+			     const attempt_t *attempt, int64_t now)
 {
 	int64_t wait = dispatcher_wait_time(s, attempt->entry.tier,
 					    attempt->entry.cost);
@@ -326,9 +325,8 @@
 	return end - MAX(needed, (end - now) / REFUSAL_TIME_DIVISOR);
 }
 
-/* A later start misses the deadline, or start_by for the first token. */
-static int64_t latest_start(const struct dispatcher_state *s,
-			    const want_t *want, int64_t now)
+int64_t dispatcher_latest_start(const struct dispatcher_state *s,
+				const want_t *want, int64_t now)
 {
 	int64_t latest = latest_start_for(want->deadline, now,
 					  dispatcher_service_time(s, want));
@@ -355,7 +353,7 @@
 	}
 	attempt = add_attempt(s, want);
 	attempt->arrived = now;
-	attempt->latest_start = latest_start(s, want, now);
+	attempt->latest_start = dispatcher_latest_start(s, want, now);
 	if (want->target)
 		attempt->latest_on_time =
 			want->target - dispatcher_start_time(s, want);
@@ -367,7 +365,7 @@
 		dispatcher_refuse(s, attempt, REFUSE_NO_RELEASE);
 	else if (dispatcher_paused_too_long(s, attempt, now))
 		dispatcher_refuse_paused(s, attempt, now);
-	else if (misses_start(s, attempt, now))
+	else if (dispatcher_misses_start(s, attempt, now))
 		dispatcher_refuse(s, attempt, REFUSE_DEADLINE);
 	else if (!make_queue_room(s, attempt))
 		dispatcher_refuse(s, attempt, REFUSE_QUEUE_FULL);
--- a/core/dispatcher_decide.c
+++ b/core/dispatcher_decide.c
@@ -45,6 +45,15 @@
 	return forced;
 }
 
+runner_t *dispatcher_choose_for_tier(struct dispatcher_state *s,
+				     const attempt_t *attempt, int64_t now,
+				     int64_t *finish)
+{
+	if (queue_is_protected(&s->queue, attempt->entry.tier))
+		return choose_for_protected(s, attempt, now, finish);
+	return dispatcher_choose(s, attempt, ROOM_UNPROTECTED, now, finish);
+}
+
 /* Returns whether a predicted finish, plus margin, misses the deadline. */
 static bool is_late(const attempt_t *attempt, int64_t finish, int64_t now)
 {
@@ -52,15 +61,9 @@
 	       attempt->want.deadline;
 }
 
-/*
- * With grants_if_idle, a prediction refuses a want only if other work delays
- * it. Waiting can't improve on an idle engine, and only a grant can show that
- * it is faster than its learned speed; a plain call costs too little to be
- * refused while there is room.
- */
-static bool is_refusable(const struct dispatcher_state *s,
-			 const attempt_t *attempt, const runner_t *runner,
-			 int64_t finish, int64_t now)
+bool dispatcher_is_refusable(const struct dispatcher_state *s,
+			     const attempt_t *attempt, const runner_t *runner,
+			     int64_t finish, int64_t now)
 {
 	if (s->config.grants_if_idle &&
 	    (!s->config.is_engine || !runner->model.running))
@@ -140,14 +143,10 @@
 
 	if (!attempt || s->n_running >= s->config.max_running)
 		return false;
-	if (queue_is_protected(&s->queue, attempt->entry.tier))
-		runner = choose_for_protected(s, attempt, now, &finish);
-	else
-		runner = dispatcher_choose(s, attempt, ROOM_UNPROTECTED, now,
-					   &finish);
+	runner = dispatcher_choose_for_tier(s, attempt, now, &finish);
 	if (!runner)
 		return decide_without_room(s, attempt, now);
-	if (!is_refusable(s, attempt, runner, finish, now))
+	if (!dispatcher_is_refusable(s, attempt, runner, finish, now))
 		dispatcher_grant(s, attempt, runner, now);
 	else if (!can_meet_deadline(s, attempt, now) || !defer(s, attempt))
 		dispatcher_refuse(s, attempt, REFUSE_DEADLINE);
--- a/core/dispatcher_explain.c
+++ b/core/dispatcher_explain.c
@@ -6,8 +6,9 @@
 {
 	static const char *const names[EXPLAIN_VERDICTS] = {
 		[EXPLAIN_CHOSEN] = "chosen",
-		[EXPLAIN_LATER] = "another is chosen",
+		[EXPLAIN_ROOM] = "has room",
 		[EXPLAIN_FULL] = "full",
+		[EXPLAIN_MEMORY] = "its memory is taken",
 		[EXPLAIN_LEAVING] = "leaving",
 		[EXPLAIN_PARTITIONED] = "its zone can't be reached",
 		[EXPLAIN_SUSPENDED] = "suspended after failures",
@@ -55,35 +56,68 @@
 		return EXPLAIN_SUSPENDED;
 	if (!dispatcher_is_of_release(attempt, runner))
 		return EXPLAIN_OTHER_RELEASE;
-	if (!strcmp(attempt->want.avoid, runner->info.name))
+	if (s->available->len > 1 &&
+	    !strcmp(attempt->want.avoid, runner->info.name))
 		return EXPLAIN_AVOIDED;
 	if (dispatcher_is_paused(s, runner, attempt->want.id.owner, now))
 		return EXPLAIN_PAUSED;
 	if (is_limited(runner, now))
 		return EXPLAIN_LIMITED;
-	return runner_model_has_room(&runner->model, room, now) ?
-		       EXPLAIN_LATER :
-		       EXPLAIN_FULL;
+	return runner_model_has_room(&runner->model, room, now) ? EXPLAIN_ROOM :
+								  EXPLAIN_FULL;
 }
 
-/* Tokens of the prompt that the runner served last with the same beginning. */
-static uint32_t cached_tokens(const struct dispatcher_state *s,
-			      const want_t *want, const runner_t *runner)
+/* Returns what is known of a beginning that the runner read; NULL: nothing. */
+static const affinity_holder_t *find_holder(const struct dispatcher_state *s,
+					    uint64_t hash,
+					    const runner_t *runner)
+{
+	const affinity_holder_t *holder;
+
+	for (uint32_t i = 0; (holder = affinity_holder(&s->affinity, hash, i));
+	     i++)
+		if (holder->runner == runner)
+			return holder;
+	return NULL;
+}
+
+/* Sets what the runner may have of the prompt: of the session, or the prefix. */
+static void describe_cached(const struct dispatcher_state *s,
+			    const want_t *want, const runner_t *runner,
+			    int64_t now, explained_runner_t *out)
 {
 	const uint64_t hashes[] = { want->session_hash, want->prefix_hash };
 	const uint32_t tokens[] = { want->session_tokens, want->prefix_tokens };
 
-	for (size_t i = 0; i < G_N_ELEMENTS(hashes); i++) {
+	out->cached_age = -1;
+	for (size_t i = 0; i < G_N_ELEMENTS(hashes) && !out->cached_tokens;
+	     i++) {
+		const affinity_holder_t *holder =
+			hashes[i] ? find_holder(s, hashes[i], runner) : NULL;
 		double part = 0;
 
-		if (!hashes[i] ||
-		    affinity_find(&s->affinity, hashes[i], &part) != runner)
+		if (!holder)
 			continue;
-		if (tokens[i])
-			return MIN(tokens[i], want->prompt_tokens);
-		return (uint32_t)(part * want->prompt_tokens);
+		affinity_find(&s->affinity, hashes[i], &part);
+		out->cached_tokens =
+			tokens[i] ? MIN(tokens[i], want->prompt_tokens) :
+				    (uint32_t)(part * want->prompt_tokens);
+		if (holder->at)
+			out->cached_age = now - holder->at;
 	}
-	return 0;
+}
+
+static void describe_report(const runner_model_t *m, int64_t now,
+			    explained_runner_t *out)
+{
+	const runner_load_t *stated = &m->stated.last;
+	int64_t at = MAX(m->report_received_at, stated->at);
+
+	out->pace = stated->pace;
+	out->report_age = at ? now - at : -1;
+	out->reported = stated->at > m->report_received_at ?
+				stated->running + stated->waiting :
+				m->reported_requests;
 }
 
 static void describe(const struct dispatcher_state *s, const want_t *want,
@@ -91,23 +125,21 @@
 		     explained_runner_t *out)
 {
 	const runner_model_t *m = &runner->model;
-	uint32_t cached = cached_tokens(s, want, runner);
-	double part = (double)cached / MAX(want->prompt_tokens, 1);
+	want_t first = *want;
+	double part;
 
 	g_strlcpy(out->name, runner->info.name, sizeof(out->name));
-	out->end = runner_model_predict(m, want->prompt_tokens,
-					want->output_tokens, part);
+	describe_cached(s, want, runner, now, out);
+	part = (double)out->cached_tokens / MAX(want->prompt_tokens, 1);
+	out->end = dispatcher_predict(runner, want, part, now);
+	first.output_tokens = 1;
 	if (s->config.is_engine)
-		out->start =
-			runner_model_predict(m, want->prompt_tokens, 1, part);
+		out->start = dispatcher_predict(runner, &first, part, now);
 	out->blocked = MAX(runner->suspended_until - now, 0);
 	out->running = m->running;
 	out->tokens = m->tokens;
 	out->window = m->window;
-	out->reported = m->reported_requests;
-	out->report_age =
-		m->report_received_at ? now - m->report_received_at : -1;
-	out->cached_tokens = cached;
+	describe_report(m, now, out);
 	if (runner->limit.state == RUNNER_LIMIT_NAMED)
 		out->rate = runner->limit.rate;
 }
@@ -169,18 +201,9 @@
 	       dispatcher_may_refuse(s, attempt->entry.tier);
 }
 
-static bool misses_deadline(const struct dispatcher_state *s,
-			    const attempt_t *attempt, int64_t wait, int64_t now)
-{
-	if (s->config.grants_if_idle && !wait)
-		return false;
-	return now + wait > attempt->latest_start &&
-	       dispatcher_may_refuse(s, attempt->entry.tier);
-}
-
 /* Tells whether the want would be refused on arrival; sets REASON. */
 static bool is_refused(struct dispatcher_state *s, const attempt_t *attempt,
-		       int64_t wait, int64_t now, refuse_reason_t *reason)
+		       int64_t now, refuse_reason_t *reason)
 {
 	if (!has_runner(s, now))
 		*reason = REFUSE_NO_RUNNER;
@@ -188,7 +211,7 @@
 		*reason = REFUSE_NO_RELEASE;
 	else if (dispatcher_paused_too_long(s, attempt, now))
 		*reason = REFUSE_PAUSED;
-	else if (misses_deadline(s, attempt, wait, now))
+	else if (dispatcher_misses_start(s, attempt, now))
 		*reason = REFUSE_DEADLINE;
 	else if (is_queue_full(s, attempt))
 		*reason = REFUSE_QUEUE_FULL;
@@ -199,7 +222,7 @@
 
 /* The attempt that the want would become, in no queue and no table. */
 static attempt_t make_attempt(const struct dispatcher_state *s,
-			      const want_t *want)
+			      const want_t *want, int64_t now)
 {
 	attempt_t attempt = { .want = *want };
 
@@ -210,16 +233,27 @@
 	if (s->config.is_engine)
 		attempt.entry.cost = MAX(
 			(uint64_t)want->prompt_tokens + want->output_tokens, 1);
-	attempt.latest_start =
-		want->deadline - dispatcher_service_time(s, want);
+	attempt.latest_start = dispatcher_latest_start(s, want, now);
 	return attempt;
 }
 
+/* Grants to the chosen runner, unless it would end the want too late. */
+static explain_outcome_t decide(const struct dispatcher_state *s,
+				const attempt_t *attempt,
+				const runner_t *chosen, int64_t finish,
+				int64_t now, dispatcher_explanation_t *out)
+{
+	if (!dispatcher_is_refusable(s, attempt, chosen, finish, now))
+		return EXPLAIN_GRANT;
+	out->reason = REFUSE_DEADLINE;
+	return EXPLAIN_REFUSE;
+}
+
 void dispatcher_explain(const dispatcher_t *d, const want_t *want, int64_t now,
 			dispatcher_explanation_t *out)
 {
 	struct dispatcher_state *s = d->state;
-	attempt_t attempt = make_attempt(s, want);
+	attempt_t attempt = make_attempt(s, want, now);
 	runner_room_t room = ROOM_UNPROTECTED;
 	runner_t *chosen;
 	int64_t finish = 0;
@@ -234,12 +268,12 @@
 		.wait = dispatcher_wait_time(s, attempt.entry.tier,
 					     attempt.entry.cost),
 	};
-	chosen = dispatcher_choose(s, &attempt, room, now, &finish);
-	if (is_refused(s, &attempt, out->wait, now, &out->reason))
+	chosen = dispatcher_choose_for_tier(s, &attempt, now, &finish);
+	if (is_refused(s, &attempt, now, &out->reason))
 		out->outcome = EXPLAIN_REFUSE;
 	else if (chosen && !s->queue.entries &&
 		 s->n_running < s->config.max_running)
-		out->outcome = EXPLAIN_GRANT;
+		out->outcome = decide(s, &attempt, chosen, finish, now, out);
 	if (out->outcome != EXPLAIN_GRANT)
 		chosen = NULL;
 	list_runners(s, &attempt, chosen, room, now, out);
--- a/core/dispatcher_explain.h
+++ b/core/dispatcher_explain.h
@@ -1,9 +1,8 @@
 /*
  * Explains where a dispatcher would send a want now, and why, without sending
- * it and without a change of state. The choice is the dispatcher's own
- * (dispatcher_choose); margins of its early refusals are left out, so a want
- * that is close to its deadline may be decided otherwise. Does no I/O; times
- * are microseconds of the monotonic clock.
+ * it. Choice and refusals are the dispatcher's own functions. Of its state only
+ * the buckets of runners' limits are refilled, which any decision does. Does no
+ * I/O; times are microseconds of the monotonic clock.
  */
 #ifndef CORE_DISPATCHER_EXPLAIN_H
 #define CORE_DISPATCHER_EXPLAIN_H
@@ -21,8 +20,9 @@
 /* Why a runner would get the want or not; the first that applies. */
 typedef enum explain_verdict {
 	EXPLAIN_CHOSEN,
-	EXPLAIN_LATER, /* it could take the want, another is chosen */
+	EXPLAIN_ROOM, /* it could take the want */
 	EXPLAIN_FULL,
+	EXPLAIN_MEMORY, /* the want doesn't fit into its memory */
 	EXPLAIN_LEAVING,
 	EXPLAIN_PARTITIONED,
 	EXPLAIN_SUSPENDED, /* it failed lately */
@@ -43,9 +43,12 @@
 	uint32_t running; /* granted by this dispatcher */
 	uint64_t tokens; /* of that work; plain: calls */
 	double window; /* that may be in flight, in the same units */
-	double reported; /* requests in its last load report */
-	int64_t report_age; /* -1: there was none */
-	uint32_t cached_tokens; /* of the prompt, estimated */
+	/* Requests in its last load report, or in its last answer if newer. */
+	double reported;
+	int64_t report_age; /* -1: there was neither */
+	uint32_t pace; /* percent, in its last answer; 0: not stated */
+	uint32_t cached_tokens; /* of the prompt, if it still keeps them */
+	int64_t cached_age; /* since it read them; -1: not known */
 	double rate; /* that it named, a second; 0: none */
 } explained_runner_t;
 
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -210,6 +210,26 @@
 /* Predicts the microseconds until the want would end if granted now. */
 int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
 			   double cached, int64_t now);
+/* The same with the room that the want's tier may use. */
+runner_t *dispatcher_choose_for_tier(struct dispatcher_state *s,
+				     const attempt_t *attempt, int64_t now,
+				     int64_t *finish);
+/* A later start misses the deadline, or start_by for the first token. */
+int64_t dispatcher_latest_start(const struct dispatcher_state *s,
+				const want_t *want, int64_t now);
+/* Returns whether the queue ahead of a want makes it miss latest_start. */
+bool dispatcher_misses_start(const struct dispatcher_state *s,
+			     const attempt_t *attempt, int64_t now);
+/*
+ * Returns whether a want that would finish at FINISH is refused for that.
+ * With grants_if_idle, a prediction refuses a want only if other work delays
+ * it. Waiting can't improve on an idle engine, and only a grant can show that
+ * it is faster than its learned speed; a plain call costs too little to be
+ * refused while there is room.
+ */
+bool dispatcher_is_refusable(const struct dispatcher_state *s,
+			     const attempt_t *attempt, const runner_t *runner,
+			     int64_t finish, int64_t now);
 /* Chooses a runner by a baseline policy; returns NULL if there is none. */
 runner_t *dispatcher_choose_baseline(struct dispatcher_state *s);
 /* Returns the least time the want would take if the runners were idle. */
--- a/ctl/route.c
+++ b/ctl/route.c
@@ -88,13 +88,14 @@
 static void print_runner(FILE *out, json_t *r)
 {
 	fprintf(out,
-		"  %-20s %-28s %8lld %8lld %7lld %9lld/%-9g %8g %8lld %7lld "
-		"%6g\n",
+		"  %-20s %-28s %8lld %8lld %7lld %9lld/%-9g %8g %8lld %5lld "
+		"%7lld %8lld %6g\n",
 		text_of(r, "name"), text_of(r, "verdict"),
 		number_of(r, "start_ms"), number_of(r, "end_ms"),
 		number_of(r, "running"), number_of(r, "in_flight"),
 		real_of(r, "window"), real_of(r, "reported"),
-		number_of(r, "report_age_ms"), number_of(r, "cached_tokens"),
+		number_of(r, "report_age_ms"), number_of(r, "pace"),
+		number_of(r, "cached_tokens"), number_of(r, "cached_age_ms"),
 		real_of(r, "rate"));
 }
 
@@ -106,16 +107,19 @@
 
 	fprintf(out, "%s", text_of(e, "outcome"));
 	if (json_object_get(e, "reason"))
-		fprintf(out, ": %s", text_of(e, "reason"));
+		fprintf(out, " with 503: %s, come back in about %lld ms",
+			text_of(e, "reason"), number_of(e, "wait_ms"));
 	fprintf(out,
 		"; %lld wait there, %lld run, predicted wait %lld ms\n"
 		"%lld runners known, %zu shown\n",
 		number_of(e, "queued"), number_of(e, "running"),
 		number_of(e, "wait_ms"), number_of(e, "runners_known"),
 		json_array_size(runners));
-	fprintf(out, "  %-20s %-28s %8s %8s %7s %9s/%-9s %8s %8s %7s %6s\n",
+	fprintf(out,
+		"  %-20s %-28s %8s %8s %7s %9s/%-9s %8s %8s %5s %7s %8s %6s\n",
 		"RUNNER", "VERDICT", "START_MS", "END_MS", "RUNNING",
-		"IN_FLIGHT", "WINDOW", "REPORTED", "AGE_MS", "CACHED", "RATE");
+		"IN_FLIGHT", "WINDOW", "REPORTED", "AGE_MS", "PACE", "CACHED",
+		"SINCE_MS", "RATE");
 	json_array_foreach (runners, i, runner)
 		print_runner(out, runner);
 }
--- a/daemon/route_query.c
+++ b/daemon/route_query.c
@@ -76,19 +76,25 @@
 	supervisor_post(sup, to, &m);
 }
 
+/* -1: not known. */
+static json_int_t age_ms(int64_t age)
+{
+	return age < 0 ? -1 : age / US_PER_MS;
+}
+
 static json_t *runner_json(const explained_runner_t *r)
 {
 	return json_pack(
-		"{s:s,s:s,s:I,s:I,s:I,s:i,s:I,s:f,s:f,s:I,s:i,s:f}", "name",
-		r->name, "verdict", explain_verdict_name(r->verdict),
+		"{s:s,s:s,s:I,s:I,s:I,s:i,s:I,s:f,s:f,s:I,s:i,s:i,s:I,s:f}",
+		"name", r->name, "verdict", explain_verdict_name(r->verdict),
 		"start_ms", (json_int_t)(r->start / US_PER_MS), "end_ms",
 		(json_int_t)(r->end / US_PER_MS), "blocked_ms",
 		(json_int_t)(r->blocked / US_PER_MS), "running",
 		(int)r->running, "in_flight", (json_int_t)r->tokens, "window",
 		r->window, "reported", r->reported, "report_age_ms",
-		(json_int_t)(r->report_age < 0 ? -1 :
-						 r->report_age / US_PER_MS),
-		"cached_tokens", (int)r->cached_tokens, "rate", r->rate);
+		age_ms(r->report_age), "pace", (int)r->pace, "cached_tokens",
+		(int)r->cached_tokens, "cached_age_ms", age_ms(r->cached_age),
+		"rate", r->rate);
 }
 
 static json_t *explanation_json(const dispatcher_explanation_t *e)
--- a/tests/test_ctl_route.c
+++ b/tests/test_ctl_route.c
@@ -100,7 +100,8 @@
 		"split among 2 services",
 		"50 units a second; this costs 3",
 		"dispatcher model#1/2 of zone z on d2",
-		"refused: the queue is full; 9 wait there",
+		"refused with 503: the queue is full, come back in about",
+		"400 ms; 9 wait there",
 		"40 runners known, 1 shown",
 		"i-1",
 	};
--- a/tests/test_dispatcher_explain.c
+++ b/tests/test_dispatcher_explain.c
@@ -27,6 +27,9 @@
 {
 	fixture_t fixture = { 0 };
 
+	/* As a deployment's template has them. */
+	fixture.config.uses_stated_load = true;
+	fixture.config.weighs_prompt_cache = true;
 	fixture_init(&fixture, true);
 	for (uint64_t i = 0; i < 5; i++) {
 		char name[] = { (char)('a' + i), '\0' };
@@ -51,18 +54,59 @@
 }
 END_TEST
 
+/* Plays wants of two tiers on three runners, with QUESTIONS between them. */
+static void play(fixture_t *fixture, int questions)
+{
+	fixture_init(fixture, true);
+	for (uint64_t i = 0; i < 3; i++) {
+		char name[] = { (char)('a' + i), '\0' };
+
+		fixture_set_runner(fixture, name, false);
+		fixture_calibrate(fixture, 10 + i, 100, 10 * MS, 1, MS);
+	}
+	for (uint64_t a = 100; a < 200; a++) {
+		for (int i = 0; i < questions; i++)
+			explain(fixture, 30);
+		fixture_submit(fixture, a, a % 2, 30);
+		if (a % 3 == 0)
+			fixture_done(fixture, a - 5, DONE_COMPLETED);
+		fixture_tick(fixture, MS);
+	}
+}
+
 START_TEST(nothing_changes_by_asking)
 {
-	dispatcher_stats_t before, after;
+	static fixture_t asked, not_asked;
+	dispatcher_stats_t a, b;
+
+	play(&asked, 100);
+	play(&not_asked, 0);
+	a = fixture_stats(&asked);
+	b = fixture_stats(&not_asked);
+	ck_assert_mem_eq(&a, &b, sizeof(a));
+	ck_assert_mem_eq(asked.answers, not_asked.answers,
+			 sizeof(asked.answers));
+	dispatcher_finish(&asked.d);
+	dispatcher_finish(&not_asked.d);
+}
+END_TEST
+
+START_TEST(a_runner_that_is_too_slow_is_a_refusal)
+{
 	fixture_t fixture = { 0 };
+	dispatcher_explanation_t e;
+	want_t want;
 
-	fixture_init_busy(&fixture);
-	before = fixture_stats(&fixture);
-	for (int i = 0; i < 100; i++)
-		explain(&fixture, 10);
-	after = fixture_stats(&fixture);
-	ck_assert_mem_eq(&before, &after, sizeof(before));
-	ck_assert_uint_eq(fixture.n_answers, 1);
+	fixture_init(&fixture, true);
+	fixture_set_runner(&fixture, "r", false);
+	fixture_calibrate(&fixture, 10, 100, SECOND, 1, MS);
+	want = fixture_make_want(&fixture, 4000, 1, 100);
+	want.deadline = fixture.now + 100 * MS;
+	dispatcher_explain(&fixture.d, &want, fixture.now, &e);
+	dispatcher_want(&fixture.d, &want, fixture.now);
+	ck_assert_int_eq(fixture_answer_kind(&fixture, 4000), ANSWER_REFUSE);
+	ck_assert_int_eq(e.outcome, EXPLAIN_REFUSE);
+	ck_assert_int_eq(e.reason, fixture.answers[4000].reason);
 	dispatcher_finish(&fixture.d);
 }
 END_TEST
@@ -136,6 +180,6 @@
 END_TEST
 
 SUITE_MAIN("dispatcher_explain", the_runner_named_is_the_one_that_a_want_gets,
-	   nothing_changes_by_asking, each_runner_has_its_reason,
-	   a_full_runner_makes_it_wait, a_refusal_has_its_reason,
-	   a_large_fleet_is_cut_to_a_bounded_list)
+	   nothing_changes_by_asking, a_runner_that_is_too_slow_is_a_refusal,
+	   each_runner_has_its_reason, a_full_runner_makes_it_wait,
+	   a_refusal_has_its_reason, a_large_fleet_is_cut_to_a_bounded_list)
