--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -33,7 +33,7 @@
 	return r->runner.name[0] ? r->runner.name : "-";
 }
 
-static uint32_t whole_output_tokens(const call_head_t *call)
+uint32_t relay_whole_output_tokens(const call_head_t *call)
 {
 	if (call->output_hint)
 		return call->output_hint;
@@ -67,7 +67,7 @@
  */
 static uint32_t output_tokens_left(const relay_t *r)
 {
-	uint32_t whole = whole_output_tokens(&r->call);
+	uint32_t whole = relay_whole_output_tokens(&r->call);
 	uint32_t received = events_received(r);
 
 	return MAX(received < whole ? whole - received : 0,
@@ -192,7 +192,6 @@
 	evbuffer_free(r->answer_body);
 	sse_finish(&r->sse);
 	g_string_free(r->last_event_id, TRUE);
-	byte_budget_remove(&r->gateway->bodies, g_bytes_get_size(r->body));
 	g_bytes_unref(r->body);
 	g_free(r->id);
 	fleet_unref(r->fleet);
