--- a/daemon/gateway_route.c
+++ b/daemon/gateway_route.c
@@ -46,7 +46,7 @@
 	hot_prefix_t prefixes = g->prefixes;
 	GRand *rand = g_rand_copy(g->sup->rand);
 
-	relay_pick_dispatcher(&g->groups, &prefixes, call, service, rand, out);
+	relay_pick_first(&g->groups, &prefixes, call, service, rand, out);
 	g_rand_free(rand);
 }
 
@@ -99,6 +99,8 @@
 	}
 	service = fleet_pick_service(route, str_hash(call->attempt_id));
 	g_snprintf(c->tier, sizeof(c->tier), "%u", fleet_rank(team, route));
+	q->has_rollout =
+		g->rollouts && g_hash_table_contains(g->rollouts, service);
 	fill_want(g, call, route, service, c);
 	pick_dispatcher(g, call, service, &pick);
 	runner_group_name(&pick.group, c->service, sizeof(c->service));
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -94,6 +94,18 @@
 /* Keeps links to the recorders. */
 void peers_link_recorders(peers_t *p);
 
+/* peers_rollouts.c: reports of roll-outs to the daemon that conducts them. */
+
+/* Sends a report to the conductor, or its answer to who reported. */
+void peers_route_rollout(peers_t *p, const message_t *m);
+/* Posts a received message to its task; false for other frames. */
+bool peers_on_rollout_frame(peers_t *p, const char *name,
+			    const Papaya__Frame *frame);
+/* Posts to the store task whether this daemon conducts roll-outs. */
+void peers_post_rollout_host(peers_t *p);
+/* Keeps links to the conductor, and to who conducts if it is lost. */
+void peers_link_conductor(peers_t *p);
+
 /* peers_detector.c: detection of unresponsive daemons and partitioned zones. */
 
 void peers_detector_start(peers_t *p);
@@ -115,6 +127,16 @@
 void peers_route_want(peers_t *p, const message_t *m);
 /* Finds the dispatcher of a request that an operator asks for. */
 void peers_on_route_query(peers_t *p, route_query_t *q);
+/*
+ * Posts a want of another daemon to the capacity task; as one that others may
+ * dispatch too, if this daemon isn't the dispatcher's host in its own view.
+ */
+void peers_receive_want(peers_t *p, message_t *m);
+/*
+ * Sends learned speeds to the dispatcher's host, or if that is this daemon, to
+ * the daemon of this zone that would be next.
+ */
+void peers_send_speeds(peers_t *p, const message_speeds_t *speeds);
 /*
  * Forwards a message to the daemon that it names, or to a task of this daemon
  * when it names none.
--- a/daemon/peers_route.c
+++ b/daemon/peers_route.c
@@ -2,6 +2,7 @@
 #include "daemon/frames.h"
 #include "daemon/peers.h"
 #include "daemon/route_query.h"
+#include "daemon/speed_frames.h"
 
 enum {
 	NO_RUNNER_RETRY_MS = 1000,
@@ -81,6 +82,22 @@
 	return member_dispatcher_host(&p->member, zone, name, now_us(), out);
 }
 
+void peers_receive_want(peers_t *p, message_t *m)
+{
+	message_capacity_t *c = &m->capacity;
+	member_vm_t host;
+
+	/*
+	 * The sender may have lost its link to the host that this daemon, and
+	 * others, still use.
+	 */
+	c->is_local_only =
+		p->sup->settings->fleet &&
+		find_dispatcher(p, c, str_from(p->self.zone), &host) &&
+		strcmp(host.name, p->self.name) != 0;
+	supervisor_post(p->sup, TASK_CAPACITY, m);
+}
+
 void peers_route_want(peers_t *p, const message_t *m)
 {
 	const message_capacity_t *c = &m->capacity;
@@ -135,6 +152,21 @@
 		strcmp(vm.name, p->self.name) ? TASK_ADMIN : TASK_CAPACITY, q);
 }
 
+void peers_send_speeds(peers_t *p, const message_speeds_t *speeds)
+{
+	message_capacity_t c = { .is_local_only = false };
+	member_vm_t vm;
+
+	g_strlcpy(c.service, speeds->service, sizeof(c.service));
+	if (find_dispatcher(p, &c, str_from(p->self.zone), &vm) &&
+	    strcmp(vm.name, p->self.name) != 0) {
+		speed_frames_send(&p->peer, str_from(vm.name), speeds);
+		return;
+	}
+	if (member_next_host(&p->member, str_from(speeds->service), &vm))
+		speed_frames_send(&p->peer, str_from(vm.name), speeds);
+}
+
 void peers_forward(peers_t *p, const message_t *m)
 {
 	const char *peer = m->capacity.peer;
@@ -176,6 +208,7 @@
 	for (uint32_t i = 0; i < LIMIT_ROLES; i++)
 		find_fleet_limiter(p, i, &vm);
 	peers_link_recorders(p);
+	peers_link_conductor(p);
 	for (guint i = 0; i < p->regional_dispatchers->len; i++) {
 		str_t role = str_from(p->regional_dispatchers->pdata[i]);
 
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -212,17 +212,25 @@
 		prompt_parts_add(&r->parts, r->call.parts.ids[i]);
 }
 
-void relay_pick_dispatcher(const zone_groups_t *zones, hot_prefix_t *prefixes,
-			   const call_head_t *call, const char *service,
-			   GRand *rand, zone_pick_t *out)
+void relay_pick_first(const zone_groups_t *zones, hot_prefix_t *prefixes,
+		      const call_head_t *call, const char *pool, GRand *rand,
+		      zone_pick_t *out)
 {
-	uint32_t groups = zone_groups_count(zones, service);
+	uint32_t groups = zone_groups_count(zones, pool);
 	zone_affinity_t affinity = { .session = call->session_hash };
 
 	if (call->prefix_tokens >= MIN_AFFINITY_TOKENS &&
 	    !hot_prefix_record(prefixes, call->prefix_hash, groups))
 		affinity.prefix = call->prefix_hash;
-	zone_groups_pick_first(zones, service, &affinity, rand, out);
+	zone_groups_pick_first(zones, pool, &affinity, rand, out);
+}
+
+void relay_pick_dispatcher(relay_t *r)
+{
+	gateway_t *g = r->gateway;
+
+	relay_pick_first(&g->groups, &g->prefixes, &r->call, relay_pool(r),
+			 g->sup->rand, &r->pick);
 }
 
 static void start_deadline(relay_t *r)
@@ -281,8 +289,7 @@
 		return;
 	r->service = fleet_pick_service(r->route, str_hash(stream_attempt(r)));
 	r->rank = fleet_rank(r->team, r->route);
-	relay_pick_dispatcher(&g->groups, &g->prefixes, &r->call, r->service,
-			      g->sup->rand, &r->pick);
+	relay_pick_dispatcher(r);
 	retry_budget_count_first(&g->retries, r->service);
 	start_deadline(r);
 	if (gateway_ends_before(g, r->deadline)) {
