--- a/daemon/admin_task.c
+++ b/daemon/admin_task.c
@@ -23,8 +23,8 @@
 	struct evhttp *ready_http; /* for the load balancer, or NULL */
 	config_view_t *config;
 	vm_list_t *vms;
-	admin_routes_t routes;
 	GArray *rollouts; /* rollout_state_t; NULL: none are followed */
+	admin_routes_t routes;
 	bool accepts_keys; /* idempotency keys, by MESSAGE_KEYS_READY */
 } admin_t;
 
@@ -194,10 +194,10 @@
 		reply_config(a, req);
 	} else if (!strcmp(path, "/admin/status") && !is_post) {
 		reply_status(a, req);
-	} else if (is_route_question(path) && is_post) {
-		admin_routes_ask(&a->routes, req);
 	} else if (!strcmp(path, "/admin/rollouts") && !is_post) {
 		reply_rollouts(a, req);
+	} else if (is_route_question(path) && is_post) {
+		admin_routes_ask(&a->routes, req);
 	} else if (!strcmp(path, "/admin/drain") && is_post) {
 		supervisor_drain(a->sup);
 		reply_json(req, 202, json_pack("{s:b}", "draining", 1));
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -10,8 +10,8 @@
 #include "core/runner_group.h"
 #include "daemon/early_wants.h"
 #include "daemon/load_poll.h"
-#include "daemon/route_query.h"
 #include "daemon/speed_keeper.h"
+#include "daemon/route_query.h"
 #include "daemon/supervisor.h"
 
 enum {
--- a/daemon/gateway_route.c
+++ b/daemon/gateway_route.c
@@ -46,7 +46,7 @@
 	hot_prefix_t prefixes = g->prefixes;
 	GRand *rand = g_rand_copy(g->sup->rand);
 
-	relay_pick_first(&g->groups, &prefixes, call, service, rand, out);
+	relay_pick_group(&g->groups, &prefixes, call, service, rand, out);
 	g_rand_free(rand);
 }
 
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -209,19 +209,19 @@
 
 /* relay_admit.c */
 
+/* Picks the dispatcher for the first want among the runners of its pool. */
+void relay_pick_dispatcher(relay_t *r);
+
 /* The cost in a team's limit: tokens, or 1 for a request. */
 uint32_t relay_limit_cost(const fleet_team_t *team, const call_head_t *call);
 /*
- * Picks the dispatcher to ask first among the runners of a pool. A long prefix goes to the group of runners
+ * Picks, among the runners of POOL, the dispatcher to ask first. A long prefix goes to the group of runners
  * that may have it cached, also in another zone, unless many recent requests
  * share it; PREFIXES counts them.
  */
-void relay_pick_first(const zone_groups_t *zones, hot_prefix_t *prefixes,
+void relay_pick_group(const zone_groups_t *zones, hot_prefix_t *prefixes,
 		      const call_head_t *call, const char *pool, GRand *rand,
 		      zone_pick_t *out);
-/* Picks the dispatcher for the first want among the runners of its pool. */
-void relay_pick_dispatcher(relay_t *r);
-
 /* Answers 503: no configuration and runners are known yet. */
 void relay_fail_unready(relay_t *r);
 /* Uses this daemon's share of the limit when the limiter doesn't answer. */
--- a/daemon/relay_admit.c
+++ b/daemon/relay_admit.c
@@ -212,7 +212,7 @@
 		prompt_parts_add(&r->parts, r->call.parts.ids[i]);
 }
 
-void relay_pick_first(const zone_groups_t *zones, hot_prefix_t *prefixes,
+void relay_pick_group(const zone_groups_t *zones, hot_prefix_t *prefixes,
 		      const call_head_t *call, const char *pool, GRand *rand,
 		      zone_pick_t *out)
 {
@@ -229,7 +229,7 @@
 {
 	gateway_t *g = r->gateway;
 
-	relay_pick_first(&g->groups, &g->prefixes, &r->call, relay_pool(r),
+	relay_pick_group(&g->groups, &g->prefixes, &r->call, relay_pool(r),
 			 g->sup->rand, &r->pick);
 }
 
