--- a/daemon/route_query.h
+++ b/daemon/route_query.h
@@ -26,6 +26,7 @@
 	char route[MEMBER_NAME_SIZE];
 	uint64_t config; /* version that decided */
 	message_capacity_t capacity; /* as of a want; peer: the dispatcher */
+	bool has_rollout; /* of the service; its target is not looked at */
 	uint32_t services; /* that the route splits its requests among */
 	double limit; /* of the team, units a second; 0: none */
 	uint32_t cost; /* in that limit */
