--- a/tests/test_member_region.c
+++ b/tests/test_member_region.c
@@ -274,8 +274,8 @@
 START_TEST(a_lost_link_is_forgotten)
 {
 	enum { SOON = 5 * HEARTBEAT_TIMEOUT };
-	str_t name = str_from(vm_of(1).name), zone = STR_LIT("z0");
-	member_vm_t self = vm_of(1), vm;
+	member_vm_t host = vm_of(1), vm;
+	str_t name = str_from(host.name), zone = STR_LIT("z0");
 	int64_t now = DETECTED;
 	const char *role = NULL;
 	member_t m;
@@ -288,22 +288,22 @@
 		ck_assert_int_lt(n, ROLES);
 		ck_assert(member_dispatcher_host(&m, zone, str_from(tried), now,
 						 &vm));
-		if (!strcmp(vm.name, self.name))
+		if (!strcmp(vm.name, host.name))
 			role = g_intern_string(tried);
 	}
 	/* Nobody tells that a link is up: it is live by others' reports. */
 	member_set_link_lost(&m, name, true, now);
 	ck_assert(member_dispatcher_host(&m, zone, str_from(role), now, &vm));
-	ck_assert_str_ne(vm.name, self.name);
+	ck_assert_str_ne(vm.name, host.name);
 	run(&m, now + 1, now + SOON, "z1 z2");
 	now += SOON;
 	ck_assert(member_dispatcher_host(&m, zone, str_from(role), now, &vm));
-	ck_assert_str_eq(vm.name, self.name);
+	ck_assert_str_eq(vm.name, host.name);
 	/* Another process of it has links of its own. */
 	member_set_link_lost(&m, name, true, now);
-	member_on_heartbeat(&m, &self, 2, false, now);
+	member_on_heartbeat(&m, &host, 2, false, now);
 	ck_assert(member_dispatcher_host(&m, zone, str_from(role), now, &vm));
-	ck_assert_str_eq(vm.name, self.name);
+	ck_assert_str_eq(vm.name, host.name);
 	member_finish(&m);
 }
 END_TEST
