--- a/tests/test_limit_fleet.c
+++ b/tests/test_limit_fleet.c
@@ -506,7 +506,8 @@
 		      { 100, 550 }, { 300, 900 }, { 1000, 2100 } };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-		limit_stamp_t stamp = { .process = 2, .duration = 10 * SECOND };
+		limit_stamp_t stamp = { .process = 2,
+					.duration = SECOND * INT64_C(10) };
 		limit_lease_t l;
 		int64_t lent_at = 0;
 		int frames = 0;
@@ -526,8 +527,8 @@
 		ck_assert_int_le(lent_at / MS, cases[i].most_ms);
 		/* A renewal may be late by 0.3 s. */
 		ck_assert_int_ge((l.duration - END_US / frames) / MS, 300);
-		ck_assert_int_le(frames * (int)cases[i].daemons,
-				 650 * (END_US / SECOND));
+		ck_assert_int_le((int64_t)frames * cases[i].daemons,
+				 (int64_t)650 * (END_US / SECOND));
 		limit_lease_finish(&l);
 	}
 }
