rollouts: faulty orders have no effect, later releases are told without clocks

Change: faulty orders only have a state; releases that were listed beside the target are the replaced ones; a conductor waits 1.5 s after a takeover; stopped and very late calls count with the time so far; an order that the only release serves is completed; timers run only with orders; what a request chose belongs to its order.

--- a/core/rollout.c
+++ b/core/rollout.c
@@ -5,15 +5,16 @@
 enum {
 	US_PER_MS = 1000,
 	MAX_LEFT_MS = INT32_MAX, /* some weeks */
-	BEGIN_US = 3000 * US_PER_MS, /* the target's runners come later */
 	LOOK_US = 400 * US_PER_MS, /* between looks of the judge */
 	MIN_SLOT_US = 500 * US_PER_MS, /* of time, for the judge */
 	READ_US = 1000 * US_PER_MS, /* between confirmations of the term */
 	MAX_UNCONFIRMED_US = 2500 * US_PER_MS,
-	/* After another process took it over, until this one may. */
+	/* Until a conductor that took over has heard of all daemons. */
+	ACQUAINT_US = 1500 * US_PER_MS,
 	MISSING_US = 1500 * US_PER_MS, /* until runners count as gone */
 	ORDERS_LAG_US =
 		300 * US_PER_MS, /* until others' reads are known here */
+	/* After another process took it over, until this one may. */
 	RETAKE_US = 2000 * US_PER_MS,
 	CALL_GAP_US = 100 * US_PER_MS, /* after a call that failed */
 	WRITE_GAP_US = 250 * US_PER_MS, /* between larger reservations */
@@ -177,9 +178,10 @@
 	int64_t duration = r->order.duration_ms * US_PER_MS;
 	int64_t left_ms =
 		CLAMP(r->stored.ends_ms, 0, wall_ms + MAX_LEFT_MS) - wall_ms;
-	int64_t left = MAX(left_ms, 0) * US_PER_MS;
+	int64_t left = left_ms * US_PER_MS;
 
-	if (left > duration || now + left >= r->ends_at)
+	/* A clock that was set is no reason to end it at once. */
+	if (left_ms <= 0 || left > duration || now + left >= r->ends_at)
 		return;
 	r->ends_at = now + left;
 	r->began_at = r->ends_at - duration;
@@ -205,13 +207,19 @@
 	r->must_move = r->must_complete = false;
 }
 
+static void take_over(rollout_t *r, uint64_t budget, uint64_t counted,
+		      int64_t now)
+{
+	rollout_budget_begin(&r->budget, budget, counted);
+	r->is_conducting = true;
+	r->took_over_at = now;
+}
+
 /* The store has this process's term. */
 static void confirm(rollout_t *r, int64_t now)
 {
 	if (!r->is_conducting)
-		rollout_budget_begin(&r->budget, r->stored.budget,
-				     r->stored.counted);
-	r->is_conducting = true;
+		take_over(r, r->stored.budget, r->stored.counted, now);
 	r->confirmed_at = now;
 	rollout_budget_set_reserved(&r->budget, r->stored.budget);
 }
@@ -352,8 +360,7 @@
 		return;
 	}
 	if (!r->is_conducting)
-		rollout_budget_begin(&r->budget, before, counted);
-	r->is_conducting = true;
+		take_over(r, before, counted, now);
 	confirm(r, now);
 }
 
@@ -383,6 +390,8 @@
 		else
 			others++;
 	}
+	if (now - r->took_over_at < ACQUAINT_US)
+		others++;
 	return MAX(others, view->daemons > ready ? view->daemons - ready : 0);
 }
 
@@ -392,11 +401,9 @@
 		   MAX_CLOSING_US);
 }
 
-static void set_why(rollout_t *r, const char *what)
+static void write_why(const rollout_finding_t *f, const char *what, char *out)
 {
-	const rollout_finding_t *f = &r->finding;
-
-	g_snprintf(r->why, sizeof(r->why),
+	g_snprintf(out, ROLLOUT_WHY_SIZE,
 		   "%s: answers %u, bad %u, excess %.2f, score %.1f", what,
 		   f->answers, f->bad, f->excess, f->score);
 }
@@ -435,7 +442,8 @@
 			check_missing(r, now);
 	} else if (left <= move && is_sound) {
 		r->must_move = true;
-		set_why(r, "as good as the current release");
+		write_why(&r->finding, "as good as the current release",
+			  r->why);
 	} else if (left <= move * 3 / 4) {
 		/* Few answers, none of which shows that it is worse. */
 		if (r->finding.answers < MIN_ANSWERS) {
@@ -443,7 +451,8 @@
 			return;
 		}
 		r->must_move = true;
-		set_why(r, "not found worse than the current release");
+		write_why(&r->finding,
+			  "not found worse than the current release", r->why);
 	}
 }
 
@@ -465,17 +474,21 @@
 
 static void judge(rollout_t *r, int64_t now)
 {
+	const rollout_finding_t *f = &r->finding;
+	char why[ROLLOUT_WHY_SIZE];
+
 	if (now - r->looked_at < LOOK_US || !r->has_answers)
 		return;
 	r->looked_at = now;
 	r->has_answers = false;
 	r->finding = rollout_judge_find(&r->judge);
-	if (r->finding.verdict != ROLLOUT_BAD || r->must_complete)
+	if (f->verdict != ROLLOUT_BAD || r->must_complete)
 		return;
-	revert(r, "", now);
-	set_why(r, r->finding.by_time ? "slower than the current release" :
-					"fails more often than the current "
-					"release");
+	write_why(f,
+		  f->by_time ? "slower than the current release" :
+			       "fails more often than the current release",
+		  why);
+	revert(r, why, now);
 }
 
 /* Without a confirmed term another daemon may conduct. */
@@ -485,18 +498,17 @@
 }
 
 /* The order names the release that all runners have already. */
-static bool has_nothing_to_move(const rollout_t *r, const rollout_view_t *view,
-				int64_t now)
+static bool has_nothing_to_move(const rollout_t *r, const rollout_view_t *view)
 {
-	return view->target_runners && !view->other_runners &&
-	       now - r->began_at < BEGIN_US;
+	return view->target_runners && !r->had_others;
 }
 
 static void advance(rollout_t *r, const rollout_view_t *view, int64_t now)
 {
+	r->had_others |= view->other_runners > 0;
 	if (view->target_runners)
 		r->no_target_since = 0;
-	if (r->stage == ROLLOUT_HELD && has_nothing_to_move(r, view, now)) {
+	if (r->stage == ROLLOUT_HELD && has_nothing_to_move(r, view)) {
 		set_stage(r, ROLLOUT_MOVED, now);
 		r->must_complete = true;
 		g_strlcpy(r->why, "the service has no other release",
@@ -559,7 +571,8 @@
 	if (d)
 		*d = (rollout_daemon_t){ now, report->stage, report->term,
 					 report->running };
-	if (report->stage == ROLLOUT_TAKEN_BACK && !r->must_complete)
+	if (report->stage == ROLLOUT_TAKEN_BACK && !r->must_complete &&
+	    report->term && report->term + 1 >= r->stored.term)
 		revert(r, "found bad by the conductor before", now);
 	r->longest = MAX(r->longest, report->longest);
 	rollout_budget_report(&r->budget, name, &report->counts);
--- a/core/rollout.h
+++ b/core/rollout.h
@@ -133,10 +133,12 @@
 	bool is_read; /* the store's record is known */
 	bool is_conducting; /* the store has this process's term */
 	bool is_withdrawn;
+	bool had_others; /* other releases were listed since the order */
 	/* A decision that the store doesn't have yet. */
 	bool must_move, must_complete, must_revert;
 	int64_t began_at, ends_at;
 	int64_t read_at; /* the record, or its write confirmed */
+	int64_t took_over_at;
 	int64_t confirmed_at; /* the store had this process's term */
 	int64_t lost_at; /* another process took it over; 0: none */
 	int64_t lost_store_at; /* the last call failed; 0: none did */
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -19,6 +19,7 @@
 
 /* What a request has to do with a roll-out of its service. */
 typedef struct relay_rollout {
+	uint64_t order; /* that the rest belongs to; 0: none */
 	bool is_chosen; /* IN_POOL was decided */
 	bool in_pool; /* it is dispatched to the target's runners */
 	bool has_share; /* of the target's exposure, and not used yet */
@@ -137,7 +138,10 @@
 bool relay_is_stale(const relay_t *r);
 /* Timer callback: the wait for readiness is over, or the deadline passed. */
 void relay_on_deadline(evutil_socket_t fd, short what, void *arg);
-/* Sends a want to a dispatcher, under a new attempt number. */
+/*
+ * Sends a want to a dispatcher, under a new attempt number. May answer and free
+ * the relay instead: a stream's release may not be used any more.
+ */
 void relay_request_runner(relay_t *r);
 /* Sends a message about this attempt to its dispatcher; DONE may be NULL. */
 void relay_post_capacity(relay_t *r, message_type_t type, const done_t *done);
--- a/daemon/relay_rollout.c
+++ b/daemon/relay_rollout.c
@@ -19,6 +19,12 @@
 	US_PER_MS = 1000,
 	REPORT_US = ROLLOUT_REPORT_MS * US_PER_MS,
 	MAX_TALLIES = 512, /* of one report; further answers don't count */
+	MAX_REPLACED = 16, /* releases; further ones count as later ones */
+	/* For a reverted target's runners to drain and leave. */
+	ALONE_US = 15 * 1000 * US_PER_MS,
+	/* A call that takes so many times its latency target counts at once. */
+	LATE_FACTOR = 4,
+	NO_TARGET_US = 1000 * US_PER_MS, /* for routes without a target */
 	RETRY_MS = 1000, /* Retry-After of a stream that can't go on now */
 };
 
@@ -37,9 +43,13 @@
 	GArray *tallies; /* rollout_tally_t; answers since the last report */
 	int64_t reported_at;
 	int64_t longest; /* request that ended on another release, since then */
+	/* Releases beside the target until the decision (uint64_t, hashes). */
+	GArray *replaced;
 	/* Listed runners, and not leaving: of the target, of other releases. */
 	uint32_t target_runners, other_runners;
-	uint32_t newer_runners; /* of these, started after the decision */
+	uint32_t newer_runners; /* of these, of releases that came later */
+	bool had_others; /* other releases were listed since the order */
+	int64_t alone_since; /* only the target has runners; 0: no */
 } gateway_rollout_t;
 
 static void free_rollout(void *data)
@@ -47,6 +57,7 @@
 	gateway_rollout_t *o = data;
 
 	g_array_unref(o->tallies);
+	g_array_unref(o->replaced);
 	g_free(o);
 }
 
@@ -68,14 +79,27 @@
 		       NULL;
 }
 
+/*
+ * Whether only the target is left to use: the order names the release that all
+ * runners have, it was completed before this process started, or it was
+ * reverted and the service's runners were replaced by that release later.
+ */
+static bool must_use_target(const gateway_rollout_t *o, int64_t now)
+{
+	if (!o->alone_since)
+		return false;
+	return !o->had_others || !o->term ||
+	       (o->told == ROLLOUT_TAKEN_BACK && o->decided_ms &&
+		now - o->alone_since > ALONE_US);
+}
+
 /* Without news of the conductor, no request goes to the target. */
 static rollout_stage_t stage_at(const gateway_rollout_t *o, int64_t now)
 {
 	bool needs_lease =
 		o->told == ROLLOUT_TRYING || o->told == ROLLOUT_MOVING;
 
-	/* It may have been completed before this process started. */
-	if (!o->term && !o->other_runners && o->target_runners)
+	if (must_use_target(o, now))
 		return ROLLOUT_MOVED;
 	if (needs_lease && !rollout_lease_is_live(&o->lease, now))
 		return ROLLOUT_HELD;
@@ -87,10 +111,23 @@
 	return release == o->target;
 }
 
-/* Runners that started after the completion replace the target's in turn. */
-static bool is_newer(const gateway_rollout_t *o, int64_t born_ms)
+static bool is_replaced(const gateway_rollout_t *o, uint64_t release)
+{
+	for (guint i = 0; i < o->replaced->len; i++)
+		if (g_array_index(o->replaced, uint64_t, i) == release)
+			return true;
+	return false;
+}
+
+/* Releases that come after the completion replace the target's in turn. */
+static void count_other(gateway_rollout_t *o, uint64_t release)
 {
-	return o->decided_ms && born_ms > o->decided_ms;
+	o->other_runners++;
+	o->had_others = true;
+	if (o->told != ROLLOUT_DONE && !is_replaced(o, release) &&
+	    o->replaced->len < MAX_REPLACED)
+		g_array_append_val(o->replaced, release);
+	o->newer_runners += !is_replaced(o, release);
 }
 
 static void count_runners(const gateway_t *g, gateway_rollout_t *o)
@@ -102,13 +139,15 @@
 
 		if (r->runner.is_leaving)
 			continue;
-		if (is_target(o, r->runner.release)) {
+		if (is_target(o, r->runner.release))
 			o->target_runners++;
-		} else if (!strcmp(r->service, o->order.service)) {
-			o->other_runners++;
-			o->newer_runners += is_newer(o, r->runner.born_ms);
-		}
+		else if (!strcmp(r->service, o->order.service))
+			count_other(o, r->runner.release);
 	}
+	if (!o->target_runners || o->other_runners)
+		o->alone_since = 0;
+	else if (!o->alone_since)
+		o->alone_since = now_us();
 }
 
 static void update_runners(gateway_t *g)
@@ -132,8 +171,23 @@
 	return MIN(ROLLOUT_LEASE_US, s->rollout_revert_ms * US_PER_MS / 2);
 }
 
+static bool is_ordered(const GArray *orders, const char *service)
+{
+	for (guint i = 0; i < orders->len; i++)
+		if (!strcmp(g_array_index(orders, rollout_order_t, i).service,
+			    service))
+			return true;
+	return false;
+}
+
+static gboolean is_over(void *service, void *value, void *orders)
+{
+	return !is_ordered(orders, service);
+}
+
 void gateway_on_rollout_orders(gateway_t *g, const GArray *orders)
 {
+	g_hash_table_foreach_remove(g->rollouts, is_over, (gpointer)orders);
 	for (guint i = 0; i < orders->len; i++) {
 		const rollout_order_t *order =
 			&g_array_index(orders, rollout_order_t, i);
@@ -150,6 +204,7 @@
 		o->target = release_history_hash(order->service, order->target);
 		rollout_pool_name(order->service, order->target, o->pool);
 		o->tallies = g_array_new(FALSE, FALSE, sizeof(rollout_tally_t));
+		o->replaced = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 		g_hash_table_replace(g->rollouts, o->order.service, o);
 	}
 	update_runners(g);
@@ -219,7 +274,9 @@
 {
 	const gateway_rollout_t *o = find(r);
 
-	return o && r->rollout.in_pool ? o->pool : r->service;
+	return o && r->rollout.order == o->order_id && r->rollout.in_pool ?
+		       o->pool :
+		       r->service;
 }
 
 bool relay_choose_pool(relay_t *r)
@@ -230,6 +287,8 @@
 
 	if (!o)
 		return true;
+	if (r->rollout.order != o->order_id)
+		r->rollout = (relay_rollout_t){ .order = o->order_id };
 	if (r->release && is_target(o, r->release)) {
 		if (!may_go_on(r, o, now)) {
 			relay_fail(r,
@@ -265,9 +324,11 @@
 	if (is_target(o, r->runner.release))
 		return (stage == ROLLOUT_TRYING && r->rollout.has_share) ||
 		       (stage >= ROLLOUT_MOVING && stage <= ROLLOUT_DONE);
+	if (!o->target_runners)
+		return true;
 	if (stage == ROLLOUT_DONE)
-		return is_newer(o, r->runner.born_ms);
-	return stage != ROLLOUT_MOVED || !o->target_runners;
+		return !is_replaced(o, r->runner.release);
+	return stage != ROLLOUT_MOVED;
 }
 
 bool relay_leave_pool(relay_t *r)
@@ -361,6 +422,20 @@
 	add_first(r, r->rollout.first_at, false);
 }
 
+/* The latency target, or what stands in for it. */
+static int64_t usual_limit(const relay_t *r)
+{
+	return r->route->target_ms ? r->route->target_ms * US_PER_MS :
+				     NO_TARGET_US;
+}
+
+/* Stopped without an answer: the time so far counts if it is late. */
+static void add_stopped(relay_t *r, int64_t now)
+{
+	if (!r->rollout.first_at && now - r->rollout.sent_at > usual_limit(r))
+		add_first(r, now, false);
+}
+
 static void add_complete(relay_t *r, int64_t now)
 {
 	uint64_t n = r->n_events - r->events_before;
@@ -398,6 +473,9 @@
 	case DONE_BROKEN:
 		add_first(r, now, true);
 		break;
+	case DONE_CANCELLED:
+		add_stopped(r, now);
+		break;
 	default:
 		break;
 	}
@@ -408,13 +486,11 @@
 	r->rollout.sent_at = 0;
 }
 
-/* What is late already counts before its end, which may be far off. */
+/* What is very late already counts before its end, which may be far off. */
 static void check_late(relay_t *r, int64_t now)
 {
-	int64_t target = r->route->target_ms * US_PER_MS;
-
-	if (r->state == RELAY_GRANTED && r->rollout.sent_at && target &&
-	    !r->rollout.is_timed && now - r->rollout.sent_at > target)
+	if (r->state == RELAY_GRANTED && r->rollout.sent_at &&
+	    now - r->rollout.sent_at > LATE_FACTOR * usual_limit(r))
 		add_first(r, now, false);
 }
 
--- a/daemon/rollout_conductor.c
+++ b/daemon/rollout_conductor.c
@@ -15,6 +15,8 @@
 	RETRY_US = 300 * US_PER_MS, /* after a call to the store failed */
 	/* Orders that are read so soon may have been written before. */
 	STARTUP_US = 2000 * US_PER_MS,
+	/* Of what is known of the operators' topic; later news are late. */
+	MAX_ORDERS_AGE_US = 2000 * US_PER_MS,
 	/* For the configuration to bring the service that an order names. */
 	UNKNOWN_SERVICE_US = 2000 * US_PER_MS,
 };
@@ -26,6 +28,7 @@
 	char pool[ROLLOUT_POOL_SIZE];
 	char *text; /* of the order */
 	bool knows_begin; /* this process saw when it was written */
+	bool is_refused; /* its fields are wrong: it has a state, and no more */
 	rollout_stage_t logged;
 } rollout_item_t;
 
@@ -294,8 +297,6 @@
 	c->started_at = now_us();
 	c->items = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 free_item);
-	if (sup->settings->rollouts)
-		c->timer = supervisor_add_timer(sup, TICK_MS, on_timer, c);
 }
 
 void rollout_conductor_finish(rollout_conductor_t *c)
@@ -314,7 +315,9 @@
 	m.rollout_orders = g_array_new(FALSE, FALSE, sizeof(rollout_order_t));
 	g_hash_table_iter_init(&iter, c->items);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&item))
-		g_array_append_val(m.rollout_orders, item->rollout.order);
+		if (!item->is_refused)
+			g_array_append_val(m.rollout_orders,
+					   item->rollout.order);
 	supervisor_post(c->sup, TASK_FRONT, &m);
 }
 
@@ -330,7 +333,9 @@
 	item->target = release_history_hash(order->service, order->target);
 	rollout_pool_name(order->service, order->target, item->pool);
 	item->text = g_strndup(text.ptr, text.len);
-	item->knows_begin = now - c->started_at > STARTUP_US;
+	item->knows_begin = now - c->started_at > STARTUP_US &&
+			    now - c->orders_at < MAX_ORDERS_AGE_US;
+	item->is_refused = fault != NULL;
 	if (fault)
 		rollout_refuse(&item->rollout, fault, now);
 	log_event("rollout-order",
@@ -342,6 +347,8 @@
 		  fault ? fault : "an operator ordered it");
 	g_hash_table_replace(c->items, g_strdup(order->service), item);
 	c->has_end = false;
+	if (!c->timer)
+		c->timer = supervisor_add_timer(c->sup, TICK_MS, on_timer, c);
 	rollout_conductor_post_orders(c);
 }
 
@@ -363,6 +370,7 @@
 	GHashTableIter iter;
 	rollout_item_t *item;
 
+	c->orders_at = at;
 	g_hash_table_iter_init(&iter, c->items);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&item))
 		rollout_set_orders_read(&item->rollout, at);
@@ -382,10 +390,13 @@
 	if (known && str_eq(text, str_from(known->text)))
 		return false;
 	is_valid = rollout_json_parse_order(service, text, &order, &err);
-	if (!order.service[0] ||
+	if (!order.service[0] || !g_utf8_validate(name, -1, NULL) ||
 	    (!known && g_hash_table_size(c->items) >= ROLLOUT_CONDUCTOR_MAX)) {
 		log_warn("ignored the order of a roll-out of %s: %s", name,
-			 is_valid ? "there are too many" : err.detail);
+			 err.detail[0] ?
+				 err.detail :
+				 "there are too many, or its name is no "
+				 "text");
 		return false;
 	}
 	add_item(c, &order, text, is_valid ? NULL : err.detail);
@@ -400,7 +411,8 @@
 		const rollout_item_t *item =
 			g_hash_table_lookup(c->items, r->service);
 
-		if (item && r->runner.release == item->target)
+		if (item && !item->is_refused &&
+		    r->runner.release == item->target)
 			g_strlcpy(r->service, item->pool, sizeof(r->service));
 	}
 }
--- a/daemon/rollout_conductor.h
+++ b/daemon/rollout_conductor.h
@@ -24,6 +24,7 @@
 	bool has_end; /* END is what the store last confirmed */
 	int64_t retry_at; /* after a failed call: no other before */
 	int64_t started_at;
+	int64_t orders_at; /* the operators' topic was known to its end */
 	int64_t states_at; /* the admin task was last told of the states */
 	char writing[FLEET_NAME_SIZE]; /* service whose record is written */
 	rollout_record_t record; /* that is written */
