rollout: a single long request is forgotten when the move is timed

Seen in tests/rollouts (conductor stands still): moved at 60% of the time, as requests had waited for the stalled daemon. Also: make rollouts.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 #   make faults     fault-injection tests on real processes
 #   make soak       random faults on real processes, a short seeded run
 #   make streams    streams over several real daemons: order, retry budget
+#   make rollouts   roll-outs of a release over several real daemons
 #   make measure    load measurements on real processes
 #   make bench      microbenchmarks of scheduling decisions
 #   make slopes     cost of a daemon by daemons, load, teams, publications
@@ -130,6 +131,10 @@
 streams: all $(TOOLS)
 	@$(B)/tests/streams $(if $(STREAMS_ARGS),$(STREAMS_ARGS),--seconds 15)
 
+# About 4 minutes; one scenario: make rollouts ROLLOUTS_ARGS='--only good'.
+rollouts: all $(TOOLS)
+	@$(B)/tests/rollouts $(ROLLOUTS_ARGS)
+
 measure: all $(TOOLS)
 	@tests/measure.sh $(B) $(MEASURE_ARGS)
 
@@ -166,4 +171,4 @@
 
 .SECONDARY:
 .PHONY: all setup demo check run-check generated-check spec faults soak \
-	streams measure slopes bench format format-check tidy lint clean proto
+	streams rollouts measure slopes bench format format-check tidy lint clean proto
--- a/core/rollout.c
+++ b/core/rollout.c
@@ -5,6 +5,7 @@
 enum {
 	US_PER_MS = 1000,
 	MAX_LEFT_MS = INT32_MAX, /* some weeks */
+	LONGEST_DIVISOR = 8, /* per look, of what requests took */
 	LOOK_US = 400 * US_PER_MS, /* between looks of the judge */
 	MIN_SLOT_US = 500 * US_PER_MS, /* of time, for the judge */
 	READ_US = 1000 * US_PER_MS, /* between confirmations of the term */
@@ -477,9 +478,13 @@
 	const rollout_finding_t *f = &r->finding;
 	char why[ROLLOUT_WHY_SIZE];
 
-	if (now - r->looked_at < LOOK_US || !r->has_answers)
+	if (now - r->looked_at < LOOK_US)
 		return;
 	r->looked_at = now;
+	/* A single long request, as after a stall, is forgotten. */
+	r->longest -= r->longest / LONGEST_DIVISOR;
+	if (!r->has_answers)
+		return;
 	r->has_answers = false;
 	r->finding = rollout_judge_find(&r->judge);
 	if (f->verdict != ROLLOUT_BAD || r->must_complete)
