--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -112,6 +112,7 @@
 	if (runner->born_ms != known->info.born_ms) {
 		known->is_leaving_by_report = false;
 		known->limit = (runner_limit_t){ 0 };
+		known->speed_at = 0;
 		known->model.stated = (runner_statements_t){ 0 };
 		known->model.stated_ledger = 0;
 		if (s->config.weighs_prompt_cache)
--- a/daemon/admin_task.c
+++ b/daemon/admin_task.c
@@ -8,9 +8,15 @@
 #include <stdlib.h>
 
 #include "common/log.h"
+#include "daemon/admin_route.h"
 #include "daemon/supervisor.h"
 #include "net/http.h"
 
+enum {
+	MAX_HEADER_BYTES = 16 * 1024,
+	MAX_BODY_BYTES = 64 * 1024,
+};
+
 typedef struct admin {
 	supervisor_t *sup;
 	struct evhttp *http;
@@ -18,6 +24,7 @@
 	config_view_t *config;
 	vm_list_t *vms;
 	GArray *rollouts; /* rollout_state_t; NULL: none are followed */
+	admin_routes_t routes;
 	bool accepts_keys; /* idempotency keys, by MESSAGE_KEYS_READY */
 } admin_t;
 
@@ -166,6 +173,12 @@
 	      is_ready ? "ready\n" : "not ready\n");
 }
 
+static bool is_route_question(const char *path)
+{
+	return !strcmp(path, "/admin/route") ||
+	       g_str_has_prefix(path, "/admin/route?");
+}
+
 static void handle_operator_request(admin_t *a, struct evhttp_request *req,
 				    const char *path)
 {
@@ -183,6 +196,8 @@
 		reply_status(a, req);
 	} else if (!strcmp(path, "/admin/rollouts") && !is_post) {
 		reply_rollouts(a, req);
+	} else if (is_route_question(path) && is_post) {
+		admin_routes_ask(&a->routes, req);
 	} else if (!strcmp(path, "/admin/drain") && is_post) {
 		supervisor_drain(a->sup);
 		reply_json(req, 202, json_pack("{s:b}", "draining", 1));
@@ -214,6 +229,15 @@
 	reply_ready(arg, req);
 }
 
+static struct evhttp *new_server(struct event_base *base)
+{
+	struct evhttp *http = evhttp_new(base);
+
+	evhttp_set_max_headers_size(http, MAX_HEADER_BYTES);
+	evhttp_set_max_body_size(http, MAX_BODY_BYTES);
+	return http;
+}
+
 static bool listen_at(struct evhttp *http, const char *address, err_t *err)
 {
 	char ip[MEMBER_NAME_SIZE];
@@ -239,6 +263,8 @@
 		a->rollouts = g_array_ref(m->rollout_states);
 	} else if (m->type == MESSAGE_KEYS_READY) {
 		a->accepts_keys = m->number || a->sup->settings->fleet;
+	} else if (m->type == MESSAGE_ROUTE_QUERY) {
+		admin_routes_answer(&a->routes, m->query);
 	}
 }
 
@@ -246,6 +272,7 @@
 {
 	admin_t *a = state;
 
+	admin_routes_finish(&a->routes);
 	if (a->ready_http)
 		evhttp_free(a->ready_http);
 	evhttp_free(a->http);
@@ -260,12 +287,13 @@
 	const char *ready_listen = sup->settings->ready_listen;
 
 	a->sup = sup;
+	admin_routes_init(&a->routes, sup);
 	/* A fleet's routes use no keys, so readiness does not wait for them. */
 	a->accepts_keys = sup->settings->fleet;
-	a->http = evhttp_new(sup->base);
+	a->http = new_server(sup->base);
 	evhttp_set_gencb(a->http, on_request, a);
 	if (ready_listen[0]) {
-		a->ready_http = evhttp_new(sup->base);
+		a->ready_http = new_server(sup->base);
 		evhttp_set_gencb(a->ready_http, on_ready_request, a);
 	}
 	if (listen_at(a->http, sup->settings->admin_listen, err) &&
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -164,6 +164,9 @@
 	case MESSAGE_STREAM_NOTES:
 		g_clear_pointer(&m->streams.begun, g_array_unref);
 		break;
+	case MESSAGE_SPEEDS:
+		g_clear_pointer(&m->speeds.digests, g_array_unref);
+		break;
 	case MESSAGE_ROLLOUT_ORDERS:
 		g_clear_pointer(&m->rollout_orders, g_array_unref);
 		break;
@@ -190,6 +193,9 @@
 	case MESSAGE_APPENDED:
 		g_clear_pointer(&m->append.data, g_bytes_unref);
 		break;
+	case MESSAGE_ROUTE_QUERY:
+		g_clear_pointer(&m->query, route_query_unref);
+		break;
 	default:
 		break;
 	}
--- a/daemon/peers_route.c
+++ b/daemon/peers_route.c
@@ -1,6 +1,8 @@
 #include "core/runner_group.h"
 #include "daemon/frames.h"
 #include "daemon/peers.h"
+#include "daemon/speed_frames.h"
+#include "daemon/route_query.h"
 
 enum {
 	NO_RUNNER_RETRY_MS = 1000,
@@ -80,6 +82,22 @@
 	return member_dispatcher_host(&p->member, zone, name, now_us(), out);
 }
 
+void peers_receive_want(peers_t *p, message_t *m)
+{
+	message_capacity_t *c = &m->capacity;
+	member_vm_t host;
+
+	/*
+	 * The sender may have lost its link to the host that this daemon, and
+	 * others, still use.
+	 */
+	c->is_local_only =
+		p->sup->settings->fleet &&
+		find_dispatcher(p, c, str_from(p->self.zone), &host) &&
+		strcmp(host.name, p->self.name) != 0;
+	supervisor_post(p->sup, TASK_CAPACITY, m);
+}
+
 void peers_route_want(peers_t *p, const message_t *m)
 {
 	const message_capacity_t *c = &m->capacity;
@@ -111,6 +129,44 @@
 	supervisor_post(p->sup, TASK_CAPACITY, &local);
 }
 
+void peers_send_speeds(peers_t *p, const message_speeds_t *speeds)
+{
+	message_capacity_t c = { .is_local_only = false };
+	member_vm_t vm;
+
+	g_strlcpy(c.service, speeds->service, sizeof(c.service));
+	if (find_dispatcher(p, &c, str_from(p->self.zone), &vm) &&
+	    strcmp(vm.name, p->self.name) != 0) {
+		speed_frames_send(&p->peer, str_from(vm.name), speeds);
+		return;
+	}
+	if (member_next_host(&p->member, str_from(speeds->service), &vm))
+		speed_frames_send(&p->peer, str_from(vm.name), speeds);
+}
+
+void peers_on_route_query(peers_t *p, route_query_t *q)
+{
+	message_capacity_t *c = &q->capacity;
+	bool is_own = !c->zone[0] || !strcmp(c->zone, p->self.zone);
+	str_t zone = is_own ? str_from(p->self.zone) : str_from(c->zone);
+	member_vm_t vm;
+	bool found = find_dispatcher(p, c, zone, &vm);
+
+	if (!found && !is_own) {
+		route_query_refuse(q, 503, "no daemon of that zone is linked");
+		route_query_post(p->sup, TASK_ADMIN, q);
+		return;
+	}
+	if (!found)
+		vm = p->self;
+	g_strlcpy(c->zone, vm.zone, sizeof(c->zone));
+	g_strlcpy(c->peer, vm.name, sizeof(c->peer));
+	g_strlcpy(q->admin_address, vm.admin_address, sizeof(q->admin_address));
+	route_query_post(
+		p->sup,
+		strcmp(vm.name, p->self.name) ? TASK_ADMIN : TASK_CAPACITY, q);
+}
+
 void peers_forward(peers_t *p, const message_t *m)
 {
 	const char *peer = m->capacity.peer;
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -41,6 +41,7 @@
 	int64_t rollout_revert_ms;
 	int64_t runners_poll_ms;
 	int64_t config_wait_ms;
+	bool learned_speeds;
 	int64_t heartbeat_ms;
 	int64_t heartbeat_timeout_ms;
 	int64_t retry_horizon_ms;
@@ -64,6 +65,11 @@
 	int64_t max_kept_kib;
 	int64_t caller_backlog_kib;
 	double memory_mb;
+	int64_t intake_percent;
+	int64_t intake_connections;
+	int64_t intake_reserve;
+	int64_t intake_rate;
+	int64_t intake_grace_ms;
 	int64_t max_wants;
 	bool reuse_connections;
 	bool runner_load;
