limit_lease: a lease outlives the renewal after the one whose stamp it is counted from

Cause: a lease is counted from the stamp that a renewal returns, which came with the answer to the renewal before. Ruled out: asking for a stamp right before each renewal (twice the frames). Change: two renewals and 0.28 s. A new process waits 0.44 s up to 48 daemons, 0.63 s at 106 (0.85 s with leases of 8 ms a daemon), 3.6 s at 1,000 (6 s). Conclusion: safe as before; fewer refusals below a team's limit.

--- a/core/limit_lease.c
+++ b/core/limit_lease.c
@@ -11,10 +11,12 @@
 	MIN_RENEWAL_US = 80 * US_PER_MS,
 	RENEWAL_PER_DAEMON_NS = 5 * 1000 * US_PER_MS / 3,
 	/*
-	 * A lease outlives a renewal that is late by so much. A new process
-	 * waits for a whole lease, so it is no longer than that.
+	 * A lease is counted from a stamp that is a renewal old when it is
+	 * returned, and outlives the next renewal if that is late by less than
+	 * this. A new process waits for a whole lease, so it is no longer.
 	 */
-	RENEWAL_SLACK_US = 320 * US_PER_MS,
+	RENEWALS_PER_LEASE = 2,
+	RENEWAL_SLACK_US = 280 * US_PER_MS,
 	/* Before the size of the fleet is known. */
 	MAX_DURATION_US = 6000 * US_PER_MS,
 	NS_PER_US = 1000,
@@ -48,7 +50,7 @@
 						      g_free, g_free);
 	/* How long earlier leases last is known with the number of daemons. */
 	l->duration = MAX_DURATION_US;
-	l->renewal = l->duration - RENEWAL_SLACK_US;
+	l->renewal = (l->duration - RENEWAL_SLACK_US) / RENEWALS_PER_LEASE;
 	for (int i = 0; i < LIMIT_ROLES; i++)
 		l->shares[i].free_at = INT64_MAX;
 }
@@ -60,8 +62,9 @@
 	if (!daemons)
 		return;
 	l->renewal = CLAMP(daemons * per_daemon / NS_PER_US, MIN_RENEWAL_US,
-			   MAX_DURATION_US - RENEWAL_SLACK_US);
-	l->duration = l->renewal + RENEWAL_SLACK_US;
+			   (MAX_DURATION_US - RENEWAL_SLACK_US) /
+				   RENEWALS_PER_LEASE);
+	l->duration = RENEWALS_PER_LEASE * l->renewal + RENEWAL_SLACK_US;
 	/* The process before this one may have lent its shares for so long. */
 	for (int i = 0; i < LIMIT_ROLES; i++) {
 		limit_share_state_t *s = &l->shares[i];
