--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -125,6 +125,8 @@
  * effect is a longer wait.
  */
 void peers_route_want(peers_t *p, const message_t *m);
+/* Finds the dispatcher of a request that an operator asks for. */
+void peers_on_route_query(peers_t *p, route_query_t *q);
 /*
  * Posts a want of another daemon to the capacity task; as one that others may
  * dispatch too, if this daemon isn't the dispatcher's host in its own view.
