zone_groups: a refusal leads to no group that was found without runners

The fallback to the next group of the own zone didn't look at the groups that the request had found unusable. A loop of test_full_zone has a limit of its own.

--- a/core/zone_groups.c
+++ b/core/zone_groups.c
@@ -236,6 +236,40 @@
 			(uint32_t)(affinity->session % out->group.count);
 }
 
+static uint64_t group_bit(uint32_t index)
+{
+	return 1ULL << index % MASK_BITS;
+}
+
+/* Selects the first usable one of COUNT groups of the own zone, from FIRST. */
+static bool pick_own_group(uint32_t first, uint32_t count, zone_pick_t *pick)
+{
+	for (uint32_t n = 0; n < count; n++) {
+		uint32_t index = (first + n) % count;
+
+		if (pick->unusable_groups & group_bit(index))
+			continue;
+		pick->zone[0] = '\0';
+		pick->group.index = index;
+		pick->group.count = count;
+		return true;
+	}
+	return false;
+}
+
+/* Selects another group of the zone that the request is in. */
+static bool pick_next_group(zone_pick_t *pick)
+{
+	uint32_t before = pick->group.index;
+	uint32_t next = (before + 1) % MAX(pick->group.count, 1);
+
+	if (pick->zone[0])
+		pick->group.index = next;
+	else
+		pick_own_group(next, pick->group.count, pick);
+	return pick->group.index != before;
+}
+
 bool zone_groups_pick_next(const zone_groups_t *z, GRand *rand,
 			   zone_pick_t *pick)
 {
@@ -254,10 +288,7 @@
 	}
 	if (pick_other_zone(z, s, rand, pick))
 		return true;
-	if (pick->group.count <= 1)
-		return false;
-	pick->group.index = (pick->group.index + 1) % pick->group.count;
-	return true;
+	return pick_next_group(pick);
 }
 
 bool zone_groups_leave(const zone_groups_t *z, GRand *rand, zone_pick_t *pick)
@@ -268,27 +299,6 @@
 	return true;
 }
 
-static uint64_t group_bit(uint32_t index)
-{
-	return 1ULL << index % MASK_BITS;
-}
-
-/* Selects the first usable one of COUNT groups of the own zone, from FIRST. */
-static bool pick_own_group(uint32_t first, uint32_t count, zone_pick_t *pick)
-{
-	for (uint32_t n = 0; n < count; n++) {
-		uint32_t index = (first + n) % count;
-
-		if (pick->unusable_groups & group_bit(index))
-			continue;
-		pick->zone[0] = '\0';
-		pick->group.index = index;
-		pick->group.count = count;
-		return true;
-	}
-	return false;
-}
-
 /*
  * From another zone back to the own one. That hasn't refused the request if it
  * left there: other zones may be usable when it leaves again.
--- a/tests/test_full_zone.c
+++ b/tests/test_full_zone.c
@@ -148,6 +148,7 @@
 START_TEST(a_request_is_refused_when_no_zone_has_a_runner)
 {
 	gateway_fixture_t fixture;
+	int64_t end = now_us() + LIMIT_US;
 	uint64_t first, last = 0;
 
 	begin(&fixture, true);
@@ -155,6 +156,7 @@
 	gateway_await_count(&fixture, &fixture.wants, 1);
 	first = fixture.last_want.capacity.want.id.attempt;
 	while (!gateway_count(&fixture, 0, "HTTP/1.1")) {
+		ck_assert_int_lt(now_us(), end);
 		if (fixture.last_want.capacity.want.id.attempt != last)
 			refuse_unreachable(&fixture);
 		last = fixture.last_want.capacity.want.id.attempt;
--- a/tests/test_zone_groups.c
+++ b/tests/test_zone_groups.c
@@ -264,6 +264,21 @@
 }
 END_TEST
 
+START_TEST(a_refusal_leads_to_no_group_without_runners)
+{
+	fixture_t f;
+	zone_pick_t pick;
+
+	fixture_init(&f);
+	add(&f, "model", "north", 24);
+	zone_groups_pick_first(&f.z, "model", &none, f.rand, &pick);
+	ck_assert(zone_groups_pick_usable(&f.z, f.rand, false, &pick));
+	/* The other of the two groups is the one that was left just now. */
+	ck_assert(!zone_groups_pick_next(&f.z, f.rand, &pick));
+	fixture_finish(&f);
+}
+END_TEST
+
 /* Each stay there costs time, so it isn't tried again. */
 START_TEST(a_silent_zone_is_left_for_good)
 {
@@ -397,6 +412,7 @@
 	   a_request_tries_each_zone_that_can_be_reached,
 	   no_zone_with_a_runner_ends_the_search,
 	   a_group_without_runners_is_not_drawn_again,
+	   a_refusal_leads_to_no_group_without_runners,
 	   a_silent_zone_is_left_for_good,
 	   a_request_leaves_its_zone_in_vain_only_so_often,
 	   a_session_returns_to_its_group, a_zone_that_is_cut_off_is_not_tried,
