--- a/daemon/admin_task.c
+++ b/daemon/admin_task.c
@@ -8,15 +8,23 @@
 #include <stdlib.h>
 
 #include "common/log.h"
+#include "daemon/admin_route.h"
 #include "daemon/supervisor.h"
 #include "net/http.h"
 
+enum {
+	MAX_HEADER_BYTES = 16 * 1024,
+	MAX_BODY_BYTES = 64 * 1024,
+};
+
 typedef struct admin {
 	supervisor_t *sup;
 	struct evhttp *http;
 	struct evhttp *ready_http; /* for the load balancer, or NULL */
 	config_view_t *config;
 	vm_list_t *vms;
+	GArray *rollouts; /* rollout_state_t; NULL: none are followed */
+	admin_routes_t routes;
 	bool accepts_keys; /* idempotency keys, by MESSAGE_KEYS_READY */
 } admin_t;
 
@@ -107,6 +115,47 @@
 			"documents", list_documents(a)));
 }
 
+static json_t *describe_rollout(const admin_t *a, const rollout_state_t *s)
+{
+	const rollout_finding_t *f = &s->finding;
+	g_autofree char *label =
+		g_strdup_printf("service=\"%s\"", s->order.service);
+	rollout_stage_t applied = (rollout_stage_t)metrics_get(
+		&a->sup->metrics, "papaya_rollout_applied_stage", label);
+
+	return json_pack(
+		"{s:s, s:s, s:I, s:b, s:s, s:s, s:b, s:s, s:I, s:I, s:I, s:I, "
+		"s:i, s:i, s:f, s:f, s:i, s:i, s:i, s:I}",
+		"service", s->order.service, "target", s->order.target,
+		"duration_ms", (json_int_t)s->order.duration_ms, "conducts",
+		s->is_conducted, "applied", rollout_stage_name(applied),
+		"stage", s->is_conducted ? rollout_stage_name(s->stage) : "-",
+		"settled", s->is_settled, "why", s->why, "term",
+		(json_int_t)s->term, "requests", (json_int_t)s->requests,
+		"budget", (json_int_t)s->budget, "leased",
+		(json_int_t)s->leased, "answers", (int)f->answers, "bad",
+		(int)f->bad, "excess", f->excess, "score", f->score,
+		"target_runners", (int)s->view.target_runners, "other_runners",
+		(int)s->view.other_runners, "waiting_for", (int)s->waiting_for,
+		"left_ms", (json_int_t)s->left_ms);
+}
+
+static void reply_rollouts(admin_t *a, struct evhttp_request *req)
+{
+	json_t *rollouts = json_array();
+
+	for (guint i = 0; a->rollouts && i < a->rollouts->len; i++)
+		json_array_append_new(
+			rollouts,
+			describe_rollout(a,
+					 &g_array_index(a->rollouts,
+							rollout_state_t, i)));
+	reply_json(req, HTTP_OK,
+		   json_pack("{s:s, s:s, s:o}", "name", a->sup->settings->name,
+			     "zone", a->sup->settings->zone, "rollouts",
+			     rollouts));
+}
+
 static void reply_metrics(admin_t *a, struct evhttp_request *req)
 {
 	g_autoptr(GString) text = g_string_new(NULL);
@@ -124,6 +173,12 @@
 	      is_ready ? "ready\n" : "not ready\n");
 }
 
+static bool is_route_question(const char *path)
+{
+	return !strcmp(path, "/admin/route") ||
+	       g_str_has_prefix(path, "/admin/route?");
+}
+
 static void handle_operator_request(admin_t *a, struct evhttp_request *req,
 				    const char *path)
 {
@@ -139,6 +194,10 @@
 		reply_config(a, req);
 	} else if (!strcmp(path, "/admin/status") && !is_post) {
 		reply_status(a, req);
+	} else if (!strcmp(path, "/admin/rollouts") && !is_post) {
+		reply_rollouts(a, req);
+	} else if (is_route_question(path) && is_post) {
+		admin_routes_ask(&a->routes, req);
 	} else if (!strcmp(path, "/admin/drain") && is_post) {
 		supervisor_drain(a->sup);
 		reply_json(req, 202, json_pack("{s:b}", "draining", 1));
@@ -170,6 +229,15 @@
 	reply_ready(arg, req);
 }
 
+static struct evhttp *new_server(struct event_base *base)
+{
+	struct evhttp *http = evhttp_new(base);
+
+	evhttp_set_max_headers_size(http, MAX_HEADER_BYTES);
+	evhttp_set_max_body_size(http, MAX_BODY_BYTES);
+	return http;
+}
+
 static bool listen_at(struct evhttp *http, const char *address, err_t *err)
 {
 	char ip[MEMBER_NAME_SIZE];
@@ -190,8 +258,13 @@
 	if (m->type == MESSAGE_CONFIG && a->config != m->config) {
 		config_view_unref(a->config);
 		a->config = config_view_ref(m->config);
+	} else if (m->type == MESSAGE_ROLLOUT_STATES) {
+		g_clear_pointer(&a->rollouts, g_array_unref);
+		a->rollouts = g_array_ref(m->rollout_states);
 	} else if (m->type == MESSAGE_KEYS_READY) {
 		a->accepts_keys = m->number || a->sup->settings->fleet;
+	} else if (m->type == MESSAGE_ROUTE_QUERY) {
+		admin_routes_answer(&a->routes, m->query);
 	}
 }
 
@@ -199,10 +272,12 @@
 {
 	admin_t *a = state;
 
+	admin_routes_finish(&a->routes);
 	if (a->ready_http)
 		evhttp_free(a->ready_http);
 	evhttp_free(a->http);
 	config_view_unref(a->config);
+	g_clear_pointer(&a->rollouts, g_array_unref);
 	g_free(a);
 }
 
@@ -212,12 +287,13 @@
 	const char *ready_listen = sup->settings->ready_listen;
 
 	a->sup = sup;
+	admin_routes_init(&a->routes, sup);
 	/* A fleet's routes use no keys, so readiness does not wait for them. */
 	a->accepts_keys = sup->settings->fleet;
-	a->http = evhttp_new(sup->base);
+	a->http = new_server(sup->base);
 	evhttp_set_gencb(a->http, on_request, a);
 	if (ready_listen[0]) {
-		a->ready_http = evhttp_new(sup->base);
+		a->ready_http = new_server(sup->base);
 		evhttp_set_gencb(a->ready_http, on_ready_request, a);
 	}
 	if (listen_at(a->http, sup->settings->admin_listen, err) &&
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -5,9 +5,6 @@
  */
 #define LOG_PART "front"
 
-#include <inttypes.h>
-#include <sys/random.h>
-
 #include "common/log.h"
 #include "common/timeval.h"
 #include "daemon/job.h"
@@ -16,11 +13,7 @@
 	TICK_MS = 50,
 	MAX_BUDGETS = 65536, /* pairs of team and tier */
 	MAX_HEADER_BYTES = 32 * 1024,
-	TICKET_BYTES = 16, /* random part of a ticket */
 	STALL_RETRY_MS = 2000, /* Retry-After after a process stall */
-	ALLOWED_METHODS = EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
-			  EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
-			  EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH,
 };
 
 static const double retry_ratio = 0.2; /* retries per first attempt */
@@ -38,12 +31,10 @@
 			 NULL;
 }
 
-static bool has_key_or_ticket(struct evhttp_request *req)
+static bool has_key_or_ticket(const http1_head_t *head)
 {
-	struct evkeyvalq *headers = evhttp_request_get_input_headers(req);
-
-	return evhttp_find_header(headers, "Idempotency-Key") ||
-	       evhttp_find_header(headers, "Papaya-Ticket");
+	return head && (http1_find_header(head, STR_LIT("Idempotency-Key")) ||
+			http1_find_header(head, STR_LIT("Papaya-Ticket")));
 }
 
 /*
@@ -52,31 +43,30 @@
  * is NOT_RUN for a malformed request (400) and for one whose ticket belongs to
  * another request (422), as neither can have run anywhere.
  */
-static outcome_t refusal_outcome(struct evhttp_request *req, int status)
+static outcome_t refusal_outcome(const http1_head_t *head, int status)
 {
-	return has_key_or_ticket(req) && status != HTTP_BADREQUEST &&
+	return has_key_or_ticket(head) && status != HTTP_BADREQUEST &&
 			       status != 422 ?
 		       OUTCOME_UNKNOWN :
 		       OUTCOME_NOT_RUN;
 }
 
-static void refuse(front_t *f, struct evhttp_request *req, int status,
-		   const char *field, const char *message,
-		   uint32_t retry_after_ms)
+void front_refuse(front_t *f, http_conn_t *conn, int status, const char *field,
+		  const char *message, uint32_t retry_after_ms)
 {
 	static const caller_ops_t ops;
 	response_head_t head = { .status = status,
-				 .outcome = refusal_outcome(req, status),
+				 .outcome = refusal_outcome(
+					 http_conn_head(conn), status),
 				 .retry_after_ms = retry_after_ms };
 	caller_t c;
 
 	metrics_add(&f->sup->metrics, "papaya_refused_requests_total", NULL, 1);
-	caller_init(&c, f->sup->base, req, &ops, NULL);
+	caller_init(&c, conn, &ops, NULL);
 	caller_reply_error(&c, &head, field, message);
 }
 
-/* True when the credential is valid or the team requires none. */
-static bool is_authorized(const profile_team_t *team, const call_t *call)
+bool front_is_authorized(const profile_team_t *team, const call_t *call)
 {
 	g_autofree char *hash = NULL;
 
@@ -98,7 +88,7 @@
 	if (!team)
 		return call_reject(error, 403, "Papaya-Team",
 				   "the profile is closed to this team");
-	if (!is_authorized(team, call))
+	if (!front_is_authorized(team, call))
 		return call_reject(error, 401, "Authorization",
 				   "the team's credential is expected");
 	return true;
@@ -123,7 +113,7 @@
 	return true;
 }
 
-static bool check_service(front_t *f, call_t *call, call_error_t *error)
+bool front_check(front_t *f, call_t *call, call_error_t *error)
 {
 	const profile_service_t *service = front_service(f, call);
 	const profile_t *profile = front_profile(f, call);
@@ -141,127 +131,7 @@
 	       check_team(call, profile, error);
 }
 
-/*
- * True when the credential is valid for the team in any profile, or no profile
- * has the team. A ticket request names no service, so any profile may apply.
- */
-static bool check_ticket_team(front_t *f, const call_t *call)
-{
-	GHashTableIter iter;
-	profile_t *profile;
-	bool is_known = false;
-
-	g_hash_table_iter_init(&iter, f->config->profiles);
-	while (g_hash_table_iter_next(&iter, NULL, (void **)&profile)) {
-		const profile_team_t *team =
-			profile_find_team(profile, str_from(call->team));
-
-		if (!team)
-			continue;
-		if (is_authorized(team, call))
-			return true;
-		is_known = true;
-	}
-	return !is_known;
-}
-
-static void issue_ticket(front_t *f, struct evhttp_request *req,
-			 const call_t *call)
-{
-	static const caller_ops_t ops;
-	response_head_t head = { .status = HTTP_OK,
-				 .content_type = "application/json" };
-	unsigned char bytes[TICKET_BYTES];
-	g_autoptr(GString) ticket = g_string_new(NULL);
-	g_autoptr(GBytes) scoped_key = NULL;
-	g_autofree char *json = NULL;
-	caller_t c;
-
-	if (!check_ticket_team(f, call)) {
-		refuse(f, req, 401, "Authorization",
-		       "the team's credential is expected", 0);
-		return;
-	}
-	if (getrandom(bytes, sizeof(bytes), 0) != (ssize_t)sizeof(bytes)) {
-		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
-		       "no random numbers for a ticket", JOB_RETRY_MS);
-		return;
-	}
-	g_string_printf(ticket, "%s:%016" PRIx64 ":", f->sup->settings->name,
-			f->sup->boot_id);
-	for (size_t i = 0; i < sizeof(bytes); i++)
-		g_string_append_printf(ticket, "%02x", bytes[i]);
-	scoped_key = dedup_scope(str_from(call->team), str_from(ticket->str));
-	if (!dedup_issue_ticket(&f->tickets, scoped_key, now_us())) {
-		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
-		       "the table of keys is full", JOB_RETRY_MS);
-		return;
-	}
-	json = g_strdup_printf("{\"ticket\":\"%s\"}", ticket->str);
-	caller_init(&c, f->sup->base, req, &ops, NULL);
-	caller_reply(&c, &head, str_from(json));
-}
-
-/*
- * Handles a ticket that was used before: sends the stored response, adds the
- * caller to the running job, or refuses a request that differs from the first.
- * Returns false when the ticket was not used here.
- */
-static bool reply_to_repeat(front_t *f, struct evhttp_request *req,
-			    const call_t *call, GBytes *scoped_key)
-{
-	dedup_entry_t *entry = dedup_find(&f->tickets, scoped_key);
-
-	if (!entry || entry->state == DEDUP_ISSUED)
-		return false;
-	metrics_add(&f->sup->metrics, "papaya_repeats_total", NULL, 1);
-	if (entry->fingerprint != call->fingerprint)
-		refuse(f, req, 422, "Papaya-Ticket", "it names another request",
-		       0);
-	else if (entry->state == DEDUP_ENDED)
-		job_reply_stored_to(req, f->sup->base, &entry->answer);
-	else
-		job_join(entry->user_data, req);
-	return true;
-}
-
-static void refuse_ticket(front_t *f, struct evhttp_request *req)
-{
-	static const caller_ops_t ops;
-	response_head_t head = { .status = 410, .outcome = OUTCOME_UNKNOWN };
-	caller_t c;
-
-	caller_init(&c, f->sup->base, req, &ops, NULL);
-	caller_reply_error(&c, &head, "Papaya-Ticket",
-			   "no such ticket, or it was used long ago");
-}
-
-static bool is_own_ticket(const front_t *f, const char *ticket)
-{
-	char daemon[MEMBER_NAME_SIZE];
-	uint64_t boot_id;
-
-	return call_ticket_daemon(ticket, daemon, sizeof(daemon), &boot_id) &&
-	       boot_id == f->sup->boot_id &&
-	       !strcmp(daemon, f->sup->settings->name);
-}
-
-/* True when no daemon can run the ticket: it is malformed, lost or expired. */
-static bool is_unusable_ticket(const front_t *f, const call_t *call,
-			       GBytes *scoped_key)
-{
-	char daemon[MEMBER_NAME_SIZE];
-	uint64_t boot_id;
-
-	if (!call_ticket_daemon(call->ticket, daemon, sizeof(daemon), &boot_id))
-		return true;
-	if (strcmp(daemon, f->sup->settings->name))
-		return call->is_forwarded;
-	return boot_id != f->sup->boot_id ||
-	       !dedup_find(&f->tickets, scoped_key);
-}
-
-static void start_job(front_t *f, struct evhttp_request *req, call_t *call,
+static void start_job(front_t *f, http_conn_t *conn, call_t *call,
 		      GBytes *scoped_key)
 {
 	const profile_service_t *service = front_service(f, call);
@@ -270,94 +140,168 @@
 	job_t *job;
 
 	team_retry_count_first(&f->retry, str_from(call->team), (uint32_t)tier);
-	job = job_new(f, call, service, profile, req);
+	job = job_new(f, call, service, profile, conn);
 	if (!scoped_key) {
 		job_check_limit(job);
 		return;
 	}
 	job->scoped_key = g_bytes_ref(scoped_key);
-	if (job->call.ticket && is_own_ticket(f, job->call.ticket))
+	if (job->call.ticket && front_is_own_ticket(f, job->call.ticket))
 		job_claim_ticket(job);
 	else
 		job_look_up_owner(job);
 }
 
-static bool check_request_limit(front_t *f, struct evhttp_request *req)
+static bool check_request_limit(front_t *f, http_conn_t *conn)
 {
 	if (g_hash_table_size(f->jobs) < f->sup->settings->max_requests)
 		return true;
-	refuse(f, req, HTTP_SERVUNAVAIL, NULL, "too many requests in progress",
-	       JOB_RETRY_MS);
+	front_refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
+		     "too many requests in progress", JOB_RETRY_MS);
 	return false;
 }
 
 /* Replies to requests that need no job; false when a job is needed. */
-static bool reply_without_job(front_t *f, struct evhttp_request *req,
-			      const call_t *call, GBytes *scoped_key)
+static bool reply_without_job(front_t *f, http_conn_t *conn, const call_t *call,
+			      GBytes *scoped_key)
 {
-	if (call->ticket && reply_to_repeat(f, req, call, scoped_key))
+	if (call->ticket && front_reply_to_repeat(f, conn, call, scoped_key))
 		return true;
-	if (call->ticket && is_unusable_ticket(f, call, scoped_key)) {
-		refuse_ticket(f, req);
+	if (call->ticket && front_is_unusable_ticket(f, call, scoped_key)) {
+		front_refuse_ticket(f, conn);
 		return true;
 	}
-	return !check_request_limit(f, req);
+	return !check_request_limit(f, conn);
 }
 
-static void accept_call(front_t *f, struct evhttp_request *req, call_t *call)
+static void accept_call(front_t *f, http_conn_t *conn, call_t *call)
 {
 	g_autoptr(GBytes) scoped_key = NULL;
 	const char *key = call->key ? call->key : call->ticket;
 	call_error_t error;
 
 	if (call->is_ticket_request) {
-		issue_ticket(f, req, call);
+		front_issue_ticket(f, conn, call);
 		call_finish(call);
 		return;
 	}
-	if (!check_service(f, call, &error)) {
-		refuse(f, req, error.status, error.field, error.message, 0);
+	if (!front_check(f, call, &error)) {
+		front_refuse(f, conn, error.status, error.field, error.message,
+			     0);
 		call_finish(call);
 		return;
 	}
 	if (key)
 		scoped_key = dedup_scope(str_from(call->team), str_from(key));
-	if (reply_without_job(f, req, call, scoped_key))
+	if (reply_without_job(f, conn, call, scoped_key))
 		call_finish(call);
 	else
-		start_job(f, req, call, scoped_key);
+		start_job(f, conn, call, scoped_key);
 }
 
-static void on_request(struct evhttp_request *req, void *arg)
+static void on_request(void *ctx, http_conn_t *conn, const http1_head_t *head,
+		       GBytes *body)
 {
-	front_t *f = arg;
+	front_t *f = ctx;
 	call_error_t error;
 	call_t call;
 
 	if (f->is_draining) {
-		evhttp_add_header(evhttp_request_get_output_headers(req),
-				  "Connection", "close");
-		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
-		       "this VM is leaving; ask another", 1);
+		front_refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
+			     "this VM is leaving; ask another", 1);
 		return;
 	}
 	if (!f->config) {
-		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
-		       "no profile is in force yet", JOB_RETRY_MS);
+		front_refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
+			     "no profile is in force yet", JOB_RETRY_MS);
 		return;
 	}
-	if (supervisor_stalled_recently(f->sup) && has_key_or_ticket(req)) {
-		refuse(f, req, HTTP_SERVUNAVAIL, NULL,
-		       "this VM stood still; ask again", STALL_RETRY_MS);
+	if (supervisor_stalled_recently(f->sup) && has_key_or_ticket(head)) {
+		front_refuse(f, conn, HTTP_SERVUNAVAIL, NULL,
+			     "this VM stood still; ask again", STALL_RETRY_MS);
 		return;
 	}
-	if (!call_parse(&call, req, f->sup->settings, &error)) {
-		refuse(f, req, error.status, error.field, error.message, 0);
+	if (!call_parse(&call, head, body, f->sup->settings, &error)) {
+		front_refuse(f, conn, error.status, error.field, error.message,
+			     0);
 		return;
 	}
-	accept_call(f, req, &call);
+	accept_call(f, conn, &call);
+}
+
+/*
+ * Of a request whose head didn't come whole nobody knows whether it has a key,
+ * under which it may have run before.
+ */
+static outcome_t incomplete_outcome(const http1_head_t *head, int status)
+{
+	bool is_refused_always =
+		status == HTTP_BADREQUEST ||
+		status == HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE;
+
+	if (!head && !is_refused_always)
+		return OUTCOME_UNKNOWN;
+	return refusal_outcome(head, status);
+}
+
+static void on_refusal(void *ctx, http_conn_t *conn, int status,
+		       int64_t retry_after_ms, const char *why)
+{
+	front_t *f = ctx;
+	outcome_t outcome = incomplete_outcome(http_conn_head(conn), status);
+	g_autofree char *text = caller_error_json(why, NULL, outcome, NULL);
+	response_head_t head = { .status = status,
+				 .content_type = "application/json",
+				 .outcome = outcome,
+				 .retry_after_ms = (uint32_t)retry_after_ms };
+
+	metrics_add(&f->sup->metrics, "papaya_refused_requests_total", NULL, 1);
+	caller_write_reply(conn, &head, str_from(text));
 }
 
+static http_limits_t limits(void *ctx)
+{
+	const settings_t *s = ((const front_t *)ctx)->sup->settings;
+
+	return (http_limits_t){
+		.max_header_bytes = MAX_HEADER_BYTES,
+		.max_body_bytes = (uint64_t)s->max_body_kib * 1024,
+		.idle_timeout_ms = s->caller_idle_ms,
+	};
+}
+
+static void on_left(void *ctx, http_conn_t *conn)
+{
+	caller_on_left(conn);
+}
+
+static void on_written(void *ctx, http_conn_t *conn)
+{
+	caller_on_written(conn);
+}
+
+static uint32_t count_upstreams(void *ctx)
+{
+	const front_t *f = ctx;
+	GHashTableIter iter;
+	const job_t *job;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&iter, f->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&job))
+		n += job->upstream.exchange != NULL;
+	return n;
+}
+
+static const http_server_ops_t server_ops = {
+	.limits = limits,
+	.request = on_request,
+	.refuse = on_refusal,
+	.left = on_left,
+	.written = on_written,
+	.upstreams = count_upstreams,
+};
+
 static void apply_config(front_t *f, config_view_t *config)
 {
 	if (f->config == config)
@@ -477,9 +421,8 @@
 {
 	f->is_draining = true;
 	f->drain_deadline = now_us() + f->sup->settings->drain_ms * 1000;
-	if (f->socket)
-		evhttp_del_accept_socket(f->http, f->socket);
-	f->socket = NULL;
+	http_server_stop_listening(&f->http);
+	f->http.is_draining = true;
 }
 
 static void handle(void *state, const message_t *m)
@@ -505,6 +448,9 @@
 	case MESSAGE_VIEW_CHANGED:
 		for_each_job(f, job_on_view_change);
 		break;
+	case MESSAGE_ROUTE_QUERY:
+		front_on_route_query(f, m->query);
+		break;
 	case MESSAGE_DRAIN:
 		drain(f);
 		break;
@@ -547,32 +493,10 @@
 		    g_hash_table_size(f->jobs));
 	metrics_set(&f->sup->metrics, "papaya_tickets", NULL,
 		    g_hash_table_size(f->tickets.entries));
+	http_server_export(&f->http);
 	check_drained(f);
 }
 
-static bool listen_for_callers(front_t *f, err_t *err)
-{
-	const settings_t *s = f->sup->settings;
-	struct timeval idle = timeval_from_ms(s->caller_idle_ms);
-	char ip[MEMBER_NAME_SIZE];
-	uint16_t port;
-
-	if (!http_split_address(s->listen, ip, sizeof(ip), &port, err))
-		return false;
-	f->http = evhttp_new(f->sup->base);
-	evhttp_set_allowed_methods(f->http, ALLOWED_METHODS);
-	evhttp_set_max_body_size(f->http, s->max_body_kib * 1024);
-	evhttp_set_max_headers_size(f->http, MAX_HEADER_BYTES);
-	evhttp_set_timeout_tv(f->http, &idle);
-	evhttp_set_gencb(f->http, on_request, f);
-	f->socket = evhttp_bind_socket_with_handle(f->http, ip, port);
-	if (f->socket)
-		return true;
-	evhttp_free(f->http);
-	return err_set(err, ERR_SYSTEM, "listen for callers", s->listen,
-		       "the address can't be bound");
-}
-
 static void init_tables(front_t *f)
 {
 	const settings_t *s = f->sup->settings;
@@ -595,7 +519,7 @@
 	front_t *f = g_new0(front_t, 1);
 
 	f->sup = sup;
-	if (!listen_for_callers(f, err)) {
+	if (!http_server_init(&f->http, sup, &server_ops, f, NULL, err)) {
 		g_free(f);
 		return NULL;
 	}
@@ -610,7 +534,7 @@
 
 	event_free(f->timer);
 	g_hash_table_destroy(f->jobs);
-	evhttp_free(f->http);
+	http_server_finish(&f->http);
 	dedup_finish(&f->tickets);
 	team_retry_finish(&f->retry);
 	config_view_unref(f->config);
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -8,9 +8,6 @@
 #ifndef DAEMON_GATEWAY_H
 #define DAEMON_GATEWAY_H
 
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
-
 #include "core/byte_budget.h"
 #include "core/fleet.h"
 #include "core/hot_prefix.h"
@@ -19,18 +16,19 @@
 #include "core/runner_filter.h"
 #include "core/stream_releases.h"
 #include "core/zone_groups.h"
+#include "daemon/http_server.h"
 #include "daemon/supervisor.h"
 #include "daemon/upstream.h"
 #include "net/sse.h"
 #include "platform/call_head.h"
 
-typedef struct ingress ingress_t;
+/* A caller's connection; its user is the relay of its request. */
+typedef http_conn_t ingress_t;
 typedef struct relay relay_t;
 
 typedef struct gateway {
 	supervisor_t *sup;
-	struct evconnlistener *listener;
-	GHashTable *callers; /* set of ingress_t */
+	http_server_t callers;
 	GHashTable *relays; /* attempt number to relay_t */
 	GHashTable *pending; /* set of relay_t that wait for gateway_is_ready */
 	bool has_runners; /* a list of runners was received */
@@ -41,12 +39,11 @@
 	quarantine_t quarantine; /* prompt parts that crash runners */
 	vm_list_t *vms; /* NULL until a list was received */
 	stream_releases_t streams; /* that began here */
+	GHashTable *rollouts; /* service to gateway_rollout_t */
 	fleet_t *fleet; /* NULL until a configuration is in force */
 	retry_budget_t retries;
 	/* Of answers: received in part, or not yet read by callers. */
 	byte_budget_t answers;
-	/* Of requests' bodies, from their first byte to the request's end. */
-	byte_budget_t bodies;
 	/* status of runners, as known to this daemon */
 	runner_filter_t runners;
 	GHashTable *runner_zones; /* name to zone, of all listed runners */
@@ -56,13 +53,10 @@
 	int64_t drain_since; /* microseconds; 0: not draining */
 } gateway_t;
 
-/* ingress.c: a caller's connection. */
+/* ingress.c: a caller whose request is served. */
 
-void ingress_accept(gateway_t *g, evutil_socket_t fd);
-/* Closes at once; the relay is not notified. */
-void ingress_free(ingress_t *c);
-/* Closes the connection if no request is being read or answered. */
-void ingress_close_idle(ingress_t *c);
+/* Makes requests of callers into relays; its context is the gateway. */
+extern const http_server_ops_t ingress_ops;
 /* Answers the request with an error made by this daemon. */
 void ingress_answer_error(ingress_t *c, int status, int64_t retry_after_ms,
 			  const char *why);
@@ -135,6 +129,10 @@
 /* Tells a daemon, to which a link is up now, what is in quarantine. */
 void gateway_send_quarantine(gateway_t *g, const char *peer);
 
+/* gateway_route.c: tells an operator where a request would go. */
+
+void gateway_on_route_query(gateway_t *g, route_query_t *q);
+
 /* relay_release.c: streams that go on only on the release that began them. */
 
 /* Handles the answer of a stream's recorder. */
@@ -142,4 +140,17 @@
 /* A new list of runners: sends streams to be recorded that were not so far. */
 void gateway_on_releases(gateway_t *g, const vm_list_t *before);
 
+/* relay_rollout.c: a service's traffic moves to another release. */
+
+void gateway_rollouts_init(gateway_t *g);
+void gateway_rollouts_finish(gateway_t *g);
+/* All orders (rollout_order_t) that operators gave. */
+void gateway_on_rollout_orders(gateway_t *g, const GArray *orders);
+/* There is a new list of VMs. */
+void gateway_on_rollout_runners(gateway_t *g);
+/* The conductor's answer to a report. */
+void gateway_on_rollout_told(gateway_t *g, const message_rollout_t *m);
+/* Reports to the conductor, and moves requests; called every TICK_MS. */
+void gateway_check_rollouts(gateway_t *g);
+
 #endif
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -18,6 +18,8 @@
 #include "core/member.h"
 #include "core/profile.h"
 #include "core/quarantine.h"
+#include "core/rollout.h"
+#include "core/speed_digest.h"
 #include "core/stream_releases.h"
 #include "core/topic_follow.h"
 #include "core/dedup.h"
@@ -96,6 +98,13 @@
 	MESSAGE_STREAM_NOTES, /* front to peers to store: streams began */
 	MESSAGE_STREAM_ASK, /* likewise: which release began this one? */
 	MESSAGE_STREAM_ANSWER, /* store to peers to front */
+	/* capacity to peers and back: learned speeds of a dispatcher's runners */
+	MESSAGE_SPEEDS,
+	MESSAGE_ROLLOUT_ORDERS, /* store to front: all orders of roll-outs */
+	MESSAGE_ROLLOUT_HOST, /* peers to store: does this daemon conduct? */
+	MESSAGE_ROLLOUT_REPORT, /* front to peers to store, which conducts */
+	MESSAGE_ROLLOUT_TOLD, /* store to peers to front: the answer to it */
+	MESSAGE_ROLLOUT_STATES, /* store to admin: all roll-outs, for operators */
 	MESSAGE_LINK_UP, /* peers to capacity, front: a link to a daemon is up */
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: incarnation ended */
 	MESSAGE_REQUEST_LISTS, /* store to peers: request a daemon's lists */
@@ -114,6 +123,8 @@
 	MESSAGE_ACCOUNT, /* front to accounts */
 	MESSAGE_APPEND, /* accounts to platform */
 	MESSAGE_APPENDED, /* platform to accounts */
+	/* admin to front to peers to capacity, and back to admin */
+	MESSAGE_ROUTE_QUERY,
 	MESSAGE_DRAIN, /* supervisor to all */
 	MESSAGE_DRAINED, /* front to peers to accounts: drain is done */
 } message_type_t;
@@ -251,6 +262,41 @@
 	bool from_memory; /* ASK: answer at once, without reading the store */
 } message_streams_t;
 
+/* Learned speeds of the runners of one dispatcher. */
+typedef struct message_speeds {
+	char service[MEMBER_NAME_SIZE]; /* the dispatcher's name */
+	GArray *digests; /* runner_digest_t */
+} message_speeds_t;
+/* Answers alike, as a daemon counted them. */
+typedef struct rollout_tally {
+	rollout_answer_t answer;
+	uint32_t n;
+} rollout_tally_t;
+
+/* What a daemon reports of a roll-out, or what it is told. */
+typedef struct message_rollout {
+	char peer[MEMBER_NAME_SIZE]; /* the daemon; "": this one */
+	char service[FLEET_NAME_SIZE];
+	rollout_report_t report; /* REPORT */
+	rollout_told_t told; /* TOLD */
+	GArray *tallies; /* REPORT: of rollout_tally_t */
+} message_rollout_t;
+
+/* What the conductor knows of a roll-out; another daemon: only the order. */
+typedef struct rollout_state {
+	rollout_order_t order;
+	bool is_conducted; /* by this daemon */
+	bool is_settled; /* the store has the decision */
+	rollout_stage_t stage;
+	uint64_t term;
+	uint64_t requests, budget, leased;
+	rollout_finding_t finding;
+	rollout_view_t view;
+	uint32_t waiting_for; /* daemons, before the next stage */
+	int64_t left_ms;
+	char why[ROLLOUT_WHY_SIZE];
+} rollout_state_t;
+
 typedef struct message_account {
 	accounts_key_t key;
 	accounts_sum_t delta;
@@ -262,6 +308,10 @@
 	bool is_ok; /* APPENDED */
 } message_append_t;
 
+typedef struct route_query route_query_t; /* daemon/route_query.h */
+
+void route_query_unref(route_query_t *q);
+
 typedef struct message {
 	message_type_t type;
 	union {
@@ -273,7 +323,7 @@
 			/* also those that may serve behind a partition */
 			uint32_t known;
 		} daemons; /* DAEMON_COUNT */
-		/* CONFIG_NEXT, READER_ROLE, VIEW_STABLE, KEYS_READY */
+		/* CONFIG_NEXT, READER_ROLE, VIEW_STABLE, KEYS_READY, ROLLOUT_HOST */
 		uint64_t number;
 		struct {
 			char name[MEMBER_NAME_SIZE]; /* zone or daemon */
@@ -295,8 +345,13 @@
 		message_limit_hosts_t limit_hosts;
 		message_part_t part;
 		message_streams_t streams;
+		message_speeds_t speeds;
+		GArray *rollout_orders; /* of rollout_order_t */
+		GArray *rollout_states; /* of rollout_state_t */
+		message_rollout_t rollout;
 		message_account_t account;
 		message_append_t append;
+		route_query_t *query;
 	};
 } message_t;
 
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -11,6 +11,7 @@
 #include "daemon/fleet_view.h"
 #include "daemon/frames.h"
 #include "daemon/peers.h"
+#include "daemon/speed_frames.h"
 #include "daemon/vm_frames.h"
 
 enum {
@@ -108,7 +109,7 @@
 
 	log_info("link to %s is up", vm->name);
 	member_on_heartbeat(&p->member, vm, incarnation, false, now_us());
-	member_set_link_lost(&p->member, str_from(vm->name), false);
+	member_set_link_lost(&p->member, str_from(vm->name), false, now_us());
 	detector_link_up(&p->detector, vm->name, vm->zone, now_us());
 	post_link_up(p, vm->name);
 	peers_post_view_changed(p);
@@ -152,7 +153,8 @@
 		 err ? err_text(err, text, sizeof(text)) : "closed");
 	/* Its roles are with the next host before it is known to be dead. */
 	if (p->sup->settings->fleet && g_hash_table_contains(p->linked, name))
-		member_set_link_lost(&p->member, str_from(name), true);
+		member_set_link_lost(&p->member, str_from(name), true,
+				     now_us());
 	detector_link_down(&p->detector, name, now_us());
 	post_view_stable(p);
 	/* Wants sent over the link may be lost; the front sends them again. */
@@ -222,8 +224,13 @@
 	if (peers_on_store_frame(p, name, frame) ||
 	    peers_on_part_frame(p, name, frame) ||
 	    peers_on_stream_frame(p, name, frame) ||
+	    peers_on_rollout_frame(p, name, frame) ||
 	    peers_on_ping(p, name, frame))
 		return;
+	if (speed_frames_read(frame, &m)) {
+		supervisor_post(p->sup, TASK_CAPACITY, &m);
+		return;
+	}
 	if (key_table_receive(&p->keys, name, frame))
 		return;
 	if (frames_read_limit(frame, name, &m)) {
@@ -242,9 +249,13 @@
 			    NULL, 1);
 		return;
 	}
-	supervisor_post(p->sup,
-			peers_is_for_owner(m.type) ? TASK_FRONT : TASK_CAPACITY,
-			&m);
+	if (m.type == MESSAGE_WANT)
+		peers_receive_want(p, &m);
+	else
+		supervisor_post(p->sup,
+				peers_is_for_owner(m.type) ? TASK_FRONT :
+							     TASK_CAPACITY,
+				&m);
 }
 
 static void on_probe_result(void *ctx, const char *name, bool is_ok)
@@ -390,6 +401,8 @@
 		if (is_needed)
 			continue;
 		peer_release(&p->peer, str_from(name));
+		member_set_link_lost(&p->member, str_from(name), false,
+				     now_us());
 		g_hash_table_iter_remove(&iter);
 	}
 	peer_stats(&p->peer, &stats);
@@ -417,6 +430,7 @@
 	member_tick(&p->member, now_us());
 	post_view_stable(p);
 	peers_post_reader(p);
+	peers_post_rollout_host(p);
 	post_daemon_count(p);
 	peers_post_limit_hosts(p);
 	if (p->sup->settings->fleet)
@@ -487,10 +501,17 @@
 	case MESSAGE_STREAM_NOTES:
 		peers_send_stream_notes(p, m->streams.begun);
 		break;
+	case MESSAGE_SPEEDS:
+		peers_send_speeds(p, &m->speeds);
+		break;
 	case MESSAGE_STREAM_ASK:
 	case MESSAGE_STREAM_ANSWER:
 		peers_route_stream(p, m);
 		break;
+	case MESSAGE_ROLLOUT_REPORT:
+	case MESSAGE_ROLLOUT_TOLD:
+		peers_route_rollout(p, m);
+		break;
 	case MESSAGE_REQUEST_LISTS:
 		peers_request_lists(p, m->lists.topics);
 		break;
@@ -500,6 +521,9 @@
 	case MESSAGE_CLAIM_ENDED:
 		key_table_on_request_end(&p->keys, &m->claim);
 		break;
+	case MESSAGE_ROUTE_QUERY:
+		peers_on_route_query(p, m->query);
+		break;
 	case MESSAGE_WANT:
 		peers_route_want(p, m);
 		break;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -33,7 +33,7 @@
 	return r->runner.name[0] ? r->runner.name : "-";
 }
 
-static uint32_t whole_output_tokens(const call_head_t *call)
+uint32_t relay_whole_output_tokens(const call_head_t *call)
 {
 	if (call->output_hint)
 		return call->output_hint;
@@ -67,7 +67,7 @@
  */
 static uint32_t output_tokens_left(const relay_t *r)
 {
-	uint32_t whole = whole_output_tokens(&r->call);
+	uint32_t whole = relay_whole_output_tokens(&r->call);
 	uint32_t received = events_received(r);
 
 	return MAX(received < whole ? whole - received : 0,
@@ -138,6 +138,8 @@
 
 void relay_request_runner(relay_t *r)
 {
+	if (!relay_choose_pool(r))
+		return;
 	drop_answer(r);
 	r->load = (runner_load_t){ 0 };
 	r->is_load_told = false;
@@ -166,6 +168,7 @@
 {
 	done_t done = { .result = result };
 
+	relay_on_done(r, result);
 	done.prompt_tokens = r->call.prompt_tokens;
 	done.output_tokens = r->output_tokens;
 	done.says_leaving = r->says_leaving;
@@ -190,7 +193,6 @@
 	evbuffer_free(r->answer_body);
 	sse_finish(&r->sse);
 	g_string_free(r->last_event_id, TRUE);
-	byte_budget_remove(&r->gateway->bodies, g_bytes_get_size(r->body));
 	g_bytes_unref(r->body);
 	g_free(r->id);
 	fleet_unref(r->fleet);
@@ -389,6 +391,7 @@
 	r->state = RELAY_GRANTED;
 	r->progress_at = now_us();
 	relay_note_release(r);
+	relay_on_sent(r);
 	r->upstream = upstream_conn_start(
 		&r->gateway->pool, r->runner.address, allowed_reuse(r),
 		str_eq(r->call.method, STR_LIT("HEAD")), request,
@@ -473,7 +476,8 @@
 {
 	if (r->state != RELAY_AWAITING_GRANT)
 		return;
-	if (has_retry_time(r) && relay_try_after_refusal(r, reason))
+	if (has_retry_time(r) &&
+	    (relay_leave_pool(r) || relay_try_after_refusal(r, reason)))
 		return;
 	r->state = RELAY_ENDED;
 	if (r->possible_runs || r->has_begun)
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -17,6 +17,19 @@
 	RELAY_ENDED,
 } relay_state_t;
 
+/* What a request has to do with a roll-out of its service. */
+typedef struct relay_rollout {
+	uint64_t order; /* that the rest belongs to; 0: none */
+	bool is_chosen; /* IN_POOL was decided */
+	bool in_pool; /* it is dispatched to the target's runners */
+	bool has_share; /* of the target's exposure, and not used yet */
+	bool was_refused; /* by the target's dispatcher */
+	bool is_counted; /* among the service's requests */
+	bool is_timed; /* the first answer of this send was counted */
+	int64_t sent_at; /* to the runner; 0: it is not */
+	int64_t first_at; /* first event of its stream; 0: none */
+} relay_rollout_t;
+
 struct relay {
 	gateway_t *gateway;
 	ingress_t *caller; /* NULL once the caller left or was answered */
@@ -66,6 +79,7 @@
 	 * it has not begun.
 	 */
 	uint64_t release;
+	relay_rollout_t rollout;
 	upstream_conn_t *upstream;
 	/* Stated in the runner's answer, and reported to the dispatcher: */
 	bool says_leaving; /* the runner is leaving */
@@ -113,6 +127,8 @@
 str_t relay_last_event_id(const relay_t *r);
 /* Name of the dispatcher for logs: "own" for this daemon. */
 const char *relay_dispatcher_name(const relay_t *r);
+/* Estimates the output of a request, from its start. */
+uint32_t relay_whole_output_tokens(const call_head_t *call);
 /*
  * Gives the request a new attempt number. Messages that answer the previous
  * attempt are no longer matched to this request.
@@ -126,7 +142,10 @@
 bool relay_is_stale(const relay_t *r);
 /* Timer callback: the wait for readiness is over, or the deadline passed. */
 void relay_on_deadline(evutil_socket_t fd, short what, void *arg);
-/* Sends a want to a dispatcher, under a new attempt number. */
+/*
+ * Sends a want to a dispatcher, under a new attempt number. May answer and free
+ * the relay instead: a stream's release may not be used any more.
+ */
 void relay_request_runner(relay_t *r);
 /* Sends a message about this attempt to its dispatcher; DONE may be NULL. */
 void relay_post_capacity(relay_t *r, message_type_t type, const done_t *done);
@@ -161,6 +180,27 @@
  */
 bool relay_retry(relay_t *r);
 
+/* relay_rollout.c */
+
+/*
+ * Chooses the release for the next want, while its service is being rolled out.
+ * Returns false when there is none that it may use: it was answered, and freed.
+ */
+bool relay_choose_pool(relay_t *r);
+/* The name under which the runners for its next want are dispatched. */
+const char *relay_pool(const relay_t *r);
+/* Whether the granted runner's release may be used now. */
+bool relay_may_send(const relay_t *r);
+/*
+ * A dispatcher of the target's runners refused: tries those of the other
+ * releases. Returns false when it may not.
+ */
+bool relay_leave_pool(relay_t *r);
+/* For the reports: it was sent, its stream began, the use of its runner ended. */
+void relay_on_sent(relay_t *r);
+void relay_on_first_event(relay_t *r);
+void relay_on_done(relay_t *r, done_result_t result);
+
 /* relay_moves.c: from one dispatcher to another */
 
 /* After a refusal: requests a runner of another one; false: there is none. */
@@ -175,6 +215,19 @@
 
 /* relay_admit.c */
 
+/* Picks the dispatcher for the first want among the runners of its pool. */
+void relay_pick_dispatcher(relay_t *r);
+
+/* The cost in a team's limit: tokens, or 1 for a request. */
+uint32_t relay_limit_cost(const fleet_team_t *team, const call_head_t *call);
+/*
+ * Picks, among the runners of POOL, the dispatcher to ask first. A long prefix goes to the group of runners
+ * that may have it cached, also in another zone, unless many recent requests
+ * share it; PREFIXES counts them.
+ */
+void relay_pick_group(const zone_groups_t *zones, hot_prefix_t *prefixes,
+		      const call_head_t *call, const char *pool, GRand *rand,
+		      zone_pick_t *out);
 /* Answers 503: no configuration and runners are known yet. */
 void relay_fail_unready(relay_t *r);
 /* Uses this daemon's share of the limit when the limiter doesn't answer. */
@@ -226,6 +279,8 @@
  * or is in a partitioned zone. Returns false when the grant may be used.
  */
 bool relay_decline_if_unusable(relay_t *r);
+/* Requests another runner if nothing was sent to the granted one yet. */
+void relay_reroute_unsent(relay_t *r, const char *why);
 
 /* relay_quarantine.c */
 
