--- a/tests/test_noisy_machine.c
+++ b/tests/test_noisy_machine.c
@@ -206,6 +206,27 @@
 }
 END_TEST
 
+/* A free slot is better than a queue, if the runner isn't much slower. */
+START_TEST(no_call_waits_beside_a_free_slot)
+{
+	static fixture_t f;
+	uint32_t at_first = 0;
+
+	begin(&f, true);
+	warm_up(&f);
+	/* One of them is a little slower. */
+	fixture_submit(&f, 20, 0, 1);
+	f.now += WORK + WORK / 20;
+	end_call(&f, 20, 1, USUAL);
+	for (uint64_t a = 100; a < 100 + 2 * SLOTS; a++) {
+		fixture_submit(&f, a, 0, 1);
+		at_first += runs_on(&f, a, f.answers[100].runner);
+	}
+	ck_assert_uint_eq(at_first, SLOTS);
+	dispatcher_finish(&f.d);
+}
+END_TEST
+
 /* All places of the runners are taken, and a call waits at each besides. */
 START_TEST(no_place_stays_empty_in_overload)
 {
@@ -224,6 +245,42 @@
 }
 END_TEST
 
+/*
+ * All calls in progress are overdue at once, while one that ends says why. That
+ * must not close the runner's window, as a silent runner's is.
+ */
+static uint32_t granted_after_slow_time(uint32_t pace)
+{
+	static fixture_t f;
+	uint32_t granted = 0;
+
+	begin(&f, true);
+	warm_up(&f);
+	for (uint64_t a = 20; a < 20 + 2 * SLOTS; a++)
+		fixture_submit(&f, a, 0, 1);
+	f.now += 2 * WORK;
+	for (uint64_t a = 20; a < 22; a++)
+		end_call(&f, a, SLOTS, pace);
+	for (int i = 0; i < 30; i++)
+		fixture_tick(&f, 10 * MS);
+	for (uint64_t a = 22; a < 20 + 2 * SLOTS; a++)
+		fixture_done(&f, a, DONE_CANCELLED);
+	for (uint64_t a = 100; a < 140; a++) {
+		fixture_submit(&f, a, 0, 1);
+		granted += fixture_answer_kind(&f, a) == ANSWER_GRANT;
+	}
+	dispatcher_finish(&f.d);
+	return granted;
+}
+
+START_TEST(a_slow_time_does_not_close_the_window)
+{
+	ck_assert_uint_ge(granted_after_slow_time(SLOW), 2 * SLOTS);
+	/* It isn't slow by its own account, but calls hang. */
+	ck_assert_uint_le(granted_after_slow_time(USUAL), SLOTS);
+}
+END_TEST
+
 /* Another dispatcher has filled a runner; its answers show it. */
 START_TEST(work_that_others_put_there_takes_its_room)
 {
@@ -247,6 +304,33 @@
 }
 END_TEST
 
+/* What a runner had when it wrote its answer may have ended since. */
+START_TEST(work_of_the_ledger_that_ended_since_is_not_others)
+{
+	static fixture_t f;
+	uint32_t granted = 0;
+
+	begin(&f, true);
+	warm_up(&f);
+	for (uint64_t a = 20; a < 20 + 2 * SLOTS; a++)
+		fixture_submit(&f, a, 0, 1);
+	f.now += WORK;
+	/* All write their heads at once; the first to be heard ends last. */
+	for (uint64_t a = 20; a < 20 + 2 * SLOTS; a++)
+		if (a % SLOTS)
+			fixture_done(&f, a, DONE_COMPLETED);
+	for (uint64_t a = 20; a < 20 + 2 * SLOTS; a++)
+		if (!(a % SLOTS))
+			end_call(&f, a, SLOTS, USUAL);
+	for (uint64_t a = 100; a < 140; a++) {
+		fixture_submit(&f, a, 0, 1);
+		granted += fixture_answer_kind(&f, a) == ANSWER_GRANT;
+	}
+	ck_assert_uint_ge(granted, 2 * SLOTS);
+	dispatcher_finish(&f.d);
+}
+END_TEST
+
 /* A runner of unknown speed that says that it is slow is taken at its word. */
 START_TEST(the_stated_pace_tells_the_speed_of_an_unknown_runner)
 {
@@ -278,6 +362,8 @@
 	   a_machine_that_says_it_is_slow_gets_less,
 	   a_machine_that_was_slow_long_ago_is_used,
 	   a_slot_that_others_hold_has_no_predicted_end,
-	   no_place_stays_empty_in_overload,
+	   no_call_waits_beside_a_free_slot, no_place_stays_empty_in_overload,
+	   a_slow_time_does_not_close_the_window,
 	   work_that_others_put_there_takes_its_room,
+	   work_of_the_ledger_that_ended_since_is_not_others,
 	   the_stated_pace_tells_the_speed_of_an_unknown_runner)
