--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -47,6 +47,7 @@
 	int64_t deadline; /* the answer must be complete by then */
 	int64_t target; /* the answer should start by then; 0: none */
 	int64_t start_by; /* caller leaves if not begun by then; 0: never */
+	uint32_t max_pause_ms; /* between events, still in time; 0: no limit */
 	char avoid[DISPATCHER_NAME_SIZE]; /* runner that just failed, or "" */
 	uint64_t release; /* only runners of this one may be granted; 0: any */
 	/*
@@ -157,6 +158,8 @@
 	bool weighs_prompt_cache;
 	/* Work that may exceed an engine's memory is not granted. */
 	bool bounds_memory;
+	/* A want that a runner with room would serve too late gives way. */
+	bool fits_work;
 	/* Owners are granted runners to which they have a connection. */
 	bool prefers_connected;
 	dispatcher_policy_t policy;
@@ -182,6 +185,11 @@
 	 * microseconds, and grants of others though some have a part.
 	 */
 	uint64_t cache_choices, cache_saved, cache_passed;
+	/*
+	 * With fits_work: grants to a want that fits the runner better than the
+	 * next one, and grants that don't fit as nothing else did.
+	 */
+	uint64_t fit_choices, fit_misses;
 	uint64_t unknown; /* unknown want or runner, or duplicate want */
 	/*
 	 * Grants removed because no end arrived: past their deadline, or
--- a/core/dispatcher_decide.c
+++ b/core/dispatcher_decide.c
@@ -135,6 +135,7 @@
 static bool decide_next(struct dispatcher_state *s, int64_t now)
 {
 	attempt_t *attempt = (attempt_t *)queue_head(&s->queue);
+	attempt_t *fit;
 	runner_t *runner;
 	int64_t finish = 0;
 
@@ -147,7 +148,10 @@
 					   &finish);
 	if (!runner)
 		return decide_without_room(s, attempt, now);
-	if (!is_refusable(s, attempt, runner, finish, now))
+	fit = dispatcher_fit(s, attempt, runner, now);
+	if (fit != attempt)
+		dispatcher_grant(s, fit, runner, now);
+	else if (!is_refusable(s, attempt, runner, finish, now))
 		dispatcher_grant(s, attempt, runner, now);
 	else if (!can_meet_deadline(s, attempt, now) || !defer(s, attempt))
 		dispatcher_refuse(s, attempt, REFUSE_DEADLINE);
--- /dev/null
+++ b/core/dispatcher_fit.c
@@ -0,0 +1,125 @@
+/*
+ * Which of the waiting wants gets a runner with room. Runners differ in speed:
+ * on a slow one long prompts start late and pause the streams beside them, and
+ * short answers with little time are cut, while others would be in time there.
+ * No place is kept empty: if nothing else fits, the next want gets it.
+ */
+#include "core/dispatcher_state.h"
+
+enum {
+	US_PER_MS = 1000,
+	LOOK_AHEAD = 16, /* wants considered of each tier */
+	MAX_TIMES_PASSED = 64, /* then a want is served before all that fit */
+	MARGIN_DIVISOR = 6, /* safety margin: predicted time / 6 */
+};
+
+static const double slow_factor = 1.5; /* of the fastest runner's pace */
+
+/* Predicts the microseconds until the first event. */
+static int64_t time_to_start(const runner_t *runner, const want_t *want,
+			     int64_t now)
+{
+	want_t first = *want;
+
+	first.output_tokens = 1;
+	return dispatcher_predict(runner, &first, 0, now);
+}
+
+/*
+ * Returns whether the want's prompt, read after all that the runner has to
+ * read, pauses streams no longer than those like itself may pause.
+ */
+static bool keeps_pause(const want_t *want, int64_t start)
+{
+	return !want->max_pause_ms ||
+	       start <= (int64_t)want->max_pause_ms * US_PER_MS / 2;
+}
+
+static int64_t with_margin(int64_t time)
+{
+	return time + time / MARGIN_DIVISOR;
+}
+
+/* A target that has passed is the same on all runners. */
+static bool is_in_time(const runner_t *runner, const want_t *want, int64_t now)
+{
+	int64_t start = time_to_start(runner, want, now);
+	int64_t end = dispatcher_predict(runner, want, 0, now);
+
+	if (want->target > now && now + with_margin(start) > want->target)
+		return false;
+	return now + with_margin(end) <= want->deadline &&
+	       keeps_pause(want, start);
+}
+
+/* Returns whether a want that is not the next one may use the runner, too. */
+static bool may_use(struct dispatcher_state *s, const attempt_t *attempt,
+		    runner_t *runner, int64_t now)
+{
+	runner_room_t room = queue_is_protected(&s->queue, attempt->entry.tier) ?
+				     ROOM_PROTECTED :
+				     ROOM_UNPROTECTED;
+
+	return dispatcher_is_of_release(attempt, runner) &&
+	       !dispatcher_is_excluded(s, attempt, runner, now) &&
+	       runner_model_has_room(&runner->model, room, now) &&
+	       dispatcher_fits(s, &attempt->want, runner);
+}
+
+/* Late wants are behind those in time, wherever they run. */
+static bool is_worth_it(const attempt_t *attempt, int64_t now)
+{
+	return !attempt->latest_on_time || now < attempt->want.target;
+}
+
+static attempt_t *find_fit(struct dispatcher_state *s, const attempt_t *next,
+			   runner_t *runner, int64_t now)
+{
+	queue_entry_t *waiting[LOOK_AHEAD * DISPATCHER_MAX_TIERS];
+	uint32_t n = queue_peek(&s->queue, LOOK_AHEAD, waiting);
+
+	for (uint32_t i = 0; i < n; i++) {
+		attempt_t *other = (attempt_t *)waiting[i];
+
+		if (other != next && is_worth_it(other, now) &&
+		    is_in_time(runner, &other->want, now) &&
+		    may_use(s, other, runner, now))
+			return other;
+	}
+	return NULL;
+}
+
+/* Returns whether some runners are so much faster that it matters. */
+static bool is_slow(const struct dispatcher_state *s, const runner_t *runner)
+{
+	double pace = runner_load_usual(&runner->model.stated);
+
+	for (guint i = 0; i < s->available->len; i++) {
+		const runner_t *other = g_ptr_array_index(s->available, i);
+
+		if (runner_load_usual(&other->model.stated) * slow_factor <
+		    pace)
+			return true;
+	}
+	return false;
+}
+
+attempt_t *dispatcher_fit(struct dispatcher_state *s, attempt_t *next,
+			  runner_t *runner, int64_t now)
+{
+	attempt_t *other = NULL;
+
+	if (!s->config.fits_work || !s->config.is_engine ||
+	    !s->has_stated_pace || !is_slow(s, runner) ||
+	    is_in_time(runner, &next->want, now))
+		return next;
+	if (next->times_passed < MAX_TIMES_PASSED)
+		other = find_fit(s, next, runner, now);
+	if (!other) {
+		s->stats.fit_misses++;
+		return next;
+	}
+	next->times_passed++;
+	s->stats.fit_choices++;
+	return other;
+}
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -39,6 +39,7 @@
 	runner_t *runner; /* NULL while queued */
 	runner_work_t work;
 	uint32_t cached_tokens; /* of the prompt, estimated */
+	uint32_t times_passed; /* others that fitted a runner got it */
 	bool is_cancelled; /* its cancellation was requested */
 	/* Ended then unless the owner confirms that it runs; 0: no doubt. */
 	int64_t confirm_by;
@@ -207,6 +208,13 @@
 /* Returns whether the want doesn't exceed the runner's memory. */
 bool dispatcher_fits(const struct dispatcher_state *s, const want_t *want,
 		     const runner_t *runner);
+/*
+ * Returns the want to be granted RUNNER, which would be granted to ATTEMPT, the
+ * next one: another that waits if ATTEMPT doesn't fit there and
+ * the other one does.
+ */
+attempt_t *dispatcher_fit(struct dispatcher_state *s, attempt_t *attempt,
+			  runner_t *runner, int64_t now);
 /* Predicts the microseconds until the want would end if granted now. */
 int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
 			   double cached, int64_t now);
--- a/core/queue.c
+++ b/core/queue.c
@@ -5,6 +5,7 @@
 
 enum {
 	MAX_WEIGHTS = 65536, /* teams with a configured weight */
+	PEEKED_TEAMS = 4, /* whose entries queue_peek returns, at least */
 	MAX_IDLE_TEAMS = 4096, /* per tier, kept while above fair_share */
 };
 
@@ -321,6 +322,35 @@
 	return first_entry(sequence_first(tier->within_share));
 }
 
+/* The same as queue_peek for one tier; a part of them of each team. */
+static uint32_t peek_tier(const queue_tier_t *tier, uint32_t n,
+			  queue_entry_t **out)
+{
+	GSequenceIter *i = g_sequence_get_begin_iter(tier->within_share);
+	uint32_t found = 0;
+
+	for (; found < n && !g_sequence_iter_is_end(i);
+	     i = g_sequence_iter_next(i)) {
+		const queue_team_t *team = g_sequence_get(i);
+		GSequenceIter *k = g_sequence_get_begin_iter(team->entries);
+		uint32_t of_team = MAX(n / PEEKED_TEAMS, 1);
+
+		for (; found < n && of_team && !g_sequence_iter_is_end(k);
+		     k = g_sequence_iter_next(k), of_team--)
+			out[found++] = g_sequence_get(k);
+	}
+	return found;
+}
+
+uint32_t queue_peek(const queue_t *q, uint32_t n, queue_entry_t **out)
+{
+	uint32_t found = 0;
+
+	for (uint32_t i = 0; i < q->n_tiers; i++)
+		found += peek_tier(&q->tiers[q->by_rank[i]], n, out + found);
+	return found;
+}
+
 queue_entry_t *queue_first_due(const queue_t *q)
 {
 	return sequence_first(q->by_due);
--- a/core/queue.h
+++ b/core/queue.h
@@ -77,6 +77,12 @@
 void queue_remove(queue_t *q, queue_entry_t *entry);
 /* Returns the entry to be served next, or NULL. */
 queue_entry_t *queue_head(const queue_t *q);
+/*
+ * Sets OUT to at most N entries of each tier, of the tiers in the order of
+ * their rank and of teams within their share, and returns how many they are;
+ * OUT has room for N times DISPATCHER_MAX_TIERS.
+ */
+uint32_t queue_peek(const queue_t *q, uint32_t n, queue_entry_t **out);
 /* Removes an entry that is served now; charges its team and tier. */
 void queue_serve(queue_t *q, queue_entry_t *entry);
 
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -32,6 +32,7 @@
 	want.session_hash = c->want.session_hash;
 	want.session_tokens = c->want.session_tokens;
 	want.release = c->want.release;
+	want.max_pause_ms = c->want.max_pause_ms;
 	want.need_ms = to_ms(c->want.deadline - now);
 	want.hops = c->hops;
 	want.avoid = (char *)c->want.avoid;
@@ -249,6 +250,7 @@
 	c->want.session_hash = f->session_hash;
 	c->want.session_tokens = f->session_tokens;
 	c->want.release = f->release;
+	c->want.max_pause_ms = f->max_pause_ms;
 	c->want.deadline = now + (int64_t)f->need_ms * 1000;
 	c->hops = f->hops;
 	c->is_resent = f->again;
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -167,6 +167,11 @@
 	  "a request is sent to an engine only if its memory has room for it "
 	  "besides all that it holds",
 	  NULL },
+	{ "placement", OPTION_BOOL, "", 0, 0, "false", FIELD(placement),
+	  "a request that an engine with room would serve too late, or whose "
+	  "prompt would pause the streams there too long, gives way to one that "
+	  "fits there",
+	  NULL },
 	{ "prompt_cache_weighing", OPTION_BOOL, "", 0, 0, "false",
 	  FIELD(prompt_cache_weighing),
 	  "what a runner saves by having a prompt's beginning in its cache is "
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -65,6 +65,7 @@
 	bool runner_load;
 	bool runner_memory;
 	bool prompt_cache_weighing;
+	bool placement;
 	int64_t ticket_life_ms;
 	int64_t grant_timeout_ms;
 	int64_t max_deadline_ms;
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -2212,7 +2212,7 @@
   (ProtobufCMessageInit) papaya__vm_list__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__want__field_descriptors[20] =
+static const ProtobufCFieldDescriptor papaya__want__field_descriptors[21] =
 {
   {
     "attempt",
@@ -2454,6 +2454,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "max_pause_ms",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Want, max_pause_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__want__field_indices_by_name[] = {
   12,   /* field[12] = again */
@@ -2461,6 +2473,7 @@
   9,   /* field[9] = avoid */
   8,   /* field[8] = hops */
   14,   /* field[14] = late */
+  20,   /* field[20] = max_pause_ms */
   7,   /* field[7] = need_ms */
   5,   /* field[5] = output_tokens */
   11,   /* field[11] = owner */
@@ -2477,10 +2490,11 @@
   3,   /* field[3] = team */
   2,   /* field[2] = tier */
 };
-static const ProtobufCIntRange papaya__want__number_ranges[1 + 1] =
+static const ProtobufCIntRange papaya__want__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 24, 20 },
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor papaya__want__descriptor =
 {
@@ -2490,10 +2504,10 @@
   "Papaya__Want",
   "papaya",
   sizeof(Papaya__Want),
-  20,
+  21,
   papaya__want__field_descriptors,
   papaya__want__field_indices_by_name,
-  1,  papaya__want__number_ranges,
+  2,  papaya__want__number_ranges,
   (ProtobufCMessageInit) papaya__want__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -252,10 +252,14 @@
    * the only one that may serve it; 0: any
    */
   uint64_t release;
+  /*
+   * between events, still in time; 0: no limit
+   */
+  uint32_t max_pause_ms;
 };
 #define PAPAYA__WANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__want__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
