--- a/core/dispatcher_decide.c
+++ b/core/dispatcher_decide.c
@@ -152,7 +152,9 @@
 	if (fit != attempt)
 		dispatcher_grant(s, fit, runner, now);
 	else if (!is_refusable(s, attempt, runner, finish, now))
-		dispatcher_grant(s, attempt, runner, now);
+		dispatcher_grant(s, attempt,
+				 dispatcher_spare_fast(s, attempt, runner, now),
+				 now);
 	else if (!can_meet_deadline(s, attempt, now) || !defer(s, attempt))
 		dispatcher_refuse(s, attempt, REFUSE_DEADLINE);
 	return true;
--- a/core/dispatcher_fit.c
+++ b/core/dispatcher_fit.c
@@ -4,12 +4,16 @@
  * short answers with little time are cut, while others would be in time there.
  * No place is kept empty: if nothing else fits, the next want gets it.
  */
+#include <float.h>
+
 #include "core/dispatcher_state.h"
 
 enum {
 	US_PER_MS = 1000,
 	LOOK_AHEAD = 16, /* wants considered of each tier */
 	MAX_TIMES_PASSED = 64, /* then a want is served before all that fit */
+	FEW_DIVISOR = 4, /* fast places are few if less than 1/4 is free */
+	SHORT_DIVISOR = 2, /* a prompt is short at 1/2 of the usual length */
 	MARGIN_DIVISOR = 6, /* safety margin: predicted time / 6 */
 };
 
@@ -56,9 +60,10 @@
 static bool may_use(struct dispatcher_state *s, const attempt_t *attempt,
 		    runner_t *runner, int64_t now)
 {
-	runner_room_t room = queue_is_protected(&s->queue, attempt->entry.tier) ?
-				     ROOM_PROTECTED :
-				     ROOM_UNPROTECTED;
+	runner_room_t room =
+		queue_is_protected(&s->queue, attempt->entry.tier) ?
+			ROOM_PROTECTED :
+			ROOM_UNPROTECTED;
 
 	return dispatcher_is_of_release(attempt, runner) &&
 	       !dispatcher_is_excluded(s, attempt, runner, now) &&
@@ -89,19 +94,25 @@
 	return NULL;
 }
 
-/* Returns whether some runners are so much faster that it matters. */
-static bool is_slow(const struct dispatcher_state *s, const runner_t *runner)
+static double usual_pace(const runner_t *runner)
 {
-	double pace = runner_load_usual(&runner->model.stated);
+	return runner_load_usual(&runner->model.stated);
+}
 
-	for (guint i = 0; i < s->available->len; i++) {
-		const runner_t *other = g_ptr_array_index(s->available, i);
+/* Returns the pace from which on a runner counts as slow. */
+static double slow_pace(const struct dispatcher_state *s)
+{
+	double least = DBL_MAX;
 
-		if (runner_load_usual(&other->model.stated) * slow_factor <
-		    pace)
-			return true;
-	}
-	return false;
+	for (guint i = 0; i < s->available->len; i++)
+		least = MIN(least,
+			    usual_pace(g_ptr_array_index(s->available, i)));
+	return least * slow_factor;
+}
+
+static bool is_used(const struct dispatcher_state *s)
+{
+	return s->config.fits_work && s->config.is_engine && s->has_stated_pace;
 }
 
 attempt_t *dispatcher_fit(struct dispatcher_state *s, attempt_t *next,
@@ -109,9 +120,8 @@
 {
 	attempt_t *other = NULL;
 
-	if (!s->config.fits_work || !s->config.is_engine ||
-	    !s->has_stated_pace || !is_slow(s, runner) ||
-	    is_in_time(runner, &next->want, now))
+	if (!is_used(s) || is_in_time(runner, &next->want, now) ||
+	    usual_pace(runner) <= slow_pace(s))
 		return next;
 	if (next->times_passed < MAX_TIMES_PASSED)
 		other = find_fit(s, next, runner, now);
@@ -123,3 +133,53 @@
 	s->stats.fit_choices++;
 	return other;
 }
+
+/* Returns whether the fast runners have few places free. */
+static bool are_fast_places_few(const struct dispatcher_state *s, double slow)
+{
+	uint32_t places = 0, taken = 0;
+
+	for (guint i = 0; i < s->available->len; i++) {
+		const runner_t *r = g_ptr_array_index(s->available, i);
+
+		if (usual_pace(r) > slow)
+			continue;
+		places += r->model.slots;
+		taken += r->model.running;
+	}
+	return (places - MIN(taken, places)) * FEW_DIVISOR < places;
+}
+
+/* Returns whether the want would be in time there if all took twice as long. */
+static bool is_easy(const runner_t *runner, const want_t *want, int64_t now)
+{
+	int64_t start = time_to_start(runner, want, now);
+	int64_t end = dispatcher_predict(runner, want, 0, now);
+
+	return want->target > now + 2 * start &&
+	       now + 2 * end <= want->deadline && keeps_pause(want, start);
+}
+
+runner_t *dispatcher_spare_fast(struct dispatcher_state *s,
+				const attempt_t *attempt, runner_t *fast,
+				int64_t now)
+{
+	runner_t *best = NULL;
+	double slow;
+
+	if (!is_used(s) ||
+	    attempt->want.prompt_tokens * SHORT_DIVISOR > s->typical_prompt)
+		return fast;
+	slow = slow_pace(s);
+	if (usual_pace(fast) > slow || !are_fast_places_few(s, slow))
+		return fast;
+	for (guint i = 0; i < s->available->len; i++) {
+		runner_t *r = g_ptr_array_index(s->available, i);
+
+		if ((!best || r->model.running < best->model.running) &&
+		    usual_pace(r) > slow && is_easy(r, &attempt->want, now) &&
+		    may_use(s, attempt, r, now))
+			best = r;
+	}
+	return best ? best : fast;
+}
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -215,6 +215,13 @@
  */
 attempt_t *dispatcher_fit(struct dispatcher_state *s, attempt_t *attempt,
 			  runner_t *runner, int64_t now);
+/*
+ * Returns a slow runner for a want with a short prompt that is in time there by
+ * far, while the fast ones have few places free; else FAST.
+ */
+runner_t *dispatcher_spare_fast(struct dispatcher_state *s,
+				const attempt_t *attempt, runner_t *fast,
+				int64_t now);
 /* Predicts the microseconds until the want would end if granted now. */
 int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
 			   double cached, int64_t now);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -100,8 +100,8 @@
 		c->want.target =
 			r->arrived_at + r->route->target_ms * US_PER_MS;
 	if (r->route->kind == FLEET_STREAM)
-		c->want.max_pause_ms = (uint32_t)CLAMP(
-			r->route->pause_ms, 0, UINT32_MAX);
+		c->want.max_pause_ms =
+			(uint32_t)CLAMP(r->route->pause_ms, 0, UINT32_MAX);
 	if (r->route->kind == FLEET_STREAM && !r->has_begun)
 		c->want.start_by = r->arrived_at +
 				   fleet_caller_wait_ms(r->route) * US_PER_MS;
--- a/tests/test_slow_engines_long_prompts.c
+++ b/tests/test_slow_engines_long_prompts.c
@@ -91,8 +91,8 @@
 {
 	for (uint64_t a = FIRST; a < FIRST_SHORT + WAITING; a++)
 		if (f->answers[a].kind == ANSWER_GRANT)
-			dispatcher_first_token(
-				&f->d, (want_id_t){ OWNER, a }, f->now);
+			dispatcher_first_token(&f->d, (want_id_t){ OWNER, a },
+					       f->now);
 }
 
 /* Ends a piece of the first work on a runner. */
