dispatcher: which work goes to which engine, when some are much slower

Cause: long prompts on slow engines start late, pause the streams beside them and hold their places for long, while short prompts that would be in time there take the fast ones' places.

Change, with the setting placement: a request that doesn't fit a slow engine gives way to the first of those waiting that fits, and short prompts go to a slow engine while few fast places are free. No place stays empty.

--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -187,9 +187,10 @@
 	uint64_t cache_choices, cache_saved, cache_passed;
 	/*
 	 * With fits_work: grants to a want that fits the runner better than the
-	 * next one, and grants that don't fit as nothing else did.
+	 * next one, grants that don't fit as nothing else did, and grants of a
+	 * slow runner that leave a place of a fast one to others.
 	 */
-	uint64_t fit_choices, fit_misses;
+	uint64_t fit_choices, fit_misses, spare_choices;
 	uint64_t unknown; /* unknown want or runner, or duplicate want */
 	/*
 	 * Grants removed because no end arrived: past their deadline, or
--- a/core/dispatcher_fit.c
+++ b/core/dispatcher_fit.c
@@ -181,5 +181,8 @@
 		    may_use(s, attempt, r, now))
 			best = r;
 	}
-	return best ? best : fast;
+	if (!best)
+		return fast;
+	s->stats.spare_choices++;
+	return best;
 }
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -209,11 +209,10 @@
 bool dispatcher_fits(const struct dispatcher_state *s, const want_t *want,
 		     const runner_t *runner);
 /*
- * Returns the want to be granted RUNNER, which would be granted to ATTEMPT, the
- * next one: another that waits if ATTEMPT doesn't fit there and
- * the other one does.
+ * Returns the want to be granted RUNNER, which would be granted to NEXT:
+ * another one that waits if NEXT doesn't fit there and the other one does.
  */
-attempt_t *dispatcher_fit(struct dispatcher_state *s, attempt_t *attempt,
+attempt_t *dispatcher_fit(struct dispatcher_state *s, attempt_t *next,
 			  runner_t *runner, int64_t now);
 /*
  * Returns a slow runner for a want with a short prompt that is in time there by
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -533,6 +533,12 @@
 		    stats.cache_passed);
 	metrics_set(m, "papaya_dispatcher_cache_saved_ms_total", label,
 		    stats.cache_saved / US_PER_MS);
+	metrics_set(m, "papaya_dispatcher_fit_grants_total", label,
+		    stats.fit_choices);
+	metrics_set(m, "papaya_dispatcher_fit_missed_total", label,
+		    stats.fit_misses);
+	metrics_set(m, "papaya_dispatcher_spare_grants_total", label,
+		    stats.spare_choices);
 	metrics_set(m, "papaya_dispatcher_queued", label, stats.queued);
 	metrics_set(m, "papaya_dispatcher_running", label, stats.running);
 	metrics_set(m, "papaya_dispatcher_runners", label, stats.runners);
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -45,6 +45,7 @@
 				     .prefix_tokens = 14,
 				     .session_hash = 15,
 				     .session_tokens = 16,
+				     .max_pause_ms = 17,
 				     .deadline = now + 5000000 };
 	g_strlcpy(m->capacity.service, "model", MEMBER_NAME_SIZE);
 	g_strlcpy(m->capacity.tier, "drafts", MEMBER_NAME_SIZE);
@@ -111,6 +112,7 @@
 		if (types[i] == MESSAGE_WANT) {
 			ck_assert_int_eq(out.capacity.want.deadline,
 					 in.capacity.want.deadline);
+			ck_assert_uint_eq(out.capacity.want.max_pause_ms, 17);
 			ck_assert_str_eq(out.capacity.want.avoid, "r1");
 			ck_assert_str_eq(out.capacity.running_on, "r2");
 			ck_assert(out.capacity.is_resent);
--- a/tests/test_slow_engines_long_prompts.c
+++ b/tests/test_slow_engines_long_prompts.c
@@ -7,7 +7,8 @@
 #include "tests/lib_suite.h"
 
 enum {
-	SLOTS = 4,
+	SLOTS = 8,
+	PLACES = 2 * SLOTS,
 	FAST_PACE = 100, /* percent */
 	SLOW_PACE = 400,
 	LONG_PROMPT = 8000,
@@ -22,7 +23,7 @@
 	FIRST = 100, /* attempt of the first want */
 	FIRST_LONG = 200,
 	FIRST_SHORT = 300,
-	WAITING = 12, /* wants of each kind */
+	WAITING = 20, /* wants of each kind */
 	MAX_PASSES = 64, /* for which a want gives way */
 };
 
@@ -83,7 +84,7 @@
 	fixture_tick(f, 10 * SECOND);
 	for (uint64_t a = FIRST; a < FIRST + 2 * SLOTS; a++)
 		submit(f, a, SHORT_TIER, SHORT_PROMPT);
-	ck_assert_uint_eq(fixture_stats(f).running, 2 * SLOTS);
+	ck_assert_uint_eq(fixture_stats(f).running, PLACES);
 }
 
 /* The engines have read the prompts of all that was granted. */
@@ -132,9 +133,9 @@
 		submit(f, FIRST_SHORT + i, SHORT_TIER, SHORT_PROMPT);
 	for (int i = 0; i < SLOTS - 1; i++) {
 		free_place(f, "slow");
-		ck_assert_uint_eq(fixture_stats(f).running, 2 * SLOTS);
+		ck_assert_uint_eq(fixture_stats(f).running, PLACES);
 		free_place(f, "fast");
-		ck_assert_uint_eq(fixture_stats(f).running, 2 * SLOTS);
+		ck_assert_uint_eq(fixture_stats(f).running, PLACES);
 	}
 }
 
@@ -177,6 +178,44 @@
 }
 END_TEST
 
+/* Both engines have room, the fast one for one more. */
+static const char *place_with_room(bool fits_work, uint32_t prompt)
+{
+	static fixture_t f;
+
+	begin(&f, fits_work);
+	free_place(&f, "slow");
+	free_place(&f, "slow");
+	free_place(&f, "fast");
+	submit(&f, FIRST_SHORT, SHORT_TIER, prompt);
+	ck_assert_int_eq(fixture_answer_kind(&f, FIRST_SHORT), ANSWER_GRANT);
+	dispatcher_finish(&f.d);
+	return f.answers[FIRST_SHORT].runner;
+}
+
+START_TEST(short_prompts_leave_the_last_fast_places_to_long_ones)
+{
+	ck_assert_str_eq(place_with_room(true, SHORT_PROMPT / 8), "slow");
+	ck_assert_str_eq(place_with_room(true, LONG_PROMPT), "fast");
+	ck_assert_str_eq(place_with_room(false, SHORT_PROMPT / 8), "fast");
+}
+END_TEST
+
+START_TEST(with_plenty_of_room_all_go_to_the_fastest)
+{
+	static fixture_t f;
+
+	begin(&f, true);
+	for (int i = 0; i < SLOTS; i++) {
+		free_place(&f, "slow");
+		free_place(&f, "fast");
+	}
+	submit(&f, FIRST_SHORT, SHORT_TIER, SHORT_PROMPT / 8);
+	ck_assert_uint_eq(count_on(&f, FIRST_SHORT, 1, "fast"), 1);
+	dispatcher_finish(&f.d);
+}
+END_TEST
+
 /* Of two that miss their target wherever they run, none gives way. */
 START_TEST(what_has_missed_its_target_takes_nobodys_place)
 {
@@ -218,5 +257,7 @@
 SUITE_MAIN("slow_engines_long_prompts", long_prompts_wait_for_fast_engines,
 	   no_place_stays_empty_if_nothing_fits,
 	   without_the_setting_the_order_alone_counts,
+	   short_prompts_leave_the_last_fast_places_to_long_ones,
+	   with_plenty_of_room_all_go_to_the_fastest,
 	   what_has_missed_its_target_takes_nobodys_place,
 	   a_want_gives_way_for_a_bounded_number_of_times)
