--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -47,6 +47,7 @@
 	int64_t deadline; /* the answer must be complete by then */
 	int64_t target; /* the answer should start by then; 0: none */
 	int64_t start_by; /* caller leaves if not begun by then; 0: never */
+	uint32_t max_pause_ms; /* between events, still in time; 0: no limit */
 	char avoid[DISPATCHER_NAME_SIZE]; /* runner that just failed, or "" */
 	uint64_t release; /* only runners of this one may be granted; 0: any */
 	/*
@@ -158,6 +159,8 @@
 	bool weighs_prompt_cache;
 	/* Work that may exceed an engine's memory is not granted. */
 	bool bounds_memory;
+	/* A want that a runner with room would serve too late gives way. */
+	bool fits_work;
 	/* Owners are granted runners to which they have a connection. */
 	bool prefers_connected;
 	dispatcher_policy_t policy;
@@ -183,6 +186,12 @@
 	 * microseconds, and grants of others though some have a part.
 	 */
 	uint64_t cache_choices, cache_saved, cache_passed;
+	/*
+	 * With fits_work: grants to a want that fits the runner better than the
+	 * next one, grants that don't fit as nothing else did, and grants of a
+	 * slow runner that leave a place of a fast one to others.
+	 */
+	uint64_t fit_choices, fit_misses, spare_choices;
 	uint64_t unknown; /* unknown want or runner, or duplicate want */
 	/*
 	 * Grants removed because no end arrived: past their deadline, or
--- a/core/dispatcher_decide.c
+++ b/core/dispatcher_decide.c
@@ -146,6 +146,7 @@
 static bool decide_next(struct dispatcher_state *s, int64_t now)
 {
 	attempt_t *attempt = (attempt_t *)queue_head(&s->queue);
+	attempt_t *fit;
 	runner_t *runner;
 	int64_t finish = 0;
 
@@ -154,8 +155,13 @@
 	runner = dispatcher_choose_for_tier(s, attempt, now, &finish);
 	if (!runner)
 		return decide_without_room(s, attempt, now);
-	if (!dispatcher_is_refusable(s, attempt, runner, finish, now))
-		dispatcher_grant(s, attempt, runner, now);
+	fit = dispatcher_fit(s, attempt, runner, now);
+	if (fit != attempt)
+		dispatcher_grant(s, fit, runner, now);
+	else if (!dispatcher_is_refusable(s, attempt, runner, finish, now))
+		dispatcher_grant(s, attempt,
+				 dispatcher_spare_fast(s, attempt, runner, now),
+				 now);
 	else if (!can_meet_deadline(s, attempt, now) || !defer(s, attempt))
 		dispatcher_refuse(s, attempt, REFUSE_DEADLINE);
 	return true;
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -44,6 +44,7 @@
 	runner_t *runner; /* NULL while queued */
 	runner_work_t work;
 	uint32_t cached_tokens; /* of the prompt, estimated */
+	uint32_t times_passed; /* others that fitted a runner got it */
 	bool is_cancelled; /* its cancellation was requested */
 	/* Ended then unless the owner confirms that it runs; 0: no doubt. */
 	int64_t confirm_by;
@@ -223,6 +224,19 @@
 /* The want fits no runner's memory now: after a while one is kept for it. */
 void dispatcher_await_memory(struct dispatcher_state *s, attempt_t *attempt,
 			     int64_t now);
+/*
+ * Returns the want to be granted RUNNER, which would be granted to NEXT:
+ * another one that waits if NEXT doesn't fit there and the other one does.
+ */
+attempt_t *dispatcher_fit(struct dispatcher_state *s, attempt_t *next,
+			  runner_t *runner, int64_t now);
+/*
+ * Returns a slow runner for a want with a short prompt that is in time there by
+ * far, while the fast ones have few places free; else FAST.
+ */
+runner_t *dispatcher_spare_fast(struct dispatcher_state *s,
+				const attempt_t *attempt, runner_t *fast,
+				int64_t now);
 /* Predicts the microseconds until the want would end if granted now. */
 int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
 			   double cached, int64_t now);
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -311,6 +311,7 @@
 		.awaits_list = set->fleet,
 		.uses_stated_load = set->runner_load,
 		.bounds_memory = set->runner_memory,
+		.fits_work = set->placement,
 		.prefers_connected = set->reuse_connections,
 		.weighs_prompt_cache = set->prompt_cache_weighing,
 		.policy = parse_policy(set->policy),
@@ -601,6 +602,12 @@
 		    stats.cache_passed);
 	metrics_set(m, "papaya_dispatcher_cache_saved_ms_total", label,
 		    stats.cache_saved / US_PER_MS);
+	metrics_set(m, "papaya_dispatcher_fit_grants_total", label,
+		    stats.fit_choices);
+	metrics_set(m, "papaya_dispatcher_fit_missed_total", label,
+		    stats.fit_misses);
+	metrics_set(m, "papaya_dispatcher_spare_grants_total", label,
+		    stats.spare_choices);
 	metrics_set(m, "papaya_dispatcher_queued", label, stats.queued);
 	metrics_set(m, "papaya_dispatcher_running", label, stats.running);
 	metrics_set(m, "papaya_dispatcher_runners", label, stats.runners);
