rollout, relay_rollout: a takeover completes nothing that was tried

Change: nothing to move only after 1.5 s without other releases, and never once a budget was reserved; the replaced releases are cleared when the first news is the completion; such requests choose again at once. Tests: a_release_that_was_tried_is_not_completed_at_once, a_request_leaves_the_pool_of_an_order_that_is_gone; a_later_release_is_used asks that it is; the order for the only release now takes 1.5 s, and what is replaced is known to a daemon that saw the move.

--- a/core/rollout.c
+++ b/core/rollout.c
@@ -502,10 +502,19 @@
 	return r->is_conducting && now - r->confirmed_at < MAX_UNCONFIRMED_US;
 }
 
-/* The order names the release that all runners have already. */
-static bool has_nothing_to_move(const rollout_t *r, const rollout_view_t *view)
+/*
+ * The order names the release that all runners have already: no other was
+ * listed for some time, and nobody has tried it.
+ */
+static bool has_nothing_to_move(rollout_t *r, const rollout_view_t *view,
+				int64_t now)
 {
-	return view->target_runners && !r->had_others;
+	bool is_alone = view->target_runners && !r->had_others &&
+			!r->stored.budget && !r->stored.is_moving;
+
+	if (!is_alone || !r->alone_since)
+		r->alone_since = is_alone ? now : 0;
+	return is_alone && now - r->alone_since > MISSING_US;
 }
 
 static void advance(rollout_t *r, const rollout_view_t *view, int64_t now)
@@ -513,7 +522,7 @@
 	r->had_others |= view->other_runners > 0;
 	if (view->target_runners)
 		r->no_target_since = 0;
-	if (r->stage == ROLLOUT_HELD && has_nothing_to_move(r, view)) {
+	if (r->stage <= ROLLOUT_TRYING && has_nothing_to_move(r, view, now)) {
 		set_stage(r, ROLLOUT_MOVED, now);
 		r->must_complete = true;
 		g_strlcpy(r->why, "the service has no other release",
--- a/core/rollout.h
+++ b/core/rollout.h
@@ -143,6 +143,7 @@
 	int64_t lost_at; /* another process took it over; 0: none */
 	int64_t lost_store_at; /* the last call failed; 0: none did */
 	int64_t written_at;
+	int64_t alone_since; /* only the target had runners; 0: no */
 	int64_t no_target_since; /* the target has no runner; 0: it has */
 	int64_t orders_at; /* the operators' topic is known to its end then */
 	int64_t stage_at;
--- a/daemon/relay_rollout.c
+++ b/daemon/relay_rollout.c
@@ -150,6 +150,8 @@
 		o->alone_since = now_us();
 }
 
+static void check_relays(gateway_t *g, int64_t now);
+
 static void update_runners(gateway_t *g)
 {
 	GHashTableIter iter;
@@ -208,6 +210,7 @@
 		g_hash_table_replace(g->rollouts, o->order.service, o);
 	}
 	update_runners(g);
+	check_relays(g, now_us());
 }
 
 /* Sends the request to the target, if a lease allows one more. */
@@ -279,16 +282,33 @@
 		       r->service;
 }
 
+static bool is_in_old_pool(const relay_t *r, const gateway_rollout_t *o)
+{
+	return r->rollout.in_pool && (!o || r->rollout.order != o->order_id);
+}
+
+/* What the request chose belongs to an order that is replaced, or gone. */
+static void leave_old_pool(relay_t *r, const gateway_rollout_t *o)
+{
+	bool was_in_pool = is_in_old_pool(r, o);
+
+	if (r->rollout.order == (o ? o->order_id : 0))
+		return;
+	r->rollout = (relay_rollout_t){ .order = o ? o->order_id : 0,
+					.is_counted = r->rollout.is_counted };
+	if (was_in_pool)
+		relay_pick_dispatcher(r);
+}
+
 bool relay_choose_pool(relay_t *r)
 {
 	gateway_rollout_t *o = find(r);
 	int64_t now = now_us();
 	bool in_pool;
 
+	leave_old_pool(r, o);
 	if (!o)
 		return true;
-	if (r->rollout.order != o->order_id)
-		r->rollout = (relay_rollout_t){ .order = o->order_id };
 	if (r->release && is_target(o, r->release)) {
 		if (!may_go_on(r, o, now)) {
 			relay_fail(r,
@@ -497,7 +517,8 @@
 /* Has a request that waits, or is not sent yet, choose again. */
 static void check_place(relay_t *r, const gateway_rollout_t *o, int64_t now)
 {
-	if (may_stay(r, o, now) || (r->release && !r->rollout.in_pool))
+	if (!is_in_old_pool(r, o) &&
+	    (!o || may_stay(r, o, now) || (r->release && !r->rollout.in_pool)))
 		return;
 	if (r->state == RELAY_AWAITING_GRANT) {
 		relay_release_grant(r, DONE_CANCELLED);
@@ -515,9 +536,8 @@
 		relay_t *r = link->data;
 		const gateway_rollout_t *o = find(r);
 
-		if (!o)
-			continue;
-		check_late(r, now);
+		if (o)
+			check_late(r, now);
 		check_place(r, o, now);
 	}
 }
@@ -627,6 +647,9 @@
 
 	if (!o || is_outdated(o, told))
 		return;
+	/* It began after the completion: what was replaced has stopped. */
+	if (!o->term && told->stage == ROLLOUT_DONE)
+		g_array_set_size(o->replaced, 0);
 	o->term = told->term;
 	o->told = told->stage;
 	o->decided_ms = told->decided_ms;
