--- a/ctl/route.c
+++ b/ctl/route.c
@@ -63,6 +63,10 @@
 			"the route is split among %lld services; which one "
 			"follows from the attempt's id\n",
 			number_of(root, "services"));
+	if (json_is_true(json_object_get(root, "rollout")))
+		fputs("the service has a roll-out: requests may go to its "
+		      "target instead, which papayactl rollouts shows\n",
+		      out);
 	if (real_of(root, "limit") > 0)
 		fprintf(out,
 			"limit of the team: %g units a second; this costs "
--- a/daemon/route_query.c
+++ b/daemon/route_query.c
@@ -142,6 +142,8 @@
 		c->tier, "services", (int)q->services, "limit", q->limit,
 		"cost", (int)q->cost, "reserved", q->reserved);
 
+	if (q->has_rollout)
+		json_object_set_new(root, "rollout", json_true());
 	if (q->status) {
 		json_object_set_new(root, "status", json_integer(q->status));
 		json_object_set_new(root, "why", json_string(q->why));
