--- a/daemon/relay_rollout.c
+++ b/daemon/relay_rollout.c
@@ -13,45 +13,17 @@
 
 #include "common/log.h"
 #include "core/release_history.h"
-#include "daemon/relay.h"
+#include "daemon/relay_rollout.h"
 
 enum {
 	US_PER_MS = 1000,
 	REPORT_US = ROLLOUT_REPORT_MS * US_PER_MS,
-	MAX_TALLIES = 512, /* of one report; further answers don't count */
 	MAX_REPLACED = 16, /* releases; further ones count as later ones */
 	/* For a reverted target's runners to drain and leave. */
 	ALONE_US = 15 * 1000 * US_PER_MS,
-	/* A call that takes so many times its latency target counts at once. */
-	LATE_FACTOR = 4,
-	NO_TARGET_US = 1000 * US_PER_MS, /* for routes without a target */
 	RETRY_MS = 1000, /* Retry-After of a stream that can't go on now */
 };
 
-/* A roll-out, as this daemon knows it. */
-typedef struct gateway_rollout {
-	rollout_order_t order;
-	uint64_t order_id;
-	uint64_t target; /* hash of the release */
-	char pool[ROLLOUT_POOL_SIZE];
-	rollout_stage_t told; /* by the conductor */
-	rollout_stage_t applied; /* at the last look at all requests */
-	uint64_t term; /* of the conductor; 0: it was not heard of */
-	int64_t decided_ms; /* in the store; 0: in progress */
-	rollout_lease_t lease;
-	uint64_t requests; /* of the service, sent to any runner */
-	GArray *tallies; /* rollout_tally_t; answers since the last report */
-	int64_t reported_at;
-	int64_t longest; /* request that ended on another release, since then */
-	/* Releases beside the target until the decision (uint64_t, hashes). */
-	GArray *replaced;
-	/* Listed runners, and not leaving: of the target, of other releases. */
-	uint32_t target_runners, other_runners;
-	uint32_t newer_runners; /* of these, of releases that came later */
-	bool had_others; /* other releases were listed since the order */
-	int64_t alone_since; /* only the target has runners; 0: no */
-} gateway_rollout_t;
-
 static void free_rollout(void *data)
 {
 	gateway_rollout_t *o = data;
@@ -72,13 +44,6 @@
 	g_clear_pointer(&g->rollouts, g_hash_table_destroy);
 }
 
-static gateway_rollout_t *find(const relay_t *r)
-{
-	return r->service ?
-		       g_hash_table_lookup(r->gateway->rollouts, r->service) :
-		       NULL;
-}
-
 /*
  * Whether only the target is left to use: the order names the release that all
  * runners have, it was completed before this process started, or it was
@@ -106,11 +71,6 @@
 	return o->told;
 }
 
-static bool is_target(const gateway_rollout_t *o, uint64_t release)
-{
-	return release == o->target;
-}
-
 static bool is_replaced(const gateway_rollout_t *o, uint64_t release)
 {
 	for (guint i = 0; i < o->replaced->len; i++)
@@ -139,7 +99,7 @@
 
 		if (r->runner.is_leaving)
 			continue;
-		if (is_target(o, r->runner.release))
+		if (gateway_is_target(o, r->runner.release))
 			o->target_runners++;
 		else if (!strcmp(r->service, o->order.service))
 			count_other(o, r->runner.release);
@@ -275,7 +235,7 @@
 
 const char *relay_pool(const relay_t *r)
 {
-	const gateway_rollout_t *o = find(r);
+	const gateway_rollout_t *o = gateway_find_rollout(r);
 
 	return o && r->rollout.order == o->order_id && r->rollout.in_pool ?
 		       o->pool :
@@ -302,14 +262,14 @@
 
 bool relay_choose_pool(relay_t *r)
 {
-	gateway_rollout_t *o = find(r);
+	gateway_rollout_t *o = gateway_find_rollout(r);
 	int64_t now = now_us();
 	bool in_pool;
 
 	leave_old_pool(r, o);
 	if (!o)
 		return true;
-	if (r->release && is_target(o, r->release)) {
+	if (r->release && gateway_is_target(o, r->release)) {
 		if (!may_go_on(r, o, now)) {
 			relay_fail(r,
 				   r->possible_runs || r->has_begun ? 502 : 503,
@@ -335,13 +295,13 @@
 
 bool relay_may_send(const relay_t *r)
 {
-	const gateway_rollout_t *o = find(r);
+	const gateway_rollout_t *o = gateway_find_rollout(r);
 	rollout_stage_t stage;
 
 	if (!o)
 		return true;
 	stage = stage_at(o, now_us());
-	if (is_target(o, r->runner.release))
+	if (gateway_is_target(o, r->runner.release))
 		return (stage == ROLLOUT_TRYING && r->rollout.has_share) ||
 		       (stage >= ROLLOUT_MOVING && stage <= ROLLOUT_DONE);
 	if (!o->target_runners)
@@ -353,7 +313,7 @@
 
 bool relay_leave_pool(relay_t *r)
 {
-	const gateway_rollout_t *o = find(r);
+	const gateway_rollout_t *o = gateway_find_rollout(r);
 
 	if (!o || !r->rollout.in_pool || r->release ||
 	    stage_at(o, now_us()) != ROLLOUT_TRYING)
@@ -364,156 +324,6 @@
 	return true;
 }
 
-void relay_on_sent(relay_t *r)
-{
-	gateway_rollout_t *o = find(r);
-
-	r->rollout.sent_at = now_us();
-	r->rollout.first_at = 0;
-	r->rollout.is_timed = false;
-	if (!o || r->rollout.is_counted)
-		return;
-	r->rollout.is_counted = true;
-	o->requests++;
-}
-
-static bool is_alike(const rollout_answer_t *a, const rollout_answer_t *b)
-{
-	return a->route == b->route && a->runner == b->runner &&
-	       a->timing == b->timing && a->bucket == b->bucket &&
-	       a->is_target == b->is_target && a->has_failed == b->has_failed;
-}
-
-static void tally(gateway_rollout_t *o, const rollout_answer_t *answer)
-{
-	rollout_tally_t one = { *answer, 1 };
-
-	for (guint i = 0; i < o->tallies->len; i++) {
-		rollout_tally_t *t =
-			&g_array_index(o->tallies, rollout_tally_t, i);
-
-		if (!is_alike(&t->answer, answer))
-			continue;
-		t->n++;
-		return;
-	}
-	if (o->tallies->len < MAX_TALLIES)
-		g_array_append_val(o->tallies, one);
-}
-
-/* Adds an answer of the runner that the request was sent to. */
-static void add_answer(const relay_t *r, rollout_timing_t timing, int64_t time,
-		       bool has_failed)
-{
-	gateway_rollout_t *o = find(r);
-	rollout_answer_t answer = {
-		.route = str_hash(str_from(r->route->name)),
-		.timing = timing,
-		.bucket = rollout_time_bucket(time),
-		.has_failed = has_failed,
-	};
-
-	if (!o)
-		return;
-	answer.is_target = is_target(o, r->runner.release);
-	if (answer.is_target)
-		answer.runner = str_hash(str_from(r->runner.name)) | 1;
-	tally(o, &answer);
-}
-
-static rollout_timing_t first_timing(const relay_t *r)
-{
-	return r->route->kind == FLEET_STREAM ? ROLLOUT_FIRST_EVENT :
-						ROLLOUT_WHOLE;
-}
-
-/* Each send's first answer counts once. */
-static void add_first(relay_t *r, int64_t now, bool has_failed)
-{
-	if (r->rollout.is_timed && !has_failed)
-		return;
-	r->rollout.is_timed = true;
-	add_answer(r, first_timing(r), now - r->rollout.sent_at, has_failed);
-}
-
-void relay_on_first_event(relay_t *r)
-{
-	r->rollout.first_at = now_us();
-	add_first(r, r->rollout.first_at, false);
-}
-
-/* The latency target, or what stands in for it. */
-static int64_t usual_limit(const relay_t *r)
-{
-	return r->route->target_ms ? r->route->target_ms * US_PER_MS :
-				     NO_TARGET_US;
-}
-
-/* Stopped without an answer: the time so far counts if it is late. */
-static void add_stopped(relay_t *r, int64_t now)
-{
-	if (!r->rollout.first_at && now - r->rollout.sent_at > usual_limit(r))
-		add_first(r, now, false);
-}
-
-static void add_complete(relay_t *r, int64_t now)
-{
-	uint64_t n = r->n_events - r->events_before;
-
-	add_first(r, now, false);
-	if (r->rollout.first_at && n > 1)
-		add_answer(r, ROLLOUT_PACE,
-			   (now - r->rollout.first_at) / (int64_t)(n - 1),
-			   false);
-}
-
-/* How long the runners of other releases may need to end what they have. */
-static void note_time(const relay_t *r, int64_t time)
-{
-	gateway_rollout_t *o = find(r);
-
-	if (o && !is_target(o, r->runner.release))
-		o->longest = MAX(o->longest, time);
-}
-
-void relay_on_done(relay_t *r, done_result_t result)
-{
-	int64_t now = now_us();
-
-	if (!r->rollout.sent_at)
-		return;
-	switch (result) {
-	case DONE_COMPLETED:
-		add_complete(r, now);
-		break;
-	case DONE_FAILED:
-		if (r->answer.status >= 500 && !r->answer.is_not_run)
-			add_first(r, now, true);
-		break;
-	case DONE_BROKEN:
-		add_first(r, now, true);
-		break;
-	case DONE_CANCELLED:
-		add_stopped(r, now);
-		break;
-	default:
-		break;
-	}
-	note_time(r, now - r->rollout.sent_at);
-	/* The share is used up, unless nothing was sent. */
-	if (result != DONE_UNREACHABLE && result != DONE_LEAVING)
-		r->rollout.has_share = false;
-	r->rollout.sent_at = 0;
-}
-
-/* What is very late already counts before its end, which may be far off. */
-static void check_late(relay_t *r, int64_t now)
-{
-	if (r->state == RELAY_GRANTED && r->rollout.sent_at &&
-	    now - r->rollout.sent_at > LATE_FACTOR * usual_limit(r))
-		add_first(r, now, false);
-}
-
 /* Has a request that waits, or is not sent yet, choose again. */
 static void check_place(relay_t *r, const gateway_rollout_t *o, int64_t now)
 {
@@ -534,10 +344,10 @@
 
 	for (GList *link = relays; link; link = link->next) {
 		relay_t *r = link->data;
-		const gateway_rollout_t *o = find(r);
+		const gateway_rollout_t *o = gateway_find_rollout(r);
 
 		if (o)
-			check_late(r, now);
+			relay_check_late(r, now);
 		check_place(r, o, now);
 	}
 }
@@ -551,10 +361,10 @@
 
 	g_hash_table_iter_init(&iter, g->relays);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&r)) {
-		if (find(r) != o)
+		if (gateway_find_rollout(r) != o)
 			continue;
 		n += r->state == RELAY_GRANTED &&
-		     !is_target(o, r->runner.release);
+		     !gateway_is_target(o, r->runner.release);
 		n += r->state == RELAY_AWAITING_GRANT && !r->rollout.in_pool;
 	}
 	return n;
