--- a/core/rollout.c
+++ b/core/rollout.c
@@ -68,31 +68,6 @@
 	return id ? id : 1;
 }
 
-/* Between the service's name and the hash of the release. */
-static const char pool_mark = '~';
-
-enum { POOL_SUFFIX = 9 /* the mark and 8 digits */ };
-
-void rollout_pool_name(const char *service, const char *target, char *out)
-{
-	g_autofree char *both = g_strdup_printf("%s\n%s", service, target);
-
-	g_snprintf(out, ROLLOUT_POOL_SIZE, "%.*s%c%08x",
-		   ROLLOUT_POOL_SIZE - 1 - POOL_SUFFIX, service, pool_mark,
-		   (unsigned)str_hash(str_from(both)));
-}
-
-bool rollout_pool_service(const char *pool, char *out)
-{
-	size_t n = strlen(pool);
-
-	if (n <= POOL_SUFFIX || pool[n - POOL_SUFFIX] != pool_mark ||
-	    strspn(pool + n - POOL_SUFFIX + 1, "0123456789abcdef") !=
-		    POOL_SUFFIX - 1)
-		return false;
-	return str_copy(out, FLEET_NAME_SIZE, (str_t){ pool, n - POOL_SUFFIX });
-}
-
 const char *rollout_phase_name(rollout_phase_t phase)
 {
 	static const char *const names[] = { "in progress", "completed",
@@ -502,10 +477,19 @@
 	return r->is_conducting && now - r->confirmed_at < MAX_UNCONFIRMED_US;
 }
 
-/* The order names the release that all runners have already. */
-static bool has_nothing_to_move(const rollout_t *r, const rollout_view_t *view)
+/*
+ * The order names the release that all runners have already: no other was
+ * listed for some time, and nobody has tried it.
+ */
+static bool has_nothing_to_move(rollout_t *r, const rollout_view_t *view,
+				int64_t now)
 {
-	return view->target_runners && !r->had_others;
+	bool is_alone = view->target_runners && !r->had_others &&
+			!r->stored.budget && !r->stored.is_moving;
+
+	if (!is_alone || !r->alone_since)
+		r->alone_since = is_alone ? now : 0;
+	return is_alone && now - r->alone_since > MISSING_US;
 }
 
 static void advance(rollout_t *r, const rollout_view_t *view, int64_t now)
@@ -513,7 +497,7 @@
 	r->had_others |= view->other_runners > 0;
 	if (view->target_runners)
 		r->no_target_since = 0;
-	if (r->stage == ROLLOUT_HELD && has_nothing_to_move(r, view)) {
+	if (r->stage <= ROLLOUT_TRYING && has_nothing_to_move(r, view, now)) {
 		set_stage(r, ROLLOUT_MOVED, now);
 		r->must_complete = true;
 		g_strlcpy(r->why, "the service has no other release",
