intake_budget: a small body is served beside a crowd that comes back

Cause, found by a test of a crowd that comes back each time that it is closed, in a thread of its own: a body of 256 KiB was refused ten times of ten at the own interface. All that is held comes in good time then, so nobody is given up, and whoever asks is refused; each piece of a body asks.

Tried: giving up the last one to begin (that is the ordinary one: refused ten of ten at both interfaces), and only what holds more than the newcomer will in the end (the same).

--- a/core/intake_budget.c
+++ b/core/intake_budget.c
@@ -11,7 +11,9 @@
 	TIMELY_BYTES_PER_S = 256 * KIB,
 	/* The first bytes of a new connection may be on their way. */
 	NEW_GRACE_US = 200 * 1000,
-	/* Holds many times as much: a small request is not kept out by it. */
+	/* A request that is small takes this part of the limit at most. */
+	SMALL_DIVISOR = 32,
+	/* Of what came, if a request doesn't announce its length. */
 	MANY_TIMES = 8,
 	/* So that what just began to be read is told apart by its bytes. */
 	LEAST_AGE_US = 1000,
@@ -110,11 +112,13 @@
 intake_t *intake_budget_victim(const intake_budget_t *b, const intake_t *i,
 			       uint64_t n, int64_t now)
 {
-	uint64_t wanted = MAX(i->bytes + n, i->expected);
+	/* What isn't announced may become much. */
+	uint64_t wanted = i->expected ? MAX(i->bytes + n, i->expected) :
+					(i->bytes + n) * MANY_TIMES;
 	intake_t *worst = costliest(b, UINT64_MAX, now);
 
-	if (!worst)
-		worst = costliest(b, wanted * MANY_TIMES, now);
+	if (!worst && wanted <= b->limits.bytes / SMALL_DIVISOR)
+		worst = costliest(b, 0, now);
 	return worst == i ? NULL : worst;
 }
 
--- a/core/intake_budget.h
+++ b/core/intake_budget.h
@@ -72,9 +72,8 @@
 /*
  * Returns the connection to give up so that I can hold N more bytes: of those
  * that fell silent or come slowly, the one that has held the most for the
- * longest. If all are timely, one that holds many times what I will: among
- * equals the first ones are to be completed. NULL if it is I, or if there is
- * none.
+ * longest. If all are timely, the same of all if I will be small; a large one
+ * is not worth others that are under way. NULL if it is I, or if there is none.
  */
 intake_t *intake_budget_victim(const intake_budget_t *b, const intake_t *i,
 			       uint64_t n, int64_t now);
--- a/tests/lib_crowd.h
+++ b/tests/lib_crowd.h
@@ -5,6 +5,7 @@
 #ifndef TESTS_LIB_CROWD_H
 #define TESTS_LIB_CROWD_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stddef.h>
 
@@ -32,6 +33,11 @@
  * stay open. Calls WATCH from time to time.
  */
 void crowd_run(crowd_t *c, void (*watch)(void *ctx), void *ctx);
+/*
+ * Does the same without an end until *IS_OVER is set, from another thread; all
+ * connections come back as often as their shape says.
+ */
+void crowd_go_on(crowd_t *c, const gint *is_over);
 /* Returns how many connections the peer has not closed. */
 int crowd_open(const crowd_t *c);
 /* Returns how many connections sent all that they were to send. */
