intake_budget: small bodies in good time are not given up for equals

Change: only one that will be twice as large gives way.

rollout: an order that names the only release is completed

Change: it is held until another release is listed, and completed if none is.

--- a/core/intake_budget.c
+++ b/core/intake_budget.c
@@ -15,6 +15,7 @@
 	SMALL_DIVISOR = 32,
 	/* Of what came, if a request doesn't announce its length. */
 	MANY_TIMES = 8,
+	LARGER_FACTOR = 2, /* larger requests give way to small ones */
 	/* So that what just began to be read is told apart by its bytes. */
 	LEAST_AGE_US = 1000,
 };
@@ -92,7 +93,13 @@
 	       now - i->since < TIMELY_SILENCE_US + fair_time;
 }
 
-/* The costliest request that is late, or holds at least LEAST bytes. */
+/* How large a request will be; what isn't announced may become much. */
+static uint64_t final_size(const intake_t *i, uint64_t bytes)
+{
+	return i->expected ? MAX(bytes, i->expected) : bytes * MANY_TIMES;
+}
+
+/* The costliest request that is late, or will have at least LEAST bytes. */
 static intake_t *costliest(const intake_budget_t *b, uint64_t least,
 			   int64_t now)
 {
@@ -102,7 +109,8 @@
 	for (; link; link = link->next) {
 		intake_t *i = link->data;
 
-		if (i->bytes && (i->bytes >= least || !is_timely(i, now)) &&
+		if (i->bytes &&
+		    (final_size(i, i->bytes) >= least || !is_timely(i, now)) &&
 		    (!worst || cost(i, now) > cost(worst, now)))
 			worst = i;
 	}
@@ -112,13 +120,12 @@
 intake_t *intake_budget_victim(const intake_budget_t *b, const intake_t *i,
 			       uint64_t n, int64_t now)
 {
-	/* What isn't announced may become much. */
-	uint64_t wanted = i->expected ? MAX(i->bytes + n, i->expected) :
-					(i->bytes + n) * MANY_TIMES;
+	uint64_t wanted = final_size(i, i->bytes + n);
 	intake_t *worst = costliest(b, UINT64_MAX, now);
 
+	/* Among equals the first ones are to be completed. */
 	if (!worst && wanted <= b->limits.bytes / SMALL_DIVISOR)
-		worst = costliest(b, 0, now);
+		worst = costliest(b, wanted * LARGER_FACTOR, now);
 	return worst == i ? NULL : worst;
 }
 
--- a/core/intake_budget.h
+++ b/core/intake_budget.h
@@ -72,8 +72,9 @@
 /*
  * Returns the connection to give up so that I can hold N more bytes: of those
  * that fell silent or come slowly, the one that has held the most for the
- * longest. If all are timely, the same of all if I will be small; a large one
- * is not worth others that are under way. NULL if it is I, or if there is none.
+ * longest. If all are timely and I will be small, the same of those that will be
+ * twice as large; neither equals nor a large one are worth others that are under
+ * way. NULL if it is I, or if there is none.
  */
 intake_t *intake_budget_victim(const intake_budget_t *b, const intake_t *i,
 			       uint64_t n, int64_t now);
--- a/core/rollout.c
+++ b/core/rollout.c
@@ -503,7 +503,8 @@
 		g_strlcpy(r->why, "the service has no other release",
 			  sizeof(r->why));
 	}
-	if (r->stage == ROLLOUT_HELD)
+	/* Alone, the target would spend a budget and be judged by nothing. */
+	if (r->stage == ROLLOUT_HELD && !r->alone_since)
 		set_stage(r, ROLLOUT_TRYING, now);
 	if (r->stage == ROLLOUT_TRYING)
 		check_tried(r, view, now);
--- a/tests/test_intake_budget.c
+++ b/tests/test_intake_budget.c
@@ -125,6 +125,22 @@
 }
 END_TEST
 
+/* Many small bodies, more than fit: the first ones are completed. */
+START_TEST(small_bodies_are_not_given_up_for_equals)
+{
+	const int64_t now = 50000;
+	scene_t s;
+
+	begin(&s, 256 * KB);
+	for (size_t k = 0; k < G_N_ELEMENTS(s.crowd); k++)
+		s.crowd[k].expected = 256 * KB;
+	add_ordinary(&s, now);
+	s.ordinary.expected = 256 * KB;
+	ck_assert_ptr_null(
+		intake_budget_victim(&s.budget, &s.ordinary, 64 * KB, now));
+}
+END_TEST
+
 /*
  * A crowd that comes back at full speed, all of it in good time, against a body
  * of ordinary size: each piece of it finds room.
@@ -323,6 +339,7 @@
 	   the_largest_of_the_same_age_is_given_up_first,
 	   who_holds_most_for_longest_is_refused_itself,
 	   bodies_that_come_in_good_time_are_given_up_for_small_ones_only,
+	   small_bodies_are_not_given_up_for_equals,
 	   a_small_body_is_completed_beside_a_crowd_that_comes_back,
 	   a_body_that_comes_slowly_is_given_up,
 	   a_single_body_fits_whatever_the_limit, what_ends_is_not_held,
