--- a/tests/test_cached_beginning.c
+++ b/tests/test_cached_beginning.c
@@ -28,7 +28,7 @@
 	ck_assert_double_lt(old, 0.6);
 	ck_assert_double_gt(old, 0.1);
 	p.age = 0;
-	p.tokens_since = CACHE / 4 * 3;
+	p.tokens_since = (uint64_t)CACHE / 4 * 3;
 	pressed = cache_value_certainty(&p);
 	ck_assert_double_lt(pressed, 0.6);
 	ck_assert_double_gt(pressed, 0.1);
--- a/tests/test_limit_fleet.c
+++ b/tests/test_limit_fleet.c
@@ -603,7 +603,7 @@
 		p.frames = 0;
 		for (int64_t end = p.now + END_US; p.now < end;) {
 			if (p.now == end - END_US / 2)
-				p.late = 200 * MS;
+				p.late = INT64_C(200) * MS;
 			ck_assert_uint_eq(lease_pair_step(&p), 2);
 		}
 		ck_assert_int_le((int64_t)p.frames * cases[i].daemons,
--- a/tests/test_noisy_machine.c
+++ b/tests/test_noisy_machine.c
@@ -258,7 +258,7 @@
 	warm_up(&f);
 	for (uint64_t a = 20; a < 20 + 2 * SLOTS; a++)
 		fixture_submit(&f, a, 0, 1);
-	f.now += 2 * WORK;
+	f.now += INT64_C(2) * WORK;
 	for (uint64_t a = 20; a < 22; a++)
 		end_call(&f, a, SLOTS, pace);
 	for (int i = 0; i < 30; i++)
@@ -275,7 +275,7 @@
 
 START_TEST(a_slow_time_does_not_close_the_window)
 {
-	ck_assert_uint_ge(granted_after_slow_time(SLOW), 2 * SLOTS);
+	ck_assert_uint_ge(granted_after_slow_time(SLOW), UINT64_C(2) * SLOTS);
 	/* It isn't slow by its own account, but calls hang. */
 	ck_assert_uint_le(granted_after_slow_time(USUAL), SLOTS);
 }
@@ -326,7 +326,7 @@
 		fixture_submit(&f, a, 0, 1);
 		granted += fixture_answer_kind(&f, a) == ANSWER_GRANT;
 	}
-	ck_assert_uint_ge(granted, 2 * SLOTS);
+	ck_assert_uint_ge(granted, UINT64_C(2) * SLOTS);
 	dispatcher_finish(&f.d);
 }
 END_TEST
--- a/tests/test_rollout_judge.c
+++ b/tests/test_rollout_judge.c
@@ -97,12 +97,13 @@
 	rollout_judge_t judge;
 	int look;
 
-	rollout_judge_init(&judge, LOOK_US * 2, 0);
+	rollout_judge_init(&judge, INT64_C(2) * LOOK_US, 0);
 	for (look = 0; look < LOOKS && f.verdict != ROLLOUT_BAD; look++) {
 		for (int i = 0; i < ANSWERS_PER_LOOK; i++) {
 			rollout_answer_t a = make_answer(rand, t, look);
 
-			rollout_judge_add(&judge, &a, 1, look * LOOK_US);
+			rollout_judge_add(&judge, &a, 1,
+					  (int64_t)look * LOOK_US);
 		}
 		f = rollout_judge_find(&judge);
 	}
@@ -254,13 +255,13 @@
 	for (uint64_t i = 0; i < 200; i++) {
 		a.runner = i % 5 + 1;
 		a.has_failed = false;
-		rollout_judge_add(&judge, &a, 1, 3 * LOOK_US);
+		rollout_judge_add(&judge, &a, 1, INT64_C(3) * LOOK_US);
 	}
 	ck_assert_int_eq(rollout_judge_find(&judge).verdict, ROLLOUT_SOUND);
 	for (uint64_t i = 0; i < 100; i++) {
 		a.runner = i % 5 + 1;
 		a.has_failed = true;
-		rollout_judge_add(&judge, &a, 1, 4 * LOOK_US);
+		rollout_judge_add(&judge, &a, 1, INT64_C(4) * LOOK_US);
 	}
 	ck_assert_int_eq(rollout_judge_find(&judge).verdict, ROLLOUT_BAD);
 	rollout_judge_finish(&judge);
@@ -274,7 +275,7 @@
 	rollout_judge_t judge;
 
 	rollout_judge_init(&judge, LOOK_US, 0);
-	for (uint64_t i = 1; i <= 2 * ROLLOUT_MAX_GROUPS; i++) {
+	for (uint64_t i = 1; i <= UINT64_C(2) * ROLLOUT_MAX_GROUPS; i++) {
 		a.route = i / 2;
 		a.is_target = i % 2;
 		a.bucket = UINT32_MAX;
--- a/tests/test_rollout_share.c
+++ b/tests/test_rollout_share.c
@@ -293,8 +293,8 @@
 {
 	rollout_lease_t l = { .granter = 0 };
 
-	rollout_lease_set(&l, 5, 3, 0, 2 * ROLLOUT_LEASE_US);
-	ck_assert(!rollout_lease_take(&l, 2 * ROLLOUT_LEASE_US));
+	rollout_lease_set(&l, 5, 3, 0, INT64_C(2) * ROLLOUT_LEASE_US);
+	ck_assert(!rollout_lease_take(&l, INT64_C(2) * ROLLOUT_LEASE_US));
 	ck_assert_uint_eq(l.returned, 3);
 }
 END_TEST
