daemon: wording of the new server, roll-outs, route questions and speeds

Comments that were elliptic or figurative now name what they describe and use the field's terms. Public items without a doc comment got one, lines over 80 columns are wrapped, and a few vague static names are clearer: look, usual_limit, check_lost_memory, tell_speeds, told_at.

No behaviour, setting, metric, log text or name on the wire changes.

--- a/daemon/admin_route.c
+++ b/daemon/admin_route.c
@@ -13,7 +13,7 @@
 	struct evbuffer *out = evbuffer_new();
 	char *text = json_dumps(root, JSON_COMPACT);
 
-	/* A name that isn't UTF-8 can't be told. */
+	/* JSON can't hold a name that isn't UTF-8. */
 	if (!text)
 		status = HTTP_INTERNAL;
 	evhttp_connection_set_closecb(evhttp_request_get_connection(req), NULL,
--- a/daemon/caller.c
+++ b/daemon/caller.c
@@ -86,11 +86,11 @@
 	struct evbuffer *out = http_conn_output(conn);
 
 	if (http_conn_is_last(conn)) {
-		/* The head says so now. */
+		/* The head announces the close, so it must follow. */
 		http_conn_set_last(conn);
 		add_header(out, "Connection", "close");
 	} else if (!http_conn_head(conn)->takes_chunks) {
-		/* What a caller of HTTP/1.0 asked for. */
+		/* Asked for by a caller of HTTP/1.0, whose default is close. */
 		add_header(out, "Connection", "keep-alive");
 	}
 	evbuffer_add(out, "\r\n", 2);
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -23,7 +23,7 @@
 	PERCENT = 100,
 };
 
-/* Part of an engine's memory that is nearly all of it. */
+/* Share of an engine's memory from which it counts as nearly full. */
 static const double full_memory = 0.9;
 
 typedef struct capacity capacity_t;
@@ -36,7 +36,7 @@
 	dispatcher_t dispatcher;
 	GHashTable *runners; /* name to runner_t */
 	uint64_t n_expired_logged; /* expired grants logged so far */
-	int64_t speeds_told_at; /* speeds learned before were told */
+	int64_t speeds_sent_at; /* speeds learned before were sent */
 } service_t;
 
 /* A runner and the state of its load poll. */
@@ -247,7 +247,7 @@
 	dispatcher_set_list_received(&s->dispatcher, now_us());
 }
 
-/* Takes over what other daemons told of the runners' speeds. */
+/* Uses the runners' speeds that other daemons have learned. */
 static void import_speeds(service_t *s)
 {
 	capacity_t *c = s->capacity;
@@ -262,20 +262,20 @@
 }
 
 /*
- * Tells the dispatcher's other host what was learned since the last time. What
- * no link takes, or doesn't fit into a message of the largest size, is told
- * with the runner's next answer, or when a link comes up.
+ * Sends the speeds learned since the last time to the dispatcher's other host.
+ * Those of a runner that no link takes, or that don't fit into one message, are
+ * sent after its next answer, or when a link comes up.
  */
-static void tell_speeds(service_t *s)
+static void send_speeds(service_t *s)
 {
 	message_t m = { .type = MESSAGE_SPEEDS };
 	runner_digest_t digests[SPEED_DIGEST_MAX];
 	int64_t now = now_us();
 	size_t n = dispatcher_export_speeds(&s->dispatcher, digests,
-					    SPEED_DIGEST_MAX, s->speeds_told_at,
+					    SPEED_DIGEST_MAX, s->speeds_sent_at,
 					    now);
 
-	s->speeds_told_at = now;
+	s->speeds_sent_at = now;
 	if (!n)
 		return;
 	g_strlcpy(m.speeds.service, s->name, sizeof(m.speeds.service));
@@ -285,9 +285,9 @@
 }
 
 /* The other host may be a new process, which knows nothing. */
-static void tell_all_speeds_again(service_t *s)
+static void resend_all_speeds(service_t *s)
 {
-	s->speeds_told_at = 0;
+	s->speeds_sent_at = 0;
 }
 
 static service_t *add_service(capacity_t *c, const char *name,
@@ -641,7 +641,7 @@
 
 static void on_speeds_timer(evutil_socket_t fd, short what, void *arg)
 {
-	for_each_service(arg, tell_speeds);
+	for_each_service(arg, send_speeds);
 }
 
 static void on_tick_timer(evutil_socket_t fd, short what, void *arg)
@@ -687,8 +687,8 @@
 		dispatcher_runner_leaves(&s->dispatcher, c->want.id, now_us());
 }
 
-/* Tells a crash for want of memory from others. */
-static void check_lost_memory(service_t *s, const message_capacity_t *c)
+/* Logs that an engine broke off when it may have run out of memory. */
+static void log_if_broke_full(service_t *s, const message_capacity_t *c)
 {
 	double part;
 
@@ -710,7 +710,7 @@
 
 static void handle_done(service_t *s, const message_capacity_t *c)
 {
-	check_lost_memory(s, c);
+	log_if_broke_full(s, c);
 	handle_limit(s, c);
 	dispatcher_runner_load(&s->dispatcher, c->want.id, &c->done.load,
 			       now_us());
@@ -766,7 +766,7 @@
 		return;
 	case MESSAGE_LINK_UP:
 		for_each_owner_of(c, m->contact.name, doubt_grants);
-		for_each_service(c, tell_all_speeds_again);
+		for_each_service(c, resend_all_speeds);
 		return;
 	case MESSAGE_SPEEDS:
 		handle_speeds(c, &m->speeds);
@@ -774,8 +774,8 @@
 	case MESSAGE_DRAIN:
 		if (!c->speeds_timer)
 			return;
-		for_each_service(c, tell_all_speeds_again);
-		for_each_service(c, tell_speeds);
+		for_each_service(c, resend_all_speeds);
+		for_each_service(c, send_speeds);
 		return;
 	case MESSAGE_WANT:
 		handle_want(c, &m->capacity);
--- a/daemon/early_wants.h
+++ b/daemon/early_wants.h
@@ -1,11 +1,11 @@
 /*
- * Wants that reach a daemon before its first configuration: others may know it
- * as a dispatcher's host as soon as it is linked. They are kept and decided
- * once the configuration is known, since no other daemon serves them meanwhile.
- * Requests that run already come first, so that their places are known to be
- * taken. Bounded in number and time; what doesn't fit is refused.
+ * Wants that reach a daemon before its first configuration and VM list: other
+ * daemons may know it as a dispatcher's host as soon as it is linked. They are
+ * kept, and handled once both are known, since no other daemon serves them
+ * meanwhile. Wants of requests that run already come first, so that their
+ * runners count as busy. Bounded in number and time; the rest is refused.
  *
- * Beside its task, as what it keeps are messages.
+ * Not in core/, as it keeps messages of tasks.
  */
 #ifndef DAEMON_EARLY_WANTS_H
 #define DAEMON_EARLY_WANTS_H
@@ -14,7 +14,10 @@
 
 enum {
 	EARLY_WANTS_MAX = 512, /* of each kind */
-	/* Lists come from other daemons much earlier, or may not come at all */
+	/*
+	 * How long a waiting want is kept. The VM list usually comes sooner from
+	 * other daemons, or may not come at all.
+	 */
 	EARLY_WANTS_LIMIT_US = 1500 * 1000,
 };
 
--- a/daemon/front.h
+++ b/daemon/front.h
@@ -42,6 +42,7 @@
 
 /* front_ticket.c: tickets issued by this daemon. */
 
+/* Answers with a new ticket. */
 void front_issue_ticket(front_t *f, http_conn_t *conn, const call_t *call);
 /*
  * Handles a ticket that was used before: sends the stored response, adds the
@@ -50,7 +51,9 @@
  */
 bool front_reply_to_repeat(front_t *f, http_conn_t *conn, const call_t *call,
 			   GBytes *scoped_key);
+/* Answers 410: the ticket can't be used. */
 void front_refuse_ticket(front_t *f, http_conn_t *conn);
+/* Returns whether this process issued the ticket. */
 bool front_is_own_ticket(const front_t *f, const char *ticket);
 /* True when no daemon can run the ticket: it is malformed, lost or expired. */
 bool front_is_unusable_ticket(const front_t *f, const call_t *call,
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -230,8 +230,8 @@
 }
 
 /*
- * Of a request whose head didn't come whole nobody knows whether it has a key,
- * under which it may have run before.
+ * A request whose head isn't complete may have a key, under which it may have
+ * run before.
  */
 static outcome_t incomplete_outcome(const http1_head_t *head, int status)
 {
--- a/daemon/http_conn.c
+++ b/daemon/http_conn.c
@@ -12,7 +12,7 @@
 enum {
 	US_PER_MS = 1000,
 	READ_AHEAD_BYTES = 64 * 1024, /* input buffered during a request */
-	/* Input buffered beside a request that is answered. */
+	/* Input buffered while a request is being answered. */
 	SERVED_AHEAD_BYTES = 4 * 1024,
 	SHORT_HEAD_BYTES = 4 * 1024,
 	CONN_BYTES = 2 * 1024, /* of the structures of a connection */
@@ -164,7 +164,7 @@
 	set_timer(c, LINGER_MS);
 }
 
-/* The answers are written, or what is left of them awaits its reader. */
+/* The answer is complete; a part of it may still have to be written. */
 static void enter_answered(http_conn_t *c)
 {
 	if (http_conn_backlog(c))
@@ -421,7 +421,7 @@
 		drop(arg);
 }
 
-/* Tells whether the caller has read of its last answer since the last time. */
+/* Tells whether the caller has read more of its answer since the last call. */
 static bool is_still_read(http_conn_t *c)
 {
 	size_t unsent = http_conn_backlog(c);
--- a/daemon/http_conn.h
+++ b/daemon/http_conn.h
@@ -8,7 +8,7 @@
 
 enum {
 	HTTP_CONN_PEER_SIZE = 32, /* bytes of IP:port, with the NUL */
-	/* Until a refused caller may come back: other requests will end. */
+	/* Retry-After for want of memory: other requests end meanwhile. */
 	HTTP_NO_MEMORY_RETRY_MS = 500,
 };
 
@@ -24,9 +24,9 @@
 	size_t counted; /* bytes in http_server.requests */
 	size_t unsent; /* bytes of the answer, as the timer last saw it */
 	bool closes_after_answer;
-	bool is_closing; /* has its last answer */
+	bool is_closing; /* its last answer is complete in the output */
 	bool is_write_shut; /* the sending side is shut down */
-	bool lacks_memory; /* for the request that is read */
+	bool lacks_memory; /* for the request that is being read */
 	char peer[HTTP_CONN_PEER_SIZE];
 };
 
@@ -44,11 +44,12 @@
 
 /*
  * Tells whether the request that C reads may take up N more bytes. Others that
- * are not complete may be refused to make room for it. A head of ordinary
- * length may be read also beside many requests that are being answered.
+ * are not complete may be refused to make room for it. IS_SHORT_HEAD: only the
+ * bound of incomplete requests counts, so that a head of ordinary length can be
+ * read while answered requests take up the memory.
  */
 bool http_server_make_room(http_conn_t *c, size_t n, bool is_short_head);
-/* Tells whether a body of LEN bytes fits beside requests that are answered. */
+/* Tells whether a body of LEN bytes fits beside the complete requests. */
 bool http_server_may_take(const http_conn_t *c, uint64_t len);
 /* Logs and counts that a connection's request, if any, is given up. */
 void http_server_log_given_up(const http_conn_t *c, const char *cause,
--- a/daemon/http_server.c
+++ b/daemon/http_server.c
@@ -17,7 +17,7 @@
 	PERCENT = 100,
 	US_PER_MS = 1000,
 	ACCEPT_PAUSE_MS = 50, /* after a lack of descriptors */
-	/* Share of the descriptors that callers get whatever is kept free. */
+	/* Callers get descriptors / this even if more are to be kept free. */
 	LEAST_CONNECTIONS_DIVISOR = 4,
 };
 
@@ -38,7 +38,7 @@
 	metrics_add(&s->sup->metrics, "papaya_intake_given_up_total", label, 1);
 }
 
-/* Bytes of complete requests, which can't make room. */
+/* Bytes of complete requests, which are never refused to make room. */
 static uint64_t answered_bytes(const http_server_t *s)
 {
 	return s->requests.held > s->intake.held ?
@@ -117,7 +117,7 @@
 			   ntohs(in->sin_port));
 }
 
-/* Closes one connection for another; false if all are being answered. */
+/* Closes a connection for a new one; false if all are being answered. */
 static bool close_spare(http_server_t *s)
 {
 	intake_t *spare = intake_budget_spare(&s->intake, now_us());
@@ -148,7 +148,7 @@
 	http_conn_new(s, fd, peer);
 }
 
-/* No descriptor is free: waits, as the listener would be ready all the time. */
+/* No descriptor is free: pauses, as the listener would be ready at once. */
 static void on_accept_error(struct evconnlistener *listener, void *arg)
 {
 	http_server_t *s = arg;
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -1,8 +1,8 @@
 /*
- * HTTP/1.1 server for callers that nobody controls; both interfaces stand on
- * it. It reads requests whole, one at a time a connection, and bounds the bytes
- * that it holds for them, the time that they take to arrive, and the number of
- * connections (core/intake_budget.h, docs/design/intake.md).
+ * HTTP/1.1 server for untrusted callers, used by the gateway and by the own
+ * interface. It reads whole requests, one at a time per connection, and bounds
+ * the bytes that it holds for them, the time that they take to arrive, and the
+ * number of connections (core/intake_budget.h, docs/design/intake.md).
  */
 #ifndef DAEMON_HTTP_SERVER_H
 #define DAEMON_HTTP_SERVER_H
@@ -27,8 +27,8 @@
 typedef struct http_limits {
 	uint64_t max_header_bytes;
 	uint64_t max_body_bytes;
-	int64_t header_timeout_ms; /* of a whole head; 0: only silence counts */
-	int64_t idle_timeout_ms; /* silence */
+	int64_t header_timeout_ms; /* of a whole head; 0: not bounded */
+	int64_t idle_timeout_ms; /* without any byte */
 } http_limits_t;
 
 typedef struct http_server_ops {
@@ -70,10 +70,13 @@
 		      byte_budget_t *answers, err_t *err);
 /* Closes all connections, without a callback. */
 void http_server_finish(http_server_t *s);
+/* Accepts no more connections; open ones stay. */
 void http_server_stop_listening(http_server_t *s);
-/* Closes the connections that serve and read no request. */
+/* Closes the connections without a request that is read or answered. */
 void http_server_close_idle(http_server_t *s);
+/* Returns the number of open connections. */
 uint32_t http_server_connections(const http_server_t *s);
+/* Sets the server's metrics. */
 void http_server_export(const http_server_t *s);
 
 /* The user of a request's connection; NULL at the start of each request. */
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -97,7 +97,7 @@
 {
 	bool is_last = http_conn_is_last(c);
 
-	/* The head says so now. */
+	/* If the head announces the close, it must follow. */
 	if (is_last)
 		http_conn_set_last(c);
 	answer_head_write(http_conn_output(c), head, -1, is_last);
--- a/daemon/message.c
+++ b/daemon/message.c
@@ -1,6 +1,6 @@
 #include "daemon/message.h"
 
-/* The runners of a roll-out's target are dispatched under another name. */
+/* NAME may be the pool of a roll-out's target (rollout_pool_name). */
 const profile_service_t *config_view_service(const config_view_t *v,
 					     const char *name)
 {
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -67,7 +67,8 @@
 	MESSAGE_CONFIG_RELAYED, /* peers to platform: from another daemon */
 	MESSAGE_FLEET, /* platform to front: routes, services and teams */
 	MESSAGE_VMS, /* platform to all: the VM list */
-	MESSAGE_RUNNERS_SEEN, /* store to front: when the runners' list was new */
+	/* store to front: when the runners' list was new */
+	MESSAGE_RUNNERS_SEEN,
 	MESSAGE_VMS_RELAYED, /* peers to platform: from another daemon */
 	MESSAGE_TOPIC_UPDATE, /* store to peers and back: a topic's update */
 	MESSAGE_READER_ROLE, /* peers to store: is this daemon a reader? */
@@ -98,14 +99,15 @@
 	MESSAGE_STREAM_NOTES, /* front to peers to store: streams began */
 	MESSAGE_STREAM_ASK, /* likewise: which release began this one? */
 	MESSAGE_STREAM_ANSWER, /* store to peers to front */
-	/* capacity to peers and back: learned speeds of a dispatcher's runners */
+	/* capacity to peers and back: learned speeds of runners */
 	MESSAGE_SPEEDS,
 	MESSAGE_ROLLOUT_ORDERS, /* store to front: all orders of roll-outs */
 	MESSAGE_ROLLOUT_HOST, /* peers to store: does this daemon conduct? */
 	MESSAGE_ROLLOUT_REPORT, /* front to peers to store, which conducts */
 	MESSAGE_ROLLOUT_TOLD, /* store to peers to front: the answer to it */
-	MESSAGE_ROLLOUT_STATES, /* store to admin: all roll-outs, for operators */
-	MESSAGE_LINK_UP, /* peers to capacity, front: a link to a daemon is up */
+	MESSAGE_ROLLOUT_STATES, /* store to admin: all roll-outs */
+	/* peers to capacity, front: a link to a daemon is up */
+	MESSAGE_LINK_UP,
 	MESSAGE_OWNER_LOST, /* peers to capacity, limits: incarnation ended */
 	MESSAGE_REQUEST_LISTS, /* store to peers: request a daemon's lists */
 	MESSAGE_LISTS_REQUESTED, /* peers to store: a daemon requests lists */
@@ -267,13 +269,14 @@
 	char service[MEMBER_NAME_SIZE]; /* the dispatcher's name */
 	GArray *digests; /* runner_digest_t */
 } message_speeds_t;
-/* Answers alike, as a daemon counted them. */
+
+/* How many equal answers a daemon counted. */
 typedef struct rollout_tally {
 	rollout_answer_t answer;
 	uint32_t n;
 } rollout_tally_t;
 
-/* What a daemon reports of a roll-out, or what it is told. */
+/* A daemon's report on a roll-out, or the conductor's answer to it. */
 typedef struct message_rollout {
 	char peer[MEMBER_NAME_SIZE]; /* the daemon; "": this one */
 	char service[FLEET_NAME_SIZE];
@@ -286,7 +289,7 @@
 typedef struct rollout_state {
 	rollout_order_t order;
 	bool is_conducted; /* by this daemon */
-	bool is_settled; /* the store has the decision */
+	bool is_settled; /* the decision is stored */
 	rollout_stage_t stage;
 	uint64_t term;
 	uint64_t requests, budget, leased;
@@ -310,6 +313,7 @@
 
 typedef struct route_query route_query_t; /* daemon/route_query.h */
 
+/* Drops a reference; the last one frees it. */
 void route_query_unref(route_query_t *q);
 
 typedef struct message {
@@ -323,7 +327,10 @@
 			/* also those that may serve behind a partition */
 			uint32_t known;
 		} daemons; /* DAEMON_COUNT */
-		/* CONFIG_NEXT, READER_ROLE, VIEW_STABLE, KEYS_READY, ROLLOUT_HOST */
+		/*
+		 * CONFIG_NEXT, READER_ROLE, VIEW_STABLE, KEYS_READY,
+		 * ROLLOUT_HOST
+		 */
 		uint64_t number;
 		struct {
 			char name[MEMBER_NAME_SIZE]; /* zone or daemon */
--- a/daemon/peers.h
+++ b/daemon/peers.h
@@ -96,14 +96,14 @@
 
 /* peers_rollouts.c: reports of roll-outs to the daemon that conducts them. */
 
-/* Sends a report to the conductor, or its answer to who reported. */
+/* Sends a report to the conductor, or its answer to the reporting daemon. */
 void peers_route_rollout(peers_t *p, const message_t *m);
 /* Posts a received message to its task; false for other frames. */
 bool peers_on_rollout_frame(peers_t *p, const char *name,
 			    const Papaya__Frame *frame);
 /* Posts to the store task whether this daemon conducts roll-outs. */
 void peers_post_rollout_host(peers_t *p);
-/* Keeps links to the conductor, and to who conducts if it is lost. */
+/* Keeps links to the conductor, and to the host of its role if it is lost. */
 void peers_link_conductor(peers_t *p);
 
 /* peers_detector.c: detection of unresponsive daemons and partitioned zones. */
@@ -125,7 +125,7 @@
  * effect is a longer wait.
  */
 void peers_route_want(peers_t *p, const message_t *m);
-/* Finds the dispatcher of a request that an operator asks for. */
+/* Finds the dispatcher of a request that an operator asks about. */
 void peers_on_route_query(peers_t *p, route_query_t *q);
 /*
  * Posts a want of another daemon to the capacity task; as one that others may
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -151,7 +151,7 @@
 
 	log_info("link to %s is down: %s", name,
 		 err ? err_text(err, text, sizeof(text)) : "closed");
-	/* Its roles are with the next host before it is known to be dead. */
+	/* The next host takes its roles before it is known to be dead. */
 	if (p->sup->settings->fleet && g_hash_table_contains(p->linked, name))
 		member_set_link_lost(&p->member, str_from(name), true,
 				     now_us());
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -19,14 +19,14 @@
 
 /* What a request has to do with a roll-out of its service. */
 typedef struct relay_rollout {
-	uint64_t order; /* that the rest belongs to; 0: none */
+	uint64_t order; /* id of the roll-out's order; 0: none */
 	bool is_chosen; /* IN_POOL was decided */
 	bool in_pool; /* it is dispatched to the target's runners */
-	bool has_share; /* of the target's exposure, and not used yet */
+	bool has_share; /* was leased one of the target's requests; unused */
 	bool was_refused; /* by the target's dispatcher */
 	bool is_counted; /* among the service's requests */
-	bool is_timed; /* the first answer of this send was counted */
-	int64_t sent_at; /* to the runner; 0: it is not */
+	bool is_timed; /* the time to this send's first answer was counted */
+	int64_t sent_at; /* when it was sent to the runner; 0: it was not */
 	int64_t first_at; /* first event of its stream; 0: none */
 } relay_rollout_t;
 
@@ -83,9 +83,9 @@
 	upstream_conn_t *upstream;
 	/* Stated in the runner's answer, and reported to the dispatcher: */
 	bool says_leaving; /* the runner is leaving */
-	runner_load_t load; /* at 0: none */
-	bool is_load_told; /* with the first event */
-	uint32_t connection_ms; /* for which the connection is kept */
+	runner_load_t load; /* its AT is 0: none stated */
+	bool is_load_told; /* the dispatcher got it with the first event */
+	uint32_t connection_ms; /* how long the connection may be reused */
 	uint32_t pause_ms; /* time without requests from this VM; 0: none */
 	uint32_t output_tokens; /* estimate of what is left, for the want */
 	uint32_t declined_grants; /* grants that were returned unused */
@@ -97,7 +97,7 @@
 	answer_head_t answer;
 	struct evbuffer *answer_body;
 	bool has_answer; /* the head was received */
-	bool was_reused; /* the connection that ended */
+	bool was_reused; /* the connection that ended was a reused one */
 	bool is_own_answer; /* and it answers this attempt */
 	bool is_streaming; /* forwards this answer event by event */
 	bool has_begun; /* the head was sent to the caller */
@@ -196,12 +196,15 @@
  * releases. Returns false when it may not.
  */
 bool relay_leave_pool(relay_t *r);
-/* For the reports: it was sent, its stream began, the use of its runner ended. */
+/*
+ * For the reports to the conductor: the request was sent, its stream began, the
+ * use of its runner ended.
+ */
 void relay_on_sent(relay_t *r);
 void relay_on_first_event(relay_t *r);
 void relay_on_done(relay_t *r, done_result_t result);
 
-/* relay_moves.c: from one dispatcher to another */
+/* relay_moves.c: moves a waiting request to another dispatcher */
 
 /* After a refusal: requests a runner of another one; false: there is none. */
 bool relay_try_after_refusal(relay_t *r, refuse_reason_t reason);
@@ -221,9 +224,9 @@
 /* The cost in a team's limit: tokens, or 1 for a request. */
 uint32_t relay_limit_cost(const fleet_team_t *team, const call_head_t *call);
 /*
- * Picks, among the runners of POOL, the dispatcher to ask first. A long prefix goes to the group of runners
- * that may have it cached, also in another zone, unless many recent requests
- * share it; PREFIXES counts them.
+ * Picks, among the runners of POOL, the dispatcher to ask first. A long prefix
+ * goes to the group of runners that may have it cached, also in another zone,
+ * unless many recent requests share it; PREFIXES counts them.
  */
 void relay_pick_group(const zone_groups_t *zones, hot_prefix_t *prefixes,
 		      const call_head_t *call, const char *pool, GRand *rand,
@@ -271,7 +274,7 @@
 
 /* relay_runner.c */
 
-/* Handles what the answer's head states of the runner: leaving, pause, limit. */
+/* Handles what the answer's head states of the runner, as leaving or limit. */
 void relay_read_runner_status(relay_t *r);
 /*
  * Returns the grant unused and requests another runner when the runner is
--- a/daemon/relay_moves.c
+++ b/daemon/relay_moves.c
@@ -17,7 +17,7 @@
 	WAIT_TARGET_DIVISOR = 4,
 	MIN_WAIT_US = 50 * US_PER_MS,
 	MAX_WAIT_US = 300 * US_PER_MS,
-	MAX_UNANSWERED_WANTS = 2, /* after these, it is silent */
+	MAX_UNANSWERED_WANTS = 2, /* after these, a dispatcher is silent */
 };
 
 static void count_move(const relay_t *r, const char *why)
@@ -30,7 +30,7 @@
 
 static void move_to(relay_t *r, const zone_pick_t *next)
 {
-	/* It may have the want nevertheless: only its answer is missing. */
+	/* The old dispatcher may have the want, though no answer came. */
 	relay_post_capacity(r, MESSAGE_WITHDRAW, NULL);
 	r->pick = *next;
 	r->dispatches_locally = false;
--- a/daemon/relay_rollout.c
+++ b/daemon/relay_rollout.c
@@ -18,8 +18,11 @@
 enum {
 	US_PER_MS = 1000,
 	REPORT_US = ROLLOUT_REPORT_MS * US_PER_MS,
-	MAX_REPLACED = 16, /* releases; further ones count as later ones */
-	/* For a reverted target's runners to drain and leave. */
+	MAX_REPLACED = 16, /* releases; further ones count as newer */
+	/*
+	 * A reverted target is used again after only it had runners for so
+	 * long. Before, its runners may just be about to drain and leave.
+	 */
 	ALONE_US = 15 * 1000 * US_PER_MS,
 	RETRY_MS = 1000, /* Retry-After of a stream that can't go on now */
 };
@@ -58,7 +61,7 @@
 		now - o->alone_since > ALONE_US);
 }
 
-/* Without news of the conductor, no request goes to the target. */
+/* While the target is tried or moved to, it needs a live lease. */
 static rollout_stage_t stage_at(const gateway_rollout_t *o, int64_t now)
 {
 	bool needs_lease =
@@ -79,7 +82,7 @@
 	return false;
 }
 
-/* Releases that come after the completion replace the target's in turn. */
+/* Releases first listed after the completion are newer than the target. */
 static void count_other(gateway_rollout_t *o, uint64_t release)
 {
 	o->other_runners++;
@@ -127,7 +130,7 @@
 	update_runners(g);
 }
 
-/* Half of the bound is left for the judge and for messages. */
+/* At most half of the bound, as the judge and messages take time as well. */
 static int64_t lease_time(const settings_t *s)
 {
 	return MIN(ROLLOUT_LEASE_US, s->rollout_revert_ms * US_PER_MS / 2);
@@ -324,7 +327,7 @@
 	return true;
 }
 
-/* Has a request that waits, or is not sent yet, choose again. */
+/* Makes a request that may not stay in its pool choose again, if unsent. */
 static void check_place(relay_t *r, const gateway_rollout_t *o, int64_t now)
 {
 	if (!is_in_old_pool(r, o) &&
@@ -442,7 +445,7 @@
 	check_relays(g, now);
 }
 
-/* A decision that the store has stays; else the latest conductor has the say. */
+/* A stored decision is final; before it, the highest term counts. */
 static bool is_outdated(const gateway_rollout_t *o, const rollout_told_t *told)
 {
 	return o->decided_ms || told->order != o->order_id ||
@@ -457,7 +460,10 @@
 
 	if (!o || is_outdated(o, told))
 		return;
-	/* It began after the completion: what was replaced has stopped. */
+	/*
+	 * This process began after the completion: the releases that the target
+	 * replaced have stopped, and those that were listed are newer.
+	 */
 	if (!o->term && told->stage == ROLLOUT_DONE)
 		g_array_set_size(o->replaced, 0);
 	o->term = told->term;
--- a/daemon/relay_rollout.h
+++ b/daemon/relay_rollout.h
@@ -13,22 +13,24 @@
 	uint64_t order_id;
 	uint64_t target; /* hash of the release */
 	char pool[ROLLOUT_POOL_SIZE];
-	rollout_stage_t told; /* by the conductor */
-	rollout_stage_t applied; /* at the last look at all requests */
+	rollout_stage_t told; /* as the conductor last answered */
+	rollout_stage_t applied; /* when all requests were last checked */
 	uint64_t term; /* of the conductor; 0: it was not heard of */
 	int64_t decided_ms; /* in the store; 0: in progress */
 	rollout_lease_t lease;
 	uint64_t requests; /* of the service, sent to any runner */
 	GArray *tallies; /* rollout_tally_t; answers since the last report */
 	int64_t reported_at;
-	int64_t longest; /* request that ended on another release, since then */
-	/* Releases beside the target until the decision (uint64_t, hashes). */
+	/* Longest time of a request on another release, since then. */
+	int64_t longest;
+	/* Other releases listed before the completion (uint64_t, hashes). */
 	GArray *replaced;
-	/* Listed runners, and not leaving: of the target, of other releases. */
+	/* Listed runners that aren't leaving. */
 	uint32_t target_runners, other_runners;
-	uint32_t newer_runners; /* of these, of releases that came later */
+	uint32_t newer_runners; /* of other releases, not in REPLACED */
 	bool had_others; /* other releases were listed since the order */
-	int64_t alone_since; /* only the target has runners; 0: no */
+	/* Since when only the target has runners; 0: others have some, too. */
+	int64_t alone_since;
 } gateway_rollout_t;
 
 /* Returns the roll-out of the request's service; NULL: there is none. */
@@ -45,7 +47,7 @@
 	return release == o->target;
 }
 
-/* What is very late already counts before its end, which may be far off. */
+/* Counts a request that is very late already, as its end may be far off. */
 void relay_check_late(relay_t *r, int64_t now);
 
 #endif
--- a/daemon/relay_rollout_answers.c
+++ b/daemon/relay_rollout_answers.c
@@ -9,9 +9,10 @@
 enum {
 	US_PER_MS = 1000,
 	MAX_TALLIES = 512, /* of one report; further answers don't count */
-	/* A call that takes so many times its latency target counts at once. */
+	/* After its latency target * this, a request counts before its end. */
 	LATE_FACTOR = 4,
-	NO_TARGET_US = 1000 * US_PER_MS, /* for routes without a target */
+	/* In place of the latency target of routes without one. */
+	NO_TARGET_US = 1000 * US_PER_MS,
 };
 
 void relay_on_sent(relay_t *r)
@@ -66,6 +67,7 @@
 	if (!o)
 		return;
 	answer.is_target = gateway_is_target(o, r->runner.release);
+	/* Never 0, which stands for runners of other releases. */
 	if (answer.is_target)
 		answer.runner = str_hash(str_from(r->runner.name)) | 1;
 	tally(o, &answer);
@@ -92,8 +94,8 @@
 	add_first(r, r->rollout.first_at, false);
 }
 
-/* The latency target, or what stands in for it. */
-static int64_t usual_limit(const relay_t *r)
+/* Time above which a request without an answer is late. */
+static int64_t late_limit(const relay_t *r)
 {
 	return r->route->target_ms ? r->route->target_ms * US_PER_MS :
 				     NO_TARGET_US;
@@ -102,7 +104,7 @@
 /* Stopped without an answer: the time so far counts if it is late. */
 static void add_stopped(relay_t *r, int64_t now)
 {
-	if (!r->rollout.first_at && now - r->rollout.sent_at > usual_limit(r))
+	if (!r->rollout.first_at && now - r->rollout.sent_at > late_limit(r))
 		add_first(r, now, false);
 }
 
@@ -117,7 +119,7 @@
 			   false);
 }
 
-/* How long the runners of other releases may need to end what they have. */
+/* The runners of other releases may need as long to end what they have. */
 static void note_time(const relay_t *r, int64_t time)
 {
 	gateway_rollout_t *o = gateway_find_rollout(r);
@@ -159,6 +161,6 @@
 void relay_check_late(relay_t *r, int64_t now)
 {
 	if (r->state == RELAY_GRANTED && r->rollout.sent_at &&
-	    now - r->rollout.sent_at > LATE_FACTOR * usual_limit(r))
+	    now - r->rollout.sent_at > LATE_FACTOR * late_limit(r))
 		add_first(r, now, false);
 }
--- a/daemon/rollout_conductor.c
+++ b/daemon/rollout_conductor.c
@@ -11,13 +11,13 @@
 enum {
 	US_PER_MS = 1000,
 	TICK_MS = 50,
-	STATES_US = 1000 * US_PER_MS, /* between two for the admin task */
+	STATES_US = 1000 * US_PER_MS, /* between states to the admin task */
 	RETRY_US = 300 * US_PER_MS, /* after a call to the store failed */
-	/* Orders that are read so soon may have been written before. */
+	/* Orders read so soon after the start may have been written before. */
 	STARTUP_US = 2000 * US_PER_MS,
-	/* Of what is known of the operators' topic; later news are late. */
+	/* An order is new only if the topic was read to its end so recently. */
 	MAX_ORDERS_AGE_US = 2000 * US_PER_MS,
-	/* For the configuration to bring the service that an order names. */
+	/* After this, an order for an unconfigured service is refused. */
 	UNKNOWN_SERVICE_US = 2000 * US_PER_MS,
 };
 
@@ -27,8 +27,8 @@
 	uint64_t target; /* hash of the release */
 	char pool[ROLLOUT_POOL_SIZE];
 	char *text; /* of the order */
-	bool knows_begin; /* this process saw when it was written */
-	bool is_refused; /* its fields are wrong: it has a state, and no more */
+	bool knows_begin; /* the order was written while this process ran */
+	bool is_refused; /* the order is invalid: only its state is shown */
 	rollout_stage_t logged;
 } rollout_item_t;
 
@@ -176,8 +176,8 @@
 		on_written(c, 0, &err);
 }
 
-static rollout_view_t look(const rollout_conductor_t *c,
-			   const rollout_item_t *item)
+static rollout_view_t current_view(const rollout_conductor_t *c,
+				   const rollout_item_t *item)
 {
 	rollout_view_t view = { .daemons = c->daemons };
 
@@ -198,7 +198,7 @@
 static void tick_item(rollout_conductor_t *c, rollout_item_t *item, int64_t now)
 {
 	rollout_t *r = &item->rollout;
-	rollout_view_t view = look(c, item);
+	rollout_view_t view = current_view(c, item);
 
 	if (c->fleet && !fleet_find_service(c->fleet, r->order.service) &&
 	    now - r->began_at > UNKNOWN_SERVICE_US)
@@ -247,7 +247,7 @@
 			      .budget = r->budget.reserved,
 			      .leased = r->budget.leased,
 			      .finding = r->finding,
-			      .view = look(c, item),
+			      .view = current_view(c, item),
 			      .waiting_for = r->waiting_for,
 			      .left_ms = (r->ends_at - now) / US_PER_MS };
 
--- a/daemon/rollout_conductor.h
+++ b/daemon/rollout_conductor.h
@@ -17,17 +17,17 @@
 	supervisor_t *sup;
 	store_t *store;
 	GHashTable *items; /* service to rollout_item_t */
-	bool is_host; /* this daemon conducts */
+	bool is_host; /* this daemon hosts the role of the conductor */
 	uint32_t daemons; /* that are live */
-	bool is_calling; /* the store */
+	bool is_calling; /* a call to the store is in progress */
 	uint64_t end; /* of the topic, as last read or written */
 	bool has_end; /* END is what the store last confirmed */
-	int64_t retry_at; /* after a failed call: no other before */
+	int64_t retry_at; /* no call to the store before; set after a failure */
 	int64_t started_at;
-	int64_t orders_at; /* the operators' topic was known to its end */
-	int64_t states_at; /* the admin task was last told of the states */
+	int64_t orders_at; /* when the operators' topic was read to its end */
+	int64_t states_at; /* when the admin task last got the states */
 	char writing[FLEET_NAME_SIZE]; /* service whose record is written */
-	rollout_record_t record; /* that is written */
+	rollout_record_t record; /* content of that record */
 	struct event *timer;
 	const fleet_t *fleet; /* configuration in force; NULL: none */
 	const vm_list_t *vms; /* NULL until the list is known */
@@ -37,12 +37,12 @@
 			    store_t *store);
 void rollout_conductor_finish(rollout_conductor_t *c);
 /*
- * An operator's order for SERVICE was read; an empty one was withdrawn. Returns
- * whether it says anything new.
+ * An operator's order for SERVICE was read; empty TEXT: it was withdrawn.
+ * Returns whether anything changed.
  */
 bool rollout_conductor_set_order(rollout_conductor_t *c, str_t service,
 				 str_t text);
-/* The operators' topic was known to its end at AT. */
+/* The operators' topic was read to its end at the time AT. */
 void rollout_conductor_set_orders_read(rollout_conductor_t *c, int64_t at);
 /* Handles ROLLOUT_HOST, ROLLOUT_REPORT and DAEMON_COUNT. */
 void rollout_conductor_handle(rollout_conductor_t *c, const message_t *m);
@@ -53,7 +53,7 @@
 void rollout_conductor_split(const rollout_conductor_t *c, vm_list_t *vms);
 /* Sends all orders to the front task. */
 void rollout_conductor_post_orders(const rollout_conductor_t *c);
-/* Sets what conductors look at; either may be NULL, and must stay valid. */
+/* Sets configuration and VM list; either may be NULL, and must stay valid. */
 void rollout_conductor_set_view(rollout_conductor_t *c, const fleet_t *fleet,
 				const vm_list_t *vms);
 
--- a/daemon/route_query.c
+++ b/daemon/route_query.c
@@ -76,7 +76,7 @@
 	supervisor_post(sup, to, &m);
 }
 
-/* -1: not known. */
+/* Returns milliseconds; -1: not known. */
 static json_int_t age_ms(int64_t age)
 {
 	return age < 0 ? -1 : age / US_PER_MS;
--- a/daemon/speed_frames.c
+++ b/daemon/speed_frames.c
@@ -2,7 +2,7 @@
 
 #include <math.h>
 
-enum { SUMS = 5 }; /* of a line: weight, x, y, xx, xy */
+enum { SUMS = 5 }; /* of a line fit: weight, x, y, xx, xy */
 
 /* A digest as the frame has it; its arrays are referenced by the frame. */
 typedef struct speed_out {
--- a/daemon/speed_keeper.c
+++ b/daemon/speed_keeper.c
@@ -2,7 +2,7 @@
 
 enum { US_PER_MS = 1000 };
 
-/* A digest, and when it was told. */
+/* A digest, and when it was received. */
 typedef struct kept {
 	runner_digest_t digest;
 	int64_t at;
@@ -10,7 +10,7 @@
 
 typedef struct kept_dispatcher {
 	GHashTable *runners; /* name to kept_t */
-	int64_t told_at;
+	int64_t received_at;
 } kept_dispatcher_t;
 
 static void free_dispatcher(void *data)
@@ -36,14 +36,14 @@
 {
 	const kept_dispatcher_t *d;
 	const char *name, *oldest = NULL;
-	int64_t told_at = INT64_MAX;
+	int64_t received_at = INT64_MAX;
 	GHashTableIter iter;
 
 	g_hash_table_iter_init(&iter, k->dispatchers);
 	while (g_hash_table_iter_next(&iter, (void **)&name, (void **)&d)) {
-		if (d->told_at >= told_at)
+		if (d->received_at >= received_at)
 			continue;
-		told_at = d->told_at;
+		received_at = d->received_at;
 		oldest = name;
 	}
 	if (oldest)
@@ -78,7 +78,7 @@
 {
 	kept_dispatcher_t *d = find_or_add(k, dispatcher);
 
-	d->told_at = now;
+	d->received_at = now;
 	g_hash_table_foreach_remove(d->runners, is_too_old, &now);
 	for (guint i = 0; i < digests->len; i++) {
 		kept_t kept = {
@@ -97,14 +97,15 @@
 uint32_t speed_keeper_import(speed_keeper_t *k, const char *dispatcher,
 			     dispatcher_t *d, int64_t now)
 {
-	kept_dispatcher_t *of = g_hash_table_lookup(k->dispatchers, dispatcher);
+	kept_dispatcher_t *kept_for =
+		g_hash_table_lookup(k->dispatchers, dispatcher);
 	GHashTableIter iter;
 	kept_t *kept;
 	uint32_t n = 0;
 
-	if (!of)
+	if (!kept_for)
 		return 0;
-	g_hash_table_iter_init(&iter, of->runners);
+	g_hash_table_iter_init(&iter, kept_for->runners);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&kept)) {
 		int64_t age_ms =
 			kept->digest.age_ms + (now - kept->at) / US_PER_MS;
--- a/daemon/speed_keeper.h
+++ b/daemon/speed_keeper.h
@@ -1,7 +1,7 @@
 /*
- * Learned speeds that other daemons told of, kept until this daemon becomes the
- * dispatcher's host. Bounded: when full, the dispatcher whose speeds were told
- * longest ago is dropped.
+ * Learned speeds received from other daemons, kept until this daemon becomes
+ * the dispatcher's host. Bounded: when full, the dispatcher whose speeds were
+ * received longest ago is dropped.
  */
 #ifndef DAEMON_SPEED_KEEPER_H
 #define DAEMON_SPEED_KEEPER_H
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -186,8 +186,8 @@
 }
 
 /*
- * Keeps an operator's order of a roll-out. Its target's runners are told apart
- * in the next list of VMs.
+ * Keeps an operator's order of a roll-out. Its target's runners get a name
+ * of their own in the next list of VMs.
  */
 static entry_news_t apply_order(store_sync_t *s, const store_entry_t *entry)
 {
@@ -229,7 +229,7 @@
 		    release_record_is_key(entry->key))
 			return apply_record(s, entry);
 		return apply_daemon(s, entry->key, entry->value);
-	case STORE_STREAMS: /* neither is followed */
+	case STORE_STREAMS: /* this topic and the next aren't followed */
 	case STORE_STATUS:
 		break;
 	}
--- a/daemon/upstream.h
+++ b/daemon/upstream.h
@@ -44,7 +44,7 @@
 typedef struct upstream_stats {
 	/* Connections attempted, reused, and with data outside of an answer. */
 	uint64_t connects, reuses, unexpected_data;
-	uint64_t skipped; /* answers to earlier requests */
+	uint64_t skipped; /* dropped answers to earlier requests */
 } upstream_stats_t;
 
 typedef struct upstream_conn upstream_conn_t;
