--- a/common/err.h
+++ b/common/err.h
@@ -12,7 +12,7 @@
 	ERR_CLOSED, /* the peer closed the connection early */
 	ERR_LIMIT, /* a limit of this program was reached */
 	ERR_UNAVAILABLE, /* a required resource is not available now */
-	ERR_CONFLICT, /* somebody else has written since */
+	ERR_CONFLICT, /* another writer has written since the read */
 	ERR_SYSTEM, /* the operating system reported an error */
 } err_code_t;
 
--- a/common/log.c
+++ b/common/log.c
@@ -16,8 +16,8 @@
 	FLUSH_MS = 100,
 	FLUSH_BYTES = 8 * 1024, /* flushed without waiting for the timer */
 	/*
-	 * Bytes per call: a pipe takes them whole or not at all, so that other
-	 * writers, or the end of this process, cut no line.
+	 * Bytes per call: writes of up to PIPE_BUF to a pipe are atomic, so
+	 * that no line is split by other writers or the end of this process.
 	 */
 	MAX_WRITE = PIPE_BUF,
 };
--- a/core/affinity.c
+++ b/core/affinity.c
@@ -52,7 +52,7 @@
 	return p;
 }
 
-/* Returns a runner's index among the holders; if it is none, the last index. */
+/* Returns the runner's index, else the first free or the last one. */
 static uint32_t find_holder(const prefix_t *p, const void *runner)
 {
 	uint32_t i = 0;
--- a/core/affinity.h
+++ b/core/affinity.h
@@ -32,8 +32,8 @@
 /* Records a dispatch; RUNNER is only compared, never dereferenced. */
 void affinity_record(affinity_t *a, uint64_t prefix, const void *runner);
 /*
- * Notes when the latest runner served the prefix, and how many tokens that
- * runner had been given until then.
+ * Records when the latest holder served the prefix, and how many tokens had
+ * been granted to that runner in all by then, to estimate evictions since.
  */
 void affinity_note(affinity_t *a, uint64_t prefix, int64_t at, uint64_t tokens);
 /* Returns the Ith runner, from 0 for the latest; NULL: there are no more. */
@@ -47,7 +47,7 @@
 		    double cached);
 /* Returns the runner or NULL; sets CACHED to the estimated cached part. */
 const void *affinity_find(const affinity_t *a, uint64_t prefix, double *cached);
-/* Removes a runner from all prefixes. */
+/* Removes a runner from the holders of all prefixes. */
 void affinity_drop_runner(affinity_t *a, const void *runner);
 
 #endif
--- a/core/cache_value.c
+++ b/core/cache_value.c
@@ -6,20 +6,20 @@
 enum {
 	US_PER_S = 1000000,
 	/*
-	 * What else the cache is used for isn't known, and less so with time:
-	 * other dispatchers' work, restarts.
+	 * The runner may also have evicted the prefix for causes not seen here,
+	 * such as other dispatchers' work or a restart.
 	 */
 	HALF_LIFE_US = 30 * US_PER_S,
-	/* The same where not even the size of the cache is known. */
+	/* The same if the size of the cache is not known. */
 	BLIND_HALF_LIFE_US = 5 * US_PER_S,
 };
 
-/* Part of the cache that may be read anew until the oldest parts yield. */
+/* Part of the cache that may be refilled before the oldest is evicted. */
 static const double safe_part = 0.5;
 
 /*
- * Parts yield in the order of their last use: it is kept for certain while the
- * rest of the cache can't have been filled since, and gone once all of it has.
+ * Eviction is by least recent use: the prefix is certainly cached while less
+ * than the safe part was refilled since, and evicted once all of it was.
  */
 static double kept_under_pressure(const cached_prefix_t *p)
 {
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -47,7 +47,7 @@
 	int64_t deadline; /* the answer must be complete by then */
 	int64_t target; /* the answer should start by then; 0: none */
 	int64_t start_by; /* caller leaves if not begun by then; 0: never */
-	uint32_t max_pause_ms; /* between events, still in time; 0: no limit */
+	uint32_t max_pause_ms; /* longest gap between events; 0: no limit */
 	char avoid[DISPATCHER_NAME_SIZE]; /* runner that just failed, or "" */
 	uint64_t release; /* only runners of this one may be granted; 0: any */
 	/*
@@ -153,13 +153,13 @@
 	bool expires_grants;
 	/* Wants are queued until the first list of runners is received. */
 	bool awaits_list;
-	/* The load that runners state counts in predictions and room. */
+	/* Predictions and room account for the load that runners state. */
 	bool uses_stated_load;
-	/* What a cached beginning saves is weighed against the wait for it. */
+	/* Weighs what a cached prompt prefix saves against the wait for it. */
 	bool weighs_prompt_cache;
 	/* Work that may exceed an engine's memory is not granted. */
 	bool bounds_memory;
-	/* A want that a runner with room would serve too late gives way. */
+	/* Grants a runner to another want if the next one is late there. */
 	bool fits_work;
 	/* Owners are granted runners to which they have a connection. */
 	bool prefers_connected;
@@ -187,9 +187,9 @@
 	 */
 	uint64_t cache_choices, cache_saved, cache_passed;
 	/*
-	 * With fits_work: grants to a want that fits the runner better than the
-	 * next one, grants that don't fit as nothing else did, and grants of a
-	 * slow runner that leave a place of a fast one to others.
+	 * With fits_work: grants to another want than the next one, grants to
+	 * the next one though it will be late as no other want fits, and grants
+	 * of a slow runner that leave a fast one's slot to other wants.
 	 */
 	uint64_t fit_choices, fit_misses, spare_choices;
 	uint64_t unknown; /* unknown want or runner, or duplicate want */
--- a/core/dispatcher_cache.c
+++ b/core/dispatcher_cache.c
@@ -1,17 +1,17 @@
 /*
  * Prefers runners that may have the beginning of a want's prompt in their
- * prefix cache, as far as that saves more than they make it wait.
+ * prefix cache, if the time saved exceeds the additional wait there.
  */
 #include "core/cache_value.h"
 #include "core/dispatcher_state.h"
 
-/* A part of a prompt that a runner may have cached. */
+/* A beginning of a prompt that a runner may have cached. */
 typedef struct cache_hint {
 	uint64_t hash; /* 0: none */
 	uint32_t tokens; /* length; 0: unknown, estimated */
 } cache_hint_t;
 
-/* The runner to be used, and when the want ends there. */
+/* The runner chosen so far, and the predicted end of the want there. */
 typedef struct choice {
 	runner_t *runner;
 	int64_t finish;
@@ -61,7 +61,7 @@
 	};
 }
 
-/* Returns the length of HINT, or an estimate by past answers. */
+/* Returns the length of HINT, or an estimate from earlier answers. */
 static uint32_t hint_tokens(const struct dispatcher_state *s,
 			    const want_t *want, const cache_hint_t *hint)
 {
@@ -73,7 +73,7 @@
 	return (uint32_t)(cached * want->prompt_tokens);
 }
 
-/* Expected time that HOLDER's runner saves by what it has of HINT. */
+/* Returns the expected prefill time that HOLDER's runner saves for HINT. */
 static int64_t saving_at(const struct dispatcher_state *s, const want_t *want,
 			 const cache_hint_t *hint,
 			 const affinity_holder_t *holder,
@@ -88,7 +88,7 @@
 			    dispatcher_predict(runner, want, part, now));
 }
 
-/* Replaces BEST by a runner that has HINT if what it saves is worth the wait. */
+/* Replaces BEST by HOLDER's runner if what it saves outweighs the wait. */
 static void weigh_holder(struct dispatcher_state *s, const attempt_t *attempt,
 			 const cache_hint_t *hint,
 			 const affinity_holder_t *holder, runner_room_t room,
@@ -178,8 +178,8 @@
 }
 
 /*
- * Sets TOKENS to the part of HINT that the runner has, as far as is expected;
- * returns whether it is known to have had it.
+ * Sets TOKENS to the expected number of tokens of HINT in the runner's cache;
+ * returns whether the runner is recorded as a holder of HINT.
  */
 static bool find_cached(const struct dispatcher_state *s,
 			const cache_hint_t *hint, const runner_t *runner,
@@ -204,7 +204,7 @@
 	return true;
 }
 
-/* Counts a grant, before it is recorded who has the prompt cached. */
+/* Counts a cache hit or miss; call it before recording the new holder. */
 static void count_cached(struct dispatcher_state *s, const attempt_t *attempt,
 			 const runner_t *runner, int64_t now)
 {
@@ -243,7 +243,7 @@
 {
 	const want_t *want = &attempt->want;
 
-	/* What it has already takes up no more of its cache. */
+	/* Tokens that are cached already take up no additional space. */
 	runner->model.tokens_given -=
 		MIN(attempt->cached_tokens, want->prompt_tokens);
 	record_part(s, want->prefix_hash, runner, now);
--- a/core/dispatcher_choose.c
+++ b/core/dispatcher_choose.c
@@ -2,7 +2,7 @@
 #include "core/dispatcher_state.h"
 
 enum {
-	CONNECTION_US = 10 * 1000, /* what a connection saves, at most */
+	CONNECTION_US = 10 * 1000, /* what an idle connection saves, at most */
 	CONNECTION_DIVISOR = 20, /* and as a part of the predicted time */
 	MAX_CANDIDATES = 16, /* best-ranked runners considered per want */
 	/* The same where stated paces spread the ranking. */
@@ -121,8 +121,8 @@
 }
 
 /*
- * Without a protected tier, the places of plain runners that are kept for one
- * are free for all, at runners whose load is known in time to fill them.
+ * Without a protected tier, the slots of plain runners that are reserved for it
+ * may be used by all, if the runner's load is known from a recent statement.
  */
 static runner_room_t usable_room(const struct dispatcher_state *s,
 				 const runner_t *runner, runner_room_t room,
@@ -135,7 +135,7 @@
 	return ROOM_PROTECTED;
 }
 
-/* What is saved by a connection that the want's owner has to the runner. */
+/* Returns the time saved if the want's owner has an idle connection. */
 static int64_t connection_bonus(const struct dispatcher_state *s,
 				const attempt_t *attempt,
 				const runner_t *runner, int64_t time,
--- a/core/dispatcher_explain.c
+++ b/core/dispatcher_explain.c
@@ -68,7 +68,7 @@
 								  EXPLAIN_FULL;
 }
 
-/* Returns what is known of a beginning that the runner read; NULL: nothing. */
+/* Returns the record of the runner as a holder of the prefix, or NULL. */
 static const affinity_holder_t *find_holder(const struct dispatcher_state *s,
 					    uint64_t hash,
 					    const runner_t *runner)
@@ -82,7 +82,7 @@
 	return NULL;
 }
 
-/* Sets what the runner may have of the prompt: of the session, or the prefix. */
+/* Sets what the runner may have cached: of the session, else the prefix. */
 static void describe_cached(const struct dispatcher_state *s,
 			    const want_t *want, const runner_t *runner,
 			    int64_t now, explained_runner_t *out)
--- a/core/dispatcher_explain.h
+++ b/core/dispatcher_explain.h
@@ -1,8 +1,9 @@
 /*
  * Explains where a dispatcher would send a want now, and why, without sending
- * it. Choice and refusals are the dispatcher's own functions. Of its state only
- * the buckets of runners' limits are refilled, which any decision does. Does no
- * I/O; times are microseconds of the monotonic clock.
+ * it. Uses the dispatcher's own functions for choice and admission. The only
+ * state that changes is the token buckets of runners' rate limits, which are
+ * refilled as in any decision. Does no I/O; times are microseconds of the
+ * monotonic clock.
  */
 #ifndef CORE_DISPATCHER_EXPLAIN_H
 #define CORE_DISPATCHER_EXPLAIN_H
@@ -29,7 +30,7 @@
 	EXPLAIN_AVOIDED, /* it failed with an earlier attempt */
 	EXPLAIN_OTHER_RELEASE,
 	EXPLAIN_PAUSED, /* it takes nothing from the want's owner */
-	EXPLAIN_LIMITED, /* by the rate that it named */
+	EXPLAIN_LIMITED, /* by the rate limit that it stated */
 	EXPLAIN_VERDICTS,
 } explain_verdict_t;
 
@@ -47,9 +48,9 @@
 	double reported;
 	int64_t report_age; /* -1: there was neither */
 	uint32_t pace; /* percent, in its last answer; 0: not stated */
-	uint32_t cached_tokens; /* of the prompt, if it still keeps them */
+	uint32_t cached_tokens; /* of the prompt, unless evicted */
 	int64_t cached_age; /* since it read them; -1: not known */
-	double rate; /* that it named, a second; 0: none */
+	double rate; /* limit that it stated, per second; 0: none */
 } explained_runner_t;
 
 typedef struct dispatcher_explanation {
@@ -62,10 +63,12 @@
 	uint32_t n; /* in RUNNERS: the chosen one, then by verdict and end */
 } dispatcher_explanation_t;
 
+/* Explains what would be decided on WANT if it arrived now. */
 void dispatcher_explain(const dispatcher_t *d, const want_t *want, int64_t now,
 			dispatcher_explanation_t *out);
-/* What a refused caller is told. */
+/* Returns the reason as text for the refused caller. */
 const char *refuse_reason_text(refuse_reason_t reason);
+/* Returns the verdict's name for output. */
 const char *explain_verdict_name(explain_verdict_t verdict);
 
 #endif
--- a/core/dispatcher_fit.c
+++ b/core/dispatcher_fit.c
@@ -1,8 +1,9 @@
 /*
- * Which of the waiting wants gets a runner with room. Runners differ in speed:
- * on a slow one long prompts start late and pause the streams beside them, and
- * short answers with little time are cut, while others would be in time there.
- * No place is kept empty: if nothing else fits, the next want gets it.
+ * Chooses which queued want is granted a runner with room. Runners differ in
+ * speed: on a slow one, long prompts start late and stall the runner's other
+ * streams, and short answers miss a tight deadline, while other wants would be
+ * in time there. No slot is left idle: if no other want fits, the next one gets
+ * it.
  */
 #include <float.h>
 
@@ -10,14 +11,15 @@
 
 enum {
 	US_PER_MS = 1000,
-	LOOK_AHEAD = 16, /* wants considered of each tier */
-	MAX_TIMES_PASSED = 64, /* then a want is served before all that fit */
-	FEW_DIVISOR = 4, /* fast places are few if less than 1/4 is free */
+	LOOK_AHEAD = 16, /* queued wants considered per tier */
+	MAX_TIMES_PASSED = 64, /* overtaken so often, a want goes first */
+	FEW_DIVISOR = 4, /* fast slots are scarce if less than 1/4 is free */
 	SHORT_DIVISOR = 2, /* a prompt is short at 1/2 of the usual length */
 	MARGIN_DIVISOR = 6, /* safety margin: predicted time / 6 */
 };
 
-static const double slow_factor = 1.5; /* of the fastest runner's pace */
+/* Runners whose pace is above this multiple of the lowest one are slow. */
+static const double slow_factor = 1.5;
 
 /* Predicts the microseconds until the first event. */
 static int64_t time_to_start(const runner_t *runner, const want_t *want,
@@ -30,8 +32,9 @@
 }
 
 /*
- * Returns whether the want's prompt, read after all that the runner has to
- * read, pauses streams no longer than those like itself may pause.
+ * Returns whether prefilling the want's prompt, after all prompts pending at
+ * the runner, stalls other streams no longer than half of the want's own limit
+ * on pauses. Streams on the same runner are assumed to have the same limit.
  */
 static bool keeps_pause(const want_t *want, int64_t start)
 {
@@ -44,7 +47,7 @@
 	return time + time / MARGIN_DIVISOR;
 }
 
-/* A target that has passed is the same on all runners. */
+/* A target that has passed is missed on any runner, so it is ignored. */
 static bool is_in_time(const runner_t *runner, const want_t *want, int64_t now)
 {
 	int64_t start = time_to_start(runner, want, now);
@@ -56,7 +59,7 @@
 	       keeps_pause(want, start);
 }
 
-/* Returns whether a want that is not the next one may use the runner, too. */
+/* Returns whether the runner may be granted to this want instead. */
 static bool may_use(struct dispatcher_state *s, const attempt_t *attempt,
 		    runner_t *runner, int64_t now)
 {
@@ -71,12 +74,13 @@
 	       dispatcher_fits(s, &attempt->want, runner, now);
 }
 
-/* Late wants are behind those in time, wherever they run. */
+/* A want that already misses its target must not overtake one in time. */
 static bool is_worth_it(const attempt_t *attempt, int64_t now)
 {
 	return !attempt->latest_on_time || now < attempt->want.target;
 }
 
+/* Finds another queued want that would be in time on the runner. */
 static attempt_t *find_fit(struct dispatcher_state *s, const attempt_t *next,
 			   runner_t *runner, int64_t now)
 {
@@ -110,6 +114,7 @@
 	return least * slow_factor;
 }
 
+/* Returns whether speeds count: without stated paces, none is known as slow. */
 static bool is_used(const struct dispatcher_state *s)
 {
 	return s->config.fits_work && s->config.is_engine && s->has_stated_pace;
@@ -134,7 +139,7 @@
 	return other;
 }
 
-/* Returns whether the fast runners have few places free. */
+/* Returns whether few slots of the fast runners are free. */
 static bool are_fast_places_few(const struct dispatcher_state *s, double slow)
 {
 	uint32_t places = 0, taken = 0;
@@ -150,7 +155,7 @@
 	return (places - MIN(taken, places)) * FEW_DIVISOR < places;
 }
 
-/* Returns whether the want would be in time there if all took twice as long. */
+/* Returns whether the want would be in time even if it took twice as long. */
 static bool is_easy(const runner_t *runner, const want_t *want, int64_t now)
 {
 	int64_t start = time_to_start(runner, want, now);
--- a/core/dispatcher_memory.c
+++ b/core/dispatcher_memory.c
@@ -1,14 +1,15 @@
 /*
- * Engines get no more work than their memory holds. Work that fits nowhere now
- * lets other work pass for a while; then a runner is kept for it.
+ * Admits no more work to an engine than its memory holds. A want that fits no
+ * runner now is overtaken by others for a while; then a runner is reserved for
+ * it, so that large wants don't starve.
  */
 #include "core/dispatcher_state.h"
 
 enum {
 	US_PER_MS = 1000,
-	PASS_US = 100 * US_PER_MS, /* how long other work may pass */
-	KEEP_US = 50 * US_PER_MS, /* a runner is kept; renewed by each round */
-	KEPT_DIVISOR = 4, /* a quarter of the runners may be kept at a time */
+	PASS_US = 100 * US_PER_MS, /* how long other wants may overtake */
+	KEEP_US = 50 * US_PER_MS, /* of a reservation; decisions renew it */
+	KEPT_DIVISOR = 4, /* at most 1/4 of the runners is reserved */
 };
 
 static bool is_same(want_id_t a, want_id_t b)
@@ -16,7 +17,7 @@
 	return a.owner == b.owner && a.attempt == b.attempt;
 }
 
-/* Returns whether the runner is kept for a want other than ID. */
+/* Returns whether the runner is reserved for a want other than ID. */
 static bool is_kept(const runner_t *runner, want_id_t id, int64_t now)
 {
 	return runner->kept_until > now && !is_same(runner->kept_for, id);
@@ -44,7 +45,7 @@
 	return runner->model.window - (double)runner->model.memory_tokens;
 }
 
-/* Returns the runner that is kept for the want, or else has most free. */
+/* Returns the runner reserved for the want, else one with most free memory. */
 static runner_t *find_runner(struct dispatcher_state *s,
 			     const attempt_t *attempt, int64_t now)
 {
@@ -64,7 +65,7 @@
 	return best;
 }
 
-/* Returns how many runners are kept for other wants than ID. */
+/* Returns how many runners are reserved for wants other than ID. */
 static uint32_t count_kept(const struct dispatcher_state *s, want_id_t id,
 			   int64_t now)
 {
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -18,12 +18,12 @@
 	GArray *pauses; /* pause_t, one per owner; NULL: none so far */
 	runner_limit_t limit; /* named by the runner itself */
 	runner_limit_bucket_t limit_bucket; /* counts its grants */
-	want_id_t kept_for; /* its memory is kept for this want */
+	want_id_t kept_for; /* its memory is reserved for this want */
 	int64_t kept_until;
 	connected_owners_t connected; /* owners with an idle connection to it */
 	bool is_serving; /* in dispatcher_state.running and n_serving */
 	int64_t suspended_until; /* gets no grants before; 0: not suspended */
-	/* Its speed was learned then, here or by another dispatcher; 0: not. */
+	/* When its speed was learned, here or elsewhere; 0: never. */
 	int64_t speed_at;
 	double lost_answers; /* lost answers; decays with each complete one */
 	GList *suspended; /* link in dispatcher_state.suspended */
@@ -40,11 +40,11 @@
 	int64_t arrived;
 	int64_t latest_start; /* starting later misses the deadline */
 	int64_t latest_on_time; /* starting later misses the target; 0: none */
-	int64_t unfit_since; /* since when no runner's memory has room */
+	int64_t unfit_since; /* when it last began to fit no memory; 0: fits */
 	runner_t *runner; /* NULL while queued */
 	runner_work_t work;
 	uint32_t cached_tokens; /* of the prompt, estimated */
-	uint32_t times_passed; /* others that fitted a runner got it */
+	uint32_t times_passed; /* how often others overtook it */
 	bool is_cancelled; /* its cancellation was requested */
 	/* Ended then unless the owner confirms that it runs; 0: no doubt. */
 	int64_t confirm_by;
@@ -90,7 +90,7 @@
 	int64_t paused_until; /* the latest end of all runners' pauses */
 	bool has_runner_list; /* a list of runners was received */
 	bool has_stated_pace; /* a runner stated its pace */
-	bool lacks_memory; /* dispatcher_choose passed over runners for it */
+	bool lacks_memory; /* dispatcher_choose skipped runners for it */
 	bool is_view_unstable; /* other daemons may use the same runners */
 	bool is_deciding;
 	bool decide_again; /* an event arrived during the round */
@@ -221,7 +221,7 @@
 /* Returns whether the want exceeds the memory of any runner. */
 bool dispatcher_never_fits(const struct dispatcher_state *s,
 			   const want_t *want);
-/* The want fits no runner's memory now: after a while one is kept for it. */
+/* The want fits no runner's memory now: reserves one for it after a while. */
 void dispatcher_await_memory(struct dispatcher_state *s, attempt_t *attempt,
 			     int64_t now);
 /*
@@ -232,7 +232,7 @@
 			  runner_t *runner, int64_t now);
 /*
  * Returns a slow runner for a want with a short prompt that is in time there by
- * far, while the fast ones have few places free; else FAST.
+ * a wide margin, while few slots of fast runners are free; else FAST.
  */
 runner_t *dispatcher_spare_fast(struct dispatcher_state *s,
 				const attempt_t *attempt, runner_t *fast,
@@ -240,11 +240,11 @@
 /* Predicts the microseconds until the want would end if granted now. */
 int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
 			   double cached, int64_t now);
-/* The same with the room that the want's tier may use. */
+/* Like dispatcher_choose, with the room that the want's tier may use. */
 runner_t *dispatcher_choose_for_tier(struct dispatcher_state *s,
 				     const attempt_t *attempt, int64_t now,
 				     int64_t *finish);
-/* A later start misses the deadline, or start_by for the first token. */
+/* Returns the latest start that meets the deadline and start_by. */
 int64_t dispatcher_latest_start(const struct dispatcher_state *s,
 				const want_t *want, int64_t now);
 /* Returns whether the queue ahead of a want makes it miss latest_start. */
--- a/core/intake_budget.c
+++ b/core/intake_budget.c
@@ -4,8 +4,8 @@
 	US_PER_S = 1000000,
 	KIB = 1024,
 	/*
-	 * A request is timely unless it is silent for longer, or less of it
-	 * came each second.
+	 * A request is timely unless it stalls for longer, or arrives at a
+	 * lower rate.
 	 */
 	TIMELY_SILENCE_US = 100 * 1000,
 	TIMELY_BYTES_PER_S = 256 * KIB,
@@ -13,10 +13,11 @@
 	NEW_GRACE_US = 200 * 1000,
 	/* A request that is small takes this part of the limit at most. */
 	SMALL_DIVISOR = 32,
-	/* Of what came, if a request doesn't announce its length. */
+	/* Assumed final size, over the bytes received, if none is announced. */
 	MANY_TIMES = 8,
-	LARGER_FACTOR = 2, /* larger requests give way to small ones */
-	/* So that what just began to be read is told apart by its bytes. */
+	/* A timely request is closed only for one smaller by this factor. */
+	LARGER_FACTOR = 2,
+	/* So that requests that just began are compared by their bytes. */
 	LEAST_AGE_US = 1000,
 };
 
@@ -79,6 +80,7 @@
 	return b->held == i->bytes || b->held + n <= b->limits.bytes;
 }
 
+/* The bytes held, times how long the request has been incomplete. */
 static double cost(const intake_t *i, int64_t now)
 {
 	return (double)i->bytes * (double)MAX(now - i->since, LEAST_AGE_US);
@@ -93,13 +95,13 @@
 	       now - i->since < TIMELY_SILENCE_US + fair_time;
 }
 
-/* How large a request will be; what isn't announced may become much. */
+/* Returns the expected size of a request; an unannounced one may be large. */
 static uint64_t final_size(const intake_t *i, uint64_t bytes)
 {
 	return i->expected ? MAX(bytes, i->expected) : bytes * MANY_TIMES;
 }
 
-/* The costliest request that is late, or will have at least LEAST bytes. */
+/* Finds the costliest request that is slow or will have LEAST bytes. */
 static intake_t *costliest(const intake_budget_t *b, uint64_t least,
 			   int64_t now)
 {
--- a/core/intake_budget.h
+++ b/core/intake_budget.h
@@ -1,8 +1,8 @@
 /*
- * Bounds what a process holds for callers' connections whose requests are not
- * complete, and how many connections there are. Chooses which of them to give
- * up when a bound is reached: first those that hold much for long without an
- * end. Does no I/O; times are microseconds of the monotonic clock.
+ * Bounds the memory that a process holds for callers' incomplete requests, and
+ * the number of callers' connections. When a bound is reached, chooses the
+ * connection to close: first those that hold much memory for a long time. Does
+ * no I/O; times are microseconds of the monotonic clock.
  */
 #ifndef CORE_INTAKE_BUDGET_H
 #define CORE_INTAKE_BUDGET_H
@@ -16,8 +16,8 @@
 	uint64_t bytes; /* held for requests that are not complete */
 	uint32_t connections;
 	/*
-	 * A request has to be complete after GRACE, and a second more for each
-	 * RATE bytes of it that came. RATE 0: there is no such time.
+	 * A request has to be complete after GRACE plus one second for each
+	 * RATE bytes received. RATE 0: there is no such deadline.
 	 */
 	int64_t grace;
 	uint64_t rate; /* bytes a second */
@@ -39,7 +39,7 @@
 	int64_t since; /* when it entered its state */
 	uint64_t bytes; /* held for the request that is read */
 	uint64_t expected; /* length that it announced; 0: none */
-	int64_t last_growth; /* when it came to hold more */
+	int64_t last_growth; /* when BYTES last increased */
 	GList link; /* in intake_budget.by_state; its data is the intake */
 	void *ctx; /* the caller's */
 } intake_t;
@@ -56,8 +56,9 @@
 void intake_budget_init(intake_budget_t *b, const intake_limits_t *limits);
 /* Adds a connection, in the state INTAKE_NEW. */
 void intake_budget_add(intake_budget_t *b, intake_t *i, void *ctx, int64_t now);
+/* Removes a connection and releases what it holds. */
 void intake_budget_remove(intake_budget_t *b, intake_t *i);
-/* Holds nothing from now on; the same state begins anew. */
+/* Enters a state, also the same one again; releases what was held. */
 void intake_budget_enter(intake_budget_t *b, intake_t *i, intake_state_t state,
 			 int64_t now);
 /* Sets what a connection in the state INTAKE_READING holds. */
@@ -70,24 +71,26 @@
 bool intake_budget_fits(const intake_budget_t *b, const intake_t *i,
 			uint64_t n);
 /*
- * Returns the connection to give up so that I can hold N more bytes: of those
- * that fell silent or come slowly, the one that has held the most for the
- * longest. If all are timely and I will be small, the same of those that will be
- * twice as large; neither equals nor a large one are worth others that are under
- * way. NULL if it is I, or if there is none.
+ * Returns the connection to close so that the connection I can hold N more
+ * bytes: of those that stalled or send slowly, the one with the greatest
+ * product of bytes held and time. If none is slow and I's request will be
+ * small, the same among requests that will be at least twice as large. Requests
+ * that arrive in time are not closed for equal or large ones. NULL if it would
+ * be I, or if there is none.
  */
 intake_t *intake_budget_victim(const intake_budget_t *b, const intake_t *i,
 			       uint64_t n, int64_t now);
 /*
  * Returns the connection to close so that another can be accepted: one that is
- * closing, or that has sent nothing for some time, then of the ones that are
- * kept or read what lasts longest without an end, then one that has just come.
- * NULL if all are being answered, or their answers are being written.
+ * closing, or a new one that has sent nothing for some time; then the older of
+ * the one that is idle between requests for longest and the costliest
+ * incomplete request; last, a new one. NULL if all requests are being answered,
+ * or the answers written.
  */
 intake_t *intake_budget_spare(const intake_budget_t *b, int64_t now);
-/* Returns whether one more connection exceeds the limit; OTHER are not ours. */
+/* Returns whether one more connection exceeds the limit; OTHER aren't in B. */
 bool intake_budget_is_crowded(const intake_budget_t *b, uint32_t other);
-/* Returns when a request that is read must be complete; INT64_MAX: never. */
+/* Returns the deadline of a request being received; INT64_MAX: none. */
 int64_t intake_budget_due(const intake_budget_t *b, const intake_t *i,
 			  uint64_t received);
 
--- a/core/limit_lease.c
+++ b/core/limit_lease.c
@@ -5,8 +5,8 @@
 enum {
 	US_PER_MS = 1000,
 	/*
-	 * Between renewals: a counter gets as many frames a second in a fleet of
-	 * any size that is not small.
+	 * Between renewals: grows with the fleet, so that a counter's rate of
+	 * frames stays bounded.
 	 */
 	MIN_RENEWAL_US = 80 * US_PER_MS,
 	RENEWAL_PER_DAEMON_NS = 5 * 1000 * US_PER_MS / 3,
@@ -20,7 +20,7 @@
 	/* Before the size of the fleet is known. */
 	MAX_DURATION_US = 6000 * US_PER_MS,
 	NS_PER_US = 1000,
-	/* Its counter stops using it so much earlier, as it checks now and then. */
+	/* Its counter stops using it so much earlier, as it checks by timer. */
 	CHECK_MARGIN_US = 2 * LIMIT_LEASE_TICK_US,
 };
 
--- a/core/member.c
+++ b/core/member.c
@@ -3,7 +3,7 @@
 #include "core/member_state.h"
 
 enum {
-	/* Within so many heartbeat timeouts a dead member is known to be dead. */
+	/* Heartbeat timeouts within which a dead member is detected. */
 	LINK_LOST_TIMEOUTS = 3,
 };
 
--- a/core/member.h
+++ b/core/member.h
@@ -255,9 +255,9 @@
  */
 void member_set_unresponsive(member_t *m, str_t name, bool is_unresponsive);
 /*
- * The same two for a dispatcher, of a group or over all zones: a daemon whose
- * link is lost hosts none, though it may not be known to be dead yet. The next
- * host is asked then, and not by each daemon itself.
+ * Like member_zone_host and member_regional_host, for a dispatcher: leaves out
+ * daemons whose link is lost, even before they are known to be dead, so that
+ * requests fail over to the next host at once.
  */
 bool member_dispatcher_host(member_t *m, str_t zone, str_t dispatcher,
 			    int64_t now, member_vm_t *out);
@@ -270,10 +270,9 @@
 bool member_next_host(const member_t *m, str_t dispatcher, member_vm_t *out);
 /*
  * Sets whether the link to a daemon is lost: set it when the link ends, and
- * clear it when a new one is up or none is needed. It ends by itself with the
- * incarnation, and after some heartbeat timeouts: a daemon that is dead is known
- * to be so by then, and one that only this daemon can't reach is a host to all
- * others.
+ * clear it when a new one is up or none is needed. It is cleared with a new
+ * incarnation, and after some heartbeat timeouts: a dead daemon is detected by
+ * then, and one that only this daemon can't reach still hosts for all others.
  */
 void member_set_link_lost(member_t *m, str_t name, bool is_lost, int64_t now);
 /*
--- a/core/member_state.h
+++ b/core/member_state.h
@@ -31,7 +31,7 @@
 	int64_t link_tried_since; /* since then a link is attempted */
 	int64_t host_used_at; /* last use of a dispatcher or role it hosts */
 	bool is_unresponsive; /* leaves pings unanswered: hosts nothing */
-	/* Its link was lost, and no new one is up: hosts no dispatcher; 0: no. */
+	/* When its link was lost; it hosts no dispatcher meanwhile; 0: not. */
 	int64_t link_lost_at;
 } member_entry_t;
 
@@ -109,8 +109,8 @@
 }
 
 /*
- * Returns true if E may host roles now: anyone whose process answers, and if
- * NEEDS_LINK, only who can be sent something.
+ * Returns true if E may host roles now: its process answers and, with
+ * NEEDS_LINK, the link to it is not lost.
  */
 static inline bool member_can_host(const member_entry_t *e, bool needs_link)
 {
--- a/core/queue.c
+++ b/core/queue.c
@@ -5,7 +5,7 @@
 
 enum {
 	MAX_WEIGHTS = 65536, /* teams with a configured weight */
-	PEEKED_TEAMS = 4, /* whose entries queue_peek returns, at least */
+	PEEKED_TEAMS = 4, /* queue_peek takes at most N / this of each */
 	MAX_IDLE_TEAMS = 4096, /* per tier, kept while above fair_share */
 };
 
@@ -322,7 +322,7 @@
 	return first_entry(sequence_first(tier->within_share));
 }
 
-/* The same as queue_peek for one tier; a part of them of each team. */
+/* Like queue_peek for one tier; takes only a part of N from each team. */
 static uint32_t peek_tier(const queue_tier_t *tier, uint32_t n,
 			  queue_entry_t **out)
 {
--- a/core/queue.h
+++ b/core/queue.h
@@ -78,8 +78,8 @@
 /* Returns the entry to be served next, or NULL. */
 queue_entry_t *queue_head(const queue_t *q);
 /*
- * Sets OUT to at most N entries of each tier, of the tiers in the order of
- * their rank and of teams within their share, and returns how many they are;
+ * Sets OUT to at most N entries of each tier, and returns how many they are.
+ * Tiers are in the order of their rank; only teams within their share count.
  * OUT has room for N times DISPATCHER_MAX_TIERS.
  */
 uint32_t queue_peek(const queue_t *q, uint32_t n, queue_entry_t **out);
--- a/core/rollout.c
+++ b/core/rollout.c
@@ -6,13 +6,13 @@
 	US_PER_MS = 1000,
 	MAX_LEFT_MS = INT32_MAX, /* some weeks */
 	LONGEST_DIVISOR = 8, /* per look, of what requests took */
-	LOOK_US = 400 * US_PER_MS, /* between looks of the judge */
-	MIN_SLOT_US = 500 * US_PER_MS, /* of time, for the judge */
+	LOOK_US = 400 * US_PER_MS, /* between runs of the judge */
+	MIN_SLOT_US = 500 * US_PER_MS, /* width of the judge's time slots */
 	READ_US = 1000 * US_PER_MS, /* between confirmations of the term */
 	MAX_UNCONFIRMED_US = 2500 * US_PER_MS,
 	/* Until a conductor that took over has heard of all daemons. */
 	ACQUAINT_US = 1500 * US_PER_MS,
-	MISSING_US = 1500 * US_PER_MS, /* until runners count as gone */
+	MISSING_US = 1500 * US_PER_MS, /* until runners count as lost */
 	ORDERS_LAG_US =
 		300 * US_PER_MS, /* until others' reads are known here */
 	/* After another process took it over, until this one may. */
@@ -20,7 +20,7 @@
 	CALL_GAP_US = 100 * US_PER_MS, /* after a call that failed */
 	WRITE_GAP_US = 250 * US_PER_MS, /* between larger reservations */
 	OWNER_LIVE_US = 2 * ROLLOUT_LEASE_US, /* from its last report */
-	/* What a daemon said before may have changed with its lease. */
+	/* A daemon's earlier report may be outdated once its lease ended. */
 	FRESH_US = 2 * ROLLOUT_REPORT_MS * US_PER_MS + 100 * US_PER_MS,
 	/* Before the end, for the last messages and the store. */
 	MESSAGES_US = 1000 * US_PER_MS, /* for steps to reach all daemons */
@@ -122,7 +122,7 @@
 	r->stage_at = now;
 }
 
-/* Decides to take the traffic back; daemons are told before the store is. */
+/* Decides to revert; daemons learn it before the store has confirmed it. */
 static void revert(rollout_t *r, const char *why, int64_t now)
 {
 	if (r->must_revert || rollout_is_settled(r))
@@ -156,7 +156,7 @@
 		CLAMP(r->stored.ends_ms, 0, wall_ms + MAX_LEFT_MS) - wall_ms;
 	int64_t left = left_ms * US_PER_MS;
 
-	/* A clock that was set is no reason to end it at once. */
+	/* A step of the wall clock must not end it at once. */
 	if (left_ms <= 0 || left > duration || now + left >= r->ends_at)
 		return;
 	r->ends_at = now + left;
@@ -456,7 +456,7 @@
 	if (now - r->looked_at < LOOK_US)
 		return;
 	r->looked_at = now;
-	/* A single long request, as after a stall, is forgotten. */
+	/* Decays, so that a single long request has no lasting effect. */
 	r->longest -= r->longest / LONGEST_DIVISOR;
 	if (!r->has_answers)
 		return;
@@ -503,7 +503,7 @@
 		g_strlcpy(r->why, "the service has no other release",
 			  sizeof(r->why));
 	}
-	/* Alone, the target would spend a budget and be judged by nothing. */
+	/* Without other releases, the target can be compared with nothing. */
 	if (r->stage == ROLLOUT_HELD && !r->alone_since)
 		set_stage(r, ROLLOUT_TRYING, now);
 	if (r->stage == ROLLOUT_TRYING)
--- a/core/rollout.h
+++ b/core/rollout.h
@@ -1,15 +1,15 @@
 /*
  * One roll-out: moves a service's traffic to the runners of a target release,
- * and takes it back if that release is worse than the current ones. One daemon
- * conducts it. Each step is a record in the platform's store, written only if
- * nobody has written since it was read; so a conductor that was replaced can't
- * undo what another one decided, and whoever conducts next goes on from there.
+ * and reverts it if that release is worse than the current ones. One daemon is
+ * the conductor. Each step is a record in the platform's store, written by
+ * compare-and-set; so a conductor that was replaced can't undo what another one
+ * decided, and the next conductor continues from the record.
  *
  * 1. The conductor takes the roll-out over, with a term of its own.
  * 2. A small, growing share of the requests goes to the target
  *    (core/rollout_share.h), and its answers are judged
  *    (core/rollout_judge.h). Near the end of this step it gets many at once, as
- *    it may be bad under load only.
+ *    some defects only show under load.
  * 3. If it is sound, all requests go to it, while nothing is cancelled on the
  *    current releases' runners.
  * 4. Once nothing runs there, or the time is up, it is completed.
@@ -44,14 +44,14 @@
 	ROLLOUT_PHASES,
 } rollout_phase_t;
 
-/* What daemons do with requests; they are told by the conductor. */
+/* How daemons route requests; the conductor sends it to them. */
 typedef enum rollout_stage {
 	ROLLOUT_HELD, /* none goes to the target */
 	ROLLOUT_TRYING, /* as many as they were leased */
-	ROLLOUT_MOVING, /* all, as long as the conductor is heard of */
+	ROLLOUT_MOVING, /* all, while the conductor answers */
 	ROLLOUT_MOVED, /* all; the completion may be in the store */
 	ROLLOUT_DONE, /* completed: all */
-	ROLLOUT_TAKEN_BACK, /* reverted: none */
+	ROLLOUT_TAKEN_BACK, /* reverted: none goes to the target */
 	ROLLOUT_STAGES,
 } rollout_stage_t;
 
@@ -90,6 +90,7 @@
  * when it is no such name. A service's name may be cut off in it.
  */
 bool rollout_pool_service(const char *pool, char *out);
+/* Return the names for output. */
 const char *rollout_phase_name(rollout_phase_t phase);
 const char *rollout_stage_name(rollout_stage_t stage);
 
@@ -104,7 +105,7 @@
 	int64_t stamp; /* of its clock; returned in the answer */
 } rollout_report_t;
 
-/* What a daemon is told. */
+/* The conductor's answer to a report. */
 typedef struct rollout_told {
 	uint64_t order;
 	uint64_t term; /* 0: nothing, another process may conduct */
@@ -116,9 +117,9 @@
 	int64_t decided_ms; /* wall clock; 0: it is in progress */
 } rollout_told_t;
 
-/* What the conductor's daemon knows from elsewhere. */
+/* The fleet's state, as the conductor's daemon sees it. */
 typedef struct rollout_view {
-	uint32_t daemons; /* that are live */
+	uint32_t daemons; /* live members */
 	uint32_t target_runners; /* listed, and not leaving */
 	uint32_t other_runners; /* likewise, of other releases */
 } rollout_view_t;
@@ -129,12 +130,12 @@
 	uint64_t self; /* unique id of this process */
 	rollout_stage_t stage;
 	rollout_record_t stored; /* as last read or written; term 0: none */
-	int64_t stored_at; /* this record was first read then */
+	int64_t stored_at; /* when this record was first read */
 	bool is_read; /* the store's record is known */
 	bool is_conducting; /* the store has this process's term */
 	bool is_withdrawn;
 	bool had_others; /* other releases were listed since the order */
-	/* A decision that the store doesn't have yet. */
+	/* Decided, but not confirmed by the store yet. */
 	bool must_move, must_complete, must_revert;
 	int64_t began_at, ends_at;
 	int64_t read_at; /* the record, or its write confirmed */
@@ -145,9 +146,9 @@
 	int64_t written_at;
 	int64_t alone_since; /* only the target had runners; 0: no */
 	int64_t no_target_since; /* the target has no runner; 0: it has */
-	int64_t orders_at; /* the operators' topic is known to its end then */
+	int64_t orders_at; /* when the operators' topic was read to its end */
 	int64_t stage_at;
-	int64_t looked_at; /* last look of the judge */
+	int64_t looked_at; /* when the judge last ran */
 	bool has_answers; /* of the target, since then */
 	uint32_t waiting_for; /* daemons, before the next stage */
 	rollout_budget_t budget;
@@ -161,8 +162,9 @@
 /* SHARE and SLACK: see core/rollout_share.h. The order was seen at NOW. */
 void rollout_init(rollout_t *r, const rollout_order_t *order, uint64_t self,
 		  double share, double slack, int64_t now);
+/* Frees what the roll-out holds. */
 void rollout_finish(rollout_t *r);
-/* The operator took the order back. */
+/* The operator withdrew the order. */
 void rollout_withdraw(rollout_t *r);
 /* The order can't be followed, for the reason given: nothing is tried. */
 void rollout_refuse(rollout_t *r, const char *why, int64_t now);
@@ -190,10 +192,10 @@
 /* Judges and decides; call it some times a second while conducting. */
 void rollout_tick(rollout_t *r, const rollout_view_t *view, int64_t now);
 
-/* Handles the report of the daemon NAME, and returns what to tell it. */
+/* Handles the report of the daemon NAME, and returns the answer. */
 rollout_told_t rollout_on_report(rollout_t *r, const char *name,
 				 const rollout_report_t *report, int64_t now);
-/* Adds N answers alike that a daemon reported. */
+/* Adds N equal answers that a daemon reported. */
 void rollout_on_answer(rollout_t *r, const rollout_answer_t *answer, uint32_t n,
 		       int64_t now);
 /* Tells whether it is completed or reverted, and the store has that. */
--- a/core/rollout_judge.c
+++ b/core/rollout_judge.c
@@ -13,7 +13,7 @@
 	RECENT_SLOTS = 8,
 	LAST_SLOTS = 3,
 	MIN_ALONE = 12, /* the same with nothing to compare with */
-	MIN_BAD = 6, /* fewer bad answers never condemn */
+	MIN_BAD = 6, /* fewer bad answers never make it bad */
 	/* A first event also waits for a prompt that others have cached. */
 	FIRST_EVENT_BUCKETS = 2,
 	NO_BUCKET = ROLLOUT_BUCKETS, /* no time is too long */
@@ -230,7 +230,7 @@
 	double by_current; /* bad ones at the current releases' rate */
 } sums_t;
 
-/* Adds a group and slot in which current releases had N answers, BAD of them. */
+/* Adds a group and slot where current releases had N answers, BAD bad ones. */
 static void add_cell(sums_t *sums, const cell_t *cell, uint32_t n, uint32_t bad)
 {
 	double all = (double)cell->n + n;
@@ -321,7 +321,7 @@
 	g_free(cells);
 }
 
-/* Half a bad answer is taken off, as counts are whole (continuity). */
+/* Subtracts half a bad answer: the continuity correction. */
 static double score_of(const sums_t *sums)
 {
 	double beyond = sums->bad - sums->expected - 0.5;
@@ -366,7 +366,7 @@
 			worst = k->runner;
 		}
 	}
-	/* The only runner can't be told from its release. */
+	/* A single runner's faults can't be told from its release's. */
 	return has_several_runners(s) ? worst : 0;
 }
 
@@ -425,8 +425,8 @@
 }
 
 /*
- * Returns the target's answers that can be compared with others. A stream's pace
- * is no answer of its own.
+ * Returns the number of the target's comparable answers. A stream's pace isn't
+ * counted as an answer of its own.
  */
 static uint32_t count_answers(const struct rollout_judge_state *s)
 {
@@ -442,7 +442,7 @@
 
 /*
  * Without answers of current releases, as after a change of conductor in the
- * move, only a large share of failures condemns.
+ * move, only a large share of failures is bad.
  */
 static void judge_alone(const struct rollout_judge_state *s,
 			rollout_finding_t *f)
--- a/core/rollout_judge.h
+++ b/core/rollout_judge.h
@@ -36,7 +36,7 @@
 	ROLLOUT_TIMINGS,
 } rollout_timing_t;
 
-/* One answer, or several alike. */
+/* One answer, or several equal ones. */
 typedef struct rollout_answer {
 	uint64_t route; /* hash of its name */
 	uint64_t runner; /* hash of its name; not 0 for the target's */
--- a/core/rollout_share.c
+++ b/core/rollout_share.c
@@ -3,17 +3,17 @@
 #include "common/str.h"
 
 /*
- * Parts of the bound that aren't used: requests may be counted here that the
- * operator counts later or not at all, such as one that its caller gave up.
+ * A safety margin of the bound: requests may be counted here that the operator
+ * counts later or not at all, such as one that its caller cancelled.
  */
-static const double spare_slack = 0.4;
-static const double spare_share = 0.12;
+static const double margin_slack = 0.4;
+static const double margin_share = 0.12;
 /* Reserved beyond what is leased, as a part of what may be used. */
 static const double reserve_ahead = 0.1;
 
 enum {
 	MIN_RESERVE_AHEAD = 10, /* requests */
-	/* What a daemon was not leased for lack of budget, at most. */
+	/* Limit of a daemon's credit, which grows while the budget is short. */
 	MAX_CREDIT = 2,
 };
 
@@ -83,14 +83,14 @@
 	return o;
 }
 
-/* What another process of the daemon was leased is never known to be free. */
+/* Unused leases of the daemon's earlier process are never returned. */
 static void begin_process(rollout_owner_t *o, const rollout_counts_t *counts)
 {
 	*o = (rollout_owner_t){ .counts = *counts };
 	o->counts.used = o->counts.returned = 0;
 }
 
-/* Takes back what the daemon says that it didn't use. */
+/* Reclaims the leases that the daemon reports as returned. */
 static void take_back(rollout_budget_t *b, rollout_owner_t *o,
 		      const rollout_counts_t *counts)
 {
@@ -112,7 +112,7 @@
 
 	if (!o)
 		return;
-	/* What it counted before may have been told to another conductor. */
+	/* Another conductor may have had the report of earlier counts. */
 	if (o->counts.process != counts->process)
 		begin_process(o, counts);
 	if (o->takeovers != b->takeovers)
@@ -128,8 +128,8 @@
 
 uint64_t rollout_budget_earned(const rollout_budget_t *b)
 {
-	return (uint64_t)(b->slack * (1 - spare_slack) +
-			  b->share * (1 - spare_share) * (double)b->counted);
+	return (uint64_t)(b->slack * (1 - margin_slack) +
+			  b->share * (1 - margin_share) * (double)b->counted);
 }
 
 static uint64_t usable(const rollout_budget_t *b, double part)
--- a/core/rollout_share.h
+++ b/core/rollout_share.h
@@ -6,13 +6,13 @@
  * request each. A daemon sends the target one request for each that it was
  * leased.
  *
- * What is reserved counts as used up by whoever conducts next, and what a
- * daemon was leased counts as used until it says that it gave it back. So a
- * restart, a cut, a lost message or two conductors make the target's share
- * smaller, never larger.
+ * The next conductor counts all that was reserved as used, and a lease counts
+ * as used until the daemon reports that it returned it. So a restart, a
+ * partition, a lost message or two conductors make the target's share smaller,
+ * never larger.
  *
  * A lease ends some time after the daemon's report that it answers, by the
- * daemon's clock. A daemon that is cut off, or that wakes after standing still,
+ * daemon's clock. A daemon that is partitioned, or was suspended for a while,
  * sends nothing more to the target.
  *
  * Does no I/O and reads no clock; times are microseconds of the monotonic
@@ -86,7 +86,7 @@
 uint64_t rollout_budget_lease(rollout_budget_t *b, const char *name,
 			      double probability, double part);
 
-/* The side of a daemon that sends requests. */
+/* The side of the daemons, which send the requests. */
 
 typedef struct rollout_lease {
 	uint64_t granter; /* id of the leases; 0: none */
@@ -103,13 +103,13 @@
  */
 void rollout_lease_set(rollout_lease_t *l, uint64_t granter, uint64_t granted,
 		       int64_t sent_at, int64_t now);
-/* Takes a request's share; false when there is none. */
+/* Uses a lease for one request; false when there is none. */
 bool rollout_lease_take(rollout_lease_t *l, int64_t now);
-/* Gives back what the ended lease left; call it before each report. */
+/* Returns what an expired lease left; call it before each report. */
 void rollout_lease_tick(rollout_lease_t *l, int64_t now);
-/* Gives back all at once: no request may go to the target. */
+/* Returns all unused leases: no request may go to the target. */
 void rollout_lease_drop(rollout_lease_t *l);
-/* Tells whether the conductor was heard of lately. */
+/* Tells whether the conductor has answered lately. */
 bool rollout_lease_is_live(const rollout_lease_t *l, int64_t now);
 
 #endif
--- a/core/runner_filter.h
+++ b/core/runner_filter.h
@@ -39,7 +39,7 @@
 	RUNNER_LIMITED, /* the dispatcher doesn't know its limit; likewise */
 	/* the stream began on another release; likewise */
 	RUNNER_OTHER_RELEASE,
-	/* a roll-out keeps requests from its release; likewise */
+	/* a roll-out sends its release no requests; likewise */
 	RUNNER_RELEASE_HELD,
 } runner_use_t;
 
--- a/core/runner_load.c
+++ b/core/runner_load.c
@@ -6,10 +6,10 @@
 enum {
 	US_PER_MS = 1000,
 	HALF_LIFE_US = 200 * US_PER_MS, /* of a statement's weight */
-	MAX_AGE_US = 2000 * US_PER_MS, /* older statements say nothing */
-	PACE_US = 300 * US_PER_MS, /* how long a pace lasts */
+	MAX_AGE_US = 2000 * US_PER_MS, /* older statements have no weight */
+	PACE_US = 300 * US_PER_MS, /* how long a stated pace lasts */
 	MAX_PACES = 32, /* in the moving average of the usual pace */
-	REPEATED_US = 5 * US_PER_MS, /* equal ones are one within this time */
+	REPEATED_US = 5 * US_PER_MS, /* equal ones within it are duplicates */
 	MAX_REQUESTS = 1000000, /* more is implausible */
 	MIN_PACE = 10, /* percent */
 	MAX_PACE = 10000,
--- a/core/runner_load.h
+++ b/core/runner_load.h
@@ -1,7 +1,7 @@
 /*
- * The load that a runner states in its answers, and how much it says as it
- * ages. Many owners hear a runner; what one of them heard reaches the
- * dispatcher with the first event or the end of a request. Does no I/O; times
+ * The load that a runner states in the head of its answers, weighted by the
+ * statement's age. The owner of a request receives it and forwards it to the
+ * dispatcher with the first event or the end of the request. Does no I/O; times
  * are microseconds of the monotonic clock.
  *
  * A pace is the factor by which work takes longer on the runner's machine than
@@ -17,9 +17,9 @@
 	RUNNER_PACE_PERCENT = 100, /* a stated pace of 1 */
 };
 
-/* What an answer stated. */
+/* One statement, from the head of an answer. */
 typedef struct runner_load {
-	int64_t at; /* when it was heard; 0: never */
+	int64_t at; /* when its owner received it; 0: never */
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots; /* 0: not stated */
@@ -33,20 +33,21 @@
 	uint32_t n_paces;
 } runner_statements_t;
 
-/* Returns whether all figures are ones that a runner may state. */
+/* Returns whether all values are within the bounds of a valid statement. */
 bool runner_load_is_plausible(const runner_load_t *load);
 /* Returns the weight, 0 to 1, of a statement that is AGE old. */
 double runner_load_weight(int64_t age);
 /*
- * Takes HEARD over if it is newer than the last; returns whether it is. One
- * that is repeated may look a little newer, as its age is passed on in ms.
+ * Stores HEARD if it is newer than the last statement, and returns whether it
+ * is. A duplicate may look slightly newer, as its age is forwarded in
+ * milliseconds; it is ignored.
  */
 bool runner_load_hear(runner_statements_t *s, const runner_load_t *heard);
 /* Returns whether the last statement still has weight. */
 bool runner_load_is_fresh(const runner_statements_t *s, int64_t now);
 /* Returns the usual pace; 1 if none was stated. */
 double runner_load_usual(const runner_statements_t *s);
-/* Returns the pace now: as stated, or as usual the older the statement is. */
+/* Returns the pace now: the stated one, nearing the usual one as it ages. */
 double runner_load_pace(const runner_statements_t *s, int64_t now);
 /*
  * Returns how long work takes from now on that takes TIME microseconds at the
@@ -61,8 +62,8 @@
 int64_t runner_load_at_pace_1(const runner_statements_t *s, int64_t time,
 			      int64_t now);
 /*
- * Returns the requests at the runner that are not in the dispatcher's ledger of
- * LEDGER requests, fading with the statement's age.
+ * Returns the requests at the runner beyond the LEDGER requests that this
+ * dispatcher granted there, weighted by the statement's age.
  */
 double runner_load_external(const runner_statements_t *s, uint32_t ledger,
 			    int64_t now);
--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -21,11 +21,12 @@
 static const double protected_reserve = 0.25; /* engines: added to the window */
 static const double plain_reserve = 0.25; /* withheld from unprotected calls */
 /*
- * Calls that may wait at a runner that states its load, as a part of its window
- * beside one: the next one begins while the end of another is on its way here.
+ * Calls that may queue at a plain runner that states its load: one, plus this
+ * part of its window. The next call then starts before this dispatcher learns
+ * that another one ended.
  */
 static const double plain_queue = 0.2;
-/* Times the usual pace, from which on calls are overdue for it. */
+/* From this multiple of the usual pace on, calls are overdue for it. */
 static const double slow_pace = 1.1;
 
 /* Seconds per token or call while N requests run; 0 if unknown. */
@@ -270,7 +271,7 @@
 			MAX(m->last_completed_grant, work->granted_at);
 		took = runner_load_at_pace_1(&m->stated, now - work->granted_at,
 					     now);
-		/* Without the wait behind the calls that it found there. */
+		/* Leaves out the time queued behind earlier calls. */
 		learn_unit_time(m, 1, n,
 				(int64_t)((double)took /
 					  queue_factor(m, work->concurrency)));
@@ -320,7 +321,7 @@
 	return !m->is_engine && m->last_completed_grant > work->granted_at;
 }
 
-/* A plain runner that has stated a slow pace since isn't silent. */
+/* A plain runner that states a slow pace is slow, not unresponsive. */
 static bool is_known_slow(const runner_model_t *m, const runner_work_t *work,
 			  int64_t now)
 {
@@ -358,19 +359,20 @@
 	if (!runner_load_hear(&m->stated, load))
 		return;
 	/*
-	 * Grants on their way there and ends on their way here don't count;
-	 * what the runner had when it wrote the head may be in neither.
+	 * Grants and ends in transit must not count as external work, so
+	 * compare with the most requests granted at once since before the
+	 * statement.
 	 */
 	m->stated_ledger = most_since(m, load->at - SAMPLE_GAP_US);
 }
 
-/* Returns the requests that others put there, as the runner stated. */
+/* Returns the requests of other dispatchers, by the runner's statement. */
 static double others_stated(const runner_model_t *m, int64_t now)
 {
 	return round(runner_load_external(&m->stated, m->stated_ledger, now));
 }
 
-/* The same, as reports say if those show more; below one is uncertainty. */
+/* The same, or by load reports if higher; below one is mere uncertainty. */
 static double external_requests(const runner_model_t *m, int64_t now)
 {
 	double reported = m->external_requests;
@@ -447,7 +449,7 @@
 	if (all < m->slots || all >= m->slots + MAX_WAITING ||
 	    (double)m->tokens >= room_limit(m, room, now))
 		return INT64_MAX;
-	/* Of several that began at any time, one ends first. */
+	/* The earliest of N ends with random offsets is at 1 / (N + 1). */
 	return decode_time(m, (double)m->output_tokens / running, running) /
 	       (int64_t)(running + 1);
 }
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -43,9 +43,9 @@
 } runner_work_t;
 
 typedef struct runner_sample {
-	int64_t at; /* the first of some times that count as one */
-	uint32_t running; /* at the last of them */
-	uint32_t most; /* at any of them */
+	int64_t at; /* start of the interval that this sample covers */
+	uint32_t running; /* at its end */
+	uint32_t most; /* the most at once during it */
 } runner_sample_t;
 
 typedef struct runner_model {
@@ -113,7 +113,7 @@
 
 /*
  * The runner stated its load in an answer. It counts in predictions and room
- * and keeps slow times out of the learned speed, less so as it ages.
+ * and is factored out of the learned speed. Its weight decays with its age.
  */
 void runner_model_hear(runner_model_t *m, const runner_load_t *load);
 
@@ -121,8 +121,8 @@
 bool runner_model_has_room(const runner_model_t *m, runner_room_t room,
 			   int64_t now);
 /*
- * Returns whether an engine's memory, its window, has room for the work besides
- * all that it holds, those with their margins.
+ * Returns whether an engine's memory, its window, has room for the work beside
+ * all granted work, which counts with a margin for longer output.
  */
 bool runner_model_fits(const runner_model_t *m, uint32_t prompt_tokens,
 		       uint32_t output_tokens);
@@ -135,8 +135,8 @@
 				int64_t now);
 /*
  * Predicts the microseconds until work granted now would finish at the usual
- * pace. CACHED is the
- * estimated part of the prompt in the runner's prefix cache, 0 to 1.
+ * pace. CACHED is the estimated part of the prompt in the runner's prefix
+ * cache, 0 to 1.
  */
 int64_t runner_model_predict(const runner_model_t *m, uint32_t prompt_tokens,
 			     uint32_t output_tokens, double cached);
--- a/core/speed_digest.c
+++ b/core/speed_digest.c
@@ -7,17 +7,17 @@
 	MAX_MEAN_S = 3600, /* of a prompt, or of a token or call */
 	MAX_MEAN_X = 100000000, /* tokens, or requests running */
 	MAX_PACE = 1000,
-	TOLD_PACES = 4, /* weight of a told pace, in statements */
-	/* A speed that is known here is replaced by one that much later only. */
+	IMPORTED_PACES = 4, /* weight of an imported pace, in statements */
+	/* A known speed is replaced only by one learned this much later. */
 	REPLACE_US = 10000 * US_PER_MS,
 };
 
 /* A few answers outweigh what another dispatcher learned. */
 static const double import_weight = 0.25;
-/* More than answers add up to: tokens of the longest ones. */
+/* Above any sum that real answers reach. */
 static const double max_weight = 1e9;
 static const double min_pace = 0.01;
-static const double rounding = 1e-3; /* of the sums in frames */
+static const double rounding = 1e-3; /* relative error of sums sent as floats */
 
 size_t dispatcher_export_speeds(const dispatcher_t *d, runner_digest_t *out,
 				size_t n, int64_t since, int64_t now)
@@ -71,20 +71,20 @@
 	       (digest->usual_pace >= min_pace || digest->usual_pace == 0);
 }
 
-static void import_line(line_fit_t *line, const line_fit_t *told)
+static void import_line(line_fit_t *line, const line_fit_t *imported)
 {
-	if (told->weight > 0)
-		*line = line_fit_scaled(told, import_weight);
+	if (imported->weight > 0)
+		*line = line_fit_scaled(imported, import_weight);
 }
 
-/* A pace that was stated here stays. */
+/* A pace stated to this dispatcher takes precedence. */
 static void import_pace(runner_statements_t *stated,
 			const runner_digest_t *digest)
 {
 	if (stated->n_paces || digest->usual_pace <= 0)
 		return;
 	stated->usual_pace = digest->usual_pace;
-	stated->n_paces = CLAMP(digest->n_paces, 1, TOLD_PACES);
+	stated->n_paces = CLAMP(digest->n_paces, 1, IMPORTED_PACES);
 }
 
 bool dispatcher_import_speed(dispatcher_t *d, const runner_digest_t *digest,
--- a/core/speed_digest.h
+++ b/core/speed_digest.h
@@ -1,7 +1,7 @@
 /*
- * What a dispatcher has learned of its runners' speeds, in some bytes a runner,
- * so that the next dispatcher of the group need not learn it anew. Does no I/O
- * and reads no clock.
+ * A compact summary of the runner speeds that a dispatcher has learned. It is
+ * sent to the next host of the dispatcher, which then need not learn them
+ * again. Does no I/O and reads no clock.
  */
 #ifndef CORE_SPEED_DIGEST_H
 #define CORE_SPEED_DIGEST_H
@@ -14,8 +14,8 @@
 #include "core/runner_model.h"
 
 enum {
-	SPEED_DIGEST_MAX = 64, /* runners of one dispatcher that are told of */
-	/* Older digests say little, as speeds change. */
+	SPEED_DIGEST_MAX = 64, /* digests per dispatcher */
+	/* Older digests are rejected, as speeds change. */
 	SPEED_DIGEST_MAX_AGE_MS = 120000,
 };
 
@@ -38,10 +38,10 @@
 /* Returns whether the figures of a digest are ones that can be learned. */
 bool runner_digest_is_plausible(const runner_digest_t *digest);
 /*
- * Takes a digest as estimate of a listed runner. Not so if what is known here
- * was learned about as late or later, or the digest is too old, not plausible
- * or of another incarnation. It weighs as little as a few answers. Returns
- * whether it was taken.
+ * Imports a digest as the speed estimate of a listed runner, with a low weight,
+ * so that a few answers outweigh it. Rejects it if it is too old, implausible
+ * or of another incarnation, or not clearly newer than what is known here.
+ * Returns whether it was imported.
  */
 bool dispatcher_import_speed(dispatcher_t *d, const runner_digest_t *digest,
 			     int64_t now);
--- a/core/zone_groups.c
+++ b/core/zone_groups.c
@@ -6,7 +6,7 @@
 
 enum {
 	MAX_DISPATCHERS = 2, /* that may refuse a request */
-	MAX_BACK = 4, /* times that a request leaves its zone in vain */
+	MAX_BACK = 4, /* times that a request leaves and returns */
 	MASK_BITS = 64,
 };
 
@@ -105,7 +105,7 @@
 	pick->group.index = g_rand_int(rand) % pick->group.count;
 }
 
-/* Two zones may share a bit: then one of them is passed over. */
+/* On a collision, a usable zone is skipped. */
 static uint64_t zone_bit(const char *zone)
 {
 	return 1ULL << str_hash(str_from(zone)) % MASK_BITS;
@@ -300,8 +300,9 @@
 }
 
 /*
- * From another zone back to the own one. That hasn't refused the request if it
- * left there: other zones may be usable when it leaves again.
+ * Returns the request from another zone to its own one. If it left that one
+ * undecided, this undoes the counted refusal, and other zones may be tried
+ * again when it leaves the next time.
  */
 static bool go_back(uint32_t runners, GRand *rand, zone_pick_t *pick)
 {
--- a/core/zone_groups.h
+++ b/core/zone_groups.h
@@ -29,13 +29,13 @@
 	runner_group_t group;
 	char zone[ZONE_GROUPS_NAME_SIZE]; /* "": the local zone, or all zones */
 	uint32_t n_refused; /* dispatchers that refused so far */
-	/* It left a dispatcher that hadn't refused it, which was counted. */
+	/* It left an undecided dispatcher; n_refused counts that one, too. */
 	bool has_left;
 	uint32_t n_back; /* how often it left and had to go back */
 	/*
-	 * What couldn't be used: other zones, as bits of their hashes, of these
-	 * the ones that left wants unanswered, and groups of the own zone, as
-	 * bits of their indexes. A request may pass over one that shares a bit.
+	 * Bit sets of what couldn't be used: other zones by their hashes, those
+	 * of them that left wants unanswered, and groups of the own zone by
+	 * their indexes. On a collision a usable one is skipped.
 	 */
 	uint64_t unusable_zones;
 	uint64_t silent_zones;
@@ -84,15 +84,15 @@
 			   zone_pick_t *pick);
 /*
  * Likewise when the request leaves a dispatcher that hasn't decided in time. If
- * no other can be used, zone_groups_pick_usable leads back to the own zone,
- * and the request may leave it again, but only so often.
+ * no other can be used, zone_groups_pick_usable leads back to the own zone, and
+ * the request may leave it again, a bounded number of times.
  */
 bool zone_groups_leave(const zone_groups_t *z, GRand *rand, zone_pick_t *pick);
 /*
- * Replaces PICK, which can't be used: its dispatcher can't be reached, or has no
- * runner that works, or is silent. Next are the other groups of the own zone
+ * Replaces PICK, which can't be used: its dispatcher can't be reached, or has
+ * no runner that works, or is silent. Next are the other groups of the own zone
  * if the request is there, then zones not tried yet, and last the own zone's
- * groups again that weren't found unusable. This is no refusal. Returns false
+ * groups again that weren't found unusable. Counts as no refusal. Returns false
  * when nothing is left, or for a single dispatcher over all zones.
  */
 bool zone_groups_pick_usable(const zone_groups_t *z, GRand *rand,
--- a/net/http1.h
+++ b/net/http1.h
@@ -77,7 +77,7 @@
 void http1_reader_finish(http1_reader_t *r);
 /* Prepares for the next message of the connection. */
 void http1_reader_reset(http1_reader_t *r);
-/* Between two messages: gives back the memory of a long head. */
+/* Frees the memory of a long head; call it between two messages. */
 void http1_reader_shrink(http1_reader_t *r);
 /* Sets the size limit of the head, in bytes, for subsequent messages. */
 void http1_reader_set_limit(http1_reader_t *r, size_t max_head);
