--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -366,7 +366,7 @@
 	m->stated_ledger = most_since(m, load->at - SAMPLE_GAP_US);
 }
 
-/* Returns the requests of other dispatchers, by the runner's statement. */
+/* Returns the requests not granted here, by the runner's statement. */
 static double others_stated(const runner_model_t *m, int64_t now)
 {
 	return round(runner_load_external(&m->stated, m->stated_ledger, now));
