--- a/review/runner2.c
+++ b/review/runner2.c
@@ -2,7 +2,8 @@
  * A runner of the users' platform for the second review's cases. It registers
  * in the project's stand-in of the store and keeps its entry, answers each
  * request once, names the attempt and seals its answers, and drops a request
- * whose connection closes. It writes a line for each run: "run METHOD PATH ID".
+ * whose connection closes. It writes a line for each run: "run METHOD PATH ID
+ * MS", in milliseconds of the monotonic clock.
  *
  * runner2 ADDRESS ID SERVICE ZONE STORE WORK_MS BYTES EVENTS
  *
@@ -104,7 +105,8 @@
 
 	sscanf(head, "%31s %1023s", method, path);
 	sim_header(head, "X-Attempt-Id", attempt, sizeof(attempt));
-	printf("run %s %s %.60s\n", method, path, attempt);
+	printf("run %s %s %.60s %lld\n", method, path, attempt,
+	       (long long)sim_now());
 	fflush(stdout);
 	snprintf(out, sizeof(out),
 		 "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\n"
@@ -174,7 +176,8 @@
 	listener = sim_listen(address);
 	if (listener < 0)
 		return 2;
-	pthread_create(&thread, NULL, keep_entry, NULL);
+	if (strcmp(store, "-"))
+		pthread_create(&thread, NULL, keep_entry, NULL);
 	for (;;) {
 		int fd = accept(listener, NULL, NULL);
 
