tests: streams with more daemons, restarts in series, no stated deadline

It plays up to 16 daemons now (--daemons), kills half of them at once three times within a window of the budget (--series), and leaves the deadline out of a part of the requests (--no-deadline).

Without the options it plays as before.

--- a/tests/lib_stream_caller.c
+++ b/tests/lib_stream_caller.c
@@ -119,12 +119,15 @@
 
 	g_string_printf(text,
 			"POST /%s/%s HTTP/1.1\r\nHost: h\r\n" HEADER_ATTEMPT_ID
-			": %s\r\n" HEADER_API_KEY ": key\r\n" HEADER_DEADLINE
-			": %d\r\n",
+			": %s\r\n" HEADER_API_KEY ": key\r\n",
 			s->is_plain ? "plain" :
 			s->is_wide  ? "wide" :
 				      "sheet",
-			s->key, s->attempt, TIMEOUT_MS);
+			s->key, s->attempt);
+	if (!s->caller->no_deadline ||
+	    g_random_int_range(0, 100) >= s->caller->no_deadline)
+		g_string_append_printf(text, HEADER_DEADLINE ": %d\r\n",
+				       TIMEOUT_MS);
 	if (!s->is_plain)
 		g_string_append(text, HEADER_TOKENS ": 60,24\r\n");
 	if (s->last_id)
--- a/tests/lib_stream_caller.h
+++ b/tests/lib_stream_caller.h
@@ -14,7 +14,7 @@
 
 enum {
 	STREAM_CALLER_PORT = 8000,
-	STREAM_MAX_DAEMONS = 8,
+	STREAM_MAX_DAEMONS = 16,
 	STREAM_HOST_SIZE = 32,
 };
 
@@ -32,6 +32,7 @@
 typedef struct stream_caller {
 	char daemons[STREAM_MAX_DAEMONS][STREAM_HOST_SIZE]; /* IPs */
 	int n_daemons;
+	int no_deadline; /* of 100 requests, those that state none */
 	int number;
 	int64_t until_ms; /* monotonic: sends nothing new after it */
 	stream_results_t *results;
--- a/tests/streams.c
+++ b/tests/streams.c
@@ -28,13 +28,14 @@
 #define RETRY_RATIO 0.2
 
 enum {
-	DAEMONS = 3,
+	DAEMONS = 3, /* where the command line names no number */
 	WRITERS = 6,
 	DESKS = 3,
 	RUNNERS = WRITERS + DESKS,
 	MAX_CALLERS = 64,
 	RETRY_SLACK = 30,
 	RETRY_WINDOW_MS = 10000,
+	SERIES_ROUNDS = 3, /* of restarts, within a window of the budget */
 	DRAIN_MS = 8000,
 	STORE_PORT = 7000,
 	READY_MS = 15000,
@@ -56,7 +57,8 @@
 	char *dir;
 	int net, lock, version;
 	process_t store;
-	node_t daemons[DAEMONS];
+	node_t daemons[STREAM_MAX_DAEMONS];
+	int n_daemons;
 	stream_runner_t runners[RUNNERS];
 	stream_caller_t callers[MAX_CALLERS];
 	stream_faults_t faults;
@@ -64,6 +66,8 @@
 	stream_results_t results;
 	int64_t until_ms;
 	bool spares_daemons; /* no fault of a daemon */
+	bool plays_series; /* of restarts, at many daemons at once */
+	int no_deadline; /* of 100 requests, those that state none */
 	bool plays_releases; /* beside a daemon that stands still; no other fault */
 } play_t;
 
@@ -200,18 +204,18 @@
 		return false;
 	for (int i = 0; i < RUNNERS; i++)
 		start_runner(p, i);
-	for (int i = 0; i < DAEMONS; i++) {
+	for (int i = 0; i < p->n_daemons; i++) {
 		node_t *n = &p->daemons[i];
 
 		n->zone = i % 2;
 		g_snprintf(n->ip, sizeof(n->ip), "127.%d.%d.%d", p->net,
 			   1 + n->zone, 10 + i);
 	}
-	for (int i = 0; i < DAEMONS; i++)
+	for (int i = 0; i < p->n_daemons; i++)
 		if (!start_daemon(p, &p->daemons[i]))
 			return false;
 	give_up = now_ms() + READY_MS;
-	for (int i = 0; i < DAEMONS;) {
+	for (int i = 0; i < p->n_daemons;) {
 		i += is_ready(&p->daemons[i]);
 		if (now_ms() > give_up)
 			return false;
@@ -236,7 +240,7 @@
 /* A daemon is killed, told to stop, or stands still; then it serves again. */
 static void disturb_daemon(play_t *p)
 {
-	node_t *n = &p->daemons[g_random_int_range(0, DAEMONS)];
+	node_t *n = &p->daemons[g_random_int_range(0, p->n_daemons)];
 
 	switch (g_random_int_range(0, 3)) {
 	case 0:
@@ -253,13 +257,32 @@
 	start_daemon(p, n);
 }
 
+/* Half of the daemons are killed, come back, and are killed again. */
+static void restart_in_series(play_t *p)
+{
+	int first = g_random_int_range(0, p->n_daemons);
+
+	for (int round = 0; round < SERIES_ROUNDS; round++) {
+		for (int i = 0; i < (p->n_daemons + 1) / 2; i++) {
+			node_t *n = &p->daemons[(first + i) % p->n_daemons];
+
+			process_kill(&n->process);
+			start_daemon(p, n);
+		}
+		sleep_ms(g_random_int_range(1500, 3500));
+	}
+}
+
 static void *disturb_daemons(void *data)
 {
 	play_t *p = data;
 
 	while (now_ms() < p->until_ms && !p->spares_daemons) {
 		sleep_ms(g_random_int_range(500, 3000));
-		disturb_daemon(p);
+		if (p->plays_series)
+			restart_in_series(p);
+		else
+			disturb_daemon(p);
 	}
 	return NULL;
 }
@@ -314,7 +337,8 @@
 	for (int i = 0; now_ms() < p->until_ms; i++) {
 		/* Longer than a stream may last: one release is known. */
 		sleep_ms(SETTLE_MS);
-		release_behind(p, &p->daemons[i % DAEMONS], i % 2 ? "1" : "2");
+		release_behind(p, &p->daemons[i % p->n_daemons],
+			       i % 2 ? "1" : "2");
 	}
 	return NULL;
 }
@@ -350,11 +374,12 @@
 	for (int i = 0; i < n_callers; i++) {
 		stream_caller_t *c = &p->callers[i];
 
-		for (int k = 0; k < DAEMONS; k++)
+		for (int k = 0; k < p->n_daemons; k++)
 			g_strlcpy(c->daemons[k], p->daemons[k].ip,
 				  sizeof(c->daemons[k]));
-		c->n_daemons = DAEMONS;
+		c->n_daemons = p->n_daemons;
 		c->number = i;
+		c->no_deadline = p->no_deadline;
 		c->until_ms = p->until_ms;
 		c->results = &p->results;
 		c->writer = &p->writer;
@@ -369,7 +394,7 @@
 
 static void stop_all(play_t *p)
 {
-	for (int i = 0; i < DAEMONS; i++)
+	for (int i = 0; i < p->n_daemons; i++)
 		process_kill(&p->daemons[i].process);
 	for (int i = 0; i < RUNNERS; i++)
 		if (p->runners[i].listener > 0)
@@ -440,6 +465,7 @@
 	static play_t play;
 	double seconds = 30, callers = 24, seed = 1;
 	double cuts = 20, failures = 8, plain_failures = 30;
+	double daemons = DAEMONS, no_deadline = 0;
 	const arg_row_t rows[] = {
 		{ "seconds", ARG_NUMBER, &seconds, "how long callers send" },
 		{ "callers", ARG_NUMBER, &callers, "at once, 64 at most" },
@@ -449,6 +475,11 @@
 		  "of 100 streams refused, failed or reset" },
 		{ "plain-failures", ARG_NUMBER, &plain_failures,
 		  "of 100 plain requests" },
+		{ "daemons", ARG_NUMBER, &daemons, "16 at most" },
+		{ "no-deadline", ARG_NUMBER, &no_deadline,
+		  "of 100 requests, those that state no deadline" },
+		{ "series", ARG_FLAG, &play.plays_series,
+		  "half of the daemons are killed at once, again and again" },
 		{ "releases", ARG_FLAG, &play.plays_releases,
 		  "new releases join while a daemon stands still; no other "
 		  "fault of daemons, runners' entries or the store" },
@@ -462,6 +493,8 @@
 	g_random_set_seed((guint32)seed);
 	play.faults = (stream_faults_t){ (int)cuts, (int)failures,
 					 (int)plain_failures };
+	play.n_daemons = CLAMP((int)daemons, 1, STREAM_MAX_DAEMONS);
+	play.no_deadline = (int)no_deadline;
 	is_ok = run_play(&play, seconds, MIN((int)callers, MAX_CALLERS));
 	printf("%d passed, %d failed\n", is_ok, !is_ok);
 	return is_ok ? EXIT_SUCCESS : EXIT_FAILURE;
