--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -538,4 +538,5 @@
 	out->queued = s->queue.entries;
 	out->running = s->n_running;
 	out->runners = g_hash_table_size(s->runners);
+	out->available = s->available->len;
 }
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -198,7 +198,9 @@
 	 * overdue while their owner is unresponsive, or not confirmed by it.
 	 */
 	uint64_t expired;
+	uint64_t suspensions; /* of runners, by how grants ended */
 	uint32_t queued, running, runners;
+	uint32_t available; /* runners that may get work */
 } dispatcher_stats_t;
 
 /* Allocated by dispatcher_init, freed by dispatcher_finish. */
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -225,6 +225,7 @@
 			int64_t now)
 {
 	end_suspension(s, runner);
+	s->stats.suspensions++;
 	runner->suspended_until = now + SUSPENSION_US;
 	g_queue_push_tail(&s->suspended, runner);
 	runner->suspended = s->suspended.tail;
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -708,13 +708,43 @@
 		    "papaya_runner_broke_full_total", NULL, 1);
 }
 
+/* The end of a grant had its runner suspended. */
+static void log_suspension(service_t *s, const message_capacity_t *c,
+			   uint64_t before)
+{
+	static const char *const results[] = {
+		[DONE_COMPLETED] = "completed",
+		[DONE_FAILED] = "failed",
+		[DONE_CANCELLED] = "cancelled",
+		[DONE_UNREACHABLE] = "unreachable",
+		[DONE_BROKEN] = "broken",
+		[DONE_LEAVING] = "leaving",
+	};
+	dispatcher_stats_t stats;
+
+	dispatcher_stats(&s->dispatcher, &stats);
+	if (stats.suspensions == before)
+		return;
+	log_event("runner-suspended",
+		  "service=%s owner=%s attempt=%" PRIu64
+		  " result=%s available=%u runners=%u",
+		  s->name, c->peer[0] ? c->peer : "own", c->want.id.attempt,
+		  results[c->done.result], stats.available, stats.runners);
+	metrics_add(&s->capacity->sup->metrics,
+		    "papaya_runner_suspensions_total", NULL, 1);
+}
+
 static void handle_done(service_t *s, const message_capacity_t *c)
 {
+	dispatcher_stats_t stats;
+
 	log_if_broke_full(s, c);
 	handle_limit(s, c);
 	dispatcher_runner_load(&s->dispatcher, c->want.id, &c->done.load,
 			       now_us());
+	dispatcher_stats(&s->dispatcher, &stats);
 	dispatcher_done(&s->dispatcher, c->want.id, &c->done, now_us());
+	log_suspension(s, c, stats.suspensions);
 }
 
 /* Starts no dispatcher for an operator's question. */
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -357,6 +357,10 @@
 		handle_complete(r);
 		break;
 	case UPSTREAM_UNSENT:
+		log_event("attempt-unsent",
+			  "request=%s runner=%s dispatcher=%s pause_ms=0 "
+			  "why=\"no connection to the runner\"",
+			  r->id, r->runner.name, relay_dispatcher_name(r));
 		relay_report_done(r, DONE_UNREACHABLE);
 		if (!relay_retry(r))
 			relay_fail(r, r->possible_runs ? 502 : 503,
