tests: daemons that are cut off from all runners, on real processes

New connections to runners are refused or hang; open ones end, live on or fall silent. A library that the test preloads into the daemons cuts them off.

--- a/Makefile
+++ b/Makefile
@@ -7,6 +7,7 @@
 #   make faults     fault-injection tests on real processes
 #   make soak       random faults on real processes, a short seeded run
 #   make streams    streams over several real daemons: order, retry budget
+#   make partition  real daemons that are cut off from all runners
 #   make rollouts   roll-outs of a release over several real daemons
 #   make measure    load measurements on real processes
 #   make bench      microbenchmarks of scheduling decisions
@@ -92,10 +93,17 @@
 # Preloaded into daemons by the fault tests.
 SHIM := $(B)/tests/libshim.so
 
+# Cuts daemons off from all runners in tests/partition.c.
+PARTITION_SHIM := $(B)/tests/libpartition.so
+
 $(SHIM): tests/shim/connect.c
 	@mkdir -p $(@D)
 	$(CC) -std=gnu11 $(WARN) $(CFLAGS) -fPIC -shared -o $@ $< -ldl
 
+$(PARTITION_SHIM): tests/shim/partition.c
+	@mkdir -p $(@D)
+	$(CC) -std=gnu11 $(WARN) $(CFLAGS) -fPIC -shared -o $@ $< -ldl -lpthread
+
 proto:
 	protoc-c --proto_path=net --c_out=net net/peer.proto
 
@@ -131,6 +139,10 @@
 streams: all $(TOOLS)
 	@$(B)/tests/streams $(if $(STREAMS_ARGS),$(STREAMS_ARGS),--seconds 15)
 
+# One case: make partition PARTITION_ARGS='--only refused-ended --seed 3'.
+partition: all $(TOOLS) $(PARTITION_SHIM)
+	@$(B)/tests/partition --known-red KNOWN-RED.txt $(PARTITION_ARGS)
+
 # About 4 minutes; one scenario: make rollouts ROLLOUTS_ARGS='--only good'.
 rollouts: all $(TOOLS)
 	@$(B)/tests/rollouts $(ROLLOUTS_ARGS)
@@ -171,4 +183,4 @@
 
 .SECONDARY:
 .PHONY: all setup demo check run-check generated-check spec faults soak \
-	streams rollouts measure slopes bench format format-check tidy lint clean proto
+	streams partition rollouts measure slopes bench format format-check tidy lint clean proto
