dispatcher: a daemon that is cut off takes no runner from others

Cause: the dispatcher took one owner's failed connection for a property of the runner and suspended it for everybody, without a bound; two owners that reach no runner kept all of them suspended. Besides, their wants piled up in the queue, and the wait that the queue predicts refused the wants of others ('it could not finish in time').

An owner that failed to connect to two runners and had no answer since is taken to be cut off itself (core/owner_reach): what it reports pauses the runner for this owner alone, the suspensions that it caused end, and its wants are refused at once while all runners are paused for it. One runner that is down is still suspended for all.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -55,6 +55,7 @@
 					  g_free);
 	s->unresponsive_owners = g_hash_table_new_full(
 		g_int64_hash, g_int64_equal, g_free, NULL);
+	owner_reach_init(&s->reach);
 	s->runners = str_table_new(dispatcher_finish_runner);
 	s->generations = g_hash_table_new_full(NULL, NULL, NULL, g_free);
 	s->available = g_ptr_array_new();
@@ -81,6 +82,7 @@
 	queue_finish(&s->queue);
 	g_hash_table_destroy(s->owners);
 	g_hash_table_destroy(s->unresponsive_owners);
+	owner_reach_finish(&s->reach);
 	g_hash_table_destroy(s->attempts);
 	affinity_finish(&s->affinity);
 	g_rand_free(s->rand);
@@ -189,8 +191,13 @@
 bool dispatcher_paused_too_long(const struct dispatcher_state *s,
 				const attempt_t *attempt, int64_t now)
 {
-	return dispatcher_pause_end(s, attempt->want.id.owner, now) >
-	       MAX(attempt->latest_start, now);
+	uint64_t owner = attempt->want.id.owner;
+	int64_t latest = MAX(attempt->latest_start, now);
+
+	/* What only waits would delay, or seem to delay, other owners' wants. */
+	if (owner_reach_is_cut_off(&s->reach, owner, now))
+		latest = now;
+	return dispatcher_pause_end(s, owner, now) > latest;
 }
 
 void dispatcher_refuse_paused(struct dispatcher_state *s, attempt_t *attempt,
@@ -450,6 +457,7 @@
 	if (!attempt || !attempt->runner)
 		return;
 	attempt->confirm_by = 0;
+	owner_reach_on_answer(&d->state->reach, id.owner);
 	dispatcher_record_first_token(d->state, attempt, now);
 	dispatcher_decide(d->state, now);
 }
@@ -466,14 +474,18 @@
  * if it reports itself healthy, so that others get its work.
  */
 static void record_result(struct dispatcher_state *s, runner_t *runner,
-			  done_result_t result, int64_t now)
+			  uint64_t owner, done_result_t result, int64_t now)
 {
+	if (result == DONE_COMPLETED || result == DONE_FAILED)
+		owner_reach_on_answer(&s->reach, owner);
 	/*
 	 * The owner may be wrong about the runner leaving or being unreachable,
 	 * so the runner is suspended only temporarily.
 	 */
-	if (result == DONE_LEAVING || result == DONE_UNREACHABLE)
+	if (result == DONE_LEAVING)
 		dispatcher_suspend(s, runner, now);
+	else if (result == DONE_UNREACHABLE)
+		dispatcher_on_unreachable(s, runner, owner, now);
 	else if (result == DONE_COMPLETED)
 		runner->lost_answers *= loss_decay;
 	else if (result == DONE_BROKEN)
@@ -490,7 +502,7 @@
 
 	if (!attempt || !attempt->runner)
 		return;
-	record_result(d->state, attempt->runner, done->result, now);
+	record_result(d->state, attempt->runner, id.owner, done->result, now);
 	if (done->says_leaving)
 		attempt->runner->is_leaving_by_report = true;
 	if (done->pause_ms)
--- a/core/dispatcher_owner.c
+++ b/core/dispatcher_owner.c
@@ -83,6 +83,7 @@
 	GQueue *owned;
 
 	g_hash_table_remove(s->unresponsive_owners, &owner);
+	owner_reach_forget(&s->reach, owner);
 	while ((owned = g_hash_table_lookup(s->owners, &owner))) {
 		attempt_t *attempt = g_queue_peek_head(owned);
 
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -219,6 +219,7 @@
 	if (runner->suspended)
 		g_queue_delete_link(&s->suspended, runner->suspended);
 	runner->suspended = NULL;
+	runner->suspended_by = 0;
 }
 
 void dispatcher_suspend(struct dispatcher_state *s, runner_t *runner,
@@ -232,6 +233,40 @@
 	dispatcher_rank_runner(s, runner, now);
 }
 
+/* Runners that the failures of an owner suspended may be granted again. */
+static void end_suspensions_by(struct dispatcher_state *s, uint64_t owner,
+			       int64_t now)
+{
+	GList *next;
+
+	for (GList *link = s->suspended.head; link; link = next) {
+		runner_t *runner = link->data;
+
+		next = link->next;
+		if (runner->suspended_by != owner)
+			continue;
+		end_suspension(s, runner);
+		dispatcher_rank_runner(s, runner, now);
+	}
+}
+
+void dispatcher_on_unreachable(struct dispatcher_state *s, runner_t *runner,
+			       uint64_t owner, int64_t now)
+{
+	bool was_suspended = runner->suspended_until > now;
+
+	if (owner_reach_on_failure(&s->reach, owner, runner->key, now)) {
+		end_suspensions_by(s, owner, now);
+		dispatcher_add_pause(s, runner, owner, now + SUSPENSION_US,
+				     now);
+		dispatcher_refuse_all_paused(s, owner, now);
+		return;
+	}
+	dispatcher_suspend(s, runner, now);
+	if (!was_suspended)
+		runner->suspended_by = owner;
+}
+
 void dispatcher_suspend_runner(dispatcher_t *d, str_t name, int64_t now)
 {
 	struct dispatcher_state *s = d->state;
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -4,6 +4,7 @@
 
 #include "core/affinity.h"
 #include "core/dispatcher.h"
+#include "core/owner_reach.h"
 #include "core/queue.h"
 #include "core/runner_model.h"
 #include "core/connected_owners.h"
@@ -23,6 +24,8 @@
 	connected_owners_t connected; /* owners with an idle connection to it */
 	bool is_serving; /* in dispatcher_state.running and n_serving */
 	int64_t suspended_until; /* gets no grants before; 0: not suspended */
+	/* Owner whose failed connection suspended it; 0: another reason. */
+	uint64_t suspended_by;
 	/* When its speed was learned, here or elsewhere; 0: never. */
 	int64_t speed_at;
 	double lost_answers; /* lost answers; decays with each complete one */
@@ -65,6 +68,7 @@
 	GHashTable *attempts; /* by want_id_t */
 	GHashTable *owners; /* owner (uint64_t) to its GQueue of attempts */
 	GHashTable *unresponsive_owners; /* set of uint64_t */
+	owner_reach_t reach; /* of owners to runners */
 	GHashTable *runners; /* by name */
 	GHashTable *generations; /* hardware generation to runner_speed_t */
 	GPtrArray *available; /* runners that may get work, unordered */
@@ -149,6 +153,13 @@
 /* Suspends a runner: it gets no grants for a while. */
 void dispatcher_suspend(struct dispatcher_state *s, runner_t *runner,
 			int64_t now);
+/*
+ * An owner could not connect to the runner: suspends it, or, if the owner is cut
+ * off from the runners, pauses it for this owner and ends what the owner's
+ * earlier failures did to others.
+ */
+void dispatcher_on_unreachable(struct dispatcher_state *s, runner_t *runner,
+			       uint64_t owner, int64_t now);
 /* Resumes runners whose suspension is over. */
 void dispatcher_resume_suspended(struct dispatcher_state *s, int64_t now);
 
@@ -164,7 +175,10 @@
 				      uint64_t owner);
 /* Drops a queued or deferred want without a reply and frees it. */
 void dispatcher_drop_waiting(struct dispatcher_state *s, attempt_t *attempt);
-/* True when all runners are paused for the owner until the latest start. */
+/*
+ * True when all runners are paused for the owner until the latest start, or now
+ * if the owner is cut off from them.
+ */
 bool dispatcher_paused_too_long(const struct dispatcher_state *s,
 				const attempt_t *attempt, int64_t now);
 /* Refuses a want; its caller may retry after the shortest pause ends. */
