paths: no tunnels where their port is taken

A deployment whose internal ports are just two did not start: the port of the tunnels was that of the operators' listener.

Such a daemon opens no tunnels and uses none, and says so (tunnels-off).

--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -52,6 +52,7 @@
 	GQueue trials; /* path_trial_t: of ways that failed */
 	GHashTable *runner_addresses; /* set, of all listed runners */
 	tunnel_server_t tunnels; /* of other daemons to runners */
+	bool has_tunnels; /* daemons open tunnels for each other */
 	GHashTable *runner_zones; /* name to zone, of all listed runners */
 	GHashTable *partitioned_zones; /* set of names of partitioned zones */
 	uint64_t last_attempt;
--- a/daemon/gateway_paths.c
+++ b/daemon/gateway_paths.c
@@ -50,6 +50,14 @@
 	return true;
 }
 
+/* Whether the daemon listens there for something else. */
+static bool is_taken(const settings_t *s, const char *address)
+{
+	return !strcmp(address, s->listen) ||
+	       !strcmp(address, s->admin_listen) ||
+	       !g_strcmp0(address, s->ready_listen);
+}
+
 static void log_path(const gateway_t *g, const char *address, const char *way,
 		     const char *why)
 {
@@ -150,7 +158,8 @@
 			&g_array_index(vms->daemons, member_vm_t, i);
 		char address[RUNNER_PATHS_NAME_SIZE];
 
-		if (strcmp(vm->name, s->name) != 0 &&
+		/* All daemons have the same ports. */
+		if (g->has_tunnels && strcmp(vm->name, s->name) != 0 &&
 		    tunnel_address(s, vm->peer_address, address))
 			runner_paths_add_proxy(&g->paths, vm->name, address,
 					       !strcmp(vm->zone, s->zone));
@@ -188,6 +197,14 @@
 	char address[RUNNER_PATHS_NAME_SIZE];
 	bool is_on = tunnel_address(s, s->peer_listen, address);
 
+	if (is_on && is_taken(s, address)) {
+		log_event("tunnels-off",
+			  "address=%s why=\"this daemon listens there for "
+			  "something else\"",
+			  address);
+		is_on = false;
+	}
+	g->has_tunnels = is_on;
 	if (!tunnel_server_init(&g->tunnels, g->sup->base,
 				is_on ? address : NULL,
 				str_from(s->peer_secret), &ops, g, err))
