streams: the last send of a request says which release began its stream

Cause: each send overwrote the word on its stream, so the answer depended on which word came last: a recorder that had read the first word from the store answered from it, and two recorders may write the two words in either order. The logs of tests/streams with restarts in series show both.

Each send has its own key now, and the highest known counts; a word that was read counts only after a later read of the store. The formats of notes and records are unchanged: an older daemon knows first sends only.

--- a/core/stream_releases.h
+++ b/core/stream_releases.h
@@ -8,8 +8,15 @@
 #define CORE_STREAM_RELEASES_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
+/*
+ * Sends of a request that are told apart. Each may be to a runner of another
+ * release, and the last one begins the stream.
+ */
+enum { STREAM_RELEASES_SENDS = 4 };
+
 /* How long a stream is kept, at least; they end with their callers' time. */
 #define STREAM_RELEASES_KEEP_US (INT64_C(60) * 1000 * 1000)
 
@@ -26,9 +33,21 @@
 
 void stream_releases_init(stream_releases_t *t, guint max);
 void stream_releases_finish(stream_releases_t *t);
+/* Returns what stands for a stream as its request's send number SEND began it. */
+uint64_t stream_releases_key(uint64_t stream, uint32_t send);
+/* Returns the key of the last send of the stream that is known. */
+uint64_t stream_releases_last_key(const stream_releases_t *t, uint64_t stream);
 /* Adds a stream, or replaces what is known of it. */
 void stream_releases_add(stream_releases_t *t, const stream_release_t *stream,
 			 int64_t now);
+/*
+ * The same for what was read from a log that others write to. It doesn't replace
+ * what was added without it, and a later word on the stream may follow.
+ */
+void stream_releases_add_read(stream_releases_t *t,
+			      const stream_release_t *stream, int64_t now);
+/* Whether what is known of the stream was read. */
+bool stream_releases_is_read(const stream_releases_t *t, uint64_t stream);
 /* Returns the release that began a stream; 0: not known. */
 uint64_t stream_releases_find(const stream_releases_t *t, uint64_t stream);
 /* Removes the streams that were added before a time. */
--- a/daemon/peers_streams.c
+++ b/daemon/peers_streams.c
@@ -8,7 +8,7 @@
 
 enum {
 	DAEMONS_PER_RECORDER = 32,
-	MAX_RECORDERS = 16,
+	MAX_RECORDERS = 16, /* as in core/stream_releases.c */
 };
 
 static uint32_t count_recorders(const peers_t *p)
--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -172,7 +172,10 @@
 	}
 }
 
-/* The stream that the request begins, if its runner does; release 0: none. */
+/*
+ * The stream that the request begins, if its runner does; release 0: none. What
+ * is known of its sends doesn't depend on the order in which it becomes known.
+ */
 static stream_release_t own_stream(const relay_t *r)
 {
 	stream_release_t stream = { str_hash(r->call.attempt_id), 0 };
@@ -195,10 +198,12 @@
 void relay_note_release(const relay_t *r)
 {
 	stream_release_t stream = own_stream(r);
+	uint32_t send = MIN(r->sends, STREAM_RELEASES_SENDS - 1);
 	GArray *begun;
 
 	if (!stream.release || only_release(r))
 		return;
+	stream.stream = stream_releases_key(stream.stream, send);
 	begun = g_array_new(FALSE, FALSE, sizeof(stream_release_t));
 	g_array_append_val(begun, stream);
 	post_notes(r->gateway, begun);
--- a/daemon/stream_recorder.c
+++ b/daemon/stream_recorder.c
@@ -88,6 +88,28 @@
 		begin_write(r, now);
 }
 
+/* Returns the release of the stream's last send that is known; 0: none. */
+static uint64_t find_release(const stream_recorder_t *r, uint64_t stream)
+{
+	return stream_releases_find(
+		&r->streams, stream_releases_last_key(&r->streams, stream));
+}
+
+/* Whether that came in a note, not from the store. */
+static bool is_last_noted(const stream_recorder_t *r, uint64_t stream)
+{
+	uint64_t key = stream_releases_last_key(&r->streams, stream);
+
+	return stream_releases_find(&r->streams, key) &&
+	       !stream_releases_is_read(&r->streams, key);
+}
+
+static bool is_noted(const stream_recorder_t *r, uint64_t stream)
+{
+	return stream_releases_find(&r->streams, stream) &&
+	       !stream_releases_is_read(&r->streams, stream);
+}
+
 static void add_notes(stream_recorder_t *r, const GArray *begun, int64_t now)
 {
 	for (guint i = 0; i < begun->len; i++) {
@@ -95,7 +117,8 @@
 			&g_array_index(begun, stream_release_t, i);
 
 		/* A list of all of a daemon's streams has known ones, too. */
-		if (stream_releases_find(&r->streams, s->stream) == s->release)
+		if (is_noted(r, s->stream) &&
+		    stream_releases_find(&r->streams, s->stream) == s->release)
 			continue;
 		stream_releases_add(&r->streams, s, now);
 		if (r->unsaved->len < MAX_UNSAVED)
@@ -104,13 +127,14 @@
 	write_if_due(r, now);
 }
 
-static void answer(stream_recorder_t *r, const char *peer, uint64_t stream)
+static void answer(stream_recorder_t *r, const char *peer, uint64_t stream,
+		   uint64_t release)
 {
 	message_t m = { .type = MESSAGE_STREAM_ANSWER };
 
 	g_strlcpy(m.streams.peer, peer, sizeof(m.streams.peer));
 	m.streams.stream.stream = stream;
-	m.streams.stream.release = stream_releases_find(&r->streams, stream);
+	m.streams.stream.release = release;
 	log_event("stream-asked", "stream=%" PRIx64 " by=%s release=%" PRIx64,
 		  stream, peer[0] ? peer : "own", m.streams.stream.release);
 	supervisor_post(r->sup, TASK_PEERS, &m);
@@ -136,9 +160,12 @@
 	stream_ask_t ask = { .stream = m->stream.stream, .asked_at = now };
 
 	g_strlcpy(ask.peer, m->peer, sizeof(ask.peer));
-	if (m->from_memory || r->asks->len >= MAX_ASKS ||
-	    stream_releases_find(&r->streams, ask.stream))
-		answer(r, ask.peer, ask.stream);
+	/* The store may have a later word than the one that was read. */
+	if (is_last_noted(r, ask.stream))
+		answer(r, ask.peer, ask.stream, find_release(r, ask.stream));
+	else if (r->asks->len >= MAX_ASKS ||
+		 (m->from_memory && !find_release(r, ask.stream)))
+		answer(r, ask.peer, ask.stream, 0);
 	else if (!is_pending(r, &ask))
 		g_array_append_val(r->asks, ask);
 }
@@ -155,20 +182,23 @@
 }
 
 /*
- * Answers what is known, and what a read that began at READ_AT would have
+ * Answers what came in notes, and what a read that began at READ_AT would have
  * shown.
  */
 static void answer_asks(stream_recorder_t *r, int64_t read_at, int64_t now)
 {
 	for (guint i = r->asks->len; i-- > 0;) {
 		stream_ask_t ask = g_array_index(r->asks, stream_ask_t, i);
+		bool is_sure = is_last_noted(r, ask.stream) ||
+			       read_at - ask.asked_at >= ASK_SETTLE_US;
+		uint64_t release = 0;
 
-		if (!stream_releases_find(&r->streams, ask.stream) &&
-		    read_at - ask.asked_at < ASK_SETTLE_US &&
-		    now - ask.asked_at < ASK_TIMEOUT_US)
+		if (!is_sure && now - ask.asked_at < ASK_TIMEOUT_US)
 			continue;
+		if (is_sure)
+			release = find_release(r, ask.stream);
 		g_array_remove_index(r->asks, i);
-		answer(r, ask.peer, ask.stream);
+		answer(r, ask.peer, ask.stream, release);
 	}
 }
 
@@ -177,12 +207,12 @@
 {
 	stream_release_t s;
 
-	for (size_t i = value.len / sizeof(s); i-- > 0;) {
+	for (size_t i = 0; i < value.len / sizeof(s); i++) {
 		memcpy(&s, value.ptr + i * sizeof(s), sizeof(s));
 		s.stream = GUINT64_FROM_LE(s.stream);
 		s.release = GUINT64_FROM_LE(s.release);
-		if (s.release && !stream_releases_find(&r->streams, s.stream))
-			stream_releases_add(&r->streams, &s, now);
+		if (s.release)
+			stream_releases_add_read(&r->streams, &s, now);
 	}
 }
 
@@ -200,7 +230,7 @@
 		return;
 	}
 	/* The last word on a stream holds, and what came in notes is later. */
-	for (size_t i = page->n_entries; i-- > 0;)
+	for (size_t i = 0; i < page->n_entries; i++)
 		add_record(r, page->entries[i].value, now);
 	r->next = page->next;
 	if (page->has_gap || page->next < page->end)
--- a/tests/lib_store_fixture.c
+++ b/tests/lib_store_fixture.c
@@ -32,6 +32,16 @@
 	add_record(&f->topics[topic], key, value, strlen(value));
 }
 
+void store_fixture_put_stream(store_fixture_t *f, uint64_t stream,
+			      uint64_t release)
+{
+	const uint64_t word[] = { GUINT64_TO_LE(stream),
+				  GUINT64_TO_LE(release) };
+
+	add_record(&f->topics[STORE_STREAMS], "s",
+		   g_memdup2(word, sizeof(word)), sizeof(word));
+}
+
 void store_fixture_put_release(store_fixture_t *f, const char *id,
 			       const char *release)
 {
--- a/tests/lib_store_fixture.h
+++ b/tests/lib_store_fixture.h
@@ -68,6 +68,9 @@
 /* Adds a record; VALUE is freed by the fixture. */
 void store_fixture_put(store_fixture_t *f, int topic, const char *key,
 		       char *value);
+/* Adds a word on a stream, as another daemon's recorder writes it. */
+void store_fixture_put_stream(store_fixture_t *f, uint64_t stream,
+			      uint64_t release);
 /* Adds a valid configuration of this version. */
 void store_fixture_put_config(store_fixture_t *f, int version);
 /* Adds an entry of a ready runner of this release of its software. */
--- a/tests/test_stream_recorder.c
+++ b/tests/test_stream_recorder.c
@@ -151,8 +151,66 @@
 }
 END_TEST
 
-SUITE_MAIN("stream_recorder", a_recorder_answers_from_memory,
-	   streams_outlive_a_restart_of_all,
+/*
+ * Guards against streams joined from two releases: a request was sent to a
+ * second release's runner while another daemon was its recorder, and this one
+ * had read the first word only.
+ */
+START_TEST(a_later_word_in_the_store_replaces_an_earlier_one)
+{
+	store_fixture_t f;
+
+	start(&f);
+	store_fixture_put_stream(&f, STREAM, RELEASE);
+	store_fixture_put_stream(&f, OTHER_STREAM, RELEASE);
+	assert_answer(&f, OTHER_STREAM, RELEASE);
+	store_fixture_put_stream(&f, STREAM, RELEASE + 1);
+	assert_answer(&f, STREAM, RELEASE + 1);
+	/* Its own notes are later than what was read. */
+	post_notes(&f);
+	store_fixture_run(&f, RUN_US);
+	assert_answer(&f, STREAM, RELEASE);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+/*
+ * Guards against streams joined from two releases: the words on a request's two
+ * sends came by two recorders, which wrote them in the other order.
+ */
+START_TEST(the_last_send_counts_in_whatever_order_it_is_written)
+{
+	store_fixture_t f;
+
+	start(&f);
+	store_fixture_put_stream(&f, stream_releases_key(STREAM, 1),
+				 RELEASE + 1);
+	store_fixture_put_stream(&f, STREAM, RELEASE);
+	assert_answer(&f, STREAM, RELEASE + 1);
+	/* A late note of the first send changes nothing. */
+	post_notes(&f);
+	store_fixture_run(&f, RUN_US);
+	assert_answer(&f, STREAM, RELEASE + 1);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+START_TEST(all_sends_of_a_stream_have_one_recorder)
+{
+	for (uint64_t stream = 1; stream < 1000; stream += 37)
+		for (uint64_t n = 1; n <= 16; n++)
+			ck_assert_uint_eq(stream_releases_key(~stream, 2) % n,
+					  ~stream % n);
+	ck_assert_uint_ne(stream_releases_key(STREAM, 1),
+			  stream_releases_key(STREAM, 2));
+	ck_assert_uint_eq(stream_releases_key(STREAM, 0), STREAM);
+}
+END_TEST
+
+SUITE_MAIN("stream_recorder", all_sends_of_a_stream_have_one_recorder,
+	   the_last_send_counts_in_whatever_order_it_is_written,
+	   a_later_word_in_the_store_replaces_an_earlier_one,
+	   a_recorder_answers_from_memory, streams_outlive_a_restart_of_all,
 	   streams_that_the_store_refuses_are_written_later,
 	   streams_are_written_again_to_a_restored_store,
 	   a_new_process_knows_of_releases_that_have_left,
