dispatcher: runners that fail when they refuse too many requests

New on the platform: at times a service's runners are brittle, say so in all answers with the refusals that they bear in a second, and may let fewer requests wait. Nothing read that; a dispatcher lets one request in five wait at a plain runner beyond its slots, and one at an engine, so it would bring them down.

core/runner_brittle decides: nothing waits at such a runner, and from its first refusal on, refusals and further grants within 1.2 s stay below half of what it bears (another dispatcher may have the other half for a moment). Owners report the statement with a grant's first event and end, and whether it was refused; three new fields of the peer protocol, which older daemons leave out.

--- a/core/dispatcher.c
+++ b/core/dispatcher.c
@@ -222,6 +222,7 @@
 	}
 	dispatcher_ledger_add(s, attempt, runner, now);
 	runner_limit_take(&runner->limit, &runner->limit_bucket, now);
+	runner_brittle_take(&runner->brittle, now);
 	s->stats.grants++;
 	s->ops.grant(s->ctx, &want, &info);
 }
@@ -505,6 +506,8 @@
 	record_result(d->state, attempt->runner, id.owner, done->result, now);
 	if (done->says_leaving)
 		attempt->runner->is_leaving_by_report = true;
+	if (done->is_refused)
+		runner_brittle_on_refusal(&attempt->runner->brittle, now);
 	if (done->pause_ms)
 		dispatcher_add_pause(d->state, attempt->runner, id.owner,
 				     now + (int64_t)done->pause_ms * US_PER_MS,
--- a/core/dispatcher.h
+++ b/core/dispatcher.h
@@ -119,6 +119,10 @@
 	uint32_t pause_ms; /* for which it accepts nothing from this owner */
 	runner_limit_t limit; /* the runner's, as the owner knows it */
 	runner_load_t load; /* stated in the answer's head; at 0: not known */
+	/* The answer says that the runner fails if it refuses too many. */
+	bool is_brittle;
+	uint32_t refusals_borne; /* in a second, if is_brittle */
+	bool is_refused; /* the runner had no room; the request didn't run */
 	/* How long the owner may use its connection again; 0: it has none. */
 	uint32_t connection_ms;
 } done_t;
@@ -276,6 +280,12 @@
 /* The runner of a granted request stated its load, as its owner heard it. */
 void dispatcher_runner_load(dispatcher_t *d, want_id_t id,
 			    const runner_load_t *load, int64_t now);
+/*
+ * The answer to a granted request says that its runner fails if it has to refuse
+ * more than BORNE requests in a second. Returns whether that is news.
+ */
+bool dispatcher_runner_brittle(dispatcher_t *d, want_id_t id, uint32_t borne,
+			       int64_t now);
 void dispatcher_first_token(dispatcher_t *d, want_id_t id, int64_t now);
 void dispatcher_done(dispatcher_t *d, want_id_t id, const done_t *done,
 		     int64_t now);
--- a/core/dispatcher_choose.c
+++ b/core/dispatcher_choose.c
@@ -102,7 +102,8 @@
 	return is_avoided(s, attempt, runner) ||
 	       !dispatcher_is_of_release(attempt, runner) ||
 	       dispatcher_is_paused(s, runner, attempt->want.id.owner, now) ||
-	       is_limited(attempt, runner, now);
+	       is_limited(attempt, runner, now) ||
+	       !runner_brittle_has_room(&runner->brittle, now);
 }
 
 int64_t dispatcher_predict(const runner_t *runner, const want_t *want,
--- a/core/dispatcher_runners.c
+++ b/core/dispatcher_runners.c
@@ -112,6 +112,8 @@
 	if (runner->born_ms != known->info.born_ms) {
 		known->is_leaving_by_report = false;
 		known->limit = (runner_limit_t){ 0 };
+		known->brittle = (runner_brittle_t){ 0 };
+		known->model.brittle_until = 0;
 		known->speed_at = 0;
 		known->model.stated = (runner_statements_t){ 0 };
 		known->model.stated_ledger = 0;
@@ -169,6 +171,21 @@
 	return true;
 }
 
+bool dispatcher_runner_brittle(dispatcher_t *d, want_id_t id, uint32_t borne,
+			       int64_t now)
+{
+	attempt_t *attempt = g_hash_table_lookup(d->state->attempts, &id);
+	runner_t *runner = attempt ? attempt->runner : NULL;
+	bool was_stated;
+
+	if (!runner)
+		return false;
+	was_stated = runner_brittle_is_stated(&runner->brittle, now);
+	runner_brittle_state(&runner->brittle, borne, now);
+	runner->model.brittle_until = now + RUNNER_BRITTLE_VALIDITY_US;
+	return !was_stated;
+}
+
 void dispatcher_runner_load(dispatcher_t *d, want_id_t id,
 			    const runner_load_t *load, int64_t now)
 {
--- a/core/dispatcher_state.h
+++ b/core/dispatcher_state.h
@@ -6,6 +6,7 @@
 #include "core/dispatcher.h"
 #include "core/owner_reach.h"
 #include "core/queue.h"
+#include "core/runner_brittle.h"
 #include "core/runner_model.h"
 #include "core/connected_owners.h"
 
@@ -19,6 +20,7 @@
 	GArray *pauses; /* pause_t, one per owner; NULL: none so far */
 	runner_limit_t limit; /* named by the runner itself */
 	runner_limit_bucket_t limit_bucket; /* counts its grants */
+	runner_brittle_t brittle;
 	want_id_t kept_for; /* its memory is reserved for this want */
 	int64_t kept_until;
 	connected_owners_t connected; /* owners with an idle connection to it */
--- a/core/runner_model.c
+++ b/core/runner_model.c
@@ -392,7 +392,8 @@
 /* Returns the calls that may wait in a plain runner's queue. */
 static double queue_limit(const runner_model_t *m, int64_t now)
 {
-	if (m->health < 1 || !runner_load_is_fresh(&m->stated, now))
+	if (m->health < 1 || m->brittle_until > now ||
+	    !runner_load_is_fresh(&m->stated, now))
 		return 0;
 	return 1 + floor(m->window * plain_queue);
 }
@@ -419,7 +420,7 @@
 
 	if (room == ROOM_ANY)
 		return true;
-	if (room == ROOM_FORCED && m->is_engine)
+	if (room == ROOM_FORCED && m->is_engine && m->brittle_until <= now)
 		return (double)m->protected_tokens < limit;
 	if ((double)m->tokens + external_tokens(m, now) >= limit)
 		return false;
@@ -443,6 +444,7 @@
 	if (runner_model_has_room(m, room, now))
 		return 0;
 	if (!m->is_engine || !m->slots || !m->running ||
+	    m->brittle_until > now ||
 	    (room == ROOM_UNPROTECTED && m->protected_running))
 		return INT64_MAX;
 	/* It may also be full for other reasons than its slots. */
--- a/core/runner_model.h
+++ b/core/runner_model.h
@@ -77,6 +77,7 @@
 	runner_statements_t stated; /* by the runner in its answers */
 	uint32_t stated_ledger; /* requests in the ledger at the last one */
 	runner_sample_t history[RUNNER_HISTORY];
+	int64_t brittle_until; /* lets no request wait at it before */
 	uint32_t n_history;
 } runner_model_t;
 
--- a/daemon/capacity_task.c
+++ b/daemon/capacity_task.c
@@ -677,9 +677,25 @@
 			  (now_us() - limit->at) / 1000);
 }
 
+/* Takes over what the answer to a grant's request says of the runner. */
+static void handle_brittle(service_t *s, const message_capacity_t *c)
+{
+	if (!c->done.is_brittle ||
+	    !dispatcher_runner_brittle(&s->dispatcher, c->want.id,
+				       c->done.refusals_borne, now_us()))
+		return;
+	log_event("runner-brittle",
+		  "service=%s owner=%s attempt=%" PRIu64 " refusals_borne=%u",
+		  s->name, c->peer[0] ? c->peer : "own", c->want.id.attempt,
+		  c->done.refusals_borne);
+	metrics_add(&s->capacity->sup->metrics, "papaya_runner_brittle_total",
+		    NULL, 1);
+}
+
 static void handle_first_token(service_t *s, const message_capacity_t *c)
 {
 	handle_limit(s, c);
+	handle_brittle(s, c);
 	dispatcher_runner_load(&s->dispatcher, c->want.id, &c->done.load,
 			       now_us());
 	dispatcher_first_token(&s->dispatcher, c->want.id, now_us());
@@ -740,6 +756,7 @@
 
 	log_if_broke_full(s, c);
 	handle_limit(s, c);
+	handle_brittle(s, c);
 	dispatcher_runner_load(&s->dispatcher, c->want.id, &c->done.load,
 			       now_us());
 	dispatcher_stats(&s->dispatcher, &stats);
--- a/daemon/frames.c
+++ b/daemon/frames.c
@@ -179,6 +179,8 @@
 	first.leaving = c->done.says_leaving;
 	first.limit = write_limit(&c->done.limit, now, &limit);
 	first.load = write_load(&c->done.load, now, &load);
+	first.brittle = c->done.is_brittle;
+	first.refusals_borne = c->done.refusals_borne;
 	frame.body_case = PAPAYA__FRAME__BODY_FIRST_TOKEN;
 	frame.first_token = &first;
 	return peer_send(peer, to, &frame);
@@ -204,6 +206,9 @@
 	done.limit = write_limit(&c->done.limit, now, &limit);
 	done.load = write_load(&c->done.load, now, &load);
 	done.connection_ms = c->done.connection_ms;
+	done.brittle = c->done.is_brittle;
+	done.refusals_borne = c->done.refusals_borne;
+	done.refused = c->done.is_refused;
 	frame.body_case = PAPAYA__FRAME__BODY_DONE;
 	frame.done = &done;
 	return peer_send(peer, to, &frame);
@@ -290,6 +295,9 @@
 {
 	c->done.limit = read_limit(f->limit, now);
 	c->done.load = read_load(f->load, now);
+	c->done.is_brittle = f->brittle;
+	c->done.refusals_borne = f->refusals_borne;
+	c->done.is_refused = f->refused;
 	c->done.connection_ms = MIN(f->connection_ms, MAX_CONNECTION_MS);
 	c->want.id = (want_id_t){ f->owner, f->attempt };
 	c->done.result = f->result;
@@ -340,6 +348,8 @@
 		c->done.says_leaving = frame->first_token->leaving;
 		c->done.limit = read_limit(frame->first_token->limit, now);
 		c->done.load = read_load(frame->first_token->load, now);
+		c->done.is_brittle = frame->first_token->brittle;
+		c->done.refusals_borne = frame->first_token->refusals_borne;
 		return copy_name(c->service, frame->first_token->service);
 	case PAPAYA__FRAME__BODY_DONE:
 		out->type = MESSAGE_DONE;
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -146,6 +146,8 @@
 	drop_answer(r);
 	r->load = (runner_load_t){ 0 };
 	r->is_load_told = false;
+	r->is_brittle = false;
+	r->is_refused = false;
 	r->connection_ms = 0;
 	relay_new_attempt(r);
 	r->state = RELAY_AWAITING_GRANT;
@@ -181,6 +183,9 @@
 	if (!r->is_load_told)
 		done.load = r->load;
 	done.connection_ms = r->connection_ms;
+	done.is_brittle = r->is_brittle;
+	done.refusals_borne = r->refusals_borne;
+	done.is_refused = r->is_refused;
 	relay_post_capacity(r, MESSAGE_DONE, &done);
 }
 
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -87,6 +87,9 @@
 	/* Stated in the runner's answer, and reported to the dispatcher: */
 	bool says_leaving; /* the runner is leaving */
 	runner_load_t load; /* its AT is 0: none stated */
+	bool is_brittle; /* the runner fails if it refuses too many */
+	uint32_t refusals_borne; /* in a second, if is_brittle */
+	bool is_refused; /* it had no room */
 	bool is_load_told; /* the dispatcher got it with the first event */
 	uint32_t connection_ms; /* how long the connection may be reused */
 	uint32_t pause_ms; /* time without requests from this VM; 0: none */
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -152,6 +152,8 @@
 	m.capacity.done.limit =
 		runner_filter_known_limit(&r->gateway->runners, r->runner.name);
 	m.capacity.done.load = r->load;
+	m.capacity.done.is_brittle = r->is_brittle;
+	m.capacity.done.refusals_borne = r->refusals_borne;
 	r->is_load_told = true;
 	supervisor_post(r->gateway->sup, TASK_PEERS, &m);
 }
@@ -238,6 +240,7 @@
 /* The runner refused the request and states that it did not run. */
 static void handle_refusal(relay_t *r)
 {
+	r->is_refused = !r->answer.is_other_runner;
 	relay_report_done(r, DONE_FAILED);
 	log_event("attempt-refused",
 		  "request=%s runner=%s status=%d running=%u waiting=%u "
--- a/daemon/relay_runner.c
+++ b/daemon/relay_runner.c
@@ -158,6 +158,8 @@
 		return;
 	}
 	record_load(r);
+	r->is_brittle = r->answer.is_brittle;
+	r->refusals_borne = r->answer.refusals_borne;
 	if (r->answer.is_leaving)
 		record_leaving(r, "its answer says so");
 	if (r->answer.pause_ms)
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -3262,7 +3262,7 @@
   (ProtobufCMessageInit) papaya__withdraw__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__first_token__field_descriptors[6] =
+static const ProtobufCFieldDescriptor papaya__first_token__field_descriptors[8] =
 {
   {
     "attempt",
@@ -3336,19 +3336,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "brittle",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__FirstToken, brittle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusals_borne",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__FirstToken, refusals_borne),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__first_token__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
+  6,   /* field[6] = brittle */
   3,   /* field[3] = leaving */
   4,   /* field[4] = limit */
   5,   /* field[5] = load */
   2,   /* field[2] = owner */
+  7,   /* field[7] = refusals_borne */
   1,   /* field[1] = service */
 };
 static const ProtobufCIntRange papaya__first_token__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor papaya__first_token__descriptor =
 {
@@ -3358,14 +3384,14 @@
   "Papaya__FirstToken",
   "papaya",
   sizeof(Papaya__FirstToken),
-  6,
+  8,
   papaya__first_token__field_descriptors,
   papaya__first_token__field_indices_by_name,
   1,  papaya__first_token__number_ranges,
   (ProtobufCMessageInit) papaya__first_token__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__done__field_descriptors[12] =
+static const ProtobufCFieldDescriptor papaya__done__field_descriptors[15] =
 {
   {
     "attempt",
@@ -3511,9 +3537,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "brittle",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Done, brittle),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refusals_borne",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Done, refusals_borne),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__Done, refused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__done__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
+  12,   /* field[12] = brittle */
   5,   /* field[5] = cached_tokens */
   11,   /* field[11] = connection_ms */
   7,   /* field[7] = leaving */
@@ -3523,13 +3586,15 @@
   6,   /* field[6] = owner */
   8,   /* field[8] = pause_ms */
   3,   /* field[3] = prompt_tokens */
+  13,   /* field[13] = refusals_borne */
+  14,   /* field[14] = refused */
   2,   /* field[2] = result */
   1,   /* field[1] = service */
 };
 static const ProtobufCIntRange papaya__done__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor papaya__done__descriptor =
 {
@@ -3539,7 +3604,7 @@
   "Papaya__Done",
   "papaya",
   sizeof(Papaya__Done),
-  12,
+  15,
   papaya__done__field_descriptors,
   papaya__done__field_indices_by_name,
   1,  papaya__done__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -423,10 +423,18 @@
    * of the runner, stated in the answer's head
    */
   Papaya__RunnerLoad *load;
+  /*
+   * the runner fails if it refuses too many
+   */
+  protobuf_c_boolean brittle;
+  /*
+   * in a second, if brittle
+   */
+  uint32_t refusals_borne;
 };
 #define PAPAYA__FIRST_TOKEN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__first_token__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, NULL, NULL }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, NULL, NULL, 0, 0 }
 
 
 /*
@@ -462,10 +470,22 @@
    * How long the owner may use its connection to the runner again.
    */
   uint32_t connection_ms;
+  /*
+   * the runner fails if it refuses too many
+   */
+  protobuf_c_boolean brittle;
+  /*
+   * in a second, if brittle
+   */
+  uint32_t refusals_borne;
+  /*
+   * the runner had no room
+   */
+  protobuf_c_boolean refused;
 };
 #define PAPAYA__DONE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__done__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, NULL, NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/standin/runner.c
+++ b/standin/runner.c
@@ -13,6 +13,9 @@
  *   "says_leaving": true  its answers say that it leaves, its entry does not
  *   "pause_next": N       the next N requests are refused, each with a
  *                         request to pause for "pause_ms"
+ *   "brittle": N          its answers say that it bears N refusals in a
+ *                         second; it lets one request wait, and exits when it
+ *                         refuses more
  * With --runs it logs each run; with --arrivals, each request received and each
  * notice that it sends.
  */
@@ -29,6 +32,8 @@
 enum {
 	ID_SIZE = 128, /* bytes of an attempt's id */
 	MAX_WAITING = 40, /* requests */
+	MAX_WAITING_BRITTLE = 1,
+	SECOND_MS = 1000,
 	STATUS_MISDIRECTED = 421, /* meant for another runner */
 	PATH_SIZE = 256,
 	SLOWNESS = 5, /* factor, of runs by "slow_share" */
@@ -64,6 +69,9 @@
 	int64_t started_ms; /* wall clock */
 	int64_t leave_at_ms; /* 0: does not leave */
 	int64_t sequence; /* of the next write of the entry */
+	/* Since when it counts the requests that it had no room for. */
+	int64_t refused_at_ms;
+	int n_refused;
 	double slots, work_ms, events, event_ms, heartbeat_ms, drain_ms;
 } runner_t;
 
@@ -255,6 +263,37 @@
 	write_arrival(r, "leaving", attempt, 0);
 }
 
+/* Refuses for want of room; a brittle runner bears only so many in a second. */
+static void refuse_full(runner_t *r, exchange_t *x)
+{
+	double borne = server_fault_number(&r->server, "brittle", -1);
+	int64_t now = clock_now_us() / 1000;
+
+	if (now - r->refused_at_ms >= SECOND_MS) {
+		r->refused_at_ms = now;
+		r->n_refused = 0;
+	}
+	refuse(x, HTTP_SERVUNAVAIL);
+	if (borne >= 0 && ++r->n_refused > borne)
+		exit(EXIT_FAILURE);
+}
+
+static guint max_waiting(runner_t *r)
+{
+	return server_fault_number(&r->server, "brittle", -1) >= 0 ?
+		       MAX_WAITING_BRITTLE :
+		       MAX_WAITING;
+}
+
+static void add_brittle_header(runner_t *r, exchange_t *x)
+{
+	double borne = server_fault_number(&r->server, "brittle", -1);
+	g_autofree char *text = g_strdup_printf("%d", (int)borne);
+
+	if (borne >= 0)
+		exchange_set_header(x, HEADER_BRITTLE, text);
+}
+
 static void on_http(void *ctx, exchange_t *x)
 {
 	runner_t *r = ctx;
@@ -266,6 +305,7 @@
 
 	exchange_set_header(x, HEADER_RUNNER, r->id);
 	exchange_set_header(x, HEADER_LOAD, load);
+	add_brittle_header(r, x);
 	if (attempt && strlen(attempt) < ID_SIZE &&
 	    (!expected || !strcmp(expected, r->id))) {
 		write_arrival(r, "arrive", attempt, 0);
@@ -285,8 +325,8 @@
 		refuse(x, HTTP_BADREQUEST);
 	else if (consume_fault(r, "pause_next"))
 		refuse_with_pause(r, x, attempt);
-	else if (r->waiting.length >= MAX_WAITING)
-		refuse(x, HTTP_SERVUNAVAIL);
+	else if (r->waiting.length >= max_waiting(r))
+		refuse_full(r, x);
 	else
 		accept_request(r, x, attempt);
 }
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -176,6 +176,9 @@
 	case MESSAGE_DONE:
 		fixture->dones++;
 		fixture->last_done = m->capacity.done.result;
+		fixture->last_is_brittle = m->capacity.done.is_brittle;
+		fixture->last_is_refused = m->capacity.done.is_refused;
+		fixture->last_refusals_borne = m->capacity.done.refusals_borne;
 		fixture->has_leaving_notice |= m->capacity.done.says_leaving;
 		record_pause(fixture, m->capacity.done.pause_ms);
 		break;
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -110,6 +110,9 @@
 	int part_records; /* changes of records in the platform's store */
 	message_part_t last_part_record;
 	done_result_t last_done;
+	/* Of the latest DONE: what it says of a runner that bears little. */
+	bool last_is_brittle, last_is_refused;
+	uint32_t last_refusals_borne;
 	bool has_leaving_notice; /* a DONE reported a leaving runner */
 	/* Of the first and the latest DONE with a pause. */
 	uint32_t first_pause_ms, last_pause_ms;
--- a/tests/test_call_head.c
+++ b/tests/test_call_head.c
@@ -329,6 +329,40 @@
 }
 END_TEST
 
+START_TEST(a_brittle_runner_says_what_it_bears)
+{
+	static const struct {
+		const char *text;
+		bool is_brittle;
+		uint32_t borne;
+	} cases[] = {
+		{ "200 OK\r\n", false, 0 },
+		{ "200 OK\r\nServer-Brittle: 12\r\n", true, 12 },
+		{ "503 Full\r\nserver-brittle: 0\r\n", true, 0 },
+		{ "500 Error\r\nServer-Brittle: some\r\n", true, 0 },
+		{ "200 OK\r\nServer-Brittle: -3\r\n", true, 0 },
+		{ "200 OK\r\nServer-Brittle: 99999999999\r\n", true,
+		  UINT32_MAX },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text =
+			g_strconcat("HTTP/1.1 ", cases[i].text,
+				    "Content-Length: 0\r\n\r\n", NULL);
+		answer_head_t a;
+		parsed_t p;
+
+		answer_head_read(parse(&p, HTTP1_RESPONSE, text), STR_LIT("9c"),
+				 &a);
+		ck_assert_msg(a.is_brittle == cases[i].is_brittle &&
+				      a.refusals_borne == cases[i].borne,
+			      "case %zu: %d, %u", i, a.is_brittle,
+			      a.refusals_borne);
+		http1_reader_finish(&p.reader);
+	}
+}
+END_TEST
+
 START_TEST(load_is_read_from_an_answer)
 {
 	parsed_t p;
@@ -403,6 +437,7 @@
 	   requests_with_invalid_headers_are_refused,
 	   an_answers_origin_and_flags_are_read,
 	   notices_of_leaving_and_pauses_are_read,
-	   a_rate_limit_is_read_from_an_answer, load_is_read_from_an_answer,
+	   a_rate_limit_is_read_from_an_answer,
+	   a_brittle_runner_says_what_it_bears, load_is_read_from_an_answer,
 	   an_implausible_load_is_ignored,
 	   an_answer_of_the_gateway_has_retry_after)
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -68,6 +68,9 @@
 				     4000,
 				     { RUNNER_LIMIT_NAMED, 1.5, now - 3000 },
 				     { now - 2000, 5, 6, 7, 250 },
+				     true,
+				     12,
+				     true,
 				     6000 };
 	m->capacity.runner.born_ms = INT64_C(1764800000000);
 	m->capacity.hops = 1;
@@ -136,12 +139,17 @@
 				   &in.capacity.done.load);
 			ck_assert_uint_eq(out.capacity.done.connection_ms,
 					  6000);
+			ck_assert(out.capacity.done.is_brittle);
+			ck_assert_uint_eq(out.capacity.done.refusals_borne, 12);
+			ck_assert(out.capacity.done.is_refused);
 		} else if (types[i] == MESSAGE_FIRST_TOKEN) {
 			check_load(&out.capacity.done.load,
 				   &in.capacity.done.load);
 			ck_assert(out.capacity.done.says_leaving);
 			check_limit(&out.capacity.done.limit,
 				    &in.capacity.done.limit);
+			ck_assert(out.capacity.done.is_brittle);
+			ck_assert_uint_eq(out.capacity.done.refusals_borne, 12);
 		}
 		papaya__frame__free_unpacked(frame, NULL);
 	}
--- a/tests/test_runner_notice.c
+++ b/tests/test_runner_notice.c
@@ -171,7 +171,39 @@
 }
 END_TEST
 
-SUITE_MAIN("runner_notice", a_leaving_runner_gets_no_more_requests,
+/* Guards against: the dispatcher doesn't learn which runners must not be filled. */
+START_TEST(a_brittle_runners_refusal_is_reported)
+{
+	static const reply_t full[] = {
+		{ "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+		  "Server-Brittle: 5\r\nContent-Length: 0\r\n\r\n",
+		  REPLY_KEEP },
+		{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\n"
+		  "X-Server-Seal: seal\r\nServer-Brittle: 5\r\n"
+		  "Content-Length: 2\r\n\r\nok",
+		  REPLY_KEEP },
+		{}
+	};
+	static gateway_fixture_t fixture;
+
+	gateway_fixture_begin(&fixture, full, full);
+	gateway_send(&fixture, 0, REQUEST("/once/", "b1"));
+	gateway_await_count(&fixture, &fixture.dones, 1);
+	ck_assert(fixture.last_is_brittle);
+	ck_assert(fixture.last_is_refused);
+	ck_assert_uint_eq(fixture.last_refusals_borne, 5);
+	gateway_await(&fixture, 0, "HTTP/1.1 ");
+	gateway_run(&fixture, 100);
+	gateway_send(&fixture, 1, REQUEST("/once/", "b2"));
+	gateway_await(&fixture, 1, "200 OK");
+	ck_assert(fixture.last_is_brittle);
+	ck_assert(!fixture.last_is_refused);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+SUITE_MAIN("runner_notice", a_brittle_runners_refusal_is_reported,
+	   a_leaving_runner_gets_no_more_requests,
 	   a_leaving_notice_in_a_stream_head_counts,
 	   a_paused_runner_gets_no_requests,
 	   with_every_runner_paused_callers_get_retry_after,
