ingress: own answers to HEAD have no body

Cause: write_error always wrote the body; so did the end of a streamed answer its last chunk. The own interface looked at the method already. Both do now; the length of the body is stated, as for GET.

--- a/daemon/caller.c
+++ b/daemon/caller.c
@@ -96,13 +96,6 @@
 	evbuffer_add(out, "\r\n", 2);
 }
 
-static bool is_head_request(http_conn_t *conn)
-{
-	const http1_head_t *head = http_conn_head(conn);
-
-	return head && str_eq(head->method, STR_LIT("HEAD"));
-}
-
 void caller_write_reply(http_conn_t *conn, const response_head_t *head,
 			str_t body)
 {
@@ -112,7 +105,7 @@
 	if (head->status != HTTP_NOCONTENT && head->status != HTTP_NOTMODIFIED)
 		evbuffer_add_printf(out, "Content-Length: %zu\r\n", body.len);
 	end_head(conn);
-	if (!is_head_request(conn))
+	if (!http_conn_is_head_request(conn))
 		evbuffer_add(out, body.ptr, body.len);
 }
 
--- a/daemon/http_conn.c
+++ b/daemon/http_conn.c
@@ -122,6 +122,13 @@
 	return c->reader.has_head ? &c->reader.head : NULL;
 }
 
+bool http_conn_is_head_request(const http_conn_t *c)
+{
+	const http1_head_t *head = http_conn_head(c);
+
+	return head && str_eq(head->method, STR_LIT("HEAD"));
+}
+
 struct evbuffer *http_conn_output(http_conn_t *c)
 {
 	return bufferevent_get_output(c->bev);
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -84,6 +84,8 @@
 void *http_conn_user(const http_conn_t *c);
 /* Head of the request that is being read or answered; NULL: not received. */
 const http1_head_t *http_conn_head(const http_conn_t *c);
+/* True while a HEAD request is answered: its answer has no body. */
+bool http_conn_is_head_request(const http_conn_t *c);
 /* Where answers are written. */
 struct evbuffer *http_conn_output(http_conn_t *c);
 /* Bytes of answers that are not written to the socket yet. */
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -43,7 +43,8 @@
 	if (head && call_head_read(head, &call, NULL))
 		id = call.attempt_id;
 	answer_own_write(http_conn_output(conn), status, id, retry_after_ms,
-			 str_from(body), http_conn_is_last(conn));
+			 str_from(body), http_conn_is_head_request(conn),
+			 http_conn_is_last(conn));
 }
 
 static void on_refusal(void *ctx, http_conn_t *conn, int status,
@@ -107,6 +108,8 @@
 {
 	struct evbuffer *out = http_conn_output(c);
 
+	if (http_conn_is_head_request(c))
+		return;
 	evbuffer_add_printf(out, "%zx\r\n", bytes.len);
 	evbuffer_add(out, bytes.ptr, bytes.len);
 	evbuffer_add(out, "\r\n", 2);
@@ -114,9 +117,9 @@
 
 void ingress_end_stream(ingress_t *c, bool is_whole)
 {
-	if (is_whole)
+	if (is_whole && !http_conn_is_head_request(c))
 		evbuffer_add(http_conn_output(c), "0\r\n\r\n", 5);
-	else
+	else if (!is_whole)
 		/* Without the last chunk, the answer is visibly incomplete. */
 		http_conn_set_last(c);
 	http_conn_end(c);
--- a/tests/test_call_head.c
+++ b/tests/test_call_head.c
@@ -420,7 +420,8 @@
 	struct evbuffer *out = evbuffer_new();
 	g_autofree char *text = NULL;
 
-	answer_own_write(out, 503, STR_LIT("9c"), 1250, STR_LIT("{}"), true);
+	answer_own_write(out, 503, STR_LIT("9c"), 1250, STR_LIT("{}"), false,
+			 true);
 	text = take_text(out);
 	ck_assert_ptr_nonnull(strstr(text, "HTTP/1.1 503 "));
 	ck_assert_ptr_nonnull(strstr(text, "Retry-After: 1.250\r\n"));
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -494,7 +494,40 @@
 }
 END_TEST
 
-SUITE_MAIN("gateway", exchanges_with_runners_are_answered_correctly,
+#define HEAD_REQUEST(path, id)                                   \
+	"HEAD " path " HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " id \
+	"\r\nX-Key: key\r\nX-Deadline-Ms: 5000\r\n\r\n"
+
+/* Guards against: the body of an own answer to HEAD stands before the next. */
+START_TEST(own_answers_to_head_have_no_body)
+{
+	static const reply_t streams[] = {
+		{ "HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\n"
+		  "X-Server-Seal: seal\r\nContent-Type: text/event-stream\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n",
+		  REPLY_KEEP },
+		{ OK, REPLY_KEEP },
+		{}
+	};
+	static gateway_fixture_t fixture;
+
+	gateway_fixture_begin(&fixture, streams, streams);
+	gateway_send(&fixture, 0, HEAD_REQUEST("/nowhere/", "h1"));
+	gateway_await(&fixture, 0, "404 Not Found");
+	gateway_run(&fixture, 100);
+	ck_assert_int_eq(gateway_count(&fixture, 0, "\r\n\r\n"), 1);
+	ck_assert_int_eq(gateway_count(&fixture, 0, "{"), 0);
+	gateway_send(&fixture, 0, HEAD_REQUEST("/stream/", "h2"));
+	gateway_await(&fixture, 0, "200 OK");
+	gateway_run(&fixture, 100);
+	ck_assert_int_eq(gateway_count(&fixture, 0, "\r\n\r\n"), 2);
+	ck_assert_int_eq(gateway_count(&fixture, 0, "\r\n0\r\n"), 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+SUITE_MAIN("gateway", own_answers_to_head_have_no_body,
+	   exchanges_with_runners_are_answered_correctly,
 	   a_refusal_is_given_only_where_nothing_ran,
 	   a_stream_resumes_after_the_last_event_forwarded,
 	   a_first_event_is_reported_to_the_granting_dispatcher,
