http_conn: a stop answers the requests received behind another

Cause: while a daemon drains, each answer was the last of its connection, and what had been received behind it was dropped. An answer is the last one now only if nothing was received behind it; a request that can't end before the daemon does is refused as before.

--- a/daemon/http_conn.c
+++ b/daemon/http_conn.c
@@ -144,9 +144,18 @@
 	c->closes_after_answer = true;
 }
 
+/*
+ * While the daemon stops, a further request might not be completed before it
+ * exits. One that was received behind the present one is answered all the same.
+ */
+static bool ends_for_drain(const http_conn_t *c)
+{
+	return c->server->is_draining && !evbuffer_get_length(input(c));
+}
+
 bool http_conn_is_last(const http_conn_t *c)
 {
-	return c->closes_after_answer || c->server->is_draining ||
+	return c->closes_after_answer || ends_for_drain(c) ||
 	       !c->reader.head.keeps_alive;
 }
 
@@ -184,9 +193,8 @@
 
 void http_conn_end(http_conn_t *c)
 {
-	/* A further request might not be completed before the daemon exits. */
 	c->closes_after_answer |=
-		c->server->is_draining ||
+		ends_for_drain(c) ||
 		(http_conn_head(c) && !c->reader.head.keeps_alive);
 	c->user = NULL;
 	c->unsent = SIZE_MAX;
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -74,6 +74,27 @@
 }
 END_TEST
 
+/* Guards against: requests that wait behind an answer are dropped by a stop. */
+START_TEST(requests_received_behind_another_are_answered)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture);
+	fixture.is_mute = true;
+	gateway_send(&fixture, 0,
+		     REQUEST("/safe/", "a") REQUEST("/safe/", "b")
+			     REQUEST("/safe/", "c"));
+	gateway_await_count(&fixture, &fixture.wants, 1);
+	drain(&fixture);
+	fixture.is_mute = false;
+	gateway_grant_last(&fixture);
+	gateway_await_close(&fixture, 0);
+	ck_assert_int_eq(gateway_count(&fixture, 0, "\r\n\r\nok"), 3);
+	ck_assert_int_eq(gateway_count(&fixture, 0, "Connection: close"), 1);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 START_TEST(callers_that_arrive_during_a_drain_are_served)
 {
 	gateway_fixture_t fixture;
@@ -158,6 +179,7 @@
 END_TEST
 
 SUITE_MAIN("planned_stop", requests_in_every_state_are_answered,
+	   requests_received_behind_another_are_answered,
 	   callers_that_arrive_during_a_drain_are_served,
 	   a_running_stream_continues_to_its_end,
 	   a_request_that_comes_too_late_is_refused,
