paths: a new list of VMs costs no look through all proxies for each

Each list of VMs looked for each of its daemons among all proxies, so that its cost grew with the square of the fleet, on every change of a runner. Proxies are in a table by address now. Also drops a function that nobody called.

--- a/core/runner_paths.c
+++ b/core/runner_paths.c
@@ -23,56 +23,47 @@
 {
 	*p = (runner_paths_t){ 0 };
 	g_strlcpy(p->self, self, sizeof(p->self));
-	p->proxies = g_array_new(FALSE, TRUE, sizeof(runner_proxy_t));
+	p->proxies =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	p->failing =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void runner_paths_finish(runner_paths_t *p)
 {
-	g_array_unref(p->proxies);
+	g_hash_table_destroy(p->proxies);
 	g_hash_table_destroy(p->failing);
 }
 
-static runner_proxy_t *proxy_at(const runner_paths_t *p, guint i)
-{
-	return &g_array_index(p->proxies, runner_proxy_t, i);
-}
-
-static runner_proxy_t *find_proxy(const runner_paths_t *p, const char *address)
-{
-	for (guint i = 0; i < p->proxies->len; i++)
-		if (!g_strcmp0(proxy_at(p, i)->address, address))
-			return proxy_at(p, i);
-	return NULL;
-}
-
-/* Names are emptied; those that are added again get theirs back. */
 void runner_paths_begin_proxies(runner_paths_t *p)
 {
-	for (guint i = 0; i < p->proxies->len; i++)
-		proxy_at(p, i)->name[0] = '\0';
+	p->listing++;
 }
 
 void runner_paths_add_proxy(runner_paths_t *p, const char *name,
 			    const char *address, bool is_in_own_zone)
 {
-	runner_proxy_t *known = find_proxy(p, address);
+	runner_proxy_t *known = g_hash_table_lookup(p->proxies, address);
 
 	if (!known) {
-		g_array_set_size(p->proxies, p->proxies->len + 1);
-		known = proxy_at(p, p->proxies->len - 1);
+		known = g_new0(runner_proxy_t, 1);
 		g_strlcpy(known->address, address, sizeof(known->address));
+		g_hash_table_insert(p->proxies, known->address, known);
 	}
 	g_strlcpy(known->name, name, sizeof(known->name));
 	known->is_in_own_zone = is_in_own_zone;
+	known->listing = p->listing;
 }
 
 void runner_paths_end_proxies(runner_paths_t *p)
 {
-	for (guint i = p->proxies->len; i-- > 0;)
-		if (!proxy_at(p, i)->name[0])
-			g_array_remove_index_fast(p->proxies, i);
+	GHashTableIter iter;
+	runner_proxy_t *r;
+
+	g_hash_table_iter_init(&iter, p->proxies);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&r))
+		if (r->listing != p->listing)
+			g_hash_table_iter_remove(&iter);
 }
 
 static void find_oldest(runner_paths_t *p)
@@ -108,7 +99,7 @@
 {
 	failing_t *f = g_hash_table_lookup(p->failing, runner);
 
-	if (!p->proxies->len)
+	if (!g_hash_table_size(p->proxies))
 		return true;
 	if (!f && runner_paths_is_cut_off(p)) {
 		/* Not tried yet: the first trial is due at once. */
@@ -126,11 +117,12 @@
 			       int64_t now)
 {
 	g_autofree char *key = g_strconcat(p->self, " ", runner, NULL);
-	const runner_proxy_t *best = NULL;
+	const runner_proxy_t *best = NULL, *r;
+	GHashTableIter iter;
 	rendezvous_t most = { 0 };
 
-	for (guint i = 0; i < p->proxies->len; i++) {
-		const runner_proxy_t *r = proxy_at(p, i);
+	g_hash_table_iter_init(&iter, p->proxies);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&r)) {
 		rendezvous_t w;
 
 		if (r->avoided_until > now ||
@@ -184,7 +176,7 @@
 void runner_paths_on_proxy_failure(runner_paths_t *p, const char *address,
 				   int64_t now)
 {
-	runner_proxy_t *r = find_proxy(p, address);
+	runner_proxy_t *r = g_hash_table_lookup(p->proxies, address);
 
 	if (r)
 		r->avoided_until = now + AVOID_RELAY_US;
--- a/core/runner_paths.h
+++ b/core/runner_paths.h
@@ -21,12 +21,14 @@
 	char name[RUNNER_PATHS_NAME_SIZE];
 	char address[RUNNER_PATHS_NAME_SIZE]; /* IP:port of its tunnels */
 	bool is_in_own_zone;
+	uint32_t listing; /* number of the last list that has it */
 	int64_t avoided_until; /* it was of no use; 0: may be used */
 } runner_proxy_t;
 
 typedef struct runner_paths {
 	char self[RUNNER_PATHS_NAME_SIZE];
-	GArray *proxies; /* runner_proxy_t */
+	GHashTable *proxies; /* address to runner_proxy_t */
+	uint32_t listing; /* number of the current list of proxies */
 	GHashTable *failing; /* runner address to failing_t */
 	int64_t sign_at; /* when a runner was last heard directly */
 	int64_t failing_since; /* of the oldest in FAILING; 0: none */
--- a/daemon/gateway_paths.c
+++ b/daemon/gateway_paths.c
@@ -66,7 +66,7 @@
 		"runner=%s way=%s failing=%u cut_off=%s proxies=%u why=\"%s\"",
 		address, way, g_hash_table_size(g->paths.failing),
 		runner_paths_is_cut_off(&g->paths) ? "yes" : "no",
-		g->paths.proxies->len, why);
+		g_hash_table_size(g->paths.proxies), why);
 }
 
 void gateway_on_path_connected(gateway_t *g, const char *address)
--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -639,11 +639,6 @@
 	return u->way;
 }
 
-const char *upstream_conn_proxy(const upstream_conn_t *u)
-{
-	return is_tunnel(u) ? u->proxy : NULL;
-}
-
 bool upstream_conn_is_sent(const upstream_conn_t *u)
 {
 	return u->is_sent;
--- a/daemon/upstream.h
+++ b/daemon/upstream.h
@@ -101,8 +101,6 @@
 void upstream_pool_drop_idle(upstream_pool_t *p, const char *address);
 /* Returns, in the end callback, what failed. */
 upstream_way_t upstream_conn_way(const upstream_conn_t *u);
-/* Returns the address of the proxy; NULL: none. */
-const char *upstream_conn_proxy(const upstream_conn_t *u);
 /* Stops or resumes reading, for a slow caller. */
 void upstream_conn_pause(upstream_conn_t *u, bool is_paused);
 /* True once the first byte may have been sent. */
