streams: log on which send a stream began, and which send its recorder knows

The lines of the joined streams (docs/incidents/joined-again.md) don't show which of a request's sends the recorder's answer is about, nor whether a note or the store is its source, so two of the hypotheses look the same. stream-begun is a sample; stream-asked gains two fields.

--- a/core/stream_releases.c
+++ b/core/stream_releases.c
@@ -38,15 +38,15 @@
 	return hash - hash % COMMON_MULTIPLE + stream % COMMON_MULTIPLE;
 }
 
-uint64_t stream_releases_last_key(const stream_releases_t *t, uint64_t stream)
+uint32_t stream_releases_last_send(const stream_releases_t *t, uint64_t stream)
 {
 	for (uint32_t send = STREAM_RELEASES_SENDS; --send;) {
 		uint64_t key = stream_releases_key(stream, send);
 
 		if (g_hash_table_contains(t->by_stream, &key))
-			return key;
+			return send;
 	}
-	return stream;
+	return 0;
 }
 
 static void remove_link(stream_releases_t *t, GList *link)
--- a/core/stream_releases.h
+++ b/core/stream_releases.h
@@ -35,8 +35,8 @@
 void stream_releases_finish(stream_releases_t *t);
 /* Returns what stands for a stream as its request's send number SEND began it. */
 uint64_t stream_releases_key(uint64_t stream, uint32_t send);
-/* Returns the key of the last send of the stream that is known. */
-uint64_t stream_releases_last_key(const stream_releases_t *t, uint64_t stream);
+/* Returns the number of the stream's last send that is known; 0 if none is. */
+uint32_t stream_releases_last_send(const stream_releases_t *t, uint64_t stream);
 /* Adds a stream, or replaces what is known of it. */
 void stream_releases_add(stream_releases_t *t, const stream_release_t *stream,
 			 int64_t now);
--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -217,6 +217,11 @@
 	if (!stream.release)
 		return;
 	r->release = stream.release;
+	log_sample("stream-begun",
+		   "request=%s runner=%s stream=%" PRIx64 " release=%" PRIx64
+		   " sent=%u recorded=%s",
+		   r->id, r->runner.name, stream.stream, stream.release,
+		   r->sends + 1, only_release(r) ? "no" : "yes");
 	stream_releases_remove_before(&g->streams,
 				      now_us() - STREAM_RELEASES_KEEP_US);
 	stream_releases_add(&g->streams, &stream, now_us());
--- a/daemon/stream_recorder.c
+++ b/daemon/stream_recorder.c
@@ -88,17 +88,23 @@
 		begin_write(r, now);
 }
 
+/* The key of the stream's last send that is known. */
+static uint64_t last_key(const stream_recorder_t *r, uint64_t stream)
+{
+	return stream_releases_key(
+		stream, stream_releases_last_send(&r->streams, stream));
+}
+
 /* Returns the release of the stream's last send that is known; 0: none. */
 static uint64_t find_release(const stream_recorder_t *r, uint64_t stream)
 {
-	return stream_releases_find(
-		&r->streams, stream_releases_last_key(&r->streams, stream));
+	return stream_releases_find(&r->streams, last_key(r, stream));
 }
 
 /* Whether that came in a note, not from the store. */
 static bool is_last_noted(const stream_recorder_t *r, uint64_t stream)
 {
-	uint64_t key = stream_releases_last_key(&r->streams, stream);
+	uint64_t key = last_key(r, stream);
 
 	return stream_releases_find(&r->streams, key) &&
 	       !stream_releases_is_read(&r->streams, key);
@@ -127,6 +133,15 @@
 	write_if_due(r, now);
 }
 
+/* How the recorder knows what it answers. */
+static const char *source_text(const stream_recorder_t *r, uint64_t stream,
+			       uint64_t release)
+{
+	if (!release)
+		return "-";
+	return is_last_noted(r, stream) ? "note" : "store";
+}
+
 static void answer(stream_recorder_t *r, const char *peer, uint64_t stream,
 		   uint64_t release)
 {
@@ -135,8 +150,12 @@
 	g_strlcpy(m.streams.peer, peer, sizeof(m.streams.peer));
 	m.streams.stream.stream = stream;
 	m.streams.stream.release = release;
-	log_event("stream-asked", "stream=%" PRIx64 " by=%s release=%" PRIx64,
-		  stream, peer[0] ? peer : "own", m.streams.stream.release);
+	log_event("stream-asked",
+		  "stream=%" PRIx64 " by=%s release=%" PRIx64
+		  " send=%u source=%s",
+		  stream, peer[0] ? peer : "own", m.streams.stream.release,
+		  stream_releases_last_send(&r->streams, stream),
+		  source_text(r, stream, release));
 	supervisor_post(r->sup, TASK_PEERS, &m);
 }
 
