tests, KNOWN-RED: a note of a stream that names a release which didn't begin it

Fails on this code: a request that failed at a runner of one release and began its stream on another has noted both, and whoever knows the first note only takes it for the answer.

--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -140,6 +140,17 @@
 	}
 }
 
+static void record_notes(gateway_fixture_t *fixture, const GArray *begun)
+{
+	for (guint i = 0; i < begun->len; i++) {
+		int n = fixture->streams_noted++;
+
+		if (n < FIXTURE_NOTED)
+			fixture->noted[n] =
+				g_array_index(begun, stream_release_t, i);
+	}
+}
+
 static void fake_handle(void *state, const message_t *m)
 {
 	gateway_fixture_t *fixture = state;
@@ -168,7 +179,7 @@
 		record_rollout(fixture, &m->rollout);
 		break;
 	case MESSAGE_STREAM_NOTES:
-		fixture->streams_noted += (int)m->streams.begun->len;
+		record_notes(fixture, m->streams.begun);
 		break;
 	case MESSAGE_WITHDRAW:
 		fixture->withdraws++;
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -31,6 +31,7 @@
 	FIXTURE_RUNNERS = 2,
 	FIXTURE_CALLERS = 4,
 	FIXTURE_REPLIES = 8,
+	FIXTURE_NOTED = 8,
 };
 
 typedef enum reply_end {
@@ -102,6 +103,7 @@
 	stream_release_t last_ask;
 	bool was_ask_from_memory;
 	int streams_noted; /* sent to recorders */
+	stream_release_t noted[FIXTURE_NOTED]; /* the first ones of them */
 	/* Pools of roll-outs are granted runner 1, and services runner 0. */
 	bool follows_pools;
 	int rollout_reports;
--- a/tests/test_version_skew.c
+++ b/tests/test_version_skew.c
@@ -228,6 +228,33 @@
 }
 END_TEST
 
+/*
+ * Guards against streams joined from two releases: a request was sent to both,
+ * its recorder knew of the first send only, and told that one's release.
+ */
+START_TEST(each_note_of_a_stream_names_the_release_that_began_it)
+{
+	enum { WHILE_MS = 100 };
+	static const reply_t fails[FIXTURE_REPLIES] = {
+		{ "no answer\r\n\r\n", REPLY_CLOSE },
+	};
+	static const reply_t whole[FIXTURE_REPLIES] = {
+		{ STREAM_HEAD EVENT "0\r\n\r\n", REPLY_KEEP },
+	};
+	gateway_fixture_t fixture;
+
+	begin(&fixture, fails, whole);
+	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
+	gateway_await(&fixture, 0, "0\r\n\r\n");
+	gateway_run(&fixture, WHILE_MS);
+	ck_assert_int_ge(fixture.streams_noted, 1);
+	ck_assert_int_le(fixture.streams_noted, FIXTURE_NOTED);
+	for (int i = 0; i < fixture.streams_noted; i++)
+		ck_assert_uint_eq(fixture.noted[i].release, NEW_RELEASE);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 /* Guards against a stream that goes on at another service of its route. */
 START_TEST(a_take_up_goes_to_the_service_that_began_the_stream)
 {
@@ -332,6 +359,7 @@
 	   a_stream_of_the_only_release_is_taken_up,
 	   a_recorder_knows_better_than_the_own_list,
 	   streams_are_recorded_only_beside_another_release,
+	   each_note_of_a_stream_names_the_release_that_began_it,
 	   a_take_up_goes_to_the_service_that_began_the_stream,
 	   a_take_up_waits_at_its_teams_limit,
 	   only_what_is_left_of_a_stream_is_estimated,
