streams: one word says which release began a stream, when it has begun

Each send was noted, before anybody could know whether the stream would begin there, and the highest send that was known counted as the last. Now the stream is noted once, as its first event comes: whoever has the note has the answer, and who lacks it refuses.

Old builds beside this one: the word stands under the key of the highest send, where they look first; their words on single sends are still read, but answered only after the store was read half a second later, also where one came as a note.

--- a/core/stream_releases.c
+++ b/core/stream_releases.c
@@ -4,7 +4,7 @@
 
 /*
  * A stream's recorder follows from its hash modulo the number of recorders, 16
- * at most: all its sends have the same one.
+ * at most: all words on it have the same one.
  */
 enum { COMMON_MULTIPLE = 720720 }; /* of 1 to 16 */
 
@@ -27,26 +27,28 @@
 	g_queue_clear_full(&t->order, g_free);
 }
 
-uint64_t stream_releases_key(uint64_t stream, uint32_t send)
+uint64_t stream_releases_key(uint64_t stream, uint32_t word)
 {
-	const uint64_t parts[] = { stream, send };
+	const uint64_t parts[] = { stream, word };
 	uint64_t hash;
 
-	if (!send)
+	if (!word)
 		return stream;
 	hash = str_hash((str_t){ (const char *)parts, sizeof(parts) }) / 2;
 	return hash - hash % COMMON_MULTIPLE + stream % COMMON_MULTIPLE;
 }
 
-uint32_t stream_releases_last_send(const stream_releases_t *t, uint64_t stream)
+uint32_t stream_releases_last_word(const stream_releases_t *t, uint64_t stream)
 {
-	for (uint32_t send = STREAM_RELEASES_SENDS; --send;) {
-		uint64_t key = stream_releases_key(stream, send);
+	uint32_t word = STREAM_RELEASES_BEGUN;
+
+	for (; word; word--) {
+		uint64_t key = stream_releases_key(stream, word);
 
 		if (g_hash_table_contains(t->by_stream, &key))
-			return send;
+			break;
 	}
-	return 0;
+	return word;
 }
 
 static void remove_link(stream_releases_t *t, GList *link)
--- a/core/stream_releases.h
+++ b/core/stream_releases.h
@@ -12,10 +12,13 @@
 #include <stdint.h>
 
 /*
- * Sends of a request that are told apart. Each may be to a runner of another
- * release, and the last one begins the stream.
+ * What is said of a stream. Its request may be sent to runners of several
+ * releases before one begins it; who knows an earlier send may lack a later one.
+ * So only STREAM_RELEASES_BEGUN is final. Older builds write a word on each send,
+ * under its number from 0, and none when the stream begins; of several words they
+ * and this build take the one with the highest number.
  */
-enum { STREAM_RELEASES_SENDS = 4 };
+enum { STREAM_RELEASES_BEGUN = 3 };
 
 /* How long a stream is kept, at least; they end with their callers' time. */
 #define STREAM_RELEASES_KEEP_US (INT64_C(60) * 1000 * 1000)
@@ -33,10 +36,10 @@
 
 void stream_releases_init(stream_releases_t *t, guint max);
 void stream_releases_finish(stream_releases_t *t);
-/* Returns what stands for a stream as its request's send number SEND began it. */
-uint64_t stream_releases_key(uint64_t stream, uint32_t send);
-/* Returns the number of the stream's last send that is known; 0 if none is. */
-uint32_t stream_releases_last_send(const stream_releases_t *t, uint64_t stream);
+/* Returns what stands for the word WORD on a stream. */
+uint64_t stream_releases_key(uint64_t stream, uint32_t word);
+/* Returns the highest word on the stream that is known; 0 if none is. */
+uint32_t stream_releases_last_word(const stream_releases_t *t, uint64_t stream);
 /* Adds a stream, or replaces what is known of it. */
 void stream_releases_add(stream_releases_t *t, const stream_release_t *stream,
 			 int64_t now);
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -352,7 +352,6 @@
 	r->pause_ms = 0;
 	r->state = RELAY_GRANTED;
 	r->progress_at = now_us();
-	relay_note_release(r);
 	relay_on_sent(r);
 	if (relay_start_exchange(r))
 		return;
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -272,12 +272,9 @@
 /* Asks the recorder again, or gives up; for RELAY_AWAITING_RELEASE. */
 void relay_check_release_timeout(relay_t *r, int64_t now);
 /*
- * The request is sent to a runner, and may begin a stream there: has its
- * recorder told, if the service has several releases. Told again for the next
- * runner, the recorder forgets the one before.
+ * The stream's first event arrived: it is bound to the runner's release. Has its
+ * recorder told, if the service has several.
  */
-void relay_note_release(const relay_t *r);
-/* The stream's first event arrived: it is bound to the runner's release. */
 void relay_bind_release(relay_t *r);
 
 /* relay_memory.c */
--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -172,10 +172,7 @@
 	}
 }
 
-/*
- * The stream that the request begins, if its runner does; release 0: none. What
- * is known of its sends doesn't depend on the order in which it becomes known.
- */
+/* The stream that the request begins; release 0: it takes another one up. */
 static stream_release_t own_stream(const relay_t *r)
 {
 	stream_release_t stream = { str_hash(r->call.attempt_id), 0 };
@@ -186,33 +183,28 @@
 	return stream;
 }
 
-/* Takes ownership of BEGUN, an array of stream_release_t. */
-static void post_notes(gateway_t *g, GArray *begun)
+/* Has the recorders of streams told which release began each of BEGUN. */
+static void post_notes(gateway_t *g, const stream_release_t *begun, guint n)
 {
 	message_t m = { .type = MESSAGE_STREAM_NOTES };
 
-	m.streams.begun = begun;
-	supervisor_post(g->sup, TASK_PEERS, &m);
-}
-
-void relay_note_release(const relay_t *r)
-{
-	stream_release_t stream = own_stream(r);
-	uint32_t send = MIN(r->sends, STREAM_RELEASES_SENDS - 1);
-	GArray *begun;
+	m.streams.begun =
+		g_array_sized_new(FALSE, FALSE, sizeof(stream_release_t), n);
+	for (guint i = 0; i < n; i++) {
+		stream_release_t note = begun[i];
 
-	if (!stream.release || only_release(r))
-		return;
-	stream.stream = stream_releases_key(stream.stream, send);
-	begun = g_array_new(FALSE, FALSE, sizeof(stream_release_t));
-	g_array_append_val(begun, stream);
-	post_notes(r->gateway, begun);
+		note.stream =
+			stream_releases_key(note.stream, STREAM_RELEASES_BEGUN);
+		g_array_append_val(m.streams.begun, note);
+	}
+	supervisor_post(g->sup, TASK_PEERS, &m);
 }
 
 void relay_bind_release(relay_t *r)
 {
 	gateway_t *g = r->gateway;
 	stream_release_t stream = own_stream(r);
+	bool is_recorded = only_release(r) != stream.release;
 
 	if (!stream.release)
 		return;
@@ -221,17 +213,20 @@
 		   "request=%s runner=%s stream=%" PRIx64 " release=%" PRIx64
 		   " sent=%u recorded=%s",
 		   r->id, r->runner.name, stream.stream, stream.release,
-		   r->sends + 1, only_release(r) ? "no" : "yes");
+		   r->sends + 1, is_recorded ? "yes" : "no");
 	stream_releases_remove_before(&g->streams,
 				      now_us() - STREAM_RELEASES_KEEP_US);
 	stream_releases_add(&g->streams, &stream, now_us());
+	if (is_recorded)
+		post_notes(g, &stream, 1);
 }
 
 /* Streams began while the service had one release, and were not recorded. */
 void gateway_on_releases(gateway_t *g, const vm_list_t *before)
 {
+	g_autoptr(GArray) begun =
+		g_array_new(FALSE, FALSE, sizeof(stream_release_t));
 	GHashTableIter iter;
-	GArray *begun;
 	void *service;
 
 	if (!before)
@@ -242,9 +237,9 @@
 			continue;
 		log_event("releases-mixed", "service=%s streams=%u",
 			  (const char *)service, g->streams.order.length);
-		begun = g_array_new(FALSE, FALSE, sizeof(stream_release_t));
 		stream_releases_list(&g->streams, begun);
-		post_notes(g, begun);
+		post_notes(g, (const stream_release_t *)begun->data,
+			   begun->len);
 		return;
 	}
 }
--- a/daemon/stream_recorder.c
+++ b/daemon/stream_recorder.c
@@ -88,26 +88,23 @@
 		begin_write(r, now);
 }
 
-/* The key of the stream's last send that is known. */
 static uint64_t last_key(const stream_recorder_t *r, uint64_t stream)
 {
 	return stream_releases_key(
-		stream, stream_releases_last_send(&r->streams, stream));
+		stream, stream_releases_last_word(&r->streams, stream));
 }
 
-/* Returns the release of the stream's last send that is known; 0: none. */
+/* Returns the release in the last word on the stream that is known; 0: none. */
 static uint64_t find_release(const stream_recorder_t *r, uint64_t stream)
 {
 	return stream_releases_find(&r->streams, last_key(r, stream));
 }
 
-/* Whether that came in a note, not from the store. */
-static bool is_last_noted(const stream_recorder_t *r, uint64_t stream)
+/* Whether nothing that isn't known here can contradict find_release(). */
+static bool is_final(const stream_recorder_t *r, uint64_t stream)
 {
-	uint64_t key = last_key(r, stream);
-
-	return stream_releases_find(&r->streams, key) &&
-	       !stream_releases_is_read(&r->streams, key);
+	return stream_releases_last_word(&r->streams, stream) ==
+	       STREAM_RELEASES_BEGUN;
 }
 
 static bool is_noted(const stream_recorder_t *r, uint64_t stream)
@@ -139,7 +136,7 @@
 {
 	if (!release)
 		return "-";
-	return is_last_noted(r, stream) ? "note" : "store";
+	return is_noted(r, last_key(r, stream)) ? "note" : "store";
 }
 
 static void answer(stream_recorder_t *r, const char *peer, uint64_t stream,
@@ -152,9 +149,9 @@
 	m.streams.stream.release = release;
 	log_event("stream-asked",
 		  "stream=%" PRIx64 " by=%s release=%" PRIx64
-		  " send=%u source=%s",
+		  " word=%u source=%s",
 		  stream, peer[0] ? peer : "own", m.streams.stream.release,
-		  stream_releases_last_send(&r->streams, stream),
+		  stream_releases_last_word(&r->streams, stream),
 		  source_text(r, stream, release));
 	supervisor_post(r->sup, TASK_PEERS, &m);
 }
@@ -179,8 +176,8 @@
 	stream_ask_t ask = { .stream = m->stream.stream, .asked_at = now };
 
 	g_strlcpy(ask.peer, m->peer, sizeof(ask.peer));
-	/* The store may have a later word than the one that was read. */
-	if (is_last_noted(r, ask.stream))
+	/* The store may have a later word than the one that is known. */
+	if (is_final(r, ask.stream))
 		answer(r, ask.peer, ask.stream, find_release(r, ask.stream));
 	else if (r->asks->len >= MAX_ASKS ||
 		 (m->from_memory && !find_release(r, ask.stream)))
@@ -201,14 +198,13 @@
 }
 
 /*
- * Answers what came in notes, and what a read that began at READ_AT would have
- * shown.
+ * Answers what is final, and what a read that began at READ_AT would have shown.
  */
 static void answer_asks(stream_recorder_t *r, int64_t read_at, int64_t now)
 {
 	for (guint i = r->asks->len; i-- > 0;) {
 		stream_ask_t ask = g_array_index(r->asks, stream_ask_t, i);
-		bool is_sure = is_last_noted(r, ask.stream) ||
+		bool is_sure = is_final(r, ask.stream) ||
 			       read_at - ask.asked_at >= ASK_SETTLE_US;
 		uint64_t release = 0;
 
--- a/tests/test_stream_recorder.c
+++ b/tests/test_stream_recorder.c
@@ -12,6 +12,7 @@
 	OTHER_STREAM = 0xdef,
 	RELEASE = 7,
 	RUN_US = 300 * 1000, /* for what must not happen */
+	SETTLE_US = 500 * 1000, /* for words that others write */
 };
 
 static void post_notes(store_fixture_t *f)
@@ -195,7 +196,46 @@
 }
 END_TEST
 
-START_TEST(all_sends_of_a_stream_have_one_recorder)
+/*
+ * Guards against streams joined from two releases: this recorder was told of the
+ * first send of a request only, and another one of the release that began it.
+ */
+START_TEST(a_note_of_one_send_is_no_answer_until_the_store_was_read)
+{
+	store_fixture_t f;
+
+	start(&f);
+	post_notes(&f);
+	post_ask(&f, STREAM, false);
+	store_fixture_run(&f, RUN_US);
+	ck_assert_int_eq(f.stream_answers, 0);
+	store_fixture_put_stream(
+		&f, stream_releases_key(STREAM, STREAM_RELEASES_BEGUN),
+		RELEASE + 1);
+	ck_assert(store_fixture_await(&f, &f.stream_answers, 1));
+	ck_assert_uint_eq(f.last_stream.release, RELEASE + 1);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+/* Guards against take-ups that wait for a word that can't follow. */
+START_TEST(the_release_that_began_a_stream_is_told_at_once)
+{
+	store_fixture_t f;
+	int64_t asked_at;
+
+	start(&f);
+	store_fixture_put_stream(
+		&f, stream_releases_key(STREAM, STREAM_RELEASES_BEGUN),
+		RELEASE);
+	asked_at = now_us();
+	assert_answer(&f, STREAM, RELEASE);
+	ck_assert_int_lt(now_us() - asked_at, SETTLE_US);
+	store_fixture_finish(&f);
+}
+END_TEST
+
+START_TEST(all_words_on_a_stream_have_one_recorder)
 {
 	for (uint64_t stream = 1; stream < 1000; stream += 37)
 		for (uint64_t n = 1; n <= 16; n++)
@@ -207,7 +247,9 @@
 }
 END_TEST
 
-SUITE_MAIN("stream_recorder", all_sends_of_a_stream_have_one_recorder,
+SUITE_MAIN("stream_recorder", all_words_on_a_stream_have_one_recorder,
+	   a_note_of_one_send_is_no_answer_until_the_store_was_read,
+	   the_release_that_began_a_stream_is_told_at_once,
 	   the_last_send_counts_in_whatever_order_it_is_written,
 	   a_later_word_in_the_store_replaces_an_earlier_one,
 	   a_recorder_answers_from_memory, streams_outlive_a_restart_of_all,
