stream_recorder: a recorder that knows nothing reads the store before it says so

A daemon that knows of one release only asked for an answer from memory; a recorder that had just started, or had just become one, has nothing there, said that it doesn't know the stream, and the daemon went on with the only release of its list. Where that list is old (the daemon stood still, or lost the store) and the stream began on a second release, the stream is joined.

Now such a question is answered when the store was read once more after it, or after 0.3 s where it can't be read. The frame is unchanged; an older recorder still answers from memory.

--- a/daemon/message.h
+++ b/daemon/message.h
@@ -261,7 +261,7 @@
 	char peer[MEMBER_NAME_SIZE]; /* who asked; "": this daemon */
 	GArray *begun; /* NOTES: of stream_release_t */
 	stream_release_t stream; /* ASK, ANSWER; release 0: not known */
-	bool from_memory; /* ASK: answer at once, without reading the store */
+	bool is_to_confirm; /* ASK: the asker knows of one release only */
 } message_streams_t;
 
 /* Learned speeds of the runners of one dispatcher. */
--- a/daemon/stream_frames.c
+++ b/daemon/stream_frames.c
@@ -30,7 +30,7 @@
 	Papaya__StreamAnswer answer = PAPAYA__STREAM_ANSWER__INIT;
 
 	ask.stream = answer.stream = stream->stream;
-	ask.from_memory = m->streams.from_memory;
+	ask.from_memory = m->streams.is_to_confirm;
 	answer.release = stream->release;
 	if (m->type == MESSAGE_STREAM_ASK) {
 		frame.body_case = PAPAYA__FRAME__BODY_STREAM_ASK;
@@ -68,7 +68,7 @@
 		return read_notes(frame->stream_notes, out);
 	case PAPAYA__FRAME__BODY_STREAM_ASK:
 		out->streams.stream.stream = frame->stream_ask->stream;
-		out->streams.from_memory = frame->stream_ask->from_memory;
+		out->streams.is_to_confirm = frame->stream_ask->from_memory;
 		return true;
 	case PAPAYA__FRAME__BODY_STREAM_ANSWER:
 		out->type = MESSAGE_STREAM_ANSWER;
--- a/daemon/stream_recorder.c
+++ b/daemon/stream_recorder.c
@@ -18,6 +18,8 @@
 	/* For another daemon's batch to reach the store. */
 	ASK_SETTLE_US = 500 * US_PER_MS,
 	ASK_TIMEOUT_US = 1500 * US_PER_MS, /* while the store can't be read */
+	/* The same, of a daemon that knows of one release only. */
+	CONFIRM_TIMEOUT_US = 300 * US_PER_MS,
 };
 
 static const char record_key[] = "s"; /* the topic has no other records */
@@ -27,6 +29,7 @@
 	char peer[MEMBER_NAME_SIZE];
 	uint64_t stream;
 	int64_t asked_at;
+	bool is_to_confirm; /* who asks knows of one release only */
 } stream_ask_t;
 
 void stream_recorder_init(stream_recorder_t *r, supervisor_t *sup,
@@ -173,14 +176,15 @@
 static void handle_ask(stream_recorder_t *r, const message_streams_t *m,
 		       int64_t now)
 {
-	stream_ask_t ask = { .stream = m->stream.stream, .asked_at = now };
+	stream_ask_t ask = { .stream = m->stream.stream,
+			     .asked_at = now,
+			     .is_to_confirm = m->is_to_confirm };
 
 	g_strlcpy(ask.peer, m->peer, sizeof(ask.peer));
 	/* The store may have a later word than the one that is known. */
 	if (is_final(r, ask.stream))
 		answer(r, ask.peer, ask.stream, find_release(r, ask.stream));
-	else if (r->asks->len >= MAX_ASKS ||
-		 (m->from_memory && !find_release(r, ask.stream)))
+	else if (r->asks->len >= MAX_ASKS)
 		answer(r, ask.peer, ask.stream, 0);
 	else if (!is_pending(r, &ask))
 		g_array_append_val(r->asks, ask);
@@ -197,6 +201,33 @@
 	return true;
 }
 
+/*
+ * Whether who asks knows of one release only, and this recorder of no other: all
+ * that can be missing are the words that an earlier recorder wrote.
+ */
+static bool is_confirmation(const stream_recorder_t *r, const stream_ask_t *ask)
+{
+	return ask->is_to_confirm && !find_release(r, ask->stream);
+}
+
+/* Whether a read that began at READ_AT would have shown the last word. */
+static bool is_settled(const stream_recorder_t *r, const stream_ask_t *ask,
+		       int64_t read_at)
+{
+	int64_t settle = is_confirmation(r, ask) ? 0 : ASK_SETTLE_US;
+
+	return is_final(r, ask->stream) || read_at - ask->asked_at >= settle;
+}
+
+static bool is_overdue(const stream_recorder_t *r, const stream_ask_t *ask,
+		       int64_t now)
+{
+	int64_t timeout =
+		is_confirmation(r, ask) ? CONFIRM_TIMEOUT_US : ASK_TIMEOUT_US;
+
+	return now - ask->asked_at >= timeout;
+}
+
 /*
  * Answers what is final, and what a read that began at READ_AT would have shown.
  */
@@ -204,11 +235,10 @@
 {
 	for (guint i = r->asks->len; i-- > 0;) {
 		stream_ask_t ask = g_array_index(r->asks, stream_ask_t, i);
-		bool is_sure = is_final(r, ask.stream) ||
-			       read_at - ask.asked_at >= ASK_SETTLE_US;
+		bool is_sure = is_settled(r, &ask, read_at);
 		uint64_t release = 0;
 
-		if (!is_sure && now - ask.asked_at < ASK_TIMEOUT_US)
+		if (!is_sure && !is_overdue(r, &ask, now))
 			continue;
 		if (is_sure)
 			release = find_release(r, ask.stream);
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -916,7 +916,7 @@
   ProtobufCMessage base;
   uint64_t stream;
   /*
-   * answer at once, without reading the store
+   * the asker knows of one release only
    */
   protobuf_c_boolean from_memory;
 };
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -173,7 +173,7 @@
 	case MESSAGE_STREAM_ASK:
 		fixture->stream_asks++;
 		fixture->last_ask = m->streams.stream;
-		fixture->was_ask_from_memory = m->streams.from_memory;
+		fixture->was_ask_from_memory = m->streams.is_to_confirm;
 		break;
 	case MESSAGE_ROLLOUT_REPORT:
 		record_rollout(fixture, &m->rollout);
--- a/tests/test_stream_recorder.c
+++ b/tests/test_stream_recorder.c
@@ -25,12 +25,12 @@
 	supervisor_post(&f->sup, TASK_PLATFORM, &m);
 }
 
-static void post_ask(store_fixture_t *f, uint64_t stream, bool from_memory)
+static void post_ask(store_fixture_t *f, uint64_t stream, bool is_to_confirm)
 {
 	message_t m = { .type = MESSAGE_STREAM_ASK };
 
 	m.streams.stream.stream = stream;
-	m.streams.from_memory = from_memory;
+	m.streams.is_to_confirm = is_to_confirm;
 	supervisor_post(&f->sup, TASK_PLATFORM, &m);
 }
 
@@ -235,6 +235,26 @@
 }
 END_TEST
 
+/*
+ * Guards against streams joined from two releases: a daemon that had not heard of
+ * the second one asked a recorder that had just started, which knew nothing yet.
+ */
+START_TEST(a_new_recorder_reads_the_store_before_it_knows_nothing)
+{
+	store_fixture_t f;
+
+	start(&f);
+	store_fixture_put_stream(
+		&f, stream_releases_key(STREAM, STREAM_RELEASES_BEGUN),
+		RELEASE);
+	store_fixture_restart(&f);
+	post_ask(&f, STREAM, true);
+	ck_assert(store_fixture_await(&f, &f.stream_answers, 1));
+	ck_assert_uint_eq(f.last_stream.release, RELEASE);
+	store_fixture_finish(&f);
+}
+END_TEST
+
 START_TEST(all_words_on_a_stream_have_one_recorder)
 {
 	for (uint64_t stream = 1; stream < 1000; stream += 37)
@@ -250,6 +270,7 @@
 SUITE_MAIN("stream_recorder", all_words_on_a_stream_have_one_recorder,
 	   a_note_of_one_send_is_no_answer_until_the_store_was_read,
 	   the_release_that_began_a_stream_is_told_at_once,
+	   a_new_recorder_reads_the_store_before_it_knows_nothing,
 	   the_last_send_counts_in_whatever_order_it_is_written,
 	   a_later_word_in_the_store_replaces_an_earlier_one,
 	   a_recorder_answers_from_memory, streams_outlive_a_restart_of_all,
