stream_recorder: a question is confirmed by two lists of runners that agree

It asks the stream's recorder, which has just started and can't read the store (or has no room for the question), is told after 0.3 s that nobody knows the stream, and goes on with the release of its old list: joined. One daemon's word alone said nothing either way.

Now the question names the only release that the asker knows of, and the recorder says "not known" only if its own list of runners has the same as a service's only one; else it is silent, and the asker asks on until its list is new, or refuses after 1.6 s. While the store is away from everybody both lists agree, and take-ups go on as before, which rules out the simpler mend (no answer where the store wasn't read). A question for which there is no room isn't answered either.

An older recorder ignores the new field and answers from memory; an older daemon's question has none and is answered as before.

What is left: both lists old at once, as in a zone that is cut off.

--- a/daemon/message.h
+++ b/daemon/message.h
@@ -260,8 +260,13 @@
 typedef struct message_streams {
 	char peer[MEMBER_NAME_SIZE]; /* who asked; "": this daemon */
 	GArray *begun; /* NOTES: of stream_release_t */
-	stream_release_t stream; /* ASK, ANSWER; release 0: not known */
-	bool is_to_confirm; /* ASK: the asker knows of one release only */
+	/*
+	 * ASK: the only release that the asker knows of, or 0. ANSWER: the one
+	 * that began the stream; 0: not known.
+	 */
+	stream_release_t stream;
+	/* ASK: the asker knows of one release only; an older build, not which. */
+	bool is_to_confirm;
 } message_streams_t;
 
 /* Learned speeds of the runners of one dispatcher. */
--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -66,7 +66,8 @@
 
 	r->requested_at = now_us();
 	m.streams.stream.stream = resumed_stream(r);
-	m.streams.is_to_confirm = only_release(r) != 0;
+	m.streams.stream.release = only_release(r);
+	m.streams.is_to_confirm = m.streams.stream.release != 0;
 	supervisor_post(r->gateway->sup, TASK_PEERS, &m);
 }
 
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -556,7 +556,8 @@
 	store_follower_init(&s->daemons, &s->env, STORE_DAEMONS);
 	part_records_init(&s->parts, sup, &s->store, &s->daemons.records);
 	release_record_init(&s->releases, &s->store, &s->daemons.records);
-	stream_recorder_init(&s->recorder, sup, &s->store);
+	stream_recorder_init(&s->recorder, sup, &s->store,
+			     &s->releases.history);
 	rollout_conductor_init(&s->rollouts, sup, &s->store);
 	set_daemon_count(s, INITIAL_DAEMONS);
 	s->publish_timer =
--- a/daemon/stream_frames.c
+++ b/daemon/stream_frames.c
@@ -31,6 +31,7 @@
 
 	ask.stream = answer.stream = stream->stream;
 	ask.from_memory = m->streams.is_to_confirm;
+	ask.only_release = stream->release;
 	answer.release = stream->release;
 	if (m->type == MESSAGE_STREAM_ASK) {
 		frame.body_case = PAPAYA__FRAME__BODY_STREAM_ASK;
@@ -69,6 +70,7 @@
 	case PAPAYA__FRAME__BODY_STREAM_ASK:
 		out->streams.stream.stream = frame->stream_ask->stream;
 		out->streams.is_to_confirm = frame->stream_ask->from_memory;
+		out->streams.stream.release = frame->stream_ask->only_release;
 		return true;
 	case PAPAYA__FRAME__BODY_STREAM_ANSWER:
 		out->type = MESSAGE_STREAM_ANSWER;
--- a/daemon/stream_recorder.c
+++ b/daemon/stream_recorder.c
@@ -30,12 +30,15 @@
 	uint64_t stream;
 	int64_t asked_at;
 	bool is_to_confirm; /* who asks knows of one release only */
+	uint64_t only_release; /* that one; 0: not known */
 } stream_ask_t;
 
 void stream_recorder_init(stream_recorder_t *r, supervisor_t *sup,
-			  store_t *store)
+			  store_t *store, const release_history_t *releases)
 {
-	*r = (stream_recorder_t){ .sup = sup, .store = store };
+	*r = (stream_recorder_t){ .sup = sup,
+				  .store = store,
+				  .releases = releases };
 	stream_releases_init(&r->streams, MAX_STREAMS);
 	r->unsaved = g_array_new(FALSE, FALSE, sizeof(stream_release_t));
 	r->asks = g_array_new(FALSE, FALSE, sizeof(stream_ask_t));
@@ -178,15 +181,16 @@
 {
 	stream_ask_t ask = { .stream = m->stream.stream,
 			     .asked_at = now,
-			     .is_to_confirm = m->is_to_confirm };
+			     .is_to_confirm = m->is_to_confirm,
+			     .only_release = m->stream.release };
 
 	g_strlcpy(ask.peer, m->peer, sizeof(ask.peer));
 	/* The store may have a later word than the one that is known. */
 	if (is_final(r, ask.stream))
 		answer(r, ask.peer, ask.stream, find_release(r, ask.stream));
-	else if (r->asks->len >= MAX_ASKS)
+	else if (r->asks->len >= MAX_ASKS && !ask.is_to_confirm)
 		answer(r, ask.peer, ask.stream, 0);
-	else if (!is_pending(r, &ask))
+	else if (r->asks->len < MAX_ASKS && !is_pending(r, &ask))
 		g_array_append_val(r->asks, ask);
 }
 
@@ -210,6 +214,35 @@
 	return ask->is_to_confirm && !find_release(r, ask->stream);
 }
 
+/* A release, and whether it is a service's only one. */
+typedef struct release_search {
+	uint64_t release;
+	bool is_only;
+} release_search_t;
+
+static void compare_only(void *ctx, const char *service, uint64_t only)
+{
+	release_search_t *search = ctx;
+
+	search->is_only |= only == search->release;
+}
+
+/*
+ * Whether this recorder's list of runners bears out the only release that the
+ * asker knows of, whose own list may be old. If not, the question isn't
+ * answered: the asker's list will change, or the caller is refused.
+ */
+static bool agrees(const stream_recorder_t *r, const stream_ask_t *ask,
+		   int64_t now)
+{
+	release_search_t search = { .release = ask->only_release };
+
+	if (!is_confirmation(r, ask) || !ask->only_release)
+		return true;
+	release_history_each_only(r->releases, now, compare_only, &search);
+	return search.is_only;
+}
+
 /* Whether a read that began at READ_AT would have shown the last word. */
 static bool is_settled(const stream_recorder_t *r, const stream_ask_t *ask,
 		       int64_t read_at)
@@ -243,7 +276,8 @@
 		if (is_sure)
 			release = find_release(r, ask.stream);
 		g_array_remove_index(r->asks, i);
-		answer(r, ask.peer, ask.stream, release);
+		if (agrees(r, &ask, now))
+			answer(r, ask.peer, ask.stream, release);
 	}
 }
 
--- a/daemon/stream_recorder.h
+++ b/daemon/stream_recorder.h
@@ -8,6 +8,7 @@
 #ifndef DAEMON_STREAM_RECORDER_H
 #define DAEMON_STREAM_RECORDER_H
 
+#include "core/release_history.h"
 #include "core/stream_releases.h"
 #include "daemon/supervisor.h"
 #include "platform/store.h"
@@ -15,6 +16,7 @@
 typedef struct stream_recorder {
 	supervisor_t *sup;
 	store_t *store;
+	const release_history_t *releases; /* of the services */
 	stream_releases_t streams; /* received or read */
 	GArray *unsaved; /* stream_release_t that are to be written */
 	guint n_writing; /* the first ones of UNSAVED are being written */
@@ -28,7 +30,7 @@
 } stream_recorder_t;
 
 void stream_recorder_init(stream_recorder_t *r, supervisor_t *sup,
-			  store_t *store);
+			  store_t *store, const release_history_t *releases);
 void stream_recorder_finish(stream_recorder_t *r);
 /* Handles STREAM_NOTES and STREAM_ASK; false for other messages. */
 bool stream_recorder_handle(stream_recorder_t *r, const message_t *m);
--- a/net/peer.pb-c.c
+++ b/net/peer.pb-c.c
@@ -5076,7 +5076,7 @@
   (ProtobufCMessageInit) papaya__stream_notes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor papaya__stream_ask__field_descriptors[2] =
+static const ProtobufCFieldDescriptor papaya__stream_ask__field_descriptors[3] =
 {
   {
     "stream",
@@ -5102,15 +5102,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "only_release",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Papaya__StreamAsk, only_release),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned papaya__stream_ask__field_indices_by_name[] = {
   1,   /* field[1] = from_memory */
+  2,   /* field[2] = only_release */
   0,   /* field[0] = stream */
 };
 static const ProtobufCIntRange papaya__stream_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor papaya__stream_ask__descriptor =
 {
@@ -5120,7 +5133,7 @@
   "Papaya__StreamAsk",
   "papaya",
   sizeof(Papaya__StreamAsk),
-  2,
+  3,
   papaya__stream_ask__field_descriptors,
   papaya__stream_ask__field_indices_by_name,
   1,  papaya__stream_ask__number_ranges,
--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -919,10 +919,14 @@
    * the asker knows of one release only
    */
   protobuf_c_boolean from_memory;
+  /*
+   * that one; 0: an older build asks
+   */
+  uint64_t only_release;
 };
 #define PAPAYA__STREAM_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&papaya__stream_ask__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
--- a/tests/test_stream_recorder.c
+++ b/tests/test_stream_recorder.c
@@ -25,6 +25,19 @@
 	supervisor_post(&f->sup, TASK_PLATFORM, &m);
 }
 
+/* Asks as a daemon that knows of ONLY_RELEASE, or of several: 0. */
+static void post_ask_beside(store_fixture_t *f, uint64_t stream,
+			    uint64_t only_release)
+{
+	message_t m = { .type = MESSAGE_STREAM_ASK };
+
+	m.streams.stream.stream = stream;
+	m.streams.stream.release = only_release;
+	m.streams.is_to_confirm = only_release != 0;
+	supervisor_post(&f->sup, TASK_PLATFORM, &m);
+}
+
+/* Asks as an older build does, which doesn't say which release it knows of. */
 static void post_ask(store_fixture_t *f, uint64_t stream, bool is_to_confirm)
 {
 	message_t m = { .type = MESSAGE_STREAM_ASK };
@@ -255,6 +268,35 @@
 }
 END_TEST
 
+/*
+ * Guards against streams joined from two releases: a daemon that had stood still
+ * while the second one joined took a recorder that had just started, and couldn't
+ * read the store, at its word that nobody knows the stream.
+ */
+START_TEST(a_recorder_that_knows_of_another_release_confirms_none)
+{
+	uint64_t first = release_history_hash("s", "v1");
+	store_fixture_t f;
+
+	start(&f);
+	store_fixture_put_release(&f, "i-1", "v1");
+	ck_assert(store_fixture_await(&f, &f.part_appends, 1));
+	store_fixture_restart(&f);
+	for (int i = 0; i < 10 && f.only_release != first; i++)
+		store_fixture_run(&f, RUN_US);
+	post_ask_beside(&f, OTHER_STREAM, first);
+	ck_assert(store_fixture_await(&f, &f.stream_answers, 1));
+	ck_assert_uint_eq(f.last_stream.release, 0);
+	store_fixture_put_release(&f, "i-2", "v2");
+	for (int i = 0; i < 10 && f.only_release; i++)
+		store_fixture_run(&f, RUN_US);
+	post_ask_beside(&f, STREAM, first);
+	store_fixture_run(&f, 2 * RUN_US);
+	ck_assert_int_eq(f.stream_answers, 1);
+	store_fixture_finish(&f);
+}
+END_TEST
+
 START_TEST(all_words_on_a_stream_have_one_recorder)
 {
 	for (uint64_t stream = 1; stream < 1000; stream += 37)
@@ -271,6 +313,7 @@
 	   a_note_of_one_send_is_no_answer_until_the_store_was_read,
 	   the_release_that_began_a_stream_is_told_at_once,
 	   a_new_recorder_reads_the_store_before_it_knows_nothing,
+	   a_recorder_that_knows_of_another_release_confirms_none,
 	   the_last_send_counts_in_whatever_order_it_is_written,
 	   a_later_word_in_the_store_replaces_an_earlier_one,
 	   a_recorder_answers_from_memory, streams_outlive_a_restart_of_all,
