test_version_skew: the note of a stream by its key, and of a release not listed yet

The first check now asks for exactly one note under the key of a begun stream (it asked for one or more of the right release), and a second test is new.

--- a/tests/test_version_skew.c
+++ b/tests/test_version_skew.c
@@ -247,10 +247,32 @@
 	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
 	gateway_await(&fixture, 0, "0\r\n\r\n");
 	gateway_run(&fixture, WHILE_MS);
-	ck_assert_int_ge(fixture.streams_noted, 1);
-	ck_assert_int_le(fixture.streams_noted, FIXTURE_NOTED);
-	for (int i = 0; i < fixture.streams_noted; i++)
-		ck_assert_uint_eq(fixture.noted[i].release, NEW_RELEASE);
+	ck_assert_int_eq(fixture.streams_noted, 1);
+	ck_assert_uint_eq(fixture.noted[0].release, NEW_RELEASE);
+	ck_assert_uint_eq(fixture.noted[0].stream,
+			  stream_releases_key(str_hash(STR_LIT("a")),
+					      STREAM_RELEASES_BEGUN));
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/*
+ * Guards against a stream that nobody else knows: it began on a release that the
+ * dispatcher knew of before this daemon did.
+ */
+START_TEST(a_stream_of_a_release_that_is_not_listed_yet_is_noted)
+{
+	static const reply_t whole[FIXTURE_REPLIES] = {
+		{ STREAM_HEAD EVENT "0\r\n\r\n", REPLY_KEEP },
+	};
+	gateway_fixture_t fixture;
+
+	begin(&fixture, whole, whole);
+	gateway_set_only_release(&fixture, NEW_RELEASE);
+	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
+	gateway_await(&fixture, 0, "0\r\n\r\n");
+	gateway_await_count(&fixture, &fixture.streams_noted, 1);
+	ck_assert_uint_eq(fixture.noted[0].release, OLD_RELEASE);
 	gateway_fixture_finish(&fixture);
 }
 END_TEST
@@ -360,6 +382,7 @@
 	   a_recorder_knows_better_than_the_own_list,
 	   streams_are_recorded_only_beside_another_release,
 	   each_note_of_a_stream_names_the_release_that_began_it,
+	   a_stream_of_a_release_that_is_not_listed_yet_is_noted,
 	   a_take_up_goes_to_the_service_that_began_the_stream,
 	   a_take_up_waits_at_its_teams_limit,
 	   only_what_is_left_of_a_stream_is_estimated,
