store_task: a release counts that came and left between two looks at the list

The history of releases saw the list of runners as it stands once a batch of entries has been read. A process that stood still, or lost the store, reads at once that a runner of another release came and that it left, never sees that release, and takes the one that is left for the only one: streams that began on the other would be taken up on it.

Now each new entry counts as it is read.

Test: a_release_that_came_and_left_between_two_reads_counts (test_stream_recorder) failed before: the only release of the service where none is wanted.

--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -135,6 +135,10 @@
 			  " epoch=%" PRIu64,
 			  runner->id, runner->is_leaving ? "yes" : "no",
 			  runner->sequence, s->runners.state.known.epoch);
+	/* It may be gone before the list is looked at as a whole. */
+	if (result == RUNNER_ENTRY_NEW)
+		release_history_see(&s->releases.history, runner->service,
+				    runner->release, now_us());
 	return news[result];
 }
 
--- a/tests/test_stream_recorder.c
+++ b/tests/test_stream_recorder.c
@@ -297,6 +297,30 @@
 }
 END_TEST
 
+/*
+ * Guards against streams joined from two releases: the second one served and left
+ * while this process stood still, and it read of both at once.
+ */
+START_TEST(a_release_that_came_and_left_between_two_reads_counts)
+{
+	store_fixture_t f;
+
+	start(&f);
+	store_fixture_put_release(&f, "i-1", "v1");
+	ck_assert(store_fixture_await(&f, &f.part_appends, 1));
+	store_fixture_restart(&f);
+	for (int i = 0; i < 10 && !f.only_release; i++)
+		store_fixture_run(&f, RUN_US);
+	ck_assert_uint_eq(f.only_release, release_history_hash("s", "v1"));
+	store_fixture_put_release(&f, "i-2", "v2");
+	store_fixture_put(&f, STORE_RUNNERS, "i-2", g_strdup(""));
+	for (int i = 0; i < 10 && f.only_release; i++)
+		store_fixture_run(&f, RUN_US);
+	ck_assert_uint_eq(f.only_release, 0);
+	store_fixture_finish(&f);
+}
+END_TEST
+
 START_TEST(all_words_on_a_stream_have_one_recorder)
 {
 	for (uint64_t stream = 1; stream < 1000; stream += 37)
@@ -314,6 +338,7 @@
 	   the_release_that_began_a_stream_is_told_at_once,
 	   a_new_recorder_reads_the_store_before_it_knows_nothing,
 	   a_recorder_that_knows_of_another_release_confirms_none,
+	   a_release_that_came_and_left_between_two_reads_counts,
 	   the_last_send_counts_in_whatever_order_it_is_written,
 	   a_later_word_in_the_store_replaces_an_earlier_one,
 	   a_recorder_answers_from_memory, streams_outlive_a_restart_of_all,
