relay_release: in a zone that is cut off its recorder's ignorance is no answer

A zone is cut off from the others and from the store; a second release joins outside; a caller that reaches both sides takes a stream of it up inside. The recorder there is a daemon of that zone. It doesn't know the stream, and its list of runners agrees with the asker's, as both are as old. The asker believed it and went on with the first release.

docs/design/version-affinity.md says that such a take-up is refused; that held only where the daemon is its own recorder. Now it holds for each answer while another zone is cut off and the list of runners isn't new. Ruled out: the same for every old list. With the store away from all daemons nobody has a newer list, and take-ups would end with it.

Test: a_recorder_that_is_cut_off_too_is_not_believed; without the new condition it fails (200 instead of 503).

--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -141,20 +141,27 @@
 }
 
 /*
- * This daemon's own word that it doesn't know the stream says little until its
- * list of runners is new: notes may wait in its sockets.
+ * That a recorder doesn't know the stream may say little until the list of
+ * runners is new: this daemon's own notes may wait in its sockets, and where a
+ * zone is cut off, the recorder is on the same side as this daemon.
  */
-static void on_answer(relay_t *r, const message_streams_t *m)
+static bool may_be_unaware(const relay_t *r, const message_streams_t *m)
 {
 	bool is_own = !m->peer[0];
+	bool is_apart = g_hash_table_size(r->gateway->partitioned_zones) > 0;
+
+	return (is_own || is_apart) && !has_new_list(r);
+}
 
+static void on_answer(relay_t *r, const message_streams_t *m)
+{
 	if (m->stream.release) {
 		r->release = m->stream.release;
 		log_found(r, "its recorder knows it");
 		relay_request_limit(r);
 		return;
 	}
-	if (is_own && only_release(r) && !has_new_list(r))
+	if (only_release(r) && may_be_unaware(r, m))
 		return;
 	if (use_only_release(r, "its recorder doesn't know it"))
 		relay_request_limit(r);
