tests, KNOWN-RED: a repeat that gets a running stream without its first event

Fails on this code: the stream's first event is longer than what is kept of an answer (max_answer_kib), a repeat with the same key joins, and gets the second event and [DONE] with status 200, as if the stream were whole.

test_ordered_streams: a_repeat_does_not_join_after_a_first_event_that_is_not_kept: 200 data: {"n":2} data: [DONE]; 409 is wanted

--- a/tests/test_ordered_streams.c
+++ b/tests/test_ordered_streams.c
@@ -19,6 +19,8 @@
 
 enum {
 	LIMIT_US = 5 * G_USEC_PER_SEC,
+	JOIN_US = 200 * 1000, /* for a repeat to join */
+	LONG_EVENT_BYTES = 5000, /* more than the fixture keeps of an answer */
 };
 
 /* A runner, or the owner of a key, whose answer the test sends by parts. */
@@ -104,6 +106,15 @@
 	ck_assert_msg(strstr(c->body->str, text) != NULL, "%s", c->body->str);
 }
 
+/* Lets what was sent arrive; ends sooner if C is answered. */
+static void run_for(front_fixture_t *fixture, const front_client_t *c)
+{
+	int64_t end = g_get_monotonic_time() + JOIN_US;
+
+	while (!c->is_ended && g_get_monotonic_time() < end)
+		run_once(fixture);
+}
+
 static void begin(front_fixture_t *fixture, peer_t *runner)
 {
 	front_fixture_init(fixture);
@@ -145,6 +156,34 @@
 }
 END_TEST
 
+/* Guards against a repeat that lacks an event too long to be kept. */
+START_TEST(a_repeat_does_not_join_after_a_first_event_that_is_not_kept)
+{
+	g_autofree char *filler = g_strnfill(LONG_EVENT_BYTES, 'x');
+	g_autofree char *event = g_strdup_printf("data: %s\n\n", filler);
+	front_fixture_t fixture;
+	front_client_t *a, *b;
+	peer_t runner;
+
+	begin(&fixture, &runner);
+	a = send_stream(&fixture, 0, KEY);
+	peer_accept(&runner, &fixture);
+	peer_send(&runner, SSE_HEAD);
+	peer_send(&runner, event);
+	await_text(&fixture, a, event);
+	b = send_stream(&fixture, 1, KEY);
+	run_for(&fixture, b);
+	peer_send(&runner, SECOND DONE);
+	peer_close(&runner);
+	front_run_until(&fixture, &a->is_ended);
+	front_run_until(&fixture, &b->is_ended);
+	ck_assert(g_str_has_suffix(a->body->str, SECOND DONE));
+	ck_assert_msg(b->status == 409, "%d %s", b->status, b->body->str);
+	ck_assert_int_eq(b->outcome, OUTCOME_UNKNOWN);
+	finish(&fixture, &runner);
+}
+END_TEST
+
 /* Guards against an event of a broken connection that comes twice, or never. */
 START_TEST(a_stream_resumes_on_its_runner_after_the_last_whole_event)
 {
@@ -313,6 +352,7 @@
 
 SUITE_MAIN("ordered_streams",
 	   a_repeat_gets_a_running_stream_from_its_first_event,
+	   a_repeat_does_not_join_after_a_first_event_that_is_not_kept,
 	   a_stream_resumes_on_its_runner_after_the_last_whole_event,
 	   a_forwarded_stream_that_is_cut_says_so,
 	   a_forwarded_stream_that_its_owner_ends_with_an_error_has_one,
