job: a repeat doesn't join a stream whose first event wasn't kept

Cause: send_stream_so_far took an empty answer for a stream that has no event yet. It is empty, too, when the first event is longer than max_answer_kib, as an event that doesn't fit is not kept, nor is any after it.

Ruled out: a later event that doesn't fit. Then the kept part isn't empty, and the repeat was answered 409 already.

Change: such a repeat is answered 409, unknown, like any whose answer so far is too long to be repeated.

Before: a_repeat_does_not_join_after_a_first_event_that_is_not_kept failed (200, the stream from its second event to [DONE]). After: it passes, as do the six others.

--- a/daemon/job.c
+++ b/daemon/job.c
@@ -110,7 +110,8 @@
 				 .content_type = job->content_type,
 				 .request_id = job->id };
 
-	if (!job->is_sse || !job->answer->len)
+	/* Without a kept event it is the first one that was too long. */
+	if (!job->is_sse || (!job->answer->len && !job->is_answer_too_long))
 		return;
 	if (!job->is_answer_too_long) {
 		caller_begin_stream(c, &head);
