tests, KNOWN-RED: the text of another answer in a resumed stream, and its end

Fails on this code: a stream breaks, and its runner answers the request to resume it with a 404, a 503 or something that is no event stream; the text of that answer goes to the caller as events, and its [DONE] ends the stream as whole.

test_ordered_streams: an_answer_that_does_not_resume_is_not_part_of_the_stream: answer 0: data: {"n":1} data: other data: [DONE]

--- a/tests/test_ordered_streams.c
+++ b/tests/test_ordered_streams.c
@@ -184,6 +184,38 @@
 }
 END_TEST
 
+/* Guards against another answer's text in a stream, and against a false end. */
+START_TEST(an_answer_that_does_not_resume_is_not_part_of_the_stream)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 404 No\r\nContent-Type: text/event-stream\r\n\r\n"
+		"data: other\n\n" DONE,
+		"HTTP/1.1 503 No\r\nContent-Type: application/json\r\n\r\n"
+		"{\"other\":1}\n\n" DONE,
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n"
+		"data: other\n\n" DONE,
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		front_fixture_t fixture;
+		front_client_t *c;
+
+		front_fixture_init(&fixture);
+		fixture.runner_answer = SSE_HEAD FIRST;
+		fixture.resume_answer = answers[i];
+		c = front_request(&fixture, 0, EVHTTP_REQ_POST, COMPLETIONS, "",
+				  STREAM_PROMPT);
+		ck_assert_msg(g_str_has_prefix(c->body->str, FIRST) &&
+				      !strstr(c->body->str, "other") &&
+				      !strstr(c->body->str, DONE),
+			      "answer %zu: %s", i, c->body->str);
+		ck_assert_ptr_nonnull(
+			strstr(c->body->str, "\"outcome\":\"unknown\""));
+		front_fixture_finish(&fixture);
+	}
+}
+END_TEST
+
 /* Guards against an event of a broken connection that comes twice, or never. */
 START_TEST(a_stream_resumes_on_its_runner_after_the_last_whole_event)
 {
@@ -353,6 +385,7 @@
 SUITE_MAIN("ordered_streams",
 	   a_repeat_gets_a_running_stream_from_its_first_event,
 	   a_repeat_does_not_join_after_a_first_event_that_is_not_kept,
+	   an_answer_that_does_not_resume_is_not_part_of_the_stream,
 	   a_stream_resumes_on_its_runner_after_the_last_whole_event,
 	   a_forwarded_stream_that_is_cut_says_so,
 	   a_forwarded_stream_that_its_owner_ends_with_an_error_has_one,
