job_upstream: only an event stream resumes a stream

Cause: the head of the answer to a request to resume a stream was skipped, and its body went to the caller as events, whatever its status and type: the text of a 404 of a runner that came back and doesn't know the request, and the [DONE] in it as the end of the stream.

Ruled out: a runner's event parts. What a broken connection held of an event is dropped before the stream is resumed (a_stream_resumes_on_its_runner_after_the_last_whole_event passed before, too).

Change: the body of an answer that isn't 200 and an event stream is dropped. As before, the stream is asked for three times at most, and then ends with an error, unknown.

Before: an_answer_that_does_not_resume_is_not_part_of_the_stream failed (a 404's event and [DONE] in the stream). After: it passes for a 404, a 503 and a 200 of another type; test_ordered_streams 8 of 8, test_front 13 of 13, test_front_keys 12 of 12.

--- a/daemon/job.h
+++ b/daemon/job.h
@@ -77,6 +77,7 @@
 	bool is_paused; /* reading from the upstream is paused */
 	uint32_t n_events; /* data events of the stream, without [DONE] */
 	uint32_t resumes; /* attempts to resume the stream */
+	bool is_resumed; /* the last attempt's answer is an event stream */
 	int status; /* HTTP status of the response */
 	char *content_type;
 	outcome_t forwarded_outcome; /* stated by the owner's response */
--- a/daemon/job_upstream.c
+++ b/daemon/job_upstream.c
@@ -101,20 +101,27 @@
 	return true;
 }
 
+static bool is_event_stream(int status, const char *type)
+{
+	return status == HTTP_OK && type &&
+	       g_str_has_prefix(type, "text/event-stream");
+}
+
 static void on_head(void *ctx, int status, struct evkeyvalq *headers)
 {
 	job_t *job = ctx;
 	const char *type = evhttp_find_header(headers, "Content-Type");
 	const char *retry = evhttp_find_header(headers, "Retry-After");
 
-	if (job->resumes && job->is_sse)
+	if (job->resumes && job->is_sse) {
+		job->is_resumed = is_event_stream(status, type);
 		return;
+	}
 	job->status = status;
 	g_free(job->content_type);
 	job->content_type = g_strdup(type);
 	job->is_sse = (job->is_engine || job->is_forwarded_to_owner) &&
-		      status == HTTP_OK && type &&
-		      g_str_has_prefix(type, "text/event-stream");
+		      is_event_stream(status, type);
 	if (job->is_sse && !job->sse.partial)
 		sse_init(&job->sse, MAX_EVENT_BYTES, on_event, job);
 	job->forwarded_outcome =
@@ -133,6 +140,9 @@
 		g_string_append_len(job->answer, bytes.ptr, (gssize)bytes.len);
 		return;
 	}
+	/* The text of a refusal is no part of the stream. */
+	if (job->resumes && !job->is_resumed)
+		return;
 	if (!sse_feed(&job->sse, bytes))
 		job_fail(job, OUTCOME_UNKNOWN, 502,
 			 "the upstream sent an event without end", 0);
@@ -265,6 +275,7 @@
 	metrics_add(&job->front->sup->metrics, "papaya_resumes_total", NULL, 1);
 	log_info("request %s: resuming stream at event %u", job->id,
 		 job->n_events);
+	job->is_resumed = false;
 	sse_reset(&job->sse);
 	start_exchange(job, &request);
 }
