tests, KNOWN-RED: a cut stream that looks whole as its text names an error

Fails on this code: a stream is forwarded to the daemon that owns its key, one of its events contains the word error in quotes (a token of that text, an error member that is null), and the connection breaks: the caller's answer ends in order, with neither [DONE] nor an error.

--- a/tests/test_ordered_streams.c
+++ b/tests/test_ordered_streams.c
@@ -300,6 +300,35 @@
 }
 END_TEST
 
+/* Guards against a cut stream that looks whole as its text names an error. */
+START_TEST(a_forwarded_stream_whose_text_names_an_error_is_cut_nevertheless)
+{
+	static const char *const events[] = {
+		"data: {\"text\":\"error\"}\n\n",
+		"data: {\"n\":1,\"error\":null}\n\n",
+		"data: {\"error\":{\"message\":\"m\"}}\n\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(events); i++) {
+		front_fixture_t fixture;
+		front_client_t *c;
+		peer_t owner;
+
+		begin_forward(&fixture, &owner);
+		c = send_stream(&fixture, 0, KEY);
+		peer_accept(&owner, &fixture);
+		peer_send(&owner, SSE_HEAD);
+		peer_send(&owner, events[i]);
+		await_text(&fixture, c, events[i]);
+		peer_close(&owner);
+		front_run_until(&fixture, &c->is_ended);
+		ck_assert_msg(states_its_end(c), "event %zu: %s", i,
+			      c->body->str);
+		finish(&fixture, &owner);
+	}
+}
+END_TEST
+
 /* Guards against a second error behind the one that the key's owner sent. */
 START_TEST(a_forwarded_stream_that_its_owner_ends_with_an_error_has_one)
 {
@@ -388,6 +417,7 @@
 	   an_answer_that_does_not_resume_is_not_part_of_the_stream,
 	   a_stream_resumes_on_its_runner_after_the_last_whole_event,
 	   a_forwarded_stream_that_is_cut_says_so,
+	   a_forwarded_stream_whose_text_names_an_error_is_cut_nevertheless,
 	   a_forwarded_stream_that_its_owner_ends_with_an_error_has_one,
 	   a_repeat_of_a_cut_stream_gets_its_error,
 	   a_second_answer_is_no_part_of_the_first)
