job_upstream: a stream's text that names an error doesn't make it whole

Cause: a daemon that forwards a stream to the owner of its key takes the stream as ended by the owner after [DONE] or after an error, and took every event that contains the word error in quotes for one: a token of that text, an error member that is null, a runner's own error in the middle of the stream. When the connection to the owner broke later, the caller's answer ended in order.

Ruled out: parts without such an event. a_forwarded_stream_that_is_cut_says_so passed before, for closes and resets, between two events, within one and within [DONE].

Change: only the last event counts, and only the error that a daemon writes at such an end, which states an outcome.

Before: a_forwarded_stream_whose_text_names_an_error_is_cut_nevertheless failed (no [DONE], no error). After: it passes for three such events, and a_forwarded_stream_that_its_owner_ends_with_an_error_has_one still does; test_ordered_streams 9 of 9, test_front 13 of 13, test_front_keys 12 of 12.

--- a/daemon/job.h
+++ b/daemon/job.h
@@ -73,7 +73,7 @@
 	sse_t sse;
 	bool is_sse; /* the response is an event stream */
 	bool has_done_event; /* the stream's [DONE] event was received */
-	bool has_error_event; /* an event of the stream held an error */
+	bool has_cut_error; /* its last event says that it was cut */
 	bool is_paused; /* reading from the upstream is paused */
 	uint32_t n_events; /* data events of the stream, without [DONE] */
 	uint32_t resumes; /* attempts to resume the stream */
--- a/daemon/job_upstream.c
+++ b/daemon/job_upstream.c
@@ -44,6 +44,25 @@
 	json_decref(root);
 }
 
+/*
+ * Whether an event is the error with which a daemon ends a stream that was cut
+ * (caller_error_json). Runners' events may name an error, too.
+ */
+static bool is_cut_error(str_t data)
+{
+	json_t *root, *error;
+	bool is_cut;
+
+	/* Skip parsing the others. */
+	if (!g_strstr_len(data.ptr, (gssize)data.len, "\"error\""))
+		return false;
+	root = json_loadb(data.ptr, data.len, 0, NULL);
+	error = json_object_get(root, "error");
+	is_cut = json_is_string(json_object_get(error, "outcome"));
+	json_decref(root);
+	return is_cut;
+}
+
 static void record_first_token(job_t *job)
 {
 	if (job->first_token_at)
@@ -66,8 +85,7 @@
 		if (!job->usage.is_exact)
 			job->usage.output = job->n_events;
 		parse_usage(job, data);
-		if (g_strstr_len(data.ptr, (gssize)data.len, "\"error\""))
-			job->has_error_event = true;
+		job->has_cut_error = is_cut_error(data);
 	}
 	job_send_event(job, raw);
 }
@@ -178,7 +196,7 @@
 static void end_forward(job_t *job, const err_t *err)
 {
 	bool is_complete =
-		job->is_sse ? job->has_done_event || job->has_error_event :
+		job->is_sse ? job->has_done_event || job->has_cut_error :
 			      !err && job->forwarded_outcome != OUTCOME_NONE;
 
 	if (is_complete)
