test_tunnel: parts of an answer behind a slow reader, and tunnels that are cut

No test showed that an answer through a tunnel keeps its order with a reader that pauses, nor what its end, a reset and the end of the proxy look like to a reader that has not all of it; nor that a proxy that stops carries a stream to its end, nor that a tunnel may be cut within a frame.

--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -374,10 +374,217 @@
 }
 END_TEST
 
+/* Runs for a while, so that what was sent arrives. */
+static void run_for(exchange_t *x, int ms)
+{
+	int64_t end = g_get_monotonic_time() + ms * INT64_C(1000);
+
+	while (g_get_monotonic_time() < end) {
+		event_base_loop(x->base, EVLOOP_NONBLOCK);
+		g_usleep(500);
+	}
+}
+
+enum { LONG_BYTES = 4 << 20, SLOW_MS = 50 };
+
+/* Numbered lines, so that a missing or a repeated part shows. */
+static GString *make_long_body(void)
+{
+	GString *body = g_string_sized_new(LONG_BYTES + 16);
+
+	while (body->len < LONG_BYTES)
+		g_string_append_printf(body, "%zu\n", body->len);
+	return body;
+}
+
+/* Sends what the connection takes of TEXT from *SENT on. */
+static void send_some(int fd, const GString *text, size_t *sent)
+{
+	ssize_t n = send(fd, text->str + *sent, text->len - *sent,
+			 MSG_DONTWAIT | MSG_NOSIGNAL);
+
+	if (n > 0)
+		*sent += (size_t)n;
+}
+
+/*
+ * Sends a long answer without a length to a reader that pauses again and again.
+ * Returns the runner's connection, with the answer sent to its end.
+ */
+static int send_to_slow_reader(exchange_t *x, const GString *body)
+{
+	size_t sent = 0;
+	int fd;
+
+	begin(x);
+	send_request(x);
+	fd = accept_request(x);
+	ck_assert(tcp_send_all(fd, HEAD "\r\n", strlen(HEAD "\r\n")));
+	for (int i = 0; sent < body->len && i < 1000; i++) {
+		upstream_conn_pause(x->conn, i % 2 == 0);
+		for (int k = 0; k < 20; k++) {
+			send_some(fd, body, &sent);
+			event_base_loop(x->base, EVLOOP_NONBLOCK);
+		}
+		g_usleep(500);
+	}
+	ck_assert_uint_eq(sent, body->len);
+	return fd;
+}
+
+/* Guards against parts that are lost or come twice with a slow reader. */
+START_TEST(a_long_answer_to_a_slow_reader_is_whole)
+{
+	GString *body = make_long_body();
+	exchange_t x;
+	int fd = send_to_slow_reader(&x, body);
+
+	upstream_conn_pause(x.conn, true);
+	close(fd);
+	run_for(&x, SLOW_MS);
+	ck_assert_int_eq(x.n_ends, 0);
+	upstream_conn_pause(x.conn, false);
+	run_until(&x, &x.n_ends);
+	ck_assert_int_eq(x.end, UPSTREAM_COMPLETE);
+	ck_assert(g_string_equal(x.body, body));
+	finish(&x);
+	g_string_free(body, TRUE);
+}
+END_TEST
+
+/* Guards against a reset that looks like an end to a reader that paused. */
+START_TEST(a_reset_before_a_slow_reader_has_all_ends_no_answer)
+{
+	GString *body = make_long_body();
+	exchange_t x;
+	int fd = send_to_slow_reader(&x, body);
+
+	upstream_conn_pause(x.conn, true);
+	tcp_reset(fd);
+	run_for(&x, SLOW_MS);
+	upstream_conn_pause(x.conn, false);
+	run_until(&x, &x.n_ends);
+	ck_assert_int_eq(x.end, UPSTREAM_BROKEN);
+	ck_assert(g_str_has_prefix(body->str, x.body->str));
+	finish(&x);
+	g_string_free(body, TRUE);
+}
+END_TEST
+
+/* Guards against a whole answer from a proxy that ends before a slow reader. */
+START_TEST(the_end_of_the_proxy_before_a_slow_reader_ends_no_answer)
+{
+	GString *body = make_long_body();
+	exchange_t x;
+	int fd = send_to_slow_reader(&x, body);
+
+	upstream_conn_pause(x.conn, true);
+	tunnel_server_finish(&x.proxy);
+	x.proxy.listener = NULL;
+	run_for(&x, SLOW_MS);
+	upstream_conn_pause(x.conn, false);
+	run_until(&x, &x.n_ends);
+	ck_assert_int_eq(x.end, UPSTREAM_BROKEN);
+	ck_assert(g_str_has_prefix(body->str, x.body->str));
+	close(fd);
+	finish(&x);
+	g_string_free(body, TRUE);
+}
+END_TEST
+
+/* Guards against answers that a proxy cuts by stopping in good order. */
+START_TEST(a_proxy_that_leaves_carries_an_answer_to_its_end)
+{
+	exchange_t x;
+	int fd;
+
+	begin(&x);
+	send_request(&x);
+	fd = accept_request(&x);
+	ck_assert(tcp_send_all(fd, HEAD "\r\nhello", strlen(HEAD) + 7));
+	run_for(&x, SLOW_MS);
+	tunnel_server_leave(&x.proxy);
+	run_for(&x, SLOW_MS);
+	ck_assert_int_eq(x.n_ends, 0);
+	ck_assert(tcp_send_all(fd, ", world", 7));
+	close(fd);
+	run_until(&x, &x.n_ends);
+	ck_assert_int_eq(x.end, UPSTREAM_COMPLETE);
+	ck_assert_str_eq(x.body->str, BODY);
+	finish(&x);
+}
+END_TEST
+
+/* Waits for a tunnel at X's runner, which stands for the proxy here. */
+static int accept_tunnel(exchange_t *x)
+{
+	char buf[256];
+	int fd;
+
+	begin(x);
+	g_strlcpy(x->proxy_address, x->runner_address,
+		  sizeof(x->proxy_address));
+	send_request(x);
+	run_for(x, SLOW_MS);
+	fd = accept(x->runner, NULL, NULL);
+	ck_assert_int_ge(fd, 0);
+	ck_assert_int_gt(tcp_receive(fd, buf, sizeof(buf), LIMIT_US / 1000), 0);
+	return fd;
+}
+
+static void write_out(struct evbuffer *out, int fd)
+{
+	size_t len = evbuffer_get_length(out);
+
+	ck_assert(tcp_send_all(fd, evbuffer_pullup(out, -1), len));
+	evbuffer_free(out);
+}
+
+/* Guards against a killed proxy whose last bytes look like an answer's end. */
+START_TEST(a_tunnel_that_is_cut_anywhere_ends_no_answer)
+{
+	static const char text[] = HEAD "\r\n" BODY;
+	const size_t lengths[] = { 1, 3, 3 + 10, 3 + strlen(text),
+				   3 + strlen(text) + 2 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lengths) * 2; i++) {
+		struct evbuffer *out = evbuffer_new();
+		struct evbuffer *data = evbuffer_new();
+		struct evbuffer *cut = evbuffer_new();
+		exchange_t x;
+		int fd = accept_tunnel(&x);
+
+		tunnel_write(cut, TUNNEL_OPEN);
+		evbuffer_add_printf(data, "%s", text);
+		tunnel_write_data(out, data);
+		tunnel_write(out, TUNNEL_END);
+		evbuffer_remove_buffer(out, cut, lengths[i / 2]);
+		write_out(cut, fd);
+		run_for(&x, SLOW_MS);
+		ck_assert_int_eq(x.n_ends, 0);
+		if (i % 2)
+			close(fd);
+		else
+			tcp_reset(fd);
+		run_until(&x, &x.n_ends);
+		ck_assert_msg(x.end == UPSTREAM_BROKEN, "case %zu: end %d", i,
+			      x.end);
+		evbuffer_free(out);
+		evbuffer_free(data);
+		finish(&x);
+	}
+}
+END_TEST
+
 SUITE_MAIN("tunnel", an_answer_comes_through_and_the_tunnel_is_used_again,
 	   an_answer_may_end_with_the_runners_connection,
 	   the_end_of_the_proxy_ends_no_answer, a_reset_by_the_runner_is_told,
 	   a_runner_that_is_down_is_told_from_a_proxy_that_is_cut_off,
 	   a_proxy_that_leaves_opens_no_tunnel,
 	   the_other_daemons_end_closes_the_runners_connection,
-	   only_daemons_open_tunnels, frames_may_come_in_pieces)
+	   only_daemons_open_tunnels, frames_may_come_in_pieces,
+	   a_long_answer_to_a_slow_reader_is_whole,
+	   a_reset_before_a_slow_reader_has_all_ends_no_answer,
+	   the_end_of_the_proxy_before_a_slow_reader_ends_no_answer,
+	   a_proxy_that_leaves_carries_an_answer_to_its_end,
+	   a_tunnel_that_is_cut_anywhere_ends_no_answer)
