--- a/daemon/job_upstream.c
+++ b/daemon/job_upstream.c
@@ -44,6 +44,25 @@
 	json_decref(root);
 }
 
+/*
+ * Whether an event is the error with which a daemon ends a stream that was cut
+ * (caller_error_json). Runners' events may name an error, too.
+ */
+static bool is_cut_error(str_t data)
+{
+	json_t *root, *error;
+	bool is_cut;
+
+	/* Skip parsing the others. */
+	if (!g_strstr_len(data.ptr, (gssize)data.len, "\"error\""))
+		return false;
+	root = json_loadb(data.ptr, data.len, 0, NULL);
+	error = json_object_get(root, "error");
+	is_cut = json_is_string(json_object_get(error, "outcome"));
+	json_decref(root);
+	return is_cut;
+}
+
 static void record_first_token(job_t *job)
 {
 	if (job->first_token_at)
@@ -66,8 +85,7 @@
 		if (!job->usage.is_exact)
 			job->usage.output = job->n_events;
 		parse_usage(job, data);
-		if (g_strstr_len(data.ptr, (gssize)data.len, "\"error\""))
-			job->has_error_event = true;
+		job->has_cut_error = is_cut_error(data);
 	}
 	job_send_event(job, raw);
 }
@@ -101,20 +119,27 @@
 	return true;
 }
 
+static bool is_event_stream(int status, const char *type)
+{
+	return status == HTTP_OK && type &&
+	       g_str_has_prefix(type, "text/event-stream");
+}
+
 static void on_head(void *ctx, int status, struct evkeyvalq *headers)
 {
 	job_t *job = ctx;
 	const char *type = evhttp_find_header(headers, "Content-Type");
 	const char *retry = evhttp_find_header(headers, "Retry-After");
 
-	if (job->resumes && job->is_sse)
+	if (job->resumes && job->is_sse) {
+		job->is_resumed = is_event_stream(status, type);
 		return;
+	}
 	job->status = status;
 	g_free(job->content_type);
 	job->content_type = g_strdup(type);
 	job->is_sse = (job->is_engine || job->is_forwarded_to_owner) &&
-		      status == HTTP_OK && type &&
-		      g_str_has_prefix(type, "text/event-stream");
+		      is_event_stream(status, type);
 	if (job->is_sse && !job->sse.partial)
 		sse_init(&job->sse, MAX_EVENT_BYTES, on_event, job);
 	job->forwarded_outcome =
@@ -133,6 +158,9 @@
 		g_string_append_len(job->answer, bytes.ptr, (gssize)bytes.len);
 		return;
 	}
+	/* The text of a refusal is no part of the stream. */
+	if (job->resumes && !job->is_resumed)
+		return;
 	if (!sse_feed(&job->sse, bytes))
 		job_fail(job, OUTCOME_UNKNOWN, 502,
 			 "the upstream sent an event without end", 0);
@@ -168,7 +196,7 @@
 static void end_forward(job_t *job, const err_t *err)
 {
 	bool is_complete =
-		job->is_sse ? job->has_done_event || job->has_error_event :
+		job->is_sse ? job->has_done_event || job->has_cut_error :
 			      !err && job->forwarded_outcome != OUTCOME_NONE;
 
 	if (is_complete)
@@ -265,6 +293,7 @@
 	metrics_add(&job->front->sup->metrics, "papaya_resumes_total", NULL, 1);
 	log_info("request %s: resuming stream at event %u", job->id,
 		 job->n_events);
+	job->is_resumed = false;
 	sse_reset(&job->sse);
 	start_exchange(job, &request);
 }
