--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -20,7 +20,12 @@
 #define HEAD "HTTP/1.1 200 OK\r\n"
 #define BODY "hello, world"
 
-enum { LIMIT_US = 2 * G_USEC_PER_SEC };
+enum {
+	LIMIT_US = 2 * G_USEC_PER_SEC,
+	UPLOAD_BYTES = 4000000, /* far more than all sockets hold */
+	RECEIVE_BUFFER = 16384, /* of the runner */
+	ROUNDS = 20, /* which error is reported first differs */
+};
 
 typedef struct exchange {
 	struct event_base *base;
@@ -111,12 +116,10 @@
 	g_string_free(x->body, TRUE);
 }
 
-static void send_request(exchange_t *x)
+static void send_bytes(exchange_t *x, struct evbuffer *request)
 {
 	static const upstream_ops_t ops = { on_head, on_body, on_end };
-	struct evbuffer *request = evbuffer_new();
 
-	evbuffer_add_printf(request, "GET / HTTP/1.1\r\n\r\n");
 	x->conn = upstream_conn_start(&x->pool, x->runner_address,
 				      x->proxy_address, UPSTREAM_REUSE_ANY,
 				      false, request, &ops, x);
@@ -124,6 +127,14 @@
 	evbuffer_free(request);
 }
 
+static void send_request(exchange_t *x)
+{
+	struct evbuffer *request = evbuffer_new();
+
+	evbuffer_add_printf(request, "GET / HTTP/1.1\r\n\r\n");
+	send_bytes(x, request);
+}
+
 static void run_until(exchange_t *x, const int *value)
 {
 	int64_t end = g_get_monotonic_time() + LIMIT_US;
@@ -253,6 +264,129 @@
 }
 END_TEST
 
+static void send_upload(exchange_t *x)
+{
+	struct evbuffer *request = evbuffer_new();
+	g_autofree char *body = g_malloc0(UPLOAD_BYTES);
+	int size = RECEIVE_BUFFER;
+
+	setsockopt(x->runner, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	evbuffer_add_printf(request,
+			    "POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n",
+			    UPLOAD_BYTES);
+	evbuffer_add(request, body, UPLOAD_BYTES);
+	send_bytes(x, request);
+}
+
+/* What the runner does after its answer, with most of the upload unread. */
+typedef enum ending {
+	RESET_AT_ONCE, /* right after the answer's bytes */
+	RESET_LATER, /* once they were received */
+	CLOSE_UNREAD, /* closes, which resets since bytes are unread */
+	END_IN_ORDER, /* ends its side, and reads the upload to its end */
+} ending_t;
+
+static void run_until_received(exchange_t *x, size_t n)
+{
+	int64_t end = g_get_monotonic_time() + LIMIT_US;
+
+	while (x->body->len < n && g_get_monotonic_time() < end) {
+		event_base_loop(x->base, EVLOOP_NONBLOCK);
+		g_usleep(200);
+	}
+	ck_assert_uint_ge(x->body->len, n);
+}
+
+static void read_upload_to_end(exchange_t *x, int fd)
+{
+	int64_t end = g_get_monotonic_time() + LIMIT_US;
+	char buf[RECEIVE_BUFFER];
+	ssize_t n = -1;
+
+	shutdown(fd, SHUT_WR);
+	while (n != 0 && g_get_monotonic_time() < end) {
+		event_base_loop(x->base, EVLOOP_NONBLOCK);
+		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+	}
+	close(fd);
+}
+
+/* Answers an upload early with HEADERS and BODY; returns how that ended. */
+static upstream_end_t play_early_answer(exchange_t *x, const char *headers,
+					ending_t ending)
+{
+	int fd;
+
+	send_upload(x);
+	fd = accept_request(x);
+	answer(fd, headers);
+	if (ending == RESET_LATER)
+		run_until_received(x, 1);
+	if (ending == END_IN_ORDER)
+		read_upload_to_end(x, fd);
+	else if (ending == CLOSE_UNREAD)
+		close(fd);
+	else
+		tcp_reset(fd);
+	run_until(x, &x->n_ends);
+	return x->end;
+}
+
+static void check_early_answer(const char *headers, ending_t ending,
+			       upstream_end_t expected)
+{
+	for (int i = 0; i < ROUNDS; i++) {
+		exchange_t x;
+		upstream_end_t end;
+
+		begin(&x);
+		end = play_early_answer(&x, headers, ending);
+		ck_assert_msg(end == expected, "\"%s\", round %d: end %d",
+			      headers, i, end);
+		if (end == UPSTREAM_COMPLETE)
+			ck_assert_str_eq(x.body->str, BODY);
+		else
+			ck_assert_int_eq(x.way, UPSTREAM_WAY_REMOTE);
+		finish(&x);
+	}
+}
+
+/*
+ * Guards against: a part of an answer looks whole, as its reset was reported to
+ * a write of the proxy and the next read returned an orderly end.
+ */
+START_TEST(an_early_answer_that_is_reset_is_not_complete)
+{
+	static const ending_t endings[] = { RESET_AT_ONCE, RESET_LATER,
+					    CLOSE_UNREAD };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(endings); i++)
+		check_early_answer("Connection: close\r\n", endings[i],
+				   UPSTREAM_BROKEN);
+}
+END_TEST
+
+/* Guards against: a part looks whole although its framing says otherwise. */
+START_TEST(an_early_answer_that_its_framing_shows_cut_is_not_complete)
+{
+	check_early_answer("Content-Length: 13\r\n", RESET_AT_ONCE,
+			   UPSTREAM_BROKEN);
+	check_early_answer("Transfer-Encoding: chunked\r\n\r\n"
+			   "ff\r\npart",
+			   RESET_AT_ONCE, UPSTREAM_BROKEN);
+}
+END_TEST
+
+/* Guards against: a whole answer is lost, as its request wasn't read. */
+START_TEST(an_early_answer_that_is_whole_comes_through)
+{
+	check_early_answer("Connection: close\r\n", END_IN_ORDER,
+			   UPSTREAM_COMPLETE);
+	check_early_answer("Content-Length: 12\r\n", RESET_AT_ONCE,
+			   UPSTREAM_COMPLETE);
+}
+END_TEST
+
 START_TEST(a_runner_that_is_down_is_told_from_a_proxy_that_is_cut_off)
 {
 	static const struct {
@@ -377,6 +511,9 @@
 SUITE_MAIN("tunnel", an_answer_comes_through_and_the_tunnel_is_used_again,
 	   an_answer_may_end_with_the_runners_connection,
 	   the_end_of_the_proxy_ends_no_answer, a_reset_by_the_runner_is_told,
+	   an_early_answer_that_is_reset_is_not_complete,
+	   an_early_answer_that_its_framing_shows_cut_is_not_complete,
+	   an_early_answer_that_is_whole_comes_through,
 	   a_runner_that_is_down_is_told_from_a_proxy_that_is_cut_off,
 	   a_proxy_that_leaves_opens_no_tunnel,
 	   the_other_daemons_end_closes_the_runners_connection,
