tunnel_server: a runner's connection that was reset is told as broken

A runner answered a long upload early, without a length, and reset the connection. The asking daemon took the part that came through the tunnel as a complete answer.

Cause: TCP reports a reset to a process once. While part of the upload is unsent, that may be to a write; on_runner_event() reads on after it, since the runner may have answered before it stopped reading, and the next read returns an orderly end. The proxy then sent TUNNEL_END for a connection that was reset. Both in one callback (bits of reading and writing set) came out the same way.

Ruled out: the asking daemon's own check (has_write_failed in daemon/upstream.c; its connection to the proxy has no failed write, so it can't know).

Change: the tunnel remembers a failed write and then sends TUNNEL_BROKEN at the end. What the runner sent before goes through unchanged, so an answer that its own framing completes still counts.

--- a/daemon/tunnel_server.c
+++ b/daemon/tunnel_server.c
@@ -37,6 +37,11 @@
 	char address[TUNNEL_ADDRESS_SIZE]; /* of the runner */
 	struct bufferevent *client, *runner; /* the runner's may be NULL */
 	struct event *timer; /* end of the present state */
+	/*
+	 * A write to the runner failed. The system reports a reset only once:
+	 * after a write took it, reads return an orderly end.
+	 */
+	bool has_write_failed;
 } tunnel_t;
 
 static void tunnel_free(tunnel_t *t)
@@ -149,13 +154,17 @@
 		on_connect_failure(t, "the connection failed");
 		return;
 	}
+	if (what & BEV_EVENT_WRITING)
+		t->has_write_failed = true;
 	/* It may have answered before it stopped reading: read on. */
 	if (what & BEV_EVENT_WRITING && !(what & BEV_EVENT_READING)) {
 		bufferevent_disable(bev, EV_WRITE);
 		return;
 	}
 	forward_to_client(t);
-	close_with(t, what & BEV_EVENT_EOF ? TUNNEL_END : TUNNEL_BROKEN);
+	close_with(t, what & BEV_EVENT_EOF && !t->has_write_failed ?
+			      TUNNEL_END :
+			      TUNNEL_BROKEN);
 }
 
 static void connect_runner(tunnel_t *t)
