--- a/tests/test_front.c
+++ b/tests/test_front.c
@@ -145,6 +145,42 @@
 }
 END_TEST
 
+/*
+ * Guards against: a caller gets an answer of a runner in trouble, whose status
+ * is none.
+ */
+START_TEST(an_answer_whose_status_is_none_is_not_passed_on)
+{
+	static const char *const answers[] = {
+		"HTTP/1.1 000 Odd\r\nContent-Length: 5\r\n\r\nwrong",
+		"HTTP/1.1 099 Odd\r\nContent-Length: 5\r\n\r\nwrong",
+		"HTTP/1.1 101 Odd\r\nUpgrade: x\r\n\r\nwrong",
+		"HTTP/1.1 600 Odd\r\nContent-Length: 5\r\n\r\nwrong",
+		"HTTP/1.1 999 Odd\r\n\r\nwrong",
+		"HTTP/1.1 1000 Odd\r\nContent-Length: 5\r\n\r\nwrong",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers) * 2; i++) {
+		front_fixture_t fixture;
+		front_client_t *c;
+
+		front_fixture_init(&fixture);
+		fixture.runner_answer = answers[i / 2];
+		fixture.runner_end = FAKE_CLOSE;
+		c = front_request(&fixture, 0, EVHTTP_REQ_POST, COMPLETIONS, "",
+				  i % 2 ? STREAM_PROMPT : PROMPT);
+		ck_assert_msg(c->status == 502, "%s: %d %s", answers[i / 2],
+			      c->status, c->body->str);
+		ck_assert_int_eq(c->outcome, OUTCOME_UNKNOWN);
+		ck_assert_ptr_null(strstr(c->body->str, "wrong"));
+		event_base_loop(fixture.base, EVLOOP_NONBLOCK);
+		ck_assert_int_eq(fixture.last_done, DONE_BROKEN);
+		ck_assert_int_eq(fixture.runner.requests, 1);
+		front_fixture_finish(&fixture);
+	}
+}
+END_TEST
+
 START_TEST(a_complete_stream_gets_no_error_at_its_deadline)
 {
 	front_fixture_t fixture;
@@ -387,6 +423,7 @@
 
 SUITE_MAIN("front", malformed_requests_are_refused_without_dispatch,
 	   each_end_of_an_exchange_is_reported,
+	   an_answer_whose_status_is_none_is_not_passed_on,
 	   a_complete_stream_gets_no_error_at_its_deadline,
 	   a_silent_stream_is_kept_alive,
 	   a_stream_to_a_stalled_caller_is_bounded_and_cancelled,
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -174,6 +174,58 @@
 }
 END_TEST
 
+/* Checks what a caller gets of an answer with STATUS, which HTTP lacks. */
+static void check_odd_status(const char *status)
+{
+	g_autofree char *odd = g_strdup_printf(
+		"HTTP/1.1 %s Odd\r\nX-Attempt-Id: @\r\nX-Server-Seal: s\r\n"
+		"Content-Length: 5\r\n\r\nwrong",
+		status);
+	g_autofree char *and_ok = g_strconcat(odd, OK, NULL);
+	const reply_t alone[] = { { odd, REPLY_KEEP }, {} };
+	const reply_t followed[] = { { and_ok, REPLY_KEEP }, {} };
+	static const reply_t ok[] = { { OK, REPLY_KEEP }, {} };
+	const struct {
+		const char *request;
+		const reply_t *first;
+		const char *wanted;
+	} cases[] = {
+		{ REQUEST("/once/", "a"), alone, "HTTP/1.1 502 " },
+		{ REQUEST("/once/", "a"), followed, "HTTP/1.1 502 " },
+		{ REQUEST("/safe/", "a"), alone, "HTTP/1.1 200 OK" },
+		{ REQUEST("/stream/", "a"), alone, "HTTP/1.1 200 OK" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		gateway_fixture_t fixture;
+
+		gateway_fixture_begin(&fixture, cases[i].first, ok);
+		gateway_send(&fixture, 0, cases[i].request);
+		gateway_await(&fixture, 0, "HTTP/1.1 ");
+		gateway_run(&fixture, 20);
+		ck_assert_msg(gateway_count(&fixture, 0, cases[i].wanted) == 1,
+			      "status %s, case %zu: %s", status, i,
+			      fixture.callers[0].received->str);
+		ck_assert_int_eq(gateway_count(&fixture, 0, "HTTP/1.1 "), 1);
+		ck_assert_int_eq(gateway_count(&fixture, 0, "wrong"), 0);
+		gateway_fixture_finish(&fixture);
+	}
+}
+
+/*
+ * Guards against: a caller gets an answer of a runner in trouble, whose status
+ * is none.
+ */
+START_TEST(an_answer_whose_status_is_none_is_not_passed_on)
+{
+	static const char *const statuses[] = { "000", "0",   "20",   "099",
+						"600", "999", "1000", "101" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++)
+		check_odd_status(statuses[i]);
+}
+END_TEST
+
 START_TEST(a_refusal_is_given_only_where_nothing_ran)
 {
 	static const reply_t full[] = { { FULL, REPLY_KEEP },
@@ -528,6 +580,7 @@
 
 SUITE_MAIN("gateway", own_answers_to_head_have_no_body,
 	   exchanges_with_runners_are_answered_correctly,
+	   an_answer_whose_status_is_none_is_not_passed_on,
 	   a_refusal_is_given_only_where_nothing_ran,
 	   a_stream_resumes_after_the_last_event_forwarded,
 	   a_first_event_is_reported_to_the_granting_dispatcher,
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -259,6 +259,66 @@
 }
 END_TEST
 
+/* Guards against: a status that HTTP doesn't know counts as an answer. */
+START_TEST(an_answer_whose_status_is_none_is_invalid)
+{
+	static const char *const statuses[] = { "000", "20",   "099", "600",
+						"999", "1000", "101" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(statuses); i++) {
+		g_autofree char *answer = g_strdup_printf(
+			"HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\nok",
+			statuses[i]);
+		struct event_base *base = event_base_new();
+		fake_t f = { .answer = answer };
+		result_t r = { .base = base };
+
+		fake_init(&f, base);
+		run(&r, f.address, EVHTTP_REQ_POST, 200);
+		ck_assert_int_eq(r.n_ends, 1);
+		ck_assert_msg(r.err.code == ERR_INVALID, "%s: %s", statuses[i],
+			      err_code_name(r.err.code));
+		ck_assert_str_eq(r.body->str, "");
+		evconnlistener_free(f.listener);
+		g_string_free(r.body, TRUE);
+		event_base_free(base);
+	}
+}
+END_TEST
+
+/* Guards against: an interim answer is taken for the final one. */
+START_TEST(interim_answers_are_skipped)
+{
+	static const char *const interims[] = {
+		"HTTP/1.1 100 Continue\r\n\r\n",
+		"HTTP/1.1 102 Processing\r\n\r\n",
+		"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(interims); i++) {
+		g_autofree char *answer =
+			g_strconcat(interims[i], interims[i],
+				    "HTTP/1.1 201 Created\r\n"
+				    "Content-Length: 2\r\n\r\nok",
+				    NULL);
+		struct event_base *base = event_base_new();
+		fake_t f = { .answer = answer };
+		result_t r = { .base = base };
+
+		fake_init(&f, base);
+		run(&r, f.address, EVHTTP_REQ_POST, 200);
+		ck_assert_int_eq(r.n_ends, 1);
+		ck_assert_msg(r.err.code == ERR_NONE, "%s: %s", interims[i],
+			      r.err.detail);
+		ck_assert_int_eq(r.status, 201);
+		ck_assert_str_eq(r.body->str, "ok");
+		evconnlistener_free(f.listener);
+		g_string_free(r.body, TRUE);
+		event_base_free(base);
+	}
+}
+END_TEST
+
 START_TEST(never_sends_a_request_twice_by_itself)
 {
 	static const enum evhttp_cmd_type methods[] = { EVHTTP_REQ_GET,
@@ -361,7 +421,8 @@
 SUITE_MAIN("http", distinguishes_a_complete_answer_from_every_other_end,
 	   a_head_that_breaks_off_is_no_answer,
 	   an_early_answer_that_is_reset_is_not_complete,
-	   never_sends_a_request_twice_by_itself,
+	   an_answer_whose_status_is_none_is_invalid,
+	   interim_answers_are_skipped, never_sends_a_request_twice_by_itself,
 	   a_refused_connection_sent_nothing,
 	   finishing_inside_a_callback_prevents_further_ones,
 	   a_request_that_its_callback_forbids_is_not_sent,
--- a/tests/test_http1.c
+++ b/tests/test_http1.c
@@ -255,6 +255,43 @@
 }
 END_TEST
 
+/*
+ * Guards against: a status that HTTP doesn't know (100 to 599) is taken for an
+ * answer.
+ */
+START_TEST(an_answer_whose_status_is_none_is_malformed)
+{
+	static const struct {
+		const char *status;
+		http1_result_t expected;
+	} cases[] = {
+		{ "000", HTTP1_MALFORMED },  { "0", HTTP1_MALFORMED },
+		{ "20", HTTP1_MALFORMED },   { "099", HTTP1_MALFORMED },
+		{ "100", HTTP1_END },	     { "103", HTTP1_END },
+		{ "200", HTTP1_END },	     { "599", HTTP1_END },
+		{ "600", HTTP1_MALFORMED },  { "999", HTTP1_MALFORMED },
+		{ "1000", HTTP1_MALFORMED }, { "2000", HTTP1_MALFORMED },
+		{ "-200", HTTP1_MALFORMED },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"HTTP/1.1 %s X\r\nContent-Length: 0\r\n\r\n",
+			cases[i].status);
+		http1_result_t result;
+		sample_t s;
+		size_t total;
+
+		sample_init(&s, HTTP1_RESPONSE);
+		result = feed(&s, text, 5, &total);
+		ck_assert_msg(result == cases[i].expected, "%s: %d",
+			      cases[i].status, result);
+		ck_assert_uint_eq(s.n_heads, result == HTTP1_END);
+		sample_finish(&s);
+	}
+}
+END_TEST
+
 START_TEST(hop_by_hop_headers_are_recognized)
 {
 	sample_t s;
@@ -276,4 +313,6 @@
 SUITE_MAIN("http1", requests_with_ambiguous_framing_are_malformed,
 	   a_message_consumes_only_its_own_bytes, a_head_is_bounded,
 	   a_body_that_is_refused_stops_the_reader,
-	   answers_end_as_their_framing_says, hop_by_hop_headers_are_recognized)
+	   answers_end_as_their_framing_says,
+	   an_answer_whose_status_is_none_is_malformed,
+	   hop_by_hop_headers_are_recognized)
