http1: an answer whose status HTTP doesn't know is malformed

Cause: http_parser takes any number of up to three digits. The gateway took what was below 200 for an interim answer, so a request that may not repeat waited in vain for the final one until its deadline (504), and what was above 599 for an answer.

Decision: RFC 9110, section 15, knows 100 to 599; a client treats any other value as an error of the server. Such an answer is now malformed like one that isn't HTTP: 502, or another runner where the request may repeat. Passing 600 on as it is would leave each caller to guess the same.

Ruled out as affected: callers' requests (the reader checks answers only) and the store, which net/http.c reads.

--- a/net/http1.c
+++ b/net/http1.c
@@ -157,6 +157,13 @@
 	       !http1_find_header(head, STR_LIT("content-length"));
 }
 
+static bool has_valid_status(const http1_reader_t *r)
+{
+	return r->kind == HTTP1_REQUEST ||
+	       (r->head.status >= HTTP1_MIN_STATUS &&
+		r->head.status <= HTTP1_MAX_STATUS);
+}
+
 static int on_headers(http_parser *p)
 {
 	http1_reader_t *r = p->data;
@@ -173,7 +180,8 @@
 	r->head.keeps_alive = http_should_keep_alive(p);
 	r->head.takes_chunks = p->http_minor > 0;
 	p->upgrade = 0;
-	if (!has_unambiguous_framing(r) || p->http_major != 1 ||
+	if (!has_valid_status(r) || !has_unambiguous_framing(r) ||
+	    p->http_major != 1 ||
 	    (r->kind == HTTP1_REQUEST && p->method == HTTP_CONNECT))
 		return -1;
 	if (!r->ops.head(r->ctx, &r->head)) {
--- a/net/http1.h
+++ b/net/http1.h
@@ -15,6 +15,8 @@
 
 enum {
 	HTTP1_NO_LENGTH = -1,
+	HTTP1_MIN_STATUS = 100, /* RFC 9110, section 15 */
+	HTTP1_MAX_STATUS = 599,
 	HTTP1_MAX_FRAMING = 16 * 1024, /* bytes; see framing_bytes */
 };
 
@@ -29,7 +31,7 @@
 	GArray *headers; /* http1_header_t */
 	str_t method; /* requests */
 	str_t target; /* requests */
-	int status; /* responses */
+	int status; /* responses; HTTP1_MIN_STATUS to HTTP1_MAX_STATUS */
 	bool keeps_alive; /* the connection may be used again */
 	bool takes_chunks; /* its sender reads chunked messages: HTTP/1.1 */
 	bool is_chunked;
