http: an answer whose status HTTP doesn't know is invalid

On the own interface, callers got the answers of runners whose status is none: 099 as 99, 20 and 600 to 1000 as they were.

Cause: evhttp takes any status but 0. An answer with 101, 102 or 103 ended the exchange as if it were the final one.

Change: the exchange ends with ERR_INVALID unless the status is 200 to 599, or 100, after which evhttp reads on. On the own interface that is 502 with the outcome unknown (nothing is sent again).

--- a/net/http.c
+++ b/net/http.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include "common/timeval.h"
+#include "net/http1.h"
 
 enum { MAX_HEADER_BYTES = 64 * 1024 /* bytes */ };
 
@@ -112,11 +113,27 @@
 		end_deferred(ex);
 }
 
+/* Whether STATUS may be that of an answer, or precede it (100). */
+static bool is_usable(int status)
+{
+	return status == HTTP_STATUS_CONTINUE ||
+	       (status >= HTTP_OK && status <= HTTP1_MAX_STATUS);
+}
+
 static int on_head(struct evhttp_request *req, void *arg)
 {
 	struct http_exchange *ex = arg;
+	int status = evhttp_request_get_response_code(req);
 
-	ex->status = evhttp_request_get_response_code(req);
+	if (!is_usable(status)) {
+		fail(ex, ERR_INVALID, "read head",
+		     "the status code is invalid");
+		return -1;
+	}
+	/* evhttp reads on after it. */
+	if (status == HTTP_STATUS_CONTINUE)
+		return 0;
+	ex->status = status;
 	ex->depth++;
 	if (ex->call && ex->ops.head)
 		ex->ops.head(ex->ctx, ex->status,
