tests: parts of early answers, at the gateway

No test kept what a caller gets where a runner answers a long upload (300 KB, 3 MB) at once, sends a part and resets or closes the connection while the rest is unsent.

The fixture takes a longer limit of bodies; what other tests get is unchanged.

--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -441,6 +441,8 @@
 
 	m.fleet = fleet_json_parse_config(str_from(config_text), &err);
 	ck_assert_msg(m.fleet != NULL, "%s", err.detail);
+	if (fixture->max_body_bytes)
+		m.fleet->limits.max_body_bytes = fixture->max_body_bytes;
 	supervisor_post(&fixture->sup, TASK_FRONT, &m);
 	gateway_set_only_release(fixture, 0);
 }
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -86,6 +86,8 @@
 	supervisor_t sup;
 	raw_runner_t runners[FIXTURE_RUNNERS];
 	raw_caller_t callers[FIXTURE_CALLERS];
+	/* The longest body of a request; 0: short. Set before configuring. */
+	uint64_t max_body_bytes;
 	bool is_mute; /* the fake dispatcher does not answer */
 	bool refuses; /* the fake dispatcher refuses */
 	struct event *list_timer;
