tests, KNOWN-RED: a cut answer through a tunnel that is put down to the proxy

Found beside the resets: a runner that ends within its answer, in order (a process that was killed does), counts as broken, but the asking daemon puts it down to the proxy. It then reports DONE_CANCELLED and no crash, where it reports DONE_BROKEN and a crash for the same on a direct connection (daemon/relay_answer.c, on_end).

Fails on this code, 3 of 3 runs:

test_tunnel: a_runner_that_ends_within_its_answer_is_told: x.way == 2 (the proxy), UPSTREAM_WAY_REMOTE == 1

--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -264,6 +264,24 @@
 }
 END_TEST
 
+/* Guards against: an answer that its runner cut is put down to the proxy. */
+START_TEST(a_runner_that_ends_within_its_answer_is_told)
+{
+	exchange_t x;
+	int fd;
+
+	begin(&x);
+	send_request(&x);
+	fd = accept_request(&x);
+	answer(fd, "Content-Length: 13\r\n");
+	close(fd);
+	run_until(&x, &x.n_ends);
+	ck_assert_int_eq(x.end, UPSTREAM_BROKEN);
+	ck_assert_int_eq(x.way, UPSTREAM_WAY_REMOTE);
+	finish(&x);
+}
+END_TEST
+
 static void send_upload(exchange_t *x)
 {
 	struct evbuffer *request = evbuffer_new();
@@ -511,6 +529,7 @@
 SUITE_MAIN("tunnel", an_answer_comes_through_and_the_tunnel_is_used_again,
 	   an_answer_may_end_with_the_runners_connection,
 	   the_end_of_the_proxy_ends_no_answer, a_reset_by_the_runner_is_told,
+	   a_runner_that_ends_within_its_answer_is_told,
 	   an_early_answer_that_is_reset_is_not_complete,
 	   an_early_answer_that_its_framing_shows_cut_is_not_complete,
 	   an_early_answer_that_is_whole_comes_through,
