upstream: a runner's end within its answer isn't put down to its proxy

Cause: TUNNEL_END left the way at the proxy's, so an answer that its runner cut in order was told like one that the proxy cut: DONE_CANCELLED, no crash reported.

Change: the frame says what the proxy saw of the runner's connection, as TUNNEL_BROKEN does, so the way is the remote one. A complete answer has no way; a proxy that ends without a frame is still told as the proxy's (the_end_of_the_proxy_ends_no_answer).

No play with real processes was run.

--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -376,6 +376,7 @@
 		fail_exchange(u, UPSTREAM_UNSENT);
 		break;
 	case TUNNEL_END:
+		u->way = UPSTREAM_WAY_REMOTE;
 		u->has_tunnel_end = true;
 		break;
 	case TUNNEL_BROKEN:
