tests: parts of early answers, on the own interface's connections

Of an answer to a long upload that is cut, test_http kept only one form: without a length, 4 MB, reset. New: a_part_of_an_early_answer_is_an_error_whatever_its_framing, for no length (HTTP/1.1, HTTP/1.0, events), a length and chunks, reset and, where the framing shows the cut, closed, after requests of 2 B, 300 KB and 4 MB, five rounds each.

No check of ours could be taken out for a trial.

--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -259,6 +259,60 @@
 }
 END_TEST
 
+typedef struct part {
+	const char *answer; /* cut */
+	bool resets; /* else the connection is closed */
+} part_t;
+
+static void check_part(const part_t *part, str_t request_body)
+{
+	struct event_base *base = event_base_new();
+	fake_t f = { .answer = part->answer, .resets = part->resets };
+	result_t r = { .base = base, .request_body = request_body };
+
+	fake_init(&f, base);
+	run(&r, f.address, EVHTTP_REQ_POST, 200);
+	ck_assert_int_eq(r.n_ends, 1);
+	ck_assert_msg(r.err.code != ERR_NONE, "%zu bytes sent, %s: %s",
+		      request_body.len, part->resets ? "reset" : "closed",
+		      part->answer);
+	ck_assert_int_eq(f.requests, 1);
+	evconnlistener_free(f.listener);
+	g_string_free(r.body, TRUE);
+	event_base_free(base);
+}
+
+/* Guards against: a part of an early answer counts as whole. */
+START_TEST(a_part_of_an_early_answer_is_an_error_whatever_its_framing)
+{
+	static const part_t parts[] = {
+		{ "HTTP/1.1 200 OK\r\n\r\npart", true },
+		{ "HTTP/1.0 200 OK\r\n\r\npart", true },
+		{ "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+		  "data: one\n\n",
+		  true },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", true },
+		{ "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", false },
+		{ "HTTP/1.0 200 OK\r\nContent-Length: 9\r\n\r\npart", false },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "4\r\npart\r\n",
+		  true },
+		{ "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		  "4\r\npart\r\n",
+		  false },
+	};
+	/* Sent before the answer; as much as a socket may hold; far more. */
+	static const size_t uploads[] = { 2, 300000, 4000000 };
+	enum { ROUNDS = 5 };
+	g_autofree char *bytes = g_malloc0(4000000);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++)
+		for (size_t k = 0; k < G_N_ELEMENTS(uploads) * ROUNDS; k++)
+			check_part(&parts[i],
+				   (str_t){ bytes, uploads[k / ROUNDS] });
+}
+END_TEST
+
 /* Guards against: a status that HTTP doesn't know counts as an answer. */
 START_TEST(an_answer_whose_status_is_none_is_invalid)
 {
@@ -421,6 +475,7 @@
 SUITE_MAIN("http", distinguishes_a_complete_answer_from_every_other_end,
 	   a_head_that_breaks_off_is_no_answer,
 	   an_early_answer_that_is_reset_is_not_complete,
+	   a_part_of_an_early_answer_is_an_error_whatever_its_framing,
 	   an_answer_whose_status_is_none_is_invalid,
 	   interim_answers_are_skipped, never_sends_a_request_twice_by_itself,
 	   a_refused_connection_sent_nothing,
