--- a/Makefile
+++ b/Makefile
@@ -136,7 +136,7 @@
 		$(if $(SOAK_ARGS),$(SOAK_ARGS),--list tests/soak-seeds)
 
 # Longer: make streams STREAMS_ARGS='--seconds 60 --seed 3'.
-streams: all $(TOOLS)
+streams: all $(TOOLS) $(PARTITION_SHIM)
 	@$(B)/tests/streams $(if $(STREAMS_ARGS),$(STREAMS_ARGS),--seconds 15)
 
 # Some cases: make partition PARTITION_ARGS='--only refused-ended,hanging-most'.
--- a/tests/lib_stream_runner.c
+++ b/tests/lib_stream_runner.c
@@ -29,10 +29,17 @@
 	int start; /* its number */
 	int fd;
 	char attempt[64], key[64], head[HEAD_SIZE];
-	bool is_wide;
+	bool is_wide, is_chunked;
+	bool owes_copy; /* of its last answer, before the next one */
 	int from; /* last piece that the caller has */
 } request_t;
 
+/* Attempts of streams that some runner got. */
+static struct {
+	GMutex lock;
+	GHashTable *ids;
+} seen;
+
 static int64_t now_ms(void)
 {
 	return g_get_monotonic_time() / 1000;
@@ -109,14 +116,16 @@
 }
 
 /* Sends TEXT as a chunk; only its first half, without an end, if IS_CUT. */
-static bool send_chunk(int fd, const char *text, bool is_cut)
+static bool send_chunk(const request_t *q, const char *text, bool is_cut)
 {
 	size_t len = strlen(text);
 	g_autofree char *chunk = g_strdup_printf("%zx\r\n%.*s%s", len,
 						 (int)(is_cut ? len / 2 : len),
 						 text, is_cut ? "" : "\r\n");
 
-	return send_text(fd, chunk);
+	if (!q->is_chunked)
+		return tcp_send_all(q->fd, text, is_cut ? len / 2 : len);
+	return send_text(q->fd, chunk);
 }
 
 static bool send_piece(const request_t *q, int piece, bool is_cut)
@@ -127,7 +136,7 @@
 				is_drawn(10) ? "retry: 500\n: remark\n" : "",
 				q->key, q->release, piece);
 
-	return send_chunk(q->fd, event, is_cut);
+	return send_chunk(q, event, is_cut);
 }
 
 static bool end_connection(int fd, bool resets)
@@ -139,6 +148,35 @@
 	return false;
 }
 
+static bool send_stream_head(const request_t *q)
+{
+	return send_head(q, 200,
+			 q->is_chunked ? "Content-Type: text/event-stream\r\n"
+					 "Transfer-Encoding: chunked\r\n" :
+					 "Content-Type: text/event-stream\r\n");
+}
+
+/* Ends a whole stream; false if the connection is closed. */
+static bool end_stream(const request_t *q)
+{
+	return q->is_chunked ? send_text(q->fd, "0\r\n\r\n") :
+			       end_connection(q->fd, false);
+}
+
+/*
+ * Breaks a stream off. Without a length, an end in order between two events
+ * would look like that of a whole stream: there it is a reset.
+ */
+static bool cut_stream(const request_t *q, int last)
+{
+	bool is_within = is_drawn(70);
+
+	if (is_within)
+		send_piece(q, last + 1, true);
+	return end_connection(q->fd,
+			      is_drawn(50) || (!q->is_chunked && !is_within));
+}
+
 /* Streams what the caller lacks; false if the connection is closed. */
 static bool answer_stream(const request_t *q)
 {
@@ -146,24 +184,18 @@
 	int last = is_cut ? g_random_int_range(q->from, STREAM_PIECES + 1) :
 			    STREAM_PIECES;
 
-	if (!send_head(q, 200,
-		       "Content-Type: text/event-stream\r\n"
-		       "Transfer-Encoding: chunked\r\n"))
+	if (!send_stream_head(q))
 		return end_connection(q->fd, false);
-	if (is_drawn(25) && !send_chunk(q->fd, ": keep-alive\n\n", false))
+	if (is_drawn(25) && !send_chunk(q, ": keep-alive\n\n", false))
 		return end_connection(q->fd, false);
 	for (int i = q->from + 1; i <= last; i++) {
 		g_usleep(is_drawn(1) ? STALL_US : PIECE_US);
 		if (!send_piece(q, i, false))
 			return end_connection(q->fd, false);
-		if (is_drawn(3) && !send_chunk(q->fd, ": remark\n\n", false))
+		if (is_drawn(3) && !send_chunk(q, ": remark\n\n", false))
 			return end_connection(q->fd, false);
 	}
-	if (!is_cut)
-		return send_text(q->fd, "0\r\n\r\n");
-	if (is_drawn(70))
-		send_piece(q, last + 1, true);
-	return end_connection(q->fd, is_drawn(50));
+	return is_cut ? cut_stream(q, last) : end_stream(q);
 }
 
 /* How a request fails. */
@@ -173,13 +205,39 @@
 	FAIL_GARBAGE,
 	FAIL_WITHIN_HEAD,
 	FAIL_RESET,
-	FAILURES, /* their number; none of them */
+	FAILURES, /* number of those above, at any send; none of them */
+	FAIL_AFTER_HEAD,
 } failure_t;
 
-static failure_t draw_failure(const stream_runner_t *r)
+static bool is_first_send(const request_t *q)
 {
+	bool is_new;
+
+	g_mutex_lock(&seen.lock);
+	if (!seen.ids)
+		seen.ids = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, NULL);
+	is_new = g_hash_table_add(seen.ids, g_strdup(q->attempt));
+	g_mutex_unlock(&seen.lock);
+	return is_new;
+}
+
+static failure_t draw_first_failure(void)
+{
+	static const failure_t failures[] = { FAIL_REFUSED, FAIL_GARBAGE,
+					      FAIL_AFTER_HEAD };
+
+	return failures[g_random_int_range(0, G_N_ELEMENTS(failures))];
+}
+
+static failure_t draw_failure(const request_t *q)
+{
+	const stream_runner_t *r = q->runner;
 	bool is_stream = !strcmp(r->service, "writer");
 
+	if (is_stream && r->faults->first_failures && is_first_send(q) &&
+	    is_drawn(r->faults->first_failures))
+		return draw_first_failure();
 	if (!is_drawn(is_stream ? r->faults->failures :
 				  r->faults->plain_failures))
 		return FAILURES;
@@ -201,6 +259,9 @@
 	case FAIL_WITHIN_HEAD:
 		send_text(q->fd, "HTTP/1.1 200 OK\r\n" HEADER_ATTEMPT_ID ": ");
 		return end_connection(q->fd, false);
+	case FAIL_AFTER_HEAD:
+		send_stream_head(q);
+		return end_connection(q->fd, true);
 	default:
 		return end_connection(q->fd, true);
 	}
@@ -211,10 +272,40 @@
 	g_autofree char *more =
 		g_strdup_printf("Content-Length: %zu\r\n", strlen(q->key));
 
-	g_usleep(WORK_US);
 	return send_head(q, 200, more) && send_text(q->fd, q->key);
 }
 
+/* Sends the whole answer to the last request once more, without pauses. */
+static bool answer_again(const request_t *q)
+{
+	if (strcmp(q->runner->service, "writer") != 0)
+		return answer_plain(q);
+	if (!send_stream_head(q))
+		return false;
+	for (int i = q->from + 1; i <= STREAM_PIECES; i++)
+		if (!send_piece(q, i, false))
+			return false;
+	return end_stream(q);
+}
+
+static bool answer(request_t *q)
+{
+	const stream_faults_t *f = q->runner->faults;
+
+	if (!strcmp(q->runner->service, "writer")) {
+		if (!answer_stream(q))
+			return false;
+	} else {
+		g_usleep(WORK_US);
+		if (!answer_plain(q))
+			return false;
+	}
+	q->owes_copy = f->late_copies && is_drawn(f->late_copies);
+	if (f->second_answers && is_drawn(f->second_answers))
+		answer_again(q);
+	return true;
+}
+
 static void note_arrival(const request_t *q, bool runs)
 {
 	char deadline[32];
@@ -237,12 +328,17 @@
 	char value[64];
 	int step;
 
+	if (q->owes_copy)
+		answer_again(q);
+	q->owes_copy = false;
 	find_header(q->head, HEADER_ATTEMPT_ID, q->attempt, sizeof(q->attempt));
+	q->is_chunked =
+		!r->faults->no_length || !is_drawn(r->faults->no_length);
 	find_header(q->head, HEADER_EXPECT_RUNNER, value, sizeof(value));
 	if (strcmp(value, q->id) != 0)
 		return send_head(q, 421,
 				 HEADER_NOT_RUN ": 1\r\nContent-Length: 0\r\n");
-	failure = draw_failure(r);
+	failure = draw_failure(q);
 	note_arrival(q, failure != FAIL_REFUSED);
 	sscanf(q->head, "%*s /%*[a-z]/%63s", q->key);
 	q->is_wide = strstr(q->head, " /wide/") != NULL;
@@ -252,8 +348,7 @@
 	g_usleep(WORK_US);
 	if (failure != FAILURES)
 		return fail_request(q, failure);
-	return !strcmp(r->service, "writer") ? answer_stream(q) :
-					       answer_plain(q);
+	return answer(q);
 }
 
 static bool is_serving(const request_t *q)
--- a/tests/lib_stream_runner.h
+++ b/tests/lib_stream_runner.h
@@ -21,6 +21,10 @@
 	int cuts; /* of streams: an end or a reset, mostly within an event */
 	int failures; /* refusals, 500s, resets without an answer */
 	int plain_failures; /* the same, of plain answers */
+	int first_failures; /* of streams, at the first send of an attempt */
+	int no_length; /* of streams, those that end with their connection */
+	int second_answers; /* of whole answers, sent again at once */
+	int late_copies; /* of whole answers, sent again before the next one */
 } stream_faults_t;
 
 typedef struct stream_runner {
--- a/tests/streams.c
+++ b/tests/streams.c
@@ -41,6 +41,9 @@
 	READY_MS = 15000,
 	STOP_MS = 10000,
 	LEAVE_MS = 3500, /* from a runner's word to its exit */
+	ZONES = 2, /* where the command line names no number */
+	MAX_ZONES = 3,
+	FAR_BLOCK = 9, /* third byte of what the shim cuts off */
 	MAX_ATTEMPTS = 2, /* of a request, by its route */
 	MAX_BEYOND = 3, /* requests that may run on more runners */
 	MAX_LATE_DEADLINES = 20,
@@ -58,7 +61,7 @@
 	int net, lock, version;
 	process_t store;
 	node_t daemons[STREAM_MAX_DAEMONS];
-	int n_daemons;
+	int n_daemons, n_zones;
 	stream_runner_t runners[RUNNERS];
 	stream_caller_t callers[MAX_CALLERS];
 	stream_faults_t faults;
@@ -69,6 +72,9 @@
 	bool plays_series; /* of restarts, at many daemons at once */
 	int no_deadline; /* of 100 requests, those that state none */
 	bool plays_releases; /* beside a daemon that stands still; no other fault */
+	int n_tunnels; /* daemons that are cut off from runners, the last ones */
+	bool has_near; /* they reach every second runner all the same */
+	bool keeps_logs;
 } play_t;
 
 static int64_t now_ms(void)
@@ -135,13 +141,27 @@
 	return process_start_standin(&p->store, "standin-store", args);
 }
 
+/* Says what the daemon's shim cuts; see tests/shim/partition.c. */
+static bool set_cut(const play_t *p, const node_t *n, const char *how)
+{
+	g_autofree char *path =
+		g_strdup_printf("%s/%s.json.cut", p->dir, n->ip);
+
+	return g_file_set_contents(path, how, -1, NULL);
+}
+
+static bool is_cut_off(const play_t *p, int daemon)
+{
+	return daemon >= p->n_daemons - p->n_tunnels;
+}
+
 static bool start_daemon(play_t *p, node_t *n)
 {
 	g_autofree char *settings =
 		g_strdup_printf("%s/%s.json", p->dir, n->ip);
 	g_autofree char *log = g_strdup_printf("%s/%s.log", p->dir, n->ip);
 	g_autofree char *text = g_strdup_printf(
-		"{\"name\":\"%s\",\"zone\":\"z%d\",\"zones\":[\"z0\",\"z1\"],"
+		"{\"name\":\"%s\",\"zone\":\"z%d\",\"zones\":[%s],"
 		"\"fleet\":true,\"tunnel_port_offset\":9,"
 		"\"listen\":\"%s:%d\","
 		"\"ready_listen\":\"%s:8003\",\"peer_listen\":\"%s:8001\","
@@ -153,7 +173,9 @@
 		"\"connect_timeout_ms\":400,\"platform_timeout_ms\":800,"
 		"\"retry_ratio\":%g,\"retry_slack\":%d,"
 		"\"retry_window_ms\":%d,\"load_poll_ms\":0,\"drain_ms\":%d}\n",
-		n->ip, n->zone, n->ip, STREAM_CALLER_PORT, n->ip, n->ip, n->ip,
+		n->ip, n->zone,
+		p->n_zones == ZONES ? "\"z0\",\"z1\"" : "\"z0\",\"z1\",\"z2\"",
+		n->ip, STREAM_CALLER_PORT, n->ip, n->ip, n->ip,
 		p->store.address, p->daemons[0].ip, STREAM_CALLER_PORT,
 		RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_MS, DRAIN_MS);
 	const char *const args[] = { settings, NULL };
@@ -166,14 +188,17 @@
 {
 	stream_runner_t *r = &p->runners[i];
 
-	g_snprintf(r->ip, sizeof(r->ip), "127.%d.%d.%d", p->net, 1 + i % 2,
-		   100 + i);
-	g_snprintf(r->zone, sizeof(r->zone), "z%d", i % 2);
+	bool is_far = p->n_tunnels && (!p->has_near || i % 2);
+
+	g_snprintf(r->ip, sizeof(r->ip), "127.%d.%d.%d", p->net,
+		   is_far ? FAR_BLOCK : 1 + i % p->n_zones, 100 + i);
+	g_snprintf(r->zone, sizeof(r->zone), "z%d", i % p->n_zones);
 	r->service = i < WRITERS ? "writer" : "desk";
 	r->store = p->store.address;
 	r->faults = &p->faults;
 	r->ledger = i < WRITERS ? &p->writer : &p->desk;
-	stream_runner_start(r, i / 2 % 2 && !p->plays_releases ? "2" : "1");
+	stream_runner_start(r, i / p->n_zones % 2 && !p->plays_releases ? "2" :
+									  "1");
 }
 
 static bool is_ready(const node_t *n)
@@ -208,9 +233,11 @@
 	for (int i = 0; i < p->n_daemons; i++) {
 		node_t *n = &p->daemons[i];
 
-		n->zone = i % 2;
+		n->zone = i % p->n_zones;
 		g_snprintf(n->ip, sizeof(n->ip), "127.%d.%d.%d", p->net,
 			   1 + n->zone, 10 + i);
+		if (is_cut_off(p, i) && !set_cut(p, n, "re"))
+			return false;
 	}
 	for (int i = 0; i < p->n_daemons; i++)
 		if (!start_daemon(p, &p->daemons[i]))
@@ -359,10 +386,28 @@
 	return NULL;
 }
 
+/* Cuts come, go, and treat open connections in other ways. */
+static void *change_cuts(void *data)
+{
+	static const char *const ways[] = { "re", "rl", "rs", "nl" };
+	play_t *p = data;
+
+	while (now_ms() < p->until_ms) {
+		int k = g_random_int_range(p->n_daemons - p->n_tunnels,
+					   p->n_daemons);
+
+		sleep_ms(g_random_int_range(1000, 4000));
+		set_cut(p, &p->daemons[k],
+			ways[g_random_int_range(0, G_N_ELEMENTS(ways))]);
+	}
+	return NULL;
+}
+
 static void run_all(play_t *p, int n_callers)
 {
 	GThread *callers[MAX_CALLERS];
 	GThread *others[3] = { NULL };
+	GThread *cuts = NULL;
 
 	if (p->plays_releases) {
 		others[0] = g_thread_new("releases", play_releases, p);
@@ -371,6 +416,8 @@
 		others[1] = g_thread_new("runners", replace_runners, p);
 		others[2] = g_thread_new("store", disturb_store, p);
 	}
+	if (p->n_tunnels)
+		cuts = g_thread_new("cuts", change_cuts, p);
 
 	for (int i = 0; i < n_callers; i++) {
 		stream_caller_t *c = &p->callers[i];
@@ -391,6 +438,8 @@
 		g_thread_join(callers[i]);
 	for (size_t i = 0; i < G_N_ELEMENTS(others) && others[i]; i++)
 		g_thread_join(others[i]);
+	if (cuts)
+		g_thread_join(cuts);
 }
 
 static void stop_all(play_t *p)
@@ -454,7 +503,7 @@
 	stop_all(p);
 	fclose(p->results.log);
 	is_ok = is_ok && !report(p);
-	if (is_ok)
+	if (is_ok && !p->keeps_logs)
 		run_dir_remove(p->dir);
 	else
 		printf("logs: %s\n", p->dir);
@@ -466,7 +515,9 @@
 	static play_t play;
 	double seconds = 30, callers = 24, seed = 1;
 	double cuts = 20, failures = 8, plain_failures = 30;
-	double daemons = DAEMONS, no_deadline = 0;
+	double daemons = DAEMONS, no_deadline = 0, zones = ZONES, tunnels = 0;
+	double first_failures = 0, no_length = 0;
+	double second_answers = 0, late_copies = 0;
 	const arg_row_t rows[] = {
 		{ "seconds", ARG_NUMBER, &seconds, "how long callers send" },
 		{ "callers", ARG_NUMBER, &callers, "at once, 64 at most" },
@@ -479,6 +530,22 @@
 		{ "daemons", ARG_NUMBER, &daemons, "16 at most" },
 		{ "no-deadline", ARG_NUMBER, &no_deadline,
 		  "of 100 requests, those that state no deadline" },
+		{ "zones", ARG_NUMBER, &zones, "2 or 3" },
+		{ "first-failures", ARG_NUMBER, &first_failures,
+		  "of 100 streams, those refused, spoilt, or reset after the "
+		  "head of the answer, at their first runner" },
+		{ "no-length", ARG_NUMBER, &no_length,
+		  "of 100 streams, those that end with their connection" },
+		{ "second-answers", ARG_NUMBER, &second_answers,
+		  "of 100 whole answers, those sent twice" },
+		{ "late-copies", ARG_NUMBER, &late_copies,
+		  "of 100 whole answers, those sent again before the next" },
+		{ "tunnels", ARG_NUMBER, &tunnels,
+		  "daemons that reach runners only through other daemons" },
+		{ "tunnels-some", ARG_FLAG, &play.has_near,
+		  "they reach every second runner all the same" },
+		{ "keep-logs", ARG_FLAG, &play.keeps_logs,
+		  "also of a play without findings" },
 		{ "series", ARG_FLAG, &play.plays_series,
 		  "half of the daemons are killed at once, again and again" },
 		{ "releases", ARG_FLAG, &play.plays_releases,
@@ -487,15 +554,30 @@
 		{ "spare-daemons", ARG_FLAG, &play.spares_daemons,
 		  "daemons are neither killed nor stopped" },
 	};
+	g_autofree char *shim = NULL;
 	bool is_ok;
 
 	signal(SIGPIPE, SIG_IGN);
 	args_read(argc, argv, rows, G_N_ELEMENTS(rows));
 	g_random_set_seed((guint32)seed);
-	play.faults = (stream_faults_t){ (int)cuts, (int)failures,
-					 (int)plain_failures };
+	play.faults = (stream_faults_t){
+		.cuts = (int)cuts,
+		.failures = (int)failures,
+		.plain_failures = (int)plain_failures,
+		.first_failures = (int)first_failures,
+		.no_length = (int)no_length,
+		.second_answers = (int)second_answers,
+		.late_copies = (int)late_copies,
+	};
+	play.n_zones = CLAMP((int)zones, ZONES, MAX_ZONES);
 	play.n_daemons = CLAMP((int)daemons, 1, STREAM_MAX_DAEMONS);
+	play.n_tunnels = CLAMP((int)tunnels, 0, play.n_daemons - 1);
 	play.no_deadline = (int)no_deadline;
+	if (play.n_tunnels) {
+		shim = g_build_filename(process_build_dir(), "tests",
+					"libpartition.so", NULL);
+		g_setenv("LD_PRELOAD", shim, TRUE);
+	}
 	is_ok = run_play(&play, seconds, MIN((int)callers, MAX_CALLERS));
 	printf("%d passed, %d failed\n", is_ok, !is_ok);
 	return is_ok ? EXIT_SUCCESS : EXIT_FAILURE;
