tests, KNOWN-RED: a reset through a tunnel that is taken for an end

A runner that another daemon connects to answers a stream without a length, and resets the connection while part of the request is still unsent (a large body, answered early).

Found by reading; no play of tests/streams drew it (its requests have 2 bytes).

--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -20,7 +20,10 @@
 #define HEAD "HTTP/1.1 200 OK\r\n"
 #define BODY "hello, world"
 
-enum { LIMIT_US = 2 * G_USEC_PER_SEC };
+enum {
+	LIMIT_US = 2 * G_USEC_PER_SEC,
+	LARGE_BODY = 16 * 1024 * 1024, /* more than sockets hold */
+};
 
 typedef struct exchange {
 	struct event_base *base;
@@ -111,12 +114,18 @@
 	g_string_free(x->body, TRUE);
 }
 
-static void send_request(exchange_t *x)
+/* Sends a request with a body of LEN bytes. */
+static void send_body(exchange_t *x, size_t len)
 {
 	static const upstream_ops_t ops = { on_head, on_body, on_end };
 	struct evbuffer *request = evbuffer_new();
+	g_autofree char *body = g_malloc0(len);
 
-	evbuffer_add_printf(request, "GET / HTTP/1.1\r\n\r\n");
+	evbuffer_add_printf(request, "GET / HTTP/1.1\r\n");
+	if (len)
+		evbuffer_add_printf(request, "Content-Length: %zu\r\n", len);
+	evbuffer_add_printf(request, "\r\n");
+	evbuffer_add(request, body, len);
 	x->conn = upstream_conn_start(&x->pool, x->runner_address,
 				      x->proxy_address, UPSTREAM_REUSE_ANY,
 				      false, request, &ops, x);
@@ -124,6 +133,11 @@
 	evbuffer_free(request);
 }
 
+static void send_request(exchange_t *x)
+{
+	send_body(x, 0);
+}
+
 static void run_until(exchange_t *x, const int *value)
 {
 	int64_t end = g_get_monotonic_time() + LIMIT_US;
@@ -253,6 +267,32 @@
 }
 END_TEST
 
+/* Guards against: a reset stream without a length is taken for a whole one. */
+START_TEST(a_reset_before_the_request_is_sent_looks_like_an_end)
+{
+	struct linger reset = { 1, 0 };
+	exchange_t x;
+	int fd;
+
+	begin(&x);
+	send_body(&x, LARGE_BODY);
+	fd = accept_request(&x);
+	answer(fd, "Connection: close\r\n");
+	for (int i = 0; i < 200 && x.body->len < strlen(BODY); i++) {
+		event_base_loop(x.base, EVLOOP_NONBLOCK);
+		g_usleep(1000);
+	}
+	ck_assert_str_eq(x.body->str, BODY);
+	ck_assert_int_eq(x.n_ends, 0);
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+	close(fd);
+	run_until(&x, &x.n_ends);
+	ck_assert_int_eq(x.end, UPSTREAM_BROKEN);
+	ck_assert_int_eq(x.way, UPSTREAM_WAY_REMOTE);
+	finish(&x);
+}
+END_TEST
+
 START_TEST(a_runner_that_is_down_is_told_from_a_proxy_that_is_cut_off)
 {
 	static const struct {
@@ -377,6 +417,7 @@
 SUITE_MAIN("tunnel", an_answer_comes_through_and_the_tunnel_is_used_again,
 	   an_answer_may_end_with_the_runners_connection,
 	   the_end_of_the_proxy_ends_no_answer, a_reset_by_the_runner_is_told,
+	   a_reset_before_the_request_is_sent_looks_like_an_end,
 	   a_runner_that_is_down_is_told_from_a_proxy_that_is_cut_off,
 	   a_proxy_that_leaves_opens_no_tunnel,
 	   the_other_daemons_end_closes_the_runners_connection,
