tunnel_server: the end after a failed write is a reset

Cause: a runner resets the connection while bytes to it are unsent. The write meets the reset first and takes the socket's error; the read after it returns 0, as at an end in order. libevent hands both over in one event, and the tunnel told the other daemon of an orderly end, with which an answer without a length is complete. Connections without a tunnel had this right (has_write_failed in daemon/upstream.c).

Ruled out: the reader of the other daemon; it gets TUNNEL_END.

Change: after a failed write the end of the runner's connection is told as broken. An answer that is complete by its length or its last chunk stays so: its bytes go before that frame.

Not played over real processes: the requests of tests/streams are too small for it.

--- a/daemon/tunnel_server.c
+++ b/daemon/tunnel_server.c
@@ -37,6 +37,7 @@
 	char address[TUNNEL_ADDRESS_SIZE]; /* of the runner */
 	struct bufferevent *client, *runner; /* the runner's may be NULL */
 	struct event *timer; /* end of the present state */
+	bool has_write_failed; /* to the runner */
 } tunnel_t;
 
 static void tunnel_free(tunnel_t *t)
@@ -149,13 +150,17 @@
 		on_connect_failure(t, "the connection failed");
 		return;
 	}
+	t->has_write_failed |= (what & BEV_EVENT_WRITING) != 0;
 	/* It may have answered before it stopped reading: read on. */
 	if (what & BEV_EVENT_WRITING && !(what & BEV_EVENT_READING)) {
 		bufferevent_disable(bev, EV_WRITE);
 		return;
 	}
 	forward_to_client(t);
-	close_with(t, what & BEV_EVENT_EOF ? TUNNEL_END : TUNNEL_BROKEN);
+	/* A write that meets a reset takes its error: then reading ends. */
+	close_with(t, what & BEV_EVENT_EOF && !t->has_write_failed ?
+			      TUNNEL_END :
+			      TUNNEL_BROKEN);
 }
 
 static void connect_runner(tunnel_t *t)
