tests, KNOWN-RED: a recorder that is cut off as well has a stream joined

A zone is cut off from the others and from the store; then a second release joins outside. A caller that reaches both sides takes a stream of it up inside. Its daemon asks the stream's recorder, which is another daemon of the zone: it has no note of the stream, cannot read the store, and answers after 0.3 s that it does not know it. Its own word is held to a list that is new (has_new_list() in daemon/relay_release.c), and so is silence; another daemon's word is not.

Found by reading; tests/streams cuts daemons off from runners, not from each other.

--- a/tests/test_version_skew.c
+++ b/tests/test_version_skew.c
@@ -129,6 +129,30 @@
 }
 END_TEST
 
+/*
+ * Guards against streams joined from two releases in a zone that was cut off
+ * before the second one joined: its recorder knows no more than its VMs.
+ */
+START_TEST(a_recorder_that_is_cut_off_too_has_a_stream_joined)
+{
+	message_t m = { .type = MESSAGE_STREAM_ANSWER };
+	gateway_fixture_t fixture;
+
+	begin(&fixture, resumes, resumes);
+	gateway_set_only_release(&fixture, OLD_RELEASE);
+	fixture.is_list_old = true;
+	gateway_send(&fixture, 0, TAKE_UP("b", "a"));
+	gateway_await_count(&fixture, &fixture.stream_asks, 1);
+	m.streams.stream = fixture.last_ask;
+	m.streams.stream.release = 0;
+	g_strlcpy(m.streams.peer, "d-9", sizeof(m.streams.peer));
+	supervisor_post(&fixture.sup, TASK_FRONT, &m);
+	gateway_await(&fixture, 0, "HTTP/1.1 503 ");
+	ck_assert_int_eq(fixture.wants, 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 START_TEST(a_recorder_tells_the_release_of_another_daemons_stream)
 {
 	gateway_fixture_t fixture;
@@ -353,6 +377,7 @@
 	   a_take_up_goes_to_the_release_that_began_the_stream,
 	   a_vm_out_of_step_asks_again_before_it_goes_on,
 	   a_vm_that_stays_out_of_step_refuses_take_ups,
+	   a_recorder_that_is_cut_off_too_has_a_stream_joined,
 	   a_recorder_tells_the_release_of_another_daemons_stream,
 	   a_stream_of_an_unknown_release_is_not_taken_up,
 	   a_recorder_that_is_silent_is_asked_again_and_given_up,
