--- a/tests/lib_stream_caller.c
+++ b/tests/lib_stream_caller.c
@@ -158,17 +158,37 @@
 			break;
 		result = http1_reader_feed(&reader, (str_t){ buf, (size_t)n },
 					   &taken);
+		if (result == HTTP1_END && taken < (size_t)n)
+			count_finding(s, &s->caller->results->mixed,
+				      "BYTES AFTER THE ANSWER");
 	}
 	http1_reader_finish(&reader);
 	return result == HTTP1_END;
 }
 
+/* Takes the connection kept to a daemon, or opens one; -1 if that fails. */
+static int take_connection(stream_caller_t *c, int daemon)
+{
+	int fd = c->fds[daemon];
+
+	c->fds[daemon] = 0;
+	return fd ? fd : tcp_connect_to(c->daemons[daemon], STREAM_CALLER_PORT);
+}
+
+static void give_back(stream_caller_t *c, int daemon, int fd, bool is_whole)
+{
+	if (c->keeps_connections && is_whole)
+		c->fds[daemon] = fd;
+	else
+		close(fd);
+}
+
 /* Sends one attempt; true if its answer is a complete success. */
 static bool try_once(stream_t *s)
 {
 	stream_caller_t *c = s->caller;
-	const char *ip = c->daemons[g_random_int_range(0, c->n_daemons)];
-	int fd = tcp_connect_to(ip, STREAM_CALLER_PORT);
+	int daemon = g_random_int_range(0, c->n_daemons);
+	int fd = take_connection(c, daemon);
 	bool is_whole;
 
 	if (fd < 0)
@@ -178,7 +198,7 @@
 	retry_ledger_on_request(s->is_plain ? c->desk : c->writer, s->attempt,
 				now_ms() + TIMEOUT_MS, now_ms());
 	is_whole = send_request(s, fd) && read_answer(s, fd);
-	close(fd);
+	give_back(c, daemon, fd, is_whole);
 	return is_whole && s->status == 200;
 }
 
@@ -239,5 +259,8 @@
 
 	while (now_ms() < c->until_ms)
 		run_one(c);
+	for (int i = 0; i < c->n_daemons; i++)
+		if (c->fds[i])
+			close(c->fds[i]);
 	return NULL;
 }
--- a/tests/lib_stream_caller.h
+++ b/tests/lib_stream_caller.h
@@ -7,6 +7,7 @@
 #define TESTS_LIB_STREAM_CALLER_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
 
@@ -32,6 +33,8 @@
 typedef struct stream_caller {
 	char daemons[STREAM_MAX_DAEMONS][STREAM_HOST_SIZE]; /* IPs */
 	int n_daemons;
+	bool keeps_connections; /* one to each daemon, after whole answers */
+	int fds[STREAM_MAX_DAEMONS]; /* those kept; 0: none */
 	int no_deadline; /* of 100 requests, those that state none */
 	int number;
 	int64_t until_ms; /* monotonic: sends nothing new after it */
--- a/tests/streams.c
+++ b/tests/streams.c
@@ -75,6 +75,7 @@
 	int n_tunnels; /* daemons that are cut off from runners, the last ones */
 	bool has_near; /* they reach every second runner all the same */
 	bool keeps_logs;
+	bool keeps_connections; /* callers do, as long as they can */
 } play_t;
 
 static int64_t now_ms(void)
@@ -427,6 +428,7 @@
 				  sizeof(c->daemons[k]));
 		c->n_daemons = p->n_daemons;
 		c->number = i;
+		c->keeps_connections = p->keeps_connections;
 		c->no_deadline = p->no_deadline;
 		c->until_ms = p->until_ms;
 		c->results = &p->results;
@@ -544,6 +546,8 @@
 		  "daemons that reach runners only through other daemons" },
 		{ "tunnels-some", ARG_FLAG, &play.has_near,
 		  "they reach every second runner all the same" },
+		{ "keep-connections", ARG_FLAG, &play.keeps_connections,
+		  "callers use one to each daemon as long as they can" },
 		{ "keep-logs", ARG_FLAG, &play.keeps_logs,
 		  "also of a play without findings" },
 		{ "series", ARG_FLAG, &play.plays_series,
