--- a/tests/streams.c
+++ b/tests/streams.c
@@ -33,6 +33,7 @@
 	DESKS = 3,
 	RUNNERS = WRITERS + DESKS,
 	MAX_CALLERS = 64,
+	MAX_DISTURBERS = 8,
 	RETRY_SLACK = 30,
 	RETRY_WINDOW_MS = 10000,
 	SERIES_ROUNDS = 3, /* of restarts, within a window of the budget */
@@ -54,6 +55,7 @@
 	process_t process;
 	char ip[STREAM_HOST_SIZE];
 	int zone;
+	GMutex lock; /* held while it is disturbed */
 } node_t;
 
 typedef struct play {
@@ -72,6 +74,7 @@
 	bool plays_series; /* of restarts, at many daemons at once */
 	int no_deadline; /* of 100 requests, those that state none */
 	bool plays_releases; /* beside a daemon that stands still; no other fault */
+	int n_disturbers; /* faults of daemons at a time */
 	int n_tunnels; /* daemons that are cut off from runners, the last ones */
 	bool has_near; /* they reach every second runner all the same */
 	bool keeps_logs;
@@ -267,10 +270,8 @@
 }
 
 /* A daemon is killed, told to stop, or stands still; then it serves again. */
-static void disturb_daemon(play_t *p)
+static void disturb(play_t *p, node_t *n)
 {
-	node_t *n = &p->daemons[g_random_int_range(0, p->n_daemons)];
-
 	switch (g_random_int_range(0, 3)) {
 	case 0:
 		process_kill(&n->process);
@@ -286,6 +287,16 @@
 	start_daemon(p, n);
 }
 
+static void disturb_daemon(play_t *p)
+{
+	node_t *n = &p->daemons[g_random_int_range(0, p->n_daemons)];
+
+	if (!g_mutex_trylock(&n->lock))
+		return;
+	disturb(p, n);
+	g_mutex_unlock(&n->lock);
+}
+
 /* Half of the daemons are killed, come back, and are killed again. */
 static void restart_in_series(play_t *p)
 {
@@ -295,13 +306,27 @@
 		for (int i = 0; i < (p->n_daemons + 1) / 2; i++) {
 			node_t *n = &p->daemons[(first + i) % p->n_daemons];
 
+			g_mutex_lock(&n->lock);
 			process_kill(&n->process);
 			start_daemon(p, n);
+			g_mutex_unlock(&n->lock);
 		}
 		sleep_ms(g_random_int_range(1500, 3500));
 	}
 }
 
+/* Beside what disturb_daemons does. */
+static void *disturb_further(void *data)
+{
+	play_t *p = data;
+
+	while (now_ms() < p->until_ms) {
+		sleep_ms(g_random_int_range(500, 3000));
+		disturb_daemon(p);
+	}
+	return NULL;
+}
+
 static void *disturb_daemons(void *data)
 {
 	play_t *p = data;
@@ -409,6 +434,7 @@
 	GThread *callers[MAX_CALLERS];
 	GThread *others[3] = { NULL };
 	GThread *cuts = NULL;
+	GThread *further[MAX_DISTURBERS] = { NULL };
 
 	if (p->plays_releases) {
 		others[0] = g_thread_new("releases", play_releases, p);
@@ -417,6 +443,8 @@
 		others[1] = g_thread_new("runners", replace_runners, p);
 		others[2] = g_thread_new("store", disturb_store, p);
 	}
+	for (int i = 0; i < p->n_disturbers; i++)
+		further[i] = g_thread_new("further", disturb_further, p);
 	if (p->n_tunnels)
 		cuts = g_thread_new("cuts", change_cuts, p);
 
@@ -440,6 +468,8 @@
 		g_thread_join(callers[i]);
 	for (size_t i = 0; i < G_N_ELEMENTS(others) && others[i]; i++)
 		g_thread_join(others[i]);
+	for (int i = 0; i < p->n_disturbers; i++)
+		g_thread_join(further[i]);
 	if (cuts)
 		g_thread_join(cuts);
 }
@@ -518,6 +548,7 @@
 	double seconds = 30, callers = 24, seed = 1;
 	double cuts = 20, failures = 8, plain_failures = 30;
 	double daemons = DAEMONS, no_deadline = 0, zones = ZONES, tunnels = 0;
+	double disturbers = 0;
 	double first_failures = 0, no_length = 0;
 	double second_answers = 0, late_copies = 0;
 	const arg_row_t rows[] = {
@@ -542,6 +573,8 @@
 		  "of 100 whole answers, those sent twice" },
 		{ "late-copies", ARG_NUMBER, &late_copies,
 		  "of 100 whole answers, those sent again before the next" },
+		{ "disturbers", ARG_NUMBER, &disturbers,
+		  "further faults of daemons at a time, 8 at most" },
 		{ "tunnels", ARG_NUMBER, &tunnels,
 		  "daemons that reach runners only through other daemons" },
 		{ "tunnels-some", ARG_FLAG, &play.has_near,
@@ -575,6 +608,7 @@
 	};
 	play.n_zones = CLAMP((int)zones, ZONES, MAX_ZONES);
 	play.n_daemons = CLAMP((int)daemons, 1, STREAM_MAX_DAEMONS);
+	play.n_disturbers = CLAMP((int)disturbers, 0, MAX_DISTURBERS);
 	play.n_tunnels = CLAMP((int)tunnels, 0, play.n_daemons - 1);
 	play.no_deadline = (int)no_deadline;
 	if (play.n_tunnels) {
