--- a/tests/shim/partition.c
+++ b/tests/shim/partition.c
@@ -1,5 +1,5 @@
 /*
- * Preloaded into daemons by tests/partition.c: cuts a daemon off from all
+ * Preloaded into daemons by tests/partition.c and tests/streams.c: cuts a daemon off from all
  * runners while it reaches everything else. The file that is named like the
  * daemon's settings, plus ".cut", says how:
  *   n  nothing is cut (the same without the file)
@@ -8,6 +8,10 @@
  * and after that letter what becomes of open ones:
  *   e  they end    l  they live on    s  nothing more arrives on them
  *
+ * Or it says z and the third byte of a zone's addresses, a digit: connections
+ * between that zone and all else are refused, and open ones end. The settings of
+ * such daemons are named IP.json.
+ *
  * Runners are reached at 127.NET.9.*:9000; 127.NET.9.250:9000 accepts nothing.
  */
 #define _GNU_SOURCE
@@ -35,9 +39,42 @@
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static char is_runner[MAX_FDS]; /* by descriptor */
+static char blocks[MAX_FDS]; /* third byte of the peer and 1; 0: none */
+static int own_block; /* third byte of this daemon's address */
+static char zone_digit; /* while a zone is cut off: its block */
 static char mode = 'n';
 static char file[PATH_SIZE];
 
+static int block_of(const struct sockaddr *addr, socklen_t len)
+{
+	struct sockaddr_in to;
+
+	if (addr->sa_family != AF_INET || len < sizeof(to))
+		return -1;
+	memcpy(&to, addr, sizeof(to));
+	return ntohl(to.sin_addr.s_addr) >> 8 & 0xff;
+}
+
+/* Whether a connection to BLOCK crosses the border of the zone that is cut. */
+static int is_across(int block, char digit)
+{
+	return (block == digit - '0') != (own_block == digit - '0');
+}
+
+/* Notes the peer; returns whether the connection is to be refused. */
+static int is_zone_cut(int fd, int block)
+{
+	int is_cut;
+
+	if (block < 0 || fd >= MAX_FDS)
+		return 0;
+	pthread_mutex_lock(&lock);
+	blocks[fd] = (char)(block + 1);
+	is_cut = zone_digit && is_across(block, zone_digit);
+	pthread_mutex_unlock(&lock);
+	return is_cut;
+}
+
 static int is_to_runner(const struct sockaddr *addr, socklen_t len,
 			struct sockaddr_in *to)
 {
@@ -58,6 +95,10 @@
 	char now;
 
 	*(void **)&real = dlsym(RTLD_NEXT, "connect");
+	if (is_zone_cut(fd, block_of(addr, len))) {
+		errno = ECONNREFUSED;
+		return -1;
+	}
 	if (!is_to_runner(addr, len, &to) || fd >= MAX_FDS)
 		return real(fd, addr, len);
 	pthread_mutex_lock(&lock);
@@ -82,6 +123,7 @@
 	if (fd >= 0 && fd < MAX_FDS) {
 		pthread_mutex_lock(&lock);
 		is_runner[fd] = 0;
+		blocks[fd] = 0;
 		pthread_mutex_unlock(&lock);
 	}
 	return real(fd);
@@ -103,6 +145,16 @@
 	setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &none, sizeof(none));
 }
 
+static void set_zone(char digit)
+{
+	pthread_mutex_lock(&lock);
+	for (int fd = 0; digit && digit != zone_digit && fd < MAX_FDS; fd++)
+		if (blocks[fd] && is_across(blocks[fd] - 1, digit))
+			shutdown(fd, SHUT_RDWR);
+	zone_digit = digit;
+	pthread_mutex_unlock(&lock);
+}
+
 static void set_mode(char next, char open_ones)
 {
 	pthread_mutex_lock(&lock);
@@ -130,6 +182,9 @@
 			text[0] = 'n';
 		close(fd);
 	}
+	set_zone(text[0] == 'z' ? text[1] : 0);
+	if (text[0] == 'z')
+		text[0] = 'n';
 	set_mode(text[0], text[1]);
 }
 
@@ -156,6 +211,8 @@
 	if (n <= (ssize_t)program || !strstr(line, "papayad"))
 		return;
 	snprintf(file, sizeof(file), "%.500s.cut", line + program);
+	sscanf(strrchr(file, '/') ? strrchr(file, '/') : file, "/127.%*d.%d.",
+	       &own_block);
 	if (!pthread_create(&thread, NULL, watch, NULL))
 		pthread_detach(thread);
 }
--- a/tests/streams.c
+++ b/tests/streams.c
@@ -44,6 +44,8 @@
 	LEAVE_MS = 3500, /* from a runner's word to its exit */
 	ZONES = 2, /* where the command line names no number */
 	MAX_ZONES = 3,
+	CUT_SETTLE_MS = 3000, /* in which daemons notice a cut */
+	CUT_MS = 8000, /* beside the new release */
 	FAR_BLOCK = 9, /* third byte of what the shim cuts off */
 	MAX_ATTEMPTS = 2, /* of a request, by its route */
 	MAX_BEYOND = 3, /* requests that may run on more runners */
@@ -75,6 +77,7 @@
 	int no_deadline; /* of 100 requests, those that state none */
 	bool plays_releases; /* beside a daemon that stands still; no other fault */
 	int n_disturbers; /* faults of daemons at a time */
+	bool cuts_zone; /* the last one, beside new releases */
 	int n_tunnels; /* daemons that are cut off from runners, the last ones */
 	bool has_near; /* they reach every second runner all the same */
 	bool keeps_logs;
@@ -384,6 +387,42 @@
 	}
 }
 
+/* Cuts the last zone off from the others and the store, or ends that. */
+static void cut_zone(play_t *p, bool is_cut)
+{
+	const char how[] = { is_cut ? 'z' : 'n', (char)('0' + p->n_zones),
+			     '\0' };
+
+	for (int i = 0; i < p->n_daemons; i++)
+		set_cut(p, &p->daemons[i], how);
+}
+
+/* Starts the writers inside or outside of the last zone as a release. */
+static void replace_writers(play_t *p, bool is_inside, const char *release)
+{
+	for (int i = 0; i < WRITERS; i++) {
+		if ((i % p->n_zones == p->n_zones - 1) != is_inside)
+			continue;
+		stream_runner_stop(&p->runners[i]);
+		stream_runner_start(&p->runners[i], release);
+	}
+}
+
+/*
+ * A new release of the writers joins outside of a zone that is cut off. Streams
+ * that began there are taken up in it, where it isn't known.
+ */
+static void release_outside(play_t *p, const char *release)
+{
+	cut_zone(p, true);
+	sleep_ms(CUT_SETTLE_MS);
+	replace_writers(p, false, release);
+	sleep_ms(CUT_MS);
+	cut_zone(p, false);
+	sleep_ms(CUT_SETTLE_MS);
+	replace_writers(p, true, release);
+}
+
 static void *play_releases(void *data)
 {
 	play_t *p = data;
@@ -391,8 +430,11 @@
 	for (int i = 0; now_ms() < p->until_ms; i++) {
 		/* Longer than a stream may last: one release is known. */
 		sleep_ms(SETTLE_MS);
-		release_behind(p, &p->daemons[i % p->n_daemons],
-			       i % 2 ? "1" : "2");
+		if (p->cuts_zone)
+			release_outside(p, i % 2 ? "1" : "2");
+		else
+			release_behind(p, &p->daemons[i % p->n_daemons],
+				       i % 2 ? "1" : "2");
 	}
 	return NULL;
 }
@@ -581,6 +623,9 @@
 		  "they reach every second runner all the same" },
 		{ "keep-connections", ARG_FLAG, &play.keeps_connections,
 		  "callers use one to each daemon as long as they can" },
+		{ "cut-zone", ARG_FLAG, &play.cuts_zone,
+		  "with --releases: they join outside of a zone that is cut "
+		  "off, in place of a daemon that stands still" },
 		{ "keep-logs", ARG_FLAG, &play.keeps_logs,
 		  "also of a play without findings" },
 		{ "series", ARG_FLAG, &play.plays_series,
@@ -611,7 +656,7 @@
 	play.n_disturbers = CLAMP((int)disturbers, 0, MAX_DISTURBERS);
 	play.n_tunnels = CLAMP((int)tunnels, 0, play.n_daemons - 1);
 	play.no_deadline = (int)no_deadline;
-	if (play.n_tunnels) {
+	if (play.n_tunnels || play.cuts_zone) {
 		shim = g_build_filename(process_build_dir(), "tests",
 					"libpartition.so", NULL);
 		g_setenv("LD_PRELOAD", shim, TRUE);
