relay_release: another daemon's "not known" needs a list that is up to date

Cause: in a zone that is cut off a stream's recorder is a daemon of that zone. It has no notes of streams outside, cannot read the store, and answers after 0.3 s that it doesn't know the stream. Who asked took that for "nobody knows it", and went on at the only release in its list, which was as old as the cut: two runs joined.

Ruled out: the recorder's note.

Change: such an answer counts only while the list of runners is 1.5 s old at most, the age that take-ups without a stream's name are held to already; else the recorder is asked again, and the take-up is refused after 1.6 s. Not has_new_list(): a list that is newer than the request would delay each take-up by up to the next news of the store.

What remains: a release that joins within 1.5 s before the take-up is still not known (a_recorder_that_is_cut_off_too_has_a_stream_joined stays red). The cost, not measured: while the store is away for more than 1.5 s, take-ups at another daemon than the stream's are refused for services with one release, too, where they went on before.

--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -140,9 +140,18 @@
 }
 
 /*
- * This daemon's own word that it doesn't know the stream says little until its
- * list of runners is new: notes may wait in its sockets.
+ * Whether it may be that nobody knows the stream because the service has one
+ * release only. Notes to a recorder that is this daemon may wait in its sockets.
+ * Another one may be cut off from the rest like this daemon, whose list of
+ * runners is old then.
  */
+static bool may_trust_unknown(const relay_t *r, bool is_own)
+{
+	if (is_own)
+		return has_new_list(r);
+	return r->gateway->runners_seen_at > r->arrived_at - LIST_AGE_US;
+}
+
 static void on_answer(relay_t *r, const message_streams_t *m)
 {
 	bool is_own = !m->peer[0];
@@ -153,7 +162,7 @@
 		relay_request_limit(r);
 		return;
 	}
-	if (is_own && only_release(r) && !has_new_list(r))
+	if (only_release(r) && !may_trust_unknown(r, is_own))
 		return;
 	if (use_only_release(r, "its recorder doesn't know it"))
 		relay_request_limit(r);
