--- a/daemon/relay_release.c
+++ b/daemon/relay_release.c
@@ -140,17 +140,34 @@
 	}
 }
 
+/* A daemon that isn't listed may be anywhere. */
+static bool is_in_own_zone(const gateway_t *g, const char *daemon)
+{
+	const GArray *daemons = g->vms->daemons;
+
+	for (guint i = 0; i < daemons->len; i++) {
+		const member_vm_t *vm = &g_array_index(daemons, member_vm_t, i);
+
+		if (!strcmp(vm->name, daemon))
+			return !strcmp(vm->zone, g->sup->settings->zone);
+	}
+	return true;
+}
+
 /*
- * That a recorder doesn't know the stream may say little until the list of
- * runners is new: this daemon's own notes may wait in its sockets, and where a
- * zone is cut off, the recorder is on the same side as this daemon.
+ * Whether nobody knowing the stream means that the service has one release only.
+ * Notes to a recorder that is this daemon may wait in its sockets. Another one
+ * may be cut off with this daemon, whose list of runners is old then; it is while
+ * the store is away, too, which a recorder in another zone tells from a cut.
  */
-static bool may_be_unaware(const relay_t *r, const message_streams_t *m)
+static bool may_trust_unknown(const relay_t *r, const char *recorder)
 {
-	bool is_own = !m->peer[0];
-	bool is_apart = g_hash_table_size(r->gateway->partitioned_zones) > 0;
+	const gateway_t *g = r->gateway;
 
-	return (is_own || is_apart) && !has_new_list(r);
+	if (!recorder[0] || g_hash_table_size(g->partitioned_zones))
+		return has_new_list(r);
+	return g->runners_seen_at > r->arrived_at - LIST_AGE_US ||
+	       !is_in_own_zone(g, recorder);
 }
 
 static void on_answer(relay_t *r, const message_streams_t *m)
@@ -161,7 +178,7 @@
 		relay_request_limit(r);
 		return;
 	}
-	if (only_release(r) && may_be_unaware(r, m))
+	if (only_release(r) && !may_trust_unknown(r, m->peer))
 		return;
 	if (use_only_release(r, "its recorder doesn't know it"))
 		relay_request_limit(r);
--- a/tests/test_version_skew.c
+++ b/tests/test_version_skew.c
@@ -130,10 +130,11 @@
 END_TEST
 
 /*
- * Guards against streams joined from two releases in a zone that was cut off
- * before the second one joined: its recorder knows no more than its VMs.
+ * A zone is cut off, and a second release joins outside. A caller that reaches
+ * both sides takes a stream of it up inside, FOR_MS later; the recorder there
+ * knows no more than this daemon, which has or hasn't noticed the cut.
  */
-START_TEST(a_recorder_that_is_cut_off_too_is_not_believed)
+static void take_up_while_cut_off(int for_ms, bool has_noticed)
 {
 	message_t cut = { .type = MESSAGE_ZONE_PARTITION };
 	message_t m = { .type = MESSAGE_STREAM_ANSWER };
@@ -142,9 +143,11 @@
 	begin(&fixture, resumes, resumes);
 	gateway_set_only_release(&fixture, OLD_RELEASE);
 	fixture.is_list_old = true;
+	gateway_run(&fixture, for_ms);
 	g_strlcpy(cut.contact.name, "another", sizeof(cut.contact.name));
 	cut.contact.is_lost = true;
-	supervisor_post(&fixture.sup, TASK_FRONT, &cut);
+	if (has_noticed)
+		supervisor_post(&fixture.sup, TASK_FRONT, &cut);
 	gateway_send(&fixture, 0, TAKE_UP("b", "a"));
 	gateway_await_count(&fixture, &fixture.stream_asks, 1);
 	m.streams.stream = fixture.last_ask;
@@ -155,6 +158,26 @@
 	ck_assert_int_eq(fixture.wants, 0);
 	gateway_fixture_finish(&fixture);
 }
+
+/* Guards against streams joined in a zone that has just been cut off. */
+START_TEST(a_recorder_that_is_cut_off_too_has_a_stream_joined)
+{
+	take_up_while_cut_off(0, false);
+}
+END_TEST
+
+/* Guards against such streams before the cut is noticed. */
+START_TEST(a_recorder_that_is_cut_off_for_long_has_a_stream_joined)
+{
+	take_up_while_cut_off(2000, false);
+}
+END_TEST
+
+/* Guards against such streams as long as the cut lasts. */
+START_TEST(a_recorder_that_is_cut_off_too_is_not_believed)
+{
+	take_up_while_cut_off(0, true);
+}
 END_TEST
 
 START_TEST(a_recorder_tells_the_release_of_another_daemons_stream)
@@ -404,6 +427,8 @@
 	   a_vm_out_of_step_asks_again_before_it_goes_on,
 	   a_vm_that_stays_out_of_step_refuses_take_ups,
 	   a_recorder_that_is_cut_off_too_is_not_believed,
+	   a_recorder_that_is_cut_off_too_has_a_stream_joined,
+	   a_recorder_that_is_cut_off_for_long_has_a_stream_joined,
 	   a_recorder_tells_the_release_of_another_daemons_stream,
 	   a_stream_of_an_unknown_release_is_not_taken_up,
 	   a_recorder_that_is_silent_is_asked_again_and_given_up,
