test_ordered_streams: repeats by ticket, and streams too long to be kept

Two more ways by which a part of a stream may come alone: a repeat with the ticket of a running stream, and a repeat of a stream whose later event isn't kept (409 while it runs, 410 afterwards).

A third test, of what a caller sees that is disconnected since it reads too slowly, is not here: it read some megabytes through a small window and ran out of time.

--- a/tests/test_ordered_streams.c
+++ b/tests/test_ordered_streams.c
@@ -411,6 +411,71 @@
 }
 END_TEST
 
+/* Guards against a repeat with a ticket that lacks a part, or gets it twice. */
+START_TEST(a_ticket_is_good_for_one_stream_that_repeats_join)
+{
+	front_fixture_t fixture;
+	front_client_t *a, *b, *c;
+	g_autofree char *header = NULL;
+	g_auto(GStrv) words = NULL;
+	peer_t runner;
+
+	begin(&fixture, &runner);
+	a = front_request(&fixture, 0, EVHTTP_REQ_POST, "/v1/tickets", "", "");
+	words = g_strsplit(a->body->str, "\"", -1);
+	ck_assert_uint_ge(g_strv_length(words), 4);
+	header = g_strconcat("Papaya-Ticket: ", words[3], NULL);
+	a = send_stream(&fixture, 0, header);
+	peer_accept(&runner, &fixture);
+	peer_send(&runner, SSE_HEAD FIRST);
+	await_text(&fixture, a, FIRST);
+	b = send_stream(&fixture, 1, header);
+	await_text(&fixture, b, FIRST);
+	peer_send(&runner, SECOND DONE);
+	peer_close(&runner);
+	front_run_until(&fixture, &a->is_ended);
+	front_run_until(&fixture, &b->is_ended);
+	c = front_request(&fixture, 2, EVHTTP_REQ_POST, COMPLETIONS, header,
+			  STREAM_PROMPT);
+	ck_assert_str_eq(a->body->str, FIRST SECOND DONE);
+	ck_assert_str_eq(b->body->str, FIRST SECOND DONE);
+	ck_assert_str_eq(c->body->str, FIRST SECOND DONE);
+	ck_assert_int_eq(fixture.wants, 1);
+	finish(&fixture, &runner);
+}
+END_TEST
+
+/* Guards against a part of a long stream that is kept as the whole. */
+START_TEST(a_stream_too_long_to_be_kept_is_not_repeated_in_part)
+{
+	g_autofree char *filler = g_strnfill(LONG_EVENT_BYTES, 'x');
+	g_autofree char *event = g_strdup_printf("data: %s\n\n", filler);
+	front_fixture_t fixture;
+	front_client_t *a, *b, *c;
+	peer_t runner;
+
+	begin(&fixture, &runner);
+	a = send_stream(&fixture, 0, KEY);
+	peer_accept(&runner, &fixture);
+	peer_send(&runner, SSE_HEAD FIRST);
+	peer_send(&runner, event);
+	await_text(&fixture, a, event);
+	b = front_request(&fixture, 1, EVHTTP_REQ_POST, COMPLETIONS, KEY,
+			  STREAM_PROMPT);
+	peer_send(&runner, SECOND DONE);
+	peer_close(&runner);
+	front_run_until(&fixture, &a->is_ended);
+	c = front_request(&fixture, 2, EVHTTP_REQ_POST, COMPLETIONS, KEY,
+			  STREAM_PROMPT);
+	ck_assert(g_str_has_suffix(a->body->str, SECOND DONE));
+	ck_assert_int_eq(b->status, 409);
+	ck_assert_int_eq(c->status, 410);
+	ck_assert_ptr_null(strstr(b->body->str, FIRST));
+	ck_assert_ptr_null(strstr(c->body->str, FIRST));
+	finish(&fixture, &runner);
+}
+END_TEST
+
 SUITE_MAIN("ordered_streams",
 	   a_repeat_gets_a_running_stream_from_its_first_event,
 	   a_repeat_does_not_join_after_a_first_event_that_is_not_kept,
@@ -420,4 +485,6 @@
 	   a_forwarded_stream_whose_text_names_an_error_is_cut_nevertheless,
 	   a_forwarded_stream_that_its_owner_ends_with_an_error_has_one,
 	   a_repeat_of_a_cut_stream_gets_its_error,
-	   a_second_answer_is_no_part_of_the_first)
+	   a_second_answer_is_no_part_of_the_first,
+	   a_ticket_is_good_for_one_stream_that_repeats_join,
+	   a_stream_too_long_to_be_kept_is_not_repeated_in_part)
