tests/streams: daemons of another build, alone or beside this one

Joined streams were reported of a landing that isn't known, and once seen while daemons of two builds ran side by side. The program could only start the papayad of its own build.

Ruled out: a copy of the tests in each older clone; older ones lack the options and checks of today, so that their counts couldn't be compared.

Before: neither option exists.

--- a/tests/lib_process.c
+++ b/tests/lib_process.c
@@ -51,7 +51,7 @@
 		  const char *log_path, const int *pipe_ends, short flags)
 {
 	g_autofree char *path =
-		g_strdup_printf("%s/%s", process_build_dir(), name);
+		g_canonicalize_filename(name, process_build_dir());
 	char *argv[PROCESS_MAX_ARGS + 2] = { path };
 	posix_spawn_file_actions_t actions;
 	posix_spawnattr_t attr;
--- a/tests/lib_process.h
+++ b/tests/lib_process.h
@@ -17,7 +17,8 @@
 const char *process_build_dir(void);
 
 /*
- * Starts build/NAME with ARGS (NULL-terminated, without the program's name).
+ * Starts build/NAME with ARGS (NULL-terminated, without the program's name);
+ * a NAME that is an absolute path stands for itself.
  * LOG_PATH receives standard error, and standard output too unless it is
  * piped; NULL leaves standard error as it is.
  */
--- a/tests/streams.c
+++ b/tests/streams.c
@@ -51,6 +51,7 @@
 	process_t process;
 	char ip[STREAM_HOST_SIZE];
 	int zone;
+	bool runs_beside; /* its next process is of play_t.beside, if set */
 } node_t;
 
 typedef struct play {
@@ -59,6 +60,8 @@
 	process_t store;
 	node_t daemons[STREAM_MAX_DAEMONS];
 	int n_daemons;
+	const char *daemons_of; /* folder of all papayad; NULL: this build */
+	const char *beside; /* of each other papayad; NULL: none */
 	stream_runner_t runners[RUNNERS];
 	stream_caller_t callers[MAX_CALLERS];
 	stream_faults_t faults;
@@ -135,8 +138,26 @@
 	return process_start_standin(&p->store, "standin-store", args);
 }
 
+/* Each start of a daemon takes the other of two builds. */
+static char *choose_papayad(const play_t *p, node_t *n)
+{
+	const char *dir = p->daemons_of;
+	g_autofree char *root = NULL;
+
+	if (p->beside) {
+		if (n->runs_beside)
+			dir = p->beside;
+		n->runs_beside = !n->runs_beside;
+	}
+	if (!dir)
+		return g_strdup("papayad");
+	root = g_canonicalize_filename(dir, NULL);
+	return g_build_filename(root, "papayad", NULL);
+}
+
 static bool start_daemon(play_t *p, node_t *n)
 {
+	g_autofree char *papayad = choose_papayad(p, n);
 	g_autofree char *settings =
 		g_strdup_printf("%s/%s.json", p->dir, n->ip);
 	g_autofree char *log = g_strdup_printf("%s/%s.log", p->dir, n->ip);
@@ -159,7 +180,7 @@
 	const char *const args[] = { settings, NULL };
 
 	return g_file_set_contents(settings, text, -1, NULL) &&
-	       process_start(&n->process, "papayad", args, log, false);
+	       process_start(&n->process, papayad, args, log, false);
 }
 
 static void start_runner(play_t *p, int i)
@@ -209,6 +230,7 @@
 		node_t *n = &p->daemons[i];
 
 		n->zone = i % 2;
+		n->runs_beside = i / 2 % 2; /* in each zone both builds */
 		g_snprintf(n->ip, sizeof(n->ip), "127.%d.%d.%d", p->net,
 			   1 + n->zone, 10 + i);
 	}
@@ -484,6 +506,11 @@
 		{ "releases", ARG_FLAG, &play.plays_releases,
 		  "new releases join while a daemon stands still; no other "
 		  "fault of daemons, runners' entries or the store" },
+		{ "daemons-of", ARG_TEXT, &play.daemons_of,
+		  "folder of the papayad that the daemons run" },
+		{ "beside", ARG_TEXT, &play.beside,
+		  "folder of another papayad; each start of a daemon runs the "
+		  "other one" },
 		{ "spare-daemons", ARG_FLAG, &play.spares_daemons,
 		  "daemons are neither killed nor stopped" },
 	};
