test_stream_recorder: the keys of words on a stream are the other build's, too

While machines are replaced one after the other, daemons of two builds note streams to each other's recorders and read each other's records. The word that a stream began reaches a recorder of the build before only since it stands under the key of that build's fourth send; another number or another hash would leave its take-ups refused, and no test would fail: the others compare keys within one build.

--- a/tests/test_stream_recorder.c
+++ b/tests/test_stream_recorder.c
@@ -267,7 +267,22 @@
 }
 END_TEST
 
+/*
+ * Guards against take-ups that are refused while daemons of two builds run side
+ * by side: the recorder looks for a key under which the other build notes nothing.
+ */
+START_TEST(words_on_a_stream_keep_the_keys_that_the_build_before_reads)
+{
+	ck_assert_uint_eq(STREAM_RELEASES_BEGUN, 3);
+	ck_assert_uint_eq(stream_releases_key(STREAM, 0), STREAM);
+	ck_assert_uint_eq(stream_releases_key(STREAM, 1), 0x6757566a7e88daec);
+	ck_assert_uint_eq(stream_releases_key(STREAM, STREAM_RELEASES_BEGUN),
+			  0x3a76c1e337c404ac);
+}
+END_TEST
+
 SUITE_MAIN("stream_recorder", all_words_on_a_stream_have_one_recorder,
+	   words_on_a_stream_keep_the_keys_that_the_build_before_reads,
 	   a_note_of_one_send_is_no_answer_until_the_store_was_read,
 	   the_release_that_began_a_stream_is_told_at_once,
 	   a_new_recorder_reads_the_store_before_it_knows_nothing,
