tests/streams: kept connections that end with their runner

A runner that is replaced goes on reading its kept connections, and refuses the next request there with 421 in the name of its successor.

Not traced to its end; both in one millisecond, at least one of them at a daemon behind the shim, whose cut "re" ends open connections by shutdown(), which reads as an end in order. To be told from a fault first.

--- a/tests/lib_stream_runner.c
+++ b/tests/lib_stream_runner.c
@@ -366,6 +366,8 @@
 			close(q->fd);
 			return NULL;
 		}
+		if (q->runner->faults->ends_kept && !is_serving(q))
+			break;
 		if (!serve_request(q))
 			return NULL;
 	}
--- a/tests/lib_stream_runner.h
+++ b/tests/lib_stream_runner.h
@@ -7,6 +7,7 @@
 #define TESTS_LIB_STREAM_RUNNER_H
 
 #include <glib.h>
+#include <stdbool.h>
 
 #include "tests/lib_retry_ledger.h"
 
@@ -24,6 +25,7 @@
 	int first_failures; /* of streams, at the first send of an attempt */
 	int no_length; /* of streams, those that end with their connection */
 	int second_answers; /* of whole answers, sent again at once */
+	bool ends_kept; /* kept connections end with their runner */
 	int late_copies; /* of whole answers, sent again before the next one */
 } stream_faults_t;
 
--- a/tests/streams.c
+++ b/tests/streams.c
@@ -593,6 +593,7 @@
 	double disturbers = 0;
 	double first_failures = 0, no_length = 0;
 	double second_answers = 0, late_copies = 0;
+	bool ends_kept = false;
 	const arg_row_t rows[] = {
 		{ "seconds", ARG_NUMBER, &seconds, "how long callers send" },
 		{ "callers", ARG_NUMBER, &callers, "at once, 64 at most" },
@@ -626,6 +627,9 @@
 		{ "cut-zone", ARG_FLAG, &play.cuts_zone,
 		  "with --releases: they join outside of a zone that is cut "
 		  "off, in place of a daemon that stands still" },
+		{ "end-kept", ARG_FLAG, &ends_kept,
+		  "kept connections end with their runner, as those of a "
+		  "process do" },
 		{ "keep-logs", ARG_FLAG, &play.keeps_logs,
 		  "also of a play without findings" },
 		{ "series", ARG_FLAG, &play.plays_series,
@@ -650,6 +654,7 @@
 		.no_length = (int)no_length,
 		.second_answers = (int)second_answers,
 		.late_copies = (int)late_copies,
+		.ends_kept = ends_kept,
 	};
 	play.n_zones = CLAMP((int)zones, ZONES, MAX_ZONES);
 	play.n_daemons = CLAMP((int)daemons, 1, STREAM_MAX_DAEMONS);
