tests/shim/partition: cuts that reset what is open

Some 18 attempts of one daemon ended in the millisecond in which its cut began. tests/streams now has "x", which sends a reset and lets reads fail; cuts of a zone do the same. "e" stays for tests/partition.c, which is unchanged and was not run.

--- a/tests/shim/partition.c
+++ b/tests/shim/partition.c
@@ -1,15 +1,16 @@
 /*
- * Preloaded into daemons by tests/partition.c and tests/streams.c: cuts a daemon off from all
- * runners while it reaches everything else. The file that is named like the
- * daemon's settings, plus ".cut", says how:
+ * Preloaded into daemons by tests/partition.c and tests/streams.c: cuts a daemon
+ * off from all runners while it reaches everything else. The file that is named
+ * like the daemon's settings, plus ".cut", says how:
  *   n  nothing is cut (the same without the file)
  *   r  new connections to runners are refused
  *   h  new connections to runners hang
  * and after that letter what becomes of open ones:
- *   e  they end    l  they live on    s  nothing more arrives on them
+ *   e  they end, as if runners had ended them in order    x  they are reset
+ *   l  they live on    s  nothing more arrives on them
  *
  * Or it says z and the third byte of a zone's addresses, a digit: connections
- * between that zone and all else are refused, and open ones end. The settings of
+ * between that zone and all else are refused, and open ones reset. The settings of
  * such daemons are named IP.json.
  *
  * Runners are reached at 127.NET.9.*:9000; 127.NET.9.250:9000 accepts nothing.
@@ -145,12 +146,22 @@
 	setsockopt(fd, SOL_SOCKET, SO_DETACH_FILTER, &none, sizeof(none));
 }
 
+/* Sends a reset; reads fail then, where shutdown() would end them in order. */
+static void reset(int fd)
+{
+	struct sockaddr none = { .sa_family = AF_UNSPEC };
+	int (*real)(int, const struct sockaddr *, socklen_t);
+
+	*(void **)&real = dlsym(RTLD_NEXT, "connect");
+	real(fd, &none, sizeof(none));
+}
+
 static void set_zone(char digit)
 {
 	pthread_mutex_lock(&lock);
 	for (int fd = 0; digit && digit != zone_digit && fd < MAX_FDS; fd++)
 		if (blocks[fd] && is_across(blocks[fd] - 1, digit))
-			shutdown(fd, SHUT_RDWR);
+			reset(fd);
 	zone_digit = digit;
 	pthread_mutex_unlock(&lock);
 }
@@ -165,6 +176,8 @@
 			end_silence(fd);
 		else if (open_ones == 'e')
 			shutdown(fd, SHUT_RDWR);
+		else if (open_ones == 'x')
+			reset(fd);
 		else if (open_ones == 's')
 			silence(fd);
 	}
--- a/tests/streams.c
+++ b/tests/streams.c
@@ -243,7 +243,7 @@
 		n->zone = i % p->n_zones;
 		g_snprintf(n->ip, sizeof(n->ip), "127.%d.%d.%d", p->net,
 			   1 + n->zone, 10 + i);
-		if (is_cut_off(p, i) && !set_cut(p, n, "re"))
+		if (is_cut_off(p, i) && !set_cut(p, n, "rx"))
 			return false;
 	}
 	for (int i = 0; i < p->n_daemons; i++)
@@ -457,7 +457,7 @@
 /* Cuts come, go, and treat open connections in other ways. */
 static void *change_cuts(void *data)
 {
-	static const char *const ways[] = { "re", "rl", "rs", "nl" };
+	static const char *const ways[] = { "rx", "rl", "rs", "nl" };
 	play_t *p = data;
 
 	while (now_ms() < p->until_ms) {
