--- a/tests/streams.c
+++ b/tests/streams.c
@@ -266,7 +266,7 @@
 		n->runs_beside = i / p->n_zones % 2;
 		g_snprintf(n->ip, sizeof(n->ip), "127.%d.%d.%d", p->net,
 			   1 + n->zone, 10 + i);
-		if (is_cut_off(p, i) && !set_cut(p, n, "re"))
+		if (is_cut_off(p, i) && !set_cut(p, n, "rx"))
 			return false;
 	}
 	for (int i = 0; i < p->n_daemons; i++)
@@ -480,7 +480,7 @@
 /* Cuts come, go, and treat open connections in other ways. */
 static void *change_cuts(void *data)
 {
-	static const char *const ways[] = { "re", "rl", "rs", "nl" };
+	static const char *const ways[] = { "rx", "rl", "rs", "nl" };
 	play_t *p = data;
 
 	while (now_ms() < p->until_ms) {
@@ -616,6 +616,7 @@
 	double disturbers = 0;
 	double first_failures = 0, no_length = 0;
 	double second_answers = 0, late_copies = 0;
+	bool ends_kept = false;
 	const arg_row_t rows[] = {
 		{ "seconds", ARG_NUMBER, &seconds, "how long callers send" },
 		{ "callers", ARG_NUMBER, &callers, "at once, 64 at most" },
@@ -649,6 +650,9 @@
 		{ "cut-zone", ARG_FLAG, &play.cuts_zone,
 		  "with --releases: they join outside of a zone that is cut "
 		  "off, in place of a daemon that stands still" },
+		{ "end-kept", ARG_FLAG, &ends_kept,
+		  "kept connections end with their runner, as those of a "
+		  "process do" },
 		{ "keep-logs", ARG_FLAG, &play.keeps_logs,
 		  "also of a play without findings" },
 		{ "series", ARG_FLAG, &play.plays_series,
@@ -678,6 +682,7 @@
 		.no_length = (int)no_length,
 		.second_answers = (int)second_answers,
 		.late_copies = (int)late_copies,
+		.ends_kept = ends_kept,
 	};
 	play.n_zones = CLAMP((int)zones, ZONES, MAX_ZONES);
 	play.n_daemons = CLAMP((int)daemons, 1, STREAM_MAX_DAEMONS);
