test_quarantine_fleet: resets of live runners quarantine what all requests share

A failing test of the quarantine though no runner crashed (docs/incidents/false-quarantine.md): the reports and answers of one play, in the order of the daemons' logs, at three daemons. Six quarantines begin (two parts at each daemon), none is wanted. The answers that the log lacks (output, which shows a part to be sound) are left out, so that nothing but the runners' own answers can show that they live.

--- a/tests/test_quarantine_fleet.c
+++ b/tests/test_quarantine_fleet.c
@@ -349,6 +349,104 @@
 }
 END_TEST
 
+/* A line of three daemons' logs. */
+typedef struct log_line {
+	int64_t ms;
+	int daemon;
+	enum { LOG_REPORTED, LOG_ANSWERED } kind;
+	uint64_t runner, request;
+} log_line_t;
+
+/* Six runners that break some of their answers, and never end. */
+static const log_line_t resets[] = {
+	{ 447, 0, LOG_REPORTED, 1, 1 },	  { 527, 0, LOG_ANSWERED, 1, 2 },
+	{ 676, 2, LOG_ANSWERED, 1, 3 },	  { 728, 1, LOG_ANSWERED, 1, 4 },
+	{ 1479, 0, LOG_REPORTED, 0, 5 },  { 1485, 2, LOG_ANSWERED, 0, 6 },
+	{ 1497, 1, LOG_ANSWERED, 0, 7 },  { 1526, 1, LOG_REPORTED, 0, 7 },
+	{ 1535, 0, LOG_ANSWERED, 0, 8 },  { 1554, 0, LOG_REPORTED, 0, 8 },
+	{ 1560, 0, LOG_ANSWERED, 0, 9 },  { 1603, 2, LOG_ANSWERED, 0, 10 },
+	{ 1657, 2, LOG_REPORTED, 1, 11 }, { 1690, 0, LOG_REPORTED, 2, 12 },
+	{ 1698, 2, LOG_ANSWERED, 2, 13 }, { 1736, 2, LOG_REPORTED, 2, 14 },
+	{ 1741, 2, LOG_ANSWERED, 2, 15 }, { 1808, 0, LOG_ANSWERED, 2, 16 },
+	{ 1952, 2, LOG_ANSWERED, 1, 17 }, { 1990, 0, LOG_ANSWERED, 1, 18 },
+	{ 2147, 2, LOG_REPORTED, 3, 19 }, { 2154, 2, LOG_ANSWERED, 3, 20 },
+	{ 2308, 0, LOG_ANSWERED, 3, 21 }, { 2325, 1, LOG_REPORTED, 2, 22 },
+	{ 2331, 0, LOG_ANSWERED, 2, 23 }, { 2532, 0, LOG_REPORTED, 4, 24 },
+	{ 2538, 1, LOG_ANSWERED, 4, 25 }, { 2668, 2, LOG_ANSWERED, 2, 26 },
+	{ 2826, 1, LOG_ANSWERED, 2, 27 }, { 2922, 1, LOG_REPORTED, 3, 28 },
+	{ 2968, 2, LOG_ANSWERED, 4, 29 }, { 3079, 2, LOG_ANSWERED, 3, 30 },
+	{ 3209, 0, LOG_REPORTED, 1, 31 }, { 3305, 0, LOG_ANSWERED, 3, 32 },
+	{ 4235, 0, LOG_ANSWERED, 1, 33 }, { 4881, 0, LOG_REPORTED, 5, 34 },
+	{ 4882, 0, LOG_REPORTED, 1, 34 }, { 4888, 1, LOG_ANSWERED, 1, 35 },
+	{ 4888, 1, LOG_REPORTED, 1, 35 }, { 4894, 0, LOG_ANSWERED, 1, 36 },
+	{ 4894, 0, LOG_REPORTED, 1, 36 }, { 4900, 1, LOG_ANSWERED, 1, 37 },
+	{ 4909, 1, LOG_REPORTED, 1, 38 }, { 4909, 1, LOG_REPORTED, 4, 38 },
+	{ 4970, 1, LOG_ANSWERED, 1, 39 }, { 5014, 1, LOG_REPORTED, 1, 39 },
+};
+
+enum { LOG_DAEMONS = 3, LOG_END_MS = 5200, ANSWER_MS = 4 };
+
+/* The daemons of the log; DAEMON had what it says, the others hear of it. */
+typedef struct log_model {
+	quarantine_t quarantines[LOG_DAEMONS];
+	int quarantined;
+} log_model_t;
+
+static void count_quarantine(void *ctx, const quarantine_entry_t *entry,
+			     bool is_own)
+{
+	++*(int *)ctx;
+}
+
+static void log_report(log_model_t *m, const log_line_t *line)
+{
+	crash_report_t crash = { .runner = line->runner,
+				 .request = line->request,
+				 .parts = { .ids = { 1, 2 }, .n = 2 },
+				 .at = line->ms * MS };
+
+	for (int d = 0; d < LOG_DAEMONS; d++)
+		quarantine_add_report(&m->quarantines[d], &crash,
+				      d == line->daemon, crash.at);
+}
+
+static void log_answer(log_model_t *m, const log_line_t *line)
+{
+	quarantine_answer_t answer = { line->runner,
+				       (line->ms - ANSWER_MS) * MS,
+				       (line->ms - ANSWER_MS) * MS };
+
+	quarantine_set_alive(&m->quarantines[line->daemon], &answer,
+			     line->ms * MS, NULL, NULL);
+}
+
+/* Guards against a quarantine of what all requests share, without a crash. */
+START_TEST(resets_of_live_runners_quarantine_nothing)
+{
+	log_model_t m = { .quarantined = 0 };
+	guint next = 0;
+
+	for (int d = 0; d < LOG_DAEMONS; d++)
+		quarantine_init(&m.quarantines[d]);
+	for (int64_t ms = 0; ms < LOG_END_MS; ms++) {
+		for (; next < G_N_ELEMENTS(resets) && resets[next].ms <= ms;
+		     next++) {
+			if (resets[next].kind == LOG_REPORTED)
+				log_report(&m, &resets[next]);
+			else
+				log_answer(&m, &resets[next]);
+		}
+		for (int d = 0; d < LOG_DAEMONS; d++)
+			quarantine_tick(&m.quarantines[d], ms * MS,
+					count_quarantine, &m.quarantined);
+	}
+	ck_assert_int_eq(m.quarantined, 0);
+	for (int d = 0; d < LOG_DAEMONS; d++)
+		quarantine_finish(&m.quarantines[d]);
+}
+END_TEST
+
 SUITE_MAIN("quarantine_fleet", a_crashing_part_is_kept_from_all_runners,
 	   a_crashing_part_is_kept_from_runners_beside_a_cut,
-	   a_crashing_part_is_kept_from_runners_while_daemons_restart)
+	   a_crashing_part_is_kept_from_runners_while_daemons_restart,
+	   resets_of_live_runners_quarantine_nothing)
