quarantine: tell the others which crashes were none, and wait for runners that lived

Cause: a report of a crash goes to all daemons, but what disproves it stayed where it was seen. The others went on counting it, and no later answer corrected them, as nothing was sent any more. Three further forms of the same: runners that reset and live were judged within 0.1 s each time, as if for the first time; a disproved report was forgotten, so that its copy over a second link counted anew; and a true quarantine that such a report had widened stayed wide.

Change: who gets an answer that disproves reports names them to all (PART_NOTICE_ALIVE, ignored by earlier builds); disproved reports are kept as such for their minute, make room first, and are taken out of what they brought about. A runner that lately lived has a second to answer again before its crash is judged; a crashed one can't, and is counted then. Whether a daemon reports a crash of a plain service still depends on its own answers only, so that no daemon keeps silent on the word of another.

Before: test_quarantine_fleet:resets_of_live_runners_quarantine_nothing had 6 quarantines, and ck_assert m.quarantined == 0 failed.

Checks that change: - resets_of_a_live_runner_are_reported_once counted all frames, one a runner. There is a second one now, the disproof. It counts both kinds and their sum, each exactly. - test_quarantine_fleet's model passes disproofs on as daemons do; its old three tests check what they did.

--- a/core/crash_reports.c
+++ b/core/crash_reports.c
@@ -2,6 +2,9 @@
 
 G_STATIC_ASSERT(PROMPT_MAX_PARTS <= 32); /* bits of a sound_mask */
 
+/* Copies of one report may say times this far apart, as links differ. */
+#define COPY_US (INT64_C(1000) * 1000)
+
 void crash_reports_init(crash_reports_t *r)
 {
 	r->records = g_array_new(FALSE, TRUE, sizeof(crash_record_t));
@@ -17,16 +20,41 @@
 	return &g_array_index(r->records, crash_record_t, i);
 }
 
-static bool is_known(const crash_reports_t *r, const crash_report_t *report)
+static bool is_same_exchange(const crash_report_t *a, const crash_report_t *b)
+{
+	return a->runner == b->runner && a->request == b->request;
+}
+
+crash_record_t *crash_reports_find(const crash_reports_t *r,
+				   const crash_report_t *report)
 {
 	for (guint i = 0; i < r->records->len; i++) {
-		const crash_report_t *known = &crash_reports_get(r, i)->crash;
+		crash_record_t *record = crash_reports_get(r, i);
 
-		if (known->runner == report->runner &&
-		    known->request == report->request)
-			return true;
+		if (is_same_exchange(&record->crash, report) &&
+		    ABS(record->crash.at - report->at) < COPY_US)
+			return record;
 	}
-	return false;
+	return NULL;
+}
+
+/* A request may be sent again to a runner that lived, and crash it then. */
+static bool is_known(const crash_reports_t *r, const crash_report_t *report)
+{
+	for (guint i = 0; i < r->records->len; i++)
+		if (!crash_reports_get(r, i)->is_disproved &&
+		    is_same_exchange(&crash_reports_get(r, i)->crash, report))
+			return true;
+	return crash_reports_find(r, report) != NULL;
+}
+
+/* Returns the record that makes room for another. */
+static guint find_least(const crash_reports_t *r)
+{
+	for (guint i = 0; i < r->records->len; i++)
+		if (crash_reports_get(r, i)->is_disproved)
+			return i;
+	return 0;
 }
 
 void crash_reports_add(crash_reports_t *r, const crash_report_t *report,
@@ -39,7 +67,7 @@
 	if (is_known(r, report))
 		return;
 	if (r->records->len >= CRASH_REPORTS_MAX)
-		g_array_remove_index(r->records, 0);
+		g_array_remove_index(r->records, find_least(r));
 	g_array_append_val(r->records, record);
 }
 
@@ -55,7 +83,8 @@
 {
 	int i = prompt_parts_find(&record->crash.parts, part);
 
-	return i >= 0 && !(record->sound_mask & 1U << i);
+	return !record->is_disproved && i >= 0 &&
+	       !(record->sound_mask & 1U << i);
 }
 
 /* Tells whether the reports of a runner's crash may be judged. */
@@ -63,7 +92,8 @@
 {
 	for (guint i = 0; i < r->records->len; i++)
 		if (crash_reports_get(r, i)->crash.runner == runner &&
-		    crash_reports_get(r, i)->is_judged)
+		    crash_reports_get(r, i)->is_judged &&
+		    !crash_reports_get(r, i)->is_disproved)
 			return true;
 	return false;
 }
@@ -87,6 +117,7 @@
 		const crash_report_t *crash = &crash_reports_get(r, i)->crash;
 
 		if (crash->runner != runner ||
+		    crash_reports_get(r, i)->is_disproved ||
 		    is_against(crash_reports_get(r, i), part) != has_part)
 			continue;
 		for (uint32_t p = 0; p < crash->parts.n; p++)
@@ -159,6 +190,20 @@
 	return e;
 }
 
+bool crash_reports_was_wrong(const crash_reports_t *r, uint64_t part,
+			     int64_t from, int64_t to)
+{
+	for (guint i = 0; i < r->records->len; i++) {
+		const crash_record_t *record = crash_reports_get(r, i);
+
+		if (record->is_disproved && record->crash.at >= from &&
+		    record->crash.at <= to &&
+		    prompt_parts_find(&record->crash.parts, part) >= 0)
+			return true;
+	}
+	return false;
+}
+
 bool crash_reports_set_sound(crash_reports_t *r, uint64_t part)
 {
 	bool is_news = false;
@@ -167,7 +212,8 @@
 		crash_record_t *record = crash_reports_get(r, i);
 		int k = prompt_parts_find(&record->crash.parts, part);
 
-		if (k < 0 || record->sound_mask & 1U << k)
+		if (k < 0 || record->is_disproved ||
+		    record->sound_mask & 1U << k)
 			continue;
 		record->sound_mask |= 1U << k;
 		is_news = true;
--- a/core/crash_reports.h
+++ b/core/crash_reports.h
@@ -2,10 +2,13 @@
  * Reports of runners that crashed as they began to answer, and what they say of
  * one part of prompts. One crash breaks many exchanges, which several daemons
  * report; only one of them need be the cause. So a crash may be due to any part
- * of any of its reports, unless the part turned out to be sound.
+ * of any of its reports, unless the part turned out to be sound. A report is
+ * disproved when its runner answers afterwards; it is kept, so that a copy of it
+ * that comes later is known.
  *
  * Does no I/O and reads no clock; times are microseconds of the monotonic
- * clock. At most CRASH_REPORTS_MAX are kept; the oldest makes room.
+ * clock. At most CRASH_REPORTS_MAX are kept; the oldest makes room, first of the
+ * disproved ones.
  */
 #ifndef CORE_CRASH_REPORTS_H
 #define CORE_CRASH_REPORTS_H
@@ -31,6 +34,8 @@
 	int64_t received_at;
 	bool is_own; /* of this daemon */
 	bool is_judged; /* it counts as evidence, with others of its crash */
+	bool is_disproved; /* the runner lives: it counts no more */
+	bool is_untold; /* disproved here; the other daemons don't know */
 } crash_record_t;
 
 typedef struct crash_reports {
@@ -54,6 +59,15 @@
 void crash_reports_remove_before(crash_reports_t *r, int64_t time);
 /* Returns record I, valid until a report is added or removed. */
 crash_record_t *crash_reports_get(const crash_reports_t *r, guint i);
+/*
+ * Returns the record of the crash that REPORT is about; NULL: none. It is valid
+ * until a report is added or removed.
+ */
+crash_record_t *crash_reports_find(const crash_reports_t *r,
+				   const crash_report_t *report);
+/* Tells whether a disproved report of a crash in a time spoke against PART. */
+bool crash_reports_was_wrong(const crash_reports_t *r, uint64_t part,
+			     int64_t from, int64_t to);
 /* Marks a part as sound in all reports. Returns whether that is news. */
 bool crash_reports_set_sound(crash_reports_t *r, uint64_t part);
 /*
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -3,6 +3,7 @@
 #include "common/str.h"
 
 #define SETTLE_US (QUARANTINE_SETTLE_MS * INT64_C(1000))
+#define SURVIVOR_SETTLE_US (QUARANTINE_SURVIVOR_SETTLE_MS * INT64_C(1000))
 #define MINUTE_US (INT64_C(60) * 1000 * 1000)
 /* Crashes further apart than this are not related. */
 #define REPORT_LIFE_US MINUTE_US
@@ -92,7 +93,7 @@
 }
 
 /* Quarantines PART if the reports suffice. Returns whether that is new. */
-static bool judge(quarantine_t *q, uint64_t part, int64_t now)
+static bool judge(quarantine_t *q, uint64_t part, bool is_own, int64_t now)
 {
 	quarantine_entry_t *entry = find_entry(q, part);
 	crash_evidence_t e = crash_reports_evidence(&q->reports, part, false);
@@ -105,6 +106,7 @@
 		entry = add_entry(q, part);
 	if (!is_held) {
 		entry->times++;
+		entry->is_own = is_own;
 		entry->until = e.latest_at + duration_us(entry->times);
 	}
 	if (entry->common.n)
@@ -128,18 +130,42 @@
 	for (uint32_t p = 0; p < record->crash.parts.n; p++) {
 		uint64_t part = record->crash.parts.ids[p];
 
-		if (judge(q, part, now))
+		if (judge(q, part, record->is_own, now))
 			fn(ctx, find_entry(q, part), record->is_own);
 	}
 }
 
+static quarantine_survivor_t *find_survivor(const quarantine_t *q,
+					    uint64_t runner, int64_t now)
+{
+	for (guint i = q->survivors->len; i-- > 0;) {
+		quarantine_survivor_t *s =
+			&g_array_index(q->survivors, quarantine_survivor_t, i);
+
+		if (s->runner == runner && now - s->at <= REPORT_LIFE_US)
+			return s;
+	}
+	return NULL;
+}
+
+/* One that lived before may well answer again; a crashed one can't so soon. */
+static bool is_due(const quarantine_t *q, const crash_record_t *record,
+		   int64_t now)
+{
+	bool lived = find_survivor(q, record->crash.runner, now);
+
+	return !record->is_judged && !record->is_disproved &&
+	       now - record->received_at >=
+		       (lived ? SURVIVOR_SETTLE_US : SETTLE_US);
+}
+
 void quarantine_tick(quarantine_t *q, int64_t now, quarantine_fn fn, void *ctx)
 {
 	remove_old(q, now);
 	for (guint i = 0; i < q->reports.records->len; i++) {
 		crash_record_t *record = crash_reports_get(&q->reports, i);
 
-		if (record->is_judged || now - record->received_at < SETTLE_US)
+		if (!is_due(q, record, now))
 			continue;
 		record->is_judged = true;
 		judge_parts(q, record, now, fn, ctx);
@@ -153,7 +179,7 @@
 
 	g_array_remove_index(q->entries, i);
 	if (fn)
-		fn(ctx, &entry, true);
+		fn(ctx, &entry, entry.is_own);
 }
 
 bool quarantine_set_sound(quarantine_t *q, const prompt_parts_t *parts,
@@ -178,40 +204,69 @@
 	return is_news;
 }
 
-/* Ends PART's first quarantine if it began on reports that are gone now. */
-static void reconsider(quarantine_t *q, uint64_t part, int64_t now,
-		       quarantine_fn fn, void *ctx)
+/*
+ * Tells whether a first quarantine began on reports that turned out to be
+ * wrong, and the others don't suffice.
+ */
+static bool is_wrong(const quarantine_t *q, const quarantine_entry_t *entry,
+		     bool has_unjudged, int64_t now)
+{
+	int64_t since = entry->until - duration_us(entry->times);
+
+	return entry->times == 1 && now - since < REPORT_LIFE_US &&
+	       crash_reports_was_wrong(&q->reports, entry->part,
+				       since - REPORT_LIFE_US,
+				       since + SETTLE_US) &&
+	       crash_reports_evidence(&q->reports, entry->part, has_unjudged)
+			       .n_runners < QUARANTINE_CRASHES;
+}
+
+/* Requests with fewer parts were refused for a report that was wrong. */
+static void restore_common(quarantine_t *q, quarantine_entry_t *entry)
 {
+	crash_evidence_t e =
+		crash_reports_evidence(&q->reports, entry->part, false);
+
+	if (is_enough(&e))
+		entry->common = e.common;
+}
+
+/* A report turned out to be wrong: takes back what came of it. */
+static void disprove(quarantine_t *q, crash_record_t *record, int64_t now,
+		     quarantine_fn fn, void *ctx)
+{
+	record->is_disproved = true;
 	for (guint i = q->entries->len; i-- > 0;) {
-		const quarantine_entry_t *entry = entry_at(q, i);
-		int64_t since = entry->until - duration_us(entry->times);
+		quarantine_entry_t *entry = entry_at(q, i);
 
-		if (entry->part == part && entry->times == 1 &&
-		    now - since < REPORT_LIFE_US &&
-		    crash_reports_evidence(&q->reports, part, false).n_runners <
-			    QUARANTINE_CRASHES)
+		if (prompt_parts_find(&record->crash.parts, entry->part) < 0)
+			continue;
+		if (is_wrong(q, entry, false, now))
 			end_entry(q, i, fn, ctx);
+		else
+			restore_common(q, entry);
 	}
 }
 
 bool quarantine_is_survivor(const quarantine_t *q, uint64_t runner, int64_t now)
 {
-	for (guint i = q->survivors->len; i-- > 0;) {
-		const quarantine_survivor_t *s =
-			&g_array_index(q->survivors, quarantine_survivor_t, i);
+	const quarantine_survivor_t *s = find_survivor(q, runner, now);
 
-		if (s->runner == runner && now - s->at <= REPORT_LIFE_US)
-			return true;
-	}
-	return false;
+	return s && s->is_own;
 }
 
-static void add_survivor(quarantine_t *q, uint64_t runner, int64_t now)
+static void add_survivor(quarantine_t *q, uint64_t runner, bool is_own,
+			 int64_t now)
 {
-	quarantine_survivor_t survivor = { runner, now };
+	quarantine_survivor_t *known = find_survivor(q, runner, now);
+	quarantine_survivor_t survivor = { runner, now, is_own };
 
-	if (quarantine_is_survivor(q, runner, now))
+	if (known && (known->is_own || !is_own))
+		return;
+	if (known) {
+		*known = survivor;
 		return;
+	}
 	if (q->survivors->len >= QUARANTINE_MAX_SURVIVORS)
 		g_array_remove_index(q->survivors, 0);
 	g_array_append_val(q->survivors, survivor);
@@ -236,20 +291,46 @@
 	bool is_news = false;
 
 	for (guint i = q->reports.records->len; i-- > 0;) {
-		crash_report_t crash = crash_reports_get(&q->reports, i)->crash;
+		crash_record_t *record = crash_reports_get(&q->reports, i);
 
-		if (!is_disproof(answer, &crash, now))
+		if (record->is_disproved ||
+		    !is_disproof(answer, &record->crash, now))
 			continue;
-		g_array_remove_index(q->reports.records, i);
-		for (uint32_t p = 0; p < crash.parts.n; p++)
-			reconsider(q, crash.parts.ids[p], now, fn, ctx);
+		record->is_untold = true;
+		disprove(q, record, now, fn, ctx);
 		is_news = true;
 	}
 	if (is_news)
-		add_survivor(q, answer->runner, now);
+		add_survivor(q, answer->runner, true, now);
 	return is_news;
 }
 
+void quarantine_take_disproofs(quarantine_t *q, quarantine_disproof_fn fn,
+			       void *ctx)
+{
+	for (guint i = 0; i < q->reports.records->len; i++) {
+		crash_record_t *record = crash_reports_get(&q->reports, i);
+
+		if (!record->is_untold)
+			continue;
+		record->is_untold = false;
+		fn(ctx, &record->crash);
+	}
+}
+
+void quarantine_set_disproved(quarantine_t *q, const crash_report_t *report,
+			      int64_t now, quarantine_fn fn, void *ctx)
+{
+	crash_record_t *record;
+
+	quarantine_add_report(q, report, false, now);
+	record = crash_reports_find(&q->reports, report);
+	if (!record || record->is_disproved)
+		return;
+	disprove(q, record, now, fn, ctx);
+	add_survivor(q, report->runner, false, now);
+}
+
 bool quarantine_add_entry(quarantine_t *q, const quarantine_entry_t *entry,
 			  int64_t now)
 {
@@ -259,12 +340,16 @@
 	remove_old(q, now);
 	if (now >= entry->until || !entry->common.n || !entry->times)
 		return false;
+	/* Its sender may not have heard of the answer that disproves it. */
+	if (!known && is_wrong(q, entry, true, now))
+		return false;
 	known = add_entry(q, entry->part);
 	if (is_held) {
 		prompt_parts_intersect(&known->common, &entry->common);
 	} else {
 		known->common = entry->common;
 		known->until = MIN(entry->until, now + MAX_DURATION_US);
+		known->is_own = false;
 	}
 	known->times = MAX(known->times, entry->times);
 	return !is_held;
--- a/core/quarantine.h
+++ b/core/quarantine.h
@@ -8,7 +8,9 @@
  * answered since. All these crashes may have other parts in common as well: a
  * request is refused only if it has them all.
  *
- * A crash is judged when the reports of other daemons had time to arrive.
+ * A crash is judged when the reports of other daemons had time to arrive; that
+ * of a runner that lately broke exchanges and lived, when it had time to answer
+ * once more. What a daemon's answers disprove is told to the others.
  *
  * Does no I/O and reads no clock; times are microseconds of the monotonic
  * clock. The tables are bounded: the quarantine that ends first makes room.
@@ -31,6 +33,8 @@
 	QUARANTINE_REQUESTS = 2,
 	/* After the first report of a crash, until it is judged. */
 	QUARANTINE_SETTLE_MS = 100,
+	/* The same for a runner that lived after such a report. */
+	QUARANTINE_SURVIVOR_SETTLE_MS = 1000,
 };
 
 /* A part in quarantine. */
@@ -39,12 +43,14 @@
 	prompt_parts_t common; /* parts of all crashes, PART included */
 	int64_t until;
 	uint32_t times; /* how often it was quarantined; sets the duration */
+	bool is_own; /* began with the last report by this daemon */
 } quarantine_entry_t;
 
 /* A runner's incarnation that answered after a report of its crash. */
 typedef struct quarantine_survivor {
 	uint64_t runner;
 	int64_t at;
+	bool is_own; /* this daemon got the answer */
 } quarantine_survivor_t;
 
 /* An answer that begins, and the exchange that it belongs to. */
@@ -71,13 +77,15 @@
  */
 void quarantine_add_report(quarantine_t *q, const crash_report_t *report,
 			   bool is_own, int64_t now);
-/* Called for a part that is quarantined; ENTRY is valid until it returns. */
+/*
+ * Called for a part whose quarantine begins or ends. IS_OWN: it began with the
+ * last report by this daemon. ENTRY is valid until it returns.
+ */
 typedef void (*quarantine_fn)(void *ctx, const quarantine_entry_t *entry,
 			      bool is_own);
 /*
- * Judges the reports that are old enough. Calls FN for each quarantine that
- * begins; IS_OWN: the last report that it needed is this daemon's. FN must not
- * change Q. To be called a few times in QUARANTINE_SETTLE_MS.
+ * Judges the reports that are old enough. Calls FN, which must not change Q, for
+ * each quarantine that begins. To be called a few times in QUARANTINE_SETTLE_MS.
  */
 void quarantine_tick(quarantine_t *q, int64_t now, quarantine_fn fn, void *ctx);
 /*
@@ -95,9 +103,20 @@
  */
 bool quarantine_set_alive(quarantine_t *q, const quarantine_answer_t *answer,
 			  int64_t now, quarantine_fn fn, void *ctx);
+/* Called for a report that an answer disproved. */
+typedef void (*quarantine_disproof_fn)(void *ctx, const crash_report_t *report);
+/* Calls FN, which must not change Q, for what was disproved since the last call. */
+void quarantine_take_disproofs(quarantine_t *q, quarantine_disproof_fn fn,
+			       void *ctx);
+/*
+ * Another daemon got an answer that disproves REPORT, which may not have come
+ * yet. Calls FN, if it isn't NULL, for each quarantine that ends with it.
+ */
+void quarantine_set_disproved(quarantine_t *q, const crash_report_t *report,
+			      int64_t now, quarantine_fn fn, void *ctx);
 /*
- * Tells whether a runner's incarnation lately answered after a report of its
- * crash: it breaks exchanges for other reasons.
+ * Tells whether a runner's incarnation lately answered this daemon after a
+ * report of its crash: it breaks exchanges for other reasons.
  */
 bool quarantine_is_survivor(const quarantine_t *q, uint64_t runner,
 			    int64_t now);
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -245,6 +245,7 @@
 	PART_NOTICE_CRASH, /* a runner crashed as it began to answer */
 	PART_NOTICE_SOUND, /* a request with these parts is being answered */
 	PART_NOTICE_QUARANTINE, /* a part is in quarantine */
+	PART_NOTICE_ALIVE, /* a runner answered after such a report */
 	PART_NOTICE_KINDS,
 } part_notice_kind_t;
 
@@ -252,7 +253,7 @@
 typedef struct message_part {
 	char peer[MEMBER_NAME_SIZE]; /* the only receiver; "": all */
 	part_notice_kind_t kind;
-	crash_report_t crash; /* CRASH; SOUND: only its parts */
+	crash_report_t crash; /* CRASH, ALIVE; SOUND: only its parts */
 	quarantine_entry_t entry; /* QUARANTINE */
 } message_part_t;
 
--- a/daemon/relay_quarantine.c
+++ b/daemon/relay_quarantine.c
@@ -77,6 +77,21 @@
 	post_notice(ctx, TASK_PLATFORM, &record);
 }
 
+/* Who began the quarantine deletes its record. */
+static void on_told_end(void *ctx, const quarantine_entry_t *entry, bool is_own)
+{
+	if (is_own)
+		on_early_end(ctx, entry, is_own);
+}
+
+/* Other daemons count the report until they get an answer of that runner. */
+static void post_disproof(void *ctx, const crash_report_t *report)
+{
+	message_part_t notice = { .kind = PART_NOTICE_ALIVE, .crash = *report };
+
+	post_notice(ctx, TASK_PEERS, &notice);
+}
+
 void gateway_check_quarantine(gateway_t *g)
 {
 	quarantine_tick(&g->quarantine, now_us(), on_quarantine, g);
@@ -147,11 +162,13 @@
 	};
 
 	/* Called for every answer; there are reports only after crashes. */
-	if (q->reports.records->len &&
-	    quarantine_set_alive(q, &answer, now_us(), on_early_end,
-				 r->gateway))
-		log_event("crash-disproved", "request=%s runner=%s", r->id,
-			  r->runner.name);
+	if (!q->reports.records->len ||
+	    !quarantine_set_alive(q, &answer, now_us(), on_early_end,
+				  r->gateway))
+		return;
+	log_event("crash-disproved", "request=%s runner=%s", r->id,
+		  r->runner.name);
+	quarantine_take_disproofs(q, post_disproof, r->gateway);
 }
 
 bool relay_is_quarantined(const relay_t *r)
@@ -207,6 +224,10 @@
 			log_quarantine(&notice->entry,
 				       "another daemon or the store told so");
 		break;
+	case PART_NOTICE_ALIVE:
+		quarantine_set_disproved(&g->quarantine, &notice->crash,
+					 now_us(), on_told_end, g);
+		break;
 	case PART_NOTICE_KINDS:
 		break;
 	}
--- a/tests/lib_gateway.c
+++ b/tests/lib_gateway.c
@@ -168,7 +168,10 @@
 		break;
 	case MESSAGE_PART_NOTICE:
 		fixture->part_notices++;
+		fixture->notices_of[m->part.kind]++;
 		fixture->last_part_notice = m->part;
+		if (m->part.kind == PART_NOTICE_CRASH)
+			fixture->last_crash_notice = m->part;
 		break;
 	case MESSAGE_STREAM_ASK:
 		fixture->stream_asks++;
--- a/tests/lib_gateway.h
+++ b/tests/lib_gateway.h
@@ -98,7 +98,8 @@
 	int wants, dones, withdraws, limits, first_tokens;
 	message_t last_first_token;
 	int part_notices; /* sent to other daemons */
-	message_part_t last_part_notice;
+	int notices_of[PART_NOTICE_KINDS]; /* the same, by kind */
+	message_part_t last_part_notice, last_crash_notice;
 	int stream_asks; /* to recorders of streams */
 	stream_release_t last_ask;
 	bool was_ask_from_memory;
--- a/tests/test_crashing_prompt.c
+++ b/tests/test_crashing_prompt.c
@@ -217,6 +217,28 @@
 }
 END_TEST
 
+/* Guards against a quarantine that outlives the word that no runner crashed. */
+START_TEST(a_disproof_by_another_daemon_deletes_the_records)
+{
+	message_t m = { .type = MESSAGE_PART_NOTICE };
+	gateway_fixture_t fixture;
+
+	crash_runners(&fixture, "a1:60,dead:800", "a1:60,dead:800");
+	ck_assert_int_eq(fixture.part_records, 2);
+	m.part = fixture.last_crash_notice;
+	m.part.kind = PART_NOTICE_ALIVE;
+	supervisor_post(&fixture.sup, TASK_FRONT, &m);
+	gateway_await_count(&fixture, &fixture.part_records, 4);
+	ck_assert_int_eq(fixture.last_part_record.kind, PART_NOTICE_SOUND);
+	gateway_restart_runners(&fixture, sound);
+	send_prompt(&fixture, "a1:60,dead:800");
+	gateway_await(&fixture, 0, "id: 1");
+	/* It is not told on: its sender told all. */
+	ck_assert_int_eq(fixture.notices_of[PART_NOTICE_ALIVE], 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 START_TEST(crashes_and_sound_parts_are_told_to_the_others)
 {
 	gateway_fixture_t fixture;
@@ -252,4 +274,5 @@
 	   a_sent_request_is_cancelled_when_its_part_is_quarantined,
 	   a_stream_that_has_begun_goes_on,
 	   records_of_quarantines_are_written_and_deleted,
+	   a_disproof_by_another_daemon_deletes_the_records,
 	   crashes_and_sound_parts_are_told_to_the_others)
--- a/tests/test_crashing_request.c
+++ b/tests/test_crashing_request.c
@@ -147,13 +147,19 @@
 	static const reply_t grey[FIXTURE_REPLIES] = { CRASH, ANSWER, CRASH,
 						       CRASH, CRASH };
 	const int n = 5 * FIXTURE_RUNNERS;
+	/* A report for each runner, and the answer that disproves it. */
+	const int n_notices = 2 * FIXTURE_RUNNERS;
 	gateway_fixture_t fixture;
 
 	begin(&fixture, grey);
 	for (int i = 0; i < n; i++)
 		send_once(&fixture, "/once/x");
 	ck_assert_int_eq(gateway_count_arrivals(&fixture), n);
-	ck_assert_int_eq(fixture.part_notices, FIXTURE_RUNNERS);
+	ck_assert_int_eq(fixture.notices_of[PART_NOTICE_CRASH],
+			 FIXTURE_RUNNERS);
+	ck_assert_int_eq(fixture.notices_of[PART_NOTICE_ALIVE],
+			 FIXTURE_RUNNERS);
+	ck_assert_int_eq(fixture.part_notices, n_notices);
 	gateway_fixture_finish(&fixture);
 }
 END_TEST
--- a/tests/test_frames.c
+++ b/tests/test_frames.c
@@ -320,7 +320,11 @@
 				 .crash = { UINT64_MAX, 5, parts,
 					    now - 70000 } };
 	message_part_t held = { .kind = PART_NOTICE_QUARANTINE,
-				.entry = { 1, parts, now + 9000, 3 } };
+				.entry = { .part = 1,
+					   .common = parts,
+					   .until = now + 9000,
+					   .times = 3 } };
+	message_part_t alive = crash;
 	message_t m = decoded_notice(&crash);
 
 	ck_assert_uint_eq(m.part.crash.runner, UINT64_MAX);
@@ -328,6 +332,12 @@
 	ck_assert_uint_eq(m.part.crash.parts.n, 2);
 	ck_assert_uint_eq(m.part.crash.parts.ids[1], UINT64_MAX);
 	ck_assert_int_eq(m.part.crash.at, now - 70000);
+	alive.kind = PART_NOTICE_ALIVE;
+	m = decoded_notice(&alive);
+	ck_assert_uint_eq(m.part.crash.runner, UINT64_MAX);
+	ck_assert_uint_eq(m.part.crash.request, 5);
+	ck_assert_uint_eq(m.part.crash.parts.n, 2);
+	ck_assert_int_eq(m.part.crash.at, now - 70000);
 	m = decoded_notice(&held);
 	ck_assert_uint_eq(m.part.entry.part, 1);
 	ck_assert_uint_eq(m.part.entry.common.n, 2);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -276,7 +276,7 @@
 	/* Known, or ended: no news. */
 	quarantine_each(&q, 10 * S, copy_entry, &other);
 	ck_assert(!quarantine_add_entry(
-		&other, &(quarantine_entry_t){ 5, PARTS(5), 9 * S, 1 },
+		&other, &(quarantine_entry_t){ 5, PARTS(5), 9 * S, 1, false },
 		10 * S));
 	ck_assert(!quarantine_add_entry(
 		&other, &(quarantine_entry_t){ .part = 5, .until = MINUTE },
@@ -378,6 +378,196 @@
 }
 END_TEST
 
+/* Another daemon got an answer after the report of RUNNER's crash at AT. */
+static void hear_disproof(quarantine_t *q, uint64_t runner, uint64_t request,
+			  int64_t at, int64_t now, int *ended)
+{
+	crash_report_t report = { runner, request, PARTS(1, 9), at };
+
+	quarantine_set_disproved(q, &report, now, count, ended);
+}
+
+/* Guards against a quarantine that ends only where its runners answer. */
+START_TEST(a_disproof_by_another_daemon_ends_a_quarantine)
+{
+	quarantine_t q;
+	int ended = 0;
+
+	quarantine_init(&q);
+	hold(&q, S);
+	hear_disproof(&q, 2, 1, S - SETTLE, S, &ended);
+	ck_assert_int_eq(ended, 2);
+	ck_assert(!is_refused(&q, PARTS(1, 9), S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+/* Guards against refusing all that share a part, for one report of a reset. */
+START_TEST(a_disproved_report_widens_no_quarantine)
+{
+	quarantine_t q;
+	int ended = 0;
+
+	quarantine_init(&q);
+	hold(&q, S);
+	crash(&q, 4, 4, PARTS(1, 5), S + SETTLE);
+	ck_assert(is_refused(&q, PARTS(1, 6), S + SETTLE));
+	ck_assert(answer(&q, 4, 0, S + SETTLE, S + 2 * SETTLE, &ended));
+	ck_assert(!is_refused(&q, PARTS(1, 6), S + 2 * SETTLE));
+	ck_assert(is_refused(&q, PARTS(1, 9), S + 2 * SETTLE));
+	ck_assert_int_eq(ended, 0);
+	quarantine_finish(&q);
+}
+END_TEST
+
+/* Guards against a report that comes later, or again, than its disproof. */
+START_TEST(a_disproof_may_overtake_its_report)
+{
+	quarantine_t q;
+	int ended = 0;
+
+	quarantine_init(&q);
+	for (uint64_t i = 1; i <= 8; i++) {
+		hear_disproof(&q, i, i, 0, SETTLE / 2, &ended);
+		ck_assert(!crash(&q, i, i, PARTS(1, 9), SETTLE));
+		ck_assert(!crash(&q, i, i, PARTS(1, 9), 2 * SETTLE));
+	}
+	ck_assert(!judge(&q, 30 * S));
+	/* The same request may well crash the runner later. */
+	for (uint64_t i = 1; i <= 3; i++)
+		report(&q, i, i, PARTS(1, 9), 30 * S);
+	ck_assert(judge(&q, 32 * S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+/* Guards against the word of a daemon that hasn't heard of the answer yet. */
+START_TEST(a_quarantine_on_a_disproved_report_is_not_taken_over)
+{
+	quarantine_t q, other;
+	int ended = 0;
+
+	quarantine_init(&q);
+	quarantine_init(&other);
+	hold(&q, 10 * S);
+	crash(&other, 1, 1, PARTS(1, 9), 10 * S);
+	crash(&other, 2, 1, PARTS(1, 9), 10 * S);
+	hear_disproof(&other, 3, 2, 10 * S - SETTLE, 10 * S, &ended);
+	quarantine_each(&q, 10 * S, copy_entry, &other);
+	ck_assert(!is_refused(&other, PARTS(1, 9), 10 * S));
+	/* It is, where the others suffice. */
+	crash(&other, 4, 3, PARTS(1, 9), 10 * S);
+	quarantine_each(&q, 10 * S, copy_entry, &other);
+	ck_assert(is_refused(&other, PARTS(1, 9), 10 * S));
+	quarantine_finish(&q);
+	quarantine_finish(&other);
+}
+END_TEST
+
+/* Runners 1 to 3 break an exchange each, and answer. */
+static void survive(quarantine_t *q, int64_t now)
+{
+	int ended = 0;
+
+	for (uint64_t n = 1; n <= 3; n++) {
+		report(q, n, 10 + n, PARTS(1, 9), now);
+		hear_disproof(q, n, 10 + n, now, now, &ended);
+	}
+}
+
+/* Guards against judging runners that often reset before they can answer. */
+START_TEST(a_runner_that_lived_has_time_to_answer_again)
+{
+	quarantine_t q;
+	int ended = 0;
+
+	quarantine_init(&q);
+	survive(&q, 0);
+	for (uint64_t n = 1; n <= 3; n++)
+		report(&q, n, n, PARTS(1, 9), S);
+	ck_assert(!judge(&q, S + 5 * SETTLE));
+	for (uint64_t n = 1; n <= 3; n++)
+		ck_assert(answer(&q, n, 0, S + SETTLE, S + 6 * SETTLE, &ended));
+	ck_assert(!judge(&q, 3 * S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+/* Guards against runners that reset answers and hide a crashing request. */
+START_TEST(crashes_of_runners_that_lived_before_are_counted)
+{
+	quarantine_t q;
+
+	quarantine_init(&q);
+	survive(&q, 0);
+	for (uint64_t n = 1; n <= 3; n++)
+		report(&q, n, n, PARTS(1, 9), S);
+	ck_assert(judge(&q, 2 * S));
+	ck_assert(is_refused(&q, PARTS(1, 9), 2 * S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+/* Guards against daemons that report no crash, as another saw an answer. */
+START_TEST(a_survivor_is_one_only_where_it_answered)
+{
+	quarantine_t q;
+	int ended = 0;
+
+	quarantine_init(&q);
+	survive(&q, 0);
+	ck_assert(!quarantine_is_survivor(&q, 1, S));
+	report(&q, 1, 1, PARTS(9), S);
+	ck_assert(answer(&q, 1, 0, S + SETTLE, S + SETTLE, &ended));
+	ck_assert(quarantine_is_survivor(&q, 1, 2 * S));
+	quarantine_finish(&q);
+}
+END_TEST
+
+static void count_disproof(void *ctx, const crash_report_t *report)
+{
+	ck_assert_uint_eq(report->runner, 1);
+	ck_assert_uint_eq(report->request, 1);
+	++*(int *)ctx;
+}
+
+/* Guards against daemons that tell each other the same without end. */
+START_TEST(a_disproof_is_told_once_by_who_got_the_answer)
+{
+	quarantine_t q;
+	int ended = 0, told = 0;
+
+	quarantine_init(&q);
+	report(&q, 1, 1, PARTS(9), 0);
+	ck_assert(answer(&q, 1, 0, 1, SETTLE, &ended));
+	quarantine_take_disproofs(&q, count_disproof, &told);
+	ck_assert_int_eq(told, 1);
+	ck_assert(!answer(&q, 1, 0, SETTLE, 2 * SETTLE, &ended));
+	quarantine_take_disproofs(&q, count_disproof, &told);
+	hear_disproof(&q, 2, 2, 0, SETTLE, &ended);
+	quarantine_take_disproofs(&q, count_disproof, &told);
+	ck_assert_int_eq(told, 1);
+	quarantine_finish(&q);
+}
+END_TEST
+
+/* Guards against resets that push the reports of crashes out of the table. */
+START_TEST(disproved_reports_make_room_first)
+{
+	quarantine_t q;
+	int ended = 0;
+
+	quarantine_init(&q);
+	report(&q, 1, 1, PARTS(9), 0);
+	report(&q, 2, 1, PARTS(9), 0);
+	for (uint64_t i = 0; i < UINT64_C(2) * CRASH_REPORTS_MAX; i++)
+		hear_disproof(&q, 100 + i, i, 0, 0, &ended);
+	ck_assert_uint_eq(q.reports.records->len, CRASH_REPORTS_MAX);
+	ck_assert(crash(&q, 3, 3, PARTS(9), S));
+	quarantine_finish(&q);
+}
+END_TEST
+
 SUITE_MAIN("quarantine", a_part_is_held_after_three_crashes,
 	   one_request_or_one_runner_is_not_enough,
 	   a_repeated_report_counts_once,
@@ -391,4 +581,13 @@
 	   a_quarantine_ends_and_one_crash_renews_it, a_quarantine_is_passed_on,
 	   one_cause_of_a_crash_is_enough, tables_are_bounded,
 	   a_request_beside_the_crashing_one_is_told_apart,
-	   a_runner_that_answers_after_a_report_is_a_survivor)
+	   a_runner_that_answers_after_a_report_is_a_survivor,
+	   a_disproof_by_another_daemon_ends_a_quarantine,
+	   a_disproved_report_widens_no_quarantine,
+	   a_disproof_may_overtake_its_report,
+	   a_quarantine_on_a_disproved_report_is_not_taken_over,
+	   a_runner_that_lived_has_time_to_answer_again,
+	   crashes_of_runners_that_lived_before_are_counted,
+	   a_survivor_is_one_only_where_it_answered,
+	   a_disproof_is_told_once_by_who_got_the_answer,
+	   disproved_reports_make_room_first)
--- a/tests/test_quarantine_fleet.c
+++ b/tests/test_quarantine_fleet.c
@@ -23,6 +23,7 @@
 	RUNNERS = 12,
 	MAX_WORK = 4096,
 	SCHEDULES = 200,
+	GREY_RUNNERS = 5, /* of RUNNERS, with TROUBLE_RESETS */
 	FIRST_PART = 1,
 	CRASHING_PART = 9,
 };
@@ -30,7 +31,7 @@
 /* Something that happens at a later time. */
 typedef struct work {
 	int64_t at;
-	enum { WORK_BEGIN, WORK_NOTICE, WORK_ENTRY } kind;
+	enum { WORK_BEGIN, WORK_NOTICE, WORK_ENTRY, WORK_DISPROOF } kind;
 	int daemon;
 	/* BEGIN: a request's answer begins, unless the runner crashed before */
 	int runner;
@@ -38,7 +39,7 @@
 	int64_t sent_at;
 	int sends;
 	bool is_sound_notice;
-	crash_report_t crash; /* BEGIN: of the request; NOTICE */
+	crash_report_t crash; /* BEGIN: of the request; NOTICE, DISPROOF */
 	quarantine_entry_t entry;
 } work_t;
 
@@ -48,24 +49,30 @@
 	bool is_cut;
 } daemon_t;
 
+/* What may disturb the fleet in a schedule. */
+typedef enum trouble {
+	TROUBLE_NONE,
+	TROUBLE_CUT,
+	TROUBLE_RESTARTS,
+	TROUBLE_RESETS,
+} trouble_t;
+
 typedef struct fleet_model {
 	GRand *rand;
 	int64_t now;
 	int n_daemons;
 	daemon_t daemons[MAX_DAEMONS];
 	uint64_t incarnations[RUNNERS];
-	int64_t down_until[RUNNERS];
+	int64_t down_until[RUNNERS]; /* since then it has been up */
 	uint64_t last_incarnation, last_request;
 	GArray *work;
+	trouble_t trouble;
 	int crashes;
 	int64_t fifth_at;
 	int late_arrivals; /* with the crashing part, counted by the rule */
 	int sound, sound_refused; /* with the first part, after the fifth */
 } fleet_model_t;
 
-/* What may disturb the fleet in a schedule. */
-typedef enum trouble { TROUBLE_NONE, TROUBLE_CUT, TROUBLE_RESTARTS } trouble_t;
-
 static bool chance(fleet_model_t *f, double per_second)
 {
 	return g_rand_double(f->rand) <
@@ -178,20 +185,48 @@
 	}
 }
 
+/* Some runners reset half of their answers before any output, and live. */
+static bool is_reset(fleet_model_t *f, const work_t *begin)
+{
+	return f->trouble == TROUBLE_RESETS && begin->runner < GREY_RUNNERS &&
+	       g_rand_boolean(f->rand);
+}
+
+static void tell_disproof(void *ctx, const crash_report_t *report)
+{
+	const teller_t *t = ctx;
+	work_t notice = { .kind = WORK_DISPROOF, .crash = *report };
+
+	tell(t->fleet, t->from, notice);
+}
+
+/* Half of the connections are kept since the runner, or the daemon, started. */
+static int64_t connected_at(fleet_model_t *f, const work_t *begin)
+{
+	if (f->trouble != TROUBLE_RESETS || g_rand_boolean(f->rand))
+		return begin->sent_at;
+	return MAX(f->down_until[begin->runner],
+		   f->daemons[begin->daemon].disturbed_at);
+}
+
 static void begin_answer(fleet_model_t *f, const work_t *begin)
 {
 	quarantine_t *q = &f->daemons[begin->daemon].quarantine;
 	work_t notice = { .kind = WORK_NOTICE,
 			  .is_sound_notice = true,
 			  .crash = begin->crash };
-	quarantine_answer_t answer = { begin->incarnation, begin->sent_at,
-				       begin->sent_at };
+	quarantine_answer_t answer = { begin->incarnation,
+				       connected_at(f, begin), begin->sent_at };
+	teller_t t = { f, begin->daemon };
 
 	if (f->incarnations[begin->runner] != begin->incarnation)
 		return;
-	quarantine_set_alive(q, &answer, f->now, NULL, NULL);
+	if (quarantine_set_alive(q, &answer, f->now, NULL, NULL))
+		quarantine_take_disproofs(q, tell_disproof, &t);
 	if (prompt_parts_find(&begin->crash.parts, CRASHING_PART) >= 0)
 		crash_runner(f, begin);
+	else if (is_reset(f, begin))
+		report(f, begin);
 	else if (quarantine_set_sound(q, &begin->crash.parts, NULL, NULL))
 		tell(f, begin->daemon, notice);
 }
@@ -204,6 +239,8 @@
 		begin_answer(f, w);
 	else if (w->kind == WORK_ENTRY)
 		quarantine_add_entry(q, &w->entry, f->now);
+	else if (w->kind == WORK_DISPROOF)
+		quarantine_set_disproved(q, &w->crash, f->now, NULL, NULL);
 	else if (w->is_sound_notice)
 		quarantine_set_sound(q, &w->crash.parts, NULL, NULL);
 	else
@@ -294,9 +331,27 @@
 	}
 }
 
-static void play(uint32_t seed, trouble_t trouble, double crashing_per_second)
+static void check_arrivals(const fleet_model_t *f, uint32_t seed)
+{
+	ck_assert_msg(f->late_arrivals <= MAX_ARRIVALS,
+		      "seed %u: %d requests with the part reached runners",
+		      seed, f->late_arrivals);
+}
+
+static void check_sound(const fleet_model_t *f, uint32_t seed)
 {
-	fleet_model_t f = { .rand = g_rand_new_with_seed(seed) };
+	ck_assert_msg(f->sound_refused * 2 <= f->sound,
+		      "seed %u: %d of %d sound requests were refused", seed,
+		      f->sound_refused, f->sound);
+}
+
+typedef void (*check_fn)(const fleet_model_t *f, uint32_t seed);
+
+static void play(uint32_t seed, trouble_t trouble, double crashing_per_second,
+		 check_fn check)
+{
+	fleet_model_t f = { .rand = g_rand_new_with_seed(seed),
+			    .trouble = trouble };
 
 	f.work = g_array_new(FALSE, FALSE, sizeof(work_t));
 	f.n_daemons = g_rand_int_range(f.rand, 3, MAX_DAEMONS + 1);
@@ -310,42 +365,57 @@
 		disturb(&f, trouble);
 		tick(&f, crashing_per_second);
 	}
-	ck_assert_msg(f.late_arrivals <= MAX_ARRIVALS,
-		      "seed %u: %d requests with the part reached runners",
-		      seed, f.late_arrivals);
-	ck_assert_msg(f.sound_refused * 2 <= f.sound,
-		      "seed %u: %d of %d sound requests were refused", seed,
-		      f.sound_refused, f.sound);
+	check(&f, seed);
 	for (int d = 0; d < f.n_daemons; d++)
 		quarantine_finish(&f.daemons[d].quarantine);
 	g_array_unref(f.work);
 	g_rand_free(f.rand);
 }
 
-static void play_all(trouble_t trouble)
+static void check_both(const fleet_model_t *f, uint32_t seed)
+{
+	check_arrivals(f, seed);
+	check_sound(f, seed);
+}
+
+static void play_all(trouble_t trouble, check_fn check)
 {
 	for (uint32_t seed = 1; seed <= SCHEDULES; seed++)
-		play(seed, trouble, seed % 2 ? 1 : 4);
+		play(seed, trouble, seed % 2 ? 1 : 4, check);
 }
 
 /* Guards against requests that crash runners all over a fleet. */
 START_TEST(a_crashing_part_is_kept_from_all_runners)
 {
-	play_all(TROUBLE_NONE);
+	play_all(TROUBLE_NONE, check_both);
 }
 END_TEST
 
 /* Guards against two sides of a cut that each know of too few crashes. */
 START_TEST(a_crashing_part_is_kept_from_runners_beside_a_cut)
 {
-	play_all(TROUBLE_CUT);
+	play_all(TROUBLE_CUT, check_both);
 }
 END_TEST
 
 /* Guards against daemons that start and know nothing of the part. */
 START_TEST(a_crashing_part_is_kept_from_runners_while_daemons_restart)
 {
-	play_all(TROUBLE_RESTARTS);
+	play_all(TROUBLE_RESTARTS, check_both);
+}
+END_TEST
+
+/* Guards against runners that reset answers, and hide those that crash. */
+START_TEST(a_crashing_part_is_kept_from_runners_beside_resets)
+{
+	play_all(TROUBLE_RESETS, check_arrivals);
+}
+END_TEST
+
+/* Guards against reports of resets that widen a true quarantine. */
+START_TEST(sound_requests_are_served_beside_resets)
+{
+	play_all(TROUBLE_RESETS, check_sound);
 }
 END_TEST
 
@@ -410,14 +480,33 @@
 				      d == line->daemon, crash.at);
 }
 
+typedef struct disproof_teller {
+	log_model_t *model;
+	int from;
+	int64_t now;
+} disproof_teller_t;
+
+static void tell_log_disproof(void *ctx, const crash_report_t *report)
+{
+	const disproof_teller_t *t = ctx;
+
+	for (int d = 0; d < LOG_DAEMONS; d++)
+		if (d != t->from)
+			quarantine_set_disproved(&t->model->quarantines[d],
+						 report, t->now, NULL, NULL);
+}
+
 static void log_answer(log_model_t *m, const log_line_t *line)
 {
 	quarantine_answer_t answer = { line->runner,
 				       (line->ms - ANSWER_MS) * MS,
 				       (line->ms - ANSWER_MS) * MS };
 
-	quarantine_set_alive(&m->quarantines[line->daemon], &answer,
-			     line->ms * MS, NULL, NULL);
+	quarantine_t *q = &m->quarantines[line->daemon];
+	disproof_teller_t t = { m, line->daemon, line->ms * MS };
+
+	if (quarantine_set_alive(q, &answer, line->ms * MS, NULL, NULL))
+		quarantine_take_disproofs(q, tell_log_disproof, &t);
 }
 
 /* Guards against a quarantine of what all requests share, without a crash. */
@@ -449,4 +538,6 @@
 SUITE_MAIN("quarantine_fleet", a_crashing_part_is_kept_from_all_runners,
 	   a_crashing_part_is_kept_from_runners_beside_a_cut,
 	   a_crashing_part_is_kept_from_runners_while_daemons_restart,
+	   a_crashing_part_is_kept_from_runners_beside_resets,
+	   sound_requests_are_served_beside_resets,
 	   resets_of_live_runners_quarantine_nothing)
