quarantine: a runner that is back within a second disproves no crash

An answer on a new connection within a second of a break counted as proof that the runner had only reset the connection. One that crashes and is back under its old name within that second, before the list tells of its new incarnation, proved its own crash wrong; since disproofs go to all daemons, everywhere.

Ruled out: only connections from before the break as proof. A runner that closes each connection could then never show that it lives.

Change: a new connection counts for a quarter of a second; one from before the break at any time, as before.

Before: test_quarantine:a_runner_restarted_within_a_second_disproves_nothing failed at '!answer(&q, n, back, back, back, &ended)'.

What remains: a runner that is back within a quarter of a second.

--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -8,7 +8,7 @@
 /* Crashes further apart than this are not related. */
 #define REPORT_LIFE_US MINUTE_US
 /* A runner needs longer than this to be back after a crash. */
-#define MIN_RESTART_US (INT64_C(1000) * 1000)
+#define MIN_RESTART_US (INT64_C(250) * 1000)
 /* Doubles with each further quarantine of the same part. */
 #define FIRST_DURATION_US (5 * MINUTE_US)
 #define MAX_DURATION_US (60 * MINUTE_US)
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -226,6 +226,28 @@
 }
 END_TEST
 
+/*
+ * Guards against crashes that count as resets as their runners are back under
+ * their old names within a second.
+ */
+START_TEST(a_runner_restarted_within_a_second_disproves_nothing)
+{
+	const int64_t back = S + 4 * SETTLE;
+	quarantine_t q;
+	int ended = 0;
+
+	quarantine_init(&q);
+	hold(&q, S);
+	for (uint64_t n = 1; n <= 3; n++)
+		ck_assert(!answer(&q, n, back, back, back, &ended));
+	ck_assert(is_refused(&q, PARTS(1, 9), back));
+	/* A connection from before the break is proof at any time. */
+	ck_assert(answer(&q, 1, 0, back, back, &ended));
+	ck_assert(!is_refused(&q, PARTS(1, 9), back));
+	quarantine_finish(&q);
+}
+END_TEST
+
 START_TEST(crashes_far_apart_are_not_related)
 {
 	quarantine_t q;
@@ -577,6 +599,7 @@
 	   an_answer_ends_a_wrong_quarantine,
 	   a_runner_that_answers_again_did_not_crash,
 	   a_restarted_runner_disproves_nothing,
+	   a_runner_restarted_within_a_second_disproves_nothing,
 	   crashes_far_apart_are_not_related,
 	   a_quarantine_ends_and_one_crash_renews_it, a_quarantine_is_passed_on,
 	   one_cause_of_a_crash_is_enough, tables_are_bounded,
