quarantine: a disproof finds the report that was read late

A disproof names an exchange and the time of its crash. One whose report came a second or more later at a process that was paused found nothing to disprove, since a copy was told from a later crash by its time alone.

Change: an exchange's report that still counts is the one that is meant, whatever its time; only among disproved ones the time tells a copy from a later crash. The two searches of the table become one.

Before: test_quarantine:a_disproof_of_a_delayed_report_counts failed at 'ended == 2' (0).

--- a/core/crash_reports.c
+++ b/core/crash_reports.c
@@ -28,24 +28,20 @@
 crash_record_t *crash_reports_find(const crash_reports_t *r,
 				   const crash_report_t *report)
 {
+	crash_record_t *delayed = NULL;
+
 	for (guint i = 0; i < r->records->len; i++) {
 		crash_record_t *record = crash_reports_get(r, i);
 
-		if (is_same_exchange(&record->crash, report) &&
-		    ABS(record->crash.at - report->at) < COPY_US)
+		if (!is_same_exchange(&record->crash, report))
+			continue;
+		if (ABS(record->crash.at - report->at) < COPY_US)
 			return record;
+		/* A process that is paused reads reports late. */
+		if (!record->is_disproved)
+			delayed = record;
 	}
-	return NULL;
-}
-
-/* A request may be sent again to a runner that lived, and crash it then. */
-static bool is_known(const crash_reports_t *r, const crash_report_t *report)
-{
-	for (guint i = 0; i < r->records->len; i++)
-		if (!crash_reports_get(r, i)->is_disproved &&
-		    is_same_exchange(&crash_reports_get(r, i)->crash, report))
-			return true;
-	return crash_reports_find(r, report) != NULL;
+	return delayed;
 }
 
 /* Returns the record that makes room for another. */
@@ -64,7 +60,7 @@
 				  .received_at = now,
 				  .is_own = is_own };
 
-	if (is_known(r, report))
+	if (crash_reports_find(r, report))
 		return;
 	if (r->records->len >= CRASH_REPORTS_MAX)
 		g_array_remove_index(r->records, find_least(r));
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -463,6 +463,20 @@
 }
 END_TEST
 
+/* Guards against a report that was read late, after a pause of the process. */
+START_TEST(a_disproof_of_a_delayed_report_counts)
+{
+	quarantine_t q;
+	int ended = 0;
+
+	quarantine_init(&q);
+	hold(&q, 10 * S);
+	hear_disproof(&q, 3, 2, 5 * S, 10 * S, &ended);
+	ck_assert_int_eq(ended, 2);
+	quarantine_finish(&q);
+}
+END_TEST
+
 /* Guards against the word of a daemon that hasn't heard of the answer yet. */
 START_TEST(a_quarantine_on_a_disproved_report_is_not_taken_over)
 {
@@ -608,6 +622,7 @@
 	   a_disproof_by_another_daemon_ends_a_quarantine,
 	   a_disproved_report_widens_no_quarantine,
 	   a_disproof_may_overtake_its_report,
+	   a_disproof_of_a_delayed_report_counts,
 	   a_quarantine_on_a_disproved_report_is_not_taken_over,
 	   a_runner_that_lived_has_time_to_answer_again,
 	   crashes_of_runners_that_lived_before_are_counted,
