--- a/net/peer.pb-c.h
+++ b/net/peer.pb-c.h
@@ -848,7 +848,8 @@
 {
   ProtobufCMessage base;
   /*
-   * 0: a runner crashed, 1: sound parts, 2: a quarantine
+   * 0: a runner crashed, 1: sound parts, 2: a quarantine, 3: the runner of 0
+   * answered since; builds that don't know 3 ignore it
    */
   uint32_t kind;
   /*
@@ -857,15 +858,15 @@
   size_t n_parts;
   uint64_t *parts;
   /*
-   * 0: hash of the incarnation that crashed
+   * 0, 3: hash of the incarnation that crashed
    */
   uint64_t runner;
   /*
-   * 0: hash of the request that it was answering
+   * 0, 3: hash of the request that it was answering
    */
   uint64_t request;
   /*
-   * 0: since the crash
+   * 0, 3: since the crash
    */
   uint32_t age_ms;
   /*
--- a/tests/test_stream_recorder.c
+++ b/tests/test_stream_recorder.c
@@ -291,7 +291,7 @@
 	for (int i = 0; i < 10 && f.only_release; i++)
 		store_fixture_run(&f, RUN_US);
 	post_ask_beside(&f, STREAM, first);
-	store_fixture_run(&f, 2 * RUN_US);
+	store_fixture_run(&f, INT64_C(2) * RUN_US);
 	ck_assert_int_eq(f.stream_answers, 1);
 	store_fixture_finish(&f);
 }
