review: a part beyond the sixteenth that crashes runners

Cause: a prompt's parts after the first 15 shared ones are left out of crash reports and of what is compared with the quarantine. Nothing is fixed.

--- a/review/caller3.c
+++ b/review/caller3.c
@@ -82,7 +82,7 @@
 	int64_t until = now_ms() + deadline_ms;
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
 	char *answer = calloc(1, ANSWER_SIZE);
-	char attempt[64], status[16] = "-", head[2048];
+	char attempt[64], status[16] = "-", head[4096];
 	size_t n = 0;
 	int len;
 
--- a/review/runner3.c
+++ b/review/runner3.c
@@ -40,6 +40,7 @@
 };
 
 static const char *listen_at, *store_at, *id, *service, *zone, *deadly;
+static const char *deadly_part;
 static int slots = 6, work_ms = 30, down_ms = 2000, n_events, event_ms = 40;
 static int record_fd, incarnation;
 static int64_t born_ms;
@@ -220,7 +221,7 @@
 			 IDLE_S, n, body);
 }
 
-static int answer_stream(int fd, const char *attempt, int from)
+static int answer_stream(int fd, const char *attempt, int from, int is_deadly)
 {
 	char event[64];
 	int n;
@@ -235,6 +236,10 @@
 		      attempt, id, attempt, atomic_load(&active), slots,
 		      IDLE_S))
 		return -1;
+	if (is_deadly) {
+		record("crash", attempt);
+		_exit(CRASH_STATUS);
+	}
 	for (int i = from + 1; i <= n_events; i++) {
 		n = snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n", i,
 			     i);
@@ -248,8 +253,8 @@
 /* Returns -1 when the connection has to be closed. */
 static int serve(int fd, const char *head, const char *body)
 {
-	char attempt[128], expected[128], last[32];
-	int result;
+	char attempt[128], expected[128], last[32], parts[4096];
+	int result, is_deadly;
 
 	if (!strncmp(head, "GET /health ", 12))
 		return send_text(fd,
@@ -270,7 +275,10 @@
 		record("crash", attempt);
 		_exit(CRASH_STATUS);
 	}
-	result = n_events ? answer_stream(fd, attempt, atoi(last)) :
+	header(head, "x-prefix-hash", parts, sizeof(parts));
+	is_deadly = deadly_part && strstr(parts, deadly_part);
+	result = n_events ? answer_stream(fd, attempt, atoi(last),
+					 is_deadly) :
 			    answer_plain(fd, attempt);
 	atomic_fetch_sub(&active, 1);
 	if (!result)
@@ -335,6 +343,8 @@
 			zone = value;
 		else if (!strcmp(name, "--deadly"))
 			deadly = value;
+		else if (!strcmp(name, "--deadly-part"))
+			deadly_part = value;
 		else if (!strcmp(name, "--slots"))
 			slots = atoi(value);
 		else if (!strcmp(name, "--work-ms"))
