--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -33,7 +33,7 @@
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
 	done
-	wait 2>/dev/null
+	sleep 0.3
 	if test -n "${KEEP_LOGS:-}"
 	then
 		cp "$DIR"/*.log "$KEEP_LOGS"/ 2>/dev/null
@@ -63,6 +63,7 @@
 	"$@" >"$DIR/$log.log" 2>&1 &
 	PID=$!
 	PIDS+=("$PID")
+	disown "$PID"
 }
 
 # put TOPIC KEY VALUE: what the operator writes to the store.
@@ -116,7 +117,7 @@
 		"peer_listen": "$ip:7600",
 		"tunnel_port_offset": 1,
 		"admin_listen": "$ip:7615",
-		"platform": "$STORE",
+		"platform": "${PLATFORM:-$STORE}",
 		"seed_addresses": ["$(daemon_ip 0):8229", "$(daemon_ip 1):8229", "$(daemon_ip 2):8229"],
 		"peer_secret": "daemons-of-papayabank-region",
 		"operator_token": "operator-of-daemon-$1-0000",
