--- a/review/runner3.c
+++ b/review/runner3.c
@@ -40,7 +40,7 @@
 };
 
 static const char *listen_at, *store_at, *id, *service, *zone, *deadly;
-static const char *deadly_part;
+static const char *deadly_part, *dies = "begin";
 static int slots = 6, work_ms = 30, down_ms = 2000, n_events, event_ms = 40;
 static int record_fd, incarnation;
 static int64_t born_ms;
@@ -221,7 +221,15 @@
 			 IDLE_S, n, body);
 }
 
-static int answer_stream(int fd, const char *attempt, int from, int is_deadly)
+static void crash(const char *attempt)
+{
+	record("crash", attempt);
+	_exit(CRASH_STATUS);
+}
+
+/* CRASHES_AT is when the runner crashes, or NULL. */
+static int answer_stream(int fd, const char *attempt, int from,
+			 const char *crashes_at)
 {
 	char event[64];
 	int n;
@@ -236,15 +244,15 @@
 		      attempt, id, attempt, atomic_load(&active), slots,
 		      IDLE_S))
 		return -1;
-	if (is_deadly) {
-		record("crash", attempt);
-		_exit(CRASH_STATUS);
-	}
+	if (crashes_at && !strcmp(crashes_at, "head"))
+		crash(attempt);
 	for (int i = from + 1; i <= n_events; i++) {
 		n = snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n", i,
 			     i);
 		if (send_text(fd, "%x\r\n%s\r\n", n, event))
 			return -1;
+		if (crashes_at)
+			crash(attempt);
 		sleep_ms(event_ms);
 	}
 	return send_text(fd, "0\r\n\r\n");
@@ -254,7 +262,8 @@
 static int serve(int fd, const char *head, const char *body)
 {
 	char attempt[128], expected[128], last[32], parts[4096];
-	int result, is_deadly;
+	const char *crashes_at = NULL;
+	int result;
 
 	if (!strncmp(head, "GET /health ", 12))
 		return send_text(fd,
@@ -271,14 +280,15 @@
 	header(head, "last-event-id", last, sizeof(last));
 	atomic_fetch_add(&active, 1);
 	record("run", attempt);
-	if (deadly && strstr(body, deadly)) {
-		record("crash", attempt);
-		_exit(CRASH_STATUS);
-	}
+	if (deadly && strstr(body, deadly))
+		crashes_at = dies;
+	if (crashes_at && !strcmp(crashes_at, "begin"))
+		crash(attempt);
 	header(head, "x-prefix-hash", parts, sizeof(parts));
-	is_deadly = deadly_part && strstr(parts, deadly_part);
+	if (deadly_part && strstr(parts, deadly_part))
+		crashes_at = "head";
 	result = n_events ? answer_stream(fd, attempt, atoi(last),
-					 is_deadly) :
+					 crashes_at) :
 			    answer_plain(fd, attempt);
 	atomic_fetch_sub(&active, 1);
 	if (!result)
@@ -343,6 +353,8 @@
 			zone = value;
 		else if (!strcmp(name, "--deadly"))
 			deadly = value;
+		else if (!strcmp(name, "--dies"))
+			dies = value;
 		else if (!strcmp(name, "--deadly-part"))
 			deadly_part = value;
 		else if (!strcmp(name, "--slots"))
