--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -7,7 +7,16 @@
 cd "$CASE/../.." || exit 2
 RECORD=$CASE/record.txt
 TOOLS=target/review-3
+# The second byte of all addresses, which no other script has at the time.
 NET=$((64 + $$ % 160))
+for tries in $(seq 160)
+do
+	LOCK=${TMPDIR:-/tmp}/papaya-review-net-$NET
+	mkdir "$LOCK" 2>/dev/null && break
+	NET=$((64 + (NET - 63) % 160))
+	LOCK=
+done
+test -n "$LOCK" || exit 2
 STORE=127.$NET.0.1:8225
 DIR=$(mktemp -d) || exit 2
 PIDS=()
@@ -39,6 +48,7 @@
 		cp "$DIR"/*.log "$KEEP_LOGS"/ 2>/dev/null
 	fi
 	rm -rf "$DIR"
+	rmdir "$LOCK"
 }
 trap clean_up EXIT
 
