--- a/review/odd3.c
+++ b/review/odd3.c
@@ -1,16 +1,15 @@
 /*
- * Stand-in for a store in which another writer has left an entry: passes all
- * calls on to the store's stand-in, and from SIGUSR1 on adds to the list of the
- * runners' entries one whose key and value are bytes that no runner writes. The
- * key holds a NUL, which JSON writes as \u0000. The record itself is deleted
- * from the log already; the newest record of each key is retained.
+ * Stand-in for a store in which another writer leaves an entry with an odd key:
+ * passes all calls on to the store's stand-in, which can't keep such a key, and
+ * shows the key "zz" of the runners' entries as the two bytes 0 and 1. A read of
+ * the log has them as they are, a list as JSON has to write them,
+ * "\u0000\u0001". Nothing else is changed, neither offsets nor values.
  */
 #define _GNU_SOURCE
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <pthread.h>
 #include <signal.h>
-#include <stdatomic.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,16 +21,12 @@
 enum { CALL_SIZE = 4 << 20 /* bytes */ };
 
 static const char list_call[] = "GET /log-newest?topic=keyed.servers&part=0 ";
-static const char odd_entry[] =
-	"{\"key\":\"\\u0000\\u0001\",\"value\":\"/v8=\",\"offset\":0}";
+static const char log_call[] = "GET /log-read?topic=keyed.servers&part=0&";
+/* The key in a record of the log, after its length; and in a list. */
+static const char record_key[] = "\002zz", odd_record_key[] = "\002\000\001";
+static const char list_key[] = "\"key\": \"zz\"", packed_key[] = "\"key\":\"zz\"";
+static const char odd_list_key[] = "\"key\":\"\\u0000\\u0001\"";
 static struct sockaddr_in store;
-static atomic_int has_entry;
-
-static void on_signal(int number)
-{
-	(void)number;
-	atomic_store(&has_entry, 1);
-}
 
 static struct sockaddr_in address(const char *text)
 {
@@ -80,36 +75,47 @@
 	return n;
 }
 
-/* Writes the list of all entries and the odd one. */
+/* Writes the list with the odd key in place of "zz". */
 static void send_list(int fd, const char *answer, size_t n)
 {
 	const char *body = strstr(answer, "\r\n\r\n");
-	const char *list = strstr(answer, "\"entries\"");
 	const char *epoch = strcasestr(answer, "\r\nStore-Era:");
+	const char *key = strstr(answer, list_key);
+	size_t length = strlen(list_key), before, after;
 	char head[512];
-	size_t before;
 
-	list = list ? strchr(list, '[') : NULL;
-	if (!body || !list || strncmp(answer + 9, "200", 3)) {
+	if (!key) {
+		key = strstr(answer, packed_key);
+		length = strlen(packed_key);
+	}
+	if (!body || !key || strncmp(answer + 9, "200", 3)) {
 		send_all(fd, answer, n);
 		return;
 	}
 	body += 4;
-	list++;
-	before = (size_t)(list - body);
-	n -= (size_t)(body - answer);
+	before = (size_t)(key - body);
+	after = n - (size_t)(key + length - answer);
 	snprintf(head, sizeof(head),
 		 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
 		 "%.*s%sConnection: close\r\nContent-Length: %zu\r\n\r\n",
 		 epoch ? (int)strcspn(epoch + 2, "\r") : 0,
 		 epoch ? epoch + 2 : "", epoch ? "\r\n" : "",
-		 n + strlen(odd_entry) + (*list != ']'));
+		 before + strlen(odd_list_key) + after);
 	send_all(fd, head, strlen(head));
 	send_all(fd, body, before);
-	send_all(fd, odd_entry, strlen(odd_entry));
-	if (*list != ']')
-		send_all(fd, ",", 1);
-	send_all(fd, list, n - before);
+	send_all(fd, odd_list_key, strlen(odd_list_key));
+	send_all(fd, key + length, after);
+}
+
+/* Writes what was read of the log with the odd key in place of "zz". */
+static void send_log(int fd, char *answer, size_t n)
+{
+	char *at = answer;
+
+	while ((at = memmem(at, n - (size_t)(at - answer), record_key,
+			    strlen(record_key))))
+		memcpy(at, odd_record_key, strlen(record_key));
+	send_all(fd, answer, n);
 }
 
 static void *connection(void *arg)
@@ -121,12 +127,12 @@
 
 	if (n && !connect(out, (struct sockaddr *)&store, sizeof(store)) &&
 	    !send_all(out, call, n)) {
-		int is_list = atomic_load(&has_entry) &&
-			      !strncmp(call, list_call, strlen(list_call));
+		int is_list = !strncmp(call, list_call, strlen(list_call));
+		int is_log = !strncmp(call, log_call, strlen(log_call));
 
 		while ((k = recv(out, answer + got, CALL_SIZE - 1 - got, 0)) >
 		       0) {
-			if (is_list)
+			if (is_list || is_log)
 				got += (size_t)k;
 			else if (send_all(fd, answer, (size_t)k))
 				break;
@@ -134,6 +140,8 @@
 		answer[got] = '\0';
 		if (is_list)
 			send_list(fd, answer, got);
+		else if (is_log)
+			send_log(fd, answer, got);
 	}
 	close(out);
 	close(fd);
@@ -144,8 +152,6 @@
 
 int main(int argc, char **argv)
 {
-	struct sigaction action = { .sa_handler = on_signal,
-				    .sa_flags = SA_RESTART };
 	int on = 1, fd = socket(AF_INET, SOCK_STREAM, 0);
 	struct sockaddr_in a;
 	pthread_t thread;
@@ -156,7 +162,6 @@
 	store = address(argv[2]);
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
 	signal(SIGPIPE, SIG_IGN);
-	sigaction(SIGUSR1, &action, NULL);
 	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 	if (bind(fd, (struct sockaddr *)&a, sizeof(a)) || listen(fd, 128)) {
 		perror("odd3: listen");
