store: log what puts a removal or a call off, and by whose word

Change: runner-dropped has put_off_ms, store and by; runners-unlisted, runners-outage and store-retry are new; config-in-force, runner-changed and listed-by-daemon name whose word they follow. No decision changes.

--- a/core/runner_list.c
+++ b/core/runner_list.c
@@ -103,14 +103,21 @@
 		now - l->outage_ended_at >= l->grace_period);
 }
 
-static void schedule_removal(runner_list_t *l, entry_t *e, int64_t now)
+int64_t runner_list_removal_delay(const runner_list_t *l, int64_t now)
+{
+	if (runner_list_is_stable(l, now))
+		return 0;
+	return (l->is_store_down ? now : l->outage_ended_at) + l->grace_period -
+	       now;
+}
+
+/* Returns whether the removal is new. */
+static bool schedule_removal(runner_list_t *l, entry_t *e, int64_t now)
 {
 	if (e->remove_at)
-		return;
-	e->remove_at = now;
-	if (!runner_list_is_stable(l, now))
-		e->remove_at = (l->is_store_down ? now : l->outage_ended_at) +
-			       l->grace_period;
+		return false;
+	e->remove_at = now + runner_list_removal_delay(l, now);
+	return true;
 }
 
 void runner_list_remove(runner_list_t *l, str_t id, int64_t now)
@@ -132,15 +139,17 @@
 		e->is_seen = false;
 }
 
-void runner_list_end(runner_list_t *l, int64_t now)
+guint runner_list_end(runner_list_t *l, int64_t now)
 {
 	GHashTableIter iter;
+	guint missing = 0;
 	entry_t *e;
 
 	g_hash_table_iter_init(&iter, l->runners);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&e))
 		if (!e->is_seen)
-			schedule_removal(l, e, now);
+			missing += schedule_removal(l, e, now);
+	return missing;
 }
 
 void runner_list_set_outage(runner_list_t *l, bool is_down, int64_t now)
--- a/core/runner_list.h
+++ b/core/runner_list.h
@@ -71,9 +71,14 @@
 runner_entry_t runner_list_set(runner_list_t *l, const listed_runner_t *runner);
 /* Removes an entry that the store removed or that names no usable runner. */
 void runner_list_remove(runner_list_t *l, str_t id, int64_t now);
-/* Begins and ends a full listing; entries not set in between are removed. */
+/*
+ * Begins and ends a full listing; entries not set in between are removed.
+ * Returns how many were not being removed before.
+ */
 void runner_list_begin(runner_list_t *l);
-void runner_list_end(runner_list_t *l, int64_t now);
+guint runner_list_end(runner_list_t *l, int64_t now);
+/* Returns for how many microseconds a removal read now would be put off. */
+int64_t runner_list_removal_delay(const runner_list_t *l, int64_t now);
 /* Records that the store can't be read, or can be read again. */
 void runner_list_set_outage(runner_list_t *l, bool is_down, int64_t now);
 /*
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -157,6 +157,7 @@
 	bool is_relayed; /* read by another daemon; sent to the own zone only */
 	bool is_list; /* received: the newest record of every key */
 	char peer[MEMBER_NAME_SIZE]; /* the only receiver; "": all */
+	char sender[MEMBER_NAME_SIZE]; /* received: the daemon that sent it */
 	GArray *records; /* message_record_t */
 	GBytes *batch; /* a full list, encoded; NULL: none */
 	uint32_t batch_size; /* before compression; 0: not compressed */
--- a/daemon/peers_updates.c
+++ b/daemon/peers_updates.c
@@ -16,6 +16,7 @@
 		return;
 	}
 	m.update.is_from_other_zone = !peers_is_own_zone(p, name);
+	g_strlcpy(m.update.sender, name, sizeof(m.update.sender));
 	supervisor_post(p->sup, TASK_PLATFORM, &m);
 }
 
--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -46,13 +46,46 @@
 	return news == ENTRY_NEW || (is_changed && !entry->value.len);
 }
 
+/* Logs whether the list of runners counts the store as down, if it changed. */
+static void log_outage(const store_follower_t *f, bool was_down, const char *by)
+{
+	bool is_down = f->env->runner_list->is_store_down;
+
+	if (is_down != was_down)
+		log_event("runners-outage", "state=%s by=%s next=%" PRIu64,
+			  is_down ? "begun" : "ended", by, f->state.known.next);
+}
+
+/* Tells the list of runners whether this daemon's own call failed. */
+static void set_outage(const store_follower_t *f, bool has_failed)
+{
+	runner_list_t *list = f->env->runner_list;
+	bool was_down = list->is_store_down;
+
+	if (f->topic != STORE_RUNNERS)
+		return;
+	runner_list_set_outage(list, has_failed, now_us());
+	log_outage(f, was_down, f->env->sup->settings->name);
+}
+
+/* Tells the list of runners that another daemon sent what it read. */
+static void set_outage_of(const store_follower_t *f,
+			  const message_update_t *update)
+{
+	runner_list_t *list = f->env->runner_list;
+	bool was_down = list->is_store_down;
+
+	if (f->topic != STORE_RUNNERS)
+		return;
+	runner_list_on_update(list, update->is_stable);
+	log_outage(f, was_down, update->sender);
+}
+
 static void set_down(store_follower_t *f, const err_t *err)
 {
 	char text[ERR_DETAIL_SIZE * 2];
 
-	if (f->topic == STORE_RUNNERS)
-		runner_list_set_outage(f->env->runner_list, err != NULL,
-				       now_us());
+	set_outage(f, err != NULL);
 	if (f->is_down == (err != NULL))
 		return;
 	f->is_down = err != NULL;
@@ -155,11 +188,21 @@
 
 static void end_list(store_follower_t *f)
 {
+	runner_list_t *list = f->env->runner_list;
+	int64_t now = now_us();
+	guint missing;
+
 	/* An old copy may be from before the first configuration. */
 	if (f->topic != STORE_CONFIG)
 		topic_records_end(&f->records);
-	if (f->topic == STORE_RUNNERS)
-		runner_list_end(f->env->runner_list, now_us());
+	if (f->topic != STORE_RUNNERS)
+		return;
+	missing = runner_list_end(list, now);
+	if (missing)
+		log_event("runners-unlisted",
+			  "runners=%u put_off_ms=%" PRId64 " next=%" PRIu64,
+			  missing, runner_list_removal_delay(list, now) / 1000,
+			  f->state.known.next);
 }
 
 /* What is applied from now on is of the position's epoch. */
@@ -174,6 +217,7 @@
 static void apply_page(store_follower_t *f, const store_page_t *page,
 		       bool is_list, GHashTable *changed)
 {
+	f->source = "store";
 	set_epoch(f);
 	if (is_list)
 		begin_list(f);
@@ -185,8 +229,11 @@
 		end_list(f);
 }
 
-static void apply_records(store_follower_t *f, const GArray *records)
+static void apply_records(store_follower_t *f, const message_update_t *update)
 {
+	const GArray *records = update->records;
+
+	f->source = update->sender;
 	set_epoch(f);
 	for (guint i = 0; i < records->len; i++) {
 		const message_record_t *r =
@@ -204,11 +251,11 @@
 	if (!topic_follow_on_list(&f->state, update->to, now_us()))
 		return;
 	log_event("listed-by-daemon",
-		  "topic=%s records=%u epoch=%" PRIu64 " next=%" PRIu64,
-		  store_topic_name(f->topic), update->records->len,
-		  update->to.epoch, update->to.next);
+		  "topic=%s by=%s records=%u epoch=%" PRIu64 " next=%" PRIu64,
+		  store_topic_name(f->topic), update->sender,
+		  update->records->len, update->to.epoch, update->to.next);
 	begin_list(f);
-	apply_records(f, update->records);
+	apply_records(f, update);
 	end_list(f);
 }
 
@@ -222,8 +269,7 @@
 		apply_list(f, update);
 		return;
 	}
-	if (f->topic == STORE_RUNNERS)
-		runner_list_on_update(f->env->runner_list, update->is_stable);
+	set_outage_of(f, update);
 	switch (topic_follow_on_update(&f->state, update->from, update->to,
 				       now_us())) {
 	case TOPIC_UPDATE_OLD:
@@ -239,7 +285,7 @@
 			relay_update(f, update);
 		break;
 	}
-	apply_records(f, update->records);
+	apply_records(f, update);
 }
 
 /* Logs which of the store's epochs an answer belongs to, if it changed. */
@@ -335,6 +381,12 @@
 		topic_follow_on_failure(&f->state, f->env->daemons,
 					g_rand_double(f->env->sup->rand),
 					now_us());
+		log_event("store-retry",
+			  "topic=%s failures=%u wait_ms=%" PRId64
+			  " known_age_ms=%" PRId64,
+			  store_topic_name(f->topic), f->state.failures,
+			  (f->state.retry_at - now_us()) / 1000,
+			  (now_us() - f->state.updated_at) / 1000);
 		schedule_call(f, DUE_CHECK_MS);
 		return;
 	}
@@ -387,7 +439,11 @@
 void store_follower_init(store_follower_t *f, const store_env_t *env,
 			 store_topic_t topic)
 {
-	*f = (store_follower_t){ .env = env, .topic = topic };
+	*f = (store_follower_t){
+		.env = env,
+		.topic = topic,
+		.source = "store",
+	};
 	if (!settings_is_seed(env->sup->settings))
 		f->state.list_after =
 			now_us() + PEER_LIST_WAIT_US +
--- a/daemon/store_follower.h
+++ b/daemon/store_follower.h
@@ -45,6 +45,8 @@
 	topic_position_t read_from; /* what was known when it began */
 	bool is_down; /* the last call to the store failed */
 	uint64_t epoch; /* the store's, in its latest answer */
+	/* Whose word is being applied: "store", or another daemon's name. */
+	const char *source;
 } store_follower_t;
 
 /*
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -74,9 +74,9 @@
 /*
  * Puts a configuration in force if it is newer. One that can't be parsed here
  * counts as new, so that it is still forwarded to other daemons, which parse it
- * for themselves.
+ * for themselves. BY, for the log: "store", or the daemon that sent it.
  */
-static entry_news_t apply_config(store_sync_t *s, str_t text)
+static entry_news_t apply_config(store_sync_t *s, str_t text, const char *by)
 {
 	char reason[ERR_DETAIL_SIZE * 2];
 	err_t err = { 0 };
@@ -97,9 +97,9 @@
 	}
 	log_event("config-in-force",
 		  "version=%" PRIu64 " was=%" PRIu64
-		  " routes=%u teams=%u bytes=%zu",
+		  " routes=%u teams=%u bytes=%zu by=%s",
 		  fleet->version, s->fleet ? s->fleet->version : 0,
-		  fleet->routes->len, fleet->teams->len, text.len);
+		  fleet->routes->len, fleet->teams->len, text.len, by);
 	metrics_set(&s->sup->metrics, "papaya_config_version", NULL,
 		    fleet->version);
 	fleet_unref(s->fleet);
@@ -124,11 +124,11 @@
 	if (result == RUNNER_ENTRY_NEW)
 		log_event("runner-changed",
 			  "runner=%s service=%s address=%s release=%s "
-			  "leaving=%s next=%" PRIu64,
+			  "leaving=%s next=%" PRIu64 " by=%s",
 			  runner->id, runner->service, runner->address,
 			  runner->release[0] ? runner->release : "-",
 			  runner->is_leaving ? "yes" : "no",
-			  s->runners.state.known.next);
+			  s->runners.state.known.next, s->runners.source);
 	else if (result == RUNNER_ENTRY_OLD)
 		log_event("runner-old-entry",
 			  "runner=%s leaving=%s sequence=%" PRIu64
@@ -153,9 +153,15 @@
 	err_t err = { 0 };
 
 	if (!text.len) {
-		log_event("runner-dropped", "runner=%.*s next=%" PRIu64,
+		log_event("runner-dropped",
+			  "runner=%.*s next=%" PRIu64 " put_off_ms=%" PRId64
+			  " store=%s by=%s",
 			  (int)MIN(id.len, FLEET_NAME_SIZE), id.ptr,
-			  s->runners.state.known.next);
+			  s->runners.state.known.next,
+			  runner_list_removal_delay(&s->runner_list, now_us()) /
+				  1000,
+			  s->runner_list.is_store_down ? "down" : "up",
+			  s->runners.source);
 		runner_list_remove(&s->runner_list, id, now_us());
 		return ENTRY_NEW;
 	}
@@ -224,7 +230,7 @@
 	switch (topic) {
 	case STORE_CONFIG:
 		if (store_is_config_key(entry->key) && entry->value.len)
-			return apply_config(s, entry->value);
+			return apply_config(s, entry->value, s->config.source);
 		return apply_order(s, entry);
 	case STORE_RUNNERS:
 		return apply_runner(s, entry->key, entry->value);
@@ -466,13 +472,17 @@
 	supervisor_post(s->sup, TASK_PEERS, &m);
 }
 
-static void apply_relayed_config(store_sync_t *s, const GArray *docs)
+static void apply_relayed_config(store_sync_t *s, const message_docs_t *relayed)
 {
+	const GArray *docs = relayed->docs;
+	const char *from = relayed->peer;
+
 	for (guint i = 0; i < docs->len; i++) {
 		const config_doc_t *doc = &g_array_index(docs, config_doc_t, i);
 
 		if (!strcmp(doc->name, FLEET_PROFILE) &&
-		    apply_config(s, topic_records_view(doc->body)) == ENTRY_NEW)
+		    apply_config(s, topic_records_view(doc->body), from) ==
+			    ENTRY_NEW)
 			topic_records_set(&s->config.records,
 					  store_config_key(),
 					  topic_records_view(doc->body));
@@ -521,7 +531,7 @@
 	else if (m->type == MESSAGE_CONFIG_REQUEST)
 		send_config(s, m->docs.peer);
 	else if (m->type == MESSAGE_CONFIG_RELAYED)
-		apply_relayed_config(s, m->docs.docs);
+		apply_relayed_config(s, &m->docs);
 	else if (m->type == MESSAGE_PART_NOTICE)
 		part_records_on_notice(&s->parts, &m->part);
 	else
