tests: a removal that is put off though the store is back

It keeps the runner in its list for the grace period of 2.3 s from then on, as it still counts the store as down: it doesn't call it, and nobody said yet that the outage is long over.

--- a/tests/lib_store_fixture.c
+++ b/tests/lib_store_fixture.c
@@ -207,6 +207,35 @@
 	supervisor_post(&f->sup, TASK_PLATFORM, &m);
 }
 
+void store_fixture_send_runners(store_fixture_t *f, uint64_t from, uint64_t to,
+				const char *gone, bool is_stable)
+{
+	message_t m = { .type = MESSAGE_TOPIC_UPDATE };
+
+	m.update.topic = STORE_RUNNERS;
+	m.update.from = (topic_position_t){ 1, from };
+	m.update.to = (topic_position_t){ 1, to };
+	m.update.is_stable = is_stable;
+	m.update.records = message_records_new();
+	if (gone) {
+		message_record_t record = {
+			.key = g_bytes_new(gone, strlen(gone)),
+			.value = g_bytes_new(NULL, 0),
+		};
+
+		g_array_append_val(m.update.records, record);
+	}
+	supervisor_post(&f->sup, TASK_PLATFORM, &m);
+}
+
+static void refuse(store_fixture_t *f, const fake_topic_t *t, fake_reply_t *out)
+{
+	g_autoptr(GString) empty = g_string_new("{}");
+
+	f->refused[t - f->topics]++;
+	reply(f, out, STATUS_UNAVAILABLE, empty);
+}
+
 static void on_request(void *ctx, const fake_request_t *request,
 		       fake_reply_t *out)
 {
@@ -214,7 +243,9 @@
 	const char *source = strstr(request->path, "source=");
 	fake_topic_t *t = topic_of(f, request->path);
 
-	if (source)
+	if (f->is_down)
+		refuse(f, t, out);
+	else if (source)
 		reply_read(f, t, (size_t)atoi(source + strlen("source=")), out);
 	else if (strstr(request->path, "log-newest"))
 		reply_list(f, t, out);
--- a/tests/lib_store_fixture.h
+++ b/tests/lib_store_fixture.h
@@ -51,6 +51,8 @@
 	uint64_t only_release; /* of service "s", in the latest list */
 	int lists; /* of VMs */
 	int refused_appends; /* the next ones that the store refuses */
+	bool is_down; /* the store refuses all calls */
+	int refused[STORE_FIXTURE_TOPICS]; /* calls while it was down */
 	int quarantined; /* prompt parts that the front task was told of */
 	quarantine_entry_t last_quarantined;
 	int sent_version; /* of the configuration sent to another daemon */
@@ -79,6 +81,13 @@
 /* Adds an entry of a runner, of an incarnation that is always the same. */
 void store_fixture_put_runner(store_fixture_t *f, const char *id, int sequence,
 			      const char *state);
+/*
+ * Another daemon sends what it read of the runners from FROM to TO, in epoch 1:
+ * nothing, or that the store removed the entry of runner GONE. IS_STABLE: it saw
+ * no recent outage.
+ */
+void store_fixture_send_runners(store_fixture_t *f, uint64_t from, uint64_t to,
+				const char *gone, bool is_stable);
 /* Removes all but the first N records of a topic. */
 void store_fixture_go_back(store_fixture_t *f, int topic, size_t n);
 /* Runs until VALUE equals WANTED; returns whether it does in time. */
