runner-list: an outage ends with the first read of any daemon

Cause: a daemon counted the store as down from its own failed call until its own next one, or until a daemon said that it had seen no outage for the grace period. Daemons that are told of changes don't call, and the one reader may be late itself, so a removal was put off by 2.3 s from when it was read, long after the outage. On the other hand a word from beyond a cut, whose sender saw no outage, ended the grace period at once, though runners within the cut had not been able to register.

Change: any daemon's read ends the outage, and the grace period begins there, whoever tells of it. It is an outage only if nobody read the store for as long as an entry needs to expire; a single failed call among others' updates is none.

--- a/core/runner_list.c
+++ b/core/runner_list.c
@@ -3,6 +3,11 @@
 /* How long a removed runner is remembered: far longer than copies are old. */
 #define MEMORY_US (INT64_C(5) * 60 * 1000 * 1000)
 
+enum {
+	/* An entry doesn't expire sooner after the runner's last heartbeat. */
+	MIN_EXPIRY_US = 1500 * 1000,
+};
+
 typedef struct entry {
 	listed_runner_t runner;
 	uint64_t epoch; /* of the store that it was read from */
@@ -152,23 +157,28 @@
 	return missing;
 }
 
-void runner_list_set_outage(runner_list_t *l, bool is_down, int64_t now)
+/* Somebody read the store just now, so it is available. */
+static void on_read(runner_list_t *l, int64_t now)
 {
-	if (l->is_store_down && !is_down)
+	if (l->is_store_down && now - l->read_at >= MIN_EXPIRY_US)
 		l->outage_ended_at = now;
-	l->is_store_down = is_down;
-	l->was_read |= !is_down;
+	l->is_store_down = false;
+	l->read_at = now;
 }
 
-void runner_list_on_update(runner_list_t *l, bool is_stable)
+void runner_list_set_outage(runner_list_t *l, bool is_down, int64_t now)
 {
-	if (is_stable) {
-		l->outage_ended_at = 0;
-		l->is_store_down = false;
-		l->was_read = true;
-	} else if (!l->was_read) {
+	if (is_down)
 		l->is_store_down = true;
-	}
+	else
+		on_read(l, now);
+}
+
+void runner_list_on_update(runner_list_t *l, bool is_stable, int64_t now)
+{
+	if (!l->read_at && !is_stable)
+		l->is_store_down = true;
+	on_read(l, now);
 }
 
 bool runner_list_apply_due(runner_list_t *l, int64_t now)
--- a/core/runner_list.h
+++ b/core/runner_list.h
@@ -6,7 +6,8 @@
  * The store removes a runner's entry when the runner stopped, but also when the
  * store itself was unavailable for too long. So a removal seen soon after an
  * outage takes effect only after a grace period, in which the runner can
- * register again.
+ * register again. The outage ends, and the grace period begins, when any daemon
+ * reads the store again: most daemons only hear from those that do.
  *
  * An entry may be older than what is known: a write that the store carries out
  * late, or a store that comes back from an old copy, in a later epoch. Each
@@ -51,9 +52,9 @@
 	int64_t grace_period; /* for runners to register after an outage */
 	int64_t outage_ended_at; /* end of the last outage; 0: there was none */
 	uint64_t epoch; /* of the store; 0: not known */
-	bool is_store_down; /* the store is unavailable */
-	/* The store was read here, or by a daemon that saw no recent outage. */
-	bool was_read;
+	int64_t read_at; /* last read of the store, by any daemon; 0: none */
+	/* This daemon's own call failed, and no daemon has read it since. */
+	bool is_store_down;
 	bool has_changed; /* since the last runner_list_apply_due() */
 } runner_list_t;
 
@@ -89,12 +90,11 @@
 /* True when the store is available, and was for at least the grace period. */
 bool runner_list_is_stable(const runner_list_t *l, int64_t now);
 /*
- * Records that another daemon sent what it read. IS_STABLE: that daemon saw no
- * recent outage, so only this daemon's own calls to the store failed, and
- * removals take effect at once. Otherwise an outage that this daemon recorded
- * continues, and a daemon that has never read the store assumes an outage.
+ * Records that another daemon sent what it has just read, which ends an outage
+ * that this daemon recorded, whatever its own calls do. IS_STABLE: that daemon
+ * saw no recent outage; a daemon without any list assumes none either.
  */
-void runner_list_on_update(runner_list_t *l, bool is_stable);
+void runner_list_on_update(runner_list_t *l, bool is_stable, int64_t now);
 /* Applies the removals that are due; returns has_changed before its reset. */
 bool runner_list_apply_due(runner_list_t *l, int64_t now);
 void runner_list_each(const runner_list_t *l,
--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -77,7 +77,7 @@
 
 	if (f->topic != STORE_RUNNERS)
 		return;
-	runner_list_on_update(list, update->is_stable);
+	runner_list_on_update(list, update->is_stable, now_us());
 	log_outage(f, was_down, update->sender);
 }
 
