tests: a reader that waits though the store is back

The configuration that the store acknowledged meanwhile isn't read for 1.6 s and more, and nobody else reads it sooner but by chance.

--- a/tests/test_store_outage.c
+++ b/tests/test_store_outage.c
@@ -77,6 +77,34 @@
 }
 END_TEST
 
+/*
+ * Guards against an old configuration after an outage: the daemon that reads for
+ * all waits out its own delay, though another one has shown that the store is
+ * back.
+ */
+START_TEST(a_reader_calls_at_once_when_told_that_the_store_is_back)
+{
+	enum { LONG_DELAY_CALLS = 4 };
+	store_fixture_t f;
+
+	store_fixture_init(&f);
+	store_fixture_put_config(&f, 3);
+	ck_assert(store_fixture_await(&f, &f.version, 3));
+	begin_outage(&f, STORE_CONFIG, LONG_DELAY_CALLS);
+	/* The next delay begins when its next call has failed. */
+	ck_assert(store_fixture_await(&f, &f.refused[STORE_CONFIG],
+				      f.refused[STORE_CONFIG] + 1));
+	store_fixture_run(&f, UPDATE_GAP_US / 3);
+	f.is_down = false;
+	store_fixture_put_config(&f, 14);
+	store_fixture_send_runners(&f, 2, 2, NULL, false);
+	store_fixture_run(&f, PROMPT_US);
+	ck_assert_int_eq(f.version, 14);
+	store_fixture_finish(&f);
+}
+END_TEST
+
 SUITE_MAIN("store_outage",
 	   a_removal_after_an_outage_counts_at_daemons_that_are_told,
-	   runners_have_time_to_register_after_an_outage)
+	   runners_have_time_to_register_after_an_outage,
+	   a_reader_calls_at_once_when_told_that_the_store_is_back)
