topic-follow: a wait after a failed call ends with any daemon's read

Cause, of the near miss in late-configuration.md: each daemon waited out the delay after its own last failed call of a topic, 1.6 s and up to 60 ms more a daemon, though another topic, or another daemon, had been read meanwhile. The daemon that reads for all is one of them, so nobody has the configuration. It is of the same class as the fault before it: what begins with a daemon's own failed call ended only with its own next one.

Change: when nobody could read a topic for a while and somebody now does, the reader calls for all topics at once. Others wait for its updates no longer than they would without the outage, so they don't all call at the same time. Calls of a daemon that the store refuses while it serves others stay as rare.

Three tests of test_topic_follow are new.

--- a/core/topic_follow.c
+++ b/core/topic_follow.c
@@ -13,6 +13,8 @@
 	MAX_DOUBLINGS = 3,
 	BACKOFF_STEP_US = 60 * US_PER_MS, /* more jitter per daemon */
 	MAX_DAEMONS = 300, /* more daemons than this add no jitter */
+	/* Without a read by any daemon: more than one that reads late. */
+	OUTAGE_US = 1500 * US_PER_MS,
 };
 
 /* Returns a random time, at most STEP times the number of daemons. */
@@ -51,6 +53,22 @@
 		f->retry_at += jitter(daemons, BACKOFF_STEP_US, draw);
 }
 
+bool topic_follow_note_read(topic_follow_t *f, int64_t now)
+{
+	bool was_outage = f->failures && now - f->read_at >= OUTAGE_US;
+
+	f->read_at = now;
+	return was_outage;
+}
+
+void topic_follow_end_wait(topic_follow_t *f, int64_t now)
+{
+	int64_t at = f->is_reader ? now : now + f->max_update_age;
+
+	if (f->retry_at > at)
+		f->retry_at = at;
+}
+
 bool topic_position_is_after(topic_position_t a, topic_position_t b)
 {
 	return a.epoch != b.epoch ? a.epoch > b.epoch : a.next > b.next;
--- a/core/topic_follow.h
+++ b/core/topic_follow.h
@@ -30,6 +30,7 @@
 	int64_t updated_at; /* when KNOWN was last the end of the topic */
 	int64_t missing_since; /* since when records are missing; 0: none */
 	int64_t list_after; /* wait for another daemon's list until then */
+	int64_t read_at; /* when any daemon last read it, as far as known */
 	int64_t retry_at; /* no call before, after a failed one */
 	uint32_t failures; /* failed calls in a row */
 } topic_follow_t;
@@ -84,6 +85,18 @@
  */
 void topic_follow_on_failure(topic_follow_t *f, uint32_t daemons, double draw,
 			     int64_t now);
+/*
+ * Records that this daemon or another one has read the topic, whatever it says.
+ * Call it before the function that handles what was read. Returns whether an
+ * outage ends: this daemon's own last call failed, and nobody had read the topic
+ * for long.
+ */
+bool topic_follow_note_read(topic_follow_t *f, int64_t now);
+/*
+ * Call it for each topic when an outage ends: a reader calls without further
+ * backoff, other daemons unless they are sent updates as usual from now on.
+ */
+void topic_follow_end_wait(topic_follow_t *f, int64_t now);
 /*
  * Returns the maximum age of the last update for one of DAEMONS that receive
  * it. DRAW, a random number from 0 to 1, adds jitter, so that one daemon reads
--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -259,6 +259,16 @@
 	end_list(f);
 }
 
+/* BY: "store", or the daemon that read the topic. */
+static void note_read(store_follower_t *f, const char *by)
+{
+	if (!topic_follow_note_read(&f->state, now_us()))
+		return;
+	log_event("store-back", "topic=%s by=%s failures=%u",
+		  store_topic_name(f->topic), by, f->state.failures);
+	f->env->on_back(f->env->ctx);
+}
+
 void store_follower_on_update(store_follower_t *f,
 			      const message_update_t *update)
 {
@@ -270,6 +280,7 @@
 		return;
 	}
 	set_outage_of(f, update);
+	note_read(f, update->sender);
 	switch (topic_follow_on_update(&f->state, update->from, update->to,
 				       now_us())) {
 	case TOPIC_UPDATE_OLD:
@@ -391,6 +402,7 @@
 		return;
 	}
 	log_epoch(f, page);
+	note_read(f, "store");
 	if (page->has_gap) {
 		topic_follow_invalidate(&f->state, page->epoch);
 		list_again(f, "the store doesn't have the records to read");
@@ -462,6 +474,11 @@
 	call_store(f);
 }
 
+void store_follower_end_wait(store_follower_t *f)
+{
+	topic_follow_end_wait(&f->state, now_us());
+}
+
 void store_follower_finish(store_follower_t *f)
 {
 	event_free(f->timer);
--- a/daemon/store_follower.h
+++ b/daemon/store_follower.h
@@ -28,6 +28,8 @@
 	/* Applies an entry. */
 	entry_news_t (*on_entry)(void *ctx, store_topic_t topic,
 				 const store_entry_t *e);
+	/* An outage of a topic has ended; here or at another daemon. */
+	void (*on_back)(void *ctx);
 	/* An answer of the store stated this epoch. */
 	void (*on_epoch)(void *ctx, uint64_t epoch);
 	void *ctx;
@@ -67,6 +69,8 @@
  * of an earlier one. Others are told by the reader.
  */
 void store_follower_require_epoch(store_follower_t *f, uint64_t epoch);
+/* An outage of a topic has ended: the next call isn't put off further. */
+void store_follower_end_wait(store_follower_t *f);
 /* Sends the whole list to another daemon; does nothing if there is none. */
 void store_follower_send_list(store_follower_t *f, const char *peer);
 
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -489,6 +489,16 @@
 	}
 }
 
+/* The store answers for each topic again, whichever showed it first. */
+static void on_back(void *ctx)
+{
+	store_sync_t *s = ctx;
+
+	store_follower_end_wait(&s->config);
+	store_follower_end_wait(&s->runners);
+	store_follower_end_wait(&s->daemons);
+}
+
 /* Each topic is of the store's epoch, whichever showed it first. */
 static void on_epoch(void *ctx, uint64_t epoch)
 {
@@ -562,6 +572,7 @@
 		.runner_list = &s->runner_list,
 		.jitter = g_rand_double(sup->rand),
 		.on_entry = apply_entry,
+		.on_back = on_back,
 		.on_epoch = on_epoch,
 		.ctx = s,
 	};
--- a/tests/test_topic_follow.c
+++ b/tests/test_topic_follow.c
@@ -185,6 +185,58 @@
 }
 END_TEST
 
+/*
+ * Guards against an old configuration after an outage: another daemon's read
+ * ends the wait of the one that reads for all.
+ */
+START_TEST(a_reader_does_not_wait_when_another_daemon_could_read)
+{
+	const int64_t second = 1000000;
+	topic_follow_t f = listed(10);
+
+	f.is_reader = true;
+	ck_assert(!topic_follow_note_read(&f, second));
+	for (int i = 1; i <= 8; i++)
+		topic_follow_on_failure(&f, 300, 1, (1 + i) * second);
+	ck_assert(!topic_follow_is_due(&f, 10 * second));
+	ck_assert(topic_follow_note_read(&f, 10 * second));
+	topic_follow_end_wait(&f, 10 * second);
+	ck_assert(topic_follow_is_due(&f, 10 * second));
+}
+END_TEST
+
+/* Guards against calls of all daemons at once when the store is back. */
+START_TEST(others_than_the_reader_wait_for_its_updates)
+{
+	const int64_t second = 1000000;
+	topic_follow_t f = listed(10);
+
+	f.max_update_age = second;
+	topic_follow_note_read(&f, second);
+	for (int i = 1; i <= 8; i++)
+		topic_follow_on_failure(&f, 300, 1, (1 + i) * second);
+	ck_assert(topic_follow_note_read(&f, 10 * second));
+	topic_follow_end_wait(&f, 10 * second);
+	ck_assert(!topic_follow_is_due(&f, 11 * second - 1));
+	ck_assert(topic_follow_is_due(&f, 11 * second));
+}
+END_TEST
+
+/* The store refuses this daemon and serves others: its calls stay rare. */
+START_TEST(reads_of_others_do_not_end_the_wait_when_they_never_stopped)
+{
+	const int64_t second = 1000000;
+	topic_follow_t f = listed(10);
+
+	f.is_reader = true;
+	topic_follow_note_read(&f, second);
+	for (int i = 1; i <= 8; i++) {
+		topic_follow_on_failure(&f, 300, 1, (1 + i) * second);
+		ck_assert(!topic_follow_note_read(&f, (1 + i) * second + 1));
+	}
+}
+END_TEST
+
 /* Without a list, updates from other daemons cannot be applied. */
 START_TEST(failed_call_without_a_list_is_retried_soon)
 {
@@ -306,6 +358,9 @@
 	   missed_records_are_awaited_before_a_read,
 	   new_daemon_waits_for_the_list_of_another,
 	   a_failing_store_is_called_less_often,
+	   a_reader_does_not_wait_when_another_daemon_could_read,
+	   others_than_the_reader_wait_for_its_updates,
+	   reads_of_others_do_not_end_the_wait_when_they_never_stopped,
 	   failed_call_without_a_list_is_retried_soon,
 	   timeouts_of_many_daemons_are_spread,
 	   a_read_of_a_later_epoch_needs_a_list,
