topic-follow: spread the backoff of daemons that fail together

Cause: the calls of a zone's daemons fail together when the store or the zone is cut off, and the backoff after them was 1.6 s plus a jitter of 60 ms a daemon: with seven to thirteen daemons they called together again, and for up to two seconds after the end of an outage nobody found that the store is back.

Change: the backoff lies between a quarter and seven quarters of its mean, which stays as it was, so the calls are as many as before.

Evidence: the new test of test_topic_follow failed before (nobody calls for 1.6 s) and passes.

--- a/core/topic_follow.c
+++ b/core/topic_follow.c
@@ -11,6 +11,9 @@
 	BASE_JITTER_US = 350 * US_PER_MS, /* of the maximum update age */
 	FIRST_BACKOFF_US = 200 * US_PER_MS,
 	MAX_DOUBLINGS = 3,
+	/* A backoff's spread around its mean, in quarters of the mean. */
+	MIN_BACKOFF_QUARTERS = 1,
+	BACKOFF_QUARTERS_SPAN = 6,
 	BACKOFF_STEP_US = 60 * US_PER_MS, /* more jitter per daemon */
 	MAX_DAEMONS = 300, /* more daemons than this add no jitter */
 	/* Without a read by any daemon: more than one that reads late. */
@@ -39,6 +42,17 @@
 	f->failures = 0;
 }
 
+/*
+ * Returns a random time around MEAN. Daemons whose calls failed together don't
+ * call together again, so one of them soon finds that the store is back.
+ */
+static int64_t spread(int64_t mean, double draw)
+{
+	double quarters = MIN_BACKOFF_QUARTERS + draw * BACKOFF_QUARTERS_SPAN;
+
+	return (int64_t)((double)mean * quarters / 4);
+}
+
 void topic_follow_on_failure(topic_follow_t *f, uint32_t daemons, double draw,
 			     int64_t now)
 {
@@ -47,10 +61,11 @@
 		<< (f->failures < MAX_DOUBLINGS ? f->failures : MAX_DOUBLINGS);
 
 	f->failures++;
-	f->retry_at = now + backoff;
 	/* A daemon without a list can't apply updates: it retries sooner. */
 	if (f->is_listed)
-		f->retry_at += jitter(daemons, BACKOFF_STEP_US, draw);
+		backoff = spread(backoff, draw) +
+			  jitter(daemons, BACKOFF_STEP_US, draw);
+	f->retry_at = now + backoff;
 }
 
 bool topic_follow_note_read(topic_follow_t *f, int64_t now)
--- a/tests/test_topic_follow.c
+++ b/tests/test_topic_follow.c
@@ -237,6 +237,31 @@
 }
 END_TEST
 
+/*
+ * Guards against seconds without a call after an outage: the calls of the
+ * daemons of a small zone failed together, again and again.
+ */
+START_TEST(daemons_whose_calls_failed_together_call_apart)
+{
+	enum { DAEMONS = 5, FAILURES = 8, MAX_GAP = 700 * 1000 };
+	topic_follow_t f;
+	int64_t retry[DAEMONS];
+
+	for (int i = 0; i < DAEMONS; i++) {
+		f = listed(10);
+		for (int k = 0; k < FAILURES; k++)
+			topic_follow_on_failure(&f, DAEMONS,
+						(double)i / (DAEMONS - 1), 0);
+		retry[i] = f.retry_at;
+		ck_assert_int_gt(retry[i], 0);
+		if (i)
+			ck_assert_int_le(retry[i] - retry[i - 1], MAX_GAP);
+	}
+	ck_assert_int_lt(retry[0], MAX_GAP);
+	ck_assert_int_gt(retry[DAEMONS - 1], 3 * MAX_GAP);
+}
+END_TEST
+
 /* Without a list, updates from other daemons cannot be applied. */
 START_TEST(failed_call_without_a_list_is_retried_soon)
 {
@@ -361,6 +386,7 @@
 	   a_reader_does_not_wait_when_another_daemon_could_read,
 	   others_than_the_reader_wait_for_its_updates,
 	   reads_of_others_do_not_end_the_wait_when_they_never_stopped,
+	   daemons_whose_calls_failed_together_call_apart,
 	   failed_call_without_a_list_is_retried_soon,
 	   timeouts_of_many_daemons_are_spread,
 	   a_read_of_a_later_epoch_needs_a_list,
