Revert "store: tell the zone that a cut is over, whatever an update lacks"

What I had read as daemons that hear a second apart were calls begun in the cut that fail after it; they begin no outage. What is late when anything is, is the first word for the whole zone.

--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -259,18 +259,14 @@
 	end_list(f);
 }
 
-/*
- * BY: "store", or the daemon that read the topic. Returns whether an outage has
- * ended.
- */
-static bool note_read(store_follower_t *f, const char *by)
+/* BY: "store", or the daemon that read the topic. */
+static void note_read(store_follower_t *f, const char *by)
 {
 	if (!topic_follow_note_read(&f->state, now_us()))
-		return false;
+		return;
 	log_event("store-back", "topic=%s by=%s failures=%u",
 		  store_topic_name(f->topic), by, f->state.failures);
 	f->env->on_back(f->env->ctx);
-	return true;
 }
 
 void store_follower_on_update(store_follower_t *f,
@@ -278,14 +274,13 @@
 {
 	int64_t known_at = f->state.updated_at;
 	topic_position_t known = f->state.known;
-	bool is_back;
 
 	if (update->is_list) {
 		apply_list(f, update);
 		return;
 	}
 	set_outage_of(f, update);
-	is_back = note_read(f, update->sender);
+	note_read(f, update->sender);
 	switch (topic_follow_on_update(&f->state, update->from, update->to,
 				       now_us())) {
 	case TOPIC_UPDATE_OLD:
@@ -295,9 +290,6 @@
 			relay_update(f, update);
 		return;
 	case TOPIC_UPDATE_GAP:
-		/* It still tells that the outage is over. */
-		if (is_back && update->is_from_other_zone)
-			relay_update(f, update);
 		return;
 	case TOPIC_UPDATE_APPLY:
 		if (update->is_from_other_zone)
