net: what is given up is reset, not delivered later

Cause: a connection whose exchange is given up was closed in order, so the system went on delivering what the runner had not acknowledged.

Change: such a connection is closed by a reset, which drops what isn't delivered. The same where a proxy's caller is gone (tunnel_server) and for the exchanges of the own interface and of the store's client (net/http).

--- a/daemon/tunnel_server.c
+++ b/daemon/tunnel_server.c
@@ -250,7 +250,11 @@
 /* The other daemon gave the request up, or is gone. */
 static void on_client_event(struct bufferevent *bev, short what, void *arg)
 {
-	tunnel_free(arg);
+	tunnel_t *t = arg;
+
+	if (t->runner)
+		tcp_reset_on_close(bufferevent_getfd(t->runner));
+	tunnel_free(t);
 }
 
 static void on_timeout(evutil_socket_t fd, short what, void *arg)
--- a/daemon/upstream.c
+++ b/daemon/upstream.c
@@ -192,9 +192,20 @@
 	ops.end(ctx, end);
 }
 
-static void fail_exchange(upstream_conn_t *u, upstream_end_t end)
+/*
+ * Gives an exchange up: what the upstream has not received of the request must
+ * not reach it later, for another one may have the request by then.
+ */
+static void abort_exchange(upstream_conn_t *u)
 {
+	if (!u->is_retired)
+		tcp_reset_on_close(bufferevent_getfd(u->bev));
 	retire(u);
+}
+
+static void fail_exchange(upstream_conn_t *u, upstream_end_t end)
+{
+	abort_exchange(u);
 	end_exchange(u, end);
 }
 
@@ -615,7 +626,7 @@
 void upstream_conn_cancel(upstream_conn_t *u)
 {
 	u->is_busy = false;
-	retire(u);
+	abort_exchange(u);
 }
 
 void upstream_conn_pause(upstream_conn_t *u, bool is_paused)
--- a/net/http.c
+++ b/net/http.c
@@ -10,6 +10,7 @@
 
 #include "common/timeval.h"
 #include "net/http1.h"
+#include "net/tcp.h"
 
 enum { MAX_HEADER_BYTES = 64 * 1024 /* bytes */ };
 
@@ -27,10 +28,26 @@
 	char peer[ERR_PEER_SIZE];
 };
 
+/*
+ * What the peer has not received of an exchange that failed, or was given up,
+ * must not reach it later.
+ */
+static void close_connection(struct http_exchange *ex)
+{
+	struct bufferevent *bev;
+
+	if (!ex->conn)
+		return;
+	bev = evhttp_connection_get_bufferevent(ex->conn);
+	if (!ex->is_ended || ex->err.code != ERR_NONE)
+		tcp_reset_on_close(bufferevent_getfd(bev));
+	evhttp_connection_free(ex->conn);
+	ex->conn = NULL;
+}
+
 static void free_exchange(struct http_exchange *ex)
 {
-	if (ex->conn)
-		evhttp_connection_free(ex->conn);
+	close_connection(ex);
 	if (ex->timer)
 		event_free(ex->timer);
 	g_free(ex);
@@ -72,9 +89,7 @@
 		ex->is_ended = true;
 	}
 	/* Free it first: no evhttp callback may follow the end callback. */
-	if (ex->conn)
-		evhttp_connection_free(ex->conn);
-	ex->conn = NULL;
+	close_connection(ex);
 	ex->ops.end(ex->ctx, ex->status,
 		    ex->err.code == ERR_NONE ? NULL : &ex->err);
 }
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -17,6 +17,14 @@
 	(void)setsockopt(fd, level, option, &value, sizeof(value));
 }
 
+void tcp_reset_on_close(evutil_socket_t fd)
+{
+	const struct linger at_once = { .l_onoff = 1 };
+
+	/* On an error the connection is closed in order. */
+	(void)setsockopt(fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+}
+
 void tcp_detect_dead_peer(evutil_socket_t fd)
 {
 	set(fd, IPPROTO_TCP, TCP_NODELAY, 1);
--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -445,11 +445,15 @@
 }
 END_TEST
 
+/*
+ * By a reset: what the proxy has not delivered must not reach the runner later.
+ */
 START_TEST(the_other_daemons_end_closes_the_runners_connection)
 {
 	exchange_t x;
 	char buf[16];
 	ssize_t n = 1;
+	int error = 0;
 	int fd;
 
 	begin(&x);
@@ -459,11 +463,13 @@
 	for (int i = 0; i < 500 && n > 0; i++) {
 		event_base_loop(x.base, EVLOOP_NONBLOCK);
 		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
-		if (n < 0 && errno == EAGAIN)
+		error = n < 0 ? errno : 0;
+		if (error == EAGAIN)
 			n = 1;
 		g_usleep(1000);
 	}
 	ck_assert_int_le(n, 0);
+	ck_assert_int_eq(error, ECONNRESET);
 	ck_assert_uint_eq(tunnel_server_count(&x.proxy), 0);
 	close(fd);
 	finish(&x);
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -3,6 +3,7 @@
  * end of the connection counts for them.
  */
 #include <arpa/inet.h>
+#include <errno.h>
 #include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -32,6 +33,7 @@
 typedef struct exchange {
 	struct event_base *base;
 	upstream_pool_t pool;
+	upstream_conn_t *conn;
 	int listener;
 	char address[32];
 	GString *body; /* received of the answer */
@@ -103,8 +105,9 @@
 			    "POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n",
 			    REQUEST_BYTES);
 	evbuffer_add(request, body, REQUEST_BYTES);
-	ck_assert(upstream_conn_start(&x->pool, x->address, NULL, false, false,
-				      request, &ops, x) != NULL);
+	x->conn = upstream_conn_start(&x->pool, x->address, NULL, false, false,
+				      request, &ops, x);
+	ck_assert(x->conn != NULL);
 	evbuffer_free(request);
 }
 
@@ -205,7 +208,42 @@
 }
 END_TEST
 
+/* Returns 0 if the peer's bytes end in order, or the error that ends them. */
+static int receive_all(int fd)
+{
+	char bytes[RECEIVE_BUFFER];
+	ssize_t n;
+
+	while ((n = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+		;
+	return n ? errno : 0;
+}
+
+/*
+ * Guards against a request that was given up while the upstream can't be
+ * reached, and that the system delivers seconds later.
+ */
+START_TEST(what_is_not_delivered_of_a_cancelled_request_is_dropped)
+{
+	exchange_t x;
+	int fd;
+
+	exchange_init(&x);
+	start(&x);
+	fd = accept(x.listener, NULL, NULL);
+	ck_assert_int_ge(fd, 0);
+	event_base_loop(x.base, EVLOOP_NONBLOCK);
+	ck_assert(upstream_conn_is_sent(x.conn));
+	upstream_conn_cancel(x.conn);
+	event_base_loop(x.base, EVLOOP_NONBLOCK);
+	ck_assert_int_eq(receive_all(fd), ECONNRESET);
+	close(fd);
+	exchange_finish(&x);
+}
+END_TEST
+
 SUITE_MAIN("upstream", an_early_answer_that_is_reset_at_once_is_not_complete,
 	   an_early_answer_that_is_reset_later_is_not_complete,
 	   an_early_answer_that_ends_in_order_is_complete,
-	   an_early_answer_with_a_length_is_complete_despite_a_reset)
+	   an_early_answer_with_a_length_is_complete_despite_a_reset,
+	   what_is_not_delivered_of_a_cancelled_request_is_dropped)
