store: call the store soon when another zone is back

Cause: when a cut ends, a zone's links to other zones are up again within some 0.1 s, but its daemons find that they can read the store only with their next call after a backoff, or the next update of the daemon that reads for all.

Change: when another zone is reached again, a call that is put off is made within 0.3 s, spread over the daemons.

--- a/core/topic_follow.c
+++ b/core/topic_follow.c
@@ -16,6 +16,7 @@
 	BACKOFF_QUARTERS_SPAN = 6,
 	BACKOFF_STEP_US = 60 * US_PER_MS, /* more jitter per daemon */
 	MAX_DAEMONS = 300, /* more daemons than this add no jitter */
+	SOON_US = 300 * US_PER_MS, /* spreads calls when a cut is over */
 	/* Without a read by any daemon: more than one that reads late. */
 	OUTAGE_US = 1500 * US_PER_MS,
 };
@@ -84,6 +85,14 @@
 		f->retry_at = at;
 }
 
+void topic_follow_call_soon(topic_follow_t *f, double draw, int64_t now)
+{
+	int64_t at = now + (int64_t)(draw * SOON_US);
+
+	if (f->retry_at > at)
+		f->retry_at = at;
+}
+
 bool topic_position_is_after(topic_position_t a, topic_position_t b)
 {
 	return a.epoch != b.epoch ? a.epoch > b.epoch : a.next > b.next;
--- a/core/topic_follow.h
+++ b/core/topic_follow.h
@@ -97,6 +97,12 @@
  * backoff, other daemons unless they are sent updates as usual from now on.
  */
 void topic_follow_end_wait(topic_follow_t *f, int64_t now);
+/*
+ * Call it when another zone is reached again, so the store may be, too: a call
+ * that is put off is made soon, unless updates made it needless. DRAW, a random
+ * number from 0 to 1, spreads the daemons' calls.
+ */
+void topic_follow_call_soon(topic_follow_t *f, double draw, int64_t now);
 /*
  * Returns the maximum age of the last update for one of DAEMONS that receive
  * it. DRAW, a random number from 0 to 1, adds jitter, so that one daemon reads
--- a/daemon/peers_detector.c
+++ b/daemon/peers_detector.c
@@ -33,7 +33,8 @@
 
 static void set_partitioned(zone_probe_t *probe, bool is_partitioned)
 {
-	static const task_id_t recipients[] = { TASK_CAPACITY, TASK_FRONT };
+	static const task_id_t recipients[] = { TASK_CAPACITY, TASK_FRONT,
+						TASK_PLATFORM };
 
 	if (probe->is_partitioned == is_partitioned)
 		return;
--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -479,6 +479,12 @@
 	topic_follow_end_wait(&f->state, now_us());
 }
 
+void store_follower_call_soon(store_follower_t *f)
+{
+	topic_follow_call_soon(&f->state, g_rand_double(f->env->sup->rand),
+			       now_us());
+}
+
 void store_follower_finish(store_follower_t *f)
 {
 	event_free(f->timer);
--- a/daemon/store_follower.h
+++ b/daemon/store_follower.h
@@ -71,6 +71,8 @@
 void store_follower_require_epoch(store_follower_t *f, uint64_t epoch);
 /* An outage of a topic has ended: the next call isn't put off further. */
 void store_follower_end_wait(store_follower_t *f);
+/* Another zone is reached again: a call that is put off is made soon. */
+void store_follower_call_soon(store_follower_t *f);
 /* Sends the whole list to another daemon; does nothing if there is none. */
 void store_follower_send_list(store_follower_t *f, const char *peer);
 
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -499,6 +499,16 @@
 	store_follower_end_wait(&s->daemons);
 }
 
+/* A cut from another zone has ended, and with it maybe one from the store. */
+static void on_zone_contact(store_sync_t *s, bool is_lost)
+{
+	if (is_lost)
+		return;
+	store_follower_call_soon(&s->config);
+	store_follower_call_soon(&s->runners);
+	store_follower_call_soon(&s->daemons);
+}
+
 /* Each topic is of the store's epoch, whichever showed it first. */
 static void on_epoch(void *ctx, uint64_t epoch)
 {
@@ -542,6 +552,8 @@
 		send_config(s, m->docs.peer);
 	else if (m->type == MESSAGE_CONFIG_RELAYED)
 		apply_relayed_config(s, &m->docs);
+	else if (m->type == MESSAGE_ZONE_PARTITION)
+		on_zone_contact(s, m->contact.is_lost);
 	else if (m->type == MESSAGE_PART_NOTICE)
 		part_records_on_notice(&s->parts, &m->part);
 	else
--- a/tests/test_store_outage.c
+++ b/tests/test_store_outage.c
@@ -104,7 +104,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a zone that finds late that it can reach the store again: the
+ * link to another zone shows that the cut is over.
+ */
+START_TEST(the_store_is_called_soon_when_another_zone_is_back)
+{
+	enum { LONG_DELAY_CALLS = 4 };
+	message_t m = { .type = MESSAGE_ZONE_PARTITION };
+	store_fixture_t f;
+
+	store_fixture_init(&f);
+	set_reader(&f, false);
+	store_fixture_put_config(&f, 3);
+	ck_assert(store_fixture_await(&f, &f.version, 3));
+	begin_outage(&f, STORE_CONFIG, LONG_DELAY_CALLS);
+	ck_assert(store_fixture_await(&f, &f.refused[STORE_CONFIG],
+				      f.refused[STORE_CONFIG] + 1));
+	store_fixture_run(&f, UPDATE_GAP_US / 3);
+	f.is_down = false;
+	store_fixture_put_config(&f, 14);
+	supervisor_post(&f.sup, TASK_PLATFORM, &m);
+	store_fixture_run(&f, PROMPT_US);
+	ck_assert_int_eq(f.version, 14);
+	store_fixture_finish(&f);
+}
+END_TEST
+
 SUITE_MAIN("store_outage",
 	   a_removal_after_an_outage_counts_at_daemons_that_are_told,
 	   runners_have_time_to_register_after_an_outage,
-	   a_reader_calls_at_once_when_told_that_the_store_is_back)
+	   a_reader_calls_at_once_when_told_that_the_store_is_back,
+	   the_store_is_called_soon_when_another_zone_is_back)
