platform: read a list in which an odd key stands

Cause: the answer is JSON, and jansson refuses a text with an escaped NUL unless it is told otherwise. Of the same class: keys were handled as C strings, so such a key would have been cut, and an entry "i-1\0x" would have removed runner i-1; the path for the next page had no room for a long escaped key; and a first page without any sound key was followed by a read before the array.

--- a/core/runner_list.c
+++ b/core/runner_list.c
@@ -127,9 +127,13 @@
 
 void runner_list_remove(runner_list_t *l, str_t id, int64_t now)
 {
-	g_autofree char *name = g_strndup(id.ptr, id.len);
-	entry_t *e = g_hash_table_lookup(l->runners, name);
+	char name[FLEET_NAME_SIZE];
+	entry_t *e;
 
+	/* No runner has such an id. */
+	if (!str_copy(name, sizeof(name), id))
+		return;
+	e = g_hash_table_lookup(l->runners, name);
 	if (e)
 		schedule_removal(l, e, now);
 }
--- a/tests/test_odd_entry.c
+++ b/tests/test_odd_entry.c
@@ -141,5 +141,27 @@
 }
 END_TEST
 
+/*
+ * Guards against daemons without any list after a stop of all of them: an odd
+ * key in one entry made the whole list unreadable.
+ */
+START_TEST(a_list_with_an_odd_key_is_read)
+{
+	/* As JSON has them; the last isn't the key of runner i-1. */
+	static const char *const keys[] = { "\\u0000\\u0001", "",
+					    "i-1\\u0000x" };
+	store_fixture_t f;
+
+	store_fixture_init(&f);
+	store_fixture_put_runner(&f, "i-1", 1, "ready");
+	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++)
+		store_fixture_put(&f, STORE_RUNNERS, keys[i], g_strdup(odd[0]));
+	store_fixture_put_runner(&f, "i-2", 1, "ready");
+	ck_assert(store_fixture_await(&f, &f.runners, 2));
+	store_fixture_finish(&f);
+}
+END_TEST
+
 SUITE_MAIN("odd_entry", an_odd_entry_names_no_runner,
-	   the_other_runners_are_followed, a_runner_is_removed_by_an_odd_entry)
+	   the_other_runners_are_followed, a_runner_is_removed_by_an_odd_entry,
+	   a_list_with_an_odd_key_is_read)
