store: a runner's removal is sent with its latest entry

Cause: the daemon that reads for all sends others what changes something, so they know the number of a runner's last changed entry, not of its last one. A late write between the two counts as new at them.

Change: the reader keeps a runner's latest entry, and sends it before the removal, in the form that every build reads.

--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -31,7 +31,9 @@
 	if (!entry->value.len)
 		return is_kept && (f->topic != STORE_CONFIG ||
 				   !store_is_config_key(entry->key));
-	return news == ENTRY_NEW || (news == ENTRY_KNOWN && !is_kept);
+	/* A runner's latest entry has the number that later ones exceed. */
+	return news == ENTRY_NEW ||
+	       (news == ENTRY_KNOWN && (!is_kept || f->topic == STORE_RUNNERS));
 }
 
 /* Applies and keeps an entry. Returns whether it contains anything new. */
@@ -137,15 +139,49 @@
 	return (topic_position_t){ epoch, page->next };
 }
 
+static void add_last_entry(const store_follower_t *f, str_t key, GArray *out)
+{
+	GBytes *value = topic_records_get(&f->records, key);
+	store_entry_t last = { .key = key };
+
+	if (!value)
+		return;
+	last.value = topic_records_view(value);
+	add_record(out, &last);
+}
+
+/*
+ * Returns the latest entries of runners that the page, or their absence in its
+ * list, removes. Other daemons were told of the last one that changed something,
+ * and would take a late write between the two for a new entry.
+ */
+static GArray *find_last_entries(const store_follower_t *f,
+				 const store_page_t *page,
+				 const GArray *removed)
+{
+	GArray *out = message_records_new();
+
+	if (f->topic != STORE_RUNNERS)
+		return out;
+	for (size_t i = 0; i < page->n_entries; i++)
+		if (!page->entries[i].value.len)
+			add_last_entry(f, page->entries[i].key, out);
+	for (guint i = 0; removed && i < removed->len; i++)
+		add_last_entry(f, g_array_index(removed, store_entry_t, i).key,
+			       out);
+	return out;
+}
+
 /*
  * Sends an update to the other daemons, also when nothing is new. It has the
- * page's newest record of each key in CHANGED, and the entries in REMOVED. A
+ * records of LAST, then the page's newest record of each key in CHANGED, and the
+ * entries in REMOVED. A
  * daemon that has all records up to FROM, or has listed the topic since, has
  * the same state as this one after it applies the update.
  */
 static void post_update(store_follower_t *f, topic_position_t from,
-			const store_page_t *page, GHashTable *changed,
-			const GArray *removed)
+			const store_page_t *page, GArray *last,
+			GHashTable *changed, const GArray *removed)
 {
 	message_t m = { .type = MESSAGE_TOPIC_UPDATE };
 
@@ -154,7 +190,7 @@
 	m.update.to = page_position(f, page);
 	m.update.is_stable =
 		runner_list_is_stable(f->env->runner_list, now_us());
-	m.update.records = message_records_new();
+	m.update.records = g_array_ref(last);
 	for (size_t i = page->n_entries; i-- > 0;)
 		if (g_hash_table_remove(changed, &page->entries[i].key))
 			add_record(m.update.records, &page->entries[i]);
@@ -341,9 +377,11 @@
 	g_autoptr(GHashTable) changed = str_table_new(NULL);
 	topic_position_t to = page_position(f, page);
 	g_autoptr(GArray) removed = NULL;
+	g_autoptr(GArray) last = NULL;
 
 	if (f->is_listing)
 		removed = topic_records_find_removed(&f->records, page);
+	last = find_last_entries(f, page, removed);
 	if (is_new)
 		apply_page(f, page, f->is_listing, changed);
 	else if (topic_position_is_after(from, to))
@@ -351,7 +389,7 @@
 	/* What was not applied, though it is later, must not count as known. */
 	if ((is_new || !topic_position_is_after(to, from)) &&
 	    (!f->is_listing || from.next))
-		post_update(f, from, page, changed, removed);
+		post_update(f, from, page, last, changed, removed);
 	schedule_call(f, next_delay_ms(f));
 }
 
--- a/tests/lib_store_fixture.c
+++ b/tests/lib_store_fixture.c
@@ -279,10 +279,33 @@
 	fleet_unref(fleet);
 }
 
+/* Notes removals of runners, and the entry that precedes each. */
+static void read_removals(store_fixture_t *f, const GArray *records)
+{
+	static const char field[] = "\"sequence\":";
+
+	for (guint i = 0; i < records->len; i++) {
+		const message_record_t *r =
+			&g_array_index(records, message_record_t, i);
+		g_autofree char *text =
+			g_strndup(g_bytes_get_size(r->value) ?
+					  g_bytes_get_data(r->value, NULL) :
+					  "",
+				  g_bytes_get_size(r->value));
+		const char *number = strstr(text, field);
+
+		if (number)
+			f->last_sequence = atoi(number + strlen(field));
+		f->removals += !text[0];
+	}
+}
+
 static void fake_handle(void *state, const message_t *m)
 {
 	store_fixture_t *f = state;
 
+	if (m->type == MESSAGE_TOPIC_UPDATE && m->update.topic == STORE_RUNNERS)
+		read_removals(f, m->update.records);
 	if (m->type == MESSAGE_CONFIG_NEXT) {
 		if ((int)m->number < f->version)
 			f->lowest_version = (int)m->number;
--- a/tests/lib_store_fixture.h
+++ b/tests/lib_store_fixture.h
@@ -38,6 +38,8 @@
 	fake_topic_t topics[STORE_FIXTURE_TOPICS];
 	int epoch;
 	/* What the other tasks were told. */
+	int removals; /* of runners, to the other daemons */
+	int last_sequence; /* of the entry sent with the latest of these */
 	int version, lowest_version; /* lowest: after a higher one; 0: none */
 	int runners, leaving;
 	/* Of the latest update of the configuration with another epoch: */
