--- a/tests/test_topic_follow.c
+++ b/tests/test_topic_follow.c
@@ -243,7 +243,8 @@
  */
 START_TEST(daemons_whose_calls_failed_together_call_apart)
 {
-	enum { DAEMONS = 5, FAILURES = 8, MAX_GAP = 700 * 1000 };
+	enum { DAEMONS = 5, FAILURES = 8 };
+	enum { MAX_GAP = 700 * 1000, SPAN = 2100 * 1000 };
 	topic_follow_t f;
 	int64_t retry[DAEMONS];
 
@@ -258,7 +259,7 @@
 			ck_assert_int_le(retry[i] - retry[i - 1], MAX_GAP);
 	}
 	ck_assert_int_lt(retry[0], MAX_GAP);
-	ck_assert_int_gt(retry[DAEMONS - 1], 3 * MAX_GAP);
+	ck_assert_int_gt(retry[DAEMONS - 1], SPAN);
 }
 END_TEST
 
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -98,13 +98,13 @@
 static void start(exchange_t *x)
 {
 	static const upstream_ops_t ops = { on_head, on_body, on_end };
+	static const char body[REQUEST_BYTES];
 	struct evbuffer *request = evbuffer_new();
-	g_autofree char *body = g_malloc0(REQUEST_BYTES);
 
 	evbuffer_add_printf(request,
 			    "POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n",
 			    REQUEST_BYTES);
-	evbuffer_add(request, body, REQUEST_BYTES);
+	evbuffer_add(request, body, sizeof(body));
 	x->conn = upstream_conn_start(&x->pool, x->address, NULL, false, false,
 				      request, &ops, x);
 	ck_assert(x->conn != NULL);
