--- a/tests/test_store_outage.c
+++ b/tests/test_store_outage.c
@@ -10,6 +10,7 @@
 	GRACE_US = 2300 * 1000, /* for runners to register after an outage */
 	UPDATE_GAP_US = 300 * 1000, /* between what other daemons send */
 	PROMPT_US = 700 * 1000, /* a removal counts, or a call is made */
+	LONG_DELAY_CALLS = 4, /* failed in a row: the next one waits for long */
 };
 
 static void set_reader(store_fixture_t *f, bool is_reader)
@@ -32,6 +33,19 @@
 	store_fixture_run(f, EXPIRY_US);
 }
 
+/* The store is back, with version 14, as the daemon's delay has just begun. */
+static void change_after_an_outage(store_fixture_t *f)
+{
+	store_fixture_put_config(f, 3);
+	ck_assert(store_fixture_await(f, &f->version, 3));
+	begin_outage(f, STORE_CONFIG, LONG_DELAY_CALLS);
+	ck_assert(store_fixture_await(f, &f->refused[STORE_CONFIG],
+				      f->refused[STORE_CONFIG] + 1));
+	store_fixture_run(f, UPDATE_GAP_US / 3);
+	f->is_down = false;
+	store_fixture_put_config(f, 14);
+}
+
 /* Another daemon sends, for US microseconds, that nothing has changed. */
 static void send_nothing_new(store_fixture_t *f, int64_t us)
 {
@@ -84,19 +98,10 @@
  */
 START_TEST(a_reader_calls_at_once_when_told_that_the_store_is_back)
 {
-	enum { LONG_DELAY_CALLS = 4 };
 	store_fixture_t f;
 
 	store_fixture_init(&f);
-	store_fixture_put_config(&f, 3);
-	ck_assert(store_fixture_await(&f, &f.version, 3));
-	begin_outage(&f, STORE_CONFIG, LONG_DELAY_CALLS);
-	/* The next delay begins when its next call has failed. */
-	ck_assert(store_fixture_await(&f, &f.refused[STORE_CONFIG],
-				      f.refused[STORE_CONFIG] + 1));
-	store_fixture_run(&f, UPDATE_GAP_US / 3);
-	f.is_down = false;
-	store_fixture_put_config(&f, 14);
+	change_after_an_outage(&f);
 	store_fixture_send_runners(&f, 2, 2, NULL, false);
 	store_fixture_run(&f, PROMPT_US);
 	ck_assert_int_eq(f.version, 14);
@@ -110,20 +115,12 @@
  */
 START_TEST(the_store_is_called_soon_when_another_zone_is_back)
 {
-	enum { LONG_DELAY_CALLS = 4 };
 	message_t m = { .type = MESSAGE_ZONE_PARTITION };
 	store_fixture_t f;
 
 	store_fixture_init(&f);
 	set_reader(&f, false);
-	store_fixture_put_config(&f, 3);
-	ck_assert(store_fixture_await(&f, &f.version, 3));
-	begin_outage(&f, STORE_CONFIG, LONG_DELAY_CALLS);
-	ck_assert(store_fixture_await(&f, &f.refused[STORE_CONFIG],
-				      f.refused[STORE_CONFIG] + 1));
-	store_fixture_run(&f, UPDATE_GAP_US / 3);
-	f.is_down = false;
-	store_fixture_put_config(&f, 14);
+	change_after_an_outage(&f);
 	supervisor_post(&f.sup, TASK_PLATFORM, &m);
 	store_fixture_run(&f, PROMPT_US);
 	ck_assert_int_eq(f.version, 14);
--- a/tests/test_topic_follow.c
+++ b/tests/test_topic_follow.c
@@ -3,6 +3,8 @@
 
 enum { MAX_UPDATE_AGE = 700 };
 
+static const int64_t SECOND = 1000000;
+
 /* A position in the first epoch. */
 static topic_position_t at(uint64_t next)
 {
@@ -160,7 +162,7 @@
 /* A reader must not call the store more often when the store refuses it. */
 START_TEST(a_failing_store_is_called_less_often)
 {
-	enum { SECOND = 1000 * 1000, MINUTE = 60 * SECOND, STEP = 100 * 1000 };
+	enum { MINUTE = 60 * 1000 * 1000, STEP = 100 * 1000 };
 	static const struct {
 		uint32_t daemons;
 		int calls; /* in a minute, by one daemon, at most */
@@ -185,54 +187,55 @@
 }
 END_TEST
 
+/* The topic was read at one second; calls fail from then until nine seconds. */
+static void fail_for_long(topic_follow_t *f)
+{
+	ck_assert(!topic_follow_note_read(f, SECOND));
+	for (int i = 1; i <= 8; i++)
+		topic_follow_on_failure(f, 300, 1, (1 + i) * SECOND);
+}
+
 /*
  * Guards against an old configuration after an outage: another daemon's read
  * ends the wait of the one that reads for all.
  */
 START_TEST(a_reader_does_not_wait_when_another_daemon_could_read)
 {
-	const int64_t second = 1000000;
 	topic_follow_t f = listed(10);
 
 	f.is_reader = true;
-	ck_assert(!topic_follow_note_read(&f, second));
-	for (int i = 1; i <= 8; i++)
-		topic_follow_on_failure(&f, 300, 1, (1 + i) * second);
-	ck_assert(!topic_follow_is_due(&f, 10 * second));
-	ck_assert(topic_follow_note_read(&f, 10 * second));
-	topic_follow_end_wait(&f, 10 * second);
-	ck_assert(topic_follow_is_due(&f, 10 * second));
+	fail_for_long(&f);
+	ck_assert(!topic_follow_is_due(&f, 10 * SECOND));
+	ck_assert(topic_follow_note_read(&f, 10 * SECOND));
+	topic_follow_end_wait(&f, 10 * SECOND);
+	ck_assert(topic_follow_is_due(&f, 10 * SECOND));
 }
 END_TEST
 
 /* Guards against calls of all daemons at once when the store is back. */
 START_TEST(others_than_the_reader_wait_for_its_updates)
 {
-	const int64_t second = 1000000;
 	topic_follow_t f = listed(10);
 
-	f.max_update_age = second;
-	topic_follow_note_read(&f, second);
-	for (int i = 1; i <= 8; i++)
-		topic_follow_on_failure(&f, 300, 1, (1 + i) * second);
-	ck_assert(topic_follow_note_read(&f, 10 * second));
-	topic_follow_end_wait(&f, 10 * second);
-	ck_assert(!topic_follow_is_due(&f, 11 * second - 1));
-	ck_assert(topic_follow_is_due(&f, 11 * second));
+	f.max_update_age = SECOND;
+	fail_for_long(&f);
+	ck_assert(topic_follow_note_read(&f, 10 * SECOND));
+	topic_follow_end_wait(&f, 10 * SECOND);
+	ck_assert(!topic_follow_is_due(&f, 11 * SECOND - 1));
+	ck_assert(topic_follow_is_due(&f, 11 * SECOND));
 }
 END_TEST
 
 /* The store refuses this daemon and serves others: its calls stay rare. */
 START_TEST(reads_of_others_do_not_end_the_wait_when_they_never_stopped)
 {
-	const int64_t second = 1000000;
 	topic_follow_t f = listed(10);
 
 	f.is_reader = true;
-	topic_follow_note_read(&f, second);
+	topic_follow_note_read(&f, SECOND);
 	for (int i = 1; i <= 8; i++) {
-		topic_follow_on_failure(&f, 300, 1, (1 + i) * second);
-		ck_assert(!topic_follow_note_read(&f, (1 + i) * second + 1));
+		topic_follow_on_failure(&f, 300, 1, (1 + i) * SECOND);
+		ck_assert(!topic_follow_note_read(&f, (1 + i) * SECOND + 1));
 	}
 }
 END_TEST
