store: the latest entry also when it is read beside the removal

Cause: an entry and the removal of its runner may come with one read; the update then had the entry known before, whose number is lower.

Change: the entry that precedes the removal in what was read is sent.

Evidence: test_late_entry has a fourth test; all four pass.

--- a/core/runner_list.h
+++ b/core/runner_list.h
@@ -92,7 +92,7 @@
 /*
  * Records that another daemon sent what it has just read, which ends an outage
  * that this daemon recorded, whatever its own calls do. IS_STABLE: that daemon
- * saw no recent outage; a daemon without any list assumes none either.
+ * saw no recent outage; a daemon that never heard of a read assumes none either.
  */
 void runner_list_on_update(runner_list_t *l, bool is_stable, int64_t now);
 /* Applies the removals that are due; returns has_changed before its reset. */
--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -139,7 +139,7 @@
 	return (topic_position_t){ epoch, page->next };
 }
 
-static void add_last_entry(const store_follower_t *f, str_t key, GArray *out)
+static void add_kept_entry(const store_follower_t *f, str_t key, GArray *out)
 {
 	GBytes *value = topic_records_get(&f->records, key);
 	store_entry_t last = { .key = key };
@@ -150,6 +150,23 @@
 	add_record(out, &last);
 }
 
+/* Adds the entry that the page's record number I removes. */
+static void add_last_entry(const store_follower_t *f, const store_page_t *page,
+			   size_t i, GArray *out)
+{
+	str_t key = page->entries[i].key;
+
+	while (i-- > 0) {
+		const store_entry_t *e = &page->entries[i];
+
+		if (e->value.len && str_eq(e->key, key)) {
+			add_record(out, e);
+			return;
+		}
+	}
+	add_kept_entry(f, key, out);
+}
+
 /*
  * Returns the latest entries of runners that the page, or their absence in its
  * list, removes. Other daemons were told of the last one that changed something,
@@ -165,9 +182,9 @@
 		return out;
 	for (size_t i = 0; i < page->n_entries; i++)
 		if (!page->entries[i].value.len)
-			add_last_entry(f, page->entries[i].key, out);
+			add_last_entry(f, page, i, out);
 	for (guint i = 0; removed && i < removed->len; i++)
-		add_last_entry(f, g_array_index(removed, store_entry_t, i).key,
+		add_kept_entry(f, g_array_index(removed, store_entry_t, i).key,
 			       out);
 	return out;
 }
@@ -175,9 +192,8 @@
 /*
  * Sends an update to the other daemons, also when nothing is new. It has the
  * records of LAST, then the page's newest record of each key in CHANGED, and the
- * entries in REMOVED. A
- * daemon that has all records up to FROM, or has listed the topic since, has
- * the same state as this one after it applies the update.
+ * entries in REMOVED. A daemon that has all records up to FROM, or has listed the
+ * topic since, has the same state as this one after it applies the update.
  */
 static void post_update(store_follower_t *f, topic_position_t from,
 			const store_page_t *page, GArray *last,
--- a/tests/test_late_entry.c
+++ b/tests/test_late_entry.c
@@ -27,6 +27,23 @@
 }
 END_TEST
 
+/* The same for an entry and a removal that are read at once. */
+START_TEST(a_removal_is_sent_with_an_entry_read_beside_it)
+{
+	store_fixture_t f;
+
+	store_fixture_init(&f);
+	store_fixture_put_runner(&f, "i-1", 4, "ready");
+	store_fixture_put_runner(&f, "i-2", 4, "ready");
+	ck_assert(store_fixture_await(&f, &f.runners, 2));
+	store_fixture_put_runner(&f, "i-1", 9, "ready");
+	store_fixture_put(&f, STORE_RUNNERS, "i-1", g_strdup(""));
+	ck_assert(store_fixture_await(&f, &f.removals, 1));
+	ck_assert_int_eq(f.last_sequence, 9);
+	store_fixture_finish(&f);
+}
+END_TEST
+
 /* The same for a runner whose removal shows only in a new list. */
 START_TEST(a_missing_runner_is_sent_with_its_latest_entry)
 {
@@ -84,5 +101,6 @@
 END_TEST
 
 SUITE_MAIN("late_entry", a_removal_is_sent_with_the_runners_latest_entry,
+	   a_removal_is_sent_with_an_entry_read_beside_it,
 	   a_missing_runner_is_sent_with_its_latest_entry,
 	   a_late_write_before_the_latest_entry_is_ignored)
