tests: the fake HTTP server outlives a client's reset

Cause: since exchanges that are given up are closed by a reset, a server of the tests that answers one of them gets SIGPIPE. The daemon ignores that signal from its start; the tests that run a task in their own process did not.

Change: the fake server ignores the signal as the daemon does. No check has changed.

--- a/tests/lib_fake_http.c
+++ b/tests/lib_fake_http.c
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 
@@ -124,6 +125,8 @@
 	struct sockaddr_in sin = { .sin_family = AF_INET };
 	socklen_t len = sizeof(sin);
 
+	/* As in the daemon: a client may reset its connection. */
+	signal(SIGPIPE, SIG_IGN);
 	memset(f, 0, sizeof(*f));
 	f->base = base;
 	f->handler = handler;
