--- a/tests/test_late_entry.c
+++ b/tests/test_late_entry.c
@@ -5,6 +5,15 @@
 #include "tests/lib_store_fixture.h"
 #include "tests/lib_suite.h"
 
+/* Starts the task; two runners are listed, each with entry 4. */
+static void list_two_runners(store_fixture_t *f)
+{
+	store_fixture_init(f);
+	store_fixture_put_runner(f, "i-1", 4, "ready");
+	store_fixture_put_runner(f, "i-2", 4, "ready");
+	ck_assert(store_fixture_await(f, &f->runners, 2));
+}
+
 /*
  * Guards against a late write that brings a runner back, once a daemon that was
  * told of its removal reads the store itself.
@@ -13,10 +22,7 @@
 {
 	store_fixture_t f;
 
-	store_fixture_init(&f);
-	store_fixture_put_runner(&f, "i-1", 4, "ready");
-	store_fixture_put_runner(&f, "i-2", 4, "ready");
-	ck_assert(store_fixture_await(&f, &f.runners, 2));
+	list_two_runners(&f);
 	store_fixture_put_runner(&f, "i-1", 9, "ready");
 	store_fixture_run(&f, STORE_FIXTURE_LIMIT_US / 10);
 	store_fixture_put(&f, STORE_RUNNERS, "i-1", g_strdup(""));
@@ -32,10 +38,7 @@
 {
 	store_fixture_t f;
 
-	store_fixture_init(&f);
-	store_fixture_put_runner(&f, "i-1", 4, "ready");
-	store_fixture_put_runner(&f, "i-2", 4, "ready");
-	ck_assert(store_fixture_await(&f, &f.runners, 2));
+	list_two_runners(&f);
 	store_fixture_put_runner(&f, "i-1", 9, "ready");
 	store_fixture_put(&f, STORE_RUNNERS, "i-1", g_strdup(""));
 	ck_assert(store_fixture_await(&f, &f.removals, 1));
@@ -71,10 +74,7 @@
 	message_t m = { .type = MESSAGE_TOPIC_UPDATE };
 	message_record_t last, gone;
 
-	store_fixture_init(&f);
-	store_fixture_put_runner(&f, "i-1", 4, "ready");
-	store_fixture_put_runner(&f, "i-2", 4, "ready");
-	ck_assert(store_fixture_await(&f, &f.runners, 2));
+	list_two_runners(&f);
 	supervisor_post(&f.sup, TASK_PLATFORM, &told);
 	store_fixture_put_runner(&f, "i-1", 9, "ready");
 	store_fixture_put(&f, STORE_RUNNERS, "i-1", g_strdup(""));
