peers, relay: log what a verdict on a zone rests on, and who ended a connection

A zone that is taken to be cut off was logged without what tells a true cut from a daemon that is itself behind: how many daemons there and in the own zone don't answer, what was tried, how late the timer was. A caller's connection that ends says why; a late event loop says so.

--- a/core/detector.c
+++ b/core/detector.c
@@ -285,6 +285,22 @@
 	}
 }
 
+detector_count_t detector_count(const detector_t *d, const char *zone)
+{
+	detector_count_t count = { 0 };
+	GHashTableIter iter;
+	peer_state_t *p;
+
+	g_hash_table_iter_init(&iter, d->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (void **)&p)) {
+		if (strcmp(p->zone, zone) != 0)
+			continue;
+		count.linked++;
+		count.unresponsive += p->is_unresponsive;
+	}
+	return count;
+}
+
 bool detector_is_unresponsive(const detector_t *d, const char *name)
 {
 	const peer_state_t *p = find(d, name);
--- a/core/detector.h
+++ b/core/detector.h
@@ -60,6 +60,14 @@
  */
 void detector_restart_timers(detector_t *d, int64_t now);
 
+/* How many linked daemons there are, and how many of them are unresponsive. */
+typedef struct detector_count {
+	uint32_t linked, unresponsive;
+} detector_count_t;
+
+/* Counts the linked daemons of ZONE. */
+detector_count_t detector_count(const detector_t *d, const char *zone);
+
 bool detector_is_unresponsive(const detector_t *d, const char *name);
 bool detector_is_unreachable(const detector_t *d, const char *zone);
 
--- a/daemon/front_task.c
+++ b/daemon/front_task.c
@@ -270,7 +270,7 @@
 	};
 }
 
-static void on_left(void *ctx, http_conn_t *conn)
+static void on_left(void *ctx, http_conn_t *conn, const char *why)
 {
 	caller_on_left(conn);
 }
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -104,8 +104,8 @@
 bool gateway_is_ready(const gateway_t *g);
 /* Admits a request, once the daemon is ready. */
 void relay_admit(relay_t *r);
-/* The caller left: cancels the request and frees the relay. */
-void relay_cancel(relay_t *r);
+/* The connection ended, as WHY says: cancels the request, frees the relay. */
+void relay_cancel(relay_t *r, const char *why);
 /* All output to the caller is written: resumes reading the upstream. */
 void relay_resume(relay_t *r);
 /* Handlers of messages from other tasks. */
--- a/daemon/http_conn.c
+++ b/daemon/http_conn.c
@@ -381,18 +381,18 @@
 }
 
 /* Closes the connection; its request, if one is served, has no caller then. */
-static void drop(http_conn_t *c)
+static void drop(http_conn_t *c, const char *why)
 {
 	http_server_t *s = c->server;
 
 	if (state(c) == INTAKE_SERVED)
-		s->ops->left(s->ctx, c);
+		s->ops->left(s->ctx, c, why);
 	http_conn_free(c);
 }
 
 static void on_closed(evutil_socket_t fd, short what, void *arg)
 {
-	drop(arg);
+	drop(arg, "the caller closed it");
 }
 
 /*
@@ -432,8 +432,12 @@
 
 static void on_event(struct bufferevent *bev, short what, void *arg)
 {
-	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-		drop(arg);
+	int error = EVUTIL_SOCKET_ERROR();
+
+	if (what & BEV_EVENT_EOF)
+		drop(arg, "the caller closed it");
+	else if (what & BEV_EVENT_ERROR)
+		drop(arg, evutil_socket_error_to_string(error));
 }
 
 /* Tells whether the caller has read more of its answer since the last call. */
@@ -479,7 +483,7 @@
 	else if (is_in_use(c))
 		set_timer(c, limits(c).idle_timeout_ms);
 	else
-		drop(c);
+		drop(c, "it was idle");
 }
 
 void http_conn_new(http_server_t *s, evutil_socket_t fd, const char *peer)
--- a/daemon/http_server.h
+++ b/daemon/http_server.h
@@ -43,8 +43,11 @@
 	/* Writes the answer to a request that can't be read to its end. */
 	void (*refuse)(void *ctx, http_conn_t *conn, int status,
 		       int64_t retry_after_ms, const char *why);
-	/* The caller left before its answer; CONN is invalid afterwards. */
-	void (*left)(void *ctx, http_conn_t *conn);
+	/*
+	 * The connection ended before its answer, as WHY says; CONN is invalid
+	 * afterwards.
+	 */
+	void (*left)(void *ctx, http_conn_t *conn, const char *why);
 	/* All output was written. */
 	void (*written)(void *ctx, http_conn_t *conn);
 	/* Returns how many connections are open towards upstreams. */
--- a/daemon/ingress.c
+++ b/daemon/ingress.c
@@ -59,13 +59,13 @@
 	relay_start(ctx, conn, head, body);
 }
 
-static void on_left(void *ctx, http_conn_t *conn)
+static void on_left(void *ctx, http_conn_t *conn, const char *why)
 {
 	relay_t *relay = http_conn_user(conn);
 
 	http_conn_set_user(conn, NULL);
 	if (relay)
-		relay_cancel(relay);
+		relay_cancel(relay, why);
 }
 
 static void on_written(void *ctx, http_conn_t *conn)
--- a/daemon/peers_detector.c
+++ b/daemon/peers_detector.c
@@ -9,12 +9,14 @@
 
 #include <errno.h>
 #include <event2/bufferevent.h>
+#include <inttypes.h>
 
 #include "common/log.h"
 #include "common/timeval.h"
 #include "daemon/peers.h"
 
 enum {
+	US_PER_MS = 1000,
 	TICK_MS = 20, /* between checks of the failure detector */
 	ZONE_PROBES = 2, /* runners probed at a time */
 	PROBE_TIMEOUT_MS = 150, /* to connect */
@@ -27,10 +29,33 @@
 	char zone[MEMBER_NAME_SIZE];
 	struct bufferevent *bevs[ZONE_PROBES];
 	int n_open; /* pending connections */
+	int n_tried; /* connections of the latest probe */
+	int64_t due_at; /* when the timer is to fire; us, monotonic clock */
 	bool is_partitioned;
 	struct event *timer; /* timeout of the probe, or start of the next */
 } zone_probe_t;
 
+/*
+ * Logs what the verdict rests on. Daemons of the own zone that don't answer
+ * either, or a late timer, show that this daemon itself is behind.
+ */
+static void log_verdict(const zone_probe_t *probe)
+{
+	const peers_t *p = probe->p;
+	detector_count_t zone = detector_count(&p->detector, probe->zone);
+	detector_count_t own = detector_count(&p->detector, p->self.zone);
+	int64_t late = probe->is_partitioned ? now_us() - probe->due_at : 0;
+
+	log_event(probe->is_partitioned ? "zone-cut" : "zone-back",
+		  "zone=%s unresponsive=%u linked=%u own_unresponsive=%u "
+		  "own_linked=%u connections=%d late_ms=%" PRId64 " why=\"%s\"",
+		  probe->zone, zone.unresponsive, zone.linked, own.unresponsive,
+		  own.linked, probe->n_tried, MAX(late, 0) / US_PER_MS,
+		  probe->is_partitioned ?
+			  "no daemon or upstream of the zone answers" :
+			  "a daemon or upstream of the zone answers");
+}
+
 static void set_partitioned(zone_probe_t *probe, bool is_partitioned)
 {
 	static const task_id_t recipients[] = { TASK_CAPACITY, TASK_FRONT,
@@ -39,10 +64,7 @@
 	if (probe->is_partitioned == is_partitioned)
 		return;
 	probe->is_partitioned = is_partitioned;
-	log_event(is_partitioned ? "zone-cut" : "zone-back",
-		  "zone=%s why=\"%s\"", probe->zone,
-		  is_partitioned ? "no daemon or upstream of the zone answers" :
-				   "a daemon or upstream of the zone answers");
+	log_verdict(probe);
 	for (size_t i = 0; i < G_N_ELEMENTS(recipients); i++) {
 		message_t m = { .type = MESSAGE_ZONE_PARTITION,
 				.contact.is_lost = is_partitioned };
@@ -76,6 +98,7 @@
 {
 	struct timeval tv = timeval_from_ms(ms);
 
+	probe->due_at = now_us() + ms * US_PER_MS;
 	event_add(probe->timer, &tv);
 }
 
@@ -142,6 +165,7 @@
 		if (!strcmp(r->zone, probe->zone) && !r->runner.is_leaving)
 			connect_runner(probe, r->runner.address);
 	}
+	probe->n_tried = probe->n_open;
 	if (probe->n_open)
 		set_timer(probe, PROBE_TIMEOUT_MS);
 }
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -265,13 +265,15 @@
 	relay_cancel_exchange(r);
 }
 
-void relay_cancel(relay_t *r)
+void relay_cancel(relay_t *r, const char *why)
 {
 	r->caller = NULL;
 	relay_release_grant(r, DONE_CANCELLED);
-	log_event("caller-left", "request=%s runner=%s sent=%u age_ms=%" PRId64,
-		  r->id, runner_name(r), r->sends,
-		  (now_us() - r->arrived_at) / US_PER_MS);
+	log_event("caller-left",
+		  "request=%s runner=%s sent=%u events=%" PRIu64
+		  " age_ms=%" PRId64 " why=\"%s\"",
+		  r->id, runner_name(r), r->sends, r->n_events,
+		  (now_us() - r->arrived_at) / US_PER_MS, why);
 	relay_end(r);
 }
 
--- a/daemon/supervisor.c
+++ b/daemon/supervisor.c
@@ -2,12 +2,16 @@
 
 #include "daemon/supervisor.h"
 
+#include <inttypes.h>
+
 #include "common/log.h"
 #include "common/timeval.h"
 #include "common/unique.h"
 
 enum {
+	US_PER_MS = 1000,
 	TICK_MS = 50,
+	LATE_MS = 100, /* delay of a tick that is logged */
 	FIRST_BACKOFF_MS = 100,
 	MAX_BACKOFF_MS = 5000,
 	MAX_RESTARTS = 5, /* per task, within RESTART_WINDOW_US */
@@ -158,10 +162,21 @@
 	       now_us() - sup->state->stalled_at < STALL_RECENT_US;
 }
 
+/* What this process did not read in time looks like silence of others. */
+static void log_late_loop(const supervisor_t *sup)
+{
+	int64_t late_ms =
+		(now_us() - sup->state->last_tick) / US_PER_MS - TICK_MS;
+
+	if (late_ms >= LATE_MS)
+		log_event("loop-late", "late_ms=%" PRId64, late_ms);
+}
+
 static void on_tick_timer(evutil_socket_t fd, short what, void *arg)
 {
 	supervisor_t *sup = arg;
 
+	log_late_loop(sup);
 	supervisor_stall_epoch(sup);
 	sup->state->last_tick = now_us();
 }
