tests, KNOWN-RED: a stream that is broken off as its zone is taken to be cut off

A runner's stream goes on; the daemon takes the runner's zone to be cut off, gives the stream up, and no other runner has room: the caller's connection is closed in the middle of the answer.

--- a/tests/test_zone_cut_dispatch.c
+++ b/tests/test_zone_cut_dispatch.c
@@ -17,8 +17,17 @@
 	N_DAEMONS = N_ZONES * ZONE_SIZE,
 	ROLES = 50,
 	OTHER_OWNER = 8,
+	/* Half of the time that the fixture's callers wait for an event. */
+	SILENCE_MS = 1000,
+	MARGIN_MS = 400,
+	EVENT_MS = 50, /* between a stream's events */
 };
 
+/* Events of a chunked stream. */
+#define FIRST_EVENT "f\r\nid: 1\ndata: a\n\n\r\n"
+#define NEXT_EVENT "f\r\nid: 2\ndata: b\n\n\r\n"
+#define LAST_CHUNK "0\r\n\r\n"
+
 static const str_t zones[] = { STR_LIT("z0"), STR_LIT("z1"), STR_LIT("z2") };
 
 static member_vm_t vm_of(int i)
@@ -299,6 +308,75 @@
 }
 END_TEST
 
+/* The runner's stream: its first event at once, more of them by a trail. */
+static const reply_t stream_first[] = { { STREAM_HEAD FIRST_EVENT, REPLY_KEEP },
+					{} };
+static const reply_t stream_rest[] = { { STREAM_HEAD NEXT_EVENT LAST_CHUNK,
+					 REPLY_KEEP },
+				       {} };
+
+static void begin_stream(gateway_fixture_t *fixture)
+{
+	begin(fixture);
+	fixture->runners[0].replies = stream_first;
+	fixture->runners[1].replies = stream_rest;
+}
+
+/*
+ * Guards against a stream that is broken off midway since its runner's zone was
+ * taken to be cut off: the belief is wrong, and no other runner has room.
+ */
+START_TEST(stream_whose_runner_goes_on_is_not_broken_off)
+{
+	static const char event[] = NEXT_EVENT;
+	gateway_fixture_t fixture;
+
+	begin_stream(&fixture);
+	fixture.runners[0].trail = (trail_t){ STR_LIT(event), EVENT_MS, 0 };
+	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
+	gateway_await(&fixture, 0, "data: a");
+	fixture.refuses = true;
+	set_partitioned_zone(&fixture, "z0");
+	gateway_run(&fixture, SILENCE_MS + MARGIN_MS);
+	ck_assert(!fixture.callers[0].is_closed);
+	ck_assert_int_eq(fixture.runners[0].n_closed, 0);
+	ck_assert_int_eq(fixture.runners[1].n_requests, 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against the same while the runner is slow to make its next event. */
+START_TEST(stream_is_kept_through_a_short_silence_of_its_zone)
+{
+	gateway_fixture_t fixture;
+
+	begin_stream(&fixture);
+	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
+	gateway_await(&fixture, 0, "data: a");
+	fixture.refuses = true;
+	set_partitioned_zone(&fixture, "z0");
+	gateway_run(&fixture, SILENCE_MS / 2);
+	ck_assert(!fixture.callers[0].is_closed);
+	ck_assert_int_eq(fixture.runners[0].n_closed, 0);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+START_TEST(stream_that_is_silent_for_long_goes_on_elsewhere)
+{
+	gateway_fixture_t fixture;
+
+	begin_stream(&fixture);
+	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
+	gateway_await(&fixture, 0, "data: a");
+	set_partitioned_zone(&fixture, "z0");
+	gateway_await(&fixture, 0, "data: b");
+	ck_assert_int_eq(fixture.runners[0].n_closed, 1);
+	ck_assert_int_eq(fixture.runners[1].n_requests, 1);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 SUITE_MAIN("zone_cut_dispatch", reachable_zones_agree_on_hosts,
 	   unresponsive_daemon_keeps_its_keys,
 	   runners_in_a_partitioned_zone_get_no_work,
@@ -306,4 +384,7 @@
 	   wants_of_an_unreachable_owner_leave_the_queue,
 	   call_that_may_run_twice_is_sent_to_another_runner,
 	   call_that_may_run_once_waits_for_its_runner,
-	   grant_in_a_partitioned_zone_is_returned)
+	   grant_in_a_partitioned_zone_is_returned,
+	   stream_whose_runner_goes_on_is_not_broken_off,
+	   stream_is_kept_through_a_short_silence_of_its_zone,
+	   stream_that_is_silent_for_long_goes_on_elsewhere)
