relay: an answer that arrives is given up for its own silence, not its zone's

Cause: when the failure detector took a runner's zone to be cut off, all requests there that may run twice were cancelled at once and sent again, whether their answers were arriving or not. The detector is early by design; daemons that tell others of a changed configuration over a narrow link find all others late. If no other runner had room, or the retry budget was used up, the caller's answer ended.

The class: what can't be taken back is done on a belief that may be wrong.

Change: core/partition_action decides for each request. One whose answer arrives is given up only when no byte of it came for half of the time that its caller waits, and another runner may get it. What got no byte of an answer is resent as before.

--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -121,10 +121,11 @@
 /* The set of daemons changed: repeats the want, dispatchers may have moved. */
 void relay_on_view_change(relay_t *r);
 /*
- * ZONE became partitioned. If the request was granted a runner there, requests
- * another one, unless it may be running and must not run twice.
+ * Acts on the partition of the zone of the request's runner, if there is one
+ * (core/partition_action.h). Returns true if another runner was requested, or
+ * the request answered and freed.
  */
-void relay_on_zone_partition(relay_t *r, const char *zone);
+bool relay_check_partition(relay_t *r, int64_t now);
 void relay_free(relay_t *r);
 
 /* relay_quarantine.c: prompt parts that crash runners. */
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -233,7 +233,7 @@
 	}
 	g_hash_table_add(g->partitioned_zones, g_strdup(zone));
 	for (GList *link = relays; link; link = link->next)
-		relay_on_zone_partition(link->data, zone);
+		relay_check_partition(link->data, now_us());
 }
 
 static void set_vms(gateway_t *g, vm_list_t *vms)
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -330,13 +330,25 @@
 	return is_taken;
 }
 
+/* Whether it may go to another runner after so many sends and runs. */
+static bool may_go_on(const relay_t *r, uint32_t sends, uint32_t runs)
+{
+	return sends < MAX_SENDS && !r->is_past_last_id &&
+	       runs < r->route->max_attempts &&
+	       (!runs || fleet_may_repeat(r->route)) && has_retry_time(r) &&
+	       !relay_is_quarantined(r);
+}
+
+bool relay_may_resend(const relay_t *r)
+{
+	return may_go_on(r, r->sends + 1, r->possible_runs + 1) &&
+	       retry_budget_left(&r->gateway->retries, r->service) >= 1;
+}
+
 bool relay_retry(relay_t *r)
 {
 	g_strlcpy(r->avoid, r->runner.name, sizeof(r->avoid));
-	if (r->sends >= MAX_SENDS || r->is_past_last_id ||
-	    r->possible_runs >= r->route->max_attempts ||
-	    (r->possible_runs && !fleet_may_repeat(r->route)) ||
-	    !has_retry_time(r) || relay_is_quarantined(r))
+	if (!may_go_on(r, r->sends, r->possible_runs))
 		return false;
 	if (r->sends && !take_retry(r))
 		return false;
@@ -354,6 +366,7 @@
 	r->pause_ms = 0;
 	r->state = RELAY_GRANTED;
 	r->progress_at = now_us();
+	r->heard_at = r->progress_at;
 	relay_on_sent(r);
 	if (relay_start_exchange(r))
 		return;
@@ -476,6 +489,8 @@
 	} else if (r->state == RELAY_AWAITING_GRANT &&
 		   now - r->requested_at > REPEAT_WANT_US) {
 		relay_repeat_unanswered(r, now);
+	} else if (r->state == RELAY_GRANTED && relay_check_partition(r, now)) {
+		return;
 	} else if (r->state == RELAY_GRANTED && r->is_streaming &&
 		   !r->is_paused &&
 		   now - r->progress_at >
@@ -491,5 +506,6 @@
 	if (!r->is_paused || !r->upstream)
 		return;
 	r->is_paused = false;
+	r->heard_at = now_us();
 	upstream_conn_pause(r->upstream, false);
 }
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -59,6 +59,7 @@
 	/* Stall epoch when the limit request or the want was first sent. */
 	uint64_t stall_epoch;
 	int64_t progress_at; /* time of the last stream event, or of sending */
+	int64_t heard_at; /* time of the answer's last bytes, or of sending */
 	struct event *timer; /* end of the wait for readiness, or deadline */
 	bool is_limit_fallback; /* limited by this daemon's own share */
 	bool is_counter_young; /* the team's counter has begun just now */
@@ -185,6 +186,11 @@
  * the retry budget is used up, or too little time is left.
  */
 bool relay_retry(relay_t *r);
+/*
+ * Tells whether relay_retry would request another runner if the exchange with
+ * the present one were given up.
+ */
+bool relay_may_resend(const relay_t *r);
 
 /* relay_ways.c */
 
--- a/daemon/relay_answer.c
+++ b/daemon/relay_answer.c
@@ -123,6 +123,7 @@
 
 	r->answer_http_head = head;
 	r->has_answer = true;
+	r->heard_at = now_us();
 	answer_head_read(head, r->call.attempt_id, &r->answer);
 	r->is_own_answer = is_own_answer(r);
 	if (is_late_copy(r))
@@ -167,6 +168,7 @@
 		&r->gateway->answers,
 		(size_t)r->gateway->sup->settings->caller_backlog_kib * 1024);
 
+	r->heard_at = now_us();
 	if (!relay_make_room(r, bytes.len))
 		return false;
 	if (!r->is_streaming) {
--- a/daemon/relay_runner.c
+++ b/daemon/relay_runner.c
@@ -9,6 +9,7 @@
 #include <inttypes.h>
 
 #include "common/log.h"
+#include "core/partition_action.h"
 #include "daemon/relay.h"
 
 enum {
@@ -167,34 +168,48 @@
 	record_limit(r);
 }
 
-void relay_on_zone_partition(relay_t *r, const char *zone)
+static bool is_partitioned(const relay_t *r)
 {
-	const char *runner_zone =
-		g_hash_table_lookup(r->gateway->runner_zones, r->runner.name);
+	const char *zone;
 
-	if (r->state != RELAY_GRANTED || !r->upstream ||
-	    g_strcmp0(runner_zone, zone))
-		return;
-	if (!upstream_conn_is_sent(r->upstream)) {
-		reroute_unsent(r, DONE_UNREACHABLE,
-			       "the runner's zone does not answer");
-		return;
-	}
-	/* It may be running there: resend only a request that may run twice. */
-	if (!fleet_may_repeat(r->route) ||
-	    r->possible_runs + 1 >= r->route->max_attempts)
-		return;
-	relay_cancel_exchange(r);
-	relay_on_attempt_lost(r, "the runner's zone does not answer");
+	if (!g_hash_table_size(r->gateway->partitioned_zones))
+		return false;
+	zone = g_hash_table_lookup(r->gateway->runner_zones, r->runner.name);
+	return zone &&
+	       g_hash_table_contains(r->gateway->partitioned_zones, zone);
 }
 
-static bool is_partitioned(const relay_t *r)
+static partition_action_t find_partition_action(const relay_t *r, int64_t now)
 {
-	const char *zone =
-		g_hash_table_lookup(r->gateway->runner_zones, r->runner.name);
+	partitioned_request_t request = {
+		.is_sent = upstream_conn_is_sent(r->upstream),
+		.may_resend = relay_may_resend(r),
+		.has_answer = r->has_answer,
+		.is_paused = r->is_paused,
+		.heard_at = r->heard_at,
+		.caller_wait = fleet_caller_wait_ms(r->route) * US_PER_MS,
+	};
 
-	return zone &&
-	       g_hash_table_contains(r->gateway->partitioned_zones, zone);
+	return partition_action(&request, now);
+}
+
+bool relay_check_partition(relay_t *r, int64_t now)
+{
+	if (r->state != RELAY_GRANTED || !r->upstream || !is_partitioned(r))
+		return false;
+	switch (find_partition_action(r, now)) {
+	case PARTITION_WAIT:
+		return false;
+	case PARTITION_REROUTE:
+		reroute_unsent(r, DONE_UNREACHABLE,
+			       "the runner's zone does not answer");
+		break;
+	case PARTITION_RESEND:
+		relay_cancel_exchange(r);
+		relay_on_attempt_lost(r, "the runner's zone does not answer");
+		break;
+	}
+	return true;
 }
 
 static const char *unusable_text(runner_use_t use)
