peers: a daemon that is itself behind takes no zone to be cut off

Beside changes of a large configuration, and bursts of callers, VMs with a narrow link hear everybody late. They then found all linked daemons of another zone unresponsive, and two connections to its runners not established in 150 ms. In most such verdicts most daemons of the own zone didn't answer either (36 of 37, 50 of 50): the daemon was behind, not the zone cut.

Change: core/zone_verdict judges by the own zone as well, which is pinged with each probe, and by how late the timer was; an unclear probe is made again (zone-unclear). A daemon alone in its zone goes by the connections, as before.

--- a/core/detector.c
+++ b/core/detector.c
@@ -202,11 +202,7 @@
 	       now - p->received_at > d->heartbeat * 3 / 2;
 }
 
-/*
- * Pings the other daemons of a zone: when one fails to answer, the cause may
- * affect the whole zone.
- */
-static void ping_zone(detector_t *d, const char *zone, int64_t now)
+void detector_ping_zone(detector_t *d, const char *zone, int64_t now)
 {
 	GHashTableIter iter;
 	const char *name;
@@ -236,7 +232,8 @@
 		check_unresponsive(d, name, p, now);
 	} else if (is_response_overdue(p, now)) {
 		ping(d, name, p, now);
-		ping_zone(d, p->zone, now);
+		/* The cause may affect the whole zone. */
+		detector_ping_zone(d, p->zone, now);
 		set_unresponsive(d, name, p, true);
 	} else if (is_heartbeat_overdue(d, p, now)) {
 		ping(d, name, p, now);
--- a/core/detector.h
+++ b/core/detector.h
@@ -52,6 +52,8 @@
 void detector_request_sent(detector_t *d, const char *name, int64_t now);
 /* Records that a frame of any kind arrived from the daemon. */
 void detector_received(detector_t *d, const char *name, int64_t now);
+/* Pings the responsive daemons of ZONE that have no unanswered request. */
+void detector_ping_zone(detector_t *d, const char *zone, int64_t now);
 /* Checks all timeouts; to be called every few tens of milliseconds. */
 void detector_check(detector_t *d, int64_t now);
 /*
--- a/daemon/peers_detector.c
+++ b/daemon/peers_detector.c
@@ -13,6 +13,7 @@
 
 #include "common/log.h"
 #include "common/timeval.h"
+#include "core/zone_verdict.h"
 #include "daemon/peers.h"
 
 enum {
@@ -39,21 +40,19 @@
  * Logs what the verdict rests on. Daemons of the own zone that don't answer
  * either, or a late timer, show that this daemon itself is behind.
  */
-static void log_verdict(const zone_probe_t *probe)
+static void log_verdict(const zone_probe_t *probe, const char *event,
+			const char *why)
 {
 	const peers_t *p = probe->p;
 	detector_count_t zone = detector_count(&p->detector, probe->zone);
 	detector_count_t own = detector_count(&p->detector, p->self.zone);
-	int64_t late = probe->is_partitioned ? now_us() - probe->due_at : 0;
+	int64_t late = now_us() - probe->due_at;
 
-	log_event(probe->is_partitioned ? "zone-cut" : "zone-back",
+	log_event(event,
 		  "zone=%s unresponsive=%u linked=%u own_unresponsive=%u "
 		  "own_linked=%u connections=%d late_ms=%" PRId64 " why=\"%s\"",
 		  probe->zone, zone.unresponsive, zone.linked, own.unresponsive,
-		  own.linked, probe->n_tried, MAX(late, 0) / US_PER_MS,
-		  probe->is_partitioned ?
-			  "no daemon or upstream of the zone answers" :
-			  "a daemon or upstream of the zone answers");
+		  own.linked, probe->n_tried, MAX(late, 0) / US_PER_MS, why);
 }
 
 static void set_partitioned(zone_probe_t *probe, bool is_partitioned)
@@ -64,7 +63,12 @@
 	if (probe->is_partitioned == is_partitioned)
 		return;
 	probe->is_partitioned = is_partitioned;
-	log_verdict(probe);
+	if (is_partitioned)
+		log_verdict(probe, "zone-cut",
+			    "no daemon or upstream of the zone answers");
+	else
+		log_verdict(probe, "zone-back",
+			    "a daemon or upstream of the zone answers");
 	for (size_t i = 0; i < G_N_ELEMENTS(recipients); i++) {
 		message_t m = { .type = MESSAGE_ZONE_PARTITION,
 				.contact.is_lost = is_partitioned };
@@ -102,9 +106,28 @@
 	event_add(probe->timer, &tv);
 }
 
+static bool is_cut(const zone_probe_t *probe)
+{
+	const peers_t *p = probe->p;
+	zone_evidence_t evidence = {
+		.own = detector_count(&p->detector, p->self.zone),
+		.late = now_us() - probe->due_at,
+		.timeout = INT64_C(1) * PROBE_TIMEOUT_MS * US_PER_MS,
+	};
+
+	return zone_verdict_is_cut(&evidence);
+}
+
 static void probe_failed(zone_probe_t *probe)
 {
+	bool is_first = !probe->is_partitioned;
+
 	close_connections(probe);
+	if (is_first && !is_cut(probe)) {
+		log_verdict(probe, "zone-unclear", "this daemon is behind");
+		set_timer(probe, PROBE_TIMEOUT_MS);
+		return;
+	}
 	set_partitioned(probe, true);
 	set_timer(probe, PROBE_INTERVAL_MS);
 }
@@ -158,6 +181,8 @@
 	guint first = n ? g_rand_int(probe->p->sup->rand) % n : 0;
 
 	close_connections(probe);
+	/* So that what is known of the own zone is as new as the outcome. */
+	detector_ping_zone(&probe->p->detector, probe->p->self.zone, now_us());
 	for (guint i = 0; i < n && probe->n_open < ZONE_PROBES; i++) {
 		const vm_list_runner_t *r = &g_array_index(
 			runners, vm_list_runner_t, (first + i) % n);
