tests, KNOWN-RED: an update that lacks the configuration that it covers

A daemon that has a version from another one before it reads it in the store tells the others the place of it without the record; they take themselves to be up to date.

--- a/tests/lib_store_fixture.c
+++ b/tests/lib_store_fixture.c
@@ -55,16 +55,33 @@
 			release));
 }
 
+static char *config_text(int version)
+{
+	return g_strdup_printf("{\"version\":%d,\"routes\":[],\"services\":[],"
+			       "\"limits\":{\"max_header_bytes\":1024,"
+			       "\"max_body_bytes\":2048,"
+			       "\"header_timeout_ms\":500,"
+			       "\"idle_timeout_ms\":600},\"tenants\":[]}",
+			       version);
+}
+
 void store_fixture_put_config(store_fixture_t *f, int version)
 {
-	store_fixture_put(
-		f, STORE_CONFIG, "config",
-		g_strdup_printf("{\"version\":%d,\"routes\":[],\"services\":[],"
-				"\"limits\":{\"max_header_bytes\":1024,"
-				"\"max_body_bytes\":2048,"
-				"\"header_timeout_ms\":500,"
-				"\"idle_timeout_ms\":600},\"tenants\":[]}",
-				version));
+	store_fixture_put(f, STORE_CONFIG, "config", config_text(version));
+}
+
+void store_fixture_relay_config(store_fixture_t *f, int version)
+{
+	message_t m = { .type = MESSAGE_CONFIG_RELAYED };
+	char *text = config_text(version);
+	config_doc_t doc = { .version = (uint64_t)version };
+
+	g_strlcpy(doc.name, "fleet", sizeof(doc.name));
+	doc.body = g_bytes_new_take(text, strlen(text));
+	g_strlcpy(m.docs.peer, "peer", sizeof(m.docs.peer));
+	m.docs.docs = message_docs_new();
+	g_array_append_val(m.docs.docs, doc);
+	supervisor_post(&f->sup, TASK_PLATFORM, &m);
 }
 
 void store_fixture_put_runner(store_fixture_t *f, const char *id, int sequence,
@@ -304,6 +321,8 @@
 {
 	store_fixture_t *f = state;
 
+	if (m->type == MESSAGE_TOPIC_UPDATE && m->update.topic == STORE_CONFIG)
+		f->configs_told += (int)m->update.records->len;
 	if (m->type == MESSAGE_TOPIC_UPDATE && m->update.topic == STORE_RUNNERS)
 		read_removals(f, m->update.records);
 	if (m->type == MESSAGE_CONFIG_NEXT) {
--- a/tests/lib_store_fixture.h
+++ b/tests/lib_store_fixture.h
@@ -45,6 +45,7 @@
 	/* Of the latest update of the configuration with another epoch: */
 	topic_position_t told_from, told_to;
 	int tells; /* such updates */
+	int configs_told; /* records of the configuration in updates */
 	int appends; /* of this daemon's entry */
 	int part_appends; /* of other records in the daemons' topic */
 	int stream_appends; /* of streams that began */
@@ -77,6 +78,8 @@
 			      uint64_t release);
 /* Adds a valid configuration of this version. */
 void store_fixture_put_config(store_fixture_t *f, int version);
+/* Another daemon sends this version, without the store. */
+void store_fixture_relay_config(store_fixture_t *f, int version);
 /* Adds an entry of a ready runner of this release of its software. */
 void store_fixture_put_release(store_fixture_t *f, const char *id,
 			       const char *release);
