store: a relayed configuration is told when it is read in the store

What callers saw: two daemons of two zones refused, or served, by a version that had been replaced 3.9 s before, after a cut.

Cause: a daemon that had the new version from another one found nothing new when it read it in the store, and told the others its place without the record. Those at the version before took themselves to be up to date. The class: an update says what is new to its sender, and stands for everything between two places.

Change: a configuration that came around the store is marked, and told when the topic reaches it, once.

--- a/daemon/store_follower.c
+++ b/daemon/store_follower.c
@@ -36,16 +36,40 @@
 	       (news == ENTRY_KNOWN && (!is_kept || f->topic == STORE_RUNNERS));
 }
 
-/* Applies and keeps an entry. Returns whether it contains anything new. */
+void store_follower_keep_relayed(store_follower_t *f, str_t text)
+{
+	topic_records_set(&f->records, store_config_key(), text);
+	f->is_config_relayed = true;
+}
+
+/* Tells whether the topic has now reached the configuration that was relayed. */
+static bool reaches_relayed(store_follower_t *f, const store_entry_t *entry,
+			    entry_news_t news)
+{
+	bool was_relayed = f->is_config_relayed;
+
+	if (f->topic != STORE_CONFIG || !store_is_config_key(entry->key) ||
+	    news == ENTRY_OLD)
+		return false;
+	f->is_config_relayed = false;
+	return was_relayed;
+}
+
+/*
+ * Applies and keeps an entry. Returns whether it contains anything new to
+ * daemons that know as much of the topic as this one.
+ */
 static bool apply_entry(store_follower_t *f, const store_entry_t *entry)
 {
 	entry_news_t news = f->env->on_entry(f->env->ctx, f->topic, entry);
 	bool is_changed = changes_record(f, entry, news);
+	bool was_relayed = reaches_relayed(f, entry, news);
 
 	topic_records_see(&f->records, entry->key);
 	if (is_changed)
 		topic_records_set(&f->records, entry->key, entry->value);
-	return news == ENTRY_NEW || (is_changed && !entry->value.len);
+	return news == ENTRY_NEW || was_relayed ||
+	       (is_changed && !entry->value.len);
 }
 
 /* Logs whether the list of runners counts the store as down, if it changed. */
--- a/daemon/store_follower.h
+++ b/daemon/store_follower.h
@@ -47,6 +47,11 @@
 	topic_position_t read_from; /* what was known when it began */
 	bool is_down; /* the last call to the store failed */
 	uint64_t epoch; /* the store's, in its latest answer */
+	/*
+	 * The configuration that is kept came around the store: daemons that
+	 * know the topic as far as this one may not have it.
+	 */
+	bool is_config_relayed;
 	/* Whose word is being applied: "store", or another daemon's name. */
 	const char *source;
 } store_follower_t;
@@ -73,6 +78,8 @@
 void store_follower_end_wait(store_follower_t *f);
 /* Another zone is reached again: a call that is put off is made soon. */
 void store_follower_call_soon(store_follower_t *f);
+/* Keeps a configuration that another daemon sent, not as part of the topic. */
+void store_follower_keep_relayed(store_follower_t *f, str_t text);
 /* Sends the whole list to another daemon; does nothing if there is none. */
 void store_follower_send_list(store_follower_t *f, const char *peer);
 
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -483,9 +483,8 @@
 		if (!strcmp(doc->name, FLEET_PROFILE) &&
 		    apply_config(s, topic_records_view(doc->body), from) ==
 			    ENTRY_NEW)
-			topic_records_set(&s->config.records,
-					  store_config_key(),
-					  topic_records_view(doc->body));
+			store_follower_keep_relayed(
+				&s->config, topic_records_view(doc->body));
 	}
 }
 
