store: a daemon that stays behind its peers' version lists the topic again

Peers state their version with each heartbeat, and only those that read the store for all sent theirs to who was behind. An update of an older build, which lacks what it covers, can still come.

Change: if a peer's version is later than the own one for 0.7 s, and the own one hasn't changed meanwhile, the topic is listed again, from a peer or the store (core/topic_follow, event config-behind).

--- a/core/topic_follow.c
+++ b/core/topic_follow.c
@@ -17,6 +17,7 @@
 	BACKOFF_STEP_US = 60 * US_PER_MS, /* more jitter per daemon */
 	MAX_DAEMONS = 300, /* more daemons than this add no jitter */
 	SOON_US = 300 * US_PER_MS, /* spreads calls when a cut is over */
+	LAG_US = 700 * US_PER_MS, /* behind others, until a list */
 	/* Without a read by any daemon: more than one that reads late. */
 	OUTAGE_US = 1500 * US_PER_MS,
 };
@@ -195,6 +196,20 @@
 	return TOPIC_UPDATE_APPLY;
 }
 
+bool topic_follow_on_lag(topic_follow_t *f, uint64_t version, int64_t now)
+{
+	if (!f->lagging_since || f->lagging_at != version) {
+		f->lagging_at = version;
+		f->lagging_since = now;
+		return false;
+	}
+	if (!f->is_listed || now - f->lagging_since < LAG_US)
+		return false;
+	f->lagging_since = now;
+	topic_follow_invalidate(f, f->known.epoch);
+	return true;
+}
+
 bool topic_follow_is_due(const topic_follow_t *f, int64_t now)
 {
 	if (now < f->retry_at)
--- a/core/topic_follow.h
+++ b/core/topic_follow.h
@@ -33,6 +33,8 @@
 	int64_t read_at; /* when any daemon last read it, as far as known */
 	int64_t retry_at; /* no call before, after a failed one */
 	uint32_t failures; /* failed calls in a row */
+	uint64_t lagging_at; /* what was known then, as the caller counts it */
+	int64_t lagging_since; /* since when others know more; 0: never */
 } topic_follow_t;
 
 typedef enum topic_update {
@@ -109,6 +111,12 @@
  * the store and sends an update before the others time out as well.
  */
 int64_t topic_follow_max_update_age(uint32_t daemons, double draw);
+/*
+ * Another daemon has something later than VERSION, which is what this one has.
+ * Returns true, and the topic has to be listed again, if that was so for too
+ * long: what brings it should have come, so something was lost on the way.
+ */
+bool topic_follow_on_lag(topic_follow_t *f, uint64_t version, int64_t now);
 /*
  * Tells whether another daemon's list would help: nothing was listed yet, or
  * records are missing. Missing records may still arrive by themselves, since
--- a/daemon/message.h
+++ b/daemon/message.h
@@ -62,6 +62,7 @@
 typedef enum message_type {
 	MESSAGE_CONFIG, /* platform to all: the current documents */
 	MESSAGE_CONFIG_NEXT, /* platform to peers: next offset or version */
+	MESSAGE_CONFIG_STATED, /* peers to store: a peer has this version */
 	MESSAGE_CONFIG_REQUEST, /* peers to platform: a peer is behind */
 	MESSAGE_CONFIG_SEND, /* platform to peers: documents for a peer */
 	MESSAGE_CONFIG_RELAYED, /* peers to platform: from another daemon */
--- a/daemon/peers_task.c
+++ b/daemon/peers_task.c
@@ -191,6 +191,12 @@
 		receive_gossip(p, name, hb->heard[i], now);
 	if (hb->no_vms && p->vms)
 		vm_frames_send(&p->peer, str_from(name), p->vms);
+	if (p->sup->settings->fleet && hb->config_next > p->config_next) {
+		message_t m = { .type = MESSAGE_CONFIG_STATED,
+				.number = hb->config_next };
+
+		supervisor_post(p->sup, TASK_PLATFORM, &m);
+	}
 	if (hb->config_next < p->config_next) {
 		message_t m = { .type = MESSAGE_CONFIG_REQUEST,
 				.docs.next = hb->config_next };
--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -488,6 +488,21 @@
 	}
 }
 
+/* A peer has a later version than this daemon; it is on its way, or lost. */
+static void on_stated_config(store_sync_t *s, uint64_t stated)
+{
+	uint64_t version = s->fleet ? s->fleet->version : 0;
+
+	if (stated <= version ||
+	    !topic_follow_on_lag(&s->config.state, version, now_us()))
+		return;
+	log_event("config-behind",
+		  "version=%" PRIu64 " stated=%" PRIu64 " known=%" PRIu64
+		  " known_age_ms=%" PRId64 " why=\"a peer has a later one\"",
+		  version, stated, s->config.state.known.next,
+		  (now_us() - s->config.state.updated_at) / 1000);
+}
+
 /* The store answers for each topic again, whichever showed it first. */
 static void on_back(void *ctx)
 {
@@ -547,6 +562,8 @@
 				store_follower_send_list(followers[i],
 							 m->lists.peer);
 		}
+	else if (m->type == MESSAGE_CONFIG_STATED)
+		on_stated_config(s, m->number);
 	else if (m->type == MESSAGE_CONFIG_REQUEST)
 		send_config(s, m->docs.peer);
 	else if (m->type == MESSAGE_CONFIG_RELAYED)
--- a/tests/test_topic_follow.c
+++ b/tests/test_topic_follow.c
@@ -379,6 +379,24 @@
 }
 END_TEST
 
+/* Guards against a daemon that stays behind since an update lacked a record. */
+START_TEST(who_stays_behind_others_lists_the_topic)
+{
+	topic_follow_t f = { .is_listed = true };
+	int64_t now = 5 * 1000 * 1000;
+
+	ck_assert(!topic_follow_on_lag(&f, 3, now));
+	ck_assert(!topic_follow_on_lag(&f, 3, now + 600 * 1000));
+	ck_assert(f.is_listed);
+	ck_assert(topic_follow_on_lag(&f, 3, now + 700 * 1000));
+	ck_assert(!f.is_listed);
+	/* What came meanwhile begins a new wait. */
+	f.is_listed = true;
+	ck_assert(!topic_follow_on_lag(&f, 14, now + 1500 * 1000));
+	ck_assert(f.is_listed);
+}
+END_TEST
+
 SUITE_MAIN("topic_follow", updates_keep_a_follower_from_reading,
 	   follower_reads_without_updates, readers_and_new_daemons_always_read,
 	   updates_are_applied_in_order_or_read,
@@ -396,4 +414,5 @@
 	   a_read_of_a_later_epoch_needs_a_list,
 	   a_list_of_a_later_epoch_replaces_a_longer_one,
 	   an_update_over_epochs_is_for_one_position,
-	   positions_without_an_epoch_are_of_the_known_one)
+	   positions_without_an_epoch_are_of_the_known_one,
+	   who_stays_behind_others_lists_the_topic)
