http_conn: no busy loop while a request waits behind another one

Cause: the input then stands at its high watermark, and libevent runs the read callback again for as long as it does. Reading is now switched off until the state changes.

--- a/daemon/http_conn.c
+++ b/daemon/http_conn.c
@@ -51,6 +51,7 @@
 	c->closed = NULL;
 	intake_budget_enter(&c->server->intake, &c->intake, next, now_us());
 	bufferevent_setwatermark(c->bev, EV_READ, 0, ahead);
+	bufferevent_enable(c->bev, EV_READ);
 }
 
 /* Sets how many bytes the request takes up until it is answered. */
@@ -396,11 +397,13 @@
 }
 
 /*
- * No more is read while the request is answered, so the end of the input would
- * go unnoticed.
+ * Reads no more until the state changes. libevent would call back for as long as
+ * the input stays at its watermark. The end of the input would go unnoticed, so
+ * that is awaited.
  */
-static void await_close(http_conn_t *c)
+static void stop_reading(http_conn_t *c)
 {
+	bufferevent_disable(c->bev, EV_READ);
 	if (c->closed)
 		return;
 	c->closed = event_new(c->server->sup->base, bufferevent_getfd(c->bev),
@@ -417,7 +420,7 @@
 	else if (state(c) != INTAKE_SERVED)
 		read_request(c);
 	else if (evbuffer_get_length(input(c)) >= SERVED_AHEAD_BYTES)
-		await_close(c);
+		stop_reading(c);
 }
 
 static void on_written(struct bufferevent *bev, void *arg)
--- a/daemon/http_conn.h
+++ b/daemon/http_conn.h
@@ -16,7 +16,7 @@
 	http_server_t *server;
 	struct bufferevent *bev;
 	struct event *timer;
-	struct event *closed; /* the caller left; see await_close */
+	struct event *closed; /* the caller left; see stop_reading */
 	http1_reader_t reader;
 	GByteArray *body;
 	intake_t intake;
