http_conn: the next request is read when the answer before it is written

Cause: a connection whose answer was complete but not written counted as idle, so its next requests were read and served, and the answers piled up without a bound. Now a further request waits in the input, of which 4 KB are buffered, until the answer before it is written. A connection that neither reads nor is read from ends by the idle timeout; its waiting input no longer keeps it.

--- a/daemon/http_conn.c
+++ b/daemon/http_conn.c
@@ -12,7 +12,7 @@
 enum {
 	US_PER_MS = 1000,
 	READ_AHEAD_BYTES = 64 * 1024, /* input buffered during a request */
-	/* Input buffered while a request is being answered. */
+	/* Input buffered until a request's answer is written. */
 	SERVED_AHEAD_BYTES = 4 * 1024,
 	SHORT_HEAD_BYTES = 4 * 1024,
 	CONN_BYTES = 2 * 1024, /* of the structures of a connection */
@@ -43,8 +43,8 @@
 
 static void enter(http_conn_t *c, intake_state_t next)
 {
-	size_t ahead =
-		next == INTAKE_SERVED ? SERVED_AHEAD_BYTES : READ_AHEAD_BYTES;
+	bool is_waiting = next == INTAKE_SERVED || next == INTAKE_WRITING;
+	size_t ahead = is_waiting ? SERVED_AHEAD_BYTES : READ_AHEAD_BYTES;
 
 	if (c->closed)
 		event_free(c->closed);
@@ -181,7 +181,11 @@
 	set_timer(c, LINGER_MS);
 }
 
-/* The answer is complete; a part of it may still have to be written. */
+/*
+ * The answer is complete; a part of it may still have to be written. The next
+ * request is read afterwards: else the answers to a caller that reads slowly
+ * would pile up.
+ */
 static void enter_answered(http_conn_t *c)
 {
 	if (http_conn_backlog(c))
@@ -190,6 +194,9 @@
 		enter(c, c->is_closing ? INTAKE_CLOSING : INTAKE_KEPT);
 	if (c->is_closing)
 		shut_down_write(c);
+	/* Bytes that are already buffered are parsed from the event loop. */
+	if (state(c) == INTAKE_KEPT && evbuffer_get_length(input(c)))
+		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
 void http_conn_end(http_conn_t *c)
@@ -206,9 +213,6 @@
 	set_timer(c, limits(c).idle_timeout_ms);
 	c->is_closing = c->closes_after_answer;
 	enter_answered(c);
-	/* Bytes that are already buffered are parsed from the event loop. */
-	if (!c->is_closing && evbuffer_get_length(input(c)))
-		bufferevent_trigger(c->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
 void http_conn_reject(http_conn_t *c, int status, int64_t retry_after_ms,
@@ -417,7 +421,7 @@
 
 	if (c->is_closing)
 		evbuffer_drain(input(c), evbuffer_get_length(input(c)));
-	else if (state(c) != INTAKE_SERVED)
+	else if (state(c) != INTAKE_SERVED && state(c) != INTAKE_WRITING)
 		read_request(c);
 	else if (evbuffer_get_length(input(c)) >= SERVED_AHEAD_BYTES)
 		stop_reading(c);
@@ -454,12 +458,13 @@
 }
 
 /*
- * An idle connection may have a request in its input, if the event loop was
- * late, and the rest of an answer in its output.
+ * A kept connection may have a request in its input, if the event loop was late,
+ * and one that is written the rest of an answer in its output.
  */
 static bool is_in_use(http_conn_t *c)
 {
-	if (is_idle(c) && evbuffer_get_length(input(c)))
+	if (is_idle(c) && state(c) != INTAKE_WRITING &&
+	    evbuffer_get_length(input(c)))
 		return true;
 	return is_still_read(c);
 }
--- a/tests/test_pipelining.c
+++ b/tests/test_pipelining.c
@@ -8,6 +8,8 @@
 #include "tests/lib_suite.h"
 
 enum {
+	LONG_BYTES = 12 * 1000 * 1000, /* more than the sockets hold */
+	PIPELINED = 6,
 	WAIT_MS = 400,
 	WAITING_BYTES = 12 * 1000, /* of a request behind another one */
 	MAX_BUSY_MS = WAIT_MS / 2,
@@ -26,6 +28,38 @@
 			       WAITING_BYTES, body);
 }
 
+/*
+ * Guards against a daemon that goes beyond its memory: a caller that reads
+ * slowly has its next requests served while their answers pile up.
+ */
+START_TEST(what_waits_behind_an_unread_answer_is_not_served)
+{
+	g_autofree char *body = g_strnfill(LONG_BYTES, 'b');
+	g_autofree char *answer =
+		g_strdup_printf("HTTP/1.1 200 OK\r\nX-Attempt-Id: @\r\n"
+				"X-Server-Seal: seal\r\nContent-Length: %d"
+				"\r\n\r\n%s",
+				LONG_BYTES, body);
+	const reply_t long_answers[] = { { answer, REPLY_KEEP },
+					 { answer, REPLY_KEEP },
+					 { answer, REPLY_KEEP },
+					 {} };
+	gateway_fixture_t fixture;
+
+	gateway_fixture_begin(&fixture, long_answers, long_answers);
+	fixture.settings.max_answer_kib = LONG_BYTES / 1000;
+	gateway_send(&fixture, 0, REQUEST("/safe/", "a"));
+	gateway_await_count(&fixture, &fixture.runners[0].n_requests, 1);
+	bufferevent_disable(fixture.callers[0].bev, EV_READ);
+	for (int i = 0; i < PIPELINED; i++)
+		gateway_send(&fixture, 0, REQUEST("/safe/", "b"));
+	gateway_await_count(&fixture, &fixture.dones, 1);
+	gateway_run(&fixture, WAIT_MS);
+	ck_assert_int_eq(gateway_count_arrivals(&fixture), 1);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 /* Guards against a request that is forgotten behind an answer. */
 START_TEST(what_waits_is_served_when_the_answer_was_read)
 {
@@ -70,5 +104,6 @@
 }
 END_TEST
 
-SUITE_MAIN("pipelining", what_waits_is_served_when_the_answer_was_read,
+SUITE_MAIN("pipelining", what_waits_behind_an_unread_answer_is_not_served,
+	   what_waits_is_served_when_the_answer_was_read,
 	   a_request_that_waits_takes_no_processor_time)
