relay: what got no answer still ends at once without a retry, as before

Such a request is ended at once as before: its caller may try elsewhere. An answer that arrives is not given up for want of a retry.

--- a/core/partition_action.c
+++ b/core/partition_action.c
@@ -11,8 +11,11 @@
 		return PARTITION_REROUTE;
 	if (!r->may_resend)
 		return PARTITION_WAIT;
+	/* Without a retry it fails at once, and its caller may try elsewhere. */
 	if (!r->has_answer)
 		return PARTITION_RESEND;
+	if (!r->has_budget)
+		return PARTITION_WAIT;
 	/* While nothing is read, silence says nothing about the runner. */
 	if (r->is_paused ||
 	    now - r->heard_at < r->caller_wait / SILENCE_DIVISOR)
--- a/core/partition_action.h
+++ b/core/partition_action.h
@@ -19,7 +19,8 @@
 
 typedef struct partitioned_request {
 	bool is_sent; /* its first byte may have left */
-	bool may_resend; /* another runner may get it now */
+	bool may_resend; /* another runner may get it */
+	bool has_budget; /* and a retry is left for it */
 	bool has_answer; /* the head of its answer arrived */
 	bool is_paused; /* nothing is read: its caller reads slowly */
 	int64_t heard_at; /* when bytes of its answer last arrived */
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -341,8 +341,12 @@
 
 bool relay_may_resend(const relay_t *r)
 {
-	return may_go_on(r, r->sends + 1, r->possible_runs + 1) &&
-	       retry_budget_left(&r->gateway->retries, r->service) >= 1;
+	return may_go_on(r, r->sends + 1, r->possible_runs + 1);
+}
+
+bool relay_has_retry(const relay_t *r)
+{
+	return retry_budget_left(&r->gateway->retries, r->service) >= 1;
 }
 
 bool relay_retry(relay_t *r)
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -187,10 +187,11 @@
  */
 bool relay_retry(relay_t *r);
 /*
- * Tells whether relay_retry would request another runner if the exchange with
- * the present one were given up.
+ * Tells whether relay_retry might request another runner if the exchange with
+ * the present one were given up, and whether the budget has a retry for that.
  */
 bool relay_may_resend(const relay_t *r);
+bool relay_has_retry(const relay_t *r);
 
 /* relay_ways.c */
 
