detector: daemons without a link don't count as a sign of the own lag

A daemon that is lost stays unresponsive for a minute after its link went down. In a small zone of which most were lost, the others would have taken no zone to be cut off in that minute (core/zone_verdict).

--- a/core/detector.c
+++ b/core/detector.c
@@ -27,6 +27,7 @@
 	double srtt; /* smoothed; 0: not measured yet */
 	double rttvar;
 	bool is_unresponsive;
+	bool is_linked; /* false: it stays unresponsive without a link */
 	int64_t pinged_at; /* last ping sent */
 	/* When an unresponsive daemon began to answer in time; 0: not yet. */
 	int64_t answering_since;
@@ -103,6 +104,7 @@
 		g_strlcpy(p->zone, zone, sizeof(p->zone));
 		g_hash_table_insert(d->peers, g_strdup(name), p);
 	}
+	p->is_linked = true;
 	p->received_at = now;
 	p->request_sent_at = 0;
 	if (p->is_unresponsive)
@@ -134,6 +136,8 @@
 
 	if (p && !p->is_unresponsive)
 		remove_peer(d, name, p);
+	else if (p)
+		p->is_linked = false;
 }
 
 void detector_request_sent(detector_t *d, const char *name, int64_t now)
@@ -290,7 +294,7 @@
 
 	g_hash_table_iter_init(&iter, d->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (void **)&p)) {
-		if (strcmp(p->zone, zone) != 0)
+		if (!p->is_linked || strcmp(p->zone, zone) != 0)
 			continue;
 		count.linked++;
 		count.unresponsive += p->is_unresponsive;
--- a/core/detector.h
+++ b/core/detector.h
@@ -62,7 +62,10 @@
  */
 void detector_restart_timers(detector_t *d, int64_t now);
 
-/* How many linked daemons there are, and how many of them are unresponsive. */
+/*
+ * How many linked daemons there are, and how many of them are unresponsive. One
+ * whose link is down may be gone, so it says nothing about this daemon's link.
+ */
 typedef struct detector_count {
 	uint32_t linked, unresponsive;
 } detector_count_t;
--- a/tests/test_detector.c
+++ b/tests/test_detector.c
@@ -242,10 +242,35 @@
 }
 END_TEST
 
+/* Guards against lost daemons that pass for a lag of this one. */
+START_TEST(daemons_without_a_link_are_not_counted)
+{
+	static detector_sim_t s;
+	detector_count_t count;
+
+	sim_init(&s);
+	measure_round_trips(&s);
+	s.delay[0] = -1;
+	send_request(&s, 0);
+	sim_run(&s, 100);
+	count = detector_count(&s.detector, "za");
+	ck_assert_uint_eq(count.linked, 2);
+	ck_assert_uint_eq(count.unresponsive, 1);
+	detector_link_down(&s.detector, "a0", s.now);
+	count = detector_count(&s.detector, "za");
+	ck_assert_uint_eq(count.linked, 1);
+	ck_assert_uint_eq(count.unresponsive, 0);
+	detector_link_up(&s.detector, "a0", "za", s.now);
+	ck_assert_uint_eq(detector_count(&s.detector, "za").linked, 2);
+	detector_finish(&s.detector);
+}
+END_TEST
+
 SUITE_MAIN("detector", answering_daemon_is_not_unresponsive,
 	   only_the_daemon_without_answers_is_unresponsive,
 	   partitioned_zone_is_detected_in_a_few_round_trips,
 	   idle_partitioned_zone_is_detected, slow_link_gets_a_longer_timeout,
 	   closed_links_make_no_zone_unreachable,
 	   stall_makes_no_peer_unresponsive,
-	   daemon_that_never_returns_is_removed)
+	   daemon_that_never_returns_is_removed,
+	   daemons_without_a_link_are_not_counted)
