--- a/tests/test_zone_cut_dispatch.c
+++ b/tests/test_zone_cut_dispatch.c
@@ -6,6 +6,8 @@
  * that were sent to the partitioned zone go to another one if they may run
  * twice.
  */
+#include <sys/socket.h>
+
 #include "core/member.h"
 #include "tests/lib_fixture.h"
 #include "tests/lib_gateway.h"
@@ -20,6 +22,8 @@
 	/* Half of the time that the fixture's callers wait for an event. */
 	SILENCE_MS = 1000,
 	MARGIN_MS = 400,
+	PAUSE_MS = 1200, /* of a stream; its callers wait for 2000 */
+	RUN_MS = 300, /* of a call */
 	EVENT_MS = 50, /* between a stream's events */
 };
 
@@ -377,6 +381,128 @@
 }
 END_TEST
 
+/* Guards against a pause that is no reason to end an answer: none has room. */
+START_TEST(stream_that_pauses_is_not_broken_off_for_want_of_room)
+{
+	static const char event[] = NEXT_EVENT;
+	gateway_fixture_t fixture;
+
+	begin_stream(&fixture);
+	fixture.runners[0].trail = (trail_t){ STR_LIT(event), PAUSE_MS, 1 };
+	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
+	gateway_await(&fixture, 0, "data: a");
+	fixture.refuses = true;
+	set_partitioned_zone(&fixture, "z0");
+	gateway_run(&fixture, PAUSE_MS + MARGIN_MS);
+	ck_assert(!fixture.callers[0].is_closed);
+	ck_assert_int_eq(gateway_count(&fixture, 0, "data: b"), 1);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against a call that is given up while its runner works on it. */
+START_TEST(call_whose_runner_works_is_not_failed_for_want_of_room)
+{
+	static const char answer[] =
+		"HTTP/1.1 200 OK\r\nX-Attempt-Id: a\r\nX-Server-Seal: seal\r\n"
+		"Content-Length: 2\r\n\r\nok";
+	gateway_fixture_t fixture;
+
+	begin(&fixture);
+	fixture.runners[0].trail = (trail_t){ STR_LIT(answer), RUN_MS, 1 };
+	gateway_send(&fixture, 0, REQUEST("/safe/", "a"));
+	gateway_await_count(&fixture, &fixture.runners[0].n_requests, 1);
+	fixture.refuses = true;
+	set_partitioned_zone(&fixture, "z0");
+	gateway_await(&fixture, 0, "HTTP/1.1 ");
+	ck_assert_int_eq(gateway_count(&fixture, 0, "200 OK"), 1);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+static const reply_t broken_stream[] = {
+	{ STREAM_HEAD FIRST_EVENT, REPLY_RESET },
+	{ STREAM_HEAD NEXT_EVENT LAST_CHUNK, REPLY_KEEP },
+	{},
+};
+
+/* Guards against a begun stream that ends while its second runner begins. */
+START_TEST(stream_that_awaits_its_second_runner_is_not_broken_off)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture);
+	fixture.runners[0].replies = broken_stream;
+	fixture.runners[1].replies = no_reply;
+	gateway_send(&fixture, 0, REQUEST("/long/", "a"));
+	gateway_await_count(&fixture, &fixture.runners[1].n_requests, 1);
+	/* Another request, which adds to the retry budget. */
+	fixture.refuses = true;
+	gateway_send(&fixture, 1, REQUEST("/safe/", "b"));
+	gateway_await(&fixture, 1, "503 ");
+	set_partitioned_zone(&fixture, "z1");
+	gateway_run(&fixture, RUN_MS);
+	ck_assert(!fixture.callers[0].is_closed);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* Guards against a retry that is charged for a grant that was not used. */
+START_TEST(declined_grant_does_not_break_a_stream_off)
+{
+	gateway_fixture_t fixture;
+
+	begin(&fixture);
+	fixture.runners[0].replies = broken_stream;
+	set_partitioned_zone(&fixture, "z1");
+	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
+	gateway_await(&fixture, 0, "data: a");
+	gateway_run(&fixture, RUN_MS);
+	ck_assert(!fixture.callers[0].is_closed);
+	ck_assert_int_eq(gateway_count(&fixture, 0, "data: b"), 1);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
+/* The only connection that RUNNER has. */
+static evutil_socket_t only_socket(const raw_runner_t *runner)
+{
+	GHashTableIter iter;
+	void *bev = NULL;
+
+	ck_assert_uint_eq(g_hash_table_size(runner->conns), 1);
+	g_hash_table_iter_init(&iter, runner->conns);
+	g_hash_table_iter_next(&iter, &bev, NULL);
+	return bufferevent_getfd(bev);
+}
+
+/*
+ * Guards against silence that is this process's own: an event arrived while it
+ * stood still, and the timer runs before the event is read.
+ */
+START_TEST(stream_is_kept_when_the_process_itself_was_late)
+{
+	static const char event[] = NEXT_EVENT;
+	gateway_fixture_t fixture;
+
+	begin_stream(&fixture);
+	gateway_send(&fixture, 0, REQUEST("/stream/", "a"));
+	gateway_await(&fixture, 0, "data: a");
+	set_partitioned_zone(&fixture, "z0");
+	gateway_run(&fixture, RUN_MS);
+	ck_assert_int_eq(fixture.runners[0].n_closed, 0);
+	ck_assert_int_eq(send(only_socket(&fixture.runners[0]), event,
+			      sizeof(event) - 1, 0),
+			 sizeof(event) - 1);
+	g_usleep(SILENCE_MS * G_TIME_SPAN_MILLISECOND);
+	gateway_run(&fixture, RUN_MS);
+	ck_assert_int_eq(fixture.runners[0].n_closed, 0);
+	ck_assert_int_eq(fixture.runners[1].n_requests, 0);
+	ck_assert_int_eq(gateway_count(&fixture, 0, "data: b"), 1);
+	gateway_fixture_finish(&fixture);
+}
+END_TEST
+
 SUITE_MAIN("zone_cut_dispatch", reachable_zones_agree_on_hosts,
 	   unresponsive_daemon_keeps_its_keys,
 	   runners_in_a_partitioned_zone_get_no_work,
@@ -387,4 +513,9 @@
 	   grant_in_a_partitioned_zone_is_returned,
 	   stream_whose_runner_goes_on_is_not_broken_off,
 	   stream_is_kept_through_a_short_silence_of_its_zone,
-	   stream_that_is_silent_for_long_goes_on_elsewhere)
+	   stream_that_is_silent_for_long_goes_on_elsewhere,
+	   stream_that_pauses_is_not_broken_off_for_want_of_room,
+	   call_whose_runner_works_is_not_failed_for_want_of_room,
+	   stream_that_awaits_its_second_runner_is_not_broken_off,
+	   declined_grant_does_not_break_a_stream_off,
+	   stream_is_kept_when_the_process_itself_was_late)
