--- a/tests/test_tunnel.c
+++ b/tests/test_tunnel.c
@@ -543,7 +543,7 @@
 	}
 }
 
-enum { LONG_BYTES = 4 << 20, SLOW_MS = 50 };
+enum { LONG_BYTES = 4 << 20, SLOW_MS = 50, STILL_MS = 6000 };
 
 /* Numbered lines, so that a missing or a repeated part shows. */
 static GString *make_long_body(void)
@@ -610,6 +610,29 @@
 }
 END_TEST
 
+/*
+ * Guards against an answer that a proxy gives up since its reader stands still
+ * for seconds, as its caller does.
+ */
+START_TEST(a_reader_that_stands_still_for_seconds_gets_all)
+{
+	GString *body = make_long_body();
+	exchange_t x;
+	int fd = send_to_slow_reader(&x, body);
+
+	upstream_conn_pause(x.conn, true);
+	close(fd);
+	run_for(&x, STILL_MS);
+	ck_assert_int_eq(x.n_ends, 0);
+	upstream_conn_pause(x.conn, false);
+	run_until(&x, &x.n_ends);
+	ck_assert_int_eq(x.end, UPSTREAM_COMPLETE);
+	ck_assert(g_string_equal(x.body, body));
+	finish(&x);
+	g_string_free(body, TRUE);
+}
+END_TEST
+
 /* Guards against a reset that looks like an end to a reader that paused. */
 START_TEST(a_reset_before_a_slow_reader_has_all_ends_no_answer)
 {
@@ -746,6 +769,7 @@
 	   the_other_daemons_end_closes_the_runners_connection,
 	   only_daemons_open_tunnels, frames_may_come_in_pieces,
 	   a_long_answer_to_a_slow_reader_is_whole,
+	   a_reader_that_stands_still_for_seconds_gets_all,
 	   a_reset_before_a_slow_reader_has_all_ends_no_answer,
 	   the_end_of_the_proxy_before_a_slow_reader_ends_no_answer,
 	   a_proxy_that_leaves_carries_an_answer_to_its_end,
