relay: a begun stream that awaits its second runner is no request without answer

A stream whose first runner broke off had no head of its second one yet, so a zone that was taken to be cut off had it given up at once, and a refusal ended it midway. It waits like any begun answer now.

--- a/core/partition_action.h
+++ b/core/partition_action.h
@@ -21,9 +21,9 @@
 	bool is_sent; /* its first byte may have left */
 	bool may_resend; /* another runner may get it */
 	bool has_budget; /* and a retry is left for it */
-	bool has_answer; /* the head of its answer arrived */
+	bool has_answer; /* a head arrived, from this runner or an earlier one */
 	bool is_paused; /* nothing is read: its caller reads slowly */
-	int64_t heard_at; /* when bytes of its answer last arrived */
+	int64_t heard_at; /* when bytes of its answer last arrived, or it was sent */
 	int64_t caller_wait; /* how long its caller waits for the next ones */
 } partitioned_request_t;
 
--- a/daemon/relay_runner.c
+++ b/daemon/relay_runner.c
@@ -185,7 +185,7 @@
 		.is_sent = upstream_conn_is_sent(r->upstream),
 		.may_resend = relay_may_resend(r),
 		.has_budget = relay_has_retry(r),
-		.has_answer = r->has_answer,
+		.has_answer = r->has_answer || r->has_begun,
 		.is_paused = r->is_paused,
 		.heard_at = r->heard_at,
 		.caller_wait = fleet_caller_wait_ms(r->route) * US_PER_MS,
