relay: a grant that is declined unused costs no second retry

A request that was sent before took a retry from the budget, was granted a runner that may not be used (its zone is taken to be cut off, it leaves, it pauses), and took another one for the next grant, though nothing had been sent. A begun stream ended for want of it. A retry that was taken now counts until the request is sent.

test_zone_cut_dispatch: declined_grant_does_not_break_a_stream_off failed before, passes now; its entry leaves KNOWN-RED.txt. test_ended_exchange, test_retry_restarts, test_retry_budget, test_runner_notice and test_limited_fleet pass.

--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -354,8 +354,12 @@
 	g_strlcpy(r->avoid, r->runner.name, sizeof(r->avoid));
 	if (!may_go_on(r, r->sends, r->possible_runs))
 		return false;
-	if (r->sends && !take_retry(r))
-		return false;
+	/* A grant that was not used leaves the retry that was taken for it. */
+	if (r->retries_taken < r->sends) {
+		if (!take_retry(r))
+			return false;
+		r->retries_taken = r->sends;
+	}
 	relay_request_runner(r);
 	return true;
 }
--- a/daemon/relay.h
+++ b/daemon/relay.h
@@ -97,6 +97,7 @@
 	uint32_t output_tokens; /* estimate of what is left, for the want */
 	uint32_t declined_grants; /* grants that were returned unused */
 	uint32_t sends; /* how often it was sent to a runner */
+	uint32_t retries_taken; /* from the budget; one for each later send */
 	uint32_t possible_runs; /* of those, the ones that may have run */
 
 	/* head of the answer; valid during the exchange */
