gateway: a late tick finds no answer silent

After a stall the tick's timer runs before the bytes that arrived meanwhile are read, so a stream behind a verdict on its zone was found silent and given up. Silence counts at a tick in time only.

--- a/core/partition_action.c
+++ b/core/partition_action.c
@@ -16,8 +16,7 @@
 		return PARTITION_RESEND;
 	if (!r->has_budget)
 		return PARTITION_WAIT;
-	/* While nothing is read, silence says nothing about the runner. */
-	if (r->is_paused ||
+	if (r->is_unread ||
 	    now - r->heard_at < r->caller_wait / SILENCE_DIVISOR)
 		return PARTITION_WAIT;
 	return PARTITION_RESEND;
--- a/core/partition_action.h
+++ b/core/partition_action.h
@@ -22,7 +22,8 @@
 	bool may_resend; /* another runner may get it */
 	bool has_budget; /* and a retry is left for it */
 	bool has_answer; /* a head arrived, from this runner or an earlier one */
-	bool is_paused; /* nothing is read: its caller reads slowly */
+	/* What arrived may be unread: its caller is slow, or this process late. */
+	bool is_unread;
 	int64_t heard_at; /* when bytes of its answer last arrived, or it was sent */
 	int64_t caller_wait; /* how long its caller waits for the next ones */
 } partitioned_request_t;
--- a/daemon/gateway.h
+++ b/daemon/gateway.h
@@ -57,6 +57,9 @@
 	GHashTable *partitioned_zones; /* set of names of partitioned zones */
 	uint64_t last_attempt;
 	struct event *tick;
+	int64_t ticked_at; /* microseconds; the latest tick */
+	/* That one came late: what arrived before it may be unread. */
+	bool is_tick_late;
 	int64_t drain_since; /* microseconds; 0: not draining */
 } gateway_t;
 
--- a/daemon/gateway_task.c
+++ b/daemon/gateway_task.c
@@ -13,6 +13,7 @@
 
 enum {
 	TICK_MS = 50,
+	LATE_TICK_US = 2 * TICK_MS * 1000, /* since the last one */
 	FLUSH_US = 200 * 1000, /* to send the last answers of a drain */
 	/* A runner that left the list is forgotten after this time. */
 	LEFT_RUNNER_KEEP_US = 60 * 1000 * 1000,
@@ -161,6 +162,8 @@
 	g_autoptr(GList) relays = g_hash_table_get_values(g->relays);
 	int64_t now = now_us();
 
+	g->is_tick_late = now - g->ticked_at > LATE_TICK_US;
+	g->ticked_at = now;
 	gateway_check_quarantine(g);
 	for (GList *link = relays; link; link = link->next)
 		relay_tick(link->data, now);
@@ -343,6 +346,7 @@
 			   str_from(sup->settings->peer_secret));
 	retry_budget_init(&g->retries, &none);
 	runner_filter_init(&g->runners, LEFT_RUNNER_KEEP_US);
+	g->ticked_at = now_us();
 	g->tick = supervisor_add_timer(sup, TICK_MS, on_tick, g);
 	/*
 	 * After a restart of this task: has the store task, which has the ID
--- a/daemon/relay_runner.c
+++ b/daemon/relay_runner.c
@@ -186,7 +186,7 @@
 		.may_resend = relay_may_resend(r),
 		.has_budget = relay_has_retry(r),
 		.has_answer = r->has_answer || r->has_begun,
-		.is_paused = r->is_paused,
+		.is_unread = r->is_paused || r->gateway->is_tick_late,
 		.heard_at = r->heard_at,
 		.caller_wait = fleet_caller_wait_ms(r->route) * US_PER_MS,
 	};
--- a/tests/test_partition_action.c
+++ b/tests/test_partition_action.c
@@ -81,7 +81,7 @@
 {
 	partitioned_request_t r = running(CALLER_WAIT_MS);
 
-	r.is_paused = true;
+	r.is_unread = true;
 	ck_assert_int_eq(act(&r), PARTITION_WAIT);
 }
 END_TEST
