tests: planned work alone loses no whole request, on real processes

Three real daemons in two availability zones, two runners and 60 callers: streams in 40 pieces, plain answers in pieces over a second, bodies of 2 MB, answers of 2 MB that are read slowly; half of the callers keep their connections. One daemon reaches the runners through others alone (tests/shim/partition.c). Beside them, one after the other: changes of the configuration every 100 ms, a key revoked and restored while its requests run, SIGHUP of each daemon, SIGTERM of the daemon that is cut off and then of one of the others.

A request that was sent whole must end with a complete answer, except by its deadline or, as the rule has it, in the last sixth of a stop's grace.

--- a/Makefile
+++ b/Makefile
@@ -93,13 +93,15 @@
 # Preloaded into daemons by the fault tests.
 SHIM := $(B)/tests/libshim.so
 
-# Cuts daemons off from all runners in tests/partition.c.
+# Cuts daemons off from all runners, in tests/partition.c and others.
 PARTITION_SHIM := $(B)/tests/libpartition.so
 
 $(SHIM): tests/shim/connect.c
 	@mkdir -p $(@D)
 	$(CC) -std=gnu11 $(WARN) $(CFLAGS) -fPIC -shared -o $@ $< -ldl
 
+$(B)/tests/test_planned_changes: | $(PARTITION_SHIM)
+
 $(PARTITION_SHIM): tests/shim/partition.c
 	@mkdir -p $(@D)
 	$(CC) -std=gnu11 $(WARN) $(CFLAGS) -fPIC -shared -o $@ $< -ldl -lpthread
