--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -485,7 +485,7 @@
 
 void relay_tick(relay_t *r, int64_t now)
 {
-	if (relay_refuse_quarantined(r))
+	if (relay_refuse_quarantined(r) || relay_check_partition(r, now))
 		return;
 	if (r->state == RELAY_AWAITING_RELEASE) {
 		relay_check_release_timeout(r, now);
@@ -497,8 +497,6 @@
 	} else if (r->state == RELAY_AWAITING_GRANT &&
 		   now - r->requested_at > REPEAT_WANT_US) {
 		relay_repeat_unanswered(r, now);
-	} else if (r->state == RELAY_GRANTED && relay_check_partition(r, now)) {
-		return;
 	} else if (r->state == RELAY_GRANTED && r->is_streaming &&
 		   !r->is_paused &&
 		   now - r->progress_at >
--- a/tests/test_topic_follow.c
+++ b/tests/test_topic_follow.c
@@ -1,6 +1,8 @@
 #include "core/topic_follow.h"
 #include "tests/lib_suite.h"
 
+#define MS INT64_C(1000)
+
 enum { MAX_UPDATE_AGE = 700 };
 
 static const int64_t SECOND = 1000000;
@@ -383,22 +385,22 @@
 START_TEST(who_stays_behind_others_lists_the_topic)
 {
 	topic_follow_t f = { .is_listed = true };
-	int64_t now = 5 * 1000 * 1000;
+	int64_t now = 5000 * MS;
 
 	ck_assert(!topic_follow_on_lag(&f, 3, now));
-	ck_assert(!topic_follow_on_lag(&f, 3, now + 600 * 1000));
+	ck_assert(!topic_follow_on_lag(&f, 3, now + 600 * MS));
 	/* Updates are late: what is lacking may be among them. */
-	ck_assert(!topic_follow_on_lag(&f, 3, now + 700 * 1000));
+	ck_assert(!topic_follow_on_lag(&f, 3, now + 700 * MS));
 	ck_assert(f.is_listed);
-	f.updated_at = now + 800 * 1000;
-	f.missing_since = now + 800 * 1000;
-	ck_assert(!topic_follow_on_lag(&f, 3, now + 900 * 1000));
+	f.updated_at = now + 800 * MS;
+	f.missing_since = now + 800 * MS;
+	ck_assert(!topic_follow_on_lag(&f, 3, now + 900 * MS));
 	f.missing_since = 0;
-	ck_assert(topic_follow_on_lag(&f, 3, now + 900 * 1000));
+	ck_assert(topic_follow_on_lag(&f, 3, now + 900 * MS));
 	ck_assert(!f.is_listed);
 	/* What came meanwhile begins a new wait. */
 	f.is_listed = true;
-	ck_assert(!topic_follow_on_lag(&f, 14, now + 1500 * 1000));
+	ck_assert(!topic_follow_on_lag(&f, 14, now + 1500 * MS));
 	ck_assert(f.is_listed);
 }
 END_TEST
