--- a/tests/test_planned_changes.c
+++ b/tests/test_planned_changes.c
@@ -512,7 +512,10 @@
 	ck_assert(g_file_test(shim, G_FILE_TEST_EXISTS));
 	ck_assert(g_file_set_contents(settings, text, -1, NULL));
 	g_setenv("LD_PRELOAD", shim, TRUE);
+	/* For a build with sanitizers, whose library wants to be the first. */
+	g_setenv("ASAN_OPTIONS", "verify_asan_link_order=0", TRUE);
 	ck_assert(process_start(&s->daemons[i], "papayad", args, log, false));
+	g_unsetenv("ASAN_OPTIONS");
 	g_unsetenv("LD_PRELOAD");
 }
 
