store: daemons that are behind are sent the configuration at a pace

Cause: each heartbeat states the version in force. The daemon that reads the store sent the whole configuration, some 300 KB there, to each daemon that stated an older one, again with each of its heartbeats, though it was on its way to it: 41 MB a round of 0.6 s for 138 links of 10 Mbit/s. The links stayed full, so the others stayed behind.

--- a/daemon/store_task.c
+++ b/daemon/store_task.c
@@ -8,6 +8,7 @@
 #include <inttypes.h>
 
 #include "common/log.h"
+#include "core/catch_up.h"
 #include "daemon/fleet_view.h"
 #include "daemon/part_records.h"
 #include "daemon/release_record.h"
@@ -39,6 +40,7 @@
 	stream_recorder_t recorder;
 	rollout_conductor_t rollouts;
 	runner_list_t runner_list;
+	catch_up_t catch_up; /* what was sent to daemons that are behind */
 	GHashTable *daemon_list; /* name to listed_daemon_t */
 	fleet_t *fleet;
 	vm_list_t *vms;
@@ -450,7 +452,8 @@
 
 /*
  * Sends the configuration to a peer that can't read the store itself. Only
- * readers of the store, and daemons whose own last call to it failed, do so.
+ * readers of the store, and daemons whose own last call to it failed, do so,
+ * at the pace of core/catch_up.h.
  */
 static void send_config(store_sync_t *s, const char *peer)
 {
@@ -460,7 +463,9 @@
 		topic_records_get(&s->config.records, store_config_key());
 
 	if (!s->fleet || !text ||
-	    (!s->config.state.is_reader && !s->config.is_down))
+	    (!s->config.state.is_reader && !s->config.is_down) ||
+	    !catch_up_may_send(&s->catch_up, peer, s->fleet->version,
+			       g_bytes_get_size(text), now_us()))
 		return;
 	g_strlcpy(m.docs.peer, peer, sizeof(m.docs.peer));
 	g_strlcpy(doc.name, FLEET_PROFILE, sizeof(doc.name));
@@ -592,6 +597,7 @@
 	store_init(&s->store, sup->base, sup->settings->platform,
 		   sup->settings->platform_timeout_ms);
 	runner_list_init(&s->runner_list, RUNNER_GRACE_US);
+	catch_up_init(&s->catch_up);
 	s->daemon_list =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->env = (store_env_t){
@@ -635,6 +641,7 @@
 	event_free(s->publish_timer);
 	event_free(s->export_timer);
 	runner_list_finish(&s->runner_list);
+	catch_up_finish(&s->catch_up);
 	g_hash_table_destroy(s->daemon_list);
 	fleet_unref(s->fleet);
 	vm_list_unref(s->vms);
--- a/tests/lib_store_fixture.c
+++ b/tests/lib_store_fixture.c
@@ -293,6 +293,7 @@
 	ck_assert_msg(fleet != NULL, "%s", err.detail);
 	ck_assert_uint_eq(fleet->version, doc->version);
 	f->sent_version = (int)fleet->version;
+	f->configs_sent++;
 	fleet_unref(fleet);
 }
 
--- a/tests/lib_store_fixture.h
+++ b/tests/lib_store_fixture.h
@@ -59,6 +59,7 @@
 	int quarantined; /* prompt parts that the front task was told of */
 	quarantine_entry_t last_quarantined;
 	int sent_version; /* of the configuration sent to another daemon */
+	int configs_sent; /* how often it was */
 	bool has_old_peer; /* another daemon lists what it knew before */
 	int old_peer_next;
 } store_fixture_t;
